--- a/src/azureswitch/ports/__init__.py
+++ b/src/azureswitch/ports/__init__.py
@@ -14,6 +14,7 @@
     Surface,
 )
 from azureswitch.ports._hosts import HostList, HostStatus, ListedHost
+from azureswitch.ports._peers import DATAGRAM_LIMIT, Peers
 from azureswitch.ports._service import PlainAnswer, PlainRequest, PlainTarget
 from azureswitch.ports._store import (
     ChangeKind,
@@ -24,6 +25,7 @@
 )
 
 __all__ = [
+    "DATAGRAM_LIMIT",
     "CacheEvents",
     "ChangeKind",
     "Chunk",
@@ -39,6 +41,7 @@
     "LoadReport",
     "Order",
     "OrderKind",
+    "Peers",
     "PlainAnswer",
     "PlainRequest",
     "PlainTarget",
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClaimCall(Effect):
-    """Claim a non-idempotent call; answer by ClaimGranted or ClaimDenied."""
+    """Claim a non-idempotent call; answer by ClaimGranted, ClaimReplayed or ClaimDenied."""
 
     call: CallId
     customer: CustomerName
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -92,6 +92,13 @@
     error: AzureswitchError
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimReplayed(ServingEvent):
+    """The first call with this key has ended; the shell gives its recorded answer again."""
+
+    call: CallId
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FirstTokenArrived(ServingEvent):
     """An attempt delivered its first output token."""
