--- /dev/null
+++ b/src/azureswitch_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for everything around azureswitch, as objects for tests and as programs."""
