--- a/src/azureswitch/exceptions.py
+++ b/src/azureswitch/exceptions.py
@@ -607,6 +607,17 @@
         return f"{self.place} is {self.value!r}; expected {self.expected}."
 
 
+@dataclass(kw_only=True, eq=False)
+class DuplicateSettingError(SettingsError):
+    """The section or key stands twice, or a value that must be unique does."""
+
+    code: ClassVar[str] = "settings_duplicate"
+
+    @property
+    def message(self) -> str:
+        return f"{self.place} stands twice."
+
+
 @dataclass(kw_only=True, eq=False)
 class DanglingReferenceError(SettingsError):
     """An entry names a place, service or model that the inventory does not hold."""
