Carry typed messages between hosts over gRPC and UDP

Every coordination part needs calls and casts between hosts. One envelope carries both: calls over grpclib, casts as datagrams on the same port number, bodies in MessagePack. Sizes, calls and datagrams in progress and connections are bounded, and bytes are counted by kind of message. The in-memory network encodes and counts in the same way and adds loss, delay, partitions and pauses; the virtual clock lets hours of timers pass in a test.

--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,5 @@
 
 generate: $(VENV)/.installed
 	$(BIN)/pip install --quiet --editable .[generate]
-	$(BIN)/python -m grpc_tools.protoc -I src --python_out=src --grpclib_python_out=src --mypy_out=src \
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I src --python_out=src --grpclib_python_out=src --mypy_out=src \
 		src/azureswitch/peers/peers.proto
--- a/src/azureswitch/exceptions.py
+++ b/src/azureswitch/exceptions.py
@@ -84,6 +84,73 @@
         return f"The body is over the limit of {self.limit} bytes."
 
 
+@dataclass(kw_only=True, eq=False)
+class HeadersTooLargeError(RequestError):
+    """The request line and headers are over the limit in bytes."""
+
+    code: ClassVar[str] = "headers_too_large"
+    status: ClassVar[HTTPStatus] = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    limit: int
+
+    @property
+    def message(self) -> str:
+        return f"The headers are over the limit of {self.limit} bytes."
+
+
+@dataclass(kw_only=True, eq=False)
+class MalformedRequestError(RequestError):
+    """The bytes sent are not an HTTP request."""
+
+    code: ClassVar[str] = "malformed_request"
+
+    @property
+    def message(self) -> str:
+        return "The request is not HTTP/1.1."
+
+
+@dataclass(kw_only=True, eq=False)
+class InvalidHeaderError(RequestError):
+    """A header or query parameter has a value that is not accepted.
+
+    Attributes:
+        name: The header or parameter.
+        expected: What is accepted.
+    """
+
+    code: ClassVar[str] = "invalid_header"
+    name: str
+    expected: str
+
+    @property
+    def message(self) -> str:
+        return f"{self.name} is not accepted; expected {self.expected}."
+
+
+@dataclass(kw_only=True, eq=False)
+class CallerTooSlowError(RequestError):
+    """The caller took too long to send its request."""
+
+    code: ClassVar[str] = "caller_too_slow"
+    status: ClassVar[HTTPStatus] = HTTPStatus.REQUEST_TIMEOUT
+    limit: float
+
+    @property
+    def message(self) -> str:
+        return f"No more of the request arrived within {self.limit:g} s."
+
+
+@dataclass(kw_only=True, eq=False)
+class UnknownPathError(RequestError):
+    """Nothing is served at this method and path."""
+
+    code: ClassVar[str] = "path_not_found"
+    status: ClassVar[HTTPStatus] = HTTPStatus.NOT_FOUND
+
+    @property
+    def message(self) -> str:
+        return "Nothing is served at this method and path."
+
+
 @dataclass(kw_only=True, eq=False)
 class PromptTooLongError(RequestError):
     """The prompt is longer, in tokens, than the fleet can serve."""
@@ -359,6 +426,30 @@
         return f"The target rejected the request with status {self.target_status}: {self.detail}."
 
 
+@dataclass(kw_only=True, eq=False)
+class AnswerTooLargeError(ServingError):
+    """The answer is over the limit in bytes that a host keeps for one request."""
+
+    code: ClassVar[str] = "answer_too_large"
+    ran: ClassVar[Ran] = Ran.RAN
+    limit: int
+
+    @property
+    def message(self) -> str:
+        return f"The answer is over the limit of {self.limit} bytes."
+
+
+@dataclass(kw_only=True, eq=False)
+class CallerGoneError(ServingError):
+    """The caller closed its connection or stopped reading before the end."""
+
+    code: ClassVar[str] = "caller_gone"
+
+    @property
+    def message(self) -> str:
+        return "The caller left before the end."
+
+
 # --- Targets --------------------------------------------------------------------------------------
 
 
@@ -524,6 +615,88 @@
         return f"The call to host {self.peer!r} failed."
 
 
+@dataclass(kw_only=True, eq=False)
+class PeerRefusedError(PeerError):
+    """Another host answered a call with a failure.
+
+    Attributes:
+        reason: The code of that failure.
+    """
+
+    code: ClassVar[str] = "peer_refused"
+    reason: str
+
+    @property
+    def message(self) -> str:
+        return f"Host {self.peer!r} answered with {self.reason}."
+
+
+@dataclass(kw_only=True, eq=False)
+class PeerMessageInvalidError(PeerError):
+    """A message from another host cannot be read, or nothing here takes it.
+
+    Attributes:
+        kind: The type name that was expected or received.
+    """
+
+    code: ClassVar[str] = "peer_message_invalid"
+    kind: str
+
+    @property
+    def message(self) -> str:
+        return f"The message {self.kind!r} from host {self.peer!r} cannot be read."
+
+
+@dataclass(kw_only=True, eq=False)
+class PeerMessageTooLargeError(PeerError):
+    """A message for another host is over the limit in bytes; it was not sent."""
+
+    code: ClassVar[str] = "peer_message_too_large"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+    size: int
+    limit: int
+
+    @property
+    def message(self) -> str:
+        return f"A message for host {self.peer!r} has {self.size} bytes; {self.limit} may be sent."
+
+
+@dataclass(kw_only=True, eq=False)
+class HttpError(AzureswitchError):
+    """An HTTP exchange failed below the level of its status.
+
+    Attributes:
+        address: The ``IP:PORT`` that it was with.
+    """
+
+    code: ClassVar[str] = "http_error"
+    address: str
+
+    @property
+    def message(self) -> str:
+        return f"The HTTP exchange with {self.address} failed."
+
+
+@dataclass(kw_only=True, eq=False)
+class HttpNotSentError(HttpError):
+    """No connection could be made, so nothing was sent."""
+
+    code: ClassVar[str] = "http_not_sent"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+
+
+@dataclass(kw_only=True, eq=False)
+class HttpBrokenError(HttpError):
+    """The request was sent and its answer did not arrive whole.
+
+    Attributes:
+        answered: Whether the head of the answer had arrived.
+    """
+
+    code: ClassVar[str] = "http_broken"
+    answered: bool = False
+
+
 # --- Settings, inventory and rules ----------------------------------------------------------------
 
 
@@ -674,6 +847,30 @@
         return f"The snapshot has {self.size} bytes; the limit is {self.limit}."
 
 
+@dataclass(kw_only=True, eq=False)
+class SnapshotUnreadableError(ChangeError):
+    """A stored configuration cannot be read by this version of the software."""
+
+    code: ClassVar[str] = "snapshot_unreadable"
+    revision: int
+
+    @property
+    def message(self) -> str:
+        return f"The configuration of revision {self.revision} cannot be read."
+
+
+@dataclass(kw_only=True, eq=False)
+class UnknownTargetError(ChangeError):
+    """The inventory holds no such target."""
+
+    code: ClassVar[str] = "target_not_found"
+    target: str
+
+    @property
+    def message(self) -> str:
+        return f"The inventory holds no target named {self.target!r}."
+
+
 @dataclass(kw_only=True, eq=False)
 class ChangeOutcomeUnknownError(ChangeError):
     """The store did not say whether the change was accepted; ask again by its change id."""
@@ -685,3 +882,34 @@
     @property
     def message(self) -> str:
         return f"It is not known whether change {self.change} was accepted."
+
+
+# --- Leases and long work -------------------------------------------------------------------------
+
+
+@dataclass(kw_only=True, eq=False)
+class LeaseLostError(AzureswitchError):
+    """Another host holds the lease, or the store could not confirm that this one still does.
+
+    Attributes:
+        group: What the lease is on.
+    """
+
+    code: ClassVar[str] = "lease_lost"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+    group: str
+
+    @property
+    def message(self) -> str:
+        return f"The lease on {self.group!r} is not held here."
+
+
+@dataclass(kw_only=True, eq=False)
+class LongWorkLostError(ServingError):
+    """The host and the engine of a long request both died; its prompt is kept nowhere."""
+
+    code: ClassVar[str] = "long_work_lost"
+
+    @property
+    def message(self) -> str:
+        return "The host and the engine of this request both died; send the request again."
--- /dev/null
+++ b/tests/peers/test_network.py
@@ -0,0 +1,214 @@
+"""Messages between hosts, over the real network and in memory."""
+
+from asyncio import gather, run, sleep
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+
+from azureswitch.exceptions import (
+    HostListError,
+    PeerError,
+    PeerMessageInvalidError,
+    PeerMessageTooLargeError,
+    PeerRefusedError,
+)
+from azureswitch.peers import CALL_LIMIT, PeerNetwork
+from azureswitch.ports import DATAGRAM_LIMIT
+from azureswitch_standins.clock import run_virtual
+from azureswitch_standins.peers import PeersFake, PeersNetworkFake
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Question:
+    """Asks for a number of bytes."""
+
+    size: int = 0
+    padding: bytes = b""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """Holds bytes."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Unknown:
+    """Has no handler."""
+
+
+async def _answer(question: Question) -> Result:
+    if question.size < 0:
+        raise HostListError
+    await sleep(0.0)
+    return Result(data=bytes(question.size))
+
+
+Scenario = Callable[[Any, Any], Awaitable[None]]
+
+
+async def _real(scenario: Scenario) -> None:
+    first = PeerNetwork(address="127.0.0.1:0", connections=2)
+    second = PeerNetwork(address="127.0.0.1:0")
+    second.handle(Question, _answer)
+    await gather(first.start(), second.start())
+    try:
+        await scenario(first, second)
+    finally:
+        await gather(first.close(), second.close())
+
+
+async def _fake(scenario: Scenario) -> None:
+    network = PeersNetworkFake()
+    second = network.peers(address="b")
+    second.handle(Question, _answer)
+    await scenario(network.peers(address="a"), second)
+
+
+def _on_real(scenario: Scenario) -> None:
+    run(_real(scenario))
+
+
+def _on_fake(scenario: Scenario) -> None:
+    run_virtual(_fake(scenario))
+
+
+both = pytest.mark.parametrize("on", [_on_real, _on_fake])
+
+
+@both
+class TestCall:
+    """Calls and their failures are the same over gRPC and in memory."""
+
+    @pytest.mark.parametrize("size", [0, 1, CALL_LIMIT - 64])
+    def test_reply_arrives_whole(self, on: Callable[[Scenario], None], size: int) -> None:
+        """A reply of any permitted size arrives whole and is counted at both ends."""
+
+        async def scenario(first: Any, second: Any) -> None:
+            request = Question(size=size)
+            reply = await first.call(
+                address=second.address, request=request, reply=Result, timeout=5.0
+            )
+            assert len(reply.data) == size
+            sent = {item.kind: item.sent_bytes for item in second.traffic}
+            received = {item.kind: item.received_bytes for item in first.traffic}
+            assert sent["Result"] == received["Result"] > size
+
+        on(scenario)
+
+    @pytest.mark.parametrize(
+        ("request_", "reply", "failure"),
+        [
+            (Question(size=-1), Result, PeerRefusedError),
+            (Question(size=CALL_LIMIT), Result, PeerRefusedError),
+            (Unknown(), Result, PeerRefusedError),
+            (Question(size=1), Question, None),
+            (Question(size=1), int, PeerMessageInvalidError),
+            (Question(padding=bytes(CALL_LIMIT)), Result, PeerMessageTooLargeError),
+        ],
+    )
+    def test_failure_has_a_type(
+        self, on: Callable[[Scenario], None], request_: object, reply: Any, failure: Any
+    ) -> None:
+        """A failing handler, an unknown message and a wrong or large one give typed failures."""
+
+        async def scenario(first: Any, second: Any) -> None:
+            call = first.call(address=second.address, request=request_, reply=reply, timeout=5.0)
+            if failure is None:
+                await call
+                return
+            with pytest.raises(failure):
+                await call
+
+        on(scenario)
+
+    def test_nobody_listens(self, on: Callable[[Scenario], None]) -> None:
+        """A call to an address without a host fails as a peer error."""
+
+        async def scenario(first: Any, second: Any) -> None:
+            with pytest.raises(PeerError):
+                await first.call(
+                    address="127.0.0.1:1", request=Question(), reply=Result, timeout=1.0
+                )
+
+        on(scenario)
+
+    def test_cast(self, on: Callable[[Scenario], None]) -> None:
+        """A datagram arrives, and one over the limit is never sent."""
+        received = []
+
+        async def collect(message: Question) -> None:
+            received.append(message)
+
+        async def scenario(first: Any, second: Any) -> None:
+            second.handle(Question, collect)
+            first.cast(address=second.address, message=Question(size=7))
+            with pytest.raises(PeerMessageTooLargeError):
+                first.cast(address=second.address, message=Question(padding=bytes(DATAGRAM_LIMIT)))
+            await sleep(0.05)
+
+        on(scenario)
+        assert received == [Question(size=7)]
+
+
+class TestNetwork:
+    """Connections are bounded and bad datagrams harmless."""
+
+    def test_connections_are_bounded(self) -> None:
+        """No more connections stay open than permitted, however many hosts were called."""
+
+        async def scenario(first: PeerNetwork, second: PeerNetwork) -> None:
+            others = [PeerNetwork(address="127.0.0.1:0") for _ in range(4)]
+            for other in others:
+                other.handle(Question, _answer)
+            await gather(*(other.start() for other in others))
+            for other in others:
+                await first.call(
+                    address=other.address, request=Question(), reply=Result, timeout=5.0
+                )
+            assert first.connections == 2
+            await gather(*(other.close() for other in others))
+
+        _on_real(scenario)
+
+    def test_unreadable_datagram(self) -> None:
+        """A datagram that is no envelope is dropped and counted."""
+
+        async def scenario(first: PeerNetwork, second: PeerNetwork) -> None:
+            second.receive(data=b"\xff\xff\xff", peer="127.0.0.1")
+            assert second.dropped == 1
+
+        _on_real(scenario)
+
+
+class TestNetworkFake:
+    """The switches of the in-memory network."""
+
+    @pytest.mark.parametrize(
+        ("switch", "expected"),
+        [("none", 50), ("loss", 0), ("partition", 0), ("pause", 0), ("stop", 0)],
+    )
+    def test_switches(self, switch: str, expected: int) -> None:
+        """Loss, a partition, a pause and a stopped host each keep datagrams away."""
+        network = PeersNetworkFake(loss=1.0 if switch == "loss" else 0.0)
+        received = []
+
+        async def collect(message: Question) -> None:
+            received.append(message)
+
+        async def scenario() -> None:
+            first: PeersFake = network.peers(address="a")
+            network.peers(address="b").handle(Question, collect)
+            if switch == "partition":
+                network.partition(["a"], ["b"])
+            if switch in {"pause", "stop"}:
+                getattr(network, switch)(address="b")
+            for _ in range(50):
+                first.cast(address="b", message=Question())
+            await sleep(1.0)
+
+        run_virtual(scenario())
+        assert len(received) == expected
