Read, check, compare and store inventories and rules

Change: INI loaders that check references, unique names, addresses and key hashes; INI text that reads back the same; a canonical, compressed body of JSON; typed differences; the two deployments at today's sizes as examples.

--- a/src/azureswitch/inventory/__init__.py
+++ b/src/azureswitch/inventory/__init__.py
@@ -1,5 +1,14 @@
 """Places, services, targets, customers and rules, as operators list them."""
 
+from azureswitch.inventory._codec import SNAPSHOT_LIMIT, decode, encode
+from azureswitch.inventory._diff import Difference, DifferenceKind, FieldDifference, diff
+from azureswitch.inventory._edit import set_role
+from azureswitch.inventory._load import (
+    load_inventory,
+    load_rules,
+    parse_inventory,
+    parse_rules,
+)
 from azureswitch.inventory._model import (
     Customer,
     Inventory,
@@ -12,9 +21,17 @@
     Target,
     TargetRole,
 )
+from azureswitch.inventory._show import show_inventory, show_rules
+from azureswitch.inventory._tables import INVENTORY, RULES
 
 __all__ = [
+    "INVENTORY",
+    "RULES",
+    "SNAPSHOT_LIMIT",
     "Customer",
+    "Difference",
+    "DifferenceKind",
+    "FieldDifference",
     "Inventory",
     "Objective",
     "Place",
@@ -24,4 +41,14 @@
     "Snapshot",
     "Target",
     "TargetRole",
+    "decode",
+    "diff",
+    "encode",
+    "load_inventory",
+    "load_rules",
+    "parse_inventory",
+    "parse_rules",
+    "set_role",
+    "show_inventory",
+    "show_rules",
 ]
