--- a/src/azureswitch/exceptions.py
+++ b/src/azureswitch/exceptions.py
@@ -934,3 +934,53 @@
     @property
     def message(self) -> str:
         return "The host and the engine of this request both died; send the request again."
+
+
+@dataclass(kw_only=True, eq=False)
+class RevisionNotFoundError(ChangeError):
+    """The platform holds no such revision any more, or not yet."""
+
+    code: ClassVar[str] = "revision_not_found"
+    revision: int
+
+    @property
+    def message(self) -> str:
+        return f"Revision {self.revision} is not held."
+
+
+# --- The operators' program -----------------------------------------------------------------------
+
+
+@dataclass(kw_only=True, eq=False)
+class CommandError(AzureswitchError):
+    """A command of the operators' program could not be carried out; it changed nothing."""
+
+    code: ClassVar[str] = "command_error"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+
+
+@dataclass(kw_only=True, eq=False)
+class EntryUnreachableError(CommandError):
+    """No entry host gave an answer that can be read.
+
+    Attributes:
+        addresses: The operations addresses that were asked.
+    """
+
+    code: ClassVar[str] = "entry_unreachable"
+    addresses: str
+
+    @property
+    def message(self) -> str:
+        return f"No entry host answered at {self.addresses or 'any address'}."
+
+
+@dataclass(kw_only=True, eq=False)
+class MissingKeyError(CommandError):
+    """Standard input held no API key."""
+
+    code: ClassVar[str] = "key_missing"
+
+    @property
+    def message(self) -> str:
+        return "Give the API key on standard input, or ask for a new one with --new."
--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -37,8 +37,8 @@
     Ticked,
     TokensArrived,
 )
-
-TICK = 0.05
+from azureswitch.serving._reduce import TICK, reduce
+from azureswitch.serving._state import ServingState
 
 __all__ = [
     "TICK",
@@ -67,6 +67,7 @@
     "PrioritizeAttempt",
     "PublishDigest",
     "ServingEvent",
+    "ServingState",
     "SettleClaim",
     "ShutdownBegan",
     "SnapshotAdopted",
@@ -75,4 +76,5 @@
     "TargetUnreachable",
     "Ticked",
     "TokensArrived",
+    "reduce",
 ]
--- /dev/null
+++ b/src/azureswitch/serving/_admission.py
@@ -0,0 +1,89 @@
+"""Decides at once whether a call is admitted, and if not, when to come back."""
+
+from azureswitch.exceptions import (
+    AzureswitchError,
+    DeadlineUnreachableError,
+    LeavingError,
+    LimitExceededError,
+    NoTargetError,
+    NotConfiguredError,
+    PromptTooLongError,
+    RefusedError,
+    UnknownModelError,
+    UnknownServiceError,
+)
+from azureswitch.serving._cost import Cost
+from azureswitch.serving._events import Call
+from azureswitch.serving._fleet import Pool
+from azureswitch.serving._length import is_short
+from azureswitch.serving._queue import Lane
+from azureswitch.serving._state import ServingState
+
+SHORT_QUEUE_SECONDS = 4.0
+"""Seconds that a short prompt may be expected to wait here before it is refused."""
+
+RETRY_MOST = 60.0
+"""Seconds after which a refused caller is told to come back, at most."""
+
+NO_TARGET_SECONDS = 2.0
+"""Seconds after which a caller is told to come back where no target is up."""
+
+
+def refusal(state: ServingState, call: Call, *, now: float) -> AzureswitchError | None:
+    """Return why a call is refused, or None where it is admitted."""
+    wrong = _wrong(state, call)
+    if wrong is not None:
+        return wrong
+    pool = state.fleet.pool(service=call.service, model=call.model)
+    if pool is None or not any(target.usable(now) for target in state.fleet.states(pool)):
+        return NoTargetError(seconds=_jittered(state, NO_TARGET_SECONDS))
+    wait = state.fairness.wait(call.customer, now=now)
+    if wait > 0.0:
+        return LimitExceededError(seconds=_jittered(state, wait))
+    return _too_late(state, call, pool, now=now)
+
+
+def _wrong(state: ServingState, call: Call) -> AzureswitchError | None:
+    if state.snapshot is None:
+        return NotConfiguredError()
+    if state.leaving:
+        return LeavingError()
+    if not state.fleet.has_service(call.service):
+        return UnknownServiceError(service=call.service)
+    if call.prompt_tokens > state.rules.longest_prompt:
+        return PromptTooLongError(tokens=call.prompt_tokens, limit=state.rules.longest_prompt)
+    if call.model and state.fleet.pool(service=call.service, model=call.model) is None:
+        return UnknownModelError(model=call.model)
+    return None
+
+
+def _too_late(state: ServingState, call: Call, pool: Pool, *, now: float) -> RefusedError | None:
+    cost = state.costs.predict(call)
+    short = is_short(call, state.rules)
+    allowed = call.deadline - now - cost.least
+    if short:
+        allowed = min(allowed, SHORT_QUEUE_SECONDS)
+    wait = expected_wait(state, call, pool, cost=cost, short=short)
+    if wait <= allowed:
+        return None
+    return DeadlineUnreachableError(seconds=_jittered(state, max(1.0, wait - allowed)))
+
+
+def expected_wait(state: ServingState, call: Call, pool: Pool, *, cost: Cost, short: bool) -> float:
+    """Estimate how long a call would wait in this host's queue.
+
+    The host's part of the pool is shared among the customers that wait, by weight, so that a
+    customer with many calls waits behind its own.
+    """
+    lane = Lane(service=call.service, model=call.model, short=short)
+    seconds = state.queue.seconds(lane, call.customer)
+    if seconds <= 0.0:
+        return 0.0
+    rate = len(pool.targets) / state.fairness.hosts
+    weights = {name: state.fairness.weight(name) for name in state.queue.customers(lane)}
+    share = state.fairness.weight(call.customer) / sum(weights.values())
+    return seconds / max(1e-6, rate * share)
+
+
+def _jittered(state: ServingState, seconds: float) -> float:
+    return min(RETRY_MOST, seconds) * state.random.uniform(1.0, 1.25)
--- /dev/null
+++ b/src/azureswitch/serving/_attempts.py
@@ -0,0 +1,349 @@
+"""The life of a call's attempts, from the first try to the one final answer."""
+
+from azureswitch.core import Effect, TargetName
+from azureswitch.exceptions import (
+    AzureswitchError,
+    DeadlineExceededBeforeRunError,
+    DeadlineExceededError,
+    DeadlineUnreachableError,
+    NoTargetError,
+    OutcomeLostError,
+    Ran,
+    RetriesExhaustedError,
+)
+from azureswitch.serving._effects import (
+    CancelAttempt,
+    ClaimOutcome,
+    FinishCall,
+    Observation,
+    Observe,
+    PrioritizeAttempt,
+    SettleClaim,
+    StartAttempt,
+)
+from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
+from azureswitch.serving._length import AGE_SECONDS, priority
+from azureswitch.serving._queue import Lane
+from azureswitch.serving._retries import MOST_RETRIES, backoff
+from azureswitch.serving._routing import Choice, choose
+from azureswitch.serving._state import Attempt, CallRecord, Phase, ServingState, TimerKind
+
+AT_ONCE_SECONDS = 0.001
+"""A target that answers sooner than this had the answer, so that it tells nothing of costs."""
+
+
+def lane_of(record: CallRecord) -> Lane:
+    """Return the queue that a call waits in."""
+    return Lane(service=record.call.service, model=record.call.model, short=record.short)
+
+
+def dispatch(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
+    """Send a call to a target, or let it wait for one that has room."""
+    lane = lane_of(record)
+    others = any(True for _ in state.queue.customers(lane))
+    choice = None if others else choose(state, record, now=now)
+    if choice is not None:
+        return start(state, record, choice, now=now)
+    floor = min((state.fairness.served(n) for n in state.queue.customers(lane)), default=0.0)
+    state.fairness.lift(record.call.customer, floor)
+    record.phase = Phase.WAITING
+    state.queue.push(
+        lane=lane,
+        customer=record.call.customer,
+        call=record.call.id,
+        seconds=record.cost.total,
+        first=record.attempt_count > 0,
+    )
+    return drain(state, lane, now=now) if others else []
+
+
+def drain(state: ServingState, lane: Lane, *, now: float) -> list[Effect]:
+    """Send waiting calls while targets have room, the least served customer's first."""
+    effects: list[Effect] = []
+    progress = True
+    while progress:
+        progress = False
+        for call in state.queue.heads(lane, state.fairness.served):
+            record = state.calls[call]
+            choice = choose(state, record, now=now)
+            if choice is not None:
+                state.queue.remove(call)
+                effects += start(state, record, choice, now=now)
+                progress = True
+                break
+    return effects
+
+
+def drain_all(state: ServingState, *, now: float) -> list[Effect]:
+    """Send waiting calls of every lane."""
+    return [effect for lane in state.queue.lanes for effect in drain(state, lane, now=now)]
+
+
+def start(state: ServingState, record: CallRecord, choice: Choice, *, now: float) -> list[Effect]:
+    """Start the next attempt of a call."""
+    call = record.call
+    record.attempt_count += 1
+    record.phase = Phase.RUNNING
+    level = priority(call, state.rules, waited=now - record.arrived)
+    attempt = Attempt(
+        number=record.attempt_count,
+        targets=choice.targets,
+        started=now,
+        work=choice.work,
+        cached_tokens=choice.cached_tokens,
+        priority=level,
+        alone=choice.wait <= 0.0 and len(choice.targets) == 1,
+    )
+    record.attempts[attempt.number] = attempt
+    state.fleet.add(choice.targets, work=choice.work, now=now)
+    state.fairness.serve(call.customer, choice.work.seconds * len(choice.targets))
+    for target in choice.targets:
+        state.affinity.sent(target, call.prefix)
+    if not record.short:
+        _set_ageing(state, record, attempt, now=now)
+    return [
+        StartAttempt(
+            call=call.id,
+            attempt=attempt.number,
+            targets=choice.targets,
+            priority=level,
+            resume_from=record.tokens,
+            timeout=max(0.0, call.deadline - now),
+        )
+    ]
+
+
+def _set_ageing(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> None:
+    state.timers.set(
+        at=now + AGE_SECONDS, kind=TimerKind.AGE, call=record.call.id, attempt=attempt.number
+    )
+
+
+def age(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
+    """Raise the priority of an attempt that has waited long for its first token."""
+    attempt = record.attempts.get(number)
+    if attempt is None or attempt.first_token is not None:
+        return []
+    _set_ageing(state, record, attempt, now=now)
+    level = priority(record.call, state.rules, waited=now - record.arrived)
+    if level == attempt.priority:
+        return []
+    attempt.priority = level
+    return [
+        PrioritizeAttempt(call=record.call.id, attempt=number, target=name, priority=level)
+        for name in attempt.targets
+    ]
+
+
+def first_token(
+    state: ServingState, record: CallRecord, number: int, *, now: float
+) -> list[Effect]:
+    """Note the first token of an attempt; it ends the others, started as a hedge."""
+    attempt = record.attempts.get(number)
+    if attempt is None or attempt.first_token is not None:
+        return []
+    attempt.first_token = now
+    state.fleet.prefilled(attempt.targets, work=attempt.work)
+    effects = cancel_others(state, record, keep=number)
+    if attempt.alone and now - attempt.started > AT_ONCE_SECONDS:
+        state.costs.observe_first_token(
+            call=record.call,
+            target=attempt.targets[0],
+            cached_tokens=attempt.cached_tokens,
+            seconds=now - attempt.started,
+        )
+    if record.first_token is None:
+        record.first_token = now
+        effects += _observe_first_token(record, now=now)
+    return effects + drain_all(state, now=now)
+
+
+def _observe_first_token(record: CallRecord, *, now: float) -> list[Effect]:
+    waited = now - record.arrived
+    effects: list[Effect] = [observe(record, Observation.FIRST_TOKEN, waited)]
+    if record.cost.prefill > 0.0:
+        effects.append(observe(record, Observation.SLOWDOWN, waited / record.cost.prefill))
+    return effects
+
+
+def observe(record: CallRecord, what: Observation, value: float = 1.0) -> Observe:
+    """Return the effect that records a metric for a call."""
+    return Observe(
+        what=what,
+        customer=record.call.customer,
+        prompt_tokens=record.call.prompt_tokens,
+        value=value,
+    )
+
+
+def progress(record: CallRecord, event: TokensArrived) -> None:
+    """Note how much output a call has."""
+    if event.attempt in record.attempts:
+        record.tokens = max(record.tokens, event.tokens)
+
+
+def ended(state: ServingState, record: CallRecord, event: AttemptEnded) -> list[Effect]:
+    """Act on the end of an attempt: finish the call or try again."""
+    attempt = record.attempts.pop(event.attempt, None)
+    if attempt is None:
+        return []
+    now = event.now
+    _release(state, record, attempt)
+    record.tokens = max(record.tokens, event.tokens)
+    if event.end is AttemptEnd.COMPLETE:
+        effects = _complete(state, record, attempt, event)
+    elif event.end is AttemptEnd.REJECTED:
+        effects = _rejected(state, record, event)
+    else:
+        effects = _failed(state, record, attempt, event)
+    return effects + drain_all(state, now=now)
+
+
+def _release(state: ServingState, record: CallRecord, attempt: Attempt) -> None:
+    if attempt.first_token is None:
+        state.fleet.prefilled(attempt.targets, work=attempt.work)
+    state.fleet.remove(attempt.targets, work=attempt.work)
+
+
+def _complete(
+    state: ServingState, record: CallRecord, attempt: Attempt, event: AttemptEnded
+) -> list[Effect]:
+    for target in attempt.targets:
+        state.fleet.succeeded(target)
+    since = attempt.started if attempt.first_token is None else attempt.first_token
+    if record.attempt_count == 1:
+        state.costs.observe_end(call=record.call, tokens=event.tokens, seconds=event.now - since)
+    _correct_charge(state, record, event)
+    return finish(state, record, error=None, outcome=ClaimOutcome.DONE, now=event.now)
+
+
+def _correct_charge(state: ServingState, record: CallRecord, event: AttemptEnded) -> None:
+    """Charge the customer for what the call took in place of what was predicted."""
+    call = record.call
+    if not call.model:
+        return
+    prefill = state.costs.prefill_seconds(
+        model=call.model, prompt_tokens=call.prompt_tokens, cached_tokens=event.cached_tokens
+    )
+    decode = state.costs.decode_seconds(event.tokens)
+    state.fairness.charge(call.customer, prefill + decode - record.cost.total, now=event.now)
+
+
+def _rejected(state: ServingState, record: CallRecord, event: AttemptEnded) -> list[Effect]:
+    error: AzureswitchError | None = event.error
+    others_ran = record.may_have_run or bool(record.attempts)
+    if error is None or (error.ran is Ran.NOT_RUN and others_ran):
+        error = RetriesExhaustedError(attempts=record.attempt_count)
+    not_run = error.ran is Ran.NOT_RUN
+    outcome = ClaimOutcome.NOT_RUN if not_run else ClaimOutcome.UNKNOWN
+    return finish(state, record, error=error, outcome=outcome, now=event.now)
+
+
+def _failed(
+    state: ServingState, record: CallRecord, attempt: Attempt, event: AttemptEnded
+) -> list[Effect]:
+    now = event.now
+    refused = event.end is AttemptEnd.REFUSED
+    record.may_have_run = record.may_have_run or not refused
+    _blame(state, record, attempt.targets, event)
+    if not record.call.repeatable and not refused:
+        error = OutcomeLostError()
+        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
+    if record.attempts:
+        return []
+    return retry(state, record, after=event.retry_after, now=now)
+
+
+def _blame(
+    state: ServingState,
+    record: CallRecord,
+    targets: tuple[TargetName, ...],
+    event: AttemptEnded,
+) -> None:
+    """Keep a target that failed out of use; one that is merely full says when to come back."""
+    for target in targets if len(targets) == 1 else ():
+        record.failed.add(target)
+        if event.retry_after is not None and event.end is AttemptEnd.REFUSED:
+            state.fleet.full(target, seconds=event.retry_after, now=event.now)
+        else:
+            state.fleet.failed(target, now=event.now)
+
+
+def retry(
+    state: ServingState, record: CallRecord, *, after: float | None, now: float
+) -> list[Effect]:
+    """Try a call again after a pause, or give it up at once where no retry is permitted."""
+    record.retry_count += 1
+    pause = backoff(record.retry_count, random=state.random)
+    permitted = record.retry_count <= MOST_RETRIES and now + pause < record.call.deadline
+    if not permitted or not state.retries.take():
+        return give_up(state, record, now=now)
+    record.phase = Phase.BACKING_OFF
+    state.timers.set(at=now + pause, kind=TimerKind.RETRY, call=record.call.id)
+    return [observe(record, Observation.RETRIED)]
+
+
+def give_up(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
+    """Answer a call whose attempts are used up, at once and with the time to come back."""
+    seconds = backoff(record.retry_count + 3, random=state.random)
+    if record.may_have_run:
+        error: AzureswitchError = RetriesExhaustedError(
+            attempts=record.attempt_count, seconds=seconds
+        )
+        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
+    error = NoTargetError(seconds=seconds)
+    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
+
+
+def out_of_time(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
+    """End a call whose deadline has come."""
+    if record.attempts or record.may_have_run:
+        error: AzureswitchError = DeadlineExceededError()
+        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
+    error = DeadlineExceededBeforeRunError()
+    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
+
+
+def too_late(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
+    """Give up on a waiting call that could no longer finish in its time."""
+    if record.may_have_run:
+        return give_up(state, record, now=now)
+    error = DeadlineUnreachableError(seconds=backoff(5, random=state.random))
+    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
+
+
+def cancel_others(
+    state: ServingState, record: CallRecord, *, keep: int | None = None
+) -> list[Effect]:
+    """Cancel the attempts of a call but one."""
+    effects: list[Effect] = []
+    for number in [number for number in record.attempts if number != keep]:
+        attempt = record.attempts.pop(number)
+        record.may_have_run = True
+        _release(state, record, attempt)
+        effects.append(CancelAttempt(call=record.call.id, attempt=number, targets=attempt.targets))
+    return effects
+
+
+def finish(
+    state: ServingState,
+    record: CallRecord,
+    *,
+    error: AzureswitchError | None,
+    outcome: ClaimOutcome,
+    now: float,
+) -> list[Effect]:
+    """Give a call its one final answer and free what it holds."""
+    call = record.call
+    del state.calls[call.id]
+    state.queue.remove(call.id)
+    effects = cancel_others(state, record)
+    if record.phase is Phase.CLAIMING:
+        state.abandon_claim(call.id, now=now)
+    if record.claimed:
+        effects.append(SettleClaim(call=call.id, outcome=outcome))
+    if error is not None and error.ran is Ran.NOT_RUN:
+        state.fairness.charge(call.customer, -record.cost.total, now=now)
+    effects.append(FinishCall(call=call.id, error=error))
+    effects.append(observe(record, Observation.FINISHED if error is None else Observation.FAILED))
+    return effects
--- /dev/null
+++ b/src/azureswitch/serving/_cost.py
@@ -0,0 +1,152 @@
+"""Predicts what a call costs in engine seconds and corrects the prediction by what was seen."""
+
+from dataclasses import dataclass
+
+from azureswitch.core import TargetName
+from azureswitch.serving._events import Call
+
+PREFILL_RATE = 20_000.0
+"""Prompt tokens per second that an engine is taken to prefill before anything was seen."""
+
+ATTENTION_SPAN = 1_000_000.0
+"""Prompt tokens at which attention doubles the time of a prefill, before anything was seen."""
+
+DECODE_SECONDS = 0.001
+"""Engine seconds per output token in a full batch."""
+
+EXPECTED_OUTPUT = 0.5
+"""Share of the permitted output tokens that a call is expected to produce at first."""
+
+TOKEN_INTERVAL = 0.05
+"""Seconds between two output tokens, before anything was seen."""
+
+PLAIN_SECONDS = 0.005
+"""Seconds that a call keeps a plain target busy, before anything was seen."""
+
+SMOOTHING = 0.05
+"""Weight of one new sample in a smoothed figure."""
+
+CORRECTION_LIMITS = (0.02, 50.0)
+"""The least and the greatest factor by which a prediction is corrected."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Cost:
+    """What a call is expected to cost.
+
+    Attributes:
+        prefill: Engine seconds to the first token on an idle engine.
+        decode: Engine seconds for the output, as a share of a full batch.
+        answer: Seconds from the first token to the last.
+    """
+
+    prefill: float
+    decode: float
+    answer: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """All engine seconds."""
+        return self.prefill + self.decode
+
+    @property
+    def least(self) -> float:
+        """Seconds in which the whole answer may be had at best."""
+        return self.prefill + self.answer / 2.0
+
+
+def _base_prefill(tokens: int) -> float:
+    return tokens / PREFILL_RATE * (1.0 + tokens / ATTENTION_SPAN)
+
+
+def _bounded(factor: float) -> float:
+    least, greatest = CORRECTION_LIMITS
+    return min(greatest, max(least, factor))
+
+
+class CostModel:
+    """Predictions per model and prompt length, and the speed of each target."""
+
+    def __init__(self) -> None:
+        self._factors: dict[tuple[str, int], float] = {}
+        self._speeds: dict[TargetName, float] = {}
+        self._outputs: dict[str, float] = {}
+        self._intervals: dict[str, float] = {}
+        self._plain: dict[str, float] = {}
+
+    def predict(self, call: Call, *, cached_tokens: int = 0) -> Cost:
+        """Predict the cost of a call.
+
+        Args:
+            call: The call.
+            cached_tokens: Prompt tokens that the engine is expected to have in its cache.
+
+        Returns:
+            The cost on an engine of ordinary speed.
+        """
+        if not call.model:
+            return Cost(prefill=self._plain.get(call.service, PLAIN_SECONDS), decode=0.0)
+        prefill = self.prefill_seconds(
+            model=call.model, prompt_tokens=call.prompt_tokens, cached_tokens=cached_tokens
+        )
+        output = call.output_tokens * self._outputs.get(call.model, EXPECTED_OUTPUT)
+        interval = self._intervals.get(call.model, TOKEN_INTERVAL)
+        return Cost(prefill=prefill, decode=self.decode_seconds(output), answer=output * interval)
+
+    def prefill_seconds(self, *, model: str, prompt_tokens: int, cached_tokens: int) -> float:
+        """Return the engine seconds that the uncached part of a prompt takes to prefill."""
+        cached = min(cached_tokens, prompt_tokens)
+        base = _base_prefill(prompt_tokens) - _base_prefill(cached)
+        return base * self._factors.get((model, prompt_tokens.bit_length()), self._factor(model))
+
+    @staticmethod
+    def decode_seconds(tokens: float) -> float:
+        """Return the engine seconds that output tokens take in a full batch."""
+        return tokens * DECODE_SECONDS
+
+    def _factor(self, model: str) -> float:
+        return self._factors.get((model, 0), 1.0)
+
+    def speed(self, target: TargetName) -> float:
+        """Return how much longer than an ordinary engine a target takes; one is ordinary."""
+        return self._speeds.get(target, 1.0)
+
+    def observe_first_token(
+        self, *, call: Call, target: TargetName, cached_tokens: int, seconds: float
+    ) -> None:
+        """Learn from the time to the first token on a target that had nothing else to prefill."""
+        base = _base_prefill(call.prompt_tokens) - _base_prefill(cached_tokens)
+        if not call.model or base <= 0.0:
+            return
+        for key in ((call.model, 0), (call.model, call.prompt_tokens.bit_length())):
+            known = self._factors.get(key)
+            sample = _bounded(seconds / base)
+            self._factors[key] = sample if known is None else self._smooth(known, sample)
+        predicted = self.prefill_seconds(
+            model=call.model, prompt_tokens=call.prompt_tokens, cached_tokens=cached_tokens
+        )
+        self._speeds[target] = self._smooth(self.speed(target), _bounded(seconds / predicted))
+
+    def observe_end(self, *, call: Call, tokens: int, seconds: float) -> None:
+        """Learn from a whole answer.
+
+        Args:
+            call: The call.
+            tokens: Its output tokens; zero for plain calls.
+            seconds: From the first token to the end, or from the start to the end of plain calls.
+        """
+        if not call.model:
+            known = self._plain.get(call.service, PLAIN_SECONDS)
+            self._plain[call.service] = self._smooth(known, seconds)
+        elif call.output_tokens:
+            share = min(1.0, tokens / call.output_tokens)
+            known = self._outputs.get(call.model, EXPECTED_OUTPUT)
+            self._outputs[call.model] = self._smooth(known, share)
+            if tokens > 1:
+                interval = self._intervals.get(call.model, TOKEN_INTERVAL)
+                sample = seconds / (tokens - 1)
+                self._intervals[call.model] = self._smooth(interval, sample)
+
+    @staticmethod
+    def _smooth(known: float, sample: float) -> float:
+        return known + SMOOTHING * (sample - known)
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -39,6 +39,9 @@
 class StartAttempt(Effect):
     """Send a request to a target; answer by FirstTokenArrived, TokensArrived, AttemptEnded.
 
+    While two attempts of a call run, the shell relays only that whose first token came first; the
+    reducer cancels the other one when it hears of that token.
+
     Attributes:
         targets: The target; several engines where the prompt is larger than one's memory.
         priority: Smaller runs first.
@@ -75,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FinishCall(Effect):
-    """End the caller's answer: whole where ``error`` is None."""
+    """End the caller's answer: whole, or recorded of an earlier call, where ``error`` is None."""
 
     call: CallId
     error: AzureswitchError | None
--- /dev/null
+++ b/src/azureswitch/serving/_fairness.py
@@ -0,0 +1,176 @@
+"""What each customer has used of the fleet, here and at the other hosts."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from azureswitch.core import CustomerName, HostName
+from azureswitch.inventory import Customer
+from azureswitch.serving._events import CustomerUse, Digest, HostSelf
+
+BURST_SECONDS = 10.0
+"""Seconds of its limit that a customer may use at once."""
+
+PEER_SILENCE_SECONDS = 2.0
+"""Seconds without any digest after which this host counts as cut off from its peers."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Account:
+    """One customer's use.
+
+    Attributes:
+        weight: Its share beside other busy customers.
+        limit: Engine seconds per second over the whole fleet; zero for no limit.
+        used: Engine seconds admitted here since this host started.
+        served: Engine seconds per weight, the virtual counter of fair queueing.
+        level: Engine seconds that it may use before it is refused.
+        filled: When ``level`` was last refilled.
+    """
+
+    weight: float
+    limit: float
+    used: float = 0.0
+    served: float = 0.0
+    level: float = 0.0
+    filled: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerUse:
+    """What one peer said last of its customers' use."""
+
+    started: int
+    sequence: int
+    at: float
+    uses: dict[CustomerName, float] = field(default_factory=dict)
+
+
+class Fairness:
+    """Limits in engine seconds and virtual counters, shared among hosts by digests.
+
+    Args:
+        myself: This host.
+    """
+
+    def __init__(self, *, myself: HostSelf) -> None:
+        self._myself = myself
+        self._accounts: dict[CustomerName, Account] = {}
+        self._peers: dict[HostName, PeerUse] = {}
+        self._hosts = 1
+        self._heard = 0.0
+
+    @property
+    def hosts(self) -> int:
+        """How many hosts share the fleet, this one included."""
+        return self._hosts
+
+    def adopt(self, customers: Iterable[Customer]) -> None:
+        """Take over the customers of a configuration and keep what they used."""
+        accounts = {}
+        for customer in customers:
+            account = self._accounts.get(customer.name)
+            if account is None:
+                account = Account(weight=customer.weight, limit=customer.limit)
+                account.level = customer.limit * BURST_SECONDS
+            account.weight = max(customer.weight, 1e-6)
+            account.limit = customer.limit
+            accounts[customer.name] = account
+        self._accounts = accounts
+
+    def set_hosts(self, hosts: Iterable[HostName]) -> None:
+        """Take over the set of live hosts; a limit is shared among as many when cut off."""
+        names = set(hosts) | {self._myself.name}
+        self._hosts = len(names)
+        for name in self._peers.keys() - names:
+            del self._peers[name]
+
+    def hear(self, digest: Digest, *, now: float) -> bool:
+        """Count what a peer's customers used since its last digest.
+
+        Returns:
+            Whether the digest was new.
+        """
+        known = self._peers.get(digest.host)
+        number = (digest.started, digest.sequence)
+        if known is not None and number <= (known.started, known.sequence):
+            return False
+        restarted = known is None or known.started != digest.started
+        before = {} if known is None or restarted else known.uses
+        uses = {use.customer: use.seconds for use in digest.uses}
+        for name, seconds in uses.items():
+            # A first digest tells the use since the peer's start, most of it long refilled.
+            more = seconds - before.get(name, seconds if restarted else 0.0)
+            self._charge_peer(name, more, now=now)
+        self._peers[digest.host] = PeerUse(
+            started=digest.started, sequence=digest.sequence, at=now, uses={**before, **uses}
+        )
+        self._heard = now
+        return True
+
+    def _charge_peer(self, name: CustomerName, seconds: float, *, now: float) -> None:
+        account = self._accounts.get(name)
+        if account is None:
+            return
+        self._refill(account, now=now)
+        account.level -= seconds
+        account.served += seconds / account.weight
+
+    def _share(self, now: float) -> float:
+        """Return which part of a limit this host may grant by itself."""
+        cut_off = self._hosts > 1 and now - self._heard > PEER_SILENCE_SECONDS
+        return 1.0 / self._hosts if cut_off else 1.0
+
+    def _refill(self, account: Account, *, now: float) -> None:
+        rate = account.limit * self._share(now)
+        account.level += rate * max(0.0, now - account.filled)
+        account.level = min(account.level, account.limit * BURST_SECONDS * self._share(now))
+        account.filled = now
+
+    def wait(self, customer: CustomerName, *, now: float) -> float:
+        """Return after how many seconds the customer's limit permits a call; zero for now."""
+        account = self._accounts.get(customer)
+        if account is None or account.limit <= 0.0:
+            return 0.0
+        self._refill(account, now=now)
+        if account.level > 0.0:
+            return 0.0
+        return -account.level / (account.limit * self._share(now)) + 1.0 / account.limit
+
+    def charge(self, customer: CustomerName, seconds: float, *, now: float) -> None:
+        """Count engine seconds that were admitted here; negative ones are given back."""
+        account = self._accounts.get(customer)
+        if account is None:
+            return
+        self._refill(account, now=now)
+        account.level -= seconds
+        account.used = max(0.0, account.used + seconds)
+
+    def serve(self, customer: CustomerName, seconds: float) -> None:
+        """Count engine seconds that were sent to a target, in the virtual counter."""
+        account = self._accounts.get(customer)
+        if account is not None:
+            account.served += seconds / account.weight
+
+    def served(self, customer: CustomerName) -> float:
+        """Return the virtual counter of a customer: engine seconds by weight."""
+        account = self._accounts.get(customer)
+        return account.served if account else 0.0
+
+    def lift(self, customer: CustomerName, floor: float) -> None:
+        """Raise the counter of a customer that was idle, so that it saves up no credit."""
+        account = self._accounts.get(customer)
+        if account is not None:
+            account.served = max(account.served, floor)
+
+    def weight(self, customer: CustomerName) -> float:
+        """Return a customer's share beside other busy customers."""
+        account = self._accounts.get(customer)
+        return account.weight if account else 1.0
+
+    def uses(self) -> tuple[CustomerUse, ...]:
+        """Return what was admitted here for each customer that used anything."""
+        return tuple(
+            CustomerUse(customer=name, seconds=account.used)
+            for name, account in sorted(self._accounts.items())
+            if account.used > 0.0
+        )
--- /dev/null
+++ b/src/azureswitch/serving/_queue.py
@@ -0,0 +1,101 @@
+"""Admitted calls that wait for a target, fair by customer."""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from azureswitch.core import CallId, CustomerName, ServiceName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Lane:
+    """Calls that compete for the same targets.
+
+    Attributes:
+        service: The service.
+        model: The model; empty for plain services.
+        short: Whether their prompts are short.
+    """
+
+    service: ServiceName
+    model: str
+    short: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Waiting:
+    lane: Lane
+    customer: CustomerName
+    seconds: float
+
+
+class WaitingQueue:
+    """Per lane one first-in first-out queue per customer."""
+
+    def __init__(self) -> None:
+        self._lanes: dict[Lane, dict[CustomerName, deque[CallId]]] = {}
+        self._places: dict[CallId, _Waiting] = {}
+        self._seconds: dict[tuple[Lane, CustomerName], float] = {}
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def __contains__(self, call: CallId) -> bool:
+        return call in self._places
+
+    @property
+    def lanes(self) -> tuple[Lane, ...]:
+        """The lanes in which calls wait, those with short prompts first."""
+        return tuple(sorted(self._lanes, key=lambda lane: not lane.short))
+
+    def waiting(self, lane: Lane) -> int:
+        """Return how many calls wait in a lane."""
+        return sum(len(calls) for calls in self._lanes.get(lane, {}).values())
+
+    def customers(self, lane: Lane) -> Iterator[CustomerName]:
+        """Yield the customers that have calls in a lane."""
+        yield from self._lanes.get(lane, {})
+
+    def seconds(self, lane: Lane, customer: CustomerName) -> float:
+        """Return the engine seconds of a customer's calls in a lane."""
+        return self._seconds.get((lane, customer), 0.0)
+
+    def push(
+        self, *, lane: Lane, customer: CustomerName, call: CallId, seconds: float, first: bool
+    ) -> None:
+        """Add a call.
+
+        Args:
+            lane: Where it waits.
+            customer: Whose call it is.
+            call: The call.
+            seconds: Its engine seconds.
+            first: Whether it goes before the customer's others, as it was sent once already.
+        """
+        calls = self._lanes.setdefault(lane, {}).setdefault(customer, deque())
+        if first:
+            calls.appendleft(call)
+        else:
+            calls.append(call)
+        self._places[call] = _Waiting(lane=lane, customer=customer, seconds=seconds)
+        self._seconds[lane, customer] = self.seconds(lane, customer) + seconds
+
+    def heads(self, lane: Lane, served: Callable[[CustomerName], float]) -> list[CallId]:
+        """Return the next call of each customer, that of the least served first."""
+        customers = self._lanes.get(lane, {})
+        return [customers[name][0] for name in sorted(customers, key=lambda n: (served(n), n))]
+
+    def remove(self, call: CallId) -> bool:
+        """Take a call out and return whether it waited."""
+        place = self._places.pop(call, None)
+        if place is None:
+            return False
+        customers = self._lanes[place.lane]
+        customers[place.customer].remove(call)
+        self._seconds[place.lane, place.customer] -= place.seconds
+        if not customers[place.customer]:
+            del customers[place.customer]
+            del self._seconds[place.lane, place.customer]
+        if not customers:
+            del self._lanes[place.lane]
+        return True
--- /dev/null
+++ b/src/azureswitch/serving/_reduce.py
@@ -0,0 +1,288 @@
+"""The one reducer of serving: every event of calls and targets to its effects."""
+
+from functools import singledispatch
+
+from azureswitch.core import NO_EFFECTS, CallId, Effect, Effects
+from azureswitch.exceptions import AzureswitchError, CallerLeftError
+from azureswitch.serving._admission import refusal
+from azureswitch.serving._attempts import (
+    age,
+    dispatch,
+    drain_all,
+    ended,
+    finish,
+    first_token,
+    observe,
+    out_of_time,
+    progress,
+    too_late,
+)
+from azureswitch.serving._effects import (
+    ClaimCall,
+    ClaimOutcome,
+    FinishCall,
+    Observation,
+    Observe,
+    PublishDigest,
+    SettleClaim,
+)
+from azureswitch.serving._events import (
+    AttemptEnded,
+    CacheReported,
+    Call,
+    CallArrived,
+    CallerLeft,
+    ClaimDenied,
+    ClaimGranted,
+    ClaimReplayed,
+    Digest,
+    DigestReceived,
+    FirstTokenArrived,
+    LoadReported,
+    PeersChanged,
+    ServingEvent,
+    ShutdownBegan,
+    SnapshotAdopted,
+    TargetUnreachable,
+    Ticked,
+    TokensArrived,
+)
+from azureswitch.serving._length import is_short
+from azureswitch.serving._state import CallRecord, Phase, ServingState, Timer, TimerKind
+
+TICK = 0.05
+"""Seconds between two `Ticked` events."""
+
+DIGEST_PERIOD = 0.2
+"""Seconds between two digests."""
+
+
+def reduce(state: ServingState, event: ServingEvent) -> Effects:
+    """Apply an event.
+
+    Args:
+        state: The state, which is updated in place.
+        event: What happened.
+
+    Returns:
+        What the shell must do, in order.
+    """
+    return tuple(_apply(event, state)) or NO_EFFECTS
+
+
+@singledispatch
+def _apply(event: ServingEvent, state: ServingState) -> list[Effect]:
+    raise NotImplementedError(type(event))
+
+
+# --- Calls ----------------------------------------------------------------------------------------
+
+
+@_apply.register
+def _(event: CallArrived, state: ServingState) -> list[Effect]:
+    call = event.call
+    if call.id in state.calls:
+        return []
+    error = refusal(state, call, now=event.now)
+    if error is not None:
+        return _refuse(call, error)
+    return _admit(state, call, now=event.now)
+
+
+def _refuse(call: Call, error: AzureswitchError) -> list[Effect]:
+    refused = Observe(
+        what=Observation.REFUSED, customer=call.customer, prompt_tokens=call.prompt_tokens
+    )
+    return [FinishCall(call=call.id, error=error), refused]
+
+
+def _admit(state: ServingState, call: Call, *, now: float) -> list[Effect]:
+    pool = state.fleet.pool(service=call.service, model=call.model)
+    assert pool is not None  # A call without targets was refused.
+    cost = state.costs.predict(call)
+    short = is_short(call, state.rules)
+    record = CallRecord(call=call, arrived=now, pool=pool, cost=cost, short=short)
+    state.calls[call.id] = record
+    state.retries.admitted()
+    if call.model:
+        state.fairness.charge(call.customer, cost.total, now=now)
+    state.timers.set(at=call.deadline - TICK, kind=TimerKind.DEADLINE, call=call.id)
+    state.timers.set(at=call.deadline - cost.least, kind=TimerKind.LATEST_START, call=call.id)
+    admitted = observe(record, Observation.ADMITTED)
+    if call.repeatable:
+        return [admitted, *dispatch(state, record, now=now)]
+    record.phase = Phase.CLAIMING
+    claim = ClaimCall(
+        call=call.id,
+        customer=call.customer,
+        key=call.idempotency_key or call.id,
+        fingerprint=call.fingerprint,
+        deadline=call.deadline,
+    )
+    return [admitted, claim]
+
+
+@_apply.register
+def _(event: ClaimGranted, state: ServingState) -> list[Effect]:
+    record = state.calls.get(event.call)
+    if record is None:
+        if state.take_abandoned_claim(event.call):
+            return [SettleClaim(call=event.call, outcome=ClaimOutcome.NOT_RUN)]
+        return []
+    if record.phase is not Phase.CLAIMING:
+        return []
+    record.claimed = True
+    record.phase = Phase.WAITING
+    return dispatch(state, record, now=event.now)
+
+
+@_apply.register
+def _(event: ClaimDenied, state: ServingState) -> list[Effect]:
+    return _without_claim(state, event.call, error=event.error, now=event.now)
+
+
+@_apply.register
+def _(event: ClaimReplayed, state: ServingState) -> list[Effect]:
+    return _without_claim(state, event.call, error=None, now=event.now)
+
+
+def _without_claim(
+    state: ServingState, call: CallId, *, error: AzureswitchError | None, now: float
+) -> list[Effect]:
+    """Finish a call that this host must not send."""
+    record = state.calls.get(call)
+    if record is None or record.phase is not Phase.CLAIMING:
+        state.take_abandoned_claim(call)
+        return []
+    record.phase = Phase.WAITING
+    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
+
+
+@_apply.register
+def _(event: CallerLeft, state: ServingState) -> list[Effect]:
+    record = state.calls.get(event.call)
+    if record is None:
+        return []
+    if not record.call.repeatable and record.attempts:
+        # The outcome is still wanted: the caller may ask for it with the same key.
+        return []
+    ran = record.may_have_run or bool(record.attempts)
+    outcome = ClaimOutcome.UNKNOWN if ran else ClaimOutcome.NOT_RUN
+    effects = finish(state, record, error=CallerLeftError(), outcome=outcome, now=event.now)
+    return effects + drain_all(state, now=event.now)
+
+
+# --- Attempts -------------------------------------------------------------------------------------
+
+
+@_apply.register
+def _(event: FirstTokenArrived, state: ServingState) -> list[Effect]:
+    record = state.calls.get(event.call)
+    return first_token(state, record, event.attempt, now=event.now) if record else []
+
+
+@_apply.register
+def _(event: TokensArrived, state: ServingState) -> list[Effect]:
+    record = state.calls.get(event.call)
+    if record is not None:
+        progress(record, event)
+    return []
+
+
+@_apply.register
+def _(event: AttemptEnded, state: ServingState) -> list[Effect]:
+    record = state.calls.get(event.call)
+    return ended(state, record, event) if record else []
+
+
+# --- Targets --------------------------------------------------------------------------------------
+
+
+@_apply.register
+def _(event: LoadReported, state: ServingState) -> list[Effect]:
+    state.fleet.report(event.report, now=event.now, age=event.age)
+    return []
+
+
+@_apply.register
+def _(event: CacheReported, state: ServingState) -> list[Effect]:
+    if state.fleet.state(event.events.target) is not None:
+        state.affinity.apply(event.events)
+    return []
+
+
+@_apply.register
+def _(event: TargetUnreachable, state: ServingState) -> list[Effect]:
+    state.fleet.unreachable(event.target, now=event.now)
+    return []
+
+
+# --- Hosts and configuration ----------------------------------------------------------------------
+
+
+@_apply.register
+def _(event: DigestReceived, state: ServingState) -> list[Effect]:
+    if event.digest.host != state.myself.name and state.fairness.hear(event.digest, now=event.now):
+        state.fleet.hear(event.digest, now=event.now)
+    return []
+
+
+@_apply.register
+def _(event: PeersChanged, state: ServingState) -> list[Effect]:
+    state.fairness.set_hosts(event.hosts)
+    state.fleet.set_hosts(event.hosts)
+    return []
+
+
+@_apply.register
+def _(event: SnapshotAdopted, state: ServingState) -> list[Effect]:
+    state.adopt(event.snapshot)
+    return drain_all(state, now=event.now)
+
+
+@_apply.register
+def _(event: ShutdownBegan, state: ServingState) -> list[Effect]:
+    state.leave()
+    return []
+
+
+# --- Time -----------------------------------------------------------------------------------------
+
+
+@_apply.register
+def _(event: Ticked, state: ServingState) -> list[Effect]:
+    effects: list[Effect] = []
+    for timer in state.timers.due(event.now):
+        record = state.calls.get(timer.call)
+        if record is not None:
+            effects += _fire(state, record, timer, now=event.now)
+    state.expire_claims(event.now)
+    effects += drain_all(state, now=event.now)
+    return effects + _digest(state, now=event.now)
+
+
+def _fire(state: ServingState, record: CallRecord, timer: Timer, *, now: float) -> list[Effect]:
+    if timer.kind is TimerKind.DEADLINE:
+        return out_of_time(state, record, now=now)
+    if timer.kind is TimerKind.LATEST_START and record.phase is Phase.WAITING:
+        return too_late(state, record, now=now)
+    if timer.kind is TimerKind.RETRY and record.phase is Phase.BACKING_OFF:
+        return dispatch(state, record, now=now)
+    if timer.kind is TimerKind.AGE:
+        return age(state, record, timer.attempt, now=now)
+    return []
+
+
+def _digest(state: ServingState, *, now: float) -> list[Effect]:
+    sequence = state.next_digest(now=now, period=DIGEST_PERIOD)
+    if sequence is None:
+        return []
+    digest = Digest(
+        host=state.myself.name,
+        sequence=sequence,
+        started=state.myself.started,
+        loads=state.fleet.loads(),
+        uses=state.fairness.uses(),
+        suspects=state.fleet.suspects(now=now),
+    )
+    return [PublishDigest(digest=digest)]
--- /dev/null
+++ b/src/azureswitch/serving/_state.py
@@ -0,0 +1,250 @@
+"""What the serving reducer knows: calls, attempts and the parts of the policy."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from heapq import heappop, heappush
+from random import Random
+
+from azureswitch.core import CallId, TargetName
+from azureswitch.inventory import Rules, Snapshot
+from azureswitch.serving._affinity import PrefixIndex
+from azureswitch.serving._cost import Cost, CostModel
+from azureswitch.serving._events import Call, HostSelf
+from azureswitch.serving._fairness import Fairness
+from azureswitch.serving._fleet import Fleet, Pool, Work
+from azureswitch.serving._length import LongSet
+from azureswitch.serving._queue import WaitingQueue
+from azureswitch.serving._retries import RetryBudget
+
+ABANDONED_CLAIM_SECONDS = 600.0
+"""How long a claim whose call was given up on is awaited, to be settled as not run."""
+
+
+class Phase(Enum):
+    """Where an admitted call stands."""
+
+    CLAIMING = "claiming"
+    WAITING = "waiting"
+    BACKING_OFF = "backing_off"
+    RUNNING = "running"
+
+
+class TimerKind(Enum):
+    """What is due when a timer fires."""
+
+    DEADLINE = "deadline"
+    LATEST_START = "latest_start"
+    RETRY = "retry"
+    HEDGE = "hedge"
+    AGE = "age"
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One attempt at one target, or at several for a prompt larger than one engine's memory."""
+
+    number: int
+    targets: tuple[TargetName, ...]
+    started: float
+    work: Work
+    cached_tokens: int
+    priority: int
+    alone: bool
+    first_token: float | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class CallRecord:
+    """One admitted call."""
+
+    call: Call
+    arrived: float
+    pool: Pool
+    cost: Cost
+    short: bool
+    phase: Phase = Phase.WAITING
+    claimed: bool = False
+    caller_left: bool = False
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    attempt_count: int = 0
+    retry_count: int = 0
+    may_have_run: bool = False
+    tokens: int = 0
+    first_token: float | None = None
+    failed: set[TargetName] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class Timer:
+    """Something due for a call; a timer whose call has moved on is void."""
+
+    at: float
+    sequence: int
+    kind: TimerKind = field(compare=False)
+    call: CallId = field(compare=False)
+    attempt: int = field(compare=False, default=0)
+
+
+class Timers:
+    """What is due, earliest first."""
+
+    def __init__(self) -> None:
+        self._heap: list[Timer] = []
+        self._sequence = 0
+
+    def set(self, *, at: float, kind: TimerKind, call: CallId, attempt: int = 0) -> None:
+        """Add a timer."""
+        self._sequence += 1
+        timer = Timer(at=at, sequence=self._sequence, kind=kind, call=call, attempt=attempt)
+        heappush(self._heap, timer)
+
+    def due(self, now: float) -> list[Timer]:
+        """Remove and return the timers that are due."""
+        timers = []
+        while self._heap and self._heap[0].at <= now:
+            timers.append(heappop(self._heap))
+        return timers
+
+
+class ServingState:
+    """The state of the serving reducer of one host.
+
+    Args:
+        myself: This host.
+        seed: Seeds every random choice.
+    """
+
+    def __init__(self, *, myself: HostSelf, seed: int) -> None:
+        self._myself = myself
+        self._random = Random(seed)
+        self._snapshot: Snapshot | None = None
+        self._leaving = False
+        self._calls: dict[CallId, CallRecord] = {}
+        self._abandoned_claims: dict[CallId, float] = {}
+        self._timers = Timers()
+        self._fleet = Fleet(myself=myself)
+        self._costs = CostModel()
+        self._affinity = PrefixIndex()
+        self._fairness = Fairness(myself=myself)
+        self._queue = WaitingQueue()
+        self._long_set = LongSet()
+        self._retries = RetryBudget()
+        self._digest_sequence = 0
+        self._digest_due = 0.0
+
+    @property
+    def myself(self) -> HostSelf:
+        """This host."""
+        return self._myself
+
+    @property
+    def random(self) -> Random:
+        """The source of every random choice."""
+        return self._random
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """The configuration in force, or None before the first."""
+        return self._snapshot
+
+    @property
+    def rules(self) -> Rules:
+        """The rules in force, or the defaults before the first configuration."""
+        return self._snapshot.rules if self._snapshot else Rules()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this host takes no new work."""
+        return self._leaving
+
+    @property
+    def calls(self) -> dict[CallId, CallRecord]:
+        """The admitted calls that have not finished."""
+        return self._calls
+
+    @property
+    def timers(self) -> Timers:
+        """What is due, and when."""
+        return self._timers
+
+    @property
+    def fleet(self) -> Fleet:
+        """The targets and what is known of their load."""
+        return self._fleet
+
+    @property
+    def costs(self) -> CostModel:
+        """The cost predictions."""
+        return self._costs
+
+    @property
+    def affinity(self) -> PrefixIndex:
+        """Which engines are believed to have which prefixes in their cache."""
+        return self._affinity
+
+    @property
+    def fairness(self) -> Fairness:
+        """What each customer has used."""
+        return self._fairness
+
+    @property
+    def queue(self) -> WaitingQueue:
+        """The admitted calls that wait for a target."""
+        return self._queue
+
+    @property
+    def long_set(self) -> LongSet:
+        """The engines that take long prompts."""
+        return self._long_set
+
+    @property
+    def retries(self) -> RetryBudget:
+        """How many retries live traffic permits."""
+        return self._retries
+
+    def adopt(self, snapshot: Snapshot) -> None:
+        """Serve by a configuration, unless a later one is in force."""
+        if self._snapshot and snapshot.revision <= self._snapshot.revision:
+            return
+        self._snapshot = snapshot
+        self._fleet.adopt(snapshot)
+        self._fairness.adopt(snapshot.inventory.customers)
+
+    def leave(self) -> None:
+        """Take no new work from now on."""
+        self._leaving = True
+
+    def abandon_claim(self, call: CallId, *, now: float) -> None:
+        """Remember that a claim under way belongs to a call that was given up on."""
+        self._abandoned_claims[call] = now + ABANDONED_CLAIM_SECONDS
+
+    def take_abandoned_claim(self, call: CallId) -> bool:
+        """Forget an abandoned claim and return whether it was known."""
+        return self._abandoned_claims.pop(call, None) is not None
+
+    def expire_claims(self, now: float) -> None:
+        """Forget the abandoned claims that never came; the oldest stand first."""
+        while self._abandoned_claims:
+            call, expiry = next(iter(self._abandoned_claims.items()))
+            if expiry > now:
+                return
+            del self._abandoned_claims[call]
+
+    def next_digest(self, *, now: float, period: float) -> int | None:
+        """Return the sequence number of the digest that is due now, or None."""
+        if now < self._digest_due:
+            return None
+        self._digest_due = now + period
+        self._digest_sequence += 1
+        return self._digest_sequence
+
+
+__all__ = [
+    "Attempt",
+    "CallRecord",
+    "Phase",
+    "ServingState",
+    "Timer",
+    "TimerKind",
+    "Timers",
+]
--- /dev/null
+++ b/tests/serving/test_attempts.py
@@ -0,0 +1,212 @@
+"""The life of a call: what is sent, what is never sent again, and the one final answer."""
+
+from collections.abc import Callable
+
+import pytest
+
+from azureswitch.core import CallId, TargetName
+from azureswitch.exceptions import (
+    AzureswitchError,
+    ClaimUnavailableError,
+    DeadlineExceededBeforeRunError,
+    DeadlineExceededError,
+    LeavingError,
+    NoTargetError,
+    OutcomeLostError,
+    Ran,
+    RetriesExhaustedError,
+    TargetRejectedError,
+)
+from azureswitch.serving import (
+    AttemptEnd,
+    AttemptEnded,
+    CallerLeft,
+    CancelAttempt,
+    ClaimCall,
+    ClaimDenied,
+    ClaimGranted,
+    ClaimOutcome,
+    ClaimReplayed,
+    FinishCall,
+    FirstTokenArrived,
+    SettleClaim,
+    ShutdownBegan,
+    StartAttempt,
+    TokensArrived,
+)
+from tests.serving.fixtures import Driver, model_call, only, plain_call
+
+CALL = CallId("c1")
+
+
+def end(driver: Driver, how: AttemptEnd, *, attempt: int = 1, **more: object) -> list[object]:
+    """Let an attempt of the one call end."""
+    event = AttemptEnded(now=driver.now, call=CALL, attempt=attempt, end=how, **more)  # type: ignore[arg-type]
+    return list(driver.send(event))
+
+
+def running(call_maker: Callable[[str], object]) -> Driver:
+    """Return a driver whose one call has its first attempt running."""
+    driver = Driver()
+    driver.arrive(call_maker("c1"))  # type: ignore[arg-type]
+    driver.send(ClaimGranted(now=0.0, call=CALL))
+    assert len(only(StartAttempt, driver.effects)) == 1
+    return driver
+
+
+class TestEnds:
+    """How the end of an attempt turns into an answer or another attempt."""
+
+    @pytest.mark.parametrize(
+        ("make", "how", "error", "settled", "again"),
+        [
+            (model_call, AttemptEnd.COMPLETE, None, None, False),
+            (model_call, AttemptEnd.BROKEN, None, None, True),
+            (model_call, AttemptEnd.REFUSED, None, None, True),
+            (model_call, AttemptEnd.REJECTED, TargetRejectedError, None, False),
+            (plain_call, AttemptEnd.COMPLETE, None, ClaimOutcome.DONE, False),
+            (plain_call, AttemptEnd.BROKEN, OutcomeLostError, ClaimOutcome.UNKNOWN, False),
+            (plain_call, AttemptEnd.CANCELLED, OutcomeLostError, ClaimOutcome.UNKNOWN, False),
+            (plain_call, AttemptEnd.REFUSED, None, None, True),
+            (plain_call, AttemptEnd.REJECTED, TargetRejectedError, ClaimOutcome.NOT_RUN, False),
+        ],
+    )
+    def test_table(
+        self,
+        make: Callable[[str], object],
+        how: AttemptEnd,
+        error: type[AzureswitchError] | None,
+        settled: ClaimOutcome | None,
+        again: bool,
+    ) -> None:
+        """A call is sent again only where it may repeat or surely did not run."""
+        driver = running(make)
+        rejected = TargetRejectedError(target_status=400, detail="no")
+        end(driver, how, error=rejected)
+        driver.tick(1.0)
+        starts, finishes = only(StartAttempt, driver.effects), only(FinishCall, driver.effects)
+        assert len(starts) == (2 if again else 1)
+        assert [type(f.error) for f in finishes] == ([] if again else [error or type(None)])
+        assert [s.outcome for s in only(SettleClaim, driver.effects)] == (
+            [settled] if settled else []
+        )
+
+    def test_resume(self) -> None:
+        """A broken stream goes on at another engine from the token that the caller has."""
+        driver = running(model_call)
+        driver.send(FirstTokenArrived(now=0.0, call=CALL, attempt=1))
+        driver.send(TokensArrived(now=0.0, call=CALL, attempt=1, tokens=40))
+        end(driver, AttemptEnd.BROKEN, tokens=42)
+        (second,) = only(StartAttempt, driver.tick(1.0))
+        assert second.resume_from == 42
+        assert second.targets != only(StartAttempt, driver.effects)[0].targets
+
+    def test_old_attempt(self) -> None:
+        """What an attempt says after it ended changes nothing."""
+        driver = running(model_call)
+        end(driver, AttemptEnd.BROKEN, tokens=5)
+        driver.tick(1.0)
+        late = (AttemptEnd.COMPLETE, AttemptEnd.BROKEN, AttemptEnd.REJECTED)
+        assert [end(driver, how) for how in late] == [[], [], []]
+        end(driver, AttemptEnd.COMPLETE, attempt=2)
+        assert driver.error("c1") is None
+
+    @pytest.mark.parametrize(
+        ("how", "error", "ran"),
+        [
+            (AttemptEnd.REFUSED, NoTargetError, Ran.NOT_RUN),
+            (AttemptEnd.BROKEN, RetriesExhaustedError, Ran.UNKNOWN),
+        ],
+    )
+    def test_exhausted(self, how: AttemptEnd, error: type[AzureswitchError], ran: Ran) -> None:
+        """A call that is given up on has its answer at once, with the time to come back."""
+        driver = running(model_call)
+        for attempt in range(1, 20):
+            end(driver, how, attempt=attempt)
+            driver.tick(driver.now + 6.0)
+        answer = driver.error("c1")
+        assert isinstance(answer, error)
+        assert answer.ran is ran
+        assert answer.retry_after is not None
+        assert driver.now < 120.0
+
+
+class TestClaims:
+    """A call that may not repeat is claimed before it is sent."""
+
+    def test_claim_first(self) -> None:
+        """Nothing is sent before the claim is granted, and a second grant sends nothing."""
+        driver = Driver()
+        assert [type(e) for e in driver.arrive(plain_call("c1"))][-1] is ClaimCall
+        assert not only(StartAttempt, driver.tick(1.0))
+        grant = ClaimGranted(now=1.0, call=CALL)
+        assert len(only(StartAttempt, [*driver.send(grant), *driver.send(grant)])) == 1
+
+    @pytest.mark.parametrize(
+        ("event", "error"),
+        [
+            (ClaimDenied(now=0.0, call=CALL, error=ClaimUnavailableError()), ClaimUnavailableError),
+            (ClaimReplayed(now=0.0, call=CALL), type(None)),
+        ],
+    )
+    def test_not_ours(self, event: ClaimDenied | ClaimReplayed, error: type[object]) -> None:
+        """A denied or replayed claim ends the call without sending it."""
+        driver = Driver()
+        driver.arrive(plain_call("c1"))
+        driver.send(event)
+        driver.send(ClaimGranted(now=0.0, call=CALL))
+        assert isinstance(driver.error("c1"), error)
+        assert not only(StartAttempt, driver.effects)
+
+    def test_late_grant(self) -> None:
+        """A claim granted after the call was given up on is settled as not run, once."""
+        driver = Driver()
+        driver.arrive(plain_call("c1", deadline=1.0))
+        driver.tick(1.1)
+        assert isinstance(driver.error("c1"), DeadlineExceededBeforeRunError)
+        grant = ClaimGranted(now=driver.now, call=CALL)
+        settled = only(SettleClaim, [*driver.send(grant), *driver.send(grant)])
+        assert settled == [SettleClaim(call=CALL, outcome=ClaimOutcome.NOT_RUN)]
+
+    def test_grant_after_done(self) -> None:
+        """A grant that comes twice never turns a finished call into one that did not run."""
+        driver = running(plain_call)
+        end(driver, AttemptEnd.COMPLETE)
+        assert driver.send(ClaimGranted(now=driver.now, call=CALL)) == []
+
+
+class TestEndOfTime:
+    """Deadlines, callers that leave, and hosts that shut down."""
+
+    @pytest.mark.parametrize("make", [model_call, plain_call])
+    def test_deadline(self, make: Callable[[str], object]) -> None:
+        """A running call is cancelled and answered by its deadline."""
+        driver = running(make)
+        driver.tick(60.0)
+        assert isinstance(driver.error("c1"), DeadlineExceededError)
+        assert [c.attempt for c in only(CancelAttempt, driver.effects)] == [1]
+
+    @pytest.mark.parametrize(("make", "cancels"), [(model_call, 1), (plain_call, 0)])
+    def test_caller_left(self, make: Callable[[str], object], cancels: int) -> None:
+        """What may not repeat runs on, since its outcome is still wanted."""
+        driver = running(make)
+        driver.send(CallerLeft(now=0.0, call=CALL))
+        assert len(only(CancelAttempt, driver.effects)) == cancels
+        end(driver, AttemptEnd.COMPLETE)
+        assert len(only(FinishCall, driver.effects)) == 1
+
+    def test_shutdown(self) -> None:
+        """A host that shuts down lets running calls end and refuses new ones."""
+        driver = running(model_call)
+        driver.send(ShutdownBegan(now=0.0))
+        driver.arrive(model_call("c2"))
+        assert isinstance(driver.error("c2"), LeavingError)
+        assert not only(CancelAttempt, driver.tick(1.0))
+        end(driver, AttemptEnd.COMPLETE)
+        assert driver.error("c1") is None
+
+    def test_targets_differ(self) -> None:
+        """Calls that arrive together are spread over the engines."""
+        driver = Driver()
+        starts = driver.start_all([model_call(f"c{i}", tokens=4_000) for i in range(4)])
+        assert {s.targets for s in starts} == {(TargetName(f"e{i}"),) for i in (1, 2, 3, 4)}
