Reach the platform over HTTP with exact failures

Cause: hosts need the object store and the host list, and must know whether a write took effect. Change: a small client over httptools says whether a request was sent; HttpStore and HttpHostList map that to the ports' failures; stand-ins serve both over HTTP. Conclusion: each fault of the store raises its type, shown against the stand-ins over loopback.

--- /dev/null
+++ b/src/azureswitch/client/_answer.py
@@ -0,0 +1,44 @@
+"""What the client gives back."""
+
+from dataclasses import dataclass
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpHead:
+    """The head of an answer.
+
+    Attributes:
+        status: The HTTP status.
+        headers: The headers in order, names in lower case.
+    """
+
+    status: int
+    headers: Headers
+
+    def header(self, *, name: str) -> str | None:
+        """Return the first header of a lower-case name, or None."""
+        return next((value for key, value in self.headers if key == name), None)
+
+    @property
+    def retry_after(self) -> float | None:
+        """Seconds after which to ask again, where the server says so in seconds."""
+        value = self.header(name="retry-after")
+        try:
+            return None if value is None else max(0.0, float(value))
+        except ValueError:
+            return None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpAnswer:
+    """A whole answer.
+
+    Attributes:
+        head: Status and headers.
+        body: The body.
+    """
+
+    head: HttpHead
+    body: bytes
--- /dev/null
+++ b/src/azureswitch/client/_client.py
@@ -0,0 +1,189 @@
+"""A client for one address, with a pool of connections."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from azureswitch.client._answer import Headers, HttpAnswer, HttpHead
+from azureswitch.client._connection import Connection
+from azureswitch.exceptions import HttpBrokenError, HttpNotSentError
+
+CONNECT_TIMEOUT = 1.0
+"""Seconds that a connection may take to be made."""
+
+IDLE_LIMIT = 2.0
+"""Seconds after which an idle connection is not used again; servers close theirs later."""
+
+POOL_LIMIT = 64
+"""Idle connections that are kept at most."""
+
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+"""Methods that are sent again where a kept connection had closed just then."""
+
+
+class HttpExchange:
+    """One answer that is being read."""
+
+    def __init__(self, *, head: HttpHead, connection: Connection) -> None:
+        self._head = head
+        self._connection = connection
+
+    @property
+    def head(self) -> HttpHead:
+        """Status and headers."""
+        return self._head
+
+    async def read(self) -> bytes:
+        """Return what has arrived of the body, or wait for more; empty bytes are its end.
+
+        Raises:
+            HttpBrokenError: The connection broke or the time ran out.
+        """
+        return await self._connection.read()
+
+    async def body(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            HttpBrokenError: The connection broke or the time ran out.
+        """
+        parts = []
+        while part := await self._connection.read():
+            parts.append(part)
+        return b"".join(parts)
+
+
+class HttpClient:
+    """Sends requests to one ``IP:PORT``, each once."""
+
+    def __init__(self, *, address: str, connect_timeout: float = CONNECT_TIMEOUT) -> None:
+        self._address = address
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._connect_timeout = connect_timeout
+        self._idle: deque[Connection] = deque()
+
+    @property
+    def address(self) -> str:
+        """The ``IP:PORT`` that requests go to."""
+        return self._address
+
+    async def request(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: Headers = (),
+        body: bytes = b"",
+        timeout: float,
+        fresh: bool = False,
+    ) -> HttpAnswer:
+        """Send a request and return its whole answer.
+
+        Args:
+            method: The HTTP method.
+            path: Path and query.
+            headers: Headers beside ``Host`` and ``Content-Length``.
+            body: The body.
+            timeout: Seconds until the whole answer must have arrived.
+            fresh: Whether to make a connection for it, so that a kept one that the server is just
+                closing cannot leave the outcome open.
+
+        Raises:
+            HttpNotSentError: Nothing was sent.
+            HttpBrokenError: The request was sent and its answer did not arrive whole.
+        """
+        exchange = self.stream(
+            method=method, path=path, headers=headers, body=body, timeout=timeout, fresh=fresh
+        )
+        async with exchange as answer:
+            return HttpAnswer(head=answer.head, body=await answer.body())
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: Headers = (),
+        body: bytes = b"",
+        timeout: float,
+        fresh: bool = False,
+    ) -> AsyncIterator[HttpExchange]:
+        """Send a request and give its answer to read; arguments and failures as for `request`.
+
+        Leaving the block before the end of the answer closes the connection.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout
+        data = self._encode(method=method, path=path, headers=headers, body=body)
+        connection, head = await self._send(
+            method=method, data=data, deadline=deadline, fresh=fresh
+        )
+        try:
+            yield HttpExchange(head=head, connection=connection)
+        finally:
+            self._put_back(connection)
+
+    def close(self) -> None:
+        """Close the connections that are idle."""
+        while self._idle:
+            self._idle.pop().abort()
+
+    async def _send(
+        self, *, method: str, data: tuple[bytes, ...], deadline: float, fresh: bool
+    ) -> tuple[Connection, HttpHead]:
+        kept = None if fresh else self._take()
+        connection = kept or await self._connect(deadline)
+        head_only = method == "HEAD"
+        connection.send(data=data, head_only=head_only, deadline=deadline)
+        try:
+            return connection, await connection.head()
+        except HttpBrokenError:
+            connection.abort()
+            in_time = asyncio.get_running_loop().time() < deadline
+            if kept is None or method not in SAFE_METHODS or not in_time:
+                raise
+        except BaseException:
+            connection.abort()
+            raise
+        return await self._send(method=method, data=data, deadline=deadline, fresh=True)
+
+    def _take(self) -> Connection | None:
+        oldest = asyncio.get_running_loop().time() - IDLE_LIMIT
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable and connection.idle_since > oldest:
+                return connection
+            connection.abort()
+        return None
+
+    def _put_back(self, connection: Connection) -> None:
+        connection.finish()
+        if not connection.reusable or len(self._idle) >= POOL_LIMIT:
+            connection.abort()
+            return
+        self._idle.append(connection)
+
+    async def _connect(self, deadline: float) -> Connection:
+        loop = asyncio.get_running_loop()
+        end = min(deadline, loop.time() + self._connect_timeout)
+        try:
+            async with asyncio.timeout_at(end):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(address=self._address), self._host, self._port
+                )
+        except OSError as error:
+            # TimeoutError is an OSError.
+            raise HttpNotSentError(address=self._address) from error
+        return connection
+
+    def _encode(
+        self, *, method: str, path: str, headers: Headers, body: bytes
+    ) -> tuple[bytes, ...]:
+        lines = [f"{method} {path} HTTP/1.1", f"host: {self._address}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        if body or method not in SAFE_METHODS:
+            lines.append(f"content-length: {len(body)}")
+        head = "\r\n".join((*lines, "", "")).encode("latin-1")
+        return (head, body) if body else (head,)
--- /dev/null
+++ b/src/azureswitch/client/_connection.py
@@ -0,0 +1,184 @@
+"""One HTTP/1.1 connection: httptools parses, asyncio carries the bytes."""
+
+import asyncio
+from typing import cast
+
+from httptools import HttpParserError, HttpResponseParser
+
+from azureswitch.client._answer import HttpHead
+from azureswitch.exceptions import HttpBrokenError
+
+BUFFER_LIMIT = 262_144
+"""Bytes of a body that wait for their reader before reading pauses."""
+
+INFORMATIONAL = 200
+"""Statuses below this one precede the real answer."""
+
+
+class Connection(asyncio.Protocol):
+    """One connection, which carries one request at a time."""
+
+    def __init__(self, *, address: str) -> None:
+        self._address = address
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = HttpResponseParser(self)
+        self._closed = False
+        self._idle_since = 0.0
+        self._waiter: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._head_only = False
+        self._headers: list[tuple[str, str]] = []
+        self._head: HttpHead | None = None
+        self._parts: list[bytes] = []
+        self._buffered = 0
+        self._framed = True
+        self._complete = False
+        self._keep_alive = True
+
+    @property
+    def idle_since(self) -> float:
+        """When the last answer ended, in seconds of the event loop."""
+        return self._idle_since
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request can be sent."""
+        return self._complete and self._keep_alive and not self._closed and not self._parts
+
+    def send(self, *, data: tuple[bytes, ...], head_only: bool, deadline: float) -> None:
+        """Send a request.
+
+        Args:
+            data: Its bytes, in parts.
+            head_only: Whether the answer has no body whatever its headers say.
+            deadline: When the whole answer must have arrived, in seconds of the event loop.
+        """
+        self._reset()
+        self._head_only = head_only
+        self._timer = self._loop.call_at(deadline, self.abort)
+        assert self._transport is not None
+        self._transport.writelines(data)
+
+    async def head(self) -> HttpHead:
+        """Wait for the head of the answer.
+
+        Raises:
+            HttpBrokenError: The connection broke or the time ran out.
+        """
+        while self._head is None:
+            await self._wait()
+        return self._head
+
+    async def read(self) -> bytes:
+        """Wait for more of the body; empty bytes are its end.
+
+        Raises:
+            HttpBrokenError: The connection broke or the time ran out.
+        """
+        while not self._parts:
+            if self._complete:
+                return b""
+            await self._wait()
+        data = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        self._parts.clear()
+        if self._buffered > BUFFER_LIMIT and self._transport is not None:
+            self._transport.resume_reading()
+        self._buffered = 0
+        return data
+
+    def finish(self) -> None:
+        """Mark the end of the exchange."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._idle_since = self._loop.time()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.finish()
+        self._closed = True
+        if self._transport is not None:
+            self._transport.abort()
+        self._wake()
+
+    # asyncio calls these.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self._complete:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError:
+            self.abort()
+            return
+        if self._buffered > BUFFER_LIMIT and self._transport is not None:
+            self._transport.pause_reading()
+        self._wake()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End an answer that ends with its connection, and break any other."""
+        self._closed = True
+        if exc is None and self._head is not None and not self._framed:
+            self._complete = True
+        self._wake()
+
+    # The parser calls these.
+
+    def on_message_begin(self) -> None:
+        """Start the headers afresh."""
+        self._headers.clear()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Publish the head."""
+        status = self._parser.get_status_code()
+        if status < INFORMATIONAL:
+            return
+        names = {name for name, _ in self._headers}
+        self._framed = bool(names & {"content-length", "transfer-encoding"})
+        self._head = HttpHead(status=status, headers=tuple(self._headers))
+        self._keep_alive = self._parser.should_keep_alive()
+        if self._head_only:
+            self._keep_alive = False
+            self._complete = True
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        self._parts.append(data)
+        self._buffered += len(data)
+
+    def on_message_complete(self) -> None:
+        """End the answer."""
+        if self._head is not None:
+            self._complete = True
+
+    def _reset(self) -> None:
+        self._headers.clear()
+        self._head = None
+        self._buffered = 0
+        self._framed = True
+        self._complete = False
+        self._keep_alive = True
+
+    async def _wait(self) -> None:
+        if self._closed:
+            raise HttpBrokenError(address=self._address, answered=self._head is not None)
+        self._waiter = self._loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- a/src/azureswitch/exceptions.py
+++ b/src/azureswitch/exceptions.py
@@ -460,17 +460,6 @@
         return f"The answer is over the limit of {self.limit} bytes."
 
 
-@dataclass(kw_only=True, eq=False)
-class CallerGoneError(ServingError):
-    """The caller closed its connection or stopped reading before the end."""
-
-    code: ClassVar[str] = "caller_gone"
-
-    @property
-    def message(self) -> str:
-        return "The caller left before the end."
-
-
 # --- Targets --------------------------------------------------------------------------------------
 
 
@@ -984,3 +973,15 @@
     @property
     def message(self) -> str:
         return "Give the API key on standard input, or ask for a new one with --new."
+
+
+@dataclass(kw_only=True, eq=False)
+class UnknownCustomerError(CommandError):
+    """The inventory holds no such customer."""
+
+    code: ClassVar[str] = "customer_not_found"
+    customer: str
+
+    @property
+    def message(self) -> str:
+        return f"The inventory holds no customer named {self.customer!r}."
--- /dev/null
+++ b/src/azureswitch/platform/_hosts.py
@@ -0,0 +1,37 @@
+"""The host list over HTTP and JSON."""
+
+from http import HTTPStatus
+
+import msgspec
+
+from azureswitch.client import HttpClient
+from azureswitch.exceptions import HostListError, HttpError
+from azureswitch.platform._wire import HOSTS_PATH, WireHosts
+from azureswitch.ports import ListedHost
+
+DEFAULT_TIMEOUT = 2.0
+"""Seconds that a call may take."""
+
+
+class HttpHostList:
+    """The `azureswitch.ports.HostList` port over HTTP."""
+
+    def __init__(self, *, address: str, timeout: float = DEFAULT_TIMEOUT) -> None:
+        self._client = HttpClient(address=address)
+        self._timeout = timeout
+
+    async def hosts(self) -> tuple[ListedHost, ...]:
+        """Return live and leaving hosts."""
+        try:
+            answer = await self._client.request(
+                method="GET", path=HOSTS_PATH, timeout=self._timeout
+            )
+            if answer.head.status != HTTPStatus.OK:
+                raise HostListError()
+            return msgspec.json.decode(answer.body, type=WireHosts).items
+        except (HttpError, ValueError) as error:
+            raise HostListError() from error
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._client.close()
--- a/src/azureswitch_standins/store/__init__.py
+++ b/src/azureswitch_standins/store/__init__.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's object store."""
 
 from azureswitch_standins.store._fake import StoreFake, StoreFaults
+from azureswitch_standins.store._http import StoreStandin
 from azureswitch_standins.store._model import (
     VALUE_LIMIT,
     CallKind,
@@ -8,6 +9,7 @@
     StoreLimits,
     StoreModel,
 )
+from azureswitch_standins.store._program import main
 
 __all__ = [
     "VALUE_LIMIT",
@@ -17,4 +19,6 @@
     "StoreFaults",
     "StoreLimits",
     "StoreModel",
+    "StoreStandin",
+    "main",
 ]
--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,195 @@
+"""The HTTP adapters give the ports' failures exactly, against the stand-ins over loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from azureswitch.core import HostName, PlaceName
+from azureswitch.exceptions import (
+    AzureswitchError,
+    HostListError,
+    StoreConflictError,
+    StoreError,
+    StoreNotFoundError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    StoreValueTooLargeError,
+    StoreVersionGoneError,
+)
+from azureswitch.platform import HttpHostList, HttpStore
+from azureswitch.ports import ChangeKind, HostStatus, ListedHost
+from azureswitch_standins.hosts import HostListStandin
+from azureswitch_standins.store import StoreFaults, StoreLimits, StoreModel, StoreStandin
+
+Call = Callable[[HttpStore], Awaitable[object]]
+
+
+@asynccontextmanager
+async def serve(
+    limits: StoreLimits | None = None,
+) -> AsyncIterator[tuple[StoreStandin, HttpStore]]:
+    """Serve a store that holds ``a/x`` and give the port to it."""
+    standin = StoreStandin(model=StoreModel(limits=limits))
+    await standin.start()
+    store = HttpStore(address=standin.address, timeout=5.0)
+    await store.create(kind="a", name="x", value=b"\x00\xff")
+    try:
+        yield standin, store
+    finally:
+        store.close()
+        await standin.stop()
+
+
+async def collect(store: HttpStore, *, version: int) -> list[tuple[ChangeKind, int]]:
+    """Watch kind ``a`` for a moment."""
+    watch = store.watch(kind="a", version=version, timeout=0.05)
+    return [(change.kind, change.item.version) async for change in watch]
+
+
+def create(store: HttpStore) -> Awaitable[object]:
+    """Create ``a/y``."""
+    return store.create(kind="a", name="y", value=b"")
+
+
+def get(store: HttpStore) -> Awaitable[object]:
+    """Read ``a/x``."""
+    return store.get(kind="a", name="x")
+
+
+class TestHttpStore:
+    """Unit tests of `HttpStore`."""
+
+    def test_objects(self) -> None:
+        """Values travel unchanged, and versions grow over all objects."""
+
+        async def run() -> None:
+            async with serve() as (_, store):
+                assert (await store.get(kind="a", name="x")).value == b"\x00\xff"
+                changed = await store.update(kind="a", name="x", value=b"2", version=1)
+                odd = await store.create(kind="a", name="sp ace/%", value=b"")
+                listing = await store.list(kind="a")
+                assert (listing.items, listing.version) == ((odd, changed), 3)
+                await store.delete(kind="a", name="x", version=changed.version)
+                assert await collect(store, version=1) == [
+                    (ChangeKind.PUT, 2),
+                    (ChangeKind.PUT, 3),
+                    (ChangeKind.DELETED, 4),
+                ]
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        ("call", "error"),
+        [
+            (lambda s: s.get(kind="a", name="y"), StoreNotFoundError),
+            (lambda s: s.create(kind="a", name="x", value=b""), StoreConflictError),
+            (
+                lambda s: s.create(kind="a", name="y", value=bytes(2_000_000)),
+                StoreValueTooLargeError,
+            ),
+            (lambda s: s.update(kind="a", name="x", value=b"", version=9), StoreConflictError),
+            (lambda s: s.delete(kind="a", name="y", version=1), StoreNotFoundError),
+            (lambda s: collect(s, version=0), StoreVersionGoneError),
+        ],
+    )
+    def test_refuses(self, call: Call, error: type[StoreError]) -> None:
+        """Each refusal of the store has its type."""
+
+        async def run() -> None:
+            async with serve(StoreLimits(history=0)) as (_, store):
+                with pytest.raises(error):
+                    await call(store)
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        ("faults", "call", "error", "written"),
+        [
+            (StoreFaults(down=True), create, StoreUnavailableError, False),
+            (StoreFaults(down=True), get, StoreUnavailableError, False),
+            (StoreFaults(lose_answers=1), create, StoreOutcomeUnknownError, True),
+            (
+                StoreFaults(lose_answers=1, lose_writes=True),
+                create,
+                StoreOutcomeUnknownError,
+                False,
+            ),
+            (StoreFaults(delay=0.15), create, StoreOutcomeUnknownError, True),
+            (StoreFaults(delay=0.15), get, StoreUnavailableError, False),
+        ],
+    )
+    def test_faults(
+        self, faults: StoreFaults, call: Call, error: type[StoreError], written: bool
+    ) -> None:
+        """A write is unavailable only where it certainly did nothing, else its outcome is open."""
+
+        async def run() -> None:
+            async with serve() as (standin, store):
+                hasty = HttpStore(address=standin.address, timeout=0.1)
+                await standin.set_faults(faults=faults)
+                with pytest.raises(error):
+                    await call(hasty)
+                # A slow store writes after the caller has given up.
+                await asyncio.sleep(0.1)
+                await standin.set_faults(faults=StoreFaults())
+                names = [item.name for item in (await store.list(kind="a")).items]
+                assert names == (["x", "y"] if written else ["x"])
+
+        asyncio.run(run())
+
+    def test_rates(self) -> None:
+        """A call over the rate did nothing and says when to come back."""
+
+        async def run() -> None:
+            async with serve(StoreLimits(writes=1.0)) as (_, store):
+                with pytest.raises(StoreUnavailableError) as caught:
+                    await create(store)
+                assert caught.value.retry_after == 1.0
+
+        asyncio.run(run())
+
+    def test_watch_breaks(self) -> None:
+        """An outage breaks a waiting watch, and one from the same version goes on after it."""
+
+        async def run() -> None:
+            async with serve() as (standin, store):
+                watch = store.watch(kind="a", version=0, timeout=9.0)
+                assert (await anext(watch)).item.version == 1
+                await standin.set_faults(faults=StoreFaults(down=True))
+                with pytest.raises(StoreUnavailableError):
+                    await anext(watch)
+                await standin.set_faults(faults=StoreFaults())
+                await create(store)
+                assert await collect(store, version=1) == [(ChangeKind.PUT, 2)]
+
+        asyncio.run(run())
+
+
+class TestHttpHostList:
+    """Unit tests of `HttpHostList`."""
+
+    def test_hosts(self) -> None:
+        """The list arrives unchanged; a failure of the list or of the way to it has one type."""
+
+        async def run() -> None:
+            host = ListedHost(
+                name=HostName("h"),
+                place=PlaceName("p"),
+                address="127.0.0.1:1",
+                status=HostStatus.LEAVING,
+            )
+            standin = HostListStandin(hosts=(host,))
+            await standin.start()
+            hosts = HttpHostList(address=standin.address)
+            assert await hosts.hosts() == (host,)
+            standin.list.down = True
+            with pytest.raises(HostListError):
+                await hosts.hosts()
+            await standin.stop()
+            with pytest.raises(AzureswitchError) as caught:
+                await hosts.hosts()
+            assert type(caught.value) is HostListError
+
+        asyncio.run(run())
