Let calls that may not repeat run at most once

Cause: a repeated key may reach any host, and none of them keeps anything. Change: keys fall into sixteen shards; each shard is one head object, and a batch of claims is one conditional update of it. The version of the head fences every other writer. Owners by rendezvous hashing save conflicts only. Full open segments become objects of their own and are merged.

--- /dev/null
+++ b/src/azureswitch/coordination/claims/_claims.py
@@ -0,0 +1,599 @@
+"""The asyncio shell around owner and claimer, and the part's facade."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from random import Random
+from time import time
+from typing import Any, TypeVar
+
+from absl import logging
+from msgspec import MsgspecError
+
+from azureswitch.coordination.claims import _claimer, _owner
+from azureswitch.coordination.claims._events import (
+    AskArrived,
+    AskFailed,
+    AskReplied,
+    ClaimCalled,
+    ClaimDropped,
+    ClaimerTicked,
+    DeleteSegments,
+    HeadConflicted,
+    HeadRead,
+    HeadWriteFailed,
+    HeadWriteLost,
+    HeadWritten,
+    InquireHolder,
+    MembersSeen,
+    OutcomeKnown,
+    OwnerEvent,
+    OwnerTicked,
+    ReadFailed,
+    ReadHead,
+    ReadSegments,
+    ReplyToAsk,
+    ResolveClaim,
+    SegmentsDeleted,
+    SegmentsRead,
+    SegmentStored,
+    SegmentStoreFailed,
+    SendAsk,
+    StoreSegment,
+    WriteHead,
+)
+from azureswitch.coordination.claims._messages import (
+    Ask,
+    ClaimAsk,
+    ClaimReply,
+    HoldAsk,
+    HoldReply,
+    SettleAsk,
+    Verdict,
+)
+from azureswitch.coordination.claims._model import (
+    HEAD_KIND,
+    SEGMENT_KIND,
+    Answer,
+    Head,
+    Record,
+    SegmentRef,
+    decode_head,
+    decode_segment,
+    encode_head,
+    encode_segment,
+    fingerprint_mark,
+    head_name,
+    key_digest,
+    segment_name,
+    shard_of,
+)
+from azureswitch.coordination.claims._owners import owners
+from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.core import CallId, CustomerName, Effect, Effects, Event, HostName, Incarnation
+from azureswitch.exceptions import (
+    AzureswitchError,
+    ClaimUnavailableError,
+    IdempotencyInProgressError,
+    IdempotencyMismatchError,
+    OutcomeLostError,
+    PeerError,
+    StoreConflictError,
+    StoreError,
+    StoreNotFoundError,
+    StoreOutcomeUnknownError,
+)
+from azureswitch.ports import Peers, PlainAnswer, Store
+from azureswitch.serving import ClaimOutcome
+
+Result = TypeVar("Result")
+
+RETENTION = 86_400.0
+"""Seconds for which a key is remembered by default."""
+
+CLAIM_WAIT = 5.0
+"""Seconds after which a claim that was not decided is given up as not run."""
+
+OWNER_TIMEOUT = 1.5
+"""Seconds after which a claim goes on to the next host in the order of owners."""
+
+SETTLE_TIMEOUT = 5.0
+"""Seconds after which an outcome is reported again; above the owner's bound for flushing."""
+
+STORE_TIMEOUT = 3.0
+"""Seconds after which the answer of a store call counts as lost."""
+
+AVOID = 2.0
+"""Seconds for which a host that did not answer is passed over."""
+
+TICK = 0.02
+"""Seconds between ticks while anything waits."""
+
+IDLE_TICK = 0.25
+"""Seconds between ticks while nothing waits."""
+
+RETRY_AFTER = 1.0
+"""Seconds after which a refused caller may try again."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Granted:
+    """This host, and it alone, may send the call, once."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Replayed:
+    """The call ran before; this is its first answer.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Names and values.
+        body: The body.
+        whole: Whether headers and body were small enough to be recorded; else they are empty.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    whole: bool = True
+
+
+class Claims:
+    """Lets calls that may not repeat run at most once over the whole fleet.
+
+    Args:
+        myself: This process.
+        store: The platform's store.
+        peers: The way to other hosts.
+        members: Returns the processes known now, this one included.
+        seed: Seeds the jitter of retries.
+        retention: Seconds for which a key is remembered.
+        budget: Writes of heads a second by the whole fleet.
+        wait: Seconds after which an undecided claim is given up.
+        wall: Returns the wall clock in seconds; only retention looks at it.
+    """
+
+    def __init__(
+        self,
+        *,
+        myself: Incarnation,
+        store: Store,
+        peers: Peers,
+        members: Callable[[], tuple[Member, ...]],
+        seed: int = 0,
+        retention: float = RETENTION,
+        budget: float = _owner.WRITE_BUDGET,
+        wait: float = CLAIM_WAIT,
+        wall: Callable[[], float] = time,
+    ) -> None:
+        self._myself = myself
+        self._store = store
+        self._peers = peers
+        self._members = members
+        self._wait = wait
+        self._wall = wall
+        self._owner = _owner.OwnerState(retention=retention, budget=budget)
+        self._claimer = _claimer.ClaimerState(random=Random(seed))
+        self._claims: dict[CallId, asyncio.Future[ResolveClaim]] = {}
+        self._asks: dict[int, asyncio.Future[ClaimReply]] = {}
+        self._numbers = 0
+        self._avoided: dict[HostName, float] = {}
+        self._alive: frozenset[Incarnation] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._woken = asyncio.Event()
+        peers.handle(ClaimAsk, self._ask)
+        peers.handle(SettleAsk, self._ask)
+        peers.handle(HoldAsk, self._answer_hold)
+
+    @property
+    def unreported(self) -> int:
+        """How many outcomes of this process are not in the store yet."""
+        return self._claimer.unreported
+
+    @property
+    def waiting(self) -> int:
+        """How many asks wait here, as at their shard's owner."""
+        return self._owner.waiting
+
+    @property
+    def indexed_keys(self) -> int:
+        """How many keys of older segments this process holds digests of."""
+        return self._owner.indexed_keys
+
+    async def claim(
+        self,
+        *,
+        customer: CustomerName,
+        key: str,
+        fingerprint: str,
+        call: CallId,
+        deadline: float,
+    ) -> Granted | Replayed:
+        """Claim a call before it is sent.
+
+        Args:
+            customer: Whose key it is; equal keys of two customers have nothing in common.
+            key: The caller's Idempotency-Key.
+            fingerprint: Digest of the request, to tell a repeat from another request.
+            call: The call's id, used for one claim in the life of this process.
+            deadline: When the call must have finished, on the event loop's clock.
+
+        Returns:
+            Granted where the call may be sent now, else the first answer.
+
+        Raises:
+            ClaimUnavailableError: It could not be claimed; it did not run and never will.
+            IdempotencyInProgressError: The first call with the key has not ended.
+            IdempotencyMismatchError: The key was used for another request.
+            OutcomeLostError: The first call with the key may have run.
+        """
+        now = self._now()
+        until = min(deadline, now + self._wait)
+        digest = key_digest(customer=customer, key=key)
+        ask = ClaimAsk(
+            shard=shard_of(digest),
+            key=digest,
+            mark=fingerprint_mark(fingerprint),
+            holder=self._myself,
+            call=call,
+            wait=until - now,
+        )
+        if until <= now:
+            raise ClaimUnavailableError(seconds=RETRY_AFTER)
+        future: asyncio.Future[ResolveClaim] = asyncio.get_running_loop().create_future()
+        self._claims[call] = future
+        try:
+            self._claim_side(ClaimCalled(now=now, ask=ask, until=until))
+            return _result(await future)
+        except asyncio.CancelledError:
+            self._claim_side(ClaimDropped(now=self._now(), call=call))
+            raise
+        finally:
+            del self._claims[call]
+
+    async def settle(
+        self, *, call: CallId, outcome: ClaimOutcome, answer: PlainAnswer | None = None
+    ) -> None:
+        """Record what became of a granted call.
+
+        Returns at once; the outcome reaches the store within the bound for flushing, and is
+        reported again for as long as the store or the owner is away.
+
+        Args:
+            call: The call.
+            outcome: What became of it.
+            answer: The target's answer, where the outcome is DONE.
+        """
+        recorded = None
+        if answer is not None:
+            recorded = Answer(status=answer.status, headers=answer.headers, body=answer.body)
+        event = OutcomeKnown(now=self._now(), call=call, outcome=outcome, answer=recorded)
+        self._claim_side(event)
+
+    async def drain(self, *, timeout: float) -> bool:
+        """Wait until every outcome is in the store, before a shutdown.
+
+        Returns:
+            Whether all are.
+        """
+        end = self._now() + timeout
+        while self.unreported and self._now() < end:
+            await asyncio.sleep(TICK)
+        return not self.unreported
+
+    async def run(self) -> None:
+        """Drive claims and outcomes until cancelled."""
+        try:
+            while True:
+                self._tick()
+                busy = self._owner.waiting or self._claims or self._claimer.unreported
+                await self._pause(TICK if busy else IDLE_TICK)
+        finally:
+            for task in tuple(self._tasks):
+                task.cancel()
+
+    # --- Plumbing ---------------------------------------------------------------------------------
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _pause(self, seconds: float) -> None:
+        if seconds <= TICK:
+            await asyncio.sleep(seconds)
+            return
+        self._woken.clear()
+        try:
+            await asyncio.wait_for(self._woken.wait(), timeout=seconds)
+        except TimeoutError:
+            pass
+
+    def _tick(self) -> None:
+        now = self._now()
+        alive = frozenset(
+            member.incarnation
+            for member in self._members()
+            if member.status is not MemberStatus.DEAD
+        )
+        if alive != self._alive:
+            self._alive = alive
+            self._own_side(MembersSeen(now=now, wall=self._wall(), alive=alive))
+        self._own_side(OwnerTicked(now=now, wall=self._wall()))
+        self._claim_side(ClaimerTicked(now=now))
+
+    def _own_side(self, event: OwnerEvent) -> None:
+        self._perform_all(_owner.reduce(event, self._owner))
+
+    def _claim_side(self, event: Event) -> None:
+        self._perform_all(_claimer.reduce(event, self._claimer))
+
+    def _perform_all(self, effects: Effects) -> None:
+        for effect in effects:
+            self._perform(effect)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self._woken.set()
+
+    @singledispatchmethod
+    def _perform(self, effect: Effect) -> None:
+        raise NotImplementedError(type(effect).__name__)
+
+    # --- Claimer side -----------------------------------------------------------------------------
+
+    @_perform.register
+    def _resolve(self, effect: ResolveClaim) -> None:
+        future = self._claims.get(effect.call)
+        if future is not None and not future.done():
+            future.set_result(effect)
+
+    @_perform.register
+    def _send(self, effect: SendAsk) -> None:
+        self._spawn(self._send_ask(effect))
+
+    async def _send_ask(self, effect: SendAsk) -> None:
+        ask, attempt = effect.ask, effect.attempt
+        owner = self._route(ask.shard, effect.rank)
+        try:
+            reply = await (self._ask(ask) if owner is None else self._call(owner, ask))
+        except PeerError:
+            self._claim_side(AskFailed(now=self._now(), call=ask.call, attempt=attempt))
+            return
+        event = AskReplied(
+            now=self._now(),
+            call=ask.call,
+            attempt=attempt,
+            verdict=reply.verdict,
+            answer=reply.answer,
+        )
+        self._claim_side(event)
+
+    async def _call(self, owner: Member, ask: Ask) -> ClaimReply:
+        timeout = OWNER_TIMEOUT if isinstance(ask, ClaimAsk) else SETTLE_TIMEOUT
+        try:
+            reply: ClaimReply = await self._peers.call(
+                address=owner.address, request=ask, reply=ClaimReply, timeout=timeout
+            )
+        except PeerError:
+            self._avoided[owner.incarnation.host] = self._now() + AVOID
+            logging.info("claims: Host %s did not answer.", owner.incarnation.host)
+            raise
+        return reply
+
+    def _route(self, shard: int, rank: int) -> Member | None:
+        """Return the host to ask, or None where this process commits by itself."""
+        order = owners(shard=shard, members=self._members())[: _claimer.LAST_RANK]
+        now = self._now()
+        for member in order[rank:]:
+            if member.incarnation == self._myself:
+                return None
+            if self._avoided.get(member.incarnation.host, 0.0) <= now:
+                return member
+        return None
+
+    # --- Owner side -------------------------------------------------------------------------------
+
+    async def _ask(self, ask: Ask) -> ClaimReply:
+        self._numbers += 1
+        number = self._numbers
+        future: asyncio.Future[ClaimReply] = asyncio.get_running_loop().create_future()
+        self._asks[number] = future
+        event = AskArrived(now=self._now(), wall=self._wall(), number=number, ask=ask)
+        try:
+            self._own_side(event)
+            self._woken.set()
+            return await future
+        finally:
+            del self._asks[number]
+
+    @_perform.register
+    def _reply(self, effect: ReplyToAsk) -> None:
+        future = self._asks.get(effect.number)
+        if future is not None and not future.done():
+            future.set_result(ClaimReply(verdict=effect.verdict, answer=effect.answer))
+
+    @_perform.register
+    def _inquire(self, effect: InquireHolder) -> None:
+        self._spawn(self._release_unheld(effect.record))
+
+    async def _release_unheld(self, record: Record) -> None:
+        call = CallId(record.call)
+        if await self._is_held(record.holder, call):
+            return
+        release = SettleAsk(
+            shard=shard_of(record.key),
+            key=record.key,
+            mark=record.mark,
+            holder=record.holder,
+            call=call,
+            outcome=ClaimOutcome.NOT_RUN,
+        )
+        await self._ask(release)
+
+    async def _is_held(self, holder: Incarnation, call: CallId) -> bool:
+        request = HoldAsk(holder=holder, call=call)
+        if holder == self._myself:
+            return (await self._answer_hold(request)).held
+        for member in self._members():
+            if member.incarnation != holder:
+                continue
+            try:
+                reply = await self._peers.call(
+                    address=member.address, request=request, reply=HoldReply, timeout=OWNER_TIMEOUT
+                )
+            except PeerError:
+                return True
+            return reply.held
+        return True
+
+    async def _answer_hold(self, request: HoldAsk) -> HoldReply:
+        # A process cannot speak for an earlier one at its address.
+        mine = request.holder == self._myself
+        return HoldReply(held=not mine or self._claimer.holds(call=request.call))
+
+    @_perform.register
+    def _read_head(self, effect: ReadHead) -> None:
+        self._spawn(self._do_read_head(effect.shard))
+
+    async def _do_read_head(self, shard: int) -> None:
+        version, head = 0, Head()
+        try:
+            found = await _timed(self._store.get(kind=HEAD_KIND, name=head_name(shard)))
+            version, head = found.version, decode_head(found.value)
+        except StoreNotFoundError:
+            pass
+        except (StoreError, MsgspecError, TimeoutError):
+            self._own_side(ReadFailed(now=self._now(), wall=self._wall(), shard=shard))
+            return
+        event = HeadRead(
+            now=self._now(), wall=self._wall(), shard=shard, version=version, head=head
+        )
+        self._own_side(event)
+
+    @_perform.register
+    def _write_head(self, effect: WriteHead) -> None:
+        self._spawn(self._do_write_head(effect))
+
+    async def _do_write_head(self, effect: WriteHead) -> None:
+        event: OwnerEvent
+        try:
+            version = await _timed(self._put_head(effect))
+        except (StoreConflictError, StoreNotFoundError):
+            event = HeadConflicted(now=self._now(), wall=self._wall(), shard=effect.shard)
+        except (StoreOutcomeUnknownError, TimeoutError):
+            event = HeadWriteLost(now=self._now(), wall=self._wall(), shard=effect.shard)
+        except StoreError:
+            event = HeadWriteFailed(now=self._now(), wall=self._wall(), shard=effect.shard)
+        else:
+            event = HeadWritten(
+                now=self._now(), wall=self._wall(), shard=effect.shard, version=version
+            )
+        self._own_side(event)
+
+    async def _put_head(self, effect: WriteHead) -> int:
+        name, value = head_name(effect.shard), encode_head(effect.head)
+        if effect.version == 0:
+            created = await self._store.create(kind=HEAD_KIND, name=name, value=value)
+            return created.version
+        updated = await self._store.update(
+            kind=HEAD_KIND, name=name, value=value, version=effect.version
+        )
+        return updated.version
+
+    @_perform.register
+    def _read_segments(self, effect: ReadSegments) -> None:
+        self._spawn(self._do_read_segments(effect))
+
+    async def _do_read_segments(self, effect: ReadSegments) -> None:
+        try:
+            contents = [await self._segment(effect.shard, ref) for ref in effect.refs]
+        except (StoreError, MsgspecError, TimeoutError):
+            self._own_side(ReadFailed(now=self._now(), wall=self._wall(), shard=effect.shard))
+            return
+        event = SegmentsRead(
+            now=self._now(),
+            wall=self._wall(),
+            shard=effect.shard,
+            refs=effect.refs,
+            contents=tuple(contents),
+        )
+        self._own_side(event)
+
+    async def _segment(self, shard: int, ref: SegmentRef) -> tuple[Record, ...] | None:
+        name = segment_name(shard, ref)
+        try:
+            found = await _timed(self._store.get(kind=SEGMENT_KIND, name=name))
+        except StoreNotFoundError:
+            return None
+        return decode_segment(found.value)
+
+    @_perform.register
+    def _store_segment(self, effect: StoreSegment) -> None:
+        self._spawn(self._do_store_segment(effect))
+
+    async def _do_store_segment(self, effect: StoreSegment) -> None:
+        event: OwnerEvent = SegmentStored(
+            now=self._now(), wall=self._wall(), shard=effect.shard, ref=effect.ref
+        )
+        try:
+            await _timed(
+                self._store.create(
+                    kind=SEGMENT_KIND,
+                    name=segment_name(effect.shard, effect.ref),
+                    value=encode_segment(effect.records),
+                )
+            )
+        except StoreConflictError:
+            pass
+        except (StoreError, TimeoutError):
+            event = SegmentStoreFailed(now=self._now(), wall=self._wall(), shard=effect.shard)
+        self._own_side(event)
+
+    @_perform.register
+    def _delete_segments(self, effect: DeleteSegments) -> None:
+        self._spawn(self._do_delete_segments(effect))
+
+    async def _do_delete_segments(self, effect: DeleteSegments) -> None:
+        gone = [ref for ref in effect.refs if await self._delete(effect.shard, ref)]
+        event = SegmentsDeleted(
+            now=self._now(), wall=self._wall(), shard=effect.shard, refs=tuple(gone)
+        )
+        self._own_side(event)
+
+    async def _delete(self, shard: int, ref: SegmentRef) -> bool:
+        name = segment_name(shard, ref)
+        try:
+            found = await _timed(self._store.get(kind=SEGMENT_KIND, name=name))
+            await _timed(self._store.delete(kind=SEGMENT_KIND, name=name, version=found.version))
+        except StoreNotFoundError:
+            return True
+        except (StoreError, TimeoutError):
+            return False
+        return True
+
+
+async def _timed(work: Coroutine[Any, Any, Result]) -> Result:
+    return await asyncio.wait_for(work, timeout=STORE_TIMEOUT)
+
+
+def _result(resolved: ResolveClaim) -> Granted | Replayed:
+    if resolved.verdict is Verdict.GRANTED:
+        return Granted()
+    if resolved.verdict is Verdict.REPLAYED and resolved.answer is not None:
+        answer = resolved.answer
+        return Replayed(
+            status=answer.status, headers=answer.headers, body=answer.body, whole=answer.whole
+        )
+    raise _error(resolved.verdict)
+
+
+def _error(verdict: Verdict) -> AzureswitchError:
+    if verdict is Verdict.IN_PROGRESS:
+        return IdempotencyInProgressError(seconds=RETRY_AFTER)
+    if verdict is Verdict.MISMATCH:
+        return IdempotencyMismatchError()
+    if verdict in (Verdict.LOST, Verdict.REPLAYED):
+        return OutcomeLostError()
+    return ClaimUnavailableError(seconds=RETRY_AFTER)
