--- /dev/null
+++ b/src/azureswitch/coordination/journal/_driver.py
@@ -0,0 +1,266 @@
+"""The driver that keeps one host's journal."""
+
+from asyncio import gather, get_running_loop, sleep
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+from time import time
+
+from absl import logging
+from msgspec import MsgspecError
+from msgspec.msgpack import decode, encode
+
+from azureswitch.coordination.hashing import ranked
+from azureswitch.coordination.journal._jobs import JobSigner
+from azureswitch.coordination.journal._key import KeySource
+from azureswitch.coordination.journal._model import (
+    JOURNAL_KIND,
+    DropGroup,
+    GroupFailed,
+    GroupRead,
+    GroupWritten,
+    JobQuery,
+    JobRecord,
+    JobReply,
+    JournalEvent,
+    JournalTicked,
+    LongCallEnded,
+    LongCallProgressed,
+    LongCallStarted,
+    ReadGroup,
+    ResumeJob,
+    WriteGroup,
+)
+from azureswitch.coordination.journal._reduce import reduce
+from azureswitch.coordination.journal._state import JournalState
+from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.core import CallId, CustomerName, Effect, Effects, Incarnation, TargetName
+from azureswitch.exceptions import (
+    PeerError,
+    StoreConflictError,
+    StoreError,
+    StoreNotFoundError,
+)
+from azureswitch.ports import Peers, Store, StoredObject
+from azureswitch.serving import Call
+
+_TICK = 1.0
+"""Seconds between two looks at what is due."""
+
+_ASK_TIMEOUT = 0.5
+"""Seconds that a host has to say where a request runs."""
+
+
+class Journal:
+    """Lets any host find a long request whose own host died.
+
+    Args:
+        myself: This process.
+        store: The platform's store.
+        peers: The other hosts.
+        members: Returns what this host knows of the members, itself included.
+        seed: Seeds the jitter; different on every host.
+        resume: Called for every request that this host takes over from a dead one.  It starts
+            to read the request's output from its engine, so that the engine does not give it up,
+            returns at once, and has `close` called at the end.
+    """
+
+    def __init__(
+        self,
+        *,
+        myself: Incarnation,
+        store: Store,
+        peers: Peers,
+        members: Callable[[], Iterable[Member]],
+        seed: int,
+        resume: Callable[[JobRecord], None] | None = None,
+    ) -> None:
+        self._myself = myself
+        self._store = store
+        self._peers = peers
+        self._members = members
+        self._resume = resume
+        self._state = JournalState(myself=myself, seed=seed)
+        self._key = KeySource(myself=myself, store=store, peers=peers, members=members, seed=seed)
+        peers.handle(JobQuery, self._answer)
+
+    @property
+    def records(self) -> tuple[JobRecord, ...]:
+        """The long work of this host, what it took over included."""
+        return self._state.records
+
+    async def record(self, *, call: Call, target: TargetName, attempt: int) -> str | None:
+        """Note that an attempt at a long request was sent to its engine.
+
+        Args:
+            call: The request.
+            target: The engine that the output comes from.
+            attempt: The attempt, counted from 1.
+
+        Returns:
+            The job id to tell the caller, or None while there is no key to sign one; the request
+            is served without.
+        """
+        now = get_running_loop().time()
+        record = JobRecord(
+            call=call.id,
+            customer=call.customer,
+            target=target,
+            attempt=attempt,
+            owner=self._myself,
+            expires=time() + call.deadline - now,
+        )
+        reduce(self._state, LongCallStarted(now=now, record=record))
+        key = await self._key.key()
+        return None if key is None else JobSigner(key=key).sign(record)
+
+    async def progress(self, *, call: CallId, tokens: int) -> None:
+        """Note how many output tokens have reached the caller; costs no write of its own."""
+        now = get_running_loop().time()
+        reduce(self._state, LongCallProgressed(now=now, call=call, tokens=tokens))
+
+    async def close(self, *, call: CallId) -> None:
+        """Note that a long request ended."""
+        reduce(self._state, LongCallEnded(now=get_running_loop().time(), call=call))
+
+    async def find(self, *, job: str, customer: CustomerName) -> JobRecord | None:
+        """Return where a request runs.
+
+        The newest place is known to the host that runs it, then to the one that took it over, then
+        to the store, and last to the job id itself.  Whether the engine still has the request shows
+        when it is attached to.
+
+        Args:
+            job: The job id that the caller was told.
+            customer: Who asks.
+
+        Returns:
+            The record, or None where the job id is not one of this customer's.
+        """
+        key = await self._key.key()
+        named = None if key is None else JobSigner(key=key).read(job=job, customer=customer)
+        if named is None:
+            return None
+        newest = self._state.find(named.call)
+        if newest is None:
+            newest = await self._ask_holder(named) or await self._read_record(named)
+        if newest is None or newest.customer != customer or newest.attempt < named.attempt:
+            return named
+        return newest
+
+    async def run(self) -> None:
+        """Write records and take over those of dead hosts until cancelled."""
+        while True:
+            await self.tick()
+            await sleep(_TICK)
+
+    async def tick(self) -> None:
+        """Do what is due now."""
+        event = JournalTicked(
+            now=get_running_loop().time(), members=tuple(self._members()), wall=time()
+        )
+        await self._carry_out(reduce(self._state, event))
+
+    async def _carry_out(self, effects: Effects) -> None:
+        await gather(*(self._follow(effect) for effect in effects))
+
+    async def _follow(self, effect: Effect) -> None:
+        event = await self._run(effect)
+        if event is not None:
+            await self._carry_out(reduce(self._state, event))
+
+    @singledispatchmethod
+    async def _run(self, effect: Effect) -> JournalEvent | None:
+        raise NotImplementedError(type(effect))
+
+    @_run.register
+    async def _(self, effect: WriteGroup) -> JournalEvent | None:
+        name = str(self._myself)
+        value = encode(effect.records)
+        try:
+            if effect.version:
+                item = await self._store.update(
+                    kind=JOURNAL_KIND, name=name, value=value, version=effect.version
+                )
+            else:
+                item = await self._store.create(kind=JOURNAL_KIND, name=name, value=value)
+        except (StoreConflictError, StoreNotFoundError):
+            return await self._read(self._myself)
+        except StoreError as error:
+            logging.warning("journal: %s", error)
+            return GroupFailed(now=get_running_loop().time(), owner=self._myself)
+        return GroupWritten(now=get_running_loop().time(), item=item)
+
+    @_run.register
+    async def _(self, effect: ReadGroup) -> JournalEvent | None:
+        return await self._read(effect.owner)
+
+    @_run.register
+    async def _(self, effect: DropGroup) -> JournalEvent | None:
+        try:
+            await self._store.delete(
+                kind=JOURNAL_KIND, name=str(effect.owner), version=effect.version
+            )
+        except StoreError as error:
+            logging.warning("journal: %s", error)
+        return None
+
+    @_run.register
+    async def _(self, effect: ResumeJob) -> JournalEvent | None:
+        record = effect.record
+        logging.info("journal: Took over %s, which runs at %s.", record.call, record.target)
+        if self._resume is not None:
+            self._resume(record)
+        return None
+
+    async def _read(self, owner: Incarnation) -> JournalEvent:
+        try:
+            item: StoredObject | None = await self._store.get(kind=JOURNAL_KIND, name=str(owner))
+        except StoreNotFoundError:
+            item = None
+        except StoreError:
+            return GroupFailed(now=get_running_loop().time(), owner=owner)
+        now = get_running_loop().time()
+        return GroupRead(now=now, owner=owner, item=item, records=_records(item))
+
+    async def _ask_holder(self, named: JobRecord) -> JobRecord | None:
+        members = {member.incarnation.host: member for member in self._members()}
+        owner = members.get(named.owner.host)
+        is_present = owner is not None and owner.incarnation == named.owner
+        if owner is not None and is_present and owner.status is not MemberStatus.DEAD:
+            return await self._ask(owner, named.call)
+        live = [host for host, member in members.items() if member.status is MemberStatus.ALIVE]
+        heirs = ranked(name=str(named.owner), hosts=live)
+        return await self._ask(members[heirs[0]], named.call) if heirs else None
+
+    async def _ask(self, member: Member, call: CallId) -> JobRecord | None:
+        if member.incarnation == self._myself:
+            return None
+        try:
+            reply = await self._peers.call(
+                address=member.address,
+                request=JobQuery(call=call),
+                reply=JobReply,
+                timeout=_ASK_TIMEOUT,
+            )
+        except PeerError:
+            return None
+        return reply.record
+
+    async def _read_record(self, named: JobRecord) -> JobRecord | None:
+        event = await self._read(named.owner)
+        if not isinstance(event, GroupRead):
+            return None
+        return next((record for record in event.records if record.call == named.call), None)
+
+    async def _answer(self, query: JobQuery) -> JobReply:
+        return JobReply(record=self._state.find(query.call))
+
+
+def _records(item: StoredObject | None) -> tuple[JobRecord, ...]:
+    if item is None:
+        return ()
+    try:
+        return decode(item.value, type=tuple[JobRecord, ...])
+    except MsgspecError:
+        logging.error("journal: The records of %s cannot be read.", item.name)
+        return ()
--- /dev/null
+++ b/src/azureswitch/coordination/journal/_model.py
@@ -0,0 +1,199 @@
+"""Records, messages, events and effects of the journal of long work."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from azureswitch.coordination.membership import Member
+from azureswitch.core import CallId, CustomerName, Effect, Event, Incarnation, TargetName
+from azureswitch.inventory import Rules
+from azureswitch.ports import StoredObject
+from azureswitch.serving import Call
+
+JOURNAL_KIND = "journal"
+"""The kind of the store's objects with the records of one process each."""
+
+FLUSH_PERIOD = 10.0
+"""Seconds between two writes of one host's records at least."""
+
+RECORD_AGE = 5.0
+"""Seconds that long work has run for before it is recorded; its job id serves until then."""
+
+GROUP_LIMIT = 4_000
+"""Records in one object at most; with 200 bytes each it stays under a megabyte."""
+
+
+class Resilience(Enum):
+    """What of a request survives its host."""
+
+    NONE = "none"
+    JOURNAL = "journal"
+    CLAIM = "claim"
+
+
+def resilience(*, call: Call, rules: Rules) -> Resilience:
+    """Return the resilience that a request gets by its kind.
+
+    Args:
+        call: The request.
+        rules: The rules in force, which say from which length on a prompt is long.
+    """
+    if not call.repeatable:
+        return Resilience.CLAIM
+    if call.prompt_tokens >= rules.long_prompt:
+        return Resilience.JOURNAL
+    return Resilience.NONE
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobRecord:
+    """Where a long request runs.
+
+    The prompt is not part of it: the engine holds it.
+
+    Attributes:
+        call: The request.
+        customer: Who sent it, and who alone may find it.
+        target: The engine that its output comes from.
+        attempt: The attempt, counted from 1.
+        owner: The process that it entered through.
+        expires: When it must have finished, in seconds since the epoch.
+        tokens: Output tokens that are known to have reached the caller.
+    """
+
+    call: CallId
+    customer: CustomerName
+    target: TargetName
+    attempt: int
+    owner: Incarnation
+    expires: float
+    tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobQuery:
+    """Asks a process where one of its long requests runs now."""
+
+    call: CallId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobReply:
+    """The answer to a JobQuery; None where the process does not run the request."""
+
+    record: JobRecord | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JournalKeyQuery:
+    """Asks a process for the key that signs job ids."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JournalKeyReply:
+    """The answer to a JournalKeyQuery; empty where the process has no key yet."""
+
+    key: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JournalEvent(Event):
+    """Base of the events of the journal."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LongCallStarted(JournalEvent):
+    """An attempt at a long request was sent to its engine."""
+
+    record: JobRecord
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LongCallProgressed(JournalEvent):
+    """More output reached the caller."""
+
+    call: CallId
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LongCallEnded(JournalEvent):
+    """A long request ended, well or not."""
+
+    call: CallId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JournalTicked(JournalEvent):
+    """Time passed.
+
+    Attributes:
+        members: What this host knows of the members, itself included.
+        wall: Seconds since the epoch, to drop records past their time.
+    """
+
+    members: tuple[Member, ...]
+    wall: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupWritten(JournalEvent):
+    """The store accepted this process's records."""
+
+    item: StoredObject
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupRead(JournalEvent):
+    """The store returned the records of a process.
+
+    Attributes:
+        owner: The process.
+        item: The object, or None where there is none.
+        records: What it holds.
+    """
+
+    owner: Incarnation
+    item: StoredObject | None
+    records: tuple[JobRecord, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupFailed(JournalEvent):
+    """The store could not be reached, or did not say whether it wrote."""
+
+    owner: Incarnation
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteGroup(Effect):
+    """Write this process's records; answer by GroupWritten, GroupRead or GroupFailed.
+
+    Attributes:
+        records: All records.
+        version: The version to replace, or zero where the object does not exist.
+    """
+
+    records: tuple[JobRecord, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadGroup(Effect):
+    """Read the records of a process; answer by GroupRead or GroupFailed."""
+
+    owner: Incarnation
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DropGroup(Effect):
+    """Delete the records of a dead process, which this host has taken over and written."""
+
+    owner: Incarnation
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResumeJob(Effect):
+    """Keep a request alive whose host died: attach to its engine and hold its output."""
+
+    record: JobRecord
--- /dev/null
+++ b/src/azureswitch/coordination/journal/_state.py
@@ -0,0 +1,48 @@
+"""The state behind one host's journal."""
+
+from dataclasses import dataclass
+from random import Random
+
+from azureswitch.coordination.journal._model import JobRecord
+from azureswitch.core import CallId, Incarnation
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """A record of this host.
+
+    Attributes:
+        record: The record.
+        since: When the request started here, on the host's monotonic clock.
+        urgent: Whether its job id no longer says where it runs, so that only a record does.
+    """
+
+    record: JobRecord
+    since: float
+    urgent: bool = False
+
+
+class JournalState:
+    """The long work of one host, and the dead processes whose records it takes over."""
+
+    def __init__(self, *, myself: Incarnation, seed: int) -> None:
+        self._myself = myself
+        self._random = Random(seed)
+        self._open: dict[CallId, Entry] = {}
+        self._written: frozenset[CallId] = frozenset()
+        self._version = 0
+        self._writing = False
+        self._next_flush = float("-inf")
+        self._urgent = False
+        self._orphans: dict[Incarnation, float] = {}
+        self._dropping: dict[Incarnation, int] = {}
+
+    @property
+    def records(self) -> tuple[JobRecord, ...]:
+        """The long work of this host, taken over included."""
+        return tuple(entry.record for entry in self._open.values())
+
+    def find(self, call: CallId) -> JobRecord | None:
+        """Return the record of a request that this host runs or has taken over."""
+        entry = self._open.get(call)
+        return None if entry is None else entry.record
--- /dev/null
+++ b/src/azureswitch/coordination/memory/_driver.py
@@ -0,0 +1,183 @@
+"""The driver that sweeps engines for one host."""
+
+from asyncio import gather, get_running_loop, sleep
+from collections.abc import Callable, Iterable, Mapping
+from functools import singledispatchmethod
+from random import Random
+
+from absl import logging
+
+from azureswitch.coordination.membership import Member
+from azureswitch.coordination.memory._model import (
+    SWEEP_PERIOD,
+    AskOwner,
+    HeldAttempt,
+    HoldingsRead,
+    OwnerAnswered,
+    OwnerQuery,
+    OwnerReply,
+    OwnerSilent,
+    ReadHoldings,
+    ReleaseHolding,
+    SweepCounts,
+    SweepEvent,
+    SweepTicked,
+)
+from azureswitch.coordination.memory._reduce import reduce
+from azureswitch.coordination.memory._state import SweepState
+from azureswitch.core import CallId, Effect, Effects, Incarnation, TargetName
+from azureswitch.exceptions import PeerError, TargetError
+from azureswitch.ports import Engine, Peers
+
+_ASK_TIMEOUT = 0.7
+"""Seconds that an owner, or a witness of it, has to answer in."""
+
+
+class Sweeper:
+    """Gives back the engine memory that belongs to nobody any more.
+
+    Args:
+        myself: This process.
+        members: Returns what this host knows of the members, itself included.
+        engines: Returns the engines of the configuration in force.
+        peers: The other hosts.
+        running: Tells whether an attempt runs in this process.  It must be true from before the
+            attempt's first holding is made until the last is released.
+        seed: Seeds the jitter and the choice of witnesses; different on every host.
+    """
+
+    def __init__(
+        self,
+        *,
+        myself: Incarnation,
+        members: Callable[[], Iterable[Member]],
+        engines: Callable[[], Mapping[TargetName, Engine]],
+        peers: Peers,
+        running: Callable[[CallId, int], bool],
+        seed: int,
+    ) -> None:
+        self._myself = myself
+        self._members = members
+        self._engines = engines
+        self._peers = peers
+        self._running = running
+        self._random = Random(seed)
+        self._state = SweepState(myself=myself, seed=seed)
+        peers.handle(OwnerQuery, self._answer)
+
+    @property
+    def counts(self) -> SweepCounts:
+        """What has been done so far."""
+        return self._state.counts
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await self.sweep()
+            await sleep(SWEEP_PERIOD * self._random.uniform(0.9, 1.1))
+
+    async def sweep(self) -> None:
+        """Read the engines that this host is responsible for, once, and release what is left."""
+        event = SweepTicked(
+            now=get_running_loop().time(),
+            members=tuple(self._members()),
+            targets=tuple(self._engines()),
+        )
+        await self._carry_out(reduce(self._state, event))
+
+    async def _carry_out(self, effects: Effects) -> None:
+        await gather(*(self._follow(effect) for effect in effects))
+
+    async def _follow(self, effect: Effect) -> None:
+        try:
+            event = await self._run(effect)
+        except TargetError as error:
+            logging.warning("memory: %s", error)
+            return
+        if event is not None:
+            await self._carry_out(reduce(self._state, event))
+
+    @singledispatchmethod
+    async def _run(self, effect: Effect) -> SweepEvent | None:
+        raise NotImplementedError(type(effect))
+
+    @_run.register
+    async def _(self, effect: ReadHoldings) -> SweepEvent | None:
+        engine = self._engines().get(effect.target)
+        if engine is None:
+            return None
+        holdings = await engine.holdings()
+        now = get_running_loop().time()
+        return HoldingsRead(now=now, target=effect.target, holdings=holdings)
+
+    @_run.register
+    async def _(self, effect: ReleaseHolding) -> SweepEvent | None:
+        engine = self._engines().get(effect.target)
+        if engine is None:
+            return None
+        await engine.release(holding=effect.holding.id)
+        logging.info(
+            "memory: Released %d tokens of %s at %s.",
+            effect.holding.tokens,
+            effect.holding.owner,
+            effect.target,
+        )
+        return None
+
+    @_run.register
+    async def _(self, effect: AskOwner) -> SweepEvent | None:
+        owner = effect.query.owner
+        if owner == self._myself:
+            return self._answered(owner, self._own_reply(effect.query))
+        reply = await self._ask(effect.address, effect.query, timeout=_ASK_TIMEOUT)
+        if reply is not None and reply.present is not None:
+            return self._answered(owner, reply)
+        # A witness needs the time of its own question on top.
+        replies = await gather(
+            *(
+                self._ask(address, effect.query, timeout=2 * _ASK_TIMEOUT)
+                for address in effect.witnesses
+            )
+        )
+        for reply in replies:
+            if reply is not None and reply.present is not None:
+                return self._answered(owner, reply)
+        witnesses = sum(reply is not None for reply in replies)
+        return OwnerSilent(now=get_running_loop().time(), owner=owner, witnesses=witnesses)
+
+    def _answered(self, owner: Incarnation, reply: OwnerReply) -> SweepEvent | None:
+        if reply.present is None:
+            return None
+        now = get_running_loop().time()
+        return OwnerAnswered(now=now, owner=owner, present=reply.present, ended=reply.ended)
+
+    async def _ask(self, address: str, query: OwnerQuery, *, timeout: float) -> OwnerReply | None:
+        if not address:
+            return None
+        try:
+            return await self._peers.call(
+                address=address, request=query, reply=OwnerReply, timeout=timeout
+            )
+        except PeerError:
+            return None
+
+    async def _answer(self, query: OwnerQuery) -> OwnerReply:
+        if query.owner.host == self._myself.host:
+            return self._own_reply(query)
+        silent = OwnerReply(present=None, ended=())
+        if query.relayed:
+            return silent
+        relayed = OwnerQuery(owner=query.owner, attempts=query.attempts, relayed=True)
+        for member in self._members():
+            if member.incarnation.host == query.owner.host:
+                return await self._ask(member.address, relayed, timeout=_ASK_TIMEOUT) or silent
+        return silent
+
+    def _own_reply(self, query: OwnerQuery) -> OwnerReply:
+        return OwnerReply(
+            present=self._myself,
+            ended=tuple(held for held in query.attempts if not self._is_running(query.owner, held)),
+        )
+
+    def _is_running(self, owner: Incarnation, held: HeldAttempt) -> bool:
+        return owner == self._myself and self._running(held.call, held.attempt)
--- /dev/null
+++ b/src/azureswitch/coordination/memory/_model.py
@@ -0,0 +1,162 @@
+"""Messages, events and effects of the sweep of engine memory."""
+
+from dataclasses import dataclass
+
+from azureswitch.coordination.membership import Member
+from azureswitch.core import CallId, Effect, Event, Incarnation, TargetName
+from azureswitch.ports import Holding
+
+SWEEP_PERIOD = 1.5
+"""Seconds between two reads of an engine's holdings by one host."""
+
+SWEEPERS = 2
+"""How many hosts sweep each engine, so that one that hangs delays nothing."""
+
+DEAD_GRACE = 1.0
+"""Seconds for which a member has been dead here before its memory is released."""
+
+UNKNOWN_GRACE = 4.0
+"""Seconds for which an owner that no member list shows is left alone."""
+
+ASK_AGE = 3.0
+"""Seconds after which, and in between which, a living owner is asked which attempts run."""
+
+WITNESSES = 2
+"""How many other hosts try to reach an owner that does not answer here."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class HeldAttempt:
+    """The attempt that a holding belongs to."""
+
+    call: CallId
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerQuery:
+    """Asks a process which of its attempts have ended.
+
+    Attributes:
+        owner: The process.
+        attempts: The attempts.
+        relayed: Whether the receiver may not pass the question on.
+    """
+
+    owner: Incarnation
+    attempts: tuple[HeldAttempt, ...]
+    relayed: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerReply:
+    """The answer to an OwnerQuery.
+
+    Attributes:
+        present: The process that runs on the owner's host, or None where it was not reached.
+        ended: Those of the attempts that do not run in it.
+    """
+
+    present: Incarnation | None
+    ended: tuple[HeldAttempt, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SweepCounts:
+    """What a sweeper has done since it started.
+
+    Attributes:
+        reads: Reads of an engine's holdings.
+        questions: Owners asked, directly or through witnesses.
+        released: Holdings released.
+        kept: Times that an owner thought to be dead turned out to be alive.
+    """
+
+    reads: int = 0
+    questions: int = 0
+    released: int = 0
+    kept: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SweepEvent(Event):
+    """Base of the events of the sweep."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SweepTicked(SweepEvent):
+    """A period has passed.
+
+    Attributes:
+        members: What this host knows of the members, itself included.
+        targets: All engines.
+    """
+
+    members: tuple[Member, ...]
+    targets: tuple[TargetName, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HoldingsRead(SweepEvent):
+    """An engine returned its holdings."""
+
+    target: TargetName
+    holdings: tuple[Holding, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerAnswered(SweepEvent):
+    """The process that runs on an owner's host answered.
+
+    Attributes:
+        owner: The owner.
+        present: The process that answered.
+        ended: The owner's attempts that do not run.
+    """
+
+    owner: Incarnation
+    present: Incarnation
+    ended: tuple[HeldAttempt, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerSilent(SweepEvent):
+    """Neither this host nor any witness reached an owner.
+
+    Attributes:
+        owner: The owner.
+        witnesses: How many witnesses answered that they did not reach it either.
+    """
+
+    owner: Incarnation
+    witnesses: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadHoldings(Effect):
+    """Read the holdings of an engine; answer by HoldingsRead, or not at all."""
+
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskOwner(Effect):
+    """Ask an owner about its attempts; answer by OwnerAnswered or OwnerSilent.
+
+    Attributes:
+        query: The question.
+        address: The owner's address; empty where this host does not know it.
+        witnesses: Addresses of hosts that try as well where the owner does not answer.
+    """
+
+    query: OwnerQuery
+    address: str
+    witnesses: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReleaseHolding(Effect):
+    """Release a holding; harmless when it is gone, and read again where the call fails."""
+
+    target: TargetName
+    holding: Holding
--- /dev/null
+++ b/tests/journal/test_journal.py
@@ -0,0 +1,334 @@
+"""Tests of the journal: finding long work after its host died, and what it costs."""
+
+from asyncio import sleep
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import pytest
+
+from azureswitch.coordination.journal import (
+    FLUSH_PERIOD,
+    JOURNAL_KIND,
+    KEY_BYTES,
+    RECORD_AGE,
+    JobRecord,
+    JobSigner,
+    Journal,
+    Resilience,
+    resilience,
+)
+from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.core import (
+    CallId,
+    CustomerName,
+    HostName,
+    Incarnation,
+    PlaceName,
+    ServiceName,
+    TargetName,
+)
+from azureswitch.inventory import Rules
+from azureswitch.serving import Call
+from azureswitch_standins.clock import run_virtual
+from azureswitch_standins.peers import PeersNetworkFake
+from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel
+
+HOSTS = tuple(HostName(f"host-{at}") for at in range(4))
+CUSTOMER = CustomerName("cascade")
+RIVAL = CustomerName("rival")
+ENGINE = TargetName("engine-1")
+OTHER_ENGINE = TargetName("engine-2")
+CALL = Call(
+    id=CallId("call-1"),
+    customer=CUSTOMER,
+    service=ServiceName("pool"),
+    prompt_tokens=200_000,
+    deadline=1_800.0,
+)
+
+
+class Fleet:
+    """Hosts with one store, of which each host has its own view."""
+
+    def __init__(self) -> None:
+        self.model = StoreModel()
+        self.network = PeersNetworkFake()
+        self.members = {
+            name: Member(
+                incarnation=Incarnation(host=name, started=1),
+                place=PlaceName("place"),
+                address=f"10.0.0.{at}:7000",
+                status=MemberStatus.ALIVE,
+            )
+            for at, name in enumerate(HOSTS)
+        }
+        self.stores = {name: StoreFake(model=self.model) for name in HOSTS}
+        self.resumed: list[tuple[HostName, JobRecord]] = []
+        self.journals = {name: self._journal(at, name) for at, name in enumerate(HOSTS)}
+        self.dead: set[HostName] = set()
+
+    def _journal(self, at: int, name: HostName) -> Journal:
+        return Journal(
+            myself=self.members[name].incarnation,
+            store=self.stores[name],
+            peers=self.network.peers(address=self.members[name].address),
+            members=lambda: self.members.values(),
+            seed=at,
+            resume=lambda record: self.resumed.append((name, record)),
+        )
+
+    @property
+    def living(self) -> list[HostName]:
+        """Hosts that were not killed."""
+        return [name for name in HOSTS if name not in self.dead]
+
+    def kill(self, name: HostName) -> None:
+        """End a host and let the others know."""
+        self.dead.add(name)
+        self.network.stop(address=self.members[name].address)
+        self.members[name] = replace(self.members[name], status=MemberStatus.DEAD)
+
+    def all_stores(self, faults: StoreFaults) -> None:
+        """Set the faults of every host's way to the store."""
+        for store in self.stores.values():
+            store.faults = faults
+
+    async def start(self, *, call: Call = CALL) -> str:
+        """Start a long request at the first host."""
+        job = await self.journals[HOSTS[0]].record(call=call, target=ENGINE, attempt=1)
+        assert job is not None
+        return job
+
+    async def redispatch(self) -> None:
+        """Send the request to another engine."""
+        await self.journals[HOSTS[0]].record(call=CALL, target=OTHER_ENGINE, attempt=2)
+
+    async def run(self, seconds: float) -> None:
+        """Let the living hosts work for a while."""
+        for _ in range(int(seconds)):
+            for name in self.living:
+                await self.journals[name].tick()
+            await sleep(1.0)
+
+    async def found(self, job: str, *, customer: CustomerName = CUSTOMER) -> set[TargetName]:
+        """Ask every living host; return the engines that they name."""
+        records = [await self.journals[n].find(job=job, customer=customer) for n in self.living]
+        return {record.target for record in records if record is not None}
+
+
+def play(script: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run a script on a fresh fleet in virtual time."""
+
+    async def main() -> None:
+        await script(Fleet())
+
+    run_virtual(main())
+
+
+class TestFind:
+    """Any host finds a customer's own long request."""
+
+    @pytest.mark.parametrize("store_down", [False, True])
+    @pytest.mark.parametrize("killed", [False, True])
+    def test_job_id_alone_is_enough(self, killed: bool, store_down: bool) -> None:
+        """The id says where the request runs, with its host dead and the store away."""
+
+        async def script(fleet: Fleet) -> None:
+            job = await fleet.start()
+            assert await fleet.found(job) == {ENGINE}
+            fleet.all_stores(StoreFaults(down=store_down))
+            if killed:
+                fleet.kill(HOSTS[0])
+            assert await fleet.found(job) == {ENGINE}
+
+        play(script)
+
+    @pytest.mark.parametrize("seconds", [0, 2, 60], ids=["alive", "recorded", "taken over"])
+    def test_redispatched_request_is_found(self, seconds: int) -> None:
+        """An id that names an earlier engine leads to the present one."""
+
+        async def script(fleet: Fleet) -> None:
+            job = await fleet.start()
+            await fleet.redispatch()
+            if seconds:
+                await fleet.run(2)
+                fleet.kill(HOSTS[0])
+            if seconds > 2:
+                await fleet.run(seconds)
+            assert await fleet.found(job) == {OTHER_ENGINE}
+
+        play(script)
+
+    def test_other_customers_find_nothing(self) -> None:
+        """An id is of no use to a customer that it was not made for, nor is a changed one."""
+
+        async def script(fleet: Fleet) -> None:
+            job = await fleet.start()
+            assert await fleet.found(job, customer=RIVAL) == set()
+            assert await fleet.found(job[:-1] + ("A" if job[-1] != "A" else "B")) == set()
+            assert await fleet.found("nonsense") == set()
+
+        play(script)
+
+    def test_host_that_joins_in_an_outage_has_the_key(self) -> None:
+        """Hosts pass the key on while the store is away, and never make a second one."""
+
+        async def script(fleet: Fleet) -> None:
+            job = await fleet.start()
+            fleet.all_stores(StoreFaults(down=True))
+            assert await fleet.journals[HOSTS[3]].find(job=job, customer=CUSTOMER) is not None
+
+        play(script)
+
+    def test_no_key_means_no_job_id(self) -> None:
+        """Before any host has the key a request runs without a job id, and later ones get one."""
+
+        async def script(fleet: Fleet) -> None:
+            fleet.all_stores(StoreFaults(down=True))
+            journal = fleet.journals[HOSTS[0]]
+            assert await journal.record(call=CALL, target=ENGINE, attempt=1) is None
+            fleet.all_stores(StoreFaults(lose_answers=1))
+            await sleep(5.0)
+            assert await journal.record(call=CALL, target=ENGINE, attempt=2) is None
+            await sleep(5.0)
+            assert await journal.record(call=CALL, target=ENGINE, attempt=3) is not None
+
+        play(script)
+
+
+class TestRecords:
+    """What is written, when, and who takes it over."""
+
+    def test_quick_long_work_writes_nothing(self) -> None:
+        """Work that ends before it is old leaves the store alone."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.start()
+            written = fleet.model.counters.writes
+            await fleet.run(RECORD_AGE - 1)
+            await fleet.journals[HOSTS[0]].close(call=CALL.id)
+            await fleet.run(3 * FLUSH_PERIOD)
+            assert fleet.model.counters.writes == written
+
+        play(script)
+
+    def test_many_requests_share_a_write(self) -> None:
+        """However many requests run, one host writes at most once per period."""
+
+        async def script(fleet: Fleet) -> None:
+            seconds = 100
+            for at in range(seconds):
+                for nth in range(5):
+                    await fleet.start(call=replace(CALL, id=CallId(f"{at}-{nth}")))
+                await fleet.run(1)
+            # The key is the one further write.
+            assert fleet.model.counters.writes <= seconds / FLUSH_PERIOD * 1.2 + 1
+
+        play(script)
+
+    @pytest.mark.parametrize(
+        "faults",
+        [StoreFaults(), StoreFaults(lose_answers=1), StoreFaults(lose_answers=2, lose_writes=True)],
+        ids=["whole", "answer lost", "writes lost"],
+    )
+    def test_records_of_the_dead_are_taken_over_once(self, faults: StoreFaults) -> None:
+        """One host resumes a dead host's work, and the dead host's object goes."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.journals[HOSTS[0]].progress(call=CALL.id, tokens=7)
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.all_stores(faults)
+            fleet.kill(HOSTS[0])
+            await fleet.run(3 * FLUSH_PERIOD)
+            assert [record.tokens for _, record in fleet.resumed] == [7]
+            left = fleet.model.list(kind=JOURNAL_KIND).items
+            assert [item.name for item in left] == [
+                str(fleet.members[name].incarnation) for name, _ in fleet.resumed
+            ]
+
+        play(script)
+
+    def test_heir_that_dies_is_succeeded(self) -> None:
+        """Work that was taken over is taken over again."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.kill(HOSTS[0])
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.kill(fleet.resumed[0][0])
+            await fleet.run(2 * FLUSH_PERIOD)
+            assert len({name for name, _ in fleet.resumed}) == 2
+
+        play(script)
+
+    def test_long_outage_loses_no_record(self) -> None:
+        """Hosts ask a store that is away seldom, and take over when it is back."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.all_stores(StoreFaults(down=True))
+            fleet.kill(HOSTS[0])
+            before = fleet.model.counters.calls
+            await fleet.run(600)
+            assert fleet.model.counters.calls - before <= 600 / (FLUSH_PERIOD / 2)
+            fleet.all_stores(StoreFaults())
+            await fleet.run(2 * FLUSH_PERIOD)
+            assert len(fleet.resumed) == 1
+
+        play(script)
+
+    def test_host_believed_dead_writes_again(self) -> None:
+        """A host whose object another deleted records its work anew."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.run(2 * FLUSH_PERIOD)
+            alive = fleet.members[HOSTS[0]]
+            fleet.members[HOSTS[0]] = replace(alive, status=MemberStatus.DEAD)
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.members[HOSTS[0]] = alive
+            await fleet.start(call=replace(CALL, id=CallId("call-2")))
+            await fleet.run(3 * FLUSH_PERIOD)
+            names = {item.name for item in fleet.model.list(kind=JOURNAL_KIND).items}
+            assert str(alive.incarnation) in names
+
+        play(script)
+
+
+class TestResilience:
+    """Each kind of request gets its own level."""
+
+    @pytest.mark.parametrize(
+        ("call", "expected"),
+        [
+            (replace(CALL, prompt_tokens=1_000), Resilience.NONE),
+            (replace(CALL, prompt_tokens=31_999), Resilience.NONE),
+            (replace(CALL, prompt_tokens=32_000), Resilience.JOURNAL),
+            (replace(CALL, prompt_tokens=0, repeatable=False), Resilience.CLAIM),
+        ],
+        ids=["short", "below the limit", "long", "booking"],
+    )
+    def test_level_follows_the_kind(self, call: Call, expected: Resilience) -> None:
+        """Short answers keep nothing, long work a record, bookings a claim."""
+        assert resilience(call=call, rules=Rules()) is expected
+
+
+class TestJobSigner:
+    """Job ids are made by hosts only."""
+
+    def test_id_reads_back_with_its_key_only(self) -> None:
+        """The same key gives the record, another one nothing."""
+        record = JobRecord(
+            call=CALL.id,
+            customer=CUSTOMER,
+            target=ENGINE,
+            attempt=3,
+            owner=Incarnation(host=HOSTS[0], started=9),
+            expires=1_000.0,
+        )
+        job = JobSigner(key=bytes(KEY_BYTES)).sign(record)
+        assert JobSigner(key=bytes(KEY_BYTES)).read(job=job, customer=CUSTOMER) == record
+        assert JobSigner(key=b"x" * KEY_BYTES).read(job=job, customer=CUSTOMER) is None
