--- /dev/null
+++ b/src/azureswitch_standins/engine/_http.py
@@ -0,0 +1,571 @@
+"""The engine in real time behind its HTTP interface."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
+from functools import wraps
+from math import isfinite
+from typing import Any, TypeVar
+from urllib.parse import quote, unquote
+
+from blacksheep import Application, Request, Response, StreamedContent
+from blacksheep.contents import ASGIContent
+from msgspec import MsgspecError
+from msgspec.json import decode
+
+from azureswitch.client import HttpClient
+from azureswitch.core import CallId, HostName, Incarnation
+from azureswitch.exceptions import AzureswitchError
+from azureswitch.ports import Surface
+from azureswitch_standins._web import WebServer, application, route_value
+from azureswitch_standins.engine._errors import (
+    EngineError,
+    HoldingError,
+    MalformedError,
+    RefusedByFaultError,
+    RequestMissingError,
+)
+from azureswitch_standins.engine._kv import Span
+from azureswitch_standins.engine._model import EngineModel, Key
+from azureswitch_standins.engine._outputs import (
+    Failed,
+    Finished,
+    Output,
+    RunRequest,
+    SpanFailed,
+    SpanReady,
+)
+from azureswitch_standins.engine._prompt import BodyError, Question, read_question
+from azureswitch_standins.engine._settings import EngineSettings
+from azureswitch_standins.engine._streams import EngineCounters, EngineFaults, LiveStream
+from azureswitch_standins.engine._wire import (
+    EventEncoder,
+    Exported,
+    FetchBody,
+    HoldingBody,
+    Holdings,
+    ListedModel,
+    ModelList,
+    OrderBody,
+    PrefillBody,
+    PriorityBody,
+    ReleaseBody,
+    error_answer,
+    json_answer,
+)
+
+GRACE = 5.0
+"""Seconds that an attempt goes on without a reader, and that an ended one can be attached to."""
+
+_FINEST_WAKE = 0.002
+"""Seconds between two looks at the model, at least."""
+
+_FETCH_TIMEOUT = 5.0
+"""Seconds that reading an export's address may take."""
+
+Body = TypeVar("Body")
+Handler = Callable[[Any, Request], Awaitable[Response]]
+
+
+def _answered(handler: Handler) -> Handler:
+    """Turn refusals into answers, and delay answers as the faults say."""
+
+    @wraps(handler)
+    async def answer(self: "EngineStandin", request: Request) -> Response:
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        try:
+            return await handler(self, request)
+        except EngineError as error:
+            return error_answer(error)
+
+    return answer
+
+
+class EngineStandin:
+    """An engine that listens on loopback.
+
+    Args:
+        settings: What the engine is.
+        host: The IP to listen on.
+        port: The port to listen on; zero for any.
+        speed: Seconds of the model in one second.
+        grace: Seconds that an attempt goes on without a reader.
+        started: The engine's start, in milliseconds of its wall clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EngineSettings | None = None,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        speed: float = 1.0,
+        grace: float = GRACE,
+        started: int = 1,
+    ) -> None:
+        self._model = EngineModel(settings=settings or EngineSettings(), started=started)
+        self._server = WebServer(app=self._routes(), host=host, port=port)
+        self._speed = speed
+        self._grace = grace
+        self._started = started
+        self._faults = EngineFaults()
+        self._streams: dict[Key, LiveStream] = {}
+        self._fills: dict[str, list[asyncio.Future[SpanReady | SpanFailed]]] = {}
+        self._runs: Counter[str] = Counter()
+        self._counts: Counter[str] = Counter()
+        self._timer: asyncio.TimerHandle | None = None
+        self._begun = 0.0
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT``, known once it has started."""
+        return self._server.address
+
+    @property
+    def faults(self) -> EngineFaults:
+        """What goes wrong now."""
+        return self._faults
+
+    @property
+    def counters(self) -> EngineCounters:
+        """What has been counted since the start."""
+        return EngineCounters(
+            runs=dict(self._runs),
+            finished=self._counts["finished"],
+            failed=self._counts["failed"],
+            refused=self._counts["refused"],
+            tokens=self._counts["tokens"],
+            running=len(self._model.attempts),
+            memory_used=self._model.memory_used,
+            memory_total=self._model.settings.memory,
+            holdings=len(self._model.holdings),
+        )
+
+    async def start(self) -> None:
+        """Listen and serve."""
+        self._begun = asyncio.get_running_loop().time()
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stop, breaking what still runs."""
+        self._lose()
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._server.stop()
+
+    async def kill(self) -> None:
+        """Die as a process does: connections break and memory is lost."""
+        await self.set_faults(faults=replace(self._faults, dead=True))
+
+    async def revive(self) -> None:
+        """Come back on the same address with empty memory."""
+        await self.set_faults(faults=replace(self._faults, dead=False))
+
+    async def set_faults(self, *, faults: EngineFaults) -> None:
+        """Change what goes wrong."""
+        was_dead = self._faults.dead
+        self._faults = replace(faults, stall=0.0)
+        if faults.stall:
+            self._model.stall(now=self._now(), seconds=faults.stall * self._speed)
+            self._turn()
+        if faults.dead and not was_dead:
+            self._server.pause()
+            self._lose()
+        if was_dead and not faults.dead:
+            self._started += 1
+            self._model.restart(now=self._now(), started=self._started)
+            await self._server.resume()
+
+    def _routes(self) -> Application:
+        attempt = "/engine/requests/:call/:attempt"
+        return application(
+            routes={
+                ("POST", Surface.COMPLETION.value): self._completion,
+                ("POST", Surface.CHAT.value): self._chat,
+                ("GET", "/v1/models"): self._models,
+                ("GET", f"{attempt}/stream"): self._attach,
+                ("POST", f"{attempt}/cancel"): self._cancel,
+                ("POST", f"{attempt}/priority"): self._priority,
+                ("GET", "/engine/load"): self._load,
+                ("GET", "/engine/cache"): self._cache,
+                ("GET", "/engine/kv"): self._kv,
+                ("POST", "/engine/kv/reserve"): self._reserve,
+                ("POST", "/engine/kv/prefill"): self._prefill,
+                ("POST", "/engine/kv/export"): self._export,
+                ("GET", "/engine/kv/exports/:holding"): self._exported,
+                ("POST", "/engine/kv/fetch"): self._fetch,
+                ("POST", "/engine/kv/release"): self._release,
+                ("POST", "/engine/orders"): self._order,
+                ("GET", "/engine/state"): self._state,
+                ("POST", "/standin/faults"): self._post_faults,
+                ("GET", "/standin/counters"): self._get_counters,
+            }
+        )
+
+    def _now(self) -> float:
+        return (asyncio.get_running_loop().time() - self._begun) * self._speed
+
+    # --- Time -------------------------------------------------------------------------------------
+
+    def _turn(self) -> None:
+        """Let the model catch up, pass on what came out and sleep until there is more."""
+        now = self._now()
+        for output in self._model.advance(now):
+            self._pass_on(output)
+        for key in self._model.attempts:
+            stream = self._streams.get(key)
+            if stream is not None and stream.readers:
+                stream.grow(self._model.produced(now=now, call=key[0], attempt=key[1]))
+        if self._timer is not None:
+            self._timer.cancel()
+        due = min(self._model.next_event_time(), self._model.next_step_time(now))
+        if isfinite(due):
+            delay = max(_FINEST_WAKE, (due - now) / self._speed)
+            self._timer = asyncio.get_running_loop().call_later(delay, self._turn)
+
+    def _pass_on(self, output: Output) -> None:
+        if isinstance(output, Finished | Failed):
+            self._counts["finished" if isinstance(output, Finished) else "failed"] += 1
+            stream = self._streams.get((output.call, output.attempt))
+            if stream is not None:
+                stream.finish(output)
+                self._expire(stream)
+        elif isinstance(output, SpanReady | SpanFailed):
+            for waiter in self._fills.pop(output.holding, []):
+                if not waiter.done():
+                    waiter.set_result(output)
+
+    def _expire(self, stream: LiveStream) -> None:
+        """Start the grace of a stream without readers; one that runs is cancelled after it."""
+        if stream.readers:
+            return
+        if stream.expiry is not None:
+            stream.expiry.cancel()
+        loop = asyncio.get_running_loop()
+        stream.expiry = loop.call_later(self._grace, self._expired, stream)
+
+    def _expired(self, stream: LiveStream) -> None:
+        key = (stream.request.call, stream.request.attempt)
+        if stream.readers or self._streams.get(key) is not stream:
+            return
+        if stream.end is None:
+            self._model.cancel(now=self._now(), call=key[0], attempt=key[1])
+            self._turn()
+        if stream.expiry is not None:
+            stream.expiry.cancel()
+        del self._streams[key]
+
+    def _lose(self) -> None:
+        self._model.die(now=self._now())
+        self._turn()
+        self._streams.clear()
+
+    # --- Completions ------------------------------------------------------------------------------
+
+    async def _completion(self, request: Request) -> Response:
+        return await self._run(request, Surface.COMPLETION)
+
+    async def _chat(self, request: Request) -> Response:
+        return await self._run(request, Surface.CHAT)
+
+    async def _run(self, request: Request, surface: Surface) -> Response:
+        if self._faults.delay:
+            await asyncio.sleep(self._faults.delay)
+        try:
+            question = await _question(request, surface)
+            run = self._run_request(request, question)
+            self._submit(run)
+        except EngineError as error:
+            self._counts["refused"] += 1
+            return error_answer(error)
+        stream = LiveStream(
+            request=run, encoder=EventEncoder(call=run.call, surface=surface, question=question)
+        )
+        self._streams[run.call, run.attempt] = stream
+        self._turn()
+        if question.stream or _header(request, "x-stream") == "sse":
+            return self._streamed(request, stream, run.resume_from)
+        return await self._whole(request, stream)
+
+    def _run_request(self, request: Request, question: Question) -> RunRequest:
+        self._counts["asked"] += 1
+        call = _header(request, "x-request-id") or f"direct-{self._counts['asked']}"
+        host, _, started = _header(request, "x-owner").rpartition(":")
+        timeout = _header(request, "x-timeout")
+        try:
+            return RunRequest(
+                call=CallId(call),
+                attempt=int(_header(request, "x-attempt") or "1"),
+                owner=Incarnation(host=HostName(host), started=int(started or "0")),
+                model=question.model,
+                prompt=question.prompt,
+                max_tokens=question.max_tokens,
+                priority=int(_header(request, "x-priority") or "0"),
+                timeout=float(timeout) * self._speed if timeout else None,
+                resume_from=int(_header(request, "x-resume-from") or "0"),
+            )
+        except ValueError as error:
+            raise MalformedError(detail=str(error)) from error
+
+    def _submit(self, run: RunRequest) -> None:
+        if self._faults.refuse:
+            raise RefusedByFaultError(retry_after=1.0)
+        if run.resume_from >= run.max_tokens:
+            raise MalformedError(detail="there is nothing to resume")
+        self._model.submit(now=self._now(), request=run)
+        self._runs[run.call] += 1
+
+    @_answered
+    async def _attach(self, request: Request) -> Response:
+        stream = self._streams.get(_key(request))
+        if stream is None:
+            raise RequestMissingError()
+        return self._streamed(request, stream, _query(request, "offset"))
+
+    def _streamed(self, request: Request, stream: LiveStream, offset: int) -> Response:
+        stream.readers += 1
+
+        async def events() -> AsyncIterator[bytes]:
+            gone = asyncio.ensure_future(_gone(request))
+            try:
+                async for data in self._events(request, stream, offset, gone):
+                    yield data
+            finally:
+                gone.cancel()
+                stream.readers -= 1
+                self._expire(stream)
+
+        return Response(200, content=StreamedContent(b"text/event-stream", events))
+
+    async def _events(
+        self, request: Request, stream: LiveStream, offset: int, gone: asyncio.Future[None]
+    ) -> AsyncIterator[bytes]:
+        first = offset
+        while not gone.done():
+            produced, end = stream.produced, stream.end
+            cut = self._faults.cut_after
+            if cut:
+                produced = min(produced, first + cut)
+            if produced > offset:
+                self._counts["tokens"] += produced - offset
+                yield self._encoder(stream).tokens(start=offset, end=produced)
+                offset = produced
+            if cut and offset >= first + cut:
+                self._server.abort(request=request)
+                return
+            if isinstance(end, Finished):
+                yield stream.encoder.usage(cached=end.cached_tokens)
+                return
+            if isinstance(end, Failed):
+                self._server.abort(request=request)
+                return
+            await _either(stream.changed(), gone)
+
+    def _encoder(self, stream: LiveStream) -> EventEncoder:
+        """Return the encoder of a stream, or of another one where answers are crossed."""
+        if not self._faults.cross:
+            return stream.encoder
+        for other in self._streams.values():
+            if other is not stream:
+                return other.encoder
+        return stream.encoder.crossed()
+
+    async def _whole(self, request: Request, stream: LiveStream) -> Response:
+        stream.readers += 1
+        gone = asyncio.ensure_future(_gone(request))
+        try:
+            while stream.end is None and not gone.done():
+                await _either(stream.changed(), gone)
+        finally:
+            gone.cancel()
+            stream.readers -= 1
+            self._expire(stream)
+        if isinstance(stream.end, Finished):
+            start = stream.request.resume_from
+            self._counts["tokens"] += stream.request.max_tokens - start
+            return self._encoder(stream).whole(start=start, cached=stream.end.cached_tokens)
+        self._server.abort(request=request)
+        return Response(500)
+
+    @_answered
+    async def _cancel(self, request: Request) -> Response:
+        call, attempt = _key(request)
+        self._model.cancel(now=self._now(), call=call, attempt=attempt)
+        self._turn()
+        return json_answer({})
+
+    @_answered
+    async def _priority(self, request: Request) -> Response:
+        call, attempt = _key(request)
+        body = await _body(request, PriorityBody)
+        self._model.prioritize(now=self._now(), call=call, attempt=attempt, priority=body.priority)
+        self._turn()
+        return json_answer({})
+
+    # --- Reports ----------------------------------------------------------------------------------
+
+    @_answered
+    async def _models(self, request: Request) -> Response:
+        models = self._model.state(now=self._now()).models
+        return json_answer(ModelList(data=[ListedModel(id=model) for model in models]))
+
+    @_answered
+    async def _load(self, request: Request) -> Response:
+        return json_answer(self._model.load(now=self._now()))
+
+    @_answered
+    async def _cache(self, request: Request) -> Response:
+        return json_answer(self._model.cache(now=self._now(), after=_query(request, "after")))
+
+    @_answered
+    async def _state(self, request: Request) -> Response:
+        return json_answer(self._model.state(now=self._now()))
+
+    @_answered
+    async def _order(self, request: Request) -> Response:
+        body = await _body(request, OrderBody)
+        state = self._model.order(now=self._now(), order=body.order)
+        self._turn()
+        return json_answer(state)
+
+    # --- KV ---------------------------------------------------------------------------------------
+
+    @_answered
+    async def _kv(self, request: Request) -> Response:
+        return json_answer(Holdings(holdings=self._model.holdings))
+
+    @_answered
+    async def _reserve(self, request: Request) -> Response:
+        body = await _body(request, HoldingBody)
+        if self._faults.refuse:
+            raise RefusedByFaultError(retry_after=1.0)
+        self._model.reserve(now=self._now(), holding=body.holding)
+        return json_answer({})
+
+    @_answered
+    async def _prefill(self, request: Request) -> Response:
+        body = await _body(request, PrefillBody)
+        question = _read(body.request.surface, body.request.body, body.request.cache_scope)
+        self._model.prefill(
+            now=self._now(),
+            holding=body.holding,
+            prompt=question.prompt,
+            start=body.start,
+            priority=body.request.priority,
+        )
+        await self._filled(body.holding.id)
+        return json_answer({})
+
+    @_answered
+    async def _export(self, request: Request) -> Response:
+        body = await _body(request, HoldingBody)
+        self._model.export(now=self._now(), holding=body.holding)
+        holding = quote(body.holding.id, safe="")
+        return json_answer(Exported(address=f"{self.address}/engine/kv/exports/{holding}"))
+
+    @_answered
+    async def _exported(self, request: Request) -> Response:
+        holding = unquote(route_value(request=request, name="holding"))
+        return json_answer(self._model.exported(holding=holding))
+
+    @_answered
+    async def _fetch(self, request: Request) -> Response:
+        body = await _body(request, FetchBody)
+        span = await _exported_span(body.source)
+        self._model.fetch(now=self._now(), holding=body.holding, span=span)
+        await self._filled(body.holding.id)
+        return json_answer({})
+
+    @_answered
+    async def _release(self, request: Request) -> Response:
+        body = await _body(request, ReleaseBody)
+        self._model.release(now=self._now(), holding=body.holding)
+        self._turn()
+        return json_answer({})
+
+    async def _filled(self, holding: str) -> None:
+        waiter: asyncio.Future[SpanReady | SpanFailed]
+        waiter = asyncio.get_running_loop().create_future()
+        self._fills.setdefault(holding, []).append(waiter)
+        self._turn()
+        if isinstance(await waiter, SpanFailed):
+            raise HoldingError(detail="the work was stopped")
+
+    # --- Control ----------------------------------------------------------------------------------
+
+    async def _post_faults(self, request: Request) -> Response:
+        try:
+            faults = await _body(request, EngineFaults)
+        except EngineError as error:
+            return error_answer(error)
+        asyncio.get_running_loop().call_soon(
+            lambda: asyncio.ensure_future(self.set_faults(faults=faults))
+        )
+        return json_answer({})
+
+    async def _get_counters(self, request: Request) -> Response:
+        return json_answer(self.counters)
+
+
+def _header(request: Request, name: str) -> str:
+    value = request.get_first_header(name.encode())
+    return "" if value is None else value.decode("latin-1")
+
+
+def _query(request: Request, name: str) -> int:
+    values = request.query.get(name) or ["0"]
+    try:
+        return int(values[0])
+    except ValueError as error:
+        raise MalformedError(detail=f"{name} is no number") from error
+
+
+def _key(request: Request) -> Key:
+    try:
+        call = unquote(route_value(request=request, name="call"))
+        return CallId(call), int(route_value(request=request, name="attempt"))
+    except ValueError as error:
+        raise RequestMissingError() from error
+
+
+async def _question(request: Request, surface: Surface) -> Question:
+    return _read(surface, await request.read() or b"", _header(request, "x-cache-scope"))
+
+
+def _read(surface: Surface, body: bytes, cache_scope: str) -> Question:
+    try:
+        return read_question(surface=surface, body=body, cache_scope=cache_scope)
+    except BodyError as error:
+        raise MalformedError(detail=str(error)) from error
+
+
+async def _body(request: Request, type_: type[Body]) -> Body:
+    try:
+        return decode(await request.read() or b"", type=type_)
+    except MsgspecError as error:
+        raise MalformedError(detail=str(error)) from error
+
+
+async def _exported_span(source: str) -> Span:
+    address, _, path = source.partition("/")
+    try:
+        client = HttpClient(address=address)
+        answer = await client.request(method="GET", path=f"/{path}", timeout=_FETCH_TIMEOUT)
+        client.close()
+        return decode(answer.body, type=Span)
+    except (AzureswitchError, MsgspecError, ValueError) as error:
+        raise HoldingError(detail="the export cannot be read") from error
+
+
+async def _gone(request: Request) -> None:
+    """Wait until the connection is gone; the body has been read before."""
+    if isinstance(request.content, ASGIContent):
+        await request.content.receive()
+
+
+async def _either(waiting: Awaitable[None], gone: asyncio.Future[None]) -> None:
+    task = asyncio.ensure_future(waiting)
+    await asyncio.wait((task, gone), return_when=asyncio.FIRST_COMPLETED)
+    task.cancel()
--- /dev/null
+++ b/src/azureswitch_standins/engine/_streams.py
@@ -0,0 +1,109 @@
+"""The answers that a stand-in engine is giving."""
+
+import asyncio
+from dataclasses import dataclass
+
+from azureswitch_standins.engine._outputs import Failed, Finished, RunRequest
+from azureswitch_standins.engine._wire import EventEncoder
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineFaults:
+    """What goes wrong at a stand-in engine.
+
+    Attributes:
+        refuse: New work is refused.
+        delay: Seconds by which every answer begins late.
+        cut_after: Streams break after this many tokens of one connection; zero for never.
+        cross: Streams carry another request's id and tokens.
+        stall: Seconds without progress from now on.
+        dead: The process is gone: connections break, memory is lost; false brings it back empty.
+    """
+
+    refuse: bool = False
+    delay: float = 0.0
+    cut_after: int = 0
+    cross: bool = False
+    stall: float = 0.0
+    dead: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineCounters:
+    """What a stand-in engine has counted.
+
+    Attributes:
+        runs: Attempts taken, by call.
+        finished: Attempts that gave their whole answer.
+        failed: Attempts that were cancelled or lost.
+        refused: Attempts that were refused.
+        tokens: Output tokens sent.
+        running: Attempts that wait or run now.
+        memory_used: KV tokens in use now.
+        memory_total: KV tokens in all.
+        holdings: Holdings now.
+    """
+
+    runs: dict[str, int]
+    finished: int
+    failed: int
+    refused: int
+    tokens: int
+    running: int
+    memory_used: int
+    memory_total: int
+    holdings: int
+
+
+class LiveStream:
+    """One answer under way, or just ended."""
+
+    def __init__(self, *, request: RunRequest, encoder: EventEncoder) -> None:
+        self._request = request
+        self._encoder = encoder
+        self._produced = request.resume_from
+        self._end: Finished | Failed | None = None
+        self._bell = asyncio.Event()
+        self.readers = 0
+        self.expiry: asyncio.TimerHandle | None = None
+
+    @property
+    def request(self) -> RunRequest:
+        """What is run."""
+        return self._request
+
+    @property
+    def encoder(self) -> EventEncoder:
+        """What encodes the answer."""
+        return self._encoder
+
+    @property
+    def produced(self) -> int:
+        """Output tokens of the whole answer that are there."""
+        return self._produced
+
+    @property
+    def end(self) -> Finished | Failed | None:
+        """How it ended, or None while it runs."""
+        return self._end
+
+    def grow(self, produced: int) -> None:
+        """Note how many tokens are there."""
+        if produced > self._produced:
+            self._produced = produced
+            self._ring()
+
+    def finish(self, end: Finished | Failed) -> None:
+        """Note the end."""
+        self._end = end
+        if isinstance(end, Finished):
+            self._produced = self._request.max_tokens
+        self._ring()
+
+    async def changed(self) -> None:
+        """Wait until something is new."""
+        await self._bell.wait()
+
+    def _ring(self) -> None:
+        bell, self._bell = self._bell, asyncio.Event()
+        bell.set()
