--- a/src/azureswitch/inventory/_check.py
+++ b/src/azureswitch/inventory/_check.py
@@ -34,6 +34,7 @@
                 file=file, section=section, key="place", value=target.place
             )
         _check_service(target, services.get(target.service), section, file)
+    _check_models(inventory, file=file)
     _check_unique(
         ((f"{section_of(target)} {target.name}", target.name) for target in inventory.targets),
         key="",
@@ -67,6 +68,21 @@
         )
 
 
+def _check_models(inventory: Inventory, *, file: str) -> None:
+    """Check that a request that names a model alone has one service to go to."""
+    services: dict[str, str] = {}
+    for target in inventory.targets:
+        for model in target.models:
+            if services.setdefault(model, target.service) != target.service:
+                raise InvalidSettingError(
+                    file=file,
+                    section=f"{section_of(target)} {target.name}",
+                    key="models",
+                    value=model,
+                    expected=f"models that service `{services[model]}` does not serve",
+                )
+
+
 def _check_unique(entries: Iterable[tuple[str, str]], *, key: str, file: str) -> None:
     seen: set[str] = set()
     for section, value in entries:
--- a/tests/inventory/test_inventory.py
+++ b/tests/inventory/test_inventory.py
@@ -123,6 +123,12 @@
             (ENGINE.format("e2", "app", "a", 3), InvalidSettingError, "engine e2", "service"),
             (ENGINE.format("e2", "lm", "a", 1), DuplicateSettingError, "engine e2", "address"),
             (ENGINE.format("e2", "lm", "a", 0), InvalidSettingError, "engine e2", "address"),
+            (
+                "[service two]\nkind = model\n" + ENGINE.format("e2", "two", "a", 3),
+                InvalidSettingError,
+                "engine e2",
+                "models",
+            ),
             (ENGINE.format("t1", "lm", "a", 3), DuplicateSettingError, "target t1", ""),
             (ENGINE.format("e1", "lm", "a", 3), DuplicateSettingError, "engine e1", ""),
             ("[customer c2]\nkey_hash = 00\n", InvalidSettingError, "customer c2", "key_hash"),
