Let long work finish after its host, and keep its output

A job id led to an engine that gives a request up once nobody reads it, so a caller that came back late found nothing. Another host now attaches to the engine as soon as the owner is suspected and does not answer, reads the output to its end and stores it for twelve hours. A suspected host that answers keeps its work.

--- a/src/azureswitch/coordination/journal/_driver.py
+++ b/src/azureswitch/coordination/journal/_driver.py
@@ -1,7 +1,7 @@
 """The driver that keeps one host's journal."""
 
-from asyncio import gather, get_running_loop, sleep
-from collections.abc import Callable, Iterable
+from asyncio import Task, create_task, gather, get_running_loop, sleep
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from functools import singledispatchmethod
 from time import time
 
@@ -15,6 +15,7 @@
 from azureswitch.coordination.journal._model import (
     JOURNAL_KIND,
     DropGroup,
+    DropOutput,
     GroupFailed,
     GroupRead,
     GroupWritten,
@@ -24,15 +25,19 @@
     JournalEvent,
     JournalTicked,
     LongCallEnded,
+    LongCallKept,
     LongCallProgressed,
     LongCallStarted,
+    OwnerPresent,
     ReadGroup,
     ResumeJob,
     WriteGroup,
 )
+from azureswitch.coordination.journal._outputs import Outputs
 from azureswitch.coordination.journal._reduce import reduce
 from azureswitch.coordination.journal._state import JournalState
 from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.coordination.roster import Roster
 from azureswitch.core import CallId, CustomerName, Effect, Effects, Incarnation, TargetName
 from azureswitch.exceptions import (
     PeerError,
@@ -40,7 +45,7 @@
     StoreError,
     StoreNotFoundError,
 )
-from azureswitch.ports import Peers, Store, StoredObject
+from azureswitch.ports import Chunk, Engine, Peers, Store, StoredObject
 from azureswitch.serving import Call
 
 _TICK = 1.0
@@ -59,9 +64,9 @@
         peers: The other hosts.
         members: Returns what this host knows of the members, itself included.
         seed: Seeds the jitter; different on every host.
-        resume: Called for every request that this host takes over from a dead one.  It starts
-            to read the request's output from its engine, so that the engine does not give it up,
-            returns at once, and has `close` called at the end.
+        engines: Returns the engines of the configuration in force, to read the output of
+            requests that this host takes over from a dead one.  Without it the records are taken
+            over alone, and a request whose engine wants a reader ends with its host.
     """
 
     def __init__(
@@ -72,13 +77,14 @@
         peers: Peers,
         members: Callable[[], Iterable[Member]],
         seed: int,
-        resume: Callable[[JobRecord], None] | None = None,
+        engines: Callable[[], Mapping[TargetName, Engine]] = dict,
     ) -> None:
         self._myself = myself
         self._store = store
         self._peers = peers
-        self._members = members
-        self._resume = resume
+        self._roster = Roster(members=members)
+        self._outputs = Outputs(store=store, engines=engines)
+        self._keeping: dict[CallId, Task[None]] = {}
         self._state = JournalState(myself=myself, seed=seed)
         self._key = KeySource(myself=myself, store=store, peers=peers, members=members, seed=seed)
         peers.handle(JobQuery, self._answer)
@@ -88,6 +94,11 @@
         """The long work of this host, what it took over included."""
         return self._state.records
 
+    def keeps(self, *, call: CallId, attempt: int) -> bool:
+        """Whether this host reads an attempt's output that it took over from a dead one."""
+        record = self._state.find(call)
+        return call in self._keeping and record is not None and record.attempt == attempt
+
     async def record(self, *, call: Call, target: TargetName, attempt: int) -> str | None:
         """Note that an attempt at a long request was sent to its engine.
 
@@ -147,17 +158,33 @@
             return named
         return newest
 
+    def output(self, *, record: JobRecord, offset: int) -> AsyncIterator[Chunk]:
+        """Yield the output of a request that was found.
+
+        Args:
+            record: What `find` returned.
+            offset: How many output tokens the caller has; the first chunk goes on after them.
+
+        Raises:
+            LongWorkLostError: Neither the engine nor the store has the output.
+            StoreUnavailableError: The engine no longer has it, and the store cannot be asked now.
+        """
+        return self._outputs.read(record=record, offset=offset)
+
     async def run(self) -> None:
         """Write records and take over those of dead hosts until cancelled."""
-        while True:
-            await self.tick()
-            await sleep(_TICK)
+        try:
+            while True:
+                await self.tick()
+                await sleep(_TICK)
+        finally:
+            for task in self._keeping.values():
+                task.cancel()
 
     async def tick(self) -> None:
         """Do what is due now."""
-        event = JournalTicked(
-            now=get_running_loop().time(), members=tuple(self._members()), wall=time()
-        )
+        now = get_running_loop().time()
+        event = JournalTicked(now=now, members=self._roster.members(now=now), wall=time())
         await self._carry_out(reduce(self._state, event))
 
     async def _carry_out(self, effects: Effects) -> None:
@@ -192,7 +219,12 @@
 
     @_run.register
     async def _(self, effect: ReadGroup) -> JournalEvent | None:
-        return await self._read(effect.owner)
+        owner = effect.owner
+        if effect.address:
+            reply = await self._query(effect.address, None)
+            if reply is not None and reply.present == owner:
+                return OwnerPresent(now=get_running_loop().time(), owner=owner)
+        return await self._read(owner)
 
     @_run.register
     async def _(self, effect: DropGroup) -> JournalEvent | None:
@@ -208,10 +240,25 @@
     async def _(self, effect: ResumeJob) -> JournalEvent | None:
         record = effect.record
         logging.info("journal: Took over %s, which runs at %s.", record.call, record.target)
-        if self._resume is not None:
-            self._resume(record)
+        task = create_task(self._keep(record))
+        self._keeping[record.call] = task
+        task.add_done_callback(lambda _: self._keeping.pop(record.call, None))
+        return None
+
+    @_run.register
+    async def _(self, effect: DropOutput) -> JournalEvent | None:
+        await self._outputs.drop(effect.call)
         return None
 
+    async def _keep(self, record: JobRecord) -> None:
+        expires = await self._outputs.keep(record)
+        now = get_running_loop().time()
+        if expires is None:
+            await self.close(call=record.call)
+            return
+        event = LongCallKept(now=now, call=record.call, expires=expires)
+        await self._carry_out(reduce(self._state, event))
+
     async def _read(self, owner: Incarnation) -> JournalEvent:
         try:
             item: StoredObject | None = await self._store.get(kind=JOURNAL_KIND, name=str(owner))
@@ -223,7 +270,8 @@
         return GroupRead(now=now, owner=owner, item=item, records=_records(item))
 
     async def _ask_holder(self, named: JobRecord) -> JobRecord | None:
-        members = {member.incarnation.host: member for member in self._members()}
+        known = self._roster.members(now=get_running_loop().time())
+        members = {member.incarnation.host: member for member in known}
         owner = members.get(named.owner.host)
         is_present = owner is not None and owner.incarnation == named.owner
         if owner is not None and is_present and owner.status is not MemberStatus.DEAD:
@@ -235,16 +283,19 @@
     async def _ask(self, member: Member, call: CallId) -> JobRecord | None:
         if member.incarnation == self._myself:
             return None
+        reply = await self._query(member.address, call)
+        return None if reply is None else reply.record
+
+    async def _query(self, address: str, call: CallId | None) -> JobReply | None:
         try:
-            reply = await self._peers.call(
-                address=member.address,
+            return await self._peers.call(
+                address=address,
                 request=JobQuery(call=call),
                 reply=JobReply,
                 timeout=_ASK_TIMEOUT,
             )
         except PeerError:
             return None
-        return reply.record
 
     async def _read_record(self, named: JobRecord) -> JobRecord | None:
         event = await self._read(named.owner)
@@ -253,7 +304,8 @@
         return next((record for record in event.records if record.call == named.call), None)
 
     async def _answer(self, query: JobQuery) -> JobReply:
-        return JobReply(record=self._state.find(query.call))
+        record = None if query.call is None else self._state.find(query.call)
+        return JobReply(present=self._myself, record=record)
 
 
 def _records(item: StoredObject | None) -> tuple[JobRecord, ...]:
--- a/src/azureswitch/coordination/journal/_model.py
+++ b/src/azureswitch/coordination/journal/_model.py
@@ -6,7 +6,7 @@
 from azureswitch.coordination.membership import Member
 from azureswitch.core import CallId, CustomerName, Effect, Event, Incarnation, TargetName
 from azureswitch.inventory import Rules
-from azureswitch.ports import StoredObject
+from azureswitch.ports import Chunk, StoredObject
 from azureswitch.serving import Call
 
 JOURNAL_KIND = "journal"
@@ -22,6 +22,13 @@
 """Records in one object at most; with 200 bytes each it stays under a megabyte."""
 
 
+OUTPUT_KIND = "journal-output"
+"""The kind of the store's objects with one finished output each."""
+
+OUTPUT_KEPT = 43_200.0
+"""Seconds for which a finished output is kept whose caller lost its host."""
+
+
 class Resilience(Enum):
     """What of a request survives its host."""
 
@@ -58,6 +65,7 @@
         owner: The process that it entered through.
         expires: When it must have finished, in seconds since the epoch.
         tokens: Output tokens that are known to have reached the caller.
+        done: Whether the request has finished and its output is kept in the store.
     """
 
     call: CallId
@@ -67,19 +75,43 @@
     owner: Incarnation
     expires: float
     tokens: int = 0
+    done: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeptOutput:
+    """The output of a request whose host died.
+
+    Attributes:
+        customer: Who sent the request.
+        chunks: The output, from its first token on.
+    """
+
+    customer: CustomerName
+    chunks: tuple[Chunk, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobQuery:
-    """Asks a process where one of its long requests runs now."""
+    """Asks a process where one of its long requests runs now, or whether it is there at all.
 
-    call: CallId
+    Attributes:
+        call: The request, or None for neither.
+    """
+
+    call: CallId | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobReply:
-    """The answer to a JobQuery; None where the process does not run the request."""
+    """The answer to a JobQuery.
+
+    Attributes:
+        present: The process that answers.
+        record: The request's record, or None where the process does not run it.
+    """
 
+    present: Incarnation
     record: JobRecord | None
 
 
@@ -122,6 +154,18 @@
     call: CallId
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LongCallKept(JournalEvent):
+    """A request that was taken over has finished, and its output is in the store.
+
+    Attributes:
+        expires: Until when it is kept, in seconds since the epoch.
+    """
+
+    call: CallId
+    expires: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JournalTicked(JournalEvent):
     """Time passed.
@@ -157,6 +201,13 @@
     records: tuple[JobRecord, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerPresent(JournalEvent):
+    """A process that was thought to be dead answered."""
+
+    owner: Incarnation
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GroupFailed(JournalEvent):
     """The store could not be reached, or did not say whether it wrote."""
@@ -179,9 +230,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReadGroup(Effect):
-    """Read the records of a process; answer by GroupRead or GroupFailed."""
+    """Read the records of a process that does not answer.
+
+    Answer by GroupRead, GroupFailed, or OwnerPresent where it does.
+
+    Attributes:
+        owner: The process.
+        address: Its address; empty for none.
+    """
 
     owner: Incarnation
+    address: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -194,6 +253,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResumeJob(Effect):
-    """Keep a request alive whose host died: attach to its engine and hold its output."""
+    """Read the output of a request whose host died, so that its engine finishes it."""
 
     record: JobRecord
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DropOutput(Effect):
+    """Delete a kept output whose time is over."""
+
+    call: CallId
--- /dev/null
+++ b/src/azureswitch/coordination/journal/_outputs.py
@@ -0,0 +1,145 @@
+"""Outputs of requests whose host died: read to their end, kept, and given again."""
+
+from asyncio import sleep
+from collections.abc import AsyncIterator, Callable, Mapping
+from time import time
+
+from absl import logging
+from msgspec import MsgspecError
+from msgspec.msgpack import decode, encode
+
+from azureswitch.coordination.journal._model import (
+    OUTPUT_KEPT,
+    OUTPUT_KIND,
+    JobRecord,
+    KeptOutput,
+)
+from azureswitch.core import CallId, TargetName
+from azureswitch.exceptions import (
+    LongWorkLostError,
+    StoreConflictError,
+    StoreError,
+    StoreNotFoundError,
+    TargetBrokenError,
+    TargetError,
+    TargetRefusedError,
+)
+from azureswitch.ports import Chunk, Engine, Store
+
+_ATTACH_TRIES = 3
+"""How often a broken stream is attached to again before the request counts as lost."""
+
+_ATTACH_PAUSE = 0.5
+"""Seconds between two tries to attach."""
+
+_STORE_PAUSE = 10.0
+"""Seconds between two tries to store an output."""
+
+_EVENT_END = b"\n\n"
+
+
+class Outputs:
+    """Reads and keeps outputs.
+
+    Args:
+        store: The platform's store.
+        engines: Returns the engines of the configuration in force.
+    """
+
+    def __init__(self, *, store: Store, engines: Callable[[], Mapping[TargetName, Engine]]) -> None:
+        self._store = store
+        self._engines = engines
+
+    async def keep(self, record: JobRecord) -> float | None:
+        """Read a request's output to its end and store it.
+
+        Returns:
+            Until when it is kept, in seconds since the epoch, or None where the engine lost it.
+        """
+        chunks = await self._drain(record)
+        if chunks is None:
+            logging.warning("journal: The output of %s is lost.", record.call)
+            return None
+        value = encode(KeptOutput(customer=record.customer, chunks=tuple(chunks)))
+        while not await self._put(record.call, value):
+            await sleep(_STORE_PAUSE)
+        return time() + OUTPUT_KEPT
+
+    async def read(self, *, record: JobRecord, offset: int) -> AsyncIterator[Chunk]:
+        """Yield a request's output from a token offset on, from its engine or the store."""
+        if not record.done:
+            try:
+                async for chunk in self._attach(record, offset):
+                    offset += chunk.tokens
+                    yield chunk
+                return
+            except TargetError as error:
+                logging.info("journal: %s", error)
+        for chunk in await self._kept(record):
+            rest = _after(chunk, offset)
+            offset -= min(offset, chunk.tokens)
+            if rest is not None:
+                yield rest
+
+    async def drop(self, call: CallId) -> None:
+        """Delete a kept output."""
+        try:
+            item = await self._store.get(kind=OUTPUT_KIND, name=call)
+            await self._store.delete(kind=OUTPUT_KIND, name=call, version=item.version)
+        except StoreError as error:
+            logging.warning("journal: %s", error)
+
+    async def _drain(self, record: JobRecord) -> list[Chunk] | None:
+        chunks: list[Chunk] = []
+        for _ in range(_ATTACH_TRIES):
+            try:
+                async for chunk in self._attach(record, sum(c.tokens for c in chunks)):
+                    chunks.append(chunk)
+                    if chunk.last:
+                        return chunks
+            except TargetRefusedError:
+                return None
+            except TargetBrokenError:
+                await sleep(_ATTACH_PAUSE)
+            except TargetError:
+                return None
+        return None
+
+    def _attach(self, record: JobRecord, offset: int) -> AsyncIterator[Chunk]:
+        engine = self._engines().get(record.target)
+        if engine is None:
+            raise TargetRefusedError(target=record.target)
+        return engine.attach(call=record.call, attempt=record.attempt, offset=offset)
+
+    async def _put(self, call: CallId, value: bytes) -> bool:
+        try:
+            await self._store.create(kind=OUTPUT_KIND, name=call, value=value)
+        except StoreConflictError:
+            # Another host took the request over as well, or an answer was lost.
+            return True
+        except StoreError as error:
+            logging.warning("journal: %s", error)
+            return False
+        return True
+
+    async def _kept(self, record: JobRecord) -> tuple[Chunk, ...]:
+        try:
+            item = await self._store.get(kind=OUTPUT_KIND, name=record.call)
+            kept = decode(item.value, type=KeptOutput)
+        except (StoreNotFoundError, MsgspecError) as error:
+            raise LongWorkLostError() from error
+        if kept.customer != record.customer:
+            raise LongWorkLostError()
+        return kept.chunks
+
+
+def _after(chunk: Chunk, offset: int) -> Chunk | None:
+    """Return what of a chunk comes after its first ``offset`` tokens."""
+    if offset <= 0:
+        return chunk
+    if offset >= chunk.tokens and not chunk.last:
+        return None
+    # The events with tokens come before those that end the stream.
+    skipped = min(offset, chunk.tokens)
+    events = chunk.data.split(_EVENT_END)[skipped:]
+    return Chunk(data=_EVENT_END.join(events), tokens=chunk.tokens - skipped, last=chunk.last)
--- a/src/azureswitch/coordination/journal/_reduce.py
+++ b/src/azureswitch/coordination/journal/_reduce.py
@@ -10,22 +10,28 @@
     GROUP_LIMIT,
     RECORD_AGE,
     DropGroup,
+    DropOutput,
     GroupFailed,
     GroupRead,
     GroupWritten,
     JournalEvent,
     JournalTicked,
     LongCallEnded,
+    LongCallKept,
     LongCallProgressed,
     LongCallStarted,
+    OwnerPresent,
     ReadGroup,
     ResumeJob,
     WriteGroup,
 )
-from azureswitch.coordination.journal._state import Entry, JournalState
+from azureswitch.coordination.journal._state import Entry, JournalState, Takeover
 from azureswitch.coordination.membership import MemberStatus
 from azureswitch.core import NO_EFFECTS, Effects
 
+PRESENCE_PERIOD = 1.0
+"""Seconds between two questions to a suspected process that answers."""
+
 
 def reduce(state: JournalState, event: JournalEvent) -> Effects:
     """Handle one event.
@@ -75,15 +81,32 @@
     return NO_EFFECTS
 
 
+@_handle.register
+def _(event: LongCallKept, state: JournalState) -> Effects:
+    known = state._open.get(event.call)
+    if known is None:
+        return (DropOutput(call=event.call),)
+    record = replace(known.record, done=True, expires=event.expires)
+    state._open[event.call] = replace(known, record=record, urgent=True)
+    state._urgent = True
+    return NO_EFFECTS
+
+
 @_handle.register
 def _(event: JournalTicked, state: JournalState) -> Effects:
-    _expire(state, event.wall)
-    return (*_flush(state, event.now), *_take_over(state, event))
+    return (
+        *_expire(state, event.wall),
+        *_flush(state, event.now),
+        *_take_over(state, event),
+        *_drop_groups(state, event),
+    )
 
 
-def _expire(state: JournalState, wall: float) -> None:
-    for call in [call for call, entry in state._open.items() if entry.record.expires < wall]:
-        del state._open[call]
+def _expire(state: JournalState, wall: float) -> Effects:
+    expired = [entry.record for entry in state._open.values() if entry.record.expires < wall]
+    for record in expired:
+        del state._open[record.call]
+    return tuple(DropOutput(call=record.call) for record in expired if record.done)
 
 
 def _flush(state: JournalState, now: float) -> Effects:
@@ -108,35 +131,67 @@
 
 
 def _take_over(state: JournalState, event: JournalTicked) -> Effects:
-    dead = {member.incarnation for member in event.members if member.status is MemberStatus.DEAD}
+    _believe_again(state, event)
+    gone = {
+        member.incarnation: member.address
+        for member in event.members
+        if member.status in (MemberStatus.DEAD, MemberStatus.SUSPECT)
+    }
     live = {
         member.incarnation.host for member in event.members if member.status is MemberStatus.ALIVE
     }
     live.add(state._myself.host)
-    for owner in [owner for owner, due in state._orphans.items() if due == inf]:
-        if owner not in dead:
-            del state._orphans[owner]
     wanted = [
         owner
-        for owner in sorted(dead | state._orphans.keys())
+        for owner in sorted(gone.keys() | state._orphans.keys())
         if state._orphans.get(owner, event.now) <= event.now
         and ranked(name=str(owner), hosts=live)[0] == state._myself.host
     ]
     for owner in wanted:
         state._orphans[owner] = inf
-    return tuple(ReadGroup(owner=owner) for owner in wanted)
+    return tuple(ReadGroup(owner=owner, address=gone.get(owner, "")) for owner in wanted)
+
+
+def _believe_again(state: JournalState, event: JournalTicked) -> None:
+    # A process that was suspected wrongly is looked at anew when it is suspected again.
+    for member in event.members:
+        if member.status in (MemberStatus.ALIVE, MemberStatus.LEAVING):
+            state._orphans.pop(member.incarnation, None)
+            state._takeovers.pop(member.incarnation, None)
+    listed = {member.incarnation for member in event.members}
+    for owner in [owner for owner, due in state._orphans.items() if due == inf]:
+        if owner not in listed:
+            del state._orphans[owner]
+
+
+def _drop_groups(state: JournalState, event: JournalTicked) -> Effects:
+    dead = {member.incarnation for member in event.members if member.status is MemberStatus.DEAD}
+    drops = tuple(
+        DropGroup(owner=owner, version=takeover.version)
+        for owner, takeover in state._takeovers.items()
+        if takeover.safe and owner in dead
+    )
+    for drop in drops:
+        del state._takeovers[drop.owner]
+    return drops
 
 
 @_handle.register
 def _(event: GroupWritten, state: JournalState) -> Effects:
     state._writing = False
     state._version = event.item.version
-    # Records of the dead are deleted only now that they stand among this host's own.
-    drops = tuple(
-        DropGroup(owner=owner, version=version) for owner, version in state._dropping.items()
-    )
-    state._dropping = {}
-    return drops
+    # What was read while the write was under way waits for the next one.
+    if not state._urgent:
+        state._takeovers = {
+            owner: replace(takeover, safe=True) for owner, takeover in state._takeovers.items()
+        }
+    return NO_EFFECTS
+
+
+@_handle.register
+def _(event: OwnerPresent, state: JournalState) -> Effects:
+    state._orphans[event.owner] = event.now + PRESENCE_PERIOD
+    return NO_EFFECTS
 
 
 @_handle.register
@@ -145,12 +200,13 @@
         return _rewrite(state, event)
     if event.item is None:
         return NO_EFFECTS
-    state._dropping[event.owner] = event.item.version
+    takeover = Takeover(version=event.item.version, safe=not event.records)
+    state._takeovers[event.owner] = takeover
     state._urgent = True
     taken = [record for record in event.records if record.call not in state._open]
     for record in taken:
         state._open[record.call] = Entry(record=record, since=event.now, urgent=True)
-    return tuple(ResumeJob(record=record) for record in taken)
+    return tuple(ResumeJob(record=record) for record in taken if not record.done)
 
 
 def _rewrite(state: JournalState, event: GroupRead) -> Effects:
--- a/src/azureswitch/coordination/journal/_state.py
+++ b/src/azureswitch/coordination/journal/_state.py
@@ -22,6 +22,19 @@
     urgent: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Takeover:
+    """A group of records that this host has read from the store.
+
+    Attributes:
+        version: The version of the object that held them.
+        safe: Whether this host's own object holds them now.
+    """
+
+    version: int
+    safe: bool = False
+
+
 class JournalState:
     """The long work of one host, and the dead processes whose records it takes over."""
 
@@ -34,8 +47,9 @@
         self._writing = False
         self._next_flush = float("-inf")
         self._urgent = False
+        # When to look at the records of a process that is gone; infinite once they were read.
         self._orphans: dict[Incarnation, float] = {}
-        self._dropping: dict[Incarnation, int] = {}
+        self._takeovers: dict[Incarnation, Takeover] = {}
 
     @property
     def records(self) -> tuple[JobRecord, ...]:
--- a/src/azureswitch/coordination/memory/_driver.py
+++ b/src/azureswitch/coordination/memory/_driver.py
@@ -13,10 +13,12 @@
     AskOwner,
     HeldAttempt,
     HoldingsRead,
+    KeptQuery,
+    KeptReply,
     OwnerAnswered,
+    OwnerGone,
     OwnerQuery,
     OwnerReply,
-    OwnerSilent,
     ReadHoldings,
     ReleaseHolding,
     SweepCounts,
@@ -25,6 +27,7 @@
 )
 from azureswitch.coordination.memory._reduce import reduce
 from azureswitch.coordination.memory._state import SweepState
+from azureswitch.coordination.roster import Roster
 from azureswitch.core import CallId, Effect, Effects, Incarnation, TargetName
 from azureswitch.exceptions import PeerError, TargetError
 from azureswitch.ports import Engine, Peers
@@ -41,8 +44,9 @@
         members: Returns what this host knows of the members, itself included.
         engines: Returns the engines of the configuration in force.
         peers: The other hosts.
-        running: Tells whether an attempt runs in this process.  It must be true from before the
-            attempt's first holding is made until the last is released.
+        running: Tells whether an attempt runs in this process, or was taken over by it from a
+            dead one.  It must be true from before the attempt's first holding is made until the
+            last is released.
         seed: Seeds the jitter and the choice of witnesses; different on every host.
     """
 
@@ -57,13 +61,14 @@
         seed: int,
     ) -> None:
         self._myself = myself
-        self._members = members
+        self._roster = Roster(members=members)
         self._engines = engines
         self._peers = peers
         self._running = running
         self._random = Random(seed)
         self._state = SweepState(myself=myself, seed=seed)
         peers.handle(OwnerQuery, self._answer)
+        peers.handle(KeptQuery, self._answer_kept)
 
     @property
     def counts(self) -> SweepCounts:
@@ -78,11 +83,9 @@
 
     async def sweep(self) -> None:
         """Read the engines that this host is responsible for, once, and release what is left."""
-        event = SweepTicked(
-            now=get_running_loop().time(),
-            members=tuple(self._members()),
-            targets=tuple(self._engines()),
-        )
+        now = get_running_loop().time()
+        members = self._roster.members(now=now)
+        event = SweepTicked(now=now, members=members, targets=tuple(self._engines()))
         await self._carry_out(reduce(self._state, event))
 
     async def _carry_out(self, effects: Effects) -> None:
@@ -128,28 +131,46 @@
     async def _(self, effect: AskOwner) -> SweepEvent | None:
         owner = effect.query.owner
         if owner == self._myself:
-            return self._answered(owner, self._own_reply(effect.query))
+            return self._answered(self._own_reply(effect.query), owner)
         reply = await self._ask(effect.address, effect.query, timeout=_ASK_TIMEOUT)
-        if reply is not None and reply.present is not None:
-            return self._answered(owner, reply)
+        if reply is not None and reply.present == owner:
+            return self._answered(reply, owner)
+        proven = _is_later(reply, owner)
         # A witness needs the time of its own question on top.
+        asked = () if proven else effect.witnesses
         replies = await gather(
-            *(
-                self._ask(address, effect.query, timeout=2 * _ASK_TIMEOUT)
-                for address in effect.witnesses
-            )
+            *(self._ask(address, effect.query, timeout=2 * _ASK_TIMEOUT) for address in asked)
         )
         for reply in replies:
-            if reply is not None and reply.present is not None:
-                return self._answered(owner, reply)
-        witnesses = sum(reply is not None for reply in replies)
-        return OwnerSilent(now=get_running_loop().time(), owner=owner, witnesses=witnesses)
+            if reply is not None and reply.present == owner:
+                return self._answered(reply, owner)
+        kept = await self._kept(effect)
+        if kept is None:
+            return None
+        return OwnerGone(
+            now=get_running_loop().time(),
+            owner=owner,
+            proven=proven or any(_is_later(reply, owner) for reply in replies),
+            witnesses=sum(reply is not None for reply in replies),
+            asked=effect.query.attempts,
+            kept=kept,
+        )
+
+    def _answered(self, reply: OwnerReply, owner: Incarnation) -> SweepEvent:
+        return OwnerAnswered(now=get_running_loop().time(), owner=owner, ended=reply.ended)
 
-    def _answered(self, owner: Incarnation, reply: OwnerReply) -> SweepEvent | None:
-        if reply.present is None:
+    async def _kept(self, effect: AskOwner) -> tuple[HeldAttempt, ...] | None:
+        query = KeptQuery(attempts=effect.query.attempts)
+        if not effect.heir:
+            return (await self._answer_kept(query)).kept
+        try:
+            reply = await self._peers.call(
+                address=effect.heir, request=query, reply=KeptReply, timeout=_ASK_TIMEOUT
+            )
+        except PeerError:
+            # The heir is alive as far as this host knows, so that the next sweep asks again.
             return None
-        now = get_running_loop().time()
-        return OwnerAnswered(now=now, owner=owner, present=reply.present, ended=reply.ended)
+        return reply.kept
 
     async def _ask(self, address: str, query: OwnerQuery, *, timeout: float) -> OwnerReply | None:
         if not address:
@@ -168,16 +189,27 @@
         if query.relayed:
             return silent
         relayed = OwnerQuery(owner=query.owner, attempts=query.attempts, relayed=True)
-        for member in self._members():
+        # The last of a host is the process of the present, which knows that it succeeded another.
+        for member in reversed(self._roster.members(now=get_running_loop().time())):
             if member.incarnation.host == query.owner.host:
                 return await self._ask(member.address, relayed, timeout=_ASK_TIMEOUT) or silent
         return silent
 
+    async def _answer_kept(self, query: KeptQuery) -> KeptReply:
+        return KeptReply(
+            kept=tuple(held for held in query.attempts if self._running(held.call, held.attempt))
+        )
+
     def _own_reply(self, query: OwnerQuery) -> OwnerReply:
         return OwnerReply(
             present=self._myself,
-            ended=tuple(held for held in query.attempts if not self._is_running(query.owner, held)),
+            ended=tuple(
+                held for held in query.attempts if not self._running(held.call, held.attempt)
+            ),
         )
 
-    def _is_running(self, owner: Incarnation, held: HeldAttempt) -> bool:
-        return owner == self._myself and self._running(held.call, held.attempt)
+
+def _is_later(reply: OwnerReply | None, owner: Incarnation) -> bool:
+    if reply is None or reply.present is None:
+        return False
+    return reply.present.host == owner.host and reply.present.started > owner.started
--- a/src/azureswitch/coordination/memory/_model.py
+++ b/src/azureswitch/coordination/memory/_model.py
@@ -15,6 +15,11 @@
 DEAD_GRACE = 1.0
 """Seconds for which a member has been dead here before its memory is released."""
 
+SUCCEEDED_GRACE = 2.0
+"""Seconds after which the memory of a process is released that another one succeeded.
+
+Long work of it may be taken over by another host in that time."""
+
 UNKNOWN_GRACE = 4.0
 """Seconds for which an owner that no member list shows is left alone."""
 
@@ -61,6 +66,20 @@
     ended: tuple[HeldAttempt, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeptQuery:
+    """Asks a process which attempts of a dead one it has taken over."""
+
+    attempts: tuple[HeldAttempt, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeptReply:
+    """The answer to a KeptQuery."""
+
+    kept: tuple[HeldAttempt, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SweepCounts:
     """What a sweeper has done since it started.
@@ -106,30 +125,34 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OwnerAnswered(SweepEvent):
-    """The process that runs on an owner's host answered.
+    """An owner answered.
 
     Attributes:
         owner: The owner.
-        present: The process that answered.
-        ended: The owner's attempts that do not run.
+        ended: Its attempts that do not run.
     """
 
     owner: Incarnation
-    present: Incarnation
     ended: tuple[HeldAttempt, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class OwnerSilent(SweepEvent):
-    """Neither this host nor any witness reached an owner.
+class OwnerGone(SweepEvent):
+    """An owner did not answer.
 
     Attributes:
         owner: The owner.
-        witnesses: How many witnesses answered that they did not reach it either.
+        proven: Whether a later process of its host answered instead.
+        witnesses: How many witnesses said that they did not reach it either.
+        asked: The attempts asked about.
+        kept: Those of them that the owner's heir has taken over.
     """
 
     owner: Incarnation
+    proven: bool
     witnesses: int
+    asked: tuple[HeldAttempt, ...]
+    kept: tuple[HeldAttempt, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -141,17 +164,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskOwner(Effect):
-    """Ask an owner about its attempts; answer by OwnerAnswered or OwnerSilent.
+    """Ask an owner about its attempts; answer by OwnerAnswered, OwnerGone or not at all.
 
     Attributes:
         query: The question.
         address: The owner's address; empty where this host does not know it.
         witnesses: Addresses of hosts that try as well where the owner does not answer.
+        heir: The address of the host that takes over the owner's long work.
     """
 
     query: OwnerQuery
     address: str
     witnesses: tuple[str, ...]
+    heir: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/coordination/memory/_reduce.py
+++ b/src/azureswitch/coordination/memory/_reduce.py
@@ -9,6 +9,7 @@
 from azureswitch.coordination.memory._model import (
     ASK_AGE,
     DEAD_GRACE,
+    SUCCEEDED_GRACE,
     SWEEPERS,
     UNKNOWN_GRACE,
     WITNESSES,
@@ -16,15 +17,15 @@
     HeldAttempt,
     HoldingsRead,
     OwnerAnswered,
+    OwnerGone,
     OwnerQuery,
-    OwnerSilent,
     ReadHoldings,
     ReleaseHolding,
     SweepEvent,
     SweepTicked,
 )
 from azureswitch.coordination.memory._state import SweepState
-from azureswitch.core import NO_EFFECTS, Effects, Incarnation, TargetName
+from azureswitch.core import NO_EFFECTS, Effects, HostName, Incarnation, TargetName
 from azureswitch.ports import Holding
 
 
@@ -65,12 +66,7 @@
 
 
 def _own_targets(state: SweepState, targets: Iterable[TargetName]) -> tuple[TargetName, ...]:
-    live = {
-        member.incarnation.host
-        for member in state._members.values()
-        if member.status is MemberStatus.ALIVE
-    }
-    live.add(state._myself.host)
+    live = _live(state)
     return tuple(
         target
         for target in targets
@@ -78,6 +74,15 @@
     )
 
 
+def _live(state: SweepState) -> set[HostName]:
+    live = {
+        member.incarnation.host
+        for member in state._members.values()
+        if member.status is MemberStatus.ALIVE
+    }
+    return live | {state._myself.host}
+
+
 def _forget_others(state: SweepState, mine: tuple[TargetName, ...]) -> None:
     for target in state._held.keys() - set(mine):
         _forget(state, target, state._held[target])
@@ -86,6 +91,7 @@
     listed = {member.incarnation for member in state._members.values()}
     for owner in state._doubted.keys() - owners - listed:
         del state._doubted[owner]
+    state._succeeded &= owners
     for owner in state._asked.keys() - owners:
         del state._asked[owner]
 
@@ -102,11 +108,9 @@
     state._held[event.target] = held
     for holding in held:
         state._since.setdefault((event.target, holding), event.now)
-    effects: list[ReleaseHolding | AskOwner] = []
+    effects: list[AskOwner] = []
     for owner, holdings in _by_owner(event.holdings).items():
-        if state.is_superseded(owner):
-            effects += _release(state, event.target, holdings)
-        elif state.is_living(owner):
+        if state.is_living(owner):
             effects += _question_living(state, owner, event.now)
         else:
             state._doubted.setdefault(owner, event.now)
@@ -140,14 +144,22 @@
 def _ask(state: SweepState, owner: Incarnation, holdings: Iterable[Holding]) -> AskOwner:
     attempts = {HeldAttempt(call=held.call, attempt=held.attempt) for held in holdings}
     member = state._members.get(owner.host)
+    heir = _heir(state, owner)
     state._questions += 1
     return AskOwner(
         query=OwnerQuery(owner=owner, attempts=tuple(sorted(attempts))),
         address="" if member is None else member.address,
         witnesses=_witnesses(state, owner),
+        heir="" if heir is None else heir.address,
     )
 
 
+def _heir(state: SweepState, owner: Incarnation) -> Member | None:
+    # The journal picks the host that takes over by the same order.
+    first = ranked(name=str(owner), hosts=_live(state))[0]
+    return None if first == state._myself.host else state._members.get(first)
+
+
 def _witnesses(state: SweepState, owner: Incarnation) -> tuple[str, ...]:
     others = [
         member
@@ -171,57 +183,43 @@
 
 @_handle.register
 def _(event: OwnerAnswered, state: SweepState) -> Effects:
-    if event.present.started < event.owner.started:
-        return NO_EFFECTS
-    if event.present != event.owner:
-        return tuple(_release_owner(state, event.owner))
     if event.owner in state._doubted:
         # The doubt, if it comes up again, starts anew.
         state._doubted[event.owner] = event.now
         state._kept += 1
-    ended = set(event.ended)
-    return tuple(
-        effect
-        for target, held in state._held.items()
-        for effect in _release(
-            state,
-            target,
-            [
-                holding
-                for holding in held.values()
-                if holding.owner == event.owner
-                and HeldAttempt(call=holding.call, attempt=holding.attempt) in ended
-            ],
-        )
-    )
+    return tuple(_release(state, event.owner, set(event.ended)))
 
 
 @_handle.register
-def _(event: OwnerSilent, state: SweepState) -> Effects:
-    since = state._doubted.get(event.owner)
-    if since is None or state.is_living(event.owner):
+def _(event: OwnerGone, state: SweepState) -> Effects:
+    if event.proven:
+        state._succeeded.add(event.owner)
+    if state.is_living(event.owner):
         return NO_EFFECTS
-    # An owner that no list shows may have started just now; one known to be dead has not.
-    grace = DEAD_GRACE if state.is_known(event.owner) else UNKNOWN_GRACE
-    if event.witnesses == 0 and _witnesses(state, event.owner):
+    since = state._doubted.setdefault(event.owner, event.now)
+    if not event.proven and event.witnesses == 0 and _witnesses(state, event.owner):
         # Nobody else could be asked, so it may be this host that is cut off.
         return NO_EFFECTS
-    if event.now < since + grace:
+    if event.now < since + _grace(state, event.owner):
         return NO_EFFECTS
-    return tuple(_release_owner(state, event.owner))
+    return tuple(_release(state, event.owner, set(event.asked) - set(event.kept)))
 
 
-def _release_owner(state: SweepState, owner: Incarnation) -> Iterator[ReleaseHolding]:
-    for target, held in state._held.items():
-        owned = [holding for holding in held.values() if holding.owner == owner]
-        yield from _release(state, target, owned)
+def _grace(state: SweepState, owner: Incarnation) -> float:
+    if state.is_superseded(owner):
+        return SUCCEEDED_GRACE
+    # An owner that no list shows may have started just now; one known to be dead has not.
+    return DEAD_GRACE if state.is_known(owner) else UNKNOWN_GRACE
 
 
 def _release(
-    state: SweepState, target: TargetName, holdings: list[Holding]
-) -> tuple[ReleaseHolding, ...]:
+    state: SweepState, owner: Incarnation, attempts: set[HeldAttempt]
+) -> Iterator[ReleaseHolding]:
     # A release that fails shows in the next read of the engine, and is tried again then.
-    for holding in holdings:
-        state._held[target].pop(holding.id, None)
-    state._released += len(holdings)
-    return tuple(ReleaseHolding(target=target, holding=holding) for holding in holdings)
+    for target, held in state._held.items():
+        for holding in tuple(held.values()):
+            attempt = HeldAttempt(call=holding.call, attempt=holding.attempt)
+            if holding.owner == owner and attempt in attempts:
+                del held[holding.id]
+                state._released += 1
+                yield ReleaseHolding(target=target, holding=holding)
--- a/src/azureswitch/coordination/memory/_state.py
+++ b/src/azureswitch/coordination/memory/_state.py
@@ -18,6 +18,7 @@
         self._held: dict[TargetName, dict[str, Holding]] = {}
         self._since: dict[tuple[TargetName, str], float] = {}
         self._doubted: dict[Incarnation, float] = {}
+        self._succeeded: set[Incarnation] = set()
         self._asked: dict[Incarnation, float] = {}
         self._reads = 0
         self._questions = 0
@@ -36,6 +37,8 @@
 
     def is_superseded(self, owner: Incarnation) -> bool:
         """Whether a newer process runs on the owner's host."""
+        if owner in self._succeeded:
+            return True
         member = self._members.get(owner.host)
         return member is not None and member.incarnation.started > owner.started
 
@@ -48,4 +51,6 @@
         """Whether this host believes that the owner runs."""
         if owner == self._myself:
             return True
-        return self.is_known(owner) and self._members[owner.host].status is not MemberStatus.DEAD
+        if self.is_superseded(owner) or not self.is_known(owner):
+            return False
+        return self._members[owner.host].status is not MemberStatus.DEAD
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -1,8 +1,10 @@
 """Tests of the journal: finding long work after its host died, and what it costs."""
 
-from asyncio import sleep
-from collections.abc import Awaitable, Callable
+from asyncio import Event, sleep
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
+from time import time
+from typing import cast
 
 import pytest
 
@@ -10,6 +12,8 @@
     FLUSH_PERIOD,
     JOURNAL_KIND,
     KEY_BYTES,
+    OUTPUT_KEPT,
+    OUTPUT_KIND,
     RECORD_AGE,
     JobRecord,
     JobSigner,
@@ -27,7 +31,9 @@
     ServiceName,
     TargetName,
 )
+from azureswitch.exceptions import LongWorkLostError, TargetBrokenError, TargetRefusedError
 from azureswitch.inventory import Rules
+from azureswitch.ports import Chunk, Engine, StoredObject
 from azureswitch.serving import Call
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.peers import PeersNetworkFake
@@ -38,6 +44,8 @@
 RIVAL = CustomerName("rival")
 ENGINE = TargetName("engine-1")
 OTHER_ENGINE = TargetName("engine-2")
+TOKENS = 3
+END = b"data: [DONE]\n\n"
 CALL = Call(
     id=CallId("call-1"),
     customer=CUSTOMER,
@@ -47,6 +55,59 @@
 )
 
 
+class CountedStore(StoreFake):
+    """Counts the calls that are tried, also while the store is down."""
+
+    asked = 0
+
+    async def get(self, *, kind: str, name: str) -> StoredObject:
+        """Return an object."""
+        self.asked += 1
+        return await super().get(kind=kind, name=name)
+
+    async def update(self, *, kind: str, name: str, value: bytes, version: int) -> StoredObject:
+        """Replace an object."""
+        self.asked += 1
+        return await super().update(kind=kind, name=name, value=value, version=version)
+
+
+class EngineFake:
+    """One host's way to an engine that runs one request of three tokens.
+
+    Attributes:
+        attached: The offsets that were attached to.
+        broken: Streams that break after their first token.
+        lost: Whether the engine does not know the request.
+    """
+
+    def __init__(self, *, finished: Event) -> None:
+        self.attached: list[int] = []
+        self.broken = 0
+        self.lost = False
+        self._finished = finished
+
+    async def attach(self, *, call: CallId, attempt: int, offset: int) -> AsyncIterator[Chunk]:
+        """Yield the tokens after an offset, the last once the request may finish."""
+        self.attached.append(offset)
+        if self.lost:
+            raise TargetRefusedError(target="engine")
+        for at in range(offset, TOKENS):
+            if at == TOKENS - 1:
+                await self._finished.wait()
+            yield chunk(at)
+            if self.broken:
+                self.broken -= 1
+                raise TargetBrokenError(target="engine")
+        if offset == TOKENS:
+            yield Chunk(data=END, tokens=0, last=True)
+
+
+def chunk(at: int) -> Chunk:
+    """Return the chunk of one token; the last one ends the stream as well."""
+    last = at == TOKENS - 1
+    return Chunk(data=b"data: %d\n\n" % at + END * last, tokens=1, last=last)
+
+
 class Fleet:
     """Hosts with one store, of which each host has its own view."""
 
@@ -62,8 +123,12 @@
             )
             for at, name in enumerate(HOSTS)
         }
-        self.stores = {name: StoreFake(model=self.model) for name in HOSTS}
-        self.resumed: list[tuple[HostName, JobRecord]] = []
+        self.stores = {name: CountedStore(model=self.model) for name in HOSTS}
+        self.finished = Event()
+        self.engines = {
+            host: {name: EngineFake(finished=self.finished) for name in (ENGINE, OTHER_ENGINE)}
+            for host in HOSTS
+        }
         self.journals = {name: self._journal(at, name) for at, name in enumerate(HOSTS)}
         self.dead: set[HostName] = set()
 
@@ -74,19 +139,33 @@
             peers=self.network.peers(address=self.members[name].address),
             members=lambda: self.members.values(),
             seed=at,
-            resume=lambda record: self.resumed.append((name, record)),
+            engines=lambda: cast("dict[TargetName, Engine]", self.engines[name]),
         )
 
+    @property
+    def heirs(self) -> list[HostName]:
+        """Hosts that attached to the request's engine."""
+        return [name for name in HOSTS if self.engines[name][ENGINE].attached]
+
+    @property
+    def groups(self) -> set[str]:
+        """The names of the stored groups of records."""
+        return {item.name for item in self.model.list(kind=JOURNAL_KIND).items}
+
     @property
     def living(self) -> list[HostName]:
         """Hosts that were not killed."""
         return [name for name in HOSTS if name not in self.dead]
 
+    def believe(self, name: HostName, status: MemberStatus) -> None:
+        """Let all hosts believe something of one."""
+        self.members[name] = replace(self.members[name], status=status)
+
     def kill(self, name: HostName) -> None:
         """End a host and let the others know."""
         self.dead.add(name)
         self.network.stop(address=self.members[name].address)
-        self.members[name] = replace(self.members[name], status=MemberStatus.DEAD)
+        self.believe(name, MemberStatus.DEAD)
 
     def all_stores(self, faults: StoreFaults) -> None:
         """Set the faults of every host's way to the store."""
@@ -240,12 +319,11 @@
             await fleet.run(2 * FLUSH_PERIOD)
             fleet.all_stores(faults)
             fleet.kill(HOSTS[0])
-            await fleet.run(3 * FLUSH_PERIOD)
-            assert [record.tokens for _, record in fleet.resumed] == [7]
-            left = fleet.model.list(kind=JOURNAL_KIND).items
-            assert [item.name for item in left] == [
-                str(fleet.members[name].incarnation) for name, _ in fleet.resumed
-            ]
+            await fleet.run(5 * FLUSH_PERIOD)
+            (heir,) = fleet.heirs
+            assert [record.tokens for record in fleet.journals[heir].records] == [7]
+            assert fleet.journals[heir].keeps(call=CALL.id, attempt=1)
+            assert fleet.groups == {str(fleet.members[heir].incarnation)}
 
         play(script)
 
@@ -257,9 +335,9 @@
             await fleet.run(2 * FLUSH_PERIOD)
             fleet.kill(HOSTS[0])
             await fleet.run(2 * FLUSH_PERIOD)
-            fleet.kill(fleet.resumed[0][0])
+            fleet.kill(fleet.heirs[0])
             await fleet.run(2 * FLUSH_PERIOD)
-            assert len({name for name, _ in fleet.resumed}) == 2
+            assert len(fleet.heirs) == 2
 
         play(script)
 
@@ -271,29 +349,112 @@
             await fleet.run(2 * FLUSH_PERIOD)
             fleet.all_stores(StoreFaults(down=True))
             fleet.kill(HOSTS[0])
-            before = fleet.model.counters.calls
+            before = sum(store.asked for store in fleet.stores.values())
             await fleet.run(600)
-            assert fleet.model.counters.calls - before <= 600 / (FLUSH_PERIOD / 2)
+            asked = sum(store.asked for store in fleet.stores.values()) - before
+            assert 0 < asked <= 600 / (FLUSH_PERIOD / 2)
             fleet.all_stores(StoreFaults())
             await fleet.run(2 * FLUSH_PERIOD)
-            assert len(fleet.resumed) == 1
+            assert len(fleet.heirs) == 1
 
         play(script)
 
-    def test_host_believed_dead_writes_again(self) -> None:
-        """A host whose object another deleted records its work anew."""
+    def test_suspected_host_that_answers_keeps_its_work(self) -> None:
+        """A host that answers is not succeeded, however long it is suspected."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
             await fleet.run(2 * FLUSH_PERIOD)
-            alive = fleet.members[HOSTS[0]]
-            fleet.members[HOSTS[0]] = replace(alive, status=MemberStatus.DEAD)
+            fleet.believe(HOSTS[0], MemberStatus.SUSPECT)
+            await fleet.run(60)
+            assert fleet.heirs == []
+
+        play(script)
+
+    def test_host_believed_dead_writes_again(self) -> None:
+        """A host that was cut off, and whose object another deleted, records its work anew."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.start()
             await fleet.run(2 * FLUSH_PERIOD)
-            fleet.members[HOSTS[0]] = alive
-            await fleet.start(call=replace(CALL, id=CallId("call-2")))
+            fleet.network.partition([fleet.members[HOSTS[0]].address])
+            fleet.believe(HOSTS[0], MemberStatus.DEAD)
             await fleet.run(3 * FLUSH_PERIOD)
-            names = {item.name for item in fleet.model.list(kind=JOURNAL_KIND).items}
-            assert str(alive.incarnation) in names
+            name = str(fleet.members[HOSTS[0]].incarnation)
+            assert name not in fleet.groups
+            fleet.network.heal()
+            fleet.believe(HOSTS[0], MemberStatus.ALIVE)
+            await fleet.start(call=replace(CALL, id=CallId("call-2")))
+            await fleet.run(4 * FLUSH_PERIOD)
+            assert name in fleet.groups
+
+        play(script)
+
+
+class TestOutput:
+    """The output reaches a caller whose host died, whole and once."""
+
+    @staticmethod
+    async def _read(fleet: Fleet, job: str, offset: int) -> bytes:
+        journal = fleet.journals[fleet.living[0]]
+        record = await journal.find(job=job, customer=CUSTOMER)
+        assert record is not None
+        chunks = [part async for part in journal.output(record=record, offset=offset)]
+        return b"".join(part.data for part in chunks)
+
+    @pytest.mark.parametrize("offset", range(TOKENS + 1))
+    @pytest.mark.parametrize("running", [True, False], ids=["from the engine", "from the store"])
+    def test_rest_comes_without_gap_or_repeat(self, running: bool, offset: int) -> None:
+        """From any offset exactly the rest comes, while the engine runs and hours later."""
+
+        async def script(fleet: Fleet) -> None:
+            job = await fleet.start()
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.kill(HOSTS[0])
+            for engines in fleet.engines.values():
+                engines[ENGINE].broken = 1
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.finished.set()
+            await fleet.run(2 * FLUSH_PERIOD)
+            for engines in fleet.engines.values():
+                engines[ENGINE].lost = not running
+                engines[ENGINE].broken = 0
+            if not running:
+                await fleet.run(3_600)
+            rest = b"".join(chunk(at).data for at in range(offset, TOKENS))
+            assert await self._read(fleet, job, offset) == (rest or END)
+
+        play(script)
+
+    def test_lost_output_is_said_to_be_lost(self) -> None:
+        """Where the engine died with the host, the caller gets a failure of its own type."""
+
+        async def script(fleet: Fleet) -> None:
+            job = await fleet.start()
+            fleet.kill(HOSTS[0])
+            for engines in fleet.engines.values():
+                engines[ENGINE].lost = True
+            with pytest.raises(LongWorkLostError):
+                await self._read(fleet, job, 0)
+
+        play(script)
+
+    def test_kept_output_goes_after_its_time(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """An output is deleted when its time is over, by whoever has its record then."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.kill(HOSTS[0])
+            fleet.finished.set()
+            await fleet.run(2 * FLUSH_PERIOD)
+            assert len(fleet.model.list(kind=OUTPUT_KIND).items) == 1
+            fleet.kill(fleet.heirs[0])
+            await fleet.run(2 * FLUSH_PERIOD)
+            later = time() + 2 * OUTPUT_KEPT
+            monkeypatch.setattr("azureswitch.coordination.journal._driver.time", lambda: later)
+            await fleet.run(2)
+            assert fleet.model.list(kind=OUTPUT_KIND).items == ()
 
         play(script)
 
