Let hosts learn of each other by probes and piggybacked news

Hosts must know who is alive without heartbeats in the store and with traffic that does not grow with the fleet. Each host probes one member a period and asks three others before it suspects; suspicion, versions against it, and a host's doubt about itself follow SWIM and Lifeguard. A process that finds its timers late was paused and gives every suspect its whole time again. Rows of another host's table never kill: a host on which views differ is probed and speaks for itself, so that halves which find each other do not spread the deaths that each noted of the other. Leaving is passed on at once.

--- a/src/azureswitch/coordination/membership/__init__.py
+++ b/src/azureswitch/coordination/membership/__init__.py
@@ -1,5 +1,34 @@
 """Hosts learn of each other from the host list and from each other."""
 
+from azureswitch.coordination.membership._driver import Membership
+from azureswitch.coordination.membership._events import (
+    Ended,
+    HostsListed,
+    LeaveBegan,
+    MembershipEvent,
+    Received,
+    RevisionAdopted,
+    SyncReplied,
+    SyncRequested,
+    Ticked,
+)
 from azureswitch.coordination.membership._model import Member, MemberStatus
+from azureswitch.coordination.membership._reduce import reduce
+from azureswitch.coordination.membership._state import MembershipState
 
-__all__ = ["Member", "MemberStatus"]
+__all__ = [
+    "Ended",
+    "HostsListed",
+    "LeaveBegan",
+    "Member",
+    "MemberStatus",
+    "Membership",
+    "MembershipEvent",
+    "MembershipState",
+    "Received",
+    "RevisionAdopted",
+    "SyncReplied",
+    "SyncRequested",
+    "Ticked",
+    "reduce",
+]
--- /dev/null
+++ b/src/azureswitch/coordination/membership/_state.py
@@ -0,0 +1,112 @@
+"""A host's view of the fleet."""
+
+from dataclasses import replace
+from random import Random
+
+from azureswitch.coordination.membership._gossip import GossipQueue, RevisionReports
+from azureswitch.coordination.membership._limits import (
+    PROBE_PERIOD,
+    SYNC_JOIN_PERIOD,
+)
+from azureswitch.coordination.membership._messages import RevisionReport, Update
+from azureswitch.coordination.membership._model import Member, MemberStatus
+from azureswitch.coordination.membership._probe import Health, Probe, ProbeOrder, Relay
+from azureswitch.coordination.membership._suspicion import Suspicions
+from azureswitch.coordination.membership._table import MemberTable
+from azureswitch.core import HostName, Incarnation, PlaceName
+from azureswitch.ports import ListedHost
+
+
+class MembershipState:
+    """What the membership reducer keeps; only `reduce` and its helpers write to it.
+
+    Args:
+        myself: This process.
+        place: The failure domain that it runs in.
+        address: ``IP:PORT`` on which peers reach it.
+        random: The seeded generator of every random choice.
+    """
+
+    def __init__(
+        self, *, myself: Incarnation, place: PlaceName, address: str, random: Random
+    ) -> None:
+        self._random = random
+        self._host = myself.host
+        self._table = MemberTable()
+        self._gossip = GossipQueue()
+        self._reports = RevisionReports()
+        self._suspicions = Suspicions()
+        self._order = ProbeOrder(random=random)
+        self._health = Health()
+        self._probe: Probe | None = None
+        self._relays: dict[int, Relay] = {}
+        self._disputed: set[HostName] = set()
+        self._died: dict[HostName, float] = {}
+        self._listed: tuple[ListedHost, ...] = ()
+        self._sequence = 0
+        self._ticked: float | None = None
+        self._probes_at = random.random() * PROBE_PERIOD
+        self._syncs_at = random.random() * SYNC_JOIN_PERIOD
+        self._lists_at = 0.0
+        self._syncs_lost = False
+        self._synced = 0
+        self._changed = False
+        self._stalls = 0
+        self._urgent: list[Update] = []
+        me = Update(
+            host=myself.host,
+            started=myself.started,
+            version=1,
+            place=place,
+            address=address,
+        )
+        self._table.put(me)
+        self._gossip.add(me)
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Members that are not dead, this host included, by host name."""
+        return self._table.members
+
+    @property
+    def dead(self) -> tuple[HostName, ...]:
+        """Hosts that are dead and not yet forgotten."""
+        return self._table.dead
+
+    @property
+    def health(self) -> int:
+        """How far this host doubts itself; zero where all is well."""
+        return self._health.score
+
+    @property
+    def stalls(self) -> int:
+        """How often this process found that it had been paused."""
+        return self._stalls
+
+    @property
+    def me(self) -> Update:
+        """What this host says of itself."""
+        me = self._table.get(self._host)
+        assert me is not None
+        return me
+
+    def piggyback(self, *, first: Update | None = None) -> tuple[Update, ...]:
+        """Choose the updates for the next datagram."""
+        return self._gossip.take(size=self._table.size, first=first)
+
+    def report(self) -> RevisionReport:
+        """Choose the revision report for the next datagram."""
+        return self._reports.take(size=self._table.size)
+
+    def speak(self, **changes: object) -> None:
+        """Say something new of this host, against whatever was said of it."""
+        me = replace(self.me, **changes)  # type: ignore[arg-type]
+        self._table.put(me)
+        self._gossip.add(me)
+
+    def set_revision(self, *, host: HostName, revision: int) -> None:
+        """Note the configuration in force on a host; a smaller revision changes nothing."""
+        known = self._table.get(host)
+        if known is None or known.status is MemberStatus.DEAD or revision <= known.revision:
+            return
+        self._table.put(replace(known, revision=revision))
--- /dev/null
+++ b/src/azureswitch_standins/fleet.py
@@ -0,0 +1,141 @@
+"""Fleets of memberships on one in-memory network, for tests and benchmarks."""
+
+from asyncio import Task, create_task, get_running_loop, sleep
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from azureswitch.coordination.membership import Member, Membership, MemberStatus
+from azureswitch.core import HostName, Incarnation, PlaceName
+from azureswitch.ports import HostStatus, ListedHost
+from azureswitch_standins.hosts import HostListFake
+from azureswitch_standins.peers import PeersFake, PeersNetworkFake
+
+_EPOCH = 1_700_000_000_000
+
+
+@dataclass(slots=True, kw_only=True)
+class FleetHost:
+    """One host of a fleet.
+
+    Attributes:
+        name: Its name.
+        place: Its failure domain.
+        address: Where peers reach it.
+        peers: Its messages.
+        membership: Its view of the fleet.
+        tasks: What runs on it.
+    """
+
+    name: HostName
+    place: PlaceName
+    address: str
+    peers: PeersFake
+    membership: Membership
+    tasks: list[Task[None]] = field(default_factory=list)
+
+
+class FleetFake:
+    """Hosts that know each other by real membership over fake peers.
+
+    Args:
+        places: How many failure domains the hosts are spread over.
+        seed: Seeds the network and every host.
+    """
+
+    def __init__(self, *, places: int = 3, seed: int = 1) -> None:
+        self.network = PeersNetworkFake(seed=seed)
+        self.listed = HostListFake()
+        self._places = places
+        self._seed = seed
+        self._added = 0
+        self._hosts: dict[HostName, FleetHost] = {}
+
+    @property
+    def hosts(self) -> tuple[FleetHost, ...]:
+        """Hosts that were not killed."""
+        return tuple(self._hosts.values())
+
+    def add(self, count: int = 1) -> tuple[FleetHost, ...]:
+        """Start hosts and list them."""
+        return tuple(self._add() for _ in range(count))
+
+    def kill(self, host: FleetHost) -> None:
+        """Let a host vanish without a word; the list still shows it."""
+        self.network.stop(address=host.address)
+        for task in host.tasks:
+            task.cancel()
+        self._hosts.pop(host.name, None)
+
+    def pause(self, host: FleetHost) -> None:
+        """Stop a host's process: it sends nothing, hears nothing and runs no timer."""
+        self.network.pause(address=host.address)
+        # A timer that comes due during the pause runs once after it, as the loop of a real process.
+        host.membership._feed = lambda event: ()  # type: ignore[method-assign]
+
+    def resume(self, host: FleetHost) -> None:
+        """Let a paused process go on, with what was sent to it meanwhile."""
+        del host.membership._feed
+        self.network.resume(address=host.address)
+
+    def host(self, name: str) -> FleetHost:
+        """Return a host by name."""
+        return self._hosts[HostName(name)]
+
+    def all_see(self, condition: Callable[[tuple[Member, ...]], bool]) -> bool:
+        """Whether a condition holds for the view of every host."""
+        return all(condition(host.membership.members) for host in self.hosts)
+
+    def complete(self) -> bool:
+        """Whether every host sees exactly the hosts that were not killed, none suspected."""
+        names = set(self._hosts)
+        return self.all_see(
+            lambda members: {member.incarnation.host for member in members} == names
+            and all(member.status is not MemberStatus.SUSPECT for member in members)
+        )
+
+    def _add(self) -> FleetHost:
+        index = self._added
+        self._added += 1
+        name = HostName(f"entry-{index:03d}")
+        place = PlaceName(f"zone-{index % self._places}")
+        address = f"10.0.{index // 250}.{index % 250}:7000"
+        peers = self.network.peers(address=address)
+        membership = Membership(
+            myself=Incarnation(host=name, started=_EPOCH + index),
+            place=place,
+            address=address,
+            peers=peers,
+            hosts=self.listed,
+            seed=self._seed * 10_000 + index,
+        )
+        host = FleetHost(
+            name=name, place=place, address=address, peers=peers, membership=membership
+        )
+        host.tasks.append(create_task(membership.run()))
+        self._hosts[name] = host
+        self.listed.put(
+            host=ListedHost(name=name, place=place, address=address, status=HostStatus.LIVE)
+        )
+        return host
+
+
+async def until(condition: Callable[[], bool], *, limit: float, step: float = 0.05) -> float:
+    """Wait until a condition holds.
+
+    Args:
+        condition: What to wait for.
+        limit: Seconds to wait at most.
+        step: Seconds between two looks.
+
+    Returns:
+        The seconds that it took.
+
+    Raises:
+        TimeoutError: It does not hold after ``limit`` seconds.
+    """
+    start = get_running_loop().time()
+    while not condition():
+        if get_running_loop().time() - start > limit:
+            raise TimeoutError
+        await sleep(step)
+    return get_running_loop().time() - start
