--- a/src/azureswitch/coordination/claims/_layout.py
+++ b/src/azureswitch/coordination/claims/_layout.py
@@ -11,7 +11,7 @@
     encode_segment,
 )
 
-OPEN_LIMIT = 16_384
+OPEN_LIMIT = 8_192
 """Bytes from which the open segment is frozen; each write carries the open segment whole."""
 
 SEGMENT_LIMIT = 786_432
@@ -88,7 +88,7 @@
         kept.pop(key, None)
         kept[key] = record
     expired = _expired(head, expired_before)
-    doomed = tuple(ref for ref in (*head.doomed, *expired) if ref not in deleted)
+    doomed = [ref for ref in (*head.doomed, *_leftover(head, expired)) if ref not in deleted]
     sealed = tuple(ref for ref in head.sealed if ref not in expired)
     return _freeze(
         Head(
@@ -96,7 +96,7 @@
             open=tuple(kept.values()),
             frozen=head.frozen,
             sealed=sealed,
-            doomed=doomed,
+            doomed=tuple(doomed),
         )
     )
 
@@ -136,6 +136,15 @@
     return tuple(takewhile(lambda ref: ref.until < before, head.sealed))[:room]
 
 
+def _leftover(head: Head, expired: tuple[SegmentRef, ...]) -> tuple[SegmentRef, ...]:
+    """Return expired segments, and the merged one that an owner may have stored before it died."""
+    run = mergeable(head.sealed)
+    if not set(run) & set(expired):
+        return expired
+    merged = SegmentRef(first=run[0].first, last=run[-1].last, size=0, until=run[-1].until)
+    return (*expired, merged)
+
+
 def _freeze(head: Head) -> Head:
     if head.frozen is not None or len(encode_segment(head.open)) < OPEN_LIMIT:
         return head
--- a/src/azureswitch/coordination/claims/_owner.py
+++ b/src/azureswitch/coordination/claims/_owner.py
@@ -69,6 +69,9 @@
 INDEX_CHUNK = 8
 """Segments that are read at once when a shard is taken over."""
 
+RECALL_PAUSE = 0.05
+"""Seconds between reads of sealed segments for repeats, so that repeats cannot flood the store."""
+
 IDLE = 120.0
 """Seconds after which the view of an unused shard is dropped."""
 
@@ -180,7 +183,8 @@
 
 def _flush(shard: Shard, event: OwnerEvent, state: OwnerState) -> Effects:
     """Rule on what waits, and write it where anything changes."""
-    if shard.phase is not Phase.READY or not _is_due(shard, event.now):
+    waits = event.now < shard.next_write or not _is_due(shard, event.now)
+    if waits or shard.phase is not Phase.READY:
         return NO_EFFECTS
     changes: dict[bytes, Record] = {}
     batch, effects = _rule_batch(shard, event, state, changes)
@@ -212,7 +216,7 @@
         ask = pending.ask
         record = _find(shard, ask.key, changes, event.wall - state._retention)
         if isinstance(record, SegmentRef):
-            effects.extend(_recall(shard, record))
+            effects.extend(_recall(shard, record, event.now))
             continue
         ruling = rule(record=record, ask=ask, at=int(event.wall), alive=state._alive)
         if ruling.verdict is Verdict.GRANTED and len(shard.head.sealed) >= SEALED_LIMIT:
@@ -242,10 +246,11 @@
     return record
 
 
-def _recall(shard: Shard, ref: SegmentRef) -> Effects:
-    if shard.recalling:
+def _recall(shard: Shard, ref: SegmentRef, now: float) -> Effects:
+    if shard.recalling or now < shard.next_recall:
         return NO_EFFECTS
     shard.recalling = True
+    shard.next_recall = now + RECALL_PAUSE
     return (ReadSegments(shard=shard.number, refs=(ref,)),)
 
 
@@ -256,18 +261,17 @@
     batch: list[Ruled],
     changes: dict[bytes, Record],
 ) -> Effects:
-    if event.now < shard.next_write:
-        return NO_EFFECTS
     _take(shard, batch)
     shard.batch = batch
     shard.issue(Phase.WRITING)
     shard.next_write = event.now + state._interval
+    moving = shard.storing or shard.merging
     shard.written = next_head(
         head=shard.head,
         changes=changes,
         stored=shard.stored,
         deleted=shard.deleted,
-        expired_before=event.wall - state._retention,
+        expired_before=0.0 if moving else event.wall - state._retention,
     )
     return (WriteHead(shard=shard.number, version=shard.version, head=shard.written),)
 
@@ -334,7 +338,7 @@
     if merging:
         shard.merging = ()
     if len(contents) < len(event.refs):
-        return _on_segment_gone(shard)
+        return _on_segment_gone(shard, event.now)
     for ref, records in zip(event.refs, contents, strict=True):
         if ref in shard.missing:
             shard.index(ref=ref, records=records)
@@ -347,10 +351,12 @@
     return _flush(shard, event, state)
 
 
-def _on_segment_gone(shard: Shard) -> Effects:
+def _on_segment_gone(shard: Shard, now: float) -> Effects:
     """Read the head again: only a head that is no longer in the store names a deleted segment."""
     shard.recalling = False
-    if shard.phase in (Phase.READY, Phase.INDEXING):
+    if shard.phase is Phase.INDEXING:
+        return _store_failed(shard, now)
+    if shard.phase is Phase.READY:
         return _read_head(shard)
     return NO_EFFECTS
 
--- a/src/azureswitch/coordination/claims/_shard.py
+++ b/src/azureswitch/coordination/claims/_shard.py
@@ -87,6 +87,7 @@
         self.confirmed = 0
         self.next_read = 0.0
         self.next_write = 0.0
+        self.next_recall = 0.0
         self.retry_at = 0.0
         self.used_at = 0.0
         self.recalling = False
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 
 from azureswitch.coordination.claims import Claims, Granted
+from azureswitch.coordination.claims._model import key_digest, shard_of
+from azureswitch.coordination.claims._owners import owners
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.core import CallId, CustomerName, HostName, Incarnation, PlaceName
 from azureswitch.exceptions import AzureswitchError
@@ -31,7 +33,7 @@
             myself=self.incarnation,
             store=self.store,
             peers=fleet.network.peers(address=name),
-            members=lambda: fleet.members,
+            members=lambda: fleet.views.get(name, fleet.members),
             retention=fleet.retention,
             wall=lambda: START + asyncio.get_running_loop().time(),
         )
@@ -85,6 +87,7 @@
         self.sent: Counter[str] = Counter()
         self.hosts = [Host(name=f"10.0.0.{index}:70", fleet=self) for index in range(1, size + 1)]
         self.members = tuple(self.member(host) for host in self.hosts)
+        self.views: dict[str, tuple[Member, ...]] = {}
 
     def member(self, host: Host) -> Member:
         """Return a host as membership shows it."""
@@ -106,6 +109,17 @@
             for member in self.members
         )
 
+    def split(self) -> None:
+        """Let every host believe that it is alone, and cut the ways between them."""
+        self.views = {host.address: (self.member(host),) for host in self.hosts}
+        self.network.partition(*([host.address] for host in self.hosts))
+
+    def owner(self, key: str, *, customer: str = "ruamjai") -> Host:
+        """Return the owner of a key's shard."""
+        shard = shard_of(key_digest(customer=CustomerName(customer), key=key))
+        first = owners(shard=shard, members=self.members)[0]
+        return next(host for host in self.hosts if host.incarnation == first.incarnation)
+
     def faults(self, faults: StoreFaults) -> None:
         """Set the same faults of the store for all hosts."""
         for host in self.hosts:
