Read an engine's refusal whose fencing numbers are null

Cause: the wire gives fence and newest as null in every failure but a fenced order, and the decoder took integers alone, so each refusal and rejection failed to decode and counted as a broken stream: a request that the engine rejects for good was sent nine times over 12 s. Change: both are optional. Ruled out: the mapping by status, which was right. Before: 502 retries_exhausted after 12 s; after: 502 target_rejected, not run, at once.

--- a/src/azureswitch/engines/_failures.py
+++ b/src/azureswitch/engines/_failures.py
@@ -28,8 +28,8 @@
     type: str = ""
     message: str = ""
     not_run: bool = False
-    fence: int = 0
-    newest: int = 0
+    fence: int | None = None
+    newest: int | None = None
 
 
 class _Body(msgspec.Struct, frozen=True):
@@ -45,7 +45,9 @@
     """
     failure = _decode(body)
     if failure.type == FENCED:
-        return OrderRefusedError(target=target, fence=failure.fence, newest=failure.newest)
+        return OrderRefusedError(
+            target=target, fence=failure.fence or 0, newest=failure.newest or 0
+        )
     if failure.type == EXISTS or not failure.not_run:
         # An attempt that is there already may be running.
         return TargetBrokenError(target=target)
