--- /dev/null
+++ b/src/azureswitch_load/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole deployment in one process, its faults, and the check that its promises hold."""
