--- a/src/azureswitch_load/demo/_fleet.py
+++ b/src/azureswitch_load/demo/_fleet.py
@@ -43,12 +43,21 @@
         speed: Seconds of an engine's model in one second.
         fixed: Whether targets listen at the inventory's addresses and entries at known ports; else
             all take free ones and the inventory is changed to match.
+        entries: How many entries it starts.
     """
 
-    def __init__(self, *, deployment: Deployment, speed: float, fixed: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        speed: float,
+        fixed: bool = False,
+        entries: int = ENTRIES,
+    ) -> None:
         self._deployment = deployment
         self._speed = speed
         self._fixed = fixed
+        self._count = entries
         self._inventory = deployment.inventory
         self._store = StoreStandin(port=FIXED_STORE_PORT if fixed else 0)
         self._hosts = HostListStandin(port=FIXED_HOSTS_PORT if fixed else 0)
@@ -98,7 +107,7 @@
         targets = [await self._start_target(target) for target in self._inventory.targets]
         self._inventory = replace(self._inventory, targets=tuple(targets))
         places = [place.name for place in self._inventory.places]
-        for number in range(ENTRIES):
+        for number in range(self._count):
             await self._start_entry(number, places[number % len(places)])
 
     async def stop(self) -> None:
