Let operators change, compare, explain and watch the fleet by one program

Cause: operators drive the system by two files and had no program to apply them. Change: azureswitch inventory|rules check, diff, apply, show and history, status, drain, explain, hash-key and reference. A change is made from a named revision; the later of two racing operators is shown what came first; a lost answer is resolved by the change's id. Tables for people, JSON and typed exit codes for programs. The settings page is made from the tables that check the files.

--- /dev/null
+++ b/src/azureswitch/commands/_base.py
@@ -0,0 +1,148 @@
+"""What all commands share: options, output, errors and exit codes."""
+
+from abc import ABC, abstractmethod
+from asyncio import run
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatch
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.outputs.output import Type
+from msgspec import json
+
+from azureswitch.client import HttpClient
+from azureswitch.commands._exits import ExitCode, exit_code
+from azureswitch.commands._revisions import Revisions
+from azureswitch.commands._settings import OperatorSettings, read_settings
+from azureswitch.exceptions import AzureswitchError, ChangeOutcomeUnknownError
+from azureswitch.platform import HttpStore
+from azureswitch.ports import Store
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Connections:
+    """How commands reach the platform and the hosts; tests put fakes in their place.
+
+    Attributes:
+        store: Makes the port to the object store at an address.
+        operations: Makes the client of an entry host's operations address.
+        patience: Seconds for which a change is tried while the store gives no clear answer.
+    """
+
+    store: Callable[[str], Store] = lambda address: HttpStore(address=address)
+    operations: Callable[[str], HttpClient] = lambda address: HttpClient(address=address)
+    patience: float = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Failure:
+    """A failure as programs read it.
+
+    Attributes:
+        error: The stable name of the failure.
+        message: One sentence.
+        ran: Whether a change may have taken effect: ``not_run`` says that it did not.
+        details: The fields of the failure.
+    """
+
+    error: str
+    message: str
+    ran: str
+    details: AzureswitchError
+
+
+@singledispatch
+def text(report: object) -> str:
+    """Return a report for people; each type of report registers its own."""
+    return str(report)
+
+
+@singledispatch
+def outcome(report: object) -> ExitCode:
+    """Return the exit code that goes with a report."""
+    return ExitCode.DONE
+
+
+def failure(error: AzureswitchError) -> Failure:
+    """Return a failure as programs read it."""
+    return Failure(
+        error=error.code,
+        message=error.message,
+        ran=error.ran.value,
+        details=error,
+    )
+
+
+class OperatorCommand(Command, ABC):  # type: ignore[misc]
+    """One command: it makes a report, which is shown as a table or as JSON."""
+
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        option("json", description="Print JSON for programs."),
+        option("settings", "s", description="The settings file.", flag=False),
+        option("author", description="Who makes the change, for the audit trail.", flag=False),
+    ]
+
+    def __init__(self, *, connections: Connections) -> None:
+        self._connections = connections
+        super().__init__()
+
+    @property
+    def settings(self) -> OperatorSettings:
+        """The settings that the command line names."""
+        return read_settings(self.option("settings"))
+
+    @property
+    def author(self) -> str:
+        """Who makes a change."""
+        return str(self.option("author") or self.settings.author)
+
+    @property
+    def store(self) -> Store:
+        """The platform's object store."""
+        return self._connections.store(str(self.settings.store))
+
+    @property
+    def revisions(self) -> Revisions:
+        """The accepted configurations."""
+        return Revisions(store=self.store, patience=self._connections.patience)
+
+    @abstractmethod
+    async def report(self) -> object:
+        """Do what the command is for and return its report, a data class.
+
+        Raises:
+            AzureswitchError: It failed.
+        """
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        try:
+            report = run(self.report())
+        except AzureswitchError as error:
+            self._show_failure(error)
+            return exit_code(error)
+        self._show(json.encode(report).decode() if self.option("json") else text(report))
+        return outcome(report)
+
+    def _show(self, content: str) -> None:
+        # RAW keeps cleo from reading angle brackets in data as its own markup.
+        self.io.write_line(content, type=Type.RAW)
+
+    def _show_failure(self, error: AzureswitchError) -> None:
+        if self.option("json"):
+            self._show(json.encode(failure(error)).decode())
+        else:
+            self.io.write_error_line(failure_text(error), type=Type.RAW)
+
+
+@singledispatch
+def failure_text(error: AzureswitchError) -> str:
+    """Return a failure for people; types that need more than a sentence register their own."""
+    return f"{error.code}: {error.message}"
+
+
+@failure_text.register
+def _(error: ChangeOutcomeUnknownError) -> str:
+    again = f"--base {error.base} --change {error.change}"
+    return f"{error.code}: {error.message} Run the same command again with {again}."
--- a/src/azureswitch/exceptions.py
+++ b/src/azureswitch/exceptions.py
@@ -831,13 +831,15 @@
     Attributes:
         base: The revision that the change was made from.
         head: The revision in the store.
-        author: Who made the revision in the store.
+        author: Who made the revision that came first.
+        change: The id of that change.
     """
 
     code: ClassVar[str] = "revision_conflict"
     base: int
     head: int
     author: str
+    change: str = ""
 
     @property
     def message(self) -> str:
@@ -888,6 +890,7 @@
     code: ClassVar[str] = "change_outcome_unknown"
     ran: ClassVar[Ran] = Ran.UNKNOWN
     change: str
+    base: int | None = None
 
     @property
     def message(self) -> str:
@@ -948,6 +951,20 @@
     ran: ClassVar[Ran] = Ran.NOT_RUN
 
 
+@dataclass(kw_only=True, eq=False)
+class InvalidOptionError(CommandError):
+    """An option of the command line is missing or out of its range."""
+
+    code: ClassVar[str] = "option_invalid"
+    option: str
+    value: str
+    expected: str
+
+    @property
+    def message(self) -> str:
+        return f"--{self.option} is {self.value!r}; expected {self.expected}."
+
+
 @dataclass(kw_only=True, eq=False)
 class EntryUnreachableError(CommandError):
     """No entry host gave an answer that can be read.
@@ -985,3 +1002,60 @@
     @property
     def message(self) -> str:
         return f"The inventory holds no customer named {self.customer!r}."
+
+
+@dataclass(kw_only=True, eq=False)
+class ChangeReusedError(ChangeError):
+    """The id of a change belongs to an accepted change with another body.
+
+    Attributes:
+        change: The id.
+        revision: What that change was accepted as.
+    """
+
+    code: ClassVar[str] = "change_reused"
+    change: str
+    revision: int
+
+    @property
+    def message(self) -> str:
+        return f"Change {self.change} was accepted as revision {self.revision} with another body."
+
+
+@dataclass(kw_only=True, eq=False)
+class AuditError(AzureswitchError):
+    """The audit trail is not as it was written."""
+
+    code: ClassVar[str] = "audit_error"
+
+
+@dataclass(kw_only=True, eq=False)
+class AuditEntryInvalidError(AuditError):
+    """A stored object is not an audit entry.
+
+    Attributes:
+        name: The object's name.
+    """
+
+    code: ClassVar[str] = "audit_entry_invalid"
+    name: str
+
+    @property
+    def message(self) -> str:
+        return f"The audit entry {self.name!r} cannot be read."
+
+
+@dataclass(kw_only=True, eq=False)
+class AuditChainBrokenError(AuditError):
+    """An audit entry is missing or is not the one that was accepted.
+
+    Attributes:
+        revision: The first such entry, counted back from the head.
+    """
+
+    code: ClassVar[str] = "audit_chain_broken"
+    revision: int
+
+    @property
+    def message(self) -> str:
+        return f"The audit entry of revision {self.revision} is missing or was altered."
--- a/src/azureswitch/inventory/_codec.py
+++ b/src/azureswitch/inventory/_codec.py
@@ -10,8 +10,8 @@
 from azureswitch.exceptions import SnapshotTooLargeError, SnapshotUnreadableError
 from azureswitch.inventory._model import Inventory, Rules, Snapshot
 
-SNAPSHOT_LIMIT = 900_000
-"""Bytes of an encoded configuration; the rest of the store's megabyte is for its audit entry."""
+SNAPSHOT_LIMIT = 1_000_000
+"""Bytes of an encoded configuration, as the store permits."""
 
 EXPANDED_LIMIT = 16_000_000
 """Bytes that an encoded configuration may have before compression."""
--- a/src/azureswitch/settings/_kinds.py
+++ b/src/azureswitch/settings/_kinds.py
@@ -69,10 +69,10 @@
     if low == -inf and high == inf:
         return ""
     if high == inf:
-        return f" of at least {low:,g}"
+        return f" of at least {low:,.12g}"
     if low == -inf:
-        return f" of at most {high:,g}"
-    return f" from {low:,g} to {high:,g}"
+        return f" of at most {high:,.12g}"
+    return f" from {low:,.12g} to {high:,.12g}"
 
 
 def _check(value: float, low: float, high: float) -> None:
