--- /dev/null
+++ b/src/azureswitch/entry/__init__.py
@@ -0,0 +1,25 @@
+"""An entry host: callers on one side, engines and plain services on the other."""
+
+from azureswitch.entry._metrics import Metrics
+from azureswitch.entry._program import main
+from azureswitch.entry._server import EntryServer
+from azureswitch.entry._settings import (
+    ENTRY_TABLE,
+    EntrySettings,
+    Limits,
+    LogLevel,
+    read_settings,
+)
+from azureswitch.entry._wiring import EntryPorts
+
+__all__ = [
+    "ENTRY_TABLE",
+    "EntryPorts",
+    "EntryServer",
+    "EntrySettings",
+    "Limits",
+    "LogLevel",
+    "Metrics",
+    "main",
+    "read_settings",
+]
--- /dev/null
+++ b/src/azureswitch/entry/_attempts.py
@@ -0,0 +1,342 @@
+"""Carries out one attempt at a target and says how it ended."""
+
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+from absl import logging
+
+from azureswitch.core import Incarnation, TargetName
+from azureswitch.entry._events import cached_tokens
+from azureswitch.entry._ports import JobKeeper
+from azureswitch.entry._records import Attempt, ModelRecord, PlainRecord
+from azureswitch.entry._span import SpanMember, holding_ids, prepare_spans, span_members
+from azureswitch.entry._targets import Targets
+from azureswitch.entry._tasks import Tasks
+from azureswitch.exceptions import (
+    AzureswitchError,
+    TargetBrokenError,
+    TargetRefusedError,
+    TargetRejectedError,
+)
+from azureswitch.ports import Chunk, Engine, EngineRequest, PlainRequest
+from azureswitch.serving import (
+    AttemptEnd,
+    AttemptEnded,
+    FirstTokenArrived,
+    ServingEvent,
+    StartAttempt,
+    TokensArrived,
+)
+
+PROGRESS_PERIOD = 0.25
+"""Seconds between two reports of an attempt's progress."""
+
+CLEANUP_TRIES = 6
+"""How often memory at an engine is given back before the sweeper is left to it."""
+
+CLEANUP_PAUSE = 0.25
+"""Seconds before the second try; doubled for each further one."""
+
+CLEANUP_TIMEOUT = 3.0
+"""Seconds for one try."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _End:
+    """How an attempt ended."""
+
+    end: AttemptEnd
+    cached: int = 0
+    error: AzureswitchError | None = None
+
+    @property
+    def retry_after(self) -> float | None:
+        return self.error.retry_after if self.error else None
+
+
+def _failed(error: AzureswitchError) -> _End:
+    if isinstance(error, TargetRefusedError):
+        return _End(end=AttemptEnd.REFUSED, error=error)
+    if isinstance(error, TargetRejectedError) or not error.code.startswith("target_"):
+        return _End(end=AttemptEnd.REJECTED, error=error)
+    return _End(end=AttemptEnd.BROKEN, error=error)
+
+
+class Attempts:
+    """Runs attempts.
+
+    Args:
+        owner: The process that engines hold memory for.
+        targets: The ports of targets.
+        jobs: Lets any host find long work.
+        dispatch: Hands an event to the reducer.
+        clock: Returns seconds of the monotonic clock.
+        tasks: Runs work in the background.
+    """
+
+    def __init__(
+        self,
+        *,
+        owner: Incarnation,
+        targets: Targets,
+        jobs: JobKeeper,
+        dispatch: Callable[[ServingEvent], None],
+        clock: Callable[[], float],
+        tasks: Tasks,
+    ) -> None:
+        self._owner = owner
+        self._targets = targets
+        self._jobs = jobs
+        self._dispatch = dispatch
+        self._clock = clock
+        self._tasks = tasks
+
+    def start_model(self, record: ModelRecord, effect: StartAttempt) -> None:
+        """Start an attempt at engines."""
+        attempt = self._add(record, effect)
+        work = self._model(record, attempt, effect)
+        attempt.task = self._tasks.spawn(work, name=f"{record.call.id}/{attempt.number}")
+
+    def start_plain(self, record: PlainRecord, effect: StartAttempt) -> None:
+        """Start an attempt at a plain target."""
+        attempt = self._add(record, effect)
+        work = self._plain(record, attempt, effect)
+        attempt.task = self._tasks.spawn(work, name=f"{record.call.id}/{attempt.number}")
+
+    def cancel(self, record: ModelRecord | PlainRecord, number: int) -> None:
+        """Call an attempt off; from now on nothing more of it reaches the caller."""
+        attempt = record.attempts.get(number)
+        if attempt is None or attempt.cancelled:
+            return
+        attempt.cancelled = True
+        if attempt.task is None:
+            return
+        # A task that has not run yet never reaches its own end.
+        ended = _End(end=AttemptEnd.CANCELLED)
+        attempt.task.add_done_callback(lambda _: self._end(record, attempt, ended))
+        attempt.task.cancel()
+
+    def prioritize(self, record: ModelRecord, number: int, priority: int) -> None:
+        """Change the priority of an attempt."""
+        attempt = record.attempts.get(number)
+        engine = self._targets.engine(attempt.targets[-1]) if attempt else None
+        if engine is None:
+            return
+        work = engine.prioritize(call=record.call.id, attempt=number, priority=priority)
+        self._tasks.spawn(_quietly(work), name=f"{record.call.id}/{number} priority")
+
+    def _add(self, record: ModelRecord | PlainRecord, effect: StartAttempt) -> Attempt:
+        attempt = Attempt(number=effect.attempt, targets=effect.targets, offset=effect.resume_from)
+        record.attempts[effect.attempt] = attempt
+        return attempt
+
+    # --- Engines ----------------------------------------------------------------------------------
+
+    async def _model(self, record: ModelRecord, attempt: Attempt, effect: StartAttempt) -> None:
+        engines = tuple((name, self._targets.engine(name)) for name in attempt.targets)
+        known = tuple((name, engine) for name, engine in engines if engine is not None)
+        if len(known) < len(engines):
+            error = TargetRefusedError(target=attempt.targets[-1])
+            self._end(record, attempt, _failed(error))
+            return
+        request = EngineRequest(
+            call=record.call.id,
+            attempt=attempt.number,
+            owner=self._owner,
+            surface=record.payload.surface,
+            body=record.payload.body,
+            cache_scope=record.payload.cache_scope,
+            priority=effect.priority,
+            timeout=effect.timeout,
+            resume_from=effect.resume_from,
+        )
+        if len(known) == 1:
+            output = known[0][1].stream(request=request)
+            await self._run_model(record, attempt, engine=known[0][1], output=output)
+            return
+        await self._run_spans(record, attempt, engines=known, request=request)
+
+    async def _run_spans(
+        self,
+        record: ModelRecord,
+        attempt: Attempt,
+        *,
+        engines: tuple[tuple[TargetName, Engine], ...],
+        request: EngineRequest,
+    ) -> None:
+        members = span_members(
+            engines=engines,
+            request=request,
+            prompt_tokens=record.call.prompt_tokens,
+            output_tokens=record.call.output_tokens,
+        )
+        output = _spanned(members=members, request=request)
+        try:
+            await self._run_model(record, attempt, engine=engines[-1][1], output=output)
+        finally:
+            for member in members:
+                self._release(member, len(members))
+
+    async def _run_model(
+        self,
+        record: ModelRecord,
+        attempt: Attempt,
+        *,
+        engine: Engine,
+        output: AsyncIterator[Chunk],
+    ) -> None:
+        try:
+            end = await self._relay(record, attempt, output)
+        except asyncio.CancelledError:
+            end = _End(end=AttemptEnd.CANCELLED)
+        except AzureswitchError as error:
+            end = _failed(error)
+        except Exception:
+            logging.exception("entry: Attempt %d of %s failed.", attempt.number, record.call.id)
+            end = _failed(TargetBrokenError(target=attempt.targets[-1]))
+        await _close(output)
+        if end.end not in (AttemptEnd.COMPLETE, AttemptEnd.REFUSED):
+            self._cancel_at_engine(record, attempt, engine)
+        self._end(record, attempt, end)
+
+    async def _relay(
+        self, record: ModelRecord, attempt: Attempt, output: AsyncIterator[Chunk]
+    ) -> _End:
+        """Move output to the caller; each chunk costs one step, whatever it holds."""
+        answer = record.answer
+        number = attempt.number
+        first = True
+        report_at = 0.0
+        before = b""
+        async for chunk in output:
+            if attempt.cancelled or not answer.takes(attempt=number, offset=attempt.offset):
+                return _End(end=AttemptEnd.CANCELLED)
+            if first and chunk.tokens:
+                first = False
+                report_at = self._clock() + PROGRESS_PERIOD
+                self._first_token(record, number)
+            offset = attempt.offset
+            attempt.offset += chunk.tokens
+            if not await answer.put(attempt=number, offset=offset, chunk=chunk):
+                return _End(end=AttemptEnd.CANCELLED)
+            if chunk.last:
+                return _End(end=AttemptEnd.COMPLETE, cached=cached_tokens(before + chunk.data))
+            before = chunk.data
+            now = self._clock()
+            if now >= report_at and not first:
+                report_at = now + PROGRESS_PERIOD
+                self._progress(record, number, now)
+        error = TargetBrokenError(target=attempt.targets[-1], tokens=attempt.offset)
+        return _End(end=AttemptEnd.BROKEN, error=error)
+
+    def _first_token(self, record: ModelRecord, number: int) -> None:
+        event = FirstTokenArrived(now=self._clock(), call=record.call.id, attempt=number)
+        self._dispatch(event)
+
+    def _progress(self, record: ModelRecord, number: int, now: float) -> None:
+        tokens = record.answer.tokens
+        event = TokensArrived(now=now, call=record.call.id, attempt=number, tokens=tokens)
+        self._dispatch(event)
+        if record.durable:
+            work = self._jobs.progress(call=record.call.id, tokens=tokens)
+            self._tasks.spawn(work, name=f"{record.call.id} progress")
+
+    def _cancel_at_engine(self, record: ModelRecord, attempt: Attempt, engine: Engine) -> None:
+        async def cancel() -> None:
+            await engine.cancel(call=record.call.id, attempt=attempt.number)
+
+        name = f"{record.call.id}/{attempt.number} cancel"
+        self._tasks.spawn(_persistently(cancel), name=name)
+
+    def _release(self, member: SpanMember, count: int) -> None:
+        async def release() -> None:
+            for holding in holding_ids(member, count):
+                await member.engine.release(holding=holding)
+
+        name = f"{member.holding.id} release"
+        self._tasks.spawn(_persistently(release), name=name)
+
+    # --- Plain targets ----------------------------------------------------------------------------
+
+    async def _plain(self, record: PlainRecord, attempt: Attempt, effect: StartAttempt) -> None:
+        try:
+            end = await self._send(record, attempt, effect)
+        except asyncio.CancelledError:
+            end = _End(end=AttemptEnd.CANCELLED)
+        except AzureswitchError as error:
+            end = _failed(error)
+        except Exception:
+            logging.exception("entry: Attempt %d of %s failed.", attempt.number, record.call.id)
+            end = _failed(TargetBrokenError(target=attempt.targets[0]))
+        self._end(record, attempt, end)
+
+    async def _send(self, record: PlainRecord, attempt: Attempt, effect: StartAttempt) -> _End:
+        name = attempt.targets[0]
+        target = self._targets.plain(name)
+        if target is None:
+            raise TargetRefusedError(target=name)
+        payload = record.payload
+        request = PlainRequest(
+            call=record.call.id,
+            method=payload.method,
+            path=payload.path,
+            headers=payload.headers,
+            body=payload.body,
+            idempotency_key=record.call.idempotency_key,
+            timeout=effect.timeout,
+        )
+        answer = await target.send(request=request)
+        if attempt.cancelled or not record.answer.put(attempt=attempt.number, answer=answer):
+            return _End(end=AttemptEnd.CANCELLED)
+        return _End(end=AttemptEnd.COMPLETE)
+
+    def _end(self, record: ModelRecord | PlainRecord, attempt: Attempt, end: _End) -> None:
+        if record.attempts.pop(attempt.number, None) is None:
+            return
+        record.answer.release(attempt=attempt.number)
+        event = AttemptEnded(
+            now=self._clock(),
+            call=record.call.id,
+            attempt=attempt.number,
+            end=end.end,
+            tokens=record.answer.tokens,
+            cached_tokens=end.cached,
+            retry_after=end.retry_after,
+            error=end.error,
+        )
+        self._dispatch(event)
+
+
+async def _spanned(
+    *, members: tuple[SpanMember, ...], request: EngineRequest
+) -> AsyncIterator[Chunk]:
+    await prepare_spans(members=members, request=request)
+    async for chunk in members[-1].engine.stream(request=request):
+        yield chunk
+
+
+async def _close(output: AsyncIterator[Chunk]) -> None:
+    """Close the connection behind a stream that was not read to its end."""
+    if isinstance(output, AsyncGenerator):
+        await output.aclose()
+
+
+async def _quietly(work: Awaitable[None]) -> None:
+    try:
+        await work
+    except AzureswitchError as error:
+        logging.debug("entry: %s", error)
+
+
+async def _persistently(work: Callable[[], Awaitable[None]]) -> None:
+    """Give memory back at an engine, again after failures."""
+    for trial in range(CLEANUP_TRIES):
+        try:
+            async with asyncio.timeout(CLEANUP_TIMEOUT):
+                await work()
+        except (AzureswitchError, TimeoutError):
+            await asyncio.sleep(CLEANUP_PAUSE * 2**trial)
+        else:
+            return
+    logging.warning("entry: An engine did not answer while memory was given back.")
--- /dev/null
+++ b/src/azureswitch/entry/_errors.py
@@ -0,0 +1,75 @@
+"""Failures in the shape that standard client libraries read."""
+
+from math import ceil
+
+from blacksheep import Content, Response
+from msgspec import Struct
+from msgspec.json import encode
+
+from azureswitch.core import CallId
+from azureswitch.exceptions import (
+    AzureswitchError,
+    Ran,
+    RefusedError,
+    RequestError,
+    ServingError,
+)
+
+_FAMILIES = (RequestError, RefusedError, ServingError, AzureswitchError)
+
+
+class ErrorDetail(Struct, kw_only=True):
+    """The fields of one failure.
+
+    Attributes:
+        message: One short sentence for people.
+        type: The family of the failure.
+        code: Its stable name.
+        ran: Whether the request ran: ``not_run``, ``ran`` or ``unknown``.
+        param: Always null; client libraries expect it.
+    """
+
+    message: str
+    type: str
+    code: str
+    ran: str
+    param: None = None
+
+
+class ErrorBody(Struct, kw_only=True):
+    """The body of an answer that is a failure."""
+
+    error: ErrorDetail
+
+
+def error_body(error: AzureswitchError) -> bytes:
+    """Return a failure as JSON."""
+    family = next(family for family in _FAMILIES if isinstance(error, family))
+    detail = ErrorDetail(
+        message=error.message, type=family.code, code=error.code, ran=error.ran.value
+    )
+    return encode(ErrorBody(error=detail))
+
+
+def error_event(error: AzureswitchError) -> bytes:
+    """Return a failure as the last server-sent event of a stream that did not become whole."""
+    return b"data: " + error_body(error) + b"\n\n"
+
+
+def error_response(error: AzureswitchError, *, call: CallId) -> Response:
+    """Return a failure as a whole answer.
+
+    Args:
+        error: The failure.
+        call: The request's id.
+
+    Returns:
+        The answer, with ``Retry-After`` where a new try may succeed.
+    """
+    headers = [(b"x-request-id", call.encode())]
+    if error.retry_after is not None:
+        headers.append((b"retry-after", str(max(1, ceil(error.retry_after))).encode()))
+    elif error.ran is not Ran.NOT_RUN:
+        # Client libraries repeat on most 5xx by themselves; this one may have run.
+        headers.append((b"x-should-retry", b"false"))
+    return Response(int(error.status), headers, Content(b"application/json", error_body(error)))
--- /dev/null
+++ b/src/azureswitch/entry/_handlers.py
@@ -0,0 +1,52 @@
+"""Handlers of routes, each of which answers under a request id and types its failures."""
+
+from collections.abc import Awaitable, Callable
+from uuid import uuid4
+
+from absl import logging
+from blacksheep import Request, Response
+
+from azureswitch.core import CallId
+from azureswitch.entry._errors import error_response
+from azureswitch.exceptions import AzureswitchError
+
+Handler = Callable[[Request], Awaitable[Response]]
+Answerer = Callable[[Request, CallId], Awaitable[Response]]
+
+
+def new_call_id(prefix: str) -> CallId:
+    """Return a request id that nobody can guess."""
+    return CallId(f"{prefix}-{uuid4().hex}")
+
+
+def typed(prefix: str, answer: Answerer) -> Handler:
+    """Return a handler that gives every failure its typed answer.
+
+    Args:
+        prefix: What the request's id begins with.
+        answer: Answers a request under an id.
+    """
+
+    async def handle(request: Request) -> Response:
+        call = new_call_id(prefix)
+        try:
+            return await answer(request, call)
+        except AzureswitchError as error:
+            response = error_response(error, call=call)
+        except Exception:
+            logging.exception("entry: Request %s failed.", call)
+            response = error_response(AzureswitchError(), call=call)
+        # What is left of the body is not read.
+        response.add_header(b"connection", b"close")
+        return response
+
+    return handle
+
+
+def untyped(answer: Handler) -> Handler:
+    """Return a handler made of a bound method, which the router cannot mark."""
+
+    async def handle(request: Request) -> Response:
+        return await answer(request)
+
+    return handle
--- /dev/null
+++ b/src/azureswitch/entry/_jobs.py
@@ -0,0 +1,317 @@
+"""Long work as jobs: submit, ask how it stands, and read its stream at any host."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable
+from dataclasses import dataclass, replace
+
+from blacksheep import Application, Content, Request, Response
+from msgspec import Raw, Struct
+from msgspec.json import encode
+
+from azureswitch.coordination.journal import JobRecord, Journal
+from azureswitch.coordination.membership import Member
+from azureswitch.core import CallId, CustomerName
+from azureswitch.entry._answers import Recording
+from azureswitch.entry._api import CallerApi, event_stream
+from azureswitch.entry._bodies import is_chat, read_completion
+from azureswitch.entry._errors import error_body, error_event, error_response
+from azureswitch.entry._events import whole_answer
+from azureswitch.entry._handlers import typed
+from azureswitch.entry._jobtable import Job, JobPart, JobPull, JobTable
+from azureswitch.entry._records import ModelRecord
+from azureswitch.entry._requests import header, receiver, request_timeout, stream_offset, wait_gone
+from azureswitch.entry._settings import Limits
+from azureswitch.entry._shell import Shell
+from azureswitch.entry._tasks import Tasks
+from azureswitch.exceptions import (
+    AzureswitchError,
+    LongWorkLostError,
+    PeerError,
+    UnknownCallError,
+)
+from azureswitch.ports import Peers, Surface
+
+PULL_TIMEOUT = 3.0
+"""Seconds that another host has to answer a pull."""
+
+
+KEPT_TIMEOUT = 2.0
+"""Seconds within which a job that is over can be read whole without its host."""
+
+
+FIND_TRIES = 4
+"""How often a job is looked for that neither a host nor its engine has."""
+
+FIND_PAUSE = 0.5
+"""Seconds before the second look; twice and three times that before the next."""
+
+
+class JobBody(Struct, kw_only=True):
+    """How a job stands.
+
+    Attributes:
+        id: The job's id.
+        status: ``running``, ``done`` or ``failed``.
+        tokens: Output tokens so far.
+        answer: The whole answer of a job that is done.
+        error: The failure of a job that failed.
+    """
+
+    id: str
+    status: str
+    tokens: int
+    object: str = "job"
+    answer: Raw | None = None
+    error: Raw | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Found:
+    """Where a job was found.
+
+    Attributes:
+        id: The job's id.
+        call: The request.
+        customer: Who sent it.
+        record: What the journal knows of it, or None for a job of this host without a record.
+    """
+
+    id: str
+    call: CallId
+    customer: CustomerName
+    record: JobRecord | None
+
+
+class JobApi:
+    """Answers callers with long work.
+
+    Args:
+        api: Reads requests.
+        shell: Runs them.
+        journal: Finds long work.
+        table: The jobs of this host.
+        peers: Other hosts.
+        members: Returns the members known now.
+        limits: What one caller may ask.
+    """
+
+    def __init__(
+        self,
+        *,
+        api: CallerApi,
+        shell: Shell,
+        journal: Journal,
+        table: JobTable,
+        peers: Peers,
+        members: Callable[[], Iterable[Member]],
+        limits: Limits,
+    ) -> None:
+        self._api = api
+        self._shell = shell
+        self._journal = journal
+        self._table = table
+        self._peers = peers
+        self._members = members
+        self._limits = limits
+        self._tasks = Tasks(prefix="entry")
+
+    def install(self, app: Application) -> None:
+        """Add the routes."""
+        app.router.add_post("/v1/jobs", typed("job", self._submit))
+        app.router.add_get("/v1/jobs/:id", typed("jobs", self._show))
+        app.router.add_get("/v1/jobs/:id/stream", typed("jobs", self._stream))
+
+    async def stop(self) -> None:
+        """End the background work."""
+        await self._tasks.stop()
+
+    # --- Submitting -------------------------------------------------------------------------------
+
+    async def _submit(self, request: Request, call: CallId) -> Response:
+        customer = self._api.admit(request)
+        timeout = request_timeout(request)
+        body = await self._api.body(request)
+        surface = Surface.CHAT if is_chat(body) else Surface.COMPLETION
+        output = Recording(limit=self._limits.answer_bytes)
+        record = self._api.model_record(
+            call=call,
+            customer=customer.name,
+            surface=surface,
+            body=body,
+            completion=read_completion(body, surface, scope=str(customer.name)),
+            timeout=timeout or self._shell.directory.rules.long_deadline,
+            answer=output,
+        )
+        record.durable = True
+        self._table.add(Job(call=call, customer=customer.name, output=output))
+        self._shell.submit(record)
+        self._watch(request, record)
+        await record.placed.wait()
+        if record.job is None and output.over and output.error is not None:
+            self._table.remove(call)
+            return error_response(output.error, call=call)
+        body = encode(JobBody(id=record.job or call, status="running", tokens=output.tokens))
+        return _json(body, call=call, status=202)
+
+    def _watch(self, request: Request, record: ModelRecord) -> None:
+        """Give a job up whose caller leaves before it was told the job's id."""
+        receive = receiver(request)
+
+        async def watch() -> None:
+            await wait_gone(receive)
+            if not record.placed.is_set():
+                self._shell.leave(record.call.id)
+
+        self._tasks.spawn(watch(), name=f"{record.call.id} watch")
+
+    # --- Asking -----------------------------------------------------------------------------------
+
+    async def _show(self, request: Request, call: CallId) -> Response:
+        found = await self._find(request)
+        part = await self._read(found)
+        body = JobBody(id=found.id, status="running", tokens=part.total)
+        if part.error:
+            body.status = "failed"
+            body.error = Raw(part.error)
+        elif part.over:
+            body.status = "done"
+            body.answer = Raw(whole_answer(part.data, _surface(found.call, part.data)))
+        return _json(encode(body), call=call)
+
+    async def _read(self, found: _Found) -> JobPart:
+        """Return everything that a job has given so far."""
+        pulled = [part async for part in self._pull(found, offset=0, follow=False)]
+        if pulled and pulled[-1].found:
+            last = pulled[-1]
+            data = b"".join(part.data for part in pulled)
+            return JobPart(
+                found=True, data=data, total=last.total, over=last.over, error=last.error
+            )
+        return await self._read_kept(found)
+
+    async def _read_kept(self, found: _Found) -> JobPart:
+        assert found.record is not None
+        pieces = []
+        tokens = 0
+        try:
+            async with asyncio.timeout(KEPT_TIMEOUT):
+                async for chunk in self._journal.output(record=found.record, offset=0):
+                    pieces.append(chunk.data)
+                    tokens += chunk.tokens
+        except TimeoutError:
+            return JobPart(found=True, total=tokens)
+        except AzureswitchError as error:
+            return JobPart(found=True, total=tokens, over=True, error=error_body(error))
+        return JobPart(found=True, data=b"".join(pieces), total=tokens, over=True)
+
+    # --- Reading ----------------------------------------------------------------------------------
+
+    async def _stream(self, request: Request, call: CallId) -> Response:
+        offset = stream_offset(request)
+        found = await self._find(request)
+        events = self._events(found, offset)
+        first = await anext(events, b"")
+
+        async def output() -> AsyncIterator[bytes]:
+            if first:
+                yield first
+            async for data in events:
+                yield data
+
+        return event_stream(output, call=found.call, job=found.id)
+
+    async def _events(self, found: _Found, offset: int) -> AsyncIterator[bytes]:
+        """Yield a job's events from an offset on, wherever it is now.
+
+        Raises:
+            AzureswitchError: Nothing of it can be had any more.
+        """
+        at = offset
+        for trial in range(FIND_TRIES):
+            try:
+                async for part in self._parts(found, at):
+                    at += part.tokens
+                    yield part.data
+                return
+            except AzureswitchError as error:
+                lost = error
+            if not isinstance(lost, LongWorkLostError):
+                break
+            # Its host may have died just now, and the one that takes over not yet have begun.
+            await asyncio.sleep(FIND_PAUSE * (trial + 1))
+            found = await self._again(found)
+        if at == offset:
+            raise lost
+        yield error_event(lost)
+
+    async def _parts(self, found: _Found, offset: int) -> AsyncIterator[JobPart]:
+        async for part in self._pull(found, offset=offset, follow=True):
+            offset += part.tokens
+            if part.data:
+                yield part
+            if part.over:
+                if part.error:
+                    yield JobPart(found=True, data=b"data: " + part.error + b"\n\n")
+                return
+        if found.record is None:
+            raise UnknownCallError(call=found.id)
+        async for chunk in self._journal.output(record=found.record, offset=offset):
+            yield JobPart(found=True, data=chunk.data, tokens=chunk.tokens)
+
+    async def _again(self, found: _Found) -> _Found:
+        record = await self._journal.find(job=found.id, customer=found.customer)
+        return replace(found, record=record or found.record)
+
+    async def _pull(self, found: _Found, *, offset: int, follow: bool) -> AsyncIterator[JobPart]:
+        """Yield the parts that the job's host has; none where it does not answer.
+
+        Args:
+            found: The job.
+            offset: The token offset to begin at.
+            follow: Whether to go on until the job is over.
+        """
+        while True:
+            ask = JobPull(call=found.call, customer=found.customer, offset=offset, follow=follow)
+            part = await self._ask(found, ask)
+            if part is None or not part.found:
+                return
+            offset += part.tokens
+            yield part
+            if part.over or not (follow or offset < part.total):
+                return
+
+    async def _ask(self, found: _Found, ask: JobPull) -> JobPart | None:
+        if self._table.find(call=found.call, customer=found.customer) is not None:
+            return await self._table.pull(ask)
+        owners = [
+            member.address
+            for member in self._members()
+            if found.record is not None and member.incarnation == found.record.owner
+        ]
+        for address in owners:
+            try:
+                return await self._peers.call(
+                    address=address, request=ask, reply=JobPart, timeout=PULL_TIMEOUT
+                )
+            except PeerError:
+                return None
+        return None
+
+    async def _find(self, request: Request) -> _Found:
+        customer = self._shell.directory.customer(header(request, b"authorization"))
+        job = request.route_values["id"] or ""
+        record = await self._journal.find(job=job, customer=customer.name)
+        if record is not None:
+            return _Found(id=job, call=record.call, customer=customer.name, record=record)
+        if self._table.find(call=CallId(job), customer=customer.name) is not None:
+            return _Found(id=job, call=CallId(job), customer=customer.name, record=None)
+        raise UnknownCallError(call=job)
+
+
+def _surface(call: CallId, data: bytes) -> Surface:
+    return Surface.CHAT if b'"chat.completion.chunk"' in data[:512] else Surface.COMPLETION
+
+
+def _json(body: bytes, *, call: CallId, status: int = 200) -> Response:
+    headers = [(b"x-request-id", call.encode())]
+    return Response(status, headers, Content(b"application/json", body))
--- /dev/null
+++ b/src/azureswitch/entry/_metrics.py
@@ -0,0 +1,75 @@
+"""Metrics of an entry host."""
+
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from azureswitch.serving import Observation, Observe
+
+LENGTH_BUCKETS = ((4_000, "1k"), (32_000, "10k"), (320_000, "100k"))
+"""Prompt tokens below which a request belongs to a bucket; the rest is ``1m``."""
+
+FIRST_TOKEN_BOUNDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 10.0, 60.0, 600.0]
+"""Upper bounds of the buckets for the time to first token, in seconds."""
+
+SLOWDOWN_BOUNDS = [1.0, 1.05, 1.1, 1.15, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0]
+"""Upper bounds of the buckets for slowdown, as ratios."""
+
+_MEASURES = {
+    Observation.FIRST_TOKEN: (FIRST_TOKEN_BOUNDS, "Seconds to the first token."),
+    Observation.SLOWDOWN: (SLOWDOWN_BOUNDS, "Time to first token over that on an idle fleet."),
+}
+
+
+def length_bucket(prompt_tokens: int) -> str:
+    """Return the label of a prompt's length."""
+    for limit, label in LENGTH_BUCKETS:
+        if prompt_tokens < limit:
+            return label
+    return "1m"
+
+
+class Metrics:
+    """Counts and measures, and their text form."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._counters: dict[Observation, Counter] = {}
+        self._histograms: dict[Observation, Histogram] = {}
+        for what in Observation:
+            if what in _MEASURES:
+                self._add_histogram(what)
+            else:
+                self._add_counter(what)
+        self._gauges: dict[str, tuple[Gauge, Callable[[], float]]] = {}
+
+    def observe(self, effect: Observe) -> None:
+        """Record one observation."""
+        labels = {"length": length_bucket(effect.prompt_tokens)}
+        if effect.what in _MEASURES:
+            self._histograms[effect.what].observe(labels, effect.value)
+            return
+        labels["customer"] = str(effect.customer)
+        self._counters[effect.what].add(labels, effect.value)
+
+    def watch(self, *, name: str, help: str, value: Callable[[], float]) -> None:
+        """Show a value that is read whenever the metrics are."""
+        gauge = Gauge(f"azureswitch_{name}", help, registry=self._registry)
+        self._gauges[name] = (gauge, value)
+
+    def text(self, accepts: tuple[str, ...] = ()) -> tuple[bytes, dict[str, str]]:
+        """Return all metrics and the headers that say their format."""
+        for gauge, value in self._gauges.values():
+            gauge.set({}, value())
+        return render(self._registry, list(accepts))  # type: ignore[no-any-return]
+
+    def _add_counter(self, what: Observation) -> None:
+        name = f"azureswitch_{what.value}_total"
+        help = f"Requests that were {what.value}, by customer and prompt length."
+        self._counters[what] = Counter(name, help, registry=self._registry)
+
+    def _add_histogram(self, what: Observation) -> None:
+        bounds, help = _MEASURES[what]
+        self._histograms[what] = Histogram(
+            f"azureswitch_{what.value}", help, buckets=bounds, registry=self._registry
+        )
--- /dev/null
+++ b/src/azureswitch/entry/_ops.py
@@ -0,0 +1,137 @@
+"""The interface for operators: health, status and metrics."""
+
+from collections.abc import Callable, Iterable
+
+from blacksheep import Application, Content, Request, Response
+from msgspec import Struct
+from msgspec.json import encode
+
+from azureswitch.coordination.membership import Member
+from azureswitch.core import HostName, PlaceName
+from azureswitch.entry._handlers import untyped
+from azureswitch.entry._metrics import Metrics
+from azureswitch.entry._shell import Shell
+
+
+class HealthBody(Struct, kw_only=True):
+    """Whether a host is alive or ready, and if not, why."""
+
+    ok: bool
+    reason: str = ""
+
+
+class MemberBody(Struct, kw_only=True):
+    """One host as this one knows it."""
+
+    host: str
+    started: int
+    place: str
+    address: str
+    status: str
+    revision: int
+
+
+class StatusBody(Struct, kw_only=True):
+    """What a host knows.
+
+    Attributes:
+        host: The host.
+        place: Its failure domain.
+        revision: The revision in force on it; zero for none.
+        leaving: Whether it takes no new work.
+        open_calls: Requests that have not ended.
+        members: All hosts that it knows, itself included.
+        engines: The engines in force on it.
+    """
+
+    host: HostName
+    place: PlaceName
+    revision: int
+    leaving: bool
+    open_calls: int
+    members: list[MemberBody]
+    engines: list[str]
+
+
+class OperatorApi:
+    """Answers operators, the balancer and the collector of metrics.
+
+    Args:
+        host: This host.
+        place: Its failure domain.
+        shell: Runs requests.
+        metrics: The metrics.
+        members: Returns the members known now.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostName,
+        place: PlaceName,
+        shell: Shell,
+        metrics: Metrics,
+        members: Callable[[], Iterable[Member]],
+    ) -> None:
+        self._host = host
+        self._place = place
+        self._shell = shell
+        self._metrics = metrics
+        self._members = members
+
+    def install_health(self, app: Application) -> None:
+        """Add the routes that a balancer asks."""
+        app.router.add_get("/livez", untyped(self._alive))
+        app.router.add_get("/readyz", untyped(self._ready))
+
+    def install(self, app: Application) -> None:
+        """Add all routes."""
+        self.install_health(app)
+        app.router.add_get("/metrics", untyped(self._show_metrics))
+        app.router.add_get("/status", untyped(self._show_status))
+
+    @property
+    def _unready(self) -> str:
+        if self._shell.leaving:
+            return "leaving"
+        return "" if self._shell.directory.revision else "not_configured"
+
+    async def _alive(self, request: Request) -> Response:
+        return _json(HealthBody(ok=True))
+
+    async def _ready(self, request: Request) -> Response:
+        reason = self._unready
+        return _json(HealthBody(ok=not reason, reason=reason), status=503 if reason else 200)
+
+    async def _show_metrics(self, request: Request) -> Response:
+        accepts = tuple(value.decode("latin-1") for value in request.get_headers(b"accept"))
+        body, headers = self._metrics.text(accepts)
+        return Response(200, None, Content(headers["Content-Type"].encode(), body))
+
+    async def _show_status(self, request: Request) -> Response:
+        shell = self._shell
+        body = StatusBody(
+            host=self._host,
+            place=self._place,
+            revision=shell.directory.revision,
+            leaving=shell.leaving,
+            open_calls=shell.open_calls,
+            members=[_member(member) for member in self._members()],
+            engines=sorted(shell.targets.engines),
+        )
+        return _json(body)
+
+
+def _member(member: Member) -> MemberBody:
+    return MemberBody(
+        host=member.incarnation.host,
+        started=member.incarnation.started,
+        place=member.place,
+        address=member.address,
+        status=member.status.value,
+        revision=member.revision,
+    )
+
+
+def _json(body: Struct, *, status: int = 200) -> Response:
+    return Response(status, None, Content(b"application/json", encode(body)))
--- /dev/null
+++ b/src/azureswitch/entry/_ports.py
@@ -0,0 +1,49 @@
+"""What the shell needs of the parts around it."""
+
+from typing import Protocol
+
+from azureswitch.core import CallId, CustomerName, TargetName
+from azureswitch.ports import PlainAnswer
+from azureswitch.serving import Call, ClaimOutcome, Digest
+
+
+class ClaimKeeper(Protocol):
+    """Claims non-idempotent calls before they are sent."""
+
+    async def claim(
+        self, *, customer: CustomerName, key: str, fingerprint: str, call: CallId, deadline: float
+    ) -> PlainAnswer | None:
+        """Claim a call.
+
+        Returns:
+            None where this host may send the call, once; else the recorded answer of the first
+            call with this key.
+
+        Raises:
+            AzureswitchError: The call must not be sent; the error is the caller's answer.
+        """
+
+    async def settle(
+        self, *, call: CallId, outcome: ClaimOutcome, answer: PlainAnswer | None
+    ) -> None:
+        """Record what became of a claimed call."""
+
+
+class JobKeeper(Protocol):
+    """Lets any host find long work."""
+
+    async def record(self, *, call: Call, target: TargetName, attempt: int) -> str | None:
+        """Note that an attempt was sent to its engine and return the job id, if there is one."""
+
+    async def progress(self, *, call: CallId, tokens: int) -> None:
+        """Note how many output tokens there are."""
+
+    async def close(self, *, call: CallId) -> None:
+        """Note that the request ended."""
+
+
+class DigestSink(Protocol):
+    """Sends this host's digest to its peers."""
+
+    def __call__(self, digest: Digest) -> None:
+        """Send a digest that may be lost."""
--- /dev/null
+++ b/src/azureswitch/entry/_server.py
@@ -0,0 +1,160 @@
+"""An entry host that can be embedded."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from random import SystemRandom
+
+from absl import logging
+from blacksheep import Application, Router
+
+from azureswitch.entry._api import CallerApi
+from azureswitch.entry._http import HttpServer
+from azureswitch.entry._jobs import JobApi
+from azureswitch.entry._ops import OperatorApi
+from azureswitch.entry._settings import EntrySettings
+from azureswitch.entry._shell import Shell
+from azureswitch.entry._tasks import Tasks
+from azureswitch.entry._wiring import EntryPorts, Parts, http_ports
+from azureswitch.peers import PeerNetwork
+from azureswitch.settings import Address
+
+SETTLE_TIMEOUT = 30.0
+"""Seconds that a leaving host waits for the store to take the outcomes of its last calls."""
+
+
+class EntryServer:
+    """One entry host.
+
+    Args:
+        settings: The settings.
+        ports: Everything outside, or None for the real ones that the settings name.
+        seed: Seeds every random choice, or None for one that differs on every start.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        ports: EntryPorts | None = None,
+        seed: int | None = None,
+    ) -> None:
+        self._settings = settings
+        self._ports = ports
+        self._seed = SystemRandom().getrandbits(32) if seed is None else seed
+        self._network: PeerNetwork | None = None
+        self._parts: Parts | None = None
+        self._api: CallerApi | None = None
+        self._jobs: JobApi | None = None
+        self._callers: HttpServer | None = None
+        self._operations: HttpServer | None = None
+        self._tasks = Tasks(prefix="entry")
+
+    @property
+    def address(self) -> Address:
+        """Where it listens for callers."""
+        return self._callers.address if self._callers else self._settings.callers
+
+    @property
+    def operations_address(self) -> Address:
+        """Where it serves health, status and metrics."""
+        return self._operations.address if self._operations else self._settings.operations
+
+    @property
+    def parts(self) -> Parts:
+        """The parts; only after `start`."""
+        assert self._parts is not None
+        return self._parts
+
+    @property
+    def shell(self) -> Shell:
+        """Runs requests; only after `start`."""
+        return self.parts.shell
+
+    async def start(self) -> None:
+        """Listen and take part in the fleet.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        ports = self._ports or await self._real_ports()
+        self._parts = Parts(settings=self._settings, ports=ports, seed=self._seed)
+        for name, loop in self._parts.loops.items():
+            self._tasks.spawn(loop(), name=name)
+        limits = self._settings.limits
+        self._api = CallerApi(shell=self.shell, limits=limits)
+        self._jobs = JobApi(
+            api=self._api,
+            shell=self.shell,
+            journal=self._parts.journal,
+            table=self._parts.jobs,
+            peers=self._parts.peers,
+            members=lambda: self.parts.membership.members,
+            limits=limits,
+        )
+        operators = OperatorApi(
+            host=self._settings.host,
+            place=self._settings.place,
+            shell=self.shell,
+            metrics=self._parts.metrics,
+            members=lambda: self.parts.membership.members,
+        )
+        callers = await _application(
+            self._api.install, self._jobs.install, operators.install_health
+        )
+        operations = await _application(operators.install)
+        self._callers = HttpServer(app=callers, address=self._settings.callers, limits=limits)
+        self._operations = HttpServer(
+            app=operations, address=self._settings.operations, limits=limits
+        )
+        await self._callers.start()
+        await self._operations.start()
+        logging.info("entry: Host %s listens on %s.", self._settings.host, self.address)
+
+    async def stop(self, *, graceful: bool = True) -> None:
+        """Stop.
+
+        Args:
+            graceful: Whether to let everything that runs end first: readiness fails, new work is
+                refused, other hosts are told, and only then does the host stop listening.
+        """
+        if self._parts is None:
+            return
+        if graceful:
+            await self._drain(self._parts)
+        for server in (self._callers, self._operations):
+            if server is not None:
+                await server.stop(graceful=graceful)
+        if self._api is not None:
+            await self._api.stop()
+        if self._jobs is not None:
+            await self._jobs.stop()
+        await self._parts.stop()
+        await self._tasks.stop()
+        if self._network is not None:
+            await self._network.close()
+        logging.info("entry: Host %s has stopped.", self._settings.host)
+
+    async def _drain(self, parts: Parts) -> None:
+        logging.info("entry: Host %s is leaving.", self._settings.host)
+        parts.shell.begin_shutdown()
+        leaving = asyncio.ensure_future(parts.membership.leave())
+        await asyncio.sleep(self._settings.drain_notice)
+        await parts.shell.drained()
+        with suppress(Exception):
+            await leaving
+        if not await parts.claims.drain(timeout=SETTLE_TIMEOUT):
+            logging.warning("entry: Outcomes of calls did not reach the store.")
+
+    async def _real_ports(self) -> EntryPorts:
+        self._network = PeerNetwork(address=str(self._settings.peers))
+        await self._network.start()
+        return http_ports(self._settings, self._network)
+
+
+async def _application(*installers: Callable[[Application], None]) -> Application:
+    app = Application(router=Router())
+    for install in installers:
+        install(app)
+    await app.start()  # type: ignore[no-untyped-call]
+    return app
--- /dev/null
+++ b/src/azureswitch/entry/_shell.py
@@ -0,0 +1,322 @@
+"""The shell around the serving reducer: hands it events and carries out its effects."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from functools import singledispatchmethod
+from time import monotonic
+
+from absl import logging
+
+from azureswitch.core import CallId, Effect, Incarnation
+from azureswitch.entry._answers import Answer, Relay
+from azureswitch.entry._attempts import Attempts
+from azureswitch.entry._directory import Directory
+from azureswitch.entry._metrics import Metrics
+from azureswitch.entry._ports import ClaimKeeper, DigestSink, JobKeeper
+from azureswitch.entry._records import ModelRecord, PlainRecord, Record
+from azureswitch.entry._settings import Limits
+from azureswitch.entry._targets import Targets
+from azureswitch.entry._tasks import Tasks
+from azureswitch.exceptions import AzureswitchError, CallerLeftError, ClaimUnavailableError
+from azureswitch.inventory import Snapshot
+from azureswitch.ports import PlainAnswer
+from azureswitch.serving import (
+    TICK,
+    CallArrived,
+    CallerLeft,
+    CancelAttempt,
+    ClaimCall,
+    ClaimDenied,
+    ClaimGranted,
+    ClaimReplayed,
+    FinishCall,
+    HostSelf,
+    Observe,
+    PrioritizeAttempt,
+    PublishDigest,
+    ServingEvent,
+    ServingState,
+    SettleClaim,
+    ShutdownBegan,
+    SnapshotAdopted,
+    StartAttempt,
+    Ticked,
+    reduce,
+)
+
+STALL_CHECK_PERIOD = 1.0
+"""Seconds between two looks for callers that do not read."""
+
+
+class Shell:
+    """Runs the serving reducer of one host.
+
+    Args:
+        myself: This host.
+        seed: Seeds the reducer's random choices.
+        targets: The ports of targets.
+        claims: Claims non-idempotent calls.
+        jobs: Lets any host find long work.
+        publish: Sends digests to the peers.
+        metrics: Records observations.
+        limits: What one caller may ask.
+        clock: Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        myself: HostSelf,
+        seed: int,
+        targets: Targets,
+        claims: ClaimKeeper,
+        jobs: JobKeeper,
+        publish: DigestSink,
+        metrics: Metrics,
+        limits: Limits,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._state = ServingState(myself=myself, seed=seed)
+        self._targets = targets
+        self._claims = claims
+        self._jobs = jobs
+        self._publish = publish
+        self._metrics = metrics
+        self._limits = limits
+        self._clock = clock
+        self._directory = Directory(snapshot=None)
+        self._records: dict[CallId, Record] = {}
+        self._tasks = Tasks(prefix="entry")
+        self._attempts = Attempts(
+            owner=Incarnation(host=myself.name, started=myself.started),
+            targets=targets,
+            jobs=jobs,
+            dispatch=self.dispatch,
+            clock=clock,
+            tasks=self._tasks,
+        )
+        self._events: deque[ServingEvent] = deque()
+        self._busy = False
+        self._leaving = False
+        self._stall_check_at = 0.0
+
+    @property
+    def directory(self) -> Directory:
+        """The configuration in force."""
+        return self._directory
+
+    @property
+    def targets(self) -> Targets:
+        """The ports of targets."""
+        return self._targets
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this host takes no new work."""
+        return self._leaving
+
+    @property
+    def open_calls(self) -> int:
+        """Requests that have not ended."""
+        return len(self._records)
+
+    @property
+    def now(self) -> float:
+        """Seconds of the monotonic clock."""
+        return self._clock()
+
+    # --- Events -----------------------------------------------------------------------------------
+
+    def dispatch(self, event: ServingEvent) -> None:
+        """Hand an event to the reducer and carry out what it asks for, in order."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                for effect in reduce(self._state, self._events.popleft()):
+                    self._run(effect)
+        finally:
+            self._busy = False
+
+    def submit(self, record: Record) -> None:
+        """Take a request; its answer is over when the request has ended."""
+        self._records[record.call.id] = record
+        self.dispatch(CallArrived(now=self.now, call=record.call))
+
+    def leave(self, call: CallId) -> None:
+        """Give a request up whose caller has gone."""
+        record = self._records.get(call)
+        if record is None or record.answer.over:
+            return
+        record.answer.finish(CallerLeftError())
+        self.dispatch(CallerLeft(now=self.now, call=call))
+
+    def adopt(self, snapshot: Snapshot) -> None:
+        """Serve by a newer configuration."""
+        if snapshot.revision <= self._directory.revision:
+            return
+        self._targets.adopt(snapshot)
+        self._directory = Directory(snapshot=snapshot)
+        self.dispatch(SnapshotAdopted(now=self.now, snapshot=snapshot))
+        logging.info("entry: Revision %d is in force.", snapshot.revision)
+
+    def begin_shutdown(self) -> None:
+        """Take no new work; what runs goes on."""
+        self._leaving = True
+        self.dispatch(ShutdownBegan(now=self.now))
+
+    def running(self, call: CallId, attempt: int) -> bool:
+        """Tell whether an attempt runs in this process."""
+        record = self._records.get(call)
+        return record is not None and attempt in record.attempts
+
+    async def run(self) -> None:
+        """Tell the reducer of time, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK)
+            self.dispatch(Ticked(now=self.now))
+            self._check_stalls()
+
+    async def drained(self) -> None:
+        """Wait until every request has ended."""
+        while self._records:
+            await asyncio.gather(*(_over(record.answer) for record in self._records.values()))
+            await asyncio.sleep(0)
+            if self._records:
+                await asyncio.sleep(TICK)
+
+    async def stop(self) -> None:
+        """End all background work."""
+        await self._tasks.stop()
+
+    def _check_stalls(self) -> None:
+        if self.now < self._stall_check_at:
+            return
+        self._stall_check_at = self.now + min(STALL_CHECK_PERIOD, self._limits.write_timeout / 4)
+        for record in tuple(self._records.values()):
+            if isinstance(record, PlainRecord) or not isinstance(record.answer, Relay):
+                continue
+            if record.answer.stalled(seconds=self._limits.write_timeout):
+                logging.info("entry: The caller of %s does not read.", record.call.id)
+                self.leave(record.call.id)
+                if record.abort is not None:
+                    record.abort()
+
+    # --- Effects ----------------------------------------------------------------------------------
+
+    @singledispatchmethod
+    def _run(self, effect: Effect) -> None:
+        raise TypeError(effect)
+
+    @_run.register
+    def _run_start(self, effect: StartAttempt) -> None:
+        record = self._records.get(effect.call)
+        if isinstance(record, ModelRecord):
+            self._attempts.start_model(record, effect)
+            if record.durable:
+                work = self._place(record, effect)
+                self._tasks.spawn(work, name=f"{effect.call} place")
+        elif isinstance(record, PlainRecord):
+            self._attempts.start_plain(record, effect)
+
+    @_run.register
+    def _run_cancel(self, effect: CancelAttempt) -> None:
+        record = self._records.get(effect.call)
+        if record is not None:
+            self._attempts.cancel(record, effect.attempt)
+
+    @_run.register
+    def _run_prioritize(self, effect: PrioritizeAttempt) -> None:
+        record = self._records.get(effect.call)
+        if isinstance(record, ModelRecord):
+            self._attempts.prioritize(record, effect.attempt, effect.priority)
+
+    @_run.register
+    def _run_claim(self, effect: ClaimCall) -> None:
+        self._tasks.spawn(self._claim(effect), name=f"{effect.call} claim")
+
+    @_run.register
+    def _run_settle(self, effect: SettleClaim) -> None:
+        record = self._records.get(effect.call)
+        answer = record.answer.answer if isinstance(record, PlainRecord) else None
+        work = self._claims.settle(call=effect.call, outcome=effect.outcome, answer=answer)
+        self._tasks.spawn(_settled(work), name=f"{effect.call} settle")
+
+    @_run.register
+    def _run_finish(self, effect: FinishCall) -> None:
+        record = self._records.get(effect.call)
+        if record is None:
+            return
+        record.answer.finish(effect.error)
+        if isinstance(record, ModelRecord) and record.durable:
+            record.placed.set()
+            self._tasks.spawn(self._jobs.close(call=effect.call), name=f"{effect.call} close")
+        asyncio.get_running_loop().call_soon(self._forget, record)
+
+    @_run.register
+    def _run_publish(self, effect: PublishDigest) -> None:
+        self._publish(effect.digest)
+
+    @_run.register
+    def _run_observe(self, effect: Observe) -> None:
+        self._metrics.observe(effect)
+
+    def _forget(self, record: Record) -> None:
+        """Drop an ended request once its attempts have ended too."""
+        if record.attempts:
+            asyncio.get_running_loop().call_later(TICK, self._forget, record)
+            return
+        self._records.pop(record.call.id, None)
+
+    async def _place(self, record: ModelRecord, effect: StartAttempt) -> None:
+        """Record where long work runs, so that any host finds it."""
+        job = await self._jobs.record(
+            call=record.call, target=effect.targets[-1], attempt=effect.attempt
+        )
+        record.job = job or record.job
+        record.placed.set()
+        if record.answer.over:
+            await self._jobs.close(call=record.call.id)
+
+    async def _claim(self, effect: ClaimCall) -> None:
+        error: AzureswitchError
+        try:
+            recorded = await self._claims.claim(
+                customer=effect.customer,
+                key=effect.key,
+                fingerprint=effect.fingerprint,
+                call=effect.call,
+                deadline=effect.deadline,
+            )
+        except AzureswitchError as denied:
+            error = denied
+        except Exception:
+            logging.exception("entry: The claim of %s failed.", effect.call)
+            error = ClaimUnavailableError()
+        else:
+            self._claimed(effect.call, recorded)
+            return
+        self.dispatch(ClaimDenied(now=self.now, call=effect.call, error=error))
+
+    def _claimed(self, call: CallId, recorded: PlainAnswer | None) -> None:
+        record = self._records.get(call)
+        if recorded is None:
+            self.dispatch(ClaimGranted(now=self.now, call=call))
+            return
+        if isinstance(record, PlainRecord):
+            record.answer.put(attempt=0, answer=recorded)
+        self.dispatch(ClaimReplayed(now=self.now, call=call))
+
+
+async def _over(answer: Answer) -> None:
+    await answer.wait_over()
+
+
+async def _settled(work: Awaitable[None]) -> None:
+    try:
+        await work
+    except AzureswitchError as error:
+        logging.warning("entry: An outcome was not recorded: %s", error)
--- /dev/null
+++ b/src/azureswitch/entry/_tasks.py
@@ -0,0 +1,44 @@
+"""Background tasks that are kept, logged when they fail, and ended together."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from absl import logging
+
+
+class Tasks:
+    """The tasks of one part.
+
+    Args:
+        prefix: What log lines begin with.
+    """
+
+    def __init__(self, *, prefix: str) -> None:
+        self._prefix = prefix
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped = False
+
+    def spawn(self, work: Coroutine[object, object, None], *, name: str) -> asyncio.Task[None]:
+        """Run a coroutine in the background; after `stop` it is called off at once."""
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        if self._stopped:
+            task.cancel()
+        return task
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for them."""
+        self._stopped = True
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        logging.error(
+            "%s: Task %s failed.", self._prefix, task.get_name(), exc_info=task.exception()
+        )
--- /dev/null
+++ b/src/azureswitch/entry/_wiring.py
@@ -0,0 +1,247 @@
+"""Builds the parts of an entry host and connects them."""
+
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import dataclass
+from time import monotonic, time
+
+from absl import logging
+
+from azureswitch.coordination.claims import Claims
+from azureswitch.coordination.journal import Journal
+from azureswitch.coordination.membership import Member, Membership, MemberStatus
+from azureswitch.coordination.memory import Sweeper
+from azureswitch.core import CallId, Incarnation, TargetName
+from azureswitch.engines import HttpEngine, HttpPlainTarget
+from azureswitch.entry._claiming import FleetClaims
+from azureswitch.entry._digests import Digests
+from azureswitch.entry._jobtable import JobTable
+from azureswitch.entry._metrics import Metrics
+from azureswitch.entry._polls import Poller
+from azureswitch.entry._settings import EntrySettings
+from azureswitch.entry._shell import Shell
+from azureswitch.entry._targets import EngineFactory, PlainTargetFactory, Targets
+from azureswitch.inventory import Target, decode
+from azureswitch.peers import PeerNetwork
+from azureswitch.platform import HttpHostList, HttpStore
+from azureswitch.ports import Engine, HostList, Peers, PlainTarget, Store
+from azureswitch.serving import Digest, HostSelf, PeersChanged
+
+
+def http_engine(target: Target) -> Engine:
+    """Return the port of an engine over HTTP."""
+    return HttpEngine(target=target.name, address=target.address)
+
+
+def http_plain_target(target: Target) -> PlainTarget:
+    """Return the port of a plain target over HTTP."""
+    return HttpPlainTarget(target=target.name, address=target.address)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryPorts:
+    """Everything outside a host; tests put fakes here.
+
+    Attributes:
+        store: The platform's object store.
+        hosts: The platform's host list.
+        peers: Messages to other hosts.
+        address: ``IP:PORT`` on which peers reach this host.
+        engine: Makes the port of an engine.
+        plain: Makes the port of a plain target.
+    """
+
+    store: Store
+    hosts: HostList
+    peers: Peers
+    address: str
+    engine: EngineFactory = http_engine
+    plain: PlainTargetFactory = http_plain_target
+
+
+def http_ports(settings: EntrySettings, network: PeerNetwork) -> EntryPorts:
+    """Return the ports of a real host whose network listens already."""
+    return EntryPorts(
+        store=HttpStore(address=str(settings.store)),
+        hosts=HttpHostList(address=str(settings.hosts)),
+        peers=network,
+        address=network.address,
+    )
+
+
+class Parts:
+    """The parts of one process, connected.
+
+    Args:
+        settings: The settings.
+        ports: Everything outside.
+        seed: Seeds every random choice of this process.
+    """
+
+    def __init__(self, *, settings: EntrySettings, ports: EntryPorts, seed: int) -> None:
+        self._myself = Incarnation(host=settings.host, started=int(time() * 1_000))
+        self._ports = ports
+        self._seed = seed
+        self._metrics = Metrics()
+        self._targets = Targets(engine=ports.engine, plain=ports.plain)
+        self._membership = Membership(
+            myself=self._myself,
+            place=settings.place,
+            address=ports.address,
+            peers=ports.peers,
+            hosts=ports.hosts,
+            seed=seed,
+        )
+        self._claims = Claims(
+            myself=self._myself,
+            store=ports.store,
+            peers=ports.peers,
+            members=self._members,
+            seed=seed,
+        )
+        self._journal = Journal(
+            myself=self._myself,
+            store=ports.store,
+            peers=ports.peers,
+            members=self._members,
+            seed=seed,
+            engines=self._engines,
+        )
+        self._jobs = JobTable(
+            peers=ports.peers, retention=settings.limits.job_retention, clock=monotonic
+        )
+        self._shell = Shell(
+            myself=HostSelf(name=settings.host, place=settings.place, started=self._myself.started),
+            seed=seed,
+            targets=self._targets,
+            claims=FleetClaims(claims=self._claims),
+            jobs=self._journal,
+            publish=self._publish,
+            metrics=self._metrics,
+            limits=settings.limits,
+        )
+        self._digests = Digests(
+            myself=self._myself,
+            peers=ports.peers,
+            members=self._members,
+            dispatch=self._shell.dispatch,
+            clock=monotonic,
+            seed=seed,
+        )
+        self._poller = Poller(
+            targets=self._targets, dispatch=self._shell.dispatch, clock=monotonic, seed=seed
+        )
+        self._sweeper = Sweeper(
+            myself=self._myself,
+            members=self._members,
+            engines=self._engines,
+            peers=ports.peers,
+            running=self._is_running,
+            seed=seed,
+        )
+        self._connect()
+
+    @property
+    def myself(self) -> Incarnation:
+        """This process."""
+        return self._myself
+
+    @property
+    def shell(self) -> Shell:
+        """Runs requests."""
+        return self._shell
+
+    @property
+    def metrics(self) -> Metrics:
+        """The metrics."""
+        return self._metrics
+
+    @property
+    def membership(self) -> Membership:
+        """The view of the fleet."""
+        return self._membership
+
+    @property
+    def claims(self) -> Claims:
+        """The claims of the fleet."""
+        return self._claims
+
+    @property
+    def journal(self) -> Journal:
+        """The journal of long work."""
+        return self._journal
+
+    @property
+    def jobs(self) -> JobTable:
+        """The jobs of this host."""
+        return self._jobs
+
+    @property
+    def peers(self) -> Peers:
+        """Messages to other hosts."""
+        return self._ports.peers
+
+    @property
+    def loops(self) -> Mapping[str, Callable[[], Coroutine[object, object, None]]]:
+        """What runs for as long as the process does, by name."""
+        return {
+            "membership": self._membership.run,
+            "claims": self._claims.run,
+            "journal": self._journal.run,
+            "sweeper": self._sweeper.run,
+            "polls": self._poller.run,
+            "shell": self._shell.run,
+        }
+
+    async def stop(self) -> None:
+        """End the background work of parts without a loop."""
+        await self._digests.stop()
+        await self._shell.stop()
+
+    def _publish(self, digest: Digest) -> None:
+        self._digests.publish(digest)
+
+    def _members(self) -> tuple[Member, ...]:
+        return self._membership.members
+
+    def _is_running(self, call: CallId, attempt: int) -> bool:
+        return self._shell.running(call, attempt) or self._journal.keeps(call=call, attempt=attempt)
+
+    def _engines(self) -> Mapping[TargetName, Engine]:
+        ports = ((name, self._targets.engine(name)) for name in self._targets.engines)
+        return {name: port for name, port in ports if port is not None}
+
+    def _connect(self) -> None:
+        self._membership.on_change(self._members_changed)
+        self._metrics.watch(
+            name="open_calls",
+            help="Requests that have not ended.",
+            value=lambda: self._shell.open_calls,
+        )
+        self._metrics.watch(
+            name="revision",
+            help="The revision in force.",
+            value=lambda: self._shell.directory.revision,
+        )
+        self._metrics.watch(
+            name="members",
+            help="Hosts that are not dead.",
+            value=lambda: len(self._membership.members),
+        )
+        self._metrics.watch(
+            name="unreported_outcomes",
+            help="Outcomes of claimed calls that are not in the store yet.",
+            value=lambda: self._claims.unreported,
+        )
+
+    def _members_changed(self, members: tuple[Member, ...]) -> None:
+        hosts = tuple(
+            member.incarnation.host
+            for member in members
+            if member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+        )
+        self._shell.dispatch(PeersChanged(now=self._shell.now, hosts=hosts))
+
+    def _adopt(self, revision: int, body: bytes) -> None:
+        self._shell.adopt(decode(body, revision=revision))
+        self._membership.set_revision(revision)
+        logging.info("entry: Revision %d was adopted.", revision)
