--- a/src/azureswitch/commands/_reports.py
+++ b/src/azureswitch/commands/_reports.py
@@ -161,6 +161,8 @@
 
 @text.register
 def _(report: HistoryReport) -> str:
+    if not report.rows:
+        return "No changes."
     heading = (*_ENTRY_HEADING, "CHANGED")
     rows = ((*_entry_cells(row.entry), _summary(row.differences)) for row in report.rows)
     lines = [table(heading, rows)]
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -85,7 +85,7 @@
     entry = report.entry
     head = "not known, as the store was not reached" if report.head is None else report.head
     yield f"Asked {entry.host} at {report.asked}. Newest accepted revision: {head}."
-    heading = ("HOST", "PLACE", "ADDRESS", "STATUS", "REVISION", "")
+    heading = ("HOST", "PLACE", "ADDRESS", "STATUS", "REVISION", "NOTE")
     members = sorted(entry.members, key=lambda member: member.host)
     rows = (
         (m.host, m.place, m.address, m.status, m.revision, _mark(m.host, report)) for m in members
