--- /dev/null
+++ b/src/azureswitch/coordination/configuration/_model.py
@@ -0,0 +1,69 @@
+"""The records of accepted changes."""
+
+from dataclasses import dataclass
+from hashlib import sha256
+
+from msgspec import MsgspecError
+from msgspec.json import decode, encode
+
+from azureswitch.exceptions import AuditEntryInvalidError
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AuditEntry:
+    """One accepted change; the newest one is the head.
+
+    Attributes:
+        revision: Its number; the first is 1 and each is one above its base.
+        base: The revision that it was made from.
+        change: The id that its author gave it, unique over all changes.
+        author: Who made it.
+        accepted: When it was proposed, in milliseconds of the author's wall clock.
+        digest: SHA-256 of the body, in lower-case hexadecimal.
+        previous: SHA-256 of the entry before it, as stored; empty for the first one.
+    """
+
+    revision: int
+    base: int
+    change: str
+    author: str
+    accepted: int
+    digest: str
+    previous: str
+
+    @property
+    def stored(self) -> bytes:
+        """The entry as it is stored."""
+        return encode(self)
+
+    @property
+    def audit_name(self) -> str:
+        """The name of the entry among the replaced ones."""
+        return audit_name(self.revision)
+
+    @property
+    def body_name(self) -> str:
+        """The name of its body."""
+        return f"{self.revision:012d}-{self.digest}"
+
+
+def audit_name(revision: int) -> str:
+    """Return the name of the audit entry of a replaced revision."""
+    return f"{revision:012d}"
+
+
+def digest_of(data: bytes) -> str:
+    """Return the SHA-256 of some bytes, in lower-case hexadecimal."""
+    return sha256(data).hexdigest()
+
+
+def read_entry(*, name: str, value: bytes) -> AuditEntry:
+    """Read an entry as it is stored.
+
+    Raises:
+        AuditEntryInvalidError: It is not an entry.
+    """
+    try:
+        return decode(value, type=AuditEntry)
+    except MsgspecError as error:
+        raise AuditEntryInvalidError(name=name) from error
--- a/src/azureswitch/coordination/membership/_gossip.py
+++ b/src/azureswitch/coordination/membership/_gossip.py
@@ -3,8 +3,10 @@
 from dataclasses import dataclass
 from heapq import nsmallest
 from math import ceil, log2
+from random import Random
 
 from azureswitch.coordination.membership._limits import (
+    CANDIDATES,
     PIGGYBACK_BYTES,
     REPORT_BYTES,
     RETRANSMISSIONS,
@@ -25,9 +27,13 @@
 
 
 class GossipQueue:
-    """Updates to pass on, those passed on least often first."""
+    """Updates to pass on, those passed on least often first and else in a random order.
 
-    def __init__(self) -> None:
+    Hosts that hold the same news would otherwise all begin with the same part of it.
+    """
+
+    def __init__(self, *, random: Random) -> None:
+        self._random = random
         self._entries: dict[HostName, _Entry] = {}
 
     def add(self, update: Update) -> None:
@@ -44,7 +50,7 @@
         chosen = [] if first is None else [first]
         room = PIGGYBACK_BYTES - sum(item.size for item in chosen)
         limit = transmissions(size)
-        for entry in nsmallest(8, self._entries.values(), key=lambda item: item.sent):
+        for entry in self._least_sent():
             room -= entry.update.size
             if room < 0:
                 break
@@ -53,6 +59,10 @@
             self._count(entry, limit)
         return tuple(chosen)
 
+    def _least_sent(self) -> list[_Entry]:
+        draw = self._random.random
+        return nsmallest(CANDIDATES, self._entries.values(), key=lambda item: (item.sent, draw()))
+
     def _count(self, entry: _Entry, limit: int) -> None:
         entry.sent += 1
         if entry.sent >= limit:
--- a/src/azureswitch/coordination/membership/_limits.py
+++ b/src/azureswitch/coordination/membership/_limits.py
@@ -1,6 +1,6 @@
 """Periods, sizes and counts of the protocol."""
 
-TICK = 0.1
+TICK = 0.05
 """Seconds between two looks at the timers."""
 
 PROBE_PERIOD = 0.5
@@ -33,6 +33,9 @@
 PIGGYBACK_BYTES = 600
 """Bytes of updates that a datagram carries at most, about."""
 
+CANDIDATES = 8
+"""Updates that are considered for one datagram at most."""
+
 RETRANSMISSIONS = 3
 """How often an update is passed on, times the binary logarithm of the fleet."""
 
--- a/src/azureswitch/coordination/membership/_reduce.py
+++ b/src/azureswitch/coordination/membership/_reduce.py
@@ -228,10 +228,8 @@
         target=message.target.host,
         ends=now + RELAY_TIMEOUT,
     )
-    known = state._table.get(message.target.host)
-    claim = None if known is None or known.status is MemberStatus.ALIVE else known
-    ping = Ping(sequence=sequence, source=state.me, updates=state.piggyback(first=claim))
-    yield Send(address=message.target.address, message=ping)
+    target = state._table.get(message.target.host) or message.target
+    yield Send(address=message.target.address, message=_ping(state, sequence, target))
 
 
 @_take.register
@@ -309,8 +307,7 @@
 
 def _begin_probe(state: MembershipState, now: float) -> MembershipEffects:
     state._probe = None
-    host = state._order.next()
-    target = None if host is None else state._table.get(host)
+    target = _next_target(state)
     if target is None:
         return
     sequence = _sequence(state)
@@ -321,14 +318,27 @@
         asks=now + DIRECT_TIMEOUT * state._health.factor,
         ends=state._probes_at,
     )
-    claim = None if target.status is MemberStatus.ALIVE else target
-    ping = Ping(
-        sequence=sequence,
-        source=state.me,
-        updates=state.piggyback(first=claim),
-        report=state.report(),
+    yield Send(address=target.address, message=_ping(state, sequence, target))
+
+
+def _ping(state: MembershipState, sequence: int, target: Update) -> Ping:
+    if target.status in {MemberStatus.SUSPECT, MemberStatus.DEAD}:
+        # News would most likely be wasted on it.
+        return Ping(sequence=sequence, source=state.me, updates=(target,))
+    return Ping(
+        sequence=sequence, source=state.me, updates=state.piggyback(), report=state.report()
     )
-    yield Send(address=target.address, message=ping)
+
+
+def _next_target(state: MembershipState) -> Update | None:
+    """Choose whom to probe, passing over those of whom enough is said already."""
+    for _ in range(state._table.size):
+        host = state._order.next()
+        if host is None:
+            return None
+        if not state._suspicions.shared(host):
+            return state._table.get(host)
+    return None
 
 
 def _ask_helpers(state: MembershipState, probe: Probe) -> MembershipEffects:
--- a/src/azureswitch/coordination/membership/_state.py
+++ b/src/azureswitch/coordination/membership/_state.py
@@ -33,7 +33,7 @@
         self._random = random
         self._host = myself.host
         self._table = MemberTable()
-        self._gossip = GossipQueue()
+        self._gossip = GossipQueue(random=random)
         self._reports = RevisionReports()
         self._suspicions = Suspicions()
         self._order = ProbeOrder(random=random)
--- a/src/azureswitch/coordination/membership/_suspicion.py
+++ b/src/azureswitch/coordination/membership/_suspicion.py
@@ -53,6 +53,11 @@
         suspicion.accusers.add(accuser)
         return True
 
+    def shared(self, host: HostName) -> bool:
+        """Whether as many share a suspicion as can shorten it."""
+        suspicion = self._suspicions.get(host)
+        return suspicion is not None and len(suspicion.accusers) > CONFIRMATIONS
+
     def clear(self, host: HostName) -> None:
         """Suspect a member no longer."""
         self._suspicions.pop(host, None)
--- a/src/azureswitch_standins/fleet.py
+++ b/src/azureswitch_standins/fleet.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from azureswitch.coordination.configuration import Configuration
 from azureswitch.coordination.membership import Member, Membership, MemberStatus
 from azureswitch.core import HostName, Incarnation, PlaceName
 from azureswitch.ports import HostStatus, ListedHost
 from azureswitch_standins.hosts import HostListFake
 from azureswitch_standins.peers import PeersFake, PeersNetworkFake
+from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel
 
 _EPOCH = 1_700_000_000_000
 
@@ -23,6 +25,9 @@
         address: Where peers reach it.
         peers: Its messages.
         membership: Its view of the fleet.
+        store: Its way to the store, with faults of its own.
+        configuration: What is in force on it; None in a fleet without a store.
+        adopted: The revisions that came into force on it, in order.
         tasks: What runs on it.
     """
 
@@ -31,6 +36,9 @@
     address: str
     peers: PeersFake
     membership: Membership
+    store: StoreFake
+    configuration: Configuration | None = None
+    adopted: list[int] = field(default_factory=list)
     tasks: list[Task[None]] = field(default_factory=list)
 
 
@@ -40,13 +48,17 @@
     Args:
         places: How many failure domains the hosts are spread over.
         seed: Seeds the network and every host.
+        configured: Whether the hosts keep a configuration in force from the store.
     """
 
-    def __init__(self, *, places: int = 3, seed: int = 1) -> None:
+    def __init__(self, *, places: int = 3, seed: int = 1, configured: bool = False) -> None:
+        self.model = StoreModel()
         self.network = PeersNetworkFake(seed=seed)
         self.listed = HostListFake()
         self._places = places
         self._seed = seed
+        self._configured = configured
+        self._store_down = False
         self._added = 0
         self._hosts: dict[HostName, FleetHost] = {}
 
@@ -55,6 +67,11 @@
         """Hosts that were not killed."""
         return tuple(self._hosts.values())
 
+    @property
+    def watchers(self) -> tuple[FleetHost, ...]:
+        """Hosts that watch the store."""
+        return tuple(item for item in self.hosts if _watches(item))
+
     def add(self, count: int = 1) -> tuple[FleetHost, ...]:
         """Start hosts and list them."""
         return tuple(self._add() for _ in range(count))
@@ -77,6 +94,16 @@
         del host.membership._feed
         self.network.resume(address=host.address)
 
+    def set_store(self, *, down: bool) -> None:
+        """Take the store away from all hosts, or give it back."""
+        self._store_down = down
+        for host in self.hosts:
+            host.store.faults = StoreFaults(down=down)
+
+    def in_force(self, revision: int) -> bool:
+        """Whether a revision is in force on every host."""
+        return all(host.adopted[-1:] == [revision] for host in self.hosts)
+
     def host(self, name: str) -> FleetHost:
         """Return a host by name."""
         return self._hosts[HostName(name)]
@@ -100,8 +127,9 @@
         place = PlaceName(f"zone-{index % self._places}")
         address = f"10.0.{index // 250}.{index % 250}:7000"
         peers = self.network.peers(address=address)
+        myself = Incarnation(host=name, started=_EPOCH + index)
         membership = Membership(
-            myself=Incarnation(host=name, started=_EPOCH + index),
+            myself=myself,
             place=place,
             address=address,
             peers=peers,
@@ -109,15 +137,42 @@
             seed=self._seed * 10_000 + index,
         )
         host = FleetHost(
-            name=name, place=place, address=address, peers=peers, membership=membership
+            name=name,
+            place=place,
+            address=address,
+            peers=peers,
+            membership=membership,
+            store=StoreFake(model=self.model),
         )
+        host.store.faults = StoreFaults(down=self._store_down)
         host.tasks.append(create_task(membership.run()))
         self._hosts[name] = host
+        if self._configured:
+            self._configure(host, myself)
         self.listed.put(
             host=ListedHost(name=name, place=place, address=address, status=HostStatus.LIVE)
         )
         return host
 
+    def _configure(self, host: FleetHost, myself: Incarnation) -> None:
+        configuration = Configuration(
+            store=host.store,
+            peers=host.peers,
+            members=lambda: host.membership.members,
+            myself=myself,
+            place=host.place,
+            hosts=self.listed,
+            seed=self._seed * 20_000 + self._added,
+        )
+        configuration.on_adopt(lambda revision, _: host.adopted.append(revision))
+        configuration.on_adopt(lambda revision, _: host.membership.set_revision(revision))
+        host.configuration = configuration
+        host.tasks.append(create_task(configuration.run()))
+
+
+def _watches(host: FleetHost) -> bool:
+    return host.configuration is not None and host.configuration.watching
+
 
 async def until(condition: Callable[[], bool], *, limit: float, step: float = 0.05) -> float:
     """Wait until a condition holds.
