Split engines between short and long prompts by the mix of demand

Cause: a short prompt that shares an engine with a long prefill waits for its steps, and long prefills run slower beside decoding. Change: the first engines of an order that all hosts agree on take long prompts; their number follows the smoothed demand of all hosts with hysteresis. Priorities are a step per doubling, with ageing by the prompt's own prefill. Waiting is taken from reports, corrected by own sends since and by growth that peers tell.

--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -12,10 +12,9 @@
     UnknownModelError,
     UnknownServiceError,
 )
-from azureswitch.serving._cost import Cost
 from azureswitch.serving._events import Call
 from azureswitch.serving._fleet import Pool
-from azureswitch.serving._length import is_short
+from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._state import ServingState
 
@@ -59,23 +58,23 @@
 
 def _too_late(state: ServingState, call: Call, pool: Pool, *, now: float) -> RefusedError | None:
     cost = state.costs.predict(call)
-    short = is_short(call, state.rules)
+    level = level_of(call, state.rules)
     allowed = call.deadline - now - cost.least
-    if short:
+    if level is Level.SHORT:
         allowed = min(allowed, SHORT_QUEUE_SECONDS)
-    wait = expected_wait(state, call, pool, cost=cost, short=short)
+    wait = expected_wait(state, call, pool, level=level)
     if wait <= allowed:
         return None
     return DeadlineUnreachableError(seconds=_jittered(state, max(1.0, wait - allowed)))
 
 
-def expected_wait(state: ServingState, call: Call, pool: Pool, *, cost: Cost, short: bool) -> float:
+def expected_wait(state: ServingState, call: Call, pool: Pool, *, level: Level) -> float:
     """Estimate how long a call would wait in this host's queue.
 
     The host's part of the pool is shared among the customers that wait, by weight, so that a
     customer with many calls waits behind its own.
     """
-    lane = Lane(service=call.service, model=call.model, short=short)
+    lane = Lane(service=call.service, model=call.model, level=level)
     seconds = state.queue.seconds(lane, call.customer)
     if seconds <= 0.0:
         return 0.0
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -22,7 +22,7 @@
     StartAttempt,
 )
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
-from azureswitch.serving._length import AGE_SECONDS, priority
+from azureswitch.serving._length import ageing_period, priority
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._retries import MOST_RETRIES, backoff
 from azureswitch.serving._routing import Choice, choose
@@ -34,7 +34,7 @@
 
 def lane_of(record: CallRecord) -> Lane:
     """Return the queue that a call waits in."""
-    return Lane(service=record.call.service, model=record.call.model, short=record.short)
+    return Lane(service=record.call.service, model=record.call.model, level=record.level)
 
 
 def dispatch(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
@@ -84,7 +84,8 @@
     call = record.call
     record.attempt_count += 1
     record.phase = Phase.RUNNING
-    level = priority(call, state.rules, waited=now - record.arrived)
+    prefill = record.cost.prefill
+    level = priority(call, state.rules, prefill=prefill, waited=now - record.arrived)
     attempt = Attempt(
         number=record.attempt_count,
         targets=choice.targets,
@@ -99,7 +100,7 @@
     state.fairness.serve(call.customer, choice.work.seconds * len(choice.targets))
     for target in choice.targets:
         state.affinity.sent(target, call.prefix)
-    if not record.short:
+    if call.model:
         _set_ageing(state, record, attempt, now=now)
     return [
         StartAttempt(
@@ -115,7 +116,10 @@
 
 def _set_ageing(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> None:
     state.timers.set(
-        at=now + AGE_SECONDS, kind=TimerKind.AGE, call=record.call.id, attempt=attempt.number
+        at=now + ageing_period(record.cost.prefill),
+        kind=TimerKind.AGE,
+        call=record.call.id,
+        attempt=attempt.number,
     )
 
 
@@ -125,7 +129,9 @@
     if attempt is None or attempt.first_token is not None:
         return []
     _set_ageing(state, record, attempt, now=now)
-    level = priority(record.call, state.rules, waited=now - record.arrived)
+    level = priority(
+        record.call, state.rules, prefill=record.cost.prefill, waited=now - record.arrived
+    )
     if level == attempt.priority:
         return []
     attempt.priority = level
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -171,11 +171,13 @@
         target: The target.
         urgent: Work with short prompts.
         total: All work.
+        middle: Work with prompts that are long, but not very long.
     """
 
     target: TargetName
     urgent: float
     total: float
+    middle: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -186,6 +188,23 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Demand:
+    """What one host admits for a model, in prefill seconds a second, smoothed.
+
+    Attributes:
+        service: The service.
+        model: The model.
+        short: For short prompts.
+        long: For long prompts.
+    """
+
+    service: ServiceName
+    model: str
+    short: float
+    long: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Digest:
     """What a host tells its peers of its own serving.
@@ -197,6 +216,7 @@
         loads: Outstanding work per target; targets with none are left out.
         uses: Engine time per customer; customers with none are left out.
         suspects: Targets that this host keeps out of use.
+        demands: Demand by model.
     """
 
     host: HostName
@@ -205,6 +225,7 @@
     loads: tuple[TargetLoad, ...] = ()
     uses: tuple[CustomerUse, ...] = ()
     suspects: tuple[TargetName, ...] = ()
+    demands: tuple[Demand, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -4,11 +4,14 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from xxhash import xxh3_64_intdigest
+
 from azureswitch.core import HostName, PlaceName, ServiceName, TargetName
 from azureswitch.inventory import ServiceKind, Snapshot, Target, TargetRole
 from azureswitch.ports import LoadReport
 from azureswitch.serving._cost import PREFILL_RATE
 from azureswitch.serving._events import Digest, HostSelf, TargetLoad
+from azureswitch.serving._length import Level
 
 REPORT_MAX_AGE = 3.0
 """Seconds after which a load report says nothing any more."""
@@ -39,7 +42,7 @@
     Attributes:
         service: The service.
         model: The model; empty for plain services.
-        targets: Their names in sorted order.
+        targets: Their names in an order that all hosts agree on; the first take long prompts.
         longest: The most prompt tokens that one of them can hold; zero for plain targets.
     """
 
@@ -56,17 +59,12 @@
     Attributes:
         seconds: Its prefill in engine seconds.
         tokens: Tokens of memory that it may take.
-        short: Whether its prompt is short.
+        level: How long its prompt is.
     """
 
     seconds: float
     tokens: int
-    short: bool
-
-    @property
-    def urgent(self) -> float:
-        """The engine seconds that go before long prompts."""
-        return self.seconds if self.short else 0.0
+    level: Level
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,10 +74,12 @@
     Attributes:
         load: What the peer said.
         at: When it said so.
+        before: What it had said before that, or None.
     """
 
     load: TargetLoad
     at: float
+    before: TargetLoad | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,13 +90,13 @@
         at: When it was sent.
         seconds: Its prefill in engine seconds.
         tokens: Tokens of memory that it may take.
-        short: Whether its prompt is short.
+        level: How long its prompt is.
     """
 
     at: float
     seconds: float
     tokens: int
-    short: bool
+    level: Level
 
 
 @dataclass(slots=True, kw_only=True)
@@ -106,10 +106,9 @@
     Attributes:
         target: Its entry in the inventory.
         nearness: 0 in this host's place, 1 in its region, 2 elsewhere.
-        urgent: Engine seconds of short prompts that this host sent and that have no first token.
-        backlog: The same for all prompts.
+        backlog: By level, engine seconds of prompts that this host sent and that have no first
+            token.
         running: Attempts of this host that have not ended.
-        longs: Those of ``running`` with long prompts.
         tokens: Tokens of memory that attempts of this host may take.
         sent: What this host sent lately, oldest first.
         report: The last load report.
@@ -123,10 +122,8 @@
 
     target: Target
     nearness: int
-    urgent: float = 0.0
-    backlog: float = 0.0
+    backlog: list[float] = field(default_factory=lambda: [0.0] * len(Level))
     running: int = 0
-    longs: int = 0
     tokens: int = 0
     sent: deque[Sent] = field(default_factory=deque)
     report: LoadReport | None = None
@@ -151,25 +148,37 @@
         """Whether the load report still says something."""
         return self.report is not None and now - self.report_at <= REPORT_MAX_AGE
 
-    def waits(self, *, now: float, short: bool) -> float:
-        """Estimate for how many engine seconds a new prompt waits here.
+    def waits(self, *, now: float, level: Level) -> float:
+        """Estimate for how many engine seconds a new prompt of a level waits here.
 
-        Args:
-            now: The time.
-            short: Whether the prompt goes before the long ones.
-
-        Returns:
-            The greater of what the hosts say that they sent and what the engine reports, both
-            corrected for the time since.
+        A report counts what all hosts sent, but late; what this host sent since, and what the
+        peers have more than before, is added to it.  Without a report the hosts' own accounts
+        stand for it.
         """
-        own = self.urgent if short else self.backlog
-        peers = sum(_peer_seconds(peer, now=now, short=short) for peer in self.peers.values())
         if self.report is None or not self.has_report(now):
-            return own + peers
-        tokens = self.report.urgent_tokens if short else self.report.waiting_tokens
-        reported = max(0.0, tokens / PREFILL_RATE - (now - self.report_at))
-        since = sum(s.seconds for s in self._since_report() if s.short or not short)
-        return max(own + peers, reported + since)
+            peers = sum(_peer_seconds(peer, now=now, level=level) for peer in self.peers.values())
+            return sum(self.backlog[: level + 1]) + peers
+        since = sum(sent.seconds for sent in self._since_report() if sent.level <= level)
+        grown = sum(
+            _peer_growth(peer, level=level)
+            for peer in self.peers.values()
+            if peer.at > self.report_at
+        )
+        return self._reported(now=now, level=level) + since + grown
+
+    def _reported(self, *, now: float, level: Level) -> float:
+        assert self.report is not None  # Asked for only where there is a report.
+        urgent = self.report.urgent_tokens / PREFILL_RATE
+        rest = self.report.waiting_tokens / PREFILL_RATE - urgent
+        if level is Level.SHORT:
+            rest = 0.0
+        elif level is Level.MIDDLE:
+            rest = min(rest, self._middle())
+        return max(0.0, urgent + rest - (now - self.report_at))
+
+    def _middle(self) -> float:
+        """Return what the hosts say that they sent of the middle level."""
+        return self.backlog[Level.MIDDLE] + sum(peer.load.middle for peer in self.peers.values())
 
     def free_tokens(self) -> int:
         """Estimate the tokens of memory that are free, the prefix cache counted as free."""
@@ -191,11 +200,20 @@
         return max(reported, self.running)
 
 
-def _peer_seconds(peer: PeerLoad, *, now: float, short: bool) -> float:
+def _seconds(load: TargetLoad, level: Level) -> float:
+    if level is Level.SHORT:
+        return load.urgent
+    return load.urgent + load.middle if level is Level.MIDDLE else load.total
+
+
+def _peer_seconds(peer: PeerLoad, *, now: float, level: Level) -> float:
     age = now - peer.at
-    if age > PEER_MAX_AGE:
-        return 0.0
-    return max(0.0, (peer.load.urgent if short else peer.load.total) - age)
+    return max(0.0, _seconds(peer.load, level) - age) if age <= PEER_MAX_AGE else 0.0
+
+
+def _peer_growth(peer: PeerLoad, *, level: Level) -> float:
+    before = 0.0 if peer.before is None else _seconds(peer.before, level)
+    return max(0.0, _seconds(peer.load, level) - before)
 
 
 class Fleet:
@@ -212,6 +230,7 @@
         self._plain: set[ServiceName] = set()
         self._services: set[ServiceName] = set()
         self._loaded: set[TargetName] = set()
+        self._heard: dict[HostName, set[TargetName]] = {}
 
     def adopt(self, snapshot: Snapshot) -> None:
         """Take over the targets of a configuration and keep what is known of their load."""
@@ -266,13 +285,11 @@
             if state is None:
                 continue
             state.running += 1
-            state.longs += not work.short
-            state.urgent += work.urgent
-            state.backlog += work.seconds
+            state.backlog[work.level] += work.seconds
             state.tokens += work.tokens
             state.prune(now)
             state.sent.append(
-                Sent(at=now, seconds=work.seconds, tokens=work.tokens, short=work.short)
+                Sent(at=now, seconds=work.seconds, tokens=work.tokens, level=work.level)
             )
             self._loaded.add(name)
 
@@ -280,10 +297,8 @@
         """Count that an attempt delivered its first token or ended before it."""
         for name in targets:
             state = self._states.get(name)
-            if state is None:
-                continue
-            state.urgent = max(0.0, state.urgent - work.urgent)
-            state.backlog = max(0.0, state.backlog - work.seconds)
+            if state is not None:
+                state.backlog[work.level] = max(0.0, state.backlog[work.level] - work.seconds)
 
     def remove(self, targets: Iterable[TargetName], *, work: Work) -> None:
         """Count that an attempt ended."""
@@ -292,10 +307,9 @@
             if state is None:
                 continue
             state.running = max(0, state.running - 1)
-            state.longs = max(0, state.longs - (not work.short))
             state.tokens = max(0, state.tokens - work.tokens)
             if not state.running:
-                state.urgent = state.backlog = 0.0
+                state.backlog = [0.0] * len(Level)
                 self._loaded.discard(name)
 
     def report(self, report: LoadReport, *, now: float, age: float) -> None:
@@ -350,21 +364,26 @@
 
     def set_hosts(self, hosts: Iterable[HostName]) -> None:
         """Forget what hosts that are gone had outstanding."""
-        live = set(hosts)
-        for state in self._states.values():
-            for host in state.peers.keys() - live:
-                del state.peers[host]
+        for host in self._heard.keys() - set(hosts):
+            for name in self._heard.pop(host):
+                state = self._states.get(name)
+                if state is not None:
+                    state.peers.pop(host, None)
 
     def hear(self, digest: Digest, *, now: float) -> None:
         """Take over what a peer has outstanding."""
-        heard = {load.target for load in digest.loads}
-        for name, state in self._states.items():
-            if name not in heard:
-                state.peers.pop(digest.host, None)
-        for load in digest.loads:
-            known = self._states.get(load.target)
+        loads = {load.target: load for load in digest.loads}
+        for name in self._heard.get(digest.host, set()) - loads.keys():
+            gone = self._states.get(name)
+            if gone is not None:
+                gone.peers.pop(digest.host, None)
+        self._heard[digest.host] = set(loads)
+        for name, load in loads.items():
+            known = self._states.get(name)
             if known is not None:
-                known.peers[digest.host] = PeerLoad(load=load, at=now)
+                last = known.peers.get(digest.host)
+                before = last.load if last else None
+                known.peers[digest.host] = PeerLoad(load=load, at=now, before=before)
         for name in digest.suspects:
             known = self._states.get(name)
             if known is not None:
@@ -374,12 +393,25 @@
         """Return what this host has outstanding, per target."""
         states = (self._states[name] for name in sorted(self._loaded))
         return tuple(
-            TargetLoad(target=state.target.name, urgent=state.urgent, total=state.backlog)
+            TargetLoad(
+                target=state.target.name,
+                urgent=state.backlog[Level.SHORT],
+                middle=state.backlog[Level.MIDDLE],
+                total=sum(state.backlog),
+            )
             for state in states
-            if state.backlog > 0.0
+            if any(state.backlog)
         )
 
 
+def ordered(names: Iterable[TargetName]) -> tuple[TargetName, ...]:
+    """Return targets in an order that depends on their names alone.
+
+    A target that joins or leaves changes the order of no other two.
+    """
+    return tuple(sorted(names, key=lambda name: (xxh3_64_intdigest(name.encode()), name)))
+
+
 def _pools(targets: Iterable[Target]) -> dict[tuple[ServiceName, str], Pool]:
     members: dict[tuple[ServiceName, str], list[Target]] = {}
     for target in targets:
@@ -389,7 +421,7 @@
         (service, model): Pool(
             service=service,
             model=model,
-            targets=tuple(sorted(target.name for target in group)),
+            targets=ordered([target.name for target in group]),
             longest=max(target.memory for target in group),
         )
         for (service, model), group in members.items()
--- a/src/azureswitch/serving/_length.py
+++ b/src/azureswitch/serving/_length.py
@@ -1,52 +1,206 @@
 """Keeps long prompts from standing before short ones."""
 
-from xxhash import xxh3_64_intdigest
+from dataclasses import dataclass, field
+from enum import IntEnum
+from math import ceil, exp, sqrt
 
-from azureswitch.core import TargetName
+from azureswitch.core import HostName, ServiceName
 from azureswitch.inventory import Objective, Rules
-from azureswitch.serving._events import Call
-from azureswitch.serving._fleet import Pool
+from azureswitch.serving._events import Call, Demand, Digest
 
-AGE_SECONDS = 2.0
-"""Seconds without a first token after which a long prompt's priority rises by one step."""
+MIDDLE_FACTOR = 4
+"""Times the rule's long prompt at which a prompt counts as very long."""
 
+SHORTEST_PROMPT = 1_024
+"""Prompt tokens up to which all prompts have the same priority."""
 
-def is_short(call: Call, rules: Rules) -> bool:
-    """Return whether a call goes before long prompts."""
-    return call.prompt_tokens < rules.long_prompt
+AGE_SHARE = 0.5
+"""Share of a prompt's own prefill after which its priority rises by one step."""
 
+AGE_LEAST = 0.5
+"""Seconds after which a priority rises by one step, at least."""
 
-def priority(call: Call, rules: Rules, *, waited: float) -> int:
+DEMAND_SECONDS = 60.0
+"""Time constant over which demand is smoothed."""
+
+PEER_DEMAND_SECONDS = 5.0
+"""Seconds after which what a peer said of its demand is no longer used."""
+
+SHORT_FILL = {Objective.SHORT_SLOWDOWN: 0.25, Objective.FIRST_TOKEN_ALL: 0.4}
+"""Prefill seconds a second of short prompts that an engine without long ones is meant for."""
+
+SHORT_FILL_MOST = 0.5
+"""The same where all engines together are too few."""
+
+LONG_FILL = 0.75
+"""Prefill seconds a second of long prompts that an engine manages beside decoding."""
+
+LEAST_DEMAND = 1e-6
+"""Prefill seconds a second that count as no demand."""
+
+SPLIT_LEAST = 4
+"""Engines of a pool under which every engine takes both kinds."""
+
+SETTLE_SECONDS = 3.0
+"""Seconds between two moves of one engine from one kind of work to the other."""
+
+HYSTERESIS = 0.75
+"""Engines by which the wanted number must differ from the present one before it moves."""
+
+
+class Level(IntEnum):
+    """How long a prompt is; a lower level goes before a higher one."""
+
+    SHORT = 0
+    MIDDLE = 1
+    LONG = 2
+
+
+def level_of(call: Call, rules: Rules) -> Level:
+    """Return how long a call's prompt is, by the rules in force."""
+    if call.prompt_tokens < rules.long_prompt:
+        return Level.SHORT
+    if call.prompt_tokens < rules.long_prompt * MIDDLE_FACTOR:
+        return Level.MIDDLE
+    return Level.LONG
+
+
+def priority(call: Call, rules: Rules, *, prefill: float, waited: float) -> int:
     """Return the priority for the engine; smaller runs first.
 
     Args:
         call: The call.
         rules: The rules in force.
+        prefill: The engine seconds of its prompt.
         waited: Seconds since the call arrived.
 
     Returns:
-        Zero for short prompts; for long ones a step per doubling, less a step per ageing period.
+        A step per doubling of the prompt, less a step per ageing period.  Short prompts have zero
+        or less and long ones one or more, whatever their age.
     """
-    if is_short(call, rules):
-        return 0
-    steps = 1 + (call.prompt_tokens // rules.long_prompt).bit_length()
-    if rules.objective is Objective.FIRST_TOKEN_ALL:
-        steps = 1 + steps // 2
-    return max(1, steps - int(waited / AGE_SECONDS))
+    steps = (call.prompt_tokens // SHORTEST_PROMPT).bit_length()
+    aged = int(waited / ageing_period(prefill))
+    border = (rules.long_prompt // SHORTEST_PROMPT).bit_length()
+    if level_of(call, rules) is Level.SHORT:
+        return min(0, max(0, steps - aged) - border)
+    return max(1, steps - border + 1 - aged)
+
+
+def ageing_period(prefill: float) -> float:
+    """Return the seconds after which a waiting prompt's priority rises by one step."""
+    return max(AGE_LEAST, AGE_SHARE * prefill)
 
 
-class LongSet:
-    """The engines of a pool that take long prompts."""
+@dataclass(slots=True, kw_only=True)
+class _Rate:
+    """A smoothed rate in engine seconds a second."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def add(self, seconds: float, *, now: float) -> None:
+        self.value = self.read(now) + seconds / DEMAND_SECONDS
+        self.at = now
+
+    def read(self, now: float) -> float:
+        return self.value * exp(-max(0.0, now - self.at) / DEMAND_SECONDS)
+
+
+@dataclass(slots=True, kw_only=True)
+class _Mix:
+    """The demand for one model here and at the peers, and how its engines are split."""
+
+    rates: tuple[_Rate, _Rate] = field(default_factory=lambda: (_Rate(), _Rate()))
+    peers: dict[HostName, tuple[float, Demand]] = field(default_factory=dict)
+    count: int | None = None
+    moved: float = 0.0
+
+
+class Split:
+    """How many engines of each pool take long prompts, from the mix of demand."""
 
     def __init__(self) -> None:
-        self._shares: dict[Pool, float] = {}
+        self._mixes: dict[tuple[ServiceName, str], _Mix] = {}
+        self._objective = Objective.SHORT_SLOWDOWN
+
+    def adopt(self, rules: Rules) -> None:
+        """Take over the objective."""
+        self._objective = rules.objective
+
+    def admitted(self, call: Call, *, seconds: float, short: bool, now: float) -> None:
+        """Count the prefill of an admitted call."""
+        mix = self._mixes.setdefault((call.service, call.model), _Mix())
+        mix.rates[0 if short else 1].add(seconds, now=now)
+
+    def hear(self, digest: Digest, *, now: float) -> None:
+        """Take over a peer's demand."""
+        for demand in digest.demands:
+            mix = self._mixes.setdefault((demand.service, demand.model), _Mix())
+            mix.peers[digest.host] = (now, demand)
+
+    def demands(self, now: float) -> tuple[Demand, ...]:
+        """Return this host's demand by model."""
+        return tuple(
+            Demand(
+                service=service,
+                model=model,
+                short=mix.rates[0].read(now),
+                long=mix.rates[1].read(now),
+            )
+            for (service, model), mix in sorted(self._mixes.items())
+        )
+
+    def count(
+        self, *, service: ServiceName, model: str, engines: int, hosts: int, now: float
+    ) -> int:
+        """Return how many engines take long prompts now.
+
+        Args:
+            service: The service.
+            model: The model.
+            engines: How many engines serve it.
+            hosts: How many hosts send to them.
+            now: The time.
+
+        Returns:
+            The number; all engines where there are too few to split.
+        """
+        if engines < SPLIT_LEAST:
+            return engines
+        mix = self._mixes.setdefault((service, model), _Mix())
+        if mix.count is not None and now - mix.moved < SETTLE_SECONDS:
+            return min(mix.count, engines - 1)
+        short, long = _demand(mix, hosts=hosts, now=now)
+        wanted = self._wanted(short, long, engines=engines)
+        if mix.count is None:
+            mix.count = round(wanted)
+        elif abs(wanted - mix.count) > HYSTERESIS:
+            mix.count += 1 if wanted > mix.count else -1
+        mix.moved = now
+        mix.count = max(1, min(engines - 1, mix.count))
+        return mix.count
+
+    def _wanted(self, short: float, long: float, *, engines: int) -> float:
+        """Return the number of engines for long prompts that the demand asks for."""
+        amply = _staffed(short, SHORT_FILL[self._objective])
+        scarcely = _staffed(short, SHORT_FILL_MOST)
+        spare = engines - long / LONG_FILL
+        if spare <= amply:
+            return engines - max(1.0, scarcely, spare)
+        # What neither needs is shared out by demand, so that without long prompts all are free.
+        return engines - amply - (spare - amply) * short / (short + long + LEAST_DEMAND)
+
 
-    def members(self, pool: Pool, share: float) -> tuple[TargetName, ...]:
-        """Return the engines for long prompts, in an order that all hosts agree on."""
-        count = max(1, min(len(pool.targets), round(share * len(pool.targets) + 0.5)))
-        return rendezvous(pool)[:count]
+def _staffed(demand: float, fill: float) -> float:
+    """Return the engines for a demand, with more headroom where they are few."""
+    engines = demand / fill
+    return ceil(engines + 0.5 * sqrt(engines))
 
 
-def rendezvous(pool: Pool) -> tuple[TargetName, ...]:
-    """Return the targets of a pool in an order that depends on their names alone."""
-    return tuple(sorted(pool.targets, key=lambda name: xxh3_64_intdigest(name.encode())))
+def _demand(mix: _Mix, *, hosts: int, now: float) -> tuple[float, float]:
+    """Return the demand of all hosts; those that were not heard are taken to be like the others."""
+    fresh = [d for at, d in mix.peers.values() if now - at <= PEER_DEMAND_SECONDS]
+    short = mix.rates[0].read(now) + sum(demand.short for demand in fresh)
+    long = mix.rates[1].read(now) + sum(demand.long for demand in fresh)
+    scale = max(1.0, hosts / (1 + len(fresh)))
+    return short * scale, long * scale
--- a/src/azureswitch/serving/_queue.py
+++ b/src/azureswitch/serving/_queue.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from azureswitch.core import CallId, CustomerName, ServiceName
+from azureswitch.serving._length import Level
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -14,12 +15,12 @@
     Attributes:
         service: The service.
         model: The model; empty for plain services.
-        short: Whether their prompts are short.
+        level: How long their prompts are.
     """
 
     service: ServiceName
     model: str
-    short: bool
+    level: Level
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,8 +46,8 @@
 
     @property
     def lanes(self) -> tuple[Lane, ...]:
-        """The lanes in which calls wait, those with short prompts first."""
-        return tuple(sorted(self._lanes, key=lambda lane: not lane.short))
+        """The lanes in which calls wait, those with the shortest prompts first."""
+        return tuple(sorted(self._lanes, key=lambda lane: lane.level))
 
     def waiting(self, lane: Lane) -> int:
         """Return how many calls wait in a lane."""
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -47,7 +47,7 @@
     Ticked,
     TokensArrived,
 )
-from azureswitch.serving._length import is_short
+from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._state import CallRecord, Phase, ServingState, Timer, TimerKind
 
 TICK = 0.05
@@ -100,12 +100,14 @@
     pool = state.fleet.pool(service=call.service, model=call.model)
     assert pool is not None  # A call without targets was refused.
     cost = state.costs.predict(call)
-    short = is_short(call, state.rules)
-    record = CallRecord(call=call, arrived=now, pool=pool, cost=cost, short=short)
+    level = level_of(call, state.rules)
+    record = CallRecord(call=call, arrived=now, pool=pool, cost=cost, level=level)
     state.calls[call.id] = record
     state.retries.admitted()
     if call.model:
         state.fairness.charge(call.customer, cost.total, now=now)
+        short = level is Level.SHORT
+        state.split.admitted(call, seconds=cost.prefill, short=short, now=now)
     state.timers.set(at=call.deadline - TICK, kind=TimerKind.DEADLINE, call=call.id)
     state.timers.set(at=call.deadline - cost.least, kind=TimerKind.LATEST_START, call=call.id)
     admitted = observe(record, Observation.ADMITTED)
@@ -224,6 +226,7 @@
 def _(event: DigestReceived, state: ServingState) -> list[Effect]:
     if event.digest.host != state.myself.name and state.fairness.hear(event.digest, now=event.now):
         state.fleet.hear(event.digest, now=event.now)
+        state.split.hear(event.digest, now=event.now)
     return []
 
 
@@ -284,5 +287,6 @@
         loads=state.fleet.loads(),
         uses=state.fairness.uses(),
         suspects=state.fleet.suspects(now=now),
+        demands=state.split.demands(now),
     )
     return [PublishDigest(digest=digest)]
--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -4,6 +4,7 @@
 
 from azureswitch.core import TargetName
 from azureswitch.serving._fleet import TargetState, Work
+from azureswitch.serving._length import Level
 from azureswitch.serving._spans import choose_spans
 from azureswitch.serving._state import CallRecord, ServingState
 
@@ -19,11 +20,11 @@
 RUNNING_SECONDS = 0.001
 """Seconds that each running request of an engine makes a new one slower."""
 
-SHORT_ROOM = 0.5
-"""Engine seconds of short prompts over which an engine gets no further ones."""
+ROOM = {Level.SHORT: 0.5, Level.MIDDLE: 1.0, Level.LONG: 1.0}
+"""Engine seconds of prompts of the same or a lower level over which an engine gets no more."""
 
-LONG_ROOM = 1.0
-"""Engine seconds of prompts over which an engine gets no further long ones."""
+SPILL_ROOM = 0.25
+"""Engine seconds of waiting over which a short prompt also goes to engines with long ones."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,29 +61,54 @@
         work = Work(
             seconds=record.cost.prefill / len(targets),
             tokens=-(-tokens // len(targets)),
-            short=False,
+            level=record.level,
         )
         return Choice(targets=targets, work=work, cached_tokens=0, wait=0.0)
     return _choose_engine(state, record, tokens=tokens, now=now)
 
 
 def _choose_plain(state: ServingState, record: CallRecord, *, now: float) -> Choice | None:
-    candidates = _candidates(state, record, extra=(), now=now)
+    candidates = _candidates(state, record, record.pool.targets, now=now)
     if not candidates:
         return None
     best = min(candidates, key=lambda t: (t.running, t.nearness, state.random.random()))
-    work = Work(seconds=record.cost.prefill, tokens=0, short=True)
+    work = Work(seconds=record.cost.prefill, tokens=0, level=Level.SHORT)
     return Choice(targets=(best.target.name,), work=work, cached_tokens=0, wait=0.0)
 
 
 def _choose_engine(
     state: ServingState, record: CallRecord, *, tokens: int, now: float
+) -> Choice | None:
+    """Choose among the engines for prompts of this length; short ones may spill to the others."""
+    names = record.pool.targets
+    count = state.split.count(
+        service=record.pool.service,
+        model=record.pool.model,
+        engines=len(names),
+        hosts=state.fairness.hosts,
+        now=now,
+    )
+    if record.level is not Level.SHORT:
+        return _best(state, record, names[:count], tokens=tokens, now=now)
+    best = _best(state, record, names[count:] or names, tokens=tokens, now=now)
+    if best is None or best.wait > SPILL_ROOM:
+        spilt = _best(state, record, names[:count], tokens=tokens, now=now)
+        if spilt is not None and (best is None or spilt.wait < best.wait):
+            return spilt
+    return best
+
+
+def _best(
+    state: ServingState,
+    record: CallRecord,
+    names: tuple[TargetName, ...],
+    *,
+    tokens: int,
+    now: float,
 ) -> Choice | None:
     cached = state.affinity.cached(record.call.prefix)
-    holders = sorted(cached, key=lambda name: (-cached[name], name))[:CACHED_CHOICES]
-    candidates = _candidates(state, record, extra=tuple(holders), now=now)
     best: tuple[float, Choice] | None = None
-    for target in candidates:
+    for target in _candidates(state, record, names, now=now, cached=cached):
         choice = _weigh(state, record, target, cached=cached.get(target.target.name, 0), now=now)
         if choice is None or target.free_tokens() < tokens:
             continue
@@ -97,30 +123,42 @@
     state: ServingState, record: CallRecord, target: TargetState, *, cached: int, now: float
 ) -> Choice | None:
     call = record.call
-    wait = target.waits(now=now, short=record.short)
-    if wait > (SHORT_ROOM if record.short else LONG_ROOM):
+    wait = target.waits(now=now, level=record.level)
+    if wait > ROOM[record.level]:
         return None
     seconds = state.costs.prefill_seconds(
         model=call.model, prompt_tokens=call.prompt_tokens, cached_tokens=cached
     )
-    work = Work(seconds=seconds, tokens=call.prompt_tokens + call.output_tokens, short=record.short)
+    work = Work(seconds=seconds, tokens=call.prompt_tokens + call.output_tokens, level=record.level)
     return Choice(targets=(target.target.name,), work=work, cached_tokens=cached, wait=wait)
 
 
 def _candidates(
-    state: ServingState, record: CallRecord, *, extra: tuple[TargetName, ...], now: float
+    state: ServingState,
+    record: CallRecord,
+    names: tuple[TargetName, ...],
+    *,
+    now: float,
+    cached: dict[TargetName, int] | None = None,
 ) -> list[TargetState]:
-    names = record.pool.targets
-    drawn = names if len(names) <= CHOICES else state.random.sample(names, CHOICES)
-    some = [state.fleet.state(name) for name in dict.fromkeys((*drawn, *extra))]
-    usable = [t for t in some if t is not None and _takes(t, record, now=now)]
+    """Return a few targets to choose from: some at random and those with a cached prefix."""
+    drawn = names if len(names) <= CHOICES else tuple(state.random.sample(names, CHOICES))
+    holders = sorted(cached or {}, key=lambda name: (-(cached or {})[name], name))
+    extra = [name for name in holders[:CACHED_CHOICES] if name in record.pool.targets]
+    usable = _usable(state, record, (*drawn, *extra), now=now)
     if usable:
         return usable
-    everything = state.fleet.states(record.pool)
-    usable = [t for t in everything if _takes(t, record, now=now)]
+    everything = _usable(state, record, record.pool.targets, now=now)
     # With nothing else left, a target that failed before is better than none.
-    return usable or [t for t in everything if t.usable(now)]
+    return everything or [t for t in state.fleet.states(record.pool) if t.usable(now)]
 
 
-def _takes(target: TargetState, record: CallRecord, *, now: float) -> bool:
-    return target.target.name not in record.failed and target.preferred(now)
+def _usable(
+    state: ServingState, record: CallRecord, names: tuple[TargetName, ...], *, now: float
+) -> list[TargetState]:
+    some = (state.fleet.state(name) for name in dict.fromkeys(names))
+    return [
+        target
+        for target in some
+        if target is not None and target.preferred(now) and target.target.name not in record.failed
+    ]
--- a/src/azureswitch/serving/_spans.py
+++ b/src/azureswitch/serving/_spans.py
@@ -1,7 +1,6 @@
 """Chooses the engines that together hold a prompt larger than one engine's memory."""
 
 from azureswitch.core import TargetName
-from azureswitch.serving._length import rendezvous
 from azureswitch.serving._state import CallRecord, ServingState
 
 SPAN_FILL = 0.9
@@ -21,7 +20,7 @@
     """
     call = record.call
     tokens = call.prompt_tokens + call.output_tokens
-    states = [state.fleet.state(name) for name in rendezvous(record.pool)]
+    states = [state.fleet.state(name) for name in record.pool.targets]
     usable = [t for t in states if t is not None and t.usable(now)]
     usable = [t for t in usable if t.target.name not in record.failed]
     fewest = max(2, -(-tokens // max(1, int(record.pool.longest * SPAN_FILL))))
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -12,7 +12,7 @@
 from azureswitch.serving._events import Call, HostSelf
 from azureswitch.serving._fairness import Fairness
 from azureswitch.serving._fleet import Fleet, Pool, Work
-from azureswitch.serving._length import LongSet
+from azureswitch.serving._length import Level, Split
 from azureswitch.serving._queue import WaitingQueue
 from azureswitch.serving._retries import RetryBudget
 
@@ -61,7 +61,7 @@
     arrived: float
     pool: Pool
     cost: Cost
-    short: bool
+    level: Level
     phase: Phase = Phase.WAITING
     claimed: bool = False
     caller_left: bool = False
@@ -127,7 +127,7 @@
         self._affinity = PrefixIndex()
         self._fairness = Fairness(myself=myself)
         self._queue = WaitingQueue()
-        self._long_set = LongSet()
+        self._split = Split()
         self._retries = RetryBudget()
         self._digest_sequence = 0
         self._digest_due = 0.0
@@ -193,9 +193,9 @@
         return self._queue
 
     @property
-    def long_set(self) -> LongSet:
-        """The engines that take long prompts."""
-        return self._long_set
+    def split(self) -> Split:
+        """How many engines take long prompts."""
+        return self._split
 
     @property
     def retries(self) -> RetryBudget:
@@ -208,6 +208,7 @@
             return
         self._snapshot = snapshot
         self._fleet.adopt(snapshot)
+        self._split.adopt(snapshot.rules)
         self._fairness.adopt(snapshot.inventory.customers)
 
     def leave(self) -> None:
