Bring engines to the models and roles that are wanted

Nothing loaded a model or told an engine its role. One host per group of engines, by lease, reads each engine back and orders what differs, with the fencing number of the lease. An order names a wanted state: an engine that checks fences refuses a late one, and one that does not is put right by the next read. There are never more groups than loads at a time, so the weight store's limit holds without a word between groups. Tested with a holder paused between its check and the order's arrival, restarts and dead engines.

--- /dev/null
+++ b/tests/orders/test_orders.py
@@ -0,0 +1,355 @@
+"""Tests of orders: paused holders, engines that ignore fences, restarts and the load limit."""
+
+from asyncio import Event, TaskGroup, get_running_loop, sleep
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import cast
+
+import pytest
+
+from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.coordination.orders import LOADS, OrderKeeper, Wanted, plan_groups
+from azureswitch.core import HostName, Incarnation, PlaceName, TargetName
+from azureswitch.exceptions import OrderRefusedError, TargetRefusedError
+from azureswitch.inventory import TargetRole
+from azureswitch.ports import Engine, EngineState, Order, OrderKind
+from azureswitch_standins.clock import run_virtual
+from azureswitch_standins.engine import EngineError, EngineModel, EngineSettings
+from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel
+
+HOSTS = tuple(HostName(f"host-{at}") for at in range(3))
+OLD, NEW = "base@1", "base@2"
+LOAD_SECONDS = 10.0
+SETTLE = 60.0
+"""Seconds within which a few engines reach their wanted state, whatever happens."""
+
+
+class EngineFake:
+    """A stand-in engine, and how many loads it has under way.
+
+    Attributes:
+        model: The stand-in.
+        down: Whether it cannot be reached.
+        orders: All orders that it was sent.
+    """
+
+    def __init__(self, *, name: str, checks_fence: bool) -> None:
+        settings = EngineSettings(
+            name=name, models=(OLD,), checks_fence=checks_fence, load_seconds=LOAD_SECONDS
+        )
+        self.model = EngineModel(settings=settings)
+        self.down = False
+        self.orders: list[Order] = []
+        self._ordered: set[str] = set()
+
+    @property
+    def loading(self) -> set[str]:
+        """Models ordered and not loaded yet."""
+        self._ordered -= set(self.now_state.models)
+        return self._ordered
+
+    @property
+    def now_state(self) -> EngineState:
+        """The state without a call."""
+        return self.model.state(now=get_running_loop().time())
+
+    def restart(self) -> None:
+        """Lose all orders."""
+        self._ordered = set()
+        self.model.restart(now=get_running_loop().time(), started=2)
+
+    async def state(self) -> EngineState:
+        """Read the state back."""
+        if self.down:
+            raise TargetRefusedError(target="engine")
+        return self.now_state
+
+    async def order(self, *, order: Order) -> EngineState:
+        """Carry out an order."""
+        if self.down:
+            raise TargetRefusedError(target="engine")
+        self.orders.append(order)
+        try:
+            state = self.model.order(now=get_running_loop().time(), order=order)
+        except EngineError as error:
+            newest = self.now_state.fence
+            raise OrderRefusedError(target="engine", fence=order.fence, newest=newest) from error
+        if order.kind is OrderKind.MODEL and order.present:
+            self._ordered.add(order.value)
+        return state
+
+
+class LateEngine:
+    """One host's way to an engine, on which orders stop until they are let through."""
+
+    def __init__(self, *, engine: EngineFake) -> None:
+        self.engine = engine
+        self.held = 0
+        self.open = Event()
+        self.open.set()
+
+    async def state(self) -> EngineState:
+        """Read the state back."""
+        return await self.engine.state()
+
+    async def order(self, *, order: Order) -> EngineState:
+        """Carry out an order, late where the way is closed."""
+        self.held += 1
+        await self.open.wait()
+        self.held -= 1
+        return await self.engine.order(order=order)
+
+
+async def until(reached: Callable[[], bool], *, limit: float = SETTLE) -> float:
+    """Wait until something is so; return how long that took."""
+    start = get_running_loop().time()
+    while not reached():
+        assert get_running_loop().time() < start + limit
+        await sleep(0.5)
+    return get_running_loop().time() - start
+
+
+class Fleet:
+    """Hosts that look after engines."""
+
+    def __init__(self, *, pools: int = 1, engines: int = 1, checks_fence: bool = True) -> None:
+        names = [f"engine-{pool}-{at}" for pool in range(pools) for at in range(engines)]
+        self.model = StoreModel()
+        self.engines = {
+            TargetName(name): EngineFake(name=name, checks_fence=checks_fence) for name in names
+        }
+        self.wanted = tuple(
+            Wanted(target=name, pool=name.rsplit("-", 1)[0], models=(NEW,)) for name in self.engines
+        )
+        self.members = {
+            name: Member(
+                incarnation=Incarnation(host=name, started=1),
+                place=PlaceName("place"),
+                address="10.0.0.1:7000",
+                status=MemberStatus.ALIVE,
+            )
+            for name in HOSTS
+        }
+        self.ways = {
+            host: {name: LateEngine(engine=engine) for name, engine in self.engines.items()}
+            for host in HOSTS
+        }
+        self.stores = {host: StoreFake(model=self.model) for host in HOSTS}
+        self.believed = {host: dict(self.members) for host in HOSTS}
+        self.keepers = {host: self._keeper(at, host) for at, host in enumerate(HOSTS)}
+        self.dead: set[HostName] = set()
+        self.most_loading = 0
+
+    def _keeper(self, at: int, host: HostName) -> OrderKeeper:
+        return OrderKeeper(
+            myself=self.members[host].incarnation,
+            store=self.stores[host],
+            members=self.believed[host].values,
+            engines=lambda: cast("dict[TargetName, Engine]", self.ways[host]),
+            wanted=lambda: self.wanted,
+            seed=at,
+        )
+
+    @property
+    def holder(self) -> HostName:
+        """A host that holds the first group."""
+        return next(host for host in HOSTS if self.keepers[host].groups)
+
+    @property
+    def settled(self) -> bool:
+        """Whether every engine that is up has what is wanted."""
+        states = {name: e.now_state for name, e in self.engines.items() if not e.down}
+        return all(
+            states[item.target].models == item.models
+            and states[item.target].role == item.role.value
+            for item in self.wanted
+            if item.target in states
+        )
+
+    def want(self, *models: str, role: TargetRole = TargetRole.SERVING) -> None:
+        """Change what is wanted of all engines."""
+        self.wanted = tuple(replace(item, models=models, role=role) for item in self.wanted)
+
+    def remove(self, host: HostName, *, by: tuple[HostName, ...] = HOSTS) -> None:
+        """Let hosts believe that one is dead."""
+        for other in by:
+            self.believed[other].pop(host, None)
+
+    def run(self, script: Callable[["Fleet"], Awaitable[None]]) -> None:
+        """Run a script beside all keepers in virtual time."""
+
+        async def main() -> None:
+            async with TaskGroup() as group:
+                tasks = {host: group.create_task(k.run()) for host, k in self.keepers.items()}
+                tasks[HostName("")] = group.create_task(self._watch(tasks))
+                await script(self)
+                for task in tasks.values():
+                    task.cancel()
+
+        run_virtual(main())
+
+    async def _watch(self, tasks: dict[HostName, object]) -> None:
+        while True:
+            loading = sum(len(engine.loading) for engine in self.engines.values())
+            self.most_loading = max(self.most_loading, loading)
+            await sleep(0.5)
+
+    async def settle(self, *, limit: float = SETTLE) -> float:
+        """Wait until every engine has what is wanted; return how long that took."""
+        return await until(lambda: self.settled, limit=limit)
+
+
+class TestWanted:
+    """Engines come to what is wanted of them."""
+
+    def test_new_version_is_there_before_the_old_goes(self) -> None:
+        """A model is replaced without a moment with neither version."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.settle()
+            (engine,) = fleet.engines.values()
+            assert [order.present for order in engine.orders] == [True, False]
+
+        Fleet().run(script)
+
+    def test_draining_engine_is_told_and_loads_nothing(self) -> None:
+        """An engine that leaves is told so at once and gets no more models."""
+
+        async def script(fleet: Fleet) -> None:
+            fleet.want(OLD, role=TargetRole.DRAINING)
+            await fleet.settle()
+            fleet.want(OLD, NEW, role=TargetRole.DRAINING)
+            await sleep(SETTLE)
+            (engine,) = fleet.engines.values()
+            assert [order.kind for order in engine.orders] == [OrderKind.ROLE]
+            fleet.want(OLD)
+            await fleet.settle()
+
+        Fleet().run(script)
+
+    def test_restarted_engine_is_ordered_again(self) -> None:
+        """An engine that lost its orders in the middle of a load, or after it, gets them again."""
+
+        async def script(fleet: Fleet) -> None:
+            (engine,) = fleet.engines.values()
+            await sleep(LOAD_SECONDS / 2)
+            engine.restart()
+            await fleet.settle()
+            engine.restart()
+            await fleet.settle()
+
+        Fleet().run(script)
+
+
+class TestLateOrders:
+    """A holder was paused between its check of the lease and the order's arrival."""
+
+    @pytest.mark.parametrize("checks_fence", [True, False], ids=["checks", "ignores"])
+    def test_late_order_does_no_harm(self, checks_fence: bool) -> None:
+        """An engine that checks refuses it; one that does not is put right by the next read."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.settle()
+            (name,) = fleet.engines
+            engine, paused = fleet.engines[name], fleet.holder
+            way = fleet.ways[paused][name]
+            way.open.clear()
+            fleet.want("other")
+            await until(lambda: way.held > 0)
+            fleet.want(NEW)
+            fleet.stores[paused].faults = StoreFaults(down=True)
+            fleet.remove(paused, by=tuple(host for host in HOSTS if host != paused))
+            await until(lambda: len([host for host in HOSTS if fleet.keepers[host].groups]) == 2)
+            # The successor has its say once, so that the engine knows its fencing number.
+            fleet.want(NEW, "third")
+            await fleet.settle()
+            before = engine.now_state
+            fleet.stores[paused].faults = StoreFaults()
+            way.open.set()
+            await sleep(0.1)
+            assert engine.orders[-1].value == "other"
+            assert engine.orders[-1].fence < before.fence
+            assert bool(engine.loading) is not checks_fence
+            for _ in range(int(LOAD_SECONDS)):
+                await sleep(1.0)
+                assert NEW in engine.now_state.models
+            await fleet.settle()
+            await sleep(SETTLE)
+            assert fleet.settled
+
+        Fleet(checks_fence=checks_fence).run(script)
+
+    def test_refused_fence_is_not_sent_again(self) -> None:
+        """A holder that an engine refuses asks the store before it sends anything more."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.settle()
+            (engine,) = fleet.engines.values()
+            newer = Order(kind=OrderKind.ADAPTER, value="a", present=True, fence=1_000)
+            await engine.order(order=newer)
+            fleet.want("other")
+            await sleep(SETTLE)
+            refused = engine.orders[engine.orders.index(newer) + 1 :]
+            assert len(refused) > 1
+            assert len({order.fence for order in refused}) == len(refused)
+
+        Fleet().run(script)
+
+
+class TestLoadLimit:
+    """The weight store is shared by the fleet."""
+
+    def test_loads_at_a_time_stay_under_the_limit(self) -> None:
+        """Many engines of many pools load at the limit and not above it."""
+
+        async def script(fleet: Fleet) -> None:
+            seconds = await fleet.settle(limit=600.0)
+            assert fleet.most_loading == LOADS
+            # Reading back between two loads costs some of the rate.
+            assert seconds <= 2 * LOAD_SECONDS * len(fleet.engines) / LOADS
+
+        Fleet(pools=6, engines=4).run(script)
+
+    def test_limit_holds_over_a_change_of_holder(self) -> None:
+        """A successor counts the loads that are still under way."""
+
+        async def script(fleet: Fleet) -> None:
+            await sleep(LOAD_SECONDS / 2)
+            dead = fleet.holder
+            fleet.stores[dead].faults = StoreFaults(down=True)
+            for way in fleet.ways[dead].values():
+                way.open.clear()
+            fleet.remove(dead)
+            await fleet.settle(limit=600.0)
+            assert fleet.most_loading <= LOADS
+
+        Fleet(engines=12).run(script)
+
+    def test_dead_engine_blocks_no_other(self) -> None:
+        """Loads of engines that died are not waited for."""
+
+        async def script(fleet: Fleet) -> None:
+            await sleep(LOAD_SECONDS / 2)
+            for engine in fleet.engines.values():
+                engine.down = bool(engine.loading)
+            await fleet.settle(limit=600.0)
+            for engine in fleet.engines.values():
+                engine.down = False
+            await fleet.settle(limit=600.0)
+
+        Fleet(engines=8).run(script)
+
+    @pytest.mark.parametrize(("pools", "loads"), [(1, 4), (3, 4), (4, 4), (33, 8), (5, 1)])
+    def test_groups_share_the_limit(self, pools: int, loads: int) -> None:
+        """Every group may load something, all together no more than the limit."""
+        wanted = [
+            Wanted(target=TargetName(f"e{at}"), pool=f"pool-{at % pools}", models=(NEW,))
+            for at in range(100)
+        ]
+        groups = plan_groups(wanted=reversed(wanted), loads=loads)
+        assert sum(group.loads for group in groups) == loads
+        assert all(group.loads for group in groups)
+        assert sorted(item.target for group in groups for item in group.wanted) == sorted(
+            item.target for item in wanted
+        )
+        assert groups == plan_groups(wanted=wanted, loads=loads)
