Miss no change while a stand-in engine's reader begins to wait

Cause: a reader's task took the bell only when it first ran, so that a change in between was missed and the stream hung until its deadline. Change: the bell is taken before the state is read.

--- a/src/azureswitch_load/demo/_demo.py
+++ b/src/azureswitch_load/demo/_demo.py
@@ -53,7 +53,8 @@
         alone: Seconds at the start in which short requests have the fleet alone.
         rate: Calls a second.
         speed: Seconds of an engine's model in one second.
-        long_timeout: Seconds that a call with a long prompt may take.
+        long_timeout: Seconds that a call with a long prompt may take; hosts learn only with time that
+            these engines are quicker than they expect, and admit what fits until then.
     """
 
     seed: int = 1
@@ -61,7 +62,7 @@
     alone: float = 6.0
     rate: float = 16.0
     speed: float = 8.0
-    long_timeout: float = 40.0
+    long_timeout: float = 150.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch_standins/engine/_http.py
+++ b/src/azureswitch_standins/engine/_http.py
@@ -344,6 +344,8 @@
     ) -> AsyncIterator[bytes]:
         first = offset
         while not gone.done():
+            # Taken before the state is read, so that no change in between is missed.
+            bell = stream.bell
             produced, end = stream.produced, stream.end
             cut = self._faults.cut_after
             if cut:
@@ -361,7 +363,7 @@
             if isinstance(end, Failed):
                 self._server.abort(request=request)
                 return
-            await _either(stream.changed(), gone)
+            await _either(bell.wait(), gone)
 
     def _encoder(self, stream: LiveStream) -> EventEncoder:
         """Return the encoder of a stream, or of another one where answers are crossed."""
@@ -377,7 +379,7 @@
         gone = asyncio.ensure_future(_gone(request))
         try:
             while stream.end is None and not gone.done():
-                await _either(stream.changed(), gone)
+                await _either(stream.bell.wait(), gone)
         finally:
             gone.cancel()
             stream.readers -= 1
@@ -565,7 +567,7 @@
         await request.content.receive()
 
 
-async def _either(waiting: Awaitable[None], gone: asyncio.Future[None]) -> None:
+async def _either(waiting: Awaitable[object], gone: asyncio.Future[None]) -> None:
     task = asyncio.ensure_future(waiting)
     await asyncio.wait((task, gone), return_when=asyncio.FIRST_COMPLETED)
     task.cancel()
--- a/src/azureswitch_standins/engine/_streams.py
+++ b/src/azureswitch_standins/engine/_streams.py
@@ -100,9 +100,10 @@
             self._produced = self._request.max_tokens
         self._ring()
 
-    async def changed(self) -> None:
-        """Wait until something is new."""
-        await self._bell.wait()
+    @property
+    def bell(self) -> asyncio.Event:
+        """What the next change sets; each change has its own."""
+        return self._bell
 
     def _ring(self) -> None:
         bell, self._bell = self._bell, asyncio.Event()
