--- a/src/azureswitch/coordination/membership/_limits.py
+++ b/src/azureswitch/coordination/membership/_limits.py
@@ -30,10 +30,10 @@
 CONFIRMATIONS = 2
 """Members that must share a suspicion until it lasts no longer than the shortest time."""
 
-PIGGYBACK_BYTES = 600
+PIGGYBACK_BYTES = 500
 """Bytes of updates that a datagram carries at most, about."""
 
-CANDIDATES = 8
+CANDIDATES = 16
 """Updates that are considered for one datagram at most."""
 
 RETRANSMISSIONS = 3
--- a/src/azureswitch/coordination/membership/_messages.py
+++ b/src/azureswitch/coordination/membership/_messages.py
@@ -1,5 +1,6 @@
 """What members send each other."""
 
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from azureswitch.coordination.membership._model import MemberStatus
@@ -12,8 +13,8 @@
     MemberStatus.DEAD: 3,
 }
 
-_FIELD_NAME_BYTES = 96
-"""Bytes of an encoded update beside its names and its address, about."""
+_NUMBER_BYTES = 28
+"""Bytes of an update in a column of updates beside its names and its address, at most."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,9 +48,78 @@
 
     @property
     def size(self) -> int:
-        """Bytes that the update takes in a datagram, about."""
+        """Bytes that the update takes among others in a datagram, at most."""
         names = len(self.host) + len(self.place) + len(self.address) + len(self.accuser)
-        return _FIELD_NAME_BYTES + names
+        return _NUMBER_BYTES + names
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Updates:
+    """Updates by column, so that a datagram names each field once and not once for each update.
+
+    Attributes:
+        hosts: As `Update.host`, and so on for the others.
+        started: As `Update.started`.
+        versions: As `Update.version`.
+        places: As `Update.place`.
+        addresses: As `Update.address`.
+        statuses: As `Update.status`.
+        revisions: As `Update.revision`.
+        accusers: As `Update.accuser`.
+    """
+
+    hosts: tuple[HostName, ...]
+    started: tuple[int, ...]
+    versions: tuple[int, ...]
+    places: tuple[PlaceName, ...]
+    addresses: tuple[str, ...]
+    statuses: tuple[MemberStatus, ...]
+    revisions: tuple[int, ...]
+    accusers: tuple[str, ...]
+
+
+def pack(updates: Sequence[Update]) -> Updates | None:
+    """Put updates into columns; none take no bytes."""
+    if not updates:
+        return None
+    return Updates(
+        hosts=tuple(item.host for item in updates),
+        started=tuple(item.started for item in updates),
+        versions=tuple(item.version for item in updates),
+        places=tuple(item.place for item in updates),
+        addresses=tuple(item.address for item in updates),
+        statuses=tuple(item.status for item in updates),
+        revisions=tuple(item.revision for item in updates),
+        accusers=tuple(item.accuser for item in updates),
+    )
+
+
+def unpack(updates: Updates | None) -> Iterator[Update]:
+    """Take updates out of their columns."""
+    if updates is None:
+        return
+    rows = zip(
+        updates.hosts,
+        updates.started,
+        updates.versions,
+        updates.places,
+        updates.addresses,
+        updates.statuses,
+        updates.revisions,
+        updates.accusers,
+        strict=False,
+    )
+    for host, started, version, place, address, status, revision, accuser in rows:
+        yield Update(
+            host=host,
+            started=started,
+            version=version,
+            place=place,
+            address=address,
+            status=status,
+            revision=revision,
+            accuser=accuser,
+        )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,7 +151,7 @@
 
     sequence: int
     source: Update
-    updates: tuple[Update, ...] = ()
+    updates: Updates | None = None
     report: RevisionReport = NO_REPORT
 
 
@@ -98,7 +168,7 @@
 
     sequence: int
     source: Update
-    updates: tuple[Update, ...] = ()
+    updates: Updates | None = None
     report: RevisionReport = NO_REPORT
 
 
@@ -110,13 +180,11 @@
         sequence: Returned in the answer.
         source: The sender.
         target: The member to probe.
-        updates: News of other members.
     """
 
     sequence: int
     source: Update
     target: Update
-    updates: tuple[Update, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -130,7 +198,7 @@
 class Gossip:
     """News that cannot wait for the next probe."""
 
-    updates: tuple[Update, ...]
+    updates: Updates | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -158,7 +226,7 @@
     """
 
     source: Update
-    updates: tuple[Update, ...]
+    updates: Updates | None
     complete: bool
     report: RevisionReport = NO_REPORT
 
--- a/src/azureswitch/coordination/membership/_reduce.py
+++ b/src/azureswitch/coordination/membership/_reduce.py
@@ -58,6 +58,8 @@
     SyncReply,
     SyncRequest,
     Update,
+    pack,
+    unpack,
 )
 from azureswitch.coordination.membership._model import MemberStatus
 from azureswitch.coordination.membership._probe import Probe, Relay
@@ -143,7 +145,7 @@
         chosen.append(claim)
     yield AnswerSync(
         reply=SyncReply(
-            source=state.me, updates=tuple(chosen), complete=complete, report=state.report()
+            source=state.me, updates=pack(chosen), complete=complete, report=state.report()
         )
     )
 
@@ -152,7 +154,7 @@
 def _(event: SyncReplied, state: MembershipState) -> MembershipEffects:
     reply = event.reply
     learn(state, reply.source, event.now)
-    for update in reply.updates:
+    for update in unpack(reply.updates):
         hear(state, update, event.now)
     hear_report(state, reply.report)
     state._synced += 1
@@ -193,7 +195,7 @@
     ack = Ack(
         sequence=message.sequence,
         source=state.me,
-        updates=state.piggyback(first=claim),
+        updates=pack(state.piggyback(first=claim)),
         report=state.report(),
     )
     yield Send(address=message.source.address, message=ack)
@@ -219,8 +221,6 @@
 @_take.register
 def _(message: PingRequest, state: MembershipState, now: float) -> MembershipEffects:
     learn(state, message.source, now)
-    for update in message.updates:
-        learn(state, update, now)
     sequence = _sequence(state)
     state._relays[sequence] = Relay(
         address=message.source.address,
@@ -242,14 +242,14 @@
 
 @_take.register
 def _(message: Gossip, state: MembershipState, now: float) -> MembershipEffects:
-    for update in message.updates:
+    for update in unpack(message.updates):
         learn(state, update, now)
     yield from ()
 
 
 def _take_news(message: Ping | Ack, state: MembershipState, now: float) -> None:
     learn(state, message.source, now)
-    for update in message.updates:
+    for update in unpack(message.updates):
         learn(state, update, now)
     hear_report(state, message.report)
     if message.source.revision:
@@ -324,9 +324,9 @@
 def _ping(state: MembershipState, sequence: int, target: Update) -> Ping:
     if target.status in {MemberStatus.SUSPECT, MemberStatus.DEAD}:
         # News would most likely be wasted on it.
-        return Ping(sequence=sequence, source=state.me, updates=(target,))
+        return Ping(sequence=sequence, source=state.me, updates=pack((target,)))
     return Ping(
-        sequence=sequence, source=state.me, updates=state.piggyback(), report=state.report()
+        sequence=sequence, source=state.me, updates=pack(state.piggyback()), report=state.report()
     )
 
 
@@ -343,7 +343,12 @@
 
 def _ask_helpers(state: MembershipState, probe: Probe) -> MembershipEffects:
     candidates = state._table.alive(without=(state._host, probe.target.host))
-    helpers = state._random.sample(candidates, min(HELPERS, len(candidates)))
+    state._random.shuffle(candidates)
+    # One of the own place answers also where whole places are out of reach.
+    candidates.sort(key=lambda item: item.place != state.me.place)
+    helpers = candidates[:1] + state._random.sample(
+        candidates[1:], min(HELPERS - 1, len(candidates[1:]))
+    )
     probe.helpers = tuple(item.address for item in helpers)
     for helper in helpers:
         request = PingRequest(sequence=probe.sequence, source=state.me, target=probe.target)
@@ -398,12 +403,12 @@
 def _spread_urgent(state: MembershipState) -> MembershipEffects:
     if not state._urgent:
         return
-    updates = tuple(state._urgent[:URGENT_UPDATES])
+    updates = state._urgent[:URGENT_UPDATES]
     state._urgent = []
     hosts = [state._host, *(item.host for item in updates)]
     candidates = state._table.alive(without=hosts)
     for member in state._random.sample(candidates, min(URGENT_FANOUT, len(candidates))):
-        yield Send(address=member.address, message=Gossip(updates=updates))
+        yield Send(address=member.address, message=Gossip(updates=pack(updates)))
 
 
 def _sequence(state: MembershipState) -> int:
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -16,7 +16,7 @@
     Ticked,
     reduce,
 )
-from azureswitch.coordination.membership._messages import Gossip, Update
+from azureswitch.coordination.membership._messages import Gossip, Update, pack
 from azureswitch.core import HostName, Incarnation, PlaceName
 from azureswitch.peers import encode
 from azureswitch.ports import DATAGRAM_LIMIT, HostStatus, ListedHost
@@ -247,7 +247,7 @@
         """A later start goes first, then a higher version, then the graver status."""
         state = _state()
         for update in (_update(), _update(**second)):
-            reduce(state, Received(now=0.1, message=Gossip(updates=(update,))))
+            reduce(state, Received(now=0.1, message=Gossip(updates=pack((update,)))))
         found = {item.incarnation.host: item.status for item in state.members}
         assert found.get(HostName("other")) is status
 
@@ -256,7 +256,7 @@
         """A host that hears itself accused speaks up with a higher version."""
         state = _state()
         accusation = replace(state.me, status=status, version=4)
-        reduce(state, Received(now=0.1, message=Gossip(updates=(accusation,))))
+        reduce(state, Received(now=0.1, message=Gossip(updates=pack((accusation,)))))
         assert (state.me.status, state.me.version) == (MemberStatus.ALIVE, 5)
 
     def test_datagrams_are_bounded(self) -> None:
@@ -266,7 +266,7 @@
         for index in range(100):
             host = HostName(f"{index:03d}{long}"[:63])
             update = _update(host=host, place=PlaceName(long), accuser=long)
-            reduce(state, Received(now=0.1, message=Gossip(updates=(update,))))
+            reduce(state, Received(now=0.1, message=Gossip(updates=pack((update,)))))
             state._reports.add(revision=1, hosts=(host,))
         sent = [effect for tick in range(1, 50) for effect in reduce(state, Ticked(now=tick / 10))]
         messages = [getattr(effect, "message", None) for effect in sent]
