--- a/src/azureswitch/entry/_directory.py
+++ b/src/azureswitch/entry/_directory.py
@@ -23,6 +23,11 @@
             for model in target.models:
                 self._models.setdefault(model, self._services[str(target.service)])
 
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """The configuration, or None before the first."""
+        return self._snapshot
+
     @property
     def revision(self) -> int:
         """The revision in force, or zero."""
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -138,7 +138,7 @@
     async def _drain(self, parts: Parts) -> None:
         logging.info("entry: Host %s is leaving.", self._settings.host)
         parts.shell.begin_shutdown()
-        leaving = asyncio.ensure_future(parts.membership.leave())
+        leaving = asyncio.ensure_future(parts.leave())
         await asyncio.sleep(self._settings.drain_notice)
         await parts.shell.drained()
         with suppress(Exception):
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from time import monotonic, time
 
-from absl import logging
-
 from azureswitch.coordination.claims import Claims
+from azureswitch.coordination.configuration import Configuration
 from azureswitch.coordination.journal import Journal
 from azureswitch.coordination.membership import Member, Membership, MemberStatus
 from azureswitch.coordination.memory import Sweeper
+from azureswitch.coordination.orders import OrderKeeper, Wanted, wanted_from
 from azureswitch.core import CallId, Incarnation, TargetName
 from azureswitch.engines import HttpEngine, HttpPlainTarget
 from azureswitch.entry._claiming import FleetClaims
@@ -138,6 +138,24 @@
             running=self._is_running,
             seed=seed,
         )
+        self._configuration = Configuration(
+            store=ports.store,
+            peers=ports.peers,
+            members=self._members,
+            myself=self._myself,
+            place=settings.place,
+            address=ports.address,
+            hosts=ports.hosts,
+            seed=seed,
+        )
+        self._orders = OrderKeeper(
+            myself=self._myself,
+            store=ports.store,
+            members=self._members,
+            engines=self._engines,
+            wanted=self._wanted,
+            seed=seed,
+        )
         self._connect()
 
     @property
@@ -180,15 +198,22 @@
         """Messages to other hosts."""
         return self._ports.peers
 
+    async def leave(self) -> None:
+        """Tell the other hosts that this one leaves, and give back what it looks after."""
+        await self._membership.leave()
+        await self._orders.stop()
+
     @property
     def loops(self) -> Mapping[str, Callable[[], Coroutine[object, object, None]]]:
         """What runs for as long as the process does, by name."""
         return {
             "membership": self._membership.run,
+            "configuration": self._configuration.run,
             "claims": self._claims.run,
             "journal": self._journal.run,
             "sweeper": self._sweeper.run,
             "polls": self._poller.run,
+            "orders": self._orders.run,
             "shell": self._shell.run,
         }
 
@@ -210,8 +235,13 @@
         ports = ((name, self._targets.engine(name)) for name in self._targets.engines)
         return {name: port for name, port in ports if port is not None}
 
+    def _wanted(self) -> tuple[Wanted, ...]:
+        snapshot = self._shell.directory.snapshot
+        return wanted_from(snapshot) if snapshot else ()
+
     def _connect(self) -> None:
         self._membership.on_change(self._members_changed)
+        self._configuration.on_adopt(self._adopt)
         self._metrics.watch(
             name="open_calls",
             help="Requests that have not ended.",
@@ -244,4 +274,3 @@
     def _adopt(self, revision: int, body: bytes) -> None:
         self._shell.adopt(decode(body, revision=revision))
         self._membership.set_revision(revision)
-        logging.info("entry: Revision %d was adopted.", revision)
--- a/tests/entry/rig.py
+++ b/tests/entry/rig.py
@@ -11,6 +11,7 @@
 
 import httpx
 
+from azureswitch.coordination.configuration import Changes
 from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
 from azureswitch.entry import EntryPorts, EntryServer, EntrySettings, Limits
 from azureswitch.exceptions import TargetBrokenError
@@ -21,8 +22,8 @@
     Rules,
     Service,
     ServiceKind,
-    Snapshot,
     Target,
+    encode,
 )
 from azureswitch.ports import HostStatus, ListedHost, PlainAnswer, PlainRequest
 from azureswitch.settings import Address
@@ -64,7 +65,7 @@
         )
 
 
-def snapshot(engines: list[EngineStandin], *, revision: int = 1, longest: int = 9_000) -> Snapshot:
+def configuration(engines: list[EngineStandin]) -> bytes:
     """Return a configuration with these engines, one plain service and two customers."""
     pool, desk, north = ServiceName("pool"), ServiceName("desk"), PlaceName("north-1")
     targets = [
@@ -91,8 +92,8 @@
             for name, key in (("alder", KEY), ("birch", OTHER_KEY))
         ),
     )
-    rules = Rules(longest_prompt=longest, long_prompt=2_000, body_limit=65_536)
-    return Snapshot(revision=revision, inventory=inventory, rules=rules)
+    rules = Rules(longest_prompt=9_000, long_prompt=2_000, body_limit=65_536)
+    return encode(inventory=inventory, rules=rules)
 
 
 def settings(host: str, *, limits: Limits = LIMITS) -> EntrySettings:
@@ -166,10 +167,17 @@
             await engine.start()
         for entry in self.entries:
             await entry.start()
-            entry.shell.adopt(snapshot(self.engines))
-        while any(len(e.parts.membership.members) < len(self.entries) for e in self.entries):
+        await Changes(store=self.store).propose(
+            base=0, body=configuration(self.engines), author="operator", change="first"
+        )
+        while not all(self.is_ready(entry) for entry in self.entries):
             await asyncio.sleep(0.01)
 
+    def is_ready(self, entry: EntryServer) -> bool:
+        """Tell whether a host has the configuration and knows all others."""
+        members = entry.parts.membership.members
+        return bool(entry.shell.directory.revision) and len(members) == len(self.entries)
+
     async def stop(self) -> None:
         """Stop everything at once."""
         for entry in self.entries:
