--- a/src/azureswitch_load/_bodies.py
+++ b/src/azureswitch_load/_bodies.py
@@ -77,24 +77,27 @@
 
 
 def prompt_of(call: PlannedCall, run: str) -> str:
-    """Return the prompt of a completion: a shared document and a question of its own."""
+    """Return the prompt of a completion: a document and a question."""
     question = _question(call, run)
-    return _document(call, len(question)) + question
+    return _document(call, run, len(question)) + question
 
 
 def messages_of(call: PlannedCall, run: str) -> tuple[tuple[str, str], ...]:
     """Return the messages of a chat as role and content."""
     question = _question(call, run)
-    return ("system", _document(call, len(question))), ("user", question)
+    return ("system", _document(call, run, len(question))), ("user", question)
 
 
 def _question(call: PlannedCall, run: str) -> str:
     return f" Question {run}-{call.number}: explain."
 
 
-def _document(call: PlannedCall, question: int) -> str:
+def _document(call: PlannedCall, run: str, question: int) -> str:
     size = max(0, call.prompt_tokens * TOKEN_BYTES - question)
     text = _text()
+    if call.document is None:
+        start = Random(f"{run}/{call.number}").randrange(len(text) - size)
+        return f"{run}-{call.number} {text[start : start + size]}"[:size]
     start = Random(f"{call.caller.name}/{call.document}").randrange(len(text) - size)
     return text[start : start + size]
 
--- a/src/azureswitch_load/_calls.py
+++ b/src/azureswitch_load/_calls.py
@@ -70,7 +70,8 @@
         phase: The phase that it belongs to.
         caller: Who sends it.
         length: The bucket of its prompt; None for plain services.
-        document: Which shared document its prompt begins with.
+        document: Which shared document its prompt begins with; None for one of its own, of which
+            no engine has anything cached.
         prompt_tokens: Tokens of its prompt; zero for plain services.
         output_tokens: Output tokens asked for; zero for plain services.
         streamed: Whether its answer is streamed.
@@ -83,7 +84,7 @@
     phase: Phase
     caller: Caller
     length: Length | None = None
-    document: int = 0
+    document: int | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
     streamed: bool = True
--- a/src/azureswitch_load/_plan.py
+++ b/src/azureswitch_load/_plan.py
@@ -35,6 +35,7 @@
         plain_share: Share of calls that go to a plain service; zero where there is none.
         booking_share: Share of these that may not repeat.
         chat_share: Share of the other calls that are chats.
+        shared_share: Share of completions and chats whose prompts begin with a shared document.
         stream_share: Share of completions and chats whose answer is streamed.
         longest: Tokens of the longest prompt.
         short_timeout: Seconds that a call with a short prompt or to a plain service may take.
@@ -49,6 +50,7 @@
     plain_share: float = 0.25
     booking_share: float = 0.6
     chat_share: float = 0.3
+    shared_share: float = 0.5
     stream_share: float = 0.9
     longest: int = 1_000_000
     short_timeout: float = 20.0
@@ -109,13 +111,18 @@
             phase=phase,
             caller=caller,
             length=length,
-            document=self._random.randrange(DOCUMENTS),
+            document=self._document(),
             prompt_tokens=self._tokens(length),
             output_tokens=self._random.randint(FEWEST_OUTPUT, MOST_OUTPUT),
             streamed=self._random.random() < settings.stream_share,
             timeout=settings.short_timeout if length is Length.SHORT else settings.long_timeout,
         )
 
+    def _document(self) -> int | None:
+        if self._random.random() >= self._settings.shared_share:
+            return None
+        return self._random.randrange(DOCUMENTS)
+
     def _tokens(self, length: Length) -> int:
         high = min(length.high, self._settings.longest)
         if length is Length.HUGE and self._random.random() < 0.5:
--- a/src/azureswitch_load/_report.py
+++ b/src/azureswitch_load/_report.py
@@ -53,6 +53,8 @@
 class Slowdown:
     """What short requests lose where long ones share the fleet.
 
+    Only prompts with a document of their own count, of which no engine has anything cached.
+
     Attributes:
         alone: Time to the first token of short requests that had the fleet alone.
         mixed: The same beside long requests.
@@ -155,7 +157,12 @@
 
 
 def _slowdown(outcomes: Sequence[Outcome]) -> Slowdown:
-    short = [outcome for outcome in outcomes if outcome.call.length is Length.SHORT]
+    # A shared document may be cached in the one phase and not yet in the other.
+    short = [
+        outcome
+        for outcome in outcomes
+        if outcome.call.length is Length.SHORT and outcome.call.document is None
+    ]
     alone = _times(outcome for outcome in short if outcome.call.phase is Phase.ALONE)
     mixed = _times(outcome for outcome in short if outcome.call.phase is Phase.MIXED)
     return Slowdown(
--- a/src/azureswitch_load/demo/_demo.py
+++ b/src/azureswitch_load/demo/_demo.py
@@ -53,14 +53,14 @@
         alone: Seconds at the start in which short requests have the fleet alone.
         rate: Calls a second.
         speed: Seconds of an engine's model in one second.
-        long_timeout: Seconds that a call with a long prompt may take; hosts learn only with time that
-            these engines are quicker than they expect, and admit what fits until then.
+        long_timeout: Seconds that a call with a long prompt may take; hosts learn only with time
+            that these engines are quicker than they expect, and admit what fits until then.
     """
 
     seed: int = 1
-    seconds: float = 32.0
-    alone: float = 6.0
-    rate: float = 16.0
+    seconds: float = 34.0
+    alone: float = 8.0
+    rate: float = 20.0
     speed: float = 8.0
     long_timeout: float = 150.0
 
--- a/src/azureswitch_load/demo/_script.py
+++ b/src/azureswitch_load/demo/_script.py
@@ -30,10 +30,10 @@
         change: A configuration that drains an engine is accepted.
     """
 
-    kill: float = 9.0
-    shutdown: float = 13.0
-    outage: float = 18.0
-    change: float = 24.0
+    kill: float = 11.0
+    shutdown: float = 15.0
+    outage: float = 20.0
+    change: float = 26.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -109,7 +109,8 @@
         self._tell(f"Engine {name} is back, its memory empty.")
 
     async def _shut_down_entry(self) -> None:
-        host, entry = next(iter(self._fleet.entries.items()))
+        entries = self._fleet.entries.items()
+        host, entry = max(entries, key=lambda item: item[1].shell.open_calls)
         self._shutdowns.append(Shutdown(address=str(entry.address), began=self._now()))
         self._watch.host_left(host=host)
         open_calls = entry.shell.open_calls
