Ask engines for their load in status and explain; bound a configuration's size

Cause: an operator who drains an engine could not see when it is empty, and explain knew an idle fleet alone. The daemon's parts are imported by the reference command alone.

--- a/src/azureswitch/commands/_base.py
+++ b/src/azureswitch/commands/_base.py
@@ -13,8 +13,10 @@
 
 from azureswitch.client import HttpClient
 from azureswitch.commands._exits import ExitCode, exit_code
+from azureswitch.commands._loads import EngineFactory
 from azureswitch.commands._revisions import Revisions
 from azureswitch.commands._settings import OperatorSettings, read_settings
+from azureswitch.engines import HttpEngine
 from azureswitch.exceptions import AzureswitchError, ChangeOutcomeUnknownError
 from azureswitch.platform import HttpStore
 from azureswitch.ports import Store
@@ -27,11 +29,13 @@
     Attributes:
         store: Makes the port to the object store at an address.
         operations: Makes the client of an entry host's operations address.
+        engine: Makes the port of an engine.
         patience: Seconds for which a change is tried while the store gives no clear answer.
     """
 
     store: Callable[[str], Store] = lambda address: HttpStore(address=address)
     operations: Callable[[str], HttpClient] = lambda address: HttpClient(address=address)
+    engine: EngineFactory = lambda target: HttpEngine(target=target.name, address=target.address)
     patience: float = 10.0
 
 
--- a/src/azureswitch/commands/_explain.py
+++ b/src/azureswitch/commands/_explain.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from azureswitch.commands._loads import EngineLoad
 from azureswitch.core import CallId, CustomerName, Effect, HostName, PlaceName, ServiceName
 from azureswitch.exceptions import AzureswitchError, UnknownCustomerError, UnknownModelError
 from azureswitch.inventory import Customer, Rules, Service, ServiceKind, Snapshot
@@ -13,9 +14,12 @@
     ClaimGranted,
     FinishCall,
     HostSelf,
+    LoadReported,
+    ServingEvent,
     ServingState,
     SnapshotAdopted,
     StartAttempt,
+    TargetUnreachable,
     reduce,
 )
 
@@ -49,10 +53,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Explanation:
-    """What would become of a request on a fleet without load.
+    """What would become of a request.
 
     Attributes:
         revision: The configuration that it is explained by.
+        live: Whether the engines' load reports were taken into account; else they count as idle.
         admitted: Whether it would be admitted.
         steps: What is decided, in order, a sentence each.
         targets: Where it would be sent first; several where it is larger than one engine's memory.
@@ -61,6 +66,7 @@
     """
 
     revision: int
+    live: bool
     admitted: bool
     steps: tuple[str, ...]
     targets: tuple[str, ...] = ()
@@ -68,12 +74,15 @@
     retry_after: float | None = None
 
 
-def explain(snapshot: Snapshot, question: Question) -> Explanation:
-    """Put a request to the reducer that entry hosts run, on a fleet without load.
+def explain(
+    snapshot: Snapshot, question: Question, *, loads: tuple[EngineLoad, ...] = ()
+) -> Explanation:
+    """Put a request to the reducer that entry hosts run.
 
     Args:
         snapshot: The configuration.
         question: The request.
+        loads: What the engines say of their load; without it, they count as idle.
 
     Returns:
         What would become of it.
@@ -96,26 +105,34 @@
         repeatable=_repeatable(service, question),
         idempotency_key=None,
     )
-    unknown = UnknownModelError(model=question.model)
-    missing = question.model and service is None
-    effects: tuple[Effect, ...] = (
-        (FinishCall(call=_CALL, error=unknown),) if missing else _decide(snapshot, question, call)
-    )
+    effects = _decide(snapshot, question, call, loads)
     for effect in effects:
         steps += _step(effect)
-    return _explanation(snapshot.revision, effects, tuple(steps))
+    return _explanation(snapshot.revision, effects, tuple(steps), live=bool(loads))
 
 
-def _decide(snapshot: Snapshot, question: Question, call: Call) -> tuple[Effect, ...]:
+def _decide(
+    snapshot: Snapshot, question: Question, call: Call, loads: tuple[EngineLoad, ...]
+) -> tuple[Effect, ...]:
+    if question.model and not call.service:
+        return (FinishCall(call=_CALL, error=UnknownModelError(model=question.model)),)
     myself = HostSelf(name=HostName("explain"), place=PlaceName(question.place), started=0)
     state = ServingState(myself=myself, seed=0)
     reduce(state, SnapshotAdopted(now=0.0, snapshot=snapshot))
+    for load in loads:
+        reduce(state, _load_event(load))
     effects = tuple(reduce(state, CallArrived(now=0.0, call=call)))
     if any(isinstance(effect, ClaimCall) for effect in effects):
         effects += tuple(reduce(state, ClaimGranted(now=0.0, call=_CALL)))
     return effects
 
 
+def _load_event(load: EngineLoad) -> ServingEvent:
+    if load.report is None:
+        return TargetUnreachable(now=0.0, target=load.target.name)
+    return LoadReported(now=0.0, report=load.report)
+
+
 def _customer(snapshot: Snapshot, name: str) -> Customer:
     for customer in snapshot.inventory.customers:
         if customer.name == CustomerName(name):
@@ -178,7 +195,9 @@
     return [f"It is refused: {effect.error}"] if effect.error else []
 
 
-def _explanation(revision: int, effects: tuple[Effect, ...], steps: tuple[str, ...]) -> Explanation:
+def _explanation(
+    revision: int, effects: tuple[Effect, ...], steps: tuple[str, ...], *, live: bool
+) -> Explanation:
     error: AzureswitchError | None = None
     targets: tuple[str, ...] = ()
     for effect in effects:
@@ -186,8 +205,11 @@
             error = effect.error
         elif isinstance(effect, StartAttempt):
             targets = effect.targets
+    if error is None and not targets:
+        steps = (*steps, "No target has room now, so that it waits in the host's queue.")
     return Explanation(
         revision=revision,
+        live=live,
         admitted=error is None,
         steps=steps,
         targets=targets,
--- a/src/azureswitch/commands/_explaining.py
+++ b/src/azureswitch/commands/_explaining.py
@@ -8,6 +8,7 @@
 from azureswitch.commands._base import OperatorCommand, outcome, text
 from azureswitch.commands._exits import ExitCode
 from azureswitch.commands._explain import Explanation, Question, explain
+from azureswitch.commands._loads import EngineLoad, read_loads
 from azureswitch.commands._numbers import count, seconds
 from azureswitch.commands._revisions import EMPTY
 from azureswitch.inventory import Snapshot, load_inventory, load_rules
@@ -16,7 +17,8 @@
 @text.register
 def _(report: Explanation) -> str:
     verdict = "admitted" if report.admitted else f"refused ({report.error})"
-    lines = [f"By revision {report.revision}, on a fleet without load, it would be {verdict}."]
+    load = "with the engines' present load" if report.live else "on a fleet without load"
+    lines = [f"By revision {report.revision}, {load}, it would be {verdict}."]
     lines += [f"- {step}" for step in report.steps]
     if report.retry_after is not None:
         lines.append(f"- The caller is told to come back in {report.retry_after:.0f} s.")
@@ -43,6 +45,7 @@
         option("output-tokens", None, "Output tokens asked for.", flag=False, default="256"),
         option("timeout", "t", "Seconds that the caller gives it.", flag=False),
         option("place", "p", "The place of the entry host.", flag=False, default=""),
+        option("live", description="Ask the engines for their load; else they count as idle."),
         option("inventory", "i", "An inventory file, in place of the one in force.", flag=False),
         option("rules", "r", "A rules file, in place of the ones in force.", flag=False),
     ]
@@ -59,7 +62,12 @@
             timeout=None if self.option("timeout") is None else seconds(self, "timeout"),
             place=self.option("place"),
         )
-        return explain(await self._snapshot(), question)
+        snapshot = await self._snapshot()
+        loads = await self._loads(snapshot) if self.option("live") else ()
+        return explain(snapshot, question, loads=loads)
+
+    async def _loads(self, snapshot: Snapshot) -> tuple[EngineLoad, ...]:
+        return await read_loads(snapshot.inventory.targets, self._connections.engine)
 
     async def _snapshot(self) -> Snapshot:
         inventory, rules = self.option("inventory"), self.option("rules")
--- a/src/azureswitch/commands/_reference.py
+++ b/src/azureswitch/commands/_reference.py
@@ -5,7 +5,6 @@
 from azureswitch.commands._base import OperatorCommand, text
 from azureswitch.commands._exits import ExitCode
 from azureswitch.commands._settings import OPERATOR_TABLE
-from azureswitch.entry import ENTRY_TABLE
 from azureswitch.inventory import INVENTORY, RULES
 from azureswitch.settings import reference
 
@@ -34,6 +33,9 @@
 
 def page() -> str:
     """Return the reference page."""
+    # Imported here, since every other command would start twice as slowly with the daemon's parts.
+    from azureswitch.entry import ENTRY_TABLE
+
     tables = (ENTRY_TABLE, OPERATOR_TABLE, INVENTORY, RULES)
     return "\n".join((_INTRODUCTION, *map(reference, tables), _exit_codes()))
 
--- a/src/azureswitch/commands/_reports.py
+++ b/src/azureswitch/commands/_reports.py
@@ -150,7 +150,7 @@
         entry_table(report.entries),
     ]
     if report.differences:
-        lines += ["They changed:", difference_table(report.differences)]
+        lines += ["Together they changed:", difference_table(report.differences)]
     return "\n".join(lines)
 
 
@@ -167,7 +167,7 @@
     rows = ((*_entry_cells(row.entry), _summary(row.differences)) for row in report.rows)
     lines = [table(heading, rows)]
     if report.verified:
-        lines.append(f"{report.verified} entries hold the digest of the one before.")
+        lines.append(f"{report.verified} entries of the audit trail are as they were accepted.")
     return "\n".join(lines)
 
 
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -4,14 +4,17 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from cleo.helpers import option
 from msgspec import DecodeError, ValidationError, json
 
 from azureswitch.client import HttpClient
 from azureswitch.commands._base import OperatorCommand, outcome, text
 from azureswitch.commands._exits import ExitCode
+from azureswitch.commands._loads import EngineLoad, read_loads
 from azureswitch.commands._revisions import head_revision
 from azureswitch.commands._tables import table
 from azureswitch.exceptions import EntryUnreachableError, HttpError, StoreError
+from azureswitch.inventory import TargetRole
 
 STATUS_TIMEOUT = 2.0
 """Seconds that a host may take to answer."""
@@ -62,12 +65,14 @@
         head: The newest accepted revision, or None where the store was not reached.
         lagging: Live hosts on which an older revision is in force.
         entry: What the asked host says.
+        loads: What the engines of the newest revision say of their load, where that was asked for.
     """
 
     asked: str
     head: int | None
     lagging: tuple[str, ...]
     entry: EntryStatus
+    loads: tuple[EngineLoad, ...] = ()
 
 
 @text.register
@@ -78,7 +83,8 @@
 @outcome.register
 def _(report: FleetStatus) -> ExitCode:
     suspects = any(member.status == "suspect" for member in report.entry.members)
-    return ExitCode.ATTENTION if report.lagging or suspects else ExitCode.DONE
+    silent = any(load.missing for load in report.loads)
+    return ExitCode.ATTENTION if report.lagging or suspects or silent else ExitCode.DONE
 
 
 def _parts(report: FleetStatus) -> Iterator[str]:
@@ -91,7 +97,24 @@
         (m.host, m.place, m.address, m.status, m.revision, _mark(m.host, report)) for m in members
     )
     yield table(heading, rows)
-    yield f"{len(entry.engines)} engines in force: {', '.join(entry.engines) or 'none'}."
+    if report.loads:
+        yield table(_LOAD_HEADING, map(_load_cells, report.loads))
+    else:
+        yield f"{len(entry.engines)} engines in force: {', '.join(entry.engines) or 'none'}."
+
+
+_LOAD_HEADING = ("ENGINE", "PLACE", "ROLE", "RUNNING", "WAITING", "MEMORY", "NOTE")
+
+
+def _load_cells(load: EngineLoad) -> tuple[object, ...]:
+    target, report = load.target, load.report
+    cells = (target.name, target.place, target.role.value)
+    if report is None:
+        return (*cells, "", "", "", "does not answer")
+    memory = f"{report.memory_used / max(1, report.memory_total):.0%}"
+    idle = not report.running and not report.waiting
+    note = "empty" if idle and target.role is TargetRole.DRAINING else ""
+    return (*cells, report.running, report.waiting, memory, note)
 
 
 def _mark(host: str, report: FleetStatus) -> str:
@@ -103,6 +126,10 @@
 
     name = "status"
     description = "Show live and leaving hosts, engines, and the revision in force on each host."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        *OperatorCommand.options,
+        option("engines", "e", description="Ask each engine for its load."),
+    ]
 
     async def report(self) -> FleetStatus:
         """Ask the first entry host that answers.
@@ -118,10 +145,7 @@
         raise EntryUnreachableError(addresses=", ".join(addresses))
 
     async def _fleet(self, asked: str, entry: EntryStatus) -> FleetStatus:
-        try:
-            head: int | None = await head_revision(self.store)
-        except StoreError:
-            head = None
+        head, loads = await self._head()
         newest = max(head or 0, *(member.revision for member in entry.members), entry.revision)
         lagging = tuple(
             sorted(
@@ -130,7 +154,18 @@
                 if member.status in _TAKING_PART and member.revision < newest
             )
         )
-        return FleetStatus(asked=asked, head=head, lagging=lagging, entry=entry)
+        return FleetStatus(asked=asked, head=head, lagging=lagging, entry=entry, loads=loads)
+
+    async def _head(self) -> tuple[int | None, tuple[EngineLoad, ...]]:
+        """Return the newest revision, if the store is reached, and its engines' load."""
+        try:
+            if not self.option("engines"):
+                return await head_revision(self.store), ()
+            head = await self.revisions.head()
+        except StoreError:
+            return None, ()
+        loads = await read_loads(head.inventory.targets, self._connections.engine)
+        return head.revision, loads
 
 
 async def _ask(client: HttpClient) -> EntryStatus | None:
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -12,9 +12,13 @@
 
 from azureswitch.client import HttpAnswer, HttpHead
 from azureswitch.commands import Connections, ExitCode, build
-from azureswitch.exceptions import HttpNotSentError, StoreOutcomeUnknownError
-from azureswitch.inventory import parse_inventory
-from azureswitch.ports import StoredObject
+from azureswitch.exceptions import (
+    HttpNotSentError,
+    StoreOutcomeUnknownError,
+    TargetRefusedError,
+)
+from azureswitch.inventory import Target, parse_inventory
+from azureswitch.ports import LoadReport, StoredObject
 from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel
 
 ROOT = Path(__file__).parents[2]
@@ -51,14 +55,47 @@
         """Close nothing."""
 
 
+@dataclass
+class FakeEngine:
+    """An engine that has much to do, or does not answer."""
+
+    target: Target
+    silent: bool
+    waiting_tokens: int
+
+    async def load(self) -> LoadReport:
+        """Return the load report."""
+        if self.silent:
+            raise TargetRefusedError(target=self.target.name)
+        return LoadReport(
+            target=self.target.name,
+            started=1,
+            sequence=1,
+            running=0,
+            waiting=0,
+            waiting_tokens=self.waiting_tokens,
+            urgent_tokens=self.waiting_tokens,
+            memory_used=self.target.memory // 2,
+            memory_total=self.target.memory,
+            models=self.target.models,
+        )
+
+
 class Operator:
     """One operator at a terminal, with a way to the store of its own."""
 
     def __init__(self, directory: Path, model: StoreModel, name: str) -> None:
         self.store = DisturbedStore(model=model)
         self.entries: dict[str, FakeEntry] = {}
+        self.silent: set[str] = set()
+        self.waiting_tokens = 0
         connections: Any = Connections(
-            store=lambda _: self.store, operations=self.entries.__getitem__, patience=0.15
+            store=lambda _: self.store,
+            operations=self.entries.__getitem__,
+            engine=lambda target: FakeEngine(
+                target, target.name in self.silent, self.waiting_tokens
+            ),
+            patience=0.15,
         )
         self._tester = ApplicationTester(build(connections=connections))
         self._settings = directory / f"{name}.ini"
@@ -279,10 +316,42 @@
         assert (report["asked"], report["lagging"]) == ("127.0.0.1:3", lagging)
         assert report["head"] == (None if down else 1)
 
+    def test_engines(self, pair: Pair) -> None:
+        """Engines are shown with their load; one that should serve and is silent is marked."""
+        dana, _ = pair
+        dana.entries["127.0.0.1:2"] = FakeEntry(body=status_body(2))
+        dana.accept("drain lm-03")
+        dana.silent = {"lm-02"}
+        assert dana.run("status --engines") is ExitCode.ATTENTION
+        lines = {line.split()[0]: line for line in dana.printed.splitlines() if "lm-" in line}
+        assert lines["lm-02"].endswith("does not answer")
+        assert lines["lm-03"].endswith("50%     empty")
+        dana.silent = {"lm-03"}
+        assert "draining" in dana.accept("status --engines")
+
 
 class TestExplain:
     """``explain``."""
 
+    @pytest.mark.parametrize(
+        ("silent", "waiting_tokens", "error", "sent"),
+        [
+            ([], 0, "", True),
+            (["lm-01"], 0, "", True),
+            ([], 10_000_000, "", False),
+            ([f"lm-{number:02}" for number in range(1, 21)], 0, "no_target", False),
+        ],
+    )
+    def test_live(
+        self, pair: Pair, silent: list[str], waiting_tokens: int, error: str, sent: bool
+    ) -> None:
+        """With the engines' load the answer is that of the moment."""
+        dana, _ = pair
+        dana.silent, dana.waiting_tokens = set(silent), waiting_tokens
+        report = dana.json("explain -c rainier -m dishline-lm --live")
+        assert (report["live"], report["error"], bool(report["targets"])) == (True, error, sent)
+        assert not set(report["targets"]) & set(silent)
+
     @pytest.mark.parametrize(
         ("options", "error", "targets", "step"),
         [
--- a/tests/inventory/test_inventory.py
+++ b/tests/inventory/test_inventory.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from azureswitch.core import CustomerName, PlaceName, ServiceName, TargetName
+from azureswitch.core import PlaceName, TargetName
 from azureswitch.exceptions import (
     DanglingReferenceError,
     DuplicateSettingError,
@@ -21,7 +21,6 @@
     UnknownTargetError,
 )
 from azureswitch.inventory import (
-    Customer,
     Difference,
     DifferenceKind,
     FieldDifference,
@@ -29,10 +28,7 @@
     Objective,
     Place,
     Rules,
-    Service,
-    ServiceKind,
     Snapshot,
-    Target,
     TargetRole,
     decode,
     diff,
@@ -45,6 +41,7 @@
     show_inventory,
     show_rules,
 )
+from bench.inventory import SIZE_BOUND, fleet
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 KEY = sha256(b"key").hexdigest()
@@ -73,34 +70,6 @@
 ENGINE += "checks_fence = yes\n"
 
 
-def fleet(*, engines: int, customers: int) -> Inventory:
-    """Return an inventory of a given size, with unlike hashes and addresses."""
-    places = tuple(Place(name=PlaceName(f"place-{i:02}"), region=f"r{i % 3}") for i in range(11))
-    return Inventory(
-        places=places,
-        services=(Service(name=ServiceName("lm"), kind=ServiceKind.MODEL),),
-        targets=tuple(
-            Target(
-                name=TargetName(f"lm-{i:03}"),
-                service=ServiceName("lm"),
-                place=places[i % len(places)].name,
-                address=f"10.{i % 11}.{i // 250}.{i % 250}:8000",
-                models=("model-a", "model-b", "model-c"),
-                memory=400_000 + i,
-            )
-            for i in range(engines)
-        ),
-        customers=tuple(
-            Customer(
-                name=CustomerName(f"customer-{i:03}"),
-                key_hash=sha256(str(i).encode()).hexdigest(),
-                weight=1 + i % 7,
-            )
-            for i in range(customers)
-        ),
-    )
-
-
 class TestLoadInventory:
     """`load_inventory` and `parse_inventory`."""
 
@@ -208,7 +177,7 @@
         """600 engines and 380 customers stay far below the store's megabyte."""
         inventory = fleet(engines=600, customers=380)
         body = encode(inventory=inventory, rules=Rules())
-        assert len(body) < 60_000
+        assert len(body) < SIZE_BOUND
         assert decode(body, revision=7) == Snapshot(revision=7, inventory=inventory, rules=Rules())
 
     def test_order_of_entries(self) -> None:
