Keep the audit trail from steering terminals; type faults of the program itself

Cause: a name that another program wrote into the store was printed as it was, and a fault inside the operators' program ended with the exit code of a wrong command line. Rules are fuzzed like inventories.

--- a/src/azureswitch/commands/_base.py
+++ b/src/azureswitch/commands/_base.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from absl import logging
 from cleo.commands.command import Command
 from cleo.helpers import option
 from cleo.io.outputs.output import Type
@@ -14,8 +15,9 @@
 from azureswitch.client import HttpClient
 from azureswitch.commands._exits import ExitCode, exit_code
 from azureswitch.commands._loads import EngineFactory
+from azureswitch.commands._numbers import parse_option
 from azureswitch.commands._revisions import Revisions
-from azureswitch.commands._settings import OperatorSettings, read_settings
+from azureswitch.commands._settings import AUTHOR_KIND, OperatorSettings, read_settings
 from azureswitch.engines import HttpEngine
 from azureswitch.exceptions import AzureswitchError, ChangeOutcomeUnknownError
 from azureswitch.platform import HttpStore
@@ -99,7 +101,9 @@
     @property
     def author(self) -> str:
         """Who makes a change."""
-        return str(self.option("author") or self.settings.author)
+        if self.option("author") is None:
+            return self.settings.author
+        return parse_option(self, "author", AUTHOR_KIND)
 
     @property
     def store(self) -> Store:
@@ -126,6 +130,11 @@
         except AzureswitchError as error:
             self._show_failure(error)
             return exit_code(error)
+        except Exception:
+            # cleo would end with the code of a wrong command line, after which nothing was done.
+            logging.exception("commands: %s failed.", self.name)
+            self._show_failure(AzureswitchError())
+            return ExitCode.INTERNAL
         self._show(json.encode(report).decode() if self.option("json") else text(report))
         return outcome(report)
 
--- a/src/azureswitch/commands/_numbers.py
+++ b/src/azureswitch/commands/_numbers.py
@@ -1,4 +1,4 @@
-"""Numbers on the command line."""
+"""Typed values on the command line."""
 
 from typing import TypeVar
 
@@ -19,7 +19,7 @@
     Raises:
         InvalidOptionError: It is missing or none.
     """
-    return _parse(command, option, Integer(low=0, high=MOST))
+    return parse_option(command, option, Integer(low=0, high=MOST))
 
 
 def seconds(command: Command, option: str) -> float:
@@ -28,10 +28,15 @@
     Raises:
         InvalidOptionError: It is missing or none.
     """
-    return _parse(command, option, Seconds())
+    return parse_option(command, option, Seconds())
 
 
-def _parse(command: Command, option: str, kind: Kind[T]) -> T:
+def parse_option(command: Command, option: str, kind: Kind[T]) -> T:
+    """Return an option of any type.
+
+    Raises:
+        InvalidOptionError: It is missing or not of its type.
+    """
     value = command.option(option)
     try:
         return kind.parse(value or "")
--- a/src/azureswitch/commands/_settings.py
+++ b/src/azureswitch/commands/_settings.py
@@ -20,10 +20,13 @@
 DEFAULT_FILE = "azureswitch.ini"
 """The settings file where neither an option nor the environment names one."""
 
+AUTHOR_KIND = Text(pattern=r"[^\x00-\x1f\x7f]{1,128}", form="one line of at most 128 characters")
+"""What the name of an operator may be."""
+
 _AUTHOR = Setting(
     section="operator",
     key="name",
-    kind=Text(pattern=r"[^\x00-\x1f\x7f]{1,128}", form="one line of at most 128 characters"),
+    kind=AUTHOR_KIND,
     help="Who the audit trail says made a change; `--author` goes before it.",
 )
 _STORE = Setting(
--- a/src/azureswitch/commands/_tables.py
+++ b/src/azureswitch/commands/_tables.py
@@ -18,11 +18,18 @@
 
 
 def table(heading: Iterable[str], rows: Iterable[Iterable[object]]) -> str:
-    """Return a table as text; cells are made from ``str``."""
-    cells = tuple(tuple(map(str, row)) for row in rows)
+    """Return a table as text; cells are made from ``str``, control characters shown as such."""
+    cells = tuple(tuple(_printable(str(cell)) for cell in row) for row in rows)
     return str(TextTable(heading=tuple(heading), rows=cells))
 
 
+def _printable(cell: str) -> str:
+    """Keep what others wrote into the store from steering the reader's terminal."""
+    if cell.isprintable():
+        return cell
+    return "".join(char if char.isprintable() else ascii(char)[1:-1] for char in cell)
+
+
 def _line(cells: Sequence[str], widths: Sequence[int]) -> str:
     padded = (cell.ljust(width) for cell, width in zip(cells, widths, strict=True))
     return "  ".join(padded).rstrip()
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -1,5 +1,6 @@
 """The operators' program, against a store that fails and operators that race."""
 
+import asyncio
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -12,12 +13,13 @@
 
 from azureswitch.client import HttpAnswer, HttpHead
 from azureswitch.commands import Connections, ExitCode, build
+from azureswitch.coordination.configuration import Changes
 from azureswitch.exceptions import (
     HttpNotSentError,
     StoreOutcomeUnknownError,
     TargetRefusedError,
 )
-from azureswitch.inventory import Target, parse_inventory
+from azureswitch.inventory import Inventory, Rules, Target, encode, parse_inventory
 from azureswitch.ports import LoadReport, StoredObject
 from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel
 
@@ -253,6 +255,20 @@
         failure = dana.json(line)
         assert (failure["error"], failure["ran"]) == (error, "not_run")
 
+    def test_hostile_author(self, pair: Pair) -> None:
+        """A name that others wrote into the trail cannot steer the reader's terminal."""
+        dana, erin = pair
+        changes = Changes(store=erin.store)
+        body = encode(inventory=Inventory(), rules=Rules())
+        asyncio.run(changes.propose(base=1, body=body, author="\x1b[2J\n9", change="x"))
+        assert "\\x1b[2J\\n9" in dana.accept("inventory history")
+
+    def test_fault_inside(self, pair: Pair) -> None:
+        """A fault of the program itself is not taken for a wrong command line."""
+        dana, _ = pair
+        dana.store.get = None  # type: ignore[method-assign,assignment]
+        assert dana.run("rules show") is ExitCode.INTERNAL
+
     @pytest.mark.parametrize(
         "line", ["rules show", "inventory history", f"rules apply {CASCADE}/rules.ini --base 1"]
     )
--- a/tests/inventory/test_inventory.py
+++ b/tests/inventory/test_inventory.py
@@ -21,6 +21,7 @@
     UnknownTargetError,
 )
 from azureswitch.inventory import (
+    RULES,
     Difference,
     DifferenceKind,
     FieldDifference,
@@ -157,6 +158,24 @@
             parse_rules(f"[rules]\n{line}\n".encode(), file="rules.ini")
         assert caught.value.key == key
 
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.sampled_from(["[rules]", "objective = first_token_all", "long_prompt = 1_0"])
+            | st.builds(
+                "{} = {}".format,
+                st.sampled_from([setting.key for setting in RULES.settings]),
+                st.from_regex(r"\A[0-9]{1,9}(\.[0-9]{1,3})? ?(s|ms|min|h|d)?\Z"),
+            ),
+            max_size=6,
+        )
+    )
+    def test_fuzz(self, lines: list[str]) -> None:
+        """Any rules that are accepted show and read the same."""
+        with suppress(SettingsError):
+            rules = parse_rules("\n".join(["[rules]", *lines]).encode(), file="fuzz.ini")
+            assert parse_rules(show_rules(rules).encode(), file="") == rules
+
 
 class TestShow:
     """`show_inventory` and `show_rules`."""
