--- a/src/azureswitch/coordination/orders/__init__.py
+++ b/src/azureswitch/coordination/orders/__init__.py
@@ -19,11 +19,13 @@
     Wanted,
 )
 from azureswitch.coordination.orders._plan import plan_groups, wanted_from
-from azureswitch.coordination.orders._reduce import reduce
+from azureswitch.coordination.orders._reduce import FAILURES_LIMIT, READ_PERIOD, reduce
 from azureswitch.coordination.orders._state import OrdersState
 
 __all__ = [
+    "FAILURES_LIMIT",
     "LOADS",
+    "READ_PERIOD",
     "GroupPlan",
     "OrderFailed",
     "OrderKeeper",
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -65,10 +65,10 @@
         self.asked += 1
         return await super().get(kind=kind, name=name)
 
-    async def update(self, *, kind: str, name: str, value: bytes, version: int) -> StoredObject:
-        """Replace an object."""
+    async def create(self, *, kind: str, name: str, value: bytes) -> StoredObject:
+        """Create an object."""
         self.asked += 1
-        return await super().update(kind=kind, name=name, value=value, version=version)
+        return await super().create(kind=kind, name=name, value=value)
 
 
 class EngineFake:
@@ -349,6 +349,8 @@
             await fleet.run(2 * FLUSH_PERIOD)
             fleet.all_stores(StoreFaults(down=True))
             fleet.kill(HOSTS[0])
+            other = replace(CALL, id=CallId("call-2"))
+            await fleet.journals[HOSTS[1]].record(call=other, target=OTHER_ENGINE, attempt=1)
             before = sum(store.asked for store in fleet.stores.values())
             await fleet.run(600)
             asked = sum(store.asked for store in fleet.stores.values()) - before
@@ -371,6 +373,20 @@
 
         play(script)
 
+    def test_cut_off_host_is_succeeded_and_keeps_its_records(self) -> None:
+        """A suspected host that does not answer is succeeded; its object goes at its death."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.run(2 * FLUSH_PERIOD)
+            fleet.network.partition([fleet.members[HOSTS[0]].address])
+            fleet.believe(HOSTS[0], MemberStatus.SUSPECT)
+            await fleet.run(3 * FLUSH_PERIOD)
+            assert len(fleet.heirs) == 1
+            assert str(fleet.members[HOSTS[0]].incarnation) in fleet.groups
+
+        play(script)
+
     def test_host_believed_dead_writes_again(self) -> None:
         """A host that was cut off, and whose object another deleted, records its work anew."""
 
--- a/tests/leases/test_leases.py
+++ b/tests/leases/test_leases.py
@@ -110,6 +110,7 @@
             assert pair.first.fence == fence
             await pair.first.yield_to(newest=fence + 1)
             assert pair.first.fence is None
+            assert await pair.until_held(pair.first) > fence
 
         play(script)
 
@@ -174,6 +175,18 @@
 
         play(script)
 
+    def test_renewal_that_was_not_written_confirms_nothing(self) -> None:
+        """A holder whose renewals are lost learns that from the object's version."""
+
+        async def script(pair: Pair) -> None:
+            await pair.until_held(pair.first)
+            await sleep(PAUSE)
+            pair.stores[0].faults = StoreFaults(lose_answers=100, lose_writes=True)
+            with pytest.raises(LeaseLostError):
+                await pair.first.use()
+
+        play(script)
+
     def test_endless_lost_answers_end_the_event(self) -> None:
         """A store that never answers a write is not asked without end."""
 
--- a/tests/memory/test_memory.py
+++ b/tests/memory/test_memory.py
@@ -225,6 +225,30 @@
 
         play(script)
 
+    @pytest.mark.parametrize("restarted", [False, True])
+    def test_work_that_was_taken_over_keeps_its_memory(self, restarted: bool) -> None:
+        """Spans of the dead stay while the heir reads their output, and go at its end."""
+
+        async def script(fleet: Fleet) -> None:
+            name = HOSTS[0]
+            dead = fleet.hosts[name].incarnation
+            fleet.hold_everywhere(dead)
+            fleet.kill(name)
+            if restarted:
+                new = replace(fleet.hosts[name].view[name], incarnation=replace(dead, started=2))
+                for host in HOSTS[1:]:
+                    fleet.hosts[host].view[name] = replace(new, status=MemberStatus.SUSPECT)
+            else:
+                fleet.tell(name, status=MemberStatus.DEAD)
+            heir = fleet.hosts[ranked(name=str(dead), hosts=HOSTS[1:])[0]]
+            heir.running.add(("call", 1))
+            await fleet.sweep(seconds=3 * AIM)
+            assert fleet.held == len(TARGETS) * 1_000
+            heir.running.clear()
+            assert await fleet.seconds_until_free() <= AIM
+
+        play(script)
+
 
 class TestFalseSuspicion:
     """A living owner keeps its memory, whatever others believe."""
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -7,8 +7,16 @@
 
 import pytest
 
+from azureswitch.coordination.leases import LEASE_TERM
 from azureswitch.coordination.membership import Member, MemberStatus
-from azureswitch.coordination.orders import LOADS, OrderKeeper, Wanted, plan_groups
+from azureswitch.coordination.orders import (
+    FAILURES_LIMIT,
+    LOADS,
+    READ_PERIOD,
+    OrderKeeper,
+    Wanted,
+    plan_groups,
+)
 from azureswitch.core import HostName, Incarnation, PlaceName, TargetName
 from azureswitch.exceptions import OrderRefusedError, TargetRefusedError
 from azureswitch.inventory import TargetRole
@@ -234,9 +242,9 @@
             (engine,) = fleet.engines.values()
             await sleep(LOAD_SECONDS / 2)
             engine.restart()
-            await fleet.settle()
+            await fleet.settle(limit=LOAD_SECONDS + 2 * READ_PERIOD)
             engine.restart()
-            await fleet.settle()
+            await fleet.settle(limit=LOAD_SECONDS + 2 * READ_PERIOD)
 
         Fleet().run(script)
 
@@ -295,6 +303,21 @@
 
         Fleet().run(script)
 
+    def test_holder_without_the_store_sends_nothing(self) -> None:
+        """A holder that cannot confirm its lease past the term leaves the engines alone."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.settle()
+            (engine,) = fleet.engines.values()
+            fleet.stores[fleet.holder].faults = StoreFaults(down=True)
+            await sleep(2 * LEASE_TERM)
+            sent = len(engine.orders)
+            fleet.want("other")
+            await sleep(SETTLE)
+            assert len(engine.orders) == sent
+
+        Fleet().run(script)
+
 
 class TestLoadLimit:
     """The weight store is shared by the fleet."""
@@ -332,7 +355,7 @@
             await sleep(LOAD_SECONDS / 2)
             for engine in fleet.engines.values():
                 engine.down = bool(engine.loading)
-            await fleet.settle(limit=600.0)
+            await fleet.settle(limit=FAILURES_LIMIT * READ_PERIOD + 2 * LOAD_SECONDS)
             for engine in fleet.engines.values():
                 engine.down = False
             await fleet.settle(limit=600.0)
