--- a/src/azureswitch/commands/_reference.py
+++ b/src/azureswitch/commands/_reference.py
@@ -1,10 +1,24 @@
 """``azureswitch reference``."""
 
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, fields
+
+from cleo.helpers import option
 
 from azureswitch.commands._base import OperatorCommand, text
 from azureswitch.commands._exits import ExitCode
 from azureswitch.commands._settings import OPERATOR_TABLE
+from azureswitch.exceptions import (
+    AuditError,
+    AzureswitchError,
+    ChangeError,
+    CommandError,
+    RefusedError,
+    RequestError,
+    ServingError,
+    SettingsError,
+    StoreError,
+)
 from azureswitch.inventory import INVENTORY, RULES
 from azureswitch.settings import reference
 
@@ -21,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReferenceReport:
-    """The reference page of all settings and exit codes, in Markdown."""
+    """A reference page, in Markdown."""
 
     page: str
 
@@ -31,8 +45,8 @@
     return report.page
 
 
-def page() -> str:
-    """Return the reference page."""
+def settings_page() -> str:
+    """Return the page of all settings."""
     # Imported here, since every other command would start twice as slowly with the daemon's parts.
     from azureswitch.entry import ENTRY_TABLE
 
@@ -46,12 +60,82 @@
     return f"{heading}\n{rows}"
 
 
+_CALLERS = (RequestError, RefusedError, ServingError)
+"""The families of failures that callers see."""
+
+_OPERATORS = (SettingsError, ChangeError, CommandError, AuditError, StoreError)
+"""The families of failures that operators see."""
+
+_ERRORS_INTRODUCTION = """# Failures by name
+
+Every failure has one stable name, its code. `ran` says whether the request ran at a target:
+`not_run` is said only where that is certain. This page is made from the tree of failures:
+`azureswitch reference --errors`.
+
+## What callers see
+
+The code stands in `error.code` of the answer, its family in `error.type`, `ran` in `error.ran`. A
+failure with a time to come back in carries `Retry-After`. A stream that had begun ends with such an
+error as its last event, and without `[DONE]`.
+"""
+
+_ERRORS_OPERATORS = """
+## What operators see
+
+`azureswitch` prints the code before the sentence, or as `error` with `--json`. Its exit codes are
+in [Settings](operators/settings.md).
+"""
+
+
+def errors_page() -> str:
+    """Return the page of all failures that callers and operators see."""
+    return "\n".join(
+        (
+            _ERRORS_INTRODUCTION,
+            *_error_table(_CALLERS, with_status=True),
+            _ERRORS_OPERATORS,
+            *_error_table(_OPERATORS, with_status=False),
+        )
+    )
+
+
+def _error_table(
+    families: tuple[type[AzureswitchError], ...], *, with_status: bool
+) -> Iterator[str]:
+    status = " Status |" if with_status else ""
+    yield f"| Code |{status} `ran` | Retry-After | Meaning |"
+    yield f"|---|{'---|' * with_status}---|---|---|"
+    for family in families:
+        for kind in _tree(family):
+            status = f" {kind.status.value} |" if with_status else ""
+            retry = _retry_after(kind)
+            meaning = (kind.__doc__ or "").partition("\n")[0]
+            yield f"| `{kind.code}` |{status} `{kind.ran.value}` | {retry} | {meaning} |"
+
+
+def _retry_after(kind: type[AzureswitchError]) -> str:
+    for field in fields(kind):
+        if field.name == "seconds":
+            return "where known" if field.default is None else "yes"
+    return ""
+
+
+def _tree(kind: type[AzureswitchError]) -> Iterator[type[AzureswitchError]]:
+    yield kind
+    for child in kind.__subclasses__():
+        yield from _tree(child)
+
+
 class ReferenceCommand(OperatorCommand):
-    """Prints the reference page of all settings."""
+    """Prints a reference page."""
 
     name = "reference"
     description = "Print the reference of all settings and exit codes, in Markdown."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        *OperatorCommand.options,
+        option("errors", description="Print the reference of all failures in its place."),
+    ]
 
     async def report(self) -> ReferenceReport:
         """Make the page."""
-        return ReferenceReport(page=page())
+        return ReferenceReport(page=errors_page() if self.option("errors") else settings_page())
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -403,10 +403,14 @@
         assert dana.json("hash-key --new")["key"] != dana.json("hash-key --new")["key"]
         assert dana.run("hash-key", inputs="\n") is ExitCode.USAGE
 
-    def test_settings_page(self, pair: Pair) -> None:
-        """The settings page is what the tables that check the files make."""
-        page = (ROOT / "docs/operators/settings.md").read_text()
-        assert pair[0].accept("reference") == page
+    @pytest.mark.parametrize(
+        ("line", "page"),
+        [("reference", "operators/settings.md"), ("reference --errors", "errors.md")],
+    )
+    def test_made_pages(self, pair: Pair, line: str, page: str) -> None:
+        """The reference pages are what the code that they describe makes."""
+        made = pair[0].accept(line)
+        assert made == (ROOT / "docs" / page).read_text(), f"azureswitch {line} > docs/{page}"
 
     def test_worked_example(self) -> None:
         """The inventory of the operators' page is a good one."""
