Say in status when the store is behind its hosts

Cause: hosts never go back, so that changes made on a store that was restored to an older state come into force nowhere, and nothing said so.

--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -63,6 +63,8 @@
     Attributes:
         asked: The operations address that answered.
         head: The newest accepted revision, or None where the store was not reached.
+        store_behind: Whether hosts serve by a later revision than the store holds, as after the
+            store was restored to an older state.
         lagging: Live hosts on which an older revision is in force.
         entry: What the asked host says.
         loads: What the engines of the newest revision say of their load, where that was asked for.
@@ -70,6 +72,7 @@
 
     asked: str
     head: int | None
+    store_behind: bool
     lagging: tuple[str, ...]
     entry: EntryStatus
     loads: tuple[EngineLoad, ...] = ()
@@ -84,13 +87,16 @@
 def _(report: FleetStatus) -> ExitCode:
     suspects = any(member.status == "suspect" for member in report.entry.members)
     silent = any(load.missing for load in report.loads)
-    return ExitCode.ATTENTION if report.lagging or suspects or silent else ExitCode.DONE
+    wrong = report.store_behind or report.lagging or suspects or silent
+    return ExitCode.ATTENTION if wrong else ExitCode.DONE
 
 
 def _parts(report: FleetStatus) -> Iterator[str]:
     entry = report.entry
     head = "not known, as the store was not reached" if report.head is None else report.head
     yield f"Asked {entry.host} at {report.asked}. Newest accepted revision: {head}."
+    if report.store_behind:
+        yield "The store is behind: hosts serve by a later revision than it holds."
     heading = ("HOST", "PLACE", "ADDRESS", "STATUS", "REVISION", "NOTE")
     members = sorted(entry.members, key=lambda member: member.host)
     rows = (
@@ -154,7 +160,14 @@
                 if member.status in _TAKING_PART and member.revision < newest
             )
         )
-        return FleetStatus(asked=asked, head=head, lagging=lagging, entry=entry, loads=loads)
+        return FleetStatus(
+            asked=asked,
+            head=head,
+            store_behind=head is not None and head < newest,
+            lagging=lagging,
+            entry=entry,
+            loads=loads,
+        )
 
     async def _head(self) -> tuple[int | None, tuple[EngineLoad, ...]]:
         """Return the newest revision, if the store is reached, and its engines' load."""
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -316,6 +316,7 @@
             ((0, 0, 0), False, ExitCode.ATTENTION, ["entry-0", "entry-1"]),
             ((3, 3, 3), True, ExitCode.DONE, []),
             ((3, 2, 3), True, ExitCode.ATTENTION, ["entry-1"]),
+            ((3, 3, 3), False, ExitCode.ATTENTION, []),
         ],
     )
     def test_lagging(
@@ -331,6 +332,7 @@
         report = dana.json("status")
         assert (report["asked"], report["lagging"]) == ("127.0.0.1:3", lagging)
         assert report["head"] == (None if down else 1)
+        assert report["store_behind"] == (not down and revisions[0] > 1)
 
     def test_engines(self, pair: Pair) -> None:
         """Engines are shown with their load; one that should serve and is silent is marked."""
