Turn an asset register into an inventory by a worked example

Cause: operators keep a register and would have copied it by hand. Change: the page on the inventory shows a converter from CSV, which a test runs.

--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from io import StringIO
 from pathlib import Path
 from typing import Any
 
@@ -419,3 +420,16 @@
         page = (ROOT / "docs/operators/inventory.md").read_text()
         example = page.split("```ini\n")[1].split("```")[0]
         assert len(parse_inventory(example.encode(), file="").targets) == 3
+
+    def test_register(self, monkeypatch: Any, capsys: pytest.CaptureFixture[str]) -> None:
+        """The converter of the operators' page prints sections that the inventory takes."""
+        page = (ROOT / "docs/operators/inventory.md").read_text()
+        converter = page.split("```python\n")[1].split("```")[0]
+        register = (
+            "asset,room,address,models,memory,fencing\ngpu-9,hall-2,10.4.2.9:1,dish-lm,9,no\n"
+        )
+        monkeypatch.setattr("sys.stdin", StringIO(register))
+        exec(converter)
+        rest = "[place hall-2]\nregion = tacoma\n[service lm]\nkind = model\n"
+        inventory = parse_inventory((rest + capsys.readouterr().out).encode(), file="")
+        assert inventory.targets[0].address == "10.4.2.9:1"
