Keep the demo under a minute

Cause: calls that were refused late went on for up to their timeout. Change: the load tool sends a refused call again only for a patience, and no prompt of the longest bucket in the last seconds.

--- a/src/azureswitch_load/_plan.py
+++ b/src/azureswitch_load/_plan.py
@@ -38,6 +38,7 @@
         shared_share: Share of completions and chats whose prompts begin with a shared document.
         stream_share: Share of completions and chats whose answer is streamed.
         longest: Tokens of the longest prompt.
+        huge_until: Seconds after which no prompt of the longest bucket is sent any more.
         short_timeout: Seconds that a call with a short prompt or to a plain service may take.
         long_timeout: Seconds that any other call may take.
     """
@@ -53,6 +54,7 @@
     shared_share: float = 0.5
     stream_share: float = 0.9
     longest: int = 1_000_000
+    huge_until: float = math.inf
     short_timeout: float = 20.0
     long_timeout: float = 60.0
 
@@ -102,7 +104,7 @@
 
     def _model(self, at: float, phase: Phase, caller: Caller) -> PlannedCall:
         settings = self._settings
-        length = Length.SHORT if phase is Phase.ALONE else next(self._lengths)
+        length = self._length(at, phase)
         chats = self._random.random() < settings.chat_share
         return PlannedCall(
             number=self._number,
@@ -118,6 +120,14 @@
             timeout=settings.short_timeout if length is Length.SHORT else settings.long_timeout,
         )
 
+    def _length(self, at: float, phase: Phase) -> Length:
+        if phase is Phase.ALONE:
+            return Length.SHORT
+        length = next(self._lengths)
+        if length is Length.HUGE and at > self._settings.huge_until:
+            return Length.SHORT
+        return length
+
     def _document(self) -> int | None:
         if self._random.random() >= self._settings.shared_share:
             return None
--- a/src/azureswitch_load/_sender.py
+++ b/src/azureswitch_load/_sender.py
@@ -21,6 +21,9 @@
 DEFAULT_PAUSE = 0.2
 """Seconds before a request is sent again where the answer does not say."""
 
+DEFAULT_PATIENCE = 20.0
+"""Seconds for which a call that is refused is sent again."""
+
 KEEPS_TRYING = frozenset(("idempotency_in_progress", "claim_unavailable", "outcome_unknown"))
 """Failures after which a booking is asked for again under the same key."""
 
@@ -43,8 +46,16 @@
 class Sender:
     """Sends calls through the balancer."""
 
-    def __init__(self, *, balancer: Balancer, target: Target, started: float) -> None:
+    def __init__(
+        self,
+        *,
+        balancer: Balancer,
+        target: Target,
+        started: float,
+        patience: float = DEFAULT_PATIENCE,
+    ) -> None:
         self._balancer = balancer
+        self._patience = patience
         self._target = target
         self._started = started
 
@@ -54,13 +65,14 @@
         key = f"{self._target.run}-{call.number}" if call.kind is CallKind.BOOKING else ""
         data = body(call=call, model=self._target.model, run=self._target.run)
         end = loop.time() + call.timeout
+        last_try = loop.time() + min(call.timeout, self._patience)
         attempts: list[Attempt] = []
         while True:
             left = max(0.1, end - loop.time())
             attempt = await self._attempt(call=call, key=key, data=data, timeout=left)
             attempts.append(attempt)
             pause = DEFAULT_PAUSE if attempt.retry_after is None else attempt.retry_after
-            in_time = loop.time() + pause < end
+            in_time = loop.time() + pause < last_try
             if not (_again(call, attempt) and in_time and len(attempts) < MOST_ATTEMPTS):
                 return Outcome(call=call, key=key, attempts=tuple(attempts))
             await asyncio.sleep(pause)
--- a/src/azureswitch_load/demo/_demo.py
+++ b/src/azureswitch_load/demo/_demo.py
@@ -37,6 +37,12 @@
 IDLE_TIMEOUT = 12.0
 """Seconds after the load in which engines must become idle and their memory free."""
 
+HUGE_SECONDS = 16.0
+"""Seconds before the end of the load after which no prompt of the longest bucket is sent."""
+
+PATIENCE = 8.0
+"""Seconds for which a call that is refused is sent again."""
+
 POLL_PERIOD = 0.1
 """Seconds between two looks."""
 
@@ -145,7 +151,7 @@
             started=started,
             say=self._say,
         )
-        sender = Sender(balancer=balancer, target=self._target, started=started)
+        sender = Sender(balancer=balancer, target=self._target, started=started, patience=PATIENCE)
         run = Run(
             calls=draw(settings=self._plan),
             sender=sender,
@@ -176,6 +182,7 @@
             alone=settings.alone,
             rate=settings.rate,
             long_timeout=settings.long_timeout,
+            huge_until=settings.seconds - HUGE_SECONDS,
         )
 
     async def _settle(self) -> None:
