Show recovery, goodput by answers and drained engines in the policy benchmark

Cause: finished work alone hides an overload in which short prompts run out of time, and neither the death of half of the engines nor a drained engine was in any run.

--- a/bench/policy/_entry.py
+++ b/bench/policy/_entry.py
@@ -8,7 +8,7 @@
 
 from azureswitch.core import CallId, Effect, HostName, Incarnation, PlaceName, TargetName
 from azureswitch.exceptions import AzureswitchError, ClaimUnavailableError, Ran
-from azureswitch.inventory import ServiceKind
+from azureswitch.inventory import ServiceKind, Snapshot
 from azureswitch.serving import (
     TICK,
     AttemptEnd,
@@ -122,6 +122,7 @@
     engines: dict[TargetName, VirtualEngine]
     plain: PlainTargets
     store_up: bool
+    snapshot: Snapshot
 
     def publish(self, sender: "Entry", digest: Digest) -> None:
         """Send a digest to the other hosts."""
@@ -153,6 +154,7 @@
         self._cache_seen: dict[TargetName, tuple[int, int]] = {}
         self._gone = False
         self.leaving = False
+        self.started_attempts = 0
         self.events = 0
         self.seconds = 0.0
 
@@ -178,13 +180,17 @@
 
     def begin(self, hosts: tuple[HostName, ...]) -> None:
         """Adopt the configuration, and begin to poll and to tick."""
-        self.dispatch(SnapshotAdopted(now=self._queue.now, snapshot=self._world.scenario.snapshot))
+        self.adopt(self._world.snapshot)
         self.dispatch(PeersChanged(now=self._queue.now, hosts=hosts))
         self._queue.after(self._random.uniform(0, TICK), self._tick)
         if self._policy.polls:
             for engine in self._world.engines.values():
                 self._queue.after(self._random.uniform(0, POLL_PERIOD), self._poll, engine)
 
+    def adopt(self, snapshot: Snapshot) -> None:
+        """Serve by a configuration."""
+        self.dispatch(SnapshotAdopted(now=self._queue.now, snapshot=snapshot))
+
     def peers_changed(self, hosts: tuple[HostName, ...]) -> None:
         """Tell the policy which hosts are live."""
         self.dispatch(PeersChanged(now=self._queue.now, hosts=hosts))
@@ -267,6 +273,7 @@
         served = self._served[effect.call]
         if effect.resume_from > served.tokens:
             served.gaps += 1
+        self.started_attempts += 1
         attempt: ModelAttempt | PlainAttempt
         if served.arrival.plain:
             attempt = PlainAttempt(
@@ -372,21 +379,17 @@
         if self._gone:
             return
         self._queue.after(POLL_PERIOD * self._random.uniform(0.9, 1.1), self._poll, engine)
-        now, latency = self._queue.now, self._world.scenario.latency
+        now = self._queue.now
         if not engine.alive:
             self.dispatch(TargetUnreachable(now=now, target=engine.name))
             return
         report = engine.model.load(now=now)
-        engine.settle()
-        self._queue.after(latency, self._reported, LoadReported(now=now + latency, report=report))
+        self.dispatch(LoadReported(now=now, report=report, age=self._world.scenario.latency))
         started, after = self._cache_seen.get(engine.name, (report.started, 0))
         after = after if started == report.started else 0
         events = engine.model.cache(now=now, after=after)
         self._cache_seen[engine.name] = (report.started, events.sequence)
         if events.added or events.removed or not events.complete:
-            reported = CacheReported(now=now + latency, events=events)
-            self._queue.after(latency, self._reported, reported)
-
-    def _reported(self, event: ServingEvent) -> None:
-        if not self._gone:
-            self.dispatch(event)
+            self.dispatch(CacheReported(now=now, events=events))
+        if engine.model.next_event_time() <= now:
+            engine.settle()
--- a/bench/policy/_measures.py
+++ b/bench/policy/_measures.py
@@ -18,6 +18,13 @@
 """Prompt tokens by the power of ten that is nearest on a logarithmic scale."""
 
 
+RECOVERED = 2.0
+"""Times the p95 of an undisturbed run over which a short prompt counts as slow."""
+
+RECOVERY_WINDOW = 5.0
+"""Seconds of arrivals of which at most a tenth may be slow once a run has recovered."""
+
+
 def quantile(values: Iterable[float], share: float) -> float:
     """Return the value that a share of the values do not exceed."""
     ordered = sorted(values)
@@ -80,7 +87,9 @@
         for outcome in result.outcomes
         if outcome.arrival.prompt > VERY_LONG and outcome.tries and not outcome.last.not_run
     ]
-    return sum(outcome.finished for outcome in admitted) / max(1, len(admitted))
+    if not admitted:
+        return nan
+    return sum(outcome.finished for outcome in admitted) / len(admitted)
 
 
 def long_stretch(result: Result) -> float:
@@ -98,13 +107,61 @@
 def goodput(result: Result) -> float:
     """Return the engine seconds a second of requests that finished while requests arrived."""
     cost = _cost(result.run.scenario)
+    return sum(_work(cost, outcome.arrival) for outcome in _in_window(result)) / _window(result)
+
+
+def answers(result: Result) -> float:
+    """Return the requests a second that finished while requests arrived."""
+    return len(_in_window(result)) / _window(result)
+
+
+def kept_goodput(results: Sequence[Result], overload: Result) -> float:
+    """Return the goodput under overload as a share of its peak, by work or by answers.
+
+    The lesser of the two counts: work alone can be kept by finishing long prompts while short ones
+    run out of time, and answers alone by giving up the long ones.
+    """
+    by_work = goodput(overload) / max(goodput(result) for result in results)
+    by_answers = answers(overload) / max(answers(result) for result in results)
+    return min(by_work, by_answers)
+
+
+def _in_window(result: Result) -> list[Outcome]:
     end = result.run.duration
-    work = sum(
-        _work(cost, outcome.arrival)
+    return [
+        outcome
         for outcome in result.outcomes
         if outcome.finished and WARM <= (outcome.last.ended_at or 0.0) < end
-    )
-    return work / (end - WARM)
+    ]
+
+
+def _window(result: Result) -> float:
+    return result.run.duration - WARM
+
+
+def recovery(faulty: Result, plain: Result) -> float:
+    """Return the seconds after a fault until short prompts are quick again and stay so."""
+    limit = RECOVERED * short_p95(plain)
+    short = faulty.run.scenario.rules.long_prompt
+    end = FAULT_AT + FAULT_SECONDS
+    slow = [
+        outcome.arrival.at - end
+        for outcome in counted(faulty)
+        if outcome.arrival.prompt < short and first_token(outcome) > limit
+    ]
+    windows = max(1, ceil((faulty.run.duration - end) / RECOVERY_WINDOW))
+    total = len([o for o in counted(faulty) if o.arrival.prompt < short and o.arrival.at >= end])
+    for window in reversed(range(windows)):
+        begin = window * RECOVERY_WINDOW
+        late = sum(begin <= at < begin + RECOVERY_WINDOW for at in slow)
+        if late > 0.1 * total / windows:
+            return begin + RECOVERY_WINDOW
+    return 0.0
+
+
+def amplification(result: Result) -> float:
+    """Return the attempts per call that was sent by a caller."""
+    return result.attempts / max(1, sum(len(outcome.tries) for outcome in result.outcomes))
 
 
 def flood_ratio(flooded: Result, plain: Result) -> float:
--- a/bench/policy/_plots.py
+++ b/bench/policy/_plots.py
@@ -11,7 +11,7 @@
 
 from bench.policy._baselines import ORDERS
 from bench.policy._measures import BUCKETS, first_tokens, goodput, quantile
-from bench.policy._records import LOADS, OURS
+from bench.policy._records import LOADS, OURS, at_load
 from bench.policy._simulation import Result, Run
 from bench.policy._workload import SCENARIOS, Scenario
 
@@ -63,7 +63,8 @@
 def _goodput(axes: Any, found: dict[Run, Result], scenario: Scenario) -> None:
     """Draw the work that finishes by load."""
     for policy in POLICIES:
-        runs = [Run(scenario=scenario, policy=policy, load=load) for load in LOADS]
+        run = Run(scenario=scenario, policy=policy)
+        runs = [at_load(run, load) for load in LOADS]
         axes.plot(LOADS, [goodput(found[run]) for run in runs], marker="o", label=policy)
     axes.set_ylim(bottom=0)
     axes.set_xlabel("load as a share of the capacity")
--- a/bench/policy/_records.py
+++ b/bench/policy/_records.py
@@ -11,14 +11,16 @@
 from bench.policy._bounds import BOUNDS
 from bench.policy._measures import (
     BUCKETS,
+    amplification,
     fairness,
     first_tokens,
     flood_ratio,
-    goodput,
     isolated_p95,
+    kept_goodput,
     long_finished,
     long_stretch,
     quantile,
+    recovery,
     short_p95,
     token_interval_p95,
 )
@@ -38,6 +40,9 @@
 OVERLOAD = 1.5
 """The load of an overload."""
 
+OVERLOAD_DURATION = 180.0
+"""Seconds of arrivals under overload, so that it outlasts what may be put off."""
+
 MOST_WORKERS = 6
 """Processes that runs are spread over, at most."""
 
@@ -45,16 +50,23 @@
 """The name of the policy under test."""
 
 
+def at_load(run: Run, load: float) -> Run:
+    """Return the run at another load."""
+    duration = OVERLOAD_DURATION if load > 1.0 else run.duration
+    return replace(run, load=load, duration=duration)
+
+
 def _policy_runs(scenario: Scenario, policy: str) -> Iterator[Run]:
     run = Run(scenario=scenario, policy=policy)
     for load in LOADS:
-        yield replace(run, load=load)
+        yield at_load(run, load)
     yield replace(run, with_long=False)
     yield replace(run, fault=Fault.FLOOD)
+    yield replace(run, fault=Fault.HALF_DEATHS)
     if policy != OURS:
         return
     for fault in Fault:
-        if fault not in (Fault.PLAIN, Fault.FLOOD):
+        if fault not in (Fault.PLAIN, Fault.FLOOD, Fault.HALF_DEATHS):
             yield replace(run, fault=fault)
     other = replace(run, scenario=_other_objective(scenario))
     yield other
@@ -82,6 +94,9 @@
 def results() -> dict[Run, Result]:
     """Carry out every run."""
     runs = all_runs()
+    for scenario in {run.scenario for run in runs}:
+        # Worked out once here, and passed on to the processes.
+        scenario.capacity  # noqa: B018
     workers = max(1, min(MOST_WORKERS, (cpu_count() or 1) // 2))
     with ProcessPoolExecutor(max_workers=workers) as pool:
         return dict(zip(runs, pool.map(simulate, runs), strict=True))
@@ -98,7 +113,7 @@
     """Yield the figures that every policy has."""
     run = Run(scenario=scenario, policy=policy)
     main = found[run]
-    loads = {load: found[replace(run, load=load)] for load in LOADS}
+    loads = {load: found[at_load(run, load)] for load in LOADS}
     flooded = found[replace(run, fault=Fault.FLOOD)]
     without = found[replace(run, with_long=False)]
     mine = [found[item] for item in _policy_runs(scenario, policy)]
@@ -117,9 +132,11 @@
     yield _Figure(name="long_stretch_p50", value=long_stretch(main), unit="ratio")
     yield _Figure(name="fairness_jain", value=fairness(loads[OVERLOAD]), unit="index")
     yield _Figure(name="flood_ttft_ratio", value=flood_ratio(flooded, main), unit="ratio")
-    rates = {load: goodput(result) for load, result in loads.items()}
-    kept = rates[OVERLOAD] / max(rates.values())
+    kept = kept_goodput(tuple(loads.values()), loads[OVERLOAD])
     yield _Figure(name="overload_goodput", value=kept, unit="share")
+    halved = found[replace(run, fault=Fault.HALF_DEATHS)]
+    yield _Figure(name="half_deaths.recovery", value=recovery(halved, main), unit="s")
+    yield _Figure(name="half_deaths.attempts", value=amplification(halved), unit="ratio")
     broken = sum(sum(result.violations.values()) for result in mine)
     yield _Figure(name="violations", value=float(broken), unit="count")
 
--- a/bench/policy/_simulation.py
+++ b/bench/policy/_simulation.py
@@ -7,6 +7,7 @@
 
 from azureswitch.core import CallId, HostName, TargetName
 from azureswitch.exceptions import LeavingError
+from azureswitch.inventory import TargetRole, set_role
 from azureswitch.serving import Digest, HostSelf
 from bench.policy._baselines import ORDERS, BaselinePolicy
 from bench.policy._entry import Entry, Policy, ReducerPolicy, Served
@@ -32,6 +33,15 @@
 DEAD_SHARE = 0.2
 """Share of the engines that die."""
 
+HALF = 0.5
+"""Share of the engines that die where half of them do."""
+
+DRAIN_GRACE = 5.0
+"""Seconds after which an engine that was set to draining gets no new work."""
+
+ADOPTION_LAG = (0.1, 3.0)
+"""Fewest and most seconds until a host serves by a changed configuration."""
+
 FLOOD = 1.0
 """What the flooding customer adds, as a share of the rate of all."""
 
@@ -57,6 +67,7 @@
 
     PLAIN = "plain"
     ENGINE_DEATHS = "engine_deaths"
+    HALF_DEATHS = "half_deaths"
     STORE_OUTAGE = "store_outage"
     ENTRY_RESTART = "entry_restart"
     FLOOD = "flood"
@@ -125,6 +136,7 @@
         run: The run.
         outcomes: What came of each model request.
         violations: Broken promises, by kind.
+        attempts: Attempts that were started.
         events: Events that the policies handled.
         seconds: Processor seconds that they took.
         ended: Virtual time at the end.
@@ -133,6 +145,7 @@
     run: Run
     outcomes: tuple[Outcome, ...]
     violations: dict[str, int]
+    attempts: int
     events: int
     seconds: float
     ended: float
@@ -149,11 +162,13 @@
         self.engines: dict[TargetName, VirtualEngine] = {}
         self.plain = PlainTargets()
         self.store_up = True
+        self.snapshot = run.scenario.snapshot
         self._entries: list[Entry] = []
         self._retired: list[Entry] = []
         self._outcomes: dict[CallId, Outcome] = {}
         self._open = 0
         self._left_at: dict[HostName, float] = {}
+        self._drained: VirtualEngine | None = None
 
     def result(self) -> Result:
         """Run to the end."""
@@ -172,6 +187,7 @@
             run=self._run,
             outcomes=tuple(o for o in self._outcomes.values() if not o.arrival.plain),
             violations=self._violations(),
+            attempts=sum(entry.started_attempts for entry in entries),
             events=sum(entry.events for entry in entries),
             seconds=sum(entry.seconds for entry in entries),
             ended=self.queue.now,
@@ -239,9 +255,10 @@
 
     def _set_faults(self) -> None:
         fault, end = self._run.fault, FAULT_AT + FAULT_SECONDS
-        if fault is Fault.ENGINE_DEATHS:
+        if fault in (Fault.ENGINE_DEATHS, Fault.HALF_DEATHS):
+            share = HALF if fault is Fault.HALF_DEATHS else DEAD_SHARE
             engines = list(self.engines.values())
-            for engine in self._random.sample(engines, int(len(engines) * DEAD_SHARE)):
+            for engine in self._random.sample(engines, int(len(engines) * share)):
                 self.queue.at(FAULT_AT, engine.die)
                 self.queue.at(end, engine.revive)
         elif fault is Fault.STORE_OUTAGE:
@@ -249,10 +266,20 @@
             self.queue.at(end, self._set_store, True)
         elif fault is Fault.ENTRY_RESTART:
             self.queue.at(FAULT_AT, self._leave, self._entries[1])
+            self.queue.at(FAULT_AT, self._drain, next(iter(self.engines.values())))
 
     def _set_store(self, up: bool) -> None:
         self.store_up = up
 
+    def _drain(self, engine: VirtualEngine) -> None:
+        """Set an engine to draining; each host adopts that in its time."""
+        inventory = set_role(self.scenario.inventory, target=engine.name, role=TargetRole.DRAINING)
+        self.snapshot = replace(self.snapshot, revision=2, inventory=inventory)
+        self._drained = engine
+        for entry in self._entries:
+            event = self.queue.now + self._random.uniform(*ADOPTION_LAG)
+            self.queue.at(event, entry.adopt, self.snapshot)
+
     def _leave(self, entry: Entry) -> None:
         entry.leave()
         self._left_at[entry.name] = self.queue.now
@@ -312,6 +339,8 @@
         ]
         twice = [call for call, runs in self.plain.runs.items() if runs > 1]
         cut = [s for s in tries if s.leaving and s.error is not None and not s.not_run]
+        drained = self._drained
+        border = FAULT_AT + ADOPTION_LAG[1] + DRAIN_GRACE
         stuck = [e for e in self.engines.values() if e.model.memory_used or e.model.attempts]
         counts = {
             "late": len(late),
@@ -322,6 +351,7 @@
             "ran_twice": len(twice),
             "cut_by_shutdown": len(cut),
             "memory_lost": len(stuck),
+            "sent_to_draining": int(drained is not None and drained.submitted_at > border),
         }
         return {kind: count for kind, count in counts.items() if count}
 
--- a/bench/policy/_targets.py
+++ b/bench/policy/_targets.py
@@ -31,6 +31,7 @@
         self._runs: dict[tuple[CallId, int], Listener] = {}
         self._fills: dict[str, Listener] = {}
         self._members: dict[object, Callable[[], None]] = {}
+        self.submitted_at = 0.0
 
     @property
     def name(self) -> TargetName:
@@ -49,6 +50,7 @@
 
     def listen(self, call: CallId, attempt: int, listener: Listener) -> None:
         """Pass what comes out for an attempt to a listener until it ends."""
+        self.submitted_at = self._queue.now
         self._runs[call, attempt] = listener
 
     def await_fill(self, holding: str, listener: Listener) -> None:
--- a/bench/policy/_workload.py
+++ b/bench/policy/_workload.py
@@ -166,12 +166,12 @@
 
     @cached_property
     def capacity(self) -> float:
-        """Requests a second that the fleet can serve at most, by the engines' cost model.
+        """Requests a second at which the fleet is full, by the engines' cost model.
 
         A step of an engine gives every running sequence a token and prefills for at most a chunk.
-        The batch size that lets prompts and outputs keep up with each other at the highest rate
-        bounds the rate, as does the memory that requests hold for as long as they run.  All shared
-        texts count as cached, so that no policy can exceed it.
+        The batch size at which prompts and outputs keep up with each other at the highest rate
+        bounds the rate; so does the memory that requests hold for as long as they run at that
+        speed.  Every engine is taken to get the same mix, and all shared texts to be cached.
         """
         cost = self.engines[0].cost
         sample = tuple(self.requests(rate=1.0, duration=float(_SAMPLE), seed=0))
--- a/src/azureswitch_standins/engine/_cache.py
+++ b/src/azureswitch_standins/engine/_cache.py
@@ -80,6 +80,8 @@
 
         A block that was added and removed, or the reverse, is reported as its later event only.
         """
+        if after >= self._sequence:
+            return after, True, (), ()
         visible = []
         for at, sequence, added, block in reversed(self._log):
             if sequence <= after:
