Keep cached prefixes from drawing short prompts to engines for long ones

Cause: the engines that held a shared text were looked at wherever they stood; 23 % of the short prompts ended beside long prefills, which slowed both. Requests also waited for memory in an engine that the hosts had counted as free, and one behind them could never start. Change: only engines of the right kind are looked at for a cached prefix; memory counts what hosts have sent; engines are saved for a prompt larger than one of them; demand is right from its start; long charges count against a limit over 30 s, so that a review does not lock out its own customer.

--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -36,7 +36,8 @@
     pool = state.fleet.pool(service=call.service, model=call.model)
     if pool is None or not any(target.usable(now) for target in state.fleet.states(pool)):
         return NoTargetError(seconds=_jittered(state, NO_TARGET_SECONDS))
-    wait = state.fairness.wait(call.customer, now=now)
+    long = level_of(call, state.rules) is not Level.SHORT
+    wait = state.fairness.wait(call.customer, long=long, now=now)
     if wait > 0.0:
         return LimitExceededError(seconds=_jittered(state, wait))
     return _too_late(state, call, pool, now=now)
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -343,6 +343,7 @@
     call = record.call
     del state.calls[call.id]
     state.queue.remove(call.id)
+    state.fleet.unsave(call.id)
     effects = cancel_others(state, record)
     if record.phase is Phase.CLAIMING:
         state.abandon_claim(call.id, now=now)
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -172,12 +172,14 @@
         urgent: Work with short prompts.
         total: All work.
         middle: Work with prompts that are long, but not very long.
+        tokens: Tokens of memory that running attempts may take.
     """
 
     target: TargetName
     urgent: float
     total: float
     middle: float = 0.0
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -217,6 +219,7 @@
         uses: Engine time per customer; customers with none are left out.
         suspects: Targets that this host keeps out of use.
         demands: Demand by model.
+        saved: Targets whose memory is being saved for a prompt larger than one of them.
     """
 
     host: HostName
@@ -226,6 +229,7 @@
     uses: tuple[CustomerUse, ...] = ()
     suspects: tuple[TargetName, ...] = ()
     demands: tuple[Demand, ...] = ()
+    saved: tuple[TargetName, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/serving/_fairness.py
+++ b/src/azureswitch/serving/_fairness.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import exp, log
 
 from azureswitch.core import CustomerName, HostName
 from azureswitch.inventory import Customer
@@ -10,6 +11,12 @@
 BURST_SECONDS = 10.0
 """Seconds of its limit that a customer may use at once."""
 
+AT_ONCE_SECONDS = 2.0
+"""Engine seconds of one charge up to which it counts against a limit at once."""
+
+SPREAD_SECONDS = 30.0
+"""Time constant over which a greater charge counts, as long work runs for long as well."""
+
 PEER_SILENCE_SECONDS = 2.0
 """Seconds without any digest after which this host counts as cut off from its peers."""
 
@@ -24,6 +31,7 @@
         used: Engine seconds admitted here since this host started.
         served: Engine seconds per weight, the virtual counter of fair queueing.
         level: Engine seconds that it may use before it is refused.
+        pending: Engine seconds of long work that ``level`` has not been charged yet.
         filled: When ``level`` was last refilled.
     """
 
@@ -32,6 +40,7 @@
     used: float = 0.0
     served: float = 0.0
     level: float = 0.0
+    pending: float = 0.0
     filled: float = 0.0
 
 
@@ -111,8 +120,7 @@
         account = self._accounts.get(name)
         if account is None:
             return
-        self._refill(account, now=now)
-        account.level -= seconds
+        self._charge(account, seconds, now=now)
         account.served += seconds / account.weight
 
     def _share(self, now: float) -> float:
@@ -120,29 +128,49 @@
         cut_off = self._hosts > 1 and now - self._heard > PEER_SILENCE_SECONDS
         return 1.0 / self._hosts if cut_off else 1.0
 
+    def _charge(self, account: Account, seconds: float, *, now: float) -> None:
+        self._refill(account, now=now)
+        if seconds > AT_ONCE_SECONDS:
+            account.pending += seconds
+        else:
+            account.level -= seconds
+
     def _refill(self, account: Account, *, now: float) -> None:
         rate = account.limit * self._share(now)
-        account.level += rate * max(0.0, now - account.filled)
+        passed = max(0.0, now - account.filled)
+        due = account.pending * (1.0 - exp(-passed / SPREAD_SECONDS))
+        account.pending -= due
+        account.level += rate * passed - due
         account.level = min(account.level, account.limit * BURST_SECONDS * self._share(now))
         account.filled = now
 
-    def wait(self, customer: CustomerName, *, now: float) -> float:
-        """Return after how many seconds the customer's limit permits a call; zero for now."""
+    def wait(self, customer: CustomerName, *, long: bool, now: float) -> float:
+        """Return after how many seconds the customer's limit permits a call; zero for now.
+
+        Args:
+            customer: The customer.
+            long: Whether its prompt is long, so that what is still to be charged counts too.
+            now: The time.
+        """
         account = self._accounts.get(customer)
         if account is None or account.limit <= 0.0:
             return 0.0
         self._refill(account, now=now)
-        if account.level > 0.0:
-            return 0.0
-        return -account.level / (account.limit * self._share(now)) + 1.0 / account.limit
+        rate = account.limit * self._share(now)
+        if account.level <= 0.0:
+            return (1.0 - account.level) / rate
+        # Pending work stays under this where it comes in at the rate of the limit.
+        most = rate * SPREAD_SECONDS
+        if long and account.pending > most:
+            return SPREAD_SECONDS * log(account.pending / most) + 1.0
+        return 0.0
 
     def charge(self, customer: CustomerName, seconds: float, *, now: float) -> None:
         """Count engine seconds that were admitted here; negative ones are given back."""
         account = self._accounts.get(customer)
         if account is None:
             return
-        self._refill(account, now=now)
-        account.level -= seconds
+        self._charge(account, seconds, now=now)
         account.used = max(0.0, account.used + seconds)
 
     def serve(self, customer: CustomerName, seconds: float) -> None:
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -6,7 +6,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from azureswitch.core import HostName, PlaceName, ServiceName, TargetName
+from azureswitch.core import CallId, HostName, PlaceName, ServiceName, TargetName
 from azureswitch.inventory import ServiceKind, Snapshot, Target, TargetRole
 from azureswitch.ports import LoadReport
 from azureswitch.serving._cost import PREFILL_RATE
@@ -16,6 +16,9 @@
 REPORT_MAX_AGE = 3.0
 """Seconds after which a load report says nothing any more."""
 
+REPORT_LAG = 0.25
+"""Seconds by which a load report may be older than its arrival tells."""
+
 PEER_MAX_AGE = 2.0
 """Seconds after which a peer's digest says nothing any more."""
 
@@ -31,6 +34,9 @@
 EJECT_MOST = 30.0
 """Seconds for which a target is avoided after many failures."""
 
+SAVE_SECONDS = 1.0
+"""Seconds for which a target is saved unless that is renewed."""
+
 SUSPECT_SECONDS = 1.0
 """Seconds for which a target that a peer keeps out of use is avoided here too."""
 
@@ -117,6 +123,7 @@
         unusable_until: When it may get new work again after a failure.
         ejected_until: Until when others are preferred, since it failed here.
         suspected_until: Until when others are preferred, since it failed at a peer.
+        saved_until: Until when a peer saves its memory.
         failures: Failures in a row.
     """
 
@@ -132,6 +139,7 @@
     unusable_until: float = 0.0
     ejected_until: float = 0.0
     suspected_until: float = 0.0
+    saved_until: float = 0.0
     failures: int = 0
 
     def usable(self, now: float) -> bool:
@@ -181,10 +189,14 @@
         return self.backlog[Level.MIDDLE] + sum(peer.load.middle for peer in self.peers.values())
 
     def free_tokens(self) -> int:
-        """Estimate the tokens of memory that are free, the prefix cache counted as free."""
+        """Estimate the tokens of memory that are free, the prefix cache counted as free.
+
+        A report leaves out requests that still wait for memory, which the hosts' own accounts hold.
+        """
         reported = self.report.memory_used if self.report else 0
         since = sum(sent.tokens for sent in self._since_report())
-        return self.target.memory - max(self.tokens, reported + since)
+        sent = self.tokens + sum(peer.load.tokens for peer in self.peers.values())
+        return self.target.memory - max(sent, reported + since)
 
     def _since_report(self) -> Iterator[Sent]:
         return (sent for sent in self.sent if sent.at > self.report_at)
@@ -230,6 +242,7 @@
         self._plain: set[ServiceName] = set()
         self._services: set[ServiceName] = set()
         self._loaded: set[TargetName] = set()
+        self._saved: dict[TargetName, tuple[CallId, float]] = {}
         self._heard: dict[HostName, set[TargetName]] = {}
 
     def adopt(self, snapshot: Snapshot) -> None:
@@ -324,7 +337,7 @@
         elif known is not None and report.started < known.started:
             return
         state.report = report
-        state.report_at = now - age
+        state.report_at = now - age - REPORT_LAG
         state.prune(now)
 
     def unreachable(self, target: TargetName, *, now: float) -> None:
@@ -354,6 +367,28 @@
         if state is not None:
             state.failures = 0
 
+    def save(self, targets: Iterable[TargetName], *, call: CallId, now: float) -> None:
+        """Send no more long prompts to targets for a while, so that their memory frees up."""
+        for name in targets:
+            self._saved[name] = (call, now + SAVE_SECONDS)
+
+    def unsave(self, call: CallId) -> None:
+        """Send long prompts again to the targets that were saved for a call."""
+        for name in [name for name, (owner, _) in self._saved.items() if owner == call]:
+            del self._saved[name]
+
+    def saved(self, *, now: float) -> tuple[TargetName, ...]:
+        """Return the targets that this host saves."""
+        return tuple(sorted(name for name, (_, until) in self._saved.items() if now < until))
+
+    def takes_long(self, target: TargetName, *, call: CallId, now: float) -> bool:
+        """Return whether a target is not saved for another call, here or at a peer."""
+        owner, until = self._saved.get(target, (call, 0.0))
+        if owner != call and now < until:
+            return False
+        state = self._states.get(target)
+        return state is not None and (owner == call or now >= state.saved_until)
+
     def suspects(self, *, now: float) -> tuple[TargetName, ...]:
         """Return the targets that failed here and are kept out of use."""
         return tuple(
@@ -388,6 +423,10 @@
             known = self._states.get(name)
             if known is not None:
                 known.suspected_until = now + SUSPECT_SECONDS
+        for name in digest.saved:
+            known = self._states.get(name)
+            if known is not None:
+                known.saved_until = now + SAVE_SECONDS
 
     def loads(self) -> tuple[TargetLoad, ...]:
         """Return what this host has outstanding, per target."""
@@ -395,12 +434,12 @@
         return tuple(
             TargetLoad(
                 target=state.target.name,
-                urgent=state.backlog[Level.SHORT],
-                middle=state.backlog[Level.MIDDLE],
-                total=sum(state.backlog),
+                urgent=round(state.backlog[Level.SHORT], 3),
+                middle=round(state.backlog[Level.MIDDLE], 3),
+                total=round(sum(state.backlog), 3),
+                tokens=state.tokens,
             )
             for state in states
-            if any(state.backlog)
         )
 
 
--- a/src/azureswitch/serving/_length.py
+++ b/src/azureswitch/serving/_length.py
@@ -23,6 +23,9 @@
 DEMAND_SECONDS = 60.0
 """Time constant over which demand is smoothed."""
 
+LEAST_SEEN = 5.0
+"""Seconds over which demand is taken to have been seen, at least."""
+
 PEER_DEMAND_SECONDS = 5.0
 """Seconds after which what a peer said of its demand is no longer used."""
 
@@ -93,18 +96,27 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Rate:
-    """A smoothed rate in engine seconds a second."""
+    """A smoothed rate in engine seconds a second, right also soon after its start."""
 
     value: float = 0.0
     at: float = 0.0
+    begun: float | None = None
 
     def add(self, seconds: float, *, now: float) -> None:
-        self.value = self.read(now) + seconds / DEMAND_SECONDS
+        if self.begun is None:
+            self.begun = now
+        self.value = self._decayed(now) + seconds / DEMAND_SECONDS
         self.at = now
 
-    def read(self, now: float) -> float:
+    def _decayed(self, now: float) -> float:
         return self.value * exp(-max(0.0, now - self.at) / DEMAND_SECONDS)
 
+    def read(self, now: float) -> float:
+        if self.begun is None:
+            return 0.0
+        seen = max(LEAST_SEEN, now - self.begun)
+        return self._decayed(now) / (1.0 - exp(-seen / DEMAND_SECONDS))
+
 
 @dataclass(slots=True, kw_only=True)
 class _Mix:
@@ -144,8 +156,8 @@
             Demand(
                 service=service,
                 model=model,
-                short=mix.rates[0].read(now),
-                long=mix.rates[1].read(now),
+                short=round(mix.rates[0].read(now), 3),
+                long=round(mix.rates[1].read(now), 3),
             )
             for (service, model), mix in sorted(self._mixes.items())
         )
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -288,5 +288,6 @@
         uses=state.fairness.uses(),
         suspects=state.fleet.suspects(now=now),
         demands=state.split.demands(now),
+        saved=state.fleet.saved(now=now),
     )
     return [PublishDigest(digest=digest)]
--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -8,7 +8,7 @@
 from azureswitch.serving._spans import choose_spans
 from azureswitch.serving._state import CallRecord, ServingState
 
-CHOICES = 4
+CHOICES = {Level.SHORT: 4, Level.MIDDLE: 8, Level.LONG: 8}
 """Targets drawn at random, of which the best is taken; looking at all would make hosts herd."""
 
 CACHED_CHOICES = 2
@@ -17,8 +17,14 @@
 NEARNESS_SECONDS = (0.0, 0.001, 0.05)
 """Seconds that a target in this place, in this region or elsewhere costs."""
 
-RUNNING_SECONDS = 0.001
-"""Seconds that each running request of an engine makes a new one slower."""
+BESIDE_SHARE = 0.5
+"""Share of its own time that a prefill takes longer beside requests that decode."""
+
+RUNNING_SHARE = 0.02
+"""Share of its own time that a prefill takes longer for each of them."""
+
+BATCH = 16
+"""Running requests beside which further ones make little difference to a prefill."""
 
 ROOM = {Level.SHORT: 0.5, Level.MIDDLE: 1.0, Level.LONG: 1.0}
 """Engine seconds of prompts of the same or a lower level over which an engine gets no more."""
@@ -110,15 +116,33 @@
     best: tuple[float, Choice] | None = None
     for target in _candidates(state, record, names, now=now, cached=cached):
         choice = _weigh(state, record, target, cached=cached.get(target.target.name, 0), now=now)
-        if choice is None or target.free_tokens() < tokens:
+        if choice is None or not _has_room(state, record, target, tokens=tokens, now=now):
             continue
         score = choice.wait + choice.work.seconds * state.costs.speed(target.target.name)
-        score += NEARNESS_SECONDS[target.nearness] + RUNNING_SECONDS * target.waiting_count()
+        score += NEARNESS_SECONDS[target.nearness]
+        score += _beside(choice.work, running=target.waiting_count())
         if best is None or score < best[0]:
             best = (score, choice)
     return best[1] if best else None
 
 
+def _has_room(
+    state: ServingState, record: CallRecord, target: TargetState, *, tokens: int, now: float
+) -> bool:
+    if target.free_tokens() < tokens:
+        return False
+    name = target.target.name
+    short = record.level is Level.SHORT
+    return short or state.fleet.takes_long(name, call=record.call.id, now=now)
+
+
+def _beside(work: Work, *, running: int) -> float:
+    """Return the seconds that a prefill takes longer where others decode in the same steps."""
+    if not running:
+        return 0.0
+    return work.seconds * (BESIDE_SHARE + RUNNING_SHARE * min(BATCH, running))
+
+
 def _weigh(
     state: ServingState, record: CallRecord, target: TargetState, *, cached: int, now: float
 ) -> Choice | None:
@@ -142,9 +166,10 @@
     cached: dict[TargetName, int] | None = None,
 ) -> list[TargetState]:
     """Return a few targets to choose from: some at random and those with a cached prefix."""
-    drawn = names if len(names) <= CHOICES else tuple(state.random.sample(names, CHOICES))
-    holders = sorted(cached or {}, key=lambda name: (-(cached or {})[name], name))
-    extra = [name for name in holders[:CACHED_CHOICES] if name in record.pool.targets]
+    choices = CHOICES[record.level]
+    drawn = names if len(names) <= choices else tuple(state.random.sample(names, choices))
+    held = {name: cached[name] for name in names if name in cached} if cached else {}
+    extra = sorted(held, key=lambda name: (-held[name], name))[:CACHED_CHOICES]
     usable = _usable(state, record, (*drawn, *extra), now=now)
     if usable:
         return usable
--- a/src/azureswitch/serving/_spans.py
+++ b/src/azureswitch/serving/_spans.py
@@ -1,8 +1,12 @@
 """Chooses the engines that together hold a prompt larger than one engine's memory."""
 
 from azureswitch.core import TargetName
+from azureswitch.serving._fleet import TargetState
 from azureswitch.serving._state import CallRecord, ServingState
 
+MORE_MEMBERS = 2
+"""Engines over the fewest that a prompt is spread over where memory is short."""
+
 SPAN_FILL = 0.9
 """Share of an engine's memory that a span may fill."""
 
@@ -23,10 +27,27 @@
     states = [state.fleet.state(name) for name in record.pool.targets]
     usable = [t for t in states if t is not None and t.usable(now)]
     usable = [t for t in usable if t.target.name not in record.failed]
+    allowed = [t for t in usable if state.fleet.takes_long(t.target.name, call=call.id, now=now)]
     fewest = max(2, -(-tokens // max(1, int(record.pool.longest * SPAN_FILL))))
-    for count in range(fewest, len(usable) + 1):
-        span = -(-tokens // count)
-        fitting = [t for t in usable if t.free_tokens() >= span]
+    for count in range(fewest, min(len(allowed), fewest + MORE_MEMBERS) + 1):
+        fitting = [t for t in allowed if t.free_tokens() >= -(-tokens // count)]
         if len(fitting) >= count:
+            state.fleet.unsave(call.id)
             return tuple(sorted(t.target.name for t in fitting[:count]))
+    _save(state, record, allowed, fewest, now=now)
     return None
+
+
+def _save(
+    state: ServingState,
+    record: CallRecord,
+    allowed: list[TargetState],
+    count: int,
+    *,
+    now: float,
+) -> None:
+    """Keep long prompts off the engines that are nearest to having room."""
+    emptiest = sorted(allowed, key=lambda t: (-t.free_tokens(), t.target.name))[:count]
+    saved = [t.target.name for t in emptiest]
+    state.fleet.unsave(record.call.id)
+    state.fleet.save(saved, call=record.call.id, now=now)
