--- a/src/azureswitch/coordination/membership/_limits.py
+++ b/src/azureswitch/coordination/membership/_limits.py
@@ -36,7 +36,7 @@
 CANDIDATES = 16
 """Updates that are considered for one datagram at most."""
 
-RETRANSMISSIONS = 3
+RETRANSMISSIONS = 2
 """How often an update is passed on, times the binary logarithm of the fleet."""
 
 URGENT_FANOUT = 4
--- a/src/azureswitch/peers/_limits.py
+++ b/src/azureswitch/peers/_limits.py
@@ -14,3 +14,6 @@
 
 PENDING_CASTS = 1_024
 """Datagrams that are handled at once; further ones are dropped and counted."""
+
+PORT_TRIES = 20
+"""Ports that are tried where the system may choose one, until one is free in both protocols."""
--- a/src/azureswitch/peers/_network.py
+++ b/src/azureswitch/peers/_network.py
@@ -30,6 +30,7 @@
     IDLE_SECONDS,
     PENDING_CALLS,
     PENDING_CASTS,
+    PORT_TRIES,
 )
 from azureswitch.peers._pool import ChannelPool, split
 from azureswitch.peers._traffic import Traffic, TrafficCounter
@@ -68,7 +69,7 @@
         self._handlers = Handlers()
         self._counter = TrafficCounter()
         self._pool = ChannelPool(limit=connections, idle=idle)
-        self._server = Server([_Service(network=self)])
+        self._server: Server | None = None
         self._datagrams: DatagramTransport | None = None
         self._sweeper: Task[None] | None = None
         self._casts: set[Task[None]] = set()
@@ -101,13 +102,16 @@
         Raises:
             OSError: The address cannot be bound.
         """
-        loop = get_running_loop()
         host, port = split(self._address)
-        self._datagrams, _ = await loop.create_datagram_endpoint(
-            lambda: _Datagrams(network=self), local_addr=(host, port)
-        )
-        port = self._datagrams.get_extra_info("sockname")[1]
-        await self._server.start(host, port)
+        tries = 1 if port else PORT_TRIES
+        for left in reversed(range(tries)):
+            try:
+                port = await self._bind(host, port)
+                break
+            except OSError:
+                # A port that is free for datagrams may be taken for calls.
+                if not left:
+                    raise
         self._address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         self._sweeper = create_task(self._sweep())
 
@@ -120,6 +124,8 @@
         for task in tuple(self._casts):
             task.cancel()
         self._pool.close()
+        if self._server is None:
+            return
         self._server.close()
         try:
             async with deadline(_CLOSE_SECONDS):
@@ -204,6 +210,22 @@
         self._casts.add(task)
         task.add_done_callback(self._casts.discard)
 
+    async def _bind(self, host: str, port: int) -> int:
+        datagrams, _ = await get_running_loop().create_datagram_endpoint(
+            lambda: _Datagrams(network=self), local_addr=(host, port)
+        )
+        chosen: int = datagrams.get_extra_info("sockname")[1]
+        # The server belongs to the loop that runs when it is made.
+        server = Server([_Service(network=self)])
+        try:
+            await server.start(host, chosen)
+        except OSError:
+            datagrams.close()
+            raise
+        self._server = server
+        self._datagrams = datagrams
+        return chosen
+
     async def _receive(self, envelope: Envelope, peer: str) -> None:
         await self._handlers.handle(kind=envelope.kind, body=envelope.body, peer=peer)
 
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -50,9 +50,7 @@
 Scenario = Callable[[Any, Any], Awaitable[None]]
 
 
-async def _real(scenario: Scenario) -> None:
-    first = PeerNetwork(address="127.0.0.1:0", connections=2)
-    second = PeerNetwork(address="127.0.0.1:0")
+async def _real(scenario: Scenario, first: PeerNetwork, second: PeerNetwork) -> None:
     second.handle(Question, _answer)
     await gather(first.start(), second.start())
     try:
@@ -69,7 +67,9 @@
 
 
 def _on_real(scenario: Scenario) -> None:
-    run(_real(scenario))
+    # Networks may be made before the loop that they run in.
+    first = PeerNetwork(address="127.0.0.1:0", connections=2)
+    run(_real(scenario, first, PeerNetwork(address="127.0.0.1:0")))
 
 
 def _on_fake(scenario: Scenario) -> None:
