Describe the load tool and the demo, and let the demo settle first

Cause: the demo's first seconds measured the hosts finding each other, and one prompt of a million tokens was refused because hosts expect slower engines than the demo's.

--- a/src/azureswitch_load/__init__.py
+++ b/src/azureswitch_load/__init__.py
@@ -1,6 +1,7 @@
 """A load tool that sends a seeded mix of calls and checks what comes back independently."""
 
 from azureswitch_load._balancer import Balancer
+from azureswitch_load._bodies import prepare
 from azureswitch_load._calls import Caller, CallKind, Length, Phase, PlannedCall
 from azureswitch_load._outcome import Attempt, End, Outcome
 from azureswitch_load._plan import PlanSettings, draw
@@ -46,6 +47,7 @@
     "draw",
     "main",
     "make_report",
+    "prepare",
     "progress_line",
     "show_report",
     "sum_runs",
--- a/src/azureswitch_load/_bodies.py
+++ b/src/azureswitch_load/_bodies.py
@@ -76,6 +76,11 @@
             )
 
 
+def prepare() -> None:
+    """Make the text that documents are cut from, which takes about a second, ahead of a run."""
+    _text()
+
+
 def prompt_of(call: PlannedCall, run: str) -> str:
     """Return the prompt of a completion: a document and a question."""
     question = _question(call, run)
--- a/src/azureswitch_load/_program.py
+++ b/src/azureswitch_load/_program.py
@@ -12,6 +12,7 @@
 
 from azureswitch.client import HttpClient
 from azureswitch_load._balancer import Balancer
+from azureswitch_load._bodies import prepare
 from azureswitch_load._calls import Caller
 from azureswitch_load._plan import PlanSettings, draw
 from azureswitch_load._promises import (
@@ -77,6 +78,7 @@
 
     async def _run(self) -> int:
         calls = draw(settings=self._settings())
+        prepare()
         balancer = Balancer(addresses=self.option("entry"))
         await balancer.start()
         started = asyncio.get_running_loop().time()
--- a/src/azureswitch_load/_run.py
+++ b/src/azureswitch_load/_run.py
@@ -32,7 +32,14 @@
 
 
 class Run:
-    """Sends the calls of a plan, each at its time."""
+    """Sends the calls of a plan, each at its time.
+
+    Args:
+        calls: The plan.
+        sender: Sends one call.
+        started: When the run starts, in seconds of the event loop.
+        progress: Is told now and then how far the run has come.
+    """
 
     def __init__(
         self,
--- a/src/azureswitch_load/demo/_demo.py
+++ b/src/azureswitch_load/demo/_demo.py
@@ -20,6 +20,7 @@
     count_violations,
     draw,
     make_report,
+    prepare,
     progress_line,
     sum_runs,
 )
@@ -34,6 +35,9 @@
 READY_TIMEOUT = 15.0
 """Seconds in which the entries must become ready."""
 
+START_PAUSE = 2.0
+"""Seconds between readiness and the load, in which hosts find each other and poll the engines."""
+
 IDLE_TIMEOUT = 12.0
 """Seconds after the load in which engines must become idle and their memory free."""
 
@@ -68,7 +72,7 @@
     alone: float = 8.0
     rate: float = 20.0
     speed: float = 8.0
-    long_timeout: float = 150.0
+    long_timeout: float = 600.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -116,6 +120,7 @@
         """Run it and return its report."""
         loop = asyncio.get_running_loop()
         began = loop.time()
+        prepare()
         await self._fleet.start()
         self._watch.start()
         lag = asyncio.create_task(self._lag.run())
@@ -138,6 +143,7 @@
             while not self._watch.forced:
                 await asyncio.sleep(POLL_PERIOD)
         self._say(f"Revision {revision} is in force on {len(self._fleet.entries)} entries.")
+        await asyncio.sleep(START_PAUSE)
 
     async def _load(self) -> tuple[Sequence[Outcome], Sequence[Shutdown]]:
         balancer = Balancer(addresses=self._fleet.callers)
