--- a/src/azureswitch/inventory/_tables.py
+++ b/src/azureswitch/inventory/_tables.py
@@ -221,9 +221,10 @@
 KEY_RETENTION = Setting(
     section="rules",
     key="key_retention",
-    kind=Seconds(low=60, high=LONGEST_DEADLINE * 5),
+    kind=Seconds(low=_DEFAULTS.key_retention, high=_DEFAULTS.key_retention),
     default=_DEFAULTS.key_retention,
-    help="How long an `Idempotency-Key` is remembered.",
+    help="How long an `Idempotency-Key` is remembered. Hosts remember for one day and no other "
+    "time; another value is refused, so that nobody relies on it.",
 )
 
 RULES = Table(
--- a/src/azureswitch/settings/_kinds.py
+++ b/src/azureswitch/settings/_kinds.py
@@ -68,6 +68,8 @@
 def _range(low: float, high: float) -> str:
     if low == -inf and high == inf:
         return ""
+    if low == high:
+        return f" of {low:,.12g}"
     if high == inf:
         return f" of at least {low:,.12g}"
     if low == -inf:
