--- a/src/azureswitch/entry/_answers.py
+++ b/src/azureswitch/entry/_answers.py
@@ -7,8 +7,7 @@
 from abc import ABC, abstractmethod
 from asyncio import Future, get_running_loop
 from bisect import bisect_right
-from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from time import monotonic
 
@@ -16,6 +15,9 @@
 from azureswitch.exceptions import AnswerTooLargeError, AzureswitchError
 from azureswitch.ports import Chunk, PlainAnswer
 
+Write = Callable[[bytes], Awaitable[None]]
+"""Writes bytes to a caller and waits while it is behind."""
+
 
 class Signal:
     """Wakes everyone who waits for a change."""
@@ -151,10 +153,10 @@
 
 
 class Relay(StreamAnswer):
-    """A streamed answer: what was read is gone, and a slow reader slows the engine.
+    """A streamed answer: what was written is gone, and a slow caller slows the engine.
 
     Args:
-        limit: Bytes kept for the reader before `put` waits.
+        limit: Bytes kept before there is a caller's connection to write to; then `put` waits.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -162,10 +164,11 @@
         super().__init__()
         self._limit = limit
         self._clock = clock
-        self._chunks: deque[bytes] = deque()
+        self._chunks: list[bytes] = []
         self._size = 0
         self._room = Signal()
-        self._handed_over: float | None = None
+        self._write: Write | None = None
+        self._writing_since: float | None = None
 
     @property
     def started(self) -> bool:
@@ -174,12 +177,19 @@
 
     def stalled(self, *, seconds: float) -> bool:
         """Whether the caller has left output unread for some seconds."""
-        return self._handed_over is not None and self._clock() - self._handed_over > seconds
+        return self._writing_since is not None and self._clock() - self._writing_since > seconds
 
     async def put(self, *, attempt: int, offset: int, chunk: Chunk) -> bool:
         """Take output of an attempt and wait while the caller is behind."""
         if not self.takes(attempt=attempt, offset=offset):
             return False
+        if self._write is not None:
+            # Nobody waits for a change but the end, so none is announced.
+            self._writer = attempt
+            self._tokens += chunk.tokens
+            self._whole = chunk.last
+            await self._written(self._write, chunk.data)
+            return True
         self._chunks.append(chunk.data)
         self._size += len(chunk.data)
         self._take(attempt=attempt, tokens=chunk.tokens, last=chunk.last)
@@ -192,19 +202,33 @@
         super().finish(error)
         self._room.notify()
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the output once, everything that waits at a time."""
-        while self._chunks or not self._over:
-            if not self._chunks:
-                await self._changed.wait()
-                continue
-            data = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
+    async def serve(self, write: Write) -> None:
+        """Write the output to the caller until the answer is over.
+
+        What waits is written here; what comes after it is written by the attempt that brings it.
+
+        Args:
+            write: Writes bytes and waits while the caller is behind.
+        """
+        while self._chunks:
+            data = b"".join(self._chunks)
             self._chunks.clear()
             self._size = 0
             self._room.notify()
-            self._handed_over = self._clock()
-            yield data
-            self._handed_over = None
+            await self._written(write, data)
+        self._write = write
+        await self.wait_over()
+        while self._writing_since is not None:
+            await self._changed.wait()
+
+    async def _written(self, write: Write, data: bytes) -> None:
+        self._writing_since = self._clock()
+        try:
+            await write(data)
+        finally:
+            self._writing_since = None
+            if self._over:
+                self._changed.notify()
 
 
 class Recording(StreamAnswer):
--- a/src/azureswitch/entry/_api.py
+++ b/src/azureswitch/entry/_api.py
@@ -19,6 +19,7 @@
 from azureswitch.entry._records import ModelPayload, ModelRecord, PlainPayload, PlainRecord
 from azureswitch.entry._requests import (
     aborter,
+    answer_outlet,
     header,
     idempotency_key,
     read_body,
@@ -42,6 +43,9 @@
 SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 """Methods that plain services are called with."""
 
+EVENT_STREAM = b"text/event-stream"
+"""The type of an answer of server-sent events."""
+
 _HOP_HEADERS = frozenset(
     (
         "connection",
@@ -196,30 +200,31 @@
         self._shell.submit(record)
         self.watch(request, call)
         if isinstance(answer, Relay):
-            return await self._streamed(record, answer)
+            return await self._streamed(request, record, answer)
         await answer.wait_over()
         if answer.error is not None:
             return error_response(answer.error, call=call)
         return _json(whole_answer(answer.data, surface), call=call)
 
-    async def _streamed(self, record: ModelRecord, relay: Relay) -> Response:
+    async def _streamed(self, request: Request, record: ModelRecord, relay: Relay) -> Response:
         call = record.call.id
         await relay.wait_started()
         if relay.error is not None and not relay.started:
             return error_response(relay.error, call=call)
 
-        async def output() -> AsyncIterator[bytes]:
-            try:
-                async for data in relay.chunks():
-                    yield data
-                if relay.error is not None:
-                    yield error_event(relay.error)
-            finally:
-                self._shell.leave(call)
-
         if record.durable:
             await record.placed.wait()
-        return event_stream(output, call=call, job=record.job)
+        outlet = answer_outlet(request)
+        headers = stream_headers(call=call, job=record.job)
+        await outlet.begin(status=200, headers=[(b"content-type", EVENT_STREAM), *headers])
+        try:
+            await relay.serve(outlet.write)
+            if relay.error is not None:
+                await outlet.write(error_event(relay.error))
+        finally:
+            self._shell.leave(call)
+        await outlet.end()
+        return Response(200)
 
     def watch(self, request: Request, call: CallId) -> None:
         """Give a request up when its caller closes the connection."""
@@ -279,10 +284,15 @@
     output: Callable[[], AsyncIterator[bytes]], *, call: CallId, job: str | None = None
 ) -> Response:
     """Return an answer of server-sent events."""
+    return Response(200, stream_headers(call=call, job=job), StreamedContent(EVENT_STREAM, output))
+
+
+def stream_headers(*, call: CallId, job: str | None) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer of server-sent events, its type excluded."""
     headers = [(b"x-request-id", call.encode()), (b"cache-control", b"no-cache")]
     if job is not None:
         headers.append((b"x-job-id", job.encode()))
-    return Response(200, headers, StreamedContent(b"text/event-stream", output))
+    return headers
 
 
 def _json(body: bytes, *, call: CallId) -> Response:
--- a/src/azureswitch/entry/_attempts.py
+++ b/src/azureswitch/entry/_attempts.py
@@ -29,7 +29,7 @@
     TokensArrived,
 )
 
-PROGRESS_PERIOD = 0.25
+PROGRESS_PERIOD = 1.0
 """Seconds between two reports of an attempt's progress."""
 
 CLEANUP_TRIES = 6
@@ -210,15 +210,17 @@
         report_at = 0.0
         before = b""
         async for chunk in output:
-            if attempt.cancelled or not answer.takes(attempt=number, offset=attempt.offset):
-                return _End(end=AttemptEnd.CANCELLED)
+            offset = attempt.offset
             if first and chunk.tokens:
+                if attempt.cancelled or not answer.takes(attempt=number, offset=offset):
+                    return _End(end=AttemptEnd.CANCELLED)
                 first = False
                 report_at = self._clock() + PROGRESS_PERIOD
                 self._first_token(record, number)
-            offset = attempt.offset
-            attempt.offset += chunk.tokens
-            if not await answer.put(attempt=number, offset=offset, chunk=chunk):
+            attempt.offset = offset + chunk.tokens
+            if attempt.cancelled or not await answer.put(
+                attempt=number, offset=offset, chunk=chunk
+            ):
                 return _End(end=AttemptEnd.CANCELLED)
             if chunk.last:
                 return _End(end=AttemptEnd.COMPLETE, cached=cached_tokens(before + chunk.data))
--- a/src/azureswitch/entry/_http.py
+++ b/src/azureswitch/entry/_http.py
@@ -12,6 +12,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from azureswitch.entry._errors import error_body
+from azureswitch.entry._outlet import Asgi, Edge
 from azureswitch.entry._settings import Limits
 from azureswitch.exceptions import (
     CallerTooSlowError,
@@ -134,11 +135,11 @@
         limits: What one connection may cost.
     """
 
-    def __init__(self, *, app: Any, address: Address, limits: Limits) -> None:
+    def __init__(self, *, app: Asgi, address: Address, limits: Limits) -> None:
         protocol = type("LimitedProtocol", (GuardedProtocol,), {"limits": limits})
         grace = int(limits.read_timeout + limits.write_timeout) + 1
         config = Config(
-            app,
+            Edge(app=app),
             http=protocol,
             ws="none",
             loop="asyncio",
@@ -146,6 +147,7 @@
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=False,
             timeout_keep_alive=KEEP_ALIVE,
             timeout_graceful_shutdown=grace,
         )
--- a/src/azureswitch/entry/_polls.py
+++ b/src/azureswitch/entry/_polls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 from azureswitch.core import TargetName
@@ -67,21 +68,22 @@
         while (engine := self._targets.engine(name)) is not None:
             try:
                 async with asyncio.timeout(POLL_TIMEOUT):
-                    seen = await self._load(engine)
+                    seen = await self._load(name, engine)
                     after = after if seen == started else 0
                     started = seen
-                    after = await self._cache(engine, after)
+                    after = await self._cache(name, engine, after)
             except (TargetError, TimeoutError):
                 self._dispatch(TargetUnreachable(now=self._clock(), target=name))
             await asyncio.sleep(POLL_PERIOD * self._random.uniform(0.9, 1.1))
 
-    async def _load(self, engine: Engine) -> int:
-        report = await engine.load()
+    async def _load(self, name: TargetName, engine: Engine) -> int:
+        # The inventory names engines; one may call itself by another name.
+        report = replace(await engine.load(), target=name)
         self._dispatch(LoadReported(now=self._clock(), report=report))
         return report.started
 
-    async def _cache(self, engine: Engine, after: int) -> int:
-        events = await engine.cache(after=after)
+    async def _cache(self, name: TargetName, engine: Engine, after: int) -> int:
+        events = replace(await engine.cache(after=after), target=name)
         if events.added or events.removed or not events.complete:
             self._dispatch(CacheReported(now=self._clock(), events=events))
         return events.sequence
--- a/src/azureswitch/entry/_requests.py
+++ b/src/azureswitch/entry/_requests.py
@@ -8,6 +8,7 @@
 
 from blacksheep import Request
 
+from azureswitch.entry._outlet import Outlet
 from azureswitch.exceptions import (
     BodyTooLargeError,
     CallerLeftError,
@@ -42,6 +43,12 @@
     return abort
 
 
+def answer_outlet(request: Request) -> Outlet:
+    """Return the outlet through which a handler can write its answer itself."""
+    scope = cast(dict[str, Any], request.scope)
+    return cast(Outlet, scope["state"]["outlet"])
+
+
 def header(request: Request, name: bytes) -> str | None:
     """Return the first header of a name, or None."""
     value = request.get_first_header(name)
