Cross answers and lose the store's answers in the demo

Cause: the demo did not bring about two faults that the promises are about. Change: after the outage the store takes writes and loses their answers, and an engine gives requests the answers of others for two seconds; prompts over the longest asked for are not drawn.

--- a/src/azureswitch_load/_plan.py
+++ b/src/azureswitch_load/_plan.py
@@ -124,9 +124,8 @@
         if phase is Phase.ALONE:
             return Length.SHORT
         length = next(self._lengths)
-        if length is Length.HUGE and at > self._settings.huge_until:
-            return Length.SHORT
-        return length
+        late = length is Length.HUGE and at > self._settings.huge_until
+        return Length.SHORT if late or length.low >= self._settings.longest else length
 
     def _document(self) -> int | None:
         if self._random.random() >= self._settings.shared_share:
@@ -137,8 +136,7 @@
         high = min(length.high, self._settings.longest)
         if length is Length.HUGE and self._random.random() < 0.5:
             return high
-        low = min(length.low, high)
-        return round(math.exp(self._random.uniform(math.log(low), math.log(high))))
+        return round(math.exp(self._random.uniform(math.log(length.low), math.log(high))))
 
     def _deal(self) -> Iterator[Length]:
         """Yield lengths from shuffled decks, so that a short run has some of each as well.
--- a/src/azureswitch_load/demo/_script.py
+++ b/src/azureswitch_load/demo/_script.py
@@ -9,12 +9,18 @@
 from azureswitch_load.demo._configure import Operator
 from azureswitch_load.demo._fleet import Fleet
 from azureswitch_load.demo._watch import Watch
-from azureswitch_standins.engine import EngineStandin
+from azureswitch_standins.engine import EngineFaults, EngineStandin
 from azureswitch_standins.store import StoreFaults
 
 OUTAGE = 4.0
 """Seconds for which the store is down."""
 
+LOST_ANSWERS = 8
+"""Writes that take effect after the outage and whose answers are lost."""
+
+CROSSED = 2.0
+"""Seconds for which an engine gives requests the answers of others."""
+
 ENGINE_GONE = 6.0
 """Seconds for which an engine is gone."""
 
@@ -28,12 +34,14 @@
         shutdown: An entry stops gracefully.
         outage: The store goes down.
         change: A configuration that drains an engine is accepted.
+        cross: An engine begins to cross its answers.
     """
 
     kill: float = 11.0
     shutdown: float = 15.0
     outage: float = 20.0
     change: float = 26.0
+    cross: float = 29.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -85,6 +93,7 @@
             (times.shutdown, self._shut_down_entry),
             (times.outage, self._take_store_down),
             (times.change, self._change_configuration),
+            (times.cross, self._cross_answers),
         )
         async with asyncio.TaskGroup() as group:
             for at, step in steps:
@@ -123,8 +132,16 @@
         self._tell("The store is down.")
         await self._fleet.store.set_faults(faults=StoreFaults(down=True))
         await asyncio.sleep(OUTAGE)
-        await self._fleet.store.set_faults(faults=StoreFaults())
-        self._tell("The store is back.")
+        await self._fleet.store.set_faults(faults=StoreFaults(lose_answers=LOST_ANSWERS))
+        self._tell(f"The store is back; the answers of its next {LOST_ANSWERS} writes are lost.")
+
+    async def _cross_answers(self) -> None:
+        name, engine = self._busiest()
+        self._tell(f"Engine {name} crosses its answers.")
+        await engine.set_faults(faults=EngineFaults(cross=True))
+        await asyncio.sleep(CROSSED)
+        await engine.set_faults(faults=EngineFaults())
+        self._tell(f"Engine {name} answers correctly again.")
 
     async def _change_configuration(self) -> None:
         name, _ = self._busiest()
