Let the entry run large prompts by the spans part

The entry had a reservation of its own that gave up at the first refusal, so that two hosts that reached for overlapping sets could lose to each other again and again. It uses the spans part now, whose waits are ordered and bounded; the second version is gone.

--- a/src/azureswitch/entry/_attempts.py
+++ b/src/azureswitch/entry/_attempts.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 
 from absl import logging
+from xxhash import xxh3_64_intdigest
 
 from azureswitch.core import Incarnation, TargetName
 from azureswitch.entry._events import cached_tokens
 from azureswitch.entry._ports import JobKeeper
 from azureswitch.entry._records import Attempt, ModelRecord, PlainRecord
-from azureswitch.entry._span import SpanMember, holding_ids, prepare_spans, span_members
 from azureswitch.entry._targets import Targets
 from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import (
@@ -28,6 +28,7 @@
     StartAttempt,
     TokensArrived,
 )
+from azureswitch.spans import SpanRun
 
 PROGRESS_PERIOD = 1.0
 """Seconds between two reports of an attempt's progress."""
@@ -165,18 +166,17 @@
         engines: tuple[tuple[TargetName, Engine], ...],
         request: EngineRequest,
     ) -> None:
-        members = span_members(
-            engines=engines,
+        run = SpanRun(
+            engines=dict(engines),
             request=request,
             prompt_tokens=record.call.prompt_tokens,
             output_tokens=record.call.output_tokens,
+            seed=xxh3_64_intdigest(f"{request.call}/{request.attempt}".encode()),
         )
-        output = _spanned(members=members, request=request)
         try:
-            await self._run_model(record, attempt, engine=engines[-1][1], output=output)
+            await self._run_model(record, attempt, engine=engines[-1][1], output=run.stream())
         finally:
-            for member in members:
-                self._release(member, len(members))
+            self._tasks.spawn(run.release(), name=f"{record.call.id}/{attempt.number} release")
 
     async def _run_model(
         self,
@@ -251,14 +251,6 @@
         name = f"{record.call.id}/{attempt.number} cancel"
         self._tasks.spawn(_persistently(cancel), name=name)
 
-    def _release(self, member: SpanMember, count: int) -> None:
-        async def release() -> None:
-            for holding in holding_ids(member, count):
-                await member.engine.release(holding=holding)
-
-        name = f"{member.holding.id} release"
-        self._tasks.spawn(_persistently(release), name=name)
-
     # --- Plain targets ----------------------------------------------------------------------------
 
     async def _plain(self, record: PlainRecord, attempt: Attempt, effect: StartAttempt) -> None:
@@ -310,14 +302,6 @@
         self._dispatch(event)
 
 
-async def _spanned(
-    *, members: tuple[SpanMember, ...], request: EngineRequest
-) -> AsyncIterator[Chunk]:
-    await prepare_spans(members=members, request=request)
-    async for chunk in members[-1].engine.stream(request=request):
-        yield chunk
-
-
 async def _close(output: AsyncIterator[Chunk]) -> None:
     """Close the connection behind a stream that was not read to its end."""
     if isinstance(output, AsyncGenerator):
