Test large prompts through an entry host

The spans part had been tested against engines alone. Two tests send a prompt of more than an engine's memory through an entry: the answer is the one that a single engine would give, and all memory is free after it and after a caller that leaves in the middle.

--- /dev/null
+++ b/tests/spans/test_entry.py
@@ -0,0 +1,68 @@
+"""Tests of large prompts through an entry host, before engines too small for them alone."""
+
+import time
+from collections.abc import Callable, Iterator
+
+import httpx
+import pytest
+
+from azureswitch.inventory import Target
+from azureswitch_standins.engine import EngineSettings, EngineStandin, expected_answer
+from tests.entry.rig import FAST, KEY, MODEL, Rig
+
+MEMORY = 3_000
+TOKENS = 5_000
+OUTPUT = 200
+
+
+@pytest.fixture
+def rig(monkeypatch: pytest.MonkeyPatch) -> Iterator[Rig]:
+    """Return a running rig whose engines have little memory."""
+    monkeypatch.setattr(
+        "tests.entry.rig.Target",
+        lambda **fields: Target(**{**fields, "memory": MEMORY if "memory" in fields else 0}),
+    )
+    made = Rig()
+    made.engines = [
+        EngineStandin(settings=EngineSettings(name=engine, memory=MEMORY, cost=FAST))
+        for engine in ("engine-0", "engine-1")
+    ]
+    with made.running() as running:
+        yield running
+
+
+def until(reached: Callable[[], bool]) -> None:
+    """Wait for something, for a few seconds at most."""
+    for _ in range(500):
+        if reached():
+            return
+        time.sleep(0.01)
+    raise AssertionError(reached)
+
+
+def free(rig: Rig) -> bool:
+    """Whether no engine holds any memory."""
+    return not any(engine.counters.memory_used for engine in rig.engines)
+
+
+class TestLargePrompts:
+    """A prompt of more than one engine's memory."""
+
+    body = {"model": MODEL, "prompt": "word" * TOKENS, "max_tokens": OUTPUT}
+
+    def test_answer_is_whole_and_memory_free(self, rig: Rig) -> None:
+        """The prompt is answered as one engine would, and nothing stays held."""
+        for _ in range(2):
+            answer = rig.post("/v1/completions", self.body)
+            text = answer.json()["choices"][0]["text"]
+            assert text == "".join(expected_answer("word" * TOKENS, OUTPUT))
+        until(lambda: free(rig))
+
+    def test_caller_that_leaves_frees_all_memory(self, rig: Rig) -> None:
+        """Every engine's span is given back when the caller goes away in the middle."""
+        url, headers = f"{rig.url}/v1/completions", {"authorization": f"Bearer {KEY}"}
+        body = {**self.body, "stream": True}
+        with httpx.stream("POST", url, json=body, headers=headers, timeout=10.0) as answer:
+            next(answer.iter_bytes())
+            assert all(engine.counters.memory_used for engine in rig.engines)
+        until(lambda: free(rig))
