--- a/tests/spans/test_entry.py
+++ b/tests/spans/test_entry.py
@@ -13,6 +13,7 @@
 MEMORY = 3_000
 TOKENS = 5_000
 OUTPUT = 200
+BODY = {"model": MODEL, "prompt": "word" * TOKENS, "max_tokens": OUTPUT}
 
 
 @pytest.fixture
@@ -48,12 +49,10 @@
 class TestLargePrompts:
     """A prompt of more than one engine's memory."""
 
-    body = {"model": MODEL, "prompt": "word" * TOKENS, "max_tokens": OUTPUT}
-
     def test_answer_is_whole_and_memory_free(self, rig: Rig) -> None:
         """The prompt is answered as one engine would, and nothing stays held."""
         for _ in range(2):
-            answer = rig.post("/v1/completions", self.body)
+            answer = rig.post("/v1/completions", BODY)
             text = answer.json()["choices"][0]["text"]
             assert text == "".join(expected_answer("word" * TOKENS, OUTPUT))
         until(lambda: free(rig))
@@ -61,7 +60,7 @@
     def test_caller_that_leaves_frees_all_memory(self, rig: Rig) -> None:
         """Every engine's span is given back when the caller goes away in the middle."""
         url, headers = f"{rig.url}/v1/completions", {"authorization": f"Bearer {KEY}"}
-        body = {**self.body, "stream": True}
+        body = {**BODY, "stream": True}
         with httpx.stream("POST", url, json=body, headers=headers, timeout=10.0) as answer:
             next(answer.iter_bytes())
             assert all(engine.counters.memory_used for engine in rig.engines)
