Read no configuration whose entries do not fit together

Cause: a body that another program stored was checked for its types alone, and a target without its service would have failed inside each host that adopts it. Change: decoding makes the same checks of references and unique values as loading does.

--- a/src/azureswitch/inventory/_codec.py
+++ b/src/azureswitch/inventory/_codec.py
@@ -7,7 +7,12 @@
 
 from msgspec import DecodeError, ValidationError, json
 
-from azureswitch.exceptions import SnapshotTooLargeError, SnapshotUnreadableError
+from azureswitch.exceptions import (
+    SettingsError,
+    SnapshotTooLargeError,
+    SnapshotUnreadableError,
+)
+from azureswitch.inventory._check import check
 from azureswitch.inventory._model import Inventory, Rules, Snapshot
 
 SNAPSHOT_LIMIT = 1_000_000
@@ -75,11 +80,12 @@
         The snapshot.
 
     Raises:
-        SnapshotUnreadableError: The body is not a configuration.
+        SnapshotUnreadableError: The body is not a configuration, or its entries do not fit.
     """
     try:
         content = json.decode(_expand(body), type=_Body)
-    except (DecodeError, ValidationError, UnicodeDecodeError, ZlibError) as error:
+        check(content.inventory, file="")
+    except (DecodeError, ValidationError, UnicodeDecodeError, ZlibError, SettingsError) as error:
         raise SnapshotUnreadableError(revision=revision) from error
     return Snapshot(revision=revision, inventory=content.inventory, rules=content.rules)
 
--- a/tests/inventory/test_inventory.py
+++ b/tests/inventory/test_inventory.py
@@ -205,6 +205,13 @@
         turned = replace(inventory, targets=inventory.targets[::-1])
         assert encode(inventory=turned, rules=Rules()) == encode(inventory=inventory, rules=Rules())
 
+    def test_entries_that_do_not_fit(self) -> None:
+        """A body whose targets name nothing is no configuration, whoever stored it."""
+        inventory = replace(fleet(engines=2, customers=0), services=())
+        body = encode(inventory=inventory, rules=Rules())
+        with pytest.raises(SnapshotUnreadableError):
+            decode(body, revision=1)
+
     def test_too_large(self) -> None:
         """A body that the store could not hold is refused before it is sent."""
         with pytest.raises(SnapshotTooLargeError):
