Ask every host of the settings for its status and show where they differ

Cause: status believed the first host that answered, and so called a fleet sound whose hosts did not know each other. Change: all operations addresses are asked at once; what a host says of itself goes first; addresses that are silent and hosts that do not know each other are shown and end with the code for attention.

--- a/src/azureswitch/commands/_settings.py
+++ b/src/azureswitch/commands/_settings.py
@@ -37,7 +37,7 @@
     key="operations",
     kind=Items(kind=HostPort()),
     default=(),
-    help="Operations addresses of entry hosts; the first that answers is asked.",
+    help="Operations addresses of entry hosts, which `azureswitch status` asks.",
 )
 
 OPERATOR_TABLE = Table(
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -1,7 +1,7 @@
 """``azureswitch status``."""
 
+from asyncio import gather
 from collections.abc import Iterator
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from cleo.helpers import option
@@ -10,6 +10,7 @@
 from azureswitch.client import HttpClient
 from azureswitch.commands._base import OperatorCommand, outcome, text
 from azureswitch.commands._exits import ExitCode
+from azureswitch.commands._fleet import EntryStatus, FleetStatus, assess
 from azureswitch.commands._loads import EngineLoad, read_loads
 from azureswitch.commands._revisions import head_revision
 from azureswitch.commands._tables import table
@@ -19,63 +20,8 @@
 STATUS_TIMEOUT = 2.0
 """Seconds that a host may take to answer."""
 
-_TAKING_PART = frozenset({"alive", "suspect"})
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class MemberReport:
-    """One host as the asked one knows it.
-
-    Attributes:
-        host: Its name.
-        place: Its failure domain.
-        address: Where other hosts reach it.
-        status: ``alive``, ``suspect``, ``leaving`` or ``dead``.
-        revision: The revision in force on it; zero for none.
-        started: When its process started, in milliseconds of the wall clock.
-    """
-
-    host: str
-    place: str
-    address: str
-    status: str
-    revision: int
-    started: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EntryStatus:
-    """What an entry host's ``/status`` says."""
-
-    host: str
-    place: str
-    revision: int
-    leaving: bool
-    open_calls: int
-    members: tuple[MemberReport, ...]
-    engines: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FleetStatus:
-    """The fleet as one entry host sees it.
-
-    Attributes:
-        asked: The operations address that answered.
-        head: The newest accepted revision, or None where the store was not reached.
-        store_behind: Whether hosts serve by a later revision than the store holds, as after the
-            store was restored to an older state.
-        lagging: Live hosts on which an older revision is in force.
-        entry: What the asked host says.
-        loads: What the engines of the newest revision say of their load, where that was asked for.
-    """
-
-    asked: str
-    head: int | None
-    store_behind: bool
-    lagging: tuple[str, ...]
-    entry: EntryStatus
-    loads: tuple[EngineLoad, ...] = ()
+_HOST_HEADING = ("HOST", "PLACE", "ADDRESS", "STATUS", "REVISION", "NOTE")
+_LOAD_HEADING = ("ENGINE", "PLACE", "ROLE", "RUNNING", "WAITING", "MEMORY", "NOTE")
 
 
 @text.register
@@ -85,31 +31,30 @@
 
 @outcome.register
 def _(report: FleetStatus) -> ExitCode:
-    suspects = any(member.status == "suspect" for member in report.entry.members)
-    silent = any(load.missing for load in report.loads)
-    wrong = report.store_behind or report.lagging or suspects or silent
-    return ExitCode.ATTENTION if wrong else ExitCode.DONE
+    return ExitCode.ATTENTION if report.needs_attention else ExitCode.DONE
 
 
 def _parts(report: FleetStatus) -> Iterator[str]:
-    entry = report.entry
     head = "not known, as the store was not reached" if report.head is None else report.head
-    yield f"Asked {entry.host} at {report.asked}. Newest accepted revision: {head}."
+    yield f"Asked {', '.join(report.asked)}. Newest accepted revision: {head}."
+    if report.silent:
+        yield f"Nothing answers at {', '.join(report.silent)}."
     if report.store_behind:
         yield "The store is behind: hosts serve by a later revision than it holds."
-    heading = ("HOST", "PLACE", "ADDRESS", "STATUS", "REVISION", "NOTE")
-    members = sorted(entry.members, key=lambda member: member.host)
     rows = (
-        (m.host, m.place, m.address, m.status, m.revision, _mark(m.host, report)) for m in members
+        (m.host, m.place, m.address, m.status, m.revision, _host_note(m.host, report))
+        for m in report.members
     )
-    yield table(heading, rows)
+    yield table(_HOST_HEADING, rows)
     if report.loads:
         yield table(_LOAD_HEADING, map(_load_cells, report.loads))
     else:
-        yield f"{len(entry.engines)} engines in force: {', '.join(entry.engines) or 'none'}."
+        yield f"{len(report.engines)} engines in force: {', '.join(report.engines) or 'none'}."
 
 
-_LOAD_HEADING = ("ENGINE", "PLACE", "ROLE", "RUNNING", "WAITING", "MEMORY", "NOTE")
+def _host_note(host: str, report: FleetStatus) -> str:
+    notes = ["lagging"] * (host in report.lagging) + ["not known to all"] * (host in report.apart)
+    return ", ".join(notes)
 
 
 def _load_cells(load: EngineLoad) -> tuple[object, ...]:
@@ -123,10 +68,6 @@
     return (*cells, report.running, report.waiting, memory, note)
 
 
-def _mark(host: str, report: FleetStatus) -> str:
-    return "lagging" if host in report.lagging else ""
-
-
 class StatusCommand(OperatorCommand):
     """Shows hosts, engines and revisions in force."""
 
@@ -138,36 +79,18 @@
     ]
 
     async def report(self) -> FleetStatus:
-        """Ask the first entry host that answers.
+        """Ask the entry hosts of the settings, and the store.
 
         Raises:
-            EntryUnreachableError: None answered.
+            EntryUnreachableError: No host answered.
         """
         addresses = tuple(str(address) for address in self.settings.operations)
-        for address in addresses:
-            entry = await _ask(self._connections.operations(address))
-            if entry is not None:
-                return await self._fleet(address, entry)
-        raise EntryUnreachableError(addresses=", ".join(addresses))
-
-    async def _fleet(self, asked: str, entry: EntryStatus) -> FleetStatus:
+        clients = (self._connections.operations(address) for address in addresses)
+        answers = dict(zip(addresses, await gather(*map(_ask, clients)), strict=True))
+        if not any(answers.values()):
+            raise EntryUnreachableError(addresses=", ".join(addresses))
         head, loads = await self._head()
-        newest = max(head or 0, *(member.revision for member in entry.members), entry.revision)
-        lagging = tuple(
-            sorted(
-                member.host
-                for member in entry.members
-                if member.status in _TAKING_PART and member.revision < newest
-            )
-        )
-        return FleetStatus(
-            asked=asked,
-            head=head,
-            store_behind=head is not None and head < newest,
-            lagging=lagging,
-            entry=entry,
-            loads=loads,
-        )
+        return assess(answers, head=head, loads=loads)
 
     async def _head(self) -> tuple[int | None, tuple[EngineLoad, ...]]:
         """Return the newest revision, if the store is reached, and its engines' load."""
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -289,8 +289,8 @@
     return run
 
 
-def status_body(*revisions: int) -> bytes:
-    """Return the status of a host among others with the given revisions in force."""
+def status_body(host: int, revisions: dict[int, int]) -> bytes:
+    """Return the status of a host that knows some with the given revisions in force."""
     members = [
         {
             "host": f"entry-{index}",
@@ -300,45 +300,69 @@
             "revision": revision,
             "started": 1,
         }
-        for index, revision in enumerate(revisions)
+        for index, revision in revisions.items()
     ]
-    body = {"host": "entry-0", "place": "puget-a", "revision": revisions[0], "leaving": False}
-    return json.encode({**body, "open_calls": 0, "members": members, "engines": ["lm-01"]})
+    body = {"host": f"entry-{host}", "place": "puget-a", "revision": revisions[host]}
+    rest = {"leaving": False, "open_calls": 0, "members": members, "engines": ["lm-01"]}
+    return json.encode({**body, **rest})
+
+
+ALL = {0: 1, 1: 1, 2: 0}
 
 
 class TestStatus:
     """``status``."""
 
     @pytest.mark.parametrize(
-        ("revisions", "down", "code", "lagging"),
+        ("first", "second", "down", "lagging", "apart"),
         [
-            ((1, 1, 0), False, ExitCode.DONE, []),
-            ((1, 0, 1), False, ExitCode.ATTENTION, ["entry-1"]),
-            ((0, 0, 0), False, ExitCode.ATTENTION, ["entry-0", "entry-1"]),
-            ((3, 3, 3), True, ExitCode.DONE, []),
-            ((3, 2, 3), True, ExitCode.ATTENTION, ["entry-1"]),
-            ((3, 3, 3), False, ExitCode.ATTENTION, []),
+            (ALL, ALL, False, [], []),
+            ({0: 1, 1: 0, 2: 1}, ALL, False, [], []),
+            (ALL, {0: 1, 1: 0}, False, ["entry-1"], []),
+            ({0: 0, 1: 0}, {0: 0, 1: 0}, False, ["entry-0", "entry-1"], []),
+            ({0: 3, 1: 3}, {0: 3, 1: 3}, True, [], []),
+            ({0: 3, 1: 3}, {0: 3, 1: 2}, True, ["entry-1"], []),
+            ({0: 3, 1: 3}, {0: 3, 1: 3}, False, [], []),
+            ({0: 1}, {1: 1}, False, [], ["entry-0", "entry-1"]),
         ],
     )
-    def test_lagging(
-        self, pair: Pair, revisions: tuple[int, ...], down: bool, code: ExitCode, lagging: list[str]
+    def test_hosts(
+        self,
+        pair: Pair,
+        first: dict[int, int],
+        second: dict[int, int],
+        down: bool,
+        lagging: list[str],
+        apart: list[str],
     ) -> None:
-        """Hosts that lag are marked, leaving ones are not, with the store and without it."""
+        """Hosts that lag or do not know each other are marked, with the store and without it."""
         dana, _ = pair
-        dana.entries["127.0.0.1:2"] = FakeEntry(body=b"{noise")
-        dana.entries["127.0.0.1:3"] = FakeEntry(body=status_body(*revisions))
+        dana.entries["127.0.0.1:2"] = FakeEntry(body=status_body(0, first))
+        dana.entries["127.0.0.1:3"] = FakeEntry(body=status_body(1, second))
         dana.store.faults = StoreFaults(down=down)
-        assert dana.run("status") is code
-        assert dana.printed.count("lagging") == len(lagging)
         report = dana.json("status")
-        assert (report["asked"], report["lagging"]) == ("127.0.0.1:3", lagging)
-        assert report["head"] == (None if down else 1)
-        assert report["store_behind"] == (not down and revisions[0] > 1)
+        behind = not down and first[0] > 1
+        assert (report["asked"], report["silent"]) == (["entry-0", "entry-1"], [])
+        assert (report["lagging"], report["apart"]) == (lagging, apart)
+        assert (report["head"], report["store_behind"]) == (None if down else 1, behind)
+        wrong = bool(lagging or apart or behind)
+        assert dana.run("status") is (ExitCode.ATTENTION if wrong else ExitCode.DONE)
+        assert dana.printed.count("lagging") == len(lagging)
+
+    @pytest.mark.parametrize("body", [None, b"{noise", b"[]", status_body(0, ALL)[:-1]])
+    def test_silent(self, pair: Pair, body: bytes | None) -> None:
+        """An address without a host that answers is named."""
+        dana, _ = pair
+        dana.entries["127.0.0.1:2"] = FakeEntry(body=body)
+        dana.entries["127.0.0.1:3"] = FakeEntry(body=status_body(1, ALL))
+        assert dana.run("status") is ExitCode.ATTENTION
+        assert "Nothing answers at 127.0.0.1:2." in dana.printed
 
     def test_engines(self, pair: Pair) -> None:
         """Engines are shown with their load; one that should serve and is silent is marked."""
         dana, _ = pair
-        dana.entries["127.0.0.1:2"] = FakeEntry(body=status_body(2))
+        body = status_body(0, {0: 2})
+        dana.entries.update({f"127.0.0.1:{port}": FakeEntry(body=body) for port in (2, 3)})
         dana.accept("drain lm-03")
         dana.silent = {"lm-02"}
         assert dana.run("status --engines") is ExitCode.ATTENTION
--- a/tests/commands/test_fleet.py
+++ b/tests/commands/test_fleet.py
@@ -73,7 +73,7 @@
     """Return the fleet's status once a revision is in force on its three hosts."""
     for _ in range(LOOKS):
         code, status = run(settings, "status --engines")
-        members = status["entry"]["members"]
+        members = status["members"]
         if code is ExitCode.DONE and [m["revision"] for m in members] == [revision] * 3:
             return status
         sleep(0.1)
