Keep lost memory, hung engines and broken streams from ending requests

A run on several engines whose memory was released by others was answered as if the request were wrong; it may be tried again now. Failures other than those of a target's connection no longer end a part's loop.

--- a/src/azureswitch/coordination/journal/_outputs.py
+++ b/src/azureswitch/coordination/journal/_outputs.py
@@ -16,12 +16,12 @@
 )
 from azureswitch.core import CallId, TargetName
 from azureswitch.exceptions import (
+    AzureswitchError,
     LongWorkLostError,
     StoreConflictError,
     StoreError,
     StoreNotFoundError,
     TargetBrokenError,
-    TargetError,
     TargetRefusedError,
 )
 from azureswitch.ports import Chunk, Engine, Store
@@ -67,14 +67,17 @@
 
     async def read(self, *, record: JobRecord, offset: int) -> AsyncIterator[Chunk]:
         """Yield a request's output from a token offset on, from its engine or the store."""
-        if not record.done:
+        for _ in range(0 if record.done else _ATTACH_TRIES):
             try:
                 async for chunk in self._attach(record, offset):
                     offset += chunk.tokens
                     yield chunk
                 return
-            except TargetError as error:
+            except TargetBrokenError:
+                await sleep(_ATTACH_PAUSE)
+            except AzureswitchError as error:
                 logging.info("journal: %s", error)
+                break
         for chunk in await self._kept(record):
             rest = _after(chunk, offset)
             offset -= min(offset, chunk.tokens)
@@ -101,7 +104,7 @@
                 return None
             except TargetBrokenError:
                 await sleep(_ATTACH_PAUSE)
-            except TargetError:
+            except AzureswitchError:
                 return None
         return None
 
--- a/src/azureswitch/coordination/memory/_driver.py
+++ b/src/azureswitch/coordination/memory/_driver.py
@@ -1,6 +1,6 @@
 """The driver that sweeps engines for one host."""
 
-from asyncio import gather, get_running_loop, sleep
+from asyncio import TaskGroup, gather, get_running_loop, sleep
 from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatchmethod
 from random import Random
@@ -13,6 +13,7 @@
     AskOwner,
     HeldAttempt,
     HoldingsRead,
+    HoldingsUnread,
     KeptQuery,
     KeptReply,
     OwnerAnswered,
@@ -29,7 +30,7 @@
 from azureswitch.coordination.memory._state import SweepState
 from azureswitch.coordination.roster import Roster
 from azureswitch.core import CallId, Effect, Effects, Incarnation, TargetName
-from azureswitch.exceptions import PeerError, TargetError
+from azureswitch.exceptions import AzureswitchError, PeerError
 from azureswitch.ports import Engine, Peers
 
 _ASK_TIMEOUT = 0.7
@@ -77,9 +78,10 @@
 
     async def run(self) -> None:
         """Sweep until cancelled."""
-        while True:
-            await self.sweep()
-            await sleep(SWEEP_PERIOD * self._random.uniform(0.9, 1.1))
+        async with TaskGroup() as group:
+            while True:
+                group.create_task(self.sweep())
+                await sleep(SWEEP_PERIOD * self._random.uniform(0.9, 1.1))
 
     async def sweep(self) -> None:
         """Read the engines that this host is responsible for, once, and release what is left."""
@@ -92,11 +94,7 @@
         await gather(*(self._follow(effect) for effect in effects))
 
     async def _follow(self, effect: Effect) -> None:
-        try:
-            event = await self._run(effect)
-        except TargetError as error:
-            logging.warning("memory: %s", error)
-            return
+        event = await self._run(effect)
         if event is not None:
             await self._carry_out(reduce(self._state, event))
 
@@ -106,19 +104,25 @@
 
     @_run.register
     async def _(self, effect: ReadHoldings) -> SweepEvent | None:
-        engine = self._engines().get(effect.target)
-        if engine is None:
-            return None
-        holdings = await engine.holdings()
-        now = get_running_loop().time()
-        return HoldingsRead(now=now, target=effect.target, holdings=holdings)
+        target = effect.target
+        engine = self._engines().get(target)
+        try:
+            holdings = () if engine is None else await engine.holdings()
+        except AzureswitchError as error:
+            logging.warning("memory: %s", error)
+            return HoldingsUnread(now=get_running_loop().time(), target=target)
+        return HoldingsRead(now=get_running_loop().time(), target=target, holdings=holdings)
 
     @_run.register
     async def _(self, effect: ReleaseHolding) -> SweepEvent | None:
         engine = self._engines().get(effect.target)
         if engine is None:
             return None
-        await engine.release(holding=effect.holding.id)
+        try:
+            await engine.release(holding=effect.holding.id)
+        except AzureswitchError as error:
+            logging.warning("memory: %s", error)
+            return None
         logging.info(
             "memory: Released %d tokens of %s at %s.",
             effect.holding.tokens,
--- a/src/azureswitch/coordination/memory/_model.py
+++ b/src/azureswitch/coordination/memory/_model.py
@@ -123,6 +123,13 @@
     holdings: tuple[Holding, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HoldingsUnread(SweepEvent):
+    """An engine did not return its holdings."""
+
+    target: TargetName
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OwnerAnswered(SweepEvent):
     """An owner answered.
@@ -157,7 +164,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReadHoldings(Effect):
-    """Read the holdings of an engine; answer by HoldingsRead, or not at all."""
+    """Read the holdings of an engine; answer by HoldingsRead or HoldingsUnread."""
 
     target: TargetName
 
--- a/src/azureswitch/coordination/memory/_reduce.py
+++ b/src/azureswitch/coordination/memory/_reduce.py
@@ -16,6 +16,7 @@
     AskOwner,
     HeldAttempt,
     HoldingsRead,
+    HoldingsUnread,
     OwnerAnswered,
     OwnerGone,
     OwnerQuery,
@@ -53,8 +54,11 @@
     _doubt_the_dead(state, event.now)
     mine = _own_targets(state, event.targets)
     _forget_others(state, mine)
-    state._reads += len(mine)
-    return tuple(ReadHoldings(target=target) for target in mine)
+    # An engine that hangs is read once at a time, and holds up none of the others.
+    due = [target for target in mine if target not in state._reading]
+    state._reading |= set(due)
+    state._reads += len(due)
+    return tuple(ReadHoldings(target=target) for target in due)
 
 
 def _doubt_the_dead(state: SweepState, now: float) -> None:
@@ -101,8 +105,15 @@
         state._since.pop((target, holding), None)
 
 
+@_handle.register
+def _(event: HoldingsUnread, state: SweepState) -> Effects:
+    state._reading.discard(event.target)
+    return NO_EFFECTS
+
+
 @_handle.register
 def _(event: HoldingsRead, state: SweepState) -> Effects:
+    state._reading.discard(event.target)
     held = {holding.id: holding for holding in event.holdings}
     _forget(state, event.target, state._held.get(event.target, {}).keys() - held.keys())
     state._held[event.target] = held
--- a/src/azureswitch/coordination/memory/_state.py
+++ b/src/azureswitch/coordination/memory/_state.py
@@ -15,6 +15,7 @@
         self._myself = myself
         self._random = Random(seed)
         self._members: dict[HostName, Member] = {}
+        self._reading: set[TargetName] = set()
         self._held: dict[TargetName, dict[str, Holding]] = {}
         self._since: dict[tuple[TargetName, str], float] = {}
         self._doubted: dict[Incarnation, float] = {}
--- a/src/azureswitch/coordination/orders/_driver.py
+++ b/src/azureswitch/coordination/orders/_driver.py
@@ -26,9 +26,9 @@
 from azureswitch.coordination.orders._state import OrdersState
 from azureswitch.core import Effect, Effects, Incarnation, TargetName
 from azureswitch.exceptions import (
+    AzureswitchError,
     LeaseLostError,
     OrderRefusedError,
-    TargetError,
     TargetRefusedError,
 )
 from azureswitch.ports import Engine, Order, Store
@@ -144,7 +144,7 @@
     async def _(self, effect: ReadState) -> OrdersEvent:
         try:
             state = await self._engine(effect.target).state()
-        except TargetError:
+        except AzureswitchError:
             return StateUnread(now=get_running_loop().time(), target=effect.target)
         return StateRead(now=get_running_loop().time(), target=effect.target, state=state)
 
@@ -162,7 +162,7 @@
             return self._failed(effect, acted=False)
         except (LeaseLostError, TargetRefusedError):
             return self._failed(effect, acted=False)
-        except TargetError as error:
+        except AzureswitchError as error:
             logging.warning("orders: %s", error)
             return self._failed(effect, acted=True)
         logging.info("orders: %s has %s %s.", target, effect.kind.value, effect.value)
--- a/src/azureswitch/spans/_driver.py
+++ b/src/azureswitch/spans/_driver.py
@@ -4,11 +4,17 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from dataclasses import replace
 from functools import partial, singledispatchmethod
+from http import HTTPStatus
 
 from absl import logging
 
 from azureswitch.core import Effect, TargetName
-from azureswitch.exceptions import AzureswitchError, DeadlineExceededError, TargetError
+from azureswitch.exceptions import (
+    AzureswitchError,
+    DeadlineExceededError,
+    TargetRefusedError,
+    TargetRejectedError,
+)
 from azureswitch.ports import Chunk, Engine, EngineRequest
 from azureswitch.spans._model import (
     Decode,
@@ -20,6 +26,7 @@
     Reserve,
     SpanBegan,
     SpanEvent,
+    SpanMember,
     StepDone,
     StepFailed,
 )
@@ -74,7 +81,8 @@
         """Prepare all spans, run the request and yield its output.
 
         Raises:
-            TargetRefusedError: An engine has no room; the request did not run.
+            TargetRefusedError: An engine has no room, or lost what it held for this attempt; the
+                request did not run.
             TargetError: An engine failed.
             TargetRejectedError: An engine says that the request is wrong.
             DeadlineExceededError: The request's time is over.
@@ -82,8 +90,14 @@
         self._deadline = get_running_loop().time() + self._request.timeout
         decode = await self._prepare()
         engine = self._engines[decode.member.target]
-        async for chunk in engine.stream(request=self._timed_request()):
-            yield chunk
+        try:
+            async for chunk in engine.stream(request=self._timed_request()):
+                yield chunk
+        except TargetRejectedError as error:
+            if await self._is_held(decode.member):
+                raise
+            # Without its reservation the engine finds the prompt too long, which it is not.
+            raise TargetRefusedError(target=decode.member.target) from error
 
     async def release(self) -> None:
         """End the attempt and give back what any engine may hold; harmless where there is nothing.
@@ -110,10 +124,19 @@
     async def _carry_out(self, effect: Effect) -> SpanEvent:
         try:
             address = await self._run(effect)
+        except TargetRejectedError as error:
+            return StepFailed(now=get_running_loop().time(), error=_lost_or(error, effect))
         except AzureswitchError as error:
             return StepFailed(now=get_running_loop().time(), error=error)
         return StepDone(now=get_running_loop().time(), address=address)
 
+    async def _is_held(self, member: SpanMember) -> bool:
+        try:
+            holdings = await self._engines[member.target].holdings()
+        except AzureswitchError:
+            return True
+        return any(holding.id == member.holding.id for holding in holdings)
+
     @singledispatchmethod
     async def _run(self, effect: Effect) -> str:
         raise NotImplementedError(type(effect))
@@ -162,12 +185,20 @@
                 return
 
 
+def _lost_or(error: TargetRejectedError, effect: Effect) -> AzureswitchError:
+    # A conflict means that memory of this attempt was released, or that an engine that held some
+    # has died.  The request itself is in order and may run in another attempt.
+    if error.target_status == HTTPStatus.CONFLICT and isinstance(effect, Prefill | Export | Fetch):
+        return TargetRefusedError(target=effect.member.target)
+    return error
+
+
 async def _persistently(work: Callable[[], Awaitable[None]]) -> bool:
     for trial in range(_TRIES):
         try:
             async with timeout(_TIMEOUT):
                 await work()
-        except (TargetError, TimeoutError):
+        except (AzureswitchError, TimeoutError):
             await sleep(_PAUSE * 2**trial)
         else:
             return True
--- a/src/azureswitch/spans/_state.py
+++ b/src/azureswitch/spans/_state.py
@@ -20,6 +20,10 @@
 """Makes a step's effect from the addresses of the spans that were exported so far."""
 
 
+_DOUBLINGS = 16
+"""Attempts after which the time that memory is kept for grows no more, whatever its limit."""
+
+
 class SpanState:
     """The steps of a run and how far it is.
 
@@ -31,7 +35,7 @@
     def __init__(self, *, members: tuple[SpanMember, ...], seed: int) -> None:
         self._random = Random(seed)
         attempt = members[0].holding.attempt
-        self._hold = min(HOLD_LONGEST, HOLD_LIMIT * 2.0 ** (attempt - 1))
+        self._hold = min(HOLD_LONGEST, HOLD_LIMIT * 2.0 ** min(attempt - 1, _DOUBLINGS))
         self._steps = _steps(members)
         self._next = 0
         self._addresses: list[str] = []
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -434,7 +434,7 @@
             await fleet.run(2 * FLUSH_PERIOD)
             for engines in fleet.engines.values():
                 engines[ENGINE].lost = not running
-                engines[ENGINE].broken = 0
+                engines[ENGINE].broken = 1
             if not running:
                 await fleet.run(3_600)
             rest = b"".join(chunk(at).data for at in range(offset, TOKENS))
--- a/tests/memory/test_memory.py
+++ b/tests/memory/test_memory.py
@@ -1,6 +1,6 @@
 """Tests of the sweep: who is believed dead, what protects the living, and how long it takes."""
 
-from asyncio import TaskGroup, get_running_loop, sleep
+from asyncio import Event, TaskGroup, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from typing import cast
@@ -26,11 +26,12 @@
 
 
 class EngineFake:
-    """Holdings, and whether releases fail."""
+    """Holdings, how many releases fail, and whether reads hang."""
 
     def __init__(self) -> None:
         self.held: dict[str, Holding] = {}
         self.failing = 0
+        self.hanging = False
 
     def hold(self, *, owner: Incarnation, call: str = "call", attempt: int = 1) -> None:
         """Hold memory for an owner."""
@@ -44,7 +45,9 @@
         )
 
     async def holdings(self) -> tuple[Holding, ...]:
-        """Return what is held."""
+        """Return what is held, or nothing at all."""
+        if self.hanging:
+            await Event().wait()
         return tuple(self.held.values())
 
     async def release(self, *, holding: str) -> None:
@@ -199,6 +202,20 @@
 
         play(script)
 
+    def test_engine_that_hangs_holds_up_no_other(self) -> None:
+        """Memory at the other engines is back while one does not answer."""
+
+        async def script(fleet: Fleet) -> None:
+            name = HOSTS[0]
+            fleet.engines[TARGETS[0]].hanging = True
+            for target in TARGETS[1:]:
+                fleet.engines[target].hold(owner=fleet.hosts[name].incarnation)
+            fleet.kill(name)
+            fleet.tell(name, status=MemberStatus.DEAD)
+            assert await fleet.seconds_until_free() + DETECTION <= AIM
+
+        play(script)
+
     def test_failed_release_is_repeated(self) -> None:
         """A release that breaks is seen in the next read."""
 
--- a/tests/spans/test_spans.py
+++ b/tests/spans/test_spans.py
@@ -10,6 +10,7 @@
     sleep,
 )
 from collections.abc import AsyncIterator, Awaitable, Callable
+from http import HTTPStatus
 from math import isfinite
 from typing import cast
 
@@ -21,9 +22,10 @@
     DeadlineExceededError,
     TargetBrokenError,
     TargetRefusedError,
+    TargetRejectedError,
 )
-from azureswitch.ports import Chunk, Engine, EngineRequest, Holding, Surface
-from azureswitch.spans import HOLD_LIMIT, SpanRun, divide
+from azureswitch.ports import Chunk, Engine, EngineRequest, Holding, HoldingKind, Surface
+from azureswitch.spans import HOLD_LIMIT, HOLD_LONGEST, SpanRun, divide
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.engine import (
     EngineError,
@@ -43,16 +45,28 @@
 NAMES = tuple(TargetName(f"engine-{letter}") for letter in "abcd")
 
 
+OTHER = Holding(
+    id="other",
+    kind=HoldingKind.RESERVATION,
+    call=CallId("other"),
+    attempt=1,
+    owner=Incarnation(host=HostName("host"), started=1),
+    tokens=MEMORY // 2,
+)
+
+
 class EnginePort:
     """A stand-in engine in virtual time.
 
     Attributes:
         broken: The names of calls that fail, as often as they stand here.
+        losing: The name of a call before which all holdings are lost.
     """
 
     def __init__(self, *, name: TargetName, exports: dict[str, "EnginePort"]) -> None:
         self.model = EngineModel(settings=EngineSettings(name=name, memory=MEMORY))
         self.broken: list[str] = []
+        self.losing = ""
         self._name = name
         self._exports = exports
         self._waiters: dict[str, Future[Output]] = {}
@@ -93,6 +107,10 @@
         """Free a holding."""
         self._act("release", lambda now: self.model.release(now=now, holding=holding))
 
+    async def holdings(self) -> tuple[Holding, ...]:
+        """Return what is held."""
+        return self.model.holdings
+
     async def cancel(self, *, call: CallId, attempt: int) -> None:
         """Stop an attempt."""
         self._act("cancel", lambda now: self.model.cancel(now=now, call=call, attempt=attempt))
@@ -128,12 +146,17 @@
         if name in self.broken:
             self.broken.remove(name)
             raise TargetBrokenError(target=self._name)
+        if name in self.losing:
+            for holding in self.model.holdings:
+                self.model.release(now=self._now, holding=holding.id)
         if not self.model.alive:
             raise TargetRefusedError(target=self._name)
         try:
             act(self._now)
         except EngineError as error:
-            raise TargetRefusedError(target=self._name) from error
+            if error.status is HTTPStatus.SERVICE_UNAVAILABLE:
+                raise TargetRefusedError(target=self._name) from error
+            raise TargetRejectedError(target_status=error.status, detail=error.type) from error
         finally:
             self._turn()
 
@@ -141,7 +164,10 @@
         waiter: Future[Output] = get_running_loop().create_future()
         self._waiters[key] = waiter
         self._act(name, act)
-        if isinstance(await waiter, SpanFailed | Failed):
+        output = await waiter
+        if isinstance(output, SpanFailed) and self.model.alive:
+            raise TargetRejectedError(target_status=HTTPStatus.CONFLICT, detail="stopped")
+        if isinstance(output, SpanFailed | Failed):
             raise TargetBrokenError(target=self._name)
 
     def _turn(self) -> None:
@@ -280,6 +306,29 @@
 
         play(script)
 
+    @pytest.mark.parametrize("step", ["prefill", "export", "fetch", "stream"])
+    def test_lost_memory_is_no_fault_of_the_request(self, step: str) -> None:
+        """A run whose memory was released by others may be tried again."""
+
+        async def script(bed: Bed) -> None:
+            for engine in bed.engines.values():
+                engine.losing = step
+            assert isinstance(await finish(bed.run("call", *NAMES)), TargetRefusedError)
+            assert bed.used == 0
+
+        play(script)
+
+    def test_wrong_request_is_rejected(self) -> None:
+        """A prompt that is longer than was planned for is said to be wrong."""
+
+        async def script(bed: Bed) -> None:
+            run = bed.run("call", *NAMES[:2], tokens=MEMORY)
+            run._request = spans_request(call="call", tokens=3 * MEMORY)
+            assert isinstance(await finish(run), TargetRejectedError)
+            assert bed.used == 0
+
+        play(script)
+
     @pytest.mark.parametrize("victim", [0, 3], ids=["first", "last"])
     @pytest.mark.parametrize("seconds", [0.05, 3.0, 12.0])
     def test_dead_engine_leaves_nothing_held(self, victim: int, seconds: float) -> None:
@@ -319,19 +368,19 @@
 
         play(script)
 
-    def test_refused_reservation_is_waited_for_not_for_long(self) -> None:
+    @pytest.mark.parametrize(("attempt", "limit"), [(1, HOLD_LIMIT), (5_000, HOLD_LONGEST)])
+    def test_refused_reservation_is_waited_for_not_for_long(
+        self, attempt: int, limit: float
+    ) -> None:
         """A run without room holds what it has for a while, and then nothing."""
 
         async def script(bed: Bed) -> None:
-            other = create_task(finish(bed.run("other", NAMES[1], NAMES[2])))
-            await sleep(1.0)
-            before = bed.used
+            await bed.engines[NAMES[1]].reserve(holding=OTHER)
             start = get_running_loop().time()
-            failure = await finish(bed.run("call", NAMES[0], NAMES[1]))
+            failure = await finish(bed.run("call", NAMES[0], NAMES[1], attempt=attempt))
             assert isinstance(failure, TargetRefusedError)
-            assert get_running_loop().time() - start < HOLD_LIMIT + 1.0
-            assert bed.used <= before
-            assert await other is None
+            assert limit <= get_running_loop().time() - start < limit + 1.0
+            assert bed.used == OTHER.tokens
 
         play(script)
 
