--- a/src/azureswitch/settings/_read.py
+++ b/src/azureswitch/settings/_read.py
@@ -20,8 +20,8 @@
     SettingsSyntaxError,
     UnknownSettingError,
 )
-from azureswitch.settings._kinds import NAME_PATTERN
 from azureswitch.settings._table import Need, Setting, Spot, Table, Values
+from azureswitch.settings._words import NAME_PATTERN
 
 _NAME = compile(NAME_PATTERN)
 _NO_DEFAULTS = "\x00"
--- a/src/azureswitch/settings/_table.py
+++ b/src/azureswitch/settings/_table.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Any, Final, Generic, Literal, TypeVar
 
-from azureswitch.settings._kinds import Kind
+from azureswitch.settings._kind import Kind
 
 T = TypeVar("T")
 
