--- a/src/azureswitch/coordination/claims/_owner.py
+++ b/src/azureswitch/coordination/claims/_owner.py
@@ -72,6 +72,9 @@
 RECALL_PAUSE = 0.05
 """Seconds between reads of sealed segments for repeats, so that repeats cannot flood the store."""
 
+LOG_EVERY = 10
+"""Seconds between log lines on a failing store."""
+
 IDLE = 120.0
 """Seconds after which the view of an unused shard is dropped."""
 
@@ -409,7 +412,9 @@
 
 def _store_failed(shard: Shard, now: float) -> Effects:
     """Refuse what waits at once, and all that comes until the store is tried again."""
-    logging.warning("claims: The store failed for shard %d.", shard.number)
+    logging.log_every_n_seconds(
+        logging.WARNING, "claims: The store failed for shard %d.", LOG_EVERY, shard.number
+    )
     pending, shard.pending = shard.pending, []
     shard.phase = Phase.COLD
     shard.retry_at = now + STORE_RETRY
