--- a/bench/policy/_measures.py
+++ b/bench/policy/_measures.py
@@ -18,11 +18,14 @@
 """Prompt tokens by the power of ten that is nearest on a logarithmic scale."""
 
 
-RECOVERED = 2.0
-"""Times the p95 of an undisturbed run over which a short prompt counts as slow."""
+SLOW = 3.0
+"""Seconds over which the first token of a short prompt is slow; alone it takes 1.7 at most."""
+
+SLOW_SHARE = 0.1
+"""Share of a window's short prompts that may be slow once a run has recovered."""
 
 RECOVERY_WINDOW = 5.0
-"""Seconds of arrivals of which at most a tenth may be slow once a run has recovered."""
+"""Seconds of arrivals that are looked at together."""
 
 
 def quantile(values: Iterable[float], share: float) -> float:
@@ -139,24 +142,17 @@
     return result.run.duration - WARM
 
 
-def recovery(faulty: Result, plain: Result) -> float:
+def recovery(result: Result) -> float:
     """Return the seconds after a fault until short prompts are quick again and stay so."""
-    limit = RECOVERED * short_p95(plain)
-    short = faulty.run.scenario.rules.long_prompt
+    short = result.run.scenario.rules.long_prompt
     end = FAULT_AT + FAULT_SECONDS
-    slow = [
-        outcome.arrival.at - end
-        for outcome in counted(faulty)
-        if outcome.arrival.prompt < short and first_token(outcome) > limit
-    ]
-    windows = max(1, ceil((faulty.run.duration - end) / RECOVERY_WINDOW))
-    total = len([o for o in counted(faulty) if o.arrival.prompt < short and o.arrival.at >= end])
-    for window in reversed(range(windows)):
-        begin = window * RECOVERY_WINDOW
-        late = sum(begin <= at < begin + RECOVERY_WINDOW for at in slow)
-        if late > 0.1 * total / windows:
-            return begin + RECOVERY_WINDOW
-    return 0.0
+    after = [o for o in counted(result) if o.arrival.prompt < short and o.arrival.at >= end]
+    windows: dict[int, list[bool]] = {}
+    for outcome in after:
+        window = int((outcome.arrival.at - end) / RECOVERY_WINDOW)
+        windows.setdefault(window, []).append(first_token(outcome) > SLOW)
+    slow = [window for window, found in windows.items() if sum(found) > SLOW_SHARE * len(found)]
+    return RECOVERY_WINDOW * (max(slow) + 1) if slow else 0.0
 
 
 def amplification(result: Result) -> float:
--- a/bench/policy/_records.py
+++ b/bench/policy/_records.py
@@ -15,6 +15,7 @@
     fairness,
     first_tokens,
     flood_ratio,
+    goodput,
     isolated_p95,
     kept_goodput,
     long_finished,
@@ -134,8 +135,10 @@
     yield _Figure(name="flood_ttft_ratio", value=flood_ratio(flooded, main), unit="ratio")
     kept = kept_goodput(tuple(loads.values()), loads[OVERLOAD])
     yield _Figure(name="overload_goodput", value=kept, unit="share")
+    for load, result in loads.items():
+        yield _Figure(name=f"goodput.{load:.0%}", value=goodput(result), unit="engine s/s")
     halved = found[replace(run, fault=Fault.HALF_DEATHS)]
-    yield _Figure(name="half_deaths.recovery", value=recovery(halved, main), unit="s")
+    yield _Figure(name="half_deaths.recovery", value=recovery(halved), unit="s")
     yield _Figure(name="half_deaths.attempts", value=amplification(halved), unit="ratio")
     broken = sum(sum(result.violations.values()) for result in mine)
     yield _Figure(name="violations", value=float(broken), unit="count")
@@ -166,7 +169,7 @@
 
 
 def _best(name: str, values: list[float]) -> float:
-    more = name in ("long_finished", "fairness_jain", "overload_goodput")
+    more = name.startswith(("long_finished", "fairness_jain", "overload_goodput", "goodput"))
     return max(values) if more else min(values)
 
 
