Let each objective weigh short prompts against long ones

Cause: what a deployment weighs more was a rule without effect. Change: short_slowdown gives short prompts more engines and sends the longer of them to engines for long prompts that stand idle; first_token_all leaves those to the long ones.

--- a/src/azureswitch/serving/_length.py
+++ b/src/azureswitch/serving/_length.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum
-from math import ceil, exp, sqrt
+from math import ceil, exp, inf, sqrt
 
 from azureswitch.core import HostName, ServiceName
 from azureswitch.inventory import Objective, Rules
@@ -29,14 +29,8 @@
 PEER_DEMAND_SECONDS = 5.0
 """Seconds after which what a peer said of its demand is no longer used."""
 
-SHORT_FILL = {Objective.SHORT_SLOWDOWN: 0.25, Objective.FIRST_TOKEN_ALL: 0.4}
-"""Prefill seconds a second of short prompts that an engine without long ones is meant for."""
-
 SHORT_FILL_MOST = 0.5
-"""The same where all engines together are too few."""
-
-LONG_FILL = 0.75
-"""Prefill seconds a second of long prompts that an engine manages beside decoding."""
+"""Prefill seconds a second of short prompts on each of their engines where engines are scarce."""
 
 LEAST_DEMAND = 1e-6
 """Prefill seconds a second that count as no demand."""
@@ -94,6 +88,30 @@
     return max(AGE_LEAST, AGE_SHARE * prefill)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Weighing:
+    """How an objective weighs short prompts against long ones.
+
+    Attributes:
+        short_fill: Prefill seconds a second of short prompts that each of their engines is meant
+            for.
+        long_fill: The same of long prompts, beside their own decoding.
+        idle_worth: Engine seconds of a short prompt from which it goes to an idle engine for long
+            ones, where it runs faster and slows the next long one.
+    """
+
+    short_fill: float
+    long_fill: float
+    idle_worth: float
+
+
+WEIGHINGS = {
+    Objective.SHORT_SLOWDOWN: Weighing(short_fill=0.25, long_fill=0.8, idle_worth=0.3),
+    Objective.FIRST_TOKEN_ALL: Weighing(short_fill=0.35, long_fill=0.7, idle_worth=inf),
+}
+"""How each objective weighs; the figures behind them stand in the decision on prompt lengths."""
+
+
 @dataclass(slots=True, kw_only=True)
 class _Rate:
     """A smoothed rate in engine seconds a second, right also soon after its start."""
@@ -133,11 +151,16 @@
 
     def __init__(self) -> None:
         self._mixes: dict[tuple[ServiceName, str], _Mix] = {}
-        self._objective = Objective.SHORT_SLOWDOWN
+        self._weighing = WEIGHINGS[Objective.SHORT_SLOWDOWN]
+
+    @property
+    def weighing(self) -> Weighing:
+        """How short prompts are weighed against long ones."""
+        return self._weighing
 
     def adopt(self, rules: Rules) -> None:
         """Take over the objective."""
-        self._objective = rules.objective
+        self._weighing = WEIGHINGS[rules.objective]
 
     def admitted(self, call: Call, *, seconds: float, short: bool, now: float) -> None:
         """Count the prefill of an admitted call."""
@@ -194,9 +217,9 @@
 
     def _wanted(self, short: float, long: float, *, engines: int) -> float:
         """Return the number of engines for long prompts that the demand asks for."""
-        amply = _staffed(short, SHORT_FILL[self._objective])
+        amply = _staffed(short, self._weighing.short_fill)
         scarcely = _staffed(short, SHORT_FILL_MOST)
-        spare = engines - long / LONG_FILL
+        spare = engines - long / self._weighing.long_fill
         if spare <= amply:
             return engines - max(1.0, scarcely, spare)
         # What neither needs is shared out by demand, so that without long prompts all are free.
--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -42,12 +42,14 @@
         work: What it puts on each of them.
         cached_tokens: Prompt tokens expected in the target's cache.
         wait: Engine seconds that stand before it.
+        running: Requests that wait or run at the target.
     """
 
     targets: tuple[TargetName, ...]
     work: Work
     cached_tokens: int
     wait: float
+    running: int = 0
 
 
 def choose(state: ServingState, record: CallRecord, *, now: float) -> Choice | None:
@@ -101,6 +103,10 @@
         spilt = _best(state, record, names[:count], tokens=tokens, now=now)
         if spilt is not None and (best is None or spilt.wait < best.wait):
             return spilt
+    elif best.running and best.work.seconds > state.split.weighing.idle_worth:
+        spilt = _best(state, record, names[:count], tokens=tokens, now=now)
+        if spilt is not None and not spilt.running and not spilt.wait:
+            return spilt
     return best
 
 
@@ -120,7 +126,7 @@
             continue
         score = choice.wait + choice.work.seconds * state.costs.speed(target.target.name)
         score += NEARNESS_SECONDS[target.nearness]
-        score += _beside(choice.work, running=target.waiting_count())
+        score += _beside(choice.work, running=choice.running)
         if best is None or score < best[0]:
             best = (score, choice)
     return best[1] if best else None
@@ -154,7 +160,13 @@
         model=call.model, prompt_tokens=call.prompt_tokens, cached_tokens=cached
     )
     work = Work(seconds=seconds, tokens=call.prompt_tokens + call.output_tokens, level=record.level)
-    return Choice(targets=(target.target.name,), work=work, cached_tokens=cached, wait=wait)
+    return Choice(
+        targets=(target.target.name,),
+        work=work,
+        cached_tokens=cached,
+        wait=wait,
+        running=target.waiting_count(),
+    )
 
 
 def _candidates(
