--- a/tests/commands/test_pages.py
+++ b/tests/commands/test_pages.py
@@ -1,17 +1,20 @@
 """The pages point at what exists."""
 
 from pathlib import Path
-from re import findall, sub
+from re import MULTILINE, findall, sub
+from shlex import split
 
 import pytest
 
+from azureswitch.commands import build
+
 ROOT = Path(__file__).parents[2]
 PAGES = sorted((*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")))
 
 
 def anchors(page: Path) -> set[str]:
     """Return the anchors of a page's headings."""
-    headings = findall(r"^#+ (.+)$", page.read_text(), flags=8)
+    headings = findall(r"^#+ (.+)$", page.read_text(), flags=MULTILINE)
     return {sub(r"[^a-z0-9 -]", "", heading.lower()).replace(" ", "-") for heading in headings}
 
 
@@ -30,6 +33,31 @@
             assert not anchor or anchor in anchors(target), link
 
 
+def command_lines() -> list[str]:
+    """Return every command line of the operators' program that the pages show."""
+    text = "\n".join(page.read_text() for page in PAGES)
+    lines = findall(r"^\$ (?:\.venv/bin/)?azureswitch (.+)$", text, flags=MULTILINE)
+    return sorted(set(lines))
+
+
+class TestCommandLines:
+    """Command lines that the pages show."""
+
+    @pytest.mark.parametrize("line", command_lines())
+    def test_known(self, line: str) -> None:
+        """Every command is there and knows the options that it is shown with."""
+        application = build()
+        words = split(line.partition(" > ")[0])
+        names = (name for name in application.all() if words[: name.count(" ") + 1] == name.split())
+        command = application.get(next(names))
+        command.merge_application_definition()
+        for word in words:
+            if word.startswith("--"):
+                assert command.definition.has_option(word[2:]), word
+        shown = len(words) - len(command.name.split())
+        assert shown >= command.definition.required_argument_count - 1
+
+
 class TestSecurity:
     """The page on threats."""
 
