Close connections when an operators' command ends

Cause: with development warnings on, each command left a transport unclosed. Change: what a command opens is noted and closed at its end.

--- a/src/azureswitch/commands/_base.py
+++ b/src/azureswitch/commands/_base.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatch
+from typing import Protocol, TypeVar, runtime_checkable
 
 from absl import logging
 from cleo.commands.command import Command
@@ -20,8 +21,19 @@
 from azureswitch.commands._settings import AUTHOR_KIND, OperatorSettings, read_settings
 from azureswitch.engines import HttpEngine
 from azureswitch.exceptions import AzureswitchError, ChangeOutcomeUnknownError
+from azureswitch.inventory import Target
 from azureswitch.platform import HttpStore
-from azureswitch.ports import Store
+from azureswitch.ports import Engine, Store
+
+T = TypeVar("T")
+
+
+@runtime_checkable
+class Closable(Protocol):
+    """What has connections to close."""
+
+    def close(self) -> None:
+        """Close idle connections."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,6 +103,7 @@
 
     def __init__(self, *, connections: Connections) -> None:
         self._connections = connections
+        self._opened: list[object] = []
         super().__init__()
 
     @property
@@ -108,13 +121,21 @@
     @property
     def store(self) -> Store:
         """The platform's object store."""
-        return self._connections.store(str(self.settings.store))
+        return self._open(self._connections.store(str(self.settings.store)))
 
     @property
     def revisions(self) -> Revisions:
         """The accepted configurations."""
         return Revisions(store=self.store, patience=self._connections.patience)
 
+    def engine(self, target: Target) -> Engine:
+        """Return the port of an engine."""
+        return self._open(self._connections.engine(target))
+
+    def entry(self, address: str) -> HttpClient:
+        """Return the client of an entry host's operations address."""
+        return self._open(self._connections.operations(address))
+
     @abstractmethod
     async def report(self) -> object:
         """Do what the command is for and return its report, a data class.
@@ -126,7 +147,7 @@
     def handle(self) -> int:
         """Run the command and return its exit code."""
         try:
-            report = run(self.report())
+            report = run(self._run())
         except AzureswitchError as error:
             self._show_failure(error)
             return exit_code(error)
@@ -138,6 +159,20 @@
         self._show(json.encode(report).decode() if self.option("json") else text(report))
         return outcome(report)
 
+    async def _run(self) -> object:
+        try:
+            return await self.report()
+        finally:
+            for item in self._opened:
+                if isinstance(item, Closable):
+                    item.close()
+            self._opened.clear()
+
+    def _open(self, item: T) -> T:
+        """Note a connection that is to be closed when the command ends."""
+        self._opened.append(item)
+        return item
+
     def _show(self, content: str) -> None:
         # RAW keeps cleo from reading angle brackets in data as its own markup.
         self.io.write_line(content, type=Type.RAW)
--- a/src/azureswitch/commands/_explaining.py
+++ b/src/azureswitch/commands/_explaining.py
@@ -67,7 +67,7 @@
         return explain(snapshot, question, loads=loads)
 
     async def _loads(self, snapshot: Snapshot) -> tuple[EngineLoad, ...]:
-        return await read_loads(snapshot.inventory.targets, self._connections.engine)
+        return await read_loads(snapshot.inventory.targets, self.engine)
 
     async def _snapshot(self) -> Snapshot:
         inventory, rules = self.option("inventory"), self.option("rules")
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -85,7 +85,7 @@
             EntryUnreachableError: No host answered.
         """
         addresses = tuple(str(address) for address in self.settings.operations)
-        clients = (self._connections.operations(address) for address in addresses)
+        clients = (self.entry(address) for address in addresses)
         answers = dict(zip(addresses, await gather(*map(_ask, clients)), strict=True))
         if not any(answers.values()):
             raise EntryUnreachableError(addresses=", ".join(addresses))
@@ -100,7 +100,7 @@
             head = await self.revisions.head()
         except StoreError:
             return None, ()
-        loads = await read_loads(head.inventory.targets, self._connections.engine)
+        loads = await read_loads(head.inventory.targets, self.engine)
         return head.revision, loads
 
 
@@ -112,5 +112,3 @@
         return json.decode(answer.body, type=EntryStatus)
     except (HttpError, DecodeError, ValidationError):
         return None
-    finally:
-        client.close()
