Count a watch at the store stand-in only while its reader is there

Cause: a watch whose reader had gone counted as waiting until its time was over. Change: the stand-in ends a watch when its connection closes. Conclusion: a test opens a watch, leaves it and sees the count go back.

--- a/src/azureswitch_standins/store/_fake.py
+++ b/src/azureswitch_standins/store/_fake.py
@@ -1,7 +1,7 @@
 """The store as an object for tests, with faults that a test switches on and off."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -102,7 +102,9 @@
         await self._enter(call=CallKind.DELETE, key=key)
         self._write(key, lambda: self._model.delete(kind=kind, name=name, version=version))
 
-    async def watch(self, *, kind: str, version: int, timeout: float) -> AsyncIterator[StoreChange]:
+    async def watch(
+        self, *, kind: str, version: int, timeout: float
+    ) -> AsyncGenerator[StoreChange, None]:
         """Yield the changes to a kind after ``version``, and a bookmark at the end."""
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout
--- a/src/azureswitch_standins/store/_http.py
+++ b/src/azureswitch_standins/store/_http.py
@@ -1,11 +1,15 @@
 """The store over HTTP and JSON, in the conventions of the Kubernetes API."""
 
+import asyncio
 import math
 from collections.abc import AsyncIterator, Awaitable
+from contextlib import aclosing
 from http import HTTPStatus
+from typing import cast
 
 import msgspec
 from blacksheep import Application, Content, Request, Response, StreamedContent
+from blacksheep.contents import ASGIContent
 
 from azureswitch.exceptions import (
     StoreConflictError,
@@ -177,11 +181,19 @@
         watch = self._fake.watch(kind=kind, version=version, timeout=timeout)
 
         async def lines() -> AsyncIterator[bytes]:
+            waiting = asyncio.timeout(None)
+            gone = asyncio.create_task(_end_when_gone(request, waiting))
             try:
-                async for change in watch:
-                    yield _line(change)
+                async with waiting, aclosing(watch):
+                    async for change in watch:
+                        yield _line(change)
             except StoreError as error:
                 yield _error_line(error)
+            except TimeoutError:
+                # Nobody reads any more, so that the watch no longer counts as waiting.
+                return
+            finally:
+                gone.cancel()
 
         return Response(200, content=StreamedContent(b"application/json", lines))
 
@@ -206,6 +218,13 @@
             return _json(HTTPStatus.BAD_REQUEST, _status(HTTPStatus.BAD_REQUEST, "BadRequest"))
 
 
+async def _end_when_gone(request: Request, waiting: asyncio.Timeout) -> None:
+    receive = cast(ASGIContent, request.content).receive
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    waiting.reschedule(asyncio.get_running_loop().time())
+
+
 def _names(request: Request) -> tuple[str, str]:
     return route_value(request=request, name="kind"), route_value(request=request, name="name")
 
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -150,6 +150,21 @@
 
         asyncio.run(run())
 
+    def test_watch_left(self) -> None:
+        """A watch whose reader has gone no longer counts as waiting."""
+
+        async def run() -> None:
+            async with serve() as (standin, store):
+                watch = store.watch(kind="a", version=0, timeout=9.0)
+                await anext(watch)
+                assert standin.counters.waiting == 1
+                await watch.aclose()
+                async with asyncio.timeout(5.0):
+                    while standin.counters.waiting:
+                        await asyncio.sleep(0.001)
+
+        asyncio.run(run())
+
     def test_watch_breaks(self) -> None:
         """An outage breaks a waiting watch, and one from the same version goes on after it."""
 
