--- a/bench/claims.py
+++ b/bench/claims.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from azureswitch.coordination.claims import Claims, Granted
+from azureswitch.coordination.claims._model import HEAD_KIND, SEGMENT_KIND
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.core import CallId, CustomerName, HostName, Incarnation, PlaceName
 from azureswitch.exceptions import ClaimUnavailableError
@@ -32,12 +33,18 @@
 SPAN = 60.0
 """Seconds of one measurement at most."""
 
+UNBATCHED = 2.0
+"""Store writes per call where every claim and every outcome is a write of its own."""
+
 WRITES_BOUND = {10: 1.4, 100: 0.75, 400: 0.3}
 """Store writes per call at most, by calls a second."""
 
 BYTES_BOUND = {10: 6_500.0, 100: 4_200.0, 400: 2_400.0}
 """Bytes written to the store per call at most, by calls a second."""
 
+STORED_BOUND = {10: 600.0, 100: 600.0, 400: 600.0}
+"""Bytes that the store keeps per call until its retention ends at most, by calls a second."""
+
 MEDIAN_BOUND = {10: 0.02, 100: 0.16, 400: 0.17}
 """Seconds that a claim adds in the middle case at most, by calls a second."""
 
@@ -73,6 +80,7 @@
         refused: Calls that could not be claimed.
         writes: Writes to the store.
         written: Bytes written.
+        stored: Bytes that the store holds at the end.
         median: Seconds that a claim took in the middle case.
         tail: Seconds that a claim took in 99 of 100 cases.
     """
@@ -81,6 +89,7 @@
     refused: int
     writes: int
     written: int
+    stored: int
     median: float
     tail: float
 
@@ -126,6 +135,11 @@
             refused=self._refused,
             writes=self._model.counters.writes,
             written=sum(store.written for store in self._stores),
+            stored=sum(
+                len(item.value)
+                for kind in (HEAD_KIND, SEGMENT_KIND)
+                for item in self._model.list(kind=kind).items
+            ),
             median=self._waits[count // 2],
             tail=self._waits[count * 99 // 100],
         )
@@ -176,8 +190,17 @@
     return run_virtual(main())
 
 
-def _at_most(name: str, value: float, unit: str, bound: float) -> Record:
-    return Record(name=name, value=value, unit=unit, bound=bound, direction=Direction.AT_MOST)
+def _at_most(
+    name: str, value: float, unit: str, bound: float, baseline: float | None = None
+) -> Record:
+    return Record(
+        name=name,
+        value=value,
+        unit=unit,
+        bound=bound,
+        direction=Direction.AT_MOST,
+        baseline=baseline,
+    )
 
 
 def _records_at(rate: int) -> list[Record]:
@@ -185,9 +208,16 @@
     prefix = f"claims.{rate}_per_s"
     return [
         _at_most(
-            f"{prefix}.writes_per_call", seen.writes / seen.calls, "writes", WRITES_BOUND[rate]
+            f"{prefix}.writes_per_call",
+            seen.writes / seen.calls,
+            "writes",
+            WRITES_BOUND[rate],
+            baseline=UNBATCHED,
         ),
         _at_most(f"{prefix}.bytes_per_call", seen.written / seen.calls, "bytes", BYTES_BOUND[rate]),
+        _at_most(
+            f"{prefix}.stored_per_call", seen.stored / seen.calls, "bytes", STORED_BOUND[rate]
+        ),
         _at_most(f"{prefix}.added_median", seen.median, "s", MEDIAN_BOUND[rate]),
         _at_most(f"{prefix}.added_p99", seen.tail, "s", TAIL_BOUND[rate]),
         _at_most(f"{prefix}.refused", float(seen.refused), "calls", 0.0),
--- a/src/azureswitch/coordination/claims/_claims.py
+++ b/src/azureswitch/coordination/claims/_claims.py
@@ -191,6 +191,15 @@
         """How many outcomes of this process are not in the store yet."""
         return self._claimer.unreported
 
+    @property
+    def retention(self) -> float:
+        """Seconds for which a key is remembered; set it when the rules change."""
+        return self._owner.retention
+
+    @retention.setter
+    def retention(self, seconds: float) -> None:
+        self._owner.retention = seconds
+
     @property
     def waiting(self) -> int:
         """How many asks wait here, as at their shard's owner."""
--- a/src/azureswitch/coordination/claims/_layout.py
+++ b/src/azureswitch/coordination/claims/_layout.py
@@ -20,7 +20,7 @@
 MERGED = 8
 """Neighbouring segments of one width that are merged into one."""
 
-SEALED_LIMIT = 512
+SEALED_LIMIT = 1_024
 """Sealed segments of a shard from which it takes no new claims."""
 
 DOOMED_LIMIT = 64
--- a/src/azureswitch/coordination/claims/_owner.py
+++ b/src/azureswitch/coordination/claims/_owner.py
@@ -93,6 +93,15 @@
         self._alive: frozenset[Incarnation] = frozenset()
         self._shards: dict[int, Shard] = {}
 
+    @property
+    def retention(self) -> float:
+        """Seconds for which a key is remembered; it may be changed at any time."""
+        return self._retention
+
+    @retention.setter
+    def retention(self, seconds: float) -> None:
+        self._retention = seconds
+
     @property
     def waiting(self) -> int:
         """How many asks wait for a verdict."""
