Refuse long work that cannot finish, and let a flood stand behind the others

Cause: under overload long prompts were admitted by an estimate that knew neither how much longer a prefill takes beside decoding nor that only some engines take them; three in cascade ran out of time. Change: deadlines are checked with what was lately seen; a customer that uses three times its share goes after the others; a lane without room is not looked at again at once; one host at a time saves memory for a prompt larger than one engine.

--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -21,6 +21,9 @@
 SHORT_QUEUE_SECONDS = 4.0
 """Seconds that a short prompt may be expected to wait here before it is refused."""
 
+BUSY_FILL = 0.5
+"""Prefill seconds a second that a busy engine manages beside decoding."""
+
 RETRY_MOST = 60.0
 """Seconds after which a refused caller is told to come back, at most."""
 
@@ -60,29 +63,40 @@
 def _too_late(state: ServingState, call: Call, pool: Pool, *, now: float) -> RefusedError | None:
     cost = state.costs.predict(call)
     level = level_of(call, state.rules)
-    allowed = call.deadline - now - cost.least
+    allowed = call.deadline - now - cost.likely
     if level is Level.SHORT:
         allowed = min(allowed, SHORT_QUEUE_SECONDS)
-    wait = expected_wait(state, call, pool, level=level)
+    wait = expected_wait(state, call, pool, level=level, now=now)
     if wait <= allowed:
         return None
     return DeadlineUnreachableError(seconds=_jittered(state, max(1.0, wait - allowed)))
 
 
-def expected_wait(state: ServingState, call: Call, pool: Pool, *, level: Level) -> float:
+def expected_wait(
+    state: ServingState, call: Call, pool: Pool, *, level: Level, now: float
+) -> float:
     """Estimate how long a call would wait in this host's queue.
 
     The host's part of the pool is shared among the customers that wait, by weight, so that a
     customer with many calls waits behind its own.
     """
     lane = Lane(service=call.service, model=call.model, level=level)
-    seconds = state.queue.seconds(lane, call.customer)
-    if seconds <= 0.0:
+    waiting = set(state.queue.customers(lane))
+    if not waiting:
         return 0.0
-    rate = len(pool.targets) / state.fairness.hosts
-    weights = {name: state.fairness.weight(name) for name in state.queue.customers(lane)}
-    share = state.fairness.weight(call.customer) / sum(weights.values())
-    return seconds / max(1e-6, rate * share)
+    engines = len(pool.targets)
+    if level is not Level.SHORT:
+        engines = state.split.count(
+            service=call.service,
+            model=call.model,
+            engines=engines,
+            hosts=state.fairness.hosts,
+            now=now,
+        )
+    rate = engines * BUSY_FILL / state.fairness.hosts
+    weights = {name: state.fairness.weight(name) for name in waiting | {call.customer}}
+    share = weights[call.customer] / sum(weights.values())
+    return state.queue.seconds(lane, call.customer) / max(1e-6, rate * share)
 
 
 def _jittered(state: ServingState, seconds: float) -> float:
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -22,12 +22,15 @@
     StartAttempt,
 )
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
-from azureswitch.serving._length import ageing_period, priority
+from azureswitch.serving._length import Level, ageing_period, priority
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._retries import MOST_RETRIES, backoff
 from azureswitch.serving._routing import Choice, choose
 from azureswitch.serving._state import Attempt, CallRecord, Phase, ServingState, TimerKind
 
+BLOCK_SECONDS = {Level.SHORT: 0.02, Level.MIDDLE: 0.1, Level.LONG: 0.25}
+"""Seconds for which a lane is not looked at again once no target had room for it."""
+
 AT_ONCE_SECONDS = 0.001
 """A target that answers sooner than this had the answer, so that it tells nothing of costs."""
 
@@ -58,22 +61,29 @@
 
 
 def drain(state: ServingState, lane: Lane, *, now: float) -> list[Effect]:
-    """Send waiting calls while targets have room, the least served customer's first."""
+    """Send waiting calls while targets have room, the least served customer's first.
+
+    A lane without room is not looked at again for a while, so that many events cost little.
+    """
     effects: list[Effect] = []
-    progress = True
-    while progress:
-        progress = False
-        for call in state.queue.heads(lane, state.fairness.served):
-            record = state.calls[call]
-            choice = choose(state, record, now=now)
-            if choice is not None:
-                state.queue.remove(call)
-                effects += start(state, record, choice, now=now)
-                progress = True
-                break
+    while state.queue.open(lane, now=now):
+        started = _start_next(state, lane, now=now)
+        if not started:
+            state.queue.block(lane, until=now + BLOCK_SECONDS[lane.level])
+        effects += started
     return effects
 
 
+def _start_next(state: ServingState, lane: Lane, *, now: float) -> list[Effect]:
+    for call in state.queue.heads(lane, state.fairness.served):
+        record = state.calls[call]
+        choice = choose(state, record, now=now)
+        if choice is not None:
+            state.queue.remove(call)
+            return start(state, record, choice, now=now)
+    return []
+
+
 def drain_all(state: ServingState, *, now: float) -> list[Effect]:
     """Send waiting calls of every lane."""
     return [effect for lane in state.queue.lanes for effect in drain(state, lane, now=now)]
@@ -85,7 +95,13 @@
     record.attempt_count += 1
     record.phase = Phase.RUNNING
     prefill = record.cost.prefill
-    level = priority(call, state.rules, prefill=prefill, waited=now - record.arrived)
+    level = priority(
+        call,
+        state.rules,
+        prefill=prefill,
+        waited=now - record.arrived,
+        demoted=state.fairness.exceeds(call.customer, now=now),
+    )
     attempt = Attempt(
         number=record.attempt_count,
         targets=choice.targets,
@@ -130,7 +146,11 @@
         return []
     _set_ageing(state, record, attempt, now=now)
     level = priority(
-        record.call, state.rules, prefill=record.cost.prefill, waited=now - record.arrived
+        record.call,
+        state.rules,
+        prefill=record.cost.prefill,
+        waited=now - record.arrived,
+        demoted=state.fairness.exceeds(record.call.customer, now=now),
     )
     if level == attempt.priority:
         return []
@@ -160,6 +180,9 @@
         )
     if record.first_token is None:
         record.first_token = now
+        state.costs.observe_stretch(
+            call=record.call, expected=attempt.work.seconds, seconds=now - attempt.started
+        )
         effects += _observe_first_token(record, now=now)
     return effects + drain_all(state, now=now)
 
--- a/src/azureswitch/serving/_cost.py
+++ b/src/azureswitch/serving/_cost.py
@@ -26,6 +26,12 @@
 SMOOTHING = 0.05
 """Weight of one new sample in a smoothed figure."""
 
+STRETCH_SMOOTHING = 0.1
+"""Weight of one new sample of how much longer a prefill takes beside other work."""
+
+STRETCH_MOST = 4.0
+"""The greatest such sample that is believed."""
+
 CORRECTION_LIMITS = (0.02, 50.0)
 """The least and the greatest factor by which a prediction is corrected."""
 
@@ -37,12 +43,14 @@
     Attributes:
         prefill: Engine seconds to the first token on an idle engine.
         decode: Engine seconds for the output, as a share of a full batch.
-        answer: Seconds from the first token to the last.
+        answer: Seconds from the first token to the last, as lately seen.
+        stretch: How much longer than alone a prefill takes beside other work, as lately seen.
     """
 
     prefill: float
     decode: float
     answer: float = 0.0
+    stretch: float = 1.0
 
     @property
     def total(self) -> float:
@@ -50,15 +58,20 @@
         return self.prefill + self.decode
 
     @property
-    def least(self) -> float:
-        """Seconds in which the whole answer may be had at best."""
-        return self.prefill + self.answer / 2.0
+    def likely(self) -> float:
+        """Seconds from an attempt's start to its whole answer, beside other work."""
+        return self.prefill * self.stretch + self.answer
 
 
 def _base_prefill(tokens: int) -> float:
     return tokens / PREFILL_RATE * (1.0 + tokens / ATTENTION_SPAN)
 
 
+def _kind(call: Call) -> tuple[str, int]:
+    """Return the model and the order of magnitude, by fours, of a call's prompt."""
+    return call.model, call.prompt_tokens.bit_length() // 2
+
+
 def _bounded(factor: float) -> float:
     least, greatest = CORRECTION_LIMITS
     return min(greatest, max(least, factor))
@@ -71,7 +84,8 @@
         self._factors: dict[tuple[str, int], float] = {}
         self._speeds: dict[TargetName, float] = {}
         self._outputs: dict[str, float] = {}
-        self._intervals: dict[str, float] = {}
+        self._intervals: dict[tuple[str, int], float] = {}
+        self._stretches: dict[tuple[str, int], float] = {}
         self._plain: dict[str, float] = {}
 
     def predict(self, call: Call, *, cached_tokens: int = 0) -> Cost:
@@ -90,8 +104,13 @@
             model=call.model, prompt_tokens=call.prompt_tokens, cached_tokens=cached_tokens
         )
         output = call.output_tokens * self._outputs.get(call.model, EXPECTED_OUTPUT)
-        interval = self._intervals.get(call.model, TOKEN_INTERVAL)
-        return Cost(prefill=prefill, decode=self.decode_seconds(output), answer=output * interval)
+        interval = self._intervals.get(_kind(call), TOKEN_INTERVAL)
+        return Cost(
+            prefill=prefill,
+            decode=self.decode_seconds(output),
+            answer=output * interval,
+            stretch=self._stretches.get(_kind(call), 1.0),
+        )
 
     def prefill_seconds(self, *, model: str, prompt_tokens: int, cached_tokens: int) -> float:
         """Return the engine seconds that the uncached part of a prompt takes to prefill."""
@@ -127,6 +146,13 @@
         )
         self._speeds[target] = self._smooth(self.speed(target), _bounded(seconds / predicted))
 
+    def observe_stretch(self, *, call: Call, expected: float, seconds: float) -> None:
+        """Learn how much longer than expected a first token took, other work included."""
+        if call.model and expected > 0.0:
+            known = self._stretches.get(_kind(call), 1.0)
+            sample = min(STRETCH_MOST, max(1.0, seconds / expected))
+            self._stretches[_kind(call)] = known + STRETCH_SMOOTHING * (sample - known)
+
     def observe_end(self, *, call: Call, tokens: int, seconds: float) -> None:
         """Learn from a whole answer.
 
@@ -143,9 +169,9 @@
             known = self._outputs.get(call.model, EXPECTED_OUTPUT)
             self._outputs[call.model] = self._smooth(known, share)
             if tokens > 1:
-                interval = self._intervals.get(call.model, TOKEN_INTERVAL)
+                interval = self._intervals.get(_kind(call), TOKEN_INTERVAL)
                 sample = seconds / (tokens - 1)
-                self._intervals[call.model] = self._smooth(interval, sample)
+                self._intervals[_kind(call)] = self._smooth(interval, sample)
 
     @staticmethod
     def _smooth(known: float, sample: float) -> float:
--- a/src/azureswitch/serving/_fairness.py
+++ b/src/azureswitch/serving/_fairness.py
@@ -17,6 +17,18 @@
 SPREAD_SECONDS = 30.0
 """Time constant over which a greater charge counts, as long work runs for long as well."""
 
+RATE_SECONDS = 20.0
+"""Time constant over which a customer's use is smoothed."""
+
+WEIGH_SECONDS = 0.5
+"""Seconds between two comparisons of the customers' use."""
+
+BUSY_SHARE = 0.005
+"""Share of all use from which a customer counts as busy."""
+
+EXCESS = 3.0
+"""Times its share of the use at which a customer's calls go after those of the others."""
+
 PEER_SILENCE_SECONDS = 2.0
 """Seconds without any digest after which this host counts as cut off from its peers."""
 
@@ -33,6 +45,8 @@
         level: Engine seconds that it may use before it is refused.
         pending: Engine seconds of long work that ``level`` has not been charged yet.
         filled: When ``level`` was last refilled.
+        rate: Engine seconds a second used lately, here and at the peers.
+        exceeds: Whether that is more than its share.
     """
 
     weight: float
@@ -42,6 +56,8 @@
     level: float = 0.0
     pending: float = 0.0
     filled: float = 0.0
+    rate: float = 0.0
+    exceeds: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -67,6 +83,7 @@
         self._peers: dict[HostName, PeerUse] = {}
         self._hosts = 1
         self._heard = 0.0
+        self._weighed = 0.0
 
     @property
     def hosts(self) -> int:
@@ -130,6 +147,7 @@
 
     def _charge(self, account: Account, seconds: float, *, now: float) -> None:
         self._refill(account, now=now)
+        account.rate += seconds / RATE_SECONDS
         if seconds > AT_ONCE_SECONDS:
             account.pending += seconds
         else:
@@ -179,6 +197,25 @@
         if account is not None:
             account.served += seconds / account.weight
 
+    def exceeds(self, customer: CustomerName, *, now: float) -> bool:
+        """Return whether a customer lately used much more than its share beside the others."""
+        if now - self._weighed >= WEIGH_SECONDS:
+            self._weigh(now)
+        account = self._accounts.get(customer)
+        return account is not None and account.exceeds
+
+    def _weigh(self, now: float) -> None:
+        decay = exp(-(now - self._weighed) / RATE_SECONDS)
+        self._weighed = now
+        for account in self._accounts.values():
+            account.rate = max(0.0, account.rate * decay)
+        total = sum(account.rate for account in self._accounts.values())
+        busy = [a for a in self._accounts.values() if a.rate > BUSY_SHARE * total]
+        weights = sum(account.weight for account in busy)
+        for account in self._accounts.values():
+            share = account.weight / weights if weights else 1.0
+            account.exceeds = len(busy) > 1 and account.rate > EXCESS * share * total
+
     def served(self, customer: CustomerName) -> float:
         """Return the virtual counter of a customer: engine seconds by weight."""
         account = self._accounts.get(customer)
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -242,6 +242,7 @@
         self._plain: set[ServiceName] = set()
         self._services: set[ServiceName] = set()
         self._loaded: set[TargetName] = set()
+        self._savers: dict[HostName, float] = {}
         self._saved: dict[TargetName, tuple[CallId, float]] = {}
         self._heard: dict[HostName, set[TargetName]] = {}
 
@@ -372,6 +373,16 @@
         for name in targets:
             self._saved[name] = (call, now + SAVE_SECONDS)
 
+    def may_save(self, *, now: float) -> bool:
+        """Return whether this host may save targets; only one host does at a time.
+
+        Of two that began together the one whose name is greater yields.
+        """
+        for host, until in self._savers.items():
+            if now < until and (not self._saved or host < self._myself.name):
+                return False
+        return True
+
     def unsave(self, call: CallId) -> None:
         """Send long prompts again to the targets that were saved for a call."""
         for name in [name for name, (owner, _) in self._saved.items() if owner == call]:
@@ -423,6 +434,10 @@
             known = self._states.get(name)
             if known is not None:
                 known.suspected_until = now + SUSPECT_SECONDS
+        if digest.saved:
+            self._savers[digest.host] = now + SAVE_SECONDS
+        else:
+            self._savers.pop(digest.host, None)
         for name in digest.saved:
             known = self._states.get(name)
             if known is not None:
--- a/src/azureswitch/serving/_length.py
+++ b/src/azureswitch/serving/_length.py
@@ -14,6 +14,9 @@
 SHORTEST_PROMPT = 1_024
 """Prompt tokens up to which all prompts have the same priority."""
 
+DEMOTION = 2
+"""Steps by which long prompts of a customer that uses more than its share go later."""
+
 AGE_SHARE = 0.5
 """Share of a prompt's own prefill after which its priority rises by one step."""
 
@@ -62,7 +65,9 @@
     return Level.LONG
 
 
-def priority(call: Call, rules: Rules, *, prefill: float, waited: float) -> int:
+def priority(
+    call: Call, rules: Rules, *, prefill: float, waited: float, demoted: bool = False
+) -> int:
     """Return the priority for the engine; smaller runs first.
 
     Args:
@@ -70,6 +75,7 @@
         rules: The rules in force.
         prefill: The engine seconds of its prompt.
         waited: Seconds since the call arrived.
+        demoted: Whether its customer uses more than its share, so that others go first.
 
     Returns:
         A step per doubling of the prompt, less a step per ageing period.  Short prompts have zero
@@ -77,10 +83,10 @@
     """
     steps = (call.prompt_tokens // SHORTEST_PROMPT).bit_length()
     aged = int(waited / ageing_period(prefill))
-    border = (rules.long_prompt // SHORTEST_PROMPT).bit_length()
+    border = (rules.long_prompt // SHORTEST_PROMPT).bit_length() + 1
     if level_of(call, rules) is Level.SHORT:
-        return min(0, max(0, steps - aged) - border)
-    return max(1, steps - border + 1 - aged)
+        return 0 if demoted else min(-1, max(0, steps - aged) - border)
+    return max(1, steps - border + 1 - aged + (DEMOTION if demoted else 0))
 
 
 def ageing_period(prefill: float) -> float:
@@ -106,8 +112,8 @@
 
 
 WEIGHINGS = {
-    Objective.SHORT_SLOWDOWN: Weighing(short_fill=0.25, long_fill=0.8, idle_worth=0.3),
-    Objective.FIRST_TOKEN_ALL: Weighing(short_fill=0.35, long_fill=0.7, idle_worth=inf),
+    Objective.SHORT_SLOWDOWN: Weighing(short_fill=0.25, long_fill=0.6, idle_worth=0.3),
+    Objective.FIRST_TOKEN_ALL: Weighing(short_fill=0.35, long_fill=0.6, idle_worth=inf),
 }
 """How each objective weighs; the figures behind them stand in the decision on prompt lengths."""
 
--- a/src/azureswitch/serving/_queue.py
+++ b/src/azureswitch/serving/_queue.py
@@ -36,6 +36,7 @@
     def __init__(self) -> None:
         self._lanes: dict[Lane, dict[CustomerName, deque[CallId]]] = {}
         self._places: dict[CallId, _Waiting] = {}
+        self._blocked: dict[Lane, float] = {}
         self._seconds: dict[tuple[Lane, CustomerName], float] = {}
 
     def __len__(self) -> int:
@@ -49,9 +50,13 @@
         """The lanes in which calls wait, those with the shortest prompts first."""
         return tuple(sorted(self._lanes, key=lambda lane: lane.level))
 
-    def waiting(self, lane: Lane) -> int:
-        """Return how many calls wait in a lane."""
-        return sum(len(calls) for calls in self._lanes.get(lane, {}).values())
+    def open(self, lane: Lane, *, now: float) -> bool:
+        """Return whether calls wait in a lane that is not blocked."""
+        return lane in self._lanes and now >= self._blocked.get(lane, 0.0)
+
+    def block(self, lane: Lane, *, until: float) -> None:
+        """Do not look at a lane for a while."""
+        self._blocked[lane] = until
 
     def customers(self, lane: Lane) -> Iterator[CustomerName]:
         """Yield the customers that have calls in a lane."""
@@ -99,4 +104,5 @@
             del self._seconds[place.lane, place.customer]
         if not customers:
             del self._lanes[place.lane]
+            self._blocked.pop(place.lane, None)
         return True
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -109,7 +109,11 @@
         short = level is Level.SHORT
         state.split.admitted(call, seconds=cost.prefill, short=short, now=now)
     state.timers.set(at=call.deadline - TICK, kind=TimerKind.DEADLINE, call=call.id)
-    state.timers.set(at=call.deadline - cost.least, kind=TimerKind.LATEST_START, call=call.id)
+    state.timers.set(
+        at=call.deadline - cost.prefill - cost.answer / 2.0,
+        kind=TimerKind.LATEST_START,
+        call=call.id,
+    )
     admitted = observe(record, Observation.ADMITTED)
     if call.repeatable:
         return [admitted, *dispatch(state, record, now=now)]
--- a/src/azureswitch/serving/_spans.py
+++ b/src/azureswitch/serving/_spans.py
@@ -47,6 +47,9 @@
     now: float,
 ) -> None:
     """Keep long prompts off the engines that are nearest to having room."""
+    if not state.fleet.may_save(now=now):
+        state.fleet.unsave(record.call.id)
+        return
     emptiest = sorted(allowed, key=lambda t: (-t.free_tokens(), t.target.name))[:count]
     saved = [t.target.name for t in emptiest]
     state.fleet.unsave(record.call.id)
