Let two hosts poll each engine and share what they learn

Cause: every host polled every engine four times a second and sent its digest with field names to up to 16 hosts five times a second. That grows with hosts times engines.

Change: azureswitch.coordination.sharing decides by rendezvous hashing over the live hosts of an engine's place (its region where the place has too few) which two hosts poll it, in turns, and who is told. Up to 16 hosts all get everything at once; larger fleets keep reports and digests within 3,000 bytes a second, sent and received. Digests travel packed. Cache events are read apart from the load, of at most 32 engines a host.

--- /dev/null
+++ b/src/azureswitch/coordination/sharing/_model.py
@@ -0,0 +1,189 @@
+"""Load reports as hosts pass them on to each other, and the events and effects of sharing."""
+
+from dataclasses import dataclass
+
+from msgspec import Struct
+
+from azureswitch.core import Effect, Event, HostName, PlaceName, TargetName
+from azureswitch.inventory import Place, Target
+from azureswitch.ports import LoadReport
+
+
+class SharedReport(Struct, frozen=True, kw_only=True, array_like=True):
+    """One engine's report, without field names: a third of the bytes of its data class.
+
+    Attributes:
+        target: The engine.
+        age: Milliseconds since the report arrived at the host that polled it.
+        started: As in `LoadReport`, like all that follow.
+        models: None where they are those of the inventory.
+    """
+
+    target: TargetName
+    age: int
+    started: int
+    sequence: int
+    running: int
+    waiting: int
+    waiting_tokens: int
+    urgent_tokens: int
+    memory_used: int
+    memory_total: int
+    models: tuple[str, ...] | None
+    draining: bool
+
+
+class EngineReports(Struct, frozen=True, kw_only=True, array_like=True):
+    """What a host learned of the engines that it polls."""
+
+    reports: tuple[SharedReport, ...]
+
+
+def pack(report: LoadReport, *, age: float, usual: tuple[str, ...] = ()) -> SharedReport:
+    """Return a report to pass on.
+
+    Args:
+        report: The report.
+        age: Seconds since it arrived.
+        usual: The engine's models in the inventory.
+    """
+    return SharedReport(
+        target=report.target,
+        age=int(age * 1_000),
+        started=report.started,
+        sequence=report.sequence,
+        running=report.running,
+        waiting=report.waiting,
+        waiting_tokens=report.waiting_tokens,
+        urgent_tokens=report.urgent_tokens,
+        memory_used=report.memory_used,
+        memory_total=report.memory_total,
+        models=None if report.models == usual else report.models,
+        draining=report.draining,
+    )
+
+
+def unpack(shared: SharedReport, *, usual: tuple[str, ...] = ()) -> LoadReport:
+    """Return the report that was passed on.
+
+    Args:
+        shared: What arrived.
+        usual: The engine's models in the inventory.
+    """
+    return LoadReport(
+        target=shared.target,
+        started=shared.started,
+        sequence=shared.sequence,
+        running=shared.running,
+        waiting=shared.waiting,
+        waiting_tokens=shared.waiting_tokens,
+        urgent_tokens=shared.urgent_tokens,
+        memory_used=shared.memory_used,
+        memory_total=shared.memory_total,
+        models=usual if shared.models is None else shared.models,
+        draining=shared.draining,
+    )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SharingHost:
+    """Another host, as sharing sees it.
+
+    Attributes:
+        name: Its name.
+        place: Its failure domain.
+        address: ``IP:PORT`` on which it is reached.
+        polls: Whether it is believed to poll engines.
+    """
+
+    name: HostName
+    place: PlaceName
+    address: str
+    polls: bool = True
+
+
+# --- Events ---------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SharingEvent(Event):
+    """Base of the events of sharing."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostsChanged(SharingEvent):
+    """The other hosts that are not dead are these, and this host runs in ``place``."""
+
+    place: PlaceName
+    hosts: tuple[SharingHost, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EnginesChanged(SharingEvent):
+    """The engines in force are these."""
+
+    engines: tuple[Target, ...]
+    places: tuple[Place, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EnginePolled(SharingEvent):
+    """An engine answered a poll of this host."""
+
+    report: LoadReport
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PollFailed(SharingEvent):
+    """An engine did not answer a poll of this host."""
+
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportsHeard(SharingEvent):
+    """Another host passed reports on."""
+
+    reports: tuple[SharedReport, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SharingTicked(SharingEvent):
+    """Time passed."""
+
+
+# --- Effects --------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PollEngine(Effect):
+    """Ask an engine for its load; answer by `EnginePolled` or `PollFailed`."""
+
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendReports(Effect):
+    """Send reports to a host; they may be lost."""
+
+    address: str
+    message: EngineReports
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportLearned(Effect):
+    """Hand a report to the policy.
+
+    Attributes:
+        age: Seconds since it arrived at the host that polled the engine.
+    """
+
+    report: LoadReport
+    age: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineUnreachable(Effect):
+    """Tell the policy that an engine did not answer this host."""
+
+    target: TargetName
--- a/src/azureswitch/entry/_digests.py
+++ b/src/azureswitch/entry/_digests.py
@@ -1,19 +1,32 @@
-"""Exchanges digests of serving between hosts."""
+"""Exchanges digests of serving between hosts.
+
+Small fleets send each digest to everyone.  Large ones keep to their part of the budget of
+`azureswitch.coordination.sharing`: each digest that the budget has room for goes to the host that
+has waited longest.
+"""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
+from msgspec.msgpack import encode
+
 from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.coordination.sharing import (
+    DIGEST_BYTES,
+    FULL_HOSTS,
+    MESSAGE_OVERHEAD,
+    Meter,
+    PackedDigest,
+    pack_digest,
+    unpack_digest,
+)
 from azureswitch.core import Incarnation
 from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import PeerError, PeerMessageTooLargeError
 from azureswitch.ports import Peers
 from azureswitch.serving import Digest, DigestReceived, ServingEvent
 
-FAN_OUT = 16
-"""Hosts that each digest is sent to at most, drawn anew each time in larger fleets."""
-
 CALL_TIMEOUT = 1.0
 """Seconds for a digest that does not fit into a datagram."""
 
@@ -32,7 +45,7 @@
         members: Returns the members known now.
         dispatch: Hands an event to the reducer.
         clock: Returns seconds of the monotonic clock.
-        seed: Seeds the choice of receivers.
+        seed: Seeds the order of receivers.
     """
 
     def __init__(
@@ -52,39 +65,57 @@
         self._clock = clock
         self._random = Random(seed)
         self._tasks = Tasks(prefix="entry")
-        peers.handle(Digest, self._receive)
+        self._meter = Meter(rate=DIGEST_BYTES)
+        self._visited: dict[str, float] = {}
+        peers.handle(PackedDigest, self._receive)
 
     def publish(self, digest: Digest) -> None:
-        """Send a digest to the other hosts; it may be lost."""
+        """Send a digest to other hosts, as many as the budget permits; it may be lost."""
         others = [
             member.address
             for member in self._members()
             if member.incarnation != self._myself and member.status is not MemberStatus.DEAD
         ]
-        if len(others) > FAN_OUT:
-            others = self._random.sample(others, FAN_OUT)
+        packed = pack_digest(digest)
+        if len(others) >= FULL_HOSTS:
+            others = self._affordable(others, size=len(encode(packed)) + MESSAGE_OVERHEAD)
         for address in others:
-            self._send(address, digest)
+            self._send(address, packed)
 
     async def stop(self) -> None:
         """End the background work."""
         await self._tasks.stop()
 
-    def _send(self, address: str, digest: Digest) -> None:
+    def _affordable(self, others: list[str], *, size: int) -> list[str]:
+        """Return the hosts that may be sent a digest now, those that waited longest first."""
+        self._visited = {
+            address: self._visited.get(address, -self._random.random()) for address in others
+        }
+        now = self._clock()
+        chosen = []
+        for address in sorted(others, key=lambda address: self._visited[address]):
+            if not self._meter.take(size, now=now):
+                break
+            self._visited[address] = now
+            chosen.append(address)
+        return chosen
+
+    def _send(self, address: str, packed: PackedDigest) -> None:
         try:
-            self._peers.cast(address=address, message=digest)
+            self._peers.cast(address=address, message=packed)
         except PeerMessageTooLargeError:
-            self._tasks.spawn(self._call(address, digest), name="digest")
+            self._tasks.spawn(self._call(address, packed), name="digest")
 
-    async def _call(self, address: str, digest: Digest) -> None:
+    async def _call(self, address: str, packed: PackedDigest) -> None:
         try:
             await self._peers.call(
-                address=address, request=digest, reply=DigestNoted, timeout=CALL_TIMEOUT
+                address=address, request=packed, reply=DigestNoted, timeout=CALL_TIMEOUT
             )
         except PeerError:
             # The next digest says everything again.
             return
 
-    async def _receive(self, digest: Digest) -> DigestNoted:
+    async def _receive(self, packed: PackedDigest) -> DigestNoted:
+        digest = unpack_digest(packed)
         self._dispatch(DigestReceived(now=self._clock(), digest=digest))
         return DigestNoted()
--- a/src/azureswitch/entry/_polls.py
+++ b/src/azureswitch/entry/_polls.py
@@ -1,89 +1,172 @@
-"""Asks engines for their load and their cache events."""
+"""Learns of engines' load with few requests to each engine.
+
+Each engine is polled by few hosts, which tell the others.  Who polls when, and who is told, is
+decided by `azureswitch.coordination.sharing`; this module carries that out.
+"""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
+from functools import singledispatchmethod
 from random import Random
 
-from azureswitch.core import TargetName
+from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.coordination.sharing import (
+    TICK,
+    EnginePolled,
+    EngineReports,
+    EnginesChanged,
+    EngineUnreachable,
+    HostsChanged,
+    PollEngine,
+    PollFailed,
+    ReportLearned,
+    ReportsHeard,
+    SendReports,
+    SharingEvent,
+    SharingHost,
+    SharingState,
+    SharingTicked,
+    reduce,
+)
+from azureswitch.core import Effect, HostName, PlaceName, TargetName
 from azureswitch.entry._targets import Targets
 from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import TargetError
-from azureswitch.ports import Engine
-from azureswitch.serving import CacheReported, LoadReported, ServingEvent, TargetUnreachable
-
-POLL_PERIOD = 0.25
-"""Seconds between two polls of one engine."""
+from azureswitch.inventory import Target
+from azureswitch.ports import Peers
+from azureswitch.serving import LoadReported, ServingEvent, TargetUnreachable
 
 POLL_TIMEOUT = 1.0
 """Seconds that an engine may take to answer a poll."""
 
 
 class Poller:
-    """Polls every engine in force and hands what it says to the reducer.
+    """Polls engines, tells other hosts, and hears from them.
 
     Args:
+        host: This host.
         targets: The ports of targets.
+        peers: Messages to other hosts.
+        members: Returns the members known now, this host included; another object after each
+            change.
         dispatch: Hands an event to the reducer.
         clock: Returns seconds of the monotonic clock.
-        seed: Seeds the jitter, so that hosts do not poll in step.
+        seed: Seeds the jitter and the choice of receivers.
     """
 
     def __init__(
         self,
         *,
+        host: HostName,
         targets: Targets,
+        peers: Peers,
+        members: Callable[[], Iterable[Member]],
         dispatch: Callable[[ServingEvent], None],
         clock: Callable[[], float],
         seed: int,
     ) -> None:
+        self._host = host
         self._targets = targets
+        self._peers = peers
+        self._members = members
         self._dispatch = dispatch
         self._clock = clock
         self._random = Random(seed)
         self._tasks = Tasks(prefix="entry")
-        self._polled: dict[TargetName, asyncio.Task[None]] = {}
+        self._state = SharingState(host=host, seed=seed)
+        self._seen: Iterable[Member] = ()
+        self._hosts: tuple[SharingHost, ...] = ()
+        self._engines: tuple[Target, ...] | None = None
+        peers.handle(EngineReports, self._receive)
+
+    @property
+    def mine(self) -> frozenset[TargetName]:
+        """The engines that this host polls for all."""
+        return self._state.mine
 
     async def run(self) -> None:
         """Poll until cancelled."""
         try:
             while True:
-                self._follow()
-                await asyncio.sleep(POLL_PERIOD)
+                self.step()
+                await asyncio.sleep(TICK * self._random.uniform(0.9, 1.1))
         finally:
             await self._tasks.stop()
 
-    def _follow(self) -> None:
-        """Poll the engines that are new and stop polling those that are gone."""
-        wanted = set(self._targets.engines)
-        for name in self._polled.keys() - wanted:
-            self._polled.pop(name).cancel()
-        for name in wanted - self._polled.keys():
-            self._polled[name] = self._tasks.spawn(self._poll(name), name=f"{name} poll")
+    def step(self) -> None:
+        """Pass on what was learned and begin the polls that are due."""
+        self._follow_hosts()
+        self._follow_engines()
+        self._feed(SharingTicked(now=self._clock()))
+
+    def _follow_hosts(self) -> None:
+        members = self._members()
+        if members is self._seen:
+            return
+        self._seen = members
+        alive = (member for member in members if member.status is not MemberStatus.DEAD)
+        hosts = tuple(_sharing_host(member) for member in alive)
+        if hosts != self._hosts:
+            self._hosts = hosts
+            places = {host.name: host.place for host in hosts}
+            place = places.get(self._host, PlaceName(""))
+            others = tuple(host for host in hosts if host.name != self._host)
+            self._feed(HostsChanged(now=self._clock(), place=place, hosts=others))
+
+    def _follow_engines(self) -> None:
+        engines = self._targets.engine_targets
+        if engines is not self._engines:
+            self._engines = engines
+            places = self._targets.places
+            self._feed(EnginesChanged(now=self._clock(), engines=engines, places=places))
+
+    def _feed(self, event: SharingEvent) -> None:
+        for effect in reduce(self._state, event):
+            self._carry_out(effect)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: Effect) -> None:
+        raise NotImplementedError(type(effect))
+
+    @_carry_out.register
+    def _(self, effect: PollEngine) -> None:
+        self._tasks.spawn(self._poll(effect.target), name=f"{effect.target} poll")
+
+    @_carry_out.register
+    def _(self, effect: SendReports) -> None:
+        self._peers.cast(address=effect.address, message=effect.message)
+
+    @_carry_out.register
+    def _(self, effect: ReportLearned) -> None:
+        self._dispatch(LoadReported(now=self._clock(), report=effect.report, age=effect.age))
+
+    @_carry_out.register
+    def _(self, effect: EngineUnreachable) -> None:
+        self._dispatch(TargetUnreachable(now=self._clock(), target=effect.target))
 
     async def _poll(self, name: TargetName) -> None:
-        after = 0
-        started = 0
-        await asyncio.sleep(self._random.uniform(0.0, POLL_PERIOD / 2))
-        while (engine := self._targets.engine(name)) is not None:
-            try:
-                async with asyncio.timeout(POLL_TIMEOUT):
-                    seen = await self._load(name, engine)
-                    after = after if seen == started else 0
-                    started = seen
-                    after = await self._cache(name, engine, after)
-            except (TargetError, TimeoutError):
-                self._dispatch(TargetUnreachable(now=self._clock(), target=name))
-            await asyncio.sleep(POLL_PERIOD * self._random.uniform(0.9, 1.1))
-
-    async def _load(self, name: TargetName, engine: Engine) -> int:
-        # The inventory names engines; one may call itself by another name.
-        report = replace(await engine.load(), target=name)
-        self._dispatch(LoadReported(now=self._clock(), report=report))
-        return report.started
-
-    async def _cache(self, name: TargetName, engine: Engine, after: int) -> int:
-        events = replace(await engine.cache(after=after), target=name)
-        if events.added or events.removed or not events.complete:
-            self._dispatch(CacheReported(now=self._clock(), events=events))
-        return events.sequence
+        engine = self._targets.engine(name)
+        if engine is None:
+            self._feed(PollFailed(now=self._clock(), target=name))
+            return
+        try:
+            async with asyncio.timeout(POLL_TIMEOUT):
+                # The inventory names engines; one may call itself by another name.
+                report = replace(await engine.load(), target=name)
+        except (TargetError, TimeoutError):
+            self._feed(PollFailed(now=self._clock(), target=name))
+        else:
+            self._feed(EnginePolled(now=self._clock(), report=report))
+
+    async def _receive(self, message: EngineReports) -> None:
+        self._feed(ReportsHeard(now=self._clock(), reports=message.reports))
+
+
+def _sharing_host(member: Member) -> SharingHost:
+    return SharingHost(
+        name=member.incarnation.host,
+        place=member.place,
+        address=member.address,
+        polls=member.status is MemberStatus.ALIVE,
+    )
--- a/src/azureswitch/entry/_targets.py
+++ b/src/azureswitch/entry/_targets.py
@@ -4,7 +4,7 @@
 from typing import Generic, TypeVar
 
 from azureswitch.core import TargetName
-from azureswitch.inventory import ServiceKind, Snapshot, Target
+from azureswitch.inventory import Place, ServiceKind, Snapshot, Target
 from azureswitch.ports import Engine, PlainTarget
 
 T = TypeVar("T")
@@ -56,17 +56,31 @@
     def __init__(self, *, engine: EngineFactory, plain: PlainTargetFactory) -> None:
         self._engines = _Pool(engine)
         self._plain = _Pool(plain)
+        self._engine_targets: tuple[Target, ...] = ()
+        self._places: tuple[Place, ...] = ()
 
     @property
     def engines(self) -> tuple[TargetName, ...]:
         """The engines in force."""
         return self._engines.names
 
+    @property
+    def engine_targets(self) -> tuple[Target, ...]:
+        """The engines in force as the inventory has them; another object after each change."""
+        return self._engine_targets
+
+    @property
+    def places(self) -> tuple[Place, ...]:
+        """The failure domains in force."""
+        return self._places
+
     def adopt(self, snapshot: Snapshot) -> None:
         """Follow a configuration."""
         inventory = snapshot.inventory
         model = {service.name for service in inventory.services if _is_model(service.kind)}
-        self._engines.adopt([item for item in inventory.targets if item.service in model])
+        self._engine_targets = tuple(item for item in inventory.targets if item.service in model)
+        self._places = inventory.places
+        self._engines.adopt(list(self._engine_targets))
         self._plain.adopt([item for item in inventory.targets if item.service not in model])
 
     def engine(self, name: TargetName) -> Engine | None:
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from time import monotonic, time
 
+from absl import logging
+
 from azureswitch.coordination.claims import Claims
 from azureswitch.coordination.configuration import Configuration
 from azureswitch.coordination.journal import Journal
@@ -12,6 +14,7 @@
 from azureswitch.coordination.orders import OrderKeeper, Wanted, wanted_from
 from azureswitch.core import CallId, Incarnation, TargetName
 from azureswitch.engines import HttpEngine, HttpPlainTarget
+from azureswitch.entry._caches import CacheFollower
 from azureswitch.entry._claiming import FleetClaims
 from azureswitch.entry._digests import Digests
 from azureswitch.entry._jobtable import JobTable
@@ -20,6 +23,7 @@
 from azureswitch.entry._settings import EntrySettings
 from azureswitch.entry._shell import Shell
 from azureswitch.entry._targets import EngineFactory, PlainTargetFactory, Targets
+from azureswitch.exceptions import SnapshotUnreadableError
 from azureswitch.inventory import Target, decode
 from azureswitch.peers import PeerNetwork
 from azureswitch.platform import HttpHostList, HttpStore
@@ -128,7 +132,20 @@
             seed=seed,
         )
         self._poller = Poller(
-            targets=self._targets, dispatch=self._shell.dispatch, clock=monotonic, seed=seed
+            host=settings.host,
+            targets=self._targets,
+            peers=ports.peers,
+            members=self._members,
+            dispatch=self._shell.dispatch,
+            clock=monotonic,
+            seed=seed,
+        )
+        self._caches = CacheFollower(
+            host=settings.host,
+            targets=self._targets,
+            dispatch=self._shell.dispatch,
+            clock=monotonic,
+            seed=seed,
         )
         self._sweeper = Sweeper(
             myself=self._myself,
@@ -213,6 +230,7 @@
             "journal": self._journal.run,
             "sweeper": self._sweeper.run,
             "polls": self._poller.run,
+            "caches": self._caches.run,
             "orders": self._orders.run,
             "shell": self._shell.run,
         }
@@ -272,5 +290,11 @@
         self._shell.dispatch(PeersChanged(now=self._shell.now, hosts=hosts))
 
     def _adopt(self, revision: int, body: bytes) -> None:
-        self._shell.adopt(decode(body, revision=revision))
+        try:
+            snapshot = decode(body, revision=revision)
+        except SnapshotUnreadableError as error:
+            # What is in force stays so; the next revision may be readable again.
+            logging.error("entry: %s", error)
+            return
+        self._shell.adopt(snapshot)
         self._membership.set_revision(revision)
