Measure the relay before engines with addresses of their own

Cause: an inventory in which several targets have one address is refused since, so the benchmark never got a configuration and waited for ever. Change: one stand-in for each target, in one process, and a time limit for the entry's start.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from hashlib import sha256
 from multiprocessing import get_context
@@ -40,6 +40,9 @@
 PAIRS = 300
 """Requests for the time to first token, each way."""
 
+WARM_UP = 20
+"""Requests each way before these that are not counted."""
+
 STREAMS = 300
 """Streams side by side."""
 
@@ -49,6 +52,9 @@
 The difference between the two floods is the cost of tokens without that of requests.
 """
 
+START = 20.0
+"""Seconds within which the entry must be ready."""
+
 IDLE = 2.0
 """Seconds for which the entry is watched without callers."""
 
@@ -59,7 +65,7 @@
 """Turns of an empty loop that tell how fast the machine is during the run."""
 
 TARGETS = 8
-"""Names under which the entry knows the engine."""
+"""Engines, all in one process."""
 
 STEP = 0.02
 """Seconds between two tokens of a stream."""
@@ -75,14 +81,22 @@
     """Where callers send requests.
 
     Attributes:
-        engine: The engine's address.
+        engines: The engines' addresses.
         entry: The entry's address.
     """
 
-    engine: str
+    engines: tuple[str, ...]
     entry: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Clients:
+    """Clients of the engines and of the entry."""
+
+    direct: tuple[HttpClient, ...]
+    relayed: HttpClient
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FirstTokens:
     """Seconds to the first token, each way."""
@@ -118,11 +132,13 @@
         decode_base=STEP, decode_sequence=0.0, decode_context=0.0, prefill_rate=10_000_000.0
     )
     settings = EngineSettings(memory=4_000_000, sequences=STREAMS, queue=STREAMS, cost=cost)
-    engine = EngineStandin(settings=settings)
-    await engine.start()
-    pipe.send(engine.address)
+    engines = [EngineStandin(settings=settings) for _ in range(TARGETS)]
+    for engine in engines:
+        await engine.start()
+    pipe.send(tuple(engine.address for engine in engines))
     await asyncio.to_thread(pipe.recv)
-    await engine.stop()
+    for engine in engines:
+        await engine.stop()
 
 
 # --- The callers' process -------------------------------------------------------------------------
@@ -133,20 +149,21 @@
 
 
 async def _callers(pipe: Connection, ways: Ways) -> None:
-    clients = (HttpClient(address=ways.engine), HttpClient(address=ways.entry))
+    clients = Clients(
+        direct=tuple(HttpClient(address=address) for address in ways.engines),
+        relayed=HttpClient(address=ways.entry),
+    )
     while (asked := await asyncio.to_thread(pipe.recv)) is not None:
-        work: Callable[[tuple[HttpClient, HttpClient]], Awaitable[object]] = _WORK[asked]
-        pipe.send(await work(clients))
+        pipe.send(await _WORK[asked](clients))
 
 
-async def _first_tokens(clients: tuple[HttpClient, HttpClient]) -> FirstTokens:
-    for client in clients * 10:
-        await _first_token(client)
-    times: tuple[list[float], list[float]] = ([], [])
-    for _ in range(PAIRS):
-        for client, found in zip(clients, times, strict=True):
-            found.append(await _first_token(client))
-    return FirstTokens(direct=times[0], relayed=times[1])
+async def _first_tokens(clients: Clients) -> FirstTokens:
+    direct: list[float] = []
+    relayed: list[float] = []
+    for number in range(WARM_UP + PAIRS):
+        direct.append(await _first_token(clients.direct[number % TARGETS]))
+        relayed.append(await _first_token(clients.relayed))
+    return FirstTokens(direct=direct[WARM_UP:], relayed=relayed[WARM_UP:])
 
 
 async def _first_token(client: HttpClient) -> float:
@@ -159,21 +176,23 @@
     return seconds
 
 
-async def _direct(clients: tuple[HttpClient, HttpClient]) -> Flood:
-    return await _flood(clients[0], LONG)
+async def _direct(clients: Clients) -> Flood:
+    return await _flood(clients.direct, LONG)
 
 
-async def _relayed_short(clients: tuple[HttpClient, HttpClient]) -> Flood:
-    return await _flood(clients[1], SHORT)
+async def _relayed_short(clients: Clients) -> Flood:
+    return await _flood((clients.relayed,), SHORT)
 
 
-async def _relayed_long(clients: tuple[HttpClient, HttpClient]) -> Flood:
-    return await _flood(clients[1], LONG)
+async def _relayed_long(clients: Clients) -> Flood:
+    return await _flood((clients.relayed,), LONG)
 
 
-async def _flood(client: HttpClient, tokens: int) -> Flood:
+async def _flood(clients: tuple[HttpClient, ...], tokens: int) -> Flood:
     begun = perf_counter()
-    streams = (_stream(client, tokens, number * RAMP) for number in range(STREAMS))
+    streams = (
+        _stream(clients[number % len(clients)], tokens, number * RAMP) for number in range(STREAMS)
+    )
     counts = await asyncio.gather(*streams)
     return Flood(
         tokens=sum(counts),
@@ -189,7 +208,7 @@
     return data.count(b'"finish_reason":null') if data.endswith(b"data: [DONE]\n\n") else 0
 
 
-_WORK: dict[str, Callable[[tuple[HttpClient, HttpClient]], Coroutine[Any, Any, object]]] = {
+_WORK: dict[str, Callable[[Clients], Coroutine[Any, Any, object]]] = {
     "first": _first_tokens,
     "direct": _direct,
     "short": _relayed_short,
@@ -216,19 +235,18 @@
 # --- The entry's process, this one ----------------------------------------------------------------
 
 
-def _configuration(engine: str) -> bytes:
+def _configuration(engines: tuple[str, ...]) -> bytes:
     pool, place = ServiceName("pool"), PlaceName("north-1")
-    # One stand-in under several names: the relay is measured and not the policy.
     targets = tuple(
         Target(
             name=TargetName(f"engine-{number}"),
             service=pool,
             place=place,
-            address=engine,
+            address=address,
             models=("base",),
             memory=4_000_000,
         )
-        for number in range(TARGETS)
+        for number, address in enumerate(engines)
     )
     inventory = Inventory(
         places=(Place(name=place, region="west"),),
@@ -241,7 +259,7 @@
     return encode(inventory=inventory, rules=Rules())
 
 
-async def _entry(engine: str) -> EntryServer:
+async def _entry(engines: tuple[str, ...]) -> EntryServer:
     store = StoreFake()
     address = "10.0.0.1:1"
     ports = EntryPorts(
@@ -261,12 +279,13 @@
         hosts=LOOPBACK,
     )
     await Changes(store=store).propose(
-        base=0, body=_configuration(engine), author="bench", change="first"
+        base=0, body=_configuration(engines), author="bench", change="first"
     )
     server = EntryServer(settings=settings, ports=ports, seed=1)
     await server.start()
-    while not server.shell.directory.revision:
-        await asyncio.sleep(0.01)
+    async with asyncio.timeout(START):
+        while not server.shell.directory.revision:
+            await asyncio.sleep(0.01)
     await asyncio.sleep(0.5)
     return server
 
@@ -276,9 +295,9 @@
     return await asyncio.to_thread(pipe.recv)
 
 
-async def _measure(engine: str, callers: Callable[[Ways], Connection]) -> list[Record]:
-    server = await _entry(engine)
-    pipe = callers(Ways(engine=engine, entry=str(server.address)))
+async def _measure(engines: tuple[str, ...], callers: Callable[[Ways], Connection]) -> list[Record]:
+    server = await _entry(engines)
+    pipe = callers(Ways(engines=engines, entry=str(server.address)))
     first: FirstTokens = await _ask(pipe, "first")
     direct: Flood = await _ask(pipe, "direct")
     idle = await _idle_share()
@@ -358,7 +377,7 @@
     engine_pipe, engine_end = context.Pipe()
     engine = context.Process(target=_engine_process, args=(engine_end,), daemon=True)
     engine.start()
-    address = engine_pipe.recv()
+    addresses = engine_pipe.recv()
     caller_pipe, caller_end = context.Pipe()
     processes = [engine]
 
@@ -369,7 +388,7 @@
         return caller_pipe
 
     try:
-        return asyncio.run(_measure(address, callers))
+        return asyncio.run(_measure(addresses, callers))
     finally:
         engine_pipe.send(None)
         for process in processes:
