Stop claims before a shard's head can no longer be written

Cause: while segments could not be stored, the head grew with every batch until the store refused it, and then outcomes of earlier calls were refused with the new claims. Change: a shard takes no new claims from 128 KB of open records on, counts headers of answers in a batch as well, and never refuses a claim that is committed already. Conclusion: a claim that was granted can always be settled while heads can be written.

--- a/src/azureswitch/coordination/claims/_model.py
+++ b/src/azureswitch/coordination/claims/_model.py
@@ -53,10 +53,14 @@
     body: bytes = b""
     whole: bool = True
 
+    @property
+    def size(self) -> int:
+        """Bytes of headers and body."""
+        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
     def bounded(self) -> "Answer":
         """Return this answer, without headers and body where they are too large to record."""
-        size = len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
-        if size <= ANSWER_LIMIT:
+        if self.size <= ANSWER_LIMIT:
             return self
         return Answer(status=self.status, whole=False)
 
--- a/src/azureswitch/coordination/claims/_owner.py
+++ b/src/azureswitch/coordination/claims/_owner.py
@@ -61,10 +61,17 @@
 """Asks that wait at one shard at most."""
 
 BATCH_LIMIT = 256
-"""Asks of one batch at most; with answers of the largest size it stays under a megabyte."""
+"""Asks of one batch at most."""
 
-BATCH_BYTES = 393_216
-"""Bytes of recorded answers in one batch at most."""
+BATCH_BYTES = 131_072
+"""Bytes of recorded answers in one batch, from which on it takes no more."""
+
+OPEN_MOST = 131_072
+"""Bytes of the open segment from which a shard takes no new claims.
+
+It grows past `OPEN_LIMIT` only while the frozen one cannot be stored.  With a batch on top, and a
+frozen segment as large, the head stays under the megabyte that the store takes.
+"""
 
 INDEX_CHUNK = 8
 """Segments that are read at once when a shard is taken over."""
@@ -221,6 +228,7 @@
 ) -> tuple[list[Ruled], list[Effect]]:
     batch: list[Ruled] = []
     effects: list[Effect] = []
+    full = len(shard.head.sealed) >= SEALED_LIMIT or shard.open_bytes >= OPEN_MOST
     size = 0
     for pending in shard.pending:
         if len(batch) >= BATCH_LIMIT or size >= BATCH_BYTES:
@@ -231,11 +239,11 @@
             effects.extend(_recall(shard, record, event.now))
             continue
         ruling = rule(record=record, ask=ask, at=int(event.wall), alive=state._alive)
-        if ruling.verdict is Verdict.GRANTED and len(shard.head.sealed) >= SEALED_LIMIT:
+        if full and ruling.verdict is Verdict.GRANTED and ruling.record is not None:
             ruling = Ruling(verdict=Verdict.UNAVAILABLE)
         if ruling.record is not None:
             changes[ask.key] = ruling.record
-            size += 0 if ruling.record.answer is None else len(ruling.record.answer.body)
+            size += 0 if ruling.record.answer is None else ruling.record.answer.size
         batch.append(
             Ruled(
                 pending=pending,
--- a/src/azureswitch/coordination/claims/_shard.py
+++ b/src/azureswitch/coordination/claims/_shard.py
@@ -14,6 +14,7 @@
     Head,
     Record,
     SegmentRef,
+    encode_segment,
     segment_name,
 )
 
@@ -80,6 +81,7 @@
         self.version = 0
         self.head = Head()
         self.written = Head()
+        self.open_bytes = 0
         self.pending: list[Pending] = []
         self.batch: list[Ruled] = []
         self.order = 0
@@ -133,6 +135,7 @@
         """Take a head that is known to be the one in the store."""
         self.head = head
         self.version = version
+        self.open_bytes = len(encode_segment(head.open))
         self.confirmed = self.issued
         self._open = {record.key: record for record in _newest(head)}
         self.stored.difference_update(head.sealed)
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -62,12 +62,13 @@
             return call, type(error)
         return call, result
 
-    async def serve(self, key: str, *, outcome: ClaimOutcome = ClaimOutcome.DONE, **options):
+    async def serve(self, key, *, outcome=ClaimOutcome.DONE, body: int | None = None, **options):
         """Claim a key, send the call where that is granted, and report the outcome."""
         call, result = await self.claim(key, **options)
         if isinstance(result, Granted):
             self._fleet.sent[key] += outcome is not ClaimOutcome.NOT_RUN
-            answer = ANSWER if outcome is ClaimOutcome.DONE else None
+            answer = ANSWER if body is None else replace(ANSWER, body=bytes(body))
+            answer = answer if outcome is ClaimOutcome.DONE else None
             await self.claims.settle(call=call, outcome=outcome, answer=answer)
         return result
 
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -5,16 +5,17 @@
 import pytest
 
 from azureswitch.coordination.claims import Granted, Replayed, _layout
-from azureswitch.coordination.claims._model import SEGMENT_KIND
+from azureswitch.coordination.claims._model import HEAD_KIND, SEGMENT_KIND
 from azureswitch.exceptions import (
     ClaimUnavailableError,
     IdempotencyInProgressError,
     IdempotencyMismatchError,
     OutcomeLostError,
+    StoreUnavailableError,
 )
 from azureswitch.serving import ClaimOutcome
 from azureswitch_standins.clock import run_virtual
-from azureswitch_standins.store import StoreFaults
+from azureswitch_standins.store import VALUE_LIMIT, StoreFaults
 from tests.claims.fleet import ANSWER, Fleet
 
 DOWN = StoreFaults(down=True)
@@ -257,3 +258,34 @@
         assert {kind(result) for result in repeats} == {Replayed}
         assert {kind(result) for result in fresh} == {Granted}
         assert not left & set(segments)
+
+    def test_segments_cannot_be_stored(self, monkeypatch):
+        """Where only heads can be written, claims stop before the outcomes of earlier ones do."""
+
+        async def refuse(**_):
+            raise StoreUnavailableError(key=SEGMENT_KIND)
+
+        async def main():
+            fleet = Fleet()
+            host = fleet.hosts[0]
+            fleet.split()
+            create = host.store.create
+            monkeypatch.setattr(
+                host.store,
+                "create",
+                lambda **ask: (refuse if ask["kind"] == SEGMENT_KIND else create)(**ask),
+            )
+            results = []
+            for start in range(0, 6_000, 600):
+                keys = [f"k{number}" for number in range(start, start + 600)]
+                results += await asyncio.gather(*(host.serve(key, body=4_000) for key in keys))
+                await asyncio.sleep(SOON)
+            drained = await host.claims.drain(timeout=30.0)
+            heads = fleet.model.list(kind=HEAD_KIND).items
+            largest = max(len(head.value) for head in heads)
+            return {kind(result) for result in results}, largest, drained
+
+        results, largest, drained = run_virtual(main())
+        assert results == {Granted, ClaimUnavailableError}
+        assert largest < VALUE_LIMIT
+        assert drained
