Learn prefill costs from engines that do nothing else

Cause: a prefill was taken to be alone although others decoded beside it, so that costs were learnt 1.7 times too great; short prompts then seemed to need every engine, and under overload one engine of twenty was left for long ones. Change: only attempts at idle engines teach the cost, and short prompts keep at most 60 % of the engines where all are too few.

--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -109,7 +109,7 @@
         work=choice.work,
         cached_tokens=choice.cached_tokens,
         priority=level,
-        alone=choice.wait <= 0.0 and len(choice.targets) == 1,
+        alone=not choice.wait and not choice.running and len(choice.targets) == 1,
     )
     record.attempts[attempt.number] = attempt
     state.fleet.add(choice.targets, work=choice.work, now=now)
--- a/src/azureswitch/serving/_length.py
+++ b/src/azureswitch/serving/_length.py
@@ -35,6 +35,9 @@
 SHORT_FILL_MOST = 0.5
 """Prefill seconds a second of short prompts on each of their engines where engines are scarce."""
 
+SHORT_MOST = 0.6
+"""Share of the engines that is kept for short prompts at most, where all are too few."""
+
 LEAST_DEMAND = 1e-6
 """Prefill seconds a second that count as no demand."""
 
@@ -227,7 +230,7 @@
         scarcely = _staffed(short, SHORT_FILL_MOST)
         spare = engines - long / self._weighing.long_fill
         if spare <= amply:
-            return engines - max(1.0, scarcely, spare)
+            return engines - max(1.0, min(scarcely, engines * SHORT_MOST), spare)
         # What neither needs is shared out by demand, so that without long prompts all are free.
         return engines - amply - (spare - amply) * short / (short + long + LEAST_DEMAND)
 
