Split the tree of failures by matter

Cause: one module of 1,063 lines held all 79 types; later ones had been added wherever it ended, so that a serving failure stood among leases and a change among commands. Change: a package with one underscored module for each matter and a thin `__init__`; each family stands whole in its module. The import path `azureswitch.exceptions` is as before. Ruled out: one module for callers and one for operators, since ports and coordination parts raise types that neither sees.

--- /dev/null
+++ b/src/azureswitch/exceptions/_changes.py
@@ -0,0 +1,117 @@
+"""Changes of configuration by operators that were not accepted."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from azureswitch.exceptions._base import AzureswitchError, Ran
+
+
+@dataclass(kw_only=True, eq=False)
+class ChangeError(AzureswitchError):
+    """A change of configuration was not accepted."""
+
+    code: ClassVar[str] = "change_error"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+
+
+@dataclass(kw_only=True, eq=False)
+class RevisionConflictError(ChangeError):
+    """Another change was accepted first.
+
+    Attributes:
+        base: The revision that the change was made from.
+        head: The revision in the store.
+        author: Who made the revision that came first.
+        change: The id of that change.
+    """
+
+    code: ClassVar[str] = "revision_conflict"
+    base: int
+    head: int
+    author: str
+    change: str = ""
+
+    @property
+    def message(self) -> str:
+        return f"The change is based on {self.base}, but {self.author} made {self.head} since."
+
+
+@dataclass(kw_only=True, eq=False)
+class SnapshotTooLargeError(ChangeError):
+    """The compiled snapshot is over the store's limit in bytes."""
+
+    code: ClassVar[str] = "snapshot_too_large"
+    size: int
+    limit: int
+
+    @property
+    def message(self) -> str:
+        return f"The snapshot has {self.size} bytes; the limit is {self.limit}."
+
+
+@dataclass(kw_only=True, eq=False)
+class SnapshotUnreadableError(ChangeError):
+    """A stored configuration cannot be read by this version of the software."""
+
+    code: ClassVar[str] = "snapshot_unreadable"
+    revision: int
+
+    @property
+    def message(self) -> str:
+        return f"The configuration of revision {self.revision} cannot be read."
+
+
+@dataclass(kw_only=True, eq=False)
+class UnknownTargetError(ChangeError):
+    """The inventory holds no such target."""
+
+    code: ClassVar[str] = "target_not_found"
+    target: str
+
+    @property
+    def message(self) -> str:
+        return f"The inventory holds no target named {self.target!r}."
+
+
+@dataclass(kw_only=True, eq=False)
+class ChangeOutcomeUnknownError(ChangeError):
+    """The store did not say whether the change was accepted; ask again by its change id."""
+
+    code: ClassVar[str] = "change_outcome_unknown"
+    ran: ClassVar[Ran] = Ran.UNKNOWN
+    change: str
+    base: int | None = None
+
+    @property
+    def message(self) -> str:
+        return f"It is not known whether change {self.change} was accepted."
+
+
+@dataclass(kw_only=True, eq=False)
+class RevisionNotFoundError(ChangeError):
+    """The platform holds no such revision any more, or not yet."""
+
+    code: ClassVar[str] = "revision_not_found"
+    revision: int
+
+    @property
+    def message(self) -> str:
+        return f"Revision {self.revision} is not held."
+
+
+@dataclass(kw_only=True, eq=False)
+class ChangeReusedError(ChangeError):
+    """The id of a change belongs to an accepted change with another body.
+
+    Attributes:
+        change: The id.
+        revision: What that change was accepted as.
+    """
+
+    code: ClassVar[str] = "change_reused"
+    change: str
+    revision: int
+
+    @property
+    def message(self) -> str:
+        return f"Change {self.change} was accepted as revision {self.revision} with another body."
--- /dev/null
+++ b/src/azureswitch/exceptions/_commands.py
@@ -0,0 +1,67 @@
+"""Command lines that could not be carried out."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from azureswitch.exceptions._base import AzureswitchError, Ran
+
+
+@dataclass(kw_only=True, eq=False)
+class CommandError(AzureswitchError):
+    """A command of the operators' program could not be carried out; it changed nothing."""
+
+    code: ClassVar[str] = "command_error"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+
+
+@dataclass(kw_only=True, eq=False)
+class InvalidOptionError(CommandError):
+    """An option of the command line is missing or out of its range."""
+
+    code: ClassVar[str] = "option_invalid"
+    option: str
+    value: str
+    expected: str
+
+    @property
+    def message(self) -> str:
+        return f"--{self.option} is {self.value!r}; expected {self.expected}."
+
+
+@dataclass(kw_only=True, eq=False)
+class EntryUnreachableError(CommandError):
+    """No entry host gave an answer that can be read.
+
+    Attributes:
+        addresses: The operations addresses that were asked.
+    """
+
+    code: ClassVar[str] = "entry_unreachable"
+    addresses: str
+
+    @property
+    def message(self) -> str:
+        return f"No entry host answered at {self.addresses or 'any address'}."
+
+
+@dataclass(kw_only=True, eq=False)
+class MissingKeyError(CommandError):
+    """Standard input held no API key."""
+
+    code: ClassVar[str] = "key_missing"
+
+    @property
+    def message(self) -> str:
+        return "Give the API key on standard input, or ask for a new one with --new."
+
+
+@dataclass(kw_only=True, eq=False)
+class UnknownCustomerError(CommandError):
+    """The inventory holds no such customer."""
+
+    code: ClassVar[str] = "customer_not_found"
+    customer: str
+
+    @property
+    def message(self) -> str:
+        return f"The inventory holds no customer named {self.customer!r}."
--- /dev/null
+++ b/src/azureswitch/exceptions/_coordination.py
@@ -0,0 +1,23 @@
+"""Leases that hosts hold among themselves."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from azureswitch.exceptions._base import AzureswitchError, Ran
+
+
+@dataclass(kw_only=True, eq=False)
+class LeaseLostError(AzureswitchError):
+    """Another host holds the lease, or the store could not confirm that this one still does.
+
+    Attributes:
+        group: What the lease is on.
+    """
+
+    code: ClassVar[str] = "lease_lost"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+    group: str
+
+    @property
+    def message(self) -> str:
+        return f"The lease on {self.group!r} is not held here."
--- /dev/null
+++ b/src/azureswitch/exceptions/_platform.py
@@ -0,0 +1,86 @@
+"""Calls to the platform's object store and host list that failed."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from azureswitch.exceptions._base import AzureswitchError, Ran
+
+
+@dataclass(kw_only=True, eq=False)
+class StoreError(AzureswitchError):
+    """A call to the platform's object store failed.
+
+    Attributes:
+        key: The object, as ``kind/name``.
+    """
+
+    code: ClassVar[str] = "store_error"
+    key: str
+
+    @property
+    def message(self) -> str:
+        return f"The store call for {self.key!r} failed."
+
+
+@dataclass(kw_only=True, eq=False)
+class StoreConflictError(StoreError):
+    """The object's version is not the expected one, or it exists already; nothing was written."""
+
+    code: ClassVar[str] = "store_conflict"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+
+
+@dataclass(kw_only=True, eq=False)
+class StoreNotFoundError(StoreError):
+    """The object does not exist; nothing was written."""
+
+    code: ClassVar[str] = "store_not_found"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+
+
+@dataclass(kw_only=True, eq=False)
+class StoreUnavailableError(StoreError):
+    """The store was not reached or refused the call; nothing was written."""
+
+    code: ClassVar[str] = "store_unavailable"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+    seconds: float | None = None
+
+    @property
+    def retry_after(self) -> float | None:
+        return self.seconds
+
+
+@dataclass(kw_only=True, eq=False)
+class StoreOutcomeUnknownError(StoreError):
+    """The write may or may not have taken effect."""
+
+    code: ClassVar[str] = "store_outcome_unknown"
+
+
+@dataclass(kw_only=True, eq=False)
+class StoreVersionGoneError(StoreError):
+    """The version to watch from is too old; list again and watch from there."""
+
+    code: ClassVar[str] = "store_version_gone"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+
+
+@dataclass(kw_only=True, eq=False)
+class StoreValueTooLargeError(StoreError):
+    """The value is over the store's limit in bytes; nothing was written."""
+
+    code: ClassVar[str] = "store_value_too_large"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+    limit: int
+
+
+@dataclass(kw_only=True, eq=False)
+class HostListError(AzureswitchError):
+    """The platform's host list could not be read."""
+
+    code: ClassVar[str] = "host_list_error"
+
+    @property
+    def message(self) -> str:
+        return "The host list cannot be read."
--- /dev/null
+++ b/src/azureswitch/exceptions/_refusals.py
@@ -0,0 +1,96 @@
+"""Requests that are well formed, are not admitted, and do not run."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import ClassVar
+
+from azureswitch.exceptions._base import AzureswitchError, Ran
+
+
+@dataclass(kw_only=True, eq=False)
+class RefusedError(AzureswitchError):
+    """The request was well formed, was not admitted, and did not run.
+
+    Attributes:
+        seconds: After how many seconds a new try may be admitted.
+    """
+
+    code: ClassVar[str] = "refused"
+    status: ClassVar[HTTPStatus] = HTTPStatus.SERVICE_UNAVAILABLE
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+    seconds: float = 1.0
+
+    @property
+    def message(self) -> str:
+        return f"The request was refused; try again in {self.seconds:.1f} s."
+
+    @property
+    def retry_after(self) -> float | None:
+        return self.seconds
+
+
+@dataclass(kw_only=True, eq=False)
+class LimitExceededError(RefusedError):
+    """The customer has used its share of engine time."""
+
+    code: ClassVar[str] = "rate_limit_exceeded"
+    status: ClassVar[HTTPStatus] = HTTPStatus.TOO_MANY_REQUESTS
+
+    @property
+    def message(self) -> str:
+        return f"The customer's limit is used up; try again in {self.seconds:.1f} s."
+
+
+@dataclass(kw_only=True, eq=False)
+class DeadlineUnreachableError(RefusedError):
+    """The request could not finish in its time."""
+
+    code: ClassVar[str] = "deadline_unreachable"
+
+    @property
+    def message(self) -> str:
+        return f"The request cannot finish in its time; try again in {self.seconds:.1f} s."
+
+
+@dataclass(kw_only=True, eq=False)
+class NoTargetError(RefusedError):
+    """No target is up that could take the request."""
+
+    code: ClassVar[str] = "no_target"
+
+    @property
+    def message(self) -> str:
+        return f"No target can take the request now; try again in {self.seconds:.1f} s."
+
+
+@dataclass(kw_only=True, eq=False)
+class LeavingError(RefusedError):
+    """This host is shutting down and takes no new work."""
+
+    code: ClassVar[str] = "host_leaving"
+
+    @property
+    def message(self) -> str:
+        return "This host is shutting down; send the request again."
+
+
+@dataclass(kw_only=True, eq=False)
+class NotConfiguredError(RefusedError):
+    """This host has no configuration that it may serve by yet."""
+
+    code: ClassVar[str] = "not_configured"
+
+    @property
+    def message(self) -> str:
+        return "This host has no configuration in force yet."
+
+
+@dataclass(kw_only=True, eq=False)
+class ClaimUnavailableError(RefusedError):
+    """A call that may not repeat could not be claimed, so it was not sent."""
+
+    code: ClassVar[str] = "claim_unavailable"
+
+    @property
+    def message(self) -> str:
+        return f"The call could not be claimed and was not sent; try in {self.seconds:.1f} s."
