Keep the answers of jobs past their host

Cause: the answer of a job that was done stayed in its host's memory, so a host that was replaced before the caller asked took a finished review with it. Change: the output of a job that is done goes into the store by one write, where any host finds it by the job's id; a graceful stop waits for that. Ruled out: storing while the job runs, which costs a write for every part. Test: a job that is done is read at another host after its own stopped.

--- a/src/azureswitch/coordination/journal/_driver.py
+++ b/src/azureswitch/coordination/journal/_driver.py
@@ -133,6 +133,17 @@
         """Note that a long request ended."""
         reduce(self._state, LongCallEnded(now=get_running_loop().time(), call=call))
 
+    async def keep(self, *, call: CallId, chunks: Iterable[Chunk]) -> None:
+        """Store the whole output of a request that ended, so that any host can give it again.
+
+        Args:
+            call: The request, as it was recorded.
+            chunks: All of its output; where that is too large for the store, it is not kept.
+        """
+        record = self._state.find(call)
+        if record is not None:
+            await self._note_kept(record, await self._outputs.store(record, chunks))
+
     async def find(self, *, job: str, customer: CustomerName) -> JobRecord | None:
         """Return where a request runs.
 
@@ -251,7 +262,9 @@
         return None
 
     async def _keep(self, record: JobRecord) -> None:
-        expires = await self._outputs.keep(record)
+        await self._note_kept(record, await self._outputs.keep(record))
+
+    async def _note_kept(self, record: JobRecord, expires: float | None) -> None:
         now = get_running_loop().time()
         if expires is None:
             await self.close(call=record.call)
--- a/src/azureswitch/coordination/journal/_outputs.py
+++ b/src/azureswitch/coordination/journal/_outputs.py
@@ -1,7 +1,7 @@
 """Outputs of requests whose host died: read to their end, kept, and given again."""
 
 from asyncio import sleep
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from time import time
 
 from absl import logging
@@ -21,6 +21,7 @@
     StoreConflictError,
     StoreError,
     StoreNotFoundError,
+    StoreValueTooLargeError,
     TargetBrokenError,
     TargetRefusedError,
 )
@@ -60,9 +61,21 @@
         if chunks is None:
             logging.warning("journal: The output of %s is lost.", record.call)
             return None
+        return await self.store(record, chunks)
+
+    async def store(self, record: JobRecord, chunks: Iterable[Chunk]) -> float | None:
+        """Store a request's whole output.
+
+        Returns:
+            Until when it is kept, in seconds since the epoch, or None where it is too large.
+        """
         value = encode(KeptOutput(customer=record.customer, chunks=tuple(chunks)))
-        while not await self._put(record.call, value):
-            await sleep(_STORE_PAUSE)
+        try:
+            while not await self._put(record.call, value):
+                await sleep(_STORE_PAUSE)
+        except StoreValueTooLargeError as error:
+            logging.warning("journal: %s", error)
+            return None
         return time() + OUTPUT_KEPT
 
     async def read(self, *, record: JobRecord, offset: int) -> AsyncIterator[Chunk]:
@@ -120,6 +133,8 @@
         except StoreConflictError:
             # Another host took the request over as well, or an answer was lost.
             return True
+        except StoreValueTooLargeError:
+            raise
         except StoreError as error:
             logging.warning("journal: %s", error)
             return False
--- a/src/azureswitch/entry/_answers.py
+++ b/src/azureswitch/entry/_answers.py
@@ -250,6 +250,11 @@
         """Whether there is anything for the caller."""
         return bool(self._chunks)
 
+    @property
+    def chunks(self) -> tuple[Chunk, ...]:
+        """All output so far, as it came."""
+        return tuple(self._chunks)
+
     @property
     def data(self) -> bytes:
         """All output so far."""
--- a/src/azureswitch/entry/_ports.py
+++ b/src/azureswitch/entry/_ports.py
@@ -1,9 +1,10 @@
 """What the shell needs of the parts around it."""
 
+from collections.abc import Iterable
 from typing import Protocol
 
 from azureswitch.core import CallId, CustomerName, TargetName
-from azureswitch.ports import PlainAnswer
+from azureswitch.ports import Chunk, PlainAnswer
 from azureswitch.serving import Call, ClaimOutcome, Digest
 
 
@@ -38,6 +39,9 @@
     async def progress(self, *, call: CallId, tokens: int) -> None:
         """Note how many output tokens there are."""
 
+    async def keep(self, *, call: CallId, chunks: Iterable[Chunk]) -> None:
+        """Store the whole output of a request that ended, so that any host can give it."""
+
     async def close(self, *, call: CallId) -> None:
         """Note that the request ended."""
 
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -143,6 +143,8 @@
         await parts.shell.drained()
         with suppress(Exception):
             await leaving
+        if not await parts.shell.kept(timeout=SETTLE_TIMEOUT):
+            logging.warning("entry: Outputs of jobs did not reach the store.")
         if not await parts.claims.drain(timeout=SETTLE_TIMEOUT):
             logging.warning("entry: Outcomes of calls did not reach the store.")
 
--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from azureswitch.core import CallId, Effect, Incarnation
-from azureswitch.entry._answers import Answer, Relay
+from azureswitch.entry._answers import Answer, Recording, Relay
 from azureswitch.entry._attempts import Attempts
 from azureswitch.entry._directory import Directory
 from azureswitch.entry._metrics import Metrics
@@ -99,6 +99,7 @@
         self._events: deque[ServingEvent] = deque()
         self._busy = False
         self._leaving = False
+        self._closing: set[asyncio.Task[None]] = set()
         self._stall_check_at = 0.0
 
     @property
@@ -188,6 +189,16 @@
             if self._records:
                 await asyncio.sleep(TICK)
 
+    async def kept(self, *, timeout: float) -> bool:
+        """Wait until the outputs of ended jobs are in the store.
+
+        Returns:
+            Whether all are.
+        """
+        if self._closing:
+            await asyncio.wait(tuple(self._closing), timeout=timeout)
+        return not self._closing
+
     async def stop(self) -> None:
         """End all background work."""
         await self._tasks.stop()
@@ -253,7 +264,9 @@
         record.answer.finish(effect.error)
         if isinstance(record, ModelRecord) and record.durable:
             record.placed.set()
-            self._tasks.spawn(self._jobs.close(call=effect.call), name=f"{effect.call} close")
+            task = self._tasks.spawn(self._close(record), name=f"{effect.call} close")
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
         asyncio.get_running_loop().call_soon(self._forget, record)
 
     @_run.register
@@ -278,7 +291,13 @@
         )
         record.job = job or record.job
         record.placed.set()
-        if record.answer.over:
+
+    async def _close(self, record: ModelRecord) -> None:
+        """Keep the output of a job that is whole; of other long work keep nothing."""
+        answer = record.answer
+        if isinstance(answer, Recording) and answer.whole:
+            await self._jobs.keep(call=record.call.id, chunks=answer.chunks)
+        else:
             await self._jobs.close(call=record.call.id)
 
     async def _claim(self, effect: ClaimCall) -> None:
