--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -24,7 +24,7 @@
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
 from azureswitch.serving._length import Level, ageing_period, priority
 from azureswitch.serving._queue import Lane
-from azureswitch.serving._retries import MOST_RETRIES, backoff
+from azureswitch.serving._retries import HEDGE_COST, MOST_RETRIES, backoff, hedge_after
 from azureswitch.serving._routing import Choice, choose
 from azureswitch.serving._state import Attempt, CallRecord, Phase, ServingState, TimerKind
 
@@ -118,6 +118,7 @@
         state.affinity.sent(target, call.prefix)
     if call.model:
         _set_ageing(state, record, attempt, now=now)
+        _set_hedge(state, record, choice, now=now)
     return [
         StartAttempt(
             call=call.id,
@@ -139,6 +140,49 @@
     )
 
 
+def _set_hedge(state: ServingState, record: CallRecord, choice: Choice, *, now: float) -> None:
+    """Hedge the first attempt at a short prompt, where its target stays silent for long."""
+    if record.level is not Level.SHORT or record.attempt_count > 1:
+        return
+    expected = choice.wait + choice.work.seconds * max(1.0, record.cost.stretch)
+    state.timers.set(
+        at=now + hedge_after(expected), kind=TimerKind.HEDGE, call=record.call.id, attempt=1
+    )
+
+
+def hedge(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
+    """Start a second attempt beside a silent one, where another target has room at once."""
+    silent = record.attempts.get(number)
+    if silent is None or len(record.attempts) > 1 or record.first_token is not None:
+        return []
+    record.failed.update(silent.targets)
+    choice = choose(state, record, now=now)
+    record.failed.difference_update(silent.targets)
+    if choice is None or choice.wait or choice.targets == silent.targets:
+        return []
+    if not state.retries.take(HEDGE_COST):
+        return []
+    return [observe(record, Observation.HEDGED), *start(state, record, choice, now=now)]
+
+
+def lose(state: ServingState, target: TargetName, *, now: float) -> list[Effect]:
+    """Start the attempts at a target that answers no poll any more elsewhere.
+
+    A call that may not repeat stays: it may run, and its answer may still come.
+    """
+    effects: list[Effect] = []
+    for record in list(state.calls.values()):
+        at = [a.number for a in record.attempts.values() if target in a.targets]
+        if not at or not record.call.repeatable:
+            continue
+        record.failed.add(target)
+        for number in at:
+            effects += _cancel(state, record, number)
+        if not record.attempts:
+            effects += retry(state, record, now=now)
+    return effects
+
+
 def age(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
     """Raise the priority of an attempt that has waited long for its first token."""
     attempt = record.attempts.get(number)
@@ -280,7 +324,7 @@
         return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
     if record.attempts:
         return []
-    return retry(state, record, after=event.retry_after, now=now)
+    return retry(state, record, now=now)
 
 
 def _blame(
@@ -298,9 +342,7 @@
             state.fleet.failed(target, now=event.now)
 
 
-def retry(
-    state: ServingState, record: CallRecord, *, after: float | None, now: float
-) -> list[Effect]:
+def retry(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """Try a call again after a pause, or give it up at once where no retry is permitted."""
     record.retry_count += 1
     pause = backoff(record.retry_count, random=state.random)
@@ -347,13 +389,17 @@
     """Cancel the attempts of a call but one."""
     effects: list[Effect] = []
     for number in [number for number in record.attempts if number != keep]:
-        attempt = record.attempts.pop(number)
-        record.may_have_run = True
-        _release(state, record, attempt)
-        effects.append(CancelAttempt(call=record.call.id, attempt=number, targets=attempt.targets))
+        effects += _cancel(state, record, number)
     return effects
 
 
+def _cancel(state: ServingState, record: CallRecord, number: int) -> list[Effect]:
+    attempt = record.attempts.pop(number)
+    record.may_have_run = True
+    _release(state, record, attempt)
+    return [CancelAttempt(call=record.call.id, attempt=number, targets=attempt.targets)]
+
+
 def finish(
     state: ServingState,
     record: CallRecord,
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -124,6 +124,7 @@
         ejected_until: Until when others are preferred, since it failed here.
         suspected_until: Until when others are preferred, since it failed at a peer.
         saved_until: Until when a peer saves its memory.
+        silent_since: Since when it has answered no poll, or None.
         failures: Failures in a row.
     """
 
@@ -140,6 +141,7 @@
     ejected_until: float = 0.0
     suspected_until: float = 0.0
     saved_until: float = 0.0
+    silent_since: float | None = None
     failures: int = 0
 
     def usable(self, now: float) -> bool:
@@ -337,15 +339,24 @@
                 return
         elif known is not None and report.started < known.started:
             return
+        state.silent_since = None
         state.report = report
         state.report_at = now - age - REPORT_LAG
         state.prune(now)
 
-    def unreachable(self, target: TargetName, *, now: float) -> None:
-        """Give a target no new work for a while."""
+    def unreachable(self, target: TargetName, *, now: float) -> float:
+        """Give a target no new work for a while.
+
+        Returns:
+            For how many seconds it has not answered.
+        """
         state = self._states.get(target)
-        if state is not None:
-            state.unusable_until = max(state.unusable_until, now + UNREACHABLE_SECONDS)
+        if state is None:
+            return 0.0
+        state.unusable_until = max(state.unusable_until, now + UNREACHABLE_SECONDS)
+        if state.silent_since is None:
+            state.silent_since = now
+        return now - state.silent_since
 
     def full(self, target: TargetName, *, seconds: float, now: float) -> None:
         """Give a target that has no room now no new work for as long as it says."""
--- a/src/azureswitch/serving/_length.py
+++ b/src/azureswitch/serving/_length.py
@@ -115,8 +115,8 @@
 
 
 WEIGHINGS = {
-    Objective.SHORT_SLOWDOWN: Weighing(short_fill=0.25, long_fill=0.6, idle_worth=0.3),
-    Objective.FIRST_TOKEN_ALL: Weighing(short_fill=0.35, long_fill=0.6, idle_worth=inf),
+    Objective.SHORT_SLOWDOWN: Weighing(short_fill=0.2, long_fill=0.6, idle_worth=0.3),
+    Objective.FIRST_TOKEN_ALL: Weighing(short_fill=0.25, long_fill=0.6, idle_worth=inf),
 }
 """How each objective weighs; the figures behind them stand in the decision on prompt lengths."""
 
@@ -232,7 +232,8 @@
         if spare <= amply:
             return engines - max(1.0, min(scarcely, engines * SHORT_MOST), spare)
         # What neither needs is shared out by demand, so that without long prompts all are free.
-        return engines - amply - (spare - amply) * short / (short + long + LEAST_DEMAND)
+        share = (short + LEAST_DEMAND) / (short + long + 2.0 * LEAST_DEMAND)
+        return engines - amply - (spare - amply) * share
 
 
 def _staffed(demand: float, fill: float) -> float:
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -12,6 +12,8 @@
     ended,
     finish,
     first_token,
+    hedge,
+    lose,
     observe,
     out_of_time,
     progress,
@@ -48,6 +50,7 @@
     TokensArrived,
 )
 from azureswitch.serving._length import Level, level_of
+from azureswitch.serving._retries import LOST_SECONDS
 from azureswitch.serving._state import CallRecord, Phase, ServingState, Timer, TimerKind
 
 TICK = 0.05
@@ -219,8 +222,8 @@
 
 @_apply.register
 def _(event: TargetUnreachable, state: ServingState) -> list[Effect]:
-    state.fleet.unreachable(event.target, now=event.now)
-    return []
+    silent = state.fleet.unreachable(event.target, now=event.now)
+    return lose(state, event.target, now=event.now) if silent >= LOST_SECONDS else []
 
 
 # --- Hosts and configuration ----------------------------------------------------------------------
@@ -275,6 +278,8 @@
         return too_late(state, record, now=now)
     if timer.kind is TimerKind.RETRY and record.phase is Phase.BACKING_OFF:
         return dispatch(state, record, now=now)
+    if timer.kind is TimerKind.HEDGE:
+        return hedge(state, record, timer.attempt, now=now)
     if timer.kind is TimerKind.AGE:
         return age(state, record, timer.attempt, now=now)
     return []
--- a/src/azureswitch/serving/_retries.py
+++ b/src/azureswitch/serving/_retries.py
@@ -8,6 +8,18 @@
 RETRY_FLOOR = 20.0
 """Retries permitted beside that, so that a quiet host may still retry."""
 
+HEDGE_FACTOR = 3.0
+"""Times its expected time to the first token after which a short prompt is hedged."""
+
+HEDGE_LEAST = 0.5
+"""Seconds without a first token before a hedge, at least."""
+
+HEDGE_COST = 2.0
+"""Retries of the budget that a hedge takes, so that hedges end before retries do."""
+
+LOST_SECONDS = 1.5
+"""Seconds without an answer to any poll after which a target's attempts are started elsewhere."""
+
 MOST_RETRIES = 8
 """Retries of one call, at most."""
 
@@ -28,14 +40,23 @@
         """Count an admitted call."""
         self._tokens = min(RETRY_FLOOR, self._tokens + RETRY_SHARE)
 
-    def take(self) -> bool:
-        """Take one retry out of the budget and return whether there was one."""
-        if self._tokens < 1.0:
+    def take(self, cost: float = 1.0) -> bool:
+        """Take retries out of the budget and return whether there were as many."""
+        if self._tokens < cost:
             return False
-        self._tokens -= 1.0
+        self._tokens -= cost
         return True
 
 
+def hedge_after(expected: float) -> float:
+    """Return the seconds without a first token after which a call is hedged.
+
+    Args:
+        expected: Seconds to the first token that were expected.
+    """
+    return max(HEDGE_LEAST, HEDGE_FACTOR * expected)
+
+
 def backoff(retry: int, *, random: Random) -> float:
     """Return the seconds to wait before a retry.
 
