Hash the blocks of a prompt of token ids as engines do

Cause: a block is 512 tokens, and the entry took 2,048 bytes for it also where a token has eight bytes, so no cached prefix of such a prompt was ever found. Change: the block's bytes follow from the tokens' size. Any bytes sent as a body are read or refused as malformed, which hypothesis looks for; hashes are compared with those of the stand-in engine. Conclusion: text prompts were right already.

--- a/src/azureswitch/entry/_bodies.py
+++ b/src/azureswitch/entry/_bodies.py
@@ -11,8 +11,8 @@
 from azureswitch.exceptions import MalformedBodyError
 from azureswitch.ports import Surface
 
-BLOCK_BYTES = 2_048
-"""Bytes of prompt in one cached block of an engine."""
+BLOCK_TOKENS = 512
+"""Tokens of prompt in one cached block of an engine."""
 
 TOKEN_BYTES = 4
 """Bytes of prompt that are taken for one token."""
@@ -112,13 +112,13 @@
     except (DecodeError, RecursionError, UnicodeDecodeError) as error:
         raise MalformedBodyError(detail="it is not JSON in UTF-8") from error
     output = _output_tokens(decoded)
-    tokens, prompt = _prompt(decoded)
+    prompt, token = _prompt(decoded)
     return Completion(
         model=decoded.model,
         stream=bool(decoded.stream),
-        prompt_tokens=tokens,
+        prompt_tokens=max(1, -(-len(prompt) // token)),
         output_tokens=output,
-        prefix=tuple(_prefix(prompt, scope)),
+        prefix=tuple(_prefix(prompt, token * BLOCK_TOKENS, scope)),
     )
 
 
@@ -135,8 +135,8 @@
     return asked
 
 
-def _prompt(body: _CompletionBody | _ChatBody) -> tuple[int, bytes]:
-    """Return a prompt's tokens and its bytes as engines hash them."""
+def _prompt(body: _CompletionBody | _ChatBody) -> tuple[bytes, int]:
+    """Return a prompt's bytes as engines hash them, and how many of them are one token."""
     if isinstance(body, _ChatBody):
         if not body.messages:
             raise MalformedBodyError(detail="messages must not be empty")
@@ -155,20 +155,19 @@
     return message.content or ""
 
 
-def _text_prompt(text: str) -> tuple[int, bytes]:
+def _text_prompt(text: str) -> tuple[bytes, int]:
     try:
-        prompt = text.encode()
+        return text.encode(), TOKEN_BYTES
     except UnicodeEncodeError as error:
         raise MalformedBodyError(detail="the prompt holds half of a surrogate pair") from error
-    return max(1, -(-len(prompt) // TOKEN_BYTES)), prompt
 
 
-def _id_prompt(items: list[str | int]) -> tuple[int, bytes]:
+def _id_prompt(items: list[str | int]) -> tuple[bytes, int]:
     try:
-        prompt = b"".join(item.to_bytes(ITEM_BYTES, "little") for item in _ids(items))
+        data = b"".join(item.to_bytes(ITEM_BYTES, "little") for item in _ids(items))
     except OverflowError as error:
         raise MalformedBodyError(detail="a token id is out of range") from error
-    return len(items), prompt
+    return data, ITEM_BYTES
 
 
 def _ids(items: list[str | int]) -> Iterator[int]:
@@ -180,10 +179,10 @@
         yield item
 
 
-def _prefix(prompt: bytes, scope: str) -> Iterator[int]:
+def _prefix(prompt: bytes, size: int, scope: str) -> Iterator[int]:
     """Yield the chained hash of each whole block, as engines compute it."""
     block = xxh64_intdigest(scope.encode())
     view = memoryview(prompt)
-    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
-        block = xxh64_intdigest(view[start : start + BLOCK_BYTES], seed=block)
+    for start in range(0, len(prompt) - size + 1, size):
+        block = xxh64_intdigest(view[start : start + size], seed=block)
         yield block
