Pull a body from more hosts, with a short first timeout

Cause: with 200 processes on a machine of 12 cores at a load of 75 and more, a change was in force on the median host after 0.8 s and on the last after 5.6 and 8.7 s: pulls ran into a timeout of 2 s, and after four of them the host waited for a reminder. Change: eight sources are remembered, the first pull may take 1 s, and each further one twice as long, up to 8 s. Conclusion: not yet measured again on a machine with free cores.

--- a/src/azureswitch/coordination/configuration/_driver.py
+++ b/src/azureswitch/coordination/configuration/_driver.py
@@ -36,7 +36,6 @@
     BODY_KIND,
     HEAD_KIND,
     HEAD_NAME,
-    PULL_TIMEOUT,
     STORE_TIMEOUT,
     TICK,
     WATCH_SECONDS,
@@ -280,7 +279,7 @@
                 address=effect.address,
                 request=BodyPull(revision=effect.revision),
                 reply=BodyReply,
-                timeout=PULL_TIMEOUT,
+                timeout=effect.timeout,
             )
         except PeerError:
             self._feed(FetchFailed(now=_now(), address=effect.address))
--- a/src/azureswitch/coordination/configuration/_effects.py
+++ b/src/azureswitch/coordination/configuration/_effects.py
@@ -53,6 +53,7 @@
 
     address: str
     revision: int
+    timeout: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/coordination/configuration/_fetch.py
+++ b/src/azureswitch/coordination/configuration/_fetch.py
@@ -7,7 +7,13 @@
     FetchFromHost,
     FetchFromStore,
 )
-from azureswitch.coordination.configuration._limits import PULL_PAUSE, PULL_PAUSE_LIMIT, SOURCES
+from azureswitch.coordination.configuration._limits import (
+    PULL_PAUSE,
+    PULL_PAUSE_LIMIT,
+    PULL_TIMEOUT,
+    PULL_TIMEOUT_LIMIT,
+    SOURCES,
+)
 from azureswitch.coordination.configuration._model import AuditEntry
 
 
@@ -78,7 +84,10 @@
 
     def _choose(self) -> ConfigurationEffect | None:
         if self._sources:
+            timeout = min(PULL_TIMEOUT * 2.0 ** min(self._failures, 16), PULL_TIMEOUT_LIMIT)
             return FetchFromHost(
-                address=self._random.choice(self._sources), revision=self._revision
+                address=self._random.choice(self._sources),
+                revision=self._revision,
+                timeout=timeout,
             )
         return None if self._entry is None else FetchFromStore(entry=self._entry)
--- a/src/azureswitch/coordination/configuration/_limits.py
+++ b/src/azureswitch/coordination/configuration/_limits.py
@@ -30,8 +30,11 @@
 STORE_TIMEOUT = 5.0
 """Seconds that one call to the store may take."""
 
-PULL_TIMEOUT = 2.0
-"""Seconds that the pull of a body from another host may take."""
+PULL_TIMEOUT = 1.0
+"""Seconds that the first pull of a body may take; doubled for each further one."""
+
+PULL_TIMEOUT_LIMIT = 8.0
+"""Seconds that the pull of a body may take at most."""
 
 TICK = 0.25
 """Seconds between two looks at the timers."""
@@ -75,7 +78,7 @@
 START_BOUND = 10.0
 """Seconds after which a starting host goes by the hosts that it can reach."""
 
-SOURCES = 4
+SOURCES = 8
 """Hosts remembered as having the wanted revision."""
 
 PULL_PAUSE = 0.2
