Lose no output of an attempt that is called off behind a slow caller

Cause: a streamed answer counted tokens before they were written. The server waits while the caller is behind and only then writes, so an attempt called off during that wait (its engine stopped answering polls, or its time was over) had counted output that never went out. The next attempt resumed behind the gap; at the last chunk the answer was taken for whole and the failure was dropped. And the end of an attempt that was called off did not tell the reducer how far the answer had come, so that the next one resumed at the last report, up to a second old: its output did not fit, it was thrown away after a whole prefill, and its engine was blamed.

Ruled out: buffered output, which the caller's own task writes; recorded answers, which do not wait; the order of two writers, since an attempt is released only at its end.

Change: tokens and the end count once they are written, and the end of every attempt brings the call's count up to date.

Conclusion: a caller gets each token once, however slowly it reads while engines are lost.

--- a/src/azureswitch/entry/_answers.py
+++ b/src/azureswitch/entry/_answers.py
@@ -16,7 +16,7 @@
 from azureswitch.ports import Chunk, PlainAnswer
 
 Write = Callable[[bytes], Awaitable[None]]
-"""Writes bytes to a caller and waits while it is behind."""
+"""Writes bytes to a caller once it is not behind; called off before that, it wrote nothing."""
 
 
 class Signal:
@@ -184,11 +184,12 @@
         if not self.takes(attempt=attempt, offset=offset):
             return False
         if self._write is not None:
-            # Nobody waits for a change but the end, so none is announced.
+            # Nobody waits for a change but the end, so none is announced.  What is called off while
+            # the caller is behind was not written, and is left to the next attempt.
             self._writer = attempt
+            await self._written(self._write, chunk.data)
             self._tokens += chunk.tokens
             self._whole = chunk.last
-            await self._written(self._write, chunk.data)
             return True
         self._chunks.append(chunk.data)
         self._size += len(chunk.data)
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -257,12 +257,13 @@
 
 def ended(state: ServingState, record: CallRecord, event: AttemptEnded) -> list[Effect]:
     """Act on the end of an attempt: finish the call or try again."""
+    # An attempt that was called off also tells how far the answer has come.
+    record.tokens = max(record.tokens, event.tokens)
     attempt = record.attempts.pop(event.attempt, None)
     if attempt is None:
         return []
     now = event.now
     _release(state, record, attempt)
-    record.tokens = max(record.tokens, event.tokens)
     if event.end is AttemptEnd.COMPLETE:
         effects = _complete(state, record, attempt, event)
     elif event.end is AttemptEnd.REJECTED:
--- a/tests/serving/test_attempts.py
+++ b/tests/serving/test_attempts.py
@@ -32,6 +32,7 @@
     SettleClaim,
     ShutdownBegan,
     StartAttempt,
+    TargetUnreachable,
     TokensArrived,
 )
 from tests.serving.fixtures import Driver, model_call, only, plain_call
@@ -101,6 +102,19 @@
         assert second.resume_from == 42
         assert second.targets != only(StartAttempt, driver.effects)[0].targets
 
+    def test_resume_after_a_lost_engine(self) -> None:
+        """An attempt that was called off still tells from which token the next one goes on."""
+        driver = running(model_call)
+        (first,) = only(StartAttempt, driver.effects)
+        driver.send(FirstTokenArrived(now=0.0, call=CALL, attempt=1))
+        driver.send(TokensArrived(now=0.0, call=CALL, attempt=1, tokens=40))
+        for now in (0.0, 2.0):
+            driver.send(TargetUnreachable(now=now, target=first.targets[0]))
+        assert len(only(CancelAttempt, driver.effects)) == 1
+        end(driver, AttemptEnd.CANCELLED, tokens=57)
+        (second,) = only(StartAttempt, driver.tick(3.0))
+        assert second.resume_from == 57
+
     def test_old_attempt(self) -> None:
         """What an attempt says after it ended changes nothing."""
         driver = running(model_call)
