Take neither a cut answer for whole nor a stray one for the answer

Cause: an answer without a length ends with its connection. A close from this side, at the deadline or after bytes that are not HTTP, looked the same as the server's, so that a cut answer counted as whole. And a second answer in the same packet as the end of the first replaced its status and headers and was joined to its body.

Ruled out: answers with a length or in chunks, which were typed as broken already; bytes on an idle connection, which close it.

Change: only a close by the server ends such an answer; what comes behind a whole answer is dropped and the connection is not used again.

Before: 2 of 5 cases failed ("out of time" gave `hel` as the whole answer; the stray answer's 418 came back). After: all 5 pass.

Conclusion: an answer that is given to a caller is whole and its own.

--- a/src/azureswitch/client/_connection.py
+++ b/src/azureswitch/client/_connection.py
@@ -34,6 +34,7 @@
         self._buffered = 0
         self._framed = True
         self._complete = False
+        self._stray = False
         self._keep_alive = True
 
     @property
@@ -124,8 +125,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End an answer that ends with its connection, and break any other."""
+        # A connection closed from this side, such as at the deadline, ends no answer.
+        ended_by_server = exc is None and not self._closed
         self._closed = True
-        if exc is None and self._head is not None and not self._framed:
+        if ended_by_server and self._head is not None and not self._framed:
             self._complete = True
         self._wake()
 
@@ -134,6 +137,9 @@
     def on_message_begin(self) -> None:
         """Start the headers afresh."""
         self._headers.clear()
+        # What comes behind a whole answer belongs to no request.
+        self._stray = self._complete
+        self._keep_alive = self._keep_alive and not self._stray
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
@@ -141,6 +147,8 @@
 
     def on_headers_complete(self) -> None:
         """Publish the head."""
+        if self._stray:
+            return
         status = self._parser.get_status_code()
         if status < INFORMATIONAL:
             return
@@ -154,6 +162,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Keep a part of the body."""
+        if self._stray:
+            return
         self._parts.append(data)
         self._buffered += len(data)
 
@@ -168,6 +178,7 @@
         self._buffered = 0
         self._framed = True
         self._complete = False
+        self._stray = False
         self._keep_alive = True
 
     async def _wait(self) -> None:
