Read every program's command line through cleo and typed values

Cause: the operators' and the load program used cleo and checked types, or took any text; the daemon, the stand-ins, the demo and the faults bench used argparse. Change: `azureswitch.programs` runs one command as a program and reads its values by the types of the settings. A wrong value, an unknown option or a missing value ends every program with code 2 and a sentence, by `InvalidOptionError` or the new `CommandLineError`; faults of a program keep their traceback. The operators' commands use the same reader. Ruled out: cleo's private single-command switch, since putting the command's name first does the same by its public interface; code 1 for usage, which the daemon uses for addresses.

--- a/bench/faults/__main__.py
+++ b/bench/faults/__main__.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import sys
-from argparse import ArgumentParser
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
+from cleo.helpers import option
+
+from azureswitch.programs import EXIT_OK, Program, run_program
+from azureswitch.settings import Choice, Integer
 from azureswitch_load import (
     Balancer,
     End,
@@ -46,6 +49,9 @@
 
 FOLDER = Path("build/faults")
 
+EXIT_BROKEN = 1
+"""A promise was broken."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Result:
@@ -160,22 +166,37 @@
         _say(f"  {violation.promise.value}: {violation.detail}")
 
 
+class FaultsProgram(Program):
+    """Runs the faults."""
+
+    name = "bench.faults"
+    description = "Runs real entry processes under faults and counts broken promises."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        option("deployment", description="Which deployment, else cascade.", flag=False),
+        option("seed", description="Seed of load and faults, else 1.", flag=False),
+        option("rounds", description="Rounds of faults, else 2.", flag=False),
+    ]
+
+    def work(self) -> int:
+        """Return zero where no promise was broken, else one."""
+        kind = Choice(options=DeploymentName)
+        name = self.value("deployment", kind, default=DeploymentName.CASCADE)
+        seed = self.value("seed", Integer(low=0), default=1)
+        rounds = self.value("rounds", Integer(low=1), default=2)
+        site = Site(deployment=load_deployment(name=name), folder=FOLDER)
+        windows = Windows()
+        result = asyncio.run(_run(site, windows, seed=seed, rounds=rounds))
+        _report(result, windows)
+        return EXIT_BROKEN if result.violations else EXIT_OK
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the faults.
 
     Returns:
-        Zero where no promise was broken, else one.
+        Zero where no promise was broken, one where one was, two where the command line is wrong.
     """
-    parser = ArgumentParser(prog="bench.faults", description=__doc__)
-    parser.add_argument("--deployment", type=DeploymentName, default=DeploymentName.CASCADE)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--rounds", type=int, default=2)
-    options = parser.parse_args(arguments)
-    site = Site(deployment=load_deployment(name=options.deployment), folder=FOLDER)
-    windows = Windows()
-    result = asyncio.run(_run(site, windows, seed=options.seed, rounds=options.rounds))
-    _report(result, windows)
-    return 1 if result.violations else 0
+    return run_program(FaultsProgram(), arguments)
 
 
 if __name__ == "__main__":
--- a/src/azureswitch/commands/_base.py
+++ b/src/azureswitch/commands/_base.py
@@ -16,7 +16,6 @@
 from azureswitch.client import HttpClient
 from azureswitch.commands._exits import ExitCode, exit_code
 from azureswitch.commands._loads import EngineFactory
-from azureswitch.commands._numbers import parse_option
 from azureswitch.commands._revisions import Revisions
 from azureswitch.commands._settings import AUTHOR_KIND, OperatorSettings, read_settings
 from azureswitch.engines import HttpEngine
@@ -24,6 +23,7 @@
 from azureswitch.inventory import Target
 from azureswitch.platform import HttpStore
 from azureswitch.ports import Engine, Store
+from azureswitch.programs import parse_option
 
 T = TypeVar("T")
 
--- a/src/azureswitch/commands/_numbers.py
+++ b/src/azureswitch/commands/_numbers.py
@@ -1,13 +1,9 @@
-"""Typed values on the command line."""
-
-from typing import TypeVar
+"""Numbers on the command line."""
 
 from cleo.commands.command import Command
 
-from azureswitch.exceptions import InvalidOptionError
-from azureswitch.settings import Integer, Kind, Seconds
-
-T = TypeVar("T")
+from azureswitch.programs import parse_option
+from azureswitch.settings import Integer, Seconds
 
 MOST = 1_000_000_000
 """The greatest number that an option takes."""
@@ -29,18 +25,3 @@
         InvalidOptionError: It is missing or none.
     """
     return parse_option(command, option, Seconds())
-
-
-def parse_option(command: Command, option: str, kind: Kind[T]) -> T:
-    """Return an option of any type.
-
-    Raises:
-        InvalidOptionError: It is missing or not of its type.
-    """
-    value = command.option(option)
-    try:
-        return kind.parse(value or "")
-    except ValueError as error:
-        raise InvalidOptionError(
-            option=option, value=value or "", expected=kind.expected
-        ) from error
--- a/src/azureswitch/entry/_program.py
+++ b/src/azureswitch/entry/_program.py
@@ -1,24 +1,26 @@
 """The daemon ``azureswitch-entry``."""
 
-import asyncio
-import sys
-from argparse import ArgumentParser
+from asyncio import Event, get_running_loop, run
 from collections.abc import Sequence
 from pathlib import Path
 from signal import SIGINT, SIGTERM
 
 from absl import logging
+from cleo.helpers import option
 
 from azureswitch.entry._server import EntryServer
 from azureswitch.entry._settings import EntrySettings, LogLevel, read_settings
 from azureswitch.exceptions import SettingsError
+from azureswitch.programs import EXIT_OK, Program, run_program
+from azureswitch.settings import Text
 
-EXIT_OK = 0
 EXIT_START = 1
 """An address could not be used."""
 EXIT_SETTINGS = 2
 """The settings were refused."""
 
+_PATH = Text(form="the path of a settings file")
+
 _LEVELS = {
     LogLevel.DEBUG: logging.DEBUG,
     LogLevel.INFO: logging.INFO,
@@ -27,6 +29,33 @@
 }
 
 
+class EntryProgram(Program):
+    """Serves as one entry host until SIGTERM or SIGINT."""
+
+    name = "azureswitch-entry"
+    description = "Runs one entry host."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        option("settings", description="The settings file.", flag=False),
+    ]
+
+    def work(self) -> int:
+        """Serve, and return 0 after a graceful stop."""
+        try:
+            settings = read_settings(Path(self.value("settings", _PATH)))
+        except SettingsError as error:
+            self.complain(error)
+            return EXIT_SETTINGS
+        logging.use_absl_handler()
+        logging.set_verbosity(_LEVELS[settings.log_level])
+        logging.set_stderrthreshold(logging.DEBUG)
+        try:
+            run(_serve(settings))
+        except OSError as error:
+            self.complain(error)
+            return EXIT_START
+        return EXIT_OK
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run an entry host until SIGTERM or SIGINT.
 
@@ -34,30 +63,15 @@
         arguments: The command line without the program's name, or None for the process's own.
 
     Returns:
-        0 after a graceful stop, 1 where an address cannot be used, 2 where the settings are wrong.
+        0 after a graceful stop, 1 where an address cannot be used, 2 where the settings or the
+        command line are wrong.
     """
-    parser = ArgumentParser(prog="azureswitch-entry", description="Runs one entry host.")
-    parser.add_argument("--settings", type=Path, required=True, help="The settings file.")
-    options = parser.parse_args(arguments)
-    try:
-        settings = read_settings(options.settings)
-    except SettingsError as error:
-        print(f"azureswitch-entry: {error}", file=sys.stderr)
-        return EXIT_SETTINGS
-    logging.use_absl_handler()
-    logging.set_verbosity(_LEVELS[settings.log_level])
-    logging.set_stderrthreshold(logging.DEBUG)
-    try:
-        asyncio.run(_serve(settings))
-    except OSError as error:
-        print(f"azureswitch-entry: {error}", file=sys.stderr)
-        return EXIT_START
-    return EXIT_OK
+    return run_program(EntryProgram(), arguments)
 
 
 async def _serve(settings: EntrySettings) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
+    stop = Event()
+    loop = get_running_loop()
     for number in (SIGTERM, SIGINT):
         loop.add_signal_handler(number, stop.set)
     server = EntryServer(settings=settings)
--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -19,6 +19,7 @@
 )
 from azureswitch.exceptions._commands import (
     CommandError,
+    CommandLineError,
     EntryUnreachableError,
     InvalidOptionError,
     MissingKeyError,
@@ -112,6 +113,7 @@
     "ChangeReusedError",
     "ClaimUnavailableError",
     "CommandError",
+    "CommandLineError",
     "DanglingReferenceError",
     "DeadlineExceededBeforeRunError",
     "DeadlineExceededError",
--- a/src/azureswitch/exceptions/_commands.py
+++ b/src/azureswitch/exceptions/_commands.py
@@ -14,6 +14,22 @@
     ran: ClassVar[Ran] = Ran.NOT_RUN
 
 
+@dataclass(kw_only=True, eq=False)
+class CommandLineError(CommandError):
+    """The command line has an option that is not known, or one without its value.
+
+    Attributes:
+        detail: What is wrong with it.
+    """
+
+    code: ClassVar[str] = "command_line_invalid"
+    detail: str
+
+    @property
+    def message(self) -> str:
+        return f"The command line is refused: {self.detail.rstrip('.')}."
+
+
 @dataclass(kw_only=True, eq=False)
 class InvalidOptionError(CommandError):
     """An option of the command line is missing or out of its range."""
--- a/src/azureswitch_load/_program.py
+++ b/src/azureswitch_load/_program.py
@@ -7,10 +7,12 @@
 
 import msgspec
 from cleo.application import Application
-from cleo.commands.command import Command
 from cleo.helpers import option
 
+from azureswitch import __version__
 from azureswitch.client import HttpClient
+from azureswitch.programs import EXIT_OK, Program, run_application
+from azureswitch.settings import Integer, Number, Seconds
 from azureswitch_load._balancer import Balancer
 from azureswitch_load._bodies import prepare
 from azureswitch_load._calls import Caller
@@ -31,10 +33,13 @@
 
 Counters = TypeVar("Counters")
 
-EXIT_OK = 0
 EXIT_BROKEN = 1
 """A promise was broken."""
 
+_SEED = Integer(low=0)
+_RATE = Number(low=0.01)
+_TOKENS = Integer(low=1)
+
 COUNTERS_PATH = "/standin/counters"
 COUNTERS_TIMEOUT = 5.0
 """Seconds that reading a stand-in's counters may take."""
@@ -52,7 +57,7 @@
     violations: dict[str, int]
 
 
-class LoadCommand(Command):  # type: ignore[misc]
+class LoadCommand(Program):
     """Sends calls and reports what became of them."""
 
     name = "run"
@@ -72,7 +77,7 @@
         option("json", None, "Print the report as JSON."),
     ]
 
-    def handle(self) -> int:
+    def work(self) -> int:
         """Run and print the report."""
         return asyncio.run(self._run())
 
@@ -104,13 +109,13 @@
     def _settings(self) -> PlanSettings:
         pairs = [text.partition("=") for text in self.option("key")]
         return PlanSettings(
-            seed=int(self.option("seed")),
+            seed=self.value("seed", _SEED),
             callers=tuple(Caller(name=name, key=key) for name, _, key in pairs),
-            seconds=float(self.option("seconds")),
-            alone=float(self.option("alone")),
-            rate=float(self.option("rate")),
+            seconds=self.value("seconds", Seconds()),
+            alone=self.value("alone", Seconds()),
+            rate=self.value("rate", _RATE),
             plain_share=0.25 if self.option("service") else 0.0,
-            longest=int(self.option("longest")),
+            longest=self.value("longest", _TOKENS),
         )
 
     def _progress(self, progress: Progress) -> None:
@@ -146,8 +151,8 @@
     return tuple(found)
 
 
-def main() -> None:
-    """Run the command line."""
-    application = Application("azureswitch-load")
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line and return its exit code."""
+    application = Application("azureswitch-load", __version__)
     application.add(LoadCommand())
-    application.run()
+    return run_application(application, arguments)
--- a/src/azureswitch_load/demo/__main__.py
+++ b/src/azureswitch_load/demo/__main__.py
@@ -1,15 +1,17 @@
 """Runs the demo, or leaves a deployment up: ``python -m azureswitch_load.demo``."""
 
-import argparse
 import asyncio
 import signal
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
 from absl import logging
+from cleo.helpers import option
 
+from azureswitch.programs import EXIT_OK, Program, run_program
+from azureswitch.settings import Choice, Integer, Number
 from azureswitch_load import show_report, table
 from azureswitch_load.demo._configure import Operator
 from azureswitch_load.demo._demo import Demo, DemoReport, DemoSettings
@@ -24,28 +26,46 @@
 REPORT_PATH = Path("build/demo.json")
 """Where the report is written."""
 
-EXIT_OK = 0
 EXIT_BROKEN = 1
 """A promise was broken."""
 
 
-def main() -> int:
+_DEFAULTS = DemoSettings()
+_SEED = Integer(low=0)
+_RATE = Number(low=0.01)
+
+
+class DemoProgram(Program):
+    """Runs the demo, or leaves a deployment up."""
+
+    name = "azureswitch-demo"
+    description = "Runs the demo, or leaves a deployment up."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        option("deployment", description="Which deployment, else cascade.", flag=False),
+        option("serve", description="Leave it up, without load or faults."),
+        option("seed", description=f"Seed of the load, else {_DEFAULTS.seed}.", flag=False),
+        option("rate", description=f"Calls a second, else {_DEFAULTS.rate:g}.", flag=False),
+    ]
+
+    def work(self) -> int:
+        """Run the demo, or serve until SIGTERM or SIGINT."""
+        kind = Choice(options=DeploymentName)
+        name = self.value("deployment", kind, default=DeploymentName.CASCADE)
+        settings = DemoSettings(
+            seed=self.value("seed", _SEED, default=_DEFAULTS.seed),
+            rate=self.value("rate", _RATE, default=_DEFAULTS.rate),
+        )
+        logging.set_verbosity(logging.ERROR)
+        deployment = load_deployment(name=name)
+        if self.option("serve"):
+            asyncio.run(_serve(deployment))
+            return EXIT_OK
+        return asyncio.run(_demo(deployment, settings))
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
     """Run the command line and return its exit code."""
-    defaults = DemoSettings()
-    parser = argparse.ArgumentParser(prog="python -m azureswitch_load.demo", description=__doc__)
-    names = [name.value for name in DeploymentName]
-    parser.add_argument("--deployment", choices=names, default=names[0], help="which deployment")
-    parser.add_argument("--serve", action="store_true", help="leave it up, without load or faults")
-    parser.add_argument("--seed", type=int, default=defaults.seed, help="seed of the load")
-    parser.add_argument("--rate", type=float, default=defaults.rate, help="calls a second")
-    options = parser.parse_args()
-    logging.set_verbosity(logging.ERROR)
-    deployment = load_deployment(name=DeploymentName(options.deployment))
-    if options.serve:
-        asyncio.run(_serve(deployment))
-        return EXIT_OK
-    settings = DemoSettings(seed=options.seed, rate=options.rate)
-    return asyncio.run(_demo(deployment, settings))
+    return run_program(DemoProgram(), arguments)
 
 
 async def _demo(deployment: Deployment, settings: DemoSettings) -> int:
--- a/src/azureswitch_standins/engine/_program.py
+++ b/src/azureswitch_standins/engine/_program.py
@@ -1,45 +1,91 @@
 """The program ``azureswitch-standin-engine``."""
 
-import argparse
-import asyncio
 import time
-from dataclasses import fields
+from dataclasses import dataclass, fields
+from math import isfinite
 
-from azureswitch_standins._web import run_until_signal
+from cleo.helpers import option
+
+from azureswitch.programs import run_program
+from azureswitch.settings import NAME, Integer, Items, Kind, Number, Text
+from azureswitch_standins._program import StandinProgram
 from azureswitch_standins.engine._http import EngineStandin
 from azureswitch_standins.engine._settings import CostModel, EngineSettings
 
 
-def main() -> None:
-    """Serve an engine until SIGTERM or SIGINT."""
-    parser = argparse.ArgumentParser(description="Stand-in for a model engine.")
-    parser.add_argument("--host", default="127.0.0.1", help="IP to listen on")
-    parser.add_argument("--port", type=int, default=0, help="port to listen on, 0 for any")
-    parser.add_argument("--speed", type=float, default=1.0, help="model seconds in a second")
-    parser.add_argument("--models", default="base", help="models loaded, separated by commas")
-    parser.add_argument("--ignores-fence", action="store_true", help="take orders of any fence")
-    defaults = EngineSettings()
-    for name in ("name", "memory", "sequences", "queue"):
-        value = getattr(defaults, name)
-        parser.add_argument(f"--{name}", type=type(value), default=value)
-    for cost in fields(CostModel):
-        option = f"--{cost.name.replace('_', '-')}"
-        parser.add_argument(option, type=float, default=cost.default)
-    options = parser.parse_args()
-    settings = EngineSettings(
-        name=options.name,
-        models=tuple(options.models.split(",")),
-        memory=options.memory,
-        sequences=options.sequences,
-        queue=options.queue,
-        checks_fence=not options.ignores_fence,
-        cost=CostModel(**{cost.name: getattr(options, cost.name) for cost in fields(CostModel)}),
-    )
-    standin = EngineStandin(
-        settings=settings,
-        host=options.host,
-        port=options.port,
-        speed=options.speed,
-        started=int(time.time() * 1000),
-    )
-    asyncio.run(run_until_signal(server=standin))
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Cost(Kind[float]):
+    """A finite number of at least 0, which may carry an exponent as the small ones do."""
+
+    @property
+    def expected(self) -> str:
+        return "a number of at least 0, such as `0.02` or `1e-8`"
+
+    def parse(self, text: str) -> float:
+        value = float(text)
+        if not isfinite(value) or value < 0:
+            raise ValueError(text)
+        return value
+
+
+_DEFAULTS = EngineSettings()
+_SPEED = Number(low=0.001)
+_MODELS = Items(kind=Text(), least=1)
+_COUNT = Integer(low=1)
+_COSTS = {field.name.replace("_", "-"): field.name for field in fields(CostModel)}
+"""The option of each cost."""
+
+
+class EngineProgram(StandinProgram):
+    """Serves one engine."""
+
+    name = "azureswitch-standin-engine"
+    description = "Stand-in for a model engine."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        *StandinProgram.options,
+        option("speed", description="Model seconds in a second, else 1.", flag=False),
+        option("models", description="Models loaded, separated by commas.", flag=False),
+        option("ignores-fence", description="Take orders of any fence."),
+        option("name", description="Name in the inventory.", flag=False),
+        option("memory", description="KV memory in tokens.", flag=False),
+        option("sequences", description="Sequences in the batch, at most.", flag=False),
+        option("queue", description="Requests outside the batch, at most.", flag=False),
+        *(option(name, description="A cost of the model.", flag=False) for name in _COSTS),
+    ]
+
+    @property
+    def settings(self) -> EngineSettings:
+        """What the engine is."""
+        return EngineSettings(
+            name=self.value("name", NAME, default=_DEFAULTS.name),
+            models=self.value("models", _MODELS, default=_DEFAULTS.models),
+            memory=self.value("memory", _COUNT, default=_DEFAULTS.memory),
+            sequences=self.value("sequences", _COUNT, default=_DEFAULTS.sequences),
+            queue=self.value("queue", Integer(low=0), default=_DEFAULTS.queue),
+            checks_fence=not self.option("ignores-fence"),
+            cost=self._cost(),
+        )
+
+    def standin(self) -> EngineStandin:
+        """Return the engine."""
+        return EngineStandin(
+            settings=self.settings,
+            host=self.host,
+            port=self.port,
+            speed=self.value("speed", _SPEED, default=1.0),
+            started=int(time.time() * 1000),
+        )
+
+    def _cost(self) -> CostModel:
+        kind = _Cost()
+        return CostModel(
+            **{
+                field: self.value(name, kind, default=getattr(_DEFAULTS.cost, field))
+                for name, field in _COSTS.items()
+            }
+        )
+
+
+def main() -> int:
+    """Serve an engine until SIGTERM or SIGINT, and return the exit code."""
+    return run_program(EngineProgram())
--- a/src/azureswitch_standins/hosts/_program.py
+++ b/src/azureswitch_standins/hosts/_program.py
@@ -1,19 +1,30 @@
 """The program ``azureswitch-standin-hosts``."""
 
-import argparse
-import asyncio
+from cleo.helpers import option
 
-from azureswitch_standins._web import run_until_signal
+from azureswitch.programs import run_program
+from azureswitch.settings import Seconds
+from azureswitch_standins._program import StandinProgram
 from azureswitch_standins.hosts._fake import DEFAULT_LAG
 from azureswitch_standins.hosts._http import HostListStandin
 
 
-def main() -> None:
-    """Serve a host list, empty at first, until SIGTERM or SIGINT."""
-    parser = argparse.ArgumentParser(description="Stand-in for the platform's host list.")
-    parser.add_argument("--host", default="127.0.0.1", help="IP to listen on")
-    parser.add_argument("--port", type=int, default=0, help="port to listen on, 0 for any")
-    parser.add_argument("--lag", type=float, default=DEFAULT_LAG, help="seconds behind the truth")
-    options = parser.parse_args()
-    standin = HostListStandin(lag=options.lag, host=options.host, port=options.port)
-    asyncio.run(run_until_signal(server=standin))
+class HostsProgram(StandinProgram):
+    """Serves a host list, empty at first."""
+
+    name = "azureswitch-standin-hosts"
+    description = "Stand-in for the platform's host list."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        *StandinProgram.options,
+        option("lag", description=f"Seconds behind the truth, else {DEFAULT_LAG:g}.", flag=False),
+    ]
+
+    def standin(self) -> HostListStandin:
+        """Return the host list."""
+        lag = self.value("lag", Seconds(), default=DEFAULT_LAG)
+        return HostListStandin(lag=lag, host=self.host, port=self.port)
+
+
+def main() -> int:
+    """Serve a host list until SIGTERM or SIGINT, and return the exit code."""
+    return run_program(HostsProgram())
--- a/src/azureswitch_standins/service/_program.py
+++ b/src/azureswitch_standins/service/_program.py
@@ -1,18 +1,29 @@
 """The program ``azureswitch-standin-service``."""
 
-import argparse
-import asyncio
+from cleo.helpers import option
 
-from azureswitch_standins._web import run_until_signal
+from azureswitch.programs import run_program
+from azureswitch.settings import Text
+from azureswitch_standins._program import StandinProgram
 from azureswitch_standins.service._http import ServiceStandin
 
 
-def main() -> None:
-    """Serve a plain service until SIGTERM or SIGINT."""
-    parser = argparse.ArgumentParser(description="Stand-in for a plain service.")
-    parser.add_argument("--host", default="127.0.0.1", help="IP to listen on")
-    parser.add_argument("--port", type=int, default=0, help="port to listen on, 0 for any")
-    parser.add_argument("--name", default="service", help="name that answers carry")
-    options = parser.parse_args()
-    standin = ServiceStandin(name=options.name, host=options.host, port=options.port)
-    asyncio.run(run_until_signal(server=standin))
+class ServiceProgram(StandinProgram):
+    """Serves one target of a plain service."""
+
+    name = "azureswitch-standin-service"
+    description = "Stand-in for a plain service."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        *StandinProgram.options,
+        option("name", description="Name that answers carry, else service.", flag=False),
+    ]
+
+    def standin(self) -> ServiceStandin:
+        """Return the target."""
+        name = self.value("name", Text(), default="service")
+        return ServiceStandin(name=name, host=self.host, port=self.port)
+
+
+def main() -> int:
+    """Serve a plain service until SIGTERM or SIGINT, and return the exit code."""
+    return run_program(ServiceProgram())
--- a/src/azureswitch_standins/store/_program.py
+++ b/src/azureswitch_standins/store/_program.py
@@ -1,22 +1,37 @@
 """The program ``azureswitch-standin-store``."""
 
-import argparse
-import asyncio
+from cleo.helpers import option
 
-from azureswitch_standins._web import run_until_signal
+from azureswitch.programs import run_program
+from azureswitch.settings import Number
+from azureswitch_standins._program import StandinProgram
 from azureswitch_standins.store._http import StoreStandin
 from azureswitch_standins.store._model import StoreLimits, StoreModel
 
+_RATE = Number(low=0.001)
+_DEFAULTS = StoreLimits()
 
-def main() -> None:
-    """Serve a store until SIGTERM or SIGINT."""
-    defaults = StoreLimits()
-    parser = argparse.ArgumentParser(description="Stand-in for the platform's object store.")
-    parser.add_argument("--host", default="127.0.0.1", help="IP to listen on")
-    parser.add_argument("--port", type=int, default=0, help="port to listen on, 0 for any")
-    parser.add_argument("--reads", type=float, default=defaults.reads, help="reads a second")
-    parser.add_argument("--writes", type=float, default=defaults.writes, help="writes a second")
-    options = parser.parse_args()
-    limits = StoreLimits(reads=options.reads, writes=options.writes)
-    standin = StoreStandin(model=StoreModel(limits=limits), host=options.host, port=options.port)
-    asyncio.run(run_until_signal(server=standin))
+
+class StoreProgram(StandinProgram):
+    """Serves an object store, empty at first."""
+
+    name = "azureswitch-standin-store"
+    description = "Stand-in for the platform's object store."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        *StandinProgram.options,
+        option("reads", description=f"Reads a second, else {_DEFAULTS.reads:g}.", flag=False),
+        option("writes", description=f"Writes a second, else {_DEFAULTS.writes:g}.", flag=False),
+    ]
+
+    def standin(self) -> StoreStandin:
+        """Return the store."""
+        limits = StoreLimits(
+            reads=self.value("reads", _RATE, default=_DEFAULTS.reads),
+            writes=self.value("writes", _RATE, default=_DEFAULTS.writes),
+        )
+        return StoreStandin(model=StoreModel(limits=limits), host=self.host, port=self.port)
+
+
+def main() -> int:
+    """Serve a store until SIGTERM or SIGINT, and return the exit code."""
+    return run_program(StoreProgram())
