Fit polls and reports of large fleets into the byte budget

Cause: a poll of an engine costs 357 bytes and a read of its cache events 248 at least, so that before 600 engines these alone were over a host's budget; and both pollers of an engine told every host of it.

Change: in fleets of more than 16 hosts, one of an engine's two pollers tells a given host, a host polls for others 2.5 times a second, and before more than 32 engines it reads cache events four times a second. Digests of hosts that start together do not go out in step.

--- a/src/azureswitch/coordination/sharing/_limits.py
+++ b/src/azureswitch/coordination/sharing/_limits.py
@@ -19,7 +19,7 @@
 BURST_BYTES = 2_400.0
 """Bytes that a host may send at once after it has sent little."""
 
-MESSAGE_OVERHEAD = 48
+MESSAGE_OVERHEAD = 52
 """Bytes that a datagram has beside its body: IP, UDP, its envelope and kind, about."""
 
 FULL_HOSTS = 16
@@ -31,7 +31,7 @@
 POLL_PERIOD = 0.4
 """Seconds between two polls of one engine by one host; two hosts poll in turns."""
 
-POLLS_MOST = 4.0
+POLLS_MOST = 2.5
 """Polls a second that a host of a large fleet is meant for; more engines are polled less often."""
 
 SCAN_PERIOD = 0.5
@@ -46,7 +46,7 @@
 REPORTS_PER_MESSAGE = 16
 """Reports in one datagram."""
 
-ELSEWHERE_EVERY = 8
+ELSEWHERE_EVERY = 16
 """One in so many datagrams of a large fleet goes to another place."""
 
 TICK = 0.1
--- a/src/azureswitch/coordination/sharing/_meter.py
+++ b/src/azureswitch/coordination/sharing/_meter.py
@@ -9,12 +9,14 @@
     Args:
         rate: Bytes a second.
         burst: Bytes that may be sent at once.
+        level: Bytes that may be sent at first; below zero, hosts that start together do not send
+            in step.
     """
 
-    def __init__(self, *, rate: float, burst: float = BURST_BYTES) -> None:
+    def __init__(self, *, rate: float, burst: float = BURST_BYTES, level: float = 0.0) -> None:
         self._rate = rate
         self._burst = burst
-        self._level = 0.0
+        self._level = level
         self._at: float | None = None
 
     def take(self, size: int, *, now: float) -> bool:
--- a/src/azureswitch/coordination/sharing/_reduce.py
+++ b/src/azureswitch/coordination/sharing/_reduce.py
@@ -155,26 +155,30 @@
     effects: list[Effect] = []
     while near or far:
         elsewhere = bool(far) and (not near or state.sent % ELSEWHERE_EVERY == 0)
-        sent = _tell(state, (far if elsewhere else near).pop(0), now)
-        if not sent:
+        host = (far if elsewhere else near).pop(0)
+        messages = _messages(state, host, now)
+        if not messages:
+            continue
+        size = sum(len(encode(message)) + MESSAGE_OVERHEAD for message in messages)
+        if not state.full and not state.meter.take(size, now=now):
             return effects
-        effects += sent
+        state.told(host, now=now)
+        effects += [SendReports(address=host.address, message=message) for message in messages]
     return effects
 
 
-def _tell(state: SharingState, host: SharingHost, now: float) -> list[Effect]:
+def _messages(state: SharingState, host: SharingHost, now: float) -> list[EngineReports]:
+    """Return what a host has not been sent yet."""
     known = state.visited[host.address].number
-    fresh = [item for item in state.learned.values() if item.number > known]
-    shared = tuple(_packed(state, item, now) for item in fresh)
-    messages = [
+    shared = tuple(
+        _packed(state, item, now)
+        for item in state.learned.values()
+        if item.number > known and state.tells(item.report.target, host)
+    )
+    return [
         EngineReports(reports=shared[start : start + REPORTS_PER_MESSAGE])
         for start in range(0, len(shared), REPORTS_PER_MESSAGE)
     ]
-    size = sum(len(encode(message)) + MESSAGE_OVERHEAD for message in messages)
-    if not state.full and not state.meter.take(size, now=now):
-        return []
-    state.told(host, now=now)
-    return [SendReports(address=host.address, message=message) for message in messages]
 
 
 def _packed(state: SharingState, item: Learned, now: float) -> SharedReport:
--- a/src/azureswitch/coordination/sharing/_state.py
+++ b/src/azureswitch/coordination/sharing/_state.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from xxhash import xxh3_64_intdigest
+
 from azureswitch.coordination.hashing import ranked
 from azureswitch.coordination.sharing._limits import (
     FULL_HOSTS,
@@ -64,7 +66,7 @@
         self._hosts: dict[str, SharingHost] = {}
         self._engines: dict[TargetName, Target] = {}
         self._regions: dict[PlaceName, str] = {}
-        self._mine: frozenset[TargetName] = frozenset()
+        self._ranks: dict[TargetName, int] = {}
         self.meter = Meter(rate=REPORT_BYTES)
         self.polling: set[TargetName] = set()
         self.due: dict[TargetName, float] = {}
@@ -90,7 +92,7 @@
     @property
     def mine(self) -> frozenset[TargetName]:
         """The engines that this host polls for others."""
-        return self._mine
+        return frozenset(self._ranks)
 
     @property
     def full(self) -> bool:
@@ -100,7 +102,7 @@
     @property
     def period(self) -> float:
         """Seconds between two polls of one engine by this host."""
-        return POLL_PERIOD if self.full else max(POLL_PERIOD, len(self._mine) / POLLS_MOST)
+        return POLL_PERIOD if self.full else max(POLL_PERIOD, len(self._ranks) / POLLS_MOST)
 
     @property
     def near(self) -> list[SharingHost]:
@@ -129,6 +131,12 @@
         """Seconds without a report after which a host polls an engine itself."""
         return MISSED_REPORTS * max(self.period, self._gap)
 
+    def tells(self, target: TargetName, host: SharingHost) -> bool:
+        """Whether this poller of an engine is the one that tells a host, or both do."""
+        if self.full:
+            return True
+        return self._ranks[target] == xxh3_64_intdigest(f"{target}\0{host.name}".encode()) % POLLERS
+
     def told(self, host: SharingHost, *, now: float) -> None:
         """Note that a host was sent reports."""
         since = self.visited[host.address].at
@@ -164,15 +172,16 @@
         """Find out which engines this host polls."""
         polling = [host for host in self._hosts.values() if host.polls]
         groups: dict[PlaceName, frozenset[HostName]] = {}
-        mine = set()
+        ranks: dict[TargetName, int] = {}
         for engine in self._engines.values():
             hosts = groups.get(engine.place)
             if hosts is None:
                 hosts = groups[engine.place] = self._candidates(engine.place, polling)
-            if self._host in hosts and self._host in _pollers(engine, hosts):
-                mine.add(engine.name)
-        self._mine = frozenset(mine)
-        self.learned = {name: item for name, item in self.learned.items() if name in mine}
+            pollers = _pollers(engine, hosts) if self._host in hosts else ()
+            if self._host in pollers:
+                ranks[engine.name] = pollers.index(self._host)
+        self._ranks = ranks
+        self.learned = {name: item for name, item in self.learned.items() if name in ranks}
 
     def _candidates(self, place: PlaceName, polling: list[SharingHost]) -> frozenset[HostName]:
         """Return the hosts of a place, of its region where they are too few, or all."""
--- a/src/azureswitch/entry/_caches.py
+++ b/src/azureswitch/entry/_caches.py
@@ -22,6 +22,9 @@
 CACHE_ENGINES = 32
 """Engines whose cache events one host follows at most."""
 
+CACHE_READS_MOST = 4.0
+"""Reads a second of a host before more engines than it follows: each costs some 250 bytes."""
+
 CACHE_TIMEOUT = 1.0
 """Seconds that an engine may take to answer."""
 
@@ -57,7 +60,11 @@
         """Follow caches until cancelled."""
         while True:
             await asyncio.gather(*(self._read(name) for name in self._followed()))
-            await asyncio.sleep(CACHE_PERIOD * self._random.uniform(0.9, 1.1))
+            await asyncio.sleep(self._period() * self._random.uniform(0.9, 1.1))
+
+    def _period(self) -> float:
+        many = len(self._targets.engines) > CACHE_ENGINES
+        return CACHE_ENGINES / CACHE_READS_MOST if many else CACHE_PERIOD
 
     def _followed(self) -> tuple[TargetName, ...]:
         """Return the engines to follow: all, or the host's own choice of many."""
--- a/src/azureswitch/entry/_digests.py
+++ b/src/azureswitch/entry/_digests.py
@@ -13,6 +13,7 @@
 
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.coordination.sharing import (
+    BURST_BYTES,
     DIGEST_BYTES,
     FULL_HOSTS,
     MESSAGE_OVERHEAD,
@@ -27,6 +28,9 @@
 from azureswitch.ports import Peers
 from azureswitch.serving import Digest, DigestReceived, ServingEvent
 
+START_DEBT = 10_000.0
+"""Bytes by which hosts that start together are apart in their budgets at most."""
+
 CALL_TIMEOUT = 1.0
 """Seconds for a digest that does not fit into a datagram."""
 
@@ -65,7 +69,8 @@
         self._clock = clock
         self._random = Random(seed)
         self._tasks = Tasks(prefix="entry")
-        self._meter = Meter(rate=DIGEST_BYTES)
+        debt = self._random.uniform(0.0, START_DEBT)
+        self._meter = Meter(rate=DIGEST_BYTES, level=BURST_BYTES - debt)
         self._visited: dict[str, float] = {}
         peers.handle(PackedDigest, self._receive)
 
