Take back requests that wait for memory at an engine that runs none

Cause: two hosts may send to the same free memory within the lag of their digests. Change: where reports show for a second that requests wait and none runs, hosts take back what they sent and send it elsewhere.

--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -31,6 +31,9 @@
 BLOCK_SECONDS = {Level.SHORT: 0.02, Level.MIDDLE: 0.1, Level.LONG: 0.25}
 """Seconds for which a lane is not looked at again once no target had room for it."""
 
+FULL_SECONDS = 1.0
+"""Seconds for which an engine whose memory others hold gets no new work."""
+
 AT_ONCE_SECONDS = 0.001
 """A target that answers sooner than this had the answer, so that it tells nothing of costs."""
 
@@ -183,6 +186,29 @@
     return effects
 
 
+def withdraw(state: ServingState, target: TargetName, *, now: float) -> list[Effect]:
+    """Take back what waits at an engine whose memory others hold, to send it elsewhere.
+
+    Two hosts may have sent to the same free memory at once.  What waits for it may stand before the
+    very request that would free it, so that neither would ever run.
+    """
+    effects: list[Effect] = []
+    state.fleet.full(target, seconds=FULL_SECONDS, now=now)
+    for record in list(state.calls.values()):
+        at = [
+            attempt.number
+            for attempt in record.attempts.values()
+            if attempt.targets == (target,) and attempt.first_token is None
+        ]
+        if not at or not record.call.repeatable:
+            continue
+        for number in at:
+            effects += _cancel(state, record, number)
+        if not record.attempts:
+            effects += dispatch(state, record, now=now)
+    return effects
+
+
 def age(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
     """Raise the priority of an attempt that has waited long for its first token."""
     attempt = record.attempts.get(number)
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -125,6 +125,7 @@
         suspected_until: Until when others are preferred, since it failed at a peer.
         saved_until: Until when a peer saves its memory.
         silent_since: Since when it has answered no poll, or None.
+        stuck_since: Since when requests wait there although none runs, or None.
         failures: Failures in a row.
     """
 
@@ -142,6 +143,7 @@
     suspected_until: float = 0.0
     saved_until: float = 0.0
     silent_since: float | None = None
+    stuck_since: float | None = None
     failures: int = 0
 
     def usable(self, now: float) -> bool:
@@ -328,21 +330,30 @@
                 state.backlog = [0.0] * len(Level)
                 self._loaded.discard(name)
 
-    def report(self, report: LoadReport, *, now: float, age: float) -> None:
-        """Take over a load report, unless a newer one is known."""
+    def report(self, report: LoadReport, *, now: float, age: float) -> float:
+        """Take over a load report, unless a newer one is known.
+
+        Returns:
+            For how many seconds requests have waited there although none runs.
+        """
         state = self._states.get(report.target)
         if state is None:
-            return
+            return 0.0
         known = state.report
         if known is not None and known.started == report.started:
             if report.sequence <= known.sequence:
-                return
+                return 0.0
         elif known is not None and report.started < known.started:
-            return
+            return 0.0
         state.silent_since = None
         state.report = report
         state.report_at = now - age - REPORT_LAG
         state.prune(now)
+        if report.running or not report.waiting:
+            state.stuck_since = None
+        elif state.stuck_since is None:
+            state.stuck_since = now
+        return 0.0 if state.stuck_since is None else now - state.stuck_since
 
     def unreachable(self, target: TargetName, *, now: float) -> float:
         """Give a target no new work for a while.
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -18,6 +18,7 @@
     out_of_time,
     progress,
     too_late,
+    withdraw,
 )
 from azureswitch.serving._effects import (
     ClaimCall,
@@ -50,7 +51,7 @@
     TokensArrived,
 )
 from azureswitch.serving._length import Level, level_of
-from azureswitch.serving._retries import LOST_SECONDS
+from azureswitch.serving._retries import LOST_SECONDS, STUCK_SECONDS
 from azureswitch.serving._state import CallRecord, Phase, ServingState, Timer, TimerKind
 
 TICK = 0.05
@@ -209,8 +210,10 @@
 
 @_apply.register
 def _(event: LoadReported, state: ServingState) -> list[Effect]:
-    state.fleet.report(event.report, now=event.now, age=event.age)
-    return []
+    stuck = state.fleet.report(event.report, now=event.now, age=event.age)
+    if stuck < STUCK_SECONDS:
+        return []
+    return withdraw(state, event.report.target, now=event.now)
 
 
 @_apply.register
--- a/src/azureswitch/serving/_retries.py
+++ b/src/azureswitch/serving/_retries.py
@@ -8,10 +8,10 @@
 RETRY_FLOOR = 20.0
 """Retries permitted beside that, so that a quiet host may still retry."""
 
-HEDGE_FACTOR = 3.0
+HEDGE_FACTOR = 5.0
 """Times its expected time to the first token after which a short prompt is hedged."""
 
-HEDGE_LEAST = 0.5
+HEDGE_LEAST = 2.0
 """Seconds without a first token before a hedge, at least."""
 
 HEDGE_COST = 2.0
@@ -20,6 +20,9 @@
 LOST_SECONDS = 1.5
 """Seconds without an answer to any poll after which a target's attempts are started elsewhere."""
 
+STUCK_SECONDS = 1.0
+"""Seconds for which requests wait at an engine that runs none before they are taken back."""
+
 MOST_RETRIES = 8
 """Retries of one call, at most."""
 
--- a/tests/serving/test_policy.py
+++ b/tests/serving/test_policy.py
@@ -1,5 +1,7 @@
 """Admission, fairness, routing and length, matter by matter."""
 
+from dataclasses import replace
+
 import pytest
 
 from azureswitch.core import HostName, TargetName
@@ -263,6 +265,18 @@
         assert [s.targets != first.targets for s in started(driver, "c1")[1:]] == [True]
         assert [c.attempt for c in only(CancelAttempt, driver.effects)] == [1]
 
+    def test_stuck(self) -> None:
+        """What waits at an engine that runs nothing is taken back and sent elsewhere."""
+        driver = Driver()
+        (first,) = driver.start_all([model_call("c1", tokens=300_000, deadline=900.0)])
+        (name,) = first.targets
+        for sequence in range(8):
+            driver.tick(driver.now + 0.25)
+            stuck = replace(report(name, sequence=sequence, used=400_000), waiting=1)
+            driver.send(LoadReported(now=driver.now, report=stuck))
+        assert [c.attempt for c in only(CancelAttempt, driver.effects)] == [1]
+        assert [s.targets != first.targets for s in started(driver, "c1")[1:]] == [True]
+
     def test_no_storm(self) -> None:
         """When every engine breaks at once, retries stay within the budget."""
         driver = Driver()
