Send a claimed call once, whatever its method

Cause: a service may leave GET out of its `repeatable_methods`. Such a call is claimed, but the adapter asked for a new connection by method alone, and on a kept one the client sends a safe method again by itself where the server closes it before an answer. A claimed call ran twice.

Ruled out: the reducer, which never sends such a call again after a break; POST, which got a new connection already; engines, which are asked by POST; a target's 503, which counts as not run only where its body says `not_run`.

Change: a call with a key gets a new connection. Beside that, headers that a `Connection` header names, and `Proxy-Connection`, are no longer passed on in either direction.

Before: the server saw the keyed GET twice (3 requests in place of 2).

Conclusion: no layer below the reducer repeats a claimed call.

--- a/src/azureswitch/engines/_plain.py
+++ b/src/azureswitch/engines/_plain.py
@@ -1,5 +1,7 @@
 """One target of a plain service over HTTP."""
 
+from collections.abc import Set
+
 from azureswitch.client import SAFE_METHODS, Headers, HttpClient
 from azureswitch.core import TargetName
 from azureswitch.engines._failures import says_not_run
@@ -19,6 +21,7 @@
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
+        "proxy-connection",
         "te",
         "trailer",
         "transfer-encoding",
@@ -44,7 +47,8 @@
     async def send(self, *, request: PlainRequest) -> PlainAnswer:
         """Send a call once and return its whole answer.
 
-        A call that may not repeat gets a connection of its own.
+        A call with a key gets a new connection, whatever its method: on a kept one the client may
+        send a safe method again by itself.
         """
         try:
             answer = await self._client.request(
@@ -53,7 +57,7 @@
                 headers=_headers(request),
                 body=request.body,
                 timeout=request.timeout,
-                fresh=request.method not in SAFE_METHODS,
+                fresh=request.idempotency_key is not None or request.method not in SAFE_METHODS,
             )
         except HttpNotSentError as error:
             raise TargetRefusedError(target=self._target) from error
@@ -63,7 +67,7 @@
             raise TargetRefusedError(target=self._target, seconds=answer.head.retry_after)
         return PlainAnswer(
             status=answer.head.status,
-            headers=_without(answer.head.headers, CONNECTION_HEADERS),
+            headers=end_to_end(answer.head.headers),
             body=answer.body,
         )
 
@@ -72,13 +76,23 @@
         self._client.close()
 
 
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that concern more than one connection.
+
+    A ``Connection`` header may name others that concern its connection alone.
+    """
+    named = (value.split(",") for name, value in headers if name.lower() == "connection")
+    tokens = {token.strip().lower() for tokens in named for token in tokens}
+    return _without(headers, CONNECTION_HEADERS | tokens)
+
+
 def _headers(request: PlainRequest) -> Headers:
-    passed = _without(request.headers, CONNECTION_HEADERS | OWN_HEADERS)
+    passed = _without(end_to_end(request.headers), OWN_HEADERS)
     headers = (*passed, ("x-request-id", request.call))
     if request.idempotency_key is None:
         return headers
     return (*headers, ("idempotency-key", request.idempotency_key))
 
 
-def _without(headers: Headers, names: frozenset[str]) -> Headers:
+def _without(headers: Headers, names: Set[str]) -> Headers:
     return tuple((name, value) for name, value in headers if name.lower() not in names)
--- a/tests/engines/test_engines.py
+++ b/tests/engines/test_engines.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
@@ -276,3 +277,29 @@
             assert "secret" not in head
 
         asyncio.run(run())
+
+    def test_kept_connection(self) -> None:
+        """A call with a key is not sent again where a kept connection breaks, safe or not."""
+        seen: list[str] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for _ in range(2):
+                head = await reader.readuntil(b"\r\n\r\n")
+                seen.append(head.decode().partition(" ")[2])
+                if b"idempotency-key" in head:
+                    break
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            writer.close()
+
+        async def run() -> None:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            target = HttpPlainTarget(target=TargetName("s"), address=f"127.0.0.1:{port}")
+            tally = replace(plain_request(method="GET"), body=b"")
+            await target.send(request=replace(tally, idempotency_key=None))
+            with pytest.raises(TargetBrokenError):
+                await target.send(request=tally)
+            server.close()
+
+        asyncio.run(run())
+        assert len(seen) == 2
