Bound what a caller may send beside the bytes of a body

Cause: headers were counted up to the end of the head alone. The lines behind a chunked body were neither counted nor dropped: one caller could send them for the whole read timeout, all kept in memory, and those that came with the head became headers of the request.

Ruled out: large heads, many headers and large bodies, which are refused; slow heads and bodies, which are timed.

Change: bytes that are neither head nor body are counted and refused at the limit of headers (eight such bytes are free for each byte of a body); headers behind a body are dropped.

Conclusion: what a connection costs before its request is known is bounded.

--- a/src/azureswitch/entry/_http.py
+++ b/src/azureswitch/entry/_http.py
@@ -25,6 +25,9 @@
 KEEP_ALIVE = 75
 """Seconds that an idle connection is kept, longer than balancers keep theirs."""
 
+OVERHEAD = 8
+"""Bytes of framing that one byte of a body may take, so that the smallest chunks pass."""
+
 START_POLL = 0.005
 """Seconds between two looks whether the server listens."""
 
@@ -39,6 +42,7 @@
     limits = Limits()
 
     _header_bytes = 0
+    _overhead_bytes = 0
     _in_headers = True
     _header_timer: asyncio.TimerHandle | None = None
     _refusal: RequestError | None = None
@@ -54,13 +58,16 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Count what arrives while headers are being read."""
+        """Count what arrives while headers are being read, or beside the bytes of a body."""
         if self._in_headers:
             self._header_bytes += len(data)
             if self._header_timer is None:
                 self._arm()
+        else:
+            self._overhead_bytes += len(data)
         super().data_received(data)
-        if self._in_headers and self._header_bytes > self.limits.header_bytes:
+        size = self._header_bytes if self._in_headers else self._overhead_bytes
+        if size > self.limits.header_bytes:
             self._refuse(HeadersTooLargeError(limit=self.limits.header_bytes))
 
     def on_message_begin(self) -> None:
@@ -74,15 +81,26 @@
         self._disarm()
         self._in_headers = False
         size = len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
+        self._overhead_bytes = max(0, self._header_bytes - size)
         if size > self.limits.header_bytes:
             self._refusal = HeadersTooLargeError(limit=self.limits.header_bytes)
             raise _RefusedError()
         super().on_headers_complete()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header, but none that comes behind the body."""
+        if self._in_headers:
+            super().on_header(name, value)
+
+    def on_body(self, body: bytes) -> None:
+        """Take part of a body."""
+        self._overhead_bytes = max(0, self._overhead_bytes - OVERHEAD * len(body))
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Expect the headers of a next request."""
         self._in_headers = True
-        self._header_bytes = 0
+        self._header_bytes = self._overhead_bytes = 0
         super().on_message_complete()
 
     def send_400_response(self, msg: str) -> None:
