Tell calls to two services apart, and pass on no hop's headers

Cause: the fingerprint that tells a repeat from another request held method, path below the service and body, but not the service. A key used again for another service with the same path and body got the first service's answer. Headers named by `Connection` went on to the target. A path with an encoded separator, a backslash or a parameter behind its dots (`a%2f..%2fb`, `..%5ca`, `..;a`) passed the check against `..`.

Change: the service is part of the fingerprint; one list of connection headers for both directions, and what `Connection` names besides; dots are looked for after decoding, at either slash and before a semicolon.

Before: 201 with the other service's answer, three paths passed, two headers passed on. After: 422, 404, none.

Conclusion: a recorded answer goes to its own request alone.

--- a/src/azureswitch/entry/_api.py
+++ b/src/azureswitch/entry/_api.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from hashlib import sha256
 from http import HTTPStatus
+from re import compile
 from urllib.parse import unquote
 
 from blacksheep import Application, Content, Request, Response, Router, StreamedContent
@@ -11,6 +12,7 @@
 
 from azureswitch.coordination.journal import Resilience, resilience
 from azureswitch.core import CallId, CustomerName, ServiceName
+from azureswitch.engines import CONNECTION_HEADERS, end_to_end
 from azureswitch.entry._answers import PlainSlot, Recording, Relay, StreamAnswer
 from azureswitch.entry._bodies import Completion, read_completion
 from azureswitch.entry._errors import error_event, error_response
@@ -46,31 +48,20 @@
 EVENT_STREAM = b"text/event-stream"
 """The type of an answer of server-sent events."""
 
-_HOP_HEADERS = frozenset(
+_OWN_HEADERS = frozenset(
     (
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
+        "authorization",
+        "expect",
+        "host",
+        "idempotency-key",
+        "x-request-id",
+        "x-request-timeout",
     )
 )
-"""Headers that concern one connection only."""
-
-_OWN_HEADERS = _HOP_HEADERS | {
-    "authorization",
-    "expect",
-    "host",
-    "idempotency-key",
-    "x-request-id",
-    "x-request-timeout",
-}
 """Headers of callers that are not passed on as they are."""
 
+_SEPARATORS = compile(r"[/\\]")
+
 _STATUSES = range(200, 600)
 """Statuses that a plain target may answer with."""
 
@@ -265,7 +256,7 @@
                 deadline=self._shell.now + (timeout or rule),
                 repeatable=repeatable,
                 idempotency_key=key,
-                fingerprint=_fingerprint(request.method, path, body),
+                fingerprint=_fingerprint(request.method, name, path, body),
             ),
             payload=PlainPayload(
                 method=request.method, path=path, headers=_passed_on(request), body=body
@@ -309,21 +300,23 @@
     raw = request.url.path.decode("latin-1")
     _, _, name, *rest = raw.split("/", 3)
     path = "/" + "".join(rest)
-    if any(unquote(segment) in (".", "..") for segment in path.split("/")):
+    # Targets differ in what they decode, split at, and cut off before they follow dots.
+    segments = _SEPARATORS.split(unquote(path))
+    if any(segment.partition(";")[0] in (".", "..") for segment in segments):
         raise UnknownPathError()
     query = request.url.query
     return name, f"{path}?{query.decode('latin-1')}" if query else path
 
 
 def _passed_on(request: Request) -> tuple[tuple[str, str], ...]:
-    headers = (
+    headers = tuple(
         (name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in request.headers
     )
-    return tuple((name, value) for name, value in headers if name not in _OWN_HEADERS)
+    return tuple(item for item in end_to_end(headers) if item[0] not in _OWN_HEADERS)
 
 
-def _fingerprint(method: str, path: str, body: bytes) -> str:
-    digest = sha256(f"{method} {path}\n".encode())
+def _fingerprint(method: str, service: str, path: str, body: bytes) -> str:
+    digest = sha256(f"{method} {service} {path}\n".encode())
     digest.update(body)
     return digest.hexdigest()
 
@@ -335,7 +328,7 @@
         lower = name.lower()
         if lower == "content-type":
             content_type = value.encode("latin-1", "replace")
-        elif lower not in _HOP_HEADERS and lower not in ("x-request-id", "date", "server"):
+        elif lower not in CONNECTION_HEADERS and lower not in ("x-request-id", "date", "server"):
             headers.append((lower.encode(), value.encode("latin-1", "replace")))
     status = answer.status if answer.status in _STATUSES else int(HTTPStatus.BAD_GATEWAY)
     return Response(status, headers, Content(content_type, answer.body) if answer.body else None)
--- a/tests/entry/rig.py
+++ b/tests/entry/rig.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from hashlib import sha256
 from threading import Thread
 from typing import Any, TypeVar
@@ -85,8 +86,18 @@
         services=(
             Service(name=pool, kind=ServiceKind.MODEL),
             Service(name=desk, kind=ServiceKind.PLAIN),
+            Service(name=ServiceName("till"), kind=ServiceKind.PLAIN),
+        ),
+        targets=(
+            *targets,
+            plain,
+            replace(
+                plain,
+                name=TargetName("till-1"),
+                service=ServiceName("till"),
+                address="127.0.0.1:2",
+            ),
         ),
-        targets=(*targets, plain),
         customers=tuple(
             Customer(name=CustomerName(name), key_hash=sha256(key.encode()).hexdigest())
             for name, key in (("alder", KEY), ("birch", OTHER_KEY))
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -87,12 +87,9 @@
         path="/s/desk/orders",
         headers={"idempotency-key": "a b"},
     ),
-    Bad(
-        name="path upwards",
-        code="path_not_found",
-        status=404,
-        method="GET",
-        path="/s/desk/%2e%2e/a",
+    *(
+        Bad(name=f"path {path}", code="path_not_found", status=404, method="GET", path=path)
+        for path in ("/s/desk/%2e%2e/a", "/s/desk/a%2f..%2fb", "/s/desk/..;a/b", "/s/desk/..%5ca")
     ),
     Bad(
         name="large headers",
@@ -139,6 +136,14 @@
                 "caller_too_slow",
             ),
             (b"GET /" + b"a" * 5_000, "headers_too_large"),
+            (
+                b"POST /v1/completions HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n"
+                b"authorization: Bearer "
+                + KEY.encode()
+                + b"\r\n\r\n1\r\n{\r\n0\r\n"
+                + b"a: b\r\n" * 1_000,
+                "headers_too_large",
+            ),
             (b"\x16\x03\x01\x00\xff\r\n\r\n", "malformed_request"),
         ],
     )
@@ -240,18 +245,21 @@
 
     def test_service(self, rig: Rig) -> None:
         """A plain service gets the request as it was sent, without the caller's key."""
-        answer = rig.post("/s/desk/orders/7?fast=1", {"a": 1}, **{"idempotency-key": "seven"})
+        hops = {"connection": "keep-alive, X-Hop", "x-hop": "1", "proxy-connection": "keep-alive"}
+        path = "/s/desk/orders/7%0d%0aa:%20b?fast=1"
+        answer = rig.post(path, {"a": 1}, **{"idempotency-key": "seven", **hops})
         seen = rig.plain.seen[-1]
         assert (answer.status_code, answer.json()) == (201, {"a": 1})
-        assert (seen.method, seen.path) == ("POST", "/orders/7?fast=1")
-        assert "authorization" not in dict(seen.headers)
+        assert (seen.method, seen.path) == ("POST", "/orders/7%0d%0aa:%20b?fast=1")
+        assert dict(seen.headers).keys().isdisjoint({"authorization", *hops})
 
     def test_repeated_key(self, rig: Rig) -> None:
-        """A repeated Idempotency-Key gets the first answer, another customer's a run of its own."""
+        """A repeated Idempotency-Key gets the first answer, and only to the same request."""
         for path, body, status in (
             ("/s/desk/orders", 1, 201),
             ("/s/desk/orders", 1, 201),
             ("/s/desk/orders", 2, 422),
+            ("/s/till/orders", 1, 422),
         ):
             answer = rig.post(path, body, **{"idempotency-key": "once"})
             assert answer.status_code == status
