--- a/src/azureswitch/serving/_fairness.py
+++ b/src/azureswitch/serving/_fairness.py
@@ -17,6 +17,9 @@
 SPREAD_SECONDS = 30.0
 """Time constant over which a greater charge counts, as long work runs for long as well."""
 
+TELL_TIMES = 3
+"""Digests in which a customer's use is told after it changed."""
+
 RATE_SECONDS = 20.0
 """Time constant over which a customer's use is smoothed."""
 
@@ -62,14 +65,27 @@
 
 @dataclass(slots=True, kw_only=True)
 class PeerUse:
-    """What one peer said last of its customers' use."""
+    """What one peer said last of its customers' use.
+
+    Attributes:
+        started: The peer's incarnation.
+        sequence: Its last digest.
+        whole: Whether it has been heard from its start on.
+        uses: Its totals.
+    """
 
     started: int
     sequence: int
-    at: float
+    whole: bool
     uses: dict[CustomerName, float] = field(default_factory=dict)
 
 
+def _heard_whole(known: PeerUse | None, digest: Digest) -> bool:
+    if known is None:
+        return digest.sequence <= TELL_TIMES
+    return known.whole or known.started != digest.started
+
+
 class Fairness:
     """Limits in engine seconds and virtual counters, shared among hosts by digests.
 
@@ -84,6 +100,7 @@
         self._hosts = 1
         self._heard = 0.0
         self._weighed = 0.0
+        self._untold: dict[CustomerName, int] = {}
 
     @property
     def hosts(self) -> int:
@@ -120,15 +137,19 @@
         number = (digest.started, digest.sequence)
         if known is not None and number <= (known.started, known.sequence):
             return False
-        restarted = known is None or known.started != digest.started
-        before = {} if known is None or restarted else known.uses
+        same = known is not None and known.started == digest.started
+        before = known.uses if known is not None and same else {}
+        whole = _heard_whole(known, digest)
         uses = {use.customer: use.seconds for use in digest.uses}
         for name, seconds in uses.items():
-            # A first digest tells the use since the peer's start, most of it long refilled.
-            more = seconds - before.get(name, seconds if restarted else 0.0)
+            # Of a peer that ran before it was heard, most use has been refilled long since.
+            more = seconds - before.get(name, 0.0 if whole else seconds)
             self._charge_peer(name, more, now=now)
         self._peers[digest.host] = PeerUse(
-            started=digest.started, sequence=digest.sequence, at=now, uses={**before, **uses}
+            started=digest.started,
+            sequence=digest.sequence,
+            whole=whole,
+            uses={**before, **uses},
         )
         self._heard = now
         return True
@@ -190,6 +211,7 @@
             return
         self._charge(account, seconds, now=now)
         account.used = max(0.0, account.used + seconds)
+        self._untold[customer] = TELL_TIMES
 
     def serve(self, customer: CustomerName, seconds: float) -> None:
         """Count engine seconds that were sent to a target, in the virtual counter."""
@@ -233,9 +255,14 @@
         return account.weight if account else 1.0
 
     def uses(self) -> tuple[CustomerUse, ...]:
-        """Return what was admitted here for each customer that used anything."""
-        return tuple(
-            CustomerUse(customer=name, seconds=account.used)
-            for name, account in sorted(self._accounts.items())
-            if account.used > 0.0
+        """Return the totals for the next digest: of customers whose use changed lately.
+
+        A total is told several times, since digests may be lost; the next change repairs the rest.
+        """
+        told = tuple(
+            CustomerUse(customer=name, seconds=round(self._accounts[name].used, 3))
+            for name in sorted(self._untold)
+            if name in self._accounts
         )
+        self._untold = {name: times - 1 for name, times in self._untold.items() if times > 1}
+        return told
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -246,6 +246,7 @@
         self._plain: set[ServiceName] = set()
         self._services: set[ServiceName] = set()
         self._loaded: set[TargetName] = set()
+        self._suspects: dict[TargetName, float] = {}
         self._savers: dict[HostName, float] = {}
         self._saved: dict[TargetName, tuple[CallId, float]] = {}
         self._heard: dict[HostName, set[TargetName]] = {}
@@ -266,6 +267,7 @@
                 states[target.name] = TargetState(target=target, nearness=nearness)
         self._states = states
         self._loaded &= states.keys()
+        self._suspects = {n: until for n, until in self._suspects.items() if n in states}
         self._services = {service.name for service in inventory.services}
         self._plain = {s.name for s in inventory.services if s.kind is ServiceKind.PLAIN}
         self._pools = _pools(inventory.targets)
@@ -365,6 +367,7 @@
         if state is None:
             return 0.0
         state.unusable_until = max(state.unusable_until, now + UNREACHABLE_SECONDS)
+        self._suspects[target] = state.unusable_until
         if state.silent_since is None:
             state.silent_since = now
         return now - state.silent_since
@@ -383,6 +386,7 @@
             state.failures += 1
             pause = min(EJECT_MOST, EJECT_FIRST * 2.0 ** (state.failures - 1))
             state.ejected_until = now + pause
+            self._suspects[target] = state.ejected_until
 
     def succeeded(self, target: TargetName) -> None:
         """Forget the failures of a target."""
@@ -424,11 +428,8 @@
 
     def suspects(self, *, now: float) -> tuple[TargetName, ...]:
         """Return the targets that failed here and are kept out of use."""
-        return tuple(
-            name
-            for name, state in sorted(self._states.items())
-            if now < state.ejected_until or now < state.unusable_until
-        )
+        self._suspects = {name: until for name, until in self._suspects.items() if now < until}
+        return tuple(sorted(self._suspects))
 
     def set_hosts(self, hosts: Iterable[HostName]) -> None:
         """Forget what hosts that are gone had outstanding."""
