Stop the processes of a benchmark that is told to stop

Cause: a benchmark ended by SIGTERM would have left its processes running. Change: SIGTERM cancels the measurement, which ends them.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -6,12 +6,13 @@
 """
 
 import sys
-from asyncio import Event, gather, get_running_loop, run, sleep, timeout
+from asyncio import Event, current_task, gather, get_running_loop, run, sleep, timeout
 from asyncio.subprocess import DEVNULL, Process, create_subprocess_exec
 from collections import Counter
 from collections.abc import Iterable
 from functools import partial
 from random import Random
+from signal import SIGTERM
 from statistics import median
 from time import monotonic
 
@@ -247,6 +248,10 @@
 
 async def _measure_processes(count: int) -> list[Record]:
     nodes = _Nodes(count=count)
+    task = current_task()
+    assert task is not None
+    # The processes must not outlive a benchmark that is told to stop.
+    get_running_loop().add_signal_handler(SIGTERM, task.cancel)
     await nodes.start()
     try:
         changes = Changes(store=nodes.store)
