--- a/src/azureswitch/coordination/configuration/_driver.py
+++ b/src/azureswitch/coordination/configuration/_driver.py
@@ -209,7 +209,11 @@
     @_carry_out.register
     def _(self, effect: Adopt) -> None:
         for listener in self._listeners:
-            listener(effect.revision, effect.body)
+            try:
+                listener(effect.revision, effect.body)
+            except Exception:
+                # The next revision must still be fetched.
+                logging.exception("configuration: Revision %d was not taken over.", effect.revision)
 
     async def _list_hosts(self, hosts: HostList) -> None:
         try:
--- a/src/azureswitch/entry/_api.py
+++ b/src/azureswitch/entry/_api.py
@@ -38,7 +38,7 @@
     MissingIdempotencyKeyError,
     UnknownPathError,
 )
-from azureswitch.inventory import Customer
+from azureswitch.inventory import SHORTEST_KEY_RETENTION, Customer
 from azureswitch.ports import PlainAnswer, Surface
 from azureswitch.serving import Call
 
@@ -48,6 +48,9 @@
 EVENT_STREAM = b"text/event-stream"
 """The type of an answer of server-sent events."""
 
+LONGEST_CLAIM = SHORTEST_KEY_RETENTION / 2.0
+"""Seconds that a call that may not repeat may take, so that its key is not forgotten meanwhile."""
+
 _OWN_HEADERS = frozenset(
     (
         "authorization",
@@ -247,13 +250,13 @@
             raise MissingIdempotencyKeyError(service=name)
         body = await self.body(request)
         slot = PlainSlot()
-        rule = self._shell.directory.rules.plain_deadline
+        seconds = timeout or self._shell.directory.rules.plain_deadline
         record = PlainRecord(
             call=Call(
                 id=call,
                 customer=customer.name,
                 service=ServiceName(name),
-                deadline=self._shell.now + (timeout or rule),
+                deadline=self._shell.now + (seconds if repeatable else min(seconds, LONGEST_CLAIM)),
                 repeatable=repeatable,
                 idempotency_key=key,
                 fingerprint=_fingerprint(request.method, name, path, body),
--- a/src/azureswitch/entry/_ops.py
+++ b/src/azureswitch/entry/_ops.py
@@ -42,6 +42,7 @@
         open_calls: Requests that have not ended.
         members: All hosts that it knows, itself included.
         engines: The engines in force on it.
+        unreadable: The accepted revision that it could not read; zero for none.
     """
 
     host: HostName
@@ -51,6 +52,7 @@
     open_calls: int
     members: list[MemberBody]
     engines: list[str]
+    unreadable: int = 0
 
 
 class OperatorApi:
@@ -62,6 +64,7 @@
         shell: Runs requests.
         metrics: The metrics.
         members: Returns the members known now.
+        unreadable: Returns the accepted revision that could not be read, or zero.
     """
 
     def __init__(
@@ -72,12 +75,14 @@
         shell: Shell,
         metrics: Metrics,
         members: Callable[[], Iterable[Member]],
+        unreadable: Callable[[], int],
     ) -> None:
         self._host = host
         self._place = place
         self._shell = shell
         self._metrics = metrics
         self._members = members
+        self._unreadable = unreadable
 
     def install_health(self, app: Application) -> None:
         """Add the routes that a balancer asks."""
@@ -118,6 +123,7 @@
             open_calls=shell.open_calls,
             members=[_member(member) for member in self._members()],
             engines=sorted(shell.targets.engines),
+            unreadable=self._unreadable(),
         )
         return _json(body)
 
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -98,6 +98,7 @@
             shell=self.shell,
             metrics=self._parts.metrics,
             members=lambda: self.parts.membership.members,
+            unreadable=lambda: self.parts.unreadable,
         )
         callers = await _application(
             self._api.install, self._jobs.install, operators.install_health
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -24,7 +24,12 @@
 from azureswitch.entry._shell import Shell
 from azureswitch.entry._targets import EngineFactory, PlainTargetFactory, Targets
 from azureswitch.exceptions import SnapshotUnreadableError
-from azureswitch.inventory import Target, decode
+from azureswitch.inventory import (
+    LONGEST_KEY_RETENTION,
+    SHORTEST_KEY_RETENTION,
+    Target,
+    decode,
+)
 from azureswitch.peers import PeerNetwork
 from azureswitch.platform import HttpHostList, HttpStore
 from azureswitch.ports import Engine, HostList, Peers, PlainTarget, Store
@@ -85,6 +90,7 @@
         self._myself = Incarnation(host=settings.host, started=int(time() * 1_000))
         self._ports = ports
         self._seed = seed
+        self._unreadable = 0
         self._metrics = Metrics()
         self._targets = Targets(engine=ports.engine, plain=ports.plain)
         self._membership = Membership(
@@ -101,6 +107,8 @@
             peers=ports.peers,
             members=self._members,
             seed=seed,
+            # Until the rules are known no key may be forgotten that they keep.
+            retention=LONGEST_KEY_RETENTION,
         )
         self._journal = Journal(
             myself=self._myself,
@@ -210,6 +218,11 @@
         """The jobs of this host."""
         return self._jobs
 
+    @property
+    def unreadable(self) -> int:
+        """The accepted revision that this host could not read, so that the one before it stays."""
+        return self._unreadable
+
     @property
     def peers(self) -> Peers:
         """Messages to other hosts."""
@@ -270,6 +283,11 @@
             help="The revision in force.",
             value=lambda: self._shell.directory.revision,
         )
+        self._metrics.watch(
+            name="unreadable_revision",
+            help="The accepted revision that this host could not read; zero for none.",
+            value=lambda: self._unreadable,
+        )
         self._metrics.watch(
             name="members",
             help="Hosts that are not dead.",
@@ -295,6 +313,9 @@
         except SnapshotUnreadableError as error:
             # What is in force stays so; the next revision may be readable again.
             logging.error("entry: %s", error)
+            self._unreadable = revision
             return
+        self._unreadable = 0
+        self._claims.retention = max(SHORTEST_KEY_RETENTION, snapshot.rules.key_retention)
         self._shell.adopt(snapshot)
         self._membership.set_revision(revision)
--- a/src/azureswitch/inventory/__init__.py
+++ b/src/azureswitch/inventory/__init__.py
@@ -22,11 +22,18 @@
     TargetRole,
 )
 from azureswitch.inventory._show import show_inventory, show_rules
-from azureswitch.inventory._tables import INVENTORY, RULES
+from azureswitch.inventory._tables import (
+    INVENTORY,
+    LONGEST_KEY_RETENTION,
+    RULES,
+    SHORTEST_KEY_RETENTION,
+)
 
 __all__ = [
     "INVENTORY",
+    "LONGEST_KEY_RETENTION",
     "RULES",
+    "SHORTEST_KEY_RETENTION",
     "SNAPSHOT_LIMIT",
     "Customer",
     "Difference",
--- a/src/azureswitch/inventory/_tables.py
+++ b/src/azureswitch/inventory/_tables.py
@@ -22,6 +22,12 @@
     Text,
 )
 
+SHORTEST_KEY_RETENTION = 86_400.0
+"""Seconds for which keys are remembered at least, twice what a claimed call may take."""
+
+LONGEST_KEY_RETENTION = 604_800.0
+"""Seconds for which keys are remembered at most; the room for them is limited."""
+
 LONGEST_DEADLINE = 604_800.0
 """Seconds; no request may be given more than a week."""
 
@@ -221,10 +227,9 @@
 KEY_RETENTION = Setting(
     section="rules",
     key="key_retention",
-    kind=Seconds(low=_DEFAULTS.key_retention, high=_DEFAULTS.key_retention),
+    kind=Seconds(low=SHORTEST_KEY_RETENTION, high=LONGEST_KEY_RETENTION),
     default=_DEFAULTS.key_retention,
-    help="How long an `Idempotency-Key` is remembered. Hosts remember for one day and no other "
-    "time; another value is refused, so that nobody relies on it.",
+    help="How long an `Idempotency-Key` is remembered, counted from the last change of its state.",
 )
 
 RULES = Table(
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -10,6 +10,7 @@
 import openai
 import pytest
 
+from azureswitch.inventory import SHORTEST_KEY_RETENTION
 from azureswitch.ports import Surface
 from azureswitch_standins.engine import chat_text, expected_answer
 from tests.entry.rig import KEY, LIMITS, MODEL, Rig
@@ -247,11 +248,14 @@
         """A plain service gets the request as it was sent, without the caller's key."""
         hops = {"connection": "keep-alive, X-Hop", "x-hop": "1", "proxy-connection": "keep-alive"}
         path = "/s/desk/orders/7%0d%0aa:%20b?fast=1"
-        answer = rig.post(path, {"a": 1}, **{"idempotency-key": "seven", **hops})
+        own = {"idempotency-key": "seven", "x-request-timeout": "86400"}
+        answer = rig.post(path, {"a": 1}, **own, **hops)
         seen = rig.plain.seen[-1]
         assert (answer.status_code, answer.json()) == (201, {"a": 1})
         assert (seen.method, seen.path) == ("POST", "/orders/7%0d%0aa:%20b?fast=1")
-        assert dict(seen.headers).keys().isdisjoint({"authorization", *hops})
+        assert dict(seen.headers).keys().isdisjoint({"authorization", *own, *hops})
+        # Its key must not be forgotten while it runs.
+        assert 2 * seen.timeout <= SHORTEST_KEY_RETENTION
 
     def test_repeated_key(self, rig: Rig) -> None:
         """A repeated Idempotency-Key gets the first answer, and only to the same request."""
