Wait for conditions in tests, not for moments of a busy machine

Cause: tests gave stand-ins, daemons and connections fixed moments (0.05 s until a stream runs, 0.15 s for every fault, 20 s until a daemon is ready) that a busy machine exceeds. The daemon's test also chose a free port and let it go before the daemon took it, and waited in vain where the daemon had ended at its start. Short timeouts stay only where lateness is the matter. Answers that must be cut take so long that they cannot end by themselves. The daemon listens on a port of the system's choice, which its log tells, and a daemon that ends early fails the test at once with its log. Fakes of the platform run in virtual time. The order of two datagrams shows that one over the limit was never sent, where 50 ms had to do before. Ruled out: retries of failed tests, which hide real faults; virtual time for tests over sockets.

--- a/tests/entry/test_program.py
+++ b/tests/entry/test_program.py
@@ -2,12 +2,10 @@
 
 import subprocess
 import sys
-import time
 from collections.abc import Iterator
-from contextlib import closing
 from pathlib import Path
+from re import compile
 from signal import SIGTERM
-from socket import socket
 
 import httpx
 import pytest
@@ -21,6 +19,7 @@
 from azureswitch_standins.store import StoreStandin
 from tests.entry.rig import KEY, Rig, configuration
 from tests.entry.test_survival import body, tokens
+from tests.waiting import PATIENCE, wait_until
 
 GOOD = """
 [host]
@@ -28,7 +27,7 @@
 place = north-1
 region = west
 [listen]
-callers = 127.0.0.1:{callers}
+callers = 127.0.0.1:0
 peers = 127.0.0.1:0
 operations = 127.0.0.1:0
 [platform]
@@ -38,22 +37,18 @@
 drain_notice = 0
 """
 
+LISTENS = compile(r"Host entry-1 listens on (127\.0\.0\.1:[0-9]+)\.")
+"""What the daemon logs once callers can reach it."""
+
 
 def settings_file(path: Path, **values: object) -> Path:
     """Write settings and return where."""
     file = path / "entry.ini"
-    defaults = {"callers": 0, "store": "127.0.0.1:1", "hosts": "127.0.0.1:1"}
+    defaults = {"store": "127.0.0.1:1", "hosts": "127.0.0.1:1"}
     file.write_text(GOOD.format(**{**defaults, **values}))
     return file
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with closing(socket()) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class TestSettings:
     """`read_settings` and the exit codes."""
 
@@ -132,35 +127,33 @@
 
     def test_sigterm(self, outside: Outside, tmp_path: Path) -> None:
         """A stream that runs when SIGTERM arrives becomes whole, and the exit code is 0."""
-        port = free_port()
-        file = settings_file(
-            tmp_path, callers=port, store=outside.platform.address, hosts=outside.listed.address
-        )
+        file = settings_file(tmp_path, store=outside.platform.address, hosts=outside.listed.address)
         program = "import sys; from azureswitch.entry import main; sys.exit(main())"
         command = [sys.executable, "-c", program, "--settings", str(file)]
-        url = f"http://127.0.0.1:{port}"
-        with subprocess.Popen(command, stderr=subprocess.DEVNULL) as process:
+        log = tmp_path / "log"
+        with log.open("wb") as output, subprocess.Popen(command, stderr=output) as process:
             try:
-                self.wait_ready(url)
+                url = self.ready(process, log)
                 headers = {"authorization": f"Bearer {KEY}"}
                 request = body("Last one?", 80)
                 with httpx.stream(
-                    "POST", f"{url}/v1/completions", json=request, headers=headers, timeout=20
+                    "POST", f"{url}/v1/completions", json=request, headers=headers, timeout=PATIENCE
                 ) as stream:
                     process.send_signal(SIGTERM)
                     text = stream.read().decode()
                 assert tokens(text) == expected_answer("Last one?", 80)
-                assert process.wait(timeout=20) == 0
+                assert process.wait(timeout=PATIENCE) == 0
             finally:
                 process.kill()
 
-    def wait_ready(self, url: str) -> None:
-        """Wait until the daemon is ready."""
-        for _ in range(400):
-            try:
-                if httpx.get(f"{url}/readyz").is_success:
-                    return
-            except httpx.TransportError:
-                pass
-            time.sleep(0.05)
-        raise TimeoutError(url)
+    def ready(self, process: subprocess.Popen[bytes], log: Path) -> str:
+        """Wait until the daemon is ready and return where callers reach it."""
+        found: list[str] = []
+
+        def is_ready() -> bool:
+            assert process.poll() is None, log.read_text()
+            found[:] = LISTENS.findall(log.read_text())
+            return bool(found) and httpx.get(f"http://{found[0]}/readyz").is_success
+
+        wait_until(is_ready)
+        return f"http://{found[0]}"
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -18,6 +18,7 @@
 from azureswitch.ports import DATAGRAM_LIMIT
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.peers import PeersFake, PeersNetworkFake
+from tests.waiting import PATIENCE, reach
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,7 +91,7 @@
         async def scenario(first: Any, second: Any) -> None:
             request = Question(size=size)
             reply = await first.call(
-                address=second.address, request=request, reply=Result, timeout=5.0
+                address=second.address, request=request, reply=Result, timeout=PATIENCE
             )
             assert len(reply.data) == size
             sent = {item.kind: item.sent_bytes for item in second.traffic}
@@ -116,7 +117,9 @@
         """A failing handler, an unknown message and a wrong or large one give typed failures."""
 
         async def scenario(first: Any, second: Any) -> None:
-            call = first.call(address=second.address, request=request_, reply=reply, timeout=5.0)
+            call = first.call(
+                address=second.address, request=request_, reply=reply, timeout=PATIENCE
+            )
             if failure is None:
                 await call
                 return
@@ -148,10 +151,13 @@
             first.cast(address=second.address, message=Question(size=7))
             with pytest.raises(PeerMessageTooLargeError):
                 first.cast(address=second.address, message=Question(padding=bytes(DATAGRAM_LIMIT)))
-            await sleep(0.05)
+            await reach(lambda: bool(received))
+            # Datagrams on the loopback stay in order, so that nothing else is on its way now.
+            first.cast(address=second.address, message=Question(size=8))
+            await reach(lambda: len(received) > 1)
 
         on(scenario)
-        assert received == [Question(size=7)]
+        assert received == [Question(size=7), Question(size=8)]
 
 
 class TestNetwork:
@@ -167,7 +173,7 @@
             await gather(*(other.start() for other in others))
             for other in others:
                 await first.call(
-                    address=other.address, request=Question(), reply=Result, timeout=5.0
+                    address=other.address, request=Question(), reply=Result, timeout=PATIENCE
                 )
             assert first.connections == 2
             await gather(*(other.close() for other in others))
--- a/tests/platform/test_fakes.py
+++ b/tests/platform/test_fakes.py
@@ -17,6 +17,7 @@
     StoreVersionGoneError,
 )
 from azureswitch.ports import ChangeKind, HostStatus, ListedHost, Store, StoreChange
+from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.hosts import HostListFake
 from azureswitch_standins.store import StoreFake, StoreFaults, StoreLimits, StoreModel
 
@@ -57,7 +58,7 @@
             assert (await store.list(kind="a")).items == (made,)
             assert store.model.version == made.version
 
-        asyncio.run(run())
+        run_virtual(run())
 
     @pytest.mark.parametrize(
         ("faults", "error", "written"),
@@ -78,7 +79,7 @@
             store.faults = StoreFaults()
             assert bool((await store.list(kind="a")).items) is written
 
-        asyncio.run(run())
+        run_virtual(run())
 
     def test_watch(self) -> None:
         """A watch yields changes of its kind alone, deletions too, and a bookmark at the end."""
@@ -96,7 +97,7 @@
             ]
             assert (store.counters.watches, store.counters.waiting) == (1, 0)
 
-        asyncio.run(run())
+        run_virtual(run())
 
     def test_watch_gone(self) -> None:
         """A version older than the history is gone."""
@@ -109,7 +110,7 @@
             with pytest.raises(StoreVersionGoneError):
                 await collect(store, version=0)
 
-        asyncio.run(run())
+        run_virtual(run())
 
     def test_watch_breaks(self) -> None:
         """An outage breaks watches of its own way to the store alone."""
@@ -126,7 +127,7 @@
                 await broken
             assert await whole == []
 
-        asyncio.run(run())
+        run_virtual(run())
 
     def test_rates(self) -> None:
         """Writes over the rate are refused with a time to wait, and reads have their own rate."""
@@ -142,7 +143,7 @@
             assert len((await store.list(kind="a")).items) == 2
             assert (store.counters.creates, store.counters.refused) == (3, 1)
 
-        asyncio.run(run())
+        run_virtual(run())
 
 
 class TestHostListFake:
@@ -164,4 +165,4 @@
             with pytest.raises(HostListError):
                 await fake.hosts()
 
-        asyncio.run(run())
+        run_virtual(run())
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -22,6 +22,7 @@
 from azureswitch.ports import ChangeKind, HostStatus, ListedHost
 from azureswitch_standins.hosts import HostListStandin
 from azureswitch_standins.store import StoreFaults, StoreLimits, StoreModel, StoreStandin
+from tests.waiting import PATIENCE, reach
 
 Call = Callable[[HttpStore], Awaitable[object]]
 
@@ -33,7 +34,7 @@
     """Serve a store that holds ``a/x`` and give the port to it."""
     standin = StoreStandin(model=StoreModel(limits=limits))
     await standin.start()
-    store = HttpStore(address=standin.address, timeout=5.0)
+    store = HttpStore(address=standin.address, timeout=PATIENCE)
     await store.create(kind="a", name="x", value=b"\x00\xff")
     try:
         yield standin, store
@@ -48,6 +49,11 @@
     return [(change.kind, change.item.version) async for change in watch]
 
 
+async def listed(store: HttpStore) -> list[str]:
+    """Return the names of kind ``a``."""
+    return [item.name for item in (await store.list(kind="a")).items]
+
+
 def create(store: HttpStore) -> Awaitable[object]:
     """Create ``a/y``."""
     return store.create(kind="a", name="y", value=b"")
@@ -127,14 +133,21 @@
 
         async def run() -> None:
             async with serve() as (standin, store):
-                hasty = HttpStore(address=standin.address, timeout=0.1)
+                hasty = HttpStore(
+                    address=standin.address, timeout=0.1 if faults.delay else PATIENCE
+                )
+                if faults.delay:
+                    # On an open connection a call is sent at once, however busy the machine is.
+                    await get(hasty)
                 await standin.set_faults(faults=faults)
                 with pytest.raises(error):
                     await call(hasty)
-                # A slow store writes after the caller has given up.
-                await asyncio.sleep(0.1)
                 await standin.set_faults(faults=StoreFaults())
-                names = [item.name for item in (await store.list(kind="a")).items]
+                # A slow store writes after the caller has given up.
+                await asyncio.sleep(faults.delay)
+                async with asyncio.timeout(PATIENCE):
+                    while len(names := await listed(store)) < 1 + written:
+                        await asyncio.sleep(0.005)
                 assert names == (["x", "y"] if written else ["x"])
 
         asyncio.run(run())
@@ -159,9 +172,7 @@
                 await anext(watch)
                 assert standin.counters.waiting == 1
                 await watch.aclose()
-                async with asyncio.timeout(5.0):
-                    while standin.counters.waiting:
-                        await asyncio.sleep(0.001)
+                await reach(lambda: not standin.counters.waiting)
 
         asyncio.run(run())
 
--- a/tests/standins/test_engine_http.py
+++ b/tests/standins/test_engine_http.py
@@ -17,21 +17,24 @@
     chat_text,
     expected_answer,
 )
+from tests.waiting import PATIENCE, reach
 
 OWNER = Incarnation(host=HostName("h1"), started=1)
 PROMPT = "What angle suits a dish in Tacoma? " * 100
 
 
 @asynccontextmanager
-async def engines(count=1, *, speed=50.0, **settings):
+async def engines(count=1, *, speed=50.0, grace=0.2, **settings):
     """Run engines, each with a client."""
     made = [
-        EngineStandin(settings=EngineSettings(name=f"e{i}", **settings), speed=speed, grace=0.2)
+        EngineStandin(settings=EngineSettings(name=f"e{i}", **settings), speed=speed, grace=grace)
         for i in range(count)
     ]
     for engine in made:
         await engine.start()
-    clients = [httpx.AsyncClient(base_url=f"http://{engine.address}") for engine in made]
+    clients = [
+        httpx.AsyncClient(base_url=f"http://{engine.address}", timeout=PATIENCE) for engine in made
+    ]
     try:
         yield [item for pair in zip(made, clients, strict=True) for item in pair]
     finally:
@@ -57,7 +60,7 @@
     named = {name.replace("_", "-"): value for name, value in headers.items()}
     if not isinstance(content, bytes):
         content = encode(content)
-    return await client.post(path, content=content, headers=named, timeout=10)
+    return await client.post(path, content=content, headers=named, timeout=PATIENCE)
 
 
 async def kv(client, verb, **fields):
@@ -171,10 +174,11 @@
 
     def test_broken_connection(self):
         """An attempt outlives its connection for the grace, can be attached to, then is freed."""
+        # The whole answer takes 40 s, so that only the end of the grace can free its memory.
 
         async def scenario():
-            async with engines(speed=5.0) as (engine, client):
-                content, headers = encode(body(max_tokens=400)), {"x-request-id": "r1"}
+            async with engines(speed=5.0, grace=1.0) as (engine, client):
+                content, headers = encode(body(max_tokens=10_000)), {"x-request-id": "r1"}
                 sent = client.stream("POST", "/v1/completions", content=content, headers=headers)
                 async with sent as answer:
                     await anext(answer.aiter_bytes())
@@ -186,10 +190,7 @@
                         if text.count("\n\n") > 30:
                             break
                 used = engine.counters.memory_used
-                for _ in range(200):
-                    if not engine.counters.running:
-                        break
-                    await asyncio.sleep(0.02)
+                await reach(lambda: not engine.counters.running)
                 gone = await client.get("/engine/requests/r1/1/stream?offset=1")
                 return text, used, engine.counters, gone.status_code
 
@@ -218,11 +219,14 @@
         async def scenario():
             async with engines() as (engine, client):
                 await engine.set_faults(faults=faults)
-                client.timeout = httpx.Timeout(0.15)
+                late = outcome == "late"
+                client.timeout = httpx.Timeout(PATIENCE, read=0.15 if late else PATIENCE)
                 found = await seen(client)
+                if faults.stall:
+                    await reach(lambda: engine.counters.runs)
                 counted = engine.counters
                 await engine.set_faults(faults=EngineFaults())
-                client.timeout = httpx.Timeout(5.0)
+                client.timeout = httpx.Timeout(PATIENCE)
                 return found, counted.runs, await seen(client, call="r2")
 
         found, runs, after = asyncio.run(scenario())
@@ -235,8 +239,8 @@
 
         async def scenario():
             async with engines() as (engine, client):
-                running = asyncio.create_task(seen(client, max_tokens=1_000))
-                await asyncio.sleep(0.05)
+                running = asyncio.create_task(seen(client, max_tokens=50_000))
+                await reach(lambda: engine.counters.running)
                 await engine.kill()
                 lost = await running
                 await engine.revive()
@@ -273,10 +277,10 @@
         """A stream that reads a span at an engine that dies ends without its end event."""
 
         async def scenario():
-            async with engines(2, memory=9_000) as (one, first, _, last):
+            async with engines(2, speed=10.0, memory=9_000) as (one, first, two, last):
                 await link(first, last, tokens=5_377)
                 running = asyncio.create_task(seen(last, max_tokens=5_000))
-                await asyncio.sleep(0.05)
+                await reach(lambda: two.counters.running)
                 await one.kill()
                 return await running
 
@@ -287,8 +291,8 @@
 
         async def scenario():
             async with engines() as (engine, client):
-                running = asyncio.create_task(seen(client, max_tokens=5_000))
-                await asyncio.sleep(0.05)
+                running = asyncio.create_task(seen(client, max_tokens=50_000))
+                await reach(lambda: engine.counters.running)
                 await post(client, "/engine/requests/r1/1/priority", {"priority": 3})
                 await post(client, "/engine/requests/r1/1/cancel", {})
                 return await running, engine.counters.memory_used
--- a/tests/standins/test_service_http.py
+++ b/tests/standins/test_service_http.py
@@ -6,6 +6,7 @@
 import pytest
 
 from azureswitch_standins.service import ServiceFaults, ServiceStandin
+from tests.waiting import PATIENCE, reach
 
 
 async def call(client, **headers):
@@ -36,8 +37,12 @@
         service = ServiceStandin()
         await service.start()
         await service.set_faults(faults=faults)
-        async with httpx.AsyncClient(base_url=f"http://{service.address}", timeout=0.1) as client:
+        slow = faults.delay or faults.answer_delay
+        timeout = httpx.Timeout(PATIENCE, read=0.1 if slow else PATIENCE)
+        url = f"http://{service.address}"
+        async with httpx.AsyncClient(base_url=url, timeout=timeout) as client:
             seen = [await call(client, idempotency_key="k", x_request_id=f"r{i}") for i in (1, 2)]
+        await reach(lambda: service.counters.runs >= runs)
         await service.stop()
         return seen, service.counters
 
