Let a shutdown end the streams of jobs that run at other hosts

Cause: a leaving host waited for its own requests alone.

Ruled out: requests of the host itself and jobs that it runs, which are waited for; a second SIGTERM, which changes nothing; a request whose body still arrives, which is refused as not run.

Change: a leaving host waits until each stream of a job has ended, but for one that its caller has left unread for the write timeout.

Before: "peer closed connection without sending complete message body".

Conclusion: a graceful stop cuts neither a host's own answers nor those that it passes on.

--- a/src/azureswitch/entry/_jobs.py
+++ b/src/azureswitch/entry/_jobs.py
@@ -39,6 +39,9 @@
 """Seconds within which a job that is over can be read whole without its host."""
 
 
+DRAIN_POLL = 0.05
+"""Seconds between two looks whether streams of jobs still run."""
+
 FIND_TRIES = 4
 """How often a job is looked for that neither a host nor its engine has."""
 
@@ -114,6 +117,7 @@
         self._members = members
         self._limits = limits
         self._tasks = Tasks(prefix="entry")
+        self._readers: dict[asyncio.Task[object], float | None] = {}
 
     def install(self, app: Application) -> None:
         """Add the routes."""
@@ -125,6 +129,17 @@
         """End the background work."""
         await self._tasks.stop()
 
+    async def drained(self) -> None:
+        """Wait until every stream of a job has ended, but for those that are left unread.
+
+        A job runs longer than the host that gives its stream may be asked to stop.
+        """
+        limit = self._limits.write_timeout
+        while any(
+            since is None or self._shell.now - since < limit for since in self._readers.values()
+        ):
+            await asyncio.sleep(DRAIN_POLL)
+
     # --- Submitting -------------------------------------------------------------------------------
 
     async def _submit(self, request: Request, call: CallId) -> Response:
@@ -209,17 +224,30 @@
     async def _stream(self, request: Request, call: CallId) -> Response:
         offset = stream_offset(request)
         found = await self._find(request)
+        reader = self._add_reader()
         events = self._events(found, offset)
         first = await anext(events, b"")
+        self._readers[reader] = self._shell.now
 
         async def output() -> AsyncIterator[bytes]:
             if first:
                 yield first
+            self._readers[reader] = None
             async for data in events:
+                self._readers[reader] = self._shell.now
                 yield data
+                self._readers[reader] = None
 
         return event_stream(output, call=found.call, job=found.id)
 
+    def _add_reader(self) -> asyncio.Task[object]:
+        """Note a stream: since when its caller has left output unread, until its task ends."""
+        reader = asyncio.current_task()
+        assert reader is not None
+        self._readers[reader] = None
+        reader.add_done_callback(lambda ended: self._readers.pop(ended, None))
+        return reader
+
     async def _events(self, found: _Found, offset: int) -> AsyncIterator[bytes]:
         """Yield a job's events from an offset on, wherever it is now.
 
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -122,7 +122,7 @@
         if self._parts is None:
             return
         if graceful:
-            await self._drain(self._parts)
+            await self._drain(self._parts, self._jobs)
         for server in (self._callers, self._operations):
             if server is not None:
                 await server.stop(graceful=graceful)
@@ -136,12 +136,14 @@
             await self._network.close()
         logging.info("entry: Host %s has stopped.", self._settings.host)
 
-    async def _drain(self, parts: Parts) -> None:
+    async def _drain(self, parts: Parts, jobs: JobApi | None) -> None:
         logging.info("entry: Host %s is leaving.", self._settings.host)
         parts.shell.begin_shutdown()
         leaving = asyncio.ensure_future(parts.leave())
         await asyncio.sleep(self._settings.drain_notice)
         await parts.shell.drained()
+        if jobs is not None:
+            await jobs.drained()
         with suppress(Exception):
             await leaving
         if not await parts.shell.kept(timeout=SETTLE_TIMEOUT):
--- a/tests/entry/test_survival.py
+++ b/tests/entry/test_survival.py
@@ -185,6 +185,15 @@
         shown = pair.get(f"/v1/jobs/{job}", entry=1).json()
         assert shown["answer"]["choices"][0]["text"] == "".join(expected_answer("Overnight?", 5))
 
+    def test_reader_of_a_job(self, pair: Rig) -> None:
+        """A host that leaves goes on giving the stream of a job that runs at another."""
+        job = self.submit(pair, "Season?", 250)
+        with ThreadPoolExecutor(max_workers=1) as pool:
+            reading = pool.submit(pair.get, f"/v1/jobs/{job}/stream", entry=1)
+            time.sleep(0.2)
+            pair.run(pair.entries[1].stop(graceful=True))
+            assert tokens(reading.result().text) == expected_answer("Season?", 250)
+
     def test_other_customer(self, pair: Rig) -> None:
         """A job's id is of no use to another customer."""
         job = self.submit(pair, "Mine?", 3)
