Wait at a shutdown for claims that are still being decided

Cause: a host that left waited for outcomes that were not reported yet, but not for claims under way. A claim whose caller had left, or whose time was over, was granted to a process that was gone by then, and its key answered "unknown" until retention ended although nothing had been sent.

Ruled out: a call that was sent, whose outcome is waited for; a run beside itself, since such a key is never granted again.

Before: `OutcomeLostError` for the next use of the key. After: granted.

Conclusion: a graceful stop leaves no key "unknown" while the store is up.

--- a/src/azureswitch/coordination/claims/_claims.py
+++ b/src/azureswitch/coordination/claims/_claims.py
@@ -281,15 +281,20 @@
         self._claim_side(event)
 
     async def drain(self, *, timeout: float) -> bool:
-        """Wait until every outcome is in the store, before a shutdown.
+        """Wait until every claim is decided and every outcome in the store, before a shutdown.
+
+        A claim whose call was given up meanwhile may still be granted, and is then to be released.
 
         Returns:
             Whether all are.
         """
         end = self._now() + timeout
-        while self.unreported and self._now() < end:
+        quiet = 0
+        # A claim that was decided just now has its outcome reported a moment later.
+        while quiet < 2 and self._now() < end:
             await asyncio.sleep(TICK)
-        return not self.unreported
+            quiet = 0 if self._claims or self.unreported else quiet + 1
+        return quiet == 2
 
     async def run(self) -> None:
         """Drive claims and outcomes until cancelled."""
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -167,6 +167,20 @@
     return [first, *[await host.serve("k") for host in fleet.hosts]]
 
 
+async def _leaving_while_claiming(fleet):
+    """The caller has left, and its host drains before the claim is granted and released."""
+    other = fleet.owner("k")
+    leaving = next(host for host in fleet.hosts if host is not other)
+    fleet.faults(StoreFaults(delay=0.3))
+    claim = asyncio.create_task(leaving.serve("k", outcome=ClaimOutcome.NOT_RUN))
+    await asyncio.sleep(0.1)
+    assert await leaving.claims.drain(timeout=10.0)
+    claim.cancel()
+    leaving.stop()
+    fleet.bury(leaving)
+    return [await other.serve("k")]
+
+
 async def _mismatch(fleet):
     first = await fleet.hosts[0].serve("k")
     await asyncio.sleep(SOON)
@@ -189,6 +203,7 @@
     (_died_after_send, [Granted, OutcomeLostError, OutcomeLostError], 1),
     (_late_answer, [Granted, OutcomeLostError, Replayed], 1),
     (_owner_paused, [Granted, Replayed, Replayed, Replayed], 1),
+    (_leaving_while_claiming, [Granted], 1),
     (_mismatch, [Granted, IdempotencyMismatchError], 1),
 ]
 
