Follow no stale host while the store's head cannot be read

Cause: a head that could not be decoded was reported as no head at all. To a host that starts, no head means that nothing was ever accepted, so that it served by whatever any one host told it, a stale one included.

Ruled out: hosts that serve already, which never go back; a store that does not answer, which leaves the rule of the majority in force.

Change: a head that cannot be read counts as a store that does not answer.

Before: a host beside one stale host of nine served by revision 1 of 2. After: it serves by none, as with a store that is down.

Conclusion: only an empty store lets a host do without the majority.

--- a/src/azureswitch/coordination/configuration/_driver.py
+++ b/src/azureswitch/coordination/configuration/_driver.py
@@ -227,17 +227,16 @@
         try:
             async with deadline(STORE_TIMEOUT):
                 found = await read_head(self._store)
-        except (StoreError, TimeoutError) as error:
+            self._see_head(found)
+        except (AuditError, StoreError, TimeoutError) as error:
             self._fail_store(error)
-            return
-        self._see_head(found)
 
     async def _watch_head(self) -> None:
         try:
             # A watch whose connection hangs ends as well.
             async with deadline(WATCH_SECONDS + 2 * STORE_TIMEOUT):
                 await self._follow_head()
-        except (StoreError, TimeoutError) as error:
+        except (AuditError, StoreError, TimeoutError) as error:
             # Where the history that the watch needs is gone, the next one begins with a listing.
             self._fail_store(error)
         else:
@@ -254,15 +253,12 @@
                 self._see_head(change.item)
 
     def _see_head(self, found: StoredObject | None) -> None:
-        try:
-            entry = None if found is None else read_entry(name=HEAD_NAME, value=found.value)
-        except AuditError as error:
-            logging.error("configuration: %s", error)
-            entry = None
+        # A head that cannot be read is not one that was never written: nothing follows from it.
+        entry = None if found is None else read_entry(name=HEAD_NAME, value=found.value)
         self._feed(HeadSeen(now=_now(), entry=entry))
 
     def _fail_store(self, error: Exception) -> None:
-        logging.warning("configuration: The store does not answer (%s).", type(error).__name__)
+        logging.warning("configuration: The store's head was not read (%s).", type(error).__name__)
         self._feed(StoreFailed(now=_now()))
 
     async def _fetch_from_store(self, effect: FetchFromStore) -> None:
--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -23,6 +23,7 @@
     reduce,
 )
 from azureswitch.coordination.configuration._effects import Adopt, FetchFromHost, FetchFromStore
+from azureswitch.coordination.configuration._limits import HEAD_KIND, HEAD_NAME
 from azureswitch.coordination.configuration._messages import (
     RevisionNews,
     pack_body,
@@ -206,6 +207,29 @@
     )
 
 
+class TestUnreadableHead:
+    """The store answers with a head that this software cannot read."""
+
+    def test_start_beside_a_stale_host(self) -> None:
+        """A host that starts does not take it for an empty store and follow one stale host."""
+
+        async def scenario(fleet: FleetFake, changes: Changes) -> None:
+            stale, *others = fleet.hosts
+            stale.store.faults = StoreFaults(down=True)
+            starting = "10.0.0.9:7000"
+            fleet.network.partition([stale.address, starting], [host.address for host in others])
+            await _accept(changes, 2)
+            head = fleet.model.get(kind=HEAD_KIND, name=HEAD_NAME)
+            fleet.model.update(kind=HEAD_KIND, name=HEAD_NAME, value=b"\xc1", version=head.version)
+            (started,) = fleet.add()
+            assert started.address == starting
+            await sleep(8.0)
+            assert stale.adopted == [1]
+            assert started.adopted == []
+
+        _play(scenario)
+
+
 class TestStart:
     """By which revision a host serves that starts while the store is down."""
 
