Let a leaving host take no group of engines back

Cause: a host that leaves gives its leases back and goes on running until its requests have ended, which may take half an hour. The next look at what is due, within a second, took the leases again where no other host was faster.

Ruled out: two holders at a time, which fences keep harmless; the hosts that stay, which rank without the one that leaves.

Change: after the leases are given back nothing is looked after any more.

Before: with the store away for the others for 5 s, the leaving host held the group again. After: another host has it.

Conclusion: orders move on when a host begins to leave, not when it ends.

--- a/src/azureswitch/coordination/orders/_driver.py
+++ b/src/azureswitch/coordination/orders/_driver.py
@@ -69,6 +69,7 @@
         self._seed = seed
         self._loads = loads
         self._leases: dict[str, Lease] = {}
+        self._stopped = False
         self._state = OrdersState(seed=seed)
 
     @property
@@ -90,12 +91,15 @@
                 await sleep(_TICK)
 
     async def stop(self) -> None:
-        """Give all leases back, so that other hosts need not wait."""
+        """Give all leases back for good, so that other hosts need not wait."""
+        self._stopped = True
         await gather(*(lease.release() for lease in self._leases.values()))
         self._leases = {}
 
     async def tick(self) -> None:
-        """Do what is due now."""
+        """Do what is due now; nothing after `stop`."""
+        if self._stopped:
+            return
         plans = plan_groups(wanted=self._wanted(), loads=self._loads)
         held = await self._hold(plans)
         event = OrdersTicked(now=get_running_loop().time(), groups=held)
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -247,6 +247,32 @@
         Fleet().run(script)
 
 
+class TestLeaving:
+    """A host that shuts down goes on running while its requests end."""
+
+    def test_another_host_takes_over(self) -> None:
+        """It gives its groups back once and for all, and another host has them."""
+
+        async def script(fleet: Fleet) -> None:
+            await fleet.settle()
+            leaving = fleet.holder
+            others = tuple(host for host in HOSTS if host != leaving)
+            fleet.remove(leaving, by=others)
+            for host in others:
+                fleet.stores[host].faults = StoreFaults(down=True)
+            await fleet.keepers[leaving].stop()
+            await sleep(5.0)
+            assert fleet.keepers[leaving].groups == ()
+            for host in others:
+                fleet.stores[host].faults = StoreFaults()
+            fleet.want(OLD)
+            await fleet.settle()
+            assert fleet.keepers[leaving].groups == ()
+            assert fleet.holder != leaving
+
+        Fleet().run(script)
+
+
 class TestLateOrders:
     """A holder was paused between its check of the lease and the order's arrival."""
 
