Stream a long answer whose place could not be recorded

Cause: a long answer is streamed once its job id is known or known not to come. Where recording failed, such as when the store went away between two of its steps, neither was said: the output filled its buffer and waited until the request ran out of time.

Ruled out: a store that is down from the start, which gives no job id and is said so; a slow one, whose steps have timeouts and run beside the prefill.

Change: whatever comes of recording, the answer goes out.

Conclusion: the store has no say in whether an answer is streamed.

--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -286,11 +286,14 @@
 
     async def _place(self, record: ModelRecord, effect: StartAttempt) -> None:
         """Record where long work runs, so that any host finds it."""
-        job = await self._jobs.record(
-            call=record.call, target=effect.targets[-1], attempt=effect.attempt
-        )
-        record.job = job or record.job
-        record.placed.set()
+        try:
+            job = await self._jobs.record(
+                call=record.call, target=effect.targets[-1], attempt=effect.attempt
+            )
+            record.job = job or record.job
+        finally:
+            # The answer waits for this, and goes out whether or not there is a job id.
+            record.placed.set()
 
     async def _close(self, record: ModelRecord) -> None:
         """Keep the output of a job that is whole; of other long work keep nothing."""
--- a/tests/entry/test_survival.py
+++ b/tests/entry/test_survival.py
@@ -8,6 +8,7 @@
 import httpx
 import pytest
 
+from azureswitch.exceptions import StoreUnavailableError
 from azureswitch_standins.engine import CostModel, EngineFaults, expected_answer
 from tests.entry.rig import KEY, MODEL, OTHER_KEY, Rig
 
@@ -79,6 +80,17 @@
         time.sleep(0.05)
         assert not rig.engines[1].counters.running
 
+    def test_no_job_id(self, rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A long answer is streamed whether or not its place can be recorded."""
+
+        async def fail(**_: object) -> str:
+            raise StoreUnavailableError(key="job-secret/key")
+
+        monkeypatch.setattr(rig.entry.parts.journal, "record", fail)
+        prompt = "long " * 3_000
+        answer = rig.post(PATH, body(prompt, 100), **{"x-request-timeout": "4"})
+        assert tokens(answer.text) == expected_answer(prompt, 100)
+
     def test_failure_in_the_middle(self, rig: Rig) -> None:
         """A stream that cannot go on ends with a typed event and without ``[DONE]``."""
         for engine in rig.engines:
