--- a/src/azureswitch/coordination/journal/_driver.py
+++ b/src/azureswitch/coordination/journal/_driver.py
@@ -1,6 +1,6 @@
 """The driver that keeps one host's journal."""
 
-from asyncio import Task, create_task, gather, get_running_loop, sleep
+from asyncio import Task, create_task, get_running_loop, sleep
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from functools import singledispatchmethod
 from time import time
@@ -9,6 +9,7 @@
 from msgspec import MsgspecError
 from msgspec.msgpack import decode, encode
 
+from azureswitch.coordination.effects import run_effects
 from azureswitch.coordination.hashing import ranked
 from azureswitch.coordination.journal._jobs import JobSigner
 from azureswitch.coordination.journal._key import KeySource
@@ -196,15 +197,13 @@
         """Do what is due now."""
         now = get_running_loop().time()
         event = JournalTicked(now=now, members=self._roster.members(now=now), wall=time())
-        await self._carry_out(reduce(self._state, event))
+        await self._take(event)
 
-    async def _carry_out(self, effects: Effects) -> None:
-        await gather(*(self._follow(effect) for effect in effects))
+    async def _take(self, event: JournalEvent) -> None:
+        await run_effects(self._reduce(event), run=self._run, reduce=self._reduce)
 
-    async def _follow(self, effect: Effect) -> None:
-        event = await self._run(effect)
-        if event is not None:
-            await self._carry_out(reduce(self._state, event))
+    def _reduce(self, event: JournalEvent) -> Effects:
+        return reduce(self._state, event)
 
     @singledispatchmethod
     async def _run(self, effect: Effect) -> JournalEvent | None:
@@ -270,7 +269,7 @@
             await self.close(call=record.call)
             return
         event = LongCallKept(now=now, call=record.call, expires=expires)
-        await self._carry_out(reduce(self._state, event))
+        await self._take(event)
 
     async def _read(self, owner: Incarnation) -> JournalEvent:
         try:
--- a/src/azureswitch/coordination/memory/_driver.py
+++ b/src/azureswitch/coordination/memory/_driver.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 
+from azureswitch.coordination.effects import run_effects
 from azureswitch.coordination.membership import Member
 from azureswitch.coordination.memory._model import (
     SWEEP_PERIOD,
@@ -88,15 +89,13 @@
         now = get_running_loop().time()
         members = self._roster.members(now=now)
         event = SweepTicked(now=now, members=members, targets=tuple(self._engines()))
-        await self._carry_out(reduce(self._state, event))
+        await self._take(event)
 
-    async def _carry_out(self, effects: Effects) -> None:
-        await gather(*(self._follow(effect) for effect in effects))
+    async def _take(self, event: SweepEvent) -> None:
+        await run_effects(self._reduce(event), run=self._run, reduce=self._reduce)
 
-    async def _follow(self, effect: Effect) -> None:
-        event = await self._run(effect)
-        if event is not None:
-            await self._carry_out(reduce(self._state, event))
+    def _reduce(self, event: SweepEvent) -> Effects:
+        return reduce(self._state, event)
 
     @singledispatchmethod
     async def _run(self, effect: Effect) -> SweepEvent | None:
--- a/tests/platform/test_fakes.py
+++ b/tests/platform/test_fakes.py
@@ -1,25 +1,22 @@
 """The store and host list stand-ins keep the rules of the ports."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from azureswitch.core import HostName, PlaceName
 from azureswitch.exceptions import (
     HostListError,
-    StoreConflictError,
     StoreError,
-    StoreNotFoundError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
-    StoreValueTooLargeError,
     StoreVersionGoneError,
 )
 from azureswitch.ports import ChangeKind, HostStatus, ListedHost, Store, StoreChange
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.hosts import HostListFake
 from azureswitch_standins.store import StoreFake, StoreFaults, StoreLimits, StoreModel
+from tests.platform.refusals import REFUSALS, Call
 
 
 async def collect(store: Store, *, version: int, timeout: float = 0.01) -> list[StoreChange]:
@@ -30,24 +27,8 @@
 class TestStoreFake:
     """Unit tests of `StoreFake`."""
 
-    @pytest.mark.parametrize(
-        ("call", "error"),
-        [
-            (lambda s: s.get(kind="a", name="y"), StoreNotFoundError),
-            (lambda s: s.create(kind="a", name="x", value=b""), StoreConflictError),
-            (
-                lambda s: s.create(kind="a", name="y", value=bytes(1_000_001)),
-                StoreValueTooLargeError,
-            ),
-            (lambda s: s.update(kind="a", name="x", value=b"", version=9), StoreConflictError),
-            (lambda s: s.update(kind="a", name="y", value=b"", version=1), StoreNotFoundError),
-            (lambda s: s.delete(kind="a", name="x", version=9), StoreConflictError),
-            (lambda s: s.delete(kind="a", name="y", version=1), StoreNotFoundError),
-        ],
-    )
-    def test_refuses(
-        self, call: Callable[[Store], Awaitable[object]], error: type[StoreError]
-    ) -> None:
+    @pytest.mark.parametrize(("call", "error"), REFUSALS)
+    def test_refuses(self, call: Call, error: type[StoreError]) -> None:
         """A call that breaks a rule raises its type and changes nothing."""
 
         async def run() -> None:
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -1,7 +1,7 @@
 """The HTTP adapters give the ports' failures exactly, against the stand-ins over loopback."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable
 from contextlib import asynccontextmanager
 
 import pytest
@@ -10,22 +10,18 @@
 from azureswitch.exceptions import (
     AzureswitchError,
     HostListError,
-    StoreConflictError,
     StoreError,
-    StoreNotFoundError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
-    StoreValueTooLargeError,
     StoreVersionGoneError,
 )
 from azureswitch.platform import HttpHostList, HttpStore
 from azureswitch.ports import ChangeKind, HostStatus, ListedHost
 from azureswitch_standins.hosts import HostListStandin
 from azureswitch_standins.store import StoreFaults, StoreLimits, StoreModel, StoreStandin
+from tests.platform.refusals import REFUSALS, Call
 from tests.waiting import PATIENCE, reach
 
-Call = Callable[[HttpStore], Awaitable[object]]
-
 
 @asynccontextmanager
 async def serve(
@@ -88,17 +84,7 @@
 
     @pytest.mark.parametrize(
         ("call", "error"),
-        [
-            (lambda s: s.get(kind="a", name="y"), StoreNotFoundError),
-            (lambda s: s.create(kind="a", name="x", value=b""), StoreConflictError),
-            (
-                lambda s: s.create(kind="a", name="y", value=bytes(2_000_000)),
-                StoreValueTooLargeError,
-            ),
-            (lambda s: s.update(kind="a", name="x", value=b"", version=9), StoreConflictError),
-            (lambda s: s.delete(kind="a", name="y", version=1), StoreNotFoundError),
-            (lambda s: collect(s, version=0), StoreVersionGoneError),
-        ],
+        [*REFUSALS, (lambda s: collect(s, version=0), StoreVersionGoneError)],
     )
     def test_refuses(self, call: Call, error: type[StoreError]) -> None:
         """Each refusal of the store has its type."""
