Let no comment of an engine keep another attempt from answering

Cause: an answer belongs to the attempt whose output it took first. An event without tokens, such as a comment that keeps a connection open, was output as well. A hedged attempt was then turned away with its first token and its engine blamed, while the silent one kept the answer; the caller's stream had begun, so that a later refusal was no longer typed. And the end of a job's answer could be given twice, once before and once after the job was known to be over.

Ruled out: two attempts with tokens, where the first wins and the other is called off in the same step; the offset of a resumed attempt.

Change: what comes before the first token waits for it. A whole answer of a job is over.

Before: the second of two attempts got nothing through; a whole answer was given with `over` false. After: it answers; `over` is true.

Conclusion: only tokens decide which attempt answers.

--- a/src/azureswitch/entry/_attempts.py
+++ b/src/azureswitch/entry/_attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from absl import logging
 from xxhash import xxh3_64_intdigest
@@ -208,8 +208,14 @@
         number = attempt.number
         first = True
         report_at = 0.0
-        before = b""
+        before = held = b""
         async for chunk in output:
+            if first and not chunk.tokens and not chunk.last:
+                # Comments and the like must not keep another attempt from answering.
+                held += chunk.data
+                continue
+            if held:
+                chunk, held = replace(chunk, data=held + chunk.data), b""
             offset = attempt.offset
             if first and chunk.tokens:
                 if attempt.cancelled or not answer.takes(attempt=number, offset=offset):
--- a/src/azureswitch/entry/_jobtable.py
+++ b/src/azureswitch/entry/_jobtable.py
@@ -119,7 +119,7 @@
             data=part.data,
             tokens=part.tokens,
             total=output.tokens,
-            over=output.over and part.complete,
+            over=(output.over or output.whole) and part.complete,
             error=error_body(output.error) if output.error else b"",
         )
 
--- a/tests/entry/test_answers.py
+++ b/tests/entry/test_answers.py
@@ -1,12 +1,30 @@
 """Answers that several attempts write in turn."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from types import SimpleNamespace
+from typing import cast
 
 import pytest
 
-from azureswitch.entry._answers import Relay
+from azureswitch.core import CallId, CustomerName, HostName, Incarnation, ServiceName, TargetName
+from azureswitch.entry._answers import Recording, Relay
+from azureswitch.entry._attempts import Attempts
+from azureswitch.entry._jobtable import Job, JobPull, JobTable
+from azureswitch.entry._ports import JobKeeper
+from azureswitch.entry._records import ModelPayload, ModelRecord
+from azureswitch.entry._targets import Targets
+from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import DeadlineExceededError
-from azureswitch.ports import Chunk
+from azureswitch.ports import Chunk, Engine, EngineRequest, Surface
+from azureswitch.serving import (
+    AttemptEnded,
+    Call,
+    FirstTokenArrived,
+    ServingEvent,
+    StartAttempt,
+)
+from azureswitch_standins.peers import PeersNetworkFake
 
 
 def chunk(text: bytes, *, last: bool = False) -> Chunk:
@@ -14,6 +32,20 @@
     return Chunk(data=text, tokens=1, last=last)
 
 
+class EngineFake:
+    """An engine whose first attempt sends a comment and then nothing."""
+
+    async def stream(self, *, request: EngineRequest) -> AsyncIterator[Chunk]:
+        """Yield the output of an attempt."""
+        if request.attempt == 1:
+            yield Chunk(data=b": alive\n\n", tokens=0, last=False)
+            await asyncio.sleep(60.0)
+        yield chunk(b"a", last=True)
+
+    async def cancel(self, *, call: CallId, attempt: int) -> None:
+        """Stop an attempt."""
+
+
 class SlowCaller:
     """A connection that takes nothing until it is told to, as a server's does."""
 
@@ -75,3 +107,65 @@
             assert isinstance(relay.error, DeadlineExceededError)
 
         asyncio.run(check())
+
+
+class TestHedges:
+    """Two attempts at once."""
+
+    def test_comment_is_no_output(self) -> None:
+        """An attempt that has sent nothing but a comment does not keep another from answering."""
+
+        async def check() -> None:
+            ends: list[ServingEvent] = []
+            engine = cast(Engine, EngineFake())
+            attempts = Attempts(
+                owner=Incarnation(host=HostName("h"), started=1),
+                targets=cast(Targets, SimpleNamespace(engine=lambda name: engine)),
+                jobs=cast(JobKeeper, None),
+                dispatch=ends.append,
+                clock=lambda: 0.0,
+                tasks=Tasks(prefix="test"),
+            )
+            relay = Relay(limit=1_000)
+            payload = ModelPayload(surface=Surface.COMPLETION, body=b"", cache_scope="")
+            call = Call(
+                id=CallId("c"), customer=CustomerName(""), service=ServiceName(""), deadline=9.0
+            )
+            record = ModelRecord(call=call, payload=payload, answer=relay)
+            for number in (1, 2):
+                effect = StartAttempt(
+                    call=call.id,
+                    attempt=number,
+                    targets=(TargetName("e"),),
+                    priority=0,
+                    resume_from=0,
+                    timeout=9.0,
+                )
+                attempts.start_model(record, effect)
+                await asyncio.sleep(0.01)
+            assert relay.whole
+            assert [type(event) for event in ends] == [FirstTokenArrived, AttemptEnded]
+            attempts.cancel(record, 1)
+            await asyncio.sleep(0.01)
+
+        asyncio.run(check())
+
+
+class TestJobTable:
+    """The output of a job, pulled from another host."""
+
+    def test_end_between_two_pulls(self) -> None:
+        """The end of a whole answer is given once, however late the job is known to be over."""
+
+        async def check() -> None:
+            peers = PeersNetworkFake().peers(address="10.0.0.1:1")
+            table = JobTable(peers=peers, retention=60.0, clock=lambda: 0.0)
+            output = Recording(limit=1_000)
+            job = Job(call=CallId("c"), customer=CustomerName("a"), output=output)
+            table.add(job)
+            await output.put(attempt=1, offset=0, chunk=chunk(b"a", last=True))
+            ask = JobPull(call=job.call, customer=job.customer, offset=0, follow=True)
+            part = await table.pull(ask)
+            assert (part.data, part.over) == (b"a", True)
+
+        asyncio.run(check())
