Split the driver of claims by matter

Cause: one module of 613 lines held times, results, routing between hosts and all calls of the store, each with a spawning method beside the one that did the work. Change: `_limits` holds the times, `_results` what a claim comes to, `_storage` the owner's effects at the store; `_claims` keeps the facade and the way between hosts, and hands all store effects on by one method. Ruled out: a module of its own for the way between hosts, which shares its state with the facade.

--- a/src/azureswitch/coordination/claims/__init__.py
+++ b/src/azureswitch/coordination/claims/__init__.py
@@ -1,6 +1,7 @@
 """Calls that may not repeat run at most once, whichever host they come to."""
 
-from azureswitch.coordination.claims._claims import RETENTION, Claims, Granted, Replayed
+from azureswitch.coordination.claims._claims import Claims
+from azureswitch.coordination.claims._limits import RETENTION
 from azureswitch.coordination.claims._messages import (
     ClaimAsk,
     ClaimReply,
@@ -8,6 +9,7 @@
     HoldReply,
     SettleAsk,
 )
+from azureswitch.coordination.claims._results import Granted, Replayed
 
 __all__ = [
     "RETENTION",
--- a/src/azureswitch/coordination/claims/_claims.py
+++ b/src/azureswitch/coordination/claims/_claims.py
@@ -2,14 +2,12 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from random import Random
 from time import time
-from typing import Any, TypeVar
+from typing import Any
 
 from absl import logging
-from msgspec import MsgspecError
 
 from azureswitch.coordination.claims import _claimer, _owner
 from azureswitch.coordination.claims._events import (
@@ -19,29 +17,24 @@
     ClaimCalled,
     ClaimDropped,
     ClaimerTicked,
-    DeleteSegments,
-    HeadConflicted,
-    HeadRead,
-    HeadWriteFailed,
-    HeadWriteLost,
-    HeadWritten,
     InquireHolder,
     MembersSeen,
     OutcomeKnown,
     OwnerEvent,
     OwnerTicked,
-    ReadFailed,
-    ReadHead,
-    ReadSegments,
     ReplyToAsk,
     ResolveClaim,
-    SegmentsDeleted,
-    SegmentsRead,
-    SegmentStored,
-    SegmentStoreFailed,
     SendAsk,
-    StoreSegment,
-    WriteHead,
+)
+from azureswitch.coordination.claims._limits import (
+    AVOID,
+    CLAIM_WAIT,
+    IDLE_TICK,
+    OWNER_TIMEOUT,
+    RETENTION,
+    RETRY_AFTER,
+    SETTLE_TIMEOUT,
+    TICK,
 )
 from azureswitch.coordination.claims._messages import (
     Ask,
@@ -50,94 +43,26 @@
     HoldAsk,
     HoldReply,
     SettleAsk,
-    Verdict,
 )
 from azureswitch.coordination.claims._model import (
-    HEAD_KIND,
-    SEGMENT_KIND,
     Answer,
-    Head,
     Record,
-    SegmentRef,
-    decode_head,
-    decode_segment,
-    encode_head,
-    encode_segment,
     fingerprint_mark,
-    head_name,
     key_digest,
-    segment_name,
     shard_of,
 )
 from azureswitch.coordination.claims._owners import owners
+from azureswitch.coordination.claims._results import Granted, Replayed, result
+from azureswitch.coordination.claims._storage import ClaimStorage, StoreEffect
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.core import CallId, CustomerName, Effect, Effects, Event, HostName, Incarnation
 from azureswitch.exceptions import (
-    AzureswitchError,
     ClaimUnavailableError,
-    IdempotencyInProgressError,
-    IdempotencyMismatchError,
-    OutcomeLostError,
     PeerError,
-    StoreConflictError,
-    StoreError,
-    StoreNotFoundError,
-    StoreOutcomeUnknownError,
 )
 from azureswitch.ports import Peers, PlainAnswer, Store
 from azureswitch.serving import ClaimOutcome
 
-Result = TypeVar("Result")
-
-RETENTION = 86_400.0
-"""Seconds for which a key is remembered by default."""
-
-CLAIM_WAIT = 5.0
-"""Seconds after which a claim that was not decided is given up as not run."""
-
-OWNER_TIMEOUT = 1.5
-"""Seconds after which a claim goes on to the next host in the order of owners."""
-
-SETTLE_TIMEOUT = 5.0
-"""Seconds after which an outcome is reported again; above the owner's bound for flushing."""
-
-STORE_TIMEOUT = 3.0
-"""Seconds after which the answer of a store call counts as lost."""
-
-AVOID = 2.0
-"""Seconds for which a host that did not answer is passed over."""
-
-TICK = 0.02
-"""Seconds between ticks while anything waits."""
-
-IDLE_TICK = 0.25
-"""Seconds between ticks while nothing waits."""
-
-RETRY_AFTER = 1.0
-"""Seconds after which a refused caller may try again."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Granted:
-    """This host, and it alone, may send the call, once."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Replayed:
-    """The call ran before; this is its first answer.
-
-    Attributes:
-        status: The HTTP status.
-        headers: Names and values.
-        body: The body.
-        whole: Whether headers and body were small enough to be recorded; else they are empty.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    whole: bool = True
-
 
 class Claims:
     """Lets calls that may not repeat run at most once over the whole fleet.
@@ -168,11 +93,11 @@
         wall: Callable[[], float] = time,
     ) -> None:
         self._myself = myself
-        self._store = store
         self._peers = peers
         self._members = members
         self._wait = wait
         self._wall = wall
+        self._storage = ClaimStorage(store=store, wall=wall)
         self._owner = _owner.OwnerState(retention=retention, budget=budget)
         self._claimer = _claimer.ClaimerState(random=Random(seed))
         self._claims: dict[CallId, asyncio.Future[ResolveClaim]] = {}
@@ -254,7 +179,7 @@
         self._claims[call] = future
         try:
             self._claim_side(ClaimCalled(now=now, ask=ask, until=until))
-            return _result(await future)
+            return result(await future)
         except asyncio.CancelledError:
             self._claim_side(ClaimDropped(now=self._now(), call=call))
             raise
@@ -468,146 +393,8 @@
         return HoldReply(held=not mine or self._claimer.holds(call=request.call))
 
     @_perform.register
-    def _read_head(self, effect: ReadHead) -> None:
-        self._spawn(self._do_read_head(effect.shard))
-
-    async def _do_read_head(self, shard: int) -> None:
-        version, head = 0, Head()
-        try:
-            found = await _timed(self._store.get(kind=HEAD_KIND, name=head_name(shard)))
-            version, head = found.version, decode_head(found.value)
-        except StoreNotFoundError:
-            pass
-        except (StoreError, MsgspecError, TimeoutError):
-            self._own_side(ReadFailed(now=self._now(), wall=self._wall(), shard=shard))
-            return
-        event = HeadRead(
-            now=self._now(), wall=self._wall(), shard=shard, version=version, head=head
-        )
-        self._own_side(event)
-
-    @_perform.register
-    def _write_head(self, effect: WriteHead) -> None:
-        self._spawn(self._do_write_head(effect))
-
-    async def _do_write_head(self, effect: WriteHead) -> None:
-        event: OwnerEvent
-        try:
-            version = await _timed(self._put_head(effect))
-        except (StoreConflictError, StoreNotFoundError):
-            event = HeadConflicted(now=self._now(), wall=self._wall(), shard=effect.shard)
-        except (StoreOutcomeUnknownError, TimeoutError):
-            event = HeadWriteLost(now=self._now(), wall=self._wall(), shard=effect.shard)
-        except StoreError:
-            event = HeadWriteFailed(now=self._now(), wall=self._wall(), shard=effect.shard)
-        else:
-            event = HeadWritten(
-                now=self._now(), wall=self._wall(), shard=effect.shard, version=version
-            )
-        self._own_side(event)
-
-    async def _put_head(self, effect: WriteHead) -> int:
-        name, value = head_name(effect.shard), encode_head(effect.head)
-        if effect.version == 0:
-            created = await self._store.create(kind=HEAD_KIND, name=name, value=value)
-            return created.version
-        updated = await self._store.update(
-            kind=HEAD_KIND, name=name, value=value, version=effect.version
-        )
-        return updated.version
-
-    @_perform.register
-    def _read_segments(self, effect: ReadSegments) -> None:
-        self._spawn(self._do_read_segments(effect))
-
-    async def _do_read_segments(self, effect: ReadSegments) -> None:
-        try:
-            contents = [await self._segment(effect.shard, ref) for ref in effect.refs]
-        except (StoreError, MsgspecError, TimeoutError):
-            self._own_side(ReadFailed(now=self._now(), wall=self._wall(), shard=effect.shard))
-            return
-        event = SegmentsRead(
-            now=self._now(),
-            wall=self._wall(),
-            shard=effect.shard,
-            refs=effect.refs,
-            contents=tuple(contents),
-        )
-        self._own_side(event)
-
-    async def _segment(self, shard: int, ref: SegmentRef) -> tuple[Record, ...] | None:
-        name = segment_name(shard, ref)
-        try:
-            found = await _timed(self._store.get(kind=SEGMENT_KIND, name=name))
-        except StoreNotFoundError:
-            return None
-        return decode_segment(found.value)
-
-    @_perform.register
-    def _store_segment(self, effect: StoreSegment) -> None:
-        self._spawn(self._do_store_segment(effect))
-
-    async def _do_store_segment(self, effect: StoreSegment) -> None:
-        event: OwnerEvent = SegmentStored(
-            now=self._now(), wall=self._wall(), shard=effect.shard, ref=effect.ref
-        )
-        try:
-            await _timed(
-                self._store.create(
-                    kind=SEGMENT_KIND,
-                    name=segment_name(effect.shard, effect.ref),
-                    value=encode_segment(effect.records),
-                )
-            )
-        except StoreConflictError:
-            pass
-        except (StoreError, TimeoutError):
-            event = SegmentStoreFailed(now=self._now(), wall=self._wall(), shard=effect.shard)
-        self._own_side(event)
-
-    @_perform.register
-    def _delete_segments(self, effect: DeleteSegments) -> None:
-        self._spawn(self._do_delete_segments(effect))
-
-    async def _do_delete_segments(self, effect: DeleteSegments) -> None:
-        gone = [ref for ref in effect.refs if await self._delete(effect.shard, ref)]
-        event = SegmentsDeleted(
-            now=self._now(), wall=self._wall(), shard=effect.shard, refs=tuple(gone)
-        )
-        self._own_side(event)
-
-    async def _delete(self, shard: int, ref: SegmentRef) -> bool:
-        name = segment_name(shard, ref)
-        try:
-            found = await _timed(self._store.get(kind=SEGMENT_KIND, name=name))
-            await _timed(self._store.delete(kind=SEGMENT_KIND, name=name, version=found.version))
-        except StoreNotFoundError:
-            return True
-        except (StoreError, TimeoutError):
-            return False
-        return True
-
-
-async def _timed(work: Coroutine[Any, Any, Result]) -> Result:
-    return await asyncio.wait_for(work, timeout=STORE_TIMEOUT)
-
-
-def _result(resolved: ResolveClaim) -> Granted | Replayed:
-    if resolved.verdict is Verdict.GRANTED:
-        return Granted()
-    if resolved.verdict is Verdict.REPLAYED and resolved.answer is not None:
-        answer = resolved.answer
-        return Replayed(
-            status=answer.status, headers=answer.headers, body=answer.body, whole=answer.whole
-        )
-    raise _error(resolved.verdict)
-
+    def _use_store(self, effect: StoreEffect) -> None:
+        self._spawn(self._run_at_store(effect))
 
-def _error(verdict: Verdict) -> AzureswitchError:
-    if verdict is Verdict.IN_PROGRESS:
-        return IdempotencyInProgressError(seconds=RETRY_AFTER)
-    if verdict is Verdict.MISMATCH:
-        return IdempotencyMismatchError()
-    if verdict in (Verdict.LOST, Verdict.REPLAYED):
-        return OutcomeLostError()
-    return ClaimUnavailableError(seconds=RETRY_AFTER)
+    async def _run_at_store(self, effect: StoreEffect) -> None:
+        self._own_side(await self._storage.run(effect))
--- /dev/null
+++ b/src/azureswitch/coordination/claims/_results.py
@@ -0,0 +1,65 @@
+"""What a claim comes to."""
+
+from dataclasses import dataclass
+
+from azureswitch.coordination.claims._events import ResolveClaim
+from azureswitch.coordination.claims._limits import RETRY_AFTER
+from azureswitch.coordination.claims._messages import Verdict
+from azureswitch.exceptions import (
+    AzureswitchError,
+    ClaimUnavailableError,
+    IdempotencyInProgressError,
+    IdempotencyMismatchError,
+    OutcomeLostError,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Granted:
+    """This host, and it alone, may send the call, once."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Replayed:
+    """The call ran before; this is its first answer.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Names and values.
+        body: The body.
+        whole: Whether headers and body were small enough to be recorded; else they are empty.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    whole: bool = True
+
+
+def result(resolved: ResolveClaim) -> Granted | Replayed:
+    """Return what a decided claim comes to.
+
+    Raises:
+        ClaimUnavailableError: It could not be claimed.
+        IdempotencyInProgressError: The first call with the key has not ended.
+        IdempotencyMismatchError: The key was used for another request.
+        OutcomeLostError: The first call with the key may have run.
+    """
+    if resolved.verdict is Verdict.GRANTED:
+        return Granted()
+    if resolved.verdict is Verdict.REPLAYED and resolved.answer is not None:
+        answer = resolved.answer
+        return Replayed(
+            status=answer.status, headers=answer.headers, body=answer.body, whole=answer.whole
+        )
+    raise _error(resolved.verdict)
+
+
+def _error(verdict: Verdict) -> AzureswitchError:
+    if verdict is Verdict.IN_PROGRESS:
+        return IdempotencyInProgressError(seconds=RETRY_AFTER)
+    if verdict is Verdict.MISMATCH:
+        return IdempotencyMismatchError()
+    if verdict in (Verdict.LOST, Verdict.REPLAYED):
+        return OutcomeLostError()
+    return ClaimUnavailableError(seconds=RETRY_AFTER)
