Keep a flood away from the other customers' short prompts

Cause: a flooding customer's short prompts shared the engines of the others'; behind them in priority, they still made every step longer.

--- a/src/azureswitch/serving/_fairness.py
+++ b/src/azureswitch/serving/_fairness.py
@@ -168,7 +168,8 @@
 
     def _charge(self, account: Account, seconds: float, *, now: float) -> None:
         self._refill(account, now=now)
-        account.rate += seconds / RATE_SECONDS
+        # One review is no flood: a charge counts for no more than what counts at once.
+        account.rate += min(seconds, AT_ONCE_SECONDS) / RATE_SECONDS
         if seconds > AT_ONCE_SECONDS:
             account.pending += seconds
         else:
--- a/src/azureswitch/serving/_length.py
+++ b/src/azureswitch/serving/_length.py
@@ -32,7 +32,7 @@
 PEER_DEMAND_SECONDS = 5.0
 """Seconds after which what a peer said of its demand is no longer used."""
 
-SHORT_FILL_MOST = 0.5
+SHORT_FILL_MOST = 0.4
 """Prefill seconds a second of short prompts on each of their engines where engines are scarce."""
 
 SHORT_MOST = 0.6
--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -98,9 +98,14 @@
     )
     if record.level is not Level.SHORT:
         return _best(state, record, names[:count], tokens=tokens, now=now)
-    best = _best(state, record, names[count:] or names, tokens=tokens, now=now)
+    short = names[count:] or names
+    if state.fairness.exceeds(record.call.customer, now=now):
+        # A flood goes where long prompts are, so that it stays away from the others' short ones.
+        short = names[:count]
+    best = _best(state, record, short, tokens=tokens, now=now)
     if best is None or best.wait > SPILL_ROOM:
-        spilt = _best(state, record, names[:count], tokens=tokens, now=now)
+        others = names[count:] if short == names[:count] else names[:count]
+        spilt = _best(state, record, others, tokens=tokens, now=now)
         if spilt is not None and (best is None or spilt.wait < best.wait):
             return spilt
     elif best.running and best.work.seconds > state.split.weighing.idle_worth:
