--- a/src/azureswitch/coordination/membership/_driver.py
+++ b/src/azureswitch/coordination/membership/_driver.py
@@ -1,6 +1,6 @@
 """Runs the membership reducer against peers, the host list and the clock."""
 
-from asyncio import Task, create_task, get_running_loop, sleep
+from asyncio import CancelledError, Task, create_task, get_running_loop, sleep
 from collections.abc import Callable, Coroutine
 from functools import singledispatchmethod
 from random import Random
@@ -120,8 +120,10 @@
             while True:
                 self._feed(Ticked(now=_now()))
                 await sleep(TICK)
-        finally:
+        except CancelledError:
             self._feed(Ended(now=_now()))
+            raise
+        finally:
             for task in tuple(self._tasks):
                 task.cancel()
 
--- a/tests/entry/test_survival.py
+++ b/tests/entry/test_survival.py
@@ -135,6 +135,28 @@
         assert rig.plain.calls["left"] == 1
 
 
+class TestLoops:
+    """What runs for as long as the host does."""
+
+    def test_failed_loop(self, rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A loop that fails once goes on, so that requests still end in their time."""
+        failures = [RuntimeError()]
+
+        def fail_once() -> None:
+            if failures:
+                raise failures.pop()
+
+        monkeypatch.setattr(rig.entry.shell, "_check_stalls", fail_once)
+        time.sleep(0.2)
+        assert not failures
+        rig.plain.delay = 10.0
+        headers = {"idempotency-key": "k", "x-request-timeout": "0.6"}
+        began = time.monotonic()
+        answer = rig.post("/s/desk/orders", 1, **headers)
+        assert answer.json()["error"]["code"] == "deadline_exceeded"
+        assert time.monotonic() - began < 8.0
+
+
 class TestLeaving:
     """A host that shuts down."""
 
