Keep the stand-in engine's real time apart from its HTTP paths

Change: `_live.LiveEngine` drives the model and keeps the answers; `_http.EngineStandin` has the paths and the faults and asks it. Ruled out: handlers as functions in a module for each family of paths, which would pass the same five objects to each.

--- a/src/azureswitch/coordination/claims/_storage.py
+++ b/src/azureswitch/coordination/claims/_storage.py
@@ -141,7 +141,7 @@
         try:
             await _timed(self._store.create(kind=SEGMENT_KIND, name=name, value=value))
         except StoreConflictError:
-            # An earlier try whose answer was lost stored it: a name stands for one content for good.
+            # An earlier try, whose answer was lost, stored it: a name stands for one content.
             pass
         except (StoreError, TimeoutError):
             return SegmentStoreFailed(now=self._now(), wall=self._wall(), shard=effect.shard)
--- a/src/azureswitch_standins/engine/_http.py
+++ b/src/azureswitch_standins/engine/_http.py
@@ -1,11 +1,9 @@
 """The engine in real time behind its HTTP interface."""
 
 import asyncio
-from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from functools import wraps
-from math import isfinite
 from typing import Any
 from urllib.parse import quote, unquote
 
@@ -21,14 +19,11 @@
     RefusedByFaultError,
     RequestMissingError,
 )
-from azureswitch_standins.engine._model import EngineModel, Key
+from azureswitch_standins.engine._live import LiveEngine
 from azureswitch_standins.engine._outputs import (
     Failed,
     Finished,
-    Output,
     RunRequest,
-    SpanFailed,
-    SpanReady,
 )
 from azureswitch_standins.engine._prompt import Question
 from azureswitch_standins.engine._reading import (
@@ -63,9 +58,6 @@
 GRACE = 5.0
 """Seconds that an attempt goes on without a reader, and that an ended one can be attached to."""
 
-_FINEST_WAKE = 0.002
-"""Seconds between two looks at the model, at least."""
-
 _WATCH_PERIOD = 0.5
 """Seconds between two looks at whether an engine that a span is read from is still there."""
 
@@ -109,19 +101,12 @@
         grace: float = GRACE,
         started: int = 1,
     ) -> None:
-        self._model = EngineModel(settings=settings or EngineSettings(), started=started)
+        self._live = LiveEngine(
+            settings=settings or EngineSettings(), speed=speed, grace=grace, started=started
+        )
         self._server = WebServer(app=self._routes(), host=host, port=port)
-        self._speed = speed
-        self._grace = grace
-        self._started = started
         self._faults = EngineFaults()
-        self._streams: dict[Key, LiveStream] = {}
-        self._fills: dict[str, list[asyncio.Future[SpanReady | SpanFailed]]] = {}
-        self._runs: Counter[str] = Counter()
-        self._counts: Counter[str] = Counter()
         self._watches: set[asyncio.Future[None]] = set()
-        self._timer: asyncio.TimerHandle | None = None
-        self._begun = 0.0
 
     @property
     def address(self) -> str:
@@ -136,30 +121,18 @@
     @property
     def counters(self) -> EngineCounters:
         """What has been counted since the start."""
-        return EngineCounters(
-            runs=dict(self._runs),
-            finished=self._counts["finished"],
-            failed=self._counts["failed"],
-            refused=self._counts["refused"],
-            tokens=self._counts["tokens"],
-            running=len(self._model.attempts),
-            memory_used=self._model.memory_used,
-            memory_total=self._model.settings.memory,
-            holdings=len(self._model.holdings),
-        )
+        return self._live.counters
 
     async def start(self) -> None:
         """Listen and serve."""
-        self._begun = asyncio.get_running_loop().time()
+        self._live.start()
         await self._server.start()
 
     async def stop(self) -> None:
         """Stop, breaking what still runs."""
         for watch in tuple(self._watches):
             watch.cancel()
-        self._lose()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._live.stop()
         await self._server.stop()
 
     async def kill(self) -> None:
@@ -175,14 +148,12 @@
         was_dead = self._faults.dead
         self._faults = replace(faults, stall=0.0)
         if faults.stall:
-            self._model.stall(now=self._now(), seconds=faults.stall * self._speed)
-            self._turn()
+            self._live.stall(faults.stall)
         if faults.dead and not was_dead:
             self._server.pause()
-            self._lose()
+            self._live.lose()
         if was_dead and not faults.dead:
-            self._started += 1
-            self._model.restart(now=self._now(), started=self._started)
+            self._live.restart()
             await self._server.resume()
 
     def _routes(self) -> Application:
@@ -211,64 +182,6 @@
             }
         )
 
-    def _now(self) -> float:
-        return (asyncio.get_running_loop().time() - self._begun) * self._speed
-
-    # --- Time -------------------------------------------------------------------------------------
-
-    def _turn(self) -> None:
-        """Let the model catch up, pass on what came out and sleep until there is more."""
-        now = self._now()
-        for output in self._model.advance(now):
-            self._pass_on(output)
-        for key in self._model.attempts:
-            stream = self._streams.get(key)
-            if stream is not None and stream.readers:
-                stream.grow(self._model.produced(now=now, call=key[0], attempt=key[1]))
-        if self._timer is not None:
-            self._timer.cancel()
-        due = min(self._model.next_event_time(), self._model.next_step_time(now))
-        if isfinite(due):
-            delay = max(_FINEST_WAKE, (due - now) / self._speed)
-            self._timer = asyncio.get_running_loop().call_later(delay, self._turn)
-
-    def _pass_on(self, output: Output) -> None:
-        if isinstance(output, Finished | Failed):
-            self._counts["finished" if isinstance(output, Finished) else "failed"] += 1
-            stream = self._streams.get((output.call, output.attempt))
-            if stream is not None:
-                stream.finish(output)
-                self._expire(stream)
-        elif isinstance(output, SpanReady | SpanFailed):
-            for waiter in self._fills.pop(output.holding, []):
-                if not waiter.done():
-                    waiter.set_result(output)
-
-    def _expire(self, stream: LiveStream) -> None:
-        """Start the grace of a stream without readers; one that runs is cancelled after it."""
-        if stream.readers:
-            return
-        if stream.expiry is not None:
-            stream.expiry.cancel()
-        loop = asyncio.get_running_loop()
-        stream.expiry = loop.call_later(self._grace, self._expired, stream)
-
-    def _expired(self, stream: LiveStream) -> None:
-        key = (stream.request.call, stream.request.attempt)
-        if stream.readers or self._streams.get(key) is not stream:
-            return
-        if stream.end is None:
-            self._model.cancel(now=self._now(), call=key[0], attempt=key[1])
-            self._turn()
-        if stream.expiry is not None:
-            stream.expiry.cancel()
-        del self._streams[key]
-
-    def _lose(self) -> None:
-        self._model.die(now=self._now())
-        self._turn()
-        self._streams.clear()
-
     # --- Completions ------------------------------------------------------------------------------
 
     async def _completion(self, request: Request) -> Response:
@@ -283,22 +196,19 @@
         try:
             question = await read_request(request, surface)
             run = self._run_request(request, question)
-            self._submit(run)
+            self._check(run)
+            encoder = EventEncoder(call=run.call, surface=surface, question=question)
+            stream = self._live.submit(run, encoder)
         except EngineError as error:
-            self._counts["refused"] += 1
+            self._live.counts["refused"] += 1
             return error_answer(error)
-        stream = LiveStream(
-            request=run, encoder=EventEncoder(call=run.call, surface=surface, question=question)
-        )
-        self._streams[run.call, run.attempt] = stream
-        self._turn()
         if question.stream or header(request, "x-stream") == "sse":
             return self._streamed(request, stream, run.resume_from)
         return await self._whole(request, stream)
 
     def _run_request(self, request: Request, question: Question) -> RunRequest:
-        self._counts["asked"] += 1
-        call = header(request, "x-request-id") or f"direct-{self._counts['asked']}"
+        self._live.counts["asked"] += 1
+        call = header(request, "x-request-id") or f"direct-{self._live.counts['asked']}"
         host, _, started = header(request, "x-owner").rpartition(":")
         timeout = header(request, "x-timeout")
         try:
@@ -310,23 +220,21 @@
                 prompt=question.prompt,
                 max_tokens=question.max_tokens,
                 priority=int(header(request, "x-priority") or "0"),
-                timeout=float(timeout) * self._speed if timeout else None,
+                timeout=float(timeout) * self._live.speed if timeout else None,
                 resume_from=int(header(request, "x-resume-from") or "0"),
             )
         except ValueError as error:
             raise MalformedError(detail=str(error)) from error
 
-    def _submit(self, run: RunRequest) -> None:
+    def _check(self, run: RunRequest) -> None:
         if self._faults.refuse:
             raise RefusedByFaultError(retry_after=1.0)
         if run.resume_from > run.max_tokens:
             raise MalformedError(detail="the caller has more tokens than were asked for")
-        self._model.submit(now=self._now(), request=run)
-        self._runs[run.call] += 1
 
     @_answered
     async def _attach(self, request: Request) -> Response:
-        stream = self._streams.get(attempt_key(request))
+        stream = self._live.streams.get(attempt_key(request))
         if stream is None:
             raise RequestMissingError()
         return self._streamed(request, stream, query_number(request, "offset"))
@@ -342,7 +250,7 @@
             finally:
                 left.cancel()
                 stream.readers -= 1
-                self._expire(stream)
+                self._live.expire(stream)
 
         return Response(200, content=StreamedContent(b"text/event-stream", events))
 
@@ -358,7 +266,7 @@
             if cut:
                 produced = min(produced, first + cut)
             if produced > offset:
-                self._counts["tokens"] += produced - offset
+                self._live.counts["tokens"] += produced - offset
                 yield self._encoder(stream).tokens(start=offset, end=produced)
                 offset = produced
             if cut and offset >= first + cut:
@@ -376,7 +284,7 @@
         """Return the encoder of a stream, or of another one where answers are crossed."""
         if not self._faults.cross:
             return stream.encoder
-        for other in self._streams.values():
+        for other in self._live.streams.values():
             if other is not stream:
                 return other.encoder
         return stream.encoder.crossed()
@@ -390,101 +298,103 @@
         finally:
             left.cancel()
             stream.readers -= 1
-            self._expire(stream)
+            self._live.expire(stream)
         if isinstance(stream.end, Finished):
             start = stream.request.resume_from
-            self._counts["tokens"] += stream.request.max_tokens - start
+            self._live.counts["tokens"] += stream.request.max_tokens - start
             return self._encoder(stream).whole(start=start, cached=stream.end.cached_tokens)
         self._server.abort(request=request)
         return Response(500)
 
     @_answered
     async def _cancel(self, request: Request) -> Response:
-        call, attempt = attempt_key(request)
-        self._model.cancel(now=self._now(), call=call, attempt=attempt)
-        self._turn()
+        self._live.cancel(attempt_key(request))
         return json_answer({})
 
     @_answered
     async def _priority(self, request: Request) -> Response:
         call, attempt = attempt_key(request)
         body = await read_json(request, PriorityBody)
-        self._model.prioritize(now=self._now(), call=call, attempt=attempt, priority=body.priority)
-        self._turn()
+        self._live.model.prioritize(
+            now=self._live.now, call=call, attempt=attempt, priority=body.priority
+        )
+        self._live.turn()
         return json_answer({})
 
     # --- Reports ----------------------------------------------------------------------------------
 
     @_answered
     async def _models(self, request: Request) -> Response:
-        models = self._model.state(now=self._now()).models
+        models = self._live.model.state(now=self._live.now).models
         return json_answer(ModelList(data=[ListedModel(id=model) for model in models]))
 
     @_answered
     async def _load(self, request: Request) -> Response:
-        return json_answer(self._model.load(now=self._now()))
+        return json_answer(self._live.model.load(now=self._live.now))
 
     @_answered
     async def _cache(self, request: Request) -> Response:
-        return json_answer(self._model.cache(now=self._now(), after=query_number(request, "after")))
+        return json_answer(
+            self._live.model.cache(now=self._live.now, after=query_number(request, "after"))
+        )
 
     @_answered
     async def _state(self, request: Request) -> Response:
-        return json_answer(self._model.state(now=self._now()))
+        return json_answer(self._live.model.state(now=self._live.now))
 
     @_answered
     async def _order(self, request: Request) -> Response:
         body = await read_json(request, OrderBody)
-        state = self._model.order(now=self._now(), order=body.order)
-        self._turn()
+        state = self._live.model.order(now=self._live.now, order=body.order)
+        self._live.turn()
         return json_answer(state)
 
     # --- KV ---------------------------------------------------------------------------------------
 
     @_answered
     async def _kv(self, request: Request) -> Response:
-        return json_answer(Holdings(holdings=self._model.holdings))
+        return json_answer(Holdings(holdings=self._live.model.holdings))
 
     @_answered
     async def _reserve(self, request: Request) -> Response:
         body = await read_json(request, HoldingBody)
         if self._faults.refuse:
             raise RefusedByFaultError(retry_after=1.0)
-        self._model.reserve(now=self._now(), holding=body.holding)
+        self._live.model.reserve(now=self._live.now, holding=body.holding)
         return json_answer({})
 
     @_answered
     async def _prefill(self, request: Request) -> Response:
         body = await read_json(request, PrefillBody)
         question = read_body(body.request.surface, body.request.body, body.request.cache_scope)
-        self._model.prefill(
-            now=self._now(),
+        self._live.model.prefill(
+            now=self._live.now,
             holding=body.holding,
             prompt=question.prompt,
             start=body.start,
             priority=body.request.priority,
         )
-        await self._filled(body.holding.id)
+        await self._live.filled(body.holding.id)
         return json_answer({})
 
     @_answered
     async def _export(self, request: Request) -> Response:
         body = await read_json(request, HoldingBody)
-        self._model.export(now=self._now(), holding=body.holding)
+        self._live.model.export(now=self._live.now, holding=body.holding)
         holding = quote(body.holding.id, safe="")
         return json_answer(Exported(address=f"{self.address}/engine/kv/exports/{holding}"))
 
     @_answered
     async def _exported(self, request: Request) -> Response:
         holding = unquote(route_value(request=request, name="holding"))
-        return json_answer(self._model.exported(holding=holding))
+        return json_answer(self._live.model.exported(holding=holding))
 
     @_answered
     async def _fetch(self, request: Request) -> Response:
         body = await read_json(request, FetchBody)
         span = await exported_span(body.source)
-        self._model.fetch(now=self._now(), holding=body.holding, span=span)
-        await self._filled(body.holding.id)
+        self._live.model.fetch(now=self._live.now, holding=body.holding, span=span)
+        await self._live.filled(body.holding.id)
         if body.holding.tokens < span.end - span.start:
             self._watch(body.holding, body.source)
         return json_answer({})
@@ -496,31 +406,21 @@
         watch.add_done_callback(self._watches.discard)
 
     async def _watched(self, holding: Holding, source: str) -> None:
-        while any(held.id == holding.id for held in self._model.holdings):
+        while any(held.id == holding.id for held in self._live.model.holdings):
             try:
                 await exported_span(source)
             except HoldingError:
-                now, call, attempt = self._now(), holding.call, holding.attempt
-                self._model.cancel(now=now, call=call, attempt=attempt)
-                self._turn()
+                self._live.cancel((holding.call, holding.attempt))
                 return
-            await asyncio.sleep(_WATCH_PERIOD / self._speed)
+            await asyncio.sleep(_WATCH_PERIOD / self._live.speed)
 
     @_answered
     async def _release(self, request: Request) -> Response:
         body = await read_json(request, ReleaseBody)
-        self._model.release(now=self._now(), holding=body.holding)
-        self._turn()
+        self._live.model.release(now=self._live.now, holding=body.holding)
+        self._live.turn()
         return json_answer({})
 
-    async def _filled(self, holding: str) -> None:
-        waiter: asyncio.Future[SpanReady | SpanFailed]
-        waiter = asyncio.get_running_loop().create_future()
-        self._fills.setdefault(holding, []).append(waiter)
-        self._turn()
-        if isinstance(await waiter, SpanFailed):
-            raise HoldingError(detail="the work was stopped")
-
     # --- Control ----------------------------------------------------------------------------------
 
     async def _post_faults(self, request: Request) -> Response:
--- /dev/null
+++ b/src/azureswitch_standins/engine/_live.py
@@ -0,0 +1,191 @@
+"""The engine's model in real time, with the answers that it is giving."""
+
+import asyncio
+from collections import Counter
+from math import isfinite
+
+from azureswitch_standins.engine._errors import HoldingError
+from azureswitch_standins.engine._model import EngineModel, Key
+from azureswitch_standins.engine._outputs import (
+    Failed,
+    Finished,
+    Output,
+    RunRequest,
+    SpanFailed,
+    SpanReady,
+)
+from azureswitch_standins.engine._settings import EngineSettings
+from azureswitch_standins.engine._streams import EngineCounters, LiveStream
+from azureswitch_standins.engine._wire import EventEncoder
+
+_FINEST_WAKE = 0.002
+"""Seconds between two looks at the model, at least."""
+
+
+class LiveEngine:
+    """Lets the model keep up with the event loop's clock and passes on what comes out.
+
+    Args:
+        settings: What the engine is.
+        speed: Seconds of the model in one second.
+        grace: Seconds that an attempt goes on without a reader, and that an ended one is kept.
+        started: The engine's start, in milliseconds of its wall clock.
+    """
+
+    def __init__(
+        self, *, settings: EngineSettings, speed: float, grace: float, started: int
+    ) -> None:
+        self._model = EngineModel(settings=settings, started=started)
+        self._speed = speed
+        self._grace = grace
+        self._started = started
+        self._streams: dict[Key, LiveStream] = {}
+        self._fills: dict[str, list[asyncio.Future[SpanReady | SpanFailed]]] = {}
+        self._runs: Counter[str] = Counter()
+        self._counts: Counter[str] = Counter()
+        self._timer: asyncio.TimerHandle | None = None
+        self._begun = 0.0
+
+    @property
+    def model(self) -> EngineModel:
+        """The model; after each change `turn` lets it act."""
+        return self._model
+
+    @property
+    def now(self) -> float:
+        """The model's time."""
+        return (asyncio.get_running_loop().time() - self._begun) * self._speed
+
+    @property
+    def speed(self) -> float:
+        """Seconds of the model in one second."""
+        return self._speed
+
+    @property
+    def streams(self) -> dict[Key, LiveStream]:
+        """The answers under way and those that ended within the grace."""
+        return self._streams
+
+    @property
+    def counts(self) -> Counter[str]:
+        """What has been counted since the start, by name."""
+        return self._counts
+
+    @property
+    def counters(self) -> EngineCounters:
+        """What has been counted since the start, as it is reported."""
+        return EngineCounters(
+            runs=dict(self._runs),
+            finished=self._counts["finished"],
+            failed=self._counts["failed"],
+            refused=self._counts["refused"],
+            tokens=self._counts["tokens"],
+            running=len(self._model.attempts),
+            memory_used=self._model.memory_used,
+            memory_total=self._model.settings.memory,
+            holdings=len(self._model.holdings),
+        )
+
+    def start(self) -> None:
+        """Let the model's time begin."""
+        self._begun = asyncio.get_running_loop().time()
+
+    def stop(self) -> None:
+        """Lose all work and look at the model no more."""
+        self.lose()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def lose(self) -> None:
+        """Lose all work and memory."""
+        self._model.die(now=self.now)
+        self.turn()
+        self._streams.clear()
+
+    def restart(self) -> None:
+        """Come back with empty memory, as a new process."""
+        self._started += 1
+        self._model.restart(now=self.now, started=self._started)
+
+    def stall(self, seconds: float) -> None:
+        """Make no progress for so many seconds of the loop's clock."""
+        self._model.stall(now=self.now, seconds=seconds * self._speed)
+        self.turn()
+
+    def submit(self, run: RunRequest, encoder: EventEncoder) -> LiveStream:
+        """Take an attempt and return its answer.
+
+        Raises:
+            EngineError: It is refused.
+        """
+        self._model.submit(now=self.now, request=run)
+        self._runs[run.call] += 1
+        stream = LiveStream(request=run, encoder=encoder)
+        self._streams[run.call, run.attempt] = stream
+        self.turn()
+        return stream
+
+    def cancel(self, key: Key) -> None:
+        """Give an attempt up, if it runs."""
+        self._model.cancel(now=self.now, call=key[0], attempt=key[1])
+        self.turn()
+
+    async def filled(self, holding: str) -> None:
+        """Wait until a holding has its tokens.
+
+        Raises:
+            HoldingError: The work was stopped.
+        """
+        waiter: asyncio.Future[SpanReady | SpanFailed]
+        waiter = asyncio.get_running_loop().create_future()
+        self._fills.setdefault(holding, []).append(waiter)
+        self.turn()
+        if isinstance(await waiter, SpanFailed):
+            raise HoldingError(detail="the work was stopped")
+
+    def turn(self) -> None:
+        """Let the model catch up, pass on what came out and sleep until there is more."""
+        now = self.now
+        for output in self._model.advance(now):
+            self._pass_on(output)
+        for key in self._model.attempts:
+            stream = self._streams.get(key)
+            if stream is not None and stream.readers:
+                stream.grow(self._model.produced(now=now, call=key[0], attempt=key[1]))
+        if self._timer is not None:
+            self._timer.cancel()
+        due = min(self._model.next_event_time(), self._model.next_step_time(now))
+        if isfinite(due):
+            delay = max(_FINEST_WAKE, (due - now) / self._speed)
+            self._timer = asyncio.get_running_loop().call_later(delay, self.turn)
+
+    def expire(self, stream: LiveStream) -> None:
+        """Start the grace of a stream without readers; one that runs is cancelled after it."""
+        if stream.readers:
+            return
+        if stream.expiry is not None:
+            stream.expiry.cancel()
+        loop = asyncio.get_running_loop()
+        stream.expiry = loop.call_later(self._grace, self._expired, stream)
+
+    def _expired(self, stream: LiveStream) -> None:
+        key = (stream.request.call, stream.request.attempt)
+        if stream.readers or self._streams.get(key) is not stream:
+            return
+        if stream.end is None:
+            self.cancel(key)
+        if stream.expiry is not None:
+            stream.expiry.cancel()
+        del self._streams[key]
+
+    def _pass_on(self, output: Output) -> None:
+        if isinstance(output, Finished | Failed):
+            self._counts["finished" if isinstance(output, Finished) else "failed"] += 1
+            stream = self._streams.get((output.call, output.attempt))
+            if stream is not None:
+                stream.finish(output)
+                self.expire(stream)
+        elif isinstance(output, SpanReady | SpanFailed):
+            for waiter in self._fills.pop(output.holding, []):
+                if not waiter.done():
+                    waiter.set_result(output)
