Name the hosts that cannot read an accepted revision in `status`

Cause: such a host showed as lagging at most, and not at all where every host lagged alike and the store was away.

Ruled out: another command; operators ask this one first.

Change: `/status` says it already, and `azureswitch status` marks the host and asks for attention.

Before: "done" with two hosts at revision 1. After: "attention", and the host is named.

Conclusion: a body that cannot be read shows where it is looked for.

--- a/src/azureswitch/commands/_fleet.py
+++ b/src/azureswitch/commands/_fleet.py
@@ -40,6 +40,7 @@
     open_calls: int
     members: tuple[MemberReport, ...]
     engines: tuple[str, ...]
+    unreadable: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,6 +58,7 @@
         apart: Hosts that answered and that another one that answered does not know.
         engines: The engines in force on the hosts asked.
         loads: What the engines of the newest revision say of their load, where that was asked for.
+        unreadable: Hosts that answered and cannot read an accepted revision.
     """
 
     asked: tuple[str, ...]
@@ -68,13 +70,14 @@
     apart: tuple[str, ...]
     engines: tuple[str, ...]
     loads: tuple[EngineLoad, ...] = ()
+    unreadable: tuple[str, ...] = ()
 
     @property
     def needs_attention(self) -> bool:
         """Whether anything is not as it should be."""
         suspects = any(member.status == "suspect" for member in self.members)
         missing = any(load.missing for load in self.loads)
-        lists = self.silent or self.lagging or self.apart
+        lists = self.silent or self.lagging or self.apart or self.unreadable
         return bool(lists or self.store_behind or suspects or missing)
 
 
@@ -111,6 +114,7 @@
         apart=_apart(entries),
         engines=tuple(sorted({engine for entry in entries for engine in entry.engines})),
         loads=loads,
+        unreadable=tuple(entry.host for entry in entries if entry.unreadable),
     )
 
 
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -53,8 +53,12 @@
 
 
 def _host_note(host: str, report: FleetStatus) -> str:
-    notes = ["lagging"] * (host in report.lagging) + ["not known to all"] * (host in report.apart)
-    return ", ".join(notes)
+    notes = {
+        "lagging": report.lagging,
+        "not known to all": report.apart,
+        "cannot read the newest": report.unreadable,
+    }
+    return ", ".join(note for note, hosts in notes.items() if host in hosts)
 
 
 def _load_cells(load: EngineLoad) -> tuple[object, ...]:
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -349,6 +349,15 @@
         assert dana.run("status") is (ExitCode.ATTENTION if wrong else ExitCode.DONE)
         assert dana.printed.count("lagging") == len(lagging)
 
+    def test_unreadable_revision(self, pair: Pair) -> None:
+        """A host that cannot read an accepted revision is named."""
+        dana, _ = pair
+        first, second = (status_body(host, {0: 1, 1: 1}) for host in (0, 1))
+        dana.entries["127.0.0.1:2"] = FakeEntry(body=first[:-1] + b',"unreadable":2}')
+        dana.entries["127.0.0.1:3"] = FakeEntry(body=second)
+        assert dana.run("status") is ExitCode.ATTENTION
+        assert dana.printed.count("cannot read the newest") == 1
+
     @pytest.mark.parametrize("body", [None, b"{noise", b"[]", status_body(0, ALL)[:-1]])
     def test_silent(self, pair: Pair, body: bytes | None) -> None:
         """An address without a host that answers is named."""
