Bound the answer of a plain service

Cause: an answer of a plain service is held whole, whatever its size. One endless download could take a host's memory, and with it every request of the host.

Ruled out: answers of engines, which are relayed or bounded; request bodies, which are bounded.

Change: over 16 MiB the connection is closed and the caller is told `answer_too_large` and that the call ran.

Before: 16 MiB and a byte were held and passed on. After: refused.

Conclusion: no target can take a host's memory.

--- a/src/azureswitch/engines/_plain.py
+++ b/src/azureswitch/engines/_plain.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Set
 
-from azureswitch.client import SAFE_METHODS, Headers, HttpClient
+from azureswitch.client import SAFE_METHODS, Headers, HttpClient, HttpExchange
 from azureswitch.core import TargetName
 from azureswitch.engines._failures import says_not_run
 from azureswitch.exceptions import (
+    AnswerTooLargeError,
     HttpBrokenError,
     HttpNotSentError,
     TargetBrokenError,
@@ -34,6 +35,10 @@
 """Headers of a request that are for azureswitch or that it sets itself."""
 
 
+ANSWER_LIMIT = 16_777_216
+"""Bytes of an answer that is passed on at most, since it is held whole."""
+
+
 class HttpPlainTarget:
     """The `azureswitch.ports.PlainTarget` port over HTTP.
 
@@ -50,25 +55,27 @@
         A call with a key gets a new connection, whatever its method: on a kept one the client may
         send a safe method again by itself.
         """
+        exchange = self._client.stream(
+            method=request.method,
+            path="/" + request.path.lstrip("/"),
+            headers=_headers(request),
+            body=request.body,
+            timeout=request.timeout,
+            fresh=request.idempotency_key is not None or request.method not in SAFE_METHODS,
+        )
         try:
-            answer = await self._client.request(
-                method=request.method,
-                path="/" + request.path.lstrip("/"),
-                headers=_headers(request),
-                body=request.body,
-                timeout=request.timeout,
-                fresh=request.idempotency_key is not None or request.method not in SAFE_METHODS,
-            )
+            async with exchange as answer:
+                body = await _body(answer)
         except HttpNotSentError as error:
             raise TargetRefusedError(target=self._target) from error
         except HttpBrokenError as error:
             raise TargetBrokenError(target=self._target) from error
-        if says_not_run(head=answer.head, body=answer.body):
+        if says_not_run(head=answer.head, body=body):
             raise TargetRefusedError(target=self._target, seconds=answer.head.retry_after)
         return PlainAnswer(
             status=answer.head.status,
             headers=end_to_end(answer.head.headers),
-            body=answer.body,
+            body=body,
         )
 
     def close(self) -> None:
@@ -76,6 +83,17 @@
         self._client.close()
 
 
+async def _body(answer: HttpExchange) -> bytes:
+    parts = []
+    size = 0
+    while part := await answer.read():
+        parts.append(part)
+        size += len(part)
+        if size > ANSWER_LIMIT:
+            raise AnswerTooLargeError(limit=ANSWER_LIMIT)
+    return b"".join(parts)
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers that concern more than one connection.
 
--- a/tests/engines/test_engines.py
+++ b/tests/engines/test_engines.py
@@ -10,7 +10,9 @@
 
 from azureswitch.core import CallId, HostName, Incarnation, TargetName
 from azureswitch.engines import HttpEngine, HttpPlainTarget
+from azureswitch.engines._plain import ANSWER_LIMIT
 from azureswitch.exceptions import (
+    AnswerTooLargeError,
     AzureswitchError,
     OrderRefusedError,
     TargetAnswerError,
@@ -258,6 +260,7 @@
             (failed(503, "refused"), TargetRefusedError),
             (failed(503, "x", not_run=False), None),
             (b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", None),
+            (b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * (ANSWER_LIMIT + 1), AnswerTooLargeError),
         ],
     )
     def test_plain(self, answer: bytes, error: type[AzureswitchError] | None) -> None:
