--- a/tests/serving/test_machine.py
+++ b/tests/serving/test_machine.py
@@ -48,6 +48,7 @@
 
 ENGINES = tuple(TargetName(f"e{i}") for i in range(1, 5))
 TOKENS = (10, 1_000, 40_000, 200_000, 900_000)
+INDEXES = st.sampled_from((0, 0, 0, 1, 1, 2, 3, 7, 20))
 MAYBE_RAN = {AttemptEnd.BROKEN, AttemptEnd.CANCELLED, AttemptEnd.COMPLETE}
 
 LATEST = 310.0
@@ -133,13 +134,17 @@
         return any(end in MAYBE_RAN for end in ends)
 
     def any_call(self, index: int) -> CallId:
-        """Return one of the calls so far, finished ones among them."""
-        return list(self.calls)[index % len(self.calls)]
+        """Return one of the calls so far, finished ones among them, the latest first."""
+        return list(self.calls)[-1 - index % len(self.calls)]
+
+    def any_start(self, index: int) -> tuple[CallId, int]:
+        """Return one of the attempts so far, ended ones among them, the latest first."""
+        return list(self.starts)[-1 - index % len(self.starts)]
 
     @rule(
         tokens=st.sampled_from(TOKENS),
         customer=st.sampled_from(CUSTOMERS),
-        seconds=st.sampled_from((0.01, 1.0, 30.0, 300.0)),
+        seconds=st.sampled_from((0.01, 0.5, 1.0, 30.0, 300.0)),
         prefix=st.sampled_from(((), (1,), (1, 2), (3,))),
     )
     def model(self, tokens: int, customer: str, seconds: float, prefix: tuple[int, ...]) -> None:
@@ -159,6 +164,13 @@
         deadline = self.driver.now + seconds
         self.arrive(plain_call(f"c{len(self.calls)}", repeatable=repeatable, deadline=deadline))
 
+    @rule(grants=st.integers(1, 3))
+    def book(self, grants: int) -> None:
+        """A call that may not repeat arrives, and its claim is granted, perhaps again."""
+        self.plain(repeatable=False, seconds=1.0)
+        for _ in range(grants):
+            self.claim(index=0, how="granted")
+
     def arrive(self, call: Call) -> None:
         """Let a call arrive, and once more while it is there."""
         self.calls[call.id] = call
@@ -168,7 +180,7 @@
         assert not self.shutdown or call.id in self.finished
 
     @precondition(lambda self: self.calls)
-    @rule(index=st.integers(0, 99), how=st.sampled_from(("granted", "denied", "replayed")))
+    @rule(index=INDEXES, how=st.sampled_from(("granted", "denied", "replayed")))
     def claim(self, index: int, how: str) -> None:
         """The claim of a call is answered, perhaps again or for a call that is over."""
         call, now = self.any_call(index), self.driver.now
@@ -185,14 +197,14 @@
 
     @precondition(lambda self: self.starts)
     @rule(
-        index=st.integers(0, 99),
+        index=INDEXES,
         end=st.sampled_from(AttemptEnd),
         tokens=st.integers(0, 100),
         after=st.sampled_from((None, 0.5)),
     )
     def end(self, index: int, end: AttemptEnd, tokens: int, after: float | None) -> None:
         """An attempt ends, perhaps one that ended or was cancelled before."""
-        call, attempt = list(self.starts)[index % len(self.starts)]
+        call, attempt = self.any_start(index)
         error = TargetRejectedError(target_status=400, detail="no")
         event = AttemptEnded(
             now=self.driver.now,
@@ -208,22 +220,22 @@
         self.take(self.driver.send(event))
 
     @precondition(lambda self: self.starts)
-    @rule(index=st.integers(0, 99), tokens=st.integers(0, 100))
+    @rule(index=INDEXES, tokens=st.integers(0, 100))
     def tokens(self, index: int, tokens: int) -> None:
         """An attempt delivers output, perhaps after its end."""
-        call, attempt = list(self.starts)[index % len(self.starts)]
+        call, attempt = self.any_start(index)
         now = self.driver.now
         self.take(self.driver.send(FirstTokenArrived(now=now, call=call, attempt=attempt)))
         event = TokensArrived(now=now, call=call, attempt=attempt, tokens=tokens)
         self.take(self.driver.send(event))
 
     @precondition(lambda self: self.calls)
-    @rule(index=st.integers(0, 99))
+    @rule(index=INDEXES)
     def leave(self, index: int) -> None:
         """A caller leaves."""
         self.take(self.driver.send(CallerLeft(now=self.driver.now, call=self.any_call(index))))
 
-    @rule(seconds=st.sampled_from((0.05, 0.5, 5.0, 40.0)))
+    @rule(seconds=st.sampled_from((0.05, 0.1, 0.4, 0.5, 5.0, 40.0)))
     def tick(self, seconds: float) -> None:
         """Time passes."""
         until = self.driver.now + seconds
@@ -324,6 +336,6 @@
 
 
 ServingMachine.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+    max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
 )
 TestServing = ServingMachine.TestCase
