--- a/bench/faults/_process.py
+++ b/bench/faults/_process.py
@@ -88,13 +88,21 @@
         """Let it run again."""
         self._send(SIGCONT)
 
-    async def terminate(self, *, timeout: float) -> int | None:
+    async def terminate(self, *, timeout: float, again: float | None = None) -> int | None:
         """Ask it to stop gracefully.
 
+        Args:
+            timeout: Seconds that it may take.
+            again: Seconds after which it is asked once more, or None.
+
         Returns:
             Its exit code, or None where it had not stopped in ``timeout`` seconds.
         """
         self._send(SIGTERM)
+        if again is not None:
+            await asyncio.sleep(again)
+            if self._running.returncode is None:
+                self._send(SIGTERM)
         try:
             async with asyncio.timeout(timeout):
                 return await self._running.wait()
--- a/bench/faults/_script.py
+++ b/bench/faults/_script.py
@@ -26,6 +26,9 @@
 SERVICE_DELAY = 1.5
 """Seconds by which a plain target answers late."""
 
+STOP_AGAIN = 0.3
+"""Seconds after which an entry that stops is told so again."""
+
 STORE_DELAY = 0.6
 """Seconds by which a slow store answers late."""
 
@@ -82,6 +85,7 @@
             (23.0, lambda: self._service(Fault.SERVICE_DIED, _DYING, seconds=2.0)),
             (24.0, lambda: self._kill(second)),
             (28.0, lambda: self._store(Fault.STORE_SLOW, _SLOW, seconds=4.0)),
+            (28.5, lambda: self._stop_twice(first)),
             (29.0, lambda: self._service(Fault.SERVICE_SLOW, _LATE, seconds=3.0)),
             (30.0, lambda: self._stall_engine(seconds=3.0)),
             (34.0, lambda: self._stop(third)),
@@ -121,11 +125,18 @@
         self._note(Fault.ENTRY_PAUSED, entry.plan.callers, begin)
 
     async def _stop(self, entry: EntryProcess) -> None:
+        await self._replace(entry, Fault.ENTRY_STOPPED, again=None)
+
+    async def _stop_twice(self, entry: EntryProcess) -> None:
+        """Stop an entry while the store is slow, and tell it again while claims are decided."""
+        await self._replace(entry, Fault.ENTRY_STOPPED_TWICE, again=STOP_AGAIN)
+
+    async def _replace(self, entry: EntryProcess, fault: Fault, *, again: float | None) -> None:
         begin = self._now()
-        self._exits.append(await entry.terminate(timeout=DRAIN_TIMEOUT))
+        self._exits.append(await entry.terminate(timeout=DRAIN_TIMEOUT, again=again))
         await entry.kill()
         await entry.start()
-        self._note(Fault.ENTRY_STOPPED, entry.plan.callers, begin)
+        self._note(fault, entry.plan.callers, begin)
 
     async def _store(self, fault: Fault, faults: StoreFaults, *, seconds: float) -> None:
         store = self._site.fleet.store
--- a/bench/faults/_windows.py
+++ b/bench/faults/_windows.py
@@ -12,6 +12,7 @@
     ENTRY_KILLED = "entry killed"
     ENTRY_PAUSED = "entry paused"
     ENTRY_STOPPED = "entry stopped gracefully"
+    ENTRY_STOPPED_TWICE = "entry told twice to stop gracefully"
     ENGINE_KILLED = "engine killed"
     ENGINE_STALLED = "engine stalled"
     STORE_DOWN = "store down"
