--- a/bench/capacity/_fleets.py
+++ b/bench/capacity/_fleets.py
@@ -5,15 +5,17 @@
 from time import process_time
 
 from azureswitch.coordination.configuration import Changes
+from azureswitch.inventory import Rules, encode
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.fleet import FleetFake, FleetHost, until
 from azureswitch_standins.store import StoreFake
 from bench.capacity._series import HOSTS, PLACES, Series, series
+from bench.inventory import fleet as inventory_of
 from bench.sharing import IP_BYTES, Figures
 from bench.sharing import measure as measure_sharing
 
 MEMBERSHIP_SIZES = (9, 25, 50, 100, 200)
-CONFIGURATION_SIZES = (9, 18, 33, 66)
+CONFIGURATION_SIZES = (9, 18, 27, 33, 66)
 SHARING_SIZES = (9, 50, 100, 200, 420)
 SETTLE_SECONDS = 60.0
 SETTLE_SECONDS_PER_HOST = 0.6
@@ -22,6 +24,9 @@
 CONFIGURATION_KINDS = frozenset({"RevisionNews", "RevisionAsk", "BodyPull", "BodyReply"})
 """Messages of the configuration."""
 
+CONFIGURATION_KINDS = frozenset({"RevisionNews", "RevisionAsk", "BodyPull", "BodyReply"})
+"""Messages of the configuration."""
+
 BODY = bytes(range(256)) * 100
 """A body of about the 24 KB that an inventory of the size to design for has."""
 
@@ -63,10 +68,20 @@
     ]
 
 
+def _body(revision: int) -> bytes:
+    """Return a body of the size to design for that differs by revision."""
+    rules = Rules(longest_prompt=1_000_000 + revision)
+    return encode(inventory=inventory_of(), rules=rules)
+
+
+def _places(size: int) -> int:
+    return min(PLACES, max(3, size // 3))
+
+
 async def _configuration(size: int) -> tuple[float, ...]:
-    fleet = FleetFake(places=min(PLACES, max(3, size // 3)), configured=True)
+    fleet = FleetFake(places=_places(size), configured=True)
     changes = Changes(store=StoreFake(model=fleet.model))
-    await changes.propose(base=0, body=BODY, author="bench", change="c1")
+    await changes.propose(base=0, body=_body(1), author="bench", change="c1")
     fleet.add(size)
     await until(lambda: fleet.in_force(1) and fleet.complete(), limit=120.0)
     await sleep(SETTLE_SECONDS)
@@ -79,7 +94,7 @@
     )
     idle = (before - idle) / MEASURED_SECONDS
     for revision in range(2, 2 + CHANGES):
-        body = BODY + bytes([revision])
+        body = _body(revision)
         await changes.propose(base=revision - 1, body=body, author="bench", change=f"c{revision}")
         wanted = revision
         spread = await until(lambda: fleet.in_force(wanted), limit=30.0, step=0.01)  # noqa: B023
@@ -89,22 +104,31 @@
     more -= idle * MEASURED_SECONDS * CHANGES
     reads = fleet.model.counters.gets - reads
     watching = float(len(fleet.watchers))
-    return seconds, more / CHANGES / size, reads / CHANGES, watching, idle / size
+    return seconds, more / CHANGES / size, idle / size, reads / CHANGES, watching
 
 
 def configuration() -> list[Series]:
     """Measure changes of configuration."""
     found = {size: run_virtual(_configuration(size)) for size in CONFIGURATION_SIZES}
-    columns = (
+    by_hosts = (
         ("configuration.in_force", "s"),
         ("configuration.bytes_per_change", "bytes"),
-        ("configuration.reads_per_change", "calls"),
-        ("configuration.watches", "watches"),
         ("configuration.idle_bytes", "bytes/s"),
     )
-    return [
+    by_places = (("configuration.reads_per_change", "calls"), ("configuration.watches", "watches"))
+    columns = [
         _by_hosts(name, unit, {size: item[at] for size, item in found.items()})
-        for at, (name, unit) in enumerate(columns)
+        for at, (name, unit) in enumerate(by_hosts)
+    ]
+    return columns + [
+        series(
+            name,
+            unit=unit,
+            by="places",
+            size=PLACES,
+            points={_places(size): item[at] for size, item in found.items()},
+        )
+        for at, (name, unit) in enumerate(by_places, len(by_hosts))
     ]
 
 
--- a/bench/capacity/_plots.py
+++ b/bench/capacity/_plots.py
@@ -15,6 +15,7 @@
     """Write one plot for each series of at least two points."""
     folder.mkdir(parents=True, exist_ok=True)
     matplotlib.rcParams["svg.hashsalt"] = "capacity"
+    matplotlib.rcParams["svg.fonttype"] = "none"
     for item in found:
         if len(item.points) > 1:
             _write(item, folder / f"{item.name.replace('.', '-')}-by-{_slug(item.by)}.svg")
--- a/bench/capacity/_totals.py
+++ b/bench/capacity/_totals.py
@@ -80,14 +80,17 @@
         Cost(role="configuration, 5 calls a change", value=5 * CHANGES_A_DAY / DAY),
     ]
     yield from _table("writes of the whole fleet to the store", "1/s", writes, None)
-    reads = at("configuration.reads_per_change")
+    reads = at("configuration.reads_per_change", "places")
     yield from _table(
         "reads of the whole fleet from the store",
         "1/s",
         [
             Cost(role="configuration after changes", value=reads * CHANGES_A_DAY / DAY),
             Cost(role="configuration, checks each 300 s", value=HOSTS / 300.0),
-            Cost(role="waiting watches, renewed each 60 s", value=at("configuration.watches") / 60),
+            Cost(
+                role="watches, renewed each 60 s",
+                value=at("configuration.watches", "places") / 60,
+            ),
         ],
         None,
     )
@@ -103,7 +106,8 @@
         Cost(role="configuration, idle", value=at("configuration.idle_bytes")),
         Cost(
             role="configuration, changes",
-            value=at("configuration.bytes_per_change") * CHANGES_A_DAY / DAY,
+            # A host receives a body once and sends it once on average, which the line overshoots.
+            value=2 * at("snapshot.body", "engines") * CHANGES_A_DAY / DAY,
         ),
         Cost(role="sweep, questions", value=at("sweep.bytes", "engines/host")),
     ]
--- a/bench/capacity/_worst.py
+++ b/bench/capacity/_worst.py
@@ -7,7 +7,7 @@
 from bench.capacity._fleets import MEASURED_SECONDS, SETTLE_SECONDS, traffic
 from bench.capacity._series import HOSTS, PLACES, Series, series
 
-SIZES = (11, 22, 33, 44)
+SIZES = (11, 22, 44, 88)
 REGION_PLACES = 4
 """Failure domains of a region that is cut off."""
 
