Say "in progress", not "unknown", of calls at hosts not yet known

Cause: a running claim whose process is not among the members reads as lost. A host that has just started knows few members, so that for about a second it told "unknown" of calls that ran elsewhere. Operators are told to look such an order up and to book it again under a new key, which then runs beside the first.

Ruled out: a second run under the same key, which no view of the members permits; waiting with readiness, which would keep a fleet that restarts without hosts.

Change: for five seconds after its start a process takes those that it does not know to be alive, but neither members known to be dead nor processes that another one of the same host succeeded.

Before: `OutcomeLostError` 0.1 s after the start. After: `IdempotencyInProgressError`, with the time to come back.

Conclusion: "unknown" is told by hosts that can know.

--- a/src/azureswitch/coordination/claims/_claims.py
+++ b/src/azureswitch/coordination/claims/_claims.py
@@ -1,7 +1,7 @@
 """The asyncio shell around owner and claimer, and the part's facade."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Container, Coroutine
 from functools import singledispatchmethod
 from random import Random
 from time import time
@@ -30,6 +30,7 @@
     AVOID,
     CLAIM_WAIT,
     IDLE_TICK,
+    JOIN_SECONDS,
     OWNER_TIMEOUT,
     RETENTION,
     RETRY_AFTER,
@@ -52,9 +53,10 @@
     shard_of,
 )
 from azureswitch.coordination.claims._owners import owners
+from azureswitch.coordination.claims._presence import Presumed, alive
 from azureswitch.coordination.claims._results import Granted, Replayed, result
 from azureswitch.coordination.claims._storage import ClaimStorage, StoreEffect
-from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.coordination.membership import Member
 from azureswitch.core import CallId, CustomerName, Effect, Effects, Event, HostName, Incarnation
 from azureswitch.exceptions import (
     ClaimUnavailableError,
@@ -104,7 +106,8 @@
         self._asks: dict[int, asyncio.Future[ClaimReply]] = {}
         self._numbers = 0
         self._avoided: dict[HostName, float] = {}
-        self._alive: frozenset[Incarnation] | None = None
+        self._alive: Container[Incarnation] | None = None
+        self._joined_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._woken = asyncio.Event()
         peers.handle(ClaimAsk, self._ask)
@@ -249,14 +252,12 @@
 
     def _tick(self) -> None:
         now = self._now()
-        alive = frozenset(
-            member.incarnation
-            for member in self._members()
-            if member.status is not MemberStatus.DEAD
-        )
-        if alive != self._alive:
-            self._alive = alive
-            self._own_side(MembersSeen(now=now, wall=self._wall(), alive=alive))
+        members = self._members()
+        self._joined_at = self._joined_at or now + JOIN_SECONDS
+        taken = Presumed(known=members) if now < self._joined_at else alive(members)
+        if taken != self._alive:
+            self._alive = taken
+            self._own_side(MembersSeen(now=now, wall=self._wall(), alive=taken))
         self._own_side(OwnerTicked(now=now, wall=self._wall()))
         self._claim_side(ClaimerTicked(now=now))
 
--- a/src/azureswitch/coordination/claims/_events.py
+++ b/src/azureswitch/coordination/claims/_events.py
@@ -1,5 +1,6 @@
 """What the owner side and the claimer side are told, and what they ask their shell to do."""
 
+from collections.abc import Container
 from dataclasses import dataclass
 
 from azureswitch.coordination.claims._messages import Ask, ClaimAsk, Verdict
@@ -38,7 +39,7 @@
 class MembersSeen(OwnerEvent):
     """The set of processes taken to be alive changed."""
 
-    alive: frozenset[Incarnation]
+    alive: Container[Incarnation]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/coordination/claims/_limits.py
+++ b/src/azureswitch/coordination/claims/_limits.py
@@ -26,3 +26,6 @@
 
 RETRY_AFTER = 1.0
 """Seconds after which a refused caller may try again."""
+
+JOIN_SECONDS = 5.0
+"""Seconds after its start for which a process takes those that it does not know to be alive."""
--- a/src/azureswitch/coordination/claims/_owner.py
+++ b/src/azureswitch/coordination/claims/_owner.py
@@ -5,7 +5,7 @@
 verdict that writes nothing is given only from a view that was read after the ask came.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from functools import singledispatch
 
 from absl import logging
@@ -43,6 +43,7 @@
 )
 from azureswitch.coordination.claims._messages import ClaimAsk, Verdict
 from azureswitch.coordination.claims._model import SHARDS, Record, SegmentRef
+from azureswitch.coordination.claims._presence import Presumed
 from azureswitch.coordination.claims._rules import Ruling, rule
 from azureswitch.coordination.claims._shard import Pending, Phase, Ruled, Shard
 from azureswitch.core import NO_EFFECTS, Effect, Effects, Incarnation
@@ -97,7 +98,7 @@
     def __init__(self, *, retention: float, budget: float = WRITE_BUDGET) -> None:
         self._retention = retention
         self._interval = SHARDS / budget
-        self._alive: frozenset[Incarnation] = frozenset()
+        self._alive: Container[Incarnation] = Presumed(known=())
         self._shards: dict[int, Shard] = {}
 
     @property
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -16,7 +16,7 @@
 from azureswitch.serving import ClaimOutcome
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.store import VALUE_LIMIT, StoreFaults
-from tests.claims.fleet import ANSWER, Fleet
+from tests.claims.fleet import ANSWER, Fleet, Host
 
 DOWN = StoreFaults(down=True)
 UP = StoreFaults()
@@ -167,6 +167,16 @@
     return [first, *[await host.serve("k") for host in fleet.hosts]]
 
 
+async def _young_host(fleet):
+    """A host that has just started and knows nobody is asked for a call that runs elsewhere."""
+    _, first = await fleet.hosts[0].claim("k")
+    young = Host(name="10.0.0.9:70", fleet=fleet)
+    fleet.views[young.address] = (fleet.member(young),)
+    await asyncio.sleep(0.1)
+    _, repeat = await young.claim("k")
+    return [first, repeat]
+
+
 async def _leaving_while_claiming(fleet):
     """The caller has left, and its host drains before the claim is granted and released."""
     other = fleet.owner("k")
@@ -203,6 +213,7 @@
     (_died_after_send, [Granted, OutcomeLostError, OutcomeLostError], 1),
     (_late_answer, [Granted, OutcomeLostError, Replayed], 1),
     (_owner_paused, [Granted, Replayed, Replayed, Replayed], 1),
+    (_young_host, [Granted, IdempotencyInProgressError], 0),
     (_leaving_while_claiming, [Granted], 1),
     (_mismatch, [Granted, IdempotencyMismatchError], 1),
 ]
