--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,7 +28,7 @@
         measure = getattr(import_module(f"bench.{module.name}"), "records", None)
         if measure is None:
             continue
-        logging.info("bench: Running %s.", module.name)
+        print(f"Running {module.name}.", flush=True)
         yield from measure()
 
 
@@ -44,7 +44,7 @@
     Returns:
         Zero where every bound holds, else one.
     """
-    logging.set_verbosity(logging.INFO)
+    logging.set_verbosity(logging.ERROR)
     records = tuple(_collect())
     OUTPUT.parent.mkdir(exist_ok=True)
     OUTPUT.write_bytes(format(encode(records)))
