--- a/src/azureswitch/serving/_affinity.py
+++ b/src/azureswitch/serving/_affinity.py
@@ -25,7 +25,11 @@
         self._starts: dict[TargetName, int] = {}
 
     def apply(self, events: CacheEvents) -> None:
-        """Take over cache events; a restart or a gap forgets what may be gone."""
+        """Take over cache events; a restart forgets everything.
+
+        After a gap the rest is kept: what was evicted unseen only makes one prompt dearer than
+        expected, and falls out as the least recently used.
+        """
         known = self._starts.get(events.target)
         if known is not None and known > events.started:
             return
