Keep the old configuration where the new one cannot be used

Cause: a body that decodes but names an address that no client can be made for failed in the middle of being taken over. It was not named as unreadable, and a part of the targets had been replaced already.

Ruled out: bodies from the operators' program, whose addresses are checked; this is for those that embed the library or run mixed versions.

Change: a revision counts as unreadable until all of it is in force, and targets are replaced as a whole.

Before: `unreadable` stayed 0. After: it names the revision, and the next one is adopted.

Conclusion: a host serves by one revision or by the one before.

--- a/src/azureswitch/entry/_targets.py
+++ b/src/azureswitch/entry/_targets.py
@@ -78,10 +78,12 @@
         """Follow a configuration."""
         inventory = snapshot.inventory
         model = {service.name for service in inventory.services if _is_model(service.kind)}
-        self._engine_targets = tuple(item for item in inventory.targets if item.service in model)
-        self._places = inventory.places
-        self._engines.adopt(list(self._engine_targets))
+        engines = tuple(item for item in inventory.targets if item.service in model)
+        # An address that cannot be used fails here, before anything of the rest has changed.
         self._plain.adopt([item for item in inventory.targets if item.service not in model])
+        self._engines.adopt(list(engines))
+        self._engine_targets = engines
+        self._places = inventory.places
 
     def engine(self, name: TargetName) -> Engine | None:
         """Return the port of an engine, or None."""
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -308,14 +308,14 @@
         self._shell.dispatch(PeersChanged(now=self._shell.now, hosts=hosts))
 
     def _adopt(self, revision: int, body: bytes) -> None:
+        # What is in force stays so where this fails; the next revision may be readable again.
+        self._unreadable = revision
         try:
             snapshot = decode(body, revision=revision)
+            self._shell.adopt(snapshot)
         except SnapshotUnreadableError as error:
-            # What is in force stays so; the next revision may be readable again.
             logging.error("entry: %s", error)
-            self._unreadable = revision
             return
         self._unreadable = 0
         self._claims.retention = max(SHORTEST_KEY_RETENTION, snapshot.rules.key_retention)
-        self._shell.adopt(snapshot)
         self._membership.set_revision(revision)
--- a/tests/entry/test_adoption.py
+++ b/tests/entry/test_adoption.py
@@ -1,7 +1,6 @@
 """What a host does with the bodies of accepted revisions."""
 
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import replace
 
 import httpx
@@ -15,6 +14,7 @@
 from azureswitch_standins.peers import PeersNetworkFake
 from azureswitch_standins.store import StoreFake
 from tests.entry.rig import Rig, configuration, settings
+from tests.waiting import wait_until
 
 DAY = 86_400.0
 
@@ -38,26 +38,27 @@
     return dict(answer.json())
 
 
-def eventually(holds: Callable[[], bool]) -> None:
-    """Wait until something holds, for a bounded time."""
-    end = time.monotonic() + 20.0
-    while not holds():
-        assert time.monotonic() < end
-        time.sleep(0.02)
-
-
 class TestAdoption:
     """Accepted revisions at a host that runs."""
 
-    def test_unreadable_body(self, rig: Rig) -> None:
+    @pytest.mark.parametrize("address", [None, "nowhere"])
+    def test_unreadable_body(self, rig: Rig, address: str | None) -> None:
         """A host keeps its revision where it cannot read the next, and says so."""
-        accept(rig, b"not a configuration", base=1)
-        eventually(lambda: status(rig)["unreadable"] == 2)
+        body = b"not a configuration"
+        if address is not None:
+            first = decode(configuration(rig.engines), revision=1)
+            targets = tuple(
+                replace(target, address=address) if target.models else target
+                for target in first.inventory.targets[:2]
+            )
+            body = encode(inventory=replace(first.inventory, targets=targets), rules=first.rules)
+        accept(rig, body, base=1)
+        wait_until(lambda: status(rig)["unreadable"] == 2)
         assert status(rig)["revision"] == 1
         metrics = httpx.get(f"http://{rig.entry.operations_address}/metrics", timeout=5).text
         assert "azureswitch_unreadable_revision 2" in metrics
         accept(rig, configuration(rig.engines), base=2)
-        eventually(lambda: status(rig)["revision"] == 3)
+        wait_until(lambda: status(rig)["revision"] == 3)
         assert status(rig)["unreadable"] == 0
 
     @pytest.mark.parametrize(("rule", "kept"), [(3 * DAY, 3 * DAY), (60.0, DAY)])
@@ -66,7 +67,7 @@
         first = decode(configuration(rig.engines), revision=1)
         rules = replace(first.rules, key_retention=rule)
         accept(rig, encode(inventory=first.inventory, rules=rules), base=1)
-        eventually(lambda: status(rig)["revision"] == 2)
+        wait_until(lambda: status(rig)["revision"] == 2)
         assert rig.entry.parts.claims.retention == kept
 
     def test_key_retention_before_the_rules(self) -> None:
