Let callers really leave and really not read in their tests

Cause: the three tests of callers that leave or do not read asked for 5,000 and 400,000 tokens within the usual time; the host refused them (deadline_unreachable), so that nothing ran and they passed without trying anything. Waits of fixed length hid that, and others were too short for a busy machine. Change: these requests bring the time that they need, and the tests wait until an engine runs them before the caller leaves; an engine of 2,500 tokens a second fills the buffers of the caller that does not read. The host does what these tests ask. Ruled out: an engine of 50,000 tokens a second, with which the test did not end within 60 s; why is not known.

--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -2,7 +2,6 @@
 
 import json
 import socket
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -12,8 +11,9 @@
 
 from azureswitch.inventory import SHORTEST_KEY_RETENTION
 from azureswitch.ports import Surface
-from azureswitch_standins.engine import chat_text, expected_answer
+from azureswitch_standins.engine import CostModel, chat_text, expected_answer
 from tests.entry.rig import KEY, LIMITS, MODEL, Rig
+from tests.waiting import wait_until
 
 PROMPT = "What angle does the mount need?"
 GOOD = {"model": MODEL, "prompt": PROMPT, "max_tokens": 3}
@@ -22,6 +22,10 @@
 CHATS = Surface.CHAT.value
 
 
+QUICK = CostModel(decode_base=0.0003, decode_sequence=0.0001, prefill_rate=1_000_000.0)
+"""Gives 2,500 tokens a second, so that a connection's buffers are soon full."""
+
+
 @pytest.fixture(scope="module")
 def rig() -> Iterator[Rig]:
     """Return a running rig."""
@@ -164,14 +168,13 @@
 class TestCallersThatLeave:
     """Callers that do not wait for the end."""
 
+    def begun(self, rig: Rig) -> bool:
+        """Whether the call runs at an engine."""
+        return any(engine.counters.running for engine in rig.engines)
+
     def idle(self, rig: Rig) -> bool:
-        """Wait until nothing runs at host and engines."""
-        for _ in range(100):
-            running = sum(engine.counters.running for engine in rig.engines)
-            if not running and not rig.call(lambda: rig.entry.shell.open_calls):
-                return True
-            time.sleep(0.02)
-        return False
+        """Whether nothing runs at host and engines."""
+        return not self.begun(rig) and not rig.call(lambda: rig.entry.shell.open_calls)
 
     @pytest.mark.parametrize("stream", [True, False])
     def test_vanished(self, rig: Rig, stream: bool) -> None:
@@ -180,21 +183,30 @@
         address = rig.entry.address
         with socket.create_connection((address.ip, address.port), timeout=5) as connection:
             head = f"POST {COMPLETIONS} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n"
+            head += "x-request-timeout: 3600\r\n"
             connection.sendall(f"{head}content-length: {len(body)}\r\n\r\n".encode() + body)
-            time.sleep(0.1)
-        assert self.idle(rig)
+            wait_until(lambda: self.begun(rig))
+        # The whole answer takes 10 s.
+        wait_until(lambda: self.idle(rig), limit=8.0)
         assert not sum(engine.counters.memory_used for engine in rig.engines)
 
-    def test_not_reading(self, rig: Rig) -> None:
+    def test_not_reading(self) -> None:
         """A caller that does not read is cut off after the write timeout, with bounded memory."""
-        body = edited(stream=True, max_tokens=400_000)
+        with Rig(cost=QUICK).running() as rig:
+            self.cut_off(rig)
+
+    def cut_off(self, rig: Rig) -> None:
+        """Ask for far more than the connection's buffers hold, and read nothing."""
+        body = edited(stream=True, max_tokens=50_000)
         address = rig.entry.address
         with socket.socket() as connection:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
             connection.connect((address.ip, address.port))
             head = f"POST {COMPLETIONS} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n"
+            head += "x-request-timeout: 3600\r\n"
             connection.sendall(f"{head}content-length: {len(body)}\r\n\r\n".encode() + body)
-            assert self.idle(rig)
+            wait_until(lambda: self.begun(rig))
+            wait_until(lambda: self.idle(rig))
 
 
 class TestWholeAnswers:
--- a/tests/entry/test_survival.py
+++ b/tests/entry/test_survival.py
@@ -11,6 +11,7 @@
 from azureswitch.exceptions import StoreUnavailableError
 from azureswitch_standins.engine import CostModel, EngineFaults, expected_answer
 from tests.entry.rig import KEY, MODEL, OTHER_KEY, Rig
+from tests.waiting import PATIENCE, wait_until
 
 PATH = "/v1/completions"
 SLOW = CostModel(decode_base=0.01, prefill_rate=1_000_000.0)
@@ -77,8 +78,7 @@
             else:
                 assert answer.json()["choices"][0]["text"] == "".join(want)
                 assert answer.json()["usage"]["completion_tokens"] == 12
-        time.sleep(0.05)
-        assert not rig.engines[1].counters.running
+        wait_until(lambda: not rig.engines[1].counters.running)
 
     def test_no_job_id(self, rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
         """A long answer is streamed whether or not its place can be recorded."""
@@ -127,10 +127,11 @@
         rig.plain.delay = 0.2
         url = f"{rig.url}/s/desk/orders"
         headers = {"authorization": f"Bearer {KEY}", "idempotency-key": "left"}
+        timeout = httpx.Timeout(PATIENCE, read=0.1)
         with pytest.raises(httpx.ReadTimeout):
-            httpx.post(url, content=b"7", headers=headers, timeout=0.1)
-        time.sleep(0.2)
-        answer = httpx.post(url, content=b"7", headers=headers, timeout=5)
+            httpx.post(url, content=b"7", headers=headers, timeout=timeout)
+        wait_until(lambda: not rig.call(lambda: rig.entry.shell.open_calls))
+        answer = httpx.post(url, content=b"7", headers=headers, timeout=PATIENCE)
         assert (answer.status_code, answer.text) == (201, "7")
         assert rig.plain.calls["left"] == 1
 
@@ -147,8 +148,7 @@
                 raise failures.pop()
 
         monkeypatch.setattr(rig.entry.shell, "_check_stalls", fail_once)
-        time.sleep(0.2)
-        assert not failures
+        wait_until(lambda: not failures)
         rig.plain.delay = 10.0
         headers = {"idempotency-key": "k", "x-request-timeout": "0.6"}
         began = time.monotonic()
@@ -165,12 +165,12 @@
         entry = rig.entries[0]
         with ThreadPoolExecutor(max_workers=9) as pool:
             runs = [
-                pool.submit(rig.post, PATH, body(f"Run {index}?", 60, stream=index % 2 == 0))
+                pool.submit(rig.post, PATH, body(f"Run {index}?", 150, stream=index % 2 == 0))
                 for index in range(8)
             ]
-            time.sleep(0.2)
+            wait_until(lambda: sum(engine.counters.running for engine in rig.engines) == 8)
             stopping = pool.submit(lambda: rig.run(entry.stop(graceful=True)))
-            time.sleep(0.1)
+            wait_until(lambda: rig.entry.shell.leaving)
             ready = rig.get("/readyz")
             refused = rig.post(PATH, body("Late?", 3))
             answers = [run.result() for run in runs]
@@ -180,7 +180,7 @@
         assert refused.json()["error"]["code"] == "host_leaving"
         assert refused.json()["error"]["ran"] == "not_run"
         for index, answer in enumerate(answers):
-            want = expected_answer(f"Run {index}?", 60)
+            want = expected_answer(f"Run {index}?", 150)
             if index % 2 == 0:
                 assert tokens(answer.text) == want
             else:
--- a/tests/spans/test_entry.py
+++ b/tests/spans/test_entry.py
@@ -1,7 +1,6 @@
 """Tests of large prompts through an entry host, before engines too small for them alone."""
 
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import httpx
 import pytest
@@ -9,6 +8,7 @@
 from azureswitch.inventory import Target
 from azureswitch_standins.engine import EngineSettings, EngineStandin, expected_answer
 from tests.entry.rig import FAST, KEY, MODEL, Rig
+from tests.waiting import PATIENCE, wait_until
 
 MEMORY = 3_000
 TOKENS = 5_000
@@ -32,15 +32,6 @@
         yield running
 
 
-def until(reached: Callable[[], bool]) -> None:
-    """Wait for something, for a few seconds at most."""
-    for _ in range(500):
-        if reached():
-            return
-        time.sleep(0.01)
-    raise AssertionError(reached)
-
-
 def free(rig: Rig) -> bool:
     """Whether no engine holds any memory."""
     return not any(engine.counters.memory_used for engine in rig.engines)
@@ -55,13 +46,13 @@
             answer = rig.post("/v1/completions", BODY)
             text = answer.json()["choices"][0]["text"]
             assert text == "".join(expected_answer("word" * TOKENS, OUTPUT))
-        until(lambda: free(rig))
+        wait_until(lambda: free(rig))
 
     def test_caller_that_leaves_frees_all_memory(self, rig: Rig) -> None:
         """Every engine's span is given back when the caller goes away in the middle."""
         url, headers = f"{rig.url}/v1/completions", {"authorization": f"Bearer {KEY}"}
         body = {**BODY, "stream": True}
-        with httpx.stream("POST", url, json=body, headers=headers, timeout=10.0) as answer:
+        with httpx.stream("POST", url, json=body, headers=headers, timeout=PATIENCE) as answer:
             next(answer.iter_bytes())
             assert all(engine.counters.memory_used for engine in rig.engines)
-        until(lambda: free(rig))
+        wait_until(lambda: free(rig))
--- a/tests/waiting.py
+++ b/tests/waiting.py
@@ -22,13 +22,17 @@
             await asyncio.sleep(_LOOK)
 
 
-def wait_until(condition: Callable[[], bool]) -> None:
+def wait_until(condition: Callable[[], bool], *, limit: float = PATIENCE) -> None:
     """Block until a condition holds that another thread or process brings about.
 
+    Args:
+        condition: What is waited for.
+        limit: Seconds after which it is taken as never reached.
+
     Raises:
         TimeoutError: It did not hold in time.
     """
-    end = time.monotonic() + PATIENCE
+    end = time.monotonic() + limit
     while not condition():
         if time.monotonic() > end:
             raise TimeoutError
