Let one piece of code serve where the same logic stood twice

Cause: parts grew side by side, and some wrote again what another had. The demo and the bench of faults each read an entry's revision and looked for a free address; the demo read addresses beside the settings' own reader; completions and jobs each made the same JSON answer; attempts at engines and at plain targets each turned failures into an end in the same way. Change: read_revision, free_address, json_answer and one function for an attempt's end serve both; the demo reads addresses by HostPort. Fleet.is_plain, its set and a constant of the policy benchmark, which nothing used, are gone, as is an exception type caught beside its own base. Ruled out: joining the data classes and error types that are alike in shape alone; each states its own meaning, and a shared base would hide the fields.

--- a/bench/faults/_process.py
+++ b/bench/faults/_process.py
@@ -1,15 +1,12 @@
 """One entry host as a process of its own."""
 
 import asyncio
-import socket
 import sys
 from configparser import ConfigParser
 from dataclasses import dataclass
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Signals
 
-LOOPBACK = "127.0.0.1"
-
 PROGRAM = Path(sys.executable).parent / "azureswitch-entry"
 
 DRAIN_NOTICE = 1.0
@@ -127,10 +124,3 @@
         with path.open("w") as file:
             parser.write(file)
         return path
-
-
-def free_address() -> str:
-    """Return a loopback address that nothing listens on now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
--- a/bench/faults/_revisions.py
+++ b/bench/faults/_revisions.py
@@ -3,11 +3,8 @@
 import asyncio
 from collections.abc import Iterator
 
-import msgspec
-
-from azureswitch.client import HttpClient
-from azureswitch.exceptions import HttpError
 from azureswitch_load import Promise, Violation
+from azureswitch_load.demo import read_revision
 from bench.faults._process import EntryProcess
 
 PERIOD = 0.2
@@ -17,12 +14,6 @@
 """Seconds that one look may take."""
 
 
-class _Status(msgspec.Struct, frozen=True):
-    """The part of a host's status that is watched."""
-
-    revision: int
-
-
 class Revisions:
     """Notes the newest revision seen per host, over restarts as well."""
 
@@ -56,7 +47,7 @@
             await asyncio.sleep(PERIOD)
 
     async def _look(self, entry: EntryProcess) -> None:
-        revision = await _revision(entry.plan.operations)
+        revision = await read_revision(address=entry.plan.operations, timeout=TIMEOUT)
         if not revision:
             return
         self._looks += 1
@@ -66,14 +57,3 @@
             detail = f"{name} went back from revision {before} to {revision}"
             self._reverted.append(Violation(promise=Promise.CONFIGURATION, detail=detail))
         self._newest[name] = max(before, revision)
-
-
-async def _revision(address: str) -> int | None:
-    client = HttpClient(address=address)
-    try:
-        answer = await client.request(method="GET", path="/status", timeout=TIMEOUT)
-        return msgspec.json.decode(answer.body, type=_Status).revision
-    except (HttpError, msgspec.MsgspecError):
-        return None
-    finally:
-        client.close()
--- a/bench/faults/_site.py
+++ b/bench/faults/_site.py
@@ -8,12 +8,12 @@
 from azureswitch.client import HttpClient
 from azureswitch.coordination.configuration import Changes
 from azureswitch.core import HostName
-from azureswitch.exceptions import ChangeError, HttpError, RevisionConflictError
+from azureswitch.exceptions import ChangeError, HttpError
 from azureswitch.inventory import Inventory, Rules, encode
 from azureswitch.platform import HttpStore
 from azureswitch.ports import HostStatus, ListedHost
-from azureswitch_load.demo import Deployment, Fleet
-from bench.faults._process import EntryPlan, EntryProcess, free_address
+from azureswitch_load.demo import Deployment, Fleet, free_address
+from bench.faults._process import EntryPlan, EntryProcess
 
 ENGINES = 6
 """Engines kept of the deployment, so that this process has time for all of them."""
@@ -73,9 +73,9 @@
                 name=f"entry-{number + 1}",
                 place=place.name,
                 region=place.region,
-                callers=free_address(),
-                peers=free_address(),
-                operations=free_address(),
+                callers=str(free_address()),
+                peers=str(free_address()),
+                operations=str(free_address()),
                 store=self._fleet.store.address,
                 hosts=self._fleet.hosts.address,
                 folder=self._folder,
@@ -116,7 +116,7 @@
             entry = await changes.propose(
                 base=base, body=body, author=author, change=f"{author}-{uuid4()}"
             )
-        except (RevisionConflictError, ChangeError):
+        except ChangeError:
             return None
         return entry.revision
 
--- a/bench/policy/_records.py
+++ b/bench/policy/_records.py
@@ -35,9 +35,6 @@
 PEAK = 0.95
 """The load of an ordinary peak."""
 
-MAIN = 0.8
-"""The load that most figures are of."""
-
 OVERLOAD = 1.5
 """The load of an overload."""
 
--- a/src/azureswitch/entry/_api.py
+++ b/src/azureswitch/entry/_api.py
@@ -198,7 +198,7 @@
         await answer.wait_over()
         if answer.error is not None:
             return error_response(answer.error, call=call)
-        return _json(whole_answer(answer.data, surface), call=call)
+        return json_answer(whole_answer(answer.data, surface), call=call)
 
     async def _streamed(self, request: Request, record: ModelRecord, relay: Relay) -> Response:
         call = record.call.id
@@ -235,7 +235,7 @@
     async def _models(self, request: Request, call: CallId) -> Response:
         self._shell.directory.customer(header(request, b"authorization"))
         entries = [ModelEntry(id=model) for model in self._shell.directory.models]
-        return _json(encode(ModelList(data=entries)), call=call)
+        return json_answer(encode(ModelList(data=entries)), call=call)
 
     # --- Plain services ---------------------------------------------------------------------------
 
@@ -289,9 +289,10 @@
     return headers
 
 
-def _json(body: bytes, *, call: CallId) -> Response:
+def json_answer(body: bytes, *, call: CallId, status: int = 200) -> Response:
+    """Return a JSON answer that names its call."""
     headers = [(b"x-request-id", call.encode())]
-    return Response(200, headers, Content(b"application/json", body))
+    return Response(status, headers, Content(b"application/json", body))
 
 
 async def _unknown_path(request: Request, call: CallId) -> Response:
--- a/src/azureswitch/entry/_attempts.py
+++ b/src/azureswitch/entry/_attempts.py
@@ -10,7 +10,7 @@
 from azureswitch.core import Incarnation, TargetName
 from azureswitch.entry._events import cached_tokens
 from azureswitch.entry._ports import JobKeeper
-from azureswitch.entry._records import Attempt, ModelRecord, PlainRecord
+from azureswitch.entry._records import Attempt, ModelRecord, PlainRecord, Record
 from azureswitch.entry._targets import Targets
 from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import (
@@ -186,15 +186,7 @@
         engine: Engine,
         output: AsyncIterator[Chunk],
     ) -> None:
-        try:
-            end = await self._relay(record, attempt, output)
-        except asyncio.CancelledError:
-            end = _End(end=AttemptEnd.CANCELLED)
-        except AzureswitchError as error:
-            end = _failed(error)
-        except Exception:
-            logging.exception("entry: Attempt %d of %s failed.", attempt.number, record.call.id)
-            end = _failed(TargetBrokenError(target=attempt.targets[-1]))
+        end = await _ended(self._relay(record, attempt, output), record, attempt)
         await _close(output)
         if end.end not in (AttemptEnd.COMPLETE, AttemptEnd.REFUSED):
             self._cancel_at_engine(record, attempt, engine)
@@ -260,15 +252,7 @@
     # --- Plain targets ----------------------------------------------------------------------------
 
     async def _plain(self, record: PlainRecord, attempt: Attempt, effect: StartAttempt) -> None:
-        try:
-            end = await self._send(record, attempt, effect)
-        except asyncio.CancelledError:
-            end = _End(end=AttemptEnd.CANCELLED)
-        except AzureswitchError as error:
-            end = _failed(error)
-        except Exception:
-            logging.exception("entry: Attempt %d of %s failed.", attempt.number, record.call.id)
-            end = _failed(TargetBrokenError(target=attempt.targets[0]))
+        end = await _ended(self._send(record, attempt, effect), record, attempt)
         self._end(record, attempt, end)
 
     async def _send(self, record: PlainRecord, attempt: Attempt, effect: StartAttempt) -> _End:
@@ -314,6 +298,19 @@
         await output.aclose()
 
 
+async def _ended(work: Awaitable[_End], record: Record, attempt: Attempt) -> _End:
+    """Return how an attempt ended, whatever its work raised."""
+    try:
+        return await work
+    except asyncio.CancelledError:
+        return _End(end=AttemptEnd.CANCELLED)
+    except AzureswitchError as error:
+        return _failed(error)
+    except Exception:
+        logging.exception("entry: Attempt %d of %s failed.", attempt.number, record.call.id)
+        return _failed(TargetBrokenError(target=attempt.targets[-1]))
+
+
 async def _quietly(work: Awaitable[None]) -> None:
     try:
         await work
--- a/src/azureswitch/entry/_jobs.py
+++ b/src/azureswitch/entry/_jobs.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, replace
 
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Request, Response
 from msgspec import Raw, Struct
 from msgspec.json import encode
 
@@ -12,7 +12,7 @@
 from azureswitch.coordination.membership import Member
 from azureswitch.core import CallId, CustomerName
 from azureswitch.entry._answers import Recording
-from azureswitch.entry._api import CallerApi, event_stream
+from azureswitch.entry._api import CallerApi, event_stream, json_answer
 from azureswitch.entry._bodies import is_chat, read_completion
 from azureswitch.entry._errors import error_body, error_event, error_response
 from azureswitch.entry._events import whole_answer
@@ -166,7 +166,7 @@
             self._table.remove(call)
             return error_response(output.error, call=call)
         body = encode(JobBody(id=record.job or call, status="running", tokens=output.tokens))
-        return _json(body, call=call, status=202)
+        return json_answer(body, call=call, status=202)
 
     def _watch(self, request: Request, record: ModelRecord) -> None:
         """Give a job up whose caller leaves before it was told the job's id."""
@@ -191,7 +191,7 @@
         elif part.over:
             body.status = "done"
             body.answer = Raw(whole_answer(part.data, _surface(found.call, part.data)))
-        return _json(encode(body), call=call)
+        return json_answer(encode(body), call=call)
 
     async def _read(self, found: _Found) -> JobPart:
         """Return everything that a job has given so far."""
@@ -338,8 +338,3 @@
 
 def _surface(call: CallId, data: bytes) -> Surface:
     return Surface.CHAT if b'"chat.completion.chunk"' in data[:512] else Surface.COMPLETION
-
-
-def _json(body: bytes, *, call: CallId, status: int = 200) -> Response:
-    headers = [(b"x-request-id", call.encode())]
-    return Response(status, headers, Content(b"application/json", body))
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -7,7 +7,7 @@
 from xxhash import xxh3_64_intdigest
 
 from azureswitch.core import CallId, HostName, PlaceName, ServiceName, TargetName
-from azureswitch.inventory import ServiceKind, Snapshot, Target, TargetRole
+from azureswitch.inventory import Snapshot, Target, TargetRole
 from azureswitch.ports import LoadReport
 from azureswitch.serving._cost import PREFILL_RATE
 from azureswitch.serving._events import Digest, HostSelf, TargetLoad
@@ -243,7 +243,6 @@
         self._myself = myself
         self._states: dict[TargetName, TargetState] = {}
         self._pools: dict[tuple[ServiceName, str], Pool] = {}
-        self._plain: set[ServiceName] = set()
         self._services: set[ServiceName] = set()
         self._loaded: set[TargetName] = set()
         self._suspects: dict[TargetName, float] = {}
@@ -269,7 +268,6 @@
         self._loaded &= states.keys()
         self._suspects = {n: until for n, until in self._suspects.items() if n in states}
         self._services = {service.name for service in inventory.services}
-        self._plain = {s.name for s in inventory.services if s.kind is ServiceKind.PLAIN}
         self._pools = _pools(inventory.targets)
 
     def _nearness(self, place: PlaceName, regions: dict[PlaceName, str]) -> int:
@@ -282,10 +280,6 @@
         """Return whether the inventory holds a service."""
         return service in self._services
 
-    def is_plain(self, service: ServiceName) -> bool:
-        """Return whether plain targets stand behind a service."""
-        return service in self._plain
-
     def pool(self, *, service: ServiceName, model: str) -> Pool | None:
         """Return the targets for a service and model, or None where there are none."""
         return self._pools.get((service, model))
--- a/src/azureswitch_load/demo/_fleet.py
+++ b/src/azureswitch_load/demo/_fleet.py
@@ -1,22 +1,20 @@
 """Stand-ins and entries of a deployment, all in this process."""
 
 import asyncio
-import socket
 from dataclasses import replace
 
 from azureswitch.core import HostName, PlaceName, TargetName
 from azureswitch.entry import EntryServer, EntrySettings
 from azureswitch.inventory import Inventory, Target
 from azureswitch.ports import HostStatus, ListedHost
-from azureswitch.settings import Address
+from azureswitch.settings import Address, HostPort
+from azureswitch_load.demo._addresses import LOOPBACK, free_address
 from azureswitch_load.demo._deployment import Deployment
 from azureswitch_standins.engine import EngineSettings, EngineStandin
 from azureswitch_standins.hosts import HostListStandin
 from azureswitch_standins.service import ServiceStandin
 from azureswitch_standins.store import StoreStandin
 
-LOOPBACK = "127.0.0.1"
-
 ENTRIES = 3
 """Entry hosts."""
 
@@ -34,6 +32,8 @@
 DRAIN_NOTICE = 1.0
 """Seconds for which a leaving host answers after its readiness fails."""
 
+_HOST_PORT = HostPort()
+
 
 class Fleet:
     """Everything that a deployment needs, on loopback.
@@ -120,7 +120,7 @@
         await self._store.stop()
 
     async def _start_target(self, target: Target) -> Target:
-        port = _address(target.address).port if self._fixed else 0
+        port = _HOST_PORT.parse(target.address).port if self._fixed else 0
         standin: EngineStandin | ServiceStandin
         if target.models:
             standin = self._engines[target.name] = self._engine(target, port)
@@ -147,8 +147,8 @@
             callers=self._listen(number),
             peers=self._listen(number, offset=PEERS_OFFSET),
             operations=self._listen(number, offset=OPERATIONS_OFFSET),
-            store=_address(self._store.address),
-            hosts=_address(self._hosts.address),
+            store=_HOST_PORT.parse(self._store.address),
+            hosts=_HOST_PORT.parse(self._hosts.address),
             drain_notice=DRAIN_NOTICE,
         )
         self._hosts.list.put(
@@ -164,17 +164,6 @@
         self._entries[settings.host] = entry
 
     def _listen(self, number: int, *, offset: int = 0) -> Address:
-        port = FIRST_FIXED_PORT + number + offset if self._fixed else _free_port()
-        return Address(ip=LOOPBACK, port=port)
-
-
-def _free_port() -> int:
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind((LOOPBACK, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
-def _address(text: str) -> Address:
-    ip, _, port = text.rpartition(":")
-    return Address(ip=ip, port=int(port))
+        if not self._fixed:
+            return free_address()
+        return Address(ip=LOOPBACK, port=FIRST_FIXED_PORT + number + offset)
--- a/src/azureswitch_load/demo/_watch.py
+++ b/src/azureswitch_load/demo/_watch.py
@@ -4,13 +4,10 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass
 
-import msgspec
-
-from azureswitch.client import HttpClient
 from azureswitch.core import HostName, TargetName
-from azureswitch.exceptions import HttpError
 from azureswitch_load import Promise, Violation
 from azureswitch_load.demo._fleet import Fleet
+from azureswitch_load.demo._status import read_revision
 
 WATCH_PERIOD = 0.2
 """Seconds between two looks."""
@@ -25,12 +22,6 @@
 """Seconds after which a target that is leaving must get no new work."""
 
 
-class _Status(msgspec.Struct, frozen=True):
-    """The part of a host's status that is watched."""
-
-    revision: int
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Accepted:
     """A configuration that was accepted.
@@ -102,7 +93,9 @@
         for host, entry in self._fleet.entries.items():
             if host in self._left:
                 continue
-            revision = await _revision(str(entry.operations_address))
+            revision = await read_revision(
+                address=str(entry.operations_address), timeout=STATUS_TIMEOUT
+            )
             # A host may have begun to leave while it was asked.
             if revision is not None and host not in self._left:
                 self._see(host, revision)
@@ -147,14 +140,3 @@
 
     def _runs(self, target: TargetName) -> int:
         return sum(self._fleet.engines[target].counters.runs.values())
-
-
-async def _revision(address: str) -> int | None:
-    client = HttpClient(address=address)
-    try:
-        answer = await client.request(method="GET", path="/status", timeout=STATUS_TIMEOUT)
-        return msgspec.json.decode(answer.body, type=_Status).revision
-    except (HttpError, ValueError):
-        return None
-    finally:
-        client.close()
