--- a/src/azureswitch/client/_client.py
+++ b/src/azureswitch/client/_client.py
@@ -55,13 +55,26 @@
 
 
 class HttpClient:
-    """Sends requests to one ``IP:PORT``, each once."""
+    """Sends requests to one ``IP:PORT``, each once.
 
-    def __init__(self, *, address: str, connect_timeout: float = CONNECT_TIMEOUT) -> None:
+    Args:
+        address: The ``IP:PORT``.
+        connect_timeout: Seconds that a connection may take to be made.
+        pool_limit: Idle connections that are kept at most.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        connect_timeout: float = CONNECT_TIMEOUT,
+        pool_limit: int = POOL_LIMIT,
+    ) -> None:
         self._address = address
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._connect_timeout = connect_timeout
+        self._pool_limit = pool_limit
         self._idle: deque[Connection] = deque()
 
     @property
@@ -84,7 +97,7 @@
         Args:
             method: The HTTP method.
             path: Path and query.
-            headers: Headers beside ``Host`` and ``Content-Length``.
+            headers: Headers beside ``Content-Length``; ``Host`` is the address unless given.
             body: The body.
             timeout: Seconds until the whole answer must have arrived.
             fresh: Whether to make a connection for it, so that a kept one that the server is just
@@ -160,7 +173,7 @@
 
     def _put_back(self, connection: Connection) -> None:
         connection.finish()
-        if not connection.reusable or len(self._idle) >= POOL_LIMIT:
+        if not connection.reusable or len(self._idle) >= self._pool_limit:
             connection.abort()
             return
         self._idle.append(connection)
@@ -181,7 +194,9 @@
     def _encode(
         self, *, method: str, path: str, headers: Headers, body: bytes
     ) -> tuple[bytes, ...]:
-        lines = [f"{method} {path} HTTP/1.1", f"host: {self._address}"]
+        lines = [f"{method} {path} HTTP/1.1"]
+        if not any(name.lower() == "host" for name, _ in headers):
+            lines.append(f"host: {self._address}")
         lines.extend(f"{name}: {value}" for name, value in headers)
         if body or method not in SAFE_METHODS:
             lines.append(f"content-length: {len(body)}")
--- /dev/null
+++ b/src/azureswitch/coordination/mirror/_events.py
@@ -0,0 +1,35 @@
+"""What can happen to a copy of the store's objects."""
+
+from dataclasses import dataclass
+
+from azureswitch.core import Event
+from azureswitch.ports import Listing, StoreChange
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MirrorEvent(Event):
+    """Base of the events of the mirror's reducer."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Listed(MirrorEvent):
+    """All objects were read."""
+
+    listing: Listing
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Changed(MirrorEvent):
+    """A watch reported a change."""
+
+    change: StoreChange
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Broken(MirrorEvent):
+    """A call to the store failed."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ticked(MirrorEvent):
+    """Time passed."""
--- a/src/azureswitch/coordination/sharing/_digest.py
+++ b/src/azureswitch/coordination/sharing/_digest.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from azureswitch.core import CustomerName, HostName, ServiceName, TargetName
-from azureswitch.serving import CustomerUse, Demand, Digest, TargetLoad
+from azureswitch.serving import CustomerUse, Demand, Digest, Occupancy, TargetLoad
 
 SCALE = 1_000
 """Parts of a second in which times travel."""
@@ -19,6 +19,17 @@
     tokens: int
 
 
+class PackedOccupancy(Struct, frozen=True, kw_only=True, array_like=True):
+    """An `Occupancy` in milliseconds."""
+
+    target: TargetName
+    reading: int
+    short_reading: int
+    streams: int
+    long_streams: int
+    tokens: int
+
+
 class PackedUse(Struct, frozen=True, kw_only=True, array_like=True):
     """A `CustomerUse` in milliseconds."""
 
@@ -46,6 +57,7 @@
     suspects: tuple[TargetName, ...]
     demands: tuple[PackedDemand, ...]
     saved: tuple[TargetName, ...]
+    occupancies: tuple[PackedOccupancy, ...] = ()
 
 
 def pack_digest(digest: Digest) -> PackedDigest:
@@ -64,6 +76,7 @@
             for item in digest.demands
         ),
         saved=digest.saved,
+        occupancies=tuple(_pack_occupancy(item) for item in digest.occupancies),
     )
 
 
@@ -83,6 +96,7 @@
             for item in packed.demands
         ),
         saved=packed.saved,
+        occupancies=tuple(_unpack_occupancy(item) for item in packed.occupancies),
     )
 
 
@@ -104,3 +118,25 @@
         total=packed.total / SCALE,
         tokens=packed.tokens,
     )
+
+
+def _pack_occupancy(item: Occupancy) -> PackedOccupancy:
+    return PackedOccupancy(
+        target=item.target,
+        reading=round(item.reading * SCALE),
+        short_reading=round(item.short_reading * SCALE),
+        streams=item.streams,
+        long_streams=item.long_streams,
+        tokens=item.tokens,
+    )
+
+
+def _unpack_occupancy(packed: PackedOccupancy) -> Occupancy:
+    return Occupancy(
+        target=packed.target,
+        reading=packed.reading / SCALE,
+        short_reading=packed.short_reading / SCALE,
+        streams=packed.streams,
+        long_streams=packed.long_streams,
+        tokens=packed.tokens,
+    )
--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -34,7 +34,9 @@
     PeerRefusedError,
 )
 from azureswitch.exceptions._platform import (
+    DeploymentUnreadableError,
     HostListError,
+    PlatformSettingsError,
     StoreConflictError,
     StoreError,
     StoreNotFoundError,
@@ -121,7 +123,9 @@
     "DuplicateSettingError",
     "EntryUnreachableError",
     "HeadersTooLargeError",
+    "DeploymentUnreadableError",
     "HostListError",
+    "PlatformSettingsError",
     "HttpBrokenError",
     "HttpError",
     "HttpNotSentError",
--- a/src/azureswitch/exceptions/_platform.py
+++ b/src/azureswitch/exceptions/_platform.py
@@ -84,3 +84,39 @@
     @property
     def message(self) -> str:
         return "The host list cannot be read."
+
+
+@dataclass(kw_only=True, eq=False)
+class DeploymentUnreadableError(AzureswitchError):
+    """An object of the platform's store is not what its kind says.
+
+    Attributes:
+        version: The object's version.
+        detail: What is wrong.
+    """
+
+    code: ClassVar[str] = "deployment_unreadable"
+    version: int
+    detail: str
+
+    @property
+    def message(self) -> str:
+        return f"The object of version {self.version} cannot be read: {self.detail}"
+
+
+@dataclass(kw_only=True, eq=False)
+class PlatformSettingsError(AzureswitchError):
+    """The settings that the platform gives this process cannot be used.
+
+    Attributes:
+        path: The settings file.
+        detail: What is wrong.
+    """
+
+    code: ClassVar[str] = "platform_settings_error"
+    path: str
+    detail: str
+
+    @property
+    def message(self) -> str:
+        return f"The settings {self.path!r} cannot be used: {self.detail}"
--- /dev/null
+++ b/src/azureswitch/gateway/__init__.py
@@ -0,0 +1,31 @@
+"""Passes callers' requests on to targets and their answers back, as they are."""
+
+from azureswitch.gateway._gateway import Gateway, GatewaySettings
+from azureswitch.gateway._model import (
+    Arrival,
+    CallerLimits,
+    Deployment,
+    HttpRequest,
+    Route,
+    RouteKind,
+    Sending,
+    Share,
+    Verdict,
+)
+from azureswitch.gateway._ports import Dialect, Reservations
+
+__all__ = [
+    "Arrival",
+    "CallerLimits",
+    "Deployment",
+    "Dialect",
+    "Gateway",
+    "GatewaySettings",
+    "HttpRequest",
+    "Reservations",
+    "Route",
+    "RouteKind",
+    "Sending",
+    "Share",
+    "Verdict",
+]
--- /dev/null
+++ b/src/azureswitch/gateway/_front.py
@@ -0,0 +1,164 @@
+"""Takes callers' requests: finds their route and customer, and hands them to the shell."""
+
+from collections.abc import Callable
+from random import Random
+
+from azureswitch.core import CustomerName
+from azureswitch.exceptions import (
+    AzureswitchError,
+    NotConfiguredError,
+    UnauthenticatedError,
+    UnknownPathError,
+)
+from azureswitch.gateway._http import Exchange
+from azureswitch.gateway._model import Arrival, CallerLimits, Deployment, Route
+from azureswitch.gateway._ports import Dialect
+from azureswitch.gateway._records import CallRecord
+from azureswitch.gateway._routes import Routes, pick_service
+from azureswitch.gateway._shell import Shell
+from azureswitch.serving import Call
+
+
+class Front:
+    """Serves callers by the configuration in force.
+
+    Args:
+        shell: Runs the requests.
+        dialect: The headers towards callers.
+        random: The source of the choice among a route's services.
+    """
+
+    def __init__(self, *, shell: Shell, dialect: Dialect, random: Random) -> None:
+        self._shell = shell
+        self._dialect = dialect
+        self._random = random
+        self._deployment: Deployment | None = None
+        self._routes = Routes(routes=())
+        self._closing = False
+
+    @property
+    def deployment(self) -> Deployment | None:
+        """The configuration in force, or None before the first."""
+        return self._deployment
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a caller's connection may ask now."""
+        return self._deployment.limits if self._deployment else CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        """Whether callers are told to use another connection for their next request."""
+        return self._closing
+
+    def adopt(self, deployment: Deployment) -> bool:
+        """Serve by a configuration and return True, unless the same or a later one is in force."""
+        if self._deployment is not None and deployment.version <= self._deployment.version:
+            return False
+        self._deployment = deployment
+        self._routes = Routes(routes=deployment.routes)
+        return True
+
+    def close(self) -> None:
+        """Tell callers from now on to use another connection for their next request."""
+        self._closing = True
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a request."""
+        try:
+            record = self._admit(exchange)
+        except AzureswitchError as error:
+            self.refuse(exchange, error)
+            return
+        self._shell.submit(record)
+
+    def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
+        """Answer a request that is not run."""
+        headers, body = self._dialect.failure(error)
+        exchange.respond(status=error.status, headers=headers, body=body)
+
+    def _admit(self, exchange: Exchange) -> CallRecord:
+        deployment = self._deployment
+        if deployment is None:
+            raise NotConfiguredError()
+        request = exchange.request
+        arrival = self._dialect.read(request)
+        route = self._routes.find(host=request.header("host") or "", target=request.target)
+        if route is None:
+            raise UnknownPathError()
+        customer = _customer(deployment, route, arrival)
+        now = self._shell.now
+        call = Call(
+            id=arrival.id,
+            customer=customer,
+            service=pick_service(route, random=self._random),
+            model=arrival.model,
+            prompt_tokens=arrival.prompt_tokens,
+            output_tokens=arrival.output_tokens,
+            deadline=now + _seconds(arrival, route),
+            repeatable=route.repeatable,
+            offset=arrival.last_event,
+            objective=route.objective,
+            gap_objective=route.gap_objective,
+            runs=max(1, route.runs),
+            unshared=True,
+        )
+        return CallRecord(
+            call=call,
+            arrival=arrival,
+            route=route,
+            exchange=exchange,
+            started=now,
+            last_event=arrival.last_event,
+        )
+
+
+def _customer(deployment: Deployment, route: Route, arrival: Arrival) -> CustomerName:
+    if not deployment.customers or route.anonymous:
+        return CustomerName("")
+    customer = deployment.customers.get(arrival.key or "")
+    if customer is None:
+        raise UnauthenticatedError()
+    return customer
+
+
+def _seconds(arrival: Arrival, route: Route) -> float:
+    """Return how long a request may take: as the caller says, and no longer than its route."""
+    if arrival.seconds_left is None:
+        return route.timeout
+    return min(arrival.seconds_left, route.timeout)
+
+
+class Readiness:
+    """Answers whether this process takes new connections.
+
+    Args:
+        ready: Returns whether it does.
+        dialect: The form of answers.
+    """
+
+    def __init__(self, *, ready: Callable[[], bool], dialect: Dialect) -> None:
+        self._ready = ready
+        self._dialect = dialect
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a caller's connection may ask."""
+        return CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        """Connections of the platform are kept."""
+        return False
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer with 200 where new connections are taken."""
+        if self._ready():
+            exchange.respond(status=200, headers=(), body=b"")
+            return
+        self.refuse(exchange, NotConfiguredError())
+
+    def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
+        """Answer with the failure's status."""
+        headers, body = self._dialect.failure(error)
+        exchange.respond(status=error.status, headers=headers, body=body)
--- /dev/null
+++ b/src/azureswitch/gateway/_gateway.py
@@ -0,0 +1,193 @@
+"""One gateway process: its parts, and how it starts and stops."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from random import Random
+from time import monotonic, time
+
+from absl import logging
+
+from azureswitch.core import HostName, PlaceName, TargetName
+from azureswitch.gateway._front import Front, Readiness
+from azureswitch.gateway._http import HttpServer
+from azureswitch.gateway._model import Deployment
+from azureswitch.gateway._ports import Dialect
+from azureswitch.gateway._shell import Shell
+from azureswitch.inventory import Customer, Inventory, Place, Rules, Snapshot, Target
+from azureswitch.serving import (
+    Digest,
+    HostSelf,
+    Observe,
+    RetryBudget,
+    ServingState,
+    SnapshotAdopted,
+)
+
+LINGER_SECONDS = 3.0
+"""Seconds for which a leaving process takes connections on.
+
+The balancer asks once a second and needs two misses to send them elsewhere.
+"""
+
+EXIT_MARGIN = 0.4
+"""Seconds before the process would be killed at which it ends of itself."""
+
+IDLE_CHECK = 0.05
+"""Seconds between two looks whether all requests have been answered."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewaySettings:
+    """What a gateway process is told at its start.
+
+    Attributes:
+        host: The name of its host.
+        place: Its failure domain.
+        places: All failure domains.
+        callers: ``IP:PORT`` on which callers are served.
+        readiness: ``IP:PORT`` on which it says whether it takes new connections.
+        grace: Seconds that it has for a graceful stop.
+        retry_share: Retries permitted per admitted request.
+        retry_burst: Retries permitted beside that over all hosts.
+        hosts: Hosts that the burst is shared among before others are known of.
+    """
+
+    host: HostName
+    place: PlaceName
+    places: tuple[Place, ...]
+    callers: str
+    readiness: str
+    grace: float
+    retry_share: float
+    retry_burst: float
+    hosts: int
+
+
+class Gateway:
+    """Serves callers as one of many alike processes.
+
+    Args:
+        settings: What it is told at its start.
+        dialect: The headers towards callers and targets.
+        publish: Sends a digest to the peers.
+        observe: Records a metric.
+        seed: Seeds every random choice.
+        clock: Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        publish: Callable[[Digest], None],
+        observe: Callable[[Observe], None],
+        seed: int,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._settings = settings
+        started = int(time() * 1_000)
+        retries = RetryBudget(
+            share=settings.retry_share,
+            burst=settings.retry_burst / settings.hosts,
+            fleet_burst=settings.retry_burst,
+        )
+        state = ServingState(
+            myself=HostSelf(name=settings.host, place=settings.place, started=started),
+            seed=seed,
+            retries=retries,
+        )
+        self._shell = Shell(
+            state=state,
+            dialect=dialect,
+            targets=lambda: self._targets,
+            publish=publish,
+            observe=observe,
+            clock=clock,
+        )
+        self._front = Front(shell=self._shell, dialect=dialect, random=Random(seed))
+        self._readiness = Readiness(ready=lambda: self.ready, dialect=dialect)
+        self._callers = HttpServer(handler=self._front)
+        self._platform = HttpServer(handler=self._readiness)
+        self._targets: Mapping[TargetName, Target] = {}
+        self._revision = 0
+        self._leaving = False
+        self._ticks: asyncio.Task[None] | None = None
+
+    @property
+    def shell(self) -> Shell:
+        """Runs the requests."""
+        return self._shell
+
+    @property
+    def deployment(self) -> Deployment | None:
+        """The configuration in force, or None before the first."""
+        return self._front.deployment
+
+    @property
+    def ready(self) -> bool:
+        """Whether this process takes new connections."""
+        return bool(self._front.deployment and self._targets) and not self._leaving
+
+    async def start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        await self._platform.start(address=self._settings.readiness)
+        await self._callers.start(address=self._settings.callers)
+        self._ticks = asyncio.create_task(self._shell.run())
+
+    async def stop(self) -> None:
+        """Let others take over, answer what is here, and return within the time of grace."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._settings.grace - EXIT_MARGIN
+        self._leaving = True
+        self._front.close()
+        logging.info("gateway: Leaving; %d requests are open.", self._shell.open_calls)
+        await asyncio.sleep(min(LINGER_SECONDS, self._settings.grace / 2.0))
+        self._callers.stop_listening()
+        self._callers.close_idle()
+        while self._callers.connections and loop.time() < end:
+            await asyncio.sleep(IDLE_CHECK)
+            self._callers.close_idle()
+        logging.info("gateway: Stopped; %d requests were open.", self._shell.open_calls)
+        self._platform.stop_listening()
+        if self._ticks is not None:
+            self._ticks.cancel()
+
+    def adopt(self, deployment: Deployment) -> None:
+        """Serve by a configuration, unless the same or a later one is in force."""
+        if not self._front.adopt(deployment):
+            return
+        logging.info(
+            "gateway: Configuration %d is in force: %d routes, %d services, %d keys.",
+            deployment.version,
+            len(deployment.routes),
+            len(deployment.services),
+            len(deployment.customers),
+        )
+        self._revise()
+
+    def set_targets(self, targets: tuple[Target, ...]) -> None:
+        """Send requests to these targets alone from now on."""
+        self._targets = {target.name: target for target in targets}
+        self._revise()
+
+    def _revise(self) -> None:
+        """Hand the reducer the configuration and the targets of this moment."""
+        deployment = self._front.deployment
+        if deployment is None:
+            return
+        self._revision += 1
+        customers = sorted(set(deployment.customers.values()))
+        inventory = Inventory(
+            places=self._settings.places,
+            services=deployment.services,
+            targets=tuple(self._targets.values()),
+            customers=tuple(Customer(name=name, key_hash="") for name in customers),
+        )
+        snapshot = Snapshot(revision=self._revision, inventory=inventory, rules=Rules())
+        self._shell.dispatch(SnapshotAdopted(now=self._shell.now, snapshot=snapshot))
--- /dev/null
+++ b/src/azureswitch/gateway/_model.py
@@ -0,0 +1,211 @@
+"""What the gateway serves by: routes, keys, limits, and one request as it was read."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from azureswitch.client import Headers
+from azureswitch.core import CallId, CustomerName, PlaceName, ServiceName
+from azureswitch.inventory import Place, Service
+
+
+class RouteKind(Enum):
+    """What may be done with the requests of a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Share:
+    """A service's part of a route's requests.
+
+    Attributes:
+        service: The service.
+        weight: Its part beside the weights of the other services.
+    """
+
+    service: ServiceName
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Where requests of one host and path go, and how they are treated.
+
+    Attributes:
+        name: Its name.
+        host: The value of ``Host`` that it serves, in lower case.
+        prefix: The path prefix that it serves.
+        kind: What may be done with its requests.
+        shares: The services that it goes to.
+        timeout: Seconds within which a request must have its final answer.
+        objective: Seconds to the answer, or its first event, for it to be on time.
+        gap_objective: Seconds between two events for it to stay so.
+        runs: Targets that may run one request, at most.
+        priority: Its rank beside other routes; smaller goes first.
+        anonymous: Whether requests need no key.
+        resumable: Whether a broken stream may go on at another target.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[Share, ...]
+    timeout: float
+    objective: float = 0.0
+    gap_objective: float = 0.0
+    runs: int = 1
+    priority: int = 0
+    anonymous: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        streaming = self.kind is RouteKind.STREAMING
+        return self.kind is RouteKind.IDEMPOTENT or (streaming and self.resumable)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """What a caller's connection may ask.
+
+    Attributes:
+        header_bytes: Bytes of a request's head.
+        body_bytes: Bytes of its body.
+        header_seconds: Seconds that its head may take.
+        idle_seconds: Seconds that a connection may be idle.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Deployment:
+    """One accepted configuration, as the gateway serves by it.
+
+    Attributes:
+        version: Its number; later ones are greater.
+        routes: The routes.
+        services: The services behind them.
+        customers: Who holds each key; empty where no keys are asked for.
+        limits: What a caller's connection may ask.
+    """
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    customers: Mapping[str, CustomerName] = field(default_factory=dict)
+    limits: CallerLimits = CallerLimits()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Site:
+    """Where this process runs.
+
+    Attributes:
+        host: The name of its host.
+        place: Its failure domain.
+        places: All failure domains and their regions.
+    """
+
+    host: str
+    place: PlaceName
+    places: tuple[Place, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpRequest:
+    """A whole request of a caller.
+
+    Attributes:
+        method: The method.
+        target: Path and query.
+        headers: The headers in order, names in lower case.
+        body: The body.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of a lower-case name, or None."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """What a request's headers say, decoded.
+
+    Attributes:
+        id: The caller's id of this one try.
+        key: The API key, or None.
+        seconds_left: How long the caller will wait, or None where it does not say.
+        model: The model asked for; empty for plain services.
+        prompt_tokens: Tokens of the prompt.
+        output_tokens: The most output tokens.
+        last_event: The id of the last event that the caller has; zero for none.
+    """
+
+    id: CallId
+    key: str | None = None
+    seconds_left: float | None = None
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    last_event: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Sending:
+    """What one attempt adds to a request.
+
+    Attributes:
+        arrival: The request's headers, decoded.
+        customer: Whose request it is; empty where no keys are asked for.
+        target: The target that must run it, and no other at the same address.
+        seconds_left: How long the caller still waits.
+        last_event: The id of the last event that the caller has; zero for none.
+        urgency: Smaller is admitted first.
+        helpers: Addresses of the engines that help to read the prompt.
+        tickets: The reservation at each of the engines in order, the first one's included, or
+            nothing where the prompt fits into the first one's memory.
+    """
+
+    arrival: Arrival
+    customer: CustomerName
+    target: str
+    seconds_left: float
+    last_event: int
+    urgency: int
+    helpers: tuple[str, ...] = ()
+    tickets: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """What the head of a target's answer says of the request.
+
+    Attributes:
+        not_run: Whether the target promises that it did not run and will not.
+        id: The id of the request that it answers, or None where it does not say.
+        retry_after: Seconds after which the target may take the request, where it says so.
+        at_fault: Address of the helping engine that failed, where it says so.
+        sealed: Whether the answer bears the mark of the target's program.
+        readable: Whether the body is as the target's program made it, in no further encoding.
+    """
+
+    not_run: bool
+    id: str | None = None
+    retry_after: float | None = None
+    at_fault: str | None = None
+    sealed: bool = False
+    readable: bool = True
--- /dev/null
+++ b/src/azureswitch/gateway/_records.py
@@ -0,0 +1,38 @@
+"""What the gateway keeps of one admitted request."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from azureswitch.client import HttpAnswer
+from azureswitch.gateway._http import Exchange
+from azureswitch.gateway._model import Arrival, Route
+from azureswitch.serving import Call
+
+
+@dataclass(slots=True, kw_only=True)
+class CallRecord:
+    """One admitted request.
+
+    Attributes:
+        call: The call as the reducer knows it.
+        arrival: Its headers, decoded.
+        route: Its route.
+        exchange: Where its answer goes.
+        started: When it was read, in seconds of the monotonic clock.
+        last_event: The id of the last event that the caller has.
+        first_event: When the first event or the answer came, or None.
+        fallback: A target's own failure, which the caller gets where no further try succeeds.
+        tasks: The attempts that run, by number.
+        targets: The targets that attempts were sent to, in order.
+    """
+
+    call: Call
+    arrival: Arrival
+    route: Route
+    exchange: Exchange
+    started: float
+    last_event: int
+    first_event: float | None = None
+    fallback: HttpAnswer | None = None
+    tasks: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+    targets: list[str] = field(default_factory=list)
--- /dev/null
+++ b/src/azureswitch/gateway/_relay.py
@@ -0,0 +1,239 @@
+"""Runs one attempt: sends a request to a target and passes its answer on to the caller."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from math import isinf
+
+from azureswitch.client import HttpAnswer, HttpClient, HttpExchange, HttpHead
+from azureswitch.core import TargetName
+from azureswitch.exceptions import (
+    HttpBrokenError,
+    HttpNotSentError,
+    TargetAnswerError,
+    TargetBrokenError,
+    TargetError,
+    TargetRefusedError,
+)
+from azureswitch.gateway._events import EventSplitter, StreamEvent
+from azureswitch.gateway._model import RouteKind, Sending
+from azureswitch.gateway._ports import Dialect
+from azureswitch.gateway._records import CallRecord
+from azureswitch.inventory import Target
+from azureswitch.serving import (
+    AttemptEnd,
+    AttemptEnded,
+    FirstTokenArrived,
+    ServingEvent,
+    StartAttempt,
+)
+
+CONNECT_TIMEOUT = 0.35
+"""Seconds that a connection to a target may take.
+
+A lost opening packet is sent again after a second; a new connection is sooner.
+"""
+
+ANSWER_GRACE = 0.3
+"""Seconds after the deadline at which a connection is closed; the reducer acts before that."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _End:
+    """How an attempt ended, and why."""
+
+    how: AttemptEnd
+    error: TargetError | None = None
+    retry_after: float | None = None
+
+
+class Relay:
+    """Runs attempts.
+
+    Args:
+        dialect: The headers towards targets and callers.
+        targets: Returns the targets that are listed now, by name.
+        dispatch: Hands an event to the reducer.
+        clock: Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        targets: Callable[[], Mapping[TargetName, Target]],
+        dispatch: Callable[[ServingEvent], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._dialect = dialect
+        self._targets = targets
+        self._dispatch = dispatch
+        self._clock = clock
+
+    async def run(self, record: CallRecord, effect: StartAttempt) -> None:
+        """Run an attempt to its end and tell the reducer of it."""
+        name = effect.targets[0]
+        record.targets.append(name)
+        try:
+            end = await self._attempt(record, effect)
+        except HttpNotSentError:
+            end = _End(how=AttemptEnd.REFUSED, error=TargetRefusedError(target=name))
+        except HttpBrokenError:
+            error = TargetBrokenError(target=name, tokens=record.last_event)
+            end = _End(how=AttemptEnd.BROKEN, error=error)
+        except TargetAnswerError as answer_error:
+            end = _End(how=AttemptEnd.BROKEN, error=answer_error)
+        except asyncio.CancelledError:
+            self._end(record, effect, _End(how=AttemptEnd.CANCELLED))
+            raise
+        self._end(record, effect, end)
+
+    def _end(self, record: CallRecord, effect: StartAttempt, end: _End) -> None:
+        record.tasks.pop(effect.attempt, None)
+        self._dispatch(
+            AttemptEnded(
+                now=self._clock(),
+                call=effect.call,
+                attempt=effect.attempt,
+                end=end.how,
+                tokens=record.last_event,
+                retry_after=end.retry_after,
+                error=end.error,
+            )
+        )
+
+    async def _attempt(self, record: CallRecord, effect: StartAttempt) -> _End:
+        listed = self._targets()
+        targets = [listed.get(name) for name in effect.targets]
+        first = targets[0]
+        if first is None:
+            return _End(how=AttemptEnd.REFUSED, error=TargetRefusedError(target=effect.targets[0]))
+        helpers = tuple(target.address for target in targets[1:] if target is not None)
+        left = record.call.deadline - self._clock()
+        sending = Sending(
+            arrival=record.arrival,
+            customer=record.call.customer,
+            target=first.name,
+            seconds_left=left,
+            last_event=record.last_event,
+            urgency=effect.priority,
+            helpers=helpers,
+        )
+        request = record.exchange.request
+        client = HttpClient(address=first.address, connect_timeout=CONNECT_TIMEOUT, pool_limit=0)
+        stream = client.stream(
+            method=request.method,
+            path=request.target,
+            headers=self._dialect.sending(request, sending),
+            body=request.body,
+            timeout=max(0.0, left) + ANSWER_GRACE,
+            fresh=True,
+        )
+        try:
+            async with asyncio.timeout(_limit(effect.first_patience)) as patience:
+                async with stream as answer:
+                    return await self._pass_on(record, effect, answer, patience)
+        except TimeoutError as error:
+            raise HttpBrokenError(address=first.address) from error
+
+    async def _pass_on(
+        self,
+        record: CallRecord,
+        effect: StartAttempt,
+        answer: HttpExchange,
+        patience: asyncio.Timeout,
+    ) -> _End:
+        head = answer.head
+        target = effect.targets[0]
+        verdict = self._dialect.judge(head)
+        if verdict.not_run:
+            return _End(
+                how=AttemptEnd.REFUSED,
+                error=TargetRefusedError(target=target, seconds=verdict.retry_after),
+                retry_after=verdict.retry_after,
+            )
+        if verdict.id is not None and verdict.id != record.call.id:
+            raise TargetAnswerError(target=target)
+        success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
+        if success and not (verdict.readable and verdict.sealed):
+            raise TargetAnswerError(target=target)
+        if success and record.route.kind is RouteKind.STREAMING:
+            return await self._stream(record, effect, answer, patience)
+        return await self._whole(record, effect, answer)
+
+    async def _whole(self, record: CallRecord, effect: StartAttempt, answer: HttpExchange) -> _End:
+        """Pass on an answer once it is whole."""
+        whole = HttpAnswer(head=answer.head, body=await answer.body())
+        failed = whole.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if failed and record.call.repeatable:
+            record.fallback = whole
+            error = TargetAnswerError(target=effect.targets[0])
+            return _End(how=AttemptEnd.BROKEN, error=error)
+        self._arrived(record, effect)
+        self.respond(record, whole)
+        return _End(how=AttemptEnd.COMPLETE)
+
+    def respond(self, record: CallRecord, whole: HttpAnswer) -> None:
+        """Give the caller a target's whole answer."""
+        record.exchange.respond(
+            status=whole.head.status, headers=self._dialect.answer(whole.head), body=whole.body
+        )
+
+    async def _stream(
+        self,
+        record: CallRecord,
+        effect: StartAttempt,
+        answer: HttpExchange,
+        patience: asyncio.Timeout,
+    ) -> _End:
+        splitter = EventSplitter()
+        while data := await answer.read():
+            events = splitter.feed(data)
+            if events:
+                self._put(record, effect, answer.head, events)
+                patience.reschedule(self._later(effect.gap_patience))
+            await record.exchange.drain()
+        if splitter.torn:
+            raise TargetAnswerError(target=effect.targets[0])
+        if not record.exchange.started:
+            record.exchange.begin(
+                status=answer.head.status, headers=self._dialect.answer(answer.head)
+            )
+        record.exchange.finish()
+        return _End(how=AttemptEnd.COMPLETE)
+
+    def _put(
+        self,
+        record: CallRecord,
+        effect: StartAttempt,
+        head: HttpHead,
+        events: list[StreamEvent],
+    ) -> None:
+        """Pass on the events that the caller does not have yet."""
+        fresh = []
+        for event in events:
+            if event.id is not None and event.id <= record.last_event:
+                continue
+            fresh.append(event.data)
+            record.last_event = record.last_event if event.id is None else event.id
+        if not fresh:
+            return
+        if not record.exchange.started:
+            record.exchange.begin(status=head.status, headers=self._dialect.answer(head))
+        record.exchange.write(b"".join(fresh))
+        self._arrived(record, effect)
+
+    def _arrived(self, record: CallRecord, effect: StartAttempt) -> None:
+        now = self._clock()
+        if record.first_event is None:
+            record.first_event = now
+        self._dispatch(FirstTokenArrived(now=now, call=effect.call, attempt=effect.attempt))
+
+    def _later(self, seconds: float) -> float | None:
+        limit = _limit(seconds)
+        return None if limit is None else asyncio.get_running_loop().time() + limit
+
+
+def _limit(seconds: float) -> float | None:
+    return None if isinf(seconds) else seconds
--- /dev/null
+++ b/src/azureswitch/gateway/_shell.py
@@ -0,0 +1,171 @@
+"""The shell around the serving reducer: hands it events and carries out its effects."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping
+from functools import singledispatchmethod
+from time import monotonic
+
+from absl import logging
+
+from azureswitch.core import CallId, Effect, TargetName
+from azureswitch.exceptions import AzureswitchError
+from azureswitch.gateway._ports import Dialect
+from azureswitch.gateway._records import CallRecord
+from azureswitch.gateway._relay import Relay
+from azureswitch.inventory import Target
+from azureswitch.serving import (
+    TICK,
+    CallArrived,
+    CallerLeft,
+    CancelAttempt,
+    Digest,
+    FinishCall,
+    Observe,
+    PublishDigest,
+    ServingEvent,
+    ServingState,
+    StartAttempt,
+    Ticked,
+    reduce,
+)
+
+
+class Shell:
+    """Runs the serving reducer of one gateway.
+
+    Args:
+        state: The reducer's state.
+        dialect: The headers towards targets and callers.
+        targets: Returns the targets that are listed now, by name.
+        publish: Sends a digest to the peers.
+        observe: Records a metric.
+        clock: Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ServingState,
+        dialect: Dialect,
+        targets: Callable[[], Mapping[TargetName, Target]],
+        publish: Callable[[Digest], None],
+        observe: Callable[[Observe], None],
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._state = state
+        self._dialect = dialect
+        self._publish = publish
+        self._observe = observe
+        self._clock = clock
+        self._relay = Relay(dialect=dialect, targets=targets, dispatch=self.dispatch, clock=clock)
+        self._records: dict[CallId, CallRecord] = {}
+        self._events: deque[ServingEvent] = deque()
+        self._busy = False
+
+    @property
+    def open_calls(self) -> int:
+        """Requests that have not been answered."""
+        return len(self._records)
+
+    @property
+    def now(self) -> float:
+        """Seconds of the monotonic clock."""
+        return self._clock()
+
+    def submit(self, record: CallRecord) -> bool:
+        """Take a request, and return whether its id was not in use already."""
+        call = record.call.id
+        if call in self._records:
+            return False
+        self._records[call] = record
+        record.exchange.on_left(lambda: self._left(call))
+        self.dispatch(CallArrived(now=self.now, call=record.call))
+        return True
+
+    def dispatch(self, event: ServingEvent) -> None:
+        """Hand an event to the reducer and carry out what it asks for, in order."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                for effect in reduce(self._state, self._events.popleft()):
+                    self._run(effect)
+        finally:
+            self._busy = False
+
+    async def run(self) -> None:
+        """Let time pass for the reducer until cancelled."""
+        while True:
+            await asyncio.sleep(TICK)
+            self.dispatch(Ticked(now=self.now))
+
+    def _left(self, call: CallId) -> None:
+        self.dispatch(CallerLeft(now=self.now, call=call))
+
+    @singledispatchmethod
+    def _run(self, effect: Effect) -> None:
+        """Do nothing for effects that have no meaning here."""
+
+    @_run.register
+    def _(self, effect: StartAttempt) -> None:
+        record = self._records.get(effect.call)
+        if record is None:
+            return
+        work = self._relay.run(record, effect)
+        task = asyncio.get_running_loop().create_task(work, name=f"{effect.call}")
+        record.tasks[effect.attempt] = task
+        task.add_done_callback(_check)
+
+    @_run.register
+    def _(self, effect: CancelAttempt) -> None:
+        record = self._records.get(effect.call)
+        task = record.tasks.pop(effect.attempt, None) if record else None
+        if task is not None:
+            task.cancel()
+
+    @_run.register
+    def _(self, effect: FinishCall) -> None:
+        record = self._records.pop(effect.call, None)
+        if record is None:
+            return
+        if effect.error is not None and not record.exchange.over:
+            self._fail(record, effect.error)
+        self._log(record, effect.error)
+
+    @_run.register
+    def _(self, effect: PublishDigest) -> None:
+        self._publish(effect.digest)
+
+    @_run.register
+    def _(self, effect: Observe) -> None:
+        self._observe(effect)
+
+    def _fail(self, record: CallRecord, error: AzureswitchError) -> None:
+        """Tell the caller of a failure; an answer that has begun is broken off."""
+        if record.exchange.started:
+            record.exchange.abort()
+        elif record.fallback is not None:
+            self._relay.respond(record, record.fallback)
+        else:
+            headers, body = self._dialect.failure(error)
+            record.exchange.respond(status=error.status, headers=headers, body=body)
+
+    def _log(self, record: CallRecord, error: AzureswitchError | None) -> None:
+        first = None if record.first_event is None else record.first_event - record.started
+        logging.info(
+            "gateway: Request %s ended as %s after %.3f s, first output after %s s, at %s.",
+            record.call.id,
+            "answered" if error is None else error.code,
+            self.now - record.started,
+            "no" if first is None else f"{first:.3f}",
+            ",".join(record.targets) or "no target",
+        )
+
+
+def _check(task: asyncio.Task[None]) -> None:
+    """Log the failure of a task that should not fail."""
+    if not task.cancelled() and task.exception() is not None:
+        logging.error("gateway: Attempt %s failed.", task.get_name(), exc_info=task.exception())
--- a/src/azureswitch/inventory/__init__.py
+++ b/src/azureswitch/inventory/__init__.py
@@ -11,6 +11,7 @@
 )
 from azureswitch.inventory._model import (
     Customer,
+    EnginePace,
     Inventory,
     Objective,
     Place,
@@ -38,6 +39,7 @@
     "Customer",
     "Difference",
     "DifferenceKind",
+    "EnginePace",
     "FieldDifference",
     "Inventory",
     "Objective",
--- a/src/azureswitch/inventory/_model.py
+++ b/src/azureswitch/inventory/_model.py
@@ -40,6 +40,33 @@
     region: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EnginePace:
+    """How fast the engines of a service work, as published by whoever runs them.
+
+    Attributes:
+        step: Seconds that a step of the batch takes, in which each stream gets a token.
+        stream_step: Seconds that each stream adds to a step.
+        context_step: Seconds that each token of the streams' contexts adds to a step.
+        read_rate: Prompt tokens read a second.
+        pair: Seconds that each pair of a prompt token and an earlier one adds to reading.
+        stride: Steps of a pass in which streams are written; new work waits for its end.
+        slots: Requests that run at once; further ones wait.
+        memory: Tokens of KV memory of one engine.
+        report_lag: Seconds by which an engine's report of its load is late.
+    """
+
+    step: float
+    stream_step: float = 0.0
+    context_step: float = 0.0
+    read_rate: float
+    pair: float = 0.0
+    stride: int = 1
+    slots: int
+    memory: int
+    report_lag: float = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
     """A group of targets that serve the same calls.
@@ -50,11 +77,13 @@
         repeatable_methods: HTTP methods whose calls may be sent again, such as ``GET``.  All others
             are non-idempotent and are claimed before they are sent.  Unused for model services,
             whose calls may always be sent again.
+        pace: How fast its engines work, or None where that is learnt from what they do.
     """
 
     name: ServiceName
     kind: ServiceKind
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    pace: EnginePace | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/platform/__init__.py
+++ b/src/azureswitch/platform/__init__.py
@@ -1,35 +1,44 @@
-"""Adapters to the platform's object store and host list over HTTP and JSON."""
+"""The users' platform: its store, its host list, its settings, headers and configuration.
 
+All that translates between the platform's words and the project's stands in this folder.
+"""
+
+from azureswitch.platform._deployment import decode_deployment, decode_target
+from azureswitch.platform._dialect import PlatformDialect
 from azureswitch.platform._hosts import HttpHostList
+from azureswitch.platform._program import main
+from azureswitch.platform._settings import PlatformSettings, read_settings
 from azureswitch.platform._store import HttpStore
 from azureswitch.platform._wire import (
-    API_ROOT,
     HOSTS_PATH,
-    WatchType,
+    OBJECTS_PATH,
     WireChange,
-    WireDelete,
+    WireChanges,
     WireHosts,
-    WireList,
+    WireListing,
     WireMetadata,
     WireObject,
-    WirePreconditions,
-    WireStatus,
+    from_wire,
     to_wire,
 )
 
 __all__ = [
-    "API_ROOT",
     "HOSTS_PATH",
+    "OBJECTS_PATH",
     "HttpHostList",
     "HttpStore",
-    "WatchType",
+    "PlatformDialect",
+    "PlatformSettings",
     "WireChange",
-    "WireDelete",
+    "WireChanges",
     "WireHosts",
-    "WireList",
+    "WireListing",
     "WireMetadata",
     "WireObject",
-    "WirePreconditions",
-    "WireStatus",
+    "decode_deployment",
+    "decode_target",
+    "from_wire",
+    "main",
+    "read_settings",
     "to_wire",
 ]
--- /dev/null
+++ b/src/azureswitch/platform/_deployment.py
@@ -0,0 +1,205 @@
+"""The operator's configuration and the list of engines, as the store holds them."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from azureswitch.core import CustomerName, PlaceName, ServiceName, TargetName
+from azureswitch.exceptions import DeploymentUnreadableError
+from azureswitch.gateway import CallerLimits, Deployment, Route, RouteKind, Share
+from azureswitch.inventory import EnginePace, Service, ServiceKind, Target, TargetRole
+from azureswitch.ports import StoredObject
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+TARGETS_KIND = "servers"
+
+MILLISECONDS = 1_000.0
+"""In a second."""
+
+THOUSAND = 1_000.0
+"""Tokens in the unit of `WirePace.context_step`."""
+
+MILLION = 1_000_000.0
+"""Pairs in the unit of `WirePace.pair`."""
+
+
+class WirePace(msgspec.Struct, frozen=True, kw_only=True):
+    """How fast a service's engines work; times are in milliseconds."""
+
+    slots: int = msgspec.field(name="Slots", default=1)
+    memory: int = msgspec.field(name="KvCapacity", default=0)
+    stride: int = msgspec.field(name="Stride", default=1)
+    step: float = msgspec.field(name="step_ms", default=1.0)
+    stream_step: float = msgspec.field(name="per_seq_ms", default=0.0)
+    context_step: float = msgspec.field(name="context_per_k", default=0.0)
+    read_rate: float = msgspec.field(name="read_per_s", default=100_000.0)
+    pair: float = msgspec.field(name="pairs_per_m", default=0.0)
+    report_lag: float = msgspec.field(name="report_lag_ms", default=0.0)
+
+
+class WireService(msgspec.Struct, frozen=True, kw_only=True):
+    """A service; it has a pace where engines stand behind it."""
+
+    name: ServiceName = msgspec.field(name="Name")
+    pace: WirePace | None = msgspec.field(name="Engine", default=None)
+
+
+class WireShare(msgspec.Struct, frozen=True, kw_only=True):
+    """A service's part of a route."""
+
+    service: ServiceName = msgspec.field(name="Service")
+    weight: float = msgspec.field(name="Weight", default=1.0)
+
+
+class WireRoute(msgspec.Struct, frozen=True, kw_only=True):
+    """A route: to one service, or to several by weight."""
+
+    name: str = msgspec.field(name="Name", default="")
+    host: str = msgspec.field(name="Host")
+    prefix: str = msgspec.field(name="PathPrefix", default="/")
+    kind: str = msgspec.field(name="Kind", default="non_idempotent")
+    service: ServiceName = msgspec.field(name="Service", default=ServiceName(""))
+    shares: tuple[WireShare, ...] = msgspec.field(name="TrafficSplit", default=())
+    timeout_milliseconds: float = msgspec.field(name="TimeoutMs", default=10_000.0)
+    objective_milliseconds: float = msgspec.field(name="TargetLatencyMs", default=0.0)
+    gap_milliseconds: float = msgspec.field(name="GapTargetMs", default=0.0)
+    runs: int = msgspec.field(name="MaxAttempts", default=1)
+    priority: int = msgspec.field(name="Priority", default=0)
+    anonymous: bool = msgspec.field(name="Anonymous", default=False)
+    resumable: bool = msgspec.field(name="StreamResume", default=False)
+
+
+class WireLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller's connection may ask."""
+
+    header_bytes: int = msgspec.field(name="MaxHeaderBytes", default=16_384)
+    body_bytes: int = msgspec.field(name="MaxBodyBytes", default=4_194_304)
+    header_milliseconds: float = msgspec.field(name="HeaderTimeoutMs", default=3_000.0)
+    idle_milliseconds: float = msgspec.field(name="IdleTimeoutMs", default=15_000.0)
+
+
+class WireCustomer(msgspec.Struct, frozen=True, kw_only=True):
+    """A customer and its keys."""
+
+    name: CustomerName = msgspec.field(name="Name")
+    keys: tuple[str, ...] = msgspec.field(name="ApiKeys", default=())
+
+
+class WireDeployment(msgspec.Struct, frozen=True, kw_only=True):
+    """The operator's configuration."""
+
+    version: int = msgspec.field(name="Version")
+    routes: tuple[WireRoute, ...] = msgspec.field(name="Routes", default=())
+    services: tuple[WireService, ...] = msgspec.field(name="Services", default=())
+    limits: WireLimits = msgspec.field(name="Limits", default_factory=WireLimits)
+    customers: tuple[WireCustomer, ...] = msgspec.field(name="Tenants", default=())
+
+
+class WireModel(msgspec.Struct, frozen=True, kw_only=True):
+    """A model that an engine holds."""
+
+    name: str = msgspec.field(name="Name")
+
+
+class WireTarget(msgspec.Struct, frozen=True, kw_only=True):
+    """A target as it registers itself."""
+
+    service: ServiceName = msgspec.field(name="Service")
+    address: str = msgspec.field(name="Address")
+    place: PlaceName = msgspec.field(name="Zone", default=PlaceName(""))
+    state: str = msgspec.field(name="State", default="in_service")
+    models: tuple[WireModel, ...] = msgspec.field(name="Models", default=())
+
+
+IN_SERVICE = "in_service"
+
+
+def decode_deployment(item: StoredObject) -> Deployment:
+    """Return the configuration that an object holds.
+
+    Raises:
+        DeploymentUnreadableError: It is none.
+    """
+    try:
+        wire = msgspec.json.decode(item.value, type=WireDeployment)
+        return Deployment(
+            version=wire.version,
+            routes=tuple(_route(route) for route in wire.routes),
+            services=tuple(_service(service) for service in wire.services),
+            customers={key: customer.name for customer in wire.customers for key in customer.keys},
+            limits=_limits(wire.limits),
+        )
+    except ValueError as error:
+        raise DeploymentUnreadableError(version=item.version, detail=str(error)) from error
+
+
+def decode_target(item: StoredObject, *, services: Iterable[Service]) -> Target:
+    """Return the target that an object describes.
+
+    Args:
+        item: The object.
+        services: The services of the configuration in force, which say how much memory engines
+            have.
+
+    Raises:
+        DeploymentUnreadableError: It describes none.
+    """
+    try:
+        wire = msgspec.json.decode(item.value, type=WireTarget)
+    except ValueError as error:
+        raise DeploymentUnreadableError(version=item.version, detail=str(error)) from error
+    pace = next((s.pace for s in services if s.name == wire.service), None)
+    return Target(
+        name=TargetName(item.name),
+        service=wire.service,
+        place=wire.place,
+        address=wire.address,
+        role=TargetRole.SERVING if wire.state == IN_SERVICE else TargetRole.DRAINING,
+        models=tuple(model.name for model in wire.models) if pace else (),
+        memory=pace.memory if pace else 0,
+    )
+
+
+def _service(wire: WireService) -> Service:
+    if wire.pace is None:
+        return Service(name=wire.name, kind=ServiceKind.PLAIN)
+    pace = EnginePace(
+        step=wire.pace.step / MILLISECONDS,
+        stream_step=wire.pace.stream_step / MILLISECONDS,
+        context_step=wire.pace.context_step / MILLISECONDS / THOUSAND,
+        read_rate=wire.pace.read_rate,
+        pair=wire.pace.pair / MILLISECONDS / MILLION,
+        stride=wire.pace.stride,
+        slots=wire.pace.slots,
+        memory=wire.pace.memory,
+        report_lag=wire.pace.report_lag / MILLISECONDS,
+    )
+    return Service(name=wire.name, kind=ServiceKind.MODEL, pace=pace)
+
+
+def _route(wire: WireRoute) -> Route:
+    shares = tuple(Share(service=s.service, weight=s.weight) for s in wire.shares)
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        kind=RouteKind(wire.kind),
+        shares=shares or (Share(service=wire.service),),
+        timeout=wire.timeout_milliseconds / MILLISECONDS,
+        objective=wire.objective_milliseconds / MILLISECONDS,
+        gap_objective=wire.gap_milliseconds / MILLISECONDS,
+        runs=wire.runs,
+        priority=wire.priority,
+        anonymous=wire.anonymous,
+        resumable=wire.resumable,
+    )
+
+
+def _limits(wire: WireLimits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=wire.header_bytes,
+        body_bytes=wire.body_bytes,
+        header_seconds=wire.header_milliseconds / MILLISECONDS,
+        idle_seconds=wire.idle_milliseconds / MILLISECONDS,
+    )
--- /dev/null
+++ b/src/azureswitch/platform/_dialect.py
@@ -0,0 +1,134 @@
+"""Headers between callers, this system and targets."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+import msgspec
+
+from azureswitch.client import Headers, HttpHead
+from azureswitch.core import CallId
+from azureswitch.exceptions import AzureswitchError, InvalidHeaderError
+from azureswitch.gateway import Arrival, HttpRequest, Sending, Verdict
+from azureswitch.platform import _headers as names
+
+USUAL_URGENCY = 5
+"""The urgency class of a request that names none."""
+
+MOST_URGENCY = 9
+"""The class that is admitted last; 0 is admitted first."""
+
+MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
+
+
+class Failure(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of a failure of ours."""
+
+    error: str = msgspec.field(name="Error")
+    message: str = msgspec.field(name="Message")
+
+
+class PlatformDialect:
+    """The `azureswitch.gateway.Dialect` of the platform."""
+
+    def read(self, request: HttpRequest) -> Arrival:
+        """Decode a caller's headers."""
+        headers = dict(request.headers)
+        prompt, output = _tokens(headers.get(names.TOKENS))
+        left = _number(headers, names.MILLISECONDS_LEFT)
+        return Arrival(
+            id=CallId(_id(headers)),
+            key=_key(headers.get(names.KEY, "")),
+            seconds_left=None if left is None else left / 1_000.0,
+            model=headers.get(names.MODEL, ""),
+            prompt_tokens=prompt,
+            output_tokens=output,
+            last_event=int(_number(headers, names.LAST_EVENT) or 0),
+        )
+
+    def sending(self, request: HttpRequest, sending: Sending) -> Headers:
+        """Return the headers with which an attempt is sent to a target."""
+        passed = _without(request.headers, names.SET_BY_US)
+        added = [
+            (names.MILLISECONDS_LEFT, str(max(1, int(sending.seconds_left * 1_000.0)))),
+            (names.EXPECTED_TARGET, sending.target),
+        ]
+        if sending.customer:
+            added.append((names.CUSTOMER, sending.customer))
+        if sending.last_event:
+            added.append((names.LAST_EVENT, str(sending.last_event)))
+        if sending.arrival.model:
+            urgency = min(MOST_URGENCY, max(0, USUAL_URGENCY + sending.urgency))
+            added.append((names.URGENCY, str(urgency)))
+        if sending.helpers:
+            added.append((names.HELPERS, ",".join(sending.helpers)))
+        return (*passed, *added)
+
+    def judge(self, head: HttpHead) -> Verdict:
+        """Decode the head of a target's answer."""
+        promised = head.header(name=names.NOT_RUN) is not None
+        return Verdict(
+            not_run=promised or head.status == MISDIRECTED,
+            id=head.header(name=names.ID),
+            retry_after=head.retry_after,
+            at_fault=head.header(name=names.AT_FAULT),
+            sealed=head.header(name=names.SEAL) is not None,
+            readable=head.header(name="content-encoding") is None,
+        )
+
+    def answer(self, head: HttpHead) -> Headers:
+        """Return the headers of a target's answer that go on to the caller."""
+        return _without(head.headers, frozenset())
+
+    def failure(self, error: AzureswitchError) -> tuple[Headers, bytes]:
+        """Return the headers and the body that tell a caller of a failure of ours."""
+        headers: Headers = (("content-type", "application/json"),)
+        if error.retry_after is not None:
+            headers = (*headers, (names.RETRY_AFTER, f"{error.retry_after:.3f}"))
+        return headers, msgspec.json.encode(Failure(error=error.code, message=error.message))
+
+
+def _id(headers: dict[str, str]) -> str:
+    value = headers.get(names.ID, "")
+    if not value:
+        raise InvalidHeaderError(name=names.ID, expected="the id of this try")
+    return value
+
+
+def _key(value: str) -> str | None:
+    if value.lower().startswith(names.KEY_SCHEME):
+        return value[len(names.KEY_SCHEME) :].strip()
+    return None
+
+
+def _number(headers: dict[str, str], name: str) -> float | None:
+    value = headers.get(name)
+    if value is None:
+        return None
+    try:
+        return max(0.0, float(value))
+    except ValueError as error:
+        raise InvalidHeaderError(name=name, expected="a number") from error
+
+
+def _tokens(value: str | None) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most output tokens."""
+    if not value:
+        return 0, 0
+    prompt, _, output = value.partition(",")
+    try:
+        return max(0, int(prompt)), max(0, int(output or "0"))
+    except ValueError as error:
+        raise InvalidHeaderError(name=names.TOKENS, expected="two counts") from error
+
+
+def _without(headers: Iterable[tuple[str, str]], dropped: frozenset[str]) -> Headers:
+    """Return the headers but those of one connection alone and some more."""
+    pairs = tuple(headers)
+    listed = {
+        token.strip().lower()
+        for name, value in pairs
+        if name == "connection"
+        for token in value.split(",")
+    }
+    gone = names.HOP_BY_HOP | dropped | listed
+    return tuple((name, value) for name, value in pairs if name not in gone)
--- /dev/null
+++ b/src/azureswitch/platform/_headers.py
@@ -0,0 +1,67 @@
+"""The platform's header names, each decoded here and used nowhere outside this folder."""
+
+ID = "x-azureswitch-attempt-id"
+"""The caller's id of one try."""
+
+MILLISECONDS_LEFT = "x-azureswitch-time-remaining"
+
+EXPECTED_TARGET = "x-azureswitch-target-instance"
+
+CUSTOMER = "x-azureswitch-tenant"
+
+MODEL = "x-azureswitch-model"
+
+TOKENS = "x-azureswitch-token-counts"
+"""Tokens of the prompt and the most output tokens, with a comma between."""
+
+URGENCY = "x-azureswitch-urgency-class"
+
+EXPECTED_WEIGHTS = "x-azureswitch-expected-version"
+
+HELPERS = "x-azureswitch-helpers"
+
+SEAL = "x-azureswitch-response-seal"
+"""The mark that a target's program puts on its own answers."""
+
+NOT_RUN = "x-azureswitch-not-executed"
+
+AT_FAULT = "at-server"
+"""Address of the helping engine that failed."""
+
+LAST_EVENT = "last-event-id"
+
+KEY = "authorization"
+
+KEY_SCHEME = "bearer "
+
+RETRY_AFTER = "retry-after"
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+"""Headers that concern one connection or its framing alone."""
+
+SET_BY_US = frozenset(
+    (
+        MILLISECONDS_LEFT,
+        EXPECTED_TARGET,
+        CUSTOMER,
+        URGENCY,
+        HELPERS,
+        LAST_EVENT,
+        KEY,
+    )
+)
+"""Headers that a target gets from this system whatever the caller sent."""
--- /dev/null
+++ b/src/azureswitch/platform/_program.py
@@ -0,0 +1,169 @@
+"""The daemon ``azureswitch-edge``: a gateway on the users' platform."""
+
+import asyncio
+import os
+from pathlib import Path
+from signal import SIGINT, SIGTERM
+
+from absl import logging
+
+from azureswitch.coordination.mirror import Mirror
+from azureswitch.exceptions import DeploymentUnreadableError, PlatformSettingsError
+from azureswitch.gateway import Gateway, GatewaySettings
+from azureswitch.inventory import Service, Target
+from azureswitch.platform._deployment import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    TARGETS_KIND,
+    decode_deployment,
+    decode_target,
+)
+from azureswitch.platform._dialect import PlatformDialect
+from azureswitch.platform._settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    read_settings,
+)
+from azureswitch.platform._store import HttpStore
+from azureswitch.ports import StoredObject
+from azureswitch.serving import Digest, Observe
+
+EXIT_OK = 0
+EXIT_START = 1
+"""An address could not be used."""
+EXIT_SETTINGS = 2
+"""The settings were refused."""
+
+RETURN_GRACE = 1.8
+"""Seconds after the store's return for which a target that is missing stays.
+
+Targets that live write themselves again within about 2 s, which is also when one that has left must
+get nothing new any more.
+"""
+
+RETRY_MARGIN = 0.8
+"""Share of the permitted repeated sends that is used, as hosts count their own alone."""
+
+HOSTS_FIRST = 9
+"""Hosts that the burst of retries is shared among before others are known of."""
+
+
+class Edge:
+    """A gateway and what connects it to the platform.
+
+    Args:
+        settings: The settings file.
+        seed: Seeds every random choice.
+    """
+
+    def __init__(self, *, settings: PlatformSettings, seed: int) -> None:
+        self._store = HttpStore(address=settings.store.address)
+        self._objects: tuple[StoredObject, ...] = ()
+        self._gateway = Gateway(
+            settings=_gateway_settings(settings),
+            dialect=PlatformDialect(),
+            publish=self._publish,
+            observe=self._observe,
+            seed=seed,
+        )
+        self._configuration = Mirror(
+            store=self._store, kind=CONFIGURATION_KIND, publish=self._configure, seed=seed
+        )
+        self._targets = Mirror(
+            store=HttpStore(address=settings.store.address),
+            kind=TARGETS_KIND,
+            publish=self._list,
+            return_grace=RETURN_GRACE,
+            seed=seed + 1,
+        )
+
+    async def serve(self, stop: asyncio.Event) -> None:
+        """Serve until told to stop, and then stop gracefully.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        await self._gateway.start()
+        loops = [
+            asyncio.create_task(self._configuration.run()),
+            asyncio.create_task(self._targets.run()),
+        ]
+        await stop.wait()
+        await self._gateway.stop()
+        for loop in loops:
+            loop.cancel()
+        await asyncio.gather(*loops, return_exceptions=True)
+
+    def _configure(self, objects: tuple[StoredObject, ...]) -> None:
+        for item in objects:
+            if item.name != CONFIGURATION_NAME:
+                continue
+            try:
+                self._gateway.adopt(decode_deployment(item))
+            except DeploymentUnreadableError as error:
+                logging.error("edge: The configuration stays as it is: %s", error)
+        self._list(self._objects)
+
+    def _list(self, objects: tuple[StoredObject, ...]) -> None:
+        self._objects = objects
+        deployment = self._gateway.deployment
+        services = deployment.services if deployment else ()
+        found = (_target(item, services) for item in objects)
+        self._gateway.set_targets(tuple(target for target in found if target is not None))
+
+    def _publish(self, digest: Digest) -> None:
+        """Peers are not connected yet."""
+
+    def _observe(self, effect: Observe) -> None:
+        """Metrics are not connected yet."""
+
+
+def _target(item: StoredObject, services: tuple[Service, ...]) -> Target | None:
+    try:
+        return decode_target(item, services=services)
+    except DeploymentUnreadableError as error:
+        logging.error("edge: A target is left out: %s", error)
+        return None
+
+
+def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
+    return GatewaySettings(
+        host=settings.host,
+        place=settings.place,
+        places=settings.places,
+        callers=settings.addresses.callers,
+        readiness=settings.addresses.readiness,
+        grace=settings.bounds.grace_seconds,
+        retry_share=settings.bounds.retry_ratio * RETRY_MARGIN,
+        retry_burst=settings.bounds.retry_slack * RETRY_MARGIN,
+        hosts=HOSTS_FIRST,
+    )
+
+
+def main() -> int:
+    """Run an edge process until SIGTERM or SIGINT.
+
+    Returns:
+        0 after a graceful stop, 1 where an address cannot be used, 2 where the settings are wrong.
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold(logging.DEBUG)
+    try:
+        settings = read_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    except PlatformSettingsError as error:
+        logging.error("edge: %s", error)
+        return EXIT_SETTINGS
+    try:
+        asyncio.run(_serve(settings))
+    except OSError as error:
+        logging.error("edge: An address cannot be used: %s", error)
+        return EXIT_START
+    return EXIT_OK
+
+
+async def _serve(settings: PlatformSettings) -> None:
+    stop = asyncio.Event()
+    for number in (SIGTERM, SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    await Edge(settings=settings, seed=hash(settings.host) & 0xFFFF).serve(stop)
--- /dev/null
+++ b/src/azureswitch/platform/_settings.py
@@ -0,0 +1,93 @@
+"""The settings file that the platform gives each process."""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from azureswitch.core import HostName, PlaceName
+from azureswitch.exceptions import PlatformSettingsError
+from azureswitch.inventory import Place
+
+SETTINGS_VARIABLE = "AZURESWITCH_SETTINGS"
+"""The environment variable that holds the path of the settings file."""
+
+
+class Addresses(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a process listens.
+
+    Attributes:
+        callers: ``IP:PORT`` for callers.
+        readiness: ``IP:PORT`` on which the platform asks whether the process takes connections.
+    """
+
+    callers: str = msgspec.field(name="Front")
+    readiness: str = msgspec.field(name="Ready")
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """The figures of the users' rules that this system's own limits follow from.
+
+    Attributes:
+        drain_milliseconds: After which a leaving target must get nothing new.
+        grace_seconds: Between SIGTERM and SIGKILL.
+        retry_ratio: Repeated sends permitted per request, over all hosts.
+        retry_slack: Repeated sends permitted beside that, over all hosts.
+        hold_milliseconds: For which engines set memory aside, at most.
+    """
+
+    drain_milliseconds: float = msgspec.field(name="DrainMs", default=2_000.0)
+    grace_seconds: float = msgspec.field(name="GraceS", default=8.0)
+    retry_ratio: float = msgspec.field(name="BudgetRatio", default=0.2)
+    retry_slack: float = msgspec.field(name="RetrySlack", default=20.0)
+    hold_milliseconds: float = msgspec.field(name="HoldMaxMs", default=20_000.0)
+
+
+class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the platform's store is."""
+
+    address: str = msgspec.field(name="Address")
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The settings of a process; what is not named here is passed over.
+
+    Attributes:
+        host: The name of the host.
+        ip: Its IP address.
+        place: Its failure domain.
+        regions: The region of each failure domain.
+        peer_ports: The first and the last port that are free for the hosts' own messages.
+        addresses: Where it listens.
+        bounds: The figures of the users' rules.
+        store: Where the platform's store is.
+    """
+
+    host: HostName = msgspec.field(name="NodeName")
+    ip: str = msgspec.field(name="Ip")
+    place: PlaceName = msgspec.field(name="Zone")
+    regions: dict[PlaceName, str] = msgspec.field(name="Zones", default_factory=dict)
+    peer_ports: tuple[int, int] = msgspec.field(name="InternalPorts", default=(0, 0))
+    addresses: Addresses = msgspec.field(name="ListenAddrs")
+    bounds: Bounds = msgspec.field(name="Bounds", default_factory=Bounds)
+    store: StoreSettings = msgspec.field(name="Platform")
+
+    @property
+    def places(self) -> tuple[Place, ...]:
+        """All failure domains."""
+        return tuple(Place(name=name, region=region) for name, region in self.regions.items())
+
+
+def read_settings(path: Path) -> PlatformSettings:
+    """Return the settings of a file.
+
+    Raises:
+        PlatformSettingsError: It cannot be read, or lacks what a process needs.
+    """
+    try:
+        values: Mapping[str, Any] = tomllib.loads(path.read_text(encoding="utf-8"))
+        return msgspec.convert(values, type=PlatformSettings, strict=False)
+    except (OSError, ValueError) as error:
+        raise PlatformSettingsError(path=str(path), detail=str(error)) from error
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -1,5 +1,6 @@
 """The object store over HTTP and JSON."""
 
+from asyncio import get_running_loop
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import TypeVar
@@ -7,7 +8,7 @@
 
 import msgspec
 
-from azureswitch.client import Headers, HttpAnswer, HttpClient, HttpExchange
+from azureswitch.client import Headers, HttpAnswer, HttpClient
 from azureswitch.exceptions import (
     HttpBrokenError,
     HttpNotSentError,
@@ -20,18 +21,16 @@
     StoreVersionGoneError,
 )
 from azureswitch.platform._wire import (
-    API_ROOT,
-    CHANGE_KINDS,
+    OBJECTS_PATH,
     WireChange,
-    WireDelete,
-    WireList,
+    WireChanges,
+    WireListing,
     WireMetadata,
     WireObject,
-    WirePreconditions,
-    WireStatus,
     from_wire,
+    pack_value,
 )
-from azureswitch.ports import Listing, StoreChange, StoredObject
+from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject
 
 Body = TypeVar("Body")
 
@@ -41,6 +40,9 @@
 VALUE_LIMIT = 1_000_000
 """Bytes that a value may have."""
 
+WATCH_LIMIT = 30.0
+"""Seconds that one call may wait for changes, as the store permits."""
+
 WATCH_GRACE = 2.0
 """Seconds that the end of a watch may be late."""
 
@@ -61,19 +63,28 @@
         return _object(kind=kind, key=key, answer=answer, lost=StoreUnavailableError)
 
     async def list(self, *, kind: str) -> Listing:
-        """Return all objects of a kind."""
-        answer = await self._call(method="GET", path=_path(kind), key=kind)
-        try:
-            found = msgspec.json.decode(answer.body, type=WireList)
-            items = tuple(from_wire(kind=kind, item=item) for item in found.items)
-            return Listing(items=items, version=int(found.metadata.resource_version))
-        except ValueError as error:
-            raise StoreUnavailableError(key=kind) from error
+        """Return all objects of a kind.
+
+        Pages are read one after the other.  The version to watch from is that of the first one, so
+        that a change made in between is seen again, and none is missed.
+        """
+        items: list[StoredObject] = []
+        version: int | None = None
+        query = ""
+        while True:
+            answer = await self._call(method="GET", path=_path(kind) + query, key=kind)
+            page = _decode(answer, type=WireListing, key=kind, lost=StoreUnavailableError)
+            version = page.version if version is None else version
+            items.extend(_objects(page.items, kind=kind))
+            if not page.more or not page.items:
+                return Listing(items=tuple(items), version=version)
+            # The platform names the object to go on after as if it were a version.
+            query = "?" + urlencode({"AfterRev": page.items[-1].metadata.name})
 
     async def create(self, *, kind: str, name: str, value: bytes) -> StoredObject:
         """Create an object."""
         return await self._write(
-            method="POST", path=_path(kind), kind=kind, name=name, value=value, version=""
+            method="POST", path=_path(kind), kind=kind, name=name, value=value, version=0
         )
 
     async def update(self, *, kind: str, name: str, value: bytes, version: int) -> StoredObject:
@@ -84,58 +95,62 @@
             kind=kind,
             name=name,
             value=value,
-            version=str(version),
+            version=version,
         )
 
     async def delete(self, *, kind: str, name: str, version: int) -> None:
         """Delete an object whose version is still ``version``."""
-        body = WireDelete(preconditions=WirePreconditions(resource_version=str(version)))
-        await self._call(
-            method="DELETE",
-            path=_path(kind, name),
-            key=f"{kind}/{name}",
-            body=msgspec.json.encode(body),
-        )
+        path = f"{_path(kind, name)}?{urlencode({'Revision': version})}"
+        await self._call(method="DELETE", path=path, key=f"{kind}/{name}")
 
     async def watch(self, *, kind: str, version: int, timeout: float) -> AsyncIterator[StoreChange]:
         """Yield the changes to a kind after ``version`` for at most ``timeout`` seconds."""
-        query = {
-            "watch": "1",
-            "allowWatchBookmarks": "true",
-            "resourceVersion": version,
-            "timeoutSeconds": f"{timeout:g}",
-        }
-        path = f"{_path(kind)}?{urlencode(query)}"
-        try:
-            exchange = self._client.stream(
-                method="GET", path=path, timeout=timeout + self._timeout + WATCH_GRACE
+        loop = get_running_loop()
+        end = loop.time() + timeout
+        while (left := end - loop.time()) > 0.0:
+            wait = min(left, WATCH_LIMIT)
+            query = {"Watch": version, "WaitMs": int(wait * 1_000)}
+            answer = await self._call(
+                method="GET",
+                path=f"{_path(kind)}?{urlencode(query)}",
+                key=kind,
+                timeout=wait + self._timeout + WATCH_GRACE,
             )
-            async with exchange as answer:
-                async for line in _lines(answer, key=kind):
-                    yield _change(kind=kind, line=line)
-        except (HttpNotSentError, HttpBrokenError) as error:
-            raise StoreUnavailableError(key=kind) from error
+            page = _decode(answer, type=WireChanges, key=kind, lost=StoreUnavailableError)
+            for change in page.changes:
+                told = _change(kind=kind, change=change)
+                version = max(version, told.item.version)
+                yield told
+            if page.version > version:
+                version = page.version
+                yield _bookmark(kind=kind, version=version)
 
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
 
     async def _write(
-        self, *, method: str, path: str, kind: str, name: str, value: bytes, version: str
+        self, *, method: str, path: str, kind: str, name: str, value: bytes, version: int
     ) -> StoredObject:
         key = f"{kind}/{name}"
         if len(value) > VALUE_LIMIT:
             raise StoreValueTooLargeError(key=key, limit=VALUE_LIMIT)
-        metadata = WireMetadata(name=name, resource_version=version)
-        body = msgspec.json.encode(WireObject(kind=kind, metadata=metadata, value=value))
+        metadata = WireMetadata(name=name, version=version)
+        body = msgspec.json.encode(WireObject(metadata=metadata, content=pack_value(value)))
         answer = await self._call(method=method, path=path, key=key, body=body)
         return _object(kind=kind, key=key, answer=answer, lost=StoreOutcomeUnknownError)
 
-    async def _call(self, *, method: str, path: str, key: str, body: bytes = b"") -> HttpAnswer:
+    async def _call(
+        self, *, method: str, path: str, key: str, body: bytes = b"", timeout: float = 0.0
+    ) -> HttpAnswer:
         lost = StoreUnavailableError if method == "GET" else StoreOutcomeUnknownError
         try:
             answer = await self._client.request(
-                method=method, path=path, headers=JSON_HEADERS, body=body, timeout=self._timeout
+                method=method,
+                path=path,
+                headers=JSON_HEADERS,
+                body=body,
+                timeout=timeout or self._timeout,
             )
         except HttpNotSentError as error:
             raise StoreUnavailableError(key=key) from error
@@ -149,17 +164,42 @@
 
 
 def _path(kind: str, name: str | None = None) -> str:
-    collection = f"{API_ROOT}/{quote(kind, safe='')}"
+    collection = f"{OBJECTS_PATH}/{quote(kind, safe='')}"
     return collection if name is None else f"{collection}/{quote(name, safe='')}"
 
 
+def _decode(answer: HttpAnswer, *, type: type[Body], key: str, lost: type[StoreError]) -> Body:
+    try:
+        return msgspec.json.decode(answer.body, type=type)
+    except ValueError as error:
+        raise lost(key=key) from error
+
+
 def _object(*, kind: str, key: str, answer: HttpAnswer, lost: type[StoreError]) -> StoredObject:
     try:
-        return from_wire(kind=kind, item=msgspec.json.decode(answer.body, type=WireObject))
+        return from_wire(kind=kind, item=_decode(answer, type=WireObject, key=key, lost=lost))
     except ValueError as error:
         raise lost(key=key) from error
 
 
+def _objects(items: tuple[WireObject, ...], *, kind: str) -> list[StoredObject]:
+    try:
+        return [from_wire(kind=kind, item=item) for item in items]
+    except ValueError as error:
+        raise StoreUnavailableError(key=kind) from error
+
+
+def _change(*, kind: str, change: WireChange) -> StoreChange:
+    what = ChangeKind.DELETED if change.removed else ChangeKind.PUT
+    (item,) = _objects((change.item,), kind=kind)
+    return StoreChange(kind=what, item=item)
+
+
+def _bookmark(*, kind: str, version: int) -> StoreChange:
+    item = StoredObject(kind=kind, name="", version=version, value=b"")
+    return StoreChange(kind=ChangeKind.BOOKMARK, item=item)
+
+
 def _failure(*, status: int, key: str, seconds: float | None, lost: type[StoreError]) -> StoreError:
     """Return the failure of a status; what is not known to have done nothing is ``lost``."""
     match status:
@@ -171,36 +211,9 @@
             return StoreVersionGoneError(key=key)
         case HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
             return StoreValueTooLargeError(key=key, limit=VALUE_LIMIT)
-        case HTTPStatus.TOO_MANY_REQUESTS:
+        case HTTPStatus.TOO_MANY_REQUESTS | HTTPStatus.SERVICE_UNAVAILABLE:
             return StoreUnavailableError(key=key, seconds=seconds)
         case _ if status < HTTPStatus.INTERNAL_SERVER_ERROR:
             return StoreUnavailableError(key=key)
         case _:
             return lost(key=key)
-
-
-async def _lines(answer: HttpExchange, *, key: str) -> AsyncIterator[bytes]:
-    if answer.head.status != HTTPStatus.OK:
-        raise _failure(
-            status=answer.head.status,
-            key=key,
-            seconds=answer.head.retry_after,
-            lost=StoreUnavailableError,
-        )
-    rest = b""
-    while data := await answer.read():
-        *lines, rest = (rest + data).split(b"\n")
-        for line in lines:
-            yield line
-
-
-def _change(*, kind: str, line: bytes) -> StoreChange:
-    try:
-        change = msgspec.json.decode(line, type=WireChange)
-        if change.type == "ERROR":
-            status = msgspec.json.decode(change.object, type=WireStatus)
-            raise _failure(status=status.code, key=kind, seconds=None, lost=StoreUnavailableError)
-        item = msgspec.json.decode(change.object, type=WireObject)
-        return StoreChange(kind=CHANGE_KINDS[change.type], item=from_wire(kind=kind, item=item))
-    except ValueError as error:
-        raise StoreUnavailableError(key=kind) from error
--- a/src/azureswitch/platform/_wire.py
+++ b/src/azureswitch/platform/_wire.py
@@ -1,78 +1,76 @@
-"""The JSON of the object API, in the conventions of the Kubernetes API."""
+"""The JSON of the platform's store and of the host list.
 
-from typing import Literal
+The platform spells field names in its own way.  Each is decoded here, once; fields are named for
+what they hold, and a comment stands where the platform's name says something else.
+"""
+
+from base64 import b64decode, b64encode
 
 import msgspec
 
-from azureswitch.ports import ChangeKind, ListedHost, StoredObject
+from azureswitch.ports import ListedHost, StoredObject
 
-API_ROOT = "/apis/azureswitch/v1"
+OBJECTS_PATH = "/api/objects"
 """Path below which each kind of object is a collection."""
 
 HOSTS_PATH = "/hosts"
 """Path of the host list."""
 
-WatchType = Literal["ADDED", "MODIFIED", "DELETED", "BOOKMARK", "ERROR"]
-
-CHANGE_KINDS: dict[str, ChangeKind] = {
-    "ADDED": ChangeKind.PUT,
-    "MODIFIED": ChangeKind.PUT,
-    "DELETED": ChangeKind.DELETED,
-    "BOOKMARK": ChangeKind.BOOKMARK,
-}
+NULL = msgspec.Raw(b"null")
 
 
-class WireMetadata(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """Name and version of an object; a list has a version alone."""
+class WireMetadata(msgspec.Struct, frozen=True, kw_only=True):
+    """Name and version of an object."""
 
-    name: str = ""
-    resource_version: str = ""
+    name: str = msgspec.field(name="Name", default="")
+    version: int = msgspec.field(name="Revision", default=0)
 
 
 class WireObject(msgspec.Struct, frozen=True, kw_only=True):
-    """One object; ``value`` travels in base64."""
-
-    kind: str
-    metadata: WireMetadata
-    value: bytes = b""
-
+    """One object.
 
-class WireList(msgspec.Struct, frozen=True, kw_only=True):
-    """All objects of a kind."""
-
-    metadata: WireMetadata
-    items: tuple[WireObject, ...]
-    kind: str = "List"
+    Attributes:
+        metadata: Its name and version.
+        content: What its writer put there.
+        status: What others say of it.
+    """
 
+    metadata: WireMetadata = msgspec.field(name="Metadata")
+    content: msgspec.Raw = msgspec.field(name="Spec", default=NULL)
+    status: msgspec.Raw = msgspec.field(name="Status", default=NULL)
 
-class WirePreconditions(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """What a deletion asks of the object."""
 
-    resource_version: str
+class WireListing(msgspec.Struct, frozen=True, kw_only=True):
+    """A page of the objects of a kind.
 
+    Attributes:
+        items: The objects.
+        more: Whether another page follows.
+        version: The version at which the page was read.
+    """
 
-class WireDelete(msgspec.Struct, frozen=True, kw_only=True):
-    """The body of a deletion."""
+    items: tuple[WireObject, ...] = msgspec.field(name="Items", default=())
+    more: bool = msgspec.field(name="HasMore", default=False)
+    version: int = msgspec.field(name="AsOf", default=0)
 
-    preconditions: WirePreconditions
-    kind: str = "DeleteOptions"
 
+class WireChange(msgspec.Struct, frozen=True, kw_only=True):
+    """One change of an object."""
 
-class WireStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """The body of a failure."""
+    item: WireObject = msgspec.field(name="Object")
+    removed: bool = msgspec.field(name="Removed", default=False)
 
-    code: int
-    reason: str
-    message: str = ""
-    status: str = "Failure"
-    kind: str = "Status"
 
+class WireChanges(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a watch.
 
-class WireChange(msgspec.Struct, frozen=True, kw_only=True):
-    """One line of a watch; the object of an ``ERROR`` is a `WireStatus`."""
+    Attributes:
+        changes: What has changed; alone of all fields it is spelled in lower case.
+        version: The version to watch from next.
+    """
 
-    type: WatchType
-    object: msgspec.Raw
+    changes: tuple[WireChange, ...] = msgspec.field(name="events", default=())
+    version: int = msgspec.field(name="AsOf", default=0)
 
 
 class WireHosts(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,20 +81,31 @@
 
 
 def to_wire(*, item: StoredObject) -> WireObject:
-    """Return the JSON shape of an object."""
-    metadata = WireMetadata(name=item.name, resource_version=str(item.version))
-    return WireObject(kind=item.kind, metadata=metadata, value=item.value)
+    """Return the JSON shape of an object of our own, whose value travels in base64."""
+    metadata = WireMetadata(name=item.name, version=item.version)
+    return WireObject(metadata=metadata, content=pack_value(item.value))
 
 
 def from_wire(*, kind: str, item: WireObject) -> StoredObject:
     """Return the object of a JSON shape.
 
+    The value of an object of our own is the bytes that were put there; that of the platform's own
+    kinds is their JSON.
+
     Raises:
-        ValueError: The version is not a number.
+        ValueError: The value is a text that is not base64.
     """
+    content = bytes(item.content)
+    if content == NULL:
+        content = bytes(item.status)
     return StoredObject(
         kind=kind,
         name=item.metadata.name,
-        version=int(item.metadata.resource_version),
-        value=item.value,
+        version=item.metadata.version,
+        value=b64decode(content[1:-1], validate=True) if content[:1] == b'"' else content,
     )
+
+
+def pack_value(value: bytes) -> msgspec.Raw:
+    """Return the JSON in which a value of our own travels."""
+    return msgspec.Raw(b'"' + b64encode(value) + b'"')
--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -29,6 +29,7 @@
     FirstTokenArrived,
     HostSelf,
     LoadReported,
+    Occupancy,
     PeersChanged,
     ServingEvent,
     ShutdownBegan,
@@ -39,6 +40,7 @@
     TokensArrived,
 )
 from azureswitch.serving._reduce import TICK, reduce
+from azureswitch.serving._retries import RetryBudget
 from azureswitch.serving._state import ServingState
 
 __all__ = [
@@ -65,9 +67,11 @@
     "LoadReported",
     "Observation",
     "Observe",
+    "Occupancy",
     "PeersChanged",
     "PrioritizeAttempt",
     "PublishDigest",
+    "RetryBudget",
     "ServingEvent",
     "ServingState",
     "SettleClaim",
--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -12,9 +12,11 @@
     UnknownModelError,
     UnknownServiceError,
 )
+from azureswitch.serving._cost import Cost
 from azureswitch.serving._events import Call
 from azureswitch.serving._fleet import Pool
 from azureswitch.serving._length import Level, level_of
+from azureswitch.serving._placement import MOST_PARTS
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._state import ServingState
 
@@ -61,7 +63,7 @@
 
 
 def _too_late(state: ServingState, call: Call, pool: Pool, *, now: float) -> RefusedError | None:
-    cost = state.costs.predict(call)
+    cost = expected_cost(state, call, pool)
     level = level_of(call, state.rules)
     allowed = call.deadline - now - cost.likely
     if level is Level.SHORT:
@@ -72,6 +74,14 @@
     return DeadlineUnreachableError(seconds=_jittered(state, max(1.0, wait - allowed)))
 
 
+def expected_cost(state: ServingState, call: Call, pool: Pool) -> Cost:
+    """Return what a call is expected to cost at the targets of its pool."""
+    if pool.pace is None:
+        return state.costs.predict(call)
+    engines = min(MOST_PARTS, len(pool.targets))
+    return state.costs.predict_paced(call, pace=pool.pace, engines=engines)
+
+
 def expected_wait(
     state: ServingState, call: Call, pool: Pool, *, level: Level, now: float
 ) -> float:
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -11,6 +11,7 @@
     Ran,
     RetriesExhaustedError,
 )
+from azureswitch.serving._choice import Choice
 from azureswitch.serving._effects import (
     CancelAttempt,
     ClaimOutcome,
@@ -24,8 +25,14 @@
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
 from azureswitch.serving._length import Level, ageing_period, priority
 from azureswitch.serving._queue import Lane
-from azureswitch.serving._retries import HEDGE_COST, MOST_RETRIES, backoff, hedge_after
-from azureswitch.serving._routing import Choice, choose
+from azureswitch.serving._retries import (
+    HEDGE_COST,
+    MOST_RETRIES,
+    backoff,
+    hedge_after,
+    patience,
+)
+from azureswitch.serving._routing import choose
 from azureswitch.serving._state import Attempt, CallRecord, Phase, ServingState, TimerKind
 
 BLOCK_SECONDS = {Level.SHORT: 0.02, Level.MIDDLE: 0.1, Level.LONG: 0.25}
@@ -115,13 +122,17 @@
         alone=not choice.wait and not choice.running and len(choice.targets) == 1,
     )
     record.attempts[attempt.number] = attempt
-    state.fleet.add(choice.targets, work=choice.work, now=now)
+    if choice.occupancies:
+        state.ledger.add(call=call.id, attempt=attempt.number, occupancies=choice.occupancies)
+    else:
+        state.fleet.add(choice.targets, work=choice.work, now=now)
     state.fairness.serve(call.customer, choice.work.seconds * len(choice.targets))
     for target in choice.targets:
         state.affinity.sent(target, call.prefix)
-    if call.model:
+    if call.model and record.pool.pace is None:
         _set_ageing(state, record, attempt, now=now)
         _set_hedge(state, record, choice, now=now)
+    silence = patience(call, first_token=choice.first_token)
     return [
         StartAttempt(
             call=call.id,
@@ -130,6 +141,8 @@
             priority=level,
             resume_from=record.tokens,
             timeout=max(0.0, call.deadline - now),
+            first_patience=silence.first,
+            gap_patience=silence.gap,
         )
     ]
 
@@ -240,6 +253,7 @@
         return []
     attempt.first_token = now
     state.fleet.prefilled(attempt.targets, work=attempt.work)
+    state.ledger.read(call=record.call.id, attempt=number)
     effects = cancel_others(state, record, keep=number)
     if attempt.alone and now - attempt.started > AT_ONCE_SECONDS:
         state.costs.observe_first_token(
@@ -303,6 +317,7 @@
     if attempt.first_token is None:
         state.fleet.prefilled(attempt.targets, work=attempt.work)
     state.fleet.remove(attempt.targets, work=attempt.work)
+    state.ledger.remove(call=record.call.id, attempt=attempt.number)
 
 
 def _complete(
@@ -345,6 +360,7 @@
     now = event.now
     refused = event.end is AttemptEnd.REFUSED
     record.may_have_run = record.may_have_run or not refused
+    record.run_count += 0 if refused else 1
     _blame(state, record, attempt.targets, event)
     if not record.call.repeatable and not refused:
         error = OutcomeLostError()
@@ -373,7 +389,9 @@
     """Try a call again after a pause, or give it up at once where no retry is permitted."""
     record.retry_count += 1
     pause = backoff(record.retry_count, random=state.random)
-    permitted = record.retry_count <= MOST_RETRIES and now + pause < record.call.deadline
+    in_time = now + pause < record.call.deadline
+    more_runs = record.run_count < record.call.runs
+    permitted = record.retry_count <= MOST_RETRIES and in_time and more_runs
     if not permitted or not state.retries.take():
         return give_up(state, record, now=now)
     record.phase = Phase.BACKING_OFF
@@ -423,6 +441,7 @@
 def _cancel(state: ServingState, record: CallRecord, number: int) -> list[Effect]:
     attempt = record.attempts.pop(number)
     record.may_have_run = True
+    record.run_count += 1
     _release(state, record, attempt)
     return [CancelAttempt(call=record.call.id, attempt=number, targets=attempt.targets)]
 
--- /dev/null
+++ b/src/azureswitch/serving/_choice.py
@@ -0,0 +1,31 @@
+"""What routing decides for one attempt."""
+
+from dataclasses import dataclass
+
+from azureswitch.core import TargetName
+from azureswitch.serving._events import Occupancy
+from azureswitch.serving._fleet import Work
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """Where an attempt goes.
+
+    Attributes:
+        targets: The target; several for a prompt larger than one engine's memory.
+        work: What it puts on each of them.
+        cached_tokens: Prompt tokens expected in the target's cache.
+        wait: Engine seconds that stand before it.
+        running: Requests that wait or run at the target.
+        occupancies: What it puts on each target, as the peers are told.
+        first_token: Predicted seconds to the first token where the engines' pace is published,
+            else zero.
+    """
+
+    targets: tuple[TargetName, ...]
+    work: Work
+    cached_tokens: int
+    wait: float
+    running: int = 0
+    occupancies: tuple[Occupancy, ...] = ()
+    first_token: float = 0.0
--- a/src/azureswitch/serving/_cost.py
+++ b/src/azureswitch/serving/_cost.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 
 from azureswitch.core import TargetName
+from azureswitch.inventory import EnginePace
 from azureswitch.serving._events import Call
+from azureswitch.serving._pace import read_seconds
 
 PREFILL_RATE = 20_000.0
 """Prompt tokens per second that an engine is taken to prefill before anything was seen."""
@@ -126,6 +128,17 @@
         """Return the engine seconds that output tokens take in a full batch."""
         return tokens * DECODE_SECONDS
 
+    def predict_paced(self, call: Call, *, pace: EnginePace, engines: int) -> Cost:
+        """Predict the cost of a call on engines whose pace is published.
+
+        Args:
+            call: The call.
+            pace: How fast the engines work.
+            engines: How many may share the reading of its prompt.
+        """
+        reading = read_seconds(pace, call.prompt_tokens) / max(1, engines)
+        return Cost(prefill=reading, decode=call.output_tokens * pace.stream_step)
+
     def _factor(self, model: str) -> float:
         return self._factors.get((model, 0), 1.0)
 
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 from azureswitch.core import CallId, CustomerName, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
@@ -47,6 +48,8 @@
         priority: Smaller runs first.
         resume_from: Output tokens that the caller has already.
         timeout: Seconds that the request has left.
+        first_patience: Seconds without any output after which the attempt is broken off.
+        gap_patience: Seconds without further output after which it is broken off.
     """
 
     call: CallId
@@ -55,6 +58,8 @@
     priority: int
     resume_from: int
     timeout: float
+    first_patience: float = inf
+    gap_patience: float = inf
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -16,6 +16,9 @@
 from azureswitch.inventory import Snapshot
 from azureswitch.ports import CacheEvents, LoadReport
 
+MOST_RUNS = 9
+"""Targets that may run a call where nothing else is said: a first one and eight retries."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
@@ -33,6 +36,11 @@
         repeatable: Whether it may be sent again although it may have run.
         idempotency_key: The caller's key, or None.
         fingerprint: Digest of method, path and body, to tell a repeated call from another one.
+        offset: Output tokens that the caller has already.
+        objective: Seconds to the first output within which the answer is on time; zero for none.
+        gap_objective: Seconds between two outputs within which it stays so; zero for none.
+        runs: Targets that may run it, at most.
+        unshared: Whether no other host can be sent the same call, so that no claim is needed.
     """
 
     id: CallId
@@ -46,6 +54,11 @@
     repeatable: bool = True
     idempotency_key: str | None = None
     fingerprint: str = ""
+    offset: int = 0
+    objective: float = 0.0
+    gap_objective: float = 0.0
+    runs: int = MOST_RUNS
+    unshared: bool = False
 
 
 class AttemptEnd(Enum):
@@ -182,6 +195,27 @@
     tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Occupancy:
+    """What attempts put on one target, as their host has it from its own sends.
+
+    Attributes:
+        target: The target.
+        reading: Seconds of prompts that are still read there and were too long to be short.
+        short_reading: Seconds of short prompts that are still read there.
+        streams: Attempts with short prompts, and plain ones, that have not ended.
+        long_streams: Attempts with longer prompts that have not ended.
+        tokens: Tokens of memory that they may take.
+    """
+
+    target: TargetName
+    reading: float = 0.0
+    short_reading: float = 0.0
+    streams: int = 0
+    long_streams: int = 0
+    tokens: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CustomerUse:
     """What one host has admitted for a customer since it started, in engine seconds."""
@@ -220,6 +254,7 @@
         suspects: Targets that this host keeps out of use.
         demands: Demand by model.
         saved: Targets whose memory is being saved for a prompt larger than one of them.
+        occupancies: What this host's attempts put on targets; idle ones are left out.
     """
 
     host: HostName
@@ -230,6 +265,7 @@
     suspects: tuple[TargetName, ...] = ()
     demands: tuple[Demand, ...] = ()
     saved: tuple[TargetName, ...] = ()
+    occupancies: tuple[Occupancy, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -1,13 +1,13 @@
 """The targets, and what is known of the work that each of them has."""
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from xxhash import xxh3_64_intdigest
 
 from azureswitch.core import CallId, HostName, PlaceName, ServiceName, TargetName
-from azureswitch.inventory import Snapshot, Target, TargetRole
+from azureswitch.inventory import EnginePace, Snapshot, Target, TargetRole
 from azureswitch.ports import LoadReport
 from azureswitch.serving._cost import PREFILL_RATE
 from azureswitch.serving._events import Digest, HostSelf, TargetLoad
@@ -50,12 +50,14 @@
         model: The model; empty for plain services.
         targets: Their names in an order that all hosts agree on; the first take long prompts.
         longest: The most prompt tokens that one of them can hold; zero for plain targets.
+        pace: How fast its engines work, or None where that is not published.
     """
 
     service: ServiceName
     model: str
     targets: tuple[TargetName, ...]
     longest: int
+    pace: EnginePace | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -268,7 +270,7 @@
         self._loaded &= states.keys()
         self._suspects = {n: until for n, until in self._suspects.items() if n in states}
         self._services = {service.name for service in inventory.services}
-        self._pools = _pools(inventory.targets)
+        self._pools = _pools(inventory.targets, {s.name: s.pace for s in inventory.services})
 
     def _nearness(self, place: PlaceName, regions: dict[PlaceName, str]) -> int:
         if place == self._myself.place:
@@ -483,7 +485,9 @@
     return tuple(sorted(names, key=lambda name: (xxh3_64_intdigest(name.encode()), name)))
 
 
-def _pools(targets: Iterable[Target]) -> dict[tuple[ServiceName, str], Pool]:
+def _pools(
+    targets: Iterable[Target], paces: Mapping[ServiceName, EnginePace | None]
+) -> dict[tuple[ServiceName, str], Pool]:
     members: dict[tuple[ServiceName, str], list[Target]] = {}
     for target in targets:
         for model in target.models or ("",):
@@ -494,6 +498,7 @@
             model=model,
             targets=ordered([target.name for target in group]),
             longest=max(target.memory for target in group),
+            pace=paces.get(service),
         )
         for (service, model), group in members.items()
     }
--- /dev/null
+++ b/src/azureswitch/serving/_ledger.py
@@ -0,0 +1,142 @@
+"""What all hosts have sent to each target and not seen end, from their own accounts."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from azureswitch.core import CallId, HostName, TargetName
+from azureswitch.serving._events import Occupancy
+
+PEER_SECONDS = 2.5
+"""Seconds after which a peer's account says nothing any more: two of its regular digests lost."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Account:
+    """What one peer said last."""
+
+    at: float
+    occupancies: tuple[Occupancy, ...]
+
+
+class Ledger:
+    """The sum of this host's sends and of what its peers say of theirs.
+
+    A send is told to the peers at once.  So two hosts choose the same idle engine only where they
+    do so within a message's time, a millisecond or two, and need not wait for the engine's report,
+    which is some hundred milliseconds late.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[tuple[CallId, int], tuple[Occupancy, ...]] = {}
+        self._own: dict[TargetName, Occupancy] = {}
+        self._accounts: dict[HostName, _Account] = {}
+        self._peers: dict[TargetName, Occupancy] = {}
+        self._changed = False
+
+    @property
+    def changed(self) -> bool:
+        """Whether this host's account is not what its peers were told last."""
+        return self._changed
+
+    def at(self, target: TargetName) -> Occupancy:
+        """Return what all hosts have at a target."""
+        own = self._own.get(target)
+        peers = self._peers.get(target)
+        if own is None or peers is None:
+            return own or peers or Occupancy(target=target)
+        return _sum(own, peers)
+
+    def add(self, *, call: CallId, attempt: int, occupancies: tuple[Occupancy, ...]) -> None:
+        """Enter an attempt that is being sent."""
+        self._entries[call, attempt] = occupancies
+        self._apply(occupancies, sign=1)
+
+    def read(self, *, call: CallId, attempt: int) -> None:
+        """Note that the prompt of an attempt has been read."""
+        entry = self._entries.get((call, attempt))
+        if entry is None:
+            return
+        self._apply(entry, sign=-1)
+        written = tuple(_written(item) for item in entry)
+        self._entries[call, attempt] = written
+        self._apply(written, sign=1)
+
+    def remove(self, *, call: CallId, attempt: int) -> None:
+        """Strike out an attempt that has ended."""
+        self._apply(self._entries.pop((call, attempt), ()), sign=-1)
+
+    def tell(self) -> tuple[Occupancy, ...]:
+        """Return this host's account for its peers; targets with nothing are left out."""
+        self._changed = False
+        return tuple(self._own.values())
+
+    def hear(self, *, host: HostName, occupancies: tuple[Occupancy, ...], now: float) -> None:
+        """Replace a peer's account."""
+        self._forget(host)
+        self._accounts[host] = _Account(at=now, occupancies=occupancies)
+        _add(self._peers, occupancies, sign=1)
+
+    def keep(self, hosts: Iterable[HostName]) -> None:
+        """Forget the accounts of all hosts but these."""
+        for host in self._accounts.keys() - set(hosts):
+            self._forget(host)
+
+    def expire(self, now: float) -> None:
+        """Forget the accounts that are too old."""
+        for host, account in list(self._accounts.items()):
+            if now - account.at > PEER_SECONDS:
+                self._forget(host)
+
+    def _forget(self, host: HostName) -> None:
+        account = self._accounts.pop(host, None)
+        if account is not None:
+            _add(self._peers, account.occupancies, sign=-1)
+
+    def _apply(self, occupancies: tuple[Occupancy, ...], *, sign: int) -> None:
+        if occupancies:
+            _add(self._own, occupancies, sign=sign)
+            self._changed = True
+
+
+def _add(
+    totals: dict[TargetName, Occupancy], occupancies: Iterable[Occupancy], *, sign: int
+) -> None:
+    for item in occupancies:
+        known = totals.get(item.target, Occupancy(target=item.target))
+        total = _sum(known, item, sign=sign)
+        if _is_idle(total):
+            # Dropping the entry also drops what rounding left of its sums.
+            totals.pop(item.target, None)
+        else:
+            totals[item.target] = total
+
+
+def _sum(first: Occupancy, second: Occupancy, *, sign: int = 1) -> Occupancy:
+    return Occupancy(
+        target=first.target,
+        reading=max(0.0, first.reading + sign * second.reading),
+        short_reading=max(0.0, first.short_reading + sign * second.short_reading),
+        streams=first.streams + sign * second.streams,
+        long_streams=first.long_streams + sign * second.long_streams,
+        tokens=first.tokens + sign * second.tokens,
+    )
+
+
+def _written(item: Occupancy) -> Occupancy:
+    """Return what is left of an entry once its prompt has been read."""
+    return Occupancy(
+        target=item.target,
+        streams=item.streams,
+        long_streams=item.long_streams,
+        tokens=item.tokens,
+    )
+
+
+def _is_idle(item: Occupancy) -> bool:
+    return not (
+        item.streams
+        or item.long_streams
+        or item.tokens
+        or item.reading > 1e-6
+        or item.short_reading > 1e-6
+    )
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -4,7 +4,7 @@
 
 from azureswitch.core import NO_EFFECTS, CallId, Effect, Effects
 from azureswitch.exceptions import AzureswitchError, CallerLeftError
-from azureswitch.serving._admission import refusal
+from azureswitch.serving._admission import expected_cost, refusal
 from azureswitch.serving._attempts import (
     age,
     dispatch,
@@ -71,7 +71,10 @@
     Returns:
         What the shell must do, in order.
     """
-    return tuple(_apply(event, state)) or NO_EFFECTS
+    effects = _apply(event, state)
+    if state.ledger.changed:
+        effects = [*effects, _digest(state, now=event.now)]
+    return tuple(effects) or NO_EFFECTS
 
 
 @singledispatch
@@ -103,9 +106,11 @@
 def _admit(state: ServingState, call: Call, *, now: float) -> list[Effect]:
     pool = state.fleet.pool(service=call.service, model=call.model)
     assert pool is not None  # A call without targets was refused.
-    cost = state.costs.predict(call)
+    cost = expected_cost(state, call, pool)
     level = level_of(call, state.rules)
-    record = CallRecord(call=call, arrived=now, pool=pool, cost=cost, level=level)
+    record = CallRecord(
+        call=call, arrived=now, pool=pool, cost=cost, level=level, tokens=call.offset
+    )
     state.calls[call.id] = record
     state.retries.admitted()
     if call.model:
@@ -119,7 +124,7 @@
         call=call.id,
     )
     admitted = observe(record, Observation.ADMITTED)
-    if call.repeatable:
+    if call.repeatable or call.unshared:
         return [admitted, *dispatch(state, record, now=now)]
     record.phase = Phase.CLAIMING
     claim = ClaimCall(
@@ -237,6 +242,9 @@
     if event.digest.host != state.myself.name and state.fairness.hear(event.digest, now=event.now):
         state.fleet.hear(event.digest, now=event.now)
         state.split.hear(event.digest, now=event.now)
+        state.ledger.hear(
+            host=event.digest.host, occupancies=event.digest.occupancies, now=event.now
+        )
     return []
 
 
@@ -244,6 +252,8 @@
 def _(event: PeersChanged, state: ServingState) -> list[Effect]:
     state.fairness.set_hosts(event.hosts)
     state.fleet.set_hosts(event.hosts)
+    state.ledger.keep(event.hosts)
+    state.retries.set_hosts(len(event.hosts))
     return []
 
 
@@ -271,7 +281,10 @@
             effects += _fire(state, record, timer, now=event.now)
     state.expire_claims(event.now)
     effects += drain_all(state, now=event.now)
-    return effects + _digest(state, now=event.now)
+    state.ledger.expire(event.now)
+    if state.digest_due(event.now):
+        effects.append(_digest(state, now=event.now))
+    return effects
 
 
 def _fire(state: ServingState, record: CallRecord, timer: Timer, *, now: float) -> list[Effect]:
@@ -288,10 +301,8 @@
     return []
 
 
-def _digest(state: ServingState, *, now: float) -> list[Effect]:
+def _digest(state: ServingState, *, now: float) -> PublishDigest:
     sequence = state.next_digest(now=now, period=DIGEST_PERIOD)
-    if sequence is None:
-        return []
     digest = Digest(
         host=state.myself.name,
         sequence=sequence,
@@ -301,5 +312,6 @@
         suspects=state.fleet.suspects(now=now),
         demands=state.split.demands(now),
         saved=state.fleet.saved(now=now),
+        occupancies=state.ledger.tell(),
     )
-    return [PublishDigest(digest=digest)]
+    return PublishDigest(digest=digest)
--- a/src/azureswitch/serving/_retries.py
+++ b/src/azureswitch/serving/_retries.py
@@ -1,7 +1,11 @@
 """When a failed attempt may be followed by another one."""
 
+from dataclasses import dataclass
+from math import inf
 from random import Random
 
+from azureswitch.serving._events import Call
+
 RETRY_SHARE = 0.1
 """Retries permitted per admitted call."""
 
@@ -34,14 +38,35 @@
 
 
 class RetryBudget:
-    """A budget of retries as a share of live traffic."""
+    """A budget of retries as a share of live traffic.
+
+    Args:
+        share: Retries permitted per admitted call.
+        burst: Retries permitted beside that, for this host.
+        fleet_burst: The same for all hosts together, which they share evenly, or None.
+    """
 
-    def __init__(self) -> None:
-        self._tokens = RETRY_FLOOR
+    def __init__(
+        self,
+        *,
+        share: float = RETRY_SHARE,
+        burst: float = RETRY_FLOOR,
+        fleet_burst: float | None = None,
+    ) -> None:
+        self._share = share
+        self._burst = burst
+        self._fleet_burst = fleet_burst
+        self._tokens = burst
+
+    def set_hosts(self, count: int) -> None:
+        """Share the burst of the fleet among so many hosts."""
+        if self._fleet_burst is not None:
+            self._burst = self._fleet_burst / max(1, count)
+            self._tokens = min(self._tokens, self._burst)
 
     def admitted(self) -> None:
         """Count an admitted call."""
-        self._tokens = min(RETRY_FLOOR, self._tokens + RETRY_SHARE)
+        self._tokens = min(self._burst, self._tokens + self._share)
 
     def take(self, cost: float = 1.0) -> bool:
         """Take retries out of the budget and return whether there were as many."""
@@ -51,6 +76,51 @@
         return True
 
 
+FIRST_PATIENCE = 0.8
+"""Seconds without a first token before an attempt is broken off, at least.
+
+Callers leave after 2 s.
+"""
+
+PATIENCE_FACTOR = 3.0
+"""Times the predicted time to the first token after which an attempt is broken off."""
+
+GAP_PATIENCE = 1.2
+"""Seconds without output midway before an attempt is broken off, at least.
+
+A pass that reads a part of a long prompt lasts 0.5 s; callers leave after 2 s.
+"""
+
+GAP_FACTOR = 3.0
+"""Times the objective for pauses after which an attempt is broken off."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Patience:
+    """How long an attempt may be silent, in seconds.
+
+    Attributes:
+        first: Before its first output.
+        gap: Between two outputs.
+    """
+
+    first: float = inf
+    gap: float = inf
+
+
+def patience(call: Call, *, first_token: float) -> Patience:
+    """Return how long an attempt may be silent before another target is tried.
+
+    Args:
+        call: The call; one that must not run twice is waited for whatever happens.
+        first_token: Predicted seconds to the first token, or zero where there is no prediction.
+    """
+    if not call.repeatable or not first_token:
+        return Patience()
+    first = max(FIRST_PATIENCE, PATIENCE_FACTOR * first_token)
+    return Patience(first=first, gap=max(GAP_PATIENCE, GAP_FACTOR * call.gap_objective))
+
+
 def hedge_after(expected: float) -> float:
     """Return the seconds without a first token after which a call is hedged.
 
--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -1,10 +1,11 @@
 """Chooses the target for a call: little waiting, a cached prefix, a near place."""
 
-from dataclasses import dataclass
-
 from azureswitch.core import TargetName
+from azureswitch.serving._choice import Choice
+from azureswitch.serving._events import Occupancy
 from azureswitch.serving._fleet import TargetState, Work
 from azureswitch.serving._length import Level
+from azureswitch.serving._placement import place, usable
 from azureswitch.serving._spans import choose_spans
 from azureswitch.serving._state import CallRecord, ServingState
 
@@ -33,25 +34,6 @@
 """Engine seconds of waiting over which a short prompt also goes to engines with long ones."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Choice:
-    """Where an attempt goes.
-
-    Attributes:
-        targets: The target; several for a prompt larger than one engine's memory.
-        work: What it puts on each of them.
-        cached_tokens: Prompt tokens expected in the target's cache.
-        wait: Engine seconds that stand before it.
-        running: Requests that wait or run at the target.
-    """
-
-    targets: tuple[TargetName, ...]
-    work: Work
-    cached_tokens: int
-    wait: float
-    running: int = 0
-
-
 def choose(state: ServingState, record: CallRecord, *, now: float) -> Choice | None:
     """Choose the targets for the next attempt of a call.
 
@@ -61,6 +43,8 @@
     call = record.call
     if not call.model:
         return _choose_plain(state, record, now=now)
+    if record.pool.pace is not None:
+        return place(state, record, pace=record.pool.pace, now=now)
     tokens = call.prompt_tokens + call.output_tokens
     if tokens > record.pool.longest:
         targets = choose_spans(state, record, now=now)
@@ -76,12 +60,26 @@
 
 
 def _choose_plain(state: ServingState, record: CallRecord, *, now: float) -> Choice | None:
-    candidates = _candidates(state, record, record.pool.targets, now=now)
+    candidates = usable(state, record, now=now)
     if not candidates:
         return None
-    best = min(candidates, key=lambda t: (t.running, t.nearness, state.random.random()))
-    work = Work(seconds=record.cost.prefill, tokens=0, level=Level.SHORT)
-    return Choice(targets=(best.target.name,), work=work, cached_tokens=0, wait=0.0)
+    best = min(
+        candidates,
+        key=lambda t: (
+            state.ledger.at(t.target.name).streams,
+            t.nearness,
+            state.random.random(),
+        ),
+    )
+    seconds = record.cost.prefill
+    name = best.target.name
+    return Choice(
+        targets=(name,),
+        work=Work(seconds=seconds, tokens=0, level=Level.SHORT),
+        cached_tokens=0,
+        wait=0.0,
+        occupancies=(Occupancy(target=name, short_reading=seconds, streams=1),),
+    )
 
 
 def _choose_engine(
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -12,6 +12,7 @@
 from azureswitch.serving._events import Call, HostSelf
 from azureswitch.serving._fairness import Fairness
 from azureswitch.serving._fleet import Fleet, Pool, Work
+from azureswitch.serving._ledger import Ledger
 from azureswitch.serving._length import Level, Split
 from azureswitch.serving._queue import WaitingQueue
 from azureswitch.serving._retries import RetryBudget
@@ -68,6 +69,7 @@
     attempts: dict[int, Attempt] = field(default_factory=dict)
     attempt_count: int = 0
     retry_count: int = 0
+    run_count: int = 0
     may_have_run: bool = False
     tokens: int = 0
     first_token: float | None = None
@@ -112,9 +114,10 @@
     Args:
         myself: This host.
         seed: Seeds every random choice.
+        retries: How many retries are permitted, or None for the usual budget.
     """
 
-    def __init__(self, *, myself: HostSelf, seed: int) -> None:
+    def __init__(self, *, myself: HostSelf, seed: int, retries: RetryBudget | None = None) -> None:
         self._myself = myself
         self._random = Random(seed)
         self._snapshot: Snapshot | None = None
@@ -128,7 +131,8 @@
         self._fairness = Fairness(myself=myself)
         self._queue = WaitingQueue()
         self._split = Split()
-        self._retries = RetryBudget()
+        self._retries = retries or RetryBudget()
+        self._ledger = Ledger()
         self._digest_sequence = 0
         self._digest_due = 0.0
 
@@ -202,6 +206,11 @@
         """How many retries live traffic permits."""
         return self._retries
 
+    @property
+    def ledger(self) -> Ledger:
+        """What all hosts have sent to each target."""
+        return self._ledger
+
     def adopt(self, snapshot: Snapshot) -> None:
         """Serve by a configuration, unless a later one is in force."""
         if self._snapshot and snapshot.revision <= self._snapshot.revision:
@@ -231,10 +240,12 @@
                 return
             del self._abandoned_claims[call]
 
-    def next_digest(self, *, now: float, period: float) -> int | None:
-        """Return the sequence number of the digest that is due now, or None."""
-        if now < self._digest_due:
-            return None
+    def digest_due(self, now: float) -> bool:
+        """Return whether the regular digest is due."""
+        return now >= self._digest_due
+
+    def next_digest(self, *, now: float, period: float) -> int:
+        """Return the sequence number of the next digest, and note when another one is due."""
         self._digest_due = now + period
         self._digest_sequence += 1
         return self._digest_sequence
--- a/src/azureswitch_standins/store/_http.py
+++ b/src/azureswitch_standins/store/_http.py
@@ -1,14 +1,14 @@
-"""The store over HTTP and JSON, in the conventions of the Kubernetes API."""
+"""The store over HTTP and JSON, in the form that the platform publishes."""
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import Awaitable
 from contextlib import aclosing
 from http import HTTPStatus
 from typing import cast
 
 import msgspec
-from blacksheep import Application, Content, Request, Response, StreamedContent
+from blacksheep import Application, Content, Request, Response
 from blacksheep.contents import ASGIContent
 
 from azureswitch.exceptions import (
@@ -21,14 +21,12 @@
     StoreVersionGoneError,
 )
 from azureswitch.platform import (
-    API_ROOT,
-    WatchType,
+    OBJECTS_PATH,
     WireChange,
-    WireDelete,
-    WireList,
-    WireMetadata,
+    WireChanges,
+    WireListing,
     WireObject,
-    WireStatus,
+    from_wire,
     to_wire,
 )
 from azureswitch.ports import ChangeKind, StoreChange
@@ -39,19 +37,19 @@
 DEFAULT_WATCH = 60.0
 """Seconds that a watch waits where the caller names no time."""
 
-WATCH_TYPES: dict[ChangeKind, WatchType] = {
-    ChangeKind.PUT: "MODIFIED",
-    ChangeKind.DELETED: "DELETED",
-    ChangeKind.BOOKMARK: "BOOKMARK",
+STATUSES: dict[type[StoreError], HTTPStatus] = {
+    StoreNotFoundError: HTTPStatus.NOT_FOUND,
+    StoreConflictError: HTTPStatus.CONFLICT,
+    StoreVersionGoneError: HTTPStatus.GONE,
+    StoreValueTooLargeError: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    StoreUnavailableError: HTTPStatus.TOO_MANY_REQUESTS,
 }
 
-STATUSES: dict[type[StoreError], tuple[HTTPStatus, str]] = {
-    StoreNotFoundError: (HTTPStatus.NOT_FOUND, "NotFound"),
-    StoreConflictError: (HTTPStatus.CONFLICT, "Conflict"),
-    StoreVersionGoneError: (HTTPStatus.GONE, "Expired"),
-    StoreValueTooLargeError: (HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "RequestEntityTooLarge"),
-    StoreUnavailableError: (HTTPStatus.TOO_MANY_REQUESTS, "TooManyRequests"),
-}
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of a failure."""
+
+    error: str = msgspec.field(name="Error")
 
 
 class StoreStandin:
@@ -110,7 +108,7 @@
         self._fake.drop_watches()
 
     def _routes(self) -> Application:
-        collection = f"{API_ROOT}/:kind"
+        collection = f"{OBJECTS_PATH}/:kind"
         return application(
             routes={
                 ("GET", collection): self._collection,
@@ -129,8 +127,8 @@
 
     async def _collection(self, request: Request) -> Response:
         kind = route_value(request=request, name="kind")
-        if _query(request, "watch"):
-            return self._watch(request, kind)
+        if _query(request, "Watch"):
+            return await self._answer(request, self._watch(request, kind))
         return await self._answer(request, self._list_objects(kind))
 
     async def _create(self, request: Request) -> Response:
@@ -145,57 +143,51 @@
 
     async def _delete(self, request: Request) -> Response:
         kind, name = _names(request)
-        body = await request.read() or b""
-        return await self._answer(request, self._delete_object(kind, name, body))
+        version = int(_query(request, "Revision") or "0")
+        return await self._answer(request, self._delete_object(kind, name, version))
 
     async def _get_object(self, kind: str, name: str) -> WireObject:
         return to_wire(item=await self._fake.get(kind=kind, name=name))
 
-    async def _list_objects(self, kind: str) -> WireList:
+    async def _list_objects(self, kind: str) -> WireListing:
         listing = await self._fake.list(kind=kind)
-        return WireList(
-            metadata=WireMetadata(resource_version=str(listing.version)),
-            items=tuple(to_wire(item=item) for item in listing.items),
-        )
+        items = tuple(to_wire(item=item) for item in listing.items)
+        return WireListing(items=items, version=listing.version)
 
     async def _create_object(self, kind: str, body: bytes) -> WireObject:
-        item = msgspec.json.decode(body, type=WireObject)
-        made = await self._fake.create(kind=kind, name=item.metadata.name, value=item.value)
+        item = from_wire(kind=kind, item=msgspec.json.decode(body, type=WireObject))
+        made = await self._fake.create(kind=kind, name=item.name, value=item.value)
         return to_wire(item=made)
 
     async def _update_object(self, kind: str, name: str, body: bytes) -> WireObject:
-        item = msgspec.json.decode(body, type=WireObject)
-        version = int(item.metadata.resource_version)
-        made = await self._fake.update(kind=kind, name=name, value=item.value, version=version)
+        item = from_wire(kind=kind, item=msgspec.json.decode(body, type=WireObject))
+        made = await self._fake.update(kind=kind, name=name, value=item.value, version=item.version)
         return to_wire(item=made)
 
-    async def _delete_object(self, kind: str, name: str, body: bytes) -> WireStatus:
-        order = msgspec.json.decode(body, type=WireDelete)
-        version = int(order.preconditions.resource_version)
+    async def _delete_object(self, kind: str, name: str, version: int) -> WireObject:
+        item = await self._fake.get(kind=kind, name=name)
         await self._fake.delete(kind=kind, name=name, version=version)
-        return WireStatus(code=HTTPStatus.OK, reason="", status="Success")
-
-    def _watch(self, request: Request, kind: str) -> Response:
-        version = int(_query(request, "resourceVersion") or "0")
-        timeout = float(_query(request, "timeoutSeconds") or DEFAULT_WATCH)
-        watch = self._fake.watch(kind=kind, version=version, timeout=timeout)
-
-        async def lines() -> AsyncIterator[bytes]:
-            waiting = asyncio.timeout(None)
-            gone = asyncio.create_task(_end_when_gone(request, waiting))
-            try:
-                async with waiting, aclosing(watch):
-                    async for change in watch:
-                        yield _line(change)
-            except StoreError as error:
-                yield _error_line(error)
-            except TimeoutError:
-                # Nobody reads any more, so that the watch no longer counts as waiting.
-                return
-            finally:
-                gone.cancel()
-
-        return Response(200, content=StreamedContent(b"application/json", lines))
+        return to_wire(item=item)
+
+    async def _watch(self, request: Request, kind: str) -> WireChanges:
+        """Wait until there is a change, or the caller's time is over."""
+        version = int(_query(request, "Watch"))
+        seconds = float(_query(request, "WaitMs") or DEFAULT_WATCH * 1_000.0) / 1_000.0
+        watch = self._fake.watch(kind=kind, version=version, timeout=seconds)
+        waiting = asyncio.timeout(None)
+        gone = asyncio.create_task(_end_when_gone(request, waiting))
+        try:
+            async with waiting, aclosing(watch):
+                async for change in watch:
+                    version = change.item.version
+                    if change.kind is not ChangeKind.BOOKMARK:
+                        return _changes(change)
+        except TimeoutError:
+            # Nobody reads any more, so that the watch no longer counts as waiting.
+            return WireChanges(version=version)
+        finally:
+            gone.cancel()
+        return WireChanges(version=version)
 
     async def _counters(self, request: Request) -> Response:
         return _json(HTTPStatus.OK, self.counters)
@@ -210,12 +202,11 @@
             return _json(HTTPStatus.OK, await call)
         except StoreOutcomeUnknownError:
             self._server.abort(request=request)
-            return _json(HTTPStatus.GATEWAY_TIMEOUT, _status(HTTPStatus.GATEWAY_TIMEOUT, "Timeout"))
+            return _refused(HTTPStatus.GATEWAY_TIMEOUT)
         except StoreError as error:
-            status, reason = STATUSES[type(error)]
-            return _json(status, _status(status, reason), seconds=error.retry_after)
+            return _refused(STATUSES[type(error)], seconds=error.retry_after)
         except ValueError:
-            return _json(HTTPStatus.BAD_REQUEST, _status(HTTPStatus.BAD_REQUEST, "BadRequest"))
+            return _refused(HTTPStatus.BAD_REQUEST)
 
 
 async def _end_when_gone(request: Request, waiting: asyncio.Timeout) -> None:
@@ -233,25 +224,18 @@
     return (request.query.get(name) or [""])[0]
 
 
-def _status(status: HTTPStatus, reason: str) -> WireStatus:
-    return WireStatus(code=status, reason=reason, message=status.phrase)
+def _refused(status: HTTPStatus, *, seconds: float | None = None) -> Response:
+    return _json(status, Refusal(error=status.phrase), seconds=seconds)
 
 
 def _json(status: HTTPStatus, body: object, *, seconds: float | None = None) -> Response:
     headers = []
     if seconds is not None:
-        # The conventions know whole seconds alone.
         headers.append((b"retry-after", str(math.ceil(seconds)).encode()))
     return Response(status, headers, Content(b"application/json", msgspec.json.encode(body)))
 
 
-def _line(change: StoreChange) -> bytes:
-    item = msgspec.json.encode(to_wire(item=change.item))
-    wire = WireChange(type=WATCH_TYPES[change.kind], object=msgspec.Raw(item))
-    return msgspec.json.encode(wire) + b"\n"
-
-
-def _error_line(error: StoreError) -> bytes:
-    status, reason = STATUSES[type(error)]
-    item = msgspec.json.encode(_status(status, reason))
-    return msgspec.json.encode(WireChange(type="ERROR", object=msgspec.Raw(item))) + b"\n"
+def _changes(change: StoreChange) -> WireChanges:
+    removed = change.kind is ChangeKind.DELETED
+    wire = WireChange(item=to_wire(item=change.item), removed=removed)
+    return WireChanges(changes=(wire,), version=change.item.version)
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -156,8 +156,9 @@
             async with serve() as (standin, store):
                 watch = store.watch(kind="a", version=0, timeout=9.0)
                 await anext(watch)
-                assert standin.counters.waiting == 1
-                await watch.aclose()
+                waiting = asyncio.ensure_future(anext(watch))
+                await reach(lambda: standin.counters.waiting == 1)
+                waiting.cancel()
                 await reach(lambda: not standin.counters.waiting)
 
         asyncio.run(run())
