Let hosts share what they sent, and spread long prompts over engines and their memory

Change: hosts find each other by an entry in the store and membership, and tell their accounts at once (`serving._ledger`). Memory is set aside on the fewest engines that hold a prompt, all or nothing, for 3.5 s at a time. A prompt's reading is spread by what that costs all: its own lateness, the short streams that pause, the engines kept for short ones. Still open: what fails around killed hosts, and the store's calls.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -19,9 +19,8 @@
 from msgspec.msgpack import encode
 
 from azureswitch.coordination.membership import Member, MemberStatus
-from azureswitch.coordination.sharing import BUDGET, BURST_BYTES, FULL_HOSTS
+from azureswitch.coordination.sharing import BUDGET, BURST_BYTES, FULL_HOSTS, Digests
 from azureswitch.core import CustomerName, HostName, Incarnation, PlaceName, TargetName
-from azureswitch.entry._digests import Digests
 from azureswitch.entry._polls import Poller
 from azureswitch.entry._targets import Targets
 from azureswitch.inventory import Rules, Snapshot, Target
--- a/src/azureswitch/coordination/membership/__init__.py
+++ b/src/azureswitch/coordination/membership/__init__.py
@@ -12,7 +12,7 @@
     SyncRequested,
     Ticked,
 )
-from azureswitch.coordination.membership._model import Member, MemberStatus
+from azureswitch.coordination.membership._model import Member, MemberStatus, live_hosts
 from azureswitch.coordination.membership._reduce import reduce
 from azureswitch.coordination.membership._state import MembershipState
 
@@ -30,5 +30,6 @@
     "SyncReplied",
     "SyncRequested",
     "Ticked",
+    "live_hosts",
     "reduce",
 ]
--- a/src/azureswitch/coordination/membership/_model.py
+++ b/src/azureswitch/coordination/membership/_model.py
@@ -1,9 +1,10 @@
 """What hosts know of each other."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
-from azureswitch.core import Incarnation, PlaceName
+from azureswitch.core import HostName, Incarnation, PlaceName
 
 
 class MemberStatus(Enum):
@@ -32,3 +33,9 @@
     address: str
     status: MemberStatus
     revision: int = 0
+
+
+def live_hosts(members: Iterable[Member]) -> tuple[HostName, ...]:
+    """Return the hosts that take work, so far as is known."""
+    live = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+    return tuple(member.incarnation.host for member in members if member.status in live)
--- a/src/azureswitch/coordination/sharing/__init__.py
+++ b/src/azureswitch/coordination/sharing/__init__.py
@@ -1,6 +1,7 @@
 """Sharing of engines' load and of hosts' digests within a budget of bytes."""
 
 from azureswitch.coordination.sharing._digest import PackedDigest, pack_digest, unpack_digest
+from azureswitch.coordination.sharing._exchange import Digests
 from azureswitch.coordination.sharing._limits import (
     BUDGET,
     BURST_BYTES,
@@ -46,6 +47,7 @@
     "POLL_PERIOD",
     "REPORT_BYTES",
     "TICK",
+    "Digests",
     "EnginePolled",
     "EngineReports",
     "EngineUnreachable",
--- a/src/azureswitch/entry/_digests.py
+++ b/src/azureswitch/coordination/sharing/_exchange.py
@@ -12,21 +12,19 @@
 from msgspec.msgpack import encode
 
 from azureswitch.coordination.membership import Member, MemberStatus
-from azureswitch.coordination.sharing import (
+from azureswitch.coordination.sharing._digest import PackedDigest, pack_digest, unpack_digest
+from azureswitch.coordination.sharing._limits import (
     BURST_BYTES,
     DIGEST_BYTES,
     FULL_HOSTS,
     MESSAGE_OVERHEAD,
-    Meter,
-    PackedDigest,
-    pack_digest,
-    unpack_digest,
 )
+from azureswitch.coordination.sharing._meter import Meter
 from azureswitch.core import Incarnation
-from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import PeerError, PeerMessageTooLargeError
 from azureswitch.ports import Peers
 from azureswitch.serving import Digest, DigestReceived, ServingEvent
+from azureswitch.tasks import Tasks
 
 START_DEBT = 10_000.0
 """Bytes by which hosts that start together are apart in their budgets at most."""
@@ -68,7 +66,7 @@
         self._dispatch = dispatch
         self._clock = clock
         self._random = Random(seed)
-        self._tasks = Tasks(prefix="entry")
+        self._tasks = Tasks(prefix="sharing")
         debt = self._random.uniform(0.0, START_DEBT)
         self._meter = Meter(rate=DIGEST_BYTES, level=BURST_BYTES - debt)
         self._size = 0.0
--- a/src/azureswitch/entry/_api.py
+++ b/src/azureswitch/entry/_api.py
@@ -31,7 +31,6 @@
 )
 from azureswitch.entry._settings import Limits
 from azureswitch.entry._shell import Shell
-from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import (
     CallerLeftError,
     LeavingError,
@@ -41,6 +40,7 @@
 from azureswitch.inventory import SHORTEST_KEY_RETENTION, Customer
 from azureswitch.ports import PlainAnswer, Surface
 from azureswitch.serving import Call
+from azureswitch.tasks import Tasks
 
 SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 """Methods that plain services are called with."""
--- a/src/azureswitch/entry/_attempts.py
+++ b/src/azureswitch/entry/_attempts.py
@@ -12,7 +12,6 @@
 from azureswitch.entry._ports import JobKeeper
 from azureswitch.entry._records import Attempt, ModelRecord, PlainRecord, Record
 from azureswitch.entry._targets import Targets
-from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import (
     AzureswitchError,
     TargetBrokenError,
@@ -29,6 +28,7 @@
     TokensArrived,
 )
 from azureswitch.spans import SpanRun
+from azureswitch.tasks import Tasks
 
 PROGRESS_PERIOD = 1.0
 """Seconds between two reports of an attempt's progress."""
--- a/src/azureswitch/entry/_jobs.py
+++ b/src/azureswitch/entry/_jobs.py
@@ -22,7 +22,6 @@
 from azureswitch.entry._requests import header, receiver, request_timeout, stream_offset, wait_gone
 from azureswitch.entry._settings import Limits
 from azureswitch.entry._shell import Shell
-from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import (
     AzureswitchError,
     LongWorkLostError,
@@ -30,6 +29,7 @@
     UnknownCallError,
 )
 from azureswitch.ports import Peers, Surface
+from azureswitch.tasks import Tasks
 
 PULL_TIMEOUT = 3.0
 """Seconds that another host has to answer a pull."""
--- a/src/azureswitch/entry/_polls.py
+++ b/src/azureswitch/entry/_polls.py
@@ -31,11 +31,11 @@
 )
 from azureswitch.core import Effect, HostName, PlaceName, TargetName
 from azureswitch.entry._targets import Targets
-from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import TargetError
 from azureswitch.inventory import Target
 from azureswitch.ports import Peers
 from azureswitch.serving import LoadReported, ServingEvent, TargetUnreachable
+from azureswitch.tasks import Tasks
 
 POLL_TIMEOUT = 1.0
 """Seconds that an engine may take to answer a poll."""
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -14,10 +14,10 @@
 from azureswitch.entry._ops import OperatorApi
 from azureswitch.entry._settings import EntrySettings
 from azureswitch.entry._shell import Shell
-from azureswitch.entry._tasks import Tasks
 from azureswitch.entry._wiring import EntryPorts, Parts, http_ports
 from azureswitch.peers import PeerNetwork
 from azureswitch.settings import Address
+from azureswitch.tasks import Tasks
 
 RESTART_PAUSE = 0.25
 """Seconds before a loop that failed starts again."""
--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -17,7 +17,6 @@
 from azureswitch.entry._records import ModelRecord, PlainRecord, Record
 from azureswitch.entry._settings import Limits
 from azureswitch.entry._targets import Targets
-from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import AzureswitchError, CallerLeftError, ClaimUnavailableError
 from azureswitch.inventory import Snapshot
 from azureswitch.ports import PlainAnswer
@@ -44,6 +43,7 @@
     Ticked,
     reduce,
 )
+from azureswitch.tasks import Tasks
 
 STALL_CHECK_PERIOD = 1.0
 """Seconds between two looks for callers that do not read."""
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -9,14 +9,14 @@
 from azureswitch.coordination.claims import Claims
 from azureswitch.coordination.configuration import Configuration
 from azureswitch.coordination.journal import Journal
-from azureswitch.coordination.membership import Member, Membership, MemberStatus
+from azureswitch.coordination.membership import Member, Membership, live_hosts
 from azureswitch.coordination.memory import Sweeper
 from azureswitch.coordination.orders import OrderKeeper, Wanted, wanted_from
+from azureswitch.coordination.sharing import Digests
 from azureswitch.core import CallId, Incarnation, TargetName
 from azureswitch.engines import HttpEngine, HttpPlainTarget
 from azureswitch.entry._caches import CacheFollower
 from azureswitch.entry._claiming import FleetClaims
-from azureswitch.entry._digests import Digests
 from azureswitch.entry._jobtable import JobTable
 from azureswitch.entry._metrics import Metrics
 from azureswitch.entry._polls import Poller
@@ -300,12 +300,7 @@
         )
 
     def _members_changed(self, members: tuple[Member, ...]) -> None:
-        hosts = tuple(
-            member.incarnation.host
-            for member in members
-            if member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-        )
-        self._shell.dispatch(PeersChanged(now=self._shell.now, hosts=hosts))
+        self._shell.dispatch(PeersChanged(now=self._shell.now, hosts=live_hosts(members)))
 
     def _adopt(self, revision: int, body: bytes) -> None:
         # What is in force stays so where this fails; the next revision may be readable again.
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -12,8 +12,9 @@
 from azureswitch.gateway._front import Front, Readiness
 from azureswitch.gateway._http import HttpServer
 from azureswitch.gateway._model import Deployment
-from azureswitch.gateway._ports import Dialect
+from azureswitch.gateway._ports import Dialect, Reservations
 from azureswitch.gateway._shell import Shell
+from azureswitch.gateway._tickets import Tickets
 from azureswitch.inventory import Customer, Inventory, Place, Rules, Snapshot, Target
 from azureswitch.serving import (
     Digest,
@@ -70,6 +71,7 @@
     Args:
         settings: What it is told at its start.
         dialect: The headers towards callers and targets.
+        reservations: How engines set memory aside.
         publish: Sends a digest to the peers.
         observe: Records a metric.
         seed: Seeds every random choice.
@@ -81,6 +83,7 @@
         *,
         settings: GatewaySettings,
         dialect: Dialect,
+        reservations: Reservations,
         publish: Callable[[Digest], None],
         observe: Callable[[Observe], None],
         seed: int,
@@ -101,6 +104,7 @@
         self._shell = Shell(
             state=state,
             dialect=dialect,
+            tickets=Tickets(reservations=reservations),
             targets=lambda: self._targets,
             publish=publish,
             observe=observe,
--- a/src/azureswitch/gateway/_model.py
+++ b/src/azureswitch/gateway/_model.py
@@ -164,6 +164,19 @@
     last_event: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Helper:
+    """An engine that helps another one to read a prompt.
+
+    Attributes:
+        address: ``IP:PORT`` of the engine.
+        ticket: The memory set aside there for the prompt, or None.
+    """
+
+    address: str
+    ticket: str | None = None
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Sending:
     """What one attempt adds to a request.
@@ -175,9 +188,7 @@
         seconds_left: How long the caller still waits.
         last_event: The id of the last event that the caller has; zero for none.
         urgency: Smaller is admitted first.
-        helpers: Addresses of the engines that help to read the prompt.
-        tickets: The reservation at each of the engines in order, the first one's included, or
-            nothing where the prompt fits into the first one's memory.
+        helpers: The engines that help to read the prompt.
     """
 
     arrival: Arrival
@@ -186,8 +197,7 @@
     seconds_left: float
     last_event: int
     urgency: int
-    helpers: tuple[str, ...] = ()
-    tickets: tuple[str, ...] = ()
+    helpers: tuple[Helper, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -17,9 +17,10 @@
     TargetRefusedError,
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
-from azureswitch.gateway._model import RouteKind, Sending
+from azureswitch.gateway._model import Helper, RouteKind, Sending
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
+from azureswitch.gateway._tickets import Ticket, Tickets
 from azureswitch.inventory import Target
 from azureswitch.serving import (
     AttemptEnd,
@@ -46,6 +47,7 @@
     how: AttemptEnd
     error: TargetError | None = None
     retry_after: float | None = None
+    at_fault: TargetName | None = None
 
 
 class Relay:
@@ -53,6 +55,7 @@
 
     Args:
         dialect: The headers towards targets and callers.
+        tickets: Sets memory aside for prompts larger than one engine.
         targets: Returns the targets that are listed now, by name.
         dispatch: Hands an event to the reducer.
         clock: Returns seconds of the monotonic clock.
@@ -62,11 +65,13 @@
         self,
         *,
         dialect: Dialect,
+        tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
         dispatch: Callable[[ServingEvent], None],
         clock: Callable[[], float],
     ) -> None:
         self._dialect = dialect
+        self._tickets = tickets
         self._targets = targets
         self._dispatch = dispatch
         self._clock = clock
@@ -100,16 +105,32 @@
                 tokens=record.last_event,
                 retry_after=end.retry_after,
                 error=end.error,
+                at_fault=end.at_fault,
             )
         )
 
     async def _attempt(self, record: CallRecord, effect: StartAttempt) -> _End:
         listed = self._targets()
-        targets = [listed.get(name) for name in effect.targets]
+        missing = [name for name in effect.targets if name not in listed]
+        if missing:
+            error = TargetRefusedError(target=missing[0])
+            return _End(how=AttemptEnd.REFUSED, error=error, at_fault=missing[0])
+        targets = [listed[name] for name in effect.targets]
+        tickets = _tickets(effect, targets)
+        try:
+            async with self._tickets.hold(tickets.values()):
+                return await self._send(record, effect, targets, tickets)
+        except TargetRefusedError as error:
+            return _End(how=AttemptEnd.REFUSED, error=error, at_fault=_named(error, targets))
+
+    async def _send(
+        self,
+        record: CallRecord,
+        effect: StartAttempt,
+        targets: list[Target],
+        tickets: Mapping[TargetName, Ticket],
+    ) -> _End:
         first = targets[0]
-        if first is None:
-            return _End(how=AttemptEnd.REFUSED, error=TargetRefusedError(target=effect.targets[0]))
-        helpers = tuple(target.address for target in targets[1:] if target is not None)
         left = record.call.deadline - self._clock()
         sending = Sending(
             arrival=record.arrival,
@@ -118,7 +139,7 @@
             seconds_left=left,
             last_event=record.last_event,
             urgency=effect.priority,
-            helpers=helpers,
+            helpers=tuple(_helper(target, tickets) for target in targets[1:]),
         )
         request = record.exchange.request
         client = HttpClient(address=first.address, connect_timeout=CONNECT_TIMEOUT, pool_limit=0)
@@ -152,6 +173,7 @@
                 how=AttemptEnd.REFUSED,
                 error=TargetRefusedError(target=target, seconds=verdict.retry_after),
                 retry_after=verdict.retry_after,
+                at_fault=self._at(verdict.at_fault, effect),
             )
         if verdict.id is not None and verdict.id != record.call.id:
             raise TargetAnswerError(target=target)
@@ -230,6 +252,12 @@
             record.first_event = now
         self._dispatch(FirstTokenArrived(now=now, call=effect.call, attempt=effect.attempt))
 
+    def _at(self, address: str | None, effect: StartAttempt) -> TargetName | None:
+        """Return which of an attempt's targets has an address, or None."""
+        listed = self._targets()
+        found = (name for name in effect.targets if name in listed)
+        return next((name for name in found if listed[name].address == address), None)
+
     def _later(self, seconds: float) -> float | None:
         limit = _limit(seconds)
         return None if limit is None else asyncio.get_running_loop().time() + limit
@@ -237,3 +265,24 @@
 
 def _limit(seconds: float) -> float | None:
     return None if isinf(seconds) else seconds
+
+
+def _tickets(effect: StartAttempt, targets: list[Target]) -> dict[TargetName, Ticket]:
+    """Return the memory to be set aside, by target; an attempt's ids are its own."""
+    return {
+        target.name: Ticket(
+            id=f"{effect.call}-{effect.attempt}", address=target.address, tokens=tokens
+        )
+        for target, tokens in zip(targets, effect.reserved, strict=False)
+        if tokens
+    }
+
+
+def _helper(target: Target, tickets: Mapping[TargetName, Ticket]) -> Helper:
+    ticket = tickets.get(target.name)
+    return Helper(address=target.address, ticket=ticket.id if ticket else None)
+
+
+def _named(error: TargetError, targets: list[Target]) -> TargetName | None:
+    """Return which target a failure names by its address, or None."""
+    return next((target.name for target in targets if target.address == error.target), None)
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -13,6 +13,7 @@
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._relay import Relay
+from azureswitch.gateway._tickets import Tickets
 from azureswitch.inventory import Target
 from azureswitch.serving import (
     TICK,
@@ -37,6 +38,7 @@
     Args:
         state: The reducer's state.
         dialect: The headers towards targets and callers.
+        tickets: Sets memory aside for prompts larger than one engine.
         targets: Returns the targets that are listed now, by name.
         publish: Sends a digest to the peers.
         observe: Records a metric.
@@ -48,6 +50,7 @@
         *,
         state: ServingState,
         dialect: Dialect,
+        tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
         publish: Callable[[Digest], None],
         observe: Callable[[Observe], None],
@@ -58,7 +61,13 @@
         self._publish = publish
         self._observe = observe
         self._clock = clock
-        self._relay = Relay(dialect=dialect, targets=targets, dispatch=self.dispatch, clock=clock)
+        self._relay = Relay(
+            dialect=dialect,
+            tickets=tickets,
+            targets=targets,
+            dispatch=self.dispatch,
+            clock=clock,
+        )
         self._records: dict[CallId, CallRecord] = {}
         self._events: deque[ServingEvent] = deque()
         self._busy = False
--- /dev/null
+++ b/src/azureswitch/gateway/_tickets.py
@@ -0,0 +1,106 @@
+"""Holds memory on engines for a prompt that is larger than one of them.
+
+Memory is set aside for a few seconds and renewed while it is in use.  So what a process held that
+died, or what an engine sets aside late, after its caller has given up, is free again within
+`HOLD_SECONDS` without anybody's doing.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from absl import logging
+
+from azureswitch.exceptions import TargetError
+from azureswitch.gateway._ports import Reservations
+
+HOLD_SECONDS = 3.5
+"""Seconds for which memory is set aside; it must be free 4 s after its last use."""
+
+RENEW_SECONDS = 1.4
+"""Seconds between two renewals, so that one may be lost."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """Memory set aside on one engine.
+
+    Attributes:
+        id: Its id, unique over all hosts.
+        address: ``IP:PORT`` of the engine.
+        tokens: How much.
+    """
+
+    id: str
+    address: str
+    tokens: int
+
+
+class Tickets:
+    """Sets memory aside, all or nothing.
+
+    Args:
+        reservations: The engines' own way of doing so.
+    """
+
+    def __init__(self, *, reservations: Reservations) -> None:
+        self._reservations = reservations
+        self._releases: set[asyncio.Task[None]] = set()
+
+    @asynccontextmanager
+    async def hold(self, tickets: Iterable[Ticket]) -> AsyncIterator[None]:
+        """Hold memory for as long as the block runs.
+
+        Nothing waits for memory that others hold: two hosts that each have a part of what the
+        other one needs would wait for ever.
+
+        Raises:
+            TargetError: An engine has no room or does not answer; nothing is held then.
+        """
+        wanted = tuple(tickets)
+        if not wanted:
+            yield
+            return
+        renewals: asyncio.Task[None] | None = None
+        try:
+            await self._reserve(wanted)
+            renewals = asyncio.create_task(self._renew(wanted))
+            yield
+        finally:
+            if renewals is not None:
+                renewals.cancel()
+            # In the background, since the block may be left because its task is called off.
+            task = asyncio.create_task(self._release(wanted))
+            self._releases.add(task)
+            task.add_done_callback(self._releases.discard)
+
+    async def _reserve(self, tickets: tuple[Ticket, ...]) -> None:
+        results = await asyncio.gather(
+            *(self._reserve_one(ticket) for ticket in tickets), return_exceptions=True
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+
+    async def _reserve_one(self, ticket: Ticket) -> None:
+        await self._reservations.reserve(
+            address=ticket.address, ticket=ticket.id, tokens=ticket.tokens, seconds=HOLD_SECONDS
+        )
+
+    async def _renew(self, tickets: tuple[Ticket, ...]) -> None:
+        while True:
+            await asyncio.sleep(RENEW_SECONDS)
+            try:
+                await self._reserve(tickets)
+            except TargetError as error:
+                # The next renewal comes in time; without it the engine ends the request itself.
+                logging.warning("tickets: Memory was not renewed: %s", error)
+
+    async def _release(self, tickets: tuple[Ticket, ...]) -> None:
+        for ticket in tickets:
+            try:
+                await self._reservations.release(address=ticket.address, ticket=ticket.id)
+            except TargetError as error:
+                # It is free after `HOLD_SECONDS` all the same.
+                logging.info("tickets: Ticket %s was not released: %s", ticket.id, error)
--- a/src/azureswitch/platform/_dialect.py
+++ b/src/azureswitch/platform/_dialect.py
@@ -8,7 +8,7 @@
 from azureswitch.client import Headers, HttpHead
 from azureswitch.core import CallId
 from azureswitch.exceptions import AzureswitchError, InvalidHeaderError
-from azureswitch.gateway import Arrival, HttpRequest, Sending, Verdict
+from azureswitch.gateway import Arrival, Helper, HttpRequest, Sending, Verdict
 from azureswitch.platform import _headers as names
 
 USUAL_URGENCY = 5
@@ -60,7 +60,8 @@
             urgency = min(MOST_URGENCY, max(0, USUAL_URGENCY + sending.urgency))
             added.append((names.URGENCY, str(urgency)))
         if sending.helpers:
-            added.append((names.HELPERS, ",".join(sending.helpers)))
+            helpers = ",".join(_helper(helper) for helper in sending.helpers)
+            added.append((names.HELPERS, helpers))
         return (*passed, *added)
 
     def judge(self, head: HttpHead) -> Verdict:
@@ -87,6 +88,10 @@
         return headers, msgspec.json.encode(Failure(error=error.code, message=error.message))
 
 
+def _helper(helper: Helper) -> str:
+    return helper.address if helper.ticket is None else f"{helper.address}/{helper.ticket}"
+
+
 def _id(headers: dict[str, str]) -> str:
     value = headers.get(names.ID, "")
     if not value:
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -4,13 +4,18 @@
 import os
 from pathlib import Path
 from signal import SIGINT, SIGTERM
+from time import monotonic, time
 
 from absl import logging
 
+from azureswitch.coordination.membership import Member, Membership, live_hosts
 from azureswitch.coordination.mirror import Mirror
+from azureswitch.coordination.sharing import Digests
+from azureswitch.core import Incarnation
 from azureswitch.exceptions import DeploymentUnreadableError, PlatformSettingsError
 from azureswitch.gateway import Gateway, GatewaySettings
 from azureswitch.inventory import Service, Target
+from azureswitch.peers import PeerNetwork
 from azureswitch.platform._deployment import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -19,6 +24,8 @@
     decode_target,
 )
 from azureswitch.platform._dialect import PlatformDialect
+from azureswitch.platform._orders import HttpReservations
+from azureswitch.platform._roster import Seat, StoreHostList
 from azureswitch.platform._settings import (
     SETTINGS_VARIABLE,
     PlatformSettings,
@@ -26,7 +33,7 @@
 )
 from azureswitch.platform._store import HttpStore
 from azureswitch.ports import StoredObject
-from azureswitch.serving import Digest, Observe
+from azureswitch.serving import Observe, PeersChanged
 
 EXIT_OK = 0
 EXIT_START = 1
@@ -62,7 +69,8 @@
         self._gateway = Gateway(
             settings=_gateway_settings(settings),
             dialect=PlatformDialect(),
-            publish=self._publish,
+            reservations=HttpReservations(),
+            publish=lambda digest: self._digests.publish(digest),
             observe=self._observe,
             seed=seed,
         )
@@ -77,6 +85,31 @@
             seed=seed + 1,
         )
 
+        address = f"{settings.ip}:{settings.peer_ports[0]}"
+        myself = Incarnation(host=settings.host, started=int(time() * 1_000))
+        self._network = PeerNetwork(address=address)
+        self._membership = Membership(
+            myself=myself,
+            place=settings.place,
+            address=address,
+            peers=self._network,
+            hosts=StoreHostList(
+                store=self._store,
+                host=settings.host,
+                seat=Seat(place=settings.place, address=address),
+            ),
+            seed=seed,
+        )
+        self._membership.on_change(self._members_changed)
+        self._digests = Digests(
+            myself=myself,
+            peers=self._network,
+            members=lambda: self._membership.members,
+            dispatch=self._gateway.shell.dispatch,
+            clock=monotonic,
+            seed=seed,
+        )
+
     async def serve(self, stop: asyncio.Event) -> None:
         """Serve until told to stop, and then stop gracefully.
 
@@ -84,15 +117,16 @@
             OSError: An address cannot be used.
         """
         await self._gateway.start()
-        loops = [
-            asyncio.create_task(self._configuration.run()),
-            asyncio.create_task(self._targets.run()),
-        ]
+        await self._network.start()
+        parts = (self._configuration.run, self._targets.run, self._membership.run)
+        loops = [asyncio.create_task(part()) for part in parts]
         await stop.wait()
-        await self._gateway.stop()
+        await asyncio.gather(self._gateway.stop(), self._membership.leave())
         for loop in loops:
             loop.cancel()
         await asyncio.gather(*loops, return_exceptions=True)
+        await self._digests.stop()
+        await self._network.close()
 
     def _configure(self, objects: tuple[StoredObject, ...]) -> None:
         for item in objects:
@@ -111,8 +145,9 @@
         found = (_target(item, services) for item in objects)
         self._gateway.set_targets(tuple(target for target in found if target is not None))
 
-    def _publish(self, digest: Digest) -> None:
-        """Peers are not connected yet."""
+    def _members_changed(self, members: tuple[Member, ...]) -> None:
+        shell = self._gateway.shell
+        shell.dispatch(PeersChanged(now=shell.now, hosts=live_hosts(members)))
 
     def _observe(self, effect: Observe) -> None:
         """Metrics are not connected yet."""
--- /dev/null
+++ b/src/azureswitch/platform/_roster.py
@@ -0,0 +1,92 @@
+"""The list of the system's own hosts, kept in the platform's store.
+
+The platform lists no hosts for us.  Each writes where it is reached under its name when it starts,
+and reads who else did.  A reading may be seconds old, which costs a tenth: membership finds out by
+itself who of the listed lives, and hears from them of those that the list does not show yet.
+"""
+
+import msgspec
+from absl import logging
+
+from azureswitch.core import HostName, PlaceName
+from azureswitch.exceptions import (
+    HostListError,
+    StoreConflictError,
+    StoreError,
+    StoreNotFoundError,
+)
+from azureswitch.platform._store import HttpStore
+from azureswitch.ports import HostStatus, ListedHost, StoredObject
+
+ROSTER_KIND = "azureswitch-hosts"
+"""Our own kind of object."""
+
+
+class Seat(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a host is reached.
+
+    Attributes:
+        place: Its failure domain.
+        address: ``IP:PORT`` of its messages to other hosts.
+    """
+
+    place: PlaceName
+    address: str
+
+
+class StoreHostList:
+    """The `azureswitch.ports.HostList` that the hosts keep themselves.
+
+    Args:
+        store: The platform's store.
+        host: The name of this host.
+        seat: Where it is reached.
+    """
+
+    def __init__(self, *, store: HttpStore, host: HostName, seat: Seat) -> None:
+        self._store = store
+        self._host = host
+        self._seat = seat
+        self._entered = False
+
+    async def hosts(self) -> tuple[ListedHost, ...]:
+        """Return the hosts that have entered themselves, after this one has."""
+        try:
+            if not self._entered:
+                await self._enter()
+                self._entered = True
+            listing = await self._store.list(kind=ROSTER_KIND, stale=True)
+        except StoreError as error:
+            raise HostListError() from error
+        found = (_listed(item) for item in listing.items)
+        return tuple(host for host in found if host is not None)
+
+    async def _enter(self) -> None:
+        value = msgspec.json.encode(self._seat)
+        try:
+            await self._store.create(kind=ROSTER_KIND, name=self._host, value=value)
+        except StoreConflictError:
+            await self._replace(value)
+
+    async def _replace(self, value: bytes) -> None:
+        """Correct the entry of an earlier process of this host."""
+        try:
+            known = await self._store.get(kind=ROSTER_KIND, name=self._host)
+        except StoreNotFoundError:
+            return
+        if known.value == value:
+            return
+        await self._store.update(
+            kind=ROSTER_KIND, name=self._host, value=value, version=known.version
+        )
+
+
+def _listed(item: StoredObject) -> ListedHost | None:
+    try:
+        seat = msgspec.json.decode(item.value, type=Seat)
+    except ValueError:
+        logging.warning("roster: The entry of %s cannot be read and is left out.", item.name)
+        return None
+    return ListedHost(
+        name=HostName(item.name), place=seat.place, address=seat.address, status=HostStatus.LIVE
+    )
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -43,6 +43,9 @@
 WATCH_LIMIT = 30.0
 """Seconds that one call may wait for changes, as the store permits."""
 
+WATCH_LEAST = 0.03
+"""Seconds that must be left of a watch for another call; each is paid for."""
+
 WATCH_GRACE = 2.0
 """Seconds that the end of a watch may be late."""
 
@@ -62,24 +65,29 @@
         answer = await self._call(method="GET", path=_path(kind, name), key=key)
         return _object(kind=kind, key=key, answer=answer, lost=StoreUnavailableError)
 
-    async def list(self, *, kind: str) -> Listing:
+    async def list(self, *, kind: str, stale: bool = False) -> Listing:
         """Return all objects of a kind.
 
         Pages are read one after the other.  The version to watch from is that of the first one, so
         that a change made in between is seen again, and none is missed.
+
+        Args:
+            kind: The kind.
+            stale: Whether what was true seconds ago is enough; such a call costs a tenth.
         """
         items: list[StoredObject] = []
         version: int | None = None
-        query = ""
+        query = {"Serializable": "1"} if stale else {}
         while True:
-            answer = await self._call(method="GET", path=_path(kind) + query, key=kind)
+            path = f"{_path(kind)}?{urlencode(query)}" if query else _path(kind)
+            answer = await self._call(method="GET", path=path, key=kind)
             page = _decode(answer, type=WireListing, key=kind, lost=StoreUnavailableError)
             version = page.version if version is None else version
             items.extend(_objects(page.items, kind=kind))
             if not page.more or not page.items:
                 return Listing(items=tuple(items), version=version)
             # The platform names the object to go on after as if it were a version.
-            query = "?" + urlencode({"AfterRev": page.items[-1].metadata.name})
+            query["AfterRev"] = page.items[-1].metadata.name
 
     async def create(self, *, kind: str, name: str, value: bytes) -> StoredObject:
         """Create an object."""
@@ -107,7 +115,7 @@
         """Yield the changes to a kind after ``version`` for at most ``timeout`` seconds."""
         loop = get_running_loop()
         end = loop.time() + timeout
-        while (left := end - loop.time()) > 0.0:
+        while (left := end - loop.time()) > WATCH_LEAST:
             wait = min(left, WATCH_LIMIT)
             query = {"Watch": version, "WaitMs": int(wait * 1_000)}
             answer = await self._call(
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -30,6 +30,7 @@
     MOST_RETRIES,
     backoff,
     hedge_after,
+    hold_seconds,
     patience,
 )
 from azureswitch.serving._routing import choose
@@ -60,6 +61,9 @@
     floor = min((state.fairness.served(n) for n in state.queue.customers(lane)), default=0.0)
     state.fairness.lift(record.call.customer, floor)
     record.phase = Phase.WAITING
+    if record.call.unshared:
+        at = now + hold_seconds(record.call)
+        state.timers.set(at=at, kind=TimerKind.LATEST_START, call=record.call.id)
     state.queue.push(
         lane=lane,
         customer=record.call.customer,
@@ -141,6 +145,7 @@
             priority=level,
             resume_from=record.tokens,
             timeout=max(0.0, call.deadline - now),
+            reserved=choice.reserved,
             first_patience=silence.first,
             gap_patience=silence.gap,
         )
@@ -376,8 +381,14 @@
     targets: tuple[TargetName, ...],
     event: AttemptEnded,
 ) -> None:
-    """Keep a target that failed out of use; one that is merely full says when to come back."""
-    for target in targets if len(targets) == 1 else ():
+    """Keep a target that failed out of use; one that is merely full says when to come back.
+
+    Of several the one that is said to be at fault is meant, and else the first, which answers.
+    """
+    several = len(targets) > 1
+    if several and record.pool.pace is None:
+        return
+    for target in (event.at_fault or targets[0],):
         record.failed.add(target)
         if event.retry_after is not None and event.end is AttemptEnd.REFUSED:
             state.fleet.full(target, seconds=event.retry_after, now=event.now)
--- a/src/azureswitch/serving/_choice.py
+++ b/src/azureswitch/serving/_choice.py
@@ -18,6 +18,8 @@
         wait: Engine seconds that stand before it.
         running: Requests that wait or run at the target.
         occupancies: What it puts on each target, as the peers are told.
+        reserved: Tokens of memory to be set aside at each target before the attempt is sent;
+            nothing where the prompt fits into the first one's memory.
         first_token: Predicted seconds to the first token where the engines' pace is published,
             else zero.
     """
@@ -28,4 +30,5 @@
     wait: float
     running: int = 0
     occupancies: tuple[Occupancy, ...] = ()
+    reserved: tuple[int, ...] = ()
     first_token: float = 0.0
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -48,6 +48,7 @@
         priority: Smaller runs first.
         resume_from: Output tokens that the caller has already.
         timeout: Seconds that the request has left.
+        reserved: Tokens of memory to be set aside at each target before it is sent, or nothing.
         first_patience: Seconds without any output after which the attempt is broken off.
         gap_patience: Seconds without further output after which it is broken off.
     """
@@ -58,6 +59,7 @@
     priority: int
     resume_from: int
     timeout: float
+    reserved: tuple[int, ...] = ()
     first_patience: float = inf
     gap_patience: float = inf
 
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -143,6 +143,7 @@
         cached_tokens: Prompt tokens that the engine found in its cache, where it says so.
         retry_after: Seconds after which the target may take the request, where it says so.
         error: The failure, for every end but COMPLETE.
+        at_fault: Of several targets the one that failed, where that is known.
     """
 
     call: CallId
@@ -152,6 +153,7 @@
     cached_tokens: int = 0
     retry_after: float | None = None
     error: AzureswitchError | None = None
+    at_fault: TargetName | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/serving/_placement.py
+++ b/src/azureswitch/serving/_placement.py
@@ -5,6 +5,8 @@
 it, where reading its prompt makes them pause for too long.
 """
 
+from math import ceil
+
 from azureswitch.core import TargetName
 from azureswitch.inventory import EnginePace
 from azureswitch.serving._choice import Choice
@@ -29,6 +31,33 @@
 ON_TIME_SHARE = 0.7
 """Share of the objective up to which a predicted first token counts as on time."""
 
+LATE_CREDIT = 0.25
+"""Share of its credit that a late answer keeps."""
+
+LEAVE_LEAST = 2.0
+"""Seconds without a first token after which callers leave, at least."""
+
+LEAVE_FACTOR = 4.0
+"""Times its objective after which a caller leaves."""
+
+SAFE_SHARE = 0.5
+"""Share of the time until its caller leaves up to which a first token is safe to come in time."""
+
+LONG_GAP = 0.5
+"""Seconds of reading beside long streams that they still bear; their pauses may last 600 ms."""
+
+LONG_HARM = 6.0
+"""What a long stream that pauses for too long costs, by the mix of lengths: 3 to 18."""
+
+BESIDE_LONG = 0.5
+"""How badly an engine suits a long prompt for each long stream that it writes."""
+
+KEPT_SHARE = 0.2
+"""Share of the engines that stay free of long reading, however much there is of it."""
+
+SHORT_FILL = 0.6
+"""Share of their places that short streams fill on the engines kept for them."""
+
 HASTE = 0.1
 """Weight of being early at all, beside that of being on time."""
 
@@ -41,6 +70,12 @@
 PART = 0.02
 """Cost of each further engine that a long prompt occupies."""
 
+MOST_HOLDERS = 8
+"""Engines over whose memory one prompt is spread at most; a million tokens take three."""
+
+HOLD_FILL = 0.85
+"""Share of an engine's free memory that is set aside at most, as others may send meanwhile."""
+
 NEARNESS = 0.005
 """Cost of a target in another failure domain of the region; elsewhere it is ten times that."""
 
@@ -56,8 +91,8 @@
     if not states:
         return None
     if record.level is Level.SHORT:
-        return _place_short(state, record, states, pace)
-    return _place_long(state, record, states, pace)
+        return _place_short(state, record, states, pace, now=now)
+    return _place_long(state, record, states, pace, now=now)
 
 
 def usable(state: ServingState, record: CallRecord, *, now: float) -> list[TargetState]:
@@ -69,14 +104,21 @@
 
 
 def _place_short(
-    state: ServingState, record: CallRecord, states: list[TargetState], pace: EnginePace
+    state: ServingState,
+    record: CallRecord,
+    states: list[TargetState],
+    pace: EnginePace,
+    *,
+    now: float,
 ) -> Choice:
+    call = record.call
     own = read_seconds(pace, record.call.prompt_tokens)
     best: tuple[float, float, TargetName] | None = None
     for target in states:
         there = state.ledger.at(target.target.name)
         first = _wait(there, pace) + own
-        cost = _lateness(record.call, first) + _crowding(there, pace) + _distance(target)
+        cost = _lateness(call, first, now=now) + _haste(call, first)
+        cost += _crowding(there, pace) + _distance(target)
         key = (cost, state.random.random(), target.target.name)
         if best is None or key < best:
             best = key
@@ -111,49 +153,84 @@
     return (0.0, NEARNESS, 10.0 * NEARNESS)[target.nearness]
 
 
-def _lateness(call: Call, first: float) -> float:
+def _lateness(call: Call, first: float, *, now: float) -> float:
     """Return the share of a call's credit that a predicted first token loses."""
-    if not call.objective:
-        return HASTE * first
-    share = first / call.objective
-    late = min(1.0, max(0.0, (share - ON_TIME_SHARE) / (1.0 - ON_TIME_SHARE)))
-    return late + HASTE * share
+    left = min(call.deadline - now, max(LEAVE_LEAST, LEAVE_FACTOR * call.objective))
+    lost = (1.0 - LATE_CREDIT) * _ramp(first, ON_TIME_SHARE * call.objective, call.objective)
+    return lost + LATE_CREDIT * _ramp(first, SAFE_SHARE * left, left)
+
+
+def _ramp(value: float, low: float, high: float) -> float:
+    """Return 0 up to a low value, 1 from a high one on, and the share of the way between them."""
+    if value <= low:
+        return 0.0
+    return 1.0 if value >= high else (value - low) / (high - low)
+
+
+def _haste(call: Call, first: float) -> float:
+    """Return what it is worth to be early at all."""
+    return HASTE * first / call.objective if call.objective else HASTE * first
 
 
 def _place_long(
-    state: ServingState, record: CallRecord, states: list[TargetState], pace: EnginePace
+    state: ServingState,
+    record: CallRecord,
+    states: list[TargetState],
+    pace: EnginePace,
+    *,
+    now: float,
 ) -> Choice | None:
     call = record.call
     work = read_seconds(pace, call.prompt_tokens)
-    fitting = [t for t in states if _fits(state, call, t)]
-    if not fitting:
-        return None
     costs = {t.target.name: _busyness(state.ledger.at(t.target.name)) for t in states}
     order = sorted(states, key=lambda t: (costs[t.target.name], t.nearness, state.random.random()))
-    first = min(fitting, key=order.index)
-    chain = [first, *(t for t in order if t is not first)]
+    holders = _holders(state, call, order)
+    if holders is None:
+        return None
+    chain = [*holders, *(t for t in order if t not in holders)]
     weight = call.prompt_tokens / SHORT_TOKENS
-    most = max(1, min(MOST_PARTS, len(chain), int(work / LEAST_PART)))
+    most = max(len(holders), min(MOST_PARTS, len(chain), int(work / LEAST_PART)))
+    kept = _kept_for_short(state, order, pace)
     best: tuple[float, int, float] | None = None
-    for count in range(1, most + 1):
+    for count in range(len(holders), most + 1):
+        if best is not None and work / count > SHORT_GAP and len(order) - count < kept:
+            continue
         seconds, harm = _forecast(state, chain[:count], work / count, pace)
-        cost = weight * _lateness(call, seconds) + harm + PART * (count - 1)
+        cost = weight * _lateness(call, seconds, now=now) + _haste(call, seconds)
+        cost += harm + PART * (count - 1)
         if best is None or cost < best[0]:
             best = (cost, count, seconds)
     assert best is not None  # There is at least one count.
     _, count, seconds = best
-    return _placement(call, chain[:count], part=work / count, first_token=seconds)
+    return _spread(call, chain[:count], len(holders), part=work / count, first_token=seconds)
 
 
-def _fits(state: ServingState, call: Call, target: TargetState) -> bool:
-    """Return whether an engine's memory holds the prompt beside what it has."""
+def _holders(state: ServingState, call: Call, order: list[TargetState]) -> list[TargetState] | None:
+    """Return the fewest engines that together hold a prompt, the least busy first, or None.
+
+    The first one answers; at the others memory is set aside for even parts.
+    """
     need = call.prompt_tokens + call.output_tokens
-    return state.ledger.at(target.target.name).tokens + need <= target.target.memory
+    free = {t.target.name: t.target.memory - state.ledger.at(t.target.name).tokens for t in order}
+    for count in range(1, min(MOST_HOLDERS, len(order)) + 1):
+        fill = 1.0 if count == 1 else HOLD_FILL
+        part = need / count
+        fitting = [t for t in order if part <= free[t.target.name] * fill]
+        if len(fitting) >= count:
+            return fitting[:count]
+    return None
+
+
+def _kept_for_short(state: ServingState, order: list[TargetState], pace: EnginePace) -> int:
+    """Return how many engines a prompt that blocks them leaves to short ones."""
+    streams = sum(state.ledger.at(target.target.name).streams for target in order)
+    filled = ceil(streams / (SHORT_FILL * pace.slots))
+    return max(ceil(KEPT_SHARE * len(order)), filled)
 
 
 def _busyness(there: Occupancy) -> float:
     """Return how badly an engine suits a long prompt: its short streams, and what it reads."""
-    return there.streams + there.reading + there.short_reading + 0.1 * there.long_streams
+    return there.streams + there.reading + there.short_reading + BESIDE_LONG * there.long_streams
 
 
 def _forecast(
@@ -167,19 +244,30 @@
         seconds = max(seconds, _wait(there, pace) + part)
         if part + there.reading > SHORT_GAP:
             harm += there.streams
+        if part + there.reading > LONG_GAP:
+            harm += LONG_HARM * there.long_streams
     return seconds, harm
 
 
-def _placement(call: Call, chosen: list[TargetState], *, part: float, first_token: float) -> Choice:
+def _spread(
+    call: Call, chosen: list[TargetState], holders: int, *, part: float, first_token: float
+) -> Choice:
     names = tuple(target.target.name for target in chosen)
-    tokens = call.prompt_tokens + call.output_tokens
-    first = Occupancy(target=names[0], reading=part, long_streams=1, tokens=tokens)
-    helpers = tuple(Occupancy(target=name, reading=part) for name in names[1:])
+    need = call.prompt_tokens + call.output_tokens
+    share = -(-need // holders)
+    held = [share if index < holders else 0 for index in range(len(names))]
+    occupancies = tuple(
+        Occupancy(target=name, reading=part, long_streams=int(index == 0), tokens=held[index])
+        for index, name in enumerate(names)
+    )
+    # What the others do not hold stays at the first one, for which nothing is set aside.
+    reserved = (0, *held[1:]) if holders > 1 else ()
     return Choice(
         targets=names,
-        work=Work(seconds=part, tokens=tokens, level=Level.LONG),
+        work=Work(seconds=part, tokens=need, level=Level.LONG),
         cached_tokens=0,
         wait=max(0.0, first_token - part),
-        occupancies=(first, *helpers),
+        occupancies=occupancies,
+        reserved=reserved,
         first_token=first_token,
     )
--- a/src/azureswitch/serving/_retries.py
+++ b/src/azureswitch/serving/_retries.py
@@ -121,6 +121,18 @@
     return Patience(first=first, gap=max(GAP_PATIENCE, GAP_FACTOR * call.gap_objective))
 
 
+HOLD_LEAST = 0.5
+"""Seconds for which a call that can come back waits for a target, at least: one may be replaced."""
+
+HOLD_SHARE = 0.25
+"""Share of its objective for which it does so; from there on waiting here counts against us."""
+
+
+def hold_seconds(call: Call) -> float:
+    """Return for how long a call waits here that its caller can send to another host."""
+    return max(HOLD_LEAST, HOLD_SHARE * call.objective)
+
+
 def hedge_after(expected: float) -> float:
     """Return the seconds without a first token after which a call is hedged.
 
--- a/tests/entry/test_answers.py
+++ b/tests/entry/test_answers.py
@@ -14,7 +14,6 @@
 from azureswitch.entry._ports import JobKeeper
 from azureswitch.entry._records import ModelPayload, ModelRecord
 from azureswitch.entry._targets import Targets
-from azureswitch.entry._tasks import Tasks
 from azureswitch.exceptions import DeadlineExceededError
 from azureswitch.ports import Chunk, Engine, EngineRequest, Surface
 from azureswitch.serving import (
@@ -24,6 +23,7 @@
     ServingEvent,
     StartAttempt,
 )
+from azureswitch.tasks import Tasks
 from azureswitch_standins.peers import PeersNetworkFake
 
 
--- a/tests/sharing/test_digests.py
+++ b/tests/sharing/test_digests.py
@@ -5,9 +5,8 @@
 import pytest
 
 from azureswitch.coordination.membership import Member, MemberStatus
-from azureswitch.coordination.sharing import BURST_BYTES, DIGEST_BYTES, FULL_HOSTS
+from azureswitch.coordination.sharing import BURST_BYTES, DIGEST_BYTES, FULL_HOSTS, Digests
 from azureswitch.core import CustomerName, HostName, Incarnation, PlaceName, TargetName
-from azureswitch.entry._digests import Digests
 from azureswitch.serving import CustomerUse, Digest, DigestReceived, ServingEvent, TargetLoad
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.peers import PeersNetworkFake
