--- a/src/azureswitch/coordination/mirror/__init__.py
+++ b/src/azureswitch/coordination/mirror/__init__.py
@@ -1,18 +1,44 @@
 """Keeps a copy of one kind of the store's objects, also while the store is away."""
 
-from azureswitch.coordination.mirror._driver import Mirror
-from azureswitch.coordination.mirror._events import Broken, Changed, Listed, MirrorEvent, Ticked
-from azureswitch.coordination.mirror._reduce import Publish, reduce
+from azureswitch.coordination.mirror._driver import Mirror, Mirrors
+from azureswitch.coordination.mirror._events import (
+    Broken,
+    Changed,
+    Checked,
+    Copied,
+    Heard,
+    Listed,
+    MirrorEvent,
+    Ticked,
+)
+from azureswitch.coordination.mirror._messages import CopyReply, CopyRequest, StoreSeen
+from azureswitch.coordination.mirror._reduce import (
+    AskPeer,
+    AskStore,
+    Publish,
+    TellPeers,
+    reduce,
+)
 from azureswitch.coordination.mirror._state import MirrorState
 
 __all__ = [
+    "AskPeer",
+    "AskStore",
     "Broken",
     "Changed",
+    "Checked",
+    "Copied",
+    "CopyReply",
+    "CopyRequest",
+    "Heard",
     "Listed",
     "Mirror",
     "MirrorEvent",
     "MirrorState",
+    "Mirrors",
     "Publish",
+    "StoreSeen",
+    "TellPeers",
     "Ticked",
     "reduce",
 ]
--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -1,30 +1,62 @@
-"""Follows one kind of the store's objects by listing and watching."""
+"""Follows one kind of the store's objects by listing, watching, and what peers tell."""
 
-from asyncio import CancelledError, Task, create_task, get_running_loop, sleep
-from collections.abc import Callable
+from asyncio import (
+    FIRST_COMPLETED,
+    CancelledError,
+    Event,
+    Task,
+    create_task,
+    get_running_loop,
+    sleep,
+    wait,
+)
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
 from random import Random
 
 from absl import logging
+from xxhash import xxh3_64_intdigest
 
-from azureswitch.coordination.mirror._events import Broken, Changed, Listed, MirrorEvent, Ticked
-from azureswitch.coordination.mirror._reduce import Publish, reduce
+from azureswitch.coordination.membership import Member, live_hosts
+from azureswitch.coordination.mirror._events import (
+    Broken,
+    Changed,
+    Checked,
+    Copied,
+    Heard,
+    Listed,
+    MirrorEvent,
+    Ticked,
+)
+from azureswitch.coordination.mirror._messages import CopyReply, CopyRequest, StoreSeen
+from azureswitch.coordination.mirror._reduce import (
+    CHECK_SECONDS,
+    RANK_MOST,
+    AskPeer,
+    AskStore,
+    Publish,
+    TellPeers,
+    reduce,
+)
 from azureswitch.coordination.mirror._state import MirrorState
-from azureswitch.exceptions import StoreError, StoreVersionGoneError
-from azureswitch.ports import Store, StoredObject
+from azureswitch.core import Effect, HostName
+from azureswitch.exceptions import PeerError, StoreError, StoreVersionGoneError
+from azureswitch.ports import Peers, Store, StoredObject
+from azureswitch.tasks import Tasks
 
 Listener = Callable[[tuple[StoredObject, ...]], None]
 
-WATCH_SECONDS = 0.9
-"""Seconds that one watch waits.
+WATCH_SECONDS = 25.0
+"""Seconds that a watch waits for a change; the store permits 30, and each is a call paid for."""
 
-A watch may be deaf without being cut off: while the store drops its history, it hears nothing for a
-second or longer.  A new one from the same version hears of all that was missed, or that the history
-is gone.  A change must be in force 2 s after it was acknowledged, so the next watch has to begin
-within 1 s of the end of that second.  Each watch is a call that is paid for.
-"""
+FIRST_WATCH_SECONDS = 0.5
+"""Seconds that a watch of the first host in rank waits, so that the next one need not check."""
 
-TICK = 0.1
-"""Seconds between two looks for objects whose grace is over."""
+CHECK_WAIT = 0.04
+"""Seconds that a watch waits which only asks whether anything was missed."""
+
+TICK = 0.05
+"""Seconds between two looks at what is due."""
 
 PAUSE_FIRST = 0.05
 """Seconds before the first new call after a failure, at most."""
@@ -32,6 +64,96 @@
 PAUSE_MOST = 0.4
 """Seconds between two calls while the store fails, at most: a change must be in force after 2 s."""
 
+COPY_TIMEOUT = 1.0
+"""Seconds that a peer's copy may take."""
+
+
+class Mirrors:
+    """The copies of one host, which share a way to its peers.
+
+    Args:
+        host: This host.
+        address: ``IP:PORT`` on which peers reach it.
+        peers: Messages to other hosts; the handlers are registered here.
+        members: Returns the members known now.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostName,
+        address: str,
+        peers: Peers,
+        members: Callable[[], Iterable[Member]],
+    ) -> None:
+        self._host = host
+        self._address = address
+        self._peers = peers
+        self._members = members
+        self._mirrors: dict[str, Mirror] = {}
+        peers.handle(StoreSeen, self._heard)
+        peers.handle(CopyRequest, self._copy)
+
+    def add(
+        self,
+        *,
+        store: Store,
+        kind: str,
+        publish: Listener,
+        return_grace: float = 0.0,
+        seed: int,
+    ) -> "Mirror":
+        """Return a new copy of the objects of one kind; arguments as for `Mirror`."""
+        mirror = Mirror(
+            store=store,
+            kind=kind,
+            publish=publish,
+            mirrors=self,
+            return_grace=return_grace,
+            seed=seed,
+        )
+        self._mirrors[kind] = mirror
+        return mirror
+
+    def rank(self, kind: str) -> int:
+        """Return how many other hosts are to check a kind before this one."""
+        hosts = {*live_hosts(self._members()), self._host}
+        return sorted(hosts, key=lambda host: _weight(kind, host)).index(self._host)
+
+    def tell(self, kind: str, *, version: int, fingerprint: int) -> None:
+        """Tell the other hosts that this one has checked a kind."""
+        seen = StoreSeen(
+            host=self._host,
+            address=self._address,
+            kind=kind,
+            version=version,
+            fingerprint=fingerprint,
+        )
+        for member in self._members():
+            if member.incarnation.host != self._host:
+                self._peers.cast(address=member.address, message=seen)
+
+    async def ask(self, kind: str, *, address: str) -> CopyReply:
+        """Return a peer's copy.
+
+        Raises:
+            PeerError: It was not to be had.
+        """
+        return await self._peers.call(
+            address=address, request=CopyRequest(kind=kind), reply=CopyReply, timeout=COPY_TIMEOUT
+        )
+
+    async def _heard(self, seen: StoreSeen) -> None:
+        mirror = self._mirrors.get(seen.kind)
+        if mirror is not None:
+            mirror.hear(seen)
+
+    async def _copy(self, request: CopyRequest) -> CopyReply:
+        mirror = self._mirrors.get(request.kind)
+        if mirror is None:
+            return CopyReply(version=0, objects=())
+        return CopyReply(version=mirror.version, objects=mirror.objects)
+
 
 class Mirror:
     """A copy of the objects of one kind, kept up to date while `run` runs.
@@ -40,6 +162,7 @@
         store: The store.
         kind: The kind.
         publish: Called with all objects whenever they changed.
+        mirrors: The way to the peers.
         return_grace: Seconds after the store's return for which an object that is missing stays.
         seed: Seeds the pauses between calls.
     """
@@ -50,26 +173,34 @@
         store: Store,
         kind: str,
         publish: Listener,
+        mirrors: Mirrors,
         return_grace: float = 0.0,
         seed: int,
     ) -> None:
         self._store = store
         self._kind = kind
         self._listener = publish
+        self._mirrors = mirrors
         self._random = Random(seed)
         self._state = MirrorState(return_grace=return_grace)
         self._failures = 0
-
-    @property
-    def listed(self) -> bool:
-        """Whether the objects have been read once."""
-        return self._state.listed
+        self._due = Event()
+        self._tasks = Tasks(prefix="mirror")
 
     @property
     def version(self) -> int:
-        """The version up to which the copy is complete."""
+        """The version up to which the copy is complete; zero where there is none."""
         return self._state.version
 
+    @property
+    def objects(self) -> tuple[StoredObject, ...]:
+        """The objects that the store holds, so far as is known."""
+        return self._state.present()
+
+    def hear(self, seen: StoreSeen) -> None:
+        """Take over that a peer has checked its copy."""
+        self._feed(Heard(now=_now(), seen=seen))
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         ticks = create_task(self._tick())
@@ -77,6 +208,7 @@
             await self._follow()
         finally:
             await _end(ticks)
+            await self._tasks.stop()
 
     async def _follow(self) -> None:
         listing = True
@@ -85,7 +217,7 @@
                 if listing:
                     await self._list()
                     listing = False
-                await self._watch()
+                await self._wait()
             except StoreVersionGoneError:
                 logging.info("mirror: The history of %s is gone; listing again.", self._kind)
                 listing = True
@@ -97,10 +229,38 @@
         self._recovered()
         self._feed(Listed(now=_now(), listing=listing))
 
-    async def _watch(self) -> None:
-        changes = self._store.watch(
-            kind=self._kind, version=self._state.version, timeout=WATCH_SECONDS
-        )
+    async def _wait(self) -> None:
+        """Wait for changes until a check is due, and check.
+
+        The first host in rank checks by nothing but short watches, one after the other.
+        """
+        first = self._mirrors.rank(self._kind) == 0
+        self._due.clear()
+        if await self._undisturbed(FIRST_WATCH_SECONDS if first else WATCH_SECONDS):
+            if not first:
+                return
+        else:
+            await self._watch(CHECK_WAIT)
+        self._recovered()
+        self._feed(Checked(now=_now()))
+
+    async def _undisturbed(self, seconds: float) -> bool:
+        """Watch for so long, and return False as soon as a check is due before that."""
+        watch: Task[None] = create_task(self._watch(seconds))
+        due: Task[object] = create_task(self._due.wait())
+        try:
+            await wait((watch, due), return_when=FIRST_COMPLETED)
+        finally:
+            await _end(due)
+            if not watch.done():
+                await _end(watch)
+        if watch.cancelled():
+            return False
+        watch.result()
+        return True
+
+    async def _watch(self, seconds: float) -> None:
+        changes = self._store.watch(kind=self._kind, version=self._state.version, timeout=seconds)
         async for change in changes:
             self._recovered()
             self._feed(Changed(now=_now(), change=change))
@@ -121,20 +281,55 @@
     async def _tick(self) -> None:
         while True:
             await sleep(TICK)
-            if self._state.missing:
-                self._feed(Ticked(now=_now()))
+            now = _now()
+            early = now - self._state.checked_at < CHECK_SECONDS
+            # The rank is worked out where it matters alone; it takes a hash for each host.
+            rank = RANK_MOST if early else self._mirrors.rank(self._kind)
+            self._feed(Ticked(now=now, rank=rank))
+
+    async def _ask_peer(self, address: str) -> None:
+        try:
+            reply = await self._mirrors.ask(self._kind, address=address)
+        except PeerError as error:
+            logging.info("mirror: The copy of %s at %s was not had: %s", self._kind, address, error)
+            return
+        logging.info("mirror: Version %d of %s comes from %s.", reply.version, self._kind, address)
+        self._feed(Copied(now=_now(), reply=reply))
 
     def _feed(self, event: MirrorEvent) -> None:
         for effect in reduce(event, self._state):
-            if isinstance(effect, Publish):
-                self._listener(effect.objects)
+            self._run(effect)
+
+    @singledispatchmethod
+    def _run(self, effect: Effect) -> None:
+        raise NotImplementedError(type(effect))
+
+    @_run.register
+    def _(self, effect: Publish) -> None:
+        self._listener(effect.objects)
+
+    @_run.register
+    def _(self, effect: AskStore) -> None:
+        self._due.set()
+
+    @_run.register
+    def _(self, effect: TellPeers) -> None:
+        self._mirrors.tell(self._kind, version=effect.version, fingerprint=effect.fingerprint)
+
+    @_run.register
+    def _(self, effect: AskPeer) -> None:
+        self._tasks.spawn(self._ask_peer(effect.address), name=f"copy of {self._kind}")
+
+
+def _weight(kind: str, host: HostName) -> int:
+    return xxh3_64_intdigest(f"{kind} {host}".encode())
 
 
-async def _end(task: Task[None]) -> None:
+async def _end(task: Task[object] | Task[None]) -> None:
     task.cancel()
     try:
         await task
-    except CancelledError:
+    except (CancelledError, StoreError):
         return
 
 
--- a/src/azureswitch/coordination/mirror/_events.py
+++ b/src/azureswitch/coordination/mirror/_events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from azureswitch.coordination.mirror._messages import CopyReply, StoreSeen
 from azureswitch.core import Event
 from azureswitch.ports import Listing, StoreChange
 
@@ -25,11 +26,36 @@
     change: StoreChange
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Checked(MirrorEvent):
+    """A short watch from the copy's version has ended, so that the copy was complete just now."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Broken(MirrorEvent):
     """A call to the store failed."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Heard(MirrorEvent):
+    """A peer has checked its copy."""
+
+    seen: StoreSeen
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Copied(MirrorEvent):
+    """A peer gave its copy."""
+
+    reply: CopyReply
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Ticked(MirrorEvent):
-    """Time passed."""
+    """Time passed.
+
+    Attributes:
+        rank: How many other hosts are to check before this one.
+    """
+
+    rank: int = 0
--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -3,16 +3,46 @@
 Objects with a lease lapse while the store is away although their owners live.  Those that do write
 them again within seconds of the store's return.  Dropping them in between would leave nobody to
 send work to, so an object that goes missing around an outage stays for a grace period.
+
+A watch may be deaf without being cut off: while the store drops its history, it hears nothing for a
+second or longer.  So one host or another starts a short watch from its version a little after the
+last one did, and tells the others.  Who is behind asks the store at once, or that host where the
+store does not answer.  A host that hears of nobody checks for itself.
 """
 
 from dataclasses import dataclass
 from functools import singledispatch
 
-from azureswitch.coordination.mirror._events import Broken, Changed, Listed, MirrorEvent, Ticked
-from azureswitch.coordination.mirror._state import MirrorState
+from azureswitch.coordination.mirror._events import (
+    Broken,
+    Changed,
+    Checked,
+    Copied,
+    Heard,
+    Listed,
+    MirrorEvent,
+    Ticked,
+)
+from azureswitch.coordination.mirror._state import MirrorState, fingerprint
 from azureswitch.core import NO_EFFECTS, Effect, Effects
 from azureswitch.ports import ChangeKind, StoredObject
 
+CHECK_SECONDS = 0.6
+"""Seconds after a check, whoever made it, at which the first host in rank checks again.
+
+A change must be in force 2 s after it was acknowledged, and a watch may be deaf for the first.
+"""
+
+RANK_SECONDS = 0.1
+"""Seconds by which the next host in rank checks later, in case that the one before it cannot."""
+
+RANK_MOST = 3
+"""Rank from which all hosts check at the same time."""
+
+
+BEHIND_SECONDS = 0.5
+"""Seconds for which a host that is behind asks the store alone before it takes a peer's copy."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Publish(Effect):
@@ -21,6 +51,26 @@
     objects: tuple[StoredObject, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskStore(Effect):
+    """End the watch that waits and start one from the copy's version."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TellPeers(Effect):
+    """Tell the other hosts that this one has checked."""
+
+    version: int
+    fingerprint: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskPeer(Effect):
+    """Take a peer's copy."""
+
+    address: str
+
+
 @singledispatch
 def reduce(event: MirrorEvent, state: MirrorState) -> Effects:
     """Apply an event.
@@ -38,15 +88,9 @@
 @reduce.register
 def _(event: Listed, state: MirrorState) -> Effects:
     _answered(state, now=event.now)
-    found = {item.name: item for item in event.listing.items}
-    for name in state.objects.keys() - found.keys():
-        _remove(state, name, now=event.now)
-    for name in found:
-        state.missing.pop(name, None)
-    state.objects.update(found)
-    state.version = event.listing.version
-    state.listed = True
-    return _publish(state)
+    state.version = max(state.version, event.listing.version)
+    state.checked_at = event.now
+    return _replace(state, event.listing.items, now=event.now)
 
 
 @reduce.register
@@ -66,6 +110,13 @@
     return _publish(state)
 
 
+@reduce.register
+def _(event: Checked, state: MirrorState) -> Effects:
+    _answered(state, now=event.now)
+    state.checked_at = event.now
+    return (TellPeers(version=state.version, fingerprint=state.fingerprint),)
+
+
 @reduce.register
 def _(event: Broken, state: MirrorState) -> Effects:
     if state.broken_at is None:
@@ -74,11 +125,43 @@
 
 
 @reduce.register
-def _(event: Ticked, state: MirrorState) -> Effects:
-    if state.broken_at is not None:
-        # What went missing cannot have come back while the store is away.
+def _(event: Heard, state: MirrorState) -> Effects:
+    seen = event.seen
+    if seen.version >= state.version:
+        state.checked_at = max(state.checked_at, event.now)
+    if seen.fingerprint == state.fingerprint or seen.version <= state.version:
+        state.behind_at = None
         return NO_EFFECTS
-    gone = [name for name, until in state.missing.items() if event.now >= until]
+    if state.behind_at is None:
+        state.behind_at = event.now
+    patient = event.now - state.behind_at < BEHIND_SECONDS
+    if patient and state.listed and state.broken_at is None:
+        return (AskStore(),)
+    return (AskPeer(address=seen.address),)
+
+
+@reduce.register
+def _(event: Copied, state: MirrorState) -> Effects:
+    if event.reply.version <= state.version:
+        return NO_EFFECTS
+    state.version = event.reply.version
+    return _replace(state, event.reply.objects, now=event.now)
+
+
+@reduce.register
+def _(event: Ticked, state: MirrorState) -> Effects:
+    effects: list[Effect] = []
+    wait = CHECK_SECONDS + RANK_SECONDS * min(RANK_MOST, event.rank)
+    if state.listed and event.now - state.checked_at >= wait:
+        effects.append(AskStore())
+    if state.broken_at is None:
+        # Until the store is back, what went missing cannot have come back.
+        effects += _expire(state, now=event.now)
+    return effects
+
+
+def _expire(state: MirrorState, *, now: float) -> Effects:
+    gone = [name for name, until in state.missing.items() if now >= until]
     for name in gone:
         del state.missing[name]
         state.objects.pop(name, None)
@@ -91,6 +174,17 @@
         state.returned_at = now
 
 
+def _replace(state: MirrorState, objects: tuple[StoredObject, ...], *, now: float) -> Effects:
+    found = {item.name: item for item in objects}
+    for name in state.objects.keys() - found.keys():
+        _remove(state, name, now=now)
+    for name in found:
+        state.missing.pop(name, None)
+    state.objects.update(found)
+    state.listed = True
+    return _publish(state)
+
+
 def _remove(state: MirrorState, name: str, *, now: float) -> None:
     """Drop an object, or let it stay a little where it may have lapsed while the store was away."""
     if name in state.missing:
@@ -103,4 +197,5 @@
 
 
 def _publish(state: MirrorState) -> Effects:
+    state.fingerprint = fingerprint(state.present())
     return (Publish(objects=tuple(state.objects.values())),)
--- a/src/azureswitch/coordination/mirror/_state.py
+++ b/src/azureswitch/coordination/mirror/_state.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from xxhash import xxh3_64_intdigest
+
 from azureswitch.ports import StoredObject
 
 
@@ -13,10 +15,13 @@
         return_grace: Seconds after the store's return for which an object that is missing stays.
         objects: The objects, by name.
         version: The version up to which the copy is complete.
-        listed: Whether the objects have been read once.
+        listed: Whether there is a copy.
         broken_at: When the store failed first since it answered last, or None.
         returned_at: When it answered again after it had failed, or None.
         missing: Until when objects stay that are not in the store any more, by name.
+        checked_at: When this host or a peer last asked the store for changes.
+        behind_at: Since when peers have had a newer copy, or None.
+        fingerprint: Tells this copy from others that differ.
     """
 
     return_grace: float = 0.0
@@ -26,3 +31,16 @@
     broken_at: float | None = None
     returned_at: float | None = None
     missing: dict[str, float] = field(default_factory=dict)
+    checked_at: float = 0.0
+    behind_at: float | None = None
+    fingerprint: int = 0
+
+    def present(self) -> tuple[StoredObject, ...]:
+        """Return the objects that the store holds, so far as is known."""
+        return tuple(item for name, item in self.objects.items() if name not in self.missing)
+
+
+def fingerprint(objects: tuple[StoredObject, ...]) -> int:
+    """Return a number that differs where objects or their versions do."""
+    parts = sorted(f"{item.name}={item.version}" for item in objects)
+    return xxh3_64_intdigest("\n".join(parts).encode())
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -134,6 +134,16 @@
         """Whether this process takes new connections."""
         return bool(self._front.deployment and self._targets) and not self._leaving
 
+    @property
+    def callers_address(self) -> str:
+        """``IP:PORT`` on which callers are served, known once it listens."""
+        return self._callers.address
+
+    @property
+    def readiness_address(self) -> str:
+        """``IP:PORT`` on which it says whether it takes new connections."""
+        return self._platform.address
+
     async def start(self) -> None:
         """Listen.
 
@@ -162,6 +172,14 @@
         if self._ticks is not None:
             self._ticks.cancel()
 
+    def abort(self) -> None:
+        """End at once, whatever is open."""
+        for server in (self._callers, self._platform):
+            server.stop_listening()
+            server.abort()
+        if self._ticks is not None:
+            self._ticks.cancel()
+
     def adopt(self, deployment: Deployment) -> None:
         """Serve by a configuration, unless the same or a later one is in force."""
         if not self._front.adopt(deployment):
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from azureswitch.coordination.membership import Member, Membership, live_hosts
-from azureswitch.coordination.mirror import Mirror
+from azureswitch.coordination.mirror import Mirrors
 from azureswitch.coordination.sharing import Digests
 from azureswitch.core import Incarnation
 from azureswitch.exceptions import DeploymentUnreadableError, PlatformSettingsError
@@ -48,6 +48,12 @@
 get nothing new any more.
 """
 
+STORE_TIMEOUT = 1.0
+"""Seconds that a call to the store may take; it answers in 4 ms, and in 0.3 s where it is slow."""
+
+STORE_PAUSE = 0.15
+"""Seconds between two calls of a watch that bring changes; at a start all targets enter."""
+
 RETRY_MARGIN = 0.8
 """Share of the permitted repeated sends that is used, as hosts count their own alone."""
 
@@ -64,7 +70,7 @@
     """
 
     def __init__(self, *, settings: PlatformSettings, seed: int) -> None:
-        self._store = HttpStore(address=settings.store.address)
+        self._store = _store(settings)
         self._objects: tuple[StoredObject, ...] = ()
         self._gateway = Gateway(
             settings=_gateway_settings(settings),
@@ -74,17 +80,6 @@
             observe=self._observe,
             seed=seed,
         )
-        self._configuration = Mirror(
-            store=self._store, kind=CONFIGURATION_KIND, publish=self._configure, seed=seed
-        )
-        self._targets = Mirror(
-            store=HttpStore(address=settings.store.address),
-            kind=TARGETS_KIND,
-            publish=self._list,
-            return_grace=RETURN_GRACE,
-            seed=seed + 1,
-        )
-
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         myself = Incarnation(host=settings.host, started=int(time() * 1_000))
         self._network = PeerNetwork(address=address)
@@ -101,6 +96,22 @@
             seed=seed,
         )
         self._membership.on_change(self._members_changed)
+        mirrors = Mirrors(
+            host=settings.host,
+            address=address,
+            peers=self._network,
+            members=lambda: self._membership.members,
+        )
+        self._configuration = mirrors.add(
+            store=self._store, kind=CONFIGURATION_KIND, publish=self._configure, seed=seed
+        )
+        self._targets = mirrors.add(
+            store=_store(settings),
+            kind=TARGETS_KIND,
+            publish=self._list,
+            return_grace=RETURN_GRACE,
+            seed=seed + 1,
+        )
         self._digests = Digests(
             myself=myself,
             peers=self._network,
@@ -153,6 +164,10 @@
         """Metrics are not connected yet."""
 
 
+def _store(settings: PlatformSettings) -> HttpStore:
+    return HttpStore(address=settings.store.address, timeout=STORE_TIMEOUT, pause=STORE_PAUSE)
+
+
 def _target(item: StoredObject, services: tuple[Service, ...]) -> Target | None:
     try:
         return decode_target(item, services=services)
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -1,6 +1,6 @@
 """The object store over HTTP and JSON."""
 
-from asyncio import get_running_loop
+from asyncio import get_running_loop, sleep
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import TypeVar
@@ -46,18 +46,25 @@
 WATCH_LEAST = 0.03
 """Seconds that must be left of a watch for another call; each is paid for."""
 
-WATCH_GRACE = 2.0
-"""Seconds that the end of a watch may be late."""
-
 JSON_HEADERS: Headers = (("content-type", "application/json"),)
 
 
 class HttpStore:
-    """The `azureswitch.ports.Store` port over HTTP."""
-
-    def __init__(self, *, address: str, timeout: float = DEFAULT_TIMEOUT) -> None:
+    """The `azureswitch.ports.Store` port over HTTP.
+
+    Args:
+        address: ``IP:PORT`` of the store.
+        timeout: Seconds that a call may take, a watch's waiting left out.
+        pause: Seconds between two calls of a watch that bring changes, so that changes which come
+            in a series cost fewer calls.
+    """
+
+    def __init__(
+        self, *, address: str, timeout: float = DEFAULT_TIMEOUT, pause: float = 0.0
+    ) -> None:
         self._client = HttpClient(address=address)
         self._timeout = timeout
+        self._pause = pause
 
     async def get(self, *, kind: str, name: str) -> StoredObject:
         """Return an object."""
@@ -122,7 +129,7 @@
                 method="GET",
                 path=f"{_path(kind)}?{urlencode(query)}",
                 key=kind,
-                timeout=wait + self._timeout + WATCH_GRACE,
+                timeout=wait + self._timeout,
             )
             page = _decode(answer, type=WireChanges, key=kind, lost=StoreUnavailableError)
             for change in page.changes:
@@ -132,6 +139,8 @@
             if page.version > version:
                 version = page.version
                 yield _bookmark(kind=kind, version=version)
+            if page.changes and self._pause:
+                await sleep(self._pause)
 
     def close(self) -> None:
         """Close idle connections."""
--- /dev/null
+++ b/tests/gateway/fixtures.py
@@ -0,0 +1,356 @@
+"""A gateway on loopback before targets that do as they are told."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from enum import Enum
+
+from azureswitch.client import Headers, HttpAnswer, HttpClient
+from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
+from azureswitch.exceptions import AzureswitchError, TargetRefusedError
+from azureswitch.gateway import (
+    CallerLimits,
+    Deployment,
+    Gateway,
+    GatewaySettings,
+    Route,
+    RouteKind,
+    Share,
+)
+from azureswitch.gateway._http import Exchange, HttpServer
+from azureswitch.inventory import EnginePace, Place, Service, ServiceKind, Target
+from azureswitch.platform import PlatformDialect
+
+PATIENCE = 20.0
+"""Seconds that a test waits for what must happen, however busy the machine is."""
+
+SEAL: Headers = (("x-azureswitch-response-seal", "seal"),)
+
+PACE = EnginePace(step=0.00131, read_rate=154_000.0, pair=1e-13, stride=34, slots=8, memory=405_000)
+
+CUSTOMERS = {"key-ann": CustomerName("ann"), "key-bob": CustomerName("bob")}
+
+
+class Act(Enum):
+    """What a target does with a request."""
+
+    ANSWER = "answers"
+    FAIL = "runs it and answers with a failure of its own"
+    REFUSE = "promises that it did not run it"
+    CLOSE = "runs it and closes the connection without an answer"
+    HANG = "runs it and does not answer"
+    CROSS = "answers another request"
+    BREAK = "breaks off in the middle of the answer"
+    TEAR = "breaks off in the middle of an event"
+    ENCODE = "answers in an encoding"
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One request that a target ran."""
+
+    target: str
+    id: str
+    headers: dict[str, str]
+    body: bytes
+    closed: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class Fleet:
+    """Targets that share a script: what is done with the requests in the order of their arrival."""
+
+    acts: list[Act] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    arrivals: int = 0
+    events: int = 5
+    pause: float = 0.0
+
+    def next_act(self) -> Act:
+        """Return what is done with the next request; all is answered once the script is over."""
+        self.arrivals += 1
+        return self.acts.pop(0) if self.acts else Act.ANSWER
+
+
+class FakeTarget:
+    """One target over HTTP.
+
+    Args:
+        name: Its name, which requests must expect.
+        fleet: The script.
+        streams: Whether it answers by events.
+    """
+
+    def __init__(self, *, name: str, fleet: Fleet, streams: bool) -> None:
+        self._name = name
+        self._fleet = fleet
+        self._streams = streams
+        self._server = HttpServer(handler=self)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a connection may ask."""
+        return CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        """Connections are kept."""
+        return False
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT``, known once it has started."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start(address="127.0.0.1:0")
+
+    def stop(self) -> None:
+        """Stop, and break what runs."""
+        self._server.stop_listening()
+        self._server.abort()
+
+    def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
+        """Answer what is no request."""
+        exchange.respond(status=400, headers=(), body=b"")
+
+    def handle(self, exchange: Exchange) -> None:
+        """Do with a request what the script says."""
+        headers = dict(exchange.request.headers)
+        act = self._fleet.next_act()
+        if headers.get("x-azureswitch-target-instance") != self._name:
+            exchange.respond(status=421, headers=(), body=b"")
+            return
+        if act is Act.REFUSE:
+            exchange.respond(
+                status=503, headers=(("x-azureswitch-not-executed", "1"),), body=b"full"
+            )
+            return
+        run = Run(
+            target=self._name,
+            id=headers.get("x-azureswitch-attempt-id", ""),
+            headers=headers,
+            body=exchange.request.body,
+        )
+        self._fleet.runs.append(run)
+        exchange.on_left(lambda: setattr(run, "closed", True))
+        task = asyncio.get_running_loop().create_task(self._answer(exchange, run, act))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, exchange: Exchange, run: Run, act: Act) -> None:
+        id = "another" if act is Act.CROSS else run.id
+        headers: Headers = (("x-azureswitch-attempt-id", id), ("x-from", self._name), *SEAL)
+        if act is Act.ENCODE:
+            headers = (*headers, ("content-encoding", "gzip"))
+        if act is Act.HANG:
+            return
+        if act is Act.CLOSE:
+            exchange.abort()
+        elif act is Act.FAIL:
+            exchange.respond(status=500, headers=headers, body=b"failed")
+        elif self._streams:
+            await self._stream(exchange, run, act, headers)
+        elif act in (Act.BREAK, Act.TEAR):
+            exchange.begin(status=200, headers=headers)
+            exchange.write(b"half")
+            await asyncio.sleep(0)
+            exchange.abort()
+        else:
+            exchange.respond(status=200, headers=headers, body=f"whole {id}".encode())
+
+    async def _stream(self, exchange: Exchange, run: Run, act: Act, headers: Headers) -> None:
+        first = int(run.headers.get("last-event-id", "0")) + 1
+        middle = (first + self._fleet.events) // 2
+        exchange.begin(status=200, headers=headers)
+        for number in range(first, self._fleet.events + 1):
+            if number == middle and act in (Act.BREAK, Act.TEAR):
+                exchange.write(f"id: {number}\nda".encode() if act is Act.TEAR else b"")
+                await asyncio.sleep(0.01)
+                exchange.abort()
+                return
+            exchange.write(event(number))
+            await asyncio.sleep(self._fleet.pause)
+        exchange.finish()
+
+
+class FakeReservations:
+    """Engines' memory, which is counted.
+
+    Attributes:
+        held: What is set aside now, by address and ticket.
+        asked: How often memory was asked for.
+        full: Addresses of engines without room.
+    """
+
+    def __init__(self) -> None:
+        self.held: dict[tuple[str, str], int] = {}
+        self.asked = 0
+        self.full: set[str] = set()
+
+    async def reserve(self, *, address: str, ticket: str, tokens: int, seconds: float) -> None:
+        """Set memory aside."""
+        self.asked += 1
+        if address in self.full:
+            raise TargetRefusedError(target=address)
+        self.held[address, ticket] = tokens
+
+    async def release(self, *, address: str, ticket: str) -> None:
+        """Free it."""
+        self.held.pop((address, ticket), None)
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+def whole_stream(count: int, *, first: int = 1) -> bytes:
+    """Return the events of a whole stream."""
+    return b"".join(event(number) for number in range(first, count + 1))
+
+
+def route(kind: RouteKind, *, prefix: str, service: str, **more: object) -> Route:
+    """Return a route of the one host."""
+    fields: dict[str, object] = {"timeout": 5.0, "runs": 2, **more}
+    return Route(
+        name=prefix,
+        host="a.example",
+        prefix=prefix,
+        kind=kind,
+        shares=(Share(service=ServiceName(service)),),
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+ROUTES = (
+    route(RouteKind.IDEMPOTENT, prefix="/read/", service="plain"),
+    route(RouteKind.NON_IDEMPOTENT, prefix="/book/", service="plain", runs=1),
+    route(RouteKind.STREAMING, prefix="/ask/", service="pool", resumable=True, gap_objective=0.25),
+    route(RouteKind.STREAMING, prefix="/once/", service="pool", runs=1),
+    route(RouteKind.IDEMPOTENT, prefix="/open/", service="plain", anonymous=True),
+)
+
+
+def deployment(version: int = 1, **more: object) -> Deployment:
+    """Return a configuration with the usual routes."""
+    fields: dict[str, object] = {"routes": ROUTES, "customers": CUSTOMERS, **more}
+    return Deployment(
+        version=version,
+        services=(
+            Service(name=ServiceName("plain"), kind=ServiceKind.PLAIN),
+            Service(name=ServiceName("pool"), kind=ServiceKind.MODEL, pace=PACE),
+        ),
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Bed:
+    """A gateway and what stands behind it."""
+
+    gateway: Gateway
+    fleet: Fleet
+    reservations: FakeReservations
+    targets: tuple[FakeTarget, ...]
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        id: str = "r1",
+        method: str = "POST",
+        body: bytes = b"body",
+        headers: Iterable[tuple[str, str]] = (),
+    ) -> HttpAnswer:
+        """Send a request as ann and return its whole answer."""
+        client = HttpClient(address=self.gateway.callers_address)
+        try:
+            return await client.request(
+                method=method,
+                path=path,
+                headers=(*usual_headers(id), *headers),
+                body=body,
+                timeout=PATIENCE,
+            )
+        finally:
+            client.close()
+
+
+def usual_headers(id: str) -> Headers:
+    """Return the headers of a request of ann's."""
+    return (
+        ("host", "a.example"),
+        ("x-azureswitch-attempt-id", id),
+        ("x-azureswitch-time-remaining", "5000"),
+        ("authorization", "Bearer key-ann"),
+    )
+
+
+def model_headers(*, prompt: int = 1_000) -> Headers:
+    """Return the headers of a prompt."""
+    return (("x-azureswitch-model", "m"), ("x-azureswitch-token-counts", f"{prompt},100"))
+
+
+def listed(target: FakeTarget, name: str, *, streams: bool) -> Target:
+    """Return the entry of a target."""
+    return Target(
+        name=TargetName(name),
+        service=ServiceName("pool" if streams else "plain"),
+        place=PlaceName("p1"),
+        address=target.address,
+        models=("m",) if streams else (),
+        memory=PACE.memory if streams else 0,
+    )
+
+
+@asynccontextmanager
+async def serve(
+    *,
+    acts: Iterable[Act] = (),
+    count: int = 3,
+    configure: Callable[[Gateway], None] | None = None,
+) -> AsyncIterator[Bed]:
+    """Serve with some targets of each service, alike in what they do."""
+    fleet = Fleet(acts=list(acts))
+    reservations = FakeReservations()
+    gateway = Gateway(
+        settings=GatewaySettings(
+            host=HostName("h1"),
+            place=PlaceName("p1"),
+            places=(Place(name=PlaceName("p1"), region="r"),),
+            callers="127.0.0.1:0",
+            readiness="127.0.0.1:0",
+            grace=4.0,
+            retry_share=0.2,
+            retry_burst=50.0,
+            hosts=1,
+        ),
+        dialect=PlatformDialect(),
+        reservations=reservations,
+        publish=lambda digest: None,
+        observe=lambda effect: None,
+        seed=1,
+    )
+    await gateway.start()
+    names = [(f"{kind}{n}", kind == "e") for kind in ("e", "s") for n in range(count)]
+    targets = [FakeTarget(name=name, fleet=fleet, streams=streams) for name, streams in names]
+    for target in targets:
+        await target.start()
+    entries = zip(targets, names, strict=True)
+    gateway.set_targets(
+        tuple(listed(target, name, streams=streams) for target, (name, streams) in entries)
+    )
+    if configure is None:
+        gateway.adopt(deployment())
+    else:
+        configure(gateway)
+    try:
+        yield Bed(gateway=gateway, fleet=fleet, reservations=reservations, targets=tuple(targets))
+    finally:
+        gateway.abort()
+        for target in targets:
+            target.stop()
--- /dev/null
+++ b/tests/gateway/test_gateway.py
@@ -0,0 +1,355 @@
+"""A gateway over loopback: what callers get and what targets run, whatever targets do."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+import pytest
+
+from azureswitch.client import HttpClient
+from azureswitch.exceptions import HttpBrokenError
+from azureswitch.gateway import CallerLimits
+from tests.gateway.fixtures import (
+    PATIENCE,
+    Act,
+    Bed,
+    deployment,
+    model_headers,
+    serve,
+    usual_headers,
+    whole_stream,
+)
+from tests.waiting import reach
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Run a scenario to its end."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(PATIENCE):
+            await scenario()
+
+    asyncio.run(bounded())
+
+
+class TestPlain:
+    """Calls to plain services."""
+
+    def test_passed_on(self) -> None:
+        """Both sides get what the other sent, but for keys and what concerns one connection."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                answer = await bed.ask(
+                    "/book/x?y=1",
+                    headers=(("x-azureswitch-tenant", "bob"), ("x-own", "1")),
+                )
+                assert (answer.head.status, answer.body) == (200, b"whole r1")
+                assert answer.head.header(name="x-azureswitch-response-seal") == "seal"
+                (ran,) = bed.fleet.runs
+                assert ran.body == b"body"
+                assert ran.headers["host"] == "a.example"
+                assert ran.headers["x-own"] == "1"
+                assert ran.headers["x-azureswitch-tenant"] == "ann"
+                assert "authorization" not in ran.headers
+                assert 0 < int(ran.headers["x-azureswitch-time-remaining"]) <= 5_000
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("path", "acts", "status", "runs"),
+        [
+            ("/read/", [Act.REFUSE], HTTPStatus.OK, 1),
+            ("/read/", [Act.CLOSE], HTTPStatus.OK, 2),
+            ("/read/", [Act.BREAK], HTTPStatus.OK, 2),
+            ("/read/", [Act.CROSS], HTTPStatus.OK, 2),
+            ("/read/", [Act.ENCODE], HTTPStatus.OK, 2),
+            ("/read/", [Act.FAIL], HTTPStatus.OK, 2),
+            ("/read/", [Act.FAIL, Act.FAIL], HTTPStatus.INTERNAL_SERVER_ERROR, 2),
+            ("/read/", [Act.CLOSE, Act.CLOSE], HTTPStatus.BAD_GATEWAY, 2),
+            ("/book/", [Act.REFUSE, Act.REFUSE], HTTPStatus.OK, 1),
+            ("/book/", [Act.CLOSE], HTTPStatus.BAD_GATEWAY, 1),
+            ("/book/", [Act.BREAK], HTTPStatus.BAD_GATEWAY, 1),
+            ("/book/", [Act.CROSS], HTTPStatus.BAD_GATEWAY, 1),
+            ("/book/", [Act.FAIL], HTTPStatus.INTERNAL_SERVER_ERROR, 1),
+            ("/book/", [Act.REFUSE, Act.CLOSE], HTTPStatus.BAD_GATEWAY, 1),
+        ],
+    )
+    def test_failures(self, path: str, acts: list[Act], status: HTTPStatus, runs: int) -> None:
+        """What may repeat is tried again; what may not runs once; the caller gets one answer."""
+
+        async def scenario() -> None:
+            async with serve(acts=acts) as bed:
+                answer = await bed.ask(path)
+                assert answer.head.status == status
+                assert len(bed.fleet.runs) == runs
+                sealed = answer.head.header(name="x-azureswitch-response-seal") is not None
+                assert sealed is (status in (200, 500))
+
+        run(scenario)
+
+    @pytest.mark.parametrize("path", ["/read/", "/book/"])
+    def test_promise(self, path: str) -> None:
+        """Where every target refuses, the caller is told at once that it did not run."""
+
+        async def scenario() -> None:
+            async with serve(acts=[Act.REFUSE] * 40) as bed:
+                answer = await bed.ask(path)
+                assert answer.head.status == HTTPStatus.SERVICE_UNAVAILABLE
+                assert answer.head.retry_after is not None
+                assert not bed.fleet.runs
+
+        run(scenario)
+
+    def test_deadline(self) -> None:
+        """A call that its target does not answer is ended in its time."""
+
+        async def scenario() -> None:
+            async with serve(acts=[Act.HANG]) as bed:
+                answer = await bed.ask("/book/", headers=())
+                assert answer.head.status == HTTPStatus.GATEWAY_TIMEOUT
+
+        run(scenario)
+
+
+class TestStreams:
+    """Streams of events."""
+
+    @pytest.mark.parametrize(
+        ("acts", "runs"),
+        [
+            ([], 1),
+            ([Act.REFUSE], 1),
+            ([Act.CLOSE], 2),
+            ([Act.BREAK], 2),
+            ([Act.TEAR], 2),
+            ([Act.CROSS], 2),
+            ([Act.FAIL], 2),
+        ],
+    )
+    def test_whole(self, acts: list[Act], runs: int) -> None:
+        """A stream that may be resumed arrives whole and in order, with its first head."""
+
+        async def scenario() -> None:
+            async with serve(acts=acts) as bed:
+                answer = await bed.ask("/ask/", headers=model_headers())
+                assert (answer.head.status, answer.body) == (200, whole_stream(5))
+                assert len(bed.fleet.runs) == runs
+                if acts in ([Act.BREAK], [Act.TEAR]):
+                    assert answer.head.header(name="x-from") == bed.fleet.runs[0].target
+                    assert bed.fleet.runs[1].headers["last-event-id"] == "2"
+
+        run(scenario)
+
+    def test_goes_on(self) -> None:
+        """A caller that has some events gets the others."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                headers = (*model_headers(), ("last-event-id", "3"))
+                answer = await bed.ask("/ask/", headers=headers)
+                assert answer.body == whole_stream(5, first=4)
+
+        run(scenario)
+
+    @pytest.mark.parametrize("act", [Act.BREAK, Act.TEAR])
+    def test_broken(self, act: Act) -> None:
+        """A stream that may not be resumed runs once, and does not look complete."""
+
+        async def scenario() -> None:
+            async with serve(acts=[act]) as bed:
+                with pytest.raises(HttpBrokenError):
+                    await bed.ask("/once/", headers=model_headers())
+                assert len(bed.fleet.runs) == 1
+
+        run(scenario)
+
+    def test_left(self) -> None:
+        """The work behind a caller that left is called off."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                bed.fleet.events = 1_000
+                bed.fleet.pause = 0.05
+                asking = asyncio.ensure_future(bed.ask("/ask/", headers=model_headers()))
+                await reach(lambda: len(bed.fleet.runs) == 1)
+                asking.cancel()
+                await reach(lambda: bed.fleet.runs[0].closed)
+
+        run(scenario)
+
+    @pytest.mark.parametrize(("prompt", "holders"), [(100_000, 0), (600_000, 1), (900_000, 2)])
+    def test_memory(self, prompt: int, holders: int) -> None:
+        """Memory is set aside for what one engine cannot hold, and is free again at the end."""
+
+        async def scenario() -> None:
+            async with serve(count=4) as bed:
+                answer = await bed.ask("/ask/", headers=model_headers(prompt=prompt))
+                assert answer.body == whole_stream(5)
+                assert bed.reservations.asked == holders
+                helpers = bed.fleet.runs[0].headers["x-azureswitch-helpers"]
+                assert helpers.count("/") == holders
+                await reach(lambda: not bed.reservations.held)
+
+        run(scenario)
+
+    def test_memory_refused(self) -> None:
+        """Where an engine has no room, nothing stays set aside and others are tried."""
+
+        async def scenario() -> None:
+            async with serve(count=4) as bed:
+                bed.reservations.full = {bed.targets[0].address}
+                answer = await bed.ask("/ask/", headers=model_headers(prompt=900_000))
+                assert answer.body == whole_stream(5)
+                await reach(lambda: not bed.reservations.held)
+
+        run(scenario)
+
+
+class TestCallers:
+    """What callers may ask."""
+
+    @pytest.mark.parametrize(
+        ("path", "headers", "status"),
+        [
+            ("/none/", (), HTTPStatus.NOT_FOUND),
+            ("/read", (), HTTPStatus.NOT_FOUND),
+            ("/read/", (("authorization", "Bearer wrong"),), HTTPStatus.UNAUTHORIZED),
+            ("/read/", (("authorization", ""),), HTTPStatus.UNAUTHORIZED),
+            ("/open/", (("authorization", "Bearer wrong"),), HTTPStatus.OK),
+            ("/read/", (("x-azureswitch-attempt-id", ""),), HTTPStatus.BAD_REQUEST),
+            ("/read/", (("x-azureswitch-time-remaining", "x"),), HTTPStatus.BAD_REQUEST),
+            ("/ask/", (("x-azureswitch-token-counts", "a,b"),), HTTPStatus.BAD_REQUEST),
+            ("/read/", (("x-long", "x" * 20_000),), HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE),
+        ],
+    )
+    def test_refused(
+        self, path: str, headers: tuple[tuple[str, str], ...], status: HTTPStatus
+    ) -> None:
+        """What is not allowed has its status and runs nowhere."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                given = dict((*usual_headers("r1"), *headers))
+                client = HttpClient(address=bed.gateway.callers_address)
+                answer = await client.request(
+                    method="GET", path=path, headers=tuple(given.items()), timeout=PATIENCE
+                )
+                client.close()
+                assert answer.head.status == status
+                assert len(bed.fleet.runs) == (status == HTTPStatus.OK)
+
+        run(scenario)
+
+    def test_body_limit(self) -> None:
+        """A body over the limit is refused."""
+
+        async def scenario() -> None:
+            limits = CallerLimits(body_bytes=10)
+            async with serve(configure=lambda g: g.adopt(deployment(limits=limits))) as bed:
+                answer = await bed.ask("/read/", body=b"x" * 11)
+                assert answer.head.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+        run(scenario)
+
+    def test_unconfigured(self) -> None:
+        """A process without a configuration refuses, and is not ready."""
+
+        async def scenario() -> None:
+            async with serve(configure=lambda gateway: None) as bed:
+                assert not bed.gateway.ready
+                answer = await bed.ask("/read/")
+                assert answer.head.status == HTTPStatus.SERVICE_UNAVAILABLE
+                bed.gateway.adopt(deployment())
+                assert bed.gateway.ready
+                assert (await bed.ask("/read/")).head.status == HTTPStatus.OK
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("data", "status"),
+        [
+            (b"nonsense\r\n\r\n", b"400"),
+            (b"GET /read/ HTTP/1.1\r\nhost: a.example\r\n", b"408"),
+            (
+                b"POST /read/ HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+                b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                b"400",
+            ),
+        ],
+    )
+    def test_malformed(self, data: bytes, status: bytes) -> None:
+        """Bytes that are no request, or not a whole one in its time, are refused."""
+
+        async def scenario() -> None:
+            limits = CallerLimits(header_seconds=0.1)
+            async with serve(configure=lambda g: g.adopt(deployment(limits=limits))) as bed:
+                host, _, port = bed.gateway.callers_address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(data)
+                answer = await reader.read()
+                assert answer.split(b" ")[1] == status
+                assert b"connection: close" in answer
+                writer.close()
+
+        run(scenario)
+
+    def test_pipelined(self) -> None:
+        """Requests sent at once on one connection are answered in their order."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                host, _, port = bed.gateway.callers_address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                for id in ("r1", "r2", "r3"):
+                    lines = [f"{name}: {value}" for name, value in usual_headers(id)]
+                    head = "\r\n".join(("GET /read/ HTTP/1.1", *lines, "", ""))
+                    writer.write(head.encode())
+                for id in ("r1", "r2", "r3"):
+                    await reader.readuntil(f"whole {id}".encode())
+                writer.close()
+
+        run(scenario)
+
+    def test_versions(self) -> None:
+        """An older configuration never replaces a newer one."""
+
+        async def scenario() -> None:
+            async with serve(configure=lambda g: g.adopt(deployment(5))) as bed:
+                bed.gateway.adopt(deployment(4, routes=()))
+                assert (await bed.ask("/read/")).head.status == HTTPStatus.OK
+                bed.gateway.adopt(deployment(6, routes=()))
+                assert (await bed.ask("/read/")).head.status == HTTPStatus.NOT_FOUND
+
+        run(scenario)
+
+
+async def _ready(bed: Bed) -> int:
+    client = HttpClient(address=bed.gateway.readiness_address)
+    answer = await client.request(method="GET", path="/api/readiness", timeout=PATIENCE)
+    client.close()
+    return answer.head.status
+
+
+class TestStop:
+    """A graceful stop."""
+
+    def test_cuts_nothing_short(self) -> None:
+        """What runs ends whole, later requests are served, and the process is not ready."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                assert await _ready(bed) == HTTPStatus.OK
+                bed.fleet.pause = 0.3
+                asking = asyncio.ensure_future(bed.ask("/ask/", headers=model_headers()))
+                await reach(lambda: len(bed.fleet.runs) == 1)
+                stopping = asyncio.ensure_future(bed.gateway.stop())
+                await asyncio.sleep(0)
+                assert await _ready(bed) == HTTPStatus.SERVICE_UNAVAILABLE
+                late = await bed.ask("/read/", id="r2")
+                assert late.head.status == HTTPStatus.OK
+                assert late.head.header(name="connection") == "close"
+                assert (await asking).body == whole_stream(5)
+                await stopping
+
+        run(scenario)
--- /dev/null
+++ b/tests/mirror/test_mirror.py
@@ -0,0 +1,327 @@
+"""Copies of the store's objects: never older, whole again after trouble, and cheap to keep."""
+
+import asyncio
+from collections.abc import AsyncGenerator, Awaitable, Callable, Iterable
+
+import pytest
+
+from azureswitch.coordination.membership import Member, MemberStatus
+from azureswitch.coordination.mirror import (
+    AskPeer,
+    AskStore,
+    Broken,
+    Changed,
+    Checked,
+    Copied,
+    CopyReply,
+    Heard,
+    Listed,
+    MirrorEvent,
+    Mirrors,
+    MirrorState,
+    Publish,
+    StoreSeen,
+    TellPeers,
+    Ticked,
+    reduce,
+)
+from azureswitch.core import HostName, Incarnation, PlaceName
+from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject
+from azureswitch_standins.clock import run_virtual
+from azureswitch_standins.peers import PeersNetworkFake
+from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel
+
+KIND = "things"
+GRACE = 1.8
+
+
+def item(name: str, version: int = 1) -> StoredObject:
+    """Return an object."""
+    return StoredObject(kind=KIND, name=name, version=version, value=b"")
+
+
+def listed(now: float, *names: str, version: int = 1) -> Listed:
+    """Return a reading of all objects."""
+    return Listed(now=now, listing=Listing(items=tuple(map(item, names)), version=version))
+
+
+def changed(now: float, name: str, kind: ChangeKind, version: int = 2) -> Changed:
+    """Return a change."""
+    return Changed(now=now, change=StoreChange(kind=kind, item=item(name, version)))
+
+
+def seen(now: float, version: int, fingerprint: int = 0) -> Heard:
+    """Return what a peer tells."""
+    told = StoreSeen(
+        host=HostName("h2"), address="2", kind=KIND, version=version, fingerprint=fingerprint
+    )
+    return Heard(now=now, seen=told)
+
+
+def names_after(events: Iterable[MirrorEvent]) -> list[str]:
+    """Return the objects that are left after some events."""
+    state = MirrorState(return_grace=GRACE)
+    for event in events:
+        reduce(event, state)
+    return sorted(state.objects)
+
+
+class TestObjects:
+    """Which objects the reducer keeps."""
+
+    @pytest.mark.parametrize(
+        ("events", "names"),
+        [
+            ([listed(0.0, "a", "b")], ["a", "b"]),
+            ([listed(0.0, "a"), changed(1.0, "b", ChangeKind.PUT)], ["a", "b"]),
+            ([listed(0.0, "a", "b"), changed(1.0, "b", ChangeKind.DELETED)], ["a"]),
+            ([listed(0.0, "a", "b"), listed(1.0, "a")], ["a"]),
+            ([listed(0.0, "a"), changed(1.0, "", ChangeKind.BOOKMARK)], ["a"]),
+        ],
+    )
+    def test_calm(self, events: list[MirrorEvent], names: list[str]) -> None:
+        """Without an outage what is removed is gone at once."""
+        assert names_after(events) == names
+
+    @pytest.mark.parametrize(
+        ("after", "names"),
+        [
+            ([listed(10.0, "a")], ["a", "b"]),
+            ([listed(10.0, "a"), Ticked(now=10.0 + GRACE - 0.1)], ["a", "b"]),
+            ([listed(10.0, "a"), Ticked(now=10.0 + GRACE)], ["a"]),
+            (
+                [
+                    listed(10.0, "a"),
+                    changed(11.0, "b", ChangeKind.PUT),
+                    Ticked(now=10.0 + GRACE),
+                ],
+                ["a", "b"],
+            ),
+            ([changed(10.0, "b", ChangeKind.DELETED)], ["a", "b"]),
+            ([changed(10.0, "a", ChangeKind.PUT), Ticked(now=10.0 + GRACE)], ["a", "b"]),
+            (
+                [changed(10.0, "b", ChangeKind.DELETED), Ticked(now=10.0 + GRACE)],
+                ["a"],
+            ),
+            (
+                [
+                    changed(10.0, "a", ChangeKind.PUT),
+                    changed(10.0 + GRACE, "b", ChangeKind.DELETED),
+                ],
+                ["a"],
+            ),
+            (
+                [listed(10.0, "a"), Broken(now=11.0), Ticked(now=20.0)],
+                ["a", "b"],
+            ),
+        ],
+    )
+    def test_outage(self, after: list[MirrorEvent], names: list[str]) -> None:
+        """What lapsed while the store was away stays for the grace period, and no longer."""
+        assert names_after([listed(0.0, "a", "b"), Broken(now=5.0), *after]) == names
+
+
+class TestChecks:
+    """Who asks the store, and when."""
+
+    @pytest.mark.parametrize(
+        ("rank", "now", "asks"),
+        [(0, 0.5, False), (0, 0.61, True), (2, 0.7, False), (2, 0.81, True), (9, 0.91, True)],
+    )
+    def test_due(self, rank: int, now: float, asks: bool) -> None:
+        """Hosts check in the order of their rank, and those far behind it together."""
+        state = MirrorState()
+        reduce(listed(0.0, "a"), state)
+        assert bool(reduce(Ticked(now=now, rank=rank), state)) is asks
+
+    @pytest.mark.parametrize(("version", "asks"), [(1, False), (0, True)])
+    def test_heard(self, version: int, asks: bool) -> None:
+        """The check of a peer that is not behind stands for one of this host's own."""
+        state = MirrorState()
+        reduce(listed(0.0, "a"), state)
+        reduce(seen(0.5, version, state.fingerprint), state)
+        assert bool(reduce(Ticked(now=0.95, rank=0), state)) is asks
+
+    def test_checked(self) -> None:
+        """A check is told to the peers with what tells copies apart."""
+        state = MirrorState()
+        reduce(listed(0.0, "a"), state)
+        told = TellPeers(version=1, fingerprint=state.fingerprint)
+        assert tuple(reduce(Checked(now=0.5), state)) == (told,)
+
+    @pytest.mark.parametrize(
+        ("before", "heard", "effect"),
+        [
+            ([], seen(1.0, 5, 7), AskStore()),
+            ([], seen(1.0, 1, 7), None),
+            ([Broken(now=0.5)], seen(1.0, 5, 7), AskPeer(address="2")),
+            ([seen(0.4, 5, 7)], seen(1.0, 5, 7), AskPeer(address="2")),
+        ],
+    )
+    def test_behind(
+        self, before: list[MirrorEvent], heard: Heard, effect: AskStore | AskPeer | None
+    ) -> None:
+        """Who is behind asks the store, and the peer where the store does not help."""
+        state = MirrorState()
+        for event in (listed(0.0, "a"), *before):
+            reduce(event, state)
+        assert tuple(reduce(heard, state)) == (() if effect is None else (effect,))
+
+    @pytest.mark.parametrize(("version", "names"), [(5, ["b"]), (1, ["a"])])
+    def test_copied(self, version: int, names: list[str]) -> None:
+        """A peer's copy is taken where it is newer, and never where it is older."""
+        copied = Copied(now=1.0, reply=CopyReply(version=version, objects=(item("b"),)))
+        assert names_after([listed(0.0, "a", version=2), copied]) == names
+
+    def test_published(self) -> None:
+        """Only what changes objects hands them out."""
+        state = MirrorState()
+        assert any(isinstance(effect, Publish) for effect in reduce(listed(0.0, "a"), state))
+        assert not reduce(changed(1.0, "", ChangeKind.BOOKMARK), state)
+
+
+class DeafStore(StoreFake):
+    """A way to the store whose watches can hear nothing without being cut off.
+
+    Attributes:
+        deaf: Whether watches that are started now, or wait already, hear nothing.
+    """
+
+    deaf = False
+
+    async def watch(
+        self, *, kind: str, version: int, timeout: float
+    ) -> AsyncGenerator[StoreChange, None]:
+        """Yield the changes, unless the watch has been deaf at any time."""
+        deaf = self.deaf
+        async for change in super().watch(kind=kind, version=version, timeout=timeout):
+            deaf = deaf or self.deaf
+            if not deaf:
+                yield change
+
+
+class Hosts:
+    """Hosts with a copy each.
+
+    Args:
+        count: How many.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.model = StoreModel()
+        self.network = PeersNetworkFake()
+        self.stores = [DeafStore(model=self.model) for _ in range(count)]
+        self.seen: list[dict[str, int]] = [{} for _ in range(count)]
+        self._members = tuple(
+            Member(
+                incarnation=Incarnation(host=HostName(f"h{index}"), started=1),
+                place=PlaceName("p"),
+                address=f"{index}",
+                status=MemberStatus.ALIVE,
+            )
+            for index in range(count)
+        )
+        mirrors = [
+            Mirrors(
+                host=member.incarnation.host,
+                address=member.address,
+                peers=self.network.peers(address=member.address),
+                members=lambda: self._members,
+            )
+            for member in self._members
+        ]
+        self._runs = [
+            mirror.add(
+                store=self.stores[index],
+                kind=KIND,
+                publish=lambda objects, index=index: self._publish(index, objects),
+                seed=index,
+            )
+            for index, mirror in enumerate(mirrors)
+        ]
+
+    async def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
+        """Run the copies beside a scenario."""
+        tasks = [asyncio.create_task(mirror.run()) for mirror in self._runs]
+        try:
+            await scenario()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def write(self, name: str) -> None:
+        """Write an object by a way of its own."""
+        await StoreFake(model=self.model).create(kind=KIND, name=name, value=b"")
+
+    def _publish(self, index: int, objects: tuple[StoredObject, ...]) -> None:
+        self.seen[index] = {found.name: found.version for found in objects}
+
+
+class TestHosts:
+    """Copies of several hosts over a store that fails some of them."""
+
+    @pytest.mark.parametrize("deaf", [range(4), range(1), range(1, 4)])
+    def test_deaf(self, deaf: range) -> None:
+        """A change made while watches are deaf for a second is everywhere after 2 s."""
+
+        async def scenario() -> None:
+            for index in deaf:
+                hosts.stores[index].deaf = True
+            await hosts.write("new")
+            await asyncio.sleep(1.0)
+            for store in hosts.stores:
+                store.deaf = False
+            await asyncio.sleep(1.0)
+            assert all("new" in names for names in hosts.seen)
+
+        async def run() -> None:
+            await asyncio.sleep(5.0)
+            await scenario()
+
+        hosts = Hosts(4)
+        run_virtual(hosts.run(run))
+
+    @pytest.mark.parametrize("away", range(4))
+    def test_turned_away(self, away: int) -> None:
+        """A host that the store turns away has a change from its peers within 2 s."""
+
+        async def run() -> None:
+            await asyncio.sleep(5.0)
+            hosts.stores[away].faults = StoreFaults(down=True)
+            await asyncio.sleep(1.0)
+            await hosts.write("new")
+            await asyncio.sleep(2.0)
+            assert all("new" in names for names in hosts.seen)
+
+        hosts = Hosts(4)
+        run_virtual(hosts.run(run))
+
+    def test_alone(self) -> None:
+        """A host that reaches no peer checks for itself."""
+
+        async def run() -> None:
+            hosts.network.partition(["0"])
+            await asyncio.sleep(5.0)
+            hosts.stores[0].deaf = True
+            await hosts.write("new")
+            await asyncio.sleep(1.0)
+            hosts.stores[0].deaf = False
+            await asyncio.sleep(1.0)
+            assert "new" in hosts.seen[0]
+
+        hosts = Hosts(4)
+        run_virtual(hosts.run(run))
+
+    @pytest.mark.parametrize(("count", "most"), [(1, 25), (4, 30), (16, 40)])
+    def test_calls(self, count: int, most: int) -> None:
+        """In ten calm seconds the hosts together make about two watches a second."""
+
+        async def run() -> None:
+            await asyncio.sleep(5.0)
+            before = hosts.model.counters.watches
+            await asyncio.sleep(10.0)
+            assert hosts.model.counters.watches - before <= most
+
+        hosts = Hosts(count)
+        run_virtual(hosts.run(run))
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,267 @@
+"""What the platform's folder decodes: settings, headers, configuration and targets."""
+
+from pathlib import Path
+
+import pytest
+
+from azureswitch.client import Headers, HttpHead
+from azureswitch.core import CallId, CustomerName, TargetName
+from azureswitch.exceptions import (
+    AzureswitchError,
+    DeploymentUnreadableError,
+    InvalidHeaderError,
+    NoTargetError,
+    PlatformSettingsError,
+    UnknownPathError,
+)
+from azureswitch.gateway import Arrival, Helper, HttpRequest, RouteKind, Sending, Verdict
+from azureswitch.inventory import TargetRole
+from azureswitch.platform import (
+    PlatformDialect,
+    decode_deployment,
+    decode_target,
+    read_settings,
+)
+from azureswitch.ports import StoredObject
+
+SETTINGS = """
+NodeName = "edge-pnw-a-1"
+Ip = "10.1.0.40"
+Zone = "pnw-a"
+Unknown = [1, 2]
+InternalPorts = [7340,7355]
+[Zones]
+pnw-a = "pnw"
+pnw-b = "pnw"
+[ListenAddrs]
+Front = "10.1.0.40:8227"
+Ready = "10.1.0.40:8220"
+[Bounds]
+GraceS = 8
+BudgetRatio = 0.2
+RetrySlack = 100
+[Platform]
+Address = "10.200.1.7:8223"
+"""
+
+CONFIGURATION = b"""{"Version":7,"Routes":[
+{"Name":"r1","Host":"Ficu95.example","PathPrefix":"/lohu930/","Kind":"streaming","TimeoutMs":10000,
+"TargetLatencyMs":300,"Priority":1,"TrafficSplit":[{"Service":"huvo11a","Weight":90},
+{"Service":"wuno96b","Weight":10}],"MaxAttempts":2,"Anonymous":false,"Sticky":true,
+"StreamResume":true,"GapTargetMs":250},
+{"Name":"r2","Host":"ficu95.example","PathPrefix":"/p/","Kind":"non_idempotent",
+"Service":"wuno96b","MaxAttempts":1}],
+"Services":[{"Name":"huvo11a","HealthPath":"/health","MaxConnections":264,
+"Engine":{"Slots":8,"KvCapacity":405000,"Stride":34,"step_ms":1.31,"per_seq_ms":0.001834,
+"context_per_k":0.00213,"read_per_s":154000.0,"pairs_per_m":0.162,"report_lag_ms":200.0,
+"delays":[{"From":"pnw-a","TargetVersion":"pnw-b","delay_ms":0.9}]}},{"Name":"wuno96b"}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
+"IdleTimeoutMs":15000},
+"Tenants":[{"Name":"hule930","ApiKeys":["k1","k2"],"Priority":1}]}"""
+
+
+def stored(value: bytes, name: str = "main") -> StoredObject:
+    """Return an object of the store."""
+    return StoredObject(kind="k", name=name, version=3, value=value)
+
+
+def request(*headers: tuple[str, str]) -> HttpRequest:
+    """Return a request with these headers."""
+    return HttpRequest(method="POST", target="/a/", headers=headers, body=b"")
+
+
+class TestSettings:
+    """`read_settings`."""
+
+    def test_read(self, tmp_path: Path) -> None:
+        """What is needed is decoded, and what is not known is passed over."""
+        path = tmp_path / "local.toml"
+        path.write_text(SETTINGS)
+        settings = read_settings(path)
+        assert settings.addresses.callers == "10.1.0.40:8227"
+        assert settings.peer_ports == (7340, 7355)
+        assert [(p.name, p.region) for p in settings.places] == [("pnw-a", "pnw"), ("pnw-b", "pnw")]
+        assert (settings.bounds.grace_seconds, settings.bounds.drain_milliseconds) == (8.0, 2_000.0)
+
+    @pytest.mark.parametrize("text", [None, "", "NodeName = ", SETTINGS.replace("Front", "Back")])
+    def test_refused(self, tmp_path: Path, text: str | None) -> None:
+        """Settings that are missing, malformed or lack what is needed are refused by type."""
+        path = tmp_path / "local.toml"
+        if text is not None:
+            path.write_text(text)
+        with pytest.raises(PlatformSettingsError) as caught:
+            read_settings(path)
+        assert str(path) in str(caught.value)
+
+
+class TestDeployment:
+    """`decode_deployment` and `decode_target`."""
+
+    def test_decoded(self) -> None:
+        """Names become the project's own, and times become seconds."""
+        deployment = decode_deployment(stored(CONFIGURATION))
+        stream, plain = deployment.routes
+        assert (stream.host, stream.kind, stream.timeout) == (
+            "ficu95.example",
+            RouteKind.STREAMING,
+            10.0,
+        )
+        assert (stream.objective, stream.gap_objective, stream.runs) == (0.3, 0.25, 2)
+        assert stream.repeatable
+        assert not plain.repeatable
+        assert [(s.service, s.weight) for s in stream.shares] == [("huvo11a", 90), ("wuno96b", 10)]
+        assert [s.service for s in plain.shares] == ["wuno96b"]
+        assert deployment.customers == {"k1": "hule930", "k2": "hule930"}
+        pace = deployment.services[0].pace
+        assert pace is not None
+        assert pace.step == pytest.approx(0.00131)
+        assert pace.pair == pytest.approx(1.62e-10)
+        assert pace.context_step == pytest.approx(2.13e-9)
+        assert deployment.services[1].pace is None
+        assert deployment.limits.idle_seconds == 15.0
+
+    @pytest.mark.parametrize(
+        ("state", "role"),
+        [("in_service", TargetRole.SERVING), ("draining", TargetRole.DRAINING)],
+    )
+    def test_target(self, state: str, role: TargetRole) -> None:
+        """A target has its service's memory, and a state that is not in service takes no work."""
+        value = (
+            b'{"Service":"huvo11a","Address":"10.0.0.9:80","Zone":"pnw-a","State":"%s",'
+            b'"Models":[{"Name":"m","Version":1}],"Sequence":4}' % state.encode()
+        )
+        services = decode_deployment(stored(CONFIGURATION)).services
+        target = decode_target(stored(value, name="i-1"), services=services)
+        assert (target.name, target.role, target.memory) == ("i-1", role, 405_000)
+        assert target.models == ("m",)
+
+    @pytest.mark.parametrize("value", [b"", b"{}", b"[]", b'{"Version":"x"}', b"\xff"])
+    def test_unreadable(self, value: bytes) -> None:
+        """What cannot be read is refused by type, so that the old one stays in force."""
+        with pytest.raises(DeploymentUnreadableError):
+            decode_deployment(stored(value))
+        with pytest.raises(DeploymentUnreadableError):
+            decode_target(stored(value), services=())
+
+
+class TestDialect:
+    """`PlatformDialect`."""
+
+    def test_read(self) -> None:
+        """Headers are decoded, with times in seconds."""
+        arrival = PlatformDialect().read(
+            request(
+                ("x-azureswitch-attempt-id", "9c41"),
+                ("x-azureswitch-time-remaining", "1500"),
+                ("x-azureswitch-token-counts", "1460,80"),
+                ("x-azureswitch-model", "m"),
+                ("last-event-id", "12"),
+                ("authorization", "bearer  key "),
+            )
+        )
+        assert arrival == Arrival(
+            id=CallId("9c41"),
+            key="key",
+            seconds_left=1.5,
+            model="m",
+            prompt_tokens=1_460,
+            output_tokens=80,
+            last_event=12,
+        )
+
+    @pytest.mark.parametrize(
+        "header",
+        [
+            ("x-azureswitch-attempt-id", ""),
+            ("x-azureswitch-time-remaining", "soon"),
+            ("x-azureswitch-token-counts", "many"),
+            ("last-event-id", "x"),
+        ],
+    )
+    def test_refused(self, header: tuple[str, str]) -> None:
+        """A value that means nothing is refused by the header's name."""
+        headers = dict((("x-azureswitch-attempt-id", "1"), header))
+        with pytest.raises(InvalidHeaderError) as caught:
+            PlatformDialect().read(request(*headers.items()))
+        assert caught.value.name == header[0]
+
+    def test_sending(self) -> None:
+        """A target gets what it is to know from us, whatever the caller said."""
+        dialect = PlatformDialect()
+        caller = request(
+            ("x-azureswitch-attempt-id", "1"),
+            ("x-azureswitch-tenant", "other"),
+            ("x-azureswitch-target-instance", "other"),
+            ("x-azureswitch-helpers", "other"),
+            ("authorization", "Bearer key"),
+            ("connection", "keep-alive, x-hop"),
+            ("x-hop", "1"),
+            ("transfer-encoding", "chunked"),
+            ("x-azureswitch-model", "m"),
+            ("x-own", "1"),
+        )
+        headers = dict(
+            dialect.sending(
+                caller,
+                Sending(
+                    arrival=dialect.read(caller),
+                    customer=CustomerName("ann"),
+                    target="i-1",
+                    seconds_left=1.2345,
+                    last_event=7,
+                    urgency=-9,
+                    helpers=(Helper(address="1:1", ticket="t"), Helper(address="2:2")),
+                ),
+            )
+        )
+        assert headers == {
+            "x-azureswitch-attempt-id": "1",
+            "x-azureswitch-model": "m",
+            "x-own": "1",
+            "x-azureswitch-time-remaining": "1234",
+            "x-azureswitch-target-instance": "i-1",
+            "x-azureswitch-tenant": "ann",
+            "last-event-id": "7",
+            "x-azureswitch-urgency-class": "0",
+            "x-azureswitch-helpers": "1:1/t,2:2",
+        }
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "verdict"),
+        [
+            (
+                200,
+                (("x-azureswitch-response-seal", "s"), ("x-azureswitch-attempt-id", "1")),
+                Verdict(not_run=False, id="1", sealed=True),
+            ),
+            (503, (("x-azureswitch-not-executed", "1"),), Verdict(not_run=True)),
+            (503, (), Verdict(not_run=False)),
+            (421, (("at-server", "1:1"),), Verdict(not_run=True, at_fault="1:1")),
+            (
+                503,
+                (("x-azureswitch-not-executed", "1"), ("retry-after", "0.5")),
+                Verdict(not_run=True, retry_after=0.5),
+            ),
+            (200, (("content-encoding", "br"),), Verdict(not_run=False, readable=False)),
+        ],
+    )
+    def test_judge(self, status: int, headers: Headers, verdict: Verdict) -> None:
+        """A target's promise is read from its header or status, and from nothing else."""
+        assert PlatformDialect().judge(HttpHead(status=status, headers=headers)) == verdict
+
+    @pytest.mark.parametrize(
+        ("error", "after"), [(NoTargetError(seconds=0.25), "0.250"), (UnknownPathError(), None)]
+    )
+    def test_failure(self, error: AzureswitchError, after: str | None) -> None:
+        """A failure says when to come back where that helps, and never bears a seal."""
+        headers, body = PlatformDialect().failure(error)
+        assert dict(headers).get("retry-after") == after
+        assert "x-azureswitch-response-seal" not in dict(headers)
+        assert error.code.encode() in body
+
+
+def test_target_names() -> None:
+    """A target is known by the name of its object alone."""
+    value = b'{"Service":"s","Address":"1:1"}'
+    target = decode_target(stored(value, name="i-9"), services=())
+    assert target.name == TargetName("i-9")
