Log each decision as a JSON line, and show metrics

Cause: when a caller complains, there were a line of text at a request's end and no counters. Change: typed entries for what is admitted, refused, sent, ended and answered, with what decided it; lines for configuration, targets, hosts, start and stop. The volume is bounded and samples by the request's id; a full pipe drops and counts. Counters and gauges on port 9464. Ruled out: blocking writes, since a reader that stops would stop the process.

--- a/src/azureswitch/entry/__init__.py
+++ b/src/azureswitch/entry/__init__.py
@@ -1,6 +1,5 @@
 """An entry host: callers on one side, engines and plain services on the other."""
 
-from azureswitch.entry._metrics import Metrics
 from azureswitch.entry._program import main
 from azureswitch.entry._server import EntryServer
 from azureswitch.entry._settings import (
@@ -11,6 +10,7 @@
     read_settings,
 )
 from azureswitch.entry._wiring import EntryPorts
+from azureswitch.metrics import Metrics
 
 __all__ = [
     "ENTRY_TABLE",
--- a/src/azureswitch/entry/_ops.py
+++ b/src/azureswitch/entry/_ops.py
@@ -9,8 +9,8 @@
 from azureswitch.coordination.membership import Member
 from azureswitch.core import HostName, PlaceName
 from azureswitch.entry._handlers import untyped
-from azureswitch.entry._metrics import Metrics
 from azureswitch.entry._shell import Shell
+from azureswitch.metrics import Metrics
 
 
 class HealthBody(Struct, kw_only=True):
--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -12,13 +12,13 @@
 from azureswitch.entry._answers import Answer, Recording, Relay
 from azureswitch.entry._attempts import Attempts
 from azureswitch.entry._directory import Directory
-from azureswitch.entry._metrics import Metrics
 from azureswitch.entry._ports import ClaimKeeper, DigestSink, JobKeeper
 from azureswitch.entry._records import ModelRecord, PlainRecord, Record
 from azureswitch.entry._settings import Limits
 from azureswitch.entry._targets import Targets
 from azureswitch.exceptions import AzureswitchError, CallerLeftError, ClaimUnavailableError
 from azureswitch.inventory import Snapshot
+from azureswitch.metrics import Metrics
 from azureswitch.ports import PlainAnswer
 from azureswitch.serving import (
     TICK,
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -18,7 +18,6 @@
 from azureswitch.entry._caches import CacheFollower
 from azureswitch.entry._claiming import FleetClaims
 from azureswitch.entry._jobtable import JobTable
-from azureswitch.entry._metrics import Metrics
 from azureswitch.entry._polls import Poller
 from azureswitch.entry._settings import EntrySettings
 from azureswitch.entry._shell import Shell
@@ -30,6 +29,7 @@
     Target,
     decode,
 )
+from azureswitch.metrics import Metrics
 from azureswitch.peers import PeerNetwork
 from azureswitch.platform import HttpHostList, HttpStore
 from azureswitch.ports import Engine, HostList, Peers, PlainTarget, Store
--- a/src/azureswitch/gateway/__init__.py
+++ b/src/azureswitch/gateway/__init__.py
@@ -1,6 +1,7 @@
 """Passes callers' requests on to targets and their answers back, as they are."""
 
 from azureswitch.gateway._gateway import Gateway, GatewaySettings
+from azureswitch.gateway._log import PeersKnown
 from azureswitch.gateway._model import (
     Arrival,
     CallerLimits,
@@ -24,6 +25,7 @@
     "GatewaySettings",
     "Helper",
     "HttpRequest",
+    "PeersKnown",
     "Reservations",
     "Route",
     "RouteKind",
--- a/src/azureswitch/gateway/_front.py
+++ b/src/azureswitch/gateway/_front.py
@@ -1,21 +1,24 @@
 """Takes callers' requests: finds their route and customer, and hands them to the shell."""
 
-from collections.abc import Callable
 from random import Random
 
 from azureswitch.core import CustomerName
 from azureswitch.exceptions import (
     AzureswitchError,
+    IdempotencyInProgressError,
     NotConfiguredError,
     UnauthenticatedError,
     UnknownPathError,
 )
 from azureswitch.gateway._http import Exchange
+from azureswitch.gateway._log import RequestAdmitted, RequestRefused
 from azureswitch.gateway._model import Arrival, CallerLimits, Deployment, Route
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._routes import Routes, pick_service
 from azureswitch.gateway._shell import Shell
+from azureswitch.logs import Log
+from azureswitch.metrics import Metrics
 from azureswitch.serving import Call
 
 
@@ -25,12 +28,18 @@
     Args:
         shell: Runs the requests.
         dialect: The headers towards callers.
+        log: Takes what is decided.
+        metrics: Counts refusals.
         random: The source of the choice among a route's services.
     """
 
-    def __init__(self, *, shell: Shell, dialect: Dialect, random: Random) -> None:
+    def __init__(
+        self, *, shell: Shell, dialect: Dialect, log: Log, metrics: Metrics, random: Random
+    ) -> None:
         self._shell = shell
         self._dialect = dialect
+        self._log = log
+        self._metrics = metrics
         self._random = random
         self._deployment: Deployment | None = None
         self._routes = Routes(routes=())
@@ -70,12 +79,30 @@
         except AzureswitchError as error:
             self.refuse(exchange, error)
             return
-        self._shell.submit(record)
+        self._log.write(_admitted(record, self._version))
+        if not self._shell.submit(record):
+            self.refuse(exchange, IdempotencyInProgressError())
 
     def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
         """Answer a request that is not run."""
         headers, body = self._dialect.failure(error)
         exchange.respond(status=error.status, headers=headers, body=body)
+        refused = RequestRefused(
+            id=self._dialect.id_of(exchange.request),
+            code=error.code,
+            status=int(error.status),
+            version=self._version,
+        )
+        self._log.write(refused)
+        self._metrics.count(
+            name="refusals",
+            help="Requests refused before they were admitted, by failure.",
+            code=error.code,
+        )
+
+    @property
+    def _version(self) -> int:
+        return self._deployment.version if self._deployment else 0
 
     def _admit(self, exchange: Exchange) -> CallRecord:
         deployment = self._deployment
@@ -113,6 +140,20 @@
         )
 
 
+def _admitted(record: CallRecord, version: int) -> RequestAdmitted:
+    call = record.call
+    return RequestAdmitted(
+        id=record.arrival.id,
+        route=record.route.name,
+        service=call.service,
+        customer=call.customer,
+        prompt=call.prompt_tokens,
+        left=round(call.deadline - record.started, 3),
+        after=record.last_event,
+        version=version,
+    )
+
+
 def _customer(deployment: Deployment, route: Route, arrival: Arrival) -> CustomerName:
     if not deployment.customers or route.anonymous:
         return CustomerName("")
@@ -127,38 +168,3 @@
     if arrival.seconds_left is None:
         return route.timeout
     return min(arrival.seconds_left, route.timeout)
-
-
-class Readiness:
-    """Answers whether this process takes new connections.
-
-    Args:
-        ready: Returns whether it does.
-        dialect: The form of answers.
-    """
-
-    def __init__(self, *, ready: Callable[[], bool], dialect: Dialect) -> None:
-        self._ready = ready
-        self._dialect = dialect
-
-    @property
-    def limits(self) -> CallerLimits:
-        """What a caller's connection may ask."""
-        return CallerLimits()
-
-    @property
-    def closing(self) -> bool:
-        """Connections of the platform are kept."""
-        return False
-
-    def handle(self, exchange: Exchange) -> None:
-        """Answer with 200 where new connections are taken."""
-        if self._ready():
-            exchange.respond(status=200, headers=(), body=b"")
-            return
-        self.refuse(exchange, NotConfiguredError())
-
-    def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
-        """Answer with the failure's status."""
-        headers, body = self._dialect.failure(error)
-        exchange.respond(status=error.status, headers=headers, body=body)
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -6,20 +6,35 @@
 from random import Random
 from time import monotonic, time
 
-from absl import logging
-
 from azureswitch.core import HostName, PlaceName, TargetName
-from azureswitch.gateway._front import Front, Readiness
+from azureswitch.gateway._front import Front
 from azureswitch.gateway._http import HttpServer
+from azureswitch.gateway._log import (
+    ConfigurationAdopted,
+    Leaving,
+    Started,
+    Stopped,
+    TargetsChanged,
+)
 from azureswitch.gateway._model import Deployment
+from azureswitch.gateway._pages import MetricsPage, ReadinessPage
 from azureswitch.gateway._ports import Dialect, Reservations
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._tickets import Tickets
-from azureswitch.inventory import Customer, Inventory, Place, Rules, Snapshot, Target
+from azureswitch.inventory import (
+    Customer,
+    Inventory,
+    Place,
+    Rules,
+    Snapshot,
+    Target,
+    TargetRole,
+)
+from azureswitch.logs import Log
+from azureswitch.metrics import Metrics
 from azureswitch.serving import (
     Digest,
     HostSelf,
-    Observe,
     RetryBudget,
     ServingState,
     SnapshotAdopted,
@@ -34,6 +49,8 @@
 EXIT_MARGIN = 0.4
 """Seconds before the process would be killed at which it ends of itself."""
 
+METRICS_PATH = "/metrics"
+
 IDLE_CHECK = 0.05
 """Seconds between two looks whether all requests have been answered."""
 
@@ -48,6 +65,7 @@
         places: All failure domains.
         callers: ``IP:PORT`` on which callers are served.
         readiness: ``IP:PORT`` on which it says whether it takes new connections.
+        metrics: ``IP:PORT`` on which its metrics are read.
         grace: Seconds that it has for a graceful stop.
         retry_share: Retries permitted per admitted request.
         retry_burst: Retries permitted beside that over all hosts.
@@ -59,6 +77,7 @@
     places: tuple[Place, ...]
     callers: str
     readiness: str
+    metrics: str
     grace: float
     retry_share: float
     retry_burst: float
@@ -73,7 +92,8 @@
         dialect: The headers towards callers and targets.
         reservations: How engines set memory aside.
         publish: Sends a digest to the peers.
-        observe: Records a metric.
+        metrics: Counts and measures.
+        log: Takes what is decided.
         seed: Seeds every random choice.
         clock: Returns seconds of the monotonic clock.
     """
@@ -85,11 +105,14 @@
         dialect: Dialect,
         reservations: Reservations,
         publish: Callable[[Digest], None],
-        observe: Callable[[Observe], None],
+        metrics: Metrics,
+        log: Log,
         seed: int,
         clock: Callable[[], float] = monotonic,
     ) -> None:
         self._settings = settings
+        self._log = log
+        self._tickets = Tickets(reservations=reservations)
         started = int(time() * 1_000)
         retries = RetryBudget(
             share=settings.retry_share,
@@ -104,17 +127,25 @@
         self._shell = Shell(
             state=state,
             dialect=dialect,
-            tickets=Tickets(reservations=reservations),
+            tickets=self._tickets,
             targets=lambda: self._targets,
             publish=publish,
-            observe=observe,
+            metrics=metrics,
+            log=log,
             clock=clock,
         )
-        self._front = Front(shell=self._shell, dialect=dialect, random=Random(seed))
-        self._readiness = Readiness(ready=lambda: self.ready, dialect=dialect)
+        self._front = Front(
+            shell=self._shell, dialect=dialect, log=log, metrics=metrics, random=Random(seed)
+        )
         self._callers = HttpServer(handler=self._front)
-        self._platform = HttpServer(handler=self._readiness)
+        self._platform = HttpServer(
+            handler=ReadinessPage(ready=lambda: self.ready, dialect=dialect)
+        )
+        self._pages = HttpServer(
+            handler=MetricsPage(metrics=metrics, path=METRICS_PATH, dialect=dialect)
+        )
         self._targets: Mapping[TargetName, Target] = {}
+        self._watch(metrics)
         self._revision = 0
         self._leaving = False
         self._ticks: asyncio.Task[None] | None = None
@@ -152,7 +183,9 @@
         """
         await self._platform.start(address=self._settings.readiness)
         await self._callers.start(address=self._settings.callers)
+        await self._pages.start(address=self._settings.metrics)
         self._ticks = asyncio.create_task(self._shell.run())
+        self._log.write(Started(callers=self.callers_address, readiness=self.readiness_address))
 
     async def stop(self) -> None:
         """Let others take over, answer what is here, and return within the time of grace."""
@@ -160,21 +193,23 @@
         end = loop.time() + self._settings.grace - EXIT_MARGIN
         self._leaving = True
         self._front.close()
-        logging.info("gateway: Leaving; %d requests are open.", self._shell.open_calls)
+        self._log.write(Leaving(open_requests=self._shell.open_calls))
         await asyncio.sleep(min(LINGER_SECONDS, self._settings.grace / 2.0))
         self._callers.stop_listening()
         self._callers.close_idle()
         while self._callers.connections and loop.time() < end:
             await asyncio.sleep(IDLE_CHECK)
             self._callers.close_idle()
-        logging.info("gateway: Stopped; %d requests were open.", self._shell.open_calls)
-        self._platform.stop_listening()
+        self._log.write(Stopped(open_requests=self._shell.open_calls))
+        for server in (self._platform, self._pages):
+            server.stop_listening()
+            server.abort()
         if self._ticks is not None:
             self._ticks.cancel()
 
     def abort(self) -> None:
         """End at once, whatever is open."""
-        for server in (self._callers, self._platform):
+        for server in (self._callers, self._platform, self._pages):
             server.stop_listening()
             server.abort()
         if self._ticks is not None:
@@ -182,22 +217,65 @@
 
     def adopt(self, deployment: Deployment) -> None:
         """Serve by a configuration, unless the same or a later one is in force."""
+        before = self._front.deployment
         if not self._front.adopt(deployment):
             return
-        logging.info(
-            "gateway: Configuration %d is in force: %d routes, %d services, %d keys.",
-            deployment.version,
-            len(deployment.routes),
-            len(deployment.services),
-            len(deployment.customers),
+        self._log.write(
+            ConfigurationAdopted(
+                version=deployment.version,
+                before=before.version if before else 0,
+                routes=len(deployment.routes),
+                services=len(deployment.services),
+                keys=len(deployment.customers),
+            )
         )
         self._revise()
 
     def set_targets(self, targets: tuple[Target, ...]) -> None:
         """Send requests to these targets alone from now on."""
+        before = self._targets
         self._targets = {target.name: target for target in targets}
+        if before != self._targets:
+            self._log.write(_difference(before, self._targets))
         self._revise()
 
+    def _watch(self, metrics: Metrics) -> None:
+        metrics.watch(
+            name="open_requests",
+            help="Requests that have not been answered.",
+            value=lambda: self._shell.open_calls,
+        )
+        metrics.watch(
+            name="configuration_version",
+            help="The configuration in force; zero for none.",
+            value=lambda: self._front.deployment.version if self._front.deployment else 0,
+        )
+        metrics.watch(
+            name="targets_serving",
+            help="Targets that take new work.",
+            value=lambda: sum(t.role is TargetRole.SERVING for t in self._targets.values()),
+        )
+        metrics.watch(
+            name="targets_draining",
+            help="Targets that leave.",
+            value=lambda: sum(t.role is TargetRole.DRAINING for t in self._targets.values()),
+        )
+        metrics.watch(
+            name="tickets_held",
+            help="Reservations of engines' memory that are held.",
+            value=lambda: self._tickets.held,
+        )
+        metrics.watch(
+            name="loop_lag_seconds",
+            help="How late the last regular step of the process was.",
+            value=lambda: self._shell.lag,
+        )
+        metrics.watch(
+            name="log_lines_left_out",
+            help="Lines of the log that its volume did not permit.",
+            value=lambda: self._log.left_out,
+        )
+
     def _revise(self) -> None:
         """Hand the reducer the configuration and the targets of this moment."""
         deployment = self._front.deployment
@@ -213,3 +291,15 @@
         )
         snapshot = Snapshot(revision=self._revision, inventory=inventory, rules=Rules())
         self._shell.dispatch(SnapshotAdopted(now=self._shell.now, snapshot=snapshot))
+
+
+def _difference(
+    before: Mapping[TargetName, Target], after: Mapping[TargetName, Target]
+) -> TargetsChanged:
+    draining = [target.name for target in after.values() if target.role is TargetRole.DRAINING]
+    return TargetsChanged(
+        added=",".join(sorted(after.keys() - before.keys())),
+        gone=",".join(sorted(before.keys() - after.keys())),
+        draining=",".join(sorted(draining)),
+        serving=len(after) - len(draining),
+    )
--- a/src/azureswitch/gateway/_http.py
+++ b/src/azureswitch/gateway/_http.py
@@ -11,7 +11,6 @@
 from http import HTTPStatus
 from typing import Protocol, cast
 
-from absl import logging
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from azureswitch.client import Headers
@@ -412,7 +411,6 @@
             int(port),
             backlog=backlog,
         )
-        logging.info("gateway: Listening on %s.", self.address)
 
     def stop_listening(self) -> None:
         """Take no new connections."""
--- /dev/null
+++ b/src/azureswitch/gateway/_log.py
@@ -0,0 +1,245 @@
+"""What a gateway logs."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from azureswitch.logs import Entry, Level
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _RequestEntry(Entry):
+    """Base of the entries about a request.
+
+    Attributes:
+        id: The caller's id of this one try.
+    """
+
+    part: ClassVar[str] = "gateway"
+    id: str
+
+    @property
+    def request(self) -> str | None:
+        """The id of the request."""
+        return self.id
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestRefused(_RequestEntry):
+    """A request was refused before it was admitted.
+
+    Attributes:
+        code: The failure.
+        status: The status that its caller gets.
+        version: The configuration that decided, or zero for none.
+    """
+
+    sentence: ClassVar[str] = "Request refused."
+    level: ClassVar[Level] = Level.WARNING
+    code: str
+    status: int
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestAdmitted(_RequestEntry):
+    """A request was admitted.
+
+    Attributes:
+        route: Its route.
+        service: The service that it goes to.
+        customer: Whose it is.
+        prompt: Tokens of its prompt.
+        left: Seconds that it has.
+        after: The id of the last event that its caller has.
+        version: The configuration that decided.
+    """
+
+    sentence: ClassVar[str] = "Request admitted."
+    route: str
+    service: str
+    customer: str
+    prompt: int
+    left: float
+    after: int
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptSent(_RequestEntry):
+    """An attempt is sent.
+
+    Attributes:
+        attempt: Its number.
+        targets: The target that answers, and those that help.
+        held: Tokens of memory that are set aside on helpers.
+        predicted: Seconds to the first token that were predicted; zero where nothing was.
+        peers: How many peers' accounts the choice knew of.
+        after: The id of the last event that the caller has.
+    """
+
+    sentence: ClassVar[str] = "Attempt sent."
+    attempt: int
+    targets: str
+    held: int
+    predicted: float
+    peers: int
+    after: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptOver(_RequestEntry):
+    """An attempt ended.
+
+    Attributes:
+        attempt: Its number.
+        end: How.
+        error: The failure, or nothing.
+        status: The status that the target gave; zero for none.
+        at_fault: The target that failed, where another than the first is known to have.
+        seconds: How long it took.
+        events: The id of the last event that the caller has.
+    """
+
+    sentence: ClassVar[str] = "Attempt over."
+    attempt: int
+    end: str
+    error: str
+    status: int
+    at_fault: str
+    seconds: float
+    events: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestAnswered(_RequestEntry):
+    """A request has its whole answer.
+
+    Attributes:
+        seconds: How long it took.
+        first: Seconds to the first event, or to the answer.
+        on_time: Whether that was within the route's objective.
+        attempts: How many attempts it took.
+    """
+
+    sentence: ClassVar[str] = "Request answered."
+    seconds: float
+    first: float
+    on_time: bool
+    attempts: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestFailed(_RequestEntry):
+    """A request failed.
+
+    Attributes:
+        code: The failure.
+        status: The status of the answer; zero where an answer that had begun was broken off.
+        ran: Whether it ran at a target.
+        seconds: How long it took.
+        attempts: How many attempts were made.
+        targets: The targets that they were sent to.
+    """
+
+    sentence: ClassVar[str] = "Request failed."
+    level: ClassVar[Level] = Level.WARNING
+    code: str
+    status: int
+    ran: str
+    seconds: float
+    attempts: int
+    targets: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationAdopted(Entry):
+    """A configuration is in force.
+
+    Attributes:
+        version: Its number.
+        before: The number of the one before it; zero for none.
+        routes: How many routes it has.
+        services: How many services.
+        keys: How many keys.
+    """
+
+    part: ClassVar[str] = "gateway"
+    sentence: ClassVar[str] = "Configuration adopted."
+    version: int
+    before: int
+    routes: int
+    services: int
+    keys: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetsChanged(Entry):
+    """The list of targets changed.
+
+    Attributes:
+        added: Those that came.
+        gone: Those that went.
+        draining: Those that leave.
+        serving: How many take new work.
+    """
+
+    part: ClassVar[str] = "gateway"
+    sentence: ClassVar[str] = "Targets changed."
+    added: str
+    gone: str
+    draining: str
+    serving: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeersKnown(Entry):
+    """The set of hosts that take work changed.
+
+    Attributes:
+        hosts: Their names.
+    """
+
+    part: ClassVar[str] = "gateway"
+    sentence: ClassVar[str] = "Hosts changed."
+    hosts: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Started(Entry):
+    """The process listens.
+
+    Attributes:
+        callers: Where callers are served.
+        readiness: Where it says whether it takes connections.
+    """
+
+    part: ClassVar[str] = "gateway"
+    sentence: ClassVar[str] = "Started."
+    callers: str
+    readiness: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Leaving(Entry):
+    """The process takes no new connections soon.
+
+    Attributes:
+        open_requests: Requests that have not been answered.
+    """
+
+    part: ClassVar[str] = "gateway"
+    sentence: ClassVar[str] = "Leaving."
+    open_requests: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stopped(Entry):
+    """The process ends.
+
+    Attributes:
+        open_requests: Requests that are cut off.
+    """
+
+    part: ClassVar[str] = "gateway"
+    sentence: ClassVar[str] = "Stopped."
+    open_requests: int
--- a/src/azureswitch/gateway/_ports.py
+++ b/src/azureswitch/gateway/_ports.py
@@ -17,6 +17,9 @@
             InvalidHeaderError: A header has a value that is not accepted.
         """
 
+    def id_of(self, request: HttpRequest) -> str:
+        """Return the caller's id of this one try, or nothing where it gives none."""
+
     def sending(self, request: HttpRequest, sending: Sending) -> Headers:
         """Return the headers with which an attempt is sent to a target."""
 
--- a/src/azureswitch/gateway/_records.py
+++ b/src/azureswitch/gateway/_records.py
@@ -24,6 +24,7 @@
         fallback: A target's own failure, which the caller gets where no further try succeeds.
         tasks: The attempts that run, by number.
         targets: The targets that attempts were sent to, in order.
+        sent_at: When the last attempt was sent.
     """
 
     call: Call
@@ -36,3 +37,4 @@
     fallback: HttpAnswer | None = None
     tasks: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     targets: list[str] = field(default_factory=list)
+    sent_at: float = 0.0
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -17,11 +17,13 @@
     TargetRefusedError,
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
+from azureswitch.gateway._log import AttemptOver, AttemptSent
 from azureswitch.gateway._model import Helper, RouteKind, Sending
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._tickets import Ticket, Tickets
 from azureswitch.inventory import Target
+from azureswitch.logs import Log
 from azureswitch.serving import (
     AttemptEnd,
     AttemptEnded,
@@ -48,6 +50,7 @@
     error: TargetError | None = None
     retry_after: float | None = None
     at_fault: TargetName | None = None
+    status: int = 0
 
 
 class Relay:
@@ -58,6 +61,7 @@
         tickets: Sets memory aside for prompts larger than one engine.
         targets: Returns the targets that are listed now, by name.
         dispatch: Hands an event to the reducer.
+        log: Takes what is decided.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -68,18 +72,32 @@
         tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
         dispatch: Callable[[ServingEvent], None],
+        log: Log,
         clock: Callable[[], float],
     ) -> None:
         self._dialect = dialect
         self._tickets = tickets
         self._targets = targets
         self._dispatch = dispatch
+        self._log = log
         self._clock = clock
 
     async def run(self, record: CallRecord, effect: StartAttempt) -> None:
         """Run an attempt to its end and tell the reducer of it."""
         name = effect.targets[0]
         record.targets.append(name)
+        record.sent_at = self._clock()
+        self._log.write(
+            AttemptSent(
+                id=record.arrival.id,
+                attempt=effect.attempt,
+                targets=",".join(effect.targets),
+                held=sum(effect.reserved),
+                predicted=round(effect.first_token, 3),
+                peers=effect.accounts,
+                after=record.last_event,
+            )
+        )
         try:
             end = await self._attempt(record, effect)
         except HttpNotSentError:
@@ -96,6 +114,18 @@
 
     def _end(self, record: CallRecord, effect: StartAttempt, end: _End) -> None:
         record.tasks.pop(effect.attempt, None)
+        self._log.write(
+            AttemptOver(
+                id=record.arrival.id,
+                attempt=effect.attempt,
+                end=end.how.value,
+                error="" if end.error is None else end.error.code,
+                status=end.status,
+                at_fault=end.at_fault or "",
+                seconds=round(self._clock() - record.sent_at, 3),
+                events=record.last_event,
+            )
+        )
         self._dispatch(
             AttemptEnded(
                 now=self._clock(),
@@ -174,6 +204,7 @@
                 error=TargetRefusedError(target=target, seconds=verdict.retry_after),
                 retry_after=verdict.retry_after,
                 at_fault=self._at(verdict.at_fault, effect),
+                status=head.status,
             )
         if verdict.id is not None and verdict.id != record.call.id:
             raise TargetAnswerError(target=target)
@@ -191,10 +222,10 @@
         if failed and record.call.repeatable:
             record.fallback = whole
             error = TargetAnswerError(target=effect.targets[0])
-            return _End(how=AttemptEnd.BROKEN, error=error)
+            return _End(how=AttemptEnd.BROKEN, error=error, status=whole.head.status)
         self._arrived(record, effect)
         self.respond(record, whole)
-        return _End(how=AttemptEnd.COMPLETE)
+        return _End(how=AttemptEnd.COMPLETE, status=whole.head.status)
 
     def respond(self, record: CallRecord, whole: HttpAnswer) -> None:
         """Give the caller a target's whole answer."""
@@ -223,7 +254,7 @@
                 status=answer.head.status, headers=self._dialect.answer(answer.head)
             )
         record.exchange.finish()
-        return _End(how=AttemptEnd.COMPLETE)
+        return _End(how=AttemptEnd.COMPLETE, status=answer.head.status)
 
     def _put(
         self,
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -10,11 +10,14 @@
 
 from azureswitch.core import CallId, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
+from azureswitch.gateway._log import RequestAnswered, RequestFailed
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._relay import Relay
 from azureswitch.gateway._tickets import Tickets
 from azureswitch.inventory import Target
+from azureswitch.logs import Log
+from azureswitch.metrics import Metrics
 from azureswitch.serving import (
     TICK,
     CallArrived,
@@ -41,7 +44,8 @@
         tickets: Sets memory aside for prompts larger than one engine.
         targets: Returns the targets that are listed now, by name.
         publish: Sends a digest to the peers.
-        observe: Records a metric.
+        metrics: Counts and measures.
+        log: Takes what is decided.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -53,24 +57,33 @@
         tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
         publish: Callable[[Digest], None],
-        observe: Callable[[Observe], None],
+        metrics: Metrics,
+        log: Log,
         clock: Callable[[], float] = monotonic,
     ) -> None:
         self._state = state
         self._dialect = dialect
         self._publish = publish
-        self._observe = observe
+        self._metrics = metrics
+        self._log = log
         self._clock = clock
         self._relay = Relay(
             dialect=dialect,
             tickets=tickets,
             targets=targets,
             dispatch=self.dispatch,
+            log=log,
             clock=clock,
         )
         self._records: dict[CallId, CallRecord] = {}
         self._events: deque[ServingEvent] = deque()
         self._busy = False
+        self._lag = 0.0
+
+    @property
+    def lag(self) -> float:
+        """Seconds by which the last regular step was late."""
+        return self._lag
 
     @property
     def open_calls(self) -> int:
@@ -108,7 +121,9 @@
     async def run(self) -> None:
         """Let time pass for the reducer until cancelled."""
         while True:
+            due = self.now + TICK
             await asyncio.sleep(TICK)
+            self._lag = max(0.0, self.now - due)
             self.dispatch(Ticked(now=self.now))
 
     def _left(self, call: CallId) -> None:
@@ -142,7 +157,7 @@
             return
         if effect.error is not None and not record.exchange.over:
             self._fail(record, effect.error)
-        self._log(record, effect.error)
+        self._tell(record, effect.error)
 
     @_run.register
     def _(self, effect: PublishDigest) -> None:
@@ -150,7 +165,7 @@
 
     @_run.register
     def _(self, effect: Observe) -> None:
-        self._observe(effect)
+        self._metrics.observe(effect)
 
     def _fail(self, record: CallRecord, error: AzureswitchError) -> None:
         """Tell the caller of a failure; an answer that has begun is broken off."""
@@ -162,15 +177,45 @@
             headers, body = self._dialect.failure(error)
             record.exchange.respond(status=error.status, headers=headers, body=body)
 
-    def _log(self, record: CallRecord, error: AzureswitchError | None) -> None:
-        first = None if record.first_event is None else record.first_event - record.started
-        logging.info(
-            "gateway: Request %s ended as %s after %.3f s, first output after %s s, at %s.",
-            record.call.id,
-            "answered" if error is None else error.code,
-            self.now - record.started,
-            "no" if first is None else f"{first:.3f}",
-            ",".join(record.targets) or "no target",
+    def _tell(self, record: CallRecord, error: AzureswitchError | None) -> None:
+        """Log and count how a request ended."""
+        seconds = round(self.now - record.started, 3)
+        first = 0.0 if record.first_event is None else record.first_event - record.started
+        if error is None:
+            on_time = first <= record.route.objective
+            self._log.write(
+                RequestAnswered(
+                    id=record.arrival.id,
+                    seconds=seconds,
+                    first=round(first, 3),
+                    on_time=on_time,
+                    attempts=len(record.targets),
+                )
+            )
+            self._metrics.count(
+                name="answers",
+                help="Requests answered whole, by route and whether on time.",
+                route=record.route.name,
+                on_time=str(on_time).lower(),
+            )
+            return
+        broken = record.first_event is not None
+        self._log.write(
+            RequestFailed(
+                id=record.arrival.id,
+                code=error.code,
+                status=0 if broken else int(error.status),
+                ran=error.ran.value,
+                seconds=seconds,
+                attempts=len(record.targets),
+                targets=",".join(record.targets),
+            )
+        )
+        self._metrics.count(
+            name="failures",
+            help="Requests that failed after they were admitted, by route and failure.",
+            route=record.route.name,
+            code=error.code,
         )
 
 
--- a/src/azureswitch/gateway/_tickets.py
+++ b/src/azureswitch/gateway/_tickets.py
@@ -47,6 +47,12 @@
     def __init__(self, *, reservations: Reservations) -> None:
         self._reservations = reservations
         self._releases: set[asyncio.Task[None]] = set()
+        self._held = 0
+
+    @property
+    def held(self) -> int:
+        """How many tickets are held now."""
+        return self._held
 
     @asynccontextmanager
     async def hold(self, tickets: Iterable[Ticket]) -> AsyncIterator[None]:
@@ -63,11 +69,13 @@
             yield
             return
         renewals: asyncio.Task[None] | None = None
+        self._held += len(wanted)
         try:
             await self._reserve(wanted)
             renewals = asyncio.create_task(self._renew(wanted))
             yield
         finally:
+            self._held -= len(wanted)
             if renewals is not None:
                 renewals.cancel()
             # In the background, since the block may be left because its task is called off.
--- a/src/azureswitch/entry/_metrics.py
+++ b/src/azureswitch/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of an entry host."""
+"""Metrics, as Prometheus reads them."""
 
 from collections.abc import Callable
 
@@ -42,6 +42,7 @@
             else:
                 self._add_counter(what)
         self._gauges: dict[str, tuple[Gauge, Callable[[], float]]] = {}
+        self._reasons: dict[str, Counter] = {}
 
     def observe(self, effect: Observe) -> None:
         """Record one observation."""
@@ -52,6 +53,14 @@
         labels["customer"] = str(effect.customer)
         self._counters[effect.what].add(labels, effect.value)
 
+    def count(self, *, name: str, help: str, **labels: str) -> None:
+        """Count something by labels."""
+        counter = self._reasons.get(name)
+        if counter is None:
+            counter = Counter(f"azureswitch_{name}_total", help, registry=self._registry)
+            self._reasons[name] = counter
+        counter.inc(labels)
+
     def watch(self, *, name: str, help: str, value: Callable[[], float]) -> None:
         """Show a value that is read whenever the metrics are."""
         gauge = Gauge(f"azureswitch_{name}", help, registry=self._registry)
--- a/src/azureswitch/platform/_dialect.py
+++ b/src/azureswitch/platform/_dialect.py
@@ -45,6 +45,10 @@
             last_event=int(_number(headers, names.LAST_EVENT) or 0),
         )
 
+    def id_of(self, request: HttpRequest) -> str:
+        """Return the caller's id of this one try, or nothing where it gives none."""
+        return request.header(names.ID) or ""
+
     def sending(self, request: HttpRequest, sending: Sending) -> Headers:
         """Return the headers with which an attempt is sent to a target."""
         passed = _without(request.headers, names.SET_BY_US)
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -7,14 +7,17 @@
 from time import monotonic, time
 
 from absl import logging
+from xxhash import xxh3_64_intdigest
 
 from azureswitch.coordination.membership import Member, Membership, live_hosts
 from azureswitch.coordination.mirror import Mirrors
 from azureswitch.coordination.sharing import Digests
-from azureswitch.core import Incarnation
+from azureswitch.core import HostName, Incarnation
 from azureswitch.exceptions import DeploymentUnreadableError, PlatformSettingsError
-from azureswitch.gateway import Gateway, GatewaySettings
+from azureswitch.gateway import Gateway, GatewaySettings, PeersKnown
 from azureswitch.inventory import Service, Target
+from azureswitch.logs import LineStream, Log, start_logs
+from azureswitch.metrics import Metrics
 from azureswitch.peers import PeerNetwork
 from azureswitch.platform._deployment import (
     CONFIGURATION_KIND,
@@ -33,7 +36,7 @@
 )
 from azureswitch.platform._store import HttpStore
 from azureswitch.ports import StoredObject
-from azureswitch.serving import Observe, PeersChanged
+from azureswitch.serving import PeersChanged
 
 EXIT_OK = 0
 EXIT_START = 1
@@ -57,6 +60,9 @@
 RETRY_MARGIN = 0.8
 """Share of the permitted repeated sends that is used, as hosts count their own alone."""
 
+METRICS_PORT = 9464
+"""The port on which metrics are read, as the deploy file says."""
+
 HOSTS_FIRST = 9
 """Hosts that the burst of retries is shared among before others are known of."""
 
@@ -66,18 +72,31 @@
 
     Args:
         settings: The settings file.
+        log: Takes what is decided.
+        lines: Writes the log, and counts what it had to drop.
         seed: Seeds every random choice.
     """
 
-    def __init__(self, *, settings: PlatformSettings, seed: int) -> None:
-        self._store = _store(settings)
+    def __init__(
+        self, *, settings: PlatformSettings, log: Log, lines: LineStream, seed: int
+    ) -> None:
+        self._log = log
+        self._metrics = Metrics()
+        self._metrics.watch(
+            name="log_lines_dropped",
+            help="Lines of the log that its reader was too slow for.",
+            value=lambda: lines.dropped,
+        )
+        self._store = self._connect_store(settings)
         self._objects: tuple[StoredObject, ...] = ()
+        self._hosts: tuple[HostName, ...] = ()
         self._gateway = Gateway(
             settings=_gateway_settings(settings),
             dialect=PlatformDialect(),
             reservations=HttpReservations(),
             publish=lambda digest: self._digests.publish(digest),
-            observe=self._observe,
+            metrics=self._metrics,
+            log=log,
             seed=seed,
         )
         address = f"{settings.ip}:{settings.peer_ports[0]}"
@@ -106,7 +125,7 @@
             store=self._store, kind=CONFIGURATION_KIND, publish=self._configure, seed=seed
         )
         self._targets = mirrors.add(
-            store=_store(settings),
+            store=self._connect_store(settings),
             kind=TARGETS_KIND,
             publish=self._list,
             return_grace=RETURN_GRACE,
@@ -157,15 +176,29 @@
         self._gateway.set_targets(tuple(target for target in found if target is not None))
 
     def _members_changed(self, members: tuple[Member, ...]) -> None:
+        hosts = live_hosts(members)
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._log.write(PeersKnown(hosts=",".join(hosts)))
         shell = self._gateway.shell
-        shell.dispatch(PeersChanged(now=shell.now, hosts=live_hosts(members)))
-
-    def _observe(self, effect: Observe) -> None:
-        """Metrics are not connected yet."""
-
+        shell.dispatch(PeersChanged(now=shell.now, hosts=hosts))
+
+    def _connect_store(self, settings: PlatformSettings) -> HttpStore:
+        return HttpStore(
+            address=settings.store.address,
+            timeout=STORE_TIMEOUT,
+            pause=STORE_PAUSE,
+            called=self._count_call,
+        )
 
-def _store(settings: PlatformSettings) -> HttpStore:
-    return HttpStore(address=settings.store.address, timeout=STORE_TIMEOUT, pause=STORE_PAUSE)
+    def _count_call(self, method: str, kind: str, result: str) -> None:
+        self._metrics.count(
+            name="store_calls",
+            help="Calls to the platform's store, by kind of object and result.",
+            method=method,
+            kind=kind,
+            result=result,
+        )
 
 
 def _target(item: StoredObject, services: tuple[Service, ...]) -> Target | None:
@@ -183,6 +216,7 @@
         places=settings.places,
         callers=settings.addresses.callers,
         readiness=settings.addresses.readiness,
+        metrics=f"{settings.ip}:{METRICS_PORT}",
         grace=settings.bounds.grace_seconds,
         retry_share=settings.bounds.retry_ratio * RETRY_MARGIN,
         retry_burst=settings.bounds.retry_slack * RETRY_MARGIN,
@@ -196,24 +230,23 @@
     Returns:
         0 after a graceful stop, 1 where an address cannot be used, 2 where the settings are wrong.
     """
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.set_stderrthreshold(logging.DEBUG)
     try:
         settings = read_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
     except PlatformSettingsError as error:
         logging.error("edge: %s", error)
         return EXIT_SETTINGS
+    lines = start_logs(host=settings.host)
     try:
-        asyncio.run(_serve(settings))
+        asyncio.run(_serve(settings, lines))
     except OSError as error:
         logging.error("edge: An address cannot be used: %s", error)
         return EXIT_START
     return EXIT_OK
 
 
-async def _serve(settings: PlatformSettings) -> None:
+async def _serve(settings: PlatformSettings, lines: LineStream) -> None:
     stop = asyncio.Event()
     for number in (SIGTERM, SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await Edge(settings=settings, seed=hash(settings.host) & 0xFFFF).serve(stop)
+    seed = xxh3_64_intdigest(settings.host.encode()) & 0xFFFF
+    await Edge(settings=settings, log=Log(), lines=lines, seed=seed).serve(stop)
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -1,7 +1,7 @@
 """The object store over HTTP and JSON."""
 
 from asyncio import get_running_loop, sleep
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import quote, urlencode
@@ -34,6 +34,8 @@
 
 Body = TypeVar("Body")
 
+Called = Callable[[str, str, str], None]
+
 DEFAULT_TIMEOUT = 2.0
 """Seconds that a call may take."""
 
@@ -49,22 +51,33 @@
 JSON_HEADERS: Headers = (("content-type", "application/json"),)
 
 
+def _ignore(method: str, kind: str, result: str) -> None:
+    """Count no calls."""
+
+
 class HttpStore:
     """The `azureswitch.ports.Store` port over HTTP.
 
     Args:
         address: ``IP:PORT`` of the store.
         timeout: Seconds that a call may take, a watch's waiting left out.
+        called: Told of each call by method, kind of object and result.
         pause: Seconds between two calls of a watch that bring changes, so that changes which come
             in a series cost fewer calls.
     """
 
     def __init__(
-        self, *, address: str, timeout: float = DEFAULT_TIMEOUT, pause: float = 0.0
+        self,
+        *,
+        address: str,
+        timeout: float = DEFAULT_TIMEOUT,
+        pause: float = 0.0,
+        called: Called = _ignore,
     ) -> None:
         self._client = HttpClient(address=address)
         self._timeout = timeout
         self._pause = pause
+        self._called = called
 
     async def get(self, *, kind: str, name: str) -> StoredObject:
         """Return an object."""
@@ -161,6 +174,7 @@
         self, *, method: str, path: str, key: str, body: bytes = b"", timeout: float = 0.0
     ) -> HttpAnswer:
         lost = StoreUnavailableError if method == "GET" else StoreOutcomeUnknownError
+        kind = key.partition("/")[0]
         try:
             answer = await self._client.request(
                 method=method,
@@ -170,9 +184,12 @@
                 timeout=timeout or self._timeout,
             )
         except HttpNotSentError as error:
+            self._called(method, kind, "not sent")
             raise StoreUnavailableError(key=key) from error
         except HttpBrokenError as error:
+            self._called(method, kind, "broken")
             raise lost(key=key) from error
+        self._called(method, kind, str(answer.head.status))
         if answer.head.status < HTTPStatus.BAD_REQUEST:
             return answer
         raise _failure(
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -146,6 +146,8 @@
             resume_from=record.tokens,
             timeout=max(0.0, call.deadline - now),
             reserved=choice.reserved,
+            first_token=choice.first_token,
+            accounts=state.ledger.accounts,
             first_patience=silence.first,
             gap_patience=silence.gap,
         )
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -49,6 +49,8 @@
         resume_from: Output tokens that the caller has already.
         timeout: Seconds that the request has left.
         reserved: Tokens of memory to be set aside at each target before it is sent, or nothing.
+        first_token: Predicted seconds to the first token, or zero where there is no prediction.
+        accounts: Peers whose sends the choice knew of.
         first_patience: Seconds without any output after which the attempt is broken off.
         gap_patience: Seconds without further output after which it is broken off.
     """
@@ -60,6 +62,8 @@
     resume_from: int
     timeout: float
     reserved: tuple[int, ...] = ()
+    first_token: float = 0.0
+    accounts: int = 0
     first_patience: float = inf
     gap_patience: float = inf
 
--- a/src/azureswitch/serving/_ledger.py
+++ b/src/azureswitch/serving/_ledger.py
@@ -38,6 +38,11 @@
         """Whether this host's account is not what its peers were told last."""
         return self._changed
 
+    @property
+    def accounts(self) -> int:
+        """How many peers' accounts are known."""
+        return len(self._accounts)
+
     def at(self, target: TargetName) -> Occupancy:
         """Return what all hosts have at a target."""
         own = self._own.get(target)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,7 @@
 def _characters() -> None:
     """Have the table of all characters built.
 
-    On a fresh checkout the first text that is drawn has it built, which takes 3 s and more on a busy
-    machine.  That is no part of drawing an example, which is watched for being slow.
+    On a fresh checkout the first text that is drawn has it built, which takes 3 s and more on a
+    busy machine.  That is no part of drawing an example, which is watched for being slow.
     """
     st.text().validate()
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -20,6 +20,8 @@
 )
 from azureswitch.gateway._http import Exchange, HttpServer
 from azureswitch.inventory import EnginePace, Place, Service, ServiceKind, Target
+from azureswitch.logs import Log
+from azureswitch.metrics import Metrics
 from azureswitch.platform import PlatformDialect
 
 PATIENCE = 20.0
@@ -324,6 +326,7 @@
             places=(Place(name=PlaceName("p1"), region="r"),),
             callers="127.0.0.1:0",
             readiness="127.0.0.1:0",
+            metrics="127.0.0.1:0",
             grace=4.0,
             retry_share=0.2,
             retry_burst=50.0,
@@ -332,7 +335,8 @@
         dialect=PlatformDialect(),
         reservations=reservations,
         publish=lambda digest: None,
-        observe=lambda effect: None,
+        metrics=Metrics(),
+        log=Log(),
         seed=1,
     )
     await gateway.start()
