Let each of up to 128 hosts hear at once of the sends of the others

Change: the gateway's digests hold the ledger and the suspects alone, go to all hosts, at once upon a change and each 0.8 s else.

--- a/src/azureswitch/coordination/sharing/_exchange.py
+++ b/src/azureswitch/coordination/sharing/_exchange.py
@@ -48,6 +48,7 @@
         dispatch: Hands an event to the reducer.
         clock: Returns seconds of the monotonic clock.
         seed: Seeds the order of receivers.
+        full_hosts: Hosts up to which each digest goes to everyone.
     """
 
     def __init__(
@@ -59,7 +60,9 @@
         dispatch: Callable[[ServingEvent], None],
         clock: Callable[[], float],
         seed: int,
+        full_hosts: int = FULL_HOSTS,
     ) -> None:
+        self._full_hosts = full_hosts
         self._myself = myself
         self._peers = peers
         self._members = members
@@ -80,7 +83,7 @@
             for member in self._members()
             if member.incarnation != self._myself and member.status is not MemberStatus.DEAD
         ]
-        if len(others) < FULL_HOSTS:
+        if len(others) < self._full_hosts:
             packed = pack_digest(digest)
         elif self._meter.room(now=self._clock()) < self._size:
             return
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -49,6 +49,12 @@
 EXIT_MARGIN = 0.4
 """Seconds before the process would be killed at which it ends of itself."""
 
+DIGEST_PERIOD = 0.8
+"""Seconds between two regular digests; what changes is told at once.
+
+Peers forget an account after 2.5 s, so that two in a row may be lost.
+"""
+
 METRICS_PATH = "/metrics"
 
 IDLE_CHECK = 0.05
@@ -123,6 +129,8 @@
             myself=HostSelf(name=settings.host, place=settings.place, started=started),
             seed=seed,
             retries=retries,
+            digest_period=DIGEST_PERIOD,
+            lean=True,
         )
         self._shell = Shell(
             state=state,
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -63,6 +63,12 @@
 REREAD_SECONDS = 2.0
 """Seconds after which the settings file is read again without a signal."""
 
+FULL_HOSTS = 128
+"""Hosts up to which each hears at once of each send of the others.
+
+Without it 77 hosts chose engines by their own sends alone.
+"""
+
 METRICS_PORT = 9464
 """The port on which metrics are read, as the deploy file says."""
 
@@ -142,6 +148,7 @@
             dispatch=self._gateway.shell.dispatch,
             clock=monotonic,
             seed=seed,
+            full_hosts=FULL_HOSTS,
         )
 
     def reread(self, settings: PlatformSettings) -> None:
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -57,9 +57,6 @@
 TICK = 0.05
 """Seconds between two `Ticked` events."""
 
-DIGEST_PERIOD = 0.2
-"""Seconds between two digests."""
-
 
 def reduce(state: ServingState, event: ServingEvent) -> Effects:
     """Apply an event.
@@ -303,7 +300,16 @@
 
 
 def _digest(state: ServingState, *, now: float) -> PublishDigest:
-    sequence = state.next_digest(now=now, period=DIGEST_PERIOD)
+    sequence = state.next_digest(now=now)
+    if state.lean:
+        lean = Digest(
+            host=state.myself.name,
+            sequence=sequence,
+            started=state.myself.started,
+            suspects=state.fleet.suspects(now=now),
+            occupancies=state.ledger.tell(),
+        )
+        return PublishDigest(digest=lean)
     digest = Digest(
         host=state.myself.name,
         sequence=sequence,
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -17,6 +17,9 @@
 from azureswitch.serving._queue import WaitingQueue
 from azureswitch.serving._retries import RetryBudget
 
+DIGEST_PERIOD = 0.2
+"""Seconds between two regular digests where nothing else is said."""
+
 ABANDONED_CLAIM_SECONDS = 600.0
 """How long a claim whose call was given up on is awaited, to be settled as not run."""
 
@@ -115,9 +118,20 @@
         myself: This host.
         seed: Seeds every random choice.
         retries: How many retries are permitted, or None for the usual budget.
+        digest_period: Seconds between two regular digests.
+        lean: Whether digests tell nothing but the ledger and the suspects, as hosts do that limit
+            no customers and split no engines by demand.
     """
 
-    def __init__(self, *, myself: HostSelf, seed: int, retries: RetryBudget | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        myself: HostSelf,
+        seed: int,
+        retries: RetryBudget | None = None,
+        digest_period: float = DIGEST_PERIOD,
+        lean: bool = False,
+    ) -> None:
         self._myself = myself
         self._random = Random(seed)
         self._snapshot: Snapshot | None = None
@@ -133,6 +147,8 @@
         self._split = Split()
         self._retries = retries or RetryBudget()
         self._ledger = Ledger()
+        self._digest_period = digest_period
+        self._lean = lean
         self._digest_sequence = 0
         self._digest_due = 0.0
 
@@ -244,9 +260,14 @@
         """Return whether the regular digest is due."""
         return now >= self._digest_due
 
-    def next_digest(self, *, now: float, period: float) -> int:
+    @property
+    def lean(self) -> bool:
+        """Whether digests tell nothing but the ledger and the suspects."""
+        return self._lean
+
+    def next_digest(self, *, now: float) -> int:
         """Return the sequence number of the next digest, and note when another one is due."""
-        self._digest_due = now + period
+        self._digest_due = now + self._digest_period
         self._digest_sequence += 1
         return self._digest_sequence
 
