Give both shells one loop, and both ways out one list of connection headers

Cause: the gateway had written again the entry's queue of events and the list of headers that concern one connection. Change: `serving.Loop` and `client.HOP_BY_HOP` serve both.

--- a/src/azureswitch/client/__init__.py
+++ b/src/azureswitch/client/__init__.py
@@ -1,6 +1,14 @@
 """A small HTTP/1.1 client that says exactly whether a request was sent."""
 
-from azureswitch.client._answer import Headers, HttpAnswer, HttpHead
+from azureswitch.client._answer import HOP_BY_HOP, Headers, HttpAnswer, HttpHead
 from azureswitch.client._client import SAFE_METHODS, HttpClient, HttpExchange
 
-__all__ = ["SAFE_METHODS", "Headers", "HttpAnswer", "HttpClient", "HttpExchange", "HttpHead"]
+__all__ = [
+    "HOP_BY_HOP",
+    "SAFE_METHODS",
+    "Headers",
+    "HttpAnswer",
+    "HttpClient",
+    "HttpExchange",
+    "HttpHead",
+]
--- a/src/azureswitch/client/_answer.py
+++ b/src/azureswitch/client/_answer.py
@@ -4,6 +4,23 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+"""Headers that concern one connection or its framing alone, and are never passed on."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpHead:
--- a/src/azureswitch/engines/_plain.py
+++ b/src/azureswitch/engines/_plain.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Set
 
-from azureswitch.client import SAFE_METHODS, Headers, HttpClient, HttpExchange
+from azureswitch.client import HOP_BY_HOP, SAFE_METHODS, Headers, HttpClient, HttpExchange
 from azureswitch.core import TargetName
 from azureswitch.engines._failures import says_not_run
 from azureswitch.exceptions import (
@@ -14,24 +14,10 @@
 )
 from azureswitch.ports import PlainAnswer, PlainRequest
 
-CONNECTION_HEADERS = frozenset(
-    (
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-"""Headers that belong to one connection and are not passed on."""
+CONNECTION_HEADERS = HOP_BY_HOP | {"host"}
+"""Headers that are not passed on; the client names the host itself."""
 
-OWN_HEADERS = frozenset(("authorization", "expect", "idempotency-key", "x-request-id"))
+OWN_HEADERS = frozenset(("authorization", "idempotency-key", "x-request-id"))
 """Headers of a request that are for azureswitch or that it sets itself."""
 
 
--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -1,7 +1,6 @@
 """The shell around the serving reducer: hands it events and carries out its effects."""
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
 from time import monotonic
@@ -31,6 +30,7 @@
     ClaimReplayed,
     FinishCall,
     HostSelf,
+    Loop,
     Observe,
     PrioritizeAttempt,
     PublishDigest,
@@ -41,7 +41,6 @@
     SnapshotAdopted,
     StartAttempt,
     Ticked,
-    reduce,
 )
 from azureswitch.tasks import Tasks
 
@@ -96,8 +95,7 @@
             clock=clock,
             tasks=self._tasks,
         )
-        self._events: deque[ServingEvent] = deque()
-        self._busy = False
+        self._loop = Loop(state=self._state, run=self._run)
         self._leaving = False
         self._closing: set[asyncio.Task[None]] = set()
         self._stall_check_at = 0.0
@@ -131,16 +129,7 @@
 
     def dispatch(self, event: ServingEvent) -> None:
         """Hand an event to the reducer and carry out what it asks for, in order."""
-        self._events.append(event)
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._events:
-                for effect in reduce(self._state, self._events.popleft()):
-                    self._run(effect)
-        finally:
-            self._busy = False
+        self._loop.dispatch(event)
 
     def submit(self, record: Record) -> None:
         """Take a request; its answer is over when the request has ended."""
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -1,7 +1,6 @@
 """The shell around the serving reducer: hands it events and carries out its effects."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 from time import monotonic
@@ -25,13 +24,13 @@
     CancelAttempt,
     Digest,
     FinishCall,
+    Loop,
     Observe,
     PublishDigest,
     ServingEvent,
     ServingState,
     StartAttempt,
     Ticked,
-    reduce,
 )
 
 
@@ -61,7 +60,6 @@
         log: Log,
         clock: Callable[[], float] = monotonic,
     ) -> None:
-        self._state = state
         self._dialect = dialect
         self._publish = publish
         self._metrics = metrics
@@ -76,8 +74,7 @@
             clock=clock,
         )
         self._records: dict[CallId, CallRecord] = {}
-        self._events: deque[ServingEvent] = deque()
-        self._busy = False
+        self._loop = Loop(state=state, run=self._run)
         self._lag = 0.0
 
     @property
@@ -107,16 +104,7 @@
 
     def dispatch(self, event: ServingEvent) -> None:
         """Hand an event to the reducer and carry out what it asks for, in order."""
-        self._events.append(event)
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._events:
-                for effect in reduce(self._state, self._events.popleft()):
-                    self._run(effect)
-        finally:
-            self._busy = False
+        self._loop.dispatch(event)
 
     async def run(self) -> None:
         """Let time pass for the reducer until cancelled."""
--- a/src/azureswitch/platform/_dialect.py
+++ b/src/azureswitch/platform/_dialect.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from azureswitch.client import Headers, HttpHead
+from azureswitch.client import HOP_BY_HOP, Headers, HttpHead
 from azureswitch.core import CallId
 from azureswitch.exceptions import AzureswitchError, InvalidHeaderError
 from azureswitch.gateway import Arrival, Helper, HttpRequest, Sending, Verdict
@@ -139,5 +139,5 @@
         if name == "connection"
         for token in value.split(",")
     }
-    gone = names.HOP_BY_HOP | dropped | listed
+    gone = HOP_BY_HOP | dropped | listed
     return tuple((name, value) for name, value in pairs if name not in gone)
--- a/src/azureswitch/platform/_headers.py
+++ b/src/azureswitch/platform/_headers.py
@@ -36,23 +36,6 @@
 
 RETRY_AFTER = "retry-after"
 
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    )
-)
-"""Headers that concern one connection or its framing alone."""
-
 SET_BY_US = frozenset(
     (
         MILLISECONDS_LEFT,
--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -39,6 +39,7 @@
     Ticked,
     TokensArrived,
 )
+from azureswitch.serving._loop import Loop
 from azureswitch.serving._reduce import TICK, reduce
 from azureswitch.serving._retries import RetryBudget
 from azureswitch.serving._state import ServingState
@@ -65,6 +66,7 @@
     "FirstTokenArrived",
     "HostSelf",
     "LoadReported",
+    "Loop",
     "Observation",
     "Observe",
     "Occupancy",
