Break off a stream that a target's failure cannot go on with

Cause: found by reading: where a stream had begun and the next target answered with a status of its own such as 404, that answer could not be given, the call counted as answered, and the caller was left with half a stream until it gave up. Change: a failure of a target behind a stream that has begun counts as a broken attempt.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -229,6 +229,9 @@
         success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
         if success and not (verdict.readable and verdict.sealed):
             raise TargetAnswerError(target=target)
+        if record.exchange.started and not success:
+            # Half an answer is with the caller; a target's failure cannot end it.
+            raise TargetAnswerError(target=target)
         if success and record.route.kind is RouteKind.STREAMING:
             return await self._stream(record, effect, answer, patience)
         return await self._whole(record, effect, answer)
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -46,6 +46,7 @@
     BREAK = "breaks off in the middle of the answer"
     TEAR = "breaks off in the middle of an event"
     ENCODE = "answers in an encoding"
+    REJECT = "answers that the request is wrong"
     REPEAT = "begins a stream anew, whatever its caller has"
 
 
@@ -154,6 +155,8 @@
             return
         if act is Act.CLOSE:
             exchange.abort()
+        elif act is Act.REJECT:
+            exchange.respond(status=404, headers=headers, body=b"rejected")
         elif act is Act.FAIL:
             exchange.respond(status=500, headers=headers, body=b"failed")
         elif self._streams:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -79,6 +79,8 @@
             ("/book/", [Act.CROSS], HTTPStatus.BAD_GATEWAY, 1),
             ("/book/", [Act.FAIL], HTTPStatus.INTERNAL_SERVER_ERROR, 1),
             ("/book/", [Act.REFUSE, Act.CLOSE], HTTPStatus.BAD_GATEWAY, 1),
+            ("/book/", [Act.REJECT], HTTPStatus.NOT_FOUND, 1),
+            ("/read/", [Act.REJECT], HTTPStatus.NOT_FOUND, 1),
         ],
     )
     def test_failures(self, path: str, acts: list[Act], status: HTTPStatus, runs: int) -> None:
@@ -90,7 +92,7 @@
                 assert answer.head.status == status
                 assert len(bed.fleet.runs) == runs
                 sealed = answer.head.header(name="x-azureswitch-response-seal") is not None
-                assert sealed is (status in (200, 500))
+                assert sealed is (status in (200, 404, 500))
 
         run(scenario)
 
@@ -148,6 +150,19 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("second", [Act.REJECT, Act.FAIL, Act.CLOSE])
+    def test_not_resumed(self, second: Act) -> None:
+        """A stream that goes on nowhere is broken off at once, and does not look complete."""
+
+        async def scenario() -> None:
+            async with serve(acts=[Act.BREAK, second]) as bed:
+                begun = asyncio.get_running_loop().time()
+                with pytest.raises(HttpBrokenError):
+                    await bed.ask("/ask/", headers=model_headers())
+                assert asyncio.get_running_loop().time() - begun < 3.0
+
+        run(scenario)
+
     def test_goes_on(self) -> None:
         """A caller that has some events gets the others."""
 
--- a/tests/gateway/test_rules.py
+++ b/tests/gateway/test_rules.py
@@ -78,7 +78,8 @@
             whole = whole_stream(EVENTS, first=outcome.after + 1)
         assert outcome.answer.body == whole
     sealed = outcome.answer.head.header(name="x-azureswitch-response-seal") is not None
-    assert sealed is (status in (HTTPStatus.OK, HTTPStatus.INTERNAL_SERVER_ERROR))
+    targets_own = (HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.INTERNAL_SERVER_ERROR)
+    assert sealed is (status in targets_own)
 
 
 class TestRules:
