Start a loop of the gateway again where it fails

Cause: found by reading: a fault in a copy of the store's objects, in membership or in a regular step of the reducer would have ended that loop for good, and the process would have gone on by an old configuration or without deadlines. The entry host has had a cure for this. Change: `tasks.keep_running` serves both.

--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -220,6 +220,7 @@
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
+        self._tasks = Tasks(prefix="mirror")
         ticks = create_task(self._tick())
         try:
             await self._follow()
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -1,7 +1,7 @@
 """An entry host that can be embedded."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from contextlib import suppress
 from random import SystemRandom
 
@@ -17,10 +17,7 @@
 from azureswitch.entry._wiring import EntryPorts, Parts, http_ports
 from azureswitch.peers import PeerNetwork
 from azureswitch.settings import Address
-from azureswitch.tasks import Tasks
-
-RESTART_PAUSE = 0.25
-"""Seconds before a loop that failed starts again."""
+from azureswitch.tasks import Tasks, keep_running
 
 SETTLE_TIMEOUT = 30.0
 """Seconds that a leaving host waits for the store to take the outcomes of its last calls."""
@@ -83,7 +80,7 @@
         ports = self._ports or await self._real_ports()
         self._parts = Parts(settings=self._settings, ports=ports, seed=self._seed)
         for name, loop in self._parts.loops.items():
-            self._tasks.spawn(_keep_running(name, loop), name=name)
+            self._tasks.spawn(keep_running(loop, prefix="entry", name=name), name=name)
         limits = self._settings.limits
         self._api = CallerApi(shell=self.shell, limits=limits)
         self._jobs = JobApi(
@@ -160,16 +157,6 @@
         return http_ports(self._settings, self._network)
 
 
-async def _keep_running(name: str, loop: Callable[[], Coroutine[object, object, None]]) -> None:
-    """Run a loop, and again where it fails: without it requests, memory or claims would hang."""
-    while True:
-        try:
-            await loop()
-        except Exception:
-            logging.exception("entry: Loop %s failed and starts again.", name)
-        await asyncio.sleep(RESTART_PAUSE)
-
-
 async def _application(*installers: Callable[[Application], None]) -> Application:
     app = Application(router=Router())
     for install in installers:
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -39,6 +39,7 @@
     ServingState,
     SnapshotAdopted,
 )
+from azureswitch.tasks import keep_running
 
 LINGER_SECONDS = 3.0
 """Seconds for which a leaving process takes connections on.
@@ -192,7 +193,9 @@
         await self._platform.start(address=self._settings.readiness)
         await self._callers.start(address=self._settings.callers)
         await self._pages.start(address=self._settings.metrics)
-        self._ticks = asyncio.create_task(self._shell.run())
+        self._ticks = asyncio.create_task(
+            keep_running(self._shell.run, prefix="gateway", name="ticks")
+        )
         self._log.write(Started(callers=self.callers_address, readiness=self.readiness_address))
 
     async def stop(self) -> None:
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -37,6 +37,7 @@
 from azureswitch.platform._store import HttpStore
 from azureswitch.ports import StoredObject
 from azureswitch.serving import PeersChanged
+from azureswitch.tasks import keep_running
 
 EXIT_OK = 0
 EXIT_START = 1
@@ -164,8 +165,15 @@
         """
         await self._gateway.start()
         await self._network.start()
-        parts = (self._configuration.run, self._targets.run, self._membership.run)
-        loops = [asyncio.create_task(part()) for part in parts]
+        parts = {
+            "configuration": self._configuration.run,
+            "targets": self._targets.run,
+            "membership": self._membership.run,
+        }
+        loops = [
+            asyncio.create_task(keep_running(part, prefix="edge", name=name))
+            for name, part in parts.items()
+        ]
         await stop.wait()
         await asyncio.gather(self._gateway.stop(), self._membership.leave())
         for loop in loops:
--- a/src/azureswitch/tasks.py
+++ b/src/azureswitch/tasks.py
@@ -1,10 +1,31 @@
 """Background tasks that are kept, logged when they fail, and ended together."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from absl import logging
 
+RESTART_PAUSE = 0.25
+"""Seconds before a loop that failed starts again."""
+
+
+async def keep_running(
+    loop: Callable[[], Coroutine[object, object, None]], *, prefix: str, name: str
+) -> None:
+    """Run a loop, and again where it fails: without it requests, memory or claims would hang.
+
+    Args:
+        loop: Starts the loop.
+        prefix: What log lines begin with.
+        name: The loop's name in them.
+    """
+    while True:
+        try:
+            await loop()
+        except Exception:
+            logging.exception("%s: Loop %s failed and starts again.", prefix, name)
+        await asyncio.sleep(RESTART_PAUSE)
+
 
 class Tasks:
     """The tasks of one part.
