Call what the project had, where the gateway had written it again

Cause: read once more as a whole, the change had parts beside their twins. Hosts were ranked by a hash of the mirror's own beside `coordination.hashing.ranked`; attempts and releases of tickets kept and checked their tasks by hand beside `tasks.Tasks`; the same answer to a failure stood in three places; a lean and a full digest repeated five fields; a loop ran over one target; `gateway.Site` was used by nothing. Change: the pieces named serve, `respond_failure` answers, and the dead class is gone. Which host is first in rank for a kind changes with the hash, and nothing else does.

--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -16,8 +16,8 @@
 from random import Random
 
 from absl import logging
-from xxhash import xxh3_64_intdigest
 
+from azureswitch.coordination.hashing import ranked
 from azureswitch.coordination.membership import Member, live_hosts
 from azureswitch.coordination.mirror._events import (
     Broken,
@@ -126,7 +126,7 @@
     def rank(self, kind: str) -> int:
         """Return how many other hosts are to check a kind before this one."""
         hosts = {*live_hosts(self._members()), self._host}
-        return sorted(hosts, key=lambda host: _weight(kind, host)).index(self._host)
+        return ranked(name=kind, hosts=hosts).index(self._host)
 
     def tell(self, kind: str, effect: TellPeers) -> None:
         """Tell the other hosts that this one has checked a kind."""
@@ -348,10 +348,6 @@
         self._tasks.spawn(self._ask_peer(effect.address), name=f"copy of {self._kind}")
 
 
-def _weight(kind: str, host: HostName) -> int:
-    return xxh3_64_intdigest(f"{kind} {host}".encode())
-
-
 async def _end(task: Task[object] | Task[None]) -> None:
     task.cancel()
     try:
--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -40,7 +40,6 @@
 RANK_MOST = 3
 """Rank from which all hosts check at the same time."""
 
-
 WATCHERS = 4
 """Hosts, the first in rank, that have a watch waiting; the others hear of changes from them."""
 
--- a/src/azureswitch/gateway/_front.py
+++ b/src/azureswitch/gateway/_front.py
@@ -10,6 +10,7 @@
     UnauthenticatedError,
     UnknownPathError,
 )
+from azureswitch.gateway._failures import respond_failure
 from azureswitch.gateway._http import Exchange
 from azureswitch.gateway._log import RequestAdmitted, RequestRefused
 from azureswitch.gateway._model import Arrival, CallerLimits, Deployment, Route, RouteKind
@@ -85,8 +86,7 @@
 
     def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
         """Answer a request that is not run."""
-        headers, body = self._dialect.failure(error)
-        exchange.respond(status=error.status, headers=headers, body=body)
+        respond_failure(exchange, error, dialect=self._dialect)
         refused = RequestRefused(
             id=self._dialect.id_of(exchange.request),
             code=error.code,
--- a/src/azureswitch/gateway/_model.py
+++ b/src/azureswitch/gateway/_model.py
@@ -5,8 +5,8 @@
 from enum import Enum
 
 from azureswitch.client import Headers
-from azureswitch.core import CallId, CustomerName, PlaceName, ServiceName
-from azureswitch.inventory import Place, Service
+from azureswitch.core import CallId, CustomerName, ServiceName
+from azureswitch.inventory import Service
 
 
 class RouteKind(Enum):
@@ -105,21 +105,6 @@
     limits: CallerLimits = CallerLimits()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Site:
-    """Where this process runs.
-
-    Attributes:
-        host: The name of its host.
-        place: Its failure domain.
-        places: All failure domains and their regions.
-    """
-
-    host: str
-    place: PlaceName
-    places: tuple[Place, ...]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpRequest:
     """A whole request of a caller.
--- a/src/azureswitch/gateway/_pages.py
+++ b/src/azureswitch/gateway/_pages.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 
 from azureswitch.exceptions import AzureswitchError, NotConfiguredError, UnknownPathError
+from azureswitch.gateway._failures import respond_failure
 from azureswitch.gateway._http import Exchange
 from azureswitch.gateway._model import CallerLimits
 from azureswitch.gateway._ports import Dialect
@@ -37,8 +38,7 @@
 
     def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
         """Answer with the failure's status."""
-        headers, body = self._dialect.failure(error)
-        exchange.respond(status=error.status, headers=headers, body=body)
+        respond_failure(exchange, error, dialect=self._dialect)
 
 
 class ReadinessPage(Page):
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -5,10 +5,9 @@
 from functools import singledispatchmethod
 from time import monotonic
 
-from absl import logging
-
 from azureswitch.core import CallId, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
+from azureswitch.gateway._failures import respond_failure
 from azureswitch.gateway._log import RequestAnswered, RequestFailed
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
@@ -32,6 +31,7 @@
     StartAttempt,
     Ticked,
 )
+from azureswitch.tasks import Tasks
 
 
 class Shell:
@@ -75,6 +75,7 @@
         )
         self._records: dict[CallId, CallRecord] = {}
         self._loop = Loop(state=state, run=self._run)
+        self._tasks = Tasks(prefix="gateway")
         self._lag = 0.0
 
     @property
@@ -127,9 +128,7 @@
         if record is None:
             return
         work = self._relay.run(record, effect)
-        task = asyncio.get_running_loop().create_task(work, name=f"{effect.call}")
-        record.tasks[effect.attempt] = task
-        task.add_done_callback(_check)
+        record.tasks[effect.attempt] = self._tasks.spawn(work, name=f"{effect.call}")
 
     @_run.register
     def _(self, effect: CancelAttempt) -> None:
@@ -162,8 +161,7 @@
         elif record.fallback is not None:
             self._relay.respond(record, record.fallback)
         else:
-            headers, body = self._dialect.failure(error)
-            record.exchange.respond(status=error.status, headers=headers, body=body)
+            respond_failure(record.exchange, error, dialect=self._dialect)
 
     def _tell(self, record: CallRecord, error: AzureswitchError | None) -> None:
         """Log and count how a request ended."""
@@ -205,9 +203,3 @@
             route=record.route.name,
             code=error.code,
         )
-
-
-def _check(task: asyncio.Task[None]) -> None:
-    """Log the failure of a task that should not fail."""
-    if not task.cancelled() and task.exception() is not None:
-        logging.error("gateway: Attempt %s failed.", task.get_name(), exc_info=task.exception())
--- a/src/azureswitch/gateway/_tickets.py
+++ b/src/azureswitch/gateway/_tickets.py
@@ -14,6 +14,7 @@
 
 from azureswitch.exceptions import TargetError
 from azureswitch.gateway._ports import Reservations
+from azureswitch.tasks import Tasks
 
 HOLD_SECONDS = 3.5
 """Seconds for which memory is set aside; it must be free 4 s after its last use."""
@@ -46,7 +47,7 @@
 
     def __init__(self, *, reservations: Reservations) -> None:
         self._reservations = reservations
-        self._releases: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks(prefix="tickets")
         self._held = 0
 
     @property
@@ -79,9 +80,7 @@
             if renewals is not None:
                 renewals.cancel()
             # In the background, since the block may be left because its task is called off.
-            task = asyncio.create_task(self._release(wanted))
-            self._releases.add(task)
-            task.add_done_callback(self._releases.discard)
+            self._tasks.spawn(self._release(wanted), name="release")
 
     async def _reserve(self, tickets: tuple[Ticket, ...]) -> None:
         results = await asyncio.gather(
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -388,16 +388,15 @@
 
     Of several the one that is said to be at fault is meant, and else the first, which answers.
     """
-    several = len(targets) > 1
-    if several and record.pool.pace is None:
+    if len(targets) > 1 and record.pool.pace is None:
         return
-    for target in (event.at_fault or targets[0],):
-        record.failed.add(target)
-        if event.retry_after is not None and event.end is AttemptEnd.REFUSED:
-            state.fleet.full(target, seconds=event.retry_after, now=event.now)
-        else:
-            longest = PACED_EJECT_MOST if record.call.unshared else EJECT_MOST
-            state.fleet.failed(target, now=event.now, longest=longest)
+    target = event.at_fault or targets[0]
+    record.failed.add(target)
+    if event.retry_after is not None and event.end is AttemptEnd.REFUSED:
+        state.fleet.full(target, seconds=event.retry_after, now=event.now)
+    else:
+        longest = PACED_EJECT_MOST if record.call.unshared else EJECT_MOST
+        state.fleet.failed(target, now=event.now, longest=longest)
 
 
 def retry(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -1,5 +1,6 @@
 """The one reducer of serving: every event of calls and targets to its effects."""
 
+from dataclasses import replace
 from functools import singledispatch
 
 from azureswitch.core import NO_EFFECTS, CallId, Effect, Effects
@@ -300,25 +301,20 @@
 
 
 def _digest(state: ServingState, *, regular: bool, now: float) -> PublishDigest:
-    sequence = state.next_digest(now=now)
-    if state.lean:
-        lean = Digest(
-            host=state.myself.name,
-            sequence=sequence,
-            started=state.myself.started,
-            suspects=state.fleet.suspects(now=now),
-            occupancies=state.ledger.tell(),
-        )
-        return PublishDigest(digest=lean, regular=regular)
     digest = Digest(
         host=state.myself.name,
-        sequence=sequence,
+        sequence=state.next_digest(now=now),
         started=state.myself.started,
+        suspects=state.fleet.suspects(now=now),
+        occupancies=state.ledger.tell(),
+    )
+    if state.lean:
+        return PublishDigest(digest=digest, regular=regular)
+    full = replace(
+        digest,
         loads=state.fleet.loads(),
         uses=state.fairness.uses(),
-        suspects=state.fleet.suspects(now=now),
         demands=state.split.demands(now),
         saved=state.fleet.saved(now=now),
-        occupancies=state.ledger.tell(),
     )
-    return PublishDigest(digest=digest, regular=regular)
+    return PublishDigest(digest=full, regular=regular)
