Give the HTTP server a package of its own

The exchange names what it needs of its connection as a protocol, so that neither module imports the other. Behaviour stays.

--- a/src/azureswitch/gateway/__init__.py
+++ b/src/azureswitch/gateway/__init__.py
@@ -4,10 +4,8 @@
 from azureswitch.gateway._log import PeersKnown
 from azureswitch.gateway._model import (
     Arrival,
-    CallerLimits,
     Deployment,
     Helper,
-    HttpRequest,
     Route,
     RouteKind,
     Sending,
@@ -18,13 +16,11 @@
 
 __all__ = [
     "Arrival",
-    "CallerLimits",
     "Deployment",
     "Dialect",
     "Gateway",
     "GatewaySettings",
     "Helper",
-    "HttpRequest",
     "PeersKnown",
     "Reservations",
     "Route",
--- a/src/azureswitch/gateway/_failures.py
+++ b/src/azureswitch/gateway/_failures.py
@@ -1,8 +1,8 @@
 """Tells callers of failures of ours."""
 
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.gateway._http import Exchange
 from azureswitch.gateway._ports import Dialect
+from azureswitch.server import Exchange
 
 
 def respond_failure(exchange: Exchange, error: AzureswitchError, *, dialect: Dialect) -> None:
--- a/src/azureswitch/gateway/_front.py
+++ b/src/azureswitch/gateway/_front.py
@@ -11,15 +11,15 @@
     UnknownPathError,
 )
 from azureswitch.gateway._failures import respond_failure
-from azureswitch.gateway._http import Exchange
 from azureswitch.gateway._log import RequestAdmitted, RequestRefused
-from azureswitch.gateway._model import Arrival, CallerLimits, Deployment, Route, RouteKind
+from azureswitch.gateway._model import Arrival, Deployment, Route, RouteKind
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._routes import Routes, pick_service
 from azureswitch.gateway._shell import Shell
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
+from azureswitch.server import CallerLimits, Exchange
 from azureswitch.serving import Call
 
 
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -8,7 +8,6 @@
 
 from azureswitch.core import HostName, PlaceName, TargetName
 from azureswitch.gateway._front import Front
-from azureswitch.gateway._http import HttpServer
 from azureswitch.gateway._log import (
     ConfigurationAdopted,
     Leaving,
@@ -32,6 +31,7 @@
 )
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
+from azureswitch.server import HttpServer
 from azureswitch.serving import (
     Digest,
     HostSelf,
--- a/src/azureswitch/gateway/_model.py
+++ b/src/azureswitch/gateway/_model.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from azureswitch.client import Headers
 from azureswitch.core import CallId, CustomerName, ServiceName
 from azureswitch.inventory import Service
+from azureswitch.server import CallerLimits
 
 
 class RouteKind(Enum):
@@ -69,23 +69,6 @@
         return self.kind is RouteKind.IDEMPOTENT or (streaming and self.resumable)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallerLimits:
-    """What a caller's connection may ask.
-
-    Attributes:
-        header_bytes: Bytes of a request's head.
-        body_bytes: Bytes of its body.
-        header_seconds: Seconds that its head may take.
-        idle_seconds: Seconds that a connection may be idle.
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_seconds: float = 3.0
-    idle_seconds: float = 15.0
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Deployment:
     """One accepted configuration, as the gateway serves by it.
@@ -102,28 +85,7 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     customers: Mapping[str, CustomerName] = field(default_factory=dict)
-    limits: CallerLimits = CallerLimits()
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HttpRequest:
-    """A whole request of a caller.
-
-    Attributes:
-        method: The method.
-        target: Path and query.
-        headers: The headers in order, names in lower case.
-        body: The body.
-    """
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-
-    def header(self, name: str) -> str | None:
-        """Return the first header of a lower-case name, or None."""
-        return next((value for key, value in self.headers if key == name), None)
+    limits: CallerLimits = field(default_factory=CallerLimits)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/gateway/_pages.py
+++ b/src/azureswitch/gateway/_pages.py
@@ -6,10 +6,9 @@
 
 from azureswitch.exceptions import AzureswitchError, NotConfiguredError, UnknownPathError
 from azureswitch.gateway._failures import respond_failure
-from azureswitch.gateway._http import Exchange
-from azureswitch.gateway._model import CallerLimits
 from azureswitch.gateway._ports import Dialect
 from azureswitch.metrics import Metrics
+from azureswitch.server import CallerLimits, Exchange
 
 
 class Page(ABC):
--- a/src/azureswitch/gateway/_ports.py
+++ b/src/azureswitch/gateway/_ports.py
@@ -4,7 +4,8 @@
 
 from azureswitch.client import Headers, HttpHead
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.gateway._model import Arrival, HttpRequest, Sending, Verdict
+from azureswitch.gateway._model import Arrival, Sending, Verdict
+from azureswitch.server import HttpRequest
 
 
 class Dialect(Protocol):
--- a/src/azureswitch/gateway/_records.py
+++ b/src/azureswitch/gateway/_records.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 
 from azureswitch.client import HttpAnswer
-from azureswitch.gateway._http import Exchange
 from azureswitch.gateway._model import Arrival, Route
+from azureswitch.server import Exchange
 from azureswitch.serving import Call
 
 
--- a/src/azureswitch/platform/_deployment.py
+++ b/src/azureswitch/platform/_deployment.py
@@ -6,9 +6,10 @@
 
 from azureswitch.core import CustomerName, PlaceName, ServiceName, TargetName
 from azureswitch.exceptions import DeploymentUnreadableError
-from azureswitch.gateway import CallerLimits, Deployment, Route, RouteKind, Share
+from azureswitch.gateway import Deployment, Route, RouteKind, Share
 from azureswitch.inventory import EnginePace, Service, ServiceKind, Target, TargetRole
 from azureswitch.ports import StoredObject
+from azureswitch.server import CallerLimits
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
--- a/src/azureswitch/platform/_dialect.py
+++ b/src/azureswitch/platform/_dialect.py
@@ -8,8 +8,9 @@
 from azureswitch.client import HOP_BY_HOP, Headers, HttpHead
 from azureswitch.core import CallId
 from azureswitch.exceptions import AzureswitchError, InvalidHeaderError
-from azureswitch.gateway import Arrival, Helper, HttpRequest, Sending, Verdict
+from azureswitch.gateway import Arrival, Helper, Sending, Verdict
 from azureswitch.platform import _headers as names
+from azureswitch.server import HttpRequest
 
 USUAL_URGENCY = 5
 """The urgency class of a request that names none."""
--- /dev/null
+++ b/src/azureswitch/server/__init__.py
@@ -0,0 +1,12 @@
+"""An HTTP/1.1 server whose answers may be passed on as they come, and broken off.
+
+blacksheep serves the product's own interface.  Here each answer passes on a target's head and must
+be able to end without looking complete, and a connection's limits change while it is open, for all
+of which a server library's application interface has no place.
+"""
+
+from azureswitch.server._exchange import Exchange, Handler
+from azureswitch.server._model import CallerLimits, HttpRequest
+from azureswitch.server._server import HttpServer
+
+__all__ = ["CallerLimits", "Exchange", "Handler", "HttpRequest", "HttpServer"]
--- /dev/null
+++ b/src/azureswitch/server/_exchange.py
@@ -0,0 +1,157 @@
+"""One request and the answer to it."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol
+
+from azureswitch.client import Headers
+from azureswitch.exceptions import AzureswitchError
+from azureswitch.server._model import CallerLimits, HttpRequest
+
+NO_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+"""Statuses whose answers have no body."""
+
+
+class Channel(Protocol):
+    """The connection that an exchange writes to."""
+
+    @property
+    def closing(self) -> bool:
+        """Whether the caller is told to use another connection for its next request."""
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough."""
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+
+    def answered(self, *, keep_alive: bool) -> None:
+        """Go on with the next request, or close."""
+
+
+class Exchange:
+    """One request and the answer to it.
+
+    Args:
+        request: The request.
+        connection: The connection that it came on.
+        keep_alive: Whether the caller may send a further request on it.
+    """
+
+    def __init__(self, *, request: HttpRequest, connection: Channel, keep_alive: bool) -> None:
+        self._request = request
+        self._connection = connection
+        self._keep_alive = keep_alive
+        self._started = False
+        self._chunked = False
+        self._over = False
+        self._left: Callable[[], None] | None = None
+
+    @property
+    def request(self) -> HttpRequest:
+        """The request."""
+        return self._request
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._started
+
+    @property
+    def over(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._over
+
+    def on_left(self, callback: Callable[[], None]) -> None:
+        """Call back if the caller closes the connection before the answer is whole."""
+        self._left = callback
+
+    def respond(self, *, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        if self._over or self._started:
+            return
+        has_body = status not in NO_BODY and status >= HTTPStatus.OK
+        length: Headers = (("content-length", str(len(body))),) if has_body else ()
+        head = self._head(status=status, headers=(*headers, *length))
+        bare = self._request.method == "HEAD" or not has_body
+        self._connection.write(head if bare else head + body)
+        self._end()
+
+    def begin(self, *, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose body follows in parts."""
+        if self._over or self._started:
+            return
+        self._chunked = True
+        framing: Headers = (("transfer-encoding", "chunked"),)
+        self._connection.write(self._head(status=status, headers=(*headers, *framing)))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not self._over and data:
+            self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def finish(self) -> None:
+        """End an answer that was begun."""
+        if not self._over:
+            self._connection.write(b"0\r\n\r\n")
+            self._end()
+
+    def abort(self) -> None:
+        """Close the connection so that what was sent does not look complete."""
+        if not self._over:
+            self._over = True
+            self._connection.abort()
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough for more to be sent."""
+        await self._connection.drain()
+
+    def leave(self) -> None:
+        """Note that the caller is gone."""
+        if self._over:
+            return
+        self._over = True
+        if self._left is not None:
+            self._left()
+
+    def _head(self, *, status: int, headers: Headers) -> bytes:
+        self._started = True
+        if self._connection.closing:
+            self._keep_alive = False
+        lines = [f"HTTP/1.1 {status} {_phrase(status)}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        if not self._keep_alive:
+            lines.append("connection: close")
+        return "\r\n".join((*lines, "", "")).encode("latin-1")
+
+    def _end(self) -> None:
+        self._over = True
+        self._connection.answered(keep_alive=self._keep_alive)
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+class Handler(Protocol):
+    """Takes requests once they have been read whole."""
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a caller's connection may ask now."""
+
+    @property
+    def closing(self) -> bool:
+        """Whether callers are told to use another connection for their next request."""
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a request; its answer is given through the exchange."""
+
+    def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
+        """Answer what is no acceptable request; the connection closes after it."""
--- /dev/null
+++ b/src/azureswitch/server/_model.py
@@ -0,0 +1,43 @@
+"""A request as it was read, and what a connection may ask."""
+
+from dataclasses import dataclass
+
+from azureswitch.client import Headers
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """What a caller's connection may ask.
+
+    Attributes:
+        header_bytes: Bytes of a request's head.
+        body_bytes: Bytes of its body.
+        header_seconds: Seconds that its head may take.
+        idle_seconds: Seconds that a connection may be idle.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpRequest:
+    """A whole request of a caller.
+
+    Attributes:
+        method: The method.
+        target: Path and query.
+        headers: The headers in order, names in lower case.
+        body: The body.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of a lower-case name, or None."""
+        return next((value for key, value in self.headers if key == name), None)
--- /dev/null
+++ b/src/azureswitch/server/_server.py
@@ -0,0 +1,61 @@
+"""Listens for callers."""
+
+import asyncio
+
+from azureswitch.server._connection import ServerConnection
+from azureswitch.server._exchange import Handler
+
+
+class HttpServer:
+    """Listens for callers.
+
+    Args:
+        handler: Takes their requests.
+    """
+
+    def __init__(self, *, handler: Handler) -> None:
+        self._handler = handler
+        self._connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self._connections)
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` that it listens on."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self, *, address: str, backlog: int = 512) -> None:
+        """Listen on ``IP:PORT``.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: ServerConnection(handler=self._handler, connections=self._connections),
+            host,
+            int(port),
+            backlog=backlog,
+        )
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being read or answered."""
+        for connection in list(self._connections):
+            if connection.idle:
+                connection.close()
+
+    def abort(self) -> None:
+        """Close all connections at once."""
+        for connection in list(self._connections):
+            connection.abort()
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -10,7 +10,6 @@
 from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
 from azureswitch.exceptions import AzureswitchError, TargetError
 from azureswitch.gateway import (
-    CallerLimits,
     Deployment,
     Gateway,
     GatewaySettings,
@@ -18,11 +17,11 @@
     RouteKind,
     Share,
 )
-from azureswitch.gateway._http import Exchange, HttpServer
 from azureswitch.inventory import EnginePace, Place, Service, ServiceKind, Target
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
 from azureswitch.platform import PlatformDialect
+from azureswitch.server import CallerLimits, Exchange, HttpServer
 
 PATIENCE = 20.0
 """Seconds that a test waits for what must happen, however busy the machine is."""
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -13,8 +13,9 @@
     TargetError,
     TargetRefusedError,
 )
-from azureswitch.gateway import CallerLimits, Verdict
+from azureswitch.gateway import Verdict
 from azureswitch.platform import PlatformDialect
+from azureswitch.server import CallerLimits
 from tests.gateway.fixtures import (
     PATIENCE,
     Act,
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -14,7 +14,7 @@
     PlatformSettingsError,
     UnknownPathError,
 )
-from azureswitch.gateway import Arrival, Helper, HttpRequest, RouteKind, Sending, Verdict
+from azureswitch.gateway import Arrival, Helper, RouteKind, Sending, Verdict
 from azureswitch.inventory import TargetRole
 from azureswitch.platform import (
     PlatformDialect,
@@ -23,6 +23,7 @@
     read_settings,
 )
 from azureswitch.ports import StoredObject
+from azureswitch.server import HttpRequest
 
 SETTINGS = """
 NodeName = "edge-pnw-a-1"
