Add a soak of real edge processes under random faults, and a target in the platform's form

Cause: the users ask for a soak of our own; nothing ran several edge processes, targets and a store of the platform's form as processes together, and the engine stand-in speaks another form.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,7 +17,7 @@
 from bench.records import Record
 
 OUTPUT = Path("build/bench.json")
-SEPARATE = frozenset({"__main__", "capacity", "faults", "records", "relay"})
+SEPARATE = frozenset({"__main__", "capacity", "faults", "records", "relay", "soak"})
 """Modules that are no benchmark, or measure real processes and have a command of their own."""
 
 
--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,125 @@
+"""Runs the soak: `make soak SEEDS=1-50`."""
+
+import asyncio
+import sys
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+from secrets import randbelow
+
+from cleo.helpers import option
+
+from azureswitch.programs import EXIT_OK, Program, run_program
+from azureswitch.settings import Integer, Number, Text
+from bench.soak._regressions import REGRESSIONS
+from bench.soak._run import Plan, Result, run
+
+FOLDER = Path("build/soak")
+
+FRESH_LOW = 10_000
+"""Seeds below this one are for runs by hand; fresh ones are drawn above."""
+
+EXIT_BROKEN = 1
+
+RUN_LIMIT = 100.0
+"""Seconds after which a run is called off, itself a finding."""
+
+
+class SoakProgram(Program):
+    """Runs seeds and counts broken promises."""
+
+    name = "bench.soak"
+    description = "Runs real programs under random faults and counts broken promises."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        option("seeds", description="Seeds, as in 1-8 or 3,5; else the known ones.", flag=False),
+        option("fresh", description="Fresh seeds beside these, else 0.", flag=False),
+        option("jobs", description="Runs at the same time, else 2.", flag=False),
+        option("hosts", description="Entry hosts, else 3.", flag=False),
+        option("engines", description="Model engines, else 4.", flag=False),
+        option("callers", description="Callers, else 12.", flag=False),
+        option("seconds", description="Seconds in which faults begin, else 12.", flag=False),
+        option("faults", description="Faults in a run, else 10.", flag=False),
+        option("only", description="The one kind of fault, else all.", flag=False),
+    ]
+
+    def work(self) -> int:
+        """Return zero where no promise was broken, else one."""
+        size = Plan(
+            seed=0,
+            hosts=self.value("hosts", Integer(low=1), default=3),
+            engines=self.value("engines", Integer(low=2), default=4),
+            callers=self.value("callers", Integer(low=1), default=12),
+            seconds=self.value("seconds", Number(low=0.1), default=12.0),
+            faults=self.value("faults", Integer(low=0), default=10),
+            only=self.option("only") or "",
+        )
+        fresh = self.value("fresh", Integer(low=0), default=0)
+        chosen = self.value("seeds", Text(pattern=r"[0-9,-]+", form="1-8 or 3,5"), default="-")
+        plans = [replace(size, seed=seed) for seed in _seeds(chosen)]
+        plans += [replace(size, seed=FRESH_LOW + randbelow(1 << 20)) for _ in range(fresh)]
+        if chosen == "-":
+            plans += [replace(case.plan) for case in REGRESSIONS]
+        jobs = self.value("jobs", Integer(low=1), default=2)
+        results = asyncio.run(_run_all(plans, jobs=jobs))
+        _report(results)
+        return EXIT_BROKEN if any(result.broken for result in results) else EXIT_OK
+
+
+def _seeds(text: str) -> list[int]:
+    seeds: list[int] = []
+    for part in filter(None, text.strip("-").split(",")):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
+
+
+async def _run_all(plans: Sequence[Plan], *, jobs: int) -> list[Result]:
+    free = asyncio.Semaphore(jobs)
+
+    async def one(plan: Plan) -> Result:
+        async with free:
+            result = await _bounded(plan)
+        verdict = "ok" if not result.broken else "BROKEN"
+        faults = sum(result.faults.values())
+        print(
+            f"seed {plan.seed}: {result.calls} calls, {result.served} served, "
+            f"{faults} faults, {verdict}",
+            flush=True,
+        )
+        for line in result.broken[:8]:
+            print(f"  {line}", flush=True)
+        return result
+
+    return list(await asyncio.gather(*(one(plan) for plan in plans)))
+
+
+async def _bounded(plan: Plan) -> Result:
+    try:
+        async with asyncio.timeout(RUN_LIMIT):
+            return await run(plan, folder=FOLDER / str(plan.seed))
+    except TimeoutError:
+        broken = (f"TIME: the run had not ended after {RUN_LIMIT:.0f} s",)
+        return Result(seed=plan.seed, calls=0, served=0, faults=Counter(), broken=broken)
+
+
+def _report(results: Sequence[Result]) -> None:
+    faults: Counter[str] = Counter()
+    for result in results:
+        faults += result.faults
+    for kind, count in sorted(faults.items()):
+        print(f"{kind:64} {count:5}")
+    broken = [result for result in results if result.broken]
+    calls = sum(result.calls for result in results)
+    served = sum(result.served for result in results)
+    print(f"{calls} calls, {served} served, {sum(faults.values())} faults")
+    print(f"{len(results)} seeds, {len(broken)} with broken promises")
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the soak, and return 0 where no promise was broken, 1 where one was."""
+    return run_program(SoakProgram(), arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/soak/_documents.py
@@ -0,0 +1,106 @@
+"""The documents of the users' platform that a run needs: configuration and settings."""
+
+from pathlib import Path
+
+import msgspec
+
+KEYS = {"ann": "key-ann", "bob": "key-bob"}
+EXTRA_KEY = "key-extra"
+"""A key of ann's that comes and goes."""
+
+HOST_HEADER = "a.example"
+POOL = "pool"
+DESK = "desk"
+ZONES = ("z1", "z2", "z3")
+GRACE_SECONDS = 8.0
+DRAIN_SECONDS = 2.0
+APPLY_SECONDS = 2.0
+RETRY_RATIO = 0.2
+RETRY_SLACK = 40
+RETRY_WINDOW = 10.0
+MEMORY = 405_000
+
+
+def configuration(*, version: int, extra: bool, idle_routes: int) -> bytes:
+    """Return a configuration.
+
+    Args:
+        version: Its version.
+        extra: Whether the extra key is valid.
+        idle_routes: Routes beside those that are used.
+    """
+    routes = [
+        _route("/ask/", "streaming", POOL, StreamResume=True, GapTargetMs=250, Sticky=True),
+        _route("/once/", "streaming", POOL, MaxAttempts=1, GapTargetMs=250, Sticky=True),
+        _route("/book/", "non_idempotent", DESK, MaxAttempts=1),
+        _route("/look/", "idempotent", DESK),
+        *(_route(f"/idle-{n}/", "idempotent", DESK) for n in range(idle_routes)),
+    ]
+    pace = {
+        "Slots": 8,
+        "KvCapacity": MEMORY,
+        "Stride": 34,
+        "step_ms": 1.31,
+        "read_per_s": 1_540_000.0,
+        "usual": {"answer": 1266},
+    }
+    keys = {name: [key] for name, key in KEYS.items()}
+    if extra:
+        keys["ann"].append(EXTRA_KEY)
+    document = {
+        "Version": version,
+        "Routes": routes,
+        "Services": [{"Name": POOL, "Engine": pace}, {"Name": DESK}],
+        "Limits": {"IdleTimeoutMs": 9_000},
+        "Tenants": [{"Name": name, "ApiKeys": held} for name, held in keys.items()],
+    }
+    return msgspec.json.encode(document)
+
+
+def _route(prefix: str, kind: str, service: str, **more: object) -> dict[str, object]:
+    fields: dict[str, object] = {
+        "Name": prefix,
+        "Host": HOST_HEADER,
+        "PathPrefix": prefix,
+        "Kind": kind,
+        "Service": service,
+        "TimeoutMs": 6_000,
+        "TargetLatencyMs": 300,
+        "MaxAttempts": 2,
+    }
+    return {**fields, **more}
+
+
+def write_settings(path: Path, *, name: str, ip: str, zone: str, ports: int, store: str) -> None:
+    """Write the settings file of a host, in one step as a platform does.
+
+    Args:
+        path: The file.
+        name: The host's name.
+        ip: Its IP address.
+        zone: Its failure domain.
+        ports: The first of its ports.
+        store: ``IP:PORT`` of the store.
+    """
+    zones = "\n".join(f'{item} = "r"' for item in ZONES)
+    text = f"""
+NodeName = "{name}"
+Ip = "{ip}"
+Zone = "{zone}"
+InternalPorts = [{ports + 3}, {ports + 9}]
+[Zones]
+{zones}
+[ListenAddrs]
+Front = "{ip}:{ports}"
+Ready = "{ip}:{ports + 1}"
+[Bounds]
+DrainMs = {DRAIN_SECONDS * 1_000:.0f}
+GraceS = {GRACE_SECONDS:.0f}
+BudgetRatio = {RETRY_RATIO}
+RetrySlack = {RETRY_SLACK}
+[Platform]
+Address = "{store}"
+"""
+    fresh = path.with_suffix(".new")
+    fresh.write_text(text, encoding="utf-8")
+    fresh.replace(path)
--- /dev/null
+++ b/bench/soak/_fleet.py
@@ -0,0 +1,256 @@
+"""The processes of a run: the store, entry hosts, targets, each behind a proxy."""
+
+import asyncio
+import os
+from itertools import count
+from pathlib import Path
+from random import Random
+from time import monotonic
+
+import msgspec
+
+from azureswitch.client import HttpClient
+from azureswitch.platform import HttpStore
+from azureswitch_load.demo import free_address
+from azureswitch_standins.target import Note, NoteKind, TargetFaults, TargetPlan
+from bench.soak._documents import DESK, GRACE_SECONDS, MEMORY, POOL, ZONES, write_settings
+from bench.soak._process import PROGRAMS, ManagedProcess
+from bench.soak._proxy import FaultProxy
+from bench.soak._records import Records
+
+LAUNCH = Path(__file__).with_name("_launch.py")
+
+FIRST_PORT = 21_100
+PORTS_EACH = 12
+"""Ports of a host, so that hosts of one run may share an IP address with none."""
+
+START_SECONDS = 20.0
+"""Seconds that all processes may take to start, beside a busy machine."""
+
+CONTROL_TIMEOUT = 2.0
+
+
+class Host:
+    """One entry host.
+
+    Args:
+        number: Counts the hosts of a run.
+        seed: The run's seed; each run has IP addresses of its own.
+        store: ``IP:PORT`` of the store.
+        folder: Where settings and logs are written.
+    """
+
+    def __init__(self, *, number: int, seed: int, store: str, folder: Path) -> None:
+        self.name = f"h{number}"
+        self._zone = ZONES[number % len(ZONES)]
+        self._ip = f"127.{10 + seed // 250 % 100}.{1 + seed % 250}.{number + 1}"
+        self._settings = folder / f"{self.name}.toml"
+        self.front = FaultProxy(behind=f"{self._ip}:{FIRST_PORT}")
+        self.stores = tuple(FaultProxy(behind=store) for _ in range(2))
+        self._store = 0
+        environment = {**os.environ, "AZURESWITCH_SETTINGS": str(self._settings)}
+        self.log = folder / f"{self.name}.log"
+        self.process = ManagedProcess(
+            command=(str(PROGRAMS / "azureswitch-edge"),), log=self.log, environment=environment
+        )
+        self.starts = 0
+        self.started = 0.0
+
+    @property
+    def readiness(self) -> str:
+        """``IP:PORT`` of its readiness."""
+        return f"{self._ip}:{FIRST_PORT + 1}"
+
+    @property
+    def metrics(self) -> str:
+        """``IP:PORT`` of its metrics."""
+        return f"{self._ip}:9464"
+
+    async def open(self) -> None:
+        """Start its proxies."""
+        for proxy in (self.front, *self.stores):
+            await proxy.start()
+        self.write_settings()
+
+    async def start(self, *, offset: float = 0.0) -> None:
+        """Start its process, whose time of day is off by so many seconds."""
+        self.starts += 1
+        self.started = monotonic()
+        command = [str(PROGRAMS / "azureswitch-edge")]
+        if offset:
+            command = [str(PROGRAMS / "python"), str(LAUNCH), str(offset)]
+        await self.process.start(command)
+
+    def move_store(self) -> None:
+        """Write settings by which the store is reached another way."""
+        self._store = 1 - self._store
+        self.write_settings()
+
+    def write_settings(self) -> None:
+        """Write its settings file."""
+        write_settings(
+            self._settings,
+            name=self.name,
+            ip=self._ip,
+            zone=self._zone,
+            ports=FIRST_PORT,
+            store=self.stores[self._store].address,
+        )
+
+
+class Target:
+    """One target.
+
+    Args:
+        plan: What it is; where it is listed follows from its proxy.
+        proxy: The proxy before it.
+        listen: ``IP:PORT`` that it listens on.
+        records: Takes its notes.
+        folder: Where its log is written.
+    """
+
+    def __init__(
+        self, *, plan: TargetPlan, proxy: FaultProxy, listen: str, records: Records, folder: Path
+    ) -> None:
+        self.plan = msgspec.structs.replace(plan, address=proxy.address)
+        self.proxy = proxy
+        self.listen = listen
+        self._records = records
+        self.listed = asyncio.Event()
+        command = (
+            str(PROGRAMS / "azureswitch-standin-target"),
+            *("--plan", msgspec.json.encode(self.plan).decode()),
+            *("--listen", listen),
+        )
+        self.process = ManagedProcess(
+            command=command, log=folder / f"{plan.name}.log", take=self._take
+        )
+
+    async def set_faults(self, faults: TargetFaults) -> None:
+        """Change what goes wrong."""
+        client = HttpClient(address=self.listen)
+        await client.request(
+            method="POST",
+            path="/standin/faults",
+            body=msgspec.json.encode(faults),
+            timeout=CONTROL_TIMEOUT,
+        )
+        client.close()
+
+    def _take(self, line: bytes) -> None:
+        note = msgspec.json.decode(line, type=Note)
+        self._records.notes.append(note)
+        if note.kind is NoteKind.LISTED:
+            self.listed.set()
+
+
+class Fleet:
+    """All processes of a run.
+
+    Args:
+        seed: The run's seed.
+        hosts: Entry hosts.
+        engines: Model engines.
+        desks: Targets of the plain service.
+        records: Takes the targets' notes.
+        folder: Where settings and logs are written.
+    """
+
+    def __init__(
+        self, *, seed: int, hosts: int, engines: int, desks: int, records: Records, folder: Path
+    ) -> None:
+        self._seed = seed
+        self._sizes = (hosts, engines, desks)
+        self._records = records
+        self._folder = folder
+        self._names = count(1)
+        self._random = Random(f"{seed} fleet")
+        self._address = str(free_address())
+        self.store_proxy = FaultProxy(behind=self._address)
+        self.store_process = ManagedProcess(
+            command=(
+                str(PROGRAMS / "azureswitch-standin-store"),
+                *("--port", self._address.rpartition(":")[2]),
+            ),
+            log=folder / "store.log",
+        )
+        self.hosts: list[Host] = []
+        self.targets: list[Target] = []
+
+    @property
+    def store(self) -> HttpStore:
+        """The store as operators reach it."""
+        return HttpStore(address=self.store_proxy.address, timeout=CONTROL_TIMEOUT)
+
+    async def start(self) -> None:
+        """Start the store and all targets, and then the hosts."""
+        hosts, engines, desks = self._sizes
+        await self.store_process.start()
+        await self.store_proxy.start()
+        for number in range(engines + desks):
+            await self.add_target(streams=number < engines)
+        await asyncio.gather(*(target.listed.wait() for target in self.targets))
+        for number in range(hosts):
+            host = Host(
+                number=number,
+                seed=self._seed,
+                store=self.store_proxy.address,
+                folder=self._folder,
+            )
+            await host.open()
+            self.hosts.append(host)
+        await asyncio.gather(*(host.start() for host in self.hosts))
+
+    async def add_target(
+        self, *, streams: bool, listen: str = "", proxy: FaultProxy | None = None
+    ) -> Target:
+        """Start one more target, at a free address or at that of one which is gone."""
+        number = next(self._names)
+        plan = TargetPlan(
+            name=f"i-{self._seed}-{number}",
+            service=POOL if streams else DESK,
+            place=ZONES[number % len(ZONES)],
+            store=self.store_proxy.address,
+            streams=streams,
+            memory=MEMORY,
+        )
+        listen = listen or str(free_address())
+        if proxy is None:
+            proxy = FaultProxy(behind=listen)
+            await proxy.start()
+        target = Target(
+            plan=plan, proxy=proxy, listen=listen, records=self._records, folder=self._folder
+        )
+        self.targets.append(target)
+        await target.process.start()
+        return target
+
+    async def set_store_faults(self, **faults: object) -> None:
+        """Change what goes wrong with the store."""
+        client = HttpClient(address=self._address)
+        await client.request(
+            method="POST",
+            path="/standin/faults",
+            body=msgspec.json.encode(faults),
+            timeout=CONTROL_TIMEOUT,
+        )
+        client.close()
+
+    async def stop(self) -> None:
+        """End all processes that were started here."""
+        processes = [host.process for host in self.hosts]
+        processes += [target.process for target in self.targets]
+        for process in processes:
+            process.resume()
+        await asyncio.gather(*(p.kill() for p in (*processes, self.store_process)))
+        for host in self.hosts:
+            for proxy in (host.front, *host.stores):
+                proxy.stop()
+        for proxy in {self.store_proxy, *(target.proxy for target in self.targets)}:
+            proxy.stop()
+
+    async def stop_hosts(self) -> list[int | None]:
+        """Ask all hosts to stop and return their exit codes."""
+        return await asyncio.gather(
+            *(host.process.terminate(timeout=GRACE_SECONDS) for host in self.hosts)
+        )
--- /dev/null
+++ b/bench/soak/_process.py
@@ -0,0 +1,112 @@
+"""Programs as processes of their own, which are ended by their ids alone."""
+
+import asyncio
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM, Signals
+
+PROGRAMS = Path(sys.executable).parent
+"""Where the programs of this environment are installed."""
+
+
+class ManagedProcess:
+    """One process, which may be started again and again.
+
+    Args:
+        command: The program and its arguments.
+        log: Where standard error goes, and standard output unless its lines are taken.
+        environment: Environment variables beside those of this process.
+        take: Called with each line of standard output.
+    """
+
+    def __init__(
+        self,
+        *,
+        command: Sequence[str],
+        log: Path,
+        environment: Mapping[str, str] | None = None,
+        take: Callable[[bytes], None] | None = None,
+    ) -> None:
+        self._command = tuple(command)
+        self._log = log
+        self._environment = environment
+        self._take = take
+        self._process: asyncio.subprocess.Process | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._asked = False
+
+    @property
+    def running(self) -> bool:
+        """Whether it runs, or stands still."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def failed(self) -> bool:
+        """Whether it has ended of itself."""
+        return self._process is not None and not self.running and not self._asked
+
+    async def start(self, command: Sequence[str] = ()) -> None:
+        """Start it, with another command from now on if one is given."""
+        self._command = tuple(command) or self._command
+        self._asked = False
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *self._command,
+                stdout=asyncio.subprocess.PIPE if self._take else log,
+                stderr=log,
+                env=self._environment,
+            )
+        if self._take is not None:
+            self._reading = asyncio.create_task(self._read())
+
+    async def kill(self) -> None:
+        """End it at once."""
+        if self._process is None:
+            return
+        self._asked = True
+        self._send(SIGKILL)
+        await self._process.wait()
+        await self._drained()
+
+    async def terminate(self, *, timeout: float) -> int | None:
+        """Ask it to stop, and return its exit code, or None where it did not stop in time."""
+        assert self._process is not None
+        self._asked = True
+        self._send(SIGTERM)
+        try:
+            async with asyncio.timeout(timeout):
+                code = await self._process.wait()
+        except TimeoutError:
+            return None
+        await self._drained()
+        return code
+
+    def pause(self) -> None:
+        """Let it stand still."""
+        self._send(SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on."""
+        self._send(SIGCONT)
+
+    def reload(self) -> None:
+        """Tell it that its settings may have changed."""
+        self._send(SIGHUP)
+
+    def _send(self, number: Signals) -> None:
+        if self.running:
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    async def _read(self) -> None:
+        assert self._process is not None
+        assert self._process.stdout is not None
+        assert self._take is not None
+        while line := await self._process.stdout.readline():
+            self._take(line)
+
+    async def _drained(self) -> None:
+        """Wait until the last line has been taken."""
+        if self._reading is not None:
+            await self._reading
--- /dev/null
+++ b/bench/soak/_records.py
@@ -0,0 +1,138 @@
+"""What is known of a run: calls, faults and changes, all by one clock."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from azureswitch_standins.target import Note
+
+EVERYWHERE = "everywhere"
+"""Subject of what concerns all."""
+
+STORE = "store"
+
+AFTERMATH = 3.0
+"""Seconds after a fault in which bounds of time are not held against its subject.
+
+The platform's own rules give as much.
+"""
+
+
+class CallKind(Enum):
+    """The kinds of call."""
+
+    ASK = "ask"
+    REVIEW = "review"
+    ONCE = "once"
+    BOOK = "book"
+    LOOK = "look"
+
+
+REPEATABLE = frozenset((CallKind.ASK, CallKind.REVIEW, CallKind.LOOK))
+STREAMS = frozenset((CallKind.ASK, CallKind.REVIEW, CallKind.ONCE))
+
+
+@dataclass(slots=True, kw_only=True)
+class CallRecord:
+    """One call and what became of it.
+
+    Attributes:
+        id: Its id.
+        kind: Its kind.
+        host: The host that it was sent to.
+        key: Its key.
+        digest: Of its method, path and body.
+        sent: When it was sent, in seconds of the monotonic clock.
+        deadline: When it must be over.
+        ended: When it was over.
+        status: The answer's status; zero where there was no whole answer.
+        seal: The answer's seal.
+        body: The answer's body, as far as it came.
+        reached: Whether the host took the connection.
+        left: When its caller left, or None.
+    """
+
+    id: str
+    kind: CallKind
+    host: str
+    key: str
+    digest: str
+    sent: float
+    deadline: float
+    ended: float = 0.0
+    status: int = 0
+    seal: str = ""
+    body: bytes = b""
+    reached: bool = True
+    left: float | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Window:
+    """One fault.
+
+    Attributes:
+        kind: Its kind.
+        subject: What it happened to.
+        begin: When it began.
+        end: When it was over.
+    """
+
+    kind: str
+    subject: str
+    begin: float
+    end: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """One configuration that the store has accepted.
+
+    Attributes:
+        version: Its version.
+        at: When it was accepted.
+        extra: Whether the extra key is valid by it.
+    """
+
+    version: int
+    at: float
+    extra: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Sample:
+    """The version that a host had in force.
+
+    Attributes:
+        host: The host.
+        start: Counts the host's processes.
+        at: When the question was sent.
+        version: The version; zero for none.
+    """
+
+    host: str
+    start: int
+    at: float
+    version: int
+
+
+@dataclass(slots=True, kw_only=True)
+class Records:
+    """All of a run."""
+
+    calls: dict[str, CallRecord] = field(default_factory=dict)
+    notes: list[Note] = field(default_factory=list)
+    windows: list[Window] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    samples: list[Sample] = field(default_factory=list)
+    findings: list[str] = field(default_factory=list)
+
+    def disturbed(
+        self, subjects: Iterable[str], *, begin: float, end: float, after: float = AFTERMATH
+    ) -> bool:
+        """Return whether any of some subjects had a fault in a span, or shortly before it."""
+        names = {*subjects, EVERYWHERE}
+        return any(
+            window.subject in names and window.begin <= end and begin <= window.end + after
+            for window in self.windows
+        )
--- /dev/null
+++ b/bench/soak/_regressions.py
@@ -0,0 +1,21 @@
+"""Runs that failed once, each with its cause; CI plays them again."""
+
+from dataclasses import dataclass
+
+from bench.soak._run import Plan
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Regression:
+    """A run that failed.
+
+    Attributes:
+        plan: The run.
+        cause: Why it failed.
+    """
+
+    plan: Plan
+    cause: str
+
+
+REGRESSIONS: tuple[Regression, ...] = ()
--- /dev/null
+++ b/bench/soak/_run.py
@@ -0,0 +1,205 @@
+"""One run: everything starts, faults come, calm returns, and the promises are checked."""
+
+import asyncio
+import shutil
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from time import monotonic
+
+import msgspec
+
+from azureswitch.client import HttpClient
+from azureswitch.exceptions import HttpError
+from bench.soak._checks import check
+from bench.soak._clients import DEADLINE, OVERTIME, Caller
+from bench.soak._faults import Faults
+from bench.soak._fleet import START_SECONDS, Fleet, Target
+from bench.soak._platform import Platform
+from bench.soak._records import Records
+
+SETTLE_SECONDS = 5.0
+"""Seconds of calm before everything must be served again."""
+
+CALM_SECONDS = 3.0
+"""Seconds for which it then is."""
+
+SERVED_SHARE = 0.95
+"""Share of the requests of the calm end that must be answered with success.
+
+The rest leaves room for a target that is avoided for up to 4 s after it failed.
+"""
+
+FREE_SECONDS = 4.5
+"""Seconds after the last request in which all memory of engines must be free again."""
+
+PROGRAM_ERROR = b'"level": "ERROR"'
+"""Marks a line of a host's log that tells of a fault of the program."""
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """What an engine says of itself."""
+
+    running: int = msgspec.field(name="Running", default=0)
+    tickets: tuple[str, ...] = msgspec.field(name="Tickets", default=())
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """The size of a run.
+
+    Attributes:
+        seed: Draws everything.
+        hosts: Entry hosts.
+        engines: Model engines.
+        desks: Targets of the plain service.
+        callers: Callers.
+        seconds: Seconds in which faults begin.
+        faults: How many faults.
+        only: The one kind of fault, or nothing for all.
+    """
+
+    seed: int
+    hosts: int = 3
+    engines: int = 4
+    desks: int = 2
+    callers: int = 12
+    seconds: float = 12.0
+    faults: int = 10
+    only: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """What a run gave.
+
+    Attributes:
+        seed: Its seed.
+        calls: Requests.
+        served: Requests that were answered with success.
+        faults: Faults by kind.
+        broken: A line for each broken promise.
+    """
+
+    seed: int
+    calls: int
+    served: int
+    faults: Counter[str]
+    broken: tuple[str, ...]
+
+
+async def run(plan: Plan, *, folder: Path) -> Result:
+    """Run once.
+
+    Args:
+        plan: Its size.
+        folder: Where settings, logs and the findings are left.
+    """
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    records = Records()
+    fleet = Fleet(
+        seed=plan.seed,
+        hosts=plan.hosts,
+        engines=plan.engines,
+        desks=plan.desks,
+        records=records,
+        folder=folder,
+    )
+    platform = Platform(fleet=fleet, records=records)
+    tasks: list[asyncio.Task[None]] = []
+    try:
+        async with asyncio.timeout(START_SECONDS):
+            await fleet.start()
+            await platform.change()
+        tasks += [asyncio.create_task(job()) for job in (platform.reap, platform.look)]
+        await platform.until_ready(seconds=START_SECONDS, say=records.findings.append)
+        await _play(plan, fleet, platform, records)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await fleet.stop()
+    broken = check(records)
+    (folder / "findings.txt").write_text("\n".join(broken), encoding="utf-8")
+    (folder / "records.json").write_bytes(msgspec.json.encode(records, enc_hook=repr))
+    return Result(
+        seed=plan.seed,
+        calls=len(records.calls),
+        served=sum(call.status == 200 for call in records.calls.values()),
+        faults=Counter(window.kind for window in records.windows),
+        broken=tuple(broken),
+    )
+
+
+async def _play(plan: Plan, fleet: Fleet, platform: Platform, records: Records) -> None:
+    faults = Faults(fleet=fleet, platform=platform, records=records, seed=plan.seed)
+    stop = asyncio.Event()
+    callers = [
+        asyncio.create_task(
+            Caller(
+                name=f"{plan.seed}-{number}",
+                hosts=platform.ready_hosts,
+                records=records,
+                seed=plan.seed,
+            ).run(stop=stop)
+        )
+        for number in range(plan.callers)
+    ]
+    try:
+        await faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only)
+        await platform.until_ready(seconds=START_SECONDS, say=records.findings.append)
+        await asyncio.sleep(SETTLE_SECONDS)
+        calm = monotonic()
+        await asyncio.sleep(CALM_SECONDS)
+        stop.set()
+        async with asyncio.timeout(DEADLINE + 2.0 * OVERTIME):
+            await asyncio.gather(*callers)
+    finally:
+        for caller in callers:
+            caller.cancel()
+    records.findings += _unserved(records, since=calm)
+    await asyncio.sleep(FREE_SECONDS)
+    live = [target for target in fleet.targets if target.process.running]
+    for line in await asyncio.gather(*(_held(target) for target in live)):
+        records.findings += line
+    records.findings += _failed(fleet)
+    codes = await fleet.stop_hosts()
+    records.findings += [f"GRACE: a host ended with {code}" for code in codes if code != 0]
+
+
+def _unserved(records: Records, *, since: float) -> list[str]:
+    calls = [
+        call
+        for call in records.calls.values()
+        if call.sent >= since and call.left is None and call.status != 401
+    ]
+    failed = [call for call in calls if call.status != 200]
+    if len(failed) <= (1.0 - SERVED_SHARE) * len(calls) + 1:
+        return []
+    some = ", ".join(f"{call.id} {call.status}" for call in failed[:5])
+    return [f"RECOVER: {len(failed)} of {len(calls)} requests fail in calm: {some}"]
+
+
+async def _held(target: Target) -> list[str]:
+    client = HttpClient(address=target.listen)
+    try:
+        answer = await client.request(method="GET", path="/api/report", timeout=2.0)
+    except HttpError:
+        return [f"LEAK: {target.plan.name} does not answer at the end"]
+    finally:
+        client.close()
+    report = msgspec.json.decode(answer.body, type=Report)
+    if report.tickets or report.running:
+        held = f"{report.running} requests, tickets {', '.join(report.tickets)}"
+        return [f"LEAK: {target.plan.name} still has {held}"]
+    return []
+
+
+def _failed(fleet: Fleet) -> list[str]:
+    """Return who ended of itself, and which programs told of faults of their own."""
+    lines = [f"EXIT: {host.name} ended of itself" for host in fleet.hosts if host.process.failed]
+    for host in fleet.hosts:
+        with host.log.open("rb") as log:
+            errors = [line for line in log if PROGRAM_ERROR in line]
+        lines += [f"ERROR: {host.name}: {line.decode()[:300]}" for line in errors[:3]]
+    return lines
--- a/src/azureswitch/platform/__init__.py
+++ b/src/azureswitch/platform/__init__.py
@@ -3,9 +3,11 @@
 All that translates between the platform's words and the project's stands in this folder.
 """
 
+from azureswitch.platform import _headers as header_names
 from azureswitch.platform._deployment import decode_deployment, decode_target
 from azureswitch.platform._dialect import PlatformDialect
 from azureswitch.platform._hosts import HttpHostList
+from azureswitch.platform._orders import ORDER_PATH
 from azureswitch.platform._program import main
 from azureswitch.platform._settings import PlatformSettings, read_settings
 from azureswitch.platform._store import HttpStore
@@ -25,6 +27,7 @@
 __all__ = [
     "HOSTS_PATH",
     "OBJECTS_PATH",
+    "ORDER_PATH",
     "HttpHostList",
     "HttpStore",
     "PlatformDialect",
@@ -38,6 +41,7 @@
     "decode_deployment",
     "decode_target",
     "from_wire",
+    "header_names",
     "main",
     "read_settings",
     "to_wire",
--- /dev/null
+++ b/src/azureswitch_standins/target/__init__.py
@@ -0,0 +1,25 @@
+"""A target in the form that the users' platform publishes: a model engine or a plain service."""
+
+from azureswitch_standins.target._content import answer_body, event, event_count, seal
+from azureswitch_standins.target._http import TargetStandin
+from azureswitch_standins.target._model import Act, TargetFaults, TargetPlan
+from azureswitch_standins.target._program import main
+from azureswitch_standins.target._registration import BEATS_KIND, TARGETS_KIND
+from azureswitch_standins.target._runs import Note, NoteKind, digest
+
+__all__ = [
+    "Act",
+    "BEATS_KIND",
+    "Note",
+    "NoteKind",
+    "TARGETS_KIND",
+    "TargetFaults",
+    "TargetPlan",
+    "TargetStandin",
+    "answer_body",
+    "digest",
+    "event",
+    "event_count",
+    "main",
+    "seal",
+]
--- /dev/null
+++ b/src/azureswitch_standins/target/_http.py
@@ -0,0 +1,264 @@
+"""A target over HTTP."""
+
+import asyncio
+from http import HTTPStatus
+from random import Random
+
+import msgspec
+from absl import logging
+
+from azureswitch.client import Headers
+from azureswitch.exceptions import AzureswitchError
+from azureswitch.platform import ORDER_PATH, header_names
+from azureswitch.server import CallerLimits, Exchange, HttpServer
+from azureswitch.tasks import Tasks
+from azureswitch_standins.target._content import answer_body, event, event_count, seal
+from azureswitch_standins.target._model import Act, Memory, Slots, TargetFaults, TargetPlan, draw
+from azureswitch_standins.target._runs import NoteKind, Notes, digest
+
+FAULTS_PATH = "/standin/faults"
+"""Not of the platform: what goes wrong is set there."""
+
+REPORT_PATH = "/api/report"
+HEALTH_PATH = "/health"
+
+TURN_SECONDS = 0.005
+"""Seconds between two looks whether a place is free."""
+
+LIMITS = CallerLimits(idle_seconds=6.0)
+
+
+class Order(msgspec.Struct, frozen=True, kw_only=True):
+    """An order as it arrives; what it leaves out has no meaning for its operation."""
+
+    operation: str = msgspec.field(name="Operation", default="")
+    ticket: str = msgspec.field(name="Id", default="")
+    tokens: int = msgspec.field(name="Tokens", default=0)
+    milliseconds: float = msgspec.field(name="HoldMs", default=0.0)
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """What an engine says of itself."""
+
+    running: int = msgspec.field(name="Running")
+    tickets: tuple[str, ...] = msgspec.field(name="Tickets")
+
+
+class TargetStandin:
+    """One target.
+
+    Args:
+        plan: What it is.
+        notes: Takes what it does.
+        address: ``IP:PORT`` to listen on.
+        seed: Seeds what goes wrong.
+    """
+
+    def __init__(self, *, plan: TargetPlan, notes: Notes, address: str, seed: int) -> None:
+        self._plan = plan
+        self._notes = notes
+        self._listen = address
+        self._random = Random(seed)
+        self._faults = TargetFaults()
+        self._slots = Slots(count=plan.slots, queue=plan.queue)
+        self._memory = Memory(tokens=plan.memory)
+        self._server = HttpServer(handler=self)
+        self._tasks = Tasks(prefix="target")
+        self._running = 0
+        self._leaving = False
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a connection may ask."""
+        return LIMITS
+
+    @property
+    def closing(self) -> bool:
+        """Whether callers are told to use another connection."""
+        return self._leaving
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT``, known once it has started."""
+        return self._server.address
+
+    @property
+    def busy(self) -> bool:
+        """Whether requests run or wait."""
+        return self._running > 0
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start(address=self._listen)
+
+    def leave(self) -> None:
+        """Tell callers to use other connections."""
+        self._leaving = True
+
+    def refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
+        """Answer what is no request."""
+        exchange.respond(status=HTTPStatus.BAD_REQUEST, headers=(), body=b"")
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer a page, or do with a request what the faults say."""
+        path = exchange.request.target
+        if path == FAULTS_PATH:
+            self._faults = msgspec.json.decode(exchange.request.body, type=TargetFaults)
+            exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
+        elif path == ORDER_PATH:
+            self._order(exchange)
+        elif path == REPORT_PATH:
+            held = tuple(self._memory.held(self._now()))
+            body = msgspec.json.encode(Report(running=self._running, tickets=held))
+            exchange.respond(status=HTTPStatus.OK, headers=(), body=body)
+        elif path == HEALTH_PATH:
+            status = HTTPStatus.SERVICE_UNAVAILABLE if self._leaving else HTTPStatus.OK
+            exchange.respond(status=status, headers=(), body=b"")
+        else:
+            self._request(exchange)
+
+    def _order(self, exchange: Exchange) -> None:
+        order = msgspec.json.decode(exchange.request.body, type=Order)
+        now = self._now()
+        done = True
+        if order.operation == "reserve":
+            until = now + order.milliseconds / 1_000.0
+            done = self._memory.reserve(order.ticket, order.tokens, until=until, now=now)
+        else:
+            self._memory.release(order.ticket)
+        status = HTTPStatus.OK if done else HTTPStatus.CONFLICT
+        exchange.respond(status=status, headers=(), body=b"{}")
+
+    def _request(self, exchange: Exchange) -> None:
+        headers = dict(exchange.request.headers)
+        id = headers.get(header_names.ID, "")
+        if headers.get(header_names.EXPECTED_TARGET, self._plan.name) != self._plan.name:
+            exchange.respond(status=HTTPStatus.MISDIRECTED_REQUEST, headers=(), body=b"")
+            return
+        act = draw(self._faults, random=self._random)
+        if act is Act.MUTE:
+            return
+        if act is Act.SHED or self._slots.full:
+            self._notes.write(NoteKind.REFUSED, id=id)
+            refused = ((header_names.NOT_RUN, "1"),)
+            exchange.respond(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=refused, body=b"")
+            return
+        task = self._tasks.spawn(self._run(exchange, headers, id, act), name=id)
+
+        def left() -> None:
+            task.cancel()
+
+        exchange.on_left(left)
+
+    async def _run(self, exchange: Exchange, headers: dict[str, str], id: str, act: Act) -> None:
+        left = float(headers.get(header_names.MILLISECONDS_LEFT, "0")) / 1_000.0
+        ticket = object()
+        self._running += 1
+        self._slots.wait(ticket)
+        began = False
+        try:
+            async with asyncio.timeout(left):
+                while not self._slots.take(ticket):
+                    await asyncio.sleep(TURN_SECONDS)
+                began = True
+                self._note_run(exchange, headers, id, left)
+                await self._act(exchange, headers, id, act)
+        except TimeoutError:
+            self._late(exchange, id, began)
+        except asyncio.CancelledError:
+            self._notes.write(NoteKind.CALLER_LEFT, id=id)
+        finally:
+            self._running -= 1
+            self._slots.free() if began else self._slots.leave(ticket)
+        self._notes.write(NoteKind.OVER, id=id)
+
+    def _note_run(self, exchange: Exchange, headers: dict[str, str], id: str, left: float) -> None:
+        request = exchange.request
+        self._notes.write(
+            NoteKind.RUN,
+            id=id,
+            customer=headers.get(header_names.CUSTOMER, ""),
+            digest=digest(method=request.method, path=request.target, body=request.body),
+            keyed=header_names.KEY in headers,
+            left=left,
+        )
+
+    def _late(self, exchange: Exchange, id: str, began: bool) -> None:
+        """End a request at its deadline; one that still waited for a place did not run."""
+        if exchange.started:
+            exchange.abort()
+        elif began:
+            exchange.respond(status=HTTPStatus.GATEWAY_TIMEOUT, headers=_sealed(id), body=b"")
+        else:
+            self._notes.write(NoteKind.REFUSED, id=id)
+            headers = ((header_names.NOT_RUN, "1"),)
+            exchange.respond(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers, body=b"")
+
+    async def _act(
+        self, exchange: Exchange, headers: dict[str, str], id: str, act: Act
+    ) -> None:
+        if self._plan.streams:
+            await asyncio.sleep(_prompt(headers) / self._plan.read_rate)
+        if act is Act.HANG:
+            await asyncio.Event().wait()
+        elif act is Act.FAIL:
+            exchange.respond(
+                status=HTTPStatus.INTERNAL_SERVER_ERROR, headers=_sealed(id), body=b"failed"
+            )
+        elif self._plan.streams:
+            await self._stream(exchange, headers, id, act)
+        else:
+            await asyncio.sleep(self._plan.work)
+            self._answer(exchange, id, act)
+
+    def _answer(self, exchange: Exchange, id: str, act: Act) -> None:
+        if act is Act.LOSE:
+            exchange.abort()
+        elif act is Act.BREAK:
+            exchange.begin(status=HTTPStatus.OK, headers=_sealed(id))
+            exchange.write(answer_body(id)[:100])
+            exchange.abort()
+        elif act is Act.CROSS:
+            other = f"{id}-other"
+            exchange.respond(status=HTTPStatus.OK, headers=_sealed(other), body=answer_body(other))
+        else:
+            exchange.respond(status=HTTPStatus.OK, headers=_sealed(id), body=answer_body(id))
+
+    async def _stream(
+        self, exchange: Exchange, headers: dict[str, str], id: str, act: Act
+    ) -> None:
+        if act is Act.LOSE:
+            exchange.abort()
+            return
+        of = f"{id}-other" if act is Act.CROSS else id
+        first = int(headers.get(header_names.LAST_EVENT, "0")) + 1
+        count = event_count(id)
+        exchange.begin(status=HTTPStatus.OK, headers=_sealed(of))
+        for number in range(first, count + 1):
+            data = event(of, number)
+            if act is Act.BREAK and number == (first + count) // 2:
+                exchange.write(data[: len(data) // 2])
+                await asyncio.sleep(self._plan.work)
+                exchange.abort()
+                return
+            exchange.write(data)
+            await asyncio.sleep(self._plan.work)
+        if act is Act.EXTRA:
+            exchange.write(event(id, count))
+        exchange.finish()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _sealed(id: str) -> Headers:
+    return ((header_names.ID, id), (header_names.SEAL, seal(id)))
+
+
+def _prompt(headers: dict[str, str]) -> int:
+    tokens = headers.get(header_names.TOKENS, "0").partition(",")[0]
+    try:
+        return int(tokens)
+    except ValueError:
+        logging.warning("target: The count of tokens %r is no number.", tokens)
+        return 0
--- /dev/null
+++ b/src/azureswitch_standins/target/_program.py
@@ -0,0 +1,77 @@
+"""The program ``azureswitch-standin-target``."""
+
+import asyncio
+import sys
+from signal import SIGTERM
+
+import msgspec
+from cleo.helpers import option
+
+from azureswitch.programs import EXIT_OK, EXIT_USAGE, Program, run_program
+from azureswitch.settings import Integer, Text
+from azureswitch_standins.target._http import TargetStandin
+from azureswitch_standins.target._model import TargetPlan
+from azureswitch_standins.target._registration import Registration
+from azureswitch_standins.target._runs import NoteKind, Notes
+
+SERVE_ON = 3.0
+"""Seconds for which a target that leaves serves on once the store knows; the platform says 2."""
+
+LAST = 8.0
+"""Seconds after SIGTERM at which it ends whatever runs."""
+
+IDLE_CHECK = 0.05
+
+
+class TargetProgram(Program):
+    """Serves one target until SIGTERM, and then until it has said so and all is answered."""
+
+    name = "azureswitch-standin-target"
+    description = "Stand-in for a target in the form of the users' platform."
+    options = [  # noqa: RUF012 - cleo's own way to declare them.
+        option("plan", description="What it is, in JSON.", flag=False),
+        option("listen", description="IP:PORT to listen on.", flag=False),
+        option("seed", description="Seeds what goes wrong, else 1.", flag=False),
+    ]
+
+    def work(self) -> int:
+        """Serve."""
+        text = self.value("plan", Text())
+        try:
+            plan = msgspec.json.decode(text, type=TargetPlan)
+        except msgspec.MsgspecError as error:
+            print(f"{self.name}: {error}", file=sys.stderr)
+            return EXIT_USAGE
+        listen = self.value("listen", Text())
+        asyncio.run(_serve(plan, listen, self.value("seed", Integer(low=0), default=1)))
+        return EXIT_OK
+
+
+async def _serve(plan: TargetPlan, listen: str, seed: int) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(SIGTERM, stop.set)
+    notes = Notes(target=plan.name)
+    standin = TargetStandin(plan=plan, notes=notes, address=listen, seed=seed)
+    await standin.start()
+    notes.write(NoteKind.STARTED, address=standin.address)
+    registration = Registration(
+        plan=plan,
+        address=plan.address or standin.address,
+        entered=lambda leaving: notes.write(NoteKind.DRAINING if leaving else NoteKind.LISTED),
+    )
+    beats = loop.create_task(registration.run())
+    await stop.wait()
+    end = loop.time() + LAST
+    await registration.leave()
+    standin.leave()
+    await asyncio.sleep(SERVE_ON)
+    while standin.busy and loop.time() < end:
+        await asyncio.sleep(IDLE_CHECK)
+    beats.cancel()
+    await registration.remove()
+
+
+def main() -> int:
+    """Serve a target, and return the exit code."""
+    return run_program(TargetProgram())
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,157 @@
+"""The soak finds each broken promise, and none in a run that keeps them."""
+
+import pytest
+
+from azureswitch_standins.target import Note, NoteKind, answer_body, event, event_count, seal
+from bench.soak._checks import check
+from bench.soak._records import CallKind, CallRecord, Change, Records, Sample, Window
+
+
+def call(kind: CallKind = CallKind.BOOK, **more: object) -> CallRecord:
+    """Return a call that was sent at 10 s, and by default answered whole."""
+    body = answer_body("c1")
+    if kind in (CallKind.ASK, CallKind.ONCE):
+        body = b"".join(event("c1", n) for n in range(1, event_count("c1") + 1))
+    fields: dict[str, object] = {
+        "host": "h1",
+        "key": "key-ann",
+        "digest": "d",
+        "sent": 10.0,
+        "deadline": 15.0,
+        "ended": 10.2,
+        "status": 200,
+        "seal": seal("c1"),
+        "body": body,
+        **more,
+    }
+    return CallRecord(id="c1", kind=kind, **fields)  # type: ignore[arg-type]
+
+
+def note(kind: NoteKind, at: float = 10.1, target: str = "t1", **more: object) -> Note:
+    """Return a note of a target."""
+    fields: dict[str, object] = {"id": "c1", "customer": "ann", "digest": "d", "left": 4.0, **more}
+    return Note(kind=kind, at=at, target=target, **fields)  # type: ignore[arg-type]
+
+
+RUN = note(NoteKind.RUN)
+CHANGES = [
+    Change(version=1, at=0.0, extra=True),
+    Change(version=4, at=5.0, extra=False),
+]
+
+
+def window(subject: str, *, begin: float = 9.0, end: float = 11.0) -> Window:
+    """Return a fault around the call."""
+    return Window(kind="fault", subject=subject, begin=begin, end=end)
+
+
+class TestCheck:
+    """Unit tests of `check`."""
+
+    @pytest.mark.parametrize(
+        ("promise", "record", "notes", "windows"),
+        [
+            ("TWICE", call(), [RUN, note(NoteKind.RUN, 10.15, "t2")], []),
+            ("TWICE", call(CallKind.ONCE), [RUN, note(NoteKind.RUN, 10.15)], [window("h1")]),
+            ("REFUSED", call(status=503, seal="", body=b""), [RUN], [window("h1")]),
+            ("REFUSED", call(status=429, seal="", body=b""), [note(NoteKind.RUN, 30.0)], []),
+            ("UNASKED", call(), [note(NoteKind.RUN, digest="other")], []),
+            ("UNASKED", call(), [note(NoteKind.RUN, customer="bob")], []),
+            ("UNASKED", call(), [note(NoteKind.RUN, keyed=True)], []),
+            ("UNASKED", call(), [note(NoteKind.RUN, left=9.0)], []),
+            ("UNASKED", call(), [note(NoteKind.RUN, id="never-sent")], []),
+            ("MIXED", call(body=answer_body("c2")), [RUN], []),
+            ("MIXED", call(seal=""), [RUN], []),
+            ("MIXED", call(CallKind.ASK, body=event("c1", 1)), [RUN], [window("h1")]),
+            ("MIXED", call(status=500), [], []),
+            ("ORDER", call(CallKind.ASK, status=0, body=event("c1", 2)), [RUN], [window("h1")]),
+            ("TIME", call(ended=16.5), [RUN], []),
+            ("LOST", call(status=0, body=b""), [RUN], []),
+            ("LOST", call(status=0, body=b""), [RUN], [window("h1 planned")]),
+            (
+                "DRAIN",
+                call(),
+                [note(NoteKind.DRAINING, 7.0, id=""), RUN],
+                [],
+            ),
+            (
+                "ATTEMPTS",
+                call(CallKind.ASK),
+                [RUN, note(NoteKind.RUN, target="t2"), note(NoteKind.RUN, target="t3")],
+                [],
+            ),
+            ("ROUTE", call(key="key-extra"), [RUN], []),
+            ("DENIED", call(status=401, seal="", body=b""), [], []),
+        ],
+    )
+    def test_broken(
+        self, promise: str, record: CallRecord, notes: list[Note], windows: list[Window]
+    ) -> None:
+        """Each broken promise is told by its name."""
+        records = Records(calls={record.id: record}, notes=notes, windows=windows, changes=CHANGES)
+        assert {line.partition(":")[0] for line in check(records)} == {promise}
+
+    @pytest.mark.parametrize(
+        ("record", "notes", "windows"),
+        [
+            (call(), [RUN], []),
+            (call(CallKind.ASK), [RUN, note(NoteKind.RUN, target="t2")], []),
+            (call(CallKind.LOOK), [RUN, note(NoteKind.RUN, 10.15, "t2")], []),
+            (call(status=503, seal="", body=b""), [note(NoteKind.REFUSED)], []),
+            (call(status=0, body=b""), [RUN], [window("h1")]),
+            (call(status=0, body=b""), [RUN], [window("t1", end=8.0)]),
+            (call(status=0, body=b"", ended=11.0), [RUN], [window("h1 planned", begin=3.0)]),
+            (call(ended=16.5), [RUN], [window("h1 planned")]),
+            (call(status=0, body=b"", reached=False), [], []),
+            (call(), [note(NoteKind.DRAINING, 7.0, id=""), RUN], [window("store")]),
+            (call(), [note(NoteKind.DRAINING, 8.0, id=""), RUN], []),
+            (call(status=401, key="key-extra", seal="", body=b""), [], []),
+        ],
+    )
+    def test_kept(self, record: CallRecord, notes: list[Note], windows: list[Window]) -> None:
+        """What the platform's rules excuse is no finding."""
+        records = Records(calls={record.id: record}, notes=notes, windows=windows, changes=CHANGES)
+        assert check(records) == []
+
+    @pytest.mark.parametrize(
+        ("versions", "found"),
+        [
+            ([(1, 1.0, 1), (1, 8.0, 4)], 0),
+            ([(1, 1.0, 1), (1, 8.0, 1)], 1),
+            ([(1, 6.0, 4), (1, 7.0, 1)], 1),
+            ([(1, 6.0, 4), (2, 7.0, 1)], 0),
+        ],
+    )
+    def test_configuration(self, versions: list[tuple[int, float, int]], found: int) -> None:
+        """A version is in force in time, and none goes back while a process lives."""
+        samples = [Sample(host="h1", start=s, at=at, version=v) for s, at, v in versions]
+        records = Records(samples=samples, changes=CHANGES)
+        assert len(check(records)) == found
+
+    def test_gone(self) -> None:
+        """Some requests may linger for callers who left, and more may not."""
+        records = Records()
+        for number in range(5):
+            id = f"c{number}"
+            gone = CallRecord(
+                id=id,
+                kind=CallKind.ASK,
+                host="h1",
+                key="key-ann",
+                digest="d",
+                sent=10.0,
+                deadline=15.0,
+                ended=10.2,
+                left=10.2,
+            )
+            records.calls[id] = gone
+            records.notes.append(note(NoteKind.RUN, 10.1, id=id))
+            assert not any("GONE" in line for line in check(records)) or number > 2
+            records.notes.append(note(NoteKind.OVER, 12.0, id=id))
+        assert [line.partition(":")[0] for line in check(records)] == ["GONE"]
+
+    def test_budget(self) -> None:
+        """More repeated sends than the hosts share break the budget."""
+        records = Records(calls={"c1": call(CallKind.LOOK)})
+        records.notes = [note(NoteKind.REFUSED, 10.0 + n / 100.0) for n in range(60)]
+        assert any(line.startswith("BUDGET") for line in check(records))
