Take a process in whose host's clock was set back before it started

Cause: a process is told from the one before it by the time of day of its start. Where the clock had been set back in between, every peer took the new process for an older one: membership passed over what it said of itself for as long as the host lived, and peers dropped its accounts of sends, so that they chose engines without knowing of them, and it was told nothing of changes by the host that checks the store.

Change: a process that hears of a later start of its own host at its own address takes a greater number. A peer's digest with a smaller start is taken where that peer was silent for a second; a late message of the old process still is not. Digests are addressed by host, since a process's number may change.

Ruled out: numbering processes through the store, which may be away when one starts.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= cascade
 
-.PHONY: demo serve test check format bench model faults capacity generate
+SEEDS ?= 1-4
+SOAK ?= --fresh 2
+
+.PHONY: demo serve test check format bench model faults soak capacity generate
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +41,9 @@
 faults: $(VENV)/.installed
 	$(BIN)/python -m bench.faults
 
+soak: $(VENV)/.installed
+	$(BIN)/python -m bench.soak --seeds $(SEEDS) $(SOAK)
+
 capacity: $(VENV)/.installed
 	$(BIN)/python -m bench.capacity
 
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from pathlib import Path
 from secrets import randbelow
+from signal import SIGTERM
 
 from cleo.helpers import option
 
@@ -76,6 +77,10 @@
 
 async def _run_all(plans: Sequence[Plan], *, jobs: int) -> list[Result]:
     free = asyncio.Semaphore(jobs)
+    task = asyncio.current_task()
+    assert task is not None
+    # A soak that is called off still ends all processes that it started.
+    asyncio.get_running_loop().add_signal_handler(SIGTERM, task.cancel)
 
     async def one(plan: Plan) -> Result:
         async with free:
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -11,7 +11,6 @@
 
 from azureswitch.client import HttpClient
 from azureswitch.platform import HttpStore
-from azureswitch_load.demo import free_address
 from azureswitch_standins.target import Note, NoteKind, TargetFaults, TargetPlan
 from bench.soak._documents import DESK, GRACE_SECONDS, MEMORY, POOL, ZONES, write_settings
 from bench.soak._process import PROGRAMS, ManagedProcess
@@ -21,8 +20,13 @@
 LAUNCH = Path(__file__).with_name("_launch.py")
 
 FIRST_PORT = 21_100
-PORTS_EACH = 12
-"""Ports of a host, so that hosts of one run may share an IP address with none."""
+"""Port of a host for callers; its others follow."""
+
+TARGET_PORT = 21_000
+
+STORE_NUMBER = 250
+FIRST_TARGET_NUMBER = 100
+"""Hosts, targets and the store are told apart by the last number of their IP addresses."""
 
 START_SECONDS = 20.0
 """Seconds that all processes may take to start, beside a busy machine."""
@@ -30,6 +34,11 @@
 CONTROL_TIMEOUT = 2.0
 
 
+def _ip(seed: int, number: int) -> str:
+    """Return an IP address that no other run has, so that a port that is free stays so."""
+    return f"127.{10 + seed // 250 % 200}.{1 + seed % 250}.{number}"
+
+
 class Host:
     """One entry host.
 
@@ -43,7 +52,7 @@
     def __init__(self, *, number: int, seed: int, store: str, folder: Path) -> None:
         self.name = f"h{number}"
         self._zone = ZONES[number % len(ZONES)]
-        self._ip = f"127.{10 + seed // 250 % 100}.{1 + seed % 250}.{number + 1}"
+        self._ip = _ip(seed, number + 1)
         self._settings = folder / f"{self.name}.toml"
         self.front = FaultProxy(behind=f"{self._ip}:{FIRST_PORT}")
         self.stores = tuple(FaultProxy(behind=store) for _ in range(2))
@@ -165,12 +174,13 @@
         self._folder = folder
         self._names = count(1)
         self._random = Random(f"{seed} fleet")
-        self._address = str(free_address())
+        self._address = f"{_ip(seed, STORE_NUMBER)}:{TARGET_PORT}"
         self.store_proxy = FaultProxy(behind=self._address)
         self.store_process = ManagedProcess(
             command=(
                 str(PROGRAMS / "azureswitch-standin-store"),
-                *("--port", self._address.rpartition(":")[2]),
+                *("--host", _ip(seed, STORE_NUMBER)),
+                *("--port", str(TARGET_PORT)),
             ),
             log=folder / "store.log",
         )
@@ -214,7 +224,7 @@
             streams=streams,
             memory=MEMORY,
         )
-        listen = listen or str(free_address())
+        listen = listen or f"{_ip(self._seed, FIRST_TARGET_NUMBER + number)}:{TARGET_PORT}"
         if proxy is None:
             proxy = FaultProxy(behind=listen)
             await proxy.start()
--- a/bench/soak/_proxy.py
+++ b/bench/soak/_proxy.py
@@ -38,6 +38,7 @@
         self._healed.set()
         self._server: asyncio.Server | None = None
         self._links: set[_Link] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def address(self) -> str:
@@ -64,6 +65,8 @@
         """Stop listening and reset all connections."""
         assert self._server is not None
         self._server.close()
+        for task in self._tasks:
+            task.cancel()
         self.reset(share=1.0)
 
     def set_mode(self, mode: Mode) -> None:
@@ -86,6 +89,11 @@
             link.abort()
 
     async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(self._join(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _join(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self._mode is Mode.REFUSE:
             _abort(writer)
             return
--- a/src/azureswitch/coordination/membership/_merge.py
+++ b/src/azureswitch/coordination/membership/_merge.py
@@ -128,6 +128,13 @@
 
 def _refute(state: MembershipState, update: Update) -> None:
     me = state.me
+    if update.started > me.started and update.address == me.address:
+        # Only one process can listen there, so that this is an earlier one of this host, and the
+        # time of day has been set back since it started.  Without a greater number nobody would
+        # take this process in for as long as the host lives.
+        logging.info("membership: The clock of host %s was set back; starting anew.", me.host)
+        state.speak(started=update.started + 1, version=1)
+        return
     if update.started != me.started:
         if update.started > me.started:
             logging.warning("membership: Another process speaks for host %s.", me.host)
--- a/src/azureswitch/coordination/sharing/_exchange.py
+++ b/src/azureswitch/coordination/sharing/_exchange.py
@@ -94,7 +94,8 @@
         others = [
             member.address
             for member in self._members()
-            if member.incarnation != self._myself and member.status is not MemberStatus.DEAD
+            if member.incarnation.host != self._myself.host
+            and member.status is not MemberStatus.DEAD
         ]
         if len(others) < self._full_hosts:
             packed = pack_digest(digest)
--- a/src/azureswitch/serving/_fairness.py
+++ b/src/azureswitch/serving/_fairness.py
@@ -35,6 +35,12 @@
 PEER_SILENCE_SECONDS = 2.0
 """Seconds without any digest after which this host counts as cut off from its peers."""
 
+SET_BACK_SECONDS = 1.0
+"""Seconds of a peer's silence after which a smaller number tells of a clock that was set back.
+
+A process takes 0.4 s to start; messages overtake each other by milliseconds.
+"""
+
 
 @dataclass(slots=True, kw_only=True)
 class Account:
@@ -68,18 +74,31 @@
     """What one peer said last of its customers' use.
 
     Attributes:
+        at: When it was heard.
         started: The peer's incarnation.
         sequence: Its last digest.
         whole: Whether it has been heard from its start on.
         uses: Its totals.
     """
 
+    at: float
     started: int
     sequence: int
     whole: bool
     uses: dict[CustomerName, float] = field(default_factory=dict)
 
 
+def _is_news(known: PeerUse, digest: Digest, *, now: float) -> bool:
+    """Return whether a digest was sent after the last one that was heard.
+
+    The numbers of processes are taken from the time of day, which may be set back between two of
+    them.  A message that overtook others is late by milliseconds only.
+    """
+    if (digest.started, digest.sequence) > (known.started, known.sequence):
+        return True
+    return digest.started < known.started and now - known.at > SET_BACK_SECONDS
+
+
 def _heard_whole(known: PeerUse | None, digest: Digest) -> bool:
     if known is None:
         return digest.sequence <= TELL_TIMES
@@ -134,8 +153,7 @@
             Whether the digest was new.
         """
         known = self._peers.get(digest.host)
-        number = (digest.started, digest.sequence)
-        if known is not None and number <= (known.started, known.sequence):
+        if known is not None and not _is_news(known, digest, now=now):
             return False
         same = known is not None and known.started == digest.started
         before = known.uses if known is not None and same else {}
@@ -146,6 +164,7 @@
             more = seconds - before.get(name, 0.0 if whole else seconds)
             self._charge_peer(name, more, now=now)
         self._peers[digest.host] = PeerUse(
+            at=now,
             started=digest.started,
             sequence=digest.sequence,
             whole=whole,
--- a/src/azureswitch_standins/target/_content.py
+++ b/src/azureswitch_standins/target/_content.py
@@ -1,4 +1,4 @@
-"""What a target answers: it follows from the request's id, so that whoever reads it can check it."""
+"""What a target answers, which follows from the request's id, so that a reader can check it."""
 
 from xxhash import xxh3_64_hexdigest, xxh3_64_intdigest
 
--- a/src/azureswitch_standins/target/_http.py
+++ b/src/azureswitch_standins/target/_http.py
@@ -194,9 +194,7 @@
             headers = ((header_names.NOT_RUN, "1"),)
             exchange.respond(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers, body=b"")
 
-    async def _act(
-        self, exchange: Exchange, headers: dict[str, str], id: str, act: Act
-    ) -> None:
+    async def _act(self, exchange: Exchange, headers: dict[str, str], id: str, act: Act) -> None:
         if self._plan.streams:
             await asyncio.sleep(_prompt(headers) / self._plan.read_rate)
         if act is Act.HANG:
@@ -224,9 +222,7 @@
         else:
             exchange.respond(status=HTTPStatus.OK, headers=_sealed(id), body=answer_body(id))
 
-    async def _stream(
-        self, exchange: Exchange, headers: dict[str, str], id: str, act: Act
-    ) -> None:
+    async def _stream(self, exchange: Exchange, headers: dict[str, str], id: str, act: Act) -> None:
         if act is Act.LOSE:
             exchange.abort()
             return
--- a/src/azureswitch_standins/target/_registration.py
+++ b/src/azureswitch_standins/target/_registration.py
@@ -44,9 +44,7 @@
         entered: Called once the store has accepted a state, with whether it is that of leaving.
     """
 
-    def __init__(
-        self, *, plan: TargetPlan, address: str, entered: Callable[[bool], None]
-    ) -> None:
+    def __init__(self, *, plan: TargetPlan, address: str, entered: Callable[[bool], None]) -> None:
         self._plan = plan
         self._address = address
         self._entered = entered
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -142,14 +142,18 @@
 
         _play(scenario, hosts=30)
 
-    def test_restarted_host(self) -> None:
-        """A new process on a host takes the place of the old one at once."""
+    @pytest.mark.parametrize("started", [1_800_000_000_000, 1])
+    def test_restarted_host(self, started: int) -> None:
+        """A new process on a host takes the place of the old one, also by a clock set back."""
 
         async def scenario(fleet: FleetFake) -> None:
             old = fleet.hosts[0]
+            before = next(
+                m.incarnation for m in old.membership.members if m.incarnation.host == old.name
+            )
             fleet.kill(old)
             peers = fleet.network.peers(address=old.address)
-            myself = Incarnation(host=old.name, started=1_800_000_000_000)
+            myself = Incarnation(host=old.name, started=started)
             membership = Membership(
                 myself=myself,
                 place=old.place,
@@ -161,7 +165,10 @@
             run = gather(membership.run())
             await until(
                 lambda: fleet.all_see(
-                    lambda members: any(item.incarnation == myself for item in members)
+                    lambda members: any(
+                        item.incarnation.host == old.name and item.incarnation > before
+                        for item in members
+                    )
                 ),
                 limit=6.0,
             )
--- a/tests/serving/test_policy.py
+++ b/tests/serving/test_policy.py
@@ -139,6 +139,14 @@
         assert fairness.wait(ANN, long=False, now=0.0) == 0.0
         assert fairness.served(ANN) == pytest.approx(9.0)
 
+    @pytest.mark.parametrize(("after", "heard"), [(0.1, False), (1.5, True)])
+    def test_clock_set_back(self, after: float, heard: bool) -> None:
+        """A peer that restarts by a clock set back is heard, and its late messages are not."""
+        fairness = self.fairness()
+        fairness.hear(replace(digest(7), started=9), now=10.0)
+        assert fairness.hear(replace(digest(1), started=8), now=10.0 + after) is heard
+        assert fairness.hear(replace(digest(2), started=8), now=10.2 + after) is heard
+
     def test_cut_off(self) -> None:
         """A host that hears no peer grants its own part of the limit only."""
         granted = {}
