Let callers connect while the program is loaded

A process is back 0.9 s after it was killed; 0.25 s of that go into loading the program, before it listens.

Change: deploy/edge.py, which the deploy file tells the callers' address, listens before it loads the program; the gateway goes on with that socket. It takes what waits there once it has a configuration and targets, or after 0.3 s.

Loading less: four fifths of the time are data classes that are in use.

--- a/deploy/edge.py
+++ b/deploy/edge.py
@@ -1,10 +1,31 @@
-"""Starts an edge process from a checkout, whose sources no build step copies."""
+"""Starts an edge process from a checkout, whose sources no build step copies.
 
+The one argument is the ``IP:PORT`` for callers.  It listens there before the program is loaded,
+which takes 0.25 s of processor time: callers who connect meanwhile wait for that long, and would
+have been turned away.
+"""
+
+import socket
 import sys
 from pathlib import Path
 
+BACKLOG = 512
+"""Connections that may wait until the program is loaded."""
+
+
+def listen(address: str) -> socket.socket | None:
+    """Return a socket that listens, or None where the program is to find out why it cannot."""
+    host, _, port = address.rpartition(":")
+    try:
+        return socket.create_server((host, int(port)), backlog=BACKLOG)
+    except (OSError, ValueError):
+        return None
+
+
+LISTENER = listen(sys.argv[1]) if len(sys.argv) > 1 else None
+
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from azureswitch.platform import main  # noqa: E402  (The path comes first.)
+from azureswitch.platform import main  # noqa: E402  (The socket and the path come first.)
 
-sys.exit(main())
+sys.exit(main(callers=LISTENER))
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
+from socket import socket
 from time import monotonic, time
 
 from azureswitch.core import HostName, PlaceName, TargetName
@@ -169,10 +170,15 @@
         """The configuration in force, or None before the first."""
         return self._front.deployment
 
+    @property
+    def configured(self) -> bool:
+        """Whether there is a configuration, and a target to send requests to."""
+        return bool(self._front.deployment and self._targets)
+
     @property
     def ready(self) -> bool:
         """Whether this process takes new connections."""
-        return bool(self._front.deployment and self._targets) and not self._leaving
+        return self.configured and not self._leaving
 
     @property
     def callers_address(self) -> str:
@@ -184,14 +190,20 @@
         """``IP:PORT`` on which it says whether it takes new connections."""
         return self._platform.address
 
-    async def start(self) -> None:
+    async def start(self, *, callers: socket | None = None) -> None:
         """Listen.
 
+        Args:
+            callers: A socket that listens for callers already, in place of the settings' address.
+
         Raises:
             OSError: An address cannot be used.
         """
         await self._platform.start(address=self._settings.readiness)
-        await self._callers.start(address=self._settings.callers)
+        if callers is None:
+            await self._callers.start(address=self._settings.callers)
+        else:
+            await self._callers.take(listener=callers)
         await self._pages.start(address=self._settings.metrics)
         self._ticks = asyncio.create_task(
             keep_running(self._shell.run, prefix="gateway", name="ticks")
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -4,6 +4,7 @@
 import os
 from pathlib import Path
 from signal import SIGHUP, SIGINT, SIGTERM
+from socket import socket
 from time import monotonic, time
 
 from absl import logging
@@ -55,6 +56,13 @@
 STORE_TIMEOUT = 1.0
 """Seconds that a call to the store may take; it answers in 4 ms, and in 0.3 s where it is slow."""
 
+START_WAIT = 0.3
+"""Seconds for which callers wait for the first configuration; a store that is up takes 10 ms.
+
+They connect while the program is loaded and give up a second later.  Taken at once, 51 of 1,500
+requests were refused on a day on which all of nine hosts were killed, and five of them before.
+"""
+
 STORE_PAUSE = 0.15
 """Seconds between two calls of a watch that bring changes; at a start all targets enter."""
 
@@ -101,6 +109,7 @@
         self._store = self._connect_store(settings)
         self._objects: tuple[StoredObject, ...] = ()
         self._hosts: tuple[HostName, ...] = ()
+        self._configured = asyncio.Event()
         self._gateway = Gateway(
             settings=_gateway_settings(settings),
             dialect=PlatformDialect(),
@@ -157,13 +166,16 @@
         for store in self._stores:
             store.move(address=settings.store.address)
 
-    async def serve(self, stop: asyncio.Event) -> None:
+    async def serve(self, stop: asyncio.Event, *, callers: socket | None = None) -> None:
         """Serve until told to stop, and then stop gracefully.
 
+        Args:
+            stop: Set when it is to stop.
+            callers: A socket that listens for callers already, or None.
+
         Raises:
             OSError: An address cannot be used.
         """
-        await self._gateway.start()
         await self._network.start()
         parts = {
             "configuration": self._configuration.run,
@@ -174,6 +186,8 @@
             asyncio.create_task(keep_running(part, prefix="edge", name=name))
             for name, part in parts.items()
         ]
+        await self._until_configured()
+        await self._gateway.start(callers=callers)
         await stop.wait()
         await asyncio.gather(self._gateway.stop(), self._membership.leave())
         for loop in loops:
@@ -182,6 +196,13 @@
         await self._digests.stop()
         await self._network.close()
 
+    async def _until_configured(self) -> None:
+        try:
+            async with asyncio.timeout(START_WAIT):
+                await self._configured.wait()
+        except TimeoutError:
+            logging.warning("edge: There is no configuration yet; requests are refused.")
+
     def _configure(self, objects: tuple[StoredObject, ...]) -> None:
         for item in objects:
             if item.name != CONFIGURATION_NAME:
@@ -198,6 +219,8 @@
         services = deployment.services if deployment else ()
         found = (_target(item, services) for item in objects)
         self._gateway.set_targets(tuple(target for target in found if target is not None))
+        if self._gateway.configured:
+            self._configured.set()
 
     def _members_changed(self, members: tuple[Member, ...]) -> None:
         hosts = live_hosts(members)
@@ -250,9 +273,12 @@
     )
 
 
-def main() -> int:
+def main(*, callers: socket | None = None) -> int:
     """Run an edge process until SIGTERM or SIGINT.
 
+    Args:
+        callers: A socket that listens for callers already, or None to open the one of the settings.
+
     Returns:
         0 after a graceful stop, 1 where an address cannot be used, 2 where the settings are wrong.
     """
@@ -264,14 +290,16 @@
         return EXIT_SETTINGS
     lines = start_logs(host=settings.host)
     try:
-        asyncio.run(_serve(path, settings, lines))
+        asyncio.run(_serve(path, settings, lines, callers))
     except OSError as error:
         logging.error("edge: An address cannot be used: %s", error)
         return EXIT_START
     return EXIT_OK
 
 
-async def _serve(path: Path, settings: PlatformSettings, lines: LineStream) -> None:
+async def _serve(
+    path: Path, settings: PlatformSettings, lines: LineStream, callers: socket | None
+) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     changed = asyncio.Event()
@@ -282,7 +310,7 @@
     edge = Edge(settings=settings, log=Log(), lines=lines, seed=seed)
     rereading = loop.create_task(_reread(path, settings, changed, edge))
     try:
-        await edge.serve(stop)
+        await edge.serve(stop, callers=callers)
     finally:
         rereading.cancel()
 
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -1,10 +1,14 @@
 """Listens for callers."""
 
 import asyncio
+from socket import socket
 
 from azureswitch.server._connection import ServerConnection
 from azureswitch.server._exchange import Handler
 
+BACKLOG = 512
+"""Connections that may wait to be taken."""
+
 
 class HttpServer:
     """Listens for callers.
@@ -30,7 +34,7 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
-    async def start(self, *, address: str, backlog: int = 512) -> None:
+    async def start(self, *, address: str) -> None:
         """Listen on ``IP:PORT``.
 
         Raises:
@@ -38,12 +42,18 @@
         """
         host, _, port = address.rpartition(":")
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: ServerConnection(handler=self._handler, connections=self._connections),
-            host,
-            int(port),
-            backlog=backlog,
+            self._connection, host, int(port), backlog=BACKLOG
         )
 
+    async def take(self, *, listener: socket) -> None:
+        """Go on with a socket that listens already, and with the connections that wait there."""
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connection, sock=listener, backlog=BACKLOG
+        )
+
+    def _connection(self) -> ServerConnection:
+        return ServerConnection(handler=self._handler, connections=self._connections)
+
     def stop_listening(self) -> None:
         """Take no new connections."""
         if self._server is not None:
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import Enum
+from socket import socket
 
 from azureswitch.client import Headers, HttpAnswer, HttpClient
 from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
@@ -320,6 +321,7 @@
     acts: Iterable[Act] = (),
     count: int = 3,
     configure: Callable[[Gateway], None] | None = None,
+    listener: socket | None = None,
 ) -> AsyncIterator[Bed]:
     """Serve with some targets of each service, alike in what they do."""
     fleet = Fleet(acts=list(acts))
@@ -344,7 +346,7 @@
         log=Log(),
         seed=1,
     )
-    await gateway.start()
+    await gateway.start(callers=listener)
     names = [(f"{kind}{n}", kind == "e") for kind in ("e", "s") for n in range(count)]
     targets = [FakeTarget(name=name, fleet=fleet, streams=streams) for name, streams in names]
     for target in targets:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from socket import create_server
 
 import pytest
 
@@ -395,6 +396,25 @@
     return answer.head.status
 
 
+class TestStart:
+    """How a gateway begins to serve."""
+
+    def test_waiting_callers(self) -> None:
+        """Who connects while the program is still being loaded is answered."""
+
+        async def scenario() -> None:
+            listener = create_server(("127.0.0.1", 0))
+            ip, port = listener.getsockname()
+            reader, writer = await asyncio.open_connection(ip, port)
+            writer.write(b"GET /ask/ HTTP/1.1\r\nhost: a.example\r\n\r\n")
+            async with serve(listener=listener) as bed:
+                assert bed.gateway.callers_address == f"{ip}:{port}"
+                assert (await reader.readline()).startswith(b"HTTP/1.1 ")
+            writer.close()
+
+        run(scenario)
+
+
 class TestStop:
     """A graceful stop."""
 
--- /dev/null
+++ b/tests/platform/test_edge.py
@@ -0,0 +1,107 @@
+"""The edge program as a process before a store of the platform's form."""
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from azureswitch.client import HttpClient
+from azureswitch.platform import header_names
+from azureswitch_load.demo import free_address
+from azureswitch_standins.store import StoreFaults, StoreStandin
+from bench.soak._documents import DESK, HOST_HEADER, configuration, write_settings
+
+EDGE = Path(__file__).resolve().parents[2] / "deploy" / "edge.py"
+
+PATIENCE = 20.0
+"""Seconds that a test waits for what must happen, however busy the machine is."""
+
+PORTS = 23_400
+
+
+@asynccontextmanager
+async def edge(tmp_path: Path, *, ip: str, store: str) -> AsyncIterator[str]:
+    """Start an edge process and give the address for callers, on which it soon listens."""
+    settings = tmp_path / "edge.toml"
+    write_settings(settings, name="h1", ip=ip, zone="z1", ports=PORTS, store=store)
+    callers = f"{ip}:{PORTS}"
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, str(EDGE), callers),
+        env={"AZURESWITCH_SETTINGS": str(settings)},
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    try:
+        yield callers
+    finally:
+        process.kill()
+        await process.wait()
+
+
+async def listens(address: str) -> bool:
+    """Return whether connections are taken at an address."""
+    host, _, port = address.rpartition(":")
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def fill(store: StoreStandin) -> None:
+    """Write a configuration and a target that nobody listens as."""
+    value = configuration(version=1, extra=False, idle_routes=0)
+    await store.store.create(kind="config", name="main", value=value)
+    entry = {"Service": DESK, "Address": str(free_address()), "State": "in_service"}
+    await store.store.create(kind="servers", name="i-1", value=msgspec.json.encode(entry))
+
+
+class TestEdge:
+    """How an edge process starts."""
+
+    @pytest.mark.parametrize(
+        ("ip", "delay", "code"),
+        [
+            ("127.9.1.1", 0.0, "no_target"),
+            ("127.9.1.2", 0.1, "no_target"),
+            ("127.9.1.3", 5.0, "not_configured"),
+        ],
+    )
+    def test_first_caller(self, tmp_path: Path, ip: str, delay: float, code: str) -> None:
+        """Who connects while it loads is served by the first configuration, or soon refused."""
+
+        async def scenario() -> None:
+            store = StoreStandin()
+            await store.start()
+            await fill(store)
+            await store.set_faults(faults=StoreFaults(delay=delay))
+            async with edge(tmp_path, ip=ip, store=store.address) as callers:
+                while not await listens(callers):
+                    await asyncio.sleep(0.002)
+                client = HttpClient(address=callers)
+                answer = await client.request(
+                    method="GET",
+                    path="/look/1",
+                    headers=(
+                        ("host", HOST_HEADER),
+                        (header_names.ID, "r1"),
+                        (header_names.KEY, "Bearer key-ann"),
+                    ),
+                    timeout=PATIENCE,
+                )
+                client.close()
+                assert (answer.head.status, msgspec.json.decode(answer.body)["Error"]) == (
+                    503,
+                    code,
+                )
+            await store.stop()
+
+        async def bounded() -> None:
+            async with asyncio.timeout(2.0 * PATIENCE):
+                await scenario()
+
+        asyncio.run(bounded())
