--- a/src/azureswitch_standins/target/_http.py
+++ b/src/azureswitch_standins/target/_http.py
@@ -143,18 +143,22 @@
             refused = ((header_names.NOT_RUN, "1"),)
             exchange.respond(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=refused, body=b"")
             return
-        task = self._tasks.spawn(self._run(exchange, headers, id, act), name=id)
+        # It stands in line from now on, so that the next one to arrive sees it there.
+        ticket = object()
+        self._slots.wait(ticket)
+        task = self._tasks.spawn(self._run(exchange, headers, ticket, act), name=id)
 
         def left() -> None:
             task.cancel()
 
         exchange.on_left(left)
 
-    async def _run(self, exchange: Exchange, headers: dict[str, str], id: str, act: Act) -> None:
+    async def _run(
+        self, exchange: Exchange, headers: dict[str, str], ticket: object, act: Act
+    ) -> None:
+        id = headers.get(header_names.ID, "")
         left = float(headers.get(header_names.MILLISECONDS_LEFT, "0")) / 1_000.0
-        ticket = object()
         self._running += 1
-        self._slots.wait(ticket)
         began = False
         try:
             async with asyncio.timeout(left):
--- a/src/azureswitch_standins/target/_model.py
+++ b/src/azureswitch_standins/target/_model.py
@@ -74,7 +74,7 @@
     @property
     def full(self) -> bool:
         """Whether a further request is refused."""
-        return not self._free and len(self._waiting) >= self._queue
+        return len(self._waiting) >= self._free + self._queue
 
     def wait(self, ticket: object) -> None:
         """Stand in line."""
