--- a/src/azureswitch_standins/target/_http.py
+++ b/src/azureswitch_standins/target/_http.py
@@ -149,6 +149,8 @@
         task = self._tasks.spawn(self._run(exchange, headers, ticket, act), name=id)
 
         def left() -> None:
+            # A task that is called off before its first step leaves nothing in order by itself.
+            self._slots.leave(ticket)
             task.cancel()
 
         exchange.on_left(left)
--- a/src/azureswitch_standins/target/_model.py
+++ b/src/azureswitch_standins/target/_model.py
@@ -82,7 +82,7 @@
 
     def take(self, ticket: object) -> bool:
         """Take a place if one is free and it is this one's turn."""
-        if not self._free or self._waiting[0] is not ticket:
+        if not self._free or not self._waiting or self._waiting[0] is not ticket:
             return False
         self._waiting.popleft()
         self._free -= 1
