Measure the pauses of streams, and count a stream that paused for too long as late

Cause: an answer counted as on time by its first event alone.

Change: the relay keeps the most seconds between two events, also over a change of targets; the log line and a histogram have it. A route without an objective no longer counts each answer as late.

--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -117,13 +117,15 @@
     Attributes:
         seconds: How long it took.
         first: Seconds to the first event, or to the answer.
-        on_time: Whether that was within the route's objective.
+        pause: The most seconds between two events.
+        on_time: Whether both were within the route's objectives.
         attempts: How many attempts it took.
     """
 
     sentence: ClassVar[str] = "Request answered."
     seconds: float
     first: float
+    pause: float
     on_time: bool
     attempts: int
 
--- a/src/azureswitch/gateway/_records.py
+++ b/src/azureswitch/gateway/_records.py
@@ -21,6 +21,8 @@
         started: When it was read, in seconds of the monotonic clock.
         last_event: The id of the last event that the caller has.
         first_event: When the first event or the answer came, or None.
+        newest_event: When the newest one came.
+        longest_pause: The most seconds between two events, also over a change of targets.
         fallback: A target's own failure, which the caller gets where no further try succeeds.
         tasks: The attempts that run, by number.
         targets: The targets that attempts were sent to, in order.
@@ -34,6 +36,8 @@
     started: float
     last_event: int
     first_event: float | None = None
+    newest_event: float = 0.0
+    longest_pause: float = 0.0
     fallback: HttpAnswer | None = None
     tasks: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     targets: list[str] = field(default_factory=list)
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -305,6 +305,9 @@
         now = self._clock()
         if record.first_event is None:
             record.first_event = now
+        else:
+            record.longest_pause = max(record.longest_pause, now - record.newest_event)
+        record.newest_event = now
         self._dispatch(FirstTokenArrived(now=now, call=effect.call, attempt=effect.attempt))
 
     def _at(self, address: str | None, effect: StartAttempt) -> TargetName | None:
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -33,6 +33,9 @@
 )
 from azureswitch.tasks import Tasks
 
+PAUSE_BOUNDS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 1.0, 2.0)
+"""Upper bounds of the buckets for pauses, in seconds; callers ask for 0.25 to 1."""
+
 
 class Shell:
     """Runs the serving reducer of one gateway.
@@ -168,12 +171,13 @@
         seconds = round(self.now - record.started, 3)
         first = 0.0 if record.first_event is None else record.first_event - record.started
         if error is None:
-            on_time = first <= record.route.objective
+            on_time = _on_time(record, first)
             self._log.write(
                 RequestAnswered(
                     id=record.arrival.id,
                     seconds=seconds,
                     first=round(first, 3),
+                    pause=round(record.longest_pause, 3),
                     on_time=on_time,
                     attempts=len(record.targets),
                 )
@@ -184,6 +188,14 @@
                 route=record.route.name,
                 on_time=str(on_time).lower(),
             )
+            if record.route.gap_objective:
+                self._metrics.measure(
+                    name="pause",
+                    help="The most seconds between two events of a stream, by route.",
+                    bounds=PAUSE_BOUNDS,
+                    value=record.longest_pause,
+                    route=record.route.name,
+                )
             return
         broken = record.first_event is not None
         self._log.write(
@@ -203,3 +215,11 @@
             route=record.route.name,
             code=error.code,
         )
+
+
+def _on_time(record: CallRecord, first: float) -> bool:
+    """Return whether an answer kept its route's objectives, of which there may be none."""
+    route = record.route
+    prompt = not route.objective or first <= route.objective
+    steady = not route.gap_objective or record.longest_pause <= route.gap_objective
+    return prompt and steady
--- a/src/azureswitch/metrics.py
+++ b/src/azureswitch/metrics.py
@@ -1,6 +1,6 @@
 """Metrics, as Prometheus reads them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -43,6 +43,7 @@
                 self._add_counter(what)
         self._gauges: dict[str, tuple[Gauge, Callable[[], float]]] = {}
         self._reasons: dict[str, Counter] = {}
+        self._measures: dict[str, Histogram] = {}
 
     def observe(self, effect: Observe) -> None:
         """Record one observation."""
@@ -61,6 +62,18 @@
             self._reasons[name] = counter
         counter.inc(labels)
 
+    def measure(
+        self, *, name: str, help: str, bounds: Sequence[float], value: float, **labels: str
+    ) -> None:
+        """Measure something by labels; bounds are those of the buckets."""
+        histogram = self._measures.get(name)
+        if histogram is None:
+            histogram = Histogram(
+                f"azureswitch_{name}", help, buckets=list(bounds), registry=self._registry
+            )
+            self._measures[name] = histogram
+        histogram.observe(labels, value)
+
     def watch(self, *, name: str, help: str, value: Callable[[], float]) -> None:
         """Show a value that is read whenever the metrics are."""
         gauge = Gauge(f"azureswitch_{name}", help, registry=self._registry)
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -261,6 +261,7 @@
     """A gateway and what stands behind it."""
 
     gateway: Gateway
+    metrics: Metrics
     fleet: Fleet
     reservations: FakeReservations
     targets: tuple[FakeTarget, ...]
@@ -326,6 +327,7 @@
     """Serve with some targets of each service, alike in what they do."""
     fleet = Fleet(acts=list(acts))
     reservations = FakeReservations()
+    metrics = Metrics()
     gateway = Gateway(
         settings=GatewaySettings(
             host=HostName("h1"),
@@ -342,7 +344,7 @@
         dialect=PlatformDialect(),
         reservations=reservations,
         publish=lambda digest, regular: None,
-        metrics=Metrics(),
+        metrics=metrics,
         log=Log(),
         seed=1,
     )
@@ -360,7 +362,13 @@
     else:
         configure(gateway)
     try:
-        yield Bed(gateway=gateway, fleet=fleet, reservations=reservations, targets=tuple(targets))
+        yield Bed(
+            gateway=gateway,
+            metrics=metrics,
+            fleet=fleet,
+            reservations=reservations,
+            targets=tuple(targets),
+        )
     finally:
         gateway.abort()
         for target in targets:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -203,6 +203,22 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(("pause", "on_time"), [(0.0, "true"), (0.4, "false")])
+    def test_pauses(self, pause: float, on_time: str) -> None:
+        """A stream that pauses for longer than its route's objective counts as late."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                bed.fleet.pause = pause
+                bed.fleet.events = 2
+                await bed.ask("/ask/", headers=model_headers())
+                text = bed.metrics.text()[0].decode()
+                counted = [line for line in text.splitlines() if "answers_total{" in line]
+                assert [f'on_time="{on_time}"' in line for line in counted] == [True]
+                assert 'azureswitch_pause_count{route="/ask/"} 1' in text
+
+        run(scenario)
+
     @pytest.mark.parametrize(("prompt", "holders"), [(100_000, 0), (600_000, 1), (900_000, 2)])
     def test_memory(self, prompt: int, holders: int) -> None:
         """Memory is set aside for what one engine cannot hold, and is free again at the end."""
