--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -1,12 +1,11 @@
 """Copies of the store's objects: never older, whole again after trouble, and cheap to keep."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Awaitable, Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import replace
 
 import pytest
 
-from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.coordination.mirror import (
     AskPeer,
     AskStore,
@@ -20,7 +19,6 @@
     ListAgain,
     Listed,
     MirrorEvent,
-    Mirrors,
     MirrorState,
     NotCopied,
     Publish,
@@ -29,13 +27,12 @@
     Ticked,
     reduce,
 )
-from azureswitch.core import HostName, Incarnation, PlaceName
+from azureswitch.core import HostName
 from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject
 from azureswitch_standins.clock import run_virtual
-from azureswitch_standins.peers import PeersNetworkFake
-from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel
+from azureswitch_standins.mirrors import KIND, MirrorHosts
+from azureswitch_standins.store import StoreFaults
 
-KIND = "things"
 GRACE = 1.8
 
 
@@ -260,96 +257,6 @@
         assert not reduce(changed(1.0, "", ChangeKind.BOOKMARK), state)
 
 
-class DeafStore(StoreFake):
-    """A way to the store whose watches can hear nothing without being cut off.
-
-    Attributes:
-        deaf: Whether watches that are started now, or wait already, hear nothing.
-    """
-
-    deaf = False
-
-    async def watch(
-        self, *, kind: str, version: int, timeout: float
-    ) -> AsyncGenerator[StoreChange, None]:
-        """Yield the changes, unless the watch has been deaf at any time."""
-        deaf = self.deaf
-        async for change in super().watch(kind=kind, version=version, timeout=timeout):
-            deaf = deaf or self.deaf
-            if not deaf:
-                yield change
-
-
-class Hosts:
-    """Hosts with a copy each.
-
-    Args:
-        count: How many.
-    """
-
-    def __init__(self, count: int) -> None:
-        self.model = StoreModel()
-        self.network = PeersNetworkFake()
-        self.stores = [DeafStore(model=self.model) for _ in range(count)]
-        self.seen: list[dict[str, int]] = [{} for _ in range(count)]
-        self._members = tuple(
-            Member(
-                incarnation=Incarnation(host=HostName(f"h{index}"), started=1),
-                place=PlaceName("p"),
-                address=f"{index}",
-                status=MemberStatus.ALIVE,
-            )
-            for index in range(count)
-        )
-        mirrors = [
-            Mirrors(
-                host=member.incarnation.host,
-                address=member.address,
-                peers=self.network.peers(address=member.address),
-                members=lambda: self._members,
-            )
-            for member in self._members
-        ]
-        self._runs = [
-            mirror.add(
-                store=self.stores[index],
-                kind=KIND,
-                publish=lambda objects, index=index: self._publish(index, objects),
-                seed=index,
-            )
-            for index, mirror in enumerate(mirrors)
-        ]
-
-    async def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
-        """Run the copies beside a scenario."""
-        tasks = [asyncio.create_task(mirror.run()) for mirror in self._runs]
-        try:
-            await scenario()
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def write(self, name: str, *, size: int = 0) -> None:
-        """Write an object of some bytes by a way of its own."""
-        value = (b"a route, " * size)[:size]
-        await StoreFake(model=self.model).create(kind=KIND, name=name, value=value)
-
-    def sent(self, kind: type) -> tuple[int, int]:
-        """Return how many messages of a kind all hosts have sent, and their bytes."""
-        traffic = [
-            item
-            for member in self._members
-            if (host := self.network.host(address=member.address)) is not None
-            for item in host.traffic
-            if item.kind == kind.__name__
-        ]
-        return sum(t.sent_messages for t in traffic), sum(t.sent_bytes for t in traffic)
-
-    def _publish(self, index: int, objects: tuple[StoredObject, ...]) -> None:
-        self.seen[index] = {found.name: found.version for found in objects}
-
-
 class TestHosts:
     """Copies of several hosts over a store that fails some of them."""
 
@@ -371,7 +278,7 @@
             await asyncio.sleep(5.0)
             await scenario()
 
-        hosts = Hosts(4)
+        hosts = MirrorHosts(count=4)
         run_virtual(hosts.run(run))
 
     @pytest.mark.parametrize("away", range(4))
@@ -386,7 +293,7 @@
             await asyncio.sleep(2.0)
             assert all("new" in names for names in hosts.seen)
 
-        hosts = Hosts(4)
+        hosts = MirrorHosts(count=4)
         run_virtual(hosts.run(run))
 
     def test_series(self) -> None:
@@ -403,7 +310,7 @@
             # Without word from the first few each host would ask after each change: 600 watches.
             assert hosts.model.counters.watches - before <= 120
 
-        hosts = Hosts(30)
+        hosts = MirrorHosts(count=30)
         run_virtual(hosts.run(run))
 
     def test_large_change(self) -> None:
@@ -423,7 +330,7 @@
             assert hosts.sent(CopyReply)[1] <= 1_000_000
             assert hosts.sent(StoreSeen)[0] - before <= 800
 
-        hosts = Hosts(40)
+        hosts = MirrorHosts(count=40)
         run_virtual(hosts.run(run))
 
     def test_alone(self) -> None:
@@ -439,7 +346,7 @@
             await asyncio.sleep(1.0)
             assert "new" in hosts.seen[0]
 
-        hosts = Hosts(4)
+        hosts = MirrorHosts(count=4)
         run_virtual(hosts.run(run))
 
     @pytest.mark.parametrize(("count", "most"), [(1, 25), (4, 30), (16, 40), (60, 40)])
@@ -452,5 +359,5 @@
             await asyncio.sleep(10.0)
             assert hosts.model.counters.watches - before <= most
 
-        hosts = Hosts(count)
+        hosts = MirrorHosts(count=count)
         run_virtual(hosts.run(run))
