Go on where new settings are told while the program is loaded; tell a store that is away from one that turns a host away

Change: deploy/edge.py ignores SIGHUP until the program takes it over; settings are read later anyway. The grace period begins only where the store had answered nobody for a second, as peers tell of each answer twice a second, and ends in time while peers are served.

Measured: test_reload_while_loading and three cases of tests/mirror fail before and pass after.

--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -11,12 +11,15 @@
 
 from azureswitch.client import HttpClient
 from azureswitch.platform import HttpStore
-from azureswitch_standins.target import Note, NoteKind, TargetFaults, TargetPlan
+from azureswitch_standins.target import FAULTS_PATH, Note, NoteKind, TargetFaults, TargetPlan
 from bench.soak._documents import DESK, GRACE_SECONDS, MEMORY, POOL, ZONES, write_settings
 from bench.soak._process import PROGRAMS, ManagedProcess
 from bench.soak._proxy import FaultProxy
 from bench.soak._records import Records
 
+EDGE = Path(__file__).resolve().parents[2] / "deploy" / "edge.py"
+"""The program as the deploy file starts it."""
+
 LAUNCH = Path(__file__).with_name("_launch.py")
 
 FIRST_PORT = 21_100
@@ -60,7 +63,7 @@
         environment = {**os.environ, "AZURESWITCH_SETTINGS": str(self._settings)}
         self.log = folder / f"{self.name}.log"
         self.process = ManagedProcess(
-            command=(str(PROGRAMS / "azureswitch-edge"),), log=self.log, environment=environment
+            command=(str(PROGRAMS / "python"), str(EDGE)), log=self.log, environment=environment
         )
         self.starts = 0
         self.started = 0.0
@@ -85,10 +88,9 @@
         """Start its process, whose time of day is off by so many seconds."""
         self.starts += 1
         self.started = monotonic()
-        command = [str(PROGRAMS / "azureswitch-edge")]
-        if offset:
-            command = [str(PROGRAMS / "python"), str(LAUNCH), str(offset)]
-        await self.process.start(command)
+        program = [str(EDGE), f"{self._ip}:{FIRST_PORT}"]
+        skewed = [str(LAUNCH), str(offset)] if offset else []
+        await self.process.start([str(PROGRAMS / "python"), *skewed, *program])
 
     def move_store(self) -> None:
         """Write settings by which the store is reached another way."""
@@ -140,7 +142,7 @@
         client = HttpClient(address=self.listen)
         await client.request(
             method="POST",
-            path="/standin/faults",
+            path=FAULTS_PATH,
             body=msgspec.json.encode(faults),
             timeout=CONTROL_TIMEOUT,
         )
--- a/bench/soak/_regressions.py
+++ b/bench/soak/_regressions.py
@@ -18,4 +18,9 @@
     cause: str
 
 
-REGRESSIONS: tuple[Regression, ...] = ()
+REGRESSIONS: tuple[Regression, ...] = (
+    Regression(
+        plan=Plan(seed=45, faults=14),
+        cause="A host that was told of new settings while its program was being loaded ended.",
+    ),
+)
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -11,6 +11,7 @@
 
 from azureswitch.client import HttpClient
 from azureswitch.exceptions import HttpError
+from azureswitch_standins.target import REPORT_PATH, Report
 from bench.soak._checks import check
 from bench.soak._clients import DEADLINE, OVERTIME, Caller
 from bench.soak._faults import Faults
@@ -37,13 +38,6 @@
 """Marks a line of a host's log that tells of a fault of the program."""
 
 
-class Report(msgspec.Struct, frozen=True, kw_only=True):
-    """What an engine says of itself."""
-
-    running: int = msgspec.field(name="Running", default=0)
-    tickets: tuple[str, ...] = msgspec.field(name="Tickets", default=())
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
     """The size of a run.
@@ -183,7 +177,7 @@
 async def _held(target: Target) -> list[str]:
     client = HttpClient(address=target.listen)
     try:
-        answer = await client.request(method="GET", path="/api/report", timeout=2.0)
+        answer = await client.request(method="GET", path=REPORT_PATH, timeout=2.0)
     except HttpError:
         return [f"LEAK: {target.plan.name} does not answer at the end"]
     finally:
--- a/deploy/edge.py
+++ b/deploy/edge.py
@@ -5,10 +5,14 @@
 have been turned away.
 """
 
+import signal
 import socket
 import sys
 from pathlib import Path
 
+# Told of new settings while it is being loaded, the process would end; it reads them later anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 BACKLOG = 512
 """Connections that may wait until the program is loaded."""
 
--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -2,7 +2,8 @@
 
 Objects with a lease lapse while the store is away although their owners live.  Those that do write
 them again within seconds of the store's return.  Dropping them in between would leave nobody to
-send work to, so an object that goes missing around an outage stays for a grace period.
+send work to, so an object that goes missing around an outage stays for a grace period.  A store
+that turns this host away and serves others is not away: leases do not lapse then.
 
 A watch may be deaf without being cut off: while the store drops its history, it hears nothing for a
 second or longer.  So one host or another starts a short watch from its version a little after the
@@ -47,6 +48,13 @@
 ALIKE_SECONDS = 0.25
 """Seconds after a peer's check in which this host's own, made since it was behind, is not told."""
 
+AWAY_SECONDS = 1.0
+"""Seconds without an answer of the store to anybody from which it counts as away.
+
+Peers tell of one each half second; leases last for 3.6 s.  A host that was turned away for 8 s had
+kept a target that was gone for 3.6 s, and sent it a request.
+"""
+
 LIST_SECONDS = 5.0
 """Seconds between two readings of all objects since a peer's copy differs, at least."""
 
@@ -150,6 +158,7 @@
 @reduce.register
 def _(event: Heard, state: MirrorState) -> Effects:
     seen = event.seen
+    _serves(state, now=event.now)
     published = _apply(state, seen, now=event.now)
     if seen.version >= state.version:
         state.checked_at = max(state.checked_at, event.now)
@@ -194,7 +203,7 @@
     wait = CHECK_SECONDS + RANK_SECONDS * min(RANK_MOST, event.rank)
     if state.listed and event.now - state.checked_at >= wait:
         effects.append(AskStore())
-    if state.broken_at is None:
+    if not _is_away(state, now=event.now):
         # Until the store is back, what went missing cannot have come back.
         effects += _expire(state, now=event.now)
     return effects
@@ -268,9 +277,21 @@
 
 
 def _answered(state: MirrorState, *, now: float) -> None:
-    if state.broken_at is not None:
-        state.broken_at = None
+    """Note that the store has answered this host."""
+    _serves(state, now=now)
+    state.broken_at = None
+
+
+def _serves(state: MirrorState, *, now: float) -> None:
+    """Note that the store has answered this host or a peer; it may have been away before."""
+    if _is_away(state, now=now):
         state.returned_at = now
+    state.served_at = now
+
+
+def _is_away(state: MirrorState, *, now: float) -> bool:
+    """Return whether the store answers neither this host nor, so far as it hears, any other."""
+    return state.broken_at is not None and now - state.served_at >= AWAY_SECONDS
 
 
 def _replace(state: MirrorState, objects: tuple[StoredObject, ...], *, now: float) -> Effects:
--- a/src/azureswitch/coordination/mirror/_state.py
+++ b/src/azureswitch/coordination/mirror/_state.py
@@ -19,7 +19,8 @@
         listed: Whether there is a copy.
         listed_at: When all objects were last read, or were to be.
         broken_at: When the store failed first since it answered last, or None.
-        returned_at: When it answered again after it had failed, or None.
+        served_at: When it answered this host or a peer last.
+        returned_at: When it answered again after it had answered nobody, or None.
         missing: Until when objects stay that are not in the store any more, by name.
         checked_at: When this host or a peer last asked the store for changes.
         behind_at: Since when peers have had a newer copy, or None.
@@ -38,6 +39,7 @@
     listed: bool = False
     listed_at: float = 0.0
     broken_at: float | None = None
+    served_at: float = -inf
     returned_at: float | None = None
     missing: dict[str, float] = field(default_factory=dict)
     checked_at: float = 0.0
--- a/src/azureswitch_standins/target/__init__.py
+++ b/src/azureswitch_standins/target/__init__.py
@@ -1,7 +1,7 @@
 """A target in the form that the users' platform publishes: a model engine or a plain service."""
 
 from azureswitch_standins.target._content import answer_body, event, event_count, seal
-from azureswitch_standins.target._http import TargetStandin
+from azureswitch_standins.target._http import FAULTS_PATH, REPORT_PATH, Report, TargetStandin
 from azureswitch_standins.target._model import Act, TargetFaults, TargetPlan
 from azureswitch_standins.target._program import main
 from azureswitch_standins.target._registration import BEATS_KIND, TARGETS_KIND
@@ -10,8 +10,11 @@
 __all__ = [
     "Act",
     "BEATS_KIND",
+    "FAULTS_PATH",
     "Note",
     "NoteKind",
+    "REPORT_PATH",
+    "Report",
     "TARGETS_KIND",
     "TargetFaults",
     "TargetPlan",
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -121,6 +121,31 @@
         """What lapsed while the store was away stays for the grace period, and no longer."""
         assert names_after([listed(0.0, "a", "b"), Broken(now=5.0), *after]) == names
 
+    @pytest.mark.parametrize(
+        ("after", "names"),
+        [
+            ([changed(8.0, "b", ChangeKind.DELETED)], ["a"]),
+            ([listed(8.0, "a")], ["a"]),
+            ([Copied(now=8.0, version=9, objects=(item("a"),))], ["a"]),
+        ],
+    )
+    def test_turned_away(self, after: list[MirrorEvent], names: list[str]) -> None:
+        """What goes while the store serves others is gone at once: it cannot have lapsed."""
+        told = [seen(5.0 + n / 2.0, 1) for n in range(1, 6)]
+        assert names_after([listed(0.0, "a", "b"), Broken(now=5.0), *told, *after]) == names
+
+    def test_turned_away_again(self) -> None:
+        """A grace period that has begun ends in time, also where the store turns this host away."""
+        events = [
+            listed(0.0, "a", "b"),
+            Broken(now=5.0),
+            changed(8.0, "b", ChangeKind.DELETED),
+            Broken(now=8.5),
+            *(seen(8.5 + n / 2.0, 1) for n in range(3)),
+            Ticked(now=8.0 + GRACE),
+        ]
+        assert names_after(events) == ["a"]
+
 
 class TestChecks:
     """Who asks the store, and when."""
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
+from signal import SIGHUP
 
 import msgspec
 import pytest
@@ -24,7 +25,9 @@
 
 
 @asynccontextmanager
-async def edge(tmp_path: Path, *, ip: str, store: str) -> AsyncIterator[str]:
+async def edge(
+    tmp_path: Path, *, ip: str, store: str
+) -> AsyncIterator[tuple[str, asyncio.subprocess.Process]]:
     """Start an edge process and give the address for callers, on which it soon listens."""
     settings = tmp_path / "edge.toml"
     write_settings(settings, name="h1", ip=ip, zone="z1", ports=PORTS, store=store)
@@ -35,9 +38,10 @@
         stdout=asyncio.subprocess.DEVNULL,
     )
     try:
-        yield callers
+        yield callers, process
     finally:
-        process.kill()
+        if process.returncode is None:
+            process.kill()
         await process.wait()
 
 
@@ -52,6 +56,12 @@
     return True
 
 
+async def until_listening(address: str) -> None:
+    """Wait until connections are taken."""
+    while not await listens(address):
+        await asyncio.sleep(0.002)
+
+
 async def fill(store: StoreStandin) -> None:
     """Write a configuration and a target that nobody listens as."""
     value = configuration(version=1, extra=False, idle_routes=0)
@@ -60,6 +70,16 @@
     await store.store.create(kind="servers", name="i-1", value=msgspec.json.encode(entry))
 
 
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Run a scenario to its end."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(2.0 * PATIENCE):
+            await scenario()
+
+    asyncio.run(bounded())
+
+
 class TestEdge:
     """How an edge process starts."""
 
@@ -79,9 +99,8 @@
             await store.start()
             await fill(store)
             await store.set_faults(faults=StoreFaults(delay=delay))
-            async with edge(tmp_path, ip=ip, store=store.address) as callers:
-                while not await listens(callers):
-                    await asyncio.sleep(0.002)
+            async with edge(tmp_path, ip=ip, store=store.address) as (callers, _):
+                await until_listening(callers)
                 client = HttpClient(address=callers)
                 answer = await client.request(
                     method="GET",
@@ -100,8 +119,21 @@
                 )
             await store.stop()
 
-        async def bounded() -> None:
-            async with asyncio.timeout(2.0 * PATIENCE):
-                await scenario()
+        run(scenario)
+
+    def test_reload_while_loading(self, tmp_path: Path) -> None:
+        """A process that is told of new settings while it is still loaded goes on."""
+
+        async def scenario() -> None:
+            store = StoreStandin()
+            await store.start()
+            async with edge(tmp_path, ip="127.9.1.4", store=store.address) as (callers, process):
+                await until_listening(callers)
+                process.send_signal(SIGHUP)
+                answer = await HttpClient(address=callers).request(
+                    method="GET", path="/", timeout=PATIENCE
+                )
+                assert (answer.head.status, process.returncode) == (503, None)
+            await store.stop()
 
-        asyncio.run(bounded())
+        run(scenario)
