Ask peers again where a change came by another way meanwhile

Cause: since one peer is asked at a time, a host that had begun to ask and got the change by another way meanwhile never noted that the asking was over, and asked no peer any more.

Change: the end of the asking is always told, whatever came of it, and asking counts as over after 1.6 s.

Measured: test_overtaken and two cases of test_one_at_a_time fail before and pass after.

--- a/src/azureswitch/coordination/mirror/__init__.py
+++ b/src/azureswitch/coordination/mirror/__init__.py
@@ -2,6 +2,7 @@
 
 from azureswitch.coordination.mirror._driver import Mirror, Mirrors
 from azureswitch.coordination.mirror._events import (
+    Asked,
     Broken,
     Changed,
     Checked,
@@ -9,7 +10,6 @@
     Heard,
     Listed,
     MirrorEvent,
-    NotCopied,
     Ticked,
 )
 from azureswitch.coordination.mirror._messages import CopyReply, CopyRequest, StoreSeen
@@ -26,6 +26,7 @@
 __all__ = [
     "AskPeer",
     "AskStore",
+    "Asked",
     "Broken",
     "Changed",
     "Checked",
@@ -39,7 +40,6 @@
     "MirrorEvent",
     "MirrorState",
     "Mirrors",
-    "NotCopied",
     "Publish",
     "StoreSeen",
     "TellPeers",
--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -20,6 +20,7 @@
 from azureswitch.coordination.hashing import ranked
 from azureswitch.coordination.membership import Member, live_hosts
 from azureswitch.coordination.mirror._events import (
+    Asked,
     Broken,
     Changed,
     Checked,
@@ -27,7 +28,6 @@
     Heard,
     Listed,
     MirrorEvent,
-    NotCopied,
     Ticked,
 )
 from azureswitch.coordination.mirror._messages import (
@@ -344,14 +344,14 @@
             self._feed(Ticked(now=now, rank=rank))
 
     async def _ask_peers(self, effect: AskPeer) -> None:
-        """Ask some peers one after the other, until one has the version that was told of."""
+        """Ask some peers one after the other, until this host has the version that was told of."""
         for address in self._mirrors.sources(known=effect.address, random=self._random):
+            if self._state.version >= effect.version:
+                break
             copy = await self._ask_peer(address)
             if copy is not None:
                 self._feed(copy)
-            if self._state.version >= effect.version:
-                return
-        self._feed(NotCopied(now=_now()))
+        self._feed(Asked(now=_now()))
 
     async def _ask_peer(self, address: str) -> Copied | None:
         """Return a peer's copy, or None where it is not newer or not to be had."""
--- a/src/azureswitch/coordination/mirror/_events.py
+++ b/src/azureswitch/coordination/mirror/_events.py
@@ -52,8 +52,8 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class NotCopied(MirrorEvent):
-    """No peer that was asked gave a newer copy."""
+class Asked(MirrorEvent):
+    """The peers that were to be asked for their copies have been, whatever came of it."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -15,6 +15,7 @@
 from functools import singledispatch
 
 from azureswitch.coordination.mirror._events import (
+    Asked,
     Broken,
     Changed,
     Checked,
@@ -22,7 +23,6 @@
     Heard,
     Listed,
     MirrorEvent,
-    NotCopied,
     Ticked,
 )
 from azureswitch.coordination.mirror._messages import StoreSeen
@@ -48,6 +48,12 @@
 ALIKE_SECONDS = 0.25
 """Seconds after a peer's check in which this host's own, made since it was behind, is not told."""
 
+ASK_SECONDS = 1.6
+"""Seconds after which peers are asked again although nothing came of it: three of 0.5 s each.
+
+A host that waited for an end that was not told kept five targets for up to 5.8 s after they left.
+"""
+
 AWAY_SECONDS = 1.0
 """Seconds without an answer of the store to anybody from which it counts as away.
 
@@ -92,7 +98,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskPeer(Effect):
-    """Take the copy of a peer; `Copied` or `NotCopied` must follow.
+    """Take the copy of a peer; `Asked` follows in the end.
 
     Attributes:
         address: A peer that has it.
@@ -176,15 +182,14 @@
     patient = event.now - state.behind_at < BEHIND_SECONDS
     if patient and state.listed and state.broken_at is None:
         return (AskStore(),)
-    if state.asking:
+    if state.asked_at is not None and event.now - state.asked_at < ASK_SECONDS:
         return NO_EFFECTS
-    state.asking = True
+    state.asked_at = event.now
     return (AskPeer(address=seen.address, version=seen.version),)
 
 
 @reduce.register
 def _(event: Copied, state: MirrorState) -> Effects:
-    state.asking = False
     if event.version <= state.version:
         return NO_EFFECTS
     state.version = event.version
@@ -192,8 +197,8 @@
 
 
 @reduce.register
-def _(event: NotCopied, state: MirrorState) -> Effects:
-    state.asking = False
+def _(event: Asked, state: MirrorState) -> Effects:
+    state.asked_at = None
     return NO_EFFECTS
 
 
--- a/src/azureswitch/coordination/mirror/_state.py
+++ b/src/azureswitch/coordination/mirror/_state.py
@@ -24,7 +24,7 @@
         missing: Until when objects stay that are not in the store any more, by name.
         checked_at: When this host or a peer last asked the store for changes.
         behind_at: Since when peers have had a newer copy, or None.
-        asking: Whether a peer is being asked for its copy.
+        asked_at: When peers began to be asked for their copies, or None where none is.
         heard: The fingerprint that a peer told last.
         heard_at: When it did so.
         fingerprint: Tells this copy from others that differ.
@@ -44,7 +44,7 @@
     missing: dict[str, float] = field(default_factory=dict)
     checked_at: float = 0.0
     behind_at: float | None = None
-    asking: bool = False
+    asked_at: float | None = None
     heard: int = 0
     heard_at: float = -inf
     fingerprint: int = 0
