Let soaks and tests of edge processes run beside others on one machine

Cause: the IP addresses of a soak followed from its seed and those of tests/platform/test_edge.py were fixed, so that two runs of the checks on one machine would have met at the same ports.

Change: they follow from the process's id, and from the number of the run in it.

--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -37,9 +37,15 @@
 CONTROL_TIMEOUT = 2.0
 
 
-def _ip(seed: int, number: int) -> str:
-    """Return an IP address that no other run has, so that a port that is free stays so."""
-    return f"127.{10 + seed // 250 % 200}.{1 + seed % 250}.{number}"
+_RUNS = count(1)
+
+
+def _new_network() -> str:
+    """Return the first three numbers of IP addresses that no other run has, here or beside.
+
+    A port that is free there stays so, and two soaks may run on one machine.
+    """
+    return f"127.{10 + os.getpid() % 200}.{next(_RUNS) % 250}"
 
 
 class Host:
@@ -47,15 +53,15 @@
 
     Args:
         number: Counts the hosts of a run.
-        seed: The run's seed; each run has IP addresses of its own.
+        network: The first three numbers of the run's IP addresses.
         store: ``IP:PORT`` of the store.
         folder: Where settings and logs are written.
     """
 
-    def __init__(self, *, number: int, seed: int, store: str, folder: Path) -> None:
+    def __init__(self, *, number: int, network: str, store: str, folder: Path) -> None:
         self.name = f"h{number}"
         self._zone = ZONES[number % len(ZONES)]
-        self._ip = _ip(seed, number + 1)
+        self._ip = f"{network}.{number + 1}"
         self._settings = folder / f"{self.name}.toml"
         self.front = FaultProxy(behind=f"{self._ip}:{FIRST_PORT}")
         self.stores = tuple(FaultProxy(behind=store) for _ in range(2))
@@ -176,12 +182,13 @@
         self._folder = folder
         self._names = count(1)
         self._random = Random(f"{seed} fleet")
-        self._address = f"{_ip(seed, STORE_NUMBER)}:{TARGET_PORT}"
+        self._network = _new_network()
+        self._address = f"{self._network}.{STORE_NUMBER}:{TARGET_PORT}"
         self.store_proxy = FaultProxy(behind=self._address)
         self.store_process = ManagedProcess(
             command=(
                 str(PROGRAMS / "azureswitch-standin-store"),
-                *("--host", _ip(seed, STORE_NUMBER)),
+                *("--host", f"{self._network}.{STORE_NUMBER}"),
                 *("--port", str(TARGET_PORT)),
             ),
             log=folder / "store.log",
@@ -205,7 +212,7 @@
         for number in range(hosts):
             host = Host(
                 number=number,
-                seed=self._seed,
+                network=self._network,
                 store=self.store_proxy.address,
                 folder=self._folder,
             )
@@ -226,7 +233,7 @@
             streams=streams,
             memory=MEMORY,
         )
-        listen = listen or f"{_ip(self._seed, FIRST_TARGET_NUMBER + number)}:{TARGET_PORT}"
+        listen = listen or f"{self._network}.{FIRST_TARGET_NUMBER + number}:{TARGET_PORT}"
         if proxy is None:
             proxy = FaultProxy(behind=listen)
             await proxy.start()
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from os import getpid
 from pathlib import Path
 from signal import SIGHUP
 
@@ -23,6 +24,9 @@
 
 PORTS = 23_400
 
+NETWORK = f"127.{210 + getpid() % 40}.{getpid() // 40 % 250}"
+"""The first three numbers of IP addresses that no other run of the tests has."""
+
 
 @asynccontextmanager
 async def edge(
@@ -86,9 +90,9 @@
     @pytest.mark.parametrize(
         ("ip", "delay", "code"),
         [
-            ("127.9.1.1", 0.0, "no_target"),
-            ("127.9.1.2", 0.1, "no_target"),
-            ("127.9.1.3", 5.0, "not_configured"),
+            (f"{NETWORK}.1", 0.0, "no_target"),
+            (f"{NETWORK}.2", 0.1, "no_target"),
+            (f"{NETWORK}.3", 5.0, "not_configured"),
         ],
     )
     def test_first_caller(self, tmp_path: Path, ip: str, delay: float, code: str) -> None:
@@ -127,7 +131,7 @@
         async def scenario() -> None:
             store = StoreStandin()
             await store.start()
-            async with edge(tmp_path, ip="127.9.1.4", store=store.address) as (callers, process):
+            async with edge(tmp_path, ip=f"{NETWORK}.4", store=store.address) as (callers, process):
                 await until_listening(callers)
                 process.send_signal(SIGHUP)
                 answer = await HttpClient(address=callers).request(
