Leave prompts that find no room out of what must be served in calm

Change: a refusal as not run of a prompt larger than one engine's memory is left out of that share; any other failure of such a prompt, and every failure of any other request, counts as before.

Ruled out: a lower share, which would let other failures pass; a lost count of memory (refusals and answers alternate to the end, and the engines report nothing held).

--- a/bench/soak/_clients.py
+++ b/bench/soak/_clients.py
@@ -130,6 +130,7 @@
         )
         if kind in STREAMS:
             tokens = random.randint(*PROMPTS.get(kind, PROMPTS[CallKind.ASK]))
+            call.tokens = tokens
             more = ((header_names.MODEL, "m"), (header_names.TOKENS, f"{tokens},200"))
             headers = (*headers, *more)
         return call, headers, body
--- a/bench/soak/_records.py
+++ b/bench/soak/_records.py
@@ -44,6 +44,7 @@
         digest: Of its method, path and body.
         sent: When it was sent, in seconds of the monotonic clock.
         deadline: When it must be over.
+        tokens: Tokens of its prompt; zero for plain calls.
         ended: When it was over.
         status: The answer's status; zero where there was no whole answer.
         seal: The answer's seal.
@@ -59,6 +60,7 @@
     digest: str
     sent: float
     deadline: float
+    tokens: int = 0
     ended: float = 0.0
     status: int = 0
     seal: str = ""
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,6 +5,7 @@
 from azureswitch_standins.target import Note, NoteKind, answer_body, event, event_count, seal
 from bench.soak._checks import check
 from bench.soak._records import CallKind, CallRecord, Change, Records, Sample, Window
+from bench.soak._run import unserved
 
 
 def call(kind: CallKind = CallKind.BOOK, **more: object) -> CallRecord:
@@ -150,6 +151,18 @@
             records.notes.append(note(NoteKind.OVER, 12.0, id=id))
         assert [line.partition(":")[0] for line in check(records)] == ["GONE"]
 
+    @pytest.mark.parametrize(
+        ("status", "tokens", "found"),
+        [(200, 0, 0), (503, 900_000, 0), (503, 405_000, 1), (502, 900_000, 1), (0, 900_000, 1)],
+    )
+    def test_unserved(self, status: int, tokens: int, found: int) -> None:
+        """Requests that fail in calm are a finding, but for prompts that find no room."""
+        calls = {}
+        for number in range(20):
+            record = call(CallKind.ASK, status=status, tokens=tokens)
+            calls[f"c{number}"] = record
+        assert len(unserved(Records(calls=calls), since=5.0)) == found
+
     def test_budget(self) -> None:
         """More repeated sends than the hosts share break the budget."""
         records = Records(calls={"c1": call(CallKind.LOOK)})
