Name the platform's kinds once, and give benchmarks one bound and the soak one order

Cause: read once more, the change wrote again what stood beside it: the record of a figure with an upper bound of bench/claims.py, the kind of object under which targets are listed, and the request that tells a stand-in what goes wrong, twice in one module. A random source of the soak's fleet was used by nothing.

Change: bench.records.at_most, azureswitch.platform's own constants, and one function of the soak serve; the dead field is gone. Behaviour, bounds and assertions stay.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -18,7 +18,7 @@
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.peers import PeersNetworkFake
 from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel
-from bench.records import Direction, Record
+from bench.records import Record, at_most
 
 HOSTS = 9
 STORE_DELAY = 0.005
@@ -190,37 +190,22 @@
     return run_virtual(main())
 
 
-def _at_most(
-    name: str, value: float, unit: str, bound: float, baseline: float | None = None
-) -> Record:
-    return Record(
-        name=name,
-        value=value,
-        unit=unit,
-        bound=bound,
-        direction=Direction.AT_MOST,
-        baseline=baseline,
-    )
-
-
 def _records_at(rate: int) -> list[Record]:
     seen = measure(rate=rate)
     prefix = f"claims.{rate}_per_s"
     return [
-        _at_most(
+        at_most(
             f"{prefix}.writes_per_call",
             seen.writes / seen.calls,
             "writes",
             WRITES_BOUND[rate],
             baseline=UNBATCHED,
         ),
-        _at_most(f"{prefix}.bytes_per_call", seen.written / seen.calls, "bytes", BYTES_BOUND[rate]),
-        _at_most(
-            f"{prefix}.stored_per_call", seen.stored / seen.calls, "bytes", STORED_BOUND[rate]
-        ),
-        _at_most(f"{prefix}.added_median", seen.median, "s", MEDIAN_BOUND[rate]),
-        _at_most(f"{prefix}.added_p99", seen.tail, "s", TAIL_BOUND[rate]),
-        _at_most(f"{prefix}.refused", float(seen.refused), "calls", 0.0),
+        at_most(f"{prefix}.bytes_per_call", seen.written / seen.calls, "bytes", BYTES_BOUND[rate]),
+        at_most(f"{prefix}.stored_per_call", seen.stored / seen.calls, "bytes", STORED_BOUND[rate]),
+        at_most(f"{prefix}.added_median", seen.median, "s", MEDIAN_BOUND[rate]),
+        at_most(f"{prefix}.added_p99", seen.tail, "s", TAIL_BOUND[rate]),
+        at_most(f"{prefix}.refused", float(seen.refused), "calls", 0.0),
     ]
 
 
--- a/bench/mirror.py
+++ b/bench/mirror.py
@@ -13,7 +13,7 @@
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.mirrors import MirrorHosts
 from azureswitch_standins.store import StoreFaults
-from bench.records import Direction, Record
+from bench.records import Record, at_most
 
 SIZES = (6, 25, 77)
 
@@ -92,20 +92,7 @@
 
 def _records(size: int, figures: Figures) -> Iterator[Record]:
     copies, bytes_, told = BASELINES[size]
-    yield _at_most(f"mirror.in_force.{size}", figures.seconds, "s", MOST_SECONDS)
-    yield _at_most(f"mirror.copies.{size}", figures.copies, "messages", 1.5 * size, copies)
-    yield _at_most(f"mirror.copy_bytes.{size}", figures.bytes, "bytes", 10_000 * size, bytes_)
-    yield _at_most(f"mirror.told.{size}", figures.told, "messages", 12.0 * size, told)
-
-
-def _at_most(
-    name: str, value: float, unit: str, bound: float, baseline: float | None = None
-) -> Record:
-    return Record(
-        name=name,
-        value=value,
-        unit=unit,
-        bound=bound,
-        direction=Direction.AT_MOST,
-        baseline=baseline,
-    )
+    yield at_most(f"mirror.in_force.{size}", figures.seconds, "s", MOST_SECONDS)
+    yield at_most(f"mirror.copies.{size}", figures.copies, "messages", 1.5 * size, copies)
+    yield at_most(f"mirror.copy_bytes.{size}", figures.bytes, "bytes", 10_000 * size, bytes_)
+    yield at_most(f"mirror.told.{size}", figures.told, "messages", 12.0 * size, told)
--- a/bench/records.py
+++ b/bench/records.py
@@ -40,3 +40,17 @@
         if self.direction is Direction.AT_MOST:
             return self.value <= self.bound
         return self.value >= self.bound
+
+
+def at_most(
+    name: str, value: float, unit: str, bound: float, baseline: float | None = None
+) -> Record:
+    """Return a figure that must not exceed its bound."""
+    return Record(
+        name=name,
+        value=value,
+        unit=unit,
+        bound=bound,
+        direction=Direction.AT_MOST,
+        baseline=baseline,
+    )
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -4,7 +4,6 @@
 import os
 from itertools import count
 from pathlib import Path
-from random import Random
 from time import monotonic
 
 import msgspec
@@ -48,6 +47,18 @@
     return f"127.{10 + os.getpid() % 200}.{next(_RUNS) % 250}"
 
 
+async def _set_faults(address: str, faults: object) -> None:
+    """Tell a stand-in what goes wrong; store and targets take it at the same path."""
+    client = HttpClient(address=address)
+    await client.request(
+        method="POST",
+        path=FAULTS_PATH,
+        body=msgspec.json.encode(faults),
+        timeout=CONTROL_TIMEOUT,
+    )
+    client.close()
+
+
 class Host:
     """One entry host.
 
@@ -145,14 +156,7 @@
 
     async def set_faults(self, faults: TargetFaults) -> None:
         """Change what goes wrong."""
-        client = HttpClient(address=self.listen)
-        await client.request(
-            method="POST",
-            path=FAULTS_PATH,
-            body=msgspec.json.encode(faults),
-            timeout=CONTROL_TIMEOUT,
-        )
-        client.close()
+        await _set_faults(self.listen, faults)
 
     def _take(self, line: bytes) -> None:
         note = msgspec.json.decode(line, type=Note)
@@ -181,7 +185,6 @@
         self._records = records
         self._folder = folder
         self._names = count(1)
-        self._random = Random(f"{seed} fleet")
         self._network = _new_network()
         self._address = f"{self._network}.{STORE_NUMBER}:{TARGET_PORT}"
         self.store_proxy = FaultProxy(behind=self._address)
@@ -246,14 +249,7 @@
 
     async def set_store_faults(self, **faults: object) -> None:
         """Change what goes wrong with the store."""
-        client = HttpClient(address=self._address)
-        await client.request(
-            method="POST",
-            path="/standin/faults",
-            body=msgspec.json.encode(faults),
-            timeout=CONTROL_TIMEOUT,
-        )
-        client.close()
+        await _set_faults(self._address, faults)
 
     async def stop(self) -> None:
         """End all processes that were started here."""
--- a/bench/soak/_platform.py
+++ b/bench/soak/_platform.py
@@ -7,7 +7,8 @@
 
 from azureswitch.client import HttpClient
 from azureswitch.exceptions import HttpError, StoreError, StoreNotFoundError
-from azureswitch_standins.target import BEATS_KIND, TARGETS_KIND
+from azureswitch.platform import CONFIGURATION_KIND, CONFIGURATION_NAME, TARGETS_KIND
+from azureswitch_standins.target import BEATS_KIND
 from bench.soak._documents import configuration
 from bench.soak._fleet import Fleet, Host
 from bench.soak._records import Change, Records, Sample
@@ -79,11 +80,16 @@
     async def _written(self, value: bytes) -> bool:
         store = self._fleet.store
         try:
-            known = await store.get(kind="config", name="main")
+            known = await store.get(kind=CONFIGURATION_KIND, name=CONFIGURATION_NAME)
             if known.value != value:
-                await store.update(kind="config", name="main", value=value, version=known.version)
+                await store.update(
+                    kind=CONFIGURATION_KIND,
+                    name=CONFIGURATION_NAME,
+                    value=value,
+                    version=known.version,
+                )
         except StoreNotFoundError:
-            await store.create(kind="config", name="main", value=value)
+            await store.create(kind=CONFIGURATION_KIND, name=CONFIGURATION_NAME, value=value)
         except StoreError:
             # Whether it took effect shows the next reading.
             return False
--- a/src/azureswitch/platform/__init__.py
+++ b/src/azureswitch/platform/__init__.py
@@ -4,7 +4,13 @@
 """
 
 from azureswitch.platform import _headers as header_names
-from azureswitch.platform._deployment import decode_deployment, decode_target
+from azureswitch.platform._deployment import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    TARGETS_KIND,
+    decode_deployment,
+    decode_target,
+)
 from azureswitch.platform._dialect import PlatformDialect
 from azureswitch.platform._hosts import HttpHostList
 from azureswitch.platform._orders import ORDER_PATH
@@ -25,6 +31,8 @@
 )
 
 __all__ = [
+    "CONFIGURATION_KIND",
+    "CONFIGURATION_NAME",
     "HOSTS_PATH",
     "OBJECTS_PATH",
     "ORDER_PATH",
@@ -32,6 +40,7 @@
     "HttpStore",
     "PlatformDialect",
     "PlatformSettings",
+    "TARGETS_KIND",
     "WireChange",
     "WireChanges",
     "WireHosts",
--- a/src/azureswitch_standins/target/__init__.py
+++ b/src/azureswitch_standins/target/__init__.py
@@ -4,7 +4,7 @@
 from azureswitch_standins.target._http import FAULTS_PATH, REPORT_PATH, Report, TargetStandin
 from azureswitch_standins.target._model import Act, TargetFaults, TargetPlan
 from azureswitch_standins.target._program import main
-from azureswitch_standins.target._registration import BEATS_KIND, TARGETS_KIND
+from azureswitch_standins.target._registration import BEATS_KIND
 from azureswitch_standins.target._runs import Note, NoteKind, digest
 
 __all__ = [
@@ -15,7 +15,6 @@
     "NoteKind",
     "REPORT_PATH",
     "Report",
-    "TARGETS_KIND",
     "TargetFaults",
     "TargetPlan",
     "TargetStandin",
--- a/src/azureswitch_standins/target/_registration.py
+++ b/src/azureswitch_standins/target/_registration.py
@@ -7,11 +7,9 @@
 from absl import logging
 
 from azureswitch.exceptions import StoreConflictError, StoreError, StoreNotFoundError
-from azureswitch.platform import HttpStore
+from azureswitch.platform import TARGETS_KIND, HttpStore
 from azureswitch_standins.target._model import TargetPlan
 
-TARGETS_KIND = "servers"
-
 BEATS_KIND = "beats"
 """Kind of the signs of life; the platform itself keeps them out of sight."""
 
