Let a call to a peer end when its caller is cancelled, also as the connection is lost

Cause: where a connection is lost in the same turn of the loop in which the caller is cancelled, grpclib raises StreamTerminatedError in place of CancelledError. PeerNetwork makes a PeerError of it, after which a loop goes on; asyncio.run then waits for it without end. Ruled out: the server's close (bounded by 2 s), threads (there are none), the writer of logs. Before: the loop goes on in both orders of the two events (the new test fails for both); after: it ends. Conclusion: a call runs in a task of its own, and its caller waits for that.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -78,7 +78,8 @@
     for part in filter(None, text.split(",")):
         first, _, last = part.partition("-")
         seeds += range(int(first), int(last or first) + 1)
-    return seeds
+    # Two runs of one seed at the same time would share a folder.
+    return list(dict.fromkeys(seeds))
 
 
 async def _run_all(plans: Sequence[Plan], *, jobs: int) -> list[Result]:
--- a/bench/soak/_regressions.py
+++ b/bench/soak/_regressions.py
@@ -23,4 +23,8 @@
         plan=Plan(seed=45, faults=14),
         cause="A host that was told of new settings while its program was being loaded ended.",
     ),
+    Regression(
+        plan=Plan(seed=29, faults=14),
+        cause="A loop that was cancelled as its watch or its peer's connection ended went on.",
+    ),
 )
--- a/src/azureswitch/peers/_network.py
+++ b/src/azureswitch/peers/_network.py
@@ -1,19 +1,18 @@
 """Messages between hosts over gRPC and UDP."""
 
-import builtins
 from asyncio import (
     DatagramProtocol,
     DatagramTransport,
     Task,
-    TimeoutError,
     create_task,
     get_running_loop,
     sleep,
+    wait,
 )
 from asyncio import (
     timeout as deadline,
 )
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import TypeVar
 
 from absl import logging
@@ -130,7 +129,7 @@
         try:
             async with deadline(_CLOSE_SECONDS):
                 await self._server.wait_closed()
-        except builtins.TimeoutError:
+        except TimeoutError:
             logging.warning("peers: Calls from other hosts were still running at close.")
 
     def handle(
@@ -255,8 +254,7 @@
         self._counter.sent(kind=envelope.kind, size=envelope.ByteSize())
         try:
             with self._pool.use(address=address, now=get_running_loop().time()) as channel:
-                async with deadline(timeout):
-                    return await PeersStub(channel).Exchange(envelope)
+                return await _run_call(PeersStub(channel).Exchange(envelope), timeout=timeout)
         except _BROKEN as error:
             # The connection may be to a host that was replaced; the next call opens a new one.
             self._pool.drop(address=address)
@@ -268,6 +266,33 @@
             self._pool.sweep(now=get_running_loop().time())
 
 
+async def _run_call(call: Coroutine[object, object, Envelope], *, timeout: float) -> Envelope:
+    """Run a call in a task of its own and return its reply.
+
+    Where the connection is lost in the same turn of the loop in which the caller is cancelled,
+    grpclib raises the loss in place of the cancellation.  A caller that goes on after a loss would
+    then never end: a host that stopped beside its peers outlived its time of grace.
+
+    Raises:
+        TimeoutError: The time is over.
+    """
+    task = create_task(call)
+    task.add_done_callback(_take_outcome)
+    try:
+        await wait((task,), timeout=timeout)
+        if not task.done():
+            raise TimeoutError
+        return task.result()
+    finally:
+        task.cancel()
+
+
+def _take_outcome(task: Task[Envelope]) -> None:
+    """Look at how a call ended that nobody waits for, so that asyncio does not report it."""
+    if not task.cancelled():
+        task.exception()
+
+
 class _Service(PeersBase):
     def __init__(self, *, network: PeerNetwork) -> None:
         self._network = network
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -1,7 +1,8 @@
 """Messages between hosts, over the real network and in memory."""
 
-from asyncio import gather, run, sleep
+from asyncio import create_task, gather, run, sleep, wait
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -189,6 +190,38 @@
 
         _on_real(scenario)
 
+    @pytest.mark.parametrize("first_step", ["caller cancelled", "connections closed"])
+    def test_cancelled_as_the_connection_is_lost(self, first_step: str) -> None:
+        """A loop that outlives failed calls ends when cancelled, also in the turn of a loss."""
+        asked: list[Question] = []
+
+        async def hang(question: Question) -> Result:
+            asked.append(question)
+            await sleep(PATIENCE)
+            return Result(data=b"")
+
+        async def call_on(first: PeerNetwork, address: str) -> None:
+            while True:
+                with suppress(PeerError):
+                    await first.call(
+                        address=address, request=Question(), reply=Result, timeout=PATIENCE
+                    )
+                await sleep(0.0)
+
+        async def scenario(first: PeerNetwork, second: PeerNetwork) -> None:
+            second.handle(Question, hang)
+            calling = create_task(call_on(first, second.address))
+            await reach(lambda: bool(asked))
+            steps = [calling.cancel, lambda: first._pool.close()]
+            for step in steps if first_step == "caller cancelled" else reversed(steps):
+                step()
+            done, _ = await wait([calling], timeout=1.0)
+            calling.cancel()
+            assert done == {calling}
+            assert calling.cancelled()
+
+        _on_real(scenario)
+
 
 class TestNetworkFake:
     """The switches of the in-memory network."""
