Let a copy of the store's objects end when it is cancelled as a watch ends

Cause: to call off a task it awaited that task and took any CancelledError for the task's own. A cancellation of the copy's own loop in these two turns was lost, and the loop went on: a host told to stop does not end. Conclusion: wait for the task's end in place of awaiting the task.

--- a/src/azureswitch/coordination/mirror/__init__.py
+++ b/src/azureswitch/coordination/mirror/__init__.py
@@ -1,6 +1,6 @@
 """Keeps a copy of one kind of the store's objects, also while the store is away."""
 
-from azureswitch.coordination.mirror._driver import Mirror, Mirrors
+from azureswitch.coordination.mirror._driver import Mirror
 from azureswitch.coordination.mirror._events import (
     Asked,
     Broken,
@@ -13,6 +13,8 @@
     Ticked,
 )
 from azureswitch.coordination.mirror._messages import CopyReply, CopyRequest, StoreSeen
+from azureswitch.coordination.mirror._mirrors import Mirrors
+from azureswitch.coordination.mirror._peers import CopyPeers
 from azureswitch.coordination.mirror._reduce import (
     AskPeer,
     AskStore,
@@ -31,6 +33,7 @@
     "Changed",
     "Checked",
     "Copied",
+    "CopyPeers",
     "CopyReply",
     "CopyRequest",
     "Heard",
--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -2,7 +2,6 @@
 
 from asyncio import (
     FIRST_COMPLETED,
-    CancelledError,
     Event,
     Task,
     create_task,
@@ -10,15 +9,12 @@
     sleep,
     wait,
 )
-from collections.abc import Callable, Iterable
-from dataclasses import replace
+from collections.abc import Callable
 from functools import singledispatchmethod
 from random import Random
 
 from absl import logging
 
-from azureswitch.coordination.hashing import ranked
-from azureswitch.coordination.membership import Member, live_hosts
 from azureswitch.coordination.mirror._events import (
     Asked,
     Broken,
@@ -30,13 +26,8 @@
     MirrorEvent,
     Ticked,
 )
-from azureswitch.coordination.mirror._messages import (
-    CopyReply,
-    CopyRequest,
-    StoreSeen,
-    pack_objects,
-    unpack_objects,
-)
+from azureswitch.coordination.mirror._messages import StoreSeen, pack_objects, unpack_objects
+from azureswitch.coordination.mirror._peers import CopyPeers
 from azureswitch.coordination.mirror._reduce import (
     CHECK_SECONDS,
     RANK_MOST,
@@ -49,14 +40,9 @@
     reduce,
 )
 from azureswitch.coordination.mirror._state import MirrorState
-from azureswitch.core import Effect, HostName
-from azureswitch.exceptions import (
-    PeerError,
-    PeerMessageTooLargeError,
-    StoreError,
-    StoreVersionGoneError,
-)
-from azureswitch.ports import Peers, Store, StoredObject
+from azureswitch.core import Effect
+from azureswitch.exceptions import PeerError, StoreError, StoreVersionGoneError
+from azureswitch.ports import Store, StoredObject
 from azureswitch.tasks import Tasks
 
 Listener = Callable[[tuple[StoredObject, ...]], None]
@@ -79,129 +65,6 @@
 PAUSE_MOST = 0.4
 """Seconds between two calls while the store fails, at most: a change must be in force after 2 s."""
 
-COPY_TIMEOUT = 0.5
-"""Seconds that a peer's copy may take; three must fit into the 2 s after a change."""
-
-COPY_TRIES = 3
-"""Peers that are asked for their copy one after the other."""
-
-
-class Mirrors:
-    """The copies of one host, which share a way to its peers.
-
-    Args:
-        host: This host.
-        address: ``IP:PORT`` on which peers reach it.
-        peers: Messages to other hosts; the handlers are registered here.
-        members: Returns the members known now.
-    """
-
-    def __init__(
-        self,
-        *,
-        host: HostName,
-        address: str,
-        peers: Peers,
-        members: Callable[[], Iterable[Member]],
-    ) -> None:
-        self._host = host
-        self._address = address
-        self._peers = peers
-        self._members = members
-        self._mirrors: dict[str, Mirror] = {}
-        peers.handle(StoreSeen, self._heard)
-        peers.handle(CopyRequest, self._copy)
-
-    def add(
-        self,
-        *,
-        store: Store,
-        kind: str,
-        publish: Listener,
-        return_grace: float = 0.0,
-        seed: int,
-    ) -> "Mirror":
-        """Return a new copy of the objects of one kind; arguments as for `Mirror`."""
-        mirror = Mirror(
-            store=store,
-            kind=kind,
-            publish=publish,
-            mirrors=self,
-            return_grace=return_grace,
-            seed=seed,
-        )
-        self._mirrors[kind] = mirror
-        return mirror
-
-    def rank(self, kind: str) -> int:
-        """Return how many other hosts are to check a kind before this one."""
-        hosts = {*live_hosts(self._members()), self._host}
-        return ranked(name=kind, hosts=hosts).index(self._host)
-
-    def tell(self, kind: str, effect: TellPeers) -> None:
-        """Tell the other hosts that this one has checked a kind."""
-        seen = StoreSeen(
-            host=self._host,
-            address=self._address,
-            kind=kind,
-            version=effect.version,
-            fingerprint=effect.fingerprint,
-            base=effect.base,
-            put=effect.put,
-            removed=effect.removed,
-        )
-        others = [member.address for member in self._others()]
-        try:
-            self._peers.cast_all(addresses=others, message=seen)
-        except PeerMessageTooLargeError:
-            # Who is behind asks the store for itself.
-            bare = replace(seen, put=(), removed=(), base=0)
-            self._peers.cast_all(addresses=others, message=bare)
-
-    def sources(self, *, known: str, random: Random) -> list[str]:
-        """Return the peers to ask for a copy, one after the other.
-
-        All who are behind hear of it from the same one or few, whose links could not bear to give
-        their copies to all.  So any peer is asked first, of this failure domain if there is one.
-
-        Args:
-            known: A peer that has the copy, and is asked last.
-            random: The source of the choice.
-        """
-        places = {m.incarnation.host: m.place for m in self._members()}
-        own = places.get(self._host)
-        others = [member for member in self._others() if member.address != known]
-        random.shuffle(others)
-        others.sort(key=lambda member: member.place != own)
-        return [*(member.address for member in others[: COPY_TRIES - 1]), known]
-
-    async def ask(self, kind: str, *, address: str, version: int) -> CopyReply:
-        """Return a peer's copy, if it is newer than a version.
-
-        Raises:
-            PeerError: It was not to be had.
-        """
-        return await self._peers.call(
-            address=address,
-            request=CopyRequest(kind=kind, version=version),
-            reply=CopyReply,
-            timeout=COPY_TIMEOUT,
-        )
-
-    def _others(self) -> list[Member]:
-        return [member for member in self._members() if member.incarnation.host != self._host]
-
-    async def _heard(self, seen: StoreSeen) -> None:
-        mirror = self._mirrors.get(seen.kind)
-        if mirror is not None:
-            mirror.hear(seen)
-
-    async def _copy(self, request: CopyRequest) -> CopyReply:
-        mirror = self._mirrors.get(request.kind)
-        if mirror is None or mirror.version <= request.version:
-            return CopyReply(version=0)
-        return CopyReply(version=mirror.version, packed=mirror.packed())
-
 
 class Mirror:
     """A copy of the objects of one kind, kept up to date while `run` runs.
@@ -210,7 +73,7 @@
         store: The store.
         kind: The kind.
         publish: Called with all objects whenever they changed.
-        mirrors: The way to the peers.
+        peers: The way to the peers.
         return_grace: Seconds after the store's return for which an object that is missing stays.
         seed: Seeds the pauses between calls.
     """
@@ -221,14 +84,14 @@
         store: Store,
         kind: str,
         publish: Listener,
-        mirrors: Mirrors,
+        peers: CopyPeers,
         return_grace: float = 0.0,
         seed: int,
     ) -> None:
         self._store = store
         self._kind = kind
         self._listener = publish
-        self._mirrors = mirrors
+        self._peers = peers
         self._random = Random(seed)
         self._state = MirrorState(return_grace=return_grace)
         self._failures = 0
@@ -286,7 +149,7 @@
 
         The first host in rank checks by nothing but short watches, one after the other.
         """
-        rank = self._mirrors.rank(self._kind)
+        rank = self._peers.rank(self._kind)
         first = rank == 0
         self._due.clear()
         if rank >= WATCHERS:
@@ -340,12 +203,12 @@
             now = _now()
             early = now - self._state.checked_at < CHECK_SECONDS
             # The rank is worked out where it matters alone; it takes a hash for each host.
-            rank = RANK_MOST if early else self._mirrors.rank(self._kind)
+            rank = RANK_MOST if early else self._peers.rank(self._kind)
             self._feed(Ticked(now=now, rank=rank))
 
     async def _ask_peers(self, effect: AskPeer) -> None:
         """Ask some peers one after the other, until this host has the version that was told of."""
-        for address in self._mirrors.sources(known=effect.address, random=self._random):
+        for address in self._peers.sources(known=effect.address, random=self._random):
             if self._state.version >= effect.version:
                 break
             copy = await self._ask_peer(address)
@@ -357,7 +220,7 @@
         """Return a peer's copy, or None where it is not newer or not to be had."""
         version = self._state.version
         try:
-            reply = await self._mirrors.ask(self._kind, address=address, version=version)
+            reply = await self._peers.ask(self._kind, address=address, version=version)
             if reply.version <= version:
                 return None
             objects = unpack_objects(reply.packed)
@@ -391,7 +254,7 @@
 
     @_run.register
     def _(self, effect: TellPeers) -> None:
-        self._mirrors.tell(self._kind, effect)
+        self._peers.tell(self._kind, effect)
 
     @_run.register
     def _(self, effect: AskPeer) -> None:
@@ -399,11 +262,15 @@
 
 
 async def _end(task: Task[object] | Task[None]) -> None:
+    """Cancel a task and wait for its end, without the failure of a store that is given up.
+
+    To await the task itself would take a cancellation of the caller for the task's own, and the
+    loop that calls this would go on: a process told to stop would not end.
+    """
     task.cancel()
-    try:
-        await task
-    except (CancelledError, StoreError):
-        return
+    await wait((task,))
+    if not task.cancelled() and not isinstance(task.exception(), StoreError):
+        task.result()
 
 
 def _now() -> float:
--- /dev/null
+++ b/src/azureswitch/coordination/mirror/_peers.py
@@ -0,0 +1,101 @@
+"""What the mirrors of a host ask and tell its peers."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from random import Random
+
+from azureswitch.coordination.hashing import ranked
+from azureswitch.coordination.membership import Member, live_hosts
+from azureswitch.coordination.mirror._messages import CopyReply, CopyRequest, StoreSeen
+from azureswitch.coordination.mirror._reduce import TellPeers
+from azureswitch.core import HostName
+from azureswitch.exceptions import PeerMessageTooLargeError
+from azureswitch.ports import Peers
+
+COPY_TIMEOUT = 0.5
+"""Seconds that a peer's copy may take; three must fit into the 2 s after a change."""
+
+COPY_TRIES = 3
+"""Peers that are asked for their copy one after the other."""
+
+
+class CopyPeers:
+    """The way of one host's copies to its peers.
+
+    Args:
+        host: This host.
+        address: ``IP:PORT`` on which peers reach it.
+        peers: Messages to other hosts.
+        members: Returns the members known now.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostName,
+        address: str,
+        peers: Peers,
+        members: Callable[[], Iterable[Member]],
+    ) -> None:
+        self._host = host
+        self._address = address
+        self._peers = peers
+        self._members = members
+
+    def rank(self, kind: str) -> int:
+        """Return how many other hosts are to check a kind before this one."""
+        hosts = {*live_hosts(self._members()), self._host}
+        return ranked(name=kind, hosts=hosts).index(self._host)
+
+    def tell(self, kind: str, effect: TellPeers) -> None:
+        """Tell the other hosts that this one has checked a kind."""
+        seen = StoreSeen(
+            host=self._host,
+            address=self._address,
+            kind=kind,
+            version=effect.version,
+            fingerprint=effect.fingerprint,
+            base=effect.base,
+            put=effect.put,
+            removed=effect.removed,
+        )
+        others = [member.address for member in self._others()]
+        try:
+            self._peers.cast_all(addresses=others, message=seen)
+        except PeerMessageTooLargeError:
+            # Who is behind asks the store for itself.
+            bare = replace(seen, put=(), removed=(), base=0)
+            self._peers.cast_all(addresses=others, message=bare)
+
+    def sources(self, *, known: str, random: Random) -> list[str]:
+        """Return the peers to ask for a copy, one after the other.
+
+        All who are behind hear of it from the same one or few, whose links could not bear to give
+        their copies to all.  So any peer is asked first, of this failure domain if there is one.
+
+        Args:
+            known: A peer that has the copy, and is asked last.
+            random: The source of the choice.
+        """
+        places = {m.incarnation.host: m.place for m in self._members()}
+        own = places.get(self._host)
+        others = [member for member in self._others() if member.address != known]
+        random.shuffle(others)
+        others.sort(key=lambda member: member.place != own)
+        return [*(member.address for member in others[: COPY_TRIES - 1]), known]
+
+    async def ask(self, kind: str, *, address: str, version: int) -> CopyReply:
+        """Return a peer's copy, if it is newer than a version.
+
+        Raises:
+            PeerError: It was not to be had.
+        """
+        return await self._peers.call(
+            address=address,
+            request=CopyRequest(kind=kind, version=version),
+            reply=CopyReply,
+            timeout=COPY_TIMEOUT,
+        )
+
+    def _others(self) -> list[Member]:
+        return [member for member in self._members() if member.incarnation.host != self._host]
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -14,13 +15,14 @@
     Changed,
     Checked,
     Copied,
+    CopyPeers,
     CopyReply,
     CopyRequest,
     Heard,
     ListAgain,
     Listed,
+    Mirror,
     MirrorEvent,
-    Mirrors,
     MirrorState,
     Publish,
     StoreSeen,
@@ -28,6 +30,7 @@
     Ticked,
     reduce,
 )
+from azureswitch.coordination.mirror._driver import FIRST_WATCH_SECONDS
 from azureswitch.core import HostName
 from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject
 from azureswitch_standins.clock import run_virtual
@@ -37,6 +40,14 @@
 
 GRACE = 1.8
 
+ALONE: dict[str, Any] = {
+    "host": HostName("h1"),
+    "address": "1",
+    "peers": PeersNetworkFake().peers(address="1"),
+    "members": tuple,
+}
+"""Arguments of a way to peers of whom there are none."""
+
 
 def item(name: str, version: int = 1) -> StoredObject:
     """Return an object."""
@@ -287,39 +298,45 @@
         assert not reduce(changed(1.0, "", ChangeKind.BOOKMARK), state)
 
 
-class OvertakenMirrors(Mirrors):
+class OvertakenPeers(CopyPeers):
     """A way to the peers on which a change arrives while a peer is asked for it.
 
     Attributes:
         asked: How often a peer was asked.
+        mirror: The copy that the change is for.
     """
 
     asked = 0
+    mirror: Mirror
 
     async def ask(self, kind: str, *, address: str, version: int) -> CopyReply:
         """Let the change arrive by another way, and give a copy that is not newer."""
         self.asked += 1
-        await self._heard(self.change)
+        self.mirror.hear(self.change)
         return CopyReply(version=0)
 
     @property
     def change(self) -> StoreSeen:
         """A change that applies to any copy of this test."""
-        mirror = self._mirrors[KIND]
         told = MirrorState()
-        reduce(listed(0.0, "a", version=mirror.version), told)
-        reduce(changed(0.0, "a", ChangeKind.PUT, version=mirror.version + 1), told)
+        reduce(listed(0.0, "a", version=self.mirror.version), told)
+        reduce(changed(0.0, "a", ChangeKind.PUT, version=self.mirror.version + 1), told)
         return StoreSeen(
             host=HostName("h2"),
             address="2",
             kind=KIND,
-            version=mirror.version + 1,
+            version=self.mirror.version + 1,
             fingerprint=told.fingerprint,
-            base=mirror._state.fingerprint,
-            put=(item("a", mirror.version + 1),),
+            base=self.mirror._state.fingerprint,
+            put=(item("a", self.mirror.version + 1),),
         )
 
 
+def mirror_beside(peers: CopyPeers, *, store: StoreFake) -> Mirror:
+    """Return a copy of a store."""
+    return Mirror(store=store, kind=KIND, publish=lambda objects: None, peers=peers, seed=1)
+
+
 class TestMirror:
     """Unit tests of `Mirror`."""
 
@@ -327,20 +344,32 @@
         """A peer is asked again after a change came by another way while one was asked."""
 
         async def run() -> None:
-            mirrors = OvertakenMirrors(
-                host=HostName("h1"),
-                address="1",
-                peers=PeersNetworkFake().peers(address="1"),
-                members=tuple,
-            )
-            mirror = mirrors.add(store=StoreFake(), kind=KIND, publish=lambda objects: None, seed=1)
+            peers = OvertakenPeers(**ALONE)
+            mirror = peers.mirror = mirror_beside(peers, store=StoreFake())
             mirror._feed(listed(0.0, "a"))
             mirror._feed(Broken(now=0.0))
             for turn in range(1, 4):
-                bare = replace(mirrors.change, put=(), base=0)
+                bare = replace(peers.change, put=(), base=0)
                 mirror.hear(bare)
                 await asyncio.sleep(0.1)
-                assert mirrors.asked == turn
+                assert peers.asked == turn
+
+        run_virtual(run())
+
+    @pytest.mark.parametrize("turns", range(12))
+    def test_cancelled(self, turns: int) -> None:
+        """It ends when cancelled, in whatever turn of the loop, also while a watch ends."""
+
+        async def run() -> None:
+            mirror = mirror_beside(CopyPeers(**ALONE), store=StoreFake())
+            running = asyncio.create_task(mirror.run())
+            # Its first watch ends then.
+            await asyncio.sleep(FIRST_WATCH_SECONDS)
+            for _ in range(turns):
+                await asyncio.sleep(0.0)
+            running.cancel()
+            done, _ = await asyncio.wait([running], timeout=1.0)
+            assert done == {running}
 
         run_virtual(run())
 
