Let the claims of a host end when they are cancelled as they are woken

Cause: asyncio.wait_for of Python 3.11 returns the result of what it waits for where a cancellation comes in the two turns of the loop after that has ended. The loop of claims then went on, and the entry host did not end. Ruled out: a change to the edge program, which loads no module of the claims. Conclusion: only asyncio.timeout is used; it counts cancellations.

--- a/src/azureswitch/coordination/claims/_claims.py
+++ b/src/azureswitch/coordination/claims/_claims.py
@@ -246,7 +246,9 @@
             return
         self._woken.clear()
         try:
-            await asyncio.wait_for(self._woken.wait(), timeout=seconds)
+            # Not wait_for, which loses a cancellation that comes as the event is set.
+            async with asyncio.timeout(seconds):
+                await self._woken.wait()
         except TimeoutError:
             pass
 
--- a/src/azureswitch/coordination/claims/_storage.py
+++ b/src/azureswitch/coordination/claims/_storage.py
@@ -1,6 +1,6 @@
 """The store as owners use it: heads and segments, and what each call came to."""
 
-from asyncio import get_running_loop, wait_for
+from asyncio import get_running_loop, timeout
 from collections.abc import Callable, Coroutine
 from functools import singledispatchmethod
 from typing import Any, TypeAlias, TypeVar
@@ -167,4 +167,5 @@
 
 
 async def _timed(work: Coroutine[Any, Any, Result]) -> Result:
-    return await wait_for(work, timeout=STORE_TIMEOUT)
+    async with timeout(STORE_TIMEOUT):
+        return await work
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -247,6 +247,23 @@
         assert granted == len(keys)
         assert all(sent[key] == 1 for key in keys)
 
+    @pytest.mark.parametrize("turns", range(6))
+    def test_cancelled(self, turns):
+        """It ends when cancelled, in whatever turn of the loop after it was woken."""
+
+        async def main():
+            host = Fleet(size=1).hosts[0]
+            # Between two ticks, where it waits to be woken.
+            await asyncio.sleep(10.01)
+            host.claims._woken.set()
+            for _ in range(turns):
+                await asyncio.sleep(0.0)
+            host.task.cancel()
+            await asyncio.wait([host.task], timeout=60.0)
+            return host.task.done()
+
+        assert run_virtual(main())
+
     def test_customers_are_apart(self):
         """Equal keys of two customers have nothing in common, whatever their bytes."""
 
--- a/tests/standins/test_engine_streams.py
+++ b/tests/standins/test_engine_streams.py
@@ -32,6 +32,7 @@
             bell = stream.bell
             waiting = asyncio.ensure_future(bell.wait())
             stream.finish(Finished(at=0.0, call=request.call, attempt=1, cached_tokens=0))
-            return await asyncio.wait_for(waiting, timeout=1.0)
+            async with asyncio.timeout(1.0):
+                return await waiting
 
         assert asyncio.run(scenario())
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -139,7 +139,8 @@
 
         async def scenario(target: TargetStandin, notes: KeptNotes) -> None:
             with pytest.raises(TimeoutError):
-                await asyncio.wait_for(send(target), timeout=0.05)
+                async with asyncio.timeout(0.05):
+                    await send(target)
             await asyncio.sleep(0.05)
             assert notes.kinds == [NoteKind.RUN, NoteKind.CALLER_LEFT, NoteKind.OVER]
             assert not target.busy
