Hold back signals while the edge program is being loaded

Cause: SIGTERM in the quarter of a second in which the program is loaded ended the process at once with -15, after it had begun to listen: callers who waited were cut off. SIGHUP was ignored there, so that new settings waited for the next regular reading. Before: the new test fails for SIGTERM and SIGINT; after: who waits is answered, and the process ends with 0. Ruled out: a handler of Python's own, which would run between any two steps of an import. Conclusion: the signals are blocked by the deploy file's program and taken once the loop runs.

--- a/deploy/edge.py
+++ b/deploy/edge.py
@@ -10,8 +10,9 @@
 import sys
 from pathlib import Path
 
-# Told of new settings while it is being loaded, the process would end; it reads them later anyway.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# Told to stop or of new settings while it is being loaded, the process would end at once, and cut
+# off the callers who wait.  The program takes these signals once it can serve and stop gracefully.
+signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
 
 BACKLOG = 512
 """Connections that may wait until the program is loaded."""
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 from pathlib import Path
-from signal import SIGHUP, SIGINT, SIGTERM
+from signal import SIG_UNBLOCK, SIGHUP, SIGINT, SIGTERM, pthread_sigmask
 from socket import socket
 from time import monotonic, time
 
@@ -306,6 +306,8 @@
     for number in (SIGTERM, SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(SIGHUP, changed.set)
+    # The deploy file's program holds them back while this one is being loaded.
+    pthread_sigmask(SIG_UNBLOCK, (SIGTERM, SIGINT, SIGHUP))
     seed = xxh3_64_intdigest(settings.host.encode()) & 0xFFFF
     edge = Edge(settings=settings, log=Log(), lines=lines, seed=seed)
     rereading = loop.create_task(_reread(path, settings, changed, edge))
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 from os import getpid
 from pathlib import Path
-from signal import SIGHUP
+from signal import SIGHUP, SIGINT, SIGTERM, Signals
 
 import msgspec
 import pytest
@@ -125,19 +125,29 @@
 
         run(scenario)
 
-    def test_reload_while_loading(self, tmp_path: Path) -> None:
-        """A process that is told of new settings while it is still loaded goes on."""
+    @pytest.mark.parametrize(
+        ("ip", "number", "code"),
+        [(f"{NETWORK}.4", SIGHUP, None), (f"{NETWORK}.5", SIGTERM, 0), (f"{NETWORK}.6", SIGINT, 0)],
+    )
+    def test_signal_while_loading(
+        self, tmp_path: Path, ip: str, number: Signals, code: int | None
+    ) -> None:
+        """A signal while it is loaded cuts off no caller; one to stop takes effect after that."""
 
         async def scenario() -> None:
             store = StoreStandin()
             await store.start()
-            async with edge(tmp_path, ip=f"{NETWORK}.4", store=store.address) as (callers, process):
+            async with edge(tmp_path, ip=ip, store=store.address) as (callers, process):
                 await until_listening(callers)
-                process.send_signal(SIGHUP)
+                process.send_signal(number)
                 answer = await HttpClient(address=callers).request(
                     method="GET", path="/", timeout=PATIENCE
                 )
-                assert (answer.head.status, process.returncode) == (503, None)
+                assert answer.head.status == 503
+                if code is None:
+                    assert process.returncode is None
+                else:
+                    assert await process.wait() == code
             await store.stop()
 
         run(scenario)
