Do not blame targets for the time in which the host itself stood still

Cause: where a host stood still for longer than its patience with a silent stream, the timer of the patience ran in the same turn of the loop as the reading of the events that had come meanwhile, and asyncio.timeout then cancels the reader although there is something to read. So a host that goes on after a freeze gave up its streams and ran them again elsewhere. Before: the new test's stream runs twice; after: once. Conclusion: a late timer tells of a stall of this process, after which the wait begins anew.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -5,7 +5,6 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from http import HTTPStatus
-from math import isinf
 
 from absl import logging
 
@@ -22,6 +21,7 @@
 from azureswitch.gateway._events import EventSplitter, StreamEvent
 from azureswitch.gateway._log import AttemptOver, AttemptSent
 from azureswitch.gateway._model import Helper, RouteKind, Sending
+from azureswitch.gateway._patience import Patience
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._tickets import Ticket, Tickets
@@ -200,9 +200,8 @@
             fresh=True,
         )
         try:
-            async with asyncio.timeout(_limit(effect.first_patience)) as patience:
-                async with stream as answer:
-                    return await self._pass_on(record, effect, answer, patience)
+            async with Patience(seconds=effect.first_patience) as patience, stream as answer:
+                return await self._pass_on(record, effect, answer, patience)
         except TimeoutError as error:
             raise HttpBrokenError(address=first.address) from error
 
@@ -211,7 +210,7 @@
         record: CallRecord,
         effect: StartAttempt,
         answer: HttpExchange,
-        patience: asyncio.Timeout,
+        patience: Patience,
     ) -> _End:
         head = answer.head
         target = effect.targets[0]
@@ -259,7 +258,7 @@
         record: CallRecord,
         effect: StartAttempt,
         answer: HttpExchange,
-        patience: asyncio.Timeout,
+        patience: Patience,
     ) -> _End:
         splitter = EventSplitter()
         while data := await answer.read():
@@ -268,9 +267,9 @@
                 continue
             self._put(record, effect, answer.head, events)
             # A caller that reads slowly is no fault of the target's.
-            patience.reschedule(None)
+            patience.suspend()
             await record.exchange.drain()
-            patience.reschedule(self._later(effect.gap_patience))
+            patience.begin(effect.gap_patience)
         if splitter.torn:
             raise TargetAnswerError(target=effect.targets[0])
         if not record.exchange.started:
@@ -316,14 +315,6 @@
         found = (name for name in effect.targets if name in listed)
         return next((name for name in found if listed[name].address == address), None)
 
-    def _later(self, seconds: float) -> float | None:
-        limit = _limit(seconds)
-        return None if limit is None else asyncio.get_running_loop().time() + limit
-
-
-def _limit(seconds: float) -> float | None:
-    return None if isinf(seconds) else seconds
-
 
 def _tickets(effect: StartAttempt, targets: list[Target]) -> dict[TargetName, Ticket]:
     """Return the memory to be set aside, by target; an attempt's ids are its own."""
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from socket import create_server
+from time import sleep
 
 import pytest
 
@@ -17,6 +18,7 @@
 from azureswitch.gateway import Verdict
 from azureswitch.platform import PlatformDialect
 from azureswitch.server import CallerLimits
+from azureswitch.serving._retries import GAP_PATIENCE
 from tests.gateway.fixtures import (
     PATIENCE,
     Act,
@@ -219,6 +221,23 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("path", ["/ask/", "/once/"])
+    def test_frozen(self, path: str) -> None:
+        """A host that stood still goes on with its streams, and does not blame their targets."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                bed.fleet.pause = 0.05
+                asking = asyncio.ensure_future(bed.ask(path, headers=model_headers()))
+                await reach(lambda: len(bed.fleet.runs) == 1)
+                await asyncio.sleep(0.1)
+                sleep(2.0 * GAP_PATIENCE)
+                answer = await asking
+                assert (answer.head.status, answer.body) == (200, whole_stream(5))
+                assert len(bed.fleet.runs) == 1
+
+        run(scenario)
+
     @pytest.mark.parametrize(("prompt", "holders"), [(100_000, 0), (600_000, 1), (900_000, 2)])
     def test_memory(self, prompt: int, holders: int) -> None:
         """Memory is set aside for what one engine cannot hold, and is free again at the end."""
