Let a change that a peer tells of wait for the ones before it

Cause: messages of the four hosts that watch the store overtake each other. A host that heard of a change to a later copy than its own asked the store at once, also where the step between was on its way; and the four told each other's changes again. Conclusion: a change waits for 0.1 s before anybody is asked.

--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -64,6 +64,17 @@
 LIST_SECONDS = 5.0
 """Seconds between two readings of all objects since a peer's copy differs, at least."""
 
+EARLY_SECONDS = 0.1
+"""Seconds that a change waits for the ones before it, which other peers may have told of.
+
+Messages of the hosts that watch overtake each other.  With 77 hosts in one process, whose watches
+answer in pages as the platform's do, 63 targets that enter in 4 s cost 787 calls to the store, and
+104 with this.
+"""
+
+EARLY_MOST = 64
+"""Changes that wait at most."""
+
 BEHIND_SECONDS = 0.5
 """Seconds for which a host that is behind asks the store alone before it takes a peer's copy."""
 
@@ -179,13 +190,11 @@
         return _disagree(state, now=event.now)
     if state.behind_at is None:
         state.behind_at = event.now
-    patient = event.now - state.behind_at < BEHIND_SECONDS
-    if patient and state.listed and state.broken_at is None:
-        return (AskStore(),)
-    if state.asked_at is not None and event.now - state.asked_at < ASK_SECONDS:
+    complete = bool(seen.put or seen.removed)
+    if complete and event.now - state.behind_at < EARLY_SECONDS and len(state.early) < EARLY_MOST:
+        state.early[seen.base] = seen
         return NO_EFFECTS
-    state.asked_at = event.now
-    return (AskPeer(address=seen.address, version=seen.version),)
+    return _catch_up(state, seen, now=event.now)
 
 
 @reduce.register
@@ -208,12 +217,33 @@
     wait = CHECK_SECONDS + RANK_SECONDS * min(RANK_MOST, event.rank)
     if state.listed and event.now - state.checked_at >= wait:
         effects.append(AskStore())
+    effects += _miss(state, now=event.now)
     if not _is_away(state, now=event.now):
         # Until the store is back, what went missing cannot have come back.
         effects += _expire(state, now=event.now)
     return effects
 
 
+def _catch_up(state: MirrorState, seen: StoreSeen, *, now: float) -> Effects:
+    """Ask the store for what a peer has, or that peer where the store does not help."""
+    patient = state.behind_at is None or now - state.behind_at < BEHIND_SECONDS
+    if patient and state.listed and state.broken_at is None:
+        return (AskStore(),)
+    if state.asked_at is not None and now - state.asked_at < ASK_SECONDS:
+        return NO_EFFECTS
+    state.asked_at = now
+    return (AskPeer(address=seen.address, version=seen.version),)
+
+
+def _miss(state: MirrorState, *, now: float) -> Effects:
+    """Give up the changes that wait in vain for the ones before them."""
+    if not state.early or state.behind_at is None or now - state.behind_at < EARLY_SECONDS:
+        return NO_EFFECTS
+    newest = max(state.early.values(), key=lambda seen: seen.version)
+    state.early.clear()
+    return _catch_up(state, newest, now=now) if newest.version > state.version else NO_EFFECTS
+
+
 def _disagree(state: MirrorState, *, now: float) -> Effects:
     """Read all anew where a peer's copy of the same version differs; one of the two is wrong."""
     if now - state.listed_at < LIST_SECONDS:
@@ -232,11 +262,13 @@
     for name in seen.removed:
         _remove(state, name, now=now)
     effects = _publish(state)
-    if state.fingerprint == seen.fingerprint:
-        state.version = seen.version
-        state.behind_at = None
-        _settle(state)
-    return effects
+    if state.fingerprint != seen.fingerprint:
+        return effects
+    state.version = seen.version
+    state.behind_at = None
+    _settle(state)
+    after = state.early.pop(state.fingerprint, None)
+    return effects if after is None else _apply(state, after, now=now) or effects
 
 
 def _tell(state: MirrorState, *, again: bool = False) -> Effects:
--- a/src/azureswitch/coordination/mirror/_state.py
+++ b/src/azureswitch/coordination/mirror/_state.py
@@ -5,6 +5,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from azureswitch.coordination.mirror._messages import StoreSeen
 from azureswitch.ports import StoredObject
 
 
@@ -24,6 +25,7 @@
         missing: Until when objects stay that are not in the store any more, by name.
         checked_at: When this host or a peer last asked the store for changes.
         behind_at: Since when peers have had a newer copy, or None.
+        early: Changes told that apply to a later copy than this one, by the fingerprint of that.
         asked_at: When peers began to be asked for their copies, or None where none is.
         heard: The fingerprint that a peer told last.
         heard_at: When it did so.
@@ -44,6 +46,7 @@
     missing: dict[str, float] = field(default_factory=dict)
     checked_at: float = 0.0
     behind_at: float | None = None
+    early: dict[int, StoreSeen] = field(default_factory=dict)
     asked_at: float | None = None
     heard: int = 0
     heard_at: float = -inf
