Count hosts that are listed and not known yet for the order in which the store is watched

Cause: 77 hosts that start together know each other after 4 s. Until then each held itself for the first in rank, of whom four keep a watch: while 63 targets entered, each asked the store 22 times. An entry of a host that is gone for good counts for 5 s after a start alone; without that it could take the place of one of the four that watch. Conclusion: who is listed is expected; rank counts it.

--- a/src/azureswitch/coordination/membership/_driver.py
+++ b/src/azureswitch/coordination/membership/_driver.py
@@ -26,7 +26,7 @@
     SyncRequested,
     Ticked,
 )
-from azureswitch.coordination.membership._limits import SYNC_TIMEOUT, TICK
+from azureswitch.coordination.membership._limits import JOIN_SECONDS, SYNC_TIMEOUT, TICK
 from azureswitch.coordination.membership._messages import (
     Ack,
     Gossip,
@@ -77,6 +77,7 @@
         self._state = MembershipState(
             myself=myself, place=place, address=address, random=Random(seed)
         )
+        self._began: float | None = None
         self._listeners: list[Listener] = []
         self._tasks: set[Task[None]] = set()
         peers.handle(Ping, self._receive)
@@ -96,6 +97,12 @@
         """Hosts that are dead and not yet forgotten."""
         return self._state.dead
 
+    @property
+    def expected(self) -> tuple[HostName, ...]:
+        """Hosts that are listed and will be known soon, as far as can be told after a start."""
+        joining = self._began is not None and _now() - self._began < JOIN_SECONDS
+        return self._state.unknown if joining else ()
+
     @property
     def health(self) -> int:
         """How far this host doubts itself, from 0; above it, it probes more slowly."""
@@ -116,6 +123,7 @@
 
     async def run(self) -> None:
         """Take part in the fleet until cancelled."""
+        self._began = _now()
         try:
             while True:
                 self._feed(Ticked(now=_now()))
--- a/src/azureswitch/coordination/membership/_limits.py
+++ b/src/azureswitch/coordination/membership/_limits.py
@@ -69,9 +69,16 @@
 LIST_PERIOD = 30.0
 """Seconds between two readings of the host list, about."""
 
-LIST_JOIN_PERIOD = 2.0
+LIST_JOIN_PERIOD = 0.5
 """Seconds between two readings of the host list while no other member is known."""
 
+JOIN_SECONDS = 5.0
+"""Seconds after its start in which a host expects those that are listed and not known yet.
+
+77 hosts that start together know each other after 4 s.  An entry of a host that is gone for good is
+expected no longer than that.
+"""
+
 FORGET_UNLISTED = 60.0
 """Seconds after which a dead member is forgotten that the host list no longer shows."""
 
--- a/src/azureswitch/coordination/membership/_state.py
+++ b/src/azureswitch/coordination/membership/_state.py
@@ -73,6 +73,11 @@
         """Hosts that are dead and not yet forgotten."""
         return self._table.dead
 
+    @property
+    def unknown(self) -> tuple[HostName, ...]:
+        """Hosts that are listed and were never heard of."""
+        return tuple(item.name for item in self._listed if self._table.get(item.name) is None)
+
     @property
     def health(self) -> int:
         """How far this host doubts itself; zero where all is well."""
--- a/src/azureswitch/coordination/mirror/_mirrors.py
+++ b/src/azureswitch/coordination/mirror/_mirrors.py
@@ -18,6 +18,7 @@
         address: ``IP:PORT`` on which peers reach it.
         peers: Messages to other hosts; the handlers are registered here.
         members: Returns the members known now.
+        expected: Returns the hosts that will soon be members.
     """
 
     def __init__(
@@ -27,8 +28,11 @@
         address: str,
         peers: Peers,
         members: Callable[[], Iterable[Member]],
+        expected: Callable[[], Iterable[HostName]] = tuple,
     ) -> None:
-        self._peers = CopyPeers(host=host, address=address, peers=peers, members=members)
+        self._peers = CopyPeers(
+            host=host, address=address, peers=peers, members=members, expected=expected
+        )
         self._mirrors: dict[str, Mirror] = {}
         peers.handle(StoreSeen, self._heard)
         peers.handle(CopyRequest, self._copy)
--- a/src/azureswitch/coordination/mirror/_peers.py
+++ b/src/azureswitch/coordination/mirror/_peers.py
@@ -27,6 +27,7 @@
         address: ``IP:PORT`` on which peers reach it.
         peers: Messages to other hosts.
         members: Returns the members known now.
+        expected: Returns the hosts that will soon be members.
     """
 
     def __init__(
@@ -36,15 +37,21 @@
         address: str,
         peers: Peers,
         members: Callable[[], Iterable[Member]],
+        expected: Callable[[], Iterable[HostName]] = tuple,
     ) -> None:
         self._host = host
         self._address = address
         self._peers = peers
         self._members = members
+        self._expected = expected
 
     def rank(self, kind: str) -> int:
-        """Return how many other hosts are to check a kind before this one."""
-        hosts = {*live_hosts(self._members()), self._host}
+        """Return how many other hosts are to check a kind before this one.
+
+        Hosts that are still to become members count too.  While 77 started together, each held
+        itself for the first and asked the store 22 times in 4 s.
+        """
+        hosts = {*live_hosts(self._members()), *self._expected(), self._host}
         return ranked(name=kind, hosts=hosts).index(self._host)
 
     def tell(self, kind: str, effect: TellPeers) -> None:
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -140,6 +140,7 @@
             address=address,
             peers=self._network,
             members=lambda: self._membership.members,
+            expected=lambda: self._membership.expected,
         )
         self._configuration = mirrors.add(
             store=self._store, kind=CONFIGURATION_KIND, publish=self._configure, seed=seed
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -1,6 +1,6 @@
 """Fleets of hosts that learn of each other, fail, pause and lose each other."""
 
-from asyncio import gather, sleep
+from asyncio import create_task, gather, sleep
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from random import Random
@@ -22,6 +22,7 @@
 from azureswitch.ports import DATAGRAM_LIMIT, HostStatus, ListedHost
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.fleet import FleetFake, FleetHost, until
+from azureswitch_standins.peers import PeersNetworkFake
 
 Scenario = Callable[[FleetFake], Awaitable[None]]
 
@@ -236,6 +237,56 @@
     return state
 
 
+class TestExpected:
+    """Hosts that are listed and not known yet."""
+
+    @pytest.mark.parametrize(
+        ("after", "expected"), [(1.0, ("b", "c")), (4.9, ("b", "c")), (5.1, ())]
+    )
+    def test_after_start(self, after: float, expected: tuple[str, ...]) -> None:
+        """They are expected for some seconds after a start, and not for good."""
+
+        class Listing:
+            """A list of hosts of whom none answers."""
+
+            async def hosts(self) -> tuple[ListedHost, ...]:
+                """Return them."""
+                return tuple(
+                    ListedHost(
+                        name=HostName(name),
+                        place=PlaceName("p"),
+                        address=name,
+                        status=HostStatus.LIVE,
+                    )
+                    for name in ("a", "b", "c")
+                )
+
+        async def main() -> tuple[str, ...]:
+            membership = Membership(
+                myself=Incarnation(host=HostName("a"), started=1),
+                place=PlaceName("p"),
+                address="a",
+                peers=PeersNetworkFake().peers(address="a"),
+                hosts=Listing(),
+                seed=1,
+            )
+            running = create_task(membership.run())
+            await sleep(after)
+            found = membership.expected
+            running.cancel()
+            return found
+
+        assert run_virtual(main()) == expected
+
+    def test_known(self) -> None:
+        """Who is known is not expected any more."""
+
+        async def scenario(fleet: FleetFake) -> None:
+            assert [host.membership.expected for host in fleet.hosts] == [()] * 9
+
+        _play(scenario)
+
+
 class TestReduce:
     """Which of two statements on a host holds."""
 
