Pass digests on within each failure domain

What crosses is paid for, and control traffic was twice what a host is to spend. Change: where a failure domain has 8 hosts or more, one of them gets a digest and passes it on. Each time it is another one, so that a host that has just died costs a part of the digests until it is suspected; the next regular digest says everything again. Smaller sites are as they were. Ruled out: smaller messages (most bytes are one or two targets and the head of a datagram).

--- a/src/azureswitch/coordination/sharing/_exchange.py
+++ b/src/azureswitch/coordination/sharing/_exchange.py
@@ -1,6 +1,7 @@
 """Exchanges digests of serving between hosts.
 
-Small fleets send each digest to everyone.  Large ones keep to their part of the budget of
+Small fleets send each digest to everyone, by way of one host where many of another failure domain
+are to have it.  Large ones keep to their part of the budget of
 `azureswitch.coordination.sharing`: each digest that the budget has room for goes to the host that
 has waited longest, without the outstanding work.
 """
@@ -20,7 +21,7 @@
     MESSAGE_OVERHEAD,
 )
 from azureswitch.coordination.sharing._meter import Meter
-from azureswitch.core import Incarnation
+from azureswitch.core import Incarnation, PlaceName
 from azureswitch.exceptions import PeerError, PeerMessageTooLargeError
 from azureswitch.ports import Peers
 from azureswitch.serving import Digest, DigestReceived, ServingEvent
@@ -35,10 +36,24 @@
 SPREAD_TURNS = 4
 """Regular digests after which each host has got one."""
 
+RELAY_HOSTS = 8
+"""Hosts of another failure domain from which on one of them passes a digest on to the rest.
+
+What crosses between failure domains is paid for.  With fewer hosts little is saved, and one that
+has just died would take too large a part of the digests with it.
+"""
+
 CALL_TIMEOUT = 1.0
 """Seconds for a digest that does not fit into a datagram."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayedDigest:
+    """A digest that its receiver passes on to the others of its failure domain."""
+
+    digest: PackedDigest
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DigestNoted:
     """The reply to a digest that came as a call."""
@@ -82,6 +97,7 @@
         self._size = 0.0
         self._visited: dict[str, float] = {}
         peers.handle(PackedDigest, self._receive)
+        peers.handle(RelayedDigest, self._pass_on)
 
     def publish(self, digest: Digest, *, regular: bool = True) -> None:
         """Send a digest to other hosts, as many as the budget permits; it may be lost.
@@ -91,36 +107,76 @@
             regular: Whether it tells nothing new; above `SPREAD_HOSTS` hosts each such digest goes
                 to a part of them, in turn.
         """
-        others = [
-            member.address
-            for member in self._members()
-            if member.incarnation.host != self._myself.host
-            and member.status is not MemberStatus.DEAD
-        ]
+        others = self._others()
         if len(others) < self._full_hosts:
-            packed = pack_digest(digest)
-            if regular and len(others) > SPREAD_HOSTS:
-                self._turn = (self._turn + 1) % SPREAD_TURNS
-                others = others[self._turn :: SPREAD_TURNS]
-        elif self._meter.room(now=self._clock()) < self._size:
-            return
-        else:
+            self._tell_all(others, pack_digest(digest), regular=regular)
+        elif self._meter.room(now=self._clock()) >= self._size:
             # Between two digests of a host minutes pass, after which its loads would mislead; what
             # engines report of all hosts' work is younger.
             packed = pack_digest(replace(digest, loads=()))
             size = len(encode(packed)) + MESSAGE_OVERHEAD
             self._size = min(size, BURST_BYTES)
-            others = self._affordable(others, size=size)
-        try:
-            self._peers.cast_all(addresses=others, message=packed)
-        except PeerMessageTooLargeError:
-            for address in others:
-                self._tasks.spawn(self._call(address, packed), name="digest")
+            addresses = [member.address for member in others]
+            self._send(self._affordable(addresses, size=size), packed)
 
     async def stop(self) -> None:
         """End the background work."""
         await self._tasks.stop()
 
+    def _others(self) -> list[Member]:
+        return [
+            member
+            for member in self._members()
+            if member.incarnation.host != self._myself.host
+            and member.status is not MemberStatus.DEAD
+        ]
+
+    def _tell_all(self, others: list[Member], packed: PackedDigest, *, regular: bool) -> None:
+        """Send a digest to all, or a regular one to a part of them, another one each time."""
+        direct, relayed = self._split(others)
+        if regular and len(others) > SPREAD_HOSTS:
+            self._turn += 1
+            parts = max(SPREAD_TURNS, len(relayed) + 1)
+            turn = self._turn % parts
+            direct = direct[turn::parts]
+            relayed = relayed[turn : turn + 1]
+        self._send([member.address for member in direct], packed)
+        relays = [self._relay(members).address for members in relayed]
+        self._send(relays, RelayedDigest(digest=packed))
+
+    def _relay(self, members: list[Member]) -> Member:
+        """Choose who passes a digest on; the next one goes another way, should that one be dead."""
+        alive = [member for member in members if member.status is MemberStatus.ALIVE]
+        return self._random.choice(alive or members)
+
+    def _split(self, others: list[Member]) -> tuple[list[Member], list[list[Member]]]:
+        """Return who gets a digest from this host, and the groups that pass it on themselves."""
+        own = self._place()
+        groups: dict[PlaceName, list[Member]] = {}
+        for member in others:
+            groups.setdefault(member.place, []).append(member)
+        relayed = [
+            members
+            for place, members in groups.items()
+            if own is not None and place != own and len(members) >= RELAY_HOSTS
+        ]
+        direct = [
+            member for members in groups.values() if members not in relayed for member in members
+        ]
+        return direct, relayed
+
+    def _place(self) -> PlaceName | None:
+        """Return this host's failure domain, or None where it does not know itself yet."""
+        mine = (m.place for m in self._members() if m.incarnation.host == self._myself.host)
+        return next(mine, None)
+
+    def _send(self, addresses: list[str], message: PackedDigest | RelayedDigest) -> None:
+        try:
+            self._peers.cast_all(addresses=addresses, message=message)
+        except PeerMessageTooLargeError:
+            for address in addresses:
+                self._tasks.spawn(self._call(address, message), name="digest")
+
     def _affordable(self, others: list[str], *, size: int) -> list[str]:
         """Return the hosts that may be sent a digest now, those that waited longest first."""
         self._visited = {
@@ -135,10 +191,10 @@
             chosen.append(address)
         return chosen
 
-    async def _call(self, address: str, packed: PackedDigest) -> None:
+    async def _call(self, address: str, message: PackedDigest | RelayedDigest) -> None:
         try:
             await self._peers.call(
-                address=address, request=packed, reply=DigestNoted, timeout=CALL_TIMEOUT
+                address=address, request=message, reply=DigestNoted, timeout=CALL_TIMEOUT
             )
         except PeerError:
             # The next digest says everything again.
@@ -148,3 +204,9 @@
         digest = unpack_digest(packed)
         self._dispatch(DigestReceived(now=self._clock(), digest=digest))
         return DigestNoted()
+
+    async def _pass_on(self, relayed: RelayedDigest) -> DigestNoted:
+        own = self._place()
+        mates = [member.address for member in self._others() if member.place == own]
+        self._send(mates, relayed.digest)
+        return await self._receive(relayed.digest)
