Give the mirrors of a host their way to its peers, and sort receivers of digests in one loop

Cause: since Mirrors and CopyPeers were split, both listed and described the same five arguments, and one only handed them to the other. And whom a digest goes to directly was found by looking for each group of hosts among the groups that were to pass it on. Change: Mirrors takes a CopyPeers, which registers who answers its peers; one loop sorts the groups. Behaviour is the same: no test or bound has changed, and tests of mirror, sharing, platform and membership pass.

--- a/src/azureswitch/coordination/mirror/_mirrors.py
+++ b/src/azureswitch/coordination/mirror/_mirrors.py
@@ -1,41 +1,22 @@
 """All mirrors of a host, which answer for it to its peers."""
 
-from collections.abc import Callable, Iterable
-
-from azureswitch.coordination.membership import Member
 from azureswitch.coordination.mirror._driver import Listener, Mirror
 from azureswitch.coordination.mirror._messages import CopyReply, CopyRequest, StoreSeen
 from azureswitch.coordination.mirror._peers import CopyPeers
-from azureswitch.core import HostName
-from azureswitch.ports import Peers, Store
+from azureswitch.ports import Store
 
 
 class Mirrors:
     """The copies of one host, which share a way to its peers.
 
     Args:
-        host: This host.
-        address: ``IP:PORT`` on which peers reach it.
-        peers: Messages to other hosts; the handlers are registered here.
-        members: Returns the members known now.
-        expected: Returns the hosts that will soon be members.
+        peers: That way; the handlers are registered there.
     """
 
-    def __init__(
-        self,
-        *,
-        host: HostName,
-        address: str,
-        peers: Peers,
-        members: Callable[[], Iterable[Member]],
-        expected: Callable[[], Iterable[HostName]] = tuple,
-    ) -> None:
-        self._peers = CopyPeers(
-            host=host, address=address, peers=peers, members=members, expected=expected
-        )
+    def __init__(self, *, peers: CopyPeers) -> None:
+        self._peers = peers
         self._mirrors: dict[str, Mirror] = {}
-        peers.handle(StoreSeen, self._heard)
-        peers.handle(CopyRequest, self._copy)
+        peers.answer(heard=self._heard, copy=self._copy)
 
     def add(
         self,
--- a/src/azureswitch/coordination/mirror/_peers.py
+++ b/src/azureswitch/coordination/mirror/_peers.py
@@ -1,6 +1,6 @@
 """What the mirrors of a host ask and tell its peers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
 from random import Random
 
@@ -45,6 +45,16 @@
         self._members = members
         self._expected = expected
 
+    def answer(
+        self,
+        *,
+        heard: Callable[[StoreSeen], Awaitable[None]],
+        copy: Callable[[CopyRequest], Awaitable[CopyReply]],
+    ) -> None:
+        """Register who takes what peers tell, and who answers when they ask for a copy."""
+        self._peers.handle(StoreSeen, heard)
+        self._peers.handle(CopyRequest, copy)
+
     def rank(self, kind: str) -> int:
         """Return how many other hosts are to check a kind before this one.
 
--- a/src/azureswitch/coordination/sharing/_exchange.py
+++ b/src/azureswitch/coordination/sharing/_exchange.py
@@ -156,14 +156,13 @@
         groups: dict[PlaceName, list[Member]] = {}
         for member in others:
             groups.setdefault(member.place, []).append(member)
-        relayed = [
-            members
-            for place, members in groups.items()
-            if own is not None and place != own and len(members) >= RELAY_HOSTS
-        ]
-        direct = [
-            member for members in groups.values() if members not in relayed for member in members
-        ]
+        direct: list[Member] = []
+        relayed: list[list[Member]] = []
+        for place, members in groups.items():
+            if own is None or place == own or len(members) < RELAY_HOSTS:
+                direct += members
+            else:
+                relayed.append(members)
         return direct, relayed
 
     def _place(self) -> PlaceName | None:
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -11,7 +11,7 @@
 from xxhash import xxh3_64_intdigest
 
 from azureswitch.coordination.membership import Member, Membership, live_hosts
-from azureswitch.coordination.mirror import Mirrors
+from azureswitch.coordination.mirror import CopyPeers, Mirrors
 from azureswitch.coordination.sharing import Digests
 from azureswitch.core import HostName, Incarnation
 from azureswitch.exceptions import DeploymentUnreadableError, PlatformSettingsError
@@ -135,13 +135,14 @@
             seed=seed,
         )
         self._membership.on_change(self._members_changed)
-        mirrors = Mirrors(
+        copies = CopyPeers(
             host=settings.host,
             address=address,
             peers=self._network,
             members=lambda: self._membership.members,
             expected=lambda: self._membership.expected,
         )
+        mirrors = Mirrors(peers=copies)
         self._configuration = mirrors.add(
             store=self._store, kind=CONFIGURATION_KIND, publish=self._configure, seed=seed
         )
--- a/src/azureswitch_standins/mirrors.py
+++ b/src/azureswitch_standins/mirrors.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from azureswitch.coordination.membership import Member, MemberStatus
-from azureswitch.coordination.mirror import Mirrors
+from azureswitch.coordination.mirror import CopyPeers, Mirrors
 from azureswitch.core import HostName, Incarnation, PlaceName
 from azureswitch.ports import StoreChange, StoredObject
 from azureswitch_standins.peers import PeersNetworkFake
@@ -49,12 +49,7 @@
         self.seen: list[dict[str, int]] = [{} for _ in range(count)]
         self._members = tuple(_member(index) for index in range(count))
         self._mirrors = [
-            Mirrors(
-                host=member.incarnation.host,
-                address=member.address,
-                peers=self.network.peers(address=member.address),
-                members=lambda: self._members,
-            ).add(
+            Mirrors(peers=self._peers(member)).add(
                 store=self.stores[index],
                 kind=KIND,
                 publish=partial(self._publish, index),
@@ -63,6 +58,14 @@
             for index, member in enumerate(self._members)
         ]
 
+    def _peers(self, member: Member) -> CopyPeers:
+        return CopyPeers(
+            host=member.incarnation.host,
+            address=member.address,
+            peers=self.network.peers(address=member.address),
+            members=lambda: self._members,
+        )
+
     async def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
         """Keep the copies while a scenario runs."""
         tasks = [asyncio.create_task(mirror.run()) for mirror in self._mirrors]
