Weigh no more than 64 engines for a long prompt

Cause: choosing the engines of a long prompt anew for each number of parts takes 46 ms of processor time before 600 engines (9.9 ms before that), in which a host does nothing else. Change: the 64 least busy engines are weighed, and all of them where only busier ones have memory. Ruled out: weighing 32, which would change choices on fleets of today's size. Short prompts still weigh every engine: 10 ms before 600, listed as too much.

--- a/src/azureswitch/serving/_placement.py
+++ b/src/azureswitch/serving/_placement.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from heapq import nsmallest
 from math import ceil, inf
 
 from azureswitch.core import TargetName
@@ -20,6 +21,12 @@
 MOST_PARTS = 16
 """Engines over which the reading of one prompt is spread at most; engines take no more helpers."""
 
+LONG_CANDIDATES = 64
+"""Engines weighed for a long prompt, the least busy of a larger fleet: four times `MOST_PARTS`.
+
+Before 600 engines a choice among all took 46 ms of processor time, and takes 16 ms with this.
+"""
+
 LEAST_PART = 0.03
 """Seconds of reading below which a part is not split further: the gain drowns in a step's time."""
 
@@ -247,11 +254,11 @@
     call = record.call
     work = read_seconds(pace, call.prompt_tokens)
     pauses = state.pauses.bounds(call.service, now=now)
-    holders = _holder_count(call, engines)
+    order = _candidates(state, call, engines)
+    holders = _holder_count(call, order)
     if holders is None:
         return None
-    order = sorted(engines, key=lambda e: (e.target.nearness, state.random.random()))
-    most = max(holders, min(MOST_PARTS, len(engines), int(work / LEAST_PART)))
+    most = max(holders, min(MOST_PARTS, len(order), int(work / LEAST_PART)))
     kept = _kept_for_short(engines, pace)
     best: tuple[float, _Spread] | None = None
     for count in range(holders, most + 1):
@@ -269,6 +276,16 @@
     return _long_choice(call, best[1])
 
 
+def _candidates(state: ServingState, call: Call, engines: list[_Engine]) -> list[_Engine]:
+    """Return the engines to weigh for a long prompt: near ones first, and else at random."""
+    order = sorted(engines, key=lambda e: (e.target.nearness, state.random.random()))
+    if len(order) <= LONG_CANDIDATES:
+        return order
+    least = nsmallest(LONG_CANDIDATES, order, key=lambda e: _busyness(e.there))
+    # What only busier engines have memory for goes to them.
+    return order if _holder_count(call, least) is None else least
+
+
 def _blocks(part: float, pace: EnginePace, pauses: Pauses) -> bool:
     """Return whether short streams do not bear a part; while none were seen, they bear none."""
     return pauses.short == inf or pass_seconds(pace) + part > pauses.short
--- a/tests/serving/test_placement.py
+++ b/tests/serving/test_placement.py
@@ -160,6 +160,14 @@
         # The caller leaves after 12 s; at 154 tokens a ms and 1.62e-10 s a pair it takes 55 s.
         assert len(attempt.targets) >= 6
 
+    def test_large_fleet(self) -> None:
+        """Among many engines the least busy are weighed, and busier ones where they have memory."""
+        host = Host(engines=200)
+        used = {host.ask_and_read(5_000) for _ in range(400)}
+        long = set(start(host.ask(180_000, objective=3.0)).targets)
+        assert len(used) < 200
+        assert not long & used
+
     def test_hopeless(self) -> None:
         """What cannot be done in its time is refused at once, with when to come back."""
         effect = Host(engines=3).ask(900_000, objective=3.0, left=5.0)
