--- a/src/azureswitch/serving/_harm.py
+++ b/src/azureswitch/serving/_harm.py
@@ -14,16 +14,13 @@
 from azureswitch.serving._pace import pass_seconds
 
 ON_TIME_SHARE = 0.7
-"""Share of an objective up to which a prediction counts as on time.
-
-Of short prompts predicted at 0.2 s with an objective of 0.3 s, few come later than that.
-"""
+"""Share of the objective up to which a predicted first token counts as on time."""
 
 SAFE_PAUSE = 0.85
 """Share of the pause that a stream bears up to which a predicted one does no harm.
 
 With 0.7, engines with a few short streams were left aside for prompts that they could have read:
-0.957 for 0.948 of the credit on time, on engines in virtual time.
+0.948 of the credit was on time for 0.957, on engines in virtual time.
 """
 
 LATE_CREDIT = 0.25
