Let the soak wait until a target listens before it is told to misbehave

The order was sent between its start and its listening. Conclusion: the other kinds of faults need no listening target.

--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -305,9 +305,11 @@
 
     async def _misbehave(self) -> None:
         if target := self._target():
-            begin = monotonic()
             act = self._random.choice(ACTS)
             faults = TargetFaults(share=self._random.choice((0.1, 0.5, 1.0)), act=act)
+            # One that was started just now does not listen yet; its entry comes after that.
+            await target.listed.wait()
+            begin = monotonic()
             await target.set_faults(faults)
             await self._last(LAST_SECONDS)
             await target.set_faults(TargetFaults())
