Tell engines apart by name as a long prompt is spread, and count tokens in one place

Cause: for each number of parts, engines were compared with the holders field by field, state and all, though their names are unique; the tokens that a call needs were summed in two places. Change: names are compared; _needed_tokens serves short prompts as well. No change of behaviour.

--- a/src/azureswitch/serving/_placement.py
+++ b/src/azureswitch/serving/_placement.py
@@ -192,7 +192,7 @@
             predicted = first
     assert best is not None  # There is at least one engine.
     name = best[2]
-    tokens = call.prompt_tokens + call.output_tokens
+    tokens = _needed_tokens(call)
     occupancy = Occupancy(target=name, short_reading=own, streams=1, tokens=tokens)
     return Choice(
         targets=(name,),
@@ -329,7 +329,8 @@
     harms = {e.name: harm(e.there, pace, reading=part, pauses=pauses) for e in order}
     ranked = sorted(order, key=lambda e: harms[e.name] + _busyness(e.there))
     holding = [engine for engine in ranked if _holds(call, engine, holders=holders)][:holders]
-    others = [engine for engine in ranked if engine not in holding]
+    held = {engine.name for engine in holding}
+    others = [engine for engine in ranked if engine.name not in held]
     chosen = [*holding, *others][:count]
     return _Spread(
         engines=tuple(chosen),
