--- /dev/null
+++ b/tests/known/test_known_failures.py
@@ -0,0 +1,49 @@
+"""The list of tests that are known to fail."""
+
+import pytest
+
+from tests.conftest import KnownFailure, read_known_failures
+
+LINE = "tests/a/test_a.py::TestA | a cause | issue 1 | make test"
+
+
+class TestKnownFailures:
+    """The list names each failure whole, is short, and covers just what it names."""
+
+    def test_line(self) -> None:
+        """A line has four fields; empty lines are passed over."""
+        (known,) = read_known_failures(f"\n{LINE}\n\n")
+        assert known == KnownFailure(
+            test="tests/a/test_a.py::TestA",
+            cause="a cause",
+            issue="issue 1",
+            command="make test",
+        )
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "tests/a/test_a.py::TestA",
+            "tests/a/test_a.py::TestA | a cause | issue 1",
+            "tests/a/test_a.py::TestA |  | issue 1 | make test",
+            "\n".join([LINE] * 4),
+        ],
+    )
+    def test_refused(self, text: str) -> None:
+        """Lines without cause, issue or command, and a list of more than three, are refused."""
+        with pytest.raises(ValueError, match=r"line does not name|are listed"):
+            read_known_failures(text)
+
+    @pytest.mark.parametrize(
+        ("node", "covered"),
+        [
+            ("tests/a/test_a.py::TestA::test_one", True),
+            ("tests/a/test_a.py::TestA", True),
+            ("tests/a/test_a.py::TestAll::test_one", False),
+            ("tests/a/test_a.py::TestB::test_one", False),
+        ],
+    )
+    def test_covers(self, node: str, covered: bool) -> None:
+        """A class covers its tests, and no other whose name begins alike."""
+        (known,) = read_known_failures(LINE)
+        assert known.covers(node) is covered
