Log each request that has neither answer nor refusal as the process ends

Cause: the log could not tell a request that ended from one that was cut off by the end of the process: its last line was that of an attempt.

Ruled out: a count alone, which Stopped. has; it names no request and not how far each had come.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -223,6 +223,7 @@
         while self._callers.connections and loop.time() < end:
             await asyncio.sleep(IDLE_CHECK)
             self._callers.close_idle()
+        self._shell.report_cut_off()
         self._log.write(Stopped(open_requests=self._shell.open_calls))
         for server in (self._platform, self._pages):
             server.stop_listening()
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -153,6 +153,27 @@
     targets: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestCutOff(_RequestEntry):
+    """A request has no end as the process ends; its caller gets neither answer nor refusal.
+
+    Attributes:
+        sent: Whether an attempt is under way.
+        begun: Whether its caller has a part of the answer.
+        seconds: How long ago it was read.
+        attempts: How many attempts were made.
+        targets: The targets that they were sent to.
+    """
+
+    sentence: ClassVar[str] = "Request cut off."
+    level: ClassVar[Level] = Level.ERROR
+    sent: bool
+    begun: bool
+    seconds: float
+    attempts: int
+    targets: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigurationAdopted(Entry):
     """A configuration is in force.
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -8,7 +8,7 @@
 from azureswitch.core import CallId, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.gateway._failures import respond_failure
-from azureswitch.gateway._log import RequestAnswered, RequestFailed
+from azureswitch.gateway._log import RequestAnswered, RequestCutOff, RequestFailed
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._relay import Relay
@@ -118,6 +118,20 @@
             self._lag = max(0.0, self.now - due)
             self.dispatch(Ticked(now=self.now))
 
+    def report_cut_off(self) -> None:
+        """Log the requests that have no end, as the process ends now."""
+        for record in self._records.values():
+            self._log.write(
+                RequestCutOff(
+                    id=record.arrival.id,
+                    sent=bool(record.tasks),
+                    begun=record.exchange.started,
+                    seconds=round(self.now - record.started, 3),
+                    attempts=len(record.targets),
+                    targets=",".join(record.targets),
+                )
+            )
+
     def _left(self, call: CallId) -> None:
         self.dispatch(CallerLeft(now=self.now, call=call))
 
