Show requests that a stopping process leaves with neither answer nor refusal (fails)

Cause: shown here, not mended: what is open as the time of grace ends is cut off by the end of the event loop, whether it waits, has been sent or has begun.

Ruled out: that the platform's protocol or its load have a part in it; it happens on loopback, with one request and one host.

--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -19,7 +19,7 @@
     Share,
 )
 from azureswitch.inventory import EnginePace, Place, Service, ServiceKind, Target
-from azureswitch.logs import Log
+from azureswitch.logs import Entry, Log
 from azureswitch.metrics import Metrics
 from azureswitch.platform import PlatformDialect
 from azureswitch.server import CallerLimits, Exchange, HttpServer
@@ -185,6 +185,22 @@
         exchange.finish()
 
 
+class KeptLog(Log):
+    """Keeps what is logged."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.entries: list[Entry] = []
+
+    def write(self, entry: Entry) -> None:
+        """Keep an entry."""
+        self.entries.append(entry)
+
+    def about(self, request: str) -> list[str]:
+        """Return the sentences about a request, in order."""
+        return [entry.sentence for entry in self.entries if entry.request == request]
+
+
 class FakeReservations:
     """Engines' memory, which is counted.
 
@@ -323,6 +339,8 @@
     count: int = 3,
     configure: Callable[[Gateway], None] | None = None,
     listener: socket | None = None,
+    grace: float = 4.0,
+    log: Log | None = None,
 ) -> AsyncIterator[Bed]:
     """Serve with some targets of each service, alike in what they do."""
     fleet = Fleet(acts=list(acts))
@@ -336,7 +354,7 @@
             callers="127.0.0.1:0",
             readiness="127.0.0.1:0",
             metrics="127.0.0.1:0",
-            grace=4.0,
+            grace=grace,
             retry_share=0.2,
             retry_burst=50.0,
             hosts=1,
@@ -345,7 +363,7 @@
         reservations=reservations,
         publish=lambda digest, regular: None,
         metrics=metrics,
-        log=Log(),
+        log=log or Log(),
         seed=1,
     )
     await gateway.start(callers=listener)
--- /dev/null
+++ b/tests/gateway/test_stopping.py
@@ -0,0 +1,129 @@
+"""A process that is told to stop answers or refuses each request that it has read.
+
+What users saw: on days of planned work alone a whole request had been taken, and its connection
+ended with neither an answer nor a refusal.
+
+The order of events: a host is told to stop and serves on.  It reads a request, which waits for a
+target, or is sent to one that stays silent, or streams for longer than the time of grace.  The time
+of grace ends, and the process with it.  Nobody decides what becomes of the request: its attempt is
+cancelled by the end of the event loop, which the reducer takes for one that failed, so that it
+begins another one in a process that is all but gone.  The caller sees its connection cut.
+
+The evidence: the log of a stream on a host that left at 18.000 s: admitted at 20.568, ``Stopped.``
+at 25.613 with one open request, ``Attempt over.`` (cancelled, 82 events) at 25.614, a second
+``Attempt sent.`` at 25.615, then ``RuntimeError: Event loop is closed`` out of the effect that ends
+the request, and no line for its end.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import pytest
+
+from azureswitch.client import HttpAnswer
+from azureswitch.exceptions import HttpBrokenError
+from tests.gateway.fixtures import PATIENCE, Act, Bed, KeptLog, model_headers, serve
+from tests.waiting import reach
+
+GRACE = 2.0
+"""Seconds that the process has; it ends of itself a little before."""
+
+FLUSH_SECONDS = 0.2
+"""Seconds after the stop in which an answer that was sent must have come over loopback."""
+
+ENDS = ("Request answered.", "Request failed.")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Case:
+    """A request that cannot end within the time of grace.
+
+    Attributes:
+        path: Where it is sent.
+        acts: What targets do with it.
+        status: What its caller gets, or None where an answer that has begun is broken off.
+        runs: How often it runs.
+        again: Whether its caller is told when to come back.
+    """
+
+    path: str
+    acts: tuple[Act, ...]
+    status: HTTPStatus | None
+    runs: int
+    again: bool = True
+
+
+REFUSALS = (Act.REFUSE,) * 200
+
+CASES = {
+    "a lookup whose target is silent": Case(
+        path="/read/", acts=(Act.HANG,), status=HTTPStatus.BAD_GATEWAY, runs=1
+    ),
+    "a booking whose target is silent": Case(
+        path="/book/", acts=(Act.HANG,), status=HTTPStatus.BAD_GATEWAY, runs=1, again=False
+    ),
+    "a stream that has not begun": Case(
+        path="/once/", acts=(Act.HANG,), status=HTTPStatus.BAD_GATEWAY, runs=1, again=False
+    ),
+    "a stream that outlasts the time of grace": Case(
+        path="/ask/", acts=(), status=None, runs=1, again=False
+    ),
+    "a lookup that every target refuses": Case(
+        path="/read/", acts=REFUSALS, status=HTTPStatus.SERVICE_UNAVAILABLE, runs=0
+    ),
+    "a booking that every target refuses": Case(
+        path="/book/", acts=REFUSALS, status=HTTPStatus.SERVICE_UNAVAILABLE, runs=0
+    ),
+}
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Run a scenario to its end."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(PATIENCE):
+            await scenario()
+
+    asyncio.run(bounded())
+
+
+async def outcome(bed: Bed, path: str) -> HttpAnswer | None:
+    """Send a request and return its answer, or None where it was broken off."""
+    streams = path in ("/ask/", "/once/")
+    try:
+        return await bed.ask(path, headers=model_headers() if streams else ())
+    except HttpBrokenError:
+        return None
+
+
+class TestOpenRequests:
+    """What is open as the time of grace ends gets its one final answer before the process goes."""
+
+    @pytest.mark.parametrize("case", CASES.values(), ids=CASES.keys())
+    def test_decided(self, case: Case) -> None:
+        """The answer says truly whether it ran; nothing is sent again; the log has its end."""
+
+        async def scenario() -> None:
+            log = KeptLog()
+            async with serve(acts=case.acts, grace=GRACE, log=log) as bed:
+                bed.fleet.events, bed.fleet.pause = 1_000, 0.05
+                asking = asyncio.create_task(outcome(bed, case.path))
+                await reach(lambda: bed.fleet.arrivals > 0)
+                await bed.gateway.stop()
+                done, _ = await asyncio.wait({asking}, timeout=FLUSH_SECONDS)
+                assert done, "The caller has neither an answer nor a refusal."
+                answer = asking.result()
+                assert (answer.head.status if answer else None) == case.status
+                if answer is not None:
+                    assert (answer.head.retry_after is not None) is case.again
+                arrivals = bed.fleet.arrivals
+                await asyncio.sleep(FLUSH_SECONDS)
+                assert bed.fleet.arrivals == arrivals
+                assert len(bed.fleet.runs) == case.runs
+                assert log.about("r1")[-1] in ENDS or log.about("r1")[-2] in ENDS
+                assert "Request cut off." not in log.about("r1")
+                assert not bed.reservations.held
+
+        run(scenario)
