Let a target say when its process started

Cause: a target may start again under its name; nothing in the inventory told the two apart.

Ruled out: a new name for each start, which is the writer's to give.

Measured: nothing reads it yet; tests of inventory and commands pass.

--- a/src/azureswitch/inventory/_model.py
+++ b/src/azureswitch/inventory/_model.py
@@ -101,6 +101,8 @@
         models: The models that it serves; empty for plain targets.
         memory: KV memory in tokens; zero for plain targets.
         checks_fence: Whether it refuses orders with an old fencing number.
+        started: When its process started, in milliseconds of the wall clock; zero where it does not
+            say.  A target that starts again under its name holds nothing of what it held before.
     """
 
     name: TargetName
@@ -111,6 +113,7 @@
     models: tuple[str, ...] = ()
     memory: int = 0
     checks_fence: bool = True
+    started: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
