Show a stream that is broken off as its last engine is silent (fails)

Cause: shown here, not mended: the host gives up a silent attempt whether or not another one may follow; after the last one the caller gets neither the rest of its answer nor a refusal.

Ruled out: the stop of the host. It was seen beside one, on two hosts at once, and happens without.

--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -47,6 +47,7 @@
     TEAR = "breaks off in the middle of an event"
     ENCODE = "answers in an encoding"
     REJECT = "answers that the request is wrong"
+    PAUSE = "falls silent in the middle of the answer and goes on"
     REPEAT = "begins a stream anew, whatever its caller has"
 
 
@@ -70,6 +71,7 @@
     arrivals: int = 0
     events: int = 5
     pause: float = 0.0
+    silence: float = 0.0
     padding: int = 0
 
     def next_act(self) -> Act:
@@ -180,6 +182,8 @@
                 await asyncio.sleep(0.01)
                 exchange.abort()
                 return
+            if number == middle and act is Act.PAUSE:
+                await asyncio.sleep(self._fleet.silence)
             exchange.write(event(number, padding=self._fleet.padding))
             await asyncio.sleep(self._fleet.pause)
         exchange.finish()
