Wait for a silent target where no other attempt may follow

Cause: the relay broke off an attempt after 1.2 s of silence by itself. After the last attempt that a route permits, or with no retry left, the caller's answer was broken off in the middle while its engine read a long prompt and was about to go on. The same fault stood in lose(), for targets that answer no poll.

Ruled out: a longer patience alone, after which a dead engine costs more and the last attempt is broken off all the same.

--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -88,6 +88,24 @@
     after: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetSilent(_RequestEntry):
+    """An attempt's target writes nothing; it is called off next, or waited for.
+
+    Attributes:
+        attempt: Its number.
+        target: The target.
+        seconds: How long ago the attempt was sent.
+        events: The id of the last event that the caller has.
+    """
+
+    sentence: ClassVar[str] = "Target silent."
+    attempt: int
+    target: str
+    seconds: float
+    events: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptOver(_RequestEntry):
     """An attempt ended.
--- a/src/azureswitch/gateway/_patience.py
+++ b/src/azureswitch/gateway/_patience.py
@@ -1,6 +1,7 @@
 """How long a silent target is waited for."""
 
 import asyncio
+from collections.abc import Callable
 from math import isinf
 from types import TracebackType
 
@@ -15,7 +16,7 @@
 
 
 class Patience:
-    """Ends a block with TimeoutError where a target stays silent for too long.
+    """Calls back each time that a target has been silent for too long, while a block runs.
 
     Time in which this process itself stood still says nothing of the target.  A host that was
     frozen for twice its patience gave its stream up as it went on, with the events in its socket
@@ -23,48 +24,51 @@
 
     Args:
         seconds: For how long, or infinity.
+        silent: Called back.  The target is waited for as long again unless it ends the block.
     """
 
-    def __init__(self, *, seconds: float) -> None:
-        self._timeout = asyncio.timeout(None)
-        self._timer: asyncio.TimerHandle | None = None
+    def __init__(self, *, seconds: float, silent: Callable[[], None]) -> None:
         self._seconds = seconds
+        self._silent = silent
+        self._timer: asyncio.Handle | None = None
 
-    async def __aenter__(self) -> "Patience":
-        await self._timeout.__aenter__()
+    def __enter__(self) -> "Patience":
         self.begin(self._seconds)
         return self
 
-    async def __aexit__(
+    def __exit__(
         self,
         kind: type[BaseException] | None,
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._cancel()
-        await self._timeout.__aexit__(kind, error, trace)
+        self.suspend()
 
     def begin(self, seconds: float) -> None:
         """Wait for so long from now on."""
         self.suspend()
-        if not isinf(seconds):
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(seconds, self._due, loop.time() + seconds)
+        self._seconds = seconds
+        self._wait(seconds)
 
     def suspend(self) -> None:
         """Do not wait for the target until `begin`."""
-        self._timeout.reschedule(None)
-        self._cancel()
-
-    def _cancel(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
+    def _wait(self, seconds: float) -> None:
+        if not isinf(seconds):
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(seconds, self._due, loop.time() + seconds)
+
     def _due(self, end: float) -> None:
-        now = asyncio.get_running_loop().time()
-        if now - end > STALL_SECONDS:
-            self.begin(STALL_GRACE)
+        loop = asyncio.get_running_loop()
+        if loop.time() - end > STALL_SECONDS:
+            self._wait(STALL_GRACE)
         else:
             # It comes in the loop's next turn, after what has been read in this one.
-            self._timeout.reschedule(now)
+            self._timer = loop.call_soon(self._tell)
+
+    def _tell(self) -> None:
+        self._wait(self._seconds)
+        self._silent()
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -19,7 +19,7 @@
     TargetRefusedError,
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
-from azureswitch.gateway._log import AttemptOver, AttemptSent
+from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetSilent
 from azureswitch.gateway._model import Helper, RouteKind, Sending
 from azureswitch.gateway._patience import Patience
 from azureswitch.gateway._ports import Dialect
@@ -30,6 +30,7 @@
 from azureswitch.serving import (
     AttemptEnd,
     AttemptEnded,
+    AttemptSilent,
     FirstTokenArrived,
     ServingEvent,
     StartAttempt,
@@ -199,11 +200,26 @@
             timeout=max(0.0, left) + ANSWER_GRACE,
             fresh=True,
         )
-        try:
-            async with Patience(seconds=effect.first_patience) as patience, stream as answer:
+        patience = Patience(
+            seconds=effect.first_patience, silent=lambda: self._silent(record, effect)
+        )
+        with patience:
+            async with stream as answer:
                 return await self._pass_on(record, effect, answer, patience)
-        except TimeoutError as error:
-            raise HttpBrokenError(address=first.address) from error
+
+    def _silent(self, record: CallRecord, effect: StartAttempt) -> None:
+        """Tell the reducer, which calls the attempt off where another one may follow."""
+        now = self._clock()
+        self._log.write(
+            TargetSilent(
+                id=record.arrival.id,
+                attempt=effect.attempt,
+                target=effect.targets[0],
+                seconds=round(now - record.sent_at, 3),
+                events=record.last_event,
+            )
+        )
+        self._dispatch(AttemptSilent(now=now, call=effect.call, attempt=effect.attempt))
 
     async def _pass_on(
         self,
--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -15,6 +15,7 @@
 from azureswitch.serving._events import (
     AttemptEnd,
     AttemptEnded,
+    AttemptSilent,
     CacheReported,
     Call,
     CallArrived,
@@ -49,6 +50,7 @@
     "TICK",
     "AttemptEnd",
     "AttemptEnded",
+    "AttemptSilent",
     "CacheReported",
     "Call",
     "CallArrived",
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -34,6 +34,7 @@
     backoff,
     hedge_after,
     hold_seconds,
+    longest_backoff,
     patience,
 )
 from azureswitch.serving._routing import choose
@@ -194,12 +195,12 @@
 def lose(state: ServingState, target: TargetName, *, now: float) -> list[Effect]:
     """Start the attempts at a target that answers no poll any more elsewhere.
 
-    A call that may not repeat stays: it may run, and its answer may still come.
+    A call that may not repeat, or has no further attempt, stays: its answer may still come.
     """
     effects: list[Effect] = []
     for record in list(state.calls.values()):
         at = [a.number for a in record.attempts.values() if target in a.targets]
-        if not at or not record.call.repeatable:
+        if not at or not _may_follow(state, record, now=now):
             continue
         record.failed.add(target)
         for number in at:
@@ -232,6 +233,46 @@
     return effects
 
 
+def silent(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
+    """Go on elsewhere with a call whose target writes nothing, where another attempt may follow.
+
+    Where none may, the target is waited for until the caller leaves or its deadline comes.  Engines
+    that read a prompt larger than one engine's memory write nothing for 1 to 2 s and then go on;
+    broken off after the last permitted attempt, callers got neither the rest of an answer nor a
+    refusal: two streams on a day of planned restarts, at engines that were alive.
+    """
+    attempt = record.attempts.get(number)
+    if attempt is None or not _may_follow(state, record, now=now):
+        return []
+    if not _finds_target(state, record, attempt, now=now):
+        return []
+    effects = _cancel(state, record, number)
+    _mark_failed(state, record, attempt.targets[0], now=now)
+    if record.attempts:
+        return effects
+    return effects + retry(state, record, now=now)
+
+
+def _may_follow(state: ServingState, record: CallRecord, *, now: float) -> bool:
+    """Return whether another attempt is permitted if one that runs is called off."""
+    pause = longest_backoff(record.retry_count + 1)
+    in_time = now + pause < state.ends_by(record.call)
+    more_runs = record.run_count + 1 < record.call.runs
+    more_retries = record.retry_count < MOST_RETRIES and state.retries.permits()
+    return record.call.repeatable and in_time and more_runs and more_retries
+
+
+def _finds_target(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> bool:
+    """Return whether a call would be sent at once if an attempt's targets are left out."""
+    if any(True for _ in state.queue.customers(lane_of(record))):
+        return False
+    left_out = set(attempt.targets) - record.failed
+    record.failed.update(left_out)
+    choice = choose(state, record, now=now)
+    record.failed.difference_update(left_out)
+    return choice is not None
+
+
 def age(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
     """Raise the priority of an attempt that has waited long for its first token."""
     attempt = record.attempts.get(number)
@@ -393,12 +434,19 @@
     if len(targets) > 1 and record.pool.pace is None:
         return
     target = event.at_fault or targets[0]
-    record.failed.add(target)
     if event.retry_after is not None and event.end is AttemptEnd.REFUSED:
+        record.failed.add(target)
         state.fleet.full(target, seconds=event.retry_after, now=event.now)
     else:
-        longest = PACED_EJECT_MOST if record.call.unshared else EJECT_MOST
-        state.fleet.failed(target, now=event.now, longest=longest)
+        _mark_failed(state, record, target, now=event.now)
+
+
+def _mark_failed(
+    state: ServingState, record: CallRecord, target: TargetName, *, now: float
+) -> None:
+    record.failed.add(target)
+    longest = PACED_EJECT_MOST if record.call.unshared else EJECT_MOST
+    state.fleet.failed(target, now=now, longest=longest)
 
 
 def retry(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -51,8 +51,8 @@
         reserved: Tokens of memory to be set aside at each target before it is sent, or nothing.
         first_token: Predicted seconds to the first token, or zero where there is no prediction.
         accounts: Peers whose sends the choice knew of.
-        first_patience: Seconds without any output after which the attempt is broken off.
-        gap_patience: Seconds without further output after which it is broken off.
+        first_patience: Seconds without any output after which `AttemptSilent` is told.
+        gap_patience: Seconds without further output after which it is told.
     """
 
     call: CallId
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -158,6 +158,14 @@
     at_fault: TargetName | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptSilent(ServingEvent):
+    """An attempt's target has written nothing for as long as it is waited for."""
+
+    call: CallId
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReported(ServingEvent):
     """A load report arrived, polled here or passed on by a peer."""
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -18,6 +18,7 @@
     observe,
     out_of_time,
     progress,
+    silent,
     stop,
     too_late,
     withdraw,
@@ -33,6 +34,7 @@
 )
 from azureswitch.serving._events import (
     AttemptEnded,
+    AttemptSilent,
     CacheReported,
     Call,
     CallArrived,
@@ -205,6 +207,12 @@
     return []
 
 
+@_apply.register
+def _(event: AttemptSilent, state: ServingState) -> list[Effect]:
+    record = state.calls.get(event.call)
+    return silent(state, record, event.attempt, now=event.now) if record else []
+
+
 @_apply.register
 def _(event: AttemptEnded, state: ServingState) -> list[Effect]:
     record = state.calls.get(event.call)
--- a/src/azureswitch/serving/_retries.py
+++ b/src/azureswitch/serving/_retries.py
@@ -68,36 +68,40 @@
         """Count an admitted call."""
         self._tokens = min(self._burst, self._tokens + self._share)
 
+    def permits(self, cost: float = 1.0) -> bool:
+        """Return whether there are as many retries in the budget."""
+        return self._tokens >= cost
+
     def take(self, cost: float = 1.0) -> bool:
         """Take retries out of the budget and return whether there were as many."""
-        if self._tokens < cost:
+        if not self.permits(cost):
             return False
         self._tokens -= cost
         return True
 
 
 FIRST_PATIENCE = 0.8
-"""Seconds without a first token before an attempt is broken off, at least.
+"""Seconds without a first token before another target is tried, at least.
 
 Callers leave after 2 s.
 """
 
 PATIENCE_FACTOR = 3.0
-"""Times the predicted time to the first token after which an attempt is broken off."""
+"""Times the predicted time to the first token after which another target is tried."""
 
 GAP_PATIENCE = 1.2
-"""Seconds without output midway before an attempt is broken off, at least.
+"""Seconds without output midway before another target is tried, at least.
 
 A pass that reads a part of a long prompt lasts 0.5 s; callers leave after 2 s.
 """
 
 GAP_FACTOR = 3.0
-"""Times the objective for pauses after which an attempt is broken off."""
+"""Times the objective for pauses after which another target is tried."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Patience:
-    """How long an attempt may be silent, in seconds.
+    """How long an attempt may be silent, in seconds, before another target is tried.
 
     Attributes:
         first: Before its first output.
@@ -149,5 +153,9 @@
         retry: Counts retries of the call from 1.
         random: The source of the jitter.
     """
-    most = min(BACKOFF_MOST, BACKOFF_FIRST * 2.0**retry)
-    return random.uniform(0.25, 1.0) * most
+    return random.uniform(0.25, 1.0) * longest_backoff(retry)
+
+
+def longest_backoff(retry: int) -> float:
+    """Return the most seconds to wait before a retry, which count from 1."""
+    return min(BACKOFF_MOST, BACKOFF_FIRST * 2.0**retry)
--- /dev/null
+++ b/tests/serving/test_silence.py
@@ -0,0 +1,109 @@
+"""A silent target is given up only where another attempt is permitted and finds a target."""
+
+from collections.abc import Callable
+
+import pytest
+
+from azureswitch.core import CallId
+from azureswitch.exceptions import DeadlineExceededError
+from azureswitch.serving import (
+    AttemptSilent,
+    Call,
+    CancelAttempt,
+    ClaimGranted,
+    FinishCall,
+    RetryBudget,
+    StartAttempt,
+)
+from tests.serving.fixtures import Driver, booking, model_call, only, plain_call, snapshot
+
+CALL = CallId("c1")
+
+
+def nothing(driver: Driver) -> None:
+    """Change nothing."""
+
+
+def spend_budget(driver: Driver) -> None:
+    """Use up the retries of the host."""
+    while driver.state.retries.take():
+        pass
+
+
+def use_runs(driver: Driver) -> None:
+    """Let the call have run as often as its route permits, with the attempt under way."""
+    record = driver.state.calls[CALL]
+    record.run_count = record.call.runs - 1
+
+
+def near_deadline(driver: Driver) -> None:
+    """Let the deadline come before another attempt could begin."""
+    driver.now = driver.state.calls[CALL].call.deadline - 0.01
+
+
+def sent(call: Call, *, targets: int = 2) -> Driver:
+    """Return a driver whose one call has been sent."""
+    driver = Driver(config=snapshot(targets=[booking(f"s{n}") for n in range(targets)]))
+    if call.model:
+        driver = Driver()
+    driver.arrive(call)
+    driver.send(ClaimGranted(now=0.0, call=CALL))
+    assert len(only(StartAttempt, driver.effects)) == 1
+    return driver
+
+
+def silence(driver: Driver) -> list[object]:
+    """Tell of the silence of the first attempt."""
+    return list(driver.send(AttemptSilent(now=driver.now, call=CALL, attempt=1)))
+
+
+class TestSilence:
+    """What becomes of an attempt whose target writes nothing."""
+
+    def test_follows(self) -> None:
+        """The attempt is called off and another target goes on, once for each silence."""
+        driver = sent(model_call("c1", runs=2, objective=1.0))
+        effects = silence(driver)
+        (first,) = (s for s in only(StartAttempt, driver.effects) if s.attempt == 1)
+        (cancelled,) = only(CancelAttempt, effects)  # type: ignore[arg-type]
+        (second,) = only(StartAttempt, effects)  # type: ignore[arg-type]
+        assert cancelled.targets == first.targets
+        assert second.targets != first.targets
+        assert not silence(driver)
+
+    @pytest.mark.parametrize(
+        "bring", [spend_budget, use_runs, near_deadline], ids=lambda bring: bring.__name__
+    )
+    def test_waited_for(self, bring: Callable[[Driver], None]) -> None:
+        """Without another attempt the call stays where it is, until its deadline at the most."""
+        driver = sent(model_call("c1", runs=2, objective=1.0))
+        bring(driver)
+        assert not silence(driver)
+        assert driver.state.calls[CALL].attempts
+        assert not only(FinishCall, driver.effects)
+        driver.tick(61.0)
+        assert isinstance(driver.error("c1"), DeadlineExceededError)
+
+    def test_not_repeatable(self) -> None:
+        """What may run once is waited for, whatever other targets there are."""
+        driver = sent(plain_call("c1"))
+        assert not silence(driver)
+        assert driver.state.calls[CALL].attempts
+
+    def test_over(self) -> None:
+        """The silence of an attempt that is over says nothing."""
+        driver = sent(model_call("c1", runs=3, objective=1.0))
+        silence(driver)
+        assert not driver.send(AttemptSilent(now=0.0, call=CallId("c9"), attempt=1))
+
+
+class TestBudget:
+    """Whether a retry is in the budget can be asked without taking it."""
+
+    @pytest.mark.parametrize(("burst", "permits"), [(2.0, True), (1.0, True), (0.5, False)])
+    def test_permits(self, burst: float, permits: bool) -> None:
+        """Asking takes nothing."""
+        budget = RetryBudget(share=0.0, burst=burst)
+        assert budget.permits() is permits
+        assert budget.permits() is permits
+        assert budget.take() is permits
