Tell why each connection of a caller ends, and which requests it takes with it

Cause: a request that stood behind another on its connection vanished with it, with no log line and no count; and nothing told connections closed for idleness from those that callers closed.

Ruled out: a line for each connection, as hosts would log mostly idle ends; and a line for what was handed over, whose end the shell logs already and knows more about.

Now the server hands its owner a typed message for each connection that ended. The gateway counts it by one of seven reasons and warns of each request that was read and not begun.

Measured: the new tests pass for six of the seven reasons; the seventh, a fault of ours, cannot be brought about yet, as such a connection hangs.

Conclusion: losses before admission are seen from now on.

--- a/src/azureswitch/gateway/_front.py
+++ b/src/azureswitch/gateway/_front.py
@@ -11,7 +11,7 @@
     UnknownPathError,
 )
 from azureswitch.gateway._failures import respond_failure
-from azureswitch.gateway._log import RequestAdmitted, RequestRefused
+from azureswitch.gateway._log import RequestAdmitted, RequestRefused, RequestUnserved
 from azureswitch.gateway._model import Arrival, Deployment, Route, RouteKind
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
@@ -19,7 +19,7 @@
 from azureswitch.gateway._shell import Shell
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
-from azureswitch.server import CallerLimits, Exchange
+from azureswitch.server import CallerLimits, ConnectionClosed, Exchange
 from azureswitch.serving import Call
 
 
@@ -100,6 +100,21 @@
             code=error.code,
         )
 
+    def closed(self, closed: ConnectionClosed) -> None:
+        """Count a connection that has ended, and log the requests that it takes with it.
+
+        What was handed over is in the shell's log, which knows whether it ran.
+        """
+        for request in closed.unserved:
+            self._log.write(
+                RequestUnserved(id=self._dialect.id_of(request), reason=closed.reason.value)
+            )
+        self._metrics.count(
+            name="connections_closed",
+            help="Callers' connections that ended, by reason.",
+            reason=closed.reason.value,
+        )
+
     @property
     def _version(self) -> int:
         return self._deployment.version if self._deployment else 0
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -150,7 +150,7 @@
         self._front = Front(
             shell=self._shell, dialect=dialect, log=log, metrics=metrics, random=Random(seed)
         )
-        self._callers = HttpServer(handler=self._front)
+        self._callers = HttpServer(handler=self._front, closed=self._front.closed)
         self._platform = HttpServer(
             handler=ReadinessPage(ready=lambda: self.ready, dialect=dialect)
         )
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -40,6 +40,19 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestUnserved(_RequestEntry):
+    """A request was read whole and not begun, as its connection ended.
+
+    Attributes:
+        reason: Why the connection ended.
+    """
+
+    sentence: ClassVar[str] = "Request not served."
+    level: ClassVar[Level] = Level.WARNING
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestAdmitted(_RequestEntry):
     """A request was admitted.
--- a/src/azureswitch/server/__init__.py
+++ b/src/azureswitch/server/__init__.py
@@ -6,7 +6,15 @@
 """
 
 from azureswitch.server._exchange import Exchange, Handler
-from azureswitch.server._model import CallerLimits, HttpRequest
+from azureswitch.server._model import CallerLimits, CloseReason, ConnectionClosed, HttpRequest
 from azureswitch.server._server import HttpServer
 
-__all__ = ["CallerLimits", "Exchange", "Handler", "HttpRequest", "HttpServer"]
+__all__ = [
+    "CallerLimits",
+    "CloseReason",
+    "ConnectionClosed",
+    "Exchange",
+    "Handler",
+    "HttpRequest",
+    "HttpServer",
+]
--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -15,7 +15,7 @@
     MalformedRequestError,
 )
 from azureswitch.server._exchange import Exchange, Handler
-from azureswitch.server._model import HttpRequest
+from azureswitch.server._model import CloseReason, ConnectionClosed, HttpRequest
 
 LINE_BYTES = 4
 """Bytes that a header takes beside its name and its value: a colon, a space and the line's end."""
@@ -29,11 +29,20 @@
     Args:
         handler: Takes the requests.
         connections: The open connections, which this one adds itself to.
+        closed: Is told once it has ended.
     """
 
-    def __init__(self, *, handler: Handler, connections: set["ServerConnection"]) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        connections: set["ServerConnection"],
+        closed: Callable[[ConnectionClosed], None],
+    ) -> None:
         self._handler = handler
         self._connections = connections
+        self._closed = closed
+        self._reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
         self._parser = HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
@@ -69,14 +78,16 @@
         """Wait until the caller has read enough."""
         await self._writable.wait()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close the connection at once."""
+        self._reason = self._reason or reason
         self._stop_timer()
         if self._transport is not None:
             self._transport.abort()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection once all that was written has been sent."""
+        self._reason = self._reason or reason
         self._stop_timer()
         if self._transport is not None:
             self._transport.close()
@@ -85,7 +96,7 @@
         """Go on with the next request, or close."""
         self._current = None
         if not keep_alive or self._refused:
-            self.close()
+            self.close(CloseReason.REFUSED if self._refused else CloseReason.ANSWERED)
             return
         if self._waiting:
             self._start(self._waiting.popleft())
@@ -120,10 +131,18 @@
         self._stop_timer()
         self._connections.discard(self)
         self._writable.set()
-        for exchange in (self._current, *self._waiting):
+        current, waiting = self._current, tuple(self._waiting)
+        self._waiting.clear()
+        self._closed(
+            ConnectionClosed(
+                reason=self._reason or CloseReason.CALLER,
+                unserved=tuple(exchange.request for exchange in waiting),
+                unanswered=None if current is None else current.request,
+            )
+        )
+        for exchange in (current, *waiting):
             if exchange is not None:
                 exchange.leave()
-        self._waiting.clear()
 
     def pause_writing(self) -> None:
         """Hold back what is sent, as the caller does not read."""
@@ -226,7 +245,7 @@
         self._refuse(CallerTooSlowError(limit=limit))
 
     def _idled(self) -> None:
-        self.close()
+        self.close(CloseReason.IDLE)
 
     def _set_timer(self, seconds: float, callback: Callable[[], None]) -> None:
         self._stop_timer()
--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -6,7 +6,7 @@
 
 from azureswitch.client import Headers
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.server._model import CallerLimits, HttpRequest
+from azureswitch.server._model import CallerLimits, CloseReason, HttpRequest
 
 NO_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 """Statuses whose answers have no body."""
@@ -25,7 +25,7 @@
     async def drain(self) -> None:
         """Wait until the caller has read enough."""
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close the connection at once."""
 
     def answered(self, *, keep_alive: bool) -> None:
@@ -103,7 +103,7 @@
         """Close the connection so that what was sent does not look complete."""
         if not self._over:
             self._over = True
-            self._connection.abort()
+            self._connection.abort(CloseReason.BROKEN_OFF)
 
     async def drain(self) -> None:
         """Wait until the caller has read enough for more to be sent."""
--- a/src/azureswitch/server/_model.py
+++ b/src/azureswitch/server/_model.py
@@ -1,6 +1,7 @@
 """A request as it was read, and what a connection may ask."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from azureswitch.client import Headers
 
@@ -41,3 +42,30 @@
     def header(self, name: str) -> str | None:
         """Return the first header of a lower-case name, or None."""
         return next((value for key, value in self.headers if key == name), None)
+
+
+class CloseReason(Enum):
+    """Why a connection of a caller ended."""
+
+    IDLE = "idle"
+    STOP = "stop"
+    CALLER = "caller"
+    ANSWERED = "answered"
+    BROKEN_OFF = "broken_off"
+    REFUSED = "refused"
+    FAULT = "fault"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConnectionClosed:
+    """A connection of a caller has ended.
+
+    Attributes:
+        reason: Why.
+        unserved: Requests that were read and never handed over, so that they did not run.
+        unanswered: The request that was handed over and has no whole answer, or None.
+    """
+
+    reason: CloseReason
+    unserved: tuple[HttpRequest, ...] = ()
+    unanswered: HttpRequest | None = None
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -1,10 +1,14 @@
 """Listens for callers."""
 
 import asyncio
+from collections.abc import Callable
 from socket import socket
 
+from absl import logging
+
 from azureswitch.server._connection import ServerConnection
 from azureswitch.server._exchange import Handler
+from azureswitch.server._model import CloseReason, ConnectionClosed
 
 BACKLOG = 512
 """Connections that may wait to be taken."""
@@ -15,10 +19,14 @@
 
     Args:
         handler: Takes their requests.
+        closed: Is told of each connection that has ended; what is lost is logged otherwise.
     """
 
-    def __init__(self, *, handler: Handler) -> None:
+    def __init__(
+        self, *, handler: Handler, closed: Callable[[ConnectionClosed], None] | None = None
+    ) -> None:
         self._handler = handler
+        self._closed = closed or _log_unserved
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -52,7 +60,9 @@
         )
 
     def _connection(self) -> ServerConnection:
-        return ServerConnection(handler=self._handler, connections=self._connections)
+        return ServerConnection(
+            handler=self._handler, connections=self._connections, closed=self._closed
+        )
 
     def stop_listening(self) -> None:
         """Take no new connections."""
@@ -63,9 +73,16 @@
         """Close the connections on which no request is being read or answered."""
         for connection in list(self._connections):
             if connection.idle:
-                connection.close()
+                connection.close(CloseReason.STOP)
 
     def abort(self) -> None:
         """Close all connections at once."""
         for connection in list(self._connections):
-            connection.abort()
+            connection.abort(CloseReason.STOP)
+
+
+def _log_unserved(closed: ConnectionClosed) -> None:
+    for request in closed.unserved:
+        logging.warning(
+            "server: Request to %s not served (%s).", request.target, closed.reason.value
+        )
--- /dev/null
+++ b/tests/server/test_reasons.py
@@ -0,0 +1,95 @@
+"""Each connection that ends tells why, and which requests it takes with it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from azureswitch.server import CallerLimits, CloseReason
+from tests.server.fixtures import Bed, Caller, Script, abort_after, never, request, run, serve
+from tests.waiting import reach
+
+IDLE_SECONDS = 0.2
+
+
+async def leave(bed: Bed, caller: Caller) -> None:
+    """Close the connection as its caller."""
+    caller.writer.close()
+
+
+async def stop(bed: Bed, caller: Caller) -> None:
+    """Close what is idle."""
+    bed.server.close_idle()
+
+
+async def wait(bed: Bed, caller: Caller) -> None:
+    """Let the idle time pass."""
+    await asyncio.sleep(IDLE_SECONDS)
+
+
+async def babble(bed: Bed, caller: Caller) -> None:
+    """Send what is no request."""
+    caller.send(b"\x00\r\n\r\n")
+
+
+async def ask_last(bed: Bed, caller: Caller) -> None:
+    """Send a last request."""
+    caller.send(request("/", headers="connection: close\r\n"))
+
+
+async def be_cut(bed: Bed, caller: Caller) -> None:
+    """Send a request whose answer is broken off."""
+    caller.send(request("/cut"))
+
+
+ENDS = {
+    CloseReason.CALLER: leave,
+    CloseReason.STOP: stop,
+    CloseReason.IDLE: wait,
+    CloseReason.REFUSED: babble,
+    CloseReason.ANSWERED: ask_last,
+    CloseReason.BROKEN_OFF: be_cut,
+}
+
+
+class TestReasons:
+    """The owner of a server is told of each connection that ended."""
+
+    @pytest.mark.parametrize("reason", ENDS, ids=lambda reason: reason.value)
+    def test_reason(self, reason: CloseReason) -> None:
+        """The reason is the one that brought the end about."""
+        end: Callable[[Bed, Caller], Awaitable[None]] = ENDS[reason]
+
+        async def scenario() -> None:
+            idle = IDLE_SECONDS if reason is CloseReason.IDLE else 60.0
+            script = Script(limits=CallerLimits(idle_seconds=idle), acts={"/cut": abort_after(0.0)})
+            async with serve(script) as bed:
+                caller = await bed.connect()
+                await caller.ask("/first")
+                await end(bed, caller)
+                await reach(lambda: bool(script.closed))
+                assert [closed.reason for closed in script.closed] == [reason]
+                assert script.closed[0].unserved == ()
+
+        run(scenario)
+
+    def test_lost(self) -> None:
+        """What was handed over and what was not are told apart."""
+
+        async def scenario() -> None:
+            script = Script(acts={"/1": never})
+            async with serve(script) as bed:
+                caller = await bed.connect()
+                caller.send(request("/1") + request("/2"))
+                await reach(lambda: bool(script.handled))
+                caller.writer.close()
+                # Reading is paused behind the second; the end is seen on the next write.
+                bed.server.abort()
+                await reach(lambda: bool(script.closed))
+                closed = script.closed[0]
+                assert closed.unanswered is not None
+                assert closed.unanswered.target == "/1"
+                assert [request.target for request in closed.unserved] == ["/2"]
+                assert script.handled == script.left == ["/1"]
+
+        run(scenario)
