--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -69,6 +69,10 @@
         if self._server is not None:
             self._server.close()
 
+    async def finish_listening(self) -> None:
+        """Take no new connections."""
+        self.stop_listening()
+
     def close_idle(self) -> None:
         """Close the connections on which no request is being read or answered."""
         for connection in list(self._connections):
