Answer what was read in its turn, also where the connection is to close

Cause: requests were handed over from within the parser, before it had seen what stood behind them in the same bytes. The first answer of a host that leaves then said that it was the last one, and what was queued went with the connection. A queue was also dropped by what is no request behind it, by a 408 for bytes that we held back ourselves, and by the stack's depth, as each answer began the next.

Ruled out: answering behind an answer that said `connection: close`, which no caller would read (RFC 9112, 9.6). Such a request is logged as not served.

Now the bytes are read whole, then the queue is worked off in a loop; an answer is the last one only where nothing waits behind it. Bytes that are held back have no time limit. What follows a request that says `connection: close` itself is ignored. Leave to send a body is given once no answer is under way, as it would stand in the middle of that, and not where the body is here already.

--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -1,24 +1,14 @@
-"""One connection of a caller: httptools parses, asyncio carries the bytes."""
+"""One connection of a caller: its requests are answered one after the other."""
 
 import asyncio
 from collections import deque
 from collections.abc import Callable
 from typing import cast
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-
-from azureswitch.exceptions import (
-    AzureswitchError,
-    BodyTooLargeError,
-    CallerTooSlowError,
-    HeadersTooLargeError,
-    MalformedRequestError,
-)
+from azureswitch.exceptions import CallerTooSlowError
 from azureswitch.server._exchange import Exchange, Handler
 from azureswitch.server._model import CloseReason, ConnectionClosed, HttpRequest
-
-LINE_BYTES = 4
-"""Bytes that a header takes beside its name and its value: a colon, a space and the line's end."""
+from azureswitch.server._reader import RequestReader, Stage
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -44,30 +34,28 @@
         self._closed = closed
         self._reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
-        self._parser = HttpRequestParser(self)
+        self._reader = RequestReader(limits=lambda: handler.limits)
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._current: Exchange | None = None
         self._waiting: deque[Exchange] = deque()
+        self._advancing = False
+        self._held = False
         self._writable = asyncio.Event()
         self._writable.set()
-        self._refused = False
-        self._reading = False
-        self._url = b""
-        self._headers: list[tuple[str, str]] = []
-        self._head_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
 
     @property
     def closing(self) -> bool:
-        """Whether the caller is told to use another connection for its next request."""
-        return self._handler.closing
+        """Whether the answer under way is the last one; not before what was read is answered."""
+        if self._waiting or self._reader.refusal is not None:
+            return False
+        return self._handler.closing or self._reader.ended
 
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
-        return self._current is None and not self._reading
+        unread = self._reader.stage is Stage.NONE
+        return unread and self._current is None and not self._waiting
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
@@ -95,15 +83,11 @@
     def answered(self, *, keep_alive: bool) -> None:
         """Go on with the next request, or close."""
         self._current = None
-        if not keep_alive or self._refused:
-            self.close(CloseReason.REFUSED if self._refused else CloseReason.ANSWERED)
+        if keep_alive:
+            self._advance()
             return
-        if self._waiting:
-            self._start(self._waiting.popleft())
-            return
-        if self._transport is not None:
-            self._transport.resume_reading()
-        self._set_timer(self._handler.limits.idle_seconds, self._idled)
+        refused = self._reader.refusal is not None
+        self.close(CloseReason.REFUSED if refused else CloseReason.ANSWERED)
 
     # asyncio calls these.
 
@@ -114,20 +98,23 @@
         self._set_timer(self._handler.limits.idle_seconds, self._idled)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what arrived."""
-        if self._refused:
+        """Read what arrived, and begin with what is whole."""
+        if self._reason is not None:
             return
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._refuse(MalformedRequestError())
-        except HttpParserError:
-            self._refuse(MalformedRequestError())
-        except UnicodeDecodeError:
-            self._refuse(MalformedRequestError())
+        begun = self._reader.begun
+        for request, keep_alive in self._reader.feed(data):
+            exchange = Exchange(request=request, connection=self, keep_alive=keep_alive)
+            self._waiting.append(exchange)
+        if self.idle and not self._reader.ended:
+            # Blank lines between requests do not make a connection any less idle.
+            return
+        if self._reader.stage is not Stage.HEAD or self._reader.begun != begun:
+            self._time_reading()
+        self._advance()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell what is being answered that the caller is gone."""
+        self._reason = self._reason or CloseReason.CALLER
         self._stop_timer()
         self._connections.discard(self)
         self._writable.set()
@@ -135,7 +122,7 @@
         self._waiting.clear()
         self._closed(
             ConnectionClosed(
-                reason=self._reason or CloseReason.CALLER,
+                reason=self._reason,
                 unserved=tuple(exchange.request for exchange in waiting),
                 unanswered=None if current is None else current.request,
             )
@@ -152,97 +139,69 @@
         """Send on."""
         self._writable.set()
 
-    # The parser calls these.
-
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self._url = b""
-        self._headers = []
-        self._head_bytes = 0
-        self._body = []
-        self._body_bytes = 0
-        self._reading = True
-        limits = self._handler.limits
-        self._set_timer(limits.header_seconds, self._timed_out)
-
-    def on_url(self, url: bytes) -> None:
-        """Keep path and query."""
-        self._url += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
-        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
-        self._count_head(len(name) + len(value) + LINE_BYTES)
-
-    def on_headers_complete(self) -> None:
-        """Wait for the body, whose parts may be apart as far as an idle connection's requests."""
-        self._set_timer(self._handler.limits.idle_seconds, self._timed_out)
-        if any(name == "expect" and "100" in value for name, value in self._headers):
-            self.write(CONTINUE)
-
-    def on_body(self, data: bytes) -> None:
-        """Keep a part of the body."""
-        if self._refused:
-            return
-        self._body.append(data)
-        self._body_bytes += len(data)
-        limit = self._handler.limits.body_bytes
-        if self._body_bytes > limit:
-            self._refuse(BodyTooLargeError(limit=limit))
-            return
-        self._set_timer(self._handler.limits.idle_seconds, self._timed_out)
+    def _advance(self) -> None:
+        """Answer what was read, in order, until one of the answers takes its time.
 
-    def on_message_complete(self) -> None:
-        """Hand over a whole request."""
-        if self._refused:
+        A loop, as a queue of answers that each begin the next one would be as deep as it is long.
+        """
+        if self._advancing:
             return
-        self._reading = False
-        self._stop_timer()
-        request = HttpRequest(
-            method=self._parser.get_method().decode("latin-1"),
-            target=self._url.decode("latin-1"),
-            headers=tuple(self._headers),
-            body=b"".join(self._body),
-        )
-        self._body = []
-        exchange = Exchange(
-            request=request, connection=self, keep_alive=self._parser.should_keep_alive()
-        )
+        self._advancing = True
+        try:
+            while self._current is None and self._reason is None and self._begin_next():
+                pass
+        finally:
+            self._advancing = False
+        if self._reason is None:
+            self._read_on()
+
+    def _begin_next(self) -> bool:
+        """Begin with what comes next, and return whether there was something."""
+        if self._waiting:
+            self._current = self._waiting.popleft()
+            self._handler.handle(self._current)
+        elif self._reader.refusal is not None:
+            request = HttpRequest(method="", target="", headers=(), body=b"")
+            self._current = Exchange(request=request, connection=self, keep_alive=False)
+            self._handler.refuse(self._current, self._reader.refusal)
+        elif self._reader.ended:
+            self.close(CloseReason.ANSWERED)
+        else:
+            return False
+        return True
+
+    def _read_on(self) -> None:
+        """Hold back a caller that sends ahead, or read its next request."""
         if self._current is not None:
-            self._waiting.append(exchange)
-            if self._transport is not None:
+            if self._waiting and self._transport is not None:
+                self._held = True
                 self._transport.pause_reading()
+                # What is not read cannot be late.
+                self._stop_timer()
             return
-        self._start(exchange)
-
-    def _start(self, exchange: Exchange) -> None:
-        self._current = exchange
-        self._handler.handle(exchange)
-
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        limit = self._handler.limits.header_bytes
-        if self._head_bytes > limit and not self._refused:
-            self._refuse(HeadersTooLargeError(limit=limit))
+        if self._held and self._transport is not None:
+            self._held = False
+            self._transport.resume_reading()
+            self._time_reading()
+        if self._reader.stage is Stage.NONE:
+            self._set_timer(self._handler.limits.idle_seconds, self._idled)
+        elif self._reader.take_continue():
+            self.write(CONTINUE)
+            self._time_reading()
 
-    def _refuse(self, error: AzureswitchError) -> None:
-        """Answer what is no acceptable request, after the answers that are still due."""
-        if self._refused:
-            return
-        self._refused = True
-        self._stop_timer()
-        if self._current is not None:
-            # The answer under way is the last one; the connection closes behind it.
-            return
-        request = HttpRequest(method="", target="", headers=(), body=b"")
-        exchange = Exchange(request=request, connection=self, keep_alive=False)
-        self._current = exchange
-        self._handler.refuse(exchange, error)
+    def _time_reading(self) -> None:
+        """Begin to wait for more of a request; parts of a body may be as far apart as requests."""
+        limits = self._handler.limits
+        if self._reader.stage is Stage.HEAD:
+            self._set_timer(limits.header_seconds, self._timed_out)
+        elif self._reader.stage is Stage.BODY:
+            self._set_timer(limits.idle_seconds, self._timed_out)
+        else:
+            self._stop_timer()
 
     def _timed_out(self) -> None:
-        limit = self._handler.limits.header_seconds
-        self._refuse(CallerTooSlowError(limit=limit))
+        self._reader.refuse(CallerTooSlowError(limit=self._handler.limits.header_seconds))
+        self._advance()
 
     def _idled(self) -> None:
         self.close(CloseReason.IDLE)
