Log and answer a request that the handler fails to take

Cause: what the handler raised went through the parser, which wraps it; it was taken for a malformed request, whose refusal waits for the answer under way, which was this very one. Nothing was logged or sent, and the connection hung.

Ruled out: leaving it to asyncio, which closes the connection with a line of its own, so that the caller cannot know whether the request ran.

Now a fault is logged with its traceback. The caller gets 500, internal_error, which promises nothing about whether it ran; an answer that has begun is broken off. The handler is told that the request is over, and the shell forgets one whose arrival failed, so that none stays open. A fault in reading is told apart from a malformed request.

--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -105,7 +105,14 @@
             return False
         self._records[call] = record
         record.exchange.on_left(lambda: self._left(call))
-        self.dispatch(CallArrived(now=self.now, call=record.call))
+        try:
+            self.dispatch(CallArrived(now=self.now, call=record.call))
+        except Exception:
+            # A fault of ours must not leave it open; the reducer drops what it has by the deadline.
+            self._records.pop(call, None)
+            for task in record.tasks.values():
+                task.cancel()
+            raise
         return True
 
     def dispatch(self, event: ServingEvent) -> None:
--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from typing import cast
 
-from azureswitch.exceptions import CallerTooSlowError
+from absl import logging
+
+from azureswitch.exceptions import AzureswitchError, CallerTooSlowError
 from azureswitch.server._exchange import Exchange, Handler
 from azureswitch.server._model import CloseReason, ConnectionClosed, HttpRequest
 from azureswitch.server._reader import RequestReader, Stage
@@ -159,17 +161,48 @@
         """Begin with what comes next, and return whether there was something."""
         if self._waiting:
             self._current = self._waiting.popleft()
-            self._handler.handle(self._current)
+            self._hand_over(self._current)
         elif self._reader.refusal is not None:
             request = HttpRequest(method="", target="", headers=(), body=b"")
             self._current = Exchange(request=request, connection=self, keep_alive=False)
-            self._handler.refuse(self._current, self._reader.refusal)
+            self._refuse(self._current, self._reader.refusal)
         elif self._reader.ended:
             self.close(CloseReason.ANSWERED)
         else:
             return False
         return True
 
+    def _hand_over(self, exchange: Exchange) -> None:
+        try:
+            self._handler.handle(exchange)
+        except Exception:
+            logging.exception("server: Request to %s failed.", exchange.request.target)
+            if not exchange.over:
+                self._fail(exchange)
+
+    def _fail(self, exchange: Exchange) -> None:
+        """Tell a caller that its request may have run, and the handler that it is over."""
+        if not exchange.started:
+            self._refuse(exchange, AzureswitchError())
+        self._break_off(exchange)
+        try:
+            exchange.release()
+        except Exception:
+            logging.exception("server: Release of %s failed.", exchange.request.target)
+
+    def _refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
+        try:
+            self._handler.refuse(exchange, error)
+        except Exception:
+            logging.exception("server: Refusal by %s failed.", error.code)
+            self._break_off(exchange)
+
+    def _break_off(self, exchange: Exchange) -> None:
+        """End a connection whose answer we cannot give, rather than let it hang."""
+        if not exchange.over:
+            self._reason = self._reason or CloseReason.FAULT
+            exchange.abort()
+
     def _read_on(self) -> None:
         """Hold back a caller that sends ahead, or read its next request."""
         if self._current is not None:
--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -117,6 +117,11 @@
         if self._left is not None:
             self._left()
 
+    def release(self) -> None:
+        """Have the handler let go of a request whose end it does not know of."""
+        if self._left is not None:
+            self._left()
+
     def _head(self, *, status: int, headers: Headers) -> bytes:
         self._started = True
         if self._connection.closing:
--- a/src/azureswitch/server/_reader.py
+++ b/src/azureswitch/server/_reader.py
@@ -3,7 +3,13 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from absl import logging
+from httptools import (
+    HttpParserCallbackError,
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+)
 
 from azureswitch.exceptions import (
     AzureswitchError,
@@ -84,6 +90,10 @@
         except HttpParserUpgrade:
             # The request is whole and is answered; what follows it would be another protocol.
             self._end()
+        except HttpParserCallbackError:
+            # A fault of ours, which the parser wraps as if the request were malformed.
+            logging.exception("server: Reading a request failed.")
+            self.refuse(AzureswitchError())
         except HttpParserError:
             self.refuse(MalformedRequestError())
         return self._whole
--- a/tests/server/test_losses.py
+++ b/tests/server/test_losses.py
@@ -305,6 +305,25 @@
 
         run(scenario)
 
+    def test_reading(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A fault in reading is no malformed request."""
+
+        def fault(reader: object, url: bytes) -> None:
+            raise KeyError("fault")
+
+        monkeypatch.setattr("azureswitch.server._reader.RequestReader.on_url", fault)
+
+        async def scenario() -> None:
+            script = Script()
+            async with serve(script) as bed:
+                caller = await bed.connect()
+                caller.send(request("/1"))
+                async with asyncio.timeout(5.0):
+                    assert bodies(await caller.rest()) == ["internal_error"]
+                assert self.logged
+
+        run(scenario)
+
     def test_gateway(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """A fault after a gateway has taken a request leaves none open."""
 
