Read what has arrived before closing a connection for being idle

Cause: a connection was closed as idle by what the loop had read, by its timer and every 0.05 s by a stop. A whole request that had arrived meanwhile made the kernel reset the connection.

Ruled out: closing later alone, which moves the moment and loses as many; and a read of our own, which the transport does not offer. A look with poll needs neither and is made only before a close.

Now a connection with unread bytes stays open, and they are read in the loop's next turn. A stop leaves a connection without a request yet for 0.25 s. Timer and handover stand apart, as the connection's module had grown.

--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -5,12 +5,25 @@
 from collections.abc import Callable
 from typing import cast
 
-from absl import logging
-
-from azureswitch.exceptions import AzureswitchError, CallerTooSlowError
+from azureswitch.exceptions import CallerTooSlowError
 from azureswitch.server._exchange import Exchange, Handler
+from azureswitch.server._handover import Handover
 from azureswitch.server._model import CloseReason, ConnectionClosed, HttpRequest
 from azureswitch.server._reader import RequestReader, Stage
+from azureswitch.server._timer import Timer
+from azureswitch.server._unread import is_readable
+
+LOOK_SECONDS = 0.01
+"""Seconds until a connection with unread bytes is looked at again; the loop's next turn reads them.
+
+A whole request that arrived in a busy moment of the loop was lost to a reset without the look.
+"""
+
+FRESH_SECONDS = 0.25
+"""Seconds in which the first request of a new connection may come before a stop closes it.
+
+Callers are within 10 ms; a packet that was lost is sent again after 0.2 s.
+"""
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -32,17 +45,19 @@
         closed: Callable[[ConnectionClosed], None],
     ) -> None:
         self._handler = handler
+        self._handover = Handover(handler=handler)
         self._connections = connections
         self._closed = closed
         self._reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
         self._reader = RequestReader(limits=lambda: handler.limits)
         self._transport: asyncio.Transport | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = Timer(loop=self._loop)
         self._current: Exchange | None = None
         self._waiting: deque[Exchange] = deque()
         self._advancing = False
         self._held = False
+        self._since = 0.0
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -59,6 +74,13 @@
         unread = self._reader.stage is Stage.NONE
         return unread and self._current is None and not self._waiting
 
+    @property
+    def _unread(self) -> bool:
+        """Whether bytes have arrived, or the caller's end, that the loop has not read yet."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return is_readable(self._transport.get_extra_info("socket"))
+
     def write(self, data: bytes) -> None:
         """Send bytes."""
         if self._transport is not None and not self._transport.is_closing():
@@ -71,17 +93,23 @@
     def abort(self, reason: CloseReason) -> None:
         """Close the connection at once."""
         self._reason = self._reason or reason
-        self._stop_timer()
+        self._timer.stop()
         if self._transport is not None:
             self._transport.abort()
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection once all that was written has been sent."""
         self._reason = self._reason or reason
-        self._stop_timer()
+        self._timer.stop()
         if self._transport is not None:
             self._transport.close()
 
+    def close_idle(self) -> None:
+        """Close the connection for a stop, unless a request is here or must be on its way."""
+        fresh = self._reader.begun == 0 and self._loop.time() < self._since + FRESH_SECONDS
+        if self.idle and not fresh and not self._unread:
+            self.close(CloseReason.STOP)
+
     def answered(self, *, keep_alive: bool) -> None:
         """Go on with the next request, or close."""
         self._current = None
@@ -97,7 +125,8 @@
         """Take the transport."""
         self._transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
-        self._set_timer(self._handler.limits.idle_seconds, self._idled)
+        self._since = self._loop.time()
+        self._timer.set(self._handler.limits.idle_seconds, self._idled)
 
     def data_received(self, data: bytes) -> None:
         """Read what arrived, and begin with what is whole."""
@@ -117,7 +146,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell what is being answered that the caller is gone."""
         self._reason = self._reason or CloseReason.CALLER
-        self._stop_timer()
+        self._timer.stop()
         self._connections.discard(self)
         self._writable.set()
         current, waiting = self._current, tuple(self._waiting)
@@ -161,48 +190,17 @@
         """Begin with what comes next, and return whether there was something."""
         if self._waiting:
             self._current = self._waiting.popleft()
-            self._hand_over(self._current)
+            self._handover.take(self._current)
         elif self._reader.refusal is not None:
             request = HttpRequest(method="", target="", headers=(), body=b"")
             self._current = Exchange(request=request, connection=self, keep_alive=False)
-            self._refuse(self._current, self._reader.refusal)
+            self._handover.refuse(self._current, self._reader.refusal)
         elif self._reader.ended:
             self.close(CloseReason.ANSWERED)
         else:
             return False
         return True
 
-    def _hand_over(self, exchange: Exchange) -> None:
-        try:
-            self._handler.handle(exchange)
-        except Exception:
-            logging.exception("server: Request to %s failed.", exchange.request.target)
-            if not exchange.over:
-                self._fail(exchange)
-
-    def _fail(self, exchange: Exchange) -> None:
-        """Tell a caller that its request may have run, and the handler that it is over."""
-        if not exchange.started:
-            self._refuse(exchange, AzureswitchError())
-        self._break_off(exchange)
-        try:
-            exchange.release()
-        except Exception:
-            logging.exception("server: Release of %s failed.", exchange.request.target)
-
-    def _refuse(self, exchange: Exchange, error: AzureswitchError) -> None:
-        try:
-            self._handler.refuse(exchange, error)
-        except Exception:
-            logging.exception("server: Refusal by %s failed.", error.code)
-            self._break_off(exchange)
-
-    def _break_off(self, exchange: Exchange) -> None:
-        """End a connection whose answer we cannot give, rather than let it hang."""
-        if not exchange.over:
-            self._reason = self._reason or CloseReason.FAULT
-            exchange.abort()
-
     def _read_on(self) -> None:
         """Hold back a caller that sends ahead, or read its next request."""
         if self._current is not None:
@@ -210,14 +208,14 @@
                 self._held = True
                 self._transport.pause_reading()
                 # What is not read cannot be late.
-                self._stop_timer()
+                self._timer.stop()
             return
         if self._held and self._transport is not None:
             self._held = False
             self._transport.resume_reading()
             self._time_reading()
         if self._reader.stage is Stage.NONE:
-            self._set_timer(self._handler.limits.idle_seconds, self._idled)
+            self._timer.set(self._handler.limits.idle_seconds, self._idled)
         elif self._reader.take_continue():
             self.write(CONTINUE)
             self._time_reading()
@@ -226,24 +224,18 @@
         """Begin to wait for more of a request; parts of a body may be as far apart as requests."""
         limits = self._handler.limits
         if self._reader.stage is Stage.HEAD:
-            self._set_timer(limits.header_seconds, self._timed_out)
+            self._timer.set(limits.header_seconds, self._timed_out)
         elif self._reader.stage is Stage.BODY:
-            self._set_timer(limits.idle_seconds, self._timed_out)
+            self._timer.set(limits.idle_seconds, self._timed_out)
         else:
-            self._stop_timer()
+            self._timer.stop()
 
     def _timed_out(self) -> None:
         self._reader.refuse(CallerTooSlowError(limit=self._handler.limits.header_seconds))
         self._advance()
 
     def _idled(self) -> None:
+        if self._unread:
+            self._timer.set(LOOK_SECONDS, self._idled)
+            return
         self.close(CloseReason.IDLE)
-
-    def _set_timer(self, seconds: float, callback: Callable[[], None]) -> None:
-        self._stop_timer()
-        self._timer = self._loop.call_later(seconds, callback)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -99,11 +99,11 @@
             self._connection.write(b"0\r\n\r\n")
             self._end()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason = CloseReason.BROKEN_OFF) -> None:
         """Close the connection so that what was sent does not look complete."""
         if not self._over:
             self._over = True
-            self._connection.abort(CloseReason.BROKEN_OFF)
+            self._connection.abort(reason)
 
     async def drain(self) -> None:
         """Wait until the caller has read enough for more to be sent."""
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -76,8 +76,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is being read or answered."""
         for connection in list(self._connections):
-            if connection.idle:
-                connection.close(CloseReason.STOP)
+            connection.close_idle()
 
     def abort(self) -> None:
         """Close all connections at once."""
