Take the connections that wait before the listening socket is closed

Cause: a stop closed the listening socket without a look at who waits there. The kernel resets these, and asyncio drops what it has accepted and not set up in the same turns.

Ruled out: leaving the socket open through the time of grace, as the callers that came then would be served by a process that is about to end.

Now a stop lets the loop's turns accept until none has come for four turns, 64 turns at most, and leaves the new ones the time for their first request.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -221,7 +221,7 @@
         self._shell.begin_shutdown(until=end)
         self._log.write(Leaving(open_requests=self._shell.open_calls))
         await asyncio.sleep(min(LINGER_SECONDS, self._settings.grace / 2.0))
-        self._callers.stop_listening()
+        await self._callers.finish_listening()
         self._callers.close_idle()
         await self._until_closed(end)
         open_requests = self._shell.open_calls
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -9,10 +9,17 @@
 from azureswitch.server._connection import ServerConnection
 from azureswitch.server._exchange import Handler
 from azureswitch.server._model import CloseReason, ConnectionClosed
+from azureswitch.server._unread import is_readable
 
 BACKLOG = 512
 """Connections that may wait to be taken."""
 
+QUIET_TURNS = 4
+"""Turns of the loop without a new connection: asyncio accepts in one, sets up in the next two."""
+
+MOST_TURNS = 64
+"""Turns for which the listening socket stays open though more come; each takes a whole backlog."""
+
 
 class HttpServer:
     """Listens for callers.
@@ -65,12 +72,25 @@
         )
 
     def stop_listening(self) -> None:
-        """Take no new connections."""
+        """Take no new connections, and none that wait."""
         if self._server is not None:
             self._server.close()
 
     async def finish_listening(self) -> None:
-        """Take no new connections."""
+        """Take the connections that wait, and then no new ones.
+
+        The kernel resets those that wait as the socket is closed, and asyncio drops those that it
+        has accepted and not set up yet, with no log line in either case.
+        """
+        if self._server is None:
+            return
+        quiet = 0
+        for _ in range(MOST_TURNS):
+            waits = any(is_readable(listener) for listener in self._server.sockets)
+            quiet = 0 if waits else quiet + 1
+            if quiet == QUIET_TURNS:
+                break
+            await asyncio.sleep(0.0)
         self.stop_listening()
 
     def close_idle(self) -> None:
--- a/tests/server/test_losses.py
+++ b/tests/server/test_losses.py
@@ -24,7 +24,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -119,6 +119,23 @@
 
         run(scenario)
 
+    def test_many(self) -> None:
+        """So are many that have connected since the loop last looked."""
+
+        async def scenario() -> None:
+            async with serve(Script()) as bed:
+                with ExitStack() as stack:
+                    callers = [stack.enter_context(plain_caller(bed.port)) for _ in range(200)]
+                    for caller in callers:
+                        caller.sendall(request("/1"))
+                    await bed.server.finish_listening()
+                    assert bed.server.connections == len(callers)
+                    bed.server.close_idle()
+                    for caller in callers:
+                        assert await answer_to(caller) == ["/1"]
+
+        run(scenario)
+
     def test_quiet(self) -> None:
         """A connection whose first request is under way is served by a host that stops."""
 
