Tell callers how long a connection stays, and keep to it

Cause: no answer said how long an idle connection stays. Callers reused connections after 14.4 to 19.8 s with a limit of 15 s, so that requests crossed the close. A connection also kept the limit of the moment at which it became idle, whatever a new configuration said.

Ruled out: a longer limit alone, which moves the moment; and telling the whole limit, as a request that is sent at its end arrives behind it.

Now each answer that keeps the connection open says four fifths of the limit in whole seconds, and none where that is less than one. A connection stays for the longer of the limit of the moment and of the one that its caller was told by.

Conclusion: a caller that respects the header no longer crosses the close of an idle connection.

--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -8,6 +8,7 @@
 from azureswitch.exceptions import CallerTooSlowError
 from azureswitch.server._exchange import Exchange, Handler
 from azureswitch.server._handover import Handover
+from azureswitch.server._idleness import Idleness
 from azureswitch.server._model import CloseReason, ConnectionClosed, HttpRequest
 from azureswitch.server._reader import RequestReader, Stage
 from azureswitch.server._timer import Timer
@@ -19,12 +20,6 @@
 A whole request that arrived in a busy moment of the loop was lost to a reset without the look.
 """
 
-FRESH_SECONDS = 0.25
-"""Seconds in which the first request of a new connection may come before a stop closes it.
-
-Callers are within 10 ms; a packet that was lost is sent again after 0.2 s.
-"""
-
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -57,7 +52,7 @@
         self._waiting: deque[Exchange] = deque()
         self._advancing = False
         self._held = False
-        self._since = 0.0
+        self._idleness = Idleness(limits=lambda: handler.limits, clock=self._loop.time)
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -68,6 +63,10 @@
             return False
         return self._handler.closing or self._reader.ended
 
+    def promise(self) -> int:
+        """Return the whole seconds that the connection stays once idle, or zero for untold."""
+        return self._idleness.promise()
+
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
@@ -106,7 +105,7 @@
 
     def close_idle(self) -> None:
         """Close the connection for a stop, unless a request is here or must be on its way."""
-        fresh = self._reader.begun == 0 and self._loop.time() < self._since + FRESH_SECONDS
+        fresh = self._reader.begun == 0 and self._idleness.fresh
         if self.idle and not fresh and not self._unread:
             self.close(CloseReason.STOP)
 
@@ -125,8 +124,7 @@
         """Take the transport."""
         self._transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
-        self._since = self._loop.time()
-        self._timer.set(self._handler.limits.idle_seconds, self._idled)
+        self._wait_idle()
 
     def data_received(self, data: bytes) -> None:
         """Read what arrived, and begin with what is whole."""
@@ -215,7 +213,7 @@
             self._transport.resume_reading()
             self._time_reading()
         if self._reader.stage is Stage.NONE:
-            self._timer.set(self._handler.limits.idle_seconds, self._idled)
+            self._wait_idle()
         elif self._reader.take_continue():
             self.write(CONTINUE)
             self._time_reading()
@@ -234,8 +232,13 @@
         self._reader.refuse(CallerTooSlowError(limit=self._handler.limits.header_seconds))
         self._advance()
 
+    def _wait_idle(self) -> None:
+        self._idleness.begin()
+        self._timer.set(self._idleness.left, self._idled)
+
     def _idled(self) -> None:
-        if self._unread:
-            self._timer.set(LOOK_SECONDS, self._idled)
+        left = self._idleness.left
+        if left > 0.0 or self._unread:
+            self._timer.set(max(left, LOOK_SECONDS), self._idled)
             return
         self.close(CloseReason.IDLE)
--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -19,6 +19,9 @@
     def closing(self) -> bool:
         """Whether the caller is told to use another connection for its next request."""
 
+    def promise(self) -> int:
+        """Return the whole seconds that the connection stays once idle, or zero for untold."""
+
     def write(self, data: bytes) -> None:
         """Send bytes."""
 
@@ -130,6 +133,8 @@
         lines.extend(f"{name}: {value}" for name, value in headers)
         if not self._keep_alive:
             lines.append("connection: close")
+        elif seconds := self._connection.promise():
+            lines.append(f"keep-alive: timeout={seconds}")
         return "\r\n".join((*lines, "", "")).encode("latin-1")
 
     def _end(self) -> None:
--- a/tests/server/test_idle.py
+++ b/tests/server/test_idle.py
@@ -164,6 +164,21 @@
 
         run(scenario)
 
+    def test_told_nothing_new(self) -> None:
+        """What was told holds where a later answer under a short limit tells nothing."""
+
+        async def scenario() -> None:
+            async with serve(Script(limits=CallerLimits(idle_seconds=LONG))) as bed:
+                caller = await bed.connect()
+                await caller.ask("/1")
+                await lower(bed)
+                await caller.ask("/2")
+                start = asyncio.get_running_loop().time()
+                assert await caller.rest() == b""
+                assert asyncio.get_running_loop().time() - start >= LONG - 0.01
+
+        run(scenario)
+
     def test_told_while_it_fell(self) -> None:
         """A caller who was told the longer time is not cut after a later short answer's limit."""
 
