--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -157,7 +157,7 @@
         self._front = Front(
             shell=self._shell, dialect=dialect, log=log, metrics=metrics, random=Random(seed)
         )
-        self._callers = HttpServer(handler=self._front)
+        self._callers = HttpServer(handler=self._front, closed=self._front.closed)
         self._platform = HttpServer(
             handler=ReadinessPage(ready=lambda: self.ready, dialect=dialect)
         )
@@ -254,7 +254,7 @@
 
     @_take_step.register
     async def _(self, effect: CloseListener) -> None:
-        self._callers.stop_listening()
+        await self._callers.finish_listening()
         self._log.write(ListenerClosed(open_requests=self._shell.open_calls))
 
     @_take_step.register
--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -1,24 +1,24 @@
-"""One connection of a caller: httptools parses, asyncio carries the bytes."""
+"""One connection of a caller: its requests are answered one after the other."""
 
 import asyncio
 from collections import deque
 from collections.abc import Callable
 from typing import cast
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-
-from azureswitch.exceptions import (
-    AzureswitchError,
-    BodyTooLargeError,
-    CallerTooSlowError,
-    HeadersTooLargeError,
-    MalformedRequestError,
-)
+from azureswitch.exceptions import CallerTooSlowError
 from azureswitch.server._exchange import Exchange, Handler
-from azureswitch.server._model import HttpRequest
+from azureswitch.server._handover import Handover
+from azureswitch.server._idleness import Idleness
+from azureswitch.server._model import CloseReason, ConnectionClosed, HttpRequest
+from azureswitch.server._reader import RequestReader, Stage
+from azureswitch.server._timer import Timer
+from azureswitch.server._unread import is_readable
+
+LOOK_SECONDS = 0.01
+"""Seconds until a connection with unread bytes is looked at again; the loop's next turn reads them.
 
-LINE_BYTES = 4
-"""Bytes that a header takes beside its name and its value: a colon, a space and the line's end."""
+A whole request that arrived in a busy moment of the loop was lost to a reset without the look.
+"""
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -29,36 +29,56 @@
     Args:
         handler: Takes the requests.
         connections: The open connections, which this one adds itself to.
+        closed: Is told once it has ended.
     """
 
-    def __init__(self, *, handler: Handler, connections: set["ServerConnection"]) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        connections: set["ServerConnection"],
+        closed: Callable[[ConnectionClosed], None],
+    ) -> None:
         self._handler = handler
+        self._handover = Handover(handler=handler)
         self._connections = connections
+        self._closed = closed
+        self._reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
-        self._parser = HttpRequestParser(self)
+        self._reader = RequestReader(limits=lambda: handler.limits)
         self._transport: asyncio.Transport | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = Timer(loop=self._loop)
         self._current: Exchange | None = None
         self._waiting: deque[Exchange] = deque()
+        self._advancing = False
+        self._held = False
+        self._idleness = Idleness(limits=lambda: handler.limits, clock=self._loop.time)
         self._writable = asyncio.Event()
         self._writable.set()
-        self._refused = False
-        self._reading = False
-        self._url = b""
-        self._headers: list[tuple[str, str]] = []
-        self._head_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
 
     @property
     def closing(self) -> bool:
-        """Whether the caller is told to use another connection for its next request."""
-        return self._handler.closing
+        """Whether the answer under way is the last one; not before what was read is answered."""
+        if self._waiting or self._reader.refusal is not None:
+            return False
+        return self._handler.closing or self._reader.ended
+
+    def promise(self) -> int:
+        """Return the whole seconds that the connection stays once idle, or zero for untold."""
+        return self._idleness.promise()
 
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
-        return self._current is None and not self._reading
+        unread = self._reader.stage is Stage.NONE
+        return unread and self._current is None and not self._waiting
+
+    @property
+    def _unread(self) -> bool:
+        """Whether bytes have arrived, or the caller's end, that the loop has not read yet."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return is_readable(self._transport.get_extra_info("socket"))
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
@@ -69,30 +89,34 @@
         """Wait until the caller has read enough."""
         await self._writable.wait()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close the connection at once."""
-        self._stop_timer()
+        self._reason = self._reason or reason
+        self._timer.stop()
         if self._transport is not None:
             self._transport.abort()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection once all that was written has been sent."""
-        self._stop_timer()
+        self._reason = self._reason or reason
+        self._timer.stop()
         if self._transport is not None:
             self._transport.close()
 
+    def close_idle(self) -> None:
+        """Close the connection for a stop, unless a request is here or must be on its way."""
+        fresh = self._reader.begun == 0 and self._idleness.fresh
+        if self.idle and not fresh and not self._unread:
+            self.close(CloseReason.STOP)
+
     def answered(self, *, keep_alive: bool) -> None:
         """Go on with the next request, or close."""
         self._current = None
-        if not keep_alive or self._refused:
-            self.close()
-            return
-        if self._waiting:
-            self._start(self._waiting.popleft())
+        if keep_alive:
+            self._advance()
             return
-        if self._transport is not None:
-            self._transport.resume_reading()
-        self._set_timer(self._handler.limits.idle_seconds, self._idled)
+        refused = self._reader.refusal is not None
+        self.close(CloseReason.REFUSED if refused else CloseReason.ANSWERED)
 
     # asyncio calls these.
 
@@ -100,30 +124,41 @@
         """Take the transport."""
         self._transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
-        self._set_timer(self._handler.limits.idle_seconds, self._idled)
+        self._wait_idle()
 
     def data_received(self, data: bytes) -> None:
-        """Parse what arrived."""
-        if self._refused:
+        """Read what arrived, and begin with what is whole."""
+        if self._reason is not None:
             return
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._refuse(MalformedRequestError())
-        except HttpParserError:
-            self._refuse(MalformedRequestError())
-        except UnicodeDecodeError:
-            self._refuse(MalformedRequestError())
+        begun = self._reader.begun
+        for request, keep_alive in self._reader.feed(data):
+            exchange = Exchange(request=request, connection=self, keep_alive=keep_alive)
+            self._waiting.append(exchange)
+        if self.idle and not self._reader.ended:
+            # Blank lines between requests do not make a connection any less idle.
+            return
+        if self._reader.stage is not Stage.HEAD or self._reader.begun != begun:
+            self._time_reading()
+        self._advance()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell what is being answered that the caller is gone."""
-        self._stop_timer()
+        self._reason = self._reason or CloseReason.CALLER
+        self._timer.stop()
         self._connections.discard(self)
         self._writable.set()
-        for exchange in (self._current, *self._waiting):
+        current, waiting = self._current, tuple(self._waiting)
+        self._waiting.clear()
+        self._closed(
+            ConnectionClosed(
+                reason=self._reason,
+                unserved=tuple(exchange.request for exchange in waiting),
+                unanswered=None if current is None else current.request,
+            )
+        )
+        for exchange in (current, *waiting):
             if exchange is not None:
                 exchange.leave()
-        self._waiting.clear()
 
     def pause_writing(self) -> None:
         """Hold back what is sent, as the caller does not read."""
@@ -133,106 +168,77 @@
         """Send on."""
         self._writable.set()
 
-    # The parser calls these.
+    def _advance(self) -> None:
+        """Answer what was read, in order, until one of the answers takes its time.
 
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self._url = b""
-        self._headers = []
-        self._head_bytes = 0
-        self._body = []
-        self._body_bytes = 0
-        self._reading = True
-        limits = self._handler.limits
-        self._set_timer(limits.header_seconds, self._timed_out)
-
-    def on_url(self, url: bytes) -> None:
-        """Keep path and query."""
-        self._url += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
-        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
-        self._count_head(len(name) + len(value) + LINE_BYTES)
-
-    def on_headers_complete(self) -> None:
-        """Wait for the body, whose parts may be apart as far as an idle connection's requests."""
-        self._set_timer(self._handler.limits.idle_seconds, self._timed_out)
-        if any(name == "expect" and "100" in value for name, value in self._headers):
-            self.write(CONTINUE)
-
-    def on_body(self, data: bytes) -> None:
-        """Keep a part of the body."""
-        if self._refused:
-            return
-        self._body.append(data)
-        self._body_bytes += len(data)
-        limit = self._handler.limits.body_bytes
-        if self._body_bytes > limit:
-            self._refuse(BodyTooLargeError(limit=limit))
+        A loop, as a queue of answers that each begin the next one would be as deep as it is long.
+        """
+        if self._advancing:
             return
-        self._set_timer(self._handler.limits.idle_seconds, self._timed_out)
-
-    def on_message_complete(self) -> None:
-        """Hand over a whole request."""
-        if self._refused:
-            return
-        self._reading = False
-        self._stop_timer()
-        request = HttpRequest(
-            method=self._parser.get_method().decode("latin-1"),
-            target=self._url.decode("latin-1"),
-            headers=tuple(self._headers),
-            body=b"".join(self._body),
-        )
-        self._body = []
-        exchange = Exchange(
-            request=request, connection=self, keep_alive=self._parser.should_keep_alive()
-        )
+        self._advancing = True
+        try:
+            while self._current is None and self._reason is None and self._begin_next():
+                pass
+        finally:
+            self._advancing = False
+        if self._reason is None:
+            self._read_on()
+
+    def _begin_next(self) -> bool:
+        """Begin with what comes next, and return whether there was something."""
+        if self._waiting:
+            self._current = self._waiting.popleft()
+            self._handover.take(self._current)
+        elif self._reader.refusal is not None:
+            request = HttpRequest(method="", target="", headers=(), body=b"")
+            self._current = Exchange(request=request, connection=self, keep_alive=False)
+            self._handover.refuse(self._current, self._reader.refusal)
+        elif self._reader.ended:
+            self.close(CloseReason.ANSWERED)
+        else:
+            return False
+        return True
+
+    def _read_on(self) -> None:
+        """Hold back a caller that sends ahead, or read its next request."""
         if self._current is not None:
-            self._waiting.append(exchange)
-            if self._transport is not None:
+            if self._waiting and self._transport is not None:
+                self._held = True
                 self._transport.pause_reading()
+                # What is not read cannot be late.
+                self._timer.stop()
             return
-        self._start(exchange)
-
-    def _start(self, exchange: Exchange) -> None:
-        self._current = exchange
-        self._handler.handle(exchange)
-
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        limit = self._handler.limits.header_bytes
-        if self._head_bytes > limit and not self._refused:
-            self._refuse(HeadersTooLargeError(limit=limit))
+        if self._held and self._transport is not None:
+            self._held = False
+            self._transport.resume_reading()
+            self._time_reading()
+        if self._reader.stage is Stage.NONE:
+            self._wait_idle()
+        elif self._reader.take_continue():
+            self.write(CONTINUE)
+            self._time_reading()
 
-    def _refuse(self, error: AzureswitchError) -> None:
-        """Answer what is no acceptable request, after the answers that are still due."""
-        if self._refused:
-            return
-        self._refused = True
-        self._stop_timer()
-        if self._current is not None:
-            # The answer under way is the last one; the connection closes behind it.
-            return
-        request = HttpRequest(method="", target="", headers=(), body=b"")
-        exchange = Exchange(request=request, connection=self, keep_alive=False)
-        self._current = exchange
-        self._handler.refuse(exchange, error)
+    def _time_reading(self) -> None:
+        """Begin to wait for more of a request; parts of a body may be as far apart as requests."""
+        limits = self._handler.limits
+        if self._reader.stage is Stage.HEAD:
+            self._timer.set(limits.header_seconds, self._timed_out)
+        elif self._reader.stage is Stage.BODY:
+            self._timer.set(limits.idle_seconds, self._timed_out)
+        else:
+            self._timer.stop()
 
     def _timed_out(self) -> None:
-        limit = self._handler.limits.header_seconds
-        self._refuse(CallerTooSlowError(limit=limit))
+        self._reader.refuse(CallerTooSlowError(limit=self._handler.limits.header_seconds))
+        self._advance()
 
-    def _idled(self) -> None:
-        self.close()
-
-    def _set_timer(self, seconds: float, callback: Callable[[], None]) -> None:
-        self._stop_timer()
-        self._timer = self._loop.call_later(seconds, callback)
+    def _wait_idle(self) -> None:
+        self._idleness.begin()
+        self._timer.set(self._idleness.left, self._idled)
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+    def _idled(self) -> None:
+        left = self._idleness.left
+        if left > 0.0 or self._unread:
+            self._timer.set(max(left, LOOK_SECONDS), self._idled)
+            return
+        self.close(CloseReason.IDLE)
--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -6,7 +6,7 @@
 
 from azureswitch.client import Headers
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.server._model import CallerLimits, HttpRequest
+from azureswitch.server._model import CallerLimits, CloseReason, HttpRequest
 
 NO_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 """Statuses whose answers have no body."""
@@ -19,13 +19,16 @@
     def closing(self) -> bool:
         """Whether the caller is told to use another connection for its next request."""
 
+    def promise(self) -> int:
+        """Return the whole seconds that the connection stays once idle, or zero for untold."""
+
     def write(self, data: bytes) -> None:
         """Send bytes."""
 
     async def drain(self) -> None:
         """Wait until the caller has read enough."""
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close the connection at once."""
 
     def answered(self, *, keep_alive: bool) -> None:
@@ -99,11 +102,11 @@
             self._connection.write(b"0\r\n\r\n")
             self._end()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason = CloseReason.BROKEN_OFF) -> None:
         """Close the connection so that what was sent does not look complete."""
         if not self._over:
             self._over = True
-            self._connection.abort()
+            self._connection.abort(reason)
 
     async def drain(self) -> None:
         """Wait until the caller has read enough for more to be sent."""
@@ -117,6 +120,11 @@
         if self._left is not None:
             self._left()
 
+    def release(self) -> None:
+        """Have the handler let go of a request whose end it does not know of."""
+        if self._left is not None:
+            self._left()
+
     def _head(self, *, status: int, headers: Headers) -> bytes:
         self._started = True
         if self._connection.closing:
@@ -125,6 +133,8 @@
         lines.extend(f"{name}: {value}" for name, value in headers)
         if not self._keep_alive:
             lines.append("connection: close")
+        elif seconds := self._connection.promise():
+            lines.append(f"keep-alive: timeout={seconds}")
         return "\r\n".join((*lines, "", "")).encode("latin-1")
 
     def _end(self) -> None:
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -1,24 +1,39 @@
 """Listens for callers."""
 
 import asyncio
+from collections.abc import Callable
 from socket import socket
 
+from absl import logging
+
 from azureswitch.server._connection import ServerConnection
 from azureswitch.server._exchange import Handler
+from azureswitch.server._model import CloseReason, ConnectionClosed
+from azureswitch.server._unread import is_readable
 
 BACKLOG = 512
 """Connections that may wait to be taken."""
 
+QUIET_TURNS = 4
+"""Turns of the loop without a new connection: asyncio accepts in one, sets up in the next two."""
+
+MOST_TURNS = 64
+"""Turns for which the listening socket stays open though more come; each takes a whole backlog."""
+
 
 class HttpServer:
     """Listens for callers.
 
     Args:
         handler: Takes their requests.
+        closed: Is told of each connection that has ended; what is lost is logged otherwise.
     """
 
-    def __init__(self, *, handler: Handler) -> None:
+    def __init__(
+        self, *, handler: Handler, closed: Callable[[ConnectionClosed], None] | None = None
+    ) -> None:
         self._handler = handler
+        self._closed = closed or _log_unserved
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -52,20 +67,45 @@
         )
 
     def _connection(self) -> ServerConnection:
-        return ServerConnection(handler=self._handler, connections=self._connections)
+        return ServerConnection(
+            handler=self._handler, connections=self._connections, closed=self._closed
+        )
 
     def stop_listening(self) -> None:
-        """Take no new connections."""
+        """Take no new connections, and none that wait."""
         if self._server is not None:
             self._server.close()
 
+    async def finish_listening(self) -> None:
+        """Take the connections that wait, and then no new ones.
+
+        The kernel resets those that wait as the socket is closed, and asyncio drops those that it
+        has accepted and not set up yet, with no log line in either case.
+        """
+        if self._server is None:
+            return
+        quiet = 0
+        for _ in range(MOST_TURNS):
+            waits = any(is_readable(listener) for listener in self._server.sockets)
+            quiet = 0 if waits else quiet + 1
+            if quiet == QUIET_TURNS:
+                break
+            await asyncio.sleep(0.0)
+        self.stop_listening()
+
     def close_idle(self) -> None:
         """Close the connections on which no request is being read or answered."""
         for connection in list(self._connections):
-            if connection.idle:
-                connection.close()
+            connection.close_idle()
 
     def abort(self) -> None:
         """Close all connections at once."""
         for connection in list(self._connections):
-            connection.abort()
+            connection.abort(CloseReason.STOP)
+
+
+def _log_unserved(closed: ConnectionClosed) -> None:
+    for request in closed.unserved:
+        logging.warning(
+            "server: Request to %s not served (%s).", request.target, closed.reason.value
+        )
