Show that one entry of another writer makes the store unreadable (fails)

Cause: shown here, not mended: a page, a watch or a peer's copy is decoded as a whole, so that one entry that does not fit the form makes all others unreadable with it.

Ruled out: that the store's page is no JSON; 21 of the 26 entries are valid JSON by themselves.

The stand-in of the store serves such entries and pages of any length. An entry of a test that had no failure domain has one now, as the platform says of all entries.

--- a/src/azureswitch_standins/store/_http.py
+++ b/src/azureswitch_standins/store/_http.py
@@ -29,7 +29,7 @@
     from_wire,
     to_wire,
 )
-from azureswitch.ports import ChangeKind, StoreChange
+from azureswitch.ports import ChangeKind, StoreChange, StoredObject
 from azureswitch_standins._web import WebServer, application, route_value
 from azureswitch_standins.store._fake import StoreFake, StoreFaults
 from azureswitch_standins.store._model import StoreCounters, StoreModel
@@ -37,6 +37,12 @@
 DEFAULT_WATCH = 60.0
 """Seconds that a watch waits where the caller names no time."""
 
+PAGE = 500
+"""Objects on a page of a listing, as the platform's store gives."""
+
+REVISION = b"REVISION"
+"""Stands in a planted entry for its version."""
+
 STATUSES: dict[type[StoreError], HTTPStatus] = {
     StoreNotFoundError: HTTPStatus.NOT_FOUND,
     StoreConflictError: HTTPStatus.CONFLICT,
@@ -57,12 +63,25 @@
 
     A store that is down refuses connections and breaks those that it has; a lost answer breaks its
     connection.
+
+    Args:
+        model: The objects; none at first where left out.
+        host: IP address to listen on.
+        port: Port to listen on, or zero for any.
+        page: Objects on a page of a listing.
     """
 
     def __init__(
-        self, *, model: StoreModel | None = None, host: str = "127.0.0.1", port: int = 0
+        self,
+        *,
+        model: StoreModel | None = None,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        page: int = PAGE,
     ) -> None:
         self._fake = StoreFake(model=model)
+        self._page = page
+        self._planted: dict[tuple[str, str], tuple[int, bytes]] = {}
         self._server = WebServer(app=self._routes(), host=host, port=port)
 
     @property
@@ -107,6 +126,24 @@
         """Break every waiting watch."""
         self._fake.drop_watches()
 
+    def plant(self, *, kind: str, name: str, entry: bytes) -> None:
+        """Write an object as another program might have left it.
+
+        Args:
+            kind: The kind.
+            name: The name under which the store itself knows it.
+            entry: The bytes that stand for the whole object in listings and watches, whatever they
+                are; `REVISION` in them becomes its version.
+        """
+        model = self._fake.model
+        try:
+            version = model.get(kind=kind, name=name).version
+        except StoreNotFoundError:
+            item = model.create(kind=kind, name=name, value=b"")
+        else:
+            item = model.update(kind=kind, name=name, value=b"", version=version)
+        self._planted[kind, name] = (item.version, entry)
+
     def _routes(self) -> Application:
         collection = f"{OBJECTS_PATH}/:kind"
         return application(
@@ -118,6 +155,7 @@
                 ("DELETE", f"{collection}/:name"): self._delete,
                 ("GET", "/standin/counters"): self._counters,
                 ("POST", "/standin/faults"): self._set_faults,
+                ("POST", "/standin/entries/:kind/:name"): self._plant_entry,
             }
         )
 
@@ -129,7 +167,8 @@
         kind = route_value(request=request, name="kind")
         if _query(request, "Watch"):
             return await self._answer(request, self._watch(request, kind))
-        return await self._answer(request, self._list_objects(kind))
+        after = _query(request, "AfterRev")
+        return await self._answer(request, self._list_objects(kind, after=after))
 
     async def _create(self, request: Request) -> Response:
         kind = route_value(request=request, name="kind")
@@ -147,12 +186,22 @@
         return await self._answer(request, self._delete_object(kind, name, version))
 
     async def _get_object(self, kind: str, name: str) -> WireObject:
-        return to_wire(item=await self._fake.get(kind=kind, name=name))
+        return self._wire(await self._fake.get(kind=kind, name=name))
 
-    async def _list_objects(self, kind: str) -> WireListing:
+    async def _list_objects(self, kind: str, *, after: str) -> WireListing:
         listing = await self._fake.list(kind=kind)
-        items = tuple(to_wire(item=item) for item in listing.items)
-        return WireListing(items=items, version=listing.version)
+        left = [item for item in listing.items if item.name > after]
+        items = tuple(self._wire(item) for item in left[: self._page])
+        return WireListing(items=items, more=len(left) > self._page, version=listing.version)
+
+    def _wire(self, item: StoredObject) -> WireObject:
+        """Return the JSON shape of an object, or what was planted in its place."""
+        version, entry = self._planted.get((item.kind, item.name), (0, b""))
+        if version != item.version:
+            return to_wire(item=item)
+        raw = msgspec.Raw(entry.replace(REVISION, str(version).encode()))
+        # Raw bytes are encoded as they are, wherever they stand.
+        return cast(WireObject, raw)
 
     async def _create_object(self, kind: str, body: bytes) -> WireObject:
         item = from_wire(kind=kind, item=msgspec.json.decode(body, type=WireObject))
@@ -181,7 +230,7 @@
                 async for change in watch:
                     version = change.item.version
                     if change.kind is not ChangeKind.BOOKMARK:
-                        return _changes(change)
+                        return self._changes(change)
         except TimeoutError:
             # Nobody reads any more, so that the watch no longer counts as waiting.
             return WireChanges(version=version)
@@ -189,6 +238,16 @@
             gone.cancel()
         return WireChanges(version=version)
 
+    def _changes(self, change: StoreChange) -> WireChanges:
+        removed = change.kind is ChangeKind.DELETED
+        wire = WireChange(item=self._wire(change.item), removed=removed)
+        return WireChanges(changes=(wire,), version=change.item.version)
+
+    async def _plant_entry(self, request: Request) -> Response:
+        kind, name = _names(request)
+        self.plant(kind=kind, name=name, entry=await request.read() or b"")
+        return _json(HTTPStatus.OK, self.counters)
+
     async def _counters(self, request: Request) -> Response:
         return _json(HTTPStatus.OK, self.counters)
 
@@ -233,9 +292,3 @@
     if seconds is not None:
         headers.append((b"retry-after", str(math.ceil(seconds)).encode()))
     return Response(status, headers, Content(b"application/json", msgspec.json.encode(body)))
-
-
-def _changes(change: StoreChange) -> WireChanges:
-    removed = change.kind is ChangeKind.DELETED
-    wire = WireChange(item=to_wire(item=change.item), removed=removed)
-    return WireChanges(changes=(wire,), version=change.item.version)
--- /dev/null
+++ b/tests/mirror/test_copies.py
@@ -0,0 +1,38 @@
+"""What is taken over of a peer's copy in which single objects cannot be read."""
+
+from zlib import compress
+
+import pytest
+from msgspec.msgpack import encode
+
+from azureswitch.coordination.mirror._messages import unpack_objects
+from azureswitch.ports import StoredObject
+
+GOOD = (
+    StoredObject(kind="k", name="a", version=1, value=b"1"),
+    StoredObject(kind="k", name="b", version=2, value=b"2"),
+)
+
+
+class TestUnpack:
+    """`unpack_objects`."""
+
+    @pytest.mark.parametrize(
+        "foreign",
+        [
+            None,
+            7,
+            "text",
+            [],
+            {},
+            {"kind": "k", "name": 7, "version": 3, "value": b""},
+            {"kind": "k", "name": "c", "version": "3", "value": b""},
+            {"kind": "k", "name": "c", "version": 3, "value": 3},
+            {"kind": "k", "name": "c", "version": 3},
+            {"kind": "k", "version": 3, "value": b""},
+        ],
+    )
+    def test_foreign(self, foreign: object) -> None:
+        """All other objects of the copy are taken over."""
+        packed = compress(encode([GOOD[0], foreign, GOOD[1]]))
+        assert unpack_objects(packed) == GOOD
--- /dev/null
+++ b/tests/platform/foreign.py
@@ -0,0 +1,67 @@
+"""Entries of the store as another program might have left them."""
+
+from typing import Any
+
+import msgspec
+
+from azureswitch_standins.store import REVISION
+
+SERVICE = "desk"
+
+PLACE = "z1"
+
+GOOD: dict[str, Any] = {
+    "Service": SERVICE,
+    "Address": "10.0.0.9:80",
+    "Zone": PLACE,
+    "State": "in_service",
+    "Slots": 8,
+    "Version": "1",
+}
+"""What a target says of itself."""
+
+DEEP = b"[" * 50_000 + b"]" * 50_000
+"""JSON that is nested more deeply than a decoder follows."""
+
+
+def spec(**changes: Any) -> bytes:
+    """Return what a target says of itself, changed; a field that becomes None is left out."""
+    fields = {name: value for name, value in {**GOOD, **changes}.items() if value is not None}
+    return msgspec.json.encode(fields)
+
+
+def entry(content: bytes, *, name: bytes = b'"i-2"', version: bytes = REVISION) -> bytes:
+    """Return an entry in the platform's form."""
+    metadata = b'{"Name":%s,"Revision":%s}' % (name, version)
+    return b'{"Metadata":%s,"Spec":%s,"Status":null}' % (metadata, content)
+
+
+UNREADABLE: dict[str, tuple[bytes, bool]] = {
+    "text that is not base64": (entry(b'"not base64"'), True),
+    "text outside of ASCII": (entry('"é"'.encode()), True),
+    "escape that is none": (entry(rb'{"Service":"\q"}'), True),
+    "half of a pair": (entry(rb'{"Service":"\ud800"}'), True),
+    "control character": (entry(b'{"Service":"\x01"}'), True),
+    "number that is none": (entry(b"NaN"), True),
+    "nested too deeply": (entry(DEEP), True),
+    "name that is a number": (entry(spec(), name=b"7"), False),
+    "name that is null": (entry(spec(), name=b"null"), False),
+    "name that is empty": (entry(spec(), name=b'""'), False),
+    "name that is not UTF-8": (entry(spec(), name=b'"\xff"'), False),
+    "version that is a text": (entry(spec(), version=b'"3"'), False),
+    "version that is a fraction": (entry(spec(), version=b"3.0"), False),
+    "version that is negative": (entry(spec(), version=b"-3"), False),
+    "version out of range": (entry(spec(), version=b"9223372036854775808"), False),
+    "no version": (b'{"Metadata":{"Name":"i-2"},"Spec":%s}' % spec(), False),
+    "no name": (b'{"Metadata":{"Revision":REVISION},"Spec":%s}' % spec(), False),
+    "no metadata": (b'{"Spec":%s}' % spec(), False),
+    "metadata that are null": (b'{"Metadata":null,"Spec":%s}' % spec(), False),
+    "metadata that are a list": (b'{"Metadata":["i-2",3],"Spec":%s}' % spec(), False),
+    "nothing": (b"{}", False),
+    "bare text": (b'"i-2"', False),
+    "bare number": (b"17", False),
+    "bare null": (b"null", False),
+    "list": (b'["i-2"]', False),
+    "word": (b"nothing", False),
+}
+"""Whole entries that keep a page from being decoded at once, and whether name and version hold."""
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -12,10 +12,13 @@
 import pytest
 
 from azureswitch.client import HttpClient
+from azureswitch.exceptions import HttpError
 from azureswitch.platform import header_names
+from azureswitch.platform._program import METRICS_PORT
 from azureswitch_load.demo import free_address
 from azureswitch_standins.store import StoreFaults, StoreStandin
 from bench.soak._documents import DESK, HOST_HEADER, configuration, write_settings
+from tests.platform.foreign import UNREADABLE
 
 EDGE = Path(__file__).resolve().parents[2] / "deploy" / "edge.py"
 
@@ -66,11 +69,35 @@
         await asyncio.sleep(0.002)
 
 
+async def metric(ip: str, name: str) -> float | None:
+    """Return the sum of a metric over its labels, or None while there is none."""
+    client = HttpClient(address=f"{ip}:{METRICS_PORT}")
+    try:
+        answer = await client.request(method="GET", path="/metrics", timeout=PATIENCE)
+    except HttpError:
+        return None
+    finally:
+        client.close()
+    lines = [line for line in answer.body.decode().splitlines() if line.startswith(name)]
+    return sum(float(line.rpartition(" ")[2]) for line in lines) if lines else None
+
+
+async def until_metric(ip: str, name: str, value: float) -> None:
+    """Wait until a metric has a value."""
+    seen = None
+    try:
+        async with asyncio.timeout(PATIENCE):
+            while (seen := await metric(ip, name)) != value:
+                await asyncio.sleep(0.02)
+    except TimeoutError:
+        pytest.fail(f"{name} is {seen} and not {value}.")
+
+
 async def fill(store: StoreStandin) -> None:
     """Write a configuration and a target that nobody listens as."""
     value = configuration(version=1, extra=False, idle_routes=0)
     await store.store.create(kind="config", name="main", value=value)
-    entry = {"Service": DESK, "Address": str(free_address()), "State": "in_service"}
+    entry = {"Service": DESK, "Address": str(free_address()), "Zone": "z1", "State": "in_service"}
     await store.store.create(kind="servers", name="i-1", value=msgspec.json.encode(entry))
 
 
@@ -151,3 +178,23 @@
             await store.stop()
 
         run(scenario)
+
+
+class TestForeignEntries:
+    """Entries of the store that name no target to use."""
+
+    def test_start(self, tmp_path: Path) -> None:
+        """A host that starts learns of all other targets, and of changes beside them."""
+
+        async def scenario() -> None:
+            store = StoreStandin()
+            await store.start()
+            await fill(store)
+            for number, (foreign, _) in enumerate(UNREADABLE.values()):
+                store.plant(kind="servers", name=f"f-{number:02}", entry=foreign)
+            ip = f"{NETWORK}.7"
+            async with edge(tmp_path, ip=ip, store=store.address):
+                await until_metric(ip, "azureswitch_targets_serving", 1.0)
+            await store.stop()
+
+        run(scenario)
