Read the store's entries one by one, and use none that another program left

Cause: pages, watches and peers' copies were decoded as a whole, so that one entry that does not fit the form hid all others from a host; and of an entry that did fit, an address that is none, an unknown service and an unknown state were taken for good.

An entry whose name and version can be read replaces what it was, whatever its content. What names no target is told once per version, with bounds on lines and their length, and shown by the gauge foreign_entries. The configuration in force stays, and the list of hosts is read alike, also where this host's own entry is foreign. The field born is decoded into the target's start; an entry without it, or without slots or software version, is foreign where more than half of the good ones tell it.

Ruled out: skipping an entry that cannot be read in place, which left its former version in use; and a bounded list of what was told, where what is foreign now is bounded by the listing itself.

Tests: a page of one entry without a name cannot be gone on from; that case now expects a retry, since a listing without its rest would take targets out of use.

Conclusion: a foreign entry costs itself alone.

--- a/src/azureswitch/coordination/mirror/_messages.py
+++ b/src/azureswitch/coordination/mirror/_messages.py
@@ -3,11 +3,16 @@
 from dataclasses import dataclass
 from zlib import compress, decompress, error
 
+from absl import logging
+from msgspec import Raw
 from msgspec.msgpack import decode, encode
 
 from azureswitch.core import HostName
 from azureswitch.ports import StoredObject
 
+UNDECODED = (ValueError, RecursionError)
+"""What the decoder raises; the latter for what is nested more than some 1,000 deep."""
+
 PACK_LEVEL = 1
 """How hard copies are compressed: the least, which takes 1 ms for 300 KB."""
 
@@ -76,12 +81,41 @@
 
 
 def unpack_objects(packed: bytes) -> tuple[StoredObject, ...]:
-    """Return the objects that were packed.
+    """Return the objects that were packed, but those that are none.
+
+    A copy is decoded at once.  Only where that fails is each object decoded by itself, so that one
+    that the peer should not have sent costs no other.
 
     Raises:
         ValueError: The bytes are something else.
     """
     try:
-        return decode(decompress(packed), type=tuple[StoredObject, ...])
+        expanded = decompress(packed)
     except error as failure:
         raise ValueError(str(failure)) from failure
+    try:
+        return decode(expanded, type=tuple[StoredObject, ...])
+    except UNDECODED:
+        return _unpack_singly(expanded)
+
+
+def _unpack_singly(expanded: bytes) -> tuple[StoredObject, ...]:
+    try:
+        packed = decode(expanded, type=tuple[Raw, ...])
+    except RecursionError as failure:
+        raise ValueError("The copy is nested too deeply.") from failure
+    found = [_unpack(item) for item in packed]
+    objects = tuple(item for item in found if item is not None)
+    logging.warning(
+        "mirror: %d of %d objects of a copy cannot be read.",
+        len(found) - len(objects),
+        len(found),
+    )
+    return objects
+
+
+def _unpack(item: Raw) -> StoredObject | None:
+    try:
+        return decode(item, type=StoredObject)
+    except UNDECODED:
+        return None
--- a/src/azureswitch/metrics.py
+++ b/src/azureswitch/metrics.py
@@ -41,7 +41,8 @@
                 self._add_histogram(what)
             else:
                 self._add_counter(what)
-        self._gauges: dict[str, tuple[Gauge, Callable[[], float]]] = {}
+        self._gauges: dict[str, Gauge] = {}
+        self._watched: list[tuple[Gauge, dict[str, str], Callable[[], float]]] = []
         self._reasons: dict[str, Counter] = {}
         self._measures: dict[str, Histogram] = {}
 
@@ -74,15 +75,18 @@
             self._measures[name] = histogram
         histogram.observe(labels, value)
 
-    def watch(self, *, name: str, help: str, value: Callable[[], float]) -> None:
-        """Show a value that is read whenever the metrics are."""
-        gauge = Gauge(f"azureswitch_{name}", help, registry=self._registry)
-        self._gauges[name] = (gauge, value)
+    def watch(self, *, name: str, help: str, value: Callable[[], float], **labels: str) -> None:
+        """Show a value that is read whenever the metrics are, by labels."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(f"azureswitch_{name}", help, registry=self._registry)
+            self._gauges[name] = gauge
+        self._watched.append((gauge, labels, value))
 
     def text(self, accepts: tuple[str, ...] = ()) -> tuple[bytes, dict[str, str]]:
         """Return all metrics and the headers that say their format."""
-        for gauge, value in self._gauges.values():
-            gauge.set({}, value())
+        for gauge, labels, value in self._watched:
+            gauge.set(labels, value())
         return render(self._registry, list(accepts))  # type: ignore[no-any-return]
 
     def _add_counter(self, what: Observation) -> None:
--- a/src/azureswitch/platform/__init__.py
+++ b/src/azureswitch/platform/__init__.py
@@ -9,14 +9,15 @@
     CONFIGURATION_NAME,
     TARGETS_KIND,
     decode_deployment,
-    decode_target,
 )
 from azureswitch.platform._dialect import PlatformDialect
+from azureswitch.platform._foreign import Fault, Foreign
 from azureswitch.platform._hosts import HttpHostList
 from azureswitch.platform._orders import ORDER_PATH
 from azureswitch.platform._program import main
 from azureswitch.platform._settings import PlatformSettings, read_settings
 from azureswitch.platform._store import HttpStore
+from azureswitch.platform._targets import TargetReader, Targets
 from azureswitch.platform._wire import (
     HOSTS_PATH,
     OBJECTS_PATH,
@@ -41,6 +42,10 @@
     "PlatformDialect",
     "PlatformSettings",
     "TARGETS_KIND",
+    "Fault",
+    "Foreign",
+    "TargetReader",
+    "Targets",
     "WireChange",
     "WireChanges",
     "WireHosts",
@@ -48,7 +53,6 @@
     "WireMetadata",
     "WireObject",
     "decode_deployment",
-    "decode_target",
     "from_wire",
     "header_names",
     "main",
--- a/src/azureswitch/platform/_deployment.py
+++ b/src/azureswitch/platform/_deployment.py
@@ -1,13 +1,11 @@
-"""The operator's configuration and the list of engines, as the store holds them."""
-
-from collections.abc import Iterable
+"""The operator's configuration, as the store holds it."""
 
 import msgspec
 
-from azureswitch.core import CustomerName, PlaceName, ServiceName, TargetName
+from azureswitch.core import CustomerName, ServiceName
 from azureswitch.exceptions import DeploymentUnreadableError
 from azureswitch.gateway import Deployment, Route, RouteKind, Share
-from azureswitch.inventory import EnginePace, Service, ServiceKind, Target, TargetRole
+from azureswitch.inventory import EnginePace, Service, ServiceKind
 from azureswitch.ports import StoredObject
 from azureswitch.server import CallerLimits
 
@@ -104,25 +102,6 @@
     customers: tuple[WireCustomer, ...] = msgspec.field(name="Tenants", default=())
 
 
-class WireModel(msgspec.Struct, frozen=True, kw_only=True):
-    """A model that an engine holds."""
-
-    name: str = msgspec.field(name="Name")
-
-
-class WireTarget(msgspec.Struct, frozen=True, kw_only=True):
-    """A target as it registers itself."""
-
-    service: ServiceName = msgspec.field(name="Service")
-    address: str = msgspec.field(name="Address")
-    place: PlaceName = msgspec.field(name="Zone", default=PlaceName(""))
-    state: str = msgspec.field(name="State", default="in_service")
-    models: tuple[WireModel, ...] = msgspec.field(name="Models", default=())
-
-
-IN_SERVICE = "in_service"
-
-
 def decode_deployment(item: StoredObject) -> Deployment:
     """Return the configuration that an object holds.
 
@@ -138,37 +117,10 @@
             customers={key: customer.name for customer in wire.customers for key in customer.keys},
             limits=_limits(wire.limits),
         )
-    except ValueError as error:
+    except (ArithmeticError, RecursionError, ValueError) as error:
         raise DeploymentUnreadableError(version=item.version, detail=str(error)) from error
 
 
-def decode_target(item: StoredObject, *, services: Iterable[Service]) -> Target:
-    """Return the target that an object describes.
-
-    Args:
-        item: The object.
-        services: The services of the configuration in force, which say how much memory engines
-            have.
-
-    Raises:
-        DeploymentUnreadableError: It describes none.
-    """
-    try:
-        wire = msgspec.json.decode(item.value, type=WireTarget)
-    except ValueError as error:
-        raise DeploymentUnreadableError(version=item.version, detail=str(error)) from error
-    pace = next((s.pace for s in services if s.name == wire.service), None)
-    return Target(
-        name=TargetName(item.name),
-        service=wire.service,
-        place=wire.place,
-        address=wire.address,
-        role=TargetRole.SERVING if wire.state == IN_SERVICE else TargetRole.DRAINING,
-        models=tuple(model.name for model in wire.models) if pace else (),
-        memory=pace.memory if pace else 0,
-    )
-
-
 def _service(wire: WireService) -> Service:
     if wire.pace is None:
         return Service(name=wire.name, kind=ServiceKind.PLAIN)
--- /dev/null
+++ b/src/azureswitch/platform/_foreign.py
@@ -0,0 +1,155 @@
+"""Entries of the store that do not hold what their kind says: told once each, and counted."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+from absl import logging
+from xxhash import xxh3_64_intdigest
+
+from azureswitch.metrics import Metrics
+
+LINES_MOST = 20
+"""Lines on foreign entries in `LINES_SECONDS`, at most; the host's log takes 200 a second."""
+
+LINES_SECONDS = 10.0
+
+UNNAMED_MOST = 256
+"""Entries without a name that are remembered as told; further ones take the oldest one's place."""
+
+NAME_MOST = 64
+"""Characters of a name that a line shows."""
+
+DETAIL_MOST = 160
+"""Characters of what is wrong that a line shows."""
+
+
+class Fault(Enum):
+    """What is wrong with an entry."""
+
+    UNNAMED = "unnamed"
+    UNREADABLE = "unreadable"
+    FIELD = "field"
+    NAME = "name"
+    ADDRESS = "address"
+    PLACE = "place"
+    SERVICE = "service"
+    STATE = "state"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Foreign:
+    """An entry that does not hold what its kind says.
+
+    Attributes:
+        name: Its name.
+        version: Its version.
+        fault: What is wrong.
+        detail: What is wrong, in words.
+    """
+
+    name: str
+    version: int
+    fault: Fault
+    detail: str
+
+
+def undecoded(error: Exception, *, name: str, version: int) -> Foreign:
+    """Return the foreign entry whose content the decoder refused."""
+    form = isinstance(error, msgspec.ValidationError)
+    fault = Fault.FIELD if form else Fault.UNREADABLE
+    return Foreign(name=name, version=version, fault=fault, detail=str(error))
+
+
+class ForeignBook:
+    """Knows which entries are foreign now, tells of each version of one once, and counts them.
+
+    What is remembered is bounded by the entries that there are.  Lines are bounded in number, and
+    what they quote in length, as whoever writes such entries may write any number of any size.
+
+    Args:
+        metrics: Shows how many there are.
+        kinds: The kinds of object that are read.
+        clock: Tells the time in seconds.
+    """
+
+    def __init__(
+        self, *, metrics: Metrics, kinds: Iterable[str], clock: Callable[[], float]
+    ) -> None:
+        self._clock = clock
+        self._now: dict[str, dict[str, Foreign]] = {kind: {} for kind in kinds}
+        self._unnamed: dict[str, int] = dict.fromkeys(self._now, 0)
+        self._told: dict[int, None] = {}
+        self._counts: dict[str, Counter[Fault]] = {kind: Counter() for kind in self._now}
+        self._window = clock()
+        self._lines = 0
+        self._left_out = 0
+        for kind in self._now:
+            for fault in Fault:
+                self._watch(metrics, kind, fault)
+
+    def see(self, kind: str, found: Iterable[Foreign]) -> None:
+        """Take all entries of a kind that have a name and are foreign now."""
+        before = self._now[kind]
+        after = {foreign.name: foreign for foreign in found}
+        self._now[kind] = after
+        self._counts[kind] = Counter(foreign.fault for foreign in after.values())
+        for foreign in after.values():
+            if before.get(foreign.name) != foreign:
+                self._tell(kind, foreign)
+
+    def see_unnamed(self, kind: str, details: tuple[str, ...], whole: bool) -> None:
+        """Take entries of a kind whose name or version cannot be read.
+
+        Args:
+            kind: The kind.
+            details: What is wrong with each.
+            whole: Whether these are all that the store holds; else they have just changed.
+        """
+        if whole:
+            self._unnamed[kind] = len(details)
+        for detail, count in Counter(details).items():
+            key = xxh3_64_intdigest(f"{kind} {count} {detail}".encode(errors="replace"))
+            if key in self._told:
+                continue
+            self._told[key] = None
+            if len(self._told) > UNNAMED_MOST:
+                del self._told[next(iter(self._told))]
+            text = f"{count} without a name and a version that can be read"
+            self._log(kind, text, detail)
+
+    def _tell(self, kind: str, foreign: Foreign) -> None:
+        text = f"{foreign.name[:NAME_MOST]!r} of version {foreign.version}"
+        self._log(kind, text, f"{foreign.fault.value}: {foreign.detail}")
+
+    def _log(self, kind: str, which: str, detail: str) -> None:
+        now = self._clock()
+        if now - self._window >= LINES_SECONDS:
+            self._window = now
+            self._lines = 0
+        if self._lines >= LINES_MOST:
+            self._left_out += 1
+            return
+        self._lines += 1
+        logging.warning(
+            "edge: An entry of %s is foreign and not used: %s: %s (%d others were not told of).",
+            kind,
+            which,
+            detail[:DETAIL_MOST],
+            self._left_out,
+        )
+        self._left_out = 0
+
+    def _watch(self, metrics: Metrics, kind: str, fault: Fault) -> None:
+        def value() -> float:
+            return self._unnamed[kind] if fault is Fault.UNNAMED else self._counts[kind][fault]
+
+        metrics.watch(
+            name="foreign_entries",
+            help="Entries of the store that do not hold what their kind says, and are not used.",
+            value=value,
+            kind=kind,
+            fault=fault.value,
+        )
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -16,7 +16,6 @@
 from azureswitch.core import HostName, Incarnation
 from azureswitch.exceptions import DeploymentUnreadableError, PlatformSettingsError
 from azureswitch.gateway import Gateway, GatewaySettings, PeersKnown
-from azureswitch.inventory import Service, Target
 from azureswitch.logs import LineStream, Log, start_logs
 from azureswitch.metrics import Metrics
 from azureswitch.peers import PeerNetwork
@@ -25,17 +24,18 @@
     CONFIGURATION_NAME,
     TARGETS_KIND,
     decode_deployment,
-    decode_target,
 )
 from azureswitch.platform._dialect import PlatformDialect
+from azureswitch.platform._foreign import Fault, Foreign, ForeignBook
 from azureswitch.platform._orders import HttpReservations
-from azureswitch.platform._roster import Seat, StoreHostList
+from azureswitch.platform._roster import ROSTER_KIND, Seat, StoreHostList
 from azureswitch.platform._settings import (
     SETTINGS_VARIABLE,
     PlatformSettings,
     read_settings,
 )
 from azureswitch.platform._store import HttpStore
+from azureswitch.platform._targets import TargetReader
 from azureswitch.ports import StoredObject
 from azureswitch.serving import PeersChanged
 from azureswitch.tasks import keep_running
@@ -105,6 +105,12 @@
             help="Lines of the log that its reader was too slow for.",
             value=lambda: lines.dropped,
         )
+        self._foreign = ForeignBook(
+            metrics=self._metrics,
+            kinds=(CONFIGURATION_KIND, TARGETS_KIND, ROSTER_KIND),
+            clock=monotonic,
+        )
+        self._reader = TargetReader(places=settings.places)
         self._stores: list[HttpStore] = []
         self._store = self._connect_store(settings)
         self._objects: tuple[StoredObject, ...] = ()
@@ -131,6 +137,7 @@
                 store=self._store,
                 host=settings.host,
                 seat=Seat(place=settings.place, address=address),
+                foreign=self._foreign,
             ),
             seed=seed,
         )
@@ -206,21 +213,23 @@
             logging.warning("edge: There is no configuration yet; requests are refused.")
 
     def _configure(self, objects: tuple[StoredObject, ...]) -> None:
+        foreign: list[Foreign] = []
         for item in objects:
             if item.name != CONFIGURATION_NAME:
                 continue
             try:
                 self._gateway.adopt(decode_deployment(item))
             except DeploymentUnreadableError as error:
-                logging.error("edge: The configuration stays as it is: %s", error)
+                # The one in force stays.
+                foreign.append(_unreadable(item, error))
+        self._foreign.see(CONFIGURATION_KIND, foreign)
         self._list(self._objects)
 
     def _list(self, objects: tuple[StoredObject, ...]) -> None:
         self._objects = objects
-        deployment = self._gateway.deployment
-        services = deployment.services if deployment else ()
-        found = (_target(item, services) for item in objects)
-        self._gateway.set_targets(tuple(target for target in found if target is not None))
+        found = self._reader.read(objects, deployment=self._gateway.deployment)
+        self._foreign.see(TARGETS_KIND, found.foreign)
+        self._gateway.set_targets(found.targets)
         if self._gateway.configured:
             self._configured.set()
 
@@ -238,6 +247,7 @@
             timeout=STORE_TIMEOUT,
             pause=STORE_PAUSE,
             called=self._count_call,
+            unnamed=self._foreign.see_unnamed,
         )
         self._stores.append(store)
         return store
@@ -252,12 +262,10 @@
         )
 
 
-def _target(item: StoredObject, services: tuple[Service, ...]) -> Target | None:
-    try:
-        return decode_target(item, services=services)
-    except DeploymentUnreadableError as error:
-        logging.error("edge: A target is left out: %s", error)
-        return None
+def _unreadable(item: StoredObject, error: DeploymentUnreadableError) -> Foreign:
+    return Foreign(
+        name=item.name, version=item.version, fault=Fault.UNREADABLE, detail=error.detail
+    )
 
 
 def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
--- a/src/azureswitch/platform/_roster.py
+++ b/src/azureswitch/platform/_roster.py
@@ -3,10 +3,11 @@
 The platform lists no hosts for us.  Each writes where it is reached under its name when it starts,
 and reads who else did.  A reading may be seconds old, which costs a tenth: membership finds out by
 itself who of the listed lives, and hears from them of those that the list does not show yet.
+
+Another program may write there too: an entry that tells of no host is passed over.
 """
 
 import msgspec
-from absl import logging
 
 from azureswitch.core import HostName, PlaceName
 from azureswitch.exceptions import (
@@ -15,7 +16,10 @@
     StoreError,
     StoreNotFoundError,
 )
+from azureswitch.platform._entries import UNDECODED
+from azureswitch.platform._foreign import Fault, Foreign, ForeignBook, undecoded
 from azureswitch.platform._store import HttpStore
+from azureswitch.platform._targets import is_address
 from azureswitch.ports import HostStatus, ListedHost, StoredObject
 
 ROSTER_KIND = "azureswitch-hosts"
@@ -41,12 +45,16 @@
         store: The platform's store.
         host: The name of this host.
         seat: Where it is reached.
+        foreign: Takes the entries that tell of no host.
     """
 
-    def __init__(self, *, store: HttpStore, host: HostName, seat: Seat) -> None:
+    def __init__(
+        self, *, store: HttpStore, host: HostName, seat: Seat, foreign: ForeignBook
+    ) -> None:
         self._store = store
         self._host = host
         self._seat = seat
+        self._foreign = foreign
         self._entered = False
 
     async def hosts(self) -> tuple[ListedHost, ...]:
@@ -58,8 +66,9 @@
             listing = await self._store.list(kind=ROSTER_KIND, stale=True)
         except StoreError as error:
             raise HostListError() from error
-        found = (_listed(item) for item in listing.items)
-        return tuple(host for host in found if host is not None)
+        found = [_listed(item) for item in listing.items]
+        self._foreign.see(ROSTER_KIND, (host for host in found if isinstance(host, Foreign)))
+        return tuple(host for host in found if isinstance(host, ListedHost))
 
     async def _enter(self) -> None:
         value = msgspec.json.encode(self._seat)
@@ -71,7 +80,7 @@
     async def _replace(self, value: bytes) -> None:
         """Correct the entry of an earlier process of this host."""
         try:
-            known = await self._store.get(kind=ROSTER_KIND, name=self._host)
+            known = await self._store.get(kind=ROSTER_KIND, name=self._host, strict=False)
         except StoreNotFoundError:
             return
         if known.value == value:
@@ -81,12 +90,19 @@
         )
 
 
-def _listed(item: StoredObject) -> ListedHost | None:
+def _listed(item: StoredObject) -> ListedHost | Foreign:
     try:
         seat = msgspec.json.decode(item.value, type=Seat)
-    except ValueError:
-        logging.warning("roster: The entry of %s cannot be read and is left out.", item.name)
-        return None
+    except UNDECODED as error:
+        return undecoded(error, name=item.name, version=item.version)
+    fault: Fault | None = None
+    if not is_address(seat.address):
+        fault = Fault.ADDRESS
+    elif not seat.place:
+        fault = Fault.PLACE
+    if fault is not None:
+        detail = f"{seat.address!r} in {seat.place!r} is no host"
+        return Foreign(name=item.name, version=item.version, fault=fault, detail=detail)
     return ListedHost(
         name=HostName(item.name), place=seat.place, address=seat.address, status=HostStatus.LIVE
     )
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote, urlencode
 
 import msgspec
+from absl import logging
 
 from azureswitch.client import Headers, HttpAnswer, HttpClient
 from azureswitch.exceptions import (
@@ -20,11 +21,9 @@
     StoreValueTooLargeError,
     StoreVersionGoneError,
 )
+from azureswitch.platform._entries import UNDECODED, read_changes, read_entry, read_listing
 from azureswitch.platform._wire import (
     OBJECTS_PATH,
-    WireChange,
-    WireChanges,
-    WireListing,
     WireMetadata,
     WireObject,
     from_wire,
@@ -32,10 +31,12 @@
 )
 from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject
 
-Body = TypeVar("Body")
+Page = TypeVar("Page")
 
 Called = Callable[[str, str, str], None]
 
+Unnamed = Callable[[str, tuple[str, ...], bool], None]
+
 DEFAULT_TIMEOUT = 2.0
 """Seconds that a call may take."""
 
@@ -48,6 +49,9 @@
 WATCH_LEAST = 0.03
 """Seconds that must be left of a watch for another call; each is paid for."""
 
+LOG_SECONDS = 60.0
+"""Seconds between two lines on entries without a name, where nobody else takes them."""
+
 JSON_HEADERS: Headers = (("content-type", "application/json"),)
 
 
@@ -55,6 +59,18 @@
     """Count no calls."""
 
 
+def _log_unnamed(kind: str, details: tuple[str, ...], whole: bool) -> None:
+    """Log that there are such entries, now and then."""
+    if details:
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "store: %d entries of %s have no name that can be read.",
+            LOG_SECONDS,
+            len(details),
+            kind,
+        )
+
+
 class HttpStore:
     """The `azureswitch.ports.Store` port over HTTP.
 
@@ -64,6 +80,8 @@
         called: Told of each call by method, kind of object and result.
         pause: Seconds between two calls of a watch that bring changes, so that changes which come
             in a series cost fewer calls.
+        unnamed: Told of what is wrong with entries whose name or version cannot be read: their
+            kind, what is wrong with each, and whether these are all of the kind.
     """
 
     def __init__(
@@ -73,11 +91,13 @@
         timeout: float = DEFAULT_TIMEOUT,
         pause: float = 0.0,
         called: Called = _ignore,
+        unnamed: Unnamed = _log_unnamed,
     ) -> None:
         self._client = HttpClient(address=address)
         self._timeout = timeout
         self._pause = pause
         self._called = called
+        self._unnamed = unnamed
 
     def move(self, *, address: str) -> None:
         """Call the store at another ``IP:PORT`` from now on."""
@@ -85,10 +105,18 @@
             self._client.close()
             self._client = HttpClient(address=address)
 
-    async def get(self, *, kind: str, name: str) -> StoredObject:
-        """Return an object."""
+    async def get(self, *, kind: str, name: str, strict: bool = True) -> StoredObject:
+        """Return an object.
+
+        Args:
+            kind: Its kind.
+            name: Its name.
+            strict: Whether an object that is not as ours are is taken for no answer.
+        """
         key = f"{kind}/{name}"
         answer = await self._call(method="GET", path=_path(kind, name), key=key)
+        if not strict:
+            return _foreign_object(kind=kind, key=key, answer=answer)
         return _object(kind=kind, key=key, answer=answer, lost=StoreUnavailableError)
 
     async def list(self, *, kind: str, stale: bool = False) -> Listing:
@@ -102,18 +130,24 @@
             stale: Whether what was true seconds ago is enough; such a call costs a tenth.
         """
         items: list[StoredObject] = []
+        unnamed: list[str] = []
         version: int | None = None
         query = {"Serializable": "1"} if stale else {}
         while True:
             path = f"{_path(kind)}?{urlencode(query)}" if query else _path(kind)
             answer = await self._call(method="GET", path=path, key=kind)
-            page = _decode(answer, type=WireListing, key=kind, lost=StoreUnavailableError)
+            page = _read(answer, read_listing, kind=kind)
             version = page.version if version is None else version
-            items.extend(_objects(page.items, kind=kind))
-            if not page.more or not page.items:
+            items.extend(page.items)
+            unnamed.extend(page.unnamed)
+            if not page.more:
+                self._unnamed(kind, tuple(unnamed), True)
                 return Listing(items=tuple(items), version=version)
+            if not page.items:
+                # Without a name there is no going on, and what follows must not count as gone.
+                raise StoreUnavailableError(key=kind)
             # The platform names the object to go on after as if it were a version.
-            query["AfterRev"] = page.items[-1].metadata.name
+            query["AfterRev"] = page.items[-1].name
 
     async def create(self, *, kind: str, name: str, value: bytes) -> StoredObject:
         """Create an object."""
@@ -150,15 +184,16 @@
                 key=kind,
                 timeout=wait + self._timeout,
             )
-            page = _decode(answer, type=WireChanges, key=kind, lost=StoreUnavailableError)
+            page = _read(answer, read_changes, kind=kind)
+            if page.unnamed:
+                self._unnamed(kind, page.unnamed, False)
             for change in page.changes:
-                told = _change(kind=kind, change=change)
-                version = max(version, told.item.version)
-                yield told
+                version = max(version, change.item.version)
+                yield change
             if page.version > version:
                 version = page.version
                 yield _bookmark(kind=kind, version=version)
-            if page.changes and self._pause:
+            if (page.changes or page.unnamed) and self._pause:
                 await sleep(self._pause)
 
     def close(self) -> None:
@@ -208,31 +243,25 @@
     return collection if name is None else f"{collection}/{quote(name, safe='')}"
 
 
-def _decode(answer: HttpAnswer, *, type: type[Body], key: str, lost: type[StoreError]) -> Body:
+def _read(answer: HttpAnswer, reader: Callable[..., Page], *, kind: str) -> Page:
     try:
-        return msgspec.json.decode(answer.body, type=type)
-    except ValueError as error:
-        raise lost(key=key) from error
+        return reader(answer.body, kind=kind)
+    except UNDECODED as error:
+        raise StoreUnavailableError(key=kind) from error
 
 
 def _object(*, kind: str, key: str, answer: HttpAnswer, lost: type[StoreError]) -> StoredObject:
     try:
-        return from_wire(kind=kind, item=_decode(answer, type=WireObject, key=key, lost=lost))
-    except ValueError as error:
+        return from_wire(kind=kind, item=msgspec.json.decode(answer.body, type=WireObject))
+    except UNDECODED as error:
         raise lost(key=key) from error
 
 
-def _objects(items: tuple[WireObject, ...], *, kind: str) -> list[StoredObject]:
-    try:
-        return [from_wire(kind=kind, item=item) for item in items]
-    except ValueError as error:
-        raise StoreUnavailableError(key=kind) from error
-
-
-def _change(*, kind: str, change: WireChange) -> StoreChange:
-    what = ChangeKind.DELETED if change.removed else ChangeKind.PUT
-    (item,) = _objects((change.item,), kind=kind)
-    return StoreChange(kind=what, item=item)
+def _foreign_object(*, kind: str, key: str, answer: HttpAnswer) -> StoredObject:
+    found = read_entry(answer.body, kind=kind)
+    if isinstance(found, str):
+        raise StoreUnavailableError(key=key)
+    return found
 
 
 def _bookmark(*, kind: str, version: int) -> StoreChange:
--- /dev/null
+++ b/src/azureswitch/platform/_targets.py
@@ -0,0 +1,218 @@
+"""The targets that the entries of the store name, and the entries that name none.
+
+Another program may write such entries too.  Each is held against what a target says of itself, and
+one that differs in anything names no target to use.
+"""
+
+import re
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import msgspec
+
+from azureswitch.core import PlaceName, ServiceName, TargetName
+from azureswitch.gateway import Deployment
+from azureswitch.inventory import EnginePace, Place, Target, TargetRole
+from azureswitch.platform._entries import UNDECODED
+from azureswitch.platform._foreign import Fault, Foreign, undecoded
+from azureswitch.ports import StoredObject
+
+STARTED_MOST = 2**63 - 1
+"""The latest start that can be told in a message between hosts."""
+
+ROLES = {"in_service": TargetRole.SERVING, "draining": TargetRole.DRAINING}
+"""What the platform calls the roles."""
+
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_FIRST_OCTET = r"(?:22[0-3]|2[01][0-9]|1[0-9]{2}|[1-9][0-9]?)"
+_PORT = r"(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+
+_ADDRESS = re.compile(rf"{_FIRST_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}")
+"""``IP:PORT`` of a host: no names, no IPv6, and neither the unspecified nor multicast addresses."""
+
+_NAME = re.compile(r"[!-~]{1,256}")
+"""Names that can travel in a header, in which a target is told whom a request is meant for."""
+
+
+class WireModel(msgspec.Struct, frozen=True, kw_only=True):
+    """A model that an engine holds."""
+
+    name: str = msgspec.field(name="Name")
+
+
+class WireTarget(msgspec.Struct, frozen=True, kw_only=True):
+    """A target as it registers itself.
+
+    Attributes:
+        service: The service that it belongs to.
+        address: ``IP:PORT`` of its HTTP interface.
+        place: Its failure domain.
+        state: Whether it takes new work.
+        models: The models that it holds.
+        slots: Requests that it runs at once; the configuration says that too.
+        release: The version of its software.
+        started: When its process started, in milliseconds of the wall clock; alone of all fields it
+            is spelled in lower case.
+    """
+
+    service: ServiceName = msgspec.field(name="Service")
+    address: str = msgspec.field(name="Address")
+    place: PlaceName = msgspec.field(name="Zone")
+    state: str = msgspec.field(name="State")
+    models: tuple[WireModel, ...] = msgspec.field(name="Models", default=())
+    slots: Any = msgspec.field(name="Slots", default=None)
+    release: Any = msgspec.field(name="Version", default=None)
+    started: Annotated[int, msgspec.Meta(ge=0, le=STARTED_MOST)] | msgspec.UnsetType = (
+        msgspec.field(name="born", default=msgspec.UNSET)
+    )
+
+
+_TELLS: Mapping[str, Callable[[WireTarget], bool]] = {
+    "Slots": lambda wire: type(wire.slots) is int,
+    "Version": lambda wire: wire.release is not None,
+    "born": lambda wire: wire.started is not msgspec.UNSET,
+}
+"""Fields that targets tell and that may be done without, and whether an entry does tell them."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Targets:
+    """What a listing of targets holds.
+
+    Attributes:
+        targets: Those to use.
+        foreign: The entries that name none.
+    """
+
+    targets: tuple[Target, ...]
+    foreign: tuple[Foreign, ...]
+
+
+class TargetReader:
+    """Reads the targets of a listing.
+
+    An entry is decoded once, as long as it does not change: of 600 mostly one does.
+
+    Args:
+        places: The failure domains that there are; none where they are not known.
+    """
+
+    def __init__(self, *, places: Iterable[Place] = ()) -> None:
+        self._places = frozenset(place.name for place in places)
+        self._decoded: dict[str, tuple[StoredObject, WireTarget | Foreign]] = {}
+
+    def read(self, items: Iterable[StoredObject], *, deployment: Deployment | None) -> Targets:
+        """Return the targets of a listing, and what names none.
+
+        Args:
+            items: The entries.
+            deployment: The configuration in force, which names the services; None where there is
+                none yet, so that no service is unknown.
+        """
+        paces = None if deployment is None else _paces(deployment)
+        found: list[tuple[StoredObject, WireTarget]] = []
+        foreign: list[Foreign] = []
+        decoded: dict[str, tuple[StoredObject, WireTarget | Foreign]] = {}
+        for item in items:
+            wire = self._decode(item)
+            decoded[item.name] = (item, wire)
+            wire = self._check(item, wire, paces)
+            if isinstance(wire, Foreign):
+                foreign.append(wire)
+            else:
+                found.append((item, wire))
+        self._decoded = decoded
+        missing = _missing([wire for _, wire in found])
+        targets: list[Target] = []
+        for item, wire in found:
+            if missing and (names := [name for name in missing if not _TELLS[name](wire)]):
+                foreign.append(_silent(item, names))
+            else:
+                targets.append(_target(item, wire, paces or {}))
+        return Targets(targets=tuple(targets), foreign=tuple(foreign))
+
+    def _decode(self, item: StoredObject) -> WireTarget | Foreign:
+        known = self._decoded.get(item.name)
+        if known is not None and known[0] is item:
+            return known[1]
+        try:
+            wire = msgspec.json.decode(item.value, type=WireTarget)
+        except UNDECODED as error:
+            return undecoded(error, name=item.name, version=item.version)
+        fault = self._fault(item.name, wire)
+        if fault is None:
+            return wire
+        return Foreign(name=item.name, version=item.version, fault=fault[0], detail=fault[1])
+
+    def _fault(self, name: str, wire: WireTarget) -> tuple[Fault, str] | None:
+        if not _NAME.fullmatch(name):
+            return Fault.NAME, "the name cannot be told in a header"
+        if not is_address(wire.address):
+            return Fault.ADDRESS, f"{wire.address!r} is not IP:PORT"
+        if not wire.place or (self._places and wire.place not in self._places):
+            return Fault.PLACE, f"{wire.place!r} is no failure domain"
+        if not wire.service:
+            return Fault.SERVICE, "the service is empty"
+        if wire.state not in ROLES:
+            return Fault.STATE, f"{wire.state!r} is no state"
+        return None
+
+    def _check(
+        self,
+        item: StoredObject,
+        wire: WireTarget | Foreign,
+        paces: Mapping[ServiceName, EnginePace | None] | None,
+    ) -> WireTarget | Foreign:
+        """Return an entry, or that the configuration does not know its service."""
+        if isinstance(wire, Foreign) or paces is None or wire.service in paces:
+            return wire
+        return Foreign(
+            name=item.name,
+            version=item.version,
+            fault=Fault.SERVICE,
+            detail=f"{wire.service!r} is no service of the configuration",
+        )
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is ``IP:PORT`` of a host that can be reached by IPv4."""
+    return _ADDRESS.fullmatch(text) is not None
+
+
+def _paces(deployment: Deployment) -> dict[ServiceName, EnginePace | None]:
+    """Return the services that a configuration names, in its list or in a route, and their pace."""
+    named = {share.service: None for route in deployment.routes for share in route.shares}
+    return {**named, **{service.name: service.pace for service in deployment.services}}
+
+
+def _missing(wires: list[WireTarget]) -> tuple[str, ...]:
+    """Return the fields that most entries tell, but not all.
+
+    Some deployments' targets tell none of their start, so that a start which is missing says
+    nothing by itself; taken for a fault there, it would leave no target at all.  Where more than
+    half of the entries tell a field, one without it was written by something else.
+    """
+    counts = {name: sum(map(tells, wires)) for name, tells in _TELLS.items()}
+    return tuple(name for name, count in counts.items() if len(wires) < 2 * count < 2 * len(wires))
+
+
+def _silent(item: StoredObject, names: list[str]) -> Foreign:
+    detail = f"it does not tell {', '.join(names)} as most do"
+    return Foreign(name=item.name, version=item.version, fault=Fault.FIELD, detail=detail)
+
+
+def _target(
+    item: StoredObject, wire: WireTarget, paces: Mapping[ServiceName, EnginePace | None]
+) -> Target:
+    pace = paces.get(wire.service)
+    return Target(
+        name=TargetName(item.name),
+        service=wire.service,
+        place=wire.place,
+        address=wire.address,
+        role=ROLES[wire.state],
+        models=tuple(model.name for model in wire.models) if pace else (),
+        memory=pace.memory if pace else 0,
+        started=0 if wire.started is msgspec.UNSET else wire.started,
+    )
--- a/src/azureswitch/platform/_wire.py
+++ b/src/azureswitch/platform/_wire.py
@@ -16,7 +16,7 @@
 HOSTS_PATH = "/hosts"
 """Path of the host list."""
 
-NULL = msgspec.Raw(b"null")
+NULL = b"null"
 
 
 class WireMetadata(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,8 +36,8 @@
     """
 
     metadata: WireMetadata = msgspec.field(name="Metadata")
-    content: msgspec.Raw = msgspec.field(name="Spec", default=NULL)
-    status: msgspec.Raw = msgspec.field(name="Status", default=NULL)
+    content: msgspec.Raw = msgspec.field(name="Spec", default=msgspec.Raw(NULL))
+    status: msgspec.Raw = msgspec.field(name="Status", default=msgspec.Raw(NULL))
 
 
 class WireListing(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/platform/test_targets.py
@@ -0,0 +1,199 @@
+"""Which targets the entries of the store name, and which entries name none."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+import pytest
+
+from azureswitch.core import HostName, PlaceName
+from azureswitch.gateway import Deployment
+from azureswitch.inventory import Place, Target, TargetRole
+from azureswitch.metrics import Metrics
+from azureswitch.platform import Fault, Foreign, HttpStore, TargetReader, decode_deployment
+from azureswitch.platform._foreign import LINES_MOST, LINES_SECONDS, ForeignBook
+from azureswitch.platform._roster import ROSTER_KIND, Seat, StoreHostList
+from azureswitch.ports import StoredObject
+from azureswitch_standins.store import StoreStandin
+from bench.soak._documents import configuration
+from tests.platform.foreign import NO_TARGET, PLACE, UNREADABLE, spec
+from tests.waiting import PATIENCE
+
+PLACES = (Place(name=PlaceName(PLACE), region="r"),)
+
+
+def stored(name: str, value: bytes, version: int = 1) -> StoredObject:
+    """Return an entry with a name and a version."""
+    return StoredObject(kind="servers", name=name, version=version, value=value)
+
+
+def deployment() -> Deployment:
+    """Return a configuration that names the service."""
+    value = configuration(version=1, extra=False, idle_routes=0)
+    return decode_deployment(StoredObject(kind="config", name="main", version=1, value=value))
+
+
+def names(targets: tuple[Target, ...]) -> list[str]:
+    """Return the names of targets."""
+    return [target.name for target in targets]
+
+
+class TestReader:
+    """`TargetReader`."""
+
+    @pytest.mark.parametrize(
+        ("value", "fault"), [pytest.param(*row, id=name) for name, row in NO_TARGET.items()]
+    )
+    def test_foreign(self, value: bytes, fault: Fault) -> None:
+        """An entry that is not what a target says of itself names none; the others hold."""
+        items = [stored("a", spec()), stored("b", value, version=7), stored("c", spec())]
+        found = TargetReader(places=PLACES).read(items, deployment=deployment())
+        assert names(found.targets) == ["a", "c"]
+        assert [(item.name, item.version, item.fault) for item in found.foreign] == [
+            ("b", 7, fault)
+        ]
+
+    @pytest.mark.parametrize("name", ["a b", "a\r\nb", "\x00", "ä", "a" * 257])
+    def test_name(self, name: str) -> None:
+        """A name that no header can carry names no target."""
+        found = TargetReader().read([stored(name, spec())], deployment=None)
+        assert [item.fault for item in found.foreign] == [Fault.NAME]
+
+    @pytest.mark.parametrize(
+        ("fields", "role", "started"),
+        [
+            ({}, TargetRole.SERVING, 0),
+            ({"State": "draining"}, TargetRole.DRAINING, 0),
+            ({"born": 0}, TargetRole.SERVING, 0),
+            ({"born": 1_764_726_000_123}, TargetRole.SERVING, 1_764_726_000_123),
+            ({"Born": 5}, TargetRole.SERVING, 0),
+            ({"Address": "255.255.255.255:1"}, None, 0),
+            ({"Address": "223.255.255.255:65535"}, TargetRole.SERVING, 0),
+            ({"Unknown": {"x": [1]}}, TargetRole.SERVING, 0),
+        ],
+    )
+    def test_whole(self, fields: dict[str, Any], role: TargetRole | None, started: int) -> None:
+        """What a target tells of itself is decoded, and what is not known is passed over."""
+        found = TargetReader(places=PLACES).read([stored("a", spec(**fields))], deployment=None)
+        expected = [] if role is None else [(role, started)]
+        assert [(target.role, target.started) for target in found.targets] == expected
+
+    @pytest.mark.parametrize(
+        ("told", "untold", "foreign"),
+        [(0, 3, 0), (1, 3, 0), (2, 2, 0), (3, 2, 2), (5, 1, 1), (1, 0, 0)],
+    )
+    @pytest.mark.parametrize("field", ["born", "Slots", "Version"])
+    def test_untold(self, field: str, told: int, untold: int, foreign: int) -> None:
+        """An entry that does not tell what more than half of the others do names no target."""
+        items = [stored(f"t{n}", spec(**{field: 5})) for n in range(told)]
+        items += [stored(f"u{n}", spec(**{field: None})) for n in range(untold)]
+        found = TargetReader().read(items, deployment=None)
+        assert len(found.targets) == told + untold - foreign
+        assert sorted(item.name for item in found.foreign) == [f"u{n}" for n in range(foreign)]
+
+    def test_untold_beside_foreign(self) -> None:
+        """Entries that name no target for another reason count for neither side."""
+        items = [stored(f"f{n}", spec(State="x", born=5)) for n in range(9)]
+        items += [stored("a", spec()), stored("b", spec(born=5))]
+        assert names(TargetReader().read(items, deployment=None).targets) == ["a", "b"]
+
+    def test_service_of_route(self) -> None:
+        """Services are known by the list of them or by a route; before both none is unknown."""
+        value = msgspec.json.encode(
+            {"Version": 1, "Routes": [{"Host": "h", "Service": "x"}], "Services": [{"Name": "y"}]}
+        )
+        known = decode_deployment(stored("main", value))
+        items = [stored(name, spec(Service=name)) for name in ("x", "y", "z")]
+        reader = TargetReader()
+        assert names(reader.read(items, deployment=None).targets) == ["x", "y", "z"]
+        assert names(reader.read(items, deployment=known).targets) == ["x", "y"]
+
+    def test_turns(self) -> None:
+        """An entry that turns foreign has gone, and one that becomes whole has come."""
+        reader = TargetReader(places=PLACES)
+        for version, (value, left) in enumerate([(spec(), ["a"]), (b"{}", []), (spec(), ["a"])]):
+            found = reader.read([stored("a", value, version)], deployment=deployment())
+            assert names(found.targets) == left
+
+
+class TestBook:
+    """`ForeignBook`."""
+
+    @staticmethod
+    def book(now: list[float]) -> tuple[ForeignBook, Metrics]:
+        """Return a book by a clock that a test sets."""
+        metrics = Metrics()
+        return ForeignBook(metrics=metrics, kinds=("servers",), clock=lambda: now[0]), metrics
+
+    @staticmethod
+    def foreign(name: str, version: int = 1, detail: str = "d") -> Foreign:
+        """Return a foreign entry."""
+        return Foreign(name=name, version=version, fault=Fault.ADDRESS, detail=detail)
+
+    def test_once(self, caplog: pytest.LogCaptureFixture) -> None:
+        """Each version is told of once, with its name and what is wrong."""
+        book, _ = self.book([0.0])
+        for version in (1, 1, 2, 2):
+            book.see("servers", [self.foreign("i-1", version, "nowhere")])
+        lines = [record.getMessage() for record in caplog.records]
+        assert len(lines) == 2
+        assert all("'i-1'" in line and "address: nowhere" in line for line in lines)
+
+    def test_bounded(self, caplog: pytest.LogCaptureFixture) -> None:
+        """Lines are bounded in number and length, and those left out are counted."""
+        now = [0.0]
+        book, _ = self.book(now)
+        book.see("servers", [self.foreign(f"{n}" * 99, 1, "x" * 9_999) for n in range(999)])
+        assert len(caplog.records) == LINES_MOST
+        now[0] = LINES_SECONDS
+        book.see("servers", [self.foreign("last")])
+        assert f"({999 - LINES_MOST} others" in caplog.records[-1].getMessage()
+        assert max(len(record.getMessage()) for record in caplog.records) < 400
+
+    def test_unnamed(self, caplog: pytest.LogCaptureFixture) -> None:
+        """Entries without a name are told of once, however often they are listed."""
+        book, metrics = self.book([0.0])
+        for _ in range(3):
+            book.see_unnamed("servers", ("w", "w", "v"), True)
+        assert len(caplog.records) == 2
+        text = metrics.text()[0].decode()
+        assert 'azureswitch_foreign_entries{fault="unnamed",kind="servers"} 3' in text
+
+    def test_counted(self) -> None:
+        """The gauge shows what is foreign now."""
+        book, metrics = self.book([0.0])
+        line = 'azureswitch_foreign_entries{fault="address",kind="servers"} '
+        for count in (2, 1, 0):
+            book.see("servers", [self.foreign(f"{n}") for n in range(count)])
+            assert f"{line}{count}" in metrics.text()[0].decode()
+
+
+class TestHostList:
+    """`StoreHostList`."""
+
+    @pytest.mark.parametrize("own", [None, b'{"place":7}', b"\xff", b""])
+    def test_foreign(self, own: bytes | None) -> None:
+        """Hosts are found beside entries that tell of none, also in this host's own place."""
+
+        async def run() -> None:
+            standin = StoreStandin()
+            await standin.start()
+            seat = b'{"place":"p","address":"10.0.0.1:7"}'
+            await standin.store.create(kind=ROSTER_KIND, name="h0", value=seat)
+            if own is not None:
+                await standin.store.create(kind=ROSTER_KIND, name="h1", value=own)
+            for number, (entry, _) in enumerate(UNREADABLE.values()):
+                standin.plant(kind=ROSTER_KIND, name=f"i{number}", entry=entry)
+            for value in (seat.replace(b'"p"', b'""'), seat.replace(b"10.0", b"nowhere"), b"{}"):
+                await standin.store.create(kind=ROSTER_KIND, name=f"j{value!r}", value=value)
+            hosts = StoreHostList(
+                store=HttpStore(address=standin.address, timeout=PATIENCE),
+                host=HostName("h1"),
+                seat=Seat(place=PlaceName("p"), address="10.0.0.2:7"),
+                foreign=ForeignBook(metrics=Metrics(), kinds=(ROSTER_KIND,), clock=lambda: 0.0),
+            )
+            found = [(host.name, host.address) for host in await hosts.hosts()]
+            assert found == [("h0", "10.0.0.1:7"), ("h1", "10.0.0.2:7")]
+            await standin.stop()
+
+        asyncio.run(run())
