--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -12,10 +12,13 @@
 import pytest
 
 from azureswitch.client import HttpClient
+from azureswitch.exceptions import HttpError
 from azureswitch.platform import header_names
+from azureswitch.platform._program import METRICS_PORT
 from azureswitch_load.demo import free_address
 from azureswitch_standins.store import StoreFaults, StoreStandin
 from bench.soak._documents import DESK, HOST_HEADER, configuration, write_settings
+from tests.platform.foreign import NO_TARGET, UNREADABLE
 
 EDGE = Path(__file__).resolve().parents[2] / "deploy" / "edge.py"
 
@@ -24,6 +27,11 @@
 
 PORTS = 23_400
 
+FOREIGN = (len(NO_TARGET) + any(named for _, named in UNREADABLE.values())) + sum(
+    not named for _, named in UNREADABLE.values()
+)
+"""Foreign entries that the store holds; those of the same name count once."""
+
 NETWORK = f"127.{210 + getpid() % 40}.{getpid() // 40 % 250}"
 """The first three numbers of IP addresses that no other run of the tests has."""
 
@@ -66,12 +74,48 @@
         await asyncio.sleep(0.002)
 
 
+async def metric(ip: str, name: str) -> float | None:
+    """Return the sum of a metric over its labels, or None while there is none."""
+    client = HttpClient(address=f"{ip}:{METRICS_PORT}")
+    try:
+        answer = await client.request(method="GET", path="/metrics", timeout=PATIENCE)
+    except HttpError:
+        return None
+    finally:
+        client.close()
+    lines = [line for line in answer.body.decode().splitlines() if line.startswith(name)]
+    return sum(float(line.rpartition(" ")[2]) for line in lines) if lines else None
+
+
+async def until_metric(ip: str, name: str, value: float) -> None:
+    """Wait until a metric has a value."""
+    seen = None
+    try:
+        async with asyncio.timeout(PATIENCE):
+            while (seen := await metric(ip, name)) != value:
+                await asyncio.sleep(0.02)
+    except TimeoutError:
+        pytest.fail(f"{name} is {seen} and not {value}.")
+
+
+def target() -> bytes:
+    """Return the entry of a target that nobody listens as."""
+    return msgspec.json.encode(
+        {"Service": DESK, "Address": str(free_address()), "Zone": "z1", "State": "in_service"}
+    )
+
+
 async def fill(store: StoreStandin) -> None:
-    """Write a configuration and a target that nobody listens as."""
+    """Write a configuration and a target."""
     value = configuration(version=1, extra=False, idle_routes=0)
     await store.store.create(kind="config", name="main", value=value)
-    entry = {"Service": DESK, "Address": str(free_address()), "State": "in_service"}
-    await store.store.create(kind="servers", name="i-1", value=msgspec.json.encode(entry))
+    await store.store.create(kind="servers", name="i-1", value=target())
+
+
+async def replace(store: StoreStandin, kind: str, name: str, value: bytes) -> None:
+    """Replace an object."""
+    known = await store.store.get(kind=kind, name=name)
+    await store.store.update(kind=kind, name=name, value=value, version=known.version)
 
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
@@ -151,3 +195,56 @@
             await store.stop()
 
         run(scenario)
+
+
+class TestForeignEntries:
+    """Entries of the store that name no target to use."""
+
+    def test_start(self, tmp_path: Path) -> None:
+        """A host that starts learns of all other targets, and of changes beside them."""
+
+        async def scenario() -> None:
+            store = StoreStandin()
+            await store.start()
+            await fill(store)
+            for number, (foreign, _) in enumerate(UNREADABLE.values()):
+                store.plant(kind="servers", name=f"f-{number:02}", entry=foreign)
+            for number, (value, _) in enumerate(NO_TARGET.values()):
+                await store.store.create(kind="servers", name=f"j-{number:02}", value=value)
+            ip = f"{NETWORK}.7"
+            async with edge(tmp_path, ip=ip, store=store.address):
+                await until_metric(ip, "azureswitch_targets_serving", 1.0)
+                await until_metric(ip, "azureswitch_foreign_entries", FOREIGN)
+                await replace(store, "servers", "i-1", b"{}")
+                await until_metric(ip, "azureswitch_targets_serving", 0.0)
+                await replace(store, "servers", "i-1", target())
+                await until_metric(ip, "azureswitch_targets_serving", 1.0)
+                await store.store.create(kind="servers", name="i-2", value=target())
+                await until_metric(ip, "azureswitch_targets_serving", 2.0)
+            await store.stop()
+
+        run(scenario)
+
+    def test_configuration(self, tmp_path: Path) -> None:
+        """The configuration in force stays while the newest one cannot be read."""
+
+        async def scenario() -> None:
+            store = StoreStandin()
+            await store.start()
+            await fill(store)
+            ip = f"{NETWORK}.8"
+            async with edge(tmp_path, ip=ip, store=store.address):
+                await until_metric(ip, "azureswitch_targets_serving", 1.0)
+                for number, value in enumerate([b"{}", b"\xff", b'{"Version":"2"}']):
+                    await replace(store, "config", "main", value)
+                    await store.store.create(kind="servers", name=f"j-{number}", value=target())
+                    await until_metric(ip, "azureswitch_targets_serving", 2.0 + number)
+                    await until_metric(ip, 'azureswitch_foreign_entries{fault="unreadable"', 1.0)
+                    assert await metric(ip, "azureswitch_configuration_version") == 1.0
+                value = configuration(version=2, extra=False, idle_routes=0)
+                await replace(store, "config", "main", value)
+                await until_metric(ip, "azureswitch_configuration_version", 2.0)
+                await until_metric(ip, "azureswitch_foreign_entries", 0.0)
+            await store.stop()
+
+        run(scenario)
