--- a/tests/server/test_losses.py
+++ b/tests/server/test_losses.py
@@ -151,12 +151,6 @@
         run(scenario)
 
 
-def stream(exchange: Exchange) -> None:
-    """Begin an answer and end it later."""
-    exchange.begin(status=HTTPStatus.OK, headers=())
-    asyncio.get_running_loop().call_later(0.05, exchange.finish)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Queue:
     """Requests that stand behind another on one connection.
@@ -245,6 +239,28 @@
         run(scenario)
 
 
+class TestContinue:
+    """Leave to send a body does not stand in the middle of another answer."""
+
+    def test_behind(self) -> None:
+        """It comes once the answer under way is whole, and the body's request is answered."""
+
+        async def scenario() -> None:
+            script = Script(acts={"/1": answer_after(0.05)})
+            async with serve(script) as bed:
+                caller = await bed.connect()
+                wish = "expect: 100-continue\r\ncontent-length: 4\r\n" + LAST
+                caller.send(request("/1") + request("/2", headers=wish))
+                first = await caller.reader.readuntil(b"\r\n\r\n/1")
+                leave = await caller.reader.readuntil(b"\r\n\r\n")
+                caller.send(b"body")
+                assert bodies(first) == ["/1"]
+                assert leave == b"HTTP/1.1 100 Continue\r\n\r\n"
+                assert bodies(await caller.rest()) == ["/2"]
+
+        run(scenario)
+
+
 def fail(exchange: Exchange) -> None:
     """Fail by what is no failure of ours."""
     raise KeyError("fault")
--- a/tests/server/test_reasons.py
+++ b/tests/server/test_reasons.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 import pytest
 
-from azureswitch.server import CallerLimits, CloseReason
+from azureswitch.server import CallerLimits, CloseReason, Exchange
 from tests.server.fixtures import Bed, Caller, Script, abort_after, never, request, run, serve
 from tests.waiting import reach
 
@@ -52,6 +53,12 @@
 }
 
 
+def stream(exchange: Exchange) -> None:
+    """Begin an answer and end it later."""
+    exchange.begin(status=HTTPStatus.OK, headers=())
+    asyncio.get_running_loop().call_later(0.05, exchange.finish)
+
+
 class TestReasons:
     """The owner of a server is told of each connection that ended."""
 
@@ -73,6 +80,33 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(
+        ("act", "closing", "reason"),
+        [
+            (abort_after(0.05), False, CloseReason.BROKEN_OFF),
+            (stream, True, CloseReason.ANSWERED),
+        ],
+        ids=("broken off", "said to be the last"),
+    )
+    def test_behind(
+        self, act: Callable[[Exchange], None], closing: bool, reason: CloseReason
+    ) -> None:
+        """What comes behind an answer after which nothing can be sent is told as not begun."""
+
+        async def scenario() -> None:
+            script = Script(acts={"/1": act}, closing=closing)
+            async with serve(script) as bed:
+                caller = await bed.connect()
+                caller.send(request("/1"))
+                await reach(lambda: bool(script.handled))
+                caller.send(request("/2"))
+                await reach(lambda: bool(script.closed))
+                assert script.closed[0].reason is reason
+                assert [request.target for request in script.closed[0].unserved] == ["/2"]
+                assert script.handled == ["/1"]
+
+        run(scenario)
+
     def test_lost(self) -> None:
         """What was handed over and what was not are told apart."""
 
@@ -83,7 +117,7 @@
                 caller.send(request("/1") + request("/2"))
                 await reach(lambda: bool(script.handled))
                 caller.writer.close()
-                # Reading is paused behind the second; the end is seen on the next write.
+                # Reading is held back behind the second, so that the caller's end is not seen.
                 bed.server.abort()
                 await reach(lambda: bool(script.closed))
                 closed = script.closed[0]
