--- a/src/azureswitch/platform/_entries.py
+++ b/src/azureswitch/platform/_entries.py
@@ -2,7 +2,7 @@
 
 A page is decoded at once.  Only where that fails, for one entry that does not fit the form, each is
 decoded by itself; and where one holds bytes that are no JSON, the page is cut up by its brackets,
-which takes 50 ms for 600 entries and not one or two.
+which takes 20 ms for 600 entries, and the other two ways 1 and 2.
 
 An entry whose name and version can be read keeps them, so that it takes the place of what it was
 before; its bytes are such that nobody who reads its content takes them for good.  Of an entry
@@ -12,7 +12,7 @@
 import re
 from base64 import b64decode
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -28,8 +28,14 @@
 UNDECODED = (ValueError, RecursionError)
 """What the decoder raises; the latter for JSON that is nested more than some 1,000 deep."""
 
-_STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*+"|["\[\]{},]', re.DOTALL)
-"""Strings, the marks of structure outside of them, and the quote of a string that has no end."""
+_STRING = rb'"(?:[^"\\]++|\\.)*+"'
+_NAME = re.compile(_STRING, re.DOTALL)
+
+_MARK = re.compile(rb'(?:[^"\[\]{},]++|%s)*+(["\[\]{},])' % _STRING, re.DOTALL)
+"""The next bracket or comma outside of strings, or the quote of a string that has no end."""
+
+_BRACKET = re.compile(rb'(?:[^"\[\]{}]++|%s)*+(["\[\]{}])' % _STRING, re.DOTALL)
+"""The same without commas; of those that stand deeper than one list none matters."""
 
 _CLOSING = {b"[": b"]", b"{": b"}"}
 
@@ -149,7 +155,8 @@
     except UNDECODED:
         return _read_changes_singly(body, kind=kind)
     changes = tuple(
-        _change(_object(event.item, kind=kind), removed=event.removed) for event in page.changes
+        _change(_object(event.item, kind=kind), removed=event.removed, most=page.version)
+        for event in page.changes
     )
     return Changes(changes=changes, version=page.version)
 
@@ -235,7 +242,7 @@
     if removed != b"false":
         # Whether it is there cannot be said, and it must not be used as if it were.
         found = StoredObject(kind=kind, name=found.name, version=found.version, value=event)
-    return _change(found, removed=False)
+    return _change(found, removed=False, most=version)
 
 
 def _read_removal(entry: bytes, *, kind: str, version: int) -> StoreChange | str:
@@ -243,9 +250,8 @@
         metadata = _metadata(entry, RemovedMetadata)
     except UNDECODED as error:
         return str(error)
-    return _change(
-        StoredObject(kind=kind, name=metadata.name, version=version, value=b""), removed=True
-    )
+    item = StoredObject(kind=kind, name=metadata.name, version=version, value=b"")
+    return _change(item, removed=True, most=version)
 
 
 def _metadata(entry: bytes, type: type[Form]) -> Form:
@@ -264,7 +270,14 @@
     )
 
 
-def _change(item: StoredObject, *, removed: bool) -> StoreChange:
+def _change(item: StoredObject, *, removed: bool, most: int) -> StoreChange:
+    """Return a change.
+
+    A version that is greater than the store's own, where that is told, is taken for the store's: a
+    watch that went on from there would hear of nothing any more.
+    """
+    if 0 < most < item.version:
+        item = replace(item, version=most)
     return StoreChange(kind=ChangeKind.DELETED if removed else ChangeKind.PUT, item=item)
 
 
@@ -288,7 +301,7 @@
     """
     members: dict[bytes, bytes] = {}
     for part in _parts(container, opening=b"{"):
-        name = _STRUCTURE.match(part)
+        name = _NAME.match(part)
         value = part[name.end() :].lstrip() if name else b""
         if name is None or not value.startswith(b":"):
             raise ValueError("A member of an object has no name.")
@@ -305,25 +318,24 @@
     container = container.strip()
     if not container.startswith(opening):
         raise ValueError("The bytes are not of the form that is expected.")
-    open_marks: list[bytes] = []
-    start = 1
-    end = 0
-    for found in _STRUCTURE.finditer(container):
-        mark = found[0]
+    open_marks = [opening]
+    start = end = 1
+    while open_marks:
+        found = (_MARK if len(open_marks) == 1 else _BRACKET).match(container, end)
+        if found is None:
+            raise ValueError("The bytes end too early.")
+        mark, end = found[1], found.end()
         if mark in _CLOSING:
             open_marks.append(mark)
-        elif mark == b"," and len(open_marks) == 1:
-            yield container[start : found.start()].strip()
-            start = found.end()
-        elif mark in _CLOSING.values() and _CLOSING[open_marks.pop()] != mark:
-            raise ValueError("The bytes have brackets that do not match.")
+        elif mark == b",":
+            yield container[start : end - 1].strip()
+            start = end
         elif mark == b'"':
             raise ValueError("The bytes have a string without an end.")
-        if not open_marks:
-            end = found.end()
-            break
+        elif _CLOSING[open_marks.pop()] != mark:
+            raise ValueError("The bytes have brackets that do not match.")
     if end != len(container):
-        raise ValueError("The bytes end too early or too late.")
+        raise ValueError("The bytes go on after their end.")
     last = container[start:-1].strip()
     if last or start > 1:
         yield last
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -1,16 +1,17 @@
 """What the store's reader makes of entries that others have left there."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import pytest
 
 from azureswitch.exceptions import StoreUnavailableError
 from azureswitch.platform import HttpStore
+from azureswitch.platform._entries import Changes, Page, read_changes, read_listing
 from azureswitch.ports import ChangeKind, StoreChange
 from azureswitch_standins.store import StoreStandin
-from tests.platform.foreign import UNREADABLE, spec
+from tests.platform.foreign import UNREADABLE, entry, spec
 from tests.waiting import PATIENCE
 
 KIND = "servers"
@@ -78,3 +79,68 @@
                 assert seen[-1].item.value == spec()
 
         asyncio.run(run())
+
+
+class TestEvents:
+    """`read_changes`: what a watch tells."""
+
+    @pytest.mark.parametrize(
+        ("event", "told"),
+        [
+            (b'{"Object":%s}' % entry(spec(), version=b"4"), ("put", "i-2", 4)),
+            (b'{"Object":%s}' % entry(b"{}", version=b"4"), ("put", "i-2", 4)),
+            (b'{"Object":%s}' % entry(spec(), version=b"9999"), ("put", "i-2", 9)),
+            (b'{"Object":%s,"Removed":true}' % entry(b"{}", version=b"4"), ("deleted", "i-2", 4)),
+            (b'{"Object":%s,"Removed":true}' % entry(b"{}", version=b'"x"'), ("deleted", "i-2", 9)),
+            (b'{"Object":{"Metadata":{"Name":"i-2"}},"Removed":true}', ("deleted", "i-2", 9)),
+            (b'{"Object":%s,"Removed":"no"}' % entry(spec(), version=b"4"), ("put", "i-2", 4)),
+            (b'{"Object":{"Metadata":{"Name":7}},"Removed":true}', None),
+            (b'{"Object":null}', None),
+            (b'{"Removed":true}', None),
+            (b"{}", None),
+            (b"null", None),
+            (b'"i-2"', None),
+        ],
+    )
+    def test_told(self, event: bytes, told: tuple[str, str, int] | None) -> None:
+        """An event with a name replaces or removes; one without is counted; others are told."""
+        other = b'{"Object":%s}' % entry(spec(), name=b'"i-3"', version=b"5")
+        page = read_changes(b'{"events":[%s,%s],"AsOf":9}' % (event, other), kind=KIND)
+        found = [(c.kind.value, c.item.name, c.item.version) for c in page.changes]
+        assert found == [*([told] if told else []), ("put", "i-3", 5)]
+        assert (len(page.unnamed), page.version) == (int(told is None), 9)
+
+    def test_removed_unclear(self) -> None:
+        """An entry of which it cannot be said whether it was removed holds nothing to use."""
+        event = b'{"Object":%s,"Removed":"no"}' % entry(spec(), version=b"4")
+        (change,) = read_changes(b'{"events":[%s],"AsOf":9}' % event, kind=KIND).changes
+        assert change.item.value == event
+
+    def test_version(self) -> None:
+        """A watch goes on behind entries that it can make nothing of."""
+
+        async def run() -> None:
+            async with serve() as (standin, store):
+                standin.plant(kind=KIND, name="i-2", entry=b"{}")
+                watch = store.watch(kind=KIND, version=1, timeout=9.0)
+                change = await anext(watch)
+                assert (change.kind, change.item.version) == (ChangeKind.BOOKMARK, 2)
+
+        asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("reader", "member"), [(read_listing, b"Items"), (read_changes, b"events")]
+)
+@pytest.mark.parametrize(
+    "body",
+    [
+        *(b"", b"<html>", b"null", b"[]", b"{", b'{"Items":[', b'{"Items":[{]}', b'{"Items":{}}'),
+        *(b'{"Items":[]}x', b'{"Items":["', b'{"Items":[],"AsOf":"3"}', b"{Items:[]}"),
+        b'{"Items":[{"Metadata":{"Name":"i-1","Revision":1}}],"AsOf":null}',
+    ],
+)
+def test_no_page(reader: Callable[..., Page | Changes], member: bytes, body: bytes) -> None:
+    """Bytes that are no page are refused, so that the call is made again."""
+    with pytest.raises(ValueError):
+        reader(body.replace(b"Items", member), kind=KIND)
