Hold all fields that targets always write against what most entries tell

Cause: an entry without its slots or software version was foreign where most tell them, and one without its cold time or sequence was not, though the platform's example of an entry has all four.

Ruled out: refusing an entry without them outright, since nothing that is served needs them, and a platform that left one out would leave no target.

Measured: the table of fields missing and of another type passes.

--- a/src/azureswitch/platform/_targets.py
+++ b/src/azureswitch/platform/_targets.py
@@ -52,6 +52,8 @@
         models: The models that it holds.
         slots: Requests that it runs at once; the configuration says that too.
         release: The version of its software.
+        cold: Milliseconds for which it will be slow after its start.
+        sequence: How often it has written.
         started: When its process started, in milliseconds of the wall clock; alone of all fields it
             is spelled in lower case.
     """
@@ -63,6 +65,8 @@
     models: tuple[WireModel, ...] = msgspec.field(name="Models", default=())
     slots: Any = msgspec.field(name="Slots", default=None)
     release: Any = msgspec.field(name="Version", default=None)
+    cold: Any = msgspec.field(name="ColdLeftMs", default=None)
+    sequence: Any = msgspec.field(name="Sequence", default=None)
     started: Annotated[int, msgspec.Meta(ge=0, le=STARTED_MOST)] | msgspec.UnsetType = (
         msgspec.field(name="born", default=msgspec.UNSET)
     )
@@ -70,7 +74,9 @@
 
 _TELLS: Mapping[str, Callable[[WireTarget], bool]] = {
     "Slots": lambda wire: type(wire.slots) is int,
-    "Version": lambda wire: wire.release is not None,
+    "Version": lambda wire: type(wire.release) is str,
+    "ColdLeftMs": lambda wire: type(wire.cold) in (int, float),
+    "Sequence": lambda wire: type(wire.sequence) is int,
     "born": lambda wire: wire.started is not msgspec.UNSET,
 }
 """Fields that targets tell and that may be done without, and whether an entry does tell them."""
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -82,11 +82,23 @@
         ("told", "untold", "foreign"),
         [(0, 3, 0), (1, 3, 0), (2, 2, 0), (3, 2, 2), (5, 1, 1), (1, 0, 0)],
     )
-    @pytest.mark.parametrize("field", ["born", "Slots", "Version"])
-    def test_untold(self, field: str, told: int, untold: int, foreign: int) -> None:
+    @pytest.mark.parametrize(
+        ("field", "value", "wrong"),
+        [
+            ("born", 5, None),
+            *(("Slots", 5, wrong) for wrong in (None, "5", 5.0, True, [])),
+            *(("Version", "v1", wrong) for wrong in (None, 1, {})),
+            *(("ColdLeftMs", 0, wrong) for wrong in (None, "0", False)),
+            ("ColdLeftMs", 0.5, None),
+            *(("Sequence", 4, wrong) for wrong in (None, "4", 4.0)),
+        ],
+    )
+    def test_untold(
+        self, field: str, value: Any, wrong: Any, told: int, untold: int, foreign: int
+    ) -> None:
         """An entry that does not tell what more than half of the others do names no target."""
-        items = [stored(f"t{n}", spec(**{field: 5})) for n in range(told)]
-        items += [stored(f"u{n}", spec(**{field: None})) for n in range(untold)]
+        items = [stored(f"t{n}", spec(**{field: value})) for n in range(told)]
+        items += [stored(f"u{n}", spec(**{field: wrong})) for n in range(untold)]
         found = TargetReader().read(items, deployment=None)
         assert len(found.targets) == told + untold - foreign
         assert sorted(item.name for item in found.foreign) == [f"u{n}" for n in range(foreign)]
