--- a/src/azureswitch/platform/_targets.py
+++ b/src/azureswitch/platform/_targets.py
@@ -129,10 +129,10 @@
             else:
                 found.append((item, wire))
         self._decoded = decoded
-        missing = _missing([wire for _, wire in found])
+        missing = _missing(wire for _, wire in found)
         targets: list[Target] = []
         for item, wire in found:
-            if missing and (names := [name for name in missing if not _TELLS[name](wire)]):
+            if names := [name for name in missing[wire.service] if not _TELLS[name](wire)]:
                 foreign.append(_silent(item, names))
             else:
                 targets.append(_target(item, wire, paces or {}))
@@ -192,13 +192,20 @@
     return {**named, **{service.name: service.pace for service in deployment.services}}
 
 
-def _missing(wires: list[WireTarget]) -> tuple[str, ...]:
-    """Return the fields that most entries tell, but not all.
+def _missing(wires: Iterable[WireTarget]) -> dict[ServiceName, tuple[str, ...]]:
+    """Return the fields that most entries of a service tell, but not all.
 
     Some deployments' targets tell none of their start, so that a start which is missing says
     nothing by itself; taken for a fault there, it would leave no target at all.  Where more than
-    half of the entries tell a field, one without it was written by something else.
+    half of a service's entries tell a field, one without it was written by something else.
     """
+    of_service: dict[ServiceName, list[WireTarget]] = {}
+    for wire in wires:
+        of_service.setdefault(wire.service, []).append(wire)
+    return {service: _told_by_most(found) for service, found in of_service.items()}
+
+
+def _told_by_most(wires: list[WireTarget]) -> tuple[str, ...]:
     counts = {name: sum(map(tells, wires)) for name, tells in _TELLS.items()}
     return tuple(name for name, count in counts.items() if len(wires) < 2 * count < 2 * len(wires))
 
