Show what is believed of a target that has started again under its name (fails)

Cause: the reducer knows targets by their names. When a process starts again under the name that the one before it had, the accounts, the suspicion, the learned speed and the cache contents of the one before are believed of the new one, and its attempts are waited for. `Starts` keeps the latest start known of each name, and digests have room to say which starts they mean; nothing uses either yet.

Ruled out: taking the address for the incarnation, which the reducer does in part: a process that starts again may have the same one.

--- a/src/azureswitch/inventory/__init__.py
+++ b/src/azureswitch/inventory/__init__.py
@@ -23,6 +23,7 @@
     TargetRole,
 )
 from azureswitch.inventory._show import show_inventory, show_rules
+from azureswitch.inventory._starts import latest, started_again
 from azureswitch.inventory._tables import (
     INVENTORY,
     LONGEST_KEY_RETENTION,
@@ -53,6 +54,7 @@
     "decode",
     "diff",
     "encode",
+    "latest",
     "load_inventory",
     "load_rules",
     "parse_inventory",
@@ -60,4 +62,5 @@
     "set_role",
     "show_inventory",
     "show_rules",
+    "started_again",
 ]
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -220,6 +220,19 @@
     tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetStart:
+    """Which start of a target a host means where it names the target.
+
+    Attributes:
+        target: The target.
+        started: Its start, in milliseconds of its wall clock.
+    """
+
+    target: TargetName
+    started: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CustomerUse:
     """What one host has admitted for a customer since it started, in engine seconds."""
@@ -259,6 +272,8 @@
         demands: Demand by model.
         saved: Targets whose memory is being saved for a prompt larger than one of them.
         occupancies: What this host's attempts put on targets; idle ones are left out.
+        starts: Which starts of the targets named above are meant; those that do not say theirs are
+            left out.
     """
 
     host: HostName
@@ -270,6 +285,16 @@
     demands: tuple[Demand, ...] = ()
     saved: tuple[TargetName, ...] = ()
     occupancies: tuple[Occupancy, ...] = ()
+    starts: tuple[TargetStart, ...] = ()
+
+    @property
+    def targets(self) -> tuple[TargetName, ...]:
+        """The targets that it names, each one once, in an order that its receivers find too."""
+        names = [load.target for load in self.loads]
+        names += self.suspects
+        names += self.saved
+        names += [item.target for item in self.occupancies]
+        return tuple(dict.fromkeys(names))
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/tests/serving/test_starts.py
@@ -0,0 +1,449 @@
+"""A target that starts again under its name holds nothing of what its earlier start had."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from azureswitch.core import CallId, Effect, HostName, TargetName
+from azureswitch.exceptions import Ran
+from azureswitch.inventory import Snapshot, TargetRole
+from azureswitch.ports import LoadReport
+from azureswitch.serving import (
+    AttemptEnd,
+    AttemptEnded,
+    Call,
+    CancelAttempt,
+    ClaimGranted,
+    Digest,
+    DigestReceived,
+    FinishCall,
+    FirstTokenArrived,
+    LoadReported,
+    Occupancy,
+    SettleClaim,
+    SnapshotAdopted,
+    StartAttempt,
+    TargetLoad,
+    TargetStart,
+    TargetUnreachable,
+)
+from azureswitch.serving._fleet import TargetState
+from azureswitch.serving._ledger import PEER_SECONDS
+from azureswitch.serving._length import Level
+from tests.serving.fixtures import Driver, booking, engine, model_call, only, plain_call, snapshot
+
+PLAIN, ENGINE = TargetName("s1"), TargetName("e1")
+BORN = 1_790_000_000_000
+"""A start, in milliseconds of the wall clock."""
+
+PREFIX = (1, 2)
+
+
+def fleet(
+    revision: int, started: int, *, others: int = 0, role: TargetRole = TargetRole.SERVING
+) -> Snapshot:
+    """Return one plain target and one engine of a start, and others that never start again."""
+    targets = [booking(PLAIN), engine(ENGINE)]
+    held = [replace(target, started=started, role=role) for target in targets]
+    rest = [replace(booking(f"o{index}"), started=BORN) for index in range(others)]
+    return snapshot(revision=revision, targets=[*held, *rest])
+
+
+def driver(started: int = BORN, *, others: int = 0) -> Driver:
+    """Return a host whose targets run in a start."""
+    return Driver(config=fleet(1, started, others=others))
+
+
+def adopt(host: Driver, started: int, *, revision: int = 2, others: int = 0) -> list[Effect]:
+    """Let the targets be told to run in a start, and return what becomes of it."""
+    config = fleet(revision, started, others=others)
+    return host.send(SnapshotAdopted(now=host.now, snapshot=config))
+
+
+def sent(host: Driver, call: Call) -> StartAttempt:
+    """Let a call arrive and be sent."""
+    host.arrive(call)
+    host.send(ClaimGranted(now=host.now, call=call.id))
+    return only(StartAttempt, host.effects)[-1]
+
+
+def end(host: Driver, start: StartAttempt, how: AttemptEnd, **more: float) -> list[Effect]:
+    """Let an attempt end."""
+    event = AttemptEnded(
+        now=host.now, call=start.call, attempt=start.attempt, end=how, **more  # type: ignore[arg-type]
+    )
+    return host.send(event)
+
+
+def told(
+    host: Driver, *, started: int | None, sequence: int = 1, peer: str = "h2", streams: int = 1
+) -> None:
+    """Let a peer tell of all that it has at the targets in a start, or without naming one."""
+    names = (PLAIN, ENGINE)
+    starts = () if started is None else (TargetStart(target=n, started=started) for n in names)
+    digest = Digest(
+        host=HostName(peer),
+        sequence=sequence,
+        started=1,
+        loads=tuple(TargetLoad(target=n, urgent=9.0, total=9.0, tokens=9_000) for n in names),
+        suspects=names,
+        saved=names,
+        occupancies=tuple(Occupancy(target=n, streams=streams, tokens=9_000) for n in names),
+        starts=tuple(starts),
+    )
+    host.send(DigestReceived(now=host.now, digest=digest))
+
+
+def report(started: int, *, waiting: int = 90_000) -> LoadReport:
+    """Return an engine's own report of its load."""
+    return LoadReport(
+        target=ENGINE,
+        started=started,
+        sequence=1,
+        running=9,
+        waiting=9,
+        waiting_tokens=waiting,
+        urgent_tokens=waiting,
+        memory_used=waiting,
+        memory_total=480_000,
+        models=("base",),
+    )
+
+
+def target(host: Driver, name: TargetName) -> TargetState:
+    """Return what a host knows of a target."""
+    found = host.state.fleet.state(name)
+    assert found is not None
+    return found
+
+
+# --- What was believed ----------------------------------------------------------------------------
+
+
+def own_stream(host: Driver) -> None:
+    """Have a request under way."""
+    sent(host, plain_call("c1"))
+
+
+def own_prompt(host: Driver) -> None:
+    """Have a prompt under way that may run once."""
+    sent(host, model_call("c1", runs=1))
+
+
+def broken(host: Driver) -> None:
+    """Have a request broken off."""
+    end(host, sent(host, plain_call("c1")), AttemptEnd.BROKEN)
+
+
+def full(host: Driver) -> None:
+    """Have a request refused for a while."""
+    end(host, sent(host, plain_call("c1")), AttemptEnd.REFUSED, retry_after=0.5)
+
+
+def peers(host: Driver) -> None:
+    """Hear a peer's account."""
+    told(host, started=BORN)
+
+
+def peers_unsaid(host: Driver) -> None:
+    """Hear the account of a peer of an older version."""
+    told(host, started=None)
+
+
+def unreachable(host: Driver) -> None:
+    """Miss an answer to a poll."""
+    host.send(TargetUnreachable(now=host.now, target=PLAIN))
+
+
+def slow(host: Driver) -> None:
+    """Learn that an engine is slower than it was before."""
+    for seconds in (0.1, 0.5):
+        start = sent(host, model_call(f"c{seconds}"))
+        host.now += seconds
+        host.send(FirstTokenArrived(now=host.now, call=start.call, attempt=start.attempt))
+        end(host, start, AttemptEnd.COMPLETE)
+
+
+def cached(host: Driver) -> None:
+    """Expect a prefix in an engine's cache."""
+    end(host, sent(host, model_call("c1", prefix=PREFIX)), AttemptEnd.COMPLETE)
+
+
+def reported(host: Driver) -> None:
+    """Hear an engine's own report."""
+    host.send(LoadReported(now=host.now, report=report(7)))
+
+
+def occupied(host: Driver) -> bool:
+    """Return whether the ledger holds anything."""
+    there = (host.state.ledger.at(name) for name in (PLAIN, ENGINE))
+    return any(item != Occupancy(target=item.target) for item in there)
+
+
+def loaded(host: Driver) -> bool:
+    """Return whether work of this host is counted."""
+    return bool(host.state.fleet.loads() or target(host, ENGINE).running)
+
+
+def doubted(host: Driver) -> bool:
+    """Return whether the plain target is avoided or out of use."""
+    return not target(host, PLAIN).preferred(host.now)
+
+
+def suspected(host: Driver) -> bool:
+    """Return whether this host tells others to avoid the plain target."""
+    return bool(host.state.fleet.suspects(now=host.now))
+
+
+def marked(host: Driver) -> bool:
+    """Return whether the engine has failures in a row."""
+    return bool(target(host, PLAIN).failures)
+
+
+def waits(host: Driver) -> bool:
+    """Return whether a prompt is believed to wait at the engine."""
+    return target(host, ENGINE).waits(now=host.now, level=Level.SHORT) > 0.0
+
+
+def saved(host: Driver) -> bool:
+    """Return whether a peer saves the engine's memory."""
+    return target(host, ENGINE).saved_until > host.now
+
+
+def failed(host: Driver) -> bool:
+    """Return whether a call avoids the target because it failed there."""
+    return any(record.failed for record in host.state.calls.values())
+
+
+def fast(host: Driver) -> bool:
+    """Return whether the engine's speed is another one than usual."""
+    return host.state.costs.speed(ENGINE) != 1.0
+
+
+def has_prefix(host: Driver) -> bool:
+    """Return whether a prefix is expected in the engine's cache."""
+    return bool(host.state.affinity.cached(PREFIX))
+
+
+class TestBeliefs:
+    """What is believed of a target's earlier start."""
+
+    @pytest.mark.parametrize(
+        ("bring", "believed"),
+        [
+            (own_stream, occupied),
+            (own_prompt, loaded),
+            (own_prompt, waits),
+            (peers, occupied),
+            (peers_unsaid, occupied),
+            (peers, waits),
+            (peers, doubted),
+            (peers, saved),
+            (broken, doubted),
+            (broken, suspected),
+            (broken, marked),
+            (full, doubted),
+            (full, failed),
+            (unreachable, doubted),
+            (unreachable, suspected),
+            (slow, fast),
+            (cached, has_prefix),
+            (reported, waits),
+        ],
+    )
+    def test_ends(
+        self, bring: Callable[[Driver], None], believed: Callable[[Driver], bool]
+    ) -> None:
+        """It ends with the one message that tells of a later start."""
+        host = driver()
+        bring(host)
+        assert believed(host)
+        adopt(host, BORN + 1)
+        assert not believed(host)
+
+
+# --- Attempts -------------------------------------------------------------------------------------
+
+
+class TestAttempts:
+    """Attempts that are under way at the earlier start."""
+
+    @pytest.mark.parametrize("others", [0, 1])
+    @pytest.mark.parametrize("call", [plain_call("c1", repeatable=True), model_call("c1")])
+    def test_repeatable(self, call: Call, others: int) -> None:
+        """They are called off and begun again at once, there or elsewhere."""
+        host = driver(others=others)
+        first = sent(host, call)
+        while call.service == "book" and first.targets != (PLAIN,):
+            end(host, first, AttemptEnd.COMPLETE)
+            call = replace(call, id=CallId(f"{call.id}+"))
+            first = sent(host, call)
+        effects = adopt(host, BORN + 1, others=others)
+        (cancel,), (start,) = only(CancelAttempt, effects), only(StartAttempt, effects)
+        assert (cancel.call, cancel.attempt) == (first.call, first.attempt)
+        assert (start.call, start.attempt) == (first.call, first.attempt + 1)
+        late = end(host, first, AttemptEnd.BROKEN)
+        assert not only(FinishCall, late)
+        assert not only(StartAttempt, late)
+        assert not doubted(host)
+        assert only(FinishCall, end(host, start, AttemptEnd.COMPLETE))[0].error is None
+        assert not occupied(host)
+        assert not loaded(host)
+
+
+# --- Any order ------------------------------------------------------------------------------------
+
+NAMES = (TargetName("s1"), TargetName("s2"))
+HOSTS = ("h2", "h3")
+STARTS = st.sampled_from((0, 1, 2, 3))
+INDEXES = st.sampled_from((0, 0, 1, 2, 5))
+
+
+class StartsMachine(RuleBasedStateMachine):
+    """Plays entries and digests late, early and crossed, against accounts that are kept apart."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.driver = Driver(config=self.config(1, dict.fromkeys(NAMES, 0)))
+        self.revision = 1
+        self.known: dict[TargetName, int] = dict.fromkeys(NAMES, 0)
+        self.listed = set(NAMES)
+        self.calls: dict[CallId, Call] = {}
+        self.own: dict[tuple[CallId, int], tuple[TargetName, int]] = {}
+        self.open: set[tuple[CallId, int]] = set()
+        self.spent: set[CallId] = set()
+        self.finished: dict[CallId, FinishCall] = {}
+        self.accounts: dict[str, tuple[int, float, dict[TargetName, int | None]]] = {}
+
+    @staticmethod
+    def config(revision: int, starts: dict[TargetName, int]) -> Snapshot:
+        """Return a configuration of plain targets and their starts."""
+        targets = [replace(booking(name), started=started) for name, started in starts.items()]
+        return snapshot(revision=revision, targets=[*targets, engine("e1")])
+
+    def take(self, effects: list[Effect]) -> None:
+        """Check effects one by one."""
+        for effect in effects:
+            if isinstance(effect, StartAttempt):
+                assert effect.call not in self.finished
+                assert effect.call not in self.spent
+                assert set(effect.targets) <= self.listed
+                key = (effect.call, effect.attempt)
+                (name,) = effect.targets
+                self.own[key] = (name, self.known[name])
+                self.open.add(key)
+                if not self.calls[effect.call].repeatable:
+                    self.spent.add(effect.call)
+            elif isinstance(effect, CancelAttempt):
+                self.open.remove((effect.call, effect.attempt))
+            elif isinstance(effect, FinishCall):
+                assert effect.call not in self.finished
+                if effect.error is not None and effect.error.ran is Ran.NOT_RUN:
+                    assert effect.call not in self.spent
+                self.finished[effect.call] = effect
+            elif isinstance(effect, SettleClaim):
+                assert effect.call not in self.finished
+
+    @rule(repeatable=st.booleans(), seconds=st.sampled_from((0.5, 5.0)))
+    def arrive(self, repeatable: bool, seconds: float) -> None:
+        """A call arrives, and its claim is granted."""
+        deadline = self.driver.now + seconds
+        call = plain_call(f"c{len(self.calls)}", repeatable=repeatable, deadline=deadline)
+        self.calls[call.id] = call
+        self.take(self.driver.arrive(call))
+        self.take(self.driver.send(ClaimGranted(now=self.driver.now, call=call.id)))
+
+    @precondition(lambda self: self.own)
+    @rule(index=INDEXES, how=st.sampled_from(AttemptEnd))
+    def end(self, index: int, how: AttemptEnd) -> None:
+        """An attempt ends, perhaps one that is over already."""
+        key = list(self.own)[-1 - index % len(self.own)]
+        if how is AttemptEnd.REJECTED:
+            how = AttemptEnd.BROKEN
+        if key in self.open and how is AttemptEnd.REFUSED:
+            self.spent.discard(key[0])
+        self.open.discard(key)
+        event = AttemptEnded(now=self.driver.now, call=key[0], attempt=key[1], end=how)
+        self.take(self.driver.send(event))
+
+    @rule(starts=st.dictionaries(st.sampled_from(NAMES), STARTS, min_size=1))
+    def entries(self, starts: dict[TargetName, int]) -> None:
+        """Entries are told in any order, and targets that are not among them are gone."""
+        self.revision += 1
+        again = {name for name, new in starts.items() if 0 < self.known[name] < new}
+        for host, (sequence, at, items) in self.accounts.items():
+            left = {n: s for n, s in items.items() if n not in again or s is not None}
+            self.accounts[host] = (sequence, at, left)
+        for name, started in starts.items():
+            if not self.known[name]:
+                # What was sent before the first start was told is taken to run in that one.
+                sent = {key: item for key, item in self.own.items() if item == (name, 0)}
+                self.own.update(dict.fromkeys(sent, (name, started)))
+            self.known[name] = max(self.known[name], started)
+        self.listed = set(starts)
+        config = self.config(self.revision, starts)
+        self.take(self.driver.send(SnapshotAdopted(now=self.driver.now, snapshot=config)))
+
+    @rule(
+        host=st.sampled_from(HOSTS),
+        sequence=st.integers(1, 12),
+        items=st.dictionaries(st.sampled_from(NAMES), st.none() | STARTS),
+    )
+    def digest(self, host: str, sequence: int, items: dict[TargetName, int | None]) -> None:
+        """A peer's digest arrives, perhaps an old one, of any starts or of none."""
+        items = {name: started or None for name, started in items.items()}
+        digest = Digest(
+            host=HostName(host),
+            sequence=sequence,
+            started=1,
+            occupancies=tuple(Occupancy(target=name, streams=1) for name in items),
+            starts=tuple(
+                TargetStart(target=name, started=started)
+                for name, started in items.items()
+                if started is not None
+            ),
+        )
+        known = self.accounts.get(host)
+        if known is None or sequence > known[0]:
+            self.accounts[host] = (sequence, self.driver.now, items)
+        self.take(self.driver.send(DigestReceived(now=self.driver.now, digest=digest)))
+
+    @rule(seconds=st.sampled_from((0.05, 0.5, 2.0)))
+    def tick(self, seconds: float) -> None:
+        """Time passes."""
+        self.take(self.driver.tick(self.driver.now + seconds))
+        for host, (sequence, at, _) in self.accounts.items():
+            if self.driver.now - at > PEER_SECONDS:
+                self.accounts[host] = (sequence, at, {})
+
+    @invariant()
+    def counted(self) -> None:
+        """Each account holds what was sent to the start known here, and nothing else."""
+        for name in NAMES:
+            known = self.known[name]
+            mine = sum(self.own[key] == (name, known) for key in self.open)
+            theirs = sum(
+                name in items and (not items[name] or not known or items[name] == known)
+                for _, _, items in self.accounts.values()
+            )
+            assert self.driver.state.ledger.at(name).streams == mine + theirs
+
+    def teardown(self) -> None:
+        """Let time pass until each call has its answer; nothing is left of any."""
+        self.tick(2.0 * PEER_SECONDS)
+        assert set(self.finished) == set(self.calls)
+        assert not self.open
+        assert not self.driver.state.calls
+        assert self.driver.state.ledger.tell() == ()
+        for name in NAMES:
+            assert self.driver.state.ledger.at(name) == Occupancy(target=name)
+
+
+StartsMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestStarts = StartsMachine.TestCase
