--- a/src/azureswitch/serving/_affinity.py
+++ b/src/azureswitch/serving/_affinity.py
@@ -51,6 +51,13 @@
         for block in tuple(self._blocks.get(target, ())):
             self._remove(target, block)
 
+    def restart(self, target: TargetName) -> None:
+        """Forget an engine that has started again, and what is still told of its earlier start."""
+        self.forget(target)
+        if target in self._starts:
+            # Events of the start that is over come late; those of any later one are taken over.
+            self._starts[target] += 1
+
     def cached(self, prefix: tuple[int, ...]) -> dict[TargetName, int]:
         """Return, for each engine that holds a leading part, how many tokens it holds."""
         found: dict[TargetName, int] = {}
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -127,6 +127,7 @@
         cached_tokens=choice.cached_tokens,
         priority=level,
         alone=not choice.wait and not choice.running and len(choice.targets) == 1,
+        holders=_holders(choice),
     )
     record.attempts[attempt.number] = attempt
     if choice.occupancies:
@@ -157,6 +158,18 @@
     ]
 
 
+def _holders(choice: Choice) -> tuple[TargetName, ...]:
+    """Return the targets that hold the memory of an attempt: the first, and where it is set aside.
+
+    Engines whose pace is not published hold what they read.
+    """
+    if not choice.occupancies:
+        return choice.targets
+    first, *others = choice.targets
+    held = (name for name, tokens in zip(others, choice.reserved[1:], strict=False) if tokens)
+    return (first, *held)
+
+
 def _set_ageing(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> None:
     state.timers.set(
         at=now + ageing_period(record.cost.prefill),
@@ -209,6 +222,50 @@
     return effects
 
 
+def resend(state: ServingState, targets: frozenset[TargetName], *, now: float) -> list[Effect]:
+    """Start the attempts at targets that have started again anew, there or elsewhere.
+
+    A call that may not repeat stays, and so does one for which no further try is permitted: its
+    connection tells the truth, whenever the new start was told.  Of a process that was ended it
+    breaks off by itself, at once, and then the call counts as maybe run.  Told late, by a store
+    that is slow or down, the attempt may have reached the start that runs now, and its answer
+    comes.  Only the connection to a machine that is gone stays silent; its call ends at its
+    deadline.
+    """
+    effects: list[Effect] = []
+    for record in list(state.calls.values()):
+        record.failed -= targets
+        for attempt in record.attempts.values():
+            attempt.restarted |= targets.intersection(attempt.targets)
+        lost = [attempt.number for attempt in record.attempts.values() if attempt.lost]
+        if lost and record.call.repeatable:
+            effects += _resend(state, record, lost, now=now)
+    return effects
+
+
+def _resend(
+    state: ServingState, record: CallRecord, lost: list[int], *, now: float
+) -> list[Effect]:
+    """Cancel attempts of a call, and try again at once where no other one runs."""
+    others = len(record.attempts) > len(lost)
+    if not others and not _may_resend(state, record, len(lost), now=now):
+        return []
+    effects = [effect for number in lost for effect in _cancel(state, record, number)]
+    if others:
+        return effects
+    record.retry_count += 1
+    retried = observe(record, Observation.RETRIED)
+    return [*effects, retried, *dispatch(state, record, now=now)]
+
+
+def _may_resend(state: ServingState, record: CallRecord, runs: int, *, now: float) -> bool:
+    """Return whether a call may be tried again without these runs, and pay for it if so."""
+    in_time = now < state.ends_by(record.call)
+    more_runs = record.run_count + runs < record.call.runs
+    permitted = record.retry_count < MOST_RETRIES and in_time and more_runs
+    return permitted and state.retries.take()
+
+
 def withdraw(state: ServingState, target: TargetName, *, now: float) -> list[Effect]:
     """Take back what waits at an engine whose memory others hold, to send it elsewhere.
 
@@ -262,10 +319,11 @@
     if attempt is None or attempt.first_token is not None:
         return []
     attempt.first_token = now
-    state.fleet.prefilled(attempt.targets, work=attempt.work)
+    state.fleet.prefilled(attempt.counted, work=attempt.work)
     state.ledger.read(call=record.call.id, attempt=number)
     effects = cancel_others(state, record, keep=number)
-    if attempt.alone and now - attempt.started > AT_ONCE_SECONDS:
+    alone = attempt.alone and not attempt.restarted
+    if alone and now - attempt.started > AT_ONCE_SECONDS:
         state.costs.observe_first_token(
             call=record.call,
             target=attempt.targets[0],
@@ -325,15 +383,15 @@
 
 def _release(state: ServingState, record: CallRecord, attempt: Attempt) -> None:
     if attempt.first_token is None:
-        state.fleet.prefilled(attempt.targets, work=attempt.work)
-    state.fleet.remove(attempt.targets, work=attempt.work)
+        state.fleet.prefilled(attempt.counted, work=attempt.work)
+    state.fleet.remove(attempt.counted, work=attempt.work)
     state.ledger.remove(call=record.call.id, attempt=attempt.number)
 
 
 def _complete(
     state: ServingState, record: CallRecord, attempt: Attempt, event: AttemptEnded
 ) -> list[Effect]:
-    for target in attempt.targets:
+    for target in attempt.counted:
         state.fleet.succeeded(target)
     since = attempt.started if attempt.first_token is None else attempt.first_token
     if record.attempt_count == 1:
@@ -371,7 +429,7 @@
     refused = event.end is AttemptEnd.REFUSED
     record.may_have_run = record.may_have_run or not refused
     record.run_count += 0 if refused else 1
-    _blame(state, record, attempt.targets, event)
+    _blame(state, record, attempt, event)
     if not record.call.repeatable and not refused:
         error = OutcomeLostError()
         return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
@@ -383,16 +441,19 @@
 def _blame(
     state: ServingState,
     record: CallRecord,
-    targets: tuple[TargetName, ...],
+    attempt: Attempt,
     event: AttemptEnded,
 ) -> None:
     """Keep a target that failed out of use; one that is merely full says when to come back.
 
-    Of several the one that is said to be at fault is meant, and else the first, which answers.
+    Of several the one that is said to be at fault is meant, and else the first, which answers.  The
+    failure of a start that is over says nothing of the one that runs now.
     """
-    if len(targets) > 1 and record.pool.pace is None:
+    if len(attempt.targets) > 1 and record.pool.pace is None:
+        return
+    target = event.at_fault or attempt.targets[0]
+    if target in attempt.restarted:
         return
-    target = event.at_fault or targets[0]
     record.failed.add(target)
     if event.retry_after is not None and event.end is AttemptEnd.REFUSED:
         state.fleet.full(target, seconds=event.retry_after, now=event.now)
--- a/src/azureswitch/serving/_cost.py
+++ b/src/azureswitch/serving/_cost.py
@@ -146,6 +146,10 @@
         """Return how much longer than an ordinary engine a target takes; one is ordinary."""
         return self._speeds.get(target, 1.0)
 
+    def restart(self, target: TargetName) -> None:
+        """Forget the speed of a target that has started again."""
+        self._speeds.pop(target, None)
+
     def observe_first_token(
         self, *, call: Call, target: TargetName, cached_tokens: int, seconds: float
     ) -> None:
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -1,13 +1,13 @@
 """The targets, and what is known of the work that each of them has."""
 
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from xxhash import xxh3_64_intdigest
 
 from azureswitch.core import CallId, HostName, PlaceName, ServiceName, TargetName
-from azureswitch.inventory import EnginePace, Snapshot, Target, TargetRole
+from azureswitch.inventory import EnginePace, Inventory, Target, TargetRole
 from azureswitch.ports import LoadReport
 from azureswitch.serving._cost import PREFILL_RATE
 from azureswitch.serving._events import Digest, HostSelf, TargetLoad
@@ -135,6 +135,7 @@
         silent_since: Since when it has answered no poll, or None.
         stuck_since: Since when requests wait there although none runs, or None.
         failures: Failures in a row.
+        ended_start: The start in reports that is over, as told by the target itself, or zero.
     """
 
     target: Target
@@ -153,6 +154,7 @@
     silent_since: float | None = None
     stuck_since: float | None = None
     failures: int = 0
+    ended_start: int = 0
 
     def usable(self, now: float) -> bool:
         """Whether the target may get new work."""
@@ -258,9 +260,14 @@
         self._saved: dict[TargetName, tuple[CallId, float]] = {}
         self._heard: dict[HostName, set[TargetName]] = {}
 
-    def adopt(self, snapshot: Snapshot) -> None:
-        """Take over the targets of a configuration and keep what is known of their load."""
-        inventory = snapshot.inventory
+    def adopt(self, inventory: Inventory, *, restarted: Collection[TargetName] = ()) -> None:
+        """Take over the targets of a configuration and keep what is known of their load.
+
+        Args:
+            inventory: The configuration.
+            restarted: Targets that have started again, of which nothing is kept.
+        """
+        self._restart(restarted)
         regions = {place.name: place.region for place in inventory.places}
         states: dict[TargetName, TargetState] = {}
         for target in inventory.targets:
@@ -278,6 +285,19 @@
         self._services = {service.name for service in inventory.services}
         self._pools = _pools(inventory.targets, {s.name: s.pace for s in inventory.services})
 
+    def _restart(self, targets: Collection[TargetName]) -> None:
+        """Forget all that is known of targets but which of their reports are over."""
+        for name in targets:
+            known = self._states.get(name)
+            if known is not None:
+                ended = known.report.started if known.report else known.ended_start
+                self._states[name] = TargetState(
+                    target=known.target, nearness=known.nearness, ended_start=ended
+                )
+            self._loaded.discard(name)
+            self._suspects.pop(name, None)
+            self._saved.pop(name, None)
+
     def _nearness(self, place: PlaceName, regions: dict[PlaceName, str]) -> int:
         if place == self._myself.place:
             return 0
@@ -341,7 +361,7 @@
             For how many seconds requests have waited there although none runs.
         """
         state = self._states.get(report.target)
-        if state is None:
+        if state is None or 0 < report.started <= state.ended_start:
             return 0.0
         known = state.report
         if known is not None and known.started == report.started:
--- a/src/azureswitch/serving/_ledger.py
+++ b/src/azureswitch/serving/_ledger.py
@@ -1,10 +1,11 @@
 """What all hosts have sent to each target and not seen end, from their own accounts."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from azureswitch.core import CallId, HostName, TargetName
-from azureswitch.serving._events import Occupancy
+from azureswitch.serving._events import Occupancy, TargetStart
+from azureswitch.serving._starts import Starts, starts_by_target
 
 PEER_SECONDS = 7.0
 """Seconds after which a peer's account says nothing any more.
@@ -16,10 +17,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Account:
-    """What one peer said last."""
+    """What one peer said last.
+
+    Attributes:
+        at: When it was heard.
+        occupancies: What it has at targets.
+        starts: Which starts of the targets it means, as far as it says so.
+        counted: What of it is counted here.
+    """
 
     at: float
     occupancies: tuple[Occupancy, ...]
+    starts: Mapping[TargetName, int]
+    counted: tuple[Occupancy, ...]
 
 
 class Ledger:
@@ -28,9 +38,16 @@
     A send is told to the peers at once.  So two hosts choose the same idle engine only where they
     do so within a message's time, a millisecond or two, and need not wait for the engine's report,
     which is some hundred milliseconds late.
+
+    What is said of another start of a target than the one known here is not counted.  What is said
+    of a later one is kept until that is known here too.
+
+    Args:
+        starts: Which start of each target is known.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, starts: Starts) -> None:
+        self._starts = starts
         self._entries: dict[tuple[CallId, int], tuple[Occupancy, ...]] = {}
         self._own: dict[TargetName, Occupancy] = {}
         self._accounts: dict[HostName, _Account] = {}
@@ -86,11 +103,59 @@
         told = (replace(item, short_reading=0.0) for item in self._own.values())
         return tuple(item for item in told if not _is_idle(item))
 
-    def hear(self, *, host: HostName, occupancies: tuple[Occupancy, ...], now: float) -> None:
-        """Replace a peer's account."""
+    def hear(
+        self,
+        *,
+        host: HostName,
+        occupancies: tuple[Occupancy, ...],
+        now: float,
+        starts: tuple[TargetStart, ...] = (),
+    ) -> None:
+        """Replace a peer's account.
+
+        Args:
+            host: The peer.
+            occupancies: What it has at targets.
+            now: The time.
+            starts: Which starts of the targets it means.
+        """
         self._forget(host)
-        self._accounts[host] = _Account(at=now, occupancies=occupancies)
-        _add(self._peers, occupancies, sign=1)
+        named = starts_by_target(starts)
+        counted = self._counted(occupancies, named)
+        self._accounts[host] = _Account(
+            at=now, occupancies=occupancies, starts=named, counted=counted
+        )
+        _add(self._peers, counted, sign=1)
+
+    def restart(self, targets: Collection[TargetName]) -> None:
+        """Strike out what all hosts had at targets that have started again.
+
+        What peers said without naming a start was said before, so that it goes too.
+        """
+        for key, entry in self._entries.items():
+            self._entries[key] = _elsewhere(entry, targets)
+        for target in targets:
+            if self._own.pop(target, None) is not None:
+                self._changed = True
+        for host, account in self._accounts.items():
+            left = tuple(
+                item
+                for item in account.occupancies
+                if item.target not in targets or item.target in account.starts
+            )
+            self._accounts[host] = replace(account, occupancies=left)
+        self.recount(targets)
+
+    def recount(self, targets: Collection[TargetName]) -> None:
+        """Count the peers' accounts of targets anew, as another start of them is known."""
+        if not targets:
+            return
+        for target in targets:
+            self._peers.pop(target, None)
+        for host, account in self._accounts.items():
+            counted = self._counted(account.occupancies, account.starts)
+            self._accounts[host] = replace(account, counted=counted)
+            _add(self._peers, (item for item in counted if item.target in targets), sign=1)
 
     def keep(self, hosts: Iterable[HostName]) -> None:
         """Forget the accounts of all hosts but these."""
@@ -106,7 +171,16 @@
     def _forget(self, host: HostName) -> None:
         account = self._accounts.pop(host, None)
         if account is not None:
-            _add(self._peers, account.occupancies, sign=-1)
+            _add(self._peers, account.counted, sign=-1)
+
+    def _counted(
+        self, occupancies: tuple[Occupancy, ...], starts: Mapping[TargetName, int]
+    ) -> tuple[Occupancy, ...]:
+        """Return what a peer said of the starts known here."""
+        if not starts:
+            return occupancies
+        holds = self._starts.holds
+        return tuple([o for o in occupancies if holds(o.target, starts.get(o.target, 0))])
 
     def _apply(self, occupancies: tuple[Occupancy, ...], *, sign: int) -> None:
         if occupancies:
@@ -138,6 +212,13 @@
     )
 
 
+def _elsewhere(
+    entry: tuple[Occupancy, ...], targets: Collection[TargetName]
+) -> tuple[Occupancy, ...]:
+    """Return what is left of an entry without some targets."""
+    return tuple(item for item in entry if item.target not in targets)
+
+
 def _written(item: Occupancy) -> Occupancy:
     """Return what is left of an entry once its prompt has been read."""
     return Occupancy(
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -18,6 +18,7 @@
     observe,
     out_of_time,
     progress,
+    resend,
     stop,
     too_late,
     withdraw,
@@ -241,14 +242,34 @@
 @_apply.register
 def _(event: DigestReceived, state: ServingState) -> list[Effect]:
     if event.digest.host != state.myself.name and state.fairness.hear(event.digest, now=event.now):
-        state.fleet.hear(event.digest, now=event.now)
+        state.fleet.hear(_of_known_starts(state, event.digest), now=event.now)
         state.split.hear(event.digest, now=event.now)
         state.ledger.hear(
-            host=event.digest.host, occupancies=event.digest.occupancies, now=event.now
+            host=event.digest.host,
+            occupancies=event.digest.occupancies,
+            starts=event.digest.starts,
+            now=event.now,
         )
     return []
 
 
+def _of_known_starts(state: ServingState, digest: Digest) -> Digest:
+    """Return a digest without what it says of other starts of targets than are known here.
+
+    What is believed by it lasts for 2 s at most and is told again each second; the ledger, which is
+    told only as it changes, sorts its own.
+    """
+    ended = state.starts.ended(digest.starts)
+    if not ended:
+        return digest
+    return replace(
+        digest,
+        loads=tuple(load for load in digest.loads if load.target not in ended),
+        suspects=tuple(name for name in digest.suspects if name not in ended),
+        saved=tuple(name for name in digest.saved if name not in ended),
+    )
+
+
 @_apply.register
 def _(event: PeersChanged, state: ServingState) -> list[Effect]:
     state.fairness.set_hosts(event.hosts)
@@ -260,8 +281,9 @@
 
 @_apply.register
 def _(event: SnapshotAdopted, state: ServingState) -> list[Effect]:
-    state.adopt(event.snapshot)
-    return drain_all(state, now=event.now)
+    restarted = state.adopt(event.snapshot)
+    effects = resend(state, restarted, now=event.now) if restarted else []
+    return effects + drain_all(state, now=event.now)
 
 
 @_apply.register
@@ -322,13 +344,13 @@
         suspects=state.fleet.suspects(now=now),
         occupancies=state.ledger.tell(),
     )
-    if state.lean:
-        return PublishDigest(digest=digest, regular=regular)
-    full = replace(
-        digest,
-        loads=state.fleet.loads(),
-        uses=state.fairness.uses(),
-        demands=state.split.demands(now),
-        saved=state.fleet.saved(now=now),
-    )
-    return PublishDigest(digest=full, regular=regular)
+    if not state.lean:
+        digest = replace(
+            digest,
+            loads=state.fleet.loads(),
+            uses=state.fairness.uses(),
+            demands=state.split.demands(now),
+            saved=state.fleet.saved(now=now),
+        )
+    starts = state.starts.select(digest.targets)
+    return PublishDigest(digest=replace(digest, starts=starts), regular=regular)
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -1,6 +1,6 @@
 """What the serving reducer knows: calls, attempts and the parts of the policy."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from heapq import heappop, heappush
 from math import inf
@@ -18,6 +18,7 @@
 from azureswitch.serving._length import Level, Split
 from azureswitch.serving._queue import WaitingQueue
 from azureswitch.serving._retries import RetryBudget
+from azureswitch.serving._starts import Starts
 
 DIGEST_PERIOD = 0.2
 """Seconds between two regular digests where nothing else is said."""
@@ -47,7 +48,20 @@
 
 @dataclass(slots=True, kw_only=True)
 class Attempt:
-    """One attempt at one target, or at several for a prompt larger than one engine's memory."""
+    """One attempt at one target, or at several for a prompt larger than one engine's memory.
+
+    Attributes:
+        number: Counts the attempts of the call.
+        targets: Where it was sent; the first one answers.
+        started: When it was sent.
+        work: What it puts on each of its targets.
+        cached_tokens: Tokens that were expected to be cached there.
+        priority: Smaller runs first.
+        alone: Whether its target had nothing else to do.
+        holders: Those of its targets that hold its memory until its end.
+        first_token: When its first token came, or None.
+        restarted: Those of its targets that have started again since.
+    """
 
     number: int
     targets: tuple[TargetName, ...]
@@ -56,7 +70,25 @@
     cached_tokens: int
     priority: int
     alone: bool
+    holders: tuple[TargetName, ...]
     first_token: float | None = None
+    restarted: set[TargetName] = field(default_factory=set)
+
+    @property
+    def counted(self) -> tuple[TargetName, ...]:
+        """The targets whose accounts hold it: what a start had that is over is struck out."""
+        if not self.restarted:
+            return self.targets
+        return tuple(name for name in self.targets if name not in self.restarted)
+
+    @property
+    def lost(self) -> bool:
+        """Whether a target that it cannot do without has started again.
+
+        One that holds none of its memory is needed for reading the prompt alone.
+        """
+        needed = self.targets if self.first_token is None else self.holders
+        return not self.restarted.isdisjoint(needed)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -148,7 +180,8 @@
         self._queue = WaitingQueue()
         self._split = Split()
         self._retries = retries or RetryBudget()
-        self._ledger = Ledger()
+        self._starts = Starts()
+        self._ledger = Ledger(starts=self._starts)
         self._pauses = PauseBounds()
         self._digest_period = digest_period
         self._lean = lean
@@ -239,14 +272,38 @@
         """What all hosts have sent to each target."""
         return self._ledger
 
-    def adopt(self, snapshot: Snapshot) -> None:
-        """Serve by a configuration, unless a later one is in force."""
+    @property
+    def starts(self) -> Starts:
+        """Which start of each target is known."""
+        return self._starts
+
+    def adopt(self, snapshot: Snapshot) -> frozenset[TargetName]:
+        """Serve by a configuration, unless a later one is in force.
+
+        All that was believed of a target that has started again ends here.
+
+        Returns:
+            The targets that have started again.
+        """
         if self._snapshot and snapshot.revision <= self._snapshot.revision:
-            return
+            return frozenset()
         self._snapshot = snapshot
-        self._fleet.adopt(snapshot)
+        adopted = self._starts.adopt(snapshot.inventory.targets)
+        inventory = replace(snapshot.inventory, targets=adopted.targets)
+        self._fleet.adopt(inventory, restarted=adopted.restarted)
+        self._restart(adopted.restarted)
+        self._ledger.recount(adopted.told)
         self._split.adopt(snapshot.rules)
         self._fairness.adopt(snapshot.inventory.customers)
+        return adopted.restarted
+
+    def _restart(self, targets: frozenset[TargetName]) -> None:
+        if not targets:
+            return
+        self._ledger.restart(targets)
+        for target in targets:
+            self._affinity.restart(target)
+            self._costs.restart(target)
 
     def leave(self, *, until: float) -> None:
         """Begin nothing more that cannot end by a moment, or by an earlier one set before."""
--- a/tests/serving/test_starts.py
+++ b/tests/serving/test_starts.py
@@ -9,12 +9,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from azureswitch.core import CallId, Effect, HostName, TargetName
-from azureswitch.exceptions import Ran
-from azureswitch.inventory import Snapshot, TargetRole
-from azureswitch.ports import LoadReport
+from azureswitch.exceptions import AzureswitchError, OutcomeLostError, Ran
+from azureswitch.inventory import EnginePace, Snapshot, Target, TargetRole
+from azureswitch.ports import CacheEvents, LoadReport
 from azureswitch.serving import (
     AttemptEnd,
     AttemptEnded,
+    CacheReported,
     Call,
     CancelAttempt,
     ClaimGranted,
@@ -24,6 +25,8 @@
     FirstTokenArrived,
     LoadReported,
     Occupancy,
+    PublishDigest,
+    RetryBudget,
     SettleClaim,
     SnapshotAdopted,
     StartAttempt,
@@ -34,6 +37,8 @@
 from azureswitch.serving._fleet import TargetState
 from azureswitch.serving._ledger import PEER_SECONDS
 from azureswitch.serving._length import Level
+from azureswitch.serving._starts import GONE_MOST
+from tests.serving.engines import snapshot as paced_snapshot
 from tests.serving.fixtures import Driver, booking, engine, model_call, only, plain_call, snapshot
 
 PLAIN, ENGINE = TargetName("s1"), TargetName("e1")
@@ -265,6 +270,81 @@
         adopt(host, BORN + 1)
         assert not believed(host)
 
+    @pytest.mark.parametrize("before", [BORN, 0])
+    @pytest.mark.parametrize("after", [BORN - 1, 0, BORN])
+    @pytest.mark.parametrize(
+        ("bring", "believed"),
+        [
+            (own_stream, occupied),
+            (own_prompt, loaded),
+            (peers, occupied),
+            (peers_unsaid, occupied),
+            (broken, doubted),
+            (cached, has_prefix),
+            (reported, waits),
+        ],
+    )
+    def test_stays(
+        self,
+        before: int,
+        after: int,
+        bring: Callable[[Driver], None],
+        believed: Callable[[Driver], bool],
+    ) -> None:
+        """The same start, one told late, none, or the first that is told ends nothing."""
+        host = driver(before)
+        bring(host)
+        starts = len(only(StartAttempt, host.effects))
+        # A peer's account of the start that runs is not one of a start that is told late.
+        adopt(host, after if before or bring is not peers else BORN)
+        assert believed(host)
+        assert len(only(StartAttempt, host.effects)) == starts
+
+    def test_late_entry(self) -> None:
+        """An entry of the earlier start does not take the later one out of use."""
+        host = driver(BORN + 1)
+        config = fleet(2, BORN, role=TargetRole.DRAINING)
+        host.send(SnapshotAdopted(now=host.now, snapshot=config))
+        assert target(host, PLAIN).usable(host.now)
+        assert sent(host, plain_call("c1")).targets == (PLAIN,)
+
+    @pytest.mark.parametrize(("started", "counts"), [(7, False), (6, False), (8, True)])
+    def test_late_reports(self, started: int, counts: bool) -> None:
+        """What an engine said of its earlier start and comes late is not believed."""
+        host = driver()
+        reported(host)
+        host.send(CacheReported(now=0.0, events=cache_events(7)))
+        adopt(host, BORN + 1)
+        host.send(LoadReported(now=host.now, report=report(started)))
+        host.send(CacheReported(now=host.now, events=cache_events(started)))
+        assert (waits(host), has_prefix(host)) == (counts, counts)
+
+    def test_told_again(self) -> None:
+        """What this host had at the earlier start is withdrawn before its peers at once."""
+        host = driver()
+        own_stream(host)
+        effects = adopt(host, BORN + 1)
+        assert [item.digest.occupancies for item in only(PublishDigest, effects)] == [()]
+
+    def test_forgotten(self) -> None:
+        """Targets that are gone for good are not remembered for ever."""
+        host = driver()
+        for revision in range(2, 12):
+            names = [f"t{revision}-{index}" for index in range(GONE_MOST // 4)]
+            targets = [replace(booking(name), started=BORN) for name in names]
+            config = snapshot(revision=revision, targets=targets)
+            host.send(SnapshotAdopted(now=host.now, snapshot=config))
+        names = [f"t{r}-{i}" for r in range(2, 12) for i in range(GONE_MOST // 4)]
+        known = host.state.starts.select([TargetName(name) for name in names])
+        assert len(known) == GONE_MOST + GONE_MOST // 4
+
+
+def cache_events(started: int) -> CacheEvents:
+    """Return the events by which an engine tells of a prefix that it cached."""
+    return CacheEvents(
+        target=ENGINE, started=started, sequence=1, complete=True, added=PREFIX, removed=()
+    )
+
 
 # --- Attempts -------------------------------------------------------------------------------------
 
@@ -294,6 +374,171 @@
         assert not occupied(host)
         assert not loaded(host)
 
+    @pytest.mark.parametrize(
+        ("call", "retries"),
+        [
+            (model_call("c1", runs=1), None),
+            (model_call("c1"), RetryBudget(share=0.0, burst=0.0)),
+            (plain_call("c1"), None),
+        ],
+    )
+    @pytest.mark.parametrize(
+        ("how", "error"),
+        [
+            (AttemptEnd.COMPLETE, None),
+            (AttemptEnd.BROKEN, AzureswitchError),
+            (AttemptEnd.CANCELLED, AzureswitchError),
+        ],
+    )
+    def test_awaited(
+        self,
+        call: Call,
+        retries: RetryBudget | None,
+        how: AttemptEnd,
+        error: type[AzureswitchError] | None,
+    ) -> None:
+        """Where nothing may be sent again, the connection's own end is the call's."""
+        host = driver()
+        if retries is not None:
+            host.state._retries = retries
+        first = sent(host, call)
+        effects = adopt(host, BORN + 1)
+        assert not only(CancelAttempt, effects)
+        assert not only(StartAttempt, effects)
+        assert not only(FinishCall, effects)
+        assert not occupied(host)
+        end(host, first, how)
+        host.tick(1.0)
+        found = host.error("c1")
+        assert found is None if error is None else isinstance(found, error)
+        if isinstance(found, AzureswitchError):
+            assert found.ran is Ran.UNKNOWN
+            assert call.repeatable or isinstance(found, OutcomeLostError)
+        assert len(only(StartAttempt, host.effects)) == 1
+        # The failure of the earlier start is not the later one's.
+        assert not doubted(host)
+        assert not occupied(host)
+        assert not loaded(host)
+
+    def test_not_run(self) -> None:
+        """A connection that was never made proves that nothing ran, whichever start runs."""
+        host = driver(others=1)
+        first = sent(host, plain_call("c1"))
+        adopt(host, BORN + 1, others=1)
+        end(host, first, AttemptEnd.REFUSED)
+        host.tick(1.0)
+        assert len(only(StartAttempt, host.effects)) == 2
+        assert not suspected(host) or first.targets != (PLAIN,)
+
+    @pytest.mark.parametrize(
+        ("prompt", "index", "begun", "again"),
+        [
+            (150_000, 0, False, True),
+            (150_000, 0, True, True),
+            (150_000, 1, False, True),
+            (150_000, 1, True, False),
+            (700_000, 1, True, True),
+            (700_000, -1, True, False),
+        ],
+    )
+    def test_helpers(self, prompt: int, index: int, begun: bool, again: bool) -> None:
+        """A prompt that several read begins again unless it can do without the one that is gone."""
+        config = paced_snapshot(PACE, 8)
+        host = Driver(config=started_all(config))
+        call = replace(model_call("c1", tokens=prompt), service=config.inventory.services[0].name)
+        first = sent(host, replace(call, model="m", unshared=True))
+        if begun:
+            event = FirstTokenArrived(now=host.now, call=first.call, attempt=first.attempt)
+            host.send(event)
+        gone = first.targets[index]
+        later = started_all(replace(config, revision=2), later={gone})
+        effects = host.send(SnapshotAdopted(now=host.now, snapshot=later))
+        assert bool(only(CancelAttempt, effects)) is again
+        assert bool(only(StartAttempt, effects)) is again
+        if not again:
+            assert host.state.ledger.at(gone) == Occupancy(target=gone)
+        end(host, only(StartAttempt, host.effects)[-1], AttemptEnd.COMPLETE)
+        assert host.state.ledger.tell() == ()
+
+
+PACE = EnginePace(
+    step=0.00131,
+    read_rate=154_000.0,
+    pair=1.62e-10,
+    stride=34,
+    slots=8,
+    memory=405_000,
+    answer=1_266,
+)
+
+
+def started_all(config: Snapshot, *, later: set[TargetName] | None = None) -> Snapshot:
+    """Return a configuration whose targets say their start, some of them a later one."""
+    targets: tuple[Target, ...] = tuple(
+        replace(item, started=BORN + (item.name in (later or set())))
+        for item in config.inventory.targets
+    )
+    return replace(config, inventory=replace(config.inventory, targets=targets))
+
+
+# --- Peers ----------------------------------------------------------------------------------------
+
+
+class TestPeers:
+    """What peers tell of other starts than the one known here."""
+
+    @pytest.mark.parametrize(
+        ("known", "started", "counts"),
+        [
+            (BORN, BORN, True),
+            (BORN, BORN - 1, False),
+            (BORN, BORN + 1, False),
+            (BORN, None, True),
+            (0, BORN, True),
+            (0, None, True),
+        ],
+    )
+    def test_told(self, known: int, started: int | None, counts: bool) -> None:
+        """It counts where it may be the same start."""
+        host = driver(known)
+        told(host, started=started)
+        assert (occupied(host), waits(host), doubted(host), saved(host)) == (counts,) * 4
+
+    @pytest.mark.parametrize(
+        ("known", "heard", "adopted", "streams"),
+        [
+            (BORN, (BORN + 1,), BORN + 1, 1),
+            (BORN, (BORN + 2,), BORN + 1, 0),
+            (BORN, (BORN + 1, BORN), BORN + 1, 1),
+            (BORN, (BORN, BORN), BORN + 1, 0),
+            (0, (BORN, BORN + 1), BORN + 1, 1),
+            (0, (BORN, None), BORN, 2),
+            (BORN, (None, BORN + 1), BORN + 1, 1),
+        ],
+    )
+    def test_adopted(
+        self, known: int, heard: tuple[int | None, ...], adopted: int, streams: int
+    ) -> None:
+        """What was told of a later start counts from the moment at which that is known here."""
+        host = driver(known)
+        for index, started in enumerate(heard):
+            told(host, started=started, peer=f"p{index}")
+        adopt(host, adopted)
+        assert host.state.ledger.at(PLAIN).streams == streams
+
+    def test_names(self) -> None:
+        """This host's digests name the start of each target once."""
+        host = driver()
+        broken(host)
+        sent(host, plain_call("c2"))
+        sent(host, model_call("c3"))
+        (digest,) = [item.digest for item in only(PublishDigest, host.tick(1.0))][-1:]
+        assert {load.target for load in digest.loads} == {ENGINE}
+        assert digest.suspects == (PLAIN,)
+        assert digest.starts == tuple(
+            TargetStart(target=name, started=BORN) for name in (ENGINE, PLAIN)
+        )
+
 
 # --- Any order ------------------------------------------------------------------------------------
 
