--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -128,6 +128,7 @@
         cached_tokens=choice.cached_tokens,
         priority=level,
         alone=not choice.wait and not choice.running and len(choice.targets) == 1,
+        holders=_holders(choice),
     )
     record.attempts[attempt.number] = attempt
     if choice.occupancies:
@@ -158,6 +159,18 @@
     ]
 
 
+def _holders(choice: Choice) -> tuple[TargetName, ...]:
+    """Return the targets that hold the memory of an attempt: the first, and where it is set aside.
+
+    Engines whose pace is not published hold what they read.
+    """
+    if not choice.occupancies:
+        return choice.targets
+    first, *others = choice.targets
+    held = (name for name, tokens in zip(others, choice.reserved[1:], strict=False) if tokens)
+    return (first, *held)
+
+
 def _set_ageing(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> None:
     state.timers.set(
         at=now + ageing_period(record.cost.prefill),
@@ -210,6 +223,43 @@
     return effects
 
 
+def resend(state: ServingState, targets: frozenset[TargetName], *, now: float) -> list[Effect]:
+    """Start the attempts at targets that have started again anew, there or elsewhere.
+
+    A call that may not repeat stays, and so does one for which no further try is permitted: its
+    connection tells the truth, whenever the new start was told.  Of a process that was ended it
+    breaks off by itself, at once, and then the call counts as maybe run.  Told late, by a store
+    that is slow or down, the attempt may have reached the start that runs now, and its answer
+    comes.  Only the connection to a machine that is gone stays silent; its call ends at its
+    deadline.
+    """
+    effects: list[Effect] = []
+    for record in list(state.calls.values()):
+        record.failed -= targets
+        for attempt in record.attempts.values():
+            attempt.restarted |= targets.intersection(attempt.targets)
+        lost = [attempt.number for attempt in record.attempts.values() if attempt.lost]
+        if lost and record.call.repeatable:
+            effects += _resend(state, record, lost, now=now)
+    return effects
+
+
+def _resend(
+    state: ServingState, record: CallRecord, lost: list[int], *, now: float
+) -> list[Effect]:
+    """Cancel attempts of a call, and try again at once where no other one runs."""
+    others = len(record.attempts) > len(lost)
+    if not others and not _may_follow(state, record, now=now, runs=len(lost)):
+        return []
+    effects = [effect for number in lost for effect in _cancel(state, record, number)]
+    if others:
+        return effects
+    record.retry_count += 1
+    state.retries.take()
+    retried = observe(record, Observation.RETRIED)
+    return [*effects, retried, *dispatch(state, record, now=now)]
+
+
 def withdraw(state: ServingState, target: TargetName, *, now: float) -> list[Effect]:
     """Take back what waits at an engine whose memory others hold, to send it elsewhere.
 
@@ -247,17 +297,18 @@
     if not _finds_target(state, record, attempt, now=now):
         return []
     effects = _cancel(state, record, number)
-    _mark_failed(state, record, attempt.targets[0], now=now)
+    if attempt.targets[0] not in attempt.restarted:
+        _mark_failed(state, record, attempt.targets[0], now=now)
     if record.attempts:
         return effects
     return effects + retry(state, record, now=now)
 
 
-def _may_follow(state: ServingState, record: CallRecord, *, now: float) -> bool:
-    """Return whether another attempt is permitted if one that runs is called off."""
+def _may_follow(state: ServingState, record: CallRecord, *, now: float, runs: int = 1) -> bool:
+    """Return whether another attempt is permitted if so many that run are called off."""
     pause = longest_backoff(record.retry_count + 1)
     in_time = now + pause < state.ends_by(record.call)
-    more_runs = record.run_count + 1 < record.call.runs
+    more_runs = record.run_count + runs < record.call.runs
     more_retries = record.retry_count < MOST_RETRIES and state.retries.permits()
     return record.call.repeatable and in_time and more_runs and more_retries
 
@@ -303,10 +354,11 @@
     if attempt is None or attempt.first_token is not None:
         return []
     attempt.first_token = now
-    state.fleet.prefilled(attempt.targets, work=attempt.work)
+    state.fleet.prefilled(attempt.counted, work=attempt.work)
     state.ledger.read(call=record.call.id, attempt=number)
     effects = cancel_others(state, record, keep=number)
-    if attempt.alone and now - attempt.started > AT_ONCE_SECONDS:
+    alone = attempt.alone and not attempt.restarted
+    if alone and now - attempt.started > AT_ONCE_SECONDS:
         state.costs.observe_first_token(
             call=record.call,
             target=attempt.targets[0],
@@ -366,15 +418,15 @@
 
 def _release(state: ServingState, record: CallRecord, attempt: Attempt) -> None:
     if attempt.first_token is None:
-        state.fleet.prefilled(attempt.targets, work=attempt.work)
-    state.fleet.remove(attempt.targets, work=attempt.work)
+        state.fleet.prefilled(attempt.counted, work=attempt.work)
+    state.fleet.remove(attempt.counted, work=attempt.work)
     state.ledger.remove(call=record.call.id, attempt=attempt.number)
 
 
 def _complete(
     state: ServingState, record: CallRecord, attempt: Attempt, event: AttemptEnded
 ) -> list[Effect]:
-    for target in attempt.targets:
+    for target in attempt.counted:
         state.fleet.succeeded(target)
     since = attempt.started if attempt.first_token is None else attempt.first_token
     if record.attempt_count == 1:
@@ -412,7 +464,7 @@
     refused = event.end is AttemptEnd.REFUSED
     record.may_have_run = record.may_have_run or not refused
     record.run_count += 0 if refused else 1
-    _blame(state, record, attempt.targets, event)
+    _blame(state, record, attempt, event)
     if not record.call.repeatable and not refused:
         error = OutcomeLostError()
         return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
@@ -424,16 +476,19 @@
 def _blame(
     state: ServingState,
     record: CallRecord,
-    targets: tuple[TargetName, ...],
+    attempt: Attempt,
     event: AttemptEnded,
 ) -> None:
     """Keep a target that failed out of use; one that is merely full says when to come back.
 
-    Of several the one that is said to be at fault is meant, and else the first, which answers.
+    Of several the one that is said to be at fault is meant, and else the first, which answers.  The
+    failure of a start that is over says nothing of the one that runs now.
     """
-    if len(targets) > 1 and record.pool.pace is None:
+    if len(attempt.targets) > 1 and record.pool.pace is None:
+        return
+    target = event.at_fault or attempt.targets[0]
+    if target in attempt.restarted:
         return
-    target = event.at_fault or targets[0]
     if event.retry_after is not None and event.end is AttemptEnd.REFUSED:
         record.failed.add(target)
         state.fleet.full(target, seconds=event.retry_after, now=event.now)
