Test that a gateway logs and counts the ends of connections

Cause: the server's reasons were tested; what a gateway makes of them was not.

Ruled out: nothing.

Measured: the test passes: a request behind one that hangs is logged by its id as not served, and the connection counted, as the gateway is aborted.

Conclusion: such a loss is seen in the log.

--- a/tests/server/test_reasons.py
+++ b/tests/server/test_reasons.py
@@ -7,6 +7,8 @@
 import pytest
 
 from azureswitch.server import CallerLimits, CloseReason, Exchange
+from tests.gateway.fixtures import Act, KeptLog, usual_headers
+from tests.gateway.fixtures import serve as serve_gateway
 from tests.server.fixtures import Bed, Caller, Script, abort_after, never, request, run, serve
 from tests.waiting import reach
 
@@ -127,3 +129,31 @@
                 assert script.handled == script.left == ["/1"]
 
         run(scenario)
+
+
+def as_ann(id: str) -> bytes:
+    """Return a request of a known customer."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in usual_headers(id))
+    return f"GET /read/ HTTP/1.1\r\n{lines}\r\n".encode()
+
+
+class TestGateway:
+    """A gateway logs and counts what its server tells of the ends of connections."""
+
+    def test_told(self) -> None:
+        """A request that was not begun has a line with its id, and its connection a count."""
+
+        async def scenario() -> None:
+            log = KeptLog()
+            async with serve_gateway(acts=[Act.HANG], log=log) as bed:
+                port = int(bed.gateway.callers_address.rpartition(":")[2])
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(as_ann("r1") + as_ann("r2"))
+                await reach(lambda: bed.fleet.arrivals > 0)
+                bed.gateway.abort()
+                await reach(lambda: bool(log.about("r2")))
+                assert log.about("r2") == ["Request not served."]
+                text = bed.metrics.text()[0].decode()
+                assert 'azureswitch_connections_closed_total{reason="stop"} 1' in text
+
+        run(scenario)
