Let the soak find requests that were read and have neither an answer nor a refusal

Cause: the soak took a closed connection without an answer for allowed once most of the time of grace was over or a target had a fault, and no caller kept its connection through a stop; so it never saw the requests that a stopping process lost. It now has callers who hold connections until these are gone, requests that outlast the grace, stops that overlap and are told twice, and silent targets beside them. LOST is now strict: only a fault of the host itself excuses, or, for a stream that had begun, its target's fault, its deadline, or the time since SIGTERM. Each admitted request has its end in the log, and none is cut off.

Ruled out: to tell from the log alone what was read, which has nothing of requests that were read and not admitted; the kernel resets a connection with unread bytes, and callers without a proxy see that. The line "Started." as the mark of a new process: requests that waited are admitted before it.

Replaced in test_checks.py: a broken connection was excused by a fault of its target, or 6.7 s after SIGTERM, whatever it was; now only for streams that had begun, and after 7.4 s.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -47,6 +47,8 @@
         option("callers", description="Callers, else 12.", flag=False),
         option("seconds", description="Seconds in which faults begin, else 12.", flag=False),
         option("faults", description="Faults in a run, else 10.", flag=False),
+        option("keepers", description="Callers who keep connections, else 6.", flag=False),
+        option("planned", description="Planned works, else 2.", flag=False),
         option("only", description="The one kind of fault, else all.", flag=False),
     ]
 
@@ -60,6 +62,8 @@
             seconds=self.value("seconds", Number(low=0.1), default=12.0),
             faults=self.value("faults", Integer(low=0), default=10),
             only=self.option("only") or "",
+            keepers=self.value("keepers", Integer(low=0), default=6),
+            planned=self.value("planned", Integer(low=0), default=2),
         )
         fresh = self.value("fresh", Integer(low=0), default=0)
         chosen = self.value("seeds", Text(pattern=SEEDS, form="1-8 or 3,5"), default="")
@@ -96,7 +100,7 @@
         faults = sum(result.faults.values())
         print(
             f"seed {plan.seed}: {result.calls} calls, {result.served} served, "
-            f"{faults} faults, {verdict}",
+            f"{faults} faults, {result.crossed[0]} unread, {verdict}",
             flush=True,
         )
         for line in result.broken[:8]:
@@ -125,6 +129,8 @@
     calls = sum(result.calls for result in results)
     served = sum(result.served for result in results)
     print(f"{calls} calls, {served} served, {sum(faults.values())} faults")
+    unread, once = (sum(result.crossed[n] for result in results) for n in (0, 1))
+    print(f"{unread} requests crossed a close unread, {once} of them may not repeat")
     print(f"{len(results)} seeds, {len(broken)} with broken promises")
 
 
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -15,7 +15,8 @@
     RETRY_SLACK,
     RETRY_WINDOW,
 )
-from bench.soak._records import REPEATABLE, STORE, STREAMS, CallRecord, Change, Records
+from bench.soak._keepers import OVERTIME, Ending
+from bench.soak._records import AWAY, REPEATABLE, STORE, STREAMS, CallRecord, Change, Records
 
 PROMISES = frozenset(
     (
@@ -30,6 +31,10 @@
 SLACK = 0.6
 """Seconds by which a bound of time may be missed on a machine that runs much else."""
 
+EXIT_SECONDS = 0.6
+"""Seconds before the end of the time of grace at which hosts may end what is open: they do so 0.4 s
+before it, and SIGTERM was sent a moment before they counted."""
+
 MOST_RUNS = 2
 """Targets that may run one request, by the configuration."""
 
@@ -133,30 +138,75 @@
 
 
 def _lost(records: Records, runs: Runs) -> Iterator[str]:
-    """A host that nothing happened to, or that stops as planned, breaks off no request.
+    """A request that was read ends with a whole answer or a typed refusal.
 
-    Not counted: what was still running when the time of grace was nearly over.
+    Excused is what happened to its host other than planned work.  A stream that had begun cannot be
+    refused any more: it is also excused where its target failed, and where it outlasted its host's
+    time of grace, which is known by the time since SIGTERM was sent.
     """
     for call in records.calls.values():
-        broken = call.status == 0 and call.left is None and call.reached
-        if not broken or not runs.runs[call.id] or call.ended > call.deadline - SLACK:
+        if not _unanswered(call) or not _was_read(records, runs, call):
             continue
-        subjects = (call.host, *runs.targets(call))
-        if records.disturbed(subjects, begin=call.sent, end=call.ended):
+        faults = [window for window in records.windows if window.kind != AWAY]
+        without = Records(windows=faults)
+        if without.disturbed((call.host,), begin=call.sent, end=call.ended, after=SLACK):
             continue
-        if not _cut_by_grace(records, call):
+        if not (call.begun and _may_break_off(records, runs, call)):
             yield f"LOST: {call.id} was broken off at {call.host}"
 
 
-def _cut_by_grace(records: Records, call: CallRecord) -> bool:
+def _unanswered(call: CallRecord) -> bool:
+    """Return whether a host ended a connection without a whole answer."""
+    waited = call.deadline + OVERTIME - SLACK
+    return call.status == 0 and call.left is None and call.reached and call.ended < waited
+
+
+def _was_read(records: Records, runs: Runs, call: CallRecord) -> bool:
+    """Return whether a host has read a request: log, target or kernel say so."""
+    logged = (call.host, call.id) in records.read
+    return logged or bool(runs.runs[call.id]) or call.ending == Ending.READ.value
+
+
+def _may_break_off(records: Records, runs: Runs, call: CallRecord) -> bool:
+    """Return whether a stream that had begun may be broken off."""
+    late = call.ended > call.deadline - SLACK
+    failed = records.disturbed(runs.targets(call), begin=call.sent, end=call.ended)
+    return call.kind in STREAMS and (late or failed or _outlasted(records, call))
+
+
+def _outlasted(records: Records, call: CallRecord) -> bool:
     name = f"{call.host} planned"
     return any(
-        window.subject == name and call.ended - window.begin > GRACE_SECONDS * 5.0 / 6.0
+        window.subject == name and call.ended - window.begin > GRACE_SECONDS - EXIT_SECONDS
         for window in records.windows
         if window.begin <= call.ended <= window.end + SLACK
     )
 
 
+def _crossed(records: Records, runs: Runs) -> Iterator[str]:
+    """A request that may not repeat crosses no close that its caller could not know of."""
+    for call in records.calls.values():
+        unread = call.ending == Ending.UNREAD.value and not _was_read(records, runs, call)
+        if not unread or call.told or call.kind in REPEATABLE:
+            continue
+        if not records.disturbed((call.host,), begin=call.sent, end=call.ended):
+            yield f"CROSSED: {call.id} came upon a connection that {call.host} was closing"
+
+
+def crossed(records: Records) -> tuple[int, int]:
+    """Return how many requests crossed a close unread, and how many of them may not repeat.
+
+    Behind a proxy this cannot be told from a host at which nobody listens.
+    """
+    runs = Runs(records)
+    calls = [
+        call
+        for call in records.calls.values()
+        if call.ending == Ending.UNREAD.value and not _was_read(records, runs, call)
+    ]
+    return len(calls), sum(call.kind not in REPEATABLE for call in calls)
+
+
 def _drain(records: Records, runs: Runs) -> Iterator[str]:
     leaving = {n.target: n.at for n in records.notes if n.kind is NoteKind.DRAINING}
     for notes in runs.runs.values():
@@ -250,6 +300,7 @@
     _mixed,
     _endless,
     _lost,
+    _crossed,
     _drain,
     _gone,
     _configuration,
--- a/bench/soak/_clients.py
+++ b/bench/soak/_clients.py
@@ -10,14 +10,12 @@
 from azureswitch.platform import header_names
 from azureswitch_standins.target import digest
 from bench.soak._documents import EXTRA_KEY, HOST_HEADER, KEYS
+from bench.soak._keepers import OVERTIME
 from bench.soak._records import STREAMS, CallKind, CallRecord, Records
 
 DEADLINE = 5.0
 """Seconds that a caller gives a request."""
 
-OVERTIME = 1.5
-"""Seconds after that for which it still looks for an answer, to tell a late one from none."""
-
 PATHS = {
     CallKind.ASK: "/ask/",
     CallKind.REVIEW: "/ask/",
@@ -146,6 +144,7 @@
             timeout=DEADLINE + OVERTIME,
         )
         async with sending as answer:
+            call.begun = True
             call.seal = answer.head.header(name=header_names.SEAL) or ""
             while data := await answer.read():
                 call.body += data
--- a/bench/soak/_documents.py
+++ b/bench/soak/_documents.py
@@ -11,6 +11,11 @@
 HOST_HEADER = "a.example"
 POOL = "pool"
 DESK = "desk"
+SCRIBE = "scribe"
+CLERK = "clerk"
+"""Services of slow targets: a model engine, and two of a plain service."""
+
+STREAMING = frozenset((POOL, SCRIBE))
 ZONES = ("z1", "z2", "z3")
 GRACE_SECONDS = 8.0
 DRAIN_SECONDS = 2.0
@@ -34,6 +39,14 @@
         _route("/once/", "streaming", POOL, MaxAttempts=1, GapTargetMs=250, Sticky=True),
         _route("/book/", "non_idempotent", DESK, MaxAttempts=1),
         _route("/look/", "idempotent", DESK),
+        _route(
+            *("/long/", "streaming", SCRIBE),
+            MaxAttempts=1,
+            GapTargetMs=2_000,
+            Sticky=True,
+            TimeoutMs=15_000,
+        ),
+        _route("/slow/", "idempotent", CLERK, TimeoutMs=15_000),
         *(_route(f"/idle-{n}/", "idempotent", DESK) for n in range(idle_routes)),
     ]
     pace = {
@@ -50,7 +63,10 @@
     document = {
         "Version": version,
         "Routes": routes,
-        "Services": [{"Name": POOL, "Engine": pace}, {"Name": DESK}],
+        "Services": [
+            *({"Name": name, "Engine": pace} for name in (POOL, SCRIBE)),
+            *({"Name": name} for name in (DESK, CLERK)),
+        ],
         "Limits": {"IdleTimeoutMs": 9_000},
         "Tenants": [{"Name": name, "ApiKeys": held} for name, held in keys.items()],
     }
--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -7,14 +7,12 @@
 
 from azureswitch.exceptions import HttpError
 from azureswitch_standins.target import Act, TargetFaults
-from bench.soak._documents import GRACE_SECONDS
-from bench.soak._fleet import Fleet, Host, Target
+from bench.soak._documents import DESK, POOL
+from bench.soak._fleet import WORK, Fleet, Host, Target
+from bench.soak._planned import DOWN_SECONDS, stop_host
 from bench.soak._platform import Platform
 from bench.soak._proxy import FaultProxy, Mode
-from bench.soak._records import EVERYWHERE, STORE, Records, Window
-
-DOWN_SECONDS = (0.1, 1.5)
-"""Seconds for which a killed process is away, from and to."""
+from bench.soak._records import EVERYWHERE, STORE, Records
 
 LAST_SECONDS = (0.4, 3.5)
 """Seconds that other faults last."""
@@ -22,9 +20,6 @@
 STORE_SECONDS = (0.5, 5.0)
 """Seconds that faults of the store last: some are longer than leases, which lapse meanwhile."""
 
-UP_SECONDS = 2.0
-"""Seconds that a process has run before it is asked to stop."""
-
 CLOCK_STEPS = (-3.0, -0.5, 3.0)
 """Seconds by which the time of day of a restarted process is off."""
 
@@ -43,6 +38,9 @@
         platform: Makes changes.
         records: Takes the faults.
         seed: Draws them.
+
+    Attributes:
+        away: The names of who has a fault or planned work.
     """
 
     def __init__(self, *, fleet: Fleet, platform: Platform, records: Records, seed: int) -> None:
@@ -50,7 +48,7 @@
         self._platform = platform
         self._records = records
         self._random = Random(f"{seed} faults")
-        self._away: set[str] = set()
+        self.away: set[str] = set()
         self._kinds: dict[str, Fault] = {
             "host killed": self._kill_host,
             "host killed again and again": self._kill_series,
@@ -99,11 +97,6 @@
             # A target that is busy may not take its orders; how it then behaves is not known.
             self._records.findings.append(f"HARNESS: {kind} could not be brought about: {error}")
 
-    def _note(self, kind: str, subject: str, begin: float) -> None:
-        self._records.windows.append(
-            Window(kind=kind, subject=subject, begin=begin, end=monotonic())
-        )
-
     async def _last(self, span: tuple[float, float]) -> None:
         await asyncio.sleep(self._random.uniform(*span))
 
@@ -111,11 +104,11 @@
 
     def _host(self) -> Host | None:
         """Return a host with no fault of its process, or None; it is taken until given back."""
-        free = [host for host in self._fleet.hosts if host.name not in self._away]
+        free = [host for host in self._fleet.hosts if host.name not in self.away]
         if not free:
             return None
         host = self._random.choice(free)
-        self._away.add(host.name)
+        self.away.add(host.name)
         return host
 
     async def _kill(self, host: Host) -> None:
@@ -123,46 +116,32 @@
         await host.process.kill()
         await self._last(DOWN_SECONDS)
         await host.start(offset=self._random.choice((0.0, 0.0, *CLOCK_STEPS)))
-        self._note("host killed", host.name, begin)
+        self._records.note("host killed", host.name, begin)
 
     async def _kill_host(self) -> None:
         if host := self._host():
             await self._kill(host)
-            self._away.discard(host.name)
+            self.away.discard(host.name)
 
     async def _kill_series(self) -> None:
         if host := self._host():
             for _ in range(3):
                 await self._kill(host)
                 await asyncio.sleep(self._random.uniform(0.2, 1.2))
-            self._away.discard(host.name)
+            self.away.discard(host.name)
 
     async def _kill_all(self) -> None:
-        hosts = [host for host in self._fleet.hosts if host.name not in self._away]
-        self._away |= {host.name for host in hosts}
+        hosts = [host for host in self._fleet.hosts if host.name not in self.away]
+        self.away |= {host.name for host in hosts}
         begin = monotonic()
         await asyncio.gather(*(self._kill(host) for host in hosts))
-        self._away -= {host.name for host in hosts}
-        self._note("all hosts killed", EVERYWHERE, begin)
-
-    async def _stop(self, host: Host) -> None:
-        # A process that has not yet taken the signal over is ended by it at once.
-        await asyncio.sleep(max(0.0, host.started + UP_SECONDS - monotonic()))
-        begin = monotonic()
-        code = await host.process.terminate(timeout=GRACE_SECONDS)
-        if code != 0:
-            self._records.findings.append(f"GRACE: {host.name} ended with {code} after SIGTERM")
-            await host.process.kill()
-        self._note("host stopped", f"{host.name} planned", begin)
-        begin = monotonic()
-        await self._last(DOWN_SECONDS)
-        await host.start()
-        self._note("host away", host.name, begin)
+        self.away -= {host.name for host in hosts}
+        self._records.note("all hosts killed", EVERYWHERE, begin)
 
     async def _stop_host(self) -> None:
         if host := self._host():
-            await self._stop(host)
-            self._away.discard(host.name)
+            await stop_host(host, records=self._records, random=self._random)
+            self.away.discard(host.name)
 
     async def _roll_hosts(self) -> None:
         for _ in range(2):
@@ -174,8 +153,8 @@
             host.process.pause()
             await self._last(LAST_SECONDS)
             host.process.resume()
-            self._note("host paused", host.name, begin)
-            self._away.discard(host.name)
+            self._records.note("host paused", host.name, begin)
+            self.away.discard(host.name)
 
     async def _move_store(self) -> None:
         host = self._random.choice(self._fleet.hosts)
@@ -196,7 +175,7 @@
         await self._last(STORE_SECONDS)
         for proxy in host.stores:
             proxy.set_mode(Mode.PASS)
-        self._note(f"{mode.value} between host and store", host.name, begin)
+        self._records.note(f"{mode.value} between host and store", host.name, begin)
 
     async def _disturb(self, what: str, proxy: FaultProxy, subject: str) -> None:
         begin = monotonic()
@@ -206,32 +185,32 @@
             proxy.set_mode(self._random.choice(PROXY_MODES))
             await self._last(LAST_SECONDS)
             proxy.set_mode(Mode.PASS)
-        self._note(f"{what} disturbed", subject, begin)
+        self._records.note(f"{what} disturbed", subject, begin)
 
     # --- The store --------------------------------------------------------------------------------
 
     async def _store_fault(self, kind: str, **faults: object) -> None:
-        if STORE in self._away:
+        if STORE in self.away:
             return
-        self._away.add(STORE)
+        self.away.add(STORE)
         begin = monotonic()
         await self._fleet.set_store_faults(**faults)
         await self._last(STORE_SECONDS)
         await self._fleet.set_store_faults()
-        self._note(kind, STORE, begin)
-        self._away.discard(STORE)
+        self._records.note(kind, STORE, begin)
+        self.away.discard(STORE)
 
     async def _store_down(self) -> None:
-        if STORE in self._away:
+        if STORE in self.away:
             return
-        self._away.add(STORE)
+        self.away.add(STORE)
         begin = monotonic()
         mode = self._random.choice((Mode.REFUSE, Mode.SILENT, Mode.ONE_WAY, Mode.FORGET))
         self._fleet.store_proxy.set_mode(mode)
         await self._last(STORE_SECONDS)
         self._fleet.store_proxy.set_mode(Mode.PASS)
-        self._note(f"store {mode.value}", STORE, begin)
-        self._away.discard(STORE)
+        self._records.note(f"store {mode.value}", STORE, begin)
+        self.away.discard(STORE)
 
     async def _change(self) -> None:
         await self._platform.flip_extra_key()
@@ -249,13 +228,14 @@
             target
             for target in self._fleet.targets
             if target.process.running
-            and target.plan.name not in self._away
+            and target.plan.name not in self.away
+            and target.plan.service not in WORK
             and len(self._alike(target)) > 1
         ]
         if not free:
             return None
         target = self._random.choice(free)
-        self._away.add(target.plan.name)
+        self.away.add(target.plan.name)
         return target
 
     def _alike(self, target: Target) -> list[Target]:
@@ -263,29 +243,31 @@
             other
             for other in self._fleet.targets
             if other.process.running
-            and other.plan.name not in self._away
-            and other.plan.streams == target.plan.streams
+            and other.plan.name not in self.away
+            and other.plan.service == target.plan.service
         ]
 
     async def _kill_target(self) -> None:
         if target := self._target():
             begin = monotonic()
             await target.process.kill()
-            self._note("target killed", target.plan.name, begin)
+            self._records.note("target killed", target.plan.name, begin)
             await self._last(LAST_SECONDS)
-            await self._fleet.add_target(streams=target.plan.streams)
+            await self._fleet.add_target(service=target.plan.service)
 
     async def _reuse_address(self) -> None:
         """Kill a target and start one of the other service at its address after 2 s."""
         if target := self._target():
             begin = monotonic()
             await target.process.kill()
-            self._note("target killed", target.plan.name, begin)
+            self._records.note("target killed", target.plan.name, begin)
             await asyncio.sleep(2.0)
             await self._fleet.add_target(
-                streams=not target.plan.streams, listen=target.listen, proxy=target.proxy
+                service=DESK if target.plan.service == POOL else POOL,
+                listen=target.listen,
+                proxy=target.proxy,
             )
-            await self._fleet.add_target(streams=target.plan.streams)
+            await self._fleet.add_target(service=target.plan.service)
 
     async def _pause_target(self) -> None:
         if target := self._target():
@@ -293,13 +275,13 @@
             target.process.pause()
             await self._last(LAST_SECONDS)
             target.process.resume()
-            self._note("target paused", target.plan.name, begin)
-            self._away.discard(target.plan.name)
+            self._records.note("target paused", target.plan.name, begin)
+            self.away.discard(target.plan.name)
 
     async def _drain_target(self) -> None:
         """Let a target leave as it should, with another one in its place before."""
         if target := self._target():
-            fresh = await self._fleet.add_target(streams=target.plan.streams)
+            fresh = await self._fleet.add_target(service=target.plan.service)
             await fresh.listed.wait()
             await target.process.terminate(timeout=20.0)
 
@@ -313,10 +295,10 @@
             await target.set_faults(faults)
             await self._last(LAST_SECONDS)
             await target.set_faults(TargetFaults())
-            self._note(f"target {act.value}", target.plan.name, begin)
-            self._away.discard(target.plan.name)
+            self._records.note(f"target {act.value}", target.plan.name, begin)
+            self.away.discard(target.plan.name)
 
     async def _disturb_target(self) -> None:
         if target := self._target():
             await self._disturb("target", target.proxy, target.plan.name)
-            self._away.discard(target.plan.name)
+            self.away.discard(target.plan.name)
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -11,7 +11,17 @@
 from azureswitch.client import HttpClient
 from azureswitch.platform import HttpStore
 from azureswitch_standins.target import FAULTS_PATH, Note, NoteKind, TargetFaults, TargetPlan
-from bench.soak._documents import DESK, GRACE_SECONDS, MEMORY, POOL, ZONES, write_settings
+from bench.soak._documents import (
+    CLERK,
+    DESK,
+    GRACE_SECONDS,
+    MEMORY,
+    POOL,
+    SCRIBE,
+    STREAMING,
+    ZONES,
+    write_settings,
+)
 from bench.soak._process import PROGRAMS, ManagedProcess
 from bench.soak._proxy import FaultProxy
 from bench.soak._records import Records
@@ -26,6 +36,11 @@
 
 TARGET_PORT = 21_000
 
+WORK = {SCRIBE: 0.5, CLERK: 9.0}
+"""Seconds that slow targets take for an event, or an answer: longer than the 8 s of grace."""
+
+USUAL_WORK = 0.02
+
 STORE_NUMBER = 250
 FIRST_TARGET_NUMBER = 100
 """Hosts, targets and the store are told apart by the last number of their IP addresses."""
@@ -84,8 +99,14 @@
             command=(str(PROGRAMS / "python"), str(EDGE)), log=self.log, environment=environment
         )
         self.starts = 0
+        self.log_starts: list[int] = []
         self.started = 0.0
 
+    @property
+    def callers(self) -> str:
+        """``IP:PORT`` for callers, with no proxy before it."""
+        return f"{self._ip}:{FIRST_PORT}"
+
     @property
     def readiness(self) -> str:
         """``IP:PORT`` of its readiness."""
@@ -105,8 +126,9 @@
     async def start(self, *, offset: float = 0.0) -> None:
         """Start its process, whose time of day is off by so many seconds."""
         self.starts += 1
+        self.log_starts.append(self.log.stat().st_size if self.log.exists() else 0)
         self.started = monotonic()
-        program = [str(EDGE), f"{self._ip}:{FIRST_PORT}"]
+        program = [str(EDGE), self.callers]
         skewed = [str(LAUNCH), str(offset)] if offset else []
         await self.process.start([str(PROGRAMS / "python"), *skewed, *program])
 
@@ -210,8 +232,8 @@
         hosts, engines, desks = self._sizes
         await self.store_process.start()
         await self.store_proxy.start()
-        for number in range(engines + desks):
-            await self.add_target(streams=number < engines)
+        for service in (*[POOL] * engines, *[DESK] * desks, SCRIBE, CLERK, CLERK):
+            await self.add_target(service=service)
         await asyncio.gather(*(target.listed.wait() for target in self.targets))
         for number in range(hosts):
             host = Host(
@@ -225,16 +247,17 @@
         await asyncio.gather(*(host.start() for host in self.hosts))
 
     async def add_target(
-        self, *, streams: bool, listen: str = "", proxy: FaultProxy | None = None
+        self, *, service: str, listen: str = "", proxy: FaultProxy | None = None
     ) -> Target:
         """Start one more target, at a free address or at that of one which is gone."""
         number = next(self._names)
         plan = TargetPlan(
             name=f"i-{self._seed}-{number}",
-            service=POOL if streams else DESK,
+            service=service,
             place=ZONES[number % len(ZONES)],
             store=self.store_proxy.address,
-            streams=streams,
+            streams=service in STREAMING,
+            work=WORK.get(service, USUAL_WORK),
             memory=MEMORY,
         )
         listen = listen or f"{self._network}.{FIRST_TARGET_NUMBER + number}:{TARGET_PORT}"
--- a/bench/soak/_platform.py
+++ b/bench/soak/_platform.py
@@ -53,7 +53,13 @@
 
         Where none does all are used, as the platform does.
         """
-        hosts = {host.name: host.front.address for host in self._fleet.hosts}
+        return self._ready({host.name: host.front.address for host in self._fleet.hosts})
+
+    def ready_processes(self) -> dict[str, str]:
+        """Return the same hosts with their own addresses, behind no proxy."""
+        return self._ready({host.name: host.callers for host in self._fleet.hosts})
+
+    def _ready(self, hosts: dict[str, str]) -> dict[str, str]:
         ready = {n: a for n, a in hosts.items() if self._misses.get(n, MISSES) < MISSES}
         return ready or hosts
 
--- a/bench/soak/_process.py
+++ b/bench/soak/_process.py
@@ -1,6 +1,7 @@
 """Programs as processes of their own, which are ended by their ids alone."""
 
 import asyncio
+import re
 import sys
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
@@ -9,6 +10,8 @@
 PROGRAMS = Path(sys.executable).parent
 """Where the programs of this environment are installed."""
 
+_MASKS = re.compile(r"^Sig(?:Blk|Cgt):\s*([0-9a-f]+)$", re.MULTILINE)
+
 
 class ManagedProcess:
     """One process, which may be started again and again.
@@ -72,8 +75,7 @@
     async def terminate(self, *, timeout: float) -> int | None:
         """Ask it to stop, and return its exit code, or None where it did not stop in time."""
         assert self._process is not None
-        self._asked = True
-        self._send(SIGTERM)
+        self.ask_to_stop()
         try:
             async with asyncio.timeout(timeout):
                 code = await self._process.wait()
@@ -82,6 +84,11 @@
         await self._drained()
         return code
 
+    def ask_to_stop(self) -> None:
+        """Ask it to stop, and do not wait."""
+        self._asked = True
+        self._send(SIGTERM)
+
     def pause(self) -> None:
         """Let it stand still."""
         self._send(SIGSTOP)
@@ -91,14 +98,29 @@
         self._send(SIGCONT)
 
     def reload(self) -> None:
-        """Tell it that its settings may have changed."""
-        self._send(SIGHUP)
+        """Tell it that its settings may have changed, unless it cannot know of signals yet.
+
+        Before Python itself has started, no program can keep a signal from ending its process.
+        """
+        if self.running and self._has_taken(SIGHUP):
+            self._send(SIGHUP)
 
     def _send(self, number: Signals) -> None:
         if self.running:
             assert self._process is not None
             self._process.send_signal(number)
 
+    def _has_taken(self, number: Signals) -> bool:
+        """Return whether it holds a signal back or handles it, as its kernel says."""
+        assert self._process is not None
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
+        except FileNotFoundError:
+            # It has ended, which is about to be told.
+            return False
+        masks = [int(mask, base=16) for mask in _MASKS.findall(status)]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     async def _read(self) -> None:
         assert self._process is not None
         assert self._process.stdout is not None
--- a/bench/soak/_records.py
+++ b/bench/soak/_records.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from time import monotonic
 
 from azureswitch_standins.target import Note
 
@@ -11,6 +12,9 @@
 
 STORE = "store"
 
+AWAY = "host away"
+"""Kind of the time between a planned stop of a host and its next start."""
+
 AFTERMATH = 3.0
 """Seconds after a fault in which bounds of time are not held against its subject.
 
@@ -26,10 +30,14 @@
     ONCE = "once"
     BOOK = "book"
     LOOK = "look"
+    LONG = "long"
+    SLOW = "slow"
 
 
-REPEATABLE = frozenset((CallKind.ASK, CallKind.REVIEW, CallKind.LOOK))
-STREAMS = frozenset((CallKind.ASK, CallKind.REVIEW, CallKind.ONCE))
+REPEATABLE = frozenset((CallKind.ASK, CallKind.REVIEW, CallKind.LOOK, CallKind.SLOW))
+STREAMS = frozenset((CallKind.ASK, CallKind.REVIEW, CallKind.ONCE, CallKind.LONG))
+LENGTHY = (CallKind.LONG, CallKind.SLOW)
+"""Kinds that outlast the time of grace: a stream, and a plain call."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -51,6 +59,9 @@
         body: The answer's body, as far as it came.
         reached: Whether the host took the connection.
         left: When its caller left, or None.
+        begun: Whether the head of an answer arrived.
+        ending: How its connection ended without a whole answer, where that is known.
+        told: Whether its connection was known to close when it was sent.
     """
 
     id: str
@@ -67,6 +78,9 @@
     body: bytes = b""
     reached: bool = True
     left: float | None = None
+    begun: bool = False
+    ending: str = ""
+    told: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -120,7 +134,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class Records:
-    """All of a run."""
+    """All of a run.
+
+    Attributes:
+        calls: The calls, by id.
+        notes: What targets did.
+        windows: Faults and planned work.
+        changes: Configurations.
+        samples: What hosts had in force.
+        findings: Broken promises that were seen at once.
+        read: Hosts with the ids of requests that their logs name.
+    """
 
     calls: dict[str, CallRecord] = field(default_factory=dict)
     notes: list[Note] = field(default_factory=list)
@@ -128,6 +152,11 @@
     changes: list[Change] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
+    read: set[tuple[str, str]] = field(default_factory=set)
+
+    def note(self, kind: str, subject: str, begin: float) -> None:
+        """Note a fault that has lasted until now."""
+        self.windows.append(Window(kind=kind, subject=subject, begin=begin, end=monotonic()))
 
     def disturbed(
         self, subjects: Iterable[str], *, begin: float, end: float, after: float = AFTERMATH
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -12,11 +12,14 @@
 from azureswitch.client import HttpClient
 from azureswitch.exceptions import HttpError
 from azureswitch_standins.target import REPORT_PATH, Report
-from bench.soak._checks import check
-from bench.soak._clients import DEADLINE, OVERTIME, Caller
+from bench.soak._checks import check, crossed
+from bench.soak._clients import DEADLINE, Caller
 from bench.soak._documents import MEMORY
 from bench.soak._faults import Faults
 from bench.soak._fleet import START_SECONDS, Fleet, Target
+from bench.soak._keepers import OVERTIME, Keeper
+from bench.soak._logs import read_log
+from bench.soak._planned import Planned
 from bench.soak._platform import Platform
 from bench.soak._records import EVERYWHERE, Records, Window
 
@@ -60,6 +63,8 @@
         seconds: Seconds in which faults begin.
         faults: How many faults.
         only: The one kind of fault, or nothing for all.
+        keepers: Callers who use their connections to the end.
+        planned: Planned works beside the faults.
     """
 
     seed: int
@@ -70,6 +75,8 @@
     seconds: float = 12.0
     faults: int = 10
     only: str = ""
+    keepers: int = 6
+    planned: int = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,6 +89,7 @@
         served: Requests that were answered with success.
         faults: Faults by kind.
         broken: A line for each broken promise.
+        crossed: Requests that crossed a close unread, and those of them that may not repeat.
     """
 
     seed: int
@@ -89,6 +97,7 @@
     served: int
     faults: Counter[str]
     broken: tuple[str, ...]
+    crossed: tuple[int, int] = (0, 0)
 
 
 async def run(plan: Plan, *, folder: Path) -> Result:
@@ -132,12 +141,16 @@
         served=sum(call.status == 200 for call in records.calls.values()),
         faults=Counter(window.kind for window in records.windows),
         broken=tuple(broken),
+        crossed=crossed(records),
     )
 
 
 async def _play(plan: Plan, fleet: Fleet, platform: Platform, records: Records) -> None:
     faults = Faults(fleet=fleet, platform=platform, records=records, seed=plan.seed)
-    stop = asyncio.Event()
+    planned = Planned(
+        fleet=fleet, platform=platform, records=records, seed=plan.seed, away=faults.away
+    )
+    stop, calm_begins = asyncio.Event(), asyncio.Event()
     callers = [
         asyncio.create_task(
             Caller(
@@ -149,8 +162,24 @@
         )
         for number in range(plan.callers)
     ]
+    callers += [
+        asyncio.create_task(
+            Keeper(
+                name=f"{plan.seed}-k{number}",
+                hosts=platform.ready_processes,
+                records=records,
+                seed=plan.seed,
+                polite=number % 2 == 0,
+                lengthy=number % 3 == 0,
+            ).run(stop=calm_begins)
+        )
+        for number in range(plan.keepers)
+    ]
     try:
-        await faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(planned.run(count=plan.planned, seconds=plan.seconds))
+            group.create_task(faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only))
+        calm_begins.set()
         await platform.until_ready(seconds=START_SECONDS, say=records.findings.append)
         await asyncio.sleep(SETTLE_SECONDS)
         calm = monotonic()
@@ -166,9 +195,14 @@
     live = [target for target in fleet.targets if target.process.running]
     for line in await asyncio.gather(*(_held(target) for target in live)):
         records.findings += line
-    records.findings += _failed(fleet)
+    records.findings += [
+        f"EXIT: {host.name} ended of itself" for host in fleet.hosts if host.process.failed
+    ]
     codes = await fleet.stop_hosts()
     records.findings += [f"GRACE: a host ended with {code}" for code in codes if code != 0]
+    records.findings += _failed(fleet)
+    for host in fleet.hosts:
+        read_log(host.log, starts=host.log_starts, host=host.name, records=records)
 
 
 async def notice_stalls(records: Records) -> None:
@@ -219,8 +253,8 @@
 
 
 def _failed(fleet: Fleet) -> list[str]:
-    """Return who ended of itself, and which programs told of faults of their own."""
-    lines = [f"EXIT: {host.name} ended of itself" for host in fleet.hosts if host.process.failed]
+    """Return which programs told of faults of their own, also as they stopped."""
+    lines: list[str] = []
     for host in fleet.hosts:
         with host.log.open("rb") as log:
             errors = [line for line in log if PROGRAM_ERROR in line]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,10 +1,13 @@
 """The soak finds each broken promise, and none in a run that keeps them."""
 
+from dataclasses import replace
+
 import pytest
 
 from azureswitch_standins.target import Note, NoteKind, answer_body, event, event_count, seal
-from bench.soak._checks import check
-from bench.soak._records import CallKind, CallRecord, Change, Records, Sample, Window
+from bench.soak._checks import check, crossed
+from bench.soak._keepers import Ending
+from bench.soak._records import AWAY, CallKind, CallRecord, Change, Records, Sample, Window
 from bench.soak._run import unserved
 
 
@@ -35,6 +38,9 @@
 
 
 RUN = note(NoteKind.RUN)
+UNREAD = call(status=0, body=b"", ending=Ending.UNREAD.value)
+BEGUN = call(CallKind.ONCE, status=0, body=event("c1", 1), begun=True, ended=11.0)
+"""A stream that was broken off after its first event."""
 CHANGES = [
     Change(version=1, at=0.0, extra=True),
     Change(version=4, at=5.0, extra=False),
@@ -46,9 +52,27 @@
     return Window(kind="fault", subject=subject, begin=begin, end=end)
 
 
+AWAY_AGAIN = Window(kind=AWAY, subject="h1", begin=10.2, end=11.0)
+
+
 class TestCheck:
     """Unit tests of `check`."""
 
+    @pytest.mark.parametrize(
+        ("kind", "read", "counts"),
+        [
+            (CallKind.LOOK, False, (1, 0)),
+            (CallKind.BOOK, False, (1, 1)),
+            (CallKind.LOOK, True, (0, 0)),
+        ],
+    )
+    def test_crossed(self, kind: CallKind, read: bool, counts: tuple[int, int]) -> None:
+        """Requests that crossed a close are counted, but for those that a log shows as read."""
+        record = replace(UNREAD, kind=kind, told=True)
+        records = Records(calls={"c1": record}, read={("h1", "c1")} if read else set())
+        assert crossed(records) == counts
+        assert [line.partition(":")[0] for line in check(records)] == ["LOST"] * read
+
     @pytest.mark.parametrize(
         ("promise", "record", "notes", "windows"),
         [
@@ -69,6 +93,17 @@
             ("TIME", call(ended=16.5), [RUN], []),
             ("LOST", call(status=0, body=b""), [RUN], []),
             ("LOST", call(status=0, body=b""), [RUN], [window("h1 planned")]),
+            ("LOST", call(status=0, body=b""), [RUN], [window("t1", end=8.0)]),
+            (
+                "LOST",
+                call(status=0, body=b"", ended=11.0),
+                [RUN],
+                [window("h1 planned", begin=3.0)],
+            ),
+            ("LOST", BEGUN, [RUN], [window("h1 planned", begin=4.0)]),
+            ("LOST", call(status=0, body=b"", ending=Ending.READ.value), [], []),
+            ("LOST", call(status=0, body=b""), [RUN], [AWAY_AGAIN]),
+            ("CROSSED", UNREAD, [], [window("h1 planned")]),
             (
                 "DRAIN",
                 call(),
@@ -100,8 +135,11 @@
             (call(CallKind.LOOK), [RUN, note(NoteKind.RUN, 10.15, "t2")], []),
             (call(status=503, seal="", body=b""), [note(NoteKind.REFUSED)], []),
             (call(status=0, body=b""), [RUN], [window("h1")]),
-            (call(status=0, body=b""), [RUN], [window("t1", end=8.0)]),
-            (call(status=0, body=b"", ended=11.0), [RUN], [window("h1 planned", begin=3.0)]),
+            (BEGUN, [RUN], [window("t1", end=8.0)]),
+            (BEGUN, [RUN], [window("h1 planned", begin=3.0)]),
+            (UNREAD, [], [window("h1")]),
+            (replace(UNREAD, told=True), [], [window("h1 planned")]),
+            (replace(UNREAD, kind=CallKind.LOOK), [], [window("h1 planned")]),
             (call(ended=16.5), [RUN], [window("h1 planned")]),
             (call(status=0, body=b"", reached=False), [], []),
             (call(), [note(NoteKind.DRAINING, 7.0, id=""), RUN], [window("store")]),
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -18,7 +18,7 @@
     """A target whose process runs, and which does not listen until its entry is in the store."""
 
     def __init__(self, *, name: str) -> None:
-        self.plan = SimpleNamespace(name=name, streams=True)
+        self.plan = SimpleNamespace(name=name, service="pool")
         self.process = SimpleNamespace(running=True)
         self.listed = asyncio.Event()
         self.orders = 0
