Start targets again under their names in the soak, each start with a born of its own

Cause: a target may start again under its name with nothing of what it held; the stand-in could not, and nothing told the answers of its starts apart. It now writes born and Sequence into its entry and puts its start into the mark of its answers. Targets are killed with requests open, with memory set aside, and out of the hosts' reach until after their entries tell of the new start.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -49,6 +49,7 @@
         option("faults", description="Faults in a run, else 10.", flag=False),
         option("keepers", description="Callers who keep connections, else 6.", flag=False),
         option("planned", description="Planned works, else 2.", flag=False),
+        option("restarts", description="Restarts of targets, else 2.", flag=False),
         option("only", description="The one kind of fault, else all.", flag=False),
     ]
 
@@ -63,6 +64,7 @@
             faults=self.value("faults", Integer(low=0), default=10),
             only=self.option("only") or "",
             keepers=self.value("keepers", Integer(low=0), default=6),
+            restarts=self.value("restarts", Integer(low=0), default=2),
             planned=self.value("planned", Integer(low=0), default=2),
         )
         fresh = self.value("fresh", Integer(low=0), default=0)
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -268,6 +268,7 @@
             plan=plan, proxy=proxy, listen=listen, records=self._records, folder=self._folder
         )
         self.targets.append(target)
+        self._records.services[plan.name] = service
         await target.process.start()
         return target
 
--- a/bench/soak/_records.py
+++ b/bench/soak/_records.py
@@ -143,6 +143,7 @@
         changes: Configurations.
         samples: What hosts had in force.
         findings: Broken promises that were seen at once.
+        services: The services of targets, by name.
         read: Hosts with the ids of requests that their logs name.
     """
 
@@ -152,6 +153,7 @@
     changes: list[Change] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
+    services: dict[str, str] = field(default_factory=dict)
     read: set[tuple[str, str]] = field(default_factory=set)
 
     def note(self, kind: str, subject: str, begin: float) -> None:
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -22,6 +22,7 @@
 from bench.soak._planned import Planned
 from bench.soak._platform import Platform
 from bench.soak._records import EVERYWHERE, Records, Window
+from bench.soak._restarts import Restarts
 
 SETTLE_SECONDS = 5.0
 """Seconds of calm before everything must be served again."""
@@ -65,6 +66,7 @@
         only: The one kind of fault, or nothing for all.
         keepers: Callers who use their connections to the end.
         planned: Planned works beside the faults.
+        restarts: Targets that start again under their names, beside the faults.
     """
 
     seed: int
@@ -77,6 +79,7 @@
     only: str = ""
     keepers: int = 6
     planned: int = 2
+    restarts: int = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -150,6 +153,7 @@
     planned = Planned(
         fleet=fleet, platform=platform, records=records, seed=plan.seed, away=faults.away
     )
+    restarts = Restarts(fleet=fleet, records=records, seed=plan.seed, away=faults.away)
     stop, calm_begins = asyncio.Event(), asyncio.Event()
     callers = [
         asyncio.create_task(
@@ -177,6 +181,7 @@
     ]
     try:
         async with asyncio.TaskGroup() as group:
+            group.create_task(restarts.run(count=plan.restarts, seconds=plan.seconds))
             group.create_task(planned.run(count=plan.planned, seconds=plan.seconds))
             group.create_task(faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only))
         calm_begins.set()
--- a/src/azureswitch_standins/target/_content.py
+++ b/src/azureswitch_standins/target/_content.py
@@ -25,6 +25,11 @@
     return f"id: {number}\ndata: {id} {number}\n\n".encode()
 
 
-def seal(id: str) -> str:
-    """Return the mark that a target puts on its answer to a request."""
-    return xxh3_64_hexdigest(f"seal {id}".encode())
+def seal(id: str, *, born: int = 0) -> str:
+    """Return the mark that a target puts on its answer to a request.
+
+    Args:
+        id: The request.
+        born: When the target's process started, which tells its starts apart.
+    """
+    return xxh3_64_hexdigest(f"seal {id} {born}".encode())
--- a/src/azureswitch_standins/target/_registration.py
+++ b/src/azureswitch_standins/target/_registration.py
@@ -30,6 +30,8 @@
     place: str = msgspec.field(name="Zone")
     slots: int = msgspec.field(name="Slots")
     state: str = msgspec.field(name="State")
+    sequence: int = msgspec.field(name="Sequence")
+    born: int
     models: tuple[dict[str, str], ...] = msgspec.field(name="Models", default=())
 
 
@@ -39,16 +41,29 @@
     Args:
         plan: What the target is.
         address: Where it is reached.
+        born: When its process started, in milliseconds of the wall clock.
+        sequence: Returns how many orders it has taken since then.
         entered: Called once the store has accepted a state, with whether it is that of leaving.
     """
 
-    def __init__(self, *, plan: TargetPlan, address: str, entered: Callable[[bool], None]) -> None:
+    def __init__(
+        self,
+        *,
+        plan: TargetPlan,
+        address: str,
+        born: int,
+        sequence: Callable[[], int],
+        entered: Callable[[bool], None],
+    ) -> None:
         self._plan = plan
         self._address = address
+        self._born = born
+        self._sequence = sequence
         self._entered = entered
         self._store = HttpStore(address=plan.store, timeout=STORE_TIMEOUT)
         self._told: bool | None = None
         self._leaving = False
+        self._written: dict[bool, bytes] = {}
 
     async def run(self) -> None:
         """Keep the entry and beat until cancelled."""
@@ -88,6 +103,12 @@
                 logging.info("target: The entry stays for now: %s", error)
 
     def _entry(self) -> bytes:
+        """Return the entry in this state, which a sequence that grows alone does not change."""
+        if self._leaving not in self._written:
+            self._written[self._leaving] = self._encoded()
+        return self._written[self._leaving]
+
+    def _encoded(self) -> bytes:
         plan = self._plan
         return msgspec.json.encode(
             Entry(
@@ -96,6 +117,8 @@
                 place=plan.place,
                 slots=plan.slots,
                 state="draining" if self._leaving else "in_service",
+                sequence=self._sequence(),
+                born=self._born,
                 models=({"Name": "m"},) if plan.streams else (),
             )
         )
