Let the soak write foreign entries into the store, on demand

Cause: nothing showed what hosts make of entries that another program leaves among those of targets and hosts: fields missing, wrong types, unknown state or service, a bad address, unreadable bytes.

Hosts must be ready in 6 s beside them; a fault of the store excuses that.

--- a/bench/soak/_platform.py
+++ b/bench/soak/_platform.py
@@ -63,10 +63,14 @@
         ready = {n: a for n, a in hosts.items() if self._misses.get(n, MISSES) < MISSES}
         return ready or hosts
 
+    def is_ready(self, name: str) -> bool:
+        """Return whether a host has just said that it takes connections."""
+        return self._misses.get(name, MISSES) == 0
+
     @property
     def all_ready(self) -> bool:
         """Whether every host has just said that it takes connections."""
-        return all(self._misses.get(host.name, MISSES) == 0 for host in self._fleet.hosts)
+        return all(self.is_ready(host.name) for host in self._fleet.hosts)
 
     async def change(self, *, extra: bool | None = None, idle_routes: int | None = None) -> None:
         """Write a configuration as an operator does, and go on until the store has accepted it."""
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -17,6 +17,7 @@
 from bench.soak._documents import MEMORY
 from bench.soak._faults import Faults
 from bench.soak._fleet import START_SECONDS, Fleet, Target
+from bench.soak._foreign import Foreign
 from bench.soak._keepers import OVERTIME, Keeper
 from bench.soak._logs import read_log
 from bench.soak._planned import Planned
@@ -67,6 +68,7 @@
         keepers: Callers who use their connections to the end.
         planned: Planned works beside the faults.
         restarts: Targets that start again under their names, beside the faults.
+        foreign: Sets of foreign entries in the store.
     """
 
     seed: int
@@ -80,6 +82,7 @@
     keepers: int = 6
     planned: int = 2
     restarts: int = 2
+    foreign: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -154,6 +157,9 @@
         fleet=fleet, platform=platform, records=records, seed=plan.seed, away=faults.away
     )
     restarts = Restarts(fleet=fleet, records=records, seed=plan.seed, away=faults.away)
+    foreign = Foreign(
+        fleet=fleet, platform=platform, records=records, seed=plan.seed, away=faults.away
+    )
     stop, calm_begins = asyncio.Event(), asyncio.Event()
     callers = [
         asyncio.create_task(
@@ -182,9 +188,11 @@
     try:
         async with asyncio.TaskGroup() as group:
             group.create_task(restarts.run(count=plan.restarts, seconds=plan.seconds))
+            group.create_task(foreign.run(count=plan.foreign, seconds=plan.seconds))
             group.create_task(planned.run(count=plan.planned, seconds=plan.seconds))
             group.create_task(faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only))
         calm_begins.set()
+        records.findings += foreign.unready()
         await platform.until_ready(seconds=START_SECONDS, say=records.findings.append)
         await asyncio.sleep(SETTLE_SECONDS)
         calm = monotonic()
