--- a/bench/soak/_regressions.py
+++ b/bench/soak/_regressions.py
@@ -39,4 +39,8 @@
         plan=Plan(seed=106, faults=0, planned=3, restarts=0),
         cause="A host whose time of grace was over ended, and requests that it had read with it.",
     ),
+    Regression(
+        plan=Plan(seed=51),
+        cause="A host that stopped listening reset connections that waited there, unread.",
+    ),
 )
