--- a/bench/soak/_platform.py
+++ b/bench/soak/_platform.py
@@ -53,14 +53,24 @@
 
         Where none does all are used, as the platform does.
         """
-        hosts = {host.name: host.front.address for host in self._fleet.hosts}
+        return self._ready({host.name: host.front.address for host in self._fleet.hosts})
+
+    def ready_processes(self) -> dict[str, str]:
+        """Return the same hosts with their own addresses, behind no proxy."""
+        return self._ready({host.name: host.callers for host in self._fleet.hosts})
+
+    def _ready(self, hosts: dict[str, str]) -> dict[str, str]:
         ready = {n: a for n, a in hosts.items() if self._misses.get(n, MISSES) < MISSES}
         return ready or hosts
 
+    def is_ready(self, name: str) -> bool:
+        """Return whether a host has just said that it takes connections."""
+        return self._misses.get(name, MISSES) == 0
+
     @property
     def all_ready(self) -> bool:
         """Whether every host has just said that it takes connections."""
-        return all(self._misses.get(host.name, MISSES) == 0 for host in self._fleet.hosts)
+        return all(self.is_ready(host.name) for host in self._fleet.hosts)
 
     async def change(self, *, extra: bool | None = None, idle_routes: int | None = None) -> None:
         """Write a configuration as an operator does, and go on until the store has accepted it."""
