Let open calls go on at the targets of now, and call none off without another target

Cause: a call kept the pool that was listed as it came, so that it found no target, and was given up, once all of them had been replaced; and a target that answered no poll lost its attempts also where the call had nowhere else to go, which ended answers that may still have come. Ruled out: a stricter look for room before an attempt is called off (as silence has it); calls at a dead target would stay there whenever others wait.

--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -195,13 +195,16 @@
 def lose(state: ServingState, target: TargetName, *, now: float) -> list[Effect]:
     """Start the attempts at a target that answers no poll any more elsewhere.
 
-    A call that may not repeat, or has no further attempt, stays: its answer may still come.
+    A call that may not repeat, or has no further attempt or no other target, stays: its answer may
+    still come.
     """
     effects: list[Effect] = []
     for record in list(state.calls.values()):
         at = [a.number for a in record.attempts.values() if target in a.targets]
         if not at or not _may_follow(state, record, now=now):
             continue
+        if not _has_other(state, record, target, now=now):
+            continue
         record.failed.add(target)
         for number in at:
             effects += _cancel(state, record, number)
@@ -262,6 +265,14 @@
     return record.call.repeatable and in_time and more_runs and more_retries
 
 
+def _has_other(state: ServingState, record: CallRecord, target: TargetName, *, now: float) -> bool:
+    """Return whether a call has a sound target beside one; each failed poll asks again."""
+    return any(
+        other.preferred(now) and other.target.name != target
+        for other in state.fleet.states(record.pool)
+    )
+
+
 def _finds_target(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> bool:
     """Return whether a call would be sent at once if an attempt's targets are left out."""
     if any(True for _ in state.queue.customers(lane_of(record))):
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -247,6 +247,14 @@
         self._fleet.adopt(snapshot)
         self._split.adopt(snapshot.rules)
         self._fairness.adopt(snapshot.inventory.customers)
+        self._renew_pools()
+
+    def _renew_pools(self) -> None:
+        """Let open calls go on at the targets of now; those that they came with may have left."""
+        for record in self._calls.values():
+            call = record.call
+            pool = self._fleet.pool(service=call.service, model=call.model)
+            record.pool = pool or record.pool
 
     def leave(self, *, until: float) -> None:
         """Begin nothing more that cannot end by a moment, or by an earlier one set before."""
