Test that an entry host that drains sends open calls again

Cause: a stop without a time of its own is taken for one that ends now, so that no open call is sent again once its target breaks off: its caller's answer is broken off while the host serves on. Ruled out: hosts that are told when they end; they send again what can end before.

--- a/tests/serving/test_stopping.py
+++ b/tests/serving/test_stopping.py
@@ -120,3 +120,20 @@
         refused(driver, plain_call("c1", repeatable=True))
         driver.tick(0.2)
         assert len(only(FinishCall, driver.effects)) == 1
+
+
+class TestDrain:
+    """A host that takes no new work, and has no end, serves on what is open."""
+
+    @pytest.mark.parametrize("call", [model_call("c1"), plain_call("c1", repeatable=True)])
+    def test_broken(self, call: Call) -> None:
+        """A call whose target breaks off is sent again; a new one is refused."""
+        driver = Driver()
+        sent(driver, call)
+        driver.send(ShutdownBegan(now=driver.now))
+        driver.send(AttemptEnded(now=driver.now, call=CALL, attempt=1, end=AttemptEnd.BROKEN))
+        driver.arrive(model_call("c2"))
+        assert isinstance(driver.error("c2"), LeavingError)
+        driver.tick(1.0)
+        assert len(only(StartAttempt, driver.effects)) == 2
+        assert CALL in driver.state.calls
