Let a host that drains without an end send open calls again

Cause: the entry tells the reducer that it stops and names no time, which was taken for the present moment, also as the time by which open calls must have ended. Ruled out: dropping the bound for hosts that name a time; their tries must end before it.

--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -60,7 +60,7 @@
 def _wrong(state: ServingState, call: Call, *, now: float) -> AzureswitchError | None:
     if state.snapshot is None:
         return NotConfiguredError()
-    if now >= state.stops_at:
+    if now >= state.closes_at:
         return LeavingError()
     if not state.fleet.has_service(call.service):
         return UnknownServiceError(service=call.service)
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -307,7 +307,7 @@
 
     Attributes:
         until: When what is open is ended, in seconds of the monotonic clock, or None where no new
-            work is taken at all.
+            work is taken at all and what is open goes on.
     """
 
     until: float | None = None
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -274,7 +274,10 @@
 
 @_apply.register
 def _(event: ShutdownBegan, state: ServingState) -> list[Effect]:
-    state.leave(until=event.now if event.until is None else event.until)
+    if event.until is None:
+        state.close(now=event.now)
+    else:
+        state.leave(until=event.until)
     return []
 
 
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -137,6 +137,7 @@
         self._myself = myself
         self._random = Random(seed)
         self._snapshot: Snapshot | None = None
+        self._closes_at = inf
         self._stops_at = inf
         self._calls: dict[CallId, CallRecord] = {}
         self._abandoned_claims: dict[CallId, float] = {}
@@ -175,6 +176,11 @@
         """The rules in force, or the defaults before the first configuration."""
         return self._snapshot.rules if self._snapshot else Rules()
 
+    @property
+    def closes_at(self) -> float:
+        """When this host takes no more new calls, or infinity where it goes on."""
+        return min(self._closes_at, self._stops_at)
+
     @property
     def stops_at(self) -> float:
         """When this host ends what is open, or infinity where it does not stop."""
@@ -256,6 +262,10 @@
             pool = self._fleet.pool(service=call.service, model=call.model)
             record.pool = pool or record.pool
 
+    def close(self, *, now: float) -> None:
+        """Take no new calls; what is open goes on until its deadline, and may be sent again."""
+        self._closes_at = min(self._closes_at, now)
+
     def leave(self, *, until: float) -> None:
         """Begin nothing more that cannot end by a moment, or by an earlier one set before."""
         self._stops_at = min(self._stops_at, until)
