Test that a silent target is given up only for another one

Cause: where a target that failed is the only one it is chosen all the same, which is taken for another target that can go on; a live attempt is called off and begins anew at the same target. Ruled out: waiting calls and the end of the host, whose bounds had no case of their own; taken out of the reducer on trial, neither was noticed, and each has one now. Conclusion: a fault of the reducer; listed as known to fail until the repair.

--- a/tests/serving/test_silence.py
+++ b/tests/serving/test_silence.py
@@ -13,9 +13,19 @@
     ClaimGranted,
     FinishCall,
     RetryBudget,
+    ShutdownBegan,
     StartAttempt,
 )
-from tests.serving.fixtures import Driver, booking, model_call, only, plain_call, snapshot
+from azureswitch.serving._attempts import lane_of
+from tests.serving.fixtures import (
+    CUSTOMERS,
+    Driver,
+    booking,
+    model_call,
+    only,
+    plain_call,
+    snapshot,
+)
 
 CALL = CallId("c1")
 
@@ -84,6 +94,29 @@
         driver.tick(61.0)
         assert isinstance(driver.error("c1"), DeadlineExceededError)
 
+    def test_alone(self) -> None:
+        """Without another target the call stays where it is."""
+        driver = sent(plain_call("c1", repeatable=True), targets=1)
+        assert not silence(driver)
+        assert driver.state.calls[CALL].attempts
+
+    def test_others_wait(self) -> None:
+        """Where others wait for a target the call stays, and does not go behind them."""
+        driver = sent(plain_call("c1", repeatable=True))
+        record = driver.state.calls[CALL]
+        driver.state.queue.push(
+            lane=lane_of(record), customer=CUSTOMERS[1], call=CallId("c2"), seconds=1.0, first=False
+        )
+        assert not silence(driver)
+        assert record.attempts
+
+    def test_host_stops(self) -> None:
+        """Where the host stops before another attempt could begin, the call stays where it is."""
+        driver = sent(plain_call("c1", repeatable=True))
+        driver.send(ShutdownBegan(now=driver.now, until=driver.now + 0.05))
+        assert not silence(driver)
+        assert driver.state.calls[CALL].attempts
+
     def test_not_repeatable(self) -> None:
         """What may run once is waited for, whatever other targets there are."""
         driver = sent(plain_call("c1"))
