Call a silent target off only for another one

Cause: the look for another target took the same one for it, where no other was left. Measured: the listed case fails without this and passes with it; taken out on trial, each of the three bounds of a silence fails a case of tests/serving/test_silence.py.

--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -274,14 +274,14 @@
 
 
 def _finds_target(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> bool:
-    """Return whether a call would be sent at once if an attempt's targets are left out."""
+    """Return whether a call would be sent at once, and not to the target that answers now."""
     if any(True for _ in state.queue.customers(lane_of(record))):
         return False
     left_out = set(attempt.targets) - record.failed
     record.failed.update(left_out)
     choice = choose(state, record, now=now)
     record.failed.difference_update(left_out)
-    return choice is not None
+    return choice is not None and choice.targets[0] != attempt.targets[0]
 
 
 def age(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
