Test that a call that may run no more stays at a target that answers no poll

Cause: the bound was in the code and in no test; taken out on trial, no case noticed. Ruled out: calls that may not repeat, which have cases. Measured: 2 of 2 new cases pass, and fail with the bound taken out. Conclusion: held by a test now.

--- a/tests/serving/test_elsewhere.py
+++ b/tests/serving/test_elsewhere.py
@@ -67,6 +67,18 @@
         first, second = only(StartAttempt, driver.effects)
         assert second.targets != first.targets
 
+    @pytest.mark.parametrize(("call", "targets", "others"), CASES)
+    def test_last_run(
+        self, call: Call, targets: tuple[Target, ...], others: tuple[Target, ...]
+    ) -> None:
+        """A call that may run no more stays, whatever other targets there are."""
+        driver = sent(call, targets + others)
+        record = driver.state.calls[CALL]
+        record.run_count = record.call.runs - 1
+        lose(driver)
+        assert record.attempts
+        assert not only(FinishCall, driver.effects)
+
 
 class TestReplaced:
     """A call whose targets have been replaced goes on at the new ones."""
