Hold memory and the log of what is cut off against a stop, and give the measured figure

Cause: no test of a stop held memory at engines or looked for the line on what has no end; a remark named a share of requests that was not measured.

Ruled out: nothing is changed but the remark.

--- a/src/azureswitch/gateway/_stopping.py
+++ b/src/azureswitch/gateway/_stopping.py
@@ -24,8 +24,10 @@
 """
 
 CLOSE_MARGIN = 2.0
-"""Seconds before the end in which a process does not listen any more; half of all requests last for
-0.12 s and nineteen in twenty for less than this, as played by the users."""
+"""Seconds before the end in which a process does not listen any more.
+
+Five in eight of 596 streams on one day took less, and a plain call takes 0.1 s.
+"""
 
 EXIT_MARGIN = 0.4
 """Seconds before the process would be killed at which it ends of itself."""
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -212,12 +212,14 @@
     Attributes:
         held: What is set aside now, by address and ticket.
         asked: How often memory was asked for.
+        delay: Seconds that freeing it takes.
         failing: How engines fail, by their address.
     """
 
     def __init__(self) -> None:
         self.held: dict[tuple[str, str], int] = {}
         self.asked = 0
+        self.delay = 0.0
         self.failing: dict[str, type[TargetError]] = {}
 
     async def reserve(self, *, address: str, ticket: str, tokens: int, seconds: float) -> None:
@@ -229,6 +231,7 @@
 
     async def release(self, *, address: str, ticket: str) -> None:
         """Free it."""
+        await asyncio.sleep(self.delay)
         self.held.pop((address, ticket), None)
 
 
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -163,6 +163,37 @@
 
         run(scenario)
 
+    def test_memory(self) -> None:
+        """Engines have been told that memory is free again before the process goes."""
+
+        async def scenario() -> None:
+            async with serve(acts=(Act.HANG,), grace=GRACE) as bed:
+                bed.reservations.delay = 0.02
+                asking = asyncio.create_task(
+                    bed.ask("/ask/", headers=model_headers(prompt=700_000))
+                )
+                await reach(lambda: bed.fleet.arrivals > 0)
+                assert bed.reservations.held
+                await bed.gateway.stop()
+                assert not bed.reservations.held
+                await asking
+
+        run(scenario)
+
+    def test_cut_off(self) -> None:
+        """What has no end as the process ends is named in the log."""
+
+        async def scenario() -> None:
+            log = KeptLog()
+            async with serve(acts=(Act.HANG,), log=log) as bed:
+                asking = asyncio.create_task(outcome(bed, "/read/"))
+                await reach(lambda: bed.fleet.arrivals > 0)
+                bed.gateway.shell.report_cut_off()
+                assert log.about("r1")[-1] == "Request cut off."
+                asking.cancel()
+
+        run(scenario)
+
     def test_step_fails(self) -> None:
         """Where a step of the stop itself fails, what is open is decided all the same."""
 
