Say truly what the module of removals asks before it calls an attempt off

Cause: its first lines said that each of its functions asks whether another attempt may follow; what is taken back from a full engine does not.

Ruled out: a change of the code; the syntax tree is the same but for the remark.

Measured: formatter and linter pass.

--- a/src/azureswitch/serving/_removal.py
+++ b/src/azureswitch/serving/_removal.py
@@ -1,7 +1,8 @@
 """Takes attempts away from targets that are silent, unreachable, full, or have started again.
 
-Each asks first whether another attempt may follow.  Called off where none may, a caller's answer
-would be broken off in the middle, though its target may be about to go on.
+An attempt that may run is called off only where another one may follow: else a caller's answer
+would be broken off in the middle, though its target may be about to go on.  What is taken back from
+a full engine has not begun to run.
 """
 
 from azureswitch.core import Effect, TargetName
