Print what a soak broke once more at the end of its output

Measured: not measured; the lines are the same as those beside each run.

Conclusion: the last lines of a soak that failed say which seed broke what.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -28,6 +28,9 @@
 
 EXIT_BROKEN = 1
 
+MOST_BROKEN = 8
+"""Broken promises of one run that are printed; its folder keeps the logs of all."""
+
 RUN_LIMIT = 100.0
 """Seconds after which a run is called off, itself a finding."""
 
@@ -107,8 +110,7 @@
             f"{faults} faults, {result.crossed[0]} unread, {verdict}",
             flush=True,
         )
-        for line in result.broken[:8]:
-            print(f"  {line}", flush=True)
+        _print_broken(result)
         return result
 
     return list(await asyncio.gather(*(one(plan) for plan in plans)))
@@ -123,6 +125,11 @@
         return Result(seed=plan.seed, calls=0, served=0, faults=Counter(), broken=broken)
 
 
+def _print_broken(result: Result) -> None:
+    for line in result.broken[:MOST_BROKEN]:
+        print(f"  {line}", flush=True)
+
+
 def _report(results: Sequence[Result]) -> None:
     faults: Counter[str] = Counter()
     for result in results:
@@ -136,6 +143,10 @@
     unread, once = (sum(result.crossed[n] for result in results) for n in (0, 1))
     print(f"{unread} requests crossed a close unread, {once} of them may not repeat")
     print(f"{len(results)} seeds, {len(broken)} with broken promises")
+    # Where only the end of the output is kept, it still names what was broken.
+    for result in broken:
+        print(f"seed {result.seed}:")
+        _print_broken(result)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
