Name what the decoders raise in one place

Cause: the platform's reader and the mirror's messages each defined the same tuple, as neither may import the other.

Ruled out: `azureswitch.core`, which holds the base types of reducers, and they decode nothing; `azureswitch.ports`, which describes the platform and not our own messages.

Measured: tests of the mirror, of the readers of entries and of targets, and mypy pass after the change. No behaviour changes.

Conclusion: `azureswitch.decoding` holds it, below both layers.

--- a/src/azureswitch/coordination/mirror/_messages.py
+++ b/src/azureswitch/coordination/mirror/_messages.py
@@ -8,11 +8,9 @@
 from msgspec.msgpack import decode, encode
 
 from azureswitch.core import HostName
+from azureswitch.decoding import UNDECODED
 from azureswitch.ports import StoredObject
 
-UNDECODED = (ValueError, RecursionError)
-"""What the decoder raises; the latter for what is nested more than some 1,000 deep."""
-
 PACK_LEVEL = 1
 """How hard copies are compressed: the least, which takes 1 ms for 300 KB."""
 
--- a/src/azureswitch/platform/_entries.py
+++ b/src/azureswitch/platform/_entries.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from azureswitch.decoding import UNDECODED
 from azureswitch.platform._wire import NULL
 from azureswitch.ports import ChangeKind, StoreChange, StoredObject
 
@@ -25,9 +26,6 @@
 VERSION_MOST = 2**63 - 1
 """The greatest version that hosts can tell each other in a message."""
 
-UNDECODED = (ValueError, RecursionError)
-"""What the decoder raises; the latter for JSON that is nested more than some 1,000 deep."""
-
 _STRING = rb'"(?:[^"\\]++|\\.)*+"'
 _NAME = re.compile(_STRING, re.DOTALL)
 
--- a/src/azureswitch/platform/_roster.py
+++ b/src/azureswitch/platform/_roster.py
@@ -10,13 +10,13 @@
 import msgspec
 
 from azureswitch.core import HostName, PlaceName
+from azureswitch.decoding import UNDECODED
 from azureswitch.exceptions import (
     HostListError,
     StoreConflictError,
     StoreError,
     StoreNotFoundError,
 )
-from azureswitch.platform._entries import UNDECODED
 from azureswitch.platform._foreign import Fault, Foreign, ForeignBook, undecoded
 from azureswitch.platform._store import HttpStore
 from azureswitch.platform._targets import is_address
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from azureswitch.client import Headers, HttpAnswer, HttpClient
+from azureswitch.decoding import UNDECODED
 from azureswitch.exceptions import (
     HttpBrokenError,
     HttpNotSentError,
@@ -21,7 +22,7 @@
     StoreValueTooLargeError,
     StoreVersionGoneError,
 )
-from azureswitch.platform._entries import UNDECODED, read_changes, read_entry, read_listing
+from azureswitch.platform._entries import read_changes, read_entry, read_listing
 from azureswitch.platform._wire import (
     OBJECTS_PATH,
     WireMetadata,
--- a/src/azureswitch/platform/_targets.py
+++ b/src/azureswitch/platform/_targets.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from azureswitch.core import PlaceName, ServiceName, TargetName
+from azureswitch.decoding import UNDECODED
 from azureswitch.gateway import Deployment
 from azureswitch.inventory import EnginePace, Place, Target, TargetRole
-from azureswitch.platform._entries import UNDECODED
 from azureswitch.platform._foreign import Fault, Foreign, undecoded
 from azureswitch.ports import StoredObject
 
