Show targets' starts and foreign entries in azureswitch status

Cause: the command showed names of engines only. It also failed with an internal error where no host that answered knew a member.

Ruled out: decoding the whole page at once, by which one field that an older or newer host writes otherwise would cost all that it says; now the two new parts are decoded by themselves, and one that cannot be read is told as `status_part_unreadable` beside all else.

--- a/src/azureswitch/commands/_exits.py
+++ b/src/azureswitch/commands/_exits.py
@@ -52,7 +52,8 @@
     "run the command again with the change id that it printed.",
     ExitCode.NOT_FOUND: "The target or revision does not exist; nothing was changed.",
     ExitCode.ATTENTION: "The command worked and what it found needs attention: "
-    "a host that lags, a request that would be refused, or an audit trail that was altered.",
+    "a host that lags, a foreign entry of the store, a request that would be refused, "
+    "or an audit trail that was altered.",
     ExitCode.INTERNAL: "Something failed inside the program.",
 }
 
--- a/src/azureswitch/commands/_fleet.py
+++ b/src/azureswitch/commands/_fleet.py
@@ -1,46 +1,28 @@
 """The fleet as its hosts and the store show it."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
+from azureswitch.commands._answers import PARTS, HostAnswer
 from azureswitch.commands._loads import EngineLoad
+from azureswitch.commands._merging import TargetReport, merge_foreign, merge_targets
+from azureswitch.exceptions import StatusPartError
+from azureswitch.status import ForeignCollection, HostStatus, MemberStatus
 
 _TAKING_PART = frozenset({"alive", "suspect"})
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class MemberReport:
-    """One host as another one, or itself, knows it.
+class UntoldPart:
+    """A part of a host's status that it does not tell while another host does.
 
     Attributes:
-        host: Its name.
-        place: Its failure domain.
-        address: Where other hosts reach it.
-        status: ``alive``, ``suspect``, ``leaving`` or ``dead``.
-        revision: The revision in force on it; zero for none.
-        started: When its process started, in milliseconds of the wall clock.
+        host: The host.
+        part: The part.
     """
 
     host: str
-    place: str
-    address: str
-    status: str
-    revision: int
-    started: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EntryStatus:
-    """What an entry host's ``/status`` says."""
-
-    host: str
-    place: str
-    revision: int
-    leaving: bool
-    open_calls: int
-    members: tuple[MemberReport, ...]
-    engines: tuple[str, ...]
-    unreadable: int = 0
+    part: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,30 +41,39 @@
         engines: The engines in force on the hosts asked.
         loads: What the engines of the newest revision say of their load, where that was asked for.
         unreadable: Hosts that answered and cannot read an accepted revision.
+        targets: The targets that any host knows, or None where none tells.
+        foreign: The collections of the store with foreign entries, or None where no host tells.
+        untold: What some hosts do not tell while others do.
+        unread: What hosts tell that cannot be read.
     """
 
     asked: tuple[str, ...]
     silent: tuple[str, ...]
     head: int | None
     store_behind: bool
-    members: tuple[MemberReport, ...]
+    members: tuple[MemberStatus, ...]
     lagging: tuple[str, ...]
     apart: tuple[str, ...]
     engines: tuple[str, ...]
     loads: tuple[EngineLoad, ...] = ()
     unreadable: tuple[str, ...] = ()
+    targets: tuple[TargetReport, ...] | None = None
+    foreign: tuple[ForeignCollection, ...] | None = None
+    untold: tuple[UntoldPart, ...] = ()
+    unread: tuple[StatusPartError, ...] = ()
 
     @property
     def needs_attention(self) -> bool:
         """Whether anything is not as it should be."""
         suspects = any(member.status == "suspect" for member in self.members)
         missing = any(load.missing for load in self.loads)
-        lists = self.silent or self.lagging or self.apart or self.unreadable
-        return bool(lists or self.store_behind or suspects or missing)
+        foreign = any(collection.total for collection in self.foreign or ())
+        lists = self.silent or self.lagging or self.apart or self.unreadable or self.unread
+        return bool(lists or self.store_behind or suspects or missing or foreign)
 
 
 def assess(
-    answers: Mapping[str, EntryStatus | None],
+    answers: Mapping[str, HostAnswer | None],
     *,
     head: int | None,
     loads: tuple[EngineLoad, ...] = (),
@@ -97,9 +88,12 @@
     Returns:
         The status of the fleet.
     """
-    entries = tuple(entry for entry in answers.values() if entry is not None)
+    told = tuple(answer for answer in answers.values() if answer is not None)
+    entries = tuple(answer.status for answer in told)
     members = _merged(entries)
-    newest = max(head or 0, *(member.revision for member in members))
+    newest = max((head or 0, *(member.revision for member in members)))
+    targets = [entry.targets for entry in entries if entry.targets is not None]
+    foreign = [entry.foreign for entry in entries if entry.foreign is not None]
     return FleetStatus(
         asked=tuple(entry.host for entry in entries),
         silent=tuple(address for address, entry in answers.items() if entry is None),
@@ -115,12 +109,24 @@
         engines=tuple(sorted({engine for entry in entries for engine in entry.engines})),
         loads=loads,
         unreadable=tuple(entry.host for entry in entries if entry.unreadable),
+        targets=merge_targets(targets) if targets else None,
+        foreign=merge_foreign(foreign) if foreign else None,
+        untold=tuple(_untold(told)),
+        unread=tuple(error for answer in told for error in answer.unread),
     )
 
 
-def _merged(entries: Iterable[EntryStatus]) -> tuple[MemberReport, ...]:
+def _untold(told: tuple[HostAnswer, ...]) -> Iterator[UntoldPart]:
+    shown = [part for part in PARTS if any(answer.tells(part) for answer in told)]
+    for answer in told:
+        for part in shown:
+            if answer.misses(part):
+                yield UntoldPart(host=answer.status.host, part=part)
+
+
+def _merged(entries: Iterable[HostStatus]) -> tuple[MemberStatus, ...]:
     """Return each host once; what it says of itself goes before what others say."""
-    members: dict[str, MemberReport] = {}
+    members: dict[str, MemberStatus] = {}
     for entry in entries:
         for member in entry.members:
             if member.host == entry.host:
@@ -130,7 +136,7 @@
     return tuple(members[host] for host in sorted(members))
 
 
-def _apart(entries: tuple[EntryStatus, ...]) -> tuple[str, ...]:
+def _apart(entries: tuple[HostStatus, ...]) -> tuple[str, ...]:
     known = [{member.host for member in entry.members} for entry in entries]
     hosts = {entry.host for entry in entries}
     return tuple(sorted(host for host in hosts if any(host not in names for names in known)))
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -5,23 +5,35 @@
 from http import HTTPStatus
 
 from cleo.helpers import option
-from msgspec import DecodeError, ValidationError, json
 
 from azureswitch.client import HttpClient
-from azureswitch.commands._base import OperatorCommand, outcome, text
+from azureswitch.commands._answers import HostAnswer, read_answer
+from azureswitch.commands._base import OperatorCommand, failure_text, outcome, text
 from azureswitch.commands._exits import ExitCode
-from azureswitch.commands._fleet import EntryStatus, FleetStatus, assess
+from azureswitch.commands._fleet import FleetStatus, assess
 from azureswitch.commands._loads import EngineLoad, read_loads
+from azureswitch.commands._merging import TargetReport
 from azureswitch.commands._revisions import head_revision
-from azureswitch.commands._tables import table
+from azureswitch.commands._tables import printable, table
+from azureswitch.commands._times import start_text
+from azureswitch.decoding import UNDECODED
 from azureswitch.exceptions import EntryUnreachableError, HttpError, StoreError
 from azureswitch.inventory import TargetRole
+from azureswitch.status import STATUS_PATH, ForeignCollection
 
 STATUS_TIMEOUT = 2.0
 """Seconds that a host may take to answer."""
 
 _HOST_HEADING = ("HOST", "PLACE", "ADDRESS", "STATUS", "REVISION", "NOTE")
-_LOAD_HEADING = ("ENGINE", "PLACE", "ROLE", "RUNNING", "WAITING", "MEMORY", "NOTE")
+_LOAD_HEADING = ("ENGINE", "PLACE", "ROLE", "STARTED", "RUNNING", "WAITING", "MEMORY", "NOTE")
+_TARGET_HEADING = ("TARGET", "PLACE", "STATE", "STARTED", "NOTE")
+_FOREIGN_HEADING = ("COLLECTION", "NAME", "VERSION", "FAULT", "WHAT IS WRONG")
+
+TARGET_ROWS = 40
+"""Targets that are shown to people, those that started last; programs are told all."""
+
+FOREIGN_ROWS = 40
+"""Foreign entries that are shown to people; programs are told all that the hosts list."""
 
 
 @text.register
@@ -48,8 +60,18 @@
     yield table(_HOST_HEADING, rows)
     if report.loads:
         yield table(_LOAD_HEADING, map(_load_cells, report.loads))
-    else:
+    elif report.targets is None:
         yield f"{len(report.engines)} engines in force: {', '.join(report.engines) or 'none'}."
+    if report.targets is not None:
+        yield from _target_parts(report.targets)
+    if report.foreign is not None:
+        yield from _foreign_parts(report.foreign)
+    for missing in report.untold:
+        yield printable(
+            f"{missing.host} does not tell {missing.part}, as is usual of an older version."
+        )
+    for error in report.unread:
+        yield printable(failure_text(error))
 
 
 def _host_note(host: str, report: FleetStatus) -> str:
@@ -61,22 +83,54 @@
     return ", ".join(note for note, hosts in notes.items() if host in hosts)
 
 
+def _target_parts(targets: tuple[TargetReport, ...]) -> Iterator[str]:
+    yield table(_TARGET_HEADING, map(_target_cells, targets[:TARGET_ROWS]))
+    if len(targets) > TARGET_ROWS:
+        yield f"{len(targets) - TARGET_ROWS} more targets started earlier; --json shows them."
+
+
+def _target_cells(target: TargetReport) -> tuple[object, ...]:
+    note = "hosts know other starts" if target.apart else ""
+    return (target.name, target.place, target.state, start_text(target.started), note)
+
+
+def _foreign_parts(collections: tuple[ForeignCollection, ...]) -> Iterator[str]:
+    total = sum(collection.total for collection in collections)
+    if not total:
+        yield "No foreign entries in the store."
+        return
+    unnamed = sum(collection.unnamed for collection in collections)
+    note = f" ({unnamed} without a name)" if unnamed else ""
+    yield f"{total} foreign entries in the store{note}:"
+    rows = tuple(
+        (collection.collection, entry.name, entry.version, entry.fault, entry.detail)
+        for collection in collections
+        for entry in collection.entries
+    )
+    if rows:
+        yield table(_FOREIGN_HEADING, rows[:FOREIGN_ROWS])
+    more = total - unnamed - min(len(rows), FOREIGN_ROWS)
+    if more > 0:
+        yield f"{more} more foreign entries; azureswitch_foreign_entries counts them by fault."
+
+
 def _load_cells(load: EngineLoad) -> tuple[object, ...]:
     target, report = load.target, load.report
     cells = (target.name, target.place, target.role.value)
     if report is None:
-        return (*cells, "", "", "", "does not answer")
+        return (*cells, "", "", "", "", "does not answer")
     memory = f"{report.memory_used / max(1, report.memory_total):.0%}"
     idle = not report.running and not report.waiting
     note = "empty" if idle and target.role is TargetRole.DRAINING else ""
-    return (*cells, report.running, report.waiting, memory, note)
+    started = start_text(report.started)
+    return (*cells, started, report.running, report.waiting, memory, note)
 
 
 class StatusCommand(OperatorCommand):
-    """Shows hosts, engines and revisions in force."""
+    """Shows hosts, targets, revisions in force and foreign entries."""
 
     name = "status"
-    description = "Show live and leaving hosts, engines, and the revision in force on each host."
+    description = "Show hosts and their revision, targets and their start, and foreign entries."
     options = [  # noqa: RUF012 - cleo's own way to declare them.
         *OperatorCommand.options,
         option("engines", "e", description="Ask each engine for its load."),
@@ -108,11 +162,11 @@
         return head.revision, loads
 
 
-async def _ask(client: HttpClient) -> EntryStatus | None:
+async def _ask(client: HttpClient) -> HostAnswer | None:
     try:
-        answer = await client.request(method="GET", path="/status", timeout=STATUS_TIMEOUT)
+        answer = await client.request(method="GET", path=STATUS_PATH, timeout=STATUS_TIMEOUT)
         if answer.head.status != HTTPStatus.OK:
             return None
-        return json.decode(answer.body, type=EntryStatus)
-    except (HttpError, DecodeError, ValidationError):
+        return read_answer(answer.body)
+    except (HttpError, *UNDECODED):
         return None
--- a/src/azureswitch/commands/_tables.py
+++ b/src/azureswitch/commands/_tables.py
@@ -19,15 +19,15 @@
 
 def table(heading: Iterable[str], rows: Iterable[Iterable[object]]) -> str:
     """Return a table as text; cells are made from ``str``, control characters shown as such."""
-    cells = tuple(tuple(_printable(str(cell)) for cell in row) for row in rows)
+    cells = tuple(tuple(printable(str(cell)) for cell in row) for row in rows)
     return str(TextTable(heading=tuple(heading), rows=cells))
 
 
-def _printable(cell: str) -> str:
-    """Keep what others wrote into the store from steering the reader's terminal."""
-    if cell.isprintable():
-        return cell
-    return "".join(char if char.isprintable() else ascii(char)[1:-1] for char in cell)
+def printable(text: str) -> str:
+    """Return a text such that what others wrote there cannot steer the reader's terminal."""
+    if text.isprintable():
+        return text
+    return "".join(char if char.isprintable() else ascii(char)[1:-1] for char in text)
 
 
 def _line(cells: Sequence[str], widths: Sequence[int]) -> str:
--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -23,6 +23,7 @@
     EntryUnreachableError,
     InvalidOptionError,
     MissingKeyError,
+    StatusPartError,
     UnknownCustomerError,
 )
 from azureswitch.exceptions._coordination import LeaseLostError
@@ -167,6 +168,7 @@
     "SnapshotTooLargeError",
     "SnapshotUnreadableError",
     "StoreConflictError",
+    "StatusPartError",
     "StoreError",
     "StoreNotFoundError",
     "StoreOutcomeUnknownError",
--- a/src/azureswitch/exceptions/_commands.py
+++ b/src/azureswitch/exceptions/_commands.py
@@ -60,6 +60,26 @@
         return f"No entry host answered at {self.addresses or 'any address'}."
 
 
+@dataclass(kw_only=True, eq=False)
+class StatusPartError(CommandError):
+    """A part of a host's status is not of the form that this version reads.
+
+    Attributes:
+        host: The host.
+        part: The part.
+        detail: What is wrong.
+    """
+
+    code: ClassVar[str] = "status_part_unreadable"
+    host: str
+    part: str
+    detail: str
+
+    @property
+    def message(self) -> str:
+        return f"The part {self.part!r} of {self.host}'s status cannot be read: {self.detail}"
+
+
 @dataclass(kw_only=True, eq=False)
 class MissingKeyError(CommandError):
     """Standard input held no API key."""
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -14,6 +14,7 @@
 
 from azureswitch.client import HttpAnswer, HttpHead
 from azureswitch.commands import Connections, ExitCode, build
+from azureswitch.commands._status import FOREIGN_ROWS, TARGET_ROWS
 from azureswitch.coordination.configuration import Changes
 from azureswitch.exceptions import (
     HttpNotSentError,
@@ -358,7 +359,9 @@
         assert dana.run("status") is ExitCode.ATTENTION
         assert dana.printed.count("cannot read the newest") == 1
 
-    @pytest.mark.parametrize("body", [None, b"{noise", b"[]", status_body(0, ALL)[:-1]])
+    @pytest.mark.parametrize(
+        "body", [None, b"{noise", b"[]", b'{"host":' + b"[" * 5_000, status_body(0, ALL)[:-1]]
+    )
     def test_silent(self, pair: Pair, body: bytes | None) -> None:
         """An address without a host that answers is named."""
         dana, _ = pair
@@ -367,6 +370,15 @@
         assert dana.run("status") is ExitCode.ATTENTION
         assert "Nothing answers at 127.0.0.1:2." in dana.printed
 
+    def test_no_members(self, pair: Pair) -> None:
+        """A host that knows no host, itself included, is shown all the same."""
+        dana, _ = pair
+        for port, host in ((2, 0), (3, 1)):
+            body = {**json.decode(status_body(host, {host: 1})), "members": []}
+            dana.entries[f"127.0.0.1:{port}"] = FakeEntry(body=json.encode(body))
+        assert dana.run("status") is ExitCode.ATTENTION
+        assert dana.json("status")["apart"] == ["entry-0", "entry-1"]
+
     def test_engines(self, pair: Pair) -> None:
         """Engines are shown with their load; one that should serve and is silent is marked."""
         dana, _ = pair
@@ -377,11 +389,223 @@
         assert dana.run("status --engines") is ExitCode.ATTENTION
         lines = {line.split()[0]: line for line in dana.printed.splitlines() if "lm-" in line}
         assert lines["lm-02"].endswith("does not answer")
+        assert "1970-01-01T00:00:00.001Z" in lines["lm-03"]
         assert lines["lm-03"].endswith("50%     empty")
         dana.silent = {"lm-03"}
         assert "draining" in dana.accept("status --engines")
 
 
+def told(host: int, **parts: object) -> FakeEntry:
+    """Return a host that tells more than its hosts and engines."""
+    return FakeEntry(body=json.encode({**json.decode(status_body(host, {0: 1, 1: 1})), **parts}))
+
+
+def shown_target(name: str, started: object = 1_000, **more: object) -> dict[str, object]:
+    """Return a target as a host tells it."""
+    return {"name": name, "place": "p-1", "state": "serving", "started": started, **more}
+
+
+def shown_foreign(*names: object, unnamed: object = 0, **more: object) -> dict[str, object]:
+    """Return the foreign entries of a collection as a host tells them."""
+    entries = [{"name": name, "version": 7, "fault": "field", "detail": "odd"} for name in names]
+    total = len(names) + unnamed if isinstance(unnamed, int) else 0
+    return {
+        "collection": "servers",
+        "total": total,
+        "unnamed": unnamed,
+        "entries": entries,
+        **more,
+    }
+
+
+class TestTargetStarts:
+    """Targets and their starts in ``status``."""
+
+    @pytest.mark.parametrize(
+        ("started", "shown"),
+        [
+            (0, "not told"),
+            (1_000, "1970-01-01T00:00:01.000Z"),
+            (1_700_000_000_123, "2023-11-14T22:13:20.123Z"),
+            (2**63 - 1, "9223372036854775807 ms"),
+        ],
+    )
+    def test_start(self, pair: Pair, started: int, shown: str) -> None:
+        """A start is shown as a time, whatever number is told."""
+        dana, _ = pair
+        targets = [shown_target("i-1", started)]
+        dana.entries.update(
+            {f"127.0.0.1:{p}": told(h, targets=targets, foreign=[]) for p, h in ((2, 0), (3, 1))}
+        )
+        printed = dana.accept("status")
+        (line,) = [line for line in printed.splitlines() if line.startswith("i-1 ")]
+        assert line.split(None, 3) == ["i-1", "p-1", "serving", shown]
+        assert "engines in force" not in printed
+        assert "No foreign entries" in printed
+
+    @pytest.mark.parametrize(
+        ("first", "second", "started", "apart"),
+        [
+            (1_000, 1_000, 1_000, False),
+            (1_000, 2_000, 2_000, True),
+            (2_000, 1_000, 2_000, True),
+            (0, 2_000, 2_000, True),
+        ],
+    )
+    def test_apart(self, pair: Pair, first: int, second: int, started: int, apart: bool) -> None:
+        """Of two hosts that know different starts the later one is shown, and that they differ."""
+        dana, _ = pair
+        dana.entries["127.0.0.1:2"] = told(0, targets=[shown_target("i-1", first)])
+        dana.entries["127.0.0.1:3"] = told(1, targets=[shown_target("i-1", second)])
+        (target,) = dana.json("status")["targets"]
+        assert (target["started"], target["apart"]) == (started, apart)
+        assert dana.accept("status").count("hosts know other starts") == apart
+
+    @pytest.mark.parametrize("count", [0, 1, TARGET_ROWS, TARGET_ROWS + 1, 700])
+    def test_bounded(self, pair: Pair, count: int) -> None:
+        """The targets that started last are shown, and how many more there are."""
+        dana, _ = pair
+        targets = [shown_target(f"i-{number:04}", number + 1) for number in range(count)]
+        dana.entries["127.0.0.1:2"] = told(0, targets=targets, foreign=[])
+        dana.entries["127.0.0.1:3"] = told(1, targets=targets, foreign=[])
+        printed = dana.accept("status")
+        names = [line.split()[0] for line in printed.splitlines() if line.startswith("i-")]
+        assert names == [f"i-{number:04}" for number in reversed(range(count))][:TARGET_ROWS]
+        more = count - TARGET_ROWS
+        assert (f"{more} more targets" in printed) is (more > 0)
+        assert len(dana.json("status")["targets"]) == count
+
+
+class TestForeignEntries:
+    """Foreign entries of the store in ``status``."""
+
+    @pytest.mark.parametrize(
+        ("first", "second", "total", "unnamed", "listed"),
+        [
+            ([], [], 0, 0, []),
+            ([shown_foreign("j-1")], [], 1, 0, ["j-1"]),
+            ([shown_foreign("j-1")], [shown_foreign("j-1")], 1, 0, ["j-1"]),
+            ([shown_foreign("j-1")], [shown_foreign("j-2")], 2, 0, ["j-1", "j-2"]),
+            ([shown_foreign(unnamed=3)], [shown_foreign("j-1", unnamed=2)], 4, 3, ["j-1"]),
+            ([shown_foreign("j-1", total=900)], [], 900, 0, ["j-1"]),
+        ],
+    )
+    def test_merged(
+        self,
+        pair: Pair,
+        first: list[object],
+        second: list[object],
+        total: int,
+        unnamed: int,
+        listed: list[str],
+    ) -> None:
+        """What any host knows is shown once, with totals, and needs attention."""
+        dana, _ = pair
+        dana.entries["127.0.0.1:2"] = told(0, targets=[], foreign=first)
+        dana.entries["127.0.0.1:3"] = told(1, targets=[], foreign=second)
+        found = dana.json("status")["foreign"]
+        assert sum(part["total"] for part in found) == total
+        assert sum(part["unnamed"] for part in found) == unnamed
+        assert [entry["name"] for part in found for entry in part["entries"]] == listed
+        assert dana.run("status") is (ExitCode.ATTENTION if total else ExitCode.DONE)
+        printed = dana.printed
+        rows = [line.split() for line in printed.splitlines() if line.startswith("servers")]
+        assert [row[1:] for row in rows if row[1].startswith("j-")] == [
+            [name, "7", "field", "odd"] for name in listed
+        ]
+        assert (f"{total} foreign entries in the store" in printed) is (total > 0)
+        assert (f"({unnamed} without a name)" in printed) is (unnamed > 0)
+
+    @pytest.mark.parametrize("count", [FOREIGN_ROWS, FOREIGN_ROWS + 1, 2_000])
+    def test_bounded(self, pair: Pair, count: int) -> None:
+        """However many a host tells of, few are shown."""
+        dana, _ = pair
+        names = [f"j-{number:04}" for number in range(count)]
+        for port, host in ((2, 0), (3, 1)):
+            dana.entries[f"127.0.0.1:{port}"] = told(host, foreign=[shown_foreign(*names)])
+        assert dana.run("status") is ExitCode.ATTENTION
+        printed = dana.printed
+        assert sum("j-" in line for line in printed.splitlines()) == FOREIGN_ROWS
+        more = count - FOREIGN_ROWS
+        assert (f"{more} more foreign entries" in printed) is (more > 0)
+
+    def test_hostile(self, pair: Pair) -> None:
+        """What a foreign entry quotes cannot steer the reader's terminal."""
+        dana, _ = pair
+        for port, host in ((2, 0), (3, 1)):
+            dana.entries[f"127.0.0.1:{port}"] = told(host, foreign=[shown_foreign("\x1b[2J\n9")])
+        assert dana.run("status") is ExitCode.ATTENTION
+        assert "\\x1b[2J\\n9" in dana.printed
+
+
+class TestParts:
+    """Parts of a host's page that are absent or cannot be read."""
+
+    @pytest.mark.parametrize(
+        ("parts", "missing"),
+        [
+            ({}, ["targets", "foreign"]),
+            ({"targets": None, "foreign": None}, ["targets", "foreign"]),
+            ({"targets": []}, ["foreign"]),
+            ({"foreign": []}, ["targets"]),
+        ],
+    )
+    def test_absent(self, pair: Pair, parts: dict[str, object], missing: list[str]) -> None:
+        """A host of an older version that does not tell a part is named, and all else is shown."""
+        dana, _ = pair
+        dana.entries["127.0.0.1:2"] = told(0, **parts)
+        dana.entries["127.0.0.1:3"] = told(1, targets=[shown_target("i-1")], foreign=[])
+        report = dana.json("status")
+        assert [(part["host"], part["part"]) for part in report["untold"]] == [
+            ("entry-0", part) for part in missing
+        ]
+        assert report["unread"] == []
+        printed = dana.accept("status")
+        assert "i-1" in printed
+        assert printed.count("entry-0 does not tell") == len(missing)
+
+    def test_none_tells(self, pair: Pair) -> None:
+        """Where no host tells them, the engines are shown and no part is missed."""
+        dana, _ = pair
+        dana.entries.update({"127.0.0.1:2": told(0), "127.0.0.1:3": told(1)})
+        printed = dana.accept("status")
+        assert "1 engines in force: lm-01." in printed
+        assert "does not tell" not in printed
+
+    @pytest.mark.parametrize(
+        ("part", "value"),
+        [
+            ("targets", 7),
+            ("targets", {}),
+            ("targets", [7]),
+            ("targets", [{"name": "i-1"}]),
+            ("targets", [shown_target("i-1", "1000")]),
+            ("targets", [shown_target("i-1", 1.5)]),
+            ("targets", [shown_target("i-1", -1)]),
+            ("targets", [shown_target("i-1", place=None)]),
+            ("foreign", "none"),
+            ("foreign", [{}]),
+            ("foreign", [shown_foreign(7)]),
+            ("foreign", [shown_foreign(unnamed="3")]),
+            ("foreign", [shown_foreign(total=-1)]),
+            ("foreign", [shown_foreign(entries=None)]),
+        ],
+    )
+    def test_unread(self, pair: Pair, part: str, value: object) -> None:
+        """A part of another form is told by its host and what is wrong; all else is shown."""
+        dana, _ = pair
+        good: dict[str, object] = {"targets": [shown_target("i-1")], "foreign": []}
+        dana.entries["127.0.0.1:2"] = told(0, **{**good, part: value})
+        dana.entries["127.0.0.1:3"] = told(1, **good)
+        assert dana.run("status") is ExitCode.ATTENTION
+        printed = dana.printed
+        assert f"status_part_unreadable: The part {part!r} of entry-0" in printed
+        assert "i-1" in printed
+        report = dana.json("status")
+        assert [(error["host"], error["part"]) for error in report["unread"]] == [("entry-0", part)]
+        assert report["asked"] == ["entry-0", "entry-1"]
+
+
 class TestExplain:
     """``explain``."""
 
