Name a host's report otherwise than the status of a member

Cause: `azureswitch.status.MemberStatus` had the name of the enumeration of membership.

Ruled out: an alias at the imports, which leaves two meanings of a name.

Measured: `make check` is clean, and 827 tests of commands, pages, gateway, platform, mirror and the entry program pass.

Conclusion: it is `MemberReport`, as the command called it before.

--- a/src/azureswitch/commands/_fleet.py
+++ b/src/azureswitch/commands/_fleet.py
@@ -7,7 +7,7 @@
 from azureswitch.commands._loads import EngineLoad
 from azureswitch.commands._merging import TargetReport, merge_foreign, merge_targets
 from azureswitch.exceptions import StatusPartError
-from azureswitch.status import ForeignCollection, HostStatus, MemberStatus
+from azureswitch.status import ForeignCollection, HostStatus, MemberReport
 
 _TAKING_PART = frozenset({"alive", "suspect"})
 
@@ -51,7 +51,7 @@
     silent: tuple[str, ...]
     head: int | None
     store_behind: bool
-    members: tuple[MemberStatus, ...]
+    members: tuple[MemberReport, ...]
     lagging: tuple[str, ...]
     apart: tuple[str, ...]
     engines: tuple[str, ...]
@@ -124,9 +124,9 @@
                 yield UntoldPart(host=answer.status.host, part=part)
 
 
-def _merged(entries: Iterable[HostStatus]) -> tuple[MemberStatus, ...]:
+def _merged(entries: Iterable[HostStatus]) -> tuple[MemberReport, ...]:
     """Return each host once; what it says of itself goes before what others say."""
-    members: dict[str, MemberStatus] = {}
+    members: dict[str, MemberReport] = {}
     for entry in entries:
         for member in entry.members:
             if member.host == entry.host:
--- a/src/azureswitch/entry/_ops.py
+++ b/src/azureswitch/entry/_ops.py
@@ -11,7 +11,7 @@
 from azureswitch.entry._handlers import untyped
 from azureswitch.entry._shell import Shell
 from azureswitch.metrics import Metrics
-from azureswitch.status import STATUS_PATH, HostStatus, member_status
+from azureswitch.status import STATUS_PATH, HostStatus, member_report
 
 
 class HealthBody(Struct, kw_only=True):
@@ -87,7 +87,7 @@
             revision=shell.directory.revision,
             leaving=shell.leaving,
             open_calls=shell.open_calls,
-            members=tuple(map(member_status, self._members())),
+            members=tuple(map(member_report, self._members())),
             engines=tuple(sorted(shell.targets.engines)),
             unreadable=self._unreadable(),
         )
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -64,7 +64,7 @@
     ForeignCollection,
     HostStatus,
     TargetStatus,
-    member_status,
+    member_report,
 )
 from azureswitch.tasks import keep_running
 
@@ -239,7 +239,7 @@
             revision=0,
             leaving=self._leaving,
             open_calls=self._shell.open_calls,
-            members=tuple(map(member_status, self._members())),
+            members=tuple(map(member_report, self._members())),
             targets=tuple(_target_status(self._targets[name]) for name in sorted(self._targets)),
             foreign=self._foreign(),
         )
--- a/src/azureswitch/status.py
+++ b/src/azureswitch/status.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class MemberStatus:
+class MemberReport:
     """One host as another one, or itself, knows it.
 
     Attributes:
@@ -112,16 +112,16 @@
     revision: int
     leaving: bool
     open_calls: int
-    members: tuple[MemberStatus, ...]
+    members: tuple[MemberReport, ...]
     engines: tuple[str, ...] = ()
     unreadable: int = 0
     targets: tuple[TargetStatus, ...] | None = None
     foreign: tuple[ForeignCollection, ...] | None = None
 
 
-def member_status(member: Member) -> MemberStatus:
+def member_report(member: Member) -> MemberReport:
     """Return what is told of a host."""
-    return MemberStatus(
+    return MemberReport(
         host=member.incarnation.host,
         place=member.place,
         address=member.address,
