Model stops and starts of a failure domain behind a balancer that lags, on the product's own reducer

Cause: the steps of a stop were tested one host at a time; what hosts do together, with signals that overlap and a balancer that notices late, was only played.

Ruled out: writing a host's steps again as a specification: the search drives `advance`, `neighbours_of` and the product's admission. Ticks of a second with twenty looks each, and times relative to the signal, make the states finite.

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -1,4 +1,4 @@
-"""Checks the core protocols: proofs, searches, seeded mutations, and the real reducers.
+"""Checks the core protocols and stops: proofs, searches, seeded mutations, the real reducers.
 
 Exits with zero where every obligation is proved, no promise is broken and every mutation is
 caught.
@@ -15,11 +15,14 @@
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 from models import claims_proof, configuration_proof
-from models.checker import Spec, prove, search
+from models.checker import Search, Spec, prove, search
 from models.claims_machine import ClaimsMachine, PromiseBrokenError, tiny_segments
 from models.configuration_machine import ConfigurationMachine
-from models.real_mutations import CLAIMS_MUTATIONS, CONFIGURATION_MUTATIONS, Mutations
+from models.real_mutations import CLAIMS_MUTATIONS, CONFIGURATION_MUTATIONS, Mutation, Mutations
 from models.specs import CLAIMS_SPEC, CONFIGURATION_SPEC
+from models.stopping import PROMISES
+from models.stopping_mutations import STOPPING_MUTATIONS
+from models.stopping_search import DOMAINS, KNOWN, SEEDED, search_stops
 
 EXAMPLES = 150
 """Random runs of one state machine."""
@@ -44,8 +47,14 @@
     states: int = 0
     steps: int = 0
     caught: int = 0
+    known: int = 0
     failures: int = 0
 
+    def add(self, found: Search) -> None:
+        """Count what a search visited."""
+        self.states += found.states
+        self.steps += found.steps
+
     def fail(self, text: str) -> None:
         """Note that something went wrong."""
         self.failures += 1
@@ -64,8 +73,7 @@
 def _check_searches(tally: Tally) -> None:
     for spec, _ in SPECS:
         found = search(spec)
-        tally.states += found.states
-        tally.steps += found.steps
+        tally.add(found)
         reach = "all states" if found.complete else "the nearest states"
         print(f"searched {spec.name}: {reach}, {found.states}, by {found.steps} steps")
         if found.promise:
@@ -76,8 +84,7 @@
 
 def _check_mutation(tally: Tally, spec: Spec, mutation: str) -> None:
     found = search(spec, mutation=mutation)
-    tally.states += found.states
-    tally.steps += found.steps
+    tally.add(found)
     if not found.promise:
         tally.fail(f"{spec.name}: mutation {mutation!r} was not caught")
         return
@@ -135,6 +142,43 @@
             )
 
 
+def _check_stops(tally: Tally) -> None:
+    for name, bounds in DOMAINS.items():
+        found = search_stops(bounds)
+        tally.add(found)
+        if found.promise:
+            tally.fail(f"stops of {name}: {found.promise}: {'; '.join(found.trace)}")
+        elif not found.complete:
+            tally.fail(f"stops of {name}: not all states were visited")
+        print(f"searched stops of {name}: {found.states} states, by {found.steps} steps")
+    _check_known(tally)
+    for mutation, broken_by in STOPPING_MUTATIONS.items():
+        _check_stop_mutation(tally, mutation, broken_by)
+
+
+def _check_known(tally: Tally) -> None:
+    """Look for faults that are known; that one is gone is a failure, as it is still listed."""
+    for promise, bounds in KNOWN.items():
+        found = search_stops(bounds, promises=(*PROMISES, promise))
+        tally.add(found)
+        if found.promise != promise:
+            tally.fail(f"stops: no longer broken: {promise!r}; it can be promised")
+            continue
+        tally.known += 1
+        print(f"known   stops: not kept: {promise!r}: {'; '.join(found.trace)}")
+
+
+def _check_stop_mutation(tally: Tally, mutation: str, broken_by: Mutation) -> None:
+    with broken_by():
+        found = search_stops(SEEDED)
+    tally.add(found)
+    if not found.promise:
+        tally.fail(f"stops: mutation {mutation!r} was not caught")
+        return
+    tally.caught += 1
+    print(f"caught  stops: {mutation}: breaks {found.promise!r}: {'; '.join(found.trace)}")
+
+
 def main() -> int:
     """Run every check.
 
@@ -146,9 +190,11 @@
     _check_proofs(tally)
     _check_searches(tally)
     _check_reducers(tally)
+    _check_stops(tally)
     print(
         f"{tally.proved} obligations proved, {tally.states} states and {tally.steps} steps "
-        f"explored, {tally.caught} mutations caught, {tally.failures} failures"
+        f"explored, {tally.caught} mutations caught, {tally.known} known and open, "
+        f"{tally.failures} failures"
     )
     return 1 if tally.failures else 0
 
--- a/models/real_mutations.py
+++ b/models/real_mutations.py
@@ -81,7 +81,9 @@
     return patch.object(ConfigurationMachine, "serves_first_answer", True)
 
 
-Mutations: TypeAlias = dict[str, Callable[[], AbstractContextManager[object]]]
+Mutation: TypeAlias = Callable[[], AbstractContextManager[object]]
+
+Mutations: TypeAlias = dict[str, Mutation]
 
 CLAIMS_MUTATIONS: Mutations = {
     "send before commit": send_before_commit,
