--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -274,8 +274,7 @@
         Args:
             told: Since when that time counts, in seconds of the monotonic clock; None for now.
         """
-        now = self._shell.now if told is None else told
-        stop = begin_stop(now=now, grace=self._settings.grace)
+        stop = begin_stop(now=self._shell.now, grace=self._settings.grace, told=told)
         self._leaving = True
         self._front.close()
         self._shell.begin_shutdown(until=stop.end)
