Decide each call apart from the others, whatever fails at one of them

Cause: one exception at one call, as `GraceEnded`, `Ticked`, a silent target's loss, a new start or a full engine was reduced, left all other calls of that event undecided; those that had been taken out of the reducer before it had no deadline left either. One effect that could not be carried out cost the effects behind it, so that a log that could not be written to cost other callers their answers.

Ruled out: catching in the loop around the reducer alone, which loses what was decided before the fault; ending a call that runs because its priority could not be raised or nothing could be learnt from its first token (it goes on, with its deadline).

Conclusion: each call's step is taken by `decide`, which answers a call that fails as failed and logs it; effects are carried out one by one, and an attempt that cannot be started counts as broken.

--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -18,6 +18,7 @@
 from azureswitch.inventory import Target
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
+from azureswitch.server import CloseReason
 from azureswitch.serving import (
     TICK,
     CallArrived,
@@ -204,7 +205,7 @@
         if record is None:
             return
         if effect.error is not None and not record.exchange.over:
-            self._fail(record, effect.error)
+            self._fail_or_close(record, effect.error)
         self._tell(record, effect.error)
 
     @_run.register
@@ -215,6 +216,14 @@
     def _(self, effect: Observe) -> None:
         self._metrics.observe(effect)
 
+    def _fail_or_close(self, record: CallRecord, error: AzureswitchError) -> None:
+        """Tell the caller of a failure; where that itself fails, its connection ends."""
+        try:
+            self._fail(record, error)
+        except Exception:
+            logging.exception("gateway: Request %s was not told of its failure.", record.call.id)
+            record.exchange.abort(CloseReason.FAULT)
+
     def _fail(self, record: CallRecord, error: AzureswitchError) -> None:
         """Tell the caller of a failure; an answer that has begun is broken off."""
         if record.exchange.started:
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -1,5 +1,7 @@
 """The life of a call's attempts, from the first try to the one final answer."""
 
+from functools import partial
+
 from azureswitch.core import Effect, TargetName
 from azureswitch.exceptions import (
     AzureswitchError,
@@ -15,15 +17,12 @@
 )
 from azureswitch.serving._choice import Choice
 from azureswitch.serving._effects import (
-    CancelAttempt,
     ClaimOutcome,
-    FinishCall,
     Observation,
-    Observe,
     PrioritizeAttempt,
-    SettleClaim,
     StartAttempt,
 )
+from azureswitch.serving._ending import cancel_others, decide, finish, observe, release
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
 from azureswitch.serving._fleet import EJECT_MOST, PACED_EJECT_MOST
 from azureswitch.serving._length import Level, ageing_period, priority
@@ -91,13 +90,20 @@
 def _start_next(state: ServingState, lane: Lane, *, now: float) -> list[Effect]:
     for call in state.queue.heads(lane, state.fairness.served):
         record = state.calls[call]
-        choice = choose(state, record, now=now)
-        if choice is not None:
-            state.queue.remove(call)
-            return start(state, record, choice, now=now)
+        effects = decide(state, record, partial(_start_waiting, state, record, now=now), now=now)
+        if effects:
+            return effects
     return []
 
 
+def _start_waiting(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
+    choice = choose(state, record, now=now)
+    if choice is None:
+        return []
+    state.queue.remove(record.call.id)
+    return start(state, record, choice, now=now)
+
+
 def drain_all(state: ServingState, *, now: float) -> list[Effect]:
     """Send waiting calls of every lane."""
     return [effect for lane in state.queue.lanes for effect in drain(state, lane, now=now)]
@@ -259,16 +265,6 @@
     return effects
 
 
-def observe(record: CallRecord, what: Observation, value: float = 1.0) -> Observe:
-    """Return the effect that records a metric for a call."""
-    return Observe(
-        what=what,
-        customer=record.call.customer,
-        prompt_tokens=record.call.prompt_tokens,
-        value=value,
-    )
-
-
 def progress(record: CallRecord, event: TokensArrived) -> None:
     """Note how much output a call has."""
     if event.attempt in record.attempts:
@@ -283,7 +279,7 @@
     if attempt is None:
         return []
     now = event.now
-    _release(state, record, attempt)
+    release(state, record, attempt)
     if event.end is AttemptEnd.COMPLETE:
         effects = _complete(state, record, attempt, event)
     elif event.end is AttemptEnd.REJECTED:
@@ -293,13 +289,6 @@
     return effects + drain_all(state, now=now)
 
 
-def _release(state: ServingState, record: CallRecord, attempt: Attempt) -> None:
-    if attempt.first_token is None:
-        state.fleet.prefilled(attempt.counted, work=attempt.work)
-    state.fleet.remove(attempt.counted, work=attempt.work)
-    state.ledger.remove(call=record.call.id, attempt=attempt.number)
-
-
 def _complete(
     state: ServingState, record: CallRecord, attempt: Attempt, event: AttemptEnded
 ) -> list[Effect]:
@@ -445,47 +434,3 @@
         return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
     error = HostStoppedError(seconds=seconds) if record.call.repeatable else OutcomeLostError()
     return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
-
-
-def cancel_others(
-    state: ServingState, record: CallRecord, *, keep: int | None = None
-) -> list[Effect]:
-    """Cancel the attempts of a call but one."""
-    effects: list[Effect] = []
-    for number in [number for number in record.attempts if number != keep]:
-        effects += cancel(state, record, number)
-    return effects
-
-
-def cancel(state: ServingState, record: CallRecord, number: int) -> list[Effect]:
-    """Call an attempt off; it counts as one that may have run."""
-    attempt = record.attempts.pop(number)
-    record.may_have_run = True
-    record.run_count += 1
-    _release(state, record, attempt)
-    return [CancelAttempt(call=record.call.id, attempt=number, targets=attempt.targets)]
-
-
-def finish(
-    state: ServingState,
-    record: CallRecord,
-    *,
-    error: AzureswitchError | None,
-    outcome: ClaimOutcome,
-    now: float,
-) -> list[Effect]:
-    """Give a call its one final answer and free what it holds."""
-    call = record.call
-    del state.calls[call.id]
-    state.queue.remove(call.id)
-    state.fleet.unsave(call.id)
-    effects = cancel_others(state, record)
-    if record.phase is Phase.CLAIMING:
-        state.abandon_claim(call.id, now=now)
-    if record.claimed:
-        effects.append(SettleClaim(call=call.id, outcome=outcome))
-    if error is not None and error.ran is Ran.NOT_RUN:
-        state.fairness.charge(call.customer, -record.cost.total, now=now)
-    effects.append(FinishCall(call=call.id, error=error))
-    effects.append(observe(record, Observation.FINISHED if error is None else Observation.FAILED))
-    return effects
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -1,7 +1,7 @@
 """The one reducer of serving: every event of calls and targets to its effects."""
 
 from dataclasses import replace
-from functools import singledispatch
+from functools import partial, singledispatch
 
 from azureswitch.core import NO_EFFECTS, CallId, Effect, Effects
 from azureswitch.exceptions import AzureswitchError, CallerLeftError
@@ -11,10 +11,8 @@
     dispatch,
     drain_all,
     ended,
-    finish,
     first_token,
     hedge,
-    observe,
     out_of_time,
     progress,
     stop,
@@ -29,6 +27,7 @@
     PublishDigest,
     SettleClaim,
 )
+from azureswitch.serving._ending import beside, decide, finish, observe
 from azureswitch.serving._events import (
     AttemptEnded,
     AttemptSilent,
@@ -73,7 +72,7 @@
     """
     effects = _apply(event, state)
     if state.ledger.changed:
-        effects = [*effects, _digest(state, regular=False, now=event.now)]
+        effects = [*effects, *beside(partial(_tell, state, now=event.now), name="A digest")]
     return tuple(effects) or NO_EFFECTS
 
 
@@ -148,7 +147,7 @@
         return []
     record.claimed = True
     record.phase = Phase.WAITING
-    return dispatch(state, record, now=event.now)
+    return decide(state, record, partial(dispatch, state, record, now=event.now), now=event.now)
 
 
 @_apply.register
@@ -194,7 +193,10 @@
 @_apply.register
 def _(event: FirstTokenArrived, state: ServingState) -> list[Effect]:
     record = state.calls.get(event.call)
-    return first_token(state, record, event.attempt, now=event.now) if record else []
+    if record is None:
+        return []
+    step = partial(first_token, state, record, event.attempt, now=event.now)
+    return decide(state, record, step, now=event.now)
 
 
 @_apply.register
@@ -208,13 +210,18 @@
 @_apply.register
 def _(event: AttemptSilent, state: ServingState) -> list[Effect]:
     record = state.calls.get(event.call)
-    return silent(state, record, event.attempt, now=event.now) if record else []
+    if record is None:
+        return []
+    step = partial(silent, state, record, event.attempt, now=event.now)
+    return decide(state, record, step, now=event.now)
 
 
 @_apply.register
 def _(event: AttemptEnded, state: ServingState) -> list[Effect]:
     record = state.calls.get(event.call)
-    return ended(state, record, event) if record else []
+    if record is None:
+        return []
+    return decide(state, record, partial(ended, state, record, event), now=event.now)
 
 
 # --- Targets --------------------------------------------------------------------------------------
@@ -308,7 +315,9 @@
     return [
         effect
         for record in list(state.calls.values())
-        for effect in stop(state, record, now=event.now)
+        for effect in decide(
+            state, record, partial(stop, state, record, now=event.now), now=event.now, final=True
+        )
     ]
 
 
@@ -318,18 +327,26 @@
 @_apply.register
 def _(event: Ticked, state: ServingState) -> list[Effect]:
     effects: list[Effect] = []
-    for timer in state.timers.due(event.now):
+    now = event.now
+    for timer in state.timers.due(now):
         record = state.calls.get(timer.call)
         if record is not None:
-            effects += _fire(state, record, timer, now=event.now)
-    state.expire_claims(event.now)
-    effects += drain_all(state, now=event.now)
-    state.ledger.expire(event.now)
-    if state.digest_due(event.now):
-        effects.append(_digest(state, regular=True, now=event.now))
+            step = partial(_fire, state, record, timer, now=now)
+            final = timer.kind is TimerKind.DEADLINE
+            effects += decide(state, record, step, now=now, final=final)
+    effects += beside(partial(drain_all, state, now=now), name="The queue")
+    effects += beside(partial(_expire, state, now=now), name="Forgetting")
+    if state.digest_due(now):
+        effects += beside(partial(_tell, state, regular=True, now=now), name="A digest")
     return effects
 
 
+def _expire(state: ServingState, *, now: float) -> list[Effect]:
+    state.expire_claims(now)
+    state.ledger.expire(now)
+    return []
+
+
 def _fire(state: ServingState, record: CallRecord, timer: Timer, *, now: float) -> list[Effect]:
     if timer.kind is TimerKind.DEADLINE:
         return out_of_time(state, record, now=now)
@@ -344,6 +361,10 @@
     return []
 
 
+def _tell(state: ServingState, *, regular: bool = False, now: float) -> list[Effect]:
+    return [_digest(state, regular=regular, now=now)]
+
+
 def _digest(state: ServingState, *, regular: bool, now: float) -> PublishDigest:
     digest = Digest(
         host=state.myself.name,
--- a/src/azureswitch/serving/_removal.py
+++ b/src/azureswitch/serving/_removal.py
@@ -5,9 +5,13 @@
 a full engine has not begun to run.
 """
 
+from collections.abc import Callable
+from functools import partial
+
 from azureswitch.core import Effect, TargetName
-from azureswitch.serving._attempts import cancel, dispatch, lane_of, mark_failed, observe, retry
+from azureswitch.serving._attempts import dispatch, lane_of, mark_failed, retry
 from azureswitch.serving._effects import Observation
+from azureswitch.serving._ending import cancel, decide, observe
 from azureswitch.serving._retries import MOST_RETRIES, longest_backoff
 from azureswitch.serving._routing import choose
 from azureswitch.serving._state import Attempt, CallRecord, ServingState
@@ -43,19 +47,22 @@
     A call that may not repeat, or has no further attempt or no other target, stays: its answer may
     still come.
     """
-    effects: list[Effect] = []
-    for record in list(state.calls.values()):
-        at = [a.number for a in record.attempts.values() if target in a.targets]
-        if not at or not _may_follow(state, record, now=now):
-            continue
-        if not _has_other(state, record, target, now=now):
-            continue
-        record.failed.add(target)
-        for number in at:
-            effects += cancel(state, record, number)
-        if not record.attempts:
-            effects += retry(state, record, now=now)
-    return effects
+    return _for_each(state, partial(_lose, target=target), now=now)
+
+
+def _lose(
+    state: ServingState, record: CallRecord, *, target: TargetName, now: float
+) -> list[Effect]:
+    at = [a.number for a in record.attempts.values() if target in a.targets]
+    if not at or not _may_follow(state, record, now=now):
+        return []
+    if not _has_other(state, record, target, now=now):
+        return []
+    record.failed.add(target)
+    effects = [effect for number in at for effect in cancel(state, record, number)]
+    if record.attempts:
+        return effects
+    return effects + retry(state, record, now=now)
 
 
 def resend(state: ServingState, targets: frozenset[TargetName], *, now: float) -> list[Effect]:
@@ -68,21 +75,19 @@
     comes.  Only the connection to a machine that is gone stays silent; its call ends at its
     deadline.
     """
-    effects: list[Effect] = []
-    for record in list(state.calls.values()):
-        record.failed -= targets
-        for attempt in record.attempts.values():
-            attempt.restarted |= targets.intersection(attempt.targets)
-        lost = [attempt.number for attempt in record.attempts.values() if attempt.lost]
-        if lost and record.call.repeatable:
-            effects += _resend(state, record, lost, now=now)
-    return effects
+    return _for_each(state, partial(_resend, targets=targets), now=now)
 
 
 def _resend(
-    state: ServingState, record: CallRecord, lost: list[int], *, now: float
+    state: ServingState, record: CallRecord, *, targets: frozenset[TargetName], now: float
 ) -> list[Effect]:
-    """Cancel attempts of a call, and try again at once where no other one runs."""
+    """Cancel the lost attempts of a call, and try again at once where no other one runs."""
+    record.failed -= targets
+    for attempt in record.attempts.values():
+        attempt.restarted |= targets.intersection(attempt.targets)
+    lost = [attempt.number for attempt in record.attempts.values() if attempt.lost]
+    if not lost or not record.call.repeatable:
+        return []
     others = len(record.attempts) > len(lost)
     if not others and not _may_follow(state, record, now=now, runs=len(lost)):
         return []
@@ -101,21 +106,35 @@
     Two hosts may have sent to the same free memory at once.  What waits for it may stand before the
     very request that would free it, so that neither would ever run.
     """
-    effects: list[Effect] = []
     state.fleet.full(target, seconds=FULL_SECONDS, now=now)
-    for record in list(state.calls.values()):
-        at = [
-            attempt.number
-            for attempt in record.attempts.values()
-            if attempt.targets == (target,) and attempt.first_token is None
-        ]
-        if not at or not record.call.repeatable:
-            continue
-        for number in at:
-            effects += cancel(state, record, number)
-        if not record.attempts:
-            effects += dispatch(state, record, now=now)
-    return effects
+    return _for_each(state, partial(_withdraw, target=target), now=now)
+
+
+def _withdraw(
+    state: ServingState, record: CallRecord, *, target: TargetName, now: float
+) -> list[Effect]:
+    at = [
+        attempt.number
+        for attempt in record.attempts.values()
+        if attempt.targets == (target,) and attempt.first_token is None
+    ]
+    if not at or not record.call.repeatable:
+        return []
+    effects = [effect for number in at for effect in cancel(state, record, number)]
+    if record.attempts:
+        return effects
+    return effects + dispatch(state, record, now=now)
+
+
+def _for_each(
+    state: ServingState, step: Callable[..., list[Effect]], *, now: float
+) -> list[Effect]:
+    """Take a step for each open call."""
+    return [
+        effect
+        for record in list(state.calls.values())
+        for effect in decide(state, record, partial(step, state, record, now=now), now=now)
+    ]
 
 
 def _may_follow(state: ServingState, record: CallRecord, *, now: float, runs: int = 1) -> bool:
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -22,9 +22,11 @@
 
 import pytest
 
-from azureswitch.client import HttpAnswer
-from azureswitch.exceptions import HttpBrokenError
+from azureswitch.client import Headers, HttpAnswer
+from azureswitch.exceptions import AzureswitchError, HttpBrokenError
 from azureswitch.gateway import Neighbours
+from azureswitch.logs import Entry
+from azureswitch.platform import PlatformDialect
 from tests.gateway.fixtures import PATIENCE, Act, Bed, KeptLog, model_headers, serve
 from tests.waiting import reach
 
@@ -94,11 +96,11 @@
     asyncio.run(bounded())
 
 
-async def outcome(bed: Bed, path: str) -> HttpAnswer | None:
+async def outcome(bed: Bed, path: str, *, id: str = "r1") -> HttpAnswer | None:
     """Send a request and return its answer, or None where it was broken off."""
     streams = path in ("/ask/", "/once/")
     try:
-        return await bed.ask(path, headers=model_headers() if streams else ())
+        return await bed.ask(path, id=id, headers=model_headers() if streams else ())
     except HttpBrokenError:
         return None
 
@@ -212,6 +214,58 @@
         run(scenario)
 
 
+class BrokenLog(KeptLog):
+    """A log that cannot write how one request ended."""
+
+    def write(self, entry: Entry) -> None:
+        """Keep an entry, or fail."""
+        if entry.request == "r1" and entry.sentence in ENDS:
+            raise OSError
+        super().write(entry)
+
+
+class BrokenDialect(PlatformDialect):
+    """A dialect that has no form for failures."""
+
+    def failure(self, error: AzureswitchError) -> tuple[Headers, bytes]:
+        """Fail."""
+        raise RuntimeError
+
+
+class TestFaults:
+    """A fault of ours as one request is ended leaves none of the others without an end."""
+
+    def test_log(self) -> None:
+        """All are answered, also the one whose end cannot be logged."""
+
+        async def scenario() -> None:
+            async with serve(acts=(Act.HANG,) * 3, grace=GRACE, log=BrokenLog()) as bed:
+                asking = [
+                    asyncio.create_task(bed.ask("/read/", id=id)) for id in ("r1", "r2", "r3")
+                ]
+                await reach(lambda: bed.fleet.arrivals == len(asking))
+                await bed.gateway.stop()
+                done, _ = await asyncio.wait(asking, timeout=FLUSH_SECONDS)
+                assert [task.result().head.status for task in done] == [HTTPStatus.BAD_GATEWAY] * 3
+
+        run(scenario)
+
+    def test_no_form(self) -> None:
+        """A connection ends whose request cannot be told of its failure."""
+
+        async def scenario() -> None:
+            async with serve(acts=(Act.HANG,) * 2, grace=GRACE) as bed:
+                asking = [asyncio.create_task(outcome(bed, "/read/", id=id)) for id in ("r1", "r2")]
+                await reach(lambda: bed.fleet.arrivals == len(asking))
+                bed.gateway.shell._dialect = BrokenDialect()
+                await bed.gateway.stop()
+                done, _ = await asyncio.wait(asking, timeout=FLUSH_SECONDS)
+                assert [task.result() for task in done] == [None, None]
+                assert bed.gateway.shell.open_calls == 0
+
+        run(scenario)
+
+
 def _fail() -> Neighbours:
     raise RuntimeError
 
