Never run a call more often than it may run, as it is taken back or hedged

Cause: `withdraw` counted what it called off as a run and sent the call again without asking how many runs it may have; `hedge` asked neither that nor whether the call may repeat at all.

Ruled out: that `withdraw` runs a call twice that may not repeat (a test that passes on the code as it was, and fails without its condition). In today's programs a model call always repeats and the gateway's pools are not hedged, so that the hedge was a fault of the reducer alone.

Measured: tests first, on the code as it was: with 1, 2 and 3 permitted runs and engines that stay full 6, 8 and 10 attempts (3 of 3 cases failed); with one permitted run, or none to repeat, the hedge sent a second one (2 of 3 cases failed, the third is the permitted hedge). After: tests/serving passes.

Conclusion: both ask `CallRecord.may_run_beside`; the last permitted run is waited for.

--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -197,6 +197,8 @@
     silent = record.attempts.get(number)
     if silent is None or len(record.attempts) > 1 or record.first_token is not None:
         return []
+    if not record.may_run_beside(1):
+        return []
     record.failed.update(silent.targets)
     choice = choose(state, record, now=now)
     record.failed.difference_update(silent.targets)
--- a/src/azureswitch/serving/_removal.py
+++ b/src/azureswitch/serving/_removal.py
@@ -1,8 +1,7 @@
 """Takes attempts away from targets that are silent, unreachable, full, or have started again.
 
 An attempt that may run is called off only where another one may follow: else a caller's answer
-would be broken off in the middle, though its target may be about to go on.  What is taken back from
-a full engine has not begun to run.
+would be broken off in the middle, though its target may be about to go on.
 """
 
 from collections.abc import Callable
@@ -105,6 +104,10 @@
 
     Two hosts may have sent to the same free memory at once.  What waits for it may stand before the
     very request that would free it, so that neither would ever run.
+
+    Whether it has begun is not known for sure, so it counts as a run, and the last one that the
+    route permits is waited for: a call of which one run is permitted was sent 6 times within 10 s
+    to engines that stayed full, hedges among them.
     """
     state.fleet.full(target, seconds=FULL_SECONDS, now=now)
     return _for_each(state, partial(_withdraw, target=target), now=now)
@@ -118,10 +121,11 @@
         for attempt in record.attempts.values()
         if attempt.targets == (target,) and attempt.first_token is None
     ]
-    if not at or not record.call.repeatable:
+    others = len(record.attempts) > len(at)
+    if not at or not (others or record.may_run_beside(len(at))):
         return []
     effects = [effect for number in at for effect in cancel(state, record, number)]
-    if record.attempts:
+    if others:
         return effects
     return effects + dispatch(state, record, now=now)
 
@@ -141,9 +145,8 @@
     """Return whether another attempt is permitted if so many that run are called off."""
     pause = longest_backoff(record.retry_count + 1)
     in_time = now + pause < state.ends_by(record.call)
-    more_runs = record.run_count + runs < record.call.runs
     more_retries = record.retry_count < MOST_RETRIES and state.retries.permits()
-    return record.call.repeatable and in_time and more_runs and more_retries
+    return record.may_run_beside(runs) and in_time and more_retries
 
 
 def _has_other(state: ServingState, record: CallRecord, target: TargetName, *, now: float) -> bool:
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -112,6 +112,10 @@
     first_token: float | None = None
     failed: set[TargetName] = field(default_factory=set)
 
+    def may_run_beside(self, running: int) -> bool:
+        """Return whether one more run is permitted, beside so many under way or called off now."""
+        return self.call.repeatable and self.run_count + running < self.call.runs
+
 
 @dataclass(frozen=True, slots=True, kw_only=True, order=True)
 class Timer:
--- a/tests/serving/test_elsewhere.py
+++ b/tests/serving/test_elsewhere.py
@@ -4,6 +4,7 @@
 
 from azureswitch.core import CallId, TargetName
 from azureswitch.inventory import Target
+from azureswitch.ports import LoadReport
 from azureswitch.serving import (
     AttemptEnd,
     AttemptEnded,
@@ -11,11 +12,12 @@
     CancelAttempt,
     ClaimGranted,
     FinishCall,
+    LoadReported,
     SnapshotAdopted,
     StartAttempt,
     TargetUnreachable,
 )
-from azureswitch.serving._retries import LOST_SECONDS
+from azureswitch.serving._retries import LOST_SECONDS, STUCK_SECONDS
 from tests.serving.fixtures import Driver, booking, engine, model_call, only, plain_call, snapshot
 
 CALL = CallId("c1")
@@ -96,3 +98,69 @@
         assert not only(FinishCall, driver.effects)
         second = only(StartAttempt, driver.effects)[-1]
         assert second.targets == (TargetName(others[0].name),)
+
+
+def stick(driver: Driver, *, until: float = STUCK_SECONDS + 0.2) -> None:
+    """Let the targets of all attempts say for long enough that requests wait and none runs."""
+    names = {name for start in only(StartAttempt, driver.effects) for name in start.targets}
+    for sequence, now in enumerate((driver.now, driver.now + until), start=1):
+        for name in names:
+            report = LoadReport(
+                target=name,
+                started=1,
+                sequence=sequence + int(driver.now),
+                running=0,
+                waiting=1,
+                waiting_tokens=0,
+                urgent_tokens=0,
+                memory_used=400_000,
+                memory_total=480_000,
+                models=("base",),
+            )
+            driver.send(LoadReported(now=now, report=report))
+    driver.now += until
+
+
+class TestFull:
+    """What waits at an engine that runs nothing is taken back as often as the route permits."""
+
+    @pytest.mark.parametrize("runs", [1, 2, 3])
+    def test_runs(self, runs: int) -> None:
+        """The last run that is permitted is waited for, and its answer is the caller's."""
+        driver = sent(model_call("c1", runs=runs), tuple(map(engine, ("e1", "e2", "e3", "e4"))))
+        for _ in range(runs + 2):
+            stick(driver)
+            driver.tick(driver.now + 3.0)
+        starts = only(StartAttempt, driver.effects)
+        assert len(starts) == runs
+        assert not only(FinishCall, driver.effects)
+        end = AttemptEnd.COMPLETE
+        driver.send(AttemptEnded(now=driver.now, call=CALL, attempt=starts[-1].attempt, end=end))
+        assert driver.error("c1") is None
+
+    def test_once(self) -> None:
+        """A call that may not repeat is not taken back."""
+        driver = sent(plain_call("c1"), (booking("s1"), booking("s2")))
+        stick(driver)
+        driver.tick(driver.now + 1.0)
+        assert not only(CancelAttempt, driver.effects)
+        assert len(only(StartAttempt, driver.effects)) == 1
+
+
+class TestHedge:
+    """A silent target is hedged only where the route permits one more run."""
+
+    @pytest.mark.parametrize(
+        ("call", "starts"),
+        [
+            (model_call("c1", runs=1), 1),
+            (model_call("c1", runs=2), 2),
+            (model_call("c1", repeatable=False), 1),
+        ],
+    )
+    def test_runs(self, call: Call, starts: int) -> None:
+        """What may run once is waited for."""
+        driver = sent(call, (engine("e1"), engine("e2")))
+        driver.tick(10.0)
+        assert len(only(StartAttempt, driver.effects)) == starts
+        assert driver.state.calls[CALL].attempts
