Listen for callers last as a gateway starts

Cause: the metrics address was bound after that for callers. Where it could not be bound, the process ended with callers connected, whose requests had been read or would have been.

Callers who wait on a socket that the process was given are still cut if it ends.

Conclusion: the order of three lines; the gateway's fixture can now be had without a start.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -215,11 +215,12 @@
             OSError: An address cannot be used.
         """
         await self._platform.start(address=self._settings.readiness)
+        await self._pages.start(address=self._settings.metrics)
+        # Last: callers who connected would be cut off where one of the others cannot be bound.
         if callers is None:
             await self._callers.start(address=self._settings.callers)
         else:
             await self._callers.take(listener=callers)
-        await self._pages.start(address=self._settings.metrics)
         self._ticks = asyncio.create_task(
             keep_running(self._shell.run, prefix="gateway", name="ticks")
         )
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -340,42 +340,63 @@
     )
 
 
-@asynccontextmanager
-async def serve(
+def make_gateway(
     *,
-    acts: Iterable[Act] = (),
-    count: int = 3,
-    configure: Callable[[Gateway], None] | None = None,
-    listener: socket | None = None,
+    callers: str = "127.0.0.1:0",
+    readiness: str = "127.0.0.1:0",
+    metrics_address: str = "127.0.0.1:0",
     grace: float = 4.0,
+    reservations: FakeReservations | None = None,
+    metrics: Metrics | None = None,
     log: Log | None = None,
     neighbours: Callable[[], Neighbours] = Neighbours,
-) -> AsyncIterator[Bed]:
-    """Serve with some targets of each service, alike in what they do."""
-    fleet = Fleet(acts=list(acts))
-    reservations = FakeReservations()
-    metrics = Metrics()
-    gateway = Gateway(
+) -> Gateway:
+    """Return a gateway that has not started."""
+    return Gateway(
         settings=GatewaySettings(
             host=HostName("h1"),
             place=PlaceName("p1"),
             places=(Place(name=PlaceName("p1"), region="r"),),
-            callers="127.0.0.1:0",
-            readiness="127.0.0.1:0",
-            metrics="127.0.0.1:0",
+            callers=callers,
+            readiness=readiness,
+            metrics=metrics_address,
             grace=grace,
             retry_share=0.2,
             retry_burst=50.0,
             hosts=1,
         ),
         dialect=PlatformDialect(),
-        reservations=reservations,
+        reservations=reservations or FakeReservations(),
         publish=lambda digest, regular: None,
-        metrics=metrics,
+        metrics=metrics or Metrics(),
         log=log or Log(),
         seed=1,
         neighbours=neighbours,
     )
+
+
+@asynccontextmanager
+async def serve(
+    *,
+    acts: Iterable[Act] = (),
+    count: int = 3,
+    configure: Callable[[Gateway], None] | None = None,
+    listener: socket | None = None,
+    grace: float = 4.0,
+    log: Log | None = None,
+    neighbours: Callable[[], Neighbours] = Neighbours,
+) -> AsyncIterator[Bed]:
+    """Serve with some targets of each service, alike in what they do."""
+    fleet = Fleet(acts=list(acts))
+    reservations = FakeReservations()
+    metrics = Metrics()
+    gateway = make_gateway(
+        grace=grace,
+        reservations=reservations,
+        metrics=metrics,
+        log=log,
+        neighbours=neighbours,
+    )
     await gateway.start(callers=listener)
     names = [(f"{kind}{n}", kind == "e") for kind in ("e", "s") for n in range(count)]
     targets = [FakeTarget(name=name, fleet=fleet, streams=streams) for name, streams in names]
