Let go of a whole answer of which its caller reads nothing

Cause: a close waits until all that was written is sent, and nothing limited that wait: neither the idle limit nor a last answer ended a connection whose caller does not read.

Ruled out: streams, which wait for their caller within the deadline of their call; a limit on the whole time that reading may take, which would end answers of slow callers with no decision about them.

Conclusion: it ends once nothing has moved for the idle limit, 5 s at least, and says so: `unread`.

--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -20,6 +20,12 @@
 A whole request that arrived in a busy moment of the loop was lost to a reset without the look.
 """
 
+UNREAD_LEAST = 5.0
+"""Seconds for which a caller may read nothing of what was sent, at least.
+
+A packet that was lost several times in a row is sent again after 0.2 to 3 s.
+"""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -53,6 +59,7 @@
         self._advancing = False
         self._held = False
         self._idleness = Idleness(limits=lambda: handler.limits, clock=self._loop.time)
+        self._unsent_before = 0
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -80,6 +87,11 @@
             return False
         return is_readable(self._transport.get_extra_info("socket"))
 
+    @property
+    def _unsent(self) -> int:
+        """Bytes that were written and that the kernel has no room for until the caller reads."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def write(self, data: bytes) -> None:
         """Send bytes."""
         if self._transport is not None and not self._transport.is_closing():
@@ -97,11 +109,12 @@
             self._transport.abort()
 
     def close(self, reason: CloseReason) -> None:
-        """Close the connection once all that was written has been sent."""
+        """Close the connection once all that was written is sent, or its caller stops reading."""
         self._reason = self._reason or reason
         self._timer.stop()
         if self._transport is not None:
             self._transport.close()
+            self._watch_unsent()
 
     def close_idle(self) -> None:
         """Close the connection for a stop, unless a request is here or must be on its way."""
@@ -233,12 +246,40 @@
         self._advance()
 
     def _wait_idle(self) -> None:
+        self._unsent_before = self._unsent
         self._idleness.begin()
-        self._timer.set(self._idleness.left, self._idled)
+        least = UNREAD_LEAST if self._unsent_before else 0.0
+        self._timer.set(max(self._idleness.left, least), self._idled)
 
     def _idled(self) -> None:
         left = self._idleness.left
         if left > 0.0 or self._unread:
             self._timer.set(max(left, LOOK_SECONDS), self._idled)
             return
-        self.close(CloseReason.IDLE)
+        if not self._unsent_before:
+            self.close(CloseReason.IDLE)
+        elif self._unsent < self._unsent_before:
+            self._wait_idle()
+        else:
+            self._give_up()
+
+    def _watch_unsent(self) -> None:
+        """Wait for the caller to read what was sent before the close, while it goes on with it.
+
+        A close alone waits for ever: 28 of 32 MB of an answer stayed for a caller that read none.
+        """
+        self._unsent_before = self._unsent
+        if self._unsent_before:
+            seconds = max(self._handler.limits.idle_seconds, UNREAD_LEAST)
+            self._timer.set(seconds, self._look_unsent)
+
+    def _look_unsent(self) -> None:
+        if self._unsent < self._unsent_before:
+            self._watch_unsent()
+        else:
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """Let go of an answer of which the caller has read nothing for so long."""
+        self._reason = CloseReason.UNREAD
+        self.abort(CloseReason.UNREAD)
--- a/src/azureswitch/server/_model.py
+++ b/src/azureswitch/server/_model.py
@@ -51,6 +51,7 @@
     STOP = "stop"
     CALLER = "caller"
     ANSWERED = "answered"
+    UNREAD = "unread"
     BROKEN_OFF = "broken_off"
     REFUSED = "refused"
     FAULT = "fault"
