Test what three mutations survived, and free memory where a step of a stop fails

Cause: no test failed without the bound on a call's retries in `_may_follow`, without `finish_listening` in the gateway, or without waiting for engines to be told of memory; that wait was missing where a step of the stop fails, so that the process went with the memory still held.

Ruled out: that the wait can be tested on the usual way out, where the next steps take 100 ms anyhow.

Measured: the test of the failing step failed on the code as it was (two engines held 233,367 tokens each); after: tests/gateway/test_stopping.py and tests/serving/test_silence.py pass. Mutations, one at a time: each of the three removed, and `stop_listening` in place of `finish_listening`: 1 test fails in each of 4.

Conclusion: both ways out of a stop end requests by the same two steps.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -237,7 +237,7 @@
             await self._follow(stop)
         except Exception:
             logging.exception("gateway: A step of the stop failed; what is open is decided now.")
-            await self._shell.end()
+            await self._end_requests()
         self._shell.report_cut_off()
         self._log.write(Stopped(seconds=round(self._shell.now - stop.told, 3)))
         for server in (self._platform, self._pages):
@@ -278,7 +278,14 @@
     @_take_step.register
     async def _(self, effect: EndRequests) -> None:
         self._log.write(GraceOver(open_requests=self._shell.open_calls))
-        # Before the process goes: what the end of the event loop calls off gets no answer.
+        await self._end_requests()
+
+    async def _end_requests(self) -> None:
+        """Decide what is open before the process goes, and have engines told of memory.
+
+        What the end of the event loop calls off gets no answer, and memory that is not freed is
+        held for 3.5 s.
+        """
         await self._shell.end()
         await self._tickets.settle(timeout=RELEASE_SECONDS)
 
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -16,7 +16,9 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -27,7 +29,7 @@
 from azureswitch.gateway import Neighbours
 from azureswitch.logs import Entry
 from azureswitch.platform import PlatformDialect
-from tests.gateway.fixtures import PATIENCE, Act, Bed, KeptLog, model_headers, serve
+from tests.gateway.fixtures import PATIENCE, Act, Bed, KeptLog, model_headers, serve, usual_headers
 from tests.waiting import reach
 
 GRACE = 2.0
@@ -214,6 +216,43 @@
         run(scenario)
 
 
+class TestListener:
+    """As a host that leaves stops listening, who has connected is served."""
+
+    def test_waiting(self) -> None:
+        """A caller who connects in the very moment is answered; later ones are turned away."""
+        callers: list[socket.socket] = []
+
+        async def scenario() -> None:
+            async with serve(grace=GRACE) as bed:
+                host, port = bed.gateway.callers_address.split(":")
+
+                def connect() -> Neighbours:
+                    # Looked at right before each step, with no turn of the loop between.
+                    with suppress(ConnectionRefusedError):
+                        callers.append(socket.create_connection((host, int(port)), timeout=5.0))
+                        callers[-1].sendall(_lookup(f"r{len(callers)}"))
+                    return Neighbours()
+
+                bed.gateway._neighbours = connect
+                await bed.gateway.stop()
+                for caller in callers:
+                    assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+                with pytest.raises(ConnectionRefusedError):
+                    socket.create_connection((host, int(port)), timeout=5.0)
+
+        try:
+            run(scenario)
+        finally:
+            for caller in callers:
+                caller.close()
+
+
+def _lookup(id: str) -> bytes:
+    lines = "".join(f"{name}: {value}\r\n" for name, value in usual_headers(id))
+    return f"GET /read/ HTTP/1.1\r\n{lines}\r\n".encode()
+
+
 class BrokenLog(KeptLog):
     """A log that cannot write how one request ended."""
 
@@ -265,6 +304,23 @@
 
         run(scenario)
 
+    def test_step(self) -> None:
+        """Where a step of the stop fails, engines are told all the same that memory is free."""
+
+        async def scenario() -> None:
+            async with serve(acts=(Act.HANG,), grace=GRACE) as bed:
+                bed.reservations.delay = 0.02
+                headers = model_headers(prompt=700_000)
+                asking = asyncio.create_task(bed.ask("/ask/", headers=headers))
+                await reach(lambda: bed.fleet.arrivals > 0)
+                assert bed.reservations.held
+                bed.gateway._neighbours = _fail
+                await bed.gateway.stop()
+                assert not bed.reservations.held
+                await asking
+
+        run(scenario)
+
 
 def _fail() -> Neighbours:
     raise RuntimeError
--- a/tests/serving/test_silence.py
+++ b/tests/serving/test_silence.py
@@ -17,6 +17,7 @@
     StartAttempt,
 )
 from azureswitch.serving._attempts import lane_of
+from azureswitch.serving._retries import MOST_RETRIES
 from tests.serving.fixtures import (
     CUSTOMERS,
     Driver,
@@ -46,6 +47,11 @@
     record.run_count = record.call.runs - 1
 
 
+def use_retries(driver: Driver) -> None:
+    """Let the call have been retried as often as any call is."""
+    driver.state.calls[CALL].retry_count = MOST_RETRIES
+
+
 def near_deadline(driver: Driver) -> None:
     """Let the deadline come before another attempt could begin."""
     driver.now = driver.state.calls[CALL].call.deadline - 0.01
@@ -82,7 +88,9 @@
         assert not silence(driver)
 
     @pytest.mark.parametrize(
-        "bring", [spend_budget, use_runs, near_deadline], ids=lambda bring: bring.__name__
+        "bring",
+        [spend_budget, use_runs, use_retries, near_deadline],
+        ids=lambda bring: bring.__name__,
     )
     def test_waited_for(self, bring: Callable[[Driver], None]) -> None:
         """Without another attempt the call stays where it is, until its deadline at the most."""
