End requests 20 ms before their deadline, and not up to 50 ms

Cause: a call's deadline was its time less one tick, looked at with each tick of 50 ms: whoever arrived at the wrong moment was failed 49 ms early, with an answer that may have been on its way, and whoever arrived at the right one was told at the last moment, when callers may have left.

Ruled out: ending them at the deadline itself, as the answer would come when the caller has left; a faster tick, which all calls would pay for; the same in the product's own interface, whose callers' deadlines are in seconds: its margin is unchanged.

Conclusion: the gateway sets a timer per request, which lets the time of its deadline pass at once.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -66,6 +66,12 @@
 Peers forget an account after 2.5 s, so that two in a row may be lost.
 """
 
+DEADLINE_MARGIN = 0.02
+"""Seconds before its deadline at which a request is ended; a busy loop is 10 ms late.
+
+Ended by the tick of 50 ms before it, requests were failed up to 49 ms early.
+"""
+
 METRICS_PATH = "/metrics"
 
 RELEASE_SECONDS = 0.05
@@ -148,6 +154,7 @@
             retries=retries,
             digest_period=DIGEST_PERIOD,
             lean=True,
+            deadline_margin=DEADLINE_MARGIN,
         )
         self._shell = Shell(
             state=state,
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -41,6 +41,9 @@
 ATTEMPTS_SECONDS = 0.05
 """Seconds in which attempts end that are called off as the process ends; each takes a turn."""
 
+ROUNDING = 0.001
+"""Seconds by which a deadline is looked at late, lest it be found a moment too early."""
+
 PAUSE_BOUNDS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 1.0, 2.0)
 """Upper bounds of the buckets for pauses, in seconds; callers ask for 0.25 to 1."""
 
@@ -71,6 +74,7 @@
         log: Log,
         clock: Callable[[], float] = monotonic,
     ) -> None:
+        self._state = state
         self._dialect = dialect
         self._publish = publish
         self._metrics = metrics
@@ -87,6 +91,7 @@
         self._records: dict[CallId, CallRecord] = {}
         self._loop = Loop(state=state, run=self._run)
         self._tasks = Tasks(prefix="gateway")
+        self._deadlines: dict[CallId, asyncio.TimerHandle] = {}
         self._lag = 0.0
 
     @property
@@ -111,6 +116,9 @@
             return False
         self._records[call] = record
         record.exchange.on_left(lambda: self._left(call))
+        seconds = max(0.0, self._state.ends_at(record.call) - self.now) + ROUNDING
+        due = asyncio.get_running_loop().call_later(seconds, self._due, call)
+        self._deadlines[call] = due
         if self._loop.busy:
             # Within another request's event a fault at this one would be told to that one's source,
             # and this one left open: 5 s without an answer, as seen on loopback.
@@ -177,6 +185,11 @@
                 )
             )
 
+    def _due(self, call: CallId) -> None:
+        """Let the time of a request's deadline pass at once, and not with the next tick."""
+        self._deadlines.pop(call, None)
+        self.dispatch(Ticked(now=self.now))
+
     def _left(self, call: CallId) -> None:
         self.dispatch(CallerLeft(now=self.now, call=call))
 
@@ -202,6 +215,9 @@
     @_run.register
     def _(self, effect: FinishCall) -> None:
         record = self._records.pop(effect.call, None)
+        due = self._deadlines.pop(effect.call, None)
+        if due is not None:
+            due.cancel()
         if record is None:
             return
         if effect.error is not None and not record.exchange.over:
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -27,6 +27,10 @@
 """How long a claim whose call was given up on is awaited, to be settled as not run."""
 
 
+DEADLINE_MARGIN = 0.05
+"""Seconds before its deadline at which a call is ended, where time passes in ticks of as much."""
+
+
 class Phase(Enum):
     """Where an admitted call stands."""
 
@@ -159,6 +163,7 @@
         digest_period: Seconds between two regular digests.
         lean: Whether digests tell nothing but the ledger and the suspects, as hosts do that limit
             no customers and split no engines by demand.
+        deadline_margin: Seconds before its deadline at which a call is ended.
     """
 
     def __init__(
@@ -169,6 +174,7 @@
         retries: RetryBudget | None = None,
         digest_period: float = DIGEST_PERIOD,
         lean: bool = False,
+        deadline_margin: float = DEADLINE_MARGIN,
     ) -> None:
         self._myself = myself
         self._random = Random(seed)
@@ -191,6 +197,7 @@
         self._pauses = PauseBounds()
         self._digest_period = digest_period
         self._lean = lean
+        self._deadline_margin = deadline_margin
         self._digest_sequence = 0
         self._digest_due = 0.0
 
@@ -229,6 +236,10 @@
         """Since when this host is about to stop, or infinity where it is not."""
         return self._leaving_since
 
+    def ends_at(self, call: Call) -> float:
+        """Return when a call is ended, so that its caller still hears of it in time."""
+        return call.deadline - self._deadline_margin
+
     def ends_by(self, call: Call) -> float:
         """Return when a call must have ended: at its deadline, or before this host stops."""
         return min(call.deadline, self._stops_at)
--- /dev/null
+++ b/tests/gateway/test_deadline.py
@@ -0,0 +1,47 @@
+"""A request is ended right before its deadline: in time for its caller, and no sooner."""
+
+import asyncio
+
+import pytest
+
+from azureswitch.exceptions import DeadlineExceededError
+from azureswitch.gateway import Gateway, RouteKind, _shell
+from azureswitch.gateway._log import RequestFailed
+from tests.gateway.fixtures import PATIENCE, Act, KeptLog, deployment, route, serve
+
+SECONDS = 0.5
+"""What the route permits."""
+
+MARGIN = 0.02
+"""Seconds before its deadline at which a request may be ended."""
+
+COUNT = 12
+"""Requests that arrive 5 ms apart, over more than one tick."""
+
+
+def configure(gateway: Gateway) -> None:
+    """Give requests little time."""
+    lookups = route(RouteKind.IDEMPOTENT, prefix="/read/", service="plain", timeout=SECONDS)
+    gateway.adopt(deployment(routes=(lookups,)))
+
+
+@pytest.mark.parametrize("tick", [_shell.TICK, PATIENCE])
+def test_silent(tick: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is not failed while its answer could come in time, and does not wait for a tick."""
+
+    async def scenario() -> None:
+        monkeypatch.setattr(_shell, "TICK", tick)
+        log = KeptLog()
+        async with serve(acts=(Act.HANG,) * COUNT, configure=configure, log=log) as bed:
+            asking = []
+            for number in range(COUNT):
+                asking.append(asyncio.create_task(bed.ask("/read/", id=f"r{number}")))
+                await asyncio.sleep(0.005)
+            async with asyncio.timeout(PATIENCE / 2.0):
+                await asyncio.gather(*asking)
+            ends = [entry for entry in log.entries if isinstance(entry, RequestFailed)]
+            assert len(ends) == COUNT
+            assert {entry.code for entry in ends} == {DeadlineExceededError.code}
+            assert min(entry.seconds for entry in ends) >= SECONDS - MARGIN - 0.001
+
+    asyncio.run(scenario())
