Keep what was decided for a call where the queue behind it fails

Cause: the end, the first token and the leaving of one call go on with the queue. A fault of the queue itself, beside the step for any one waiting call, dropped what had been decided before it: a whole answer counted as failed, and a stream whose hedge was called off was ended.

Ruled out: a guard in each of the events; all go through `drain_all`.

Conclusion: each lane is drained on its own.

--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -22,7 +22,7 @@
     PrioritizeAttempt,
     StartAttempt,
 )
-from azureswitch.serving._ending import cancel_others, decide, finish, observe, release
+from azureswitch.serving._ending import beside, cancel_others, decide, finish, observe, release
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
 from azureswitch.serving._fleet import EJECT_MOST, PACED_EJECT_MOST
 from azureswitch.serving._length import Level, ageing_period, priority
@@ -105,8 +105,12 @@
 
 
 def drain_all(state: ServingState, *, now: float) -> list[Effect]:
-    """Send waiting calls of every lane."""
-    return [effect for lane in state.queue.lanes for effect in drain(state, lane, now=now)]
+    """Send waiting calls of every lane, and none of one where that fails."""
+    return [
+        effect
+        for lane in state.queue.lanes
+        for effect in beside(partial(drain, state, lane, now=now), name="The queue")
+    ]
 
 
 def start(state: ServingState, record: CallRecord, choice: Choice, *, now: float) -> list[Effect]:
--- a/tests/serving/test_apart.py
+++ b/tests/serving/test_apart.py
@@ -6,12 +6,19 @@
 import pytest
 
 from azureswitch.core import CallId, TargetName
-from azureswitch.exceptions import AzureswitchError, DeadlineExceededError, HostStoppedError, Ran
+from azureswitch.exceptions import (
+    AzureswitchError,
+    CallerLeftError,
+    DeadlineExceededError,
+    HostStoppedError,
+    Ran,
+)
 from azureswitch.ports import LoadReport
 from azureswitch.serving import (
     AttemptEnd,
     AttemptEnded,
     AttemptSilent,
+    CallerLeft,
     CancelAttempt,
     ClaimGranted,
     FinishCall,
@@ -160,6 +167,34 @@
         assert type(driver.error(FAULTY)) is AzureswitchError
         assert [start.call for start in only(StartAttempt, driver.effects)] == ["c3"]
 
+    @pytest.mark.parametrize(
+        "event",
+        [
+            AttemptEnded(now=1.0, call=CALLS[0], attempt=1, end=AttemptEnd.COMPLETE),
+            CallerLeft(now=1.0, call=CALLS[0]),
+            FirstTokenArrived(now=1.0, call=CALLS[0], attempt=2),
+        ],
+        ids=lambda event: type(event).__name__,
+    )
+    def test_queue(self, event: ServingEvent, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Where the queue itself fails, what happened to a call that was sent is decided."""
+        driver = Driver()
+        driver.arrive(model_call(CALLS[0]))
+        driver.tick(3.0)
+        assert len(only(StartAttempt, driver.effects)) == 2
+        with monkeypatch.context() as patch:
+            patch.setattr(_attempts, "choose", lambda *args, **more: None)
+            driver.arrive(model_call(FAULTY))
+        monkeypatch.setattr(driver.state.queue, "heads", always)
+        driver.send(event)
+        if isinstance(event, FirstTokenArrived):
+            assert not only(FinishCall, driver.effects)
+            assert [cancel.attempt for cancel in only(CancelAttempt, driver.effects)] == [1]
+        elif isinstance(event, AttemptEnded):
+            assert driver.error(CALLS[0]) is None
+        else:
+            assert isinstance(driver.error(CALLS[0]), CallerLeftError)
+
     def test_next_try(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """So it is with one that waits for its next try."""
         driver = Driver()
