Define data classes by one compiled function each

Cause: of the processor time to load the edge program with compiled files at hand, 276 of 565 ms went into 306 data classes: the standard library compiles up to eight functions for each. Other parts by the interpreter's own import times: 225 ms in modules that are not ours, 322 ms in 157 of our own, the classes included. Where no compiled files are at hand, compiling our own adds 245 ms.

Ruled out: compiling constructors at their first use, which moves the cost into the event loop; msgspec's structures, which are another kind of class for all who use them; replacing private functions of the standard library.

--- a/src/azureswitch/client/_answer.py
+++ b/src/azureswitch/client/_answer.py
@@ -1,6 +1,6 @@
 """What the client gives back."""
 
-from dataclasses import dataclass
+from azureswitch.classes import dataclass
 
 Headers = tuple[tuple[str, str], ...]
 
--- a/src/azureswitch/commands/_fleet.py
+++ b/src/azureswitch/commands/_fleet.py
@@ -1,8 +1,9 @@
 """The fleet as its hosts and the store show it."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from azureswitch.classes import dataclass
 from azureswitch.commands._loads import EngineLoad
 
 _TAKING_PART = frozenset({"alive", "suspect"})
--- a/src/azureswitch/commands/_tables.py
+++ b/src/azureswitch/commands/_tables.py
@@ -1,7 +1,8 @@
 """Plain-text tables."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+
+from azureswitch.classes import dataclass
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/coordination/leases/_model.py
+++ b/src/azureswitch/coordination/leases/_model.py
@@ -1,7 +1,6 @@
 """What the store holds of a lease, and the reducer's events and effects."""
 
-from dataclasses import dataclass
-
+from azureswitch.classes import dataclass
 from azureswitch.core import Effect, Event, Incarnation
 from azureswitch.ports import StoredObject
 
--- a/src/azureswitch/coordination/membership/_effects.py
+++ b/src/azureswitch/coordination/membership/_effects.py
@@ -1,7 +1,6 @@
 """What the driver does for the membership reducer."""
 
-from dataclasses import dataclass
-
+from azureswitch.classes import dataclass
 from azureswitch.coordination.membership._messages import Message, SyncReply, SyncRequest
 from azureswitch.core import Effect
 
--- a/src/azureswitch/coordination/membership/_probe.py
+++ b/src/azureswitch/coordination/membership/_probe.py
@@ -1,8 +1,9 @@
 """Whom to probe next, what is being probed, and how far to trust oneself."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from random import Random
 
+from azureswitch.classes import dataclass
 from azureswitch.coordination.membership._limits import HEALTH_LIMIT
 from azureswitch.coordination.membership._messages import Update
 from azureswitch.core import HostName
--- a/src/azureswitch/coordination/memory/_model.py
+++ b/src/azureswitch/coordination/memory/_model.py
@@ -1,7 +1,6 @@
 """Messages, events and effects of the sweep of engine memory."""
 
-from dataclasses import dataclass
-
+from azureswitch.classes import dataclass
 from azureswitch.coordination.membership import Member
 from azureswitch.core import CallId, Effect, Event, Incarnation, TargetName
 from azureswitch.ports import Holding
--- a/src/azureswitch/coordination/mirror/_events.py
+++ b/src/azureswitch/coordination/mirror/_events.py
@@ -1,7 +1,6 @@
 """What can happen to a copy of the store's objects."""
 
-from dataclasses import dataclass
-
+from azureswitch.classes import dataclass
 from azureswitch.coordination.mirror._messages import StoreSeen
 from azureswitch.core import Event
 from azureswitch.ports import Listing, StoreChange, StoredObject
--- a/src/azureswitch/coordination/mirror/_state.py
+++ b/src/azureswitch/coordination/mirror/_state.py
@@ -1,10 +1,11 @@
 """What is known of one kind of the store's objects."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from math import inf
 
 from xxhash import xxh3_64_intdigest
 
+from azureswitch.classes import dataclass
 from azureswitch.coordination.mirror._messages import StoreSeen
 from azureswitch.ports import StoredObject
 
--- a/src/azureswitch/coordination/orders/_model.py
+++ b/src/azureswitch/coordination/orders/_model.py
@@ -1,7 +1,6 @@
 """What is wanted of engines, and the events and effects of bringing them there."""
 
-from dataclasses import dataclass
-
+from azureswitch.classes import dataclass
 from azureswitch.core import Effect, Event, TargetName
 from azureswitch.inventory import TargetRole
 from azureswitch.ports import EngineState, OrderKind
--- a/src/azureswitch/entry/_attempts.py
+++ b/src/azureswitch/entry/_attempts.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from absl import logging
 from xxhash import xxh3_64_intdigest
 
+from azureswitch.classes import dataclass
 from azureswitch.core import Incarnation, TargetName
 from azureswitch.entry._events import cached_tokens
 from azureswitch.entry._ports import JobKeeper
--- a/src/azureswitch/entry/_records.py
+++ b/src/azureswitch/entry/_records.py
@@ -2,8 +2,9 @@
 
 from asyncio import Event, Task
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from azureswitch.classes import dataclass
 from azureswitch.core import TargetName
 from azureswitch.entry._answers import PlainSlot, StreamAnswer
 from azureswitch.ports import Surface
--- a/src/azureswitch/entry/_settings.py
+++ b/src/azureswitch/entry/_settings.py
@@ -1,9 +1,10 @@
 """The settings of an entry host."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 from pathlib import Path
 
+from azureswitch.classes import dataclass
 from azureswitch.core import HostName, PlaceName
 from azureswitch.settings import (
     NAME,
--- a/src/azureswitch/gateway/_events.py
+++ b/src/azureswitch/gateway/_events.py
@@ -1,6 +1,6 @@
 """Splits a stream of server-sent events into whole events."""
 
-from dataclasses import dataclass
+from azureswitch.classes import dataclass
 
 END = b"\n\n"
 """What ends an event."""
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from random import Random
 from socket import socket
@@ -10,6 +9,7 @@
 
 from absl import logging
 
+from azureswitch.classes import dataclass
 from azureswitch.core import Effect, HostName, PlaceName, TargetName
 from azureswitch.gateway._front import Front
 from azureswitch.gateway._log import (
--- a/src/azureswitch/peers/_traffic.py
+++ b/src/azureswitch/peers/_traffic.py
@@ -1,7 +1,8 @@
 """Counts of what a host sends to and receives from its peers."""
 
 from collections import defaultdict
-from dataclasses import dataclass
+
+from azureswitch.classes import dataclass
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/spans/_model.py
+++ b/src/azureswitch/spans/_model.py
@@ -1,7 +1,6 @@
 """The members of a set of engines, and the events and effects of running on it."""
 
-from dataclasses import dataclass
-
+from azureswitch.classes import dataclass
 from azureswitch.core import Effect, Event, TargetName
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.ports import Holding
