--- a/src/azureswitch/classes.py
+++ b/src/azureswitch/classes.py
@@ -70,12 +70,12 @@
     dataclass = _define
 
 
-@dataclasses.dataclass(frozen=True, init=False, repr=False, eq=False)
+@dataclasses.dataclass(frozen=True)
 class _Frozen:
     """Holds what the standard library notes of a frozen class."""
 
 
-@dataclasses.dataclass(init=False, repr=False, eq=False)
+@dataclasses.dataclass
 class _Open:
     """Holds what the standard library notes of a class that is not frozen."""
 
