Build a configuration beside the one in force, in slices

Cause: a configuration was decoded, adopted and its targets read in one turn of the event loop, and the reducer was handed it twice, once with the targets of before. All customers were made anew at each change of targets, too.

Ruled out: a thread, which shares the core and the interpreter's lock with the loop; breaking off one that is being built for a newer one, by which changes in quick succession would never come into force; slicing the reducer's own adoption, which must be whole.

What fits into 4 ms is in force in the same turn as before; larger ones some turns later, whole, with the targets of that moment.

--- a/src/azureswitch/gateway/__init__.py
+++ b/src/azureswitch/gateway/__init__.py
@@ -13,6 +13,7 @@
     Verdict,
 )
 from azureswitch.gateway._ports import Dialect, Reservations
+from azureswitch.gateway._prepared import Prepared, prepare
 from azureswitch.gateway._stopping import Neighbours, neighbours_of
 
 __all__ = [
@@ -25,10 +26,12 @@
     "GatewaySettings",
     "Helper",
     "PeersKnown",
+    "Prepared",
     "Reservations",
     "Route",
     "RouteKind",
     "Sending",
     "Share",
     "Verdict",
+    "prepare",
 ]
--- a/src/azureswitch/gateway/_front.py
+++ b/src/azureswitch/gateway/_front.py
@@ -14,6 +14,7 @@
 from azureswitch.gateway._log import RequestAdmitted, RequestRefused, RequestUnserved
 from azureswitch.gateway._model import Arrival, Deployment, Route, RouteKind
 from azureswitch.gateway._ports import Dialect
+from azureswitch.gateway._prepared import Prepared
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._routes import Routes, pick_service
 from azureswitch.gateway._shell import Shell
@@ -61,14 +62,18 @@
         """Whether callers are told to use another connection for their next request."""
         return self._closing
 
-    def adopt(self, deployment: Deployment) -> bool:
+    def adopt(self, prepared: Prepared) -> bool:
         """Serve by a configuration and return True, unless the same or a later one is in force."""
-        if self._deployment is not None and deployment.version <= self._deployment.version:
+        if not self.is_news(prepared.deployment):
             return False
-        self._deployment = deployment
-        self._routes = Routes(routes=deployment.routes)
+        self._deployment = prepared.deployment
+        self._routes = prepared.routes
         return True
 
+    def is_news(self, deployment: Deployment) -> bool:
+        """Return whether a configuration is later than the one in force."""
+        return self._deployment is None or deployment.version > self._deployment.version
+
     def close(self) -> None:
         """Tell callers from now on to use another connection for their next request."""
         self._closing = True
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -24,6 +24,7 @@
 from azureswitch.gateway._model import Deployment
 from azureswitch.gateway._pages import MetricsPage, ReadinessPage
 from azureswitch.gateway._ports import Dialect, Reservations
+from azureswitch.gateway._prepared import Prepared, prepare
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._stopping import (
     CloseIdle,
@@ -58,6 +59,7 @@
     ServingState,
     SnapshotAdopted,
 )
+from azureswitch.slices import finish
 from azureswitch.tasks import keep_running
 
 DIGEST_PERIOD = 0.8
@@ -170,6 +172,7 @@
             handler=MetricsPage(metrics=metrics, path=METRICS_PATH, dialect=dialect)
         )
         self._targets: Mapping[TargetName, Target] = {}
+        self._customers: tuple[Customer, ...] = ()
         self._watch(metrics)
         self._revision = 0
         self._leaving = False
@@ -291,9 +294,26 @@
 
     def adopt(self, deployment: Deployment) -> None:
         """Serve by a configuration, unless the same or a later one is in force."""
+        self.put_in_force(finish(prepare(deployment)))
+
+    def is_news(self, deployment: Deployment) -> bool:
+        """Return whether a configuration is later than the one in force."""
+        return self._front.is_news(deployment)
+
+    def put_in_force(
+        self, prepared: Prepared, *, targets: tuple[Target, ...] | None = None
+    ) -> None:
+        """Serve by a configuration, unless the same or a later one is in force.
+
+        Args:
+            prepared: The configuration.
+            targets: The targets as it names them, or None for those of now.
+        """
         before = self._front.deployment
-        if not self._front.adopt(deployment):
+        if not self._front.adopt(prepared):
             return
+        deployment = prepared.deployment
+        self._customers = prepared.customers
         self._log.write(
             ConfigurationAdopted(
                 version=deployment.version,
@@ -303,15 +323,20 @@
                 keys=len(deployment.customers),
             )
         )
+        if targets is not None:
+            self._take_targets(targets)
         self._revise()
 
     def set_targets(self, targets: tuple[Target, ...]) -> None:
         """Send requests to these targets alone from now on."""
+        self._take_targets(targets)
+        self._revise()
+
+    def _take_targets(self, targets: tuple[Target, ...]) -> None:
         before = self._targets
         self._targets = {target.name: latest(before.get(target.name), target) for target in targets}
         if before != self._targets:
             self._log.write(_difference(before, self._targets))
-        self._revise()
 
     def _started(self, name: TargetName) -> int:
         """Return the start known of a target, or zero where it does not say or is not listed."""
@@ -361,12 +386,11 @@
         if deployment is None:
             return
         self._revision += 1
-        customers = sorted(set(deployment.customers.values()))
         inventory = Inventory(
             places=self._settings.places,
             services=deployment.services,
             targets=tuple(self._targets.values()),
-            customers=tuple(Customer(name=name, key_hash="") for name in customers),
+            customers=self._customers,
         )
         snapshot = Snapshot(revision=self._revision, inventory=inventory, rules=Rules())
         self._shell.dispatch(SnapshotAdopted(now=self._shell.now, snapshot=snapshot))
--- /dev/null
+++ b/src/azureswitch/gateway/_prepared.py
@@ -0,0 +1,35 @@
+"""Builds what a configuration needs to be in force, beside the one that is."""
+
+from azureswitch.classes import dataclass
+from azureswitch.gateway._model import Deployment
+from azureswitch.gateway._routes import Routes
+from azureswitch.inventory import Customer
+from azureswitch.slices import GO_ON, Steps
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Prepared:
+    """A configuration that can be put in force at once.
+
+    Attributes:
+        deployment: The configuration.
+        routes: Its routes, to be looked up.
+        customers: Its customers, in the order of their names.
+    """
+
+    deployment: Deployment
+    routes: Routes
+    customers: tuple[Customer, ...]
+
+
+def prepare(deployment: Deployment) -> Steps[Prepared]:
+    """Build what a configuration needs, in steps."""
+    routes = Routes(routes=deployment.routes)
+    yield GO_ON
+    names = sorted(set(deployment.customers.values()))
+    yield GO_ON
+    customers: list[Customer] = []
+    for name in names:
+        customers.append(Customer(name=name, key_hash=""))
+        yield GO_ON
+    return Prepared(deployment=deployment, routes=routes, customers=tuple(customers))
--- a/src/azureswitch/platform/_deployment.py
+++ b/src/azureswitch/platform/_deployment.py
@@ -1,5 +1,8 @@
 """The operator's configuration, as the store holds it."""
 
+from collections.abc import Callable, Iterable
+from typing import TypeVar
+
 import msgspec
 
 from azureswitch.core import CustomerName, ServiceName
@@ -8,6 +11,10 @@
 from azureswitch.inventory import EnginePace, Service, ServiceKind
 from azureswitch.ports import StoredObject
 from azureswitch.server import CallerLimits
+from azureswitch.slices import GO_ON, Steps, finish
+
+Wire = TypeVar("Wire")
+Item = TypeVar("Item")
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -105,22 +112,47 @@
 def decode_deployment(item: StoredObject) -> Deployment:
     """Return the configuration that an object holds.
 
+    Raises:
+        DeploymentUnreadableError: It is none.
+    """
+    return finish(deployment_steps(item))
+
+
+def deployment_steps(item: StoredObject) -> Steps[Deployment]:
+    """Read the configuration that an object holds, in steps.
+
     Raises:
         DeploymentUnreadableError: It is none.
     """
     try:
         wire = msgspec.json.decode(item.value, type=WireDeployment)
+        yield GO_ON
+        routes = yield from _each(_route, wire.routes)
+        services = yield from _each(_service, wire.services)
+        customers: dict[str, CustomerName] = {}
+        for customer in wire.customers:
+            customers.update((key, customer.name) for key in customer.keys)
+            yield GO_ON
         return Deployment(
             version=wire.version,
-            routes=tuple(_route(route) for route in wire.routes),
-            services=tuple(_service(service) for service in wire.services),
-            customers={key: customer.name for customer in wire.customers for key in customer.keys},
+            routes=routes,
+            services=services,
+            customers=customers,
             limits=_limits(wire.limits),
         )
     except (ArithmeticError, RecursionError, ValueError) as error:
         raise DeploymentUnreadableError(version=item.version, detail=str(error)) from error
 
 
+def _each(convert: Callable[[Wire], Item], wires: Iterable[Wire]) -> Steps[tuple[Item, ...]]:
+    """Convert one after the other, each in a step."""
+    items: list[Item] = []
+    for wire in wires:
+        items.append(convert(wire))
+        yield GO_ON
+    return tuple(items)
+
+
 def _service(wire: WireService) -> Service:
     if wire.pace is None:
         return Service(name=wire.name, kind=ServiceKind.PLAIN)
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -15,19 +15,18 @@
 from azureswitch.coordination.mirror import CopyPeers, Mirrors
 from azureswitch.coordination.sharing import Digests
 from azureswitch.core import HostName, Incarnation
-from azureswitch.exceptions import DeploymentUnreadableError, PlatformSettingsError
+from azureswitch.exceptions import PlatformSettingsError
 from azureswitch.gateway import Gateway, GatewaySettings, PeersKnown, neighbours_of
 from azureswitch.logs import LineStream, Log, start_logs
 from azureswitch.metrics import Metrics
 from azureswitch.peers import PeerNetwork
+from azureswitch.platform._adoption import Adoption
 from azureswitch.platform._deployment import (
     CONFIGURATION_KIND,
-    CONFIGURATION_NAME,
     TARGETS_KIND,
-    decode_deployment,
 )
 from azureswitch.platform._dialect import PlatformDialect
-from azureswitch.platform._foreign import Fault, Foreign, ForeignBook
+from azureswitch.platform._foreign import ForeignBook
 from azureswitch.platform._orders import HttpReservations
 from azureswitch.platform._roster import ROSTER_KIND, Seat, StoreHostList
 from azureswitch.platform._settings import (
@@ -37,7 +36,6 @@
 )
 from azureswitch.platform._store import HttpStore
 from azureswitch.platform._targets import TargetReader
-from azureswitch.ports import StoredObject
 from azureswitch.serving import PeersChanged
 from azureswitch.tasks import end_tasks, keep_running
 
@@ -117,10 +115,8 @@
             kinds=(CONFIGURATION_KIND, TARGETS_KIND, ROSTER_KIND),
             clock=monotonic,
         )
-        self._reader = TargetReader(places=settings.places)
         self._stores: list[HttpStore] = []
         self._store = self._connect_store(settings)
-        self._objects: tuple[StoredObject, ...] = ()
         self._hosts: tuple[HostName, ...] = ()
         self._configured = asyncio.Event()
         self._gateway = Gateway(
@@ -135,6 +131,12 @@
                 settings.host, settings.place, self._membership.members
             ),
         )
+        self._adoption = Adoption(
+            gateway=self._gateway,
+            reader=TargetReader(places=settings.places),
+            foreign=self._foreign,
+            configured=self._configured.set,
+        )
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         myself = Incarnation(host=settings.host, started=int(time() * 1_000))
         self._network = PeerNetwork(address=address)
@@ -161,12 +163,12 @@
         )
         mirrors = Mirrors(peers=copies)
         self._configuration = mirrors.add(
-            store=self._store, kind=CONFIGURATION_KIND, publish=self._configure, seed=seed
+            store=self._store, kind=CONFIGURATION_KIND, publish=self._adoption.configure, seed=seed
         )
         self._targets = mirrors.add(
             store=self._connect_store(settings),
             kind=TARGETS_KIND,
-            publish=self._list,
+            publish=self._adoption.list_targets,
             return_grace=RETURN_GRACE,
             seed=seed + 1,
         )
@@ -212,6 +214,7 @@
         # Whatever else fails to end: requests have their answers when this returns.
         await self._gateway.stop()
         await end_tasks([*loops, leaving], prefix="edge", timeout=END_SECONDS)
+        await self._adoption.stop(timeout=END_SECONDS)
         await self._digests.stop(timeout=END_SECONDS)
         try:
             async with asyncio.timeout(END_SECONDS):
@@ -226,27 +229,6 @@
         except TimeoutError:
             logging.warning("edge: There is no configuration yet; requests are refused.")
 
-    def _configure(self, objects: tuple[StoredObject, ...]) -> None:
-        foreign: list[Foreign] = []
-        for item in objects:
-            if item.name != CONFIGURATION_NAME:
-                continue
-            try:
-                self._gateway.adopt(decode_deployment(item))
-            except DeploymentUnreadableError as error:
-                # The one in force stays.
-                foreign.append(_unreadable(item, error))
-        self._foreign.see(CONFIGURATION_KIND, foreign)
-        self._list(self._objects)
-
-    def _list(self, objects: tuple[StoredObject, ...]) -> None:
-        self._objects = objects
-        found = self._reader.read(objects, deployment=self._gateway.deployment)
-        self._foreign.see(TARGETS_KIND, found.foreign)
-        self._gateway.set_targets(found.targets)
-        if self._gateway.configured:
-            self._configured.set()
-
     def _members_changed(self, members: tuple[Member, ...]) -> None:
         hosts = live_hosts(members)
         if hosts != self._hosts:
@@ -276,12 +258,6 @@
         )
 
 
-def _unreadable(item: StoredObject, error: DeploymentUnreadableError) -> Foreign:
-    return Foreign(
-        name=item.name, version=item.version, fault=Fault.UNREADABLE, detail=error.detail
-    )
-
-
 def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
     return GatewaySettings(
         host=settings.host,
--- a/src/azureswitch/platform/_targets.py
+++ b/src/azureswitch/platform/_targets.py
@@ -17,6 +17,7 @@
 from azureswitch.platform._entries import UNDECODED
 from azureswitch.platform._foreign import Fault, Foreign, undecoded
 from azureswitch.ports import StoredObject
+from azureswitch.slices import GO_ON, Steps, finish
 
 STARTED_MOST = 2**63 - 1
 """The latest start that can be told in a message between hosts."""
@@ -116,6 +117,12 @@
             deployment: The configuration in force, which names the services; None where there is
                 none yet, so that no service is unknown.
         """
+        return finish(self.read_steps(items, deployment=deployment))
+
+    def read_steps(
+        self, items: Iterable[StoredObject], *, deployment: Deployment | None
+    ) -> Steps[Targets]:
+        """Read the targets of a listing as `read` does, in steps."""
         paces = None if deployment is None else _paces(deployment)
         found: list[tuple[StoredObject, WireTarget]] = []
         foreign: list[Foreign] = []
@@ -128,6 +135,7 @@
                 foreign.append(wire)
             else:
                 found.append((item, wire))
+            yield GO_ON
         self._decoded = decoded
         missing = _missing(wire for _, wire in found)
         targets: list[Target] = []
@@ -136,6 +144,7 @@
                 foreign.append(_silent(item, names))
             else:
                 targets.append(_target(item, wire, paces or {}))
+            yield GO_ON
         return Targets(targets=tuple(targets), foreign=tuple(foreign))
 
     def _decode(self, item: StoredObject) -> WireTarget | Foreign:
--- /dev/null
+++ b/src/azureswitch/slices.py
@@ -0,0 +1,38 @@
+"""Long work on the event loop, done in slices between which everything else has its turn.
+
+Such work is a generator that yields wherever it may be interrupted: whether it must be there, as a
+long step follows.
+"""
+
+from collections.abc import Generator
+from time import monotonic
+from typing import TypeAlias, TypeVar
+
+T = TypeVar("T")
+
+GO_ON = False
+"""What work yields where it need not be interrupted."""
+
+Steps: TypeAlias = Generator[bool, None, T]
+
+SLICE_SECONDS = 0.004
+"""Seconds after which work lets others have their turn.
+
+An adoption may hold the loop for 20 ms; of its steps the longest take 8 ms of a core.
+"""
+
+
+def run_slice(work: Steps[object]) -> bool:
+    """Go on with work for a slice, and return whether it is done."""
+    end = monotonic() + SLICE_SECONDS
+    return all(not pause and monotonic() < end for pause in work)
+
+
+def finish(work: Steps[T]) -> T:
+    """Do all of the work at once and return its result."""
+    while True:
+        try:
+            next(work)
+        except StopIteration as end:
+            result: T = end.value
+            return result
