Keep what is loaded out of garbage collections

Cause: each full collection looked through all that the program has loaded, in whatever turn of the event loop it fell.

Ruled out: freezing again after each adoption, by which cycles of requests of that moment would never be freed; no collections while a configuration is built, which puts them off to another turn.

The record bench/adoption.py changes with it: it no longer collects beforehand, and its bound is on the longest turn of eight adoptions, the least of three hosts, in place of the quickest adoption; that is stricter.

--- a/bench/adoption.py
+++ b/bench/adoption.py
@@ -1,7 +1,7 @@
 """For how long a host that adopts a configuration does nothing else, by the number of routes."""
 
 from asyncio import run, sleep
-from gc import collect
+from gc import freeze, unfreeze
 from time import monotonic, process_time
 
 from absl import logging
@@ -41,8 +41,11 @@
 TURN_BOUND = 20.0
 """Milliseconds for which adopting a configuration may hold the event loop."""
 
-RUNS = 7
-"""Adoptions of each size, of which the quickest counts: the machine is shared."""
+RUNS = 8
+"""Adoptions at each host after its first, in which there are full collections too."""
+
+HOSTS = 3
+"""Hosts of each size, of which the quickest counts: the machine is shared."""
 
 PLACES = tuple(Place(name=PlaceName(f"zone-{letter}"), region="region") for letter in "abc")
 
@@ -146,7 +149,6 @@
         """
         self._version += 1
         item = _configuration(self._routes, version=self._version)
-        collect()
         begun = process_time()
         self._adoption.configure((item,))
         turns = [process_time() - begun]
@@ -158,23 +160,29 @@
 
 
 async def _measure(routes: int) -> tuple[float, float, float]:
-    """Return the longest turn of a first adoption, and the least and the whole of later ones."""
+    """Return the longest turns of a first adoption and of later ones, and the least whole."""
     host = _Host(routes=routes)
     first = max(await host.adopt())
-    found = [await host.adopt() for _ in range(RUNS)]
-    return first, min(max(turns) for turns in found), min(sum(turns) for turns in found)
+    later = [await host.adopt() for _ in range(RUNS)]
+    return first, max(max(turns) for turns in later), min(sum(turns) for turns in later)
 
 
 def records() -> list[Record]:
     """Return for how long adopting holds the event loop on a host's share of a core."""
     logging.set_verbosity(logging.ERROR)
     results: list[Record] = []
+    # The program keeps what it has loaded out of collections, which fall into turns too.
+    freeze()
     for routes in SIZES:
-        first, longest, whole = run(_measure(routes))
+        hosts = [run(_measure(routes)) for _ in range(HOSTS)]
+        first, longest, whole = (
+            min(found) / CORE_SHARE * 1e3 for found in zip(*hosts, strict=True)
+        )
         name = f"adoption.{routes}"
         results += [
-            at_most(f"{name}.longest_turn", longest / CORE_SHARE * 1e3, "ms", TURN_BOUND),
-            Record(name=f"{name}.first_turn", value=first / CORE_SHARE * 1e3, unit="ms"),
-            Record(name=f"{name}.whole", value=whole / CORE_SHARE * 1e3, unit="ms"),
+            at_most(f"{name}.longest_turn", longest, "ms", TURN_BOUND),
+            Record(name=f"{name}.first_turn", value=first, unit="ms"),
+            Record(name=f"{name}.whole", value=whole, unit="ms"),
         ]
+    unfreeze()
     return results
--- a/src/azureswitch/platform/_deployment.py
+++ b/src/azureswitch/platform/_deployment.py
@@ -1,4 +1,8 @@
-"""The operator's configuration, as the store holds it."""
+"""The operator's configuration, as the store holds it.
+
+What is decoded holds no cycles (`gc=False`): as thousands of objects that collections look through,
+it made one of 4,000 routes hold the event loop for 7.5 ms of a core in place of 4.
+"""
 
 from collections.abc import Callable, Iterable
 from typing import TypeVar
@@ -30,13 +34,13 @@
 """Pairs in the unit of `WirePace.pair`."""
 
 
-class WireUsual(msgspec.Struct, frozen=True, kw_only=True):
+class WireUsual(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """Mean counts of tokens."""
 
     answer: float = 0.0
 
 
-class WirePace(msgspec.Struct, frozen=True, kw_only=True):
+class WirePace(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """How fast a service's engines work; times are in milliseconds."""
 
     slots: int = msgspec.field(name="Slots", default=1)
@@ -51,21 +55,21 @@
     usual: WireUsual = msgspec.field(default_factory=WireUsual)
 
 
-class WireService(msgspec.Struct, frozen=True, kw_only=True):
+class WireService(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A service; it has a pace where engines stand behind it."""
 
     name: ServiceName = msgspec.field(name="Name")
     pace: WirePace | None = msgspec.field(name="Engine", default=None)
 
 
-class WireShare(msgspec.Struct, frozen=True, kw_only=True):
+class WireShare(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A service's part of a route."""
 
     service: ServiceName = msgspec.field(name="Service")
     weight: float = msgspec.field(name="Weight", default=1.0)
 
 
-class WireRoute(msgspec.Struct, frozen=True, kw_only=True):
+class WireRoute(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A route: to one service, or to several by weight."""
 
     name: str = msgspec.field(name="Name", default="")
@@ -83,7 +87,7 @@
     resumable: bool = msgspec.field(name="StreamResume", default=False)
 
 
-class WireLimits(msgspec.Struct, frozen=True, kw_only=True):
+class WireLimits(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """What a caller's connection may ask."""
 
     header_bytes: int = msgspec.field(name="MaxHeaderBytes", default=16_384)
@@ -92,14 +96,14 @@
     idle_milliseconds: float = msgspec.field(name="IdleTimeoutMs", default=15_000.0)
 
 
-class WireCustomer(msgspec.Struct, frozen=True, kw_only=True):
+class WireCustomer(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A customer and its keys."""
 
     name: CustomerName = msgspec.field(name="Name")
     keys: tuple[str, ...] = msgspec.field(name="ApiKeys", default=())
 
 
-class WireDeployment(msgspec.Struct, frozen=True, kw_only=True):
+class WireDeployment(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """The operator's configuration."""
 
     version: int = msgspec.field(name="Version")
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -1,6 +1,7 @@
 """The daemon ``azureswitch-edge``: a gateway on the users' platform."""
 
 import asyncio
+import gc
 import os
 from collections.abc import Coroutine
 from pathlib import Path
@@ -289,6 +290,9 @@
         logging.error("edge: %s", error)
         return EXIT_SETTINGS
     lines = start_logs(host=settings.host)
+    # What is loaded stays.  Looked through by each full collection, it held the event loop for 25
+    # to 34 ms of a core while configurations of 4,000 routes were adopted, in place of 4.
+    gc.freeze()
     try:
         run_to_end(_serve(path, settings, lines, callers))
     except OSError as error:
--- a/tests/platform/test_end.py
+++ b/tests/platform/test_end.py
@@ -1,9 +1,16 @@
 """A process ends with its work, whatever its tasks do."""
 
 import asyncio
+import gc
+from collections.abc import Coroutine
+from pathlib import Path
 
+import pytest
+
+from azureswitch.platform import _program
 from azureswitch.platform._program import run_to_end
 from azureswitch.tasks import end_tasks
+from bench.soak._documents import write_settings
 
 LIMIT = 0.05
 
@@ -33,3 +40,28 @@
 
         run_to_end(work())
         assert ended == ["willing"]
+
+
+def test_what_is_loaded_is_no_part_of_collections(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing of it is looked through again once the program serves."""
+    settings = tmp_path / "edge.toml"
+    write_settings(
+        settings, name="h1", ip="127.0.0.1", zone="z1", ports=23_400, store="127.0.0.1:1"
+    )
+    monkeypatch.setenv("AZURESWITCH_SETTINGS", str(settings))
+    monkeypatch.setattr(_program, "start_logs", lambda *, host: None)
+    kept: list[int] = []
+
+    def note(work: Coroutine[object, object, None]) -> None:
+        work.close()
+        kept.append(gc.get_freeze_count())
+
+    monkeypatch.setattr(_program, "run_to_end", note)
+    gc.unfreeze()
+    try:
+        assert _program.main() == _program.EXIT_OK
+    finally:
+        gc.unfreeze()
+    assert kept[0] > len(gc.get_objects()) // 2
