--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -296,9 +296,12 @@
         began: As in `main`.
     """
     code = main(callers=callers, began=began)
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(code)
+    try:
+        sys.stdout.flush()
+        sys.stderr.flush()
+    finally:
+        # Also where nobody reads them any more, which cannot be told anybody.
+        os._exit(code)
 
 
 def main(*, callers: socket | None = None, began: float | None = None) -> int:
