Draw a soak's moments, end a gateway's servers and begin a stop's reckoning in one place each

Cause: four parts of the soak had the same loop over random moments (faults, planned work, restarts, foreign entries); a gateway's stop and its abort ended servers and ticks by the same lines; StopRequest was told a moment that its own clock tells.

Ruled out: one base of the soak's callers and keepers, which differ in connections, kinds and pauses; one reader of typed and raw pages, where the second is taken only if the first fails.

Conclusion: no test or check is changed but for the argument that StopRequest no longer takes.

--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -9,6 +9,7 @@
 from azureswitch_standins.target import Act, TargetFaults
 from bench.soak._documents import DESK, POOL
 from bench.soak._fleet import WORK, Fleet, Host, Target
+from bench.soak._moments import moments
 from bench.soak._planned import DOWN_SECONDS, stop_host
 from bench.soak._platform import Platform
 from bench.soak._proxy import FaultProxy, Mode
@@ -83,11 +84,8 @@
             only: The one kind to draw, or nothing for all.
         """
         kinds = [only] if only else sorted(self._kinds)
-        starts = sorted(self._random.uniform(0.0, seconds) for _ in range(count))
-        began = monotonic()
         async with asyncio.TaskGroup() as group:
-            for start in starts:
-                await asyncio.sleep(max(0.0, began + start - monotonic()))
+            async for _ in moments(self._random, count=count, seconds=seconds):
                 group.create_task(self._bring(self._random.choice(kinds)))
 
     async def _bring(self, kind: str) -> None:
--- a/bench/soak/_foreign.py
+++ b/bench/soak/_foreign.py
@@ -10,6 +10,7 @@
 from azureswitch.platform import TARGETS_KIND
 from bench.soak._documents import DESK, POOL, ZONES
 from bench.soak._fleet import Fleet, Host
+from bench.soak._moments import moments
 from bench.soak._planned import stop_host
 from bench.soak._platform import Platform
 from bench.soak._records import STORE, Records
@@ -112,11 +113,8 @@
             count: How many sets.
             seconds: Within how many seconds they are written.
         """
-        began = monotonic()
-        starts = sorted(self._random.uniform(0.0, seconds) for _ in range(count))
         async with asyncio.TaskGroup() as group:
-            for start in starts:
-                await asyncio.sleep(max(0.0, began + start - monotonic()))
+            async for _ in moments(self._random, count=count, seconds=seconds):
                 group.create_task(self._one())
 
     def unready(self) -> list[str]:
--- a/bench/soak/_planned.py
+++ b/bench/soak/_planned.py
@@ -8,6 +8,7 @@
 from azureswitch_standins.target import Act, TargetFaults
 from bench.soak._documents import DESK, GRACE_SECONDS, POOL
 from bench.soak._fleet import Fleet, Host
+from bench.soak._moments import moments
 from bench.soak._platform import Platform
 from bench.soak._records import AWAY, Records
 
@@ -89,11 +90,8 @@
             self._burst,
             self._beside_silence,
         )
-        began = monotonic()
-        starts = sorted(self._random.uniform(0.0, seconds) for _ in range(count))
         async with asyncio.TaskGroup() as group:
-            for number, start in enumerate(starts):
-                await asyncio.sleep(max(0.0, began + start - monotonic()))
+            async for number in moments(self._random, count=count, seconds=seconds):
                 group.create_task(_done(works[number % len(works)]))
 
     async def _burst(self) -> None:
--- a/bench/soak/_restarts.py
+++ b/bench/soak/_restarts.py
@@ -12,6 +12,7 @@
 from azureswitch_standins.target import REPORT_PATH, Report
 from bench.soak._documents import DESK, POOL
 from bench.soak._fleet import Fleet, Target
+from bench.soak._moments import moments
 from bench.soak._proxy import Mode
 from bench.soak._records import Records
 
@@ -60,11 +61,8 @@
             self._out_of_reach,
         )
         first = self._random.randrange(len(kinds))
-        began = monotonic()
-        starts = sorted(self._random.uniform(0.0, seconds) for _ in range(count))
         async with asyncio.TaskGroup() as group:
-            for number, start in enumerate(starts):
-                await asyncio.sleep(max(0.0, began + start - monotonic()))
+            async for number in moments(self._random, count=count, seconds=seconds):
                 group.create_task(self._one(kinds[(first + number) % len(kinds)]))
 
     async def _one(self, kind: Callable[[Target], Awaitable[None]]) -> None:
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -298,11 +298,7 @@
         await self._tickets.stop(timeout=RELEASE_SECONDS)
         self._shell.report_cut_off()
         self._log.write(Stopped(seconds=round(self._shell.now - stop.told, 3)))
-        for server in (self._platform, self._pages):
-            server.stop_listening()
-            server.abort()
-        if self._ticks is not None:
-            self._ticks.cancel()
+        self._end(self._platform, self._pages)
 
     async def _follow(self, stop: Stopping) -> None:
         """Take the steps of a stop as they are due, until the process may end."""
@@ -341,7 +337,11 @@
 
     def abort(self) -> None:
         """End at once, whatever is open."""
-        for server in (self._callers, self._platform, self._pages):
+        self._end(self._callers, self._platform, self._pages)
+
+    def _end(self, *servers: HttpServer) -> None:
+        """Close what servers have open, and let no more time pass for requests."""
+        for server in servers:
             server.stop_listening()
             server.abort()
         if self._ticks is not None:
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -362,7 +362,7 @@
     noted: Mapping[int, float],
 ) -> None:
     loop = asyncio.get_running_loop()
-    stop = StopRequest(since=monotonic())
+    stop = StopRequest()
     changed = asyncio.Event()
     for number in (SIGTERM, SIGINT):
         loop.add_signal_handler(number, stop.tell)
--- a/src/azureswitch/platform/_signals.py
+++ b/src/azureswitch/platform/_signals.py
@@ -19,14 +19,12 @@
     counts from the last moment at which it could.
 
     Args:
-        since: The moment at which the loop began, in seconds of the clock.
         clock: Returns seconds of the monotonic clock.
     """
 
-    def __init__(self, *, since: float, clock: Callable[[], float] = monotonic) -> None:
+    def __init__(self, *, clock: Callable[[], float] = monotonic) -> None:
         self._clock = clock
-        self._looked = since
-        self._in_time = since
+        self._looked = self._in_time = clock()
         self._told: float | None = None
         self._event = asyncio.Event()
 
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -59,7 +59,7 @@
 
         async def scenario() -> None:
             clock = Clock()
-            request = StopRequest(since=BEGAN, clock=clock)
+            request = StopRequest(clock=clock)
             for clock.now in looks:
                 request.look()
             for clock.now in orders:
@@ -74,7 +74,7 @@
 
         async def scenario() -> None:
             clock = Clock()
-            request = StopRequest(since=BEGAN, clock=clock)
+            request = StopRequest(clock=clock)
             request.tell(at=BEGAN - 1.5)
             for clock.now in later:
                 request.tell()
@@ -87,7 +87,7 @@
 
         async def scenario() -> None:
             clock = Clock()
-            request = StopRequest(since=BEGAN, clock=clock)
+            request = StopRequest(clock=clock)
             watching = asyncio.create_task(request.watch())
             await asyncio.sleep(0.0)
             clock.now += LOOK_SECONDS
