Log which requests are tries at the same one

Cause: the log names each try by its caller's own id, so that it cannot tell a request that crashes engines from one that is only among what ran there.

Changed: a fingerprint of method, host, path and body, which calls may not repeat had already, is worked out for each request and logged as it is admitted. Nothing else goes by it yet.

Ruled out: logging paths or bodies, which are the callers' own.

Measured: the test table of the fingerprint, and the tests of gateway and entry, pass.

--- a/src/azureswitch/entry/_api.py
+++ b/src/azureswitch/entry/_api.py
@@ -1,7 +1,6 @@
 """The interface for callers: completions, models and plain services."""
 
 from collections.abc import AsyncIterator, Callable
-from hashlib import sha256
 from http import HTTPStatus
 from re import compile
 from urllib.parse import unquote
@@ -37,6 +36,7 @@
     MissingIdempotencyKeyError,
     UnknownPathError,
 )
+from azureswitch.fingerprints import fingerprint
 from azureswitch.inventory import SHORTEST_KEY_RETENTION, Customer
 from azureswitch.ports import PlainAnswer, Surface
 from azureswitch.serving import Call
@@ -259,7 +259,7 @@
                 deadline=self._shell.now + (seconds if repeatable else min(seconds, LONGEST_CLAIM)),
                 repeatable=repeatable,
                 idempotency_key=key,
-                fingerprint=_fingerprint(request.method, name, path, body),
+                fingerprint=fingerprint(method=request.method, scope=name, path=path, body=body),
             ),
             payload=PlainPayload(
                 method=request.method, path=path, headers=_passed_on(request), body=body
@@ -319,12 +319,6 @@
     return tuple(item for item in end_to_end(headers) if item[0] not in _OWN_HEADERS)
 
 
-def _fingerprint(method: str, service: str, path: str, body: bytes) -> str:
-    digest = sha256(f"{method} {service} {path}\n".encode())
-    digest.update(body)
-    return digest.hexdigest()
-
-
 def _plain(answer: PlainAnswer, *, call: CallId) -> Response:
     headers = [(b"x-request-id", call.encode())]
     content_type = b""
--- a/src/azureswitch/gateway/_front.py
+++ b/src/azureswitch/gateway/_front.py
@@ -10,6 +10,7 @@
     UnauthenticatedError,
     UnknownPathError,
 )
+from azureswitch.fingerprints import fingerprint
 from azureswitch.gateway._failures import respond_failure
 from azureswitch.gateway._log import RequestAdmitted, RequestRefused, RequestUnserved
 from azureswitch.gateway._model import Arrival, Deployment, Route, RouteKind
@@ -23,6 +24,9 @@
 from azureswitch.server import CallerLimits, ConnectionClosed, Exchange
 from azureswitch.serving import Call
 
+LOGGED_DIGITS = 16
+"""Digits of a request's fingerprint that are logged."""
+
 
 class Front:
     """Serves callers by the configuration in force.
@@ -130,7 +134,8 @@
             raise NotConfiguredError()
         request = exchange.request
         arrival = self._dialect.read(request)
-        route = self._routes.find(host=request.header("host") or "", target=request.target)
+        host = request.header("host") or ""
+        route = self._routes.find(host=host, target=request.target)
         if route is None:
             raise UnknownPathError()
         customer = _customer(deployment, route, arrival)
@@ -144,6 +149,9 @@
             output_tokens=arrival.output_tokens,
             deadline=now + _seconds(arrival, route),
             repeatable=route.repeatable,
+            fingerprint=fingerprint(
+                method=request.method, scope=host, path=request.target, body=request.body
+            ),
             offset=arrival.last_event,
             objective=route.objective,
             gap_objective=route.gap_objective,
@@ -168,6 +176,7 @@
         route=record.route.name,
         service=call.service,
         customer=call.customer,
+        fingerprint=call.fingerprint[:LOGGED_DIGITS],
         prompt=call.prompt_tokens,
         output=call.output_tokens,
         left=round(call.deadline - record.started, 3),
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -61,6 +61,7 @@
         route: Its route.
         service: The service that it goes to.
         customer: Whose it is.
+        fingerprint: Begins alike for tries that ask for the same.
         prompt: Tokens of its prompt.
         output: The most tokens of its answer.
         left: Seconds that it has.
@@ -72,6 +73,7 @@
     route: str
     service: str
     customer: str
+    fingerprint: str
     prompt: int
     output: int
     left: float
