--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -35,8 +35,8 @@
         deadline: When it must have finished, on the host's monotonic clock.
         repeatable: Whether it may be sent again although it may have run.
         idempotency_key: The caller's key, or None.
-        fingerprint: Digest of method, path and body, the same for each try at the same request; empty
-            where it is not known.
+        fingerprint: Digest of method, path and body, the same for each try at the same request;
+            empty where it is not known.
         offset: Output tokens that the caller has already.
         objective: Seconds to the first output within which the answer is on time; zero for none.
         gap_objective: Seconds between two outputs within which it stays so; zero for none.
