Show that a request that crashes engines is sent to ever more of them

Callers saw one request crash 28 engines, and be sent to engines 12 times after the third crash and 3 s.

Cause, as suspected: each try is decided by itself. Nothing is kept between calls of what a request did, hosts tell each other nothing of it, and nothing of it outlasts their death.

Ruled out: that a victim is taken for the cause where it broke off as often: test_victims plays it.

--- /dev/null
+++ b/tests/serving/test_crashes.py
@@ -0,0 +1,322 @@
+"""Requests that crash the engines that run them are sent to no more of them.
+
+Callers on six hosts sent one short prompt, and a retry of it each time, whose text made each engine
+that ran it crash.  Each try was decided by itself, at two engines at most, and came again at other
+hosts: 12 tries within 12 s crashed 28 of 18 engines and their replacements, until hosts refused
+other callers for want of an engine.  The log showed that all 45 attempts at it broke off on every
+host, while 36 of 102 other requests that broke off beside it had their answer elsewhere.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from math import inf
+
+import pytest
+
+from azureswitch.coordination.sharing import pack_digest, unpack_digest
+from azureswitch.core import CallId, CustomerName, Effect, HostName, TargetName
+from azureswitch.exceptions import AzureswitchError, Ran, TargetAnswerError, TargetBrokenError
+from azureswitch.inventory import EnginePace
+from azureswitch.serving import (
+    AttemptEnd,
+    AttemptEnded,
+    Call,
+    CallArrived,
+    DigestReceived,
+    FinishCall,
+    HostSelf,
+    PeersChanged,
+    PublishDigest,
+    ServingEvent,
+    ServingState,
+    SnapshotAdopted,
+    StartAttempt,
+    Ticked,
+    reduce,
+)
+from tests.serving.engines import SERVICE, place_of, snapshot
+
+PACE = EnginePace(step=0.00131, read_rate=154_000.0, pair=1e-13, stride=34, slots=8, memory=405_000)
+
+ENGINES = 18
+
+FATAL = "fatal"
+"""The fingerprint of a request that crashes each engine that runs it."""
+
+STABLE_SECONDS = 3.0
+"""Seconds after its third crash from which on few retries of a request are permitted."""
+
+MOST_RETRIES = 3
+"""Retries that are permitted after that, as users ask."""
+
+TICK = 0.05
+RUN_SECONDS = 0.1
+"""Seconds for which an engine runs a request before it crashes."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Sent:
+    """An attempt that was sent to a target."""
+
+    at: float
+    fingerprint: str
+    target: TargetName
+
+
+@dataclass(slots=True, kw_only=True)
+class Caller:
+    """A request as its caller sees it."""
+
+    ended: float | None = None
+    error: AzureswitchError | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class Hosts:
+    """Hosts before one pool of engines; what they tell each other arrives at once, as bytes would.
+
+    Attributes:
+        count: How many there are.
+        places: Failure domains in which they stand by turns.
+        full_hosts: Hosts up to which all hear of all.
+    """
+
+    count: int
+    places: int = 1
+    full_hosts: float = inf
+    now: float = 0.0
+    sent: list[Sent] = field(default_factory=list)
+    calls: dict[CallId, Caller] = field(default_factory=lambda: defaultdict(Caller))
+    open: dict[CallId, tuple[int, Call]] = field(default_factory=dict)
+    states: list[ServingState] = field(default_factory=list)
+    due: list[tuple[float, int, StartAttempt]] = field(default_factory=list)
+    silent: set[int] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        """Start all hosts."""
+        self.states = [self._new(index) for index in range(self.count)]
+        for index in range(self.count):
+            self._introduce(index)
+
+    def restart(self, index: int) -> None:
+        """Start a host again, which remembers nothing."""
+        self.states[index] = self._new(index)
+        self._introduce(index)
+
+    def arrive(self, index: int, name: str, *, fingerprint: str, customer: str = "ann") -> CallId:
+        """Let a caller send a request to a host."""
+        call = Call(
+            id=CallId(name),
+            customer=CustomerName(customer),
+            service=SERVICE,
+            model="m",
+            prompt_tokens=2_000,
+            output_tokens=100,
+            deadline=self.now + 10.0,
+            fingerprint=fingerprint,
+            objective=0.3,
+            runs=2,
+            unshared=True,
+        )
+        self.open[call.id] = (index, call)
+        self.calls[call.id] = Caller()
+        self.reduce(index, CallArrived(now=self.now, call=call))
+        return call.id
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = round(self.now + TICK, 6)
+            for item in [item for item in self.due if item[0] <= self.now]:
+                self.due.remove(item)
+                self._end(item[1], item[2])
+            for index in range(self.count):
+                self.reduce(index, Ticked(now=self.now))
+
+    def reduce(self, index: int, event: ServingEvent) -> None:
+        """Hand an event to a host and carry out what it asks for."""
+        for effect in reduce(self.states[index], event):
+            self._carry_out(index, effect)
+
+    def of(self, fingerprint: str) -> list[Sent]:
+        """Return the attempts at one request."""
+        return [item for item in self.sent if item.fingerprint == fingerprint]
+
+    def _new(self, index: int) -> ServingState:
+        myself = HostSelf(
+            name=HostName(f"h{index}"),
+            place=place_of(index, self.places),
+            started=1 + int(self.now * 1_000),
+        )
+        return ServingState(
+            myself=myself, seed=index, lean=True, digest_period=0.8, full_hosts=self.full_hosts
+        )
+
+    def _introduce(self, index: int) -> None:
+        names = tuple(HostName(f"h{other}") for other in range(self.count))
+        listed = snapshot(PACE, ENGINES, places=self.places)
+        self.reduce(index, SnapshotAdopted(now=self.now, snapshot=listed))
+        self.reduce(index, PeersChanged(now=self.now, hosts=names))
+
+    def _carry_out(self, index: int, effect: Effect) -> None:
+        if isinstance(effect, StartAttempt):
+            _, call = self.open[effect.call]
+            sent = Sent(at=self.now, fingerprint=call.fingerprint, target=effect.targets[0])
+            self.sent.append(sent)
+            self.due.append((self.now + RUN_SECONDS, index, effect))
+        elif isinstance(effect, FinishCall):
+            self.calls[effect.call].ended = self.now
+            self.calls[effect.call].error = effect.error
+        elif isinstance(effect, PublishDigest) and index not in self.silent:
+            digest = unpack_digest(pack_digest(effect.digest))
+            for other in range(self.count):
+                place = self.states[other].myself.place
+                if other != index and (effect.places is None or place in effect.places):
+                    self.reduce(other, DigestReceived(now=self.now, digest=digest))
+
+    def _end(self, index: int, effect: StartAttempt) -> None:
+        """End an attempt: what runs at an engine that crashes breaks off with it."""
+        _, call = self.open[effect.call]
+        target = effect.targets[0]
+        how, error = AttemptEnd.COMPLETE, None
+        if self._crashes(target):
+            how, error = AttemptEnd.BROKEN, TargetBrokenError(target=target)
+        if call.fingerprint.startswith("wrong"):
+            how, error = AttemptEnd.BROKEN, TargetAnswerError(target=target)
+        ended = AttemptEnded(
+            now=self.now, call=effect.call, attempt=effect.attempt, end=how, error=error
+        )
+        self.reduce(index, ended)
+
+    def _crashes(self, target: TargetName) -> bool:
+        """Return whether an engine has just run a request that crashes it."""
+        return any(
+            item.target == target and item.at >= self.now - RUN_SECONDS - TICK
+            for item in self.sent
+            if item.fingerprint.startswith(FATAL)
+        )
+
+
+def come_again(hosts: Hosts, times: int, *, apart: float = 0.4, fingerprint: str = FATAL) -> None:
+    """Let one request come again at one host after the other."""
+    for number in range(times):
+        hosts.arrive(number % hosts.count, f"{fingerprint}-{number}", fingerprint=fingerprint)
+        hosts.run(apart)
+
+
+def late_retries(hosts: Hosts, fingerprint: str = FATAL) -> list[Sent]:
+    """Return the attempts that were sent well after the third engine had crashed."""
+    sent = hosts.of(fingerprint)
+    third = sent[2].at + RUN_SECONDS + TICK
+    return [item for item in sent if item.at > third + STABLE_SECONDS]
+
+
+class TestCrashingRequests:
+    """What becomes of a request under which engines crash, time and again."""
+
+    @pytest.mark.parametrize(
+        ("hosts", "places", "full_hosts"),
+        [
+            pytest.param(1, 1, inf, id="one host"),
+            pytest.param(6, 3, inf, id="six hosts"),
+            pytest.param(140, 5, 128, id="hosts that tell their failure domain alone"),
+        ],
+    )
+    def test_few_retries(self, hosts: int, places: int, full_hosts: float) -> None:
+        """It reaches engines three times at most once all hosts may know of three crashes."""
+        fleet = Hosts(count=hosts, places=places, full_hosts=full_hosts)
+        come_again(fleet, 24)
+        assert len(late_retries(fleet)) <= MOST_RETRIES
+
+    def test_refused_at_once(self) -> None:
+        """It is refused as not run, with the time to come back, and doesn't wait."""
+        fleet = Hosts(count=2)
+        come_again(fleet, 6)
+        last = fleet.calls[fleet.arrive(1, "last", fingerprint=FATAL)]
+        assert last.ended == fleet.now
+        assert last.error is not None
+        assert last.error.ran is Ran.NOT_RUN
+        assert last.error.retry_after is not None
+
+    def test_calls_under_way(self) -> None:
+        """A try that has run once is not sent to another engine once three have crashed."""
+        fleet = Hosts(count=8)
+        for index in range(8):
+            fleet.arrive(index, f"{FATAL}-{index}", fingerprint=FATAL)
+        fleet.run(2.0)
+        assert len(fleet.of(FATAL)) == 8
+        errors = [fleet.calls[CallId(f"{FATAL}-{index}")].error for index in range(8)]
+        assert all(error is not None and error.ran is Ran.UNKNOWN for error in errors)
+
+    def test_started_later(self) -> None:
+        """A host that starts again hears of it from the others, and also that starts last."""
+        fleet = Hosts(count=3)
+        come_again(fleet, 6)
+        for index in range(3):
+            fleet.restart(index)
+            fleet.run(2.0)
+        sent = len(fleet.of(FATAL))
+        come_again(fleet, 6)
+        assert len(fleet.of(FATAL)) == sent
+
+    def test_lost_messages(self) -> None:
+        """A host whose first word was lost tells it again."""
+        fleet = Hosts(count=3)
+        fleet.silent = {0}
+        for number in range(2):
+            fleet.arrive(0, f"{FATAL}-{number}", fingerprint=FATAL)
+            fleet.run(0.3)
+        fleet.silent = set()
+        fleet.run(1.0)
+        sent = len(fleet.of(FATAL))
+        fleet.arrive(2, "elsewhere", fingerprint=FATAL)
+        fleet.run(1.0)
+        assert len(fleet.of(FATAL)) == sent
+
+
+class TestOtherRequests:
+    """Requests that only ran beside it, or that fail in another way, are served as before."""
+
+    def test_victims(self) -> None:
+        """What broke off as often, beside a request that crashes engines, is sent again."""
+        fleet = Hosts(count=6)
+        for number in range(8):
+            fleet.arrive(number % 6, f"{FATAL}-{number}", fingerprint=FATAL)
+            for victim in range(20):
+                name = f"victim-{victim}-{number}"
+                fleet.arrive(victim % 6, name, fingerprint=f"victim-{victim}")
+            fleet.run(0.4)
+        fleet.run(2.0)
+        before = len(fleet.sent)
+        tries = [
+            fleet.arrive(victim % 6, f"again-{victim}", fingerprint=f"victim-{victim}")
+            for victim in range(20)
+        ]
+        fleet.run(1.0)
+        assert len(fleet.sent) - before >= len(tries)
+        assert all(fleet.calls[name].error is None for name in tries)
+
+    @pytest.mark.parametrize(
+        ("fingerprint", "customer"),
+        [
+            pytest.param(FATAL, "bob", id="another customer's"),
+            pytest.param("usual", "ann", id="another one of the same customer"),
+            pytest.param("", "ann", id="one of which nothing is known"),
+        ],
+    )
+    def test_others(self, fingerprint: str, customer: str) -> None:
+        """A request that differs in anything is sent."""
+        fleet = Hosts(count=2)
+        come_again(fleet, 6)
+        before = len(fleet.sent)
+        fleet.arrive(0, "other", fingerprint=fingerprint, customer=customer)
+        assert len(fleet.sent) == before + 1
+
+    def test_wrong_answers(self) -> None:
+        """Answers that cannot be read are no crash: the engine goes on."""
+        fleet = Hosts(count=2)
+        come_again(fleet, 6, fingerprint="wrong")
+        before = len(fleet.sent)
+        fleet.arrive(0, "again", fingerprint="wrong")
+        assert len(fleet.sent) == before + 1
