Refuse requests under which three targets have crashed, on all hosts

Callers saw: one request crashed 28 engines of a pool of 18, and reached engines 12 times more after the third crash and 3 s, until hosts refused other callers for want of an engine.

Cause: what is learned about a request was kept with one try of one caller on one host, and ended with it.

A crash counts against the request that broke off at most targets, and an answer clears a request. The store keeps it for when all hosts have died.

Ruled out: that victims are refused in its place, which test_victims plays.

--- a/src/azureswitch/coordination/sharing/_digest.py
+++ b/src/azureswitch/coordination/sharing/_digest.py
@@ -6,6 +6,7 @@
 
 from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
 from azureswitch.serving import (
+    CrashReport,
     CustomerUse,
     Demand,
     Digest,
@@ -56,6 +57,16 @@
     long: float
 
 
+class PackedCrashes(Struct, frozen=True, kw_only=True, array_like=True):
+    """A `CrashReport` with starts as pairs of target and milliseconds, and its age in those."""
+
+    customer: CustomerName
+    fingerprint: str
+    crashes: tuple[tuple[TargetName, int], ...]
+    cleared: tuple[tuple[TargetName, int], ...]
+    age: int
+
+
 class PackedDigest(Struct, frozen=True, kw_only=True, array_like=True):
     """A `Digest` without field names.
 
@@ -75,6 +86,7 @@
     saved: tuple[TargetName, ...]
     occupancies: tuple[PackedOccupancy, ...] = ()
     starts: tuple[int | None, ...] = ()
+    crashes: tuple[PackedCrashes, ...] = ()
 
 
 class PackedTotals(Struct, frozen=True, kw_only=True, array_like=True):
@@ -116,6 +128,7 @@
         saved=digest.saved,
         occupancies=tuple(_pack_occupancy(item) for item in digest.occupancies),
         starts=_pack_starts(digest),
+        crashes=tuple(_pack_crashes(report) for report in digest.crashes),
     )
 
 
@@ -136,6 +149,7 @@
         ),
         saved=packed.saved,
         occupancies=tuple(_unpack_occupancy(item) for item in packed.occupancies),
+        crashes=tuple(_unpack_crashes(report) for report in packed.crashes),
     )
     return (
         replace(digest, starts=_unpack_starts(digest, packed.starts)) if packed.starts else digest
@@ -157,6 +171,26 @@
     )
 
 
+def _pack_crashes(report: CrashReport) -> PackedCrashes:
+    return PackedCrashes(
+        customer=report.customer,
+        fingerprint=report.fingerprint,
+        crashes=tuple((start.target, start.started) for start in report.crashes),
+        cleared=tuple((start.target, start.started) for start in report.cleared),
+        age=round(report.age * SCALE),
+    )
+
+
+def _unpack_crashes(packed: PackedCrashes) -> CrashReport:
+    return CrashReport(
+        customer=packed.customer,
+        fingerprint=packed.fingerprint,
+        crashes=tuple(TargetStart(target=name, started=at) for name, at in packed.crashes),
+        cleared=tuple(TargetStart(target=name, started=at) for name, at in packed.cleared),
+        age=packed.age / SCALE,
+    )
+
+
 def _pack_load(load: TargetLoad) -> PackedLoad:
     return PackedLoad(
         target=load.target,
--- a/src/azureswitch/entry/_api.py
+++ b/src/azureswitch/entry/_api.py
@@ -157,6 +157,9 @@
                 output_tokens=completion.output_tokens,
                 prefix=completion.prefix,
                 deadline=self._shell.now + (timeout or rule),
+                fingerprint=fingerprint(
+                    method="POST", scope=service.name, path=surface.value, body=body
+                ),
             ),
             payload=ModelPayload(surface=surface, body=body, cache_scope=str(customer)),
             answer=answer,
--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -21,6 +21,7 @@
 from azureswitch.ports import PlainAnswer
 from azureswitch.serving import (
     TICK,
+    AnnounceQuarantine,
     CallArrived,
     CallerLeft,
     CancelAttempt,
@@ -262,6 +263,13 @@
     def _run_publish(self, effect: PublishDigest) -> None:
         self._publish(effect.digest)
 
+    @_run.register
+    def _run_announce_quarantine(self, effect: AnnounceQuarantine) -> None:
+        logging.warning(
+            "entry: Targets crashed under a request of %s, which is sent to no more of them.",
+            effect.report.customer,
+        )
+
     @_run.register
     def _run_observe(self, effect: Observe) -> None:
         self._metrics.observe(effect)
--- a/src/azureswitch/exceptions/_refusals.py
+++ b/src/azureswitch/exceptions/_refusals.py
@@ -63,6 +63,17 @@
         return f"No target can take the request now; try again in {self.seconds:.1f} s."
 
 
+@dataclass(kw_only=True, eq=False)
+class QuarantinedError(RefusedError):
+    """Targets have crashed under this request, so that it is sent to no more of them for a day."""
+
+    code: ClassVar[str] = "request_quarantined"
+
+    @property
+    def message(self) -> str:
+        return "Targets crashed as they ran this request; it is not sent to others."
+
+
 @dataclass(kw_only=True, eq=False)
 class LeavingError(RefusedError):
     """This host is shutting down and takes no new work."""
--- a/src/azureswitch/gateway/_front.py
+++ b/src/azureswitch/gateway/_front.py
@@ -12,7 +12,12 @@
 )
 from azureswitch.fingerprints import fingerprint
 from azureswitch.gateway._failures import respond_failure
-from azureswitch.gateway._log import RequestAdmitted, RequestRefused, RequestUnserved
+from azureswitch.gateway._log import (
+    LOGGED_DIGITS,
+    RequestAdmitted,
+    RequestRefused,
+    RequestUnserved,
+)
 from azureswitch.gateway._model import Arrival, Deployment, Route, RouteKind
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._prepared import Prepared
@@ -24,9 +29,6 @@
 from azureswitch.server import CallerLimits, ConnectionClosed, Exchange
 from azureswitch.serving import Call
 
-LOGGED_DIGITS = 16
-"""Digits of a request's fingerprint that are logged."""
-
 
 class Front:
     """Serves callers by the configuration in force.
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -55,6 +55,7 @@
 from azureswitch.metrics import Metrics
 from azureswitch.server import HttpServer
 from azureswitch.serving import (
+    AnnounceQuarantine,
     HostSelf,
     PublishDigest,
     PublishTotals,
@@ -151,7 +152,7 @@
         settings: GatewaySettings,
         dialect: Dialect,
         reservations: Reservations,
-        publish: Callable[[PublishDigest | PublishTotals], None],
+        publish: Callable[[PublishDigest | PublishTotals | AnnounceQuarantine], None],
         metrics: Metrics,
         log: Log,
         seed: int,
@@ -404,6 +405,11 @@
         return 0 if target is None else target.started
 
     def _watch(self, metrics: Metrics) -> None:
+        metrics.watch(
+            name="quarantined_requests",
+            help="Requests that are sent to no target, since targets crashed under them.",
+            value=lambda: self._shell.quarantined,
+        )
         metrics.watch(
             name="open_requests",
             help="Requests that have not been answered.",
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -5,6 +5,9 @@
 
 from azureswitch.logs import Entry, Level
 
+LOGGED_DIGITS = 16
+"""Digits of a request's fingerprint that are logged."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _RequestEntry(Entry):
@@ -209,6 +212,26 @@
     targets: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestQuarantined(Entry):
+    """Targets crashed under tries at one request, which is sent to no more of them.
+
+    Attributes:
+        customer: Whose it is.
+        fingerprint: As at `RequestAdmitted`.
+        targets: Some of the targets.
+        seen_here: Whether a try of this host was among them.
+    """
+
+    part: ClassVar[str] = "gateway"
+    sentence: ClassVar[str] = "Request quarantined."
+    level: ClassVar[Level] = Level.WARNING
+    customer: str
+    fingerprint: str
+    targets: str
+    seen_here: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigurationAdopted(Entry):
     """A configuration is in force.
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -10,7 +10,13 @@
 from azureswitch.core import CallId, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.gateway._failures import respond_failure
-from azureswitch.gateway._log import RequestAnswered, RequestCutOff, RequestFailed
+from azureswitch.gateway._log import (
+    LOGGED_DIGITS,
+    RequestAnswered,
+    RequestCutOff,
+    RequestFailed,
+    RequestQuarantined,
+)
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._relay import Relay
@@ -21,6 +27,7 @@
 from azureswitch.server import CloseReason
 from azureswitch.serving import (
     TICK,
+    AnnounceQuarantine,
     CallArrived,
     CallerLeft,
     CancelAttempt,
@@ -69,7 +76,7 @@
         dialect: Dialect,
         tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
-        publish: Callable[[PublishDigest | PublishTotals], None],
+        publish: Callable[[PublishDigest | PublishTotals | AnnounceQuarantine], None],
         metrics: Metrics,
         log: Log,
         clock: Callable[[], float] = monotonic,
@@ -104,6 +111,11 @@
         """Requests that have not been answered."""
         return len(self._records)
 
+    @property
+    def quarantined(self) -> int:
+        """Requests that are sent to no target, since targets crashed under them."""
+        return self._state.crashes.quarantined()
+
     @property
     def now(self) -> float:
         """Seconds of the monotonic clock."""
@@ -232,6 +244,19 @@
     def _(self, effect: PublishTotals) -> None:
         self._publish(effect)
 
+    @_run.register
+    def _(self, effect: AnnounceQuarantine) -> None:
+        report = effect.report
+        self._log.write(
+            RequestQuarantined(
+                customer=report.customer,
+                fingerprint=report.fingerprint[:LOGGED_DIGITS],
+                targets=",".join(start.target for start in report.crashes),
+                seen_here=effect.keep,
+            )
+        )
+        self._publish(effect)
+
     @_run.register
     def _(self, effect: Observe) -> None:
         self._metrics.observe(effect)
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -23,6 +23,7 @@
 from azureswitch.platform._dialect import PlatformDialect
 from azureswitch.platform._foreign import ForeignBook
 from azureswitch.platform._orders import HttpReservations
+from azureswitch.platform._quarantine import QUARANTINE_KIND, StoreQuarantine
 from azureswitch.platform._roster import ROSTER_KIND, Seat, StoreHostList
 from azureswitch.platform._settings import (
     PlatformSettings,
@@ -30,7 +31,14 @@
 from azureswitch.platform._signals import StopRequest
 from azureswitch.platform._store import HttpStore
 from azureswitch.platform._targets import TargetReader
-from azureswitch.serving import PeersChanged, PublishDigest, PublishTotals
+from azureswitch.serving import (
+    AnnounceQuarantine,
+    CrashesRecalled,
+    CrashReport,
+    PeersChanged,
+    PublishDigest,
+    PublishTotals,
+)
 from azureswitch.tasks import end_tasks, keep_running
 
 RETURN_GRACE = 1.8
@@ -98,7 +106,7 @@
         )
         self._foreign = ForeignBook(
             metrics=self._metrics,
-            kinds=(CONFIGURATION_KIND, TARGETS_KIND, ROSTER_KIND),
+            kinds=(CONFIGURATION_KIND, TARGETS_KIND, ROSTER_KIND, QUARANTINE_KIND),
             clock=monotonic,
         )
         self._stores: list[HttpStore] = []
@@ -125,6 +133,9 @@
             foreign=self._foreign,
             configured=self._configured.set,
         )
+        self._quarantine = StoreQuarantine(
+            store=self._store, recalled=self._recall, foreign=self._foreign
+        )
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         myself = Incarnation(host=settings.host, started=int(time() * 1_000))
         self._network = PeerNetwork(address=address)
@@ -191,6 +202,7 @@
             "configuration": self._configuration.run,
             "targets": self._targets.run,
             "membership": self._membership.run,
+            "quarantine": self._quarantine.run,
         }
         loops = [
             asyncio.create_task(keep_running(part, prefix="edge", name=name), name=name)
@@ -207,6 +219,7 @@
             end_tasks([*loops, leaving], prefix="edge", timeout=END_SECONDS),
             self._adoption.stop(timeout=END_SECONDS),
             self._digests.stop(timeout=END_SECONDS),
+            self._quarantine.stop(timeout=END_SECONDS),
             self._close_network(),
         )
 
@@ -221,8 +234,10 @@
         try:
             async with asyncio.timeout(START_WAIT):
                 await self._configured.wait()
+                await self._quarantine.wait_read()
         except TimeoutError:
-            logging.warning("edge: There is no configuration yet; requests are refused.")
+            if not self._configured.is_set():
+                logging.warning("edge: There is no configuration yet; requests are refused.")
 
     @singledispatchmethod
     def _publish(self, effect: Effect) -> None:
@@ -236,6 +251,15 @@
     def _(self, effect: PublishTotals) -> None:
         self._digests.publish_totals(effect.totals)
 
+    @_publish.register
+    def _(self, effect: AnnounceQuarantine) -> None:
+        if effect.keep:
+            self._quarantine.keep(effect.report)
+
+    def _recall(self, reports: tuple[CrashReport, ...]) -> None:
+        shell = self._gateway.shell
+        shell.dispatch(CrashesRecalled(now=shell.now, reports=reports))
+
     def _listeners(self) -> tuple[Member, ...]:
         """Return the hosts that are told of sends: members, and those that will be soon.
 
--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -1,7 +1,9 @@
 """The policy: admission, routing, attempts and retries, as one reducer."""
 
 from azureswitch.serving._admission import TURNED_SECONDS
+from azureswitch.serving._crashes import QUARANTINE_SECONDS
 from azureswitch.serving._effects import (
+    AnnounceQuarantine,
     CancelAttempt,
     ClaimCall,
     ClaimOutcome,
@@ -25,6 +27,8 @@
     ClaimDenied,
     ClaimGranted,
     ClaimReplayed,
+    CrashesRecalled,
+    CrashReport,
     CustomerUse,
     Demand,
     Digest,
@@ -67,6 +71,8 @@
     "ClaimGranted",
     "ClaimOutcome",
     "ClaimReplayed",
+    "CrashReport",
+    "CrashesRecalled",
     "CustomerUse",
     "Demand",
     "Digest",
@@ -74,6 +80,7 @@
     "DomainTotals",
     "FinishCall",
     "FirstTokenArrived",
+    "AnnounceQuarantine",
     "HostSelf",
     "LoadReported",
     "Loop",
@@ -84,6 +91,7 @@
     "PrioritizeAttempt",
     "PublishDigest",
     "PublishTotals",
+    "QUARANTINE_SECONDS",
     "RetryBudget",
     "ServingEvent",
     "ServingState",
--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -8,6 +8,7 @@
     NoTargetError,
     NotConfiguredError,
     PromptTooLongError,
+    QuarantinedError,
     RefusedError,
     UnknownModelError,
     UnknownServiceError,
@@ -60,6 +61,9 @@
     wrong = _wrong(state, call, now=now)
     if wrong is not None:
         return wrong
+    held_back = state.crashes.seconds_left(call, now=now)
+    if held_back:
+        return QuarantinedError(seconds=held_back)
     pool = state.fleet.pool(service=call.service, model=call.model)
     if pool is None or not any(target.usable(now) for target in state.fleet.states(pool)):
         return NoTargetError(seconds=_jittered(state, NO_TARGET_SECONDS))
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -12,8 +12,10 @@
     LeavingError,
     NoTargetError,
     OutcomeLostError,
+    QuarantinedError,
     Ran,
     RetriesExhaustedError,
+    TargetBrokenError,
 )
 from azureswitch.serving._choice import Choice
 from azureswitch.serving._effects import (
@@ -23,7 +25,7 @@
     StartAttempt,
 )
 from azureswitch.serving._ending import beside, cancel_others, decide, finish, observe, release
-from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
+from azureswitch.serving._events import AttemptEnd, AttemptEnded, TargetStart, TokensArrived
 from azureswitch.serving._fleet import EJECT_MOST, PACED_EJECT_MOST
 from azureswitch.serving._length import Level, ageing_period, priority
 from azureswitch.serving._queue import Lane
@@ -52,6 +54,8 @@
 
 def dispatch(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """Send a call to a target, or let it wait for one that has room."""
+    if state.crashes.seconds_left(record.call, now=now):
+        return end_quarantined(state, record, now=now)
     lane = lane_of(record)
     others = any(True for _ in state.queue.customers(lane))
     choice = None if others else choose(state, record, now=now)
@@ -135,6 +139,7 @@
         priority=level,
         alone=not choice.wait and not choice.running and len(choice.targets) == 1,
         holders=_holders(choice),
+        start=state.starts.of(choice.targets[0]),
     )
     record.attempts[attempt.number] = attempt
     if choice.occupancies:
@@ -201,7 +206,7 @@
     silent = record.attempts.get(number)
     if silent is None or len(record.attempts) > 1 or record.first_token is not None:
         return []
-    if not record.may_run_beside(1):
+    if not record.may_run_beside(1) or state.crashes.seconds_left(record.call, now=now):
         return []
     record.failed.update(silent.targets)
     choice = choose(state, record, now=now)
@@ -300,6 +305,7 @@
 ) -> list[Effect]:
     for target in attempt.counted:
         state.fleet.succeeded(target)
+    state.crashes.answered(record.call)
     since = attempt.started if attempt.first_token is None else attempt.first_token
     if record.attempt_count == 1:
         state.costs.observe_end(call=record.call, tokens=event.tokens, seconds=event.now - since)
@@ -337,6 +343,9 @@
     record.may_have_run = record.may_have_run or not refused
     record.run_count += 0 if refused else 1
     _blame(state, record, attempt, event)
+    if isinstance(event.error, TargetBrokenError):
+        start = TargetStart(target=attempt.targets[0], started=attempt.start)
+        state.crashes.broke_off(record.call, start, now=now)
     if not record.call.repeatable and not refused:
         error = OutcomeLostError()
         return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
@@ -377,6 +386,8 @@
 
 def retry(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """Try a call again after a pause, or give it up at once where no retry is permitted."""
+    if state.crashes.seconds_left(record.call, now=now):
+        return end_quarantined(state, record, now=now)
     record.retry_count += 1
     pause = _pause(state, record)
     in_time = now + pause < state.ends_by(record.call)
@@ -415,6 +426,18 @@
     return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
 
 
+def end_quarantined(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
+    """End a call under which targets crash, at once; it is sent to no other one."""
+    seconds = state.crashes.seconds_left(record.call, now=now)
+    if record.may_have_run:
+        error: AzureswitchError = RetriesExhaustedError(
+            attempts=record.attempt_count, seconds=seconds
+        )
+        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
+    error = QuarantinedError(seconds=seconds)
+    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
+
+
 def out_of_time(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """End a call whose deadline has come."""
     if record.attempts or record.may_have_run:
--- /dev/null
+++ b/src/azureswitch/serving/_crashes.py
@@ -0,0 +1,283 @@
+"""Which requests crash the targets that run them, so that no more targets are given to them.
+
+A request whose text crashes each engine that runs it is tried again by its host, by its caller, and
+at other hosts.  So hosts tell each other at which targets each request broke off, whichever try it
+was, and hold a request back under which several targets have crashed.
+
+What ran beside such a request breaks off as well.  A crash therefore counts against the request
+that has broken off at most targets alone, and a request that is answered is cleared of all of its
+crashes.  Both follow from what is known, whoever told it in which order, so that hosts that know
+the same decide the same.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from heapq import nlargest
+
+from azureswitch.core import CustomerName
+from azureswitch.serving._events import Call, CrashReport, TargetStart
+
+CRASHES_MOST = 3
+"""Targets that may crash under a request before it is held back.
+
+One or two may end for another reason while it runs there and again where it is retried.
+"""
+
+QUARANTINE_SECONDS = 86_400.0
+"""Seconds after its last crash for which a request is held back: a day, in which it can be mended.
+
+Each end of a quarantine costs targets, so that it is long.
+"""
+
+SUSPECT_SECONDS = 3_600.0
+"""Seconds for which a crash is remembered under a request that is not held back."""
+
+SUSPECTS_MOST = 2_048
+"""Requests that are remembered at most; those that broke off longest ago are forgotten first.
+
+An engine that crashes breaks off as many as it has places.
+"""
+
+TELL_TIMES = 3
+"""Digests that tell of a crash; each may be lost."""
+
+TOLD_CRASHES = 4
+"""Crashes of a request that one digest names; more than it takes to hold it back."""
+
+RETOLD_MOST = 16
+"""Requests held back of which each regular digest tells, for hosts that have started since."""
+
+CLEARED_MOST = 64
+"""Crashes of which a request was cleared that are remembered, and told, at most."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestKey:
+    """What tries at the same request have in common."""
+
+    customer: CustomerName
+    fingerprint: str
+
+
+@dataclass(slots=True, kw_only=True)
+class _Suspect:
+    """A request that has broken off.
+
+    Attributes:
+        newest: When it last did so, in seconds of the monotonic clock.
+        crashes: The starts of targets at which it did, but those of which it was cleared.
+        cleared: Those of which it was cleared, the last ones last.
+        seen_here: Whether this host saw one of them.
+        quarantined: Whether it was held back when this was last looked at.
+        tells: Digests that still tell of it.
+    """
+
+    newest: float
+    crashes: set[TargetStart] = field(default_factory=set)
+    cleared: dict[TargetStart, None] = field(default_factory=dict)
+    seen_here: bool = False
+    quarantined: bool = False
+    tells: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Quarantine:
+    """A request that is held back from now on.
+
+    Attributes:
+        report: What is known of it.
+        seen_here: Whether one of its crashes was seen by this host.
+    """
+
+    report: CrashReport
+    seen_here: bool
+
+
+class Crashes:
+    """The requests that have broken off at targets."""
+
+    def __init__(self) -> None:
+        self._suspects: dict[RequestKey, _Suspect] = {}
+        self._by_crash: defaultdict[TargetStart, set[RequestKey]] = defaultdict(set)
+        self._touched: set[RequestKey] = set()
+        self._changed = False
+
+    @property
+    def changed(self) -> bool:
+        """Whether there is something that other hosts have not been told yet."""
+        return self._changed
+
+    @property
+    def news(self) -> bool:
+        """Whether the next digest tells of something of which not all hosts may have heard."""
+        return any(suspect.tells for suspect in self._suspects.values())
+
+    def broke_off(self, call: Call, start: TargetStart, *, now: float) -> None:
+        """Note that a target broke off as it ran a call."""
+        if not call.fingerprint:
+            return
+        key = _key(call)
+        suspect = self._suspect(key, now=now)
+        if not self._add(key, suspect, start):
+            return
+        suspect.newest = now
+        suspect.seen_here = True
+        self._tell(suspect)
+
+    def answered(self, call: Call) -> None:
+        """Clear a request that a target has answered of the crashes so far."""
+        if not self._suspects:
+            return
+        key = _key(call)
+        suspect = self._suspects.get(key)
+        if suspect is not None and suspect.crashes:
+            self._clear(key, suspect, tuple(suspect.crashes))
+            self._tell(suspect)
+
+    def hear(self, reports: Iterable[CrashReport], *, now: float) -> None:
+        """Take over what another host, or the store, says of requests that broke off."""
+        for report in reports:
+            if report.age >= QUARANTINE_SECONDS:
+                continue
+            at = now - report.age
+            key = RequestKey(customer=report.customer, fingerprint=report.fingerprint)
+            suspect = self._suspect(key, now=at)
+            self._clear(key, suspect, report.cleared)
+            fresh = [start for start in report.crashes if self._add(key, suspect, start)]
+            if fresh:
+                suspect.newest = max(suspect.newest, at)
+
+    def seconds_left(self, call: Call, *, now: float) -> float:
+        """Return for how long a call is held back, or zero where it may be sent."""
+        if not self._suspects:
+            return 0.0
+        suspect = self._suspects.get(_key(call))
+        if suspect is None or not self._is_quarantined(suspect):
+            return 0.0
+        return max(0.0, suspect.newest + QUARANTINE_SECONDS - now)
+
+    def quarantined(self) -> int:
+        """Return how many requests are held back."""
+        return len(self._quarantined())
+
+    def begun(self, *, now: float) -> list[Quarantine]:
+        """Return the requests that are held back since the last look."""
+        found = []
+        for key in self._touched:
+            suspect = self._suspects.get(key)
+            if suspect is None:
+                continue
+            before, suspect.quarantined = suspect.quarantined, self._is_quarantined(suspect)
+            if suspect.quarantined and not before:
+                report = self._report(key, suspect, now=now)
+                found.append(Quarantine(report=report, seen_here=suspect.seen_here))
+        self._touched.clear()
+        return found
+
+    def tell(self, *, now: float, regular: bool) -> tuple[CrashReport, ...]:
+        """Return what a digest tells: what is new, and in a regular one what is held back."""
+        if not self._suspects:
+            return ()
+        self._changed = False
+        told = {key: suspect for key, suspect in self._suspects.items() if suspect.tells}
+        for suspect in told.values():
+            suspect.tells -= 1
+        if regular:
+            held = self._quarantined().items()
+            told.update(nlargest(RETOLD_MOST, held, key=lambda item: item[1].newest))
+        return tuple(self._report(key, suspect, now=now) for key, suspect in told.items())
+
+    def expire(self, now: float) -> None:
+        """Forget the requests that broke off long ago."""
+        old = [
+            key
+            for key, suspect in self._suspects.items()
+            if now >= suspect.newest + _remembered(suspect)
+        ]
+        for key in old:
+            self._forget(key)
+
+    def _suspect(self, key: RequestKey, *, now: float) -> _Suspect:
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            if len(self._suspects) >= SUSPECTS_MOST:
+                self._forget(min(self._suspects, key=lambda key: self._suspects[key].newest))
+            suspect = self._suspects[key] = _Suspect(newest=now)
+        return suspect
+
+    def _forget(self, key: RequestKey) -> None:
+        for start in self._suspects.pop(key).crashes:
+            self._unlink(key, start)
+
+    def _add(self, key: RequestKey, suspect: _Suspect, start: TargetStart) -> bool:
+        """Count a crash against a request and return whether it was news."""
+        if start in suspect.crashes or start in suspect.cleared:
+            return False
+        suspect.crashes.add(start)
+        self._by_crash[start].add(key)
+        self._touched.add(key)
+        return True
+
+    def _clear(self, key: RequestKey, suspect: _Suspect, starts: Iterable[TargetStart]) -> None:
+        for start in starts:
+            suspect.cleared[start] = None
+            if start in suspect.crashes:
+                suspect.crashes.discard(start)
+                self._unlink(key, start)
+                self._touched.add(key)
+        while len(suspect.cleared) > CLEARED_MOST:
+            del suspect.cleared[next(iter(suspect.cleared))]
+
+    def _unlink(self, key: RequestKey, start: TargetStart) -> None:
+        keys = self._by_crash[start]
+        keys.discard(key)
+        if not keys:
+            del self._by_crash[start]
+
+    def _tell(self, suspect: _Suspect) -> None:
+        suspect.tells = TELL_TIMES
+        self._changed = True
+
+    def _is_quarantined(self, suspect: _Suspect) -> bool:
+        return len(suspect.crashes) >= CRASHES_MOST and len(self._own(suspect)) >= CRASHES_MOST
+
+    def _own(self, suspect: _Suspect) -> set[TargetStart]:
+        """Return the crashes that do not count against a request that broke off more often.
+
+        Of those that broke off equally often none is known to be the cause until one more target
+        has crashed.
+        """
+        count = len(suspect.crashes)
+        least = count + 1 if count > CRASHES_MOST else count
+        return {
+            start
+            for start in suspect.crashes
+            if not any(
+                other is not suspect and len(other.crashes) >= least
+                for other in map(self._suspects.__getitem__, self._by_crash[start])
+            )
+        }
+
+    def _quarantined(self) -> dict[RequestKey, _Suspect]:
+        return {key: found for key, found in self._suspects.items() if self._is_quarantined(found)}
+
+    def _report(self, key: RequestKey, suspect: _Suspect, *, now: float) -> CrashReport:
+        own = self._own(suspect)
+        crashes = sorted(own) + sorted(suspect.crashes - own)
+        return CrashReport(
+            customer=key.customer,
+            fingerprint=key.fingerprint,
+            crashes=tuple(crashes[:TOLD_CRASHES]),
+            cleared=tuple(suspect.cleared),
+            age=max(0.0, now - suspect.newest),
+        )
+
+
+def _key(call: Call) -> RequestKey:
+    return RequestKey(customer=call.customer, fingerprint=call.fingerprint)
+
+
+def _remembered(suspect: _Suspect) -> float:
+    """Return the seconds for which a request is remembered after it last broke off."""
+    return QUARANTINE_SECONDS if len(suspect.crashes) >= CRASHES_MOST else SUSPECT_SECONDS
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -6,7 +6,7 @@
 
 from azureswitch.core import CallId, CustomerName, Effect, PlaceName, TargetName
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.serving._events import Digest, DomainTotals
+from azureswitch.serving._events import CrashReport, Digest, DomainTotals
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +117,20 @@
     totals: DomainTotals
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnnounceQuarantine(Effect):
+    """Tell operators that a request is held back from now on, since targets crash under it.
+
+    Attributes:
+        report: What is known of it.
+        keep: Whether it is to be kept in the store as well, for hosts that start when all that know
+            of it have died.
+    """
+
+    report: CrashReport
+    keep: bool
+
+
 class Observation(Enum):
     """What a metric counts or measures."""
 
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -229,7 +229,7 @@
     tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(frozen=True, slots=True, kw_only=True, order=True)
 class TargetStart:
     """Which start of a target a host means where it names the target.
 
@@ -267,6 +267,26 @@
     long: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashReport:
+    """At which targets tries at one request broke off.
+
+    Attributes:
+        customer: Whose request it is.
+        fingerprint: As in `Call`.
+        crashes: The starts of targets at which it broke off, some of them where there are many; a
+            start is zero where the target does not say it.
+        cleared: Such starts after which a target has answered it.
+        age: Seconds since it last broke off.
+    """
+
+    customer: CustomerName
+    fingerprint: str
+    crashes: tuple[TargetStart, ...] = ()
+    cleared: tuple[TargetStart, ...] = ()
+    age: float = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Digest:
     """What a host tells its peers of its own serving.
@@ -283,6 +303,7 @@
         occupancies: What this host's attempts put on targets; idle ones are left out.
         starts: Which starts of the targets named above are meant; those that do not say theirs are
             left out.
+        crashes: Requests under which targets broke off.
     """
 
     host: HostName
@@ -295,6 +316,7 @@
     saved: tuple[TargetName, ...] = ()
     occupancies: tuple[Occupancy, ...] = ()
     starts: tuple[TargetStart, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
 
     @property
     def targets(self) -> tuple[TargetName, ...]:
@@ -333,6 +355,13 @@
     digest: Digest
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashesRecalled(ServingEvent):
+    """The store holds what hosts, perhaps all dead since, knew of requests that crash targets."""
+
+    reports: tuple[CrashReport, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeersChanged(ServingEvent):
     """The set of live hosts changed, this host included.
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -10,6 +10,7 @@
     age,
     dispatch,
     drain_all,
+    end_quarantined,
     ended,
     first_token,
     hedge,
@@ -19,6 +20,7 @@
     too_late,
 )
 from azureswitch.serving._effects import (
+    AnnounceQuarantine,
     ClaimCall,
     ClaimOutcome,
     FinishCall,
@@ -39,6 +41,7 @@
     ClaimDenied,
     ClaimGranted,
     ClaimReplayed,
+    CrashesRecalled,
     Digest,
     DigestReceived,
     DomainTotals,
@@ -74,11 +77,28 @@
         What the shell must do, in order.
     """
     effects = _apply(event, state)
-    if state.ledger.changed:
+    effects += beside(partial(_begin_quarantines, state, now=event.now), name="A quarantine")
+    if state.ledger.changed or state.crashes.changed:
         effects = [*effects, *beside(partial(_tell, state, now=event.now), name="A digest")]
     return tuple(effects) or NO_EFFECTS
 
 
+def _begin_quarantines(state: ServingState, *, now: float) -> list[Effect]:
+    """End the calls that wait to be sent though they are held back from now on."""
+    begun = state.crashes.begun(now=now)
+    if not begun:
+        return []
+    effects: list[Effect] = [
+        AnnounceQuarantine(report=one.report, keep=one.seen_here) for one in begun
+    ]
+    for record in list(state.calls.values()):
+        waiting = record.phase in (Phase.WAITING, Phase.BACKING_OFF)
+        if waiting and state.crashes.seconds_left(record.call, now=now):
+            step = partial(end_quarantined, state, record, now=now)
+            effects += decide(state, record, step, now=now)
+    return effects
+
+
 @singledispatch
 def _apply(event: ServingEvent, state: ServingState) -> list[Effect]:
     raise NotImplementedError(type(event))
@@ -265,6 +285,13 @@
             starts=event.digest.starts,
             now=event.now,
         )
+        state.crashes.hear(event.digest.crashes, now=event.now)
+    return []
+
+
+@_apply.register
+def _(event: CrashesRecalled, state: ServingState) -> list[Effect]:
+    state.crashes.hear(event.reports, now=event.now)
     return []
 
 
@@ -356,6 +383,7 @@
 def _expire(state: ServingState, *, now: float) -> list[Effect]:
     state.expire_claims(now)
     state.ledger.expire(now)
+    state.crashes.expire(now)
     return []
 
 
@@ -378,12 +406,14 @@
 
 
 def _digest(state: ServingState, *, regular: bool, now: float) -> PublishDigest:
+    everywhere = state.crashes.news
     digest = Digest(
         host=state.myself.name,
         sequence=state.next_digest(now=now),
         started=state.myself.started,
         suspects=state.fleet.suspects(now=now),
         occupancies=state.ledger.tell(),
+        crashes=state.crashes.tell(now=now, regular=regular),
     )
     if not state.lean:
         digest = replace(
@@ -395,10 +425,14 @@
         )
     starts = state.starts.select(digest.targets)
     places = (state.fleet.place(item.target) for item in digest.occupancies)
+    audience = state.domains.audience(filter(None, places), regular=regular)
+    if everywhere and audience is not None and state.snapshot is not None:
+        # Whichever host gets a request that crashes targets next must know of it.
+        audience = frozenset(place.name for place in state.snapshot.inventory.places)
     return PublishDigest(
         digest=replace(digest, starts=starts),
-        regular=regular,
-        places=state.domains.audience(filter(None, places), regular=regular),
+        regular=regular and not everywhere,
+        places=audience,
     )
 
 
--- a/src/azureswitch/serving/_removal.py
+++ b/src/azureswitch/serving/_removal.py
@@ -146,7 +146,8 @@
     pause = longest_backoff(record.retry_count + 1)
     in_time = now + pause < state.ends_by(record.call)
     more_retries = record.retry_count < MOST_RETRIES and state.retries.permits()
-    return record.may_run_beside(runs) and in_time and more_retries
+    held_back = state.crashes.seconds_left(record.call, now=now) > 0.0
+    return record.may_run_beside(runs) and in_time and more_retries and not held_back
 
 
 def _has_other(state: ServingState, record: CallRecord, target: TargetName, *, now: float) -> bool:
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -10,6 +10,7 @@
 from azureswitch.inventory import Rules, Snapshot
 from azureswitch.serving._affinity import PrefixIndex
 from azureswitch.serving._cost import Cost, CostModel
+from azureswitch.serving._crashes import Crashes
 from azureswitch.serving._domains import Domains
 from azureswitch.serving._events import Call, HostSelf
 from azureswitch.serving._fairness import Fairness
@@ -64,6 +65,7 @@
         priority: Smaller runs first.
         alone: Whether its target had nothing else to do.
         holders: Those of its targets that hold its memory until its end.
+        start: The start of the first target that it was sent to, or zero where none is told.
         first_token: When its first token came, or None.
         restarted: Those of its targets that have started again since.
     """
@@ -76,6 +78,7 @@
     priority: int
     alone: bool
     holders: tuple[TargetName, ...]
+    start: int = 0
     first_token: float | None = None
     restarted: set[TargetName] = field(default_factory=set)
 
@@ -200,6 +203,7 @@
         self._ledger = Ledger(starts=self._starts)
         self._domains = Domains(own=myself.place, full_hosts=full_hosts)
         self._pauses = PauseBounds()
+        self._crashes = Crashes()
         self._digest_period = digest_period
         self._lean = lean
         self._deadline_margin = deadline_margin
@@ -309,6 +313,11 @@
         """The failure domains that hear of this host's sends."""
         return self._domains
 
+    @property
+    def crashes(self) -> Crashes:
+        """The requests under which targets have crashed."""
+        return self._crashes
+
     @property
     def starts(self) -> Starts:
         """Which start of each target is known."""
--- a/tests/serving/test_crashes.py
+++ b/tests/serving/test_crashes.py
@@ -8,20 +8,25 @@
 """
 
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import inf
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from azureswitch.coordination.sharing import pack_digest, unpack_digest
 from azureswitch.core import CallId, CustomerName, Effect, HostName, TargetName
 from azureswitch.exceptions import AzureswitchError, Ran, TargetAnswerError, TargetBrokenError
 from azureswitch.inventory import EnginePace
 from azureswitch.serving import (
+    QUARANTINE_SECONDS,
     AttemptEnd,
     AttemptEnded,
     Call,
     CallArrived,
+    CrashReport,
     DigestReceived,
     FinishCall,
     HostSelf,
@@ -31,9 +36,11 @@
     ServingState,
     SnapshotAdopted,
     StartAttempt,
+    TargetStart,
     Ticked,
     reduce,
 )
+from azureswitch.serving._crashes import SUSPECTS_MOST, Crashes
 from tests.serving.engines import SERVICE, place_of, snapshot
 
 PACE = EnginePace(step=0.00131, read_rate=154_000.0, pair=1e-13, stride=34, slots=8, memory=405_000)
@@ -59,6 +66,7 @@
     """An attempt that was sent to a target."""
 
     at: float
+    call: CallId
     fingerprint: str
     target: TargetName
 
@@ -79,6 +87,7 @@
         count: How many there are.
         places: Failure domains in which they stand by turns.
         full_hosts: Hosts up to which all hear of all.
+        crashed: When each engine crashed first, and how many attempts had been sent by then.
     """
 
     count: int
@@ -91,6 +100,7 @@
     states: list[ServingState] = field(default_factory=list)
     due: list[tuple[float, int, StartAttempt]] = field(default_factory=list)
     silent: set[int] = field(default_factory=set)
+    crashed: dict[TargetName, tuple[float, int]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Start all hosts."""
@@ -162,7 +172,12 @@
     def _carry_out(self, index: int, effect: Effect) -> None:
         if isinstance(effect, StartAttempt):
             _, call = self.open[effect.call]
-            sent = Sent(at=self.now, fingerprint=call.fingerprint, target=effect.targets[0])
+            sent = Sent(
+                at=self.now,
+                call=call.id,
+                fingerprint=call.fingerprint,
+                target=effect.targets[0],
+            )
             self.sent.append(sent)
             self.due.append((self.now + RUN_SECONDS, index, effect))
         elif isinstance(effect, FinishCall):
@@ -181,6 +196,7 @@
         target = effect.targets[0]
         how, error = AttemptEnd.COMPLETE, None
         if self._crashes(target):
+            self.crashed.setdefault(target, (self.now, len(self.sent)))
             how, error = AttemptEnd.BROKEN, TargetBrokenError(target=target)
         if call.fingerprint.startswith("wrong"):
             how, error = AttemptEnd.BROKEN, TargetAnswerError(target=target)
@@ -205,11 +221,9 @@
         hosts.run(apart)
 
 
-def late_retries(hosts: Hosts, fingerprint: str = FATAL) -> list[Sent]:
-    """Return the attempts that were sent well after the third engine had crashed."""
-    sent = hosts.of(fingerprint)
-    third = sent[2].at + RUN_SECONDS + TICK
-    return [item for item in sent if item.at > third + STABLE_SECONDS]
+def third_crash(hosts: Hosts) -> tuple[float, int]:
+    """Return when the third engine crashed, and how many attempts had been sent by then."""
+    return sorted(hosts.crashed.values())[2]
 
 
 class TestCrashingRequests:
@@ -227,7 +241,9 @@
         """It reaches engines three times at most once all hosts may know of three crashes."""
         fleet = Hosts(count=hosts, places=places, full_hosts=full_hosts)
         come_again(fleet, 24)
-        assert len(late_retries(fleet)) <= MOST_RETRIES
+        at, _ = third_crash(fleet)
+        late = [item for item in fleet.of(FATAL) if item.at > at + STABLE_SECONDS]
+        assert len(late) <= MOST_RETRIES
 
     def test_refused_at_once(self) -> None:
         """It is refused as not run, with the time to come back, and doesn't wait."""
@@ -244,10 +260,15 @@
         fleet = Hosts(count=8)
         for index in range(8):
             fleet.arrive(index, f"{FATAL}-{index}", fingerprint=FATAL)
+            fleet.run(0.05)
         fleet.run(2.0)
-        assert len(fleet.of(FATAL)) == 8
-        errors = [fleet.calls[CallId(f"{FATAL}-{index}")].error for index in range(8)]
-        assert all(error is not None and error.ran is Ran.UNKNOWN for error in errors)
+        _, sent = third_crash(fleet)
+        assert len(fleet.sent) == sent
+        ran = {item.call for item in fleet.sent}
+        assert all(
+            caller.error is not None and (caller.error.ran is Ran.UNKNOWN) is (call in ran)
+            for call, caller in fleet.calls.items()
+        )
 
     def test_started_later(self) -> None:
         """A host that starts again hears of it from the others, and also that starts last."""
@@ -320,3 +341,98 @@
         before = len(fleet.sent)
         fleet.arrive(0, "again", fingerprint="wrong")
         assert len(fleet.sent) == before + 1
+
+
+CUSTOMER = CustomerName("ann")
+
+
+def report(
+    fingerprint: str, crashes: Iterable[int], *, cleared: Iterable[int] = (), age: float = 0.0
+) -> CrashReport:
+    """Return what a host says of a request that broke off at some targets."""
+    return CrashReport(
+        customer=CUSTOMER,
+        fingerprint=fingerprint,
+        crashes=tuple(TargetStart(target=TargetName(f"e{n}"), started=1) for n in crashes),
+        cleared=tuple(TargetStart(target=TargetName(f"e{n}"), started=1) for n in cleared),
+        age=age,
+    )
+
+
+def call(fingerprint: str) -> Call:
+    """Return a try at a request."""
+    return Call(
+        id=CallId("c"), customer=CUSTOMER, service=SERVICE, deadline=9.0, fingerprint=fingerprint
+    )
+
+
+STARTS = st.sets(st.integers(0, 7), max_size=5)
+REPORTS = st.lists(
+    st.builds(report, st.sampled_from("abc"), STARTS, cleared=STARTS), min_size=1, max_size=8
+)
+
+
+class TestCrashes:
+    """What is decided from what hosts say of crashes."""
+
+    @pytest.mark.parametrize(
+        ("reports", "quarantined"),
+        [
+            pytest.param([report("a", [1, 2])], "", id="two crashes"),
+            pytest.param([report("a", [1]), report("a", [2]), report("a", [3])], "a", id="three"),
+            pytest.param([report("a", [1, 2]), report("a", [2, 1])], "", id="told twice"),
+            pytest.param(
+                [report("a", [1, 2, 3, 4]), report("b", [1, 2, 3])], "a", id="one beside it"
+            ),
+            pytest.param([report("a", [1, 2, 3]), report("b", [1, 2, 3])], "", id="either"),
+            pytest.param(
+                [report("a", [1, 2, 3]), report("b", [3, 4, 5, 6])], "b", id="another's crash"
+            ),
+            pytest.param([report("a", [1, 2, 3], cleared=[2])], "", id="answered after one"),
+            pytest.param([report("a", [1, 2, 3, 4], cleared=[2])], "a", id="and crashed again"),
+            pytest.param([report("a", [1, 2, 3], age=90_000.0)], "", id="long ago"),
+        ],
+    )
+    def test_table(self, reports: list[CrashReport], quarantined: str) -> None:
+        """Three crashes quarantine a request, but those of another one or before an answer."""
+        crashes = Crashes()
+        crashes.hear(reports, now=0.0)
+        assert [name for name in "ab" if crashes.seconds_left(call(name), now=0.0)] == list(
+            quarantined
+        )
+
+    @given(reports=REPORTS, data=st.data())
+    def test_order(self, reports: list[CrashReport], data: st.DataObject) -> None:
+        """Hosts that were told the same, in any order and more than once, decide the same."""
+        others = data.draw(st.permutations(reports + reports[:2]))
+        one, two = Crashes(), Crashes()
+        one.hear(reports, now=0.0)
+        two.hear(others, now=0.0)
+        for name in "abc":
+            assert one.seconds_left(call(name), now=1.0) == two.seconds_left(call(name), now=1.0)
+
+    @pytest.mark.parametrize(
+        ("crashes", "at", "left"),
+        [
+            pytest.param([1, 2, 3], 0.0, 1, id="now"),
+            pytest.param([1, 2, 3], QUARANTINE_SECONDS - 1.0, 1, id="to the end of the day"),
+            pytest.param([1, 2, 3], QUARANTINE_SECONDS, 0, id="no longer"),
+        ],
+    )
+    def test_end(self, crashes: list[int], at: float, left: int) -> None:
+        """A quarantine ends a day after the last crash, and nothing of it is kept."""
+        known = Crashes()
+        known.hear([report("a", crashes)], now=0.0)
+        known.expire(at)
+        assert known.quarantined() == left
+        assert bool(known.seconds_left(call("a"), now=at)) is bool(left)
+
+    def test_bounded(self) -> None:
+        """Of very many requests that broke off those are remembered that did so last."""
+        known = Crashes()
+        count = SUSPECTS_MOST + 10
+        for number in range(count):
+            known.hear([report(f"r{number}", range(4 * number, 4 * number + 4))], now=number)
+        assert known.quarantined() == SUSPECTS_MOST
+        assert not known.seconds_left(call("r9"), now=count)
+        assert known.seconds_left(call("r10"), now=count)
--- a/tests/sharing/test_starts.py
+++ b/tests/sharing/test_starts.py
@@ -1,5 +1,7 @@
 """Digests tell which starts of targets they mean, in few bytes and to hosts of any version."""
 
+from dataclasses import replace
+
 import pytest
 from msgspec import Struct
 from msgspec.msgpack import decode, encode
@@ -18,10 +20,10 @@
     unpack_digest,
 )
 from azureswitch.coordination.sharing._digest import PackedDemand, PackedLoad, PackedUse
-from azureswitch.core import HostName, PlaceName, ServiceName, TargetName
+from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
 from azureswitch.inventory import Place, Target
 from azureswitch.ports import LoadReport
-from azureswitch.serving import Digest, Occupancy, TargetLoad, TargetStart
+from azureswitch.serving import CrashReport, Digest, Occupancy, TargetLoad, TargetStart
 
 BORN = 1_790_000_000_000
 """A host's start, in milliseconds of the wall clock."""
@@ -127,6 +129,30 @@
         assert found.occupancies == (Occupancy(target=ONE, streams=3),)
 
 
+class TestCrashes:
+    """The requests under which targets broke off, on the wire."""
+
+    def test_exact(self) -> None:
+        """They arrive as they were sent, beside the starts of other targets."""
+        report = CrashReport(
+            customer=CustomerName("ann"),
+            fingerprint="0f" * 32,
+            crashes=(start(ONE, BORN), start(TWO, 0)),
+            cleared=(start(THREE, BORN + 5),),
+            age=1.25,
+        )
+        sent = replace(digest(start(ONE, BORN)), crashes=(report, replace(report, crashes=())))
+        packed = decode(encode(pack_digest(sent)), type=PackedDigest)
+        assert unpack_digest(packed) == sent
+
+    def test_to_earlier_version(self) -> None:
+        """A host of the version before reads the rest of a digest that tells of them."""
+        report = CrashReport(customer=CustomerName("ann"), fingerprint="0f", crashes=())
+        sent = replace(digest(start(ONE, BORN)), crashes=(report,))
+        found = decode(encode(pack_digest(sent)), type=EarlierDigest)
+        assert [item.target for item in found.occupancies] == [ONE, TWO, THREE]
+
+
 class TestReports:
     """Reports of an engine that has started again."""
 
