Log where a target says in an answer that it leaves

Cause: no line of a host's log told it, so that it could not be seen whether the host knew.

Changed: the header is read from the answers of targets, but not from those of others at their address, and logged. Nothing goes by it yet.

Measured: the table of verdicts on answers, with three rows more.

--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -124,6 +124,18 @@
     events: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetLeaves(_RequestEntry):
+    """A target says in an answer that it is about to leave.
+
+    Attributes:
+        target: The target.
+    """
+
+    sentence: ClassVar[str] = "Target leaves."
+    target: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptOver(_RequestEntry):
     """An attempt ended.
--- a/src/azureswitch/gateway/_model.py
+++ b/src/azureswitch/gateway/_model.py
@@ -158,6 +158,7 @@
         at_fault: Address of the helping engine that failed, where it says so.
         sealed: Whether the answer bears the mark of the target's program.
         readable: Whether the body is as the target's program made it, in no further encoding.
+        leaving: Whether the target says that it is about to leave.
     """
 
     not_run: bool
@@ -166,3 +167,4 @@
     at_fault: str | None = None
     sealed: bool = False
     readable: bool = True
+    leaving: bool = False
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -19,7 +19,7 @@
     TargetRefusedError,
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
-from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetSilent
+from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetLeaves, TargetSilent
 from azureswitch.gateway._model import Helper, RouteKind, Sending
 from azureswitch.gateway._patience import Patience
 from azureswitch.gateway._ports import Dialect
@@ -231,6 +231,8 @@
         head = answer.head
         target = effect.targets[0]
         verdict = self._dialect.judge(head)
+        if verdict.leaving:
+            self._log.write(TargetLeaves(id=record.arrival.id, target=target))
         if verdict.not_run:
             return _End(
                 how=AttemptEnd.REFUSED,
--- a/src/azureswitch/platform/_dialect.py
+++ b/src/azureswitch/platform/_dialect.py
@@ -72,13 +72,16 @@
     def judge(self, head: HttpHead) -> Verdict:
         """Decode the head of a target's answer."""
         promised = head.header(name=names.NOT_RUN) is not None
+        misdirected = head.status == MISDIRECTED
         return Verdict(
-            not_run=promised or head.status == MISDIRECTED,
+            not_run=promised or misdirected,
             id=head.header(name=names.ID),
             retry_after=head.retry_after,
             at_fault=head.header(name=names.AT_FAULT),
             sealed=head.header(name=names.SEAL) is not None,
             readable=head.header(name="content-encoding") is None,
+            # Whoever refuses a request that is meant for another target speaks of itself.
+            leaving=head.header(name=names.LEAVING) == names.TRUE and not misdirected,
         )
 
     def answer(self, head: HttpHead) -> Headers:
--- a/src/azureswitch/platform/_headers.py
+++ b/src/azureswitch/platform/_headers.py
@@ -28,6 +28,11 @@
 AT_FAULT = "at-server"
 """Address of the helping engine that failed."""
 
+LEAVING = "server-leaving"
+"""Whether the target that answers is about to leave, as `TRUE` where it is."""
+
+TRUE = "1"
+
 LAST_EVENT = "last-event-id"
 
 KEY = "authorization"
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -245,6 +245,9 @@
                 Verdict(not_run=True, retry_after=0.5),
             ),
             (200, (("content-encoding", "br"),), Verdict(not_run=False, readable=False)),
+            (500, (("server-leaving", "1"),), Verdict(not_run=False, leaving=True)),
+            (200, (("server-leaving", "0"),), Verdict(not_run=False)),
+            (421, (("server-leaving", "1"),), Verdict(not_run=True)),
         ],
     )
     def test_judge(self, status: int, headers: Headers, verdict: Verdict) -> None:
