Show that what a target says of itself in its answers goes unheard

Callers saw a request reach a target 2.18 s after an answer that the same host had passed on said that the target leaves; one was cut off as the target ended.

Cause, as suspected: hosts learn of a leave from the store alone, which was away.

--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -76,6 +76,7 @@
     pause: float = 0.0
     silence: float = 0.0
     padding: int = 0
+    leaving: set[str] = field(default_factory=set)
 
     def next_act(self) -> Act:
         """Return what is done with the next request; all is answered once the script is over."""
@@ -131,13 +132,13 @@
         """Do with a request what the script says."""
         headers = dict(exchange.request.headers)
         act = self._fleet.next_act()
+        leaving: Headers = (("server-leaving", "1"),) if self._name in self._fleet.leaving else ()
         if headers.get("x-azureswitch-target-instance") != self._name:
-            exchange.respond(status=421, headers=(), body=b"")
+            exchange.respond(status=421, headers=leaving, body=b"")
             return
         if act is Act.REFUSE:
-            exchange.respond(
-                status=503, headers=(("x-azureswitch-not-executed", "1"),), body=b"full"
-            )
+            not_run = ("x-azureswitch-not-executed", "1")
+            exchange.respond(status=503, headers=(not_run, *leaving), body=b"full")
             return
         run = Run(
             target=self._name,
@@ -147,13 +148,18 @@
         )
         self._fleet.runs.append(run)
         exchange.on_left(lambda: setattr(run, "closed", True))
-        task = asyncio.get_running_loop().create_task(self._answer(exchange, run, act))
+        task = asyncio.get_running_loop().create_task(self._answer(exchange, run, act, leaving))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _answer(self, exchange: Exchange, run: Run, act: Act) -> None:
+    async def _answer(self, exchange: Exchange, run: Run, act: Act, leaving: Headers) -> None:
         id = "another" if act is Act.CROSS else run.id
-        headers: Headers = (("x-azureswitch-attempt-id", id), ("x-from", self._name), *SEAL)
+        headers: Headers = (
+            ("x-azureswitch-attempt-id", id),
+            ("x-from", self._name),
+            *SEAL,
+            *leaving,
+        )
         if act is Act.ENCODE:
             headers = (*headers, ("content-encoding", "gzip"))
         if act is Act.HANG:
