Send nothing new to a target that has said in an answer that it leaves

Callers saw a request reach a target 2.18 s after an answer that the same host had passed on said that the target leaves; it was cut off as the target ended.

Cause: hosts learned of a leave from the store alone, which was away. The target's own word was passed on unread.

Changed: the word of a target in any answer makes it draining for this host, as long as this start of it lasts.

Ruled out: a header read and forgotten, since nothing read it; requests that had waited, which were sent within 10 ms.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -20,7 +20,7 @@
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
 from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetLeaves, TargetSilent
-from azureswitch.gateway._model import Helper, RouteKind, Sending
+from azureswitch.gateway._model import Helper, RouteKind, Sending, Verdict
 from azureswitch.gateway._patience import Patience
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
@@ -34,6 +34,7 @@
     FirstTokenArrived,
     ServingEvent,
     StartAttempt,
+    TargetLeaving,
 )
 
 CONNECT_TIMEOUT = 0.35
@@ -205,7 +206,16 @@
         )
         with patience:
             async with stream as answer:
-                return await self._pass_on(record, effect, answer, patience)
+                verdict = self._dialect.judge(answer.head)
+                if verdict.leaving:
+                    self._note_leaving(record, first)
+                return await self._pass_on(record, effect, answer, verdict, patience)
+
+    def _note_leaving(self, record: CallRecord, target: Target) -> None:
+        """Tell the reducer before the answer goes on; the store may say so much later."""
+        self._log.write(TargetLeaves(id=record.arrival.id, target=target.name))
+        leaving = TargetLeaving(now=self._clock(), target=target.name, started=target.started)
+        self._dispatch(leaving)
 
     def _silent(self, record: CallRecord, effect: StartAttempt) -> None:
         """Tell the reducer, which calls the attempt off where another one may follow."""
@@ -226,13 +236,11 @@
         record: CallRecord,
         effect: StartAttempt,
         answer: HttpExchange,
+        verdict: Verdict,
         patience: Patience,
     ) -> _End:
         head = answer.head
         target = effect.targets[0]
-        verdict = self._dialect.judge(head)
-        if verdict.leaving:
-            self._log.write(TargetLeaves(id=record.arrival.id, target=target))
         if verdict.not_run:
             return _End(
                 how=AttemptEnd.REFUSED,
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -189,6 +189,19 @@
     target: TargetName
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetLeaving(ServingEvent):
+    """A target said in an answer that it leaves.
+
+    Attributes:
+        target: The target.
+        started: Its start, or zero where it does not tell.
+    """
+
+    target: TargetName
+    started: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetLoad:
     """What one host has outstanding at one target, in engine seconds.
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -52,6 +52,7 @@
     ServingEvent,
     ShutdownBegan,
     SnapshotAdopted,
+    TargetLeaving,
     TargetUnreachable,
     Ticked,
     TokensArrived,
@@ -271,6 +272,12 @@
     return lose(state, event.target, now=event.now) if silent >= LOST_SECONDS else []
 
 
+@_apply.register
+def _(event: TargetLeaving, state: ServingState) -> list[Effect]:
+    state.note_leaving(event.target, started=event.started)
+    return []
+
+
 # --- Hosts and configuration ----------------------------------------------------------------------
 
 
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -11,6 +11,7 @@
 from azureswitch.serving._affinity import PrefixIndex
 from azureswitch.serving._cost import Cost, CostModel
 from azureswitch.serving._crashes import Crashes
+from azureswitch.serving._departures import Departures
 from azureswitch.serving._domains import Domains
 from azureswitch.serving._events import Call, HostSelf
 from azureswitch.serving._fairness import Fairness
@@ -200,6 +201,7 @@
         self._split = Split()
         self._retries = retries or RetryBudget()
         self._starts = Starts()
+        self._departures = Departures()
         self._ledger = Ledger(starts=self._starts)
         self._domains = Domains(own=myself.place, full_hosts=full_hosts)
         self._pauses = PauseBounds()
@@ -335,7 +337,8 @@
             return frozenset()
         self._snapshot = snapshot
         adopted = self._starts.adopt(snapshot.inventory.targets)
-        inventory = replace(snapshot.inventory, targets=adopted.targets)
+        targets = self._departures.apply(adopted.targets)
+        inventory = replace(snapshot.inventory, targets=targets)
         self._fleet.adopt(inventory, restarted=adopted.restarted)
         self._restart(adopted.restarted)
         self._ledger.recount(adopted.told)
@@ -344,6 +347,13 @@
         self._renew_pools()
         return adopted.restarted
 
+    def note_leaving(self, target: TargetName, *, started: int) -> None:
+        """Send nothing new to a target that has said that it leaves."""
+        self._departures.add(target, started=started)
+        known = self._fleet.state(target)
+        if known is not None:
+            (known.target,) = self._departures.apply([known.target])
+
     def _restart(self, targets: frozenset[TargetName]) -> None:
         if not targets:
             return
