Leave a target alone for as long as it asks

Callers' requests went to a target again and again that had turned them away and asked to be left alone for seconds.

Cause: the time that a target asks for was cut to one second, as if it only had no place. It is the target that knows.

Changed: the whole time counts. Where no other target is left, callers are told to come back when it is over.

Ruled out: a bound for absurd times; a target that asks for one harms itself alone, and its start again ends it.

Measured: the tests of serving, gateway and entry pass.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -246,7 +246,8 @@
                 how=AttemptEnd.REFUSED,
                 error=TargetRefusedError(target=target, seconds=verdict.retry_after),
                 retry_after=verdict.retry_after or FULL_SECONDS,
-                at_fault=self._at(verdict.at_fault, effect),
+                # Who answers asks for itself to be left alone.
+                at_fault=None if verdict.retry_after else self._at(verdict.at_fault, effect),
                 status=head.status,
             )
         if verdict.id is not None and verdict.id != record.call.id:
--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -1,5 +1,7 @@
 """Decides at once whether a call is admitted, and if not, when to come back."""
 
+from collections.abc import Iterable
+
 from azureswitch.exceptions import (
     AzureswitchError,
     DeadlineUnreachableError,
@@ -15,7 +17,7 @@
 )
 from azureswitch.serving._cost import MARGIN, Cost
 from azureswitch.serving._events import Call
-from azureswitch.serving._fleet import Pool
+from azureswitch.serving._fleet import Pool, TargetState
 from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._placement import MOST_PARTS
 from azureswitch.serving._queue import Lane
@@ -53,7 +55,7 @@
 """Seconds after which a caller is told to come back, to another host; a connection takes 10 ms."""
 
 NO_TARGET_SECONDS = 2.0
-"""Seconds after which a caller is told to come back where no target is up."""
+"""Seconds after which a caller is told to come back where no target is up, at least."""
 
 
 def refusal(state: ServingState, call: Call, *, now: float) -> AzureswitchError | None:
@@ -65,8 +67,9 @@
     if held_back:
         return QuarantinedError(seconds=held_back)
     pool = state.fleet.pool(service=call.service, model=call.model)
-    if pool is None or not any(target.usable(now) for target in state.fleet.states(pool)):
-        return NoTargetError(seconds=_jittered(state, NO_TARGET_SECONDS))
+    targets = [] if pool is None else state.fleet.states(pool)
+    if pool is None or not any(target.usable(now) for target in targets):
+        return NoTargetError(seconds=_jittered(state, _until_usable(targets, now=now)))
     long = level_of(call, state.rules) is not Level.SHORT
     wait = state.fairness.wait(call.customer, long=long, now=now)
     if wait > 0.0:
@@ -88,6 +91,12 @@
     return None
 
 
+def _until_usable(targets: Iterable[TargetState], *, now: float) -> float:
+    """Return the seconds until one of some targets may be used that has asked to be left alone."""
+    waits = [t.unusable_until - now for t in targets if t.usable(max(now, t.unusable_until))]
+    return max(NO_TARGET_SECONDS, min(waits, default=0.0))
+
+
 def _too_late(state: ServingState, call: Call, pool: Pool, *, now: float) -> RefusedError | None:
     cost = expected_cost(state, call, pool)
     if now + cost.most(margin=_stop_margin(state, now=now)) > state.stops_at:
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -25,9 +25,6 @@
 UNREACHABLE_SECONDS = 1.0
 """Seconds for which a target that did not answer a poll gets no new work."""
 
-FULL_MOST = 1.0
-"""Seconds for which a target that has no room gets no new work, at most."""
-
 EJECT_FIRST = 1.0
 """Seconds for which a target is avoided after its first failure."""
 
@@ -407,8 +404,8 @@
         """Give a target that has no room now no new work for as long as it says."""
         state = self._states.get(target)
         if state is not None:
-            pause = min(seconds, FULL_MOST)
-            state.unusable_until = max(state.unusable_until, now + pause)
+            # However long: a target that is asked again meanwhile cannot recover.
+            state.unusable_until = max(state.unusable_until, now + seconds)
 
     def failed(self, target: TargetName, *, now: float, longest: float = EJECT_MOST) -> None:
         """Prefer other targets for a while, longer with every failure in a row.
