Count the time for which a host is suspended

Callers would see: a request that a suspended host holds goes on past its deadline by as long as the host stood still, is sent on with more time than is left, and a stop outlasts its time of grace and is killed.

Cause: all times were counted by the steady clock, which stands still while a host is suspended.

Changed: one module tells elapsed time by the clock that counts since the host's boot, and the event loop of both programs goes by it, so that every timer and timeout counts alike. The log and a metric tell of each suspension.

Evidence: three of four tests of a process, whose clock since boot is moved on, failed before (4.98 s where the deadline was over after 0.5 s, and a stop 4.05 s too long) and pass.

Ruled out: the time of day, which jumps; moving what is stored by the gap, part by part.

--- a/deploy/edge.py
+++ b/deploy/edge.py
@@ -10,19 +10,19 @@
 import socket
 import sys
 from pathlib import Path
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 
 # All that is loaded stays.  Collections that look through it meanwhile took 0.04 s of 0.22 s of
 # processor time (the least of 15 loads); the program turns them on once it is loaded.
 gc.disable()
 
 TOLD: dict[int, float] = {}
-"""When each signal came first, in seconds of the monotonic clock."""
+"""When each signal came first, in seconds since the host's boot, as the program counts."""
 
 
 def note(number: int, frame: object) -> None:
     """Note a signal."""
-    TOLD.setdefault(number, monotonic())
+    TOLD.setdefault(number, clock_gettime(CLOCK_BOOTTIME))
 
 
 # Told to stop or of new settings while it is being loaded, the process would end at once, and cut
--- a/src/azureswitch/entry/_answers.py
+++ b/src/azureswitch/entry/_answers.py
@@ -9,8 +9,8 @@
 from bisect import bisect_right
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from time import monotonic
 
+from azureswitch.clock import elapsed
 from azureswitch.entry._events import skip_tokens
 from azureswitch.exceptions import AnswerTooLargeError, AzureswitchError
 from azureswitch.ports import Chunk, PlainAnswer
@@ -160,7 +160,7 @@
         clock: Returns seconds of the monotonic clock.
     """
 
-    def __init__(self, *, limit: int, clock: Callable[[], float] = monotonic) -> None:
+    def __init__(self, *, limit: int, clock: Callable[[], float] = elapsed) -> None:
         super().__init__()
         self._limit = limit
         self._clock = clock
--- a/src/azureswitch/entry/_program.py
+++ b/src/azureswitch/entry/_program.py
@@ -1,6 +1,6 @@
 """The daemon ``azureswitch-entry``."""
 
-from asyncio import Event, get_running_loop, run
+from asyncio import Event, Runner, get_running_loop
 from collections.abc import Sequence
 from pathlib import Path
 from signal import SIGINT, SIGTERM
@@ -8,6 +8,7 @@
 from absl import logging
 from cleo.helpers import option
 
+from azureswitch.clock import ElapsedEventLoop
 from azureswitch.entry._server import EntryServer
 from azureswitch.entry._settings import EntrySettings, LogLevel, read_settings
 from azureswitch.exceptions import SettingsError
@@ -49,7 +50,8 @@
         logging.set_verbosity(_LEVELS[settings.log_level])
         logging.set_stderrthreshold(logging.DEBUG)
         try:
-            run(_serve(settings))
+            with Runner(loop_factory=ElapsedEventLoop) as runner:
+                runner.run(_serve(settings))
         except OSError as error:
             self.complain(error)
             return EXIT_START
--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
-from time import monotonic
 
 from absl import logging
 
+from azureswitch.clock import elapsed
 from azureswitch.core import CallId, Effect, Incarnation
 from azureswitch.entry._answers import Answer, Recording, Relay
 from azureswitch.entry._attempts import Attempts
@@ -75,7 +75,7 @@
         publish: DigestSink,
         metrics: Metrics,
         limits: Limits,
-        clock: Callable[[], float] = monotonic,
+        clock: Callable[[], float] = elapsed,
     ) -> None:
         self._state = ServingState(myself=myself, seed=seed)
         self._targets = targets
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
-from time import monotonic, time
+from time import time
 
 from absl import logging
 
+from azureswitch.clock import elapsed
 from azureswitch.coordination.claims import Claims
 from azureswitch.coordination.configuration import Configuration
 from azureswitch.coordination.journal import Journal
@@ -119,7 +120,7 @@
             engines=self._engines,
         )
         self._jobs = JobTable(
-            peers=ports.peers, retention=settings.limits.job_retention, clock=monotonic
+            peers=ports.peers, retention=settings.limits.job_retention, clock=elapsed
         )
         self._shell = Shell(
             myself=HostSelf(name=settings.host, place=settings.place, started=self._myself.started),
@@ -136,7 +137,7 @@
             peers=ports.peers,
             members=self._members,
             dispatch=self._shell.dispatch,
-            clock=monotonic,
+            clock=elapsed,
             seed=seed,
         )
         self._poller = Poller(
@@ -145,14 +146,14 @@
             peers=ports.peers,
             members=self._members,
             dispatch=self._shell.dispatch,
-            clock=monotonic,
+            clock=elapsed,
             seed=seed,
         )
         self._caches = CacheFollower(
             host=settings.host,
             targets=self._targets,
             dispatch=self._shell.dispatch,
-            clock=monotonic,
+            clock=elapsed,
             seed=seed,
         )
         self._sweeper = Sweeper(
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -7,10 +7,11 @@
 from math import inf
 from random import Random
 from socket import socket
-from time import monotonic, time
+from time import time
 
 from absl import logging
 
+from azureswitch.clock import elapsed
 from azureswitch.coordination.membership import Member
 from azureswitch.core import Effect, HostName, PlaceName, TargetName
 from azureswitch.gateway._front import Front
@@ -159,7 +160,7 @@
         neighbours: Callable[[], Neighbours] = Neighbours,
         members: Callable[[], Iterable[Member]] = tuple,
         foreign: Callable[[], tuple[ForeignCollection, ...]] = tuple,
-        clock: Callable[[], float] = monotonic,
+        clock: Callable[[], float] = elapsed,
     ) -> None:
         self._settings = settings
         self._log = log
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -347,6 +347,22 @@
     open_requests: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostSuspended(Entry):
+    """The host was suspended, and what was due meanwhile is done now.
+
+    Attributes:
+        seconds: For how long.
+        open_requests: Requests that have not been answered.
+    """
+
+    part: ClassVar[str] = "gateway"
+    sentence: ClassVar[str] = "Host was suspended."
+    level: ClassVar[Level] = Level.WARNING
+    seconds: float
+    open_requests: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GraceOver(Entry):
     """The time of grace is over, and what is open is decided now.
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -3,15 +3,16 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
-from time import monotonic
 
 from absl import logging
 
+from azureswitch.clock import elapsed, suspended
 from azureswitch.core import CallId, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.gateway._failures import respond_failure
 from azureswitch.gateway._log import (
     LOGGED_DIGITS,
+    HostSuspended,
     RequestAnswered,
     RequestCutOff,
     RequestFailed,
@@ -48,6 +49,9 @@
 ATTEMPTS_SECONDS = 0.05
 """Seconds in which attempts end that are called off as the process ends; each takes a turn."""
 
+SUSPENSION_LEAST = 0.05
+"""Seconds of a suspension that are logged at least; the two clocks are read one after the other."""
+
 ROUNDING = 0.001
 """Seconds by which a deadline is looked at late, lest it be found a moment too early."""
 
@@ -79,7 +83,7 @@
         publish: Callable[[PublishDigest | PublishTotals | AnnounceQuarantine], None],
         metrics: Metrics,
         log: Log,
-        clock: Callable[[], float] = monotonic,
+        clock: Callable[[], float] = elapsed,
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -168,12 +172,26 @@
 
     async def run(self) -> None:
         """Let time pass for the reducer until cancelled."""
+        before = suspended()
         while True:
             due = self.now + TICK
             await asyncio.sleep(TICK)
+            before = self._report_suspension(before)
             self._lag = max(0.0, self.now - due)
             self.dispatch(Ticked(now=self.now))
 
+    def _report_suspension(self, before: float) -> float:
+        """Log what comes on top of an earlier sum of suspensions, and return the new sum."""
+        total = suspended()
+        if total - before >= SUSPENSION_LEAST:
+            self._log.write(
+                HostSuspended(seconds=round(total - before, 3), open_requests=self.open_calls)
+            )
+            self._metrics.count(
+                name="suspensions", help="Times that the host was found to have been suspended."
+            )
+        return total
+
     def begin_shutdown(self, *, until: float) -> None:
         """Begin nothing more that cannot end by a moment of the monotonic clock."""
         self.dispatch(ShutdownBegan(now=self.now, until=until))
--- a/src/azureswitch/logs/_log.py
+++ b/src/azureswitch/logs/_log.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import fields
-from time import monotonic
 
 from absl import logging
 from xxhash import xxh3_64_intdigest
 
+from azureswitch.clock import elapsed
 from azureswitch.logs._entry import Entry, Level
 
 LINES_PER_SECOND = 200.0
@@ -30,7 +30,7 @@
         clock: Returns seconds of the monotonic clock.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = monotonic) -> None:
+    def __init__(self, *, clock: Callable[[], float] = elapsed) -> None:
         self._clock = clock
         self._room = BURST_LINES
         self._at = clock()
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -3,10 +3,11 @@
 import asyncio
 from functools import singledispatchmethod
 from socket import socket
-from time import monotonic, time
+from time import time
 
 from absl import logging
 
+from azureswitch.clock import elapsed
 from azureswitch.coordination.membership import Member, Membership, live_hosts
 from azureswitch.coordination.mirror import CopyPeers, Mirrors
 from azureswitch.coordination.sharing import Digests
@@ -107,7 +108,7 @@
         self._foreign = ForeignBook(
             metrics=self._metrics,
             kinds=(CONFIGURATION_KIND, TARGETS_KIND, ROSTER_KIND, QUARANTINE_KIND),
-            clock=monotonic,
+            clock=elapsed,
         )
         self._stores: list[HttpStore] = []
         self._store = self._connect_store(settings)
@@ -177,7 +178,7 @@
             peers=self._network,
             members=self._listeners,
             dispatch=self._gateway.shell.dispatch,
-            clock=monotonic,
+            clock=elapsed,
             seed=seed,
             full_hosts=FULL_HOSTS,
         )
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -14,6 +14,7 @@
 from absl import logging
 from xxhash import xxh3_64_intdigest
 
+from azureswitch.clock import ElapsedEventLoop
 from azureswitch.exceptions import PlatformSettingsError
 from azureswitch.logs import LineStream, Log, start_logs
 from azureswitch.platform._edge import Edge
@@ -63,7 +64,7 @@
 
     Args:
         callers: A socket that listens for callers already, or None to open the one of the settings.
-        told: When signals came that were noted before this, in seconds of the monotonic clock, by
+        told: When signals came that were noted before this, in seconds of `azureswitch.clock`, by
             their numbers.  It may grow until the program handles signals itself.
 
     Returns:
@@ -97,7 +98,7 @@
     cancelled kept a host, whose requests all had their answers, past its time of grace: in 1 of 16
     soaks with planned restarts.
     """
-    loop = asyncio.new_event_loop()
+    loop = ElapsedEventLoop()
     try:
         asyncio.set_event_loop(loop)
         loop.run_until_complete(work)
--- a/src/azureswitch/platform/_signals.py
+++ b/src/azureswitch/platform/_signals.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
+
+from azureswitch.clock import elapsed
 
 LOOK_SECONDS = 0.1
 """Seconds between two looks; 10 a second take under 0.1% of a core."""
@@ -22,7 +23,7 @@
         clock: Returns seconds of the monotonic clock.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = monotonic) -> None:
+    def __init__(self, *, clock: Callable[[], float] = elapsed) -> None:
         self._clock = clock
         self._looked = self._in_time = clock()
         self._told: float | None = None
--- a/src/azureswitch/slices.py
+++ b/src/azureswitch/slices.py
@@ -5,9 +5,10 @@
 """
 
 from collections.abc import Generator
-from time import monotonic
 from typing import TypeAlias, TypeVar
 
+from azureswitch.clock import elapsed
+
 T = TypeVar("T")
 
 GO_ON = False
@@ -24,8 +25,8 @@
 
 def run_slice(work: Steps[object]) -> bool:
     """Go on with work for a slice, and return whether it is done."""
-    end = monotonic() + SLICE_SECONDS
-    return all(not pause and monotonic() < end for pause in work)
+    end = elapsed() + SLICE_SECONDS
+    return all(not pause and elapsed() < end for pause in work)
 
 
 def finish(work: Steps[T]) -> T:
--- /dev/null
+++ b/tests/platform/test_suspension.py
@@ -0,0 +1,151 @@
+"""A host that was suspended finds out that time has passed which its steady clock does not count.
+
+Hosts of the platform may be suspended for seconds.  The steady clock does not count that time; the
+clock since boot does.  By the steady clock a request would run on for as long as its host stood
+still, beyond the deadline of its caller, and be sent on with more time than its caller has left.
+"""
+
+import asyncio
+from pathlib import Path
+from time import monotonic
+
+import pytest
+
+from azureswitch.client import HttpAnswer, HttpClient
+from azureswitch.platform import header_names
+from azureswitch_standins.store import StoreStandin
+from bench.soak._documents import HOST_HEADER
+from tests.gateway.fixtures import Act, FakeTarget, Fleet
+from tests.platform.test_edge import (
+    LOG,
+    NETWORK,
+    PATIENCE,
+    edge,
+    run,
+    until_listening,
+    until_metric,
+)
+from tests.platform.test_quarantine import fill
+
+SUSPENDED = "suspended"
+"""The file that says for how many seconds the process was suspended so far."""
+
+CLOCK = f"""\
+import time
+from pathlib import Path
+
+COUNTED = time.clock_gettime
+SUSPENDED = Path(__file__).with_name("{SUSPENDED}")
+
+def clock_gettime(clock):
+    now = COUNTED(clock)
+    if clock != time.CLOCK_BOOTTIME or not SUSPENDED.exists():
+        return now
+    return now + float(SUSPENDED.read_text())
+
+time.clock_gettime = clock_gettime
+"""
+"""Read by an interpreter as it starts; its clock since boot counts suspensions, and no other."""
+
+DEADLINE_SECONDS = 5.0
+
+EARLY_SECONDS = 2.0
+"""Seconds within which a request ends whose deadline was over as its host woke up."""
+
+
+async def ask(callers: str, path: str) -> tuple[HttpAnswer, float]:
+    """Send a request and return its answer, and the seconds that it took by the steady clock."""
+    began = monotonic()
+    client = HttpClient(address=callers)
+    try:
+        answer = await client.request(
+            method="POST",
+            path=path,
+            headers=(
+                ("host", HOST_HEADER),
+                (header_names.ID, "r1"),
+                (header_names.KEY, "Bearer key-ann"),
+                (header_names.MILLISECONDS_LEFT, str(int(DEADLINE_SECONDS * 1_000))),
+            ),
+            body=b"text",
+            timeout=PATIENCE,
+        )
+    finally:
+        client.close()
+    return answer, monotonic() - began
+
+
+class TestSuspended:
+    """What becomes of requests that a host holds as it is suspended."""
+
+    @pytest.mark.parametrize(
+        ("ip", "path", "seconds", "early"),
+        [
+            pytest.param(f"{NETWORK}.50", "/look/1", 10.0, True, id="idempotent"),
+            pytest.param(f"{NETWORK}.51", "/book/1", 10.0, True, id="once"),
+            pytest.param(f"{NETWORK}.52", "/book/1", 0.2, False, id="a short time"),
+        ],
+    )
+    def test_deadline(
+        self, tmp_path: Path, ip: str, path: str, seconds: float, early: bool
+    ) -> None:
+        """A request whose deadline passed meanwhile ends at once, and another one in its time."""
+        (tmp_path / "sitecustomize.py").write_text(CLOCK, encoding="utf-8")
+
+        async def scenario() -> None:
+            store = StoreStandin()
+            await store.start()
+            fleet = Fleet(acts=[Act.HANG] * 10)
+            target = FakeTarget(name="i-0", fleet=fleet, streams=False)
+            await target.start()
+            await fill(store, [target])
+            environment = {"PYTHONPATH": str(tmp_path)}
+            async with edge(tmp_path, ip=ip, store=store.address, **environment) as (callers, _):
+                await until_listening(callers)
+                await until_metric(ip, "azureswitch_targets_serving", 1)
+                asking = asyncio.create_task(ask(callers, path))
+                await asyncio.sleep(0.5)
+                (tmp_path / SUSPENDED).write_text(str(seconds), encoding="utf-8")
+                answer, took = await asking
+            assert answer.head.status == 504
+            assert (took < EARLY_SECONDS) is early
+            assert "Host was suspended." in (tmp_path / LOG).read_text(encoding="utf-8")
+            target.stop()
+            await store.stop()
+
+        run(scenario)
+
+    def test_stop(self, tmp_path: Path) -> None:
+        """The time of grace goes on while a host is suspended that was told to stop."""
+        (tmp_path / "sitecustomize.py").write_text(CLOCK, encoding="utf-8")
+        ip = f"{NETWORK}.53"
+
+        async def scenario() -> None:
+            store = StoreStandin()
+            await store.start()
+            fleet = Fleet(acts=[Act.HANG] * 10)
+            target = FakeTarget(name="i-0", fleet=fleet, streams=False)
+            await target.start()
+            await fill(store, [target])
+            environment = {"PYTHONPATH": str(tmp_path)}
+            async with edge(tmp_path, ip=ip, store=store.address, **environment) as (
+                callers,
+                process,
+            ):
+                await until_listening(callers)
+                await until_metric(ip, "azureswitch_targets_serving", 1)
+                asking = asyncio.create_task(ask(callers, "/book/1"))
+                await asyncio.sleep(0.5)
+                process.terminate()
+                await asyncio.sleep(0.5)
+                (tmp_path / SUSPENDED).write_text("7.5", encoding="utf-8")
+                began = monotonic()
+                answer, _ = await asking
+                await process.wait()
+            # Its outcome is not known, and it is not run again.
+            assert answer.head.status in (502, 504)
+            assert monotonic() - began < EARLY_SECONDS
+            target.stop()
+            await store.stop()
+
+        run(scenario)
