Tell versions of a store apart that came back from an older copy

Operators would see: after a drill in which the store comes back from a copy, each host reads all of a kind again and again without a pause, 1,985 times in the first second for one kind of one host, and the store turns others away for it.

Cause: a version was taken to grow for ever. A host kept the greater one of before, watched from it, was told that it is gone, listed all, and kept it again. A number given out again was taken for the one that is known, in watches and conditions.

Changed: a version is made of the store's era and its revision where the adapter reads and writes it; so all that orders or passes on versions is right. What the copy lacks stays for the time that it stays after an outage.

Ruled out: a pause between listings, which would hide it, with every change of that time heard late.

--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -29,7 +29,7 @@
 from azureswitch.coordination.mirror._messages import StoreSeen
 from azureswitch.coordination.mirror._state import MirrorState, fingerprint
 from azureswitch.core import NO_EFFECTS, Effect, Effects
-from azureswitch.ports import ChangeKind, StoredObject
+from azureswitch.ports import ChangeKind, StoredObject, era_of
 
 CHECK_SECONDS = 0.6
 """Seconds after a check, whoever made it, at which the first host in rank checks again.
@@ -139,7 +139,7 @@
 @reduce.register
 def _(event: Listed, state: MirrorState) -> Effects:
     _answered(state, now=event.now)
-    state.version = max(state.version, event.listing.version)
+    _advance(state, event.listing.version, now=event.now)
     state.checked_at = event.now
     return _replace(state, event.listing.items, now=event.now)
 
@@ -203,7 +203,7 @@
 def _(event: Copied, state: MirrorState) -> Effects:
     if event.version <= state.version:
         return NO_EFFECTS
-    state.version = event.version
+    _advance(state, event.version, now=event.now)
     return _replace(state, event.objects, now=event.now)
 
 
@@ -226,6 +226,17 @@
     return effects
 
 
+def _advance(state: MirrorState, version: int, *, now: float) -> None:
+    """Note up to which version the copy is complete.
+
+    A store that comes back from an older copy lacks for a moment what lives and writes itself
+    again, as after an outage.
+    """
+    if state.listed and era_of(version) > era_of(state.version):
+        state.returned_at = now
+    state.version = max(state.version, version)
+
+
 def _catch_up(state: MirrorState, seen: StoreSeen, *, now: float) -> Effects:
     """Ask the store for what a peer has, or that peer where the store does not help."""
     patient = state.behind_at is None or now - state.behind_at < BEHIND_SECONDS
--- a/src/azureswitch/platform/_headers.py
+++ b/src/azureswitch/platform/_headers.py
@@ -33,6 +33,9 @@
 
 TRUE = "1"
 
+STORE_ERA = "store-era"
+"""How often the store has come back from a copy."""
+
 LAST_EVENT = "last-event-id"
 
 KEY = "authorization"
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop, sleep
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import quote, urlencode
@@ -9,7 +10,7 @@
 import msgspec
 from absl import logging
 
-from azureswitch.client import Headers, HttpAnswer, HttpClient
+from azureswitch.client import Headers, HttpAnswer, HttpClient, HttpHead
 from azureswitch.decoding import UNDECODED
 from azureswitch.exceptions import (
     HttpBrokenError,
@@ -23,6 +24,7 @@
     StoreVersionGoneError,
 )
 from azureswitch.platform._entries import read_changes, read_entry, read_listing
+from azureswitch.platform._headers import STORE_ERA
 from azureswitch.platform._wire import (
     OBJECTS_PATH,
     WireMetadata,
@@ -30,7 +32,16 @@
     from_wire,
     pack_value,
 )
-from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject
+from azureswitch.ports import (
+    ERA_MOST,
+    ChangeKind,
+    Listing,
+    StoreChange,
+    StoredObject,
+    era_of,
+    revision_of,
+    version_of,
+)
 
 Page = TypeVar("Page")
 
@@ -38,6 +49,8 @@
 
 Unnamed = Callable[[str, tuple[str, ...], bool], None]
 
+Restored = Callable[[int], None]
+
 DEFAULT_TIMEOUT = 2.0
 """Seconds that a call may take."""
 
@@ -51,7 +64,7 @@
 """Seconds that must be left of a watch for another call; each is paid for."""
 
 LOG_SECONDS = 60.0
-"""Seconds between two lines on entries without a name, where nobody else takes them."""
+"""Seconds between two lines on the same thing that the store gives again and again."""
 
 JSON_HEADERS: Headers = (("content-type", "application/json"),)
 
@@ -60,6 +73,11 @@
     """Count no calls."""
 
 
+def _log_restored(era: int) -> None:
+    """Log that the store has come back from an older copy."""
+    logging.warning("store: The store came back from an older copy; its era is %d.", era)
+
+
 def _log_unnamed(kind: str, details: tuple[str, ...], whole: bool) -> None:
     """Log that there are such entries, now and then."""
     if details:
@@ -83,6 +101,7 @@
             in a series cost fewer calls.
         unnamed: Told of what is wrong with entries whose name or version cannot be read: their
             kind, what is wrong with each, and whether these are all of the kind.
+        restored: Told the store's era each time that it has come back from an older copy.
     """
 
     def __init__(
@@ -93,12 +112,20 @@
         pause: float = 0.0,
         called: Called = _ignore,
         unnamed: Unnamed = _log_unnamed,
+        restored: Restored = _log_restored,
     ) -> None:
         self._client = HttpClient(address=address)
         self._timeout = timeout
         self._pause = pause
         self._called = called
         self._unnamed = unnamed
+        self._restored = restored
+        self._era: int | None = None
+
+    @property
+    def era(self) -> int:
+        """How often the store has come back from a copy, so far as is known."""
+        return self._era or 0
 
     def move(self, *, address: str) -> None:
         """Call the store at another ``IP:PORT`` from now on."""
@@ -117,8 +144,8 @@
         key = f"{kind}/{name}"
         answer = await self._call(method="GET", path=_path(kind, name), key=key)
         if not strict:
-            return _foreign_object(kind=kind, key=key, answer=answer)
-        return _object(kind=kind, key=key, answer=answer, lost=StoreUnavailableError)
+            return self._dated(_foreign_object(kind=kind, key=key, answer=answer))
+        return self._dated(_object(kind=kind, key=key, answer=answer, lost=StoreUnavailableError))
 
     async def list(self, *, kind: str, stale: bool = False) -> Listing:
         """Return all objects of a kind.
@@ -133,17 +160,22 @@
         items: list[StoredObject] = []
         unnamed: list[str] = []
         version: int | None = None
+        era: int | None = None
         query = {"Serializable": "1"} if stale else {}
         while True:
             path = f"{_path(kind)}?{urlencode(query)}" if query else _path(kind)
             answer = await self._call(method="GET", path=path, key=kind)
             page = _read(answer, read_listing, kind=kind)
             version = page.version if version is None else version
-            items.extend(page.items)
+            era = self.era if era is None else era
+            if era != self.era:
+                # The pages before it are of a history that is gone.
+                raise StoreUnavailableError(key=kind)
+            items.extend(map(self._dated, page.items))
             unnamed.extend(page.unnamed)
             if not page.more:
                 self._unnamed(kind, tuple(unnamed), True)
-                return Listing(items=tuple(items), version=version)
+                return Listing(items=tuple(items), version=version_of(era=era, revision=version))
             if not page.items:
                 # Without a name there is no going on, and what follows must not count as gone.
                 raise StoreUnavailableError(key=kind)
@@ -169,8 +201,10 @@
 
     async def delete(self, *, kind: str, name: str, version: int) -> None:
         """Delete an object whose version is still ``version``."""
-        path = f"{_path(kind, name)}?{urlencode({'Revision': version})}"
-        await self._call(method="DELETE", path=path, key=f"{kind}/{name}")
+        key = f"{kind}/{name}"
+        self._check_condition(version, key=key)
+        path = f"{_path(kind, name)}?{urlencode({'Revision': revision_of(version)})}"
+        await self._call(method="DELETE", path=path, key=key)
 
     async def watch(self, *, kind: str, version: int, timeout: float) -> AsyncIterator[StoreChange]:
         """Yield the changes to a kind after ``version`` for at most ``timeout`` seconds."""
@@ -178,21 +212,28 @@
         end = loop.time() + timeout
         while (left := end - loop.time()) > WATCH_LEAST:
             wait = min(left, WATCH_LIMIT)
-            query = {"Watch": version, "WaitMs": int(wait * 1_000)}
+            if self._is_over(version):
+                raise StoreVersionGoneError(key=kind)
+            query = {"Watch": revision_of(version), "WaitMs": int(wait * 1_000)}
             answer = await self._call(
                 method="GET",
                 path=f"{_path(kind)}?{urlencode(query)}",
                 key=kind,
                 timeout=wait + self._timeout,
             )
+            if self._is_over(version):
+                # It had this revision by another change.
+                raise StoreVersionGoneError(key=kind)
             page = _read(answer, read_changes, kind=kind)
             if page.unnamed:
                 self._unnamed(kind, page.unnamed, False)
             for change in page.changes:
-                version = max(version, change.item.version)
-                yield change
-            if page.version > version:
-                version = page.version
+                item = self._dated(change.item)
+                version = max(version, item.version)
+                yield replace(change, item=item)
+            newest = version_of(era=self.era, revision=page.version)
+            if newest > version:
+                version = newest
                 yield _bookmark(kind=kind, version=version)
             if (page.changes or page.unnamed) and self._pause:
                 await sleep(self._pause)
@@ -201,16 +242,55 @@
         """Close idle connections."""
         self._client.close()
 
+    def _dated(self, item: StoredObject) -> StoredObject:
+        """Return an object of the last answer with its version."""
+        if not self.era:
+            return item
+        return replace(item, version=version_of(era=self.era, revision=item.version))
+
+    def _is_over(self, version: int) -> bool:
+        """Return whether the store has come back from a copy since it gave a version."""
+        return self._era is not None and bool(version) and era_of(version) != self._era
+
+    def _check_condition(self, version: int, *, key: str) -> None:
+        """Refuse a condition that another object may meet by now under the same number."""
+        if self._is_over(version):
+            raise StoreConflictError(key=key)
+
+    def _note_era(self, head: HttpHead, *, lost: StoreError) -> None:
+        """Take over the era of an answer.
+
+        Raises:
+            StoreError: It is an answer of a history that is gone; ``lost`` is raised.
+        """
+        told = head.header(name=STORE_ERA)
+        if told is None:
+            return
+        era = int(told) if told.isdecimal() else ERA_MOST + 1
+        if era > ERA_MOST:
+            logging.log_every_n_seconds(
+                logging.WARNING, "store: Its era %.64r is none.", LOG_SECONDS, told
+            )
+            return
+        known, self._era = self._era, max(era, self.era)
+        if era < self._era:
+            raise lost
+        if known is not None and era > known:
+            self._restored(era)
+
     async def _write(
         self, *, method: str, path: str, kind: str, name: str, value: bytes, version: int
     ) -> StoredObject:
         key = f"{kind}/{name}"
         if len(value) > VALUE_LIMIT:
             raise StoreValueTooLargeError(key=key, limit=VALUE_LIMIT)
-        metadata = WireMetadata(name=name, version=version)
+        self._check_condition(version, key=key)
+        metadata = WireMetadata(name=name, version=revision_of(version))
         body = msgspec.json.encode(WireObject(metadata=metadata, content=pack_value(value)))
         answer = await self._call(method=method, path=path, key=key, body=body)
-        return _object(kind=kind, key=key, answer=answer, lost=StoreOutcomeUnknownError)
+        return self._dated(
+            _object(kind=kind, key=key, answer=answer, lost=StoreOutcomeUnknownError)
+        )
 
     async def _call(
         self, *, method: str, path: str, key: str, body: bytes = b"", timeout: float = 0.0
@@ -232,6 +312,7 @@
             self._called(method, kind, "broken")
             raise lost(key=key) from error
         self._called(method, kind, str(answer.head.status))
+        self._note_era(answer.head, lost=lost(key=key))
         if answer.head.status < HTTPStatus.BAD_REQUEST:
             return answer
         raise _failure(
--- a/src/azureswitch/ports/__init__.py
+++ b/src/azureswitch/ports/__init__.py
@@ -13,6 +13,7 @@
     OrderKind,
     Surface,
 )
+from azureswitch.ports._history import ERA_MOST, era_of, revision_of, version_of
 from azureswitch.ports._hosts import HostList, HostStatus, ListedHost
 from azureswitch.ports._peers import DATAGRAM_LIMIT, Peers
 from azureswitch.ports._service import PlainAnswer, PlainRequest, PlainTarget
@@ -26,6 +27,7 @@
 
 __all__ = [
     "DATAGRAM_LIMIT",
+    "ERA_MOST",
     "CacheEvents",
     "ChangeKind",
     "Chunk",
@@ -49,4 +51,7 @@
     "StoreChange",
     "StoredObject",
     "Surface",
+    "era_of",
+    "revision_of",
+    "version_of",
 ]
--- a/src/azureswitch/ports/_store.py
+++ b/src/azureswitch/ports/_store.py
@@ -13,7 +13,8 @@
     Attributes:
         kind: The kind of object, such as ``configuration``; one kind is one collection.
         name: Its name, unique within the kind.
-        version: Its version, which grows with every write to the store.
+        version: Its version, which grows with every write to the store, also over a restoration of
+            the store from an older copy: see `azureswitch.ports.version_of`.
         value: Its content, at most one megabyte.
     """
 
--- a/src/azureswitch_standins/store/_http.py
+++ b/src/azureswitch_standins/store/_http.py
@@ -32,7 +32,7 @@
 from azureswitch.ports import ChangeKind, StoreChange, StoredObject
 from azureswitch_standins._web import WebServer, application, route_value
 from azureswitch_standins.store._fake import StoreFake, StoreFaults
-from azureswitch_standins.store._model import StoreCounters, StoreModel
+from azureswitch_standins.store._model import StoreCopy, StoreCounters, StoreModel
 
 DEFAULT_WATCH = 60.0
 """Seconds that a watch waits where the caller names no time."""
@@ -69,6 +69,9 @@
         host: IP address to listen on.
         port: Port to listen on, or zero for any.
         page: Objects on a page of a listing.
+
+    Attributes:
+        era: What it tells as its era, or None for the truth.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
     ) -> None:
         self._fake = StoreFake(model=model)
         self._page = page
+        self.era: str | None = None
         self._planted: dict[tuple[str, str], tuple[int, bytes]] = {}
         self._server = WebServer(app=self._routes(), host=host, port=port)
 
@@ -122,6 +126,11 @@
         if was_down and not faults.down:
             await self._server.resume()
 
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy, with all watches broken."""
+        self._fake.model.restore(copy)
+        self._fake.drop_watches()
+
     def drop_watches(self) -> None:
         """Break every waiting watch."""
         self._fake.drop_watches()
@@ -257,6 +266,12 @@
         return _json(HTTPStatus.OK, self.faults)
 
     async def _answer(self, request: Request, call: Awaitable[object]) -> Response:
+        response = await self._respond(request, call)
+        era = str(self._fake.model.era) if self.era is None else self.era
+        response.add_header(b"store-era", era.encode())
+        return response
+
+    async def _respond(self, request: Request, call: Awaitable[object]) -> Response:
         try:
             return _json(HTTPStatus.OK, await call)
         except StoreOutcomeUnknownError:
--- a/src/azureswitch_standins/store/_model.py
+++ b/src/azureswitch_standins/store/_model.py
@@ -1,7 +1,7 @@
 """The rules of the object store, without I/O and without a clock of its own."""
 
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -116,6 +116,19 @@
         return 0.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """What the store held at some moment.
+
+    Attributes:
+        objects: The objects, by kind and name.
+        version: The version of the last write.
+    """
+
+    objects: Mapping[tuple[str, str], StoredObject]
+    version: int
+
+
 class StoreModel:
     """Objects with versions that grow over the whole store, and a bounded history of changes."""
 
@@ -125,6 +138,7 @@
         self._writes = _Bucket(rate=self._limits.writes, burst=self._limits.burst)
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._version = 0
+        self._era = 0
         self._oldest = 0
         self._history: deque[StoreChange] = deque()
         self._counts: Counter[CallKind] = Counter()
@@ -139,6 +153,22 @@
         """The version of the last write."""
         return self._version
 
+    @property
+    def era(self) -> int:
+        """How often it has come back from a copy."""
+        return self._era
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of what it holds now."""
+        return StoreCopy(objects=dict(self._objects), version=self._version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone, and versions are given again."""
+        self._objects = dict(copy.objects)
+        self._version = copy.version
+        self._era += 1
+        self.compact()
+
     @property
     def counters(self) -> StoreCounters:
         """What has been counted since the start."""
@@ -228,9 +258,10 @@
         """Return the changes to a kind after a version, oldest first.
 
         Raises:
-            StoreVersionGoneError: Changes after that version are no longer kept.
+            StoreVersionGoneError: Changes after that version are not kept any more, or it was never
+                given in the history that there is.
         """
-        if after < self._oldest:
+        if not self._oldest <= after <= self._version:
             raise StoreVersionGoneError(key=kind)
         newer: deque[StoreChange] = deque()
         for change in reversed(self._history):
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -36,7 +36,7 @@
 from azureswitch.coordination.mirror._messages import RelayedSeen
 from azureswitch.coordination.mirror._reduce import WATCHERS
 from azureswitch.core import HostName, Incarnation, PlaceName
-from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject
+from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject, version_of
 from azureswitch_standins.clock import run_virtual
 from azureswitch_standins.mirrors import KIND, MirrorHosts
 from azureswitch_standins.peers import PeersNetworkFake
@@ -98,6 +98,27 @@
     return sorted(state.objects)
 
 
+class TestRestored:
+    """A store that comes back from an older copy."""
+
+    @pytest.mark.parametrize(
+        ("after", "names"),
+        [
+            pytest.param(0.5 * GRACE, ["a", "b"], id="lives perhaps"),
+            pytest.param(1.5 * GRACE, ["a"], id="does not come back"),
+        ],
+    )
+    def test_missing(self, after: float, names: list[str]) -> None:
+        """What the copy lacks stays for a moment, in which it may be written again."""
+        restored = version_of(era=1, revision=1)
+        events = [
+            listed(0.0, "a", "b", version=9),
+            listed(5.0, "a", version=restored),
+            Ticked(now=5.0 + after),
+        ]
+        assert names_after(events) == names
+
+
 class TestObjects:
     """Which objects the reducer keeps."""
 
