Keep a target draining whose older entry says that it serves

Callers would see requests at a target that leaves, and be cut off as it ends, after a store came back from an older copy.

Cause: a host went by the newest list alone, which shows what was true seconds ago.

Changed: a target that was listed as draining counts as one that has said that it leaves, for this start of it.

Evidence: two tests of a gateway on loopback, with the entry there and gone in between, failed before and pass.

Ruled out: keeping all entries that are gone; live ones go and come back around an outage.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -399,6 +399,10 @@
         self._targets = {target.name: latest(before.get(target.name), target) for target in targets}
         if before != self._targets:
             self._log.write(_difference(before, self._targets))
+        for name, target in self._targets.items():
+            if target.role is TargetRole.DRAINING and before.get(name) != target:
+                # Kept by the reducer: an older list may show it as serving again.
+                self._shell.note_leaving(target)
 
     def _started(self, name: TargetName) -> int:
         """Return the start known of a target, or zero where it does not say or is not listed."""
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -42,6 +42,7 @@
     ServingState,
     ShutdownBegan,
     StartAttempt,
+    TargetLeaving,
     Ticked,
 )
 from azureswitch.tasks import Tasks
@@ -192,6 +193,10 @@
             )
         return total
 
+    def note_leaving(self, target: Target) -> None:
+        """Send nothing new to a target that leaves."""
+        self.dispatch(TargetLeaving(now=self.now, target=target.name, started=target.started))
+
     def begin_shutdown(self, *, until: float) -> None:
         """Begin nothing more that cannot end by a moment of the monotonic clock."""
         self.dispatch(ShutdownBegan(now=self.now, until=until))
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from azureswitch.inventory import Target
+from azureswitch.core import TargetName
+from azureswitch.inventory import Target, TargetRole
 from tests.gateway.fixtures import Act, Bed, listed, model_headers, serve
 
 TRIES = 12
@@ -159,3 +160,26 @@
                 assert "s1" in await reached(bed, READ)
 
         asyncio.run(scenario())
+
+
+class TestOlderList:
+    """What a host does with a list of targets that is older than what it knew."""
+
+    @pytest.mark.parametrize("gone", [False, True], ids=["draining", "draining and gone"])
+    def test_draining(self, gone: bool) -> None:
+        """A target that was draining is not used again since an old entry says it serves."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                whole = entries(bed, started=1)
+                bed.gateway.set_targets(whole)
+                without = tuple(target for target in whole if target.name != TargetName("s0"))
+                (first,) = (target for target in whole if target.name == TargetName("s0"))
+                draining = replace(first, role=TargetRole.DRAINING)
+                bed.gateway.set_targets((*without, draining))
+                if gone:
+                    bed.gateway.set_targets(without)
+                bed.gateway.set_targets(whole)
+                assert "s0" not in await reached(bed, READ)
+
+        asyncio.run(scenario())
