Write a host's own entries again after the store came back without them

Operators would see: hosts missing from the list of hosts for good, and requests that crash targets forgotten when all hosts have died, after a store came back from an older copy.

Cause: an entry was written once and then taken to be there.

Changed: each way to the store knows its era; the host's entry and the quarantines that it wrote are written again as that rises. The log and a metric tell of it.

Evidence: a test of the list of hosts failed before and passes. Ruled out: to write them from time to time, each a call.

--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -289,10 +289,20 @@
             pause=STORE_PAUSE,
             called=self._count_call,
             unnamed=self._foreign.see_unnamed,
+            restored=self._store_restored,
         )
         self._stores.append(store)
         return store
 
+    def _store_restored(self, era: int) -> None:
+        """Write again what the store may have lost; targets and operators do so themselves."""
+        logging.warning("edge: The store came back from an older copy; its era is %d.", era)
+        self._metrics.count(
+            name="store_restorations",
+            help="Times that the store came back from an older copy, as each way to it saw.",
+        )
+        self._quarantine.write_again()
+
     def _count_call(self, method: str, kind: str, result: str) -> None:
         self._metrics.count(
             name="store_calls",
--- a/src/azureswitch/platform/_quarantine.py
+++ b/src/azureswitch/platform/_quarantine.py
@@ -80,6 +80,7 @@
         self._foreign = foreign
         self._clock = clock
         self._read = Event()
+        self._written: dict[str, KeptCrashes] = {}
         self._tasks = Tasks(prefix="quarantine")
 
     def keep(self, report: CrashReport) -> None:
@@ -90,7 +91,13 @@
             crashes=tuple((start.target, start.started) for start in report.crashes),
             at=int((self._clock() - report.age) * 1_000),
         )
-        self._tasks.spawn(self._keep(kept), name=f"keep {report.fingerprint}")
+        self._written[_name(kept)] = kept
+        self._spawn(kept)
+
+    def write_again(self) -> None:
+        """Write all again, as the store came back from an older copy, which may lack some."""
+        for kept in self._written.values():
+            self._spawn(kept)
 
     async def wait_read(self) -> None:
         """Wait until the store has been read once."""
@@ -108,6 +115,9 @@
         """Leave off what is being written, and wait for that for some seconds."""
         await self._tasks.stop(timeout=timeout)
 
+    def _spawn(self, kept: KeptCrashes) -> None:
+        self._tasks.spawn(self._keep(kept), name=f"keep {kept.fingerprint}")
+
     async def _recall(self) -> None:
         pauses = _Pauses()
         while True:
@@ -122,6 +132,11 @@
         )
         known = [(item, kept) for item, kept in entries if isinstance(kept, KeptCrashes)]
         self._recalled(tuple(self._report(kept) for _, kept in known))
+        self._written = {
+            name: kept
+            for name, kept in self._written.items()
+            if self._age(kept) < QUARANTINE_SECONDS
+        }
         self._read.set()
         for item, kept in known:
             if self._age(kept) >= QUARANTINE_SECONDS:
--- a/src/azureswitch/platform/_roster.py
+++ b/src/azureswitch/platform/_roster.py
@@ -55,14 +55,15 @@
         self._host = host
         self._seat = seat
         self._foreign = foreign
-        self._entered = False
+        self._entered: int | None = None
 
     async def hosts(self) -> tuple[ListedHost, ...]:
         """Return the hosts that have entered themselves, after this one has."""
         try:
-            if not self._entered:
+            if self._entered != self._store.era:
+                # A store that came back from an older copy may have lost the entry.
                 await self._enter()
-                self._entered = True
+                self._entered = self._store.era
             listing = await self._store.list(kind=ROSTER_KIND, stale=True)
         except StoreError as error:
             raise HostListError() from error
