--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -65,11 +65,7 @@
 """Seconds between two calls while the store fails, at most: a change must be in force after 2 s."""
 
 PAUSE_BEHIND = 2.0
-"""The same for hosts far behind in rank, which hear from others as soon as it answers one of them.
-
-A host that it turns away, and that hears from nobody, finds that it answers again no later.  While
-it was away for 8 s, 195 hosts made 4,558 calls for one kind, and 77 made 1,813 (virtual time).
-"""
+"""The same for hosts far behind in rank, which hear from the others as it answers again."""
 
 
 class Mirror:
--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -34,7 +34,7 @@
 CHECK_SECONDS = 0.6
 """Seconds after a check, whoever made it, at which the first host in rank checks again.
 
-A change must be in force 2 s after it was acknowledged, and a watch may be deaf for the first.
+A change must be in force within 2 s, and a watch may be deaf for the first one.
 """
 
 RANK_SECONDS = 0.1
@@ -51,28 +51,19 @@
 """Seconds after a peer's check in which this host's own, made since it was behind, is not told."""
 
 ASK_SECONDS = 1.6
-"""Seconds after which peers are asked again although nothing came of it: three of 0.5 s each.
-
-A host that waited for an end that was not told kept five targets for up to 5.8 s after they left.
-"""
+"""Seconds after which peers are asked again although nothing came of it: three of 0.5 s each."""
 
 AWAY_SECONDS = 1.0
 """Seconds without an answer of the store to anybody from which it counts as away.
 
-Peers tell of one each half second; leases last for 3.6 s.  A host that was turned away for 8 s had
-kept a target that was gone for 3.6 s, and sent it a request.
+Peers tell of one each half second.
 """
 
 LIST_SECONDS = 5.0
 """Seconds between two readings of all objects since a peer's copy differs, at least."""
 
 EARLY_SECONDS = 0.1
-"""Seconds that a change waits for the ones before it, which other peers may have told of.
-
-Messages of the hosts that watch overtake each other.  With 77 hosts in one process, whose watches
-answer in pages as the platform's do, 63 targets that enter in 4 s cost 787 calls to the store, and
-104 with this.
-"""
+"""Seconds that a change waits for the ones before it, as messages of several hosts overtake."""
 
 EARLY_MOST = 64
 """Changes that wait at most."""
--- a/src/azureswitch/coordination/relays.py
+++ b/src/azureswitch/coordination/relays.py
@@ -13,9 +13,7 @@
 RELAY_HOSTS = 8
 """Hosts of another failure domain from which on one of them passes a message on to the rest.
 
-Among 70 hosts in four of them, 19 MB crossed in 41 s of a calm day in place of 50, requests
-included (one run each).  With fewer hosts little is saved, and one that has just died would take
-too large a part of the messages with it.
+With fewer little is saved, and one that has just died takes too large a part with it.
 """
 
 
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -75,25 +75,15 @@
 from azureswitch.tasks import keep_running
 
 DIGEST_PERIOD = 0.8
-"""Seconds between two regular digests; what changes is told at once.
-
-Peers forget an account after 2.5 s, so that two in a row may be lost.
-"""
+"""Seconds between two regular digests, of which two in a row may get lost; news is told at once."""
 
 DEADLINE_MARGIN = 0.02
-"""Seconds before its deadline at which a request is ended; a busy loop is 10 ms late.
-
-Ended by the tick of 50 ms before it, requests were failed up to 49 ms early.
-"""
+"""Seconds before its deadline at which a request is ended, as a busy loop is late by half of it."""
 
 METRICS_PATH = "/metrics"
 
 RELEASE_SECONDS = 0.05
-"""Seconds for which a process that ends tells engines that memory is free; they are within 2 ms.
-
-Before, only a process whose time of grace was over waited for it: in 11 of 60 soaks another one
-ended with an order under way, and the engine kept the memory for 3.5 s.
-"""
+"""Seconds for which a process that ends tells engines that memory is free."""
 
 STOP_CHECK = 0.05
 """Seconds between two looks which step of a stop is due."""
--- a/src/azureswitch/gateway/_stopping.py
+++ b/src/azureswitch/gateway/_stopping.py
@@ -22,10 +22,7 @@
 """Seconds for which a leaving process listens at least."""
 
 CLOSE_MARGIN = 2.0
-"""Seconds before the end in which a process does not listen any more.
-
-Five in eight of 596 streams on one day took less, and a plain call takes 0.1 s.
-"""
+"""Seconds before the end in which a process does not listen any more: most requests take less."""
 
 EXIT_MARGIN = 0.4
 """Seconds before the process would be killed at which it ends of itself."""
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -53,10 +53,9 @@
 """Seconds that a call to the store may take; it answers in 4 ms, and in 0.3 s where it is slow."""
 
 START_WAIT = 0.3
-"""Seconds for which callers wait for the first configuration; a store that is up takes 10 ms.
+"""Seconds for which callers wait for the first configuration.
 
-They connect while the program is loaded and give up a second later.  Taken at once, 51 of 1,500
-requests were refused on a day on which all of nine hosts were killed, and five of them before.
+They connect while the program is loaded, and give up a second later.
 """
 
 STORE_PAUSE = 0.15
--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -21,10 +21,7 @@
 """
 
 UNREAD_LEAST = 5.0
-"""Seconds for which a caller may read nothing of what was sent, at least.
-
-A packet that was lost several times in a row is sent again after 0.2 to 3 s.
-"""
+"""Seconds for which a caller may read nothing, at least, as several packets in a row may drop."""
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
--- a/src/azureswitch/server/_idleness.py
+++ b/src/azureswitch/server/_idleness.py
@@ -5,16 +5,12 @@
 from azureswitch.server._model import CallerLimits
 
 TOLD_SHARE = 0.8
-"""Share of the limit that callers are told.
-
-The rest is for a request on its way.  Callers, who were told nothing, reused connections after 14.4
-to 19.8 s with a limit of 15 s; in 4 of 8 plays a request crossed the close, in 0 of 4 without it.
-"""
+"""Share of the limit that callers are told; the rest is for a request on its way."""
 
 FRESH_SECONDS = 0.25
 """Seconds in which the first request of a new connection may come before a stop closes it.
 
-Callers are within 10 ms; a packet that was lost is sent again after 0.2 s.
+A packet that is dropped is sent again after 0.2 s.
 """
 
 
--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -39,11 +39,7 @@
 """
 
 LATE_MARGIN = 2.5
-"""Times its prediction that a call may take which a leaving host begins after that.
-
-With 1.15, as before it, two streams read 5.1 s after the signal were broken off as the host ended,
-on 1 of 120 hunted days.
-"""
+"""Times its prediction that a call may take which a leaving host begins after that."""
 
 RESTART_SECONDS = 1.5
 """Seconds after which a caller is told to come back where all hosts are leaving.
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -32,10 +32,7 @@
 """Seconds for which a target is avoided after many failures."""
 
 PACED_EJECT_MOST = 4.0
-"""The same where connections are made anew for each attempt, and fail after 0.35 s.
-
-A target that was cut off and is back has waited no longer than that.
-"""
+"""The same where connections are made anew for each attempt, so that a wrong guess costs little."""
 
 SAVE_SECONDS = 1.0
 """Seconds for which a target is saved unless that is renewed."""
--- a/src/azureswitch/serving/_harm.py
+++ b/src/azureswitch/serving/_harm.py
@@ -17,11 +17,7 @@
 """Share of the objective up to which a predicted first token counts as on time."""
 
 SAFE_PAUSE = 0.85
-"""Share of the pause that a stream bears up to which a predicted one does no harm.
-
-With 0.7, engines with a few short streams were left aside for prompts that they could have read:
-0.948 of the credit was on time for 0.957, on engines in virtual time.
-"""
+"""Share of the pause that a stream bears up to which a predicted one does no harm."""
 
 LATE_CREDIT = 0.25
 """Share of its credit that a late answer keeps."""
@@ -29,8 +25,7 @@
 UNFINISHED = 1.0
 """What it costs beside being late that a caller leaves before the first token.
 
-It is the rest of the credit and the work done in vain: a prompt of 783,000 tokens was sent to three
-engines for 18 s, of which its caller waited 12, rather than to seven with 35 short streams.
+It is the rest of the credit and the work done in vain.
 """
 
 LEAVE_LEAST = 2.0
--- a/src/azureswitch/serving/_ledger.py
+++ b/src/azureswitch/serving/_ledger.py
@@ -10,8 +10,7 @@
 PEER_SECONDS = 7.0
 """Seconds after which a peer's account says nothing any more.
 
-In a large fleet a host hears a regular digest of each other one every 3.2 s; two may be lost.  Of
-hosts that are dead membership tells sooner.
+In a large fleet a host hears a regular digest of each other one every 3.2 s; two may be missing.
 """
 
 TOTALS_SECONDS = 10.0
--- a/src/azureswitch/serving/_placement.py
+++ b/src/azureswitch/serving/_placement.py
@@ -24,10 +24,7 @@
 """Engines over which the reading of one prompt is spread at most; engines take no more helpers."""
 
 LONG_CANDIDATES = 64
-"""Engines weighed for a long prompt, the least busy of a larger fleet: four times `MOST_PARTS`.
-
-Before 600 engines a choice among all took 46 ms of processor time, and takes 16 ms with this.
-"""
+"""Engines weighed for a long prompt, the least busy of a larger fleet: four times `MOST_PARTS`."""
 
 LEAST_PART = 0.03
 """Seconds of reading below which a part is not split further: the gain drowns in a step's time."""
@@ -35,7 +32,7 @@
 SOUND_SHARE = 0.5
 """Share of the targets that must not have failed lately for the others to be avoided.
 
-With 6 in 10 engines losing 4 in 10 answers, the sound ones alone had reviews wait for 9 s.
+Fewer could not bear the load of all.
 """
 
 SHORT_READ = 0.25
@@ -50,7 +47,7 @@
 SHORT_FILL = 0.9
 """Share of their places that short streams may fill on the engines kept for them.
 
-With 0.6, 70 streams kept 15 of 18 engines, and the three others could not finish a long prompt.
+The less, the fewer engines are left for long prompts.
 """
 
 OPENING = 0.06
@@ -69,15 +66,13 @@
 SPARE_PLACES = 3
 """Places of an engine on which short streams gather that stay free.
 
-A pass that is a little too long makes all streams there late at once.  Filled to all places but
-one, the worth was 0.815 for 0.818 (15 days each), which is no difference.
+A pass that is a little too long makes all streams there late at once.
 """
 
 PART = 0.005
 """Cost of each further engine that a long prompt occupies.
 
-Engines read the parts of helpers before whole prompts, so that what is spread little waits behind
-what comes later: with 0.02, 0.798 of the credit was on time for 0.820, on engines in virtual time.
+Engines read the parts of helpers first: what is spread little waits behind what comes later.
 """
 
 LONG_HASTE = 10.0
--- a/src/azureswitch/serving/_starts.py
+++ b/src/azureswitch/serving/_starts.py
@@ -11,8 +11,6 @@
 """Targets that are listed no more whose starts are remembered, at most.
 
 An entry may be missing for some seconds while the store is down and come back with a later start.
-Without a bound a host that runs for months would keep the name of every target that ever was; so
-many are gone for good after a few replacements of a fleet of 600.
 """
 
 
