Give what hosts tell, how calls are given up, and a gateway's settings modules of their own

Changed: digests are in serving/_digests.py, telling them in _telling.py, the ends of calls that are not sent any more in _giving_up.py, and what a gateway is told at its start in gateway/_settings.py. Nothing behaves differently; one test names the module that a function moved to.

--- a/src/azureswitch/gateway/__init__.py
+++ b/src/azureswitch/gateway/__init__.py
@@ -1,6 +1,6 @@
 """Passes callers' requests on to targets and their answers back, as they are."""
 
-from azureswitch.gateway._gateway import Gateway, GatewaySettings
+from azureswitch.gateway._gateway import Gateway
 from azureswitch.gateway._log import PeersKnown
 from azureswitch.gateway._model import (
     Arrival,
@@ -14,6 +14,7 @@
 )
 from azureswitch.gateway._ports import Dialect, Reservations
 from azureswitch.gateway._prepared import Prepared, prepare
+from azureswitch.gateway._settings import GatewaySettings
 from azureswitch.gateway._stopping import Neighbours, neighbours_of
 
 __all__ = [
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -2,9 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from functools import singledispatchmethod
-from math import inf
 from random import Random
 from socket import socket
 from time import time
@@ -13,7 +11,7 @@
 
 from azureswitch.clock import elapsed
 from azureswitch.coordination.membership import Member
-from azureswitch.core import Effect, HostName, PlaceName, TargetName
+from azureswitch.core import Effect, TargetName
 from azureswitch.gateway._front import Front
 from azureswitch.gateway._log import (
     ConfigurationAdopted,
@@ -28,6 +26,7 @@
 from azureswitch.gateway._pages import MetricsPage, PathPages, ReadinessPage, StatusPage
 from azureswitch.gateway._ports import Dialect, Reservations
 from azureswitch.gateway._prepared import Prepared, prepare
+from azureswitch.gateway._settings import GatewaySettings
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._stopping import (
     CloseIdle,
@@ -44,7 +43,6 @@
 from azureswitch.inventory import (
     Customer,
     Inventory,
-    Place,
     Rules,
     Snapshot,
     Target,
@@ -89,37 +87,6 @@
 """Seconds between two looks which step of a stop is due."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GatewaySettings:
-    """What a gateway process is told at its start.
-
-    Attributes:
-        host: The name of its host.
-        place: Its failure domain.
-        places: All failure domains.
-        callers: ``IP:PORT`` on which callers are served.
-        readiness: ``IP:PORT`` on which it says whether it takes new connections.
-        metrics: ``IP:PORT`` on which its metrics and its status are read.
-        grace: Seconds that it has for a graceful stop.
-        retry_share: Retries permitted per admitted request.
-        retry_burst: Retries permitted beside that over all hosts.
-        hosts: Hosts that the burst is shared among before others are known of.
-        full_hosts: Hosts up to which all hear at once of each other's sends.
-    """
-
-    host: HostName
-    place: PlaceName
-    places: tuple[Place, ...]
-    callers: str
-    readiness: str
-    metrics: str
-    grace: float
-    retry_share: float
-    retry_burst: float
-    hosts: int
-    full_hosts: float = inf
-
-
 class Gateway:
     """Serves callers as one of many alike processes.
 
--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -2,6 +2,16 @@
 
 from azureswitch.serving._admission import TURNED_SECONDS
 from azureswitch.serving._crashes import QUARANTINE_SECONDS
+from azureswitch.serving._digests import (
+    CrashReport,
+    CustomerUse,
+    Demand,
+    Digest,
+    DomainTotals,
+    Occupancy,
+    TargetLoad,
+    TargetStart,
+)
 from azureswitch.serving._effects import (
     AnnounceQuarantine,
     CancelAttempt,
@@ -28,24 +38,16 @@
     ClaimGranted,
     ClaimReplayed,
     CrashesRecalled,
-    CrashReport,
-    CustomerUse,
-    Demand,
-    Digest,
     DigestReceived,
-    DomainTotals,
     FirstTokenArrived,
     GraceEnded,
     HostSelf,
     LoadReported,
-    Occupancy,
     PeersChanged,
     ServingEvent,
     ShutdownBegan,
     SnapshotAdopted,
     TargetLeaving,
-    TargetLoad,
-    TargetStart,
     TargetUnreachable,
     Ticked,
     TokensArrived,
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -5,19 +5,13 @@
 from azureswitch.core import Effect, TargetName
 from azureswitch.exceptions import (
     AzureswitchError,
-    DeadlineExceededBeforeRunError,
-    DeadlineExceededError,
-    DeadlineUnreachableError,
-    HostStoppedError,
-    LeavingError,
-    NoTargetError,
     OutcomeLostError,
-    QuarantinedError,
     Ran,
     RetriesExhaustedError,
     TargetBrokenError,
 )
 from azureswitch.serving._choice import Choice
+from azureswitch.serving._digests import TargetStart
 from azureswitch.serving._effects import (
     ClaimOutcome,
     Observation,
@@ -25,8 +19,9 @@
     StartAttempt,
 )
 from azureswitch.serving._ending import beside, cancel_others, decide, finish, observe, release
-from azureswitch.serving._events import AttemptEnd, AttemptEnded, TargetStart, TokensArrived
+from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
 from azureswitch.serving._fleet import EJECT_MOST, PACED_EJECT_MOST
+from azureswitch.serving._giving_up import end_quarantined, give_up
 from azureswitch.serving._length import Level, ageing_period, priority
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._retries import (
@@ -412,54 +407,3 @@
     if record.retry_count == 1 and record.call.objective:
         return 0.0
     return backoff(record.retry_count, random=state.random)
-
-
-def give_up(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
-    """Answer a call whose attempts are used up, at once and with the time to come back."""
-    seconds = backoff(record.retry_count + 3, random=state.random)
-    if record.may_have_run:
-        error: AzureswitchError = RetriesExhaustedError(
-            attempts=record.attempt_count, seconds=seconds
-        )
-        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
-    error = NoTargetError(seconds=seconds)
-    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
-
-
-def end_quarantined(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
-    """End a call under which targets crash, at once; it is sent to no other one."""
-    seconds = state.crashes.seconds_left(record.call, now=now)
-    if record.may_have_run:
-        error: AzureswitchError = RetriesExhaustedError(
-            attempts=record.attempt_count, seconds=seconds
-        )
-        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
-    error = QuarantinedError(seconds=seconds)
-    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
-
-
-def out_of_time(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
-    """End a call whose deadline has come."""
-    if record.attempts or record.may_have_run:
-        error: AzureswitchError = DeadlineExceededError()
-        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
-    error = DeadlineExceededBeforeRunError()
-    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
-
-
-def too_late(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
-    """Give up on a waiting call that could no longer finish in its time."""
-    if record.may_have_run:
-        return give_up(state, record, now=now)
-    error = DeadlineUnreachableError(seconds=backoff(5, random=state.random))
-    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
-
-
-def stop(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
-    """End a call that is open as this host stops, and say truly whether it may have run."""
-    seconds = backoff(1, random=state.random)
-    if not record.attempts and not record.may_have_run:
-        error: AzureswitchError = LeavingError(seconds=seconds)
-        return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
-    error = HostStoppedError(seconds=seconds) if record.call.repeatable else OutcomeLostError()
-    return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
--- a/src/azureswitch/serving/_choice.py
+++ b/src/azureswitch/serving/_choice.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from azureswitch.core import TargetName
-from azureswitch.serving._events import Occupancy
+from azureswitch.serving._digests import Occupancy
 from azureswitch.serving._fleet import Work
 
 
--- a/src/azureswitch/serving/_crashes.py
+++ b/src/azureswitch/serving/_crashes.py
@@ -16,7 +16,8 @@
 from heapq import nlargest
 
 from azureswitch.core import CustomerName
-from azureswitch.serving._events import Call, CrashReport, TargetStart
+from azureswitch.serving._digests import CrashReport, TargetStart
+from azureswitch.serving._events import Call
 
 CRASHES_MOST = 3
 """Targets that may crash under a request before it is held back.
--- /dev/null
+++ b/src/azureswitch/serving/_digests.py
@@ -0,0 +1,157 @@
+"""What hosts tell each other of their serving."""
+
+from dataclasses import dataclass
+
+from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetLoad:
+    """What one host has outstanding at one target, in engine seconds.
+
+    Attributes:
+        target: The target.
+        urgent: Work with short prompts.
+        total: All work.
+        middle: Work with prompts that are long, but not very long.
+        tokens: Tokens of memory that running attempts may take.
+    """
+
+    target: TargetName
+    urgent: float
+    total: float
+    middle: float = 0.0
+    tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Occupancy:
+    """What attempts put on one target, as their host has it from its own sends.
+
+    Attributes:
+        target: The target.
+        reading: Seconds of prompts that are still read there and were too long to be short.
+        short_reading: Seconds of short prompts that are still read there.
+        streams: Attempts with short prompts, and plain ones, that have not ended.
+        long_streams: Attempts with longer prompts that have not ended.
+        tokens: Tokens of memory that they may take.
+    """
+
+    target: TargetName
+    reading: float = 0.0
+    short_reading: float = 0.0
+    streams: int = 0
+    long_streams: int = 0
+    tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class TargetStart:
+    """Which start of a target a host means where it names the target.
+
+    Attributes:
+        target: The target.
+        started: Its start, in milliseconds of its wall clock.
+    """
+
+    target: TargetName
+    started: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CustomerUse:
+    """What one host has admitted for a customer since it started, in engine seconds."""
+
+    customer: CustomerName
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Demand:
+    """What one host admits for a model, in prefill seconds a second, smoothed.
+
+    Attributes:
+        service: The service.
+        model: The model.
+        short: For short prompts.
+        long: For long prompts.
+    """
+
+    service: ServiceName
+    model: str
+    short: float
+    long: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashReport:
+    """At which targets tries at one request broke off.
+
+    Attributes:
+        customer: Whose request it is.
+        fingerprint: As in `Call`.
+        crashes: The starts of targets at which it broke off, some of them where there are many; a
+            start is zero where the target does not say it.
+        cleared: Such starts after which a target has answered it.
+        age: Seconds since it last broke off.
+    """
+
+    customer: CustomerName
+    fingerprint: str
+    crashes: tuple[TargetStart, ...] = ()
+    cleared: tuple[TargetStart, ...] = ()
+    age: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Digest:
+    """What a host tells its peers of its own serving.
+
+    Attributes:
+        host: The host.
+        sequence: Grows with every digest of one incarnation.
+        started: The incarnation's start.
+        loads: Outstanding work per target; targets with none are left out.
+        uses: Engine time per customer; customers with none are left out.
+        suspects: Targets that this host keeps out of use.
+        demands: Demand by model.
+        saved: Targets whose memory is being saved for a prompt larger than one of them.
+        occupancies: What this host's attempts put on targets; idle ones are left out.
+        starts: Which starts of the targets named above are meant; those that do not say theirs are
+            left out.
+        crashes: Requests under which targets broke off.
+    """
+
+    host: HostName
+    sequence: int
+    started: int
+    loads: tuple[TargetLoad, ...] = ()
+    uses: tuple[CustomerUse, ...] = ()
+    suspects: tuple[TargetName, ...] = ()
+    demands: tuple[Demand, ...] = ()
+    saved: tuple[TargetName, ...] = ()
+    occupancies: tuple[Occupancy, ...] = ()
+    starts: tuple[TargetStart, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+
+    @property
+    def targets(self) -> tuple[TargetName, ...]:
+        """The targets that it names, each one once, in an order that its receivers find too."""
+        names = [load.target for load in self.loads]
+        names += self.suspects
+        names += self.saved
+        names += [item.target for item in self.occupancies]
+        return tuple(dict.fromkeys(names))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DomainTotals:
+    """What all hosts have at the targets of one failure domain, as a host there counts it.
+
+    Attributes:
+        place: The failure domain.
+        occupancies: What they have at its targets; idle ones are left out.
+    """
+
+    place: PlaceName
+    occupancies: tuple[Occupancy, ...] = ()
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -6,7 +6,7 @@
 
 from azureswitch.core import CallId, CustomerName, Effect, PlaceName, TargetName
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.serving._events import CrashReport, Digest, DomainTotals
+from azureswitch.serving._digests import CrashReport, Digest, DomainTotals
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/azureswitch/serving/_fairness.py
+++ b/src/azureswitch/serving/_fairness.py
@@ -6,7 +6,8 @@
 
 from azureswitch.core import CustomerName, HostName
 from azureswitch.inventory import Customer
-from azureswitch.serving._events import CustomerUse, Digest, HostSelf
+from azureswitch.serving._digests import CustomerUse, Digest
+from azureswitch.serving._events import HostSelf
 
 BURST_SECONDS = 10.0
 """Seconds of its limit that a customer may use at once."""
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -10,7 +10,8 @@
 from azureswitch.inventory import EnginePace, Inventory, Target, TargetRole
 from azureswitch.ports import LoadReport
 from azureswitch.serving._cost import PREFILL_RATE
-from azureswitch.serving._events import Digest, HostSelf, TargetLoad
+from azureswitch.serving._digests import Digest, TargetLoad
+from azureswitch.serving._events import HostSelf
 from azureswitch.serving._length import Level
 
 REPORT_MAX_AGE = 3.0
--- a/src/azureswitch/serving/_harm.py
+++ b/src/azureswitch/serving/_harm.py
@@ -10,7 +10,8 @@
 
 from azureswitch.core import ServiceName
 from azureswitch.inventory import EnginePace
-from azureswitch.serving._events import Call, Occupancy
+from azureswitch.serving._digests import Occupancy
+from azureswitch.serving._events import Call
 from azureswitch.serving._pace import pass_seconds
 
 ON_TIME_SHARE = 0.7
--- a/src/azureswitch/serving/_ledger.py
+++ b/src/azureswitch/serving/_ledger.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from azureswitch.core import CallId, HostName, PlaceName, TargetName
-from azureswitch.serving._events import DomainTotals, Occupancy, TargetStart
+from azureswitch.serving._digests import DomainTotals, Occupancy, TargetStart
 from azureswitch.serving._starts import Starts, starts_by_target
 
 PEER_SECONDS = 7.0
--- a/src/azureswitch/serving/_length.py
+++ b/src/azureswitch/serving/_length.py
@@ -6,7 +6,8 @@
 
 from azureswitch.core import HostName, ServiceName
 from azureswitch.inventory import Objective, Rules
-from azureswitch.serving._events import Call, Demand, Digest
+from azureswitch.serving._digests import Demand, Digest
+from azureswitch.serving._events import Call
 
 MIDDLE_FACTOR = 4
 """Times the rule's long prompt at which a prompt counts as very long."""
--- a/src/azureswitch/serving/_placement.py
+++ b/src/azureswitch/serving/_placement.py
@@ -13,7 +13,8 @@
 from azureswitch.core import TargetName
 from azureswitch.inventory import EnginePace
 from azureswitch.serving._choice import Choice
-from azureswitch.serving._events import Call, Occupancy
+from azureswitch.serving._digests import Occupancy
+from azureswitch.serving._events import Call
 from azureswitch.serving._fleet import TargetState, Work
 from azureswitch.serving._harm import Pauses, harm, haste, lateness, weight
 from azureswitch.serving._length import Level
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -10,15 +10,12 @@
     age,
     dispatch,
     drain_all,
-    end_quarantined,
     ended,
     first_token,
     hedge,
-    out_of_time,
     progress,
-    stop,
-    too_late,
 )
+from azureswitch.serving._digests import Digest
 from azureswitch.serving._effects import (
     AnnounceQuarantine,
     ClaimCall,
@@ -26,8 +23,6 @@
     FinishCall,
     Observation,
     Observe,
-    PublishDigest,
-    PublishTotals,
     SettleClaim,
 )
 from azureswitch.serving._ending import beside, decide, finish, observe
@@ -42,9 +37,7 @@
     ClaimGranted,
     ClaimReplayed,
     CrashesRecalled,
-    Digest,
     DigestReceived,
-    DomainTotals,
     FirstTokenArrived,
     GraceEnded,
     LoadReported,
@@ -58,10 +51,12 @@
     TokensArrived,
     TotalsReceived,
 )
+from azureswitch.serving._giving_up import end_quarantined, out_of_time, stop, too_late
 from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._removal import lose, resend, silent, withdraw
 from azureswitch.serving._retries import LOST_SECONDS, STUCK_SECONDS
 from azureswitch.serving._state import CallRecord, Phase, ServingState, Timer, TimerKind
+from azureswitch.serving._telling import tell, tell_totals
 
 TICK = 0.05
 """Seconds between two `Ticked` events."""
@@ -80,7 +75,7 @@
     effects = _apply(event, state)
     effects += beside(partial(_begin_quarantines, state, now=event.now), name="A quarantine")
     if state.ledger.changed or state.crashes.changed:
-        effects = [*effects, *beside(partial(_tell, state, now=event.now), name="A digest")]
+        effects = [*effects, *beside(partial(tell, state, now=event.now), name="A digest")]
     return tuple(effects) or NO_EFFECTS
 
 
@@ -382,8 +377,8 @@
     effects += beside(partial(drain_all, state, now=now), name="The queue")
     effects += beside(partial(_expire, state, now=now), name="Forgetting")
     if state.digest_due(now):
-        effects += beside(partial(_tell, state, regular=True, now=now), name="A digest")
-        effects += beside(partial(_tell_totals, state), name="The totals")
+        effects += beside(partial(tell, state, regular=True, now=now), name="A digest")
+        effects += beside(partial(tell_totals, state), name="The totals")
     return effects
 
 
@@ -406,47 +401,3 @@
     if timer.kind is TimerKind.AGE:
         return age(state, record, timer.attempt, now=now)
     return []
-
-
-def _tell(state: ServingState, *, regular: bool = False, now: float) -> list[Effect]:
-    return [_digest(state, regular=regular, now=now)]
-
-
-def _digest(state: ServingState, *, regular: bool, now: float) -> PublishDigest:
-    everywhere = state.crashes.news
-    digest = Digest(
-        host=state.myself.name,
-        sequence=state.next_digest(now=now),
-        started=state.myself.started,
-        suspects=state.fleet.suspects(now=now),
-        occupancies=state.ledger.tell(),
-        crashes=state.crashes.tell(now=now, regular=regular),
-    )
-    if not state.lean:
-        digest = replace(
-            digest,
-            loads=state.fleet.loads(),
-            uses=state.fairness.uses(),
-            demands=state.split.demands(now),
-            saved=state.fleet.saved(now=now),
-        )
-    starts = state.starts.select(digest.targets)
-    places = (state.fleet.place(item.target) for item in digest.occupancies)
-    audience = state.domains.audience(filter(None, places), regular=regular)
-    if everywhere and audience is not None and state.snapshot is not None:
-        # Whichever host gets a request that crashes targets next must know of it.
-        audience = frozenset(place.name for place in state.snapshot.inventory.places)
-    return PublishDigest(
-        digest=replace(digest, starts=starts),
-        regular=regular and not everywhere,
-        places=audience,
-    )
-
-
-def _tell_totals(state: ServingState) -> list[Effect]:
-    """Tell another failure domain what all have at the targets of this one, in a large fleet."""
-    if not state.domains.divided:
-        return []
-    own = state.myself.place
-    totals = DomainTotals(place=own, occupancies=state.ledger.totals(state.fleet.within(own)))
-    return [PublishTotals(totals=totals)]
--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -2,7 +2,7 @@
 
 from azureswitch.core import TargetName
 from azureswitch.serving._choice import Choice
-from azureswitch.serving._events import Occupancy
+from azureswitch.serving._digests import Occupancy
 from azureswitch.serving._fleet import TargetState, Work
 from azureswitch.serving._length import Level
 from azureswitch.serving._placement import place, usable
--- a/src/azureswitch/serving/_starts.py
+++ b/src/azureswitch/serving/_starts.py
@@ -5,7 +5,7 @@
 
 from azureswitch.core import TargetName
 from azureswitch.inventory import Target, latest
-from azureswitch.serving._events import TargetStart
+from azureswitch.serving._digests import TargetStart
 
 GONE_MOST = 1_024
 """Targets that are listed no more whose starts are remembered, at most.
--- /dev/null
+++ b/src/azureswitch/serving/_telling.py
@@ -0,0 +1,53 @@
+"""What a host tells the others of its serving, and which of them."""
+
+from dataclasses import replace
+
+from azureswitch.core import Effect
+from azureswitch.serving._digests import Digest, DomainTotals
+from azureswitch.serving._effects import PublishDigest, PublishTotals
+from azureswitch.serving._state import ServingState
+
+
+def tell(state: ServingState, *, regular: bool = False, now: float) -> list[Effect]:
+    """Tell the others what has changed, or all, in a regular digest."""
+    return [_digest(state, regular=regular, now=now)]
+
+
+def _digest(state: ServingState, *, regular: bool, now: float) -> PublishDigest:
+    everywhere = state.crashes.news
+    digest = Digest(
+        host=state.myself.name,
+        sequence=state.next_digest(now=now),
+        started=state.myself.started,
+        suspects=state.fleet.suspects(now=now),
+        occupancies=state.ledger.tell(),
+        crashes=state.crashes.tell(now=now, regular=regular),
+    )
+    if not state.lean:
+        digest = replace(
+            digest,
+            loads=state.fleet.loads(),
+            uses=state.fairness.uses(),
+            demands=state.split.demands(now),
+            saved=state.fleet.saved(now=now),
+        )
+    starts = state.starts.select(digest.targets)
+    places = (state.fleet.place(item.target) for item in digest.occupancies)
+    audience = state.domains.audience(filter(None, places), regular=regular)
+    if everywhere and audience is not None and state.snapshot is not None:
+        # Whichever host gets a request that crashes targets next must know of it.
+        audience = frozenset(place.name for place in state.snapshot.inventory.places)
+    return PublishDigest(
+        digest=replace(digest, starts=starts),
+        regular=regular and not everywhere,
+        places=audience,
+    )
+
+
+def tell_totals(state: ServingState) -> list[Effect]:
+    """Tell another failure domain what all have at the targets of this one, in a large fleet."""
+    if not state.domains.divided:
+        return []
+    own = state.myself.place
+    totals = DomainTotals(place=own, occupancies=state.ledger.totals(state.fleet.within(own)))
+    return [PublishTotals(totals=totals)]
--- a/tests/serving/test_apart.py
+++ b/tests/serving/test_apart.py
@@ -34,6 +34,7 @@
     _attempts,
     _reduce,
     _removal,
+    _telling,
 )
 from azureswitch.serving._retries import LOST_SECONDS, STUCK_SECONDS
 from tests.serving.fixtures import Driver, engine, model_call, only, plain_call, snapshot
@@ -96,7 +97,7 @@
 def at_digest(driver: Driver, patch: pytest.MonkeyPatch) -> None:
     """Let fail what is told to peers."""
     patch.setattr(type(driver.state.ledger), "changed", True)
-    patch.setattr(_reduce, "_digest", always)
+    patch.setattr(_telling, "_digest", always)
 
 
 def sent() -> Driver:
