Wait for the log line that a suspension is told by

Cause: the test read the log as soon as the answer was there, and its process was killed; the line comes with the next step of the program, up to 50 ms later.

It asks for the same line as before.

--- a/tests/platform/test_suspension.py
+++ b/tests/platform/test_suspension.py
@@ -26,6 +26,7 @@
     until_metric,
 )
 from tests.platform.test_quarantine import fill
+from tests.waiting import reach
 
 SUSPENDED = "suspended"
 """The file that says for how many seconds the process was suspended so far."""
@@ -107,9 +108,11 @@
                 await asyncio.sleep(0.5)
                 (tmp_path / SUSPENDED).write_text(str(seconds), encoding="utf-8")
                 answer, took = await asking
+                # It is told by the next step of the program, up to 50 ms after the answer.
+                log = tmp_path / LOG
+                await reach(lambda: "Host was suspended." in log.read_text(encoding="utf-8"))
             assert answer.head.status == 504
             assert (took < EARLY_SECONDS) is early
-            assert "Host was suspended." in (tmp_path / LOG).read_text(encoding="utf-8")
             target.stop()
             await store.stop()
 
