Tell as many crashes of a request as its quarantine depends on

And a request whose quarantine had ended could be written to the store again by a task that had waited for it. Found in reading the change.

--- a/src/azureswitch/platform/_quarantine.py
+++ b/src/azureswitch/platform/_quarantine.py
@@ -149,8 +149,10 @@
                 await self._delete(item)
 
     async def _keep(self, kept: KeptCrashes) -> None:
+        name = _name(customer=kept.customer, fingerprint=kept.fingerprint)
         pauses = _Pauses()
-        while True:
+        # What was removed since, or written anew, is not written any more.
+        while self._written.get(name) is kept:
             try:
                 await self._write(kept)
                 return
--- a/src/azureswitch/serving/_crashes.py
+++ b/src/azureswitch/serving/_crashes.py
@@ -55,8 +55,8 @@
 TELL_TIMES = 3
 """Digests that tell of a crash; each may be lost."""
 
-TOLD_CRASHES = 4
-"""Crashes of a request that one digest names; more than it takes to hold it back."""
+TOLD_CRASHES = SURE_CRASHES
+"""Crashes of a request that one digest names, as many as its quarantine depends on."""
 
 RETOLD_MOST = 16
 """Requests held back of which each regular digest tells, for hosts that have started since."""
