--- a/tests/platform/test_suspension.py
+++ b/tests/platform/test_suspension.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from time import monotonic
 
@@ -54,6 +56,29 @@
 """Seconds within which a request ends whose deadline was over as its host woke up."""
 
 
+@asynccontextmanager
+async def hung(tmp_path: Path, ip: str) -> AsyncIterator[tuple[str, asyncio.subprocess.Process]]:
+    """Start a host before a target that never answers, and give its address for callers."""
+    (tmp_path / "sitecustomize.py").write_text(CLOCK, encoding="utf-8")
+    store = StoreStandin()
+    await store.start()
+    target = FakeTarget(name="i-0", fleet=Fleet(acts=[Act.HANG] * 10), streams=False)
+    await target.start()
+    await fill(store, [target])
+    path = str(tmp_path)
+    async with edge(tmp_path, ip=ip, store=store.address, PYTHONPATH=path) as (callers, process):
+        await until_listening(callers)
+        await until_metric(ip, "azureswitch_targets_serving", 1)
+        yield callers, process
+    target.stop()
+    await store.stop()
+
+
+def suspend(tmp_path: Path, seconds: float) -> None:
+    """Move the clock since boot on, and no other."""
+    (tmp_path / SUSPENDED).write_text(str(seconds), encoding="utf-8")
+
+
 async def ask(callers: str, path: str) -> tuple[HttpAnswer, float]:
     """Send a request and return its answer, and the seconds that it took by the steady clock."""
     began = monotonic()
@@ -91,64 +116,36 @@
         self, tmp_path: Path, ip: str, path: str, seconds: float, early: bool
     ) -> None:
         """A request whose deadline passed meanwhile ends at once, and another one in its time."""
-        (tmp_path / "sitecustomize.py").write_text(CLOCK, encoding="utf-8")
 
         async def scenario() -> None:
-            store = StoreStandin()
-            await store.start()
-            fleet = Fleet(acts=[Act.HANG] * 10)
-            target = FakeTarget(name="i-0", fleet=fleet, streams=False)
-            await target.start()
-            await fill(store, [target])
-            environment = {"PYTHONPATH": str(tmp_path)}
-            async with edge(tmp_path, ip=ip, store=store.address, **environment) as (callers, _):
-                await until_listening(callers)
-                await until_metric(ip, "azureswitch_targets_serving", 1)
+            async with hung(tmp_path, ip) as (callers, _):
                 asking = asyncio.create_task(ask(callers, path))
                 await asyncio.sleep(0.5)
-                (tmp_path / SUSPENDED).write_text(str(seconds), encoding="utf-8")
+                suspend(tmp_path, seconds)
                 answer, took = await asking
                 # It is told by the next step of the program, up to 50 ms after the answer.
                 log = tmp_path / LOG
                 await reach(lambda: "Host was suspended." in log.read_text(encoding="utf-8"))
             assert answer.head.status == 504
             assert (took < EARLY_SECONDS) is early
-            target.stop()
-            await store.stop()
 
         run(scenario)
 
     def test_stop(self, tmp_path: Path) -> None:
         """The time of grace goes on while a host is suspended that was told to stop."""
-        (tmp_path / "sitecustomize.py").write_text(CLOCK, encoding="utf-8")
-        ip = f"{NETWORK}.53"
 
         async def scenario() -> None:
-            store = StoreStandin()
-            await store.start()
-            fleet = Fleet(acts=[Act.HANG] * 10)
-            target = FakeTarget(name="i-0", fleet=fleet, streams=False)
-            await target.start()
-            await fill(store, [target])
-            environment = {"PYTHONPATH": str(tmp_path)}
-            async with edge(tmp_path, ip=ip, store=store.address, **environment) as (
-                callers,
-                process,
-            ):
-                await until_listening(callers)
-                await until_metric(ip, "azureswitch_targets_serving", 1)
+            async with hung(tmp_path, f"{NETWORK}.53") as (callers, process):
                 asking = asyncio.create_task(ask(callers, "/book/1"))
                 await asyncio.sleep(0.5)
                 process.terminate()
                 await asyncio.sleep(0.5)
-                (tmp_path / SUSPENDED).write_text("7.5", encoding="utf-8")
+                suspend(tmp_path, 7.5)
                 began = monotonic()
                 answer, _ = await asking
                 await process.wait()
             # Its outcome is not known, and it is not run again.
             assert answer.head.status in (502, 504)
             assert monotonic() - began < EARLY_SECONDS
-            target.stop()
-            await store.stop()
 
         run(scenario)
