Look at requests that broke off only where there is something to tell or to forget

Cause: each digest, and so each send, looked through all requests that are remembered for what is still to be told; each event went through the step that ends quarantined calls; each tick of 50 ms looked for what to forget, which lasts an hour at least. And two ends of a call stood twice but for their refusal.

Changed: what is still to be told is kept by itself, the step is taken where a request was touched, forgetting goes with the regular digests, and one function ends a call by a refusal or as failed. What callers and hosts get is the same.

Tests of serving pass unchanged.

--- a/src/azureswitch/serving/_crashes.py
+++ b/src/azureswitch/serving/_crashes.py
@@ -84,7 +84,6 @@
         cleared: Those of which it was cleared, the last ones last.
         seen_here: Whether this host saw one of them.
         quarantined: Whether it was held back when this was last looked at.
-        tells: Digests that still tell of it.
         trial_until: Until when the outcome of a try of this host is waited for.
         answered_here: Whether a try of this host has cleared it.
     """
@@ -94,7 +93,6 @@
     cleared: dict[TargetStart, None] = field(default_factory=dict)
     seen_here: bool = False
     quarantined: bool = False
-    tells: int = 0
     trial_until: float = 0.0
     answered_here: bool = False
 
@@ -106,6 +104,7 @@
         self._suspects: dict[RequestKey, _Suspect] = {}
         self._by_crash: defaultdict[TargetStart, set[RequestKey]] = defaultdict(set)
         self._touched: set[RequestKey] = set()
+        self._untold: dict[RequestKey, int] = {}
         self._changed = False
 
     @property
@@ -116,7 +115,12 @@
     @property
     def news(self) -> bool:
         """Whether the next digest tells of something of which not all hosts may have heard."""
-        return any(suspect.tells for suspect in self._suspects.values())
+        return bool(self._untold)
+
+    @property
+    def touched(self) -> bool:
+        """Whether `look` may have something to tell."""
+        return bool(self._touched)
 
     def broke_off(self, call: Call, start: TargetStart, *, now: float) -> None:
         """Note that a target broke off as it ran a call."""
@@ -128,7 +132,7 @@
             return
         suspect.newest = now
         suspect.seen_here = True
-        self._tell(suspect)
+        self._tell(key)
 
     def answered(self, call: Call) -> None:
         """Clear a request that a target has answered of the crashes so far."""
@@ -139,7 +143,7 @@
         if suspect is not None and suspect.crashes:
             self._clear(key, suspect, tuple(suspect.crashes))
             suspect.answered_here = True
-            self._tell(suspect)
+            self._tell(key)
 
     def sent(self, call: Call, *, now: float) -> None:
         """Note that a call is sent; after a quarantine it is the one try whose outcome tells."""
@@ -196,12 +200,11 @@
 
     def tell(self, *, now: float, regular: bool) -> tuple[CrashReport, ...]:
         """Return what a digest tells: what is new, and in a regular one what is held back."""
+        self._changed = False
         if not self._suspects:
             return ()
-        self._changed = False
-        told = {key: suspect for key, suspect in self._suspects.items() if suspect.tells}
-        for suspect in told.values():
-            suspect.tells -= 1
+        told = {key: self._suspects[key] for key in self._untold}
+        self._untold = {key: left - 1 for key, left in self._untold.items() if left > 1}
         if regular:
             held = self._quarantined().items()
             told.update(nlargest(RETOLD_MOST, held, key=lambda item: item[1].newest))
@@ -226,6 +229,7 @@
         return suspect
 
     def _forget(self, key: RequestKey) -> None:
+        self._untold.pop(key, None)
         for start in self._suspects.pop(key).crashes:
             self._unlink(key, start)
 
@@ -254,8 +258,8 @@
         if not keys:
             del self._by_crash[start]
 
-    def _tell(self, suspect: _Suspect) -> None:
-        suspect.tells = TELL_TIMES
+    def _tell(self, key: RequestKey) -> None:
+        self._untold[key] = TELL_TIMES
         self._changed = True
 
     def _is_quarantined(self, suspect: _Suspect) -> bool:
--- a/src/azureswitch/serving/_giving_up.py
+++ b/src/azureswitch/serving/_giving_up.py
@@ -11,6 +11,7 @@
     NoTargetError,
     OutcomeLostError,
     QuarantinedError,
+    RefusedError,
     RetriesExhaustedError,
 )
 from azureswitch.serving._effects import ClaimOutcome
@@ -22,25 +23,23 @@
 def give_up(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """Answer a call whose attempts are used up, at once and with the time to come back."""
     seconds = backoff(record.retry_count + 3, random=state.random)
-    if record.may_have_run:
-        error: AzureswitchError = RetriesExhaustedError(
-            attempts=record.attempt_count, seconds=seconds
-        )
-        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
-    error = NoTargetError(seconds=seconds)
-    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
+    return _refuse(state, record, NoTargetError(seconds=seconds), now=now)
 
 
 def end_quarantined(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """End a call under which targets crash, at once; it is sent to no other one."""
     seconds = state.crashes.seconds_left(record.call, now=now)
-    if record.may_have_run:
-        error: AzureswitchError = RetriesExhaustedError(
-            attempts=record.attempt_count, seconds=seconds
-        )
-        return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
-    error = QuarantinedError(seconds=seconds)
-    return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
+    return _refuse(state, record, QuarantinedError(seconds=seconds), now=now)
+
+
+def _refuse(
+    state: ServingState, record: CallRecord, refusal: RefusedError, *, now: float
+) -> list[Effect]:
+    """End a call by a refusal, or as failed where it may have run, with the same time."""
+    if not record.may_have_run:
+        return finish(state, record, error=refusal, outcome=ClaimOutcome.NOT_RUN, now=now)
+    error = RetriesExhaustedError(attempts=record.attempt_count, seconds=refusal.seconds)
+    return finish(state, record, error=error, outcome=ClaimOutcome.UNKNOWN, now=now)
 
 
 def out_of_time(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -72,7 +72,8 @@
         What the shell must do, in order.
     """
     effects = _apply(event, state)
-    effects += beside(partial(_begin_quarantines, state, now=event.now), name="A quarantine")
+    if state.crashes.touched:
+        effects += beside(partial(_begin_quarantines, state, now=event.now), name="A quarantine")
     if state.ledger.changed or state.crashes.changed:
         effects = [*effects, *beside(partial(tell, state, now=event.now), name="A digest")]
     return tuple(effects) or NO_EFFECTS
@@ -80,10 +81,9 @@
 
 def _begin_quarantines(state: ServingState, *, now: float) -> list[Effect]:
     """Tell of requests that are held back from now on, and end the calls that wait to be sent."""
-    found = state.crashes.look(now=now)
-    if not found:
+    effects: list[Effect] = [*state.crashes.look(now=now)]
+    if not effects:
         return []
-    effects: list[Effect] = [*found]
     for record in list(state.calls.values()):
         waiting = record.phase in (Phase.WAITING, Phase.BACKING_OFF)
         if waiting and state.crashes.seconds_left(record.call, now=now):
@@ -376,12 +376,18 @@
     if state.digest_due(now):
         effects += beside(partial(tell, state, regular=True, now=now), name="A digest")
         effects += beside(partial(tell_totals, state), name="The totals")
+        effects += beside(partial(_expire_crashes, state, now=now), name="Forgetting")
     return effects
 
 
 def _expire(state: ServingState, *, now: float) -> list[Effect]:
     state.expire_claims(now)
     state.ledger.expire(now)
+    return []
+
+
+def _expire_crashes(state: ServingState, *, now: float) -> list[Effect]:
+    """Forget requests that crashed targets; each is looked at, and none for an hour at least."""
     state.crashes.expire(now)
     return []
 
