Call the store until it answers in one place, and send a test's requests in one

Cause: three loops of the quarantine's keeper, and the callers in two tests of processes, stood alike.

Changed: one function calls again after longer and longer pauses; tests of processes share a caller. Assertions are as before.

--- a/src/azureswitch/platform/_quarantine.py
+++ b/src/azureswitch/platform/_quarantine.py
@@ -6,7 +6,7 @@
 """
 
 from asyncio import Event, sleep
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from hashlib import sha256
 from time import time
 
@@ -98,7 +98,8 @@
         """Remove a request from the store that is held back no more."""
         name = _name(customer=report.customer, fingerprint=report.fingerprint)
         self._written.pop(name, None)
-        self._tasks.spawn(self._remove(name), name=f"remove {report.fingerprint}")
+        work = _until_answered(lambda: self._remove(name))
+        self._tasks.spawn(work, name=f"remove {report.fingerprint}")
 
     def write_again(self) -> None:
         """Write all again, as the store came back from an older copy, which may lack some."""
@@ -125,13 +126,10 @@
         self._tasks.spawn(self._keep(kept), name=f"keep {kept.fingerprint}")
 
     async def _recall(self) -> None:
-        pauses = _Pauses()
-        while True:
-            try:
-                listing = await self._store.list(kind=QUARANTINE_KIND, stale=True)
-                break
-            except StoreError as error:
-                await pauses.wait(error)
+        await _until_answered(self._read_all)
+
+    async def _read_all(self) -> None:
+        listing = await self._store.list(kind=QUARANTINE_KIND, stale=True)
         entries = [(item, _kept(item)) for item in listing.items]
         self._foreign.see(
             QUARANTINE_KIND, (kept for _, kept in entries if isinstance(kept, Foreign))
@@ -150,17 +148,12 @@
 
     async def _keep(self, kept: KeptCrashes) -> None:
         name = _name(customer=kept.customer, fingerprint=kept.fingerprint)
-        pauses = _Pauses()
-        # What was removed since, or written anew, is not written any more.
-        while self._written.get(name) is kept:
-            try:
-                await self._write(kept)
-                return
-            except StoreError as error:
-                await pauses.wait(error)
-
-    async def _write(self, kept: KeptCrashes) -> None:
-        name = _name(customer=kept.customer, fingerprint=kept.fingerprint)
+        await _until_answered(lambda: self._write(name, kept))
+
+    async def _write(self, name: str, kept: KeptCrashes) -> None:
+        if self._written.get(name) is not kept:
+            # It was removed or written anew since.
+            return
         value = msgspec.json.encode(kept)
         try:
             await self._store.create(kind=QUARANTINE_KIND, name=name, value=value)
@@ -176,16 +169,11 @@
         )
 
     async def _remove(self, name: str) -> None:
-        pauses = _Pauses()
-        while True:
-            try:
-                known = await self._store.get(kind=QUARANTINE_KIND, name=name, strict=False)
-                await self._store.delete(kind=QUARANTINE_KIND, name=name, version=known.version)
-                return
-            except StoreNotFoundError:
-                return
-            except StoreError as error:
-                await pauses.wait(error)
+        try:
+            known = await self._store.get(kind=QUARANTINE_KIND, name=name, strict=False)
+            await self._store.delete(kind=QUARANTINE_KIND, name=name, version=known.version)
+        except StoreNotFoundError:
+            return
 
     async def _delete(self, item: StoredObject) -> None:
         """Remove an entry that is over; another host may have done so."""
@@ -208,18 +196,18 @@
         return max(0.0, self._clock() - kept.at / 1_000)
 
 
-class _Pauses:
-    """Pauses between calls to a store that fails, longer each time."""
-
-    def __init__(self) -> None:
-        self._next = PAUSE_FIRST
-
-    async def wait(self, error: StoreError) -> None:
-        """Log a failure, where it is the first one, and pause."""
-        if self._next == PAUSE_FIRST:
-            logging.warning("quarantine: The store does not answer: %s", error)
-        await sleep(self._next)
-        self._next = min(PAUSE_MOST, 2.0 * self._next)
+async def _until_answered(call: Callable[[], Awaitable[None]]) -> None:
+    """Call the store again while it fails, after longer and longer pauses."""
+    pause = PAUSE_FIRST
+    while True:
+        try:
+            await call()
+            return
+        except StoreError as error:
+            if pause == PAUSE_FIRST:
+                logging.warning("quarantine: The store does not answer: %s", error)
+        await sleep(pause)
+        pause = min(PAUSE_MOST, 2.0 * pause)
 
 
 def _name(*, customer: CustomerName, fingerprint: str) -> str:
--- /dev/null
+++ b/tests/platform/callers.py
@@ -0,0 +1,33 @@
+"""A caller of edge processes."""
+
+from azureswitch.client import HttpAnswer, HttpClient
+from azureswitch.platform import header_names
+from bench.soak._documents import HOST_HEADER
+from tests.platform.test_edge import PATIENCE
+
+
+async def ask(
+    callers: str,
+    path: str,
+    *,
+    id: str = "r1",
+    body: bytes = b"text",
+    headers: tuple[tuple[str, str], ...] = (),
+) -> HttpAnswer:
+    """Send a request of ann's and return its answer."""
+    client = HttpClient(address=callers)
+    try:
+        return await client.request(
+            method="POST",
+            path=path,
+            headers=(
+                ("host", HOST_HEADER),
+                (header_names.ID, id),
+                (header_names.KEY, "Bearer key-ann"),
+                *headers,
+            ),
+            body=body,
+            timeout=PATIENCE,
+        )
+    finally:
+        client.close()
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -10,14 +10,12 @@
 import msgspec
 import pytest
 
-from azureswitch.client import HttpAnswer, HttpClient
-from azureswitch.platform import header_names
 from azureswitch_standins.store import StoreFaults, StoreStandin
-from bench.soak._documents import DESK, HOST_HEADER, configuration
+from bench.soak._documents import DESK, configuration
 from tests.gateway.fixtures import Act, FakeTarget, Fleet
+from tests.platform.callers import ask
 from tests.platform.test_edge import (
     NETWORK,
-    PATIENCE,
     edge,
     run,
     until_listening,
@@ -26,6 +24,9 @@
 
 TARGETS = 5
 
+LOOKUP = "/look/1"
+"""A path whose requests may repeat."""
+
 KEPT_SECONDS = 3.0
 """Seconds after which what lasts is in the store, which is up or was away for two of them."""
 
@@ -40,25 +41,6 @@
         await store.store.create(kind="servers", name=f"i-{number}", value=entry)
 
 
-async def ask(callers: str, id: str, body: bytes) -> HttpAnswer:
-    """Send a request that may repeat."""
-    client = HttpClient(address=callers)
-    try:
-        return await client.request(
-            method="POST",
-            path="/look/1",
-            headers=(
-                ("host", HOST_HEADER),
-                (header_names.ID, id),
-                (header_names.KEY, "Bearer key-ann"),
-            ),
-            body=body,
-            timeout=PATIENCE,
-        )
-    finally:
-        client.close()
-
-
 class TestAllKilled:
     """The only host, or all of them, are killed after a request has crashed three targets."""
 
@@ -86,7 +68,7 @@
                 await until_metric(ip, "azureswitch_targets_serving", TARGETS)
                 await store.set_faults(faults=faults)
                 for number in range(6):
-                    await ask(callers, f"r{number}", b"crashes")
+                    await ask(callers, LOOKUP, id=f"r{number}", body=b"crashes")
                 await asyncio.sleep(KEPT_SECONDS * 2.0 / 3.0)
                 await store.set_faults(faults=StoreFaults())
                 await asyncio.sleep(KEPT_SECONDS)
@@ -95,8 +77,8 @@
             async with edge(tmp_path, ip=ip, store=store.address) as (callers, _):
                 await until_listening(callers)
                 await until_metric(ip, "azureswitch_targets_serving", TARGETS)
-                again = await ask(callers, "again", b"crashes")
-                other = await ask(callers, "other", b"does not")
+                again = await ask(callers, LOOKUP, id="again", body=b"crashes")
+                other = await ask(callers, LOOKUP, id="other", body=b"does not")
             assert [item.id for item in fleet.runs] == ["other"]
             assert (again.head.status, other.head.status) == (503, 200)
             assert again.head.retry_after
--- a/tests/platform/test_suspension.py
+++ b/tests/platform/test_suspension.py
@@ -13,15 +13,14 @@
 
 import pytest
 
-from azureswitch.client import HttpAnswer, HttpClient
+from azureswitch.client import HttpAnswer
 from azureswitch.platform import header_names
 from azureswitch_standins.store import StoreStandin
-from bench.soak._documents import HOST_HEADER
 from tests.gateway.fixtures import Act, FakeTarget, Fleet
+from tests.platform.callers import ask
 from tests.platform.test_edge import (
     LOG,
     NETWORK,
-    PATIENCE,
     edge,
     run,
     until_listening,
@@ -79,25 +78,11 @@
     (tmp_path / SUSPENDED).write_text(str(seconds), encoding="utf-8")
 
 
-async def ask(callers: str, path: str) -> tuple[HttpAnswer, float]:
+async def timed(callers: str, path: str) -> tuple[HttpAnswer, float]:
     """Send a request and return its answer, and the seconds that it took by the steady clock."""
     began = monotonic()
-    client = HttpClient(address=callers)
-    try:
-        answer = await client.request(
-            method="POST",
-            path=path,
-            headers=(
-                ("host", HOST_HEADER),
-                (header_names.ID, "r1"),
-                (header_names.KEY, "Bearer key-ann"),
-                (header_names.MILLISECONDS_LEFT, str(int(DEADLINE_SECONDS * 1_000))),
-            ),
-            body=b"text",
-            timeout=PATIENCE,
-        )
-    finally:
-        client.close()
+    left = (header_names.MILLISECONDS_LEFT, str(int(DEADLINE_SECONDS * 1_000)))
+    answer = await ask(callers, path, headers=(left,))
     return answer, monotonic() - began
 
 
@@ -119,7 +104,7 @@
 
         async def scenario() -> None:
             async with hung(tmp_path, ip) as (callers, _):
-                asking = asyncio.create_task(ask(callers, path))
+                asking = asyncio.create_task(timed(callers, path))
                 await asyncio.sleep(0.5)
                 suspend(tmp_path, seconds)
                 answer, took = await asking
@@ -136,7 +121,7 @@
 
         async def scenario() -> None:
             async with hung(tmp_path, f"{NETWORK}.53") as (callers, process):
-                asking = asyncio.create_task(ask(callers, "/book/1"))
+                asking = asyncio.create_task(timed(callers, "/book/1"))
                 await asyncio.sleep(0.5)
                 process.terminate()
                 await asyncio.sleep(0.5)
