--- a/src/azureswitch_standins/engine/_kv.py
+++ b/src/azureswitch_standins/engine/_kv.py
@@ -1,6 +1,7 @@
 """Engine memory that is held outside running requests."""
 
-from dataclasses import dataclass, replace
+from msgspec import Struct
+from msgspec.structs import replace
 
 from azureswitch.core import CallId
 from azureswitch.ports import Holding, HoldingKind
@@ -10,8 +11,7 @@
 """Ids of released holdings that are remembered, so that a late repeat does not hold again."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Span:
+class Span(Struct, frozen=True, kw_only=True):
     """Prompt tokens ``[start, end)`` whose KV lies in a holding.
 
     Attributes:
--- a/src/azureswitch_standins/engine/_model.py
+++ b/src/azureswitch_standins/engine/_model.py
@@ -1,10 +1,12 @@
 """A model engine in virtual time: deterministic, without I/O and without a clock of its own."""
 
 from bisect import insort
-from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from math import inf
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from azureswitch.core import CallId, TargetName
 from azureswitch.ports import (
     CacheEvents,
@@ -51,8 +53,7 @@
 Key = tuple[CallId, int]
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Attempt:
+class _Attempt(Struct, kw_only=True, eq=False):
     request: RunRequest
     order: int
     reserved: bool
@@ -67,30 +68,25 @@
         return self.request.call, self.request.attempt
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class _SpanWork:
+class _SpanWork(Struct, kw_only=True, eq=False):
     holding: Holding
     span: Span
     job: Job | None = None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Timeout:
+class _Timeout(Struct, frozen=True, kw_only=True):
     attempt: _Attempt
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Loaded:
+class _Loaded(Struct, frozen=True, kw_only=True):
     model: str
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Copied:
+class _Copied(Struct, frozen=True, kw_only=True):
     work: _SpanWork
 
 
-@dataclass(slots=True, kw_only=True)
-class _Orders:
+class _Orders(Struct, kw_only=True):
     fence: int = 0
     models: tuple[str, ...] = ()
     loading: set[str] = field(default_factory=set)
--- a/src/azureswitch_standins/engine/_outputs.py
+++ b/src/azureswitch_standins/engine/_outputs.py
@@ -1,14 +1,14 @@
 """What an engine is asked to run and what comes out of it."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from azureswitch.core import CallId, Incarnation
 from azureswitch_standins.engine._prompt import Prompt
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunRequest:
+class RunRequest(Struct, frozen=True, kw_only=True):
     """One attempt to run a request.
 
     Attributes:
@@ -42,8 +42,7 @@
     DIED = "died"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Output:
+class Output(Struct, frozen=True, kw_only=True):
     """Something that came out of an engine.
 
     Attributes:
@@ -57,13 +56,11 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FirstToken(Output):
+class FirstToken(Output, frozen=True, kw_only=True):
     """The prompt is prefilled and the first output token is there."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Finished(Output):
+class Finished(Output, frozen=True, kw_only=True):
     """The last output token is there and the memory is free.
 
     Attributes:
@@ -73,8 +70,7 @@
     cached_tokens: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Failed(Output):
+class Failed(Output, frozen=True, kw_only=True):
     """An attempt ended early and its memory is free.
 
     Attributes:
@@ -86,15 +82,13 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SpanReady(Output):
+class SpanReady(Output, frozen=True, kw_only=True):
     """A span is prefilled or copied into its holding."""
 
     holding: str
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SpanFailed(Output):
+class SpanFailed(Output, frozen=True, kw_only=True):
     """Work for a holding stopped; the holding itself stays until it is released."""
 
     holding: str
--- a/src/azureswitch_standins/engine/_program.py
+++ b/src/azureswitch_standins/engine/_program.py
@@ -1,10 +1,11 @@
 """The program ``azureswitch-standin-engine``."""
 
 import time
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 from math import isfinite
 
 from cleo.helpers import option
+from msgspec.structs import fields
 
 from azureswitch.programs import run_program
 from azureswitch.settings import NAME, Integer, Items, Kind, Number, Text
--- a/src/azureswitch_standins/engine/_prompt.py
+++ b/src/azureswitch_standins/engine/_prompt.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from struct import pack
 
 from msgspec import DecodeError, Raw, Struct, ValidationError
@@ -26,8 +25,7 @@
 _SYLLABLES = tuple(c + v for c in "bdfghjklmnprstvz" for v in "aeio")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Prompt:
+class Prompt(Struct, frozen=True, kw_only=True):
     """One prompt as the engine sees it.
 
     Attributes:
@@ -41,8 +39,7 @@
     blocks: tuple[int, ...] = ()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Question:
+class Question(Struct, frozen=True, kw_only=True):
     """The part of a request's body that the engine reads."""
 
     model: str
--- a/src/azureswitch_standins/engine/_settings.py
+++ b/src/azureswitch_standins/engine/_settings.py
@@ -1,10 +1,9 @@
 """The engine's cost model and limits."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CostModel:
+class CostModel(Struct, frozen=True, kw_only=True):
     """How long an engine's work takes.
 
     An engine works in steps.  One step gives each running sequence one output token and spends up
@@ -58,8 +57,7 @@
         return self.isolated_first_token(prompt=prompt) + step * max(0, output - 1)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineSettings:
+class EngineSettings(Struct, frozen=True, kw_only=True):
     """What one engine is.
 
     Attributes:
--- a/src/azureswitch_standins/engine/_streams.py
+++ b/src/azureswitch_standins/engine/_streams.py
@@ -1,14 +1,14 @@
 """The answers that a stand-in engine is giving."""
 
 import asyncio
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from azureswitch_standins.engine._outputs import Failed, Finished, RunRequest
 from azureswitch_standins.engine._wire import EventEncoder
 
 
-@dataclass(slots=True, kw_only=True)
-class EngineFaults:
+class EngineFaults(Struct, kw_only=True):
     """What goes wrong at a stand-in engine.
 
     Attributes:
@@ -28,8 +28,7 @@
     dead: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineCounters:
+class EngineCounters(Struct, frozen=True, kw_only=True):
     """What a stand-in engine has counted.
 
     Attributes:
--- a/src/azureswitch_standins/engine/_wire.py
+++ b/src/azureswitch_standins/engine/_wire.py
@@ -1,12 +1,12 @@
 """JSON on the engine's wire: bodies, errors and streamed events."""
 
 import math
-from dataclasses import replace
 from http import HTTPStatus
 
 from blacksheep import Content, Response
 from msgspec import Struct, field
 from msgspec.json import encode
+from msgspec.structs import replace
 
 from azureswitch.core import CallId
 from azureswitch.ports import EngineRequest, Holding, Order, Surface
--- a/src/azureswitch_standins/fleet.py
+++ b/src/azureswitch_standins/fleet.py
@@ -3,7 +3,8 @@
 from asyncio import Task, create_task, get_running_loop, sleep
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from azureswitch.coordination.configuration import Configuration
 from azureswitch.coordination.membership import Member, Membership, MemberStatus
@@ -33,8 +34,7 @@
         await super()._enter(call=call, key=key)
 
 
-@dataclass(slots=True, kw_only=True)
-class FleetHost:
+class FleetHost(Struct, kw_only=True):
     """One host of a fleet.
 
     Attributes:
--- a/src/azureswitch_standins/service/_http.py
+++ b/src/azureswitch_standins/service/_http.py
@@ -2,18 +2,17 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 from blacksheep import Application, Content, Request, Response
 from msgspec import MsgspecError, Struct
 from msgspec.json import decode, encode
+from msgspec.structs import replace
 
 from azureswitch_standins._web import WebServer, application
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ServiceFaults:
+class ServiceFaults(Struct, frozen=True, kw_only=True):
     """What goes wrong at a stand-in service.
 
     Attributes:
@@ -31,8 +30,7 @@
     dead: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ServiceCounters:
+class ServiceCounters(Struct, frozen=True, kw_only=True):
     """What a stand-in service has counted.
 
     Attributes:
--- a/src/azureswitch_standins/store/_fake.py
+++ b/src/azureswitch_standins/store/_fake.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, Callable
-from dataclasses import dataclass
 from typing import TypeVar
 
+from msgspec import Struct
+
 from azureswitch.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
 from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject
 from azureswitch_standins.store._model import CallKind, StoreCounters, StoreModel
@@ -12,8 +13,7 @@
 Result = TypeVar("Result")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreFaults:
+class StoreFaults(Struct, frozen=True, kw_only=True):
     """What goes wrong with the store.
 
     Attributes:
--- a/src/azureswitch_standins/store/_model.py
+++ b/src/azureswitch_standins/store/_model.py
@@ -2,9 +2,10 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from azureswitch.exceptions import (
     StoreConflictError,
     StoreNotFoundError,
@@ -32,8 +33,7 @@
 WRITES = frozenset((CallKind.CREATE, CallKind.UPDATE, CallKind.DELETE))
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreLimits:
+class StoreLimits(Struct, frozen=True, kw_only=True):
     """What the store enforces.
 
     Attributes:
@@ -51,8 +51,7 @@
     value: int = VALUE_LIMIT
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreCounters:
+class StoreCounters(Struct, frozen=True, kw_only=True):
     """What the store has counted.
 
     Attributes:
@@ -116,8 +115,7 @@
         return 0.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreCopy:
+class StoreCopy(Struct, frozen=True, kw_only=True):
     """What the store held at some moment.
 
     Attributes:
--- a/tests/bench/test_policy.py
+++ b/tests/bench/test_policy.py
@@ -1,8 +1,7 @@
 """The policy benchmark's harness: repeatable, and able to see broken promises."""
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.exceptions import NoTargetError
 from azureswitch.serving import CallArrived, FinishCall, StartAttempt
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from azureswitch.coordination.claims import Claims, Granted
 from azureswitch.coordination.claims._model import key_digest, shard_of
--- a/tests/commands/test_machine.py
+++ b/tests/commands/test_machine.py
@@ -1,13 +1,14 @@
 """Operators who race over a store that fails, in random order."""
 
 from collections.abc import Coroutine
-from dataclasses import dataclass, replace
 from itertools import pairwise
 from typing import Any
 
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from msgspec import Struct
+from msgspec.structs import replace
 
 from azureswitch.commands._propose import propose
 from azureswitch.commands._reports import ApplyReport, ConflictReport
@@ -64,8 +65,7 @@
         raise StoreOutcomeUnknownError(key=HEAD_KIND)
 
 
-@dataclass(frozen=True)
-class Pending:
+class Pending(Struct, frozen=True):
     """A change whose outcome is not known."""
 
     base: int
--- a/tests/engines/test_engines.py
+++ b/tests/engines/test_engines.py
@@ -4,9 +4,9 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.core import CallId, HostName, Incarnation, TargetName
 from azureswitch.engines import HttpEngine, HttpPlainTarget
--- a/tests/entry/rig.py
+++ b/tests/entry/rig.py
@@ -5,12 +5,12 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
-from dataclasses import replace
 from hashlib import sha256
 from threading import Thread
 from typing import Any, TypeVar
 
 import httpx
+from msgspec.structs import replace
 
 from azureswitch.coordination.configuration import Changes
 from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
--- a/tests/entry/test_adoption.py
+++ b/tests/entry/test_adoption.py
@@ -1,10 +1,10 @@
 """What a host does with the bodies of accepted revisions."""
 
 from collections.abc import Iterator
-from dataclasses import replace
 
 import httpx
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.coordination.configuration import Changes
 from azureswitch.entry import EntryPorts
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -8,9 +8,10 @@
 """
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.core import TargetName
 from azureswitch.inventory import Target, TargetRole
--- a/tests/gateway/test_starts.py
+++ b/tests/gateway/test_starts.py
@@ -1,9 +1,9 @@
 """What a gateway does as targets start again under their names."""
 
 import asyncio
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.core import TargetName
 from azureswitch.gateway._log import TargetsChanged
--- a/tests/inventory/test_inventory.py
+++ b/tests/inventory/test_inventory.py
@@ -1,13 +1,13 @@
 """Inventories and rules are checked, compared and stored without loss."""
 
 from contextlib import suppress
-from dataclasses import replace
 from hashlib import sha256
 from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from azureswitch.core import PlaceName, TargetName
 from azureswitch.exceptions import (
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -2,12 +2,12 @@
 
 from asyncio import Event, sleep
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import replace
 from string import ascii_letters, digits
 from time import time
 from typing import cast
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.coordination.journal import (
     FLUSH_PERIOD,
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -1,9 +1,8 @@
 """The load tool draws the same calls again and finds each broken promise."""
 
-from dataclasses import replace
-
 import msgspec
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.client import HttpHead
 from azureswitch_load import (
--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -4,7 +4,6 @@
 import os
 import subprocess
 import sys
-from dataclasses import dataclass
 from typing import ClassVar
 
 import pytest
@@ -21,8 +20,7 @@
 """
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Told(Entry):
+class Told(Entry, frozen=True, kw_only=True):
     """An entry about a request."""
 
     part: ClassVar[str] = "test"
@@ -35,8 +33,7 @@
         return self.id
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Warned(Told):
+class Warned(Told, frozen=True, kw_only=True):
     """The same as a warning."""
 
     level: ClassVar[Level] = Level.WARNING
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -2,10 +2,10 @@
 
 from asyncio import create_task, gather, sleep
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.coordination.membership import (
     HostsListed,
--- a/tests/memory/test_memory.py
+++ b/tests/memory/test_memory.py
@@ -2,10 +2,11 @@
 
 from asyncio import Event, TaskGroup, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import cast
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.coordination.hashing import ranked
 from azureswitch.coordination.membership import Member, MemberStatus
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import replace
 from itertools import permutations
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.coordination.mirror import (
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -2,10 +2,10 @@
 
 from asyncio import Event, TaskGroup, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from typing import cast
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.coordination.leases import LEASE_TERM
 from azureswitch.coordination.membership import Member, MemberStatus
--- a/tests/server/test_idle.py
+++ b/tests/server/test_idle.py
@@ -12,10 +12,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from http import HTTPStatus
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.client import HttpHead
 from azureswitch.exceptions import MalformedRequestError
--- a/tests/serving/test_apart.py
+++ b/tests/serving/test_apart.py
@@ -1,9 +1,9 @@
 """A fault of this program at one call, or beside the calls, costs no other call its decision."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.core import CallId, TargetName
 from azureswitch.exceptions import (
--- a/tests/serving/test_policy.py
+++ b/tests/serving/test_policy.py
@@ -1,8 +1,7 @@
 """Admission, fairness, routing and length, matter by matter."""
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.core import HostName, TargetName
 from azureswitch.exceptions import (
@@ -86,7 +85,7 @@
         """A call that cannot be served has its typed answer in the same event."""
         driver = Driver()
         call = model_call("c1")
-        fields = {name: getattr(call, name) for name in call.__dataclass_fields__}
+        fields = {name: getattr(call, name) for name in call.__struct_fields__}
         driver.arrive(type(call)(**{**fields, **changes}))
         assert isinstance(driver.error("c1"), error)
 
--- a/tests/serving/test_starts.py
+++ b/tests/serving/test_starts.py
@@ -1,12 +1,12 @@
 """A target that starts again under its name holds nothing of what its earlier start had."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from msgspec.structs import replace
 
 from azureswitch.core import CallId, Effect, HostName, TargetName
 from azureswitch.exceptions import AzureswitchError, OutcomeLostError, Ran
--- a/tests/sharing/test_starts.py
+++ b/tests/sharing/test_starts.py
@@ -1,10 +1,9 @@
 """Digests tell which starts of targets they mean, in few bytes and to hosts of any version."""
 
-from dataclasses import replace
-
 import pytest
 from msgspec import Struct
 from msgspec.msgpack import decode, encode
+from msgspec.structs import replace
 
 from azureswitch.coordination.sharing import (
     EnginePolled,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,8 +1,7 @@
 """The soak finds each broken promise, and none in a run that keeps them."""
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from azureswitch_standins.target import Note, NoteKind, answer_body, event, event_count, seal
 from bench.soak._checks import check, crossed
--- a/tests/spans/test_entry.py
+++ b/tests/spans/test_entry.py
@@ -1,10 +1,10 @@
 """Tests of large prompts through an entry host, before engines too small for them alone."""
 
 from collections.abc import Iterator
-from dataclasses import replace
 
 import httpx
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.inventory import Target
 from azureswitch_standins.engine import CostModel, EngineSettings, EngineStandin, expected_answer
