Hold a request back by the occasions on which targets crashed under it

Cause: crashed targets were counted one by one. Such a request is open at many targets; where nine of them are lost together, nine count. On the sources before, three crashes at once hold it back for 60 s, five for 600 s, six and nine for 86,400 s (played on the reducer's account of crashes).

Ruled out: that an answer clears it soon. It does where an attempt elsewhere is under way; one that is refused everywhere gets no answer.

Why it works: crashes within 2 s are one occasion. A request that crashes what it reaches goes on to do so with each try, which makes a further occasion; one that was only there is answered by the first try. Hosts try by turns, so that ten callers who come back together are not ten more targets. Each crash is told, and kept in the store, with its time; a further occasion is written to the store too, which held only the first three crashes.

Tests: nine engines lost together, once and twice, before 1, 4, 9 and 91 hosts: served within 10 s. Ten callers who send a fatal request at once for a minute before 3, 9 and 91 hosts: three tries at most later than 3 s after the third crash. Turns, occasions, and what a host is told that starts later. Replaced: the test that it is refused for a minute after a loss (now: told to come back, and served, within 10 s), and that of holds by crashes (now by occasions, for 1, 3 and 9 targets each). Two tests of restarts now first make the request crash until it is held back for long, and check the same.

--- a/src/azureswitch/coordination/sharing/_digest.py
+++ b/src/azureswitch/coordination/sharing/_digest.py
@@ -57,13 +57,14 @@
 
 
 class PackedCrashes(Struct, frozen=True, kw_only=True, array_like=True):
-    """A `CrashReport` with starts as pairs of target and milliseconds, and its age in those."""
+    """A `CrashReport` with starts as pairs of target and milliseconds, and ages in those."""
 
     customer: CustomerName
     fingerprint: str
     crashes: tuple[tuple[TargetName, int], ...]
     cleared: tuple[tuple[TargetName, int], ...]
     age: int
+    ages: tuple[int, ...] = ()
 
 
 class PackedDigest(Struct, frozen=True, kw_only=True, array_like=True):
@@ -177,6 +178,7 @@
         crashes=tuple((start.target, start.started) for start in report.crashes),
         cleared=tuple((start.target, start.started) for start in report.cleared),
         age=round(report.age * SCALE),
+        ages=tuple(round(age * SCALE) for age in report.ages),
     )
 
 
@@ -187,6 +189,7 @@
         crashes=tuple(TargetStart(target=name, started=at) for name, at in packed.crashes),
         cleared=tuple(TargetStart(target=name, started=at) for name, at in packed.cleared),
         age=packed.age / SCALE,
+        ages=tuple(age / SCALE for age in packed.ages),
     )
 
 
--- a/src/azureswitch/platform/_quarantine.py
+++ b/src/azureswitch/platform/_quarantine.py
@@ -49,12 +49,15 @@
         fingerprint: Tells it from other requests.
         crashes: Starts of targets, as their names and the milliseconds of their wall clocks.
         at: When it last broke off, in milliseconds of a host's wall clock.
+        before: How many milliseconds before that each of the crashes was; hosts of an older version
+            leave it out.
     """
 
     customer: CustomerName
     fingerprint: str
     crashes: tuple[tuple[TargetName, int], ...]
     at: int
+    before: tuple[int, ...] = ()
 
 
 class StoreQuarantine:
@@ -90,6 +93,7 @@
             fingerprint=report.fingerprint,
             crashes=tuple((start.target, start.started) for start in report.crashes),
             at=int((self._clock() - report.age) * 1_000),
+            before=tuple(int((age - report.age) * 1_000) for age in report.ages),
         )
         self._written[_name(customer=kept.customer, fingerprint=kept.fingerprint)] = kept
         self._spawn(kept)
@@ -162,7 +166,7 @@
             pass
         known = await self._store.get(kind=QUARANTINE_KIND, name=name, strict=False)
         written = _kept(known)
-        if isinstance(written, KeptCrashes) and written.at >= kept.at - SAME_SECONDS * 1_000:
+        if isinstance(written, KeptCrashes) and _says_as_much(written, kept):
             return
         await self._store.update(
             kind=QUARANTINE_KIND, name=name, value=value, version=known.version
@@ -190,6 +194,7 @@
             fingerprint=kept.fingerprint,
             crashes=tuple(TargetStart(target=name, started=at) for name, at in kept.crashes),
             age=self._age(kept),
+            ages=tuple(self._age(kept) + before / 1_000 for before in kept.before),
         )
 
     def _age(self, kept: KeptCrashes) -> float:
@@ -210,6 +215,12 @@
         pause = min(PAUSE_MOST, 2.0 * pause)
 
 
+def _says_as_much(written: KeptCrashes, kept: KeptCrashes) -> bool:
+    """Return whether what another host wrote need not be replaced."""
+    late = written.at < kept.at - SAME_SECONDS * 1_000
+    return not late and len(written.crashes) >= len(kept.crashes)
+
+
 def _name(*, customer: CustomerName, fingerprint: str) -> str:
     """Return the name of an object; customers' names may hold what names of objects may not."""
     digest = sha256(f"{customer}\n{fingerprint}".encode())
--- a/src/azureswitch/serving/_crashes.py
+++ b/src/azureswitch/serving/_crashes.py
@@ -6,8 +6,11 @@
 
 What ran beside such a request breaks off as well.  A crash therefore counts against the request
 that has broken off at most targets alone, and a request that is answered is cleared of all of its
-crashes.  One that many callers send may have run at each of several targets that were lost
-together, so that a quarantine is short at first, and one try goes through as it ends.
+crashes.  One that many callers send may have run at each of many targets that were lost together.
+So crashes that come together are one occasion, however many they are: what tells a request that
+crashes targets is that they go on, one after the other, where it goes.  It is held back for some
+seconds after the first occasion and longer after each further one.  As that ends, hosts send a try
+by turns.
 
 All of this follows from what is known, whoever told it in which order, so that hosts that know the
 same decide the same.
@@ -16,32 +19,50 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from heapq import nlargest
+from math import inf
 from typing import NamedTuple
 
 from msgspec import Struct, field
 
-from azureswitch.core import CustomerName
+from azureswitch.coordination.hashing import ranked
+from azureswitch.core import CustomerName, HostName
 from azureswitch.serving._digests import CrashReport, TargetStart
 from azureswitch.serving._effects import AnnounceQuarantine
 from azureswitch.serving._events import Call
 
+NO_HOST = HostName("")
+"""A host that is none of the others, and so tries without waiting for a turn."""
+
 CRASHES_MOST = 3
 """Targets that may crash under a request before it is held back.
 
 One or two may end for another reason while it runs there and again where it is retried.
 """
 
-FIRST_SECONDS = 60.0
-"""Seconds after its last crash for which a request is held back at first."""
+TOGETHER_SECONDS = 2.0
+"""Seconds within which crashes are one occasion.
 
-SECOND_SECONDS = 600.0
-"""The same once a target has crashed after that."""
+Where a failure domain is lost, its targets fall silent within one second of each other.
+"""
 
 QUARANTINE_SECONDS = 86_400.0
-"""The same after further crashes: a day, in which the request or the targets can be mended."""
+"""Seconds for which a request is held back at most; in a day it or the targets can be mended."""
+
+HOLD_SECONDS = (4.0, 10.0, 600.0, QUARANTINE_SECONDS)
+"""Seconds after its last crash for which a request is held back, by how many occasions there were.
+
+Where many targets are lost together, or once more before any try is answered, what ran there is
+refused for some seconds.
+"""
+
+TURN_SECONDS = 0.5
+"""Seconds between the tries of two hosts; a target that it crashes falls silent sooner."""
+
+TURNS_MOST = 6
+"""Hosts that have a turn each; callers of the others would wait too long."""
 
-SURE_CRASHES = CRASHES_MOST + 3
-"""Crashes from which on a request is held back for a day."""
+LATER_TURN_SECONDS = 0.02
+"""Seconds between the tries of all hosts that follow these."""
 
 TRIAL_SECONDS = 5.0
 """Seconds for which a host waits for the outcome of the one try that follows a quarantine."""
@@ -58,7 +79,7 @@
 TELL_TIMES = 3
 """Digests that tell of a crash; each may be lost."""
 
-TOLD_CRASHES = SURE_CRASHES
+TOLD_CRASHES = CRASHES_MOST + len(HOLD_SECONDS) - 1
 """Crashes of a request that one digest names, as many as its quarantine depends on."""
 
 RETOLD_MOST = 16
@@ -80,27 +101,33 @@
 
     Attributes:
         newest: When it last did so, in seconds of the monotonic clock.
-        crashes: The starts of targets at which it did, but those of which it was cleared.
+        crashes: When it did so at which starts of targets, but those of which it was cleared.
         cleared: Those of which it was cleared, the last ones last.
         seen_here: Whether this host saw one of them.
-        quarantined: Whether it was held back when this was last looked at.
+        occasions: For how many occasions it was held back when this was last looked at, or zero.
         trial_until: Until when the outcome of a try of this host is waited for.
         answered_here: Whether a try of this host has cleared it.
     """
 
     newest: float
-    crashes: set[TargetStart] = field(default_factory=set)
+    crashes: dict[TargetStart, float] = field(default_factory=dict)
     cleared: dict[TargetStart, None] = field(default_factory=dict)
     seen_here: bool = False
-    quarantined: bool = False
+    occasions: int = 0
     trial_until: float = 0.0
     answered_here: bool = False
 
 
 class Crashes:
-    """The requests that have broken off at targets."""
+    """The requests that have broken off at targets.
 
-    def __init__(self) -> None:
+    Args:
+        host: This host.
+    """
+
+    def __init__(self, *, host: HostName = NO_HOST) -> None:
+        self._host = host
+        self._hosts: tuple[HostName, ...] = ()
         self._suspects: dict[RequestKey, _Suspect] = {}
         self._by_crash: defaultdict[TargetStart, set[RequestKey]] = defaultdict(set)
         self._touched: set[RequestKey] = set()
@@ -122,13 +149,17 @@
         """Whether `look` may have something to tell."""
         return bool(self._touched)
 
+    def set_hosts(self, hosts: Iterable[HostName]) -> None:
+        """Take over which hosts live, which try by turns as a request is held back no more."""
+        self._hosts = tuple(hosts)
+
     def broke_off(self, call: Call, start: TargetStart, *, now: float) -> None:
         """Note that a target broke off as it ran a call."""
         if not call.fingerprint:
             return
         key = _key(call)
         suspect = self._suspect(key, now=now)
-        if not self._add(key, suspect, start):
+        if not self._add(key, suspect, start, at=now):
             return
         suspect.newest = now
         suspect.seen_here = True
@@ -160,7 +191,12 @@
             key = RequestKey(customer=report.customer, fingerprint=report.fingerprint)
             suspect = self._suspect(key, now=at)
             self._clear(key, suspect, report.cleared)
-            fresh = [start for start in report.crashes if self._add(key, suspect, start)]
+            ages = report.ages or (report.age,) * len(report.crashes)
+            fresh = [
+                start
+                for start, age in zip(report.crashes, ages, strict=False)
+                if self._add(key, suspect, start, at=now - age)
+            ]
             if fresh:
                 suspect.newest = max(suspect.newest, at)
 
@@ -171,28 +207,29 @@
         suspect = self._suspects.get(_key(call))
         if suspect is None or not self._is_quarantined(suspect):
             return 0.0
-        until = max(suspect.newest + _hold_seconds(suspect), suspect.trial_until)
-        return max(0.0, until - now)
+        held = suspect.newest + _hold_seconds(suspect) + self._turn_seconds(call)
+        return max(0.0, max(held, suspect.trial_until) - now)
 
     def quarantined(self) -> int:
         """Return how many requests are held back."""
         return len(self._quarantined())
 
     def look(self, *, now: float) -> list[AnnounceQuarantine]:
-        """Return which requests are held back since the last look, and which not any more."""
+        """Return which requests are held back, or for longer, since the last look, or no more."""
         found = []
         for key in self._touched:
             suspect = self._suspects.get(key)
             if suspect is None:
                 continue
-            before, suspect.quarantined = suspect.quarantined, self._is_quarantined(suspect)
-            if suspect.quarantined is before:
+            before, suspect.occasions = suspect.occasions, self._occasions(suspect)
+            ended = before > 0 and not suspect.occasions
+            if suspect.occasions <= before and not ended:
                 continue
             found.append(
                 AnnounceQuarantine(
                     report=self._report(key, suspect, now=now),
-                    ended=before,
-                    keep=suspect.answered_here if before else suspect.seen_here,
+                    ended=ended,
+                    keep=suspect.answered_here if ended else suspect.seen_here,
                 )
             )
         self._touched.clear()
@@ -233,11 +270,22 @@
         for start in self._suspects.pop(key).crashes:
             self._unlink(key, start)
 
-    def _add(self, key: RequestKey, suspect: _Suspect, start: TargetStart) -> bool:
+    def _turn_seconds(self, call: Call) -> float:
+        """Return how long after other hosts this one sends the first try at a request."""
+        if self._host not in self._hosts:
+            return 0.0
+        name = f"{call.customer} {call.fingerprint}"
+        rank = ranked(name=name, hosts=self._hosts).index(self._host)
+        return min(rank, TURNS_MOST) * TURN_SECONDS + rank * LATER_TURN_SECONDS
+
+    def _add(self, key: RequestKey, suspect: _Suspect, start: TargetStart, *, at: float) -> bool:
         """Count a crash against a request and return whether it was news."""
-        if start in suspect.crashes or start in suspect.cleared:
+        if start in suspect.cleared:
+            return False
+        known = suspect.crashes.get(start)
+        suspect.crashes[start] = at if known is None else min(known, at)
+        if known is not None:
             return False
-        suspect.crashes.add(start)
         self._by_crash[start].add(key)
         self._touched.add(key)
         return True
@@ -246,7 +294,7 @@
         for start in starts:
             suspect.cleared[start] = None
             if start in suspect.crashes:
-                suspect.crashes.discard(start)
+                del suspect.crashes[start]
                 self._unlink(key, start)
                 self._touched.add(key)
         while len(suspect.cleared) > CLEARED_MOST:
@@ -265,6 +313,10 @@
     def _is_quarantined(self, suspect: _Suspect) -> bool:
         return len(suspect.crashes) >= CRASHES_MOST and len(self._own(suspect)) >= CRASHES_MOST
 
+    def _occasions(self, suspect: _Suspect) -> int:
+        """Return for how many occasions a request is held back; zero where it is not."""
+        return len(_first_of_occasions(suspect)) if self._is_quarantined(suspect) else 0
+
     def _own(self, suspect: _Suspect) -> set[TargetStart]:
         """Return the crashes that do not count against a request that broke off more often.
 
@@ -287,13 +339,16 @@
 
     def _report(self, key: RequestKey, suspect: _Suspect, *, now: float) -> CrashReport:
         own = self._own(suspect)
-        crashes = sorted(own) + sorted(suspect.crashes - own)
+        first = _first_of_occasions(suspect)
+        crashes = sorted(suspect.crashes, key=lambda start: (start not in own, start not in first))
+        told = crashes[:TOLD_CRASHES]
         return CrashReport(
             customer=key.customer,
             fingerprint=key.fingerprint,
-            crashes=tuple(crashes[:TOLD_CRASHES]),
+            crashes=tuple(told),
             cleared=tuple(suspect.cleared),
             age=max(0.0, now - suspect.newest),
+            ages=tuple(max(0.0, now - suspect.crashes[start]) for start in told),
         )
 
 
@@ -303,10 +358,19 @@
 
 def _hold_seconds(suspect: _Suspect) -> float:
     """Return for how long a request is held back after it last broke off."""
-    crashes = len(suspect.crashes)
-    if crashes >= SURE_CRASHES:
-        return QUARANTINE_SECONDS
-    return FIRST_SECONDS if crashes <= CRASHES_MOST + 1 else SECOND_SECONDS
+    occasions = len(_first_of_occasions(suspect))
+    return HOLD_SECONDS[min(occasions, len(HOLD_SECONDS)) - 1]
+
+
+def _first_of_occasions(suspect: _Suspect) -> set[TargetStart]:
+    """Return the first crash of each occasion."""
+    first: set[TargetStart] = set()
+    since = -inf
+    for start, at in sorted(suspect.crashes.items(), key=lambda item: (item[1], item[0])):
+        if at > since + TOGETHER_SECONDS:
+            first.add(start)
+            since = at
+    return first
 
 
 def _remembered(suspect: _Suspect) -> float:
--- a/src/azureswitch/serving/_digests.py
+++ b/src/azureswitch/serving/_digests.py
@@ -88,6 +88,7 @@
             start is zero where the target does not say it.
         cleared: Such starts after which a target has answered it.
         age: Seconds since it last broke off.
+        ages: Seconds since each of these crashes; hosts of an older version do not tell them.
     """
 
     customer: CustomerName
@@ -95,6 +96,7 @@
     crashes: tuple[TargetStart, ...] = ()
     cleared: tuple[TargetStart, ...] = ()
     age: float = 0.0
+    ages: tuple[float, ...] = ()
 
 
 class Digest(Struct, frozen=True, kw_only=True):
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -325,6 +325,7 @@
     state.fleet.set_hosts(event.hosts)
     state.domains.set_hosts(len(event.hosts))
     state.ledger.keep(event.hosts)
+    state.crashes.set_hosts(event.hosts)
     state.retries.set_hosts(max(len(event.hosts), event.fleet_size or 0))
     return []
 
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -207,7 +207,7 @@
         self._ledger = Ledger(starts=self._starts)
         self._domains = Domains(own=myself.place, full_hosts=full_hosts)
         self._pauses = PauseBounds()
-        self._crashes = Crashes()
+        self._crashes = Crashes(host=myself.name)
         self._digest_period = digest_period
         self._lean = lean
         self._deadline_margin = deadline_margin
