Let the parts of a host that look at what is due wake together

Each wake costs a call to the kernel and a turn of the loop, more than the look itself.

Why it works: they sleep until the next step of the process, which is the same for all of them and counts from its own start, so that hosts do not step at the same moment. That is 20 wakes a second. Whether a handler waits is told by its type, without the registry of abstract classes.

Tests: parts that begin at other times take the same steps, each one once; steps count from the loop's start.

--- a/src/azureswitch/clock.py
+++ b/src/azureswitch/clock.py
@@ -4,7 +4,7 @@
 deadline, a lease or a time of grace would last longer here than for anybody else.
 """
 
-from asyncio import SelectorEventLoop
+from asyncio import SelectorEventLoop, get_running_loop
 from time import CLOCK_BOOTTIME, clock_gettime, monotonic
 
 
@@ -26,6 +26,29 @@
     a program that looks after its deadlines.
     """
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._began = elapsed()
+
+    @property
+    def began(self) -> float:
+        """When the loop was made, from which its steps count."""
+        return self._began
+
     def time(self) -> float:
         """Return elapsed time, in seconds."""
         return elapsed()
+
+
+def until_step(seconds: float) -> float:
+    """Return the seconds until the next step of those that are so far apart.
+
+    Parts that look at what is due each few hundredths of a second sleep for this long, so that all
+    of a process wake together: each time that a process wakes costs it as much as such a look.  The
+    steps of each process begin as it does, so that hosts do not step together.
+    """
+    loop = get_running_loop()
+    began = loop.began if isinstance(loop, ElapsedEventLoop) else 0.0
+    left = seconds - (loop.time() - began) % seconds
+    # A timer may be a moment early, and the same step is not taken twice.
+    return left if left > seconds / 10.0 else left + seconds
--- a/src/azureswitch/coordination/membership/_driver.py
+++ b/src/azureswitch/coordination/membership/_driver.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from azureswitch.clock import until_step
 from azureswitch.coordination.membership._effects import (
     AnswerSync,
     ListHosts,
@@ -136,7 +137,7 @@
         try:
             while True:
                 self._feed(Ticked(now=_now()))
-                await sleep(TICK)
+                await sleep(until_step(TICK))
         except CancelledError:
             self._feed(Ended(now=_now()))
             raise
--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -15,6 +15,7 @@
 
 from absl import logging
 
+from azureswitch.clock import until_step
 from azureswitch.coordination.mirror._events import (
     Asked,
     Broken,
@@ -212,7 +213,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await sleep(TICK)
+            await sleep(until_step(TICK))
             now = _now()
             early = now - self._state.checked_at < CHECK_SECONDS
             # The rank is worked out where it matters alone; it takes a hash for each host.
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 
-from azureswitch.clock import elapsed, suspended
+from azureswitch.clock import elapsed, suspended, until_step
 from azureswitch.core import CallId, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.gateway._failures import respond_failure
@@ -176,8 +176,9 @@
         """Let time pass for the reducer until cancelled."""
         before = suspended()
         while True:
-            due = self.now + TICK
-            await asyncio.sleep(TICK)
+            pause = until_step(TICK)
+            due = self.now + pause
+            await asyncio.sleep(pause)
             before = self._report_suspension(before)
             self._lag = max(0.0, self.now - due)
             self.dispatch(Ticked(now=self.now))
--- a/src/azureswitch/peers/_handlers.py
+++ b/src/azureswitch/peers/_handlers.py
@@ -1,7 +1,7 @@
 """What a host does with the messages that it receives."""
 
-from collections.abc import Awaitable, Callable, Coroutine
-from inspect import isawaitable
+from collections.abc import Callable, Coroutine
+from types import CoroutineType
 from typing import Any, TypeVar
 
 from absl import logging
@@ -55,7 +55,9 @@
         """
         try:
             reply = self._hand_over(kind=kind, body=body, peer=peer)
-            return _encoded(await reply if isawaitable(reply) else reply, peer=peer)
+            if isinstance(reply, CoroutineType):
+                reply = await reply
+            return _encoded(reply, peer=peer)
         except Exception as error:
             return _failure(error, kind=kind)
 
@@ -73,7 +75,7 @@
         except Exception as error:
             _failure(error, kind=kind)
             return None
-        return _finish(reply, kind=kind) if isawaitable(reply) else None
+        return _finish(reply, kind=kind) if isinstance(reply, CoroutineType) else None
 
     def _hand_over(self, *, kind: str, body: bytes, peer: str) -> Handled:
         expected = self._types.get(kind)
@@ -83,7 +85,7 @@
         return self._handlers[kind](message)
 
 
-async def _finish(reply: Awaitable[object | None], *, kind: str) -> None:
+async def _finish(reply: Coroutine[object, object, object | None], *, kind: str) -> None:
     try:
         await reply
     except Exception as error:
--- a/src/azureswitch/platform/_signals.py
+++ b/src/azureswitch/platform/_signals.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from azureswitch.clock import elapsed
+from azureswitch.clock import elapsed, until_step
 
 LOOK_SECONDS = 0.1
 """Seconds between two looks; 10 a second take under 0.1% of a core."""
@@ -39,7 +39,7 @@
         """Look again and again, until cancelled."""
         while True:
             self.look()
-            await asyncio.sleep(LOOK_SECONDS)
+            await asyncio.sleep(until_step(LOOK_SECONDS))
 
     def look(self) -> None:
         """Note that the loop runs now."""
--- a/src/azureswitch/ports/_peers.py
+++ b/src/azureswitch/ports/_peers.py
@@ -1,12 +1,12 @@
 """The other hosts of the system as each part sees them."""
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Protocol, TypeAlias, TypeVar
 
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
 
-Handled: TypeAlias = Awaitable[object | None] | object | None
+Handled: TypeAlias = Coroutine[object, object, object | None] | object | None
 """What a handler of messages returns: a reply or none, now or once it has waited."""
 
 DATAGRAM_LIMIT = 1_200
