--- a/src/azureswitch/coordination/sharing/_digest.py
+++ b/src/azureswitch/coordination/sharing/_digest.py
@@ -71,9 +71,9 @@
     """A `Digest` without field names.
 
     Starts of targets are one column beside the names, each as milliseconds after the start of the
-    host: 5 bytes in place of 9 where they are within 24 days of each other, and none for names
-    that the digest says twice.  The column is empty where no start is said, as in digests of hosts
-    of an older version, which leave out what comes at the end and pass over it.
+    host, which is a smaller number than a time of day; a name that the digest says twice has one.
+    The column is empty where no start is said, as in digests of hosts of an older version, which
+    leave out what comes at the end and pass over it.
     """
 
     host: HostName
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -43,8 +43,8 @@
 def run(*, callers: socket | None = None, told: Mapping[int, float] = NOT_TOLD) -> NoReturn:
     """Run an edge process, and end it by the code that `main` returns.
 
-    The interpreter is not taken down.  That took 0.09 to 0.29 s after the last answer, timed in 12
-    stops beside other load, of the 0.24 s that are left then until the platform kills the process.
+    The interpreter is not taken down: on a busy host that takes longer than what is left, after the
+    last answer, until the platform kills the process.
 
     Args:
         callers: As in `main`.
--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -96,7 +96,7 @@
 def _too_late(state: ServingState, call: Call, pool: Pool, *, now: float) -> RefusedError | None:
     cost = expected_cost(state, call, pool)
     if now + cost.most(margin=_stop_margin(state, now=now)) > state.stops_at:
-        # Here it would be broken off as the host ends: 4 to 11 requests a day of restarts were.
+        # Here it would be broken off as the host ends.
         return LeavingError(seconds=_jittered(state, _elsewhere(state)))
     level = level_of(call, state.rules)
     allowed = call.deadline - now - cost.likely
--- a/src/azureswitch/serving/_cost.py
+++ b/src/azureswitch/serving/_cost.py
@@ -71,8 +71,7 @@
     def most(self, *, margin: float) -> float:
         """Return the seconds that an attempt hardly ever exceeds.
 
-        Of 3,257 streams of four days, two of them of high load, 5 in 100 took longer than the
-        tokens permitted take alone, 1 in 100 longer than 1.3 times that, and none than 2.3 times.
+        Few streams take longer than the tokens permitted take alone, and hardly any twice as long.
 
         Args:
             margin: Times its prediction that it may take.
--- a/src/azureswitch/serving/_placement.py
+++ b/src/azureswitch/serving/_placement.py
@@ -62,7 +62,7 @@
 """Share of long streams among all from which on short streams gather on few engines.
 
 While there are fewer, short ones are better off apart, as prompts that begin together on one engine
-are read in one pass: gathered always, they earned 0.875 of their credit for 0.918 (20 days each).
+are read in one pass.
 """
 
 SPARE_PLACES = 3
@@ -80,8 +80,7 @@
 LONG_HASTE = 10.0
 """How much more being early weighs for a long prompt than for a short one.
 
-It frees its engines sooner, which matters to all that come after it: on engines in virtual time the
-share of credit on time rises from 0.695 to 0.723 under more reading than the engines can bear.
+It frees its engines sooner, which matters to all that come after it.
 """
 
 MOST_HOLDERS = 8
