Tell short prompts by the tightest pause that callers bear

Cause: a prompt counted as short where an engine reads it in 0.25 s, on every service. That is all of the 250 ms that a stream may pause there, and takes in summaries of up to 44,000 tokens. The reading of short prompts is told to no other host, as it takes 30 ms; of these it was 250, and short questions were sent behind it.

--- a/src/azureswitch/serving/_harm.py
+++ b/src/azureswitch/serving/_harm.py
@@ -82,6 +82,11 @@
             long=self._tightest(service, short=False, now=now),
         )
 
+    def tightest(self, service: ServiceName, *, now: float) -> float:
+        """Return the tightest pause of all of a service's calls, in seconds."""
+        bounds = self.bounds(service, now=now)
+        return min(bounds.short, bounds.long)
+
     def _tightest(self, service: ServiceName, *, short: bool, now: float) -> float:
         seen = self._seen.get((service, short), {})
         return min((gap for gap, at in seen.items() if now - at <= PAUSE_MEMORY), default=inf)
--- a/src/azureswitch/serving/_placement.py
+++ b/src/azureswitch/serving/_placement.py
@@ -37,8 +37,14 @@
 Fewer could not bear the load of all.
 """
 
-SHORT_READ = 0.25
-"""Seconds of reading up to which a prompt is short: it delays streams by no more than they bear."""
+SHORT_SHARE = 0.5
+"""Share of the tightest pause that a service's callers bear within which a short prompt is read.
+
+Two of them that meet on one engine then delay its streams by no more than that.
+"""
+
+USUAL_PAUSE = 0.25
+"""Seconds that take the place of that pause where no route declares one."""
 
 BESIDE_LONG = 0.5
 """How badly an engine suits a long prompt for each long stream that it writes."""
@@ -160,13 +166,22 @@
     if not states:
         return None
     engines = [_Engine(target=t, there=state.ledger.at(t.target.name)) for t in states]
-    short = read_seconds(pace, record.call.prompt_tokens) <= SHORT_READ
+    short = _is_short(state, record.call, pace, now=now)
     state.pauses.observe(record.call, short=short, now=now)
     weigh = _offer_short if short else _offer_long
     offer = _best_offer(state, engines, lambda some: weigh(state, record, some, pace, now=now))
     return None if offer is None else offer.choice
 
 
+def _is_short(state: ServingState, call: Call, pace: EnginePace, *, now: float) -> bool:
+    """Return whether a prompt is read beside streams without many of them being late."""
+    pause = state.pauses.tightest(call.service, now=now)
+    if call.gap_objective:
+        pause = min(pause, call.gap_objective)
+    bearable = USUAL_PAUSE if pause == inf else pause
+    return read_seconds(pace, call.prompt_tokens) <= SHORT_SHARE * bearable
+
+
 def _best_offer(
     state: ServingState,
     engines: list[_Engine],
