--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -17,11 +17,12 @@
 )
 from azureswitch.serving._cost import MARGIN, Cost
 from azureswitch.serving._events import Call
-from azureswitch.serving._fleet import Pool, TargetState
+from azureswitch.serving._fleet import Pool
 from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._placement import MOST_PARTS
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._state import ServingState
+from azureswitch.serving._target import TargetState
 
 SHORT_QUEUE_SECONDS = 4.0
 """Seconds that a short prompt may be expected to wait here before it is refused."""
--- a/src/azureswitch/serving/_choice.py
+++ b/src/azureswitch/serving/_choice.py
@@ -4,7 +4,7 @@
 
 from azureswitch.core import TargetName
 from azureswitch.serving._digests import Occupancy
-from azureswitch.serving._fleet import Work
+from azureswitch.serving._target import Work
 
 
 class Choice(Struct, frozen=True, kw_only=True):
--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -3,11 +3,11 @@
 from azureswitch.core import TargetName
 from azureswitch.serving._choice import Choice
 from azureswitch.serving._digests import Occupancy
-from azureswitch.serving._fleet import TargetState, Work
 from azureswitch.serving._length import Level
 from azureswitch.serving._placement import place, usable
 from azureswitch.serving._spans import choose_spans
 from azureswitch.serving._state import CallRecord, ServingState
+from azureswitch.serving._target import TargetState, Work
 
 CHOICES = {Level.SHORT: 4, Level.MIDDLE: 8, Level.LONG: 8}
 """Targets drawn at random, of which the best is taken; looking at all would make hosts herd."""
--- a/src/azureswitch/serving/_spans.py
+++ b/src/azureswitch/serving/_spans.py
@@ -1,8 +1,8 @@
 """Chooses the engines that together hold a prompt larger than one engine's memory."""
 
 from azureswitch.core import TargetName
-from azureswitch.serving._fleet import TargetState
 from azureswitch.serving._state import CallRecord, ServingState
+from azureswitch.serving._target import TargetState
 
 MORE_MEMBERS = 2
 """Engines over the fewest that a prompt is spread over where memory is short."""
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -17,13 +17,14 @@
 from azureswitch.serving._domains import Domains
 from azureswitch.serving._events import Call, HostSelf
 from azureswitch.serving._fairness import Fairness
-from azureswitch.serving._fleet import Fleet, Pool, Work
+from azureswitch.serving._fleet import Fleet, Pool
 from azureswitch.serving._harm import PauseBounds
 from azureswitch.serving._ledger import Ledger
 from azureswitch.serving._length import Level, Split
 from azureswitch.serving._queue import WaitingQueue
 from azureswitch.serving._retries import RetryBudget
 from azureswitch.serving._starts import Starts
+from azureswitch.serving._target import Work
 
 DIGEST_PERIOD = 0.2
 """Seconds between two regular digests where nothing else is said."""
--- a/tests/serving/test_starts.py
+++ b/tests/serving/test_starts.py
@@ -34,10 +34,10 @@
     TargetStart,
     TargetUnreachable,
 )
-from azureswitch.serving._fleet import TargetState
 from azureswitch.serving._ledger import PEER_SECONDS
 from azureswitch.serving._length import Level
 from azureswitch.serving._starts import GONE_MOST
+from azureswitch.serving._target import TargetState
 from tests.serving.engines import snapshot as paced_snapshot
 from tests.serving.fixtures import Driver, booking, engine, model_call, only, plain_call, snapshot
 
