Make the models' data classes structs too

The search of stops failed: it copies the gateway's own types with a change, as the standard library does for its data classes alone.

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -6,13 +6,13 @@
 
 import sys
 from contextlib import AbstractContextManager, ExitStack, redirect_stdout
-from dataclasses import dataclass
 from io import StringIO
 from typing import Any
 
 from absl import logging
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+from msgspec import Struct
 
 from models import claims_proof, configuration_proof
 from models.checker import Search, Spec, prove, search
@@ -39,8 +39,7 @@
 )
 
 
-@dataclass(slots=True, kw_only=True)
-class Tally:
+class Tally(Struct, kw_only=True):
     """What was checked, and what went wrong."""
 
     proved: int = 0
--- a/models/checker.py
+++ b/models/checker.py
@@ -7,10 +7,10 @@
 
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass
 from itertools import product
 from typing import Any, TypeAlias
 
+from msgspec import Struct
 from z3 import (
     ArraySort,
     BoolSort,
@@ -96,8 +96,7 @@
 """The guard of an action and its changes, which are worked out only where the guard holds."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Action:
+class Action(Struct, frozen=True, kw_only=True):
     """Something that may happen.
 
     Attributes:
@@ -111,8 +110,7 @@
     uses: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Spec:
+class Spec(Struct, frozen=True, kw_only=True):
     """A specification.
 
     Attributes:
@@ -140,8 +138,7 @@
     mutations: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Obligation:
+class Obligation(Struct, frozen=True, kw_only=True):
     """One thing to prove, and whether it was."""
 
     name: str
@@ -196,8 +193,7 @@
     return bool(solver.check() == unsat)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Search:
+class Search(Struct, frozen=True, kw_only=True):
     """What a search found.
 
     Attributes:
--- a/models/claims_machine.py
+++ b/models/claims_machine.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from random import Random
 from typing import Any
@@ -15,6 +14,7 @@
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
+from msgspec import Struct
 
 from azureswitch.coordination.claims import _claimer, _layout, _owner
 from azureswitch.coordination.claims import _events as ev
@@ -64,8 +64,7 @@
     """The reducers did what the specification does not allow."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Flight:
+class _Flight(Struct, kw_only=True):
     """Something on its way.
 
     Attributes:
--- a/models/configuration_machine.py
+++ b/models/configuration_machine.py
@@ -1,10 +1,10 @@
 """Drives the real reducer of configuration in random orders and holds it to the specification."""
 
-from dataclasses import dataclass
 from random import Random
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
+from msgspec import Struct
 
 from azureswitch.coordination.configuration import (
     Asked,
@@ -45,8 +45,7 @@
 PLACE = PlaceName("a")
 
 
-@dataclass(slots=True, kw_only=True)
-class _Flight:
+class _Flight(Struct, kw_only=True):
     """Something on its way to a process; a replaced one hears nothing."""
 
     process: ConfigurationState
--- a/models/stopping.py
+++ b/models/stopping.py
@@ -11,9 +11,11 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
 from enum import Enum
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.core import HostName, Incarnation, PlaceName
 from azureswitch.gateway import _stopping
@@ -66,8 +68,7 @@
     LOADING = "is loaded"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Host:
+class Host(Struct, frozen=True, kw_only=True):
     """A host between two ticks.
 
     Attributes:
@@ -127,8 +128,7 @@
         return self.mode is not Mode.LOADING and not self.only_answers
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Load:
+class Load(Struct, frozen=True, kw_only=True):
     """What is open at a host as it is told to stop."""
 
     early: int = 0
@@ -137,8 +137,7 @@
     reading: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Bounds:
+class Bounds(Struct, frozen=True, kw_only=True):
     """What a search tries.
 
     Attributes:
@@ -157,8 +156,7 @@
     held: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Passed:
+class Passed(Struct, frozen=True, kw_only=True):
     """What a tick did to one host.
 
     Attributes:
--- a/models/stopping_mutations.py
+++ b/models/stopping_mutations.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
-from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
 
+from msgspec.structs import replace
+
 from azureswitch.gateway import _stopping
 from azureswitch.gateway._stopping import EndRequests, Neighbours, StopLooked, Stopping
 from azureswitch.serving import _admission
