--- a/tests/sharing/test_digests.py
+++ b/tests/sharing/test_digests.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from statistics import median
 
 import pytest
@@ -187,6 +188,28 @@
     return tuple(_member(index, place=f"north-{index // 12}") for index in range(hosts))
 
 
+def _parts(
+    members: tuple[Member, ...],
+    *,
+    network: PeersNetworkFake,
+    hear: Callable[[str, ServingEvent], None],
+    full_hosts: int = FULL_HOSTS,
+) -> list[Digests]:
+    """Return the part of each host; what it hears is told together with the host's name."""
+    return [
+        Digests(
+            myself=member.incarnation,
+            peers=network.peers(address=member.address),
+            members=lambda: members,
+            dispatch=partial(hear, member.incarnation.host),
+            clock=asyncio.get_running_loop().time,
+            seed=1,
+            full_hosts=full_hosts,
+        )
+        for member in members
+    ]
+
+
 def _ended_at(
     *, hosts: int, senders: int, lost: set[HostName], begun: bool = False
 ) -> tuple[dict[str, dict[str, int]], dict[str, int]]:
@@ -204,19 +227,8 @@
         newest = heard[host]
         newest[event.digest.host] = max(newest.get(event.digest.host, 0), event.digest.sequence)
 
-    def part_of(member: Member) -> Digests:
-        return Digests(
-            myself=member.incarnation,
-            peers=network.peers(address=member.address),
-            members=lambda: members,
-            dispatch=lambda event: hear(member.incarnation.host, event),
-            clock=asyncio.get_running_loop().time,
-            seed=1,
-            full_hosts=len(members) + 1,
-        )
-
     async def scenario() -> dict[str, int]:
-        parts = [part_of(member) for member in members]
+        parts = _parts(members, network=network, hear=hear, full_hosts=len(members) + 1)
         for member in members:
             if member.incarnation.host in lost:
                 network.stop(address=member.address)
@@ -252,25 +264,15 @@
     """Let the first of hosts in failure domains of 12 tell something, and return who heard what."""
     heard: dict[str, type[ServingEvent]] = {}
     network = PeersNetworkFake()
-    members = tuple(_member(index, place=f"north-{index // 12}") for index in range(hosts))
+    members = _north(hosts)
 
     def hear(host: str, event: ServingEvent) -> None:
         heard[host] = type(event)
         if events is not None:
             events.append(event)
 
-    def part_of(member: Member) -> Digests:
-        return Digests(
-            myself=member.incarnation,
-            peers=network.peers(address=member.address),
-            members=lambda: members,
-            dispatch=lambda event: hear(member.incarnation.host, event),
-            clock=asyncio.get_running_loop().time,
-            seed=1,
-        )
-
     async def scenario() -> None:
-        parts = [part_of(member) for member in members]
+        parts = _parts(members, network=network, hear=hear)
         publish(parts[0])
         await asyncio.sleep(1.0)
 
