Log where a target names a limit in an answer

Cause: no line of a host's log told which answer named a limit, nor which one, so that a host that does not read it and one that reads it too late looked alike.

Changed: the header is read from the answers of targets, but not from those of others at their address, and logged. A value that is no decimal number is kept as its text, without a rate. Nothing goes by it yet.

Measured: the table of verdicts on answers, with 17 rows more.

--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -128,6 +128,19 @@
     target: str
 
 
+class TargetNamesLimit(_RequestEntry, frozen=True, kw_only=True):
+    """A target says in an answer how many requests a second it takes from all hosts.
+
+    Attributes:
+        target: The target.
+        limit: What it says.
+    """
+
+    sentence: ClassVar[str] = "Target names a limit."
+    target: str
+    limit: str
+
+
 class AttemptOver(_RequestEntry, frozen=True, kw_only=True):
     """An attempt ended.
 
--- a/src/azureswitch/gateway/_model.py
+++ b/src/azureswitch/gateway/_model.py
@@ -142,6 +142,18 @@
     helpers: tuple[Helper, ...] = ()
 
 
+class NamedLimit(Struct, frozen=True, kw_only=True):
+    """What a target says in an answer of the requests that it takes from all hosts together.
+
+    Attributes:
+        text: What it says.
+        rate: Requests a second, or None where the text is no such number.
+    """
+
+    text: str
+    rate: float | None = None
+
+
 class Verdict(Struct, frozen=True, kw_only=True):
     """What the head of a target's answer says of the request.
 
@@ -153,6 +165,7 @@
         sealed: Whether the answer bears the mark of the target's program.
         readable: Whether the body is as the target's program made it, in no further encoding.
         leaving: Whether the target says that it is about to leave.
+        limit: How many requests the target says that it takes, or None where it does not say so.
     """
 
     not_run: bool
@@ -162,3 +175,4 @@
     sealed: bool = False
     readable: bool = True
     leaving: bool = False
+    limit: NamedLimit | None = None
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -19,8 +19,14 @@
     TargetRefusedError,
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
-from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetLeaves, TargetSilent
-from azureswitch.gateway._model import Helper, RouteKind, Sending, Verdict
+from azureswitch.gateway._log import (
+    AttemptOver,
+    AttemptSent,
+    TargetLeaves,
+    TargetNamesLimit,
+    TargetSilent,
+)
+from azureswitch.gateway._model import Helper, NamedLimit, RouteKind, Sending, Verdict
 from azureswitch.gateway._patience import Patience
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._records import CallRecord
@@ -208,6 +214,8 @@
                 verdict = self._dialect.judge(answer.head)
                 if verdict.leaving:
                     self._note_leaving(record, first)
+                if verdict.limit is not None:
+                    self._note_limit(record, first, verdict.limit)
                 return await self._pass_on(record, effect, answer, verdict, patience)
 
     def _note_leaving(self, record: CallRecord, target: Target) -> None:
@@ -216,6 +224,10 @@
         leaving = TargetLeaving(now=self._clock(), target=target.name, started=target.started)
         self._dispatch(leaving)
 
+    def _note_limit(self, record: CallRecord, target: Target, limit: NamedLimit) -> None:
+        line = TargetNamesLimit(id=record.arrival.id, target=target.name, limit=limit.text)
+        self._log.write(line)
+
     def _silent(self, record: CallRecord, effect: StartAttempt) -> None:
         """Tell the reducer, which calls the attempt off where another one may follow."""
         now = self._clock()
--- a/src/azureswitch/platform/_dialect.py
+++ b/src/azureswitch/platform/_dialect.py
@@ -1,5 +1,6 @@
 """Headers between callers, this system and targets."""
 
+import re
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -8,7 +9,7 @@
 from azureswitch.client import HOP_BY_HOP, Headers, HttpHead
 from azureswitch.core import CallId
 from azureswitch.exceptions import AzureswitchError, InvalidHeaderError
-from azureswitch.gateway import Arrival, Helper, Sending, Verdict
+from azureswitch.gateway import Arrival, Helper, NamedLimit, Sending, Verdict
 from azureswitch.platform import _headers as names
 from azureswitch.server import HttpRequest
 
@@ -18,6 +19,12 @@
 MOST_URGENCY = 9
 """The class that is admitted last; 0 is admitted first."""
 
+LOGGED_MOST = 64
+"""Characters of a limit's text that are kept."""
+
+DECIMAL = re.compile(r"[0-9]{1,300}(\.[0-9]{1,300})?")
+"""A number that is neither negative nor too large to be computed with."""
+
 MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
 
 
@@ -82,6 +89,7 @@
             readable=head.header(name="content-encoding") is None,
             # Whoever refuses a request that is meant for another target speaks of itself.
             leaving=head.header(name=names.LEAVING) == names.TRUE and not misdirected,
+            limit=None if misdirected else _limit(head),
         )
 
     def answer(self, head: HttpHead) -> Headers:
@@ -96,6 +104,19 @@
         return headers, msgspec.json.encode(Failure(error=error.code, message=error.message))
 
 
+def _limit(head: HttpHead) -> NamedLimit | None:
+    """Return the limit that a target names, the smallest where it names several.
+
+    It has no rate where one of them is no decimal number.
+    """
+    texts = [value.strip() for name, value in head.headers if name == names.LIMIT]
+    if not texts:
+        return None
+    readable = all(DECIMAL.fullmatch(text) for text in texts)
+    rate = min(map(float, texts)) if readable else None
+    return NamedLimit(text=", ".join(texts)[:LOGGED_MOST], rate=rate)
+
+
 def _helper(helper: Helper) -> str:
     return helper.address if helper.ticket is None else f"{helper.address}/{helper.ticket}"
 
--- a/src/azureswitch/platform/_headers.py
+++ b/src/azureswitch/platform/_headers.py
@@ -33,6 +33,9 @@
 
 TRUE = "1"
 
+LIMIT = "server-limit"
+"""The requests a second, as a decimal number, that a target in need takes from all hosts."""
+
 STORE_ERA = "store-era"
 """How often the store has come back from a copy."""
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -14,7 +14,7 @@
     PlatformSettingsError,
     UnknownPathError,
 )
-from azureswitch.gateway import Arrival, Helper, RouteKind, Sending, Verdict
+from azureswitch.gateway import Arrival, Helper, NamedLimit, RouteKind, Sending, Verdict
 from azureswitch.inventory import TargetRole
 from azureswitch.platform import (
     PlatformDialect,
@@ -62,6 +62,27 @@
 "Tenants":[{"Name":"hule930","ApiKeys":["k1","k2"],"Priority":1}]}"""
 
 
+LIMITS = (
+    (["1"], NamedLimit(text="1", rate=1.0)),
+    (["0.5"], NamedLimit(text="0.5", rate=0.5)),
+    ([" 12.25 "], NamedLimit(text="12.25", rate=12.25)),
+    (["0"], NamedLimit(text="0", rate=0.0)),
+    (["9" * 300], NamedLimit(text="9" * 64, rate=float("9" * 300))),
+    (["9" * 400], NamedLimit(text="9" * 64)),
+    ([""], NamedLimit(text="")),
+    (["-1"], NamedLimit(text="-1")),
+    (["nan"], NamedLimit(text="nan")),
+    (["inf"], NamedLimit(text="inf")),
+    (["1e3"], NamedLimit(text="1e3")),
+    (["1_0"], NamedLimit(text="1_0")),
+    (["many"], NamedLimit(text="many")),
+    (["٣"], NamedLimit(text="٣")),
+    (["3", "2"], NamedLimit(text="3, 2", rate=2.0)),
+    (["3", "many"], NamedLimit(text="3, many")),
+)
+"""What targets may say of the requests that they take, and how it is read."""
+
+
 def stored(value: bytes, name: str = "main") -> StoredObject:
     """Return an object of the store."""
     return StoredObject(kind="k", name=name, version=3, value=value)
@@ -248,6 +269,15 @@
             (500, (("server-leaving", "1"),), Verdict(not_run=False, leaving=True)),
             (200, (("server-leaving", "0"),), Verdict(not_run=False)),
             (421, (("server-leaving", "1"),), Verdict(not_run=True)),
+            *[
+                (
+                    200,
+                    tuple(("server-limit", text) for text in texts),
+                    Verdict(not_run=False, limit=limit),
+                )
+                for texts, limit in LIMITS
+            ],
+            (421, (("server-limit", "1"),), Verdict(not_run=True)),
         ],
     )
     def test_judge(self, status: int, headers: Headers, verdict: Verdict) -> None:
