Show that a target's limit goes unheard, on one host and on three together

Callers were served; a target in need got 13 requests in 4 s where the 1.2 a second that it had named permit 12.

Cause, as suspected: the header is passed on to callers and read by nobody.

--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from socket import socket
+from time import monotonic
 
 from azureswitch.client import Headers, HttpAnswer, HttpClient
 from azureswitch.coordination.membership import Member
@@ -77,6 +78,8 @@
     silence: float = 0.0
     padding: int = 0
     leaving: set[str] = field(default_factory=set)
+    limits: dict[str, str] = field(default_factory=dict)
+    times: dict[str, list[float]] = field(default_factory=dict)
 
     def next_act(self) -> Act:
         """Return what is done with the next request; all is answered once the script is over."""
@@ -132,13 +135,14 @@
         """Do with a request what the script says."""
         headers = dict(exchange.request.headers)
         act = self._fleet.next_act()
-        leaving: Headers = (("server-leaving", "1"),) if self._name in self._fleet.leaving else ()
+        said = self._said()
+        self._fleet.times.setdefault(self._name, []).append(monotonic())
         if headers.get("x-azureswitch-target-instance") != self._name:
-            exchange.respond(status=421, headers=leaving, body=b"")
+            exchange.respond(status=421, headers=said, body=b"")
             return
         if act is Act.REFUSE:
             not_run = ("x-azureswitch-not-executed", "1")
-            exchange.respond(status=503, headers=(not_run, *leaving), body=b"full")
+            exchange.respond(status=503, headers=(not_run, *said), body=b"full")
             return
         run = Run(
             target=self._name,
@@ -148,17 +152,23 @@
         )
         self._fleet.runs.append(run)
         exchange.on_left(lambda: setattr(run, "closed", True))
-        task = asyncio.get_running_loop().create_task(self._answer(exchange, run, act, leaving))
+        task = asyncio.get_running_loop().create_task(self._answer(exchange, run, act, said))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _answer(self, exchange: Exchange, run: Run, act: Act, leaving: Headers) -> None:
+    def _said(self) -> Headers:
+        """Return what it says of itself in each answer."""
+        leaving: Headers = (("server-leaving", "1"),) if self._name in self._fleet.leaving else ()
+        limit = self._fleet.limits.get(self._name)
+        return leaving if limit is None else (*leaving, ("server-limit", limit))
+
+    async def _answer(self, exchange: Exchange, run: Run, act: Act, said: Headers) -> None:
         id = "another" if act is Act.CROSS else run.id
         headers: Headers = (
             ("x-azureswitch-attempt-id", id),
             ("x-from", self._name),
             *SEAL,
-            *leaving,
+            *said,
         )
         if act is Act.ENCODE:
             headers = (*headers, ("content-encoding", "gzip"))
--- /dev/null
+++ b/tests/platform/test_limits.py
@@ -0,0 +1,88 @@
+"""Edge processes keep to the limit of a target together."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from pathlib import Path
+from random import Random
+
+import msgspec
+import pytest
+
+from azureswitch.exceptions import HttpError
+from azureswitch_standins.store import StoreStandin
+from bench.soak._documents import DESK, ZONES, configuration
+from tests.gateway.fixtures import FakeTarget, Fleet
+from tests.gateway.test_limits import SETTLE, WINDOW, allowed, most
+from tests.platform.callers import ask
+from tests.platform.test_edge import NETWORK, edge, run, until_listening, until_metric
+
+HOSTS = 3
+
+PAUSE = 0.2
+"""Seconds between two requests of a caller, of whom each host has one."""
+
+
+async def press(callers: str, *, seconds: float, seed: int) -> list[int]:
+    """Send requests to a host for some seconds and return their statuses, 0 for none."""
+    random = Random(seed)
+    clock = asyncio.get_running_loop().time
+    end = clock() + seconds
+    statuses = []
+    while clock() < end:
+        try:
+            answer = await ask(callers, "/look/", id=f"r{seed}-{len(statuses)}")
+            statuses.append(answer.head.status)
+        except HttpError:
+            statuses.append(0)
+        await asyncio.sleep(random.uniform(0.0, 2.0 * PAUSE))
+    return statuses
+
+
+class TestSeveralHosts:
+    """Hosts that hear of each other."""
+
+    @pytest.mark.parametrize(("limit", "number"), [("1", 0), ("0.5", 1)])
+    def test_target_gets_more_than_it_named_from_all_hosts_together(
+        self, tmp_path: Path, limit: str, number: int
+    ) -> None:
+        """The sum over all hosts is kept, and the other target serves the rest."""
+
+        async def scenario() -> None:
+            store = StoreStandin()
+            await store.start()
+            fleet = Fleet()
+            targets = {name: FakeTarget(name=name, fleet=fleet, streams=False) for name in "ab"}
+            value = configuration(version=1, extra=False, idle_routes=0)
+            await store.store.create(kind="config", name="main", value=value)
+            async with AsyncExitStack() as stack:
+                for name, target in targets.items():
+                    await target.start()
+                    stack.callback(target.stop)
+                    fields = {"Service": DESK, "Address": target.address, "Zone": ZONES[0]}
+                    entry = msgspec.json.encode({**fields, "State": "in_service"})
+                    await store.store.create(kind="servers", name=name, value=entry)
+                hosts = []
+                for index in range(HOSTS):
+                    ip = f"{NETWORK}.{100 + number * HOSTS + index}"
+                    folder = tmp_path / ip
+                    folder.mkdir()
+                    callers, _ = await stack.enter_async_context(
+                        edge(folder, ip=ip, store=store.address, name=f"h{index}")
+                    )
+                    hosts.append(callers)
+                for callers in hosts:
+                    await until_listening(callers)
+                for index in range(HOSTS):
+                    ip = f"{NETWORK}.{100 + number * HOSTS + index}"
+                    await until_metric(ip, "azureswitch_targets_serving", 2.0)
+                fleet.limits = {"a": limit}
+                pressing = [
+                    press(callers, seconds=SETTLE + 1.5 * WINDOW, seed=seed)
+                    for seed, callers in enumerate(hosts)
+                ]
+                statuses = [status for part in await asyncio.gather(*pressing) for status in part]
+                assert most(fleet.times["a"], begin=fleet.times["a"][0] + SETTLE) <= allowed(limit)
+                assert statuses.count(200) >= 0.95 * len(statuses)
+            await store.stop()
+
+        run(scenario)
