--- a/src/azureswitch/serving/_allowed.py
+++ b/src/azureswitch/serving/_allowed.py
@@ -80,7 +80,7 @@
     hold = hold_seconds(call)
     wait = seconds_until_permitted(state, pool, now=now)
     lane = lane_for(call, state.rules)
-    places = max(1, int(rate * hold / state.fairness.hosts))
+    places = 1 + int(rate * hold / state.fairness.hosts)
     if wait <= hold and state.queue.count(lane, call.customer) < places:
         return None
     return limit_reached(state, pool, now=now)
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -39,6 +39,12 @@
 BLOCK_SECONDS = {Level.SHORT: 0.02, Level.MIDDLE: 0.1, Level.LONG: 0.25}
 """Seconds for which a lane is not looked at again once no target had room for it."""
 
+PERMIT_CREDIT = 4
+"""Calls by which a customer that sends few may go before one that sends many, for a permit.
+
+What waits for one is refused soon, so that its turn would be lost each time.
+"""
+
 AT_ONCE_SECONDS = 0.001
 """A target that answers sooner than this had the answer, so that it tells nothing of costs."""
 
@@ -59,8 +65,7 @@
         return start(state, record, choice, now=now)
     floor = min((state.fairness.served(n) for n in state.queue.customers(lane)), default=0.0)
     if all_limited(state, record.pool, now=now):
-        # Who waits for a permit is refused soon, and would come back behind the others each time.
-        floor -= record.cost.total
+        floor -= PERMIT_CREDIT * record.cost.total
     state.fairness.lift(record.call.customer, floor)
     record.phase = Phase.WAITING
     if record.call.unshared:
