Hear what engines say of themselves in the answers to orders

Cause: of the answers to orders that set memory aside and free it, the status alone was read. An engine that leaves, or names a limit, says so there as well, and a prompt larger than one engine's memory may be all that it gets.

Changed: what targets say of themselves is heard in one module, from answers to requests and to orders alike. An answer to an order that names no limit does not end one, as it is not known to name what answers to requests do.

Measured: two tests of orders before a server that says so, and two of a gateway that then leaves the target alone; before, the head of the answer was not handed on to anyone, and there was nothing to hand it to.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from azureswitch.client import HttpHead
 from azureswitch.clock import elapsed
 from azureswitch.coordination.membership import Member
 from azureswitch.core import Effect, TargetName
@@ -356,6 +357,12 @@
         self._take_targets(targets)
         self._revise()
 
+    def hear_order(self, *, address: str, order: str, head: HttpHead) -> None:
+        """Take what the target at an address says of itself in the answer to an order."""
+        for target in self._targets.values():
+            if target.address == address:
+                self._shell.hear_order(target, head, order=order)
+
     def _take_targets(self, targets: tuple[Target, ...]) -> None:
         before = self._targets
         self._targets = {target.name: latest(before.get(target.name), target) for target in targets}
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -19,10 +19,10 @@
     TargetRefusedError,
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
+from azureswitch.gateway._hearing import Hearing
 from azureswitch.gateway._log import (
     AttemptOver,
     AttemptSent,
-    TargetLeaves,
     TargetSilent,
 )
 from azureswitch.gateway._model import Helper, RouteKind, Sending, Verdict
@@ -37,11 +37,8 @@
     AttemptEnded,
     AttemptSilent,
     FirstTokenArrived,
-    LimitNamed,
-    LimitUnnamed,
     ServingEvent,
     StartAttempt,
-    TargetLeaving,
 )
 
 CONNECT_TIMEOUT = 0.35
@@ -74,7 +71,7 @@
         dialect: The headers towards targets and callers.
         tickets: Sets memory aside for prompts larger than one engine.
         targets: Returns the targets that are listed now, by name.
-        limited: Returns whether a target is known to have named a limit.
+        hearing: Takes what targets say of themselves.
         dispatch: Hands an event to the reducer.
         log: Takes what is decided.
         clock: Returns seconds of the monotonic clock.
@@ -86,7 +83,7 @@
         dialect: Dialect,
         tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
-        limited: Callable[[TargetName], bool],
+        hearing: Hearing,
         dispatch: Callable[[ServingEvent], None],
         log: Log,
         clock: Callable[[], float],
@@ -94,7 +91,7 @@
         self._dialect = dialect
         self._tickets = tickets
         self._targets = targets
-        self._limited = limited
+        self._hearing = hearing
         self._dispatch = dispatch
         self._log = log
         self._clock = clock
@@ -218,38 +215,10 @@
         with patience:
             async with stream as answer:
                 verdict = self._dialect.judge(answer.head)
-                if verdict.leaving:
-                    self._note_leaving(record, first)
-                self._note_limit(first, verdict, sent=sent)
+                # Told before the answer goes on.
+                self._hearing.hear_answer(first, verdict, request=record.arrival.id, sent=sent)
                 return await self._pass_on(record, effect, answer, verdict, patience)
 
-    def _note_leaving(self, record: CallRecord, target: Target) -> None:
-        """Tell the reducer before the answer goes on; the store may say so much later."""
-        self._log.write(TargetLeaves(id=record.arrival.id, target=target.name))
-        leaving = TargetLeaving(now=self._clock(), target=target.name, started=target.started)
-        self._dispatch(leaving)
-
-    def _note_limit(self, target: Target, verdict: Verdict, *, sent: float) -> None:
-        """Tell the reducer how many requests a target takes, or that it says so no more."""
-        limit = verdict.limit
-        if limit is not None:
-            self._dispatch(
-                LimitNamed(
-                    now=self._clock(),
-                    target=target.name,
-                    started=target.started,
-                    rate=limit.rate,
-                    text=limit.text,
-                )
-            )
-        elif not verdict.not_run and self._limited(target.name):
-            # A refusal may come from what stands before the target's program.
-            self._dispatch(
-                LimitUnnamed(
-                    now=self._clock(), target=target.name, started=target.started, sent=sent
-                )
-            )
-
     def _silent(self, record: CallRecord, effect: StartAttempt) -> None:
         """Tell the reducer, which calls the attempt off where another one may follow."""
         now = self._clock()
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -6,10 +6,12 @@
 
 from absl import logging
 
+from azureswitch.client import HttpHead
 from azureswitch.clock import elapsed, suspended, until_step
 from azureswitch.core import CallId, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.gateway._failures import respond_failure
+from azureswitch.gateway._hearing import Hearing
 from azureswitch.gateway._log import (
     LOGGED_DIGITS,
     HostSuspended,
@@ -99,11 +101,14 @@
         self._metrics = metrics
         self._log = log
         self._clock = clock
+        self._hearing = Hearing(
+            limited=state.limits.knows, dispatch=self.dispatch, log=log, clock=clock
+        )
         self._relay = Relay(
             dialect=dialect,
             tickets=tickets,
             targets=targets,
-            limited=state.limits.knows,
+            hearing=self._hearing,
             dispatch=self.dispatch,
             log=log,
             clock=clock,
@@ -211,6 +216,10 @@
         """Send nothing new to a target that leaves."""
         self.dispatch(TargetLeaving(now=self.now, target=target.name, started=target.started))
 
+    def hear_order(self, target: Target, head: HttpHead, *, order: str) -> None:
+        """Take what a target says of itself in the answer to an order."""
+        self._hearing.hear_order(target, self._dialect.judge(head), order=order)
+
     def begin_shutdown(self, *, until: float) -> None:
         """Begin nothing more that cannot end by a moment of the monotonic clock."""
         self.dispatch(ShutdownBegan(now=self.now, until=until))
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 
+from azureswitch.client import HttpHead
 from azureswitch.clock import elapsed
 from azureswitch.coordination.membership import Member, Membership, live_hosts
 from azureswitch.coordination.mirror import CopyPeers, Mirrors
@@ -118,7 +119,7 @@
         self._gateway = Gateway(
             settings=_gateway_settings(settings),
             dialect=PlatformDialect(),
-            reservations=HttpReservations(),
+            reservations=HttpReservations(heard=self._order_answered),
             publish=self._publish,
             metrics=self._metrics,
             log=log,
@@ -278,6 +279,9 @@
     def _(self, effect: AnswerPermit) -> None:
         self._permits.answer(effect)
 
+    def _order_answered(self, address: str, ticket: str, head: HttpHead) -> None:
+        self._gateway.hear_order(address=address, order=ticket, head=head)
+
     def _recall(self, reports: tuple[CrashReport, ...]) -> None:
         shell = self._gateway.shell
         shell.dispatch(CrashesRecalled(now=shell.now, reports=reports))
--- a/src/azureswitch/platform/_orders.py
+++ b/src/azureswitch/platform/_orders.py
@@ -1,10 +1,11 @@
 """Orders to engines that set memory aside and free it."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 import msgspec
 
-from azureswitch.client import Headers, HttpClient
+from azureswitch.client import Headers, HttpClient, HttpHead
 from azureswitch.exceptions import (
     HttpBrokenError,
     HttpNotSentError,
@@ -44,20 +45,27 @@
     """The `azureswitch.gateway.Reservations` over HTTP.
 
     Its failures name an engine by its address.
+
+    Args:
+        heard: Takes the address of an engine, the ticket and the head of each answer, in which the
+            engine also speaks of itself.
     """
 
+    def __init__(self, *, heard: Callable[[str, str, HttpHead], None]) -> None:
+        self._heard = heard
+
     async def reserve(self, *, address: str, ticket: str, tokens: int, seconds: float) -> None:
         """Set memory aside."""
         body = WireReserve(ticket=ticket, tokens=tokens, milliseconds=int(seconds * 1_000.0))
-        status = await self._order(address, msgspec.json.encode(body))
+        status = await self._order(address, ticket, msgspec.json.encode(body))
         if status != HTTPStatus.OK:
             raise TargetRefusedError(target=address)
 
     async def release(self, *, address: str, ticket: str) -> None:
         """Free what was set aside."""
-        await self._order(address, msgspec.json.encode(WireRelease(ticket=ticket)))
+        await self._order(address, ticket, msgspec.json.encode(WireRelease(ticket=ticket)))
 
-    async def _order(self, address: str, body: bytes) -> int:
+    async def _order(self, address: str, ticket: str, body: bytes) -> int:
         client = HttpClient(address=address, connect_timeout=CONNECT_TIMEOUT, pool_limit=0)
         try:
             answer = await client.request(
@@ -72,4 +80,5 @@
             raise TargetRefusedError(target=address) from error
         except HttpBrokenError as error:
             raise TargetBrokenError(target=address) from error
+        self._heard(address, ticket, answer.head)
         return answer.head.status
--- /dev/null
+++ b/tests/platform/test_orders.py
@@ -0,0 +1,85 @@
+"""What engines say of themselves in the answers to orders."""
+
+import asyncio
+
+import pytest
+
+from azureswitch.client import Headers, HttpHead
+from azureswitch.exceptions import TargetRefusedError
+from azureswitch.platform._orders import HttpReservations
+from azureswitch.server import CallerLimits, Exchange, HttpServer
+from tests.gateway.fixtures import serve
+from tests.gateway.test_leaving import READ, reached
+
+
+class Engine:
+    """Answers each order alike."""
+
+    def __init__(self, *, status: int, headers: Headers) -> None:
+        self._status = status
+        self._headers = headers
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a connection may ask."""
+        return CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        """Connections are kept."""
+        return False
+
+    def refuse(self, exchange: Exchange, error: Exception) -> None:
+        """Answer what is no request."""
+        exchange.respond(status=400, headers=(), body=b"")
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer an order."""
+        exchange.respond(status=self._status, headers=self._headers, body=b"{}")
+
+
+class TestAnswers:
+    """Answers to orders that set memory aside and free it."""
+
+    @pytest.mark.parametrize("status", [200, 409])
+    def test_word_of_an_engine_in_an_order_goes_unheard(self, status: int) -> None:
+        """The head of each answer is handed on, also that of a refusal."""
+
+        async def scenario() -> None:
+            server = HttpServer(handler=Engine(status=status, headers=(("server-limit", "2"),)))
+            await server.start(address="127.0.0.1:0")
+            heard: list[tuple[str, str, HttpHead]] = []
+            orders = HttpReservations(heard=lambda *answer: heard.append(answer))
+            try:
+                await orders.reserve(address=server.address, ticket="t", tokens=9, seconds=1.0)
+            except TargetRefusedError:
+                assert status != 200
+            await orders.release(address=server.address, ticket="t")
+            assert [(address, ticket) for address, ticket, _ in heard] == [
+                (server.address, "t"),
+                (server.address, "t"),
+            ]
+            assert {head.header(name="server-limit") for *_, head in heard} == {"2"}
+            server.stop_listening()
+            server.abort()
+
+        asyncio.run(scenario())
+
+    @pytest.mark.parametrize(
+        ("header", "limits"),
+        [(("server-leaving", "1"), {}), (("server-limit", "0.5"), {"s0": 0.5})],
+        ids=["leaving", "limit"],
+    )
+    def test_target_is_treated_by_what_it_said(
+        self, header: tuple[str, str], limits: dict[str, float]
+    ) -> None:
+        """It counts as if it stood in the answer to a request."""
+
+        async def scenario() -> None:
+            async with serve() as bed:
+                head = HttpHead(status=200, headers=(header,))
+                bed.gateway.hear_order(address=bed.targets[3].address, order="t", head=head)
+                assert bed.gateway.shell.limits == limits
+                assert "s0" not in await reached(bed, READ)
+
+        asyncio.run(scenario())
