Let a limit rise also where a host hears of its end alone

Cause: a host that started after a limit was named, and heard of its end before anything else of it, knew no rate from which it rises, and divided by zero where it was asked for a permit or wanted one.

--- a/src/azureswitch/serving/_limits.py
+++ b/src/azureswitch/serving/_limits.py
@@ -227,13 +227,14 @@
         if known is not None and same_start and at <= known.at:
             return None
         before = known.rate if known is not None and same_start else None
-        changed = rate != before or known is None
+        changed = rate != before
         since = at
         if known is not None and same_start and (rate is None) == (known.rate is None):
             since = known.since
         ended_rate = 0.0
-        if rate is None and known is not None:
-            ended_rate = known.before if known.rate is None else known.rate
+        if rate is None:
+            # A host that had not heard of the limit does not know how high it was.
+            ended_rate = (known and (known.rate or known.before)) or UNREADABLE_RATE
         self._named.pop(target, None)
         self._named[target] = _Named(
             started=started, rate=rate, at=at, since=since, before=ended_rate
--- a/tests/serving/test_limits.py
+++ b/tests/serving/test_limits.py
@@ -242,6 +242,15 @@
         limits.expire(10.2 + ENDED_SECONDS + 0.1)
         assert not limits.any
 
+    def test_end_of_a_limit_that_was_never_heard_of(self) -> None:
+        """A host that hears of the end alone lets the target's requests rise as well."""
+        limits = Limits(starts=Starts())
+        assert not limits.hear([LimitReport(target=E0, started=0, rate=None, age=0.0)], now=10.0)
+        rising = [limits.rate(E0, now=10.0 + seconds) for seconds in (0.1, 1.0, RISE_SECONDS)]
+        assert rising[0]
+        assert rising[1]
+        assert rising[2] is None
+
     def test_news_is_told_again_and_again(self) -> None:
         """It is told once, and by regular digests then."""
         limits = Limits(starts=Starts())
