Let targets of the soak name limits, and check the sum over all hosts

Changed: a run draws two limits, also such as cannot be read, beside its faults, planned work and foreign entries, from a seed of their own, so that earlier seeds draw what they drew. Targets note each request as it arrives; what they got in 4 s is held against what they named. A host's stop, kill or pause excuses, as the users' rule says; faults of targets and of the store do not. The test of a caller who leaves a target expects the new note before the others.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -54,6 +54,7 @@
         option("planned", description="Planned works, else 2.", flag=False),
         option("restarts", description="Restarts of targets, else 2.", flag=False),
         option("foreign", description="Sets of foreign entries, else 1.", flag=False),
+        option("limits", description="Limits that targets name, else 2.", flag=False),
         option("only", description="The one kind of fault, else all.", flag=False),
     ]
 
@@ -70,6 +71,7 @@
             keepers=self.value("keepers", Integer(low=0), default=6),
             restarts=self.value("restarts", Integer(low=0), default=2),
             foreign=self.value("foreign", Integer(low=0), default=1),
+            limits=self.value("limits", Integer(low=0), default=2),
             planned=self.value("planned", Integer(low=0), default=2),
         )
         fresh = self.value("fresh", Integer(low=0), default=0)
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -18,6 +18,7 @@
     RETRY_WINDOW,
 )
 from bench.soak._keepers import OVERTIME, Ending
+from bench.soak._limits import kept, subject
 from bench.soak._records import (
     AFTERMATH,
     AWAY,
@@ -303,7 +304,7 @@
         name
         for name in listed - gone
         if records.services.get(name) == service
-        and not records.disturbed((name, STORE), begin=window.begin, end=window.end)
+        and not records.disturbed((name, subject(name), STORE), begin=window.begin, end=window.end)
     }
 
 
@@ -346,6 +347,11 @@
             yield f"ROUTE: {call.id} ran by a key that was taken away"
 
 
+def _limits(records: Records, _: Runs) -> Iterator[str]:
+    """Hosts together keep to the limits that targets name."""
+    return kept(records)
+
+
 def _budget(records: Records, runs: Runs) -> Iterator[str]:
     """Repeated sends stay within the budget that all hosts share."""
     repeats = []
@@ -376,5 +382,6 @@
     _unused,
     _configuration,
     _keys,
+    _limits,
     _budget,
 )
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -9,8 +9,16 @@
 import msgspec
 
 from azureswitch.client import HttpClient
+from azureswitch.exceptions import HttpError
 from azureswitch.platform import HttpStore
-from azureswitch_standins.target import FAULTS_PATH, Note, NoteKind, TargetFaults, TargetPlan
+from azureswitch_standins.target import (
+    FAULTS_PATH,
+    LIMIT_PATH,
+    Note,
+    NoteKind,
+    TargetFaults,
+    TargetPlan,
+)
 from bench.soak._documents import (
     CLERK,
     DESK,
@@ -181,6 +189,22 @@
         """Change what goes wrong."""
         await _set_faults(self.listen, faults)
 
+    async def name_limit(self, limit: str | None) -> bool:
+        """Let it name a limit in its answers, or none; return whether it heard of that."""
+        client = HttpClient(address=self.listen)
+        try:
+            await client.request(
+                method="POST",
+                path=LIMIT_PATH,
+                body=msgspec.json.encode(limit),
+                timeout=CONTROL_TIMEOUT,
+            )
+        except HttpError:
+            return False
+        finally:
+            client.close()
+        return True
+
     def _take(self, line: bytes) -> None:
         note = msgspec.json.decode(line, type=Note)
         self._records.notes.append(note)
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -19,6 +19,7 @@
 from bench.soak._fleet import START_SECONDS, Fleet, Target
 from bench.soak._foreign import Foreign
 from bench.soak._keepers import OVERTIME, Keeper
+from bench.soak._limits import Limited
 from bench.soak._logs import read_log
 from bench.soak._planned import Planned
 from bench.soak._platform import Platform
@@ -68,6 +69,7 @@
         planned: Planned works beside the faults.
         restarts: Targets that start again under their names, beside the faults.
         foreign: Sets of foreign entries in the store.
+        limits: Limits that targets name.
     """
 
     seed: int
@@ -82,6 +84,7 @@
     planned: int = 2
     restarts: int = 2
     foreign: int = 0
+    limits: int = 0
 
 
 class Result(Struct, frozen=True, kw_only=True):
@@ -158,6 +161,7 @@
     foreign = Foreign(
         fleet=fleet, platform=platform, records=records, seed=plan.seed, away=faults.away
     )
+    limited = Limited(fleet=fleet, records=records, seed=plan.seed)
     stop, calm_begins = asyncio.Event(), asyncio.Event()
     callers = [
         asyncio.create_task(
@@ -187,6 +191,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(restarts.run(count=plan.restarts, seconds=plan.seconds))
             group.create_task(foreign.run(count=plan.foreign, seconds=plan.seconds))
+            group.create_task(limited.run(count=plan.limits, seconds=plan.seconds))
             group.create_task(planned.run(count=plan.planned, seconds=plan.seconds))
             group.create_task(faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only))
         calm_begins.set()
--- a/src/azureswitch_standins/target/__init__.py
+++ b/src/azureswitch_standins/target/__init__.py
@@ -1,7 +1,13 @@
 """A target in the form that the users' platform publishes: a model engine or a plain service."""
 
 from azureswitch_standins.target._content import answer_body, event, event_count, seal
-from azureswitch_standins.target._http import FAULTS_PATH, REPORT_PATH, Report, TargetStandin
+from azureswitch_standins.target._http import (
+    FAULTS_PATH,
+    LIMIT_PATH,
+    REPORT_PATH,
+    Report,
+    TargetStandin,
+)
 from azureswitch_standins.target._model import Act, TargetFaults, TargetPlan
 from azureswitch_standins.target._program import main
 from azureswitch_standins.target._registration import BEATS_KIND
@@ -11,6 +17,7 @@
     "Act",
     "BEATS_KIND",
     "FAULTS_PATH",
+    "LIMIT_PATH",
     "Note",
     "NoteKind",
     "REPORT_PATH",
--- a/src/azureswitch_standins/target/_http.py
+++ b/src/azureswitch_standins/target/_http.py
@@ -19,6 +19,9 @@
 FAULTS_PATH = "/standin/faults"
 """Not of the platform: what goes wrong is set there."""
 
+LIMIT_PATH = "/standin/limit"
+"""Not of the platform: the limit that is named in all answers from now on, or null."""
+
 REPORT_PATH = "/api/report"
 HEALTH_PATH = "/health"
 
@@ -70,6 +73,7 @@
         self._tasks = Tasks(prefix="target")
         self._running = 0
         self._leaving = False
+        self._limit: str | None = None
         self._born = born
         self._sequence = 0
 
@@ -116,6 +120,9 @@
         if path == FAULTS_PATH:
             self._faults = msgspec.json.decode(exchange.request.body, type=TargetFaults)
             exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
+        elif path == LIMIT_PATH:
+            self._limit = msgspec.json.decode(exchange.request.body, type=str | None)
+            exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
         elif path == ORDER_PATH:
             self._order(exchange)
         elif path == REPORT_PATH:
@@ -141,7 +148,7 @@
             self._memory.release(order.ticket)
         self._sequence += done
         status = HTTPStatus.OK if done else HTTPStatus.CONFLICT
-        exchange.respond(status=status, headers=(), body=b"{}")
+        exchange.respond(status=status, headers=self._said(), body=b"{}")
 
     def _request(self, exchange: Exchange) -> None:
         headers = dict(exchange.request.headers)
@@ -149,12 +156,13 @@
         if headers.get(header_names.EXPECTED_TARGET, self._plan.name) != self._plan.name:
             exchange.respond(status=HTTPStatus.MISDIRECTED_REQUEST, headers=(), body=b"")
             return
+        self._notes.write(NoteKind.ARRIVED, id=id)
         act = draw(self._faults, random=self._random)
         if act is Act.MUTE:
             return
         if act is Act.SHED or self._slots.full:
             self._notes.write(NoteKind.REFUSED, id=id)
-            refused = ((header_names.NOT_RUN, "1"),)
+            refused = ((header_names.NOT_RUN, "1"), *self._said())
             exchange.respond(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=refused, body=b"")
             return
         # It stands in line from now on, so that the next one to arrive sees it there.
@@ -211,7 +219,7 @@
             exchange.respond(status=HTTPStatus.GATEWAY_TIMEOUT, headers=self._sealed(id), body=b"")
         else:
             self._notes.write(NoteKind.REFUSED, id=id)
-            headers = ((header_names.NOT_RUN, "1"),)
+            headers = ((header_names.NOT_RUN, "1"), *self._said())
             exchange.respond(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers, body=b"")
 
     async def _act(self, exchange: Exchange, headers: dict[str, str], id: str, act: Act) -> None:
@@ -266,7 +274,12 @@
         exchange.finish()
 
     def _sealed(self, id: str) -> Headers:
-        return ((header_names.ID, id), (header_names.SEAL, seal(id, born=self._born)))
+        mark = (header_names.SEAL, seal(id, born=self._born))
+        return ((header_names.ID, id), mark, *self._said())
+
+    def _said(self) -> Headers:
+        """Return what it says of itself in each answer."""
+        return () if self._limit is None else ((header_names.LIMIT, self._limit),)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/src/azureswitch_standins/target/_runs.py
+++ b/src/azureswitch_standins/target/_runs.py
@@ -15,6 +15,7 @@
     STARTED = "it listens"
     LISTED = "its entry is in the store"
     DRAINING = "the store has accepted that it leaves"
+    ARRIVED = "a request that is meant for it arrived"
     RUN = "a request began to run"
     REFUSED = "a request was refused and will not run"
     CALLER_LEFT = "the connection of a request that ran was closed by its caller"
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -145,7 +145,8 @@
                 async with asyncio.timeout(0.05):
                     await send(target)
             await asyncio.sleep(0.05)
-            assert notes.kinds == [NoteKind.RUN, NoteKind.CALLER_LEFT, NoteKind.OVER]
+            kinds = [NoteKind.ARRIVED, NoteKind.RUN, NoteKind.CALLER_LEFT, NoteKind.OVER]
+            assert notes.kinds == kinds
             assert not target.busy
 
         run(scenario, msgspec.structs.replace(PLAN, work=0.2))
