--- a/bench/limits.py
+++ b/bench/limits.py
@@ -178,12 +178,12 @@
         for permits in self._permits:
             permits.set_hosts(names, fleet_hosts=hosts)
         self._names = names
-        self._keeper = self._permits[names.index(self._permits[0].keeper_of(TARGET))]
+        self._owner = self._permits[names.index(self._permits[0].owner_of(TARGET))]
         self._answers: list[tuple[float, int, int]] = []
         self._order = count()
 
     def wants(self, host: int, *, now: float) -> None:
-        """Ask the keeper where no permit is held."""
+        """Ask the owner where no permit is held."""
         self._ask(host, now=now)
 
     def sends(self, host: int, *, now: float) -> bool:
@@ -205,7 +205,7 @@
     def _arrive(self, now: float) -> None:
         while self._answers and self._answers[0][0] <= now:
             at, _, host = heappop(self._answers)
-            grant = self._keeper.grant(TARGET, host=self._names[host], now=at)
+            grant = self._owner.grant(TARGET, host=self._names[host], now=at)
             self._permits[host].answer(TARGET, grant, now=at)
 
 
--- a/src/azureswitch/coordination/sharing/_permits.py
+++ b/src/azureswitch/coordination/sharing/_permits.py
@@ -67,9 +67,9 @@
         peers.handle(PermitReply, self._answered)
 
     def ask(self, effect: AskPermit) -> None:
-        """Ask the keeper of a target."""
+        """Ask the owner of a target."""
         request = PermitRequest(host=self._host, report=pack_limit(effect.report))
-        self._cast(effect.keeper, request)
+        self._cast(effect.owner, request)
 
     def answer(self, effect: AnswerPermit) -> None:
         """Answer a host that has asked."""
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -118,11 +118,11 @@
     """Ask a host for a permit to send to a target; answer by `PermitAnswered`, or never.
 
     Attributes:
-        keeper: The host.
+        owner: The host.
         report: What is known here of the target's limit.
     """
 
-    keeper: HostName
+    owner: HostName
     report: LimitReport
 
 
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -221,7 +221,7 @@
 
 
 class PermitAsked(ServingEvent, frozen=True, kw_only=True):
-    """A peer asks for a permit to send to a target that this host keeps.
+    """A peer asks for a permit to send to a target whose permits this host hands out.
 
     Attributes:
         host: The peer.
@@ -233,12 +233,12 @@
 
 
 class PermitAnswered(ServingEvent, frozen=True, kw_only=True):
-    """The keeper of a target gave this host a permit, or said when to ask again.
+    """The host that hands out the permits of a target gave one, or said when to ask again.
 
     Attributes:
         target: The target.
-        grant: What the keeper said.
-        report: What the keeper knows of the target's limit, or None for nothing.
+        grant: What it said.
+        report: What it knows of the target's limit, or None for nothing.
     """
 
     target: TargetName
--- a/src/azureswitch/serving/_limited.py
+++ b/src/azureswitch/serving/_limited.py
@@ -45,7 +45,7 @@
     for target in state.permits.take_asks():
         report = state.limits.report(target, now=now)
         if report is not None:
-            effects.append(AskPermit(keeper=state.permits.keeper_of(target), report=report))
+            effects.append(AskPermit(owner=state.permits.owner_of(target), report=report))
     return effects
 
 
--- a/src/azureswitch/serving/_permits.py
+++ b/src/azureswitch/serving/_permits.py
@@ -1,9 +1,9 @@
 """Permits to send to targets that name a limit, which one host hands out for each of them.
 
-The host that all others find for a target by hashing, its keeper, spaces the requests of all hosts.
+The host that all others find for a target by hashing, its owner, spaces the requests of all hosts.
 So the sum is kept whatever the number of hosts, also where each has less than one request's share,
 and costs two messages for each permit.  A host without a permit does not send; one that cannot
-reach the keeper leaves the target alone.
+reach the owner leaves the target alone.
 """
 
 from collections import deque
@@ -33,7 +33,7 @@
 """Seconds for which a target that names a limit for the first time gets nothing, at most."""
 
 ASK_TIMEOUT = 0.25
-"""Seconds after which a host asks again where the keeper has not answered."""
+"""Seconds after which a host asks again where the owner has not answered."""
 
 ASKERS_SECONDS = 4.0
 """Seconds for which a host that asked is taken to ask again."""
@@ -49,7 +49,7 @@
 
 
 class _Schedule(Struct, kw_only=True):
-    """What a keeper has given out for a target.
+    """What a owner has given out for a target.
 
     Attributes:
         begins: Before which nothing is given.
@@ -62,8 +62,8 @@
     askers: dict[HostName, float]
 
 
-class Keeper:
-    """Spaces the requests of all hosts at the targets that this host keeps.
+class Allocator:
+    """Spaces the requests of all hosts at the targets whose permits this host hands out.
 
     Args:
         random: The source of the jitter.
@@ -89,7 +89,7 @@
         schedule = self._schedules.get(target)
         if schedule is None:
             first = since + min(FIRST_SECONDS, FIRST_REQUESTS * gap)
-            # What another keeper gave out before may still be used.
+            # What another owner gave out before may still be used.
             begins = max(first, now + min(gap, VALID_LEAST))
             schedule = _Schedule(begins=begins, last=begins - gap, askers={})
             self._schedules[target] = schedule
@@ -134,10 +134,10 @@
     def __init__(self, *, host: HostName, fleet_hosts: int, limits: Limits, random: Random) -> None:
         self._host = host
         self._limits = limits
-        self._keeper = Keeper(random=random)
+        self._allocator = Allocator(random=random)
         self._hosts: tuple[HostName, ...] = (host,)
         self._fleet_hosts = fleet_hosts
-        self._keepers: dict[TargetName, HostName] = {}
+        self._owners: dict[TargetName, HostName] = {}
         self._held: dict[TargetName, deque[_Permit]] = {}
         self._asked: dict[TargetName, float] = {}
         self._paused: dict[TargetName, float] = {}
@@ -147,15 +147,15 @@
         """Note who lives, and how many hosts there may be, those taken for dead included."""
         self._hosts = hosts or (self._host,)
         self._fleet_hosts = max(len(self._hosts), fleet_hosts)
-        self._keepers.clear()
+        self._owners.clear()
 
-    def keeper_of(self, target: TargetName) -> HostName:
+    def owner_of(self, target: TargetName) -> HostName:
         """Return who hands out permits for a target."""
-        keeper = self._keepers.get(target)
-        if keeper is None:
-            keeper = ranked(name=f"limit {target}", hosts=self._hosts)[0]
-            self._keepers[target] = keeper
-        return keeper
+        owner = self._owners.get(target)
+        if owner is None:
+            owner = ranked(name=f"limit {target}", hosts=self._hosts)[0]
+            self._owners[target] = owner
+        return owner
 
     def may_send(self, target: TargetName, *, now: float) -> bool:
         """Return whether a request may be sent to a target at once."""
@@ -171,10 +171,10 @@
             held.popleft()
 
     def want(self, target: TargetName, *, now: float) -> None:
-        """Get a permit: at once where this host is the keeper, and else by asking who is."""
+        """Get a permit: at once where this host is the owner, and else by asking who is."""
         if self._current(target, now=now) or now < self._paused.get(target, 0.0):
             return
-        if self.keeper_of(target) == self._host:
+        if self.owner_of(target) == self._host:
             self.answer(target, self.grant(target, host=self._host, now=now), now=now)
         elif now - self._asked.get(target, -ASK_TIMEOUT) >= ASK_TIMEOUT:
             self._asked[target] = now
@@ -186,19 +186,19 @@
         return asks
 
     def grant(self, target: TargetName, *, host: HostName, now: float) -> Grant:
-        """Decide, as a keeper, whether a host may send to a target."""
+        """Decide, as a owner, whether a host may send to a target."""
         rate = self._limits.rate(target, now=now)
         if rate is None:
             # The asker hears with it that the limit has ended.
             return Grant(valid=VALID_LEAST)
-        if self.keeper_of(target) != self._host:
-            # Whoever asks here will soon know the same hosts as others do, and ask the keeper.
+        if self.owner_of(target) != self._host:
+            # Whoever asks here will soon know the same hosts as others do, and ask the owner.
             return Grant(pause=ASK_TIMEOUT)
         since = self._limits.since(target)
-        return self._keeper.grant(target, rate=rate * self._share, since=since, host=host, now=now)
+        return self._allocator.grant(target, rate=rate * self._share, since=since, host=host, now=now)
 
     def answer(self, target: TargetName, grant: Grant, *, now: float) -> None:
-        """Take the keeper's answer."""
+        """Take the owner's answer."""
         self._asked.pop(target, None)
         if not grant.valid:
             self._paused[target] = now + grant.pause
@@ -218,8 +218,8 @@
     def expire(self, targets: Iterable[TargetName]) -> None:
         """Forget what concerns all targets but these, whose limits are known."""
         kept = set(targets)
-        self._keeper.keep(kept)
-        for known in (self._held, self._asked, self._paused, self._keepers):
+        self._allocator.keep(kept)
+        for known in (self._held, self._asked, self._paused, self._owners):
             for target in known.keys() - kept:
                 del known[target]
 
@@ -227,7 +227,7 @@
     def _share(self) -> float:
         """The part of a rate that the hosts known here may use.
 
-        Those on both sides of a cut each have a keeper.  The side with more than half of all hosts
+        Those on both sides of a cut each have a owner.  The side with more than half of all hosts
         has the whole rate, and a smaller one its own part.
         """
         live = len(self._hosts)
--- a/tests/serving/limits.py
+++ b/tests/serving/limits.py
@@ -246,7 +246,7 @@
         elif isinstance(effect, AskPermit):
             ask = effect
             self._send(
-                name, [ask.keeper], lambda now: PermitAsked(now=now, host=name, report=ask.report)
+                name, [ask.owner], lambda now: PermitAsked(now=now, host=name, report=ask.report)
             )
             self.messages += 1
         elif isinstance(effect, AnswerPermit):
--- a/tests/serving/test_limits.py
+++ b/tests/serving/test_limits.py
@@ -14,7 +14,7 @@
     Limits,
     safe_rate,
 )
-from azureswitch.serving._permits import Keeper, Permits
+from azureswitch.serving._permits import Allocator, Permits
 from azureswitch.serving._starts import Starts
 from tests.serving.limits import World
 
@@ -120,7 +120,7 @@
 
     @pytest.mark.parametrize("count", [1, 3, 4])
     def test_hosts_that_are_cut_off_exceed_the_limit(self, count: int) -> None:
-        """Each is its own keeper then, with its part of the rate alone."""
+        """Each is its own owner then, with its part of the rate alone."""
         world = World(hosts=6, targets=3, seed=3)
         name_limit(world, "e0", 1.0)
 
@@ -264,10 +264,10 @@
 
 
 class TestPermits:
-    """`Permits` and `Keeper`."""
+    """`Permits` and `Allocator`."""
 
-    def test_two_hosts_take_themselves_for_the_keeper(self) -> None:
-        """A host that others take for the keeper by mistake gives nothing out."""
+    def test_two_hosts_take_themselves_for_the_owner(self) -> None:
+        """A host that others take for the owner by mistake gives nothing out."""
         limits = Limits(starts=Starts())
         limits.name(E0, started=0, rate=1.0, now=0.0)
         world = World(hosts=1, targets=1, seed=1)
@@ -284,9 +284,9 @@
     def test_pause_grows_with_the_hosts_that_ask(self) -> None:
         """So that what is asked and refused stays in proportion to what is given out."""
         world = World(hosts=1, targets=1, seed=1)
-        keeper = Keeper(random=world.hosts[HostName("h0")].state.random)
+        owner = Allocator(random=world.hosts[HostName("h0")].state.random)
         pauses = [
-            keeper.grant(E0, rate=1.0, since=0.0, host=HostName(f"h{index}"), now=9.0).pause
+            owner.grant(E0, rate=1.0, since=0.0, host=HostName(f"h{index}"), now=9.0).pause
             for index in range(40)
         ]
         assert max(pauses[2:6]) < min(pauses[-3:])
