--- a/src/azureswitch/serving/_limits.py
+++ b/src/azureswitch/serving/_limits.py
@@ -220,29 +220,38 @@
         now: float,
         own: bool,
     ) -> LimitChange | None:
-        if not self._starts.holds(target, started):
+        """Take what a target said at some time, unless something later is known of its start."""
+        known = self._known(target, started=started)
+        if not self._starts.holds(target, started) or (known is not None and at <= known.at):
             return None
+        self._keep(target, _followed(known, started=started, rate=rate, at=at))
+        before = None if known is None else known.rate
+        if rate == before:
+            return None
+        if own:
+            self._news[target] = None
+        return LimitChange(target=target, rate=rate, before=before, age=max(0.0, now - at))
+
+    def _known(self, target: TargetName, *, started: int) -> _Named | None:
+        """Return what is known of a start of a target; one that does not tell is the same one."""
         known = self._named.get(target)
-        same_start = known is not None and (not started or known.started in (0, started))
-        if known is not None and same_start and at <= known.at:
+        if known is None or (started and known.started not in (0, started)):
             return None
-        before = known.rate if known is not None and same_start else None
-        changed = rate != before
-        since = at
-        if known is not None and same_start and (rate is None) == (known.rate is None):
-            since = known.since
-        ended_rate = 0.0
-        if rate is None:
-            # A host that had not heard of the limit does not know how high it was.
-            ended_rate = (known and (known.rate or known.before)) or UNREADABLE_RATE
+        return known
+
+    def _keep(self, target: TargetName, named: _Named) -> None:
         self._named.pop(target, None)
-        self._named[target] = _Named(
-            started=started, rate=rate, at=at, since=since, before=ended_rate
-        )
+        self._named[target] = named
         if len(self._named) > REMEMBERED_MOST:
             del self._named[next(iter(self._named))]
-        if not changed:
-            return None
-        if own:
-            self._news[target] = None
-        return LimitChange(target=target, rate=rate, before=before, age=max(0.0, now - at))
+
+
+def _followed(known: _Named | None, *, started: int, rate: float | None, at: float) -> _Named:
+    """Return what a target says now, after what it said before."""
+    same = known is not None and (rate is None) == (known.rate is None)
+    since = known.since if known is not None and same else at
+    if rate is not None:
+        return _Named(started=started, rate=rate, at=at, since=since)
+    # A host that had not heard of the limit does not know how high it was.
+    before = (known and (known.rate or known.before)) or UNREADABLE_RATE
+    return _Named(started=started, rate=None, at=at, since=since, before=before)
--- a/src/azureswitch/serving/_permits.py
+++ b/src/azureswitch/serving/_permits.py
@@ -195,7 +195,9 @@
             # Whoever asks here will soon know the same hosts as others do, and ask the owner.
             return Grant(pause=ASK_TIMEOUT)
         since = self._limits.since(target)
-        return self._allocator.grant(target, rate=rate * self._share, since=since, host=host, now=now)
+        return self._allocator.grant(
+            target, rate=rate * self._share, since=since, host=host, now=now
+        )
 
     def answer(self, target: TargetName, grant: Grant, *, now: float) -> None:
         """Take the owner's answer."""
