Give the spreading of long prompts a module of its own

Callers see nothing of it. Measured: the tests of serving and of the benchmarks, the type checker and the linter.

--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -20,7 +20,7 @@
 from azureswitch.serving._events import Call
 from azureswitch.serving._fleet import Pool
 from azureswitch.serving._length import Level, level_of
-from azureswitch.serving._placement import MOST_PARTS
+from azureswitch.serving._spreading import MOST_PARTS
 from azureswitch.serving._state import ServingState
 from azureswitch.serving._target import TargetState
 
