--- a/src/azureswitch/gateway/_hearing.py
+++ b/src/azureswitch/gateway/_hearing.py
@@ -35,7 +35,7 @@
 
     def hear_answer(self, target: Target, verdict: Verdict, *, request: str, sent: float) -> None:
         """Take the answer to a request that was sent at some time."""
-        self.hear_order(target, verdict, order=request)
+        self.hear(target, verdict, id=request)
         # A refusal may come from what stands before the target's program.
         silent = verdict.limit is None and not verdict.not_run
         if silent and self._limited(target.name):
@@ -45,11 +45,17 @@
                 )
             )
 
-    def hear_order(self, target: Target, verdict: Verdict, *, order: str) -> None:
-        """Take the answer to an order; one that names no limit does not end it."""
+    def hear(self, target: Target, verdict: Verdict, *, id: str) -> None:
+        """Take what an answer says, as that to an order, which does not end a limit.
+
+        Args:
+            target: Who answers.
+            verdict: What the head of the answer says.
+            id: The request or the order, for the log.
+        """
         if verdict.leaving:
             # The store may say so much later.
-            self._log.write(TargetLeaves(id=order, target=target.name))
+            self._log.write(TargetLeaves(id=id, target=target.name))
             self._dispatch(
                 TargetLeaving(now=self._clock(), target=target.name, started=target.started)
             )
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -20,11 +20,7 @@
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
 from azureswitch.gateway._hearing import Hearing
-from azureswitch.gateway._log import (
-    AttemptOver,
-    AttemptSent,
-    TargetSilent,
-)
+from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetSilent
 from azureswitch.gateway._model import Helper, RouteKind, Sending, Verdict
 from azureswitch.gateway._patience import Patience
 from azureswitch.gateway._ports import Dialect
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -218,7 +218,7 @@
 
     def hear_order(self, target: Target, head: HttpHead, *, order: str) -> None:
         """Take what a target says of itself in the answer to an order."""
-        self._hearing.hear_order(target, self._dialect.judge(head), order=order)
+        self._hearing.hear(target, self._dialect.judge(head), id=order)
 
     def begin_shutdown(self, *, until: float) -> None:
         """Begin nothing more that cannot end by a moment of the monotonic clock."""
