Name the queue of a call, and the refusal for want of a permit, in one place each

The two callers of end_limited made the same refusal before they called it; limit_refusal looked up the pool that its caller had. The soak and the benchmark of ways had the bounds of the rule twice. Two tests built a fleet for a source of chance.

--- a/bench/soak/_limits.py
+++ b/bench/soak/_limits.py
@@ -6,6 +6,7 @@
 from time import monotonic
 
 from azureswitch_standins.target import NoteKind
+from bench.limits import BURST, SLACK, WINDOW
 from bench.soak._fleet import WORK, Fleet, Target
 from bench.soak._moments import moments
 from bench.soak._records import Records, Window
@@ -22,11 +23,6 @@
 SETTLE = 3.0
 """Seconds after a target first named its limit from which on it must be kept."""
 
-WINDOW = 4.0
-SLACK = 1.5
-BURST = 5.0
-"""In `WINDOW` seconds `SLACK` times what the limit allows may arrive, and `BURST` more."""
-
 
 def subject(target: str) -> str:
     """Return how the spans of a target's limits are told from its faults."""
--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -67,7 +67,7 @@
     targets = [] if pool is None else state.fleet.states(pool)
     if pool is None or not any(target.usable(now) for target in targets):
         return NoTargetError(seconds=_jittered(state, _until_usable(targets, now=now)))
-    limited = limit_refusal(state, call, now=now)
+    limited = limit_refusal(state, call, pool, now=now)
     if limited is not None:
         return limited
     long = level_of(call, state.rules) is not Level.SHORT
@@ -138,7 +138,7 @@
     The host's part of the pool is shared among the customers that wait, by weight, so that a
     customer with many calls waits behind its own.
     """
-    lane = lane_for(call, state.rules)
+    lane = lane_for(call, level)
     waiting = set(state.queue.customers(lane))
     if not waiting:
         return 0.0
--- a/src/azureswitch/serving/_allowed.py
+++ b/src/azureswitch/serving/_allowed.py
@@ -3,10 +3,9 @@
 from math import inf
 
 from azureswitch.exceptions import LimitReachedError
-from azureswitch.inventory import Rules
 from azureswitch.serving._events import Call
 from azureswitch.serving._fleet import Pool
-from azureswitch.serving._length import level_of
+from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._retries import hold_seconds
 from azureswitch.serving._state import ServingState
@@ -65,21 +64,20 @@
     return state.limits.unheard(target.target.name, now=now) > UNHEARD_SECONDS
 
 
-def limit_refusal(state: ServingState, call: Call, *, now: float) -> LimitReachedError | None:
+def limit_refusal(
+    state: ServingState, call: Call, pool: Pool, *, now: float
+) -> LimitReachedError | None:
     """Return why a call that arrives is refused, where all targets for it name limits.
 
     It waits only where a permit may come in time, and for each customer no more calls do than may
     get one: the one that sends most would take all the places.
     """
-    pool = state.fleet.pool(service=call.service, model=call.model)
-    if pool is None or not state.limits.any:
+    if not all_limited(state, pool, now=now):
         return None
     rate = _whole_rate(state, pool, now=now)
-    if rate == inf:
-        return None
     hold = hold_seconds(call)
     wait = seconds_until_permitted(state, pool, now=now)
-    lane = lane_for(call, state.rules)
+    lane = lane_for(call, level_of(call, state.rules))
     places = 1 + int(rate * hold / state.fairness.hosts)
     if wait <= hold and state.queue.count(lane, call.customer) < places:
         return None
@@ -112,9 +110,9 @@
     return min(waits, default=0.0)
 
 
-def lane_for(call: Call, rules: Rules) -> Lane:
-    """Return the queue that a call waits in."""
-    return Lane(service=call.service, model=call.model, level=level_of(call, rules))
+def lane_for(call: Call, level: Level) -> Lane:
+    """Return the queue that a call waits in, whose prompt is so long."""
+    return Lane(service=call.service, model=call.model, level=level)
 
 
 def _whole_rate(state: ServingState, pool: Pool, *, now: float) -> float:
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -10,7 +10,7 @@
     RetriesExhaustedError,
     TargetBrokenError,
 )
-from azureswitch.serving._allowed import all_limited, count_held_back
+from azureswitch.serving._allowed import all_limited, count_held_back, lane_for
 from azureswitch.serving._choice import Choice
 from azureswitch.serving._digests import TargetStart
 from azureswitch.serving._effects import (
@@ -51,7 +51,7 @@
 
 def lane_of(record: CallRecord) -> Lane:
     """Return the queue that a call waits in."""
-    return Lane(service=record.call.service, model=record.call.model, level=record.level)
+    return lane_for(record.call, record.level)
 
 
 def dispatch(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
--- a/src/azureswitch/serving/_giving_up.py
+++ b/src/azureswitch/serving/_giving_up.py
@@ -8,7 +8,6 @@
     DeadlineUnreachableError,
     HostStoppedError,
     LeavingError,
-    LimitReachedError,
     NoTargetError,
     OutcomeLostError,
     QuarantinedError,
@@ -34,11 +33,9 @@
     return _refuse(state, record, QuarantinedError(seconds=seconds), now=now)
 
 
-def end_limited(
-    state: ServingState, record: CallRecord, error: LimitReachedError, *, now: float
-) -> list[Effect]:
+def end_limited(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """End a call that gets no permit in time where all targets for it name limits."""
-    return _refuse(state, record, error, now=now)
+    return _refuse(state, record, limit_reached(state, record.pool, now=now), now=now)
 
 
 def _refuse(
@@ -65,7 +62,7 @@
     if record.may_have_run:
         return give_up(state, record, now=now)
     if all_limited(state, record.pool, now=now):
-        return end_limited(state, record, limit_reached(state, record.pool, now=now), now=now)
+        return end_limited(state, record, now=now)
     error = DeadlineUnreachableError(seconds=backoff(5, random=state.random))
     return finish(state, record, error=error, outcome=ClaimOutcome.NOT_RUN, now=now)
 
--- a/src/azureswitch/serving/_limited.py
+++ b/src/azureswitch/serving/_limited.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from azureswitch.core import Effect
-from azureswitch.serving._allowed import all_limited, limit_reached, seconds_until_permitted
+from azureswitch.serving._allowed import all_limited, seconds_until_permitted
 from azureswitch.serving._attempts import drain_all
 from azureswitch.serving._digests import LimitReport
 from azureswitch.serving._effects import AnnounceLimit, AnswerPermit, AskPermit
@@ -70,8 +70,7 @@
     effects += drain_all(state, now=now)
     for record in list(state.calls.values()):
         if record.phase is Phase.WAITING and _in_vain(state, record, now=now):
-            error = limit_reached(state, record.pool, now=now)
-            step = partial(end_limited, state, record, error, now=now)
+            step = partial(end_limited, state, record, now=now)
             effects += decide(state, record, step, now=now)
     return effects
 
--- a/src/azureswitch/serving/_permits.py
+++ b/src/azureswitch/serving/_permits.py
@@ -186,7 +186,7 @@
         return asks
 
     def grant(self, target: TargetName, *, host: HostName, now: float) -> Grant:
-        """Decide, as a owner, whether a host may send to a target."""
+        """Decide, as an owner, whether a host may send to a target."""
         rate = self._limits.rate(target, now=now)
         if rate is None:
             # The asker hears with it that the limit has ended.
--- a/tests/serving/test_limits.py
+++ b/tests/serving/test_limits.py
@@ -1,5 +1,7 @@
 """The limits that targets name, kept by all hosts together."""
 
+from random import Random
+
 import pytest
 
 from azureswitch.core import HostName, TargetName
@@ -270,8 +272,7 @@
         """A host that others take for the owner by mistake gives nothing out."""
         limits = Limits(starts=Starts())
         limits.name(E0, started=0, rate=1.0, now=0.0)
-        world = World(hosts=1, targets=1, seed=1)
-        random = world.hosts[HostName("h0")].state.random
+        random = Random(1)
         names = tuple(HostName(f"h{index}") for index in range(4))
         every = [Permits(host=name, fleet_hosts=4, limits=limits, random=random) for name in names]
         for permits in every:
@@ -283,8 +284,7 @@
 
     def test_pause_grows_with_the_hosts_that_ask(self) -> None:
         """So that what is asked and refused stays in proportion to what is given out."""
-        world = World(hosts=1, targets=1, seed=1)
-        owner = Allocator(random=world.hosts[HostName("h0")].state.random)
+        owner = Allocator(random=Random(1))
         pauses = [
             owner.grant(E0, rate=1.0, since=0.0, host=HostName(f"h{index}"), now=9.0).pause
             for index in range(40)
