Print what the soak knows of a call at which a promise was broken

The calls that broken promises name now follow with their targets, their hosts' log lines and the faults near them.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -148,6 +148,8 @@
     # Where only the end of the output is kept, it still names what was broken.
     for result in broken:
         print(f"seed {result.seed}:")
+        for line in result.traces:
+            print(f"    {line}")
         _print_broken(result)
 
 
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -251,6 +251,16 @@
         """The store as operators reach it."""
         return HttpStore(address=self.store_proxy.address, timeout=CONTROL_TIMEOUT)
 
+    @property
+    def unstarted(self) -> tuple[str, ...]:
+        """The processes that `start` still waits for; targets count as such until listed."""
+        if not self.targets:
+            return ("the store",)
+        unlisted = [target.plan.name for target in self.targets if not target.listed.is_set()]
+        if unlisted or self.hosts:
+            return tuple(unlisted)
+        return ("the hosts",)
+
     async def start(self) -> None:
         """Start the store and all targets, and then the hosts."""
         hosts, engines, desks = self._sizes
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -25,6 +25,7 @@
 from bench.soak._platform import Platform
 from bench.soak._records import EVERYWHERE, Records, Window
 from bench.soak._restarts import Restarts
+from bench.soak._trace import trace
 
 SETTLE_SECONDS = 5.0
 """Seconds of calm before everything must be served again."""
@@ -97,6 +98,7 @@
         faults: Faults by kind.
         broken: A line for each broken promise.
         crossed: Requests that crossed a close unread, and those of them that may not repeat.
+        traces: Lines on the calls that broken promises name.
     """
 
     seed: int
@@ -105,6 +107,7 @@
     faults: Counter[str]
     broken: tuple[str, ...]
     crossed: tuple[int, int] = (0, 0)
+    traces: tuple[str, ...] = ()
 
 
 async def run(plan: Plan, *, folder: Path) -> Result:
@@ -128,9 +131,10 @@
     platform = Platform(fleet=fleet, records=records)
     tasks: list[asyncio.Task[None]] = []
     try:
-        async with asyncio.timeout(START_SECONDS):
-            await fleet.start()
-            await platform.change()
+        if not await _started(fleet, platform):
+            return Result(
+                seed=plan.seed, calls=0, served=0, faults=Counter(), broken=(_unstarted(fleet),)
+            )
         tasks += [asyncio.create_task(job()) for job in (platform.reap, platform.look)]
         tasks.append(asyncio.create_task(notice_stalls(records)))
         await platform.until_ready(seconds=START_SECONDS, say=records.findings.append)
@@ -140,6 +144,7 @@
             task.cancel()
         await fleet.stop()
     broken = check(records)
+    traces = trace(broken, records=records, logs=[host.log for host in fleet.hosts])
     (folder / "findings.txt").write_text("\n".join(broken), encoding="utf-8")
     (folder / "records.json").write_bytes(msgspec.json.encode(records, enc_hook=repr))
     return Result(
@@ -149,9 +154,27 @@
         faults=Counter(window.kind for window in records.windows),
         broken=tuple(broken),
         crossed=crossed(records),
+        traces=traces,
     )
 
 
+async def _started(fleet: Fleet, platform: Platform) -> bool:
+    """Start all processes, and return whether they started in time."""
+    try:
+        async with asyncio.timeout(START_SECONDS):
+            await fleet.start()
+            await platform.change()
+    except TimeoutError:
+        return False
+    return True
+
+
+def _unstarted(fleet: Fleet) -> str:
+    """Return the line of a run whose processes did not start in time."""
+    waited = ", ".join(fleet.unstarted) or "the store, for the first configuration"
+    return f"START: after {START_SECONDS:g} s still waited for {waited}"
+
+
 async def _play(plan: Plan, fleet: Fleet, platform: Platform, records: Records) -> None:
     faults = Faults(fleet=fleet, platform=platform, records=records, seed=plan.seed)
     planned = Planned(
