Leave tasks that do not end with a host as they are, and run nothing of them afterwards

A host that stopped beside much else told of errors of its own after its last answer: three of its loops had not ended within the time that they are given, and as the program let go of them, their clean-up ran on the event loop that was closed already. Callers saw nothing of it.

The tasks are kept until the process ends, which it does at once.

--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -39,6 +39,9 @@
 
 NOT_TOLD: Mapping[int, float] = MappingProxyType({})
 
+_left: list[asyncio.Task[object]] = []
+"""Tasks that had not ended with the program; collected, they would run on with no event loop."""
+
 
 def run(*, callers: socket | None = None, told: Mapping[int, float] = NOT_TOLD) -> NoReturn:
     """Run an edge process, and end it by the code that `main` returns.
@@ -103,6 +106,7 @@
         asyncio.set_event_loop(loop)
         loop.run_until_complete(work)
     finally:
+        _left.extend(asyncio.all_tasks(loop))
         loop.close()
 
 
--- a/tests/platform/test_end.py
+++ b/tests/platform/test_end.py
@@ -42,6 +42,28 @@
         run_to_end(work())
         assert ended == ["willing"]
 
+    def test_no_clean_up_on_a_closed_loop(self, caplog: pytest.LogCaptureFixture) -> None:
+        """What a task that is left behind would still do runs on no event loop that is closed."""
+        cleaned: list[str] = []
+
+        async def work() -> None:
+            task = asyncio.create_task(_slow_to_end(cleaned), name="slow")
+            await asyncio.sleep(0.0)
+            await end_tasks([task], prefix="test", timeout=0.0)
+
+        run_to_end(work())
+        gc.collect()
+        assert not cleaned
+        assert not [record for record in caplog.records if record.levelname == "ERROR"]
+
+
+async def _slow_to_end(cleaned: list[str]) -> None:
+    """Take longer to end than a process does, and then some more."""
+    try:
+        await go_on()
+    finally:
+        cleaned.append("slow")
+
 
 def test_what_is_loaded_is_no_part_of_collections(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
