Let an answer that has begun go on though news says that its target has started again

Callers of long streams had their answers broken off in the middle at a host and at engines that all worked.

So news alone only moves attempts that have no output yet.

Ruled out: choosing to call off only where room is found at once, as memory was found and still refused.

--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -142,7 +142,6 @@
         cached_tokens=choice.cached_tokens,
         priority=level,
         alone=not choice.wait and not choice.running and len(choice.targets) == 1,
-        holders=_holders(choice),
         start=state.starts.of(choice.targets[0]),
     )
     record.attempts[attempt.number] = attempt
@@ -177,18 +176,6 @@
     ]
 
 
-def _holders(choice: Choice) -> tuple[TargetName, ...]:
-    """Return the targets that hold the memory of an attempt: the first, and where it is set aside.
-
-    Engines whose pace is not published hold what they read.
-    """
-    if not choice.occupancies:
-        return choice.targets
-    first, *others = choice.targets
-    held = (name for name, tokens in zip(others, choice.reserved[1:], strict=False) if tokens)
-    return (first, *held)
-
-
 def _set_ageing(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> None:
     state.timers.set(
         at=now + ageing_period(record.cost.prefill),
--- a/src/azureswitch/serving/_removal.py
+++ b/src/azureswitch/serving/_removal.py
@@ -33,7 +33,7 @@
     if not _finds_target(state, record, attempt, now=now):
         return []
     effects = cancel(state, record, number)
-    if attempt.targets[0] not in attempt.restarted:
+    if not attempt.restarted:
         mark_failed(state, record, attempt.targets[0], now=now)
     if record.attempts:
         return effects
@@ -67,12 +67,12 @@
 def resend(state: ServingState, targets: frozenset[TargetName], *, now: float) -> list[Effect]:
     """Start the attempts at targets that have started again anew, there or elsewhere.
 
-    A call that may not repeat stays, and so does one for which no further try is permitted: its
-    connection tells the truth, whenever the new start was told.  Of a process that was ended it
-    breaks off by itself, at once, and then the call counts as maybe run.  Told late, by a store
-    that is slow or down, the attempt may have reached the start that runs now, and its answer
-    comes.  Only the connection to a machine that is gone stays silent; its call ends at its
-    deadline.
+    A call that may not repeat stays, and so does one for which no further try is permitted or
+    whose answer has begun: its connection tells the truth, whenever the new start was told.  Of a
+    process that was ended it breaks off by itself, at once.  Told late, by a store that is slow or
+    down, the attempt may have reached the start that runs now, and its answer comes.  Only the
+    connection to a machine that is gone stays silent, which is noticed as any silence is; a call
+    that may not repeat ends at its deadline.
     """
     return _for_each(state, partial(_resend, targets=targets), now=now)
 
@@ -159,9 +159,14 @@
 
 
 def _finds_target(state: ServingState, record: CallRecord, attempt: Attempt, *, now: float) -> bool:
-    """Return whether a call would be sent at once, and not to the target that answers now."""
+    """Return whether a call would be sent at once, and not to the target that answers now.
+
+    Where one of its targets has started again, that explains the silence, and all may be used.
+    """
     if any(True for _ in state.queue.customers(lane_of(record))):
         return False
+    if attempt.restarted:
+        return choose(state, record, now=now) is not None
     left_out = set(attempt.targets) - record.failed
     record.failed.update(left_out)
     choice = choose(state, record, now=now)
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -69,7 +69,6 @@
         cached_tokens: Tokens that were expected to be cached there.
         priority: Smaller runs first.
         alone: Whether its target had nothing else to do.
-        holders: Those of its targets that hold its memory until its end.
         start: The start of the first target that it was sent to, or zero where none is told.
         first_token: When its first token came, or None.
         restarted: Those of its targets that have started again since.
@@ -82,7 +81,6 @@
     cached_tokens: int
     priority: int
     alone: bool
-    holders: tuple[TargetName, ...]
     start: int = 0
     first_token: float | None = None
     restarted: set[TargetName] = field(default_factory=set)
@@ -96,12 +94,12 @@
 
     @property
     def lost(self) -> bool:
-        """Whether a target that it cannot do without has started again.
+        """Whether a target that is to read its prompt has started again.
 
-        One that holds none of its memory is needed for reading the prompt alone.
+        Once output has come, its connection tells: such news may be late, and the attempt may run
+        at the new start.
         """
-        needed = self.targets if self.first_token is None else self.holders
-        return not self.restarted.isdisjoint(needed)
+        return self.first_token is None and bool(self.restarted)
 
 
 class CallRecord(Struct, kw_only=True):
