Wait for memory that a request's earlier attempt is giving back, and free it everywhere at once

The orders also went out one after the other, so that an engine that does not answer kept the memory on all others set aside for 0.6 s each.

An attempt now waits for the orders of earlier attempts of the same request, 0.2 s at most, and for nobody else's: hosts that wait for each other's memory could wait for ever.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -346,6 +346,7 @@
     return {
         target.name: Ticket(
             id=f"{effect.call}-{effect.attempt}",
+            call=effect.call,
             target=target.name,
             started=target.started,
             address=target.address,
--- a/src/azureswitch/gateway/_tickets.py
+++ b/src/azureswitch/gateway/_tickets.py
@@ -12,7 +12,7 @@
 from absl import logging
 from msgspec import Struct
 
-from azureswitch.core import TargetName
+from azureswitch.core import CallId, TargetName
 from azureswitch.exceptions import TargetError
 from azureswitch.gateway._ports import Reservations
 from azureswitch.tasks import Tasks
@@ -24,11 +24,16 @@
 """Seconds between two renewals, so that one may be lost."""
 
 
+RELEASE_SECONDS = 0.2
+"""Seconds for which an attempt waits for what earlier ones of its call held to be free, at most."""
+
+
 class Ticket(Struct, frozen=True, kw_only=True):
     """Memory set aside on one engine.
 
     Attributes:
         id: Its id, unique over all hosts.
+        call: The request that needs it.
         target: The engine.
         started: Its start, in milliseconds of its wall clock, or zero where it does not say.
         address: ``IP:PORT`` of the engine.
@@ -36,6 +41,7 @@
     """
 
     id: str
+    call: CallId
     target: TargetName
     started: int
     address: str
@@ -54,6 +60,7 @@
         self._reservations = reservations
         self._started = started
         self._tasks = Tasks(prefix="tickets")
+        self._releases: dict[CallId, set[asyncio.Task[None]]] = {}
         self._held = 0
 
     @property
@@ -71,7 +78,8 @@
         """Hold memory for as long as the block runs.
 
         Nothing waits for memory that others hold: two hosts that each have a part of what the
-        other one needs would wait for ever.
+        other one needs would wait for ever.  What earlier attempts of the same request held is
+        about to be free, and is waited for.
 
         Raises:
             TargetError: An engine has no room or does not answer; nothing is held then.
@@ -83,6 +91,7 @@
         renewals: asyncio.Task[None] | None = None
         self._held += len(wanted)
         try:
+            await self._until_released(wanted)
             await self._reserve(wanted)
             renewals = asyncio.create_task(self._renew(wanted))
             yield
@@ -91,7 +100,25 @@
             if renewals is not None:
                 renewals.cancel()
             # In the background, since the block may be left because its task is called off.
-            self._tasks.spawn(self._release(wanted), name="release")
+            self._give_back(wanted)
+
+    async def _until_released(self, tickets: tuple[Ticket, ...]) -> None:
+        """Wait a moment until memory that earlier attempts of the same request held is free."""
+        before = [task for ticket in tickets for task in self._releases.get(ticket.call, ())]
+        if before:
+            await asyncio.wait(set(before), timeout=RELEASE_SECONDS)
+
+    def _give_back(self, tickets: tuple[Ticket, ...]) -> None:
+        call = tickets[0].call
+        task = self._tasks.spawn(self._release(tickets), name="release")
+        self._releases.setdefault(call, set()).add(task)
+        task.add_done_callback(lambda done: self._forget(call, done))
+
+    def _forget(self, call: CallId, task: asyncio.Task[None]) -> None:
+        under_way = self._releases[call]
+        under_way.discard(task)
+        if not under_way:
+            del self._releases[call]
 
     async def _reserve(self, tickets: tuple[Ticket, ...]) -> None:
         results = await asyncio.gather(
@@ -124,9 +151,12 @@
         return not 0 < ticket.started < self._started(ticket.target)
 
     async def _release(self, tickets: tuple[Ticket, ...]) -> None:
-        for ticket in tickets:
-            try:
-                await self._reservations.release(address=ticket.address, ticket=ticket.id)
-            except TargetError as error:
-                # It is free after `HOLD_SECONDS` all the same.
-                logging.info("tickets: Ticket %s was not released: %s", ticket.id, error)
+        """Free memory on all engines at once; one that does not answer holds up no other."""
+        await asyncio.gather(*map(self._release_one, tickets))
+
+    async def _release_one(self, ticket: Ticket) -> None:
+        try:
+            await self._reservations.release(address=ticket.address, ticket=ticket.id)
+        except TargetError as error:
+            # It is free after `HOLD_SECONDS` all the same.
+            logging.info("tickets: Ticket %s was not released: %s", ticket.id, error)
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -11,7 +11,7 @@
 from azureswitch.client import Headers, HttpAnswer, HttpClient
 from azureswitch.coordination.membership import Member
 from azureswitch.core import CustomerName, HostName, PlaceName, ServiceName, TargetName
-from azureswitch.exceptions import AzureswitchError, TargetError
+from azureswitch.exceptions import AzureswitchError, TargetError, TargetRefusedError
 from azureswitch.gateway import (
     Deployment,
     Gateway,
@@ -224,6 +224,9 @@
         return [entry.sentence for entry in self.entries if entry.request == request]
 
 
+FOREVER = 3_600.0
+
+
 class FakeReservations:
     """Engines' memory, which is counted.
 
@@ -232,6 +235,8 @@
         asked: How often memory was asked for.
         delay: Seconds that freeing it takes.
         failing: How engines fail, by their address.
+        room: Tokens for which an engine has room, or None for any.
+        deaf: Addresses of engines that never answer a release.
     """
 
     def __init__(self) -> None:
@@ -239,17 +244,23 @@
         self.asked = 0
         self.delay = 0.0
         self.failing: dict[str, type[TargetError]] = {}
+        self.room: int | None = None
+        self.deaf: set[str] = set()
 
     async def reserve(self, *, address: str, ticket: str, tokens: int, seconds: float) -> None:
         """Set memory aside."""
         self.asked += 1
         if address in self.failing:
             raise self.failing[address](target=address)
+        here = {id: n for (where, id), n in self.held.items() if where == address}
+        others = sum(n for id, n in here.items() if id != ticket)
+        if self.room is not None and others + tokens > self.room:
+            raise TargetRefusedError(target=address)
         self.held[address, ticket] = tokens
 
     async def release(self, *, address: str, ticket: str) -> None:
         """Free it."""
-        await asyncio.sleep(self.delay)
+        await asyncio.sleep(FOREVER if address in self.deaf else self.delay)
         self.held.pop((address, ticket), None)
 
 
--- a/tests/gateway/test_starts.py
+++ b/tests/gateway/test_starts.py
@@ -5,7 +5,7 @@
 import pytest
 from msgspec.structs import replace
 
-from azureswitch.core import TargetName
+from azureswitch.core import CallId, TargetName
 from azureswitch.gateway._log import TargetsChanged
 from azureswitch.gateway._tickets import RENEW_SECONDS, Ticket, Tickets
 from azureswitch_standins.clock import run_virtual
@@ -88,7 +88,14 @@
         async def scenario() -> None:
             tickets = Tickets(reservations=reservations, started=starts.__getitem__)
             wanted = [
-                Ticket(id="c1-1", target=name, started=held, address=name, tokens=9)
+                Ticket(
+                    id="c1-1",
+                    call=CallId("c1"),
+                    target=name,
+                    started=held,
+                    address=name,
+                    tokens=9,
+                )
                 for name in starts
             ]
             async with tickets.hold(wanted):
