Take the failure of a watch that ends as its host stops

A host that stopped while the store reset its connections told of an error of its own, 'Task exception was never retrieved': the loop that follows the store was cancelled, and its watch failed before it was ended as well. Where the cancellation came while the first of two tasks was ended, the other one also ran on.

Both are called off before either is waited for, and a failure is taken wherever it comes.

--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 from random import Random
+from typing import Any
 
 from absl import logging
 
@@ -173,9 +174,7 @@
         try:
             await wait((watch, due), return_when=FIRST_COMPLETED)
         finally:
-            await _end(due)
-            if not watch.done():
-                await _end(watch)
+            await _end(due, watch)
         if watch.cancelled():
             return False
         watch.result()
@@ -275,16 +274,26 @@
         self._tasks.spawn(self._ask_peers(effect), name=f"copy of {self._kind}")
 
 
-async def _end(task: Task[object] | Task[None]) -> None:
-    """Cancel a task and wait for its end, without the failure of a store that is given up.
+async def _end(*tasks: Task[Any]) -> None:
+    """Cancel tasks and wait for their end, without the failure of a store that is given up.
 
-    To await the task itself would take a cancellation of the caller for the task's own, and the
-    loop that calls this would go on: a process told to stop would not end.
+    To await a task itself would take a cancellation of the caller for the task's own, and the loop
+    that calls this would go on: a process told to stop would not end.
     """
-    task.cancel()
-    await wait((task,))
-    if not task.cancelled() and not isinstance(task.exception(), StoreError):
-        task.result()
+    for task in tasks:
+        task.add_done_callback(_take_failure)
+        task.cancel()
+    await wait(tasks)
+    for task in tasks:
+        if not task.cancelled() and not isinstance(task.exception(), StoreError):
+            task.result()
+
+
+def _take_failure(task: Task[Any]) -> None:
+    """Take a task's failure, which has nobody else to take it where its caller was cancelled."""
+    error = None if task.cancelled() else task.exception()
+    if error is not None and not isinstance(error, StoreError):
+        logging.error("mirror: Task %s failed.", task.get_name(), exc_info=error)
 
 
 def _now() -> float:
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -1,6 +1,7 @@
 """Copies of the store's objects: never older, whole again after trouble, and cheap to keep."""
 
 import asyncio
+import gc
 from collections.abc import Iterable
 from itertools import permutations
 from typing import Any
@@ -459,6 +460,29 @@
 
         run_virtual(run())
 
+    @pytest.mark.parametrize("turns", range(6))
+    def test_watch_failure_told_as_a_fault_of_the_program(self, turns: int) -> None:
+        """A watch that fails in whatever turn of the loop around the end leaves no failure over."""
+        told: list[str] = []
+
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: told.append(context["message"]))
+            store = StoreFake()
+            mirror = mirror_beside(CopyPeers(**ALONE), store=store)
+            running = asyncio.create_task(mirror.run())
+            await asyncio.sleep(FIRST_WATCH_SECONDS / 2.0)
+            store.faults = StoreFaults(down=True)
+            for _ in range(turns):
+                await asyncio.sleep(0.0)
+            running.cancel()
+            await asyncio.wait([running])
+            # What failed with nobody to take it is told as its task is collected.
+            gc.collect()
+
+        run_virtual(run())
+        assert not told
+
 
 class TestHosts:
     """Copies of several hosts over a store that fails some of them."""
