Count the targets left aside for their limits before a send takes its own permit

The log line of a send, 'Attempt sent.', counted the chosen target itself among those that were left aside where it names a limit and had no second permit, so that on-call engineers saw a target held back that had just been used. Both cases of the test failed before.

--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -151,6 +151,7 @@
     else:
         state.fleet.add(choice.targets, work=choice.work, now=now)
     state.fairness.serve(call.customer, choice.work.seconds * len(choice.targets))
+    held_back = count_held_back(state, record.pool, now=now)
     for target in choice.targets:
         state.affinity.sent(target, call.prefix)
         state.permits.take(target, now=now)
@@ -171,7 +172,7 @@
             accounts=state.ledger.accounts,
             first_patience=silence.first,
             gap_patience=silence.gap,
-            held_back=count_held_back(state, record.pool, now=now),
+            held_back=held_back,
         )
     ]
 
--- a/tests/serving/limits.py
+++ b/tests/serving/limits.py
@@ -76,10 +76,12 @@
     Attributes:
         limits: The limits that they name now.
         times: When requests arrived at each.
+        left_aside: How many were left aside for their limits, by each send.
     """
 
     limits: dict[TargetName, float] = field(default_factory=dict)
     times: dict[TargetName, list[float]] = field(default_factory=dict)
+    left_aside: list[int] = field(default_factory=list)
 
 
 class World:
@@ -274,6 +276,7 @@
 
     def _start(self, name: HostName, effect: StartAttempt) -> None:
         sent = self.now
+        self.targets.left_aside.append(effect.held_back)
         for target in effect.targets:
             self.targets.times.setdefault(target, []).append(self.now)
 
--- a/tests/serving/test_limits.py
+++ b/tests/serving/test_limits.py
@@ -68,6 +68,17 @@
         assert all(isinstance(answer.error, LimitReachedError) for answer in refused)
         assert all(answer.over - answer.arrived <= 0.6 for answer in refused)
 
+    @pytest.mark.parametrize(("targets", "most"), [(1, 0), (2, 1)])
+    def test_chosen_target_counted_as_left_aside(self, targets: int, most: int) -> None:
+        """What a send tells of targets left aside does not count those that it goes to."""
+        world = World(hosts=1, targets=targets, seed=1)
+        for number in range(targets):
+            name_limit(world, f"e{number}", 1.0, at=0.0)
+        world.load(rate=6.0, start=0.0, seconds=END)
+        world.run(END + 1.0)
+        assert len(world.targets.left_aside) >= 10
+        assert max(world.targets.left_aside) == most
+
     def test_sum_of_the_largest_fleet(self) -> None:
         """420 hosts keep to one request a second, and use most of it."""
         world = World(hosts=420, targets=2, seed=1)
