--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -267,8 +267,8 @@
     def _run_announce_quarantine(self, effect: AnnounceQuarantine) -> None:
         logging.warning(
             "entry: Targets crashed under a request of %s, which is %s.",
-            effect.report.customer,
-            "answered and sent again" if effect.ended else "sent to no more of them",
+            effect.change.report.customer,
+            "answered and sent again" if effect.change.ended else "sent to no more of them",
         )
 
     @_run.register
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -292,14 +292,14 @@
 
     @_run.register
     def _(self, effect: AnnounceQuarantine) -> None:
-        report = effect.report
-        kind = QuarantineEnded if effect.ended else RequestQuarantined
+        report = effect.change.report
+        kind = QuarantineEnded if effect.change.ended else RequestQuarantined
         self._log.write(
             kind(
                 customer=report.customer,
                 fingerprint=report.fingerprint[:LOGGED_DIGITS],
                 targets=",".join(start.target for start in report.crashes),
-                seen_here=effect.keep,
+                seen_here=effect.change.keep,
             )
         )
         self._publish(effect)
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -266,10 +266,11 @@
 
     @_publish.register
     def _(self, effect: AnnounceQuarantine) -> None:
-        if effect.keep and effect.ended:
-            self._quarantine.remove(effect.report)
-        elif effect.keep:
-            self._quarantine.keep(effect.report)
+        change = effect.change
+        if change.keep and change.ended:
+            self._quarantine.remove(change.report)
+        elif change.keep:
+            self._quarantine.keep(change.report)
 
     @_publish.register
     def _(self, effect: AskPermit) -> None:
--- a/src/azureswitch/serving/_crashes.py
+++ b/src/azureswitch/serving/_crashes.py
@@ -27,7 +27,6 @@
 from azureswitch.core import CustomerName, HostName
 from azureswitch.hashing import ranked
 from azureswitch.serving._digests import CrashReport, TargetStart
-from azureswitch.serving._effects import AnnounceQuarantine
 from azureswitch.serving._events import Call
 
 NO_HOST = HostName("")
@@ -118,6 +117,21 @@
     answered_here: bool = False
 
 
+class QuarantineChange(Struct, frozen=True, kw_only=True):
+    """A request that is held back from now on, or for longer, or not any more.
+
+    Attributes:
+        report: What is known of it.
+        ended: Whether it is held back no more, as a target has answered it.
+        keep: Whether the store is to say so as well, for hosts that start when all that know of it
+            have died.
+    """
+
+    report: CrashReport
+    ended: bool
+    keep: bool
+
+
 class Crashes:
     """The requests that have broken off at targets.
 
@@ -214,7 +228,7 @@
         """Return how many requests are held back."""
         return len(self._quarantined())
 
-    def look(self, *, now: float) -> list[AnnounceQuarantine]:
+    def look(self, *, now: float) -> list[QuarantineChange]:
         """Return which requests are held back, or for longer, since the last look, or no more."""
         found = []
         for key in self._touched:
@@ -226,7 +240,7 @@
             if suspect.occasions <= before and not ended:
                 continue
             found.append(
-                AnnounceQuarantine(
+                QuarantineChange(
                     report=self._report(key, suspect, now=now),
                     ended=ended,
                     keep=suspect.answered_here if ended else suspect.seen_here,
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -5,7 +5,8 @@
 
 from azureswitch.core import CallId, CustomerName, Effect, HostName, PlaceName, TargetName
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.serving._digests import CrashReport, Digest, DomainTotals, Grant, LimitReport
+from azureswitch.serving._crashes import QuarantineChange
+from azureswitch.serving._digests import Digest, DomainTotals, Grant, LimitReport
 from azureswitch.serving._limits import LimitChange
 
 
@@ -157,18 +158,9 @@
 
 
 class AnnounceQuarantine(Effect, frozen=True, kw_only=True):
-    """Tell operators that a request is held back from now on, or not any more.
+    """Tell operators that a request is held back from now on, or not any more."""
 
-    Attributes:
-        report: What is known of it.
-        ended: Whether it is held back no more, as a target has answered it.
-        keep: Whether the store is to say so as well, for hosts that start when all that know of it
-            have died.
-    """
-
-    report: CrashReport
-    ended: bool
-    keep: bool
+    change: QuarantineChange
 
 
 class Observation(Enum):
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -18,6 +18,7 @@
 )
 from azureswitch.serving._digests import Digest
 from azureswitch.serving._effects import (
+    AnnounceQuarantine,
     ClaimCall,
     ClaimOutcome,
     FinishCall,
@@ -95,9 +96,10 @@
 
 def _begin_quarantines(state: ServingState, *, now: float) -> list[Effect]:
     """Tell of requests that are held back from now on, and end the calls that wait to be sent."""
-    effects: list[Effect] = [*state.crashes.look(now=now)]
-    if not effects:
+    changes = state.crashes.look(now=now)
+    if not changes:
         return []
+    effects: list[Effect] = [AnnounceQuarantine(change=change) for change in changes]
     for record in list(state.calls.values()):
         waiting = record.phase in (Phase.WAITING, Phase.BACKING_OFF)
         if waiting and state.crashes.seconds_left(record.call, now=now):
