--- a/src/azureswitch/gateway/_stopping.py
+++ b/src/azureswitch/gateway/_stopping.py
@@ -160,8 +160,7 @@
         effects.append(EndRequests())
         return effects
     flushed = stop.phase is Phase.FLUSHING and event.now >= stop.phase_since + FLUSH_SECONDS
-    # Callers who wait to connect are taken as the listener is closed.  Ended by what was seen
-    # before that, a host cut off a booking that it had just sent, in 1 of 12 soaks.
+    # Callers who wait to connect are taken as the listener is closed, after this was seen.
     idle = not (closes or event.connections or event.open_requests)
     if flushed or idle:
         _enter(stop, Phase.OVER, now=event.now)
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -80,8 +80,7 @@
         logging.error("edge: %s", error)
         return EXIT_SETTINGS
     lines = start_logs(host=settings.host)
-    # What is loaded stays.  Looked through by each full collection, it held the event loop for 25
-    # to 34 ms of a core while configurations of 4,000 routes were adopted, in place of 4.
+    # What is loaded stays, and full collections that look through it hold up the event loop.
     gc.freeze()
     gc.enable()
     try:
@@ -97,9 +96,8 @@
 def run_to_end(work: Coroutine[object, object, None]) -> None:
     """Run the program, and leave behind what does not end with it.
 
-    `asyncio.run` waits for every task without a bound, so that one that goes on though it was
-    cancelled kept a host, whose requests all had their answers, past its time of grace: in 1 of 16
-    soaks with planned restarts.
+    `asyncio.run` waits for every task without a bound, and one that goes on though it was cancelled
+    would keep the host past its time of grace.
     """
     loop = ElapsedEventLoop()
     try:
@@ -142,7 +140,7 @@
         for task in beside:
             task.cancel()
         # The handlers go with the event loop; a signal after that would end the process by itself,
-        # with the code of a crash, as a second one did in 2 soaks.
+        # with the code of a crash.
         pthread_sigmask(SIG_BLOCK, SIGNALS)
 
 
--- a/src/azureswitch/serving/_ending.py
+++ b/src/azureswitch/serving/_ending.py
@@ -31,9 +31,6 @@
 ) -> list[Effect]:
     """Take a step for one call, and answer the call as failed where the step fails.
 
-    One exception at one of three calls left all three without an answer at the end of the time of
-    grace, and at a deadline that they shared.
-
     Args:
         state: The state.
         record: The call.
--- a/src/azureswitch/serving/_removal.py
+++ b/src/azureswitch/serving/_removal.py
@@ -22,10 +22,8 @@
 def silent(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
     """Go on elsewhere with a call whose target writes nothing, where another attempt may follow.
 
-    Where none may, the target is waited for until the caller leaves or its deadline comes.  Engines
-    that read a prompt larger than one engine's memory write nothing for 1 to 2 s and then go on;
-    broken off after the last permitted attempt, callers got neither the rest of an answer nor a
-    refusal: two streams on a day of planned restarts, at engines that were alive.
+    Where none may, the target is waited for until the caller leaves or its deadline comes: engines
+    that read a prompt larger than one engine's memory write nothing for 1 to 2 s and then go on.
     """
     attempt = record.attempts.get(number)
     if attempt is None or not _may_follow(state, record, now=now):
@@ -106,8 +104,7 @@
     very request that would free it, so that neither would ever run.
 
     Whether it has begun is not known for sure, so it counts as a run, and the last one that the
-    route permits is waited for: a call of which one run is permitted was sent 5 times within 10 s
-    to engines that stayed full, hedges among them.
+    route permits is waited for.
     """
     state.fleet.full(target, seconds=FULL_SECONDS, now=now)
     return _for_each(state, partial(_withdraw, target=target), now=now)
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -1,11 +1,4 @@
-"""A target that says in an answer that it leaves gets nothing new from who passed the answer on.
-
-The store had been away for seconds when a target was told to leave, so that its entry said so 12 s
-later.  It said so in each of its answers meanwhile.  Two hosts passed such answers on to callers
-and sent it requests 2.15 and 2.18 s later; one was cut off as the target ended, and its caller had
-to wait for its deadline.  Nothing in the program read the header, as the log line showed that was
-added to see it.
-"""
+"""A target that says in an answer that it leaves gets nothing new from who passed the answer on."""
 
 import asyncio
 from dataclasses import dataclass
--- a/tests/gateway/test_steps.py
+++ b/tests/gateway/test_steps.py
@@ -163,14 +163,7 @@
 
 
 class TestLastCaller:
-    """A caller whose connection waits as the host stops listening.
-
-    A leaving host had nothing open, took the connections that waited as it closed its listener, and
-    ended in the same step: a booking that it had just read and sent was cut off 0.05 s later, with
-    no answer and no refusal.  Its log had the request admitted 0.5 ms before `Listening no more.`
-    and cut off right before `Stopped.`, with 5 s of its grace left (soak, seed 304, beside other
-    load).
-    """
+    """A caller whose connection waits as the host stops listening."""
 
     @pytest.mark.parametrize(("connections", "requests"), [(1, 0), (1, 1), (0, 1)])
     def test_taken(self, connections: int, requests: int) -> None:
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -1,19 +1,4 @@
-"""A process that is told to stop answers or refuses each request that it has read.
-
-What users saw: on days of planned work alone a whole request had been taken, and its connection
-ended with neither an answer nor a refusal.
-
-The order of events: a host is told to stop and serves on.  It reads a request, which waits for a
-target, or is sent to one that stays silent, or streams for longer than the time of grace.  The time
-of grace ends, and the process with it.  Nobody decides what becomes of the request: its attempt is
-cancelled by the end of the event loop, which the reducer takes for one that failed, so that it
-begins another one in a process that is all but gone.  The caller sees its connection cut.
-
-The evidence: the log of a stream on a host that left at 18.000 s: admitted at 20.568, ``Stopped.``
-at 25.613 with one open request, ``Attempt over.`` (cancelled, 82 events) at 25.614, a second
-``Attempt sent.`` at 25.615, then ``RuntimeError: Event loop is closed`` out of the effect that ends
-the request, and no line for its end.
-"""
+"""A process that is told to stop answers or refuses each request that it has read."""
 
 import asyncio
 import socket
--- a/tests/gateway/test_tickets.py
+++ b/tests/gateway/test_tickets.py
@@ -57,10 +57,7 @@
         asyncio.run(scenario())
 
     def test_early_stop(self) -> None:
-        """A gateway that ends before its time of grace is over leaves none under way either.
-
-        In 11 of 60 soaks with planned restarts the interpreter found one as it was taken down.
-        """
+        """A gateway that ends before its time of grace is over leaves none under way either."""
 
         async def scenario() -> None:
             async with serve(grace=1.0) as bed:
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -534,7 +534,6 @@
                 await asyncio.sleep(0.1)
             await asyncio.sleep(1.0)
             assert all(len(names) == 20 for names in hosts.seen)
-            # Without word from the first few each host would ask after each change: 600 watches.
             assert hosts.model.counters.watches - before <= 120
 
         hosts = MirrorHosts(count=30)
@@ -552,7 +551,6 @@
             await hosts.write("new", size=300_000)
             await asyncio.sleep(2.0)
             assert all("new" in names for names in hosts.seen)
-            # Before, 15 hosts asked 362 times for 109 MB, and all together told 2,028 times.
             assert hosts.sent(CopyRequest)[0] <= 45
             assert hosts.sent(CopyReply)[1] <= 1_000_000
             assert hosts.sent(StoreSeen)[0] - before <= 800
@@ -595,11 +593,7 @@
     )
     @pytest.mark.parametrize("count", [9, 77, 195])
     def test_away(self, count: int, kept: int) -> None:
-        """It gets five calls a second of each host that watches, and one of any other, at most.
-
-        It is found again in time.  Before, 9 hosts made 228 calls in 8 s, 77 made 1,813 and 195
-        made 4,558.
-        """
+        """It gets five calls a second of each host that watches, and one of any other, at most."""
 
         async def run() -> None:
             await asyncio.sleep(10.0)
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -361,13 +361,7 @@
         run(scenario)
 
     def test_slow_interpreter(self, tmp_path: Path) -> None:
-        """A host whose requests are all decided ends in its time of grace, and with all its log.
-
-        Planned restarts under load: a host decided its last requests 0.24 s before its time of
-        grace was over, as it should, and then took its interpreter down, object by object.  That
-        took 0.09 to 0.29 s in 12 of 14 stops that were timed, 0.002 to 0.013 s of which its own
-        loops took, so that the platform killed it: in 13 of 60 soaks beside other load.
-        """
+        """A host whose requests are all decided ends in its time of grace, and with all its log."""
         (tmp_path / "sitecustomize.py").write_text(SLOW_END, encoding="utf-8")
 
         async def scenario() -> None:
@@ -389,14 +383,7 @@
         run(scenario)
 
     def test_told_while_loading(self, tmp_path: Path) -> None:
-        """The time of grace counts from when the platform told the host, not from its first look.
-
-        Planned restarts in quick series: a host was told to stop 0.46 s before its program was
-        loaded, counted its time of grace from then on, was killed 7.53 s later with a second of
-        grace left by its own reckoning, and with it two requests that it had read: neither had an
-        answer or a refusal.  In 4 of 60 soaks beside other load five requests ended so.  Counted
-        from the process's start instead, a stop ended a stream 1.8 s too early (seed 114).
-        """
+        """The time of grace counts from the platform's order, not from the host's first look."""
         (tmp_path / "sitecustomize.py").write_text(SLOW_LOAD, encoding="utf-8")
 
         async def scenario() -> None:
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -1,11 +1,4 @@
-"""A store that comes back from an older copy, whose versions go back and are given out again.
-
-In a drill the store is away for a moment and comes back from a copy some seconds old.  A host that
-held versions of before watched from one that the store did not have, was told that its history is
-gone, listed anew, kept its own greater version, and so on without a pause, for as long as it took
-the store to reach that version again.  A write under the condition of an old version could meet
-another object's new one of the same number.
-"""
+"""A store that comes back from an older copy, whose versions go back and are given out again."""
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
--- a/tests/server/test_idle.py
+++ b/tests/server/test_idle.py
@@ -1,14 +1,4 @@
-"""Callers are told how long a connection stays, and it stays at least as long.
-
-What users saw: a request was cut without an answer on a day without planned work, and no host
-logged anything of it.
-
-The order of events: a caller has its answer.  It keeps the connection for longer than the host
-does, as no answer says how long that is, and sends its next request just as the host closes it.
-
-The evidence: callers reused connections that had been idle for 14.4 to 19.8 s with a limit of 15 s;
-with idle connections left open as a trial 0 of 4 plays lost a request, otherwise 4 of 8 lost one.
-"""
+"""Callers are told how long a connection stays, and it stays at least as long."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
--- a/tests/server/test_losses.py
+++ b/tests/server/test_losses.py
@@ -1,24 +1,4 @@
-"""Each request that a server has read, or that its host has taken, ends in a way that callers know.
-
-What users saw: on days of planned work alone a whole request had been taken, and its connection
-ended with neither an answer nor a refusal, and no host logged anything of it.
-
-The orders of events, each repeatable over loopback:
-
-- The loop is busy.  A whole request arrives on a connection that is idle, and that is closed for
-  it, by a timer or by the stop, before the loop reads: the connection is reset.
-- The same with a new connection that waits to be accepted as the listening socket is closed.
-- Two requests arrive in one segment, and the answer to the first says ``connection: close``, as all
-  do of a host that leaves.  The second was read, and nobody answers it.  The same befalls what
-  stands before something that is no request, a queue longer than the stack is deep, and a request
-  of which a part has come and the rest is not read, as others are being answered.
-- The code that takes a request fails by what is no failure of ours.  The parser wraps that, it is
-  taken for a malformed request, and behind a request that is being answered nothing is sent to
-  refuse it; the connection hangs until a stop cuts it.
-
-The evidence: on the quiet day, with no planned work, callers saw a request cut without an answer in
-4 of 8 plays, and in 0 of 4 with idle connections left open.
-"""
+"""Each request that a server or its host has taken ends in a way that callers know."""
 
 import asyncio
 import socket
--- a/tests/serving/test_crashes.py
+++ b/tests/serving/test_crashes.py
@@ -328,11 +328,7 @@
     @pytest.mark.parametrize("hosts", [1, 4, 9, 91])
     @pytest.mark.parametrize("losses", [1, 2])
     def test_lost_together(self, hosts: int, losses: int) -> None:
-        """What all callers send and ran at nine engines that were lost at once is served soon.
-
-        A failure domain with half of the engines goes, once or twice.  Its crashes counted one by
-        one, so that all hosts refused the request for a day, though the other engines answer it.
-        """
+        """What all callers send and ran at nine engines that were lost at once is served soon."""
         fleet = Hosts(count=hosts)
         for loss in range(losses):
             self._lose_nine(fleet, f"lost-{loss}")
