Keep the fingerprint of a copy up to date change by change

Each change of an entry had every host sort and hash the names of all entries anew, so that a start before a thousand targets, which write their entries within seconds, cost each host their square.

The entries stay sorted, and a change moves one of them; the number is the same as before, so that hosts of both versions agree. A property holds it against a copy read at once after any events.

--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -26,7 +26,7 @@
     Ticked,
 )
 from azureswitch.coordination.mirror._messages import StoreSeen
-from azureswitch.coordination.mirror._state import MirrorState, fingerprint
+from azureswitch.coordination.mirror._state import MirrorState
 from azureswitch.core import NO_EFFECTS, Effect, Effects
 from azureswitch.ports import ChangeKind, StoredObject, era_of
 
@@ -297,6 +297,10 @@
 
 
 def _put(state: MirrorState, item: StoredObject) -> None:
+    known = state.objects.get(item.name)
+    if known is not None:
+        state.contents.discard(known)
+    state.contents.add(item)
     state.missing.pop(item.name, None)
     state.objects[item.name] = item
     state.put[item.name] = item
@@ -336,6 +340,7 @@
     for name in found:
         state.missing.pop(name, None)
     state.objects.update(found)
+    state.contents.replace(state.present())
     state.listed = True
     state.listed_at = now
     effects = _publish(state)
@@ -350,6 +355,9 @@
         return
     state.put.pop(name, None)
     state.removed.add(name)
+    known = state.objects.get(name)
+    if known is not None:
+        state.contents.discard(known)
     grace_ends = 0.0 if state.returned_at is None else state.returned_at + state.return_grace
     if now < grace_ends:
         state.missing[name] = grace_ends
@@ -358,5 +366,5 @@
 
 
 def _publish(state: MirrorState) -> Effects:
-    state.fingerprint = fingerprint(state.present())
+    state.fingerprint = state.contents.fingerprint()
     return (Publish(objects=tuple(state.objects.values())),)
--- a/src/azureswitch/coordination/mirror/_state.py
+++ b/src/azureswitch/coordination/mirror/_state.py
@@ -1,5 +1,7 @@
 """What is known of one kind of the store's objects."""
 
+from bisect import bisect_left, insort
+from collections.abc import Iterable
 from math import inf
 
 from msgspec import Struct, field
@@ -9,12 +11,46 @@
 from azureswitch.ports import StoredObject
 
 
+class Contents(Struct, kw_only=True):
+    """Which versions of which objects a copy holds; a change costs little, however many there are.
+
+    Attributes:
+        entries: The objects, each by name and version, in order.
+    """
+
+    entries: list[str] = field(default_factory=list)
+
+    def add(self, item: StoredObject) -> None:
+        """Take in an object."""
+        insort(self.entries, _entry(item))
+
+    def discard(self, item: StoredObject) -> None:
+        """Drop an object, if it is held."""
+        entry = _entry(item)
+        index = bisect_left(self.entries, entry)
+        if self.entries[index : index + 1] == [entry]:
+            del self.entries[index]
+
+    def replace(self, items: Iterable[StoredObject]) -> None:
+        """Hold these objects alone."""
+        self.entries = sorted(map(_entry, items))
+
+    def fingerprint(self) -> int:
+        """Return a number that differs where objects or their versions do."""
+        return xxh3_64_intdigest("\n".join(self.entries).encode())
+
+
+def _entry(item: StoredObject) -> str:
+    return f"{item.name}={item.version}"
+
+
 class MirrorState(Struct, kw_only=True):
     """A copy of the objects of one kind.
 
     Attributes:
         return_grace: Seconds after the store's return for which an object that is missing stays.
         objects: The objects, by name.
+        contents: Those of them that the store holds, so far as is known.
         version: The version up to which the copy is complete.
         listed: Whether there is a copy.
         listed_at: When all objects were last read, or were to be.
@@ -36,6 +72,7 @@
 
     return_grace: float = 0.0
     objects: dict[str, StoredObject] = field(default_factory=dict)
+    contents: Contents = field(default_factory=Contents)
     version: int = 0
     listed: bool = False
     listed_at: float = 0.0
@@ -57,9 +94,3 @@
     def present(self) -> tuple[StoredObject, ...]:
         """Return the objects that the store holds, so far as is known."""
         return tuple(item for name, item in self.objects.items() if name not in self.missing)
-
-
-def fingerprint(objects: tuple[StoredObject, ...]) -> int:
-    """Return a number that differs where objects or their versions do."""
-    parts = sorted(f"{item.name}={item.version}" for item in objects)
-    return xxh3_64_intdigest("\n".join(parts).encode())
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from msgspec.structs import replace
 
 from azureswitch.coordination.membership import Member, MemberStatus
@@ -36,6 +38,7 @@
 from azureswitch.coordination.mirror._driver import FIRST_WATCH_SECONDS
 from azureswitch.coordination.mirror._messages import RelayedSeen
 from azureswitch.coordination.mirror._reduce import WATCHERS
+from azureswitch.coordination.mirror._state import Contents
 from azureswitch.core import HostName, Incarnation, PlaceName
 from azureswitch.ports import ChangeKind, Listing, StoreChange, StoredObject, version_of
 from azureswitch_standins.clock import run_virtual
@@ -200,6 +203,42 @@
         assert names_after(events) == ["a"]
 
 
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("listed"), st.sets(st.sampled_from("abcd"))),
+        st.tuples(st.sampled_from(list(ChangeKind)), st.sampled_from("abcd")),
+        st.tuples(st.sampled_from(("broken", "ticked")), st.just("")),
+    ),
+    max_size=12,
+)
+
+
+class TestContents:
+    """What a copy holds is told by a number that is kept up to date change by change."""
+
+    @given(steps=STEPS, apart=st.sampled_from((0.1, GRACE, 3.0 * GRACE)))
+    def test_fingerprint_that_differs_from_the_objects(
+        self, steps: list[tuple[ChangeKind | str, set[str] | str]], apart: float
+    ) -> None:
+        """After any events it is that of a copy which has read the same objects at once."""
+        state = MirrorState(return_grace=GRACE)
+        for index, (kind, names) in enumerate(steps, 1):
+            reduce(_event(kind, names, now=index * apart, version=index), state)
+            whole = Contents()
+            whole.replace(state.present())
+            assert state.contents == whole
+
+
+def _event(
+    kind: ChangeKind | str, names: set[str] | str, *, now: float, version: int
+) -> MirrorEvent:
+    if isinstance(kind, ChangeKind):
+        return changed(now, str(names), kind, version=version)
+    if kind == "listed":
+        return listed(now, *sorted(names), version=version)
+    return Broken(now=now) if kind == "broken" else Ticked(now=now)
+
+
 class TestChecks:
     """Who asks the store, and when."""
 
