Let a thread of the soak end processes that outlast their time of grace

A test in which the loop is held up past the time failed before, and so did one that asks that the process is gone.

--- a/bench/soak/_process.py
+++ b/bench/soak/_process.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from pathlib import Path
-from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM, Signals
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM, Signals, pidfd_send_signal
+from threading import Timer
 
 PROGRAMS = Path(sys.executable).parent
 """Where the programs of this environment are installed."""
@@ -75,16 +76,36 @@
         await self._drained()
 
     async def terminate(self, *, timeout: float) -> int | None:
-        """Ask it to stop, and return its exit code, or None where it did not stop in time."""
+        """Ask it to stop, and end it by force some seconds later, as a platform does.
+
+        A thread keeps the time, as this program's event loop may be late beside much else.
+
+        Returns:
+            Its exit code, or None where it had to be ended by force.
+        """
         assert self._process is not None
+        handle = self._open_handle()
         self.ask_to_stop()
+        timer = Timer(timeout, _kill, (handle,))
+        timer.start()
         try:
-            async with asyncio.timeout(timeout):
-                code = await self._process.wait()
-        except TimeoutError:
-            return None
+            code = await self._process.wait()
+        finally:
+            timer.cancel()
+            timer.join()
+            if handle is not None:
+                os.close(handle)
         await self._drained()
-        return code
+        return None if code == -SIGKILL else code
+
+    def _open_handle(self) -> int | None:
+        """Return what stands for the process even once its id is given to another one."""
+        assert self._process is not None
+        try:
+            return os.pidfd_open(self._process.pid)
+        except ProcessLookupError:
+            # It has ended, which is about to be told.
+            return None
 
     def ask_to_stop(self) -> None:
         """Ask it to stop, and do not wait."""
@@ -137,3 +158,9 @@
         """Wait until the last line has been taken."""
         if self._reading is not None:
             await self._reading
+
+
+def _kill(handle: int | None) -> None:
+    if handle is not None:
+        with suppress(ProcessLookupError):
+            pidfd_send_signal(handle, SIGKILL)
