Take a close that has arrived at a caller's kernel for one that the caller knows of

The check asks for crossings 'that its caller could not know of', so that this one is allowed: a client looks at its connection before it sends, and the soak did not.

What is on its way as it is sent is still a crossing. The new test failed before, as nothing told such an end.

--- a/bench/soak/_keepers.py
+++ b/bench/soak/_keepers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from enum import Enum
 from random import Random
+from select import POLLIN, poll
 from socket import IPPROTO_TCP, TCP_INFO, socket
 from time import monotonic
 from typing import cast
@@ -99,7 +100,7 @@
             await asyncio.sleep(0.1)
             return
         call, data = self._draw(kind)
-        call.told = wire.told_to_close
+        call.told = wire.told_to_close or wire.ended
         self._records.calls[call.id] = call
         await wire.ask(call, data)
         call.ended = monotonic()
@@ -164,6 +165,16 @@
         """Whether an answer has said that the connection closes."""
         return self._told
 
+    @property
+    def ended(self) -> bool:
+        """Whether the host's end has arrived, though this program may not have read it yet."""
+        assert self._transport is not None
+        if self._gone:
+            return True
+        look = poll()
+        look.register(self._transport.get_extra_info("socket"), POLLIN)
+        return bool(look.poll(0))
+
     def usable(self, *, polite: bool) -> bool:
         """Return whether a request can be sent; who is polite heeds the time that was given."""
         return not self._gone and not (polite and monotonic() > self._kept_until)
--- a/tests/soak/test_keepers.py
+++ b/tests/soak/test_keepers.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from time import monotonic
+from socket import create_server
+from time import monotonic, sleep
 
 import pytest
 
@@ -73,6 +74,25 @@
         asyncio.run(_with_server(taken, play, call))
         assert call.ending == Ending.UNREAD.value
 
+    @pytest.mark.parametrize("closes", [False, True])
+    def test_close_told_as_a_crossing_as_the_soak_is_late(self, closes: bool) -> None:
+        """A close that has arrived is known, though the loop has not come to read it."""
+
+        async def scenario() -> None:
+            with create_server(("127.0.0.1", 0)) as server:
+                address = server.getsockname()
+                _, wire = await asyncio.get_running_loop().create_connection(Wire, *address)
+                taken, _ = server.accept()
+                if closes:
+                    taken.close()
+                    sleep(SOON)
+                assert wire.usable(polite=False)
+                assert wire.ended is closes
+                wire.abort()
+                taken.close()
+
+        asyncio.run(scenario())
+
     @pytest.mark.parametrize(
         ("more", "told", "polite"),
         [
