Name the request once for all the memory that it holds

Each reservation of an attempt carried the same request, and the first one's was used for all. Holding memory takes it now. The tests ask for the same as before.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -165,7 +165,9 @@
         tickets = _tickets(effect, targets)
         async with AsyncExitStack() as stack:
             try:
-                await stack.enter_async_context(self._tickets.hold(tickets.values()))
+                await stack.enter_async_context(
+                    self._tickets.hold(tickets.values(), call=effect.call)
+                )
             except TargetError as error:
                 # Whatever an engine did with the order, the request itself was not sent.
                 return _End(
@@ -346,7 +348,6 @@
     return {
         target.name: Ticket(
             id=f"{effect.call}-{effect.attempt}",
-            call=effect.call,
             target=target.name,
             started=target.started,
             address=target.address,
--- a/src/azureswitch/gateway/_tickets.py
+++ b/src/azureswitch/gateway/_tickets.py
@@ -33,7 +33,6 @@
 
     Attributes:
         id: Its id, unique over all hosts.
-        call: The request that needs it.
         target: The engine.
         started: Its start, in milliseconds of its wall clock, or zero where it does not say.
         address: ``IP:PORT`` of the engine.
@@ -41,7 +40,6 @@
     """
 
     id: str
-    call: CallId
     target: TargetName
     started: int
     address: str
@@ -74,13 +72,17 @@
         await self._tasks.stop(timeout=timeout)
 
     @asynccontextmanager
-    async def hold(self, tickets: Iterable[Ticket]) -> AsyncIterator[None]:
+    async def hold(self, tickets: Iterable[Ticket], *, call: CallId) -> AsyncIterator[None]:
         """Hold memory for as long as the block runs.
 
         Nothing waits for memory that others hold: two hosts that each have a part of what the
         other one needs would wait for ever.  What earlier attempts of the same request held is
         about to be free, and is waited for.
 
+        Args:
+            tickets: The memory.
+            call: The request that needs it.
+
         Raises:
             TargetError: An engine has no room or does not answer; nothing is held then.
         """
@@ -91,7 +93,7 @@
         renewals: asyncio.Task[None] | None = None
         self._held += len(wanted)
         try:
-            await self._until_released(wanted)
+            await self._until_released(call)
             await self._reserve(wanted)
             renewals = asyncio.create_task(self._renew(wanted))
             yield
@@ -100,16 +102,14 @@
             if renewals is not None:
                 renewals.cancel()
             # In the background, since the block may be left because its task is called off.
-            self._give_back(wanted)
+            self._give_back(wanted, call=call)
 
-    async def _until_released(self, tickets: tuple[Ticket, ...]) -> None:
-        """Wait a moment until memory that earlier attempts of the same request held is free."""
-        before = [task for ticket in tickets for task in self._releases.get(ticket.call, ())]
-        if before:
-            await asyncio.wait(set(before), timeout=RELEASE_SECONDS)
+    async def _until_released(self, call: CallId) -> None:
+        """Wait a moment until memory that earlier attempts of a request held is free."""
+        if call in self._releases:
+            await asyncio.wait(self._releases[call], timeout=RELEASE_SECONDS)
 
-    def _give_back(self, tickets: tuple[Ticket, ...]) -> None:
-        call = tickets[0].call
+    def _give_back(self, tickets: tuple[Ticket, ...], *, call: CallId) -> None:
         task = self._tasks.spawn(self._release(tickets), name="release")
         self._releases.setdefault(call, set()).add(task)
         task.add_done_callback(lambda done: self._forget(call, done))
--- a/tests/gateway/test_starts.py
+++ b/tests/gateway/test_starts.py
@@ -90,7 +90,6 @@
             wanted = [
                 Ticket(
                     id="c1-1",
-                    call=CallId("c1"),
                     target=name,
                     started=held,
                     address=name,
@@ -98,7 +97,7 @@
                 )
                 for name in starts
             ]
-            async with tickets.hold(wanted):
+            async with tickets.hold(wanted, call=CallId("c1")):
                 starts[TargetName("e1")] = now
                 await asyncio.sleep(1.5 * RENEW_SECONDS)
             await asyncio.sleep(1.0)
--- a/tests/gateway/test_tickets.py
+++ b/tests/gateway/test_tickets.py
@@ -14,18 +14,12 @@
 TIMEOUT = 0.1
 
 
-def ticket(id: str, *, call: str = "c1", address: str = "127.0.0.1:1") -> Ticket:
+def ticket(id: str, *, address: str = "127.0.0.1:1") -> Ticket:
     """Return memory that a request needs on an engine."""
-    return Ticket(
-        id=id,
-        call=CallId(call),
-        target=TargetName("e0"),
-        started=0,
-        address=address,
-        tokens=10,
-    )
+    return Ticket(id=id, target=TargetName("e0"), started=0, address=address, tokens=10)
 
 
+CALL = CallId("c1")
 TICKET = ticket("c1-1")
 
 LARGE = 1_000_000
@@ -48,7 +42,7 @@
             reservations = FakeReservations()
             reservations.delay = delay
             tickets = Tickets(reservations=reservations, started=lambda name: 0)
-            async with tickets.hold((TICKET,)):
+            async with tickets.hold((TICKET,), call=CALL):
                 assert len(reservations.held) == 1
             await tickets.stop(timeout=TIMEOUT)
             assert len(reservations.held) == held
@@ -80,9 +74,9 @@
 
         async def scenario() -> None:
             reservations, tickets = _full_engine(delay)
-            async with tickets.hold((TICKET,)):
+            async with tickets.hold((TICKET,), call=CALL):
                 pass
-            async with tickets.hold((ticket("c1-2"),)):
+            async with tickets.hold((ticket("c1-2"),), call=CALL):
                 assert list(reservations.held) == [(TICKET.address, "c1-2")]
             await tickets.stop(timeout=1.0)
             assert not reservations.held
@@ -98,11 +92,11 @@
 
         async def scenario() -> None:
             _, tickets = _full_engine(delay)
-            async with tickets.hold((TICKET,)):
+            async with tickets.hold((TICKET,), call=CALL):
                 pass
             begun = asyncio.get_running_loop().time()
             with pytest.raises(TargetRefusedError):
-                async with tickets.hold((ticket(f"{call}-2", call=call),)):
+                async with tickets.hold((ticket(f"{call}-2"),), call=CallId(call)):
                     pass
             assert asyncio.get_running_loop().time() - begun == pytest.approx(most, abs=0.01)
             await tickets.stop(timeout=0.1)
@@ -115,7 +109,7 @@
         async def scenario() -> None:
             reservations, tickets = _full_engine(0.0)
             reservations.deaf.add("deaf")
-            async with tickets.hold((ticket("c1-1", address="deaf"), TICKET)):
+            async with tickets.hold((ticket("c1-1", address="deaf"), TICKET), call=CALL):
                 pass
             await asyncio.sleep(0.1)
             assert list(reservations.held) == [("deaf", "c1-1")]
