--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -297,9 +297,7 @@
 
 
 def _put(state: MirrorState, item: StoredObject) -> None:
-    known = state.objects.get(item.name)
-    if known is not None:
-        state.contents.discard(known)
+    _strike(state, item.name)
     state.contents.add(item)
     state.missing.pop(item.name, None)
     state.objects[item.name] = item
@@ -355,9 +353,7 @@
         return
     state.put.pop(name, None)
     state.removed.add(name)
-    known = state.objects.get(name)
-    if known is not None:
-        state.contents.discard(known)
+    _strike(state, name)
     grace_ends = 0.0 if state.returned_at is None else state.returned_at + state.return_grace
     if now < grace_ends:
         state.missing[name] = grace_ends
@@ -365,6 +361,13 @@
     state.objects.pop(name, None)
 
 
+def _strike(state: MirrorState, name: str) -> None:
+    """Take an object out of what the store is known to hold, if it is there."""
+    known = state.objects.get(name)
+    if known is not None:
+        state.contents.discard(known)
+
+
 def _publish(state: MirrorState) -> Effects:
     state.fingerprint = state.contents.fingerprint()
     return (Publish(objects=tuple(state.objects.values())),)
