--- a/src/azureswitch/serving/_permits.py
+++ b/src/azureswitch/serving/_permits.py
@@ -49,7 +49,7 @@
 
 
 class _Schedule(Struct, kw_only=True):
-    """What a owner has given out for a target.
+    """What an owner has given out for a target.
 
     Attributes:
         begins: Before which nothing is given.
@@ -229,7 +229,7 @@
     def _share(self) -> float:
         """The part of a rate that the hosts known here may use.
 
-        Those on both sides of a cut each have a owner.  The side with more than half of all hosts
+        Those on both sides of a cut each have an owner.  The side with more than half of all hosts
         has the whole rate, and a smaller one its own part.
         """
         live = len(self._hosts)
--- a/tests/platform/test_suspension.py
+++ b/tests/platform/test_suspension.py
@@ -1,9 +1,4 @@
-"""A host that was suspended finds out that time has passed which its steady clock does not count.
-
-Hosts of the platform may be suspended for seconds.  The steady clock does not count that time; the
-clock since boot does.  By the steady clock a request would run on for as long as its host stood
-still, beyond the deadline of its caller, and be sent on with more time than its caller has left.
-"""
+"""A host that was suspended finds out that time has passed which its steady clock does not count."""
 
 import asyncio
 from collections.abc import AsyncIterator
--- a/tests/serving/test_crashes.py
+++ b/tests/serving/test_crashes.py
@@ -1,11 +1,4 @@
-"""Requests that crash the engines that run them are sent to no more of them.
-
-Callers on six hosts sent one short prompt, and a retry of it each time, whose text made each engine
-that ran it crash.  Each try was decided by itself, at two engines at most, and came again at other
-hosts: 12 tries within 12 s crashed 28 of 18 engines and their replacements, until hosts refused
-other callers for want of an engine.  The log showed that all 45 attempts at it broke off on every
-host, while 36 of 102 other requests that broke off beside it had their answer elsewhere.
-"""
+"""Requests that crash the engines that run them are sent to no more of them."""
 
 from collections import defaultdict
 from collections.abc import Iterable
