--- a/tests/platform/test_suspension.py
+++ b/tests/platform/test_suspension.py
@@ -1,4 +1,4 @@
-"""A host that was suspended finds out that time has passed which its steady clock does not count."""
+"""A host that was suspended finds out that time has passed which its clock does not count."""
 
 import asyncio
 from collections.abc import AsyncIterator
