Specify the parts for hard load, and add the types that they share

Cause: two deployments join whose load nothing decides about: operators evacuate failure domains, targets come back cold, and callers compete for too little capacity.

The inventory gains evacuations of places, the warm-up of a service's targets, and the priority of customers; calls carry a rank; the platform reads the fields and the contracts that switch the parts on. Nothing uses them yet.

--- a/src/azureswitch/exceptions/_refusals.py
+++ b/src/azureswitch/exceptions/_refusals.py
@@ -58,6 +58,39 @@
         return f"No target can take the request now; try again in {self.seconds:.1f} s."
 
 
+class ServiceEvacuatedError(RefusedError):
+    """All targets that could take the request are in evacuated failure domains."""
+
+    code: ClassVar[str] = "service_evacuated"
+
+    @property
+    def message(self) -> str:
+        return (
+            "The failure domains of all targets of this service are evacuated; "
+            f"try again in {self.seconds:.1f} s."
+        )
+
+
+class TargetsColdError(RefusedError):
+    """All targets that could take the request are cold and bear no more requests now."""
+
+    code: ClassVar[str] = "targets_cold"
+
+    @property
+    def message(self) -> str:
+        return f"The targets have just started; try again in {self.seconds:.1f} s."
+
+
+class OverloadedError(RefusedError):
+    """The targets have no room for the request beside more urgent ones."""
+
+    code: ClassVar[str] = "overloaded"
+
+    @property
+    def message(self) -> str:
+        return f"The service is overloaded; try again in {self.seconds:.1f} s."
+
+
 class QuarantinedError(RefusedError):
     """Targets have crashed under this request, so that it is sent to no more of them for now."""
 
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -138,6 +138,7 @@
             deadline_margin=DEADLINE_MARGIN_SECONDS,
             full_hosts=settings.full_hosts,
             fleet_hosts=settings.hosts,
+            overload_control=settings.overload_control,
         )
         self._shell = Shell(
             state=state,
--- a/src/azureswitch/inventory/__init__.py
+++ b/src/azureswitch/inventory/__init__.py
@@ -6,6 +6,7 @@
 from azureswitch.inventory._model import (
     Customer,
     EnginePace,
+    Evacuation,
     Inventory,
     Objective,
     Place,
@@ -15,6 +16,7 @@
     Snapshot,
     Target,
     TargetRole,
+    Warmup,
 )
 from azureswitch.inventory._starts import latest, started_again
 
@@ -71,6 +73,7 @@
     "Difference",
     "DifferenceKind",
     "EnginePace",
+    "Evacuation",
     "FieldDifference",
     "Inventory",
     "Objective",
@@ -81,6 +84,7 @@
     "Snapshot",
     "Target",
     "TargetRole",
+    "Warmup",
     "decode",
     "diff",
     "encode",
--- a/src/azureswitch/inventory/_model.py
+++ b/src/azureswitch/inventory/_model.py
@@ -28,16 +28,35 @@
     DRAINING = "draining"
 
 
-class Place(Struct, frozen=True, kw_only=True):
+class Evacuation(Struct, frozen=True, kw_only=True):
+    """An operator's request that nothing new be sent to the targets of a failure domain.
+
+    Attributes:
+        since: When it was requested, or first seen, in milliseconds of the wall clock.
+        author: Who requested it; empty if unknown.
+        reason: Why; empty if no reason was given.
+        until: When it is expected to end, in milliseconds of the wall clock; zero if unknown.  It
+            is shown to operators and does not end the evacuation.
+    """
+
+    since: int
+    author: str = ""
+    reason: str = ""
+    until: int = 0
+
+
+class Place(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A failure domain.
 
     Attributes:
         name: Its name, unique in the inventory.
         region: The region that it belongs to.
+        evacuation: Why its targets get nothing new, or None if they are in use.
     """
 
     name: PlaceName
     region: str
+    evacuation: Evacuation | None = None
 
 
 class EnginePace(Struct, frozen=True, kw_only=True):
@@ -68,6 +87,18 @@
     report_lag: float = 0.0
 
 
+class Warmup(Struct, frozen=True, kw_only=True):
+    """How the targets of a service behave while they are cold.
+
+    Attributes:
+        seconds: How long a target is cold after it starts.
+        rate: Requests per second that a cold target bears from all hosts together.
+    """
+
+    seconds: float
+    rate: float
+
+
 class Service(Struct, frozen=True, kw_only=True):
     """A group of targets that serve the same calls.
 
@@ -78,12 +109,14 @@
             are non-idempotent and are claimed before they are sent.  Unused for model services,
             whose calls may always be sent again.
         pace: How fast its engines work, or None where that is learnt from what they do.
+        warmup: How its targets behave while they are cold, or None if they bear full load at once.
     """
 
     name: ServiceName
     kind: ServiceKind
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
     pace: EnginePace | None = None
+    warmup: Warmup | None = None
 
 
 class Target(Struct, frozen=True, kw_only=True):
@@ -100,6 +133,9 @@
         checks_fence: Whether it refuses orders with an old fencing number.
         started: When its process started, in milliseconds of the wall clock; zero where it does not
             say.  A target that starts again under its name holds nothing of what it held before.
+        slots: Requests that it runs at once; zero where it does not say.
+        cold: Seconds for which it stays cold, as listed; None where it does not say.
+        entry_version: Version of the entry that says so; later entries have greater ones.
     """
 
     name: TargetName
@@ -111,6 +147,9 @@
     memory: int = 0
     checks_fence: bool = True
     started: int = 0
+    slots: int = 0
+    cold: float | None = None
+    entry_version: int = 0
 
 
 class Customer(Struct, frozen=True, kw_only=True):
@@ -121,12 +160,14 @@
         key_hash: SHA-256 of its API key, in lower-case hexadecimal.
         weight: Its share of the fleet beside other busy customers.
         limit: Engine seconds per second over the whole fleet that it may use; zero for no limit.
+        priority: Its priority among customers; smaller goes first, before the route's.
     """
 
     name: CustomerName
     key_hash: str
     weight: float = 1.0
     limit: float = 0.0
+    priority: int = 0
 
 
 class Rules(Struct, frozen=True, kw_only=True):
--- a/src/azureswitch/platform/_deployment.py
+++ b/src/azureswitch/platform/_deployment.py
@@ -13,7 +13,7 @@
 from azureswitch.core import CustomerName, ServiceName
 from azureswitch.exceptions import DeploymentUnreadableError
 from azureswitch.gateway import Deployment, Route, RouteKind, Share
-from azureswitch.inventory import EnginePace, Service, ServiceKind
+from azureswitch.inventory import EnginePace, Service, ServiceKind, Warmup
 from azureswitch.ports import StoredObject
 from azureswitch.server import CallerLimits
 from azureswitch.slices import GO_ON, Steps, finish
@@ -57,9 +57,18 @@
 
 
 class WireService(msgspec.Struct, frozen=True, kw_only=True, gc=False):
-    """A service; it has a pace if it is served by engines."""
+    """A service; it has a pace if it is served by engines.
+
+    Attributes:
+        name: Its name.
+        cold_seconds: How long a target is cold after it starts.
+        cold_rate: Requests per second that a cold target bears; zero for no limit.
+        pace: How fast its engines work.
+    """
 
     name: ServiceName = msgspec.field(name="Name")
+    cold_seconds: float = msgspec.field(name="ColdStartS", default=0.0)
+    cold_rate: float = msgspec.field(name="ColdPerS", default=0.0)
     pace: WirePace | None = msgspec.field(name="Engine", default=None)
 
 
@@ -98,9 +107,10 @@
 
 
 class WireCustomer(msgspec.Struct, frozen=True, kw_only=True, gc=False):
-    """A customer and its API keys."""
+    """A customer, its API keys and its priority, which goes before that of a route."""
 
     name: CustomerName = msgspec.field(name="Name")
+    priority: int = msgspec.field(name="Priority", default=0)
     keys: tuple[str, ...] = msgspec.field(name="ApiKeys", default=())
 
 
@@ -135,14 +145,17 @@
         routes = yield from _each(_route, wire.routes)
         services = yield from _each(_service, wire.services)
         customers: dict[str, CustomerName] = {}
+        priorities: dict[CustomerName, int] = {}
         for customer in wire.customers:
             customers.update((key, customer.name) for key in customer.keys)
+            priorities[customer.name] = customer.priority
             yield GO_ON
         return Deployment(
             version=wire.version,
             routes=routes,
             services=services,
             customers=customers,
+            priorities=priorities,
             limits=_limits(wire.limits),
         )
     except (ArithmeticError, RecursionError, ValueError) as error:
@@ -159,8 +172,9 @@
 
 
 def _service(wire: WireService) -> Service:
+    warmup = _warmup(wire)
     if wire.pace is None:
-        return Service(name=wire.name, kind=ServiceKind.PLAIN)
+        return Service(name=wire.name, kind=ServiceKind.PLAIN, warmup=warmup)
     pace = EnginePace(
         step=wire.pace.step / MILLISECONDS,
         stream_step=wire.pace.stream_step / MILLISECONDS,
@@ -173,7 +187,13 @@
         answer=int(wire.pace.usual.answer),
         report_lag=wire.pace.report_lag / MILLISECONDS,
     )
-    return Service(name=wire.name, kind=ServiceKind.MODEL, pace=pace)
+    return Service(name=wire.name, kind=ServiceKind.MODEL, pace=pace, warmup=warmup)
+
+
+def _warmup(wire: WireService) -> Warmup | None:
+    if wire.cold_seconds <= 0.0 or wire.cold_rate <= 0.0:
+        return None
+    return Warmup(seconds=wire.cold_seconds, rate=wire.cold_rate)
 
 
 def _route(wire: WireRoute) -> Route:
--- a/src/azureswitch/platform/_settings.py
+++ b/src/azureswitch/platform/_settings.py
@@ -28,6 +28,13 @@
     readiness: str = msgspec.field(name="Ready")
 
 
+EVACUATION_CONTRACT = "places"
+"""The contract of deployments whose operators evacuate failure domains."""
+
+OVERLOAD_CONTRACT = "pressure"
+"""The contract of deployments whose callers may ask for more than the targets can do."""
+
+
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds set by the users' rules, from which this system derives its own limits.
 
@@ -64,6 +71,7 @@
         addresses: The addresses on which the process listens.
         bounds: The bounds set by the users' rules.
         store: The address of the platform's store.
+        contracts: The parts of the users' rules that are in force.
     """
 
     host: HostName = msgspec.field(name="NodeName")
@@ -74,12 +82,23 @@
     addresses: Addresses = msgspec.field(name="ListenAddrs")
     bounds: Bounds = msgspec.field(name="Bounds", default_factory=Bounds)
     store: StoreSettings = msgspec.field(name="Platform")
+    contracts: tuple[str, ...] = msgspec.field(name="ActiveContracts", default=())
 
     @property
     def places(self) -> tuple[Place, ...]:
         """All failure domains."""
         return tuple(Place(name=name, region=region) for name, region in self.regions.items())
 
+    @property
+    def evacuations(self) -> bool:
+        """Whether operators evacuate failure domains."""
+        return EVACUATION_CONTRACT in self.contracts
+
+    @property
+    def overload_control(self) -> bool:
+        """Whether calls are admitted by rank and room while room is short."""
+        return OVERLOAD_CONTRACT in self.contracts
+
 
 def read_settings(path: Path) -> PlatformSettings:
     """Read a settings file.
--- a/src/azureswitch/platform/_targets.py
+++ b/src/azureswitch/platform/_targets.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Annotated, Any
 
 import msgspec
@@ -22,6 +22,12 @@
 MAX_STARTED = 2**63 - 1
 """The latest start time that a message between hosts can hold."""
 
+MAX_COLD_MILLISECONDS = 3_600_000
+"""Longest time for which a target may say that it stays cold; a longer one is invalid."""
+
+MILLISECONDS = 1_000.0
+"""Milliseconds in a second."""
+
 ROLES = {"in_service": TargetRole.SERVING, "draining": TargetRole.DRAINING}
 """The roles by the platform's names for them."""
 
@@ -123,6 +129,7 @@
     ) -> Steps[Targets]:
         """Read the targets of a listing as `read` does, in steps."""
         paces = None if deployment is None else _paces(deployment)
+        warming = _warming(deployment)
         found: list[tuple[StoredObject, WireTarget]] = []
         foreign: list[Foreign] = []
         decoded: dict[str, tuple[StoredObject, WireTarget | Foreign]] = {}
@@ -142,7 +149,7 @@
             if names := [name for name in missing[wire.service] if not _HAS_FIELD[name](wire)]:
                 foreign.append(_incomplete(item, names))
             else:
-                targets.append(_target(item, wire, paces or {}))
+                targets.append(_target(item, wire, paces or {}, warming))
             yield GO_ON
         return Targets(targets=tuple(targets), foreign=tuple(foreign))
 
@@ -223,10 +230,20 @@
     return Foreign(name=item.name, version=item.version, fault=Fault.FIELD, detail=detail)
 
 
+def _warming(deployment: Deployment | None) -> frozenset[ServiceName]:
+    """Return the services whose targets bear few requests while they are cold."""
+    services = () if deployment is None else deployment.services
+    return frozenset(service.name for service in services if service.warmup is not None)
+
+
 def _target(
-    item: StoredObject, wire: WireTarget, paces: Mapping[ServiceName, EnginePace | None]
+    item: StoredObject,
+    wire: WireTarget,
+    paces: Mapping[ServiceName, EnginePace | None],
+    warming: Collection[ServiceName],
 ) -> Target:
     pace = paces.get(wire.service)
+    warms = wire.service in warming
     return Target(
         name=TargetName(item.name),
         service=wire.service,
@@ -236,4 +253,14 @@
         models=tuple(model.name for model in wire.models) if pace else (),
         memory=pace.memory if pace else 0,
         started=0 if wire.started is msgspec.UNSET else wire.started,
+        slots=wire.slots if type(wire.slots) is int and wire.slots > 0 else 0,
+        cold=_cold_seconds(wire) if warms else None,
+        entry_version=item.version if warms else 0,
     )
+
+
+def _cold_seconds(wire: WireTarget) -> float | None:
+    """Return for how long a target stays cold, or None if its entry does not say."""
+    if not _HAS_FIELD["ColdLeftMs"](wire) or not 0 <= wire.cold <= MAX_COLD_MILLISECONDS:
+        return None
+    return float(wire.cold) / MILLISECONDS
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -52,7 +52,9 @@
         known_peers: Number of peers whose attempts were known when the target was chosen.
         first_output_timeout: Seconds without any output before the shell sends `AttemptSilent`.
         output_gap_timeout: Seconds without further output before the shell sends it.
-        held_back: Number of targets that were excluded because of their rate limits.
+        held_back: Number of targets that were excluded because of their rate limits or because they
+            are cold.
+        evacuated: Number of targets that were excluded because their failure domain is evacuated.
     """
 
     call: CallId
@@ -67,6 +69,7 @@
     first_output_timeout: float = inf
     output_gap_timeout: float = inf
     held_back: int = 0
+    evacuated: int = 0
 
 
 class CancelAttempt(Effect, frozen=True, kw_only=True):
