Choose no target of an evacuated failure domain

Cause: operators evacuate failure domains, and nothing kept new work from their targets.

Calls whose targets are all evacuated are refused at once with service_evacuated, also while they wait. An attempt that the shell withheld goes elsewhere without a charge to the target or the retry budget. The reducer announces when a domain is evacuated, has nothing running, and is restored. In a large fleet the hosts of an evacuated domain receive all digests, since they send to all others.

--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -21,6 +21,7 @@
 from azureswitch.ports import PlainAnswer
 from azureswitch.serving import (
     TICK_SECONDS,
+    AnnounceEvacuation,
     AnnounceQuarantine,
     CallArrived,
     CallerLeft,
@@ -271,6 +272,18 @@
             "answered and sent again" if effect.change.ended else "sent to no more of them",
         )
 
+    @_run.register
+    def _run_announce_evacuation(self, effect: AnnounceEvacuation) -> None:
+        change = effect.change
+        logging.warning(
+            "entry: The evacuation of %s is %s (by %s: %s; attempts of this host there: %d).",
+            change.place,
+            change.phase.value,
+            change.evacuation.author or "an unknown author",
+            change.evacuation.reason or "no reason given",
+            change.running,
+        )
+
     @_run.register
     def _run_observe(self, effect: Observe) -> None:
         self._metrics.observe(effect)
--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -105,6 +105,7 @@
     TargetAnswerError,
     TargetBrokenError,
     TargetError,
+    TargetEvacuatedError,
     TargetRefusedError,
 )
 
@@ -186,6 +187,7 @@
     "StoreVersionGoneError",
     "TargetAnswerError",
     "TargetBrokenError",
+    "TargetEvacuatedError",
     "TargetError",
     "TargetRefusedError",
     "TargetRejectedError",
--- a/src/azureswitch/exceptions/_targets.py
+++ b/src/azureswitch/exceptions/_targets.py
@@ -32,6 +32,12 @@
         return self.seconds
 
 
+class TargetEvacuatedError(TargetRefusedError):
+    """The failure domain of a target was evacuated before the request was sent to it."""
+
+    code: ClassVar[str] = "target_evacuated"
+
+
 class TargetBrokenError(TargetError):
     """The connection to the target broke after the request may have started.
 
--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -15,6 +15,7 @@
     TargetStart,
 )
 from azureswitch.serving._effects import (
+    AnnounceEvacuation,
     AnnounceLimit,
     AnnounceQuarantine,
     AnswerPermit,
@@ -31,6 +32,7 @@
     SettleClaim,
     StartAttempt,
 )
+from azureswitch.serving._evacuations import EvacuatedPlace, EvacuationChange, EvacuationPhase
 from azureswitch.serving._events import (
     AttemptEnd,
     AttemptEnded,
@@ -91,8 +93,12 @@
     "Digest",
     "DigestReceived",
     "DomainTotals",
+    "EvacuatedPlace",
+    "EvacuationChange",
+    "EvacuationPhase",
     "FinishCall",
     "FirstTokenArrived",
+    "AnnounceEvacuation",
     "AnnounceLimit",
     "AnswerPermit",
     "AskPermit",
--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -16,6 +16,7 @@
     UnknownServiceError,
 )
 from azureswitch.serving._cost import DURATION_MARGIN, Cost
+from azureswitch.serving._evacuating import count_in_use, is_evacuated, service_evacuated
 from azureswitch.serving._events import Call
 from azureswitch.serving._fleet import Pool
 from azureswitch.serving._length import Level, level_of
@@ -66,6 +67,8 @@
         return QuarantinedError(seconds=quarantine)
     pool = state.fleet.pool(service=call.service, model=call.model)
     targets = [] if pool is None else state.fleet.states(pool)
+    if pool is not None and is_evacuated(state, pool, now=now):
+        return service_evacuated(state)
     if pool is None or not any(target.usable(now) for target in targets):
         return NoTargetError(seconds=_jittered(state, _until_usable(targets, now=now)))
     limited = limit_refusal(state, call, pool, now=now)
@@ -132,7 +135,7 @@
     """Return the predicted cost of a call at the targets of its pool."""
     if pool.pace is None:
         return state.costs.predict(call)
-    engines = min(MAX_PARTS, len(pool.targets))
+    engines = min(MAX_PARTS, count_in_use(state, pool))
     return state.costs.predict_paced(call, pace=pool.pace, engines=engines)
 
 
@@ -148,7 +151,7 @@
     waiting = set(state.queue.customers(lane))
     if not waiting:
         return 0.0
-    engines = len(pool.targets)
+    engines = count_in_use(state, pool)
     if level is not Level.SHORT:
         engines = state.split.count(
             service=call.service,
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -9,6 +9,7 @@
     Ran,
     RetriesExhaustedError,
     TargetBrokenError,
+    TargetEvacuatedError,
 )
 from azureswitch.serving._choice import Choice
 from azureswitch.serving._digests import TargetStart
@@ -26,6 +27,7 @@
     run_isolated,
     run_step,
 )
+from azureswitch.serving._evacuating import count_evacuated, end_evacuated, is_evacuated
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
 from azureswitch.serving._fleet import MAX_EJECTION_SECONDS, MAX_UNSHARED_EJECTION_SECONDS
 from azureswitch.serving._length import Level, ageing_period, priority
@@ -66,6 +68,8 @@
     """Send a call to a target, or queue it until one has room."""
     if state.crashes.quarantine_seconds(record.call, now=now):
         return end_quarantined(state, record, now=now)
+    if is_evacuated(state, record.pool, now=now):
+        return end_evacuated(state, record, now=now)
     lane = lane_of(record)
     lane_in_use = any(True for _ in state.queue.customers(lane))
     choice = None if lane_in_use else choose(state, record, now=now)
@@ -184,6 +188,7 @@
             first_output_timeout=timeouts.first,
             output_gap_timeout=timeouts.gap,
             held_back=held_back,
+            evacuated=count_evacuated(state, record.pool, now=now),
         )
     ]
 
@@ -309,6 +314,9 @@
         effects = _complete(state, record, attempt, event)
     elif event.end is AttemptEnd.REJECTED:
         effects = _rejected(state, record, event)
+    elif isinstance(event.error, TargetEvacuatedError):
+        # Nothing was sent, so that neither the target nor the retry budget is charged.
+        effects = [] if record.attempts else dispatch(state, record, now=now)
     else:
         effects = _failed(state, record, attempt, event)
     return effects + drain_all(state, now=now)
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -7,6 +7,7 @@
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.serving._crashes import QuarantineChange
 from azureswitch.serving._digests import Digest, DomainTotals, Grant, LimitReport
+from azureswitch.serving._evacuations import EvacuationChange
 from azureswitch.serving._limits import LimitChange
 
 
@@ -171,6 +172,12 @@
     change: QuarantineChange
 
 
+class AnnounceEvacuation(Effect, frozen=True, kw_only=True):
+    """Log for operators that a failure domain was evacuated, became empty or was restored."""
+
+    change: EvacuationChange
+
+
 class Observation(Enum):
     """The quantity that a metric counts or measures."""
 
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -80,6 +80,7 @@
         """
         self._restart(restarted)
         regions = {place.name: place.region for place in inventory.places}
+        evacuated = {place.name for place in inventory.places if place.evacuation is not None}
         states: dict[TargetName, TargetState] = {}
         for target in inventory.targets:
             nearness = self._nearness(target.place, regions)
@@ -90,6 +91,7 @@
                 states[target.name] = known
             else:
                 states[target.name] = TargetState(target=target, nearness=nearness)
+            states[target.name].evacuated = target.place in evacuated
         self._states = states
         self._loaded &= states.keys()
         self._suspects = {n: until for n, until in self._suspects.items() if n in states}
@@ -132,6 +134,11 @@
         state = self._states.get(target)
         return None if state is None else state.target.place
 
+    def is_evacuated(self, target: TargetName) -> bool:
+        """Return whether the failure domain of a target of the inventory is evacuated."""
+        state = self._states.get(target)
+        return state is not None and state.evacuated
+
     def within(self, place: PlaceName) -> list[TargetName]:
         """Return the targets of a failure domain."""
         return [name for name, state in self._states.items() if state.target.place == place]
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -27,6 +27,7 @@
     SettleClaim,
 )
 from azureswitch.serving._ending import finish, observe, run_isolated, run_step
+from azureswitch.serving._evacuating import apply_evacuations, watch_evacuations
 from azureswitch.serving._events import (
     AttemptEnded,
     AttemptSilent,
@@ -395,6 +396,9 @@
 def _(event: SnapshotAdopted, state: ServingState) -> list[Effect]:
     restarted = state.adopt(event.snapshot)
     effects = restart_attempts(state, restarted, now=event.now) if restarted else []
+    effects += run_isolated(
+        partial(apply_evacuations, state, now=event.now), name="Applying evacuations"
+    )
     return effects + drain_all(state, now=event.now)
 
 
@@ -439,6 +443,7 @@
             final = timer.kind is TimerKind.DEADLINE
             effects += run_step(state, record, step, now=now, final=final)
     effects += run_isolated(partial(drain_all, state, now=now), name="Draining the queue")
+    effects += run_isolated(partial(watch_evacuations, state, now=now), name="Watching evacuations")
     effects += run_isolated(partial(_expire, state, now=now), name="Forgetting")
     if state.digest_due(now):
         effects += run_isolated(
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -15,6 +15,7 @@
 from azureswitch.serving._crashes import Crashes
 from azureswitch.serving._departures import Departures
 from azureswitch.serving._domains import Domains
+from azureswitch.serving._evacuations import Evacuations
 from azureswitch.serving._events import Call, HostSelf
 from azureswitch.serving._fairness import Fairness
 from azureswitch.serving._fleet import Fleet, Pool
@@ -216,6 +217,7 @@
         self._departures = Departures()
         self._ledger = Ledger(starts=self._starts)
         self._domains = Domains(own=myself.place, full_hosts=full_hosts)
+        self._evacuations = Evacuations()
         self._pauses = PauseTracker()
         self._crashes = Crashes(host=myself.name)
         self._limits = Limits(starts=self._starts)
@@ -336,6 +338,11 @@
         """The failure domains that receive this host's digests."""
         return self._domains
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuated failure domains, and what still runs there."""
+        return self._evacuations
+
     @property
     def crashes(self) -> Crashes:
         """The requests under which targets have crashed."""
@@ -371,6 +378,7 @@
         targets = self._departures.apply(adopted.targets)
         inventory = replace(snapshot.inventory, targets=targets)
         self._fleet.adopt(inventory, restarted=adopted.restarted)
+        self._domains.set_evacuated(p.name for p in inventory.places if p.evacuation is not None)
         self._restart(adopted.restarted)
         self._ledger.recount(adopted.learned)
         self._split.adopt(snapshot.rules)
--- a/src/azureswitch/serving/_target.py
+++ b/src/azureswitch/serving/_target.py
@@ -86,6 +86,7 @@
         failures: Consecutive failures.
         ended_start: The start in the load reports from before a restart, or zero; further reports
             of this start or an earlier one are ignored.
+        evacuated: Whether its failure domain is evacuated, so that it gets no new work.
     """
 
     target: Target
@@ -105,9 +106,14 @@
     stuck_since: float | None = None
     failures: int = 0
     ended_start: int = 0
+    evacuated: bool = False
 
     def usable(self, now: float) -> bool:
         """Return whether the target may get new work."""
+        return not self.evacuated and self.in_service(now)
+
+    def in_service(self, now: float) -> bool:
+        """Return whether the target may get new work unless its failure domain is evacuated."""
         if self.target.role is not TargetRole.SERVING or now < self.unusable_until:
             return False
         return self.report is None or not self.report.draining
--- a/src/azureswitch/serving/_termination.py
+++ b/src/azureswitch/serving/_termination.py
@@ -24,7 +24,7 @@
 def give_up(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """End a call that may not be retried, with an error that says when the caller may retry."""
     seconds = backoff(record.retry_count + 3, random=state.random)
-    return _refuse(state, record, NoTargetError(seconds=seconds), now=now)
+    return end_refused(state, record, NoTargetError(seconds=seconds), now=now)
 
 
 def end_quarantined(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
@@ -33,15 +33,15 @@
     It is sent to no other target.
     """
     seconds = state.crashes.quarantine_seconds(record.call, now=now)
-    return _refuse(state, record, QuarantinedError(seconds=seconds), now=now)
+    return end_refused(state, record, QuarantinedError(seconds=seconds), now=now)
 
 
 def end_limited(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """End a call that gets no permit in time, as all of its targets have a rate limit."""
-    return _refuse(state, record, limit_reached(state, record.pool, now=now), now=now)
+    return end_refused(state, record, limit_reached(state, record.pool, now=now), now=now)
 
 
-def _refuse(
+def end_refused(
     state: ServingState, record: CallRecord, refusal: RefusedError, *, now: float
 ) -> list[Effect]:
     """End a call with a refusal if it has not run, and else with a failure.
