Mirror evacuations of the platform's store and apply them in the gateway

Cause: the reducer marks the targets of evacuated places, but nothing told it of the objects with which operators evacuate failure domains.

Change: where the contract places is active, the edge mirrors the kind evacuations with the return grace of targets, reads it in a module of its own, and counts entries with unknown names as foreign. The relay checks before it reserves memory and before it writes a request.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -5,15 +5,17 @@
 from functools import singledispatchmethod
 from random import Random
 from socket import socket
-from time import time
 
 from absl import logging
 
 from azureswitch.client import HttpHead
 from azureswitch.clock import elapsed
 from azureswitch.coordination.membership import Member
-from azureswitch.core import Effect, TargetName
+from azureswitch.core import Effect, PlaceName, TargetName
+from azureswitch.gateway._evacuations import KnownEvacuations
+from azureswitch.gateway._gauges import register_gauges
 from azureswitch.gateway._handler import RequestHandler
+from azureswitch.gateway._initial import initial_state
 from azureswitch.gateway._log import (
     ConfigurationAdopted,
     GraceOver,
@@ -21,12 +23,12 @@
     ListenerClosed,
     Started,
     Stopped,
-    TargetsChanged,
 )
 from azureswitch.gateway._model import Deployment
 from azureswitch.gateway._pages import MetricsPage, PathPages, ReadinessPage, StatusPage
 from azureswitch.gateway._ports import Dialect, Published, Reservations
 from azureswitch.gateway._prepared import Prepared, prepare
+from azureswitch.gateway._reports import evacuation_statuses, target_statuses, targets_changed
 from azureswitch.gateway._settings import GatewaySettings
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._stopping import (
@@ -43,39 +45,27 @@
 from azureswitch.gateway._tickets import Tickets
 from azureswitch.inventory import (
     Customer,
+    Evacuation,
     Inventory,
     Rules,
     Snapshot,
     Target,
     TargetRole,
     latest,
-    started_again,
 )
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
 from azureswitch.server import HttpServer
-from azureswitch.serving import (
-    HostSelf,
-    RetryBudget,
-    ServingState,
-    SnapshotAdopted,
-)
+from azureswitch.serving import SnapshotAdopted
 from azureswitch.slices import finish
 from azureswitch.status import (
     STATUS_PATH,
     ForeignCollection,
     HostStatus,
-    TargetStatus,
     member_report,
 )
 from azureswitch.tasks import keep_running
 
-DIGEST_PERIOD_SECONDS = 0.8
-"""Seconds between periodic digests; two in a row may be lost.  Changes are sent immediately."""
-
-DEADLINE_MARGIN_SECONDS = 0.02
-"""Seconds before its deadline at which a request is ended; a busy loop is late by half of this."""
-
 METRICS_PATH = "/metrics"
 
 RELEASE_SECONDS = 0.05
@@ -123,25 +113,8 @@
         self._members = members
         self._foreign = foreign
         self._tickets = Tickets(reservations=reservations, started=self._started)
-        started = int(time() * 1_000)
-        retries = RetryBudget(
-            share=settings.retry_share,
-            burst=settings.retry_burst / settings.hosts,
-            fleet_burst=settings.retry_burst,
-        )
-        state = ServingState(
-            myself=HostSelf(name=settings.host, place=settings.place, started=started),
-            seed=seed,
-            retries=retries,
-            digest_period=DIGEST_PERIOD_SECONDS,
-            lean=True,
-            deadline_margin=DEADLINE_MARGIN_SECONDS,
-            full_hosts=settings.full_hosts,
-            fleet_hosts=settings.hosts,
-            overload_control=settings.overload_control,
-        )
         self._shell = Shell(
-            state=state,
+            state=initial_state(settings, seed=seed),
             dialect=dialect,
             tickets=self._tickets,
             targets=lambda: self._targets,
@@ -164,8 +137,21 @@
         self._pages = HttpServer(handler=PathPages(pages=pages, dialect=dialect))
         self._targets: Mapping[TargetName, Target] = {}
         self._customers: tuple[Customer, ...] = ()
-        self._register_gauges(metrics)
+        register_gauges(
+            metrics,
+            shell=self._shell,
+            tickets=self._tickets,
+            log=log,
+            targets=lambda: self._targets.values(),
+            deployment=lambda: self._handler.deployment,
+        )
         self._revision = 0
+        self._evacuations = KnownEvacuations(
+            places=settings.places,
+            read=settings.evacuations,
+            log=log,
+            expired=self._dispatch_snapshot,
+        )
         self._leaving = False
         self._ticks: asyncio.Task[None] | None = None
 
@@ -181,8 +167,8 @@
 
     @property
     def configured(self) -> bool:
-        """Whether a configuration is in force and at least one target is listed."""
-        return bool(self._handler.deployment and self._targets)
+        """Whether a configuration is in force, a target is listed and evacuations are known."""
+        return bool(self._handler.deployment and self._targets and self._evacuations.known)
 
     @property
     def ready(self) -> bool:
@@ -218,15 +204,9 @@
             leaving=self._leaving,
             open_calls=self._shell.open_calls,
             members=tuple(map(member_report, self._members())),
-            targets=self._target_statuses(),
+            targets=target_statuses(self._targets, limits=self._shell.limits),
             foreign=self._foreign(),
-        )
-
-    def _target_statuses(self) -> tuple[TargetStatus, ...]:
-        limits = self._shell.limits
-        return tuple(
-            _target_status(self._targets[name], limit=limits.get(name))
-            for name in sorted(self._targets)
+            evacuations=evacuation_statuses(self._shell.evacuations, now=self._shell.now),
         )
 
     async def start(self, *, callers: socket | None = None) -> None:
@@ -318,6 +298,7 @@
             server.abort()
         if self._ticks is not None:
             self._ticks.cancel()
+        self._evacuations.stop()
 
     def adopt(self, deployment: Deployment) -> None:
         """Prepare and activate a configuration, unless the same or a later one is in force."""
@@ -357,6 +338,11 @@
         self._replace_targets(targets)
         self._dispatch_snapshot()
 
+    def set_evacuations(self, evacuations: Mapping[PlaceName, Evacuation]) -> None:
+        """Replace the evacuations, by failure domain; unknown failure domains have no effect."""
+        if self._evacuations.replace(evacuations):
+            self._dispatch_snapshot()
+
     def handle_order_answer(self, *, address: str, order: str, head: HttpHead) -> None:
         """Apply the target state (leaving, rate limit) in the head of an answer to an order."""
         for target in self._targets.values():
@@ -367,7 +353,7 @@
         before = self._targets
         self._targets = {target.name: latest(before.get(target.name), target) for target in targets}
         if before != self._targets:
-            self._log.write(_difference(before, self._targets))
+            self._log.write(targets_changed(before, self._targets))
         for name, target in self._targets.items():
             if target.role is TargetRole.DRAINING and before.get(name) != target:
                 # The reducer remembers this: an older list may show the target as serving again.
@@ -378,88 +364,17 @@
         target = self._targets.get(name)
         return 0 if target is None else target.started
 
-    def _register_gauges(self, metrics: Metrics) -> None:
-        metrics.watch(
-            name="quarantined_requests",
-            help="Requests that are sent to no target, since targets crashed under them.",
-            value=lambda: self._shell.quarantined,
-        )
-        metrics.watch(
-            name="open_requests",
-            help="Requests that have not been answered.",
-            value=lambda: self._shell.open_calls,
-        )
-        metrics.watch(
-            name="configuration_version",
-            help="The configuration in force; zero for none.",
-            value=lambda: self._handler.deployment.version if self._handler.deployment else 0,
-        )
-        metrics.watch(
-            name="targets_serving",
-            help="Targets that take new work.",
-            value=lambda: sum(t.role is TargetRole.SERVING for t in self._targets.values()),
-        )
-        metrics.watch(
-            name="targets_draining",
-            help="Targets that leave.",
-            value=lambda: sum(t.role is TargetRole.DRAINING for t in self._targets.values()),
-        )
-        metrics.watch(
-            name="targets_limited",
-            help="Targets that name a limit of the requests that they take.",
-            value=lambda: len(self._shell.limits),
-        )
-        metrics.watch(
-            name="tickets_held",
-            help="Reservations of engines' memory that are held.",
-            value=lambda: self._tickets.held,
-        )
-        metrics.watch(
-            name="loop_lag_seconds",
-            help="How late the last regular step of the process was.",
-            value=lambda: self._shell.lag,
-        )
-        metrics.watch(
-            name="log_lines_left_out",
-            help="Lines of the log that its volume did not permit.",
-            value=lambda: self._log.left_out,
-        )
-
     def _dispatch_snapshot(self) -> None:
         """Dispatch a snapshot of the current configuration and targets to the reducer."""
         deployment = self._handler.deployment
-        if deployment is None:
+        if deployment is None or not self._evacuations.available():
             return
         self._revision += 1
         inventory = Inventory(
-            places=self._settings.places,
+            places=self._evacuations.places,
             services=deployment.services,
             targets=tuple(self._targets.values()),
             customers=self._customers,
         )
         snapshot = Snapshot(revision=self._revision, inventory=inventory, rules=Rules())
         self._shell.dispatch(SnapshotAdopted(now=self._shell.now, snapshot=snapshot))
-
-
-def _target_status(target: Target, *, limit: float | None) -> TargetStatus:
-    return TargetStatus(
-        name=target.name,
-        place=target.place,
-        state=target.role.value,
-        started=target.started,
-        limit=limit,
-    )
-
-
-def _difference(
-    before: Mapping[TargetName, Target], after: Mapping[TargetName, Target]
-) -> TargetsChanged:
-    draining = [target.name for target in after.values() if target.role is TargetRole.DRAINING]
-    restarted = [name for name, target in after.items() if started_again(before.get(name), target)]
-    return TargetsChanged(
-        added=",".join(sorted(after.keys() - before.keys())),
-        gone=",".join(sorted(before.keys() - after.keys())),
-        restarted=",".join(sorted(restarted)),
-        draining=",".join(sorted(draining)),
-        serving=len(after) - len(draining),
-    )
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -89,6 +89,7 @@
         predicted: Predicted seconds to the first token; zero if there is no prediction.
         peers: Number of peers whose sends the choice took into account.
         held_back: Number of targets excluded because their rate limits were used up.
+        evacuated: Number of targets excluded because their failure domain is evacuated.
         after: The id of the last event that the caller has received.
     """
 
@@ -99,6 +100,7 @@
     predicted: float
     peers: int
     held_back: int
+    evacuated: int
     after: int
 
 
@@ -214,75 +216,6 @@
     targets: str
 
 
-class RequestQuarantined(Entry, frozen=True, kw_only=True):
-    """Targets crashed while running a request, which is sent to no target while in quarantine.
-
-    Attributes:
-        customer: The customer that it belongs to.
-        fingerprint: As at `RequestAdmitted`.
-        targets: Some of the targets that crashed.
-        seen_here: Whether an attempt of this host was among them.
-    """
-
-    part: ClassVar[str] = "gateway"
-    sentence: ClassVar[str] = "Request quarantined."
-    level: ClassVar[Level] = Level.WARNING
-    customer: str
-    fingerprint: str
-    targets: str
-    seen_here: bool
-
-
-class QuarantineEnded(RequestQuarantined, frozen=True):
-    """A target answered a quarantined request, which is now sent like any other."""
-
-    sentence: ClassVar[str] = "Quarantine ended."
-    level: ClassVar[Level] = Level.INFO
-
-
-class TargetLimited(Entry, frozen=True, kw_only=True):
-    """A target advertised a rate limit that applies to all hosts together.
-
-    Attributes:
-        target: The target.
-        rate: The limit that is applied, in requests per second.
-        before: The previous limit; zero if there was none.
-        said: The header value received by this host; empty if a peer reported the limit.
-        age: Seconds since a host received it.
-    """
-
-    part: ClassVar[str] = "gateway"
-    sentence: ClassVar[str] = "Target limits its requests."
-    target: str
-    rate: float
-    before: float
-    said: str
-    age: float
-
-
-class LimitUnreadable(TargetLimited, frozen=True):
-    """A target advertised a limit that is not a decimal number."""
-
-    sentence: ClassVar[str] = "Target limits its requests in a way that cannot be read."
-    level: ClassVar[Level] = Level.WARNING
-
-
-class LimitEnded(Entry, frozen=True, kw_only=True):
-    """A target no longer advertises a rate limit.
-
-    Attributes:
-        target: The target.
-        before: The previous limit, in requests per second.
-        age: Seconds since a host observed that it ended.
-    """
-
-    part: ClassVar[str] = "gateway"
-    sentence: ClassVar[str] = "Target limits its requests no more."
-    target: str
-    before: float
-    age: float
-
-
 class ConfigurationAdopted(Entry, frozen=True, kw_only=True):
     """A configuration is in force.
 
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -16,6 +16,7 @@
     TargetAnswerError,
     TargetBrokenError,
     TargetError,
+    TargetEvacuatedError,
     TargetRefusedError,
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
@@ -68,6 +69,7 @@
         tickets: Reserves memory for prompts larger than one engine.
         targets: Returns the listed targets by name.
         notices: Processes the target state reported in answers.
+        evacuated: Returns whether the failure domain of a target is evacuated.
         dispatch: Dispatches an event to the reducer.
         log: Receives the log entries.
         clock: Returns seconds of the monotonic clock.
@@ -80,6 +82,7 @@
         tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
         notices: TargetNotices,
+        evacuated: Callable[[TargetName], bool],
         dispatch: Callable[[ServingEvent], None],
         log: Log,
         clock: Callable[[], float],
@@ -88,6 +91,7 @@
         self._tickets = tickets
         self._targets = targets
         self._notices = notices
+        self._evacuated = evacuated
         self._dispatch = dispatch
         self._log = log
         self._clock = clock
@@ -106,6 +110,7 @@
                 predicted=round(effect.first_token, 3),
                 peers=effect.known_peers,
                 held_back=effect.held_back,
+                evacuated=effect.evacuated,
                 after=record.last_event,
             )
         )
@@ -161,6 +166,9 @@
         if missing:
             error = TargetRefusedError(target=missing[0])
             return _End(how=AttemptEnd.REFUSED, error=error, at_fault=missing[0])
+        withheld = self._withheld(effect)
+        if withheld is not None:
+            return withheld
         targets = [listed[name] for name in effect.targets]
         tickets = _tickets(effect, targets)
         async with AsyncExitStack() as stack:
@@ -176,7 +184,17 @@
                     retry_after=DEFAULT_BACKOFF_SECONDS,
                     at_fault=_target_of_error(error, targets),
                 )
-            return await self._send(record, effect, targets, tickets)
+            # A target may have been evacuated while memory was being reserved.
+            withheld = self._withheld(effect)
+            return withheld or await self._send(record, effect, targets, tickets)
+
+    def _withheld(self, effect: StartAttempt) -> _End | None:
+        """Return the end of an attempt that is not sent as a target of it is evacuated, or None."""
+        evacuated = next(filter(self._evacuated, effect.targets), None)
+        if evacuated is None:
+            return None
+        error = TargetEvacuatedError(target=evacuated)
+        return _End(how=AttemptEnd.REFUSED, error=error, at_fault=evacuated)
 
     async def _send(
         self,
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -10,18 +10,13 @@
 from azureswitch.clock import elapsed, suspended, until_step
 from azureswitch.core import CallId, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError
+from azureswitch.gateway._announced import announcement
 from azureswitch.gateway._failures import respond_failure
 from azureswitch.gateway._log import (
-    LOGGED_DIGITS,
     HostSuspended,
-    LimitEnded,
-    LimitUnreadable,
-    QuarantineEnded,
     RequestAnswered,
     RequestCutOff,
     RequestFailed,
-    RequestQuarantined,
-    TargetLimited,
 )
 from azureswitch.gateway._notices import TargetNotices
 from azureswitch.gateway._ports import Dialect, Published
@@ -29,11 +24,12 @@
 from azureswitch.gateway._relay import Relay
 from azureswitch.gateway._tickets import Tickets
 from azureswitch.inventory import Target
-from azureswitch.logs import Entry, Log
+from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
 from azureswitch.server import CloseReason
 from azureswitch.serving import (
     TICK_SECONDS,
+    AnnounceEvacuation,
     AnnounceLimit,
     AnnounceQuarantine,
     AnswerPermit,
@@ -41,6 +37,7 @@
     CallArrived,
     CallerLeft,
     CancelAttempt,
+    EvacuatedPlace,
     FinishCall,
     GraceEnded,
     Loop,
@@ -109,6 +106,7 @@
             tickets=tickets,
             targets=targets,
             notices=self._notices,
+            evacuated=state.fleet.is_evacuated,
             dispatch=self.dispatch,
             log=log,
             clock=clock,
@@ -139,6 +137,11 @@
         """The advertised rate limits of targets, in requests per second."""
         return self._state.limits.rates(now=self.now)
 
+    @property
+    def evacuations(self) -> tuple[EvacuatedPlace, ...]:
+        """The evacuated failure domains, and how many attempts still run there."""
+        return self._state.evacuations.places
+
     @property
     def now(self) -> float:
         """Seconds of the monotonic clock."""
@@ -293,16 +296,7 @@
 
     @_run.register
     def _(self, effect: AnnounceQuarantine) -> None:
-        report = effect.change.report
-        kind = QuarantineEnded if effect.change.ended else RequestQuarantined
-        self._log.write(
-            kind(
-                customer=report.customer,
-                fingerprint=report.fingerprint[:LOGGED_DIGITS],
-                targets=",".join(start.target for start in report.crashes),
-                seen_here=effect.change.keep,
-            )
-        )
+        self._log.write(announcement(effect))
         self._publish(effect)
 
     @_run.register
@@ -315,7 +309,11 @@
 
     @_run.register
     def _(self, effect: AnnounceLimit) -> None:
-        self._log.write(_limit_entry(effect))
+        self._log.write(announcement(effect))
+
+    @_run.register
+    def _(self, effect: AnnounceEvacuation) -> None:
+        self._log.write(announcement(effect))
 
     @_run.register
     def _(self, effect: Observe) -> None:
@@ -392,19 +390,6 @@
         )
 
 
-def _limit_entry(effect: AnnounceLimit) -> Entry:
-    """Return the log entry for a changed or removed limit."""
-    change = effect.change
-    before = change.before or 0.0
-    age = round(change.age, 3)
-    if change.rate is None:
-        return LimitEnded(target=change.target, before=before, age=age)
-    kind = TargetLimited if effect.readable else LimitUnreadable
-    return kind(
-        target=change.target, rate=change.rate, before=before, said=effect.text or "", age=age
-    )
-
-
 def _on_time(record: CallRecord, first: float) -> bool:
     """Return whether an answer met its route's objectives; zero means no objective."""
     route = record.route
--- a/src/azureswitch/platform/__init__.py
+++ b/src/azureswitch/platform/__init__.py
@@ -11,6 +11,7 @@
     decode_deployment,
 )
 from azureswitch.platform._dialect import PlatformDialect
+from azureswitch.platform._evacuations import EVACUATIONS_KIND, EvacuationReader
 from azureswitch.platform._foreign import Fault, Foreign
 from azureswitch.platform._hosts import HttpHostList
 from azureswitch.platform._orders import ORDER_PATH
@@ -34,6 +35,7 @@
 __all__ = [
     "CONFIGURATION_KIND",
     "CONFIGURATION_NAME",
+    "EVACUATIONS_KIND",
     "HOSTS_PATH",
     "OBJECTS_PATH",
     "ORDER_PATH",
@@ -42,6 +44,7 @@
     "PlatformDialect",
     "PlatformSettings",
     "TARGETS_KIND",
+    "EvacuationReader",
     "Fault",
     "Foreign",
     "TargetReader",
--- a/src/azureswitch/platform/_adoption.py
+++ b/src/azureswitch/platform/_adoption.py
@@ -1,4 +1,4 @@
-"""Applies configurations and target lists; each configuration is built while the old one serves."""
+"""Applies configurations, built while the old one serves, target lists and evacuations."""
 
 from asyncio import sleep
 from collections.abc import Callable
@@ -11,6 +11,7 @@
     TARGETS_KIND,
     deployment_steps,
 )
+from azureswitch.platform._evacuations import EVACUATIONS_KIND, EvacuationReader
 from azureswitch.platform._foreign import Fault, Foreign, ForeignTracker
 from azureswitch.platform._targets import TargetReader
 from azureswitch.ports import StoredObject
@@ -27,7 +28,7 @@
 
 
 class Adoption:
-    """Applies the configuration and the targets in the store to the gateway.
+    """Applies the configuration, the targets and the evacuations in the store to the gateway.
 
     A configuration is built in slices.  One that fits into a single slice is applied at once.  If
     several arrive while another one is being built, only the newest of them is built next.
@@ -35,8 +36,10 @@
     Args:
         gateway: The gateway.
         reader: Reads targets.
+        evacuations: Reads evacuations; None if they are not read.
         foreign: Records the entries that cannot be read.
-        on_configured: Called after each change once the gateway has a configuration and a target.
+        on_configured: Called after each change once the gateway has a configuration and a target,
+            and knows the evacuations.
     """
 
     def __init__(
@@ -46,9 +49,11 @@
         reader: TargetReader,
         foreign: ForeignTracker,
         on_configured: Callable[[], None],
+        evacuations: EvacuationReader | None = None,
     ) -> None:
         self._gateway = gateway
         self._reader = reader
+        self._evacuations = evacuations
         self._foreign = foreign
         self._on_configured = on_configured
         self._listed: tuple[StoredObject, ...] = ()
@@ -77,6 +82,15 @@
         self._gateway.set_targets(found.targets)
         self._notify_configured()
 
+    def list_evacuations(self, objects: tuple[StoredObject, ...]) -> None:
+        """Replace the evacuated failure domains by those that the store lists."""
+        if self._evacuations is None:
+            return
+        found = self._evacuations.read(objects)
+        self._foreign.set_entries(EVACUATIONS_KIND, found.foreign)
+        self._gateway.set_evacuations(found.evacuations)
+        self._notify_configured()
+
     async def stop(self, *, timeout: float) -> None:
         """Cancel the build in progress, and wait at most ``timeout`` seconds for it to end."""
         await self._tasks.stop(timeout=timeout)
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -23,6 +23,7 @@
     TARGETS_KIND,
 )
 from azureswitch.platform._dialect import PlatformDialect
+from azureswitch.platform._evacuations import EVACUATIONS_KIND, EvacuationReader
 from azureswitch.platform._foreign import ForeignTracker
 from azureswitch.platform._orders import HttpReservations
 from azureswitch.platform._quarantine import QUARANTINE_KIND, StoreQuarantine
@@ -46,10 +47,11 @@
 from azureswitch.tasks import end_tasks, keep_running
 
 RETURN_GRACE_SECONDS = 1.8
-"""Seconds for which a missing target is kept after the store becomes available again.
+"""Seconds for which a missing target or evacuation is kept after the store becomes available again.
 
 Live targets register again within about 2 s, which is also the time within which a target that has
-left must stop receiving new requests.
+left must stop receiving new requests.  Within that time operators also write an evacuation again
+that an older copy of the store lacks.
 """
 
 STORE_TIMEOUT_SECONDS = 1.0
@@ -113,7 +115,7 @@
         )
         self._foreign = ForeignTracker(
             metrics=self._metrics,
-            kinds=(CONFIGURATION_KIND, TARGETS_KIND, ROSTER_KIND, QUARANTINE_KIND),
+            kinds=_kinds(settings),
             clock=elapsed,
         )
         self._stores: list[HttpStore] = []
@@ -139,6 +141,9 @@
             reader=TargetReader(places=settings.places),
             foreign=self._foreign,
             on_configured=self._configured.set,
+            evacuations=(
+                EvacuationReader(places=settings.places) if settings.evacuations else None
+            ),
         )
         self._quarantine = StoreQuarantine(
             store=self._store, recalled=self._recall, foreign=self._foreign
@@ -179,6 +184,17 @@
             return_grace=RETURN_GRACE_SECONDS,
             seed=seed + 1,
         )
+        self._evacuations = (
+            mirrors.add(
+                store=self._store,
+                kind=EVACUATIONS_KIND,
+                publish=self._adoption.list_evacuations,
+                return_grace=RETURN_GRACE_SECONDS,
+                seed=seed + 2,
+            )
+            if settings.evacuations
+            else None
+        )
         self._digests = Digests(
             myself=myself,
             peers=self._network,
@@ -219,6 +235,8 @@
             "membership": self._membership.run,
             "quarantine": self._quarantine.run,
         }
+        if self._evacuations is not None:
+            parts["evacuations"] = self._evacuations.run
         loops = [
             asyncio.create_task(keep_running(part, prefix="edge", name=name), name=name)
             for name, part in parts.items()
@@ -346,6 +364,12 @@
         )
 
 
+def _kinds(settings: PlatformSettings) -> tuple[str, ...]:
+    """Return the kinds of object that are read, whose entries may be foreign."""
+    kinds = (CONFIGURATION_KIND, TARGETS_KIND, ROSTER_KIND, QUARANTINE_KIND)
+    return (*kinds, EVACUATIONS_KIND) if settings.evacuations else kinds
+
+
 def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
     return GatewaySettings(
         host=settings.host,
--- a/src/azureswitch/platform/_foreign.py
+++ b/src/azureswitch/platform/_foreign.py
@@ -49,6 +49,7 @@
     PLACE = "place"
     SERVICE = "service"
     STATE = "state"
+    UNKNOWN_PLACE = "unknown_place"
 
 
 class Foreign(Struct, frozen=True, kw_only=True):
--- a/src/azureswitch/status.py
+++ b/src/azureswitch/status.py
@@ -87,6 +87,28 @@
     entries: tuple[ForeignEntry, ...]
 
 
+class EvacuationStatus(Struct, frozen=True, kw_only=True):
+    """An evacuated failure domain as a host knows it.
+
+    Attributes:
+        place: Its name.
+        since: When it was evacuated, or the host first saw it, in milliseconds of the wall clock.
+        author: Who requested it; empty where that is unknown.
+        reason: Why; empty where no reason was given.
+        until: When it is expected to end, in milliseconds of the wall clock; zero if unknown.
+        running: Attempts of the host that still run there.
+        empty: Since when none of them has, in milliseconds of the wall clock; zero while some do.
+    """
+
+    place: str
+    since: int
+    author: str = ""
+    reason: str = ""
+    until: int = 0
+    running: Count = 0
+    empty: int = 0
+
+
 class HostStatus(Struct, frozen=True, kw_only=True):
     """What a host knows.
 
@@ -102,6 +124,7 @@
         targets: The targets that it knows, or None where it does not tell.
         foreign: The collections of the store that hold foreign entries, or None where it does not
             tell.
+        evacuations: The evacuated failure domains, or None where it does not tell.
     """
 
     host: str
@@ -114,6 +137,7 @@
     unreadable: int = 0
     targets: tuple[TargetStatus, ...] | None = None
     foreign: tuple[ForeignCollection, ...] | None = None
+    evacuations: tuple[EvacuationStatus, ...] | None = None
 
 
 def member_report(member: Member) -> MemberReport:
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -381,13 +381,14 @@
     neighbours: Callable[[], Neighbours] = Neighbours,
     members: Callable[[], Iterable[Member]] = tuple,
     foreign: Callable[[], tuple[ForeignCollection, ...]] = tuple,
+    evacuations: bool = False,
 ) -> Gateway:
     """Return a gateway that has not been started."""
     return Gateway(
         settings=GatewaySettings(
             host=HostName("h1"),
             place=PlaceName("p1"),
-            places=(Place(name=PlaceName("p1"), region="r"),),
+            places=tuple(Place(name=PlaceName(name), region="r") for name in ("p1", "p2")),
             callers=callers,
             readiness=readiness,
             metrics=metrics_address,
@@ -395,6 +396,7 @@
             retry_share=0.2,
             retry_burst=50.0,
             hosts=1,
+            evacuations=evacuations,
         ),
         dialect=PlatformDialect(),
         reservations=reservations or FakeReservations(),
@@ -420,6 +422,7 @@
     neighbours: Callable[[], Neighbours] = Neighbours,
     members: Callable[[], Iterable[Member]] = tuple,
     foreign: Callable[[], tuple[ForeignCollection, ...]] = tuple,
+    evacuations: bool = False,
 ) -> AsyncIterator[Bed]:
     """Run a gateway with ``count`` targets of each service, all following one script."""
     fleet = Fleet(acts=list(acts))
@@ -433,6 +436,7 @@
         neighbours=neighbours,
         members=members,
         foreign=foreign,
+        evacuations=evacuations,
     )
     await gateway.start(callers=listener)
     names = [(f"{kind}{n}", kind == "e") for kind in ("e", "s") for n in range(count)]
