--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -66,11 +66,19 @@
 
 @asynccontextmanager
 async def edge(
-    tmp_path: Path, *, ip: str, store: str, name: str = "h1", **environment: str
+    tmp_path: Path,
+    *,
+    ip: str,
+    store: str,
+    name: str = "h1",
+    contracts: tuple[str, ...] = (),
+    **environment: str,
 ) -> AsyncIterator[tuple[str, asyncio.subprocess.Process]]:
     """Start an edge process, and yield the address for callers and the process."""
     settings = tmp_path / "edge.toml"
-    write_settings(settings, name=name, ip=ip, zone="z1", ports=PORTS, store=store)
+    write_settings(
+        settings, name=name, ip=ip, zone="z1", ports=PORTS, store=store, contracts=contracts
+    )
     callers = f"{ip}:{PORTS}"
     with (tmp_path / LOG).open("wb") as log:
         process = await asyncio.create_subprocess_exec(
