Evacuate and restore places by commands of the operators' program

Operators had no command that takes a whole failure domain out of use, so a place was drained by editing the role of each target in a file.

azureswitch evacuate and restore set Place.evacuation as a revision with an author. They refuse unknown places, places that another operator has evacuated, places in use, and evacuations that leave a service without a usable target. The time since when comes from the id of the change (a time-based UUID), so that a repeated try makes the same configuration.

--- a/src/azureswitch/commands/_application.py
+++ b/src/azureswitch/commands/_application.py
@@ -12,6 +12,7 @@
     ShowCommand,
 )
 from azureswitch.commands._drain import DrainCommand
+from azureswitch.commands._evacuate import EvacuateCommand, RestoreCommand
 from azureswitch.commands._explaining import ExplainCommand
 from azureswitch.commands._hash import HashKeyCommand
 from azureswitch.commands._parts import PARTS
@@ -19,7 +20,15 @@
 from azureswitch.commands._status import StatusCommand
 
 _PART_COMMANDS = (CheckCommand, DiffCommand, ApplyCommand, ShowCommand, HistoryCommand)
-_COMMANDS = (StatusCommand, DrainCommand, ExplainCommand, HashKeyCommand, ReferenceCommand)
+_COMMANDS = (
+    StatusCommand,
+    DrainCommand,
+    EvacuateCommand,
+    RestoreCommand,
+    ExplainCommand,
+    HashKeyCommand,
+    ReferenceCommand,
+)
 
 
 def build(*, connections: Connections | None = None) -> Application:
--- a/src/azureswitch/commands/_exits.py
+++ b/src/azureswitch/commands/_exits.py
@@ -12,13 +12,17 @@
     HostListError,
     InvalidOptionError,
     MissingKeyError,
+    PlaceEvacuatedError,
+    PlaceInUseError,
     RevisionConflictError,
     RevisionNotFoundError,
+    ServicesLeftEmptyError,
     SettingsError,
     SnapshotTooLargeError,
     StoreError,
     StoreOutcomeUnknownError,
     UnknownCustomerError,
+    UnknownPlaceError,
     UnknownTargetError,
 )
 
@@ -34,6 +38,7 @@
     OUTCOME_UNKNOWN = 5
     NOT_FOUND = 6
     ATTENTION = 7
+    REFUSED = 8
     INTERNAL = 70
 
     @property
@@ -50,10 +55,12 @@
     ExitCode.UNAVAILABLE: "The platform or an entry host was not reached; nothing was changed.",
     ExitCode.OUTCOME_UNKNOWN: "It is not known whether the change was accepted; "
     "run the command again with the change id that it printed.",
-    ExitCode.NOT_FOUND: "The target or revision does not exist; nothing was changed.",
+    ExitCode.NOT_FOUND: "The target, place or revision does not exist; nothing was changed.",
     ExitCode.ATTENTION: "The command worked and what it found needs attention: "
     "a host that lags, a foreign entry of the store, a request that would be refused, "
     "or an audit trail that was altered.",
+    ExitCode.REFUSED: "The change does not fit: the place to restore is in use, "
+    "or a service would be left without targets; nothing was changed.",
     ExitCode.INTERNAL: "Something failed inside the program.",
 }
 
@@ -81,11 +88,18 @@
 
 
 @exit_code.register(ChangeReusedError)
+@exit_code.register(PlaceEvacuatedError)
 @exit_code.register(RevisionConflictError)
 def _conflict(error: AzureswitchError) -> ExitCode:
     return ExitCode.CONFLICT
 
 
+@exit_code.register(PlaceInUseError)
+@exit_code.register(ServicesLeftEmptyError)
+def _refused(error: AzureswitchError) -> ExitCode:
+    return ExitCode.REFUSED
+
+
 @exit_code.register
 def _(error: AuditError) -> ExitCode:
     return ExitCode.ATTENTION
@@ -105,6 +119,7 @@
 
 
 @exit_code.register(UnknownCustomerError)
+@exit_code.register(UnknownPlaceError)
 @exit_code.register(UnknownTargetError)
 @exit_code.register(RevisionNotFoundError)
 def _absent(error: AzureswitchError) -> ExitCode:
--- a/src/azureswitch/commands/_explain.py
+++ b/src/azureswitch/commands/_explain.py
@@ -7,7 +7,7 @@
 from azureswitch.commands._loads import EngineLoad
 from azureswitch.core import CallId, CustomerName, Effect, HostName, PlaceName, ServiceName
 from azureswitch.exceptions import AzureswitchError, UnknownCustomerError, UnknownModelError
-from azureswitch.inventory import Customer, Rules, Service, ServiceKind, Snapshot
+from azureswitch.inventory import Customer, Rules, Service, ServiceKind, Snapshot, shown
 from azureswitch.serving import (
     Call,
     CallArrived,
@@ -104,6 +104,7 @@
         repeatable=_repeatable(service, question),
         idempotency_key=None,
     )
+    steps += _evacuation_steps(snapshot, call.service)
     effects = _decide(snapshot, question, call, loads)
     for effect in effects:
         steps += _step(effect)
@@ -173,6 +174,20 @@
     return f"It may take {timeout:g} s, which is {source}."
 
 
+def _evacuation_steps(snapshot: Snapshot, service: ServiceName) -> list[str]:
+    """Return a sentence for each evacuated place in which the service has targets."""
+    steps = []
+    for place in snapshot.inventory.places:
+        excluded = sum(
+            target.service == service and target.place == place.name
+            for target in snapshot.inventory.targets
+        )
+        if place.evacuation is not None and excluded:
+            why = shown(place.evacuation)
+            steps.append(f"Place {place.name} is evacuated {why}; its targets here: {excluded}.")
+    return steps
+
+
 @singledispatch
 def _step(effect: Effect) -> list[str]:
     return []
--- a/src/azureswitch/commands/_explaining.py
+++ b/src/azureswitch/commands/_explaining.py
@@ -11,7 +11,7 @@
 from azureswitch.commands._loads import EngineLoad, read_loads
 from azureswitch.commands._numbers import count, seconds
 from azureswitch.commands._revisions import EMPTY
-from azureswitch.inventory import Snapshot, load_inventory, load_rules
+from azureswitch.inventory import Snapshot, keep_evacuations, load_inventory, load_rules
 
 
 @text.register
@@ -74,7 +74,8 @@
         both = inventory and rules
         snapshot = EMPTY if both else await self.revisions.head()
         if inventory:
-            snapshot = replace(snapshot, inventory=load_inventory(Path(inventory)))
+            loaded = keep_evacuations(load_inventory(Path(inventory)), of=snapshot.inventory)
+            snapshot = replace(snapshot, inventory=loaded)
         if rules:
             snapshot = replace(snapshot, rules=load_rules(Path(rules)))
         return snapshot
--- a/src/azureswitch/commands/_fleet.py
+++ b/src/azureswitch/commands/_fleet.py
@@ -6,13 +6,18 @@
 from msgspec.structs import replace
 
 from azureswitch.commands._answers import PARTS, HostAnswer
+from azureswitch.commands._evacuations import EvacuationReport, merge_evacuations
 from azureswitch.commands._loads import EngineLoad
 from azureswitch.commands._merging import TargetReport, merge_foreign, merge_targets
 from azureswitch.exceptions import StatusPartError
+from azureswitch.inventory import Inventory
 from azureswitch.status import ForeignCollection, HostStatus, MemberReport
 
 _TAKING_PART = frozenset({"alive", "suspect"})
 
+_WITH_ATTEMPTS = frozenset({"alive", "suspect", "leaving"})
+"""States in which a host may still have requests at targets."""
+
 
 class UntoldPart(Struct, frozen=True, kw_only=True):
     """A part of a host's status that it does not tell while another host does.
@@ -43,6 +48,7 @@
         unreadable: Hosts that answered and cannot read an accepted revision.
         targets: The targets that any host knows, or None where none tells.
         foreign: The collections of the store with foreign entries, or None where no host tells.
+        evacuations: The evacuated places, by any host or by the newest revision.
         untold: What some hosts do not tell while others do.
         unread: What hosts tell that cannot be read.
     """
@@ -59,6 +65,7 @@
     unreadable: tuple[str, ...] = ()
     targets: tuple[TargetReport, ...] | None = None
     foreign: tuple[ForeignCollection, ...] | None = None
+    evacuations: tuple[EvacuationReport, ...] = ()
     untold: tuple[UntoldPart, ...] = ()
     unread: tuple[StatusPartError, ...] = ()
 
@@ -77,6 +84,7 @@
     *,
     head: int | None,
     loads: tuple[EngineLoad, ...] = (),
+    inventory: Inventory | None = None,
 ) -> FleetStatus:
     """Put together what hosts say.
 
@@ -84,6 +92,7 @@
         answers: What was answered at each operations address, None for nothing; one at least did.
         head: The newest accepted revision, or None where it is not known.
         loads: What engines say of their load.
+        inventory: The inventory of the newest revision, or None where it is not known.
 
     Returns:
         The status of the fleet.
@@ -111,6 +120,11 @@
         unreadable=tuple(entry.host for entry in entries if entry.unreadable),
         targets=merge_targets(targets) if targets else None,
         foreign=merge_foreign(foreign) if foreign else None,
+        evacuations=merge_evacuations(
+            entries,
+            inventory=inventory,
+            live={member.host for member in members if member.status in _WITH_ATTEMPTS},
+        ),
         untold=tuple(_untold(told)),
         unread=tuple(error for answer in told for error in answer.unread),
     )
--- a/src/azureswitch/commands/_parts.py
+++ b/src/azureswitch/commands/_parts.py
@@ -11,6 +11,7 @@
     Inventory,
     Rules,
     Snapshot,
+    keep_evacuations,
     load_inventory,
     load_rules,
     show_inventory,
@@ -56,8 +57,9 @@
     name = "inventory"
 
     def load(self, path: Path, *, into: Snapshot) -> Snapshot:
-        """Return a snapshot with the inventory of a file."""
-        return replace(into, inventory=load_inventory(path))
+        """Return a snapshot with the inventory of a file, and the evacuations in force."""
+        inventory = keep_evacuations(load_inventory(path), of=into.inventory)
+        return replace(into, inventory=inventory)
 
     def contents(self, snapshot: Snapshot) -> str:
         """Return how many entries of each kind there are."""
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -9,17 +9,25 @@
 from azureswitch.client import HttpClient
 from azureswitch.commands._answers import HostAnswer, read_answer
 from azureswitch.commands._base import OperatorCommand, failure_text, outcome, text
+from azureswitch.commands._evacuations import EvacuationReport
 from azureswitch.commands._exits import ExitCode
 from azureswitch.commands._fleet import FleetStatus, assess
 from azureswitch.commands._loads import EngineLoad, read_loads
 from azureswitch.commands._merging import TargetReport
-from azureswitch.commands._revisions import head_revision
-from azureswitch.commands._tables import printable, table
+from azureswitch.commands._revisions import EMPTY
+from azureswitch.commands._tables import table
 from azureswitch.commands._times import start_text
 from azureswitch.decoding import UNDECODED
-from azureswitch.exceptions import EntryUnreachableError, HttpError, StoreError
-from azureswitch.inventory import TargetRole
+from azureswitch.exceptions import (
+    EntryUnreachableError,
+    HttpError,
+    RevisionNotFoundError,
+    SnapshotUnreadableError,
+    StoreError,
+)
+from azureswitch.inventory import Inventory, TargetRole
 from azureswitch.status import STATUS_PATH, ForeignCollection
+from azureswitch.texts import printable, time_text
 
 STATUS_TIMEOUT = 2.0
 """Seconds that a host may take to answer."""
@@ -27,6 +35,7 @@
 _HOST_HEADING = ("HOST", "PLACE", "ADDRESS", "STATUS", "REVISION", "NOTE")
 _LOAD_HEADING = ("ENGINE", "PLACE", "ROLE", "STARTED", "RUNNING", "WAITING", "MEMORY", "NOTE")
 _TARGET_HEADING = ("TARGET", "PLACE", "STATE", "STARTED", "NOTE")
+_EVACUATION_HEADING = ("EVACUATED", "SINCE", "BY", "WHY", "UNTIL", "STILL RUNNING THERE")
 _FOREIGN_HEADING = ("COLLECTION", "NAME", "VERSION", "FAULT", "WHAT IS WRONG")
 
 TARGET_ROWS = 40
@@ -58,6 +67,8 @@
         for m in report.members
     )
     yield table(_HOST_HEADING, rows)
+    if report.evacuations:
+        yield table(_EVACUATION_HEADING, map(_evacuation_cells, report.evacuations))
     if report.loads:
         yield table(_LOAD_HEADING, map(_load_cells, report.loads))
     elif report.targets is None:
@@ -83,6 +94,19 @@
     return ", ".join(note for note, hosts in notes.items() if host in hosts)
 
 
+def _evacuation_cells(item: EvacuationReport) -> tuple[object, ...]:
+    until = time_text(item.until) if item.until else ""
+    return (item.place, time_text(item.since), item.author, item.reason, until, _running(item))
+
+
+def _running(item: EvacuationReport) -> str:
+    if item.accepted is False:
+        return f"restored, not yet in force on {item.telling} hosts"
+    if item.empty:
+        return "empty"
+    return "not told" if item.running is None else f"{item.running}, by {item.telling} hosts"
+
+
 def _target_parts(targets: tuple[TargetReport, ...]) -> Iterator[str]:
     yield table(_TARGET_HEADING, map(_target_cells, targets[:TARGET_ROWS]))
     if len(targets) > TARGET_ROWS:
@@ -150,19 +174,27 @@
         answers = dict(zip(addresses, await gather(*map(_ask, clients)), strict=True))
         if not any(answers.values()):
             raise EntryUnreachableError(addresses=", ".join(addresses))
-        head, loads = await self._head()
-        return assess(answers, head=head, loads=loads)
-
-    async def _head(self) -> tuple[int | None, tuple[EngineLoad, ...]]:
-        """Return the newest revision, if the store is reached, and its engines' load."""
+        head, inventory = await self._head()
+        targets = inventory.targets if inventory and self.option("engines") else ()
+        loads = await read_loads(targets, self.engine)
+        return assess(answers, head=head, loads=loads, inventory=inventory)
+
+    async def _head(self) -> tuple[int | None, Inventory | None]:
+        """Return the newest revision and its inventory, each where it is to be had."""
+        revisions = self.revisions
+        entry = None
         try:
-            if not self.option("engines"):
-                return await head_revision(self.store), ()
-            head = await self.revisions.head()
+            entry = await revisions.changes.head()
+            if entry is None:
+                return EMPTY.revision, None
+            return entry.revision, (await revisions.snapshot(entry)).inventory
         except StoreError:
-            return None, ()
-        loads = await read_loads(head.inventory.targets, self.engine)
-        return head.revision, loads
+            return entry.revision if entry else None, None
+        except (RevisionNotFoundError, SnapshotUnreadableError):
+            # The hosts' own account is shown all the same, but engines are asked by the inventory.
+            if entry is None or self.option("engines"):
+                raise
+            return entry.revision, None
 
 
 async def _ask(client: HttpClient) -> HostAnswer | None:
--- a/src/azureswitch/commands/_tables.py
+++ b/src/azureswitch/commands/_tables.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from azureswitch.texts import printable
+
 
 class TextTable(Struct, frozen=True, kw_only=True):
     """Rows under a heading; columns are as wide as their widest cell."""
@@ -23,13 +25,6 @@
     return str(TextTable(heading=tuple(heading), rows=cells))
 
 
-def printable(text: str) -> str:
-    """Return a text such that what others wrote there cannot steer the reader's terminal."""
-    if text.isprintable():
-        return text
-    return "".join(char if char.isprintable() else ascii(char)[1:-1] for char in text)
-
-
 def _line(cells: Sequence[str], widths: Sequence[int]) -> str:
     padded = (cell.ljust(width) for cell, width in zip(cells, widths, strict=True))
     return "  ".join(padded).rstrip()
--- a/src/azureswitch/commands/_times.py
+++ b/src/azureswitch/commands/_times.py
@@ -1,8 +1,10 @@
-"""Times as operators read them."""
+"""Times as operators read and write them."""
 
-from datetime import UTC, datetime, timedelta
+from dataclasses import dataclass
+from datetime import UTC, datetime
 
-_EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
+from azureswitch.settings import Kind
+from azureswitch.texts import time_text
 
 
 def start_text(started: int) -> str:
@@ -14,10 +16,26 @@
     Returns:
         The time, or the number itself where it lies beyond the calendar.
     """
-    if not started:
-        return "not told"
-    try:
-        time = _EPOCH + timedelta(milliseconds=started)
-    except OverflowError:
-        return f"{started} ms"
-    return f"{time:%Y-%m-%dT%H:%M:%S}.{started % 1_000:03}Z"
+    return time_text(started) if started else "not told"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Moment(Kind[int]):
+    """A time of day with its offset, in milliseconds of the wall clock."""
+
+    @property
+    def expected(self) -> str:
+        """What is accepted."""
+        return "a time with its offset from UTC, such as 2026-01-31T18:00Z"
+
+    def parse(self, text: str) -> int:
+        """Read a value."""
+        time = datetime.fromisoformat(text)
+        # A time without an offset would mean another moment to each operator's clock.
+        if time.tzinfo is None:
+            raise ValueError(text)
+        return round(time.timestamp() * 1_000)
+
+    def show(self, value: int) -> str:
+        """Return the time in UTC."""
+        return datetime.fromtimestamp(value / 1_000, UTC).isoformat(timespec="milliseconds")
--- a/src/azureswitch/exceptions/_changes.py
+++ b/src/azureswitch/exceptions/_changes.py
@@ -67,6 +67,71 @@
         return f"The inventory holds no target named {self.target!r}."
 
 
+class UnknownPlaceError(ChangeError):
+    """The inventory holds no such failure domain."""
+
+    code: ClassVar[str] = "place_not_found"
+    place: str
+
+    @property
+    def message(self) -> str:
+        return f"The inventory holds no place named {self.place!r}."
+
+
+class PlaceEvacuatedError(ChangeError):
+    """Another operator has evacuated the failure domain already.
+
+    Attributes:
+        place: The failure domain.
+        author: Who evacuated it; empty if unknown.
+        reason: Why; empty if no reason was given.
+        since: When, in milliseconds of the wall clock.
+    """
+
+    code: ClassVar[str] = "place_evacuated"
+    place: str
+    author: str
+    reason: str
+    since: int
+
+    @property
+    def message(self) -> str:
+        why = f" ({self.reason})" if self.reason else ""
+        return f"Place {self.place!r} is evacuated already, by {self.author or 'somebody'}{why}."
+
+
+class PlaceInUseError(ChangeError):
+    """The failure domain is in use, so that there is no evacuation to end."""
+
+    code: ClassVar[str] = "place_in_use"
+    place: str
+
+    @property
+    def message(self) -> str:
+        return f"Place {self.place!r} is in use."
+
+
+class ServicesLeftEmptyError(ChangeError):
+    """The evacuation would leave services without any target that takes new work.
+
+    Attributes:
+        place: The failure domain.
+        services: The services.
+    """
+
+    code: ClassVar[str] = "services_left_empty"
+    place: str
+    services: tuple[str, ...]
+
+    @property
+    def message(self) -> str:
+        names = ", ".join(self.services)
+        return (
+            f"Evacuating {self.place!r} would leave no target to {names}; "
+            "--force evacuates it all the same."
+        )
+
+
 class ChangeOutcomeUnknownError(ChangeError):
     """The store did not say whether the change was accepted; ask again by its change id."""
 
--- a/src/azureswitch/inventory/__init__.py
+++ b/src/azureswitch/inventory/__init__.py
@@ -23,14 +23,14 @@
 if TYPE_CHECKING:
     from azureswitch.inventory._codec import SNAPSHOT_LIMIT, decode, encode
     from azureswitch.inventory._diff import Difference, DifferenceKind, FieldDifference, diff
-    from azureswitch.inventory._edit import set_role
+    from azureswitch.inventory._edit import evacuate, keep_evacuations, restore, set_role
     from azureswitch.inventory._load import (
         load_inventory,
         load_rules,
         parse_inventory,
         parse_rules,
     )
-    from azureswitch.inventory._show import show_inventory, show_rules
+    from azureswitch.inventory._show import show_inventory, show_rules, shown
     from azureswitch.inventory._tables import (
         INVENTORY,
         LONGEST_KEY_RETENTION,
@@ -50,13 +50,17 @@
     "decode": "_codec",
     "diff": "_diff",
     "encode": "_codec",
+    "evacuate": "_edit",
+    "keep_evacuations": "_edit",
     "load_inventory": "_load",
     "load_rules": "_load",
     "parse_inventory": "_load",
     "parse_rules": "_load",
+    "restore": "_edit",
     "set_role": "_edit",
     "show_inventory": "_show",
     "show_rules": "_show",
+    "shown": "_show",
 }
 """Where to find what reads and writes files of operators, which is loaded for who asks for it.
 
@@ -88,14 +92,18 @@
     "decode",
     "diff",
     "encode",
+    "evacuate",
+    "keep_evacuations",
     "latest",
     "load_inventory",
     "load_rules",
     "parse_inventory",
     "parse_rules",
+    "restore",
     "set_role",
     "show_inventory",
     "show_rules",
+    "shown",
     "started_again",
 ]
 
--- a/src/azureswitch/status.py
+++ b/src/azureswitch/status.py
@@ -87,6 +87,26 @@
     entries: tuple[ForeignEntry, ...]
 
 
+class EvacuationStatus(Struct, frozen=True, kw_only=True):
+    """An evacuated failure domain as a host knows it.
+
+    Attributes:
+        place: The failure domain.
+        since: When its evacuation was requested, or first seen, in milliseconds of the wall clock.
+        author: Who requested it; empty if unknown.
+        reason: Why; empty if no reason was given.
+        until: When it is expected to end, in milliseconds of the wall clock; zero if unknown.
+        running: Attempts of this host that still run there.
+    """
+
+    place: str
+    since: int
+    author: str = ""
+    reason: str = ""
+    until: int = 0
+    running: Count = 0
+
+
 class HostStatus(Struct, frozen=True, kw_only=True):
     """What a host knows.
 
@@ -102,6 +122,7 @@
         targets: The targets that it knows, or None where it does not tell.
         foreign: The collections of the store that hold foreign entries, or None where it does not
             tell.
+        evacuations: The evacuated failure domains, or None where it does not tell.
     """
 
     host: str
@@ -114,6 +135,7 @@
     unreadable: int = 0
     targets: tuple[TargetStatus, ...] | None = None
     foreign: tuple[ForeignCollection, ...] | None = None
+    evacuations: tuple[EvacuationStatus, ...] | None = None
 
 
 def member_report(member: Member) -> MemberReport:
