Let the soak evacuate failure domains

The soak had no operator that evacuates failure domains, so nothing checked from the outside that requests stay away from them.

--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -17,6 +17,8 @@
     RETRY_SLACK,
     RETRY_WINDOW,
 )
+from bench.soak._evacuations import concerned
+from bench.soak._evacuations import kept as kept_evacuations
 from bench.soak._keepers import OVERTIME, Ending
 from bench.soak._limits import kept, subject
 from bench.soak._records import (
@@ -305,6 +307,7 @@
         for name in listed - gone
         if records.services.get(name) == service
         and not records.disturbed((name, subject(name), STORE), begin=window.begin, end=window.end)
+        and not concerned(records, name, begin=window.begin, end=window.end)
     }
 
 
@@ -352,6 +355,11 @@
     return kept(records)
 
 
+def _evacuated(records: Records, _: Runs) -> Iterator[str]:
+    """Nothing new reaches an evacuated failure domain, and what runs there is not cut off."""
+    return kept_evacuations(records)
+
+
 def _budget(records: Records, runs: Runs) -> Iterator[str]:
     """Repeated sends stay within the budget that all hosts share."""
     repeats = []
@@ -383,5 +391,6 @@
     _configuration,
     _keys,
     _limits,
+    _evacuated,
     _budget,
 )
--- a/bench/soak/_documents.py
+++ b/bench/soak/_documents.py
@@ -87,7 +87,16 @@
     return {**fields, **more}
 
 
-def write_settings(path: Path, *, name: str, ip: str, zone: str, ports: int, store: str) -> None:
+def write_settings(
+    path: Path,
+    *,
+    name: str,
+    ip: str,
+    zone: str,
+    ports: int,
+    store: str,
+    contracts: tuple[str, ...] = (),
+) -> None:
     """Write the settings file of a host, in one step as a platform does.
 
     Args:
@@ -97,13 +106,16 @@
         zone: Its failure domain.
         ports: The first of its ports.
         store: ``IP:PORT`` of the store.
+        contracts: The parts of the users' rules that are in force.
     """
+    active = f"ActiveContracts = {list(contracts)}" if contracts else ""
     zones = "\n".join(f'{item} = "r"' for item in ZONES)
     text = f"""
 NodeName = "{name}"
 Ip = "{ip}"
 Zone = "{zone}"
 InternalPorts = [{ports + 3}, {ports + 9}]
+{active}
 [Zones]
 {zones}
 [ListenAddrs]
--- a/bench/soak/_records.py
+++ b/bench/soak/_records.py
@@ -129,6 +129,20 @@
     version: int
 
 
+class Evacuated(Struct, frozen=True, kw_only=True):
+    """One evacuation of a failure domain.
+
+    Attributes:
+        place: The failure domain.
+        begin: When the store had acknowledged it.
+        end: When its removal was first asked for.
+    """
+
+    place: str
+    begin: float
+    end: float
+
+
 class Records(Struct, kw_only=True):
     """All of a run.
 
@@ -140,6 +154,8 @@
         samples: What hosts had in force.
         findings: Broken promises that were seen at once.
         services: The services of targets, by name.
+        places: The failure domains of targets, by name.
+        evacuations: Evacuations of failure domains.
         read: Hosts with the ids of requests that their logs name.
     """
 
@@ -150,6 +166,8 @@
     samples: list[Sample] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
     services: dict[str, str] = field(default_factory=dict)
+    places: dict[str, str] = field(default_factory=dict)
+    evacuations: list[Evacuated] = field(default_factory=list)
     read: set[tuple[str, str]] = field(default_factory=set)
 
     def note(self, kind: str, subject: str, begin: float) -> None:
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -15,6 +15,7 @@
 from bench.soak._checks import check, crossed
 from bench.soak._clients import DEADLINE, Caller
 from bench.soak._documents import MEMORY
+from bench.soak._evacuations import CONTRACT, Evacuations
 from bench.soak._faults import Faults
 from bench.soak._fleet import START_SECONDS, Fleet, Target
 from bench.soak._foreign import Foreign
@@ -71,6 +72,7 @@
         restarts: Targets that start again under their names, beside the faults.
         foreign: Sets of foreign entries in the store.
         limits: Limits that targets name.
+        evacuations: Evacuations of failure domains, which hosts are set up for where there are any.
     """
 
     seed: int
@@ -86,6 +88,7 @@
     restarts: int = 2
     foreign: int = 0
     limits: int = 0
+    evacuations: int = 0
 
 
 class Result(Struct, frozen=True, kw_only=True):
@@ -127,6 +130,7 @@
         desks=plan.desks,
         records=records,
         folder=folder,
+        contracts=(CONTRACT,) if plan.evacuations else (),
     )
     platform = Platform(fleet=fleet, records=records)
     tasks: list[asyncio.Task[None]] = []
@@ -185,6 +189,7 @@
         fleet=fleet, platform=platform, records=records, seed=plan.seed, away=faults.away
     )
     limited = Limited(fleet=fleet, records=records, seed=plan.seed)
+    evacuations = Evacuations(fleet=fleet, records=records, seed=plan.seed)
     stop, calm_begins = asyncio.Event(), asyncio.Event()
     callers = [
         asyncio.create_task(
@@ -215,6 +220,7 @@
             group.create_task(restarts.run(count=plan.restarts, seconds=plan.seconds))
             group.create_task(foreign.run(count=plan.foreign, seconds=plan.seconds))
             group.create_task(limited.run(count=plan.limits, seconds=plan.seconds))
+            group.create_task(evacuations.run(count=plan.evacuations, seconds=plan.seconds))
             group.create_task(planned.run(count=plan.planned, seconds=plan.seconds))
             group.create_task(faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only))
         calm_begins.set()
