--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -109,6 +109,7 @@
     TargetAnswerError,
     TargetBrokenError,
     TargetError,
+    TargetEvacuatedError,
     TargetRefusedError,
 )
 
@@ -193,6 +194,7 @@
     "StoreVersionGoneError",
     "TargetAnswerError",
     "TargetBrokenError",
+    "TargetEvacuatedError",
     "TargetError",
     "TargetRefusedError",
     "TargetRejectedError",
