Show evacuated places on the status page of entry hosts

azureswitch status could not say what still runs in an evacuated place on the product's own path, as azureswitch-entry did not tell.

The page /status of an entry host tells each evacuated place, by whom and why, and the attempts of this host that still run there.

--- a/src/azureswitch/entry/_ops.py
+++ b/src/azureswitch/entry/_ops.py
@@ -11,7 +11,8 @@
 from azureswitch.entry._handlers import untyped
 from azureswitch.entry._shell import Shell
 from azureswitch.metrics import Metrics
-from azureswitch.status import STATUS_PATH, HostStatus, member_report
+from azureswitch.serving import EvacuatedPlace
+from azureswitch.status import STATUS_PATH, EvacuationStatus, HostStatus, member_report
 
 
 class HealthBody(Struct, kw_only=True):
@@ -90,9 +91,22 @@
             members=tuple(map(member_report, self._members())),
             engines=tuple(sorted(shell.targets.engines)),
             unreadable=self._unreadable(),
+            evacuations=tuple(map(_evacuation_status, shell.evacuations)),
         )
         return _json(body)
 
 
+def _evacuation_status(known: EvacuatedPlace) -> EvacuationStatus:
+    evacuation = known.evacuation
+    return EvacuationStatus(
+        place=known.place,
+        since=evacuation.since,
+        author=evacuation.author,
+        reason=evacuation.reason,
+        until=evacuation.until,
+        running=known.running,
+    )
+
+
 def _json(body: HealthBody | HostStatus, *, status: int = 200) -> Response:
     return Response(status, None, Content(b"application/json", encode(body)))
--- a/tests/commands/test_evacuations.py
+++ b/tests/commands/test_evacuations.py
@@ -300,6 +300,26 @@
         assert step.startswith(f"Place {PLACE} is evacuated since ")
         assert "chiller 4" in step
 
+    def test_refused(self, pair: Pair) -> None:
+        """A request of which all targets are evacuated would be refused by that name."""
+        dana, _ = pair
+        for place in (PLACE, *OTHERS):
+            dana.accept(f"evacuate {place} --force")
+        report = dana.json("explain -c rainier -m dishline-lm")
+        assert (report["admitted"], report["error"]) == (False, "service_evacuated")
+        assert len([step for step in report["steps"] if " is evacuated since " in step]) == 3
+
+    def test_elsewhere(self, pair: Pair) -> None:
+        """A request is sent to the places that are in use."""
+        dana, _ = pair
+        for place in OTHERS:
+            dana.accept(f"evacuate {place}")
+        targets = dana.json("inventory show")["value"]["targets"]
+        here = {target["name"] for target in targets if target["place"] == PLACE}
+        report = dana.json("explain -c rainier -m dishline-lm")
+        assert set(report["targets"]) <= here
+        assert report["targets"]
+
 
 class TestErrors:
     """The new failures."""
--- a/tests/entry/test_adoption.py
+++ b/tests/entry/test_adoption.py
@@ -1,6 +1,7 @@
 """What a host does with the bodies of accepted revisions."""
 
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import httpx
 import pytest
@@ -9,15 +10,25 @@
 from azureswitch.coordination.configuration import Changes
 from azureswitch.entry import EntryPorts
 from azureswitch.entry._wiring import Parts
-from azureswitch.inventory import LONGEST_KEY_RETENTION, decode, encode
+from azureswitch.inventory import (
+    LONGEST_KEY_RETENTION,
+    Evacuation,
+    Snapshot,
+    decode,
+    encode,
+    evacuate,
+)
+from azureswitch_standins.engine import CostModel
 from azureswitch_standins.hosts import HostListFake
 from azureswitch_standins.peers import PeersNetworkFake
 from azureswitch_standins.store import StoreFake
-from tests.entry.rig import Rig, configuration, settings
+from tests.entry.rig import MODEL, Rig, configuration, settings
 from tests.waiting import wait_until
 
 DAY = 86_400.0
 
+PROMPT = {"model": MODEL, "prompt": "a short question", "max_tokens": 4}
+
 
 @pytest.fixture
 def rig() -> Iterator[Rig]:
@@ -32,6 +43,20 @@
     rig.run(changes.propose(base=base, body=body, author="operator", change="next"))
 
 
+def accept_again(rig: Rig, snapshot: Snapshot, *, base: int) -> None:
+    """Accept an earlier configuration as the revision after a base."""
+    body = encode(inventory=snapshot.inventory, rules=snapshot.rules)
+    changes = Changes(store=rig.store)
+    rig.run(changes.propose(base=base, body=body, author="operator", change="again"))
+
+
+def running(rig: Rig) -> list[int]:
+    """Return how many attempts the host says still run in each evacuated place."""
+    evacuations = status(rig)["evacuations"]
+    assert isinstance(evacuations, list)
+    return [item["running"] for item in evacuations]
+
+
 def status(rig: Rig) -> dict[str, object]:
     """Return what the host tells operators."""
     answer = httpx.get(f"http://{rig.entry.operations_address}/status", timeout=5)
@@ -61,6 +86,56 @@
         wait_until(lambda: status(rig)["revision"] == 3)
         assert status(rig)["unreadable"] == 0
 
+    def test_evacuation(self, rig: Rig) -> None:
+        """An evacuated place is in force in the reducer: its calls are refused as not run."""
+        first = decode(configuration(rig.engines), revision=1)
+        (place,) = first.inventory.places
+        evacuation = Evacuation(since=7, author="dana", reason="chiller 4", until=9)
+        changed = evacuate(first.inventory, place=place.name, evacuation=evacuation, force=True)
+        assert rig.post("/v1/completions", PROMPT).status_code == 200
+        accept(rig, encode(inventory=changed, rules=first.rules), base=1)
+        wait_until(lambda: status(rig)["evacuations"])
+        assert status(rig)["evacuations"] == [
+            {
+                "place": place.name,
+                "since": 7,
+                "author": "dana",
+                "reason": "chiller 4",
+                "until": 9,
+                "running": 0,
+            }
+        ]
+        refused = rig.post("/v1/completions", PROMPT)
+        error = refused.json()["error"]
+        assert (refused.status_code, error["code"], error["ran"]) == (
+            503,
+            "service_evacuated",
+            "not_run",
+        )
+        assert "retry-after" in refused.headers
+        accept_again(rig, first, base=2)
+        wait_until(lambda: status(rig)["revision"] == 3)
+        assert status(rig)["evacuations"] == []
+        assert rig.post("/v1/completions", PROMPT).status_code == 200
+
+    def test_running_goes_on(self) -> None:
+        """A request that runs in a place goes on to its end once the place is evacuated."""
+        cost = CostModel(decode_base=0.05, prefill_rate=1_000_000.0)
+        with Rig(cost=cost).running() as rig, ThreadPoolExecutor(max_workers=1) as pool:
+            first = decode(configuration(rig.engines), revision=1)
+            asked = pool.submit(rig.post, "/v1/completions", {**PROMPT, "max_tokens": 60})
+            wait_until(lambda: status(rig)["open_calls"] == 1)
+            changed = evacuate(
+                first.inventory,
+                place=first.inventory.places[0].name,
+                evacuation=Evacuation(since=7),
+                force=True,
+            )
+            accept(rig, encode(inventory=changed, rules=first.rules), base=1)
+            wait_until(lambda: running(rig) == [1])
+            assert asked.result(timeout=20).status_code == 200
+            wait_until(lambda: running(rig) == [0])
+
     @pytest.mark.parametrize(("rule", "kept"), [(3 * DAY, 3 * DAY), (60.0, DAY)])
     def test_key_retention(self, rig: Rig, rule: float, kept: float) -> None:
         """Keys are remembered for as long as the rules say, and never for less than a day."""
