Test evacuate and restore on a fleet of real hosts

Only single hosts were tested with an evacuated place.

A place is evacuated through the operators' program, is told as empty by all three hosts, gets nothing new by explain, and comes back.

--- a/tests/commands/test_fleet.py
+++ b/tests/commands/test_fleet.py
@@ -94,6 +94,22 @@
         run(settings, "drain lm-03 --undo")
         wait_in_force(settings, 3)
 
+    def test_evacuate(self, settings: Path) -> None:
+        """An evacuated place is empty on every host, gets nothing new, and comes back."""
+        _, shown = run(settings, "inventory show")
+        base, inventory = shown["revision"], shown["value"]
+        place = inventory["places"][0]["name"]
+        inside = {target["name"] for target in inventory["targets"] if target["place"] == place}
+        run(settings, f"evacuate {place} --reason test")
+        (told,) = wait_in_force(settings, base + 1)["evacuations"]
+        assert (told["place"], told["reason"], told["empty"]) == (place, "test", True)
+        assert (told["running"], told["telling"], told["accepted"]) == (0, 3, True)
+        _, report = run(settings, f"explain -c rainier -m dishline-lm --live --place {place}")
+        assert report["targets"]
+        assert not inside & set(report["targets"])
+        run(settings, f"restore {place}")
+        assert wait_in_force(settings, base + 2)["evacuations"] == []
+
     def test_race(self, settings: Path, tmp_path: Path) -> None:
         """Of operators who apply at the same moment one is accepted, and all learn of it."""
         _, shown = run(settings, "rules show")
