--- a/src/azureswitch/commands/_evacuations.py
+++ b/src/azureswitch/commands/_evacuations.py
@@ -21,6 +21,8 @@
         running: Attempts that run there by the account of the hosts asked, or None if none tells.
         telling: How many hosts tell.
         empty: Whether nothing runs there: every live host tells, and none runs anything.
+        empty_since: Since when that is so, in milliseconds of the hosts' wall clocks; zero if
+            something runs there or it is not known.
     """
 
     place: str
@@ -32,6 +34,7 @@
     running: int | None
     telling: int
     empty: bool
+    empty_since: int = 0
 
 
 def merge_evacuations(
@@ -80,6 +83,7 @@
     by_age = sorted(told.values(), key=lambda item: (not item.author, item.since))
     source = accepted.evacuation if accepted and accepted.evacuation else by_age[0]
     running = sum(item.running for item in told.values()) if told else None
+    empty = running == 0 and live <= told.keys()
     return EvacuationReport(
         place=name,
         since=source.since,
@@ -89,5 +93,6 @@
         accepted=accepted is not None if known else None,
         running=running,
         telling=len(told),
-        empty=running == 0 and live <= told.keys(),
+        empty=empty,
+        empty_since=max(item.empty for item in told.values()) if empty else 0,
     )
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -103,7 +103,7 @@
     if item.accepted is False:
         return f"restored, not yet in force on {item.telling} hosts"
     if item.empty:
-        return "empty"
+        return f"empty since {time_text(item.empty_since)}" if item.empty_since else "empty"
     return "not told" if item.running is None else f"{item.running}, by {item.telling} hosts"
 
 
--- a/src/azureswitch/entry/_ops.py
+++ b/src/azureswitch/entry/_ops.py
@@ -1,6 +1,7 @@
 """The interface for operators: health, status and metrics."""
 
 from collections.abc import Callable, Iterable
+from time import time
 
 from blacksheep import Application, Content, Request, Response
 from msgspec import Struct
@@ -91,13 +92,16 @@
             members=tuple(map(member_report, self._members())),
             engines=tuple(sorted(shell.targets.engines)),
             unreadable=self._unreadable(),
-            evacuations=tuple(map(_evacuation_status, shell.evacuations)),
+            evacuations=tuple(
+                _evacuation_status(known, now=shell.now) for known in shell.evacuations
+            ),
         )
         return _json(body)
 
 
-def _evacuation_status(known: EvacuatedPlace) -> EvacuationStatus:
+def _evacuation_status(known: EvacuatedPlace, *, now: float) -> EvacuationStatus:
     evacuation = known.evacuation
+    empty = 0 if known.empty_at is None else int((time() - (now - known.empty_at)) * 1_000)
     return EvacuationStatus(
         place=known.place,
         since=evacuation.since,
@@ -105,6 +109,7 @@
         reason=evacuation.reason,
         until=evacuation.until,
         running=known.running,
+        empty=empty,
     )
 
 
--- a/src/azureswitch/status.py
+++ b/src/azureswitch/status.py
@@ -91,12 +91,13 @@
     """An evacuated failure domain as a host knows it.
 
     Attributes:
-        place: The failure domain.
-        since: When its evacuation was requested, or first seen, in milliseconds of the wall clock.
-        author: Who requested it; empty if unknown.
-        reason: Why; empty if no reason was given.
+        place: Its name.
+        since: When it was evacuated, or the host first saw it, in milliseconds of the wall clock.
+        author: Who requested it; empty where that is unknown.
+        reason: Why; empty where no reason was given.
         until: When it is expected to end, in milliseconds of the wall clock; zero if unknown.
-        running: Attempts of this host that still run there.
+        running: Attempts of the host that still run there.
+        empty: Since when none of them has, in milliseconds of the wall clock; zero while some do.
     """
 
     place: str
@@ -105,6 +106,7 @@
     reason: str = ""
     until: int = 0
     running: Count = 0
+    empty: int = 0
 
 
 class HostStatus(Struct, frozen=True, kw_only=True):
--- a/tests/commands/test_evacuations.py
+++ b/tests/commands/test_evacuations.py
@@ -227,6 +227,12 @@
         ("first", "second", "shown", "empty"),
         [
             ([running(0)], [running(0)], "empty", True),
+            (
+                [running(0, empty=2_000)],
+                [running(0, empty=3_000)],
+                "empty since 1970-01-01T00:00:03.000Z",
+                True,
+            ),
             ([running(2)], [running(1)], "3, by 2 hosts", False),
             ([running(0)], [], "0, by 1 hosts", False),
             ([], [], "not told", False),
--- a/tests/entry/test_adoption.py
+++ b/tests/entry/test_adoption.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from time import time
+from typing import Any
 
 import httpx
 import pytest
@@ -52,9 +54,14 @@
 
 def running(rig: Rig) -> list[int]:
     """Return how many attempts the host says still run in each evacuated place."""
-    evacuations = status(rig)["evacuations"]
-    assert isinstance(evacuations, list)
-    return [item["running"] for item in evacuations]
+    return [item["running"] for item in evacuations(rig)]
+
+
+def evacuations(rig: Rig) -> list[dict[str, Any]]:
+    """Return the evacuated places that the host tells of."""
+    told = status(rig)["evacuations"]
+    assert isinstance(told, list)
+    return told
 
 
 def status(rig: Rig) -> dict[str, object]:
@@ -94,17 +101,17 @@
         changed = evacuate(first.inventory, place=place.name, evacuation=evacuation, force=True)
         assert rig.post("/v1/completions", PROMPT).status_code == 200
         accept(rig, encode(inventory=changed, rules=first.rules), base=1)
-        wait_until(lambda: status(rig)["evacuations"])
-        assert status(rig)["evacuations"] == [
-            {
-                "place": place.name,
-                "since": 7,
-                "author": "dana",
-                "reason": "chiller 4",
-                "until": 9,
-                "running": 0,
-            }
-        ]
+        wait_until(lambda: evacuations(rig))
+        (told,) = evacuations(rig)
+        assert told.pop("empty") == pytest.approx(time() * 1_000, abs=10_000)
+        assert told == {
+            "place": place.name,
+            "since": 7,
+            "author": "dana",
+            "reason": "chiller 4",
+            "until": 9,
+            "running": 0,
+        }
         refused = rig.post("/v1/completions", PROMPT)
         error = refused.json()["error"]
         assert (refused.status_code, error["code"], error["ran"]) == (
