--- a/src/azureswitch/entry/_ops.py
+++ b/src/azureswitch/entry/_ops.py
@@ -1,6 +1,7 @@
 """The interface for operators: health, status and metrics."""
 
 from collections.abc import Callable, Iterable
+from time import time
 
 from blacksheep import Application, Content, Request, Response
 from msgspec import Struct
@@ -11,7 +12,8 @@
 from azureswitch.entry._handlers import untyped
 from azureswitch.entry._shell import Shell
 from azureswitch.metrics import Metrics
-from azureswitch.status import STATUS_PATH, HostStatus, member_report
+from azureswitch.serving import EvacuatedPlace
+from azureswitch.status import STATUS_PATH, EvacuationStatus, HostStatus, member_report
 
 
 class HealthBody(Struct, kw_only=True):
@@ -90,9 +92,26 @@
             members=tuple(map(member_report, self._members())),
             engines=tuple(sorted(shell.targets.engines)),
             unreadable=self._unreadable(),
+            evacuations=tuple(
+                _evacuation_status(known, now=shell.now) for known in shell.evacuations
+            ),
         )
         return _json(body)
 
 
+def _evacuation_status(known: EvacuatedPlace, *, now: float) -> EvacuationStatus:
+    evacuation = known.evacuation
+    empty = 0 if known.empty_at is None else int((time() - (now - known.empty_at)) * 1_000)
+    return EvacuationStatus(
+        place=known.place,
+        since=evacuation.since,
+        author=evacuation.author,
+        reason=evacuation.reason,
+        until=evacuation.until,
+        running=known.running,
+        empty=empty,
+    )
+
+
 def _json(body: HealthBody | HostStatus, *, status: int = 200) -> Response:
     return Response(status, None, Content(b"application/json", encode(body)))
