Limit what hosts send to cold targets

Cause: a target that has just started crashes when it receives far more requests than it can sustain, and hosts sent to it as to any other.

Change: the subpackage serving/warmup tracks until when each start of a target is cold (entry, new start, end of an evacuation), ramps its rate up, and gives a subset of the hosts a token bucket for it. The gate in _throttling applies both kinds of limit; placement prefers warm engines; each target of an attempt takes a token.

--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -17,6 +17,7 @@
 from azureswitch.serving._effects import (
     AnnounceLimit,
     AnnounceQuarantine,
+    AnnounceWarmth,
     AnswerPermit,
     AskPermit,
     CancelAttempt,
@@ -97,6 +98,7 @@
     "AnswerPermit",
     "AskPermit",
     "AnnounceQuarantine",
+    "AnnounceWarmth",
     "HostSelf",
     "Grant",
     "LimitNamed",
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -41,7 +41,7 @@
 from azureswitch.serving._routing import choose
 from azureswitch.serving._state import Attempt, CallRecord, Phase, ServingState, TimerKind
 from azureswitch.serving._termination import end_quarantined, give_up
-from azureswitch.serving._throttling import all_limited, count_held_back, lane_for
+from azureswitch.serving._throttling import all_limited, cold_limited, count_held_back, lane_for
 
 LANE_RECHECK_SECONDS = {Level.SHORT: 0.02, Level.MIDDLE: 0.1, Level.LONG: 0.25}
 """Seconds before a lane is drained again after no target had room for its calls."""
@@ -74,6 +74,7 @@
     floor = min((state.fairness.served(n) for n in state.queue.customers(lane)), default=0.0)
     if all_limited(state, record.pool, now=now):
         floor -= PERMIT_CREDIT_CALLS * record.cost.total
+    cold = cold_limited(state, record.pool, now=now)
     state.fairness.raise_counter(record.call.customer, floor)
     record.phase = Phase.WAITING
     if record.call.unshared:
@@ -86,7 +87,8 @@
         seconds=record.cost.total,
         first=record.attempt_count > 0,
     )
-    return drain(state, lane, now=now) if lane_in_use else []
+    waited = [observe(record, Observation.COLD_WAITED)] if cold else []
+    return [*waited, *(drain(state, lane, now=now) if lane_in_use else [])]
 
 
 def drain(state: ServingState, lane: Lane, *, now: float) -> list[Effect]:
@@ -166,6 +168,7 @@
     for target in choice.targets:
         state.affinity.record_sent(target, call.prefix)
         state.permits.take(target, now=now)
+        state.warmup.take(target, now=now)
     if call.model and record.pool.pace is None:
         _set_aging_timer(state, record, attempt, now=now)
         _set_hedge_timer(state, record, choice, now=now)
--- a/src/azureswitch/serving/_candidates.py
+++ b/src/azureswitch/serving/_candidates.py
@@ -17,14 +17,16 @@
     Attributes:
         target: Its state.
         occupancy: Its occupancy by requests of all hosts.
-        limited: Whether it has announced a limit on requests.
+        limited: Whether it has announced a limit on requests, or is cold and limited therefore.
         probe: Whether it should be probed, as its limit may have ended.
+        cold: Whether it is cold.
     """
 
     target: TargetState
     occupancy: Occupancy
     limited: bool = False
     probe: bool = False
+    cold: bool = False
 
     @property
     def name(self) -> TargetName:
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -8,6 +8,7 @@
 from azureswitch.serving._crashes import QuarantineChange
 from azureswitch.serving._digests import Digest, DomainTotals, Grant, LimitReport
 from azureswitch.serving._limits import LimitChange
+from azureswitch.serving.warmup import WarmthChange
 
 
 class ClaimCall(Effect, frozen=True, kw_only=True):
@@ -165,6 +166,12 @@
     readable: bool = True
 
 
+class AnnounceWarmth(Effect, frozen=True, kw_only=True):
+    """Log for operators that a target has become cold or warm."""
+
+    change: WarmthChange
+
+
 class AnnounceQuarantine(Effect, frozen=True, kw_only=True):
     """Log for operators that a request was quarantined or is no longer quarantined."""
 
@@ -180,6 +187,8 @@
     HEDGED = "hedged"
     FINISHED = "finished"
     FAILED = "failed"
+    COLD_WAITED = "cold_waited"
+    COLD_REFUSED = "cold_refused"
     FIRST_TOKEN = "first_token_seconds"
     SLOWDOWN = "slowdown"
 
--- a/src/azureswitch/serving/_ending.py
+++ b/src/azureswitch/serving/_ending.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from azureswitch.core import Effect
-from azureswitch.exceptions import AzureswitchError, Ran
+from azureswitch.exceptions import AzureswitchError, Ran, TargetsColdError
 from azureswitch.serving._effects import (
     CancelAttempt,
     ClaimOutcome,
@@ -19,6 +19,7 @@
     Observe,
     SettleClaim,
 )
+from azureswitch.serving._events import Call
 from azureswitch.serving._state import Attempt, CallRecord, Phase, ServingState
 
 
@@ -120,6 +121,14 @@
     )
 
 
+def observe_cold_refusal(call: Call, error: AzureswitchError | None) -> list[Effect]:
+    """Return the effect that counts a call that is refused because of cold targets, if it is."""
+    if not isinstance(error, TargetsColdError):
+        return []
+    what = Observation.COLD_REFUSED
+    return [Observe(what=what, customer=call.customer, prompt_tokens=call.prompt_tokens)]
+
+
 def release(state: ServingState, record: CallRecord, attempt: Attempt) -> None:
     """Remove an attempt that has ended from the load of its targets and from the ledger."""
     if attempt.first_token is None:
@@ -181,4 +190,4 @@
         state.fairness.charge(call.customer, -record.cost.total, now=now)
     effects.append(FinishCall(call=call.id, error=error))
     effects.append(observe(record, Observation.FINISHED if error is None else Observation.FAILED))
-    return effects
+    return effects + observe_cold_refusal(call, error)
--- a/src/azureswitch/serving/_placement.py
+++ b/src/azureswitch/serving/_placement.py
@@ -21,7 +21,7 @@
 from azureswitch.serving._spreading import choose_long
 from azureswitch.serving._state import CallRecord, ServingState
 from azureswitch.serving._target import TargetState, Work
-from azureswitch.serving._throttling import is_limited, needs_probe, permitted
+from azureswitch.serving._throttling import is_cold, is_limited, needs_probe, permitted
 
 MIN_HEALTHY_SHARE = 0.5
 """Minimum share of targets without recent failures for the other targets to be avoided.
@@ -72,6 +72,13 @@
 It exceeds `FIRST_STREAM_COST`, so that it outweighs the cost of the first stream on an engine.
 """
 
+COLD_COST = 0.5
+"""Cost of a cold engine, which is slow to a degree that is not published.
+
+Half of a late short stream: a warm engine is preferred as long as it serves in time, whatever else
+differs between the two, and a cold one is used where all warm ones would be late.
+"""
+
 
 def place_call(
     state: ServingState, record: CallRecord, *, pace: EnginePace, now: float
@@ -92,7 +99,7 @@
     if short:
         best = _best_choice(state, engines, choose)
     else:
-        # Limited engines are left to short prompts, unless only they can serve a long one.
+        # Limited and cold engines are left to short prompts, unless only they can serve a long one.
         unlimited = [engine for engine in engines if not engine.limited]
         best = _best_choice(state, unlimited, choose) if unlimited else None
         if best is None:
@@ -102,13 +109,15 @@
 
 def _engine(state: ServingState, target: TargetState, *, now: float) -> Engine:
     occupancy = state.ledger.at(target.target.name)
-    if not state.limits.any:
+    if not state.limits.any and not state.warmup.any:
         return Engine(target=target, occupancy=occupancy)
+    cold = is_cold(state, target, now=now)
     return Engine(
         target=target,
         occupancy=occupancy,
-        limited=is_limited(state, target, now=now),
+        limited=cold or is_limited(state, target, now=now),
         probe=needs_probe(state, target, now=now),
+        cold=cold,
     )
 
 
@@ -178,6 +187,7 @@
         cost += pause_cost(occupancy, pace, reading=prefill, pauses=pauses)
         cost += packing * _packing_cost(occupancy, pace) + (1.0 - packing) * _spread_cost(occupancy)
         cost += _distance_cost(engine.target) - PROBE_CREDIT * engine.probe
+        cost += COLD_COST * engine.cold
         key = (cost, state.random.random(), engine.name)
         if best is None or key < best:
             best = key
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -26,7 +26,13 @@
     Observe,
     SettleClaim,
 )
-from azureswitch.serving._ending import finish, observe, run_isolated, run_step
+from azureswitch.serving._ending import (
+    finish,
+    observe,
+    observe_cold_refusal,
+    run_isolated,
+    run_step,
+)
 from azureswitch.serving._events import (
     AttemptEnded,
     AttemptSilent,
@@ -80,6 +86,7 @@
     end_stopped,
     end_unfinishable,
 )
+from azureswitch.serving._warmup_events import adopt_warmth, refresh_warmth
 
 TICK_SECONDS = 0.05
 """Seconds between two `Ticked` events."""
@@ -148,7 +155,7 @@
     refused = Observe(
         what=Observation.REFUSED, customer=call.customer, prompt_tokens=call.prompt_tokens
     )
-    return [FinishCall(call=call.id, error=error), refused]
+    return [FinishCall(call=call.id, error=error), refused, *observe_cold_refusal(call, error)]
 
 
 def _admit(state: ServingState, call: Call, *, now: float) -> list[Effect]:
@@ -388,13 +395,16 @@
     fleet_size = max(len(event.hosts), event.fleet_size or 0)
     state.retries.set_hosts(fleet_size)
     state.permits.set_hosts(event.hosts, fleet_hosts=fleet_size)
+    state.warmup.set_hosts(event.hosts, fleet_hosts=fleet_size, now=event.now)
     return []
 
 
 @_apply.register
 def _(event: SnapshotAdopted, state: ServingState) -> list[Effect]:
     restarted = state.adopt(event.snapshot)
-    effects = restart_attempts(state, restarted, now=event.now) if restarted else []
+    # Before any attempt is started again, which must find the new limits.
+    effects = adopt_warmth(state, event)
+    effects += restart_attempts(state, restarted, now=event.now) if restarted else []
     return effects + drain_all(state, now=event.now)
 
 
@@ -432,6 +442,7 @@
 def _(event: Ticked, state: ServingState) -> list[Effect]:
     effects: list[Effect] = []
     now = event.now
+    effects += run_isolated(partial(refresh_warmth, state, now=now), name="Timing cold targets")
     for timer in state.timers.due(now):
         record = state.calls.get(timer.call)
         if record is not None:
--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -8,6 +8,7 @@
 from azureswitch.serving._spans import choose_spans
 from azureswitch.serving._state import CallRecord, ServingState
 from azureswitch.serving._target import TargetState, Work
+from azureswitch.serving._throttling import within_cold_limit
 
 SAMPLE_SIZES = {Level.SHORT: 4, Level.MIDDLE: 8, Level.LONG: 8}
 """Targets that are sampled at random; if all were compared, hosts would herd on the same one."""
@@ -190,7 +191,8 @@
         return candidates
     fallback = _usable(state, record, record.pool.targets, now=now)
     # As a last resort, include targets that have failed before.
-    return fallback or [t for t in state.fleet.states(record.pool) if t.usable(now)]
+    rest = [t for t in state.fleet.states(record.pool) if t.usable(now)]
+    return fallback or [t for t in rest if within_cold_limit(state, t, now=now)]
 
 
 def _usable(
@@ -200,5 +202,8 @@
     return [
         target
         for target in states
-        if target is not None and target.preferred(now) and target.target.name not in record.failed
+        if target is not None
+        and target.preferred(now)
+        and target.target.name not in record.failed
+        and within_cold_limit(state, target, now=now)
     ]
--- a/src/azureswitch/serving/_spans.py
+++ b/src/azureswitch/serving/_spans.py
@@ -3,6 +3,7 @@
 from azureswitch.core import TargetName
 from azureswitch.serving._state import CallRecord, ServingState
 from azureswitch.serving._target import TargetState
+from azureswitch.serving._throttling import within_cold_limit
 
 MAX_EXTRA_ENGINES = 2
 """Maximum engines beyond the minimum that a prompt is spread over if memory is scarce."""
@@ -25,7 +26,8 @@
     call = record.call
     tokens = call.prompt_tokens + call.output_tokens
     states = [state.fleet.state(name) for name in record.pool.targets]
-    usable = [t for t in states if t is not None and t.usable(now)]
+    up = [t for t in states if t is not None and t.usable(now)]
+    usable = [t for t in up if within_cold_limit(state, t, now=now)]
     usable = [t for t in usable if t.target.name not in record.failed]
     allowed = [
         t for t in usable if state.fleet.accepts_long_prompts(t.target.name, call=call.id, now=now)
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -27,6 +27,7 @@
 from azureswitch.serving._retries import RetryBudget
 from azureswitch.serving._starts import Starts
 from azureswitch.serving._target import Work
+from azureswitch.serving.warmup import WarmupLimiter
 
 DIGEST_PERIOD = 0.2
 """Default interval in seconds between regular digests."""
@@ -222,6 +223,7 @@
         self._permits = Permits(
             host=myself.name, fleet_hosts=fleet_hosts, limits=self._limits, random=self._random
         )
+        self._warmup = WarmupLimiter(host=myself.name, fleet_hosts=fleet_hosts)
         self._digest_period = digest_period
         self._lean = lean
         self._deadline_margin = deadline_margin
@@ -351,6 +353,11 @@
         """The permits to send to targets with a rate limit."""
         return self._permits
 
+    @property
+    def warmup(self) -> WarmupLimiter:
+        """The limits of what this host sends to cold targets."""
+        return self._warmup
+
     @property
     def starts(self) -> Starts:
         """The known starts of targets."""
--- a/src/azureswitch/serving/_throttling.py
+++ b/src/azureswitch/serving/_throttling.py
@@ -1,8 +1,12 @@
-"""Selection of targets within their rate limits, and refusal of calls that exceed them."""
+"""Selection of targets within their rate limits, and refusal of calls that exceed them.
+
+There are two kinds of limit, and a request must satisfy both: the limits that targets announce, and
+those of cold targets.  The load that this responds to is more requests than such targets take.
+"""
 
 from math import inf
 
-from azureswitch.exceptions import LimitReachedError
+from azureswitch.exceptions import LimitReachedError, RefusedError, TargetsColdError
 from azureswitch.serving._events import Call
 from azureswitch.serving._fleet import Pool
 from azureswitch.serving._length import Level, level_of
@@ -20,6 +24,13 @@
 MAX_RETRY_JITTER = 2.0
 """Upper bound of the jitter of a refusal's retry time, as a multiple of the wait for a permit."""
 
+OTHER_HOST_SECONDS = 1.0
+"""Retry time for callers if this host may not send to any of the cold targets for longer than that.
+
+A retry usually reaches another host, and each host that may send to a target gains more than one
+request per second.
+"""
+
 
 def permitted(state: ServingState, targets: list[TargetState], *, now: float) -> list[TargetState]:
     """Return the targets that may get a request now, and request permits for some of the others.
@@ -27,6 +38,8 @@
     If some may, a permit is requested for only one more, for a later call to use.
     """
     usable = [target for target in targets if target.usable(now)]
+    # A permit would expire before a target without a token could get a request.
+    usable = [target for target in usable if within_cold_limit(state, target, now=now)]
     if not state.limits.any:
         return usable
     allowed = [target for target in usable if _may_send(state, target, now=now)]
@@ -42,16 +55,21 @@
     return allowed + [target for target in blocked if _may_send(state, target, now=now)]
 
 
+def within_cold_limit(state: ServingState, target: TargetState, *, now: float) -> bool:
+    """Return whether a target may get a request now as far as cold targets are limited."""
+    return not state.warmup.any or state.warmup.may_send(target.target.name, now=now)
+
+
 def count_held_back(state: ServingState, pool: Pool, *, now: float) -> int:
     """Return how many usable targets of a pool may get no request now due to their limits."""
-    if not state.limits.any:
+    if not _any_limit(state):
         return 0
     usable = (target for target in state.fleet.states(pool) if target.usable(now))
     return sum(not _may_send(state, target, now=now) for target in usable)
 
 
 def is_limited(state: ServingState, target: TargetState, *, now: float) -> bool:
-    """Return whether a target has a limit."""
+    """Return whether a target has announced a limit."""
     return state.limits.any and state.limits.rate(target.target.name, now=now) is not None
 
 
@@ -62,9 +80,14 @@
     return state.limits.seconds_unobserved(target.target.name, now=now) > PROBE_SECONDS
 
 
+def is_cold(state: ServingState, target: TargetState, *, now: float) -> bool:
+    """Return whether a target is cold and limited while it is."""
+    return state.warmup.any and state.warmup.is_cold(target.target.name, now=now)
+
+
 def limit_refusal(
     state: ServingState, call: Call, pool: Pool, *, now: float
-) -> LimitReachedError | None:
+) -> RefusedError | None:
     """Return the error to refuse a new call with, or None if it may be served or queued.
 
     If all of its targets have limits, a call is queued only while a permit may come in time, and
@@ -78,35 +101,46 @@
     wait = seconds_until_permitted(state, pool, now=now)
     lane = lane_for(call, level_of(call, state.rules))
     places = 1 + int(rate * max_wait / state.fairness.hosts)
-    if wait <= max_wait and state.queue.count(lane, call.customer) < places:
+    waiting = state.queue.count(lane, call.customer)
+    if waiting and cold_limited(state, pool, now=now):
+        # With many customers the calls of all would wait only to be refused later.
+        waiting = sum(state.queue.count(lane, name) for name in state.queue.customers(lane))
+    if wait <= max_wait and waiting < places:
         return None
     return limit_reached(state, pool, now=now)
 
 
-def limit_reached(state: ServingState, pool: Pool, *, now: float) -> LimitReachedError:
+def limit_reached(state: ServingState, pool: Pool, *, now: float) -> RefusedError:
     """Return the error to refuse a call with, whose retry time has jitter."""
+    jitter = state.random.uniform(1.0, MAX_RETRY_JITTER)
+    wait = seconds_until_permitted(state, pool, now=now)
     rate = _total_rate(state, pool, now=now)
-    wait = max(seconds_until_permitted(state, pool, now=now), 1.0 / rate)
-    return LimitReachedError(seconds=wait * state.random.uniform(1.0, MAX_RETRY_JITTER))
+    if not cold_limited(state, pool, now=now):
+        return LimitReachedError(seconds=max(wait, 1.0 / rate) * jitter)
+    turn = (1 + len(state.queue)) * state.fairness.hosts / rate if rate else inf
+    return TargetsColdError(seconds=min(OTHER_HOST_SECONDS, max(wait, turn)) * jitter)
+
+
+def cold_limited(state: ServingState, pool: Pool, *, now: float) -> bool:
+    """Return whether calls are held back because targets are cold or have just become warm.
+
+    All usable targets of the pool are limited then, some of them for this reason.
+    """
+    if not state.warmup.any or not all_limited(state, pool, now=now):
+        return False
+    usable = (target for target in state.fleet.states(pool) if target.usable(now))
+    return any(state.warmup.rate(t.target.name, now=now) is not None for t in usable)
 
 
 def all_limited(state: ServingState, pool: Pool, *, now: float) -> bool:
     """Return whether all usable targets of a pool have limits."""
-    return state.limits.any and _total_rate(state, pool, now=now) < inf
+    return _any_limit(state) and _total_rate(state, pool, now=now) < inf
 
 
 def seconds_until_permitted(state: ServingState, pool: Pool, *, now: float) -> float:
     """Return the seconds until the earliest time at which a target of a pool may get a request."""
     usable = (target for target in state.fleet.states(pool) if target.usable(now))
-    waits = (
-        (
-            state.permits.wait(target.target.name, now=now)
-            if is_limited(state, target, now=now)
-            else 0.0
-        )
-        for target in usable
-    )
-    return min(waits, default=0.0)
+    return min((_wait(state, target, now=now) for target in usable), default=0.0)
 
 
 def lane_for(call: Call, level: Level) -> Lane:
@@ -114,12 +148,36 @@
     return Lane(service=call.service, model=call.model, level=level)
 
 
+def _any_limit(state: ServingState) -> bool:
+    return state.limits.any or state.warmup.any
+
+
+def _wait(state: ServingState, target: TargetState, *, now: float) -> float:
+    """Return the seconds until this host may send to a target by both kinds of limit."""
+    name = target.target.name
+    permit = state.permits.wait(name, now=now) if is_limited(state, target, now=now) else 0.0
+    return max(permit, state.warmup.wait(name, now=now))
+
+
 def _total_rate(state: ServingState, pool: Pool, *, now: float) -> float:
     """Return the total rate of the usable targets of a pool, or infinity if one is unlimited."""
     usable = [target for target in state.fleet.states(pool) if target.usable(now)]
-    rates = [state.limits.rate(target.target.name, now=now) for target in usable]
-    return sum(inf if rate is None else rate for rate in rates) if rates else inf
+    return sum(_rate(state, target, now=now) for target in usable) if usable else inf
+
+
+def _rate(state: ServingState, target: TargetState, *, now: float) -> float:
+    """Return the rate of a target for all hosts, as far as this host can tell by its own part.
+
+    While a target is cold only some of the hosts may send to it, so this host counts its own part
+    for each of the hosts.
+    """
+    name = target.target.name
+    limit = state.limits.rate(name, now=now)
+    announced = inf if limit is None else limit
+    own = state.warmup.host_rate(name, now=now)
+    return min(announced, own * state.fairness.hosts)
 
 
 def _may_send(state: ServingState, target: TargetState, *, now: float) -> bool:
-    return state.permits.may_send(target.target.name, now=now)
+    permitted_here = state.permits.may_send(target.target.name, now=now)
+    return permitted_here and within_cold_limit(state, target, now=now)
