--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -28,7 +28,12 @@
 from azureswitch.gateway._pages import MetricsPage, PathPages, ReadinessPage, StatusPage
 from azureswitch.gateway._ports import Dialect, Published, Reservations
 from azureswitch.gateway._prepared import Prepared, prepare
-from azureswitch.gateway._reports import evacuation_statuses, target_statuses, targets_changed
+from azureswitch.gateway._reports import (
+    evacuation_statuses,
+    target_statuses,
+    targets_changed,
+    without_warmth,
+)
 from azureswitch.gateway._settings import GatewaySettings
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._stopping import (
@@ -204,7 +209,9 @@
             leaving=self._leaving,
             open_calls=self._shell.open_calls,
             members=tuple(map(member_report, self._members())),
-            targets=target_statuses(self._targets, limits=self._shell.limits),
+            targets=target_statuses(
+                self._targets, limits=self._shell.limits, cold=self._shell.cold_targets
+            ),
             foreign=self._foreign(),
             evacuations=evacuation_statuses(self._shell.evacuations, now=self._shell.now),
         )
@@ -352,10 +359,11 @@
     def _replace_targets(self, targets: tuple[Target, ...]) -> None:
         before = self._targets
         self._targets = {target.name: latest(before.get(target.name), target) for target in targets}
-        if before != self._targets:
+        listed, listed_before = without_warmth(self._targets), without_warmth(before)
+        if listed != listed_before:
             self._log.write(targets_changed(before, self._targets))
         for name, target in self._targets.items():
-            if target.role is TargetRole.DRAINING and before.get(name) != target:
+            if target.role is TargetRole.DRAINING and listed_before.get(name) != listed[name]:
                 # The reducer remembers this: an older list may show the target as serving again.
                 self._shell.note_leaving(target)
 
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -59,6 +59,11 @@
         help="Targets that name a limit of the requests that they take.",
         value=lambda: len(shell.limits),
     )
+    metrics.watch(
+        name="targets_cold",
+        help="Targets that are cold and get few requests therefore.",
+        value=lambda: len(shell.cold_targets),
+    )
     metrics.watch(
         name="tickets_held",
         help="Reservations of engines' memory that are held.",
--- a/src/azureswitch/gateway/_reports.py
+++ b/src/azureswitch/gateway/_reports.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable, Mapping
 from time import time
 
+from msgspec.structs import replace
+
 from azureswitch.core import TargetName
 from azureswitch.gateway._log import TargetsChanged
 from azureswitch.inventory import Target, TargetRole, started_again
@@ -14,9 +16,18 @@
 
 
 def target_statuses(
-    targets: Mapping[TargetName, Target], *, limits: Mapping[TargetName, float]
+    targets: Mapping[TargetName, Target],
+    *,
+    limits: Mapping[TargetName, float],
+    cold: Mapping[TargetName, float],
 ) -> tuple[TargetStatus, ...]:
-    """Return the status of targets, by name, with the rate limits that they announce."""
+    """Return the status of targets, by name.
+
+    Args:
+        targets: The targets.
+        limits: The rate limits that they announce, in requests per second.
+        cold: The seconds for which those that are cold stay so.
+    """
     return tuple(
         TargetStatus(
             name=target.name,
@@ -24,6 +35,7 @@
             state=target.role.value,
             started=target.started,
             limit=limits.get(name),
+            cold=round(cold[name], 3) if name in cold else None,
         )
         for name, target in sorted(targets.items())
     )
@@ -57,6 +69,11 @@
     return int((time() - (now - at)) * MILLISECONDS)
 
 
+def without_warmth(targets: Mapping[TargetName, Target]) -> dict[TargetName, Target]:
+    """Return targets without what changes in the entry of a cold target with each heartbeat."""
+    return {name: replace(t, cold=None, entry_version=0) for name, t in targets.items()}
+
+
 def targets_changed(
     before: Mapping[TargetName, Target], after: Mapping[TargetName, Target]
 ) -> TargetsChanged:
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -23,6 +23,7 @@
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._relay import Relay
 from azureswitch.gateway._tickets import Tickets
+from azureswitch.gateway._warmth import warmth_entry
 from azureswitch.inventory import Target
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
@@ -32,6 +33,7 @@
     AnnounceEvacuation,
     AnnounceLimit,
     AnnounceQuarantine,
+    AnnounceWarmth,
     AnswerPermit,
     AskPermit,
     CallArrived,
@@ -142,6 +144,11 @@
         """The evacuated failure domains, and how many attempts still run there."""
         return self._state.evacuations.places
 
+    @property
+    def cold_targets(self) -> dict[TargetName, float]:
+        """The cold targets, with the seconds for which each of them stays cold."""
+        return self._state.warmup.cold_targets(now=self.now)
+
     @property
     def now(self) -> float:
         """Seconds of the monotonic clock."""
@@ -315,6 +322,10 @@
     def _(self, effect: AnnounceEvacuation) -> None:
         self._log.write(announcement(effect))
 
+    @_run.register
+    def _(self, effect: AnnounceWarmth) -> None:
+        self._log.write(warmth_entry(effect))
+
     @_run.register
     def _(self, effect: Observe) -> None:
         self._metrics.observe(effect)
