--- a/src/azureswitch/coordination/mirror/__init__.py
+++ b/src/azureswitch/coordination/mirror/__init__.py
@@ -1,51 +1,51 @@
-"""Keeps a copy of one kind of the store's objects, also while the store is away."""
+"""Copies of the store's objects by kind, which peers keep up to date while the store is down."""
 
 from azureswitch.coordination.mirror._driver import Mirror
 from azureswitch.coordination.mirror._events import (
-    Asked,
-    Broken,
     Changed,
     Checked,
-    Copied,
-    Heard,
+    CopyReceived,
+    CopyRequestsEnded,
     Listed,
     MirrorEvent,
+    PeerChecked,
+    StoreFailed,
     Ticked,
 )
 from azureswitch.coordination.mirror._messages import CopyReply, CopyRequest, StoreSeen
 from azureswitch.coordination.mirror._mirrors import Mirrors
 from azureswitch.coordination.mirror._peers import CopyPeers
 from azureswitch.coordination.mirror._reduce import (
-    AskPeer,
-    AskStore,
-    ListAgain,
+    CheckStore,
+    NotifyPeers,
     Publish,
-    TellPeers,
+    Relist,
+    RequestCopy,
     reduce,
 )
 from azureswitch.coordination.mirror._state import MirrorState
 
 __all__ = [
-    "AskPeer",
-    "AskStore",
-    "Asked",
-    "Broken",
     "Changed",
+    "CheckStore",
     "Checked",
-    "Copied",
     "CopyPeers",
+    "CopyReceived",
     "CopyReply",
     "CopyRequest",
-    "Heard",
-    "ListAgain",
+    "CopyRequestsEnded",
     "Listed",
     "Mirror",
     "MirrorEvent",
     "MirrorState",
     "Mirrors",
+    "NotifyPeers",
+    "PeerChecked",
     "Publish",
+    "Relist",
+    "RequestCopy",
+    "StoreFailed",
     "StoreSeen",
-    "TellPeers",
     "Ticked",
     "reduce",
 ]
--- a/src/azureswitch/coordination/mirror/_events.py
+++ b/src/azureswitch/coordination/mirror/_events.py
@@ -1,4 +1,4 @@
-"""What can happen to a copy of the store's objects."""
+"""Events of the mirror's reducer."""
 
 from azureswitch.coordination.mirror._messages import StoreSeen
 from azureswitch.core import Event
@@ -10,7 +10,7 @@
 
 
 class Listed(MirrorEvent, frozen=True, kw_only=True):
-    """All objects were read."""
+    """All objects were listed."""
 
     listing: Listing
 
@@ -22,35 +22,35 @@
 
 
 class Checked(MirrorEvent, frozen=True, kw_only=True):
-    """A short watch from the copy's version has ended, so that the copy was complete just now."""
+    """A short watch from the copy's version has ended, which shows that the copy is complete."""
 
 
-class Broken(MirrorEvent, frozen=True, kw_only=True):
+class StoreFailed(MirrorEvent, frozen=True, kw_only=True):
     """A call to the store failed."""
 
 
-class Heard(MirrorEvent, frozen=True, kw_only=True):
-    """A peer has checked its copy."""
+class PeerChecked(MirrorEvent, frozen=True, kw_only=True):
+    """A peer announced that it has checked its copy."""
 
     seen: StoreSeen
 
 
-class Copied(MirrorEvent, frozen=True, kw_only=True):
-    """A peer gave its copy."""
+class CopyReceived(MirrorEvent, frozen=True, kw_only=True):
+    """A peer answered with its copy."""
 
     version: int
     objects: tuple[StoredObject, ...]
 
 
-class Asked(MirrorEvent, frozen=True, kw_only=True):
-    """The peers that were to be asked for their copies have been, whatever came of it."""
+class CopyRequestsEnded(MirrorEvent, frozen=True, kw_only=True):
+    """The requests of a `RequestCopy` have ended, with or without a copy."""
 
 
 class Ticked(MirrorEvent, frozen=True, kw_only=True):
     """Time passed.
 
     Attributes:
-        rank: How many other hosts are to check before this one.
+        rank: This host's rank among those that check the store, from 0.
     """
 
     rank: int = 0
--- a/src/azureswitch/coordination/mirror/_messages.py
+++ b/src/azureswitch/coordination/mirror/_messages.py
@@ -1,4 +1,4 @@
-"""What hosts tell each other of the store."""
+"""Messages between hosts about the store's objects."""
 
 from zlib import compress, decompress, error
 
@@ -10,25 +10,25 @@
 from azureswitch.decoding import UNDECODED
 from azureswitch.ports import StoredObject
 
-PACK_LEVEL = 1
-"""How hard copies are compressed: the least, which takes 1 ms for 300 KB."""
+COMPRESSION_LEVEL = 1
+"""Compression level of copies: the lowest, which takes 1 ms for 300 KB."""
 
 
 class StoreSeen(Struct, frozen=True, kw_only=True):
-    """A host has just asked the store whether anything of a kind has changed.
+    """Announces that a host has checked the store for changes of a kind.
 
-    Where little has, the change comes along, so that peers need not ask the store.
+    Small changes are included, so that peers need not ask the store.
 
     Attributes:
         host: The host.
-        address: ``IP:PORT`` on which its copy can be had.
+        address: ``IP:PORT`` on which it answers a `CopyRequest`.
         kind: The kind of object.
         version: The version up to which its copy is complete.
-        fingerprint: Tells copies apart that differ; the store's versions grow with changes of other
-            kinds too.
+        fingerprint: The fingerprint of its copy.  Versions do not identify a copy, as they grow
+            with changes of other kinds too.
         base: The fingerprint of the copy that the change applies to.
-        put: Objects that have come or changed since then.
-        removed: The names of those that have gone.
+        put: Objects created or changed since then.
+        removed: The names of objects deleted since then.
     """
 
     host: HostName
@@ -42,17 +42,17 @@
 
 
 class RelayedSeen(Struct, frozen=True, kw_only=True):
-    """What its receiver passes on to the others of its failure domain."""
+    """An announcement that its receiver relays to the other hosts of its failure domain."""
 
     seen: StoreSeen
 
 
 class CopyRequest(Struct, frozen=True, kw_only=True):
-    """Asks a host for its copy of the objects of a kind.
+    """Requests a host's copy of the objects of a kind.
 
     Attributes:
         kind: The kind.
-        version: The version of the asker's own copy; an older or equal one is of no use to it.
+        version: The version of the requester's copy; only a newer one is sent.
     """
 
     kind: str
@@ -60,11 +60,11 @@
 
 
 class CopyReply(Struct, frozen=True, kw_only=True):
-    """A host's copy.
+    """Answers a `CopyRequest`.
 
     Attributes:
-        version: The version up to which it is complete.
-        packed: The objects, as `unpack_objects` reads them; empty where the asker's are as new.
+        version: The version up to which the copy is complete; zero where it is not newer.
+        packed: The objects, for `unpack_objects`; empty where the copy is not newer.
     """
 
     version: int
@@ -72,22 +72,23 @@
 
 
 def pack_objects(objects: tuple[StoredObject, ...]) -> bytes:
-    """Return objects in few bytes.
+    """Encode and compress objects.
 
-    A configuration of 1,300 routes, which are alike but for their names, takes 280 KB of JSON and
-    shrinks to a tenth.  By a link of 20 Mbit/s a host could give it whole to nine others a second.
+    A configuration of 1,300 routes that differ only in their names takes 280 KB of JSON and is
+    compressed to a tenth.  Uncompressed, a host with a link of 20 Mbit/s could send it to only nine
+    others a second.
     """
-    return compress(encode(objects), PACK_LEVEL)
+    return compress(encode(objects), COMPRESSION_LEVEL)
 
 
 def unpack_objects(packed: bytes) -> tuple[StoredObject, ...]:
-    """Return the objects that were packed, but those that are none.
+    """Return the packed objects without those that cannot be decoded.
 
-    A copy is decoded at once.  Only where that fails is each object decoded by itself, so that one
-    that the peer should not have sent costs no other.
+    A copy is decoded as a whole.  Only if that fails is each object decoded separately, so that an
+    invalid object does not lose the others.
 
     Raises:
-        ValueError: The bytes are something else.
+        ValueError: The bytes are not a copy.
     """
     try:
         expanded = decompress(packed)
--- a/src/azureswitch/coordination/mirror/_mirrors.py
+++ b/src/azureswitch/coordination/mirror/_mirrors.py
@@ -1,4 +1,4 @@
-"""All mirrors of a host, which answer for it to its peers."""
+"""All mirrors of a host, and the handlers of messages to them."""
 
 from azureswitch.coordination.mirror._driver import Listener, Mirror
 from azureswitch.coordination.mirror._messages import (
@@ -12,16 +12,18 @@
 
 
 class Mirrors:
-    """The copies of one host, which share a way to its peers.
+    """The mirrors of one host by kind.
 
     Args:
-        peers: That way; the handlers are registered there.
+        peers: Exchanges messages with peers; the handlers are registered there.
     """
 
     def __init__(self, *, peers: CopyPeers) -> None:
         self._peers = peers
         self._mirrors: dict[str, Mirror] = {}
-        peers.answer(heard=self._heard, relayed=self._relayed, copy=self._copy)
+        peers.register_handlers(
+            seen=self._receive, relayed=self._receive_relayed, copy=self._answer_copy_request
+        )
 
     def add(
         self,
@@ -32,7 +34,7 @@
         return_grace: float = 0.0,
         seed: int,
     ) -> Mirror:
-        """Return a new copy of the objects of one kind; arguments as for `Mirror`."""
+        """Add and return a mirror of one kind; arguments as for `Mirror`."""
         mirror = Mirror(
             store=store,
             kind=kind,
@@ -44,16 +46,16 @@
         self._mirrors[kind] = mirror
         return mirror
 
-    def _heard(self, seen: StoreSeen) -> None:
+    def _receive(self, seen: StoreSeen) -> None:
         mirror = self._mirrors.get(seen.kind)
         if mirror is not None:
-            mirror.hear(seen)
+            mirror.receive(seen)
 
-    def _relayed(self, relayed: RelayedSeen) -> None:
-        self._peers.pass_on(relayed.seen)
-        self._heard(relayed.seen)
+    def _receive_relayed(self, relayed: RelayedSeen) -> None:
+        self._peers.relay(relayed.seen)
+        self._receive(relayed.seen)
 
-    async def _copy(self, request: CopyRequest) -> CopyReply:
+    async def _answer_copy_request(self, request: CopyRequest) -> CopyReply:
         mirror = self._mirrors.get(request.kind)
         if mirror is None or mirror.version <= request.version:
             return CopyReply(version=0)
--- a/src/azureswitch/coordination/mirror/_peers.py
+++ b/src/azureswitch/coordination/mirror/_peers.py
@@ -1,4 +1,4 @@
-"""What the mirrors of a host ask and tell its peers."""
+"""Announcements and requests of a host's mirrors to its peers."""
 
 from collections.abc import Awaitable, Callable, Iterable
 from random import Random
@@ -12,30 +12,30 @@
     RelayedSeen,
     StoreSeen,
 )
-from azureswitch.coordination.mirror._reduce import TellPeers
+from azureswitch.coordination.mirror._reduce import NotifyPeers
 from azureswitch.coordination.relays import choose_relay, place_of, receivers
 from azureswitch.core import HostName
 from azureswitch.exceptions import PeerMessageTooLargeError
 from azureswitch.hashing import ranked
 from azureswitch.ports import Peers
 
-COPY_TIMEOUT = 0.5
-"""Seconds that a peer's copy may take; three must fit into the 2 s after a change."""
+COPY_TIMEOUT_SECONDS = 0.5
+"""Seconds after which a `CopyRequest` times out; three must fit into the 2 s after a change."""
 
-COPY_TRIES = 3
-"""Peers that are asked for their copy one after the other."""
+MAX_COPY_SOURCES = 3
+"""Upper bound of peers that are asked for their copy, one after the other."""
 
 
 class CopyPeers:
-    """The way of one host's copies to its peers.
+    """Exchanges announcements and copies with the peers of one host.
 
     Args:
         host: This host.
         address: ``IP:PORT`` on which peers reach it.
-        peers: Messages to other hosts.
-        members: Returns the members known now.
+        peers: Sends messages to other hosts.
+        members: Returns the current members.
         expected: Returns the hosts that will soon be members.
-        seed: Seeds the choice of who passes a message on.
+        seed: Seeds the choice of relays.
     """
 
     def __init__(
@@ -55,32 +55,33 @@
         self._expected = expected
         self._random = Random(seed)
 
-    def answer(
+    def register_handlers(
         self,
         *,
-        heard: Callable[[StoreSeen], None],
+        seen: Callable[[StoreSeen], None],
         relayed: Callable[[RelayedSeen], None],
         copy: Callable[[CopyRequest], Awaitable[CopyReply]],
     ) -> None:
-        """Register who takes what peers tell, and who answers when they ask for a copy."""
-        self._peers.handle(StoreSeen, heard)
+        """Register the handlers of announcements, of relayed ones and of requests for a copy."""
+        self._peers.handle(StoreSeen, seen)
         self._peers.handle(RelayedSeen, relayed)
         self._peers.handle(CopyRequest, copy)
 
     def rank(self, kind: str) -> int:
-        """Return how many other hosts are to check a kind before this one.
+        """Return this host's rank among those that check a kind: 0 for the first.
 
-        Hosts that are still to become members count too.  While 77 started together, each held
-        itself for the first and asked the store 22 times in 4 s.
+        Expected hosts count too.  Without them, each of 77 hosts that started together ranked
+        itself first and asked the store 22 times in 4 s.
         """
         hosts = {*live_hosts(self._members()), *live_hosts(self._expected()), self._host}
         return ranked(name=kind, hosts=hosts).index(self._host)
 
-    def tell(self, kind: str, effect: TellPeers) -> None:
-        """Tell the other hosts that this one has checked a kind.
+    def notify(self, kind: str, effect: NotifyPeers) -> None:
+        """Announce to the other hosts that this one has checked a kind.
 
-        It crosses to each large failure domain once.  Of 20 changes in 4 s, 0.15 MB crossed among
-        195 hosts in five of them in place of 5.6 (virtual time).
+        The announcement is sent once to each large failure domain and relayed there.  For 20
+        changes in 4 s among 195 hosts in five domains, this reduced the traffic between domains
+        from 5.6 MB to 0.15 MB (virtual time).
         """
         seen = StoreSeen(
             host=self._host,
@@ -95,16 +96,16 @@
         own = place_of(self._host, members=self._members())
         receiving = receivers(self._others(), own=own)
         relays = [choose_relay(group, random=self._random) for group in receiving.groups]
-        self._cast(receiving.direct, seen, lambda seen: seen)
-        self._cast(relays, seen, lambda seen: RelayedSeen(seen=seen))
+        self._send(receiving.direct, seen, lambda seen: seen)
+        self._send(relays, seen, lambda seen: RelayedSeen(seen=seen))
 
-    def pass_on(self, seen: StoreSeen) -> None:
-        """Tell the others of the own failure domain what a host of another one told."""
+    def relay(self, seen: StoreSeen) -> None:
+        """Relay an announcement from another failure domain to the hosts of the own one."""
         own = place_of(self._host, members=self._members())
-        mates = [member for member in self._others() if member.place == own]
-        self._cast(mates, seen, lambda seen: seen)
+        local = [member for member in self._others() if member.place == own]
+        self._send(local, seen, lambda seen: seen)
 
-    def _cast(
+    def _send(
         self,
         members: Iterable[Member],
         seen: StoreSeen,
@@ -114,18 +115,19 @@
         try:
             self._peers.cast_all(addresses=addresses, message=wrap(seen))
         except PeerMessageTooLargeError:
-            # Who is behind asks the store for itself.
-            bare = replace(seen, put=(), removed=(), base=0)
-            self._peers.cast_all(addresses=addresses, message=wrap(bare))
+            # Without the change, receivers that are behind ask the store.
+            without_change = replace(seen, put=(), removed=(), base=0)
+            self._peers.cast_all(addresses=addresses, message=wrap(without_change))
 
     def sources(self, *, known: str, random: Random) -> list[str]:
-        """Return the peers to ask for a copy, one after the other.
+        """Return the addresses of the peers to ask for a copy, in order.
 
-        All who are behind hear of it from the same one or few, whose links could not bear to give
-        their copies to all.  So any peer is asked first, of this failure domain if there is one.
+        All hosts that are behind receive the announcement from the same few peers, whose links
+        cannot carry copies to all of them.  So random peers are asked first, those of the own
+        failure domain before others.
 
         Args:
-            known: A peer that has the copy, and is asked last.
+            known: The address of a peer that has the copy; it is asked last.
             random: The source of the choice.
         """
         places = {m.incarnation.host: m.place for m in self._members()}
@@ -133,19 +135,19 @@
         others = [member for member in self._others() if member.address != known]
         random.shuffle(others)
         others.sort(key=lambda member: member.place != own)
-        return [*(member.address for member in others[: COPY_TRIES - 1]), known]
+        return [*(member.address for member in others[: MAX_COPY_SOURCES - 1]), known]
 
-    async def ask(self, kind: str, *, address: str, version: int) -> CopyReply:
+    async def request_copy(self, kind: str, *, address: str, version: int) -> CopyReply:
         """Return a peer's copy, if it is newer than a version.
 
         Raises:
-            PeerError: It was not to be had.
+            PeerError: The peer did not answer.
         """
         return await self._peers.call(
             address=address,
             request=CopyRequest(kind=kind, version=version),
             reply=CopyReply,
-            timeout=COPY_TIMEOUT,
+            timeout=COPY_TIMEOUT_SECONDS,
         )
 
     def _others(self) -> list[Member]:
--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -1,28 +1,28 @@
-"""Keeps the copy: the one reducer of the mirror.
+"""The reducer of the mirror.
 
-Objects with a lease lapse while the store is away although their owners live.  Those that do write
-them again within seconds of the store's return.  Dropping them in between would leave nobody to
-send work to, so an object that goes missing around an outage stays for a grace period.  A store
-that turns this host away and serves others is not away: leases do not lapse then.
+During an outage of the store, leases of objects expire although their owners are alive.  The owners
+write the objects again within seconds of the store's recovery.  Removing them in between would
+leave no targets, so an object that disappears after an outage is kept for a grace period.  A store
+that rejects only this host has no outage: leases do not expire then.
 
-A watch may be deaf without being cut off: while the store drops its history, it hears nothing for a
-second or longer.  So one host or another starts a short watch from its version a little after the
-last one did, and tells the others.  Who is behind asks the store at once, or that host where the
-store does not answer.  A host that hears of nobody checks for itself.
+A watch may deliver nothing for a second or longer without being disconnected, while the store drops
+its history.  So the hosts take turns to check the store by a short watch from their version, and
+announce the result.  A host that is behind asks the store at once, or the announcing host where the
+store does not answer.  A host that receives no announcements checks the store itself.
 """
 
 from functools import singledispatch
 from math import log2
 
 from azureswitch.coordination.mirror._events import (
-    Asked,
-    Broken,
     Changed,
     Checked,
-    Copied,
-    Heard,
+    CopyReceived,
+    CopyRequestsEnded,
     Listed,
     MirrorEvent,
+    PeerChecked,
+    StoreFailed,
     Ticked,
 )
 from azureswitch.coordination.mirror._messages import StoreSeen
@@ -30,63 +30,67 @@
 from azureswitch.core import NO_EFFECTS, Effect, Effects
 from azureswitch.ports import ChangeKind, StoredObject, era_of
 
-CHECK_SECONDS = 0.6
-"""Seconds after a check, whoever made it, at which the first host in rank checks again.
+CHECK_INTERVAL_SECONDS = 0.6
+"""Seconds after the last check by any host at which the first host in rank checks again.
 
-A change must be in force within 2 s, and a watch may be deaf for the first one.
+A change must be in force within 2 s, and a watch may deliver nothing for the first second.
 """
 
-RANK_SECONDS = 0.1
-"""Seconds after which as many more hosts check as were to check before, where none of them could.
+RANK_DELAY_SECONDS = 0.1
+"""Seconds after which the number of hosts that check doubles, if no check has succeeded.
 
 The second in rank checks 0.1 s after the first, the fourth 0.2 s, the last of 600 after 0.92 s.  So
-few more ask than it takes to find one that the store answers.
+few more hosts ask than are needed to find one that the store answers.
 """
 
 WATCHERS = 4
-"""Hosts, the first in rank, that have a watch waiting; the others hear of changes from them."""
+"""Number of hosts, the first in rank, that watch the store; they announce changes to the others."""
 
-ALIKE_SECONDS = 0.25
-"""Seconds after a peer's check in which this host's own, made since it was behind, is not told."""
+DUPLICATE_SECONDS = 0.25
+"""Seconds after a peer's announcement within which a host that was behind does not announce its own
+check of the same copy.
+"""
 
-ASK_SECONDS = 1.6
-"""Seconds after which peers are asked again although nothing came of it: three of 0.5 s each."""
+COPY_RETRY_SECONDS = 1.6
+"""Seconds after which copies are requested again; three requests may time out after 0.5 s each."""
 
-AWAY_SECONDS = 1.0
-"""Seconds without an answer of the store to anybody from which it counts as away.
+OUTAGE_SECONDS = 1.0
+"""Seconds without an answer of the store to any host after which it counts as down.
 
-Peers tell of one each half second.
+Peers announce an answer each half second.
 """
 
-LIST_SECONDS = 5.0
-"""Seconds between two readings of all objects since a peer's copy differs, at least."""
+MIN_RELIST_SECONDS = 5.0
+"""Minimum time in seconds between two listings that are caused by a peer's different copy."""
 
-EARLY_SECONDS = 0.1
-"""Seconds that a change waits for the ones before it, as messages of several hosts overtake."""
+REORDER_SECONDS = 0.1
+"""Seconds for which a change waits for its predecessors; messages of several hosts may arrive out
+of order.
+"""
 
-EARLY_MOST = 64
-"""Changes that wait at most."""
+MAX_REORDERED_CHANGES = 64
+"""Upper bound of changes that wait for their predecessors."""
 
-BEHIND_SECONDS = 0.5
-"""Seconds for which a host that is behind asks the store alone before it takes a peer's copy."""
+STORE_ONLY_SECONDS = 0.5
+"""Seconds for which a host that is behind asks only the store before it requests a peer's copy."""
 
 
 class Publish(Effect, frozen=True, kw_only=True):
-    """Hand out the objects, which changed."""
+    """Publish the changed objects to the listener."""
 
     objects: tuple[StoredObject, ...]
 
 
-class AskStore(Effect, frozen=True, kw_only=True):
-    """End the watch that waits and start one from the copy's version."""
+class CheckStore(Effect, frozen=True, kw_only=True):
+    """End the current watch and start a short one from the copy's version."""
 
 
-class ListAgain(Effect, frozen=True, kw_only=True):
-    """Read all objects anew."""
+class Relist(Effect, frozen=True, kw_only=True):
+    """List all objects again."""
 
 
-class TellPeers(Effect, frozen=True, kw_only=True):
-    """Tell the other hosts that this one has checked, and what has changed."""
+class NotifyPeers(Effect, frozen=True, kw_only=True):
+    """Announce a check, and what has changed, to the other hosts."""
 
     version: int
     fingerprint: int
@@ -95,12 +99,12 @@
     removed: tuple[str, ...] = ()
 
 
-class AskPeer(Effect, frozen=True, kw_only=True):
-    """Take the copy of a peer; `Asked` follows in the end.
+class RequestCopy(Effect, frozen=True, kw_only=True):
+    """Request the copy of a peer; `CopyRequestsEnded` follows.
 
     Attributes:
-        address: A peer that has it.
-        version: The version that it has.
+        address: The address of a peer that has it.
+        version: The version that the peer has.
     """
 
     address: str
@@ -116,22 +120,22 @@
         state: The state, which is updated in place.
 
     Returns:
-        What the driver must do.
+        The effects that the driver must execute, in order.
     """
     raise NotImplementedError(type(event))
 
 
 @reduce.register
 def _(event: Listed, state: MirrorState) -> Effects:
-    _answered(state, now=event.now)
-    _advance(state, event.listing.version, now=event.now)
+    _record_answer(state, now=event.now)
+    _advance_version(state, event.listing.version, now=event.now)
     state.checked_at = event.now
     return _replace(state, event.listing.items, now=event.now)
 
 
 @reduce.register
 def _(event: Changed, state: MirrorState) -> Effects:
-    _answered(state, now=event.now)
+    _record_answer(state, now=event.now)
     item = event.change.item
     state.version = max(state.version, item.version)
     if event.change.kind is ChangeKind.BOOKMARK:
@@ -140,120 +144,131 @@
         if item.name not in state.objects:
             return NO_EFFECTS
         _remove(state, item.name, now=event.now)
-        return (*_publish(state), *_tell(state))
+        return (*_publish(state), *_notify(state))
     _put(state, item)
-    return (*_publish(state), *_tell(state))
+    return (*_publish(state), *_notify(state))
 
 
 @reduce.register
 def _(event: Checked, state: MirrorState) -> Effects:
-    _answered(state, now=event.now)
+    _record_answer(state, now=event.now)
     state.checked_at = event.now
-    return _tell(state, again=event.now - state.heard_at >= ALIKE_SECONDS)
+    return _notify(state, again=event.now - state.peer_checked_at >= DUPLICATE_SECONDS)
 
 
 @reduce.register
-def _(event: Broken, state: MirrorState) -> Effects:
-    if state.broken_at is None:
-        state.broken_at = event.now
+def _(event: StoreFailed, state: MirrorState) -> Effects:
+    if state.failing_since is None:
+        state.failing_since = event.now
     return NO_EFFECTS
 
 
 @reduce.register
-def _(event: Heard, state: MirrorState) -> Effects:
+def _(event: PeerChecked, state: MirrorState) -> Effects:
     seen = event.seen
-    _serves(state, now=event.now)
-    published = _apply(state, seen, now=event.now)
+    _record_store_up(state, now=event.now)
+    published = _apply_change(state, seen, now=event.now)
     if seen.version >= state.version:
         state.checked_at = max(state.checked_at, event.now)
-        state.heard_at = event.now
-        state.heard = seen.fingerprint
+        state.peer_checked_at = event.now
+        state.peer_fingerprint = seen.fingerprint
     if published:
         return published
     if seen.fingerprint == state.fingerprint or seen.version < state.version:
-        state.behind_at = None
+        state.behind_since = None
         return NO_EFFECTS
     if seen.version == state.version:
-        return _disagree(state, now=event.now)
-    if state.behind_at is None:
-        state.behind_at = event.now
+        return _relist_differing(state, now=event.now)
+    if state.behind_since is None:
+        state.behind_since = event.now
     complete = bool(seen.put or seen.removed)
-    if complete and event.now - state.behind_at < EARLY_SECONDS and len(state.early) < EARLY_MOST:
-        state.early[seen.base] = seen
+    if (
+        complete
+        and event.now - state.behind_since < REORDER_SECONDS
+        and len(state.reordered) < MAX_REORDERED_CHANGES
+    ):
+        state.reordered[seen.base] = seen
         return NO_EFFECTS
     return _catch_up(state, seen, now=event.now)
 
 
 @reduce.register
-def _(event: Copied, state: MirrorState) -> Effects:
+def _(event: CopyReceived, state: MirrorState) -> Effects:
     if event.version <= state.version:
         return NO_EFFECTS
-    _advance(state, event.version, now=event.now)
+    _advance_version(state, event.version, now=event.now)
     return _replace(state, event.objects, now=event.now)
 
 
 @reduce.register
-def _(event: Asked, state: MirrorState) -> Effects:
-    state.asked_at = None
+def _(event: CopyRequestsEnded, state: MirrorState) -> Effects:
+    state.copies_requested_at = None
     return NO_EFFECTS
 
 
 @reduce.register
 def _(event: Ticked, state: MirrorState) -> Effects:
     effects: list[Effect] = []
-    wait = CHECK_SECONDS + RANK_SECONDS * log2(1 + event.rank)
+    wait = CHECK_INTERVAL_SECONDS + RANK_DELAY_SECONDS * log2(1 + event.rank)
     if state.listed and event.now - state.checked_at >= wait:
-        effects.append(AskStore())
-    effects += _miss(state, now=event.now)
-    if not _is_away(state, now=event.now):
-        # Until the store is back, what went missing cannot have come back.
+        effects.append(CheckStore())
+    effects += _expire_reordered(state, now=event.now)
+    if not _is_down(state, now=event.now):
+        # During an outage, missing objects cannot have been written again.
         effects += _expire(state, now=event.now)
     return effects
 
 
-def _advance(state: MirrorState, version: int, *, now: float) -> None:
-    """Note up to which version the copy is complete.
+def _advance_version(state: MirrorState, version: int, *, now: float) -> None:
+    """Record up to which version the copy is complete.
 
-    A store that comes back from an older copy lacks for a moment what lives and writes itself
-    again, as after an outage.
+    A store that was restored from an older copy lacks objects until their owners write them again,
+    as after an outage.
     """
     if state.listed and era_of(version) > era_of(state.version):
-        state.returned_at = now
+        state.recovered_at = now
     state.version = max(state.version, version)
 
 
 def _catch_up(state: MirrorState, seen: StoreSeen, *, now: float) -> Effects:
-    """Ask the store for what a peer has, or that peer where the store does not help."""
-    patient = state.behind_at is None or now - state.behind_at < BEHIND_SECONDS
-    if patient and state.listed and state.broken_at is None:
-        return (AskStore(),)
-    if state.asked_at is not None and now - state.asked_at < ASK_SECONDS:
+    """Ask the store for a newer version, or request a peer's copy where the store fails."""
+    store_only = state.behind_since is None or now - state.behind_since < STORE_ONLY_SECONDS
+    if store_only and state.listed and state.failing_since is None:
+        return (CheckStore(),)
+    if (
+        state.copies_requested_at is not None
+        and now - state.copies_requested_at < COPY_RETRY_SECONDS
+    ):
         return NO_EFFECTS
-    state.asked_at = now
-    return (AskPeer(address=seen.address, version=seen.version),)
+    state.copies_requested_at = now
+    return (RequestCopy(address=seen.address, version=seen.version),)
 
 
-def _miss(state: MirrorState, *, now: float) -> Effects:
-    """Give up the changes that wait in vain for the ones before them."""
-    if not state.early or state.behind_at is None or now - state.behind_at < EARLY_SECONDS:
+def _expire_reordered(state: MirrorState, *, now: float) -> Effects:
+    """Drop changes whose predecessors have not arrived in time, and catch up."""
+    if (
+        not state.reordered
+        or state.behind_since is None
+        or now - state.behind_since < REORDER_SECONDS
+    ):
         return NO_EFFECTS
-    newest = max(state.early.values(), key=lambda seen: seen.version)
-    state.early.clear()
+    newest = max(state.reordered.values(), key=lambda seen: seen.version)
+    state.reordered.clear()
     return _catch_up(state, newest, now=now) if newest.version > state.version else NO_EFFECTS
 
 
-def _disagree(state: MirrorState, *, now: float) -> Effects:
-    """Read all anew where a peer's copy of the same version differs; one of the two is wrong."""
-    if now - state.listed_at < LIST_SECONDS:
+def _relist_differing(state: MirrorState, *, now: float) -> Effects:
+    """List all objects again, as a peer's copy of the same version differs and one is wrong."""
+    if now - state.listed_at < MIN_RELIST_SECONDS:
         return NO_EFFECTS
     state.listed_at = now
-    return (ListAgain(),)
+    return (Relist(),)
 
 
-def _apply(state: MirrorState, seen: StoreSeen, *, now: float) -> Effects:
-    """Take over a change that a peer tells of, where it applies to this copy."""
-    news = seen.fingerprint != state.fingerprint and seen.version > state.version
-    if not news or not state.listed or seen.base != state.fingerprint:
+def _apply_change(state: MirrorState, seen: StoreSeen, *, now: float) -> Effects:
+    """Apply an announced change, if it is based on this copy."""
+    newer = seen.fingerprint != state.fingerprint and seen.version > state.version
+    if not newer or not state.listed or seen.base != state.fingerprint:
         return NO_EFFECTS
     for item in seen.put:
         _put(state, item)
@@ -263,41 +278,46 @@
     if state.fingerprint != seen.fingerprint:
         return effects
     state.version = seen.version
-    state.behind_at = None
-    _settle(state)
-    after = state.early.pop(state.fingerprint, None)
-    return effects if after is None else _apply(state, after, now=now) or effects
+    state.behind_since = None
+    _mark_announced(state)
+    successor = state.reordered.pop(state.fingerprint, None)
+    return effects if successor is None else _apply_change(state, successor, now=now) or effects
 
 
-def _tell(state: MirrorState, *, again: bool = False) -> Effects:
-    """Tell the peers what has changed since they were told last; or that nothing has.
+def _notify(state: MirrorState, *, again: bool = False) -> Effects:
+    """Announce to peers what has changed since the last announcement, if anything.
 
-    Who has just heard the same from a peer stays silent.  A change that fits no datagram is read
-    from the store by each host; told again by each, it cost 77 hosts 5,900 messages.
+    A host that has just received the same from a peer does not announce it.  A change too large for
+    a datagram is read from the store by each host; announced again by each, it cost 77 hosts 5,900
+    messages.
+
+    Args:
+        state: The state.
+        again: Whether to announce a copy that peers know already.
     """
-    if not again and state.fingerprint in (state.told, state.heard):
-        _settle(state)
+    if not again and state.fingerprint in (state.announced, state.peer_fingerprint):
+        _mark_announced(state)
         return NO_EFFECTS
-    told = TellPeers(
+    announcement = NotifyPeers(
         version=state.version,
         fingerprint=state.fingerprint,
-        base=state.told,
+        base=state.announced,
         put=tuple(state.put.values()),
         removed=tuple(sorted(state.removed)),
     )
-    _settle(state)
-    return (told,)
+    _mark_announced(state)
+    return (announcement,)
 
 
-def _settle(state: MirrorState) -> None:
-    """Note that the peers know of this copy."""
-    state.told = state.fingerprint
+def _mark_announced(state: MirrorState) -> None:
+    """Record that peers know this copy."""
+    state.announced = state.fingerprint
     state.put.clear()
     state.removed.clear()
 
 
 def _put(state: MirrorState, item: StoredObject) -> None:
-    _strike(state, item.name)
+    _discard_contents(state, item.name)
     state.contents.add(item)
     state.missing.pop(item.name, None)
     state.objects[item.name] = item
@@ -306,29 +326,29 @@
 
 
 def _expire(state: MirrorState, *, now: float) -> Effects:
-    gone = [name for name, until in state.missing.items() if now >= until]
-    for name in gone:
+    expired = [name for name, until in state.missing.items() if now >= until]
+    for name in expired:
         del state.missing[name]
         state.objects.pop(name, None)
-    return _publish(state) if gone else NO_EFFECTS
+    return _publish(state) if expired else NO_EFFECTS
 
 
-def _answered(state: MirrorState, *, now: float) -> None:
-    """Note that the store has answered this host."""
-    _serves(state, now=now)
-    state.broken_at = None
+def _record_answer(state: MirrorState, *, now: float) -> None:
+    """Record that the store has answered this host."""
+    _record_store_up(state, now=now)
+    state.failing_since = None
 
 
-def _serves(state: MirrorState, *, now: float) -> None:
-    """Note that the store has answered this host or a peer; it may have been away before."""
-    if _is_away(state, now=now):
-        state.returned_at = now
-    state.served_at = now
+def _record_store_up(state: MirrorState, *, now: float) -> None:
+    """Record that the store has answered this host or a peer, which ends an outage."""
+    if _is_down(state, now=now):
+        state.recovered_at = now
+    state.store_answered_at = now
 
 
-def _is_away(state: MirrorState, *, now: float) -> bool:
-    """Return whether the store answers neither this host nor, so far as it hears, any other."""
-    return state.broken_at is not None and now - state.served_at >= AWAY_SECONDS
+def _is_down(state: MirrorState, *, now: float) -> bool:
+    """Return whether the store answers neither this host nor, as far as is known, any other."""
+    return state.failing_since is not None and now - state.store_answered_at >= OUTAGE_SECONDS
 
 
 def _replace(state: MirrorState, objects: tuple[StoredObject, ...], *, now: float) -> Effects:
@@ -342,27 +362,27 @@
     state.listed = True
     state.listed_at = now
     effects = _publish(state)
-    # A whole reading is not told object by object; who differs asks the store.
-    _settle(state)
+    # A listing is not announced by object; peers whose copies differ ask the store.
+    _mark_announced(state)
     return effects
 
 
 def _remove(state: MirrorState, name: str, *, now: float) -> None:
-    """Drop an object, or let it stay a little where it may have lapsed while the store was away."""
+    """Remove an object, after a grace period if its lease may have expired during an outage."""
     if name in state.missing:
         return
     state.put.pop(name, None)
     state.removed.add(name)
-    _strike(state, name)
-    grace_ends = 0.0 if state.returned_at is None else state.returned_at + state.return_grace
+    _discard_contents(state, name)
+    grace_ends = 0.0 if state.recovered_at is None else state.recovered_at + state.return_grace
     if now < grace_ends:
         state.missing[name] = grace_ends
         return
     state.objects.pop(name, None)
 
 
-def _strike(state: MirrorState, name: str) -> None:
-    """Take an object out of what the store is known to hold, if it is there."""
+def _discard_contents(state: MirrorState, name: str) -> None:
+    """Remove an object from the contents that the store is known to hold, if present."""
     known = state.objects.get(name)
     if known is not None:
         state.contents.discard(known)
--- a/src/azureswitch/coordination/mirror/_state.py
+++ b/src/azureswitch/coordination/mirror/_state.py
@@ -1,4 +1,4 @@
-"""What is known of one kind of the store's objects."""
+"""The copy of one kind of the store's objects, and when the store and peers last answered."""
 
 from bisect import bisect_left, insort
 from collections.abc import Iterable
@@ -12,31 +12,31 @@
 
 
 class Contents(Struct, kw_only=True):
-    """Which versions of which objects a copy holds; a change costs little, however many there are.
+    """The names and versions of the objects in a copy, updated incrementally.
 
     Attributes:
-        entries: The objects, each by name and version, in order.
+        entries: One entry of name and version per object, sorted.
     """
 
     entries: list[str] = field(default_factory=list)
 
     def add(self, item: StoredObject) -> None:
-        """Take in an object."""
+        """Add an object."""
         insort(self.entries, _entry(item))
 
     def discard(self, item: StoredObject) -> None:
-        """Drop an object, if it is held."""
+        """Remove an object, if present."""
         entry = _entry(item)
         index = bisect_left(self.entries, entry)
         if self.entries[index : index + 1] == [entry]:
             del self.entries[index]
 
     def replace(self, items: Iterable[StoredObject]) -> None:
-        """Hold these objects alone."""
+        """Replace all entries by those of these objects."""
         self.entries = sorted(map(_entry, items))
 
     def fingerprint(self) -> int:
-        """Return a number that differs where objects or their versions do."""
+        """Return a hash of the names and versions."""
         return xxh3_64_intdigest("\n".join(self.entries).encode())
 
 
@@ -48,26 +48,27 @@
     """A copy of the objects of one kind.
 
     Attributes:
-        return_grace: Seconds after the store's return for which an object that is missing stays.
+        return_grace: Seconds after an outage of the store for which missing objects are kept.
         objects: The objects, by name.
-        contents: Those of them that the store holds, so far as is known.
+        contents: The names and versions of those that the store holds, as far as is known.
         version: The version up to which the copy is complete.
         listed: Whether there is a copy.
-        listed_at: When all objects were last read, or were to be.
-        broken_at: When the store failed first since it answered last, or None.
-        served_at: When it answered this host or a peer last.
-        returned_at: When it answered again after it had answered nobody, or None.
-        missing: Until when objects stay that are not in the store any more, by name.
+        listed_at: When all objects were last listed, or a listing was last requested.
+        failing_since: When the first call failed after the store last answered, or None.
+        store_answered_at: When the store last answered this host or a peer.
+        recovered_at: When the store first answered after its last outage, or None.
+        missing: Until when objects are kept that are no longer in the store, by name.
         checked_at: When this host or a peer last asked the store for changes.
-        behind_at: Since when peers have had a newer copy, or None.
-        early: Changes told that apply to a later copy than this one, by the fingerprint of that.
-        asked_at: When peers began to be asked for their copies, or None where none is.
-        heard: The fingerprint that a peer told last.
-        heard_at: When it did so.
-        fingerprint: Tells this copy from others that differ.
-        told: The fingerprint that peers were told of last, or told this host.
-        put: Objects that have come or changed since then, by name.
-        removed: The names of those that have gone since then.
+        behind_since: Since when peers have had a newer copy, or None.
+        reordered: Announced changes that arrived before their predecessors, by the fingerprint of
+            the copy that they apply to.
+        copies_requested_at: When requests to peers for their copies began, or None if none is open.
+        peer_fingerprint: The fingerprint that a peer announced last.
+        peer_checked_at: When that announcement arrived.
+        fingerprint: The fingerprint of this copy.
+        announced: The last fingerprint that this host announced or that peers are known to have.
+        put: Objects created or changed since then, by name.
+        removed: The names of objects deleted since then.
     """
 
     return_grace: float = 0.0
@@ -76,21 +77,21 @@
     version: int = 0
     listed: bool = False
     listed_at: float = 0.0
-    broken_at: float | None = None
-    served_at: float = -inf
-    returned_at: float | None = None
+    failing_since: float | None = None
+    store_answered_at: float = -inf
+    recovered_at: float | None = None
     missing: dict[str, float] = field(default_factory=dict)
     checked_at: float = 0.0
-    behind_at: float | None = None
-    early: dict[int, StoreSeen] = field(default_factory=dict)
-    asked_at: float | None = None
-    heard: int = 0
-    heard_at: float = -inf
+    behind_since: float | None = None
+    reordered: dict[int, StoreSeen] = field(default_factory=dict)
+    copies_requested_at: float | None = None
+    peer_fingerprint: int = 0
+    peer_checked_at: float = -inf
     fingerprint: int = 0
-    told: int = 0
+    announced: int = 0
     put: dict[str, StoredObject] = field(default_factory=dict)
     removed: set[str] = field(default_factory=set)
 
     def present(self) -> tuple[StoredObject, ...]:
-        """Return the objects that the store holds, so far as is known."""
+        """Return the objects that the store holds, as far as is known."""
         return tuple(item for name, item in self.objects.items() if name not in self.missing)
--- a/src/azureswitch_standins/mirrors.py
+++ b/src/azureswitch_standins/mirrors.py
@@ -1,4 +1,4 @@
-"""Hosts with copies of the store's objects, in one process and in virtual time."""
+"""Hosts that mirror the store's objects, in one process and in virtual time."""
 
 import asyncio
 from collections.abc import AsyncGenerator, Awaitable, Callable
@@ -12,18 +12,18 @@
 from azureswitch_standins.store import StoreFake, StoreModel
 
 KIND = "things"
-"""The kind that is copied."""
+"""The kind that is mirrored."""
 
 
-class DeafStore(StoreFake):
-    """A way to the store whose watches can hear nothing without being cut off.
+class StalledStore(StoreFake):
+    """A store client whose watches can stall: deliver no changes without being disconnected.
 
     Attributes:
-        deaf: Whether watches that are started now, or wait already, hear nothing.
-        calls: Readings and watches that were begun, failed ones too.
+        stalled: Whether open and new watches deliver no changes.
+        calls: Listings and watches that were begun, including failed ones.
     """
 
-    deaf = False
+    stalled = False
     calls = 0
 
     async def list(self, *, kind: str) -> Listing:
@@ -34,27 +34,27 @@
     async def watch(
         self, *, kind: str, version: int, timeout: float
     ) -> AsyncGenerator[StoreChange, None]:
-        """Yield the changes, unless the watch has been deaf at any time."""
+        """Yield the changes, unless the watch has been stalled at any time."""
         self.calls += 1
-        deaf = self.deaf
+        stalled = self.stalled
         async for change in super().watch(kind=kind, version=version, timeout=timeout):
-            deaf = deaf or self.deaf
-            if not deaf:
+            stalled = stalled or self.stalled
+            if not stalled:
                 yield change
 
 
 class MirrorHosts:
-    """Hosts with a copy each, and a way of its own to one store.
+    """Hosts with a mirror and a store client each, all of one store.
 
     Args:
-        count: How many.
-        places: Failure domains that they stand in by turns.
+        count: Number of hosts.
+        places: Number of failure domains, to which hosts are assigned in rotation.
     """
 
     def __init__(self, *, count: int, places: int = 1) -> None:
         self.model = StoreModel()
         self.network = PeersNetworkFake()
-        self.stores = [DeafStore(model=self.model) for _ in range(count)]
+        self.stores = [StalledStore(model=self.model) for _ in range(count)]
         self.seen: list[dict[str, int]] = [{} for _ in range(count)]
         self._members = tuple(_member(index, places=places) for index in range(count))
         self._copies = [self._peers(member) for member in self._members]
@@ -77,7 +77,7 @@
         )
 
     async def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
-        """Keep the copies while a scenario runs."""
+        """Run the mirrors while a scenario runs."""
         tasks = [asyncio.create_task(mirror.run()) for mirror in self._mirrors]
         try:
             await scenario()
@@ -87,21 +87,21 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
     async def write(self, name: str, *, size: int = 0) -> None:
-        """Write an object of some bytes by a way of its own."""
+        """Write an object of some bytes by a separate client."""
         value = (b"a route, " * size)[:size]
         await StoreFake(model=self.model).create(kind=KIND, name=name, value=value)
 
     def rank(self, index: int) -> int:
-        """Return how many hosts are to check before one of them."""
+        """Return the rank of a host among those that check the store."""
         return self._copies[index].rank(KIND)
 
     @property
     def calls(self) -> int:
-        """How many calls all hosts have made to the store."""
+        """Number of calls of all hosts to the store."""
         return sum(store.calls for store in self.stores)
 
     def sent(self, kind: type) -> tuple[int, int]:
-        """Return how many messages of a kind all hosts have sent, and their bytes."""
+        """Return the number of messages of a kind that all hosts have sent, and their bytes."""
         hosts = (self.network.host(address=member.address) for member in self._members)
         traffic = [
             item
--- a/tests/mirror/test_copies.py
+++ b/tests/mirror/test_copies.py
@@ -1,4 +1,4 @@
-"""What is taken over of a peer's copy in which single objects cannot be read."""
+"""Decoding of a peer's copy in which single objects are invalid."""
 
 from zlib import compress
 
@@ -15,7 +15,7 @@
 
 
 class TestUnpack:
-    """`unpack_objects`."""
+    """Unit tests of `unpack_objects`."""
 
     @pytest.mark.parametrize(
         "foreign",
@@ -32,7 +32,7 @@
             {"kind": "k", "version": 3, "value": b""},
         ],
     )
-    def test_foreign(self, foreign: object) -> None:
-        """All other objects of the copy are taken over."""
+    def test_invalid_object(self, foreign: object) -> None:
+        """An object that cannot be decoded does not lose the other objects of the copy."""
         packed = compress(encode([GOOD[0], foreign, GOOD[1]]))
         assert unpack_objects(packed) == GOOD
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -1,4 +1,4 @@
-"""Copies of the store's objects: never older, whole again after trouble, and cheap to keep."""
+"""Mirrors of the store's objects: versions never decrease, faults are repaired, costs bounded."""
 
 import asyncio
 import gc
@@ -13,29 +13,29 @@
 
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.coordination.mirror import (
-    Asked,
-    AskPeer,
-    AskStore,
-    Broken,
     Changed,
     Checked,
-    Copied,
+    CheckStore,
     CopyPeers,
+    CopyReceived,
     CopyReply,
     CopyRequest,
-    Heard,
-    ListAgain,
+    CopyRequestsEnded,
     Listed,
     Mirror,
     MirrorEvent,
     MirrorState,
+    NotifyPeers,
+    PeerChecked,
     Publish,
+    Relist,
+    RequestCopy,
+    StoreFailed,
     StoreSeen,
-    TellPeers,
     Ticked,
     reduce,
 )
-from azureswitch.coordination.mirror._driver import FIRST_WATCH_SECONDS
+from azureswitch.coordination.mirror._driver import FIRST_RANK_WATCH_SECONDS
 from azureswitch.coordination.mirror._messages import RelayedSeen
 from azureswitch.coordination.mirror._reduce import WATCHERS
 from azureswitch.coordination.mirror._state import Contents
@@ -54,7 +54,7 @@
     "peers": PeersNetworkFake().peers(address="1"),
     "members": tuple,
 }
-"""Arguments of a way to peers of whom there are none."""
+"""Arguments of a `CopyPeers` without peers."""
 
 
 def item(name: str, version: int = 1) -> StoredObject:
@@ -63,7 +63,7 @@
 
 
 def listed(now: float, *names: str, version: int = 1) -> Listed:
-    """Return a reading of all objects."""
+    """Return a listing of objects."""
     return Listed(now=now, listing=Listing(items=tuple(map(item, names)), version=version))
 
 
@@ -72,30 +72,30 @@
     return Changed(now=now, change=StoreChange(kind=kind, item=item(name, version)))
 
 
-def seen(now: float, version: int, fingerprint: int = 0) -> Heard:
-    """Return what a peer tells."""
-    told = StoreSeen(
+def seen(now: float, version: int, fingerprint: int = 0) -> PeerChecked:
+    """Return the receipt of a peer's announcement without a change."""
+    message = StoreSeen(
         host=HostName("h2"), address="2", kind=KIND, version=version, fingerprint=fingerprint
     )
-    return Heard(now=now, seen=told)
+    return PeerChecked(now=now, seen=message)
 
 
-def message_of(told: TellPeers) -> StoreSeen:
-    """Return what peers are told."""
+def message_of(effect: NotifyPeers) -> StoreSeen:
+    """Return the message that announces an effect."""
     return StoreSeen(
         host=HostName("h2"),
         address="2",
         kind=KIND,
-        version=told.version,
-        fingerprint=told.fingerprint,
-        base=told.base,
-        put=told.put,
-        removed=told.removed,
+        version=effect.version,
+        fingerprint=effect.fingerprint,
+        base=effect.base,
+        put=effect.put,
+        removed=effect.removed,
     )
 
 
 def names_after(events: Iterable[MirrorEvent]) -> list[str]:
-    """Return the objects that are left after some events."""
+    """Return the names of the objects after some events."""
     state = MirrorState(return_grace=GRACE)
     for event in events:
         reduce(event, state)
@@ -103,17 +103,17 @@
 
 
 class TestRestored:
-    """A store that comes back from an older copy."""
+    """A store that is restored from an older copy."""
 
     @pytest.mark.parametrize(
         ("after", "names"),
         [
-            pytest.param(0.5 * GRACE, ["a", "b"], id="lives perhaps"),
-            pytest.param(1.5 * GRACE, ["a"], id="does not come back"),
+            pytest.param(0.5 * GRACE, ["a", "b"], id="within grace period"),
+            pytest.param(1.5 * GRACE, ["a"], id="after grace period"),
         ],
     )
-    def test_missing(self, after: float, names: list[str]) -> None:
-        """What the copy lacks stays for a moment, in which it may be written again."""
+    def test_missing_object(self, after: float, names: list[str]) -> None:
+        """An object that the restored store lacks is kept until its owner can write it again."""
         restored = version_of(era=1, revision=1)
         events = [
             listed(0.0, "a", "b", version=9),
@@ -124,7 +124,7 @@
 
 
 class TestObjects:
-    """Which objects the reducer keeps."""
+    """Which objects the reducer keeps and removes."""
 
     @pytest.mark.parametrize(
         ("events", "names"),
@@ -136,8 +136,8 @@
             ([listed(0.0, "a"), changed(1.0, "", ChangeKind.BOOKMARK)], ["a"]),
         ],
     )
-    def test_calm(self, events: list[MirrorEvent], names: list[str]) -> None:
-        """Without an outage what is removed is gone at once."""
+    def test_without_outage(self, events: list[MirrorEvent], names: list[str]) -> None:
+        """Without an outage, a deleted object is removed at once."""
         assert names_after(events) == names
 
     @pytest.mark.parametrize(
@@ -168,35 +168,35 @@
                 ["a"],
             ),
             (
-                [listed(10.0, "a"), Broken(now=11.0), Ticked(now=20.0)],
+                [listed(10.0, "a"), StoreFailed(now=11.0), Ticked(now=20.0)],
                 ["a", "b"],
             ),
         ],
     )
     def test_outage(self, after: list[MirrorEvent], names: list[str]) -> None:
-        """What lapsed while the store was away stays for the grace period, and no longer."""
-        assert names_after([listed(0.0, "a", "b"), Broken(now=5.0), *after]) == names
+        """An object that expired during an outage is kept for the grace period, and no longer."""
+        assert names_after([listed(0.0, "a", "b"), StoreFailed(now=5.0), *after]) == names
 
     @pytest.mark.parametrize(
         ("after", "names"),
         [
             ([changed(8.0, "b", ChangeKind.DELETED)], ["a"]),
             ([listed(8.0, "a")], ["a"]),
-            ([Copied(now=8.0, version=9, objects=(item("a"),))], ["a"]),
+            ([CopyReceived(now=8.0, version=9, objects=(item("a"),))], ["a"]),
         ],
     )
-    def test_turned_away(self, after: list[MirrorEvent], names: list[str]) -> None:
-        """What goes while the store serves others is gone at once: it cannot have lapsed."""
-        told = [seen(5.0 + n / 2.0, 1) for n in range(1, 6)]
-        assert names_after([listed(0.0, "a", "b"), Broken(now=5.0), *told, *after]) == names
+    def test_rejected_host(self, after: list[MirrorEvent], names: list[str]) -> None:
+        """While the store serves peers, a deleted object is removed at once: no lease expired."""
+        checks = [seen(5.0 + n / 2.0, 1) for n in range(1, 6)]
+        assert names_after([listed(0.0, "a", "b"), StoreFailed(now=5.0), *checks, *after]) == names
 
-    def test_turned_away_again(self) -> None:
-        """A grace period that has begun ends in time, also where the store turns this host away."""
+    def test_rejected_host_in_grace_period(self) -> None:
+        """A grace period ends in time, also while the store rejects this host and serves peers."""
         events = [
             listed(0.0, "a", "b"),
-            Broken(now=5.0),
+            StoreFailed(now=5.0),
             changed(8.0, "b", ChangeKind.DELETED),
-            Broken(now=8.5),
+            StoreFailed(now=8.5),
             *(seen(8.5 + n / 2.0, 1) for n in range(3)),
             Ticked(now=8.0 + GRACE),
         ]
@@ -214,13 +214,13 @@
 
 
 class TestContents:
-    """What a copy holds is told by a number that is kept up to date change by change."""
+    """The fingerprint of a copy, which is updated incrementally."""
 
     @given(steps=STEPS, apart=st.sampled_from((0.1, GRACE, 3.0 * GRACE)))
-    def test_fingerprint_that_differs_from_the_objects(
+    def test_incremental_update(
         self, steps: list[tuple[ChangeKind | str, set[str] | str]], apart: float
     ) -> None:
-        """After any events it is that of a copy which has read the same objects at once."""
+        """After any events the contents equal those of a copy that lists the same objects."""
         state = MirrorState(return_grace=GRACE)
         for index, (kind, names) in enumerate(steps, 1):
             reduce(_event(kind, names, now=index * apart, version=index), state)
@@ -236,11 +236,11 @@
         return changed(now, str(names), kind, version=version)
     if kind == "listed":
         return listed(now, *sorted(names), version=version)
-    return Broken(now=now) if kind == "broken" else Ticked(now=now)
+    return StoreFailed(now=now) if kind == "broken" else Ticked(now=now)
 
 
 class TestChecks:
-    """Who asks the store, and when."""
+    """Which host checks the store, when, and what it announces."""
 
     @pytest.mark.parametrize(
         ("rank", "now", "asks"),
@@ -259,42 +259,42 @@
         ],
     )
     def test_due(self, rank: int, now: float, asks: bool) -> None:
-        """Hosts check in the order of their rank, ever more of them together."""
+        """Hosts check in the order of their rank, in groups that grow."""
         state = MirrorState()
         reduce(listed(0.0, "a"), state)
         assert bool(reduce(Ticked(now=now, rank=rank), state)) is asks
 
     @pytest.mark.parametrize(("version", "asks"), [(1, False), (0, True)])
-    def test_heard(self, version: int, asks: bool) -> None:
-        """The check of a peer that is not behind stands for one of this host's own."""
+    def test_peer_check(self, version: int, asks: bool) -> None:
+        """A check of a peer that is not behind replaces a check of this host."""
         state = MirrorState()
         reduce(listed(0.0, "a"), state)
         reduce(seen(0.5, version, state.fingerprint), state)
         assert bool(reduce(Ticked(now=0.95, rank=0), state)) is asks
 
-    def test_checked(self) -> None:
-        """A check is told to the peers with what tells copies apart."""
+    def test_check_announced(self) -> None:
+        """A check is announced to peers with the fingerprint of the copy."""
         state = MirrorState()
         reduce(listed(0.0, "a"), state)
-        told = TellPeers(version=1, fingerprint=state.fingerprint, base=state.fingerprint)
-        assert tuple(reduce(Checked(now=0.5), state)) == (told,)
+        notice = NotifyPeers(version=1, fingerprint=state.fingerprint, base=state.fingerprint)
+        assert tuple(reduce(Checked(now=0.5), state)) == (notice,)
 
     @pytest.mark.parametrize("kind", [ChangeKind.PUT, ChangeKind.DELETED])
-    def test_told(self, kind: ChangeKind) -> None:
-        """A change is told with what it applies to, and is taken over without asking the store."""
+    def test_change_announced(self, kind: ChangeKind) -> None:
+        """An announced change is applied by a peer without asking the store."""
         one, two = MirrorState(), MirrorState()
         for state in (one, two):
             reduce(listed(0.0, "a", "b"), state)
         effects = reduce(changed(1.0, "b", kind, version=5), one)
-        (told,) = (effect for effect in effects if isinstance(effect, TellPeers))
-        message = message_of(told)
-        taken = reduce(Heard(now=1.0, seen=message), two)
-        assert [type(effect) for effect in taken] == [Publish]
+        (notice,) = (effect for effect in effects if isinstance(effect, NotifyPeers))
+        message = message_of(notice)
+        applied = reduce(PeerChecked(now=1.0, seen=message), two)
+        assert [type(effect) for effect in applied] == [Publish]
         assert (two.objects, two.version) == (one.objects, one.version)
-        assert not reduce(Heard(now=1.1, seen=message), two)
+        assert not reduce(PeerChecked(now=1.1, seen=message), two)
 
-    def test_told_of_another(self) -> None:
-        """A change of a copy that differs from this one is not taken over."""
+    def test_change_of_a_different_copy(self) -> None:
+        """A change that is based on a different copy is not applied."""
         state = MirrorState()
         reduce(listed(0.0, "a"), state)
         message = StoreSeen(
@@ -306,137 +306,142 @@
             base=8,
             put=(item("c", 5),),
         )
-        assert not reduce(Heard(now=1.0, seen=message), state)
+        assert not reduce(PeerChecked(now=1.0, seen=message), state)
         assert not reduce(Ticked(now=1.05, rank=9), state)
-        assert tuple(reduce(Ticked(now=1.11, rank=9), state)) == (AskStore(),)
+        assert tuple(reduce(Ticked(now=1.11, rank=9), state)) == (CheckStore(),)
         assert list(state.objects) == ["a"]
 
     @pytest.mark.parametrize("order", list(permutations(range(3))))
-    def test_overtaking(self, order: tuple[int, ...]) -> None:
-        """Changes that overtake each other on their way are all taken over, and nobody is asked."""
+    def test_reordered_changes(self, order: tuple[int, ...]) -> None:
+        """Changes that arrive in any order are all applied without asking the store or a peer."""
         one, two = MirrorState(), MirrorState()
         for state in (one, two):
             reduce(listed(0.0, "a"), state)
-        told = [
+        messages = [
             message_of(effect)
             for number, name in enumerate(("b", "c", "d"))
             for effect in reduce(changed(1.0, name, ChangeKind.PUT, version=5 + number), one)
-            if isinstance(effect, TellPeers)
+            if isinstance(effect, NotifyPeers)
         ]
         effects = [
-            effect for index in order for effect in reduce(Heard(now=1.0, seen=told[index]), two)
+            effect
+            for index in order
+            for effect in reduce(PeerChecked(now=1.0, seen=messages[index]), two)
         ]
         effects += reduce(Ticked(now=1.11, rank=9), two)
         assert {type(effect) for effect in effects} == {Publish}
         assert (two.objects, two.version) == (one.objects, one.version)
 
     @pytest.mark.parametrize(
-        ("before", "heard", "effect"),
+        ("before", "received", "effect"),
         [
-            ([], seen(1.0, 5, 7), AskStore()),
-            ([], seen(6.0, 1, 7), ListAgain()),
+            ([], seen(1.0, 5, 7), CheckStore()),
+            ([], seen(6.0, 1, 7), Relist()),
             ([], seen(4.0, 1, 7), None),
             ([], seen(6.0, 0, 7), None),
-            ([Broken(now=0.5)], seen(1.0, 5, 7), AskPeer(address="2", version=5)),
-            ([seen(0.4, 5, 7)], seen(1.0, 5, 7), AskPeer(address="2", version=5)),
+            ([StoreFailed(now=0.5)], seen(1.0, 5, 7), RequestCopy(address="2", version=5)),
+            ([seen(0.4, 5, 7)], seen(1.0, 5, 7), RequestCopy(address="2", version=5)),
         ],
     )
     def test_behind(
-        self, before: list[MirrorEvent], heard: Heard, effect: AskStore | AskPeer | ListAgain | None
+        self,
+        before: list[MirrorEvent],
+        received: PeerChecked,
+        effect: CheckStore | RequestCopy | Relist | None,
     ) -> None:
-        """Who is behind asks the store, or a peer; copies that disagree are read anew."""
+        """A host that is behind asks the store or a peer; copies that differ are listed again."""
         state = MirrorState()
         for event in (listed(0.0, "a"), *before):
             reduce(event, state)
-        assert tuple(reduce(heard, state)) == (() if effect is None else (effect,))
+        assert tuple(reduce(received, state)) == (() if effect is None else (effect,))
 
     @pytest.mark.parametrize(
         ("between", "asks"),
         [
             ([], False),
-            ([Asked(now=1.2)], True),
-            ([Copied(now=1.2, version=3, objects=())], False),
-            ([Copied(now=1.2, version=3, objects=()), Asked(now=1.2)], True),
-            ([Copied(now=1.2, version=9, objects=()), Asked(now=1.2)], False),
+            ([CopyRequestsEnded(now=1.2)], True),
+            ([CopyReceived(now=1.2, version=3, objects=())], False),
+            ([CopyReceived(now=1.2, version=3, objects=()), CopyRequestsEnded(now=1.2)], True),
+            ([CopyReceived(now=1.2, version=9, objects=()), CopyRequestsEnded(now=1.2)], False),
             ([Ticked(now=2.7)], True),
         ],
     )
-    def test_one_at_a_time(self, between: list[MirrorEvent], asks: bool) -> None:
-        """However many peers tell of a newer copy, one is asked at a time."""
+    def test_one_copy_request_at_a_time(self, between: list[MirrorEvent], asks: bool) -> None:
+        """Announcements of many peers cause one request for a copy at a time."""
         state = MirrorState()
-        for event in (listed(0.0, "a"), Broken(now=0.5), seen(1.0, 9, 7)):
+        for event in (listed(0.0, "a"), StoreFailed(now=0.5), seen(1.0, 9, 7)):
             reduce(event, state)
         for event in between:
             reduce(event, state)
         now = max(1.5, *(event.now for event in between)) if between else 1.5
-        asked = [e for n in range(50) for e in reduce(seen(now, 9, 7 + n), state)]
-        assert len([effect for effect in asked if isinstance(effect, AskPeer)]) == asks
+        effects = [e for n in range(50) for e in reduce(seen(now, 9, 7 + n), state)]
+        assert len([effect for effect in effects if isinstance(effect, RequestCopy)]) == asks
 
     @pytest.mark.parametrize(
-        ("heard", "told"), [([], True), ([seen(0.9, 5)], True), ([seen(0.9, 2)], False)]
+        ("received", "announced"), [([], True), ([seen(0.9, 5)], True), ([seen(0.9, 2)], False)]
     )
-    def test_told_already(self, heard: list[Heard], told: bool) -> None:
-        """A change or a check that a peer has just told of is not told once more."""
+    def test_duplicate_announcement(self, received: list[PeerChecked], announced: bool) -> None:
+        """A change or a check that a peer has just announced is not announced again."""
         one, state = MirrorState(), MirrorState()
         for copy in (one, state):
             reduce(listed(0.0, "a"), copy)
         reduce(changed(0.8, "b", ChangeKind.PUT), one)
-        for event in heard:
+        for event in received:
             same = one.fingerprint if event.seen.version == 2 else 7
             reduce(replace(event, seen=replace(event.seen, fingerprint=same)), state)
         effects = reduce(changed(1.0, "b", ChangeKind.PUT), state)
         effects = [*effects, *reduce(Checked(now=1.05), state)]
-        assert any(isinstance(effect, TellPeers) for effect in effects) is told
+        assert any(isinstance(effect, NotifyPeers) for effect in effects) is announced
 
     @pytest.mark.parametrize(("version", "names"), [(5, ["b"]), (1, ["a"])])
-    def test_copied(self, version: int, names: list[str]) -> None:
-        """A peer's copy is taken where it is newer, and never where it is older."""
-        copied = Copied(now=1.0, version=version, objects=(item("b"),))
+    def test_copy_received(self, version: int, names: list[str]) -> None:
+        """A peer's copy replaces this one only if it is newer."""
+        copied = CopyReceived(now=1.0, version=version, objects=(item("b"),))
         assert names_after([listed(0.0, "a", version=2), copied]) == names
 
     def test_published(self) -> None:
-        """Only what changes objects hands them out."""
+        """Objects are published only when they have changed."""
         state = MirrorState()
         assert any(isinstance(effect, Publish) for effect in reduce(listed(0.0, "a"), state))
         assert not reduce(changed(1.0, "", ChangeKind.BOOKMARK), state)
 
 
-class OvertakenPeers(CopyPeers):
-    """A way to the peers on which a change arrives while a peer is asked for it.
+class ConcurrentChangePeers(CopyPeers):
+    """Peers of which one announces a change while another is asked for its copy.
 
     Attributes:
-        asked: How often a peer was asked.
-        mirror: The copy that the change is for.
+        requests: Number of requests for a copy.
+        mirror: The mirror that receives the change.
     """
 
-    asked = 0
+    requests = 0
     mirror: Mirror
 
-    async def ask(self, kind: str, *, address: str, version: int) -> CopyReply:
-        """Let the change arrive by another way, and give a copy that is not newer."""
-        self.asked += 1
-        self.mirror.hear(self.change)
+    async def request_copy(self, kind: str, *, address: str, version: int) -> CopyReply:
+        """Deliver the announcement, and answer that the copy is not newer."""
+        self.requests += 1
+        self.mirror.receive(self.change)
         return CopyReply(version=0)
 
     @property
     def change(self) -> StoreSeen:
-        """A change that applies to any copy of this test."""
-        told = MirrorState()
-        reduce(listed(0.0, "a", version=self.mirror.version), told)
-        reduce(changed(0.0, "a", ChangeKind.PUT, version=self.mirror.version + 1), told)
+        """A change that is based on the mirror's copy."""
+        changed_copy = MirrorState()
+        reduce(listed(0.0, "a", version=self.mirror.version), changed_copy)
+        reduce(changed(0.0, "a", ChangeKind.PUT, version=self.mirror.version + 1), changed_copy)
         return StoreSeen(
             host=HostName("h2"),
             address="2",
             kind=KIND,
             version=self.mirror.version + 1,
-            fingerprint=told.fingerprint,
+            fingerprint=changed_copy.fingerprint,
             base=self.mirror._state.fingerprint,
             put=(item("a", self.mirror.version + 1),),
         )
 
 
-def mirror_beside(peers: CopyPeers, *, store: StoreFake) -> Mirror:
-    """Return a copy of a store."""
+def mirror_with(peers: CopyPeers, *, store: StoreFake) -> Mirror:
+    """Return a mirror of a store."""
     return Mirror(store=store, kind=KIND, publish=lambda objects: None, peers=peers, seed=1)
 
 
@@ -445,7 +450,7 @@
 
     @pytest.mark.parametrize("count", [0, 1, 8, 76])
     def test_rank(self, count: int) -> None:
-        """Hosts that start together agree on who checks, before they know each other."""
+        """Hosts that start together have distinct ranks before they know each other."""
         hosts = [HostName(f"h{number}") for number in range(count + 1)]
         members = [
             Member(
@@ -466,31 +471,31 @@
 class TestMirror:
     """Unit tests of `Mirror`."""
 
-    def test_overtaken(self) -> None:
-        """A peer is asked again after a change came by another way while one was asked."""
+    def test_change_during_a_copy_request(self) -> None:
+        """A copy is requested again after a change was announced during the last request."""
 
         async def run() -> None:
-            peers = OvertakenPeers(**ALONE)
-            mirror = peers.mirror = mirror_beside(peers, store=StoreFake())
+            peers = ConcurrentChangePeers(**ALONE)
+            mirror = peers.mirror = mirror_with(peers, store=StoreFake())
             mirror._feed(listed(0.0, "a"))
-            mirror._feed(Broken(now=0.0))
+            mirror._feed(StoreFailed(now=0.0))
             for turn in range(1, 4):
-                bare = replace(peers.change, put=(), base=0)
-                mirror.hear(bare)
+                without_change = replace(peers.change, put=(), base=0)
+                mirror.receive(without_change)
                 await asyncio.sleep(0.1)
-                assert peers.asked == turn
+                assert peers.requests == turn
 
         run_virtual(run())
 
     @pytest.mark.parametrize("turns", range(12))
     def test_cancelled(self, turns: int) -> None:
-        """It ends when cancelled, in whatever turn of the loop, also while a watch ends."""
+        """`run` ends when cancelled in any turn of the loop, also while a watch ends."""
 
         async def run() -> None:
-            mirror = mirror_beside(CopyPeers(**ALONE), store=StoreFake())
+            mirror = mirror_with(CopyPeers(**ALONE), store=StoreFake())
             running = asyncio.create_task(mirror.run())
-            # Its first watch ends then.
-            await asyncio.sleep(FIRST_WATCH_SECONDS)
+            # The first watch ends at this time.
+            await asyncio.sleep(FIRST_RANK_WATCH_SECONDS)
             for _ in range(turns):
                 await asyncio.sleep(0.0)
             running.cancel()
@@ -500,43 +505,43 @@
         run_virtual(run())
 
     @pytest.mark.parametrize("turns", range(6))
-    def test_watch_failure_told_as_a_fault_of_the_program(self, turns: int) -> None:
-        """A watch that fails in whatever turn of the loop around the end leaves no failure over."""
-        told: list[str] = []
+    def test_watch_failure_while_cancelled(self, turns: int) -> None:
+        """A watch that fails as `run` is cancelled is not reported as an unretrieved exception."""
+        reported: list[str] = []
 
         async def run() -> None:
             loop = asyncio.get_running_loop()
-            loop.set_exception_handler(lambda _, context: told.append(context["message"]))
+            loop.set_exception_handler(lambda _, context: reported.append(context["message"]))
             store = StoreFake()
-            mirror = mirror_beside(CopyPeers(**ALONE), store=store)
+            mirror = mirror_with(CopyPeers(**ALONE), store=store)
             running = asyncio.create_task(mirror.run())
-            await asyncio.sleep(FIRST_WATCH_SECONDS / 2.0)
+            await asyncio.sleep(FIRST_RANK_WATCH_SECONDS / 2.0)
             store.faults = StoreFaults(down=True)
             for _ in range(turns):
                 await asyncio.sleep(0.0)
             running.cancel()
             await asyncio.wait([running])
-            # What failed with nobody to take it is told as its task is collected.
+            # asyncio reports an unretrieved exception when its task is collected.
             gc.collect()
 
         run_virtual(run())
-        assert not told
+        assert not reported
 
 
 class TestHosts:
-    """Copies of several hosts over a store that fails some of them."""
+    """Mirrors of several hosts over a store that fails for some of them."""
 
-    @pytest.mark.parametrize("deaf", [range(4), range(1), range(1, 4)])
-    def test_deaf(self, deaf: range) -> None:
-        """A change made while watches are deaf for a second is everywhere after 2 s."""
+    @pytest.mark.parametrize("stalled", [range(4), range(1), range(1, 4)])
+    def test_stalled_watches(self, stalled: range) -> None:
+        """A change made while watches stall for a second reaches all hosts within 2 s."""
 
         async def scenario() -> None:
-            for index in deaf:
-                hosts.stores[index].deaf = True
+            for index in stalled:
+                hosts.stores[index].stalled = True
             await hosts.write("new")
             await asyncio.sleep(1.0)
             for store in hosts.stores:
-                store.deaf = False
+                store.stalled = False
             await asyncio.sleep(1.0)
             assert all("new" in names for names in hosts.seen)
 
@@ -547,13 +552,13 @@
         hosts = MirrorHosts(count=4)
         run_virtual(hosts.run(run))
 
-    @pytest.mark.parametrize("away", range(4))
-    def test_turned_away(self, away: int) -> None:
-        """A host that the store turns away has a change from its peers within 2 s."""
+    @pytest.mark.parametrize("rejected", range(4))
+    def test_rejected_host(self, rejected: int) -> None:
+        """A host that the store rejects receives a change from its peers within 2 s."""
 
         async def run() -> None:
             await asyncio.sleep(5.0)
-            hosts.stores[away].faults = StoreFaults(down=True)
+            hosts.stores[rejected].faults = StoreFaults(down=True)
             await asyncio.sleep(1.0)
             await hosts.write("new")
             await asyncio.sleep(2.0)
@@ -563,7 +568,7 @@
         run_virtual(hosts.run(run))
 
     def test_series(self) -> None:
-        """Of 30 hosts the first few ask the store for changes in a series, and all have them."""
+        """During a series of changes only the first few of 30 hosts ask the store."""
 
         async def run() -> None:
             await asyncio.sleep(5.0)
@@ -579,7 +584,7 @@
         run_virtual(hosts.run(run))
 
     def test_large_change(self) -> None:
-        """A change too large for a datagram reaches hosts that the store turns away cheaply."""
+        """A change too large for a datagram reaches hosts that the store rejects at a low cost."""
 
         async def run() -> None:
             await asyncio.sleep(5.0)
@@ -597,55 +602,55 @@
         hosts = MirrorHosts(count=40)
         run_virtual(hosts.run(run))
 
-    def test_alone(self) -> None:
-        """A host that reaches no peer checks for itself."""
+    def test_partitioned_host(self) -> None:
+        """A host that reaches no peer checks the store itself."""
 
         async def run() -> None:
             hosts.network.partition(["0"])
             await asyncio.sleep(5.0)
-            hosts.stores[0].deaf = True
+            hosts.stores[0].stalled = True
             await hosts.write("new")
             await asyncio.sleep(1.0)
-            hosts.stores[0].deaf = False
+            hosts.stores[0].stalled = False
             await asyncio.sleep(1.0)
             assert "new" in hosts.seen[0]
 
         hosts = MirrorHosts(count=4)
         run_virtual(hosts.run(run))
 
-    @pytest.mark.parametrize(("count", "most"), [(1, 25), (4, 30), (16, 40), (60, 40)])
-    def test_calls(self, count: int, most: int) -> None:
-        """In ten calm seconds the hosts together make about two watches a second."""
+    @pytest.mark.parametrize(("count", "limit"), [(1, 25), (4, 30), (16, 40), (60, 40)])
+    def test_calls_without_changes(self, count: int, limit: int) -> None:
+        """Without changes the hosts together make about two watches a second."""
 
         async def run() -> None:
             await asyncio.sleep(5.0)
             before = hosts.model.counters.watches
             await asyncio.sleep(10.0)
-            assert hosts.model.counters.watches - before <= most
+            assert hosts.model.counters.watches - before <= limit
 
         hosts = MirrorHosts(count=count)
         run_virtual(hosts.run(run))
 
     @pytest.mark.parametrize(
-        "kept",
-        [pytest.param(0, id="from all"), pytest.param(1, id="from all but the last in rank")],
+        "served",
+        [pytest.param(0, id="for all"), pytest.param(1, id="for all but the last in rank")],
     )
     @pytest.mark.parametrize("count", [9, 77, 195])
-    def test_away(self, count: int, kept: int) -> None:
-        """It gets five calls a second of each host that watches, and one of any other, at most."""
+    def test_calls_during_an_outage(self, count: int, served: int) -> None:
+        """A store that is down gets at most 5 calls/s from a watching host and 1 from another."""
 
         async def run() -> None:
             await asyncio.sleep(10.0)
             ranks = {index: hosts.rank(index) for index in range(count)}
-            last = sorted(ranks, key=ranks.__getitem__)[count - kept :]
-            away = [store for index, store in enumerate(hosts.stores) if index not in last]
-            for store in away:
+            last = sorted(ranks, key=ranks.__getitem__)[count - served :]
+            failing = [store for index, store in enumerate(hosts.stores) if index not in last]
+            for store in failing:
                 store.faults = StoreFaults(down=True)
             before = hosts.calls
             await asyncio.sleep(8.0)
             assert hosts.calls - before <= 8 * (5 * WATCHERS + count - WATCHERS)
-            if not kept:
-                for store in away:
+            if not served:
+                for store in failing:
                     store.faults = StoreFaults()
             await hosts.write("new")
             await asyncio.sleep(2.0)
@@ -655,10 +660,10 @@
         run_virtual(hosts.run(run))
 
     @pytest.mark.parametrize("cut_off", [0, 5, 11])
-    def test_domains(self, cut_off: int) -> None:
-        """What is told crosses to each other failure domain once, and reaches all in time.
+    def test_failure_domains(self, cut_off: int) -> None:
+        """An announcement is sent once to each other failure domain, and reaches all hosts in time.
 
-        It does so too where most hosts of a domain, any of which may be to pass it on, are cut off.
+        This also holds if most hosts of a domain, any of which may be the relay, are cut off.
         """
 
         async def run() -> None:
@@ -669,9 +674,9 @@
             await asyncio.sleep(2.0)
             assert all("new" in names for names in hosts.seen)
             relayed = hosts.sent(RelayedSeen)[0] - before[0]
-            told = hosts.sent(StoreSeen)[0] - before[1]
-            # Each of them is for one of the two others, beside 11 hosts that are told at home.
-            assert 0 < relayed <= 2 * told / 11
+            direct = hosts.sent(StoreSeen)[0] - before[1]
+            # An announcement is relayed to two other domains, and sent to 11 hosts of its own.
+            assert 0 < relayed <= 2 * direct / 11
 
         hosts = MirrorHosts(count=36, places=3)
         run_virtual(hosts.run(run))
