--- a/src/azureswitch/coordination/membership/__init__.py
+++ b/src/azureswitch/coordination/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Hosts learn of each other from the host list and from each other."""
+"""Membership of hosts by the platform's host list, probes and gossip."""
 
 from azureswitch.coordination.membership._driver import Membership
 from azureswitch.coordination.membership._events import (
--- a/src/azureswitch/coordination/membership/_driver.py
+++ b/src/azureswitch/coordination/membership/_driver.py
@@ -27,7 +27,7 @@
     SyncRequested,
     Ticked,
 )
-from azureswitch.coordination.membership._limits import JOIN_SECONDS, SYNC_TIMEOUT, TICK
+from azureswitch.coordination.membership._limits import JOIN_SECONDS, SYNC_TIMEOUT, TICK_SECONDS
 from azureswitch.coordination.membership._messages import (
     Ack,
     Gossip,
@@ -48,7 +48,7 @@
 Listener = Callable[[tuple[Member, ...]], None]
 
 LEAVE_SPREAD_SECONDS = 1.0
-"""Seconds after which practically every member has heard that a host leaves."""
+"""Seconds after which practically every member knows that a host leaves."""
 
 
 class Membership:
@@ -58,7 +58,7 @@
         myself: This process.
         place: The failure domain that it runs in.
         address: ``IP:PORT`` on which peers reach it.
-        peers: Messages to other hosts; the handlers are registered here.
+        peers: Sends messages to other hosts; the handlers are registered there.
         hosts: The platform's host list.
         seed: Seeds every random choice.
     """
@@ -74,11 +74,11 @@
         seed: int,
     ) -> None:
         self._peers = peers
-        self._hosts = hosts
+        self._host_list = hosts
         self._state = MembershipState(
             myself=myself, place=place, address=address, random=Random(seed)
         )
-        self._began: float | None = None
+        self._started_at: float | None = None
         self._listeners: list[Listener] = []
         self._tasks: set[Task[None]] = set()
         peers.handle(Ping, self._receive)
@@ -100,44 +100,44 @@
 
     @property
     def fleet_size(self) -> int | None:
-        """How many hosts there may be, dead ones included; None before others can be known."""
+        """Upper bound of the number of hosts, dead ones included; None before others are known."""
         return self._state.fleet_size
 
     @property
     def expected(self) -> tuple[Member, ...]:
-        """Hosts that are listed and will be known soon, as far as can be told after a start.
+        """Listed hosts that are not members yet, for some seconds after the start of this host.
 
-        Until then they are taken to live where the host list says, under a start of zero.
+        They are assumed to be alive at their listed address, with a start of zero.
         """
-        if self._began is None or _now() - self._began >= JOIN_SECONDS:
+        if self._started_at is None or _now() - self._started_at >= JOIN_SECONDS:
             return ()
         return tuple(map(_expected_member, self._state.unknown))
 
     @property
     def health(self) -> int:
-        """How far this host doubts itself, from 0; above it, it probes more slowly."""
+        """The local health score: 0 if this host is healthy; above 0, it probes more slowly."""
         return self._state.health
 
     @property
     def stalls(self) -> int:
-        """How often this process found that it had been paused."""
+        """Number of detected pauses of this process."""
         return self._state.stalls
 
     def on_change(self, callback: Listener) -> None:
-        """Call back with all members whenever one came, went or changed status."""
+        """Call back with all members whenever one has joined, left or changed status."""
         self._listeners.append(callback)
 
     def set_revision(self, revision: int) -> None:
-        """Let other hosts know which configuration is in force here."""
+        """Publish to other hosts which configuration is in force here."""
         self._feed(RevisionAdopted(now=_now(), revision=revision))
 
     async def run(self) -> None:
-        """Take part in the fleet until cancelled."""
-        self._began = _now()
+        """Run the protocol until cancelled."""
+        self._started_at = _now()
         try:
             while True:
                 self._feed(Ticked(now=_now()))
-                await sleep(until_step(TICK))
+                await sleep(until_step(TICK_SECONDS))
         except CancelledError:
             self._feed(Ended(now=_now()))
             raise
@@ -146,9 +146,9 @@
                 task.cancel()
 
     async def leave(self) -> None:
-        """Announce that this host takes no new work, and return when that has spread.
+        """Announce that this host takes no new work, and return when practically all members know.
 
-        `run` must go on until the host has finished what it still serves.
+        `run` must continue until the host has finished its open work.
         """
         self._feed(LeaveBegan(now=_now()))
         await sleep(LEAVE_SPREAD_SECONDS)
@@ -164,26 +164,26 @@
     def _feed(self, event: MembershipEvent) -> tuple[Effect, ...]:
         effects = tuple(reduce(self._state, event))
         for effect in effects:
-            self._carry_out(effect)
+            self._execute(effect)
         return effects
 
     @singledispatchmethod
-    def _carry_out(self, effect: Effect) -> None:
+    def _execute(self, effect: Effect) -> None:
         """Do nothing for effects that the caller of the reducer handles."""
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: Send) -> None:
         self._peers.cast(address=effect.address, message=effect.message)
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: Sync) -> None:
         self._spawn(self._sync(effect))
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: ListHosts) -> None:
         self._spawn(self._list_hosts())
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: NotifyChange) -> None:
         for listener in self._listeners:
             listener(self.members)
@@ -202,7 +202,7 @@
 
     async def _list_hosts(self) -> None:
         try:
-            hosts = await self._hosts.hosts()
+            hosts = await self._host_list.hosts()
         except HostListError as error:
             logging.warning("membership: %s", error)
             return
--- a/src/azureswitch/coordination/membership/_effects.py
+++ b/src/azureswitch/coordination/membership/_effects.py
@@ -1,4 +1,4 @@
-"""What the driver does for the membership reducer."""
+"""Effects of the membership reducer."""
 
 from azureswitch.coordination.membership._messages import Message, SyncReply, SyncRequest
 from azureswitch.core import Effect
@@ -16,21 +16,21 @@
 
 
 class Sync(MembershipEffect, frozen=True, kw_only=True):
-    """Call a member and report its answer as `SyncReplied`."""
+    """Call a member and feed its answer back as `SyncReplied`."""
 
     address: str
     request: SyncRequest
 
 
 class AnswerSync(MembershipEffect, frozen=True, kw_only=True):
-    """Return this as the reply to the call."""
+    """Return a reply to the caller of a `SyncRequest`."""
 
     reply: SyncReply
 
 
 class ListHosts(MembershipEffect, frozen=True, kw_only=True):
-    """Read the host list and report it as `HostsListed`."""
+    """Read the host list and feed it back as `HostsListed`."""
 
 
 class NotifyChange(MembershipEffect, frozen=True, kw_only=True):
-    """Tell listeners that members came, went or changed status."""
+    """Notify listeners that members have joined, left or changed status."""
--- a/src/azureswitch/coordination/membership/_events.py
+++ b/src/azureswitch/coordination/membership/_events.py
@@ -1,4 +1,4 @@
-"""What can happen to a member's view of the fleet."""
+"""Events of the membership reducer."""
 
 from azureswitch.coordination.membership._messages import Message, SyncReply, SyncRequest
 from azureswitch.core import Event
@@ -10,7 +10,7 @@
 
 
 class Ticked(MembershipEvent, frozen=True, kw_only=True):
-    """Time passed; sent every `TICK` seconds."""
+    """Time passed; sent every `TICK_SECONDS` seconds."""
 
 
 class Received(MembershipEvent, frozen=True, kw_only=True):
@@ -20,13 +20,13 @@
 
 
 class SyncRequested(MembershipEvent, frozen=True, kw_only=True):
-    """Another member asks for what differs."""
+    """A member requested the updates that differ."""
 
     request: SyncRequest
 
 
 class SyncReplied(MembershipEvent, frozen=True, kw_only=True):
-    """Another member answered an exchange of digests."""
+    """A member answered an exchange of digests."""
 
     reply: SyncReply
 
@@ -44,8 +44,8 @@
 
 
 class LeaveBegan(MembershipEvent, frozen=True, kw_only=True):
-    """This host takes no new work from now on."""
+    """This host has begun to leave and takes no new work."""
 
 
 class Ended(MembershipEvent, frozen=True, kw_only=True):
-    """This process ends."""
+    """This process is about to end."""
--- a/src/azureswitch/coordination/membership/_gossip.py
+++ b/src/azureswitch/coordination/membership/_gossip.py
@@ -1,4 +1,4 @@
-"""News that is passed on with probes, each a bounded number of times."""
+"""Queues of updates that are gossiped with probes, each a bounded number of times."""
 
 from heapq import nsmallest
 from math import ceil, log2
@@ -7,18 +7,18 @@
 from msgspec import Struct
 
 from azureswitch.coordination.membership._limits import (
-    CANDIDATES,
-    PIGGYBACK_BYTES,
-    REPORT_BYTES,
-    RETRANSMISSIONS,
+    MAX_CANDIDATES,
+    MAX_PIGGYBACK_BYTES,
+    MAX_REPORT_BYTES,
+    RETRANSMISSION_FACTOR,
 )
 from azureswitch.coordination.membership._messages import NO_REPORT, RevisionReport, Update
 from azureswitch.core import HostName
 
 
-def transmissions(size: int) -> int:
-    """Return how often one host passes an update on in a fleet of a size."""
-    return RETRANSMISSIONS * ceil(log2(size + 1))
+def max_transmissions(size: int) -> int:
+    """Return how often one host sends an update in a fleet of a size."""
+    return RETRANSMISSION_FACTOR * ceil(log2(size + 1))
 
 
 class _Entry(Struct, kw_only=True):
@@ -27,9 +27,9 @@
 
 
 class GossipQueue:
-    """Updates to pass on, those passed on least often first and else in a random order.
+    """Updates to gossip: those sent least often first, in random order among equals.
 
-    Hosts that hold the same news would otherwise all begin with the same part of it.
+    Without the random order, hosts with the same updates would all send the same ones first.
     """
 
     def __init__(self, *, random: Random) -> None:
@@ -37,19 +37,19 @@
         self._entries: dict[HostName, _Entry] = {}
 
     def add(self, update: Update) -> None:
-        """Pass an update on from now, in place of older ones on the same host."""
+        """Add an update, which replaces an older one on the same host."""
         self._entries[update.host] = _Entry(update=update)
 
     def take(self, *, size: int, first: Update | None = None) -> tuple[Update, ...]:
-        """Choose what the next datagram carries, and count it as passed on.
+        """Choose the updates of the next datagram, and count them as sent.
 
         Args:
-            size: Members of the fleet.
-            first: An update that must be in it.
+            size: Number of members.
+            first: An update that must be included.
         """
         chosen = [] if first is None else [first]
-        room = PIGGYBACK_BYTES - sum(item.size for item in chosen)
-        limit = transmissions(size)
+        room = MAX_PIGGYBACK_BYTES - sum(item.size for item in chosen)
+        limit = max_transmissions(size)
         for entry in self._least_sent():
             room -= entry.update.size
             if room < 0:
@@ -61,7 +61,9 @@
 
     def _least_sent(self) -> list[_Entry]:
         draw = self._random.random
-        return nsmallest(CANDIDATES, self._entries.values(), key=lambda item: (item.sent, draw()))
+        return nsmallest(
+            MAX_CANDIDATES, self._entries.values(), key=lambda item: (item.sent, draw())
+        )
 
     def _count(self, entry: _Entry, limit: int) -> None:
         entry.sent += 1
@@ -70,34 +72,34 @@
 
 
 class RevisionReports:
-    """Which hosts have the newest revision in force, and how often that was passed on."""
+    """Which hosts have the newest revision in force, and how often each was reported."""
 
     def __init__(self) -> None:
         self._revision = 0
         self._sent: dict[HostName, int] = {}
 
     def add(self, *, revision: int, hosts: tuple[HostName, ...]) -> tuple[HostName, ...]:
-        """Take in a report.
+        """Merge a report.
 
         Returns:
-            The hosts for which it is news.
+            The hosts that were not known to have the revision in force.
         """
         if revision < self._revision:
             return ()
         if revision > self._revision:
             self._revision = revision
             self._sent = {}
-        news = tuple(host for host in hosts if host not in self._sent)
-        for host in news:
+        added = tuple(host for host in hosts if host not in self._sent)
+        for host in added:
             self._sent[host] = 0
-        return news
+        return added
 
     def take(self, *, size: int) -> RevisionReport:
-        """Choose what the next datagram reports, and count it as passed on."""
-        limit = transmissions(size)
+        """Choose the hosts that the next datagram reports, and count them as sent."""
+        limit = max_transmissions(size)
         waiting = (item for item in self._sent.items() if item[1] < limit)
-        candidates = nsmallest(REPORT_BYTES // 2, waiting, key=lambda item: item[1])
-        room = REPORT_BYTES
+        candidates = nsmallest(MAX_REPORT_BYTES // 2, waiting, key=lambda item: item[1])
+        room = MAX_REPORT_BYTES
         chosen = []
         for host, sent in candidates:
             room -= len(host) + 1
--- a/src/azureswitch/coordination/membership/_limits.py
+++ b/src/azureswitch/coordination/membership/_limits.py
@@ -1,86 +1,86 @@
-"""Periods, sizes and counts of the protocol."""
+"""Periods, time-outs and bounds of the protocol."""
 
-TICK = 0.05
-"""Seconds between two looks at the timers."""
+TICK_SECONDS = 0.05
+"""Seconds between two `Ticked` events."""
 
 PROBE_PERIOD = 0.5
-"""Seconds from one probe to the next."""
+"""Seconds between the starts of two probes."""
 
 DIRECT_TIMEOUT = 0.2
-"""Seconds that a probed member has before others are asked to probe it."""
+"""Seconds after which other members are asked to probe a member that has not answered."""
 
 RELAY_TIMEOUT = 0.1
-"""Seconds that a member has that is probed on request; the answer must be back in this period."""
+"""Seconds after which an indirect probe has failed; its answer must arrive within the period."""
 
-HELPERS = 3
-"""Members that are asked to probe one that did not answer."""
+INDIRECT_PROBES = 3
+"""Upper bound of members that are asked to probe a member that has not answered."""
 
-HEALTH_LIMIT = 3
-"""The most by which a host that doubts itself stretches its probes, as a factor less one."""
+MAX_HEALTH_SCORE = 3
+"""Highest local health score; the probe period is multiplied by one more than the score."""
 
 STALL_SECONDS = 0.6
-"""Seconds between two ticks from which the process counts as having been paused."""
+"""Minimum time in seconds between two ticks that is taken for a pause of the process."""
 
 SUSPICION_PERIODS = 3.0
-"""Probe periods, times the decimal logarithm of the fleet, for a suspicion that others share."""
+"""Duration of a confirmed suspicion, in probe periods times the decimal logarithm of the fleet."""
 
-SUSPICION_STRETCH = 3.0
-"""How much longer a suspicion lasts that no other member shares."""
+MAX_SUSPICION_FACTOR = 3.0
+"""Factor by which a suspicion lasts longer while no other member has confirmed it."""
 
 CONFIRMATIONS = 2
-"""Members that must share a suspicion until it lasts no longer than the shortest time."""
+"""Confirmations by other members that reduce a suspicion to its minimum duration."""
 
-PIGGYBACK_BYTES = 500
-"""Bytes of updates that a datagram carries at most, about."""
+MAX_PIGGYBACK_BYTES = 500
+"""Approximate upper bound of the bytes of updates in a datagram."""
 
-CANDIDATES = 16
-"""Updates that are considered for one datagram at most."""
+MAX_CANDIDATES = 16
+"""Upper bound of updates that are considered for one datagram."""
 
-RETRANSMISSIONS = 2
-"""How often an update is passed on, times the binary logarithm of the fleet."""
+RETRANSMISSION_FACTOR = 2
+"""How often a host sends an update, as a multiple of the binary logarithm of the fleet."""
 
 URGENT_FANOUT = 4
-"""Members to which news that cannot wait is passed on at once."""
+"""Upper bound of members to which urgent updates are sent at once."""
 
-URGENT_UPDATES = 3
-"""Updates that are passed on at once at most; further ones wait for the next probe."""
+MAX_URGENT_UPDATES = 3
+"""Upper bound of updates that are sent at once; further ones wait for the next probe."""
 
-REPORT_BYTES = 200
-"""Bytes of host names in the revision report of one datagram at most."""
+MAX_REPORT_BYTES = 200
+"""Upper bound of the bytes of host names in the revision report of one datagram."""
 
 SYNC_PERIOD = 10.0
-"""Seconds between two exchanges of digests with another member, about."""
+"""Average time in seconds between two exchanges of digests."""
 
 SYNC_JOIN_PERIOD = 0.5
-"""Seconds between two exchanges while a host still learns the fleet."""
+"""Average time in seconds between two exchanges while a host does not know the fleet yet."""
 
 JOIN_SYNCS = 5
-"""Exchanges after which a host counts as knowing the fleet."""
+"""Number of exchanges after which a host is assumed to know the fleet."""
 
 SYNC_TIMEOUT = 2.0
-"""Seconds that an exchange of digests may take."""
+"""Seconds after which an exchange of digests times out."""
 
 SYNC_BUCKETS = 32
-"""Parts into which members are divided for the comparison of digests."""
+"""Number of buckets into which members are hashed for the comparison of digests."""
 
-SYNC_UPDATES = 128
-"""Updates in the answer to one exchange at most."""
+MAX_SYNC_UPDATES = 128
+"""Upper bound of updates in the answer to one exchange."""
 
 LIST_PERIOD = 30.0
-"""Seconds between two readings of the host list, about."""
+"""Average time in seconds between two readings of the host list."""
 
 LIST_JOIN_PERIOD = 0.5
-"""Seconds between two readings of the host list while no other member is known."""
+"""Average time in seconds between two readings of the host list while no other member is known."""
 
 JOIN_SECONDS = 5.0
-"""Seconds after its start in which a host expects those that are listed and not known yet.
+"""Seconds after its start for which a host expects listed hosts that are not members yet.
 
-77 hosts that start together know each other after 4 s.  An entry of a host that is gone for good is
-expected no longer than that.
+77 hosts that start together know each other after 4 s.  The bound limits how long a host is
+expected whose entry remains although it is gone.
 """
 
-FORGET_UNLISTED = 60.0
-"""Seconds after which a dead member is forgotten that the host list no longer shows."""
+FORGET_UNLISTED_SECONDS = 60.0
+"""Seconds after which a dead member is forgotten if the host list does not contain it."""
 
-FORGET_LISTED = 3_600.0
+FORGET_LISTED_SECONDS = 3_600.0
 """Seconds after which any dead member is forgotten."""
--- a/src/azureswitch/coordination/membership/_messages.py
+++ b/src/azureswitch/coordination/membership/_messages.py
@@ -1,4 +1,4 @@
-"""What members send each other."""
+"""Messages between members."""
 
 from collections.abc import Iterator, Sequence
 
@@ -15,21 +15,21 @@
 }
 
 _NUMBER_BYTES = 28
-"""Bytes of an update in a column of updates beside its names and its address, at most."""
+"""Upper bound of the bytes of an update in `Updates`, without its names and its address."""
 
 
 class Update(Struct, frozen=True, kw_only=True):
-    """What somebody says of one member.
+    """A statement on the status of one member.
 
     Attributes:
         host: The member's host.
         started: Its start, as in `azureswitch.core.Incarnation`.
-        version: Grows whenever the member speaks against what is said of it.
+        version: A number that the member increments to refute updates on itself.
         place: The failure domain that it runs in.
         address: ``IP:PORT`` on which it is reached.
-        status: What is said of it.
-        revision: The configuration in force on it, as last heard.
-        accuser: Who suspects it; empty otherwise.
+        status: Its status.
+        revision: The last known revision of the configuration in force on it.
+        accuser: The host that suspects it; empty if none does.
     """
 
     host: HostName
@@ -43,18 +43,18 @@
 
     @property
     def precedence(self) -> tuple[int, int, int]:
-        """What orders two updates on one host; the greater one holds."""
+        """The order of two updates on one host; the greater one takes precedence."""
         return (self.started, self.version, _RANKS[self.status])
 
     @property
     def size(self) -> int:
-        """Bytes that the update takes among others in a datagram, at most."""
+        """Upper bound of the bytes that the update adds to a datagram."""
         names = len(self.host) + len(self.place) + len(self.address) + len(self.accuser)
         return _NUMBER_BYTES + names
 
 
 class Updates(Struct, frozen=True, kw_only=True):
-    """Updates by column, so that a datagram names each field once and not once for each update.
+    """Updates by column, so that a datagram contains the name of each field once.
 
     Attributes:
         hosts: As `Update.host`, and so on for the others.
@@ -78,7 +78,7 @@
 
 
 def pack(updates: Sequence[Update]) -> Updates | None:
-    """Put updates into columns; none take no bytes."""
+    """Return updates by column, or None if there are none, which takes no bytes."""
     if not updates:
         return None
     return Updates(
@@ -94,7 +94,7 @@
 
 
 def unpack(updates: Updates | None) -> Iterator[Update]:
-    """Take updates out of their columns."""
+    """Yield the updates that were packed."""
     if updates is None:
         return
     rows = zip(
@@ -125,7 +125,7 @@
     """Hosts on which at least a revision is in force.
 
     Attributes:
-        revision: The newest revision that the sender has heard of.
+        revision: The newest revision known to the sender.
         hosts: Some of the hosts on which it is in force.
     """
 
@@ -137,13 +137,13 @@
 
 
 class Ping(Struct, frozen=True, kw_only=True):
-    """Asks a member whether it is alive.
+    """Probes a member.
 
     Attributes:
-        sequence: Returned in the answer.
-        source: The sender, as it says of itself.
-        updates: News of other members.
-        report: News of revisions.
+        sequence: A number that the answer repeats.
+        source: The sender's update on itself.
+        updates: Gossiped updates on members.
+        report: Gossiped hosts with the newest revision.
     """
 
     sequence: int
@@ -156,10 +156,10 @@
     """Answers a `Ping`.
 
     Attributes:
-        sequence: The number of the ping.
-        source: The member that was probed, as it says of itself.
-        updates: News of other members.
-        report: News of revisions.
+        sequence: The sequence number of the ping.
+        source: The probed member's update on itself.
+        updates: Gossiped updates on members.
+        report: Gossiped hosts with the newest revision.
     """
 
     sequence: int
@@ -169,11 +169,11 @@
 
 
 class PingRequest(Struct, frozen=True, kw_only=True):
-    """Asks a member to probe another.
+    """Asks a member to probe another: an indirect probe.
 
     Attributes:
-        sequence: Returned in the answer.
-        source: The sender.
+        sequence: A number that the answer repeats.
+        source: The sender's update on itself.
         target: The member to probe.
     """
 
@@ -183,22 +183,22 @@
 
 
 class Nack(Struct, frozen=True, kw_only=True):
-    """Says that a member probed on request has not answered, and that the request arrived."""
+    """Answers a `PingRequest` whose target has not answered; it shows that the helper is alive."""
 
     sequence: int
 
 
 class Gossip(Struct, frozen=True, kw_only=True):
-    """News that cannot wait for the next probe."""
+    """Urgent updates, which are sent without waiting for the next probe."""
 
     updates: Updates | None
 
 
 class SyncRequest(Struct, frozen=True, kw_only=True):
-    """Asks a member for what differs.
+    """Requests the updates of the buckets whose digests differ.
 
     Attributes:
-        source: The sender.
+        source: The sender's update on itself.
         digests: The digest of each bucket of members.
     """
 
@@ -210,10 +210,10 @@
     """Answers a `SyncRequest`.
 
     Attributes:
-        source: The answering member.
-        updates: Members of the buckets that differ.
-        complete: Whether there are no more of them.
-        report: News of revisions.
+        source: The answering member's update on itself.
+        updates: Updates on the members of the buckets that differ.
+        complete: Whether these are all of them.
+        report: Gossiped hosts with the newest revision.
     """
 
     source: Update
--- a/src/azureswitch/coordination/membership/_model.py
+++ b/src/azureswitch/coordination/membership/_model.py
@@ -1,4 +1,4 @@
-"""What hosts know of each other."""
+"""Members and their status."""
 
 from collections.abc import Iterable
 from enum import Enum
@@ -9,7 +9,7 @@
 
 
 class MemberStatus(Enum):
-    """What a host believes of another."""
+    """The status of a member in a host's view."""
 
     ALIVE = "alive"
     SUSPECT = "suspect"
@@ -18,14 +18,14 @@
 
 
 class Member(Struct, frozen=True, kw_only=True):
-    """One process of the system.
+    """A process of the system.
 
     Attributes:
         incarnation: The process.
         place: The failure domain that it runs in.
         address: ``IP:PORT`` on which peers reach it.
-        status: What this host believes of it.
-        revision: The configuration in force on it, as last heard; zero for none.
+        status: Its status in this host's view.
+        revision: The last known revision of the configuration in force on it; zero for none.
     """
 
     incarnation: Incarnation
@@ -36,6 +36,6 @@
 
 
 def live_hosts(members: Iterable[Member]) -> tuple[HostName, ...]:
-    """Return the hosts that take work, so far as is known."""
+    """Return the hosts that take new work, as far as is known."""
     live = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
     return tuple(member.incarnation.host for member in members if member.status in live)
--- a/src/azureswitch/coordination/membership/_probe.py
+++ b/src/azureswitch/coordination/membership/_probe.py
@@ -1,43 +1,43 @@
-"""Whom to probe next, what is being probed, and how far to trust oneself."""
+"""The order of probes, open probes and the local health score."""
 
 from random import Random
 
 from msgspec import Struct, field
 
-from azureswitch.coordination.membership._limits import HEALTH_LIMIT
+from azureswitch.coordination.membership._limits import MAX_HEALTH_SCORE
 from azureswitch.coordination.membership._messages import Update
 from azureswitch.core import HostName
 
 
 class ProbeOrder:
-    """Every member once in a random order, then again in another."""
+    """Rounds of all members, each in a new random order."""
 
     def __init__(self, *, random: Random) -> None:
         self._random = random
         self._order: list[HostName] = []
         self._known: set[HostName] = set()
-        self._first: dict[HostName, None] = {}
+        self._prioritized: dict[HostName, None] = {}
 
     def add(self, host: HostName) -> None:
-        """Probe a new member at a random place of this round."""
+        """Add a new member at a random position of the current round."""
         if host in self._known:
             return
         self._known.add(host)
         self._order.insert(self._random.randint(0, len(self._order)), host)
 
     def discard(self, host: HostName) -> None:
-        """Probe a host no longer, unless it is asked for."""
+        """Remove a host; one that was prioritized is still probed once."""
         self._known.discard(host)
 
-    def ask(self, host: HostName) -> None:
+    def prioritize(self, host: HostName) -> None:
         """Probe a host next, once."""
-        self._first[host] = None
+        self._prioritized[host] = None
 
     def next(self) -> HostName | None:
-        """Return the host to probe next, or None where there is none."""
-        if self._first:
-            host = next(iter(self._first))
-            del self._first[host]
+        """Return the host to probe next, or None if there is none."""
+        if self._prioritized:
+            host = next(iter(self._prioritized))
+            del self._prioritized[host]
             return host
         while self._order:
             host = self._order.pop()
@@ -49,50 +49,52 @@
 
 
 class Probe(Struct, kw_only=True):
-    """The probe of this period.
+    """The probe of the current period.
 
     Attributes:
-        target: The member, as it was known when the probe began.
-        sequence: The number of the ping.
-        asks: When others are asked to probe it.
-        ends: When the probe has failed.
-        helpers: Addresses of those that were asked.
-        nacks: How many of them said that it did not answer them either.
-        answered: Whether it answered.
+        target: The update on the member when the probe began.
+        sequence: The sequence number of the ping.
+        indirect_at: When other members are asked to probe it.
+        ends_at: When the probe fails.
+        helpers: The addresses of the members that were asked.
+        nacks: Number of these that answered with a `Nack`.
+        answered: Whether the member has answered.
     """
 
     target: Update
     sequence: int
-    asks: float
-    ends: float
+    indirect_at: float
+    ends_at: float
     helpers: tuple[str, ...] = ()
     nacks: int = 0
     answered: bool = False
 
 
-class Relay(Struct, kw_only=True):
-    """A probe that another member asked for."""
+class RelayedProbe(Struct, kw_only=True):
+    """A probe on behalf of another member."""
 
     address: str
     sequence: int
     target: HostName
-    ends: float
+    ends_at: float
 
 
-class Health(Struct, kw_only=True):
-    """How far this host doubts itself; a host that was paused or cut off accuses others late.
+class LocalHealth(Struct, kw_only=True):
+    """A score of this host's own health, which slows down the probes of an unhealthy host.
+
+    So a host that was paused or disconnected suspects others later.
 
     Attributes:
-        score: From 0 to `HEALTH_LIMIT`.
+        score: From 0, healthy, to `MAX_HEALTH_SCORE`.
     """
 
     score: int = field(default=0)
 
     @property
     def factor(self) -> int:
-        """By how much probes are stretched."""
+        """Factor by which the probe period and its time-outs are extended."""
         return 1 + self.score
 
     def add(self, points: int) -> None:
-        """Doubt this host more, or less with negative points."""
-        self.score = min(max(self.score + points, 0), HEALTH_LIMIT)
+        """Add points to the score; negative points improve the health."""
+        self.score = min(max(self.score + points, 0), MAX_HEALTH_SCORE)
--- a/src/azureswitch/coordination/membership/_probing.py
+++ b/src/azureswitch/coordination/membership/_probing.py
@@ -5,7 +5,7 @@
 from azureswitch.coordination.membership._effects import MembershipEffect, Send
 from azureswitch.coordination.membership._limits import (
     DIRECT_TIMEOUT,
-    HELPERS,
+    INDIRECT_PROBES,
     PROBE_PERIOD,
     RELAY_TIMEOUT,
 )
@@ -19,14 +19,14 @@
     pack,
 )
 from azureswitch.coordination.membership._model import MemberStatus
-from azureswitch.coordination.membership._probe import Probe, Relay
+from azureswitch.coordination.membership._probe import Probe, RelayedProbe
 from azureswitch.coordination.membership._state import MembershipState
 
 MembershipEffects = Iterator[MembershipEffect]
 
 
 def record_ack(state: MembershipState, message: Ack) -> MembershipEffects:
-    """Relay the answer to an indirect probe, or record that to the probe of this host."""
+    """Relay the answer to an indirect probe, or record the answer to this host's probe."""
     relay = state._relays.get(message.sequence)
     if relay is not None and relay.target == message.source.host:
         del state._relays[message.sequence]
@@ -42,36 +42,38 @@
 
 
 def relay_probe(state: MembershipState, message: PingRequest, now: float) -> MembershipEffects:
-    """Probe a member on behalf of another."""
+    """Probe a member on behalf of another member."""
     sequence = _sequence(state)
-    state._relays[sequence] = Relay(
+    state._relays[sequence] = RelayedProbe(
         address=message.source.address,
         sequence=message.sequence,
         target=message.target.host,
-        ends=now + RELAY_TIMEOUT,
+        ends_at=now + RELAY_TIMEOUT,
     )
     target = state._table.get(message.target.host) or message.target
     yield Send(address=message.target.address, message=_ping(state, sequence, target))
 
 
 def end_relays(state: MembershipState, now: float) -> MembershipEffects:
-    over = [item for item in state._relays.items() if item[1].ends <= now]
-    for sequence, relay in over:
+    """Answer with a `Nack` for indirect probes that have timed out."""
+    expired = [item for item in state._relays.items() if item[1].ends_at <= now]
+    for sequence, relay in expired:
         del state._relays[sequence]
         yield Send(address=relay.address, message=Nack(sequence=relay.sequence))
 
 
 def continue_probing(state: MembershipState, now: float) -> MembershipEffects:
+    """Escalate or end the open probe, and begin the next one when it is due."""
     probe = state._probe
     if probe is not None and not probe.answered:
-        if now >= probe.asks and not probe.helpers:
-            yield from _ask_helpers(state, probe)
-        if now >= probe.ends:
-            _fail(state, probe, now)
-    if now >= state._probes_at:
+        if now >= probe.indirect_at and not probe.helpers:
+            yield from _request_indirect_probes(state, probe)
+        if now >= probe.ends_at:
+            _fail_probe(state, probe, now)
+    if now >= state._next_probe_at:
         period = PROBE_PERIOD * state._health.factor
-        # Steps of a whole period keep the phases of hosts apart as they were drawn.
-        state._probes_at = max(state._probes_at + period, now + period / 2)
+        # Advancing by whole periods preserves the random phases of hosts.
+        state._next_probe_at = max(state._next_probe_at + period, now + period / 2)
         yield from _begin_probe(state, now)
 
 
@@ -85,15 +87,15 @@
     state._probe = Probe(
         target=target,
         sequence=sequence,
-        asks=now + DIRECT_TIMEOUT * state._health.factor,
-        ends=state._probes_at,
+        indirect_at=now + DIRECT_TIMEOUT * state._health.factor,
+        ends_at=state._next_probe_at,
     )
     yield Send(address=target.address, message=_ping(state, sequence, target))
 
 
 def _ping(state: MembershipState, sequence: int, target: Update) -> Ping:
     if target.status in {MemberStatus.SUSPECT, MemberStatus.DEAD}:
-        # News would most likely be wasted on it.
+        # The member is probably dead, and other updates would be lost.
         return Ping(sequence=sequence, source=state.me, updates=pack((target,)))
     return Ping(
         sequence=sequence, source=state.me, updates=pack(state.piggyback()), report=state.report()
@@ -101,23 +103,23 @@
 
 
 def _next_target(state: MembershipState) -> Update | None:
-    """Choose whom to probe, passing over those of whom enough is said already."""
+    """Choose the member to probe, except those whose suspicion is confirmed already."""
     for _ in range(state._table.size):
         host = state._order.next()
         if host is None:
             return None
-        if not state._suspicions.shared(host):
+        if not state._suspicions.confirmed(host):
             return state._table.get(host)
     return None
 
 
-def _ask_helpers(state: MembershipState, probe: Probe) -> MembershipEffects:
+def _request_indirect_probes(state: MembershipState, probe: Probe) -> MembershipEffects:
     candidates = state._table.alive(without=(state._host, probe.target.host))
     state._random.shuffle(candidates)
-    # One of the own place answers also where whole places are out of reach.
+    # The first helper is of the own place, which answers even if all other places are unreachable.
     candidates.sort(key=lambda item: item.place != state.me.place)
     helpers = candidates[:1] + state._random.sample(
-        candidates[1:], min(HELPERS - 1, len(candidates[1:]))
+        candidates[1:], min(INDIRECT_PROBES - 1, len(candidates[1:]))
     )
     probe.helpers = tuple(item.address for item in helpers)
     for helper in helpers:
@@ -125,10 +127,10 @@
         yield Send(address=helper.address, message=request)
 
 
-def _fail(state: MembershipState, probe: Probe, now: float) -> None:
+def _fail_probe(state: MembershipState, probe: Probe, now: float) -> None:
     state._probe = None
-    # Where no helper speaks either, the fault may lie with this host.  Single silent ones do not
-    # count, or the loss of a whole place would slow down the hosts that must notice it.
+    # If no helper answers either, this host may be at fault.  Single helpers that do not answer are
+    # not counted, or the loss of a whole place would slow down the hosts that must detect it.
     if not probe.nacks:
         state._health.add(1)
     known = state._table.get(probe.target.host)
--- a/src/azureswitch/coordination/membership/_reduce.py
+++ b/src/azureswitch/coordination/membership/_reduce.py
@@ -25,23 +25,23 @@
     Ticked,
 )
 from azureswitch.coordination.membership._limits import (
-    FORGET_LISTED,
-    FORGET_UNLISTED,
+    FORGET_LISTED_SECONDS,
+    FORGET_UNLISTED_SECONDS,
     JOIN_SYNCS,
     LIST_JOIN_PERIOD,
     LIST_PERIOD,
+    MAX_SYNC_UPDATES,
+    MAX_URGENT_UPDATES,
     STALL_SECONDS,
     SYNC_JOIN_PERIOD,
     SYNC_PERIOD,
-    SYNC_UPDATES,
     URGENT_FANOUT,
-    URGENT_UPDATES,
 )
 from azureswitch.coordination.membership._merge import (
     declare_dead,
-    hear,
-    hear_report,
-    learn,
+    merge_report,
+    merge_table_row,
+    merge_update,
 )
 from azureswitch.coordination.membership._messages import (
     Ack,
@@ -71,17 +71,17 @@
 
 
 def reduce(state: MembershipState, event: MembershipEvent) -> Effects:
-    """Update a view with an event.
+    """Apply an event.
 
     Args:
-        state: The view.
+        state: The view, which is updated in place.
         event: What happened.
 
     Returns:
-        What the driver does now, in order.
+        The effects that the driver must execute, in order.
     """
-    effects = list(_on(event, state))
-    effects.extend(_spread_urgent(state))
+    effects = list(_apply(event, state))
+    effects.extend(_gossip_urgent(state))
     if state._changed:
         state._changed = False
         effects.append(NotifyChange())
@@ -89,64 +89,64 @@
 
 
 @singledispatch
-def _on(event: MembershipEvent, state: MembershipState) -> MembershipEffects:
+def _apply(event: MembershipEvent, state: MembershipState) -> MembershipEffects:
     raise TypeError(type(event))
 
 
-@_on.register
+@_apply.register
 def _(event: Received, state: MembershipState) -> MembershipEffects:
-    return _take(event.message, state, event.now)
+    return _receive(event.message, state, event.now)
 
 
-@_on.register
+@_apply.register
 def _(event: RevisionAdopted, state: MembershipState) -> MembershipEffects:
     state.set_revision(host=state._host, revision=event.revision)
     state._reports.add(revision=event.revision, hosts=(state._host,))
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: LeaveBegan, state: MembershipState) -> MembershipEffects:
     if state.me.status is MemberStatus.ALIVE:
-        state.speak(version=state.me.version + 1, status=MemberStatus.LEAVING)
+        state.update_self(version=state.me.version + 1, status=MemberStatus.LEAVING)
         state._urgent.append(state.me)
         state._changed = True
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: Ended, state: MembershipState) -> MembershipEffects:
-    state.speak(version=state.me.version + 1, status=MemberStatus.DEAD)
+    state.update_self(version=state.me.version + 1, status=MemberStatus.DEAD)
     state._urgent.append(state.me)
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: HostsListed, state: MembershipState) -> MembershipEffects:
     if not state._listing_read or state._listed != event.hosts:
-        # How many hosts there may be is told with the members.
+        # Listeners also use the size of the fleet, which depends on the host list.
         state._changed = True
     state._listing_read = True
     state._listed = event.hosts
     listed = {item.name for item in event.hosts}
-    for host, died in tuple(state._died.items()):
-        unlisted = host not in listed and event.now - died >= FORGET_UNLISTED
-        if unlisted or event.now - died >= FORGET_LISTED:
-            del state._died[host]
+    for host, died in tuple(state._died_at.items()):
+        unlisted = host not in listed and event.now - died >= FORGET_UNLISTED_SECONDS
+        if unlisted or event.now - died >= FORGET_LISTED_SECONDS:
+            del state._died_at[host]
             state._table.forget(host)
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: SyncRequested, state: MembershipState) -> MembershipEffects:
     request = event.request
-    claim = _claim(state, request.source)
-    learn(state, request.source, event.now)
+    accusation = _accusation(state, request.source)
+    merge_update(state, request.source, event.now)
     differing = list(state._table.differing(request.digests))
-    complete = len(differing) <= SYNC_UPDATES
-    chosen = differing if complete else state._random.sample(differing, SYNC_UPDATES)
-    if claim is not None:
-        chosen.append(claim)
+    complete = len(differing) <= MAX_SYNC_UPDATES
+    chosen = differing if complete else state._random.sample(differing, MAX_SYNC_UPDATES)
+    if accusation is not None:
+        chosen.append(accusation)
     yield AnswerSync(
         reply=SyncReply(
             source=state.me, updates=pack(chosen), complete=complete, report=state.report()
@@ -154,23 +154,23 @@
     )
 
 
-@_on.register
+@_apply.register
 def _(event: SyncReplied, state: MembershipState) -> MembershipEffects:
     reply = event.reply
-    learn(state, reply.source, event.now)
+    merge_update(state, reply.source, event.now)
     for update in unpack(reply.updates):
-        hear(state, update, event.now)
-    hear_report(state, reply.report)
-    state._synced += 1
+        merge_table_row(state, update, event.now)
+    merge_report(state, reply.report)
+    state._sync_count += 1
     if not reply.complete:
-        state._syncs_at = event.now + SYNC_JOIN_PERIOD
+        state._next_sync_at = event.now + SYNC_JOIN_PERIOD
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: Ticked, state: MembershipState) -> MembershipEffects:
     now = event.now
-    _notice_stall(state, now)
+    _detect_stall(state, now)
     yield from end_relays(state, now)
     yield from continue_probing(state, now)
     for host in state._suspicions.expired(now=now):
@@ -178,9 +178,9 @@
         if known is not None:
             declare_dead(state, known, now)
     yield from _sync(state, now)
-    if now >= state._lists_at:
+    if now >= state._next_listing_at:
         period = LIST_PERIOD if state._table.size > 1 else LIST_JOIN_PERIOD
-        state._lists_at = now + _jittered(state, period)
+        state._next_listing_at = now + _jittered(state, period)
         yield ListHosts()
 
 
@@ -188,36 +188,36 @@
 
 
 @singledispatch
-def _take(message: Message, state: MembershipState, now: float) -> MembershipEffects:
+def _receive(message: Message, state: MembershipState, now: float) -> MembershipEffects:
     raise TypeError(type(message))
 
 
-@_take.register
+@_receive.register
 def _(message: Ping, state: MembershipState, now: float) -> MembershipEffects:
-    claim = _claim(state, message.source)
-    _take_news(message, state, now)
+    accusation = _accusation(state, message.source)
+    _merge_gossip(message, state, now)
     ack = Ack(
         sequence=message.sequence,
         source=state.me,
-        updates=pack(state.piggyback(first=claim)),
+        updates=pack(state.piggyback(first=accusation)),
         report=state.report(),
     )
     yield Send(address=message.source.address, message=ack)
 
 
-@_take.register
+@_receive.register
 def _(message: Ack, state: MembershipState, now: float) -> MembershipEffects:
-    _take_news(message, state, now)
+    _merge_gossip(message, state, now)
     yield from record_ack(state, message)
 
 
-@_take.register
+@_receive.register
 def _(message: PingRequest, state: MembershipState, now: float) -> MembershipEffects:
-    learn(state, message.source, now)
+    merge_update(state, message.source, now)
     yield from relay_probe(state, message, now)
 
 
-@_take.register
+@_receive.register
 def _(message: Nack, state: MembershipState, now: float) -> MembershipEffects:
     probe = state._probe
     if probe is not None and probe.sequence == message.sequence:
@@ -225,25 +225,25 @@
     yield from ()
 
 
-@_take.register
+@_receive.register
 def _(message: Gossip, state: MembershipState, now: float) -> MembershipEffects:
     for update in unpack(message.updates):
-        learn(state, update, now)
+        merge_update(state, update, now)
     yield from ()
 
 
-def _take_news(message: Ping | Ack, state: MembershipState, now: float) -> None:
-    learn(state, message.source, now)
+def _merge_gossip(message: Ping | Ack, state: MembershipState, now: float) -> None:
+    merge_update(state, message.source, now)
     for update in unpack(message.updates):
-        learn(state, update, now)
-    hear_report(state, message.report)
+        merge_update(state, update, now)
+    merge_report(state, message.report)
     if message.source.revision:
         hosts = (message.source.host,)
         state._reports.add(revision=message.source.revision, hosts=hosts)
 
 
-def _claim(state: MembershipState, source: Update) -> Update | None:
-    """Return what is said against a member, so that it can speak up."""
+def _accusation(state: MembershipState, source: Update) -> Update | None:
+    """Return the update that accuses a member, so that the member can refute it."""
     known = state._table.get(source.host)
     if known is None or known.started != source.started:
         return None
@@ -254,10 +254,10 @@
 # --- Timers ---------------------------------------------------------------------------------------
 
 
-def _notice_stall(state: MembershipState, now: float) -> None:
-    """Accuse nobody on the strength of timers that ran while this process was paused."""
-    stalled = state._ticked is not None and now - state._ticked >= STALL_SECONDS
-    state._ticked = now
+def _detect_stall(state: MembershipState, now: float) -> None:
+    """Restart timers after a pause of this process, so that they cause no false suspicions."""
+    stalled = state._last_tick is not None and now - state._last_tick >= STALL_SECONDS
+    state._last_tick = now
     if not stalled:
         return
     logging.info("membership: This process was paused.")
@@ -266,14 +266,14 @@
     state._probe = None
     state._relays.clear()
     state._suspicions.restart(now=now)
-    state._syncs_at = now
+    state._next_sync_at = now
 
 
 def _sync(state: MembershipState, now: float) -> MembershipEffects:
-    if now < state._syncs_at:
+    if now < state._next_sync_at:
         return
-    period = SYNC_PERIOD if state._synced >= JOIN_SYNCS else SYNC_JOIN_PERIOD
-    state._syncs_at = now + _jittered(state, period)
+    period = SYNC_PERIOD if state._sync_count >= JOIN_SYNCS else SYNC_JOIN_PERIOD
+    state._next_sync_at = now + _jittered(state, period)
     address = _sync_address(state)
     if address is not None:
         request = SyncRequest(source=state.me, digests=state._table.digests)
@@ -281,15 +281,15 @@
 
 
 def _sync_address(state: MembershipState) -> str | None:
-    """Choose a member, and every other time a host that is listed or was known and is not."""
-    state._syncs_lost = not state._syncs_lost
+    """Choose a member, or every other time a dead host or a listed one that is no member."""
+    state._sync_lost_next = not state._sync_lost_next
     present = [item.address for item in state._table.alive(without=(state._host,))]
-    lost = _lost(state) if state._syncs_lost or not present else []
+    lost = _lost_addresses(state) if state._sync_lost_next or not present else []
     candidates = lost or present
     return state._random.choice(candidates) if candidates else None
 
 
-def _lost(state: MembershipState) -> list[str]:
+def _lost_addresses(state: MembershipState) -> list[str]:
     dead = [item for host in state._table.dead if (item := state._table.get(host)) is not None]
     addresses = {item.address for item in dead}
     addresses.update(item.address for item in state._listed if _is_unknown(state, item))
@@ -300,10 +300,10 @@
     return state._table.get(listed.name) is None
 
 
-def _spread_urgent(state: MembershipState) -> MembershipEffects:
+def _gossip_urgent(state: MembershipState) -> MembershipEffects:
     if not state._urgent:
         return
-    updates = state._urgent[:URGENT_UPDATES]
+    updates = state._urgent[:MAX_URGENT_UPDATES]
     state._urgent = []
     hosts = [state._host, *(item.host for item in updates)]
     candidates = state._table.alive(without=hosts)
--- a/src/azureswitch/coordination/membership/_state.py
+++ b/src/azureswitch/coordination/membership/_state.py
@@ -11,7 +11,7 @@
 )
 from azureswitch.coordination.membership._messages import RevisionReport, Update
 from azureswitch.coordination.membership._model import Member, MemberStatus
-from azureswitch.coordination.membership._probe import Health, Probe, ProbeOrder, Relay
+from azureswitch.coordination.membership._probe import LocalHealth, Probe, ProbeOrder, RelayedProbe
 from azureswitch.coordination.membership._suspicion import Suspicions
 from azureswitch.coordination.membership._table import MemberTable
 from azureswitch.core import HostName, Incarnation, PlaceName
@@ -19,13 +19,13 @@
 
 
 class MembershipState:
-    """What the membership reducer keeps; only `reduce` and its helpers write to it.
+    """The state of the membership reducer; only `reduce` and its helpers write to it.
 
     Args:
         myself: This process.
         place: The failure domain that it runs in.
         address: ``IP:PORT`` on which peers reach it.
-        random: The seeded generator of every random choice.
+        random: The seeded source of every random choice.
     """
 
     def __init__(
@@ -38,20 +38,20 @@
         self._reports = RevisionReports()
         self._suspicions = Suspicions()
         self._order = ProbeOrder(random=random)
-        self._health = Health()
+        self._health = LocalHealth()
         self._probe: Probe | None = None
-        self._relays: dict[int, Relay] = {}
+        self._relays: dict[int, RelayedProbe] = {}
         self._disputed: set[HostName] = set()
-        self._died: dict[HostName, float] = {}
+        self._died_at: dict[HostName, float] = {}
         self._listed: tuple[ListedHost, ...] = ()
         self._listing_read = False
         self._sequence = 0
-        self._ticked: float | None = None
-        self._probes_at = random.random() * PROBE_PERIOD
-        self._syncs_at = random.random() * SYNC_JOIN_PERIOD
-        self._lists_at = 0.0
-        self._syncs_lost = False
-        self._synced = 0
+        self._last_tick: float | None = None
+        self._next_probe_at = random.random() * PROBE_PERIOD
+        self._next_sync_at = random.random() * SYNC_JOIN_PERIOD
+        self._next_listing_at = 0.0
+        self._sync_lost_next = False
+        self._sync_count = 0
         self._changed = False
         self._stalls = 0
         self._urgent: list[Update] = []
@@ -77,32 +77,32 @@
 
     @property
     def unknown(self) -> tuple[ListedHost, ...]:
-        """Hosts that are listed and were never heard of."""
+        """Listed hosts that are not in the table."""
         return tuple(item for item in self._listed if self._table.get(item.name) is None)
 
     @property
     def fleet_size(self) -> int | None:
-        """How many hosts there may be, dead ones included; None before others can be known.
+        """Upper bound of the number of hosts, dead ones included; None before others are known.
 
-        A host that starts knows of no other until it has read the host list or synced with a peer.
+        After its start a host knows no other until it has read the host list or synced with a peer.
         """
-        if not self._listing_read and not self._synced:
+        if not self._listing_read and not self._sync_count:
             return None
         return self._table.size + len(self.dead) + len(self.unknown)
 
     @property
     def health(self) -> int:
-        """How far this host doubts itself; zero where all is well."""
+        """The local health score; zero if this host is healthy."""
         return self._health.score
 
     @property
     def stalls(self) -> int:
-        """How often this process found that it had been paused."""
+        """Number of detected pauses of this process."""
         return self._stalls
 
     @property
     def me(self) -> Update:
-        """What this host says of itself."""
+        """This host's update on itself."""
         me = self._table.get(self._host)
         assert me is not None
         return me
@@ -115,14 +115,14 @@
         """Choose the revision report for the next datagram."""
         return self._reports.take(size=self._table.size)
 
-    def speak(self, **changes: object) -> None:
-        """Say something new of this host, against whatever was said of it."""
+    def update_self(self, **changes: object) -> None:
+        """Change and gossip this host's update on itself."""
         me = replace(self.me, **changes)
         self._table.put(me)
         self._gossip.add(me)
 
     def set_revision(self, *, host: HostName, revision: int) -> None:
-        """Note the configuration in force on a host; a smaller revision changes nothing."""
+        """Record the revision in force on a host; a smaller one changes nothing."""
         known = self._table.get(host)
         if known is None or known.status is MemberStatus.DEAD or revision <= known.revision:
             return
--- a/src/azureswitch/coordination/membership/_table.py
+++ b/src/azureswitch/coordination/membership/_table.py
@@ -1,4 +1,4 @@
-"""Everything that a host holds of the others, with digests by bucket."""
+"""The newest update of each host, with digests by bucket."""
 
 from collections.abc import Iterable
 
@@ -11,7 +11,7 @@
 
 
 def member_of(update: Update) -> Member:
-    """Return what an update says as a member."""
+    """Return the member that an update describes."""
     return Member(
         incarnation=Incarnation(host=update.host, started=update.started),
         place=update.place,
@@ -51,7 +51,7 @@
 
     @property
     def size(self) -> int:
-        """How many members are not dead."""
+        """Number of members that are not dead."""
         return len(self._updates) - len(self._dead)
 
     def get(self, host: HostName) -> Update | None:
@@ -70,18 +70,18 @@
             self._dead.discard(update.host)
 
     def forget(self, host: HostName) -> None:
-        """Drop a host."""
+        """Remove a host."""
         self._toggle(self._updates.pop(host, None))
         self._dead.discard(host)
         self._members = None
 
     def differing(self, digests: tuple[int, ...]) -> tuple[Update, ...]:
-        """Return the updates of the buckets whose digest is another one."""
+        """Return the updates of the buckets whose digests differ."""
         buckets = {at for at, digest in enumerate(digests) if self._digests[at] != digest}
         return tuple(item for item in self._updates.values() if _bucket(item.host) in buckets)
 
     def alive(self, *, without: Iterable[HostName] = ()) -> list[Update]:
-        """Return members that are alive and not suspected."""
+        """Return the updates of members that are alive and not suspected."""
         excluded = frozenset(without)
         return [
             item
--- a/src/azureswitch_standins/fleet.py
+++ b/src/azureswitch_standins/fleet.py
@@ -18,7 +18,7 @@
 
 
 class CountedStoreFake(StoreFake):
-    """A way to the store that counts what is tried, also while the store is down."""
+    """A store client that counts attempted calls, also while the store is down."""
 
     def __init__(self, *, model: StoreModel) -> None:
         super().__init__(model=model)
@@ -26,7 +26,7 @@
 
     @property
     def tries(self) -> Counter[int]:
-        """Calls tried, by second."""
+        """Number of attempted calls, by second."""
         return self._tries
 
     async def _enter(self, *, call: CallKind, key: str) -> None:
@@ -41,12 +41,12 @@
         name: Its name.
         place: Its failure domain.
         address: Where peers reach it.
-        peers: Its messages.
-        membership: Its view of the fleet.
-        store: Its way to the store, with faults of its own.
-        configuration: What is in force on it; None in a fleet without a store.
+        peers: Its connection to the network.
+        membership: Its membership.
+        store: Its store client, with its own faults.
+        configuration: Its configuration; None in a fleet without a store.
         adopted: The revisions that came into force on it, in order.
-        tasks: What runs on it.
+        tasks: Its tasks.
     """
 
     name: HostName
@@ -61,10 +61,10 @@
 
 
 class FleetFake:
-    """Hosts that know each other by real membership over fake peers.
+    """Hosts with the real membership over fake peers.
 
     Args:
-        places: How many failure domains the hosts are spread over.
+        places: Number of failure domains, to which hosts are assigned in rotation.
         seed: Seeds the network and every host.
         configured: Whether the hosts keep a configuration in force from the store.
     """
@@ -88,7 +88,7 @@
 
     @property
     def tries(self) -> Counter[int]:
-        """Calls to the store that all hosts tried, killed ones included, by second."""
+        """Number of store calls attempted by all hosts, killed ones included, by second."""
         total: Counter[int] = Counter()
         for host in (*self._killed, *self.hosts):
             total.update(host.store.tries)
@@ -104,25 +104,25 @@
         return tuple(self._add() for _ in range(count))
 
     def kill(self, host: FleetHost) -> None:
-        """Let a host vanish without a word; the list still shows it."""
+        """Stop a host without announcing it; it remains in the host list."""
         self.network.stop(address=host.address)
         for task in host.tasks:
             task.cancel()
         self._killed.append(self._hosts.pop(host.name))
 
     def pause(self, host: FleetHost) -> None:
-        """Stop a host's process: it sends nothing, hears nothing and runs no timer."""
+        """Pause a host's process: it sends nothing, receives nothing and runs no timer."""
         self.network.pause(address=host.address)
-        # A timer that comes due during the pause runs once after it, as the loop of a real process.
+        # A timer that is due during the pause runs once after it, as in a real process.
         host.membership._feed = lambda event: ()  # type: ignore[method-assign]
 
     def resume(self, host: FleetHost) -> None:
-        """Let a paused process go on, with what was sent to it meanwhile."""
+        """Resume a paused process, which then receives what was sent to it meanwhile."""
         del host.membership._feed
         self.network.resume(address=host.address)
 
     def set_store(self, *, down: bool) -> None:
-        """Take the store away from all hosts, or give it back."""
+        """Set whether the store is down for all hosts."""
         self._store_down = down
         for host in self.hosts:
             host.store.faults = StoreFaults(down=down)
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -1,4 +1,4 @@
-"""Fleets of hosts that learn of each other, fail, pause and lose each other."""
+"""Fleets of hosts that join, fail, pause and are partitioned."""
 
 from asyncio import create_task, gather, sleep
 from collections.abc import Awaitable, Callable
@@ -43,11 +43,11 @@
 
 
 class TestFleet:
-    """What the whole fleet believes after a failure."""
+    """The views of all hosts after a failure."""
 
     @pytest.mark.parametrize(("hosts", "limit"), [(2, 6.0), (9, 6.0), (30, 8.0)])
-    def test_dead_host_is_found(self, hosts: int, limit: float) -> None:
-        """Every host finds a killed one dead within seconds, and no other one."""
+    def test_dead_host_is_detected(self, hosts: int, limit: float) -> None:
+        """Every host detects within seconds that one was killed, and declares no other dead."""
 
         async def scenario(fleet: FleetFake) -> None:
             fleet.kill(fleet.hosts[0])
@@ -58,7 +58,7 @@
 
     @pytest.mark.parametrize("killed", [0, 1, 8])
     def test_fleet_size(self, killed: int) -> None:
-        """A host that is taken for dead still counts among those that there may be."""
+        """A dead host still counts in the size of the fleet."""
 
         async def scenario(fleet: FleetFake) -> None:
             assert {host.membership.fleet_size for host in fleet.hosts} == {9}
@@ -70,14 +70,14 @@
         _play(scenario)
 
     def test_fleet_size_unknown(self) -> None:
-        """A host that has read no host list and heard of nobody cannot tell how many there are."""
+        """The size is unknown before a host has read the host list or synced with a peer."""
         state = _state()
         assert state.fleet_size is None
         reduce(state, HostsListed(now=0.0, hosts=tuple(map(_listed, ("a", "b", "c")))))
         assert state.fleet_size == 4
 
     def test_whole_place_dies(self) -> None:
-        """The loss of a failure domain is found as fast as that of a host."""
+        """The loss of a failure domain is detected as fast as that of a host."""
 
         async def scenario(fleet: FleetFake) -> None:
             for host in fleet.hosts:
@@ -89,7 +89,7 @@
 
     @pytest.mark.parametrize(("seconds", "survives"), [(1.0, True), (20.0, False)])
     def test_paused_host(self, seconds: float, survives: bool) -> None:
-        """A host that wakes accuses nobody, and is a member again after any pause."""
+        """A host suspects no other after its own pause, and is a member again."""
 
         async def scenario(fleet: FleetFake) -> None:
             host = fleet.host("entry-004")
@@ -115,7 +115,7 @@
         _play(scenario)
 
     def test_lossy_network(self) -> None:
-        """Losing a tenth of all datagrams for minutes makes nobody dead."""
+        """No host is declared dead while a tenth of all datagrams is lost for minutes."""
 
         async def scenario(fleet: FleetFake) -> None:
             fleet.network.loss = 0.1
@@ -130,7 +130,7 @@
 
     @pytest.mark.parametrize("seconds", [30.0, 240.0])
     def test_partition_heals(self, seconds: float) -> None:
-        """Halves that lose each other stay whole, and find each other again."""
+        """Each side of a partition keeps its own members, and both merge when it heals."""
 
         async def scenario(fleet: FleetFake) -> None:
             left, right = fleet.hosts[:5], fleet.hosts[5:]
@@ -145,7 +145,7 @@
         _play(scenario)
 
     def test_leaving_spreads(self) -> None:
-        """Every host knows within two seconds that one leaves, and it stays a member."""
+        """Every host knows within two seconds that one leaves, and the host stays a member."""
 
         async def scenario(fleet: FleetFake) -> None:
             host = fleet.hosts[7]
@@ -166,7 +166,7 @@
 
     @pytest.mark.parametrize("started", [1_800_000_000_000, 1])
     def test_restarted_host(self, started: int) -> None:
-        """A new process on a host takes the place of the old one, also by a clock set back."""
+        """A new process replaces the old one of its host, also if the clock was set back."""
 
         async def scenario(fleet: FleetFake) -> None:
             old = fleet.hosts[0]
@@ -200,7 +200,7 @@
         _play(scenario)
 
     def test_host_list_lags_and_fails(self) -> None:
-        """Hosts that know each other need no list, and a dead one is forgotten once unlisted."""
+        """Members stay while the host list fails, and a dead one is forgotten once unlisted."""
 
         async def scenario(fleet: FleetFake) -> None:
             fleet.listed.down = True
@@ -225,7 +225,7 @@
         _play(scenario)
 
     def test_revisions_are_known(self) -> None:
-        """Every host hears which revision is in force on each other one."""
+        """Every host learns which revision is in force on each other one."""
 
         async def scenario(fleet: FleetFake) -> None:
             for host in fleet.hosts:
@@ -265,19 +265,19 @@
 
 
 class TestExpected:
-    """Hosts that are listed and not known yet."""
+    """Hosts that are listed and not members yet."""
 
     @pytest.mark.parametrize(
         ("after", "expected"), [(1.0, ("b", "c")), (4.9, ("b", "c")), (5.1, ())]
     )
     def test_after_start(self, after: float, expected: tuple[str, ...]) -> None:
-        """They are expected for some seconds after a start, and not for good."""
+        """Listed hosts are expected only for some seconds after a start."""
 
         class Listing:
-            """A list of hosts of whom none answers."""
+            """A list of hosts of which none answers."""
 
             async def hosts(self) -> tuple[ListedHost, ...]:
-                """Return them."""
+                """Return the hosts."""
                 return tuple(map(_listed, ("a", "b", "c")))
 
         async def main() -> tuple[Member, ...]:
@@ -300,8 +300,8 @@
         assert tuple(member.address for member in found) == expected
         assert {(member.place, member.status) for member in found} <= {("p", MemberStatus.ALIVE)}
 
-    def test_known(self) -> None:
-        """Who is known is not expected any more."""
+    def test_members_are_not_expected(self) -> None:
+        """A host that is a member is no longer expected."""
 
         async def scenario(fleet: FleetFake) -> None:
             assert [host.membership.expected for host in fleet.hosts] == [()] * 9
@@ -310,7 +310,7 @@
 
 
 class TestReduce:
-    """Which of two statements on a host holds."""
+    """The reducer: precedence of updates, refutation and bounds of datagrams."""
 
     @pytest.mark.parametrize(
         ("second", "status"),
@@ -324,7 +324,7 @@
         ],
     )
     def test_precedence(self, second: dict[str, object], status: MemberStatus | None) -> None:
-        """A later start goes first, then a higher version, then the graver status."""
+        """A later start takes precedence, then a higher version, then the more severe status."""
         state = _state()
         for update in (_update(), _update(**second)):
             reduce(state, Received(now=0.1, message=Gossip(updates=pack((update,)))))
@@ -333,14 +333,14 @@
 
     @pytest.mark.parametrize("status", [MemberStatus.SUSPECT, MemberStatus.DEAD])
     def test_refutes(self, status: MemberStatus) -> None:
-        """A host that hears itself accused speaks up with a higher version."""
+        """A host that receives an accusation of itself refutes it with a higher version."""
         state = _state()
         accusation = replace(state.me, status=status, version=4)
         reduce(state, Received(now=0.1, message=Gossip(updates=pack((accusation,)))))
         assert (state.me.status, state.me.version) == (MemberStatus.ALIVE, 5)
 
     def test_datagrams_are_bounded(self) -> None:
-        """Datagrams stay under their limit with the longest names and any amount of news."""
+        """Datagrams stay under their limit with the longest names and many updates."""
         state = _state()
         long = "x" * 63
         for index in range(100):
