Split the owner and the facade of claims by job

The owner's state, its batches and the upkeep of segments are now _state, _batches and _segments; the choice of an owner and calls to it are _router.

--- a/models/claims_machine.py
+++ b/models/claims_machine.py
@@ -20,6 +20,7 @@
 from azureswitch.coordination.claims import _events as ev
 from azureswitch.coordination.claims._messages import ClaimAsk, SettleAsk, Verdict
 from azureswitch.coordination.claims._model import Head, Record, RecordState, SegmentRef
+from azureswitch.coordination.claims._state import OwnerState
 from azureswitch.core import CallId, Effect, Event, HostName, Incarnation
 from azureswitch.serving import ClaimOutcome
 from models.checker import Sorts, State
@@ -84,7 +85,7 @@
     def __init__(self, *, number: int, started: int) -> None:
         self.number = number
         self.incarnation = Incarnation(host=HostName(f"host {number + 1}"), started=started)
-        self.owner = _owner.OwnerState(retention=1e9, budget=1e9)
+        self.owner = OwnerState(retention=1e9, budget=1e9)
         self.claimer = _claimer.ClaimerState(random=Random(number))
         self.asks: dict[int, ev.SendAsk] = {}
         self.replies: dict[int, _Host] = {}
--- a/models/real_mutations.py
+++ b/models/real_mutations.py
@@ -5,7 +5,7 @@
 from typing import Any, TypeAlias
 from unittest.mock import patch
 
-from azureswitch.coordination.claims import _claimer, _owner, _rules
+from azureswitch.coordination.claims import _batches, _claimer, _rules
 from azureswitch.coordination.claims._messages import Verdict
 from azureswitch.coordination.claims._model import RecordState
 from models.claims_machine import ClaimsMachine
@@ -15,12 +15,12 @@
 @contextmanager
 def send_before_commit() -> Iterator[None]:
     """Reply to asks as soon as their batch is on its way to the store."""
-    write = _owner._write
+    write = _batches._write
 
     def eager(shard: Any, event: Any, state: Any, batch: Any, changes: Any) -> Any:
-        return (*write(shard, event, state, batch, changes), *_owner._replies(batch))
+        return (*write(shard, event, state, batch, changes), *_batches.replies(batch))
 
-    with patch.object(_owner, "_write", eager):
+    with patch.object(_batches, "_write", eager):
         yield
 
 
@@ -34,14 +34,14 @@
 @contextmanager
 def reuse_after_unknown() -> Iterator[None]:
     """Grant a key again whose outcome is unknown."""
-    with patch.object(_owner, "rule", _forgetting(RecordState.UNKNOWN)):
+    with patch.object(_batches, "rule", _forgetting(RecordState.UNKNOWN)):
         yield
 
 
 @contextmanager
 def lease_by_clock() -> Iterator[None]:
     """Grant a key again whose claimer has been silent."""
-    with patch.object(_owner, "rule", _forgetting(RecordState.CLAIMED)):
+    with patch.object(_batches, "rule", _forgetting(RecordState.CLAIMED)):
         yield
 
 
--- a/src/azureswitch/coordination/claims/_claims.py
+++ b/src/azureswitch/coordination/claims/_claims.py
@@ -7,8 +7,6 @@
 from time import time
 from typing import Any
 
-from absl import logging
-
 from azureswitch.coordination.claims import _claimer, _owner
 from azureswitch.coordination.claims._events import (
     AskArrived,
@@ -27,14 +25,12 @@
     SendAsk,
 )
 from azureswitch.coordination.claims._limits import (
-    AVOID,
     CLAIM_WAIT,
     IDLE_TICK,
     JOIN_SECONDS,
     OWNER_TIMEOUT,
     RETENTION,
     RETRY_AFTER,
-    SETTLE_TIMEOUT,
     TICK,
 )
 from azureswitch.coordination.claims._messages import (
@@ -52,12 +48,13 @@
     key_digest,
     shard_of,
 )
-from azureswitch.coordination.claims._owners import owners
 from azureswitch.coordination.claims._presence import Presumed, alive
 from azureswitch.coordination.claims._results import Granted, Replayed, result
+from azureswitch.coordination.claims._router import Router
+from azureswitch.coordination.claims._state import WRITE_BUDGET, OwnerState
 from azureswitch.coordination.claims._storage import ClaimStorage, StoreEffect
 from azureswitch.coordination.membership import Member
-from azureswitch.core import CallId, CustomerName, Effect, Effects, Event, HostName, Incarnation
+from azureswitch.core import CallId, CustomerName, Effect, Effects, Event, Incarnation
 from azureswitch.exceptions import (
     ClaimUnavailableError,
     PeerError,
@@ -90,7 +87,7 @@
         members: Callable[[], tuple[Member, ...]],
         seed: int = 0,
         retention: float = RETENTION,
-        budget: float = _owner.WRITE_BUDGET,
+        budget: float = WRITE_BUDGET,
         wait: float = CLAIM_WAIT,
         wall: Callable[[], float] = time,
     ) -> None:
@@ -99,13 +96,13 @@
         self._members = members
         self._wait = wait
         self._wall = wall
+        self._router = Router(myself=myself, peers=peers, members=members)
         self._storage = ClaimStorage(store=store, wall=wall)
-        self._owner = _owner.OwnerState(retention=retention, budget=budget)
+        self._owner = OwnerState(retention=retention, budget=budget)
         self._claimer = _claimer.ClaimerState(random=Random(seed))
         self._claims: dict[CallId, asyncio.Future[ResolveClaim]] = {}
         self._asks: dict[int, asyncio.Future[ClaimReply]] = {}
         self._numbers = 0
-        self._avoided: dict[HostName, float] = {}
         self._alive: Container[Incarnation] | None = None
         self._joined_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -297,9 +294,9 @@
 
     async def _send_ask(self, effect: SendAsk) -> None:
         ask, attempt = effect.ask, effect.attempt
-        owner = self._route(ask.shard, effect.rank)
+        owner = self._router.route(ask.shard, rank=effect.rank)
         try:
-            reply = await (self._ask(ask) if owner is None else self._call(owner, ask))
+            reply = await (self._ask(ask) if owner is None else self._router.call(owner, ask))
         except PeerError:
             self._claim_side(AskFailed(now=self._now(), call=ask.call, attempt=attempt))
             return
@@ -312,29 +309,6 @@
         )
         self._claim_side(event)
 
-    async def _call(self, owner: Member, ask: Ask) -> ClaimReply:
-        timeout = OWNER_TIMEOUT if isinstance(ask, ClaimAsk) else SETTLE_TIMEOUT
-        try:
-            reply: ClaimReply = await self._peers.call(
-                address=owner.address, request=ask, reply=ClaimReply, timeout=timeout
-            )
-        except PeerError:
-            self._avoided[owner.incarnation.host] = self._now() + AVOID
-            logging.info("claims: Host %s did not answer.", owner.incarnation.host)
-            raise
-        return reply
-
-    def _route(self, shard: int, rank: int) -> Member | None:
-        """Return the host to ask, or None where this process commits by itself."""
-        order = owners(shard=shard, members=self._members())[: _claimer.LAST_RANK]
-        now = self._now()
-        for member in order[rank:]:
-            if member.incarnation == self._myself:
-                return None
-            if self._avoided.get(member.incarnation.host, 0.0) <= now:
-                return member
-        return None
-
     # --- Owner side -------------------------------------------------------------------------------
 
     async def _ask(self, ask: Ask) -> ClaimReply:
