--- a/models/claims_machine.py
+++ b/models/claims_machine.py
@@ -87,7 +87,7 @@
         self.incarnation = Incarnation(host=HostName(f"host {number + 1}"), started=started)
         self.owner = OwnerState(retention=1e9, budget=1e9)
         self.claimer = _claimer.ClaimerState(random=Random(number))
-        self.asks: dict[int, ev.SendAsk] = {}
+        self.asks: dict[int, ev.SendRequest] = {}
         self.replies: dict[int, _Host] = {}
 
 
@@ -136,7 +136,7 @@
             shard=0, key=KEY, mark=MARK, holder=host.incarnation, call=_call(number), wait=1e9
         )
         self._note(f"call {number + 1} at host {at + 1}")
-        self._claim_side(host, ev.ClaimCalled(now=self.now, ask=ask, until=1e9))
+        self._claim_side(host, ev.ClaimRequested(now=self.now, request=ask, until=1e9))
 
     @rule(at=st.integers(0, 30))
     def carry_out(self, at: int) -> None:
@@ -181,7 +181,7 @@
         if number is not None:
             self._note(f"give up call {number + 1}")
             self._not_run(number)
-            event = ev.ClaimDropped(now=self.now, call=_call(number))
+            event = ev.ClaimCancelled(now=self.now, call=_call(number))
             self._claim_side(self.callers[number], event)
 
     @rule(at=st.integers(0, CLAIMS - 1))
@@ -203,7 +203,7 @@
             self._not_run(number)
         else:
             self._set(number, phase=ENDED, out=_OUTCOMES[outcome])
-        event = ev.OutcomeKnown(now=self.now, call=_call(number), outcome=outcome)
+        event = ev.OutcomeReported(now=self.now, call=_call(number), outcome=outcome)
         self._claim_side(self.callers[number], event)
 
     @rule(at=st.integers(0, CLAIMS - 1))
@@ -214,7 +214,7 @@
             return
         self._note(f"call {number + 1} is answered late")
         self._set(number, out=DONE)
-        event = ev.OutcomeKnown(now=self.now, call=_call(number), outcome=ClaimOutcome.DONE)
+        event = ev.OutcomeReported(now=self.now, call=_call(number), outcome=ClaimOutcome.DONE)
         self._claim_side(self.callers[number], event)
 
     def _pick(self, at: int, *phases: int) -> int | None:
@@ -241,7 +241,7 @@
             if flight.host is old:
                 flight.event = flight.lost = None
         for number, asked in old.asks.items():
-            failed = ev.AskFailed(now=self.now, call=asked.ask.call, attempt=asked.attempt)
+            failed = ev.RequestFailed(now=self.now, call=asked.request.call, attempt=asked.attempt)
             self.flights.append(_Flight(host=old.replies[number], effect=None, event=failed))
         for host in self.hosts:
             self._membership(host)
@@ -297,17 +297,19 @@
         return self._own(ev.SegmentsDeleted, refs=effect.refs)
 
     @_carry_out.register
-    def _(self, effect: ev.SendAsk, host: _Host) -> Event | None:
+    def _(self, effect: ev.SendRequest, host: _Host) -> Event | None:
         owner = self.hosts[(host.number + effect.rank) % HOSTS]
         self.numbers += 1
         owner.asks[self.numbers] = effect
         owner.replies[self.numbers] = host
-        arrived = ev.AskArrived(now=self.now, wall=0, number=self.numbers, ask=effect.ask)
+        arrived = ev.RequestReceived(
+            now=self.now, wall=0, number=self.numbers, request=effect.request
+        )
         self._own_side(owner, arrived)
         return None
 
     @_carry_out.register
-    def _(self, effect: ev.InquireHolder, host: _Host) -> Event | None:
+    def _(self, effect: ev.QueryHolder, host: _Host) -> Event | None:
         record = effect.record
         holder = next((item for item in self.hosts if item.incarnation == record.holder), None)
         if holder is None or holder.claimer.holds(call=CallId(record.call)):
@@ -321,7 +323,7 @@
             outcome=ClaimOutcome.NOT_RUN,
         )
         self.numbers += 1
-        arrived = ev.AskArrived(now=self.now, wall=0, number=self.numbers, ask=release)
+        arrived = ev.RequestReceived(now=self.now, wall=0, number=self.numbers, request=release)
         self._own_side(host, arrived)
         return None
 
@@ -344,41 +346,41 @@
 
     def _membership(self, host: _Host) -> None:
         alive = frozenset(item.incarnation for item in self.hosts)
-        self._own_side(host, ev.MembersSeen(now=self.now, wall=0.0, alive=alive))
+        self._own_side(host, ev.MembersChanged(now=self.now, wall=0.0, alive=alive))
 
     def _own_side(self, host: _Host, event: ev.OwnerEvent) -> None:
         type(self).steps_taken += 1
         self.now += STEP
         for effect in _owner.reduce(event, host.owner):
-            if isinstance(effect, ev.ReplyToAsk):
+            if isinstance(effect, ev.SendReply):
                 self._reply(host, effect)
             else:
                 self._launch(host, effect)
 
-    def _reply(self, host: _Host, effect: ev.ReplyToAsk) -> None:
+    def _reply(self, host: _Host, effect: ev.SendReply) -> None:
         asked = host.asks.pop(effect.number, None)
         if asked is None:
             return
-        call, attempt = asked.ask.call, asked.attempt
-        replied = ev.AskReplied(
+        call, attempt = asked.request.call, asked.attempt
+        replied = ev.ReplyReceived(
             now=self.now, call=call, attempt=attempt, verdict=effect.verdict, answer=effect.answer
         )
-        failed = ev.AskFailed(now=self.now, call=call, attempt=attempt)
+        failed = ev.RequestFailed(now=self.now, call=call, attempt=attempt)
         claimer = host.replies.pop(effect.number)
         self.flights.append(_Flight(host=claimer, effect=None, event=replied, lost=failed))
 
     def _launch(self, host: _Host, effect: Effect) -> None:
         lost: Event | None = None
         if isinstance(effect, ev.WriteHead):
-            lost = self._own(ev.HeadWriteLost)
+            lost = self._own(ev.HeadWriteUnknown)
         elif isinstance(effect, ev.ReadHead | ev.ReadSegments):
             lost = self._own(ev.ReadFailed)
         elif isinstance(effect, ev.StoreSegment):
             lost = self._own(ev.SegmentStoreFailed)
         elif isinstance(effect, ev.DeleteSegments):
             lost = self._own(ev.SegmentsDeleted, refs=())
-        elif isinstance(effect, ev.SendAsk):
-            lost = ev.AskFailed(now=self.now, call=effect.ask.call, attempt=effect.attempt)
+        elif isinstance(effect, ev.SendRequest):
+            lost = ev.RequestFailed(now=self.now, call=effect.request.call, attempt=effect.attempt)
         self.flights.append(_Flight(host=host, effect=effect, lost=lost))
 
     def _claim_side(self, host: _Host, event: Event) -> None:
@@ -501,5 +503,5 @@
 @contextmanager
 def tiny_segments() -> Iterator[None]:
     """Freeze the open segment after every record."""
-    with patch.object(_layout, "OPEN_LIMIT", 2):
+    with patch.object(_layout, "FREEZE_BYTES", 2):
         yield
--- a/models/real_mutations.py
+++ b/models/real_mutations.py
@@ -14,7 +14,7 @@
 
 @contextmanager
 def send_before_commit() -> Iterator[None]:
-    """Reply to asks as soon as their batch is on its way to the store."""
+    """Reply to requests before the write of their batch has ended."""
     write = _batches._write
 
     def eager(shard: Any, event: Any, state: Any, batch: Any, changes: Any) -> Any:
@@ -34,28 +34,28 @@
 @contextmanager
 def reuse_after_unknown() -> Iterator[None]:
     """Grant a key again whose outcome is unknown."""
-    with patch.object(_batches, "rule", _forgetting(RecordState.UNKNOWN)):
+    with patch.object(_batches, "decide", _ignoring(RecordState.UNKNOWN)):
         yield
 
 
 @contextmanager
 def lease_by_clock() -> Iterator[None]:
     """Grant a key again whose claimer has been silent."""
-    with patch.object(_batches, "rule", _forgetting(RecordState.CLAIMED)):
+    with patch.object(_batches, "decide", _ignoring(RecordState.CLAIMED)):
         yield
 
 
-def _forgetting(state: RecordState) -> Callable[..., Any]:
-    rule = _rules.rule
+def _ignoring(state: RecordState) -> Callable[..., Any]:
+    decide = _rules.decide
 
-    def forgetful(*, record: Any, ask: Any, at: int, alive: Any) -> Any:
-        ruling = rule(record=record, ask=ask, at=at, alive=alive)
-        refused = ruling.verdict in (Verdict.LOST, Verdict.IN_PROGRESS)
+    def decide_without(*, record: Any, request: Any, at: int, alive: Any) -> Any:
+        decision = decide(record=record, request=request, at=at, alive=alive)
+        refused = decision.verdict in (Verdict.LOST, Verdict.IN_PROGRESS)
         if refused and record is not None and record.state is state:
-            return rule(record=None, ask=ask, at=at, alive=alive)
-        return ruling
+            return decide(record=None, request=request, at=at, alive=alive)
+        return decision
 
-    return forgetful
+    return decide_without
 
 
 @contextmanager
@@ -64,7 +64,7 @@
 
     def silent(hold: Any, state: Any) -> Any:
         hold.phase = _claimer._Phase.LATE
-        hold.until = float("inf")
+        hold.expires_at = float("inf")
         return ()
 
     with patch.object(_claimer, "_abandon", silent):
--- a/src/azureswitch/coordination/claims/__init__.py
+++ b/src/azureswitch/coordination/claims/__init__.py
@@ -1,7 +1,7 @@
-"""Calls that may not repeat run at most once, whichever host they come to."""
+"""Claims: non-idempotent calls run at most once, whichever hosts they reach."""
 
 from azureswitch.coordination.claims._claims import Claims
-from azureswitch.coordination.claims._limits import RETENTION
+from azureswitch.coordination.claims._limits import RETENTION_SECONDS
 from azureswitch.coordination.claims._messages import (
     ClaimAsk,
     ClaimReply,
@@ -12,13 +12,13 @@
 from azureswitch.coordination.claims._results import Granted, Replayed
 
 __all__ = [
-    "RETENTION",
     "ClaimAsk",
     "ClaimReply",
     "Claims",
     "Granted",
     "HoldAsk",
     "HoldReply",
+    "RETENTION_SECONDS",
     "Replayed",
     "SettleAsk",
 ]
--- a/src/azureswitch/coordination/claims/_batches.py
+++ b/src/azureswitch/coordination/claims/_batches.py
@@ -1,100 +1,103 @@
-"""Batches of asks: each is decided on one version of a head and written conditionally."""
+"""Batches of requests: each is decided on one version of a head and written conditionally."""
 
 from collections.abc import Iterable
 
 from azureswitch.coordination.claims._events import (
-    InquireHolder,
     OwnerEvent,
+    QueryHolder,
     ReadHead,
     ReadSegments,
-    ReplyToAsk,
+    SendReply,
     WriteHead,
 )
-from azureswitch.coordination.claims._layout import SEALED_LIMIT, next_head
+from azureswitch.coordination.claims._layout import MAX_SEALED_SEGMENTS, next_head
 from azureswitch.coordination.claims._messages import ClaimAsk, Verdict
 from azureswitch.coordination.claims._model import Record, SegmentRef
-from azureswitch.coordination.claims._rules import Ruling, rule
-from azureswitch.coordination.claims._shard import Phase, Ruled, Shard
+from azureswitch.coordination.claims._rules import Decision, decide
+from azureswitch.coordination.claims._shard import DecidedRequest, Phase, Shard
 from azureswitch.coordination.claims._state import OwnerState
 from azureswitch.core import NO_EFFECTS, Effect, Effects
 from azureswitch.serving import ClaimOutcome
 
-FLUSH_BOUND = 2.0
-"""Seconds for which an outcome waits for a claim to ride along with."""
+MAX_OUTCOME_DELAY_SECONDS = 2.0
+"""Longest time in seconds for which an outcome waits to be written together with a claim."""
 
-BATCH_LIMIT = 256
-"""Asks of one batch at most."""
+MAX_BATCH_REQUESTS = 256
+"""Upper bound of the requests in one batch."""
 
-BATCH_BYTES = 131_072
-"""Bytes of recorded answers in one batch, from which on it takes no more."""
+MAX_BATCH_ANSWER_BYTES = 131_072
+"""Bytes of recorded answers from which a batch takes no further requests."""
 
-OPEN_MOST = 131_072
-"""Bytes of the open segment from which a shard takes no new claims.
+MAX_OPEN_BYTES = 131_072
+"""Bytes of the open segment from which a shard accepts no new claims.
 
-It grows past `OPEN_LIMIT` only while the frozen one cannot be stored.  With a batch on top, and a
-frozen segment as large, the head stays under the megabyte that the store takes.
+It exceeds `FREEZE_BYTES` only while the frozen segment cannot be stored.  With a further batch and
+a frozen segment of the same size, the head stays below the store's limit of a megabyte.
 """
 
-RECALL_PAUSE = 0.05
-"""Seconds between reads of sealed segments for repeats, so that repeats cannot flood the store."""
+MIN_SEGMENT_READ_SECONDS = 0.05
+"""Minimum time in seconds between two reads of a shard's sealed segments for repeated keys.
+
+It bounds the load that repeats put on the store.
+"""
 
 
 def flush(shard: Shard, event: OwnerEvent, state: OwnerState) -> Effects:
-    """Rule on what waits, and write it where anything changes."""
-    waits = event.now < shard.next_write or not _is_due(shard, event.now)
-    if waits or shard.phase is not Phase.READY:
+    """Decide the pending requests as a batch, and write the head if records change."""
+    too_early = event.now < shard.next_write or not _is_due(shard, event.now)
+    if too_early or shard.phase is not Phase.READY:
         return NO_EFFECTS
     changes: dict[bytes, Record] = {}
-    batch, effects = _rule_batch(shard, event, state, changes)
+    batch, effects = _decide_batch(shard, event, state, changes)
     if not batch:
         return effects
     if changes:
         return (*effects, *_write(shard, event, state, batch, changes))
-    return (*effects, *_answer_or_reread(shard, batch, event.now))
+    return (*effects, *_reply_or_reread(shard, batch, event.now))
 
 
 def _is_due(shard: Shard, now: float) -> bool:
     return any(
-        isinstance(item.ask, ClaimAsk)
-        or item.ask.outcome is ClaimOutcome.NOT_RUN
-        or now >= item.arrived + FLUSH_BOUND
+        isinstance(item.request, ClaimAsk)
+        or item.request.outcome is ClaimOutcome.NOT_RUN
+        or now >= item.arrived + MAX_OUTCOME_DELAY_SECONDS
         for item in shard.pending
     )
 
 
-def _rule_batch(
+def _decide_batch(
     shard: Shard, event: OwnerEvent, state: OwnerState, changes: dict[bytes, Record]
-) -> tuple[list[Ruled], list[Effect]]:
-    batch: list[Ruled] = []
+) -> tuple[list[DecidedRequest], list[Effect]]:
+    batch: list[DecidedRequest] = []
     effects: list[Effect] = []
-    full = len(shard.head.sealed) >= SEALED_LIMIT or shard.open_bytes >= OPEN_MOST
+    full = len(shard.head.sealed) >= MAX_SEALED_SEGMENTS or shard.open_bytes >= MAX_OPEN_BYTES
     size = 0
     for pending in shard.pending:
-        if len(batch) >= BATCH_LIMIT or size >= BATCH_BYTES:
+        if len(batch) >= MAX_BATCH_REQUESTS or size >= MAX_BATCH_ANSWER_BYTES:
             break
-        ask = pending.ask
-        record = _find(shard, ask.key, changes, event.wall - state._retention)
+        request = pending.request
+        record = _find_record(shard, request.key, changes, event.wall - state.retention)
         if isinstance(record, SegmentRef):
-            effects.extend(_recall(shard, record, event.now))
+            effects.extend(_load_segment(shard, record, event.now))
             continue
-        ruling = rule(record=record, ask=ask, at=int(event.wall), alive=state._alive)
-        if full and ruling.verdict is Verdict.GRANTED and ruling.record is not None:
-            ruling = Ruling(verdict=Verdict.UNAVAILABLE)
-        if ruling.record is not None:
-            changes[ask.key] = ruling.record
-            size += 0 if ruling.record.answer is None else ruling.record.answer.size
+        decision = decide(record=record, request=request, at=int(event.wall), alive=state.alive)
+        if full and decision.verdict is Verdict.GRANTED and decision.record is not None:
+            decision = Decision(verdict=Verdict.UNAVAILABLE)
+        if decision.record is not None:
+            changes[request.key] = decision.record
+            size += 0 if decision.record.answer is None else decision.record.answer.size
         batch.append(
-            Ruled(
+            DecidedRequest(
                 pending=pending,
-                verdict=ruling.verdict,
-                answer=ruling.answer,
-                holder=record if ruling.verdict is Verdict.IN_PROGRESS else None,
+                verdict=decision.verdict,
+                answer=decision.answer,
+                holder=record if decision.verdict is Verdict.IN_PROGRESS else None,
             )
         )
     return batch, effects
 
 
-def _find(
+def _find_record(
     shard: Shard, key: bytes, changes: dict[bytes, Record], expired_before: float
 ) -> Record | SegmentRef | None:
     record: Record | SegmentRef | None = changes.get(key) or shard.open_record(key)
@@ -105,11 +108,11 @@
     return record
 
 
-def _recall(shard: Shard, ref: SegmentRef, now: float) -> Effects:
-    if shard.recalling or now < shard.next_recall:
+def _load_segment(shard: Shard, ref: SegmentRef, now: float) -> Effects:
+    if shard.loading_segment or now < shard.next_segment_read:
         return NO_EFFECTS
-    shard.recalling = True
-    shard.next_recall = now + RECALL_PAUSE
+    shard.loading_segment = True
+    shard.next_segment_read = now + MIN_SEGMENT_READ_SECONDS
     return (ReadSegments(shard=shard.number, refs=(ref,)),)
 
 
@@ -117,49 +120,51 @@
     shard: Shard,
     event: OwnerEvent,
     state: OwnerState,
-    batch: list[Ruled],
+    batch: list[DecidedRequest],
     changes: dict[bytes, Record],
 ) -> Effects:
-    _take(shard, batch)
+    _remove_pending(shard, batch)
     shard.batch = batch
     shard.issue(Phase.WRITING)
-    shard.next_write = event.now + state._interval
-    moving = shard.storing or shard.merging
+    shard.next_write = event.now + state.write_interval
+    rearranging = shard.storing or shard.merging
     shard.written = next_head(
         head=shard.head,
         changes=changes,
         stored=shard.stored,
         deleted=shard.deleted,
-        expired_before=0.0 if moving else event.wall - state._retention,
+        expired_before=0.0 if rearranging else event.wall - state.retention,
     )
     return (WriteHead(shard=shard.number, version=shard.version, head=shard.written),)
 
 
-def _answer_or_reread(shard: Shard, batch: list[Ruled], now: float) -> Effects:
+def _reply_or_reread(shard: Shard, batch: list[DecidedRequest], now: float) -> Effects:
     if all(shard.confirms(item.pending) for item in batch):
-        _take(shard, batch)
+        _remove_pending(shard, batch)
         return replies(batch)
     if now < shard.next_read:
         return NO_EFFECTS
     return read_head(shard)
 
 
-def _take(shard: Shard, batch: list[Ruled]) -> None:
-    taken = {item.pending.number for item in batch}
-    shard.pending = [item for item in shard.pending if item.number not in taken]
+def _remove_pending(shard: Shard, batch: list[DecidedRequest]) -> None:
+    removed = {item.pending.number for item in batch}
+    shard.pending = [item for item in shard.pending if item.number not in removed]
 
 
-def replies(batch: Iterable[Ruled]) -> Effects:
+def replies(batch: Iterable[DecidedRequest]) -> Effects:
+    """Return the replies to a batch, and queries to the holders of claims in progress."""
     effects: list[Effect] = []
     for item in batch:
         effects.append(
-            ReplyToAsk(number=item.pending.number, verdict=item.verdict, answer=item.answer)
+            SendReply(number=item.pending.number, verdict=item.verdict, answer=item.answer)
         )
         if item.holder is not None:
-            effects.append(InquireHolder(record=item.holder))
+            effects.append(QueryHolder(record=item.holder))
     return effects
 
 
 def read_head(shard: Shard) -> Effects:
+    """Read the head of a shard."""
     shard.issue(Phase.READING)
     return (ReadHead(shard=shard.number),)
--- a/src/azureswitch/coordination/claims/_claimer.py
+++ b/src/azureswitch/coordination/claims/_claimer.py
@@ -1,8 +1,7 @@
-"""The claimer side: which calls this process may send, and what it still has to report.
+"""The claimer side: the claims of this process, and the outcomes that it has to report.
 
-A claim is named by the process and its call.  Only the process that it names sends the call, and
-only if it took the grant while the call still wanted it; so a grant that comes late, or twice,
-sends nothing.
+A claim is identified by the process and its call.  Only that process sends the call, and only if
+the grant arrives while the claim is still requested.  So a late or repeated grant sends nothing.
 """
 
 from enum import Enum
@@ -12,82 +11,82 @@
 from msgspec import Struct
 
 from azureswitch.coordination.claims._events import (
-    AskFailed,
-    AskReplied,
-    ClaimCalled,
-    ClaimDropped,
+    ClaimCancelled,
     ClaimerTicked,
-    OutcomeKnown,
+    ClaimRequested,
+    OutcomeReported,
+    ReplyReceived,
+    RequestFailed,
     ResolveClaim,
-    SendAsk,
+    SendRequest,
 )
-from azureswitch.coordination.claims._messages import Ask, SettleAsk, Verdict
+from azureswitch.coordination.claims._messages import Request, SettleAsk, Verdict
 from azureswitch.coordination.claims._model import Answer
 from azureswitch.core import NO_EFFECTS, CallId, Effect, Effects, Event
 from azureswitch.serving import ClaimOutcome
 
-RETRY_FIRST = 0.25
-"""Seconds before an outcome that was not recorded is reported again."""
+MIN_RETRY_SECONDS = 0.25
+"""Upper bound in seconds of the first pause before an unrecorded outcome is reported again."""
 
-RETRY_MOST = 10.0
-"""Seconds between reports at most."""
+MAX_RETRY_SECONDS = 10.0
+"""Upper bound in seconds of the pause between two reports."""
 
-OUTBOX_LIMIT = 20_000
-"""Outcomes kept for reporting at most; beyond it the oldest are dropped and read as unknown."""
+MAX_UNREPORTED = 20_000
+"""Upper bound of outcomes to report; further ones evict the oldest, which then read as unknown."""
 
-LATE_FOR = 600.0
-"""Seconds for which a late answer may still replace an outcome recorded as unknown."""
+LATE_ANSWER_SECONDS = 600.0
+"""Seconds for which a late answer can replace an outcome that was recorded as unknown."""
 
-LAST_RANK = 2
-"""The rank from which on this process commits by itself."""
+LOCAL_RANK = 2
+"""The lowest rank at which this process commits the claim itself."""
 
 
 class _Phase(Enum):
-    ASKING = "asking"
+    REQUESTING = "requesting"
     GRANTED = "granted"
     SETTLING = "settling"
     LATE = "late"
 
 
 class _Hold(Struct, kw_only=True):
-    ask: Ask
+    request: Request
     phase: _Phase
-    until: float
+    expires_at: float
     attempt: int = 0
     rank: int = 0
-    asked: bool = True
+    awaiting_reply: bool = True
     retry_at: float = 0.0
-    pause: float = RETRY_FIRST
+    pause: float = MIN_RETRY_SECONDS
 
 
 class ClaimerState:
-    """All calls of this process that hold or want a claim.
+    """The calls of this process that hold or request a claim.
 
     Args:
-        random: Draws the jitter of retries.
+        random: The source of the jitter of retries.
     """
 
     def __init__(self, *, random: Random) -> None:
         self._random = random
         self._holds: dict[CallId, _Hold] = {}
         self._unreported: dict[CallId, None] = {}
-        self._forgot = False
+        self._evicted = False
 
     @property
     def unreported(self) -> int:
-        """How many outcomes are not recorded yet."""
+        """Number of outcomes that are not recorded yet."""
         return len(self._unreported)
 
     def holds(self, *, call: CallId) -> bool:
-        """Whether the call was sent or may yet be; false is a promise never to send it.
+        """Return whether a call was or may yet be sent; false guarantees that it never will be.
 
-        It rests on call ids being used once in the life of a process.
+        The guarantee requires that call ids are not reused during the life of a process.
         """
         hold = self._holds.get(call)
         if hold is None:
-            return self._forgot
-        if isinstance(hold.ask, SettleAsk):
-            return hold.ask.outcome is not ClaimOutcome.NOT_RUN
+            return self._evicted
+        if isinstance(hold.request, SettleAsk):
+            return hold.request.outcome is not ClaimOutcome.NOT_RUN
         return True
 
 
@@ -96,28 +95,28 @@
     """Apply one event.
 
     Args:
-        event: What happened; the handler is picked by its type.
-        state: The claimer's state, updated in place.
+        event: What happened; its type selects the handler.
+        state: The claimer's state, which is updated in place.
 
     Returns:
-        What the shell must do.
+        The effects that the shell must execute, in order.
     """
     raise NotImplementedError(type(event).__name__)
 
 
 @reduce.register
-def _on_called(event: ClaimCalled, state: ClaimerState) -> Effects:
-    hold = _Hold(ask=event.ask, phase=_Phase.ASKING, until=event.until)
-    state._holds[event.ask.call] = hold
-    return (SendAsk(ask=hold.ask, attempt=hold.attempt, rank=hold.rank),)
+def _on_claim_requested(event: ClaimRequested, state: ClaimerState) -> Effects:
+    hold = _Hold(request=event.request, phase=_Phase.REQUESTING, expires_at=event.until)
+    state._holds[event.request.call] = hold
+    return (SendRequest(request=hold.request, attempt=hold.attempt, rank=hold.rank),)
 
 
 @reduce.register
-def _on_replied(event: AskReplied, state: ClaimerState) -> Effects:
+def _on_reply(event: ReplyReceived, state: ClaimerState) -> Effects:
     hold = state._holds.get(event.call)
     if hold is None or hold.attempt != event.attempt:
         return NO_EFFECTS
-    hold.asked = False
+    hold.awaiting_reply = False
     if hold.phase is _Phase.SETTLING:
         return _settle_replied(event, hold, state)
     if hold.phase is _Phase.GRANTED:
@@ -132,58 +131,58 @@
     return (resolved,)
 
 
-def _settle_replied(event: AskReplied, hold: _Hold, state: ClaimerState) -> Effects:
+def _settle_replied(event: ReplyReceived, hold: _Hold, state: ClaimerState) -> Effects:
     if event.verdict is Verdict.RECORDED:
-        _reported(hold, state, event.now)
+        _mark_reported(hold, state, event.now)
         return NO_EFFECTS
-    _postpone(hold, state, event.now)
+    _schedule_retry(hold, state, event.now)
     return NO_EFFECTS
 
 
-def _reported(hold: _Hold, state: ClaimerState, now: float) -> None:
-    state._unreported.pop(hold.ask.call, None)
-    if isinstance(hold.ask, SettleAsk) and hold.ask.outcome is ClaimOutcome.UNKNOWN:
+def _mark_reported(hold: _Hold, state: ClaimerState, now: float) -> None:
+    state._unreported.pop(hold.request.call, None)
+    if isinstance(hold.request, SettleAsk) and hold.request.outcome is ClaimOutcome.UNKNOWN:
         hold.phase = _Phase.LATE
-        hold.until = now + LATE_FOR
+        hold.expires_at = now + LATE_ANSWER_SECONDS
         return
-    del state._holds[hold.ask.call]
+    del state._holds[hold.request.call]
 
 
 @reduce.register
-def _on_failed(event: AskFailed, state: ClaimerState) -> Effects:
+def _on_request_failed(event: RequestFailed, state: ClaimerState) -> Effects:
     hold = state._holds.get(event.call)
     if hold is None or hold.attempt != event.attempt:
         return NO_EFFECTS
-    hold.asked = False
-    hold.rank = min(hold.rank + 1, LAST_RANK)
+    hold.awaiting_reply = False
+    hold.rank = min(hold.rank + 1, LOCAL_RANK)
     if hold.phase is _Phase.SETTLING:
-        _postpone(hold, state, event.now)
+        _schedule_retry(hold, state, event.now)
         return NO_EFFECTS
-    return (_again(hold),)
+    return (_resend(hold),)
 
 
 @reduce.register
-def _on_dropped(event: ClaimDropped, state: ClaimerState) -> Effects:
+def _on_cancelled(event: ClaimCancelled, state: ClaimerState) -> Effects:
     hold = state._holds.get(event.call)
-    if hold is None or hold.phase not in (_Phase.ASKING, _Phase.GRANTED):
+    if hold is None or hold.phase not in (_Phase.REQUESTING, _Phase.GRANTED):
         return NO_EFFECTS
     return _abandon(hold, state)
 
 
 @reduce.register
-def _on_outcome(event: OutcomeKnown, state: ClaimerState) -> Effects:
+def _on_outcome(event: OutcomeReported, state: ClaimerState) -> Effects:
     hold = state._holds.get(event.call)
-    if hold is None or hold.phase is _Phase.ASKING:
+    if hold is None or hold.phase is _Phase.REQUESTING:
         return NO_EFFECTS
     answer = None if event.answer is None else event.answer.bounded()
-    if hold.phase is not _Phase.GRANTED and not _is_late(hold.ask, event.outcome):
+    if hold.phase is not _Phase.GRANTED and not _is_late_answer(hold.request, event.outcome):
         return NO_EFFECTS
-    hold.ask = _settlement(hold.ask, event.outcome, answer)
-    return _report(hold, state)
+    hold.request = _settlement(hold.request, event.outcome, answer)
+    return _start_report(hold, state)
 
 
-def _is_late(ask: Ask, outcome: ClaimOutcome) -> bool:
-    unknown = isinstance(ask, SettleAsk) and ask.outcome is ClaimOutcome.UNKNOWN
+def _is_late_answer(request: Request, outcome: ClaimOutcome) -> bool:
+    unknown = isinstance(request, SettleAsk) and request.outcome is ClaimOutcome.UNKNOWN
     return unknown and outcome is ClaimOutcome.DONE
 
 
@@ -191,56 +190,58 @@
 def _on_tick(event: ClaimerTicked, state: ClaimerState) -> Effects:
     effects: list[Effect] = []
     for hold in tuple(state._holds.values()):
-        if hold.phase is _Phase.ASKING and event.now >= hold.until:
-            effects.append(ResolveClaim(call=hold.ask.call, verdict=Verdict.UNCERTAIN))
+        if hold.phase is _Phase.REQUESTING and event.now >= hold.expires_at:
+            effects.append(ResolveClaim(call=hold.request.call, verdict=Verdict.UNCERTAIN))
             effects.extend(_abandon(hold, state))
-        elif hold.phase is _Phase.SETTLING and not hold.asked and event.now >= hold.retry_at:
-            effects.append(_again(hold))
-        elif hold.phase is _Phase.LATE and event.now >= hold.until:
-            del state._holds[hold.ask.call]
+        elif (
+            hold.phase is _Phase.SETTLING and not hold.awaiting_reply and event.now >= hold.retry_at
+        ):
+            effects.append(_resend(hold))
+        elif hold.phase is _Phase.LATE and event.now >= hold.expires_at:
+            del state._holds[hold.request.call]
     return effects
 
 
 def _abandon(hold: _Hold, state: ClaimerState) -> Effects:
-    """Give the claim up for good: it is never sent, and the key is made usable again."""
-    hold.ask = _settlement(hold.ask, ClaimOutcome.NOT_RUN, None)
-    return _report(hold, state)
+    """Abandon a claim: its call is never sent, and its key becomes usable again."""
+    hold.request = _settlement(hold.request, ClaimOutcome.NOT_RUN, None)
+    return _start_report(hold, state)
 
 
-def _settlement(ask: Ask, outcome: ClaimOutcome, answer: Answer | None) -> SettleAsk:
+def _settlement(request: Request, outcome: ClaimOutcome, answer: Answer | None) -> SettleAsk:
     return SettleAsk(
-        shard=ask.shard,
-        key=ask.key,
-        mark=ask.mark,
-        holder=ask.holder,
-        call=ask.call,
+        shard=request.shard,
+        key=request.key,
+        mark=request.mark,
+        holder=request.holder,
+        call=request.call,
         outcome=outcome,
         answer=answer,
     )
 
 
-def _report(hold: _Hold, state: ClaimerState) -> Effects:
+def _start_report(hold: _Hold, state: ClaimerState) -> Effects:
     hold.phase = _Phase.SETTLING
     hold.rank = 0
-    state._unreported[hold.ask.call] = None
-    if len(state._unreported) > OUTBOX_LIMIT:
-        _forget_oldest(state)
-    return (_again(hold),)
+    state._unreported[hold.request.call] = None
+    if len(state._unreported) > MAX_UNREPORTED:
+        _evict_oldest(state)
+    return (_resend(hold),)
 
 
-def _forget_oldest(state: ClaimerState) -> None:
+def _evict_oldest(state: ClaimerState) -> None:
     oldest = next(iter(state._unreported))
-    state._forgot = state._forgot or state.holds(call=oldest)
+    state._evicted = state._evicted or state.holds(call=oldest)
     del state._unreported[oldest]
     del state._holds[oldest]
 
 
-def _again(hold: _Hold) -> SendAsk:
+def _resend(hold: _Hold) -> SendRequest:
     hold.attempt += 1
-    hold.asked = True
-    return SendAsk(ask=hold.ask, attempt=hold.attempt, rank=hold.rank)
+    hold.awaiting_reply = True
+    return SendRequest(request=hold.request, attempt=hold.attempt, rank=hold.rank)
 
 
-def _postpone(hold: _Hold, state: ClaimerState, now: float) -> None:
+def _schedule_retry(hold: _Hold, state: ClaimerState, now: float) -> None:
     hold.retry_at = now + hold.pause * state._random.uniform(0.5, 1.0)
-    hold.pause = min(2 * hold.pause, RETRY_MOST)
+    hold.pause = min(2 * hold.pause, MAX_RETRY_SECONDS)
--- a/src/azureswitch/coordination/claims/_claims.py
+++ b/src/azureswitch/coordination/claims/_claims.py
@@ -1,4 +1,4 @@
-"""The asyncio shell around owner and claimer, and the part's facade."""
+"""The facade of claims, and the asyncio shell of owner and claimer."""
 
 import asyncio
 from collections.abc import Callable, Container, Coroutine
@@ -9,36 +9,36 @@
 
 from azureswitch.coordination.claims import _claimer, _owner
 from azureswitch.coordination.claims._events import (
-    AskArrived,
-    AskFailed,
-    AskReplied,
-    ClaimCalled,
-    ClaimDropped,
+    ClaimCancelled,
     ClaimerTicked,
-    InquireHolder,
-    MembersSeen,
-    OutcomeKnown,
+    ClaimRequested,
+    MembersChanged,
+    OutcomeReported,
     OwnerEvent,
     OwnerTicked,
-    ReplyToAsk,
+    QueryHolder,
+    ReplyReceived,
+    RequestFailed,
+    RequestReceived,
     ResolveClaim,
-    SendAsk,
+    SendReply,
+    SendRequest,
 )
 from azureswitch.coordination.claims._limits import (
-    CLAIM_WAIT,
-    IDLE_TICK,
+    CLAIM_TIMEOUT,
+    IDLE_TICK_SECONDS,
     JOIN_SECONDS,
     OWNER_TIMEOUT,
-    RETENTION,
-    RETRY_AFTER,
-    TICK,
+    RETENTION_SECONDS,
+    RETRY_AFTER_SECONDS,
+    TICK_SECONDS,
 )
 from azureswitch.coordination.claims._messages import (
-    Ask,
     ClaimAsk,
     ClaimReply,
     HoldAsk,
     HoldReply,
+    Request,
     SettleAsk,
 )
 from azureswitch.coordination.claims._model import (
@@ -48,10 +48,10 @@
     key_digest,
     shard_of,
 )
-from azureswitch.coordination.claims._presence import Presumed, alive
+from azureswitch.coordination.claims._presence import PresumedAlive, live_incarnations
 from azureswitch.coordination.claims._results import Granted, Replayed, result
 from azureswitch.coordination.claims._router import Router
-from azureswitch.coordination.claims._state import WRITE_BUDGET, OwnerState
+from azureswitch.coordination.claims._state import MAX_WRITES_PER_SECOND, OwnerState
 from azureswitch.coordination.claims._storage import ClaimStorage, StoreEffect
 from azureswitch.coordination.membership import Member
 from azureswitch.core import CallId, CustomerName, Effect, Effects, Event, Incarnation
@@ -64,18 +64,18 @@
 
 
 class Claims:
-    """Lets calls that may not repeat run at most once over the whole fleet.
+    """Ensures that a non-idempotent call runs at most once in the whole fleet.
 
     Args:
         myself: This process.
         store: The platform's store.
-        peers: The way to other hosts.
-        members: Returns the processes known now, this one included.
+        peers: Sends messages to other hosts.
+        members: Returns the current members, this process included.
         seed: Seeds the jitter of retries.
         retention: Seconds for which a key is remembered.
-        budget: Writes of heads a second by the whole fleet.
-        wait: Seconds after which an undecided claim is given up.
-        wall: Returns the wall clock in seconds; only retention looks at it.
+        budget: Upper bound of the writes of heads per second by the whole fleet.
+        wait: Seconds after which an undecided claim is abandoned.
+        wall: Returns the wall clock in seconds; only retention uses it.
     """
 
     def __init__(
@@ -86,9 +86,9 @@
         peers: Peers,
         members: Callable[[], tuple[Member, ...]],
         seed: int = 0,
-        retention: float = RETENTION,
-        budget: float = WRITE_BUDGET,
-        wait: float = CLAIM_WAIT,
+        retention: float = RETENTION_SECONDS,
+        budget: float = MAX_WRITES_PER_SECOND,
+        wait: float = CLAIM_TIMEOUT,
         wall: Callable[[], float] = time,
     ) -> None:
         self._myself = myself
@@ -101,19 +101,19 @@
         self._owner = OwnerState(retention=retention, budget=budget)
         self._claimer = _claimer.ClaimerState(random=Random(seed))
         self._claims: dict[CallId, asyncio.Future[ResolveClaim]] = {}
-        self._asks: dict[int, asyncio.Future[ClaimReply]] = {}
-        self._numbers = 0
+        self._requests: dict[int, asyncio.Future[ClaimReply]] = {}
+        self._last_number = 0
         self._alive: Container[Incarnation] | None = None
-        self._joined_at = 0.0
+        self._join_ends_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        self._woken = asyncio.Event()
-        peers.handle(ClaimAsk, self._ask)
-        peers.handle(SettleAsk, self._ask)
+        self._wakeup = asyncio.Event()
+        peers.handle(ClaimAsk, self._handle_request)
+        peers.handle(SettleAsk, self._handle_request)
         peers.handle(HoldAsk, self._answer_hold)
 
     @property
     def unreported(self) -> int:
-        """How many outcomes of this process are not in the store yet."""
+        """Number of outcomes of this process that are not in the store yet."""
         return self._claimer.unreported
 
     @property
@@ -127,12 +127,12 @@
 
     @property
     def waiting(self) -> int:
-        """How many asks wait here, as at their shard's owner."""
+        """Number of requests that are pending at this process as the owner of their shards."""
         return self._owner.waiting
 
     @property
     def indexed_keys(self) -> int:
-        """How many keys of older segments this process holds digests of."""
+        """Number of keys of sealed segments that this process has indexed."""
         return self._owner.indexed_keys
 
     async def claim(
@@ -147,14 +147,14 @@
         """Claim a call before it is sent.
 
         Args:
-            customer: Whose key it is; equal keys of two customers have nothing in common.
+            customer: The customer of the key; keys of different customers are independent.
             key: The caller's Idempotency-Key.
-            fingerprint: Digest of the request, to tell a repeat from another request.
-            call: The call's id, used for one claim in the life of this process.
+            fingerprint: Digest of the request, which distinguishes a repeat from another request.
+            call: The call's id, which must be used for only one claim in the life of this process.
             deadline: When the call must have finished, on the event loop's clock.
 
         Returns:
-            Granted where the call may be sent now, else the first answer.
+            `Granted` if the call may be sent now, otherwise the first answer.
 
         Raises:
             ClaimUnavailableError: It could not be claimed; it did not run and never will.
@@ -165,7 +165,7 @@
         now = self._now()
         until = min(deadline, now + self._wait)
         digest = key_digest(customer=customer, key=key)
-        ask = ClaimAsk(
+        request = ClaimAsk(
             shard=shard_of(digest),
             key=digest,
             mark=fingerprint_mark(fingerprint),
@@ -174,14 +174,14 @@
             wait=until - now,
         )
         if until <= now:
-            raise ClaimUnavailableError(seconds=RETRY_AFTER)
+            raise ClaimUnavailableError(seconds=RETRY_AFTER_SECONDS)
         future: asyncio.Future[ResolveClaim] = asyncio.get_running_loop().create_future()
         self._claims[call] = future
         try:
-            self._claim_side(ClaimCalled(now=now, ask=ask, until=until))
+            self._feed_claimer(ClaimRequested(now=now, request=request, until=until))
             return result(await future)
         except asyncio.CancelledError:
-            self._claim_side(ClaimDropped(now=self._now(), call=call))
+            self._feed_claimer(ClaimCancelled(now=self._now(), call=call))
             raise
         finally:
             del self._claims[call]
@@ -189,149 +189,155 @@
     async def settle(
         self, *, call: CallId, outcome: ClaimOutcome, answer: PlainAnswer | None = None
     ) -> None:
-        """Record what became of a granted call.
+        """Record the outcome of a granted call.
 
-        Returns at once; the outcome reaches the store within the bound for flushing, and is
-        reported again for as long as the store or the owner is away.
+        Returns at once.  The outcome is stored within `MAX_OUTCOME_DELAY_SECONDS`, and reported
+        again while the store or the owner does not answer.
 
         Args:
             call: The call.
-            outcome: What became of it.
-            answer: The target's answer, where the outcome is DONE.
+            outcome: Its outcome.
+            answer: The target's answer, if the outcome is DONE.
         """
         recorded = None
         if answer is not None:
             recorded = Answer(status=answer.status, headers=answer.headers, body=answer.body)
-        event = OutcomeKnown(now=self._now(), call=call, outcome=outcome, answer=recorded)
-        self._claim_side(event)
+        event = OutcomeReported(now=self._now(), call=call, outcome=outcome, answer=recorded)
+        self._feed_claimer(event)
 
     async def drain(self, *, timeout: float) -> bool:
-        """Wait until every claim is decided and every outcome in the store, before a shutdown.
+        """Wait until every claim is decided and every outcome stored, before a shutdown.
 
-        A claim whose call was given up meanwhile may still be granted, and is then to be released.
+        A claim whose call was cancelled meanwhile may still be granted, and must then be released.
 
         Returns:
-            Whether all are.
+            Whether this was reached within the timeout.
         """
         end = self._now() + timeout
         quiet = 0
-        # A claim that was decided just now has its outcome reported a moment later.
+        # The outcome of a claim that has just been decided is reported after a short delay.
         while quiet < 2 and self._now() < end:
-            await asyncio.sleep(TICK)
+            await asyncio.sleep(TICK_SECONDS)
             quiet = 0 if self._claims or self.unreported else quiet + 1
         return quiet == 2
 
     async def run(self) -> None:
-        """Drive claims and outcomes until cancelled."""
+        """Run the owner and the claimer until cancelled."""
         try:
             while True:
                 self._tick()
                 busy = self._owner.waiting or self._claims or self._claimer.unreported
-                await self._pause(TICK if busy else IDLE_TICK)
+                await self._sleep(TICK_SECONDS if busy else IDLE_TICK_SECONDS)
         finally:
             for task in tuple(self._tasks):
                 task.cancel()
 
-    # --- Plumbing ---------------------------------------------------------------------------------
+    # --- Events and effects -----------------------------------------------------------------------
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    async def _pause(self, seconds: float) -> None:
-        if seconds <= TICK:
+    async def _sleep(self, seconds: float) -> None:
+        if seconds <= TICK_SECONDS:
             await asyncio.sleep(seconds)
             return
-        self._woken.clear()
+        self._wakeup.clear()
         try:
-            # Not wait_for, which loses a cancellation that comes as the event is set.
+            # wait_for would lose a cancellation that coincides with the setting of the event.
             async with asyncio.timeout(seconds):
-                await self._woken.wait()
+                await self._wakeup.wait()
         except TimeoutError:
             pass
 
     def _tick(self) -> None:
         now = self._now()
         members = self._members()
-        self._joined_at = self._joined_at or now + JOIN_SECONDS
-        taken = Presumed(known=members) if now < self._joined_at else alive(members)
-        if taken != self._alive:
-            self._alive = taken
-            self._own_side(MembersSeen(now=now, wall=self._wall(), alive=taken))
-        self._own_side(OwnerTicked(now=now, wall=self._wall()))
-        self._claim_side(ClaimerTicked(now=now))
+        self._join_ends_at = self._join_ends_at or now + JOIN_SECONDS
+        running = (
+            PresumedAlive(known=members) if now < self._join_ends_at else live_incarnations(members)
+        )
+        if running != self._alive:
+            self._alive = running
+            self._feed_owner(MembersChanged(now=now, wall=self._wall(), alive=running))
+        self._feed_owner(OwnerTicked(now=now, wall=self._wall()))
+        self._feed_claimer(ClaimerTicked(now=now))
 
-    def _own_side(self, event: OwnerEvent) -> None:
-        self._perform_all(_owner.reduce(event, self._owner))
+    def _feed_owner(self, event: OwnerEvent) -> None:
+        self._execute_all(_owner.reduce(event, self._owner))
 
-    def _claim_side(self, event: Event) -> None:
-        self._perform_all(_claimer.reduce(event, self._claimer))
+    def _feed_claimer(self, event: Event) -> None:
+        self._execute_all(_claimer.reduce(event, self._claimer))
 
-    def _perform_all(self, effects: Effects) -> None:
+    def _execute_all(self, effects: Effects) -> None:
         for effect in effects:
-            self._perform(effect)
+            self._execute(effect)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        self._woken.set()
+        self._wakeup.set()
 
     @singledispatchmethod
-    def _perform(self, effect: Effect) -> None:
+    def _execute(self, effect: Effect) -> None:
         raise NotImplementedError(type(effect).__name__)
 
     # --- Claimer side -----------------------------------------------------------------------------
 
-    @_perform.register
+    @_execute.register
     def _resolve(self, effect: ResolveClaim) -> None:
         future = self._claims.get(effect.call)
         if future is not None and not future.done():
             future.set_result(effect)
 
-    @_perform.register
-    def _send(self, effect: SendAsk) -> None:
-        self._spawn(self._send_ask(effect))
+    @_execute.register
+    def _send(self, effect: SendRequest) -> None:
+        self._spawn(self._send_request(effect))
 
-    async def _send_ask(self, effect: SendAsk) -> None:
-        ask, attempt = effect.ask, effect.attempt
-        owner = self._router.route(ask.shard, rank=effect.rank)
+    async def _send_request(self, effect: SendRequest) -> None:
+        request, attempt = effect.request, effect.attempt
+        owner = self._router.route(request.shard, rank=effect.rank)
         try:
-            reply = await (self._ask(ask) if owner is None else self._router.call(owner, ask))
+            reply = await (
+                self._handle_request(request)
+                if owner is None
+                else self._router.call(owner, request)
+            )
         except PeerError:
-            self._claim_side(AskFailed(now=self._now(), call=ask.call, attempt=attempt))
+            self._feed_claimer(RequestFailed(now=self._now(), call=request.call, attempt=attempt))
             return
-        event = AskReplied(
+        event = ReplyReceived(
             now=self._now(),
-            call=ask.call,
+            call=request.call,
             attempt=attempt,
             verdict=reply.verdict,
             answer=reply.answer,
         )
-        self._claim_side(event)
+        self._feed_claimer(event)
 
     # --- Owner side -------------------------------------------------------------------------------
 
-    async def _ask(self, ask: Ask) -> ClaimReply:
-        self._numbers += 1
-        number = self._numbers
+    async def _handle_request(self, request: Request) -> ClaimReply:
+        self._last_number += 1
+        number = self._last_number
         future: asyncio.Future[ClaimReply] = asyncio.get_running_loop().create_future()
-        self._asks[number] = future
-        event = AskArrived(now=self._now(), wall=self._wall(), number=number, ask=ask)
+        self._requests[number] = future
+        event = RequestReceived(now=self._now(), wall=self._wall(), number=number, request=request)
         try:
-            self._own_side(event)
-            self._woken.set()
+            self._feed_owner(event)
+            self._wakeup.set()
             return await future
         finally:
-            del self._asks[number]
+            del self._requests[number]
 
-    @_perform.register
-    def _reply(self, effect: ReplyToAsk) -> None:
-        future = self._asks.get(effect.number)
+    @_execute.register
+    def _reply(self, effect: SendReply) -> None:
+        future = self._requests.get(effect.number)
         if future is not None and not future.done():
             future.set_result(ClaimReply(verdict=effect.verdict, answer=effect.answer))
 
-    @_perform.register
-    def _inquire(self, effect: InquireHolder) -> None:
+    @_execute.register
+    def _query_holder(self, effect: QueryHolder) -> None:
         self._spawn(self._release_unheld(effect.record))
 
     async def _release_unheld(self, record: Record) -> None:
@@ -346,7 +352,7 @@
             call=call,
             outcome=ClaimOutcome.NOT_RUN,
         )
-        await self._ask(release)
+        await self._handle_request(release)
 
     async def _is_held(self, holder: Incarnation, call: CallId) -> bool:
         request = HoldAsk(holder=holder, call=call)
@@ -365,13 +371,13 @@
         return True
 
     async def _answer_hold(self, request: HoldAsk) -> HoldReply:
-        # A process cannot speak for an earlier one at its address.
-        mine = request.holder == self._myself
-        return HoldReply(held=not mine or self._claimer.holds(call=request.call))
+        # A process cannot answer for an earlier one at its address.
+        own = request.holder == self._myself
+        return HoldReply(held=not own or self._claimer.holds(call=request.call))
 
-    @_perform.register
-    def _use_store(self, effect: StoreEffect) -> None:
-        self._spawn(self._run_at_store(effect))
+    @_execute.register
+    def _start_store_call(self, effect: StoreEffect) -> None:
+        self._spawn(self._run_store_call(effect))
 
-    async def _run_at_store(self, effect: StoreEffect) -> None:
-        self._own_side(await self._storage.run(effect))
+    async def _run_store_call(self, effect: StoreEffect) -> None:
+        self._feed_owner(await self._storage.run(effect))
--- a/src/azureswitch/coordination/claims/_events.py
+++ b/src/azureswitch/coordination/claims/_events.py
@@ -1,8 +1,8 @@
-"""What the owner side and the claimer side are told, and what they ask their shell to do."""
+"""Events and effects of the owner side and of the claimer side."""
 
 from collections.abc import Container
 
-from azureswitch.coordination.claims._messages import Ask, ClaimAsk, Verdict
+from azureswitch.coordination.claims._messages import ClaimAsk, Request, Verdict
 from azureswitch.coordination.claims._model import Answer, Head, Record, SegmentRef
 from azureswitch.core import CallId, Effect, Event, Incarnation
 from azureswitch.serving import ClaimOutcome
@@ -14,32 +14,32 @@
     """Base of the events of the owner side.
 
     Attributes:
-        wall: The wall clock in seconds; only retention looks at it.
+        wall: The wall clock in seconds; only retention uses it.
     """
 
     wall: float
 
 
-class AskArrived(OwnerEvent, frozen=True, kw_only=True):
-    """A claimer, here or on another host, asks for something.
+class RequestReceived(OwnerEvent, frozen=True, kw_only=True):
+    """A request of a claimer arrived, from this or another host.
 
     Attributes:
-        number: Names the ask in this process.
-        ask: What is asked.
+        number: Identifies the request in this process.
+        request: The request.
     """
 
     number: int
-    ask: Ask
+    request: Request
 
 
-class MembersSeen(OwnerEvent, frozen=True, kw_only=True):
-    """The set of processes taken to be alive changed."""
+class MembersChanged(OwnerEvent, frozen=True, kw_only=True):
+    """The set of processes that are assumed to be alive changed."""
 
     alive: Container[Incarnation]
 
 
 class HeadRead(OwnerEvent, frozen=True, kw_only=True):
-    """A shard's head was read; version zero where it does not exist."""
+    """A shard's head was read; the version is zero if it does not exist."""
 
     shard: int
     version: int
@@ -47,7 +47,7 @@
 
 
 class SegmentsRead(OwnerEvent, frozen=True, kw_only=True):
-    """Segments were read, in the order of the refs; None where one does not exist."""
+    """Segments were read, in the order of the references; None for one that does not exist."""
 
     shard: int
     refs: tuple[SegmentRef, ...]
@@ -79,27 +79,27 @@
     shard: int
 
 
-class HeadWriteLost(OwnerEvent, frozen=True, kw_only=True):
-    """The answer to the write was lost; it may have taken effect or may yet."""
+class HeadWriteUnknown(OwnerEvent, frozen=True, kw_only=True):
+    """The outcome of the write is unknown; it may have taken effect or may yet do so."""
 
     shard: int
 
 
 class SegmentStored(OwnerEvent, frozen=True, kw_only=True):
-    """A segment stands as an object, written now or before."""
+    """A segment is in the store, written now or before."""
 
     shard: int
     ref: SegmentRef
 
 
 class SegmentStoreFailed(OwnerEvent, frozen=True, kw_only=True):
-    """A segment could not be stored, or it is not known whether it was."""
+    """A segment could not be stored, or the outcome is unknown."""
 
     shard: int
 
 
 class SegmentsDeleted(OwnerEvent, frozen=True, kw_only=True):
-    """Doomed segments are gone; those that could not be deleted are left out."""
+    """Obsolete segments were deleted, except those whose deletion failed."""
 
     shard: int
     refs: tuple[SegmentRef, ...]
@@ -110,20 +110,20 @@
 
 
 class ReadHead(Effect, frozen=True, kw_only=True):
-    """Read a head; answer by HeadRead or ReadFailed."""
+    """Read a head; `HeadRead` or `ReadFailed` follows."""
 
     shard: int
 
 
 class ReadSegments(Effect, frozen=True, kw_only=True):
-    """Read segments; answer by SegmentsRead or ReadFailed."""
+    """Read segments; `SegmentsRead` or `ReadFailed` follows."""
 
     shard: int
     refs: tuple[SegmentRef, ...]
 
 
 class WriteHead(Effect, frozen=True, kw_only=True):
-    """Write a head whose version is still ``version``, or create it where that is zero."""
+    """Update a head on condition that its version is ``version``; create it if that is zero."""
 
     shard: int
     version: int
@@ -139,22 +139,22 @@
 
 
 class DeleteSegments(Effect, frozen=True, kw_only=True):
-    """Delete segments; answer by SegmentsDeleted."""
+    """Delete segments; `SegmentsDeleted` follows."""
 
     shard: int
     refs: tuple[SegmentRef, ...]
 
 
-class ReplyToAsk(Effect, frozen=True, kw_only=True):
-    """Reply to an ask, once."""
+class SendReply(Effect, frozen=True, kw_only=True):
+    """Reply to a request; each request has one reply."""
 
     number: int
     verdict: Verdict
     answer: Answer | None = None
 
 
-class InquireHolder(Effect, frozen=True, kw_only=True):
-    """Ask a claimer whether it holds a claim; settle it as not run where it does not."""
+class QueryHolder(Effect, frozen=True, kw_only=True):
+    """Ask a claimer whether it holds a claim, and settle the claim as not run if it does not."""
 
     record: Record
 
@@ -162,20 +162,20 @@
 # --- Claimer side: calls of this host -------------------------------------------------------------
 
 
-class ClaimCalled(Event, frozen=True, kw_only=True):
-    """A call of this host wants its claim until ``until``, on the monotonic clock."""
+class ClaimRequested(Event, frozen=True, kw_only=True):
+    """A call of this host requests its claim until ``until``, on the monotonic clock."""
 
-    ask: ClaimAsk
+    request: ClaimAsk
     until: float
 
 
-class ClaimDropped(Event, frozen=True, kw_only=True):
-    """The call no longer wants its claim and has not been sent."""
+class ClaimCancelled(Event, frozen=True, kw_only=True):
+    """A call that has not been sent no longer needs its claim."""
 
     call: CallId
 
 
-class OutcomeKnown(Event, frozen=True, kw_only=True):
+class OutcomeReported(Event, frozen=True, kw_only=True):
     """A claimed call ended."""
 
     call: CallId
@@ -183,8 +183,8 @@
     answer: Answer | None = None
 
 
-class AskReplied(Event, frozen=True, kw_only=True):
-    """An owner replied to the ask numbered ``attempt`` of a call."""
+class ReplyReceived(Event, frozen=True, kw_only=True):
+    """An owner replied to the request numbered ``attempt`` of a call."""
 
     call: CallId
     attempt: int
@@ -192,8 +192,8 @@
     answer: Answer | None = None
 
 
-class AskFailed(Event, frozen=True, kw_only=True):
-    """No reply came from the host that was asked."""
+class RequestFailed(Event, frozen=True, kw_only=True):
+    """The host that received the request did not reply."""
 
     call: CallId
     attempt: int
@@ -203,22 +203,22 @@
     """Time passed."""
 
 
-class SendAsk(Effect, frozen=True, kw_only=True):
-    """Send an ask; answer by AskReplied or AskFailed.
+class SendRequest(Effect, frozen=True, kw_only=True):
+    """Send a request; `ReplyReceived` or `RequestFailed` follows.
 
     Attributes:
-        ask: What to ask.
-        attempt: Names the ask among those of its call.
-        rank: Zero for the owner, one for the next in order, and from two on this process itself.
+        request: The request.
+        attempt: Identifies the request among those of its call.
+        rank: 0 for the owner, 1 for the next in order, and from 2 on this process itself.
     """
 
-    ask: Ask
+    request: Request
     attempt: int
     rank: int
 
 
 class ResolveClaim(Effect, frozen=True, kw_only=True):
-    """End the wait of a call for its claim."""
+    """Return the verdict to a call that waits for its claim."""
 
     call: CallId
     verdict: Verdict
--- a/src/azureswitch/coordination/claims/_layout.py
+++ b/src/azureswitch/coordination/claims/_layout.py
@@ -1,4 +1,4 @@
-"""How a shard's records move from the open segment into sealed ones, and out after retention."""
+"""The layout of a shard: records move from the open segment to sealed ones until they expire."""
 
 from collections.abc import Collection, Iterable, Mapping
 from itertools import takewhile
@@ -11,24 +11,24 @@
     encode_segment,
 )
 
-OPEN_LIMIT = 8_192
-"""Bytes from which the open segment is frozen; each write carries the open segment whole."""
+FREEZE_BYTES = 8_192
+"""Bytes from which the open segment is frozen; each write contains the whole open segment."""
 
-SEGMENT_LIMIT = 786_432
-"""Bytes of a merged segment at most; the store takes a megabyte."""
+MAX_SEGMENT_BYTES = 786_432
+"""Upper bound of the bytes of a merged segment; the store accepts a megabyte."""
 
-MERGED = 8
-"""Neighbouring segments of one width that are merged into one."""
+MERGE_WIDTH = 8
+"""Number of adjacent segments of the same width that are merged into one."""
 
-SEALED_LIMIT = 1_024
-"""Sealed segments of a shard from which it takes no new claims."""
+MAX_SEALED_SEGMENTS = 1_024
+"""Number of sealed segments from which a shard accepts no new claims."""
 
-DOOMED_LIMIT = 64
-"""Segments that wait for deletion at most."""
+MAX_OBSOLETE_SEGMENTS = 64
+"""Upper bound of the segments that wait for deletion."""
 
 
 def sealed_ref(frozen: Frozen) -> SegmentRef:
-    """Return the reference that a frozen segment will have."""
+    """Return the reference to a frozen segment once it is sealed."""
     return SegmentRef(
         first=frozen.sequence,
         last=frozen.sequence,
@@ -38,7 +38,7 @@
 
 
 def merge(contents: Iterable[tuple[Record, ...]]) -> tuple[Record, ...]:
-    """Return the newest record of every key; equal inputs give equal results."""
+    """Return the newest record of every key; the result is deterministic."""
     newest: dict[bytes, Record] = {}
     for records in contents:
         newest.update((record.key, record) for record in records)
@@ -46,7 +46,7 @@
 
 
 def merged_ref(refs: tuple[SegmentRef, ...], records: tuple[Record, ...]) -> SegmentRef:
-    """Return the reference that a merged segment will have."""
+    """Return the reference to a merged segment."""
     return SegmentRef(
         first=refs[0].first,
         last=refs[-1].last,
@@ -55,12 +55,12 @@
     )
 
 
-def mergeable(sealed: tuple[SegmentRef, ...]) -> tuple[SegmentRef, ...]:
-    """Return the oldest run of neighbours that should become one segment, or nothing."""
-    for start in range(len(sealed) - MERGED + 1):
-        run = sealed[start : start + MERGED]
-        alike = all(ref.width == run[0].width for ref in run)
-        if alike and sum(ref.size for ref in run) <= SEGMENT_LIMIT:
+def find_mergeable(sealed: tuple[SegmentRef, ...]) -> tuple[SegmentRef, ...]:
+    """Return the oldest run of adjacent segments that should be merged, or an empty one."""
+    for start in range(len(sealed) - MERGE_WIDTH + 1):
+        run = sealed[start : start + MERGE_WIDTH]
+        same_width = all(ref.width == run[0].width for ref in run)
+        if same_width and sum(ref.size for ref in run) <= MAX_SEGMENT_BYTES:
             return run
     return ()
 
@@ -73,14 +73,14 @@
     deleted: Collection[SegmentRef],
     expired_before: float,
 ) -> Head:
-    """Return the head that follows.
+    """Return the head that follows a head.
 
     Args:
         head: The head in the store.
         changes: New records by key.
-        stored: Segments known to stand in the store.
-        deleted: Doomed segments known to be gone.
-        expired_before: The wall clock before which records are past their retention.
+        stored: Segments known to be in the store.
+        deleted: Obsolete segments known to be deleted.
+        expired_before: The wall clock before which records have exceeded their retention.
     """
     head = _replace_merged(_seal(head, stored), stored)
     kept = {record.key: record for record in head.open if record.at >= expired_before}
@@ -88,7 +88,7 @@
         kept.pop(key, None)
         kept[key] = record
     expired = _expired(head, expired_before)
-    doomed = [ref for ref in (*head.doomed, *_leftover(head, expired)) if ref not in deleted]
+    obsolete = [ref for ref in (*head.obsolete, *_with_orphan(head, expired)) if ref not in deleted]
     sealed = tuple(ref for ref in head.sealed if ref not in expired)
     return _freeze(
         Head(
@@ -96,7 +96,7 @@
             open=tuple(kept.values()),
             frozen=head.frozen,
             sealed=sealed,
-            doomed=tuple(doomed),
+            obsolete=tuple(obsolete),
         )
     )
 
@@ -108,14 +108,14 @@
         sequence=head.sequence,
         open=head.open,
         sealed=(*head.sealed, sealed_ref(head.frozen)),
-        doomed=head.doomed,
+        obsolete=head.obsolete,
     )
 
 
 def _replace_merged(head: Head, stored: Collection[SegmentRef]) -> Head:
     for ref in stored:
         inside = tuple(old for old in head.sealed if ref.first <= old.first <= ref.last)
-        if len(inside) < MERGED or (inside[0].first, inside[-1].last) != (ref.first, ref.last):
+        if len(inside) < MERGE_WIDTH or (inside[0].first, inside[-1].last) != (ref.first, ref.last):
             continue
         sealed = list(head.sealed)
         at = sealed.index(inside[0])
@@ -125,20 +125,21 @@
             open=head.open,
             frozen=head.frozen,
             sealed=tuple(sealed),
-            doomed=(*head.doomed, *inside),
+            obsolete=(*head.obsolete, *inside),
         )
     return head
 
 
 def _expired(head: Head, before: float) -> tuple[SegmentRef, ...]:
-    room = max(0, DOOMED_LIMIT - len(head.doomed))
-    # Oldest first only: a newer segment must never go before an older one that it supersedes.
+    room = max(0, MAX_OBSOLETE_SEGMENTS - len(head.obsolete))
+    # Segments expire oldest first: a newer one must not be deleted before an older one that it
+    # supersedes.
     return tuple(takewhile(lambda ref: ref.until < before, head.sealed))[:room]
 
 
-def _leftover(head: Head, expired: tuple[SegmentRef, ...]) -> tuple[SegmentRef, ...]:
-    """Return expired segments, and the merged one that an owner may have stored before it died."""
-    run = mergeable(head.sealed)
+def _with_orphan(head: Head, expired: tuple[SegmentRef, ...]) -> tuple[SegmentRef, ...]:
+    """Return expired segments, and the merged one that an owner may have stored before a crash."""
+    run = find_mergeable(head.sealed)
     if not set(run) & set(expired):
         return expired
     merged = SegmentRef(first=run[0].first, last=run[-1].last, size=0, until=run[-1].until)
@@ -146,11 +147,11 @@
 
 
 def _freeze(head: Head) -> Head:
-    if head.frozen is not None or len(encode_segment(head.open)) < OPEN_LIMIT:
+    if head.frozen is not None or len(encode_segment(head.open)) < FREEZE_BYTES:
         return head
     return Head(
         sequence=head.sequence + 1,
         frozen=Frozen(sequence=head.sequence, records=head.open),
         sealed=head.sealed,
-        doomed=head.doomed,
+        obsolete=head.obsolete,
     )
--- a/src/azureswitch/coordination/claims/_limits.py
+++ b/src/azureswitch/coordination/claims/_limits.py
@@ -1,31 +1,31 @@
-"""Times that bound claims."""
+"""Time-outs and periods of claims."""
 
-RETENTION = 86_400.0
-"""Seconds for which a key is remembered by default."""
+RETENTION_SECONDS = 86_400.0
+"""Default time in seconds for which a key is remembered."""
 
-CLAIM_WAIT = 5.0
-"""Seconds after which a claim that was not decided is given up as not run."""
+CLAIM_TIMEOUT = 5.0
+"""Seconds after which an undecided claim is abandoned as not run."""
 
 OWNER_TIMEOUT = 1.5
-"""Seconds after which a claim goes on to the next host in the order of owners."""
+"""Seconds after which a claim is sent to the next host in the order of owners."""
 
 SETTLE_TIMEOUT = 5.0
-"""Seconds after which an outcome is reported again; above the owner's bound for flushing."""
+"""Seconds after which an outcome is reported again; longer than the owner delays outcomes."""
 
 STORE_TIMEOUT = 3.0
-"""Seconds after which the answer of a store call counts as lost."""
+"""Seconds after which the outcome of a store call is taken as unknown."""
 
-AVOID = 2.0
-"""Seconds for which a host that did not answer is passed over."""
+AVOID_SECONDS = 2.0
+"""Seconds for which a host that did not answer is not asked."""
 
-TICK = 0.02
-"""Seconds between ticks while anything waits."""
+TICK_SECONDS = 0.02
+"""Seconds between ticks while claims or outcomes are pending."""
 
-IDLE_TICK = 0.25
-"""Seconds between ticks while nothing waits."""
+IDLE_TICK_SECONDS = 0.25
+"""Seconds between ticks while none are pending."""
 
-RETRY_AFTER = 1.0
-"""Seconds after which a refused caller may try again."""
+RETRY_AFTER_SECONDS = 1.0
+"""Seconds after which a refused caller may retry."""
 
 JOIN_SECONDS = 5.0
-"""Seconds after its start for which a process takes those that it does not know to be alive."""
+"""Seconds after its start for which a process assumes that unknown processes are alive."""
--- a/src/azureswitch/coordination/claims/_messages.py
+++ b/src/azureswitch/coordination/claims/_messages.py
@@ -1,4 +1,4 @@
-"""What hosts ask each other about claims."""
+"""Messages between hosts about claims."""
 
 from enum import Enum
 
@@ -10,9 +10,9 @@
 
 
 class Verdict(Enum):
-    """What became of an ask.
+    """The result of a request.
 
-    UNAVAILABLE means that nothing was written; UNCERTAIN that a write may yet take effect.
+    UNAVAILABLE means that nothing was written, UNCERTAIN that a write may yet take effect.
     """
 
     GRANTED = "granted"
@@ -27,15 +27,15 @@
 
 
 class ClaimAsk(Struct, frozen=True, kw_only=True):
-    """Asks the owner of a shard for a claim; answered by ClaimReply once it is committed.
+    """Requests a claim from the owner of a shard, which replies once it is committed.
 
     Attributes:
         shard: The shard of the key.
         key: Digest of customer and key.
-        mark: Digest of the request's fingerprint.
+        mark: Digest of the fingerprint of the caller's request.
         holder: The process that will send the call.
         call: The call; with the holder it identifies the claim.
-        wait: Seconds after which the asker has given up.
+        wait: Seconds after which the claimer abandons the claim.
     """
 
     shard: int
@@ -47,7 +47,7 @@
 
 
 class SettleAsk(Struct, frozen=True, kw_only=True):
-    """Asks the owner of a shard to record an outcome; answered once it is committed."""
+    """Requests that the owner of a shard record an outcome; it replies once that is committed."""
 
     shard: int
     key: bytes
@@ -58,11 +58,11 @@
     answer: Answer | None = None
 
 
-Ask = ClaimAsk | SettleAsk
+Request = ClaimAsk | SettleAsk
 
 
 class ClaimReply(Struct, frozen=True, kw_only=True):
-    """The owner's reply to an ask."""
+    """The owner's reply to a request."""
 
     verdict: Verdict
     answer: Answer | None = None
@@ -76,6 +76,6 @@
 
 
 class HoldReply(Struct, frozen=True, kw_only=True):
-    """A claimer's word: where ``held`` is false it has not sent the call and never will."""
+    """A claimer's answer; if ``held`` is false, it has not sent the call and never will."""
 
     held: bool
--- a/src/azureswitch/coordination/claims/_model.py
+++ b/src/azureswitch/coordination/claims/_model.py
@@ -1,7 +1,6 @@
-"""What the store holds of claims.
+"""Stored types of claims, and the names of their objects.
 
-The stored types are `msgspec.Struct` instead of data classes: encoded as arrays they take half the
-bytes, and bytes written are what claims cost.
+They are encoded as arrays, which take half the bytes, as the cost of claims is the bytes written.
 """
 
 from enum import IntEnum
@@ -14,7 +13,7 @@
 from azureswitch.core import CallId, CustomerName, HostName, Incarnation
 
 SHARDS = 16
-"""Shards over which keys are spread; the same on every host and for good."""
+"""Number of shards of keys; it must be the same on every host and never change."""
 
 KEY_BYTES = 16
 """Bytes of a key's digest."""
@@ -22,15 +21,15 @@
 MARK_BYTES = 8
 """Bytes of a fingerprint's digest."""
 
-ANSWER_LIMIT = 4_096
-"""Bytes of a recorded answer's headers and body at most."""
+MAX_ANSWER_BYTES = 4_096
+"""Upper bound of the bytes of a recorded answer's headers and body."""
 
 HEAD_KIND = "claim-head"
 SEGMENT_KIND = "claim-segment"
 
 
 class RecordState(IntEnum):
-    """What is known of the latest claim of a key."""
+    """The state of the latest claim of a key."""
 
     CLAIMED = 1
     NOT_RUN = 2
@@ -44,8 +43,8 @@
     Attributes:
         status: The HTTP status.
         headers: Names and values.
-        body: The body; empty where ``whole`` is false.
-        whole: Whether headers and body fitted into `ANSWER_LIMIT`.
+        body: The body; empty if ``whole`` is false.
+        whole: Whether headers and body fit into `MAX_ANSWER_BYTES`.
     """
 
     status: int
@@ -59,8 +58,8 @@
         return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
 
     def bounded(self) -> "Answer":
-        """Return this answer, without headers and body where they are too large to record."""
-        if self.size <= ANSWER_LIMIT:
+        """Return this answer, without headers and body if they are too large to record."""
+        if self.size <= MAX_ANSWER_BYTES:
             return self
         return Answer(status=self.status, whole=False)
 
@@ -74,8 +73,8 @@
         started: The start of the claimer's incarnation.
         call: The claimer's call.
         mark: Digest of the request's fingerprint.
-        state: What is known of the claim.
-        at: When the record was made, in seconds of the wall clock; only retention looks at it.
+        state: The state of the claim.
+        at: When the record was made, in seconds of the wall clock; only retention uses it.
         answer: The recorded answer of a claim that is DONE.
     """
 
@@ -90,19 +89,19 @@
 
     @property
     def holder(self) -> Incarnation:
-        """The process that made the claim and alone may send the call."""
+        """The process that made the claim, the only one that may send the call."""
         return Incarnation(host=HostName(self.host), started=self.started)
 
     def belongs_to(self, *, holder: Incarnation, call: CallId) -> bool:
-        """Whether this is the claim of that process for that call."""
+        """Return whether this is the claim of a process for a call."""
         return self.call == call and self.holder == holder
 
 
 class SegmentRef(Struct, frozen=True, kw_only=True, array_like=True):
-    """Where older records of a shard lie.
+    """A reference to a segment with older records of a shard.
 
     Attributes:
-        first: Sequence number of the first open segment that went into it.
+        first: Sequence number of the first open segment that it contains.
         last: Sequence number of the last one.
         size: Its size in bytes.
         until: The newest ``Record.at`` in it.
@@ -115,38 +114,38 @@
 
     @property
     def width(self) -> int:
-        """How many open segments went into it."""
+        """Number of open segments that it contains."""
         return self.last - self.first + 1
 
 
 class Frozen(Struct, frozen=True, kw_only=True, array_like=True):
-    """An open segment that is full and waits until it stands as an object of its own."""
+    """A full open segment, which waits to be stored as a separate object."""
 
     sequence: int
     records: tuple[Record, ...]
 
 
 class Head(Struct, frozen=True, kw_only=True, array_like=True):
-    """The one object of a shard by whose version every claim is decided.
+    """The object of a shard whose version every claim is conditional on.
 
     Attributes:
-        sequence: The number of the open segment.
-        open: The newest records, one a key.
-        frozen: The open segment before, until it is stored.
+        sequence: The sequence number of the open segment.
+        open: The newest records, one per key.
+        frozen: The previous open segment, until it is stored.
         sealed: References to stored segments, oldest first.
-        doomed: References to segments that are to be deleted.
+        obsolete: References to segments that are to be deleted.
     """
 
     sequence: int = 1
     open: tuple[Record, ...] = ()
     frozen: Frozen | None = None
     sealed: tuple[SegmentRef, ...] = ()
-    doomed: tuple[SegmentRef, ...] = ()
+    obsolete: tuple[SegmentRef, ...] = ()
 
 
 _ENCODER = Encoder()
-_HEADS = Decoder(Head)
-_SEGMENTS = Decoder(tuple[Record, ...])
+_HEAD_DECODER = Decoder(Head)
+_SEGMENT_DECODER = Decoder(tuple[Record, ...])
 
 
 def encode_head(head: Head) -> bytes:
@@ -155,8 +154,8 @@
 
 
 def decode_head(value: bytes) -> Head:
-    """Return the head of its stored form."""
-    return _HEADS.decode(value)
+    """Return the head in its stored form."""
+    return _HEAD_DECODER.decode(value)
 
 
 def encode_segment(records: tuple[Record, ...]) -> bytes:
@@ -166,7 +165,7 @@
 
 def decode_segment(value: bytes) -> tuple[Record, ...]:
     """Return the records of a segment's stored form."""
-    return _SEGMENTS.decode(value)
+    return _SEGMENT_DECODER.decode(value)
 
 
 def head_name(shard: int) -> str:
@@ -175,15 +174,15 @@
 
 
 def segment_name(shard: int, ref: SegmentRef) -> str:
-    """Return the name of a segment, which stands for one content for good."""
+    """Return the name of a segment; the content under a name never changes."""
     return f"{shard:04d}.{ref.first}-{ref.last}"
 
 
 def key_digest(*, customer: CustomerName, key: str) -> bytes:
-    """Return the digest under which a key is kept.
+    """Return the digest under which a key is stored.
 
-    It is a cryptographic one, over the customer too: no customer can choose a key that meets
-    another customer's.
+    It is cryptographic and includes the customer, so that no customer can choose a key that
+    collides with another customer's.
     """
     owner = customer.encode()
     return blake2b(
@@ -192,7 +191,7 @@
 
 
 def fingerprint_mark(fingerprint: str) -> bytes:
-    """Return the digest by which another request with the same key is told apart."""
+    """Return the digest that distinguishes different requests with the same key."""
     return blake2b(fingerprint.encode(), digest_size=MARK_BYTES).digest()
 
 
--- a/src/azureswitch/coordination/claims/_owners.py
+++ b/src/azureswitch/coordination/claims/_owners.py
@@ -1,4 +1,4 @@
-"""Which hosts commit the claims of a shard; a matter of cost only, never of safety."""
+"""The hosts that commit the claims of a shard; their choice affects cost only, not safety."""
 
 from collections.abc import Iterable
 
--- a/src/azureswitch/coordination/claims/_presence.py
+++ b/src/azureswitch/coordination/claims/_presence.py
@@ -1,4 +1,4 @@
-"""Who is taken to be alive by a process that has just started and knows few of the others."""
+"""The processes that are assumed to be alive, also shortly after a start."""
 
 from collections.abc import Container
 from dataclasses import dataclass
@@ -8,8 +8,8 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Presumed(Container[Incarnation]):
-    """All processes but those that are known not to run any more.
+class PresumedAlive(Container[Incarnation]):
+    """All processes except those known to have ended, for a process that has just started.
 
     Attributes:
         known: The members known so far.
@@ -18,7 +18,7 @@
     known: tuple[Member, ...]
 
     def __contains__(self, item: object) -> bool:
-        """Tell whether a process may run."""
+        """Return whether a process may be running."""
         if not isinstance(item, Incarnation):
             return False
         for member in self.known:
@@ -30,8 +30,8 @@
         return True
 
 
-def alive(members: tuple[Member, ...]) -> frozenset[Incarnation]:
-    """Return the members that are not dead."""
+def live_incarnations(members: tuple[Member, ...]) -> frozenset[Incarnation]:
+    """Return the processes of the members that are not dead."""
     return frozenset(
         member.incarnation for member in members if member.status is not MemberStatus.DEAD
     )
--- a/src/azureswitch/coordination/claims/_results.py
+++ b/src/azureswitch/coordination/claims/_results.py
@@ -1,9 +1,9 @@
-"""What a claim comes to."""
+"""Results of claims."""
 
 from msgspec import Struct
 
 from azureswitch.coordination.claims._events import ResolveClaim
-from azureswitch.coordination.claims._limits import RETRY_AFTER
+from azureswitch.coordination.claims._limits import RETRY_AFTER_SECONDS
 from azureswitch.coordination.claims._messages import Verdict
 from azureswitch.exceptions import (
     AzureswitchError,
@@ -15,17 +15,17 @@
 
 
 class Granted(Struct, frozen=True, kw_only=True):
-    """This host, and it alone, may send the call, once."""
+    """Only this host may send the call, once."""
 
 
 class Replayed(Struct, frozen=True, kw_only=True):
-    """The call ran before; this is its first answer.
+    """The recorded answer of a call that ran before.
 
     Attributes:
         status: The HTTP status.
         headers: Names and values.
         body: The body.
-        whole: Whether headers and body were small enough to be recorded; else they are empty.
+        whole: Whether headers and body were small enough to be recorded; otherwise they are empty.
     """
 
     status: int
@@ -35,7 +35,7 @@
 
 
 def result(resolved: ResolveClaim) -> Granted | Replayed:
-    """Return what a decided claim comes to.
+    """Return the result of a decided claim.
 
     Raises:
         ClaimUnavailableError: It could not be claimed.
@@ -55,9 +55,9 @@
 
 def _error(verdict: Verdict) -> AzureswitchError:
     if verdict is Verdict.IN_PROGRESS:
-        return IdempotencyInProgressError(seconds=RETRY_AFTER)
+        return IdempotencyInProgressError(seconds=RETRY_AFTER_SECONDS)
     if verdict is Verdict.MISMATCH:
         return IdempotencyMismatchError()
     if verdict in (Verdict.LOST, Verdict.REPLAYED):
         return OutcomeLostError()
-    return ClaimUnavailableError(seconds=RETRY_AFTER)
+    return ClaimUnavailableError(seconds=RETRY_AFTER_SECONDS)
--- a/src/azureswitch/coordination/claims/_router.py
+++ b/src/azureswitch/coordination/claims/_router.py
@@ -5,9 +5,9 @@
 
 from absl import logging
 
-from azureswitch.coordination.claims._claimer import LAST_RANK
-from azureswitch.coordination.claims._limits import AVOID, OWNER_TIMEOUT, SETTLE_TIMEOUT
-from azureswitch.coordination.claims._messages import Ask, ClaimAsk, ClaimReply
+from azureswitch.coordination.claims._claimer import LOCAL_RANK
+from azureswitch.coordination.claims._limits import AVOID_SECONDS, OWNER_TIMEOUT, SETTLE_TIMEOUT
+from azureswitch.coordination.claims._messages import ClaimAsk, ClaimReply, Request
 from azureswitch.coordination.claims._owners import owners
 from azureswitch.coordination.membership import Member
 from azureswitch.core import HostName, Incarnation
@@ -16,7 +16,7 @@
 
 
 class Router:
-    """Chooses owners and calls them, except for a while those that have not answered.
+    """Chooses and calls owners, and for a while avoids those that have not answered.
 
     Args:
         myself: This process.
@@ -33,8 +33,8 @@
         self._avoided: dict[HostName, float] = {}
 
     def route(self, shard: int, *, rank: int) -> Member | None:
-        """Return the owner of a rank or the next one, or None where this process commits itself."""
-        order = owners(shard=shard, members=self._members())[:LAST_RANK]
+        """Return the owner from a rank on, or None if this process must commit the claim itself."""
+        order = owners(shard=shard, members=self._members())[:LOCAL_RANK]
         now = get_running_loop().time()
         for member in order[rank:]:
             if member.incarnation == self._myself:
@@ -43,19 +43,19 @@
                 return member
         return None
 
-    async def call(self, owner: Member, ask: Ask) -> ClaimReply:
+    async def call(self, owner: Member, request: Request) -> ClaimReply:
         """Return an owner's reply.
 
         Raises:
             PeerError: It did not answer.
         """
-        timeout = OWNER_TIMEOUT if isinstance(ask, ClaimAsk) else SETTLE_TIMEOUT
+        timeout = OWNER_TIMEOUT if isinstance(request, ClaimAsk) else SETTLE_TIMEOUT
         try:
             reply: ClaimReply = await self._peers.call(
-                address=owner.address, request=ask, reply=ClaimReply, timeout=timeout
+                address=owner.address, request=request, reply=ClaimReply, timeout=timeout
             )
         except PeerError:
-            self._avoided[owner.incarnation.host] = get_running_loop().time() + AVOID
+            self._avoided[owner.incarnation.host] = get_running_loop().time() + AVOID_SECONDS
             logging.info("claims: Host %s did not answer.", owner.incarnation.host)
             raise
         return reply
--- a/src/azureswitch/coordination/claims/_rules.py
+++ b/src/azureswitch/coordination/claims/_rules.py
@@ -1,10 +1,10 @@
-"""The rules by which one key's record changes; all else serves to apply them one at a time."""
+"""The transitions of a key's record; the other modules serialise and persist them."""
 
 from collections.abc import Container
 
 from msgspec import Struct
 
-from azureswitch.coordination.claims._messages import Ask, ClaimAsk, SettleAsk, Verdict
+from azureswitch.coordination.claims._messages import ClaimAsk, Request, SettleAsk, Verdict
 from azureswitch.coordination.claims._model import Answer, Record, RecordState
 from azureswitch.core import Incarnation
 from azureswitch.serving import ClaimOutcome
@@ -16,13 +16,13 @@
 }
 
 
-class Ruling(Struct, frozen=True, kw_only=True):
-    """What an ask leads to.
+class Decision(Struct, frozen=True, kw_only=True):
+    """The decision on a request.
 
     Attributes:
         verdict: The reply, valid once ``record`` is committed.
         answer: The recorded answer of a replay.
-        record: The record to write, or None where nothing changes.
+        record: The record to write, or None if nothing changes.
     """
 
     verdict: Verdict
@@ -30,72 +30,78 @@
     record: Record | None = None
 
 
-def rule(*, record: Record | None, ask: Ask, at: int, alive: Container[Incarnation]) -> Ruling:
-    """Return what an ask leads to.
+def decide(
+    *, record: Record | None, request: Request, at: int, alive: Container[Incarnation]
+) -> Decision:
+    """Return the decision on a request.
 
     Args:
         record: The key's record, or None.
-        ask: What is asked.
+        request: The request.
         at: The wall clock in seconds, for the record.
-        alive: The processes taken to be alive; the others' running claims read as lost.
+        alive: The processes assumed to be alive; running claims of others are taken as lost.
     """
-    if isinstance(ask, SettleAsk):
-        return _settle(record, ask, at)
-    return _claim(record, ask, at, alive)
+    if isinstance(request, SettleAsk):
+        return _settle(record, request, at)
+    return _claim(record, request, at, alive)
 
 
-def _written(ask: Ask, state: RecordState, at: int, answer: Answer | None = None) -> Record:
+def _new_record(
+    request: Request, state: RecordState, at: int, answer: Answer | None = None
+) -> Record:
     return Record(
-        key=ask.key,
-        host=ask.holder.host,
-        started=ask.holder.started,
-        call=ask.call,
-        mark=ask.mark,
+        key=request.key,
+        host=request.holder.host,
+        started=request.holder.started,
+        call=request.call,
+        mark=request.mark,
         state=state,
         at=at,
         answer=answer,
     )
 
 
-def _claim(record: Record | None, ask: ClaimAsk, at: int, alive: Container[Incarnation]) -> Ruling:
-    if record is not None and record.belongs_to(holder=ask.holder, call=ask.call):
-        return _repeated(record)
+def _claim(
+    record: Record | None, request: ClaimAsk, at: int, alive: Container[Incarnation]
+) -> Decision:
+    if record is not None and record.belongs_to(holder=request.holder, call=request.call):
+        return _decide_repeated(record)
     if record is None or record.state is RecordState.NOT_RUN:
-        claimed = _written(ask, RecordState.CLAIMED, at)
-        return Ruling(verdict=Verdict.GRANTED, record=claimed)
-    if record.mark != ask.mark:
-        return Ruling(verdict=Verdict.MISMATCH)
+        claimed = _new_record(request, RecordState.CLAIMED, at)
+        return Decision(verdict=Verdict.GRANTED, record=claimed)
+    if record.mark != request.mark:
+        return Decision(verdict=Verdict.MISMATCH)
     if record.state is RecordState.DONE:
-        return Ruling(verdict=Verdict.REPLAYED, answer=record.answer)
+        return Decision(verdict=Verdict.REPLAYED, answer=record.answer)
     if record.state is RecordState.CLAIMED and record.holder in alive:
-        return Ruling(verdict=Verdict.IN_PROGRESS)
-    return Ruling(verdict=Verdict.LOST)
+        return Decision(verdict=Verdict.IN_PROGRESS)
+    return Decision(verdict=Verdict.LOST)
 
 
-def _repeated(record: Record) -> Ruling:
-    """Recognise a claim that was committed before, by another owner or by a lost answer."""
+def _decide_repeated(record: Record) -> Decision:
+    """Decide on a claim that was committed before, by another owner or in a lost write."""
     if record.state is RecordState.CLAIMED:
-        return Ruling(verdict=Verdict.GRANTED)
-    return Ruling(verdict=Verdict.ABANDONED)
+        return Decision(verdict=Verdict.GRANTED)
+    return Decision(verdict=Verdict.ABANDONED)
 
 
-def _settle(record: Record | None, ask: SettleAsk, at: int) -> Ruling:
+def _settle(record: Record | None, request: SettleAsk, at: int) -> Decision:
     if record is None or record.state is RecordState.NOT_RUN:
-        return _release(record, ask, at)
-    if not record.belongs_to(holder=ask.holder, call=ask.call):
-        return Ruling(verdict=Verdict.RECORDED)
-    state = _STATES[ask.outcome]
+        return _release(record, request, at)
+    if not record.belongs_to(holder=request.holder, call=request.call):
+        return Decision(verdict=Verdict.RECORDED)
+    state = _STATES[request.outcome]
     late_answer = record.state is RecordState.UNKNOWN and state is RecordState.DONE
     if record.state is RecordState.CLAIMED or late_answer:
-        settled = _written(ask, state, at, ask.answer)
-        return Ruling(verdict=Verdict.RECORDED, record=settled)
-    return Ruling(verdict=Verdict.RECORDED)
-
-
-def _release(record: Record | None, ask: SettleAsk, at: int) -> Ruling:
-    """Fence a claim that may still be on its way, so that it is not granted when it arrives."""
-    if ask.outcome is not ClaimOutcome.NOT_RUN:
-        return Ruling(verdict=Verdict.RECORDED)
-    if record is not None and record.belongs_to(holder=ask.holder, call=ask.call):
-        return Ruling(verdict=Verdict.RECORDED)
-    return Ruling(verdict=Verdict.RECORDED, record=_written(ask, RecordState.NOT_RUN, at))
+        settled = _new_record(request, state, at, request.answer)
+        return Decision(verdict=Verdict.RECORDED, record=settled)
+    return Decision(verdict=Verdict.RECORDED)
+
+
+def _release(record: Record | None, request: SettleAsk, at: int) -> Decision:
+    """Fence a claim whose request may still be in transit, so that it is not granted later."""
+    if request.outcome is not ClaimOutcome.NOT_RUN:
+        return Decision(verdict=Verdict.RECORDED)
+    if record is not None and record.belongs_to(holder=request.holder, call=request.call):
+        return Decision(verdict=Verdict.RECORDED)
+    return Decision(verdict=Verdict.RECORDED, record=_new_record(request, RecordState.NOT_RUN, at))
--- a/src/azureswitch/coordination/claims/_shard.py
+++ b/src/azureswitch/coordination/claims/_shard.py
@@ -1,4 +1,4 @@
-"""What an owner knows of one shard."""
+"""An owner's view of one shard."""
 
 from array import array
 from bisect import bisect_left
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from azureswitch.coordination.claims._messages import Ask, Verdict
+from azureswitch.coordination.claims._messages import Request, Verdict
 from azureswitch.coordination.claims._model import (
     Answer,
     Frozen,
@@ -20,11 +20,11 @@
 )
 
 CACHED_SEGMENTS = 2
-"""Decoded segments that a shard keeps for repeats of older keys."""
+"""Number of decoded segments that a shard caches for repeats of older keys."""
 
 
 class Phase(Enum):
-    """What a shard waits for."""
+    """The phase of a shard: without a view, or waiting for a call to the store, or ready."""
 
     COLD = "cold"
     READING = "reading"
@@ -33,42 +33,43 @@
     WRITING = "writing"
 
 
-class Pending(Struct, kw_only=True):
-    """An ask that waits for its verdict.
+class PendingRequest(Struct, kw_only=True):
+    """A request that waits for its verdict.
 
     Attributes:
-        number: Names the ask in this process.
-        ask: What is asked.
-        arrived: When it came, on the monotonic clock.
-        order: Its place among the asks and store calls of the shard.
-        exposed: The version on which a write that holds its effect may yet land, or None.
+        number: Identifies the request in this process.
+        request: The request.
+        arrived: When it arrived, on the monotonic clock.
+        sequence: Its sequence number among the requests and calls for the head of the shard.
+        uncertain_version: The version on which a write with the effect of this request may yet
+            take effect, or None.
     """
 
     number: int
-    ask: Ask
+    request: Request
     arrived: float
-    order: int
-    exposed: int | None = None
+    sequence: int
+    uncertain_version: int | None = None
 
 
-class Ruled(Struct, frozen=True, kw_only=True):
-    """An ask with the verdict that its batch's commit makes valid.
+class DecidedRequest(Struct, frozen=True, kw_only=True):
+    """A request with its verdict, which is valid once the batch is committed.
 
     Attributes:
-        pending: The ask.
+        pending: The request.
         verdict: The verdict.
         answer: The recorded answer of a replay.
-        holder: The running claim that stands in the way, or None.
+        holder: The record of the running claim that prevents this one, or None.
     """
 
-    pending: Pending
+    pending: PendingRequest
     verdict: Verdict
     answer: Answer | None
     holder: Record | None = None
 
 
 class Shard:
-    """One shard as its owner sees it.
+    """The view and the pending requests of one shard.
 
     Args:
         number: The shard.
@@ -81,17 +82,17 @@
         self.head = Head()
         self.written = Head()
         self.open_bytes = 0
-        self.pending: list[Pending] = []
-        self.batch: list[Ruled] = []
-        self.order = 0
+        self.pending: list[PendingRequest] = []
+        self.batch: list[DecidedRequest] = []
+        self.sequence = 0
         self.issued = 0
         self.confirmed = 0
         self.next_read = 0.0
         self.next_write = 0.0
-        self.next_recall = 0.0
+        self.next_segment_read = 0.0
         self.retry_at = 0.0
         self.used_at = 0.0
-        self.recalling = False
+        self.loading_segment = False
         self.storing = False
         self.deleting = False
         self.merging: tuple[SegmentRef, ...] = ()
@@ -102,65 +103,67 @@
         self._cache: OrderedDict[str, dict[bytes, Record]] = OrderedDict()
 
     @property
-    def missing(self) -> tuple[SegmentRef, ...]:
-        """Sealed segments whose keys are not known here yet."""
+    def unindexed(self) -> tuple[SegmentRef, ...]:
+        """Sealed segments whose keys are not indexed yet."""
         return tuple(ref for ref in self.head.sealed if self.name(ref) not in self._indexes)
 
     @property
     def indexed_keys(self) -> int:
-        """How many keys of sealed segments are known here."""
+        """Number of indexed keys of sealed segments."""
         return sum(len(index) for index in self._indexes.values())
 
-    def enqueue(self, *, number: int, ask: Ask, arrived: float) -> None:
-        """Let an ask wait for its verdict."""
-        self.order += 1
-        self.pending.append(Pending(number=number, ask=ask, arrived=arrived, order=self.order))
+    def enqueue(self, *, number: int, request: Request, arrived: float) -> None:
+        """Add a pending request."""
+        self.sequence += 1
+        self.pending.append(
+            PendingRequest(number=number, request=request, arrived=arrived, sequence=self.sequence)
+        )
 
     def issue(self, phase: Phase) -> None:
-        """Note that a call to the store for the head begins."""
-        self.order += 1
-        self.issued = self.order
+        """Record that a call to the store for the head begins."""
+        self.sequence += 1
+        self.issued = self.sequence
         self.phase = phase
 
-    def confirms(self, pending: Pending) -> bool:
-        """Whether the view was read or written by a call that began after the ask came."""
-        return pending.order < self.confirmed
+    def confirms(self, pending: PendingRequest) -> bool:
+        """Return whether the view is from a store call that began after the request arrived."""
+        return pending.sequence < self.confirmed
 
     def name(self, ref: SegmentRef) -> str:
         """Return the name of a segment of this shard."""
         return segment_name(self.number, ref)
 
     def adopt(self, *, head: Head, version: int) -> None:
-        """Take a head that is known to be the one in the store."""
+        """Adopt a head that was read from or written to the store."""
         self.head = head
         self.version = version
         self.open_bytes = len(encode_segment(head.open))
         self.confirmed = self.issued
         self._open = {record.key: record for record in _newest(head)}
         self.stored.difference_update(head.sealed)
-        self.deleted.intersection_update(head.doomed)
+        self.deleted.intersection_update(head.obsolete)
         names = {self.name(ref) for ref in (*head.sealed, *self.stored)}
         self._indexes = {name: at for name, at in self._indexes.items() if name in names}
         for pending in self.pending:
-            if pending.exposed != version:
-                pending.exposed = None
+            if pending.uncertain_version != version:
+                pending.uncertain_version = None
 
     def index(self, *, ref: SegmentRef, records: Iterable[Record]) -> None:
-        """Learn the keys of a sealed segment."""
+        """Index the keys of a sealed segment."""
         self._indexes[self.name(ref)] = array("Q", sorted(_prefix(item.key) for item in records))
 
     def cache(self, *, ref: SegmentRef, records: Iterable[Record]) -> None:
-        """Keep a decoded segment for a while."""
+        """Cache a decoded segment."""
         self._cache[self.name(ref)] = {record.key: record for record in records}
         while len(self._cache) > CACHED_SEGMENTS:
             self._cache.popitem(last=False)
 
     def open_record(self, key: bytes) -> Record | None:
-        """Return a key's record in the head, if it is there."""
+        """Return a key's record in the head, or None."""
         return self._open.get(key)
 
     def sealed_record(self, key: bytes) -> Record | SegmentRef | None:
-        """Return a key's newest sealed record, or the segment that must be read to know it."""
+        """Return a key's newest sealed record, or the segment that must be read to find it."""
         prefix = _prefix(key)
         for ref in reversed(self.head.sealed):
             if not _contains(self._indexes[self.name(ref)], prefix):
--- a/src/azureswitch/coordination/claims/_state.py
+++ b/src/azureswitch/coordination/claims/_state.py
@@ -3,27 +3,27 @@
 from collections.abc import Container
 
 from azureswitch.coordination.claims._model import SHARDS
-from azureswitch.coordination.claims._presence import Presumed
+from azureswitch.coordination.claims._presence import PresumedAlive
 from azureswitch.coordination.claims._shard import Shard
 from azureswitch.core import Incarnation
 
-WRITE_BUDGET = 64.0
-"""Writes of heads a second by the whole fleet at most, while each shard has one owner."""
+MAX_WRITES_PER_SECOND = 64.0
+"""Upper bound of the writes of heads per second by the whole fleet, with one owner per shard."""
 
 
 class OwnerState:
-    """The shards that this process commits for.
+    """The shards whose requests this process commits.
 
     Args:
         retention: Seconds for which a key is remembered.
-        budget: Writes of heads a second by the whole fleet.
+        budget: Upper bound of the writes of heads per second by the whole fleet.
     """
 
-    def __init__(self, *, retention: float, budget: float = WRITE_BUDGET) -> None:
+    def __init__(self, *, retention: float, budget: float = MAX_WRITES_PER_SECOND) -> None:
         self._retention = retention
-        self._interval = SHARDS / budget
-        self._alive: Container[Incarnation] = Presumed(known=())
-        self._shards: dict[int, Shard] = {}
+        self.write_interval = SHARDS / budget
+        self.alive: Container[Incarnation] = PresumedAlive(known=())
+        self.shards: dict[int, Shard] = {}
 
     @property
     def retention(self) -> float:
@@ -36,15 +36,16 @@
 
     @property
     def waiting(self) -> int:
-        """How many asks wait for a verdict."""
-        return sum(len(shard.pending) + len(shard.batch) for shard in self._shards.values())
+        """Number of requests that wait for a verdict."""
+        return sum(len(shard.pending) + len(shard.batch) for shard in self.shards.values())
 
     @property
     def indexed_keys(self) -> int:
-        """How many keys of sealed segments are known here."""
-        return sum(shard.indexed_keys for shard in self._shards.values())
-
-    def _shard(self, number: int) -> Shard:
-        if number not in self._shards:
-            self._shards[number] = Shard(number=number)
-        return self._shards[number]
+        """Number of indexed keys of sealed segments."""
+        return sum(shard.indexed_keys for shard in self.shards.values())
+
+    def shard(self, number: int) -> Shard:
+        """Return the view of a shard, a new one if there is none."""
+        if number not in self.shards:
+            self.shards[number] = Shard(number=number)
+        return self.shards[number]
--- a/src/azureswitch/coordination/claims/_storage.py
+++ b/src/azureswitch/coordination/claims/_storage.py
@@ -1,4 +1,4 @@
-"""The store as owners use it: heads and segments, and what each call came to."""
+"""Store calls of owners for heads and segments, with their results as events."""
 
 from asyncio import get_running_loop, timeout
 from collections.abc import Callable, Coroutine
@@ -12,7 +12,7 @@
     HeadConflicted,
     HeadRead,
     HeadWriteFailed,
-    HeadWriteLost,
+    HeadWriteUnknown,
     HeadWritten,
     OwnerEvent,
     ReadFailed,
@@ -51,11 +51,11 @@
 Result = TypeVar("Result")
 
 StoreEffect: TypeAlias = ReadHead | WriteHead | ReadSegments | StoreSegment | DeleteSegments
-"""What an owner asks of the store."""
+"""The effects of an owner that are store calls."""
 
 
 class ClaimStorage:
-    """Runs an owner's effects at the store.
+    """Executes the store calls of an owner.
 
     Args:
         store: The platform's store.
@@ -67,7 +67,7 @@
         self._wall = wall
 
     async def run(self, effect: StoreEffect) -> OwnerEvent:
-        """Run one effect and return what it came to; no failure of the store is raised."""
+        """Execute a store call and return its result; failures of the store are not raised."""
         return await self._run(effect)
 
     def _now(self) -> float:
@@ -81,7 +81,9 @@
     async def _read_head(self, effect: ReadHead) -> OwnerEvent:
         version, head = 0, Head()
         try:
-            found = await _timed(self._store.get(kind=HEAD_KIND, name=head_name(effect.shard)))
+            found = await _with_timeout(
+                self._store.get(kind=HEAD_KIND, name=head_name(effect.shard))
+            )
             version, head = found.version, decode_head(found.value)
         except StoreNotFoundError:
             pass
@@ -94,11 +96,11 @@
     @_run.register
     async def _write_head(self, effect: WriteHead) -> OwnerEvent:
         try:
-            version = await _timed(self._put_head(effect))
+            version = await _with_timeout(self._put_head(effect))
         except (StoreConflictError, StoreNotFoundError):
             return HeadConflicted(now=self._now(), wall=self._wall(), shard=effect.shard)
         except (StoreOutcomeUnknownError, TimeoutError):
-            return HeadWriteLost(now=self._now(), wall=self._wall(), shard=effect.shard)
+            return HeadWriteUnknown(now=self._now(), wall=self._wall(), shard=effect.shard)
         except StoreError:
             return HeadWriteFailed(now=self._now(), wall=self._wall(), shard=effect.shard)
         return HeadWritten(now=self._now(), wall=self._wall(), shard=effect.shard, version=version)
@@ -130,7 +132,7 @@
     async def _segment(self, shard: int, ref: SegmentRef) -> tuple[Record, ...] | None:
         name = segment_name(shard, ref)
         try:
-            found = await _timed(self._store.get(kind=SEGMENT_KIND, name=name))
+            found = await _with_timeout(self._store.get(kind=SEGMENT_KIND, name=name))
         except StoreNotFoundError:
             return None
         return decode_segment(found.value)
@@ -139,9 +141,9 @@
     async def _store_segment(self, effect: StoreSegment) -> OwnerEvent:
         name, value = segment_name(effect.shard, effect.ref), encode_segment(effect.records)
         try:
-            await _timed(self._store.create(kind=SEGMENT_KIND, name=name, value=value))
+            await _with_timeout(self._store.create(kind=SEGMENT_KIND, name=name, value=value))
         except StoreConflictError:
-            # An earlier try, whose answer was lost, stored it: a name stands for one content.
+            # An earlier attempt with an unknown outcome stored it; a name has only one content.
             pass
         except (StoreError, TimeoutError):
             return SegmentStoreFailed(now=self._now(), wall=self._wall(), shard=effect.shard)
@@ -149,16 +151,18 @@
 
     @_run.register
     async def _delete_segments(self, effect: DeleteSegments) -> OwnerEvent:
-        gone = [ref for ref in effect.refs if await self._delete(effect.shard, ref)]
+        deleted = [ref for ref in effect.refs if await self._delete(effect.shard, ref)]
         return SegmentsDeleted(
-            now=self._now(), wall=self._wall(), shard=effect.shard, refs=tuple(gone)
+            now=self._now(), wall=self._wall(), shard=effect.shard, refs=tuple(deleted)
         )
 
     async def _delete(self, shard: int, ref: SegmentRef) -> bool:
         name = segment_name(shard, ref)
         try:
-            found = await _timed(self._store.get(kind=SEGMENT_KIND, name=name))
-            await _timed(self._store.delete(kind=SEGMENT_KIND, name=name, version=found.version))
+            found = await _with_timeout(self._store.get(kind=SEGMENT_KIND, name=name))
+            await _with_timeout(
+                self._store.delete(kind=SEGMENT_KIND, name=name, version=found.version)
+            )
         except StoreNotFoundError:
             return True
         except (StoreError, TimeoutError):
@@ -166,6 +170,6 @@
         return True
 
 
-async def _timed(work: Coroutine[Any, Any, Result]) -> Result:
+async def _with_timeout(work: Coroutine[Any, Any, Result]) -> Result:
     async with timeout(STORE_TIMEOUT):
         return await work
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -22,7 +22,7 @@
 
 
 class Host:
-    """One process; `sent` counts what reached the target, by key."""
+    """One process of a fleet."""
 
     def __init__(self, *, name: str, fleet: "Fleet", started: int = 1) -> None:
         self.address = name
@@ -41,7 +41,7 @@
         self.task = asyncio.create_task(self.claims.run())
 
     def stop(self) -> None:
-        """Kill the process: what it was doing never goes on."""
+        """Kill the process: none of its work continues."""
         self.task.cancel()
         self._fleet.network.stop(address=self.address)
         self.store.faults = StoreFaults(down=True)
@@ -64,7 +64,7 @@
         return call, result
 
     async def serve(self, key, *, outcome=ClaimOutcome.DONE, body: int | None = None, **options):
-        """Claim a key, send the call where that is granted, and report the outcome."""
+        """Claim a key, send the call if the claim is granted, and report the outcome."""
         call, result = await self.claim(key, **options)
         if isinstance(result, Granted):
             self._fleet.sent[key] += outcome is not ClaimOutcome.NOT_RUN
@@ -75,10 +75,10 @@
 
 
 class Fleet:
-    """Hosts that know each other.
+    """Hosts that are members of one fleet; `sent` counts calls that reached the target, by key.
 
     Args:
-        size: How many.
+        size: Number of hosts.
         retention: Seconds for which keys are remembered.
     """
 
@@ -92,7 +92,7 @@
         self.views: dict[str, tuple[Member, ...]] = {}
 
     def member(self, host: Host) -> Member:
-        """Return a host as membership shows it."""
+        """Return the member of a host."""
         return Member(
             incarnation=host.incarnation,
             place=PlaceName("a"),
@@ -100,8 +100,8 @@
             status=MemberStatus.ALIVE,
         )
 
-    def bury(self, host: Host) -> None:
-        """Let membership show a host as dead."""
+    def declare_dead(self, host: Host) -> None:
+        """Set the status of a host's member to dead."""
         self.members = tuple(
             (
                 replace(member, status=MemberStatus.DEAD)
@@ -111,8 +111,8 @@
             for member in self.members
         )
 
-    def split(self) -> None:
-        """Let every host believe that it is alone, and cut the ways between them."""
+    def isolate_hosts(self) -> None:
+        """Partition all hosts from each other, each with itself as the only member."""
         self.views = {host.address: (self.member(host),) for host in self.hosts}
         self.network.partition(*([host.address] for host in self.hosts))
 
@@ -122,7 +122,7 @@
         first = owners(shard=shard, members=self.members)[0]
         return next(host for host in self.hosts if host.incarnation == first.incarnation)
 
-    def faults(self, faults: StoreFaults) -> None:
+    def set_faults(self, faults: StoreFaults) -> None:
         """Set the same faults of the store for all hosts."""
         for host in self.hosts:
             host.store.faults = faults
--- a/tests/claims/test_machine.py
+++ b/tests/claims/test_machine.py
@@ -1,4 +1,4 @@
-"""The real reducers of claims against their specification."""
+"""The reducers of claims against their specification."""
 
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
@@ -7,10 +7,10 @@
 
 
 class TestMachine:
-    """Random orders of asks, writes, losses and crashes."""
+    """Random sequences of requests, writes, lost answers and crashes."""
 
     def test_reducers_keep_the_specification(self):
-        """No order breaks a promise, and undisturbed hosts come to rest."""
+        """No sequence violates the specification, and hosts without faults become idle."""
         bounds = settings(
             derandomize=True,
             database=None,
