--- a/bench/journal.py
+++ b/bench/journal.py
@@ -16,8 +16,8 @@
 from msgspec.msgpack import encode
 
 from azureswitch.coordination.journal import (
-    FLUSH_PERIOD,
     JOURNAL_KIND,
+    MIN_FLUSH_SECONDS,
     GroupWritten,
     JobRecord,
     Journal,
@@ -120,7 +120,7 @@
 
 def _per_call(rate: float, seconds: float) -> Cost:
     """Return the cost of an object per call: created, given progress, deleted."""
-    updates = seconds // FLUSH_PERIOD
+    updates = seconds // MIN_FLUSH_SECONDS
     size = len(encode(_record(1, 0.0)))
     return Cost(writes=rate * (2 + updates), bytes=rate * (1 + updates) * size)
 
@@ -129,7 +129,7 @@
     """Return the cost of one grouped record per host for every call, long or short."""
     size = len(encode(_record(1, 0.0)))
     running = CALLS * (LONG_SHARE * LONG_SECONDS + (1 - LONG_SHARE) * SHORT_SECONDS)
-    return Cost(writes=HOSTS / FLUSH_PERIOD, bytes=running * size / FLUSH_PERIOD)
+    return Cost(writes=HOSTS / MIN_FLUSH_SECONDS, bytes=running * size / MIN_FLUSH_SECONDS)
 
 
 class _EnginePort:
--- a/src/azureswitch/coordination/journal/__init__.py
+++ b/src/azureswitch/coordination/journal/__init__.py
@@ -1,21 +1,21 @@
-"""Long work survives the host that it entered through.
+"""The journal of long requests, by which other hosts find and finish them after a host's death.
 
-Each request gets the resilience that its kind needs.  A short answer leaves no record.  A long one
-gets a signed job id that says where it runs, which costs no write while its engine lives, and once
-it has run for some seconds a line in a record that its host writes for all its long work together.
+The resilience of a request depends on its kind.  A short request has no record.  A long one gets a
+signed job id that contains the engine on which it runs, which needs no write.  Once it has run for
+some seconds, it is also recorded in one object that its host writes for all its long requests.
 """
 
 from azureswitch.coordination.journal._driver import Journal
 from azureswitch.coordination.journal._jobs import KEY_BYTES, JobSigner
 from azureswitch.coordination.journal._model import (
-    FLUSH_PERIOD,
-    GROUP_LIMIT,
     JOURNAL_KIND,
-    OUTPUT_KEPT,
+    MAX_GROUP_RECORDS,
+    MIN_FLUSH_SECONDS,
+    MIN_RECORDED_SECONDS,
     OUTPUT_KIND,
-    RECORD_AGE,
-    DropGroup,
-    DropOutput,
+    OUTPUT_RETENTION_SECONDS,
+    DeleteGroup,
+    DeleteOutput,
     GroupFailed,
     GroupRead,
     GroupWritten,
@@ -27,10 +27,10 @@
     JournalTicked,
     KeptOutput,
     LongCallEnded,
-    LongCallKept,
     LongCallProgressed,
     LongCallStarted,
-    OwnerPresent,
+    OutputKept,
+    OwnerAnswered,
     ReadGroup,
     Resilience,
     ResumeJob,
@@ -41,18 +41,12 @@
 from azureswitch.coordination.journal._state import JournalState
 
 __all__ = [
-    "FLUSH_PERIOD",
-    "GROUP_LIMIT",
-    "JOURNAL_KIND",
-    "OUTPUT_KEPT",
-    "OUTPUT_KIND",
-    "KEY_BYTES",
-    "RECORD_AGE",
-    "DropGroup",
-    "DropOutput",
+    "DeleteGroup",
+    "DeleteOutput",
     "GroupFailed",
     "GroupRead",
     "GroupWritten",
+    "JOURNAL_KIND",
     "JobQuery",
     "JobRecord",
     "JobReply",
@@ -62,12 +56,18 @@
     "JournalKeyReply",
     "JournalState",
     "JournalTicked",
+    "KEY_BYTES",
     "KeptOutput",
     "LongCallEnded",
-    "LongCallKept",
     "LongCallProgressed",
     "LongCallStarted",
-    "OwnerPresent",
+    "MAX_GROUP_RECORDS",
+    "MIN_FLUSH_SECONDS",
+    "MIN_RECORDED_SECONDS",
+    "OUTPUT_KIND",
+    "OUTPUT_RETENTION_SECONDS",
+    "OutputKept",
+    "OwnerAnswered",
     "ReadGroup",
     "Resilience",
     "ResumeJob",
--- a/src/azureswitch/coordination/journal/_jobs.py
+++ b/src/azureswitch/coordination/journal/_jobs.py
@@ -1,4 +1,4 @@
-"""Job ids, which say where a request runs and cannot be made by callers."""
+"""Signed job ids, which contain where a request runs and cannot be forged by callers."""
 
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from binascii import Error
@@ -21,10 +21,10 @@
 
 
 class JobSigner:
-    """Makes and reads job ids.
+    """Signs and verifies job ids.
 
-    The customer is signed and not written into the id: an id that one customer shows to another
-    is of no use there.
+    The signature covers the customer, which the id does not contain: another customer cannot use
+    the id.
 
     Args:
         key: The key, the same on every host.
@@ -47,17 +47,17 @@
         return _text(self._signature(body, record.customer) + body)
 
     def read(self, *, job: str, customer: CustomerName) -> JobRecord | None:
-        """Return what a job id says, or None where it was not signed for this customer.
+        """Return the record in a job id, or None if it was not signed for this customer.
 
         Args:
             job: The job id.
-            customer: Who shows it.
+            customer: The customer that presents it.
         """
         try:
             raw = urlsafe_b64decode(job + "=" * (-len(job) % 4))
         except (Error, ValueError):
             return None
-        # Base64 ignores the last unused bits and foreign characters; one id has one spelling.
+        # Base64 ignores unused trailing bits and invalid characters; only one spelling is accepted.
         if _text(raw) != job:
             return None
         signature, body = raw[:_SIGNATURE_BYTES], raw[_SIGNATURE_BYTES:]
--- a/src/azureswitch/coordination/journal/_key.py
+++ b/src/azureswitch/coordination/journal/_key.py
@@ -1,4 +1,4 @@
-"""The key that signs job ids: made once, kept in the store, passed on by hosts."""
+"""The key that signs job ids: created once in the store, and also distributed by hosts."""
 
 from asyncio import get_running_loop
 from collections.abc import Callable, Iterable
@@ -23,20 +23,20 @@
 KEY_NAME = "journal"
 """The name of the object that holds the key."""
 
-_PEERS_ASKED = 3
-"""Hosts that are asked for the key where the store does not answer."""
+_MAX_QUERIED_PEERS = 3
+"""Upper bound of hosts that are asked for the key if the store does not answer."""
 
-_TIMEOUT = 0.5
-"""Seconds that a host has to answer in."""
+_QUERY_TIMEOUT_SECONDS = 0.5
+"""Seconds after which a `JournalKeyQuery` times out."""
 
-_RETRY = 2.0
-"""Seconds between two rounds in search of the key."""
+_RETRY_SECONDS = 2.0
+"""Minimum time in seconds between two searches for the key."""
 
 
 class KeySource:
-    """Finds the key, first in the store and then at other hosts.
+    """Finds the key in the store, or else at other hosts.
 
-    Only the store can make a key: two hosts that made one each would refuse each other's job ids.
+    A key is created only in the store: hosts with different keys would reject each other's job ids.
     """
 
     def __init__(
@@ -55,13 +55,13 @@
         self._random = Random(seed)
         self._key: bytes | None = None
         self._next_try = float("-inf")
-        peers.handle(JournalKeyQuery, self._answer)
+        peers.handle(JournalKeyQuery, self._answer_query)
 
     async def key(self) -> bytes | None:
-        """Return the key, or None while neither the store nor a host gives it."""
+        """Return the key, or None while neither the store nor a host returns it."""
         now = get_running_loop().time()
         if self._key is None and now >= self._next_try:
-            self._next_try = now + _RETRY
+            self._next_try = now + _RETRY_SECONDS
             self._key = await self._from_store() or await self._from_peers()
         return self._key
 
@@ -80,7 +80,7 @@
         except StoreConflictError:
             return (await self._store.get(kind=SECRET_KIND, name=KEY_NAME)).value
         except StoreError:
-            # Where the answer was lost, the next round reads what was written.
+            # If the outcome is unknown, the next search reads the key that was written.
             return None
 
     async def _from_peers(self) -> bytes | None:
@@ -89,23 +89,23 @@
             for member in self._members()
             if member.incarnation != self._myself and member.status is not MemberStatus.DEAD
         ]
-        for member in self._random.sample(others, min(_PEERS_ASKED, len(others))):
-            key = await self._ask(member.address)
+        for member in self._random.sample(others, min(_MAX_QUERIED_PEERS, len(others))):
+            key = await self._query(member.address)
             if key:
                 return key
         return None
 
-    async def _ask(self, address: str) -> bytes:
+    async def _query(self, address: str) -> bytes:
         try:
             reply = await self._peers.call(
                 address=address,
                 request=JournalKeyQuery(),
                 reply=JournalKeyReply,
-                timeout=_TIMEOUT,
+                timeout=_QUERY_TIMEOUT_SECONDS,
             )
         except PeerError:
             return b""
         return reply.key
 
-    async def _answer(self, query: JournalKeyQuery) -> JournalKeyReply:
+    async def _answer_query(self, query: JournalKeyQuery) -> JournalKeyReply:
         return JournalKeyReply(key=self._key or b"")
--- a/src/azureswitch/coordination/journal/_model.py
+++ b/src/azureswitch/coordination/journal/_model.py
@@ -1,4 +1,4 @@
-"""Records, messages, events and effects of the journal of long work."""
+"""Records, messages, events and effects of the journal."""
 
 from enum import Enum
 
@@ -11,27 +11,27 @@
 from azureswitch.serving import Call
 
 JOURNAL_KIND = "journal"
-"""The kind of the store's objects with the records of one process each."""
+"""The kind of the store's objects that hold the records of one process."""
 
-FLUSH_PERIOD = 10.0
-"""Seconds between two writes of one host's records at least."""
+MIN_FLUSH_SECONDS = 10.0
+"""Minimum time in seconds between two regular writes of a host's records, before jitter."""
 
-RECORD_AGE = 5.0
-"""Seconds that long work has run for before it is recorded; its job id serves until then."""
+MIN_RECORDED_SECONDS = 5.0
+"""Seconds after its start at which a long request is recorded; until then its job id suffices."""
 
-GROUP_LIMIT = 4_000
-"""Records in one object at most; with 200 bytes each it stays under a megabyte."""
+MAX_GROUP_RECORDS = 4_000
+"""Upper bound of the records in one object; with 200 bytes each it stays below a megabyte."""
 
 
 OUTPUT_KIND = "journal-output"
-"""The kind of the store's objects with one finished output each."""
+"""The kind of the store's objects that hold a finished output."""
 
-OUTPUT_KEPT = 43_200.0
-"""Seconds for which a finished output is kept whose caller lost its host."""
+OUTPUT_RETENTION_SECONDS = 43_200.0
+"""Seconds for which a finished output is kept for a caller whose host died."""
 
 
 class Resilience(Enum):
-    """What of a request survives its host."""
+    """How a request is recorded in case its host dies."""
 
     NONE = "none"
     JOURNAL = "journal"
@@ -39,11 +39,11 @@
 
 
 def resilience(*, call: Call, rules: Rules) -> Resilience:
-    """Return the resilience that a request gets by its kind.
+    """Return the resilience of a request by its kind.
 
     Args:
         call: The request.
-        rules: The rules in force, which say from which length on a prompt is long.
+        rules: The rules in force, which define the length of a long prompt.
     """
     if not call.repeatable:
         return Resilience.CLAIM
@@ -53,18 +53,18 @@
 
 
 class JobRecord(Struct, frozen=True, kw_only=True):
-    """Where a long request runs.
+    """A record of where a long request runs.
 
-    The prompt is not part of it: the engine holds it.
+    It does not contain the prompt, which the engine holds.
 
     Attributes:
         call: The request.
-        customer: Who sent it, and who alone may find it.
-        target: The engine that its output comes from.
+        customer: The customer that sent it; only this customer may find it.
+        target: The engine that generates its output.
         attempt: The attempt, counted from 1.
-        owner: The process that it entered through.
-        expires: When it must have finished, in seconds since the epoch.
-        tokens: Output tokens that are known to have reached the caller.
+        owner: The process that received it.
+        expires: Its deadline, or until when its output is kept, in seconds since the epoch.
+        tokens: Number of output tokens that are known to have reached the caller.
         done: Whether the request has finished and its output is kept in the store.
     """
 
@@ -82,8 +82,8 @@
     """The output of a request whose host died.
 
     Attributes:
-        customer: Who sent the request.
-        chunks: The output, from its first token on.
+        customer: The customer that sent the request.
+        chunks: The whole output.
     """
 
     customer: CustomerName
@@ -91,21 +91,21 @@
 
 
 class JobQuery(Struct, frozen=True, kw_only=True):
-    """Asks a process where one of its long requests runs now, or whether it is there at all.
+    """Asks a process for the record of a long request, or only whether the process is present.
 
     Attributes:
-        call: The request, or None for neither.
+        call: The request, or None to ask for presence only.
     """
 
     call: CallId | None
 
 
 class JobReply(Struct, frozen=True, kw_only=True):
-    """The answer to a JobQuery.
+    """Answers a `JobQuery`.
 
     Attributes:
         present: The process that answers.
-        record: The request's record, or None where the process does not run it.
+        record: The request's record, or None if the process does not have it.
     """
 
     present: Incarnation
@@ -117,7 +117,7 @@
 
 
 class JournalKeyReply(Struct, frozen=True, kw_only=True):
-    """The answer to a JournalKeyQuery; empty where the process has no key yet."""
+    """Answers a `JournalKeyQuery`; the key is empty if the process has none yet."""
 
     key: bytes
 
@@ -140,13 +140,13 @@
 
 
 class LongCallEnded(JournalEvent, frozen=True, kw_only=True):
-    """A long request ended, well or not."""
+    """A long request ended, successfully or not."""
 
     call: CallId
 
 
-class LongCallKept(JournalEvent, frozen=True, kw_only=True):
-    """A request that was taken over has finished, and its output is in the store.
+class OutputKept(JournalEvent, frozen=True, kw_only=True):
+    """A request has finished, and its output is in the store.
 
     Attributes:
         expires: Until when it is kept, in seconds since the epoch.
@@ -160,8 +160,8 @@
     """Time passed.
 
     Attributes:
-        members: What this host knows of the members, itself included.
-        wall: Seconds since the epoch, to drop records past their time.
+        members: The current members, this host included, and recently departed ones as dead.
+        wall: Seconds since the epoch, by which records expire.
     """
 
     members: tuple[Member, ...]
@@ -179,8 +179,8 @@
 
     Attributes:
         owner: The process.
-        item: The object, or None where there is none.
-        records: What it holds.
+        item: The object, or None if there is none.
+        records: Its records.
     """
 
     owner: Incarnation
@@ -188,24 +188,24 @@
     records: tuple[JobRecord, ...]
 
 
-class OwnerPresent(JournalEvent, frozen=True, kw_only=True):
-    """A process that was thought to be dead answered."""
+class OwnerAnswered(JournalEvent, frozen=True, kw_only=True):
+    """A process that was suspected or considered dead answered."""
 
     owner: Incarnation
 
 
 class GroupFailed(JournalEvent, frozen=True, kw_only=True):
-    """The store could not be reached, or did not say whether it wrote."""
+    """A call to the store for a group of records failed, or its outcome is unknown."""
 
     owner: Incarnation
 
 
 class WriteGroup(Effect, frozen=True, kw_only=True):
-    """Write this process's records; answer by GroupWritten, GroupRead or GroupFailed.
+    """Write this process's records; `GroupWritten`, `GroupRead` or `GroupFailed` follows.
 
     Attributes:
         records: All records.
-        version: The version to replace, or zero where the object does not exist.
+        version: The version to replace, or zero if the object does not exist.
     """
 
     records: tuple[JobRecord, ...]
@@ -213,33 +213,33 @@
 
 
 class ReadGroup(Effect, frozen=True, kw_only=True):
-    """Read the records of a process that does not answer.
+    """Read the records of a process, unless it answers a query.
 
-    Answer by GroupRead, GroupFailed, or OwnerPresent where it does.
+    `OwnerAnswered`, `GroupRead` or `GroupFailed` follows.
 
     Attributes:
         owner: The process.
-        address: Its address; empty for none.
+        address: Its address; empty if there is none to query.
     """
 
     owner: Incarnation
     address: str
 
 
-class DropGroup(Effect, frozen=True, kw_only=True):
-    """Delete the records of a dead process, which this host has taken over and written."""
+class DeleteGroup(Effect, frozen=True, kw_only=True):
+    """Delete the object of a dead process whose records this host has taken over and written."""
 
     owner: Incarnation
     version: int
 
 
 class ResumeJob(Effect, frozen=True, kw_only=True):
-    """Read the output of a request whose host died, so that its engine finishes it."""
+    """Read the output of a request whose host died, as its engine stops without a reader."""
 
     record: JobRecord
 
 
-class DropOutput(Effect, frozen=True, kw_only=True):
-    """Delete a kept output whose time is over."""
+class DeleteOutput(Effect, frozen=True, kw_only=True):
+    """Delete a kept output that has expired or is not needed."""
 
     call: CallId
--- a/src/azureswitch/coordination/journal/_outputs.py
+++ b/src/azureswitch/coordination/journal/_outputs.py
@@ -1,4 +1,4 @@
-"""Outputs of requests whose host died: read to their end, kept, and given again."""
+"""Outputs of long requests: read from engines, kept in the store, and returned to callers."""
 
 from asyncio import sleep
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
@@ -9,8 +9,8 @@
 from msgspec.msgpack import decode, encode
 
 from azureswitch.coordination.journal._model import (
-    OUTPUT_KEPT,
     OUTPUT_KIND,
+    OUTPUT_RETENTION_SECONDS,
     JobRecord,
     KeptOutput,
 )
@@ -27,14 +27,14 @@
 )
 from azureswitch.ports import Chunk, Engine, Store
 
-_ATTACH_TRIES = 3
-"""How often a broken stream is attached to again before the request counts as lost."""
+_MAX_ATTACH_ATTEMPTS = 3
+"""Upper bound of attempts to attach to a stream before the request counts as lost."""
 
-_ATTACH_PAUSE = 0.5
-"""Seconds between two tries to attach."""
+_ATTACH_RETRY_SECONDS = 0.5
+"""Seconds between two attempts to attach."""
 
-_STORE_PAUSE = 10.0
-"""Seconds between two tries to store an output."""
+_STORE_RETRY_SECONDS = 10.0
+"""Seconds between two attempts to store an output."""
 
 _EVENT_END = b"\n\n"
 
@@ -55,7 +55,7 @@
         """Read a request's output to its end and store it.
 
         Returns:
-            Until when it is kept, in seconds since the epoch, or None where the engine lost it.
+            Until when it is kept, in seconds since the epoch, or None if the engine has lost it.
         """
         chunks = await self._drain(record)
         if chunks is None:
@@ -67,37 +67,37 @@
         """Store a request's whole output.
 
         Returns:
-            Until when it is kept, in seconds since the epoch, or None where it is too large.
+            Until when it is kept, in seconds since the epoch, or None if it is too large.
         """
         value = encode(KeptOutput(customer=record.customer, chunks=tuple(chunks)))
         try:
             while not await self._put(record.call, value):
-                await sleep(_STORE_PAUSE)
+                await sleep(_STORE_RETRY_SECONDS)
         except StoreValueTooLargeError as error:
             logging.warning("journal: %s", error)
             return None
-        return time() + OUTPUT_KEPT
+        return time() + OUTPUT_RETENTION_SECONDS
 
     async def read(self, *, record: JobRecord, offset: int) -> AsyncIterator[Chunk]:
-        """Yield a request's output from a token offset on, from its engine or the store."""
-        for _ in range(0 if record.done else _ATTACH_TRIES):
+        """Yield a request's output after a token offset, from its engine or else the store."""
+        for _ in range(0 if record.done else _MAX_ATTACH_ATTEMPTS):
             try:
                 async for chunk in self._attach(record, offset):
                     offset += chunk.tokens
                     yield chunk
                 return
             except TargetBrokenError:
-                await sleep(_ATTACH_PAUSE)
+                await sleep(_ATTACH_RETRY_SECONDS)
             except AzureswitchError as error:
                 logging.info("journal: %s", error)
                 break
-        for chunk in await self._kept(record):
-            rest = _after(chunk, offset)
+        for chunk in await self._read_kept(record):
+            rest = _skip_tokens(chunk, offset)
             offset -= min(offset, chunk.tokens)
             if rest is not None:
                 yield rest
 
-    async def drop(self, call: CallId) -> None:
+    async def delete(self, call: CallId) -> None:
         """Delete a kept output."""
         try:
             item = await self._store.get(kind=OUTPUT_KIND, name=call)
@@ -107,7 +107,7 @@
 
     async def _drain(self, record: JobRecord) -> list[Chunk] | None:
         chunks: list[Chunk] = []
-        for _ in range(_ATTACH_TRIES):
+        for _ in range(_MAX_ATTACH_ATTEMPTS):
             try:
                 async for chunk in self._attach(record, sum(c.tokens for c in chunks)):
                     chunks.append(chunk)
@@ -116,7 +116,7 @@
             except TargetRefusedError:
                 return None
             except TargetBrokenError:
-                await sleep(_ATTACH_PAUSE)
+                await sleep(_ATTACH_RETRY_SECONDS)
             except AzureswitchError:
                 return None
         return None
@@ -131,7 +131,7 @@
         try:
             await self._store.create(kind=OUTPUT_KIND, name=call, value=value)
         except StoreConflictError:
-            # Another host took the request over as well, or an answer was lost.
+            # Another host has taken the request over too, or the outcome of a write was unknown.
             return True
         except StoreValueTooLargeError:
             raise
@@ -140,7 +140,7 @@
             return False
         return True
 
-    async def _kept(self, record: JobRecord) -> tuple[Chunk, ...]:
+    async def _read_kept(self, record: JobRecord) -> tuple[Chunk, ...]:
         try:
             item = await self._store.get(kind=OUTPUT_KIND, name=record.call)
             kept = decode(item.value, type=KeptOutput)
@@ -151,13 +151,13 @@
         return kept.chunks
 
 
-def _after(chunk: Chunk, offset: int) -> Chunk | None:
-    """Return what of a chunk comes after its first ``offset`` tokens."""
+def _skip_tokens(chunk: Chunk, offset: int) -> Chunk | None:
+    """Return the part of a chunk after its first ``offset`` tokens, or None if that is empty."""
     if offset <= 0:
         return chunk
     if offset >= chunk.tokens and not chunk.last:
         return None
-    # The events with tokens come before those that end the stream.
+    # In a chunk, the events with tokens precede those that end the stream.
     skipped = min(offset, chunk.tokens)
     events = chunk.data.split(_EVENT_END)[skipped:]
     return Chunk(data=_EVENT_END.join(events), tokens=chunk.tokens - skipped, last=chunk.last)
--- a/src/azureswitch/coordination/journal/_reduce.py
+++ b/src/azureswitch/coordination/journal/_reduce.py
@@ -1,4 +1,4 @@
-"""The reducer of the journal: when records are written, and who takes over a dead host's."""
+"""The reducer of the journal: writes of records, and takeovers of those of dead hosts."""
 
 from functools import singledispatch
 from math import inf
@@ -6,21 +6,21 @@
 from msgspec.structs import replace
 
 from azureswitch.coordination.journal._model import (
-    FLUSH_PERIOD,
-    GROUP_LIMIT,
-    RECORD_AGE,
-    DropGroup,
-    DropOutput,
+    MAX_GROUP_RECORDS,
+    MIN_FLUSH_SECONDS,
+    MIN_RECORDED_SECONDS,
+    DeleteGroup,
+    DeleteOutput,
     GroupFailed,
     GroupRead,
     GroupWritten,
     JournalEvent,
     JournalTicked,
     LongCallEnded,
-    LongCallKept,
     LongCallProgressed,
     LongCallStarted,
-    OwnerPresent,
+    OutputKept,
+    OwnerAnswered,
     ReadGroup,
     ResumeJob,
     WriteGroup,
@@ -30,20 +30,20 @@
 from azureswitch.core import NO_EFFECTS, Effects
 from azureswitch.hashing import ranked
 
-PRESENCE_PERIOD = 1.0
-"""Seconds between two questions to a suspected process that answers."""
+PRESENCE_CHECK_SECONDS = 1.0
+"""Seconds between two queries to a suspected process that answers."""
 
 
 def reduce(state: JournalState, event: JournalEvent) -> Effects:
-    """Handle one event.
+    """Apply an event.
 
     Args:
-        state: The state, updated in place.
+        state: The state, which is updated in place.
         event: What happened.
 
     Returns:
-        At most one write of this host's records, reads of those of dead processes, and the
-        requests that this host takes over.
+        The effects that the driver must execute: at most one write of this host's records, reads
+        and deletions of those of dead processes, and takeovers of requests.
     """
     return _handle(event, state)
 
@@ -58,9 +58,9 @@
     call = event.record.call
     known = state._open.get(call)
     if known is None:
-        state._open[call] = Entry(record=event.record, since=event.now)
+        state._open[call] = Entry(record=event.record, started=event.now)
         return NO_EFFECTS
-    # The caller holds a job id that names the earlier engine.
+    # The caller's job id contains the previous engine.
     record = replace(event.record, tokens=max(known.record.tokens, event.record.tokens))
     state._open[call] = replace(known, record=record, urgent=True)
     state._urgent = True
@@ -83,10 +83,10 @@
 
 
 @_handle.register
-def _(event: LongCallKept, state: JournalState) -> Effects:
+def _(event: OutputKept, state: JournalState) -> Effects:
     known = state._open.get(event.call)
     if known is None:
-        return (DropOutput(call=event.call),)
+        return (DeleteOutput(call=event.call),)
     record = replace(known.record, done=True, expires=event.expires)
     state._open[event.call] = replace(known, record=record, urgent=True)
     state._urgent = True
@@ -99,7 +99,7 @@
         *_expire(state, event.wall),
         *_flush(state, event.now),
         *_take_over(state, event),
-        *_drop_groups(state, event),
+        *_delete_groups(state, event),
     )
 
 
@@ -107,7 +107,7 @@
     expired = [entry.record for entry in state._open.values() if entry.record.expires < wall]
     for record in expired:
         del state._open[record.call]
-    return tuple(DropOutput(call=record.call) for record in expired if record.done)
+    return tuple(DeleteOutput(call=record.call) for record in expired if record.done)
 
 
 def _flush(state: JournalState, now: float) -> Effects:
@@ -116,24 +116,26 @@
     due = [
         entry
         for entry in state._open.values()
-        if entry.urgent or entry.record.call in state._written or now >= entry.since + RECORD_AGE
+        if entry.urgent
+        or entry.record.call in state._written
+        or now >= entry.started + MIN_RECORDED_SECONDS
     ]
     calls = frozenset(entry.record.call for entry in due)
     if calls == state._written and not state._urgent:
         return NO_EFFECTS
-    state._next_flush = now + FLUSH_PERIOD * state._random.uniform(0.9, 1.1)
+    state._next_flush = now + MIN_FLUSH_SECONDS * state._random.uniform(0.9, 1.1)
     state._writing = True
-    # The oldest have the most work to lose, so they are kept where there are too many.
-    due.sort(key=lambda entry: entry.since)
-    records = tuple(entry.record for entry in due[:GROUP_LIMIT])
+    # If there are too many, the oldest are recorded, as most work would be lost with them.
+    due.sort(key=lambda entry: entry.started)
+    records = tuple(entry.record for entry in due[:MAX_GROUP_RECORDS])
     state._written = calls
     state._urgent = False
     return (WriteGroup(records=records, version=state._version),)
 
 
 def _take_over(state: JournalState, event: JournalTicked) -> Effects:
-    _believe_again(state, event)
-    gone = {
+    _clear_answering(state, event)
+    absent = {
         member.incarnation: member.address
         for member in event.members
         if member.status in (MemberStatus.DEAD, MemberStatus.SUSPECT)
@@ -144,33 +146,33 @@
     live.add(state._myself.host)
     wanted = [
         owner
-        for owner in sorted(gone.keys() | state._orphans.keys())
-        if state._orphans.get(owner, event.now) <= event.now
+        for owner in sorted(absent.keys() | state._next_reads.keys())
+        if state._next_reads.get(owner, event.now) <= event.now
         and ranked(name=str(owner), hosts=live)[0] == state._myself.host
     ]
     for owner in wanted:
-        state._orphans[owner] = inf
-    return tuple(ReadGroup(owner=owner, address=gone.get(owner, "")) for owner in wanted)
+        state._next_reads[owner] = inf
+    return tuple(ReadGroup(owner=owner, address=absent.get(owner, "")) for owner in wanted)
 
 
-def _believe_again(state: JournalState, event: JournalTicked) -> None:
-    # A process that was suspected wrongly is looked at anew when it is suspected again.
+def _clear_answering(state: JournalState, event: JournalTicked) -> None:
+    # If a process that was wrongly suspected is suspected again, its records are read again.
     for member in event.members:
         if member.status in (MemberStatus.ALIVE, MemberStatus.LEAVING):
-            state._orphans.pop(member.incarnation, None)
+            state._next_reads.pop(member.incarnation, None)
             state._takeovers.pop(member.incarnation, None)
     listed = {member.incarnation for member in event.members}
-    for owner in [owner for owner, due in state._orphans.items() if due == inf]:
+    for owner in [owner for owner, due in state._next_reads.items() if due == inf]:
         if owner not in listed:
-            del state._orphans[owner]
+            del state._next_reads[owner]
 
 
-def _drop_groups(state: JournalState, event: JournalTicked) -> Effects:
+def _delete_groups(state: JournalState, event: JournalTicked) -> Effects:
     dead = {member.incarnation for member in event.members if member.status is MemberStatus.DEAD}
     drops = tuple(
-        DropGroup(owner=owner, version=takeover.version)
+        DeleteGroup(owner=owner, version=takeover.version)
         for owner, takeover in state._takeovers.items()
-        if takeover.safe and owner in dead
+        if takeover.persisted and owner in dead
     )
     for drop in drops:
         del state._takeovers[drop.owner]
@@ -181,17 +183,17 @@
 def _(event: GroupWritten, state: JournalState) -> Effects:
     state._writing = False
     state._version = event.item.version
-    # What was read while the write was under way waits for the next one.
+    # Records that were taken over during the write are included in the next one.
     if not state._urgent:
         state._takeovers = {
-            owner: replace(takeover, safe=True) for owner, takeover in state._takeovers.items()
+            owner: replace(takeover, persisted=True) for owner, takeover in state._takeovers.items()
         }
     return NO_EFFECTS
 
 
 @_handle.register
-def _(event: OwnerPresent, state: JournalState) -> Effects:
-    state._orphans[event.owner] = event.now + PRESENCE_PERIOD
+def _(event: OwnerAnswered, state: JournalState) -> Effects:
+    state._next_reads[event.owner] = event.now + PRESENCE_CHECK_SECONDS
     return NO_EFFECTS
 
 
@@ -201,17 +203,18 @@
         return _rewrite(state, event)
     if event.item is None:
         return NO_EFFECTS
-    takeover = Takeover(version=event.item.version, safe=not event.records)
+    takeover = Takeover(version=event.item.version, persisted=not event.records)
     state._takeovers[event.owner] = takeover
     state._urgent = True
-    taken = [record for record in event.records if record.call not in state._open]
-    for record in taken:
-        state._open[record.call] = Entry(record=record, since=event.now, urgent=True)
-    return tuple(ResumeJob(record=record) for record in taken if not record.done)
+    added = [record for record in event.records if record.call not in state._open]
+    for record in added:
+        state._open[record.call] = Entry(record=record, started=event.now, urgent=True)
+    return tuple(ResumeJob(record=record) for record in added if not record.done)
 
 
 def _rewrite(state: JournalState, event: GroupRead) -> Effects:
-    # An answer was lost, or another host believed this one dead and deleted its records.
+    # The outcome of a write was unknown, or another host considered this one dead and deleted its
+    # records.
     state._writing = False
     state._version = 0 if event.item is None else event.item.version
     state._urgent = True
@@ -220,10 +223,10 @@
 
 @_handle.register
 def _(event: GroupFailed, state: JournalState) -> Effects:
-    # Every host waits for a time of its own, so that a store that returns is not flooded.
-    due = event.now + FLUSH_PERIOD * state._random.uniform(0.5, 1.5)
+    # The jitter keeps the hosts from overloading a store that has just recovered.
+    due = event.now + MIN_FLUSH_SECONDS * state._random.uniform(0.5, 1.5)
     if event.owner != state._myself:
-        state._orphans[event.owner] = due
+        state._next_reads[event.owner] = due
         return NO_EFFECTS
     state._writing = False
     state._written = frozenset()
--- a/src/azureswitch/coordination/journal/_state.py
+++ b/src/azureswitch/coordination/journal/_state.py
@@ -1,4 +1,4 @@
-"""The state behind one host's journal."""
+"""The state of one host's journal."""
 
 from random import Random
 
@@ -13,12 +13,12 @@
 
     Attributes:
         record: The record.
-        since: When the request started here, on the host's monotonic clock.
-        urgent: Whether its job id no longer says where it runs, so that only a record does.
+        started: When the request started here, on the host's monotonic clock.
+        urgent: Whether it must be written at once, as the job id no longer contains the engine.
     """
 
     record: JobRecord
-    since: float
+    started: float
     urgent: bool = False
 
 
@@ -26,16 +26,16 @@
     """A group of records that this host has read from the store.
 
     Attributes:
-        version: The version of the object that held them.
-        safe: Whether this host's own object holds them now.
+        version: The version of the object that they were read from.
+        persisted: Whether this host's own object contains them.
     """
 
     version: int
-    safe: bool = False
+    persisted: bool = False
 
 
 class JournalState:
-    """The long work of one host, and the dead processes whose records it takes over."""
+    """The long requests of one host, and the dead processes whose records it takes over."""
 
     def __init__(self, *, myself: Incarnation, seed: int) -> None:
         self._myself = myself
@@ -46,13 +46,13 @@
         self._writing = False
         self._next_flush = float("-inf")
         self._urgent = False
-        # When to look at the records of a process that is gone; infinite once they were read.
-        self._orphans: dict[Incarnation, float] = {}
+        # When to read the records of a process that is suspected or dead; infinite after the read.
+        self._next_reads: dict[Incarnation, float] = {}
         self._takeovers: dict[Incarnation, Takeover] = {}
 
     @property
     def records(self) -> tuple[JobRecord, ...]:
-        """The long work of this host, taken over included."""
+        """The records of this host's long requests, including those taken over."""
         return tuple(entry.record for entry in self._open.values())
 
     def find(self, call: CallId) -> JobRecord | None:
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -1,4 +1,4 @@
-"""Tests of the journal: finding long work after its host died, and what it costs."""
+"""Tests of the journal: finding long requests after the death of a host, and its store calls."""
 
 from asyncio import Event, sleep
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -10,12 +10,12 @@
 from msgspec.structs import replace
 
 from azureswitch.coordination.journal import (
-    FLUSH_PERIOD,
     JOURNAL_KIND,
     KEY_BYTES,
-    OUTPUT_KEPT,
+    MIN_FLUSH_SECONDS,
+    MIN_RECORDED_SECONDS,
     OUTPUT_KIND,
-    RECORD_AGE,
+    OUTPUT_RETENTION_SECONDS,
     JobRecord,
     JobSigner,
     Journal,
@@ -57,27 +57,27 @@
 
 
 class CountedStore(StoreFake):
-    """Counts the calls that are tried, also while the store is down."""
+    """Counts attempted calls, also while the store is down."""
 
-    asked = 0
+    attempts = 0
 
     async def get(self, *, kind: str, name: str) -> StoredObject:
         """Return an object."""
-        self.asked += 1
+        self.attempts += 1
         return await super().get(kind=kind, name=name)
 
     async def create(self, *, kind: str, name: str, value: bytes) -> StoredObject:
         """Create an object."""
-        self.asked += 1
+        self.attempts += 1
         return await super().create(kind=kind, name=name, value=value)
 
 
 class EngineFake:
-    """One host's way to an engine that runs one request of three tokens.
+    """One host's client of an engine that runs one request of three tokens.
 
     Attributes:
-        attached: The offsets that were attached to.
-        broken: Streams that break after their first token.
+        attached: The offsets of all attachments.
+        broken: Number of streams that break after their first token.
         lost: Whether the engine does not know the request.
     """
 
@@ -88,7 +88,7 @@
         self._finished = finished
 
     async def attach(self, *, call: CallId, attempt: int, offset: int) -> AsyncIterator[Chunk]:
-        """Yield the tokens after an offset, the last once the request may finish."""
+        """Yield the tokens after an offset, the last one once the request may finish."""
         self.attached.append(offset)
         if self.lost:
             raise TargetRefusedError(target="engine")
@@ -110,7 +110,7 @@
 
 
 class Fleet:
-    """Hosts with one store, of which each host has its own view."""
+    """Hosts with one store, each with its own client."""
 
     def __init__(self) -> None:
         self.model = StoreModel()
@@ -144,8 +144,8 @@
         )
 
     @property
-    def heirs(self) -> list[HostName]:
-        """Hosts that attached to the request's engine."""
+    def successors(self) -> list[HostName]:
+        """Hosts that have attached to the request's engine."""
         return [name for name in HOSTS if self.engines[name][ENGINE].attached]
 
     @property
@@ -158,18 +158,18 @@
         """Hosts that were not killed."""
         return [name for name in HOSTS if name not in self.dead]
 
-    def believe(self, name: HostName, status: MemberStatus) -> None:
-        """Let all hosts believe something of one."""
+    def set_status(self, name: HostName, status: MemberStatus) -> None:
+        """Set a host's status in the views of all hosts."""
         self.members[name] = replace(self.members[name], status=status)
 
     def kill(self, name: HostName) -> None:
-        """End a host and let the others know."""
+        """Stop a host and set its status to dead."""
         self.dead.add(name)
         self.network.stop(address=self.members[name].address)
-        self.believe(name, MemberStatus.DEAD)
+        self.set_status(name, MemberStatus.DEAD)
 
     def all_stores(self, faults: StoreFaults) -> None:
-        """Set the faults of every host's way to the store."""
+        """Set the faults of every host's store client."""
         for store in self.stores.values():
             store.faults = faults
 
@@ -184,14 +184,14 @@
         await self.journals[HOSTS[0]].record(call=CALL, target=OTHER_ENGINE, attempt=2)
 
     async def run(self, seconds: float) -> None:
-        """Let the living hosts work for a while."""
+        """Run the living hosts for some seconds."""
         for _ in range(int(seconds)):
             for name in self.living:
                 await self.journals[name].tick()
             await sleep(1.0)
 
     async def found(self, job: str, *, customer: CustomerName = CUSTOMER) -> set[TargetName]:
-        """Ask every living host; return the engines that they name."""
+        """Return the engines in the records that the living hosts find."""
         records = [await self.journals[n].find(job=job, customer=customer) for n in self.living]
         return {record.target for record in records if record is not None}
 
@@ -213,8 +213,8 @@
 
     @pytest.mark.parametrize("store_down", [False, True])
     @pytest.mark.parametrize("killed", [False, True])
-    def test_job_id_alone_is_enough(self, killed: bool, store_down: bool) -> None:
-        """The id says where the request runs, with its host dead and the store away."""
+    def test_job_id_is_sufficient(self, killed: bool, store_down: bool) -> None:
+        """A request is found by its id alone if its host is dead and the store is down."""
 
         async def script(fleet: Fleet) -> None:
             job = await fleet.start()
@@ -228,7 +228,7 @@
 
     @pytest.mark.parametrize("seconds", [0, 2, 60], ids=["alive", "recorded", "taken over"])
     def test_redispatched_request_is_found(self, seconds: int) -> None:
-        """An id that names an earlier engine leads to the present one."""
+        """An id with a previous engine leads to the current one."""
 
         async def script(fleet: Fleet) -> None:
             job = await fleet.start()
@@ -243,7 +243,7 @@
         play(script)
 
     def test_other_customers_find_nothing(self) -> None:
-        """An id is of no use to a customer that it was not made for, nor is a changed one."""
+        """An id of another customer, or a modified one, is rejected."""
 
         async def script(fleet: Fleet) -> None:
             job = await fleet.start()
@@ -254,8 +254,8 @@
 
         play(script)
 
-    def test_host_that_joins_in_an_outage_has_the_key(self) -> None:
-        """Hosts pass the key on while the store is away, and never make a second one."""
+    def test_key_during_an_outage(self) -> None:
+        """While the store is down, a host gets the key from another one and creates no second."""
 
         async def script(fleet: Fleet) -> None:
             job = await fleet.start()
@@ -264,8 +264,8 @@
 
         play(script)
 
-    def test_no_key_means_no_job_id(self) -> None:
-        """Before any host has the key a request runs without a job id, and later ones get one."""
+    def test_no_job_id_without_key(self) -> None:
+        """Before a host has the key, a request gets no job id; later ones get one."""
 
         async def script(fleet: Fleet) -> None:
             fleet.all_stores(StoreFaults(down=True))
@@ -281,23 +281,23 @@
 
 
 class TestRecords:
-    """What is written, when, and who takes it over."""
+    """Writes of records, and takeovers by other hosts."""
 
-    def test_quick_long_work_writes_nothing(self) -> None:
-        """Work that ends before it is old leaves the store alone."""
+    def test_early_end_writes_nothing(self) -> None:
+        """A long request that ends before it is recorded causes no write."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
             written = fleet.model.counters.writes
-            await fleet.run(RECORD_AGE - 1)
+            await fleet.run(MIN_RECORDED_SECONDS - 1)
             await fleet.journals[HOSTS[0]].close(call=CALL.id)
-            await fleet.run(3 * FLUSH_PERIOD)
+            await fleet.run(3 * MIN_FLUSH_SECONDS)
             assert fleet.model.counters.writes == written
 
         play(script)
 
     def test_many_requests_share_a_write(self) -> None:
-        """However many requests run, one host writes at most once per period."""
+        """A host writes at most once per period for any number of requests."""
 
         async def script(fleet: Fleet) -> None:
             seconds = 100
@@ -305,8 +305,8 @@
                 for nth in range(5):
                     await fleet.start(call=replace(CALL, id=CallId(f"{at}-{nth}")))
                 await fleet.run(1)
-            # The key is the one further write.
-            assert fleet.model.counters.writes <= seconds / FLUSH_PERIOD * 1.2 + 1
+            # The key is one further write.
+            assert fleet.model.counters.writes <= seconds / MIN_FLUSH_SECONDS * 1.2 + 1
 
         play(script)
 
@@ -316,104 +316,104 @@
         ids=["whole", "answer lost", "writes lost"],
     )
     def test_records_of_the_dead_are_taken_over_once(self, faults: StoreFaults) -> None:
-        """One host resumes a dead host's work, and the dead host's object goes."""
+        """One host takes over a dead host's records, and the dead host's object is deleted."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
             await fleet.journals[HOSTS[0]].progress(call=CALL.id, tokens=7)
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             fleet.all_stores(faults)
             fleet.kill(HOSTS[0])
-            await fleet.run(5 * FLUSH_PERIOD)
-            (heir,) = fleet.heirs
-            assert [record.tokens for record in fleet.journals[heir].records] == [7]
-            assert fleet.journals[heir].keeps(call=CALL.id, attempt=1)
-            assert fleet.groups == {str(fleet.members[heir].incarnation)}
+            await fleet.run(5 * MIN_FLUSH_SECONDS)
+            (successor,) = fleet.successors
+            assert [record.tokens for record in fleet.journals[successor].records] == [7]
+            assert fleet.journals[successor].keeps(call=CALL.id, attempt=1)
+            assert fleet.groups == {str(fleet.members[successor].incarnation)}
 
         play(script)
 
-    def test_heir_that_dies_is_succeeded(self) -> None:
-        """Work that was taken over is taken over again."""
+    def test_death_of_a_successor(self) -> None:
+        """Requests that were taken over are taken over again when the successor dies."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             fleet.kill(HOSTS[0])
-            await fleet.run(2 * FLUSH_PERIOD)
-            fleet.kill(fleet.heirs[0])
-            await fleet.run(2 * FLUSH_PERIOD)
-            assert len(fleet.heirs) == 2
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
+            fleet.kill(fleet.successors[0])
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
+            assert len(fleet.successors) == 2
 
         play(script)
 
     def test_long_outage_loses_no_record(self) -> None:
-        """Hosts ask a store that is away seldom, and take over when it is back."""
+        """During an outage hosts rarely call the store; after it they take over requests."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             fleet.all_stores(StoreFaults(down=True))
             fleet.kill(HOSTS[0])
             other = replace(CALL, id=CallId("call-2"))
             await fleet.journals[HOSTS[1]].record(call=other, target=OTHER_ENGINE, attempt=1)
-            before = sum(store.asked for store in fleet.stores.values())
+            before = sum(store.attempts for store in fleet.stores.values())
             await fleet.run(600)
-            asked = sum(store.asked for store in fleet.stores.values()) - before
-            assert 0 < asked <= 600 / (FLUSH_PERIOD / 2)
+            attempts = sum(store.attempts for store in fleet.stores.values()) - before
+            assert 0 < attempts <= 600 / (MIN_FLUSH_SECONDS / 2)
             fleet.all_stores(StoreFaults())
-            await fleet.run(2 * FLUSH_PERIOD)
-            assert len(fleet.heirs) == 1
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
+            assert len(fleet.successors) == 1
 
         play(script)
 
-    def test_suspected_host_that_answers_keeps_its_work(self) -> None:
-        """A host that answers is not succeeded, however long it is suspected."""
+    def test_suspected_host_that_answers(self) -> None:
+        """The requests of a suspected host that answers are not taken over."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
-            await fleet.run(2 * FLUSH_PERIOD)
-            fleet.believe(HOSTS[0], MemberStatus.SUSPECT)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
+            fleet.set_status(HOSTS[0], MemberStatus.SUSPECT)
             await fleet.run(60)
-            assert fleet.heirs == []
+            assert fleet.successors == []
 
         play(script)
 
-    def test_cut_off_host_is_succeeded_and_keeps_its_records(self) -> None:
-        """A suspected host that does not answer is succeeded; its object goes at its death."""
+    def test_suspected_host_that_does_not_answer(self) -> None:
+        """Its requests are taken over, but its object is not deleted before it is dead."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             fleet.network.partition([fleet.members[HOSTS[0]].address])
-            fleet.believe(HOSTS[0], MemberStatus.SUSPECT)
-            await fleet.run(3 * FLUSH_PERIOD)
-            assert len(fleet.heirs) == 1
+            fleet.set_status(HOSTS[0], MemberStatus.SUSPECT)
+            await fleet.run(3 * MIN_FLUSH_SECONDS)
+            assert len(fleet.successors) == 1
             assert str(fleet.members[HOSTS[0]].incarnation) in fleet.groups
 
         play(script)
 
-    def test_host_believed_dead_writes_again(self) -> None:
-        """A host that was cut off, and whose object another deleted, records its work anew."""
+    def test_host_wrongly_considered_dead(self) -> None:
+        """A host that was partitioned, and whose object was deleted, writes its records again."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             fleet.network.partition([fleet.members[HOSTS[0]].address])
-            fleet.believe(HOSTS[0], MemberStatus.DEAD)
-            await fleet.run(3 * FLUSH_PERIOD)
+            fleet.set_status(HOSTS[0], MemberStatus.DEAD)
+            await fleet.run(3 * MIN_FLUSH_SECONDS)
             name = str(fleet.members[HOSTS[0]].incarnation)
             assert name not in fleet.groups
             fleet.network.heal()
-            fleet.believe(HOSTS[0], MemberStatus.ALIVE)
+            fleet.set_status(HOSTS[0], MemberStatus.ALIVE)
             await fleet.start(call=replace(CALL, id=CallId("call-2")))
-            await fleet.run(4 * FLUSH_PERIOD)
+            await fleet.run(4 * MIN_FLUSH_SECONDS)
             assert name in fleet.groups
 
         play(script)
 
 
 class TestOutput:
-    """The output reaches a caller whose host died, whole and once."""
+    """A caller whose host died receives the whole output, without repeats."""
 
     @staticmethod
     async def _read(fleet: Fleet, job: str, offset: int) -> bytes:
@@ -425,18 +425,18 @@
 
     @pytest.mark.parametrize("offset", range(TOKENS + 1))
     @pytest.mark.parametrize("running", [True, False], ids=["from the engine", "from the store"])
-    def test_rest_comes_without_gap_or_repeat(self, running: bool, offset: int) -> None:
-        """From any offset exactly the rest comes, while the engine runs and hours later."""
+    def test_rest_without_gap_or_repeat(self, running: bool, offset: int) -> None:
+        """From any offset exactly the rest is returned, while the engine runs and hours later."""
 
         async def script(fleet: Fleet) -> None:
             job = await fleet.start()
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             fleet.kill(HOSTS[0])
             for engines in fleet.engines.values():
                 engines[ENGINE].broken = 1
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             fleet.finished.set()
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             for engines in fleet.engines.values():
                 engines[ENGINE].lost = not running
                 engines[ENGINE].broken = 1
@@ -447,8 +447,8 @@
 
         play(script)
 
-    def test_lost_output_is_said_to_be_lost(self) -> None:
-        """Where the engine died with the host, the caller gets a failure of its own type."""
+    def test_lost_output(self) -> None:
+        """If the engine has lost the request too, a specific error is raised."""
 
         async def script(fleet: Fleet) -> None:
             job = await fleet.start()
@@ -460,19 +460,19 @@
 
         play(script)
 
-    def test_kept_output_goes_after_its_time(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        """An output is deleted when its time is over, by whoever has its record then."""
+    def test_kept_output_expires(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A kept output is deleted when it expires, also after its record was taken over again."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             fleet.kill(HOSTS[0])
             fleet.finished.set()
-            await fleet.run(2 * FLUSH_PERIOD)
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
             assert len(fleet.model.list(kind=OUTPUT_KIND).items) == 1
-            fleet.kill(fleet.heirs[0])
-            await fleet.run(2 * FLUSH_PERIOD)
-            later = time() + 2 * OUTPUT_KEPT
+            fleet.kill(fleet.successors[0])
+            await fleet.run(2 * MIN_FLUSH_SECONDS)
+            later = time() + 2 * OUTPUT_RETENTION_SECONDS
             monkeypatch.setattr("azureswitch.coordination.journal._driver.time", lambda: later)
             await fleet.run(2)
             assert fleet.model.list(kind=OUTPUT_KIND).items == ()
@@ -481,7 +481,7 @@
 
 
 class TestResilience:
-    """Each kind of request gets its own level."""
+    """Unit tests of `resilience`."""
 
     @pytest.mark.parametrize(
         ("call", "expected"),
@@ -493,16 +493,16 @@
         ],
         ids=["short", "below the limit", "long", "booking"],
     )
-    def test_level_follows_the_kind(self, call: Call, expected: Resilience) -> None:
-        """Short answers keep nothing, long work a record, bookings a claim."""
+    def test_kind_of_request(self, call: Call, expected: Resilience) -> None:
+        """Short requests have no record, long ones a journal's, non-idempotent ones a claim."""
         assert resilience(call=call, rules=Rules()) is expected
 
 
 class TestJobSigner:
-    """Job ids are made by hosts only."""
+    """Unit tests of `JobSigner`."""
 
-    def test_id_reads_back_with_its_key_only(self) -> None:
-        """The same key gives the record, another one nothing."""
+    def test_id_needs_its_key(self) -> None:
+        """A job id is accepted with the key that signed it and rejected with another one."""
         record = JobRecord(
             call=CALL.id,
             customer=CUSTOMER,
