Reword the leases' comments and names

Engineers who join found leases told of in figures: looks, belief, a store that is away.

Events and constants now have customary names, and comments and docstrings say the same reasons plainly. The stored form, LEASE_KIND, LEASE_TERM, the log's sentences and all numbers stay.

--- a/src/azureswitch/coordination/leases/__init__.py
+++ b/src/azureswitch/coordination/leases/__init__.py
@@ -1,7 +1,7 @@
-"""Leases on groups, whose fencing numbers come from the store's versions.
+"""Leases on groups, whose fencing numbers are versions of the store.
 
-A `Lease` says who should act for a group, so that two seldom do.  It is no lock: what its holder
-sends carries the fencing number, and must be harmless at a receiver that ignores the number.
+A `Lease` determines which host should act for a group, so that two seldom do.  It is not a lock:
+the orders of a holder carry the fencing number, and must be harmless at a receiver that ignores it.
 """
 
 from azureswitch.coordination.leases._driver import Lease
@@ -9,13 +9,13 @@
     LEASE_KIND,
     LEASE_TERM,
     CreateLease,
-    LeaseAbandoned,
     LeaseConflicted,
     LeaseFenced,
+    LeaseOutcomeUnknown,
     LeaseRead,
-    LeaseStoreAway,
+    LeaseReleased,
+    LeaseStoreFailed,
     LeaseTicked,
-    LeaseUnanswered,
     LeaseUsed,
     LeaseValue,
     LeaseWritten,
@@ -26,18 +26,18 @@
 from azureswitch.coordination.leases._state import LeaseState
 
 __all__ = [
+    "CreateLease",
     "LEASE_KIND",
     "LEASE_TERM",
-    "CreateLease",
     "Lease",
-    "LeaseAbandoned",
     "LeaseConflicted",
     "LeaseFenced",
+    "LeaseOutcomeUnknown",
     "LeaseRead",
+    "LeaseReleased",
     "LeaseState",
-    "LeaseStoreAway",
+    "LeaseStoreFailed",
     "LeaseTicked",
-    "LeaseUnanswered",
     "LeaseUsed",
     "LeaseValue",
     "LeaseWritten",
--- a/src/azureswitch/coordination/leases/_driver.py
+++ b/src/azureswitch/coordination/leases/_driver.py
@@ -1,4 +1,4 @@
-"""The driver that runs one lease against the store."""
+"""The driver of one lease."""
 
 from asyncio import Lock, get_running_loop, sleep
 from functools import singledispatchmethod
@@ -10,14 +10,14 @@
     LEASE_KIND,
     LEASE_TERM,
     CreateLease,
-    LeaseAbandoned,
     LeaseConflicted,
     LeaseEvent,
     LeaseFenced,
+    LeaseOutcomeUnknown,
     LeaseRead,
-    LeaseStoreAway,
+    LeaseReleased,
+    LeaseStoreFailed,
     LeaseTicked,
-    LeaseUnanswered,
     LeaseUsed,
     LeaseWritten,
     ReadLease,
@@ -35,20 +35,20 @@
 )
 from azureswitch.ports import Store
 
-_TICK = 0.5
-"""Seconds between two looks at the clock."""
+_TICK_SECONDS = 0.5
+"""Seconds between two `LeaseTicked` events."""
 
-_CALLS_LIMIT = 6
-"""Store calls after one event at most; a store that loses every answer is asked again later."""
+_MAX_STORE_CALLS = 6
+"""Upper bound of store calls after one event; it matters if the store loses every answer."""
 
 
 class Lease:
-    """One host's part in the lease of one group.
+    """Acquires, renews and releases the lease of one group for one host.
 
     Args:
         myself: This process.
         store: The platform's store.
-        group: What the lease is on.
+        group: The group.
         seed: Seeds the jitter and the nonces; different on every host.
         term: Seconds without a renewal after which another host takes over.
     """
@@ -69,19 +69,19 @@
 
     @property
     def group(self) -> str:
-        """What the lease is on."""
+        """The group that the lease is on."""
         return self._group
 
     @property
     def fence(self) -> int | None:
-        """The fencing number while this host believes that it holds the lease, else None."""
+        """The fencing number while this host assumes that it holds the lease, otherwise None."""
         return self._state.fence
 
     async def contend(self) -> int | None:
-        """Acquire or renew the lease where it is time to.
+        """Acquire or renew the lease if that is due.
 
         Returns:
-            The fencing number where this host holds the lease now, else None.
+            The fencing number if this host holds the lease now, otherwise None.
         """
         await self._apply(LeaseTicked(now=get_running_loop().time()))
         return self.fence
@@ -99,40 +99,40 @@
         return fence
 
     async def yield_to(self, *, newest: int) -> None:
-        """Give way to a newer holder, whose fencing number a receiver has told."""
+        """Yield the lease to a newer holder, whose fencing number a receiver has reported."""
         await self._apply(LeaseFenced(now=get_running_loop().time(), newest=newest))
 
     async def release(self) -> None:
-        """Give the lease back, so that another host need not wait for the term."""
-        await self._apply(LeaseAbandoned(now=get_running_loop().time()))
+        """Release the lease, so that another host need not wait for the end of the term."""
+        await self._apply(LeaseReleased(now=get_running_loop().time()))
 
     async def run(self) -> None:
-        """Contend and renew until cancelled."""
+        """Acquire and renew the lease until cancelled."""
         while True:
             await self.contend()
-            await sleep(_TICK)
+            await sleep(_TICK_SECONDS)
 
     async def _apply(self, event: LeaseEvent) -> None:
-        # One store call at a time: the next event is always the result of the last effect.
+        # The lock allows one store call at a time: the next event is the result of the last effect.
         async with self._lock:
             before = self.fence
             effects = reduce(self._state, event)
-            for _ in range(_CALLS_LIMIT):
+            for _ in range(_MAX_STORE_CALLS):
                 if not effects:
                     break
-                effects = reduce(self._state, await self._carry_out(effects[0]))
+                effects = reduce(self._state, await self._execute(effects[0]))
             if before != self.fence:
                 logging.info("leases: %s has fence %s here.", self._group, self.fence)
 
-    async def _carry_out(self, effect: Effect) -> LeaseEvent:
+    async def _execute(self, effect: Effect) -> LeaseEvent:
         try:
             return await self._run(effect)
         except StoreOutcomeUnknownError:
-            return LeaseUnanswered(now=get_running_loop().time())
+            return LeaseOutcomeUnknown(now=get_running_loop().time())
         except (StoreConflictError, StoreNotFoundError):
             return LeaseConflicted(now=get_running_loop().time())
         except StoreError:
-            return LeaseStoreAway(now=get_running_loop().time())
+            return LeaseStoreFailed(now=get_running_loop().time())
 
     @singledispatchmethod
     async def _run(self, effect: Effect) -> LeaseEvent:
--- a/src/azureswitch/coordination/leases/_model.py
+++ b/src/azureswitch/coordination/leases/_model.py
@@ -1,4 +1,4 @@
-"""What the store holds of a lease, and the reducer's events and effects."""
+"""The stored form of a lease, and the reducer's events and effects."""
 
 from msgspec import Struct
 
@@ -9,17 +9,17 @@
 """The kind of the store's lease objects."""
 
 LEASE_TERM = 6.0
-"""Seconds without a renewal after which others take a lease over."""
+"""Seconds without a renewal after which another host takes over a lease."""
 
 
 class LeaseValue(Struct, frozen=True, kw_only=True):
     """The content of a lease object.
 
     Attributes:
-        holder: Who holds it, or None after it was given back.
-        fence: The version of the acquisition; zero in the acquisition itself, whose version its
-            writer cannot know beforehand.
-        nonce: Tells the writes of one holder apart when an answer was lost.
+        holder: The process that holds it, or None after its release.
+        fence: The version of the acquisition; zero in the acquisition itself, as its writer does
+            not know the version in advance.
+        nonce: Identifies the acquisition of a holder if the outcome of its write was unknown.
     """
 
     holder: Incarnation | None
@@ -32,19 +32,19 @@
 
 
 class LeaseTicked(LeaseEvent, frozen=True, kw_only=True):
-    """Time passed; the host wants to hold the lease."""
+    """Time passed; the host is to acquire or renew the lease."""
 
 
 class LeaseUsed(LeaseEvent, frozen=True, kw_only=True):
     """The host is about to act as the holder."""
 
 
-class LeaseAbandoned(LeaseEvent, frozen=True, kw_only=True):
-    """The host wants to hold the lease no longer."""
+class LeaseReleased(LeaseEvent, frozen=True, kw_only=True):
+    """The host releases the lease."""
 
 
 class LeaseFenced(LeaseEvent, frozen=True, kw_only=True):
-    """A receiver has seen a newer fencing number.
+    """A receiver has reported a newer fencing number.
 
     Attributes:
         newest: The number.
@@ -54,7 +54,7 @@
 
 
 class LeaseRead(LeaseEvent, frozen=True, kw_only=True):
-    """The store returned the lease object, or None where there is none."""
+    """The store returned the lease object, or None if there is none."""
 
     item: StoredObject | None
 
@@ -69,16 +69,16 @@
     """Another write came first."""
 
 
-class LeaseUnanswered(LeaseEvent, frozen=True, kw_only=True):
-    """A write may or may not have taken effect."""
+class LeaseOutcomeUnknown(LeaseEvent, frozen=True, kw_only=True):
+    """The outcome of a write is unknown."""
 
 
-class LeaseStoreAway(LeaseEvent, frozen=True, kw_only=True):
-    """The store was not reached; nothing was written."""
+class LeaseStoreFailed(LeaseEvent, frozen=True, kw_only=True):
+    """A call to the store failed; nothing was written."""
 
 
 class ReadLease(Effect, frozen=True, kw_only=True):
-    """Read the lease object; answer by LeaseRead or LeaseStoreAway."""
+    """Read the lease object; `LeaseRead` or `LeaseStoreFailed` follows."""
 
 
 class CreateLease(Effect, frozen=True, kw_only=True):
@@ -88,7 +88,7 @@
 
 
 class UpdateLease(Effect, frozen=True, kw_only=True):
-    """Replace the lease object while its version is still the given one."""
+    """Update the lease object on condition that it has the given version."""
 
     value: LeaseValue
     version: int
--- a/src/azureswitch/coordination/leases/_reduce.py
+++ b/src/azureswitch/coordination/leases/_reduce.py
@@ -1,8 +1,8 @@
-"""The reducer of one host's part in one lease.
+"""The reducer of one lease on one host.
 
-Only conditional updates decide who holds a lease.  Clocks decide merely when to try: a host takes
-over an object whose version it has seen unchanged for a whole term of its own clock.  A holder that
-was paused for longer has to renew before its next use, and learns there that it was replaced.
+Only conditional updates decide which host holds a lease.  Clocks only decide when to try: a host
+takes over a lease whose version has not changed for a whole term of its own clock.  A holder that
+was paused for longer must renew before its next use, and detects then that it was replaced.
 """
 
 from functools import singledispatch
@@ -11,14 +11,14 @@
 
 from azureswitch.coordination.leases._model import (
     CreateLease,
-    LeaseAbandoned,
     LeaseConflicted,
     LeaseEvent,
     LeaseFenced,
+    LeaseOutcomeUnknown,
     LeaseRead,
-    LeaseStoreAway,
+    LeaseReleased,
+    LeaseStoreFailed,
     LeaseTicked,
-    LeaseUnanswered,
     LeaseUsed,
     LeaseValue,
     LeaseWritten,
@@ -30,50 +30,50 @@
 from azureswitch.ports import StoredObject
 
 _RENEWALS_PER_TERM = 3
-"""How often a holder renews, and a contender looks, within one term."""
+"""How often a holder renews the lease, and another host reads it, within one term."""
 
 _NONCE_LIMIT = 2**53
-"""Nonces stay below this, which every JSON reader keeps exactly."""
+"""Exclusive upper bound of nonces, up to which every JSON parser is exact."""
 
 
 def reduce(state: LeaseState, event: LeaseEvent) -> Effects:
-    """Handle one event.
+    """Apply an event.
 
     Args:
-        state: The state, updated in place.
+        state: The state, which is updated in place.
         event: What happened.
 
     Returns:
-        At most one store call, whose result comes back as the next event.
+        At most one store call, whose result is the next event.
     """
-    return _handle(event, state)
+    return _apply(event, state)
 
 
 @singledispatch
-def _handle(event: LeaseEvent, state: LeaseState) -> Effects:
+def _apply(event: LeaseEvent, state: LeaseState) -> Effects:
     raise NotImplementedError(type(event))
 
 
-@_handle.register
+@_apply.register
 def _(event: LeaseTicked, state: LeaseState) -> Effects:
     pause = state._term / _RENEWALS_PER_TERM
     if state._fence is not None:
-        return _renew(state, event.now) if event.now >= state._confirmed + pause else NO_EFFECTS
-    if event.now < state._next_look:
+        return _renew(state, event.now) if event.now >= state._confirmed_at + pause else NO_EFFECTS
+    if event.now < state._next_read_at:
         return NO_EFFECTS
-    state._next_look = event.now + pause * state._random.uniform(0.8, 1.2)
+    state._next_read_at = event.now + pause * state._random.uniform(0.8, 1.2)
     return (ReadLease(),)
 
 
-@_handle.register
+@_apply.register
 def _(event: LeaseUsed, state: LeaseState) -> Effects:
     if state._fence is None or state.is_fresh(now=event.now):
         return NO_EFFECTS
     return _renew(state, event.now)
 
 
-@_handle.register
-def _(event: LeaseAbandoned, state: LeaseState) -> Effects:
+@_apply.register
+def _(event: LeaseReleased, state: LeaseState) -> Effects:
     fence = state._fence
     if fence is None:
         return NO_EFFECTS
@@ -84,7 +84,7 @@
     )
 
 
-@_handle.register
+@_apply.register
 def _(event: LeaseFenced, state: LeaseState) -> Effects:
     if state._fence is None or event.newest <= state._fence:
         return NO_EFFECTS
@@ -92,7 +92,7 @@
     return NO_EFFECTS
 
 
-@_handle.register
+@_apply.register
 def _(event: LeaseWritten, state: LeaseState) -> Effects:
     value = decode(event.item.value, type=LeaseValue)
     if value.holder == state._myself:
@@ -100,18 +100,18 @@
     return NO_EFFECTS
 
 
-@_handle.register(LeaseConflicted)
-@_handle.register(LeaseUnanswered)
+@_apply.register(LeaseConflicted)
+@_apply.register(LeaseOutcomeUnknown)
 def _(event: LeaseEvent, state: LeaseState) -> Effects:
     return (ReadLease(),) if state._acquiring or state._fence is not None else NO_EFFECTS
 
 
-@_handle.register
-def _(event: LeaseStoreAway, state: LeaseState) -> Effects:
+@_apply.register
+def _(event: LeaseStoreFailed, state: LeaseState) -> Effects:
     return NO_EFFECTS
 
 
-@_handle.register
+@_apply.register
 def _(event: LeaseRead, state: LeaseState) -> Effects:
     if event.item is None:
         _lose(state, event.now)
@@ -134,19 +134,19 @@
 
 
 def _confirm(state: LeaseState, item: StoredObject, value: LeaseValue) -> None:
-    # The version of an acquisition is its fencing number; a renewal repeats it in the value.
+    # The fencing number is the version of the acquisition; renewals repeat it in the value.
     state._fence = value.fence or item.version
     state._acquiring = False
     if item.version <= state._version:
         return
     state._version = item.version
-    state._confirmed = state._began
+    state._confirmed_at = state._write_began
 
 
 def _lose(state: LeaseState, now: float) -> None:
     state._fence = None
     state._acquiring = False
-    state._next_look = now
+    state._next_read_at = now
 
 
 def _contend(state: LeaseState, item: StoredObject, value: LeaseValue, now: float) -> Effects:
@@ -163,14 +163,14 @@
     holder = value.holder
     if holder is None:
         return True
-    # An earlier process of this very host has ended, or this one could not run at its address.
+    # An earlier process of this host must have ended, as this one could not use its address.
     return holder.host == state._myself.host and holder.started <= state._myself.started
 
 
 def _acquisition(state: LeaseState, now: float) -> LeaseValue:
     state._nonce = state._random.randrange(1, _NONCE_LIMIT)
     state._acquiring = True
-    state._began = now
+    state._write_began = now
     return LeaseValue(holder=state._myself, fence=0, nonce=state._nonce)
 
 
@@ -178,6 +178,6 @@
     fence = state._fence
     if fence is None:
         return NO_EFFECTS
-    state._began = now
+    state._write_began = now
     value = LeaseValue(holder=state._myself, fence=fence, nonce=state._nonce)
     return (UpdateLease(value=value, version=state._version),)
--- a/src/azureswitch/coordination/leases/_state.py
+++ b/src/azureswitch/coordination/leases/_state.py
@@ -1,4 +1,4 @@
-"""The state behind one host's part in one lease."""
+"""The state of one lease on one host."""
 
 from random import Random
 
@@ -7,7 +7,7 @@
 
 
 class LeaseState:
-    """What a host knows of one lease."""
+    """A host's view of one lease."""
 
     def __init__(self, *, myself: Incarnation, seed: int, term: float = LEASE_TERM) -> None:
         self._myself = myself
@@ -17,20 +17,20 @@
         self._version = 0
         self._nonce = 0
         self._acquiring = False
-        self._began = 0.0
-        self._confirmed = float("-inf")
+        self._write_began = 0.0
+        self._confirmed_at = float("-inf")
         self._other_version = 0
         self._other_since = 0.0
-        self._next_look = float("-inf")
+        self._next_read_at = float("-inf")
 
     @property
     def fence(self) -> int | None:
-        """The fencing number while this host believes that it holds the lease, else None."""
+        """The fencing number while this host assumes that it holds the lease, otherwise None."""
         return self._fence
 
     def is_fresh(self, *, now: float) -> bool:
-        """Whether the last confirmation is younger than the term.
+        """Return whether the lease was confirmed within the last term.
 
-        It saves a call to the store before each use; safety does not rest on it.
+        This saves a store call before each use; safety does not depend on it.
         """
-        return self._fence is not None and now < self._confirmed + self._term
+        return self._fence is not None and now < self._confirmed_at + self._term
--- a/tests/leases/test_leases.py
+++ b/tests/leases/test_leases.py
@@ -1,4 +1,4 @@
-"""Tests of leases: two contenders, paused holders, lost answers and store outages."""
+"""Tests of leases: two hosts, paused holders, lost answers and store outages."""
 
 from asyncio import sleep
 from collections.abc import Awaitable, Callable
@@ -16,7 +16,7 @@
 
 
 class Pair:
-    """Two hosts that contend for one group, each with its own way to the store."""
+    """Two hosts that contend for the lease of one group, each with its own store client."""
 
     def __init__(self) -> None:
         self.model = StoreModel()
@@ -24,7 +24,7 @@
         self.first, self.second = (self.lease(at, started=1) for at in range(2))
 
     def lease(self, at: int, *, started: int) -> Lease:
-        """Make a lease of one of the hosts."""
+        """Return a lease for a process of one of the hosts."""
         myself = Incarnation(host=HostName(f"host-{at}"), started=started)
         return Lease(myself=myself, store=self.stores[at], group=GROUP, seed=started * 10 + at)
 
@@ -48,10 +48,10 @@
 
 
 class TestLease:
-    """One group, two hosts."""
+    """Two hosts that contend for the lease of one group."""
 
     def test_fence_is_the_version_of_the_acquisition(self) -> None:
-        """Renewals move the object's version on and leave the fencing number alone."""
+        """Renewals change the object's version but not the fencing number."""
 
         async def script(pair: Pair) -> None:
             fence = await pair.until_held(pair.first)
@@ -64,7 +64,7 @@
         play(script)
 
     def test_renewed_lease_is_not_taken(self) -> None:
-        """A contender never gets a lease that is renewed in time."""
+        """Another host never acquires a lease that is renewed in time."""
 
         async def script(pair: Pair) -> None:
             await pair.until_held(pair.first)
@@ -75,8 +75,8 @@
 
         play(script)
 
-    def test_paused_holder_learns_at_its_next_use(self) -> None:
-        """A holder that slept past its term is refused, and its successor's fence is greater."""
+    def test_paused_holder_with_successor(self) -> None:
+        """A holder paused past its term is refused, and the fence of its successor is greater."""
 
         async def script(pair: Pair) -> None:
             old = await pair.until_held(pair.first)
@@ -91,8 +91,8 @@
 
         play(script)
 
-    def test_paused_holder_without_successor_goes_on(self) -> None:
-        """A holder that nobody replaced confirms and keeps its fencing number."""
+    def test_paused_holder_without_successor(self) -> None:
+        """A paused holder that was not replaced renews and keeps its fencing number."""
 
         async def script(pair: Pair) -> None:
             fence = await pair.until_held(pair.first)
@@ -101,8 +101,8 @@
 
         play(script)
 
-    def test_holder_gives_way_to_newer_fence(self) -> None:
-        """A receiver's newer fencing number ends the holder's belief at once."""
+    def test_holder_yields_to_newer_fence(self) -> None:
+        """A newer fencing number, reported by a receiver, ends the holder's lease at once."""
 
         async def script(pair: Pair) -> None:
             fence = await pair.until_held(pair.first)
@@ -114,9 +114,9 @@
 
         play(script)
 
-    @pytest.mark.parametrize("wait", [0.0, 1.0], ids=["same look", "next look"])
+    @pytest.mark.parametrize("wait", [0.0, 1.0], ids=["same read", "next read"])
     def test_released_lease_is_free_at_once(self, wait: float) -> None:
-        """A lease that was given back needs no term to pass."""
+        """A released lease is acquired without waiting for the term."""
 
         async def script(pair: Pair) -> None:
             old = await pair.until_held(pair.first)
@@ -126,13 +126,13 @@
 
         play(script)
 
-    def test_restarted_process_succeeds_itself(self) -> None:
-        """A new process of the same host takes over at once, and the old one is refused."""
+    def test_restarted_process_takes_over(self) -> None:
+        """A new process of the same host takes over at once, and the old one loses the lease."""
 
         async def script(pair: Pair) -> None:
             old = await pair.until_held(pair.first)
-            again = pair.lease(0, started=2)
-            assert await pair.until_held(again, limit=0.5) > old
+            restarted = pair.lease(0, started=2)
+            assert await pair.until_held(restarted, limit=0.5) > old
             await sleep(PAUSE)
             with pytest.raises(LeaseLostError):
                 await pair.first.use()
@@ -141,12 +141,12 @@
 
 
 class TestStoreFaults:
-    """The store loses answers or is away."""
+    """The store loses answers or is down."""
 
     @pytest.mark.parametrize("lose_writes", [False, True], ids=["written", "not written"])
     @pytest.mark.parametrize("answers", [1, 2, 3])
     def test_lost_answers_leave_one_holder(self, answers: int, lose_writes: bool) -> None:
-        """Whether the write took effect or not, the reader of the object knows the holder."""
+        """After a lost answer the object determines the holder, whether it was written or not."""
 
         async def script(pair: Pair) -> None:
             pair.stores[0].faults = StoreFaults(lose_answers=answers, lose_writes=lose_writes)
@@ -160,7 +160,7 @@
         play(script)
 
     def test_holder_stops_when_it_cannot_confirm(self) -> None:
-        """With the store away a lease is usable for one term, and usable again afterwards."""
+        """While the store is down a lease is usable for one term, and usable again afterwards."""
 
         async def script(pair: Pair) -> None:
             fence = await pair.until_held(pair.first)
@@ -176,7 +176,7 @@
         play(script)
 
     def test_renewal_that_was_not_written_confirms_nothing(self) -> None:
-        """A holder whose renewals are lost learns that from the object's version."""
+        """A holder whose renewals were not written does not take them as confirmed."""
 
         async def script(pair: Pair) -> None:
             await pair.until_held(pair.first)
@@ -187,8 +187,8 @@
 
         play(script)
 
-    def test_endless_lost_answers_end_the_event(self) -> None:
-        """A store that never answers a write is not asked without end."""
+    def test_store_calls_are_bounded(self) -> None:
+        """A store that loses the answer to every write is not called without end."""
 
         async def script(pair: Pair) -> None:
             pair.stores[0].faults = StoreFaults(lose_answers=10_000, lose_writes=True)
