Restore the order of __all__ and a phase's value in claims

The rewording had sorted __all__ by bytes, where the repository lists constants first, and had changed the value of an internal phase of the claimer, which must stay like all values.

--- a/src/azureswitch/coordination/claims/__init__.py
+++ b/src/azureswitch/coordination/claims/__init__.py
@@ -12,13 +12,13 @@
 from azureswitch.coordination.claims._results import Granted, Replayed
 
 __all__ = [
+    "RETENTION_SECONDS",
     "ClaimAsk",
     "ClaimReply",
     "Claims",
     "Granted",
     "HoldAsk",
     "HoldReply",
-    "RETENTION_SECONDS",
     "Replayed",
     "SettleAsk",
 ]
--- a/src/azureswitch/coordination/claims/_claimer.py
+++ b/src/azureswitch/coordination/claims/_claimer.py
@@ -42,7 +42,7 @@
 
 
 class _Phase(Enum):
-    REQUESTING = "requesting"
+    ASKING = "asking"
     GRANTED = "granted"
     SETTLING = "settling"
     LATE = "late"
@@ -106,7 +106,7 @@
 
 @reduce.register
 def _on_claim_requested(event: ClaimRequested, state: ClaimerState) -> Effects:
-    hold = _Hold(request=event.request, phase=_Phase.REQUESTING, expires_at=event.until)
+    hold = _Hold(request=event.request, phase=_Phase.ASKING, expires_at=event.until)
     state._holds[event.request.call] = hold
     return (SendRequest(request=hold.request, attempt=hold.attempt, rank=hold.rank),)
 
@@ -164,7 +164,7 @@
 @reduce.register
 def _on_cancelled(event: ClaimCancelled, state: ClaimerState) -> Effects:
     hold = state._holds.get(event.call)
-    if hold is None or hold.phase not in (_Phase.REQUESTING, _Phase.GRANTED):
+    if hold is None or hold.phase not in (_Phase.ASKING, _Phase.GRANTED):
         return NO_EFFECTS
     return _abandon(hold, state)
 
@@ -172,7 +172,7 @@
 @reduce.register
 def _on_outcome(event: OutcomeReported, state: ClaimerState) -> Effects:
     hold = state._holds.get(event.call)
-    if hold is None or hold.phase is _Phase.REQUESTING:
+    if hold is None or hold.phase is _Phase.ASKING:
         return NO_EFFECTS
     answer = None if event.answer is None else event.answer.bounded()
     if hold.phase is not _Phase.GRANTED and not _is_late_answer(hold.request, event.outcome):
@@ -190,7 +190,7 @@
 def _on_tick(event: ClaimerTicked, state: ClaimerState) -> Effects:
     effects: list[Effect] = []
     for hold in tuple(state._holds.values()):
-        if hold.phase is _Phase.REQUESTING and event.now >= hold.expires_at:
+        if hold.phase is _Phase.ASKING and event.now >= hold.expires_at:
             effects.append(ResolveClaim(call=hold.request.call, verdict=Verdict.UNCERTAIN))
             effects.extend(_abandon(hold, state))
         elif (
--- a/src/azureswitch/coordination/leases/__init__.py
+++ b/src/azureswitch/coordination/leases/__init__.py
@@ -26,9 +26,9 @@
 from azureswitch.coordination.leases._state import LeaseState
 
 __all__ = [
-    "CreateLease",
     "LEASE_KIND",
     "LEASE_TERM",
+    "CreateLease",
     "Lease",
     "LeaseConflicted",
     "LeaseFenced",
