Correct comments of the coordination parts after a review

Some comments said something else than the code or had lost a condition: decoding a head read as encoding it, the mirror's hosts do not take turns to check, peers do not update copies while the store is down, a job id suffices only while its engine lives, and a lease that loses every answer is tried again later. Others had to be read twice. MIN_RETRY_SECONDS is the base of a backoff, not a lower bound, and is now BASE_RETRY_SECONDS.

The syntax trees before and after differ in this name and in docstrings alone.

--- a/src/azureswitch/coordination/claims/_claimer.py
+++ b/src/azureswitch/coordination/claims/_claimer.py
@@ -25,8 +25,8 @@
 from azureswitch.core import NO_EFFECTS, CallId, Effect, Effects, Event
 from azureswitch.serving import ClaimOutcome
 
-MIN_RETRY_SECONDS = 0.25
-"""Upper bound in seconds of the first pause before an unrecorded outcome is reported again."""
+BASE_RETRY_SECONDS = 0.25
+"""Longest pause in seconds before the first retry of a report; it doubles with each retry."""
 
 MAX_RETRY_SECONDS = 10.0
 """Upper bound in seconds of the pause between two reports."""
@@ -56,7 +56,7 @@
     rank: int = 0
     awaiting_reply: bool = True
     retry_at: float = 0.0
-    pause: float = MIN_RETRY_SECONDS
+    pause: float = BASE_RETRY_SECONDS
 
 
 class ClaimerState:
--- a/src/azureswitch/coordination/claims/_layout.py
+++ b/src/azureswitch/coordination/claims/_layout.py
@@ -73,7 +73,7 @@
     deleted: Collection[SegmentRef],
     expired_before: float,
 ) -> Head:
-    """Return the head that follows a head.
+    """Return the next head of a shard.
 
     Args:
         head: The head in the store.
--- a/src/azureswitch/coordination/claims/_model.py
+++ b/src/azureswitch/coordination/claims/_model.py
@@ -1,6 +1,6 @@
 """Stored types of claims, and the names of their objects.
 
-They are encoded as arrays, which take half the bytes, as the cost of claims is the bytes written.
+The types are encoded as arrays, which take half the bytes: claims cost the bytes written.
 """
 
 from enum import IntEnum
@@ -154,7 +154,7 @@
 
 
 def decode_head(value: bytes) -> Head:
-    """Return the head in its stored form."""
+    """Return the head that a stored form encodes."""
     return _HEAD_DECODER.decode(value)
 
 
--- a/src/azureswitch/coordination/claims/_owner.py
+++ b/src/azureswitch/coordination/claims/_owner.py
@@ -48,7 +48,7 @@
 """Minimum time in seconds between two log lines on a failing store."""
 
 IDLE_SECONDS = 120.0
-"""Seconds after its last request for which the view of a shard is kept."""
+"""Seconds without a request after which the view of a shard is dropped."""
 
 
 @singledispatch
--- a/src/azureswitch/coordination/claims/_router.py
+++ b/src/azureswitch/coordination/claims/_router.py
@@ -33,7 +33,7 @@
         self._avoided: dict[HostName, float] = {}
 
     def route(self, shard: int, *, rank: int) -> Member | None:
-        """Return the owner from a rank on, or None if this process must commit the claim itself."""
+        """Return the first owner to call from a rank on, or None if this process must commit."""
         order = owners(shard=shard, members=self._members())[:LOCAL_RANK]
         now = get_running_loop().time()
         for member in order[rank:]:
--- a/src/azureswitch/coordination/claims/_rules.py
+++ b/src/azureswitch/coordination/claims/_rules.py
@@ -79,7 +79,7 @@
 
 
 def _decide_repeated(record: Record) -> Decision:
-    """Decide on a claim that was committed before, by another owner or in a lost write."""
+    """Decide on a claim that was committed before, by another owner or with its answer lost."""
     if record.state is RecordState.CLAIMED:
         return Decision(verdict=Verdict.GRANTED)
     return Decision(verdict=Verdict.ABANDONED)
--- a/src/azureswitch/coordination/claims/_segments.py
+++ b/src/azureswitch/coordination/claims/_segments.py
@@ -35,6 +35,7 @@
 def store_merged(
     shard: Shard, refs: tuple[SegmentRef, ...], contents: tuple[tuple[Record, ...], ...]
 ) -> Effects:
+    """Merge segments that were read and store the result, if the head still refers to them."""
     if shard.storing or not set(refs) <= set(shard.head.sealed):
         return NO_EFFECTS
     records = merge(contents)
--- a/src/azureswitch/coordination/journal/__init__.py
+++ b/src/azureswitch/coordination/journal/__init__.py
@@ -1,8 +1,9 @@
 """The journal of long requests, by which other hosts find and finish them after a host's death.
 
 The resilience of a request depends on its kind.  A short request has no record.  A long one gets a
-signed job id that contains the engine on which it runs, which needs no write.  Once it has run for
-some seconds, it is also recorded in one object that its host writes for all its long requests.
+signed job id that contains the engine on which it runs, which suffices without a write while the
+engine lives.  Once it has run for some seconds, it is also recorded in one object that its host
+writes for all its long requests.
 """
 
 from azureswitch.coordination.journal._driver import Journal
--- a/src/azureswitch/coordination/journal/_model.py
+++ b/src/azureswitch/coordination/journal/_model.py
@@ -11,7 +11,7 @@
 from azureswitch.serving import Call
 
 JOURNAL_KIND = "journal"
-"""The kind of the store's objects that hold the records of one process."""
+"""The kind of the store's objects that each hold the records of one process."""
 
 MIN_FLUSH_SECONDS = 10.0
 """Minimum time in seconds between two regular writes of a host's records, before jitter."""
@@ -24,7 +24,7 @@
 
 
 OUTPUT_KIND = "journal-output"
-"""The kind of the store's objects that hold a finished output."""
+"""The kind of the store's objects that each hold one finished output."""
 
 OUTPUT_RETENTION_SECONDS = 43_200.0
 """Seconds for which a finished output is kept for a caller whose host died."""
--- a/src/azureswitch/coordination/leases/_driver.py
+++ b/src/azureswitch/coordination/leases/_driver.py
@@ -39,7 +39,7 @@
 """Seconds between two `LeaseTicked` events."""
 
 _MAX_STORE_CALLS = 6
-"""Upper bound of store calls after one event; it matters if the store loses every answer."""
+"""Upper bound of store calls after one event; a store that loses every answer is asked later."""
 
 
 class Lease:
--- a/src/azureswitch/coordination/membership/_limits.py
+++ b/src/azureswitch/coordination/membership/_limits.py
@@ -76,7 +76,7 @@
 """Seconds after its start for which a host expects listed hosts that are not members yet.
 
 77 hosts that start together know each other after 4 s.  The bound limits how long a host is
-expected whose entry remains although it is gone.
+expected that is gone but still listed.
 """
 
 FORGET_UNLISTED_SECONDS = 60.0
--- a/src/azureswitch/coordination/membership/_reduce.py
+++ b/src/azureswitch/coordination/membership/_reduce.py
@@ -281,7 +281,7 @@
 
 
 def _sync_address(state: MembershipState) -> str | None:
-    """Choose a member, or every other time a dead host or a listed one that is no member."""
+    """Choose a member, or every other time a dead host or a listed one that is not a member."""
     state._sync_lost_next = not state._sync_lost_next
     present = [item.address for item in state._table.alive(without=(state._host,))]
     lost = _lost_addresses(state) if state._sync_lost_next or not present else []
--- a/src/azureswitch/coordination/mirror/__init__.py
+++ b/src/azureswitch/coordination/mirror/__init__.py
@@ -1,4 +1,4 @@
-"""Copies of the store's objects by kind, which peers keep up to date while the store is down."""
+"""Copies of the store's objects by kind, which remain available while the store is down."""
 
 from azureswitch.coordination.mirror._driver import Mirror
 from azureswitch.coordination.mirror._events import (
--- a/src/azureswitch/coordination/mirror/_driver.py
+++ b/src/azureswitch/coordination/mirror/_driver.py
@@ -49,7 +49,7 @@
 Listener = Callable[[tuple[StoredObject, ...]], None]
 
 WATCH_TIMEOUT_SECONDS = 25.0
-"""Timeout of a watch in seconds; the store permits 30, and each watch is a call that costs."""
+"""Timeout of a watch in seconds; the store permits 30, and each watch is a paid call."""
 
 FIRST_RANK_WATCH_SECONDS = 0.5
 """Timeout in seconds of a watch of the first host in rank, so that the next need not check."""
--- a/src/azureswitch/coordination/mirror/_messages.py
+++ b/src/azureswitch/coordination/mirror/_messages.py
@@ -63,8 +63,8 @@
     """Answers a `CopyRequest`.
 
     Attributes:
-        version: The version up to which the copy is complete; zero where it is not newer.
-        packed: The objects, for `unpack_objects`; empty where the copy is not newer.
+        version: The version up to which the copy is complete; zero if it is not newer.
+        packed: The objects, for `unpack_objects`; empty if the copy is not newer.
     """
 
     version: int
@@ -75,7 +75,7 @@
     """Encode and compress objects.
 
     A configuration of 1,300 routes that differ only in their names takes 280 KB of JSON and is
-    compressed to a tenth.  Uncompressed, a host with a link of 20 Mbit/s could send it to only nine
+    compressed to a tenth.  A host with a link of 20 Mbit/s could send it uncompressed to only nine
     others a second.
     """
     return compress(encode(objects), COMPRESSION_LEVEL)
@@ -85,7 +85,7 @@
     """Return the packed objects without those that cannot be decoded.
 
     A copy is decoded as a whole.  Only if that fails is each object decoded separately, so that an
-    invalid object does not lose the others.
+    invalid object does not discard the others.
 
     Raises:
         ValueError: The bytes are not a copy.
--- a/src/azureswitch/coordination/mirror/_reduce.py
+++ b/src/azureswitch/coordination/mirror/_reduce.py
@@ -6,9 +6,10 @@
 that rejects only this host has no outage: leases do not expire then.
 
 A watch may deliver nothing for a second or longer without being disconnected, while the store drops
-its history.  So the hosts take turns to check the store by a short watch from their version, and
-announce the result.  A host that is behind asks the store at once, or the announcing host where the
-store does not answer.  A host that receives no announcements checks the store itself.
+its history.  So a host, usually the first in rank, checks the store by a short watch from its
+version soon after the last check of any host, and announces the result.  A host that is behind asks
+the store at once, or the announcing host where the store does not answer.  A host that receives no
+announcements checks the store itself.
 """
 
 from functools import singledispatch
--- a/src/azureswitch_standins/fleet.py
+++ b/src/azureswitch_standins/fleet.py
@@ -41,12 +41,12 @@
         name: Its name.
         place: Its failure domain.
         address: Where peers reach it.
-        peers: Its connection to the network.
-        membership: Its membership.
+        peers: Its client for messages to other hosts.
+        membership: Its view of the fleet.
         store: Its store client, with its own faults.
-        configuration: Its configuration; None in a fleet without a store.
+        configuration: The configuration in force on it; None in a fleet without a store.
         adopted: The revisions that came into force on it, in order.
-        tasks: Its tasks.
+        tasks: The tasks that run its membership and configuration.
     """
 
     name: HostName
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -379,7 +379,7 @@
         play(script)
 
     def test_suspected_host_that_does_not_answer(self) -> None:
-        """Its requests are taken over, but its object is not deleted before it is dead."""
+        """A suspected host's requests are taken over, but its object is kept until it is dead."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.start()
@@ -494,7 +494,7 @@
         ids=["short", "below the limit", "long", "booking"],
     )
     def test_kind_of_request(self, call: Call, expected: Resilience) -> None:
-        """Short requests have no record, long ones a journal's, non-idempotent ones a claim."""
+        """Short requests get no record, long ones a record, and non-idempotent ones a claim."""
         assert resilience(call=call, rules=Rules()) is expected
 
 
--- a/tests/mirror/test_copies.py
+++ b/tests/mirror/test_copies.py
@@ -33,6 +33,6 @@
         ],
     )
     def test_invalid_object(self, foreign: object) -> None:
-        """An object that cannot be decoded does not lose the other objects of the copy."""
+        """An object that cannot be decoded does not discard the other objects of the copy."""
         packed = compress(encode([GOOD[0], foreign, GOOD[1]]))
         assert unpack_objects(packed) == GOOD
--- a/tests/mirror/test_mirror.py
+++ b/tests/mirror/test_mirror.py
@@ -584,7 +584,7 @@
         run_virtual(hosts.run(run))
 
     def test_large_change(self) -> None:
-        """A change too large for a datagram reaches hosts that the store rejects at a low cost."""
+        """A change too large for a datagram reaches rejected hosts with few messages and bytes."""
 
         async def run() -> None:
             await asyncio.sleep(5.0)
