--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -55,7 +55,7 @@
         option("restarts", description="Restarts of targets, else 2.", flag=False),
         option("foreign", description="Sets of foreign entries, else 1.", flag=False),
         option("limits", description="Limits that targets name, else 2.", flag=False),
-        option("evacuations", description="Evacuations of domains, else 0.", flag=False),
+        option("evacuations", description="Evacuations of domains, else 1.", flag=False),
         option("only", description="The one kind of fault, else all.", flag=False),
     ]
 
@@ -74,7 +74,7 @@
             foreign=self.value("foreign", Integer(low=0), default=1),
             limits=self.value("limits", Integer(low=0), default=2),
             planned=self.value("planned", Integer(low=0), default=2),
-            evacuations=self.value("evacuations", Integer(low=0), default=0),
+            evacuations=self.value("evacuations", Integer(low=0), default=1),
         )
         fresh = self.value("fresh", Integer(low=0), default=0)
         chosen = self.value("seeds", Text(pattern=SEEDS, form="1-8 or 3,5"), default="")
