--- a/bench/soak/_documents.py
+++ b/bench/soak/_documents.py
@@ -106,16 +106,15 @@
         zone: Its failure domain.
         ports: The first of its ports.
         store: ``IP:PORT`` of the store.
-        contracts: The parts of the users' rules that are in force.
+        contracts: The active contracts.
     """
-    active = f"ActiveContracts = {list(contracts)}" if contracts else ""
     zones = "\n".join(f'{item} = "r"' for item in ZONES)
     text = f"""
 NodeName = "{name}"
 Ip = "{ip}"
 Zone = "{zone}"
 InternalPorts = [{ports + 3}, {ports + 9}]
-{active}
+ActiveContracts = [{", ".join(f'"{contract}"' for contract in contracts)}]
 [Zones]
 {zones}
 [ListenAddrs]
