Count evacuated places and what runs there on entry hosts

The gauges evacuated_places and evacuated_attempts were there on the users' platform alone.

Entry hosts have them too, under the same names.

Formatter, linter and mypy pass; tests/entry and tests/commands/test_pages.py: 265 passed.

--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -298,6 +298,16 @@
             help="Outcomes of claimed calls that are not in the store yet.",
             value=lambda: self._claims.unreported,
         )
+        self._metrics.watch(
+            name="evacuated_places",
+            help="Failure domains whose targets get nothing new, as operators evacuated them.",
+            value=lambda: len(self._shell.evacuations),
+        )
+        self._metrics.watch(
+            name="evacuated_attempts",
+            help="Attempts of this host that still run in evacuated failure domains.",
+            value=lambda: sum(place.running for place in self._shell.evacuations),
+        )
 
     def _members_changed(self, members: tuple[Member, ...]) -> None:
         self._shell.dispatch(PeersChanged(now=self._shell.now, hosts=live_hosts(members)))
--- a/tests/entry/test_adoption.py
+++ b/tests/entry/test_adoption.py
@@ -140,6 +140,9 @@
             )
             accept(rig, encode(inventory=changed, rules=first.rules), base=1)
             wait_until(lambda: running(rig) == [1])
+            metrics = httpx.get(f"http://{rig.entry.operations_address}/metrics", timeout=5).text
+            assert "azureswitch_evacuated_places 1" in metrics
+            assert "azureswitch_evacuated_attempts 1" in metrics
             assert asked.result(timeout=20).status_code == 200
             wait_until(lambda: running(rig) == [0])
 
