--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -125,7 +125,7 @@
 
     @property
     def evacuations(self) -> tuple[EvacuatedPlace, ...]:
-        """The evacuated failure domains, and what this host still runs there."""
+        """The evacuated failure domains, and how many attempts still run there."""
         return self._state.evacuations.places
 
     @property
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -288,16 +288,6 @@
             help="The accepted revision that this host could not read; zero for none.",
             value=lambda: self._unreadable,
         )
-        self._metrics.watch(
-            name="members",
-            help="Hosts that are not dead.",
-            value=lambda: len(self._membership.members),
-        )
-        self._metrics.watch(
-            name="unreported_outcomes",
-            help="Outcomes of claimed calls that are not in the store yet.",
-            value=lambda: self._claims.unreported,
-        )
         self._metrics.watch(
             name="evacuated_places",
             help="Failure domains whose targets get nothing new, as operators evacuated them.",
@@ -308,6 +298,16 @@
             help="Attempts of this host that still run in evacuated failure domains.",
             value=lambda: sum(place.running for place in self._shell.evacuations),
         )
+        self._metrics.watch(
+            name="members",
+            help="Hosts that are not dead.",
+            value=lambda: len(self._membership.members),
+        )
+        self._metrics.watch(
+            name="unreported_outcomes",
+            help="Outcomes of claimed calls that are not in the store yet.",
+            value=lambda: self._claims.unreported,
+        )
 
     def _members_changed(self, members: tuple[Member, ...]) -> None:
         self._shell.dispatch(PeersChanged(now=self._shell.now, hosts=live_hosts(members)))
