--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -9,7 +9,7 @@
 from azureswitch.client import HttpClient
 from azureswitch.commands._answers import HostAnswer, read_answer
 from azureswitch.commands._base import OperatorCommand, failure_text, outcome, text
-from azureswitch.commands._evacuations import EvacuationReport
+from azureswitch.commands._evacuations import evacuation_text
 from azureswitch.commands._exits import ExitCode
 from azureswitch.commands._fleet import FleetStatus, assess
 from azureswitch.commands._loads import EngineLoad, read_loads
@@ -27,7 +27,7 @@
 )
 from azureswitch.inventory import Inventory, TargetRole
 from azureswitch.status import STATUS_PATH, ForeignCollection
-from azureswitch.texts import printable, time_text
+from azureswitch.texts import printable
 
 STATUS_TIMEOUT = 2.0
 """Seconds that a host may take to answer."""
@@ -35,7 +35,6 @@
 _HOST_HEADING = ("HOST", "PLACE", "ADDRESS", "STATUS", "REVISION", "NOTE")
 _LOAD_HEADING = ("ENGINE", "PLACE", "ROLE", "STARTED", "RUNNING", "WAITING", "MEMORY", "NOTE")
 _TARGET_HEADING = ("TARGET", "PLACE", "STATE", "STARTED", "NOTE")
-_EVACUATION_HEADING = ("EVACUATED", "SINCE", "BY", "WHY", "UNTIL", "STILL RUNNING THERE")
 _FOREIGN_HEADING = ("COLLECTION", "NAME", "VERSION", "FAULT", "WHAT IS WRONG")
 
 TARGET_ROWS = 40
@@ -68,7 +67,7 @@
     )
     yield table(_HOST_HEADING, rows)
     if report.evacuations:
-        yield table(_EVACUATION_HEADING, map(_evacuation_cells, report.evacuations))
+        yield evacuation_text(report.evacuations)
     if report.loads:
         yield table(_LOAD_HEADING, map(_load_cells, report.loads))
     elif report.targets is None:
@@ -94,19 +93,6 @@
     return ", ".join(note for note, hosts in notes.items() if host in hosts)
 
 
-def _evacuation_cells(item: EvacuationReport) -> tuple[object, ...]:
-    until = time_text(item.until) if item.until else ""
-    return (item.place, time_text(item.since), item.author, item.reason, until, _running(item))
-
-
-def _running(item: EvacuationReport) -> str:
-    if item.accepted is False:
-        return f"restored, not yet in force on {item.telling} hosts"
-    if item.empty:
-        return f"empty since {time_text(item.empty_since)}" if item.empty_since else "empty"
-    return "not told" if item.running is None else f"{item.running}, by {item.telling} hosts"
-
-
 def _target_parts(targets: tuple[TargetReport, ...]) -> Iterator[str]:
     yield table(_TARGET_HEADING, map(_target_cells, targets[:TARGET_ROWS]))
     if len(targets) > TARGET_ROWS:
@@ -156,7 +142,7 @@
 
 
 class StatusCommand(OperatorCommand):
-    """Shows hosts, targets, revisions in force and foreign entries."""
+    """Shows hosts, targets, revisions in force, evacuations and foreign entries."""
 
     name = "status"
     description = "Show hosts and their revision, targets and their start, and foreign entries."
