Let the stand-in target be cold, and prefer warm targets of plain services

Cause: no target of this repository was cold, so that no run of real processes could show that the bound holds. Among the targets of a plain service a cold one was chosen like any other.

Change: the stand-in target takes cold_seconds, cold_rate, cold_excess and cold_slack in its plan; it is cold after its start or at /standin/cold, slower meanwhile, says ColdLeftMs in its entry and ends without an answer above its bound. A cold plain target is chosen once warm ones run three requests more. Services without a published pace go through the same gate; tests of these.

--- a/src/azureswitch/serving/_routing.py
+++ b/src/azureswitch/serving/_routing.py
@@ -8,7 +8,7 @@
 from azureswitch.serving._spans import choose_spans
 from azureswitch.serving._state import CallRecord, ServingState
 from azureswitch.serving._target import TargetState, Work
-from azureswitch.serving._throttling import within_cold_limit
+from azureswitch.serving._throttling import is_cold, within_cold_limit
 
 SAMPLE_SIZES = {Level.SHORT: 4, Level.MIDDLE: 8, Level.LONG: 8}
 """Targets that are sampled at random; if all were compared, hosts would herd on the same one."""
@@ -34,6 +34,12 @@
 SPILL_SECONDS = 0.25
 """Backlog in engine seconds above which a short prompt may spill to engines for long ones."""
 
+COLD_STREAMS = 3
+"""Requests that a warm target of a plain service runs more than a cold one before that is chosen.
+
+A cold target takes longer for each request, to a degree that is not published.
+"""
+
 
 def choose(state: ServingState, record: CallRecord, *, now: float) -> Choice | None:
     """Choose the targets for the next attempt of a call.
@@ -67,7 +73,7 @@
     best = min(
         candidates,
         key=lambda t: (
-            state.ledger.at(t.target.name).streams,
+            state.ledger.at(t.target.name).streams + COLD_STREAMS * is_cold(state, t, now=now),
             t.nearness,
             state.random.random(),
         ),
--- a/src/azureswitch_standins/target/__init__.py
+++ b/src/azureswitch_standins/target/__init__.py
@@ -2,6 +2,7 @@
 
 from azureswitch_standins.target._content import answer_body, event, event_count, seal
 from azureswitch_standins.target._http import (
+    COLD_PATH,
     FAULTS_PATH,
     LIMIT_PATH,
     REPORT_PATH,
@@ -16,6 +17,7 @@
 __all__ = [
     "Act",
     "BEATS_KIND",
+    "COLD_PATH",
     "FAULTS_PATH",
     "LIMIT_PATH",
     "Note",
--- a/src/azureswitch_standins/target/_http.py
+++ b/src/azureswitch_standins/target/_http.py
@@ -12,6 +12,7 @@
 from azureswitch.platform import ORDER_PATH, header_names
 from azureswitch.server import CallerLimits, Exchange, HttpServer
 from azureswitch.tasks import Tasks
+from azureswitch_standins.target._cold import ColdPhase
 from azureswitch_standins.target._content import answer_body, event, event_count, seal
 from azureswitch_standins.target._model import Act, Memory, Slots, TargetFaults, TargetPlan, draw
 from azureswitch_standins.target._runs import NoteKind, Notes, digest
@@ -22,6 +23,9 @@
 LIMIT_PATH = "/standin/limit"
 """Not of the platform: the limit that is named in all answers from now on, or null."""
 
+COLD_PATH = "/standin/cold"
+"""Not of the platform: the target becomes cold again, while it runs on."""
+
 REPORT_PATH = "/api/report"
 HEALTH_PATH = "/health"
 
@@ -71,6 +75,8 @@
         self._memory = Memory(tokens=plan.memory)
         self._server = HttpServer(handler=self)
         self._tasks = Tasks(prefix="target")
+        self._cold = ColdPhase(plan=plan)
+        self._crashed = asyncio.Event()
         self._running = 0
         self._leaving = False
         self._limit: str | None = None
@@ -102,8 +108,19 @@
         """Orders that it has taken since its process started."""
         return self._sequence
 
+    @property
+    def crashed(self) -> asyncio.Event:
+        """Set once it has crashed, after which it answers nothing."""
+        return self._crashed
+
+    @property
+    def cold_left(self) -> float:
+        """Seconds for which it stays cold."""
+        return self._cold.left(self._now())
+
     async def start(self) -> None:
-        """Listen."""
+        """Listen, cold at first."""
+        self._cold.begin(self._now())
         await self._server.start(address=self._listen)
 
     def leave(self) -> None:
@@ -123,6 +140,9 @@
         elif path == LIMIT_PATH:
             self._limit = msgspec.json.decode(exchange.request.body, type=str | None)
             exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
+        elif path == COLD_PATH:
+            self._cold.begin(self._now())
+            exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
         elif path == ORDER_PATH:
             self._order(exchange)
         elif path == REPORT_PATH:
@@ -137,7 +157,17 @@
         else:
             self._request(exchange)
 
+    def _crash(self) -> None:
+        """End without an answer to anyone, as a killed process does."""
+        self._notes.write(NoteKind.CRASHED)
+        self._crashed.set()
+        self._server.stop_listening()
+        self._server.abort()
+
     def _order(self, exchange: Exchange) -> None:
+        if self._cold.count(self._now()):
+            self._crash()
+            return
         order = msgspec.json.decode(exchange.request.body, type=Order)
         now = self._now()
         done = True
@@ -157,6 +187,9 @@
             exchange.respond(status=HTTPStatus.MISDIRECTED_REQUEST, headers=(), body=b"")
             return
         self._notes.write(NoteKind.ARRIVED, id=id)
+        if self._cold.count(self._now()):
+            self._crash()
+            return
         act = draw(self._faults, random=self._random)
         if act is Act.MUTE:
             return
@@ -223,8 +256,9 @@
             exchange.respond(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers, body=b"")
 
     async def _act(self, exchange: Exchange, headers: dict[str, str], id: str, act: Act) -> None:
+        slowdown = self._cold.slowdown(self._now())
         if self._plan.streams:
-            await asyncio.sleep(_prompt(headers) / self._plan.read_rate)
+            await asyncio.sleep(slowdown * _prompt(headers) / self._plan.read_rate)
         if act is Act.HANG:
             await asyncio.Event().wait()
         elif act is Act.FAIL:
@@ -234,7 +268,7 @@
         elif self._plan.streams:
             await self._stream(exchange, headers, id, act)
         else:
-            await asyncio.sleep(self._plan.work)
+            await asyncio.sleep(slowdown * self._plan.work)
             self._answer(exchange, id, act)
 
     def _answer(self, exchange: Exchange, id: str, act: Act) -> None:
--- a/src/azureswitch_standins/target/_model.py
+++ b/src/azureswitch_standins/target/_model.py
@@ -48,6 +48,10 @@
         work: Seconds that a request takes, or that pass between two events.
         memory: Tokens that it holds.
         read_rate: Prompt tokens that it reads in a second.
+        cold_seconds: Seconds for which it is cold after its start.
+        cold_rate: Requests per second that it sustains while cold; zero for any number.
+        cold_excess: Factor on that rate in the bound above which it crashes while cold.
+        cold_slack: Requests in any one second that the bound permits in addition.
     """
 
     name: str
@@ -61,6 +65,10 @@
     work: float = 0.02
     memory: int = 405_000
     read_rate: float = 1_540_000.0
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
+    cold_excess: float = 1.5
+    cold_slack: float = 5.0
 
 
 class Slots:
--- a/src/azureswitch_standins/target/_program.py
+++ b/src/azureswitch_standins/target/_program.py
@@ -23,6 +23,9 @@
 
 IDLE_CHECK = 0.05
 
+EXIT_CRASHED = 1
+"""Exit code of a target that was cold and got more requests than it bears."""
+
 
 class TargetProgram(Program):
     """Serves one target until SIGTERM, and then until it has said so and all is answered."""
@@ -44,11 +47,11 @@
             print(f"{self.name}: {error}", file=sys.stderr)
             return EXIT_USAGE
         listen = self.value("listen", Text())
-        asyncio.run(_serve(plan, listen, self.value("seed", Integer(low=0), default=1)))
-        return EXIT_OK
+        return asyncio.run(_serve(plan, listen, self.value("seed", Integer(low=0), default=1)))
 
 
-async def _serve(plan: TargetPlan, listen: str, seed: int) -> None:
+async def _serve(plan: TargetPlan, listen: str, seed: int) -> int:
+    """Serve until SIGTERM or a crash, and return the exit code."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     loop.add_signal_handler(SIGTERM, stop.set)
@@ -63,9 +66,16 @@
         born=born,
         sequence=lambda: standin.sequence,
         entered=lambda leaving: notes.write(NoteKind.DRAINING if leaving else NoteKind.LISTED),
+        cold=(lambda: standin.cold_left) if plan.cold_seconds else None,
     )
     beats = loop.create_task(registration.run())
-    await stop.wait()
+    crash = loop.create_task(standin.crashed.wait())
+    asked = loop.create_task(stop.wait())
+    await asyncio.wait((crash, asked), return_when=asyncio.FIRST_COMPLETED)
+    if crash.done():
+        # Its entry stays in the store, like that of a target that was killed.
+        return EXIT_CRASHED
+    crash.cancel()
     end = loop.time() + LAST
     await registration.leave()
     standin.leave()
@@ -74,6 +84,7 @@
         await asyncio.sleep(IDLE_CHECK)
     beats.cancel()
     await registration.remove()
+    return EXIT_OK
 
 
 def main() -> int:
--- a/src/azureswitch_standins/target/_registration.py
+++ b/src/azureswitch_standins/target/_registration.py
@@ -33,6 +33,7 @@
     sequence: int = msgspec.field(name="Sequence")
     born: int
     models: tuple[dict[str, str], ...] = msgspec.field(name="Models", default=())
+    cold: int | msgspec.UnsetType = msgspec.field(name="ColdLeftMs", default=msgspec.UNSET)
 
 
 class Registration:
@@ -44,6 +45,7 @@
         born: When its process started, in milliseconds of the wall clock.
         sequence: Returns how many orders it has taken since then.
         entered: Called once the store has accepted a state, with whether it is that of leaving.
+        cold: Returns for how many seconds it stays cold, or None for a target that does not say.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         born: int,
         sequence: Callable[[], int],
         entered: Callable[[bool], None],
+        cold: Callable[[], float] | None = None,
     ) -> None:
         self._plan = plan
         self._address = address
@@ -63,7 +66,8 @@
         self._store = HttpStore(address=plan.store, timeout=STORE_TIMEOUT)
         self._told: bool | None = None
         self._leaving = False
-        self._written: dict[bool, bytes] = {}
+        self._cold = cold
+        self._written: tuple[tuple[bool, int | None], bytes] | None = None
 
     async def run(self) -> None:
         """Keep the entry and beat until cancelled."""
@@ -104,11 +108,13 @@
 
     def _entry(self) -> bytes:
         """Return the entry in this state, which a sequence that grows alone does not change."""
-        if self._leaving not in self._written:
-            self._written[self._leaving] = self._encoded()
-        return self._written[self._leaving]
+        cold = None if self._cold is None else round(1_000.0 * self._cold())
+        state = (self._leaving, cold)
+        if self._written is None or self._written[0] != state:
+            self._written = (state, self._encoded(cold))
+        return self._written[1]
 
-    def _encoded(self) -> bytes:
+    def _encoded(self, cold: int | None) -> bytes:
         plan = self._plan
         return msgspec.json.encode(
             Entry(
@@ -120,6 +126,7 @@
                 sequence=self._sequence(),
                 born=self._born,
                 models=({"Name": "m"},) if plan.streams else (),
+                cold=msgspec.UNSET if cold is None else cold,
             )
         )
 
--- a/tests/serving/test_gate.py
+++ b/tests/serving/test_gate.py
@@ -1,9 +1,11 @@
 """Tests that a request satisfies both kinds of limit: announced ones and those of cold targets."""
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.core import HostName, TargetName
 from azureswitch.exceptions import LimitReachedError, RefusedError, TargetsColdError
+from azureswitch.inventory import Target, Warmup
 from azureswitch.serving import LimitNamed
 from azureswitch.serving._throttling import (
     all_limited,
@@ -17,6 +19,7 @@
 )
 from tests.serving.cold import ColdWorld
 from tests.serving.engines import SERVICE
+from tests.serving.fixtures import Driver, booking, engine, model_call, plain_call, snapshot
 
 HOST = HostName("h0")
 RATE = 1.0
@@ -87,3 +90,37 @@
         assert wait == pytest.approx(1.0 / 1.125)
         assert not permitted(state, state.fleet.states(pool), now=wait - 0.01)
         assert len(permitted(state, state.fleet.states(pool), now=wait + 0.01)) == 2
+
+
+class TestServicesWithoutAPace:
+    """Plain services, and models whose engines' pace is not published."""
+
+    @staticmethod
+    def driver(targets: tuple[Target, ...]) -> Driver:
+        """Return a host whose services are all limited while cold."""
+        config = snapshot(targets=targets)
+        services = tuple(
+            replace(service, warmup=Warmup(seconds=3.0, rate=17.0))
+            for service in config.inventory.services
+        )
+        inventory = replace(config.inventory, services=services)
+        return Driver(config=replace(config, inventory=inventory))
+
+    def test_plain_prefers_warm(self) -> None:
+        """Calls go to a warm target until it runs several more than a cold one."""
+        driver = self.driver((replace(booking("s1"), cold=3.0), booking("s2")))
+        driver.tick(1.0)
+        calls = [plain_call(f"c{number}", repeatable=True) for number in range(5)]
+        sent = [start.targets[0] for start in driver.start_all(calls)]
+        assert sent[:3] == ["s2", "s2", "s2"]
+        assert sorted(sent[3:]) == ["s1", "s2"]
+
+    @pytest.mark.parametrize("tokens", [1_000, 900_000], ids=["one engine", "spans"])
+    def test_models(self, tokens: int) -> None:
+        """Engines without a token get no part of a prompt."""
+        names = ("e1", "e2", "e3")
+        engines = tuple(replace(engine(name), cold=3.0) for name in names)
+        driver = self.driver(engines)
+        assert not driver.start_all([model_call("c1", tokens=tokens, deadline=600.0)])
+        warm = self.driver(tuple(engine(name) for name in names))
+        assert warm.start_all([model_call("c1", tokens=tokens, deadline=600.0)])
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -11,6 +11,7 @@
 from azureswitch.platform import ORDER_PATH, TARGETS_KIND, HttpStore, header_names
 from azureswitch_standins.store import StoreStandin
 from azureswitch_standins.target import (
+    COLD_PATH,
     REPORT_PATH,
     Act,
     NoteKind,
@@ -249,3 +250,75 @@
             await store.stop()
 
         asyncio.run(play())
+
+
+class TestCold:
+    """A target that is cold after its start."""
+
+    COLD = msgspec.structs.replace(
+        PLAN, cold_seconds=0.5, cold_rate=2.0, cold_excess=1.5, cold_slack=1.0, slots=9
+    )
+
+    @pytest.mark.parametrize(
+        ("count", "rate", "pause", "again", "crashed"),
+        [
+            (4, 2.0, 0.0, False, False),
+            (5, 2.0, 0.0, False, True),
+            (9, 0.0, 0.0, False, False),
+            (9, 2.0, 0.6, False, False),
+            (9, 2.0, 0.6, True, True),
+        ],
+        ids=["at the bound", "above the bound", "without a rate", "warm", "cold again"],
+    )
+    def test_crash(self, count: int, rate: float, pause: float, again: bool, crashed: bool) -> None:
+        """It crashes under more requests in a second than the bound, only while it is cold."""
+
+        async def scenario(target: TargetStandin, notes: KeptNotes) -> None:
+            await asyncio.sleep(pause)
+            if again:
+                await send(target, path=COLD_PATH)
+            asked = [asyncio.create_task(send(target)) for _ in range(count)]
+            answers = await asyncio.gather(*asked, return_exceptions=True)
+            assert target.crashed.is_set() is crashed
+            assert (NoteKind.CRASHED in notes.kinds) is crashed
+            assert any(isinstance(answer, Exception) for answer in answers) is crashed
+
+        run(scenario, msgspec.structs.replace(self.COLD, cold_rate=rate))
+
+    def test_misdirected_requests_do_not_count(self) -> None:
+        """Requests that it answers with status 421 are not counted."""
+
+        async def scenario(target: TargetStandin, notes: KeptNotes) -> None:
+            other = ((header_names.EXPECTED_TARGET, "other"),)
+            for _ in range(9):
+                assert (await send(target, headers=other)).head.status == 421
+            assert not target.crashed.is_set()
+
+        run(scenario, self.COLD)
+
+    def test_entry(self) -> None:
+        """Its entry says for how long it stays cold, and that of another target does not."""
+
+        async def play() -> None:
+            store = StoreStandin()
+            await store.start()
+            client = HttpStore(address=store.address, timeout=5.0)
+            for name, cold, told in (("i-1", lambda: 0.25, 250), ("i-2", None, None)):
+                listed = asyncio.Event()
+                registration = Registration(
+                    plan=msgspec.structs.replace(PLAN, name=name, store=store.address),
+                    address="127.0.0.1:1",
+                    born=1,
+                    sequence=int,
+                    entered=lambda _, listed=listed: listed.set(),  # type: ignore[misc]
+                    cold=cold,
+                )
+                beats = asyncio.create_task(registration.run())
+                await listed.wait()
+                beats.cancel()
+                entry = msgspec.json.decode((await client.get(kind=TARGETS_KIND, name=name)).value)
+                assert entry.get("ColdLeftMs") == told
+            client.close()
+            await store.stop()
+
+        asyncio.run(play())
