Test cold targets over HTTP, and compare lists of targets only where they differ

Cause: no test sent requests through a gateway to cold targets, and each unchanged listing copied all targets twice to compare them.

Change: a test of one gateway before two cold targets; the comparison returns early; two names of the stand-in are listed.

--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -365,6 +365,8 @@
     def _replace_targets(self, targets: tuple[Target, ...]) -> None:
         before = self._targets
         self._targets = {target.name: latest(before.get(target.name), target) for target in targets}
+        if before == self._targets:
+            return
         listed, listed_before = without_warmth(self._targets), without_warmth(before)
         if listed != listed_before:
             self._log.write(difference(before, self._targets))
--- a/tests/gateway/test_warmth.py
+++ b/tests/gateway/test_warmth.py
@@ -1,5 +1,7 @@
 """Tests what operators see of cold targets: log, status and metrics."""
 
+import asyncio
+
 import pytest
 from msgspec.structs import replace
 
@@ -10,7 +12,8 @@
 from azureswitch.inventory import Service, ServiceKind, Target, TargetRole, Warmup
 from azureswitch.metrics import Metrics
 from azureswitch.serving import Ticked
-from tests.gateway.fixtures import PACE, RecordingLog, deployment, make_gateway
+from tests.gateway.fixtures import PACE, RecordingLog, deployment, listed, make_gateway, serve
+from tests.gateway.test_limits import send_at_pace
 
 POOL = ServiceName("pool")
 
@@ -109,3 +112,38 @@
         (shown,) = gateway.status.targets or ()
         assert shown.cold is None
         assert not shown_cold(metrics)
+
+
+class TestRequests:
+    """Requests to a gateway, over HTTP, whose targets are cold."""
+
+    def test_cold_targets(self) -> None:
+        """Cold targets get what one host may send, and callers in excess can come back."""
+
+        async def scenario() -> None:
+            metrics: list[bytes] = []
+            async with serve(count=2) as bed:
+                services = tuple(
+                    replace(service, warmup=Warmup(seconds=60.0, rate=17.0))
+                    for service in deployment().services
+                )
+                bed.gateway.adopt(replace(deployment(version=2), services=services))
+                entries = tuple(
+                    replace(listed(target, name, streams=False), cold=60.0, entry_version=1)
+                    for name, target in zip(("s0", "s1"), bed.targets[2:], strict=True)
+                )
+                bed.gateway.set_targets(entries)
+                statuses = await send_at_pace(bed, "/read/", seconds=2.0, pause=0.02)
+                refused = await bed.ask("/read/", id="last")
+                metrics.append(bed.metrics.text()[0])
+                for name in ("s0", "s1"):
+                    times = bed.fleet.times[name]
+                    assert times
+                    assert max(sum(at <= o < at + 1.0 for o in times) for at in times) <= 2
+            assert set(statuses) == {200, 503}
+            assert refused.head.status == 503
+            assert refused.head.header(name="retry-after") is not None
+            assert b"targets_cold" in refused.body
+            assert b"azureswitch_cold_refused_total" in metrics[0]
+
+        asyncio.run(scenario())
