--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -357,6 +357,8 @@
     def _replace_targets(self, targets: tuple[Target, ...]) -> None:
         before = self._targets
         self._targets = {target.name: latest(before.get(target.name), target) for target in targets}
+        if before == self._targets:
+            return
         listed, listed_before = without_warmth(self._targets), without_warmth(before)
         if listed != listed_before:
             self._log.write(targets_changed(before, self._targets))
