Check evacuations by the place of the target, and count by listed entries

Cause: a review showed that a request reached an evacuated target which had left the list while the attempt connected; that memory could be reserved after the wait for releases; that attempts were counted wrongly when an entry moved; and that a restarted or full target's attempt was cancelled although no other target may take the call.

Change: the relay checks the places of the attempt's targets, also before memory is reserved; the count follows the listed entries; a call whose service is evacuated stays with its attempt. The modules of evacuations and warm-up are in subpackages.

Result: the new tests fail without the changes and pass with them; tests/serving and tests/gateway on evacuations, tickets and failover pass; black, ruff and mypy pass.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -3,13 +3,14 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from contextlib import AsyncExitStack
+from functools import partial
 from http import HTTPStatus
 
 from absl import logging
 from msgspec import Struct
 
 from azureswitch.client import HttpAnswer, HttpClient, HttpExchange, HttpHead
-from azureswitch.core import TargetName
+from azureswitch.core import PlaceName, TargetName
 from azureswitch.exceptions import (
     HttpBrokenError,
     HttpNotSentError,
@@ -69,7 +70,7 @@
         tickets: Reserves memory for prompts larger than one engine.
         targets: Returns the listed targets by name.
         notices: Processes the target state reported in answers.
-        evacuated: Returns whether the failure domain of a target is evacuated.
+        evacuated: Returns whether a failure domain is evacuated.
         dispatch: Dispatches an event to the reducer.
         log: Receives the log entries.
         clock: Returns seconds of the monotonic clock.
@@ -82,7 +83,7 @@
         tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
         notices: TargetNotices,
-        evacuated: Callable[[TargetName], bool],
+        evacuated: Callable[[PlaceName], bool],
         dispatch: Callable[[ServingEvent], None],
         log: Log,
         clock: Callable[[], float],
@@ -116,9 +117,10 @@
         )
         try:
             end = await self._attempt(record, effect)
+        except TargetEvacuatedError as evacuated:
+            end = _End(how=AttemptEnd.REFUSED, error=evacuated)
         except HttpNotSentError:
-            refused = _End(how=AttemptEnd.REFUSED, error=TargetRefusedError(target=name))
-            end = self._withheld(effect) or refused
+            end = _End(how=AttemptEnd.REFUSED, error=TargetRefusedError(target=name))
         except HttpBrokenError:
             error = TargetBrokenError(target=name, tokens=record.last_event)
             end = _End(how=AttemptEnd.BROKEN, error=error)
@@ -167,15 +169,17 @@
         if missing:
             error = TargetRefusedError(target=missing[0])
             return _End(how=AttemptEnd.REFUSED, error=error, at_fault=missing[0])
-        withheld = self._withheld(effect)
-        if withheld is not None:
-            return withheld
         targets = [listed[name] for name in effect.targets]
+        self._check_in_use(targets)
         tickets = _tickets(effect, targets)
         async with AsyncExitStack() as stack:
             try:
                 await stack.enter_async_context(
-                    self._tickets.hold(tickets.values(), call=effect.call)
+                    self._tickets.hold(
+                        tickets.values(),
+                        call=effect.call,
+                        check=partial(self._check_in_use, targets),
+                    )
                 )
             except TargetError as error:
                 # Whether or not the engine reserved memory, the request itself was not sent.
@@ -185,15 +189,27 @@
                     retry_after=DEFAULT_BACKOFF_SECONDS,
                     at_fault=_target_of_error(error, targets),
                 )
-            return await self._send(record, effect, targets, tickets)
+            try:
+                return await self._send(record, effect, targets, tickets)
+            except HttpNotSentError:
+                self._check_in_use(targets)
+                raise
+
+    def _check_in_use(self, targets: list[Target]) -> None:
+        """Check that no target of an attempt is evacuated.
+
+        The targets are those of the start of the attempt, as an evacuated one may have left the
+        list since.
+
+        Raises:
+            TargetEvacuatedError: One is; the request was not sent.
+        """
+        evacuated = self._find_evacuated(targets)
+        if evacuated is not None:
+            raise TargetEvacuatedError(target=evacuated)
 
-    def _withheld(self, effect: StartAttempt) -> _End | None:
-        """Return the end of an attempt that is not sent as a target of it is evacuated, or None."""
-        evacuated = next(filter(self._evacuated, effect.targets), None)
-        if evacuated is None:
-            return None
-        error = TargetEvacuatedError(target=evacuated)
-        return _End(how=AttemptEnd.REFUSED, error=error, at_fault=evacuated)
+    def _find_evacuated(self, targets: list[Target]) -> TargetName | None:
+        return next((t.name for t in targets if self._evacuated(t.place)), None)
 
     async def _send(
         self,
@@ -225,7 +241,7 @@
             body=request.body,
             timeout=max(0.0, left) + ANSWER_GRACE_SECONDS,
             fresh=True,
-            permitted=lambda: self._withheld(effect) is None,
+            permitted=lambda: self._find_evacuated(targets) is None,
         )
         timer = SilenceTimer(
             seconds=effect.first_output_timeout, silent=lambda: self._silent(record, effect)
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -108,7 +108,7 @@
             tickets=tickets,
             targets=targets,
             notices=self._notices,
-            evacuated=state.fleet.is_evacuated,
+            evacuated=state.evacuations.holds,
             dispatch=self.dispatch,
             log=log,
             clock=clock,
--- a/src/azureswitch/gateway/_tickets.py
+++ b/src/azureswitch/gateway/_tickets.py
@@ -72,7 +72,13 @@
         await self._tasks.stop(timeout=timeout)
 
     @asynccontextmanager
-    async def hold(self, tickets: Iterable[Ticket], *, call: CallId) -> AsyncIterator[None]:
+    async def hold(
+        self,
+        tickets: Iterable[Ticket],
+        *,
+        call: CallId,
+        check: Callable[[], None] = lambda: None,
+    ) -> AsyncIterator[None]:
         """Hold memory while the block runs.
 
         Memory held by other requests is not waited for, since two hosts that each hold part of
@@ -82,6 +88,7 @@
         Args:
             tickets: The reservations to make.
             call: The request that needs them.
+            check: Called before memory is reserved; raises if that is no longer permitted.
 
         Raises:
             TargetError: An engine has no room or does not answer; nothing stays reserved.
@@ -94,6 +101,7 @@
         self._held += len(wanted)
         try:
             await self._wait_for_releases(call)
+            check()
             await self._reserve(wanted)
             renewals = asyncio.create_task(self._renew(wanted))
             yield
--- a/src/azureswitch/serving/__init__.py
+++ b/src/azureswitch/serving/__init__.py
@@ -33,7 +33,6 @@
     SettleClaim,
     StartAttempt,
 )
-from azureswitch.serving._evacuations import EvacuatedPlace, EvacuationChange, EvacuationPhase
 from azureswitch.serving._events import (
     AttemptEnd,
     AttemptEnded,
@@ -70,6 +69,7 @@
 from azureswitch.serving._reduce import TICK_SECONDS, reduce
 from azureswitch.serving._retries import RetryBudget
 from azureswitch.serving._state import ServingState
+from azureswitch.serving.evacuation import EvacuatedPlace, EvacuationChange, EvacuationPhase
 
 __all__ = [
     "TICK_SECONDS",
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -27,7 +27,6 @@
     run_isolated,
     run_step,
 )
-from azureswitch.serving._evacuating import count_evacuated, end_evacuated, is_evacuated
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
 from azureswitch.serving._fleet import MAX_EJECTION_SECONDS, MAX_UNSHARED_EJECTION_SECONDS
 from azureswitch.serving._length import Level, ageing_period, priority
@@ -44,6 +43,7 @@
 from azureswitch.serving._state import Attempt, CallRecord, Phase, ServingState, TimerKind
 from azureswitch.serving._termination import end_quarantined, give_up
 from azureswitch.serving._throttling import all_limited, cold_limited, count_held_back, lane_for
+from azureswitch.serving.evacuation._apply import count_evacuated, end_evacuated, is_evacuated
 
 LANE_RECHECK_SECONDS = {Level.SHORT: 0.02, Level.MIDDLE: 0.1, Level.LONG: 0.25}
 """Seconds before a lane is drained again after no target had room for its calls."""
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -7,8 +7,8 @@
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.serving._crashes import QuarantineChange
 from azureswitch.serving._digests import Digest, DomainTotals, Grant, LimitReport
-from azureswitch.serving._evacuations import EvacuationChange
 from azureswitch.serving._limits import LimitChange
+from azureswitch.serving.evacuation import EvacuationChange
 from azureswitch.serving.warmup import WarmthChange
 
 
--- a/src/azureswitch/serving/_failover.py
+++ b/src/azureswitch/serving/_failover.py
@@ -14,6 +14,7 @@
 from azureswitch.serving._retries import MAX_RETRIES, max_backoff
 from azureswitch.serving._routing import choose
 from azureswitch.serving._state import Attempt, CallRecord, ServingState
+from azureswitch.serving.evacuation._apply import is_evacuated
 
 FULL_SECONDS = 1.0
 """Seconds for which an engine gets no new work if requests wait there for memory."""
@@ -92,6 +93,9 @@
     others = len(record.attempts) > len(lost)
     if not others and not _may_follow(state, record, now=now, runs=len(lost)):
         return []
+    if not others and is_evacuated(state, record.pool, now=now):
+        # No other target may take the call, and the attempt may be running at the new process.
+        return []
     effects = [effect for number in lost for effect in cancel(state, record, number)]
     if others:
         return effects
@@ -125,6 +129,9 @@
     others = len(record.attempts) > len(at)
     if not at or not (others or record.may_run_beside(len(at))):
         return []
+    if not others and is_evacuated(state, record.pool, now=now):
+        # No other target may take the call, so that it would be ended while it may still run.
+        return []
     effects = [effect for number in at for effect in cancel(state, record, number)]
     if others:
         return effects
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -134,11 +134,6 @@
         state = self._states.get(target)
         return None if state is None else state.target.place
 
-    def is_evacuated(self, target: TargetName) -> bool:
-        """Return whether the failure domain of a target of the inventory is evacuated."""
-        state = self._states.get(target)
-        return state is not None and state.evacuated
-
     def within(self, place: PlaceName) -> list[TargetName]:
         """Return the targets of a failure domain."""
         return [name for name, state in self._states.items() if state.target.place == place]
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -33,7 +33,6 @@
     run_isolated,
     run_step,
 )
-from azureswitch.serving._evacuating import apply_evacuations, watch_evacuations
 from azureswitch.serving._events import (
     AttemptEnded,
     AttemptSilent,
@@ -87,7 +86,8 @@
     end_stopped,
     end_unfinishable,
 )
-from azureswitch.serving._warmup_events import adopt_warmth, refresh_warmth
+from azureswitch.serving.evacuation._apply import apply_evacuations, watch_evacuations
+from azureswitch.serving.warmup._events import adopt_warmth, refresh_warmth
 
 TICK_SECONDS = 0.05
 """Seconds between two `Ticked` events."""
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -15,7 +15,6 @@
 from azureswitch.serving._crashes import Crashes
 from azureswitch.serving._departures import Departures
 from azureswitch.serving._domains import Domains
-from azureswitch.serving._evacuations import Evacuations
 from azureswitch.serving._events import Call, HostSelf
 from azureswitch.serving._fairness import Fairness
 from azureswitch.serving._fleet import Fleet, Pool
@@ -28,6 +27,7 @@
 from azureswitch.serving._retries import RetryBudget
 from azureswitch.serving._starts import Starts
 from azureswitch.serving._target import Work
+from azureswitch.serving.evacuation import Evacuations
 from azureswitch.serving.warmup import WarmupLimiter
 
 DIGEST_PERIOD = 0.2
--- a/src/azureswitch/serving/_evacuations.py
+++ b/src/azureswitch/serving/evacuation/_model.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from enum import Enum
 
-from msgspec import Struct, field
+from msgspec import Struct
 
 from azureswitch.core import PlaceName, TargetName
 from azureswitch.inventory import Evacuation, Place
@@ -43,15 +43,17 @@
     Attributes:
         place: Its name.
         evacuation: Its evacuation.
-        targets: Its targets, including those that have left the inventory since it was evacuated,
-            where attempts may still run.
+        listed: Its targets in the inventory.
+        targets: The same with those that have left the inventory since it was evacuated, as long as
+            attempts of this host run there.
         running: Attempts of this host that ran there when last counted.
         empty_at: Since when no attempt of this host has run there, or None while some do.
     """
 
     place: PlaceName
     evacuation: Evacuation
-    targets: set[TargetName] = field(default_factory=set)
+    listed: frozenset[TargetName] = frozenset()
+    targets: frozenset[TargetName] = frozenset()
     running: int = 0
     empty_at: float | None = None
 
@@ -61,6 +63,7 @@
 
     def __init__(self) -> None:
         self._known: dict[PlaceName, EvacuatedPlace] = {}
+        self._elsewhere: frozenset[TargetName] = frozenset()
 
     @property
     def any(self) -> bool:
@@ -72,6 +75,10 @@
         """The evacuated failure domains, by name."""
         return tuple(self._known[name] for name in sorted(self._known))
 
+    def holds(self, place: PlaceName) -> bool:
+        """Return whether a failure domain is evacuated."""
+        return place in self._known
+
     def adopt(
         self, places: Iterable[Place], *, within: Callable[[PlaceName], Iterable[TargetName]]
     ) -> tuple[EvacuationChange, ...]:
@@ -86,16 +93,20 @@
         """
         before, self._known = self._known, {}
         changes: list[EvacuationChange] = []
+        elsewhere: set[TargetName] = set()
         for place in places:
             if place.evacuation is None:
+                elsewhere.update(within(place.name))
                 continue
             known = before.pop(place.name, None)
             if known is None:
                 known = EvacuatedPlace(place=place.name, evacuation=place.evacuation)
                 changes.append(_change(known, EvacuationPhase.BEGUN))
             known.evacuation = place.evacuation
-            known.targets.update(within(place.name))
+            known.listed = frozenset(within(place.name))
+            known.targets |= known.listed
             self._known[place.name] = known
+        self._elsewhere = frozenset(elsewhere)
         ended = (_change(known, EvacuationPhase.ENDED) for known in before.values())
         return (*changes, *ended)
 
@@ -111,14 +122,18 @@
         Returns:
             The failure domains where the last attempt has ended since the last count.
         """
-        open_places = [known for known in self._known.values() if known.empty_at is None]
-        if not open_places:
+        if not self._known:
             return ()
         attempts = tuple(running)
+        used = frozenset(target for targets in attempts for target in targets)
         changes: list[EvacuationChange] = []
-        for known in open_places:
+        for known in self._known.values():
+            # A target whose entry has moved counts where it is listed now.
+            known.targets = known.listed | ((known.targets & used) - self._elsewhere)
             known.running = sum(not known.targets.isdisjoint(targets) for targets in attempts)
-            if not known.running:
+            if known.running:
+                known.empty_at = None
+            elif known.empty_at is None:
                 known.empty_at = now
                 changes.append(_change(known, EvacuationPhase.EMPTY))
         return tuple(changes)
--- a/tests/serving/test_evacuations.py
+++ b/tests/serving/test_evacuations.py
@@ -40,7 +40,7 @@
     Ticked,
     reduce,
 )
-from azureswitch.serving._evacuating import MAX_RETRY_JITTER, RESTORED_SECONDS
+from azureswitch.serving.evacuation._apply import MAX_RETRY_JITTER, RESTORED_SECONDS
 from tests.serving.engines import SERVICE, Simulation, place_of
 from tests.serving.engines import snapshot as paced_snapshot
 from tests.serving.fixtures import Driver, booking, engine, model_call, only, plain_call, snapshot
