--- a/src/azureswitch/serving/_domains.py
+++ b/src/azureswitch/serving/_domains.py
@@ -4,10 +4,6 @@
 failure domain are therefore notified only of attempts at its engines, by whichever host they are
 sent.  They send to these engines unless a call would miss its latency objective there, and know the
 load of the engines of other failure domains only as totals that are seconds old.
-
-The hosts of an evacuated failure domain send to all others, and are therefore notified of all
-attempts: two more messages per request for each of them, 38 hosts of 420 in 11 domains.  By totals
-alone they would all choose the engines that were idle some seconds ago.
 """
 
 from collections.abc import Iterable
@@ -29,7 +25,6 @@
         self._full_hosts = full_hosts
         self._hosts = 1
         self._concerned: frozenset[PlaceName] = frozenset()
-        self._evacuated: frozenset[PlaceName] = frozenset()
 
     @property
     def divided(self) -> bool:
@@ -40,10 +35,6 @@
         """Set the number of live hosts."""
         self._hosts = count
 
-    def set_evacuated(self, places: Iterable[PlaceName]) -> None:
-        """Set the evacuated failure domains, whose hosts send to all others."""
-        self._evacuated = frozenset(places)
-
     def audience(
         self, places: Iterable[PlaceName], *, regular: bool
     ) -> frozenset[PlaceName] | None:
@@ -55,7 +46,7 @@
         """
         if not self.divided:
             return None
-        current = frozenset(places) | self._evacuated
+        current = frozenset(places)
         # Hosts of the last digest's domains receive this one too, to remove attempts that ended.
         audience = current | self._concerned | {self._own}
         if not regular:
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -385,7 +385,6 @@
         targets = self._departures.apply(adopted.targets)
         inventory = replace(snapshot.inventory, targets=targets)
         self._fleet.adopt(inventory, restarted=adopted.restarted)
-        self._domains.set_evacuated(p.name for p in inventory.places if p.evacuation is not None)
         self._restart(adopted.restarted)
         self._ledger.recount(adopted.learned)
         self._split.adopt(snapshot.rules)
