Refuse an expected end of an evacuation that has passed or is empty

Cause: evacuate accepted any time and an empty text, and a forged id of a change. Change: such options are invalid. Result: tests/commands/test_evacuations.py passes with the new rows.

--- a/src/azureswitch/commands/_evacuate.py
+++ b/src/azureswitch/commands/_evacuate.py
@@ -93,7 +93,7 @@
             change = UUID(given)
         except ValueError:
             change = None
-        if change is None or change.version != _TIME_VERSION:
+        if change is None or change.version != _TIME_VERSION or time_of(change) < 0:
             raise InvalidOptionError(
                 option="change", value=given, expected="the id that an earlier try has printed"
             )
@@ -120,18 +120,27 @@
             ServicesLeftEmptyError: It would leave services without a target, and is not forced.
             UnknownPlaceError: The inventory holds no such place.
         """
+        since = time_of(change)
         evacuation = Evacuation(
-            since=time_of(change),
+            since=since,
             author=self.author,
-            reason=self._given("reason") and parse_option(self, "reason", AUTHOR_KIND),
-            until=parse_option(self, "until", Moment()) if self._given("until") else 0,
+            reason=parse_option(self, "reason", AUTHOR_KIND) if self._given("reason") else "",
+            until=self._until(since) if self._given("until") else 0,
         )
         return evacuate(
             inventory, place=self.place, evacuation=evacuation, force=self.option("force")
         )
 
-    def _given(self, name: str) -> str:
-        return self.option(name) or ""
+    def _given(self, name: str) -> bool:
+        return self.option(name) is not None
+
+    def _until(self, since: int) -> int:
+        until = parse_option(self, "until", Moment())
+        if until <= since:
+            raise InvalidOptionError(
+                option="until", value=self.option("until"), expected="a time to come"
+            )
+        return until
 
 
 class RestoreCommand(PlaceCommand):
--- a/tests/commands/test_evacuations.py
+++ b/tests/commands/test_evacuations.py
@@ -79,6 +79,8 @@
             (OTHERS, f"evacuate {PLACE}", ExitCode.REFUSED, "services_left_empty"),
             ((), f"evacuate {PLACE} --until 2030-01-31T18:00", ExitCode.USAGE, "option_invalid"),
             ((), f"evacuate {PLACE} --until soon", ExitCode.USAGE, "option_invalid"),
+            ((), f"evacuate {PLACE} --until 2001-01-01T00:00Z", ExitCode.USAGE, "option_invalid"),
+            ((), f"evacuate {PLACE} --until ''", ExitCode.USAGE, "option_invalid"),
             ((), f"evacuate {PLACE} --reason '\x1b[2J'", ExitCode.USAGE, "option_invalid"),
             ((), f"evacuate {PLACE} --change x --base 1", ExitCode.USAGE, "option_invalid"),
             ((), f"evacuate {PLACE} --base 9", ExitCode.NOT_FOUND, "revision_not_found"),
