--- a/src/azureswitch/exceptions/_refusals.py
+++ b/src/azureswitch/exceptions/_refusals.py
@@ -81,16 +81,6 @@
         return f"The targets have just started; try again in {self.seconds:.1f} s."
 
 
-class OverloadedError(RefusedError):
-    """The targets have no room for the request beside more urgent ones."""
-
-    code: ClassVar[str] = "overloaded"
-
-    @property
-    def message(self) -> str:
-        return f"The service is overloaded; try again in {self.seconds:.1f} s."
-
-
 class QuarantinedError(RefusedError):
     """Targets have crashed under this request, so that it is sent to no more of them for now."""
 
--- a/src/azureswitch/gateway/_handler.py
+++ b/src/azureswitch/gateway/_handler.py
@@ -27,7 +27,7 @@
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
 from azureswitch.server import CallerLimits, ConnectionClosed, Exchange
-from azureswitch.serving import Call, Rank
+from azureswitch.serving import Call
 
 
 class RequestHandler:
@@ -160,7 +160,6 @@
             runs=max(1, route.runs),
             cancellable=route.kind is RouteKind.STREAMING,
             unshared=True,
-            rank=Rank(customer=deployment.priorities.get(customer, 0), route=route.priority),
         )
         return CallRecord(
             call=call,
--- a/src/azureswitch/gateway/_initial.py
+++ b/src/azureswitch/gateway/_initial.py
@@ -34,5 +34,4 @@
         deadline_margin=DEADLINE_MARGIN_SECONDS,
         full_hosts=settings.full_hosts,
         fleet_hosts=settings.hosts,
-        overload_control=settings.overload_control,
     )
--- a/src/azureswitch/gateway/_model.py
+++ b/src/azureswitch/gateway/_model.py
@@ -76,7 +76,6 @@
         routes: The routes.
         services: The services behind them.
         customers: Customers by API key; empty if no keys are required.
-        priorities: The priority of each customer; smaller goes first.
         limits: The limits on callers' connections.
     """
 
@@ -84,7 +83,6 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     customers: Mapping[str, CustomerName] = field(default_factory=dict)
-    priorities: Mapping[CustomerName, int] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
 
 
--- a/src/azureswitch/gateway/_prepared.py
+++ b/src/azureswitch/gateway/_prepared.py
@@ -30,8 +30,6 @@
     yield GO_ON
     customers: list[Customer] = []
     for name in names:
-        customers.append(
-            Customer(name=name, key_hash="", priority=deployment.priorities.get(name, 0))
-        )
+        customers.append(Customer(name=name, key_hash=""))
         yield GO_ON
     return Prepared(deployment=deployment, routes=routes, customers=tuple(customers))
--- a/src/azureswitch/gateway/_settings.py
+++ b/src/azureswitch/gateway/_settings.py
@@ -23,7 +23,6 @@
         retry_burst: Additional retries permitted across all hosts.
         hosts: Number of hosts that share the burst before others are known.
         full_hosts: Fleet size up to which each host is informed immediately of every send.
-        overload_control: Whether calls are admitted by rank and room while room is short.
         evacuations: Whether evacuations are read, so that a host waits for the first reading.
     """
 
@@ -38,5 +37,4 @@
     retry_burst: float
     hosts: int
     full_hosts: float = inf
-    overload_control: bool = False
     evacuations: bool = False
--- a/src/azureswitch/inventory/_model.py
+++ b/src/azureswitch/inventory/_model.py
@@ -133,7 +133,6 @@
         checks_fence: Whether it refuses orders with an old fencing number.
         started: When its process started, in milliseconds of the wall clock; zero where it does not
             say.  A target that starts again under its name holds nothing of what it held before.
-        slots: Requests that it runs at once; zero where it does not say.
         cold: Seconds for which it stays cold, as listed; None where it does not say.
         entry_version: Version of the entry that says so; later entries have greater ones.
     """
@@ -147,7 +146,6 @@
     memory: int = 0
     checks_fence: bool = True
     started: int = 0
-    slots: int = 0
     cold: float | None = None
     entry_version: int = 0
 
@@ -160,14 +158,12 @@
         key_hash: SHA-256 of its API key, in lower-case hexadecimal.
         weight: Its share of the fleet beside other busy customers.
         limit: Engine seconds per second over the whole fleet that it may use; zero for no limit.
-        priority: Its priority among customers; smaller goes first, before the route's.
     """
 
     name: CustomerName
     key_hash: str
     weight: float = 1.0
     limit: float = 0.0
-    priority: int = 0
 
 
 class Rules(Struct, frozen=True, kw_only=True):
--- a/src/azureswitch/platform/_deployment.py
+++ b/src/azureswitch/platform/_deployment.py
@@ -107,10 +107,9 @@
 
 
 class WireCustomer(msgspec.Struct, frozen=True, kw_only=True, gc=False):
-    """A customer, its API keys and its priority, which goes before that of a route."""
+    """A customer and its API keys."""
 
     name: CustomerName = msgspec.field(name="Name")
-    priority: int = msgspec.field(name="Priority", default=0)
     keys: tuple[str, ...] = msgspec.field(name="ApiKeys", default=())
 
 
@@ -145,17 +144,14 @@
         routes = yield from _each(_route, wire.routes)
         services = yield from _each(_service, wire.services)
         customers: dict[str, CustomerName] = {}
-        priorities: dict[CustomerName, int] = {}
         for customer in wire.customers:
             customers.update((key, customer.name) for key in customer.keys)
-            priorities[customer.name] = customer.priority
             yield GO_ON
         return Deployment(
             version=wire.version,
             routes=routes,
             services=services,
             customers=customers,
-            priorities=priorities,
             limits=_limits(wire.limits),
         )
     except (ArithmeticError, RecursionError, ValueError) as error:
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -383,6 +383,5 @@
         retry_burst=settings.bounds.retry_slack * RETRY_BUDGET_SHARE,
         hosts=MAX_FLEET_HOSTS,
         full_hosts=FULL_HOSTS,
-        overload_control=settings.overload_control,
         evacuations=settings.evacuations,
     )
--- a/src/azureswitch/platform/_settings.py
+++ b/src/azureswitch/platform/_settings.py
@@ -31,9 +31,6 @@
 EVACUATION_CONTRACT = "places"
 """The contract of deployments whose operators evacuate failure domains."""
 
-OVERLOAD_CONTRACT = "pressure"
-"""The contract of deployments whose callers may ask for more than the targets can do."""
-
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds set by the users' rules, from which this system derives its own limits.
@@ -94,11 +91,6 @@
         """Whether operators evacuate failure domains."""
         return EVACUATION_CONTRACT in self.contracts
 
-    @property
-    def overload_control(self) -> bool:
-        """Whether calls are admitted by rank and room while room is short."""
-        return OVERLOAD_CONTRACT in self.contracts
-
 
 def read_settings(path: Path) -> PlatformSettings:
     """Read a settings file.
--- a/src/azureswitch/platform/_targets.py
+++ b/src/azureswitch/platform/_targets.py
@@ -253,7 +253,6 @@
         models=tuple(model.name for model in wire.models) if pace else (),
         memory=pace.memory if pace else 0,
         started=0 if wire.started is msgspec.UNSET else wire.started,
-        slots=wire.slots if type(wire.slots) is int and wire.slots > 0 else 0,
         cold=_cold_seconds(wire) if warms else None,
         entry_version=item.version if warms else 0,
     )
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -22,18 +22,6 @@
 """Default upper bound of the targets that may run a call: the first one and eight retries."""
 
 
-class Rank(Struct, frozen=True, kw_only=True, order=True):
-    """The urgency of a call; the smaller of two ranks goes first.
-
-    Attributes:
-        customer: The priority of its customer, which goes before that of the route.
-        route: The priority of its route.
-    """
-
-    customer: int = 0
-    route: int = 0
-
-
 class Call(Struct, frozen=True, kw_only=True):
     """One caller's request, parsed and authenticated.
 
@@ -57,7 +45,6 @@
         cancellable: Whether it is cancelled when its caller disconnects, even if it must not run
             again.
         unshared: Whether no other host can receive the same call, so that no claim is needed.
-        rank: Its urgency while room is short.
     """
 
     id: CallId
@@ -77,7 +64,6 @@
     runs: int = MAX_RUNS
     cancellable: bool = False
     unshared: bool = False
-    rank: Rank = Rank()
 
 
 class AttemptEnd(Enum):
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -181,7 +181,6 @@
         full_hosts: Fleet size up to which all hosts receive all digests; in a larger fleet they go
             to the failure domains concerned.
         fleet_hosts: Assumed number of hosts until the others are known.
-        overload_control: Whether calls are admitted by rank and room while room is short.
     """
 
     def __init__(
@@ -195,9 +194,7 @@
         deadline_margin: float = DEADLINE_MARGIN,
         full_hosts: float = inf,
         fleet_hosts: int = 1,
-        overload_control: bool = False,
     ) -> None:
-        self._overload_control = overload_control
         self._myself = myself
         self._random = Random(seed)
         self._snapshot: Snapshot | None = None
@@ -242,11 +239,6 @@
         """The random number generator of every random choice."""
         return self._random
 
-    @property
-    def overload_control(self) -> bool:
-        """Whether calls are admitted by rank and room while room is short."""
-        return self._overload_control
-
     @property
     def snapshot(self) -> Snapshot | None:
         """The configuration in force, or None before the first."""
--- a/tests/platform/test_reader_properties.py
+++ b/tests/platform/test_reader_properties.py
@@ -121,7 +121,6 @@
         address=fields["Address"],
         role=TargetRole.SERVING if serving else TargetRole.DRAINING,
         started=fields["born"],
-        slots=fields["Slots"],
     )
 
 
