--- a/tests/serving/engines.py
+++ b/tests/serving/engines.py
@@ -1,14 +1,21 @@
 """Discrete-event simulation of hosts, callers and engines that work in passes."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from math import inf
 from random import Random
 
-from azureswitch.core import CallId, CustomerName, HostName, PlaceName, ServiceName, TargetName
+from azureswitch.core import (
+    CallId,
+    CustomerName,
+    Effect,
+    HostName,
+    PlaceName,
+    ServiceName,
+    TargetName,
+)
 from azureswitch.inventory import (
     EnginePace,
     Inventory,
@@ -30,6 +37,7 @@
     PeersChanged,
     PublishDigest,
     PublishTotals,
+    Rank,
     ServingEvent,
     ServingState,
     SnapshotAdopted,
@@ -38,75 +46,18 @@
     TotalsReceived,
     reduce,
 )
+from tests.serving.batching import Engine, Part, Request, Workload
 
 SERVICE = ServiceName("pool")
 TICK_SECONDS = 0.05
 
+REJECTION_SECONDS = 0.001
+"""Seconds until a host learns that an engine has rejected a request."""
+
 MAX_STEP_TOKENS = 2_048
 """Maximum tokens that an engine prefills in a step."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Workload:
-    """Size distribution and objectives of one kind of request."""
-
-    prompt: int
-    sigma: float
-    max_prompt: int
-    events: int
-    objective: float
-    max_pause: float
-    weight: float
-
-
-@dataclass(slots=True, kw_only=True)
-class Request:
-    """One request and the latencies that its caller observed."""
-
-    call: CallId
-    kind: Workload
-    prompt: int
-    arrived: float
-    first: float | None = None
-    last_event: float = 0.0
-    max_pause: float = 0.0
-    left: int = 0
-    parts: set[TargetName] = field(default_factory=set)
-
-    @property
-    def on_time(self) -> bool:
-        """Whether it completed with its first token and all pauses within the objectives."""
-        prompt = self.first is not None and self.first - self.arrived <= self.kind.objective
-        return prompt and self.max_pause <= self.kind.max_pause and not self.left
-
-
-@dataclass(slots=True, kw_only=True)
-class Part:
-    """Remaining prefill of a prompt on one engine; parts of helpers take precedence."""
-
-    request: Request
-    tokens: float
-    seconds: float
-    helper: bool
-
-    def advance(self, max_tokens: float) -> tuple[float, float]:
-        """Prefill at most ``max_tokens``, and return the tokens and seconds of prefill done."""
-        share = min(1.0, max_tokens / self.tokens)
-        tokens, seconds = share * self.tokens, share * self.seconds
-        self.tokens -= tokens
-        self.seconds -= seconds
-        return tokens, seconds
-
-
-@dataclass(slots=True, kw_only=True)
-class Engine:
-    """An engine; each pass prefills as much as fits and emits one event per stream."""
-
-    prefilling: list[Part] = field(default_factory=list)
-    decoding: list[tuple[Request, Callable[[], None]]] = field(default_factory=list)
-    running: bool = False
-
-
 class Simulation:
     """Simulates hosts and engines; digests between hosts arrive without delay.
 
@@ -119,6 +70,9 @@
         full_hosts: Maximum hosts up to which every host gets all digests, or None for no maximum.
         share_digests: Whether hosts exchange digests.
         end_delay: Seconds until hosts learn that attempts of other hosts have ended.
+        overload_control: Whether hosts control overload.
+        queue: Requests that wait at an engine for one of its slots at most, or None for engines
+            with unlimited slots.
     """
 
     def __init__(
@@ -132,6 +86,8 @@
         full_hosts: int | None = None,
         share_digests: bool = True,
         end_delay: float = 0.0,
+        overload_control: bool = False,
+        queue: int | None = None,
     ) -> None:
         self.now = 0.0
         self.requests: list[Request] = []
@@ -139,7 +95,11 @@
         self._random = Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
-        self._engines = {TargetName(f"e{index}"): Engine() for index in range(engines)}
+        slots, max_queue = (inf, inf) if queue is None else (pace.slots, queue)
+        self._engines = {
+            TargetName(f"e{index}"): Engine(slots=slots, max_queue=max_queue)
+            for index in range(engines)
+        }
         self._calls: dict[CallId, Request] = {}
         self._attempts: dict[CallId, tuple[ServingState, StartAttempt]] = {}
         self._share_digests = share_digests
@@ -151,6 +111,8 @@
                 seed=index,
                 place=place_of(index, places),
                 full_hosts=inf if full_hosts is None else full_hosts,
+                fleet_hosts=hosts,
+                overload_control=overload_control,
             )
             for index in range(hosts)
         ]
@@ -168,6 +130,7 @@
         start: float,
         seconds: float,
         place: PlaceName | None = None,
+        customer: str = "",
     ) -> None:
         """Schedule Poisson arrivals of a kind, at the hosts of one failure domain or at all."""
         at = start + self._random.expovariate(rate)
@@ -176,7 +139,7 @@
             prompt = min(kind.max_prompt, int(kind.prompt * size))
             self._schedule(
                 at,
-                lambda prompt=prompt: self._arrive(kind, prompt, place),  # type: ignore[misc]
+                partial(self._arrive, kind, prompt, place, customer),
             )
             at += self._random.expovariate(rate)
 
@@ -201,7 +164,7 @@
         for host in self._hosts:
             self._reduce(host, Ticked(now=self.now))
 
-    def _arrive(self, kind: Workload, prompt: int, place: PlaceName | None) -> None:
+    def _arrive(self, kind: Workload, prompt: int, place: PlaceName | None, customer: str) -> None:
         request = Request(
             call=CallId(f"c{len(self.requests)}"),
             kind=kind,
@@ -212,37 +175,47 @@
         self.requests.append(request)
         call = Call(
             id=request.call,
-            customer=CustomerName(""),
+            customer=CustomerName(customer),
             service=SERVICE,
             model="m",
             prompt_tokens=prompt,
             output_tokens=kind.events * self._pace.stride,
-            deadline=self.now + 15.0,
+            deadline=self.now + kind.deadline,
             objective=kind.objective,
             gap_objective=kind.max_pause,
             runs=2,
             unshared=True,
+            rank=Rank(route=kind.priority),
         )
+        self._send(request, call, place)
+
+    def _send(self, request: Request, call: Call, place: PlaceName | None) -> None:
+        """Send a call to a random host, of one failure domain or of all."""
         self._calls[call.id] = request
         hosts = [host for host in self._hosts if place in (None, host.myself.place)]
-        self._reduce(self._random.choice(hosts), CallArrived(now=self.now, call=call))
+        self._deliver_call(self._random.choice(hosts), call)
+
+    def _deliver_call(self, host: ServingState, call: Call) -> None:
+        self._reduce(host, CallArrived(now=self.now, call=call))
 
     def _reduce(self, host: ServingState, event: ServingEvent) -> None:
         for effect in reduce(host, event):
-            if isinstance(effect, StartAttempt):
-                self._start(host, effect)
-            elif isinstance(effect, PublishDigest) and self._share_digests:
-                if effect.may_wait and self._end_delay:
-                    deliver = partial(self._deliver, host, effect)
-                    self._schedule(self.now + self._end_delay, deliver)
-                else:
-                    self._deliver(host, effect)
-            elif isinstance(effect, PublishTotals):
-                places = effect.totals.place
-                peers = [peer for peer in self._hosts if peer.myself.place != places]
-                if peers:
-                    totals = TotalsReceived(now=self.now, totals=effect.totals)
-                    reduce(self._random.choice(peers), totals)
+            self._execute(host, effect)
+
+    def _execute(self, host: ServingState, effect: Effect) -> None:
+        if isinstance(effect, StartAttempt):
+            self._start(host, effect)
+        elif isinstance(effect, PublishDigest) and self._share_digests:
+            if effect.may_wait and self._end_delay:
+                self._schedule(self.now + self._end_delay, partial(self._deliver, host, effect))
+            else:
+                self._deliver(host, effect)
+        elif isinstance(effect, PublishTotals):
+            places = effect.totals.place
+            peers = [peer for peer in self._hosts if peer.myself.place != places]
+            if peers:
+                totals = TotalsReceived(now=self.now, totals=effect.totals)
+                reduce(self._random.choice(peers), totals)
 
     def _deliver(self, host: ServingState, effect: PublishDigest) -> None:
         for peer in self._hosts:
@@ -262,9 +235,22 @@
                 seconds=work / len(effect.targets),
                 helper=name != effect.targets[0],
             )
-            self._engines[name].prefilling.append(part)
+            if not self._engines[name].accept(part):
+                self._reject(host, effect)
+                return
             self._start_pass(name)
 
+    def _reject(self, host: ServingState, effect: StartAttempt) -> None:
+        """Answer that an engine's queue is full."""
+
+        def reject() -> None:
+            rejected = AttemptEnded(
+                now=self.now, call=effect.call, attempt=effect.attempt, end=AttemptEnd.REFUSED
+            )
+            self._reduce(host, rejected)
+
+        self._schedule(self.now + REJECTION_SECONDS, reject)
+
     def _start_pass(self, name: TargetName) -> None:
         engine = self._engines[name]
         if engine.running or not (engine.prefilling or engine.decoding):
@@ -315,6 +301,7 @@
         request.left -= 1
         if request.left <= 0:
             engine.decoding.remove((request, end))
+            engine.free_slot()
             end()
 
 
@@ -327,9 +314,23 @@
     return PlaceName(f"p{index % places + 1}")
 
 
-def _host(name: str, *, seed: int, place: PlaceName, full_hosts: float) -> ServingState:
-    myself = HostSelf(name=HostName(name), place=place, started=1)
-    return ServingState(myself=myself, seed=seed, lean=True, full_hosts=full_hosts)
+def _host(
+    name: str,
+    *,
+    seed: int,
+    place: PlaceName,
+    full_hosts: float,
+    fleet_hosts: int,
+    overload_control: bool,
+) -> ServingState:
+    return ServingState(
+        myself=HostSelf(name=HostName(name), place=place, started=1),
+        seed=seed,
+        lean=True,
+        full_hosts=full_hosts,
+        fleet_hosts=fleet_hosts,
+        overload_control=overload_control,
+    )
 
 
 def snapshot(pace: EnginePace, count: int, revision: int = 1, *, places: int = 1) -> Snapshot:
--- a/tests/serving/test_domains.py
+++ b/tests/serving/test_domains.py
@@ -26,7 +26,8 @@
 )
 from azureswitch.serving._domains import Domains
 from azureswitch.serving._ledger import TOTALS_SECONDS
-from tests.serving.engines import SERVICE, Simulation, Workload, place_of, snapshot
+from tests.serving.batching import Workload
+from tests.serving.engines import SERVICE, Simulation, place_of, snapshot
 
 PACE = EnginePace(
     step=0.00131,
--- a/tests/serving/test_load.py
+++ b/tests/serving/test_load.py
@@ -5,7 +5,8 @@
 
 from azureswitch.coordination.sharing._gathering import GATHER_SECONDS
 from azureswitch.inventory import EnginePace
-from tests.serving.engines import Simulation, Workload
+from tests.serving.batching import Workload
+from tests.serving.engines import Simulation
 
 PACE = EnginePace(
     step=0.00102,
