Refuse calls that are too late or leave too little capacity to more urgent ones

Cause: at overload every call was sent, so that queues held calls that were late already and the most urgent kind kept least of its credit. Change: serving/overload has the room at the targets, arrival rates by rank (in digests), the decision and the time to come back; it is asked on arrival and before a retry, only where ServingState.overload_control is set. Arriving calls move from _reduce to _arriving, first tokens and ageing from _attempts to _progress, and timers from _state to _timers, as these were too long.

--- a/src/azureswitch/coordination/sharing/_digest.py
+++ b/src/azureswitch/coordination/sharing/_digest.py
@@ -12,6 +12,7 @@
     DomainTotals,
     LimitReport,
     Occupancy,
+    RankArrivals,
     TargetLoad,
     TargetStart,
 )
@@ -77,6 +78,17 @@
     age: int
 
 
+class PackedArrivals(Struct, frozen=True, kw_only=True, array_like=True):
+    """A `RankArrivals` with its rate per 1,000 seconds and times in milliseconds."""
+
+    service: ServiceName
+    customer: int
+    route: int
+    rate: int
+    objective: int
+    work: int
+
+
 class PackedDigest(Struct, frozen=True, kw_only=True, array_like=True):
     """A `Digest` without field names.
 
@@ -98,6 +110,7 @@
     starts: tuple[int | None, ...] = ()
     crashes: tuple[PackedCrashes, ...] = ()
     limits: tuple[PackedLimit, ...] = ()
+    arrivals: tuple[PackedArrivals, ...] = ()
 
 
 class PackedTotals(Struct, frozen=True, kw_only=True, array_like=True):
@@ -161,6 +174,7 @@
         starts=_pack_starts(digest),
         crashes=tuple(_pack_crashes(report) for report in digest.crashes),
         limits=tuple(map(pack_limit, digest.limits)),
+        arrivals=tuple(map(_pack_arrivals, digest.arrivals)),
     )
 
 
@@ -183,6 +197,7 @@
         occupancies=tuple(_unpack_occupancy(item) for item in packed.occupancies),
         crashes=tuple(_unpack_crashes(report) for report in packed.crashes),
         limits=tuple(map(unpack_limit, packed.limits)),
+        arrivals=tuple(map(_unpack_arrivals, packed.arrivals)),
     )
     return (
         replace(digest, starts=_unpack_starts(digest, packed.starts)) if packed.starts else digest
@@ -226,6 +241,28 @@
     )
 
 
+def _pack_arrivals(arrivals: RankArrivals) -> PackedArrivals:
+    return PackedArrivals(
+        service=arrivals.service,
+        customer=arrivals.customer,
+        route=arrivals.route,
+        rate=round(arrivals.rate * SCALE),
+        objective=round(arrivals.objective * SCALE),
+        work=round(arrivals.work * SCALE),
+    )
+
+
+def _unpack_arrivals(packed: PackedArrivals) -> RankArrivals:
+    return RankArrivals(
+        service=packed.service,
+        customer=packed.customer,
+        route=packed.route,
+        rate=max(0, packed.rate) / SCALE,
+        objective=max(0, packed.objective) / SCALE,
+        work=max(0, packed.work) / SCALE,
+    )
+
+
 def _pack_load(load: TargetLoad) -> PackedLoad:
     return PackedLoad(
         target=load.target,
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -15,18 +15,16 @@
 from azureswitch.serving._effects import (
     ClaimOutcome,
     Observation,
-    PrioritizeAttempt,
     StartAttempt,
 )
 from azureswitch.serving._ending import (
-    cancel_others,
     finish,
     observe,
     release,
     run_isolated,
     run_step,
 )
-from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
+from azureswitch.serving._events import AttemptEnd, AttemptEnded
 from azureswitch.serving._fleet import MAX_EJECTION_SECONDS, MAX_UNSHARED_EJECTION_SECONDS
 from azureswitch.serving._length import Level, ageing_period, priority
 from azureswitch.serving._queue import Lane
@@ -40,8 +38,10 @@
 )
 from azureswitch.serving._routing import choose
 from azureswitch.serving._state import Attempt, CallRecord, Phase, ServingState, TimerKind
-from azureswitch.serving._termination import end_quarantined, give_up
+from azureswitch.serving._termination import end_overloaded, end_quarantined, give_up
 from azureswitch.serving._throttling import all_limited, count_held_back, lane_for
+from azureswitch.serving.overload._announce import announce_refusal
+from azureswitch.serving.overload._assess import overload_refusal
 
 LANE_RECHECK_SECONDS = {Level.SHORT: 0.02, Level.MIDDLE: 0.1, Level.LONG: 0.25}
 """Seconds before a lane is drained again after no target had room for its calls."""
@@ -53,9 +53,6 @@
 otherwise lose its turn in the queue each time.
 """
 
-MIN_COST_SAMPLE_SECONDS = 0.001
-"""Seconds to the first token up to which an answer was cached and is no sample of the cost."""
-
 
 def lane_of(record: CallRecord) -> Lane:
     """Return the lane of the queue that a call waits in."""
@@ -167,7 +164,7 @@
         state.affinity.record_sent(target, call.prefix)
         state.permits.take(target, now=now)
     if call.model and record.pool.pace is None:
-        _set_aging_timer(state, record, attempt, now=now)
+        set_aging_timer(state, record, attempt, now=now)
         _set_hedge_timer(state, record, choice, now=now)
     timeouts = silence_timeouts(call, first_token=choice.first_token)
     return [
@@ -188,9 +185,10 @@
     ]
 
 
-def _set_aging_timer(
+def set_aging_timer(
     state: ServingState, record: CallRecord, attempt: Attempt, *, now: float
 ) -> None:
+    """Schedule the next update of an attempt's priority."""
     state.timers.set(
         at=now + ageing_period(record.cost.prefill),
         kind=TimerKind.AGE,
@@ -228,72 +226,6 @@
     return [observe(record, Observation.HEDGED), *start_attempt(state, record, choice, now=now)]
 
 
-def age(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
-    """Update the priority of an attempt that still waits for its first token."""
-    attempt = record.attempts.get(number)
-    if attempt is None or attempt.first_token is not None:
-        return []
-    _set_aging_timer(state, record, attempt, now=now)
-    attempt_priority = priority(
-        record.call,
-        state.rules,
-        prefill=record.cost.prefill,
-        waited=now - record.arrived,
-        demoted=state.fairness.exceeds(record.call.customer, now=now),
-    )
-    if attempt_priority == attempt.priority:
-        return []
-    attempt.priority = attempt_priority
-    return [
-        PrioritizeAttempt(
-            call=record.call.id, attempt=number, target=name, priority=attempt_priority
-        )
-        for name in attempt.targets
-    ]
-
-
-def record_first_token(
-    state: ServingState, record: CallRecord, number: int, *, now: float
-) -> list[Effect]:
-    """Record the first token of an attempt, and cancel the call's other, hedged attempts."""
-    attempt = record.attempts.get(number)
-    if attempt is None or attempt.first_token is not None:
-        return []
-    attempt.first_token = now
-    state.fleet.prefilled(attempt.counted, work=attempt.work)
-    state.ledger.read(call=record.call.id, attempt=number)
-    effects = cancel_others(state, record, keep=number)
-    alone = attempt.alone and not attempt.restarted
-    if alone and now - attempt.started > MIN_COST_SAMPLE_SECONDS:
-        state.costs.observe_first_token(
-            call=record.call,
-            target=attempt.targets[0],
-            cached_tokens=attempt.cached_tokens,
-            seconds=now - attempt.started,
-        )
-    if record.first_token is None:
-        record.first_token = now
-        state.costs.observe_stretch(
-            call=record.call, expected=attempt.work.seconds, seconds=now - attempt.started
-        )
-        effects += _observe_first_token(record, now=now)
-    return effects + drain_all(state, now=now)
-
-
-def _observe_first_token(record: CallRecord, *, now: float) -> list[Effect]:
-    waited = now - record.arrived
-    effects: list[Effect] = [observe(record, Observation.FIRST_TOKEN, waited)]
-    if record.cost.prefill > 0.0:
-        effects.append(observe(record, Observation.SLOWDOWN, waited / record.cost.prefill))
-    return effects
-
-
-def record_progress(record: CallRecord, event: TokensArrived) -> None:
-    """Record how many output tokens a call has."""
-    if event.attempt in record.attempts:
-        record.tokens = max(record.tokens, event.tokens)
-
-
 def handle_attempt_end(
     state: ServingState, record: CallRecord, event: AttemptEnded
 ) -> list[Effect]:
@@ -408,6 +340,12 @@
     in_time = now + delay < state.ends_by(record.call)
     more_runs = record.run_count < record.call.runs
     permitted = record.retry_count <= MAX_RETRIES and in_time and more_runs
+    if permitted and not record.tokens:
+        # The caller of an answer that has begun cannot come back for the rest of it.
+        overloaded = overload_refusal(state, record, retry=True, now=now)
+        if overloaded is not None:
+            ended = end_overloaded(state, record, seconds=overloaded.seconds, now=now)
+            return [*announce_refusal(record.call, overloaded), *ended]
     if not permitted or not state.retries.take():
         return give_up(state, record, now=now)
     retried = observe(record, Observation.RETRIED)
--- a/src/azureswitch/serving/_digests.py
+++ b/src/azureswitch/serving/_digests.py
@@ -129,6 +129,26 @@
     pause: float = 0.0
 
 
+class RankArrivals(Struct, frozen=True, kw_only=True):
+    """The calls of one rank that arrive at one host, whether they are admitted or not.
+
+    Attributes:
+        service: The service that they ask for.
+        customer: The priority of their customers.
+        route: The priority of their routes.
+        rate: Arrivals per second.
+        objective: Their mean objective for the first output, in seconds.
+        work: Their mean prefill or plain service, in seconds.
+    """
+
+    service: ServiceName
+    customer: int
+    route: int
+    rate: float
+    objective: float
+    work: float
+
+
 class Digest(Struct, frozen=True, kw_only=True):
     """The serving state of a host, for its peers.
 
@@ -145,6 +165,7 @@
         starts: The starts of the targets named above; unknown ones are left out.
         crashes: Requests under which targets crashed.
         limits: The rate limits that targets announced.
+        arrivals: The calls that arrive at this host by rank, where it controls overload.
     """
 
     host: HostName
@@ -159,6 +180,7 @@
     starts: tuple[TargetStart, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    arrivals: tuple[RankArrivals, ...] = ()
 
     @property
     def targets(self) -> tuple[TargetName, ...]:
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -7,6 +7,7 @@
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.serving._crashes import QuarantineChange
 from azureswitch.serving._digests import Digest, DomainTotals, Grant, LimitReport
+from azureswitch.serving._events import Rank
 from azureswitch.serving._limits import LimitChange
 
 
@@ -171,6 +172,54 @@
     change: QuarantineChange
 
 
+class AnnounceOverload(Effect, frozen=True, kw_only=True):
+    """Log for operators that a call was refused because of overload, and what this rests on.
+
+    Attributes:
+        call: The call.
+        customer: Its customer.
+        rank: Its rank.
+        retry: Whether it was to be sent again.
+        reason: Why it was refused.
+        seconds: After which its caller is told to come back.
+        first: Predicted seconds to its first output; infinite if no target can take it.
+        limit: Seconds to the first output up to which it would have been on time.
+        slots: Slots of the usable targets.
+        taken: Requests at these targets, those of unknown hosts by estimate.
+        reserved: Calls that more urgent ranks are expected to send within their objectives.
+        hosts: Hosts that share the targets.
+        known: Hosts of these whose load is known.
+        age: Seconds since the oldest report on which this rests.
+    """
+
+    call: CallId
+    customer: CustomerName
+    rank: Rank
+    retry: bool
+    reason: str
+    seconds: float
+    first: float
+    limit: float
+    slots: int
+    taken: float
+    reserved: float
+    hosts: int
+    known: int
+    age: float
+
+
+class ObserveRank(Effect, frozen=True, kw_only=True):
+    """Count a call by its rank, where overload is controlled.
+
+    Attributes:
+        rank: Its rank.
+        reason: Why it was refused, or empty if it was admitted.
+    """
+
+    rank: Rank
+    reason: str = ""
+
+
 class Observation(Enum):
     """The quantity that a metric counts or measures."""
 
--- a/src/azureswitch/serving/_gossip.py
+++ b/src/azureswitch/serving/_gossip.py
@@ -25,6 +25,9 @@
         crashes=state.crashes.collect_reports(now=now, regular=regular),
         limits=state.limits.collect_reports(now=now, regular=regular),
     )
+    if state.overload_control:
+        digest = replace(digest, arrivals=state.overload.arrivals.reports(now=now))
+        state.overload.reported(now)
     if not state.lean:
         digest = replace(
             digest,
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -6,32 +6,24 @@
 
 from azureswitch.core import NO_EFFECTS, CallId, Effect, Effects
 from azureswitch.exceptions import AzureswitchError, CallerLeftError
-from azureswitch.serving._admission import expected_cost, refusal
+from azureswitch.serving._arriving import arrive
 from azureswitch.serving._attempts import (
-    age,
     dispatch,
     drain_all,
     handle_attempt_end,
     hedge,
-    record_first_token,
-    record_progress,
 )
 from azureswitch.serving._digests import Digest
 from azureswitch.serving._effects import (
     AnnounceQuarantine,
-    ClaimCall,
     ClaimOutcome,
-    FinishCall,
-    Observation,
-    Observe,
     SettleClaim,
 )
-from azureswitch.serving._ending import finish, observe, run_isolated, run_step
+from azureswitch.serving._ending import finish, run_isolated, run_step
 from azureswitch.serving._events import (
     AttemptEnded,
     AttemptSilent,
     CacheReported,
-    Call,
     CallArrived,
     CallerLeft,
     ClaimDenied,
@@ -63,7 +55,6 @@
     withdraw,
 )
 from azureswitch.serving._gossip import publish_digest, publish_totals
-from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._limit_events import (
     answer_permit,
     merge_limits,
@@ -72,6 +63,7 @@
     request_permits,
     take_permit,
 )
+from azureswitch.serving._progress import age, record_first_token, record_progress
 from azureswitch.serving._retries import LOST_SECONDS, STUCK_SECONDS
 from azureswitch.serving._state import CallRecord, Phase, ServingState, Timer, TimerKind
 from azureswitch.serving._termination import (
@@ -135,54 +127,7 @@
 
 @_apply.register
 def _(event: CallArrived, state: ServingState) -> list[Effect]:
-    call = event.call
-    if call.id in state.calls:
-        return []
-    error = refusal(state, call, now=event.now)
-    if error is not None:
-        return _refuse(call, error)
-    return _admit(state, call, now=event.now)
-
-
-def _refuse(call: Call, error: AzureswitchError) -> list[Effect]:
-    refused = Observe(
-        what=Observation.REFUSED, customer=call.customer, prompt_tokens=call.prompt_tokens
-    )
-    return [FinishCall(call=call.id, error=error), refused]
-
-
-def _admit(state: ServingState, call: Call, *, now: float) -> list[Effect]:
-    pool = state.fleet.pool(service=call.service, model=call.model)
-    assert pool is not None  # refusal() rejects calls without targets.
-    cost = expected_cost(state, call, pool)
-    level = level_of(call, state.rules)
-    record = CallRecord(
-        call=call, arrived=now, pool=pool, cost=cost, level=level, tokens=call.offset
-    )
-    state.calls[call.id] = record
-    state.retries.admitted()
-    if call.model:
-        state.fairness.charge(call.customer, cost.total, now=now)
-        short = level is Level.SHORT and not state.fairness.exceeds(call.customer, now=now)
-        state.split.record_admitted(call, seconds=cost.prefill, short=short, now=now)
-    state.timers.set(at=state.ends_at(call), kind=TimerKind.DEADLINE, call=call.id)
-    state.timers.set(
-        at=call.deadline - cost.prefill - cost.answer / 2.0,
-        kind=TimerKind.LATEST_START,
-        call=call.id,
-    )
-    admitted = observe(record, Observation.ADMITTED)
-    if call.repeatable or call.unshared:
-        return [admitted, *dispatch(state, record, now=now)]
-    record.phase = Phase.CLAIMING
-    claim = ClaimCall(
-        call=call.id,
-        customer=call.customer,
-        key=call.idempotency_key or call.id,
-        fingerprint=call.fingerprint,
-        deadline=call.deadline,
-    )
-    return [admitted, claim]
+    return [] if event.call.id in state.calls else arrive(state, event.call, now=event.now)
 
 
 @_apply.register
@@ -344,6 +289,8 @@
             now=event.now,
         )
         state.crashes.merge(event.digest.crashes, now=event.now)
+        if state.overload_control:
+            state.overload.apply(event.digest, now=event.now)
         return merge_limits(state, event.digest.limits, now=event.now)
     return []
 
@@ -385,6 +332,7 @@
     state.domains.set_hosts(len(event.hosts))
     state.ledger.keep(event.hosts)
     state.crashes.set_hosts(event.hosts)
+    state.overload.keep(event.hosts)
     fleet_size = max(len(event.hosts), event.fleet_size or 0)
     state.retries.set_hosts(fleet_size)
     state.permits.set_hosts(event.hosts, fleet_hosts=fleet_size)
@@ -446,6 +394,8 @@
         )
         effects += run_isolated(partial(publish_totals, state), name="Publishing the totals")
         effects += run_isolated(partial(_expire_long_lived, state, now=now), name="Forgetting")
+    elif state.overload_control and state.overload.report_due(now):
+        effects += run_isolated(partial(publish_digest, state, now=now), name="Publishing a digest")
     return effects
 
 
--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -1,7 +1,6 @@
 """The state of the serving reducer: calls, attempts, timers and the parts of the policy."""
 
 from enum import Enum
-from heapq import heappop, heappush
 from math import inf
 from random import Random
 
@@ -27,6 +26,8 @@
 from azureswitch.serving._retries import RetryBudget
 from azureswitch.serving._starts import Starts
 from azureswitch.serving._target import Work
+from azureswitch.serving._timers import Timer, TimerKind, Timers
+from azureswitch.serving.overload import Overload
 
 DIGEST_PERIOD = 0.2
 """Default interval in seconds between regular digests."""
@@ -35,6 +36,9 @@
 """Seconds for which the claim of an abandoned call is awaited, to be settled as not run."""
 
 
+REPORT_PERIODS = 3.0
+"""Regular digests after which a peer that has sent none has an unknown load; two may be lost."""
+
 DEADLINE_MARGIN = 0.05
 """Default seconds before its deadline at which a call is ended; the interval of `Ticked` events."""
 
@@ -48,16 +52,6 @@
     RUNNING = "running"
 
 
-class TimerKind(Enum):
-    """The action that is due when a timer fires."""
-
-    DEADLINE = "deadline"
-    LATEST_START = "latest_start"
-    RETRY = "retry"
-    HEDGE = "hedge"
-    AGE = "age"
-
-
 class Attempt(Struct, kw_only=True):
     """One attempt at one target, or at several for a prompt that is split over engines.
 
@@ -131,40 +125,6 @@
         return self.call.repeatable and self.run_count + running < self.call.runs
 
 
-class Timer(Struct, frozen=True, kw_only=True, order=True):
-    """An action due for a call; it is ignored if the call has left the state that it was set for.
-
-    Timers are ordered by due time, and then by ``sequence``, which is unique.
-    """
-
-    at: float
-    sequence: int
-    kind: TimerKind
-    call: CallId
-    attempt: int = 0
-
-
-class Timers:
-    """A queue of timers, earliest first."""
-
-    def __init__(self) -> None:
-        self._heap: list[Timer] = []
-        self._sequence = 0
-
-    def set(self, *, at: float, kind: TimerKind, call: CallId, attempt: int = 0) -> None:
-        """Add a timer."""
-        self._sequence += 1
-        timer = Timer(at=at, sequence=self._sequence, kind=kind, call=call, attempt=attempt)
-        heappush(self._heap, timer)
-
-    def due(self, now: float) -> list[Timer]:
-        """Remove and return the timers that are due."""
-        timers = []
-        while self._heap and self._heap[0].at <= now:
-            timers.append(heappop(self._heap))
-        return timers
-
-
 class ServingState:
     """The state of the serving reducer of one host.
 
@@ -222,6 +182,7 @@
         self._permits = Permits(
             host=myself.name, fleet_hosts=fleet_hosts, limits=self._limits, random=self._random
         )
+        self._overload = Overload(max_age=REPORT_PERIODS * digest_period, hosts=fleet_hosts)
         self._digest_period = digest_period
         self._lean = lean
         self._deadline_margin = deadline_margin
@@ -243,6 +204,11 @@
         """Whether calls are admitted by rank and room while room is short."""
         return self._overload_control
 
+    @property
+    def overload(self) -> Overload:
+        """What overload control knows; unused where it is off."""
+        return self._overload
+
     @property
     def snapshot(self) -> Snapshot | None:
         """The configuration in force, or None before the first."""
--- a/src/azureswitch/serving/_termination.py
+++ b/src/azureswitch/serving/_termination.py
@@ -10,6 +10,7 @@
     LeavingError,
     NoTargetError,
     OutcomeLostError,
+    OverloadedError,
     QuarantinedError,
     RefusedError,
     RetriesExhaustedError,
@@ -41,6 +42,13 @@
     return _refuse(state, record, limit_reached(state, record.pool, now=now), now=now)
 
 
+def end_overloaded(
+    state: ServingState, record: CallRecord, *, seconds: float, now: float
+) -> list[Effect]:
+    """End a call that is not sent again, as its targets have too little capacity."""
+    return _refuse(state, record, OverloadedError(seconds=seconds), now=now)
+
+
 def _refuse(
     state: ServingState, record: CallRecord, refusal: RefusedError, *, now: float
 ) -> list[Effect]:
