Log and count overload refusals, and test the decision and the load

Cause: refusals because of overload were not visible to operators, and the parts had no tests. In a load of mostly long prompts the urgent kind still lost its credit to pauses and to late prefill. Change: AnnounceOverload and ObserveRank with a log entry and two counters; a call whose prefill makes running streams pause for too long is refused while more urgent calls arrive; the reserve counts prompts by their size, adds one standard deviation of the arrivals, and keeps the margin of ON_TIME_SHARE. Capacity counts as left only while half of the targets have no prefill queued. test_faults seeds its fault in _arriving, where the function is called now.

--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -24,6 +24,7 @@
     TargetLimited,
 )
 from azureswitch.gateway._notices import TargetNotices
+from azureswitch.gateway._overload import count_rank, overload_entry
 from azureswitch.gateway._ports import Dialect, Published
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._relay import Relay
@@ -35,6 +36,7 @@
 from azureswitch.serving import (
     TICK_SECONDS,
     AnnounceLimit,
+    AnnounceOverload,
     AnnounceQuarantine,
     AnswerPermit,
     AskPermit,
@@ -45,6 +47,7 @@
     GraceEnded,
     Loop,
     Observe,
+    ObserveRank,
     PublishDigest,
     PublishTotals,
     ServingEvent,
@@ -317,6 +320,14 @@
     def _(self, effect: AnnounceLimit) -> None:
         self._log.write(_limit_entry(effect))
 
+    @_run.register
+    def _(self, effect: AnnounceOverload) -> None:
+        self._log.write(overload_entry(effect))
+
+    @_run.register
+    def _(self, effect: ObserveRank) -> None:
+        count_rank(self._metrics, effect)
+
     @_run.register
     def _(self, effect: Observe) -> None:
         self._metrics.observe(effect)
--- a/src/azureswitch/serving/_digests.py
+++ b/src/azureswitch/serving/_digests.py
@@ -138,7 +138,7 @@
         route: The priority of their routes.
         rate: Arrivals per second.
         objective: Their mean objective for the first output, in seconds.
-        work: Their mean prefill or plain service, in seconds.
+        work: Their mean prefill or plain service in seconds, weighted by itself.
     """
 
     service: ServiceName
--- a/src/azureswitch/serving/overload/_arrivals.py
+++ b/src/azureswitch/serving/overload/_arrivals.py
@@ -29,7 +29,8 @@
         rank: The rank.
         rate: Arrivals per second.
         objective: Mean objective for the first output in seconds.
-        work: Mean seconds of prefill or of plain service.
+        work: Mean seconds of prefill or of plain service, weighted by themselves, as the credit of
+            a call is.
     """
 
     rank: Rank
@@ -50,6 +51,7 @@
     rate: float = 0.0
     objective: float = 0.0
     work: float = 0.0
+    squares: float = 0.0
 
     def decay(self, now: float) -> None:
         factor = exp(-max(0.0, now - self.at) / RATE_SECONDS)
@@ -57,6 +59,7 @@
         self.rate *= factor
         self.objective *= factor
         self.work *= factor
+        self.squares *= factor
 
 
 class _Report(Struct, frozen=True, kw_only=True):
@@ -93,6 +96,7 @@
         flow.rate += 1.0 / RATE_SECONDS
         flow.objective += call.objective / RATE_SECONDS
         flow.work += work / RATE_SECONDS
+        flow.squares += work * work / RATE_SECONDS
 
     def reports(self, *, now: float) -> tuple[RankArrivals, ...]:
         """Return the rates for the next digest, and forget ranks without calls."""
@@ -107,7 +111,7 @@
                 route=rank.route,
                 rate=flow.rate,
                 objective=flow.objective / flow.rate,
-                work=flow.work / flow.rate,
+                work=flow.squares / flow.work if flow.work else 0.0,
             )
             for (service, rank), flow in self._flows.items()
         )
--- a/src/azureswitch/serving/overload/_assess.py
+++ b/src/azureswitch/serving/overload/_assess.py
@@ -9,6 +9,7 @@
 from azureswitch.serving._digests import Occupancy
 from azureswitch.serving._events import Call
 from azureswitch.serving._pace import pass_seconds, read_seconds
+from azureswitch.serving._penalties import SAFE_PAUSE_SHARE
 from azureswitch.serving._routing import choose
 from azureswitch.serving._spreading import MAX_PARTS
 from azureswitch.serving._state import CallRecord, ServingState
@@ -71,7 +72,7 @@
         state.overload.arrivals.record(call, work=_work(record), now=now)
     choice = choose(state, record, now=now)
     before = {target.target.name: state.ledger.at(target.target.name) for target in targets}
-    rooms = _rooms(targets, before, pace, work=record.cost.prefill)
+    rooms = _rooms(targets, before, pace)
     added = {item.target: item for item in choice.occupancies} if choice else {}
     after = {name: _with(item, added.get(name)) for name, item in before.items()}
     known = 1 + state.overload.arrivals.known(now=now)
@@ -94,7 +95,9 @@
         patience=seconds_until_left(call, now=now),
         first=first,
         idle=_idle_first(call, pace, len(targets)) if pace else record.cost.prefill,
-        rooms=_rooms(targets, after, pace, work=record.cost.prefill),
+        rooms=_rooms(targets, after, pace),
+        pauses=pace is not None
+        and any(_pauses(state, call, after[n], pace, now=now) for n in added),
     )
     demands = state.overload.arrivals.demands(call.service, now=now)
     reason = decide(asked, capacity, demands)
@@ -115,8 +118,6 @@
     targets: Iterable[TargetState],
     occupancies: dict[TargetName, Occupancy],
     pace: EnginePace | None,
-    *,
-    work: float,
 ) -> tuple[TargetRoom, ...]:
     rooms = []
     for target in targets:
@@ -146,6 +147,17 @@
     )
 
 
+def _pauses(
+    state: ServingState, call: Call, item: Occupancy, pace: EnginePace, *, now: float
+) -> bool:
+    """Return whether streams at a target pause for longer than they tolerate."""
+    limits = state.pauses.limits(call.service, now=now)
+    pause = pass_seconds(pace) + item.reading + item.short_reading
+    return bool(item.streams and pause > SAFE_PAUSE_SHARE * limits.short) or bool(
+        item.long_streams > 1 and pause > SAFE_PAUSE_SHARE * limits.long
+    )
+
+
 def _plain_first(
     item: Occupancy, targets: Iterable[TargetState], name: TargetName, record: CallRecord
 ) -> float:
--- a/src/azureswitch/serving/overload/_capacity.py
+++ b/src/azureswitch/serving/overload/_capacity.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from azureswitch.serving._penalties import ON_TIME_SHARE
 from azureswitch.serving.overload._arrivals import Demand
 
 
@@ -29,7 +30,7 @@
 
     def calls(self, demand: Demand) -> float:
         """Return how many calls of a demand could begin here so that they are on time."""
-        left = demand.objective - self.wait
+        left = ON_TIME_SHARE * demand.objective - self.wait
         if left < demand.work:
             return 0.0
         return float(self.free) if demand.work <= 0.0 else min(self.free, left / demand.work)
@@ -68,7 +69,7 @@
     @property
     def idle(self) -> bool:
         """Whether under half of the slots are taken and a new call would not wait."""
-        free = any(room.free and not room.queued for room in self.rooms)
+        free = 2 * sum(bool(room.free and not room.queued) for room in self.rooms) > len(self.rooms)
         crowded = any(room.taken > room.slots for room in self.rooms)
         return free and not crowded and 2.0 * self.taken < self.slots
 
@@ -77,7 +78,7 @@
     """Return whether some demands, most urgent first, would not find enough room."""
     needed = 0.0
     for demand in demands:
-        needed += demand.calls
+        needed += demand.calls + demand.calls**0.5
         if sum(room.calls(demand) for room in rooms) < needed:
             return True
     return False
--- a/src/azureswitch/serving/overload/_decision.py
+++ b/src/azureswitch/serving/overload/_decision.py
@@ -21,12 +21,14 @@
     Attributes:
         TOO_LATE: Its caller would have left before the first output.
         LATE: It would be late, while other calls of its rank can still be on time.
+        PAUSES: Its prefill would make running streams pause for longer than they tolerate.
         RESERVED: The capacity that is left is expected to be needed by more urgent calls.
         SHARE: This host has used its proportional share, as it does not know the load of others.
     """
 
     TOO_LATE = "too_late"
     LATE = "late"
+    PAUSES = "pauses"
     RESERVED = "reserved"
     SHARE = "share"
 
@@ -42,6 +44,7 @@
         first: Predicted seconds to its first output, or infinity if no target can take it.
         idle: The same if all targets were idle.
         rooms: The room at all targets after it is sent.
+        pauses: Whether its prefill makes running streams pause for longer than they tolerate.
     """
 
     rank: Rank
@@ -51,6 +54,7 @@
     first: float
     idle: float
     rooms: tuple[TargetRoom, ...]
+    pauses: bool = False
 
     @property
     def limit(self) -> float:
@@ -79,6 +83,8 @@
         for demand in demands
         if demand.rank < asked.rank or (asked.retry and demand.rank == asked.rank)
     ]
+    if urgent and asked.pauses:
+        return Reason.PAUSES
     if capacity.known < capacity.hosts and capacity.share < 1.0 + sum(d.calls for d in urgent):
         return Reason.SHARE
     return Reason.RESERVED if lacks_room(asked.rooms, urgent) else None
--- a/tests/gateway/test_faults.py
+++ b/tests/gateway/test_faults.py
@@ -7,13 +7,13 @@
 
 from azureswitch.core import CallId
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.serving import Call, ServingState, _reduce
+from azureswitch.serving import Call, ServingState, _arriving
 from tests.gateway.fixtures import PATIENCE, Act, serve, usual_headers
 
 MILLISECONDS_LEFT = "500"
 """Milliseconds until the first request exceeds its deadline."""
 
-refusal = _reduce.refusal
+refusal = _arriving.refusal
 
 
 def failing_refusal(state: ServingState, call: Call, *, now: float) -> AzureswitchError | None:
@@ -38,7 +38,7 @@
 
         async def scenario() -> None:
             async with asyncio.timeout(PATIENCE), serve(acts=(Act.HANG, Act.HANG)) as bed:
-                monkeypatch.setattr(_reduce, "refusal", failing_refusal)
+                monkeypatch.setattr(_arriving, "refusal", failing_refusal)
                 host, port = bed.gateway.callers_address.split(":")
                 reader, writer = await asyncio.open_connection(host, int(port))
                 writer.write(request("r1") + request("r2", connection="close"))
--- a/tests/serving/overload.py
+++ b/tests/serving/overload.py
@@ -54,8 +54,8 @@
 FULL_ENGINES = 54
 """Engines of the deployment."""
 
-ENGINES = 18
-HOSTS = 6
+ENGINES = 54
+HOSTS = 8
 
 CAPACITY = 3.5
 """Multiple of the usual load that the engines' time carries.
