--- a/tests/serving/callers.py
+++ b/tests/serving/callers.py
@@ -6,7 +6,7 @@
 
 from msgspec.structs import replace
 
-from azureswitch.core import CallId, Effect, PlaceName
+from azureswitch.core import CallId, Effect, HostName, PlaceName
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.inventory import EnginePace
 from azureswitch.serving import (
@@ -14,6 +14,8 @@
     CallerLeft,
     CancelAttempt,
     FinishCall,
+    PeersChanged,
+    ServingEvent,
     ServingState,
 )
 from tests.serving.batching import Request, Workload
@@ -29,6 +31,10 @@
 """Gap without an event that each caller tolerates, also before the first one."""
 
 
+DETECTION_SECONDS = 1.0
+"""Seconds until hosts know that others have died."""
+
+
 @dataclass(slots=True, kw_only=True)
 class Caller:
     """What one caller has sent and was told.
@@ -111,12 +117,22 @@
         )
         return count / (end - start)
 
-    def kill(self, count: int) -> None:
-        """Kill some hosts; their callers see their connections close and retry once."""
+    def kill_at(self, at: float, count: int) -> None:
+        """Kill some hosts at a time; their callers see their connections close and retry once."""
+        self._schedule(at, partial(self._kill, count))
+
+    def _kill(self, count: int) -> None:
         killed, self._hosts = self._hosts[:count], self._hosts[count:]
-        for caller in self.callers:
-            if caller.host in killed and not caller.over:
+        for caller in list(self._by_call.values()):
+            if any(caller.host is host for host in killed):
                 self._abandon(caller)
+        names = tuple(host.myself.name for host in self._hosts)
+        changed = partial(self._change_peers, names)
+        self._schedule(self.now + DETECTION_SECONDS, changed)
+
+    def _change_peers(self, names: tuple[HostName, ...]) -> None:
+        for host in self._hosts:
+            self._reduce(host, PeersChanged(now=self.now, hosts=names))
 
     def _send(self, request: Request, call: Call, place: PlaceName | None) -> None:
         caller = Caller(request=request, call=replace(call, fingerprint=call.id))
@@ -172,6 +188,10 @@
         wait = min(seconds, left / 3.0) if self._obedient else 0.0
         self._schedule(self.now + RECONNECT_SECONDS + wait, partial(self._try, caller))
 
+    def _reduce(self, host: ServingState, event: ServingEvent) -> None:
+        if any(host is other for other in self._hosts):
+            super()._reduce(host, event)
+
     def _execute(self, host: ServingState, effect: Effect) -> None:
         if isinstance(effect, CancelAttempt):
             self._cancel(effect)
