Refuse customers above their share of engine time first

Change: calls of customers above their share (Fairness.above_share, use over all hosts, which digests carry where overload is controlled) leave room for other calls of their rank; arrival rates are kept apart by this.

--- a/src/azureswitch/coordination/sharing/_digest.py
+++ b/src/azureswitch/coordination/sharing/_digest.py
@@ -87,6 +87,7 @@
     rate: int
     objective: int
     work: int
+    above: bool = False
 
 
 class PackedDigest(Struct, frozen=True, kw_only=True, array_like=True):
@@ -249,6 +250,7 @@
         rate=round(arrivals.rate * SCALE),
         objective=round(arrivals.objective * SCALE),
         work=round(arrivals.work * SCALE),
+        above=arrivals.above,
     )
 
 
@@ -260,6 +262,7 @@
         rate=max(0, packed.rate) / SCALE,
         objective=max(0, packed.objective) / SCALE,
         work=max(0, packed.work) / SCALE,
+        above=packed.above,
     )
 
 
--- a/src/azureswitch/gateway/_overload.py
+++ b/src/azureswitch/gateway/_overload.py
@@ -18,6 +18,7 @@
         id: The caller's id of this attempt.
         customer: Its customer.
         rank: The priorities of its customer and of its route.
+        above: Whether its customer has used more than its share.
         again: Whether it had been sent before.
         reason: Why it was refused.
         retry_after: Seconds after which its caller is told to come back.
@@ -37,6 +38,7 @@
     id: str
     customer: str
     rank: str
+    above: bool
     again: bool
     reason: str
     retry_after: float
@@ -61,6 +63,7 @@
         id=effect.call,
         customer=effect.customer,
         rank=_label(effect.rank),
+        above=effect.above,
         again=effect.retry,
         reason=effect.reason,
         retry_after=round(effect.seconds, 3),
--- a/src/azureswitch/serving/_arriving.py
+++ b/src/azureswitch/serving/_arriving.py
@@ -56,6 +56,8 @@
     call, cost, level = record.call, record.cost, record.level
     state.calls[call.id] = record
     state.retries.admitted()
+    if not call.model and state.overload_control:
+        state.fairness.charge(call.customer, cost.total, now=now)
     if call.model:
         state.fairness.charge(call.customer, cost.total, now=now)
         short = level is Level.SHORT and not state.fairness.exceeds(call.customer, now=now)
--- a/src/azureswitch/serving/_digests.py
+++ b/src/azureswitch/serving/_digests.py
@@ -139,6 +139,7 @@
         rate: Arrivals per second.
         objective: Their mean objective for the first output, in seconds.
         work: Their mean prefill or plain service in seconds, weighted by itself.
+        above: Whether they are of customers who have used more than their share.
     """
 
     service: ServiceName
@@ -147,6 +148,7 @@
     rate: float
     objective: float
     work: float
+    above: bool = False
 
 
 class Digest(Struct, frozen=True, kw_only=True):
--- a/src/azureswitch/serving/_effects.py
+++ b/src/azureswitch/serving/_effects.py
@@ -179,6 +179,7 @@
         call: The call.
         customer: Its customer.
         rank: Its rank.
+        above: Whether its customer has used more than its share.
         retry: Whether it was to be sent again.
         reason: Why it was refused.
         seconds: After which its caller is told to come back.
@@ -195,6 +196,7 @@
     call: CallId
     customer: CustomerName
     rank: Rank
+    above: bool
     retry: bool
     reason: str
     seconds: float
--- a/src/azureswitch/serving/_fairness.py
+++ b/src/azureswitch/serving/_fairness.py
@@ -58,6 +58,7 @@
         refilled_at: When ``level`` was last refilled.
         rate: Recent use here and at the peers, in engine seconds per second.
         exceeds: Whether the rate is above `EXCESS_FACTOR` times its fair share.
+        above: Whether the rate is above its fair share.
     """
 
     weight: float
@@ -69,6 +70,7 @@
     refilled_at: float = 0.0
     rate: float = 0.0
     exceeds: bool = False
+    above: bool = False
 
 
 class PeerUse(Struct, kw_only=True):
@@ -249,6 +251,13 @@
         account = self._accounts.get(customer)
         return account is not None and account.exceeds
 
+    def above_share(self, customer: CustomerName, *, now: float) -> bool:
+        """Return whether a customer's recent use is above its fair share of the total use."""
+        if now - self._compared_at >= COMPARE_SECONDS:
+            self._compare(now)
+        account = self._accounts.get(customer)
+        return account is not None and account.above
+
     def _compare(self, now: float) -> None:
         decay = exp(-(now - self._compared_at) / RATE_SECONDS)
         self._compared_at = now
@@ -259,6 +268,7 @@
         weights = sum(account.weight for account in busy)
         for account in self._accounts.values():
             share = account.weight / weights if weights else 1.0
+            account.above = len(busy) > 1 and account.rate > share * total
             account.exceeds = len(busy) > 1 and account.rate > EXCESS_FACTOR * share * total
 
     def served(self, customer: CustomerName) -> float:
--- a/src/azureswitch/serving/_gossip.py
+++ b/src/azureswitch/serving/_gossip.py
@@ -26,13 +26,15 @@
         limits=state.limits.collect_reports(now=now, regular=regular),
     )
     if state.overload_control:
-        digest = replace(digest, arrivals=state.overload.arrivals.reports(now=now))
+        digest = replace(
+            digest, arrivals=state.overload.arrivals.reports(now=now), uses=state.fairness.uses()
+        )
         state.overload.reported(now)
     if not state.lean:
         digest = replace(
             digest,
             loads=state.fleet.loads(),
-            uses=state.fairness.uses(),
+            uses=digest.uses or state.fairness.uses(),
             demands=state.split.demands(now),
             saved=state.fleet.saved(now=now),
         )
--- a/src/azureswitch/serving/overload/_announce.py
+++ b/src/azureswitch/serving/overload/_announce.py
@@ -13,6 +13,7 @@
         call=call.id,
         customer=call.customer,
         rank=call.rank,
+        above=asked.above,
         retry=asked.retry,
         reason=refusal.reason.value,
         seconds=refusal.seconds,
--- a/src/azureswitch/serving/overload/_arrivals.py
+++ b/src/azureswitch/serving/overload/_arrivals.py
@@ -23,10 +23,11 @@
 
 
 class Demand(Struct, frozen=True, kw_only=True):
-    """What the calls of one rank need.
+    """What the calls of one rank need, of customers above or below their share.
 
     Attributes:
         rank: The rank.
+        above: Whether they are of customers who have used more than their share.
         rate: Arrivals per second.
         objective: Mean objective for the first output in seconds.
         work: Mean seconds of prefill or of plain service, weighted by themselves, as the credit of
@@ -34,6 +35,7 @@
     """
 
     rank: Rank
+    above: bool = False
     rate: float
     objective: float
     work: float
@@ -79,18 +81,19 @@
     def __init__(self, *, max_age: float) -> None:
         self._max_age = max_age
         self.changed = False
-        self._flows: dict[tuple[ServiceName, Rank], _Flow] = {}
+        self._flows: dict[tuple[ServiceName, Rank, bool], _Flow] = {}
         self._peers: dict[HostName, _Report] = {}
 
-    def record(self, call: Call, *, work: float, now: float) -> None:
+    def record(self, call: Call, *, work: float, above: bool = False, now: float) -> None:
         """Record that a call arrived here.
 
         Args:
             call: The call.
             work: Its seconds of prefill or of plain service.
+            above: Whether its customer has used more than its share.
             now: The time.
         """
-        flow = self._flows.setdefault((call.service, call.rank), _Flow(at=now))
+        flow = self._flows.setdefault((call.service, call.rank, above), _Flow(at=now))
         flow.decay(now)
         self.changed = True
         flow.rate += 1.0 / RATE_SECONDS
@@ -109,11 +112,12 @@
                 service=service,
                 customer=rank.customer,
                 route=rank.route,
+                above=above,
                 rate=flow.rate,
                 objective=flow.objective / flow.rate,
                 work=flow.squares / flow.work if flow.work else 0.0,
             )
-            for (service, rank), flow in self._flows.items()
+            for (service, rank, above), flow in self._flows.items()
         )
 
     def apply(self, host: HostName, arrivals: tuple[RankArrivals, ...], *, now: float) -> None:
@@ -146,16 +150,17 @@
         for report in self._peers.values():
             if now - report.at <= self._max_age:
                 known += report.arrivals
-        sums: dict[Rank, list[float]] = {}
+        sums: dict[tuple[Rank, bool], list[float]] = {}
         for item in known:
             if item.service != service:
                 continue
-            total = sums.setdefault(Rank(customer=item.customer, route=item.route), [0.0] * 3)
+            rank = Rank(customer=item.customer, route=item.route)
+            total = sums.setdefault((rank, item.above), [0.0] * 3)
             total[0] += item.rate
             total[1] += item.rate * item.objective
             total[2] += item.rate * item.work
         return tuple(
-            Demand(rank=rank, rate=rate, objective=objective / rate, work=work / rate)
-            for rank, (rate, objective, work) in sorted(sums.items())
+            Demand(rank=rank, above=above, rate=rate, objective=objective / rate, work=work / rate)
+            for (rank, above), (rate, objective, work) in sorted(sums.items())
             if rate > 0.0
         )
--- a/src/azureswitch/serving/overload/_assess.py
+++ b/src/azureswitch/serving/overload/_assess.py
@@ -68,8 +68,9 @@
     targets = [target for target in state.fleet.states(record.pool) if target.usable(now)]
     if pace is None and (call.model or not all(target.target.slots for target in targets)):
         return None
+    above = state.fairness.above_share(call.customer, now=now)
     if not retry:
-        state.overload.arrivals.record(call, work=_work(record), now=now)
+        state.overload.arrivals.record(call, work=_work(record), above=above, now=now)
     choice = choose(state, record, now=now)
     before = {target.target.name: state.ledger.at(target.target.name) for target in targets}
     rooms = _rooms(targets, before, pace)
@@ -90,6 +91,7 @@
         first = _plain_first(before[choice.targets[0]], targets, choice.targets[0], record)
     asked = Asked(
         rank=call.rank,
+        above=above,
         retry=retry,
         objective=call.objective,
         patience=seconds_until_left(call, now=now),
--- a/src/azureswitch/serving/overload/_decision.py
+++ b/src/azureswitch/serving/overload/_decision.py
@@ -38,6 +38,7 @@
 
     Attributes:
         rank: Its rank.
+        above: Whether its customer has used more than its share.
         retry: Whether it is sent again, and comes after all calls of its rank.
         objective: Objective for its first output in seconds; zero for none.
         patience: Seconds until its caller leaves.
@@ -48,6 +49,7 @@
     """
 
     rank: Rank
+    above: bool = False
     retry: bool = False
     objective: float
     patience: float
@@ -81,7 +83,8 @@
     urgent = [
         demand
         for demand in demands
-        if demand.rank < asked.rank or (asked.retry and demand.rank == asked.rank)
+        if (demand.rank, demand.above) < (asked.rank, asked.above)
+        or (asked.retry and demand.rank == asked.rank)
     ]
     if urgent and asked.pauses:
         return Reason.PAUSES
--- a/tests/serving/callers.py
+++ b/tests/serving/callers.py
@@ -79,6 +79,7 @@
         obedient: Whether callers respect the time after which they are told to come back.
         end_delay: Seconds until hosts learn that attempts of other hosts have ended.
         share_digests: Whether hosts exchange digests.
+        customers: The customers of the configuration.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         obedient: bool = True,
         end_delay: float = 0.0,
         share_digests: bool = True,
+        customers: Iterable[str] = (),
     ) -> None:
         super().__init__(
             pace=pace,
@@ -103,6 +105,7 @@
             overload_control=overload_control,
             end_delay=end_delay,
             share_digests=share_digests,
+            customers=customers,
         )
         self.callers: list[Caller] = []
         self._by_call: dict[CallId, Caller] = {}
@@ -117,6 +120,11 @@
         )
         return count / (end - start)
 
+    def share_on_time(self, customer: str) -> float:
+        """Return the share of a customer's requests that were on time."""
+        mine = [c.request.on_time for c in self.callers if c.call.customer == customer]
+        return sum(mine) / len(mine)
+
     def kill_at(self, at: float, count: int) -> None:
         """Kill some hosts at a time; their callers see their connections close and retry once."""
         self._schedule(at, partial(self._kill, count))
--- a/tests/serving/engines.py
+++ b/tests/serving/engines.py
@@ -17,6 +17,7 @@
     TargetName,
 )
 from azureswitch.inventory import (
+    Customer,
     EnginePace,
     Inventory,
     Place,
@@ -73,6 +74,7 @@
         overload_control: Whether hosts control overload.
         queue: Requests that wait at an engine for one of its slots at most, or None for engines
             with unlimited slots.
+        customers: The customers of the configuration.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         end_delay: float = 0.0,
         overload_control: bool = False,
         queue: int | None = None,
+        customers: Iterable[str] = (),
     ) -> None:
         self.now = 0.0
         self.requests: list[Request] = []
@@ -116,7 +119,9 @@
             )
             for index in range(hosts)
         ]
-        adopted = SnapshotAdopted(now=0.0, snapshot=snapshot(pace, engines, places=places))
+        adopted = SnapshotAdopted(
+            now=0.0, snapshot=snapshot(pace, engines, places=places, customers=customers)
+        )
         peers = PeersChanged(now=0.0, hosts=tuple(host.myself.name for host in self._hosts))
         for host in self._hosts:
             reduce(host, adopted)
@@ -333,7 +338,14 @@
     )
 
 
-def snapshot(pace: EnginePace, count: int, revision: int = 1, *, places: int = 1) -> Snapshot:
+def snapshot(
+    pace: EnginePace,
+    count: int,
+    revision: int = 1,
+    *,
+    places: int = 1,
+    customers: Iterable[str] = (),
+) -> Snapshot:
     """Return a configuration with ``count`` engines, named from e0 on."""
     targets = tuple(
         Target(
@@ -350,5 +362,6 @@
         places=tuple(Place(name=place_of(index, places), region="r") for index in range(places)),
         services=(Service(name=SERVICE, kind=ServiceKind.MODEL, pace=pace),),
         targets=targets,
+        customers=tuple(Customer(name=CustomerName(name), key_hash="") for name in customers),
     )
     return Snapshot(revision=revision, inventory=inventory, rules=Rules())
--- a/tests/serving/overload.py
+++ b/tests/serving/overload.py
@@ -65,8 +65,15 @@
 """
 
 
-def add_load(simulation: CallerSimulation, *, factor: float, start: float, seconds: float) -> None:
+def add_load(
+    simulation: CallerSimulation,
+    *,
+    factor: float,
+    start: float,
+    seconds: float,
+    customer: str = "",
+) -> None:
     """Add arrivals of all kinds at a multiple of the usual load."""
     for kind, rate in RATES.items():
         scaled = factor * rate * ENGINES / FULL_ENGINES
-        simulation.load(kind, rate=scaled, start=start, seconds=seconds)
+        simulation.load(kind, rate=scaled, start=start, seconds=seconds, customer=customer)
--- a/tests/serving/test_overload.py
+++ b/tests/serving/test_overload.py
@@ -141,7 +141,13 @@
     def test_digest(self) -> None:
         """Rates travel in digests; those of older hosts have none."""
         report = RankArrivals(
-            service=SERVICE, customer=1, route=2, rate=5.25, objective=0.271, work=0.033
+            service=SERVICE,
+            customer=1,
+            route=2,
+            rate=5.25,
+            objective=0.271,
+            work=0.033,
+            above=True,
         )
         digest = Digest(host=HostName("h"), sequence=1, started=1, arrivals=(report,))
         assert unpack_digest(pack_digest(digest)) == digest
