Mend what the review of cold targets found

Cause: hosts that each see just over half of the fleet, each another part, exceeded the bound of a cold target (19 senders of two requests a second for 30.5); retry times ignored announced limits while a target was cold; positions of forgotten targets stayed in memory; several guards had no test.

--- a/src/azureswitch/exceptions/_refusals.py
+++ b/src/azureswitch/exceptions/_refusals.py
@@ -72,13 +72,13 @@
 
 
 class TargetsColdError(RefusedError):
-    """All targets that could take the request are cold and bear no more requests now."""
+    """All targets that could take the request are cold and sustain no more requests now."""
 
     code: ClassVar[str] = "targets_cold"
 
     @property
     def message(self) -> str:
-        return f"The targets have just started; try again in {self.seconds:.1f} s."
+        return f"All targets are cold; try again in {self.seconds:.1f} s."
 
 
 class QuarantinedError(RefusedError):
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -61,7 +61,7 @@
     )
     metrics.watch(
         name="targets_cold",
-        help="Targets that are cold and get few requests therefore.",
+        help="Targets that are cold and therefore get few requests.",
         value=lambda: len(shell.cold_targets),
     )
     metrics.watch(
--- a/src/azureswitch/serving/_candidates.py
+++ b/src/azureswitch/serving/_candidates.py
@@ -17,7 +17,7 @@
     Attributes:
         target: Its state.
         occupancy: Its occupancy by requests of all hosts.
-        limited: Whether it has announced a limit on requests, or is cold and limited therefore.
+        limited: Whether it has announced a limit on requests, or is cold and therefore limited.
         probe: Whether it should be probed, as its limit may have ended.
         cold: Whether it is cold.
     """
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -404,7 +404,7 @@
 def _(event: SnapshotAdopted, state: ServingState) -> list[Effect]:
     restarted = state.adopt(event.snapshot)
     # Before any attempt is started again, which must find the new limits.
-    effects = adopt_warmth(state, event)
+    effects = run_isolated(partial(adopt_warmth, state, event), name="Adopting warm-ups")
     effects += restart_attempts(state, restarted, now=event.now) if restarted else []
     effects += run_isolated(
         partial(apply_evacuations, state, now=event.now), name="Applying evacuations"
--- a/src/azureswitch/serving/_throttling.py
+++ b/src/azureswitch/serving/_throttling.py
@@ -103,7 +103,7 @@
     places = 1 + int(rate * max_wait / state.fairness.hosts)
     waiting = state.queue.count(lane, call.customer)
     if waiting and cold_limited(state, pool, now=now):
-        # With many customers the calls of all would wait only to be refused later.
+        # Each customer may have one waiting call; a further one waits only if all of them leave room.
         waiting = sum(state.queue.count(lane, name) for name in state.queue.customers(lane))
     if wait <= max_wait and waiting < places:
         return None
@@ -118,7 +118,10 @@
     if not cold_limited(state, pool, now=now):
         return LimitReachedError(seconds=max(wait, 1.0 / rate) * jitter)
     turn = (1 + len(state.queue)) * state.fairness.hosts / rate if rate else inf
-    return TargetsColdError(seconds=min(OTHER_HOST_SECONDS, max(wait, turn)) * jitter)
+    seconds = min(OTHER_HOST_SECONDS, max(wait, turn))
+    # Another host has no more permits than this one where targets announce limits as well.
+    seconds = max(seconds, 1.0 / _announced_rate(state, pool, now=now))
+    return TargetsColdError(seconds=seconds * jitter)
 
 
 def cold_limited(state: ServingState, pool: Pool, *, now: float) -> bool:
@@ -165,6 +168,13 @@
     return sum(_rate(state, target, now=now) for target in usable) if usable else inf
 
 
+def _announced_rate(state: ServingState, pool: Pool, *, now: float) -> float:
+    """Return the total rate that the usable targets announce, or infinity if one has no limit."""
+    usable = (target for target in state.fleet.states(pool) if target.usable(now))
+    rates = [state.limits.rate(target.target.name, now=now) for target in usable]
+    return sum(inf if rate is None else rate for rate in rates) or inf
+
+
 def _rate(state: ServingState, target: TargetState, *, now: float) -> float:
     """Return the rate of a target for all hosts, as far as this host can tell by its own part.
 
--- a/src/azureswitch/serving/warmup/_limiter.py
+++ b/src/azureswitch/serving/warmup/_limiter.py
@@ -60,7 +60,11 @@
         now: float,
     ) -> list[WarmthChange]:
         """Apply a listing of targets, and return the targets that became cold or warm by it."""
-        self._warmups = {s.name: s.warmup for s in services if s.warmup is not None}
+        self._warmups = {
+            service.name: service.warmup
+            for service in services
+            if service.warmup is not None and service.warmup.rate > 0.0
+        }
         self._targets = {t.name: t for t in targets if t.service in self._warmups}
         self._tracker.adopt(targets, warmups=self._warmups, places=places, now=now)
         self._limited = frozenset(
--- a/src/azureswitch/serving/warmup/_shares.py
+++ b/src/azureswitch/serving/warmup/_shares.py
@@ -74,7 +74,7 @@
     def least_rate(self, target: TargetName) -> float:
         """Return the lowest rate of a target at which this host belongs to the subset.
 
-        A host that sees at most half of the fleet cannot trust its ranking: many hosts that are
+        A host that sees at most two thirds of the fleet cannot trust its ranking: many hosts that are
         each alone would all be the first.  It decides by a hash of its own.
         """
         if self._trusted:
@@ -123,14 +123,20 @@
         return max(0.0, (1.0 - bucket.tokens) / gained - (now - bucket.at))
 
     def keep(self, targets: frozenset[TargetName]) -> None:
-        """Forget the buckets of all targets but these."""
+        """Forget the buckets of all targets but these, and this host's positions for the others."""
         for target in self._buckets.keys() - targets:
             del self._buckets[target]
+        for target in self._positions.keys() - targets:
+            del self._positions[target]
 
     @property
     def _trusted(self) -> bool:
-        """Whether this host sees most of the fleet, so that others rank the hosts as it does."""
-        return 2 * len(self._hosts) > self._fleet_hosts
+        """Whether this host sees most of the fleet, so that others rank the hosts as it does.
+
+        Two hosts that each see two thirds have at least half of what they see in common.  With
+        less, hosts with different views would take too many of them for the first.
+        """
+        return 3 * len(self._hosts) > 2 * self._fleet_hosts
 
     def _position(self, target: TargetName) -> int:
         """Return this host's position among the live hosts for a target; zero is the first."""
--- a/tests/serving/warmup/test_shares.py
+++ b/tests/serving/warmup/test_shares.py
@@ -1,5 +1,7 @@
 """Tests which hosts may send to a limited target, and how many requests they send in a second."""
 
+from random import Random
+
 import pytest
 
 from azureswitch.core import HostName, TargetName
@@ -89,6 +91,19 @@
             senders = [h for h in known if h.is_sender(target, rate=WARMUP.rate)]
             assert not senders or max_sent(senders, rate=WARMUP.rate, target=target) <= BOUND
 
+    @pytest.mark.parametrize("share", [0.4, 0.52, 0.6, 0.7, 0.8, 0.95])
+    def test_hosts_with_different_views(self, share: float) -> None:
+        """Hosts that each see another part of the fleet stay within the bound at each target."""
+        random = Random(round(share * 100))
+        known = [
+            shares((host, *random.sample(HOSTS, round(share * len(HOSTS)))), host, fleet=len(HOSTS))
+            for host in HOSTS
+        ]
+        for index in range(54):
+            target = TargetName(f"e{index}")
+            senders = [h for h in known if h.is_sender(target, rate=WARMUP.rate)]
+            assert not senders or max_sent(senders, rate=WARMUP.rate, target=target) <= BOUND
+
     def test_frozen_host(self) -> None:
         """A host that resumes sends one request at once, however long it was frozen."""
         alone = shares((HOSTS[0],), HOSTS[0], fleet=1)
@@ -114,3 +129,12 @@
         known.refill(TARGET, rate=17.0, now=5.0)
         assert not known.may_send(TARGET, rate=17.0, now=5.0)
         assert known.may_send(TARGET, rate=17.0, now=6.0)
+
+    def test_forgotten_targets(self) -> None:
+        """Nothing is kept for targets that are no longer limited, as their names may change."""
+        known = shares(HOSTS, HOSTS[0])
+        for index in range(100):
+            known.may_send(TargetName(f"x{index}"), rate=17.0, now=0.0)
+        known.keep(frozenset({TARGET}))
+        assert not known._positions
+        assert not known._buckets
