--- a/src/azureswitch/serving/_throttling.py
+++ b/src/azureswitch/serving/_throttling.py
@@ -103,7 +103,7 @@
     places = 1 + int(rate * max_wait / state.fairness.hosts)
     waiting = state.queue.count(lane, call.customer)
     if waiting and cold_limited(state, pool, now=now):
-        # Each customer may have one waiting call; a further one waits only if all of them leave room.
+        # Each customer may have one waiting call; a further one waits only if all leave room.
         waiting = sum(state.queue.count(lane, name) for name in state.queue.customers(lane))
     if wait <= max_wait and waiting < places:
         return None
