--- a/src/azureswitch/commands/_evacuate.py
+++ b/src/azureswitch/commands/_evacuate.py
@@ -13,7 +13,7 @@
 from azureswitch.commands._reports import ApplyReport, ConflictReport
 from azureswitch.commands._revisions import head_revision
 from azureswitch.commands._settings import AUTHOR_KIND
-from azureswitch.commands._times import Moment
+from azureswitch.commands._times import Timestamp
 from azureswitch.core import PlaceName
 from azureswitch.exceptions import InvalidOptionError
 from azureswitch.inventory import Evacuation, Inventory, Snapshot, evacuate, restore
@@ -22,7 +22,7 @@
 _UUID_EPOCH = 0x01B21DD213814000
 """Steps of 100 ns between the first day of the Gregorian calendar and that of Unix (RFC 9562)."""
 
-_STEPS = 10_000
+_STEPS_PER_MILLISECOND = 10_000
 """Steps of 100 ns in a millisecond."""
 
 _TIME_VERSION = 1
@@ -30,13 +30,16 @@
 
 
 def new_change() -> UUID:
-    """Return the id of a new change, which holds the time; nothing in it tells of the machine."""
+    """Return the id of a new change, which holds the time.
+
+    The node is random, so that the id does not disclose the address of the operator's machine.
+    """
     return uuid1(node=getrandbits(48))
 
 
 def time_of(change: UUID) -> int:
     """Return when the id of a change was made, in milliseconds of the wall clock."""
-    return (change.time - _UUID_EPOCH) // _STEPS
+    return (change.time - _UUID_EPOCH) // _STEPS_PER_MILLISECOND
 
 
 class PlaceCommand(OperatorCommand):
@@ -74,7 +77,7 @@
         def edit(old: Snapshot) -> Snapshot:
             return replace(old, inventory=self.edit(old.inventory, change=change))
 
-        # A try is found again by its id only from the same base.
+        # A repeated change is recognised by its id only on the same base.
         given = self.option("base") is not None or self.option("change") is not None
         base = count(self, "base") if given else await head_revision(self.store)
         return await propose(
@@ -84,7 +87,8 @@
     def _change(self) -> UUID:
         """Return the id of this change.
 
-        A further try at an earlier change must make the same configuration, with the same times.
+        A repeated change must produce the same configuration as the first try, so its times come
+        from the id.
         """
         given = self.option("change")
         if given is None:
@@ -135,7 +139,7 @@
         return self.option(name) is not None
 
     def _until(self, since: int) -> int:
-        until = parse_option(self, "until", Moment())
+        until = parse_option(self, "until", Timestamp())
         if until <= since:
             raise InvalidOptionError(
                 option="until", value=self.option("until"), expected="a time to come"
--- a/src/azureswitch/commands/_evacuations.py
+++ b/src/azureswitch/commands/_evacuations.py
@@ -22,11 +22,11 @@
         reason: Why; empty if no reason was given.
         until: When it is expected to end, in milliseconds of the wall clock; zero if unknown.
         accepted: Whether the newest revision holds it; None where that is not known.
-        running: Attempts that run there by the account of the hosts asked, or None if none tells.
-        empty: Since when none of them has, in milliseconds of the hosts' wall clocks; zero while
-            some do, or where it is not known.
-        telling: How many hosts know of it.
-        apart: Whether a host that tells of evacuations does not know of it.
+        running: Attempts that the answering hosts report there, or None if no host reports it.
+        empty: Since when no attempt has run there, in milliseconds of the hosts' wall clocks; zero
+            while some do, or where it is not known.
+        reporting_hosts: How many hosts report it.
+        inconsistent: Whether a host that reports evacuations does not report this one.
         idle: Whether nothing runs there: every live host knows of it, and none runs anything.
     """
 
@@ -38,8 +38,8 @@
     accepted: bool | None
     running: int | None
     empty: int
-    telling: int
-    apart: bool
+    reporting_hosts: int
+    inconsistent: bool
     idle: bool
 
 
@@ -49,18 +49,19 @@
     """Return the places that the newest revision or any host shows as evacuated.
 
     Args:
-        entries: What hosts tell.
+        entries: The status of each host that answered.
         inventory: The inventory of the newest revision, or None where it is not known.
         live: The hosts that may have requests at targets.
 
     Returns:
         The evacuated places, in the order of their names.
     """
-    told: dict[str, dict[str, EvacuationStatus]] = {}
-    able = [entry for entry in entries if entry.evacuations is not None]
-    for entry in able:
+    reported: dict[str, dict[str, EvacuationStatus]] = {}
+    # Hosts of an older version do not report evacuations at all.
+    supporting = [entry for entry in entries if entry.evacuations is not None]
+    for entry in supporting:
         for item in entry.evacuations or ():
-            told.setdefault(item.place, {})[entry.host] = item
+            reported.setdefault(item.place, {})[entry.host] = item
     accepted = {
         str(place.name): place
         for place in (inventory.places if inventory else ())
@@ -69,30 +70,30 @@
     return tuple(
         _report(
             name,
-            told.get(name, {}),
+            reported.get(name, {}),
             accepted=accepted.get(name),
             known=inventory is not None,
-            able=len(able),
+            supporting_hosts=len(supporting),
             live=live,
         )
-        for name in sorted({*told, *accepted})
+        for name in sorted({*reported, *accepted})
     )
 
 
 def _report(
     name: str,
-    told: dict[str, EvacuationStatus],
+    reported: dict[str, EvacuationStatus],
     *,
     accepted: Place | None,
     known: bool,
-    able: int,
+    supporting_hosts: int,
     live: set[str],
 ) -> EvacuationReport:
     # A host on the platform's path does not know who asked, and when it was first seen differs.
-    by_age = sorted(told.values(), key=lambda item: (not item.author, item.since))
+    by_age = sorted(reported.values(), key=lambda item: (not item.author, item.since))
     source = accepted.evacuation if accepted and accepted.evacuation else by_age[0]
-    running = sum(item.running for item in told.values()) if told else None
-    empty = all(item.empty for item in told.values())
+    running = sum(item.running for item in reported.values()) if reported else None
+    empty = all(item.empty for item in reported.values())
     return EvacuationReport(
         place=name,
         since=source.since,
@@ -101,10 +102,10 @@
         until=source.until,
         accepted=accepted is not None if known else None,
         running=running,
-        empty=max((item.empty for item in told.values()), default=0) if empty else 0,
-        telling=len(told),
-        apart=len(told) < able,
-        idle=running == 0 and live <= told.keys(),
+        empty=max((item.empty for item in reported.values()), default=0) if empty else 0,
+        reporting_hosts=len(reported),
+        inconsistent=len(reported) < supporting_hosts,
+        idle=running == 0 and live <= reported.keys(),
     )
 
 
@@ -128,11 +129,15 @@
 def _running(report: EvacuationReport) -> str:
     if report.idle:
         return f"empty since {time_text(report.empty)}" if report.empty else "empty"
-    return "not told" if report.running is None else f"{report.running}, by {report.telling} hosts"
+    return (
+        "not told"
+        if report.running is None
+        else f"{report.running}, by {report.reporting_hosts} hosts"
+    )
 
 
 def _notes(report: EvacuationReport) -> Iterator[str]:
     if report.accepted is False:
-        yield f"restored, not yet in force on {report.telling} hosts"
-    if report.apart:
+        yield f"restored, not yet in force on {report.reporting_hosts} hosts"
+    if report.inconsistent:
         yield "not known to all"
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -168,7 +168,7 @@
         return assess(answers, head=head, loads=loads, inventory=inventory)
 
     async def _head(self) -> tuple[int | None, Inventory | None]:
-        """Return the newest revision and its inventory, each where it is to be had."""
+        """Return the newest revision and its inventory, each None if it is unavailable."""
         revisions = self.revisions
         entry = None
         try:
@@ -179,7 +179,7 @@
         except StoreError:
             return entry.revision if entry else None, None
         except (RevisionNotFoundError, SnapshotUnreadableError):
-            # The hosts' own account is shown all the same, but engines are asked by the inventory.
+            # The hosts' reports need no inventory, but engines are found only through it.
             if entry is None or self.option("engines"):
                 raise
             return entry.revision, None
--- a/src/azureswitch/commands/_times.py
+++ b/src/azureswitch/commands/_times.py
@@ -11,7 +11,7 @@
     """Return a start as a time of day in UTC.
 
     Args:
-        started: Milliseconds of the wall clock; zero where no start was told.
+        started: Milliseconds of the wall clock; zero if the start is unknown.
 
     Returns:
         The time, or the number itself where it lies beyond the calendar.
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Moment(Kind[int]):
+class Timestamp(Kind[int]):
     """A time of day with its offset, in milliseconds of the wall clock."""
 
     @property
@@ -31,7 +31,7 @@
     def parse(self, text: str) -> int:
         """Read a value."""
         time = datetime.fromisoformat(text)
-        # A time without an offset would mean another moment to each operator's clock.
+        # Without an offset, the time would depend on the time zone of the operator's machine.
         if time.tzinfo is None:
             raise ValueError(text)
         return round(time.timestamp() * 1_000)
--- a/src/azureswitch/platform/_targets.py
+++ b/src/azureswitch/platform/_targets.py
@@ -129,7 +129,7 @@
     ) -> Steps[Targets]:
         """Read the targets of a listing as `read` does, in steps."""
         paces = None if deployment is None else _paces(deployment)
-        warming = _warming(deployment)
+        warmup_services = _warmup_services(deployment)
         found: list[tuple[StoredObject, WireTarget]] = []
         foreign: list[Foreign] = []
         decoded: dict[str, tuple[StoredObject, WireTarget | Foreign]] = {}
@@ -149,7 +149,7 @@
             if names := [name for name in missing[wire.service] if not _HAS_FIELD[name](wire)]:
                 foreign.append(_incomplete(item, names))
             else:
-                targets.append(_target(item, wire, paces or {}, warming))
+                targets.append(_target(item, wire, paces or {}, warmup_services))
             yield GO_ON
         return Targets(targets=tuple(targets), foreign=tuple(foreign))
 
@@ -230,8 +230,8 @@
     return Foreign(name=item.name, version=item.version, fault=Fault.FIELD, detail=detail)
 
 
-def _warming(deployment: Deployment | None) -> frozenset[ServiceName]:
-    """Return the services whose targets bear few requests while they are cold."""
+def _warmup_services(deployment: Deployment | None) -> frozenset[ServiceName]:
+    """Return the services whose targets are limited while they are cold."""
     services = () if deployment is None else deployment.services
     return frozenset(service.name for service in services if service.warmup is not None)
 
@@ -240,10 +240,10 @@
     item: StoredObject,
     wire: WireTarget,
     paces: Mapping[ServiceName, EnginePace | None],
-    warming: Collection[ServiceName],
+    warmup_services: Collection[ServiceName],
 ) -> Target:
     pace = paces.get(wire.service)
-    warms = wire.service in warming
+    has_warmup = wire.service in warmup_services
     return Target(
         name=TargetName(item.name),
         service=wire.service,
@@ -254,8 +254,8 @@
         memory=pace.memory if pace else 0,
         started=0 if wire.started is msgspec.UNSET else wire.started,
         slots=wire.slots if type(wire.slots) is int and wire.slots > 0 else 0,
-        cold=_cold_seconds(wire) if warms else None,
-        entry_version=item.version if warms else 0,
+        cold=_cold_seconds(wire) if has_warmup else None,
+        entry_version=item.version if has_warmup else 0,
     )
 
 
--- a/src/azureswitch/serving/warmup/_events.py
+++ b/src/azureswitch/serving/warmup/_events.py
@@ -11,7 +11,7 @@
     if state.snapshot is not event.snapshot:
         return []
     inventory = event.snapshot.inventory
-    # The entries in force differ from the listed ones where those are of an earlier start.
+    # Listed entries of an earlier start are not applied; the fleet holds the entries in force.
     states = (state.fleet.state(target.name) for target in inventory.targets)
     changes = state.warmup.adopt(
         targets=[known.target for known in states if known is not None],
--- a/src/azureswitch/serving/warmup/_shares.py
+++ b/src/azureswitch/serving/warmup/_shares.py
@@ -74,8 +74,8 @@
     def least_rate(self, target: TargetName) -> float:
         """Return the lowest rate of a target at which this host belongs to the subset.
 
-        A host that sees at most half of the fleet cannot trust its ranking: many hosts that are
-        each alone would all be the first.  It decides by a hash of its own.
+        A host that sees at most half of the fleet cannot trust its ranking: hosts that are cut off
+        from each other would all rank themselves first.  It decides by a hash of the two names.
         """
         if self._trusted:
             position = self._position(target)
--- a/src/azureswitch/serving/warmup/_warmth.py
+++ b/src/azureswitch/serving/warmup/_warmth.py
@@ -1,8 +1,8 @@
 """Until when each target is cold, as known to this host for the target's latest start.
 
 The sources are a target's entry, the first observation of a new start, and the end of an
-evacuation.  A later report replaces an earlier one; where neither is later, cold wins.  Reports do
-not expire: without a new one a cold target becomes warm by this host's clock.
+evacuation.  A later report replaces an earlier one; where neither is later, the longer cold phase
+holds.  Reports do not expire: without a new one a cold target becomes warm by this host's clock.
 """
 
 from collections.abc import Collection, Iterable, Mapping
@@ -101,9 +101,9 @@
     def _adopt_places(self, places: Iterable[Place], *, now: float) -> frozenset[PlaceName]:
         """Return the failure domains whose evacuation has ended since the last listing."""
         listed = {place.name: place.evacuation is not None for place in places}
-        evacuated = frozenset(name for name, away in listed.items() if away)
+        evacuated = frozenset(name for name, is_evacuated in listed.items() if is_evacuated)
         restored = frozenset(n for n in self._evacuated if n in listed and n not in evacuated)
-        # A failure domain that is missing from a listing has not been restored by that.
+        # A failure domain that is missing from a listing counts as still evacuated.
         missing = frozenset(name for name in self._evacuated if name not in listed)
         self._evacuated = evacuated | missing
         self._restored.update(dict.fromkeys(restored, now))
@@ -126,7 +126,7 @@
         )
         if target.cold is None:
             return read
-        until = _until(target.cold, before=known.until, now=now)
+        until = _phase_end(target.cold, before=known.until, now=now)
         later = target.entry_version > known.version and not self._may_be_older(target, now=now)
         if not later and until <= known.until:
             return read
@@ -138,9 +138,9 @@
         """Return what is known of a target that is new, or of a new start of a known one."""
         last = -inf if before is None else before.until
         source = EvidenceSource.ENTRY
-        until = last if before is not None else -inf
+        until = last
         if target.cold is not None:
-            until = _until(target.cold, before=last, now=now)
+            until = _phase_end(target.cold, before=last, now=now)
         elif self._listed:
             until, source = now + seconds, EvidenceSource.START
         if self._may_be_older(target, now=now) and until < last:
@@ -164,6 +164,9 @@
             del self._known[name]
 
 
-def _until(cold: float, *, before: float, now: float) -> float:
-    """Return when a cold phase ends by an entry; one that ends early ends when that is read."""
+def _phase_end(cold: float, *, before: float, now: float) -> float:
+    """Return when a cold phase ends according to an entry.
+
+    An entry with zero seconds ends the phase when it is read, unless it has ended before.
+    """
     return now + cold if cold > 0.0 else min(before, now)
--- a/src/azureswitch/texts.py
+++ b/src/azureswitch/texts.py
@@ -1,24 +1,24 @@
-"""Times and texts of others as people read them."""
+"""Formats timestamps, and texts from other sources, for people to read."""
 
 from datetime import UTC, datetime, timedelta
 
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
-def time_text(moment: int) -> str:
+def time_text(timestamp: int) -> str:
     """Return a time of the wall clock as a time of day in UTC.
 
     Args:
-        moment: Milliseconds of the wall clock.
+        timestamp: Milliseconds of the wall clock.
 
     Returns:
         The time, or the number itself where it lies beyond the calendar.
     """
     try:
-        time = _EPOCH + timedelta(milliseconds=moment)
+        time = _EPOCH + timedelta(milliseconds=timestamp)
     except OverflowError:
-        return f"{moment} ms"
-    return f"{time:%Y-%m-%dT%H:%M:%S}.{moment % 1_000:03}Z"
+        return f"{timestamp} ms"
+    return f"{time:%Y-%m-%dT%H:%M:%S}.{timestamp % 1_000:03}Z"
 
 
 def printable(text: str) -> str:
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -547,7 +547,7 @@
     """Evacuated failure domains in ``status``."""
 
     @pytest.mark.parametrize(
-        ("first", "second", "running", "empty", "apart"),
+        ("first", "second", "running", "empty", "inconsistent"),
         [
             ({}, {}, 0, 2_000, False),
             ({}, {"empty": 5_000}, 0, 5_000, False),
@@ -564,7 +564,7 @@
         second: dict[str, object] | None,
         running: int,
         empty: int,
-        apart: bool,
+        inconsistent: bool,
     ) -> None:
         """Guards against a domain that is shown as empty while any host has attempts there."""
         dana, _ = pair
@@ -574,11 +574,15 @@
         dana.entries["127.0.0.1:3"] = told(1, evacuations=told_there)
         (shown,) = dana.json("status")["evacuations"]
         assert (shown["place"], shown["author"], shown["reason"]) == ("p-1", "dana", "power")
-        assert (shown["running"], shown["empty"], shown["apart"]) == (running, empty, apart)
+        assert (shown["running"], shown["empty"], shown["inconsistent"]) == (
+            running,
+            empty,
+            inconsistent,
+        )
         printed = dana.accept("status")
         (line,) = [line for line in printed.splitlines() if line.startswith("p-1 ")]
         assert "1970-01-01T00:00:01.000Z" in line
-        assert ("not known to all" in line) is apart
+        assert ("not known to all" in line) is inconsistent
 
     def test_none(self, pair: Pair) -> None:
         """Guards against a table of evacuations where there are none."""
--- a/tests/commands/test_fleet.py
+++ b/tests/commands/test_fleet.py
@@ -101,9 +101,9 @@
         place = inventory["places"][0]["name"]
         inside = {target["name"] for target in inventory["targets"] if target["place"] == place}
         run(settings, f"evacuate {place} --reason test")
-        (told,) = wait_in_force(settings, base + 1)["evacuations"]
-        assert (told["place"], told["reason"], told["idle"]) == (place, "test", True)
-        assert (told["running"], told["telling"], told["accepted"]) == (0, 3, True)
+        (item,) = wait_in_force(settings, base + 1)["evacuations"]
+        assert (item["place"], item["reason"], item["idle"]) == (place, "test", True)
+        assert (item["running"], item["reporting_hosts"], item["accepted"]) == (0, 3, True)
         _, report = run(settings, f"explain -c rainier -m dishline-lm --live --place {place}")
         assert report["targets"]
         assert not inside & set(report["targets"])
