--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -30,7 +30,7 @@
     Target,
     decode,
 )
-from azureswitch.metrics import Metrics
+from azureswitch.metrics import Metrics, watch_evacuations
 from azureswitch.peers import PeerNetwork
 from azureswitch.platform import HttpHostList, HttpStore
 from azureswitch.ports import Engine, HostList, Peers, PlainTarget, Store
@@ -288,16 +288,7 @@
             help="The accepted revision that this host could not read; zero for none.",
             value=lambda: self._unreadable,
         )
-        self._metrics.watch(
-            name="evacuated_places",
-            help="Failure domains whose targets get nothing new, as operators evacuated them.",
-            value=lambda: len(self._shell.evacuations),
-        )
-        self._metrics.watch(
-            name="evacuated_attempts",
-            help="Attempts of this host that still run in evacuated failure domains.",
-            value=lambda: sum(place.running for place in self._shell.evacuations),
-        )
+        watch_evacuations(self._metrics, evacuations=lambda: self._shell.evacuations)
         self._metrics.watch(
             name="members",
             help="Hosts that are not dead.",
--- a/src/azureswitch/gateway/_announced.py
+++ b/src/azureswitch/gateway/_announced.py
@@ -125,7 +125,7 @@
 
 
 class EvacuationsUnknown(Entry, frozen=True, kw_only=True):
-    """Neither the store nor a peer told the evacuations in time; requests are served without them.
+    """No evacuations were read in time, from the store or a peer; requests are served without them.
 
     Attributes:
         seconds: How long requests were refused meanwhile.
--- a/src/azureswitch/gateway/_evacuations.py
+++ b/src/azureswitch/gateway/_evacuations.py
@@ -1,4 +1,4 @@
-"""The evacuations that a gateway has been told of, and the wait for the first of them.
+"""The evacuations that a gateway knows of, and the wait for the first reading of them.
 
 A host that starts must not send to an evacuated failure domain only because it has not yet read
 which ones are.  It waits for a first reading before it serves, but not for long: a host that gets
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -7,7 +7,7 @@
 from azureswitch.gateway._tickets import Tickets
 from azureswitch.inventory import Target, TargetRole
 from azureswitch.logs import Log
-from azureswitch.metrics import Metrics
+from azureswitch.metrics import Metrics, watch_evacuations
 
 
 def register_gauges(
@@ -79,13 +79,4 @@
         help="Lines of the log that its volume did not permit.",
         value=lambda: log.left_out,
     )
-    metrics.watch(
-        name="evacuated_places",
-        help="Failure domains whose targets get nothing new, as operators evacuated them.",
-        value=lambda: len(shell.evacuations),
-    )
-    metrics.watch(
-        name="evacuated_attempts",
-        help="Attempts of this host that still run in evacuated failure domains.",
-        value=lambda: sum(place.running for place in shell.evacuations),
-    )
+    watch_evacuations(metrics, evacuations=lambda: shell.evacuations)
--- a/src/azureswitch/metrics.py
+++ b/src/azureswitch/metrics.py
@@ -1,10 +1,10 @@
 """Metrics, as Prometheus reads them."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from azureswitch.serving import Observation, Observe
+from azureswitch.serving import EvacuatedPlace, Observation, Observe
 
 LENGTH_BUCKETS = ((4_000, "1k"), (32_000, "10k"), (320_000, "100k"))
 """Prompt tokens below which a request belongs to a bucket; the rest is ``1m``."""
@@ -106,3 +106,24 @@
         self._histograms[what] = Histogram(
             f"azureswitch_{what.value}", help, buckets=bounds, registry=self._registry
         )
+
+
+def watch_evacuations(
+    metrics: Metrics, *, evacuations: Callable[[], Collection[EvacuatedPlace]]
+) -> None:
+    """Register the gauges of evacuated failure domains, the same on all kinds of hosts.
+
+    Args:
+        metrics: The metrics.
+        evacuations: Returns the evacuated failure domains that the host knows.
+    """
+    metrics.watch(
+        name="evacuated_places",
+        help="Failure domains whose targets get nothing new, as operators evacuated them.",
+        value=lambda: len(evacuations()),
+    )
+    metrics.watch(
+        name="evacuated_attempts",
+        help="Attempts of this host that still run in evacuated failure domains.",
+        value=lambda: sum(place.running for place in evacuations()),
+    )
--- a/src/azureswitch/platform/_evacuations.py
+++ b/src/azureswitch/platform/_evacuations.py
@@ -11,15 +11,13 @@
 
 from azureswitch.core import PlaceName
 from azureswitch.inventory import Evacuation, Place
+from azureswitch.platform._deployment import MILLISECONDS
 from azureswitch.platform._foreign import Fault, Foreign
 from azureswitch.ports import StoredObject
 
 EVACUATIONS_KIND = "evacuations"
 """The kind of object that requests the evacuation of a failure domain."""
 
-MILLISECONDS = 1_000.0
-"""Milliseconds in a second."""
-
 
 class FoundEvacuations(Struct, frozen=True, kw_only=True):
     """The result of reading a listing of evacuations.
--- a/src/azureswitch/platform/_targets.py
+++ b/src/azureswitch/platform/_targets.py
@@ -15,6 +15,7 @@
 from azureswitch.decoding import UNDECODED
 from azureswitch.gateway import Deployment
 from azureswitch.inventory import EnginePace, Place, Target, TargetRole
+from azureswitch.platform._deployment import MILLISECONDS
 from azureswitch.platform._foreign import Fault, Foreign, undecoded
 from azureswitch.ports import StoredObject
 from azureswitch.slices import GO_ON, Steps, finish
@@ -25,9 +26,6 @@
 MAX_COLD_MILLISECONDS = 3_600_000
 """Longest time for which a target may say that it stays cold; a longer one is invalid."""
 
-MILLISECONDS = 1_000.0
-"""Milliseconds in a second."""
-
 ROLES = {"in_service": TargetRole.SERVING, "draining": TargetRole.DRAINING}
 """The roles by the platform's names for them."""
 
--- a/src/azureswitch/serving/warmup/_shares.py
+++ b/src/azureswitch/serving/warmup/_shares.py
@@ -22,9 +22,8 @@
 MAX_UNTRUSTED_RATE = 1.0
 """Most tokens per second of a host that cannot trust its ranking.
 
-How many such hosts draw the same target varies by chance: of 80 hosts that are each alone, 8 on
-average and up to 16 at one of 54 targets.  With one request per second each they stay within the
-bound of a target; with two in some seconds they do not.
+How many such hosts draw the same target varies by chance and can be twice the number wanted, so
+each of them gets less than a host of a ranked subset.
 """
 
 BUCKET_CAPACITY = 1.0
@@ -81,7 +80,7 @@
         if self._trusted:
             position = self._position(target)
             return HOST_RATE * (position + 1) if position else 0.0
-        # The subset has max(1, floor(rate / HOST_RATE)) hosts, as `subset_size` returns it.
+        # The inverse of `subset_size`: the lowest rate whose subset has this many hosts.
         size = floor(_fraction(self._host, target) * self._fleet_hosts) + 1
         return HOST_RATE * size if size > 1 else 0.0
 
