Tell why a connection was not made, what a host avoids and what its retry budget holds

Callers of hosts without paths to targets got no_target, and the log said target_refused alike for a connection that was refused, reset or timed out, and for a target that had turned the request down; nothing said how many targets a host avoids, by whose word, or whether its retries are spent.

--- a/src/azureswitch/client/_client.py
+++ b/src/azureswitch/client/_client.py
@@ -7,7 +7,8 @@
 
 from azureswitch.client._answer import Headers, HttpAnswer, HttpHead
 from azureswitch.client._connection import Connection
-from azureswitch.exceptions import HttpBrokenError, HttpNotSentError
+from azureswitch.client._reasons import reason_of
+from azureswitch.exceptions import HttpBrokenError, HttpNotSentError, NotSent
 
 CONNECT_TIMEOUT = 1.0
 """Seconds that a connection may take to be made."""
@@ -159,7 +160,7 @@
         connection = kept or await self._connect(deadline)
         if permitted is not None and not permitted():
             connection.abort()
-            raise HttpNotSentError(address=self._address)
+            raise HttpNotSentError(address=self._address, reason=NotSent.NOT_PERMITTED)
         head_only = method == "HEAD"
         connection.send(data=data, head_only=head_only, deadline=deadline)
         try:
@@ -202,7 +203,7 @@
                 )
         except OSError as error:
             # TimeoutError is an OSError.
-            raise HttpNotSentError(address=self._address) from error
+            raise HttpNotSentError(address=self._address, reason=reason_of(error)) from error
         return connection
 
     def _encode(
--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -31,7 +31,7 @@
     UnknownCustomerError,
 )
 from azureswitch.exceptions._coordination import LeaseLostError
-from azureswitch.exceptions._http import HttpBrokenError, HttpError, HttpNotSentError
+from azureswitch.exceptions._http import HttpBrokenError, HttpError, HttpNotSentError, NotSent
 from azureswitch.exceptions._peers import (
     PeerError,
     PeerMessageInvalidError,
@@ -157,6 +157,7 @@
     "MissingSettingError",
     "NoTargetError",
     "NotConfiguredError",
+    "NotSent",
     "OrderRefusedError",
     "OutcomeLostError",
     "PeerError",
--- a/src/azureswitch/exceptions/_http.py
+++ b/src/azureswitch/exceptions/_http.py
@@ -1,10 +1,25 @@
 """HTTP exchanges that failed below the level of their status."""
 
+from enum import Enum
 from typing import ClassVar
 
 from azureswitch.exceptions._base import AzureswitchError, Ran
 
 
+class NotSent(Enum):
+    """Why nothing was sent.
+
+    The values are those of logs and metrics.
+    """
+
+    REFUSED = "refused"
+    RESET = "reset"
+    TIMED_OUT = "timed_out"
+    NO_ROUTE = "no_route"
+    NOT_PERMITTED = "not_permitted"
+    OTHER = "other"
+
+
 class HttpError(AzureswitchError):
     """An HTTP exchange failed below the level of its status.
 
@@ -21,10 +36,15 @@
 
 
 class HttpNotSentError(HttpError):
-    """No connection could be made, so nothing was sent."""
+    """Nothing was sent, mostly as no connection could be made.
+
+    Attributes:
+        reason: Why.
+    """
 
     code: ClassVar[str] = "http_not_sent"
     ran: ClassVar[Ran] = Ran.NOT_RUN
+    reason: NotSent = NotSent.OTHER
 
 
 class HttpBrokenError(HttpError):
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -64,6 +64,21 @@
         help="Targets that are cold and therefore get few requests.",
         value=lambda: len(shell.cold_targets),
     )
+    metrics.watch(
+        name="targets_ejected",
+        help="Targets that are avoided since attempts of this host failed.",
+        value=lambda: shell.ejected,
+    )
+    metrics.watch(
+        name="targets_suspected",
+        help="Targets that are avoided since another host reports them.",
+        value=lambda: shell.suspected,
+    )
+    metrics.watch(
+        name="retries_left",
+        help="Retries that the budget of this host permits now.",
+        value=lambda: shell.retries_left,
+    )
     metrics.watch(
         name="tickets_held",
         help="Reservations of engines' memory that are held.",
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -14,6 +14,7 @@
 from azureswitch.exceptions import (
     HttpBrokenError,
     HttpNotSentError,
+    NotSent,
     TargetAnswerError,
     TargetBrokenError,
     TargetError,
@@ -60,6 +61,7 @@
     retry_after: float | None = None
     at_fault: TargetName | None = None
     status: int = 0
+    not_sent: NotSent | None = None
 
 
 class Relay:
@@ -119,8 +121,9 @@
             end = await self._attempt(record, effect)
         except TargetEvacuatedError as evacuated:
             end = _End(how=AttemptEnd.REFUSED, error=evacuated)
-        except HttpNotSentError:
-            end = _End(how=AttemptEnd.REFUSED, error=TargetRefusedError(target=name))
+        except HttpNotSentError as not_sent:
+            refused = TargetRefusedError(target=name)
+            end = _End(how=AttemptEnd.REFUSED, error=refused, not_sent=not_sent.reason)
         except HttpBrokenError:
             error = TargetBrokenError(target=name, tokens=record.last_event)
             end = _End(how=AttemptEnd.BROKEN, error=error)
@@ -146,6 +149,7 @@
                 error="" if end.error is None else end.error.code,
                 status=end.status,
                 at_fault=end.at_fault or "",
+                not_sent="" if end.not_sent is None else end.not_sent.value,
                 seconds=round(self._clock() - record.sent_at, 3),
                 events=record.last_event,
             )
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -149,6 +149,21 @@
         """The cold targets, with the seconds for which each of them stays cold."""
         return self._state.warmup.cold_targets(now=self.now)
 
+    @property
+    def ejected(self) -> int:
+        """Number of targets that are avoided since attempts of this host failed."""
+        return self._state.fleet.ejected(now=self.now)
+
+    @property
+    def suspected(self) -> int:
+        """Number of targets that are avoided since another host reports them."""
+        return self._state.fleet.suspected(now=self.now)
+
+    @property
+    def retries_left(self) -> float:
+        """Retries that the budget of this host permits now."""
+        return self._state.retries.left
+
     @property
     def now(self) -> float:
         """Seconds of the monotonic clock."""
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -283,6 +283,14 @@
         self._suspects = {name: until for name, until in self._suspects.items() if now < until}
         return tuple(sorted(self._suspects))
 
+    def ejected(self, *, now: float) -> int:
+        """Return how many targets are avoided since attempts of this host failed."""
+        return sum(now < state.ejected_until for state in self._states.values())
+
+    def suspected(self, *, now: float) -> int:
+        """Return how many targets are avoided since another host reports them as suspect."""
+        return sum(now < state.suspected_until for state in self._states.values())
+
     def set_hosts(self, hosts: Iterable[HostName]) -> None:
         """Set the live hosts and forget the outstanding work of all others."""
         for host in self._peer_targets.keys() - set(hosts):
--- a/src/azureswitch/serving/_retries.py
+++ b/src/azureswitch/serving/_retries.py
@@ -79,9 +79,14 @@
         floor = min(0.0, self._burst - MIN_BURST)
         self._taken = max(floor, self._taken - self._share)
 
+    @property
+    def left(self) -> float:
+        """Retries that the budget holds."""
+        return self._burst - self._taken
+
     def permits(self, cost: float = 1.0) -> bool:
         """Return whether the budget holds ``cost`` retries."""
-        return self._burst - self._taken >= cost
+        return self.left >= cost
 
     def take(self, cost: float = 1.0) -> bool:
         """Take ``cost`` retries from the budget; return False and take none if it holds fewer."""
