Reproduce the refusals of hosts that lost their paths to all targets

Three edge processes stand before six targets; one or two of them are cut off from all targets from outside, by proxies that find out which process owns a connection. In both modes (new connections reset while open ones live on, or all reset) the cut hosts serve none of their callers' first tries from 1 s after the cut on, and the others serve all.

--- a/bench/soak/_proxy.py
+++ b/bench/soak/_proxy.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import cast
 
+from bench.soak._cuts import CutMode, HostCuts
+
 
 class Mode(Enum):
     """What the proxy does with bytes."""
@@ -28,10 +30,13 @@
     Args:
         behind: ``IP:PORT`` that connections are passed on to.
         ip: The IP address to listen on.
+        cuts: The hosts whose connections it does not carry.
     """
 
-    def __init__(self, *, behind: str, ip: str = "127.0.0.1") -> None:
+    def __init__(self, *, behind: str, ip: str = "127.0.0.1", cuts: HostCuts | None = None) -> None:
         self._behind = behind
+        self._cuts = cuts or HostCuts()
+        self._cuts.on_change(self._apply_cuts)
         self._ip = ip
         self._mode = Mode.PASS
         self._healed = asyncio.Event()
@@ -88,13 +93,24 @@
         for link in links[: round(share * len(links))]:
             link.abort()
 
+    def _apply_cuts(self) -> None:
+        """Reset or silence the open connections of the hosts that are cut off."""
+        for link in list(self._links):
+            mode = self._cuts.mode_of(link.port)
+            if mode is CutMode.RESET:
+                link.abort()
+            elif mode is CutMode.SILENT:
+                link.forgotten = True
+
     async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.create_task(self._join(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _join(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._mode is Mode.REFUSE:
+        source: int = writer.get_extra_info("peername")[1]
+        cut = self._cuts.mode_of(source)
+        if self._mode is Mode.REFUSE or cut in (CutMode.REFUSE_NEW, CutMode.RESET):
             _abort(writer)
             return
         host, _, port = self._behind.rpartition(":")
@@ -104,7 +120,8 @@
             # Nothing listens there; the caller sees a reset, as it would without the proxy.
             _abort(writer)
             return
-        link = _Link(proxy=self, front=writer, behind=behind_writer)
+        link = _Link(proxy=self, front=writer, behind=behind_writer, port=source)
+        link.forgotten = cut is CutMode.SILENT
         self._links.add(link)
         try:
             async with asyncio.TaskGroup() as group:
@@ -124,11 +141,17 @@
     _numbers = iter(range(1 << 62))
 
     def __init__(
-        self, *, proxy: FaultProxy, front: asyncio.StreamWriter, behind: asyncio.StreamWriter
+        self,
+        *,
+        proxy: FaultProxy,
+        front: asyncio.StreamWriter,
+        behind: asyncio.StreamWriter,
+        port: int,
     ) -> None:
         self._proxy = proxy
         self._front = front
         self._behind = behind
+        self.port = port
         self.number = next(self._numbers)
         self.forgotten = False
 
--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -3,7 +3,7 @@
 from azureswitch.client import HttpAnswer, HttpClient
 from azureswitch.platform import header_names
 from bench.soak._documents import HOST_HEADER
-from tests.platform.test_edge import PATIENCE
+from tests.platform.processes import PATIENCE
 
 
 async def ask(
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -23,8 +23,9 @@
 from azureswitch_standins.peers import PeersNetworkFake
 from azureswitch_standins.store import StoreFake, StoreFaults, StoreModel, StoreStandin
 from tests.gateway.fixtures import deployment, make_gateway
+from tests.platform.processes import NETWORK, edge, metric, page, run, until_metric
 from tests.platform.test_adoption import shown
-from tests.platform.test_edge import NETWORK, edge, fill, metric, page, run, until_metric
+from tests.platform.test_edge import fill
 from tests.waiting import PATIENCE, reach
 
 PLACES = tuple(Place(name=PlaceName(name), region="r") for name in ("p1", "p2"))
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -14,7 +14,7 @@
 from tests.gateway.fixtures import FakeTarget, Fleet
 from tests.gateway.test_limits import SETTLE_SECONDS, WINDOW_SECONDS, max_allowed, max_in_window
 from tests.platform.callers import ask
-from tests.platform.test_edge import NETWORK, edge, run, until_listening, until_metric
+from tests.platform.processes import NETWORK, edge, run, until_listening, until_metric
 
 HOSTS = 3
 
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -14,13 +14,7 @@
 from bench.soak._documents import DESK, configuration
 from tests.gateway.fixtures import Act, FakeTarget, Fleet
 from tests.platform.callers import ask
-from tests.platform.test_edge import (
-    NETWORK,
-    edge,
-    run,
-    until_listening,
-    until_metric,
-)
+from tests.platform.processes import NETWORK, edge, run, until_listening, until_metric
 
 TARGETS = 5
 
--- a/tests/platform/test_suspension.py
+++ b/tests/platform/test_suspension.py
@@ -13,14 +13,7 @@
 from azureswitch_standins.store import StoreStandin
 from tests.gateway.fixtures import Act, FakeTarget, Fleet
 from tests.platform.callers import ask
-from tests.platform.test_edge import (
-    LOG,
-    NETWORK,
-    edge,
-    run,
-    until_listening,
-    until_metric,
-)
+from tests.platform.processes import LOG, NETWORK, edge, run, until_listening, until_metric
 from tests.platform.test_quarantine import fill
 from tests.waiting import reach
 
