Reach targets through the tunnels of other hosts where a host lost its own paths

Cause: a host took a connection that it could not make for a failed target. It ejected the target, told the others to suspect it, and spent a retry on the next one, until all were ejected and the budget was spent.

Change: azureswitch.paths connects a host to targets. A direct connection that takes over 80 ms is joined by a tunnel: another host connects to the target, by its own direct path alone, and carries the bytes. The host that the caller met decides everything as before, so that limits, permits, evacuations, quotas, retries and reservations are kept and counted once. A path counts as lost once a direct connection failed while a tunnel led to the target, or once two in a row were opened and not answered; it is tried again beside a tunnel, after 0.5 to 4 s. A connection that breaks or falls silent is checked by its own route and by others before the target is blamed. Where no route leads anywhere the request is refused at once, as not run, and no retry is charged. Hosts without tunnels refuse the connection and are passed over. A leaving host opens no tunnels and waits for those that it carries.

--- a/src/azureswitch/client/__init__.py
+++ b/src/azureswitch/client/__init__.py
@@ -2,8 +2,12 @@
 
 from azureswitch.client._answer import HOP_BY_HOP, Headers, HttpAnswer, HttpHead
 from azureswitch.client._client import SAFE_METHODS, HttpClient, HttpExchange
+from azureswitch.client._connector import Abortable, Connector, DirectConnector
 
 __all__ = [
+    "Abortable",
+    "Connector",
+    "DirectConnector",
     "HOP_BY_HOP",
     "SAFE_METHODS",
     "Headers",
--- a/src/azureswitch/client/_client.py
+++ b/src/azureswitch/client/_client.py
@@ -7,7 +7,7 @@
 
 from azureswitch.client._answer import Headers, HttpAnswer, HttpHead
 from azureswitch.client._connection import Connection
-from azureswitch.client._reasons import reason_of
+from azureswitch.client._connector import Connector, DirectConnector
 from azureswitch.exceptions import HttpBrokenError, HttpNotSentError, NotSent
 
 CONNECT_TIMEOUT = 1.0
@@ -62,6 +62,10 @@
         address: The ``IP:PORT``.
         connect_timeout: Seconds that a connection may take to be made.
         pool_limit: Idle connections that are kept at most.
+        connector: Opens the connections, or None to open them straight to the address.
+
+    Raises:
+        ValueError: The address has no port.
     """
 
     def __init__(
@@ -70,10 +74,12 @@
         address: str,
         connect_timeout: float = CONNECT_TIMEOUT,
         pool_limit: int = POOL_LIMIT,
+        connector: Connector | None = None,
     ) -> None:
+        _, _, port = address.rpartition(":")
+        int(port)
         self._address = address
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._connector = connector or DirectConnector()
         self._connect_timeout = connect_timeout
         self._pool_limit = pool_limit
         self._idle: deque[Connection] = deque()
@@ -194,17 +200,12 @@
         self._idle.append(connection)
 
     async def _connect(self, deadline: float) -> Connection:
-        loop = asyncio.get_running_loop()
-        end = min(deadline, loop.time() + self._connect_timeout)
-        try:
-            async with asyncio.timeout_at(end):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(address=self._address), self._host, self._port
-                )
-        except OSError as error:
-            # TimeoutError is an OSError.
-            raise HttpNotSentError(address=self._address, reason=reason_of(error)) from error
-        return connection
+        left = deadline - asyncio.get_running_loop().time()
+        return await self._connector.connect(
+            address=self._address,
+            protocol=lambda: Connection(address=self._address),
+            timeout=min(left, self._connect_timeout),
+        )
 
     def _encode(
         self, *, method: str, path: str, headers: Headers, body: bytes
--- a/src/azureswitch/client/_connection.py
+++ b/src/azureswitch/client/_connection.py
@@ -6,6 +6,7 @@
 from httptools import HttpParserError, HttpResponseParser
 
 from azureswitch.client._answer import HttpHead
+from azureswitch.client._connector import Abortable
 from azureswitch.exceptions import HttpBrokenError
 
 BUFFER_LIMIT = 262_144
@@ -15,7 +16,7 @@
 """Statuses below this one precede the real answer."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(Abortable):
     """One connection, which carries one request at a time."""
 
     def __init__(self, *, address: str) -> None:
--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -32,6 +32,12 @@
 )
 from azureswitch.exceptions._coordination import LeaseLostError
 from azureswitch.exceptions._http import HttpBrokenError, HttpError, HttpNotSentError, NotSent
+from azureswitch.exceptions._paths import (
+    NoPathError,
+    PathLostError,
+    TargetUnreachableError,
+    TunnelRefusedError,
+)
 from azureswitch.exceptions._peers import (
     PeerError,
     PeerMessageInvalidError,
@@ -113,6 +119,10 @@
 )
 
 __all__ = [
+    "NoPathError",
+    "PathLostError",
+    "TargetUnreachableError",
+    "TunnelRefusedError",
     "AnswerTooLargeError",
     "AuditChainBrokenError",
     "AuditEntryInvalidError",
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from azureswitch.gateway._gauges import register_gauges
 from azureswitch.gateway._handler import RequestHandler
 from azureswitch.gateway._initial import initial_state
+from azureswitch.gateway._listed import ListedTargets
 from azureswitch.gateway._log import (
     ConfigurationAdopted,
     GraceOver,
@@ -26,9 +27,10 @@
 )
 from azureswitch.gateway._model import Deployment
 from azureswitch.gateway._pages import MetricsPage, PathPages, ReadinessPage, StatusPage
+from azureswitch.gateway._peers import peer_hosts
 from azureswitch.gateway._ports import Dialect, Published, Reservations
 from azureswitch.gateway._prepared import Prepared, prepare
-from azureswitch.gateway._reports import target_statuses, targets_changed, without_warmth
+from azureswitch.gateway._reports import target_statuses
 from azureswitch.gateway._settings import GatewaySettings
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._stopping import (
@@ -50,11 +52,10 @@
     Rules,
     Snapshot,
     Target,
-    TargetRole,
-    latest,
 )
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
+from azureswitch.paths import Paths, PeerHost
 from azureswitch.server import HttpServer
 from azureswitch.serving import SnapshotAdopted
 from azureswitch.slices import finish
@@ -89,6 +90,7 @@
         seed: The seed of all random choices.
         neighbours: Returns the state of the other hosts in its failure domain.
         members: Returns the currently known hosts, for the status page.
+        hosts: Returns these and the hosts that are expected to join, which may open tunnels.
         foreign: Returns the current foreign entries of the store, for the status page.
         clock: Returns seconds of the monotonic clock.
     """
@@ -105,6 +107,7 @@
         seed: int,
         neighbours: Callable[[], Neighbours] = Neighbours,
         members: Callable[[], Iterable[Member]] = tuple,
+        hosts: Callable[[], Iterable[Member]] = tuple,
         foreign: Callable[[], tuple[ForeignCollection, ...]] = tuple,
         clock: Callable[[], float] = elapsed,
     ) -> None:
@@ -112,13 +115,26 @@
         self._log = log
         self._neighbours = neighbours
         self._members = members
+        self._hosts = hosts
         self._foreign = foreign
         self._tickets = Tickets(reservations=reservations, started=self._started)
+        self._listed = ListedTargets(takes_work=lambda name: self._shell.takes_work(name), log=log)
+        self._paths = Paths(
+            place=settings.place,
+            local_ip=settings.tunnels.rpartition(":")[0],
+            directory=self._listed,
+            peers=self._peers,
+            metrics=metrics,
+            log=log,
+            seed=seed,
+            clock=clock,
+        )
         self._shell = Shell(
             state=initial_state(settings, seed=seed),
             dialect=dialect,
             tickets=self._tickets,
-            targets=lambda: self._targets,
+            targets=lambda: self._listed.by_name,
+            paths=self._paths,
             publish=publish,
             metrics=metrics,
             log=log,
@@ -136,14 +152,14 @@
             STATUS_PATH: StatusPage(status=lambda: self.status, dialect=dialect),
         }
         self._pages = HttpServer(handler=PathPages(pages=pages, dialect=dialect))
-        self._targets: Mapping[TargetName, Target] = {}
         self._customers: tuple[Customer, ...] = ()
         register_gauges(
             metrics,
             shell=self._shell,
             tickets=self._tickets,
             log=log,
-            targets=lambda: self._targets.values(),
+            paths=self._paths,
+            targets=lambda: self._listed.by_name.values(),
             deployment=lambda: self._handler.deployment,
         )
         self._revision = 0
@@ -161,6 +177,11 @@
         """The shell, which runs the requests."""
         return self._shell
 
+    @property
+    def paths(self) -> Paths:
+        """The paths to targets."""
+        return self._paths
+
     @property
     def deployment(self) -> Deployment | None:
         """The configuration in force, or None before the first."""
@@ -169,7 +190,8 @@
     @property
     def configured(self) -> bool:
         """Whether a configuration is in force, a target is listed and evacuations are known."""
-        return bool(self._handler.deployment and self._targets and self._evacuations.known)
+        listed = self._listed.by_name
+        return bool(self._handler.deployment and listed and self._evacuations.known)
 
     @property
     def ready(self) -> bool:
@@ -206,7 +228,10 @@
             open_calls=self._shell.open_calls,
             members=tuple(map(member_report, self._members())),
             targets=target_statuses(
-                self._targets, limits=self._shell.limits, cold=self._shell.cold_targets
+                self._listed.by_name,
+                limits=self._shell.limits,
+                cold=self._shell.cold_targets,
+                lost=self._paths.lost,
             ),
             foreign=self._foreign(),
             evacuations=tuple(
@@ -225,6 +250,8 @@
         """
         await self._platform.start(address=self._settings.readiness)
         await self._pages.start(address=self._settings.metrics)
+        if self._settings.tunnels:
+            await self._paths.start(address=self._settings.tunnels)
         # Bound last: if another address cannot be bound, no caller has connected that would be cut
         # off.
         if callers is None:
@@ -245,6 +272,7 @@
         stop = begin_stop(now=self._shell.now, grace=self._settings.grace, told=told)
         self._leaving = True
         self._handler.close()
+        self._paths.leave()
         self._shell.begin_shutdown(until=stop.end)
         self._log.write(Leaving(open_requests=self._shell.open_calls))
         try:
@@ -269,7 +297,7 @@
         return StopObserved(
             now=self._shell.now,
             connections=self._callers.connections,
-            open_requests=self._shell.open_calls,
+            open_requests=self._shell.open_calls + self._paths.carried,
             neighbours=self._neighbours(),
         )
 
@@ -304,6 +332,7 @@
         if self._ticks is not None:
             self._ticks.cancel()
         self._evacuations.stop()
+        self._paths.abort()
 
     def adopt(self, deployment: Deployment) -> None:
         """Prepare and activate a configuration, unless the same or a later one is in force."""
@@ -350,26 +379,25 @@
 
     def handle_order_answer(self, *, address: str, order: str, head: HttpHead) -> None:
         """Apply the target state (leaving, rate limit) in the head of an answer to an order."""
-        for target in self._targets.values():
-            if target.address == address:
-                self._shell.handle_order_answer(target, head, order=order)
+        target = self._listed.target_at(address)
+        if target is not None:
+            self._shell.handle_order_answer(target, head, order=order)
 
     def _replace_targets(self, targets: tuple[Target, ...]) -> None:
-        before = self._targets
-        self._targets = {target.name: latest(before.get(target.name), target) for target in targets}
-        if before == self._targets:
-            return
-        listed, listed_before = without_warmth(self._targets), without_warmth(before)
-        if listed != listed_before:
-            self._log.write(targets_changed(before, self._targets))
-        for name, target in self._targets.items():
-            if target.role is TargetRole.DRAINING and listed_before.get(name) != listed[name]:
-                # The reducer remembers this: an older list may show the target as serving again.
-                self._shell.note_leaving(target)
+        for target in self._listed.replace(targets):
+            # The reducer remembers this: an older list may show the target as serving again.
+            self._shell.note_leaving(target)
+        self._paths.keep(self._listed.addresses)
+
+    def _peers(self) -> list[PeerHost]:
+        """Return the other hosts, as places to open tunnels at."""
+        return peer_hosts(
+            self._hosts(), host=self._settings.host, tunnel_address=self._settings.tunnels
+        )
 
     def _started(self, name: TargetName) -> int:
         """Return the start of a target, or zero if it is unknown or the target is not listed."""
-        target = self._targets.get(name)
+        target = self._listed.by_name.get(name)
         return 0 if target is None else target.started
 
     def _dispatch_snapshot(self) -> None:
@@ -381,7 +409,7 @@
         inventory = Inventory(
             places=self._evacuations.places,
             services=deployment.services,
-            targets=tuple(self._targets.values()),
+            targets=tuple(self._listed.by_name.values()),
             customers=self._customers,
         )
         snapshot = Snapshot(revision=self._revision, inventory=inventory, rules=Rules())
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -8,6 +8,7 @@
 from azureswitch.inventory import Target, TargetRole
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics, watch_evacuations
+from azureswitch.paths import Paths
 
 
 def register_gauges(
@@ -16,6 +17,7 @@
     shell: Shell,
     tickets: Tickets,
     log: Log,
+    paths: Paths,
     targets: Callable[[], Iterable[Target]],
     deployment: Callable[[], Deployment | None],
 ) -> None:
@@ -26,6 +28,7 @@
         shell: Runs the requests.
         tickets: Reserves memory on engines.
         log: Receives the log entries.
+        paths: Connects to the targets.
         targets: Returns the listed targets.
         deployment: Returns the configuration in force, or None before the first.
     """
@@ -79,6 +82,23 @@
         help="Retries that the budget of this host permits now.",
         value=lambda: shell.retries_left,
     )
+    metrics.watch(
+        name="targets_without_path",
+        help="Targets that are reached through other hosts alone.",
+        value=lambda: len(paths.lost),
+    )
+    metrics.watch(
+        name="tunnels_open",
+        help="Open tunnels to targets, by which host uses them: this one, or another one.",
+        value=lambda: paths.used,
+        user="this",
+    )
+    metrics.watch(
+        name="tunnels_open",
+        help="Open tunnels to targets, by which host uses them: this one, or another one.",
+        value=lambda: paths.carried,
+        user="other",
+    )
     metrics.watch(
         name="tickets_held",
         help="Reservations of engines' memory that are held.",
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -141,6 +141,7 @@
         error: The error code, or empty.
         status: The status of the target's answer; zero for none.
         at_fault: The target known to have failed, if it is not the first one.
+        via: The host through whose tunnel it was sent; empty for a direct connection.
         not_sent: Why it was not sent, by `azureswitch.exceptions.NotSent`; empty if it was.
         seconds: How long it took.
         events: The id of the last event that the caller has received.
@@ -153,6 +154,7 @@
     status: int
     at_fault: str
     not_sent: str
+    via: str
     seconds: float
     events: int
 
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -14,12 +14,15 @@
 from azureswitch.exceptions import (
     HttpBrokenError,
     HttpNotSentError,
+    NoPathError,
     NotSent,
+    PathLostError,
     TargetAnswerError,
     TargetBrokenError,
     TargetError,
     TargetEvacuatedError,
     TargetRefusedError,
+    TargetUnreachableError,
 )
 from azureswitch.gateway._events import EventSplitter, StreamEvent
 from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetSilent
@@ -31,6 +34,7 @@
 from azureswitch.gateway._tickets import Ticket, Tickets
 from azureswitch.inventory import Target
 from azureswitch.logs import Log
+from azureswitch.paths import Dial, Paths, Verdict
 from azureswitch.serving import (
     AttemptEnd,
     AttemptEnded,
@@ -39,12 +43,10 @@
     ServingEvent,
     StartAttempt,
 )
+from azureswitch.tasks import Tasks
 
-CONNECT_TIMEOUT_SECONDS = 0.35
-"""Timeout in seconds for connecting to a target.
-
-A lost SYN is retransmitted after a second; opening a new connection is faster.
-"""
+CONNECT_TIMEOUT_SECONDS = 0.9
+"""Timeout in seconds for connecting to a target, by whatever route."""
 
 DEFAULT_BACKOFF_SECONDS = 0.25
 """Default backoff in seconds for a target that refused without naming a delay."""
@@ -71,6 +73,7 @@
         dialect: Encodes and decodes the headers exchanged with callers and targets.
         tickets: Reserves memory for prompts larger than one engine.
         targets: Returns the listed targets by name.
+        paths: Connects to the targets.
         notices: Processes the target state reported in answers.
         evacuated: Returns whether a failure domain is evacuated.
         dispatch: Dispatches an event to the reducer.
@@ -84,6 +87,7 @@
         dialect: Dialect,
         tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
+        paths: Paths,
         notices: TargetNotices,
         evacuated: Callable[[PlaceName], bool],
         dispatch: Callable[[ServingEvent], None],
@@ -93,11 +97,13 @@
         self._dialect = dialect
         self._tickets = tickets
         self._targets = targets
+        self._paths = paths
         self._notices = notices
         self._evacuated = evacuated
         self._dispatch = dispatch
         self._log = log
         self._clock = clock
+        self._checks = Tasks(prefix="relay")
 
     async def run(self, record: CallRecord, effect: StartAttempt) -> None:
         """Run an attempt to its end and report the result to the reducer."""
@@ -117,29 +123,47 @@
                 after=record.last_event,
             )
         )
+        dial = self._paths.dial(request=record.arrival.id, repeatable=record.call.repeatable)
         try:
-            end = await self._attempt(record, effect)
-        except TargetEvacuatedError as evacuated:
-            end = _End(how=AttemptEnd.REFUSED, error=evacuated)
-        except HttpNotSentError as not_sent:
-            refused = TargetRefusedError(target=name)
-            end = _End(how=AttemptEnd.REFUSED, error=refused, not_sent=not_sent.reason)
-        except HttpBrokenError:
-            error = TargetBrokenError(target=name, tokens=record.last_event)
-            end = _End(how=AttemptEnd.BROKEN, error=error)
-        except TargetAnswerError as answer_error:
-            end = _End(how=AttemptEnd.BROKEN, error=answer_error)
+            end = await self._attempt(record, effect, dial)
         except asyncio.CancelledError:
-            self._end(record, effect, _End(how=AttemptEnd.CANCELLED))
+            self._end(record, effect, _End(how=AttemptEnd.CANCELLED), dial)
             raise
         except Exception:
             # An internal error must not keep the request waiting until its deadline.
             logging.exception("gateway: An attempt at %s failed.", name)
             error = TargetBrokenError(target=name, tokens=record.last_event)
             end = _End(how=AttemptEnd.BROKEN, error=error)
-        self._end(record, effect, end)
+        self._end(record, effect, end, dial)
+
+    async def _attempt(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> _End:
+        """Run an attempt and return its result, whether or not it succeeded."""
+        name = effect.targets[0]
+        try:
+            return await self._reserve_and_send(record, effect, dial)
+        except TargetEvacuatedError as evacuated:
+            return _End(how=AttemptEnd.REFUSED, error=evacuated)
+        except NoPathError as no_path:
+            unreachable = TargetUnreachableError(
+                target=name, witnessed=no_path.witnessed, isolated=no_path.isolated
+            )
+            return _End(how=AttemptEnd.REFUSED, error=unreachable, not_sent=no_path.reason)
+        except HttpNotSentError as not_sent:
+            refused = TargetRefusedError(target=name)
+            return _End(how=AttemptEnd.REFUSED, error=refused, not_sent=not_sent.reason)
+        except HttpBrokenError:
+            return _End(how=AttemptEnd.BROKEN, error=await self._broken(record, name, dial))
+        except TargetAnswerError as answer_error:
+            return _End(how=AttemptEnd.BROKEN, error=answer_error)
 
-    def _end(self, record: CallRecord, effect: StartAttempt, end: _End) -> None:
+    async def _broken(self, record: CallRecord, target: TargetName, dial: Dial) -> TargetError:
+        """Return the error of a broken connection: that of its path, or that of the target."""
+        dial.unanswered()
+        if await dial.check() is Verdict.LOST:
+            return PathLostError(target=target)
+        return TargetBrokenError(target=target, tokens=record.last_event)
+
+    def _end(self, record: CallRecord, effect: StartAttempt, end: _End, dial: Dial) -> None:
         record.tasks.pop(effect.attempt, None)
         self._log.write(
             AttemptOver(
@@ -150,6 +174,7 @@
                 status=end.status,
                 at_fault=end.at_fault or "",
                 not_sent="" if end.not_sent is None else end.not_sent.value,
+                via=dial.peer,
                 seconds=round(self._clock() - record.sent_at, 3),
                 events=record.last_event,
             )
@@ -167,7 +192,7 @@
             )
         )
 
-    async def _attempt(self, record: CallRecord, effect: StartAttempt) -> _End:
+    async def _reserve_and_send(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> _End:
         listed = self._targets()
         missing = [name for name in effect.targets if name not in listed]
         if missing:
@@ -194,7 +219,7 @@
                     at_fault=_target_of_error(error, targets),
                 )
             try:
-                return await self._send(record, effect, targets, tickets)
+                return await self._send(record, effect, targets, tickets, dial)
             except HttpNotSentError:
                 self._check_in_use(targets)
                 raise
@@ -221,6 +246,7 @@
         effect: StartAttempt,
         targets: list[Target],
         tickets: Mapping[TargetName, Ticket],
+        dial: Dial,
     ) -> _End:
         first = targets[0]
         sent = self._clock()
@@ -236,7 +262,10 @@
         )
         request = record.exchange.request
         client = HttpClient(
-            address=first.address, connect_timeout=CONNECT_TIMEOUT_SECONDS, pool_limit=0
+            address=first.address,
+            connect_timeout=CONNECT_TIMEOUT_SECONDS,
+            pool_limit=0,
+            connector=dial,
         )
         stream = client.stream(
             method=request.method,
@@ -248,28 +277,44 @@
             permitted=lambda: self._find_evacuated(targets) is None,
         )
         timer = SilenceTimer(
-            seconds=effect.first_output_timeout, silent=lambda: self._silent(record, effect)
+            seconds=effect.first_output_timeout, silent=lambda: self._silent(record, effect, dial)
         )
         with timer:
             async with stream as answer:
+                dial.answered()
                 verdict = self._dialect.decode_answer(answer.head)
                 # Processed before the answer is relayed.
                 self._notices.handle_answer(first, verdict, request=record.arrival.id, sent=sent)
                 return await self._relay_answer(record, effect, answer, verdict, timer)
 
-    def _silent(self, record: CallRecord, effect: StartAttempt) -> None:
-        """Report silence to the reducer, which cancels the attempt if another one is possible."""
-        now = self._clock()
+    def _silent(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> None:
+        """Find out whether the target or its path is silent, and report it to the reducer."""
         self._log.write(
             TargetSilent(
                 id=record.arrival.id,
                 attempt=effect.attempt,
                 target=effect.targets[0],
-                seconds=round(now - record.sent_at, 3),
+                seconds=round(self._clock() - record.sent_at, 3),
                 events=record.last_event,
             )
         )
-        self._dispatch(AttemptSilent(now=now, call=effect.call, attempt=effect.attempt))
+        self._checks.spawn(self._report_silence(record, effect, dial), name=effect.call)
+
+    async def _report_silence(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> None:
+        """Report silence to the reducer, which cancels the attempt if another one is possible."""
+        newest = record.newest_event
+        dial.unanswered()
+        verdict = await dial.check()
+        if record.newest_event != newest or effect.attempt not in record.tasks:
+            return
+        self._dispatch(
+            AttemptSilent(
+                now=self._clock(),
+                call=effect.call,
+                attempt=effect.attempt,
+                path_lost=verdict is Verdict.LOST,
+            )
+        )
 
     async def _relay_answer(
         self,
--- a/src/azureswitch/gateway/_reports.py
+++ b/src/azureswitch/gateway/_reports.py
@@ -15,6 +15,7 @@
     *,
     limits: Mapping[TargetName, float],
     cold: Mapping[TargetName, float],
+    lost: Mapping[str, float],
 ) -> tuple[TargetStatus, ...]:
     """Return the status of targets, by name.
 
@@ -22,6 +23,7 @@
         targets: The targets.
         limits: The rate limits that they announce, in requests per second.
         cold: The seconds for which those that are cold stay so.
+        lost: The addresses to which this host has no direct path, with the seconds since its loss.
     """
     return tuple(
         TargetStatus(
@@ -31,6 +33,7 @@
             started=target.started,
             limit=limits.get(name),
             cold=round(cold[name], 3) if name in cold else None,
+            path_lost=round(lost[target.address], 3) if target.address in lost else None,
         )
         for name, target in sorted(targets.items())
     )
--- a/src/azureswitch/gateway/_settings.py
+++ b/src/azureswitch/gateway/_settings.py
@@ -23,6 +23,8 @@
         retry_burst: Additional retries permitted across all hosts.
         hosts: Number of hosts that share the burst before others are known.
         full_hosts: Fleet size up to which each host is informed immediately of every send.
+        tunnels: ``IP:PORT`` on which other hosts open tunnels to targets, with a port that is the
+            same on all hosts; empty for none, and then this host opens none either.
         evacuations: Whether evacuations are read, so that a host waits for the first reading.
     """
 
@@ -37,4 +39,5 @@
     retry_burst: float
     hosts: int
     full_hosts: float = inf
+    tunnels: str = ""
     evacuations: bool = False
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -27,6 +27,7 @@
 from azureswitch.inventory import Target
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
+from azureswitch.paths import Paths
 from azureswitch.server import CloseReason
 from azureswitch.serving import (
     TICK_SECONDS,
@@ -76,6 +77,7 @@
         dialect: Encodes and decodes the headers exchanged with callers and targets.
         tickets: Reserves memory for prompts larger than one engine.
         targets: Returns the listed targets by name.
+        paths: Connects to the targets.
         publish: Sends the reducer's messages to the peers.
         metrics: The metrics registry.
         log: Receives the log entries.
@@ -89,6 +91,7 @@
         dialect: Dialect,
         tickets: Tickets,
         targets: Callable[[], Mapping[TargetName, Target]],
+        paths: Paths,
         publish: Callable[[Published], None],
         metrics: Metrics,
         log: Log,
@@ -107,6 +110,7 @@
             dialect=dialect,
             tickets=tickets,
             targets=targets,
+            paths=paths,
             notices=self._notices,
             evacuated=state.evacuations.holds,
             dispatch=self.dispatch,
@@ -169,6 +173,10 @@
         """Seconds of the monotonic clock."""
         return self._clock()
 
+    def takes_work(self, name: TargetName) -> bool:
+        """Return whether a target may get new work: it is not leaving, and not evacuated."""
+        return self._state.fleet.takes_work(name)
+
     def submit(self, record: CallRecord) -> bool:
         """Start a request and return True, or return False if its id is already in use."""
         call = record.call.id
--- /dev/null
+++ b/src/azureswitch/paths/_messages.py
@@ -0,0 +1,90 @@
+"""How a tunnel is asked for: an HTTP/1.1 request whose body and answer are chunked.
+
+The chunks hold the bytes of the connection to the target.  The last chunk of the answer says that
+the target has closed that connection; an answer without it was broken off.
+"""
+
+from http import HTTPStatus
+
+from msgspec import Struct
+
+from azureswitch.paths._model import Refusal
+
+TUNNEL_PATH = "/tunnel/"
+"""Path of a tunnel, before the ``IP:PORT`` that it leads to."""
+
+REQUEST_HEADER = "tunnel-request"
+"""Header with the id of the request that the tunnel is for."""
+
+NEW_WORK_HEADER = "tunnel-new-work"
+"""Header that says whether the tunnel carries new work for the target: ``1`` or ``0``."""
+
+REFUSAL_HEADER = "tunnel-refusal"
+"""Header of an answer that refuses a tunnel, with a `Refusal`."""
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+OPENED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+_STATUSES = {
+    Refusal.NOT_A_HOST: HTTPStatus.FORBIDDEN,
+    Refusal.UNKNOWN_TARGET: HTTPStatus.NOT_FOUND,
+    Refusal.WITHHELD: HTTPStatus.CONFLICT,
+    Refusal.UNREACHABLE: HTTPStatus.BAD_GATEWAY,
+}
+"""Statuses of refusals; any other is 503."""
+
+
+class TunnelRequest(Struct, frozen=True, kw_only=True):
+    """What a host asks for.
+
+    Attributes:
+        address: ``IP:PORT`` of the target.
+        request: The id of the request that it is for; empty for none.
+        new_work: Whether it carries new work for the target, such as a request.
+    """
+
+    address: str
+    request: str = ""
+    new_work: bool = True
+
+
+def encode_request(asked: TunnelRequest) -> bytes:
+    """Return the head of the request for a tunnel."""
+    lines = (
+        f"POST {TUNNEL_PATH}{asked.address} HTTP/1.1",
+        f"host: {asked.address}",
+        f"{REQUEST_HEADER}: {asked.request}",
+        f"{NEW_WORK_HEADER}: {int(asked.new_work)}",
+        "transfer-encoding: chunked",
+        "",
+        "",
+    )
+    return "\r\n".join(lines).encode("latin-1")
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Return the answer that refuses a tunnel."""
+    status = _STATUSES.get(refusal, HTTPStatus.SERVICE_UNAVAILABLE)
+    lines = (
+        f"HTTP/1.1 {status.value} {status.phrase}",
+        f"{REFUSAL_HEADER}: {refusal.value}",
+        "content-length: 0",
+        "connection: close",
+        "",
+        "",
+    )
+    return "\r\n".join(lines).encode("latin-1")
+
+
+def decode_refusal(value: str) -> Refusal:
+    """Return the refusal of a header; one that is not known is `Refusal.OTHER`."""
+    try:
+        return Refusal(value)
+    except ValueError:
+        return Refusal.OTHER
+
+
+def chunk(data: bytes) -> bytes:
+    """Return bytes as a chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -125,7 +125,10 @@
         self._gateway = Gateway(
             settings=_gateway_settings(settings),
             dialect=PlatformDialect(),
-            reservations=HttpReservations(on_answer=self._on_order_answer),
+            reservations=HttpReservations(
+                on_answer=self._on_order_answer,
+                connector=lambda ticket: self._gateway.paths.dial(request=ticket, new_work=False),
+            ),
             publish=self._publish,
             metrics=self._metrics,
             log=log,
@@ -134,6 +137,7 @@
                 settings.host, settings.place, self._membership.members
             ),
             members=lambda: self._membership.members,
+            hosts=self._notified_hosts,
             foreign=self._foreign.report,
         )
         self._adoption = Adoption(
@@ -383,5 +387,6 @@
         retry_burst=settings.bounds.retry_slack * RETRY_BUDGET_SHARE,
         hosts=MAX_FLEET_HOSTS,
         full_hosts=FULL_HOSTS,
+        tunnels=settings.tunnels,
         evacuations=settings.evacuations,
     )
--- a/src/azureswitch/platform/_orders.py
+++ b/src/azureswitch/platform/_orders.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from azureswitch.client import Headers, HttpClient, HttpHead
+from azureswitch.client import Connector, Headers, HttpClient, HttpHead
 from azureswitch.exceptions import (
     HttpBrokenError,
     HttpNotSentError,
@@ -18,8 +18,8 @@
 ORDER_TIMEOUT_SECONDS = 0.6
 """Timeout of an order, in seconds; a round trip between failure domains takes 2 ms."""
 
-CONNECT_TIMEOUT_SECONDS = 0.35
-"""Timeout of opening a connection for an order, in seconds."""
+CONNECT_TIMEOUT_SECONDS = 0.45
+"""Timeout of opening a connection for an order, in seconds, by whatever route."""
 
 JSON_HEADERS: Headers = (("content-type", "application/json"),)
 
@@ -49,10 +49,18 @@
     Args:
         on_answer: Called with the engine's address, the ticket and the head of each response; its
             headers may also report the state of the engine.
+        connector: Returns what opens the connection for an order about a ticket, or None to open it
+            straight to the engine.
     """
 
-    def __init__(self, *, on_answer: Callable[[str, str, HttpHead], None]) -> None:
+    def __init__(
+        self,
+        *,
+        on_answer: Callable[[str, str, HttpHead], None],
+        connector: Callable[[str], Connector | None] = lambda ticket: None,
+    ) -> None:
         self._on_answer = on_answer
+        self._connector = connector
 
     async def reserve(self, *, address: str, ticket: str, tokens: int, seconds: float) -> None:
         """Reserve memory for a number of seconds.
@@ -76,7 +84,12 @@
         await self._order(address, ticket, msgspec.json.encode(WireRelease(ticket=ticket)))
 
     async def _order(self, address: str, ticket: str, body: bytes) -> int:
-        client = HttpClient(address=address, connect_timeout=CONNECT_TIMEOUT_SECONDS, pool_limit=0)
+        client = HttpClient(
+            address=address,
+            connect_timeout=CONNECT_TIMEOUT_SECONDS,
+            pool_limit=0,
+            connector=self._connector(ticket),
+        )
         try:
             answer = await client.request(
                 method="POST",
--- a/src/azureswitch/platform/_settings.py
+++ b/src/azureswitch/platform/_settings.py
@@ -86,6 +86,12 @@
         """All failure domains."""
         return tuple(Place(name=name, region=region) for name, region in self.regions.items())
 
+    @property
+    def tunnels(self) -> str:
+        """``IP:PORT`` on which other hosts open tunnels; empty if there is no port for it."""
+        first, last = self.peer_ports
+        return f"{self.ip}:{first + 1}" if last > first else ""
+
     @property
     def evacuations(self) -> bool:
         """Whether operators evacuate failure domains."""
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -6,17 +6,19 @@
 from azureswitch.exceptions import (
     AzureswitchError,
     OutcomeLostError,
+    PathLostError,
     Ran,
     RetriesExhaustedError,
     TargetBrokenError,
     TargetEvacuatedError,
+    TargetUnreachableError,
 )
+from azureswitch.serving._ageing import set_aging_timer, set_hedge_timer
 from azureswitch.serving._choice import Choice
 from azureswitch.serving._digests import TargetStart
 from azureswitch.serving._effects import (
     ClaimOutcome,
     Observation,
-    PrioritizeAttempt,
     StartAttempt,
 )
 from azureswitch.serving._ending import (
@@ -29,13 +31,12 @@
 )
 from azureswitch.serving._events import AttemptEnd, AttemptEnded, TokensArrived
 from azureswitch.serving._fleet import MAX_EJECTION_SECONDS, MAX_UNSHARED_EJECTION_SECONDS
-from azureswitch.serving._length import Level, ageing_period, priority
+from azureswitch.serving._length import Level, priority
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._retries import (
     HEDGE_COST,
     MAX_RETRIES,
     backoff,
-    hedge_delay,
     max_queue_seconds,
     silence_timeouts,
 )
@@ -70,6 +71,8 @@
         return end_quarantined(state, record, now=now)
     if is_evacuated(state, record.pool, now=now):
         return end_evacuated(state, record, now=now)
+    if not state.fleet.has_path(record.pool, now=now):
+        return give_up(state, record, now=now)
     lane = lane_of(record)
     lane_in_use = any(True for _ in state.queue.customers(lane))
     choice = None if lane_in_use else choose(state, record, now=now)
@@ -174,8 +177,8 @@
         state.permits.take(target, now=now)
         state.warmup.take(target, now=now)
     if call.model and record.pool.pace is None:
-        _set_aging_timer(state, record, attempt, now=now)
-        _set_hedge_timer(state, record, choice, now=now)
+        set_aging_timer(state, record, attempt, now=now)
+        set_hedge_timer(state, record, choice, now=now)
     timeouts = silence_timeouts(call, first_token=choice.first_token)
     return [
         StartAttempt(
@@ -196,29 +199,6 @@
     ]
 
 
-def _set_aging_timer(
-    state: ServingState, record: CallRecord, attempt: Attempt, *, now: float
-) -> None:
-    state.timers.set(
-        at=now + ageing_period(record.cost.prefill),
-        kind=TimerKind.AGE,
-        call=record.call.id,
-        attempt=attempt.number,
-    )
-
-
-def _set_hedge_timer(
-    state: ServingState, record: CallRecord, choice: Choice, *, now: float
-) -> None:
-    """Schedule a hedge in case the first attempt at a short prompt has no output for long."""
-    if record.level is not Level.SHORT or record.attempt_count > 1:
-        return
-    expected = choice.wait + choice.work.seconds * max(1.0, record.cost.stretch)
-    state.timers.set(
-        at=now + hedge_delay(expected), kind=TimerKind.HEDGE, call=record.call.id, attempt=1
-    )
-
-
 def hedge(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
     """Start a second attempt beside one without output, if another target has room at once."""
     silent = record.attempts.get(number)
@@ -236,30 +216,6 @@
     return [observe(record, Observation.HEDGED), *start_attempt(state, record, choice, now=now)]
 
 
-def age(state: ServingState, record: CallRecord, number: int, *, now: float) -> list[Effect]:
-    """Update the priority of an attempt that still waits for its first token."""
-    attempt = record.attempts.get(number)
-    if attempt is None or attempt.first_token is not None:
-        return []
-    _set_aging_timer(state, record, attempt, now=now)
-    attempt_priority = priority(
-        record.call,
-        state.rules,
-        prefill=record.cost.prefill,
-        waited=now - record.arrived,
-        demoted=state.fairness.exceeds(record.call.customer, now=now),
-    )
-    if attempt_priority == attempt.priority:
-        return []
-    attempt.priority = attempt_priority
-    return [
-        PrioritizeAttempt(
-            call=record.call.id, attempt=number, target=name, priority=attempt_priority
-        )
-        for name in attempt.targets
-    ]
-
-
 def record_first_token(
     state: ServingState, record: CallRecord, number: int, *, now: float
 ) -> list[Effect]:
@@ -320,11 +276,31 @@
     elif isinstance(event.error, TargetEvacuatedError):
         # Nothing was sent, so that neither the target nor the retry budget is charged.
         effects = [] if record.attempts else dispatch(state, record, now=now)
+    elif isinstance(event.error, TargetUnreachableError) and not event.error.witnessed:
+        effects = _find_other_target(state, record, attempt, event.error, now=now)
     else:
         effects = _failed(state, record, attempt, event)
     return effects + drain_all(state, now=now)
 
 
+def _find_other_target(
+    state: ServingState,
+    record: CallRecord,
+    attempt: Attempt,
+    error: TargetUnreachableError,
+    *,
+    now: float,
+) -> list[Effect]:
+    """Send a call elsewhere whose target no path of this host leads to.
+
+    Nothing was sent, so that the retry budget is not charged, and nothing is known of the target,
+    so that other hosts are not told.
+    """
+    lost = record.pool.targets if error.isolated else attempt.targets[:1]
+    state.fleet.lose_paths(lost, now=now)
+    return [] if record.attempts else dispatch(state, record, now=now)
+
+
 def _complete(
     state: ServingState, record: CallRecord, attempt: Attempt, event: AttemptEnded
 ) -> list[Effect]:
@@ -389,13 +365,16 @@
 
     If the attempt has several targets, this concerns the one reported at fault, or else the first
     one, which sends the answer; without a published pace, it concerns none.  Nothing is recorded
-    for a target that has restarted since, as the failure was that of its previous start.
+    for a target that has restarted since, as the failure was that of its previous start, nor for
+    one whose path was lost.
     """
     if len(attempt.targets) > 1 and record.pool.pace is None:
         return
     target = event.at_fault or attempt.targets[0]
     if target in attempt.restarted:
         return
+    if isinstance(event.error, PathLostError):
+        return
     if event.retry_after is not None and event.end is AttemptEnd.REFUSED:
         record.failed.add(target)
         state.fleet.full(target, seconds=event.retry_after, now=event.now)
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -166,8 +166,15 @@
     at_fault: TargetName | None = None
 
 
-class AttemptSilent(_AttemptEvent, frozen=True):
-    """An attempt's target has sent no output within the silence timeout."""
+class AttemptSilent(_AttemptEvent, frozen=True, kw_only=True):
+    """An attempt's target has sent no output within the silence timeout.
+
+    Attributes:
+        path_lost: Whether the target is reached by another path alone, so that the silence says
+            nothing of it.
+    """
+
+    path_lost: bool = False
 
 
 class LoadReported(ServingEvent, frozen=True, kw_only=True):
--- a/src/azureswitch/serving/_failover.py
+++ b/src/azureswitch/serving/_failover.py
@@ -21,10 +21,12 @@
 
 
 def replace_silent(
-    state: ServingState, record: CallRecord, number: int, *, now: float
+    state: ServingState, record: CallRecord, number: int, *, path_lost: bool = False, now: float
 ) -> list[Effect]:
     """Move a call off a target that sends no data, if another attempt may follow.
 
+    The target is ejected, unless only the path to it is lost.
+
     If none may, the target is awaited until the caller disconnects or the deadline passes: engines
     that prefill a prompt larger than the memory of one send nothing for 1 to 2 s and then continue.
     """
@@ -34,7 +36,7 @@
     if not _finds_target(state, record, attempt, now=now):
         return []
     effects = cancel(state, record, number)
-    if not attempt.restarted:
+    if not attempt.restarted and not path_lost:
         mark_failed(state, record, attempt.targets[0], now=now)
     if record.attempts:
         return effects
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -19,6 +19,9 @@
 UNREACHABLE_SECONDS = 1.0
 """Seconds for which a target gets no new work after it did not answer a poll."""
 
+PATHLESS_SECONDS = 1.0
+"""Seconds for which a target gets no new work after no path led there."""
+
 FIRST_EJECTION_SECONDS = 1.0
 """Seconds for which a target is avoided after its first failure."""
 
@@ -223,6 +226,19 @@
             # There is no upper bound: a target that gets requests in this time cannot recover.
             state.unusable_until = max(state.unusable_until, now + seconds)
 
+    def lose_paths(self, targets: Iterable[TargetName], *, now: float) -> None:
+        """Give targets no new work for a while, as no path of this host leads there."""
+        for name in targets:
+            state = self._states.get(name)
+            if state is not None:
+                state.pathless_until = now + PATHLESS_SECONDS
+                state.unusable_until = max(state.unusable_until, state.pathless_until)
+
+    def has_path(self, pool: Pool, *, now: float) -> bool:
+        """Return whether a path may lead to one of the targets of a pool that take new work."""
+        states = [state for state in self.states(pool) if not state.draining]
+        return not states or any(now >= state.pathless_until for state in states)
+
     def failed(
         self, target: TargetName, *, now: float, longest: float = MAX_EJECTION_SECONDS
     ) -> None:
@@ -283,6 +299,11 @@
         self._suspects = {name: until for name, until in self._suspects.items() if now < until}
         return tuple(sorted(self._suspects))
 
+    def takes_work(self, target: TargetName) -> bool:
+        """Return whether a target may get new work, however well this host reaches it."""
+        state = self._states.get(target)
+        return state is not None and not state.evacuated and not state.draining
+
     def ejected(self, *, now: float) -> int:
         """Return how many targets are avoided since attempts of this host failed."""
         return sum(now < state.ejected_until for state in self._states.values())
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -7,8 +7,8 @@
 from azureswitch.core import NO_EFFECTS, CallId, Effect, Effects
 from azureswitch.exceptions import AzureswitchError, CallerLeftError
 from azureswitch.serving._admission import expected_cost, refusal
+from azureswitch.serving._ageing import age
 from azureswitch.serving._attempts import (
-    age,
     dispatch,
     drain_all,
     handle_attempt_end,
@@ -269,7 +269,9 @@
     record = state.calls.get(event.call)
     if record is None:
         return []
-    step = partial(replace_silent, state, record, event.attempt, now=event.now)
+    step = partial(
+        replace_silent, state, record, event.attempt, path_lost=event.path_lost, now=event.now
+    )
     return run_step(state, record, step, now=event.now)
 
 
--- a/src/azureswitch/serving/_target.py
+++ b/src/azureswitch/serving/_target.py
@@ -78,6 +78,7 @@
         report_at: The time whose state the report describes.
         peers: The unfinished load of each peer at this target.
         unusable_until: The time until which it gets no new work, as it was unreachable or full.
+        pathless_until: The time until which no path is known that leads there from this host.
         ejected_until: The time until which others are preferred, as attempts of this host failed.
         suspected_until: The time until which others are preferred, as a peer reports it as suspect.
         saved_until: The time until which a peer reserves its memory for a long prompt.
@@ -99,6 +100,7 @@
     report_at: float = 0.0
     peers: dict[HostName, PeerLoad] = field(default_factory=dict)
     unusable_until: float = 0.0
+    pathless_until: float = 0.0
     ejected_until: float = 0.0
     suspected_until: float = 0.0
     saved_until: float = 0.0
@@ -114,9 +116,13 @@
 
     def in_service(self, now: float) -> bool:
         """Return whether the target may get new work unless its failure domain is evacuated."""
-        if self.target.role is not TargetRole.SERVING or now < self.unusable_until:
-            return False
-        return self.report is None or not self.report.draining
+        return not self.draining and now >= self.unusable_until
+
+    @property
+    def draining(self) -> bool:
+        """Whether the target says that it leaves, by its entry or its last report."""
+        reported = self.report is not None and self.report.draining
+        return reported or self.target.role is not TargetRole.SERVING
 
     def preferred(self, now: float) -> bool:
         """Return whether the target may get new work and is neither ejected nor suspected."""
--- a/src/azureswitch/status.py
+++ b/src/azureswitch/status.py
@@ -52,6 +52,7 @@
         limit: Requests a second that it takes from all hosts together, or None where it names no
             limit.
         cold: Seconds for which it stays cold, or None where it is not cold.
+        path_lost: Seconds since the host lost its direct path to it, or None where it has one.
     """
 
     name: str
@@ -60,6 +61,7 @@
     started: Count
     limit: float | None = None
     cold: float | None = None
+    path_lost: float | None = None
 
 
 class ForeignEntry(Struct, frozen=True, kw_only=True):
