Let the soak cut hosts off from all targets, and compare their first tries

The soak had no fault between one host and all targets. Proxies before the targets find out from outside which process owns a connection, and reset, refuse or silence those of the hosts that are cut off; two thirds of the others' share of first tries, from 3 s after the begin of a cut, is the bound.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -56,6 +56,7 @@
         option("foreign", description="Sets of foreign entries, else 1.", flag=False),
         option("limits", description="Limits that targets name, else 2.", flag=False),
         option("evacuations", description="Evacuations of domains, else 1.", flag=False),
+        option("partitions", description="Cuts of hosts from targets, else 1.", flag=False),
         option("only", description="The one kind of fault, else all.", flag=False),
     ]
 
@@ -75,6 +76,7 @@
             limits=self.value("limits", Integer(low=0), default=2),
             planned=self.value("planned", Integer(low=0), default=2),
             evacuations=self.value("evacuations", Integer(low=0), default=1),
+            partitions=self.value("partitions", Integer(low=0), default=1),
         )
         fresh = self.value("fresh", Integer(low=0), default=0)
         chosen = self.value("seeds", Text(pattern=SEEDS, form="1-8 or 3,5"), default="")
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -21,6 +21,7 @@
 from bench.soak._evacuations import kept as kept_evacuations
 from bench.soak._keepers import OVERTIME, Ending
 from bench.soak._limits import kept, subject
+from bench.soak._partitions import served_alike
 from bench.soak._records import (
     AFTERMATH,
     AWAY,
@@ -376,6 +377,10 @@
             return
 
 
+def _partitioned(records: Records, runs: Runs) -> Iterator[str]:
+    yield from served_alike(records)
+
+
 CHECKS: tuple[Check, ...] = (
     _twice,
     _attempts,
@@ -392,5 +397,6 @@
     _keys,
     _limits,
     _evacuated,
+    _partitioned,
     _budget,
 )
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -19,6 +19,7 @@
     TargetFaults,
     TargetPlan,
 )
+from bench.soak._cuts import HostCuts
 from bench.soak._documents import (
     CLERK,
     DESK,
@@ -258,6 +259,7 @@
             ),
             log=folder / "store.log",
         )
+        self.cuts = HostCuts()
         self.hosts: list[Host] = []
         self.targets: list[Target] = []
 
@@ -312,7 +314,7 @@
         )
         listen = listen or f"{self._network}.{FIRST_TARGET_NUMBER + number}:{TARGET_PORT}"
         if proxy is None:
-            proxy = FaultProxy(behind=listen)
+            proxy = FaultProxy(behind=listen, cuts=self.cuts)
             await proxy.start()
         target = Target(
             plan=plan, proxy=proxy, listen=listen, records=self._records, folder=self._folder
--- a/bench/soak/_process.py
+++ b/bench/soak/_process.py
@@ -42,6 +42,12 @@
         self._reading: asyncio.Task[None] | None = None
         self._asked = False
 
+    @property
+    def pid(self) -> int | None:
+        """The id of the process, or None where it does not run."""
+        process = self._process
+        return process.pid if process is not None and process.returncode is None else None
+
     @property
     def running(self) -> bool:
         """Whether it runs, or stands still."""
--- a/bench/soak/_records.py
+++ b/bench/soak/_records.py
@@ -143,6 +143,22 @@
     end: float
 
 
+class Partition(Struct, frozen=True, kw_only=True):
+    """One cut between some hosts and all targets.
+
+    Attributes:
+        hosts: The hosts.
+        mode: What became of their connections.
+        begin: When it began.
+        end: When it was over.
+    """
+
+    hosts: tuple[str, ...]
+    mode: str
+    begin: float
+    end: float
+
+
 class Records(Struct, kw_only=True):
     """All of a run.
 
@@ -156,6 +172,7 @@
         services: The services of targets, by name.
         places: The failure domains of targets, by name.
         evacuations: Evacuations of failure domains.
+        partitions: Cuts between hosts and targets.
         read: Hosts with the ids of requests that their logs name.
     """
 
@@ -168,6 +185,7 @@
     services: dict[str, str] = field(default_factory=dict)
     places: dict[str, str] = field(default_factory=dict)
     evacuations: list[Evacuated] = field(default_factory=list)
+    partitions: list[Partition] = field(default_factory=list)
     read: set[tuple[str, str]] = field(default_factory=set)
 
     def note(self, kind: str, subject: str, begin: float) -> None:
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -22,6 +22,7 @@
 from bench.soak._keepers import OVERTIME, Keeper
 from bench.soak._limits import Limited
 from bench.soak._logs import read_log
+from bench.soak._partitions import Partitions
 from bench.soak._planned import Planned
 from bench.soak._platform import Platform
 from bench.soak._records import EVERYWHERE, Records, Window
@@ -72,6 +73,7 @@
         restarts: Targets that start again under their names, beside the faults.
         foreign: Sets of foreign entries in the store.
         limits: Limits that targets name.
+        partitions: Cuts between hosts and all targets.
         evacuations: Evacuations of failure domains, which hosts are set up for where there are any.
     """
 
@@ -89,6 +91,7 @@
     foreign: int = 0
     limits: int = 0
     evacuations: int = 0
+    partitions: int = 0
 
 
 class Result(Struct, frozen=True, kw_only=True):
@@ -189,6 +192,7 @@
         fleet=fleet, platform=platform, records=records, seed=plan.seed, away=faults.away
     )
     limited = Limited(fleet=fleet, records=records, seed=plan.seed)
+    partitions = Partitions(fleet=fleet, records=records, seed=plan.seed, away=faults.away)
     evacuations = Evacuations(fleet=fleet, records=records, seed=plan.seed)
     stop, calm_begins = asyncio.Event(), asyncio.Event()
     callers = [
@@ -221,6 +225,7 @@
             group.create_task(foreign.run(count=plan.foreign, seconds=plan.seconds))
             group.create_task(limited.run(count=plan.limits, seconds=plan.seconds))
             group.create_task(evacuations.run(count=plan.evacuations, seconds=plan.seconds))
+            group.create_task(partitions.run(count=plan.partitions, seconds=plan.seconds))
             group.create_task(planned.run(count=plan.planned, seconds=plan.seconds))
             group.create_task(faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only))
         calm_begins.set()
