--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -382,11 +382,14 @@
     members: Callable[[], Iterable[Member]] = tuple,
     foreign: Callable[[], tuple[ForeignCollection, ...]] = tuple,
     evacuations: bool = False,
+    host: str = "h1",
+    tunnels: str = "",
+    hosts: Callable[[], Iterable[Member]] = tuple,
 ) -> Gateway:
     """Return a gateway that has not been started."""
     return Gateway(
         settings=GatewaySettings(
-            host=HostName("h1"),
+            host=HostName(host),
             place=PlaceName("p1"),
             places=tuple(Place(name=PlaceName(name), region="r") for name in ("p1", "p2")),
             callers=callers,
@@ -397,6 +400,7 @@
             retry_burst=50.0,
             hosts=1,
             evacuations=evacuations,
+            tunnels=tunnels,
         ),
         dialect=PlatformDialect(),
         reservations=reservations or FakeReservations(),
@@ -406,6 +410,7 @@
         seed=1,
         neighbours=neighbours,
         members=members,
+        hosts=hosts,
         foreign=foreign,
     )
 
