End a tunnel with the time of its request, and not by TCP_USER_TIMEOUT

That option also ends a connection whose other end lives and reads nothing for so long, so that a slow caller of a host without paths would have lost its answer after 3 s. Idle tunnels are watched by keep-alive (3 s); one that carries bytes for a host that died ends with the time of its request, which the host that asks for it names. Tests: tests/paths/test_tunnels.py.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -123,7 +123,11 @@
                 after=record.last_event,
             )
         )
-        dial = self._paths.dial(request=record.arrival.id, repeatable=record.call.repeatable)
+        dial = self._paths.dial(
+            request=record.arrival.id,
+            seconds=effect.timeout + ANSWER_GRACE_SECONDS,
+            repeatable=record.call.repeatable,
+        )
         try:
             end = await self._attempt(record, effect, dial)
         except asyncio.CancelledError:
--- a/src/azureswitch/paths/_messages.py
+++ b/src/azureswitch/paths/_messages.py
@@ -5,6 +5,7 @@
 """
 
 from http import HTTPStatus
+from math import isfinite
 
 from msgspec import Struct
 
@@ -19,9 +20,15 @@
 NEW_WORK_HEADER = "tunnel-new-work"
 """Header that says whether the tunnel carries new work for the target: ``1`` or ``0``."""
 
+SECONDS_HEADER = "tunnel-seconds"
+"""Header with the seconds after which the tunnel is broken off."""
+
 REFUSAL_HEADER = "tunnel-refusal"
 """Header of an answer that refuses a tunnel, with a `Refusal`."""
 
+MAX_SECONDS = 3_600.0
+"""Most seconds for which a tunnel stays open."""
+
 LAST_CHUNK = b"0\r\n\r\n"
 
 OPENED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -42,11 +49,13 @@
         address: ``IP:PORT`` of the target.
         request: The id of the request that it is for; empty for none.
         new_work: Whether it carries new work for the target, such as a request.
+        seconds: Seconds after which it is broken off, so that it does not outlive a host that died.
     """
 
     address: str
     request: str = ""
     new_work: bool = True
+    seconds: float = MAX_SECONDS
 
 
 def encode_request(asked: TunnelRequest) -> bytes:
@@ -56,6 +65,7 @@
         f"host: {asked.address}",
         f"{REQUEST_HEADER}: {asked.request}",
         f"{NEW_WORK_HEADER}: {int(asked.new_work)}",
+        f"{SECONDS_HEADER}: {asked.seconds:.3f}",
         "transfer-encoding: chunked",
         "",
         "",
@@ -85,6 +95,15 @@
         return Refusal.OTHER
 
 
+def decode_seconds(value: str) -> float:
+    """Return the seconds of a header, within bounds; those that cannot be read are the most."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return MAX_SECONDS
+    return min(MAX_SECONDS, max(0.0, seconds)) if isfinite(seconds) else MAX_SECONDS
+
+
 def chunk(data: bytes) -> bytes:
     """Return bytes as a chunk."""
     return b"%x\r\n%b\r\n" % (len(data), data)
--- a/src/azureswitch/paths/_paths.py
+++ b/src/azureswitch/paths/_paths.py
@@ -6,6 +6,8 @@
 from random import Random
 from typing import Protocol, TypeVar
 
+from msgspec.structs import replace
+
 from azureswitch.client import Abortable, Connector
 from azureswitch.clock import elapsed
 from azureswitch.core import Effect, PlaceName
@@ -141,15 +143,19 @@
         """Forget the paths to all other addresses."""
         self._state.keep(frozenset(addresses))
 
-    def dial(self, *, request: str, new_work: bool = True, repeatable: bool = True) -> "Dial":
+    def dial(
+        self, *, request: str, seconds: float, new_work: bool = True, repeatable: bool = True
+    ) -> "Dial":
         """Return a connector for one connection.
 
         Args:
             request: The id of the request that it is for, for the logs of both hosts.
+            seconds: Seconds for which it is needed at most.
             new_work: Whether it carries new work for its target.
             repeatable: Whether what it carries may be sent again if it is not answered.
         """
-        return Dial(paths=self, request=request, new_work=new_work, repeatable=repeatable)
+        asked = TunnelRequest(address="", request=request, new_work=new_work, seconds=seconds)
+        return Dial(paths=self, asked=asked, repeatable=repeatable)
 
     async def open(
         self, asked: TunnelRequest, *, protocol: Callable[[], P], repeatable: bool
@@ -191,7 +197,7 @@
         return await asyncio.shield(task)
 
     async def _check(self, address: str, route: Route) -> Verdict:
-        asked = TunnelRequest(address=address, new_work=False)
+        asked = TunnelRequest(address=address, new_work=False, seconds=CHECK_SECONDS)
         opening = self._dialer.open(
             self._legs_from(route, address), asked=asked, protocol=Abandoned
         )
@@ -314,15 +320,13 @@
 
     Args:
         paths: The paths of this host.
-        request: The id of the request that it is for.
-        new_work: Whether it carries new work for its target.
+        asked: What a tunnel would be asked for, but for the address.
         repeatable: Whether what it carries may be sent again if it is not answered.
     """
 
-    def __init__(self, *, paths: Paths, request: str, new_work: bool, repeatable: bool) -> None:
+    def __init__(self, *, paths: Paths, asked: TunnelRequest, repeatable: bool) -> None:
         self._paths = paths
-        self._request = request
-        self._new_work = new_work
+        self._asked = asked
         self._repeatable = repeatable
         self._address = ""
         self._route: Route | None = None
@@ -340,7 +344,7 @@
 
     async def connect(self, *, address: str, protocol: Callable[[], P], timeout: float) -> P:
         """Open the connection; arguments and failures as for `Connector.connect`."""
-        asked = TunnelRequest(address=address, request=self._request, new_work=self._new_work)
+        asked = replace(self._asked, address=address)
         try:
             async with asyncio.timeout(timeout):
                 opened = await self._paths.open(
--- a/src/azureswitch/paths/_session.py
+++ b/src/azureswitch/paths/_session.py
@@ -13,9 +13,11 @@
     NEW_WORK_HEADER,
     OPENED,
     REQUEST_HEADER,
+    SECONDS_HEADER,
     TUNNEL_PATH,
     TunnelRequest,
     chunk,
+    decode_seconds,
     encode_refusal,
 )
 from azureswitch.paths._model import Refusal
@@ -133,7 +135,7 @@
         """Wait for the request."""
         self._transport = cast(asyncio.Transport, transport)
         set_keepalive(transport)
-        self._timer = asyncio.get_running_loop().call_later(HEAD_SECONDS, self.abort)
+        self._set_timer(HEAD_SECONDS)
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
@@ -174,8 +176,6 @@
 
     def on_headers_complete(self) -> None:
         """Have the request decided."""
-        if self._timer is not None:
-            self._timer.cancel()
         path = self._url.decode("latin-1")
         if not path.startswith(TUNNEL_PATH):
             self.abort()
@@ -184,7 +184,9 @@
             address=path.removeprefix(TUNNEL_PATH),
             request=self._headers.get(REQUEST_HEADER, ""),
             new_work=self._headers.get(NEW_WORK_HEADER) != "0",
+            seconds=decode_seconds(self._headers.get(SECONDS_HEADER, "")),
         )
+        self._set_timer(request.seconds)
         self._opener.asked(self, request)
 
     def on_body(self, data: bytes) -> None:
@@ -196,6 +198,12 @@
         self.sent += len(data)
         self._target.write(data)
 
+    def _set_timer(self, seconds: float) -> None:
+        """Break the connection off after some seconds."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(seconds, self.abort)
+
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -25,7 +25,7 @@
 from azureswitch.platform._dialect import PlatformDialect
 from azureswitch.platform._evacuations import EVACUATIONS_KIND, EvacuationReader
 from azureswitch.platform._foreign import ForeignTracker
-from azureswitch.platform._orders import HttpReservations
+from azureswitch.platform._orders import ORDER_TIMEOUT_SECONDS, HttpReservations
 from azureswitch.platform._quarantine import QUARANTINE_KIND, StoreQuarantine
 from azureswitch.platform._roster import ROSTER_KIND, HostEntry, StoreHostList
 from azureswitch.platform._settings import (
@@ -127,7 +127,9 @@
             dialect=PlatformDialect(),
             reservations=HttpReservations(
                 on_answer=self._on_order_answer,
-                connector=lambda ticket: self._gateway.paths.dial(request=ticket, new_work=False),
+                connector=lambda ticket: self._gateway.paths.dial(
+                    request=ticket, seconds=ORDER_TIMEOUT_SECONDS, new_work=False
+                ),
             ),
             publish=self._publish,
             metrics=self._metrics,
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -4,8 +4,19 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
-from socket import SO_LINGER, SOL_SOCKET, socket
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SO_LINGER,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+    socket,
+)
 from struct import pack
+from time import monotonic
 from typing import Never
 
 import pytest
@@ -119,7 +130,9 @@
 
     async def ask(self, address: str, *, body: bytes = b"") -> bytes:
         """Send a request to a target and return the body of its answer."""
-        client = HttpClient(address=address, connector=self.paths.dial(request="r1"))
+        client = HttpClient(
+            address=address, connector=self.paths.dial(request="r1", seconds=PATIENCE)
+        )
         answer = await client.request(
             method="POST", path="/", body=body, timeout=PATIENCE, fresh=True
         )
@@ -269,6 +282,44 @@
 
         run(scenario)
 
+    def test_time_is_over(self) -> None:
+        """A tunnel ends with the time of its request, also where nobody closes it."""
+
+        async def scenario() -> None:
+            target = RawTarget(answer=UNFRAMED)
+            async with hosts(target) as (cut, other):
+                dial = cut.paths.dial(request="r1", seconds=0.3)
+                client = HttpClient(address=target.address, connector=dial)
+                begin = monotonic()
+                with pytest.raises(HttpBrokenError):
+                    await client.request(method="GET", path="/", timeout=PATIENCE)
+                assert 0.25 < monotonic() - begin < 2.0
+                await reach(lambda: not other.paths.carried)
+                await reach(lambda: target.gone == 1)
+
+        run(scenario)
+
+    def test_silent_end_is_noticed(self) -> None:
+        """An idle tunnel whose other end is gone is given up after 3 s; a slow reader is not."""
+
+        async def scenario() -> None:
+            target = RawTarget(answer=UNFRAMED)
+            async with hosts(target) as (cut, other):
+                asking = asyncio.create_task(cut.ask(target.address))
+                await reach(lambda: bool(other.paths.carried and target.received))
+                (session,) = other.paths._server._sessions
+                assert session._transport is not None
+                sock = session._transport.get_extra_info("socket")
+                options = (TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_KEEPCNT)
+                idle, interval, probes = (sock.getsockopt(IPPROTO_TCP, o) for o in options)
+                assert sock.getsockopt(SOL_SOCKET, SO_KEEPALIVE)
+                assert idle + interval * probes == 3
+                # Where it is set, it decides also while the other end lives and does not read.
+                assert sock.getsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT) == 0
+                asking.cancel()
+
+        run(scenario)
+
     def test_slow_reader(self) -> None:
         """A host that does not read holds back the target through the tunnel."""
 
@@ -277,7 +328,9 @@
             head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size
             target = RawTarget(answer=head + bytes(size))
             async with hosts(target) as (cut, _):
-                client = HttpClient(address=target.address, connector=cut.paths.dial(request="r1"))
+                client = HttpClient(
+                    address=target.address, connector=cut.paths.dial(request="r1", seconds=PATIENCE)
+                )
                 exchange = client.stream(method="POST", path="/", timeout=PATIENCE, fresh=True)
                 async with exchange as answer:
                     await asyncio.sleep(0.5)
@@ -324,7 +377,7 @@
             target = RawTarget()
             async with hosts(target) as (cut, other):
                 other.directory.withheld = True
-                dial = cut.paths.dial(request="ticket", new_work=False)
+                dial = cut.paths.dial(request="ticket", seconds=PATIENCE, new_work=False)
                 client = HttpClient(address=target.address, connector=dial)
                 answer = await client.request(method="POST", path="/", timeout=PATIENCE)
                 assert answer.body == b"whole"
@@ -427,7 +480,7 @@
         async def scenario() -> None:
             target = RawTarget(answer=UNFRAMED, resets=True)
             async with hosts(target, lost=0) as (host, _):
-                dial = host.paths.dial(request="r1")
+                dial = host.paths.dial(request="r1", seconds=PATIENCE)
                 client = HttpClient(address=target.address, connector=dial)
                 with pytest.raises(HttpBrokenError):
                     await client.request(method="GET", path="/", timeout=PATIENCE)
@@ -446,7 +499,7 @@
         async def scenario() -> None:
             target, sound = RawTarget(answer=UNFRAMED, resets=True), RawTarget()
             async with hosts(target, sound) as (cut, other):
-                dial = cut.paths.dial(request="r1")
+                dial = cut.paths.dial(request="r1", seconds=PATIENCE)
                 client = HttpClient(address=target.address, connector=dial)
                 with pytest.raises(HttpBrokenError):
                     await client.request(method="GET", path="/", timeout=PATIENCE)
