Show in azureswitch status which hosts do not reach all targets directly

On-call engineers could not see from outside that a host had lost its paths. Each host tells for how long it has not reached a target (path_lost of its status page); the note of a host says how many targets it reaches, and it needs attention. Old hosts leave the field out.

--- a/src/azureswitch/commands/_fleet.py
+++ b/src/azureswitch/commands/_fleet.py
@@ -31,6 +31,22 @@
     part: str
 
 
+class LostPaths(Struct, frozen=True, kw_only=True):
+    """A host that does not reach all targets directly.
+
+    Attributes:
+        host: The host.
+        reached: How many targets it reaches directly.
+        targets: How many targets it knows.
+        seconds: For how long it has not reached one of them, the longest.
+    """
+
+    host: str
+    reached: int
+    targets: int
+    seconds: float
+
+
 class FleetStatus(Struct, frozen=True, kw_only=True):
     """The fleet as the hosts that were asked see it.
 
@@ -49,6 +65,7 @@
         targets: The targets that any host knows, or None where none tells.
         foreign: The collections of the store with foreign entries, or None where no host tells.
         evacuations: The evacuated places, by any host or by the newest revision.
+        lost_paths: Hosts that do not reach all targets directly.
         untold: What some hosts do not tell while others do.
         unread: What hosts tell that cannot be read.
     """
@@ -66,6 +83,7 @@
     targets: tuple[TargetReport, ...] | None = None
     foreign: tuple[ForeignCollection, ...] | None = None
     evacuations: tuple[EvacuationReport, ...] = ()
+    lost_paths: tuple[LostPaths, ...] = ()
     untold: tuple[UntoldPart, ...] = ()
     unread: tuple[StatusPartError, ...] = ()
 
@@ -76,7 +94,7 @@
         missing = any(load.missing for load in self.loads)
         foreign = any(collection.total for collection in self.foreign or ())
         lists = self.silent or self.lagging or self.apart or self.unreadable or self.unread
-        return bool(lists or self.store_behind or suspects or missing or foreign)
+        return bool(lists or self.lost_paths or self.store_behind or suspects or missing or foreign)
 
 
 def assess(
@@ -125,11 +143,25 @@
             inventory=inventory,
             live={member.host for member in members if member.status in _WITH_ATTEMPTS},
         ),
+        lost_paths=tuple(_lost_paths(entries)),
         untold=tuple(_untold(told)),
         unread=tuple(error for answer in told for error in answer.unread),
     )
 
 
+def _lost_paths(entries: Iterable[HostStatus]) -> Iterator[LostPaths]:
+    for entry in entries:
+        targets = entry.targets or ()
+        lost = [target.path_lost for target in targets if target.path_lost is not None]
+        if lost:
+            yield LostPaths(
+                host=entry.host,
+                reached=len(targets) - len(lost),
+                targets=len(targets),
+                seconds=max(lost),
+            )
+
+
 def _untold(told: tuple[HostAnswer, ...]) -> Iterator[UntoldPart]:
     shown = [part for part in PARTS if any(answer.tells(part) for answer in told)]
     for answer in told:
--- a/src/azureswitch/commands/_status.py
+++ b/src/azureswitch/commands/_status.py
@@ -90,7 +90,13 @@
         "not known to all": report.apart,
         "cannot read the newest": report.unreadable,
     }
-    return ", ".join(note for note, hosts in notes.items() if host in hosts)
+    found = [note for note, hosts in notes.items() if host in hosts]
+    found += [
+        f"reaches {lost.reached} of {lost.targets} targets directly (for {lost.seconds:.0f} s)"
+        for lost in report.lost_paths
+        if lost.host == host
+    ]
+    return ", ".join(found)
 
 
 def _target_parts(targets: tuple[TargetReport, ...]) -> Iterator[str]:
