--- a/src/azureswitch/paths/_events.py
+++ b/src/azureswitch/paths/_events.py
@@ -65,7 +65,7 @@
     Attributes:
         address: ``IP:PORT`` of the target.
         reason: Why a direct connection could not be opened, or None if it was not answered.
-        peer: A host that reaches it; empty if none is known.
+        peer: A host that reaches it.
     """
 
     address: str
--- a/src/azureswitch/paths/_log.py
+++ b/src/azureswitch/paths/_log.py
@@ -22,7 +22,7 @@
     Attributes:
         cause: Why the direct connection failed, by `azureswitch.exceptions.NotSent`, or
             ``unanswered`` if it was opened.
-        peer: A host that reaches it; empty if none is known.
+        peer: A host that reaches it.
     """
 
     sentence: ClassVar[str] = "Path lost."
--- a/src/azureswitch/paths/_reduce.py
+++ b/src/azureswitch/paths/_reduce.py
@@ -88,6 +88,7 @@
         tunnelled_at: When a tunnel was last opened.
         peer: The host that carried it.
         lost_since: Since when the path is lost, or None.
+        confirmed: Whether another host has reached the target since, so that the target lives.
         regained_at: When it was last regained.
         trial_at: When a direct connection may be tried again.
         trial_seconds: The pause before that trial.
@@ -100,6 +101,7 @@
     tunnelled_at: float = -inf
     peer: HostName = HostName("")
     lost_since: float | None = None
+    confirmed: bool = False
     regained_at: float = -inf
     trial_at: float = -inf
     trial_seconds: float = MIN_TRIAL_SECONDS
@@ -150,11 +152,11 @@
         return recent and len(self.unheard_targets) >= MIN_UNHEARD_TARGETS
 
     def lost_seconds(self, *, now: float) -> dict[str, float]:
-        """Return the lost paths, with the seconds since their loss."""
+        """Return the paths that are surely lost, with the seconds since their loss."""
         return {
             address: now - path.lost_since
             for address, path in self.paths.items()
-            if path.lost_since is not None and self.lost(address, now=now)
+            if path.lost_since is not None and path.confirmed and self.lost(address, now=now)
         }
 
     def take_trial(self, address: str, *, now: float) -> bool:
@@ -239,7 +241,8 @@
         return NO_EFFECTS
     if path.unanswered < MAX_UNANSWERED:
         return NO_EFFECTS
-    return _lose(event.address, path, now=event.now)
+    _lose(path, now=event.now)
+    return NO_EFFECTS
 
 
 @reduce.register
@@ -248,9 +251,9 @@
     state.tunnelled_at = path.tunnelled_at = event.now
     path.peer = event.peer
     state.avoid_until.pop(event.peer, None)
-    if path.lost_since is not None:
-        return NO_EFFECTS
-    return _lose_if_confirmed(event.address, path, now=event.now)
+    if path.lost_since is None:
+        return _lose_if_confirmed(event.address, path, now=event.now)
+    return NO_EFFECTS if path.confirmed else _confirm(event.address, path)
 
 
 @reduce.register
@@ -266,16 +269,22 @@
     confirmed = now - min(path.failed_at, path.tunnelled_at) < CONFIRM_SECONDS
     if path.reason is None or not confirmed or path.opened_at > path.failed_at:
         return NO_EFFECTS
-    return _lose(address, path, now=now)
+    _lose(path, now=now)
+    return _confirm(address, path)
 
 
-def _lose(address: str, path: Path, *, now: float) -> Effects:
+def _lose(path: Path, *, now: float) -> None:
     path.lost_since = now
+    path.confirmed = False
     if now - path.regained_at < FLAP_SECONDS:
         _postpone_trial(path, now=now)
     else:
         path.trial_seconds = MIN_TRIAL_SECONDS
         path.trial_at = now + path.trial_seconds
+
+
+def _confirm(address: str, path: Path) -> Effects:
+    path.confirmed = True
     return (PathLost(address=address, reason=path.reason, peer=path.peer),)
 
 
@@ -285,6 +294,8 @@
     seconds = now - path.lost_since
     path.lost_since = None
     path.regained_at = now
+    if not path.confirmed:
+        return NO_EFFECTS
     return (PathRegained(address=address, seconds=seconds),)
 
 
--- a/tests/paths/test_reduce.py
+++ b/tests/paths/test_reduce.py
@@ -117,6 +117,16 @@
         assert isinstance(regained, PathRegained)
         assert regained.seconds == pytest.approx(2.0)
 
+    def test_crash_is_not_announced(self) -> None:
+        """A path that was lost unanswered is announced once another host reaches the target."""
+        state = after(unanswered(1.0), unanswered(1.2))
+        assert state.lost(A, now=1.3)
+        assert not state.lost_seconds(now=1.3)
+        (lost,) = reduce(tunnelled(1.4), state)
+        assert isinstance(lost, PathLost)
+        assert lost.reason is None
+        assert state.lost_seconds(now=1.5) == {A: pytest.approx(0.3)}
+
     @pytest.mark.parametrize(
         ("events", "unheard"),
         [
