--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -280,7 +280,10 @@
         """Let a target leave as it should, with another one in its place before."""
         if target := self._target():
             fresh = await self._fleet.add_target(service=target.plan.service)
+            # Killed before it is listed, it would be waited for in vain.
+            self.away.add(fresh.plan.name)
             await fresh.listed.wait()
+            self.away.discard(fresh.plan.name)
             await target.process.terminate(timeout=20.0)
 
     async def _misbehave(self) -> None:
