Serve callers though the address for tunnels is taken

A host whose tunnel port is in use would have ended at its start. It logs that and goes on without carrying tunnels. Test: tests/paths/test_tunnels.py, test_address_in_use.

--- a/src/azureswitch/paths/_paths.py
+++ b/src/azureswitch/paths/_paths.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Protocol, TypeVar
 
+from absl import logging
 from msgspec.structs import replace
 
 from azureswitch.client import Abortable, Connector
@@ -123,12 +124,12 @@
         return self._server.address
 
     async def start(self, *, address: str) -> None:
-        """Listen for other hosts on ``IP:PORT``.
-
-        Raises:
-            OSError: The address cannot be used.
-        """
-        await self._server.start(address=address)
+        """Listen for other hosts on ``IP:PORT``, or log that the address cannot be used."""
+        try:
+            await self._server.start(address=address)
+        except OSError as error:
+            # A host that carries no tunnels still serves its callers.
+            logging.warning("paths: Tunnels cannot be taken at %s: %s", address, error)
 
     def leave(self) -> None:
         """Open no new tunnels for other hosts; those that are open go on."""
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -447,6 +447,20 @@
 
         run(scenario)
 
+    def test_address_in_use(self) -> None:
+        """A host whose tunnel address is taken serves its own requests all the same."""
+
+        async def scenario() -> None:
+            target = RawTarget()
+            async with hosts(target, lost=0, count=1) as (host,):
+                with socket() as taken:
+                    taken.bind(("127.0.0.1", 0))
+                    taken.listen()
+                    await host.paths.start(address=f"127.0.0.1:{taken.getsockname()[1]}")
+                assert await host.ask(target.address) == b"whole"
+
+        run(scenario)
+
     def test_not_a_tunnel_request(self) -> None:
         """Anything but a request for a tunnel ends the connection."""
 
