--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -30,7 +30,7 @@
 from azureswitch.gateway._peers import peer_hosts
 from azureswitch.gateway._ports import Dialect, Published, Reservations
 from azureswitch.gateway._prepared import Prepared, prepare
-from azureswitch.gateway._reports import target_statuses
+from azureswitch.gateway._reports import host_status
 from azureswitch.gateway._settings import GatewaySettings
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._stopping import (
@@ -55,17 +55,11 @@
 )
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
-from azureswitch.paths import Paths, PeerHost
+from azureswitch.paths import Paths
 from azureswitch.server import HttpServer
 from azureswitch.serving import SnapshotAdopted
 from azureswitch.slices import finish
-from azureswitch.status import (
-    STATUS_PATH,
-    ForeignCollection,
-    HostStatus,
-    evacuation_status,
-    member_report,
-)
+from azureswitch.status import STATUS_PATH, ForeignCollection, HostStatus
 from azureswitch.tasks import keep_running
 
 METRICS_PATH = "/metrics"
@@ -115,7 +109,6 @@
         self._log = log
         self._neighbours = neighbours
         self._members = members
-        self._hosts = hosts
         self._foreign = foreign
         self._tickets = Tickets(reservations=reservations, started=self._started)
         self._listed = ListedTargets(takes_work=lambda name: self._shell.takes_work(name), log=log)
@@ -123,7 +116,7 @@
             place=settings.place,
             local_ip=settings.tunnels.rpartition(":")[0],
             directory=self._listed,
-            peers=self._peers,
+            peers=lambda: peer_hosts(hosts(), host=settings.host, tunnel_address=settings.tunnels),
             metrics=metrics,
             log=log,
             seed=seed,
@@ -220,23 +213,14 @@
         The revision is always 0: the platform's configuration is not a revision that was accepted
         by the operators' program.
         """
-        return HostStatus(
-            host=self._settings.host,
-            place=self._settings.place,
-            revision=0,
+        return host_status(
+            self._settings,
+            shell=self._shell,
+            targets=self._listed.by_name,
+            lost=self._paths.lost,
             leaving=self._leaving,
-            open_calls=self._shell.open_calls,
-            members=tuple(map(member_report, self._members())),
-            targets=target_statuses(
-                self._listed.by_name,
-                limits=self._shell.limits,
-                cold=self._shell.cold_targets,
-                lost=self._paths.lost,
-            ),
+            members=self._members(),
             foreign=self._foreign(),
-            evacuations=tuple(
-                evacuation_status(known, now=self._shell.now) for known in self._shell.evacuations
-            ),
         )
 
     async def start(self, *, callers: socket | None = None) -> None:
@@ -389,12 +373,6 @@
             self._shell.note_leaving(target)
         self._paths.keep(self._listed.addresses)
 
-    def _peers(self) -> list[PeerHost]:
-        """Return the other hosts, as places to open tunnels at."""
-        return peer_hosts(
-            self._hosts(), host=self._settings.host, tunnel_address=self._settings.tunnels
-        )
-
     def _started(self, name: TargetName) -> int:
         """Return the start of a target, or zero if it is unknown or the target is not listed."""
         target = self._listed.by_name.get(name)
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -7,15 +7,13 @@
 from http import HTTPStatus
 
 from absl import logging
-from msgspec import Struct
 
-from azureswitch.client import HttpAnswer, HttpClient, HttpExchange, HttpHead
+from azureswitch.client import HttpAnswer, HttpClient, HttpExchange
 from azureswitch.core import PlaceName, TargetName
 from azureswitch.exceptions import (
     HttpBrokenError,
     HttpNotSentError,
     NoPathError,
-    NotSent,
     PathLostError,
     TargetAnswerError,
     TargetBrokenError,
@@ -24,7 +22,7 @@
     TargetRefusedError,
     TargetUnreachableError,
 )
-from azureswitch.gateway._events import EventSplitter, StreamEvent
+from azureswitch.gateway._answers import AnswerRelay, AttemptResult
 from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetSilent
 from azureswitch.gateway._model import AnswerInfo, AttemptInfo, Helper, RouteKind
 from azureswitch.gateway._notices import TargetNotices
@@ -39,7 +37,6 @@
     AttemptEnd,
     AttemptEnded,
     AttemptSilent,
-    FirstTokenArrived,
     ServingEvent,
     StartAttempt,
 )
@@ -55,17 +52,6 @@
 """Seconds after the deadline at which the connection times out; the reducer acts earlier."""
 
 
-class _End(Struct, frozen=True, kw_only=True):
-    """The result of an attempt."""
-
-    how: AttemptEnd
-    error: TargetError | None = None
-    retry_after: float | None = None
-    at_fault: TargetName | None = None
-    status: int = 0
-    not_sent: NotSent | None = None
-
-
 class Relay:
     """Runs attempts: sends a request to a target and relays its answer to the caller.
 
@@ -104,6 +90,11 @@
         self._log = log
         self._clock = clock
         self._checks = Tasks(prefix="relay")
+        self._answers = AnswerRelay(dialect=dialect, dispatch=dispatch, clock=clock)
+
+    def respond(self, record: CallRecord, whole: HttpAnswer) -> None:
+        """Send a target's complete answer to the caller."""
+        self._answers.respond(record, whole)
 
     async def run(self, record: CallRecord, effect: StartAttempt) -> None:
         """Run an attempt to its end and report the result to the reducer."""
@@ -131,34 +122,36 @@
         try:
             end = await self._attempt(record, effect, dial)
         except asyncio.CancelledError:
-            self._end(record, effect, _End(how=AttemptEnd.CANCELLED), dial)
+            self._end(record, effect, AttemptResult(how=AttemptEnd.CANCELLED), dial)
             raise
         except Exception:
             # An internal error must not keep the request waiting until its deadline.
             logging.exception("gateway: An attempt at %s failed.", name)
             error = TargetBrokenError(target=name, tokens=record.last_event)
-            end = _End(how=AttemptEnd.BROKEN, error=error)
+            end = AttemptResult(how=AttemptEnd.BROKEN, error=error)
         self._end(record, effect, end, dial)
 
-    async def _attempt(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> _End:
+    async def _attempt(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> AttemptResult:
         """Run an attempt and return its result, whether or not it succeeded."""
         name = effect.targets[0]
         try:
             return await self._reserve_and_send(record, effect, dial)
         except TargetEvacuatedError as evacuated:
-            return _End(how=AttemptEnd.REFUSED, error=evacuated)
+            return AttemptResult(how=AttemptEnd.REFUSED, error=evacuated)
         except NoPathError as no_path:
             unreachable = TargetUnreachableError(
                 target=name, witnessed=no_path.witnessed, isolated=no_path.isolated
             )
-            return _End(how=AttemptEnd.REFUSED, error=unreachable, not_sent=no_path.reason)
+            return AttemptResult(how=AttemptEnd.REFUSED, error=unreachable, not_sent=no_path.reason)
         except HttpNotSentError as not_sent:
             refused = TargetRefusedError(target=name)
-            return _End(how=AttemptEnd.REFUSED, error=refused, not_sent=not_sent.reason)
+            return AttemptResult(how=AttemptEnd.REFUSED, error=refused, not_sent=not_sent.reason)
         except HttpBrokenError:
-            return _End(how=AttemptEnd.BROKEN, error=await self._broken(record, name, dial))
+            return AttemptResult(
+                how=AttemptEnd.BROKEN, error=await self._broken(record, name, dial)
+            )
         except TargetAnswerError as answer_error:
-            return _End(how=AttemptEnd.BROKEN, error=answer_error)
+            return AttemptResult(how=AttemptEnd.BROKEN, error=answer_error)
 
     async def _broken(self, record: CallRecord, target: TargetName, dial: Dial) -> TargetError:
         """Return the error of a broken connection: that of its path, or that of the target."""
@@ -167,7 +160,9 @@
             return PathLostError(target=target)
         return TargetBrokenError(target=target, tokens=record.last_event)
 
-    def _end(self, record: CallRecord, effect: StartAttempt, end: _End, dial: Dial) -> None:
+    def _end(
+        self, record: CallRecord, effect: StartAttempt, end: AttemptResult, dial: Dial
+    ) -> None:
         record.tasks.pop(effect.attempt, None)
         self._log.write(
             AttemptOver(
@@ -196,12 +191,14 @@
             )
         )
 
-    async def _reserve_and_send(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> _End:
+    async def _reserve_and_send(
+        self, record: CallRecord, effect: StartAttempt, dial: Dial
+    ) -> AttemptResult:
         listed = self._targets()
         missing = [name for name in effect.targets if name not in listed]
         if missing:
             error = TargetRefusedError(target=missing[0])
-            return _End(how=AttemptEnd.REFUSED, error=error, at_fault=missing[0])
+            return AttemptResult(how=AttemptEnd.REFUSED, error=error, at_fault=missing[0])
         targets = [listed[name] for name in effect.targets]
         self._check_in_use(targets)
         tickets = _tickets(effect, targets)
@@ -216,7 +213,7 @@
                 )
             except TargetError as error:
                 # Whether or not the engine reserved memory, the request itself was not sent.
-                return _End(
+                return AttemptResult(
                     how=AttemptEnd.REFUSED,
                     error=error,
                     retry_after=DEFAULT_BACKOFF_SECONDS,
@@ -251,7 +248,7 @@
         targets: list[Target],
         tickets: Mapping[TargetName, Ticket],
         dial: Dial,
-    ) -> _End:
+    ) -> AttemptResult:
         first = targets[0]
         sent = self._clock()
         left = record.call.deadline - sent
@@ -327,11 +324,11 @@
         answer: HttpExchange,
         verdict: AnswerInfo,
         timer: SilenceTimer,
-    ) -> _End:
+    ) -> AttemptResult:
         head = answer.head
         target = effect.targets[0]
         if verdict.not_run:
-            return _End(
+            return AttemptResult(
                 how=AttemptEnd.REFUSED,
                 error=TargetRefusedError(target=target, seconds=verdict.retry_after),
                 retry_after=verdict.retry_after or DEFAULT_BACKOFF_SECONDS,
@@ -348,84 +345,8 @@
             # The caller already has part of an answer, which a failure status cannot complete.
             raise TargetAnswerError(target=target)
         if success and record.route.kind is RouteKind.STREAMING:
-            return await self._relay_stream(record, effect, answer, timer)
-        return await self._relay_whole(record, effect, answer)
-
-    async def _relay_whole(
-        self, record: CallRecord, effect: StartAttempt, answer: HttpExchange
-    ) -> _End:
-        """Buffer the complete answer, then relay it."""
-        whole = HttpAnswer(head=answer.head, body=await answer.body())
-        failed = whole.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        if failed and record.call.repeatable:
-            record.fallback = whole
-            error = TargetAnswerError(target=effect.targets[0])
-            return _End(how=AttemptEnd.BROKEN, error=error, status=whole.head.status)
-        self._record_event(record, effect)
-        self.respond(record, whole)
-        return _End(how=AttemptEnd.COMPLETE, status=whole.head.status)
-
-    def respond(self, record: CallRecord, whole: HttpAnswer) -> None:
-        """Send a target's complete answer to the caller."""
-        record.exchange.respond(
-            status=whole.head.status, headers=self._dialect.answer(whole.head), body=whole.body
-        )
-
-    async def _relay_stream(
-        self,
-        record: CallRecord,
-        effect: StartAttempt,
-        answer: HttpExchange,
-        timer: SilenceTimer,
-    ) -> _End:
-        splitter = EventSplitter()
-        while data := await answer.read():
-            events = splitter.feed(data)
-            if not events:
-                continue
-            self._relay_events(record, effect, answer.head, events)
-            # Time spent on a slow caller must not count as silence of the target.
-            timer.suspend()
-            await record.exchange.drain()
-            timer.begin(effect.output_gap_timeout)
-        if splitter.torn:
-            raise TargetAnswerError(target=effect.targets[0])
-        if not record.exchange.started:
-            record.exchange.begin(
-                status=answer.head.status, headers=self._dialect.answer(answer.head)
-            )
-        record.exchange.finish()
-        return _End(how=AttemptEnd.COMPLETE, status=answer.head.status)
-
-    def _relay_events(
-        self,
-        record: CallRecord,
-        effect: StartAttempt,
-        head: HttpHead,
-        events: list[StreamEvent],
-    ) -> None:
-        """Relay the events that the caller has not received yet."""
-        fresh = []
-        for event in events:
-            if event.id is not None and event.id <= record.last_event:
-                continue
-            fresh.append(event.data)
-            record.last_event = record.last_event if event.id is None else event.id
-        if not fresh:
-            return
-        if not record.exchange.started:
-            record.exchange.begin(status=head.status, headers=self._dialect.answer(head))
-        record.exchange.write(b"".join(fresh))
-        self._record_event(record, effect)
-
-    def _record_event(self, record: CallRecord, effect: StartAttempt) -> None:
-        now = self._clock()
-        if record.first_event is None:
-            record.first_event = now
-        else:
-            record.longest_pause = max(record.longest_pause, now - record.newest_event)
-        record.newest_event = now
-        self._dispatch(FirstTokenArrived(now=now, call=effect.call, attempt=effect.attempt))
+            return await self._answers.relay_stream(record, effect, answer, timer)
+        return await self._answers.relay_whole(record, effect, answer)
 
     def _target_at(self, address: str | None, effect: StartAttempt) -> TargetName | None:
         """Return the attempt's target at an address, or None."""
--- a/src/azureswitch/gateway/_reports.py
+++ b/src/azureswitch/gateway/_reports.py
@@ -1,13 +1,56 @@
-"""What a gateway reports of targets in its status and log."""
+"""What a gateway reports of itself and of targets in its status and log."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from msgspec.structs import replace
 
+from azureswitch.coordination.membership import Member
 from azureswitch.core import TargetName
 from azureswitch.gateway._log import TargetsChanged
+from azureswitch.gateway._settings import GatewaySettings
+from azureswitch.gateway._shell import Shell
 from azureswitch.inventory import Target, TargetRole, started_again
-from azureswitch.status import TargetStatus
+from azureswitch.status import (
+    ForeignCollection,
+    HostStatus,
+    TargetStatus,
+    evacuation_status,
+    member_report,
+)
+
+
+def host_status(
+    settings: GatewaySettings,
+    *,
+    shell: Shell,
+    targets: Mapping[TargetName, Target],
+    lost: Mapping[str, float],
+    leaving: bool,
+    members: Iterable[Member],
+    foreign: tuple[ForeignCollection, ...],
+) -> HostStatus:
+    """Return the state of the fleet as a host knows it.
+
+    Args:
+        settings: The host's settings.
+        shell: Runs its requests.
+        targets: The listed targets.
+        lost: The addresses to which it has no direct path, with the seconds since its loss.
+        leaving: Whether it is leaving.
+        members: The known hosts.
+        foreign: The foreign entries of the store.
+    """
+    return HostStatus(
+        host=settings.host,
+        place=settings.place,
+        revision=0,
+        leaving=leaving,
+        open_calls=shell.open_calls,
+        members=tuple(map(member_report, members)),
+        targets=target_statuses(targets, limits=shell.limits, cold=shell.cold_targets, lost=lost),
+        foreign=foreign,
+        evacuations=tuple(evacuation_status(known, now=shell.now) for known in shell.evacuations),
+    )
 
 
 def target_statuses(
