--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -377,10 +377,6 @@
             return
 
 
-def _partitioned(records: Records, runs: Runs) -> Iterator[str]:
-    yield from served_alike(records)
-
-
 CHECKS: tuple[Check, ...] = (
     _twice,
     _attempts,
@@ -397,6 +393,6 @@
     _keys,
     _limits,
     _evacuated,
-    _partitioned,
+    lambda records, _: served_alike(records),
     _budget,
 )
--- a/src/azureswitch/paths/_session.py
+++ b/src/azureswitch/paths/_session.py
@@ -39,7 +39,40 @@
         """Note that a connection has ended."""
 
 
-class TunnelSession(asyncio.Protocol):
+class TunnelEnd(Abortable):
+    """One of the two connections that a tunnel joins."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is closing."""
+        return self._transport is None or self._transport.is_closing()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_reading(self) -> None:
+        """Read nothing, as the other connection takes nothing."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    # asyncio calls this.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+
+
+class TunnelSession(TunnelEnd):
     """One connection on which another host asks for a tunnel.
 
     Args:
@@ -53,9 +86,9 @@
     """
 
     def __init__(self, *, opener: Opener) -> None:
+        super().__init__()
         self._opener = opener
         self._parser = HttpRequestParser(self)
-        self._transport: asyncio.Transport | None = None
         self._target: TargetEnd | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._url = b""
@@ -78,11 +111,6 @@
         """Whether the tunnel leads to a target."""
         return self._target is not None
 
-    @property
-    def closing(self) -> bool:
-        """Whether the connection is closing."""
-        return self._transport is None or self._transport.is_closing()
-
     def open(self, target: "TargetEnd") -> None:
         """Answer that the tunnel is open, and carry bytes from now on."""
         assert self._transport is not None
@@ -114,26 +142,11 @@
         self.broken_off = True
         self.abort()
 
-    def abort(self) -> None:
-        """Break the tunnel off."""
-        if self._transport is not None:
-            self._transport.abort()
-
-    def pause_reading(self) -> None:
-        """Read nothing, as the target reads nothing."""
-        if self._transport is not None:
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read on."""
-        if self._transport is not None:
-            self._transport.resume_reading()
-
     # asyncio calls these.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the request."""
-        self._transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
         set_keepalive(transport)
         self._set_timer(HEAD_SECONDS)
 
@@ -210,11 +223,11 @@
             self.abort()
 
 
-class TargetEnd(Abortable):
+class TargetEnd(TunnelEnd):
     """The connection to the target of a tunnel."""
 
     def __init__(self) -> None:
-        self._transport: asyncio.Transport | None = None
+        super().__init__()
         self._session: TunnelSession | None = None
         self._early: list[bytes] = []
         self._lost: Callable[[], None] | None = None
@@ -230,30 +243,11 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes to the target."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and not self.closing:
             self._transport.write(data)
 
-    def abort(self) -> None:
-        """Close the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
-
-    def pause_reading(self) -> None:
-        """Read nothing from the target."""
-        if self._transport is not None:
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read on."""
-        if self._transport is not None:
-            self._transport.resume_reading()
-
     # asyncio calls these.
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the transport."""
-        self._transport = cast(asyncio.Transport, transport)
-
     def data_received(self, data: bytes) -> None:
         """Pass on bytes to the other host."""
         if self._session is None:
