Take a host for isolated only after three targets, and avoid a target that no path leads to for longer each time

By reading: on a quiet host two targets that were lost one after the other made it refuse requests for a second that others could have taken, and a target that nobody else could confirm as gone was tried again each second. Neither tells other hosts anything.

--- a/src/azureswitch/paths/_dialer.py
+++ b/src/azureswitch/paths/_dialer.py
@@ -20,7 +20,7 @@
 )
 from azureswitch.paths._messages import TunnelRequest
 from azureswitch.paths._model import DIRECT, PeerHost, Refusal, Route
-from azureswitch.paths._plan import Leg
+from azureswitch.paths._plan import Candidate
 
 CONNECT_TIMEOUT_SECONDS = 0.35
 """Timeout in seconds of a direct connection.
@@ -97,16 +97,18 @@
         return self._open_tunnels
 
     async def open(
-        self, legs: Iterator[Leg], *, asked: TunnelRequest, protocol: Callable[[], P]
+        self, candidates: Iterator[Candidate], *, asked: TunnelRequest, protocol: Callable[[], P]
     ) -> Opened[P] | Failed:
         """Open a connection by the first route that leads to its target.
 
         Args:
-            legs: The routes to try, in order; further ones are drawn only where they are needed.
+            candidates: The routes to try, in order; further ones are drawn only if needed.
             asked: The target, and what the connection is for.
             protocol: Returns the protocol of a connection.
         """
-        race = _Race(legs=legs, start=partial(self._start, asked=asked, protocol=protocol))
+        race = _Race(
+            candidates=candidates, start=partial(self._start, asked=asked, protocol=protocol)
+        )
         try:
             return await race.run()
         finally:
@@ -136,11 +138,11 @@
             task.cancel()
 
     def _start(
-        self, leg: Leg, *, asked: TunnelRequest, protocol: Callable[[], P]
+        self, candidate: Candidate, *, asked: TunnelRequest, protocol: Callable[[], P]
     ) -> Coroutine[object, object, P]:
-        if leg.peer is None:
+        if candidate.peer is None:
             return self.connect_directly(asked.address, protocol=protocol)
-        return self._connect_through(leg.peer, asked=asked, protocol=protocol)
+        return self._connect_through(candidate.peer, asked=asked, protocol=protocol)
 
     async def _connect_through(
         self, peer: PeerHost, *, asked: TunnelRequest, protocol: Callable[[], P]
@@ -173,11 +175,11 @@
         else:
             self._open_tunnels.pop(peer, None)
 
-    def _leave(self, running: dict[asyncio.Task[P], Leg]) -> None:
+    def _leave(self, running: dict[asyncio.Task[P], Candidate]) -> None:
         """Drop the connections of a race that is over, and await the direct one."""
-        for task, leg in running.items():
+        for task, candidate in running.items():
             task.add_done_callback(_drop)
-            if leg.peer is not None:
+            if candidate.peer is not None:
                 task.cancel()
             else:
                 self._overtaken.add(task)
@@ -192,11 +194,14 @@
     """
 
     def __init__(
-        self, *, legs: Iterator[Leg], start: Callable[[Leg], Coroutine[object, object, P]]
+        self,
+        *,
+        candidates: Iterator[Candidate],
+        start: Callable[[Candidate], Coroutine[object, object, P]],
     ) -> None:
-        self._legs = legs
+        self._candidates = candidates
         self._start = start
-        self.running: dict[asyncio.Task[P], Leg] = {}
+        self.running: dict[asyncio.Task[P], Candidate] = {}
         self._exhausted = False
         self._reason = NotSent.NO_ROUTE
         self._witnessed = False
@@ -205,12 +210,12 @@
     async def run(self) -> Opened[P] | Failed:
         """Return the first connection that is opened, or that there is none."""
         while True:
-            leg = self._next()
-            if leg is None and not self.running:
+            candidate = self._next()
+            if candidate is None and not self.running:
                 break
             done, _ = await asyncio.wait(
                 self.running,
-                timeout=None if leg is None else leg.head_start,
+                timeout=None if candidate is None else candidate.head_start,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             opened = self._collect(done)
@@ -223,27 +228,27 @@
     @property
     def _decided(self) -> bool:
         """Whether further routes would lead nowhere either."""
-        direct = any(leg.peer is None for leg in self.running.values())
+        direct = any(candidate.peer is None for candidate in self.running.values())
         return self._withheld or (self._witnessed and not direct)
 
-    def _next(self) -> Leg | None:
+    def _next(self) -> Candidate | None:
         """Start the next route and return it, or return None if there is none left."""
-        leg = None if self._exhausted else next(self._legs, None)
-        if leg is None:
+        candidate = None if self._exhausted else next(self._candidates, None)
+        if candidate is None:
             self._exhausted = True
             return None
-        task = asyncio.get_running_loop().create_task(self._start(leg))
-        self.running[task] = leg
-        return leg
+        task = asyncio.get_running_loop().create_task(self._start(candidate))
+        self.running[task] = candidate
+        return candidate
 
     def _collect(self, done: set[asyncio.Task[P]]) -> Opened[P] | None:
         """Return a connection among routes that have ended, and note why others have failed."""
         opened: Opened[P] | None = None
         for task in done:
-            leg = self.running[task]
+            candidate = self.running[task]
             error = task.exception()
             if error is None and opened is None:
-                route = DIRECT if leg.peer is None else Route(peer=leg.peer.host)
+                route = DIRECT if candidate.peer is None else Route(peer=candidate.peer.host)
                 opened = Opened(route=route, connection=task.result())
                 del self.running[task]
             elif error is not None:
--- a/src/azureswitch/paths/_paths.py
+++ b/src/azureswitch/paths/_paths.py
@@ -28,7 +28,7 @@
 from azureswitch.paths._log import PathLostEntry, PathRegainedEntry
 from azureswitch.paths._messages import TunnelRequest
 from azureswitch.paths._model import DIRECT, PeerHost, Refusal, Route, Verdict
-from azureswitch.paths._plan import HEAD_START_SECONDS, Leg, choose_peers, legs
+from azureswitch.paths._plan import HEAD_START_SECONDS, Candidate, candidates, choose_peers
 from azureswitch.paths._reduce import PathsState, reduce
 from azureswitch.paths._server import TunnelServer
 from azureswitch.paths._session import TargetEnd
@@ -166,7 +166,7 @@
         Raises:
             NoPathError: None does.
         """
-        routes = legs(
+        routes = candidates(
             self._state,
             asked.address,
             peers=self._peers_to(asked.address),
@@ -200,7 +200,7 @@
     async def _check(self, address: str, route: Route) -> Verdict:
         asked = TunnelRequest(address=address, new_work=False, seconds=CHECK_SECONDS)
         opening = self._dialer.open(
-            self._legs_from(route, address), asked=asked, protocol=Abandoned
+            self._candidates_from(route, address), asked=asked, protocol=ProbeConnection
         )
         try:
             async with asyncio.timeout(CHECK_SECONDS):
@@ -213,18 +213,18 @@
         result.connection.abort()
         return Verdict.SOUND if result.route == route else Verdict.LOST
 
-    def _legs_from(self, route: Route, address: str) -> Iterator[Leg]:
+    def _candidates_from(self, route: Route, address: str) -> Iterator[Candidate]:
         """Return the routes for a check: that of the connection, and then all others."""
         peers = list(self._peers_to(address))
         if route.peer is None:
-            yield Leg(peer=None, head_start=HEAD_START_SECONDS)
+            yield Candidate(peer=None, head_start=HEAD_START_SECONDS)
         else:
             same = [peer for peer in self._peers() if peer.host == route.peer]
             for peer in same:
-                yield Leg(peer=peer, head_start=HEAD_START_SECONDS)
+                yield Candidate(peer=peer, head_start=HEAD_START_SECONDS)
         for peer in peers:
             if peer.host != route.peer:
-                yield Leg(peer=peer, head_start=HEAD_START_SECONDS)
+                yield Candidate(peer=peer, head_start=HEAD_START_SECONDS)
 
     def _peers_to(self, address: str) -> Iterator[PeerHost]:
         """Return the hosts to ask for a tunnel, best first; the choice is made when first read."""
@@ -375,7 +375,7 @@
         return await self._paths.check(self._address, self._route)
 
 
-class Abandoned(Abortable):
+class ProbeConnection(Abortable):
     """A connection that is opened only to see whether it can be."""
 
     def __init__(self) -> None:
--- a/src/azureswitch/paths/_plan.py
+++ b/src/azureswitch/paths/_plan.py
@@ -22,7 +22,7 @@
 """Most hosts that are asked for a tunnel to open one connection; a refusal takes 2 ms."""
 
 
-class Leg(Struct, frozen=True, kw_only=True):
+class Candidate(Struct, frozen=True, kw_only=True):
     """One route to try.
 
     Attributes:
@@ -34,14 +34,14 @@
     head_start: float
 
 
-def legs(
+def candidates(
     state: PathsState,
     address: str,
     *,
     peers: Iterator[PeerHost],
     repeatable: bool,
     now: float,
-) -> Iterator[Leg]:
+) -> Iterator[Candidate]:
     """Return the routes to try, in order.
 
     A known lost path is not tried, except in a trial beside a tunnel from time to time: it then
@@ -59,14 +59,14 @@
     direct = False
     if not unanswered and not state.lost(address, now=now):
         direct = True
-        yield Leg(peer=None, head_start=HEAD_START_SECONDS)
+        yield Candidate(peer=None, head_start=HEAD_START_SECONDS)
     elif (repeatable or not unanswered) and state.take_trial(address, now=now):
         direct = True
-        yield Leg(peer=None, head_start=0.0)
+        yield Candidate(peer=None, head_start=0.0)
     for peer in peers:
-        yield Leg(peer=peer, head_start=TUNNEL_HEAD_START_SECONDS)
+        yield Candidate(peer=peer, head_start=TUNNEL_HEAD_START_SECONDS)
     if unanswered and not direct:
-        yield Leg(peer=None, head_start=HEAD_START_SECONDS)
+        yield Candidate(peer=None, head_start=HEAD_START_SECONDS)
 
 
 def choose_peers(
--- a/src/azureswitch/paths/_reduce.py
+++ b/src/azureswitch/paths/_reduce.py
@@ -46,7 +46,7 @@
 WITNESS_SECONDS = 1.0
 """Seconds for which a direct connection shows that a host reaches targets."""
 
-MIN_ISOLATED_TARGETS = 2
+MIN_ISOLATED_TARGETS = 3
 """Targets that are tried in vain before a host takes itself to reach none."""
 
 MAX_UNANSWERED = 2
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -296,8 +296,10 @@
     Nothing was sent, so that the retry budget is not charged, and nothing is known of the target,
     so that other hosts are not told.
     """
-    lost = record.pool.targets if error.isolated else attempt.targets[:1]
-    state.fleet.lose_paths(lost, now=now)
+    target = attempt.targets[0]
+    state.fleet.lose_paths(record.pool.targets if error.isolated else (target,), now=now)
+    if not error.isolated:
+        mark_failed(state, record, target, tell=False, now=now)
     return [] if record.attempts else dispatch(state, record, now=now)
 
 
@@ -382,11 +384,16 @@
         mark_failed(state, record, target, now=event.now)
 
 
-def mark_failed(state: ServingState, record: CallRecord, target: TargetName, *, now: float) -> None:
-    """Eject a failed target for a while, and exclude it from further attempts at this call."""
+def mark_failed(
+    state: ServingState, record: CallRecord, target: TargetName, *, tell: bool = True, now: float
+) -> None:
+    """Eject a failed target for a while, and exclude it from further attempts at this call.
+
+    Other hosts are told to suspect it if ``tell`` is set.
+    """
     record.failed.add(target)
     max_ejection = MAX_UNSHARED_EJECTION_SECONDS if record.call.unshared else MAX_EJECTION_SECONDS
-    state.fleet.failed(target, now=now, longest=max_ejection)
+    state.fleet.failed(target, now=now, longest=max_ejection, tell=tell)
 
 
 def retry(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -240,7 +240,12 @@
         return not states or any(now >= state.pathless_until for state in states)
 
     def failed(
-        self, target: TargetName, *, now: float, longest: float = MAX_EJECTION_SECONDS
+        self,
+        target: TargetName,
+        *,
+        now: float,
+        longest: float = MAX_EJECTION_SECONDS,
+        tell: bool = True,
     ) -> None:
         """Eject a target for a time that grows exponentially with consecutive failures.
 
@@ -248,13 +253,15 @@
             target: The target.
             now: The time.
             longest: The longest ejection in seconds.
+            tell: Whether other hosts are told to suspect it.
         """
         state = self._states.get(target)
         if state is not None:
             state.failures += 1
             pause = min(longest, FIRST_EJECTION_SECONDS * 2.0 ** (state.failures - 1))
             state.ejected_until = now + pause
-            self._suspects[target] = state.ejected_until
+            if tell:
+                self._suspects[target] = state.ejected_until
 
     def succeeded(self, target: TargetName) -> None:
         """Reset the count of consecutive failures of a target."""
