--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -74,7 +74,7 @@
 
 async def _tell(address: str, path: str, message: object) -> None:
     """Tell a stand-in something; store and targets take what goes wrong at the same path."""
-    client = HttpClient(address=address)
+    client = HttpClient(address=address, connect_timeout=CONTROL_TIMEOUT)
     try:
         await client.request(
             method="POST",
