Count a connection that stays silent once towards the loss of its path

Seen by reading: the silence of one attempt is noticed again and again while no other one may follow, and each notice counted as one more direct connection without an answer, so that one target that is slow with a long prompt lost its path by itself, and its next requests took a detour. A connection now counts once. Test: TestSilence.test_counts_once in tests/paths/test_tunnels.py, which failed before.

--- a/src/azureswitch/paths/_paths.py
+++ b/src/azureswitch/paths/_paths.py
@@ -332,6 +332,7 @@
         self._address = ""
         self._route: Route | None = None
         self._heard = False
+        self._found_unanswered = False
 
     @property
     def route(self) -> Route | None:
@@ -364,8 +365,9 @@
             self._paths.answered(self._address, self._route)
 
     def unanswered(self) -> None:
-        """Note that the connection broke or fell silent, if nothing has arrived on it."""
-        if self._route is not None and not self._heard:
+        """Note, once, that the connection broke or fell silent, if nothing has arrived on it."""
+        if self._route is not None and not self._heard and not self._found_unanswered:
+            self._found_unanswered = True
             self._paths.unanswered(self._address, self._route)
 
     async def check(self) -> Verdict:
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -28,6 +28,7 @@
 from azureswitch.metrics import Metrics
 from azureswitch.paths import Paths, PeerHost, Verdict
 from azureswitch.paths._log import PathLostEntry, TunnelClosedEntry, TunnelOpenedEntry
+from azureswitch.paths._paths import ProbeConnection
 from azureswitch.paths._server import MAX_TUNNELS
 from tests.gateway.fixtures import PATIENCE, RecordingLog
 from tests.waiting import reach
@@ -477,6 +478,27 @@
         run(scenario)
 
 
+class TestSilence:
+    """What a silent connection says of its path."""
+
+    def test_counts_once(self) -> None:
+        """A connection that stays silent counts once, however often that is noticed."""
+
+        async def scenario() -> None:
+            target = RawTarget(answer=UNFRAMED)
+            async with hosts(target, lost=0) as (host, _):
+                dial = host.paths.dial(request="r1", seconds=PATIENCE)
+                connection = await dial.connect(
+                    address=target.address, protocol=ProbeConnection, timeout=PATIENCE
+                )
+                for _ in range(3):
+                    dial.unanswered()
+                assert host.paths._state.leads_to(target.address, now=host.paths._clock())
+                connection.abort()
+
+        run(scenario)
+
+
 class TestCheck:
     """Whether a failed connection is blamed on the target or on its path."""
 
