Bound the id of a request that a tunnel names

Seen by reading: a caller with a long attempt id made the head of the request for a tunnel longer than the carrying host reads. Its connection was broken off, the host was taken for one that does not answer and asked for no tunnel for 2 s, and so were the next ones: one caller of a host without paths could keep all others from their detour. The id serves the logs alone, and 256 characters of it are sent. Test: TestRefusals.test_long_request_id, which failed before.

--- a/src/azureswitch/paths/_messages.py
+++ b/src/azureswitch/paths/_messages.py
@@ -20,6 +20,9 @@
 NEW_WORK_HEADER = "tunnel-new-work"
 """Header that says whether the tunnel carries new work for the target: ``1`` or ``0``."""
 
+MAX_REQUEST_ID = 256
+"""Most characters of that id that are sent; callers choose its length, and it is only logged."""
+
 SECONDS_HEADER = "tunnel-seconds"
 """Header with the seconds after which the tunnel is broken off."""
 
@@ -63,7 +66,7 @@
     lines = (
         f"POST {TUNNEL_PATH}{asked.address} HTTP/1.1",
         f"host: {asked.address}",
-        f"{REQUEST_HEADER}: {asked.request}",
+        f"{REQUEST_HEADER}: {asked.request[:MAX_REQUEST_ID]}",
         f"{NEW_WORK_HEADER}: {int(asked.new_work)}",
         f"{SECONDS_HEADER}: {asked.seconds:.3f}",
         "transfer-encoding: chunked",
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -386,6 +386,20 @@
 
         run(scenario)
 
+    def test_long_request_id(self) -> None:
+        """A caller's id of any length neither fails its request nor makes a host avoided."""
+
+        async def scenario() -> None:
+            target = RawTarget()
+            async with hosts(target) as (cut, _):
+                dial = cut.paths.dial(request="x" * 10_000, seconds=PATIENCE)
+                client = HttpClient(address=target.address, connector=dial)
+                answer = await client.request(method="POST", path="/", timeout=PATIENCE)
+                assert answer.body == b"whole"
+                client.close()
+
+        run(scenario)
+
     def test_build_without_tunnels(self) -> None:
         """A host that does not listen for tunnels costs no time, and the next one is asked."""
 
