Pass nothing on through a tunnel whose time is over

Seen by reading: a host that was frozen while it carried a tunnel reads its sockets before its timers run when it wakes, and wrote a request to the target whose caller had left long before. It now compares the time of the tunnel before it writes. Test: TestDetour.test_late_bytes, which failed before.

--- a/src/azureswitch/paths/_session.py
+++ b/src/azureswitch/paths/_session.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 from typing import Protocol, cast
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from azureswitch.client import Abortable
+from azureswitch.clock import elapsed
 from azureswitch.paths._keepalive import set_keepalive
 from azureswitch.paths._messages import (
     LAST_CHUNK,
@@ -91,6 +93,7 @@
         self._parser = HttpRequestParser(self)
         self._target: TargetEnd | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._ends_at = inf
         self._url = b""
         self._headers: dict[str, str] = {}
         self._head_bytes = 0
@@ -208,11 +211,16 @@
             # The other host must wait for the answer.
             self.abort()
             return
+        if elapsed() >= self._ends_at:
+            # After a freeze of this host, bytes are read before the timer has run.
+            self.abort()
+            return
         self.sent += len(data)
         self._target.write(data)
 
     def _set_timer(self, seconds: float) -> None:
         """Break the connection off after some seconds."""
+        self._ends_at = elapsed() + seconds
         if self._timer is not None:
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(seconds, self.abort)
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -27,6 +27,7 @@
 from azureswitch.inventory import Target
 from azureswitch.metrics import Metrics
 from azureswitch.paths import Paths, PeerHost, Verdict
+from azureswitch.paths._client import TunnelTransport
 from azureswitch.paths._log import PathLostEntry, TunnelClosedEntry, TunnelOpenedEntry
 from azureswitch.paths._paths import ProbeConnection
 from azureswitch.paths._server import MAX_TUNNELS
@@ -300,6 +301,28 @@
 
         run(scenario)
 
+    def test_late_bytes(self) -> None:
+        """Bytes that a host reads once the time of the request is over do not reach the target."""
+
+        async def scenario() -> None:
+            target = RawTarget(answer=b"")
+            async with hosts(target) as (cut, other):
+                dial = cut.paths.dial(request="r1", seconds=0.3)
+                connection = await dial.connect(
+                    address=target.address, protocol=ProbeConnection, timeout=PATIENCE
+                )
+                assert isinstance(connection._transport, TunnelTransport)
+                (session,) = other.paths._server._sessions
+                # As after a freeze of the host, whose sockets are read before its timers run.
+                assert session._timer is not None
+                session._timer.cancel()
+                await asyncio.sleep(0.4)
+                connection._transport.write(b"POST / HTTP/1.1\r\n\r\n")
+                await reach(lambda: not other.paths.carried)
+                assert not target.received
+
+        run(scenario)
+
     def test_silent_end_is_noticed(self) -> None:
         """An idle tunnel whose other end is gone is given up after 3 s; a slow reader is not."""
 
