--- a/src/azureswitch/paths/_client.py
+++ b/src/azureswitch/paths/_client.py
@@ -5,7 +5,8 @@
 from http import HTTPStatus
 from typing import Any, Generic, TypeVar, cast
 
-from httptools import HttpParserError, HttpResponseParser
+from absl import logging
+from httptools import HttpParserCallbackError, HttpParserError, HttpResponseParser
 
 from azureswitch.client import Abortable
 from azureswitch.exceptions import TunnelRefusedError
@@ -113,6 +114,10 @@
         """Parse what arrived."""
         try:
             self._parser.feed_data(data)
+        except HttpParserCallbackError:
+            # A fault of ours, which the parser wraps as if the answer were malformed.
+            logging.exception("paths: Reading from a tunnel failed.")
+            self.abort()
         except HttpParserError:
             self.abort()
 
--- a/src/azureswitch/paths/_session.py
+++ b/src/azureswitch/paths/_session.py
@@ -5,7 +5,13 @@
 from math import inf
 from typing import Protocol, cast
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from absl import logging
+from httptools import (
+    HttpParserCallbackError,
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+)
 
 from azureswitch.client import Abortable
 from azureswitch.clock import elapsed
@@ -157,6 +163,10 @@
         """Parse what arrived."""
         try:
             self._parser.feed_data(data)
+        except HttpParserCallbackError:
+            # A fault of ours, which the parser wraps as if the request were malformed.
+            logging.exception("paths: Reading from another host failed.")
+            self.abort()
         except (HttpParserError, HttpParserUpgrade):
             self.abort()
 
