Look through the targets of a pool for lost paths only while some path is lost

Each request that was dispatched asked all targets of its pool whether a path may lead there, 600 at the size that this is designed for, though no path is lost nearly always. The time until which any may be is compared first. No behaviour changes.

--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -73,6 +73,7 @@
         self._reserving_hosts: dict[HostName, float] = {}
         self._reserved: dict[TargetName, tuple[CallId, float]] = {}
         self._peer_targets: dict[HostName, set[TargetName]] = {}
+        self._pathless_until = 0.0
 
     def adopt(self, inventory: Inventory, *, restarted: Collection[TargetName] = ()) -> None:
         """Adopt the targets of a configuration and keep the load of those whose address remains.
@@ -228,14 +229,17 @@
 
     def lose_paths(self, targets: Iterable[TargetName], *, now: float) -> None:
         """Give targets no new work for a while, as no path of this host leads there."""
+        self._pathless_until = now + PATHLESS_SECONDS
         for name in targets:
             state = self._states.get(name)
             if state is not None:
-                state.pathless_until = now + PATHLESS_SECONDS
+                state.pathless_until = self._pathless_until
                 state.unusable_until = max(state.unusable_until, state.pathless_until)
 
     def has_path(self, pool: Pool, *, now: float) -> bool:
         """Return whether a path may lead to one of the targets of a pool that take new work."""
+        if now >= self._pathless_until:
+            return True
         states = [state for state in self.states(pool) if not state.draining]
         return not states or any(now >= state.pathless_until for state in states)
 
