Type why a tunnel is refused, and look a path up in one place

The error carried the refusal as text, which its readers turned into the enumeration again or compared by value; it is now the enumeration, which moves beside the error. Six places made a Path for each event to have one at hand. Verdict had a member that nothing returned, and the text of another one said more than the check finds. The list of exported failures is sorted again. No behaviour changes; the values that are sent and logged are the same.

--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -36,6 +36,7 @@
     NoPathError,
     PathLostError,
     TargetUnreachableError,
+    TunnelRefusal,
     TunnelRefusedError,
 )
 from azureswitch.exceptions._peers import (
@@ -119,10 +120,6 @@
 )
 
 __all__ = [
-    "NoPathError",
-    "PathLostError",
-    "TargetUnreachableError",
-    "TunnelRefusedError",
     "AnswerTooLargeError",
     "AuditChainBrokenError",
     "AuditEntryInvalidError",
@@ -165,11 +162,13 @@
     "MissingIdempotencyKeyError",
     "MissingKeyError",
     "MissingSettingError",
+    "NoPathError",
     "NoTargetError",
     "NotConfiguredError",
     "NotSent",
     "OrderRefusedError",
     "OutcomeLostError",
+    "PathLostError",
     "PeerError",
     "PeerMessageInvalidError",
     "PeerMessageTooLargeError",
@@ -203,11 +202,14 @@
     "StoreVersionGoneError",
     "TargetAnswerError",
     "TargetBrokenError",
-    "TargetEvacuatedError",
     "TargetError",
+    "TargetEvacuatedError",
     "TargetRefusedError",
     "TargetRejectedError",
+    "TargetUnreachableError",
     "TargetsColdError",
+    "TunnelRefusal",
+    "TunnelRefusedError",
     "UnauthenticatedError",
     "UnknownCallError",
     "UnknownCustomerError",
--- a/src/azureswitch/exceptions/_paths.py
+++ b/src/azureswitch/exceptions/_paths.py
@@ -1,5 +1,6 @@
 """Connections to targets for which no path was found, or whose path was lost."""
 
+from enum import Enum
 from typing import ClassVar
 
 from azureswitch.exceptions._base import AzureswitchError, Ran
@@ -7,6 +8,22 @@
 from azureswitch.exceptions._targets import TargetError, TargetRefusedError
 
 
+class TunnelRefusal(Enum):
+    """Why a host does not open a tunnel; the values are sent and logged."""
+
+    NOT_A_HOST = "not_a_host"
+    UNKNOWN_TARGET = "unknown_target"
+    WITHHELD = "withheld"
+    LEAVING = "leaving"
+    BUSY = "busy"
+    NO_PATH = "no_path"
+    UNREACHABLE = "unreachable"
+    NOT_LISTENING = "not_listening"
+    NO_ANSWER = "no_answer"
+    UNANSWERED = "unanswered"
+    OTHER = "other"
+
+
 class NoPathError(HttpNotSentError):
     """Neither this host nor another one reached an address, so nothing was sent.
 
@@ -25,17 +42,17 @@
 
     Attributes:
         peer: The host.
-        refusal: Why, by the value of `azureswitch.paths.Refusal`.
+        refusal: Why.
     """
 
     code: ClassVar[str] = "tunnel_refused"
     ran: ClassVar[Ran] = Ran.NOT_RUN
     peer: str
-    refusal: str
+    refusal: TunnelRefusal
 
     @property
     def message(self) -> str:
-        return f"{self.peer!r} opened no tunnel: {self.refusal}."
+        return f"{self.peer!r} opened no tunnel: {self.refusal.value}."
 
 
 class TargetUnreachableError(TargetRefusedError):
--- a/src/azureswitch/paths/__init__.py
+++ b/src/azureswitch/paths/__init__.py
@@ -16,7 +16,7 @@
     TunnelOpened,
     TunnelRefused,
 )
-from azureswitch.paths._model import DIRECT, PeerHost, Refusal, Route, Verdict
+from azureswitch.paths._model import DIRECT, PeerHost, Route, Verdict
 from azureswitch.paths._paths import Dial, Paths, TargetDirectory
 from azureswitch.paths._reduce import PathsState, reduce
 
@@ -33,7 +33,6 @@
     "Paths",
     "PathsState",
     "PeerHost",
-    "Refusal",
     "Route",
     "TargetDirectory",
     "TunnelOpened",
--- a/src/azureswitch/paths/_client.py
+++ b/src/azureswitch/paths/_client.py
@@ -9,7 +9,7 @@
 from httptools import HttpParserCallbackError, HttpParserError, HttpResponseParser
 
 from azureswitch.client import Abortable
-from azureswitch.exceptions import TunnelRefusedError
+from azureswitch.exceptions import TunnelRefusal, TunnelRefusedError
 from azureswitch.paths._keepalive import set_keepalive
 from azureswitch.paths._messages import (
     REFUSAL_HEADER,
@@ -18,7 +18,7 @@
     decode_refusal,
     encode_request,
 )
-from azureswitch.paths._model import PeerHost, Refusal
+from azureswitch.paths._model import PeerHost
 
 P = TypeVar("P", bound=Abortable)
 
@@ -53,15 +53,15 @@
             await loop.create_connection(lambda: client, host, int(port), local_addr=(local_ip, 0))
             refusal = await client.answer()
     except TimeoutError:
-        refusal = Refusal.NO_ANSWER
+        refusal = TunnelRefusal.NO_ANSWER
     except OSError:
-        refusal = Refusal.NOT_LISTENING
+        refusal = TunnelRefusal.NOT_LISTENING
     except BaseException:
         client.abort()
         raise
     if refusal is not None:
         client.abort()
-        raise TunnelRefusedError(peer=peer.host, refusal=refusal.value)
+        raise TunnelRefusedError(peer=peer.host, refusal=refusal)
     return client.inner
 
 
@@ -82,8 +82,10 @@
         self._count = count
         self._parser = HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
-        self._answer: asyncio.Future[Refusal | None] = asyncio.get_running_loop().create_future()
-        self._refusal = Refusal.OTHER
+        self._answer: asyncio.Future[TunnelRefusal | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._refusal = TunnelRefusal.OTHER
         self._inner: P | None = None
         self._complete = False
 
@@ -93,7 +95,7 @@
         assert self._inner is not None
         return self._inner
 
-    async def answer(self) -> Refusal | None:
+    async def answer(self) -> TunnelRefusal | None:
         """Wait for the answer: None once the tunnel is open, or why it is not."""
         return await self._answer
 
@@ -124,7 +126,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the connection to the target; without the last chunk it was broken off."""
         if not self._answer.done():
-            self._answer.set_result(Refusal.NO_ANSWER)
+            self._answer.set_result(TunnelRefusal.NO_ANSWER)
         if self._inner is None:
             return
         if not self._complete:
--- a/src/azureswitch/paths/_dialer.py
+++ b/src/azureswitch/paths/_dialer.py
@@ -9,7 +9,13 @@
 
 from azureswitch.client import Abortable, Connector, DirectConnector
 from azureswitch.core import HostName
-from azureswitch.exceptions import AzureswitchError, HttpNotSentError, NotSent, TunnelRefusedError
+from azureswitch.exceptions import (
+    AzureswitchError,
+    HttpNotSentError,
+    NotSent,
+    TunnelRefusal,
+    TunnelRefusedError,
+)
 from azureswitch.paths._client import open_tunnel
 from azureswitch.paths._events import (
     DirectFailed,
@@ -19,7 +25,7 @@
     TunnelRefused,
 )
 from azureswitch.paths._messages import TunnelRequest
-from azureswitch.paths._model import DIRECT, PeerHost, Refusal, Route
+from azureswitch.paths._model import DIRECT, PeerHost, Route
 from azureswitch.paths._plan import Candidate
 
 CONNECT_TIMEOUT_SECONDS = 0.35
@@ -161,7 +167,7 @@
                 now=self._clock(),
                 address=asked.address,
                 peer=peer.host,
-                refusal=Refusal(error.refusal),
+                refusal=error.refusal,
             )
             self._dispatch(refused)
             raise
@@ -260,8 +266,8 @@
         if isinstance(error, HttpNotSentError):
             self._reason = error.reason
         elif isinstance(error, TunnelRefusedError):
-            self._witnessed = self._witnessed or error.refusal == Refusal.UNREACHABLE.value
-            self._withheld = self._withheld or error.refusal == Refusal.WITHHELD.value
+            self._witnessed = self._witnessed or error.refusal is TunnelRefusal.UNREACHABLE
+            self._withheld = self._withheld or error.refusal is TunnelRefusal.WITHHELD
         elif not isinstance(error, AzureswitchError):
             raise error
 
--- a/src/azureswitch/paths/_events.py
+++ b/src/azureswitch/paths/_events.py
@@ -1,8 +1,7 @@
 """Events and effects of the paths reducer."""
 
 from azureswitch.core import Effect, Event, HostName
-from azureswitch.exceptions import NotSent
-from azureswitch.paths._model import Refusal
+from azureswitch.exceptions import NotSent, TunnelRefusal
 
 
 class PathEvent(Event, frozen=True, kw_only=True):
@@ -56,7 +55,7 @@
     """
 
     peer: HostName
-    refusal: Refusal
+    refusal: TunnelRefusal
 
 
 class PathLost(Effect, frozen=True, kw_only=True):
--- a/src/azureswitch/paths/_log.py
+++ b/src/azureswitch/paths/_log.py
@@ -69,7 +69,7 @@
     """A tunnel for another host was refused.
 
     Attributes:
-        refusal: Why, by `azureswitch.paths.Refusal`.
+        refusal: Why, by `azureswitch.exceptions.TunnelRefusal`.
     """
 
     sentence: ClassVar[str] = "Tunnel refused."
--- a/src/azureswitch/paths/_messages.py
+++ b/src/azureswitch/paths/_messages.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from azureswitch.paths._model import Refusal
+from azureswitch.exceptions import TunnelRefusal
 
 TUNNEL_PATH = "/tunnel/"
 """Path of a tunnel, before the ``IP:PORT`` that it leads to."""
@@ -27,7 +27,7 @@
 """Header with the seconds after which the tunnel is broken off."""
 
 REFUSAL_HEADER = "tunnel-refusal"
-"""Header of an answer that refuses a tunnel, with a `Refusal`."""
+"""Header of an answer that refuses a tunnel, with a `TunnelRefusal`."""
 
 MAX_SECONDS = 3_600.0
 """Most seconds for which a tunnel stays open."""
@@ -37,10 +37,10 @@
 OPENED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 _STATUSES = {
-    Refusal.NOT_A_HOST: HTTPStatus.FORBIDDEN,
-    Refusal.UNKNOWN_TARGET: HTTPStatus.NOT_FOUND,
-    Refusal.WITHHELD: HTTPStatus.CONFLICT,
-    Refusal.UNREACHABLE: HTTPStatus.BAD_GATEWAY,
+    TunnelRefusal.NOT_A_HOST: HTTPStatus.FORBIDDEN,
+    TunnelRefusal.UNKNOWN_TARGET: HTTPStatus.NOT_FOUND,
+    TunnelRefusal.WITHHELD: HTTPStatus.CONFLICT,
+    TunnelRefusal.UNREACHABLE: HTTPStatus.BAD_GATEWAY,
 }
 """Statuses of refusals; any other is 503."""
 
@@ -76,7 +76,7 @@
     return "\r\n".join(lines).encode("latin-1")
 
 
-def encode_refusal(refusal: Refusal) -> bytes:
+def encode_refusal(refusal: TunnelRefusal) -> bytes:
     """Return the answer that refuses a tunnel."""
     status = _STATUSES.get(refusal, HTTPStatus.SERVICE_UNAVAILABLE)
     lines = (
@@ -90,12 +90,12 @@
     return "\r\n".join(lines).encode("latin-1")
 
 
-def decode_refusal(value: str) -> Refusal:
-    """Return the refusal of a header; one that is not known is `Refusal.OTHER`."""
+def decode_refusal(value: str) -> TunnelRefusal:
+    """Return the refusal of a header; one that is not known is `TunnelRefusal.OTHER`."""
     try:
-        return Refusal(value)
+        return TunnelRefusal(value)
     except ValueError:
-        return Refusal.OTHER
+        return TunnelRefusal.OTHER
 
 
 def decode_seconds(value: str) -> float:
--- a/src/azureswitch/paths/_model.py
+++ b/src/azureswitch/paths/_model.py
@@ -1,4 +1,4 @@
-"""Routes to targets, the hosts that offer tunnels, and why a tunnel is refused."""
+"""Routes to targets, and the hosts that offer tunnels."""
 
 from enum import Enum
 
@@ -38,26 +38,9 @@
     suspect: bool = False
 
 
-class Refusal(Enum):
-    """Why a host does not open a tunnel; the values are sent and logged."""
-
-    NOT_A_HOST = "not_a_host"
-    UNKNOWN_TARGET = "unknown_target"
-    WITHHELD = "withheld"
-    LEAVING = "leaving"
-    BUSY = "busy"
-    NO_PATH = "no_path"
-    UNREACHABLE = "unreachable"
-    NOT_LISTENING = "not_listening"
-    NO_ANSWER = "no_answer"
-    UNANSWERED = "unanswered"
-    OTHER = "other"
-
-
 class Verdict(Enum):
     """What a check of a failed connection's path found."""
 
     SOUND = "the same route leads to the target"
-    LOST = "only another route leads to the target"
-    UNREACHABLE = "no route leads to the target, which another host confirms"
-    UNKNOWN = "no route leads to the target, and no other host can say why"
+    LOST = "only another route leads to the target, or this host reaches no target at all"
+    UNREACHABLE = "no route leads to the target, while this host reaches others"
--- a/src/azureswitch/paths/_paths.py
+++ b/src/azureswitch/paths/_paths.py
@@ -12,7 +12,7 @@
 from azureswitch.client import Abortable, Connector
 from azureswitch.clock import elapsed
 from azureswitch.core import Effect, PlaceName
-from azureswitch.exceptions import NoPathError, NotSent
+from azureswitch.exceptions import NoPathError, NotSent, TunnelRefusal
 from azureswitch.inventory import Target
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
@@ -27,7 +27,7 @@
 )
 from azureswitch.paths._log import PathLostEntry, PathRegainedEntry
 from azureswitch.paths._messages import TunnelRequest
-from azureswitch.paths._model import DIRECT, PeerHost, Refusal, Route, Verdict
+from azureswitch.paths._model import DIRECT, PeerHost, Route, Verdict
 from azureswitch.paths._plan import HEAD_START_SECONDS, Candidate, candidates, choose_peers
 from azureswitch.paths._reduce import PathsState, reduce
 from azureswitch.paths._server import TunnelServer
@@ -244,22 +244,22 @@
     def _is_host(self, ip: str) -> bool:
         return any(peer.address.rpartition(":")[0] == ip for peer in self._peers())
 
-    def _refusal(self, request: TunnelRequest) -> Refusal | None:
+    def _refusal(self, request: TunnelRequest) -> TunnelRefusal | None:
         target = self._directory.target_at(request.address)
         if target is None:
-            return Refusal.UNKNOWN_TARGET
+            return TunnelRefusal.UNKNOWN_TARGET
         if self._leaving:
-            return Refusal.LEAVING
+            return TunnelRefusal.LEAVING
         if request.new_work and not self._directory.takes_work(target):
-            return Refusal.WITHHELD
+            return TunnelRefusal.WITHHELD
         if not self._state.leads_to(request.address, now=self._clock()):
-            return Refusal.NO_PATH
+            return TunnelRefusal.NO_PATH
         return None
 
-    def _unreached(self, address: str) -> Refusal:
+    def _unreached(self, address: str) -> TunnelRefusal:
         """Return why a tunnel is refused to a target that this host did not reach."""
         reaches = self._state.reaches_others(address, now=self._clock())
-        return Refusal.UNREACHABLE if reaches else Refusal.NO_PATH
+        return TunnelRefusal.UNREACHABLE if reaches else TunnelRefusal.NO_PATH
 
     async def _connect_for_other(self, address: str) -> TargetEnd:
         return await self._dialer.connect_directly(
@@ -278,7 +278,7 @@
             self._dispatch(DirectUnanswered(now=now, address=address))
         else:
             refused = TunnelRefused(
-                now=now, address=address, peer=route.peer, refusal=Refusal.UNANSWERED
+                now=now, address=address, peer=route.peer, refusal=TunnelRefusal.UNANSWERED
             )
             self._dispatch(refused)
 
--- a/src/azureswitch/paths/_reduce.py
+++ b/src/azureswitch/paths/_reduce.py
@@ -14,7 +14,7 @@
 from msgspec import Struct, field
 
 from azureswitch.core import NO_EFFECTS, Effects, HostName
-from azureswitch.exceptions import NotSent
+from azureswitch.exceptions import NotSent, TunnelRefusal
 from azureswitch.paths._events import (
     DirectAnswered,
     DirectFailed,
@@ -26,7 +26,6 @@
     TunnelOpened,
     TunnelRefused,
 )
-from azureswitch.paths._model import Refusal
 
 CONFIRM_SECONDS = 1.0
 """Most seconds between a failed direct connection and a tunnel that confirms the path as lost."""
@@ -62,17 +61,17 @@
 """
 
 AVOID_SECONDS = {
-    Refusal.NOT_A_HOST: 1.0,
-    Refusal.UNKNOWN_TARGET: 0.0,
-    Refusal.WITHHELD: 0.0,
-    Refusal.LEAVING: 8.0,
-    Refusal.BUSY: 0.5,
-    Refusal.NO_PATH: 1.0,
-    Refusal.UNREACHABLE: 0.0,
-    Refusal.NOT_LISTENING: 5.0,
-    Refusal.NO_ANSWER: 2.0,
-    Refusal.UNANSWERED: 1.0,
-    Refusal.OTHER: 1.0,
+    TunnelRefusal.NOT_A_HOST: 1.0,
+    TunnelRefusal.UNKNOWN_TARGET: 0.0,
+    TunnelRefusal.WITHHELD: 0.0,
+    TunnelRefusal.LEAVING: 8.0,
+    TunnelRefusal.BUSY: 0.5,
+    TunnelRefusal.NO_PATH: 1.0,
+    TunnelRefusal.UNREACHABLE: 0.0,
+    TunnelRefusal.NOT_LISTENING: 5.0,
+    TunnelRefusal.NO_ANSWER: 2.0,
+    TunnelRefusal.UNANSWERED: 1.0,
+    TunnelRefusal.OTHER: 1.0,
 }
 """Seconds for which a host is asked for no tunnel after a refusal."""
 
@@ -129,6 +128,13 @@
     unheard_at: float = -inf
     unanswered_trial_at: float = -inf
 
+    def path(self, address: str) -> Path:
+        """Return what is known of the path to a target, to be updated."""
+        known = self.paths.get(address)
+        if known is None:
+            known = self.paths[address] = Path()
+        return known
+
     def lost(self, address: str, *, now: float) -> bool:
         """Return whether the direct path to a target is believed to be lost."""
         path = self.paths.get(address)
@@ -161,7 +167,7 @@
 
     def take_trial(self, address: str, *, now: float) -> bool:
         """Return whether a lost path should be tried directly now, by one caller at a time."""
-        path = self.paths.setdefault(address, Path())
+        path = self.path(address)
         unanswered = self.unanswered(address, now=now)
         if now < path.trial_at or (unanswered and now < self.unanswered_trial_at):
             return False
@@ -207,7 +213,7 @@
 
 @reduce.register
 def _(event: DirectOpened, state: PathsState) -> Effects:
-    path = state.paths.setdefault(event.address, Path())
+    path = state.path(event.address)
     state.opened_at = path.opened_at = event.now
     # One that was lost unanswered must be answered first.
     return NO_EFFECTS if path.reason is None else _regain(event.address, path, now=event.now)
@@ -216,14 +222,14 @@
 @reduce.register
 def _(event: DirectAnswered, state: PathsState) -> Effects:
     state.unheard_targets.clear()
-    path = state.paths.setdefault(event.address, Path())
+    path = state.path(event.address)
     path.unanswered = 0
     return _regain(event.address, path, now=event.now)
 
 
 @reduce.register
 def _(event: DirectFailed, state: PathsState) -> Effects:
-    path = state.paths.setdefault(event.address, Path())
+    path = state.path(event.address)
     path.failed_at = event.now
     path.reason = event.reason
     if path.lost_since is not None:
@@ -236,7 +242,7 @@
 def _(event: DirectUnanswered, state: PathsState) -> Effects:
     state.unheard_targets.add(event.address)
     state.unheard_at = event.now
-    path = state.paths.setdefault(event.address, Path())
+    path = state.path(event.address)
     path.unanswered += 1
     path.failed_at = event.now
     path.reason = None
@@ -251,7 +257,7 @@
 
 @reduce.register
 def _(event: TunnelOpened, state: PathsState) -> Effects:
-    path = state.paths.setdefault(event.address, Path())
+    path = state.path(event.address)
     state.tunnelled_at = path.tunnelled_at = event.now
     path.peer = event.peer
     state.avoid_until.pop(event.peer, None)
--- a/src/azureswitch/paths/_server.py
+++ b/src/azureswitch/paths/_server.py
@@ -5,12 +5,11 @@
 
 from msgspec import Struct
 
-from azureswitch.exceptions import HttpNotSentError
+from azureswitch.exceptions import HttpNotSentError, TunnelRefusal
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
 from azureswitch.paths._log import TunnelClosedEntry, TunnelOpenedEntry, TunnelRefusedEntry
 from azureswitch.paths._messages import TunnelRequest
-from azureswitch.paths._model import Refusal
 from azureswitch.paths._session import TargetEnd, TunnelSession
 from azureswitch.tasks import Tasks
 
@@ -55,9 +54,9 @@
         self,
         *,
         is_host: Callable[[str], bool],
-        refusal: Callable[[TunnelRequest], Refusal | None],
+        refusal: Callable[[TunnelRequest], TunnelRefusal | None],
         connect: Callable[[str], Awaitable[TargetEnd]],
-        unreached: Callable[[str], Refusal],
+        unreached: Callable[[str], TunnelRefusal],
         answered: Callable[[str], None],
         unanswered: Callable[[str], None],
         name_of: Callable[[str], str],
@@ -148,11 +147,11 @@
             )
         )
 
-    def _decide(self, session: TunnelSession, request: TunnelRequest) -> Refusal | None:
+    def _decide(self, session: TunnelSession, request: TunnelRequest) -> TunnelRefusal | None:
         if not self._is_host(session.origin):
-            return Refusal.NOT_A_HOST
+            return TunnelRefusal.NOT_A_HOST
         if len(self._carried) >= MAX_TUNNELS or len(self._sessions) > MAX_CONNECTIONS:
-            return Refusal.BUSY
+            return TunnelRefusal.BUSY
         return self._refusal(request)
 
     async def _open(self, session: TunnelSession, request: TunnelRequest) -> None:
@@ -175,7 +174,9 @@
         )
         session.open(target)
 
-    def _refuse(self, session: TunnelSession, request: TunnelRequest, refusal: Refusal) -> None:
+    def _refuse(
+        self, session: TunnelSession, request: TunnelRequest, refusal: TunnelRefusal
+    ) -> None:
         self._count(refusal.value)
         self._log.write(
             TunnelRefusedEntry(
--- a/src/azureswitch/paths/_session.py
+++ b/src/azureswitch/paths/_session.py
@@ -15,6 +15,7 @@
 
 from azureswitch.client import Abortable
 from azureswitch.clock import elapsed
+from azureswitch.exceptions import TunnelRefusal
 from azureswitch.paths._keepalive import set_keepalive
 from azureswitch.paths._messages import (
     LAST_CHUNK,
@@ -28,7 +29,6 @@
     decode_seconds,
     encode_refusal,
 )
-from azureswitch.paths._model import Refusal
 
 HEAD_SECONDS = 1.0
 """Seconds in which a connection must have asked for a tunnel."""
@@ -127,7 +127,7 @@
         self._transport.write(OPENED)
         target.join(self)
 
-    def refuse(self, refusal: Refusal) -> None:
+    def refuse(self, refusal: TunnelRefusal) -> None:
         """Answer that there is no tunnel."""
         if self._transport is not None:
             self._transport.write(encode_refusal(refusal))
--- a/tests/paths/test_reduce.py
+++ b/tests/paths/test_reduce.py
@@ -5,7 +5,7 @@
 import pytest
 
 from azureswitch.core import HostName, PlaceName
-from azureswitch.exceptions import NotSent
+from azureswitch.exceptions import NotSent, TunnelRefusal
 from azureswitch.paths import (
     DirectAnswered,
     DirectFailed,
@@ -16,7 +16,6 @@
     PathRegained,
     PathsState,
     PeerHost,
-    Refusal,
     TunnelOpened,
     TunnelRefused,
     reduce,
@@ -212,16 +211,16 @@
     @pytest.mark.parametrize(
         ("refusal", "seconds", "available"),
         [
-            (Refusal.UNREACHABLE, 0.0, True),
-            (Refusal.WITHHELD, 0.0, True),
-            (Refusal.NO_PATH, 0.9, False),
-            (Refusal.NO_PATH, 1.1, True),
-            (Refusal.NOT_LISTENING, 4.9, False),
-            (Refusal.NOT_LISTENING, 5.1, True),
-            (Refusal.NO_ANSWER, 1.9, False),
+            (TunnelRefusal.UNREACHABLE, 0.0, True),
+            (TunnelRefusal.WITHHELD, 0.0, True),
+            (TunnelRefusal.NO_PATH, 0.9, False),
+            (TunnelRefusal.NO_PATH, 1.1, True),
+            (TunnelRefusal.NOT_LISTENING, 4.9, False),
+            (TunnelRefusal.NOT_LISTENING, 5.1, True),
+            (TunnelRefusal.NO_ANSWER, 1.9, False),
         ],
     )
-    def test_avoided(self, refusal: Refusal, seconds: float, available: bool) -> None:
+    def test_avoided(self, refusal: TunnelRefusal, seconds: float, available: bool) -> None:
         """A host that refused is asked again after a time that depends on why."""
         state = after(TunnelRefused(now=1.0, address=A, peer=H2, refusal=refusal))
         assert state.available(H2, now=1.0 + seconds) is available
@@ -230,7 +229,7 @@
         """Hosts nearby that carry little go first; leaving and dead ones are not asked."""
         near, far, target = PlaceName("p1"), PlaceName("p2"), PlaceName("p3")
         state = after(
-            TunnelRefused(now=0, address=A, peer=HostName("cut"), refusal=Refusal.NO_PATH)
+            TunnelRefused(now=0, address=A, peer=HostName("cut"), refusal=TunnelRefusal.NO_PATH)
         )
         hosts = [
             PeerHost(host=HostName("cut"), place=near, address=""),
