Say in comments and names of the paths what a newcomer asks

Bounds of the soak begin with MIN_, the count of a stop tells that tunnels are in it, and the reason of the head start, the timeout of connecting and the check of an address are said in plain words. No behaviour changes.

--- a/bench/soak/_partitions.py
+++ b/bench/soak/_partitions.py
@@ -28,10 +28,10 @@
 SETTLE_SECONDS = 3.0
 """Seconds after the begin of a cut from which on its hosts must serve, as the platform says."""
 
-LEAST_SHARE = 2.0 / 3.0
+MIN_SHARE = 2.0 / 3.0
 """Least share of first tries served at cut hosts, as a part of that at the others."""
 
-LEAST_CALLS = 8
+MIN_CALLS = 8
 """Least calls on each side that are compared."""
 
 
@@ -100,10 +100,10 @@
         calls = [call for call in records.calls.values() if _counts(records, partition, call)]
         cut = [call for call in calls if call.host in partition.hosts]
         others = [call for call in calls if call.host not in partition.hosts]
-        if min(len(cut), len(others)) < LEAST_CALLS:
+        if min(len(cut), len(others)) < MIN_CALLS:
             continue
         share, other_share = _served(cut), _served(others)
-        if share < LEAST_SHARE * other_share:
+        if share < MIN_SHARE * other_share:
             yield (
                 f"PATHS: hosts cut off ({partition.mode}) served {share:.2f} of {len(cut)} first "
                 f"tries, the others {other_share:.2f} of {len(others)}"
--- a/src/azureswitch/client/_client.py
+++ b/src/azureswitch/client/_client.py
@@ -76,8 +76,8 @@
         pool_limit: int = POOL_LIMIT,
         connector: Connector | None = None,
     ) -> None:
-        _, _, port = address.rpartition(":")
-        int(port)
+        # Raises here, and not at the first request.
+        int(address.rpartition(":")[2])
         self._address = address
         self._connector = connector or DirectConnector()
         self._connect_timeout = connect_timeout
--- a/src/azureswitch/exceptions/_http.py
+++ b/src/azureswitch/exceptions/_http.py
@@ -7,10 +7,7 @@
 
 
 class NotSent(Enum):
-    """Why nothing was sent.
-
-    The values are those of logs and metrics.
-    """
+    """Why nothing was sent; the values are those of the log."""
 
     REFUSED = "refused"
     RESET = "reset"
@@ -36,7 +33,7 @@
 
 
 class HttpNotSentError(HttpError):
-    """Nothing was sent, mostly as no connection could be made.
+    """Nothing was sent: no connection could be made, or sending was no longer permitted.
 
     Attributes:
         reason: Why.
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -43,7 +43,7 @@
 from azureswitch.tasks import Tasks
 
 CONNECT_TIMEOUT_SECONDS = 0.9
-"""Timeout in seconds for connecting to a target, by whatever route."""
+"""Timeout in seconds for connecting to a target; time for several routes, tried side by side."""
 
 DEFAULT_BACKOFF_SECONDS = 0.25
 """Default backoff in seconds for a target that refused without naming a delay."""
--- a/src/azureswitch/gateway/_stopping.py
+++ b/src/azureswitch/gateway/_stopping.py
@@ -91,8 +91,8 @@
 
     Attributes:
         connections: Connections of callers that are open.
-        open_requests: Requests that have not been answered; a caller may have left one whose
-            outcome is still wanted.
+        open_requests: Requests that have not been answered, and tunnels that are carried for
+            other hosts; a caller may have left a request whose outcome is still wanted.
         neighbours: The other hosts of its failure domain.
     """
 
--- a/src/azureswitch/paths/_paths.py
+++ b/src/azureswitch/paths/_paths.py
@@ -213,6 +213,22 @@
         result.connection.abort()
         return Verdict.SOUND if result.route == route else Verdict.LOST
 
+    def answered(self, address: str, route: Route) -> None:
+        """Note that something has arrived on a connection."""
+        if route.peer is None:
+            self._dispatch(DirectAnswered(now=self._clock(), address=address))
+
+    def unanswered(self, address: str, route: Route) -> None:
+        """Note that a connection broke or fell silent with nothing received."""
+        now = self._clock()
+        if route.peer is None:
+            self._dispatch(DirectUnanswered(now=now, address=address))
+        else:
+            refused = TunnelRefused(
+                now=now, address=address, peer=route.peer, refusal=TunnelRefusal.UNANSWERED
+            )
+            self._dispatch(refused)
+
     def _candidates_from(self, route: Route, address: str) -> Iterator[Candidate]:
         """Return the routes for a check: that of the connection, and then all others."""
         peers = list(self._peers_to(address))
@@ -266,22 +282,6 @@
             address, protocol=TargetEnd, timeout=CARRIED_TIMEOUT_SECONDS
         )
 
-    def answered(self, address: str, route: Route) -> None:
-        """Note that something has arrived on a connection."""
-        if route.peer is None:
-            self._dispatch(DirectAnswered(now=self._clock(), address=address))
-
-    def unanswered(self, address: str, route: Route) -> None:
-        """Note that a connection broke or fell silent with nothing received."""
-        now = self._clock()
-        if route.peer is None:
-            self._dispatch(DirectUnanswered(now=now, address=address))
-        else:
-            refused = TunnelRefused(
-                now=now, address=address, peer=route.peer, refusal=TunnelRefusal.UNANSWERED
-            )
-            self._dispatch(refused)
-
     # --- Effects ----------------------------------------------------------------------------------
 
     def _dispatch(self, event: PathEvent) -> None:
--- a/src/azureswitch/paths/_plan.py
+++ b/src/azureswitch/paths/_plan.py
@@ -12,7 +12,7 @@
 HEAD_START_SECONDS = 0.08
 """Seconds that a direct connection gets before a tunnel is tried beside it.
 
-A connection takes 3 ms; a quarter of the tightest objective is left for the detour.
+A connection takes 3 ms.  Callers who want a first event within 0.3 s still get it by the detour.
 """
 
 TUNNEL_HEAD_START_SECONDS = 0.1
