--- a/tests/paths/test_gateways.py
+++ b/tests/paths/test_gateways.py
@@ -1,19 +1,17 @@
 """Tests two gateways of which one has lost its paths to the targets, over real connections."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
 from time import monotonic
-from typing import Never
 
 import pytest
 
 from azureswitch.client import HttpAnswer, HttpClient
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.core import HostName, Incarnation, PlaceName
-from azureswitch.exceptions import HttpNotSentError, NotSent
 from azureswitch.gateway import Gateway
 from azureswitch.gateway._log import AttemptOver
 from azureswitch.paths._log import TunnelOpenedEntry
@@ -32,6 +30,7 @@
     usual_headers,
     whole_stream,
 )
+from tests.paths.fixtures import LostConnector, run
 from tests.waiting import reach
 
 EVENTS = 6
@@ -41,26 +40,6 @@
 PLACE = PlaceName("p1")
 
 
-def run(scenario: Callable[[], Awaitable[None]]) -> None:
-    """Run a scenario to its end."""
-
-    async def bounded() -> None:
-        async with asyncio.timeout(PATIENCE):
-            await scenario()
-
-    asyncio.run(bounded())
-
-
-class LostConnector:
-    """Opens no direct connections."""
-
-    async def connect(
-        self, *, address: str, protocol: Callable[[], object], timeout: float
-    ) -> Never:
-        """Fail at once."""
-        raise HttpNotSentError(address=address, reason=NotSent.REFUSED)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Pair:
     """Two gateways before the same targets."""
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -1,7 +1,7 @@
 """Tests tunnels between the paths of hosts, over real connections to fake targets."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from socket import (
@@ -17,13 +17,12 @@
 )
 from struct import pack
 from time import monotonic
-from typing import Never
 
 import pytest
 
 from azureswitch.client import HttpClient
 from azureswitch.core import HostName, PlaceName, ServiceName, TargetName
-from azureswitch.exceptions import HttpBrokenError, HttpNotSentError, NoPathError, NotSent
+from azureswitch.exceptions import HttpBrokenError, NoPathError, NotSent
 from azureswitch.inventory import Target
 from azureswitch.metrics import Metrics
 from azureswitch.paths import Paths, PeerHost, Verdict
@@ -32,6 +31,7 @@
 from azureswitch.paths._paths import ProbeConnection
 from azureswitch.paths._server import MAX_TUNNELS
 from tests.gateway.fixtures import PATIENCE, RecordingLog
+from tests.paths.fixtures import LostConnector, run
 from tests.waiting import reach
 
 PLACE = PlaceName("p1")
@@ -43,16 +43,6 @@
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nto the end"
 
 
-def run(scenario: Callable[[], Awaitable[None]]) -> None:
-    """Run a scenario to its end."""
-
-    async def bounded() -> None:
-        async with asyncio.timeout(PATIENCE):
-            await scenario()
-
-    asyncio.run(bounded())
-
-
 @dataclass(slots=True, kw_only=True)
 class RawTarget:
     """A target that sends given bytes, and closes or resets its connections.
@@ -142,26 +132,6 @@
         return answer.body
 
 
-class LostConnector:
-    """Opens no direct connections.
-
-    Args:
-        hangs: Whether it takes all of its time to find that out.
-    """
-
-    def __init__(self, *, hangs: bool) -> None:
-        self._hangs = hangs
-
-    async def connect(
-        self, *, address: str, protocol: Callable[[], object], timeout: float
-    ) -> Never:
-        """Fail, at once or after the timeout."""
-        if self._hangs:
-            await asyncio.sleep(timeout)
-            raise HttpNotSentError(address=address, reason=NotSent.TIMED_OUT)
-        raise HttpNotSentError(address=address, reason=NotSent.REFUSED)
-
-
 @asynccontextmanager
 async def hosts(
     *targets: RawTarget, lost: int = 1, count: int = 2, hangs: bool = False
