--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -10,6 +10,8 @@
 from azureswitch.metrics import Metrics, watch_evacuations
 from azureswitch.paths import Paths
 
+TUNNELS_HELP = "Open tunnels to targets, by which host uses them: this one, or another one."
+
 
 def register_gauges(
     metrics: Metrics,
@@ -32,86 +34,76 @@
         targets: Returns the listed targets.
         deployment: Returns the configuration in force, or None before the first.
     """
-    metrics.watch(
-        name="quarantined_requests",
-        help="Requests that are sent to no target, since targets crashed under them.",
-        value=lambda: shell.quarantined,
-    )
-    metrics.watch(
-        name="open_requests",
-        help="Requests that have not been answered.",
-        value=lambda: shell.open_calls,
-    )
-    metrics.watch(
-        name="configuration_version",
-        help="The configuration in force; zero for none.",
-        value=lambda: configuration.version if (configuration := deployment()) else 0,
-    )
-    metrics.watch(
-        name="targets_serving",
-        help="Targets that take new work.",
-        value=lambda: sum(t.role is TargetRole.SERVING for t in targets()),
-    )
-    metrics.watch(
-        name="targets_draining",
-        help="Targets that leave.",
-        value=lambda: sum(t.role is TargetRole.DRAINING for t in targets()),
-    )
-    metrics.watch(
-        name="targets_limited",
-        help="Targets that name a limit of the requests that they take.",
-        value=lambda: len(shell.limits),
-    )
-    metrics.watch(
-        name="targets_cold",
-        help="Targets that are cold and therefore get few requests.",
-        value=lambda: len(shell.cold_targets),
-    )
-    metrics.watch(
-        name="targets_ejected",
-        help="Targets that are avoided since attempts of this host failed.",
-        value=lambda: shell.ejected,
-    )
-    metrics.watch(
-        name="targets_suspected",
-        help="Targets that are avoided since another host reports them.",
-        value=lambda: shell.suspected,
-    )
-    metrics.watch(
-        name="retries_left",
-        help="Retries that the budget of this host permits now.",
-        value=lambda: shell.retries_left,
-    )
-    metrics.watch(
-        name="targets_without_path",
-        help="Targets that are reached through other hosts alone.",
-        value=lambda: len(paths.lost),
-    )
-    metrics.watch(
-        name="tunnels_open",
-        help="Open tunnels to targets, by which host uses them: this one, or another one.",
-        value=lambda: paths.used,
-        user="this",
-    )
-    metrics.watch(
-        name="tunnels_open",
-        help="Open tunnels to targets, by which host uses them: this one, or another one.",
-        value=lambda: paths.carried,
-        user="other",
-    )
-    metrics.watch(
-        name="tickets_held",
-        help="Reservations of engines' memory that are held.",
-        value=lambda: tickets.held,
-    )
-    metrics.watch(
-        name="loop_lag_seconds",
-        help="How late the last regular step of the process was.",
-        value=lambda: shell.lag,
-    )
-    metrics.watch(
-        name="log_lines_left_out",
-        help="Lines of the log that its volume did not permit.",
-        value=lambda: log.left_out,
-    )
+
+    def version() -> int:
+        configuration = deployment()
+        return configuration.version if configuration else 0
+
+    def count(role: TargetRole) -> int:
+        return sum(target.role is role for target in targets())
+
+    gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
+        (
+            "quarantined_requests",
+            "Requests that are sent to no target, since targets crashed under them.",
+            lambda: shell.quarantined,
+        ),
+        ("open_requests", "Requests that have not been answered.", lambda: shell.open_calls),
+        ("configuration_version", "The configuration in force; zero for none.", version),
+        (
+            "targets_serving",
+            "Targets that take new work.",
+            lambda: count(TargetRole.SERVING),
+        ),
+        ("targets_draining", "Targets that leave.", lambda: count(TargetRole.DRAINING)),
+        (
+            "targets_limited",
+            "Targets that name a limit of the requests that they take.",
+            lambda: len(shell.limits),
+        ),
+        (
+            "targets_cold",
+            "Targets that are cold and therefore get few requests.",
+            lambda: len(shell.cold_targets),
+        ),
+        (
+            "targets_ejected",
+            "Targets that are avoided since attempts of this host failed.",
+            lambda: shell.ejected,
+        ),
+        (
+            "targets_suspected",
+            "Targets that are avoided since another host reports them.",
+            lambda: shell.suspected,
+        ),
+        (
+            "targets_without_path",
+            "Targets that are reached through other hosts alone.",
+            lambda: len(paths.lost),
+        ),
+        (
+            "retries_left",
+            "Retries that the budget of this host permits now.",
+            lambda: shell.retries_left,
+        ),
+        (
+            "tickets_held",
+            "Reservations of engines' memory that are held.",
+            lambda: tickets.held,
+        ),
+        (
+            "loop_lag_seconds",
+            "How late the last regular step of the process was.",
+            lambda: shell.lag,
+        ),
+        (
+            "log_lines_left_out",
+            "Lines of the log that its volume did not permit.",
+            lambda: log.left_out,
+        ),
+    )
+    for name, help, value in gauges:
+        metrics.watch(name=name, help=help, value=value)
+    metrics.watch(name="tunnels_open", help=TUNNELS_HELP, value=lambda: paths.used, user="this")
+    metrics.watch(name="tunnels_open", help=TUNNELS_HELP, value=lambda: paths.carried, user="other")
     watch_evacuations(metrics, evacuations=lambda: shell.evacuations)
