Log and count requests that end without a complete answer, and targets that resume

On-call engineers could not tell a connection that the host closed on an open request from a caller that left, nor a target that was silent and went on from one that had failed, and answers broken off with time left had to be picked from the log.

`Request dropped.` names a request whose connection this host closes while it works on it, with the reason; `Target resumed.` says that a silent target writes again and for how long it did not; azureswitch_requests_without_answer_total counts, by failure or reason of the close, what was read and ended without a complete answer, callers who left excepted. No decision changes.

--- a/src/azureswitch/gateway/_answers.py
+++ b/src/azureswitch/gateway/_answers.py
@@ -61,10 +61,22 @@
         self._clock = clock
 
     async def relay_whole(
-        self, record: CallRecord, effect: StartAttempt, answer: HttpExchange
+        self,
+        record: CallRecord,
+        effect: StartAttempt,
+        answer: HttpExchange,
+        timer: SilenceTimer,
     ) -> AttemptResult:
-        """Buffer the complete answer, then relay it."""
+        """Buffer the complete answer, then relay it.
+
+        Args:
+            record: The request.
+            effect: The attempt.
+            answer: The target's answer.
+            timer: Is stopped once the answer is complete.
+        """
         whole = HttpAnswer(head=answer.head, body=await answer.body())
+        timer.suspend()
         failed = whole.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if failed and record.call.repeatable:
             record.fallback = whole
--- a/src/azureswitch/gateway/_handler.py
+++ b/src/azureswitch/gateway/_handler.py
@@ -15,10 +15,12 @@
 from azureswitch.gateway._log import (
     LOGGED_DIGITS,
     RequestAdmitted,
+    RequestDropped,
     RequestRefused,
     RequestUnserved,
 )
 from azureswitch.gateway._model import Deployment, RequestInfo, Route, RouteKind
+from azureswitch.gateway._outcomes import count_without_answer
 from azureswitch.gateway._ports import Dialect
 from azureswitch.gateway._prepared import Prepared
 from azureswitch.gateway._records import CallRecord
@@ -26,9 +28,12 @@
 from azureswitch.gateway._shell import Shell
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics
-from azureswitch.server import CallerLimits, ConnectionClosed, Exchange
+from azureswitch.server import CallerLimits, CloseReason, ConnectionClosed, Exchange
 from azureswitch.serving import Call
 
+_LOGGED_BY_SHELL = frozenset((CloseReason.CALLER, CloseReason.BROKEN_OFF))
+"""Reasons for which a connection ends with a failure of its request that the shell logs."""
+
 
 class RequestHandler:
     """Handles callers' requests according to the configuration in force.
@@ -112,18 +117,25 @@
         )
 
     def closed(self, closed: ConnectionClosed) -> None:
-        """Count a closed connection, and log the requests that were read and never handled.
+        """Count a closed connection, and log the requests that got no complete answer on it.
 
-        The shell logs submitted requests, as it knows whether they ran.
+        Submitted requests whose answer the shell broke off are logged by the shell.
         """
+        reason = closed.reason
         for request in closed.unserved:
-            self._log.write(
-                RequestUnserved(id=self._dialect.id_of(request), reason=closed.reason.value)
-            )
+            self._log.write(RequestUnserved(id=self._dialect.id_of(request), reason=reason.value))
+        without_answer = len(closed.unserved)
+        if closed.unanswered is not None and reason not in _LOGGED_BY_SHELL:
+            id = self._dialect.id_of(closed.unanswered)
+            self._log.write(RequestDropped(id=id, reason=reason.value))
+            without_answer += 1
+        if reason is not CloseReason.CALLER:
+            for _ in range(without_answer):
+                count_without_answer(self._metrics, reason=reason.value)
         self._metrics.count(
             name="connections_closed",
             help="Callers' connections that ended, by reason.",
-            reason=closed.reason.value,
+            reason=reason.value,
         )
 
     @property
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -52,6 +52,20 @@
     reason: str
 
 
+class RequestDropped(_RequestEntry, frozen=True, kw_only=True):
+    """This host closed the connection of a request before its answer was complete.
+
+    Answers that are broken off because the request failed are logged as `RequestFailed`.
+
+    Attributes:
+        reason: Why the connection closed.
+    """
+
+    sentence: ClassVar[str] = "Request dropped."
+    level: ClassVar[Level] = Level.ERROR
+    reason: str
+
+
 class RequestAdmitted(_RequestEntry, frozen=True, kw_only=True):
     """A request was admitted.
 
@@ -123,6 +137,23 @@
     events: int
 
 
+class TargetResumed(_RequestEntry, frozen=True, kw_only=True):
+    """An attempt's target was silent and has sent output again.
+
+    Attributes:
+        attempt: Its number.
+        target: The target.
+        seconds: How long it was silent.
+        events: The id of the last event that the caller has received.
+    """
+
+    sentence: ClassVar[str] = "Target resumed."
+    attempt: int
+    target: str
+    seconds: float
+    events: int
+
+
 class TargetLeaves(_RequestEntry, frozen=True, kw_only=True):
     """A target announced in an answer that it is about to leave.
 
--- a/src/azureswitch/gateway/_outcomes.py
+++ b/src/azureswitch/gateway/_outcomes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from azureswitch.exceptions import AzureswitchError
+from azureswitch.exceptions import AzureswitchError, CallerLeftError
 from azureswitch.gateway._log import RequestAnswered, RequestFailed
 from azureswitch.gateway._records import CallRecord
 from azureswitch.logs import Log
@@ -12,6 +12,20 @@
 """Histogram bucket bounds for stream pauses, in seconds; callers require 0.25 to 1."""
 
 
+def count_without_answer(metrics: Metrics, *, reason: str) -> None:
+    """Count a request that was read and that this host ends without a complete answer.
+
+    Args:
+        metrics: The metrics registry.
+        reason: The code of the failure that broke the answer off, or why the connection closed.
+    """
+    metrics.count(
+        name="requests_without_answer",
+        help="Requests that were read and that this host ended without a complete answer.",
+        reason=reason,
+    )
+
+
 class Outcomes:
     """Records the outcome of each request.
 
@@ -75,6 +89,8 @@
                 targets=",".join(record.targets),
             )
         )
+        if broken and not isinstance(error, CallerLeftError):
+            count_without_answer(self._metrics, reason=error.code)
         self._metrics.count(
             name="failures",
             help="Requests that failed after they were admitted, by route and failure.",
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -23,7 +23,7 @@
     TargetUnreachableError,
 )
 from azureswitch.gateway._answers import AnswerRelay, AttemptResult
-from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetSilent
+from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetResumed, TargetSilent
 from azureswitch.gateway._model import AnswerInfo, AttemptInfo, Helper, RouteKind
 from azureswitch.gateway._notices import TargetNotices
 from azureswitch.gateway._ports import Dialect
@@ -279,7 +279,9 @@
             permitted=lambda: self._find_evacuated(targets) is None,
         )
         timer = SilenceTimer(
-            seconds=effect.first_output_timeout, silent=lambda: self._silent(record, effect, dial)
+            seconds=effect.first_output_timeout,
+            silent=lambda: self._silent(record, effect, dial),
+            resumed=partial(self._resumed, record, effect),
         )
         with timer:
             async with stream as answer:
@@ -303,6 +305,18 @@
         )
         self._checks.spawn(self._report_silence(record, effect, dial), name=effect.call)
 
+    def _resumed(self, record: CallRecord, effect: StartAttempt, seconds: float) -> None:
+        """Log that a silent target has sent output again."""
+        self._log.write(
+            TargetResumed(
+                id=record.arrival.id,
+                attempt=effect.attempt,
+                target=effect.targets[0],
+                seconds=round(seconds, 3),
+                events=record.last_event,
+            )
+        )
+
     async def _report_silence(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> None:
         """Report silence to the reducer, which cancels the attempt if another one is possible."""
         newest = record.newest_event
@@ -348,7 +362,7 @@
             raise TargetAnswerError(target=target)
         if success and record.route.kind is RouteKind.STREAMING:
             return await self._answers.relay_stream(record, effect, answer, timer)
-        return await self._answers.relay_whole(record, effect, answer)
+        return await self._answers.relay_whole(record, effect, answer, timer)
 
     def _target_at(self, address: str | None, effect: StartAttempt) -> TargetName | None:
         """Return the attempt's target at an address, or None."""
--- a/src/azureswitch/gateway/_silence.py
+++ b/src/azureswitch/gateway/_silence.py
@@ -25,12 +25,22 @@
     Args:
         seconds: The timeout, or infinity.
         silent: The callback.  The timer restarts before each call, until the block is left.
+        resumed: Is called when a silent target sends output again, with the seconds of silence.
     """
 
-    def __init__(self, *, seconds: float, silent: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        *,
+        seconds: float,
+        silent: Callable[[], None],
+        resumed: Callable[[float], None] = lambda seconds: None,
+    ) -> None:
         self._seconds = seconds
         self._silent = silent
+        self._resumed = resumed
         self._timer: asyncio.Handle | None = None
+        self._begun = 0.0
+        self._is_silent = False
 
     def __enter__(self) -> "SilenceTimer":
         self.begin(self._seconds)
@@ -42,16 +52,23 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self.suspend()
+        self._stop()
 
     def begin(self, seconds: float) -> None:
         """Restart the timer with a new timeout in seconds."""
-        self.suspend()
+        self._stop()
         self._seconds = seconds
+        self._begun = asyncio.get_running_loop().time()
         self._wait(seconds)
 
     def suspend(self) -> None:
-        """Stop the timer until `begin` is called."""
+        """Stop the timer, as the target has sent output, until `begin` is called."""
+        self._stop()
+        if self._is_silent:
+            self._is_silent = False
+            self._resumed(asyncio.get_running_loop().time() - self._begun)
+
+    def _stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -71,4 +88,5 @@
 
     def _notify(self) -> None:
         self._wait(self._seconds)
+        self._is_silent = True
         self._silent()
