--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -13,6 +13,9 @@
 
 EVENTS = 5
 
+REFUSALS = 50
+"""Refusals, more than the retries of one request."""
+
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
     """Run a scenario to its end."""
@@ -43,3 +46,25 @@
                 assert len(bed.fleet.runs) == 2
 
         run(scenario)
+
+    @pytest.mark.parametrize(
+        "others",
+        [
+            (Act.REFUSE,) * REFUSALS,
+            (Act.FAIL,),
+            (Act.CROSS,),
+            (Act.BREAK,),
+            (Act.ENCODE,),
+        ],
+        ids=["refuse", "fail", "answer another request", "break off", "encode"],
+    )
+    def test_others_do_not_serve(self, others: tuple[Act, ...]) -> None:
+        """A begun answer is not given up before another target has gone on with it."""
+
+        async def scenario() -> None:
+            async with serve(acts=(Act.PAUSE, *others)) as bed:
+                bed.fleet.events, bed.fleet.silence = EVENTS, SILENCE
+                answer = await bed.ask("/ask/", headers=model_headers())
+                assert answer.body == whole_stream(EVENTS)
+
+        run(scenario)
