--- a/src/azureswitch/serving/_admission.py
+++ b/src/azureswitch/serving/_admission.py
@@ -17,13 +17,13 @@
 )
 from azureswitch.serving._cost import DURATION_MARGIN, Cost
 from azureswitch.serving._events import Call
-from azureswitch.serving._fleet import Pool
 from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._spreading import MAX_PARTS
 from azureswitch.serving._state import ServingState
 from azureswitch.serving._target import TargetState
 from azureswitch.serving._throttling import lane_for, limit_refusal
 from azureswitch.serving.evacuation._apply import count_in_use, is_evacuated, service_evacuated
+from azureswitch.serving.targets import Pool
 
 SHORT_QUEUE_SECONDS = 4.0
 """Maximum predicted queueing time of a short prompt; above it, the call is refused."""
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -1,17 +1,15 @@
 """The targets of the inventory, and the known state and load of each."""
 
-from collections.abc import Collection, Iterable, Mapping
-
-from msgspec import Struct
-from xxhash import xxh3_64_intdigest
+from collections.abc import Collection, Iterable
 
 from azureswitch.core import CallId, HostName, PlaceName, ServiceName, TargetName
-from azureswitch.inventory import EnginePace, Inventory, Target
+from azureswitch.inventory import Inventory
 from azureswitch.ports import LoadReport
 from azureswitch.serving._digests import Digest, TargetLoad
 from azureswitch.serving._events import HostSelf
 from azureswitch.serving._length import Level
 from azureswitch.serving._target import PeerLoad, Sent, TargetState, Work
+from azureswitch.serving.targets import Pool, group_pools
 
 REPORT_LAG_SECONDS = 0.25
 """Seconds by which the state in a load report may be older than its measured age."""
@@ -38,24 +36,6 @@
 """Seconds for which a target that a peer reports as suspect is avoided here too."""
 
 
-class Pool(Struct, frozen=True, kw_only=True):
-    """The targets that can serve the same calls.
-
-    Attributes:
-        service: The service.
-        model: The model; empty for plain services.
-        targets: Their names in an order that is the same on all hosts; the first take long prompts.
-        longest: The largest memory of one of them in tokens; zero for plain targets.
-        pace: The performance model of its engines, or None where none is published.
-    """
-
-    service: ServiceName
-    model: str
-    targets: tuple[TargetName, ...]
-    longest: int
-    pace: EnginePace | None = None
-
-
 class Fleet:
     """All targets of the inventory, and pools of those that serve the same calls.
 
@@ -100,7 +80,7 @@
         self._loaded &= states.keys()
         self._suspects = {n: until for n, until in self._suspects.items() if n in states}
         self._services = {service.name for service in inventory.services}
-        self._pools = _pools(inventory.targets, {s.name: s.pace for s in inventory.services})
+        self._pools = group_pools(inventory.targets, {s.name: s.pace for s in inventory.services})
 
     def _restart(self, targets: Collection[TargetName]) -> None:
         """Reset the state of targets, but keep the start in their last load reports as ended."""
@@ -379,30 +359,3 @@
             )
             for state in states
         )
-
-
-def ordered(names: Iterable[TargetName]) -> tuple[TargetName, ...]:
-    """Return targets in an order that depends only on their names.
-
-    A target that joins or leaves does not change the relative order of the others.
-    """
-    return tuple(sorted(names, key=lambda name: (xxh3_64_intdigest(name.encode()), name)))
-
-
-def _pools(
-    targets: Iterable[Target], paces: Mapping[ServiceName, EnginePace | None]
-) -> dict[tuple[ServiceName, str], Pool]:
-    members: dict[tuple[ServiceName, str], list[Target]] = {}
-    for target in targets:
-        for model in target.models or ("",):
-            members.setdefault((target.service, model), []).append(target)
-    return {
-        (service, model): Pool(
-            service=service,
-            model=model,
-            targets=ordered([target.name for target in group]),
-            longest=max(target.memory for target in group),
-            pace=paces.get(service),
-        )
-        for (service, model), group in members.items()
-    }
--- a/src/azureswitch/serving/_throttling.py
+++ b/src/azureswitch/serving/_throttling.py
@@ -8,12 +8,12 @@
 
 from azureswitch.exceptions import LimitReachedError, RefusedError, TargetsColdError
 from azureswitch.serving._events import Call
-from azureswitch.serving._fleet import Pool
 from azureswitch.serving._length import Level, level_of
 from azureswitch.serving._queue import Lane
 from azureswitch.serving._retries import max_queue_seconds
 from azureswitch.serving._state import ServingState
 from azureswitch.serving._target import TargetState
+from azureswitch.serving.targets import Pool
 
 MAX_ASKED_TARGETS = 4
 """Targets for which a host requests permits at once, if no other target can serve."""
--- a/src/azureswitch/serving/calls/_records.py
+++ b/src/azureswitch/serving/calls/_records.py
@@ -8,9 +8,9 @@
 from azureswitch.serving._cost import Cost
 from azureswitch.serving._digests import TargetStart
 from azureswitch.serving._events import Call
-from azureswitch.serving._fleet import Pool
 from azureswitch.serving._length import Level
 from azureswitch.serving._target import Work
+from azureswitch.serving.targets import Pool
 
 
 class Phase(Enum):
--- a/src/azureswitch/serving/evacuation/_apply.py
+++ b/src/azureswitch/serving/evacuation/_apply.py
@@ -8,11 +8,11 @@
 from azureswitch.exceptions import ServiceEvacuatedError
 from azureswitch.serving._effects import AnnounceEvacuation
 from azureswitch.serving._ending import run_step
-from azureswitch.serving._fleet import Pool
 from azureswitch.serving._state import ServingState
 from azureswitch.serving._termination import end_refused
 from azureswitch.serving.calls import CallRecord, Phase
 from azureswitch.serving.evacuation import EvacuationPhase
+from azureswitch.serving.targets import Pool
 
 RESTORED_SECONDS = 1.0
 """Minimum retry time for callers if all targets are evacuated.
