--- a/tests/gateway/test_ends_configurations.py
+++ b/tests/gateway/test_ends_configurations.py
@@ -122,7 +122,7 @@
     log: RecordingLog
     reservations: FakeReservations
 
-    async def ask(self, path: str, *, prompt: int = 1_000) -> HttpAnswer:
+    async def ask(self, path: str, *, id: str = "r1", prompt: int = 1_000) -> HttpAnswer:
         """Send a request and return its answer."""
         client = HttpClient(address=self.gateway.callers_address)
         model = model_headers(prompt=prompt) if path in STREAMS else ()
@@ -130,7 +130,7 @@
             return await client.request(
                 method="POST",
                 path=path,
-                headers=(*usual_headers("r1"), *model),
+                headers=(*usual_headers(id), *model),
                 body=b"body",
                 timeout=PATIENCE,
             )
