Send no body behind an answer to HEAD, nor one that has none, on streaming routes

Callers that asked by HEAD, or whose target answered 204, on a streaming route got "0 CRLF CRLF" behind the head, which on a kept connection stands before the next answer. respond() looked at the method and the status, begin(), write() and finish() did not; one rule serves both now.

--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -49,7 +49,7 @@
         self._connection = connection
         self._keep_alive = keep_alive
         self._started = False
-        self._chunked = False
+        self._bare = False
         self._over = False
         self._left: Callable[[], None] | None = None
 
@@ -76,30 +76,29 @@
         """Send a whole answer."""
         if self._over or self._started:
             return
-        has_body = status not in NO_BODY and status >= HTTPStatus.OK
-        length: Headers = (("content-length", str(len(body))),) if has_body else ()
+        length: Headers = (("content-length", str(len(body))),) if _has_body(status) else ()
         head = self._head(status=status, headers=(*headers, *length))
-        bare = self._request.method == "HEAD" or not has_body
-        self._connection.write(head if bare else head + body)
+        self._connection.write(head if self._is_bare(status) else head + body)
         self._end()
 
     def begin(self, *, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body follows in parts."""
         if self._over or self._started:
             return
-        self._chunked = True
-        framing: Headers = (("transfer-encoding", "chunked"),)
+        framing: Headers = (("transfer-encoding", "chunked"),) if _has_body(status) else ()
         self._connection.write(self._head(status=status, headers=(*headers, *framing)))
+        self._bare = self._is_bare(status)
 
     def write(self, data: bytes) -> None:
         """Send a part of the body."""
-        if not self._over and data:
+        if not self._over and not self._bare and data:
             self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def finish(self) -> None:
         """End an answer that was begun."""
         if not self._over:
-            self._connection.write(b"0\r\n\r\n")
+            if not self._bare:
+                self._connection.write(b"0\r\n\r\n")
             self._end()
 
     def abort(self, reason: CloseReason = CloseReason.BROKEN_OFF) -> None:
@@ -125,6 +124,10 @@
         if self._left is not None:
             self._left()
 
+    def _is_bare(self, status: int) -> bool:
+        """Return whether only the head of an answer is sent."""
+        return self._request.method == "HEAD" or not _has_body(status)
+
     def _head(self, *, status: int, headers: Headers) -> bytes:
         self._started = True
         if self._connection.closing:
@@ -142,6 +145,10 @@
         self._connection.answered(keep_alive=self._keep_alive)
 
 
+def _has_body(status: int) -> bool:
+    return status not in NO_BODY and status >= HTTPStatus.OK
+
+
 def _phrase(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
