Take an answer for begun only once its head is encoded

A caller whose answer's head could not be encoded waited for ever: the exchange counted as begun, so that the answer of the next attempt was dropped without a byte while the log said that the request was answered. Not reachable by targets' headers, which are decoded as latin-1. tests/gateway/test_ends_late.py::TestHead: 2 of 2 cases failed before, and pass.

--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -129,7 +129,6 @@
         return self._request.method == "HEAD" or not _has_body(status)
 
     def _head(self, *, status: int, headers: Headers) -> bytes:
-        self._started = True
         if self._connection.closing:
             self._keep_alive = False
         lines = [f"HTTP/1.1 {status} {_phrase(status)}"]
@@ -138,7 +137,10 @@
             lines.append("connection: close")
         elif seconds := self._connection.promise():
             lines.append(f"keep-alive: timeout={seconds}")
-        return "\r\n".join((*lines, "", "")).encode("latin-1")
+        head = "\r\n".join((*lines, "", "")).encode("latin-1")
+        # Only now: another answer may be sent in place of one whose head cannot be encoded.
+        self._started = True
+        return head
 
     def _end(self) -> None:
         self._over = True
