Count events of a stream once they are written

If the head of a stream could not be sent, its first events counted as received: the next attempt resumed behind them, and the caller got a stream that looked whole without them. The last event is noted behind the write now. tests/gateway/test_ends_late.py::TestEvents failed before, and passes.

--- a/src/azureswitch/gateway/_answers.py
+++ b/src/azureswitch/gateway/_answers.py
@@ -139,16 +139,18 @@
     ) -> None:
         """Relay the events that the caller has not received yet."""
         fresh = []
+        last_event = record.last_event
         for event in events:
-            if event.id is not None and event.id <= record.last_event:
+            if event.id is not None and event.id <= last_event:
                 continue
             fresh.append(event.data)
-            record.last_event = record.last_event if event.id is None else event.id
+            last_event = last_event if event.id is None else event.id
         if not fresh:
             return
         if not record.exchange.started:
             record.exchange.begin(status=head.status, headers=self._dialect.answer(head))
         record.exchange.write(b"".join(fresh))
+        record.last_event = last_event
         self._record_event(record, effect)
 
     def _record_event(self, record: CallRecord, effect: StartAttempt) -> None:
