Report the end of an attempt whatever becomes of its log lines

A request whose line `Attempt sent.` or `Attempt over.` could not be written stayed open until its deadline: the line was written before the attempt's own failure handling, or before its end was told to the reducer. The first line belongs to what is handled now, and the end is told whatever the second one does.

--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -23,7 +23,7 @@
     TargetUnreachableError,
 )
 from azureswitch.gateway._answers import AnswerRelay, AttemptResult
-from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetResumed, TargetSilent
+from azureswitch.gateway._attempt_log import AttemptLog
 from azureswitch.gateway._model import AnswerInfo, AttemptInfo, Helper, RouteKind
 from azureswitch.gateway._notices import TargetNotices
 from azureswitch.gateway._ports import Dialect
@@ -87,7 +87,7 @@
         self._notices = notices
         self._evacuated = evacuated
         self._dispatch = dispatch
-        self._log = log
+        self._log = AttemptLog(log=log, clock=clock)
         self._clock = clock
         self._checks = Tasks(prefix="relay")
         self._answers = AnswerRelay(dialect=dialect, dispatch=dispatch, clock=clock)
@@ -97,29 +97,17 @@
         self._answers.respond(record, whole)
 
     async def run(self, record: CallRecord, effect: StartAttempt) -> None:
-        """Run an attempt to its end and report the result to the reducer."""
+        """Run an attempt to its end and report the result to the reducer, whatever it raises."""
         name = effect.targets[0]
         record.targets.append(name)
         record.sent_at[effect.attempt] = self._clock()
-        self._log.write(
-            AttemptSent(
-                id=record.arrival.id,
-                attempt=effect.attempt,
-                targets=",".join(effect.targets),
-                held=sum(effect.reserved),
-                predicted=round(effect.first_token, 3),
-                peers=effect.known_peers,
-                held_back=effect.held_back,
-                evacuated=effect.evacuated,
-                after=record.last_event,
-            )
-        )
         dial = self._paths.dial(
             request=record.arrival.id,
             seconds=effect.timeout + ANSWER_GRACE_SECONDS,
             repeatable=record.call.repeatable,
         )
         try:
+            self._log.sent(record, effect)
             end = await self._attempt(record, effect, dial)
         except asyncio.CancelledError:
             self._end(record, effect, AttemptResult(how=AttemptEnd.CANCELLED), dial)
@@ -164,33 +152,21 @@
         self, record: CallRecord, effect: StartAttempt, end: AttemptResult, dial: Dial
     ) -> None:
         record.tasks.pop(effect.attempt, None)
-        self._log.write(
-            AttemptOver(
-                id=record.arrival.id,
-                attempt=effect.attempt,
-                end=end.how.value,
-                error="" if end.error is None else end.error.code,
-                status=end.status,
-                at_fault=end.at_fault or "",
-                begun=effect.attempt in record.begun,
-                not_sent="" if end.not_sent is None else end.not_sent.value,
-                via=dial.peer,
-                seconds=round(self._clock() - record.sent_at[effect.attempt], 3),
-                events=record.last_event,
-            )
-        )
-        self._dispatch(
-            AttemptEnded(
-                now=self._clock(),
-                call=effect.call,
-                attempt=effect.attempt,
-                end=end.how,
-                tokens=record.last_event,
-                retry_after=end.retry_after,
-                error=end.error,
-                at_fault=end.at_fault,
+        try:
+            self._log.over(record, effect, end, via=dial.peer)
+        finally:
+            self._dispatch(
+                AttemptEnded(
+                    now=self._clock(),
+                    call=effect.call,
+                    attempt=effect.attempt,
+                    end=end.how,
+                    tokens=record.last_event,
+                    retry_after=end.retry_after,
+                    error=end.error,
+                    at_fault=end.at_fault,
+                )
             )
-        )
 
     async def _reserve_and_send(
         self, record: CallRecord, effect: StartAttempt, dial: Dial
@@ -281,7 +257,7 @@
         timer = SilenceTimer(
             seconds=effect.first_output_timeout,
             silent=lambda: self._silent(record, effect, dial),
-            resumed=partial(self._resumed, record, effect),
+            resumed=partial(self._log.resumed, record, effect),
         )
         with timer:
             async with stream as answer:
@@ -294,29 +270,9 @@
 
     def _silent(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> None:
         """Find out whether the target or its path is silent, and report it to the reducer."""
-        self._log.write(
-            TargetSilent(
-                id=record.arrival.id,
-                attempt=effect.attempt,
-                target=effect.targets[0],
-                seconds=round(self._clock() - record.sent_at[effect.attempt], 3),
-                events=record.last_event,
-            )
-        )
+        self._log.silent(record, effect)
         self._checks.spawn(self._report_silence(record, effect, dial), name=effect.call)
 
-    def _resumed(self, record: CallRecord, effect: StartAttempt, seconds: float) -> None:
-        """Log that a silent target has sent output again."""
-        self._log.write(
-            TargetResumed(
-                id=record.arrival.id,
-                attempt=effect.attempt,
-                target=effect.targets[0],
-                seconds=round(seconds, 3),
-                events=record.last_event,
-            )
-        )
-
     async def _report_silence(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> None:
         """Report silence to the reducer, which cancels the attempt if another one is possible."""
         newest = record.newest_event
