Answer each request at its deadline, also one that the reducer has lost

A request whose end was among the effects of an event that raised afterwards was dropped by the reducer and kept by the host: its caller waited for ever, past the deadline, and no line said so. Requests for permits, the one step outside, are contained like the others; and at its deadline a request that is still open is answered and logged, whatever the reducer knows of it.

--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -9,8 +9,9 @@
 from azureswitch.client import HttpHead
 from azureswitch.clock import elapsed, suspended, until_step
 from azureswitch.core import CallId, CustomerName, Effect, TargetName
-from azureswitch.exceptions import AzureswitchError
+from azureswitch.exceptions import AzureswitchError, DeadlineExceededError
 from azureswitch.gateway._announced import announcement
+from azureswitch.gateway._deadlines import Deadlines
 from azureswitch.gateway._failures import respond_failure
 from azureswitch.gateway._log import (
     HostSuspended,
@@ -63,9 +64,6 @@
 MIN_SUSPENSION_SECONDS = 0.05
 """Shortest suspension that is logged, in seconds; the two clocks are not read simultaneously."""
 
-TIMER_SLACK_SECONDS = 0.001
-"""Seconds added to a deadline timer, so that it does not fire just before the deadline."""
-
 
 class Shell:
     """Runs the serving reducer of one gateway.
@@ -119,7 +117,7 @@
         self._records: dict[CallId, CallRecord] = {}
         self._loop = Loop(state=state, run=self._run)
         self._tasks = Tasks(prefix="gateway")
-        self._deadlines: dict[CallId, asyncio.TimerHandle] = {}
+        self._deadlines = Deadlines(reached=self._deadline_reached)
         self._lag = 0.0
 
     @property
@@ -193,9 +191,7 @@
             return False
         self._records[call] = record
         record.exchange.on_left(lambda: self._caller_left(call))
-        seconds = max(0.0, self._state.ends_at(record.call) - self.now) + TIMER_SLACK_SECONDS
-        due = asyncio.get_running_loop().call_later(seconds, self._deadline_reached, call)
-        self._deadlines[call] = due
+        self._deadlines.set(call, seconds=self._state.ends_at(record.call) - self.now)
         if self._loop.busy:
             # Dispatched inside another request's event, an error of this request would be raised to
             # the source of that event and leave this one open (5 s without an answer, seen on
@@ -296,9 +292,17 @@
             )
 
     def _deadline_reached(self, call: CallId) -> None:
-        """Tick at a request's deadline instead of waiting for the next periodic tick."""
-        self._deadlines.pop(call, None)
-        self.dispatch(Ticked(now=self.now))
+        """Tick at a request's deadline instead of waiting for the next periodic tick.
+
+        The caller is answered even where the reducer does not know the request any more.
+        """
+        try:
+            self.dispatch(Ticked(now=self.now))
+        finally:
+            record = self._records.get(call)
+            if record is not None:
+                logging.error("gateway: Request %s was still open at its deadline.", call)
+                self._run(FinishCall(call=call, error=DeadlineExceededError()))
 
     def _caller_left(self, call: CallId) -> None:
         self.dispatch(CallerLeft(now=self.now, call=call))
@@ -325,9 +329,7 @@
     @_run.register
     def _(self, effect: FinishCall) -> None:
         record = self._records.pop(effect.call, None)
-        due = self._deadlines.pop(effect.call, None)
-        if due is not None:
-            due.cancel()
+        self._deadlines.discard(effect.call)
         if record is None:
             return
         if effect.error is not None and not record.exchange.over:
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -100,7 +100,9 @@
         effects += run_isolated(
             partial(begin_quarantines, state, now=event.now), name="Starting quarantines"
         )
-    effects += request_permits(state, now=event.now)
+    effects += run_isolated(
+        partial(request_permits, state, now=event.now), name="Requesting permits"
+    )
     if state.ledger.changed or state.crashes.changed or state.limits.has_unreported:
         effects = [
             *effects,
--- a/tests/gateway/test_ends_late.py
+++ b/tests/gateway/test_ends_late.py
@@ -1,5 +1,6 @@
 """Faults after which a caller would wait in vain for its answer."""
 
+import asyncio
 from http import HTTPStatus
 from time import monotonic
 from typing import Any
@@ -108,3 +109,22 @@
                 assert monotonic() - begun < SOON_SECONDS
 
         run(scenario)
+
+
+class TestDeadline:
+    """A request that the reducer does not know of any more."""
+
+    def test_answered(self) -> None:
+        """Its caller is answered at the deadline."""
+
+        async def scenario() -> None:
+            async with serve(acts=(Act.HANG,)) as bed:
+                asking = asyncio.create_task(ask(bed, "/read/"))
+                await reach(lambda: bed.gateway.shell.open_calls == 1)
+                bed.gateway.shell._state.calls.clear()
+                answer = await asking
+                assert answer is not None
+                assert answer.head.status == HTTPStatus.GATEWAY_TIMEOUT
+                assert not bed.gateway.shell.open_calls
+
+        run(scenario)
