Let go of the requests of a closed connection whatever its report raises

If the line or the count of a connection that had ended raised, the request on it went on at its target with nobody to answer. The report and each release are contained by themselves now. tests/server/test_ends_faults.py: its case failed before, and passes.

--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -159,16 +159,15 @@
         self._writable.set()
         current, waiting = self._current, tuple(self._waiting)
         self._waiting.clear()
-        self._closed(
-            ConnectionClosed(
-                reason=self._reason,
-                unserved=tuple(exchange.request for exchange in waiting),
-                unanswered=None if current is None else current.request,
-            )
+        closed = ConnectionClosed(
+            reason=self._reason,
+            unserved=tuple(exchange.request for exchange in waiting),
+            unanswered=None if current is None else current.request,
         )
+        self._handover.contain(lambda: self._closed(closed), step="Reporting a closed connection")
         for exchange in (current, *waiting):
             if exchange is not None:
-                exchange.leave()
+                self._handover.contain(exchange.leave, step="Letting go of a request")
 
     def pause_writing(self) -> None:
         """Hold back what is sent, as the caller does not read."""
--- a/src/azureswitch/server/_handover.py
+++ b/src/azureswitch/server/_handover.py
@@ -1,5 +1,7 @@
 """Hands requests to a handler, which may fail."""
 
+from collections.abc import Callable
+
 from absl import logging
 
 from azureswitch.exceptions import AzureswitchError
@@ -35,12 +37,16 @@
             # A connection whose answer we cannot give ends, rather than hang.
             exchange.abort(CloseReason.FAULT)
 
+    def contain(self, act: Callable[[], None], *, step: str) -> None:
+        """Run a step, and log an exception that it raises, so that those behind it are run."""
+        try:
+            act()
+        except Exception:
+            logging.exception("server: %s failed.", step)
+
     def _fail(self, exchange: Exchange) -> None:
         """Tell a caller that its request may have run, and the handler that it is over."""
         if not exchange.started:
             self.refuse(exchange, AzureswitchError())
         exchange.abort(CloseReason.FAULT)
-        try:
-            exchange.release()
-        except Exception:
-            logging.exception("server: Release of %s failed.", exchange.request.target)
+        self.contain(exchange.release, step=f"Release of {exchange.request.target}")
