Keep no targets for waiting requests whose service has none any more

A request that waited while a configuration gave its service's targets to another service could be sent to them: the pool that it had was kept by its targets' names, which then belonged to the other one. It keeps its service and no targets now, and is refused as not run if none comes. Found by the table of all ends; tests/serving/test_renamed_services.py failed before (two attempts in place of one), and passes.

--- a/src/azureswitch/serving/_state.py
+++ b/src/azureswitch/serving/_state.py
@@ -273,11 +273,14 @@
             self._costs.restart(target)
 
     def _renew_pools(self) -> None:
-        """Update the pools of open calls, whose targets may have left the inventory."""
+        """Update the pools of open calls, whose targets may have left the inventory.
+
+        A service that has no targets now keeps none: theirs may serve another one.
+        """
         for record in self._calls.values():
             call = record.call
             pool = self._fleet.pool(service=call.service, model=call.model)
-            record.pool = pool or record.pool
+            record.pool = pool or replace(record.pool, targets=())
 
     def close(self, *, now: float) -> None:
         """Accept no new calls; open ones continue until their deadline and may be retried."""
