Keep an attempt at a restarted or unreachable target until another target has room

A stream that one attempt had begun, and whose next attempt waited at a target that the list then showed as restarted, was broken off half a second later where no target took new work: the attempt was cancelled before another one was certain. It is kept now unless the call would be sent at once; the same holds where a target answers no polls. Same class as silence. tests/gateway/test_ends_restarts.py: TestBegun::test_waits failed before, and passes; tests/serving on failover, starts, attempts, evacuations and isolation pass.

--- a/src/azureswitch/serving/_failover.py
+++ b/src/azureswitch/serving/_failover.py
@@ -15,7 +15,7 @@
 from azureswitch.serving._state import ServingState
 from azureswitch.serving.calls import CallRecord
 from azureswitch.serving.evacuation._apply import is_evacuated
-from azureswitch.serving.silence._beside import may_follow
+from azureswitch.serving.silence._beside import choose_other, may_follow
 
 FULL_SECONDS = 1.0
 """Seconds for which an engine gets no new work if requests wait there for memory."""
@@ -24,8 +24,8 @@
 def leave_unreachable(state: ServingState, target: TargetName, *, now: float) -> list[Effect]:
     """Move attempts off a target that no longer answers polls.
 
-    A call stays if it may not be repeated, if no further attempt is permitted, or if it has no
-    other healthy target: its answer may still arrive.
+    A call stays if it may not be repeated, if no further attempt is permitted, or if no other
+    healthy target has room for it: its answer may still arrive.
     """
     return _for_each(state, partial(_lose, target=target), now=now)
 
@@ -38,6 +38,8 @@
         return []
     if not _has_other(state, record, target, now=now):
         return []
+    if choose_other(state, record, now=now) is None:
+        return []
     record.failed.add(target)
     effects = [effect for number in at for effect in cancel(state, record, number)]
     if record.attempts:
@@ -50,8 +52,8 @@
 ) -> list[Effect]:
     """Replace attempts at targets that have restarted by new ones, there or elsewhere.
 
-    A call stays if it may not be repeated, if no further attempt is permitted, or if its answer has
-    begun.  The state of its connection then decides, whenever the restart became known: the
+    A call stays if it may not be repeated, if no further attempt is permitted, if no target has room
+    for it, or if its answer has begun.  The state of its connection then decides, whenever the restart became known: the
     connection to a process that has ended breaks at once.  If a slow or unavailable store delayed
     the notice of the restart, the attempt may have reached the new process, whose answer arrives.
     Only the connection to a machine that is gone stays silent, which is handled like any other
@@ -73,8 +75,8 @@
     others = len(record.attempts) > len(lost)
     if not others and not may_follow(state, record, now=now, runs=len(lost)):
         return []
-    if not others and is_evacuated(state, record.pool, now=now):
-        # No other target may take the call, and the attempt may be running at the new process.
+    if not others and choose_other(state, record, now=now) is None:
+        # The attempt may be running at the new process.
         return []
     effects = [effect for number in lost for effect in cancel(state, record, number)]
     if others:
--- a/src/azureswitch/serving/silence/_beside.py
+++ b/src/azureswitch/serving/silence/_beside.py
@@ -37,7 +37,7 @@
         return []
     if not may_follow(state, record, now=now, runs=len(running)):
         return []
-    choice = _choose_other(state, record, now=now)
+    choice = choose_other(state, record, now=now)
     if choice is None:
         return []
     record.retry_count += 1
@@ -57,7 +57,7 @@
     return []
 
 
-def _choose_other(state: ServingState, record: CallRecord, *, now: float) -> Choice | None:
+def choose_other(state: ServingState, record: CallRecord, *, now: float) -> Choice | None:
     """Return where a call would be sent at once beside its attempts, or None for nowhere.
 
     The targets of its attempts are left out, but for those that have restarted since.
