Renew the memory of each engine by itself, and soon after a renewal that failed

An engine that is silent for one renewal, which takes 0.6 s to fail, was renewed 3.4 s after the last sound one, with a lease of 3.5 s, and all other engines of the prompt waited with it: a sound engine that is silent for a second, before a host that is 0.1 s late, lost the memory and ended a stream that had begun. An exception that is not the engine's ended all renewals with no line in the log.

Each ticket is renewed by a task of its own now, again 0.2 s after a failure of any kind; an engine may be silent from just before one renewal for 2 s. tests/gateway/test_ends_tickets.py: test_in_time and test_next_one[of ours] failed before, and pass.

--- a/src/azureswitch/gateway/_tickets.py
+++ b/src/azureswitch/gateway/_tickets.py
@@ -21,8 +21,13 @@
 """Lease duration in seconds; memory must be free 4 s after its last use."""
 
 RENEW_SECONDS = 1.4
-"""Seconds between renewals; one renewal may be lost."""
+"""Seconds between renewals."""
 
+RENEW_AGAIN_SECONDS = 0.2
+"""Seconds after a failed renewal until the next one.
+
+An engine may be silent for two seconds and go on; its memory must be renewed before the lease ends.
+"""
 
 RELEASE_SECONDS = 0.2
 """Maximum wait in seconds for memory of earlier attempts of the same call to be released."""
@@ -97,18 +102,18 @@
         if not wanted:
             yield
             return
-        renewals: asyncio.Task[None] | None = None
+        renewals: list[asyncio.Task[None]] = []
         self._held += len(wanted)
         try:
             await self._wait_for_releases(call)
             check()
             await self._reserve(wanted)
-            renewals = asyncio.create_task(self._renew(wanted))
+            renewals += [asyncio.create_task(self._renew(ticket)) for ticket in wanted]
             yield
         finally:
             self._held -= len(wanted)
-            if renewals is not None:
-                renewals.cancel()
+            for renewal in renewals:
+                renewal.cancel()
             # In the background, since the block may be left by cancellation of its task.
             self._release_in_background(wanted, call=call)
 
@@ -141,14 +146,25 @@
             address=ticket.address, ticket=ticket.id, tokens=ticket.tokens, seconds=HOLD_SECONDS
         )
 
-    async def _renew(self, tickets: tuple[Ticket, ...]) -> None:
+    async def _renew(self, ticket: Ticket) -> None:
+        """Renew a reservation until cancelled; one that fails is repeated soon."""
+        pause = RENEW_SECONDS
         while True:
-            await asyncio.sleep(RENEW_SECONDS)
-            try:
-                await self._reserve(tuple(filter(self._is_held, tickets)))
-            except TargetError as error:
-                # The next renewal is still in time; if it fails too, the engine ends the request.
-                logging.warning("tickets: Memory was not renewed: %s", error)
+            await asyncio.sleep(pause)
+            renewed = not self._is_held(ticket) or await self._renew_once(ticket)
+            pause = RENEW_SECONDS if renewed else RENEW_AGAIN_SECONDS
+
+    async def _renew_once(self, ticket: Ticket) -> bool:
+        """Renew a reservation once and return whether the engine confirmed it."""
+        try:
+            await self._reserve_one(ticket)
+        except TargetError as error:
+            logging.warning("tickets: Memory was not renewed: %s", error)
+        except Exception:
+            logging.exception("tickets: Renewing ticket %s failed.", ticket.id)
+        else:
+            return True
+        return False
 
     def _is_held(self, ticket: Ticket) -> bool:
         """Return whether an engine may still hold a ticket.
--- a/tests/gateway/test_ends_tickets.py
+++ b/tests/gateway/test_ends_tickets.py
@@ -8,7 +8,13 @@
 from azureswitch.core import CallId, TargetName
 from azureswitch.exceptions import TargetBrokenError
 from azureswitch.gateway import _tickets
-from azureswitch.gateway._tickets import HOLD_SECONDS, RENEW_SECONDS, Ticket, Tickets
+from azureswitch.gateway._tickets import (
+    HOLD_SECONDS,
+    RENEW_AGAIN_SECONDS,
+    RENEW_SECONDS,
+    Ticket,
+    Tickets,
+)
 from azureswitch.platform._orders import ORDER_TIMEOUT_SECONDS
 from tests.gateway.fixtures import FakeReservations
 from tests.gateway.test_gateway import run
@@ -68,6 +74,7 @@
     def test_in_time(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """After one that went unanswered, the next leaves a tenth of the lease to a slow host."""
         monkeypatch.setattr(_tickets, "RENEW_SECONDS", RENEW_SECONDS * SCALE)
+        monkeypatch.setattr(_tickets, "RENEW_AGAIN_SECONDS", RENEW_AGAIN_SECONDS * SCALE)
 
         async def scenario() -> None:
             reservations = UnreliableReservations(
