Measure how long a request may take to arrive by the limits in force

A body or head that was half read under a short limit was refused with 408 by the timer of that limit, though a later configuration had raised it.

--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -55,6 +55,7 @@
         self._waiting: deque[Exchange] = deque()
         self._advancing = False
         self._held = False
+        self._reading_since = self._loop.time()
         self._idleness = Idleness(limits=lambda: handler.limits, clock=self._loop.time)
         self._unsent_before = 0
         self._writable = asyncio.Event()
@@ -229,15 +230,24 @@
 
     def _time_reading(self) -> None:
         """Begin to wait for more of a request; parts of a body may be as far apart as requests."""
-        limits = self._handler.limits
-        if self._reader.stage is Stage.HEAD:
-            self._timer.set(limits.header_seconds, self._timed_out)
-        elif self._reader.stage is Stage.BODY:
-            self._timer.set(limits.idle_seconds, self._timed_out)
-        else:
+        self._reading_since = self._loop.time()
+        if self._reader.stage is Stage.NONE:
             self._timer.stop()
+        else:
+            self._timer.set(self._reading_seconds, self._timed_out)
+
+    @property
+    def _reading_seconds(self) -> float:
+        """Seconds for which more of a request may be awaited, by the limits of this moment."""
+        limits = self._handler.limits
+        return limits.header_seconds if self._reader.stage is Stage.HEAD else limits.idle_seconds
 
     def _timed_out(self) -> None:
+        left = self._reading_since + self._reading_seconds - self._loop.time()
+        if left > 0.0:
+            # The limit has risen since the timer was set.
+            self._timer.set(left, self._timed_out)
+            return
         self._reader.refuse(CallerTooSlowError(limit=self._handler.limits.header_seconds))
         self._advance()
 
