--- a/src/azureswitch/serving/_failover.py
+++ b/src/azureswitch/serving/_failover.py
@@ -52,12 +52,13 @@
 ) -> list[Effect]:
     """Replace attempts at targets that have restarted by new ones, there or elsewhere.
 
-    A call stays if it may not be repeated, if no further attempt is permitted, if no target has room
-    for it, or if its answer has begun.  The state of its connection then decides, whenever the restart became known: the
-    connection to a process that has ended breaks at once.  If a slow or unavailable store delayed
-    the notice of the restart, the attempt may have reached the new process, whose answer arrives.
-    Only the connection to a machine that is gone stays silent, which is handled like any other
-    silence; a call that may not be repeated then ends at its deadline.
+    A call stays if it may not be repeated, if no further attempt is permitted, if no target has
+    room for it, or if its answer has begun.  The state of its connection then decides, whenever the
+    restart became known: the connection to a process that has ended breaks at once.  If a slow or
+    unavailable store delayed the notice of the restart, the attempt may have reached the new
+    process, whose answer arrives.  Only the connection to a machine that is gone stays silent,
+    which is handled like any other silence; a call that may not be repeated then ends at its
+    deadline.
     """
     return _for_each(state, partial(_resend, targets=targets), now=now)
 
