--- a/src/azureswitch/serving/_penalties.py
+++ b/src/azureswitch/serving/_penalties.py
@@ -36,6 +36,9 @@
 PATIENCE_FACTOR = 4.0
 """Multiple of its first-token objective after which a caller disconnects, above that minimum."""
 
+PAUSE_PATIENCE_FACTOR = 8.0
+"""Multiple of its pause objective after which a caller disconnects, above that minimum."""
+
 SAFE_PATIENCE_SHARE = 0.5
 """Share of the time until the caller disconnects up to which a first token carries no risk."""
 
@@ -98,6 +101,15 @@
         )
 
 
+def patience_seconds(call: Call) -> float:
+    """Return the seconds without output after which the caller of a stream disconnects."""
+    return max(
+        MIN_PATIENCE_SECONDS,
+        PATIENCE_FACTOR * call.objective,
+        PAUSE_PATIENCE_FACTOR * call.gap_objective,
+    )
+
+
 def lateness_cost(call: Call, first: float, *, now: float) -> float:
     """Return the expected loss from a late first token, as a share of a call's credit and work."""
     left = min(call.deadline - now, max(MIN_PATIENCE_SECONDS, PATIENCE_FACTOR * call.objective))
--- a/src/azureswitch/serving/calls/_records.py
+++ b/src/azureswitch/serving/calls/_records.py
@@ -34,6 +34,7 @@
         priority: Its priority; smaller runs first.
         alone: Whether its target had no other work.
         start: The start of its first target when it was sent, or zero where it is unknown.
+        heard_at: When it was sent, or its latest output arrived.
         first_token: When its first token arrived, or None.
         continued: Whether its output has continued for `ONSET_SECONDS`.
         silent: Whether its target was found silent and has sent no output since.
@@ -47,6 +48,7 @@
     cached_tokens: int
     priority: int
     alone: bool
+    heard_at: float
     start: int = 0
     first_token: float | None = None
     continued: bool = False
--- a/src/azureswitch/serving/silence/_apply.py
+++ b/src/azureswitch/serving/silence/_apply.py
@@ -42,6 +42,7 @@
 
     What was concluded from a silence of its target is taken back.
     """
+    attempt.heard_at = now
     if attempt.silent:
         attempt.silent = False
         target = attempt.targets[0]
--- a/src/azureswitch/serving/silence/_beside.py
+++ b/src/azureswitch/serving/silence/_beside.py
@@ -5,6 +5,7 @@
 from azureswitch.serving._dispatch import lane_of, start_attempt
 from azureswitch.serving._effects import Observation
 from azureswitch.serving._ending import observe
+from azureswitch.serving._penalties import patience_seconds
 from azureswitch.serving._retries import MAX_RETRIES, max_backoff, retry_delay
 from azureswitch.serving._routing import choose
 from azureswitch.serving._state import ServingState
@@ -38,13 +39,19 @@
     if not may_follow(state, record, now=now, runs=len(running)):
         return []
     choice = choose_other(state, record, now=now)
-    if choice is None:
+    if choice is None or _comes_too_late(record, choice, now=now):
         return []
     record.retry_count += 1
     state.retries.take()
     return [observe(record, Observation.RETRIED), *start_attempt(state, record, choice, now=now)]
 
 
+def _comes_too_late(record: CallRecord, choice: Choice, *, now: float) -> bool:
+    """Return whether the caller would probably leave before the first output of an attempt."""
+    heard_at = max(attempt.heard_at for attempt in record.attempts.values())
+    return now - heard_at + choice.first_token > patience_seconds(record.call)
+
+
 def retry_beside(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
     """Start a further attempt beside silent ones after another one has failed.
 
--- a/tests/serving/test_silence.py
+++ b/tests/serving/test_silence.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 from math import ceil
+from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from azureswitch.core import CallId, HostName
 from azureswitch.exceptions import DeadlineExceededError, TargetRefusedError
@@ -22,8 +24,10 @@
     ShutdownBegan,
     StartAttempt,
 )
+from azureswitch.serving._choice import Choice
 from azureswitch.serving._dispatch import lane_of
 from azureswitch.serving._retries import MAX_RETRIES
+from azureswitch.serving.silence import _beside
 from tests.serving.fixtures import (
     CUSTOMERS,
     Driver,
@@ -246,3 +250,28 @@
     while budget.take():
         taken += 1
     return taken
+
+
+class TestPatience:
+    """A second attempt is worth its run only if it can answer before the caller leaves."""
+
+    @pytest.mark.parametrize(
+        ("silent", "predicted", "started"),
+        [(1.2, 0.5, True), (1.2, 0.9, False), (0.8, 1.1, True), (0.8, 1.3, False)],
+    )
+    def test_predicted_first_token(
+        self, silent: float, predicted: float, started: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """It is started if silence and prediction together are within the caller's patience."""
+        driver = sent(model_call("c1", runs=2, objective=0.3, gap_objective=0.25))
+        choose = _beside.choose
+
+        def predict(*args: Any, **more: Any) -> Choice:
+            return replace(choose(*args, **more), first_token=predicted)
+
+        monkeypatch.setattr(_beside, "choose", predict)
+        driver.now += 1.0
+        driver.send(FirstTokenArrived(now=driver.now, call=CALL, attempt=1))
+        driver.now += silent
+        effects = silence(driver)
+        assert bool(only(StartAttempt, effects)) is started  # type: ignore[arg-type]
