Split the model of the stand-in engine into modules of one job each

Two pieces of logic stood twice and now serve both places: PriorityQueue orders waiting attempts and the batch's prefills, and RecentSet remembers ended attempts and released holdings.

No behaviour changes.

--- a/src/azureswitch_standins/engine/_batch.py
+++ b/src/azureswitch_standins/engine/_batch.py
@@ -4,10 +4,10 @@
 not with tokens.
 """
 
-from bisect import insort
 from heapq import heappop, heappush
 from math import inf
 
+from azureswitch_standins.engine._queue import PriorityQueue
 from azureswitch_standins.engine._settings import CostModel
 
 _DONE = 1e-9
@@ -61,7 +61,7 @@
 
     def __init__(self, *, cost: CostModel) -> None:
         self._cost = cost
-        self._prefills: list[tuple[int, int, Job]] = []
+        self._prefills: PriorityQueue[Job] = PriorityQueue()
         self._ends: list[tuple[int, int, Job]] = []
         self._sequences = 0
         self._decoding = 0
@@ -95,7 +95,7 @@
 
     def add(self, job: Job) -> None:
         """Take a job into the batch; it counts from the next plan on."""
-        insort(self._prefills, (job.priority, job.order, job))
+        self._prefills.add(job)
         self._sequences += job.output > 0
 
     def remove(self, job: Job) -> None:
@@ -104,7 +104,7 @@
             return
         job.alive = False
         if job.joined < 0:
-            self._prefills.remove((job.priority, job.order, job))
+            self._prefills.remove(job)
             self._sequences -= job.output > 0
         else:
             self._leave(job)
@@ -113,9 +113,7 @@
         """Change a job's priority; decoding jobs are not affected."""
         if job.joined >= 0:
             return
-        self._prefills.remove((job.priority, job.order, job))
-        job.priority = priority
-        insort(self._prefills, (job.priority, job.order, job))
+        self._prefills.prioritize(job, priority)
 
     def produced(self, job: Job, now: float) -> int:
         """Return how many tokens a job has given."""
@@ -156,7 +154,7 @@
         finished = self._finished()
         prefilled = [job for job, _ in shares if job.alive and job.left <= _DONE]
         for job in prefilled:
-            self._prefills.remove((job.priority, job.order, job))
+            self._prefills.remove(job)
             self._join(job)
         finished += [job for job in prefilled if job.output == 1]
         for job in finished:
@@ -181,7 +179,7 @@
     def _share(self) -> None:
         budget = self._cost.chunk
         self._shares = []
-        for _, _, job in self._prefills:
+        for job in self._prefills:
             share = min(job.left, budget)
             self._shares.append((job, share))
             budget -= share
--- a/src/azureswitch_standins/engine/_kv.py
+++ b/src/azureswitch_standins/engine/_kv.py
@@ -6,6 +6,7 @@
 from azureswitch.core import CallId
 from azureswitch.ports import Holding, HoldingKind
 from azureswitch_standins.engine._errors import HoldingError
+from azureswitch_standins.engine._recent import RecentSet
 
 _RELEASED_LIMIT = 4_096
 """Ids of released holdings that are remembered, so that a late repeat does not hold again."""
@@ -31,7 +32,7 @@
     def __init__(self) -> None:
         self._held: dict[str, Holding] = {}
         self._spans: dict[str, Span] = {}
-        self._released: dict[str, None] = {}
+        self._released: RecentSet[str] = RecentSet(limit=_RELEASED_LIMIT)
         self._tokens = 0
 
     @property
@@ -109,9 +110,7 @@
         if found is not None:
             self._tokens -= found.tokens
         self._spans.pop(holding, None)
-        self._released[holding] = None
-        if len(self._released) > _RELEASED_LIMIT:
-            del self._released[next(iter(self._released))]
+        self._released.add(holding)
 
     def reserved(self, call: CallId, attempt: int) -> Holding | None:
         """Return the unfilled reservation that an attempt may run in."""
--- a/src/azureswitch_standins/engine/_live.py
+++ b/src/azureswitch_standins/engine/_live.py
@@ -5,7 +5,7 @@
 from math import isfinite
 
 from azureswitch_standins.engine._errors import HoldingError
-from azureswitch_standins.engine._model import EngineModel, Key
+from azureswitch_standins.engine._model import EngineModel
 from azureswitch_standins.engine._outputs import (
     Failed,
     Finished,
@@ -17,6 +17,7 @@
 from azureswitch_standins.engine._settings import EngineSettings
 from azureswitch_standins.engine._streams import EngineCounters, LiveStream
 from azureswitch_standins.engine._wire import EventEncoder
+from azureswitch_standins.engine._work import Key
 
 _FINEST_WAKE = 0.002
 """Seconds between two looks at the model, at least."""
--- a/src/azureswitch_standins/engine/_reading.py
+++ b/src/azureswitch_standins/engine/_reading.py
@@ -17,8 +17,8 @@
 from azureswitch_standins._web import route_value
 from azureswitch_standins.engine._errors import HoldingError, MalformedError, RequestMissingError
 from azureswitch_standins.engine._kv import Span
-from azureswitch_standins.engine._model import Key
 from azureswitch_standins.engine._prompt import BodyError, Question, read_question
+from azureswitch_standins.engine._work import Key
 
 FETCH_TIMEOUT = 5.0
 """Seconds that reading an export's address may take."""
