--- a/src/azureswitch_standins/engine/_live.py
+++ b/src/azureswitch_standins/engine/_live.py
@@ -15,7 +15,7 @@
     SpanReady,
 )
 from azureswitch_standins.engine._settings import EngineSettings
-from azureswitch_standins.engine._streams import EngineCounters, LiveStream
+from azureswitch_standins.engine._streams import EngineCounters, EngineFaults, LiveStream
 from azureswitch_standins.engine._wire import EventEncoder
 from azureswitch_standins.engine._work import Key
 
@@ -31,6 +31,9 @@
         speed: Seconds of the model in one second.
         grace: Seconds that an attempt goes on without a reader, and that an ended one is kept.
         started: The engine's start, in milliseconds of its wall clock.
+
+    Attributes:
+        faults: What goes wrong now.
     """
 
     def __init__(
@@ -46,6 +49,7 @@
         self._counts: Counter[str] = Counter()
         self._timer: asyncio.TimerHandle | None = None
         self._begun = 0.0
+        self.faults = EngineFaults()
 
     @property
     def model(self) -> EngineModel:
