Name the parts of the live stand-in engine in the terms of the field

`bell` is the event `changed`, `turn` is `update`, `gone` and `either` are `wait_disconnected` and `wait_first`, and so on. No behaviour changes. tests/standins, tests/engines and tests/spans passed.

--- a/src/azureswitch_standins/engine/_completions.py
+++ b/src/azureswitch_standins/engine/_completions.py
@@ -19,12 +19,12 @@
 from azureswitch_standins.engine._prompt import Question
 from azureswitch_standins.engine._reading import (
     attempt_key,
-    either,
-    gone,
     header,
     query_number,
     read_json,
     read_request,
+    wait_disconnected,
+    wait_first,
 )
 from azureswitch_standins.engine._streams import LiveStream
 from azureswitch_standins.engine._wire import EventEncoder, PriorityBody, json_answer
@@ -110,7 +110,7 @@
         stream.readers += 1
 
         async def events() -> AsyncIterator[bytes]:
-            left = asyncio.ensure_future(gone(request))
+            left = asyncio.ensure_future(wait_disconnected(request))
             try:
                 async for data in self._events(request, stream, offset, left):
                     yield data
@@ -127,7 +127,7 @@
         first = offset
         while not left.done():
             # Taken before the state is read, so that no change in between is missed.
-            bell = stream.bell
+            changed = stream.changed
             produced, end = stream.produced, stream.end
             cut = self._live.faults.cut_after
             if cut:
@@ -145,7 +145,7 @@
             if isinstance(end, Failed):
                 self._abort(request)
                 return
-            await either(bell.wait(), left)
+            await wait_first(changed.wait(), left)
 
     def _encoder(self, stream: LiveStream) -> EventEncoder:
         """Return the encoder of a stream, or of another one where answers are crossed."""
@@ -158,10 +158,10 @@
 
     async def _whole(self, request: Request, stream: LiveStream) -> Response:
         stream.readers += 1
-        left = asyncio.ensure_future(gone(request))
+        left = asyncio.ensure_future(wait_disconnected(request))
         try:
             while stream.end is None and not left.done():
-                await either(stream.bell.wait(), left)
+                await wait_first(stream.changed.wait(), left)
         finally:
             left.cancel()
             stream.readers -= 1
@@ -183,5 +183,5 @@
         self._live.model.prioritize(
             now=self._live.now, call=call, attempt=attempt, priority=body.priority
         )
-        self._live.turn()
+        self._live.update()
         return json_answer({})
--- a/src/azureswitch_standins/engine/_control.py
+++ b/src/azureswitch_standins/engine/_control.py
@@ -49,5 +49,5 @@
     async def _order(self, request: Request) -> Response:
         body = await read_json(request, OrderBody)
         state = self._live.model.order(now=self._live.now, order=body.order)
-        self._live.turn()
+        self._live.update()
         return json_answer(state)
--- a/src/azureswitch_standins/engine/_kv_http.py
+++ b/src/azureswitch_standins/engine/_kv_http.py
@@ -76,7 +76,7 @@
             start=body.start,
             priority=body.request.priority,
         )
-        await self._live.filled(body.holding.id)
+        await self._live.wait_filled(body.holding.id)
         return json_answer({})
 
     async def _export(self, request: Request) -> Response:
@@ -93,7 +93,7 @@
         body = await read_json(request, FetchBody)
         span = await exported_span(body.source)
         self._live.model.fetch(now=self._live.now, holding=body.holding, span=span)
-        await self._live.filled(body.holding.id)
+        await self._live.wait_filled(body.holding.id)
         if body.holding.tokens < span.end - span.start:
             self._watch(body.holding, body.source)
         return json_answer({})
@@ -116,5 +116,5 @@
     async def _release(self, request: Request) -> Response:
         body = await read_json(request, ReleaseBody)
         self._live.model.release(now=self._live.now, holding=body.holding)
-        self._live.turn()
+        self._live.update()
         return json_answer({})
--- a/src/azureswitch_standins/engine/_live.py
+++ b/src/azureswitch_standins/engine/_live.py
@@ -19,12 +19,12 @@
 from azureswitch_standins.engine._wire import EventEncoder
 from azureswitch_standins.engine._work import Key
 
-_FINEST_WAKE = 0.002
-"""Seconds between two looks at the model, at least."""
+_MIN_UPDATE_SECONDS = 0.002
+"""Shortest time between two scheduled updates of the model, in seconds."""
 
 
 class LiveEngine:
-    """Lets the model keep up with the event loop's clock and passes on what comes out.
+    """Runs the model by the event loop's clock and delivers its outputs.
 
     Args:
         settings: What the engine is.
@@ -48,18 +48,18 @@
         self._runs: Counter[str] = Counter()
         self._counts: Counter[str] = Counter()
         self._timer: asyncio.TimerHandle | None = None
-        self._begun = 0.0
+        self._start_time = 0.0
         self.faults = EngineFaults()
 
     @property
     def model(self) -> EngineModel:
-        """The model; after each change `turn` lets it act."""
+        """The model; after each change `update` lets it act."""
         return self._model
 
     @property
     def now(self) -> float:
         """The model's time."""
-        return (asyncio.get_running_loop().time() - self._begun) * self._speed
+        return (asyncio.get_running_loop().time() - self._start_time) * self._speed
 
     @property
     def speed(self) -> float:
@@ -92,11 +92,11 @@
         )
 
     def start(self) -> None:
-        """Let the model's time begin."""
-        self._begun = asyncio.get_running_loop().time()
+        """Start the model's clock."""
+        self._start_time = asyncio.get_running_loop().time()
 
     def stop(self) -> None:
-        """Lose all work and look at the model no more."""
+        """Drop all work and schedule no more updates."""
         self.lose()
         if self._timer is not None:
             self._timer.cancel()
@@ -104,7 +104,7 @@
     def lose(self) -> None:
         """Lose all work and memory."""
         self._model.die(now=self.now)
-        self.turn()
+        self.update()
         self._streams.clear()
 
     def restart(self) -> None:
@@ -115,7 +115,7 @@
     def stall(self, seconds: float) -> None:
         """Make no progress for so many seconds of the loop's clock."""
         self._model.stall(now=self.now, seconds=seconds * self._speed)
-        self.turn()
+        self.update()
 
     def submit(self, run: RunRequest, encoder: EventEncoder) -> LiveStream:
         """Take an attempt and return its answer.
@@ -127,15 +127,15 @@
         self._runs[run.call] += 1
         stream = LiveStream(request=run, encoder=encoder)
         self._streams[run.call, run.attempt] = stream
-        self.turn()
+        self.update()
         return stream
 
     def cancel(self, key: Key) -> None:
-        """Give an attempt up, if it runs."""
+        """Cancel an attempt, if it runs."""
         self._model.cancel(now=self.now, call=key[0], attempt=key[1])
-        self.turn()
+        self.update()
 
-    async def filled(self, holding: str) -> None:
+    async def wait_filled(self, holding: str) -> None:
         """Wait until a holding has its tokens.
 
         Raises:
@@ -144,15 +144,15 @@
         waiter: asyncio.Future[SpanReady | SpanFailed]
         waiter = asyncio.get_running_loop().create_future()
         self._fills.setdefault(holding, []).append(waiter)
-        self.turn()
+        self.update()
         if isinstance(await waiter, SpanFailed):
             raise HoldingError(detail="the work was stopped")
 
-    def turn(self) -> None:
-        """Let the model catch up, pass on what came out and sleep until there is more."""
+    def update(self) -> None:
+        """Advance the model to now, deliver its outputs and schedule the next update."""
         now = self.now
         for output in self._model.advance(now):
-            self._pass_on(output)
+            self._deliver(output)
         for key in self._model.attempts:
             stream = self._streams.get(key)
             if stream is not None and stream.readers:
@@ -161,8 +161,8 @@
             self._timer.cancel()
         due = min(self._model.next_event_time(), self._model.next_step_time(now))
         if isfinite(due):
-            delay = max(_FINEST_WAKE, (due - now) / self._speed)
-            self._timer = asyncio.get_running_loop().call_later(delay, self.turn)
+            delay = max(_MIN_UPDATE_SECONDS, (due - now) / self._speed)
+            self._timer = asyncio.get_running_loop().call_later(delay, self.update)
 
     def expire(self, stream: LiveStream) -> None:
         """Start the grace of a stream without readers; one that runs is cancelled after it."""
@@ -183,7 +183,7 @@
             stream.expiry.cancel()
         del self._streams[key]
 
-    def _pass_on(self, output: Output) -> None:
+    def _deliver(self, output: Output) -> None:
         if isinstance(output, Finished | Failed):
             self._counts["finished" if isinstance(output, Finished) else "failed"] += 1
             stream = self._streams.get((output.call, output.attempt))
--- a/src/azureswitch_standins/engine/_reading.py
+++ b/src/azureswitch_standins/engine/_reading.py
@@ -107,8 +107,8 @@
         raise HoldingError(detail="the export cannot be read") from error
 
 
-async def gone(request: Request) -> None:
-    """Wait until the connection is gone."""
+async def wait_disconnected(request: Request) -> None:
+    """Wait until the caller has disconnected."""
     if not isinstance(request.content, ASGIContent):
         return
     message = await request.content.receive()
@@ -117,8 +117,8 @@
         message = await request.content.receive()
 
 
-async def either(waiting: Awaitable[object], other: asyncio.Future[None]) -> None:
-    """Wait for either of two."""
+async def wait_first(waiting: Awaitable[object], other: asyncio.Future[None]) -> None:
+    """Wait until one of two has ended."""
     task = asyncio.ensure_future(waiting)
     await asyncio.wait((task, other), return_when=asyncio.FIRST_COMPLETED)
     task.cancel()
--- a/src/azureswitch_standins/engine/_streams.py
+++ b/src/azureswitch_standins/engine/_streams.py
@@ -1,4 +1,4 @@
-"""The answers that a stand-in engine is giving."""
+"""The responses that a stand-in engine is streaming."""
 
 import asyncio
 
@@ -62,7 +62,7 @@
         self._encoder = encoder
         self._produced = request.resume_from
         self._end: Finished | Failed | None = None
-        self._bell = asyncio.Event()
+        self._changed = asyncio.Event()
         self.readers = 0
         self.expiry: asyncio.TimerHandle | None = None
 
@@ -90,20 +90,20 @@
         """Note how many tokens are there."""
         if produced > self._produced:
             self._produced = produced
-            self._ring()
+            self._notify()
 
     def finish(self, end: Finished | Failed) -> None:
         """Note the end."""
         self._end = end
         if isinstance(end, Finished):
             self._produced = self._request.max_tokens
-        self._ring()
+        self._notify()
 
     @property
-    def bell(self) -> asyncio.Event:
-        """What the next change sets; each change has its own."""
-        return self._bell
+    def changed(self) -> asyncio.Event:
+        """Set by the next change; each change has an event of its own."""
+        return self._changed
 
-    def _ring(self) -> None:
-        bell, self._bell = self._bell, asyncio.Event()
-        bell.set()
+    def _notify(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
--- a/tests/standins/test_engine_streams.py
+++ b/tests/standins/test_engine_streams.py
@@ -14,7 +14,7 @@
     """Unit tests of `LiveStream`."""
 
     def test_no_change_is_missed(self):
-        """A reader that took the bell before it looked wakes though its waiting begins later."""
+        """A reader that takes the event before it reads the state misses no change."""
 
         async def scenario():
             prompt = read_prompt(prompt="p", cache_scope="")
@@ -29,8 +29,8 @@
             )
             encoder = EventEncoder(call=request.call, surface=Surface.COMPLETION, question=question)
             stream = LiveStream(request=request, encoder=encoder)
-            bell = stream.bell
-            waiting = asyncio.ensure_future(bell.wait())
+            changed = stream.changed
+            waiting = asyncio.ensure_future(changed.wait())
             stream.finish(Finished(at=0.0, call=request.call, attempt=1, cached_tokens=0))
             async with asyncio.timeout(1.0):
                 return await waiting
