--- a/src/azureswitch/coordination/sharing/__init__.py
+++ b/src/azureswitch/coordination/sharing/__init__.py
@@ -1,4 +1,4 @@
-"""Sharing of engines' load and of hosts' digests within a budget of bytes."""
+"""Exchange of engines' load reports and hosts' digests within a bandwidth budget."""
 
 from azureswitch.coordination.sharing._digest import PackedDigest, pack_digest, unpack_digest
 from azureswitch.coordination.sharing._exchange import Digests
@@ -7,15 +7,16 @@
     BURST_BYTES,
     DIGEST_BYTES,
     FULL_HOSTS,
+    MAX_MISSED_REPORTS,
     MESSAGE_OVERHEAD,
-    MISSED_REPORTS,
-    POLL_PERIOD,
+    POLL_PERIOD_SECONDS,
     POLLERS,
     REPORT_BYTES,
-    TICK,
+    TICK_SECONDS,
 )
 from azureswitch.coordination.sharing._meter import Meter
 from azureswitch.coordination.sharing._model import (
+    DeliverReport,
     EnginePolled,
     EngineReports,
     EnginesChanged,
@@ -23,8 +24,7 @@
     HostsChanged,
     PollEngine,
     PollFailed,
-    ReportLearned,
-    ReportsHeard,
+    ReportsReceived,
     SendReports,
     SharedReport,
     SharingEvent,
@@ -43,11 +43,11 @@
     "DIGEST_BYTES",
     "FULL_HOSTS",
     "MESSAGE_OVERHEAD",
-    "MISSED_REPORTS",
+    "MAX_MISSED_REPORTS",
     "POLLERS",
-    "POLL_PERIOD",
+    "POLL_PERIOD_SECONDS",
     "REPORT_BYTES",
-    "TICK",
+    "TICK_SECONDS",
     "Digests",
     "EnginePolled",
     "EngineReports",
@@ -59,8 +59,8 @@
     "PermitExchange",
     "PollEngine",
     "PollFailed",
-    "ReportLearned",
-    "ReportsHeard",
+    "DeliverReport",
+    "ReportsReceived",
     "SendReports",
     "SharedReport",
     "SharingEvent",
--- a/src/azureswitch/coordination/sharing/_digest.py
+++ b/src/azureswitch/coordination/sharing/_digest.py
@@ -1,4 +1,4 @@
-"""Digests of serving as hosts send them to each other: a quarter of the bytes of the data class."""
+"""Digests of serving in their encoding between hosts, a quarter of the bytes of the data class."""
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -16,8 +16,8 @@
     TargetStart,
 )
 
-SCALE = 1_000
-"""Parts of a second in which times travel."""
+MILLISECONDS_PER_SECOND = 1_000
+"""Milliseconds in a second; times are sent in milliseconds."""
 
 
 class PackedLoad(Struct, frozen=True, kw_only=True, array_like=True):
@@ -49,7 +49,7 @@
 
 
 class PackedDemand(Struct, frozen=True, kw_only=True, array_like=True):
-    """A `Demand`, exact, since small ones count too."""
+    """A `Demand`, unrounded, as small values matter too."""
 
     service: ServiceName
     model: str
@@ -58,7 +58,7 @@
 
 
 class PackedCrashes(Struct, frozen=True, kw_only=True, array_like=True):
-    """A `CrashReport` with starts as pairs of target and milliseconds, and ages in those."""
+    """A `CrashReport` with starts as pairs of target and milliseconds, and ages in milliseconds."""
 
     customer: CustomerName
     fingerprint: str
@@ -70,7 +70,7 @@
 
 
 class PackedLimit(Struct, frozen=True, kw_only=True, array_like=True):
-    """A `LimitReport` with its age in milliseconds; the rate is exact."""
+    """A `LimitReport` with its age in milliseconds; the rate is not rounded."""
 
     target: TargetName
     started: int
@@ -81,10 +81,10 @@
 class PackedDigest(Struct, frozen=True, kw_only=True, array_like=True):
     """A `Digest` without field names.
 
-    Starts of targets are one column beside the names, each as milliseconds after the start of the
-    host, which is a smaller number than a time of day; a name that the digest says twice has one.
-    The column is empty where no start is said, as in digests of hosts of an older version, which
-    leave out what comes at the end and pass over it.
+    The starts of targets are one column parallel to the distinct names in the digest, each in
+    milliseconds after the start of the host, which takes fewer bytes than an absolute time.  The
+    column is empty if no start is known.  Hosts of an older version omit the last fields when they
+    send and ignore them when they receive.
     """
 
     host: HostName
@@ -109,48 +109,49 @@
 
 
 def pack_totals(totals: DomainTotals) -> PackedTotals:
-    """Return totals to send."""
+    """Encode totals."""
     return PackedTotals(
         place=totals.place, occupancies=tuple(map(_pack_occupancy, totals.occupancies))
     )
 
 
 def unpack_totals(packed: PackedTotals) -> DomainTotals:
-    """Return the totals that were sent, with times to the millisecond."""
+    """Decode totals; times are rounded to milliseconds."""
     return DomainTotals(
         place=packed.place, occupancies=tuple(map(_unpack_occupancy, packed.occupancies))
     )
 
 
 def pack_limit(report: LimitReport) -> PackedLimit:
-    """Return what is known of a limit, to send."""
+    """Encode what is known of a limit."""
     return PackedLimit(
         target=report.target,
         started=report.started,
         rate=report.rate,
-        age=round(report.age * SCALE),
+        age=round(report.age * MILLISECONDS_PER_SECOND),
     )
 
 
 def unpack_limit(packed: PackedLimit) -> LimitReport:
-    """Return what was sent of a limit."""
+    """Decode what is known of a limit."""
     return LimitReport(
         target=packed.target,
         started=packed.started,
         rate=packed.rate,
-        age=max(0, packed.age) / SCALE,
+        age=max(0, packed.age) / MILLISECONDS_PER_SECOND,
     )
 
 
 def pack_digest(digest: Digest) -> PackedDigest:
-    """Return a digest to send."""
+    """Encode a digest."""
     return PackedDigest(
         host=digest.host,
         sequence=digest.sequence,
         started=digest.started,
         loads=tuple(_pack_load(load) for load in digest.loads),
         uses=tuple(
-            PackedUse(customer=use.customer, used=round(use.seconds * SCALE)) for use in digest.uses
+            PackedUse(customer=use.customer, used=round(use.seconds * MILLISECONDS_PER_SECOND))
+            for use in digest.uses
         ),
         suspects=digest.suspects,
         demands=tuple(
@@ -166,14 +167,15 @@
 
 
 def unpack_digest(packed: PackedDigest) -> Digest:
-    """Return the digest that was sent, with times to the millisecond."""
+    """Decode a digest; times are rounded to milliseconds."""
     digest = Digest(
         host=packed.host,
         sequence=packed.sequence,
         started=packed.started,
         loads=tuple(_unpack_load(load) for load in packed.loads),
         uses=tuple(
-            CustomerUse(customer=use.customer, seconds=use.used / SCALE) for use in packed.uses
+            CustomerUse(customer=use.customer, seconds=use.used / MILLISECONDS_PER_SECOND)
+            for use in packed.uses
         ),
         suspects=packed.suspects,
         demands=tuple(
@@ -211,9 +213,11 @@
         fingerprint=report.fingerprint,
         crashes=tuple((start.target, start.started) for start in report.crashes),
         cleared=tuple((start.target, start.started) for start in report.cleared),
-        age=round(report.age * SCALE),
-        ages=tuple(round(age * SCALE) for age in report.ages),
-        trial_age=None if report.trial_age is None else round(report.trial_age * SCALE),
+        age=round(report.age * MILLISECONDS_PER_SECOND),
+        ages=tuple(round(age * MILLISECONDS_PER_SECOND) for age in report.ages),
+        trial_age=(
+            None if report.trial_age is None else round(report.trial_age * MILLISECONDS_PER_SECOND)
+        ),
     )
 
 
@@ -223,18 +227,18 @@
         fingerprint=packed.fingerprint,
         crashes=tuple(TargetStart(target=name, started=at) for name, at in packed.crashes),
         cleared=tuple(TargetStart(target=name, started=at) for name, at in packed.cleared),
-        age=packed.age / SCALE,
-        ages=tuple(age / SCALE for age in packed.ages),
-        trial_age=None if packed.trial_age is None else packed.trial_age / SCALE,
+        age=packed.age / MILLISECONDS_PER_SECOND,
+        ages=tuple(age / MILLISECONDS_PER_SECOND for age in packed.ages),
+        trial_age=None if packed.trial_age is None else packed.trial_age / MILLISECONDS_PER_SECOND,
     )
 
 
 def _pack_load(load: TargetLoad) -> PackedLoad:
     return PackedLoad(
         target=load.target,
-        urgent=round(load.urgent * SCALE),
-        middle=round(load.middle * SCALE),
-        total=round(load.total * SCALE),
+        urgent=round(load.urgent * MILLISECONDS_PER_SECOND),
+        middle=round(load.middle * MILLISECONDS_PER_SECOND),
+        total=round(load.total * MILLISECONDS_PER_SECOND),
         tokens=load.tokens,
     )
 
@@ -242,9 +246,9 @@
 def _unpack_load(packed: PackedLoad) -> TargetLoad:
     return TargetLoad(
         target=packed.target,
-        urgent=packed.urgent / SCALE,
-        middle=packed.middle / SCALE,
-        total=packed.total / SCALE,
+        urgent=packed.urgent / MILLISECONDS_PER_SECOND,
+        middle=packed.middle / MILLISECONDS_PER_SECOND,
+        total=packed.total / MILLISECONDS_PER_SECOND,
         tokens=packed.tokens,
     )
 
@@ -252,8 +256,8 @@
 def _pack_occupancy(item: Occupancy) -> PackedOccupancy:
     return PackedOccupancy(
         target=item.target,
-        reading=round(item.reading * SCALE),
-        short_reading=round(item.short_reading * SCALE),
+        reading=round(item.reading * MILLISECONDS_PER_SECOND),
+        short_reading=round(item.short_reading * MILLISECONDS_PER_SECOND),
         streams=item.streams,
         long_streams=item.long_streams,
         tokens=item.tokens,
@@ -263,8 +267,8 @@
 def _unpack_occupancy(packed: PackedOccupancy) -> Occupancy:
     return Occupancy(
         target=packed.target,
-        reading=packed.reading / SCALE,
-        short_reading=packed.short_reading / SCALE,
+        reading=packed.reading / MILLISECONDS_PER_SECOND,
+        short_reading=packed.short_reading / MILLISECONDS_PER_SECOND,
         streams=packed.streams,
         long_streams=packed.long_streams,
         tokens=packed.tokens,
--- a/src/azureswitch/coordination/sharing/_exchange.py
+++ b/src/azureswitch/coordination/sharing/_exchange.py
@@ -1,9 +1,10 @@
 """Exchanges digests of serving between hosts.
 
-Small fleets send each digest to everyone, by way of one host where many of another failure domain
-are to have it, or to the failure domains that it concerns.  Large ones of which nothing is said of
-that keep to their part of the budget of `azureswitch.coordination.sharing`: each digest that the
-budget has room for goes to the host that has waited longest, without the outstanding work.
+In a small fleet, a digest is sent to all hosts; hosts of a large failure domain receive it through
+one of them.  A digest that concerns only some failure domains is sent to those in the same way,
+whatever the size of the fleet.  In a large fleet, other digests keep to the budget of
+`azureswitch.coordination.sharing`: they are sent without the outstanding work, to the hosts with
+the oldest last send first.
 """
 
 from asyncio import sleep
@@ -50,44 +51,44 @@
 )
 from azureswitch.tasks import Tasks
 
-START_DEBT = 10_000.0
-"""Bytes by which hosts that start together are apart in their budgets at most."""
+MAX_START_DEBT_BYTES = 10_000.0
+"""Upper bound of the initial debt in bytes, which differs between hosts that start together."""
 
 SPREAD_HOSTS = 32
-"""Hosts from which on a regular digest goes to a part of them alone."""
+"""Number of hosts above which a regular digest is sent to only a part of them."""
 
-SPREAD_TURNS = 4
-"""Regular digests after which each host has got one."""
+SPREAD_ROUNDS = 4
+"""Minimum number of regular digests by which each host has been sent one."""
 
-CALL_TIMEOUT = 1.0
-"""Seconds for a digest that does not fit into a datagram."""
+CALL_TIMEOUT_SECONDS = 1.0
+"""Timeout in seconds of the call for a digest that does not fit into a datagram."""
 
 
 class RelayedDigest(Struct, frozen=True, kw_only=True):
-    """A digest that its receiver passes on to the others of its failure domain."""
+    """A digest that its receiver relays to the other hosts of its failure domain."""
 
     digest: PackedDigest
 
 
 class DigestNoted(Struct, frozen=True, kw_only=True):
-    """The reply to a digest that came as a call."""
+    """The reply to a digest that was sent as a call."""
 
 
-Told = PackedDigest | RelayedDigest | GatheredDigest | DigestBundle | PackedTotals
-"""What hosts tell each other here."""
+SharingMessage = PackedDigest | RelayedDigest | GatheredDigest | DigestBundle | PackedTotals
+"""The messages that hosts exchange here."""
 
 
 class Digests:
-    """Sends this host's digests and hands those of others to the reducer.
+    """Sends this host's digests and passes those of others to the reducer.
 
     Args:
         myself: This process.
-        peers: Messages to other hosts.
-        members: Returns the members known now.
-        dispatch: Hands an event to the reducer.
+        peers: Sends messages to other hosts.
+        members: Returns the current members.
+        dispatch: Passes an event to the reducer.
         clock: Returns seconds of the monotonic clock.
         seed: Seeds the order of receivers.
-        full_hosts: Hosts up to which each digest goes to everyone.
+        full_hosts: Number of hosts up to which each digest is sent to all.
     """
 
     def __init__(
@@ -102,7 +103,7 @@
         full_hosts: int = FULL_HOSTS,
     ) -> None:
         self._full_hosts = full_hosts
-        self._turn = 0
+        self._round = 0
         self._myself = myself
         self._peers = peers
         self._members = members
@@ -110,13 +111,13 @@
         self._clock = clock
         self._random = Random(seed)
         self._tasks = Tasks(prefix="sharing")
-        debt = self._random.uniform(0.0, START_DEBT)
+        debt = self._random.uniform(0.0, MAX_START_DEBT_BYTES)
         self._meter = Meter(rate=DIGEST_BYTES, level=BURST_BYTES - debt)
-        self._size = 0.0
-        self._visited: dict[str, float] = {}
+        self._last_size = 0.0
+        self._sent_at: dict[str, float] = {}
         self._gathering = Gathering()
         peers.handle(PackedDigest, self._receive)
-        peers.handle(RelayedDigest, self._pass_on)
+        peers.handle(RelayedDigest, self._relay)
         peers.handle(GatheredDigest, self._gather)
         peers.handle(DigestBundle, self._receive_bundle)
         peers.handle(PackedTotals, self._receive_totals)
@@ -129,43 +130,43 @@
         places: Collection[PlaceName] | None = None,
         may_wait: bool = False,
     ) -> None:
-        """Send a digest to other hosts, as many as the budget permits; it may be lost.
+        """Send a digest to as many other hosts as the budget permits; it may be lost.
 
         Args:
             digest: The digest.
-            regular: Whether it tells nothing new; above `SPREAD_HOSTS` hosts each such digest goes
-                to a part of them, in turn.
+            regular: Whether it contains nothing new; above `SPREAD_HOSTS` hosts, each such digest
+                is sent to another part of them.
             places: The failure domains whose hosts it concerns, or None for all.
-            may_wait: Whether it says only that sends have ended; above `SPREAD_HOSTS` hosts such
-                digests are gathered.
+            may_wait: Whether its only news is that sends have ended; above `SPREAD_HOSTS` hosts,
+                such digests are collected and forwarded together.
         """
         others = self._others()
         if places is not None or len(others) < self._full_hosts:
             concerned = [m for m in others if places is None or m.place in places]
             if may_wait and not regular and len(concerned) > SPREAD_HOSTS:
-                self._tell_gatherers(concerned, pack_digest(digest))
+                self._send_to_gatherers(concerned, pack_digest(digest))
             else:
-                self._tell_all(concerned, pack_digest(digest), regular=regular)
-        elif self._meter.room(now=self._clock()) >= self._size:
-            # Between two digests of a host minutes pass, after which its loads would mislead; what
-            # engines report of all hosts' work is younger.
+                self._send_to_all(concerned, pack_digest(digest), regular=regular)
+        elif self._meter.room(now=self._clock()) >= self._last_size:
+            # A receiver has a new digest of this host only after minutes, when the loads would be
+            # wrong; the engines' own reports of all hosts' work are newer.
             packed = pack_digest(replace(digest, loads=()))
             size = len(encode(packed)) + MESSAGE_OVERHEAD
-            self._size = min(size, BURST_BYTES)
+            self._last_size = min(size, BURST_BYTES)
             addresses = [member.address for member in others]
             self._send(self._affordable(addresses, size=size), packed)
 
     def publish_totals(self, totals: DomainTotals) -> None:
-        """Tell one host of another failure domain, drawn at random; it may be lost.
+        """Send totals to one random host of another failure domain; they may be lost.
 
-        Each host of a fleet tells another one, so that every host hears as often as it tells.
+        As each host does so, every host receives as many on average as it sends.
         """
         elsewhere = [member for member in self._others() if member.place != totals.place]
         if elsewhere:
             self._send([self._random.choice(elsewhere).address], pack_totals(totals))
 
     async def stop(self, *, timeout: float | None = None) -> None:
-        """End the background work, or wait for it for some seconds."""
+        """Cancel the background tasks, or wait up to ``timeout`` seconds for them."""
         await self._tasks.stop(timeout=timeout)
 
     def _others(self) -> list[Member]:
@@ -176,24 +177,24 @@
             and member.status is not MemberStatus.DEAD
         ]
 
-    def _tell_all(self, others: list[Member], packed: PackedDigest, *, regular: bool) -> None:
-        """Send a digest to all, or a regular one to a part of them, another part each time."""
+    def _send_to_all(self, others: list[Member], packed: PackedDigest, *, regular: bool) -> None:
+        """Send a digest to all, or a regular one to a part of them that changes with each call."""
         own = place_of(self._myself.host, members=self._members())
         receiving = receivers(others, own=own)
         direct, relayed = receiving.direct, receiving.groups
         if regular and len(others) > SPREAD_HOSTS:
-            self._turn += 1
-            parts = max(SPREAD_TURNS, len(relayed) + 1)
-            turn = self._turn % parts
-            direct = direct[turn::parts]
-            relayed = relayed[turn : turn + 1]
+            self._round += 1
+            parts = max(SPREAD_ROUNDS, len(relayed) + 1)
+            part = self._round % parts
+            direct = direct[part::parts]
+            relayed = relayed[part : part + 1]
         self._send([member.address for member in direct], packed)
         relays = [choose_relay(members, random=self._random).address for members in relayed]
         self._send(relays, RelayedDigest(digest=packed))
 
-    def _tell_gatherers(self, others: list[Member], packed: PackedDigest) -> None:
-        """Send a digest to those who tell the rest; of the own domain that may be this host."""
-        # Others choose among all hosts of this failure domain, this one among them.
+    def _send_to_gatherers(self, others: list[Member], packed: PackedDigest) -> None:
+        """Send a digest to the hosts that collect digests, of which this host may be one."""
+        # All hosts must choose the same ones, so this host counts as well.
         chosen = gatherers(m for m in self._members() if m.status is not MemberStatus.DEAD)
         places = {member.place for member in others}
         addresses = [
@@ -203,25 +204,25 @@
         ]
         self._send(addresses, GatheredDigest(digest=packed))
         if any(member.incarnation.host == self._myself.host for member in chosen):
-            self._hold(packed)
+            self._gather_later(packed)
 
-    def _hold(self, packed: PackedDigest) -> None:
-        """Tell the others of the own failure domain of a digest soon."""
+    def _gather_later(self, packed: PackedDigest) -> None:
+        """Collect a digest and forward it to the own failure domain after a short delay."""
         if self._gathering.add(packed):
-            self._tasks.spawn(self._tell_gathered(), name="gathered digests")
+            self._tasks.spawn(self._send_gathered(), name="gathered digests")
 
-    async def _tell_gathered(self) -> None:
+    async def _send_gathered(self) -> None:
         await sleep(GATHER_SECONDS)
-        mates = self._mates()
+        addresses = self._local_addresses()
         for bundle in self._gathering.take():
-            self._send(mates, bundle)
+            self._send(addresses, bundle)
 
-    def _mates(self) -> list[str]:
+    def _local_addresses(self) -> list[str]:
         """Return the addresses of the other hosts of the own failure domain."""
         own = place_of(self._myself.host, members=self._members())
         return [member.address for member in self._others() if member.place == own]
 
-    def _send(self, addresses: list[str], message: Told) -> None:
+    def _send(self, addresses: list[str], message: SharingMessage) -> None:
         try:
             self._peers.cast_all(addresses=addresses, message=message)
         except PeerMessageTooLargeError:
@@ -229,26 +230,26 @@
                 self._tasks.spawn(self._call(address, message), name="digest")
 
     def _affordable(self, others: list[str], *, size: int) -> list[str]:
-        """Return the hosts that may be sent a digest now, those that waited longest first."""
-        self._visited = {
-            address: self._visited.get(address, -self._random.random()) for address in others
+        """Return the hosts that the budget permits now, those with the oldest last send first."""
+        self._sent_at = {
+            address: self._sent_at.get(address, -self._random.random()) for address in others
         }
         now = self._clock()
         chosen = []
-        for address in sorted(others, key=lambda address: self._visited[address]):
+        for address in sorted(others, key=lambda address: self._sent_at[address]):
             if not self._meter.take(size, now=now):
                 break
-            self._visited[address] = now
+            self._sent_at[address] = now
             chosen.append(address)
         return chosen
 
-    async def _call(self, address: str, message: Told) -> None:
+    async def _call(self, address: str, message: SharingMessage) -> None:
         try:
             await self._peers.call(
-                address=address, request=message, reply=DigestNoted, timeout=CALL_TIMEOUT
+                address=address, request=message, reply=DigestNoted, timeout=CALL_TIMEOUT_SECONDS
             )
         except PeerError:
-            # The next digest says everything again.
+            # The next digest contains everything again.
             return
 
     def _receive(self, packed: PackedDigest) -> DigestNoted:
@@ -257,7 +258,7 @@
         return DigestNoted()
 
     def _gather(self, gathered: GatheredDigest) -> DigestNoted:
-        self._hold(gathered.digest)
+        self._gather_later(gathered.digest)
         return self._receive(gathered.digest)
 
     def _receive_bundle(self, bundle: DigestBundle) -> DigestNoted:
@@ -270,6 +271,6 @@
         self._dispatch(TotalsReceived(now=self._clock(), totals=unpack_totals(packed)))
         return DigestNoted()
 
-    def _pass_on(self, relayed: RelayedDigest) -> DigestNoted:
-        self._send(self._mates(), relayed.digest)
+    def _relay(self, relayed: RelayedDigest) -> DigestNoted:
+        self._send(self._local_addresses(), relayed.digest)
         return self._receive(relayed.digest)
--- a/src/azureswitch/coordination/sharing/_gathering.py
+++ b/src/azureswitch/coordination/sharing/_gathering.py
@@ -1,8 +1,8 @@
-"""Digests that one host of a failure domain gathers for the others of it.
+"""Digests that one host of a failure domain collects and forwards to the others in one message.
 
-A send has to be known everywhere at once, or two hosts choose the same idle engine.  That one has
-ended may be heard a moment late.  So an end goes to one host of each failure domain, which tells
-the others of its domain of all that ended in that moment in one message.
+A send must be announced to all hosts at once, as otherwise two hosts choose the same idle engine.
+The end of a send may be known slightly later.  So it is announced to one host of each failure
+domain, which forwards all ends of a short period to the other hosts of its domain together.
 """
 
 from collections.abc import Iterable, Iterator
@@ -17,14 +17,14 @@
 from azureswitch.ports import DATAGRAM_LIMIT
 
 GATHER_SECONDS = 0.05
-"""Seconds for which ended sends are gathered; callers of short prompts wait some 0.3 s."""
+"""Seconds for which ended sends are collected; callers of short prompts wait about 0.3 s."""
 
-BUNDLE_BYTES = DATAGRAM_LIMIT - 100
-"""Bytes of the digests of one bundle, with room for what stands around them."""
+MAX_BUNDLE_BYTES = DATAGRAM_LIMIT - 100
+"""Upper bound of the bytes of a bundle's digests; the rest of a datagram is for the envelope."""
 
 
 class GatheredDigest(Struct, frozen=True, kw_only=True):
-    """A digest that its receiver tells the others of its failure domain of, with more of them."""
+    """A digest that its receiver forwards, with others, to the hosts of its failure domain."""
 
     digest: PackedDigest
 
@@ -36,16 +36,16 @@
 
 
 class Gathering:
-    """The digests that this host is to tell the others of its failure domain of."""
+    """The digests that this host will forward to the other hosts of its failure domain."""
 
     def __init__(self) -> None:
         self._held: dict[HostName, PackedDigest] = {}
 
     def add(self, digest: PackedDigest) -> bool:
-        """Take a digest in place of an earlier one of its host.
+        """Add a digest; it replaces an earlier one of the same host.
 
         Returns:
-            Whether it is the first one to be told.
+            Whether it is the first one since the last call of `take`.
         """
         first = not self._held
         known = self._held.get(digest.host)
@@ -54,13 +54,13 @@
         return first
 
     def take(self) -> Iterator[DigestBundle]:
-        """Return the digests to tell now, as many messages as they need."""
+        """Remove the collected digests and yield them in bundles."""
         held, self._held = self._held, {}
         bundle: list[PackedDigest] = []
         size = 0
         for digest in held.values():
             more = len(encode(digest))
-            if bundle and size + more > BUNDLE_BYTES:
+            if bundle and size + more > MAX_BUNDLE_BYTES:
                 yield DigestBundle(digests=tuple(bundle))
                 bundle, size = [], 0
             bundle.append(digest)
@@ -70,9 +70,9 @@
 
 
 def gatherers(members: Iterable[Member]) -> tuple[Member, ...]:
-    """Return who gathers for each failure domain of some hosts; all choose the same ones.
+    """Return the host that collects for each failure domain; all hosts choose the same ones.
 
-    The ends that one takes with it as it dies are told again with the next send of each host.
+    Ends that are lost because such a host dies are announced again with the next send of each host.
     """
     by_place: dict[PlaceName, dict[HostName, Member]] = {}
     for member in members:
--- a/src/azureswitch/coordination/sharing/_limits.py
+++ b/src/azureswitch/coordination/sharing/_limits.py
@@ -1,53 +1,54 @@
-"""Periods, counts and bytes of the sharing of engines' load."""
+"""Periods and limits of the exchange of load reports and digests."""
 
 BUDGET = 3_000.0
-"""Bytes a second that a host may send and receive for load reports and digests, on average.
+"""Average bytes per second that a host may send and receive for load reports and digests.
 
-A host controls what it sends, and as all do the same, it receives as much on average.  Fleets of up
-to `FULL_HOSTS` hosts exchange all of it at once instead, which is worth more to them.
+A host limits only what it sends; as all hosts do the same, each receives as much on average.
+Fleets of up to `FULL_HOSTS` hosts have no budget and exchange everything at once, as recent data is
+worth more to them than bandwidth.
 """
 
 REPORT_SHARE = 0.75
-"""Part of the budget that is for load reports; the rest is for digests."""
+"""Share of the budget for load reports; the rest is for digests."""
 
 REPORT_BYTES = BUDGET / 2 * REPORT_SHARE
-"""Bytes a second of load reports that a host sends at most in a large fleet."""
+"""Upper bound of the bytes of load reports that a host of a large fleet sends per second."""
 
 DIGEST_BYTES = BUDGET / 2 * (1.0 - REPORT_SHARE)
-"""Bytes a second of digests that a host sends at most in a large fleet."""
+"""Upper bound of the bytes of digests that a host of a large fleet sends per second."""
 
 BURST_BYTES = 2_400.0
-"""Bytes that a host may send at once after it has sent little."""
+"""Size in bytes of the largest burst that a host may send."""
 
 MESSAGE_OVERHEAD = 52
-"""Bytes that a datagram has beside its body: IP, UDP, its envelope and kind, about."""
+"""Approximate bytes of a datagram besides its body: IP, UDP, envelope and kind."""
 
 FULL_HOSTS = 16
-"""Hosts up to which all reports and digests go to everyone at once."""
+"""Number of hosts up to which all reports and digests are sent to all hosts at once."""
 
 POLLERS = 2
-"""Hosts that poll each engine."""
+"""Number of hosts that poll each engine."""
 
-POLL_PERIOD = 0.4
-"""Seconds between two polls of one engine by one host; two hosts poll in turns."""
+POLL_PERIOD_SECONDS = 0.4
+"""Seconds between two polls of one engine by one host; the engine's two pollers alternate."""
 
-POLLS_MOST = 2.5
-"""Polls a second that a host of a large fleet is meant for; more engines are polled less often."""
+MAX_POLLS_PER_SECOND = 2.5
+"""Target for the polls per second of a host of a large fleet; it stretches the poll period."""
 
-SCAN_PERIOD = 0.5
-"""Seconds between two looks for engines of which nothing is heard."""
+SCAN_PERIOD_SECONDS = 0.5
+"""Seconds between two checks for engines without recent reports."""
 
-MISSED_REPORTS = 3
-"""Expected reports that may be missing before a host polls an engine itself."""
+MAX_MISSED_REPORTS = 3
+"""Number of missing reports after which a host polls an engine itself."""
 
-GAP_DECAY = 0.98
-"""How slowly a host forgets that its reports to another were far apart."""
+INTERVAL_DECAY = 0.98
+"""Factor by which the longest interval between sends to a host decays with each send."""
 
-REPORTS_PER_MESSAGE = 16
-"""Reports in one datagram."""
+MAX_REPORTS_PER_MESSAGE = 16
+"""Upper bound of the reports in one datagram."""
 
-ELSEWHERE_EVERY = 16
-"""One in so many datagrams of a large fleet goes to another place."""
+REMOTE_MESSAGE_INTERVAL = 16
+"""Of this many datagrams in a large fleet, one goes to another failure domain."""
 
-TICK = 0.1
-"""Seconds between two looks at what is due."""
+TICK_SECONDS = 0.1
+"""Seconds between two `SharingTicked` events."""
--- a/src/azureswitch/coordination/sharing/_meter.py
+++ b/src/azureswitch/coordination/sharing/_meter.py
@@ -1,4 +1,4 @@
-"""Keeps what is sent within so many bytes a second."""
+"""Limits the bytes that are sent per second."""
 
 from azureswitch.coordination.sharing._limits import BURST_BYTES
 
@@ -7,10 +7,10 @@
     """A token bucket of bytes.
 
     Args:
-        rate: Bytes a second.
-        burst: Bytes that may be sent at once.
-        level: Bytes that may be sent at first; below zero, hosts that start together do not send
-            in step.
+        rate: Bytes per second.
+        burst: Capacity of the bucket in bytes.
+        level: Initial level in bytes; different negative levels keep hosts that start together
+            from sending at the same time.
     """
 
     def __init__(self, *, rate: float, burst: float = BURST_BYTES, level: float = 0.0) -> None:
@@ -20,9 +20,9 @@
         self._at: float | None = None
 
     def take(self, size: int, *, now: float) -> bool:
-        """Use up the bytes of a message, if they are there.
+        """Take the bytes of a message from the bucket; return whether there were enough.
 
-        A message over the burst passes once the bucket is full and is paid for afterwards.
+        A message larger than the burst passes once the bucket is full; the level is then negative.
 
         Args:
             size: Bytes of the message.
@@ -34,7 +34,7 @@
         return True
 
     def room(self, *, now: float) -> float:
-        """Return the bytes that may be sent now."""
+        """Return the level: the bytes that may be sent now."""
         if self._at is not None:
             self._level = min(self._burst, self._level + (now - self._at) * self._rate)
         self._at = now
--- a/src/azureswitch/coordination/sharing/_model.py
+++ b/src/azureswitch/coordination/sharing/_model.py
@@ -1,4 +1,4 @@
-"""Load reports as hosts pass them on to each other, and the events and effects of sharing."""
+"""Load reports in their encoding between hosts, and the events and effects of sharing."""
 
 from msgspec import Struct
 
@@ -8,13 +8,13 @@
 
 
 class SharedReport(Struct, frozen=True, kw_only=True, array_like=True):
-    """One engine's report, without field names: a third of the bytes of its data class.
+    """One engine's report without field names, a third of the bytes of its data class.
 
     Attributes:
         target: The engine.
         age: Milliseconds since the report arrived at the host that polled it.
-        started: As in `LoadReport`, like all that follow.
-        models: None where they are those of the inventory.
+        started: As in `LoadReport`, like all following fields.
+        models: None if they are those of the inventory.
     """
 
     target: TargetName
@@ -32,13 +32,13 @@
 
 
 class EngineReports(Struct, frozen=True, kw_only=True, array_like=True):
-    """What a host learned of the engines that it polls."""
+    """Reports of engines that the sender polls."""
 
     reports: tuple[SharedReport, ...]
 
 
 def pack(report: LoadReport, *, age: float, usual: tuple[str, ...] = ()) -> SharedReport:
-    """Return a report to pass on.
+    """Encode a report.
 
     Args:
         report: The report.
@@ -62,10 +62,10 @@
 
 
 def unpack(shared: SharedReport, *, usual: tuple[str, ...] = ()) -> LoadReport:
-    """Return the report that was passed on.
+    """Decode a report.
 
     Args:
-        shared: What arrived.
+        shared: The encoded report.
         usual: The engine's models in the inventory.
     """
     return LoadReport(
@@ -84,13 +84,13 @@
 
 
 class SharingHost(Struct, frozen=True, kw_only=True):
-    """Another host, as sharing sees it.
+    """Another host.
 
     Attributes:
         name: Its name.
         place: Its failure domain.
-        address: ``IP:PORT`` on which it is reached.
-        polls: Whether it is believed to poll engines.
+        address: ``IP:PORT`` on which peers reach it.
+        polls: Whether it is alive and therefore polls engines.
     """
 
     name: HostName
@@ -107,14 +107,14 @@
 
 
 class HostsChanged(SharingEvent, frozen=True, kw_only=True):
-    """The other hosts that are not dead are these, and this host runs in ``place``."""
+    """The set of other hosts that are not dead changed, or this host's failure domain ``place``."""
 
     place: PlaceName
     hosts: tuple[SharingHost, ...]
 
 
 class EnginesChanged(SharingEvent, frozen=True, kw_only=True):
-    """The engines in force are these."""
+    """The engines of the configuration in force changed."""
 
     engines: tuple[Target, ...]
     places: tuple[Place, ...]
@@ -132,8 +132,8 @@
     target: TargetName
 
 
-class ReportsHeard(SharingEvent, frozen=True, kw_only=True):
-    """Another host passed reports on."""
+class ReportsReceived(SharingEvent, frozen=True, kw_only=True):
+    """Reports arrived from another host."""
 
     reports: tuple[SharedReport, ...]
 
@@ -146,7 +146,7 @@
 
 
 class PollEngine(Effect, frozen=True, kw_only=True):
-    """Ask an engine for its load; answer by `EnginePolled` or `PollFailed`."""
+    """Poll an engine for its load; `EnginePolled` or `PollFailed` follows."""
 
     target: TargetName
 
@@ -158,8 +158,8 @@
     message: EngineReports
 
 
-class ReportLearned(Effect, frozen=True, kw_only=True):
-    """Hand a report to the policy.
+class DeliverReport(Effect, frozen=True, kw_only=True):
+    """Deliver a report to the serving policy.
 
     Attributes:
         age: Seconds since it arrived at the host that polled the engine.
@@ -170,6 +170,6 @@
 
 
 class EngineUnreachable(Effect, frozen=True, kw_only=True):
-    """Tell the policy that an engine did not answer this host."""
+    """Notify the serving policy that an engine did not answer this host."""
 
     target: TargetName
--- a/src/azureswitch/coordination/sharing/_permits.py
+++ b/src/azureswitch/coordination/sharing/_permits.py
@@ -1,4 +1,4 @@
-"""Asks other hosts for permits to send to targets that name limits, and answers those who ask."""
+"""Requests permits for targets with announced limits, and answers requests of other hosts."""
 
 from collections.abc import Callable, Iterable
 
@@ -17,19 +17,19 @@
     ServingEvent,
 )
 
-SCALE = 1_000
-"""Parts of a second in which times travel."""
+MILLISECONDS_PER_SECOND = 1_000
+"""Milliseconds in a second; times are sent in milliseconds."""
 
 
 class PermitRequest(Struct, frozen=True, kw_only=True, array_like=True):
-    """A host asks for a permit; what it knows of the limit goes along."""
+    """Requests a permit, with what the requesting host knows of the limit."""
 
     host: HostName
     report: PackedLimit
 
 
 class PermitReply(Struct, frozen=True, kw_only=True, array_like=True):
-    """A `Grant` in milliseconds, and what its sender knows of the limit."""
+    """Answers a `PermitRequest`: a `Grant` in milliseconds, and what is known of the limit."""
 
     target: TargetName
     after: int
@@ -39,13 +39,13 @@
 
 
 class PermitExchange:
-    """Carries permits between hosts; a message that is lost is made good by the next one.
+    """Exchanges permits between hosts; a lost message is compensated by the next one.
 
     Args:
         host: This host.
         peers: Messages to other hosts.
         members: Returns the members known now.
-        dispatch: Hands an event to the reducer.
+        dispatch: Passes an event to the reducer.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -67,17 +67,17 @@
         peers.handle(PermitReply, self._answered)
 
     def ask(self, effect: AskPermit) -> None:
-        """Ask the owner of a target."""
+        """Request a permit from the owner of a target's permits."""
         request = PermitRequest(host=self._host, report=pack_limit(effect.report))
         self._cast(effect.owner, request)
 
     def answer(self, effect: AnswerPermit) -> None:
-        """Answer a host that has asked."""
+        """Answer the request of another host."""
         reply = PermitReply(
             target=effect.target,
-            after=round(effect.grant.after * SCALE),
-            valid=round(effect.grant.valid * SCALE),
-            pause=round(effect.grant.pause * SCALE),
+            after=round(effect.grant.after * MILLISECONDS_PER_SECOND),
+            valid=round(effect.grant.valid * MILLISECONDS_PER_SECOND),
+            pause=round(effect.grant.pause * MILLISECONDS_PER_SECOND),
             report=None if effect.report is None else pack_limit(effect.report),
         )
         self._cast(effect.host, reply)
@@ -94,7 +94,9 @@
 
     def _answered(self, reply: PermitReply) -> None:
         grant = Grant(
-            after=reply.after / SCALE, valid=reply.valid / SCALE, pause=reply.pause / SCALE
+            after=reply.after / MILLISECONDS_PER_SECOND,
+            valid=reply.valid / MILLISECONDS_PER_SECOND,
+            pause=reply.pause / MILLISECONDS_PER_SECOND,
         )
         report = None if reply.report is None else unpack_limit(reply.report)
         event = PermitAnswered(now=self._clock(), target=reply.target, grant=grant, report=report)
--- a/src/azureswitch/coordination/sharing/_reduce.py
+++ b/src/azureswitch/coordination/sharing/_reduce.py
@@ -1,16 +1,17 @@
-"""Who polls an engine when, and who is told: every event of sharing to its effects."""
+"""The reducer of sharing: when an engine is polled, and which hosts are sent its reports."""
 
 from functools import singledispatch
 
 from msgspec.msgpack import encode
 
 from azureswitch.coordination.sharing._limits import (
-    ELSEWHERE_EVERY,
+    MAX_REPORTS_PER_MESSAGE,
     MESSAGE_OVERHEAD,
-    REPORTS_PER_MESSAGE,
-    SCAN_PERIOD,
+    REMOTE_MESSAGE_INTERVAL,
+    SCAN_PERIOD_SECONDS,
 )
 from azureswitch.coordination.sharing._model import (
+    DeliverReport,
     EnginePolled,
     EngineReports,
     EnginesChanged,
@@ -18,8 +19,7 @@
     HostsChanged,
     PollEngine,
     PollFailed,
-    ReportLearned,
-    ReportsHeard,
+    ReportsReceived,
     SendReports,
     SharedReport,
     SharingEvent,
@@ -28,7 +28,7 @@
     pack,
     unpack,
 )
-from azureswitch.coordination.sharing._state import Learned, SharingState
+from azureswitch.coordination.sharing._state import RecordedReport, SharingState
 from azureswitch.core import NO_EFFECTS, Effect, Effects, TargetName
 
 
@@ -40,7 +40,7 @@
         event: What happened.
 
     Returns:
-        What the driver must do, in order.
+        The effects that the driver must execute, in order.
     """
     return tuple(_apply(event, state)) or NO_EFFECTS
 
@@ -62,7 +62,7 @@
     return []
 
 
-# --- What is learned ------------------------------------------------------------------------------
+# --- Polls and received reports -------------------------------------------------------------------
 
 
 @_apply.register
@@ -71,39 +71,41 @@
     state.polling.discard(name)
     if name not in state.engines:
         return []
-    state.heard[name] = event.now
-    if name in state.mine:
-        state.learn(event.report, now=event.now)
-    return [ReportLearned(report=event.report, age=0.0)]
+    state.reported_at[name] = event.now
+    if name in state.assigned:
+        state.record(event.report, now=event.now)
+    return [DeliverReport(report=event.report, age=0.0)]
 
 
 @_apply.register
 def _(event: PollFailed, state: SharingState) -> list[Effect]:
     state.polling.discard(event.target)
-    # That it does not answer is not passed on: it may be this host that is cut off.
+    # The failure is not reported to other hosts, as this host may be the one that is partitioned.
     return [EngineUnreachable(target=event.target)] if event.target in state.engines else []
 
 
 @_apply.register
-def _(event: ReportsHeard, state: SharingState) -> list[Effect]:
+def _(event: ReportsReceived, state: SharingState) -> list[Effect]:
     effects: list[Effect] = []
     for shared in event.reports:
         engine = state.engines.get(shared.target)
         if engine is None:
             continue
         age = max(0.0, shared.age / 1_000)
-        state.heard[engine.name] = max(state.heard.get(engine.name, 0.0), event.now - age)
-        _alternate(state, engine.name, event.now - age)
+        state.reported_at[engine.name] = max(
+            state.reported_at.get(engine.name, 0.0), event.now - age
+        )
+        _schedule_after_other(state, engine.name, event.now - age)
         report = unpack(shared, usual=engine.models)
-        effects.append(ReportLearned(report=report, age=age))
+        effects.append(DeliverReport(report=report, age=age))
     return effects
 
 
-def _alternate(state: SharingState, name: TargetName, at: float) -> None:
-    """Poll half a period after the other poller, and never wait for it for longer than that."""
-    if name in state.mine and name in state.polled:
-        latest = state.polled[name] + 1.5 * state.period
-        state.due[name] = min(at + state.period / 2, latest)
+def _schedule_after_other(state: SharingState, name: TargetName, at: float) -> None:
+    """Poll half a period after the other poller, which delays a poll by half a period at most."""
+    if name in state.assigned and name in state.polled_at:
+        latest = state.polled_at[name] + 1.5 * state.period
+        state.next_poll[name] = min(at + state.period / 2, latest)
 
 
 # --- Time -----------------------------------------------------------------------------------------
@@ -111,13 +113,13 @@
 
 @_apply.register
 def _(event: SharingTicked, state: SharingState) -> list[Effect]:
-    effects = _share(state, event.now)
-    for name in state.mine:
-        if state.due.get(name, 0.0) <= event.now:
+    effects = _send_reports(state, event.now)
+    for name in state.assigned:
+        if state.next_poll.get(name, 0.0) <= event.now:
             effects += _poll(state, name, event.now)
-    if event.now >= state.scan_due:
-        state.scan_due = event.now + SCAN_PERIOD
-        effects += _scan(state, event.now)
+    if event.now >= state.next_scan:
+        state.next_scan = event.now + SCAN_PERIOD_SECONDS
+        effects += _poll_silent(state, event.now)
     return effects
 
 
@@ -125,62 +127,62 @@
     if name in state.polling:
         return []
     state.polling.add(name)
-    state.polled[name] = now
-    state.due[name] = now + state.period * state.random.uniform(0.9, 1.0)
+    state.polled_at[name] = now
+    state.next_poll[name] = now + state.period * state.random.uniform(0.9, 1.0)
     return [PollEngine(target=name)]
 
 
-def _scan(state: SharingState, now: float) -> list[Effect]:
-    """Poll the engines of which nothing was heard for too long."""
-    oldest = now - state.patience
+def _poll_silent(state: SharingState, now: float) -> list[Effect]:
+    """Poll the engines without recent reports."""
+    oldest = now - state.max_silence
     effects: list[Effect] = []
-    for name in state.watched:
-        if name not in state.mine and state.heard.setdefault(name, now) < oldest:
+    for name in state.monitored:
+        if name not in state.assigned and state.reported_at.setdefault(name, now) < oldest:
             effects += _poll(state, name, now)
     return effects
 
 
-# --- Telling others -------------------------------------------------------------------------------
+# --- Reports to other hosts -----------------------------------------------------------------------
 
 
-def _share(state: SharingState, now: float) -> list[Effect]:
-    """Send what was learned to those who have waited longest, as far as the budget goes."""
-    if not state.learned:
+def _send_reports(state: SharingState, now: float) -> list[Effect]:
+    """Send recorded reports, to the hosts with the oldest last send first, within the budget."""
+    if not state.latest_reports:
         return []
-    if not state.full and state.meter.room(now=now) < MESSAGE_OVERHEAD:
+    if not state.exchanges_all and state.meter.room(now=now) < MESSAGE_OVERHEAD:
         return []
-    newest = max(item.number for item in state.learned.values())
-    near = [host for host in state.near if state.visited[host.address].number < newest]
-    far = state.far
+    newest = max(item.number for item in state.latest_reports.values())
+    local = [host for host in state.local_hosts if state.last_sends[host.address].number < newest]
+    remote = state.remote_hosts
     effects: list[Effect] = []
-    while near or far:
-        elsewhere = bool(far) and (not near or state.sent % ELSEWHERE_EVERY == 0)
-        host = (far if elsewhere else near).pop(0)
+    while local or remote:
+        is_remote = bool(remote) and (not local or state.sent_count % REMOTE_MESSAGE_INTERVAL == 0)
+        host = (remote if is_remote else local).pop(0)
         messages = _messages(state, host, now)
         if not messages:
             continue
         size = sum(len(encode(message)) + MESSAGE_OVERHEAD for message in messages)
-        if not state.full and not state.meter.take(size, now=now):
+        if not state.exchanges_all and not state.meter.take(size, now=now):
             return effects
-        state.told(host, now=now)
+        state.mark_sent(host, now=now)
         effects += [SendReports(address=host.address, message=message) for message in messages]
     return effects
 
 
 def _messages(state: SharingState, host: SharingHost, now: float) -> list[EngineReports]:
-    """Return what a host has not been sent yet."""
-    known = state.visited[host.address].number
+    """Return the messages with the reports that a host has not been sent yet."""
+    known = state.last_sends[host.address].number
     shared = tuple(
-        _packed(state, item, now)
-        for item in state.learned.values()
-        if item.number > known and state.tells(item.report.target, host)
+        _pack(state, item, now)
+        for item in state.latest_reports.values()
+        if item.number > known and state.reports_to(item.report.target, host)
     )
     return [
-        EngineReports(reports=shared[start : start + REPORTS_PER_MESSAGE])
-        for start in range(0, len(shared), REPORTS_PER_MESSAGE)
+        EngineReports(reports=shared[start : start + MAX_REPORTS_PER_MESSAGE])
+        for start in range(0, len(shared), MAX_REPORTS_PER_MESSAGE)
     ]
 
 
-def _packed(state: SharingState, item: Learned, now: float) -> SharedReport:
+def _pack(state: SharingState, item: RecordedReport, now: float) -> SharedReport:
     usual = state.engines[item.report.target].models
     return pack(item.report, age=now - item.at, usual=usual)
--- a/src/azureswitch/coordination/sharing/_state.py
+++ b/src/azureswitch/coordination/sharing/_state.py
@@ -1,4 +1,4 @@
-"""What a host knows of who polls which engine, and what it learned."""
+"""The state of sharing on one host: which host polls which engine, and the newest reports."""
 
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -10,11 +10,11 @@
 
 from azureswitch.coordination.sharing._limits import (
     FULL_HOSTS,
-    GAP_DECAY,
-    MISSED_REPORTS,
-    POLL_PERIOD,
+    INTERVAL_DECAY,
+    MAX_MISSED_REPORTS,
+    MAX_POLLS_PER_SECOND,
+    POLL_PERIOD_SECONDS,
     POLLERS,
-    POLLS_MOST,
     REPORT_BYTES,
 )
 from azureswitch.coordination.sharing._meter import Meter
@@ -25,13 +25,13 @@
 from azureswitch.ports import LoadReport
 
 
-class Learned(Struct, frozen=True, kw_only=True):
-    """A report of an engine that this host polls.
+class RecordedReport(Struct, frozen=True, kw_only=True):
+    """The newest report of an engine that this host polls.
 
     Attributes:
         report: The report.
         at: When it arrived.
-        number: Counts the reports that this host learned.
+        number: Its number among the reports that this host has recorded, from 1.
     """
 
     report: LoadReport
@@ -39,12 +39,12 @@
     number: int
 
 
-class Visit(Struct, frozen=True, kw_only=True):
-    """What another host was sent last.
+class LastSend(Struct, frozen=True, kw_only=True):
+    """The last send of reports to another host.
 
     Attributes:
-        at: When; drawn below zero for a host that was sent nothing yet.
-        number: The newest report then.
+        at: When it was; a random negative number if nothing was sent yet.
+        number: The number of the newest report at that time.
     """
 
     at: float
@@ -56,7 +56,7 @@
 
     Args:
         host: This host.
-        seed: Seeds jitter and the order of receivers.
+        seed: Seeds the jitter and the order of receivers.
     """
 
     def __init__(self, *, host: HostName, seed: int) -> None:
@@ -69,15 +69,15 @@
         self._ranks: dict[TargetName, int] = {}
         self.meter = Meter(rate=REPORT_BYTES)
         self.polling: set[TargetName] = set()
-        self.due: dict[TargetName, float] = {}
-        self.polled: dict[TargetName, float] = {}
-        self.learned: dict[TargetName, Learned] = {}
-        self.heard: dict[TargetName, float] = {}
-        self.visited: dict[str, Visit] = {}
-        self.number = 0
-        self.sent = 0
-        self._gap = 0.0
-        self.scan_due = 0.0
+        self.next_poll: dict[TargetName, float] = {}
+        self.polled_at: dict[TargetName, float] = {}
+        self.latest_reports: dict[TargetName, RecordedReport] = {}
+        self.reported_at: dict[TargetName, float] = {}
+        self.last_sends: dict[str, LastSend] = {}
+        self.last_number = 0
+        self.sent_count = 0
+        self._longest_interval = 0.0
+        self.next_scan = 0.0
 
     @property
     def random(self) -> Random:
@@ -86,99 +86,105 @@
 
     @property
     def engines(self) -> dict[TargetName, Target]:
-        """The engines in force."""
+        """The engines of the configuration in force, by name."""
         return self._engines
 
     @property
-    def mine(self) -> frozenset[TargetName]:
-        """The engines that this host polls for others."""
+    def assigned(self) -> frozenset[TargetName]:
+        """The engines that this host polls and reports to others."""
         return frozenset(self._ranks)
 
     @property
-    def full(self) -> bool:
-        """Whether the fleet is small, so that everyone gets everything at once."""
+    def exchanges_all(self) -> bool:
+        """Whether the fleet is small, so that every report is sent to all hosts at once."""
         return len(self._hosts) < FULL_HOSTS
 
     @property
     def period(self) -> float:
         """Seconds between two polls of one engine by this host."""
-        return POLL_PERIOD if self.full else max(POLL_PERIOD, len(self._ranks) / POLLS_MOST)
+        return (
+            POLL_PERIOD_SECONDS
+            if self.exchanges_all
+            else max(POLL_PERIOD_SECONDS, len(self._ranks) / MAX_POLLS_PER_SECOND)
+        )
 
     @property
-    def near(self) -> list[SharingHost]:
-        """The hosts that get every report of this one, those that waited longest first."""
-        return self._waiting(lambda host: self.full or host.place == self._place)
+    def local_hosts(self) -> list[SharingHost]:
+        """The hosts that receive every report of this one, by the time of the last send."""
+        return self._by_last_send(lambda host: self.exchanges_all or host.place == self._place)
 
     @property
-    def far(self) -> list[SharingHost]:
-        """The hosts that get some reports of this one, those that waited longest first."""
-        return self._waiting(lambda host: not self.full and host.place != self._place)
+    def remote_hosts(self) -> list[SharingHost]:
+        """The hosts that receive some reports of this one, by the time of the last send."""
+        return self._by_last_send(lambda host: not self.exchanges_all and host.place != self._place)
 
     @property
-    def watched(self) -> list[TargetName]:
-        """The engines that this host polls itself when it hears nothing of them."""
-        if self.full:
+    def monitored(self) -> list[TargetName]:
+        """The engines that this host polls itself if it receives no reports of them."""
+        if self.exchanges_all:
             return list(self._engines)
         return [name for name, item in self._engines.items() if item.place == self._place]
 
-    def learn(self, report: LoadReport, *, now: float) -> None:
-        """Keep a report of an engine that this host polls, to pass it on."""
-        self.number += 1
-        self.learned[report.target] = Learned(report=report, at=now, number=self.number)
+    def record(self, report: LoadReport, *, now: float) -> None:
+        """Record a report of an engine that this host polls, to send it to others."""
+        self.last_number += 1
+        self.latest_reports[report.target] = RecordedReport(
+            report=report, at=now, number=self.last_number
+        )
 
     @property
-    def patience(self) -> float:
+    def max_silence(self) -> float:
         """Seconds without a report after which a host polls an engine itself."""
-        return MISSED_REPORTS * max(self.period, self._gap)
+        return MAX_MISSED_REPORTS * max(self.period, self._longest_interval)
 
-    def tells(self, target: TargetName, host: SharingHost) -> bool:
-        """Whether this poller of an engine is the one that tells a host, or both do."""
-        if self.full:
+    def reports_to(self, target: TargetName, host: SharingHost) -> bool:
+        """Return whether this host, one of the pollers of an engine, reports it to another host."""
+        if self.exchanges_all:
             return True
         return self._ranks[target] == xxh3_64_intdigest(f"{target}\0{host.name}".encode()) % POLLERS
 
-    def told(self, host: SharingHost, *, now: float) -> None:
-        """Note that a host was sent reports."""
-        since = self.visited[host.address].at
-        self.visited[host.address] = Visit(at=now, number=self.number)
-        self.sent += 1
+    def mark_sent(self, host: SharingHost, *, now: float) -> None:
+        """Record that reports were sent to a host."""
+        since = self.last_sends[host.address].at
+        self.last_sends[host.address] = LastSend(at=now, number=self.last_number)
+        self.sent_count += 1
         if host.place == self._place and since > 0.0:
-            self._gap = max(self._gap * GAP_DECAY, now - since)
+            self._longest_interval = max(self._longest_interval * INTERVAL_DECAY, now - since)
 
     def set_hosts(self, hosts: tuple[SharingHost, ...], *, place: PlaceName) -> None:
-        """Take over the other hosts."""
+        """Replace the other hosts."""
         self._place = place
         self._hosts = {host.address: host for host in hosts if host.name != self._host}
-        self.visited = {
-            address: self.visited.get(address) or Visit(at=-self._random.random())
+        self.last_sends = {
+            address: self.last_sends.get(address) or LastSend(at=-self._random.random())
             for address in self._hosts
         }
-        self._choose()
+        self._assign()
 
     def set_engines(self, engines: tuple[Target, ...], places: tuple[Place, ...]) -> None:
-        """Take over the engines; of one that has started again nothing is kept or passed on."""
+        """Replace the engines; reports of an earlier start of an engine are discarded."""
         before = self._engines
         self._engines = {engine.name: latest(before.get(engine.name), engine) for engine in engines}
         for name, engine in self._engines.items():
             if started_again(before.get(name), engine):
                 self._forget(name)
         self._regions = {place.name: place.region for place in places}
-        for known in (self.due, self.polled, self.heard):
+        for known in (self.next_poll, self.polled_at, self.reported_at):
             for name in known.keys() - self._engines.keys():
                 del known[name]
-        self._choose()
+        self._assign()
 
     def _forget(self, name: TargetName) -> None:
-        self.learned.pop(name, None)
-        for times in (self.due, self.polled, self.heard):
+        self.latest_reports.pop(name, None)
+        for times in (self.next_poll, self.polled_at, self.reported_at):
             times.pop(name, None)
 
-    def _waiting(self, wanted: Callable[[SharingHost], bool]) -> list[SharingHost]:
+    def _by_last_send(self, wanted: Callable[[SharingHost], bool]) -> list[SharingHost]:
         found = (host for host in self._hosts.values() if wanted(host))
-        return sorted(found, key=lambda host: self.visited[host.address].at)
+        return sorted(found, key=lambda host: self.last_sends[host.address].at)
 
-    def _choose(self) -> None:
-        """Find out which engines this host polls."""
+    def _assign(self) -> None:
+        """Determine which engines this host polls."""
         polling = [host for host in self._hosts.values() if host.polls]
         groups: dict[frozenset[HostName], list[TargetName]] = {}
         known: dict[PlaceName, frozenset[HostName]] = {}
@@ -193,10 +199,12 @@
             for name, pollers in _pollers(names, hosts)
             if self._host in pollers
         }
-        self.learned = {name: item for name, item in self.learned.items() if name in self._ranks}
+        self.latest_reports = {
+            name: item for name, item in self.latest_reports.items() if name in self._ranks
+        }
 
     def _candidates(self, place: PlaceName, polling: list[SharingHost]) -> frozenset[HostName]:
-        """Return the hosts of a place, of its region where they are too few, or all."""
+        """Return the hosts of a failure domain, of its region if those are too few, or all."""
         homes = [(self._host, self._place), *((host.name, host.place) for host in polling)]
         region = self._regions.get(place)
         in_place = frozenset(name for name, home in homes if home == place)
@@ -211,10 +219,10 @@
 def _pollers(
     names: list[TargetName], hosts: frozenset[HostName]
 ) -> Iterator[tuple[TargetName, tuple[HostName, ...]]]:
-    """Yield the pollers of each engine, an even share of engines for each host.
+    """Yield the pollers of each engine, with an even share of engines for each host.
 
-    Each engine takes the first hosts by rendezvous hashing that have room, so that hosts which know
-    the same engines and hosts agree.
+    Each engine takes the first hosts by rendezvous hashing that have capacity left, so hosts that
+    know the same engines and hosts obtain the same result.
     """
     count = min(POLLERS, len(hosts))
     shares = Counter[HostName]()
@@ -223,7 +231,7 @@
         order = ranked(name=name, hosts=hosts)
         free = [host for host in order if shares[host] < most]
         if len(free) < count:
-            # At the end the room that is left may all be with one host.
+            # For the last engines, one host may have all the remaining capacity.
             free += [host for host in order if host not in free]
         pollers = tuple(free[:count])
         shares.update(pollers)
--- a/src/azureswitch/entry/_polls.py
+++ b/src/azureswitch/entry/_polls.py
@@ -1,7 +1,8 @@
-"""Learns of engines' load with few requests to each engine.
+"""Keeps engines' load reports up to date with few requests to each engine.
 
-Each engine is polled by few hosts, which tell the others.  Who polls when, and who is told, is
-decided by `azureswitch.coordination.sharing`; this module carries that out.
+Few hosts poll each engine and send its reports to the others.  The reducer of
+`azureswitch.coordination.sharing` decides when to poll and whom to send reports; this module
+executes its effects.
 """
 
 import asyncio
@@ -13,7 +14,8 @@
 
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.coordination.sharing import (
-    TICK,
+    TICK_SECONDS,
+    DeliverReport,
     EnginePolled,
     EngineReports,
     EnginesChanged,
@@ -21,8 +23,7 @@
     HostsChanged,
     PollEngine,
     PollFailed,
-    ReportLearned,
-    ReportsHeard,
+    ReportsReceived,
     SendReports,
     SharingEvent,
     SharingHost,
@@ -39,19 +40,19 @@
 from azureswitch.tasks import Tasks
 
 POLL_TIMEOUT = 1.0
-"""Seconds that an engine may take to answer a poll."""
+"""Timeout of a poll in seconds."""
 
 
 class Poller:
-    """Polls engines, tells other hosts, and hears from them.
+    """Polls engines and exchanges their reports with other hosts.
 
     Args:
         host: This host.
         targets: The ports of targets.
-        peers: Messages to other hosts.
-        members: Returns the members known now, this host included; another object after each
+        peers: Sends messages to other hosts.
+        members: Returns the current members, this host included; a new object after each
             change.
-        dispatch: Hands an event to the reducer.
+        dispatch: Passes an event to the serving reducer.
         clock: Returns seconds of the monotonic clock.
         seed: Seeds the jitter and the choice of receivers.
     """
@@ -82,21 +83,21 @@
         peers.handle(EngineReports, self._receive)
 
     @property
-    def mine(self) -> frozenset[TargetName]:
-        """The engines that this host polls for all."""
-        return self._state.mine
+    def assigned(self) -> frozenset[TargetName]:
+        """The engines that this host polls and reports to others."""
+        return self._state.assigned
 
     async def run(self) -> None:
         """Poll until cancelled."""
         try:
             while True:
                 self.step()
-                await asyncio.sleep(TICK * self._random.uniform(0.9, 1.1))
+                await asyncio.sleep(TICK_SECONDS * self._random.uniform(0.9, 1.1))
         finally:
             await self._tasks.stop()
 
     def step(self) -> None:
-        """Pass on what was learned and begin the polls that are due."""
+        """Send new reports and start the polls that are due."""
         self._follow_hosts()
         self._follow_engines()
         self._feed(SharingTicked(now=self._clock()))
@@ -124,25 +125,25 @@
 
     def _feed(self, event: SharingEvent) -> None:
         for effect in reduce(self._state, event):
-            self._carry_out(effect)
+            self._execute(effect)
 
     @singledispatchmethod
-    def _carry_out(self, effect: Effect) -> None:
+    def _execute(self, effect: Effect) -> None:
         raise NotImplementedError(type(effect))
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: PollEngine) -> None:
         self._tasks.spawn(self._poll(effect.target), name=f"{effect.target} poll")
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: SendReports) -> None:
         self._peers.cast(address=effect.address, message=effect.message)
 
-    @_carry_out.register
-    def _(self, effect: ReportLearned) -> None:
+    @_execute.register
+    def _(self, effect: DeliverReport) -> None:
         self._dispatch(LoadReported(now=self._clock(), report=effect.report, age=effect.age))
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: EngineUnreachable) -> None:
         self._dispatch(TargetUnreachable(now=self._clock(), target=effect.target))
 
@@ -153,7 +154,7 @@
             return
         try:
             async with asyncio.timeout(POLL_TIMEOUT):
-                # The inventory names engines; one may call itself by another name.
+                # The name in the inventory counts; the engine may report another one.
                 report = replace(await engine.load(), target=name)
         except (TargetError, TimeoutError):
             self._feed(PollFailed(now=self._clock(), target=name))
@@ -161,7 +162,7 @@
             self._feed(EnginePolled(now=self._clock(), report=report))
 
     def _receive(self, message: EngineReports) -> None:
-        self._feed(ReportsHeard(now=self._clock(), reports=message.reports))
+        self._feed(ReportsReceived(now=self._clock(), reports=message.reports))
 
 
 def _sharing_host(member: Member) -> SharingHost:
--- a/tests/entry/test_polls.py
+++ b/tests/entry/test_polls.py
@@ -7,7 +7,13 @@
 import pytest
 
 from azureswitch.coordination.membership import Member, MemberStatus
-from azureswitch.coordination.sharing import MISSED_REPORTS, POLL_PERIOD, POLLERS, pack, unpack
+from azureswitch.coordination.sharing import (
+    MAX_MISSED_REPORTS,
+    POLL_PERIOD_SECONDS,
+    POLLERS,
+    pack,
+    unpack,
+)
 from azureswitch.core import HostName, Incarnation, PlaceName, ServiceName, TargetName
 from azureswitch.entry._polls import Poller
 from azureswitch.entry._targets import Targets
@@ -101,7 +107,7 @@
 
     async def step(self, pollers: list[Poller] | None = None) -> None:
         """Let hosts poll once, half a second later."""
-        self.now += POLL_PERIOD
+        self.now += POLL_PERIOD_SECONDS
         for poller in self.pollers if pollers is None else pollers:
             poller.step()
         for _ in range(20):
@@ -136,7 +142,7 @@
 
         async def scenario() -> None:
             fleet = Fleet(9)
-            for _ in range(MISSED_REPORTS + 3):
+            for _ in range(MAX_MISSED_REPORTS + 3):
                 await fleet.step(fleet.pollers[:1])
             assert len(fleet.reported(0)) == ENGINES
 
@@ -148,7 +154,7 @@
         async def scenario() -> None:
             fleet = Fleet(9)
             fleet.down.add("engine-3")
-            for _ in range(MISSED_REPORTS + 3):
+            for _ in range(MAX_MISSED_REPORTS + 3):
                 await fleet.step()
             for events in fleet.heard:
                 lost = {event.target for event in events if isinstance(event, TargetUnreachable)}
--- a/tests/sharing/test_digests.py
+++ b/tests/sharing/test_digests.py
@@ -1,4 +1,4 @@
-"""Small fleets send digests to everyone, large ones within their budget."""
+"""Digests are sent to all hosts of a small fleet, and within the budget in a large one."""
 
 import asyncio
 from collections import Counter
@@ -11,7 +11,7 @@
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.coordination.relays import RELAY_HOSTS
 from azureswitch.coordination.sharing import BURST_BYTES, DIGEST_BYTES, FULL_HOSTS, Digests
-from azureswitch.coordination.sharing._exchange import SPREAD_TURNS
+from azureswitch.coordination.sharing._exchange import SPREAD_ROUNDS
 from azureswitch.coordination.sharing._gathering import gatherers
 from azureswitch.core import CustomerName, HostName, Incarnation, PlaceName, TargetName
 from azureswitch.serving import (
@@ -42,7 +42,7 @@
         ids=["small", "large", "larger than a datagram"],
     )
     def test_publish(self, hosts: int, customers: int, loads: tuple[TargetLoad, ...]) -> None:
-        """What arrives is what was sent, and a large fleet pays for no more than its budget."""
+        """Digests arrive unchanged, and a large fleet does not exceed its budget."""
         heard: list[ServingEvent] = []
         network = PeersNetworkFake()
         digest = Digest(
@@ -79,19 +79,19 @@
 
 
 class TestRelays:
-    """Digests that cross between failure domains."""
+    """Digests between failure domains."""
 
     @pytest.mark.parametrize(
         ("size", "regular", "times", "crossing"),
         [
             (RELAY_HOSTS, False, 1, 2),
             (RELAY_HOSTS - 1, False, 1, 2 * (RELAY_HOSTS - 1)),
-            (12, True, SPREAD_TURNS, 2),
+            (12, True, SPREAD_ROUNDS, 2),
             (12, False, 3, 6),
         ],
     )
     def test_crossing(self, size: int, regular: bool, times: int, crossing: int) -> None:
-        """All hosts hear a digest, and one of each large failure domain has it from its sender."""
+        """All hosts receive a digest, only one of each large failure domain from the sender."""
         heard: Counter[str] = Counter()
         network = PeersNetworkFake()
         members = tuple(_member(index, place=f"north-{index // size}") for index in range(3 * size))
@@ -133,14 +133,14 @@
         [({"north-0"}, 11), ({"north-0", "north-2"}, 23), ({"north-1"}, 12), (set(), 0)],
     )
     def test_places(self, places: set[str], copies: int) -> None:
-        """The hosts of these hear it, whatever the budget, and those of others do not."""
+        """Only the hosts of these failure domains receive a digest, regardless of the budget."""
         heard = _heard_by(lambda part: part.publish(DIGEST, regular=False, places=_named(places)))
         assert len(heard) == copies
         assert {_place(host) for host in heard} == places
         assert set(heard.values()) <= {DigestReceived}
 
     def test_totals(self) -> None:
-        """One host of another failure domain hears them."""
+        """One host of another failure domain receives them."""
         occupancy = Occupancy(target=TargetName("engine-1"), reading=0.25, streams=3, tokens=7)
         totals = DomainTotals(place=PlaceName("north-0"), occupancies=(occupancy,))
         events: list[ServingEvent] = []
@@ -150,13 +150,13 @@
         assert [event.totals for event in events if isinstance(event, TotalsReceived)] == [totals]
 
     def test_only_domain(self) -> None:
-        """A fleet of one failure domain tells its totals nobody."""
+        """A fleet with one failure domain does not send totals."""
         totals = DomainTotals(place=PlaceName("north-0"))
         assert not _heard_by(lambda part: part.publish_totals(totals), hosts=12)
 
 
 class TestGathering:
-    """Digests of ended sends, which one host of each failure domain gathers for the others."""
+    """Digests of ended sends, which one host of each failure domain collects for the others."""
 
     @pytest.mark.parametrize(
         ("hosts", "senders", "messages"),
@@ -167,7 +167,7 @@
         ],
     )
     def test_all_hear(self, hosts: int, senders: int, messages: int) -> None:
-        """Each host hears of the newest end of each other one, most of them in one message."""
+        """Each host receives the newest end of each other host, most of them in one message."""
         heard, received = _ended_at(hosts=hosts, senders=senders, lost=set())
         for name, newest in heard.items():
             expected = {f"entry-{index}": 2 for index in range(senders)}
@@ -176,7 +176,7 @@
         assert median(received.values()) == messages
 
     def test_gatherer_lost(self) -> None:
-        """Of what one loses, the others hear with the next send of the same host."""
+        """What a collecting host loses is announced with the next send of the same host."""
         lost = {member.incarnation.host for member in gatherers(_north(36))}
         assert len(lost) == 3
         heard, _ = _ended_at(hosts=36, senders=1, lost=lost, begun=True)
@@ -195,7 +195,7 @@
     hear: Callable[[str, ServingEvent], None],
     full_hosts: int = FULL_HOSTS,
 ) -> list[Digests]:
-    """Return the part of each host; what it hears is told together with the host's name."""
+    """Return the `Digests` of each host; ``hear`` is called with the host and each event."""
     return [
         Digests(
             myself=member.incarnation,
@@ -213,10 +213,10 @@
 def _ended_at(
     *, hosts: int, senders: int, lost: set[HostName], begun: bool = False
 ) -> tuple[dict[str, dict[str, int]], dict[str, int]]:
-    """Let sends of some hosts end twice, and begin once more if asked.
+    """Publish two ends of sends of some hosts, and one more begin if ``begun`` is true.
 
     Returns:
-        The newest digest of each other host that each one heard, and how many messages it got.
+        The newest digest of each other host by receiver, and the number of messages by receiver.
     """
     network = PeersNetworkFake(jitter=0.0)
     members = _north(hosts)
@@ -239,7 +239,7 @@
         await asyncio.sleep(1.0)
         if begun:
             again = Digest(host=members[0].incarnation.host, sequence=3, started=1)
-            for _ in range(3):  # One that passes it on may be lost too.
+            for _ in range(3):  # A relay may be a lost host.
                 parts[0].publish(again, regular=False)
             await asyncio.sleep(1.0)
         found = {m.incarnation.host: network.host(address=m.address) for m in members}
@@ -261,7 +261,7 @@
     hosts: int = 36,
     events: list[ServingEvent] | None = None,
 ) -> dict[str, type[ServingEvent]]:
-    """Let the first of hosts in failure domains of 12 tell something, and return who heard what."""
+    """Publish from the first host of domains with 12 hosts; return the last event by receiver."""
     heard: dict[str, type[ServingEvent]] = {}
     network = PeersNetworkFake()
     members = _north(hosts)
--- a/tests/sharing/test_sharing.py
+++ b/tests/sharing/test_sharing.py
@@ -1,4 +1,4 @@
-"""Few hosts poll each engine, and what they learn reaches the others within the budget."""
+"""Few hosts poll each engine, and their reports reach the others within the budget."""
 
 from collections import Counter
 from random import Random
@@ -10,10 +10,11 @@
     BURST_BYTES,
     FULL_HOSTS,
     MESSAGE_OVERHEAD,
-    POLL_PERIOD,
+    POLL_PERIOD_SECONDS,
     POLLERS,
     REPORT_BYTES,
-    TICK,
+    TICK_SECONDS,
+    DeliverReport,
     EnginePolled,
     EnginesChanged,
     EngineUnreachable,
@@ -21,8 +22,7 @@
     Meter,
     PollEngine,
     PollFailed,
-    ReportLearned,
-    ReportsHeard,
+    ReportsReceived,
     SendReports,
     SharingHost,
     SharingState,
@@ -38,8 +38,8 @@
 from azureswitch.ports import LoadReport
 from azureswitch.serving import CustomerUse, Demand, Digest, TargetLoad
 
-REPLACED = 2.0
-"""Seconds within which the reports of a lost poller come from another one."""
+TAKEOVER_SECONDS = 2.0
+"""Seconds within which another host replaces a lost poller."""
 
 
 def report(name: str, sequence: int = 1, models: tuple[str, ...] = ("base",)) -> LoadReport:
@@ -73,9 +73,9 @@
         self.down: set[str] = set()
         self.polls: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()
-        self.learned: dict[str, dict[str, float]] = {}
+        self.reports: dict[str, dict[str, float]] = {}
         self.unreachable: set[str] = set()
-        self.waiting: list[tuple[str, str, ReportsHeard]] = []
+        self.in_transit: list[tuple[str, str, ReportsReceived]] = []
         self.hosts = [
             SharingHost(
                 name=HostName(f"entry-{index}"),
@@ -102,45 +102,45 @@
             for index, host in enumerate(self.hosts)
         }
         for host in self.hosts:
-            self.learned[host.address] = {}
+            self.reports[host.address] = {}
             event = EnginesChanged(now=0.0, engines=self.engines, places=self.places)
             reduce(self.states[host.address], event)
-        self.tell()
+        self.update_hosts()
 
-    def tell(self) -> None:
-        """Let every host know which hosts are not dead."""
+    def update_hosts(self) -> None:
+        """Update the hosts that are not dead at each host."""
         hosts = tuple(host for host in self.hosts if host.address not in self.dead)
         for host in hosts:
             event = HostsChanged(now=self.now, place=host.place, hosts=hosts)
             reduce(self.states[host.address], event)
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
-        for _ in range(round(seconds / TICK)):
-            self.now += TICK
-            due, self.waiting = self.waiting, []
-            for source, address, heard in due:
+        """Advance the time."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            due, self.in_transit = self.in_transit, []
+            for source, address, received in due:
                 if not {source, address} & self.dead and (source in self.cut) == (
                     address in self.cut
                 ):
-                    event = ReportsHeard(now=self.now, reports=heard.reports)
-                    self.carry_out(address, reduce(self.states[address], event))
+                    event = ReportsReceived(now=self.now, reports=received.reports)
+                    self.execute(address, reduce(self.states[address], event))
             for address, state in self.states.items():
                 if address not in self.dead:
-                    self.carry_out(address, reduce(state, SharingTicked(now=self.now)))
+                    self.execute(address, reduce(state, SharingTicked(now=self.now)))
 
-    def carry_out(self, address: str, effects: Effects) -> None:
-        """Carry out a host's effects."""
+    def execute(self, address: str, effects: Effects) -> None:
+        """Execute the effects of a host."""
         for effect in effects:
             if isinstance(effect, PollEngine):
                 self._poll(address, effect.target)
             elif isinstance(effect, SendReports):
                 self.sent[address] += len(encode(effect.message)) + MESSAGE_OVERHEAD
                 if self.random.random() >= self.loss:
-                    heard = ReportsHeard(now=self.now, reports=effect.message.reports)
-                    self.waiting.append((address, effect.address, heard))
-            elif isinstance(effect, ReportLearned):
-                self.learned[address][effect.report.target] = self.now - effect.age
+                    received = ReportsReceived(now=self.now, reports=effect.message.reports)
+                    self.in_transit.append((address, effect.address, received))
+            elif isinstance(effect, DeliverReport):
+                self.reports[address][effect.report.target] = self.now - effect.age
             elif isinstance(effect, EngineUnreachable):
                 self.unreachable.add(address)
 
@@ -151,12 +151,12 @@
             if target in self.down
             else EnginePolled(now=self.now, report=report(target))
         )
-        self.carry_out(address, reduce(self.states[address], event))
+        self.execute(address, reduce(self.states[address], event))
 
-    def oldest(self) -> float:
+    def max_age(self) -> float:
         """Return the greatest age of a report that a live host has of an engine of its place."""
         return max(
-            self.now - self.learned[host.address].get(engine.name, -100.0)
+            self.now - self.reports[host.address].get(engine.name, -100.0)
             for host in self.hosts
             for engine in self.engines
             if host.address not in self.dead and host.place == engine.place
@@ -164,88 +164,88 @@
 
 
 class TestPolling:
-    """Who polls."""
+    """Which hosts poll an engine, and when."""
 
     @pytest.mark.parametrize(
         ("hosts", "places"), [(1, 1), (2, 1), (6, 3), (9, 3), (20, 3), (60, 11)]
     )
     def test_pollers(self, hosts: int, places: int) -> None:
-        """Each engine has two pollers, of its place where that has as many."""
+        """Each engine has two pollers, of its failure domain if that has as many hosts."""
         fleet = Fleet(hosts=hosts, places=places)
         for engine in fleet.engines:
-            polling = [host for host in fleet.hosts if engine.name in _mine(fleet, host)]
+            polling = [host for host in fleet.hosts if engine.name in _assigned(fleet, host)]
             assert len(polling) == min(POLLERS, hosts)
             if hosts >= POLLERS * places:
                 assert {host.place for host in polling} == {engine.place}
 
     def test_even(self) -> None:
-        """No host polls many more engines than the others of its place."""
+        """No host polls many more engines than the others of its failure domain."""
         fleet = Fleet(hosts=38, engines=55)
-        counts = [len(_mine(fleet, host)) for host in fleet.hosts]
+        counts = [len(_assigned(fleet, host)) for host in fleet.hosts]
         assert sum(counts) == POLLERS * 55
         assert max(counts) == 3
 
     def test_region(self) -> None:
-        """A place with too few hosts has its engines polled from its region."""
+        """Engines of a failure domain with too few hosts are polled by hosts of its region."""
         fleet = Fleet(hosts=6, places=3)
         fleet.dead = {"entry-0"}
-        fleet.tell()
-        polling = [h.address for h in fleet.hosts if "engine-0" in _mine(fleet, h)]
+        fleet.update_hosts()
+        polling = [h.address for h in fleet.hosts if "engine-0" in _assigned(fleet, h)]
         assert len(set(polling) - fleet.dead) == POLLERS
 
     def test_in_turns(self) -> None:
-        """Two pollers take turns, so that no engine is polled much more often than twice."""
+        """Two pollers alternate, so no engine is polled much more often than twice per period."""
         fleet = Fleet(hosts=9, places=3)
         fleet.run(20.0)
-        most = POLLERS * 20.0 / (POLL_PERIOD * 0.9) + POLLERS
+        most = POLLERS * 20.0 / (POLL_PERIOD_SECONDS * 0.9) + POLLERS
         assert max(fleet.polls.values()) <= most
         assert min(fleet.polls.values()) >= most / 2
 
 
 class TestFailures:
-    """Pollers die, networks part, messages are lost, late or doubled."""
+    """Dead pollers, partitions, and lost, late or duplicated messages."""
 
     @pytest.mark.parametrize("known", [False, True])
     def test_poller_dies(self, known: bool) -> None:
-        """Reports go on within two seconds, also before its death is known."""
+        """Reports resume within two seconds, even before the death is known."""
         fleet = Fleet(hosts=9, places=3)
         fleet.run(3.0)
         fleet.dead = {"entry-0"}
         if known:
-            fleet.tell()
+            fleet.update_hosts()
         for _ in range(20):
-            fleet.run(REPLACED / 4)
-            assert fleet.oldest() <= REPLACED
+            fleet.run(TAKEOVER_SECONDS / 4)
+            assert fleet.max_age() <= TAKEOVER_SECONDS
 
     def test_both_pollers_die(self) -> None:
-        """Where both pollers of engines die unnoticed, the others poll for themselves."""
+        """If both pollers of an engine die undetected, the other hosts poll it themselves."""
         fleet = Fleet(hosts=9, places=3)
         fleet.run(3.0)
         fleet.dead = {"entry-0", "entry-3"}
         for _ in range(20):
-            fleet.run(REPLACED / 4)
-            assert fleet.oldest() <= REPLACED
+            fleet.run(TAKEOVER_SECONDS / 4)
+            assert fleet.max_age() <= TAKEOVER_SECONDS
 
     def test_partition(self) -> None:
-        """A place that is cut off knows its engines, and so do the others."""
+        """A partitioned failure domain has reports of its engines, and so have the others."""
         fleet = Fleet(hosts=9, places=3)
         fleet.run(3.0)
         fleet.cut = {host.address for host in fleet.hosts if host.place == "place-0"}
         fleet.run(5.0)
-        assert fleet.oldest() <= REPLACED
-        every = [fleet.now - min(known.values()) for known in fleet.learned.values()]
-        assert max(every) <= 2 * REPLACED
+        assert fleet.max_age() <= TAKEOVER_SECONDS
+        every = [fleet.now - min(known.values()) for known in fleet.reports.values()]
+        assert max(every) <= 2 * TAKEOVER_SECONDS
 
     def test_loss(self) -> None:
-        """With one message in five lost, reports stay young."""
+        """With one message in five lost, reports stay recent."""
         fleet = Fleet(hosts=9, places=3, loss=0.2)
         fleet.run(3.0)
         for _ in range(20):
             fleet.run(0.5)
-            assert fleet.oldest() <= REPLACED
+            assert fleet.max_age() <= TAKEOVER_SECONDS
 
     def test_unreachable(self) -> None:
-        """That an engine does not answer is found out by each host for itself."""
+        """Each host detects by itself that an engine does not answer."""
         fleet = Fleet(hosts=9, places=3)
         fleet.run(3.0)
         fleet.down = {"engine-0"}
@@ -253,22 +253,22 @@
         assert fleet.unreachable == set(fleet.states)
 
     def test_stale(self) -> None:
-        """Reports that arrive late or twice say how old they are, and unknown engines are left."""
+        """Late or duplicated reports carry their age; reports of unknown engines are ignored."""
         fleet = Fleet(hosts=2)
         shared = pack(report("engine-0"), age=2.5, usual=("base",))
         other = pack(report("gone"), age=0.0)
-        event = ReportsHeard(now=9.0, reports=(shared, shared, other))
+        event = ReportsReceived(now=9.0, reports=(shared, shared, other))
         effects = reduce(fleet.states["entry-0"], event)
-        expected = ReportLearned(report=report("engine-0"), age=2.5)
+        expected = DeliverReport(report=report("engine-0"), age=2.5)
         assert list(effects) == [expected, expected]
 
 
 class TestBudget:
-    """Large fleets keep to the budget."""
+    """The bandwidth of large fleets."""
 
     @pytest.mark.parametrize(("hosts", "places"), [(FULL_HOSTS + 1, 1), (40, 2), (66, 11)])
     def test_never_exceeded(self, hosts: int, places: int) -> None:
-        """No host sends more than its rate and one burst in any time."""
+        """No host sends more than its rate and one burst in any period."""
         fleet = Fleet(hosts=hosts, places=places, engines=2 * hosts)
         for _ in range(10):
             before = fleet.sent.copy()
@@ -278,23 +278,23 @@
         assert max(fleet.sent.values()) <= REPORT_BYTES * 20.0 + BURST_BYTES
 
     def test_meter(self) -> None:
-        """A message over the burst passes when the bucket is full and is paid for afterwards."""
+        """A message larger than the burst passes when the bucket is full and delays later ones."""
         meter = Meter(rate=100.0, burst=200.0)
         taken = [now for now in range(100) if meter.take(500, now=float(now))]
         assert taken == [2, 7, 12, *range(17, 100, 5)]
 
 
 class TestPacking:
-    """What is sent is what arrives."""
+    """Encoding and decoding."""
 
     @pytest.mark.parametrize("usual", [(), ("base",), ("other",)])
     def test_report(self, usual: tuple[str, ...]) -> None:
-        """A report passed on is the same report."""
+        """A decoded report equals the encoded one."""
         shared = pack(report("engine-1"), age=0.2, usual=usual)
         assert unpack(shared, usual=usual) == report("engine-1")
 
     def test_digest(self) -> None:
-        """A digest passed on is the same to the millisecond, at less than half of the bytes."""
+        """A decoded digest is equal to the millisecond, and takes less than half of the bytes."""
         name = TargetName("engine-1")
         load = TargetLoad(target=name, urgent=0.125, middle=0.25, total=1.5, tokens=9_000)
         digest = Digest(
@@ -311,5 +311,5 @@
         assert 2 * len(encode(pack_digest(digest))) < len(encode(digest))
 
 
-def _mine(fleet: Fleet, host: SharingHost) -> frozenset[TargetName]:
-    return fleet.states[host.address].mine
+def _assigned(fleet: Fleet, host: SharingHost) -> frozenset[TargetName]:
+    return fleet.states[host.address].assigned
--- a/tests/sharing/test_starts.py
+++ b/tests/sharing/test_starts.py
@@ -1,4 +1,4 @@
-"""Digests tell which starts of targets they mean, in few bytes and to hosts of any version."""
+"""Digests name the starts of targets in few bytes, compatibly with hosts of older versions."""
 
 import pytest
 from msgspec import Struct
@@ -89,26 +89,26 @@
         ],
     )
     def test_exact(self, starts: tuple[TargetStart, ...]) -> None:
-        """Each arrives to the millisecond, whenever it was and whichever others are unknown."""
+        """Each start is exact to the millisecond, at any time and with other starts unknown."""
         sent = digest(*starts)
         packed = decode(encode(pack_digest(sent)), type=PackedDigest)
         assert unpack_digest(packed) == sent
 
     @pytest.mark.parametrize(("apart", "most"), [(0, 1), (30_000, 3), (DAY, 5), (20 * DAY, 5)])
     def test_bytes(self, apart: int, most: int) -> None:
-        """They add 5 bytes for each target that is named, and one for all, at most."""
+        """Starts add at most 5 bytes per named target, and one byte in all."""
         starts = [start(name, BORN - apart) for name in (TWO, ONE, THREE)]
         before = len(encode(pack_digest(digest())))
         assert len(encode(pack_digest(digest(*starts)))) - before <= 3 * most
 
     def test_to_earlier_version(self) -> None:
-        """A host of the version before reads the rest of a digest."""
+        """A host of the previous version decodes the other fields of a digest."""
         sent = digest(start(ONE, BORN), start(TWO, BORN), start(THREE, BORN))
         found = decode(encode(pack_digest(sent)), type=EarlierDigest)
         assert [item.target for item in found.occupancies] == [ONE, TWO, THREE]
 
     def test_of_earlier_version(self) -> None:
-        """A digest of a host of the version before names no starts."""
+        """A digest of a host of the previous version has no starts."""
         item = EarlierOccupancy(
             target=ONE, reading=0, short_reading=0, streams=3, long_streams=0, tokens=0
         )
@@ -129,10 +129,10 @@
 
 
 class TestCrashes:
-    """The requests under which targets broke off, on the wire."""
+    """The requests under which targets crashed, on the wire."""
 
     def test_exact(self) -> None:
-        """They arrive as they were sent, beside the starts of other targets."""
+        """Crash reports arrive unchanged, next to the starts of other targets."""
         report = CrashReport(
             customer=CustomerName("ann"),
             fingerprint="0f" * 32,
@@ -145,7 +145,7 @@
         assert unpack_digest(packed) == sent
 
     def test_to_earlier_version(self) -> None:
-        """A host of the version before reads the rest of a digest that tells of them."""
+        """A host of the previous version decodes the other fields beside crash reports."""
         report = CrashReport(customer=CustomerName("ann"), fingerprint="0f", crashes=())
         sent = replace(digest(start(ONE, BORN)), crashes=(report,))
         found = decode(encode(pack_digest(sent)), type=EarlierDigest)
@@ -153,7 +153,7 @@
 
 
 class TestReports:
-    """Reports of an engine that has started again."""
+    """Reports of an engine that has restarted."""
 
     @pytest.mark.parametrize(
         ("before", "after", "passed_on"),
@@ -166,7 +166,7 @@
         ],
     )
     def test_not_passed_on(self, before: int, after: int, passed_on: bool) -> None:
-        """What its earlier start said is told to nobody any more."""
+        """Reports of an earlier start are not sent any more."""
         place = PlaceName("p1")
         state = SharingState(host=HostName("h1"), seed=1)
         other = SharingHost(name=HostName("h2"), place=place, address="10.0.0.2:1")
