--- a/src/azureswitch/coordination/configuration/__init__.py
+++ b/src/azureswitch/coordination/configuration/__init__.py
@@ -1,4 +1,4 @@
-"""Accepting changes of configuration and bringing them into force on every host."""
+"""Accepts changes of the configuration and distributes accepted revisions to every host."""
 
 from azureswitch.coordination.configuration._changes import Changes
 from azureswitch.coordination.configuration._driver import Configuration
--- a/src/azureswitch/coordination/configuration/_changes.py
+++ b/src/azureswitch/coordination/configuration/_changes.py
@@ -1,4 +1,4 @@
-"""How operators' changes are accepted."""
+"""Acceptance of operators' changes, and their audit trail."""
 
 from asyncio import get_running_loop, sleep
 from asyncio import timeout as deadline
@@ -8,16 +8,16 @@
 from absl import logging
 
 from azureswitch.coordination.configuration._limits import (
-    ATTEMPT_SECONDS,
+    ATTEMPT_TIMEOUT_SECONDS,
     AUDIT_KIND,
+    BASE_CHANGE_BACKOFF_SECONDS,
     BODY_KIND,
-    BODY_LIMIT,
-    CHANGE_PAUSE,
-    CHANGE_SECONDS,
+    CHANGE_TIMEOUT_SECONDS,
     HEAD_KIND,
     HEAD_NAME,
-    KEPT_BODIES,
-    STORE_TIMEOUT,
+    MAX_BODIES,
+    MAX_BODY_BYTES,
+    STORE_TIMEOUT_SECONDS,
 )
 from azureswitch.coordination.configuration._model import (
     AuditEntry,
@@ -44,13 +44,13 @@
     """Accepts changes and reads their audit trail.
 
     A change is accepted by one conditional update of the head object, which commits revision, body
-    digest and audit entry together.  The body is stored before, and the entry of the head that is
-    replaced is archived before, so that neither is ever missing.
+    digest and audit entry together.  The body is stored, and the entry of the head that is replaced
+    is archived, before that update, so neither can be missing.
 
     Args:
         store: The platform's store.
-        clock: Returns the time in seconds of the wall clock, for the audit trail.
-        patience: Seconds for which a change is tried while the store gives no clear answer.
+        clock: Returns the wall clock in seconds, for the audit trail.
+        patience: Seconds for which a change is retried while its outcome is unknown.
     """
 
     def __init__(
@@ -58,23 +58,23 @@
         *,
         store: Store,
         clock: Callable[[], float] = time,
-        patience: float = CHANGE_SECONDS,
+        patience: float = CHANGE_TIMEOUT_SECONDS,
     ) -> None:
         self._store = store
         self._clock = clock
         self._patience = patience
 
     async def propose(self, *, base: int, body: bytes, author: str, change: str) -> AuditEntry:
-        """Make a body the next revision after ``base``, once.
+        """Make a body the next revision after ``base``; the operation is idempotent.
 
-        A change that was accepted before is found by its id, also after others were accepted since,
-        and is not applied again.
+        A change that was accepted before is found by its id, even if others have been accepted
+        since, and is not applied again.
 
         Args:
-            base: The revision that the change was made from; zero for the first one.
+            base: The revision that the change is based on; zero for the first one.
             body: The whole configuration.
-            author: Who makes the change.
-            change: An id that no other change has.
+            author: The author of the change.
+            change: The unique id of the change.
 
         Returns:
             The accepted entry.
@@ -83,11 +83,11 @@
             RevisionConflictError: Another change was accepted first.
             ChangeReusedError: The id belongs to an accepted change with another body.
             SnapshotTooLargeError: The body is too large.
-            ChangeOutcomeUnknownError: The store did not say; propose again with the same id.
+            ChangeOutcomeUnknownError: It may have been accepted; propose it again with the same id.
             StoreUnavailableError: The store cannot be reached; nothing was accepted.
         """
-        if len(body) > BODY_LIMIT:
-            raise SnapshotTooLargeError(size=len(body), limit=BODY_LIMIT)
+        if len(body) > MAX_BODY_BYTES:
+            raise SnapshotTooLargeError(size=len(body), limit=MAX_BODY_BYTES)
         proposal = _Proposal(
             store=self._store,
             base=base,
@@ -96,9 +96,9 @@
             change=change,
             accepted=int(self._clock() * 1000),
         )
-        entry = await self._insist(proposal)
+        entry = await self._retry(proposal)
         logging.info("configuration: Revision %d by %s is accepted.", entry.revision, author)
-        await self._delete_old_body(entry)
+        await self._delete_expired_body(entry)
         return entry
 
     async def head(self) -> AuditEntry | None:
@@ -120,17 +120,17 @@
         return found.value
 
     async def history(self, *, limit: int) -> tuple[AuditEntry, ...]:
-        """Return the newest entries, newest first; each but the head costs one read."""
+        """Return up to ``limit`` entries, newest first; each takes one read of the store."""
         return tuple([entry async for entry, _ in self._entries(limit)])
 
     async def verify(self, *, limit: int | None = None) -> int:
-        """Check that each entry holds the digest of the one before it.
+        """Check that each entry contains the digest of the previous one.
 
         Args:
-            limit: The newest entries to check; None for all.
+            limit: The number of newest entries to check; None for all.
 
         Returns:
-            How many entries were checked.
+            The number of checked entries.
 
         Raises:
             AuditChainBrokenError: An entry is missing or is not the one that was accepted.
@@ -153,9 +153,9 @@
             entry = read_entry(name=found.name, value=found.value)
             yield entry, found.value
             count += 1
-            found = await self._entry_before(entry)
+            found = await self._previous_entry(entry)
 
-    async def _entry_before(self, entry: AuditEntry) -> StoredObject | None:
+    async def _previous_entry(self, entry: AuditEntry) -> StoredObject | None:
         if entry.revision == 1:
             return None
         try:
@@ -163,13 +163,13 @@
         except StoreNotFoundError as error:
             raise AuditChainBrokenError(revision=entry.revision - 1) from error
 
-    async def _insist(self, proposal: "_Proposal") -> AuditEntry:
-        """Try until the store has said whether the change was accepted."""
+    async def _retry(self, proposal: "_Proposal") -> AuditEntry:
+        """Retry until the store has confirmed whether the change was accepted."""
         ends = get_running_loop().time() + self._patience
-        pause = CHANGE_PAUSE
+        pause = BASE_CHANGE_BACKOFF_SECONDS
         while True:
             try:
-                async with deadline(ATTEMPT_SECONDS):
+                async with deadline(ATTEMPT_TIMEOUT_SECONDS):
                     entry = await proposal.attempt()
             except (StoreUnavailableError, StoreOutcomeUnknownError, TimeoutError) as error:
                 if get_running_loop().time() + pause >= ends:
@@ -180,23 +180,23 @@
             if entry is not None:
                 return entry
 
-    async def _delete_old_body(self, entry: AuditEntry) -> None:
-        old = entry.revision - KEPT_BODIES
+    async def _delete_expired_body(self, entry: AuditEntry) -> None:
+        old = entry.revision - MAX_BODIES
         if old < 1:
             return
         try:
-            async with deadline(STORE_TIMEOUT):
+            async with deadline(STORE_TIMEOUT_SECONDS):
                 found = await self._store.get(kind=AUDIT_KIND, name=audit_name(old))
                 name = read_entry(name=found.name, value=found.value).body_name
                 stored = await self._store.get(kind=BODY_KIND, name=name)
                 await self._store.delete(kind=BODY_KIND, name=name, version=stored.version)
         except (StoreError, TimeoutError):
-            # The body stays, which costs space alone.
+            # A body that is not deleted only takes up space.
             logging.info("configuration: The body of revision %d was not deleted.", old)
 
 
 class _Proposal:
-    """One change on its way."""
+    """A proposed change."""
 
     def __init__(
         self, *, store: Store, base: int, body: bytes, author: str, change: str, accepted: int
@@ -211,7 +211,7 @@
         self._sent = False
 
     def failure(self) -> Exception:
-        """Return what to raise when the store gives no clear answer for long."""
+        """Return the error to raise when the retries have timed out."""
         if self._sent:
             return ChangeOutcomeUnknownError(change=self._change)
         return StoreUnavailableError(key=f"{HEAD_KIND}/{HEAD_NAME}")
@@ -220,7 +220,7 @@
         """Read the head and replace it.
 
         Returns:
-            The accepted entry, or None where another change came between.
+            The accepted entry, or None if another change was accepted in the meantime.
         """
         found = await read_head(self._store)
         head = None if found is None else read_entry(name=HEAD_NAME, value=found.value)
@@ -236,7 +236,7 @@
         return await self._commit(entry, found)
 
     async def _resolve(self, head: AuditEntry) -> AuditEntry:
-        """Find out who made the revision after the base."""
+        """Return the entry of the revision after the base, if it is this change."""
         rival = head
         if self._base + 1 < head.revision:
             name = audit_name(self._base + 1)
@@ -253,7 +253,7 @@
     async def _commit(self, entry: AuditEntry, found: StoredObject | None) -> AuditEntry | None:
         try:
             if found is None:
-                # A lost answer may hide an accepted change from here on.
+                # From here on, a lost answer may belong to an accepted change.
                 self._sent = True
                 await self._store.create(kind=HEAD_KIND, name=HEAD_NAME, value=entry.stored)
             else:
@@ -269,7 +269,7 @@
         try:
             await self._store.create(kind=kind, name=name, value=value)
         except StoreConflictError:
-            # The name says what it holds, so it is the same object.
+            # The name determines the content, so the existing object is the same.
             return
 
     def _entry(self, previous: bytes | None) -> AuditEntry:
--- a/src/azureswitch/coordination/configuration/_driver.py
+++ b/src/azureswitch/coordination/configuration/_driver.py
@@ -1,4 +1,4 @@
-"""Runs the configuration reducer against the store, peers and the clock."""
+"""The driver of the configuration reducer, with the store, peers and the clock."""
 
 from asyncio import Task, create_task, get_running_loop, sleep
 from asyncio import timeout as deadline
@@ -36,9 +36,9 @@
     BODY_KIND,
     HEAD_KIND,
     HEAD_NAME,
-    STORE_TIMEOUT,
-    TICK,
-    WATCH_SECONDS,
+    STORE_TIMEOUT_SECONDS,
+    TICK_SECONDS,
+    WATCH_TIMEOUT_SECONDS,
 )
 from azureswitch.coordination.configuration._messages import (
     BodyPull,
@@ -64,17 +64,17 @@
 
 
 class Configuration:
-    """The configuration in force on this host, kept up to date while `run` runs.
+    """The configuration in force on this host, which is kept up to date while `run` runs.
 
     Args:
         store: The platform's store.
-        peers: Messages to other hosts; the handlers are registered here.
-        members: Returns the fleet as this host sees it.
+        peers: Sends messages to other hosts; the handlers are registered here.
+        members: Returns the current members.
         myself: This process.
         place: The failure domain that it runs in.
         address: ``IP:PORT`` on which peers reach it.
-        hosts: The platform's host list, or None where there is none.
-        seed: Seeds every random choice.
+        hosts: The platform's host list, or None if there is none.
+        seed: Seeds all random choices.
     """
 
     def __init__(
@@ -97,7 +97,7 @@
         self._host: HostName = myself.host
         self._place = place
         self._address = address
-        self._running: ConfigurationState | None = None
+        self._state_or_none: ConfigurationState | None = None
         self._listeners: list[Listener] = []
         self._tasks: set[Task[None]] = set()
         self._watch: Task[None] | None = None
@@ -108,37 +108,37 @@
     @property
     def revision(self) -> int:
         """The revision in force; zero before the first one."""
-        return 0 if self._running is None else self._running.revision
+        return 0 if self._state_or_none is None else self._state_or_none.revision
 
     @property
     def body(self) -> bytes:
         """The body in force."""
-        return b"" if self._running is None else self._running.body
+        return b"" if self._state_or_none is None else self._state_or_none.body
 
     @property
     def digest(self) -> str:
         """SHA-256 of the body in force, in lower-case hexadecimal."""
-        return "" if self._running is None else self._running.digest
+        return "" if self._state_or_none is None else self._state_or_none.digest
 
     @property
     def watching(self) -> bool:
         """Whether this host watches the store."""
-        return self._running is not None and self._running.watching
+        return self._state_or_none is not None and self._state_or_none.watching
 
     @property
     def _state(self) -> ConfigurationState:
-        if self._running is None:
-            self._running = ConfigurationState(
+        if self._state_or_none is None:
+            self._state_or_none = ConfigurationState(
                 host=self._host,
                 place=self._place,
                 address=self._own_address(),
                 random=self._random,
                 now=_now(),
             )
-        return self._running
+        return self._state_or_none
 
     def on_adopt(self, callback: Listener) -> None:
-        """Call back with revision and body whenever a later revision comes into force here."""
+        """Register a callback of each later revision in force, called with revision and body."""
         self._listeners.append(callback)
 
     async def run(self) -> None:
@@ -146,13 +146,13 @@
         try:
             while True:
                 self._feed(Ticked(now=_now(), members=self._members()))
-                await sleep(TICK)
+                await sleep(TICK_SECONDS)
         finally:
             for task in tuple(self._tasks):
                 task.cancel()
 
     def _own_address(self) -> str:
-        """Return the address that was given, or that membership knows."""
+        """Return the given address, or that of this host in the member list."""
         own = (item.address for item in self._members() if item.incarnation.host == self._host)
         return self._address or next(own, "")
 
@@ -170,50 +170,50 @@
 
     def _feed(self, event: ConfigurationEvent) -> None:
         for effect in reduce(self._state, event):
-            self._carry_out(effect)
+            self._execute(effect)
 
     @singledispatchmethod
-    def _carry_out(self, effect: Effect) -> None:
+    def _execute(self, effect: Effect) -> None:
         raise TypeError(type(effect))
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: Cast) -> None:
         self._peers.cast(address=effect.address, message=effect.message)
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: ListHosts) -> None:
         if self._hosts is not None:
             self._spawn(self._list_hosts(self._hosts))
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: ReadHead) -> None:
         self._spawn(self._read_head())
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: OpenWatch) -> None:
         self._watch = self._spawn(self._watch_head())
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: CloseWatch) -> None:
         if self._watch is not None:
             self._watch.cancel()
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: FetchFromStore) -> None:
         self._spawn(self._fetch_from_store(effect))
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: FetchFromHost) -> None:
         self._spawn(self._fetch_from_host(effect))
 
-    @_carry_out.register
+    @_execute.register
     def _(self, effect: Adopt) -> None:
         for listener in self._listeners:
             try:
                 listener(effect.revision, effect.body)
             except Exception:
-                # The next revision must still be fetched.
-                logging.exception("configuration: Revision %d was not taken over.", effect.revision)
+                # A failing listener must not keep the next revision from being fetched.
+                logging.exception("configuration: Revision %d was not applied.", effect.revision)
 
     async def _list_hosts(self, hosts: HostList) -> None:
         try:
@@ -225,46 +225,48 @@
 
     async def _read_head(self) -> None:
         try:
-            async with deadline(STORE_TIMEOUT):
+            async with deadline(STORE_TIMEOUT_SECONDS):
                 found = await read_head(self._store)
-            self._see_head(found)
+            self._record_head(found)
         except (AuditError, StoreError, TimeoutError) as error:
-            self._fail_store(error)
+            self._record_store_failure(error)
 
     async def _watch_head(self) -> None:
         try:
-            # A watch whose connection hangs ends as well.
-            async with deadline(WATCH_SECONDS + 2 * STORE_TIMEOUT):
+            # The deadline also ends a watch whose connection hangs.
+            async with deadline(WATCH_TIMEOUT_SECONDS + 2 * STORE_TIMEOUT_SECONDS):
                 await self._follow_head()
         except (AuditError, StoreError, TimeoutError) as error:
-            # Where the history that the watch needs is gone, the next one begins with a listing.
-            self._fail_store(error)
+            # If the history that the watch needs is gone, the next one begins with a listing.
+            self._record_store_failure(error)
         else:
             self._feed(WatchRenewed(now=_now()))
 
     async def _follow_head(self) -> None:
-        async with deadline(STORE_TIMEOUT):
+        async with deadline(STORE_TIMEOUT_SECONDS):
             listing = await self._store.list(kind=HEAD_KIND)
-        self._see_head(next(iter(listing.items), None))
+        self._record_head(next(iter(listing.items), None))
         version = listing.version
-        changes = self._store.watch(kind=HEAD_KIND, version=version, timeout=WATCH_SECONDS)
+        changes = self._store.watch(kind=HEAD_KIND, version=version, timeout=WATCH_TIMEOUT_SECONDS)
         async for change in changes:
             if change.kind is ChangeKind.PUT:
-                self._see_head(change.item)
+                self._record_head(change.item)
 
-    def _see_head(self, found: StoredObject | None) -> None:
-        # A head that cannot be read is not one that was never written: nothing follows from it.
+    def _record_head(self, found: StoredObject | None) -> None:
+        # A head that cannot be decoded must not be taken for one that was never written.
         entry = None if found is None else read_entry(name=HEAD_NAME, value=found.value)
         self._feed(HeadSeen(now=_now(), entry=entry))
 
-    def _fail_store(self, error: Exception) -> None:
-        logging.warning("configuration: The store's head was not read (%s).", type(error).__name__)
+    def _record_store_failure(self, error: Exception) -> None:
+        logging.warning(
+            "configuration: The head cannot be read from the store (%s).", type(error).__name__
+        )
         self._feed(StoreFailed(now=_now()))
 
     async def _fetch_from_store(self, effect: FetchFromStore) -> None:
         entry = effect.entry
         try:
-            async with deadline(STORE_TIMEOUT):
+            async with deadline(STORE_TIMEOUT_SECONDS):
                 found = await self._store.get(kind=BODY_KIND, name=entry.body_name)
         except (StoreError, TimeoutError):
             self._feed(FetchFailed(now=_now(), address=""))
--- a/src/azureswitch/coordination/configuration/_effects.py
+++ b/src/azureswitch/coordination/configuration/_effects.py
@@ -1,4 +1,4 @@
-"""What the driver does for the configuration reducer."""
+"""Effects of the configuration reducer."""
 
 from azureswitch.coordination.configuration._messages import RevisionAsk, RevisionNews
 from azureswitch.coordination.configuration._model import AuditEntry
@@ -17,29 +17,29 @@
 
 
 class ListHosts(ConfigurationEffect, frozen=True, kw_only=True):
-    """Read the host list and report it as `HostsListed`."""
+    """Read the host list; `HostsListed` follows on success."""
 
 
 class ReadHead(ConfigurationEffect, frozen=True, kw_only=True):
-    """Read the head from the store; report `HeadSeen` or `StoreFailed`."""
+    """Read the head from the store; `HeadSeen` or `StoreFailed` follows."""
 
 
 class OpenWatch(ConfigurationEffect, frozen=True, kw_only=True):
-    """Watch the head; report `HeadSeen`, and at the end `WatchRenewed` or `StoreFailed`."""
+    """Watch the head; `HeadSeen` follows, and at the end `WatchRenewed` or `StoreFailed`."""
 
 
 class CloseWatch(ConfigurationEffect, frozen=True, kw_only=True):
-    """Stop watching, without a report."""
+    """Cancel the watch; no event follows."""
 
 
 class FetchFromStore(ConfigurationEffect, frozen=True, kw_only=True):
-    """Get a body from the store; report `BodyFetched` or `FetchFailed`."""
+    """Read a body from the store; `BodyFetched` or `FetchFailed` follows."""
 
     entry: AuditEntry
 
 
 class FetchFromHost(ConfigurationEffect, frozen=True, kw_only=True):
-    """Pull a body from another host; report `BodyFetched` or `FetchFailed`."""
+    """Pull a body from another host; `BodyFetched` or `FetchFailed` follows."""
 
     address: str
     revision: int
--- a/src/azureswitch/coordination/configuration/_events.py
+++ b/src/azureswitch/coordination/configuration/_events.py
@@ -1,4 +1,4 @@
-"""What can happen to the configuration in force on a host."""
+"""Events of the configuration reducer."""
 
 from azureswitch.coordination.configuration._messages import RevisionAsk, RevisionNews
 from azureswitch.coordination.configuration._model import AuditEntry
@@ -12,43 +12,43 @@
 
 
 class Ticked(ConfigurationEvent, frozen=True, kw_only=True):
-    """Time passed; sent every `TICK` seconds.
+    """Time passed; sent every `TICK_SECONDS` seconds.
 
     Attributes:
-        members: The fleet as this host sees it.
+        members: The current members.
     """
 
     members: tuple[Member, ...]
 
 
 class HostsListed(ConfigurationEvent, frozen=True, kw_only=True):
-    """The host list was read, which a starting host needs."""
+    """The host list, which a starting host requests, was read."""
 
     hosts: tuple[ListedHost, ...]
 
 
 class HeadSeen(ConfigurationEvent, frozen=True, kw_only=True):
-    """The store showed its head; None before the first change."""
+    """The head was read from the store; None before the first change."""
 
     entry: AuditEntry | None
 
 
 class StoreFailed(ConfigurationEvent, frozen=True, kw_only=True):
-    """A reading of the head or a watch failed."""
+    """A read of the head or a watch failed."""
 
 
 class WatchRenewed(ConfigurationEvent, frozen=True, kw_only=True):
-    """A watch ended in its time and may go on at once."""
+    """A watch ended at its timeout and can be renewed at once."""
 
 
 class NewsReceived(ConfigurationEvent, frozen=True, kw_only=True):
-    """Another host said what is in force on it."""
+    """Another host announced its revision in force."""
 
     news: RevisionNews
 
 
 class Asked(ConfigurationEvent, frozen=True, kw_only=True):
-    """A starting host asks what is in force here."""
+    """A starting host queried the revision in force on this host."""
 
     ask: RevisionAsk
 
@@ -57,8 +57,8 @@
     """A body arrived from the store or from another host.
 
     Attributes:
-        revision: The revision that it is said to be of.
-        digest: The digest that it is said to have.
+        revision: The revision that its sender states.
+        digest: The digest that its sender states.
         body: The body.
     """
 
@@ -68,10 +68,10 @@
 
 
 class FetchFailed(ConfigurationEvent, frozen=True, kw_only=True):
-    """A body did not arrive.
+    """A fetch of a body failed.
 
     Attributes:
-        address: The host that was asked; empty for the store.
+        address: The host that was called; empty for the store.
     """
 
     address: str
--- a/src/azureswitch/coordination/configuration/_fetch.py
+++ b/src/azureswitch/coordination/configuration/_fetch.py
@@ -1,4 +1,4 @@
-"""What a host wants to fetch, and from where."""
+"""The body that a host fetches, and its sources."""
 
 from random import Random
 
@@ -8,19 +8,19 @@
     FetchFromStore,
 )
 from azureswitch.coordination.configuration._limits import (
-    PULL_PAUSE,
-    PULL_PAUSE_LIMIT,
-    PULL_TIMEOUT,
-    PULL_TIMEOUT_LIMIT,
-    SOURCES,
+    BASE_FETCH_BACKOFF_SECONDS,
+    BASE_PULL_TIMEOUT_SECONDS,
+    MAX_FETCH_BACKOFF_SECONDS,
+    MAX_PULL_TIMEOUT_SECONDS,
+    MAX_SOURCES,
 )
 from azureswitch.coordination.configuration._model import AuditEntry
 
 
 class Fetch:
-    """The newest revision heard of and not yet in force, and who has it.
+    """The newest known revision that is not in force yet, and its sources.
 
-    One body is fetched at a time, from a host where one is known to have it and else from the
+    One body is fetched at a time: from a host that is known to have it, if any, otherwise from the
     store.
     """
 
@@ -29,17 +29,17 @@
         self._revision = 0
         self._sources: list[str] = []
         self._entry: AuditEntry | None = None
-        self._running = False
+        self._is_running = False
         self._failures = 0
-        self._starts_at = 0.0
+        self._next_start = 0.0
 
     @property
     def revision(self) -> int:
-        """The wanted revision; zero for none."""
+        """The requested revision; zero for none."""
         return self._revision
 
-    def want(self, *, revision: int, address: str = "", entry: AuditEntry | None = None) -> None:
-        """Want a revision that a host has, or that the store's head names."""
+    def request(self, *, revision: int, address: str = "", entry: AuditEntry | None = None) -> None:
+        """Request a revision that a host has, or that the head in the store names."""
         if revision < self._revision:
             return
         if revision > self._revision:
@@ -48,43 +48,47 @@
             self._entry = None
         if entry is not None:
             self._entry = entry
-        if address and address not in self._sources and len(self._sources) < SOURCES:
+        if address and address not in self._sources and len(self._sources) < MAX_SOURCES:
             self._sources.append(address)
 
-    def settle(self, *, revision: int, address: str) -> None:
-        """Want a lower revision, because the wanted one is nowhere to be had."""
+    def fall_back(self, *, revision: int, address: str) -> None:
+        """Request a lower revision, as the requested one is not available from any source."""
         self._revision = 0
-        self.want(revision=revision, address=address)
+        self.request(revision=revision, address=address)
 
-    def satisfied(self, *, revision: int) -> None:
-        """Note that a revision is in force, and want only later ones."""
-        self._running = False
+    def complete(self, *, revision: int) -> None:
+        """Record that a revision is in force."""
+        self._is_running = False
         self._failures = 0
         if revision >= self._revision:
             self._revision = 0
             self._sources = []
             self._entry = None
 
-    def failed(self, *, address: str, now: float) -> None:
-        """Note that a fetch failed; the next one goes elsewhere if it can."""
-        self._running = False
-        pause = min(PULL_PAUSE * 2.0 ** min(self._failures, 16), PULL_PAUSE_LIMIT)
+    def fail(self, *, address: str, now: float) -> None:
+        """Record that a fetch failed; the next one uses another source if there is one."""
+        self._is_running = False
+        pause = min(
+            BASE_FETCH_BACKOFF_SECONDS * 2.0 ** min(self._failures, 16), MAX_FETCH_BACKOFF_SECONDS
+        )
         self._failures += 1
-        self._starts_at = now + pause * self._random.uniform(0.5, 1.0)
+        self._next_start = now + pause * self._random.uniform(0.5, 1.0)
         if address in self._sources:
             self._sources.remove(address)
 
     def start(self, *, now: float) -> ConfigurationEffect | None:
-        """Return the fetch to carry out now, or None."""
-        if self._running or not self._revision or now < self._starts_at:
+        """Start a fetch and return its effect, or None if none is due."""
+        if self._is_running or not self._revision or now < self._next_start:
             return None
         effect = self._choose()
-        self._running = effect is not None
+        self._is_running = effect is not None
         return effect
 
     def _choose(self) -> ConfigurationEffect | None:
         if self._sources:
-            timeout = min(PULL_TIMEOUT * 2.0 ** min(self._failures, 16), PULL_TIMEOUT_LIMIT)
+            timeout = min(
+                BASE_PULL_TIMEOUT_SECONDS * 2.0 ** min(self._failures, 16), MAX_PULL_TIMEOUT_SECONDS
+            )
             return FetchFromHost(
                 address=self._random.choice(self._sources),
                 revision=self._revision,
--- a/src/azureswitch/coordination/configuration/_limits.py
+++ b/src/azureswitch/coordination/configuration/_limits.py
@@ -1,7 +1,7 @@
-"""Periods, sizes and counts of changes and of their spread."""
+"""Periods, sizes and counts for changes and their distribution."""
 
 HEAD_KIND = "configuration-head"
-"""The kind of the one object whose update accepts a change."""
+"""The kind of the single object whose conditional update accepts a change."""
 
 HEAD_NAME = "head"
 """The name of that object."""
@@ -12,83 +12,83 @@
 AUDIT_KIND = "configuration-audit"
 """The kind of the audit entries of replaced heads, named by revision."""
 
-BODY_LIMIT = 1_000_000
-"""Bytes of a body at most, as the store permits."""
+MAX_BODY_BYTES = 1_000_000
+"""Upper bound of the bytes of a body, given by the store."""
 
-KEPT_BODIES = 100
-"""Revisions whose bodies are kept; audit entries are kept for good."""
+MAX_BODIES = 100
+"""Number of newest revisions whose bodies are kept; audit entries are never deleted."""
 
-CHANGE_SECONDS = 30.0
-"""Seconds for which a change is tried while the store gives no clear answer."""
+CHANGE_TIMEOUT_SECONDS = 30.0
+"""Seconds for which a change is retried while its outcome is unknown."""
 
-ATTEMPT_SECONDS = 15.0
-"""Seconds that one try of a change, of four to five calls to the store, may take."""
+ATTEMPT_TIMEOUT_SECONDS = 15.0
+"""Timeout in seconds of one attempt at a change, which makes four to five calls to the store."""
 
-CHANGE_PAUSE = 0.1
-"""Seconds before the second try of a change; doubled for each further one."""
+BASE_CHANGE_BACKOFF_SECONDS = 0.1
+"""Seconds before the first retry of a change; doubled for each further one."""
 
-STORE_TIMEOUT = 5.0
-"""Seconds that one call to the store may take."""
+STORE_TIMEOUT_SECONDS = 5.0
+"""Timeout in seconds of one call to the store."""
 
-PULL_TIMEOUT = 1.0
-"""Seconds that the first pull of a body may take; doubled for each further one."""
+BASE_PULL_TIMEOUT_SECONDS = 1.0
+"""Timeout in seconds of the first pull of a body; doubled after each failure."""
 
-PULL_TIMEOUT_LIMIT = 8.0
-"""Seconds that the pull of a body may take at most."""
+MAX_PULL_TIMEOUT_SECONDS = 8.0
+"""Upper bound in seconds of the timeout of a pull."""
 
-TICK = 0.25
-"""Seconds between two looks at the timers."""
+TICK_SECONDS = 0.25
+"""Seconds between two `Ticked` events."""
 
 WATCHERS = 2
-"""Hosts of a place that watch the store."""
+"""Number of hosts of a failure domain that watch the store."""
 
-WATCH_SECONDS = 60.0
-"""Seconds that one watch waits at most."""
+WATCH_TIMEOUT_SECONDS = 60.0
+"""Timeout in seconds of one watch."""
 
-WATCH_SETTLE = 3.0
-"""Seconds for which the hosts of a place must stay the same until one acts on its part in it."""
+STABLE_HOSTS_SECONDS = 3.0
+"""Seconds without a change of a failure domain's hosts before one starts or ends its watch."""
 
-WATCH_SETTLE_LIMIT = 15.0
-"""Seconds after which a host acts on its part although others come and go."""
+MAX_STABLE_WAIT_SECONDS = 15.0
+"""Seconds after which a host starts or ends its watch even though other hosts join or leave."""
 
-RECONNECT_FIRST = 0.5
-"""Seconds before the first try to reach the store again; doubled for each further one."""
+BASE_RECONNECT_BACKOFF_SECONDS = 0.5
+"""Seconds before the first retry after a failure of the store; doubled for each further one."""
 
-RECONNECT_LIMIT = 30.0
-"""Seconds between two tries to reach the store at most."""
+MAX_RECONNECT_BACKOFF_SECONDS = 30.0
+"""Upper bound in seconds of the backoff after failures of the store."""
 
-READ_SECONDS = 300.0
-"""Seconds between two readings of the head by a host that does not watch, about."""
+READ_INTERVAL_SECONDS = 300.0
+"""Mean seconds between two reads of the head by a host that does not watch."""
 
-NEWS_ROUNDS = (0.0, 0.25, 0.5)
-"""Seconds after an adoption at which a host passes the news on."""
+GOSSIP_DELAYS_SECONDS = (0.0, 0.25, 0.5)
+"""Seconds after an adoption at which a host announces its revision to other members."""
 
-NEWS_FANOUT = 4
-"""Members to which the news is passed on in one round."""
+GOSSIP_FANOUT = 4
+"""Number of members to which the revision is announced in one round."""
 
-NEWS_PERIOD = 2.0
-"""Seconds between two reminders of the own revision, each to one member, about."""
+GOSSIP_PERIOD_SECONDS = 2.0
+"""Mean seconds between two periodic announcements of the own revision, each to one member."""
 
-ASK_PERIOD = 1.0
-"""Seconds between two questions of a starting host to those that have not answered."""
+QUERY_PERIOD_SECONDS = 1.0
+"""Seconds between two queries of a starting host to the hosts that have not answered."""
 
-START_SETTLE = 3.0
-"""Seconds without new hosts after which a starting host counts as knowing them all."""
+STARTUP_STABLE_SECONDS = 3.0
+"""Seconds without new hosts after which a starting host assumes that it knows all of them."""
 
-START_BOUND = 10.0
-"""Seconds after which a starting host goes by the hosts that it can reach."""
+STARTUP_TIMEOUT_SECONDS = 10.0
+"""Seconds after which a majority of the reachable hosts is enough for a starting host."""
 
-SOURCES = 8
-"""Hosts remembered as having the wanted revision."""
+MAX_SOURCES = 8
+"""Upper bound of the hosts that are recorded as sources of the requested revision."""
 
-PULL_PAUSE = 0.2
-"""Seconds before the second try to fetch a body; doubled for each further one."""
+BASE_FETCH_BACKOFF_SECONDS = 0.2
+"""Seconds before the first retry of a fetch; doubled for each further one."""
 
-PULL_PAUSE_LIMIT = 10.0
-"""Seconds between two tries to fetch a body at most."""
+MAX_FETCH_BACKOFF_SECONDS = 10.0
+"""Upper bound in seconds of the backoff between fetches."""
 
-WATCH_FAILURES = 2
-"""Failures held against a store that has just answered a watcher."""
+MAX_WATCH_FAILURES = 2
+"""Upper bound of the failures that still count once the store has answered a watcher."""
 
-ASK_DELAY = 0.5
-"""Seconds that a starting host waits for the store before it asks other hosts."""
+QUERY_DELAY_SECONDS = 0.5
+"""Seconds for which a starting host waits for the store before it queries other hosts."""
--- a/src/azureswitch/coordination/configuration/_messages.py
+++ b/src/azureswitch/coordination/configuration/_messages.py
@@ -1,21 +1,21 @@
-"""What hosts tell each other of the configuration in force."""
+"""Messages between hosts about the configuration in force."""
 
 from zlib import compress, decompressobj
 from zlib import error as zlib_error
 
 from msgspec import Struct
 
-from azureswitch.coordination.configuration._limits import BODY_LIMIT
+from azureswitch.coordination.configuration._limits import MAX_BODY_BYTES
 from azureswitch.core import HostName
 
 
 class RevisionNews(Struct, frozen=True, kw_only=True):
-    """Says which configuration is in force on a host.
+    """Announces which configuration is in force on a host.
 
     Attributes:
         host: The host.
         address: ``IP:PORT`` on which the body can be pulled from it.
-        revision: The revision; zero where none is in force yet.
+        revision: The revision; zero if none is in force yet.
         digest: SHA-256 of the body, in lower-case hexadecimal.
     """
 
@@ -26,11 +26,11 @@
 
 
 class RevisionAsk(Struct, frozen=True, kw_only=True):
-    """Asks a host for its `RevisionNews`.
+    """Requests a host's `RevisionNews`.
 
     Attributes:
-        host: Who asks.
-        address: Where to send the answer.
+        host: The requesting host.
+        address: ``IP:PORT`` to which the answer is sent.
     """
 
     host: HostName
@@ -38,7 +38,7 @@
 
 
 class BodyPull(Struct, frozen=True, kw_only=True):
-    """Asks a host for the body that is in force on it, if it is at least a revision."""
+    """Requests the body in force on a host, if its revision is not lower than ``revision``."""
 
     revision: int
 
@@ -47,7 +47,7 @@
     """Answers a `BodyPull`.
 
     Attributes:
-        revision: The revision of the body; zero where the host has no such revision.
+        revision: The revision of the body; zero if the revision in force is lower.
         digest: SHA-256 of the body.
         packed: The body, compressed by `pack_body`.
     """
@@ -58,15 +58,15 @@
 
 
 def pack_body(body: bytes) -> bytes:
-    """Compress a body; an inventory shrinks to a fraction."""
+    """Compress a body."""
     return compress(body)
 
 
 def unpack_body(packed: bytes) -> bytes | None:
-    """Return a compressed body, or None where it is damaged or too large."""
+    """Decompress a body; return None if it is damaged or too large."""
     unpacker = decompressobj()
     try:
-        body = unpacker.decompress(packed, BODY_LIMIT)
+        body = unpacker.decompress(packed, MAX_BODY_BYTES)
     except zlib_error:
         return None
     return body if unpacker.eof else None
--- a/src/azureswitch/coordination/configuration/_model.py
+++ b/src/azureswitch/coordination/configuration/_model.py
@@ -1,4 +1,4 @@
-"""The records of accepted changes."""
+"""Audit entries of accepted changes."""
 
 from hashlib import sha256
 
@@ -12,9 +12,9 @@
     """One accepted change; the newest one is the head.
 
     Attributes:
-        revision: Its number; the first is 1 and each is one above its base.
+        revision: Its number, which is one above its base; the first is 1.
         base: The revision that it was made from.
-        change: The id that its author gave it, unique over all changes.
+        change: Its id, given by its author and unique among all changes.
         author: Who made it.
         accepted: When it was proposed, in milliseconds of the author's wall clock.
         digest: SHA-256 of the body, in lower-case hexadecimal.
@@ -31,32 +31,32 @@
 
     @property
     def stored(self) -> bytes:
-        """The entry as it is stored."""
+        """The stored form of the entry."""
         return encode(self)
 
     @property
     def audit_name(self) -> str:
-        """The name of the entry among the replaced ones."""
+        """The name under which the entry is archived once it is replaced."""
         return audit_name(self.revision)
 
     @property
     def body_name(self) -> str:
-        """The name of its body."""
+        """The name of the object that stores its body."""
         return f"{self.revision:012d}-{self.digest}"
 
 
 def audit_name(revision: int) -> str:
-    """Return the name of the audit entry of a replaced revision."""
+    """Return the name under which the entry of a replaced revision is archived."""
     return f"{revision:012d}"
 
 
 def digest_of(data: bytes) -> str:
-    """Return the SHA-256 of some bytes, in lower-case hexadecimal."""
+    """Return the SHA-256 of the data, in lower-case hexadecimal."""
     return sha256(data).hexdigest()
 
 
 def read_entry(*, name: str, value: bytes) -> AuditEntry:
-    """Read an entry as it is stored.
+    """Decode the stored form of an entry.
 
     Raises:
         AuditEntryInvalidError: It is not an entry.
--- a/src/azureswitch/coordination/configuration/_reduce.py
+++ b/src/azureswitch/coordination/configuration/_reduce.py
@@ -27,12 +27,12 @@
     WatchRenewed,
 )
 from azureswitch.coordination.configuration._limits import (
-    ASK_PERIOD,
-    NEWS_FANOUT,
-    NEWS_PERIOD,
-    NEWS_ROUNDS,
-    RECONNECT_LIMIT,
-    WATCH_FAILURES,
+    GOSSIP_DELAYS_SECONDS,
+    GOSSIP_FANOUT,
+    GOSSIP_PERIOD_SECONDS,
+    MAX_RECONNECT_BACKOFF_SECONDS,
+    MAX_WATCH_FAILURES,
+    QUERY_PERIOD_SECONDS,
     WATCHERS,
 )
 from azureswitch.coordination.configuration._messages import RevisionAsk
@@ -46,16 +46,16 @@
 
 
 def reduce(state: ConfigurationState, event: ConfigurationEvent) -> Effects:
-    """Update the configuration in force with an event.
+    """Apply an event.
 
     Args:
-        state: The configuration in force.
+        state: The state, which is updated in place.
         event: What happened.
 
     Returns:
-        What the driver does now, in order.
+        The effects that the driver must execute, in order.
     """
-    effects = list(_on(event, state))
+    effects = list(_apply(event, state))
     fetch = state._fetch.start(now=event.now)
     if fetch is not None:
         effects.append(fetch)
@@ -63,7 +63,7 @@
 
 
 def watchers(*, place: PlaceName, members: tuple[Member, ...]) -> tuple[HostName, ...]:
-    """Return the hosts that should watch the store for a place."""
+    """Return the hosts that watch the store for a failure domain."""
     hosts = (
         member.incarnation.host
         for member in members
@@ -73,93 +73,93 @@
 
 
 @singledispatch
-def _on(event: ConfigurationEvent, state: ConfigurationState) -> ConfigurationEffects:
+def _apply(event: ConfigurationEvent, state: ConfigurationState) -> ConfigurationEffects:
     raise TypeError(type(event))
 
 
-@_on.register
+@_apply.register
 def _(event: Ticked, state: ConfigurationState) -> ConfigurationEffects:
-    yield from _go_on_starting(state, event)
-    _choose_watchers(state, event)
-    yield from _use_store(state, event.now)
-    yield from _spread(state, event.now)
+    yield from _continue_startup(state, event)
+    _update_watchers(state, event)
+    yield from _call_store(state, event.now)
+    yield from _gossip(state, event.now)
 
 
-@_on.register
+@_apply.register
 def _(event: HostsListed, state: ConfigurationState) -> ConfigurationEffects:
     if state._start is not None:
-        state._start.list(hosts=event.hosts, now=event.now)
+        state._start.add_hosts(hosts=event.hosts, now=event.now)
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: HeadSeen, state: ConfigurationState) -> ConfigurationEffects:
-    state._store_failures = min(state._store_failures, WATCH_FAILURES)
+    state._store_failures = min(state._store_failures, MAX_WATCH_FAILURES)
     if not state._watching:
-        state._store_busy = False
+        state._store_call_open = False
         state._store_failures = 0
-        state._store_at = state.next_read(now=event.now)
+        state._next_store_call = state.next_read(now=event.now)
     entry = event.entry
     if entry is None:
-        # Nothing was accepted yet, so there is no stale revision to fear.
+        # No change has been accepted yet, so no host can have a stale revision.
         state._start = None
     elif entry.revision > state._revision:
-        state._fetch.want(revision=entry.revision, entry=entry)
+        state._fetch.request(revision=entry.revision, entry=entry)
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: StoreFailed, state: ConfigurationState) -> ConfigurationEffects:
-    state._store_busy = False
+    state._store_call_open = False
     state._watching = False
-    state._store_at = state.next_reconnect(now=event.now)
-    if state._revision and not state._chosen:
-        state._store_at = state.next_read(now=event.now)
+    state._next_store_call = state.next_reconnect(now=event.now)
+    if state._revision and not state._should_watch:
+        state._next_store_call = state.next_read(now=event.now)
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: WatchRenewed, state: ConfigurationState) -> ConfigurationEffects:
-    state._store_busy = False
+    state._store_call_open = False
     state._watching = False
     state._store_failures = 0
-    state._store_at = event.now
-    yield from _use_store(state, event.now)
+    state._next_store_call = event.now
+    yield from _call_store(state, event.now)
 
 
-@_on.register
+@_apply.register
 def _(event: NewsReceived, state: ConfigurationState) -> ConfigurationEffects:
     news = event.news
     if state._start is not None:
-        # One answer alone may be that of a stale host, so that `Start` decides; but a revision that
-        # the store has shown already may come from any host.
-        state._start.answer(news=news)
+        # A single answer may be from a stale host, so `Startup` decides.  But a revision that the
+        # store has confirmed may be fetched from any host.
+        state._start.add_answer(news=news)
         if 0 < state._fetch.revision <= news.revision:
-            state._fetch.want(revision=news.revision, address=news.address)
+            state._fetch.request(revision=news.revision, address=news.address)
     elif news.revision > state._revision:
-        state._fetch.want(revision=news.revision, address=news.address)
+        state._fetch.request(revision=news.revision, address=news.address)
     elif news.revision < state._revision:
         yield Cast(address=news.address, message=state.news)
 
 
-@_on.register
+@_apply.register
 def _(event: Asked, state: ConfigurationState) -> ConfigurationEffects:
     yield Cast(address=event.ask.address, message=state.news)
 
 
-@_on.register
+@_apply.register
 def _(event: FetchFailed, state: ConfigurationState) -> ConfigurationEffects:
-    state._fetch.failed(address=event.address, now=event.now)
+    state._fetch.fail(address=event.address, now=event.now)
     yield from ()
 
 
-@_on.register
+@_apply.register
 def _(event: BodyFetched, state: ConfigurationState) -> ConfigurationEffects:
     if digest_of(event.body) != event.digest:
         logging.warning("configuration: Body of revision %d is damaged.", event.revision)
-        state._fetch.failed(address="", now=event.now)
+        state._fetch.fail(address="", now=event.now)
         return
-    state._fetch.satisfied(revision=event.revision)
+    state._fetch.complete(revision=event.revision)
     if event.revision <= state._revision:
         return
     state._revision = event.revision
@@ -167,29 +167,29 @@
     state._body = event.body
     state._packed = b""
     state._start = None
-    state._rounds = [event.now + delay for delay in NEWS_ROUNDS]
+    state._gossip_rounds = [event.now + delay for delay in GOSSIP_DELAYS_SECONDS]
     logging.info("configuration: Revision %d is in force.", event.revision)
     yield Adopt(revision=event.revision, body=event.body)
-    yield from _spread(state, event.now)
+    yield from _gossip(state, event.now)
 
 
 # --- Timers ---------------------------------------------------------------------------------------
 
 
-def _go_on_starting(state: ConfigurationState, event: Ticked) -> ConfigurationEffects:
+def _continue_startup(state: ConfigurationState, event: Ticked) -> ConfigurationEffects:
     start = state._start
     if start is None:
         return
     if event.members is not state._members:
-        start.see(members=event.members, now=event.now)
+        start.add_members(members=event.members, now=event.now)
     news = start.choose(now=event.now)
     if news is not None and news.revision >= state._fetch.revision:
-        state._fetch.want(revision=news.revision, address=news.address)
-    elif news is not None and start.overdue(now=event.now):
-        state._fetch.settle(revision=news.revision, address=news.address)
-    if event.now < state._asks_at:
+        state._fetch.request(revision=news.revision, address=news.address)
+    elif news is not None and start.timed_out(now=event.now):
+        state._fetch.fall_back(revision=news.revision, address=news.address)
+    if event.now < state._next_query:
         return
-    state._asks_at = event.now + ASK_PERIOD
+    state._next_query = event.now + QUERY_PERIOD_SECONDS
     if not start.listed:
         yield ListHosts()
     ask = RevisionAsk(host=state._host, address=state._address)
@@ -197,63 +197,63 @@
         yield Cast(address=address, message=ask)
 
 
-def _choose_watchers(state: ConfigurationState, event: Ticked) -> None:
+def _update_watchers(state: ConfigurationState, event: Ticked) -> None:
     if event.members is state._members:
         return
     state._members = event.members
-    neighbours = frozenset(
+    local_hosts = frozenset(
         item.incarnation.host for item in event.members if item.place == state._place
     )
-    if neighbours != state._neighbours:
-        state._neighbours = neighbours
-        state._neighbours_since = event.now
+    if local_hosts != state._local_hosts:
+        state._local_hosts = local_hosts
+        state._local_hosts_since = event.now
     chosen = state._host in watchers(place=state._place, members=event.members)
-    if chosen != state._chosen:
-        state._chosen = chosen
-        state._chosen_since = event.now
+    if chosen != state._should_watch:
+        state._should_watch = chosen
+        state._should_watch_since = event.now
 
 
-def _use_store(state: ConfigurationState, now: float) -> ConfigurationEffects:
-    settled = state.is_settled(now=now)
-    if state._watching and not state._chosen and settled:
+def _call_store(state: ConfigurationState, now: float) -> ConfigurationEffects:
+    stable = state.is_stable(now=now)
+    if state._watching and not state._should_watch and stable:
         state._watching = False
-        state._store_busy = False
-        state._store_at = state.next_read(now=now)
+        state._store_call_open = False
+        state._next_store_call = state.next_read(now=now)
         yield CloseWatch()
-    _promote(state, now, settled)
-    if state._store_busy or now < state._store_at:
+    _promote(state, now, stable)
+    if state._store_call_open or now < state._next_store_call:
         return
-    state._store_busy = True
-    if state._chosen and settled:
+    state._store_call_open = True
+    if state._should_watch and stable:
         state._watching = True
         yield OpenWatch()
     else:
         yield ReadHead()
 
 
-def _promote(state: ConfigurationState, now: float, settled: bool) -> None:
-    """Let a host that becomes a watcher not wait for its next reading."""
-    if not state._chosen:
+def _promote(state: ConfigurationState, now: float, stable: bool) -> None:
+    """Advance the next store call of a host that becomes a watcher."""
+    if not state._should_watch:
         state._promoted = False
-    elif settled and not state._promoted:
+    elif stable and not state._promoted:
         state._promoted = True
-        limit = RECONNECT_LIMIT if state._store_failures else 0.0
-        state._store_at = min(state._store_at, now + limit * state._random.random())
+        limit = MAX_RECONNECT_BACKOFF_SECONDS if state._store_failures else 0.0
+        state._next_store_call = min(state._next_store_call, now + limit * state._random.random())
 
 
-def _spread(state: ConfigurationState, now: float) -> ConfigurationEffects:
+def _gossip(state: ConfigurationState, now: float) -> ConfigurationEffects:
     if not state._revision:
         return
-    if state._rounds and now >= state._rounds[0]:
-        state._rounds.pop(0)
-        for address in _some(state, NEWS_FANOUT):
+    if state._gossip_rounds and now >= state._gossip_rounds[0]:
+        state._gossip_rounds.pop(0)
+        for address in _random_addresses(state, GOSSIP_FANOUT):
             yield Cast(address=address, message=state.news)
-    if now >= state._reminds_at:
-        state._reminds_at = now + NEWS_PERIOD * state._random.uniform(0.75, 1.25)
-        for address in _some(state, 1):
+    if now >= state._next_gossip:
+        state._next_gossip = now + GOSSIP_PERIOD_SECONDS * state._random.uniform(0.75, 1.25)
+        for address in _random_addresses(state, 1):
             yield Cast(address=address, message=state.news)
 
 
-def _some(state: ConfigurationState, count: int) -> list[str]:
+def _random_addresses(state: ConfigurationState, count: int) -> list[str]:
     others = [item.address for item in state._members if item.incarnation.host != state._host]
     return state._random.sample(others, min(count, len(others)))
--- a/src/azureswitch/coordination/configuration/_state.py
+++ b/src/azureswitch/coordination/configuration/_state.py
@@ -1,31 +1,31 @@
-"""The configuration in force on one host."""
+"""The state of the configuration on one host."""
 
 from random import Random
 
 from azureswitch.coordination.configuration._fetch import Fetch
 from azureswitch.coordination.configuration._limits import (
-    ASK_DELAY,
-    NEWS_PERIOD,
-    READ_SECONDS,
-    RECONNECT_FIRST,
-    RECONNECT_LIMIT,
-    WATCH_SETTLE,
-    WATCH_SETTLE_LIMIT,
+    BASE_RECONNECT_BACKOFF_SECONDS,
+    GOSSIP_PERIOD_SECONDS,
+    MAX_RECONNECT_BACKOFF_SECONDS,
+    MAX_STABLE_WAIT_SECONDS,
+    QUERY_DELAY_SECONDS,
+    READ_INTERVAL_SECONDS,
+    STABLE_HOSTS_SECONDS,
 )
 from azureswitch.coordination.configuration._messages import RevisionNews, pack_body
-from azureswitch.coordination.configuration._start import Start
+from azureswitch.coordination.configuration._start import Startup
 from azureswitch.coordination.membership import Member
 from azureswitch.core import HostName, PlaceName
 
 
 class ConfigurationState:
-    """What the configuration reducer keeps; only `reduce` and its helpers write to it.
+    """The state of the configuration reducer; only `reduce` and its helpers change it.
 
     Args:
         host: This host.
         place: The failure domain that it runs in.
         address: ``IP:PORT`` on which peers reach it.
-        random: The seeded generator of every random choice.
+        random: The seeded source of all random choices.
         now: The time.
     """
 
@@ -41,20 +41,20 @@
         self._body = b""
         self._packed = b""
         self._fetch = Fetch(random=random)
-        self._start: Start | None = Start(host=host, now=now)
+        self._start: Startup | None = Startup(host=host, now=now)
         self._members: tuple[Member, ...] = ()
         self._watching = False
-        self._chosen = False
-        self._chosen_since = now
-        self._store_at = now
+        self._should_watch = False
+        self._should_watch_since = now
+        self._next_store_call = now
         self._store_failures = 0
-        self._store_busy = False
+        self._store_call_open = False
         self._promoted = False
-        self._neighbours: frozenset[HostName] = frozenset()
-        self._neighbours_since = now
-        self._asks_at = now + ASK_DELAY
-        self._reminds_at = now + random.random() * NEWS_PERIOD
-        self._rounds: list[float] = []
+        self._local_hosts: frozenset[HostName] = frozenset()
+        self._local_hosts_since = now
+        self._next_query = now + QUERY_DELAY_SECONDS
+        self._next_gossip = now + random.random() * GOSSIP_PERIOD_SECONDS
+        self._gossip_rounds: list[float] = []
 
     @property
     def revision(self) -> int:
@@ -68,7 +68,7 @@
 
     @property
     def packed(self) -> bytes:
-        """The body in force, compressed once for all hosts that pull it."""
+        """The body in force, compressed once for all pulls."""
         if not self._packed:
             self._packed = pack_body(self._body)
         return self._packed
@@ -85,24 +85,27 @@
 
     @property
     def news(self) -> RevisionNews:
-        """What this host says of itself."""
+        """This host's announcement of its revision in force."""
         return RevisionNews(
             host=self._host, address=self._address, revision=self._revision, digest=self._digest
         )
 
-    def is_settled(self, *, now: float) -> bool:
-        """Whether this host may act on being, or not being, among the watchers of its place."""
+    def is_stable(self, *, now: float) -> bool:
+        """Return whether this host may start or end its watch now."""
         return (
-            now - self._neighbours_since >= WATCH_SETTLE
-            or now - self._chosen_since >= WATCH_SETTLE_LIMIT
+            now - self._local_hosts_since >= STABLE_HOSTS_SECONDS
+            or now - self._should_watch_since >= MAX_STABLE_WAIT_SECONDS
         )
 
     def next_read(self, *, now: float) -> float:
-        """Draw when a host that does not watch reads the head again."""
-        return now + READ_SECONDS * self._random.uniform(0.75, 1.25)
+        """Return the randomized time of the next read by a host that does not watch."""
+        return now + READ_INTERVAL_SECONDS * self._random.uniform(0.75, 1.25)
 
     def next_reconnect(self, *, now: float) -> float:
-        """Draw when to try the store again, later after each failure and spread over hosts."""
-        limit = min(RECONNECT_FIRST * 2.0 ** min(self._store_failures, 16), RECONNECT_LIMIT)
+        """Return when to retry the store, by exponential backoff with jitter."""
+        limit = min(
+            BASE_RECONNECT_BACKOFF_SECONDS * 2.0 ** min(self._store_failures, 16),
+            MAX_RECONNECT_BACKOFF_SECONDS,
+        )
         self._store_failures += 1
         return now + limit * self._random.uniform(0.5, 1.0)
--- a/tests/configuration/test_changes.py
+++ b/tests/configuration/test_changes.py
@@ -1,4 +1,4 @@
-"""Changes are accepted once, whatever the store answers, and leave an unbroken trail."""
+"""Changes are accepted exactly once under faults of the store, with a complete audit trail."""
 
 from asyncio import gather
 from collections.abc import Awaitable, Callable
@@ -21,7 +21,7 @@
 Scenario = Callable[[Changes, StoreFake], Awaitable[None]]
 
 
-def _play(scenario: Scenario, *, revisions: int = 2) -> None:
+def _run(scenario: Scenario, *, revisions: int = 2) -> None:
     async def main() -> None:
         store = StoreFake()
         changes = Changes(store=store, clock=lambda: 1_700_000_000.0)
@@ -44,7 +44,7 @@
 
 
 class TestPropose:
-    """One conditional update accepts a change."""
+    """Acceptance of a change by one conditional update."""
 
     def test_accepted(self) -> None:
         """An accepted change has the next revision, its audit entry and its body."""
@@ -57,14 +57,14 @@
             assert await _names(changes) == ["change-1", "change-2", "change-3"]
             assert await changes.verify() == 3
 
-        _play(scenario)
+        _run(scenario)
 
     @pytest.mark.parametrize("revisions", [0, 2])
     @pytest.mark.parametrize("after", [0, 1, 2, 3])
     @pytest.mark.parametrize("count", [1, 3])
     @pytest.mark.parametrize("lost", [True, False])
     def test_lost_answers(self, revisions: int, after: int, count: int, lost: bool) -> None:
-        """A change is applied once wherever answers are lost, with or without their writes."""
+        """A change is applied once whichever answers are lost, with or without their writes."""
 
         async def scenario(changes: Changes, store: StoreFake) -> None:
             store.faults = StoreFaults(lose_after=after, lose_answers=count, lose_writes=lost)
@@ -73,11 +73,11 @@
             assert (await _names(changes)).count(entry.change) == 1
             assert await changes.verify() == revisions + 1
 
-        _play(scenario, revisions=revisions)
+        _run(scenario, revisions=revisions)
 
     @pytest.mark.parametrize("later", [0, 1, 4])
     def test_proposed_again(self, later: int) -> None:
-        """A change that was accepted is found by its id, also below later ones."""
+        """An accepted change is found by its id, even after later ones."""
 
         async def scenario(changes: Changes, store: StoreFake) -> None:
             first = await _propose(changes, 2, change="mine")
@@ -88,11 +88,11 @@
                 await _propose(changes, 2, change="mine", body=b"another")
             assert await changes.verify() == 3 + later
 
-        _play(scenario)
+        _run(scenario)
 
     @pytest.mark.parametrize("faults", [StoreFaults(), StoreFaults(delay=0.5)])
     def test_race(self, faults: StoreFaults) -> None:
-        """Of operators who race from one base, one wins and the others learn who."""
+        """Of concurrent changes from one base, one is accepted and the others name its author."""
 
         async def scenario(changes: Changes, store: StoreFake) -> None:
             rivals = [StoreFake(model=store.model) for _ in range(5)]
@@ -113,7 +113,7 @@
             }
             assert await changes.verify() == 3
 
-        _play(scenario)
+        _run(scenario)
 
     @pytest.mark.parametrize(
         ("faults", "failure"),
@@ -127,7 +127,7 @@
         ],
     )
     def test_no_answer(self, faults: StoreFaults, failure: type[BaseException]) -> None:
-        """Only where nothing was sent is a change said not to be accepted."""
+        """A change is reported as not accepted only if nothing was sent to the store."""
 
         async def scenario(changes: Changes, store: StoreFake) -> None:
             store.faults = faults
@@ -136,7 +136,7 @@
             store.faults = StoreFaults()
             assert (await _propose(changes, 2)).revision == 3
 
-        _play(scenario)
+        _run(scenario)
 
     def test_lost_answer_then_outage(self) -> None:
         """A change whose answer was lost before an outage is reported as unknown."""
@@ -155,10 +155,10 @@
             store.faults = StoreFaults()
             assert [entry.revision for entry in await changes.history(limit=1)] == [3]
 
-        _play(scenario)
+        _run(scenario)
 
     def test_limits(self) -> None:
-        """A body over the store's limit is refused, and old bodies do not pile up."""
+        """A body over the store's limit is rejected, and expired bodies are deleted."""
 
         async def scenario(changes: Changes, store: StoreFake) -> None:
             with pytest.raises(SnapshotTooLargeError):
@@ -169,15 +169,15 @@
                 await changes.body(entry=entries[100])
             assert await changes.verify() == 105
 
-        _play(scenario, revisions=105)
+        _run(scenario, revisions=105)
 
 
 class TestVerify:
-    """The chain shows what was altered."""
+    """Verification of the chain of audit entries."""
 
     @pytest.mark.parametrize("damage", ["altered", "removed"])
     def test_damage_is_found(self, damage: str) -> None:
-        """An altered and a removed entry are both found."""
+        """An altered entry and a removed one are both detected."""
 
         async def scenario(changes: Changes, store: StoreFake) -> None:
             found = await store.get(kind="configuration-audit", name="000000000002")
@@ -191,4 +191,4 @@
                 await changes.verify()
             assert failure.value.revision == 2
 
-        _play(scenario, revisions=4)
+        _run(scenario, revisions=4)
--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -1,4 +1,4 @@
-"""Accepted revisions come into force everywhere and never revert."""
+"""Accepted revisions come into force on every host, and no host reverts."""
 
 from asyncio import get_running_loop, sleep
 from collections import Counter
@@ -40,7 +40,7 @@
 Scenario = Callable[[FleetFake, Changes], Awaitable[None]]
 
 
-def _play(scenario: Scenario, *, hosts: int = 9) -> None:
+def _run(scenario: Scenario, *, hosts: int = 9) -> None:
     async def main() -> None:
         fleet = FleetFake(configured=True)
         changes = Changes(store=StoreFake(model=fleet.model))
@@ -61,10 +61,10 @@
 
 
 class TestFleet:
-    """What is in force on every host after a change and a failure."""
+    """The revision in force on every host after changes and failures."""
 
     def test_in_force(self) -> None:
-        """A change is in force everywhere in well under two seconds, with two watches a place."""
+        """A change is in force on all hosts within 1 s, with two watches per failure domain."""
 
         async def scenario(fleet: FleetFake, changes: Changes) -> None:
             places = Counter(host.place for host in fleet.watchers)
@@ -76,7 +76,7 @@
             await until(lambda: fleet.in_force(3), limit=1.0)
             assert fleet.model.counters.gets - bodies <= 6 + 2
 
-        _play(scenario, hosts=30)
+        _run(scenario, hosts=30)
 
     def test_watchers_die(self) -> None:
         """The loss of all watchers at once delays a change by seconds."""
@@ -87,11 +87,11 @@
             await _accept(changes, 2)
             await until(lambda: fleet.in_force(2), limit=12.0)
 
-        _play(scenario, hosts=18)
+        _run(scenario, hosts=18)
 
     @pytest.mark.parametrize("fault", ["gone", "dropped", "slow", "stale members"])
     def test_watch_faults(self, fault: str) -> None:
-        """A gap in the history, broken watches, a slow store and extra watchers do no harm."""
+        """Changes come into force with a gap in the history, broken watches or a slow store."""
 
         async def scenario(fleet: FleetFake, changes: Changes) -> None:
             for host in fleet.hosts:
@@ -109,10 +109,10 @@
             await _accept(changes, 2)
             await until(lambda: fleet.in_force(2), limit=3.0)
 
-        _play(scenario)
+        _run(scenario)
 
     def test_partition(self) -> None:
-        """A region without the store keeps its revision, and catches up when it is back."""
+        """A partition without the store keeps its revision, and catches up when it has healed."""
 
         async def scenario(fleet: FleetFake, changes: Changes) -> None:
             cut = fleet.hosts[:4]
@@ -126,10 +126,10 @@
             fleet.network.heal()
             await until(lambda: fleet.in_force(2), limit=45.0)
 
-        _play(scenario)
+        _run(scenario)
 
-    def test_store_away(self) -> None:
-        """Replaced hosts serve by the fleet's revision, and nobody rushes a store that returns."""
+    def test_store_outage(self) -> None:
+        """Hosts that start in an outage adopt the fleet's revision; recovery causes few calls."""
 
         async def scenario(fleet: FleetFake, changes: Changes) -> None:
             await _accept(changes, 2)
@@ -142,16 +142,16 @@
                 await until(lambda: fleet.in_force(2), limit=20.0)
                 assert {host.adopted[0] for host in added} == {2}
                 await sleep(150.0)
-            back = int(get_running_loop().time()) + 1
+            recovery = int(get_running_loop().time()) + 1
             fleet.set_store(down=False)
             await _accept(changes, 3)
             await until(lambda: fleet.in_force(3), limit=30.0)
             await sleep(60.0)
-            calls = [count for second, count in fleet.tries.items() if second >= back]
+            calls = [count for second, count in fleet.tries.items() if second >= recovery]
             assert max(calls) <= 8
             assert sum(calls) <= 40
 
-        _play(scenario)
+        _run(scenario)
 
 
 def _news(host: int, revision: int) -> RevisionNews:
@@ -208,10 +208,10 @@
 
 
 class TestUnreadableHead:
-    """The store answers with a head that this software cannot read."""
+    """A head in the store that cannot be decoded."""
 
     def test_start_beside_a_stale_host(self) -> None:
-        """A host that starts does not take it for an empty store and follow one stale host."""
+        """A starting host does not treat the store as empty and adopt a stale host's revision."""
 
         async def scenario(fleet: FleetFake, changes: Changes) -> None:
             stale, *others = fleet.hosts
@@ -227,32 +227,32 @@
             assert stale.adopted == [1]
             assert started.adopted == []
 
-        _play(scenario)
+        _run(scenario)
 
 
 class TestStart:
-    """By which revision a host serves that starts while the store is down."""
+    """The revision that a host adopts if it starts while the store is down."""
 
     @pytest.mark.parametrize(
         ("listed", "members", "answers", "now", "expected"),
         [
-            # One stale host is not enough while five are known.
+            # One stale host is not a majority of five known ones.
             (6, (1,), {1: 4}, 2.0, None),
-            # A majority of the known hosts is, and the highest answer counts.
+            # Of a majority of the known hosts, the highest answer counts.
             (6, (1, 2, 3), {1: 4, 2: 5, 3: 4}, 2.0, 5),
-            # Without a host list, the fleet must have stopped growing first.
+            # Without a host list, no new host may have appeared for a while.
             (0, (1,), {1: 4}, 2.0, None),
             (0, (1,), {1: 4}, 4.0, 4),
-            # Hosts that start as well count on neither side.
+            # Hosts that are starting too are not counted.
             (6, (1, 2, 3, 4, 5), {1: 4, 2: 4, 3: 0, 4: 0}, 2.0, 4),
             (6, (1, 2, 3, 4, 5), {1: 0, 2: 0, 3: 0, 4: 0, 5: 0}, 2.0, None),
-            # In a region that is cut off, the hosts that can be reached are enough after a while.
+            # In a partition, a majority of the reachable hosts is enough after the timeout.
             (9, (1, 2, 3), {1: 4, 2: 5}, 9.0, None),
             (9, (1, 2, 3), {1: 4, 2: 5}, 11.0, 5),
             (9, (1, 2, 3), {1: 4}, 11.0, None),
         ],
     )
-    def test_rule(
+    def test_choice(
         self,
         listed: int,
         members: tuple[int, ...],
@@ -268,19 +268,21 @@
             events.append(HostsListed(now=0.2, hosts=_listed(listed)))
         events += [NewsReceived(now=1.0, news=_news(*item)) for item in answers.items()]
         events.append(Ticked(now=now, members=fleet))
-        assert _wanted(state, events) == expected
+        assert _requested_revision(state, events) == expected
 
-    def test_rumour_of_a_higher_revision(self) -> None:
-        """A majority of stale hosts is not enough where membership knows of a later revision."""
+    def test_known_higher_revision(self) -> None:
+        """A majority of stale hosts is not enough if membership knows a later revision."""
         fleet = (_member(0), _member(1), _member(2), _member(3, revision=6))
         answers = [NewsReceived(now=1.0, news=_news(host, 5)) for host in (1, 2)]
         listed = HostsListed(now=0.2, hosts=_listed(4))
         for now, expected in ((5.0, None), (11.0, 5)):
             events = [Ticked(now=0.0, members=fleet), listed, *answers]
-            assert _wanted(_state(), [*events, Ticked(now=now, members=fleet)]) == expected
+            assert (
+                _requested_revision(_state(), [*events, Ticked(now=now, members=fleet)]) == expected
+            )
 
-    def test_store_goes_first(self) -> None:
-        """A head that the store has shown is not undercut by stale hosts."""
+    def test_store_takes_precedence(self) -> None:
+        """No lower revision than the head in the store is taken from stale hosts."""
         fleet = (_member(0), _member(1))
         events = [
             HeadSeen(now=0.0, entry=_entry(7)),
@@ -289,21 +291,21 @@
             NewsReceived(now=0.3, news=_news(1, 5)),
             Ticked(now=5.0, members=fleet),
         ]
-        assert _wanted(_state(), events) is None
+        assert _requested_revision(_state(), events) is None
         caught_up = NewsReceived(now=5.1, news=_news(1, 7))
         events += [caught_up, FetchFailed(now=5.2, address=""), Ticked(now=6.0, members=fleet)]
-        assert _wanted(_state(), events) == 7
+        assert _requested_revision(_state(), events) == 7
 
 
-def _wanted(state: ConfigurationState, events: list[ConfigurationEvent]) -> int | None:
-    """Return the revision that is last pulled from another host."""
+def _requested_revision(state: ConfigurationState, events: list[ConfigurationEvent]) -> int | None:
+    """Return the revision of the last pull from another host."""
     effects = [effect for event in events for effect in reduce(state, event)]
     pulls = [item.revision for item in effects if isinstance(item, FetchFromHost)]
     return pulls[-1] if pulls else None
 
 
 class TestReduce:
-    """No order of events takes a host back."""
+    """Properties of the reducer under any order of events."""
 
     @settings(max_examples=200, deadline=None)
     @given(
@@ -316,8 +318,8 @@
             max_size=60,
         )
     )
-    def test_never_back(self, steps: list[tuple[str, int, float]]) -> None:
-        """Whatever arrives in whatever order, each revision adopted is higher than the last."""
+    def test_never_reverts(self, steps: list[tuple[str, int, float]]) -> None:
+        """Each adopted revision is higher than the last, whatever the events and their order."""
         state = _state()
         adopted = []
         now = 0.0
@@ -342,7 +344,7 @@
 
 
 class TestBody:
-    """Bodies travel compressed."""
+    """Compression of bodies."""
 
     @pytest.mark.parametrize(
         ("packed", "body"),
@@ -355,7 +357,7 @@
         ],
     )
     def test_round_trip(self, packed: bytes, body: bytes | None) -> None:
-        """A body arrives as it was; a damaged one, or one over the limit, is refused."""
+        """A body is decompressed unchanged; a damaged or too large one is rejected."""
         assert unpack_body(packed) == body
 
 
