--- a/src/azureswitch/coordination/__init__.py
+++ b/src/azureswitch/coordination/__init__.py
@@ -1,1 +1,1 @@
-"""Parts by which many hosts act as one; each is a library of its own."""
+"""Libraries for the coordination of many hosts; each can be used on its own."""
--- a/src/azureswitch/coordination/effects.py
+++ b/src/azureswitch/coordination/effects.py
@@ -1,4 +1,4 @@
-"""Runs effects that go side by side, and the effects of what comes of them."""
+"""Executes effects concurrently, and the effects that follow from their events."""
 
 from asyncio import gather
 from collections.abc import Awaitable, Callable
@@ -6,22 +6,22 @@
 
 from azureswitch.core import Effect, Effects
 
-Happening = TypeVar("Happening")
-"""The events of one part."""
+EventT = TypeVar("EventT")
+"""The base of a reducer's events."""
 
 
 async def run_effects(
     effects: Effects,
     *,
-    run: Callable[[Effect], Awaitable[Happening | None]],
-    reduce: Callable[[Happening], Effects],
+    run: Callable[[Effect], Awaitable[EventT | None]],
+    reduce: Callable[[EventT], Effects],
 ) -> None:
-    """Run effects at once, hand the event of each to the reducer, and go on until none is left.
+    """Execute effects concurrently and pass their events to the reducer, until no effect is left.
 
     Args:
         effects: The first effects.
-        run: Runs one and returns what happened, or None where nothing is to be told.
-        reduce: Takes an event in and returns further effects.
+        run: Executes an effect and returns its event, or None if there is none.
+        reduce: Applies an event and returns further effects.
     """
 
     async def follow(effect: Effect) -> None:
--- a/src/azureswitch/coordination/memory/__init__.py
+++ b/src/azureswitch/coordination/memory/__init__.py
@@ -1,28 +1,28 @@
-"""Engine memory whose owner is gone is given back.
+"""Releases engine memory whose owner has died.
 
-Reservations, exports and imports on engines carry the process that owns them.  A few hosts per
-engine, picked by hashing over the live members, read what is held there and release what belongs to
-a dead process or to an attempt that has ended.
+Each reservation, export and import on an engine names the process that owns it.  A few hosts per
+engine, chosen by rendezvous hashing among the live members, read its holdings and release those of
+dead processes and of attempts that have ended.
 """
 
 from azureswitch.coordination.memory._driver import Sweeper
 from azureswitch.coordination.memory._model import (
-    ASK_AGE,
-    DEAD_GRACE,
-    SUCCEEDED_GRACE,
-    SWEEP_PERIOD,
-    SWEEPERS,
-    UNKNOWN_GRACE,
-    AskOwner,
+    DEAD_GRACE_SECONDS,
+    QUERY_INTERVAL_SECONDS,
+    SUCCEEDED_GRACE_SECONDS,
+    SWEEP_PERIOD_SECONDS,
+    SWEEPERS_PER_ENGINE,
+    UNKNOWN_GRACE_SECONDS,
     HeldAttempt,
     HoldingsRead,
-    HoldingsUnread,
+    HoldingsReadFailed,
     KeptQuery,
     KeptReply,
     OwnerAnswered,
-    OwnerGone,
     OwnerQuery,
     OwnerReply,
+    OwnerUnreachable,
+    QueryOwner,
     ReadHoldings,
     ReleaseHolding,
     SweepCounts,
@@ -32,20 +32,20 @@
 from azureswitch.coordination.memory._state import SweepState
 
 __all__ = [
-    "ASK_AGE",
-    "DEAD_GRACE",
-    "SUCCEEDED_GRACE",
-    "SWEEPERS",
-    "SWEEP_PERIOD",
-    "UNKNOWN_GRACE",
-    "AskOwner",
+    "QUERY_INTERVAL_SECONDS",
+    "DEAD_GRACE_SECONDS",
+    "SUCCEEDED_GRACE_SECONDS",
+    "SWEEPERS_PER_ENGINE",
+    "SWEEP_PERIOD_SECONDS",
+    "UNKNOWN_GRACE_SECONDS",
+    "QueryOwner",
     "HeldAttempt",
     "HoldingsRead",
-    "HoldingsUnread",
+    "HoldingsReadFailed",
     "KeptQuery",
     "KeptReply",
     "OwnerAnswered",
-    "OwnerGone",
+    "OwnerUnreachable",
     "OwnerQuery",
     "OwnerReply",
     "ReadHoldings",
--- a/src/azureswitch/coordination/memory/_driver.py
+++ b/src/azureswitch/coordination/memory/_driver.py
@@ -1,4 +1,4 @@
-"""The driver that sweeps engines for one host."""
+"""The driver of the sweep on one host."""
 
 from asyncio import TaskGroup, gather, get_running_loop, sleep
 from collections.abc import Callable, Iterable, Mapping
@@ -10,17 +10,17 @@
 from azureswitch.coordination.effects import run_effects
 from azureswitch.coordination.membership import Member
 from azureswitch.coordination.memory._model import (
-    SWEEP_PERIOD,
-    AskOwner,
+    SWEEP_PERIOD_SECONDS,
     HeldAttempt,
     HoldingsRead,
-    HoldingsUnread,
+    HoldingsReadFailed,
     KeptQuery,
     KeptReply,
     OwnerAnswered,
-    OwnerGone,
     OwnerQuery,
     OwnerReply,
+    OwnerUnreachable,
+    QueryOwner,
     ReadHoldings,
     ReleaseHolding,
     SweepCounts,
@@ -34,21 +34,21 @@
 from azureswitch.exceptions import AzureswitchError, PeerError
 from azureswitch.ports import Engine, Peers
 
-_ASK_TIMEOUT = 0.7
-"""Seconds that an owner, or a witness of it, has to answer in."""
+_QUERY_TIMEOUT_SECONDS = 0.7
+"""Timeout in seconds of the query of an owner or of its successor."""
 
 
 class Sweeper:
-    """Gives back the engine memory that belongs to nobody any more.
+    """Releases engine memory whose owner has died or no longer uses it.
 
     Args:
         myself: This process.
-        members: Returns what this host knows of the members, itself included.
+        members: Returns the current members, this host included.
         engines: Returns the engines of the configuration in force.
-        peers: The other hosts.
-        running: Tells whether an attempt runs in this process, or was taken over by it from a
-            dead one.  It must be true from before the attempt's first holding is made until the
-            last is released.
+        peers: Sends messages to other hosts.
+        running: Returns whether an attempt runs in this process, or was taken over by it from a
+            dead one.  It must be true from before the attempt's first holding is created until
+            the last is released.
         seed: Seeds the jitter and the choice of witnesses; different on every host.
     """
 
@@ -70,11 +70,11 @@
         self._random = Random(seed)
         self._state = SweepState(myself=myself, seed=seed)
         peers.handle(OwnerQuery, self._answer)
-        peers.handle(KeptQuery, self._answer_kept)
+        peers.handle(KeptQuery, self._answer_taken_over)
 
     @property
     def counts(self) -> SweepCounts:
-        """What has been done so far."""
+        """The counters since the start."""
         return self._state.counts
 
     async def run(self) -> None:
@@ -82,16 +82,16 @@
         async with TaskGroup() as group:
             while True:
                 group.create_task(self.sweep())
-                await sleep(SWEEP_PERIOD * self._random.uniform(0.9, 1.1))
+                await sleep(SWEEP_PERIOD_SECONDS * self._random.uniform(0.9, 1.1))
 
     async def sweep(self) -> None:
-        """Read the engines that this host is responsible for, once, and release what is left."""
+        """Read the engines that this host sweeps once, and release what has no owner."""
         now = get_running_loop().time()
         members = self._roster.members(now=now)
         event = SweepTicked(now=now, members=members, targets=tuple(self._engines()))
-        await self._take(event)
+        await self._handle(event)
 
-    async def _take(self, event: SweepEvent) -> None:
+    async def _handle(self, event: SweepEvent) -> None:
         await run_effects(self._reduce(event), run=self._run, reduce=self._reduce)
 
     def _reduce(self, event: SweepEvent) -> Effects:
@@ -109,7 +109,7 @@
             holdings = () if engine is None else await engine.holdings()
         except AzureswitchError as error:
             logging.warning("memory: %s", error)
-            return HoldingsUnread(now=get_running_loop().time(), target=target)
+            return HoldingsReadFailed(now=get_running_loop().time(), target=target)
         return HoldingsRead(now=get_running_loop().time(), target=target, holdings=holdings)
 
     @_run.register
@@ -131,26 +131,29 @@
         return None
 
     @_run.register
-    async def _(self, effect: AskOwner) -> SweepEvent | None:
+    async def _(self, effect: QueryOwner) -> SweepEvent | None:
         owner = effect.query.owner
         if owner == self._myself:
-            return self._answered(self._own_reply(effect.query), owner)
-        reply = await self._ask(effect.address, effect.query, timeout=_ASK_TIMEOUT)
+            return self._owner_answered(self._own_reply(effect.query), owner)
+        reply = await self._query(effect.address, effect.query, timeout=_QUERY_TIMEOUT_SECONDS)
         if reply is not None and reply.present == owner:
-            return self._answered(reply, owner)
+            return self._owner_answered(reply, owner)
         proven = _is_later(reply, owner)
-        # A witness needs the time of its own question on top.
+        # A witness needs additional time for its own query.
         asked = () if proven else effect.witnesses
         replies = await gather(
-            *(self._ask(address, effect.query, timeout=2 * _ASK_TIMEOUT) for address in asked)
+            *(
+                self._query(address, effect.query, timeout=2 * _QUERY_TIMEOUT_SECONDS)
+                for address in asked
+            )
         )
         for reply in replies:
             if reply is not None and reply.present == owner:
-                return self._answered(reply, owner)
-        kept = await self._kept(effect)
+                return self._owner_answered(reply, owner)
+        kept = await self._query_taken_over(effect)
         if kept is None:
             return None
-        return OwnerGone(
+        return OwnerUnreachable(
             now=get_running_loop().time(),
             owner=owner,
             proven=proven or any(_is_later(reply, owner) for reply in replies),
@@ -159,23 +162,26 @@
             kept=kept,
         )
 
-    def _answered(self, reply: OwnerReply, owner: Incarnation) -> SweepEvent:
+    def _owner_answered(self, reply: OwnerReply, owner: Incarnation) -> SweepEvent:
         return OwnerAnswered(now=get_running_loop().time(), owner=owner, ended=reply.ended)
 
-    async def _kept(self, effect: AskOwner) -> tuple[HeldAttempt, ...] | None:
+    async def _query_taken_over(self, effect: QueryOwner) -> tuple[HeldAttempt, ...] | None:
         query = KeptQuery(attempts=effect.query.attempts)
-        if not effect.heir:
-            return (await self._answer_kept(query)).kept
+        if not effect.successor:
+            return (await self._answer_taken_over(query)).kept
         try:
             reply = await self._peers.call(
-                address=effect.heir, request=query, reply=KeptReply, timeout=_ASK_TIMEOUT
+                address=effect.successor,
+                request=query,
+                reply=KeptReply,
+                timeout=_QUERY_TIMEOUT_SECONDS,
             )
         except PeerError:
-            # The heir is alive as far as this host knows, so that the next sweep asks again.
+            # The successor is presumed alive, so the next sweep queries it again.
             return None
         return reply.kept
 
-    async def _ask(self, address: str, query: OwnerQuery, *, timeout: float) -> OwnerReply | None:
+    async def _query(self, address: str, query: OwnerQuery, *, timeout: float) -> OwnerReply | None:
         if not address:
             return None
         try:
@@ -188,17 +194,20 @@
     async def _answer(self, query: OwnerQuery) -> OwnerReply:
         if query.owner.host == self._myself.host:
             return self._own_reply(query)
-        silent = OwnerReply(present=None, ended=())
+        unreached = OwnerReply(present=None, ended=())
         if query.relayed:
-            return silent
+            return unreached
         relayed = OwnerQuery(owner=query.owner, attempts=query.attempts, relayed=True)
-        # The last of a host is the process of the present, which knows that it succeeded another.
+        # The last member of a host is its current process, which knows that it succeeded another.
         for member in reversed(self._roster.members(now=get_running_loop().time())):
             if member.incarnation.host == query.owner.host:
-                return await self._ask(member.address, relayed, timeout=_ASK_TIMEOUT) or silent
-        return silent
+                return (
+                    await self._query(member.address, relayed, timeout=_QUERY_TIMEOUT_SECONDS)
+                    or unreached
+                )
+        return unreached
 
-    async def _answer_kept(self, query: KeptQuery) -> KeptReply:
+    async def _answer_taken_over(self, query: KeptQuery) -> KeptReply:
         return KeptReply(
             kept=tuple(held for held in query.attempts if self._running(held.call, held.attempt))
         )
--- a/src/azureswitch/coordination/memory/_model.py
+++ b/src/azureswitch/coordination/memory/_model.py
@@ -6,28 +6,29 @@
 from azureswitch.core import CallId, Effect, Event, Incarnation, TargetName
 from azureswitch.ports import Holding
 
-SWEEP_PERIOD = 1.5
-"""Seconds between two reads of an engine's holdings by one host."""
+SWEEP_PERIOD_SECONDS = 1.5
+"""Mean seconds between two reads of an engine's holdings by one host."""
 
-SWEEPERS = 2
-"""How many hosts sweep each engine, so that one that hangs delays nothing."""
+SWEEPERS_PER_ENGINE = 2
+"""Number of hosts that sweep each engine, so that a host that hangs delays nothing."""
 
-DEAD_GRACE = 1.0
-"""Seconds for which a member has been dead here before its memory is released."""
+DEAD_GRACE_SECONDS = 1.0
+"""Seconds after a member is known to be dead before its memory is released."""
 
-SUCCEEDED_GRACE = 2.0
-"""Seconds after which the memory of a process is released that another one succeeded.
+SUCCEEDED_GRACE_SECONDS = 2.0
+"""Seconds before the memory of a process with a successor on its host is released.
 
-Long work of it may be taken over by another host in that time."""
+In that time, another host may take over its long work.
+"""
 
-UNKNOWN_GRACE = 4.0
-"""Seconds for which an owner that no member list shows is left alone."""
+UNKNOWN_GRACE_SECONDS = 4.0
+"""Seconds before the memory of an owner that is not in the member list is released."""
 
-ASK_AGE = 3.0
-"""Seconds after which, and in between which, a living owner is asked which attempts run."""
+QUERY_INTERVAL_SECONDS = 3.0
+"""Minimum age in seconds of a queried holding, and minimum time between queries of a live owner."""
 
 WITNESSES = 2
-"""How many other hosts try to reach an owner that does not answer here."""
+"""Number of other hosts that are asked to reach an owner that does not answer this host."""
 
 
 class HeldAttempt(Struct, frozen=True, kw_only=True, order=True):
@@ -38,12 +39,12 @@
 
 
 class OwnerQuery(Struct, frozen=True, kw_only=True):
-    """Asks a process which of its attempts have ended.
+    """Requests from a process which of its attempts have ended.
 
     Attributes:
         owner: The process.
         attempts: The attempts.
-        relayed: Whether the receiver may not pass the question on.
+        relayed: Whether the query was relayed already and must not be relayed again.
     """
 
     owner: Incarnation
@@ -55,8 +56,8 @@
     """The answer to an OwnerQuery.
 
     Attributes:
-        present: The process that runs on the owner's host, or None where it was not reached.
-        ended: Those of the attempts that do not run in it.
+        present: The process that runs on the owner's host, or None if it was not reached.
+        ended: The attempts that do not run in it.
     """
 
     present: Incarnation | None
@@ -64,7 +65,7 @@
 
 
 class KeptQuery(Struct, frozen=True, kw_only=True):
-    """Asks a process which attempts of a dead one it has taken over."""
+    """Requests from a process which attempts of a dead one it has taken over."""
 
     attempts: tuple[HeldAttempt, ...]
 
@@ -76,13 +77,13 @@
 
 
 class SweepCounts(Struct, frozen=True, kw_only=True):
-    """What a sweeper has done since it started.
+    """Counters of a sweeper since its start.
 
     Attributes:
         reads: Reads of an engine's holdings.
-        questions: Owners asked, directly or through witnesses.
-        released: Holdings released.
-        kept: Times that an owner thought to be dead turned out to be alive.
+        questions: Queries of owners, directly or through witnesses.
+        released: Released holdings.
+        kept: Answers of owners that were presumed dead.
     """
 
     reads: int = 0
@@ -96,10 +97,10 @@
 
 
 class SweepTicked(SweepEvent, frozen=True, kw_only=True):
-    """A period has passed.
+    """A sweep period has passed.
 
     Attributes:
-        members: What this host knows of the members, itself included.
+        members: The known members, this host included.
         targets: All engines.
     """
 
@@ -114,8 +115,8 @@
     holdings: tuple[Holding, ...]
 
 
-class HoldingsUnread(SweepEvent, frozen=True, kw_only=True):
-    """An engine did not return its holdings."""
+class HoldingsReadFailed(SweepEvent, frozen=True, kw_only=True):
+    """An engine's holdings could not be read."""
 
     target: TargetName
 
@@ -125,22 +126,22 @@
 
     Attributes:
         owner: The owner.
-        ended: Its attempts that do not run.
+        ended: Its attempts that have ended.
     """
 
     owner: Incarnation
     ended: tuple[HeldAttempt, ...]
 
 
-class OwnerGone(SweepEvent, frozen=True, kw_only=True):
+class OwnerUnreachable(SweepEvent, frozen=True, kw_only=True):
     """An owner did not answer.
 
     Attributes:
         owner: The owner.
-        proven: Whether a later process of its host answered instead.
-        witnesses: How many witnesses said that they did not reach it either.
-        asked: The attempts asked about.
-        kept: Those of them that the owner's heir has taken over.
+        proven: Whether a later process on its host answered instead.
+        witnesses: Number of witnesses that could not reach it either.
+        asked: The queried attempts.
+        kept: Those of them that the owner's successor has taken over.
     """
 
     owner: Incarnation
@@ -151,29 +152,29 @@
 
 
 class ReadHoldings(Effect, frozen=True, kw_only=True):
-    """Read the holdings of an engine; answer by HoldingsRead or HoldingsUnread."""
+    """Read the holdings of an engine; `HoldingsRead` or `HoldingsReadFailed` follows."""
 
     target: TargetName
 
 
-class AskOwner(Effect, frozen=True, kw_only=True):
-    """Ask an owner about its attempts; answer by OwnerAnswered, OwnerGone or not at all.
+class QueryOwner(Effect, frozen=True, kw_only=True):
+    """Query an owner about its attempts; `OwnerAnswered`, `OwnerUnreachable` or nothing follows.
 
     Attributes:
-        query: The question.
-        address: The owner's address; empty where this host does not know it.
-        witnesses: Addresses of hosts that try as well where the owner does not answer.
-        heir: The address of the host that takes over the owner's long work.
+        query: The query.
+        address: The owner's address; empty if it is unknown.
+        witnesses: Addresses of hosts that relay the query if the owner does not answer.
+        successor: The address of the host that takes over the owner's long work.
     """
 
     query: OwnerQuery
     address: str
     witnesses: tuple[str, ...]
-    heir: str
+    successor: str
 
 
 class ReleaseHolding(Effect, frozen=True, kw_only=True):
-    """Release a holding; harmless when it is gone, and read again where the call fails."""
+    """Release a holding; idempotent, and repeated after the next read if the call fails."""
 
     target: TargetName
     holding: Holding
--- a/src/azureswitch/coordination/memory/_reduce.py
+++ b/src/azureswitch/coordination/memory/_reduce.py
@@ -1,4 +1,4 @@
-"""The reducer of the sweep: whose memory is read, who is asked, and what is released."""
+"""The reducer of the sweep: which engines are read, which owners queried and what is released."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
@@ -6,19 +6,19 @@
 
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.coordination.memory._model import (
-    ASK_AGE,
-    DEAD_GRACE,
-    SUCCEEDED_GRACE,
-    SWEEPERS,
-    UNKNOWN_GRACE,
+    DEAD_GRACE_SECONDS,
+    QUERY_INTERVAL_SECONDS,
+    SUCCEEDED_GRACE_SECONDS,
+    SWEEPERS_PER_ENGINE,
+    UNKNOWN_GRACE_SECONDS,
     WITNESSES,
-    AskOwner,
     HeldAttempt,
     HoldingsRead,
-    HoldingsUnread,
+    HoldingsReadFailed,
     OwnerAnswered,
-    OwnerGone,
     OwnerQuery,
+    OwnerUnreachable,
+    QueryOwner,
     ReadHoldings,
     ReleaseHolding,
     SweepEvent,
@@ -38,7 +38,7 @@
         event: What happened.
 
     Returns:
-        Reads, questions and releases, which may run side by side.
+        Reads, queries and releases, which may run concurrently.
     """
     return _handle(event, state)
 
@@ -51,30 +51,30 @@
 @_handle.register
 def _(event: SweepTicked, state: SweepState) -> Effects:
     state._members = {member.incarnation.host: member for member in event.members}
-    _doubt_the_dead(state, event.now)
-    mine = _own_targets(state, event.targets)
-    _forget_others(state, mine)
-    # An engine that hangs is read once at a time, and holds up none of the others.
-    due = [target for target in mine if target not in state._reading]
+    _record_dead_owners(state, event.now)
+    assigned = _assigned_targets(state, event.targets)
+    _forget_unassigned(state, assigned)
+    # An engine has at most one read in progress, so one that hangs does not delay others.
+    due = [target for target in assigned if target not in state._reading]
     state._reading |= set(due)
     state._reads += len(due)
     return tuple(ReadHoldings(target=target) for target in due)
 
 
-def _doubt_the_dead(state: SweepState, now: float) -> None:
-    for owner in [owner for owner in state._doubted if state.is_living(owner)]:
-        del state._doubted[owner]
+def _record_dead_owners(state: SweepState, now: float) -> None:
+    for owner in [owner for owner in state._presumed_dead_since if state.is_presumed_alive(owner)]:
+        del state._presumed_dead_since[owner]
     for member in state._members.values():
         if member.status is MemberStatus.DEAD:
-            state._doubted.setdefault(member.incarnation, now)
+            state._presumed_dead_since.setdefault(member.incarnation, now)
 
 
-def _own_targets(state: SweepState, targets: Iterable[TargetName]) -> tuple[TargetName, ...]:
+def _assigned_targets(state: SweepState, targets: Iterable[TargetName]) -> tuple[TargetName, ...]:
     live = _live(state)
     return tuple(
         target
         for target in targets
-        if state._myself.host in ranked(name=target, hosts=live)[:SWEEPERS]
+        if state._myself.host in ranked(name=target, hosts=live)[:SWEEPERS_PER_ENGINE]
     )
 
 
@@ -87,26 +87,26 @@
     return live | {state._myself.host}
 
 
-def _forget_others(state: SweepState, mine: tuple[TargetName, ...]) -> None:
-    for target in state._held.keys() - set(mine):
+def _forget_unassigned(state: SweepState, assigned: tuple[TargetName, ...]) -> None:
+    for target in state._held.keys() - set(assigned):
         _forget(state, target, state._held[target])
         del state._held[target]
     owners = {holding.owner for held in state._held.values() for holding in held.values()}
     listed = {member.incarnation for member in state._members.values()}
-    for owner in state._doubted.keys() - owners - listed:
-        del state._doubted[owner]
-    state._succeeded &= owners
-    for owner in state._asked.keys() - owners:
-        del state._asked[owner]
+    for owner in state._presumed_dead_since.keys() - owners - listed:
+        del state._presumed_dead_since[owner]
+    state._superseded &= owners
+    for owner in state._queried_at.keys() - owners:
+        del state._queried_at[owner]
 
 
 def _forget(state: SweepState, target: TargetName, holdings: Iterable[str]) -> None:
     for holding in holdings:
-        state._since.pop((target, holding), None)
+        state._seen_since.pop((target, holding), None)
 
 
 @_handle.register
-def _(event: HoldingsUnread, state: SweepState) -> Effects:
+def _(event: HoldingsReadFailed, state: SweepState) -> Effects:
     state._reading.discard(event.target)
     return NO_EFFECTS
 
@@ -118,14 +118,14 @@
     _forget(state, event.target, state._held.get(event.target, {}).keys() - held.keys())
     state._held[event.target] = held
     for holding in held:
-        state._since.setdefault((event.target, holding), event.now)
-    effects: list[AskOwner] = []
+        state._seen_since.setdefault((event.target, holding), event.now)
+    effects: list[QueryOwner] = []
     for owner, holdings in _by_owner(event.holdings).items():
-        if state.is_living(owner):
-            effects += _question_living(state, owner, event.now)
+        if state.is_presumed_alive(owner):
+            effects += _query_living(state, owner, event.now)
         else:
-            state._doubted.setdefault(owner, event.now)
-            effects.append(_ask(state, owner, holdings))
+            state._presumed_dead_since.setdefault(owner, event.now)
+            effects.append(_query(state, owner, holdings))
     return effects
 
 
@@ -136,37 +136,38 @@
     return grouped
 
 
-def _question_living(state: SweepState, owner: Incarnation, now: float) -> Iterator[AskOwner]:
-    # One question covers every engine, and a young attempt is left alone: its owner releases it
-    # in nearly every case.
-    if now < state._asked.get(owner, float("-inf")) + ASK_AGE:
+def _query_living(state: SweepState, owner: Incarnation, now: float) -> Iterator[QueryOwner]:
+    # One query covers all engines.  Recent holdings are not queried, as nearly all of them are
+    # released by their owner.
+    if now < state._queried_at.get(owner, float("-inf")) + QUERY_INTERVAL_SECONDS:
         return
     old = [
         holding
         for target, held in state._held.items()
         for holding in held.values()
-        if holding.owner == owner and now >= state._since[target, holding.id] + ASK_AGE
+        if holding.owner == owner
+        and now >= state._seen_since[target, holding.id] + QUERY_INTERVAL_SECONDS
     ]
     if old:
-        state._asked[owner] = now
-        yield _ask(state, owner, old)
+        state._queried_at[owner] = now
+        yield _query(state, owner, old)
 
 
-def _ask(state: SweepState, owner: Incarnation, holdings: Iterable[Holding]) -> AskOwner:
+def _query(state: SweepState, owner: Incarnation, holdings: Iterable[Holding]) -> QueryOwner:
     attempts = {HeldAttempt(call=held.call, attempt=held.attempt) for held in holdings}
     member = state._members.get(owner.host)
-    heir = _heir(state, owner)
-    state._questions += 1
-    return AskOwner(
+    successor = _successor(state, owner)
+    state._query_count += 1
+    return QueryOwner(
         query=OwnerQuery(owner=owner, attempts=tuple(sorted(attempts))),
         address="" if member is None else member.address,
         witnesses=_witnesses(state, owner),
-        heir="" if heir is None else heir.address,
+        successor="" if successor is None else successor.address,
     )
 
 
-def _heir(state: SweepState, owner: Incarnation) -> Member | None:
-    # The journal picks the host that takes over by the same order.
+def _successor(state: SweepState, owner: Incarnation) -> Member | None:
+    # The journal chooses the host that takes over by the same ranking.
     first = ranked(name=str(owner), hosts=_live(state))[0]
     return None if first == state._myself.host else state._members.get(first)
 
@@ -178,15 +179,15 @@
         if member.status is MemberStatus.ALIVE
         and member.incarnation.host not in (owner.host, state._myself.host)
     ]
-    # Witnesses near the owner tell a dead owner from a broken way to its failure domain.
+    # Witnesses near the owner distinguish its death from a partition of its failure domain.
     place = state._members[owner.host].place if owner.host in state._members else None
     state._random.shuffle(others)
     others.sort(key=lambda member: member.place != place)
-    return tuple(member.address for member in _spread(others))
+    return tuple(member.address for member in _nearest_and_farthest(others))
 
 
-def _spread(others: list[Member]) -> list[Member]:
-    # The first is near the owner where there is one, the last is far from it where there is one.
+def _nearest_and_farthest(others: list[Member]) -> list[Member]:
+    # If possible, the first is in the owner's failure domain and the last is not.
     if len(others) <= WITNESSES:
         return others
     return [*others[: WITNESSES - 1], others[-1]]
@@ -194,22 +195,22 @@
 
 @_handle.register
 def _(event: OwnerAnswered, state: SweepState) -> Effects:
-    if event.owner in state._doubted:
-        # The doubt, if it comes up again, starts anew.
-        state._doubted[event.owner] = event.now
-        state._kept += 1
+    if event.owner in state._presumed_dead_since:
+        # A later suspicion starts a new grace period.
+        state._presumed_dead_since[event.owner] = event.now
+        state._spared_count += 1
     return tuple(_release(state, event.owner, set(event.ended)))
 
 
 @_handle.register
-def _(event: OwnerGone, state: SweepState) -> Effects:
+def _(event: OwnerUnreachable, state: SweepState) -> Effects:
     if event.proven:
-        state._succeeded.add(event.owner)
-    if state.is_living(event.owner):
+        state._superseded.add(event.owner)
+    if state.is_presumed_alive(event.owner):
         return NO_EFFECTS
-    since = state._doubted.setdefault(event.owner, event.now)
+    since = state._presumed_dead_since.setdefault(event.owner, event.now)
     if not event.proven and event.witnesses == 0 and _witnesses(state, event.owner):
-        # Nobody else could be asked, so it may be this host that is cut off.
+        # No other host answered, so this host may be the one that is partitioned.
         return NO_EFFECTS
     if event.now < since + _grace(state, event.owner):
         return NO_EFFECTS
@@ -218,15 +219,15 @@
 
 def _grace(state: SweepState, owner: Incarnation) -> float:
     if state.is_superseded(owner):
-        return SUCCEEDED_GRACE
-    # An owner that no list shows may have started just now; one known to be dead has not.
-    return DEAD_GRACE if state.is_known(owner) else UNKNOWN_GRACE
+        return SUCCEEDED_GRACE_SECONDS
+    # An owner that is not in the member list may have just started.
+    return DEAD_GRACE_SECONDS if state.is_known(owner) else UNKNOWN_GRACE_SECONDS
 
 
 def _release(
     state: SweepState, owner: Incarnation, attempts: set[HeldAttempt]
 ) -> Iterator[ReleaseHolding]:
-    # A release that fails shows in the next read of the engine, and is tried again then.
+    # If a release fails, the next read of the engine shows the holding again.
     for target, held in state._held.items():
         for holding in tuple(held.values()):
             attempt = HeldAttempt(call=holding.call, attempt=holding.attempt)
--- a/src/azureswitch/coordination/memory/_state.py
+++ b/src/azureswitch/coordination/memory/_state.py
@@ -1,4 +1,4 @@
-"""The state behind the sweep of one host."""
+"""The state of the sweep on one host."""
 
 from random import Random
 
@@ -9,7 +9,7 @@
 
 
 class SweepState:
-    """What a host knows of the engines that it sweeps and of the owners of what is held there."""
+    """The engines that a host sweeps, their holdings and the owners of those."""
 
     def __init__(self, *, myself: Incarnation, seed: int) -> None:
         self._myself = myself
@@ -17,39 +17,39 @@
         self._members: dict[HostName, Member] = {}
         self._reading: set[TargetName] = set()
         self._held: dict[TargetName, dict[str, Holding]] = {}
-        self._since: dict[tuple[TargetName, str], float] = {}
-        self._doubted: dict[Incarnation, float] = {}
-        self._succeeded: set[Incarnation] = set()
-        self._asked: dict[Incarnation, float] = {}
+        self._seen_since: dict[tuple[TargetName, str], float] = {}
+        self._presumed_dead_since: dict[Incarnation, float] = {}
+        self._superseded: set[Incarnation] = set()
+        self._queried_at: dict[Incarnation, float] = {}
         self._reads = 0
-        self._questions = 0
+        self._query_count = 0
         self._released = 0
-        self._kept = 0
+        self._spared_count = 0
 
     @property
     def counts(self) -> SweepCounts:
-        """What has been done so far."""
+        """The counters since the start."""
         return SweepCounts(
             reads=self._reads,
-            questions=self._questions,
+            questions=self._query_count,
             released=self._released,
-            kept=self._kept,
+            kept=self._spared_count,
         )
 
     def is_superseded(self, owner: Incarnation) -> bool:
-        """Whether a newer process runs on the owner's host."""
-        if owner in self._succeeded:
+        """Return whether a newer process runs on the owner's host."""
+        if owner in self._superseded:
             return True
         member = self._members.get(owner.host)
         return member is not None and member.incarnation.started > owner.started
 
     def is_known(self, owner: Incarnation) -> bool:
-        """Whether the member list shows this very process."""
+        """Return whether the member list contains this process."""
         member = self._members.get(owner.host)
         return member is not None and member.incarnation == owner
 
-    def is_living(self, owner: Incarnation) -> bool:
-        """Whether this host believes that the owner runs."""
+    def is_presumed_alive(self, owner: Incarnation) -> bool:
+        """Return whether the owner is in the member list and not dead, or is this process."""
         if owner == self._myself:
             return True
         if self.is_superseded(owner) or not self.is_known(owner):
--- a/src/azureswitch/coordination/relays.py
+++ b/src/azureswitch/coordination/relays.py
@@ -1,6 +1,7 @@
-"""Who passes messages on to the other hosts of its failure domain.
+"""Choice of the hosts that relay messages within their failure domain.
 
-What crosses between failure domains is paid for, so that a message to all crosses once.
+Traffic between failure domains is billed, so a message to all hosts is sent to each large failure
+domain only once and relayed there.
 """
 
 from collections.abc import Iterable
@@ -11,19 +12,20 @@
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.core import HostName, PlaceName
 
-RELAY_HOSTS = 8
-"""Hosts of another failure domain from which on one of them passes a message on to the rest.
+MIN_RELAY_HOSTS = 8
+"""Minimum number of hosts of another failure domain for which a message is relayed.
 
-With fewer little is saved, and one that has just died takes too large a part with it.
+With fewer hosts little is saved, and a relay that has just died loses the message for a large part
+of them.
 """
 
 
 class Receivers(Struct, frozen=True, kw_only=True):
-    """The hosts that a message is for.
+    """The receivers of a message.
 
     Attributes:
-        direct: Those that get it from its sender.
-        groups: The others by failure domain; one of each passes it on.
+        direct: The hosts to which the sender sends it.
+        groups: The other hosts by failure domain; one of each group relays it.
     """
 
     direct: tuple[Member, ...]
@@ -31,16 +33,16 @@
 
 
 def place_of(host: HostName, *, members: Iterable[Member]) -> PlaceName | None:
-    """Return the failure domain of a host, or None where it is no member yet."""
+    """Return the failure domain of a host, or None if it is not a member yet."""
     return next((m.place for m in members if m.incarnation.host == host), None)
 
 
 def receivers(others: Iterable[Member], *, own: PlaceName | None) -> Receivers:
-    """Return how a message goes to some hosts.
+    """Divide the receivers of a message into direct and relayed ones.
 
     Args:
         others: The hosts.
-        own: The sender's failure domain, or None where it does not know itself yet.
+        own: The sender's failure domain, or None if it is not a member yet.
     """
     by_place: dict[PlaceName, list[Member]] = {}
     for member in others:
@@ -48,7 +50,7 @@
     direct: list[Member] = []
     groups: list[tuple[Member, ...]] = []
     for place, members in by_place.items():
-        if own is None or place == own or len(members) < RELAY_HOSTS:
+        if own is None or place == own or len(members) < MIN_RELAY_HOSTS:
             direct += members
         else:
             groups.append(tuple(members))
@@ -56,6 +58,6 @@
 
 
 def choose_relay(members: tuple[Member, ...], *, random: Random) -> Member:
-    """Choose who passes a message on; the next one goes another way, should that one be dead."""
+    """Choose a random relay, so that a dead one does not receive all messages."""
     alive = [member for member in members if member.status is MemberStatus.ALIVE]
     return random.choice(alive or members)
--- a/src/azureswitch/coordination/roster.py
+++ b/src/azureswitch/coordination/roster.py
@@ -1,4 +1,4 @@
-"""The members together with those that left the member list lately."""
+"""The current members and those that left the member list recently."""
 
 from collections.abc import Callable, Iterable
 
@@ -7,18 +7,18 @@
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.core import Incarnation
 
-DEPARTED_KEPT = 300.0
-"""Seconds for which a process that left the member list is still shown, as dead."""
+DEPARTED_RETENTION_SECONDS = 300.0
+"""Seconds for which a process that left the member list is still returned, as dead."""
 
 
 class Roster:
-    """Remembers who the dead were and where they were reached.
+    """Remembers the incarnations and addresses of members that left the member list.
 
-    A member list forgets the dead.  Who cleans up after them needs their incarnation, and asks at
-    their address once more before it believes that they are gone.
+    The member list forgets dead processes.  A cleanup after them needs their incarnations, and
+    their addresses to check once more that they are dead.
 
     Args:
-        members: Returns the members of the present.
+        members: Returns the current members.
     """
 
     def __init__(self, *, members: Callable[[], Iterable[Member]]) -> None:
@@ -27,9 +27,9 @@
         self._departed: dict[Incarnation, float] = {}
 
     def members(self, *, now: float) -> tuple[Member, ...]:
-        """Return the departed as dead, and after them the members of the present.
+        """Return the departed members as dead, followed by the current members.
 
-        A process that was succeeded by another one of its host counts as departed.
+        A process that was succeeded by another one on its host counts as departed.
 
         Args:
             now: The time on the host's monotonic clock, in seconds.
@@ -38,7 +38,10 @@
         for incarnation in self._known.keys() - present.keys():
             self._departed.setdefault(incarnation, now)
         for incarnation in list(self._departed):
-            if incarnation in present or now > self._departed[incarnation] + DEPARTED_KEPT:
+            if (
+                incarnation in present
+                or now > self._departed[incarnation] + DEPARTED_RETENTION_SECONDS
+            ):
                 del self._departed[incarnation]
         departed = {
             incarnation: replace(self._known[incarnation], status=MemberStatus.DEAD)
--- a/tests/memory/test_memory.py
+++ b/tests/memory/test_memory.py
@@ -1,4 +1,4 @@
-"""Tests of the sweep: who is believed dead, what protects the living, and how long it takes."""
+"""Tests of the sweep: release of dead owners' memory in time, and protection of live owners."""
 
 from asyncio import Event, TaskGroup, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from azureswitch.coordination.membership import Member, MemberStatus
-from azureswitch.coordination.memory import SWEEPERS, Sweeper
+from azureswitch.coordination.memory import SWEEPERS_PER_ENGINE, Sweeper
 from azureswitch.core import CallId, HostName, Incarnation, PlaceName, TargetName
 from azureswitch.exceptions import TargetBrokenError
 from azureswitch.hashing import ranked
@@ -19,15 +19,15 @@
 
 HOSTS = tuple(HostName(f"host-{at}") for at in range(6))
 TARGETS = tuple(TargetName(f"engine-{at}") for at in range(4))
-AIM = 10.0
-"""Seconds within which memory is back after a death."""
+RELEASE_SECONDS = 10.0
+"""Seconds after a death within which memory must be released."""
 
-DETECTION = 5.0
-"""Seconds after which the members of these tests are told of a death."""
+DETECTION_SECONDS = 5.0
+"""Seconds after which membership reports a death in these tests."""
 
 
 class EngineFake:
-    """Holdings, how many releases fail, and whether reads hang."""
+    """An engine with holdings, whose releases can fail and whose reads can hang."""
 
     def __init__(self) -> None:
         self.held: dict[str, Holding] = {}
@@ -46,7 +46,7 @@
         )
 
     async def holdings(self) -> tuple[Holding, ...]:
-        """Return what is held, or nothing at all."""
+        """Return the holdings, or hang."""
         if self.hanging:
             await Event().wait()
         return tuple(self.held.values())
@@ -71,7 +71,7 @@
 
 
 class Fleet:
-    """Hosts before engines."""
+    """Hosts that sweep engines."""
 
     def __init__(self) -> None:
         self.network = PeersNetworkFake()
@@ -111,21 +111,21 @@
             engine.hold(owner=owner)
 
     def kill(self, *names: HostName) -> None:
-        """End hosts at once."""
+        """Kill hosts."""
         self.dead |= set(names)
         for name in names:
             self.network.stop(address=self.hosts[name].address)
 
-    def tell(
+    def set_status(
         self, name: HostName, *, status: MemberStatus, to: tuple[HostName, ...] = HOSTS
     ) -> None:
-        """Let hosts believe something of another."""
+        """Set the status of a host in the member lists of others."""
         for host in to:
             view = self.hosts[host].view
             view[name] = replace(view[name], status=status)
 
     async def sweep(self, *, seconds: float, until_free: bool = False) -> float:
-        """Let all living hosts sweep for a while; return how long that was."""
+        """Let all live hosts sweep for a while; return the elapsed seconds."""
         start = get_running_loop().time()
         async with TaskGroup() as group:
             tasks = [
@@ -140,11 +140,11 @@
         return get_running_loop().time() - start
 
     async def seconds_until_free(self) -> float:
-        """Sweep until nothing is held; return how long that took."""
+        """Sweep until nothing is held; return the elapsed seconds."""
         return await self.sweep(seconds=60.0, until_free=True)
 
 
-def play(script: Callable[[Fleet], Awaitable[None]]) -> None:
+def run_script(script: Callable[[Fleet], Awaitable[None]]) -> None:
     """Run a script on a fresh fleet in virtual time."""
 
     async def main() -> None:
@@ -154,31 +154,31 @@
 
 
 class TestDeath:
-    """Memory of the dead comes back in time."""
+    """Release of dead owners' memory."""
 
     @pytest.mark.parametrize(
         "victims",
-        [HOSTS[:1], HOSTS[1:3], ranked(name=TARGETS[0], hosts=HOSTS)[:SWEEPERS]],
+        [HOSTS[:1], HOSTS[1:3], ranked(name=TARGETS[0], hosts=HOSTS)[:SWEEPERS_PER_ENGINE]],
         ids=["one", "two", "the sweepers of an engine"],
     )
     def test_memory_of_dead_hosts_returns(self, victims: tuple[HostName, ...]) -> None:
-        """Within the aim of a death, however many hosts die, all their memory is back."""
+        """All memory of dead hosts is released in time, however many die."""
 
         async def script(fleet: Fleet) -> None:
             for name in victims:
                 fleet.hold_everywhere(fleet.hosts[name].incarnation)
             fleet.kill(*victims)
-            await fleet.sweep(seconds=DETECTION)
+            await fleet.sweep(seconds=DETECTION_SECONDS)
             assert fleet.held == len(victims) * len(TARGETS) * 1_000
             for name in victims:
-                fleet.tell(name, status=MemberStatus.DEAD)
-            assert await fleet.seconds_until_free() + DETECTION <= AIM
+                fleet.set_status(name, status=MemberStatus.DEAD)
+            assert await fleet.seconds_until_free() + DETECTION_SECONDS <= RELEASE_SECONDS
 
-        play(script)
+        run_script(script)
 
-    @pytest.mark.parametrize("told", [True, False], ids=["listed", "found by asking"])
-    def test_restart_releases_the_earlier_process(self, told: bool) -> None:
-        """A newer process of the owner's host is proof enough, listed or met."""
+    @pytest.mark.parametrize("listed", [True, False], ids=["listed", "found by asking"])
+    def test_restart_releases_the_earlier_process(self, listed: bool) -> None:
+        """Memory is released if a newer process of the owner's host is listed or answers."""
 
         async def script(fleet: Fleet) -> None:
             name = HOSTS[0]
@@ -186,25 +186,25 @@
             fleet.hold_everywhere(old.incarnation)
             new = replace(old, incarnation=replace(old.incarnation, started=2))
             fleet.hosts[name] = fleet._host(new, dict(fleet.hosts[name].view))
-            for host in HOSTS if told else HOSTS[:1]:
+            for host in HOSTS if listed else HOSTS[:1]:
                 fleet.hosts[host].view[name] = new
-            assert await fleet.seconds_until_free() <= AIM
+            assert await fleet.seconds_until_free() <= RELEASE_SECONDS
 
-        play(script)
+        run_script(script)
 
     def test_unknown_owner_is_released_after_a_grace(self) -> None:
-        """Memory of a process that no list shows and no host reaches is back in time."""
+        """Memory of a process that is not listed and not reachable is released in time."""
 
         async def script(fleet: Fleet) -> None:
             fleet.hold_everywhere(Incarnation(host=HostName("gone"), started=1))
             await fleet.sweep(seconds=1.0)
             assert fleet.held == len(TARGETS) * 1_000
-            assert await fleet.seconds_until_free() <= AIM
+            assert await fleet.seconds_until_free() <= RELEASE_SECONDS
 
-        play(script)
+        run_script(script)
 
     def test_engine_that_hangs_holds_up_no_other(self) -> None:
-        """Memory at the other engines is back while one does not answer."""
+        """Memory at other engines is released while one engine does not answer."""
 
         async def script(fleet: Fleet) -> None:
             name = HOSTS[0]
@@ -212,40 +212,40 @@
             for target in TARGETS[1:]:
                 fleet.engines[target].hold(owner=fleet.hosts[name].incarnation)
             fleet.kill(name)
-            fleet.tell(name, status=MemberStatus.DEAD)
-            assert await fleet.seconds_until_free() + DETECTION <= AIM
+            fleet.set_status(name, status=MemberStatus.DEAD)
+            assert await fleet.seconds_until_free() + DETECTION_SECONDS <= RELEASE_SECONDS
 
-        play(script)
+        run_script(script)
 
     def test_failed_release_is_repeated(self) -> None:
-        """A release that breaks is seen in the next read."""
+        """A failed release is repeated after the next read."""
 
         async def script(fleet: Fleet) -> None:
             fleet.engines[TARGETS[0]].hold(owner=fleet.hosts[HOSTS[0]].incarnation)
             fleet.engines[TARGETS[0]].failing = 3
             fleet.kill(HOSTS[0])
-            fleet.tell(HOSTS[0], status=MemberStatus.DEAD)
-            assert await fleet.seconds_until_free() <= AIM
+            fleet.set_status(HOSTS[0], status=MemberStatus.DEAD)
+            assert await fleet.seconds_until_free() <= RELEASE_SECONDS
 
-        play(script)
+        run_script(script)
 
     def test_ended_attempt_of_living_owner_is_released(self) -> None:
-        """What a living owner forgot goes; what it runs stays."""
+        """Holdings of a live owner's ended attempts are released; those of running ones are not."""
 
         async def script(fleet: Fleet) -> None:
             owner = fleet.hosts[HOSTS[0]]
             owner.running.add(("call", 2))
             for attempt in (1, 2):
                 fleet.engines[TARGETS[0]].hold(owner=owner.incarnation, attempt=attempt)
-            await fleet.sweep(seconds=AIM)
+            await fleet.sweep(seconds=RELEASE_SECONDS)
             held = fleet.engines[TARGETS[0]].held.values()
             assert [holding.attempt for holding in held] == [2]
 
-        play(script)
+        run_script(script)
 
     @pytest.mark.parametrize("restarted", [False, True])
     def test_work_that_was_taken_over_keeps_its_memory(self, restarted: bool) -> None:
-        """Spans of the dead stay while the heir reads their output, and go at its end."""
+        """Memory of a dead owner is held until its successor has finished the work."""
 
         async def script(fleet: Fleet) -> None:
             name = HOSTS[0]
@@ -257,35 +257,35 @@
                 for host in HOSTS[1:]:
                     fleet.hosts[host].view[name] = replace(new, status=MemberStatus.SUSPECT)
             else:
-                fleet.tell(name, status=MemberStatus.DEAD)
-            heir = fleet.hosts[ranked(name=str(dead), hosts=HOSTS[1:])[0]]
-            heir.running.add(("call", 1))
-            await fleet.sweep(seconds=3 * AIM)
+                fleet.set_status(name, status=MemberStatus.DEAD)
+            successor = fleet.hosts[ranked(name=str(dead), hosts=HOSTS[1:])[0]]
+            successor.running.add(("call", 1))
+            await fleet.sweep(seconds=3 * RELEASE_SECONDS)
             assert fleet.held == len(TARGETS) * 1_000
-            heir.running.clear()
-            assert await fleet.seconds_until_free() <= AIM
+            successor.running.clear()
+            assert await fleet.seconds_until_free() <= RELEASE_SECONDS
 
-        play(script)
+        run_script(script)
 
 
 class TestFalseSuspicion:
-    """A living owner keeps its memory, whatever others believe."""
+    """Protection of live owners that are suspected."""
 
     @pytest.mark.parametrize(
         "status", [MemberStatus.SUSPECT, MemberStatus.LEAVING, MemberStatus.DEAD]
     )
     @pytest.mark.parametrize("cut", [False, True], ids=["reached directly", "reached by a witness"])
     def test_living_owner_keeps_its_memory(self, status: MemberStatus, cut: bool) -> None:
-        """The owner's own word, even through a witness, goes before the belief of all others."""
+        """An answer of the owner, even through a witness, overrides its status at all hosts."""
 
         async def script(fleet: Fleet) -> None:
             name = HOSTS[0]
             owner = fleet.hosts[name]
             owner.running.add(("call", 1))
             fleet.hold_everywhere(owner.incarnation)
-            fleet.tell(name, status=status, to=HOSTS[1:])
+            fleet.set_status(name, status=status, to=HOSTS[1:])
             if cut:
-                # All but one host of the owner's own failure domain lose the way to it.
+                # Only one host, of the owner's failure domain, can reach it.
                 cut_off = {fleet.hosts[host].address for host in (*HOSTS[1:3], *HOSTS[4:])}
                 reaches = fleet.network.reaches
                 fleet.network.reaches = (  # type: ignore[method-assign]
@@ -293,22 +293,22 @@
                     and not (source.address in cut_off and address == owner.address)
                     and not (address in cut_off and source.address == owner.address)
                 )
-            await fleet.sweep(seconds=3 * AIM)
+            await fleet.sweep(seconds=3 * RELEASE_SECONDS)
             assert fleet.held == len(TARGETS) * 1_000
 
-        play(script)
+        run_script(script)
 
     def test_host_that_is_cut_off_releases_nothing(self) -> None:
-        """A host that reaches the engines and no other host does not trust itself."""
+        """A host that reaches engines but no other host releases nothing."""
 
         async def script(fleet: Fleet) -> None:
             alone = ranked(name=TARGETS[0], hosts=HOSTS)[0]
             owner, *others = (name for name in HOSTS if name != alone)
             fleet.engines[TARGETS[0]].hold(owner=fleet.hosts[owner].incarnation)
             fleet.network.partition([fleet.hosts[alone].address])
-            fleet.tell(owner, status=MemberStatus.DEAD, to=(alone,))
+            fleet.set_status(owner, status=MemberStatus.DEAD, to=(alone,))
             fleet.dead = set(others) | {owner}
-            await fleet.sweep(seconds=2 * AIM)
+            await fleet.sweep(seconds=2 * RELEASE_SECONDS)
             assert fleet.held == 1_000
 
-        play(script)
+        run_script(script)
--- a/tests/sharing/test_digests.py
+++ b/tests/sharing/test_digests.py
@@ -9,7 +9,7 @@
 import pytest
 
 from azureswitch.coordination.membership import Member, MemberStatus
-from azureswitch.coordination.relays import RELAY_HOSTS
+from azureswitch.coordination.relays import MIN_RELAY_HOSTS
 from azureswitch.coordination.sharing import BURST_BYTES, DIGEST_BYTES, FULL_HOSTS, Digests
 from azureswitch.coordination.sharing._exchange import SPREAD_ROUNDS
 from azureswitch.coordination.sharing._gathering import gatherers
@@ -84,8 +84,8 @@
     @pytest.mark.parametrize(
         ("size", "regular", "times", "crossing"),
         [
-            (RELAY_HOSTS, False, 1, 2),
-            (RELAY_HOSTS - 1, False, 1, 2 * (RELAY_HOSTS - 1)),
+            (MIN_RELAY_HOSTS, False, 1, 2),
+            (MIN_RELAY_HOSTS - 1, False, 1, 2 * (MIN_RELAY_HOSTS - 1)),
             (12, True, SPREAD_ROUNDS, 2),
             (12, False, 3, 6),
         ],
