Reword the orders' comments and names

Orders spoke of hosts that look after engines, of ways that are closed, of what goes and of what each host believes.

Groups are managed, leases are acquired, loads are in progress, and bounds carry MAX and their unit. Comments and docstrings say the same reasons and numbers plainly. Leases' names, the log's sentences and all values stay.

--- a/src/azureswitch/coordination/memory/_model.py
+++ b/src/azureswitch/coordination/memory/_model.py
@@ -16,7 +16,7 @@
 """Seconds after a member is known to be dead before its memory is released."""
 
 SUCCEEDED_GRACE_SECONDS = 2.0
-"""Seconds before the memory of a process with a successor on its host is released.
+"""Seconds before the memory of a process is released if a newer one runs on its host.
 
 In that time, another host may take over its long work.
 """
--- a/src/azureswitch/coordination/orders/__init__.py
+++ b/src/azureswitch/coordination/orders/__init__.py
@@ -1,8 +1,8 @@
-"""Engines are brought to the models, adapters and role that the configuration wants.
+"""Brings engines to the models, adapters and role that the configuration wants.
 
-One host at a time looks after each group of engines, by lease.  Orders name a wanted state and not
-a step, so that a late one does no more than the next read of the engine's state puts right; where
-the engine checks fencing numbers, it does nothing.
+A lease gives each group of engines one host at a time that manages it.  Orders are declarative: an
+engine that checks fencing numbers rejects a late one, and at another engine the effect of a late
+one is corrected after the next read of the engine's state.
 """
 
 from azureswitch.coordination.orders._driver import OrderKeeper
@@ -15,17 +15,17 @@
     ReadState,
     SendOrder,
     StateRead,
-    StateUnread,
+    StateReadFailed,
     Wanted,
 )
 from azureswitch.coordination.orders._plan import plan_groups, wanted_from
-from azureswitch.coordination.orders._reduce import FAILURES_LIMIT, READ_PERIOD, reduce
+from azureswitch.coordination.orders._reduce import MAX_READ_FAILURES, READ_PERIOD_SECONDS, reduce
 from azureswitch.coordination.orders._state import OrdersState
 
 __all__ = [
-    "FAILURES_LIMIT",
+    "MAX_READ_FAILURES",
     "LOADS",
-    "READ_PERIOD",
+    "READ_PERIOD_SECONDS",
     "GroupPlan",
     "OrderFailed",
     "OrderKeeper",
@@ -35,7 +35,7 @@
     "ReadState",
     "SendOrder",
     "StateRead",
-    "StateUnread",
+    "StateReadFailed",
     "Wanted",
     "plan_groups",
     "reduce",
--- a/src/azureswitch/coordination/orders/_driver.py
+++ b/src/azureswitch/coordination/orders/_driver.py
@@ -1,4 +1,4 @@
-"""The driver that brings engines to their wanted state."""
+"""The driver of the orders reducer, with leases and engines."""
 
 from asyncio import TaskGroup, gather, get_running_loop, sleep
 from collections.abc import Callable, Iterable, Mapping
@@ -17,7 +17,7 @@
     ReadState,
     SendOrder,
     StateRead,
-    StateUnread,
+    StateReadFailed,
     Wanted,
 )
 from azureswitch.coordination.orders._plan import plan_groups
@@ -33,21 +33,21 @@
 from azureswitch.hashing import ranked
 from azureswitch.ports import Engine, Order, Store
 
-_TICK = 1.0
-"""Seconds between two looks at what is due."""
+_TICK_SECONDS = 1.0
+"""Seconds between two `OrdersTicked` events."""
 
 
 class OrderKeeper:
-    """Looks after the groups of engines that fall to this host.
+    """Manages the groups of engines that are assigned to this host.
 
     Args:
         myself: This process.
         store: The platform's store.
-        members: Returns what this host knows of the members, itself included.
+        members: Returns the current members, this host included.
         engines: Returns the engines of the configuration in force.
-        wanted: Returns what the configuration in force wants of them, such as `wanted_from` does.
+        wanted: Returns the wanted states of engines, for example `wanted_from` a configuration.
         seed: Seeds the jitter; different on every host.
-        loads: Loads from the weight store at a time at most, over the whole fleet.
+        loads: Upper bound of concurrent loads from the weight store by the whole fleet.
     """
 
     def __init__(
@@ -74,58 +74,56 @@
 
     @property
     def groups(self) -> tuple[str, ...]:
-        """The groups whose lease this host believes to hold."""
+        """The groups whose lease this host holds, as far as it knows."""
         return tuple(name for name, lease in self._leases.items() if lease.fence is not None)
 
     @property
     def loading(self) -> int:
-        """Loads that this host has under way."""
+        """Number of loads in progress that this host has ordered."""
         return self._state.loading
 
     async def run(self) -> None:
-        """Look after engines until cancelled."""
+        """Manage engines until cancelled."""
         async with TaskGroup() as group:
             group.create_task(self._renew())
             while True:
                 await self.tick()
-                await sleep(_TICK)
+                await sleep(_TICK_SECONDS)
 
     async def stop(self) -> None:
-        """Give all leases back for good, so that other hosts need not wait."""
+        """Release all leases and acquire no more, so that other hosts need not wait for expiry."""
         self._stopped = True
         await gather(*(lease.release() for lease in self._leases.values()))
         self._leases = {}
 
     async def tick(self) -> None:
-        """Do what is due now; nothing after `stop`."""
+        """Execute what is due now; does nothing after `stop`."""
         if self._stopped:
             return
         plans = plan_groups(wanted=self._wanted(), loads=self._loads)
-        held = await self._hold(plans)
+        held = await self._acquire_leases(plans)
         event = OrdersTicked(now=get_running_loop().time(), groups=held)
-        await self._carry_out(reduce(self._state, event))
+        await self._execute_all(reduce(self._state, event))
 
     async def _renew(self) -> None:
-        # An engine that hangs holds a tick up, and must not cost the leases.
+        # Leases are renewed separately, as an engine that hangs delays a tick.
         while True:
-            await sleep(_TICK)
+            await sleep(_TICK_SECONDS)
             await gather(*(lease.contend() for lease in tuple(self._leases.values())))
 
-    async def _hold(self, plans: tuple[GroupPlan, ...]) -> tuple[GroupPlan, ...]:
+    async def _acquire_leases(self, plans: tuple[GroupPlan, ...]) -> tuple[GroupPlan, ...]:
         live = {
             member.incarnation.host
             for member in self._members()
             if member.status is MemberStatus.ALIVE
         }
         live.add(self._myself.host)
-        mine = [
-            plan for plan in plans if ranked(name=plan.name, hosts=live)[0] == self._myself.host
-        ]
-        names = {plan.name for plan in mine}
-        gone = [self._leases.pop(name) for name in self._leases.keys() - names]
-        await gather(*(lease.release() for lease in gone))
-        fences = await gather(*(self._lease(plan.name).contend() for plan in mine))
-        return tuple(plan for plan, fence in zip(mine, fences, strict=True) if fence is not None)
+        own = [plan for plan in plans if ranked(name=plan.name, hosts=live)[0] == self._myself.host]
+        names = {plan.name for plan in own}
+        dropped = [self._leases.pop(name) for name in self._leases.keys() - names]
+        await gather(*(lease.release() for lease in dropped))
+        fences = await gather(*(self._lease(plan.name).contend() for plan in own))
+        return tuple(plan for plan, fence in zip(own, fences, strict=True) if fence is not None)
 
     def _lease(self, name: str) -> Lease:
         if name not in self._leases:
@@ -134,11 +132,11 @@
             )
         return self._leases[name]
 
-    async def _carry_out(self, effects: Effects) -> None:
-        await gather(*(self._follow(effect) for effect in effects))
+    async def _execute_all(self, effects: Effects) -> None:
+        await gather(*(self._execute(effect) for effect in effects))
 
-    async def _follow(self, effect: Effect) -> None:
-        await self._carry_out(reduce(self._state, await self._run(effect)))
+    async def _execute(self, effect: Effect) -> None:
+        await self._execute_all(reduce(self._state, await self._run(effect)))
 
     @singledispatchmethod
     async def _run(self, effect: Effect) -> OrdersEvent:
@@ -149,7 +147,7 @@
         try:
             state = await self._engine(effect.target).state()
         except AzureswitchError:
-            return StateUnread(now=get_running_loop().time(), target=effect.target)
+            return StateReadFailed(now=get_running_loop().time(), target=effect.target)
         return StateRead(now=get_running_loop().time(), target=effect.target, state=state)
 
     @_run.register
--- a/src/azureswitch/coordination/orders/_model.py
+++ b/src/azureswitch/coordination/orders/_model.py
@@ -1,4 +1,4 @@
-"""What is wanted of engines, and the events and effects of bringing them there."""
+"""Wanted states of engines, and the events and effects of orders."""
 
 from msgspec import Struct
 
@@ -7,7 +7,7 @@
 from azureswitch.ports import EngineState, OrderKind
 
 LOADS = 4
-"""Loads from the weight store at a time, over the whole fleet, where nothing else is said."""
+"""Default upper bound of concurrent loads from the weight store by the whole fleet."""
 
 
 class Wanted(Struct, frozen=True, kw_only=True):
@@ -15,10 +15,10 @@
 
     Attributes:
         target: The engine.
-        models: The models to be loaded.  One without a version is there in any version.  Where
-            there are none, the engine's models are left alone.
-        role: Whether it takes new work.
-        adapters: The adapters to be loaded, or None to leave them alone.
+        models: The models to be loaded.  A model without a version matches any version.  If there
+            are none, the engine's models are not changed.
+        role: Whether it accepts new work.
+        adapters: The adapters to be loaded, or None to leave them unchanged.
     """
 
     target: TargetName
@@ -28,11 +28,11 @@
 
 
 class GroupPlan(Struct, frozen=True, kw_only=True):
-    """Engines that one host looks after.
+    """A group of engines that one host manages.
 
     Attributes:
-        name: The group, which its lease is named by.
-        loads: Loads at a time at most.
+        name: The name of the group and of its lease.
+        loads: Upper bound of concurrent loads.
         wanted: The engines, by name.
     """
 
@@ -56,24 +56,24 @@
 
 
 class StateRead(OrdersEvent, frozen=True, kw_only=True):
-    """An engine returned its state, by itself or after an order."""
+    """An engine returned its state, for a read or as the answer to an order."""
 
     target: TargetName
     state: EngineState
 
 
-class StateUnread(OrdersEvent, frozen=True, kw_only=True):
-    """An engine did not return its state."""
+class StateReadFailed(OrdersEvent, frozen=True, kw_only=True):
+    """An engine's state could not be read."""
 
     target: TargetName
 
 
 class OrderFailed(OrdersEvent, frozen=True, kw_only=True):
-    """An order was not carried out, or its answer was lost.
+    """An order was not executed, or its answer was lost.
 
     Attributes:
         target: The engine.
-        acted: Whether the engine may have acted.
+        acted: Whether the engine may have executed it.
     """
 
     target: TargetName
@@ -81,20 +81,20 @@
 
 
 class ReadState(Effect, frozen=True, kw_only=True):
-    """Read an engine's state; answer by StateRead or StateUnread."""
+    """Read an engine's state; `StateRead` or `StateReadFailed` follows."""
 
     target: TargetName
 
 
 class SendOrder(Effect, frozen=True, kw_only=True):
-    """Send an order with the group's fencing number; answer by StateRead or OrderFailed.
+    """Send an order with the group's fencing number; `StateRead` or `OrderFailed` follows.
 
     Attributes:
         group: The group, whose lease is confirmed before the order is sent.
         target: The engine.
         kind: Which property is set.
         value: Its wanted value.
-        present: Whether the value must be there or must be gone.
+        present: Whether the value must be present or absent.
     """
 
     group: str
@@ -105,5 +105,5 @@
 
     @property
     def is_load(self) -> bool:
-        """Whether the weight store is read for it."""
+        """Whether it makes the engine read from the weight store."""
         return self.present and self.kind is not OrderKind.ROLE
--- a/src/azureswitch/coordination/orders/_plan.py
+++ b/src/azureswitch/coordination/orders/_plan.py
@@ -1,4 +1,4 @@
-"""Which engines form a group, and how many loads each group may have under way."""
+"""Division of engines into groups with a limit of concurrent loads each."""
 
 from collections.abc import Iterable
 
@@ -7,7 +7,7 @@
 
 
 def wanted_from(snapshot: Snapshot) -> tuple[Wanted, ...]:
-    """Return what a configuration wants of its engines."""
+    """Return the wanted states of the engines of a configuration."""
     return tuple(
         Wanted(target=target.name, models=target.models, role=target.role)
         for target in snapshot.inventory.targets
@@ -16,18 +16,17 @@
 
 
 def plan_groups(*, wanted: Iterable[Wanted], loads: int) -> tuple[GroupPlan, ...]:
-    """Divide engines into groups of one size, and the loads at a time among them.
+    """Divide engines into groups of nearly equal size, and the limit of loads among them.
 
-    There are never more groups than loads, so that each group may always load something and all
-    groups together never load more than the weight store is to be asked for.  No host has to know
-    what another group loads.
+    There are at most as many groups as permitted loads, so each group can always load something,
+    and all groups together stay within the limit without knowledge of each other's loads.
 
     Args:
         wanted: The engines.
-        loads: Loads at a time at most, over the whole fleet.
+        loads: Upper bound of concurrent loads by the whole fleet.
 
     Returns:
-        The groups, the same on every host with the same configuration.
+        The groups, which are the same on every host with the same configuration.
     """
     engines = sorted(wanted, key=lambda item: item.target)
     count = min(loads, len(engines))
@@ -35,7 +34,7 @@
         GroupPlan(
             name=f"orders-{index}-of-{count}",
             loads=loads // count + (index < loads % count),
-            # Runs of neighbours: an engine that is added moves few others to another group.
+            # Groups are contiguous by name, so a new engine moves few others to another group.
             wanted=tuple(
                 engines[index * len(engines) // count : (index + 1) * len(engines) // count]
             ),
--- a/src/azureswitch/coordination/orders/_reduce.py
+++ b/src/azureswitch/coordination/orders/_reduce.py
@@ -1,4 +1,4 @@
-"""The reducer of orders: what to read, and what each engine lacks."""
+"""The reducer of orders: which engines are read, and what each is ordered."""
 
 from collections.abc import Iterator
 from functools import singledispatch
@@ -11,7 +11,7 @@
     ReadState,
     SendOrder,
     StateRead,
-    StateUnread,
+    StateReadFailed,
     Wanted,
 )
 from azureswitch.coordination.orders._state import EngineView, OrdersState
@@ -19,23 +19,23 @@
 from azureswitch.inventory import TargetRole
 from azureswitch.ports import EngineState, OrderKind
 
-READ_PERIOD = 5.0
-"""Seconds between two reads of one engine's state."""
+READ_PERIOD_SECONDS = 5.0
+"""Mean seconds between two reads of one engine's state."""
 
-LOADING_PERIOD = 1.0
-"""Seconds between two reads while a load is under way, so that the next one starts soon."""
+LOADING_READ_PERIOD_SECONDS = 1.0
+"""Mean seconds between two reads during a load, so that the next load starts soon."""
 
-READS_LIMIT = 8
-"""Reads that one tick starts at most."""
+MAX_READS_PER_TICK = 8
+"""Upper bound of the reads that one tick starts."""
 
-RESEND_PERIOD = 30.0
-"""Seconds after which a load is ordered again that has not shown yet; a repeat is harmless."""
+RESEND_SECONDS = 30.0
+"""Seconds after which an unfinished load is ordered again; orders are idempotent."""
 
-LOAD_TIMEOUT = 900.0
+LOAD_TIMEOUT_SECONDS = 900.0
 """Seconds after which a load no longer counts against the limit."""
 
-FAILURES_LIMIT = 3
-"""Failed reads in a row after which an engine's loads no longer count against the limit."""
+MAX_READ_FAILURES = 3
+"""Consecutive failed reads after which an engine's loads no longer count against the limit."""
 
 
 def reduce(state: OrdersState, event: OrdersEvent) -> Effects:
@@ -46,7 +46,7 @@
         event: What happened.
 
     Returns:
-        Reads and orders, at most one for each engine at a time.
+        Reads and orders, at most one at a time for each engine.
     """
     return _handle(event, state)
 
@@ -65,13 +65,15 @@
     for target in wanted - state._views.keys():
         state._views[target] = EngineView()
     for view in state._views.values():
-        _forget_old_loads(view, event.now)
+        _expire_loads(view, event.now)
     orders = [order for group in event.groups for order in _orders(state, group, event.now)]
     return (*orders, *_reads(state, event.now))
 
 
-def _forget_old_loads(view: EngineView, now: float) -> None:
-    for value in [value for value, sent in view.loading.items() if now >= sent + LOAD_TIMEOUT]:
+def _expire_loads(view: EngineView, now: float) -> None:
+    for value in [
+        value for value, sent in view.loading.items() if now >= sent + LOAD_TIMEOUT_SECONDS
+    ]:
         del view.loading[value]
 
 
@@ -81,7 +83,7 @@
         for target, view in state._views.items()
         if not view.busy and view.next_read <= now
     ]
-    for _, target in sorted(due)[:READS_LIMIT]:
+    for _, target in sorted(due)[:MAX_READS_PER_TICK]:
         state._views[target].busy = True
         yield ReadState(target=target)
 
@@ -92,7 +94,7 @@
     if view is None:
         return NO_EFFECTS
     if event.state.fence < view.fence:
-        # The engine has restarted and forgotten its orders.
+        # The engine has restarted and lost its orders.
         view.loading = {}
     present = (*event.state.models, *event.state.adapters)
     for value in [value for value in view.loading if _has(present, value)]:
@@ -101,7 +103,7 @@
     view.fence = event.state.fence
     view.busy = False
     view.failures = 0
-    period = LOADING_PERIOD if view.loading else READ_PERIOD
+    period = LOADING_READ_PERIOD_SECONDS if view.loading else READ_PERIOD_SECONDS
     view.next_read = event.now + period * state._random.uniform(0.9, 1.1)
     return tuple(
         order
@@ -112,14 +114,14 @@
 
 
 @_handle.register
-def _(event: StateUnread, state: OrdersState) -> Effects:
+def _(event: StateReadFailed, state: OrdersState) -> Effects:
     view = state._views.get(event.target)
     if view is None:
         return NO_EFFECTS
     view.busy = False
     view.failures += 1
-    view.next_read = event.now + READ_PERIOD * state._random.uniform(0.9, 1.1)
-    if view.failures >= FAILURES_LIMIT:
+    view.next_read = event.now + READ_PERIOD_SECONDS * state._random.uniform(0.9, 1.1)
+    if view.failures >= MAX_READ_FAILURES:
         view.state = None
         view.loading = {}
     return NO_EFFECTS
@@ -131,18 +133,18 @@
     if view is None:
         return NO_EFFECTS
     view.busy = False
-    # What the engine holds now is read before anything else is ordered.
+    # The engine's state is read again before the next order.
     view.state = None
-    view.next_read = event.now + READ_PERIOD * state._random.uniform(0.2, 0.4)
+    view.next_read = event.now + READ_PERIOD_SECONDS * state._random.uniform(0.2, 0.4)
     if not event.acted:
         view.loading = {}
     return NO_EFFECTS
 
 
 def _orders(state: OrdersState, group: GroupPlan, now: float) -> Iterator[SendOrder]:
-    # Engines come in the order of their names, as they did for the holder before: so its loads
-    # that are still under way are ordered again first and are not exceeded.
-    left = group.loads - sum(len(state._views[item.target].loading) for item in group.wanted)
+    # Engines are ordered by name, as at the previous holder of the lease.  So its loads that are
+    # still in progress are ordered again first, and the limit is not exceeded.
+    remaining = group.loads - sum(len(state._views[item.target].loading) for item in group.wanted)
     for item in group.wanted:
         view = state._views[item.target]
         if view.busy or view.state is None:
@@ -152,9 +154,9 @@
             continue
         if order.is_load:
             if order.value not in view.loading:
-                if left <= 0:
+                if remaining <= 0:
                     continue
-                left -= 1
+                remaining -= 1
             view.loading[order.value] = now
         view.busy = True
         yield order
@@ -164,9 +166,9 @@
     group: GroupPlan, item: Wanted, view: EngineView, state: EngineState, now: float
 ) -> SendOrder | None:
     for kind, value, present in _differences(item, state):
-        # A load that was ordered lately is waited for.
+        # Wait for a load that was ordered recently.
         sent = view.loading.get(value) if present else None
-        if sent is not None and now < sent + RESEND_PERIOD:
+        if sent is not None and now < sent + RESEND_SECONDS:
             return None
         return SendOrder(
             group=group.name, target=item.target, kind=kind, value=value, present=present
@@ -175,7 +177,7 @@
 
 
 def _differences(item: Wanted, state: EngineState) -> Iterator[tuple[OrderKind, str, bool]]:
-    """Yield what to order, most urgent first; what is wanted is there before anything goes."""
+    """Yield the orders needed, most urgent first; additions precede removals."""
     draining = item.role is TargetRole.DRAINING
     if draining and state.role != item.role.value:
         yield OrderKind.ROLE, item.role.value, True
--- a/src/azureswitch/coordination/orders/_state.py
+++ b/src/azureswitch/coordination/orders/_state.py
@@ -1,4 +1,4 @@
-"""The state behind one host's orders."""
+"""The state of orders on one host."""
 
 from random import Random
 
@@ -10,15 +10,15 @@
 
 
 class EngineView(Struct, kw_only=True):
-    """What this host knows of one engine.
+    """The view of one engine.
 
     Attributes:
-        state: What it returned last, or None before the first read.
+        state: The state that it returned last, or None if it must be read first.
         next_read: When to read it again.
-        busy: Whether a read or an order is under way.
+        busy: Whether a read or an order is in progress.
         fence: The greatest fencing number that it has returned.
-        failures: Reads that failed in a row.
-        loading: Values ordered to be loaded and not seen yet, with the time of the order.
+        failures: Number of consecutive failed reads.
+        loading: Values that were ordered and are not loaded yet, with the time of the order.
     """
 
     state: EngineState | None = None
@@ -30,7 +30,7 @@
 
 
 class OrdersState:
-    """The groups that a host looks after, and their engines."""
+    """The groups that a host manages, and their engines."""
 
     def __init__(self, *, seed: int) -> None:
         self._random = Random(seed)
@@ -39,5 +39,5 @@
 
     @property
     def loading(self) -> int:
-        """Loads that this host has under way."""
+        """Number of loads in progress that this host has ordered."""
         return sum(len(view.loading) for view in self._views.values())
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -10,9 +10,9 @@
 from azureswitch.coordination.leases import LEASE_TERM
 from azureswitch.coordination.membership import Member, MemberStatus
 from azureswitch.coordination.orders import (
-    FAILURES_LIMIT,
     LOADS,
-    READ_PERIOD,
+    MAX_READ_FAILURES,
+    READ_PERIOD_SECONDS,
     OrderKeeper,
     Wanted,
     plan_groups,
@@ -28,17 +28,17 @@
 HOSTS = tuple(HostName(f"host-{at}") for at in range(3))
 OLD, NEW = "base@1", "base@2"
 LOAD_SECONDS = 10.0
-SETTLE = 60.0
-"""Seconds within which a few engines reach their wanted state, whatever happens."""
+SETTLE_SECONDS = 60.0
+"""Seconds within which a few engines reach their wanted state under any of these faults."""
 
 
 class EngineFake:
-    """A stand-in engine, and how many loads it has under way.
+    """A stand-in engine that records its orders and its loads in progress.
 
     Attributes:
         model: The stand-in.
         down: Whether it cannot be reached.
-        orders: All orders that it was sent.
+        orders: All orders that it received.
     """
 
     def __init__(self, *, name: str, checks_fence: bool) -> None:
@@ -58,7 +58,7 @@
 
     @property
     def now_state(self) -> EngineState:
-        """The state without a call."""
+        """The state, read without a call."""
         return self.model.state(now=get_running_loop().time())
 
     def restart(self) -> None:
@@ -87,8 +87,8 @@
         return state
 
 
-class LateEngine:
-    """One host's way to an engine, on which orders stop until they are let through."""
+class DelayedEngine:
+    """One host's connection to an engine, on which orders can be delayed."""
 
     def __init__(self, *, engine: EngineFake) -> None:
         self.engine = engine
@@ -101,15 +101,15 @@
         return await self.engine.state()
 
     async def order(self, *, order: Order) -> EngineState:
-        """Carry out an order, late where the way is closed."""
+        """Execute an order, once the connection is open."""
         self.held += 1
         await self.open.wait()
         self.held -= 1
         return await self.engine.order(order=order)
 
 
-async def until(reached: Callable[[], bool], *, limit: float = SETTLE) -> float:
-    """Wait until something is so; return how long that took."""
+async def until(reached: Callable[[], bool], *, limit: float = SETTLE_SECONDS) -> float:
+    """Wait until a condition is true; return the elapsed seconds."""
     start = get_running_loop().time()
     while not reached():
         assert get_running_loop().time() < start + limit
@@ -118,7 +118,7 @@
 
 
 class Fleet:
-    """Hosts that look after engines."""
+    """Hosts that manage engines."""
 
     def __init__(self, *, engines: int = 1, checks_fence: bool = True) -> None:
         names = [f"engine-{at:02d}" for at in range(engines)]
@@ -136,22 +136,22 @@
             )
             for name in HOSTS
         }
-        self.ways = {
-            host: {name: LateEngine(engine=engine) for name, engine in self.engines.items()}
+        self.connections = {
+            host: {name: DelayedEngine(engine=engine) for name, engine in self.engines.items()}
             for host in HOSTS
         }
         self.stores = {host: StoreFake(model=self.model) for host in HOSTS}
-        self.believed = {host: dict(self.members) for host in HOSTS}
+        self.member_lists = {host: dict(self.members) for host in HOSTS}
         self.keepers = {host: self._keeper(at, host) for at, host in enumerate(HOSTS)}
         self.dead: set[HostName] = set()
-        self.most_loading = 0
+        self.max_loading = 0
 
     def _keeper(self, at: int, host: HostName) -> OrderKeeper:
         return OrderKeeper(
             myself=self.members[host].incarnation,
             store=self.stores[host],
-            members=self.believed[host].values,
-            engines=lambda: cast("dict[TargetName, Engine]", self.ways[host]),
+            members=self.member_lists[host].values,
+            engines=lambda: cast("dict[TargetName, Engine]", self.connections[host]),
             wanted=lambda: self.wanted,
             seed=at,
         )
@@ -163,7 +163,7 @@
 
     @property
     def settled(self) -> bool:
-        """Whether every engine that is up has what is wanted."""
+        """Whether every reachable engine has its wanted state."""
         states = {name: e.now_state for name, e in self.engines.items() if not e.down}
         return all(
             states[item.target].models == item.models
@@ -173,16 +173,16 @@
         )
 
     def want(self, *models: str, role: TargetRole = TargetRole.SERVING) -> None:
-        """Change what is wanted of all engines."""
+        """Change the wanted state of all engines."""
         self.wanted = tuple(replace(item, models=models, role=role) for item in self.wanted)
 
     def remove(self, host: HostName, *, by: tuple[HostName, ...] = HOSTS) -> None:
-        """Let hosts believe that one is dead."""
+        """Remove a host from the member lists of others."""
         for other in by:
-            self.believed[other].pop(host, None)
+            self.member_lists[other].pop(host, None)
 
     def run(self, script: Callable[["Fleet"], Awaitable[None]]) -> None:
-        """Run a script beside all keepers in virtual time."""
+        """Run a script concurrently with all keepers in virtual time."""
 
         async def main() -> None:
             async with TaskGroup() as group:
@@ -197,19 +197,19 @@
     async def _watch(self, tasks: dict[HostName, object]) -> None:
         while True:
             loading = sum(len(engine.loading) for engine in self.engines.values())
-            self.most_loading = max(self.most_loading, loading)
+            self.max_loading = max(self.max_loading, loading)
             await sleep(0.5)
 
-    async def settle(self, *, limit: float = SETTLE) -> float:
-        """Wait until every engine has what is wanted; return how long that took."""
+    async def settle(self, *, limit: float = SETTLE_SECONDS) -> float:
+        """Wait until every engine has its wanted state; return the elapsed seconds."""
         return await until(lambda: self.settled, limit=limit)
 
 
 class TestWanted:
-    """Engines come to what is wanted of them."""
+    """Engines reach their wanted state."""
 
     def test_new_version_is_there_before_the_old_goes(self) -> None:
-        """A model is replaced without a moment with neither version."""
+        """A new version of a model is loaded before the old one is unloaded."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.settle()
@@ -219,13 +219,13 @@
         Fleet().run(script)
 
     def test_draining_engine_is_told_and_loads_nothing(self) -> None:
-        """An engine that leaves is told so at once and gets no more models."""
+        """A draining engine gets its role at once and no more models."""
 
         async def script(fleet: Fleet) -> None:
             fleet.want(OLD, role=TargetRole.DRAINING)
             await fleet.settle()
             fleet.want(OLD, NEW, role=TargetRole.DRAINING)
-            await sleep(SETTLE)
+            await sleep(SETTLE_SECONDS)
             (engine,) = fleet.engines.values()
             assert [order.kind for order in engine.orders] == [OrderKind.ROLE]
             fleet.want(OLD)
@@ -234,24 +234,24 @@
         Fleet().run(script)
 
     def test_restarted_engine_is_ordered_again(self) -> None:
-        """An engine that lost its orders in the middle of a load, or after it, gets them again."""
+        """An engine that restarts during a load, or after it, is ordered again."""
 
         async def script(fleet: Fleet) -> None:
             (engine,) = fleet.engines.values()
             await sleep(LOAD_SECONDS / 2)
             engine.restart()
-            await fleet.settle(limit=LOAD_SECONDS + 2 * READ_PERIOD)
+            await fleet.settle(limit=LOAD_SECONDS + 2 * READ_PERIOD_SECONDS)
             engine.restart()
-            await fleet.settle(limit=LOAD_SECONDS + 2 * READ_PERIOD)
+            await fleet.settle(limit=LOAD_SECONDS + 2 * READ_PERIOD_SECONDS)
 
         Fleet().run(script)
 
 
 class TestLeaving:
-    """A host that shuts down goes on running while its requests end."""
+    """A host that shuts down while its requests end."""
 
     def test_another_host_takes_over(self) -> None:
-        """It gives its groups back once and for all, and another host has them."""
+        """It releases its leases and acquires none again, and another host takes over."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.settle()
@@ -274,30 +274,30 @@
 
 
 class TestLateOrders:
-    """A holder was paused between its check of the lease and the order's arrival."""
+    """Orders of a lease holder that was paused between its check of the lease and their arrival."""
 
     @pytest.mark.parametrize("checks_fence", [True, False], ids=["checks", "ignores"])
     def test_late_order_does_no_harm(self, checks_fence: bool) -> None:
-        """An engine that checks refuses it; one that does not is put right by the next read."""
+        """An engine that checks fences rejects it; another one is corrected after the next read."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.settle()
             (name,) = fleet.engines
             engine, paused = fleet.engines[name], fleet.holder
-            way = fleet.ways[paused][name]
-            way.open.clear()
+            connection = fleet.connections[paused][name]
+            connection.open.clear()
             fleet.want("other")
-            await until(lambda: way.held > 0)
+            await until(lambda: connection.held > 0)
             fleet.want(NEW)
             fleet.stores[paused].faults = StoreFaults(down=True)
             fleet.remove(paused, by=tuple(host for host in HOSTS if host != paused))
             await until(lambda: len([host for host in HOSTS if fleet.keepers[host].groups]) == 2)
-            # The successor has its say once, so that the engine knows its fencing number.
+            # One order of the successor makes its fencing number known to the engine.
             fleet.want(NEW, "third")
             await fleet.settle()
             before = engine.now_state
             fleet.stores[paused].faults = StoreFaults()
-            way.open.set()
+            connection.open.set()
             await sleep(0.1)
             assert engine.orders[-1].value == "other"
             assert engine.orders[-1].fence < before.fence
@@ -306,13 +306,13 @@
                 await sleep(1.0)
                 assert NEW in engine.now_state.models
             await fleet.settle()
-            await sleep(SETTLE)
+            await sleep(SETTLE_SECONDS)
             assert fleet.settled
 
         Fleet(checks_fence=checks_fence).run(script)
 
     def test_refused_fence_is_not_sent_again(self) -> None:
-        """A holder that an engine refuses asks the store before it sends anything more."""
+        """A holder whose order was rejected checks with the store before it sends another."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.settle()
@@ -320,7 +320,7 @@
             newer = Order(kind=OrderKind.ADAPTER, value="a", present=True, fence=1_000)
             await engine.order(order=newer)
             fleet.want("other")
-            await sleep(SETTLE)
+            await sleep(SETTLE_SECONDS)
             refused = engine.orders[engine.orders.index(newer) + 1 :]
             assert len(refused) > 1
             assert len({order.fence for order in refused}) == len(refused)
@@ -328,7 +328,7 @@
         Fleet().run(script)
 
     def test_holder_without_the_store_sends_nothing(self) -> None:
-        """A holder that cannot confirm its lease past the term leaves the engines alone."""
+        """A holder that cannot confirm its lease after its term sends no orders."""
 
         async def script(fleet: Fleet) -> None:
             await fleet.settle()
@@ -337,49 +337,49 @@
             await sleep(2 * LEASE_TERM)
             sent = len(engine.orders)
             fleet.want("other")
-            await sleep(SETTLE)
+            await sleep(SETTLE_SECONDS)
             assert len(engine.orders) == sent
 
         Fleet().run(script)
 
 
 class TestLoadLimit:
-    """The weight store is shared by the fleet."""
+    """The limit of concurrent loads from the weight store."""
 
     def test_loads_at_a_time_stay_under_the_limit(self) -> None:
-        """Many engines load at the limit and not above it."""
+        """Many engines load at the limit, but not above it."""
 
         async def script(fleet: Fleet) -> None:
             seconds = await fleet.settle(limit=600.0)
-            assert fleet.most_loading == LOADS
-            # Reading back between two loads costs some of the rate.
+            assert fleet.max_loading == LOADS
+            # Reads between two loads reduce the rate.
             assert seconds <= 1.5 * LOAD_SECONDS * len(fleet.engines) / LOADS
 
         Fleet(engines=24).run(script)
 
     def test_limit_holds_over_a_change_of_holder(self) -> None:
-        """A successor counts the loads that are still under way."""
+        """The next holder of the lease counts loads that are still in progress."""
 
         async def script(fleet: Fleet) -> None:
             await sleep(LOAD_SECONDS / 2)
             dead = fleet.holder
             fleet.stores[dead].faults = StoreFaults(down=True)
-            for way in fleet.ways[dead].values():
-                way.open.clear()
+            for connection in fleet.connections[dead].values():
+                connection.open.clear()
             fleet.remove(dead)
             await fleet.settle(limit=600.0)
-            assert fleet.most_loading <= LOADS
+            assert fleet.max_loading <= LOADS
 
         Fleet(engines=12).run(script)
 
     def test_dead_engine_blocks_no_other(self) -> None:
-        """Loads of engines that died are not waited for."""
+        """Loads of dead engines do not block others."""
 
         async def script(fleet: Fleet) -> None:
             await sleep(LOAD_SECONDS / 2)
             for engine in fleet.engines.values():
                 engine.down = bool(engine.loading)
-            await fleet.settle(limit=FAILURES_LIMIT * READ_PERIOD + 2 * LOAD_SECONDS)
+            await fleet.settle(limit=MAX_READ_FAILURES * READ_PERIOD_SECONDS + 2 * LOAD_SECONDS)
             for engine in fleet.engines.values():
                 engine.down = False
             await fleet.settle(limit=600.0)
@@ -388,7 +388,7 @@
 
     @pytest.mark.parametrize(("engines", "loads"), [(1, 4), (3, 4), (4, 4), (600, 8), (5, 1)])
     def test_groups_share_the_limit(self, engines: int, loads: int) -> None:
-        """Every group may load something, all together no more than the limit."""
+        """Every group can load something, and all groups together stay within the limit."""
         wanted = [Wanted(target=TargetName(f"engine-{at}"), models=(NEW,)) for at in range(engines)]
         groups = plan_groups(wanted=reversed(wanted), loads=loads)
         assert sum(group.loads for group in groups) == loads
