--- a/src/azureswitch/entry/__init__.py
+++ b/src/azureswitch/entry/__init__.py
@@ -1,4 +1,4 @@
-"""An entry host: callers on one side, engines and plain services on the other."""
+"""An entry host: serves requests of callers by engines and plain services."""
 
 from azureswitch.entry._program import main
 from azureswitch.entry._server import EntryServer
--- a/src/azureswitch/entry/_answers.py
+++ b/src/azureswitch/entry/_answers.py
@@ -1,7 +1,7 @@
-"""What a caller gets: a bounded relay, a recording, or the answer of a plain target.
+"""Answers to callers: a bounded relay, a recording, or the answer of a plain target.
 
-An answer takes output from one attempt at a time and only at the offset that it stands at, so a
-late, crossed or repeated attempt can neither leave a gap nor repeat anything.
+An answer accepts output from one attempt at a time, and only at its current offset, so a late,
+crossed or repeated attempt can cause neither a gap nor a repetition.
 """
 
 from abc import ABC, abstractmethod
@@ -17,17 +17,17 @@
 from azureswitch.ports import Chunk, PlainAnswer
 
 Write = Callable[[bytes], Awaitable[None]]
-"""Writes bytes to a caller once it is not behind; called off before that, it wrote nothing."""
+"""Writes bytes once the caller has read earlier ones; if cancelled before, it writes nothing."""
 
 
 class Signal:
-    """Wakes everyone who waits for a change."""
+    """Wakes all waiters at a change."""
 
     def __init__(self) -> None:
         self._waiters: list[Future[None]] = []
 
     def notify(self) -> None:
-        """Wake everyone."""
+        """Wake all waiters."""
         if not self._waiters:
             return
         waiters, self._waiters = self._waiters, []
@@ -43,12 +43,12 @@
 
 
 class Part(Struct, frozen=True, kw_only=True):
-    """A run of recorded output.
+    """A part of recorded output.
 
     Attributes:
         data: Whole server-sent events.
         tokens: Output tokens in them.
-        complete: Whether there is no more yet.
+        complete: Whether it extends to the end of the recorded output.
     """
 
     data: bytes
@@ -57,34 +57,34 @@
 
 
 class Answer(ABC):
-    """The answer to one request, as far as it has come."""
+    """The answer to one request, which may be incomplete."""
 
     def __init__(self) -> None:
         self._tokens = 0
         self._writer: int | None = None
-        self._whole = False
-        self._over = False
+        self._complete = False
+        self._ended = False
         self._error: AzureswitchError | None = None
         self._changed = Signal()
 
     @property
     def tokens(self) -> int:
-        """Output tokens taken so far."""
+        """Number of output tokens accepted so far."""
         return self._tokens
 
     @property
-    def whole(self) -> bool:
-        """Whether all of the output has been taken."""
-        return self._whole
+    def complete(self) -> bool:
+        """Whether the whole output has been accepted."""
+        return self._complete
 
     @property
-    def over(self) -> bool:
-        """Whether nothing more will be taken."""
-        return self._over
+    def ended(self) -> bool:
+        """Whether no more output will be accepted."""
+        return self._ended
 
     @property
     def error(self) -> AzureswitchError | None:
-        """Why it did not become whole, or None."""
+        """Why it is not complete, or None."""
         return self._error
 
     @property
@@ -92,52 +92,52 @@
     def started(self) -> bool:
         """Whether there is anything for the caller."""
 
-    def takes(self, *, attempt: int, offset: int) -> bool:
-        """Whether output of an attempt at a token offset may be taken now."""
-        if self._over or self._whole or offset != self._tokens:
+    def accepts(self, *, attempt: int, offset: int) -> bool:
+        """Return whether output of an attempt at a token offset is accepted now."""
+        if self._ended or self._complete or offset != self._tokens:
             return False
         return self._writer is None or self._writer == attempt
 
     def release(self, *, attempt: int) -> None:
-        """Let another attempt go on where this one ended."""
+        """Let another attempt continue where this one ended."""
         if self._writer == attempt:
             self._writer = None
 
     def finish(self, error: AzureswitchError | None) -> None:
-        """End the answer; an error after the whole output changes nothing."""
-        if self._over:
+        """End the answer; an error after the whole output is ignored."""
+        if self._ended:
             return
-        self._over = True
-        self._error = None if self._whole else error
+        self._ended = True
+        self._error = None if self._complete else error
         self._changed.notify()
 
     async def wait_started(self) -> None:
-        """Wait until there is something for the caller or the answer is over."""
-        while not self.started and not self._over:
+        """Wait until there is something for the caller or the answer has ended."""
+        while not self.started and not self._ended:
             await self._changed.wait()
 
     async def wait_changed(self) -> None:
-        """Wait until more output is taken or the answer is over."""
+        """Wait until more output is accepted or the answer has ended."""
         await self._changed.wait()
 
-    async def wait_over(self) -> None:
-        """Wait until the answer is over."""
-        while not self._over:
+    async def wait_ended(self) -> None:
+        """Wait until the answer has ended."""
+        while not self._ended:
             await self._changed.wait()
 
-    def _take(self, *, attempt: int, tokens: int, last: bool) -> None:
+    def _accept(self, *, attempt: int, tokens: int, last: bool) -> None:
         self._writer = attempt
         self._tokens += tokens
-        self._whole = last
+        self._complete = last
         self._changed.notify()
 
 
 class StreamAnswer(Answer):
-    """An answer made of runs of server-sent events."""
+    """An answer that consists of server-sent events."""
 
     @abstractmethod
     async def put(self, *, attempt: int, offset: int, chunk: Chunk) -> bool:
-        """Take output of an attempt and wait while the caller is behind.
+        """Add output of an attempt and wait until the caller has read enough of it.
 
         Args:
             attempt: The attempt.
@@ -145,18 +145,18 @@
             chunk: The output.
 
         Returns:
-            Whether it was taken.
+            Whether it was accepted.
 
         Raises:
-            AnswerTooLargeError: The answer is over what a host keeps.
+            AnswerTooLargeError: The answer exceeds the limit of a recording.
         """
 
 
 class Relay(StreamAnswer):
-    """A streamed answer: what was written is gone, and a slow caller slows the engine.
+    """A streamed answer, which does not keep what was written; a slow caller slows the engine.
 
     Args:
-        limit: Bytes kept before there is a caller's connection to write to; then `put` waits.
+        limit: Bytes buffered before `serve` begins; above them `put` waits.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -176,25 +176,25 @@
         return bool(self._chunks)
 
     def stalled(self, *, seconds: float) -> bool:
-        """Whether the caller has left output unread for some seconds."""
+        """Return whether the caller has left output unread for more than ``seconds``."""
         return self._writing_since is not None and self._clock() - self._writing_since > seconds
 
     async def put(self, *, attempt: int, offset: int, chunk: Chunk) -> bool:
-        """Take output of an attempt and wait while the caller is behind."""
-        if not self.takes(attempt=attempt, offset=offset):
+        """Add output of an attempt and wait until the caller has read enough of it."""
+        if not self.accepts(attempt=attempt, offset=offset):
             return False
         if self._write is not None:
-            # Nobody waits for a change but the end, so none is announced.  What is called off while
-            # the caller is behind was not written, and is left to the next attempt.
+            # There are no waiters for changes other than the end, so none are notified.  Output
+            # that is cancelled while it waits was not written and is left to the next attempt.
             self._writer = attempt
             await self._written(self._write, chunk.data)
             self._tokens += chunk.tokens
-            self._whole = chunk.last
+            self._complete = chunk.last
             return True
         self._chunks.append(chunk.data)
         self._size += len(chunk.data)
-        self._take(attempt=attempt, tokens=chunk.tokens, last=chunk.last)
-        while self._size > self._limit and not self._over:
+        self._accept(attempt=attempt, tokens=chunk.tokens, last=chunk.last)
+        while self._size > self._limit and not self._ended:
             await self._room.wait()
         return True
 
@@ -204,12 +204,12 @@
         self._room.notify()
 
     async def serve(self, write: Write) -> None:
-        """Write the output to the caller until the answer is over.
+        """Write the output to the caller until the answer has ended.
 
-        What waits is written here; what comes after it is written by the attempt that brings it.
+        Buffered output is written here; later output is written by the attempt that delivers it.
 
         Args:
-            write: Writes bytes and waits while the caller is behind.
+            write: Writes bytes and waits until the caller has read enough of them.
         """
         while self._chunks:
             data = b"".join(self._chunks)
@@ -218,7 +218,7 @@
             self._room.notify()
             await self._written(write, data)
         self._write = write
-        await self.wait_over()
+        await self.wait_ended()
         while self._writing_since is not None:
             await self._changed.wait()
 
@@ -228,15 +228,15 @@
             await write(data)
         finally:
             self._writing_since = None
-            if self._over:
+            if self._ended:
                 self._changed.notify()
 
 
 class Recording(StreamAnswer):
-    """An answer that is kept, to be read whole or by any number of readers from any offset.
+    """An answer that is kept and can be read by any number of readers from any offset.
 
     Args:
-        limit: Bytes kept at most.
+        limit: Upper bound of its bytes.
     """
 
     def __init__(self, *, limit: int) -> None:
@@ -253,7 +253,7 @@
 
     @property
     def chunks(self) -> tuple[Chunk, ...]:
-        """All output so far, as it came."""
+        """All output so far, in chunks."""
         return tuple(self._chunks)
 
     @property
@@ -262,23 +262,23 @@
         return b"".join(chunk.data for chunk in self._chunks)
 
     async def put(self, *, attempt: int, offset: int, chunk: Chunk) -> bool:
-        """Take output of an attempt."""
-        if not self.takes(attempt=attempt, offset=offset):
+        """Add output of an attempt."""
+        if not self.accepts(attempt=attempt, offset=offset):
             return False
         self._size += len(chunk.data)
         if self._size > self._limit:
             raise AnswerTooLargeError(limit=self._limit)
         self._chunks.append(chunk)
         self._starts.append(self._tokens)
-        self._take(attempt=attempt, tokens=chunk.tokens, last=chunk.last)
+        self._accept(attempt=attempt, tokens=chunk.tokens, last=chunk.last)
         return True
 
     def part(self, *, offset: int, limit: int) -> Part:
         """Return output from a token offset on.
 
         Args:
-            offset: Tokens that the reader has.
-            limit: Bytes at which to stop; one chunk may go over it.
+            offset: Number of tokens that the reader has.
+            limit: Bytes after which no further chunk is included.
         """
         first = max(0, bisect_right(self._starts, offset) - 1)
         pieces: list[bytes] = []
@@ -297,7 +297,7 @@
 
 
 class PlainSlot(Answer):
-    """The answer of a plain target; the first one taken stays."""
+    """The answer of a plain target; the first one is kept."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -310,16 +310,16 @@
 
     @property
     def answer(self) -> PlainAnswer | None:
-        """The answer, or None before there is one."""
+        """The answer, or None if there is none yet."""
         return self._answer
 
     def put(self, *, attempt: int, answer: PlainAnswer) -> bool:
-        """Take an answer and return whether it was taken.
+        """Set the answer unless there is one; return whether it was set.
 
-        It is taken after the caller has left as well: the claim's record needs it.
+        It is set even after the caller has left, as it is recorded with the claim.
         """
         if self._answer is not None:
             return False
         self._answer = answer
-        self._take(attempt=attempt, tokens=0, last=True)
+        self._accept(attempt=attempt, tokens=0, last=True)
         return True
--- a/src/azureswitch/entry/_api.py
+++ b/src/azureswitch/entry/_api.py
@@ -1,4 +1,4 @@
-"""The interface for callers: completions, models and plain services."""
+"""The API for callers: completions, models and plain services."""
 
 from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
@@ -20,13 +20,13 @@
 from azureswitch.entry._records import ModelPayload, ModelRecord, PlainPayload, PlainRecord
 from azureswitch.entry._requests import (
     aborter,
-    answer_outlet,
     header,
     idempotency_key,
     read_body,
     receiver,
     request_timeout,
-    wait_gone,
+    response_writer,
+    wait_disconnected,
 )
 from azureswitch.entry._settings import Limits
 from azureswitch.entry._shell import Shell
@@ -43,15 +43,15 @@
 from azureswitch.tasks import Tasks
 
 SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
-"""Methods that plain services are called with."""
+"""HTTP methods that are routed to plain services."""
 
 EVENT_STREAM = b"text/event-stream"
-"""The type of an answer of server-sent events."""
+"""The content type of server-sent events."""
 
-LONGEST_CLAIM = SHORTEST_KEY_RETENTION / 2.0
-"""Seconds that a call that may not repeat may take, so that its key is not forgotten meanwhile."""
+MAX_CLAIMED_SECONDS = SHORTEST_KEY_RETENTION / 2.0
+"""Upper bound in seconds of the deadline of a claimed call, which its key must outlast."""
 
-_OWN_HEADERS = frozenset(
+_CONSUMED_HEADERS = frozenset(
     (
         "authorization",
         "expect",
@@ -61,12 +61,12 @@
         "x-request-timeout",
     )
 )
-"""Headers of callers that are not passed on as they are."""
+"""Headers of callers that are not forwarded unchanged."""
 
 _SEPARATORS = compile(r"[/\\]")
 
 _STATUSES = range(200, 600)
-"""Statuses that a plain target may answer with."""
+"""Statuses that are accepted from a plain target."""
 
 _ID_PREFIXES = {Surface.COMPLETION: "cmpl", Surface.CHAT: "chatcmpl"}
 
@@ -92,7 +92,7 @@
 
     Args:
         shell: Runs requests.
-        limits: What one caller may ask.
+        limits: The limits for a caller.
     """
 
     def __init__(self, *, shell: Shell, limits: Limits) -> None:
@@ -112,14 +112,14 @@
         router.fallback = typed("none", _unknown_path)
 
     async def stop(self) -> None:
-        """End the background work."""
+        """Cancel the background tasks."""
         await self._tasks.stop()
 
     def admit(self, request: Request) -> Customer:
-        """Return who sends a request.
+        """Return the customer who sends a request.
 
         Raises:
-            LeavingError: This host takes no new work.
+            LeavingError: This host accepts no new work.
             UnauthenticatedError: The key is missing or not known.
         """
         if self._shell.leaving:
@@ -195,10 +195,10 @@
         kept = resilience(call=record.call, rules=self._shell.directory.rules)
         record.durable = completion.stream and kept is Resilience.JOURNAL
         self._shell.submit(record)
-        self.watch(request, call)
+        self.watch_disconnect(request, call)
         if isinstance(answer, Relay):
             return await self._streamed(request, record, answer)
-        await answer.wait_over()
+        await answer.wait_ended()
         if answer.error is not None:
             return error_response(answer.error, call=call)
         return json_answer(whole_answer(answer.data, surface), call=call)
@@ -210,25 +210,25 @@
             return error_response(relay.error, call=call)
 
         if record.durable:
-            await record.placed.wait()
-        outlet = answer_outlet(request)
+            await record.job_recorded.wait()
+        writer = response_writer(request)
         headers = stream_headers(call=call, job=record.job)
-        await outlet.begin(status=200, headers=[(b"content-type", EVENT_STREAM), *headers])
+        await writer.begin(status=200, headers=[(b"content-type", EVENT_STREAM), *headers])
         try:
-            await relay.serve(outlet.write)
+            await relay.serve(writer.write)
             if relay.error is not None:
-                await outlet.write(error_event(relay.error))
+                await writer.write(error_event(relay.error))
         finally:
             self._shell.leave(call)
-        await outlet.end()
+        await writer.end()
         return Response(200)
 
-    def watch(self, request: Request, call: CallId) -> None:
-        """Give a request up when its caller closes the connection."""
+    def watch_disconnect(self, request: Request, call: CallId) -> None:
+        """End a request when its caller closes the connection."""
         receive = receiver(request)
 
         async def watch() -> None:
-            await wait_gone(receive)
+            await wait_disconnected(receive)
             self._shell.leave(call)
 
         self._tasks.spawn(watch(), name=f"{call} watch")
@@ -259,33 +259,34 @@
                 id=call,
                 customer=customer.name,
                 service=ServiceName(name),
-                deadline=self._shell.now + (seconds if repeatable else min(seconds, LONGEST_CLAIM)),
+                deadline=self._shell.now
+                + (seconds if repeatable else min(seconds, MAX_CLAIMED_SECONDS)),
                 repeatable=repeatable,
                 idempotency_key=key,
                 fingerprint=fingerprint(method=request.method, scope=name, path=path, body=body),
             ),
             payload=PlainPayload(
-                method=request.method, path=path, headers=_passed_on(request), body=body
+                method=request.method, path=path, headers=_forwarded_headers(request), body=body
             ),
             answer=slot,
         )
         self._shell.submit(record)
-        self.watch(request, call)
-        await slot.wait_over()
+        self.watch_disconnect(request, call)
+        await slot.wait_ended()
         if slot.error is not None or slot.answer is None:
             return error_response(slot.error or CallerLeftError(), call=call)
-        return _plain(slot.answer, call=call)
+        return _plain_response(slot.answer, call=call)
 
 
 def event_stream(
     output: Callable[[], AsyncIterator[bytes]], *, call: CallId, job: str | None = None
 ) -> Response:
-    """Return an answer of server-sent events."""
+    """Return a response of server-sent events."""
     return Response(200, stream_headers(call=call, job=job), StreamedContent(EVENT_STREAM, output))
 
 
 def stream_headers(*, call: CallId, job: str | None) -> list[tuple[bytes, bytes]]:
-    """Return the headers of an answer of server-sent events, its type excluded."""
+    """Return the headers of server-sent events, except the content type."""
     headers = [(b"x-request-id", call.encode()), (b"cache-control", b"no-cache")]
     if job is not None:
         headers.append((b"x-job-id", job.encode()))
@@ -293,7 +294,7 @@
 
 
 def json_answer(body: bytes, *, call: CallId, status: int = 200) -> Response:
-    """Return a JSON answer that names its call."""
+    """Return a JSON response with its request id."""
     headers = [(b"x-request-id", call.encode())]
     return Response(status, headers, Content(b"application/json", body))
 
@@ -307,7 +308,7 @@
     raw = request.url.path.decode("latin-1")
     _, _, name, *rest = raw.split("/", 3)
     path = "/" + "".join(rest)
-    # Targets differ in what they decode, split at, and cut off before they follow dots.
+    # Targets differ in how they decode, split and normalise paths, so dot segments are rejected.
     segments = _SEPARATORS.split(unquote(path))
     if any(segment.partition(";")[0] in (".", "..") for segment in segments):
         raise UnknownPathError()
@@ -315,14 +316,14 @@
     return name, f"{path}?{query.decode('latin-1')}" if query else path
 
 
-def _passed_on(request: Request) -> tuple[tuple[str, str], ...]:
+def _forwarded_headers(request: Request) -> tuple[tuple[str, str], ...]:
     headers = tuple(
         (name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in request.headers
     )
-    return tuple(item for item in end_to_end(headers) if item[0] not in _OWN_HEADERS)
+    return tuple(item for item in end_to_end(headers) if item[0] not in _CONSUMED_HEADERS)
 
 
-def _plain(answer: PlainAnswer, *, call: CallId) -> Response:
+def _plain_response(answer: PlainAnswer, *, call: CallId) -> Response:
     headers = [(b"x-request-id", call.encode())]
     content_type = b""
     for name, value in answer.headers:
--- a/src/azureswitch/entry/_attempts.py
+++ b/src/azureswitch/entry/_attempts.py
@@ -1,4 +1,4 @@
-"""Carries out one attempt at a target and says how it ended."""
+"""Executes attempts at targets and reports how they end."""
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
@@ -31,17 +31,17 @@
 from azureswitch.spans import SpanRun
 from azureswitch.tasks import Tasks
 
-PROGRESS_PERIOD = 1.0
-"""Seconds between two reports of an attempt's progress."""
+PROGRESS_PERIOD_SECONDS = 1.0
+"""Minimum time in seconds between two reports of an attempt's progress."""
 
-CLEANUP_TRIES = 6
-"""How often memory at an engine is given back before the sweeper is left to it."""
+MAX_CLEANUP_ATTEMPTS = 6
+"""Number of attempts to release memory at an engine; after them it is left to the sweeper."""
 
-CLEANUP_PAUSE = 0.25
-"""Seconds before the second try; doubled for each further one."""
+BASE_CLEANUP_BACKOFF_SECONDS = 0.25
+"""Seconds before the first retry; doubled for each further one."""
 
-CLEANUP_TIMEOUT = 3.0
-"""Seconds for one try."""
+CLEANUP_TIMEOUT_SECONDS = 3.0
+"""Timeout in seconds of one attempt to release memory."""
 
 
 class _End(Struct, frozen=True, kw_only=True):
@@ -70,10 +70,10 @@
     Args:
         owner: The process that engines hold memory for.
         targets: The ports of targets.
-        jobs: Lets any host find long work.
-        dispatch: Hands an event to the reducer.
+        jobs: Records long work, so that any host finds it.
+        dispatch: Passes an event to the reducer.
         clock: Returns seconds of the monotonic clock.
-        tasks: Runs work in the background.
+        tasks: Runs background tasks.
     """
 
     def __init__(
@@ -106,14 +106,14 @@
         attempt.task = self._tasks.spawn(work, name=f"{record.call.id}/{attempt.number}")
 
     def cancel(self, record: ModelRecord | PlainRecord, number: int) -> None:
-        """Call an attempt off; from now on nothing more of it reaches the caller."""
+        """Cancel an attempt; from now on none of its output reaches the caller."""
         attempt = record.attempts.get(number)
         if attempt is None or attempt.cancelled:
             return
         attempt.cancelled = True
         if attempt.task is None:
             return
-        # A task that has not run yet never reaches its own end.
+        # A task that is cancelled before its first step does not run its own cleanup.
         ended = _End(end=AttemptEnd.CANCELLED)
         attempt.task.add_done_callback(lambda _: self._end(record, attempt, ended))
         attempt.task.cancel()
@@ -125,7 +125,7 @@
         if engine is None:
             return
         work = engine.prioritize(call=record.call.id, attempt=number, priority=priority)
-        self._tasks.spawn(_quietly(work), name=f"{record.call.id}/{number} priority")
+        self._tasks.spawn(_log_error(work), name=f"{record.call.id}/{number} priority")
 
     def _add(self, record: ModelRecord | PlainRecord, effect: StartAttempt) -> Attempt:
         attempt = Attempt(number=effect.attempt, targets=effect.targets, offset=effect.resume_from)
@@ -195,25 +195,25 @@
     async def _relay(
         self, record: ModelRecord, attempt: Attempt, output: AsyncIterator[Chunk]
     ) -> _End:
-        """Move output to the caller; each chunk costs one step, whatever it holds."""
+        """Pass output to the caller, one step per chunk regardless of its size."""
         answer = record.answer
         number = attempt.number
         first = True
         report_at = 0.0
-        before = held = b""
+        before = prelude = b""
         async for chunk in output:
             if first and not chunk.tokens and not chunk.last:
-                # Comments and the like must not keep another attempt from answering.
-                held += chunk.data
+                # Events without tokens, such as comments, do not decide which attempt answers.
+                prelude += chunk.data
                 continue
-            if held:
-                chunk, held = replace(chunk, data=held + chunk.data), b""
+            if prelude:
+                chunk, prelude = replace(chunk, data=prelude + chunk.data), b""
             offset = attempt.offset
             if first and chunk.tokens:
-                if attempt.cancelled or not answer.takes(attempt=number, offset=offset):
+                if attempt.cancelled or not answer.accepts(attempt=number, offset=offset):
                     return _End(end=AttemptEnd.CANCELLED)
                 first = False
-                report_at = self._clock() + PROGRESS_PERIOD
+                report_at = self._clock() + PROGRESS_PERIOD_SECONDS
                 self._first_token(record, number)
             attempt.offset = offset + chunk.tokens
             if attempt.cancelled or not await answer.put(
@@ -225,7 +225,7 @@
             before = chunk.data
             now = self._clock()
             if now >= report_at and not first:
-                report_at = now + PROGRESS_PERIOD
+                report_at = now + PROGRESS_PERIOD_SECONDS
                 self._progress(record, number, now)
         error = TargetBrokenError(target=attempt.targets[-1], tokens=attempt.offset)
         return _End(end=AttemptEnd.BROKEN, error=error)
@@ -247,7 +247,7 @@
             await engine.cancel(call=record.call.id, attempt=attempt.number)
 
         name = f"{record.call.id}/{attempt.number} cancel"
-        self._tasks.spawn(_persistently(cancel), name=name)
+        self._tasks.spawn(_retry(cancel), name=name)
 
     # --- Plain targets ----------------------------------------------------------------------------
 
@@ -293,13 +293,13 @@
 
 
 async def _close(output: AsyncIterator[Chunk]) -> None:
-    """Close the connection behind a stream that was not read to its end."""
+    """Close the connection of a stream that was not read to its end."""
     if isinstance(output, AsyncGenerator):
         await output.aclose()
 
 
 async def _ended(work: Awaitable[_End], record: Record, attempt: Attempt) -> _End:
-    """Return how an attempt ended, whatever its work raised."""
+    """Return how an attempt ended, including by an exception."""
     try:
         return await work
     except asyncio.CancelledError:
@@ -311,21 +311,21 @@
         return _failed(TargetBrokenError(target=attempt.targets[-1]))
 
 
-async def _quietly(work: Awaitable[None]) -> None:
+async def _log_error(work: Awaitable[None]) -> None:
     try:
         await work
     except AzureswitchError as error:
         logging.debug("entry: %s", error)
 
 
-async def _persistently(work: Callable[[], Awaitable[None]]) -> None:
-    """Give memory back at an engine, again after failures."""
-    for trial in range(CLEANUP_TRIES):
+async def _retry(work: Callable[[], Awaitable[None]]) -> None:
+    """Release memory at an engine, with retries after failures."""
+    for attempt in range(MAX_CLEANUP_ATTEMPTS):
         try:
-            async with asyncio.timeout(CLEANUP_TIMEOUT):
+            async with asyncio.timeout(CLEANUP_TIMEOUT_SECONDS):
                 await work()
         except (AzureswitchError, TimeoutError):
-            await asyncio.sleep(CLEANUP_PAUSE * 2**trial)
+            await asyncio.sleep(BASE_CLEANUP_BACKOFF_SECONDS * 2**attempt)
         else:
             return
-    logging.warning("entry: An engine did not answer while memory was given back.")
+    logging.warning("entry: An engine did not answer requests to release memory.")
--- a/src/azureswitch/entry/_bodies.py
+++ b/src/azureswitch/entry/_bodies.py
@@ -1,4 +1,4 @@
-"""Reads completion bodies as far as azureswitch needs to know them."""
+"""Decoding of the parts of completion bodies that azureswitch uses."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -11,19 +11,19 @@
 from azureswitch.ports import Surface
 
 BLOCK_TOKENS = 512
-"""Tokens of prompt in one cached block of an engine."""
+"""Prompt tokens in one cached block of an engine."""
 
 TOKEN_BYTES = 4
-"""Bytes of prompt that are taken for one token."""
+"""Estimated bytes of prompt per token."""
 
 ITEM_BYTES = 8
 """Bytes of one token of a prompt given as token ids."""
 
 DEFAULT_OUTPUT_TOKENS = 1_024
-"""Output tokens expected at most of a request that does not say."""
+"""Assumed limit of output tokens of a request that does not state one."""
 
-HIGHEST_OUTPUT_TOKENS = 1_048_576
-"""Output tokens that a request may ask for."""
+MAX_OUTPUT_TOKENS = 1_048_576
+"""Upper bound of the output tokens that a request may ask for."""
 
 
 class _Part(Struct):
@@ -57,13 +57,13 @@
 
 
 class Completion(Struct, frozen=True, kw_only=True):
-    """What azureswitch needs to know of a completion body.
+    """The parts of a completion body that azureswitch uses.
 
     Attributes:
-        model: The model asked for.
-        stream: Whether the answer is wanted as server-sent events.
+        model: The requested model.
+        stream: Whether the answer is to be sent as server-sent events.
         prompt_tokens: Estimated tokens of the prompt.
-        output_tokens: Output tokens at most.
+        output_tokens: Upper bound of the output tokens.
         prefix: Hashes of the prompt's whole blocks, chained, longest last.
     """
 
@@ -82,7 +82,7 @@
 
 
 def is_chat(body: bytes) -> bool:
-    """Tell whether a body is one of a chat; one that cannot be read is not."""
+    """Return whether a body is a chat request; one that cannot be decoded is not."""
     try:
         return _KINDS.decode(body).messages is not None
     except (DecodeError, RecursionError):
@@ -95,10 +95,10 @@
     Args:
         body: The body, in JSON.
         surface: The interface that it was sent to.
-        scope: Prefixes are shared only inside one scope.
+        scope: The scope within which prefixes are shared.
 
     Returns:
-        What azureswitch needs to know of it.
+        The parts that azureswitch uses.
 
     Raises:
         MalformedBodyError: It is not JSON, or lacks what the interface asks for.
@@ -128,13 +128,13 @@
         asked = body.max_completion_tokens
     if asked is None:
         return DEFAULT_OUTPUT_TOKENS
-    if not 1 <= asked <= HIGHEST_OUTPUT_TOKENS:
-        raise MalformedBodyError(detail=f"max_tokens must be from 1 to {HIGHEST_OUTPUT_TOKENS}")
+    if not 1 <= asked <= MAX_OUTPUT_TOKENS:
+        raise MalformedBodyError(detail=f"max_tokens must be from 1 to {MAX_OUTPUT_TOKENS}")
     return asked
 
 
 def _prompt(body: _CompletionBody | _ChatBody) -> tuple[bytes, int]:
-    """Return a prompt's bytes as engines hash them, and how many of them are one token."""
+    """Return a prompt's bytes as engines hash them, and the number of bytes per token."""
     if isinstance(body, _ChatBody):
         if not body.messages:
             raise MalformedBodyError(detail="messages must not be empty")
--- a/src/azureswitch/entry/_caches.py
+++ b/src/azureswitch/entry/_caches.py
@@ -1,7 +1,7 @@
-"""Follows which prefixes engines have in their cache.
+"""Tracks the prefixes in engines' caches.
 
-Cache events are many, and hosts differ in the use that they have for them, so they are not passed
-on: each host follows a bounded number of engines by itself.
+Cache events are frequent, and hosts need different ones, so hosts do not exchange them: each host
+reads the events of a bounded number of engines itself.
 """
 
 import asyncio
@@ -17,26 +17,26 @@
 from azureswitch.ports import CacheEvents
 from azureswitch.serving import CacheReported, ServingEvent
 
-CACHE_PERIOD = 1.0
-"""Seconds between two reads of one engine's cache events, which are about as late themselves."""
+CACHE_PERIOD_SECONDS = 1.0
+"""Mean seconds between two reads of one engine's cache events, whose own delay is similar."""
 
-CACHE_ENGINES = 32
-"""Engines whose cache events one host follows at most."""
+MAX_CACHE_ENGINES = 32
+"""Upper bound of the engines whose cache events one host reads."""
 
 CACHE_READS_MOST = 4.0
-"""Reads a second of a host before more engines than it follows: each costs some 250 bytes."""
+"""Reads per second of a host if there are more engines; each read takes about 250 bytes."""
 
-CACHE_TIMEOUT = 1.0
-"""Seconds that an engine may take to answer."""
+CACHE_TIMEOUT_SECONDS = 1.0
+"""Timeout of a read in seconds."""
 
 
 class CacheFollower:
-    """Reads cache events and hands them to the reducer.
+    """Reads cache events and passes them to the reducer.
 
     Args:
         host: This host.
         targets: The ports of targets.
-        dispatch: Hands an event to the reducer.
+        dispatch: Passes an event to the reducer.
         clock: Returns seconds of the monotonic clock.
         seed: Seeds the jitter.
     """
@@ -58,22 +58,22 @@
         self._seen: dict[TargetName, CacheEvents] = {}
 
     async def run(self) -> None:
-        """Follow caches until cancelled."""
+        """Read cache events until cancelled."""
         while True:
             await asyncio.gather(*(self._read(name) for name in self._followed()))
             await asyncio.sleep(self._period() * self._random.uniform(0.9, 1.1))
 
     def _period(self) -> float:
-        many = len(self._targets.engines) > CACHE_ENGINES
-        return CACHE_ENGINES / CACHE_READS_MOST if many else CACHE_PERIOD
+        many = len(self._targets.engines) > MAX_CACHE_ENGINES
+        return MAX_CACHE_ENGINES / CACHE_READS_MOST if many else CACHE_PERIOD_SECONDS
 
     def _followed(self) -> tuple[TargetName, ...]:
-        """Return the engines to follow: all, or the host's own choice of many."""
+        """Return the engines to read: all, or a subset of many that differs from host to host."""
         engines = self._targets.engines
-        if len(engines) <= CACHE_ENGINES:
+        if len(engines) <= MAX_CACHE_ENGINES:
             return engines
         chosen = ranked(name=self._host, hosts=(HostName(name) for name in engines))
-        return tuple(TargetName(name) for name in chosen[:CACHE_ENGINES])
+        return tuple(TargetName(name) for name in chosen[:MAX_CACHE_ENGINES])
 
     async def _read(self, name: TargetName) -> None:
         engine = self._targets.engine(name)
@@ -82,13 +82,13 @@
             return
         seen = self._seen.get(name)
         try:
-            async with asyncio.timeout(CACHE_TIMEOUT):
+            async with asyncio.timeout(CACHE_TIMEOUT_SECONDS):
                 events = await engine.cache(after=seen.sequence if seen else 0)
         except (TargetError, TimeoutError):
-            # Whether it is reachable, the polls of its load find out.
+            # Polls of its load detect whether it is reachable.
             return
         if seen is not None and events.started != seen.started:
-            # The numbers of a restarted engine begin again.
+            # The sequence numbers of a restarted engine begin again.
             del self._seen[name]
             return
         self._seen[name] = events
--- a/src/azureswitch/entry/_claiming.py
+++ b/src/azureswitch/entry/_claiming.py
@@ -1,4 +1,4 @@
-"""Connects the shell with the claims of the fleet."""
+"""Adapts the fleet's claims to the shell."""
 
 from azureswitch.coordination.claims import Claims, Replayed
 from azureswitch.core import CallId, CustomerName
@@ -9,7 +9,7 @@
 """Marks the recorded answer of an earlier call."""
 
 SHORTENED_HEADER = ("idempotency-answer", "status-only")
-"""Marks a recorded answer whose body was too large to be kept."""
+"""Marks a recorded answer whose body was too large to be recorded."""
 
 
 class FleetClaims:
@@ -25,7 +25,7 @@
     async def claim(
         self, *, customer: CustomerName, key: str, fingerprint: str, call: CallId, deadline: float
     ) -> PlainAnswer | None:
-        """Claim a call; return None where it may be sent, else the first call's answer."""
+        """Claim a call; return None if it may be sent, otherwise the first call's answer."""
         result = await self._claims.claim(
             customer=customer, key=key, fingerprint=fingerprint, call=call, deadline=deadline
         )
@@ -39,5 +39,5 @@
     async def settle(
         self, *, call: CallId, outcome: ClaimOutcome, answer: PlainAnswer | None
     ) -> None:
-        """Record what became of a claimed call."""
+        """Record the outcome of a claimed call."""
         await self._claims.settle(call=call, outcome=outcome, answer=answer)
--- a/src/azureswitch/entry/_directory.py
+++ b/src/azureswitch/entry/_directory.py
@@ -1,4 +1,4 @@
-"""The configuration in force, indexed by what requests name."""
+"""The configuration in force, indexed for requests."""
 
 from azureswitch.entry._keys import KeyTable
 from azureswitch.exceptions import NotConfiguredError, UnknownModelError, UnknownServiceError
@@ -40,11 +40,11 @@
 
     @property
     def models(self) -> tuple[str, ...]:
-        """The models that are served, in order of name."""
+        """The served models, sorted by name."""
         return tuple(sorted(self._models))
 
     def customer(self, authorization: str | None) -> Customer:
-        """Return who sent a request.
+        """Return the customer who sent a request.
 
         Raises:
             NotConfiguredError: There is no configuration yet.
--- a/src/azureswitch/entry/_errors.py
+++ b/src/azureswitch/entry/_errors.py
@@ -1,4 +1,4 @@
-"""Failures in the shape that standard client libraries read."""
+"""Error responses in the format of standard client libraries."""
 
 from math import ceil
 
@@ -19,11 +19,11 @@
 
 
 class ErrorDetail(Struct, kw_only=True):
-    """The fields of one failure.
+    """The fields of an error.
 
     Attributes:
-        message: One short sentence for people.
-        type: The family of the failure.
+        message: A short sentence for people.
+        type: The family of the error.
         code: Its stable name.
         ran: Whether the request ran: ``not_run``, ``ran`` or ``unknown``.
         param: Always null; client libraries expect it.
@@ -37,13 +37,13 @@
 
 
 class ErrorBody(Struct, kw_only=True):
-    """The body of an answer that is a failure."""
+    """The body of an error response."""
 
     error: ErrorDetail
 
 
 def error_body(error: AzureswitchError) -> bytes:
-    """Return a failure as JSON."""
+    """Return an error as JSON."""
     family = next(family for family in _FAMILIES if isinstance(error, family))
     detail = ErrorDetail(
         message=error.message, type=family.code, code=error.code, ran=error.ran.value
@@ -52,24 +52,24 @@
 
 
 def error_event(error: AzureswitchError) -> bytes:
-    """Return a failure as the last server-sent event of a stream that did not become whole."""
+    """Return an error as the last server-sent event of an incomplete stream."""
     return b"data: " + error_body(error) + b"\n\n"
 
 
 def error_response(error: AzureswitchError, *, call: CallId) -> Response:
-    """Return a failure as a whole answer.
+    """Return an error response.
 
     Args:
-        error: The failure.
+        error: The error.
         call: The request's id.
 
     Returns:
-        The answer, with ``Retry-After`` where a new try may succeed.
+        The response, with ``Retry-After`` if a retry may succeed.
     """
     headers = [(b"x-request-id", call.encode())]
     if error.retry_after is not None:
         headers.append((b"retry-after", str(max(1, ceil(error.retry_after))).encode()))
     elif error.ran is not Ran.NOT_RUN:
-        # Client libraries repeat on most 5xx by themselves; this one may have run.
+        # Client libraries retry most 5xx on their own, but this request may have run.
         headers.append((b"x-should-retry", b"false"))
     return Response(int(error.status), headers, Content(b"application/json", error_body(error)))
--- a/src/azureswitch/entry/_events.py
+++ b/src/azureswitch/entry/_events.py
@@ -1,4 +1,4 @@
-"""Server-sent events of engines: skipping tokens, and one whole answer out of many events."""
+"""Server-sent events of engines: skipping tokens, and merging events into one answer."""
 
 from typing import Any
 
@@ -9,12 +9,12 @@
 from azureswitch.ports import Surface
 
 EVENT_END = b"\n\n"
-"""What ends an event."""
+"""The terminator of an event."""
 
 _PREFIX = b"data: "
 _DONE = b"[DONE]"
 _REPLACED_KEYS = frozenset({"role", "id", "type", "name"})
-"""Keys of a delta whose strings are given once; all others are pieces of a longer string."""
+"""Keys of a delta whose strings are complete; all others are parts of a longer string."""
 
 
 class _Delta(Struct):
@@ -70,14 +70,14 @@
 
 
 def skip_tokens(data: bytes, count: int) -> bytes:
-    """Return a run of events without its first output tokens.
+    """Return events without their first output tokens.
 
     Args:
         data: Whole events.
-        count: How many tokens to leave out; events of several tokens stay whole.
+        count: Number of tokens to skip; an event of several tokens is not divided.
 
     Returns:
-        The rest of the events.
+        The remaining events.
     """
     if count == 0:
         return data
@@ -91,7 +91,7 @@
 
 
 def cached_tokens(data: bytes) -> int:
-    """Return how many prompt tokens an answer's last events say were cached, or zero."""
+    """Return the number of cached prompt tokens stated in an answer's last events, or zero."""
     for payload in _payloads(data):
         try:
             usage = _CLOSINGS.decode(payload).usage
@@ -128,14 +128,14 @@
 
 
 def whole_answer(data: bytes, surface: Surface) -> bytes:
-    """Return one JSON answer made of all events of a stream.
+    """Merge all events of a stream into one JSON answer.
 
     Args:
         data: All events of the answer.
-        surface: The interface that was asked.
+        surface: The interface of the request.
 
     Raises:
-        TargetAnswerError: An event cannot be read.
+        TargetAnswerError: An event cannot be decoded.
     """
     whole: dict[str, Any] = {}
     choice: dict[str, Any] = {"index": 0}
@@ -163,7 +163,7 @@
 def _add_choice(
     part: dict[str, Any], choice: dict[str, Any], message: dict[str, Any], pieces: list[str]
 ) -> None:
-    """Add one event's choice; texts are kept apart, to be joined once."""
+    """Merge one event's choice; texts are collected separately and joined once."""
     delta = part.pop("delta", None) or {}
     text = part.pop("text", None) or delta.pop("content", None)
     if text:
--- a/src/azureswitch/entry/_handlers.py
+++ b/src/azureswitch/entry/_handlers.py
@@ -1,4 +1,4 @@
-"""Handlers of routes, each of which answers under a request id and types its failures."""
+"""Handlers of routes, which assign request ids and return typed errors."""
 
 from collections.abc import Awaitable, Callable
 from uuid import uuid4
@@ -15,16 +15,16 @@
 
 
 def new_call_id(prefix: str) -> CallId:
-    """Return a request id that nobody can guess."""
+    """Return a random request id, which cannot be guessed."""
     return CallId(f"{prefix}-{uuid4().hex}")
 
 
 def typed(prefix: str, answer: Answerer) -> Handler:
-    """Return a handler that gives every failure its typed answer.
+    """Return a handler that turns exceptions into typed error responses.
 
     Args:
-        prefix: What the request's id begins with.
-        answer: Answers a request under an id.
+        prefix: The prefix of the request's id.
+        answer: Answers a request with an id.
     """
 
     async def handle(request: Request) -> Response:
@@ -36,7 +36,7 @@
         except Exception:
             logging.exception("entry: Request %s failed.", call)
             response = error_response(AzureswitchError(), call=call)
-        # What is left of the body is not read.
+        # The rest of the body is not read.
         response.add_header(b"connection", b"close")
         return response
 
@@ -44,7 +44,7 @@
 
 
 def untyped(answer: Handler) -> Handler:
-    """Return a handler made of a bound method, which the router cannot mark."""
+    """Return a function that wraps a bound method, on which the router cannot set attributes."""
 
     async def handle(request: Request) -> Response:
         return await answer(request)
--- a/src/azureswitch/entry/_jobs.py
+++ b/src/azureswitch/entry/_jobs.py
@@ -1,4 +1,4 @@
-"""Long work as jobs: submit, ask how it stands, and read its stream at any host."""
+"""Jobs: submission, status and streams of long work, at any host."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterable
@@ -19,7 +19,13 @@
 from azureswitch.entry._handlers import typed
 from azureswitch.entry._jobtable import Job, JobPart, JobPull, JobTable
 from azureswitch.entry._records import ModelRecord
-from azureswitch.entry._requests import header, receiver, request_timeout, stream_offset, wait_gone
+from azureswitch.entry._requests import (
+    header,
+    receiver,
+    request_timeout,
+    stream_offset,
+    wait_disconnected,
+)
 from azureswitch.entry._settings import Limits
 from azureswitch.entry._shell import Shell
 from azureswitch.exceptions import (
@@ -31,33 +37,31 @@
 from azureswitch.ports import Peers, Surface
 from azureswitch.tasks import Tasks
 
-PULL_TIMEOUT = 3.0
-"""Seconds that another host has to answer a pull."""
-
-
-KEPT_TIMEOUT = 2.0
-"""Seconds within which a job that is over can be read whole without its host."""
+PULL_TIMEOUT_SECONDS = 3.0
+"""Timeout in seconds of a pull from another host."""
 
+STORED_OUTPUT_TIMEOUT_SECONDS = 2.0
+"""Timeout in seconds of reading the stored output of a job whose host does not answer."""
 
-DRAIN_POLL = 0.05
-"""Seconds between two looks whether streams of jobs still run."""
+DRAIN_POLL_SECONDS = 0.05
+"""Seconds between two checks for open streams of jobs."""
 
-FIND_TRIES = 4
-"""How often a job is looked for that neither a host nor its engine has."""
+MAX_FIND_ATTEMPTS = 4
+"""Number of attempts to read a job that neither a host nor its engine has."""
 
-FIND_PAUSE = 0.5
-"""Seconds before the second look; twice and three times that before the next."""
+BASE_FIND_BACKOFF_SECONDS = 0.5
+"""Seconds before the first retry; it grows by as much with each further one."""
 
 
 class JobBody(Struct, kw_only=True):
-    """How a job stands.
+    """The status of a job.
 
     Attributes:
         id: The job's id.
         status: ``running``, ``done`` or ``failed``.
-        tokens: Output tokens so far.
+        tokens: Number of output tokens so far.
         answer: The whole answer of a job that is done.
-        error: The failure of a job that failed.
+        error: The error of a job that failed.
     """
 
     id: str
@@ -69,13 +73,13 @@
 
 
 class _Found(Struct, frozen=True, kw_only=True):
-    """Where a job was found.
+    """A job that was found.
 
     Attributes:
         id: The job's id.
         call: The request.
-        customer: Who sent it.
-        record: What the journal knows of it, or None for a job of this host without a record.
+        customer: The customer who submitted it.
+        record: Its record in the journal, or None for a job of this host without one.
     """
 
     id: str
@@ -85,16 +89,16 @@
 
 
 class JobApi:
-    """Answers callers with long work.
+    """Answers requests about jobs.
 
     Args:
         api: Reads requests.
-        shell: Runs them.
+        shell: Runs requests.
         journal: Finds long work.
         table: The jobs of this host.
-        peers: Other hosts.
-        members: Returns the members known now.
-        limits: What one caller may ask.
+        peers: Sends messages to other hosts.
+        members: Returns the current members.
+        limits: The limits for a caller.
     """
 
     def __init__(
@@ -125,19 +129,19 @@
         app.router.add_get("/v1/jobs/:id/stream", typed("jobs", self._stream))
 
     async def stop(self) -> None:
-        """End the background work."""
+        """Cancel the background tasks."""
         await self._tasks.stop()
 
-    async def drained(self) -> None:
-        """Wait until every stream of a job has ended, but for those that are left unread.
+    async def wait_drained(self) -> None:
+        """Wait until every stream of a job has ended, except those whose callers do not read.
 
-        A job runs longer than the host that gives its stream may be asked to stop.
+        A job can outlast the shutdown of the host that serves its stream.
         """
         limit = self._limits.write_timeout
         while any(
             since is None or self._shell.now - since < limit for since in self._readers.values()
         ):
-            await asyncio.sleep(DRAIN_POLL)
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     # --- Submitting -------------------------------------------------------------------------------
 
@@ -160,25 +164,25 @@
         self._table.add(Job(call=call, customer=customer.name, output=output))
         self._shell.submit(record)
         self._watch(request, record)
-        await record.placed.wait()
-        if record.job is None and output.over and output.error is not None:
+        await record.job_recorded.wait()
+        if record.job is None and output.ended and output.error is not None:
             self._table.remove(call)
             return error_response(output.error, call=call)
         body = encode(JobBody(id=record.job or call, status="running", tokens=output.tokens))
         return json_answer(body, call=call, status=202)
 
     def _watch(self, request: Request, record: ModelRecord) -> None:
-        """Give a job up whose caller leaves before it was told the job's id."""
+        """End a job whose caller disconnects before it has the job's id."""
         receive = receiver(request)
 
         async def watch() -> None:
-            await wait_gone(receive)
-            if not record.placed.is_set():
+            await wait_disconnected(receive)
+            if not record.job_recorded.is_set():
                 self._shell.leave(record.call.id)
 
         self._tasks.spawn(watch(), name=f"{record.call.id} watch")
 
-    # --- Asking -----------------------------------------------------------------------------------
+    # --- Status -----------------------------------------------------------------------------------
 
     async def _show(self, request: Request, call: CallId) -> Response:
         found = await self._find(request)
@@ -193,7 +197,7 @@
         return json_answer(encode(body), call=call)
 
     async def _read(self, found: _Found) -> JobPart:
-        """Return everything that a job has given so far."""
+        """Return the whole output of a job so far."""
         pulled = [part async for part in self._pull(found, offset=0, follow=False)]
         if pulled and pulled[-1].found:
             last = pulled[-1]
@@ -201,14 +205,14 @@
             return JobPart(
                 found=True, data=data, total=last.total, over=last.over, error=last.error
             )
-        return await self._read_kept(found)
+        return await self._read_stored(found)
 
-    async def _read_kept(self, found: _Found) -> JobPart:
+    async def _read_stored(self, found: _Found) -> JobPart:
         assert found.record is not None
         pieces = []
         tokens = 0
         try:
-            async with asyncio.timeout(KEPT_TIMEOUT):
+            async with asyncio.timeout(STORED_OUTPUT_TIMEOUT_SECONDS):
                 async for chunk in self._journal.output(record=found.record, offset=0):
                     pieces.append(chunk.data)
                     tokens += chunk.tokens
@@ -218,7 +222,7 @@
             return JobPart(found=True, total=tokens, over=True, error=error_body(error))
         return JobPart(found=True, data=b"".join(pieces), total=tokens, over=True)
 
-    # --- Reading ----------------------------------------------------------------------------------
+    # --- Streams ----------------------------------------------------------------------------------
 
     async def _stream(self, request: Request, call: CallId) -> Response:
         offset = stream_offset(request)
@@ -240,7 +244,7 @@
         return event_stream(output, call=found.call, job=found.id)
 
     def _add_reader(self) -> asyncio.Task[object]:
-        """Note a stream: since when its caller has left output unread, until its task ends."""
+        """Register a stream until its task ends, with the time since when output is unread."""
         reader = asyncio.current_task()
         assert reader is not None
         self._readers[reader] = None
@@ -248,13 +252,13 @@
         return reader
 
     async def _events(self, found: _Found, offset: int) -> AsyncIterator[bytes]:
-        """Yield a job's events from an offset on, wherever it is now.
+        """Yield a job's events from an offset on, whichever host runs it.
 
         Raises:
-            AzureswitchError: Nothing of it can be had any more.
+            AzureswitchError: None of its output is available.
         """
         at = offset
-        for trial in range(FIND_TRIES):
+        for attempt in range(MAX_FIND_ATTEMPTS):
             try:
                 async for part in self._parts(found, at):
                     at += part.tokens
@@ -264,9 +268,9 @@
                 lost = error
             if not isinstance(lost, LongWorkLostError):
                 break
-            # Its host may have died just now, and the one that takes over not yet have begun.
-            await asyncio.sleep(FIND_PAUSE * (trial + 1))
-            found = await self._again(found)
+            # Its host may have just died, and its successor may not have taken over yet.
+            await asyncio.sleep(BASE_FIND_BACKOFF_SECONDS * (attempt + 1))
+            found = await self._find_again(found)
         if at == offset:
             raise lost
         yield error_event(lost)
@@ -285,21 +289,21 @@
         async for chunk in self._journal.output(record=found.record, offset=offset):
             yield JobPart(found=True, data=chunk.data, tokens=chunk.tokens)
 
-    async def _again(self, found: _Found) -> _Found:
+    async def _find_again(self, found: _Found) -> _Found:
         record = await self._journal.find(job=found.id, customer=found.customer)
         return replace(found, record=record or found.record)
 
     async def _pull(self, found: _Found, *, offset: int, follow: bool) -> AsyncIterator[JobPart]:
-        """Yield the parts that the job's host has; none where it does not answer.
+        """Yield the parts that the job's host has; none if it does not answer.
 
         Args:
             found: The job.
             offset: The token offset to begin at.
-            follow: Whether to go on until the job is over.
+            follow: Whether to continue until the job has ended.
         """
         while True:
             ask = JobPull(call=found.call, customer=found.customer, offset=offset, follow=follow)
-            part = await self._ask(found, ask)
+            part = await self._request_part(found, ask)
             if part is None or not part.found:
                 return
             offset += part.tokens
@@ -307,7 +311,7 @@
             if part.over or not (follow or offset < part.total):
                 return
 
-    async def _ask(self, found: _Found, ask: JobPull) -> JobPart | None:
+    async def _request_part(self, found: _Found, ask: JobPull) -> JobPart | None:
         if self._table.find(call=found.call, customer=found.customer) is not None:
             return await self._table.pull(ask)
         owners = [
@@ -318,7 +322,7 @@
         for address in owners:
             try:
                 return await self._peers.call(
-                    address=address, request=ask, reply=JobPart, timeout=PULL_TIMEOUT
+                    address=address, request=ask, reply=JobPart, timeout=PULL_TIMEOUT_SECONDS
                 )
             except PeerError:
                 return None
--- a/src/azureswitch/entry/_jobtable.py
+++ b/src/azureswitch/entry/_jobtable.py
@@ -1,4 +1,4 @@
-"""The jobs that run or have ended on this host, for its own callers and for other hosts."""
+"""The running and ended jobs of this host, for its own callers and for other hosts."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,21 +10,21 @@
 from azureswitch.entry._errors import error_body
 from azureswitch.ports import Peers
 
-PULL_WAIT = 1.0
-"""Seconds that a host waits for output before it answers a pull with none."""
+PULL_WAIT_SECONDS = 1.0
+"""Seconds for which a host waits for output before it answers a pull without any."""
 
-PART_BYTES = 1_048_576
-"""Bytes of output in one part, about."""
+TARGET_PART_BYTES = 1_048_576
+"""Bytes of output after which a part is not extended."""
 
 
 class JobPull(Struct, frozen=True, kw_only=True):
-    """Asks a host for the output of a job from a token offset on.
+    """Requests the output of a job from a token offset on.
 
     Attributes:
         call: The request.
-        customer: Who asks; only the job's own customer gets anything.
-        offset: Output tokens that the asker has.
-        follow: Whether to wait a little where there is none yet.
+        customer: The requesting customer, who must be the job's own.
+        offset: Number of output tokens that the requester has.
+        follow: Whether to wait for output if there is none yet.
     """
 
     call: CallId
@@ -34,15 +34,15 @@
 
 
 class JobPart(Struct, frozen=True, kw_only=True):
-    """A run of a job's output.
+    """A part of a job's output.
 
     Attributes:
         found: Whether the host has the job.
         data: Whole server-sent events.
         tokens: Output tokens in them.
         total: Output tokens of the job so far.
-        over: Whether nothing comes after them.
-        error: The body of the failure, where the job failed.
+        over: Whether this is the end of the output.
+        error: The body of the error if the job failed.
     """
 
     found: bool
@@ -58,8 +58,8 @@
 
     Attributes:
         call: The request.
-        customer: Who sent it.
-        output: What it has given so far.
+        customer: The customer who submitted it.
+        output: Its output so far.
         ended: When it ended, on the host's monotonic clock.
     """
 
@@ -73,7 +73,7 @@
     """Jobs by request, kept for some time after their end.
 
     Args:
-        peers: Other hosts, whose pulls are answered here.
+        peers: Receives pulls of other hosts.
         retention: Seconds for which an ended job is kept.
         clock: Returns seconds of the monotonic clock.
     """
@@ -85,7 +85,7 @@
         peers.handle(JobPull, self.pull)
 
     def add(self, job: Job) -> None:
-        """Keep a job and forget those that ended long ago."""
+        """Add a job and remove those whose retention has expired."""
         self._expire()
         self._jobs[job.call] = job
 
@@ -96,7 +96,7 @@
         return job if job is not None and job.customer == customer else None
 
     def remove(self, call: CallId) -> None:
-        """Forget a job that was never placed."""
+        """Remove a job that was not admitted."""
         self._jobs.pop(call, None)
 
     async def pull(self, ask: JobPull) -> JobPart:
@@ -105,26 +105,26 @@
         if job is None:
             return JobPart(found=False)
         output = job.output
-        if ask.follow and output.tokens <= ask.offset and not output.over:
+        if ask.follow and output.tokens <= ask.offset and not output.ended:
             try:
-                async with asyncio.timeout(PULL_WAIT):
+                async with asyncio.timeout(PULL_WAIT_SECONDS):
                     await output.wait_changed()
             except TimeoutError:
                 pass
-        part = output.part(offset=ask.offset, limit=PART_BYTES)
+        part = output.part(offset=ask.offset, limit=TARGET_PART_BYTES)
         return JobPart(
             found=True,
             data=part.data,
             tokens=part.tokens,
             total=output.tokens,
-            over=(output.over or output.whole) and part.complete,
+            over=(output.ended or output.complete) and part.complete,
             error=error_body(output.error) if output.error else b"",
         )
 
     def _expire(self) -> None:
         now = self._clock()
         for job in tuple(self._jobs.values()):
-            if job.output.over and job.ended is None:
+            if job.output.ended and job.ended is None:
                 job.ended = now
             if job.ended is not None and now > job.ended + self._retention:
                 del self._jobs[job.call]
--- a/src/azureswitch/entry/_keys.py
+++ b/src/azureswitch/entry/_keys.py
@@ -1,4 +1,4 @@
-"""Finds the customer that an API key belongs to."""
+"""Lookup of customers by API key."""
 
 from collections.abc import Iterable
 from hashlib import sha256
@@ -13,7 +13,7 @@
 
 
 class KeyTable:
-    """Customers by the SHA-256 of their API keys; keys themselves are never kept."""
+    """Customers by the SHA-256 of their API keys; the keys themselves are not stored."""
 
     def __init__(self, *, customers: Iterable[Customer] = ()) -> None:
         self._buckets: dict[str, list[Customer]] = {}
@@ -22,7 +22,7 @@
             bucket.append(customer)
 
     def find(self, authorization: str | None) -> Customer:
-        """Return the customer whose key an ``Authorization`` header carries.
+        """Return the customer whose key is in an ``Authorization`` header.
 
         Hashes are compared in constant time.
 
--- a/src/azureswitch/entry/_ops.py
+++ b/src/azureswitch/entry/_ops.py
@@ -15,21 +15,21 @@
 
 
 class HealthBody(Struct, kw_only=True):
-    """Whether a host is alive or ready, and if not, why."""
+    """Whether a host is alive or ready, and the reason if not."""
 
     ok: bool
     reason: str = ""
 
 
 class OperatorApi:
-    """Answers operators, the balancer and the collector of metrics.
+    """Answers operators, the load balancer and the metrics collector.
 
     Args:
         host: This host.
         place: Its failure domain.
         shell: Runs requests.
         metrics: The metrics.
-        members: Returns the members known now.
+        members: Returns the current members.
         unreadable: Returns the accepted revision that could not be read, or zero.
     """
 
@@ -44,14 +44,14 @@
         unreadable: Callable[[], int],
     ) -> None:
         self._host = host
-        self._place = place
+        self._record_job = place
         self._shell = shell
         self._metrics = metrics
         self._members = members
         self._unreadable = unreadable
 
     def install_health(self, app: Application) -> None:
-        """Add the routes that a balancer asks."""
+        """Add the health checks for a load balancer."""
         app.router.add_get("/livez", untyped(self._alive))
         app.router.add_get("/readyz", untyped(self._ready))
 
@@ -83,7 +83,7 @@
         shell = self._shell
         body = HostStatus(
             host=self._host,
-            place=self._place,
+            place=self._record_job,
             revision=shell.directory.revision,
             leaving=shell.leaving,
             open_calls=shell.open_calls,
--- a/src/azureswitch/entry/_polls.py
+++ b/src/azureswitch/entry/_polls.py
@@ -39,7 +39,7 @@
 from azureswitch.serving import LoadReported, ServingEvent, TargetUnreachable
 from azureswitch.tasks import Tasks
 
-POLL_TIMEOUT = 1.0
+POLL_TIMEOUT_SECONDS = 1.0
 """Timeout of a poll in seconds."""
 
 
@@ -153,7 +153,7 @@
             self._feed(PollFailed(now=self._clock(), target=name))
             return
         try:
-            async with asyncio.timeout(POLL_TIMEOUT):
+            async with asyncio.timeout(POLL_TIMEOUT_SECONDS):
                 # The name in the inventory counts; the engine may report another one.
                 report = replace(await engine.load(), target=name)
         except (TargetError, TimeoutError):
--- a/src/azureswitch/entry/_ports.py
+++ b/src/azureswitch/entry/_ports.py
@@ -1,4 +1,4 @@
-"""What the shell needs of the parts around it."""
+"""Interfaces that the shell requires."""
 
 from collections.abc import Iterable
 from typing import Protocol
@@ -17,7 +17,7 @@
         """Claim a call.
 
         Returns:
-            None where this host may send the call, once; else the recorded answer of the first
+            None if this host may send the call, once; otherwise the recorded answer of the first
             call with this key.
 
         Raises:
@@ -27,23 +27,23 @@
     async def settle(
         self, *, call: CallId, outcome: ClaimOutcome, answer: PlainAnswer | None
     ) -> None:
-        """Record what became of a claimed call."""
+        """Record the outcome of a claimed call."""
 
 
 class JobKeeper(Protocol):
-    """Lets any host find long work."""
+    """Records long work, so that any host finds it."""
 
     async def record(self, *, call: Call, target: TargetName, attempt: int) -> str | None:
-        """Note that an attempt was sent to its engine and return the job id, if there is one."""
+        """Record that an attempt was sent to its engine; return the job id, if there is one."""
 
     async def progress(self, *, call: CallId, tokens: int) -> None:
-        """Note how many output tokens there are."""
+        """Record the number of output tokens."""
 
     async def keep(self, *, call: CallId, chunks: Iterable[Chunk]) -> None:
-        """Store the whole output of a request that ended, so that any host can give it."""
+        """Store the whole output of an ended request, so that any host can serve it."""
 
     async def close(self, *, call: CallId) -> None:
-        """Note that the request ended."""
+        """Record that the request ended."""
 
 
 class DigestSink(Protocol):
--- a/src/azureswitch/entry/_program.py
+++ b/src/azureswitch/entry/_program.py
@@ -31,7 +31,7 @@
 
 
 class EntryProgram(Program):
-    """Serves as one entry host until SIGTERM or SIGINT."""
+    """Runs one entry host until SIGTERM or SIGINT."""
 
     name = "azureswitch-entry"
     description = "Runs one entry host."
@@ -65,8 +65,8 @@
         arguments: The command line without the program's name, or None for the process's own.
 
     Returns:
-        0 after a graceful stop, 1 where an address cannot be used, 2 where the settings or the
-        command line are wrong.
+        0 after a graceful stop, 1 if an address cannot be used, 2 if the settings or the command
+        line are invalid.
     """
     return run_program(EntryProgram(), arguments)
 
--- a/src/azureswitch/entry/_records.py
+++ b/src/azureswitch/entry/_records.py
@@ -1,4 +1,4 @@
-"""What the shell keeps of a request while it runs."""
+"""The shell's records of requests in progress."""
 
 from asyncio import Event, Task
 from collections.abc import Callable
@@ -12,12 +12,12 @@
 
 
 class ModelPayload(Struct, frozen=True, kw_only=True):
-    """What goes to an engine.
+    """The parts of a request that are sent to an engine.
 
     Attributes:
         surface: The interface.
         body: The caller's body, unchanged.
-        cache_scope: Prefixes are shared only inside it.
+        cache_scope: The scope within which prefixes are shared.
     """
 
     surface: Surface
@@ -26,7 +26,7 @@
 
 
 class PlainPayload(Struct, frozen=True, kw_only=True):
-    """What goes to a plain target."""
+    """The parts of a request that are sent to a plain target."""
 
     method: str
     path: str
@@ -35,14 +35,14 @@
 
 
 class Attempt(Struct, kw_only=True, eq=False):
-    """One attempt that runs.
+    """A running attempt.
 
     Attributes:
-        number: Counts the attempts at the request from 1.
+        number: Its number among the attempts of the request, from 1.
         targets: Where it runs.
-        offset: Output tokens of the request up to and with this attempt's.
-        task: What carries it out.
-        cancelled: Whether it was called off; then nothing more of it is taken.
+        offset: Number of output tokens of the request, including this attempt's.
+        task: The task that executes it.
+        cancelled: Whether it was cancelled and no more of its output is accepted.
     """
 
     number: int
@@ -57,13 +57,13 @@
 
     Attributes:
         call: The request.
-        payload: What goes to an engine.
-        answer: What the caller gets.
-        attempts: The attempts that run.
-        abort: Closes the caller's connection at once.
-        durable: Whether it is to be found by any host while it runs.
-        job: The job id that finds it, once there is one.
-        placed: Set once an attempt has started and the job id is known.
+        payload: What is sent to an engine.
+        answer: The answer to the caller.
+        attempts: The running attempts.
+        abort: Aborts the caller's connection.
+        durable: Whether any host can find it while it runs.
+        job: Its job id, once there is one.
+        job_recorded: Set once an attempt has started and was recorded, if that was possible.
     """
 
     call: Call
@@ -73,7 +73,7 @@
     abort: Callable[[], None] | None = None
     durable: bool = False
     job: str | None = None
-    placed: Event = field(default_factory=Event)
+    job_recorded: Event = field(default_factory=Event)
 
 
 class PlainRecord(Struct, kw_only=True, eq=False):
--- a/src/azureswitch/entry/_requests.py
+++ b/src/azureswitch/entry/_requests.py
@@ -1,4 +1,4 @@
-"""Reads what every request has: its headers, its body, and whether its caller is still there."""
+"""Reads the common parts of requests: headers, body and the state of the connection."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -8,7 +8,7 @@
 
 from blacksheep import Request
 
-from azureswitch.entry._outlet import Outlet
+from azureswitch.entry._writer import ResponseWriter
 from azureswitch.exceptions import (
     BodyTooLargeError,
     CallerLeftError,
@@ -16,13 +16,13 @@
     InvalidHeaderError,
 )
 
-LONGEST_TIMEOUT = 86_400.0
-"""Seconds that a request may ask for."""
+MAX_TIMEOUT_SECONDS = 86_400.0
+"""Upper bound of the timeout that a request may state, in seconds."""
 
-LONGEST_KEY = 255
-"""Characters of an Idempotency-Key."""
+MAX_KEY_CHARACTERS = 255
+"""Upper bound of the characters of an Idempotency-Key."""
 
-_KEY = compile(rf"[\x21-\x7e]{{1,{LONGEST_KEY}}}")
+_KEY = compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARACTERS}}}")
 _NUMBER = compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _COUNT = compile(r"[0-9]{1,12}")
 
@@ -30,23 +30,23 @@
 
 
 def receiver(request: Request) -> Receive:
-    """Return the callable that yields what the connection brings."""
+    """Return the ASGI callable that receives messages of the connection."""
     content = request.content
     assert content is not None
     return cast(Receive, cast(Any, content).receive)
 
 
 def aborter(request: Request) -> Callable[[], None] | None:
-    """Return the callable that closes the connection at once, where there is one."""
+    """Return the callable that aborts the connection, or None."""
     scope = cast(dict[str, Any], request.scope)
     abort: Callable[[], None] | None = scope.get("state", {}).get("abort")
     return abort
 
 
-def answer_outlet(request: Request) -> Outlet:
-    """Return the outlet through which a handler can write its answer itself."""
+def response_writer(request: Request) -> ResponseWriter:
+    """Return the writer by which a handler can send its answer directly."""
     scope = cast(dict[str, Any], request.scope)
-    return cast(Outlet, scope["state"]["outlet"])
+    return cast(ResponseWriter, scope["state"]["writer"])
 
 
 def header(request: Request, name: bytes) -> str | None:
@@ -56,7 +56,7 @@
 
 
 def request_timeout(request: Request) -> float | None:
-    """Return the seconds that a caller gives its request, or None where it does not say.
+    """Return the timeout that a caller states in seconds, or None.
 
     Raises:
         InvalidHeaderError: The header is not a number of seconds in range.
@@ -65,8 +65,8 @@
     if text is None:
         return None
     seconds = float(text) if _NUMBER.fullmatch(text) else 0.0
-    if not isfinite(seconds) or not 0.0 < seconds <= LONGEST_TIMEOUT:
-        expected = f"seconds over 0 and at most {LONGEST_TIMEOUT:g}"
+    if not isfinite(seconds) or not 0.0 < seconds <= MAX_TIMEOUT_SECONDS:
+        expected = f"seconds over 0 and at most {MAX_TIMEOUT_SECONDS:g}"
         raise InvalidHeaderError(name="X-Request-Timeout", expected=expected)
     return seconds
 
@@ -81,13 +81,13 @@
     if text is None:
         return None
     if not _KEY.fullmatch(text):
-        expected = f"from 1 to {LONGEST_KEY} visible ASCII characters"
+        expected = f"from 1 to {MAX_KEY_CHARACTERS} visible ASCII characters"
         raise InvalidHeaderError(name="Idempotency-Key", expected=expected)
     return text
 
 
 def stream_offset(request: Request) -> int:
-    """Return the token offset that a caller wants to read a stream from; zero by default.
+    """Return the token offset from which a caller reads a stream; zero by default.
 
     Raises:
         InvalidHeaderError: The parameter is not a count.
@@ -103,16 +103,16 @@
 
     Args:
         request: The request.
-        limit: Bytes at most.
-        timeout: Seconds that the caller may pause.
+        limit: Upper bound of its bytes.
+        timeout: Seconds for which the caller may pause.
 
     Returns:
         The body.
 
     Raises:
-        BodyTooLargeError: The body is over the limit.
-        CallerTooSlowError: The caller paused too long.
-        CallerLeftError: The caller left.
+        BodyTooLargeError: The body exceeds the limit.
+        CallerTooSlowError: The caller paused for too long.
+        CallerLeftError: The caller disconnected.
     """
     declared = header(request, b"content-length")
     if declared is not None and int(declared) > limit:
@@ -139,7 +139,7 @@
         raise CallerTooSlowError(limit=timeout) from error
 
 
-async def wait_gone(receive: Receive) -> None:
+async def wait_disconnected(receive: Receive) -> None:
     """Wait until the connection is closed or its answer has ended."""
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -19,8 +19,8 @@
 from azureswitch.settings import Address
 from azureswitch.tasks import Tasks, keep_running
 
-SETTLE_TIMEOUT = 30.0
-"""Seconds that a leaving host waits for the store to take the outcomes of its last calls."""
+SETTLE_TIMEOUT_SECONDS = 30.0
+"""Seconds for which a leaving host waits until the store has its outputs and outcomes."""
 
 
 class EntryServer:
@@ -28,8 +28,8 @@
 
     Args:
         settings: The settings.
-        ports: Everything outside, or None for the real ones that the settings name.
-        seed: Seeds every random choice, or None for one that differs on every start.
+        ports: The external interfaces, or None for those that the settings specify.
+        seed: Seeds all random choices, or None for a random one.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         return self.parts.shell
 
     async def start(self) -> None:
-        """Listen and take part in the fleet.
+        """Listen and join the fleet.
 
         Raises:
             OSError: An address cannot be used.
@@ -116,8 +116,8 @@
         """Stop.
 
         Args:
-            graceful: Whether to let everything that runs end first: readiness fails, new work is
-                refused, other hosts are told, and only then does the host stop listening.
+            graceful: Whether running requests end first: readiness fails, new work is refused,
+                other hosts are notified, and only then does the host stop listening.
         """
         if self._parts is None:
             return
@@ -141,14 +141,14 @@
         parts.shell.begin_shutdown()
         leaving = asyncio.ensure_future(parts.leave())
         await asyncio.sleep(self._settings.drain_notice)
-        await parts.shell.drained()
+        await parts.shell.wait_drained()
         if jobs is not None:
-            await jobs.drained()
+            await jobs.wait_drained()
         with suppress(Exception):
             await leaving
-        if not await parts.shell.kept(timeout=SETTLE_TIMEOUT):
+        if not await parts.shell.wait_stored(timeout=SETTLE_TIMEOUT_SECONDS):
             logging.warning("entry: Outputs of jobs did not reach the store.")
-        if not await parts.claims.drain(timeout=SETTLE_TIMEOUT):
+        if not await parts.claims.drain(timeout=SETTLE_TIMEOUT_SECONDS):
             logging.warning("entry: Outcomes of calls did not reach the store.")
 
     async def _real_ports(self) -> EntryPorts:
--- a/src/azureswitch/entry/_shell.py
+++ b/src/azureswitch/entry/_shell.py
@@ -1,4 +1,4 @@
-"""The shell around the serving reducer: hands it events and carries out its effects."""
+"""The shell around the serving reducer: passes it events and executes its effects."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -47,8 +47,8 @@
 )
 from azureswitch.tasks import Tasks
 
-STALL_CHECK_PERIOD = 1.0
-"""Seconds between two looks for callers that do not read."""
+STALL_CHECK_SECONDS = 1.0
+"""Upper bound of the seconds between two checks for callers that do not read."""
 
 
 class Shell:
@@ -59,10 +59,10 @@
         seed: Seeds the reducer's random choices.
         targets: The ports of targets.
         claims: Claims non-idempotent calls.
-        jobs: Lets any host find long work.
+        jobs: Records long work, so that any host finds it.
         publish: Sends digests to the peers.
         metrics: Records observations.
-        limits: What one caller may ask.
+        limits: The limits for a caller.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -100,7 +100,7 @@
         )
         self._loop = Loop(state=self._state, run=self._run)
         self._leaving = False
-        self._closing: set[asyncio.Task[None]] = set()
+        self._closing_tasks: set[asyncio.Task[None]] = set()
         self._stall_check_at = 0.0
 
     @property
@@ -115,17 +115,17 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether this host takes no new work."""
+        """Whether this host accepts no new work."""
         return self._leaving
 
     @property
     def open_calls(self) -> int:
-        """Requests that have not ended."""
+        """Number of requests that have not ended."""
         return len(self._records)
 
     @property
     def evacuations(self) -> tuple[EvacuatedPlace, ...]:
-        """The evacuated failure domains, and how many attempts still run there."""
+        """The evacuated failure domains, with the number of attempts still running there."""
         return self._state.evacuations.places
 
     @property
@@ -136,24 +136,24 @@
     # --- Events -----------------------------------------------------------------------------------
 
     def dispatch(self, event: ServingEvent) -> None:
-        """Hand an event to the reducer and carry out what it asks for, in order."""
+        """Pass an event to the reducer and execute its effects in order."""
         self._loop.dispatch(event)
 
     def submit(self, record: Record) -> None:
-        """Take a request; its answer is over when the request has ended."""
+        """Add a request; its answer ends when the request has ended."""
         self._records[record.call.id] = record
         self.dispatch(CallArrived(now=self.now, call=record.call))
 
     def leave(self, call: CallId) -> None:
-        """Give a request up whose caller has gone."""
+        """End a request whose caller has disconnected."""
         record = self._records.get(call)
-        if record is None or record.answer.over:
+        if record is None or record.answer.ended:
             return
         record.answer.finish(CallerLeftError())
         self.dispatch(CallerLeft(now=self.now, call=call))
 
     def adopt(self, snapshot: Snapshot) -> None:
-        """Serve by a newer configuration."""
+        """Adopt a newer configuration."""
         if snapshot.revision <= self._directory.revision:
             return
         self._targets.adopt(snapshot)
@@ -162,48 +162,48 @@
         logging.info("entry: Revision %d is in force.", snapshot.revision)
 
     def begin_shutdown(self) -> None:
-        """Take no new work; what runs goes on."""
+        """Accept no new work; running requests continue."""
         self._leaving = True
         self.dispatch(ShutdownBegan(now=self.now))
 
-    def running(self, call: CallId, attempt: int) -> bool:
-        """Tell whether an attempt runs in this process."""
+    def is_running(self, call: CallId, attempt: int) -> bool:
+        """Return whether an attempt runs in this process."""
         record = self._records.get(call)
         return record is not None and attempt in record.attempts
 
     async def run(self) -> None:
-        """Tell the reducer of time, until cancelled."""
+        """Dispatch `Ticked` events until cancelled."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
             self.dispatch(Ticked(now=self.now))
             self._check_stalls()
 
-    async def drained(self) -> None:
+    async def wait_drained(self) -> None:
         """Wait until every request has ended."""
         while self._records:
-            await asyncio.gather(*(_over(record.answer) for record in self._records.values()))
+            await asyncio.gather(*(_wait_ended(record.answer) for record in self._records.values()))
             await asyncio.sleep(0)
             if self._records:
                 await asyncio.sleep(TICK_SECONDS)
 
-    async def kept(self, *, timeout: float) -> bool:
+    async def wait_stored(self, *, timeout: float) -> bool:
         """Wait until the outputs of ended jobs are in the store.
 
         Returns:
-            Whether all are.
+            Whether all are, within the timeout.
         """
-        if self._closing:
-            await asyncio.wait(tuple(self._closing), timeout=timeout)
-        return not self._closing
+        if self._closing_tasks:
+            await asyncio.wait(tuple(self._closing_tasks), timeout=timeout)
+        return not self._closing_tasks
 
     async def stop(self) -> None:
-        """End all background work."""
+        """Cancel all background tasks."""
         await self._tasks.stop()
 
     def _check_stalls(self) -> None:
         if self.now < self._stall_check_at:
             return
-        self._stall_check_at = self.now + min(STALL_CHECK_PERIOD, self._limits.write_timeout / 4)
+        self._stall_check_at = self.now + min(STALL_CHECK_SECONDS, self._limits.write_timeout / 4)
         for record in tuple(self._records.values()):
             if isinstance(record, PlainRecord) or not isinstance(record.answer, Relay):
                 continue
@@ -225,7 +225,7 @@
         if isinstance(record, ModelRecord):
             self._attempts.start_model(record, effect)
             if record.durable:
-                work = self._place(record, effect)
+                work = self._record_job(record, effect)
                 self._tasks.spawn(work, name=f"{effect.call} place")
         elif isinstance(record, PlainRecord):
             self._attempts.start_plain(record, effect)
@@ -251,7 +251,7 @@
         record = self._records.get(effect.call)
         answer = record.answer.answer if isinstance(record, PlainRecord) else None
         work = self._claims.settle(call=effect.call, outcome=effect.outcome, answer=answer)
-        self._tasks.spawn(_settled(work), name=f"{effect.call} settle")
+        self._tasks.spawn(_log_failure(work), name=f"{effect.call} settle")
 
     @_run.register
     def _run_finish(self, effect: FinishCall) -> None:
@@ -260,10 +260,10 @@
             return
         record.answer.finish(effect.error)
         if isinstance(record, ModelRecord) and record.durable:
-            record.placed.set()
+            record.job_recorded.set()
             task = self._tasks.spawn(self._close(record), name=f"{effect.call} close")
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+            self._closing_tasks.add(task)
+            task.add_done_callback(self._closing_tasks.discard)
         asyncio.get_running_loop().call_soon(self._forget, record)
 
     @_run.register
@@ -301,7 +301,7 @@
             return
         self._records.pop(record.call.id, None)
 
-    async def _place(self, record: ModelRecord, effect: StartAttempt) -> None:
+    async def _record_job(self, record: ModelRecord, effect: StartAttempt) -> None:
         """Record where long work runs, so that any host finds it."""
         try:
             job = await self._jobs.record(
@@ -309,13 +309,13 @@
             )
             record.job = job or record.job
         finally:
-            # The answer waits for this, and goes out whether or not there is a job id.
-            record.placed.set()
+            # The answer waits for this, but is sent even if there is no job id.
+            record.job_recorded.set()
 
     async def _close(self, record: ModelRecord) -> None:
-        """Keep the output of a job that is whole; of other long work keep nothing."""
+        """Store the output of a job that is complete, but no other output."""
         answer = record.answer
-        if isinstance(answer, Recording) and answer.whole:
+        if isinstance(answer, Recording) and answer.complete:
             await self._jobs.keep(call=record.call.id, chunks=answer.chunks)
         else:
             await self._jobs.close(call=record.call.id)
@@ -350,11 +350,11 @@
         self.dispatch(ClaimReplayed(now=self.now, call=call))
 
 
-async def _over(answer: Answer) -> None:
-    await answer.wait_over()
+async def _wait_ended(answer: Answer) -> None:
+    await answer.wait_ended()
 
 
-async def _settled(work: Awaitable[None]) -> None:
+async def _log_failure(work: Awaitable[None]) -> None:
     try:
         await work
     except AzureswitchError as error:
--- a/src/azureswitch/entry/_targets.py
+++ b/src/azureswitch/entry/_targets.py
@@ -1,4 +1,4 @@
-"""The objects that reach targets, one for each target in force."""
+"""The ports of the targets in force."""
 
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -10,14 +10,14 @@
 T = TypeVar("T")
 
 EngineFactory = Callable[[Target], Engine]
-"""Makes the port of an engine."""
+"""Creates the port of an engine."""
 
 PlainTargetFactory = Callable[[Target], PlainTarget]
-"""Makes the port of a plain service's target."""
+"""Creates the port of a plain service's target."""
 
 
 class _Pool(Generic[T]):
-    """Ports by target; a changed address makes a new one, and a target that is gone none."""
+    """Ports by target; a target with a new address gets a new port."""
 
     def __init__(self, factory: Callable[[Target], T]) -> None:
         self._factory = factory
@@ -30,7 +30,7 @@
         return tuple(self._ports)
 
     def adopt(self, targets: list[Target]) -> None:
-        """Keep the ports whose targets stay and make those that are new."""
+        """Replace the targets; ports of unchanged targets are kept."""
         ports: dict[TargetName, T] = {}
         for target in targets:
             kept = self._addresses.get(target.name) == target.address
@@ -39,18 +39,18 @@
         self._addresses = {target.name: target.address for target in targets}
 
     def get(self, name: TargetName) -> T | None:
-        """Return the port of a target, or None where it is not in force any more."""
+        """Return the port of a target, or None if it is not in force."""
         return self._ports.get(name)
 
 
 class Targets:
     """All targets in force.
 
-    Attempts that run keep their port, so a target that left the inventory ends its work.
+    Running attempts keep their port, so they can end at a target that was removed.
 
     Args:
-        engine: Makes the port of an engine.
-        plain: Makes the port of a plain service's target.
+        engine: Creates the port of an engine.
+        plain: Creates the port of a plain service's target.
     """
 
     def __init__(self, *, engine: EngineFactory, plain: PlainTargetFactory) -> None:
@@ -66,7 +66,7 @@
 
     @property
     def engine_targets(self) -> tuple[Target, ...]:
-        """The engines in force as the inventory has them; another object after each change."""
+        """The inventory's entries of the engines in force; a new object after each change."""
         return self._engine_targets
 
     @property
@@ -75,11 +75,11 @@
         return self._places
 
     def adopt(self, snapshot: Snapshot) -> None:
-        """Follow a configuration."""
+        """Adopt a configuration."""
         inventory = snapshot.inventory
         model = {service.name for service in inventory.services if _is_model(service.kind)}
         engines = tuple(item for item in inventory.targets if item.service in model)
-        # An address that cannot be used fails here, before anything of the rest has changed.
+        # An invalid address raises here, before any other state has changed.
         self._plain.adopt([item for item in inventory.targets if item.service not in model])
         self._engines.adopt(list(engines))
         self._engine_targets = engines
--- a/src/azureswitch/entry/_wiring.py
+++ b/src/azureswitch/entry/_wiring.py
@@ -1,4 +1,4 @@
-"""Builds the parts of an entry host and connects them."""
+"""Creates and connects the components of an entry host."""
 
 from collections.abc import Callable, Coroutine, Mapping
 from time import time
@@ -48,15 +48,15 @@
 
 
 class EntryPorts(Struct, frozen=True, kw_only=True):
-    """Everything outside a host; tests put fakes here.
+    """The external interfaces of a host, which tests replace by fakes.
 
     Attributes:
         store: The platform's object store.
         hosts: The platform's host list.
-        peers: Messages to other hosts.
+        peers: Sends messages to other hosts.
         address: ``IP:PORT`` on which peers reach this host.
-        engine: Makes the port of an engine.
-        plain: Makes the port of a plain target.
+        engine: Creates the port of an engine.
+        plain: Creates the port of a plain target.
     """
 
     store: Store
@@ -68,7 +68,7 @@
 
 
 def http_ports(settings: EntrySettings, network: PeerNetwork) -> EntryPorts:
-    """Return the ports of a real host whose network listens already."""
+    """Return the ports that the settings specify; the network must be listening."""
     return EntryPorts(
         store=HttpStore(address=str(settings.store)),
         hosts=HttpHostList(address=str(settings.hosts)),
@@ -78,12 +78,12 @@
 
 
 class Parts:
-    """The parts of one process, connected.
+    """The connected components of one process.
 
     Args:
         settings: The settings.
-        ports: Everything outside.
-        seed: Seeds every random choice of this process.
+        ports: The external interfaces.
+        seed: Seeds all random choices of this process.
     """
 
     def __init__(self, *, settings: EntrySettings, ports: EntryPorts, seed: int) -> None:
@@ -107,7 +107,7 @@
             peers=ports.peers,
             members=self._members,
             seed=seed,
-            # Until the rules are known no key may be forgotten that they keep.
+            # Until the rules are known, keys are kept for the longest time that rules permit.
             retention=LONGEST_KEY_RETENTION,
         )
         self._journal = Journal(
@@ -200,7 +200,7 @@
 
     @property
     def membership(self) -> Membership:
-        """The view of the fleet."""
+        """The membership of the fleet."""
         return self._membership
 
     @property
@@ -220,22 +220,22 @@
 
     @property
     def unreadable(self) -> int:
-        """The accepted revision that this host could not read, so that the one before it stays."""
+        """The accepted revision that this host could not decode and did not adopt, or zero."""
         return self._unreadable
 
     @property
     def peers(self) -> Peers:
-        """Messages to other hosts."""
+        """Sends messages to other hosts."""
         return self._ports.peers
 
     async def leave(self) -> None:
-        """Tell the other hosts that this one leaves, and give back what it looks after."""
+        """Notify the other hosts that this one leaves, and release its leases of orders."""
         await self._membership.leave()
         await self._orders.stop()
 
     @property
     def loops(self) -> Mapping[str, Callable[[], Coroutine[object, object, None]]]:
-        """What runs for as long as the process does, by name."""
+        """The background loops of the process, by name."""
         return {
             "membership": self._membership.run,
             "configuration": self._configuration.run,
@@ -249,7 +249,7 @@
         }
 
     async def stop(self) -> None:
-        """End the background work of parts without a loop."""
+        """Cancel the background tasks of components without a loop."""
         await self._digests.stop()
         await self._shell.stop()
 
@@ -260,7 +260,9 @@
         return self._membership.members
 
     def _is_running(self, call: CallId, attempt: int) -> bool:
-        return self._shell.running(call, attempt) or self._journal.keeps(call=call, attempt=attempt)
+        return self._shell.is_running(call, attempt) or self._journal.keeps(
+            call=call, attempt=attempt
+        )
 
     def _engines(self) -> Mapping[TargetName, Engine]:
         ports = ((name, self._targets.engine(name)) for name in self._targets.engines)
@@ -304,7 +306,7 @@
         self._shell.dispatch(PeersChanged(now=self._shell.now, hosts=live_hosts(members)))
 
     def _adopt(self, revision: int, body: bytes) -> None:
-        # What is in force stays so where this fails; the next revision may be readable again.
+        # If this fails, the revision in force stays; a later one may be readable.
         self._unreadable = revision
         try:
             snapshot = decode(body, revision=revision)
--- a/src/azureswitch/entry/_outlet.py
+++ b/src/azureswitch/entry/_writer.py
@@ -1,7 +1,7 @@
-"""Lets a handler write a streamed answer by itself.
+"""Direct writing of streamed answers by a handler.
 
-A framework's streamed response is a generator that is pulled by a task of its own, which costs a
-task switch for every run of tokens.  Here the task that reads the engine writes to the caller.
+The framework reads a streamed response from a generator in a separate task, which costs a task
+switch per chunk.  Here the task that reads from the engine writes to the caller.
 """
 
 from collections.abc import Awaitable, Callable
@@ -12,10 +12,10 @@
 Asgi = Callable[[Message, Callable[[], Awaitable[Message]], Send], Awaitable[None]]
 
 
-class Outlet:
-    """One answer under way.
+class ResponseWriter:
+    """Writes the answer to one request.
 
-    Called by the framework it passes on what that sends, until a handler begins an answer itself.
+    As the framework's ``send``, it forwards messages until a handler begins an answer itself.
 
     Args:
         send: Sends a message to the server.
@@ -23,20 +23,20 @@
 
     def __init__(self, *, send: Send) -> None:
         self._send = send
-        self._taken = False
+        self._has_begun = False
 
     async def __call__(self, message: Message) -> None:
-        """Pass a message of the framework on, unless a handler answers."""
-        if not self._taken:
+        """Forward a message of the framework, unless a handler has begun an answer."""
+        if not self._has_begun:
             await self._send(message)
 
     async def begin(self, *, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Send the head of an answer."""
-        self._taken = True
+        """Send the status and headers."""
+        self._has_begun = True
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def write(self, data: bytes) -> None:
-        """Send part of the body, and wait while the caller is behind."""
+        """Send part of the body, and wait until the caller has read enough of it."""
         await self._send({"type": "http.response.body", "body": data, "more_body": True})
 
     async def end(self) -> None:
@@ -44,8 +44,8 @@
         await self._send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
-class Edge:
-    """The outermost application, which gives every request its `Outlet`.
+class ResponseWriterApp:
+    """The outermost application, which adds a `ResponseWriter` to every request.
 
     Args:
         app: The application.
@@ -58,6 +58,6 @@
         self, scope: Message, receive: Callable[[], Awaitable[Message]], send: Send
     ) -> None:
         """Serve one request."""
-        outlet = Outlet(send=send)
-        scope["state"]["outlet"] = outlet
-        await self._app(scope, receive, outlet)
+        writer = ResponseWriter(send=send)
+        scope["state"]["writer"] = writer
+        await self._app(scope, receive, writer)
--- a/tests/entry/test_answers.py
+++ b/tests/entry/test_answers.py
@@ -143,7 +143,7 @@
                 )
                 attempts.start_model(record, effect)
                 await asyncio.sleep(0.01)
-            assert relay.whole
+            assert relay.complete
             assert [type(event) for event in ends] == [FirstTokenArrived, AttemptEnded]
             attempts.cancel(record, 1)
             await asyncio.sleep(0.01)
