Reword the docstrings of the entry's tests

They say which failure each test guards against in plain terms; two tests that spoke of attempts that are called off are named after their cancellation.

--- a/tests/entry/rig.py
+++ b/tests/entry/rig.py
@@ -1,4 +1,4 @@
-"""An entry host between stand-ins, with its event loop in a thread so that tests stay plain."""
+"""An entry host with stand-ins, whose event loop runs in a thread so that tests are synchronous."""
 
 import asyncio
 import json
@@ -108,7 +108,7 @@
 
 
 def settings(host: str, *, limits: Limits = LIMITS) -> EntrySettings:
-    """Return settings on loopback, with ports of the system's choice."""
+    """Return settings on loopback with free ports."""
     return EntrySettings(
         host=HostName(host),
         place=PlaceName("north-1"),
@@ -147,7 +147,7 @@
 
     @property
     def url(self) -> str:
-        """Where callers reach the first host."""
+        """The URL of the first host for callers."""
         return f"http://{self.entry.address}"
 
     def run(self, work: Coroutine[Any, Any, Result]) -> Result:
@@ -168,12 +168,12 @@
         return self._client.post(self.url + path, content=json.dumps(body), headers=fields)
 
     def get(self, path: str, *, entry: int = 0, key: str = KEY) -> httpx.Response:
-        """Ask a host as the customer of a key."""
+        """Send a request to a host as the customer of a key."""
         url = f"http://{self.entries[entry].address}{path}"
         return self._client.get(url, headers={"authorization": f"Bearer {key}"})
 
     async def start(self) -> None:
-        """Start everything and put the configuration in force."""
+        """Start everything and accept the configuration."""
         for engine in self.engines:
             await engine.start()
         for entry in self.entries:
@@ -185,7 +185,7 @@
             await asyncio.sleep(0.01)
 
     def is_ready(self, entry: EntryServer) -> bool:
-        """Tell whether a host has the configuration and knows all others."""
+        """Return whether a host has adopted the configuration and knows all others."""
         members = entry.parts.membership.members
         return bool(entry.shell.directory.revision) and len(members) == len(self.entries)
 
@@ -215,7 +215,7 @@
 
     @contextmanager
     def running(self) -> Iterator["Rig"]:
-        """Run until the block ends."""
+        """Run for the duration of the block."""
         self._thread.start()
         try:
             self.run(self.start())
--- a/tests/entry/test_adoption.py
+++ b/tests/entry/test_adoption.py
@@ -1,4 +1,4 @@
-"""What a host does with the bodies of accepted revisions."""
+"""Adoption of accepted revisions by an entry host."""
 
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -53,29 +53,29 @@
 
 
 def running(rig: Rig) -> list[int]:
-    """Return how many attempts the host says still run in each evacuated place."""
+    """Return the reported number of running attempts in each evacuated failure domain."""
     return [item["running"] for item in evacuations(rig)]
 
 
 def evacuations(rig: Rig) -> list[dict[str, Any]]:
-    """Return the evacuated places that the host tells of."""
+    """Return the evacuated failure domains that the host reports."""
     told = status(rig)["evacuations"]
     assert isinstance(told, list)
     return told
 
 
 def status(rig: Rig) -> dict[str, object]:
-    """Return what the host tells operators."""
+    """Return the status that the host reports."""
     answer = httpx.get(f"http://{rig.entry.operations_address}/status", timeout=5)
     return dict(answer.json())
 
 
 class TestAdoption:
-    """Accepted revisions at a host that runs."""
+    """Accepted revisions at a running host."""
 
     @pytest.mark.parametrize("address", [None, "nowhere"])
     def test_unreadable_body(self, rig: Rig, address: str | None) -> None:
-        """A host keeps its revision where it cannot read the next, and says so."""
+        """A host keeps its revision if it cannot decode the next one, and reports that."""
         body = b"not a configuration"
         if address is not None:
             first = decode(configuration(rig.engines), revision=1)
@@ -94,7 +94,7 @@
         assert status(rig)["unreadable"] == 0
 
     def test_evacuation(self, rig: Rig) -> None:
-        """An evacuated place is in force in the reducer: its calls are refused as not run."""
+        """Calls of an evacuated failure domain are refused as not run."""
         first = decode(configuration(rig.engines), revision=1)
         (place,) = first.inventory.places
         evacuation = Evacuation(since=7, author="dana", reason="chiller 4", until=9)
@@ -126,7 +126,7 @@
         assert rig.post("/v1/completions", PROMPT).status_code == 200
 
     def test_running_goes_on(self) -> None:
-        """A request that runs in a place goes on to its end once the place is evacuated."""
+        """A request that runs in a failure domain is completed after its evacuation."""
         cost = CostModel(decode_base=0.05, prefill_rate=1_000_000.0)
         with Rig(cost=cost).running() as rig, ThreadPoolExecutor(max_workers=1) as pool:
             first = decode(configuration(rig.engines), revision=1)
@@ -148,7 +148,7 @@
 
     @pytest.mark.parametrize(("rule", "kept"), [(3 * DAY, 3 * DAY), (60.0, DAY)])
     def test_key_retention(self, rig: Rig, rule: float, kept: float) -> None:
-        """Keys are remembered for as long as the rules say, and never for less than a day."""
+        """Keys are kept as long as the rules require, and for at least a day."""
         first = decode(configuration(rig.engines), revision=1)
         rules = replace(first.rules, key_retention=rule)
         accept(rig, encode(inventory=first.inventory, rules=rules), base=1)
@@ -156,7 +156,7 @@
         assert rig.entry.parts.claims.retention == kept
 
     def test_key_retention_before_the_rules(self) -> None:
-        """A host that has no rules yet forgets no key that any rules would keep."""
+        """A host without rules keeps keys for the longest time that rules permit."""
         ports = EntryPorts(
             store=StoreFake(),
             hosts=HostListFake(),
--- a/tests/entry/test_answers.py
+++ b/tests/entry/test_answers.py
@@ -1,4 +1,4 @@
-"""Answers that several attempts write in turn."""
+"""Answers to which several attempts contribute."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -47,25 +47,25 @@
 
 
 class SlowCaller:
-    """A connection that takes nothing until it is told to, as a server's does."""
+    """A connection that can be blocked, like that of a caller that does not read."""
 
     def __init__(self) -> None:
-        self.taken: list[bytes] = []
+        self.written: list[bytes] = []
         self.open = asyncio.Event()
         self.open.set()
 
     async def write(self, data: bytes) -> None:
-        """Wait until there is room, and only then take the bytes."""
+        """Wait until the connection is open, and only then accept the bytes."""
         await self.open.wait()
-        self.taken.append(data)
+        self.written.append(data)
 
 
 class TestRelay:
     """A streamed answer."""
 
     @pytest.mark.parametrize("last", [False, True])
-    def test_called_off_behind_a_slow_caller(self, last: bool) -> None:
-        """What an attempt had not written when it was called off comes from the next one."""
+    def test_cancelled_behind_a_slow_caller(self, last: bool) -> None:
+        """Output that a cancelled attempt had not written is written by the next one."""
 
         async def check() -> None:
             relay, caller = Relay(limit=1_000), SlowCaller()
@@ -84,12 +84,12 @@
             assert await relay.put(attempt=2, offset=1, chunk=chunk(b"b", last=True))
             relay.finish(None)
             await serving
-            assert caller.taken == [b"a", b"b"]
+            assert caller.written == [b"a", b"b"]
 
         asyncio.run(check())
 
-    def test_called_off_at_its_end(self) -> None:
-        """An answer whose last part never went out is not taken for whole."""
+    def test_cancelled_at_its_end(self) -> None:
+        """An answer whose last chunk was not written is not complete."""
 
         async def check() -> None:
             relay, caller = Relay(limit=1_000), SlowCaller()
@@ -103,17 +103,17 @@
             relay.finish(DeadlineExceededError())
             caller.open.set()
             await serving
-            assert caller.taken == []
+            assert caller.written == []
             assert isinstance(relay.error, DeadlineExceededError)
 
         asyncio.run(check())
 
 
 class TestHedges:
-    """Two attempts at once."""
+    """Concurrent attempts."""
 
     def test_comment_is_no_output(self) -> None:
-        """An attempt that has sent nothing but a comment does not keep another from answering."""
+        """An attempt that has sent only a comment does not prevent another from answering."""
 
         async def check() -> None:
             ends: list[ServingEvent] = []
@@ -152,10 +152,10 @@
 
 
 class TestJobTable:
-    """The output of a job, pulled from another host."""
+    """Pulls of a job's output by another host."""
 
     def test_end_between_two_pulls(self) -> None:
-        """The end of a whole answer is given once, however late the job is known to be over."""
+        """A complete output is reported as its end, even before the job has ended."""
 
         async def check() -> None:
             peers = PeersNetworkFake().peers(address="10.0.0.1:1")
--- a/tests/entry/test_parsing.py
+++ b/tests/entry/test_parsing.py
@@ -1,4 +1,4 @@
-"""What callers send is read to one meaning or refused by type, whatever it is."""
+"""Decoding of request bodies and events, with typed errors for invalid ones."""
 
 from contextlib import suppress
 from json import dumps
@@ -41,14 +41,14 @@
 
     @given(body=st.binary() | BODIES, surface=st.sampled_from(Surface))
     def test_anything(self, body: bytes, surface: Surface) -> None:
-        """Any bytes are read or refused as malformed, and nothing else happens."""
+        """Any bytes are either decoded or rejected as malformed."""
         is_chat(body)
         with suppress(MalformedBodyError):
             assert read_completion(body, surface, scope="alder").prompt_tokens > 0
 
     @pytest.mark.parametrize("size", [1, 2_047, 2_048, 2_049, 10_000])
     def test_prefix(self, size: int) -> None:
-        """Tokens and block hashes are those of engines, and differ from customer to customer."""
+        """Tokens and block hashes equal those of engines, and hashes differ between customers."""
         text = "é" * (size // 2) + "a"
         chat = {"model": "m", "messages": [{"role": "user", "content": text}]}
         items = list(range(size))
@@ -69,24 +69,24 @@
 
     @pytest.mark.parametrize("count", range(5))
     def test_skipped(self, count: int) -> None:
-        """Skipping leaves out whole tokens from the front, and never the end."""
+        """Skipping removes whole tokens from the front, and never the final events."""
         data = b"".join(event(index) for index in range(4)) + END
         rest = b"".join(event(index) for index in range(count, 4)) + END
         assert skip_tokens(data, count) == rest
 
     def test_usage(self) -> None:
-        """The cached tokens are those of the last event, and none where it does not say."""
+        """The cached tokens are those of the last event, or zero if it states none."""
         assert cached_tokens(event(1) + END) == 512
         assert cached_tokens(event(1)) == 0
 
     @given(data=st.binary().map(lambda data: b"data: " + data + b"\n\n"))
     def test_unreadable(self, data: bytes) -> None:
-        """Events that cannot be read make no answer."""
+        """Events that cannot be decoded raise an error."""
         with suppress(TargetAnswerError):
             whole_answer(data, Surface.CHAT)
 
     def test_tool_calls(self) -> None:
-        """The pieces of a tool call are put together."""
+        """The parts of a tool call are merged."""
         pieces = (
             {"index": 0, "id": "t", "function": {"name": "find", "arguments": '{"a"'}},
             {"index": 0, "function": {"arguments": ":1}"}},
@@ -103,13 +103,13 @@
 
 
 class TestAnswers:
-    """One attempt at a time, and only where the answer stands."""
+    """Output is accepted from one attempt at a time, and only at the current offset."""
 
     @pytest.mark.parametrize(
         ("attempt", "offset", "taken"), [(1, 1, True), (1, 0, False), (1, 2, False), (2, 1, False)]
     )
     def test_crossed(self, attempt: int, offset: int, taken: bool) -> None:
-        """Output of another attempt, or at another offset, is not taken."""
+        """Output of another attempt, or at another offset, is rejected."""
         answer = Recording(limit=1_000)
         chunk = Chunk(data=event(0), tokens=1, last=False)
         _run(answer.put(attempt=1, offset=0, chunk=chunk))
@@ -118,13 +118,13 @@
         assert _run(answer.put(attempt=2, offset=1 + taken, chunk=chunk))
 
     def test_too_large(self) -> None:
-        """A recording ends with a typed failure at its limit."""
+        """A recording raises a typed error at its limit."""
         chunk = Chunk(data=event(0) * 9, tokens=9, last=False)
         with pytest.raises(AnswerTooLargeError):
             _run(Recording(limit=100).put(attempt=1, offset=0, chunk=chunk))
 
     def test_after_the_end(self) -> None:
-        """Nothing is taken after the end, and a whole answer does not fail any more."""
+        """Nothing is accepted after the end, and a complete answer cannot fail."""
         answer = Relay(limit=1_000)
         last = Chunk(data=END, tokens=0, last=True)
         assert _run(answer.put(attempt=1, offset=0, chunk=last))
--- a/tests/entry/test_polls.py
+++ b/tests/entry/test_polls.py
@@ -1,4 +1,4 @@
-"""Engines are polled by few hosts, whose reports reach all."""
+"""Few hosts poll each engine, and their reports reach all hosts."""
 
 import asyncio
 from collections import Counter
@@ -57,12 +57,12 @@
         self.polls[self.name] += 1
         if self.name in self.down:
             raise TargetRefusedError(target=self.name)
-        # It calls itself otherwise than the inventory does.
+        # Its own name differs from that in the inventory.
         return report("self")
 
 
 class Fleet:
-    """Hosts with a poller each, over virtual time."""
+    """Hosts with a poller each, in virtual time."""
 
     def __init__(self, hosts: int) -> None:
         self.now = 0.0
@@ -115,7 +115,7 @@
         await asyncio.sleep(0.005)
 
     def reported(self, index: int) -> set[TargetName]:
-        """Return the engines that a host has heard of."""
+        """Return the engines of which a host has reports."""
         events = self.heard[index]
         return {event.report.target for event in events if isinstance(event, LoadReported)}
 
@@ -125,7 +125,7 @@
 
     @pytest.mark.parametrize(("hosts", "pollers"), [(1, 1), (2, 2), (9, POLLERS)])
     def test_few_polls(self, hosts: int, pollers: int) -> None:
-        """Each engine is polled by few hosts, and every host hears of every engine."""
+        """Each engine is polled by few hosts, and every host has reports of every engine."""
 
         async def scenario() -> None:
             fleet = Fleet(hosts)
@@ -138,7 +138,7 @@
         asyncio.run(scenario())
 
     def test_silence(self) -> None:
-        """A host that hears nothing of an engine polls it itself."""
+        """A host without reports of an engine polls it itself."""
 
         async def scenario() -> None:
             fleet = Fleet(9)
@@ -149,7 +149,7 @@
         asyncio.run(scenario())
 
     def test_unreachable(self) -> None:
-        """An engine that does not answer is found out by each host for itself."""
+        """Each host detects by itself that an engine does not answer."""
 
         async def scenario() -> None:
             fleet = Fleet(9)
@@ -163,5 +163,5 @@
         asyncio.run(scenario())
 
     def test_packed(self) -> None:
-        """A report passed on is the same report."""
+        """A decoded report equals the encoded one."""
         assert unpack(pack(report("engine-1"), age=0.2)) == report("engine-1")
--- a/tests/entry/test_program.py
+++ b/tests/entry/test_program.py
@@ -1,4 +1,4 @@
-"""The daemon as a process: its settings, and a stop that cuts nothing."""
+"""The daemon as a process: its settings and its graceful shutdown."""
 
 import subprocess
 import sys
@@ -38,11 +38,11 @@
 """
 
 LISTENS = compile(r"Host entry-1 listens on (127\.0\.0\.1:[0-9]+)\.")
-"""What the daemon logs once callers can reach it."""
+"""The daemon's log line once it accepts callers."""
 
 
 def settings_file(path: Path, **values: object) -> Path:
-    """Write settings and return where."""
+    """Write a settings file and return its path."""
     file = path / "entry.ini"
     defaults = {"store": "127.0.0.1:1", "hosts": "127.0.0.1:1"}
     file.write_text(GOOD.format(**{**defaults, **values}))
@@ -67,7 +67,7 @@
     def test_refused(
         self, tmp_path: Path, capsys: pytest.CaptureFixture[str], old: str, new: str, named: str
     ) -> None:
-        """Wrong settings end the program with code 2 and name file, section and key."""
+        """Invalid settings end the program with code 2 and an error with file, section and key."""
         file = settings_file(tmp_path)
         file.write_text(file.read_text().replace(old, new))
         assert main(["--settings", str(file)]) == 2
@@ -76,12 +76,12 @@
         assert named in message
 
     def test_missing(self, tmp_path: Path) -> None:
-        """A file that is not there is refused."""
+        """A missing file is rejected."""
         with pytest.raises(SettingsError):
             read_settings(tmp_path / "nowhere.ini")
 
     def test_defaults(self, tmp_path: Path) -> None:
-        """What a file leaves out has the default that the table documents."""
+        """Missing settings have the defaults that the table documents."""
         settings = read_settings(settings_file(tmp_path))
         defaults = {setting.key: setting.default for setting in ENTRY_TABLE.of("limits")}
         assert settings.limits.body_bytes == defaults["body_bytes"]
@@ -89,7 +89,7 @@
 
 
 class Outside(Rig):
-    """Stand-ins over HTTP around a daemon in a process of its own."""
+    """Stand-ins over HTTP, and a daemon in a separate process."""
 
     def __init__(self) -> None:
         super().__init__(hosts=0)
@@ -126,7 +126,7 @@
     """The daemon."""
 
     def test_sigterm(self, outside: Outside, tmp_path: Path) -> None:
-        """A stream that runs when SIGTERM arrives becomes whole, and the exit code is 0."""
+        """A stream in progress at SIGTERM is completed, and the exit code is 0."""
         file = settings_file(tmp_path, store=outside.platform.address, hosts=outside.listed.address)
         program = "import sys; from azureswitch.entry import main; sys.exit(main())"
         command = [sys.executable, "-c", program, "--settings", str(file)]
@@ -147,7 +147,7 @@
                 process.kill()
 
     def ready(self, process: subprocess.Popen[bytes], log: Path) -> str:
-        """Wait until the daemon is ready and return where callers reach it."""
+        """Wait until the daemon is ready and return its address for callers."""
         found: list[str] = []
 
         def is_ready() -> bool:
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -1,4 +1,4 @@
-"""Bad input over real HTTP gets a clear typed answer, and good input a whole one."""
+"""Over HTTP, invalid requests get typed errors, and valid ones complete answers."""
 
 import json
 import socket
@@ -24,7 +24,7 @@
 
 
 QUICK = CostModel(decode_base=0.0003, decode_sequence=0.0001, prefill_rate=1_000_000.0)
-"""Gives 2,500 tokens a second, so that a connection's buffers are soon full."""
+"""Produces 2,500 tokens per second, which soon fill a connection's buffers."""
 
 
 @pytest.fixture(scope="module")
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Bad:
-    """One bad request and the answer that it must get."""
+    """An invalid request and the expected error."""
 
     name: str
     code: str
@@ -116,8 +116,8 @@
 def _send_at_once(url: str, bad: Bad, headers: dict[str, bytes]) -> tuple[int, bytes]:
     """Send a request in one piece and return its answer's status and body.
 
-    Where head and body were sent one after the other, a test process that was held up between them
-    for the 0.2 s that callers may pause here was told that it is too slow: once, beside other load.
+    If headers and body are sent separately, a delay of the test process of 0.2 s between them, the
+    read timeout here, causes a caller_too_slow error; this occurred once under other load.
     """
     address = httpx.URL(url)
     fields = {
@@ -136,11 +136,11 @@
 
 
 class TestBadInput:
-    """Requests that cannot be served as they stand."""
+    """Invalid requests."""
 
     @pytest.mark.parametrize("bad", TABLE, ids=lambda bad: bad.name)
     def test_typed_answer(self, rig: Rig, bad: Bad) -> None:
-        """Each gets its status, its code and the word that it did not run."""
+        """Each gets its status and code, and is reported as not run."""
         headers = {k: v.encode("latin-1") for k, v in bad.headers.items()}
         if bad.key is not None:
             headers["authorization"] = bad.key.encode("latin-1")
@@ -175,7 +175,7 @@
         ],
     )
     def test_bytes(self, rig: Rig, sent: bytes, code: str) -> None:
-        """A caller that is slow, or does not speak HTTP, is told so and let go."""
+        """A caller that is slow or does not send HTTP gets a typed error and is disconnected."""
         address = rig.entry.address
         with socket.create_connection((address.ip, address.port), timeout=5) as connection:
             connection.sendall(sent)
@@ -188,19 +188,19 @@
 
 
 class TestCallersThatLeave:
-    """Callers that do not wait for the end."""
+    """Callers that disconnect or do not read."""
 
     def begun(self, rig: Rig) -> bool:
-        """Whether the call runs at an engine."""
+        """Return whether the call runs at an engine."""
         return any(engine.counters.running for engine in rig.engines)
 
     def idle(self, rig: Rig) -> bool:
-        """Whether nothing runs at host and engines."""
+        """Return whether nothing runs at the host and the engines."""
         return not self.begun(rig) and not rig.call(lambda: rig.entry.shell.open_calls)
 
     @pytest.mark.parametrize("stream", [True, False])
     def test_vanished(self, rig: Rig, stream: bool) -> None:
-        """A caller that goes away is cancelled at the engine, and its memory comes back."""
+        """A disconnected caller's request is cancelled at the engine, and its memory released."""
         body = edited(stream=stream, max_tokens=5_000)
         address = rig.entry.address
         with socket.create_connection((address.ip, address.port), timeout=5) as connection:
@@ -213,12 +213,12 @@
         assert not sum(engine.counters.memory_used for engine in rig.engines)
 
     def test_not_reading(self) -> None:
-        """A caller that does not read is cut off after the write timeout, with bounded memory."""
+        """A caller that does not read is disconnected after the write timeout."""
         with Rig(cost=QUICK).running() as rig:
             self.cut_off(rig)
 
     def cut_off(self, rig: Rig) -> None:
-        """Ask for far more than the connection's buffers hold, and read nothing."""
+        """Request more output than the connection's buffers hold, and read nothing."""
         body = edited(stream=True, max_tokens=50_000)
         address = rig.entry.address
         with socket.socket() as connection:
@@ -232,7 +232,7 @@
 
 
 class TestWholeAnswers:
-    """Good requests."""
+    """Valid requests."""
 
     @pytest.mark.parametrize("stream", [True, False])
     def test_openai_client(self, rig: Rig, stream: bool) -> None:
@@ -268,18 +268,18 @@
         assert raised.value.code == "invalid_api_key"
 
     def test_engine_refuses_for_good(self, rig: Rig) -> None:
-        """A request that engines reject gets one answer that says so."""
+        """A request that engines reject gets one typed error."""
         answer = rig.post(COMPLETIONS, {**GOOD, "seed": {"not": "a number"}})
         assert answer.json()["error"]["ran"] == "not_run"
         assert answer.status_code == 502
 
     def test_request_ids(self, rig: Rig) -> None:
-        """Every answer carries an id of its own."""
+        """Every answer has a unique request id."""
         ids = {rig.post(COMPLETIONS, body).headers["x-request-id"] for body in (GOOD, GOOD, {})}
         assert len(ids) == 3
 
     def test_service(self, rig: Rig) -> None:
-        """A plain service gets the request as it was sent, without the caller's key."""
+        """A plain service receives the request unchanged, but without the caller's API key."""
         hops = {"connection": "keep-alive, X-Hop", "x-hop": "1", "proxy-connection": "keep-alive"}
         path = "/s/desk/orders/7%0d%0aa:%20b?fast=1"
         own = {"idempotency-key": "seven", "x-request-timeout": "86400"}
@@ -288,11 +288,11 @@
         assert (answer.status_code, answer.json()) == (201, {"a": 1})
         assert (seen.method, seen.path) == ("POST", "/orders/7%0d%0aa:%20b?fast=1")
         assert dict(seen.headers).keys().isdisjoint({"authorization", *own, *hops})
-        # Its key must not be forgotten while it runs.
+        # Its key must outlast it.
         assert 2 * seen.timeout <= SHORTEST_KEY_RETENTION
 
     def test_repeated_key(self, rig: Rig) -> None:
-        """A repeated Idempotency-Key gets the first answer, and only to the same request."""
+        """A repeated Idempotency-Key gets the first answer, if the request is the same."""
         for path, body, status in (
             ("/s/desk/orders", 1, 201),
             ("/s/desk/orders", 1, 201),
--- a/tests/entry/test_survival.py
+++ b/tests/entry/test_survival.py
@@ -1,4 +1,4 @@
-"""What a caller gets while engines fail, hosts leave and jobs move between hosts."""
+"""Answers to callers while engines fail, hosts leave and jobs move between hosts."""
 
 import json
 import time
@@ -19,7 +19,7 @@
 
 @pytest.fixture
 def rig() -> Iterator[Rig]:
-    """Return a running rig whose engines give a token every 10 ms."""
+    """Return a running rig whose engines produce a token every 10 ms."""
     with Rig(cost=SLOW).running() as running:
         yield running
 
@@ -64,7 +64,7 @@
         ids=["cut", "crossed", "refusing", "dead"],
     )
     def test_whole_answer(self, rig: Rig, faults: EngineFaults, stream: bool) -> None:
-        """A failing engine leaves neither gap nor repeat in the answer, and no memory held."""
+        """A failing engine causes neither gaps nor repetitions, and leaves no memory allocated."""
         rig.run(rig.engines[0].set_faults(faults=faults))
         prompts = [f"Question {index}?" for index in range(6)]
         with ThreadPoolExecutor(max_workers=6) as pool:
@@ -81,7 +81,7 @@
         wait_until(lambda: not rig.engines[1].counters.running)
 
     def test_no_job_id(self, rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
-        """A long answer is streamed whether or not its place can be recorded."""
+        """A long answer is streamed even if its journal record cannot be written."""
 
         async def fail(**_: object) -> str:
             raise StoreUnavailableError(key="job-secret/key")
@@ -92,7 +92,7 @@
         assert tokens(answer.text) == expected_answer(prompt, 100)
 
     def test_failure_in_the_middle(self, rig: Rig) -> None:
-        """A stream that cannot go on ends with a typed event and without ``[DONE]``."""
+        """A stream that cannot be continued ends with a typed error and without ``[DONE]``."""
         for engine in rig.engines:
             rig.run(engine.set_faults(faults=EngineFaults(cut_after=3)))
         answer = rig.post(PATH, body("Endless?", 60), **{"x-request-timeout": "2"})
@@ -102,7 +102,7 @@
         assert last["code"] in ("deadline_exceeded", "retries_exhausted")
 
     def test_deadline_before_the_first_token(self, rig: Rig) -> None:
-        """A request whose time runs out gets its answer then, with the engine's memory free."""
+        """A request is answered at its deadline, and the engine's memory is released."""
         for engine in rig.engines:
             rig.run(engine.set_faults(faults=EngineFaults(stall=2.0)))
         answer = rig.post(PATH, body("Stalled?", 5), **{"x-request-timeout": "0.3"})
@@ -110,10 +110,10 @@
 
 
 class TestServices:
-    """Calls that may not repeat."""
+    """Non-idempotent calls."""
 
     def test_lost_answer(self, rig: Rig) -> None:
-        """A booking whose outcome is lost is told so and never sent again."""
+        """A call whose outcome is lost gets a typed error and is never sent again."""
         rig.plain.broken = True
         codes = [
             rig.post("/s/desk/orders", 1, **{"idempotency-key": "lost"}).json()["error"]["code"]
@@ -123,7 +123,7 @@
         assert rig.plain.calls["lost"] == 1
 
     def test_vanished_caller(self, rig: Rig) -> None:
-        """A booking goes on after its caller left, and the caller finds its answer by the key."""
+        """A call continues after its caller left, and its answer is available by the key."""
         rig.plain.delay = 0.2
         url = f"{rig.url}/s/desk/orders"
         headers = {"authorization": f"Bearer {KEY}", "idempotency-key": "left"}
@@ -137,10 +137,10 @@
 
 
 class TestLoops:
-    """What runs for as long as the host does."""
+    """Background loops of the host."""
 
     def test_failed_loop(self, rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
-        """A loop that fails once goes on, so that requests still end in their time."""
+        """A loop that fails once is restarted, so that requests still end by their deadlines."""
         failures = [RuntimeError()]
 
         def fail_once() -> None:
@@ -161,7 +161,7 @@
     """A host that shuts down."""
 
     def test_nothing_is_cut(self, rig: Rig) -> None:
-        """Streams end by themselves while readiness fails and new work is refused as not run."""
+        """Streams are completed while readiness fails and new work is refused as not run."""
         entry = rig.entries[0]
         with ThreadPoolExecutor(max_workers=9) as pool:
             runs = [
@@ -190,7 +190,7 @@
 
 
 class TestJobs:
-    """Long work by id."""
+    """Jobs."""
 
     def submit(self, pair: Rig, prompt: str, count: int) -> str:
         """Submit a job and return its id."""
@@ -200,7 +200,7 @@
 
     @pytest.mark.parametrize("entry", [0, 1])
     def test_poll_and_resume(self, pair: Rig, entry: int) -> None:
-        """Any host says how a job stands and goes on with its stream at any offset."""
+        """Any host reports a job's status and serves its stream from any offset."""
         job = self.submit(pair, "Review?", 30)
         want = expected_answer("Review?", 30)
         assert pair.get(f"/v1/jobs/{job}", entry=entry).json()["status"] == "running"
@@ -212,7 +212,7 @@
         assert shown["answer"]["choices"][0]["text"] == "".join(want)
 
     def test_host_is_replaced(self, pair: Rig) -> None:
-        """A job that is done is found at another host after its own has stopped gracefully."""
+        """A completed job is available at another host after its own has stopped gracefully."""
         job = self.submit(pair, "Overnight?", 5)
         assert pair.get(f"/v1/jobs/{job}/stream").text.endswith("[DONE]\n\n")
         pair.run(pair.entries[0].stop(graceful=True))
@@ -220,7 +220,7 @@
         assert shown["answer"]["choices"][0]["text"] == "".join(expected_answer("Overnight?", 5))
 
     def test_reader_of_a_job(self, pair: Rig) -> None:
-        """A host that leaves goes on giving the stream of a job that runs at another."""
+        """A leaving host continues to serve the stream of a job that runs at another."""
         job = self.submit(pair, "Season?", 250)
         with ThreadPoolExecutor(max_workers=1) as pool:
             reading = pool.submit(pair.get, f"/v1/jobs/{job}/stream", entry=1)
@@ -229,19 +229,19 @@
             assert tokens(reading.result().text) == expected_answer("Season?", 250)
 
     def test_other_customer(self, pair: Rig) -> None:
-        """A job's id is of no use to another customer."""
+        """A job is not available to another customer."""
         job = self.submit(pair, "Mine?", 3)
         for path in (f"/v1/jobs/{job}", f"/v1/jobs/{job}/stream"):
             answer = pair.get(path, key=OTHER_KEY)
             assert answer.json()["error"]["code"] == "request_not_found"
 
     def test_refused(self, pair: Rig) -> None:
-        """A job that is not admitted is answered so at once."""
+        """A job that is not admitted is refused at once."""
         answer = pair.post("/v1/jobs", {**body("a", 3), "model": "nobody"})
         assert answer.json()["error"]["code"] == "model_not_found"
 
     def test_host_dies(self, pair: Rig) -> None:
-        """A stream goes on at another host, without gap or repeat, after its host died."""
+        """A stream continues at another host without gaps or repetitions after its host died."""
         job = self.submit(pair, "Survive?", 60)
         want = expected_answer("Survive?", 60)
         time.sleep(0.2)
