Reword the comments of the stand-in engine

Docstrings and comments spoke of what is there, under way, taken and gone. Those of its errors stay, as they go out as messages.

String and number literals are the same as before; a random drive of the model gives the same digest. black, ruff and mypy pass; tests/standins, tests/engines, tests/spans and tests/programs passed.

--- a/src/azureswitch_standins/engine/_batch.py
+++ b/src/azureswitch_standins/engine/_batch.py
@@ -1,7 +1,7 @@
-"""Continuous batching: which step the engine takes next and how long it takes.
+"""Continuous batching: the sequence of steps of the engine and their durations.
 
-Equal steps are taken as one stride, so that the work of the model grows with arrivals and ends and
-not with tokens.
+Equal steps are combined into one stride, so the cost of the simulation grows with the number of
+requests and not of tokens.
 """
 
 from heapq import heappop, heappush
@@ -11,7 +11,7 @@
 from azureswitch_standins.engine._settings import CostModel
 
 _DONE = 1e-9
-"""Seconds of prefill left that count as none."""
+"""Remaining seconds of prefill that are rounded to zero."""
 
 
 class Job:
@@ -52,12 +52,12 @@
 
     @property
     def waiting_tokens(self) -> int:
-        """Prompt tokens that are still to be prefilled."""
+        """Prompt tokens that are not prefilled yet."""
         return 0 if self.joined >= 0 else int(self.left * self._per_second)
 
 
 class Batch:
-    """The jobs that an engine works on, as a sequence of strides."""
+    """The jobs of an engine, executed as a sequence of strides."""
 
     def __init__(self, *, cost: CostModel) -> None:
         self._cost = cost
@@ -75,7 +75,7 @@
 
     @property
     def end(self) -> float:
-        """When the planned stride ends; infinite where nothing is planned."""
+        """When the planned stride ends; infinite if none is planned."""
         return self._start + self._planned * self._seconds if self._planned else inf
 
     @property
@@ -94,12 +94,12 @@
         return self._sequences
 
     def add(self, job: Job) -> None:
-        """Take a job into the batch; it counts from the next plan on."""
+        """Add a job to the batch; it takes part from the next plan on."""
         self._prefills.add(job)
         self._sequences += job.output > 0
 
     def remove(self, job: Job) -> None:
-        """Drop a job."""
+        """Remove a job."""
         if not job.alive:
             return
         job.alive = False
@@ -116,19 +116,19 @@
         self._prefills.prioritize(job, priority)
 
     def produced(self, job: Job, now: float) -> int:
-        """Return how many tokens a job has given."""
+        """Return how many tokens a job has produced."""
         if job.joined < 0:
             return 0
         return min(job.output, 1 + self._step + self._elapsed(now) - job.joined)
 
     def next_step(self, now: float) -> float:
-        """Return when the running step ends; infinite where none runs."""
+        """Return when the running step ends; infinite if none runs."""
         if not self._planned:
             return inf
         return self._start + (self._elapsed(now) + 1) * self._seconds
 
     def settle(self, now: float) -> None:
-        """Count the steps that are over, the last one of the stride excluded."""
+        """Apply the completed steps, except the last one of the stride."""
         done = min(self._elapsed(now), self._planned - 1)
         if done <= 0:
             return
@@ -137,12 +137,12 @@
         self._planned -= done
 
     def cut(self, now: float) -> None:
-        """Let the stride end with the step that is running now."""
+        """Shorten the stride to end with the running step."""
         self.settle(now)
         self._planned = min(self._planned, 1)
 
     def stall(self, seconds: float, *, now: float) -> None:
-        """Make the running step take longer."""
+        """Delay the end of the running step."""
         self.cut(now)
         self._start += seconds
 
@@ -163,7 +163,7 @@
         return prefilled, finished
 
     def plan(self, now: float) -> None:
-        """Plan the next stride, where there is work."""
+        """Plan the next stride, if there is work."""
         self._start = now
         self._share()
         prefill = sum(seconds for _, seconds in self._shares)
--- a/src/azureswitch_standins/engine/_cache.py
+++ b/src/azureswitch_standins/engine/_cache.py
@@ -1,4 +1,4 @@
-"""The engine's prefix cache and the events that it publishes."""
+"""The engine's prefix cache and its events."""
 
 from collections import OrderedDict, deque
 from collections.abc import Iterable
@@ -7,11 +7,11 @@
 from azureswitch_standins.engine._prompt import BLOCK_TOKENS
 
 _LOG_LIMIT = 8_192
-"""Events that are kept; who asks for older ones is told of a gap."""
+"""Upper bound of recorded events; requests for older ones are reported as incomplete."""
 
 
 class PrefixCache:
-    """Blocks of prompts, pinned by running requests or free to be evicted."""
+    """Blocks of prompts, which are pinned by running requests or can be evicted."""
 
     def __init__(self, *, lag: float, gap: float, seed: int) -> None:
         self._pins: dict[int, int] = {}
@@ -24,7 +24,7 @@
 
     @property
     def pinned_tokens(self) -> int:
-        """Tokens that running requests keep in the cache."""
+        """Tokens in blocks that are pinned by running requests."""
         return len(self._pins) * BLOCK_TOKENS
 
     @property
@@ -42,7 +42,7 @@
         return count
 
     def pin(self, blocks: Iterable[int], *, now: float) -> int:
-        """Keep blocks until they are unpinned; return how many of them were not cached before."""
+        """Pin blocks; return how many of them were not cached before."""
         added = 0
         for block in blocks:
             if block in self._pins:
@@ -57,7 +57,7 @@
         return added
 
     def unpin(self, blocks: tuple[int, ...]) -> None:
-        """Let blocks go; the last of a prefix is evicted before those that it needs."""
+        """Unpin blocks; the last block of a prefix is evicted before those that it depends on."""
         for block in reversed(blocks):
             pins = self._pins[block] - 1
             if pins:
--- a/src/azureswitch_standins/engine/_http.py
+++ b/src/azureswitch_standins/engine/_http.py
@@ -1,4 +1,4 @@
-"""The engine in real time behind its HTTP interface."""
+"""The engine in real time with its HTTP interface."""
 
 import asyncio
 
@@ -17,18 +17,18 @@
 from azureswitch_standins.engine._wire import error_answer, json_answer
 
 GRACE = 5.0
-"""Seconds that an attempt goes on without a reader, and that an ended one can be attached to."""
+"""Seconds for which an attempt runs without a reader, and an ended one can be attached to."""
 
 
 class EngineStandin:
     """An engine that listens on loopback.
 
     Args:
-        settings: What the engine is.
+        settings: The settings of the engine.
         host: The IP to listen on.
         port: The port to listen on; zero for any.
-        speed: Seconds of the model in one second.
-        grace: Seconds that an attempt goes on without a reader.
+        speed: Seconds of the model's clock per second.
+        grace: Seconds for which an attempt runs without a reader.
         started: The engine's start, in milliseconds of its wall clock.
     """
 
@@ -57,12 +57,12 @@
 
     @property
     def faults(self) -> EngineFaults:
-        """What goes wrong now."""
+        """The injected faults."""
         return self._live.faults
 
     @property
     def counters(self) -> EngineCounters:
-        """What has been counted since the start."""
+        """The counters since the start."""
         return self._live.counters
 
     async def start(self) -> None:
@@ -71,21 +71,21 @@
         await self._server.start()
 
     async def stop(self) -> None:
-        """Stop, breaking what still runs."""
+        """Stop and abort what still runs."""
         self._kv.stop()
         self._live.stop()
         await self._server.stop()
 
     async def kill(self) -> None:
-        """Die as a process does: connections break and memory is lost."""
+        """Stop like a killed process: connections are aborted and memory is lost."""
         await self.set_faults(faults=replace(self._live.faults, dead=True))
 
     async def revive(self) -> None:
-        """Come back on the same address with empty memory."""
+        """Restart on the same address with empty memory."""
         await self.set_faults(faults=replace(self._live.faults, dead=False))
 
     async def set_faults(self, *, faults: EngineFaults) -> None:
-        """Change what goes wrong."""
+        """Change the injected faults."""
         was_dead = self._live.faults.dead
         self._live.faults = replace(faults, stall=0.0)
         if faults.stall:
@@ -123,7 +123,7 @@
 
 
 def _delayed(handler: Handler, live: LiveEngine) -> Handler:
-    """Delay the answers of a handler as the faults say."""
+    """Delay the answers of a handler by the fault `EngineFaults.delay`."""
 
     async def answer(request: Request) -> Response:
         if live.faults.delay:
--- a/src/azureswitch_standins/engine/_kv_http.py
+++ b/src/azureswitch_standins/engine/_kv_http.py
@@ -99,7 +99,7 @@
         return json_answer({})
 
     def _watch(self, holding: Holding, source: str) -> None:
-        """End the attempt that reads a remote span when that is gone."""
+        """Cancel the attempt that reads a remote span once that is no longer exported."""
         watch = asyncio.ensure_future(self._watched(holding, source))
         self._watches.add(watch)
         watch.add_done_callback(self._watches.discard)
--- a/src/azureswitch_standins/engine/_live.py
+++ b/src/azureswitch_standins/engine/_live.py
@@ -1,4 +1,4 @@
-"""The engine's model in real time, with the answers that it is giving."""
+"""The engine's model in real time, with its streams."""
 
 import asyncio
 from collections import Counter
@@ -27,9 +27,9 @@
     """Runs the model by the event loop's clock and delivers its outputs.
 
     Args:
-        settings: What the engine is.
-        speed: Seconds of the model in one second.
-        grace: Seconds that an attempt goes on without a reader, and that an ended one is kept.
+        settings: The settings of the engine.
+        speed: Seconds of the model's clock per second of the event loop's.
+        grace: Seconds for which an attempt runs without a reader, and an ended one is kept.
         started: The engine's start, in milliseconds of its wall clock.
 
     Attributes:
@@ -53,32 +53,32 @@
 
     @property
     def model(self) -> EngineModel:
-        """The model; after each change `update` lets it act."""
+        """The model; `update` must be called after each change."""
         return self._model
 
     @property
     def now(self) -> float:
-        """The model's time."""
+        """The time on the model's clock."""
         return (asyncio.get_running_loop().time() - self._start_time) * self._speed
 
     @property
     def speed(self) -> float:
-        """Seconds of the model in one second."""
+        """Seconds of the model's clock per second of the event loop's."""
         return self._speed
 
     @property
     def streams(self) -> dict[Key, LiveStream]:
-        """The answers under way and those that ended within the grace."""
+        """The streams in progress and those that ended within the grace period."""
         return self._streams
 
     @property
     def counts(self) -> Counter[str]:
-        """What has been counted since the start, by name."""
+        """The counts since the start, by name."""
         return self._counts
 
     @property
     def counters(self) -> EngineCounters:
-        """What has been counted since the start, as it is reported."""
+        """The counters since the start."""
         return EngineCounters(
             runs=dict(self._runs),
             finished=self._counts["finished"],
@@ -102,23 +102,23 @@
             self._timer.cancel()
 
     def lose(self) -> None:
-        """Lose all work and memory."""
+        """Drop all work and memory."""
         self._model.die(now=self.now)
         self.update()
         self._streams.clear()
 
     def restart(self) -> None:
-        """Come back with empty memory, as a new process."""
+        """Restart with empty memory, as a new process."""
         self._started += 1
         self._model.restart(now=self.now, started=self._started)
 
     def stall(self, seconds: float) -> None:
-        """Make no progress for so many seconds of the loop's clock."""
+        """Stop progress for a number of seconds of the event loop's clock."""
         self._model.stall(now=self.now, seconds=seconds * self._speed)
         self.update()
 
     def submit(self, run: RunRequest, encoder: EventEncoder) -> LiveStream:
-        """Take an attempt and return its answer.
+        """Submit an attempt and return its stream.
 
         Raises:
             EngineError: It is refused.
@@ -165,7 +165,7 @@
             self._timer = asyncio.get_running_loop().call_later(delay, self.update)
 
     def expire(self, stream: LiveStream) -> None:
-        """Start the grace of a stream without readers; one that runs is cancelled after it."""
+        """Start the grace period of a stream without readers, after which it is cancelled."""
         if stream.readers:
             return
         if stream.expiry is not None:
--- a/src/azureswitch_standins/engine/_model.py
+++ b/src/azureswitch_standins/engine/_model.py
@@ -37,8 +37,8 @@
 class EngineModel:
     """One engine.
 
-    Every method takes the time, first catches up with it, and then acts.  What comes out is
-    collected until `advance` returns it.
+    Every method takes the current time and first advances the model to it.  Outputs are collected
+    until `advance` returns them.
     """
 
     def __init__(self, *, settings: EngineSettings, started: int = 1) -> None:
@@ -50,12 +50,12 @@
 
     @property
     def settings(self) -> EngineSettings:
-        """What the engine is."""
+        """The settings of the engine."""
         return self._settings
 
     @property
     def alive(self) -> bool:
-        """Whether it has not died."""
+        """Whether it is running."""
         return self._alive
 
     @property
@@ -74,27 +74,27 @@
         return self._attempts.keys
 
     def next_event_time(self) -> float:
-        """Return when `advance` has something to do next; infinite where nothing is under way."""
+        """Return when `advance` must be called next; infinite if nothing is in progress."""
         if self._outputs:
             return self._outputs[0].at
         return min(self._batch.end, self._timers.next_time)
 
     def next_step_time(self, now: float) -> float:
-        """Return when the next output tokens may be there; infinite where none are under way."""
+        """Return when the next output tokens may be produced; infinite if nothing decodes."""
         return self._batch.next_step(now) if self._batch.decoding else inf
 
     def advance(self, now: float) -> list[Output]:
-        """Work up to ``now`` and return what came out since the last call."""
+        """Advance to ``now`` and return the outputs since the last call."""
         self._run(now)
         outputs = self._outputs.copy()
         self._outputs.clear()
         return outputs
 
     def submit(self, *, now: float, request: RunRequest) -> None:
-        """Take an attempt.
+        """Submit an attempt.
 
         Raises:
-            EngineError: It is refused, and did not run.
+            EngineError: It is refused and did not run.
         """
         self._run(now)
         key = (request.call, request.attempt)
@@ -109,7 +109,7 @@
         self._replan(now)
 
     def cancel(self, *, now: float, call: CallId, attempt: int) -> None:
-        """Stop an attempt and free its memory, not its holdings; harmless when it is not there."""
+        """Cancel an attempt and free its memory, except its holdings; idempotent."""
         self._run(now)
         key = (call, attempt)
         self._attempts.cancel(key, now)
@@ -118,13 +118,13 @@
         self._replan(now)
 
     def prioritize(self, *, now: float, call: CallId, attempt: int, priority: int) -> None:
-        """Change an attempt's priority; harmless when it is not there."""
+        """Change the priority of an attempt, if it is known."""
         self._run(now)
         if self._attempts.prioritize((call, attempt), priority):
             self._replan(now)
 
     def produced(self, *, now: float, call: CallId, attempt: int) -> int:
-        """Return how many output tokens of the whole answer are there.
+        """Return how many output tokens of the whole answer have been produced.
 
         Raises:
             RequestMissingError: The attempt does not run.
@@ -140,7 +140,7 @@
         return self._reports.last
 
     def cache(self, *, now: float, after: int) -> CacheEvents:
-        """Return the cache events after a sequence number that have come out by now."""
+        """Return the published cache events after a sequence number."""
         self._run(now)
         sequence, complete, added, removed = self._memory.cache.events(after=after, now=now)
         return CacheEvents(
@@ -153,10 +153,10 @@
         )
 
     def reserve(self, *, now: float, holding: Holding) -> None:
-        """Hold memory, all or nothing.
+        """Allocate the memory of a holding.
 
         Raises:
-            EngineError: It is not held.
+            EngineError: It cannot be allocated.
         """
         self._run(now)
         if self._orders.draining:
@@ -213,7 +213,7 @@
         self._timers.add(now + seconds, SpanCopied(work=work))
 
     def release(self, *, now: float, holding: str) -> None:
-        """Free a holding and stop work for it; harmless when it is not there."""
+        """Free a holding and stop work for it; idempotent."""
         self._run(now)
         work = self._spans.find(holding)
         if work is not None:
@@ -222,7 +222,7 @@
         self._replan(now)
 
     def order(self, *, now: float, order: Order) -> EngineState:
-        """Carry out an order.
+        """Execute an order.
 
         Raises:
             FencedError: The engine checks fencing numbers and has seen a greater one.
@@ -234,18 +234,18 @@
         return self.state(now=now)
 
     def state(self, *, now: float) -> EngineState:
-        """Return what the orders came to."""
+        """Return the state that orders have produced."""
         self._run(now)
         return self._orders.state
 
     def stall(self, *, now: float, seconds: float) -> None:
-        """Make no progress for a while."""
+        """Stop progress for some seconds."""
         self._run(now)
         self._batch.stall(seconds, now=now)
         self._stalled = now + seconds
 
     def die(self, *, now: float) -> None:
-        """Lose everything that runs and all memory."""
+        """Fail all work and lose all memory."""
         self._run(now)
         for work in self._spans.all:
             self._spans.stop(work, Failure.DIED, now)
@@ -255,7 +255,7 @@
         self._alive = False
 
     def restart(self, *, now: float, started: int) -> None:
-        """Come back with empty memory, the models of the settings and no orders."""
+        """Restart with empty memory, the models of the settings and no orders."""
         self._orders = OrderedState(settings=self._settings)
         self._reset(started, next_report=now)
 
--- a/src/azureswitch_standins/engine/_orders.py
+++ b/src/azureswitch_standins/engine/_orders.py
@@ -66,7 +66,7 @@
         return None
 
     def loaded(self, model: str) -> None:
-        """Add a model whose loading has ended, unless it was ordered to be gone meanwhile."""
+        """Add a model whose loading has ended, unless its removal was ordered meanwhile."""
         if model in self._loading:
             self._loading.discard(model)
             self._models = _with(self._models, model, True)
--- a/src/azureswitch_standins/engine/_outputs.py
+++ b/src/azureswitch_standins/engine/_outputs.py
@@ -1,4 +1,4 @@
-"""What an engine is asked to run and what comes out of it."""
+"""Requests to an engine and its outputs."""
 
 from enum import Enum
 
@@ -15,12 +15,12 @@
         call: The call.
         attempt: The attempt.
         owner: Who owns the attempt.
-        model: The model asked for.
+        model: The requested model.
         prompt: The prompt.
         max_tokens: Output tokens of the whole answer.
         priority: Smaller runs first.
         timeout: Seconds after which the engine cancels the attempt, or None.
-        resume_from: Output tokens that the caller has already.
+        resume_from: Number of output tokens that the caller already has.
     """
 
     call: CallId
@@ -43,10 +43,10 @@
 
 
 class Output(Struct, frozen=True, kw_only=True):
-    """Something that came out of an engine.
+    """Base of an engine's outputs.
 
     Attributes:
-        at: When.
+        at: The time.
         call: The call.
         attempt: The attempt.
     """
@@ -57,11 +57,11 @@
 
 
 class FirstToken(Output, frozen=True, kw_only=True):
-    """The prompt is prefilled and the first output token is there."""
+    """The prompt is prefilled and the first output token is produced."""
 
 
 class Finished(Output, frozen=True, kw_only=True):
-    """The last output token is there and the memory is free.
+    """The last output token is produced and the memory is free.
 
     Attributes:
         cached_tokens: Prompt tokens that were found in the cache.
@@ -74,7 +74,7 @@
     """An attempt ended early and its memory is free.
 
     Attributes:
-        failure: Why.
+        failure: The reason.
         tokens: Output tokens of the whole answer that were produced.
     """
 
--- a/src/azureswitch_standins/engine/_reading.py
+++ b/src/azureswitch_standins/engine/_reading.py
@@ -1,4 +1,4 @@
-"""Reads what callers of the stand-in engine send."""
+"""Decoding of requests to the stand-in engine."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -21,7 +21,7 @@
 from azureswitch_standins.engine._work import Key
 
 FETCH_TIMEOUT = 5.0
-"""Seconds that reading an export's address may take."""
+"""Timeout in seconds of reading an export's address."""
 
 Body = TypeVar("Body")
 
@@ -92,7 +92,7 @@
 
 
 async def exported_span(source: str) -> Span:
-    """Return the span behind an export's address.
+    """Return the span at an export's address.
 
     Raises:
         HoldingError: It cannot be read.
@@ -113,7 +113,7 @@
         return
     message = await request.content.receive()
     while message.get("type") != "http.disconnect":
-        # The body of a request whose handler does not read it comes first.
+        # If the handler has not read the body, its messages come first.
         message = await request.content.receive()
 
 
--- a/src/azureswitch_standins/engine/_spans.py
+++ b/src/azureswitch_standins/engine/_spans.py
@@ -41,15 +41,15 @@
 
     @property
     def all(self) -> tuple[SpanWork, ...]:
-        """All spans under way."""
+        """All spans in progress."""
         return tuple(self._works.values())
 
     def of_attempt(self, key: Key) -> tuple[SpanWork, ...]:
-        """Return the spans under way for an attempt."""
+        """Return the spans in progress for an attempt."""
         return tuple(work for work in self._works.values() if work.key == key)
 
     def find(self, holding: str) -> SpanWork | None:
-        """Return the span under way for a holding, if any."""
+        """Return the span in progress for a holding, if any."""
         return self._works.get(holding)
 
     def prefill(
--- a/src/azureswitch_standins/engine/_streams.py
+++ b/src/azureswitch_standins/engine/_streams.py
@@ -9,7 +9,7 @@
 
 
 class EngineFaults(Struct, kw_only=True):
-    """What goes wrong at a stand-in engine.
+    """The injected faults of a stand-in engine.
 
     Attributes:
         refuse: New work is refused.
@@ -29,11 +29,11 @@
 
 
 class EngineCounters(Struct, frozen=True, kw_only=True):
-    """What a stand-in engine has counted.
+    """Counters of a stand-in engine.
 
     Attributes:
-        runs: Attempts taken, by call.
-        finished: Attempts that gave their whole answer.
+        runs: Accepted attempts, by call.
+        finished: Attempts that completed their answer.
         failed: Attempts that were cancelled or lost.
         refused: Attempts that were refused.
         tokens: Output tokens sent.
@@ -55,7 +55,7 @@
 
 
 class LiveStream:
-    """One answer under way, or just ended."""
+    """An answer that is in progress or has recently ended."""
 
     def __init__(self, *, request: RunRequest, encoder: EventEncoder) -> None:
         self._request = request
@@ -68,32 +68,32 @@
 
     @property
     def request(self) -> RunRequest:
-        """What is run."""
+        """The request."""
         return self._request
 
     @property
     def encoder(self) -> EventEncoder:
-        """What encodes the answer."""
+        """The encoder of the answer."""
         return self._encoder
 
     @property
     def produced(self) -> int:
-        """Output tokens of the whole answer that are there."""
+        """Number of output tokens produced so far."""
         return self._produced
 
     @property
     def end(self) -> Finished | Failed | None:
-        """How it ended, or None while it runs."""
+        """The end, or None while it runs."""
         return self._end
 
     def grow(self, produced: int) -> None:
-        """Note how many tokens are there."""
+        """Record the number of tokens produced so far."""
         if produced > self._produced:
             self._produced = produced
             self._notify()
 
     def finish(self, end: Finished | Failed) -> None:
-        """Note the end."""
+        """Record the end."""
         self._end = end
         if isinstance(end, Finished):
             self._produced = self._request.max_tokens
