--- a/src/azureswitch_standins/engine/_reading.py
+++ b/src/azureswitch_standins/engine/_reading.py
@@ -1,4 +1,4 @@
-"""Reads what callers of the stand-in engine send."""
+"""Decoding of requests to the stand-in engine."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -17,11 +17,11 @@
 from azureswitch_standins._web import route_value
 from azureswitch_standins.engine._errors import HoldingError, MalformedError, RequestMissingError
 from azureswitch_standins.engine._kv import Span
-from azureswitch_standins.engine._model import Key
 from azureswitch_standins.engine._prompt import BodyError, Question, read_question
+from azureswitch_standins.engine._work import Key
 
 FETCH_TIMEOUT = 5.0
-"""Seconds that reading an export's address may take."""
+"""Timeout in seconds of reading an export's address."""
 
 Body = TypeVar("Body")
 
@@ -92,7 +92,7 @@
 
 
 async def exported_span(source: str) -> Span:
-    """Return the span behind an export's address.
+    """Return the span at an export's address.
 
     Raises:
         HoldingError: It cannot be read.
@@ -107,18 +107,18 @@
         raise HoldingError(detail="the export cannot be read") from error
 
 
-async def gone(request: Request) -> None:
-    """Wait until the connection is gone."""
+async def wait_disconnected(request: Request) -> None:
+    """Wait until the caller has disconnected."""
     if not isinstance(request.content, ASGIContent):
         return
     message = await request.content.receive()
     while message.get("type") != "http.disconnect":
-        # The body of a request whose handler does not read it comes first.
+        # If the handler has not read the body, its messages come first.
         message = await request.content.receive()
 
 
-async def either(waiting: Awaitable[object], other: asyncio.Future[None]) -> None:
-    """Wait for either of two."""
+async def wait_first(waiting: Awaitable[object], other: asyncio.Future[None]) -> None:
+    """Wait until one of two has ended."""
     task = asyncio.ensure_future(waiting)
     await asyncio.wait((task, other), return_when=asyncio.FIRST_COMPLETED)
     task.cancel()
