--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -12,9 +12,10 @@
 from azureswitch.client import HttpClient
 from azureswitch.exceptions import HttpError
 from azureswitch_standins.target import REPORT_PATH, Report
-from bench.soak._checks import check, crossed
+from bench.soak._checks import check
 from bench.soak._clients import DEADLINE, Caller
 from bench.soak._documents import MEMORY
+from bench.soak._ends import crossed
 from bench.soak._evacuations import CONTRACT, Evacuations
 from bench.soak._faults import Faults
 from bench.soak._fleet import START_SECONDS, Fleet, Target
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -4,7 +4,8 @@
 from msgspec.structs import replace
 
 from azureswitch_standins.target import Note, NoteKind, answer_body, event, event_count, seal
-from bench.soak._checks import check, crossed
+from bench.soak._checks import check
+from bench.soak._ends import crossed
 from bench.soak._keepers import Ending
 from bench.soak._records import AWAY, CallKind, CallRecord, Change, Records, Sample, Window
 from bench.soak._run import unserved
