Let the target stand-in fall silent and go on

Missing: a sound target may fall silent for a second or so, and no stand-in could do that: the faults end requests, and a paused process is silent only where it waits, never inside an event.

POST /standin/silence makes it write nothing on any connection for so many seconds; work stands still, requests, orders and health checks that arrive wait, and all goes on where it stopped.

--- a/src/azureswitch_standins/target/__init__.py
+++ b/src/azureswitch_standins/target/__init__.py
@@ -7,6 +7,7 @@
     FAULTS_PATH,
     LIMIT_PATH,
     REPORT_PATH,
+    SILENCE_PATH,
     Report,
     TargetStandin,
 )
@@ -26,6 +27,7 @@
     "NoteKind",
     "REPORT_PATH",
     "Report",
+    "SILENCE_PATH",
     "TargetFaults",
     "TargetPlan",
     "TargetStandin",
--- a/src/azureswitch_standins/target/_http.py
+++ b/src/azureswitch_standins/target/_http.py
@@ -16,6 +16,7 @@
 from azureswitch_standins.target._content import answer_body, event, event_count, seal
 from azureswitch_standins.target._model import Act, Memory, Slots, TargetFaults, TargetPlan, draw
 from azureswitch_standins.target._runs import NoteKind, Notes, digest
+from azureswitch_standins.target._silence import Silence
 
 FAULTS_PATH = "/standin/faults"
 """Not of the platform: what goes wrong is set there."""
@@ -26,6 +27,9 @@
 COLD_PATH = "/standin/cold"
 """Not of the platform: the target becomes cold again, while it runs on."""
 
+SILENCE_PATH = "/standin/silence"
+"""Not of the platform: the target falls silent for so many seconds and then goes on."""
+
 FATAL_PART = "dead"
 """What the ids of parts begin with under which an engine crashes as it begins to answer."""
 
@@ -79,6 +83,7 @@
         self._server = HttpServer(handler=self)
         self._tasks = Tasks(prefix="target")
         self._cold = ColdPhase(plan=plan)
+        self._silence = Silence(clock=self._now, random=Random(f"{seed} silence"))
         self._crashed = asyncio.Event()
         self._running = 0
         self._leaving = False
@@ -135,18 +140,39 @@
         exchange.respond(status=HTTPStatus.BAD_REQUEST, headers=(), body=b"")
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer a page, or do with a request what the faults say."""
-        path = exchange.request.target
+        """Take what a test says, answer a page, or do with a request what the faults say."""
+        if self._take_control(exchange):
+            return
+        if not self._is_page(exchange) and self._is_meant(exchange):
+            self._notes.write(NoteKind.ARRIVED, id=_id_of(exchange))
+        if self._silence.now:
+            self._tasks.spawn(self._serve_later(exchange), name="silence")
+        else:
+            self._serve(exchange)
+
+    def _take_control(self, exchange: Exchange) -> bool:
+        """Do what a test says, also during a silence, and return whether it was that."""
+        path, body = exchange.request.target, exchange.request.body
         if path == FAULTS_PATH:
-            self._faults = msgspec.json.decode(exchange.request.body, type=TargetFaults)
-            exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
+            self._faults = msgspec.json.decode(body, type=TargetFaults)
         elif path == LIMIT_PATH:
-            self._limit = msgspec.json.decode(exchange.request.body, type=str | None)
-            exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
+            self._limit = msgspec.json.decode(body, type=str | None)
         elif path == COLD_PATH:
             self._cold.begin(self._now())
-            exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
-        elif path == ORDER_PATH:
+        elif path == SILENCE_PATH:
+            self._silence.begin(msgspec.json.decode(body, type=float))
+        else:
+            return False
+        exchange.respond(status=HTTPStatus.OK, headers=(), body=b"")
+        return True
+
+    async def _serve_later(self, exchange: Exchange) -> None:
+        await self._silence.over()
+        self._serve(exchange)
+
+    def _serve(self, exchange: Exchange) -> None:
+        path = exchange.request.target
+        if path == ORDER_PATH:
             self._order(exchange)
         elif path == REPORT_PATH:
             held = tuple(self._memory.held(self._now()))
@@ -160,6 +186,14 @@
         else:
             self._request(exchange)
 
+    def _is_page(self, exchange: Exchange) -> bool:
+        return exchange.request.target in (ORDER_PATH, REPORT_PATH, HEALTH_PATH)
+
+    def _is_meant(self, exchange: Exchange) -> bool:
+        """Return whether a request expects this target, or any."""
+        expected = dict(exchange.request.headers).get(header_names.EXPECTED_TARGET)
+        return expected in (None, self._plan.name)
+
     def _crash(self, id: str = "") -> None:
         """End without an answer to anyone, as a killed process does, under a request if named."""
         self._notes.write(NoteKind.CRASHED, id=id)
@@ -185,11 +219,10 @@
 
     def _request(self, exchange: Exchange) -> None:
         headers = dict(exchange.request.headers)
-        id = headers.get(header_names.ID, "")
-        if headers.get(header_names.EXPECTED_TARGET, self._plan.name) != self._plan.name:
+        id = _id_of(exchange)
+        if not self._is_meant(exchange):
             exchange.respond(status=HTTPStatus.MISDIRECTED_REQUEST, headers=(), body=b"")
             return
-        self._notes.write(NoteKind.ARRIVED, id=id)
         if self._cold.count(self._now()):
             self._crash()
             return
@@ -212,6 +245,9 @@
             task.cancel()
 
         exchange.on_left(left)
+        if exchange.over:
+            # Its caller left during a silence; a process that stood still reads and begins it.
+            asyncio.get_running_loop().call_soon(left)
 
     async def _run(
         self, exchange: Exchange, headers: dict[str, str], ticket: object, act: Act
@@ -221,14 +257,16 @@
         self._running += 1
         began = False
         try:
-            async with asyncio.timeout(left):
-                while not self._slots.take(ticket):
-                    await asyncio.sleep(TURN_SECONDS)
-                began = True
-                self._note_run(exchange, headers, id, left)
-                await self._act(exchange, headers, id, act)
-        except TimeoutError:
-            self._late(exchange, id, began)
+            try:
+                async with asyncio.timeout(left):
+                    while self._silence.now or not self._slots.take(ticket):
+                        await asyncio.sleep(TURN_SECONDS)
+                    began = True
+                    self._note_run(exchange, headers, id, left)
+                    await self._act(exchange, headers, id, act)
+            except TimeoutError:
+                await self._silence.over()
+                self._late(exchange, id, began)
         except asyncio.CancelledError:
             self._notes.write(NoteKind.CALLER_LEFT, id=id)
         finally:
@@ -261,7 +299,7 @@
     async def _act(self, exchange: Exchange, headers: dict[str, str], id: str, act: Act) -> None:
         slowdown = self._cold.slowdown(self._now())
         if self._plan.streams:
-            await asyncio.sleep(slowdown * _prompt(headers) / self._plan.read_rate)
+            await self._silence.work(slowdown * _prompt(headers) / self._plan.read_rate)
         if act is Act.HANG:
             await asyncio.Event().wait()
         elif act is Act.FAIL:
@@ -271,10 +309,10 @@
         elif self._plan.streams:
             await self._stream(exchange, headers, id, act)
         else:
-            await asyncio.sleep(slowdown * self._plan.work)
-            self._answer(exchange, id, act)
+            await self._silence.work(slowdown * self._plan.work)
+            await self._answer(exchange, id, act)
 
-    def _answer(self, exchange: Exchange, id: str, act: Act) -> None:
+    async def _answer(self, exchange: Exchange, id: str, act: Act) -> None:
         if act is Act.LOSE:
             exchange.abort()
         elif act is Act.BREAK:
@@ -287,7 +325,9 @@
                 status=HTTPStatus.OK, headers=self._sealed(other), body=answer_body(other)
             )
         else:
-            exchange.respond(status=HTTPStatus.OK, headers=self._sealed(id), body=answer_body(id))
+            await self._silence.respond(
+                exchange, status=HTTPStatus.OK, headers=self._sealed(id), body=answer_body(id)
+            )
 
     async def _stream(self, exchange: Exchange, headers: dict[str, str], id: str, act: Act) -> None:
         if act is Act.LOSE:
@@ -299,16 +339,17 @@
         of = f"{id}-other" if act is Act.CROSS else id
         first = int(headers.get(header_names.LAST_EVENT, "0")) + 1
         count = event_count(id)
-        exchange.begin(status=HTTPStatus.OK, headers=self._sealed(of))
+        seals = self._sealed(of)
+        await self._silence.begin_answer(exchange, status=HTTPStatus.OK, headers=seals)
         for number in range(first, count + 1):
             data = event(of, number)
             if act is Act.BREAK and number == (first + count) // 2:
                 exchange.write(data[: len(data) // 2])
-                await asyncio.sleep(self._plan.work)
+                await self._silence.work(self._plan.work)
                 exchange.abort()
                 return
-            exchange.write(data)
-            await asyncio.sleep(self._plan.work)
+            await self._silence.write(exchange, data)
+            await self._silence.work(self._plan.work)
         if act is Act.EXTRA:
             exchange.write(event(id, count))
         exchange.finish()
@@ -325,6 +366,10 @@
         return asyncio.get_running_loop().time()
 
 
+def _id_of(exchange: Exchange) -> str:
+    return dict(exchange.request.headers).get(header_names.ID, "")
+
+
 def _is_fatal(headers: dict[str, str]) -> bool:
     """Return whether a prompt has a part that crashes engines."""
     parts = headers.get(header_names.PROMPT_PARTS, "").split(",")
