Draw silences of targets in the soak, beside configurations in series

Missing: no run had targets that fall silent and go on, and configurations changed keys and spare routes alone, so that neither timeouts nor the idle limit ever moved under open requests.

--silences N plays N series: one target, several or all but one are silent for 0.5 to 2 s, three to five times, while keys, routes, timeouts and the idle limit change every 0.15 to 0.9 s. A silence is no fault in the record.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -58,6 +58,7 @@
         option("evacuations", description="Evacuations of domains, else 1.", flag=False),
         option("partitions", description="Cuts of hosts from targets, else 1.", flag=False),
         option("parts", description="Parts of prompts that crash engines, else 0.", flag=False),
+        option("silences", description="Series of silences of targets, else 0.", flag=False),
         option("only", description="The one kind of fault, else all.", flag=False),
     ]
 
@@ -79,6 +80,7 @@
             evacuations=self.value("evacuations", Integer(low=0), default=1),
             partitions=self.value("partitions", Integer(low=0), default=1),
             parts=self.value("parts", Integer(low=0), default=0),
+            silences=self.value("silences", Integer(low=0), default=0),
         )
         fresh = self.value("fresh", Integer(low=0), default=0)
         chosen = self.value("seeds", Text(pattern=SEEDS, form="1-8 or 3,5"), default="")
--- a/bench/soak/_documents.py
+++ b/bench/soak/_documents.py
@@ -25,20 +25,47 @@
 RETRY_WINDOW = 10.0
 MEMORY = 405_000
 
+TIMEOUT = 6_000
+"""Milliseconds of the timeout of most routes."""
 
-def configuration(*, version: int, extra: bool, idle_routes: int) -> bytes:
+IDLE_LIMIT = 9_000
+"""Milliseconds for which a caller's connection may be idle."""
+
+
+def configuration(
+    *,
+    version: int,
+    extra: bool,
+    idle_routes: int,
+    timeout: int = TIMEOUT,
+    idle: int = IDLE_LIMIT,
+) -> bytes:
     """Return a configuration.
 
     Args:
         version: Its version.
         extra: Whether the extra key is valid.
         idle_routes: Routes beside those that are used.
+        timeout: Milliseconds of the timeout of most routes.
+        idle: Milliseconds for which a caller's connection may be idle.
     """
     routes = [
-        _route("/ask/", "streaming", POOL, StreamResume=True, GapTargetMs=250, Sticky=True),
-        _route("/once/", "streaming", POOL, MaxAttempts=1, GapTargetMs=250, Sticky=True),
-        _route("/book/", "non_idempotent", DESK, MaxAttempts=1),
-        _route("/look/", "idempotent", DESK),
+        _route(
+            *("/ask/", "streaming", POOL),
+            StreamResume=True,
+            GapTargetMs=250,
+            Sticky=True,
+            TimeoutMs=timeout,
+        ),
+        _route(
+            *("/once/", "streaming", POOL),
+            MaxAttempts=1,
+            GapTargetMs=250,
+            Sticky=True,
+            TimeoutMs=timeout,
+        ),
+        _route("/book/", "non_idempotent", DESK, MaxAttempts=1, TimeoutMs=timeout),
+        _route("/look/", "idempotent", DESK, TimeoutMs=timeout),
         _route(
             *("/long/", "streaming", SCRIBE),
             MaxAttempts=1,
@@ -67,7 +94,7 @@
             *({"Name": name, "Engine": pace} for name in (POOL, SCRIBE)),
             *({"Name": name} for name in (DESK, CLERK)),
         ],
-        "Limits": {"IdleTimeoutMs": 9_000},
+        "Limits": {"IdleTimeoutMs": idle},
         "Tenants": [{"Name": name, "ApiKeys": held} for name, held in keys.items()],
     }
     return msgspec.json.encode(document)
@@ -80,7 +107,7 @@
         "PathPrefix": prefix,
         "Kind": kind,
         "Service": service,
-        "TimeoutMs": 6_000,
+        "TimeoutMs": TIMEOUT,
         "TargetLatencyMs": 300,
         "MaxAttempts": 2,
     }
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -14,6 +14,7 @@
 from azureswitch_standins.target import (
     FAULTS_PATH,
     LIMIT_PATH,
+    SILENCE_PATH,
     Note,
     NoteKind,
     TargetFaults,
@@ -203,6 +204,10 @@
         """Change what goes wrong."""
         await _tell(self.listen, FAULTS_PATH, faults)
 
+    async def fall_silent(self, seconds: float) -> None:
+        """Let it be silent for some seconds and go on."""
+        await _tell(self.listen, SILENCE_PATH, seconds)
+
     async def name_limit(self, limit: str | None) -> bool:
         """Let it name a limit in its answers, or none; return whether it heard of that."""
         try:
--- a/bench/soak/_records.py
+++ b/bench/soak/_records.py
@@ -91,12 +91,14 @@
         subject: What it happened to.
         begin: When it began.
         end: When it was over.
+        silent: Whether it held bytes or answers back and broke nothing.
     """
 
     kind: str
     subject: str
     begin: float
     end: float
+    silent: bool = False
 
 
 class Change(Struct, frozen=True, kw_only=True):
@@ -159,6 +161,20 @@
     end: float
 
 
+class Silent(Struct, frozen=True, kw_only=True):
+    """One silence of a target, which is no fault.
+
+    Attributes:
+        target: The target.
+        begin: When it was told to fall silent.
+        end: When it went on, at the latest.
+    """
+
+    target: str
+    begin: float
+    end: float
+
+
 class Records(Struct, kw_only=True):
     """All of a run.
 
@@ -173,7 +189,9 @@
         places: The failure domains of targets, by name.
         evacuations: Evacuations of failure domains.
         partitions: Cuts between hosts and targets.
+        silences: Silences of targets.
         read: Hosts with the ids of requests that their logs name.
+        admitted: The seconds that requests had as they were admitted, by host and id.
     """
 
     calls: dict[str, CallRecord] = field(default_factory=dict)
@@ -186,15 +204,19 @@
     places: dict[str, str] = field(default_factory=dict)
     evacuations: list[Evacuated] = field(default_factory=list)
     partitions: list[Partition] = field(default_factory=list)
+    silences: list[Silent] = field(default_factory=list)
     read: set[tuple[str, str]] = field(default_factory=set)
+    admitted: dict[str, float] = field(default_factory=dict)
 
     def carriers(self, call: CallRecord) -> set[str]:
         """Return the hosts whose tunnels carried a call, as their logs name it too."""
         return {host for host, id in self.read if id == call.id and host != call.host}
 
-    def note(self, kind: str, subject: str, begin: float) -> None:
-        """Note a fault that has lasted until now."""
-        self.windows.append(Window(kind=kind, subject=subject, begin=begin, end=monotonic()))
+    def note(self, kind: str, subject: str, begin: float, *, silent: bool = False) -> None:
+        """Note a fault that has lasted until now, and whether it broke nothing."""
+        self.windows.append(
+            Window(kind=kind, subject=subject, begin=begin, end=monotonic(), silent=silent)
+        )
 
     def disturbed(
         self, subjects: Iterable[str], *, begin: float, end: float, after: float = AFTERMATH
@@ -205,3 +227,11 @@
             window.subject in names and window.begin <= end and begin <= window.end + after
             for window in self.windows
         )
+
+    def were_silent(self, targets: Iterable[str], *, begin: float, end: float) -> bool:
+        """Return whether any of some targets was silent in a span."""
+        names = frozenset(targets)
+        return any(
+            silent.target in names and silent.begin <= end and begin <= silent.end
+            for silent in self.silences
+        )
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -29,6 +29,7 @@
 from bench.soak._platform import Platform
 from bench.soak._records import EVERYWHERE, Records, Window
 from bench.soak._restarts import Restarts
+from bench.soak._silences import Silences
 from bench.soak._trace import trace
 
 SETTLE_SECONDS = 5.0
@@ -77,6 +78,7 @@
         limits: Limits that targets name.
         partitions: Cuts between hosts and all targets.
         parts: Parts of prompts that crash engines.
+        silences: Series of silences of targets beside configurations.
         evacuations: Evacuations of failure domains, which hosts are set up for where there are any.
     """
 
@@ -96,6 +98,7 @@
     evacuations: int = 0
     partitions: int = 0
     parts: int = 0
+    silences: int = 0
 
 
 class Result(Struct, frozen=True, kw_only=True):
@@ -199,6 +202,7 @@
     partitions = Partitions(fleet=fleet, records=records, seed=plan.seed, away=faults.away)
     evacuations = Evacuations(fleet=fleet, records=records, seed=plan.seed)
     parts = FatalParts(fleet=fleet, hosts=platform.ready_hosts, records=records, seed=plan.seed)
+    silences = Silences(fleet=fleet, platform=platform, records=records, seed=plan.seed)
     stop, calm_begins = asyncio.Event(), asyncio.Event()
     callers = [
         asyncio.create_task(
@@ -232,6 +236,7 @@
             group.create_task(evacuations.run(count=plan.evacuations, seconds=plan.seconds))
             group.create_task(parts.run(count=plan.parts, seconds=plan.seconds))
             group.create_task(partitions.run(count=plan.partitions, seconds=plan.seconds))
+            group.create_task(silences.run(count=plan.silences, seconds=plan.seconds))
             group.create_task(planned.run(count=plan.planned, seconds=plan.seconds))
             group.create_task(faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only))
         calm_begins.set()
--- /dev/null
+++ b/bench/soak/_silences.py
@@ -0,0 +1,106 @@
+"""Targets that fall silent and go on, in series, beside configurations of all kinds."""
+
+import asyncio
+from random import Random
+from time import monotonic
+
+from azureswitch.exceptions import HttpError
+from bench.soak._documents import IDLE_LIMIT, TIMEOUT
+from bench.soak._fleet import Fleet, Target
+from bench.soak._moments import moments
+from bench.soak._platform import Platform
+from bench.soak._records import Records, Silent
+
+SILENT_SECONDS = (0.5, 2.0)
+"""Seconds of one silence, from and to."""
+
+SERIES = (3, 5)
+"""Silences of a series, from and to."""
+
+PERIOD_SECONDS = (0.5, 2.5)
+"""Seconds between the starts of two, from and to: they may overlap."""
+
+CHANGE_SECONDS = (0.15, 0.9)
+"""Seconds between two configurations, from and to."""
+
+TIMEOUTS = (1_500, 3_000, 6_000, 10_000)
+"""Milliseconds of the routes' timeouts, below and above the 5 s that callers wait."""
+
+IDLE_LIMITS = (2_000, 4_000, 9_000, 15_000)
+"""Milliseconds of the idle limit, below and above the pauses of callers who keep connections."""
+
+MOST_ROUTES = 300
+
+
+class Silences:
+    """Lets targets fall silent; a silence is no fault.
+
+    Args:
+        fleet: The processes.
+        platform: Makes changes.
+        records: Takes the silences.
+        seed: Draws them.
+    """
+
+    def __init__(self, *, fleet: Fleet, platform: Platform, records: Records, seed: int) -> None:
+        self._fleet = fleet
+        self._platform = platform
+        self._records = records
+        self._random = Random(f"{seed} silences")
+
+    async def run(self, *, count: int, seconds: float) -> None:
+        """Play so many series and return once all are over.
+
+        Args:
+            count: How many.
+            seconds: Within how many seconds they begin.
+        """
+        async with asyncio.TaskGroup() as group:
+            async for _ in moments(self._random, count=count, seconds=seconds):
+                group.create_task(self._series())
+        if count:
+            await self._platform.change(idle_routes=0, timeout=TIMEOUT, idle=IDLE_LIMIT)
+
+    async def _series(self) -> None:
+        random = Random(self._random.random())
+        changes = asyncio.create_task(self._configure(Random(random.random())))
+        try:
+            async with asyncio.TaskGroup() as group:
+                for _ in range(random.randint(*SERIES)):
+                    seconds = random.uniform(*SILENT_SECONDS)
+                    for target in self._draw(random):
+                        group.create_task(self._silence(target, seconds))
+                    await asyncio.sleep(random.uniform(*PERIOD_SECONDS))
+        finally:
+            changes.cancel()
+
+    def _draw(self, random: Random) -> list[Target]:
+        """Return one target, several or nearly all."""
+        running = [t for t in self._fleet.targets if t.process.running and t.listed.is_set()]
+        count = random.choice((1, len(running) // 2, len(running) - 1))
+        return random.sample(running, max(1, count)) if running else []
+
+    async def _silence(self, target: Target, seconds: float) -> None:
+        begin = monotonic()
+        try:
+            await target.fall_silent(seconds)
+        except HttpError:
+            # It was stopped or is paused, and whether it falls silent is not known.
+            return
+        end = monotonic() + seconds
+        self._records.silences.append(Silent(target=target.plan.name, begin=begin, end=end))
+        await asyncio.sleep(seconds)
+
+    async def _configure(self, random: Random) -> None:
+        """Change the configuration until cancelled."""
+        while True:
+            kind = random.randrange(4)
+            if kind == 0:
+                await self._platform.flip_extra_key()
+            elif kind == 1:
+                await self._platform.change(idle_routes=random.randint(0, MOST_ROUTES))
+            elif kind == 2:
+                await self._platform.change(timeout=random.choice(TIMEOUTS))
+            else:
+                await self._platform.change(idle=random.choice(IDLE_LIMITS))
+            await asyncio.sleep(random.uniform(*CHANGE_SECONDS))
--- a/bench/soak/_trace.py
+++ b/bench/soak/_trace.py
@@ -30,6 +30,7 @@
         lines += [_summary(call, start), *_notes(id, records, start)]
         lines += [text for name, log in texts for text in _logged(id, name, log)]
         lines += _faults(call, records, start)
+        lines += _silences(call, records, start)
     return tuple(lines)
 
 
@@ -60,3 +61,11 @@
         if window.begin <= call.ended and call.sent <= window.end + AFTERMATH:
             begin, end = window.begin - start, window.end - start
             yield f"{begin:.3f} to {end:.3f} s, {window.subject}: {window.kind}"
+
+
+def _silences(call: CallRecord, records: Records, start: float) -> Iterator[str]:
+    ran = {note.target for note in records.notes if note.id == call.id}
+    for silent in records.silences:
+        if silent.target in ran and silent.begin <= call.ended and call.sent <= silent.end:
+            begin, end = silent.begin - start, silent.end - start
+            yield f"{begin:.3f} to {end:.3f} s, {silent.target}: silent"
