Excuse no end of a request in the soak by a target's silence

Missing: a stream that a host broke off was excused wherever its target had any fault up to 3 s before, also one that breaks nothing: a process that stands still, connections on which bytes are late or held back, requests that get no answer. The users' rules don't excuse that.

A fault is now noted with whether it broke anything, and silence alone excuses nothing. A stream may be broken off at its deadline or at its route's timeout as its host admitted it, 0.1 s early at most instead of 0.6 s. In a host's log an admitted request needs exactly one end, answered or failed: a refusal no longer counts as one, two ends are a finding, and a process that was killed must have logged the ends of what was overdue for 5 s. python -m bench.soak._logs checks any logs so. Work for callers who left may linger at a target that was silent meanwhile: it can't read the cancellation.

--- a/bench/soak/_ends.py
+++ b/bench/soak/_ends.py
@@ -1,6 +1,7 @@
 """How requests end, checked: in time, and with a whole answer or a refusal once they were read."""
 
 from collections.abc import Iterator
+from math import inf
 
 from bench.soak._documents import GRACE_SECONDS
 from bench.soak._keepers import OVERTIME, Ending
@@ -11,8 +12,12 @@
 """Seconds before the end of the time of grace at which hosts may end what is open: they do so 0.4 s
 before it, and SIGTERM was sent a moment before they counted."""
 
+EARLY_SECONDS = 0.1
+"""Seconds before a deadline at which a host may end a request: they do so some 15 ms before it."""
+
 
 def check_endless(records: Records, _: Runs) -> Iterator[str]:
+    """A request ends in its time."""
     for call in records.calls.values():
         if call.left is not None or not call.reached:
             continue
@@ -26,8 +31,9 @@
     """A request that was read ends with a whole answer or a typed refusal.
 
     Excused is what happened to its host other than planned work.  A stream that had begun cannot be
-    refused any more: it is also excused where its target failed, and where it outlasted its host's
-    time of grace, which is known by the time since SIGTERM was sent.
+    refused any more: it is also excused where its target failed, at its deadline, and where it
+    outlasted its host's time of grace, which is known by the time since SIGTERM was sent.  That its
+    target was silent excuses nothing, however long it was.
     """
     for call in records.calls.values():
         if not _unanswered(call) or not _was_read(records, runs, call):
@@ -54,9 +60,11 @@
 
 def _may_break_off(records: Records, runs: Runs, call: CallRecord) -> bool:
     """Return whether a stream that had begun may be broken off."""
-    late = call.ended > call.deadline - SLACK
+    deadline = min(call.deadline, call.sent + records.admitted.get(f"{call.host} {call.id}", inf))
+    late = call.ended > deadline - EARLY_SECONDS
     ways = runs.targets(call) | records.carriers(call)
-    failed = records.disturbed(ways, begin=call.sent, end=call.ended)
+    failures = Records(windows=[window for window in records.windows if not window.silent])
+    failed = failures.disturbed(ways, begin=call.sent, end=call.ended)
     return call.kind in STREAMS and (late or failed or _outlasted(records, call))
 
 
--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -6,7 +6,7 @@
 from time import monotonic
 
 from azureswitch.exceptions import HttpError
-from azureswitch_standins.target import Act, TargetFaults
+from azureswitch_standins.target import SILENT_ACTS, Act, TargetFaults
 from bench.soak._documents import DESK, POOL
 from bench.soak._fleet import WORK, Fleet, Host, Target
 from bench.soak._moments import moments
@@ -177,13 +177,16 @@
 
     async def _disturb(self, what: str, proxy: FaultProxy, subject: str) -> None:
         begin = monotonic()
+        mode = Mode.REFUSE
         if self._random.random() < 0.3:
             proxy.reset(share=self._random.uniform(0.2, 1.0))
         else:
-            proxy.set_mode(self._random.choice(PROXY_MODES))
+            mode = self._random.choice(PROXY_MODES)
+            proxy.set_mode(mode)
             await self._last(LAST_SECONDS)
             proxy.set_mode(Mode.PASS)
-        self._records.note(f"{what} disturbed", subject, begin)
+        silent = mode is not Mode.REFUSE
+        self._records.note(f"{what} disturbed", subject, begin, silent=silent)
 
     # --- The store --------------------------------------------------------------------------------
 
@@ -273,7 +276,7 @@
             target.process.pause()
             await self._last(LAST_SECONDS)
             target.process.resume()
-            self._records.note("target paused", target.plan.name, begin)
+            self._records.note("target paused", target.plan.name, begin, silent=True)
             self.away.discard(target.plan.name)
 
     async def _drain_target(self) -> None:
@@ -296,7 +299,8 @@
             await target.set_faults(faults)
             await self._last(LAST_SECONDS)
             await target.set_faults(TargetFaults())
-            self._records.note(f"target {act.value}", target.plan.name, begin)
+            silent = act in SILENT_ACTS
+            self._records.note(f"target {act.value}", target.plan.name, begin, silent=silent)
             self.away.discard(target.plan.name)
 
     async def _disturb_target(self) -> None:
--- a/bench/soak/_logs.py
+++ b/bench/soak/_logs.py
@@ -1,5 +1,9 @@
-"""What the hosts' logs say of requests: which were read, and which have no end."""
+"""What the hosts' logs say of requests: which were read, and which have no end, or two.
 
+`python -m bench.soak._logs FILE...` checks the logs of any run.
+"""
+
+import sys
 from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
 from itertools import pairwise
@@ -10,28 +14,38 @@
 from bench.soak._records import Records
 
 STOPPED = "gateway: Stopped."
+ADOPTED = "gateway: Configuration adopted."
 ADMITTED = "gateway: Request admitted."
 CUT_OFF = "gateway: Request cut off."
 REFUSED = "gateway: Request refused."
-ENDS = frozenset((REFUSED, "gateway: Request answered.", "gateway: Request failed."))
+ENDS = frozenset(("gateway: Request answered.", "gateway: Request failed."))
+
+OVERDUE_SECONDS = 5.0
+"""Seconds after its deadline by which a process that runs on has logged a request's end."""
 
 
 class Line(msgspec.Struct, frozen=True, kw_only=True):
     """One line of a log.
 
     Attributes:
+        time: When it was written, by the process's time of day.
         message: What happened.
         id: The request that it happened to.
+        left: The seconds that an admitted request has.
+        before: The version before one that was adopted; zero for none.
         left_out: Lines before it that the log's volume did not permit.
     """
 
+    time: float = 0.0
     message: str = ""
     id: str = ""
+    left: float = 0.0
+    before: int = 1
     left_out: int = 0
 
 
 def read_log(path: Path, *, starts: Sequence[int], host: str, records: Records) -> None:
-    """Note which requests a host has read, and each that it admitted without logging its end.
+    """Note which requests a host has read, and each that it admitted without one end.
 
     Args:
         path: Its log.
@@ -44,7 +58,9 @@
     for begin, end in pairwise((*starts, len(text))):
         lines = list(_lines(text[begin:end].splitlines()))
         records.read |= {(host, line.id) for line in lines if line.message in (ADMITTED, REFUSED)}
-        records.findings += [f"CUT: {host} logged no end of {id}" for id in _endless(lines)]
+        admitted = [line for line in lines if line.message == ADMITTED]
+        records.admitted |= {f"{host} {line.id}": line.left for line in admitted}
+        records.findings += [f"CUT: {host} logged {fault}" for fault in faulty_ends(lines)]
         cut = [line.id for line in lines if line.message == CUT_OFF]
         records.findings += [f"CUT: {host} has cut off {id}" for id in cut]
 
@@ -58,13 +74,46 @@
             continue
 
 
-def _endless(process: list[Line]) -> list[str]:
-    """Return the requests without an end of a process that stopped of its own will.
+def faulty_ends(process: Sequence[Line]) -> list[str]:
+    """Return a line for each request that a process has admitted and whose ends are not one.
 
-    One that is killed logs no ends, and a log that left lines out proves nothing.
+    One that is killed logs no ends of what it had open, and a log that left lines out proves
+    nothing.
     """
-    if all(line.message != STOPPED for line in process) or any(line.left_out for line in process):
+    if any(line.left_out for line in process):
         return []
-    admitted = Counter(line.id for line in process if line.message == ADMITTED)
+    stopped = any(line.message == STOPPED for line in process)
+    over = process[-1].time - OVERDUE_SECONDS if process else 0.0
+    admitted = [line for line in process if line.message == ADMITTED]
+    due = Counter(line.id for line in admitted if stopped or line.time + line.left < over)
+    counts = Counter(line.id for line in admitted)
     ended = Counter(line.id for line in process if line.message in ENDS)
-    return sorted(admitted - ended)
+    return [
+        *(f"no end of {id}" for id in sorted(due - ended)),
+        *(f"more than one end of {id}" for id in sorted(ended - counts) if id in counts),
+    ]
+
+
+def split(lines: Sequence[Line]) -> list[Sequence[Line]]:
+    """Return the lines of each process of a log; its first configuration follows none."""
+    first = [n for n, line in enumerate(lines) if line.message == ADOPTED and not line.before]
+    return [lines[begin:end] for begin, end in pairwise((0, *first, len(lines)))]
+
+
+def main(paths: Sequence[str]) -> int:
+    """Check the logs of any run, and return 0 where each admitted request has one end."""
+    found = admitted = unproved = 0
+    for path in map(Path, paths):
+        lines = list(_lines(path.read_bytes().splitlines()))
+        for process in split(lines):
+            admitted += sum(line.message == ADMITTED for line in process)
+            unproved += any(line.left_out for line in process)
+            for fault in faulty_ends(process):
+                print(f"{path.name}: {fault}")
+                found += 1
+    print(f"{admitted} admitted, {found} without one end, {unproved} processes left lines out")
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/bench/soak/_planned.py
+++ b/bench/soak/_planned.py
@@ -5,7 +5,7 @@
 from random import Random
 from time import monotonic
 
-from azureswitch_standins.target import Act, TargetFaults
+from azureswitch_standins.target import SILENT_ACTS, TargetFaults
 from bench.soak._documents import DESK, GRACE_SECONDS, POOL
 from bench.soak._fleet import Fleet, Host
 from bench.soak._moments import moments
@@ -143,13 +143,13 @@
         name = target.plan.name
         self._away.add(name)
         await target.listed.wait()
-        act = self._random.choice((Act.HANG, Act.MUTE))
+        act = self._random.choice(SILENT_ACTS)
         begin = monotonic()
         await target.set_faults(TargetFaults(share=1.0, act=act))
         await asyncio.sleep(SILENCE_SECONDS)
         await self._restart(self._random.choice(free))
         await target.set_faults(TargetFaults())
-        self._records.note(f"target {act.value}", name, begin)
+        self._records.note(f"target {act.value}", name, begin, silent=True)
         self._away.discard(name)
 
 
--- a/bench/soak/_use.py
+++ b/bench/soak/_use.py
@@ -48,6 +48,9 @@
         subjects = (call.host, f"{call.host} planned", *runs.targets(call))
         if records.disturbed(subjects, begin=call.sent, end=call.left + LEAVE_SECONDS):
             continue
+        if records.were_silent(runs.targets(call), begin=call.sent, end=call.left + LEAVE_SECONDS):
+            # What a silent target has not read yet cannot be called off.
+            continue
         ends = [note.at for note in runs.over[call.id]]
         begun = [note.at for note in runs.runs[call.id]]
         if max((*ends, *begun, 0.0)) - call.left > LEAVE_SECONDS + SLACK:
--- a/src/azureswitch_standins/target/__init__.py
+++ b/src/azureswitch_standins/target/__init__.py
@@ -11,7 +11,7 @@
     Report,
     TargetStandin,
 )
-from azureswitch_standins.target._model import Act, TargetFaults, TargetPlan
+from azureswitch_standins.target._model import SILENT_ACTS, Act, TargetFaults, TargetPlan
 from azureswitch_standins.target._program import main
 from azureswitch_standins.target._registration import BEATS_KIND
 from azureswitch_standins.target._runs import Note, NoteKind, digest
@@ -28,6 +28,7 @@
     "REPORT_PATH",
     "Report",
     "SILENCE_PATH",
+    "SILENT_ACTS",
     "TargetFaults",
     "TargetPlan",
     "TargetStandin",
--- a/src/azureswitch_standins/target/_model.py
+++ b/src/azureswitch_standins/target/_model.py
@@ -21,6 +21,10 @@
     CROSS = "sends the answer of another request"
 
 
+SILENT_ACTS = (Act.HANG, Act.MUTE)
+"""Acts by which a request gets nothing, on a connection that stays."""
+
+
 class TargetFaults(msgspec.Struct, frozen=True, kw_only=True):
     """What goes wrong.
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -7,7 +7,16 @@
 from bench.soak._checks import check
 from bench.soak._ends import crossed
 from bench.soak._keepers import Ending
-from bench.soak._records import AWAY, CallKind, CallRecord, Change, Records, Sample, Window
+from bench.soak._records import (
+    AWAY,
+    CallKind,
+    CallRecord,
+    Change,
+    Records,
+    Sample,
+    Silent,
+    Window,
+)
 from bench.soak._run import unserved
 
 
@@ -52,6 +61,8 @@
     return Window(kind="fault", subject=subject, begin=begin, end=end)
 
 
+SILENT = Window(kind="silence", subject="t1", begin=9.0, end=11.0, silent=True)
+
 AWAY_AGAIN = Window(kind=AWAY, subject="h1", begin=10.2, end=11.0)
 
 
@@ -108,6 +119,10 @@
                 [window("h1 planned", begin=3.0)],
             ),
             ("LOST", BEGUN, [RUN], [window("h1 planned", begin=4.0)]),
+            ("LOST", BEGUN, [RUN], [SILENT]),
+            ("LOST", replace(BEGUN, ended=14.8), [RUN], []),
+            ("LOST", call(status=0, body=b""), [RUN], [SILENT]),
+            ("LOST", call(CallKind.LOOK, status=0, body=b"", begun=True), [RUN], [SILENT]),
             ("LOST", call(status=0, body=b"", ending=Ending.READ.value), [], []),
             ("LOST", call(status=0, body=b""), [RUN], [AWAY_AGAIN]),
             ("CROSSED", UNREAD, [], [window("h1 planned")]),
@@ -144,6 +159,12 @@
             (call(status=503, seal="", body=b""), [note(NoteKind.REFUSED)], []),
             (call(status=0, body=b""), [RUN], [window("h1")]),
             (BEGUN, [RUN], [window("t1", end=8.0)]),
+            (
+                replace(BEGUN, kind=CallKind.ASK),
+                [RUN, note(NoteKind.RUN, target="t2")],
+                [SILENT, window("t2")],
+            ),
+            (replace(BEGUN, ended=14.95), [RUN], [SILENT]),
             (BEGUN, [RUN], [window("h1 planned", begin=3.0)]),
             (UNREAD, [], [window("h1")]),
             (replace(UNREAD, told=True), [], [window("h1 planned")]),
@@ -175,6 +196,23 @@
         records = Records(samples=samples, changes=CHANGES)
         assert len(check(records)) == found
 
+    @pytest.mark.parametrize(("left", "lost"), [(1.05, 0), (1.2, 1)])
+    def test_timeout(self, left: float, lost: int) -> None:
+        """A stream may be broken off at its route's timeout as it was admitted, and no sooner."""
+        records = Records(calls={"c1": BEGUN}, notes=[RUN], admitted={"h1 c1": left, "h2 c1": 0.5})
+        assert [line.partition(":")[0] for line in check(records)] == ["LOST"] * lost
+
+    @pytest.mark.parametrize(("target", "found"), [("t1", 0), ("t2", 1)])
+    def test_gone_silent(self, target: str, found: int) -> None:
+        """Work for callers who left may linger at a target that was silent, and at no other."""
+        gone = call(CallKind.LOOK, left=10.2)
+        notes = [RUN, note(NoteKind.OVER, 12.0)]
+        records = Records(silences=[Silent(target=target, begin=10.0, end=11.9)])
+        for number in range(4):
+            records.calls[f"c{number}"] = replace(gone, id=f"c{number}", status=0, body=b"")
+            records.notes += [replace(each, id=f"c{number}") for each in notes]
+        assert [line.partition(":")[0] for line in check(records)] == ["GONE"] * found
+
     def test_gone(self) -> None:
         """Some requests may linger for callers who left, and more may not."""
         records = Records()
