Keep silences of one target in the soak from overlapping

A target that is silent, or was 0.5 s ago, is not drawn; tests/soak/test_silences.py checks it, and found that two series could draw one target in the same turn.

--- a/bench/soak/_silences.py
+++ b/bench/soak/_silences.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from azureswitch.exceptions import HttpError
+from azureswitch_standins.target import LEAD_SECONDS
 from bench.soak._documents import IDLE_LIMIT, TIMEOUT
 from bench.soak._fleet import Fleet, Target
 from bench.soak._moments import moments
@@ -14,6 +15,9 @@
 SILENT_SECONDS = (0.5, 2.0)
 """Seconds of one silence, from and to."""
 
+PAUSE_SECONDS = 0.5
+"""Seconds between two silences of one target, at least."""
+
 SERIES = (3, 5)
 """Silences of a series, from and to."""
 
@@ -47,6 +51,7 @@
         self._platform = platform
         self._records = records
         self._random = Random(f"{seed} silences")
+        self._silent: set[str] = set()
 
     async def run(self, *, count: int, seconds: float) -> None:
         """Play so many series and return once all are over.
@@ -75,21 +80,32 @@
             changes.cancel()
 
     def _draw(self, random: Random) -> list[Target]:
-        """Return one target, several or nearly all."""
-        running = [t for t in self._fleet.targets if t.process.running and t.listed.is_set()]
-        count = random.choice((1, len(running) // 2, len(running) - 1))
-        return random.sample(running, max(1, count)) if running else []
+        """Return one target, several or nearly all of those that are not silent, and take them."""
+        free = [
+            target
+            for target in self._fleet.targets
+            if target.process.running
+            and target.listed.is_set()
+            and target.plan.name not in self._silent
+        ]
+        count = random.choice((1, len(free) // 2, len(free) - 1))
+        drawn = random.sample(free, max(1, count)) if free else []
+        self._silent |= {target.plan.name for target in drawn}
+        return drawn
 
     async def _silence(self, target: Target, seconds: float) -> None:
+        name = target.plan.name
         begin = monotonic()
         try:
             await target.fall_silent(seconds)
+            end = monotonic() + LEAD_SECONDS + seconds
+            self._records.silences.append(Silent(target=name, begin=begin, end=end))
+            await asyncio.sleep(end + PAUSE_SECONDS - monotonic())
         except HttpError:
             # It was stopped or is paused, and whether it falls silent is not known.
             return
-        end = monotonic() + seconds
-        self._records.silences.append(Silent(target=target.plan.name, begin=begin, end=end))
-        await asyncio.sleep(seconds)
+        finally:
+            self._silent.discard(name)
 
     async def _configure(self, random: Random) -> None:
         """Change the configuration until cancelled."""
--- a/src/azureswitch_standins/target/__init__.py
+++ b/src/azureswitch_standins/target/__init__.py
@@ -15,6 +15,7 @@
 from azureswitch_standins.target._program import main
 from azureswitch_standins.target._registration import BEATS_KIND
 from azureswitch_standins.target._runs import Note, NoteKind, digest
+from azureswitch_standins.target._silence import LEAD_SECONDS
 
 __all__ = [
     "Act",
@@ -22,6 +23,7 @@
     "COLD_PATH",
     "FATAL_PART",
     "FAULTS_PATH",
+    "LEAD_SECONDS",
     "LIMIT_PATH",
     "Note",
     "NoteKind",
--- a/tests/soak/test_silences.py
+++ b/tests/soak/test_silences.py
@@ -1,6 +1,7 @@
 """The silences that the soak draws, and the configurations beside them."""
 
 import asyncio
+from itertools import permutations
 from types import SimpleNamespace
 from typing import cast
 
@@ -55,6 +56,7 @@
         monkeypatch.setattr(_silences, "PERIOD_SECONDS", (0.05, 0.1))
         monkeypatch.setattr(_silences, "SILENT_SECONDS", (0.01, 0.05))
         monkeypatch.setattr(_silences, "CHANGE_SECONDS", (0.001, 0.002))
+        monkeypatch.setattr(_silences, "PAUSE_SECONDS", 0.0)
         records, platform = Records(), FakePlatform()
 
         async def play() -> None:
@@ -68,6 +70,8 @@
             ).run(count=6, seconds=0.3)
 
         asyncio.run(play())
+        for one, other in permutations(records.silences, 2):
+            assert one.target != other.target or not one.begin <= other.begin < one.end
         starts = {round(silent.begin, 2) for silent in records.silences}
         assert len(records.silences) > len(starts) > 6
         assert "gone" not in {silent.target for silent in records.silences}
