Leave out and rename routes in the soak's series of configurations

Missing: no configuration of the soak took away or renamed a route whose requests run, wait or are held. One route at a time is left out, or all are renamed, beside timeouts and idle limits. tests/soak pass.

--- a/bench/soak/_documents.py
+++ b/bench/soak/_documents.py
@@ -32,23 +32,33 @@
 """Milliseconds for which a caller's connection may be idle."""
 
 
-def configuration(
-    *,
-    version: int,
-    extra: bool,
-    idle_routes: int,
-    timeout: int = TIMEOUT,
-    idle: int = IDLE_LIMIT,
-) -> bytes:
+class Layout(msgspec.Struct, frozen=True, kw_only=True):
+    """What a configuration holds beside its version and keys.
+
+    Attributes:
+        idle_routes: Routes beside those that are used.
+        timeout: Milliseconds of the timeout of most routes.
+        idle: Milliseconds for which a caller's connection may be idle.
+        absent: The path prefix of a route that is left out, or nothing.
+        label: What the names of routes end with.
+    """
+
+    idle_routes: int = 0
+    timeout: int = TIMEOUT
+    idle: int = IDLE_LIMIT
+    absent: str = ""
+    label: str = ""
+
+
+def configuration(*, version: int, extra: bool, layout: Layout) -> bytes:
     """Return a configuration.
 
     Args:
         version: Its version.
         extra: Whether the extra key is valid.
-        idle_routes: Routes beside those that are used.
-        timeout: Milliseconds of the timeout of most routes.
-        idle: Milliseconds for which a caller's connection may be idle.
+        layout: What else it holds.
     """
+    timeout = layout.timeout
     routes = [
         _route(
             *("/ask/", "streaming", POOL),
@@ -74,7 +84,12 @@
             TimeoutMs=15_000,
         ),
         _route("/slow/", "idempotent", CLERK, TimeoutMs=15_000),
-        *(_route(f"/idle-{n}/", "idempotent", DESK) for n in range(idle_routes)),
+        *(_route(f"/idle-{n}/", "idempotent", DESK) for n in range(layout.idle_routes)),
+    ]
+    routes = [
+        {**route, "Name": f"{route['Name']}{layout.label}"}
+        for route in routes
+        if route["PathPrefix"] != layout.absent
     ]
     pace = {
         "Slots": 8,
@@ -94,7 +109,7 @@
             *({"Name": name, "Engine": pace} for name in (POOL, SCRIBE)),
             *({"Name": name} for name in (DESK, CLERK)),
         ],
-        "Limits": {"IdleTimeoutMs": idle},
+        "Limits": {"IdleTimeoutMs": layout.idle},
         "Tenants": [{"Name": name, "ApiKeys": held} for name, held in keys.items()],
     }
     return msgspec.json.encode(document)
--- a/bench/soak/_platform.py
+++ b/bench/soak/_platform.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 from time import monotonic
 
+from msgspec.structs import replace
+
 from azureswitch.client import HttpClient
 from azureswitch.exceptions import HttpError, StoreError, StoreNotFoundError
 from azureswitch.platform import CONFIGURATION_KIND, CONFIGURATION_NAME, TARGETS_KIND
 from azureswitch_standins.target import BEATS_KIND
-from bench.soak._documents import IDLE_LIMIT, TIMEOUT, configuration
+from bench.soak._documents import Layout, configuration
 from bench.soak._fleet import Fleet, Host
 from bench.soak._records import Change, Records, Sample
 
@@ -44,9 +46,7 @@
         self._misses: dict[str, int] = {}
         self._version = 1
         self._extra = True
-        self._idle_routes = 0
-        self._timeout = TIMEOUT
-        self._idle = IDLE_LIMIT
+        self._layout = Layout()
         self._stored = 0
         self._changing = asyncio.Lock()
 
@@ -74,31 +74,16 @@
         """Whether every host has just said that it takes connections."""
         return all(self.is_ready(host.name) for host in self._fleet.hosts)
 
-    async def change(
-        self,
-        *,
-        extra: bool | None = None,
-        idle_routes: int | None = None,
-        timeout: int | None = None,
-        idle: int | None = None,
-    ) -> None:
+    async def change(self, *, extra: bool | None = None, **layout: object) -> None:
         """Write a configuration as an operator does, and go on until the store has accepted it.
 
-        What is not named stays as it is; `configuration` says what the names mean.
+        What is not named stays as it is; `Layout` has the names.
         """
         async with self._changing:
             self._version += VERSION_STEP
             self._extra = self._extra if extra is None else extra
-            self._idle_routes = self._idle_routes if idle_routes is None else idle_routes
-            self._timeout = self._timeout if timeout is None else timeout
-            self._idle = self._idle if idle is None else idle
-            value = configuration(
-                version=self._version,
-                extra=self._extra,
-                idle_routes=self._idle_routes,
-                timeout=self._timeout,
-                idle=self._idle,
-            )
+            self._layout = replace(self._layout, **layout)
+            value = configuration(version=self._version, extra=self._extra, layout=self._layout)
             while not await self._written(value):
                 await asyncio.sleep(0.1)
             self._records.changes.append(
--- a/bench/soak/_silences.py
+++ b/bench/soak/_silences.py
@@ -3,10 +3,13 @@
 import asyncio
 from random import Random
 from time import monotonic
+from typing import Any
+
+from msgspec.structs import asdict
 
 from azureswitch.exceptions import HttpError
 from azureswitch_standins.target import LEAD_SECONDS
-from bench.soak._documents import IDLE_LIMIT, TIMEOUT
+from bench.soak._documents import Layout
 from bench.soak._fleet import Fleet, Target
 from bench.soak._moments import moments
 from bench.soak._platform import Platform
@@ -35,6 +38,12 @@
 
 MOST_ROUTES = 300
 
+ABSENT = ("", "", "/ask/", "/once/", "/book/", "/look/")
+"""Path prefixes of routes that are left out while their requests run or wait, mostly none."""
+
+LABELS = ("", "-a", "-b")
+"""What names of routes end with, by which all are renamed."""
+
 
 class Silences:
     """Lets targets fall silent; a silence is no fault.
@@ -64,7 +73,7 @@
             async for _ in moments(self._random, count=count, seconds=seconds):
                 group.create_task(self._series())
         if count:
-            await self._platform.change(idle_routes=0, timeout=TIMEOUT, idle=IDLE_LIMIT)
+            await self._platform.change(**asdict(Layout()))
 
     async def _series(self) -> None:
         random = Random(self._random.random())
@@ -110,13 +119,16 @@
     async def _configure(self, random: Random) -> None:
         """Change the configuration until cancelled."""
         while True:
-            kind = random.randrange(4)
-            if kind == 0:
-                await self._platform.flip_extra_key()
-            elif kind == 1:
-                await self._platform.change(idle_routes=random.randint(0, MOST_ROUTES))
-            elif kind == 2:
-                await self._platform.change(timeout=random.choice(TIMEOUTS))
+            changes: tuple[dict[str, Any], ...] = (
+                {},
+                {"idle_routes": random.randint(0, MOST_ROUTES)},
+                {"timeout": random.choice(TIMEOUTS)},
+                {"idle": random.choice(IDLE_LIMITS)},
+                {"absent": random.choice(ABSENT)},
+                {"label": random.choice(LABELS)},
+            )
+            if change := random.choice(changes):
+                await self._platform.change(**change)
             else:
-                await self._platform.change(idle=random.choice(IDLE_LIMITS))
+                await self._platform.flip_extra_key()
             await asyncio.sleep(random.uniform(*CHANGE_SECONDS))
--- a/tests/soak/test_silences.py
+++ b/tests/soak/test_silences.py
@@ -6,10 +6,11 @@
 from typing import cast
 
 import pytest
+from msgspec.structs import asdict
 
 from azureswitch.exceptions import HttpNotSentError
 from bench.soak import _silences
-from bench.soak._documents import IDLE_LIMIT, TIMEOUT
+from bench.soak._documents import Layout
 from bench.soak._fleet import Fleet
 from bench.soak._platform import Platform
 from bench.soak._records import Records
@@ -78,5 +79,5 @@
         assert (records.windows, records.findings) == ([], [])
         assert platform.flips
         kinds = {key for change in platform.changes[:-1] for key in change}
-        assert kinds == {"idle_routes", "timeout", "idle"}
-        assert platform.changes[-1] == {"idle_routes": 0, "timeout": TIMEOUT, "idle": IDLE_LIMIT}
+        assert kinds == set(Layout.__struct_fields__)
+        assert platform.changes[-1] == asdict(Layout())
