Excuse no stream in the soak that was moved off a silent target to one that failed

A stream that had begun was excused wherever any of the targets that ran it had failed, also where its host had given up a sound silent one before; the silent one goes on and would have answered. tests/soak/test_checks.py has a case for each way round.

--- a/bench/soak/_ends.py
+++ b/bench/soak/_ends.py
@@ -33,7 +33,7 @@
     Excused is what happened to its host other than planned work.  A stream that had begun cannot be
     refused any more: it is also excused where its target failed, at its deadline, and where it
     outlasted its host's time of grace, which is known by the time since SIGTERM was sent.  That its
-    target was silent excuses nothing, however long it was.
+    target was silent excuses nothing, however long it was, nor does it where another one failed.
     """
     for call in records.calls.values():
         if not _unanswered(call) or not _was_read(records, runs, call):
@@ -62,12 +62,25 @@
     """Return whether a stream that had begun may be broken off."""
     deadline = min(call.deadline, call.sent + records.admitted.get(f"{call.host} {call.id}", inf))
     late = call.ended > deadline - EARLY_SECONDS
-    ways = runs.targets(call) | records.carriers(call)
-    failures = Records(windows=[window for window in records.windows if not window.silent])
-    failed = failures.disturbed(ways, begin=call.sent, end=call.ended)
+    failed = _way_failed(records, runs, call)
     return call.kind in STREAMS and (late or failed or _outlasted(records, call))
 
 
+def _way_failed(records: Records, runs: Runs, call: CallRecord) -> bool:
+    """Return whether a stream's target or carrier failed, and none was sound and merely silent.
+
+    A stream that was moved off a silent target to one that failed is not excused: the first one
+    went on.
+    """
+    span = {"begin": call.sent, "end": call.ended}
+    failures = Records(windows=[window for window in records.windows if not window.silent])
+    targets = runs.targets(call)
+    sound = {target for target in targets if not failures.disturbed((target,), **span)}
+    if records.were_silent(sound, **span):
+        return False
+    return failures.disturbed(targets | records.carriers(call), **span)
+
+
 def _outlasted(records: Records, call: CallRecord) -> bool:
     name = f"{call.host} planned"
     return any(
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -202,6 +202,27 @@
         records = Records(calls={"c1": BEGUN}, notes=[RUN], admitted={"h1 c1": left, "h2 c1": 0.5})
         assert [line.partition(":")[0] for line in check(records)] == ["LOST"] * lost
 
+    @pytest.mark.parametrize(
+        ("silent", "failed", "lost"),
+        [
+            ("t1", "t2", 1),
+            ("t2", "t1", 1),
+            ("t1", "t1", 0),
+            ("t3", "t2", 0),
+            ("t1", "h2", 1),
+        ],
+    )
+    def test_moved(self, silent: str, failed: str, lost: int) -> None:
+        """A stream may be broken off where a way of it failed, and no other one was silent."""
+        records = Records(
+            calls={"c1": replace(BEGUN, kind=CallKind.ASK)},
+            notes=[RUN, note(NoteKind.RUN, target="t2")],
+            windows=[window(failed)],
+            silences=[Silent(target=silent, begin=10.0, end=11.5)],
+            read={("h1", "c1"), ("h2", "c1")},
+        )
+        assert [line.partition(":")[0] for line in check(records)] == ["LOST"] * lost
+
     @pytest.mark.parametrize(("target", "found"), [("t1", 0), ("t2", 1)])
     def test_gone_silent(self, target: str, found: int) -> None:
         """Work for callers who left may linger at a target that was silent, and at no other."""
