Let a series of silences in the soak wait for the configuration under way

A series that ended cancelled its change of the configuration, which the store may have accepted although the record had none of it: the checks of keys would have blamed hosts. Found by reading; no run showed it.

--- a/bench/soak/_silences.py
+++ b/bench/soak/_silences.py
@@ -77,16 +77,16 @@
 
     async def _series(self) -> None:
         random = Random(self._random.random())
-        changes = asyncio.create_task(self._configure(Random(random.random())))
-        try:
+        over = asyncio.Event()
+        async with asyncio.TaskGroup() as changes:
+            changes.create_task(self._configure(Random(random.random()), over))
             async with asyncio.TaskGroup() as group:
                 for _ in range(random.randint(*SERIES)):
                     seconds = random.uniform(*SILENT_SECONDS)
                     for target in self._draw(random):
                         group.create_task(self._silence(target, seconds))
                     await asyncio.sleep(random.uniform(*PERIOD_SECONDS))
-        finally:
-            changes.cancel()
+            over.set()
 
     def _draw(self, random: Random) -> list[Target]:
         """Return one target, several or nearly all of those that are not silent, and take them."""
@@ -116,9 +116,9 @@
         finally:
             self._silent.discard(name)
 
-    async def _configure(self, random: Random) -> None:
-        """Change the configuration until cancelled."""
-        while True:
+    async def _configure(self, random: Random, over: asyncio.Event) -> None:
+        """Change the configuration until a series is over; a change under way is waited for."""
+        while not over.is_set():
             changes: tuple[dict[str, Any], ...] = (
                 {},
                 {"idle_routes": random.randint(0, MOST_ROUTES)},
