Read in the soak from a host's log whether it gave up an attempt that ran

The check that a stream was not moved off a silent target to one that failed would also blame a host for a failure behind the move: with a second attempt beside a silent one, the one that goes on first is kept, and may crash later, which is its target's failure.

A target's failure now excuses where, by the host's log, the answer from there had begun and ended by itself, and no attempt was given up as the request failed. Where a log left lines out, the check is as before: no target that ran the request may have been sound and silent.

--- a/bench/soak/_ends.py
+++ b/bench/soak/_ends.py
@@ -67,18 +67,22 @@
 
 
 def _way_failed(records: Records, runs: Runs, call: CallRecord) -> bool:
-    """Return whether a stream's target or carrier failed, and none was sound and merely silent.
+    """Return whether a stream was broken off because a target or carrier of it failed.
 
-    A stream that was moved off a silent target to one that failed is not excused: the first one
-    went on.
+    A failure of a target excuses where its answer had begun and ended by itself, and its host gave
+    up no other attempt for that.  Where no log says so, none of the targets may have been sound and
+    merely silent.
     """
     span = {"begin": call.sent, "end": call.ended}
     failures = Records(windows=[window for window in records.windows if not window.silent])
-    targets = runs.targets(call)
-    sound = {target for target in targets if not failures.disturbed((target,), **span)}
-    if records.were_silent(sound, **span):
-        return False
-    return failures.disturbed(targets | records.carriers(call), **span)
+    targets = records.broken.get(f"{call.host} {call.id}")
+    if targets is None:
+        targets = tuple(runs.targets(call))
+        sound = {target for target in targets if not failures.disturbed((target,), **span)}
+        if records.were_silent(sound, **span):
+            return False
+    ways = (*targets, *records.carriers(call))
+    return bool(ways) and failures.disturbed(ways, **span)
 
 
 def _outlasted(records: Records, call: CallRecord) -> bool:
--- a/bench/soak/_logs.py
+++ b/bench/soak/_logs.py
@@ -18,7 +18,11 @@
 ADMITTED = "gateway: Request admitted."
 CUT_OFF = "gateway: Request cut off."
 REFUSED = "gateway: Request refused."
-ENDS = frozenset(("gateway: Request answered.", "gateway: Request failed."))
+FAILED = "gateway: Request failed."
+ENDS = frozenset(("gateway: Request answered.", FAILED))
+SENT = "gateway: Attempt sent."
+OVER = "gateway: Attempt over."
+CANCELLED = "cancelled"
 
 OVERDUE_SECONDS = 5.0
 """Seconds after its deadline by which a process that runs on has logged a request's end."""
@@ -34,6 +38,10 @@
         left: The seconds that an admitted request has.
         before: The version before one that was adopted; zero for none.
         left_out: Lines before it that the log's volume did not permit.
+        attempt: The number of an attempt.
+        targets: The target of an attempt that was sent, and others that help it.
+        end: How an attempt ended.
+        begun: Whether its target had begun to answer.
     """
 
     time: float = 0.0
@@ -42,6 +50,10 @@
     left: float = 0.0
     before: int = 1
     left_out: int = 0
+    attempt: int = 0
+    targets: str = ""
+    end: str = ""
+    begun: bool = False
 
 
 def read_log(path: Path, *, starts: Sequence[int], host: str, records: Records) -> None:
@@ -60,6 +72,7 @@
         records.read |= {(host, line.id) for line in lines if line.message in (ADMITTED, REFUSED)}
         admitted = [line for line in lines if line.message == ADMITTED]
         records.admitted |= {f"{host} {line.id}": line.left for line in admitted}
+        records.broken |= {f"{host} {id}": targets for id, targets in _broken(lines).items()}
         records.findings += [f"CUT: {host} logged {fault}" for fault in faulty_ends(lines)]
         cut = [line.id for line in lines if line.message == CUT_OFF]
         records.findings += [f"CUT: {host} has cut off {id}" for id in cut]
@@ -94,6 +107,29 @@
     ]
 
 
+def _broken(process: Sequence[Line]) -> dict[str, tuple[str, ...]]:
+    """Return for each failed request the targets at which answers that had begun ended themselves.
+
+    There are none where the host gave up an attempt that still ran.
+    """
+    broken: dict[str, tuple[str, ...]] = {}
+    if any(line.left_out for line in process):
+        return broken
+    sent: dict[tuple[str, int], str] = {}
+    ended: dict[str, tuple[str, ...]] = {}
+    for line in process:
+        if line.message == SENT:
+            sent[line.id, line.attempt] = line.targets.partition(",")[0]
+        elif line.message == FAILED:
+            broken[line.id] = ended.get(line.id, ())
+        elif line.message == OVER and line.end == CANCELLED and line.id in broken:
+            broken[line.id] = ()
+        elif line.message == OVER and line.end != CANCELLED and line.begun:
+            target = sent.get((line.id, line.attempt), "")
+            ended[line.id] = (*ended.get(line.id, ()), target)
+    return broken
+
+
 def split(lines: Sequence[Line]) -> list[Sequence[Line]]:
     """Return the lines of each process of a log; its first configuration follows none."""
     first = [n for n, line in enumerate(lines) if line.message == ADOPTED and not line.before]
--- a/bench/soak/_records.py
+++ b/bench/soak/_records.py
@@ -191,6 +191,8 @@
         partitions: Cuts between hosts and targets.
         silences: Silences of targets.
         read: Hosts with the ids of requests that their logs name.
+        broken: The targets at which answers to failed requests had begun and ended themselves,
+            by host and id, where logs say so.
         admitted: The seconds that requests had as they were admitted, by host and id.
     """
 
@@ -206,6 +208,7 @@
     partitions: list[Partition] = field(default_factory=list)
     silences: list[Silent] = field(default_factory=list)
     read: set[tuple[str, str]] = field(default_factory=set)
+    broken: dict[str, tuple[str, ...]] = field(default_factory=dict)
     admitted: dict[str, float] = field(default_factory=dict)
 
     def carriers(self, call: CallRecord) -> set[str]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -223,6 +223,20 @@
         )
         assert [line.partition(":")[0] for line in check(records)] == ["LOST"] * lost
 
+    @pytest.mark.parametrize(
+        ("broken", "lost"), [(("t2",), 0), (("t1",), 1), ((), 1), (("t1", "t2"), 0)]
+    )
+    def test_moved_by_log(self, broken: tuple[str, ...], lost: int) -> None:
+        """A failure excuses where the answer of that target had begun, by its host's log."""
+        records = Records(
+            calls={"c1": replace(BEGUN, kind=CallKind.ASK)},
+            notes=[RUN, note(NoteKind.RUN, target="t2")],
+            windows=[window("t2")],
+            silences=[Silent(target="t1", begin=10.0, end=11.5)],
+            broken={"h1 c1": broken},
+        )
+        assert [line.partition(":")[0] for line in check(records)] == ["LOST"] * lost
+
     @pytest.mark.parametrize(("target", "found"), [("t1", 0), ("t2", 1)])
     def test_gone_silent(self, target: str, found: int) -> None:
         """Work for callers who left may linger at a target that was silent, and at no other."""
--- a/tests/soak/test_logs.py
+++ b/tests/soak/test_logs.py
@@ -59,6 +59,71 @@
         assert all(line.startswith("CUT: h1") for line in records.findings)
 
 
+def _sent(attempt: int) -> dict[str, object]:
+    more = {"attempt": attempt, "targets": f"t{attempt},t9"}
+    return {"message": "gateway: Attempt sent.", "id": "c1", **more}
+
+
+def _over(attempt: int, end: str, *, begun: bool) -> dict[str, object]:
+    more = {"attempt": attempt, "end": end, "begun": begun}
+    return {"message": "gateway: Attempt over.", "id": "c1", **more}
+
+
+FAILED = _line("failed")
+
+
+class TestBroken:
+    """The targets whose answers had begun and ended by themselves."""
+
+    @pytest.mark.parametrize(
+        ("lines", "broken"),
+        [
+            ([_over(1, "broken", begun=True), FAILED], ("t1",)),
+            ([_over(1, "broken", begun=False), FAILED], ()),
+            ([_over(1, "cancelled", begun=True), _over(2, "broken", begun=True)], None),
+            (
+                [
+                    _over(1, "cancelled", begun=True),
+                    _over(2, "broken", begun=False),
+                    FAILED,
+                ],
+                (),
+            ),
+            (
+                [
+                    _over(2, "cancelled", begun=False),
+                    _over(1, "broken", begun=True),
+                    FAILED,
+                ],
+                ("t1",),
+            ),
+            (
+                [
+                    _over(1, "broken", begun=True),
+                    FAILED,
+                    _over(2, "cancelled", begun=False),
+                ],
+                (),
+            ),
+            ([_over(1, "broken", begun=True), {**FAILED, "left_out": 1}], None),
+        ],
+        ids=[
+            *("broke off", "before it began", "no failure", "moved to one that failed"),
+            *("another was cancelled before", "another was given up", "lines left out"),
+        ],
+    )
+    def test_broken(
+        self, lines: list[dict[str, object]], broken: tuple[str, ...] | None, tmp_path: Path
+    ) -> None:
+        """They are those of attempts that the host did not give up."""
+        path = tmp_path / "h1.log"
+        all_lines = [_line("admitted"), _sent(1), _sent(2), *lines]
+        path.write_bytes(b"".join(msgspec.json.encode(line) + b"\n" for line in all_lines))
+        records = Records()
+        read_log(path, starts=[0], host="h1", records=records)
+        assert records.broken.get("h1 c1") == broken
+
+
 class TestMain:
     """Unit tests of `main`."""
 
