--- a/bench/soak/_documents.py
+++ b/bench/soak/_documents.py
@@ -25,20 +25,57 @@
 RETRY_WINDOW = 10.0
 MEMORY = 405_000
 
+TIMEOUT = 6_000
+"""Milliseconds of the timeout of most routes."""
 
-def configuration(*, version: int, extra: bool, idle_routes: int) -> bytes:
+IDLE_LIMIT = 9_000
+"""Milliseconds for which a caller's connection may be idle."""
+
+
+class Layout(msgspec.Struct, frozen=True, kw_only=True):
+    """What a configuration holds beside its version and keys.
+
+    Attributes:
+        idle_routes: Routes beside those that are used.
+        timeout: Milliseconds of the timeout of most routes.
+        idle: Milliseconds for which a caller's connection may be idle.
+        absent: The path prefix of a route that is left out, or nothing.
+        label: What the names of routes end with.
+    """
+
+    idle_routes: int = 0
+    timeout: int = TIMEOUT
+    idle: int = IDLE_LIMIT
+    absent: str = ""
+    label: str = ""
+
+
+def configuration(*, version: int, extra: bool, layout: Layout) -> bytes:
     """Return a configuration.
 
     Args:
         version: Its version.
         extra: Whether the extra key is valid.
-        idle_routes: Routes beside those that are used.
+        layout: What else it holds.
     """
+    timeout = layout.timeout
     routes = [
-        _route("/ask/", "streaming", POOL, StreamResume=True, GapTargetMs=250, Sticky=True),
-        _route("/once/", "streaming", POOL, MaxAttempts=1, GapTargetMs=250, Sticky=True),
-        _route("/book/", "non_idempotent", DESK, MaxAttempts=1),
-        _route("/look/", "idempotent", DESK),
+        _route(
+            *("/ask/", "streaming", POOL),
+            StreamResume=True,
+            GapTargetMs=250,
+            Sticky=True,
+            TimeoutMs=timeout,
+        ),
+        _route(
+            *("/once/", "streaming", POOL),
+            MaxAttempts=1,
+            GapTargetMs=250,
+            Sticky=True,
+            TimeoutMs=timeout,
+        ),
+        _route("/book/", "non_idempotent", DESK, MaxAttempts=1, TimeoutMs=timeout),
+        _route("/look/", "idempotent", DESK, TimeoutMs=timeout),
         _route(
             *("/long/", "streaming", SCRIBE),
             MaxAttempts=1,
@@ -47,7 +84,12 @@
             TimeoutMs=15_000,
         ),
         _route("/slow/", "idempotent", CLERK, TimeoutMs=15_000),
-        *(_route(f"/idle-{n}/", "idempotent", DESK) for n in range(idle_routes)),
+        *(_route(f"/idle-{n}/", "idempotent", DESK) for n in range(layout.idle_routes)),
+    ]
+    routes = [
+        {**route, "Name": f"{route['Name']}{layout.label}"}
+        for route in routes
+        if route["PathPrefix"] != layout.absent
     ]
     pace = {
         "Slots": 8,
@@ -67,7 +109,7 @@
             *({"Name": name, "Engine": pace} for name in (POOL, SCRIBE)),
             *({"Name": name} for name in (DESK, CLERK)),
         ],
-        "Limits": {"IdleTimeoutMs": 9_000},
+        "Limits": {"IdleTimeoutMs": layout.idle},
         "Tenants": [{"Name": name, "ApiKeys": held} for name, held in keys.items()],
     }
     return msgspec.json.encode(document)
@@ -80,7 +122,7 @@
         "PathPrefix": prefix,
         "Kind": kind,
         "Service": service,
-        "TimeoutMs": 6_000,
+        "TimeoutMs": TIMEOUT,
         "TargetLatencyMs": 300,
         "MaxAttempts": 2,
     }
--- a/src/azureswitch_standins/target/__init__.py
+++ b/src/azureswitch_standins/target/__init__.py
@@ -7,13 +7,15 @@
     FAULTS_PATH,
     LIMIT_PATH,
     REPORT_PATH,
+    SILENCE_PATH,
     Report,
     TargetStandin,
 )
-from azureswitch_standins.target._model import Act, TargetFaults, TargetPlan
+from azureswitch_standins.target._model import SILENT_ACTS, Act, TargetFaults, TargetPlan
 from azureswitch_standins.target._program import main
 from azureswitch_standins.target._registration import BEATS_KIND
 from azureswitch_standins.target._runs import Note, NoteKind, digest
+from azureswitch_standins.target._silence import LEAD_SECONDS
 
 __all__ = [
     "Act",
@@ -21,11 +23,14 @@
     "COLD_PATH",
     "FATAL_PART",
     "FAULTS_PATH",
+    "LEAD_SECONDS",
     "LIMIT_PATH",
     "Note",
     "NoteKind",
     "REPORT_PATH",
     "Report",
+    "SILENCE_PATH",
+    "SILENT_ACTS",
     "TargetFaults",
     "TargetPlan",
     "TargetStandin",
