--- a/src/azureswitch/serving/_failover.py
+++ b/src/azureswitch/serving/_failover.py
@@ -34,7 +34,7 @@
     state: ServingState, record: CallRecord, *, target: TargetName, now: float
 ) -> list[Effect]:
     at = [a.number for a in record.attempts.values() if target in a.targets]
-    if not at or not may_follow(state, record, now=now):
+    if not at or not may_follow(state, record, now=now, runs=len(record.attempts)):
         return []
     if not _has_other(state, record, target, now=now):
         return []
--- a/src/azureswitch/serving/silence/_beside.py
+++ b/src/azureswitch/serving/silence/_beside.py
@@ -47,7 +47,12 @@
 
 
 def _comes_too_late(record: CallRecord, choice: Choice, *, now: float) -> bool:
-    """Return whether the caller would probably leave before the first output of an attempt."""
+    """Return whether the caller would probably leave before the first output of an attempt.
+
+    Nothing is known of the patience of callers whose route has no objective.
+    """
+    if not record.call.objective:
+        return False
     heard_at = max(attempt.heard_at for attempt in record.attempts.values())
     return now - heard_at + choice.first_token > patience_seconds(record.call)
 
