--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -274,7 +274,7 @@
         self._checks.spawn(self._report_silence(record, effect, dial), name=effect.call)
 
     async def _report_silence(self, record: CallRecord, effect: StartAttempt, dial: Dial) -> None:
-        """Report silence to the reducer, which cancels the attempt if another one is possible."""
+        """Report silence to the reducer, which starts another attempt if one is possible."""
         newest = record.newest_event
         dial.unanswered()
         verdict = await dial.check()
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -302,6 +302,8 @@
             record = self._records.get(call)
             if record is not None:
                 logging.error("gateway: Request %s was still open at its deadline.", call)
+                for task in record.tasks.values():
+                    task.cancel()
                 self._run(FinishCall(call=call, error=DeadlineExceededError()))
 
     def _caller_left(self, call: CallId) -> None:
--- a/src/azureswitch/serving/_attempts.py
+++ b/src/azureswitch/serving/_attempts.py
@@ -109,7 +109,7 @@
     elif event.end is AttemptEnd.REJECTED:
         effects = _rejected(state, record, event)
     elif isinstance(event.error, TargetEvacuatedError):
-        # Nothing was sent, so that neither the target nor the retry budget is charged.
+        # Nothing was sent, so that the target is not charged.
         effects = _send_again(state, record, now=now)
     elif isinstance(event.error, TargetUnreachableError) and not event.error.witnessed:
         effects = _find_other_target(state, record, attempt, event.error, now=now)
@@ -139,7 +139,10 @@
 
 
 def _send_again(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
-    """Send a call again whose last attempt was not sent, or start another beside silent ones."""
+    """Send a call again whose last attempt was not sent, or start another beside silent ones.
+
+    Only the latter is charged to the retry budget.
+    """
     if record.attempts:
         return retry_beside(state, record, now=now)
     return dispatch(state, record, now=now)
--- a/src/azureswitch/serving/_dispatch.py
+++ b/src/azureswitch/serving/_dispatch.py
@@ -153,7 +153,6 @@
         cached_tokens=choice.cached_tokens,
         priority=attempt_priority,
         alone=not choice.wait and not choice.running and len(choice.targets) == 1,
-        heard_at=now,
         start=state.starts.of(choice.targets[0]),
     )
     record.attempts[attempt.number] = attempt
--- a/src/azureswitch/serving/_ending.py
+++ b/src/azureswitch/serving/_ending.py
@@ -2,7 +2,7 @@
 
 An event may concern several calls.  Where handling it raises for one of them, the exception is
 logged and the event is still handled for the others.  The call itself is answered with an error,
-unless it has running attempts, the step changed none of them, and it was not to end the call.
+unless it has attempts that run on and the step was not to end it.
 """
 
 from collections.abc import Callable
@@ -34,8 +34,8 @@
 ) -> list[Effect]:
     """Run one step of a call's handling, and end the call with an error if the step raises.
 
-    A call that is running, and whose attempts the step did not change, goes on instead, unless
-    ``final`` is set.
+    A call with attempts that the step did not end goes on with these instead, unless ``final`` is
+    set.
 
     Args:
         state: The state.
@@ -52,12 +52,22 @@
         return step()
     except Exception:
         logging.exception("serving: Handling an event for call %s failed.", record.call.id)
-    untouched = record.attempts.keys() == before.keys() and record.call.id in state.calls
-    if before and untouched and not final:
-        return []
+    running = before.keys() & record.attempts.keys()
+    if running and record.call.id in state.calls and not final:
+        return _run_on(state, record, before)
     return _fail(state, record, before, now=now)
 
 
+def _run_on(state: ServingState, record: CallRecord, before: dict[int, Attempt]) -> list[Effect]:
+    """Keep the attempts of a call that a failed step left, and drop what it added or ended.
+
+    Its effects are lost: what it added was not sent, and what it ended may have to be cancelled.
+    """
+    for number in record.attempts.keys() - before.keys():
+        release(state, record, record.attempts.pop(number))
+    return [_cancelled(record, before[n]) for n in before.keys() - record.attempts.keys()]
+
+
 def _fail(
     state: ServingState, record: CallRecord, before: dict[int, Attempt], *, now: float
 ) -> list[Effect]:
--- a/src/azureswitch/serving/_failover.py
+++ b/src/azureswitch/serving/_failover.py
@@ -73,7 +73,10 @@
     lost = [attempt.number for attempt in record.attempts.values() if attempt.lost]
     if not lost or not record.call.repeatable:
         return []
-    others = len(record.attempts) > len(lost)
+    others = [attempt for attempt in record.attempts.values() if not attempt.lost]
+    if others and all(attempt.first_token is None for attempt in others):
+        # One that has sent no output may still be refused, or fail.
+        return []
     if not others and not may_follow(state, record, now=now, runs=len(lost)):
         return []
     if not others and choose_other(state, record, now=now) is None:
--- a/src/azureswitch/serving/_fleet.py
+++ b/src/azureswitch/serving/_fleet.py
@@ -246,13 +246,13 @@
         state = self._states.get(target)
         if state is not None:
             state.failures += 1
-            state.silent = False
+            state.silences = 0
             pause = min(longest, FIRST_EJECTION_SECONDS * 2.0 ** (state.failures - 1))
             state.ejected_until = now + pause
             if tell:
                 self._suspects[target] = state.ejected_until
 
-    def fall_silent(self, target: TargetName, *, now: float, longest: float) -> None:
+    def eject_silent(self, target: TargetName, *, now: float, longest: float) -> None:
         """Eject a target that is silent; several requests that wait for it count as one failure.
 
         Args:
@@ -262,15 +262,16 @@
         """
         state = self._states.get(target)
         if state is not None and now >= state.ejected_until:
+            silences = state.silences + 1
             self.failed(target, now=now, longest=longest)
-            state.silent = True
+            state.silences = silences
 
     def resume(self, target: TargetName, *, now: float) -> None:
         """Take back the ejection of a silent target, as it has sent output again."""
         state = self._states.get(target)
-        if state is not None and state.silent:
-            state.silent = False
-            state.failures = max(0, state.failures - 1)
+        if state is not None and state.silences:
+            state.failures = max(0, state.failures - state.silences)
+            state.silences = 0
             state.ejected_until = now
             self._suspects.pop(target, None)
 
@@ -278,7 +279,7 @@
         """Reset the count of consecutive failures of a target."""
         state = self._states.get(target)
         if state is not None:
-            state.failures = 0
+            state.failures = state.silences = 0
 
     def reserve_memory(self, targets: Iterable[TargetName], *, call: CallId, now: float) -> None:
         """Withhold other long prompts from targets for a while, so that memory becomes free."""
--- a/src/azureswitch/serving/_retries.py
+++ b/src/azureswitch/serving/_retries.py
@@ -88,6 +88,13 @@
         """Return whether the budget holds ``cost`` retries."""
         return self.left >= cost
 
+    def permits_hedge(self) -> bool:
+        """Return whether a retry may be spent on a call whose attempts have not failed.
+
+        The last one is kept for calls whose attempts have, unless the budget never holds two.
+        """
+        return self.left >= min(HEDGE_COST, max(MIN_BURST, self._burst))
+
     def take(self, cost: float = 1.0) -> bool:
         """Take ``cost`` retries from the budget; return False and take none if it holds fewer."""
         if not self.permits(cost):
--- a/src/azureswitch/serving/_target.py
+++ b/src/azureswitch/serving/_target.py
@@ -84,7 +84,7 @@
         saved_until: The time until which a peer reserves its memory for a long prompt.
         silent_since: The time since which it has not answered polls, or None.
         stuck_since: The time since which requests have waited there while none runs, or None.
-        silent: Whether it is ejected because attempts of this host found it silent.
+        silences: The last consecutive failures that were silences.
         failures: Consecutive failures.
         ended_start: The start in the load reports from before a restart, or zero; further reports
             of this start or an earlier one are ignored.
@@ -107,7 +107,7 @@
     saved_until: float = 0.0
     silent_since: float | None = None
     stuck_since: float | None = None
-    silent: bool = False
+    silences: int = 0
     failures: int = 0
     ended_start: int = 0
     evacuated: bool = False
--- a/src/azureswitch/serving/calls/_admit.py
+++ b/src/azureswitch/serving/calls/_admit.py
@@ -34,7 +34,7 @@
     cost = expected_cost(state, call, pool)
     level = level_of(call, state.rules)
     record = CallRecord(
-        call=call, arrived=now, pool=pool, cost=cost, level=level, tokens=call.offset
+        call=call, arrived=now, heard_at=now, pool=pool, cost=cost, level=level, tokens=call.offset
     )
     state.calls[call.id] = record
     state.retries.admitted()
--- a/src/azureswitch/serving/calls/_records.py
+++ b/src/azureswitch/serving/calls/_records.py
@@ -34,7 +34,6 @@
         priority: Its priority; smaller runs first.
         alone: Whether its target had no other work.
         start: The start of its first target when it was sent, or zero where it is unknown.
-        heard_at: When it was sent, or its latest output arrived.
         first_token: When its first token arrived, or None.
         continued: Whether its output has continued for `ONSET_SECONDS`.
         silent: Whether its target was found silent and has sent no output since.
@@ -48,7 +47,6 @@
     cached_tokens: int
     priority: int
     alone: bool
-    heard_at: float
     start: int = 0
     first_token: float | None = None
     continued: bool = False
@@ -82,10 +80,15 @@
 
 
 class CallRecord(Struct, kw_only=True):
-    """One admitted call."""
+    """One admitted call.
+
+    Attributes:
+        heard_at: When its caller last got output, or when it arrived.
+    """
 
     call: Call
     arrived: float
+    heard_at: float
     pool: Pool
     cost: Cost
     level: Level
--- a/src/azureswitch/serving/silence/_apply.py
+++ b/src/azureswitch/serving/silence/_apply.py
@@ -42,7 +42,7 @@
 
     What was concluded from a silence of its target is taken back.
     """
-    attempt.heard_at = now
+    record.heard_at = now
     if attempt.silent:
         attempt.silent = False
         target = attempt.targets[0]
@@ -57,4 +57,4 @@
     target = attempt.targets[0]
     record.failed.add(target)
     longest = MAX_UNSHARED_EJECTION_SECONDS if record.call.unshared else MAX_EJECTION_SECONDS
-    state.fleet.fall_silent(target, now=now, longest=longest)
+    state.fleet.eject_silent(target, now=now, longest=longest)
--- a/src/azureswitch/serving/silence/_beside.py
+++ b/src/azureswitch/serving/silence/_beside.py
@@ -38,6 +38,8 @@
         return []
     if not may_follow(state, record, now=now, runs=len(running)):
         return []
+    if not state.retries.permits_hedge():
+        return []
     choice = choose_other(state, record, now=now)
     if choice is None or _comes_too_late(record, choice, now=now):
         return []
@@ -49,12 +51,14 @@
 def _comes_too_late(record: CallRecord, choice: Choice, *, now: float) -> bool:
     """Return whether the caller would probably leave before the first output of an attempt.
 
-    Nothing is known of the patience of callers whose route has no objective.
+    Nothing is known of the patience of callers whose route has no objective, nor of one that has
+    stayed for longer.
     """
     if not record.call.objective:
         return False
-    heard_at = max(attempt.heard_at for attempt in record.attempts.values())
-    return now - heard_at + choice.first_token > patience_seconds(record.call)
+    silence = now - record.heard_at
+    patience = patience_seconds(record.call)
+    return silence <= patience < silence + choice.first_token
 
 
 def retry_beside(state: ServingState, record: CallRecord, *, now: float) -> list[Effect]:
@@ -86,6 +90,6 @@
     record.failed.update(added)
     choice = choose(state, record, now=now)
     record.failed.difference_update(added)
-    if choice is None or choice.targets[0] in running:
+    if choice is None or running.intersection(choice.targets):
         return None
     return choice
--- a/tests/serving/silence/test_begun_answers.py
+++ b/tests/serving/silence/test_begun_answers.py
@@ -179,3 +179,45 @@
         assert not only(FinishCall, begun.driver.effects)
         begun.driver.tick(DEADLINE_SECONDS + 0.1)
         assert isinstance(begun.driver.error("c1"), DeadlineExceededError)
+
+
+class TestSecondAttempt:
+    """Which second attempts are started, and what is kept of silences."""
+
+    def test_late_report(self) -> None:
+        """A caller that has stayed for longer than expected gets a second attempt all the same."""
+        begun = Begun(runs=2)
+        begun.list_targets("e1")
+        begun.driver.now += 1.2
+        begun.fall_silent()
+        assert not begun.others
+        begun.list_targets("e1", *OTHERS)
+        begun.driver.now += 1.2
+        begun.fall_silent()
+        assert len(begun.others) == 1
+
+    def test_silences_in_series(self) -> None:
+        """All silences of a target are taken back at once, and count for no later failure."""
+        begun = Begun(runs=2)
+        fleet = begun.driver.state.fleet
+        name = TargetName("e1")
+        for now in (1.0, 2.1):
+            fleet.eject_silent(name, now=now, longest=4.0)
+        target = fleet.state(name)
+        assert target is not None
+        assert target.failures == 2
+        fleet.resume(name, now=3.0)
+        assert target.failures == 0
+        fleet.failed(name, now=3.0)
+        assert target.ejected_until == 4.0
+
+    def test_failed_meanwhile(self) -> None:
+        """A target that has failed for another reason stays ejected when it goes on."""
+        fleet = Begun(runs=2).driver.state.fleet
+        name = TargetName("e1")
+        fleet.eject_silent(name, now=1.0, longest=4.0)
+        fleet.failed(name, now=1.5)
+        fleet.resume(name, now=1.6)
+        target = fleet.state(name)
+        assert target is not None
+        assert not target.preferred(1.6)
