Give the silence tests of the target stand-in work that outlasts a busy machine

It takes 0.8 s now, a stream 0.2 s an event; what is checked stays. tests/standins/test_target_silence.py passed 3 of 3 times on a load of 14.

--- a/tests/standins/test_target_silence.py
+++ b/tests/standins/test_target_silence.py
@@ -22,6 +22,10 @@
 
 PLAN = TargetPlan(name="i-1", service="s", place="p", store="", work=0.01)
 STREAMS = msgspec.structs.replace(PLAN, streams=True)
+SLOW = msgspec.structs.replace(PLAN, work=0.8)
+SLOW_STREAMS = msgspec.structs.replace(STREAMS, work=0.2)
+"""Slow enough that an answer is not over before a silence on a busy machine."""
+
 STREAM = b"".join(event("r1", number) for number in range(1, event_count("r1") + 1))
 
 SECONDS = 0.4
@@ -133,9 +137,9 @@
     @pytest.mark.parametrize(
         ("plan", "path", "before", "expected"),
         [
-            pytest.param(STREAMS, "/x", 0.03, STREAM, id="stream under way"),
+            pytest.param(SLOW_STREAMS, "/x", 0.15, STREAM, id="stream under way"),
             pytest.param(STREAMS, "/x", None, STREAM, id="stream that arrives"),
-            pytest.param(PLAN, "/x", 0.005, answer_body("r1"), id="whole answer"),
+            pytest.param(SLOW, "/x", 0.05, answer_body("r1"), id="whole answer"),
             pytest.param(PLAN, "/x", None, answer_body("r1"), id="request that arrives"),
             pytest.param(PLAN, "/health", None, b"", id="health check"),
             pytest.param(PLAN, ORDER_PATH, None, b"{}", id="order"),
