--- a/bench/soak/_regressions.py
+++ b/bench/soak/_regressions.py
@@ -46,4 +46,8 @@
         plan=Plan(seed=32, faults=0, planned=0, restarts=0, foreign=2),
         cause="One entry that another program wrote left a host that started without targets.",
     ),
+    Regression(
+        plan=Plan(seed=310, engines=3, callers=24, faults=0, restarts=0, silences=4),
+        cause="A stream was given up for a silence before another attempt had gone on with it.",
+    ),
 )
