Keep an attempt whose line about a resumed target cannot be written

If `Target resumed.` could not be written, the attempt that had just gone on was taken for broken: its answer took a second run, and was broken off where none was left. It is written from the event loop now, as the callback of a silence is. tests/gateway/test_ends_late.py::TestSilenceLog: the case of this line failed before (two runs in place of one), and passes; five files of tests/gateway on silences and ends pass. The whole script was not run on it.

--- a/src/azureswitch/gateway/_silence.py
+++ b/src/azureswitch/gateway/_silence.py
@@ -66,7 +66,9 @@
         self._stop()
         if self._is_silent:
             self._is_silent = False
-            self._resumed(asyncio.get_running_loop().time() - self._begun)
+            loop = asyncio.get_running_loop()
+            # From the loop, like the other callback: what it raises must not end the block.
+            loop.call_soon(self._resumed, loop.time() - self._begun)
 
     def _stop(self) -> None:
         if self._timer is not None:
--- a/tests/gateway/test_ends_late.py
+++ b/tests/gateway/test_ends_late.py
@@ -128,3 +128,23 @@
                 assert not bed.gateway.shell.open_calls
 
         run(scenario)
+
+
+class TestSilenceLog:
+    """A line about a silence that cannot be written, once."""
+
+    @pytest.mark.parametrize("sentence", ["Target silent.", "Target resumed."])
+    def test_answer_goes_on(self, sentence: str) -> None:
+        """The answer that has begun is completed by the same attempt."""
+
+        async def scenario() -> None:
+            log = FaultyLog(sentence=sentence, fault=Fault(times=1))
+            async with serve(acts=(Act.PAUSE,), log=log, count=1) as bed:
+                bed.fleet.silence = 1.6
+                answer = await ask(bed, "/ask/")
+                assert answer is not None
+                assert answer.body == whole_stream(5)
+                assert len(bed.fleet.runs) == 1
+                await reach(lambda: not bed.gateway.shell.open_calls)
+
+        run(scenario)
