--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,10 @@
-"""One part of a prompt crashes each engine that begins to answer on it, whoever sends it.
+"""A part of a prompt that crashes engines stands behind 64 other parts.
 
-Three real hosts stand before nine engines and serve ten customers.  From 10 s on, for 30 s, one request
-a second holds a certain part; no two are alike, and they come from the ten customers in random order.
-With TROUBLE=1 that part crashes each engine that begins to write an answer on it; the engine is back
-3 s later.  BUDGET is judged: such requests that reach engines later than 3 s after the fifth crash.
+Three real hosts stand before nine engines.  All prompts come from one customer, and consist of 81 parts:
+a first one and 79 documents that all of them share, and one of their own.  From 10 s on, for 30 s, one
+request a second holds a certain part in place of the 71st document.  With TROUBLE=1 that part crashes
+each engine that begins to write an answer on it; the engine is back 3 s later.  BUDGET is judged: such
+requests that reach engines later than 3 s after the fifth crash.
 """
 
 import asyncio
@@ -22,7 +23,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "0")) or random.SystemRandom().randrange(1, 1_000_000)
 
-CUSTOMERS = [f"c{n}" for n in range(10)]
+CUSTOMERS = ["c0"]
+DOCUMENTS = [f"{0x21bd3f00 + n:08x}" for n in range(79)]
+BAD_PLACE = 70
 BAD_FROM, BAD_UNTIL, END = 10.0, 40.0, 50.0
 BAD_RATE, SOUND_RATE = 1.0, 6.0
 FIRST_PART, BAD_PART = "5c1e07a2", "91bd3f06"
@@ -47,6 +50,14 @@
 }
 
 
+def prompt(number, *, bad=False):
+    """Return the parts of a prompt of 5,000 tokens."""
+    documents = [f"{part}:60" for part in DOCUMENTS]
+    if bad:
+        documents[BAD_PLACE] = f"{BAD_PART}:60"
+    return ",".join((f"{FIRST_PART}:40", *documents, f"{number + 65536:x}:220"))
+
+
 async def main(folder):
     record = Record(os.environ.get("RECORD", HERE / "record.txt"))
     net = free_network()
@@ -99,8 +110,8 @@
             await asyncio.gather(*tasks)
 
         await asyncio.gather(
-            stream("sound", SOUND_RATE, 0.0, END, lambda n: f"{FIRST_PART}:40,{n + 4096:x}:4960", sound),
-            stream("bad", BAD_RATE, BAD_FROM, BAD_UNTIL, lambda n: f"{FIRST_PART}:40,{BAD_PART}:410,{n + 65536:x}:4550", None),
+            stream("sound", SOUND_RATE, 0.0, END, prompt, sound),
+            stream("bad", BAD_RATE, BAD_FROM, BAD_UNTIL, lambda n: prompt(100_000 + n, bad=True), None),
         )
         arrivals = sorted(at for engine in engines for at, call, _ in engine.runs if call.startswith("bad"))
         record.note(f"crashes of engines: {', '.join(f'{at - begin:.1f}' for at in sorted(crashes))}")
