--- a/review/standins/loopback.py
+++ b/review/standins/loopback.py
@@ -62,13 +62,32 @@
         self.revision = 1
         self.objects = {}
         self.history = []
+        self.era = 1
         self._changed = asyncio.Event()
         self._server = None
+        self._writers = set()
 
     async def start(self):
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
+    def copy(self):
+        """Return what a later restore goes back to."""
+        return self.revision, dict(self.objects)
+
+    def leave(self):
+        """Be away: no connection is taken, and open ones end."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def come_back(self, copy):
+        """Come back from a copy, as in a drill."""
+        self.revision, self.objects = copy[0], dict(copy[1])
+        self.history = []
+        self.era += 1
+        await self.start()
+
     def put(self, kind, name, spec):
         known = self.objects.get((kind, name))
         if known is not None and known["Spec"] == spec:
@@ -96,6 +115,7 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
@@ -104,13 +124,14 @@
                 status, answer = await self._answer(method, target, body)
                 data = json.dumps(answer).encode()
                 writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {self.era}\r\n"
                     f"Content-Length: {len(data)}\r\n\r\n".encode() + data
                 )
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, method, target, body):
@@ -149,6 +170,8 @@
 
     async def _watch(self, kind, since, wait):
         end = now() + wait
+        if since > self.revision:
+            return 410, {}
         while True:
             events = [event for at, k, event in self.history if at > since and k == kind]
             left = end - now()
