--- a/review/4/case.py
+++ b/review/4/case.py
@@ -149,8 +149,7 @@
             result = type(error).__name__
         seconds = time.monotonic() - begun
         self.seconds.append(seconds)
-        if seconds > ROUTE_SECONDS:
-            self.rig.note(f"{id} {kind}, host {host}: {result} after {seconds:.2f} s")
+        self.rig.note(f"sent {id} {kind} to host {host}: {result} after {seconds:.2f} s")
         key = f"{kind}: {result}"
         self.answers[key] = self.answers.get(key, 0) + 1
 
@@ -185,6 +184,7 @@
         return self.check()
 
     def check(self) -> bool:
+        self.rig.note_runs("engine-*.log")
         for key in sorted(self.answers):
             self.rig.note(f"{key}: {self.answers[key]}")
         longer = [seconds for seconds in self.seconds if seconds > ROUTE_SECONDS]
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -48,6 +48,15 @@
     def note(self, text: str) -> None:
         self.record.write(f"{self.now():8.3f} {text}\n")
 
+    def note_runs(self, pattern: str) -> None:
+        """Note what the engines have run, by their own output."""
+        runs = []
+        for log in self.temporary.glob(pattern):
+            runs += [json.loads(line) for line in log.read_text().splitlines() if line[:1] == "{"]
+        for run in sorted(runs, key=lambda run: run["at"]):
+            at = run["at"] - self.begun
+            self.note(f"at {at:.3f} {run['by']}: {run['what']} {run['id']} {run['path']}")
+
     @staticmethod
     def _network() -> str:
         """Return a part of the loopback range in which nothing of ours listens."""
