End what a case has started also when it is called off

A script that got SIGTERM left its hosts, store and engines running. It now ends them by their ids, and itself after 115 s.

--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -21,6 +21,8 @@
 HERE = Path(__file__).resolve().parent
 ROOT = HERE.parent.parent
 BEAT_MS = 1_200
+MOST_SECONDS = 115
+"""Seconds after which a case is called off."""
 
 
 class CannotRun(Exception):
@@ -269,9 +271,17 @@
             writer.close()
 
 
+def called_off(number: int, frame: object) -> None:
+    """End the case, and with it all processes that it started."""
+    sys.exit(2)
+
+
 def main(case, folder: Path, *, title: str) -> int:
     """Run a case: 1 where the rule was broken, 0 where it held, 2 where it could not run."""
     rig = Rig(folder, title=title)
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, called_off)
+    signal.alarm(MOST_SECONDS)
     try:
         broken = asyncio.run(case(rig))
     except CannotRun as error:
@@ -283,5 +293,7 @@
         print(f"could not run: {error!r}")
         return 2
     finally:
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGALRM):
+            signal.signal(number, signal.SIG_IGN)
         rig.end()
     return 1 if broken else 0
