Say in the log why a host ended, and that its memory or its turns were at their end

Callers saw three requests end without an answer as their host ended by itself, and no log said why. The record could not tell a kill for memory, an exception and a host that stood still apart.

--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -46,6 +46,7 @@
     PeerRefusedError,
 )
 from azureswitch.exceptions._platform import (
+    AddressUnavailableError,
     DeploymentUnreadableError,
     HostListError,
     PlatformSettingsError,
@@ -121,6 +122,7 @@
 )
 
 __all__ = [
+    "AddressUnavailableError",
     "AnswerTooLargeError",
     "AuditChainBrokenError",
     "AuditEntryInvalidError",
--- a/src/azureswitch/exceptions/_platform.py
+++ b/src/azureswitch/exceptions/_platform.py
@@ -109,3 +109,19 @@
     @property
     def message(self) -> str:
         return f"The settings {self.path!r} cannot be used: {self.detail}"
+
+
+class AddressUnavailableError(AzureswitchError):
+    """An address on which the process must listen cannot be used.
+
+    Attributes:
+        detail: Why.
+    """
+
+    code: ClassVar[str] = "address_unavailable"
+    ran: ClassVar[Ran] = Ran.NOT_RUN
+    detail: str
+
+    @property
+    def message(self) -> str:
+        return f"An address cannot be used: {self.detail}"
--- a/src/azureswitch/gateway/__init__.py
+++ b/src/azureswitch/gateway/__init__.py
@@ -1,7 +1,8 @@
 """Forwards callers' requests to targets and relays the answers unchanged."""
 
 from azureswitch.gateway._gateway import Gateway
-from azureswitch.gateway._log import PeersKnown
+from azureswitch.gateway._host_changes import HostChanges
+from azureswitch.gateway._host_log import PeersKnown
 from azureswitch.gateway._model import (
     AdvertisedLimit,
     AnswerInfo,
@@ -30,6 +31,7 @@
     "GatewaySettings",
     "Helper",
     "AdvertisedLimit",
+    "HostChanges",
     "PeersKnown",
     "Prepared",
     "Reservations",
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -15,16 +15,16 @@
 from azureswitch.gateway._evacuations import KnownEvacuations
 from azureswitch.gateway._gauges import register_gauges
 from azureswitch.gateway._handler import RequestHandler
-from azureswitch.gateway._initial import initial_state
-from azureswitch.gateway._listed import ListedTargets
-from azureswitch.gateway._log import (
-    ConfigurationAdopted,
+from azureswitch.gateway._host_log import (
     GraceOver,
     Leaving,
     ListenerClosed,
     Started,
     Stopped,
 )
+from azureswitch.gateway._initial import initial_state
+from azureswitch.gateway._listed import ListedTargets
+from azureswitch.gateway._log import ConfigurationAdopted
 from azureswitch.gateway._model import Deployment
 from azureswitch.gateway._pages import MetricsPage, PathPages, ReadinessPage, StatusPage
 from azureswitch.gateway._peers import peer_hosts
@@ -132,6 +132,7 @@
             publish=publish,
             metrics=metrics,
             log=log,
+            memory=settings.memory,
             clock=clock,
         )
         self._handler = RequestHandler(
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from azureswitch.gateway._model import Deployment
+from azureswitch.gateway._process import peak_memory
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._tickets import Tickets
 from azureswitch.inventory import Target, TargetRole
@@ -53,6 +54,11 @@
             "Parts of prompts whose requests are sent to no target, since targets crashed.",
             lambda: shell.quarantined_parts,
         ),
+        (
+            "peak_memory_bytes",
+            "The most memory that this process has used.",
+            peak_memory,
+        ),
         ("open_requests", "Requests that have not been answered.", lambda: shell.open_calls),
         ("configuration_version", "The configuration in force; zero for none.", version),
         (
--- a/src/azureswitch/gateway/_settings.py
+++ b/src/azureswitch/gateway/_settings.py
@@ -26,6 +26,7 @@
         tunnels: ``IP:PORT`` on which other hosts open tunnels to targets, with a port that is the
             same on all hosts; empty for none, and then this host opens none either.
         evacuations: Whether evacuations are read, so that a host waits for the first reading.
+        memory: The memory limit of the process, in bytes; zero where there is none.
     """
 
     host: HostName
@@ -41,3 +42,4 @@
     full_hosts: float = inf
     tunnels: str = ""
     evacuations: bool = False
+    memory: int = 0
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -7,19 +7,17 @@
 from absl import logging
 
 from azureswitch.client import HttpHead
-from azureswitch.clock import elapsed, suspended, until_step
+from azureswitch.clock import elapsed
 from azureswitch.core import CallId, CustomerName, Effect, TargetName
 from azureswitch.exceptions import AzureswitchError, DeadlineExceededError
 from azureswitch.gateway._announced import announcement
 from azureswitch.gateway._deadlines import Deadlines
 from azureswitch.gateway._failures import respond_failure
-from azureswitch.gateway._log import (
-    HostSuspended,
-    RequestCutOff,
-)
+from azureswitch.gateway._log import RequestCutOff
 from azureswitch.gateway._notices import TargetNotices
 from azureswitch.gateway._outcomes import Outcomes
 from azureswitch.gateway._ports import Dialect, Published
+from azureswitch.gateway._process import ProcessWatch
 from azureswitch.gateway._records import CallRecord
 from azureswitch.gateway._relay import Relay
 from azureswitch.gateway._tickets import Tickets
@@ -61,9 +59,6 @@
 CANCEL_TIMEOUT_SECONDS = 0.05
 """Timeout in seconds for cancelled attempts to end at shutdown; each takes one loop iteration."""
 
-MIN_SUSPENSION_SECONDS = 0.05
-"""Shortest suspension that is logged, in seconds; the two clocks are not read simultaneously."""
-
 
 class Shell:
     """Runs the serving reducer of one gateway.
@@ -77,6 +72,7 @@
         publish: Sends the reducer's messages to the peers.
         metrics: The metrics registry.
         log: Receives the log entries.
+        memory: The memory limit of the process, in bytes; zero where there is none.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -91,6 +87,7 @@
         publish: Callable[[Published], None],
         metrics: Metrics,
         log: Log,
+        memory: int = 0,
         clock: Callable[[], float] = elapsed,
     ) -> None:
         self._state = state
@@ -118,12 +115,20 @@
         self._loop = Loop(state=state, run=self._run)
         self._tasks = Tasks(prefix="gateway")
         self._deadlines = Deadlines(reached=self._deadline_reached)
-        self._lag = 0.0
+        self._watch = ProcessWatch(
+            tick=lambda: self.dispatch(Ticked(now=self.now)),
+            seconds=TICK_SECONDS,
+            memory=memory,
+            open_requests=lambda: self.open_calls,
+            metrics=metrics,
+            log=log,
+            clock=clock,
+        )
 
     @property
     def lag(self) -> float:
         """Seconds by which the last tick was late."""
-        return self._lag
+        return self._watch.lag
 
     @property
     def open_calls(self) -> int:
@@ -230,26 +235,7 @@
 
     async def run(self) -> None:
         """Dispatch periodic ticks to the reducer until cancelled."""
-        before = suspended()
-        while True:
-            pause = until_step(TICK_SECONDS)
-            due = self.now + pause
-            await asyncio.sleep(pause)
-            before = self._report_suspension(before)
-            self._lag = max(0.0, self.now - due)
-            self.dispatch(Ticked(now=self.now))
-
-    def _report_suspension(self, before: float) -> float:
-        """Log a suspension since the earlier total, and return the new total in seconds."""
-        total = suspended()
-        if total - before >= MIN_SUSPENSION_SECONDS:
-            self._log.write(
-                HostSuspended(seconds=round(total - before, 3), open_requests=self.open_calls)
-            )
-            self._metrics.count(
-                name="suspensions", help="Times that the host was found to have been suspended."
-            )
-        return total
+        await self._watch.run()
 
     def release(self, customer: CustomerName, fingerprint: str) -> bool:
         """End a quarantine for an operator and return whether it was known."""
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -12,8 +12,9 @@
 from azureswitch.coordination.membership import Member, Membership, live_hosts
 from azureswitch.coordination.mirror import CopyPeers, Mirrors
 from azureswitch.coordination.sharing import Digests, PermitExchange
-from azureswitch.core import Effect, HostName, Incarnation
-from azureswitch.gateway import Gateway, GatewaySettings, PeersKnown, neighbours_of
+from azureswitch.core import Effect, Incarnation
+from azureswitch.exceptions import AddressUnavailableError
+from azureswitch.gateway import Gateway, GatewaySettings, HostChanges, neighbours_of
 from azureswitch.logs import LineStream, Log
 from azureswitch.metrics import Metrics
 from azureswitch.peers import PeerNetwork
@@ -106,7 +107,6 @@
     def __init__(
         self, *, settings: PlatformSettings, log: Log, lines: LineStream, seed: int
     ) -> None:
-        self._log = log
         self._metrics = Metrics()
         self._metrics.watch(
             name="log_lines_dropped",
@@ -120,7 +120,7 @@
         )
         self._stores: list[HttpStore] = []
         self._store = self._connect_store(settings)
-        self._hosts: tuple[HostName, ...] = ()
+        self._changes = HostChanges(log=log)
         self._configured = asyncio.Event()
         self._gateway = Gateway(
             settings=_gateway_settings(settings),
@@ -232,9 +232,12 @@
             callers: A socket that already listens for callers, or None.
 
         Raises:
-            OSError: An address cannot be used.
+            AddressUnavailableError: An address cannot be used.
         """
-        await self._network.start()
+        try:
+            await self._network.start()
+        except OSError as error:
+            raise AddressUnavailableError(detail=str(error)) from error
         parts = {
             "configuration": self._configuration.run,
             "targets": self._targets.run,
@@ -248,7 +251,10 @@
             for name, part in parts.items()
         ]
         await self._until_configured()
-        await self._gateway.start(callers=callers)
+        try:
+            await self._gateway.start(callers=callers)
+        except OSError as error:
+            raise AddressUnavailableError(detail=str(error)) from error
         grace_start = await stop.wait()
         leaving = asyncio.create_task(self._membership.leave(), name="leave")
         # When this returns, all requests have been answered, whatever else fails to end.
@@ -325,12 +331,8 @@
 
     def _members_changed(self, members: tuple[Member, ...]) -> None:
         hosts = live_hosts(members + self._membership.expected)
-        added = sorted(set(hosts) - set(self._hosts))
-        gone = sorted(set(self._hosts) - set(hosts))
-        self._hosts = hosts
-        if added or gone:
-            changed = PeersKnown(added=",".join(added), gone=",".join(gone), hosts=len(hosts))
-            self._log.write(changed)
+        self._changes.note_hosts(hosts)
+        self._changes.note_processes(members)
         shell = self._gateway.shell
         size = self._membership.fleet_size
         fleet_size = MAX_FLEET_HOSTS if size is None else size
@@ -391,4 +393,5 @@
         full_hosts=FULL_HOSTS,
         tunnels=settings.tunnels,
         evacuations=settings.evacuations,
+        memory=settings.limits.memory,
     )
--- a/src/azureswitch/platform/_program.py
+++ b/src/azureswitch/platform/_program.py
@@ -1,6 +1,7 @@
 """The daemon ``azureswitch-edge``: a gateway on the users' platform."""
 
 import asyncio
+import faulthandler
 import gc
 import os
 import sys
@@ -15,7 +16,7 @@
 from xxhash import xxh3_64_intdigest
 
 from azureswitch.clock import ElapsedEventLoop
-from azureswitch.exceptions import PlatformSettingsError
+from azureswitch.exceptions import AddressUnavailableError, PlatformSettingsError
 from azureswitch.logs import LineStream, Log, start_logs
 from azureswitch.platform._edge import Edge
 from azureswitch.platform._settings import (
@@ -30,6 +31,8 @@
 """An address could not be bound."""
 EXIT_SETTINGS = 2
 """The settings are invalid."""
+EXIT_FAILED = 3
+"""The process ended because of an internal error."""
 
 RELOAD_SECONDS = 2.0
 """Seconds between reloads of the settings file without a signal."""
@@ -74,8 +77,11 @@
             number.  Signals may be added until the program installs its own handlers.
 
     Returns:
-        0 after a graceful stop, 1 if an address cannot be used, 2 if the settings are invalid.
+        0 after a graceful stop, 1 if an address cannot be used, 2 if the settings are invalid, 3
+        after an internal error.
     """
+    # For what ends a process without an exception.
+    faulthandler.enable()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         settings = read_settings(path)
@@ -88,9 +94,12 @@
     gc.enable()
     try:
         run_to_end(_serve(path, settings, lines, callers=callers, noted=told))
-    except OSError as error:
-        logging.error("edge: An address cannot be used: %s", error)
+    except AddressUnavailableError as error:
+        logging.error("edge: %s", error)
         return EXIT_START
+    except BaseException:
+        logging.exception("edge: The process ends because of an internal error.")
+        return EXIT_FAILED
     finally:
         lines.flush()
     return EXIT_OK
--- a/src/azureswitch/platform/_settings.py
+++ b/src/azureswitch/platform/_settings.py
@@ -15,6 +15,10 @@
 """The environment variable that holds the path of the settings file."""
 
 
+MEGABYTE = 1_048_576
+"""Bytes of the platform's megabyte."""
+
+
 class Addresses(msgspec.Struct, frozen=True, kw_only=True):
     """The addresses on which a process listens.
 
@@ -50,6 +54,21 @@
     hold_milliseconds: float = msgspec.field(name="HoldMaxMs", default=20_000.0)
 
 
+class ProcessLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """What the process may use.
+
+    Attributes:
+        memory_megabytes: Memory beyond which the platform kills it; zero where there is no limit.
+    """
+
+    memory_megabytes: float = msgspec.field(name="MemoryMb", default=0.0)
+
+    @property
+    def memory(self) -> int:
+        """The same in bytes."""
+        return int(self.memory_megabytes * MEGABYTE)
+
+
 class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
     """The address of the platform's store."""
 
@@ -67,6 +86,7 @@
         peer_ports: The first and the last port available for messages between hosts.
         addresses: The addresses on which the process listens.
         bounds: The bounds set by the users' rules.
+        limits: What the process may use.
         store: The address of the platform's store.
         contracts: The parts of the users' rules that are in force.
     """
@@ -78,6 +98,7 @@
     peer_ports: tuple[int, int] = msgspec.field(name="InternalPorts", default=(0, 0))
     addresses: Addresses = msgspec.field(name="ListenAddrs")
     bounds: Bounds = msgspec.field(name="Bounds", default_factory=Bounds)
+    limits: ProcessLimits = msgspec.field(name="Limits", default_factory=ProcessLimits)
     store: StoreSettings = msgspec.field(name="Platform")
     contracts: tuple[str, ...] = msgspec.field(name="ActiveContracts", default=())
 
--- a/tests/platform/test_end.py
+++ b/tests/platform/test_end.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from azureswitch.exceptions import AddressUnavailableError
 from azureswitch.platform import _program
 from azureswitch.platform._program import run_to_end
 from azureswitch.tasks import end_tasks
@@ -92,3 +93,36 @@
         gc.unfreeze()
     assert collecting == [True]
     assert kept[0] > len(gc.get_objects()) // 2
+
+
+@pytest.mark.parametrize(
+    ("error", "code"),
+    [
+        (AddressUnavailableError(detail="in use"), _program.EXIT_START),
+        (OSError(24, "Too many open files"), _program.EXIT_FAILED),
+        (MemoryError(), _program.EXIT_FAILED),
+        (SystemExit(0), _program.EXIT_FAILED),
+    ],
+)
+def test_last_line_says_why(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    error: BaseException,
+    code: int,
+) -> None:
+    """A process that ends by itself says why, and an address in use is told from other errors."""
+    settings = tmp_path / "edge.toml"
+    write_settings(
+        settings, name="h1", ip="127.0.0.1", zone="z1", ports=23_400, store="127.0.0.1:1"
+    )
+    monkeypatch.setenv("AZURESWITCH_SETTINGS", str(settings))
+    monkeypatch.setattr(_program, "start_logs", lambda *, host: StringIO())
+
+    def fail(work: Coroutine[object, object, None]) -> None:
+        work.close()
+        raise error
+
+    monkeypatch.setattr(_program, "run_to_end", fail)
+    assert _program.main() == code
+    assert [record for record in caplog.records if record.levelname == "ERROR"]
