End an answer of a target at a bound on its bytes, and not at the caller's deadline

Callers saw a host end by itself, and what sound targets were answering go with it. A parser hands a header over only once it is whole and nothing bounded a body, so that headers, one header, chunks, trailers or a body without end took a host to 435 to 7,820 MB within the 5 s of a deadline; a status line, informational answers or a chunk extension without end held their request until it.

A whole body ends at 16 MB. The connection is closed at the bound and the error says which one it was. A request is handed to the transport in pieces of 64 KB as the target reads it, and no longer copied whole.

--- a/src/azureswitch/client/_client.py
+++ b/src/azureswitch/client/_client.py
@@ -8,7 +8,7 @@
 from azureswitch.client._answer import Headers, HttpAnswer, HttpHead
 from azureswitch.client._connection import Connection
 from azureswitch.client._connector import Connector, DirectConnector
-from azureswitch.exceptions import HttpBrokenError, HttpNotSentError, NotSent
+from azureswitch.exceptions import Breakage, HttpBrokenError, HttpNotSentError, NotSent
 
 CONNECT_TIMEOUT = 1.0
 """Seconds that a connection may take to be made."""
@@ -19,6 +19,9 @@
 POOL_LIMIT = 64
 """Idle connections that are kept at most."""
 
+MAX_BODY_BYTES = 16_777_216
+"""Bytes of a whole answer at most; a page of the store has some 2 MB."""
+
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 """Methods that are sent again where a kept connection had closed just then."""
 
@@ -47,12 +50,21 @@
         """Return the whole body.
 
         Raises:
-            HttpBrokenError: The connection broke or the time ran out.
+            HttpBrokenError: The connection broke, the time ran out, or the body is too large.
         """
-        parts = []
-        while part := await self._connection.read():
-            parts.append(part)
-        return b"".join(parts)
+        body = bytearray()
+        while part := await self.read():
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                raise self.refuse_rest()
+        return bytes(body)
+
+    def refuse_rest(self) -> HttpBrokenError:
+        """Close the connection, as the body is too large, and return the error to raise."""
+        self._connection.abort(Breakage.BODY_TOO_LARGE)
+        return HttpBrokenError(
+            address=self._connection.address, answered=True, breakage=Breakage.BODY_TOO_LARGE
+        )
 
 
 class HttpClient:
@@ -99,7 +111,7 @@
         timeout: float,
         fresh: bool = False,
     ) -> HttpAnswer:
-        """Send a request and return its whole answer.
+        """Send a request and return its whole answer, of at most `MAX_BODY_BYTES`.
 
         Args:
             method: The HTTP method.
@@ -157,7 +169,7 @@
         self,
         *,
         method: str,
-        data: tuple[bytes, ...],
+        data: tuple[bytes, bytes],
         deadline: float,
         fresh: bool,
         permitted: Callable[[], bool] | None,
@@ -209,7 +221,7 @@
 
     def _encode(
         self, *, method: str, path: str, headers: Headers, body: bytes
-    ) -> tuple[bytes, ...]:
+    ) -> tuple[bytes, bytes]:
         lines = [f"{method} {path} HTTP/1.1"]
         if not any(name.lower() == "host" for name, _ in headers):
             lines.append(f"host: {self._address}")
@@ -217,4 +229,4 @@
         if body or method not in SAFE_METHODS:
             lines.append(f"content-length: {len(body)}")
         head = "\r\n".join((*lines, "", "")).encode("latin-1")
-        return (head, body) if body else (head,)
+        return head, body
--- a/src/azureswitch/client/_connection.py
+++ b/src/azureswitch/client/_connection.py
@@ -7,11 +7,15 @@
 
 from azureswitch.client._answer import HttpHead
 from azureswitch.client._connector import Abortable
-from azureswitch.exceptions import HttpBrokenError
+from azureswitch.client._framing import FramingMeter, pieces
+from azureswitch.exceptions import Breakage, HttpBrokenError
 
 BUFFER_LIMIT = 262_144
 """Bytes of a body that wait for their reader before reading pauses."""
 
+SEND_BYTES = 65_536
+"""Bytes of a request that are handed to the transport at once, which copies what waits there."""
+
 INFORMATIONAL = 200
 """Statuses below this one precede the real answer."""
 
@@ -29,15 +33,23 @@
         self._waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._head_only = False
+        self._unsent = memoryview(b"")
+        self._paused = False
+        self._meter = FramingMeter()
+        self._breakage = Breakage.CLOSED
         self._headers: list[tuple[str, str]] = []
         self._head: HttpHead | None = None
-        self._parts: list[bytes] = []
-        self._buffered = 0
+        self._body = bytearray()
         self._framed = True
         self._complete = False
         self._stray = False
         self._keep_alive = True
 
+    @property
+    def address(self) -> str:
+        """The ``IP:PORT`` that it leads to."""
+        return self._address
+
     @property
     def idle_since(self) -> float:
         """When the last answer ended, in seconds of the event loop."""
@@ -46,21 +58,26 @@
     @property
     def reusable(self) -> bool:
         """Whether another request can be sent."""
-        return self._complete and self._keep_alive and not self._closed and not self._parts
+        read = self._complete and not self._body
+        return read and self._keep_alive and not self._closed and not self._unsent
 
-    def send(self, *, data: tuple[bytes, ...], head_only: bool, deadline: float) -> None:
+    def send(self, *, data: tuple[bytes, bytes], head_only: bool, deadline: float) -> None:
         """Send a request.
 
         Args:
-            data: Its bytes, in parts.
+            data: The bytes of its head and of its body.
             head_only: Whether the answer has no body whatever its headers say.
             deadline: When the whole answer must have arrived, in seconds of the event loop.
         """
         self._reset()
         self._head_only = head_only
-        self._timer = self._loop.call_at(deadline, self.abort)
+        self._timer = self._loop.call_at(deadline, self.abort, Breakage.TIMED_OUT)
         assert self._transport is not None
-        self._transport.writelines(data)
+        head, body = data
+        # With the head, what fits is one packet.
+        self._unsent = memoryview(body)[SEND_BYTES:]
+        self._transport.write(head + body[:SEND_BYTES])
+        self._send_on()
 
     async def head(self) -> HttpHead:
         """Wait for the head of the answer.
@@ -78,15 +95,14 @@
         Raises:
             HttpBrokenError: The connection broke or the time ran out.
         """
-        while not self._parts:
+        while not self._body:
             if self._complete:
                 return b""
             await self._wait()
-        data = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
-        self._parts.clear()
-        if self._buffered > BUFFER_LIMIT and self._transport is not None:
+        data = bytes(self._body)
+        self._body.clear()
+        if len(data) > BUFFER_LIMIT and self._transport is not None:
             self._transport.resume_reading()
-        self._buffered = 0
         return data
 
     def finish(self) -> None:
@@ -96,10 +112,13 @@
             self._timer = None
         self._idle_since = self._loop.time()
 
-    def abort(self) -> None:
-        """Close the connection at once."""
+    def abort(self, breakage: Breakage = Breakage.CLOSED) -> None:
+        """Close the connection at once; an answer that is not whole is broken off."""
         self.finish()
+        if not self._closed:
+            self._breakage = breakage
         self._closed = True
+        self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
         self._wake()
@@ -112,18 +131,25 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
-        if self._complete:
-            self.abort()
-            return
-        try:
-            self._parser.feed_data(data)
-        except HttpParserError:
-            self.abort()
-            return
-        if self._buffered > BUFFER_LIMIT and self._transport is not None:
+        for piece in pieces(data):
+            if self._complete:
+                self.abort()
+            if self._closed:
+                return
+            self._parse(piece)
+        if len(self._body) > BUFFER_LIMIT and self._transport is not None:
             self._transport.pause_reading()
         self._wake()
 
+    def pause_writing(self) -> None:
+        """Hold back the rest of the request, as the server does not read."""
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        """Send on."""
+        self._paused = False
+        self._send_on()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End an answer that ends with its connection, and break any other."""
         # A connection closed from this side, such as at the deadline, ends no answer.
@@ -165,8 +191,8 @@
         """Keep a part of the body."""
         if self._stray:
             return
-        self._parts.append(data)
-        self._buffered += len(data)
+        self._body += data
+        self._meter.add_body(len(data))
 
     def on_message_complete(self) -> None:
         """End the answer."""
@@ -174,17 +200,37 @@
             self._complete = True
 
     def _reset(self) -> None:
+        self._meter.reset()
         self._headers.clear()
         self._head = None
-        self._buffered = 0
         self._framed = True
         self._complete = False
         self._stray = False
         self._keep_alive = True
 
+    def _parse(self, piece: bytes) -> None:
+        self._meter.add(len(piece))
+        try:
+            self._parser.feed_data(piece)
+        except HttpParserError:
+            self.abort(Breakage.NOT_HTTP)
+            return
+        if self._meter.exceeded:
+            self.abort(Breakage.FRAMING_TOO_LARGE)
+
+    def _send_on(self) -> None:
+        """Hand on as much of the request as the server reads."""
+        while self._unsent and not self._paused and self._transport is not None:
+            piece, self._unsent = self._unsent[:SEND_BYTES], self._unsent[SEND_BYTES:]
+            self._transport.write(piece)
+
     async def _wait(self) -> None:
         if self._closed:
-            raise HttpBrokenError(address=self._address, answered=self._head is not None)
+            raise HttpBrokenError(
+                address=self._address,
+                answered=self._head is not None,
+                breakage=self._breakage,
+            )
         self._waiter = self._loop.create_future()
         try:
             await self._waiter
--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -31,7 +31,13 @@
     UnknownCustomerError,
 )
 from azureswitch.exceptions._coordination import LeaseLostError
-from azureswitch.exceptions._http import HttpBrokenError, HttpError, HttpNotSentError, NotSent
+from azureswitch.exceptions._http import (
+    Breakage,
+    HttpBrokenError,
+    HttpError,
+    HttpNotSentError,
+    NotSent,
+)
 from azureswitch.exceptions._paths import (
     NoPathError,
     PathLostError,
@@ -129,6 +135,7 @@
     "AuditError",
     "AzureswitchError",
     "BodyTooLargeError",
+    "Breakage",
     "CallerLeftError",
     "CallerTooSlowError",
     "ChangeError",
--- a/src/azureswitch/exceptions/_http.py
+++ b/src/azureswitch/exceptions/_http.py
@@ -17,6 +17,16 @@
     OTHER = "other"
 
 
+class Breakage(Enum):
+    """Why an answer did not arrive whole; the values are those of the log."""
+
+    CLOSED = "closed"
+    TIMED_OUT = "timed_out"
+    NOT_HTTP = "not_http"
+    FRAMING_TOO_LARGE = "framing_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+
+
 class HttpError(AzureswitchError):
     """An HTTP exchange failed below the level of its status.
 
@@ -49,7 +59,9 @@
 
     Attributes:
         answered: Whether the head of the answer had arrived.
+        breakage: Why it did not arrive whole.
     """
 
     code: ClassVar[str] = "http_broken"
     answered: bool = False
+    breakage: Breakage = Breakage.CLOSED
