Count the memory that requests and answers hold, and refuse new work before it runs out

One budget a host, half of its memory limit (settings: Limits.MemoryMb): a request counts from its head to the end of its answer, an answer while it is kept, and what a caller does not read. Beyond 0.6 of the budget large new requests are refused at once (503, memory_short, not run), beyond 0.8 small ones. Where an answer finds no room it is passed on as it arrives; its call is then bound to that attempt. What goes on of a refused request is passed over for 2 s and one body, so that its caller reads the refusal and is not reset. Headers behind a body in chunks are no headers of the request any more. A head, a trailer or a chunk extension of a caller ends at 64 KB and its limit, as it arrives; a body too large by its length is refused at its head.

--- a/bench/soak/_documents.py
+++ b/bench/soak/_documents.py
@@ -129,6 +129,29 @@
     return {**fields, **more}
 
 
+def target_entry(*, service: str, address: str, place: str, **more: object) -> bytes:
+    """Return the store's entry of a target, with all fields that the platform requires.
+
+    Args:
+        service: Its service.
+        address: ``IP:PORT`` of its HTTP interface.
+        place: Its failure domain.
+        more: Further fields, or other values of those.
+    """
+    fields: dict[str, object] = {
+        "Service": service,
+        "Address": address,
+        "Zone": place,
+        "Version": "1",
+        "Slots": 8,
+        "State": "in_service",
+        "ColdLeftMs": 0,
+        "Sequence": 0,
+        **more,
+    }
+    return msgspec.json.encode(fields)
+
+
 def write_settings(
     path: Path,
     *,
--- a/src/azureswitch/exceptions/_refusals.py
+++ b/src/azureswitch/exceptions/_refusals.py
@@ -114,6 +114,16 @@
         return "This host is shutting down; send the request again."
 
 
+class MemoryShortError(RefusedError):
+    """This host has no memory for another request."""
+
+    code: ClassVar[str] = "memory_short"
+
+    @property
+    def message(self) -> str:
+        return f"This host has no memory for this request; try again in {self.seconds:.1f} s."
+
+
 class NotConfiguredError(RefusedError):
     """This host has no configuration that it may serve by yet."""
 
--- a/src/azureswitch/gateway/_answers.py
+++ b/src/azureswitch/gateway/_answers.py
@@ -5,9 +5,11 @@
 
 from msgspec import Struct
 
-from azureswitch.client import HttpAnswer, HttpExchange, HttpHead
+from azureswitch.buffers import ANSWER_SHARE, BufferBudget
+from azureswitch.client import MAX_BODY_BYTES, HttpAnswer, HttpExchange, HttpHead
 from azureswitch.core import TargetName
 from azureswitch.exceptions import (
+    Breakage,
     NotSent,
     TargetAnswerError,
     TargetBrokenError,
@@ -19,6 +21,9 @@
 from azureswitch.gateway._silence import SilenceTimer
 from azureswitch.serving import AttemptEnd, FirstTokenArrived, ServingEvent, StartAttempt
 
+MAX_FALLBACK_BYTES = 65_536
+"""Bytes of a target's failure up to which it is kept while another attempt runs."""
+
 
 class AttemptResult(Struct, frozen=True, kw_only=True):
     """The result of an attempt.
@@ -30,6 +35,7 @@
         at_fault: The target known to have failed, if it is not the first one.
         status: The status of the target's answer; zero for none.
         not_sent: Why it was not sent, or None if it was.
+        breakage: Why its answer did not arrive whole, or None if it did.
     """
 
     how: AttemptEnd
@@ -38,6 +44,7 @@
     at_fault: TargetName | None = None
     status: int = 0
     not_sent: NotSent | None = None
+    breakage: Breakage | None = None
 
 
 class AnswerRelay:
@@ -46,6 +53,7 @@
     Args:
         dialect: Encodes the headers sent to callers.
         dispatch: Dispatches an event to the reducer.
+        budget: Counts the memory of answers.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -54,10 +62,12 @@
         *,
         dialect: Dialect,
         dispatch: Callable[[ServingEvent], None],
+        budget: BufferBudget,
         clock: Callable[[], float],
     ) -> None:
         self._dialect = dialect
         self._dispatch = dispatch
+        self._budget = budget
         self._clock = clock
 
     async def relay_whole(
@@ -67,25 +77,79 @@
         answer: HttpExchange,
         timer: SilenceTimer,
     ) -> AttemptResult:
-        """Buffer the complete answer, then relay it.
+        """Keep the answer until it is complete, then relay it.
+
+        Where there is no memory for that, it is relayed as it arrives.
 
         Args:
             record: The request.
             effect: The attempt.
             answer: The target's answer.
             timer: Is stopped once the answer is complete.
+
+        Raises:
+            HttpBrokenError: The connection broke, or the body is too large.
+            TargetAnswerError: A failure that there is no memory for.
         """
-        whole = HttpAnswer(head=answer.head, body=await answer.body())
+        body = bytearray()
+        lease = self._budget.lease()
+        try:
+            while part := await answer.read():
+                body += part
+                if len(body) > MAX_BODY_BYTES:
+                    raise answer.refuse_rest()
+                if not lease.try_grow(len(part), share=ANSWER_SHARE):
+                    lease.release()
+                    return await self._relay_long(record, effect, answer, body, timer)
+        finally:
+            lease.release()
+        whole = HttpAnswer(head=answer.head, body=bytes(body))
         timer.suspend()
-        failed = whole.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        if failed and record.call.repeatable:
-            record.fallback = whole
+        if _may_be_replaced(record, whole.head):
+            record.fallback = whole if len(body) <= MAX_FALLBACK_BYTES else None
             error = TargetAnswerError(target=effect.targets[0])
             return AttemptResult(how=AttemptEnd.BROKEN, error=error, status=whole.head.status)
         self._record_event(record, effect)
         self.respond(record, whole)
         return AttemptResult(how=AttemptEnd.COMPLETE, status=whole.head.status)
 
+    async def _relay_long(
+        self,
+        record: CallRecord,
+        effect: StartAttempt,
+        answer: HttpExchange,
+        begun: bytearray,
+        timer: SilenceTimer,
+    ) -> AttemptResult:
+        """Relay an answer, of which ``begun`` has arrived, as it arrives.
+
+        The caller has a part of it then, so that no other attempt may replace it.
+        """
+        head = answer.head
+        if _may_be_replaced(record, head):
+            raise TargetAnswerError(target=effect.targets[0])
+        if record.exchange.started:
+            # Another attempt was faster, and is the one that goes on.
+            return AttemptResult(how=AttemptEnd.CANCELLED, status=head.status)
+        record.exchange.begin(status=head.status, headers=self._dialect.answer(head))
+        self._record_event(record, effect, binding=True)
+        size = len(begun)
+        record.exchange.write(bytes(begun))
+        begun.clear()
+        while True:
+            timer.suspend()
+            await record.exchange.drain()
+            timer.begin(effect.output_gap_timeout)
+            part = await answer.read()
+            if not part:
+                break
+            size += len(part)
+            if size > MAX_BODY_BYTES:
+                raise answer.refuse_rest()
+            record.exchange.write(part)
+        record.exchange.finish()
+        return AttemptResult(how=AttemptEnd.COMPLETE, status=head.status)
+
     def respond(self, record: CallRecord, whole: HttpAnswer) -> None:
         """Send a target's complete answer to the caller."""
         record.exchange.respond(
@@ -153,11 +217,20 @@
         record.last_event = last_event
         self._record_event(record, effect)
 
-    def _record_event(self, record: CallRecord, effect: StartAttempt) -> None:
+    def _record_event(
+        self, record: CallRecord, effect: StartAttempt, *, binding: bool = False
+    ) -> None:
         now = self._clock()
         if record.first_event is None:
             record.first_event = now
         else:
             record.longest_pause = max(record.longest_pause, now - record.newest_event)
         record.newest_event = now
-        self._dispatch(FirstTokenArrived(now=now, call=effect.call, attempt=effect.attempt))
+        self._dispatch(
+            FirstTokenArrived(now=now, call=effect.call, attempt=effect.attempt, binding=binding)
+        )
+
+
+def _may_be_replaced(record: CallRecord, head: HttpHead) -> bool:
+    """Return whether an answer is a failure that another attempt may replace."""
+    return head.status >= HTTPStatus.INTERNAL_SERVER_ERROR and record.call.repeatable
--- a/src/azureswitch/gateway/_attempt_log.py
+++ b/src/azureswitch/gateway/_attempt_log.py
@@ -1,4 +1,4 @@
-"""Logs the attempts of requests."""
+"""Logs the attempts of requests, and counts their answers that broke."""
 
 from collections.abc import Callable
 
@@ -6,18 +6,21 @@
 from azureswitch.gateway._log import AttemptOver, AttemptSent, TargetResumed, TargetSilent
 from azureswitch.gateway._records import CallRecord
 from azureswitch.logs import Log
+from azureswitch.metrics import Metrics
 from azureswitch.serving import StartAttempt
 
 
 class AttemptLog:
-    """Logs the attempts of requests.
+    """Logs the attempts of requests, and counts their answers that broke.
 
     Args:
+        metrics: Counts answers that broke.
         log: Receives the log entries.
         clock: Returns seconds of the monotonic clock.
     """
 
-    def __init__(self, *, log: Log, clock: Callable[[], float]) -> None:
+    def __init__(self, *, metrics: Metrics, log: Log, clock: Callable[[], float]) -> None:
+        self._metrics = metrics
         self._log = log
         self._clock = clock
 
@@ -64,7 +67,7 @@
     def over(
         self, record: CallRecord, effect: StartAttempt, end: AttemptResult, *, via: str
     ) -> None:
-        """Log that an attempt ended.
+        """Log that an attempt ended, and count why its answer broke.
 
         Args:
             record: The request.
@@ -72,6 +75,13 @@
             end: How it ended.
             via: The host through whose tunnel it was sent; empty for a direct connection.
         """
+        broke = "" if end.breakage is None else end.breakage.value
+        if broke:
+            self._metrics.count(
+                name="answers_broken",
+                help="Answers of targets that did not arrive whole, by reason.",
+                reason=broke,
+            )
         self._log.write(
             AttemptOver(
                 id=record.arrival.id,
@@ -81,6 +91,7 @@
                 status=end.status,
                 at_fault=end.at_fault or "",
                 begun=effect.attempt in record.begun,
+                broke=broke,
                 not_sent="" if end.not_sent is None else end.not_sent.value,
                 via=via,
                 seconds=self._seconds(record, effect),
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from azureswitch.buffers import budget_of
 from azureswitch.client import HttpHead
 from azureswitch.clock import elapsed
 from azureswitch.coordination.membership import Member
@@ -26,11 +27,10 @@
 from azureswitch.gateway._listed import ListedTargets
 from azureswitch.gateway._log import ConfigurationAdopted
 from azureswitch.gateway._model import Deployment
-from azureswitch.gateway._pages import MetricsPage, PathPages, ReadinessPage, StatusPage
+from azureswitch.gateway._page_servers import operator_server, readiness_server
 from azureswitch.gateway._peers import peer_hosts
 from azureswitch.gateway._ports import Dialect, Published, Reservations
 from azureswitch.gateway._prepared import Prepared, prepare
-from azureswitch.gateway._release import ReleasePage
 from azureswitch.gateway._reports import host_status
 from azureswitch.gateway._settings import GatewaySettings
 from azureswitch.gateway._shell import Shell
@@ -60,11 +60,9 @@
 from azureswitch.server import HttpServer
 from azureswitch.serving import SnapshotAdopted
 from azureswitch.slices import finish
-from azureswitch.status import RELEASE_PATH, STATUS_PATH, ForeignCollection, HostStatus
+from azureswitch.status import ForeignCollection, HostStatus
 from azureswitch.tasks import keep_running
 
-METRICS_PATH = "/metrics"
-
 RELEASE_SECONDS = 0.05
 """Timeout in seconds for releasing reserved engine memory before the process exits."""
 
@@ -111,6 +109,7 @@
         self._neighbours = neighbours
         self._members = members
         self._foreign = foreign
+        budget = budget_of(settings.memory)
         self._tickets = Tickets(reservations=reservations, started=self._started)
         self._listed = ListedTargets(takes_work=lambda name: self._shell.takes_work(name), log=log)
         self._paths = Paths(
@@ -133,21 +132,23 @@
             metrics=metrics,
             log=log,
             memory=settings.memory,
+            budget=budget,
             clock=clock,
         )
         self._handler = RequestHandler(
             shell=self._shell, dialect=dialect, log=log, metrics=metrics, random=Random(seed)
         )
-        self._callers = HttpServer(handler=self._handler, closed=self._handler.closed)
-        self._platform = HttpServer(
-            handler=ReadinessPage(ready=lambda: self.ready, dialect=dialect)
+        self._callers = HttpServer(
+            handler=self._handler, closed=self._handler.closed, budget=budget
+        )
+        self._platform = readiness_server(ready=lambda: self.ready, dialect=dialect)
+        self._pages = operator_server(
+            metrics=metrics,
+            status=lambda: self.status,
+            release=self._shell.release,
+            log=log,
+            dialect=dialect,
         )
-        pages = {
-            METRICS_PATH: MetricsPage(metrics=metrics, dialect=dialect),
-            STATUS_PATH: StatusPage(status=lambda: self.status, dialect=dialect),
-            RELEASE_PATH: ReleasePage(release=self._shell.release, log=log, dialect=dialect),
-        }
-        self._pages = HttpServer(handler=PathPages(pages=pages, dialect=dialect))
         self._customers: tuple[Customer, ...] = ()
         register_gauges(
             metrics,
@@ -155,6 +156,7 @@
             tickets=self._tickets,
             log=log,
             paths=self._paths,
+            budget=budget,
             targets=lambda: self._listed.by_name.values(),
             deployment=lambda: self._handler.deployment,
         )
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from azureswitch.buffers import BufferBudget
 from azureswitch.gateway._model import Deployment
 from azureswitch.gateway._process import peak_memory
 from azureswitch.gateway._shell import Shell
@@ -21,6 +22,7 @@
     tickets: Tickets,
     log: Log,
     paths: Paths,
+    budget: BufferBudget,
     targets: Callable[[], Iterable[Target]],
     deployment: Callable[[], Deployment | None],
 ) -> None:
@@ -32,6 +34,7 @@
         tickets: Reserves memory on engines.
         log: Receives the log entries.
         paths: Connects to the targets.
+        budget: Counts the memory of requests and answers.
         targets: Returns the listed targets.
         deployment: Returns the configuration in force, or None before the first.
     """
@@ -59,6 +62,11 @@
             "The most memory that this process has used.",
             peak_memory,
         ),
+        (
+            "buffered_bytes",
+            "Bytes held for requests, answers, and callers who do not read.",
+            lambda: budget.used,
+        ),
         ("open_requests", "Requests that have not been answered.", lambda: shell.open_calls),
         ("configuration_version", "The configuration in force; zero for none.", version),
         (
--- a/src/azureswitch/gateway/_log.py
+++ b/src/azureswitch/gateway/_log.py
@@ -175,6 +175,8 @@
         status: The status of the target's answer; zero for none.
         at_fault: The target known to have failed, if it is not the first one.
         begun: Whether the target had begun to answer.
+        broke: Why its answer did not arrive whole, by `azureswitch.exceptions.Breakage`; empty if
+            it did.
         via: The host through whose tunnel it was sent; empty for a direct connection.
         not_sent: Why it was not sent, by `azureswitch.exceptions.NotSent`; empty if it was.
         seconds: How long it took.
@@ -188,6 +190,7 @@
     status: int
     at_fault: str
     begun: bool
+    broke: str
     not_sent: str
     via: str
     seconds: float
--- a/src/azureswitch/gateway/_pages.py
+++ b/src/azureswitch/gateway/_pages.py
@@ -13,6 +13,9 @@
 from azureswitch.server import CallerLimits, Exchange
 from azureswitch.status import HostStatus
 
+PAGE_LIMITS = CallerLimits(body_bytes=65_536)
+"""What a connection to a page may ask; orders of operators are short."""
+
 
 class Page(ABC):
     """Base of the pages.
@@ -27,7 +30,7 @@
     @property
     def limits(self) -> CallerLimits:
         """The limits on connections."""
-        return CallerLimits()
+        return PAGE_LIMITS
 
     @property
     def closing(self) -> bool:
--- a/src/azureswitch/gateway/_relay.py
+++ b/src/azureswitch/gateway/_relay.py
@@ -8,9 +8,11 @@
 
 from absl import logging
 
+from azureswitch.buffers import BufferBudget
 from azureswitch.client import HttpAnswer, HttpClient, HttpExchange
 from azureswitch.core import PlaceName, TargetName
 from azureswitch.exceptions import (
+    Breakage,
     HttpBrokenError,
     HttpNotSentError,
     NoPathError,
@@ -32,6 +34,7 @@
 from azureswitch.gateway._tickets import Ticket, Tickets
 from azureswitch.inventory import Target
 from azureswitch.logs import Log
+from azureswitch.metrics import Metrics
 from azureswitch.paths import Dial, Paths, Verdict
 from azureswitch.serving import (
     AttemptEnd,
@@ -51,6 +54,9 @@
 ANSWER_GRACE_SECONDS = 0.3
 """Seconds after the deadline at which the connection times out; the reducer acts earlier."""
 
+_TOO_LARGE = frozenset((Breakage.FRAMING_TOO_LARGE, Breakage.BODY_TOO_LARGE))
+"""Answers without end, which neither a lost path nor a crash of the target brings about."""
+
 
 class Relay:
     """Runs attempts: sends a request to a target and relays its answer to the caller.
@@ -63,6 +69,8 @@
         notices: Processes the target state reported in answers.
         evacuated: Returns whether a failure domain is evacuated.
         dispatch: Dispatches an event to the reducer.
+        budget: Counts the memory of answers.
+        metrics: Counts answers that broke.
         log: Receives the log entries.
         clock: Returns seconds of the monotonic clock.
     """
@@ -77,6 +85,8 @@
         notices: TargetNotices,
         evacuated: Callable[[PlaceName], bool],
         dispatch: Callable[[ServingEvent], None],
+        budget: BufferBudget,
+        metrics: Metrics,
         log: Log,
         clock: Callable[[], float],
     ) -> None:
@@ -87,10 +97,10 @@
         self._notices = notices
         self._evacuated = evacuated
         self._dispatch = dispatch
-        self._log = AttemptLog(log=log, clock=clock)
+        self._log = AttemptLog(metrics=metrics, log=log, clock=clock)
         self._clock = clock
         self._checks = Tasks(prefix="relay")
-        self._answers = AnswerRelay(dialect=dialect, dispatch=dispatch, clock=clock)
+        self._answers = AnswerRelay(dialect=dialect, dispatch=dispatch, budget=budget, clock=clock)
 
     def respond(self, record: CallRecord, whole: HttpAnswer) -> None:
         """Send a target's complete answer to the caller."""
@@ -134,19 +144,30 @@
         except HttpNotSentError as not_sent:
             refused = TargetRefusedError(target=name)
             return AttemptResult(how=AttemptEnd.REFUSED, error=refused, not_sent=not_sent.reason)
-        except (HttpBrokenError, TargetBrokenError):
-            return AttemptResult(
-                how=AttemptEnd.BROKEN, error=await self._broken(record, name, dial)
-            )
+        except HttpBrokenError as broken:
+            return await self._broken(record, name, dial, broken.breakage)
+        except TargetBrokenError:
+            return await self._broken(record, name, dial, Breakage.CLOSED)
         except TargetAnswerError as answer_error:
             return AttemptResult(how=AttemptEnd.BROKEN, error=answer_error)
 
-    async def _broken(self, record: CallRecord, target: TargetName, dial: Dial) -> TargetError:
-        """Return the error of a broken connection: that of its path, or that of the target."""
-        dial.unanswered()
-        if await dial.check() is Verdict.LOST:
-            return PathLostError(target=target)
-        return TargetBrokenError(target=target, tokens=record.last_event)
+    async def _broken(
+        self, record: CallRecord, target: TargetName, dial: Dial, breakage: Breakage
+    ) -> AttemptResult:
+        """Return the result of an answer that broke, by whom it was: the target or its path."""
+        error: TargetError
+        if breakage in _TOO_LARGE:
+            dial.answered()
+            error = TargetAnswerError(target=target)
+        else:
+            dial.unanswered()
+            lost = await dial.check() is Verdict.LOST
+            error = (
+                PathLostError(target=target)
+                if lost
+                else TargetBrokenError(target=target, tokens=record.last_event)
+            )
+        return AttemptResult(how=AttemptEnd.BROKEN, error=error, breakage=breakage)
 
     def _end(
         self, record: CallRecord, effect: StartAttempt, end: AttemptResult, dial: Dial
--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from azureswitch.buffers import BufferBudget
 from azureswitch.client import HttpHead
 from azureswitch.clock import elapsed
 from azureswitch.core import CallId, CustomerName, Effect, TargetName
@@ -73,6 +74,7 @@
         metrics: The metrics registry.
         log: Receives the log entries.
         memory: The memory limit of the process, in bytes; zero where there is none.
+        budget: Counts the memory of answers.
         clock: Returns seconds of the monotonic clock.
     """
 
@@ -88,6 +90,7 @@
         metrics: Metrics,
         log: Log,
         memory: int = 0,
+        budget: BufferBudget | None = None,
         clock: Callable[[], float] = elapsed,
     ) -> None:
         self._state = state
@@ -107,6 +110,8 @@
             notices=self._notices,
             evacuated=state.evacuations.holds,
             dispatch=self.dispatch,
+            budget=budget or BufferBudget(),
+            metrics=metrics,
             log=log,
             clock=clock,
         )
--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from azureswitch.buffers import BufferBudget
 from azureswitch.exceptions import CallerTooSlowError
 from azureswitch.server._exchange import Exchange, Handler
 from azureswitch.server._handover import Handover
@@ -23,6 +24,9 @@
 UNREAD_LEAST = 5.0
 """Seconds for which a caller may read nothing, at least, as several packets in a row may drop."""
 
+LINGER_SECONDS = 2.0
+"""Seconds for which a refused caller may go on sending; it reads the refusal meanwhile."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -32,6 +36,7 @@
     Args:
         handler: Takes the requests.
         connections: The open connections, which this one adds itself to.
+        budget: Counts the memory of requests, and of answers that the caller does not read.
         closed: Is told once it has ended.
     """
 
@@ -40,6 +45,7 @@
         *,
         handler: Handler,
         connections: set["ServerConnection"],
+        budget: BufferBudget,
         closed: Callable[[ConnectionClosed], None],
     ) -> None:
         self._handler = handler
@@ -48,7 +54,8 @@
         self._closed = closed
         self._reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
-        self._reader = RequestReader(limits=lambda: handler.limits)
+        self._reader = RequestReader(limits=lambda: handler.limits, budget=budget)
+        self._unread_answers = budget.lease()
         self._transport: asyncio.Transport | None = None
         self._timer = Timer(loop=self._loop)
         self._current: Exchange | None = None
@@ -58,6 +65,7 @@
         self._reading_since = self._loop.time()
         self._idleness = Idleness(limits=lambda: handler.limits, clock=self._loop.time)
         self._unsent_before = 0
+        self._passed_over = 0
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -94,6 +102,8 @@
         """Send bytes."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            if not self._writable.is_set():
+                self._unread_answers.resize(self._unsent)
 
     async def drain(self) -> None:
         """Wait until the caller has read enough."""
@@ -126,8 +136,12 @@
         if keep_alive:
             self._advance()
             return
-        refused = self._reader.refusal is not None
-        self.close(CloseReason.REFUSED if refused else CloseReason.ANSWERED)
+        if self._reader.cut_short:
+            self._linger()
+        elif self._reader.refusal is not None:
+            self.close(CloseReason.REFUSED)
+        else:
+            self.close(CloseReason.ANSWERED)
 
     # asyncio calls these.
 
@@ -140,10 +154,16 @@
     def data_received(self, data: bytes) -> None:
         """Read what arrived, and begin with what is whole."""
         if self._reason is not None:
+            self._pass_over(len(data))
             return
         begun = self._reader.begun
-        for request, keep_alive in self._reader.feed(data):
-            exchange = Exchange(request=request, connection=self, keep_alive=keep_alive)
+        for read in self._reader.feed(data):
+            exchange = Exchange(
+                request=read.request,
+                connection=self,
+                keep_alive=read.keep_alive,
+                lease=read.lease,
+            )
             self._waiting.append(exchange)
         if self.idle and not self._reader.ended:
             # Blank lines between requests do not make a connection any less idle.
@@ -157,7 +177,8 @@
         self._reason = self._reason or CloseReason.CALLER
         self._timer.stop()
         self._connections.discard(self)
-        self._writable.set()
+        self._reader.close()
+        self.resume_writing()
         current, waiting = self._current, tuple(self._waiting)
         self._waiting.clear()
         closed = ConnectionClosed(
@@ -177,6 +198,7 @@
     def resume_writing(self) -> None:
         """Send on."""
         self._writable.set()
+        self._unread_answers.release()
 
     def _advance(self) -> None:
         """Answer what was read, in order, until one of the answers takes its time.
@@ -269,6 +291,26 @@
         else:
             self._give_up()
 
+    def _linger(self) -> None:
+        """End a refusal, and pass over what its caller still sends, so that it reads the answer.
+
+        A connection that is closed with unread bytes is reset, and the answer may go with it.
+        """
+        self._reason = self._reason or CloseReason.REFUSED
+        if self._transport is None or not self._transport.can_write_eof():
+            self.close(CloseReason.REFUSED)
+            return
+        self._transport.write_eof()
+        if self._held:
+            self._transport.resume_reading()
+        self._timer.set(LINGER_SECONDS, lambda: self.abort(CloseReason.REFUSED))
+
+    def _pass_over(self, size: int) -> None:
+        """Count bytes that are not read any more, of which a body's worth may come."""
+        self._passed_over += size
+        if self._passed_over > self._handler.limits.body_bytes:
+            self.abort(CloseReason.REFUSED)
+
     def _watch_unsent(self) -> None:
         """Wait for the caller to read what was sent before the close, while it goes on with it.
 
--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from azureswitch.buffers import BufferLease
 from azureswitch.client import Headers
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.server._model import CallerLimits, CloseReason, HttpRequest
@@ -11,6 +12,9 @@
 NO_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 """Statuses whose answers have no body."""
 
+JOINED_BYTES = 65_536
+"""Bytes of a body up to which it is written together with its head, in one call."""
+
 
 class Channel(Protocol):
     """The connection that an exchange writes to."""
@@ -42,12 +46,21 @@
         request: The request.
         connection: The connection that it came on.
         keep_alive: Whether the caller may send a further request on it.
+        lease: What the request holds of the budget; released once nothing more can be sent.
     """
 
-    def __init__(self, *, request: HttpRequest, connection: Channel, keep_alive: bool) -> None:
+    def __init__(
+        self,
+        *,
+        request: HttpRequest,
+        connection: Channel,
+        keep_alive: bool,
+        lease: BufferLease | None = None,
+    ) -> None:
         self._request = request
         self._connection = connection
         self._keep_alive = keep_alive
+        self._lease = lease
         self._started = False
         self._bare = False
         self._over = False
@@ -78,7 +91,13 @@
             return
         length: Headers = (("content-length", str(len(body))),) if _has_body(status) else ()
         head = self._head(status=status, headers=(*headers, *length))
-        self._connection.write(head if self._is_bare(status) else head + body)
+        if self._is_bare(status):
+            body = b""
+        if len(body) <= JOINED_BYTES:
+            self._connection.write(head + body)
+        else:
+            self._connection.write(head)
+            self._connection.write(body)
         self._end()
 
     def begin(self, *, status: int, headers: Headers) -> None:
@@ -104,7 +123,7 @@
     def abort(self, reason: CloseReason = CloseReason.BROKEN_OFF) -> None:
         """Close the connection so that what was sent does not look complete."""
         if not self._over:
-            self._over = True
+            self._set_over()
             self._connection.abort(reason)
 
     async def drain(self) -> None:
@@ -115,7 +134,7 @@
         """Note that the caller is gone."""
         if self._over:
             return
-        self._over = True
+        self._set_over()
         if self._left is not None:
             self._left()
 
@@ -142,8 +161,13 @@
         self._started = True
         return head
 
-    def _end(self) -> None:
+    def _set_over(self) -> None:
         self._over = True
+        if self._lease is not None:
+            self._lease.release()
+
+    def _end(self) -> None:
+        self._set_over()
         self._connection.answered(keep_alive=self._keep_alive)
 
 
--- a/src/azureswitch/server/_model.py
+++ b/src/azureswitch/server/_model.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from azureswitch.buffers import BufferLease
 from azureswitch.client import Headers
 
 
@@ -43,6 +44,20 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
+class ReadRequest(Struct, frozen=True, kw_only=True):
+    """A whole request as it is handed on.
+
+    Attributes:
+        request: The request.
+        keep_alive: Whether its caller may send a further one.
+        lease: What it holds of the budget, until its answer is over.
+    """
+
+    request: HttpRequest
+    keep_alive: bool
+    lease: BufferLease
+
+
 class CloseReason(Enum):
     """Why a connection of a caller ended."""
 
--- a/src/azureswitch/server/_reader.py
+++ b/src/azureswitch/server/_reader.py
@@ -11,17 +11,23 @@
     HttpRequestParser,
 )
 
+from azureswitch.buffers import REQUEST_BYTES, BufferBudget, share_for
+from azureswitch.client import MAX_FRAMING_BYTES, FramingMeter, pieces
 from azureswitch.exceptions import (
     AzureswitchError,
     BodyTooLargeError,
     HeadersTooLargeError,
     MalformedRequestError,
+    MemoryShortError,
 )
-from azureswitch.server._model import CallerLimits, HttpRequest
+from azureswitch.server._model import CallerLimits, HttpRequest, ReadRequest
 
 LINE_BYTES = 4
 """Bytes that a header takes beside its name and its value: a colon, a space and the line's end."""
 
+_CUT_SHORT = (BodyTooLargeError, HeadersTooLargeError, MemoryShortError)
+"""Refusals of a request before it was read whole."""
+
 
 class Stage(Enum):
     """What of a request has been read."""
@@ -39,22 +45,26 @@
 
     Args:
         limits: Returns what a request may be now.
+        budget: Counts the memory that requests take.
     """
 
-    def __init__(self, *, limits: Callable[[], CallerLimits]) -> None:
+    def __init__(self, *, limits: Callable[[], CallerLimits], budget: BufferBudget) -> None:
         self._limits = limits
+        self._budget = budget
+        self._lease = budget.lease()
+        self._meter = FramingMeter()
         self._parser = HttpRequestParser(self)
         self._stage = Stage.NONE
         self._begun = 0
         self._ended = False
         self._refusal: AzureswitchError | None = None
+        self._cut_short = False
         self._awaits_continue = False
-        self._whole: list[tuple[HttpRequest, bool]] = []
+        self._whole: list[ReadRequest] = []
         self._url = b""
         self._headers: list[tuple[str, str]] = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     @property
     def stage(self) -> Stage:
@@ -76,17 +86,26 @@
         """Why what came behind the last whole request is none, or None."""
         return self._refusal
 
-    def feed(self, data: bytes) -> list[tuple[HttpRequest, bool]]:
-        """Read, and return the requests that are whole now.
+    @property
+    def cut_short(self) -> bool:
+        """Whether what was refused goes on, so that its caller may still be sending."""
+        return self._cut_short
 
-        Returns:
-            Each request, and whether its caller may send a further one.
-        """
-        if self._ended:
-            return []
+    def feed(self, data: bytes) -> list[ReadRequest]:
+        """Read, and return the requests that are whole now."""
         self._whole = []
+        for piece in pieces(data):
+            if self._ended:
+                break
+            self._parse(piece)
+            if self._meter.exceeded:
+                self.refuse(HeadersTooLargeError(limit=self._limits().header_bytes))
+        return self._whole
+
+    def _parse(self, piece: bytes) -> None:
+        self._meter.add(len(piece))
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except HttpParserUpgrade:
             # The request is whole and is answered; what follows it would be another protocol.
             self._end()
@@ -96,14 +115,18 @@
             self.refuse(AzureswitchError())
         except HttpParserError:
             self.refuse(MalformedRequestError())
-        return self._whole
 
     def refuse(self, error: AzureswitchError) -> None:
         """Read nothing more, as what came is no acceptable request."""
         if not self._ended:
+            self._cut_short = isinstance(error, _CUT_SHORT)
             self._end()
             self._refusal = error
 
+    def close(self) -> None:
+        """Let go of a request that is not whole, as its connection has ended."""
+        self._end()
+
     def take_continue(self) -> bool:
         """Return, once, whether the caller waits for leave to send its request's body."""
         due = self._awaits_continue
@@ -119,8 +142,7 @@
         self._url = b""
         self._headers = []
         self._head_bytes = 0
-        self._body = []
-        self._body_bytes = 0
+        self._meter.reset(limit=MAX_FRAMING_BYTES + self._limits().header_bytes)
 
     def on_url(self, url: bytes) -> None:
         """Keep path and query."""
@@ -128,15 +150,24 @@
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
+        """Keep a header, but none that follows the body, which may not replace one before it."""
+        if self._stage is Stage.BODY:
+            return
         self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
         self._count_head(len(name) + len(value) + LINE_BYTES)
 
     def on_headers_complete(self) -> None:
-        """Go on with the body."""
+        """Go on with the body, if there is memory for it."""
         if self._ended:
             return
         self._stage = Stage.BODY
+        length, limit = _content_length(self._headers), self._limits().body_bytes
+        if length > limit:
+            self.refuse(BodyTooLargeError(limit=limit))
+            return
+        if not self._lease.try_grow(REQUEST_BYTES + length, share=share_for(length)):
+            self.refuse(MemoryShortError())
+            return
         self._awaits_continue = any(
             name == "expect" and "100" in value for name, value in self._headers
         )
@@ -145,27 +176,35 @@
         """Keep a part of the body."""
         if self._ended:
             return
-        self._body.append(data)
-        self._body_bytes += len(data)
+        self._body += data
+        self._meter.add_body(len(data))
+        size = len(self._body)
         limit = self._limits().body_bytes
-        if self._body_bytes > limit:
+        if size > limit:
             self.refuse(BodyTooLargeError(limit=limit))
+            return
+        more = REQUEST_BYTES + size - self._lease.size
+        if more > 0 and not self._lease.try_grow(more, share=share_for(size)):
+            self.refuse(MemoryShortError())
 
     def on_message_complete(self) -> None:
         """Keep a whole request."""
         if self._ended:
+            self._cut_short = False
             return
         request = HttpRequest(
             method=self._parser.get_method().decode("latin-1"),
             target=self._url.decode("latin-1"),
             headers=tuple(self._headers),
-            body=b"".join(self._body),
+            body=bytes(self._body),
         )
-        self._body = []
+        self._body = bytearray()
         self._stage = Stage.NONE
         self._awaits_continue = False
         keep_alive = self._parser.should_keep_alive()
-        self._whole.append((request, keep_alive))
+        self._whole.append(ReadRequest(request=request, keep_alive=keep_alive, lease=self._lease))
+        self._lease = self._budget.lease()
+        self._meter.reset()
         if not keep_alive:
             # What follows is no request (RFC 9112, 9.6), and no reason to refuse anything.
             self._end()
@@ -180,3 +219,10 @@
         self._ended = True
         self._stage = Stage.NONE
         self._awaits_continue = False
+        self._body = bytearray()
+        self._lease.release()
+
+
+def _content_length(headers: list[tuple[str, str]]) -> int:
+    """Return the length that a head declares for its body, or zero; the parser has checked it."""
+    return next((int(value) for name, value in headers if name == "content-length"), 0)
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from azureswitch.buffers import BufferBudget
 from azureswitch.server._connection import ServerConnection
 from azureswitch.server._exchange import Handler
 from azureswitch.server._model import CloseReason, ConnectionClosed
@@ -27,12 +28,18 @@
     Args:
         handler: Takes their requests.
         closed: Is told of each connection that has ended; what is lost is logged otherwise.
+        budget: Counts the memory that requests and answers take, or None for no bound.
     """
 
     def __init__(
-        self, *, handler: Handler, closed: Callable[[ConnectionClosed], None] | None = None
+        self,
+        *,
+        handler: Handler,
+        closed: Callable[[ConnectionClosed], None] | None = None,
+        budget: BufferBudget | None = None,
     ) -> None:
         self._handler = handler
+        self._budget = budget or BufferBudget()
         self._closed = closed or _log_unserved
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -68,7 +75,10 @@
 
     def _connection(self) -> ServerConnection:
         return ServerConnection(
-            handler=self._handler, connections=self._connections, closed=self._closed
+            handler=self._handler,
+            connections=self._connections,
+            budget=self._budget,
+            closed=self._closed,
         )
 
     def stop_listening(self) -> None:
--- a/src/azureswitch/serving/_events.py
+++ b/src/azureswitch/serving/_events.py
@@ -128,8 +128,14 @@
     """An earlier call with the same key has ended; the shell replays its recorded answer."""
 
 
-class FirstTokenArrived(_AttemptEvent, frozen=True):
-    """An attempt delivered its first output token."""
+class FirstTokenArrived(_AttemptEvent, frozen=True, kw_only=True):
+    """An attempt delivered output.
+
+    Attributes:
+        binding: Whether the caller has part of an answer that no other attempt can go on with.
+    """
+
+    binding: bool = False
 
 
 class TokensArrived(ServingEvent, frozen=True, kw_only=True):
--- a/src/azureswitch/serving/_reduce.py
+++ b/src/azureswitch/serving/_reduce.py
@@ -179,6 +179,8 @@
     record = state.calls.get(event.call)
     if record is None:
         return []
+    if event.binding:
+        record.bind()
     step = partial(record_first_token, state, record, event.attempt, now=event.now)
     return run_step(state, record, step, now=event.now)
 
--- a/src/azureswitch/serving/calls/_records.py
+++ b/src/azureswitch/serving/calls/_records.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from azureswitch.core import TargetName
 from azureswitch.serving._cost import Cost
@@ -105,6 +106,10 @@
     held_since: float | None = None
     failed: set[TargetName] = field(default_factory=set)
 
+    def bind(self) -> None:
+        """Permit no further attempt: the caller has part of an answer that only one can end."""
+        self.call = replace(self.call, repeatable=False, cancellable=True)
+
     def may_run_beside(self, running: int) -> bool:
         """Return whether one more run is permitted besides ``running`` ones.
 
--- a/tests/gateway/fixtures.py
+++ b/tests/gateway/fixtures.py
@@ -385,6 +385,7 @@
     host: str = "h1",
     tunnels: str = "",
     hosts: Callable[[], Iterable[Member]] = tuple,
+    memory: int = 0,
 ) -> Gateway:
     """Return a gateway that has not been started."""
     return Gateway(
@@ -401,6 +402,7 @@
             hosts=1,
             evacuations=evacuations,
             tunnels=tunnels,
+            memory=memory,
         ),
         dialect=PlatformDialect(),
         reservations=reservations or FakeReservations(),
--- a/tests/gateway/test_ends_framing.py
+++ b/tests/gateway/test_ends_framing.py
@@ -129,10 +129,15 @@
 
 
 @asynccontextmanager
-async def serve(*answers: Answer) -> AsyncIterator[Bed]:
-    """Run a gateway with one target under several names; its last answer is repeated."""
+async def serve(*answers: Answer, memory: int = 0) -> AsyncIterator[Bed]:
+    """Run a gateway with one target under several names; its last answer is repeated.
+
+    Args:
+        answers: What the target answers, in turn.
+        memory: The memory limit of the gateway, in bytes; zero for none.
+    """
     log = RecordingLog()
-    gateway = make_gateway(log=log)
+    gateway = make_gateway(log=log, memory=memory)
     bed = Bed(gateway=gateway, log=log)
 
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -89,3 +89,52 @@
                 writer.write(self._answer.piece)
                 await writer.drain()
         writer.transport.abort()
+
+
+class EndlessRequest(Enum):
+    """What of a caller's request has no end."""
+
+    HEADERS = EndlessAnswer(
+        begin="POST /book/1 HTTP/1.1\r\nhost: a.example\r\n",
+        piece=_repeated(b"x-a: aaaaaaaaaa\r\n"),
+    )
+    ONE_HEADER = EndlessAnswer(
+        begin="POST /book/1 HTTP/1.1\r\nhost: a.example\r\nx-a: ", piece=_repeated(b"a")
+    )
+    PATH = EndlessAnswer(begin="POST /book/", piece=_repeated(b"a"))
+    BODY_OF_BYTES = EndlessAnswer(
+        begin="POST /book/1 HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n",
+        piece=_repeated(b"1\r\na\r\n"),
+    )
+    CHUNK_EXTENSION = EndlessAnswer(
+        begin="POST /book/1 HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n1;a=",
+        piece=_repeated(b"a"),
+    )
+    TRAILERS = EndlessAnswer(
+        begin="POST /book/1 HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        piece=_repeated(b"x-a: aaaaaaaaaa\r\n"),
+    )
+
+
+async def send_endlessly(address: str, request: EndlessAnswer, *, most: int) -> int:
+    """Send a request without end until the host closes, and return how many bytes it took.
+
+    Args:
+        address: ``IP:PORT`` of the host.
+        request: The request.
+        most: Bytes after which the caller gives up.
+    """
+    host, _, port = address.rpartition(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    sent = 0
+    try:
+        writer.write(request.begin.encode())
+        while sent < most:
+            writer.write(request.piece)
+            await writer.drain()
+            sent += len(request.piece)
+    except ConnectionError:
+        pass
+    finally:
+        writer.transport.abort()
+    return sent
--- a/tests/platform/test_bytes_without_end.py
+++ b/tests/platform/test_bytes_without_end.py
@@ -7,16 +7,21 @@
 from pathlib import Path
 from time import monotonic
 
-import msgspec
 import pytest
 
 from azureswitch.client import HttpClient
 from azureswitch.exceptions import HttpError
 from azureswitch.platform import header_names
 from azureswitch_standins.store import StoreStandin
-from bench.soak._documents import DESK, HOST_HEADER, Layout, configuration
+from bench.soak._documents import DESK, HOST_HEADER, Layout, configuration, target_entry
 from tests.gateway.fixtures import FakeTarget, Fleet
-from tests.platform.endless import Endless, EndlessAnswer, EndlessTarget
+from tests.platform.endless import (
+    Endless,
+    EndlessAnswer,
+    EndlessRequest,
+    EndlessTarget,
+    send_endlessly,
+)
 from tests.platform.processes import NETWORK, edge, run, until_metric
 
 MEMORY_MB = 300
@@ -36,6 +41,16 @@
 REQUESTS = 4
 """Requests of each caller, one after the other on a kept connection."""
 
+MAX_REQUEST_BYTES = 24_000_000
+"""Bytes after which a caller without end gives up."""
+
+MAX_TAKEN_BYTES = 16_000_000
+"""Bytes that a host and the sockets on the way may take of a request without end.
+
+The greatest body has 4.2 MB, as many are passed over so that the refusal is read, and the sockets
+hold some 3 MB on either side.
+"""
+
 
 @dataclass(slots=True, kw_only=True)
 class Host:
@@ -66,21 +81,6 @@
         host.process.kill()
 
 
-def entry(address: str) -> bytes:
-    """Return the store's entry of a target."""
-    fields = {
-        "Service": DESK,
-        "Address": address,
-        "Zone": "z1",
-        "Version": "1",
-        "Slots": 8,
-        "State": "in_service",
-        "ColdLeftMs": 0,
-        "Sequence": 1,
-    }
-    return msgspec.json.encode(fields)
-
-
 @asynccontextmanager
 async def serving(folder: Path, *, ip: str, endless: EndlessAnswer | None) -> AsyncIterator[Host]:
     """Run a host before sound targets, and one that sends without end if its answer is given."""
@@ -101,7 +101,11 @@
             await target.start()
             stack.callback(target.stop)
             name = f"i-{number}"
-            await store.store.create(kind="servers", name=name, value=entry(target.address))
+            await store.store.create(
+                kind="servers",
+                name=name,
+                value=target_entry(service=DESK, address=target.address, place="z1"),
+            )
         callers, process = await stack.enter_async_context(
             edge(folder, ip=ip, store=store.address, name="h1")
         )
@@ -159,3 +163,25 @@
                 assert max(seconds for _, seconds in results) < MAX_SECONDS
 
         run(scenario)
+
+
+class TestRequestsWithoutEnd:
+    """A caller that sends without end is refused at a bound on bytes."""
+
+    @pytest.mark.parametrize(("number", "endless"), list(enumerate(EndlessRequest)))
+    def test_caller_is_cut(self, tmp_path: Path, number: int, endless: EndlessRequest) -> None:
+        """The host takes few bytes of each of many such callers, and serves the others."""
+
+        async def scenario() -> None:
+            ip = f"{NETWORK}.{80 + number}"
+            async with serving(tmp_path, ip=ip, endless=None) as host:
+                calls = (
+                    send_endlessly(host.callers, endless.value, most=MAX_REQUEST_BYTES)
+                    for _ in range(CALLERS)
+                )
+                taken = await asyncio.gather(*calls)
+                assert max(taken) < MAX_TAKEN_BYTES
+                assert [status for status, _ in await book_in_turn(host, "after")] == [200] * 4
+                assert host.running, "The host exceeded its memory and was killed."
+
+        run(scenario)
--- a/tests/server/fixtures.py
+++ b/tests/server/fixtures.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from azureswitch.buffers import BufferBudget
 from azureswitch.client import Headers
 from azureswitch.exceptions import AzureswitchError
 from azureswitch.server import CallerLimits, ConnectionClosed, Exchange, HttpServer
@@ -146,9 +147,9 @@
 
 
 @asynccontextmanager
-async def serve(script: Script) -> AsyncIterator[Bed]:
-    """Serve by a script."""
-    server = HttpServer(handler=script, closed=script.closed.append)
+async def serve(script: Script, *, budget: BufferBudget | None = None) -> AsyncIterator[Bed]:
+    """Serve by a script, within a budget of memory if one is given."""
+    server = HttpServer(handler=script, closed=script.closed.append, budget=budget)
     await server.start(address="127.0.0.1:0")
     try:
         yield Bed(server=server, script=script)
