Let targets, callers and entries send without end in the soak, under the sheet's memory

The soak did not see hosts exceed their memory: nothing there sent without end, and hosts had no limit. A flood is a target whose answers have no end, four callers whose requests have none, or an entry that no target writes; hosts are told of 300 MB and killed beyond them, which is a finding (MEMORY), as is a host that ends by itself (EXIT, as before).

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -59,6 +59,7 @@
         option("partitions", description="Cuts of hosts from targets, else 1.", flag=False),
         option("parts", description="Parts of prompts that crash engines, else 0.", flag=False),
         option("silences", description="Series of silences of targets, else 0.", flag=False),
+        option("floods", description="Senders without end, else 3.", flag=False),
         option("only", description="The one kind of fault, else all.", flag=False),
     ]
 
@@ -81,6 +82,7 @@
             partitions=self.value("partitions", Integer(low=0), default=1),
             parts=self.value("parts", Integer(low=0), default=0),
             silences=self.value("silences", Integer(low=0), default=0),
+            floods=self.value("floods", Integer(low=0), default=3),
         )
         fresh = self.value("fresh", Integer(low=0), default=0)
         chosen = self.value("seeds", Text(pattern=SEEDS, form="1-8 or 3,5"), default="")
--- a/bench/soak/_documents.py
+++ b/bench/soak/_documents.py
@@ -25,6 +25,9 @@
 RETRY_WINDOW = 10.0
 MEMORY = 405_000
 
+MEMORY_MB = 300
+"""Megabytes beyond which a host is killed."""
+
 TIMEOUT = 6_000
 """Milliseconds of the timeout of most routes."""
 
@@ -186,6 +189,8 @@
 [ListenAddrs]
 Front = "{ip}:{ports}"
 Ready = "{ip}:{ports + 1}"
+[Limits]
+MemoryMb = {MEMORY_MB}
 [Bounds]
 DrainMs = {DRAIN_SECONDS * 1_000:.0f}
 GraceS = {GRACE_SECONDS:.0f}
--- a/bench/soak/_fleet.py
+++ b/bench/soak/_fleet.py
@@ -273,6 +273,11 @@
         """The store as operators reach it."""
         return HttpStore(address=self.store_proxy.address, timeout=CONTROL_TIMEOUT)
 
+    @property
+    def store_address(self) -> str:
+        """``IP:PORT`` of the store itself, behind no proxy."""
+        return self._address
+
     @property
     def unstarted(self) -> tuple[str, ...]:
         """The processes that `start` still waits for; targets count as such until listed."""
--- a/bench/soak/_proxy.py
+++ b/bench/soak/_proxy.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import cast
 
+from msgspec import Struct
+
 from bench.soak._cuts import CutMode, HostCuts
 
 
@@ -24,6 +26,18 @@
 BLOCK = 65_536
 
 
+class Flood(Struct, frozen=True, kw_only=True):
+    """Bytes without end that stand for an answer.
+
+    Attributes:
+        begin: How they begin.
+        piece: What follows again and again.
+    """
+
+    begin: bytes
+    piece: bytes
+
+
 class FaultProxy:
     """Stands in front of one address.
 
@@ -31,6 +45,9 @@
         behind: ``IP:PORT`` that connections are passed on to.
         ip: The IP address to listen on.
         cuts: The hosts whose connections it does not carry.
+
+    Attributes:
+        flood: What is sent in place of each answer, or None.
     """
 
     def __init__(self, *, behind: str, ip: str = "127.0.0.1", cuts: HostCuts | None = None) -> None:
@@ -42,6 +59,7 @@
         self._healed = asyncio.Event()
         self._healed.set()
         self._server: asyncio.Server | None = None
+        self.flood: Flood | None = None
         self._links: set[_Link] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -165,6 +183,8 @@
         """Pass bytes on until their end, which is passed on too."""
         while data := await source.read(BLOCK):
             await self._hold(answers=answers)
+            if answers and self._proxy.flood is not None:
+                await _send_without_end(sink, self._proxy.flood)
             sink.write(data)
             await sink.drain()
         await self._hold(answers=answers)
@@ -180,5 +200,17 @@
             await self._proxy.healed.wait()
 
 
+async def _send_without_end(sink: asyncio.StreamWriter, flood: Flood) -> None:
+    """Send until the other side closes.
+
+    Raises:
+        OSError: It has closed.
+    """
+    sink.write(flood.begin)
+    while True:
+        sink.write(flood.piece)
+        await sink.drain()
+
+
 def _abort(writer: asyncio.StreamWriter) -> None:
     cast(asyncio.Transport, writer.transport).abort()
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -19,10 +19,12 @@
 from bench.soak._evacuations import CONTRACT, Evacuations
 from bench.soak._faults import Faults
 from bench.soak._fleet import START_SECONDS, Fleet, Target
+from bench.soak._floods import Floods
 from bench.soak._foreign import Foreign
 from bench.soak._keepers import OVERTIME, Keeper
 from bench.soak._limits import Limited
 from bench.soak._logs import read_log
+from bench.soak._memory import enforce
 from bench.soak._partitions import Partitions
 from bench.soak._parts import FatalParts
 from bench.soak._planned import Planned
@@ -79,6 +81,7 @@
         partitions: Cuts between hosts and all targets.
         parts: Parts of prompts that crash engines.
         silences: Series of silences of targets beside configurations.
+        floods: Targets, callers and entries that send without end.
         evacuations: Evacuations of failure domains, which hosts are set up for where there are any.
     """
 
@@ -99,6 +102,7 @@
     partitions: int = 0
     parts: int = 0
     silences: int = 0
+    floods: int = 0
 
 
 class Result(Struct, frozen=True, kw_only=True):
@@ -151,6 +155,7 @@
             )
         tasks += [asyncio.create_task(job()) for job in (platform.reap, platform.look)]
         tasks.append(asyncio.create_task(notice_stalls(records)))
+        tasks.append(asyncio.create_task(enforce(fleet, records)))
         await platform.until_ready(seconds=START_SECONDS, say=records.findings.append)
         await _play(plan, fleet, platform, records)
     finally:
@@ -203,6 +208,7 @@
     evacuations = Evacuations(fleet=fleet, records=records, seed=plan.seed)
     parts = FatalParts(fleet=fleet, hosts=platform.ready_hosts, records=records, seed=plan.seed)
     silences = Silences(fleet=fleet, platform=platform, records=records, seed=plan.seed)
+    floods = Floods(fleet=fleet, records=records, seed=plan.seed)
     stop, calm_begins = asyncio.Event(), asyncio.Event()
     callers = [
         asyncio.create_task(
@@ -237,6 +243,7 @@
             group.create_task(parts.run(count=plan.parts, seconds=plan.seconds))
             group.create_task(partitions.run(count=plan.partitions, seconds=plan.seconds))
             group.create_task(silences.run(count=plan.silences, seconds=plan.seconds))
+            group.create_task(floods.run(count=plan.floods, seconds=plan.seconds))
             group.create_task(planned.run(count=plan.planned, seconds=plan.seconds))
             group.create_task(faults.run(count=plan.faults, seconds=plan.seconds, only=plan.only))
         calm_begins.set()
