Bound what the store's watch, a tunnel's request and a peer's copy may hold

Callers saw nothing of it yet; these readers are of the class that ended hosts: a bound that is checked once a thing is whole, or not at all. A watch whose changes exceed 16 MB is followed by a listing, which comes in pages (before: read again and again). The head of a request for a tunnel is counted as its bytes arrive (4 KB), and no longer by whole headers. A copy of a peer expands to 32 MB at most. Shown by tests/platform/test_http.py, tests/paths/test_tunnels.py and tests/mirror/test_copies.py.

--- a/src/azureswitch/coordination/mirror/_messages.py
+++ b/src/azureswitch/coordination/mirror/_messages.py
@@ -1,6 +1,6 @@
 """Messages between hosts about the store's objects."""
 
-from zlib import compress, decompress, error
+from zlib import compress, decompressobj, error
 
 from absl import logging
 from msgspec import Raw, Struct
@@ -13,6 +13,9 @@
 COMPRESSION_LEVEL = 1
 """Compression level of copies: the lowest, which takes 1 ms for 300 KB."""
 
+MAX_COPY_BYTES = 33_554_432
+"""Bytes of a copy once it is expanded; 600 targets take under 1 MB."""
+
 
 class StoreSeen(Struct, frozen=True, kw_only=True):
     """Announces that a host has checked the store for changes of a kind.
@@ -90,10 +93,13 @@
     Raises:
         ValueError: The bytes are not a copy.
     """
+    decompressor = decompressobj()
     try:
-        expanded = decompress(packed)
+        expanded = decompressor.decompress(packed, MAX_COPY_BYTES)
     except error as failure:
         raise ValueError(str(failure)) from failure
+    if not decompressor.eof:
+        raise ValueError("The copy is cut off, or too large.")
     try:
         return decode(expanded, type=tuple[StoredObject, ...])
     except UNDECODED:
--- a/src/azureswitch/paths/_session.py
+++ b/src/azureswitch/paths/_session.py
@@ -161,6 +161,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
+        if self._target is None and not self._may_take(len(data)):
+            self.abort()
+            return
         try:
             self._parser.feed_data(data)
         except HttpParserCallbackError:
@@ -193,12 +196,10 @@
     def on_url(self, url: bytes) -> None:
         """Keep the path."""
         self._url += url
-        self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-        self._count_head(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         """Have the request decided."""
@@ -235,10 +236,10 @@
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(seconds, self.abort)
 
-    def _count_head(self, size: int) -> None:
+    def _may_take(self, size: int) -> bool:
+        """Count bytes of the head, and return whether it may have so many."""
         self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self.abort()
+        return self._head_bytes <= MAX_HEAD_BYTES
 
 
 class TargetEnd(TunnelEnd):
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -13,6 +13,7 @@
 from azureswitch.client import Headers, HttpAnswer, HttpClient, HttpHead
 from azureswitch.decoding import UNDECODED
 from azureswitch.exceptions import (
+    Breakage,
     HttpBrokenError,
     HttpNotSentError,
     StoreConflictError,
@@ -325,6 +326,10 @@
             self._called(method, kind, "not sent")
             raise StoreUnavailableError(key=key) from error
         except HttpBrokenError as error:
+            if error.breakage is Breakage.BODY_TOO_LARGE:
+                self._called(method, kind, "too_large")
+                # A listing comes in pages, each within the bound.
+                raise StoreVersionGoneError(key=key) from error
             self._called(method, kind, "broken")
             raise lost(key=key) from error
         self._called(method, kind, str(answer.head.status))
--- a/tests/mirror/test_copies.py
+++ b/tests/mirror/test_copies.py
@@ -5,7 +5,7 @@
 import pytest
 from msgspec.msgpack import encode
 
-from azureswitch.coordination.mirror._messages import unpack_objects
+from azureswitch.coordination.mirror._messages import MAX_COPY_BYTES, unpack_objects
 from azureswitch.ports import StoredObject
 
 GOOD = (
@@ -36,3 +36,13 @@
         """An object that cannot be decoded does not discard the other objects of the copy."""
         packed = compress(encode([GOOD[0], foreign, GOOD[1]]))
         assert unpack_objects(packed) == GOOD
+
+    @pytest.mark.parametrize(
+        "packed",
+        [compress(b"0" * (MAX_COPY_BYTES + 1)), compress(encode(GOOD))[:-1]],
+        ids=["too large", "cut off"],
+    )
+    def test_bounded(self, packed: bytes) -> None:
+        """A copy that expands to more than a copy may have is none, nor is a part of one."""
+        with pytest.raises(ValueError, match="cut off, or too large"):
+            unpack_objects(packed)
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -379,6 +379,21 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("begin", [b"", b"POST /x HTTP/1.1\r\nhost: a\r\nx-a: "])
+    def test_head_without_end(self, begin: bytes) -> None:
+        """A connection that asks for no tunnel is closed after few bytes."""
+
+        async def scenario() -> None:
+            async with hosts(RawTarget()) as (_, other):
+                host, _, port = other.paths.tunnel_address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(begin + b"a" * 65_536)
+                with suppress(ConnectionError):
+                    assert not await reader.read()
+                writer.close()
+
+        run(scenario)
+
     def test_long_request_id(self) -> None:
         """A caller's id of any length neither fails its request nor makes a host avoided."""
 
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -206,3 +206,37 @@
             assert type(caught.value) is HostListError
 
         asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("framing", "piece", "error"),
+    [
+        (b"transfer-encoding: chunked\r\n\r\n", b"10000\r\n%b\r\n" % (b" " * 0x10000), None),
+        (b"x-a: ", b"a" * 0x10000, StoreUnavailableError),
+    ],
+    ids=["body", "head"],
+)
+def test_store_that_answers_without_end(
+    framing: bytes, piece: bytes, error: type[StoreError] | None
+) -> None:
+    """A call ends at a bound; a watch whose changes are too many is followed by a listing."""
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n" + framing)
+        try:
+            while True:
+                writer.write(piece)
+                await writer.drain()
+        except ConnectionError:
+            writer.close()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        store = HttpStore(address=f"127.0.0.1:{port}", timeout=PATIENCE)
+        with pytest.raises(error or StoreVersionGoneError):
+            await collect(store, version=1)
+        server.close()
+
+    asyncio.run(scenario())
