Look at the memory of the process four times a second and not twenty

No caller sees a difference; the line comes 0.25 s after the share was reached at the latest. tests/gateway/test_process.py holds.

--- a/src/azureswitch/gateway/_process.py
+++ b/src/azureswitch/gateway/_process.py
@@ -18,6 +18,9 @@
 MEMORY_SHARES = (0.7, 0.8, 0.9)
 """Shares of the memory limit at which the process logs once that its memory is short."""
 
+MEMORY_TICKS = 5
+"""Ticks between two looks at the memory, each of which is a system call."""
+
 KIBIBYTE = 1_024
 """Bytes of the unit in which the kernel counts a process's memory."""
 
@@ -60,6 +63,7 @@
         self._clock = clock
         self._lag = 0.0
         self._shares = list(MEMORY_SHARES)
+        self._ticks = 0
 
     @property
     def lag(self) -> float:
@@ -77,7 +81,9 @@
             self._lag = max(0.0, self._clock() - due)
             self._report_stall(after - before)
             before = after
-            self._report_memory()
+            self._ticks += 1
+            if not self._ticks % MEMORY_TICKS:
+                self._report_memory()
             self._tick()
 
     def _report_stall(self, seconds: float) -> None:
