Show that no answer that is cut looks whole

Other operators' callers got a 200 with an empty or short body, framed as whole, of an engine that stopped in the midst of its head. Here each byte of four forms (a length, chunks, both behind a 103), and each byte of a head that says neither, closed or reset, is an error of the client; at a gateway 12 more places, for whole answers (repeated, or 502) and for streams (502, or not complete). All passed on the first run: the fault is not here. Not tried: through a tunnel, each byte; orders and health use the same client. An answer with neither a length nor chunks that is closed, and not reset, within its body cannot be told from a whole one (docs/platform-questions.md, 3).

--- a/tests/gateway/test_ends_framing.py
+++ b/tests/gateway/test_ends_framing.py
@@ -214,6 +214,18 @@
     "neither, reset before the body": Sent(parts=(NEITHER,), ends=reset),
     "both": Sent(parts=(BOTH, CHUNKS)),
     "a head, closed within": Sent(parts=(LENGTH[:30],), ends=close),
+    "a status line, closed within": Sent(parts=(OK[:12],), ends=close),
+    "a status line, closed behind": Sent(parts=(OK[:17],), ends=close),
+    "a header's name, closed within": Sent(parts=(OK + b"content-le",), ends=close),
+    "a header's value, closed within": Sent(parts=(OK + b"content-length: ",), ends=close),
+    "a header's line, closed behind": Sent(parts=(OK + b"content-length: 5\r\n",), ends=close),
+    "a head, reset before its blank line": Sent(parts=(NEITHER[:-2],), ends=reset),
+    "a head, closed in its blank line": Sent(parts=(NEITHER[:-1],), ends=close),
+    "100, closed within": Sent(parts=(CONTINUE[:15],), ends=close),
+    "103, then half a head": Sent(parts=(HINTS, LENGTH[:30]), ends=close),
+    "a chunk's size, closed within": Sent(parts=(CHUNKED, b"5"), ends=close),
+    "the last chunk, closed within": Sent(parts=(CHUNKED, CHUNKS[:-3]), ends=close),
+    "trailers, closed within": Sent(parts=(CHUNKED, CHUNKS[:-2] + b"x-a: b"), ends=close),
     "100, then closed": Sent(parts=(CONTINUE,), ends=close),
     "101": Sent(parts=(SWITCH, b"bytes of x")),
     "no HTTP": Sent(parts=(b"220 mail ready\r\n",)),
@@ -288,6 +300,31 @@
 }
 
 
+CUT_HEADS = {
+    name: answer
+    for name, answer in CUT_ANSWERS.items()
+    if not any(word in name for word in ("length,", "both", "neither"))
+}
+"""Answers that end before anything of their body was sent, or in the midst of what frames it."""
+
+
+class TestCutHeadOfStream:
+    """Streams whose head is cut."""
+
+    @pytest.mark.parametrize("answer", CUT_HEADS.values(), ids=CUT_HEADS.keys())
+    def test_not_whole(self, answer: Sent) -> None:
+        """The caller gets no answer that looks whole."""
+
+        async def scenario() -> None:
+            async with serve(answer) as bed:
+                got = await bed.exchange("POST", "/once/")
+                status, _, _ = split(got)
+                assert status != HTTPStatus.OK or not got.endswith(b"0\r\n\r\n")
+                assert bed.end == "Request failed."
+
+        run(scenario)
+
+
 class TestCutStream:
     """Streams that are cut between two events."""
 
