--- a/src/azureswitch/server/_reader.py
+++ b/src/azureswitch/server/_reader.py
@@ -24,6 +24,11 @@
 
 LINE_BYTES = 4
 """Bytes that a header takes beside its name and its value: a colon, a space and the line's end."""
+MAX_BODY_FRAMING_BYTES = 16_384
+"""Bytes of chunk sizes, extensions and trailers, beside as many as the body has itself.
+
+Chunks of one byte take a hundred times as long to read as the same body in one piece.
+"""
 
 _CUT_SHORT = (BodyTooLargeError, HeadersTooLargeError, MemoryShortError)
 """Refusals of a request before it was read whole."""
@@ -98,6 +103,7 @@
             if self._ended:
                 break
             self._parse(piece)
+            self._check_body()
             if self._meter.exceeded:
                 self.refuse(HeadersTooLargeError(limit=self._limits().header_bytes))
         return self._whole
@@ -161,6 +167,7 @@
         if self._ended:
             return
         self._stage = Stage.BODY
+        self._meter.reset(limit=MAX_BODY_FRAMING_BYTES)
         length, limit = _content_length(self._headers), self._limits().body_bytes
         if length > limit:
             self.refuse(BodyTooLargeError(limit=limit))
@@ -178,17 +185,10 @@
             return
         self._body += data
         self._meter.add_body(len(data))
-        size = len(self._body)
-        limit = self._limits().body_bytes
-        if size > limit:
-            self.refuse(BodyTooLargeError(limit=limit))
-            return
-        more = REQUEST_BYTES + size - self._lease.size
-        if more > 0 and not self._lease.try_grow(more, share=share_for(size)):
-            self.refuse(MemoryShortError())
 
     def on_message_complete(self) -> None:
         """Keep a whole request."""
+        self._check_body()
         if self._ended:
             self._cut_short = False
             return
@@ -209,6 +209,17 @@
             # What follows is no request (RFC 9112, 9.6), and no reason to refuse anything.
             self._end()
 
+    def _check_body(self) -> None:
+        """Refuse a body that is too large, or that there is no memory for."""
+        size = len(self._body)
+        limit = self._limits().body_bytes
+        if size > limit:
+            self.refuse(BodyTooLargeError(limit=limit))
+            return
+        more = REQUEST_BYTES + size - self._lease.size
+        if size and more > 0 and not self._lease.try_grow(more, share=share_for(size)):
+            self.refuse(MemoryShortError())
+
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         limit = self._limits().header_bytes
