Count a request as held while it runs, also once its caller has left

A call that may not repeat runs on after its caller has left, and its body is held for the target that reads it; it was counted as free as its connection ended, so that impatient callers could still take a host beyond its memory. The shell holds a request's memory from its admission to its end now. tests/gateway/test_long_answers.py failed before (0 bytes counted of 200,000) and holds.

--- a/src/azureswitch/gateway/_shell.py
+++ b/src/azureswitch/gateway/_shell.py
@@ -200,6 +200,8 @@
         if call in self._records:
             return False
         self._records[call] = record
+        # An attempt may go on after the caller has left.
+        record.exchange.hold_memory()
         record.exchange.on_left(lambda: self._caller_left(call))
         self._deadlines.set(call, seconds=self._state.ends_at(record.call) - self.now)
         if self._loop.busy:
@@ -217,15 +219,20 @@
             self.dispatch(CallArrived(now=self.now, call=record.call))
         except Exception:
             # An internal error must not leave it open; the reducer drops its state by the deadline.
-            self._records.pop(record.call.id, None)
+            self._drop(record)
             for task in record.tasks.values():
                 task.cancel()
             raise
 
+    def _drop(self, record: CallRecord) -> None:
+        """Forget a request, and what it holds of the memory."""
+        self._records.pop(record.call.id, None)
+        record.exchange.free_memory()
+
     def _begin_later(self, record: CallRecord) -> None:
         """Dispatch a request unless its caller disconnected; answer it if dispatching fails."""
         if record.exchange.over:
-            self._records.pop(record.call.id, None)
+            self._drop(record)
             return
         try:
             self._begin(record)
@@ -325,6 +332,7 @@
         self._deadlines.discard(effect.call)
         if record is None:
             return
+        record.exchange.free_memory()
         if effect.error is not None and not record.exchange.over:
             self._fail_or_close(record, effect.error)
         self._outcomes.record(record, effect.error)
--- a/src/azureswitch/server/_exchange.py
+++ b/src/azureswitch/server/_exchange.py
@@ -46,7 +46,8 @@
         request: The request.
         connection: The connection that it came on.
         keep_alive: Whether the caller may send a further request on it.
-        lease: What the request holds of the budget; released once nothing more can be sent.
+        lease: What the request holds of the budget; released once nothing more can be sent, unless
+            the handler holds the request for longer.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         self._started = False
         self._bare = False
         self._over = False
+        self._held = False
         self._left: Callable[[], None] | None = None
 
     @property
@@ -138,6 +140,15 @@
         if self._left is not None:
             self._left()
 
+    def hold_memory(self) -> None:
+        """Keep counting the request as held until `free_memory`, also once its caller is gone."""
+        self._held = True
+
+    def free_memory(self) -> None:
+        """Count the request as held no more."""
+        if self._lease is not None:
+            self._lease.release()
+
     def release(self) -> None:
         """Have the handler let go of a request whose end it does not know of."""
         if self._left is not None:
@@ -163,8 +174,8 @@
 
     def _set_over(self) -> None:
         self._over = True
-        if self._lease is not None:
-            self._lease.release()
+        if not self._held:
+            self.free_memory()
 
     def _end(self) -> None:
         self._set_over()
--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -1,15 +1,23 @@
 """Answers that are too long to be kept whole until they are complete."""
 
+import asyncio
 from http import HTTPStatus
 
 import pytest
 
+from azureswitch.client import HttpClient
+from azureswitch.gateway import Gateway
+from tests.gateway.fixtures import usual_headers
 from tests.gateway.test_ends_framing import OK, SEALED, Sent, close, reset, serve, split
 from tests.gateway.test_gateway import run
+from tests.waiting import PATIENCE, reach
 
 SHORT_OF_MEMORY = 200_000
 """A memory limit, in bytes, that leaves room for requests and for answers of some 90 KB."""
 
+ROOM = 300_000_000
+"""A memory limit, in bytes, that leaves room for all that a test sends."""
+
 LONG = b"a" * 200_000
 """An answer that has no room there."""
 
@@ -91,3 +99,47 @@
                 assert b"content-length: 200000" in headers
 
         run(scenario)
+
+
+class TestCallerLeaves:
+    """Requests that go on after their callers have left."""
+
+    def test_still_counted(self) -> None:
+        """The body of a request that runs on is held, and counted, until the run has ended."""
+
+        async def scenario() -> None:
+            answered = asyncio.Event()
+
+            async def hang(
+                head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                await answered.wait()
+                await WHOLE(head, reader, writer)
+
+            async with serve(hang, memory=ROOM) as bed:
+                host, _, port = bed.gateway.callers_address.rpartition(":")
+                _, writer = await asyncio.open_connection(host, int(port))
+                lines = [f"{name}: {value}" for name, value in usual_headers("r1")]
+                lines.append(f"content-length: {len(LONG)}")
+                head = "\r\n".join(("POST /book/1 HTTP/1.1", *lines, "", "")).encode()
+                writer.write(head + LONG)
+                await reach(lambda: bed.runs == 1)
+                writer.transport.abort()
+                await asyncio.sleep(0.1)
+                assert bed.gateway.shell.open_calls == 1
+                assert await buffered(bed.gateway) >= len(LONG)
+                answered.set()
+                await reach(lambda: bed.gateway.shell.open_calls == 0)
+                assert await buffered(bed.gateway) == 0
+
+        run(scenario)
+
+
+async def buffered(gateway: Gateway) -> float:
+    """Return the bytes that a gateway holds for requests and answers, by its metrics."""
+    client = HttpClient(address=gateway.pages_address)
+    answer = await client.request(method="GET", path="/metrics", timeout=PATIENCE)
+    client.close()
+    lines = answer.body.decode().splitlines()
+    (line,) = (line for line in lines if line.startswith("azureswitch_buffered_bytes"))
+    return float(line.rpartition(" ")[2])
