Say of a write whose answer has no end that it may have taken effect

A write is unknown now, a read is an error of its own (store_answer_too_large), which pauses like any other, and a listing follows too large an answer to a watch after 0.4 s. tests/platform/test_http.py (3 cases) holds; it names the new error, so that it cannot be imported on the sources before, which raised StoreVersionGoneError in all three (by reading).

--- a/src/azureswitch/exceptions/_platform.py
+++ b/src/azureswitch/exceptions/_platform.py
@@ -46,6 +46,12 @@
         return self.seconds
 
 
+class StoreAnswerTooLargeError(StoreUnavailableError):
+    """The answer to a read is larger than any valid one; nothing was written."""
+
+    code: ClassVar[str] = "store_answer_too_large"
+
+
 class StoreOutcomeUnknownError(StoreError):
     """The write may or may not have taken effect."""
 
--- a/src/azureswitch/platform/_store.py
+++ b/src/azureswitch/platform/_store.py
@@ -16,6 +16,7 @@
     Breakage,
     HttpBrokenError,
     HttpNotSentError,
+    StoreAnswerTooLargeError,
     StoreConflictError,
     StoreError,
     StoreNotFoundError,
@@ -71,6 +72,9 @@
 MIN_WATCH_SECONDS = 0.03
 """Remaining seconds of a watch below which no further call is made, as every call has a cost."""
 
+RELIST_PAUSE_SECONDS = 0.4
+"""Seconds before a listing that replaces too large an answer to a watch, as both may recur."""
+
 LOG_INTERVAL_SECONDS = 60.0
 """Minimum seconds between log lines on the same recurring fault of the store."""
 
@@ -232,12 +236,17 @@
             if self._is_stale(version):
                 raise StoreVersionGoneError(key=kind)
             query = {"Watch": revision_of(version), "WaitMs": int(wait * 1_000)}
-            answer = await self._call(
-                method="GET",
-                path=f"{_path(kind)}?{urlencode(query)}",
-                key=kind,
-                timeout=wait + self._timeout,
-            )
+            try:
+                answer = await self._call(
+                    method="GET",
+                    path=f"{_path(kind)}?{urlencode(query)}",
+                    key=kind,
+                    timeout=wait + self._timeout,
+                )
+            except StoreAnswerTooLargeError as error:
+                await sleep(RELIST_PAUSE_SECONDS)
+                # A listing comes in pages, each within the bound.
+                raise StoreVersionGoneError(key=kind) from error
             if self._is_stale(version):
                 # After the restore, this revision belongs to another change.
                 raise StoreVersionGoneError(key=kind)
@@ -326,11 +335,10 @@
             self._called(method, kind, "not sent")
             raise StoreUnavailableError(key=key) from error
         except HttpBrokenError as error:
-            if error.breakage is Breakage.BODY_TOO_LARGE:
-                self._called(method, kind, "too_large")
-                # A listing comes in pages, each within the bound.
-                raise StoreVersionGoneError(key=key) from error
-            self._called(method, kind, "broken")
+            too_large = error.breakage is Breakage.BODY_TOO_LARGE
+            self._called(method, kind, "too_large" if too_large else "broken")
+            if too_large and method == "GET":
+                raise StoreAnswerTooLargeError(key=key) from error
             raise lost(key=key) from error
         self._called(method, kind, str(answer.head.status))
         self._note_era(answer.head, lost=lost(key=key))
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -1,7 +1,7 @@
 """The HTTP adapters raise the ports' exact errors, tested with stand-ins over loopback."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 import pytest
@@ -10,6 +10,7 @@
 from azureswitch.exceptions import (
     AzureswitchError,
     HostListError,
+    StoreAnswerTooLargeError,
     StoreError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -22,6 +23,12 @@
 from tests.platform.refusals import REFUSALS, Call
 from tests.waiting import PATIENCE, reach
 
+ENDLESS_BODY = (
+    b"transfer-encoding: chunked\r\n\r\n",
+    b"10000\r\n%b\r\n" % (b" " * 0x10000),
+)
+"""How an answer goes on behind its status, and what follows again and again."""
+
 
 @asynccontextmanager
 async def serve(
@@ -211,7 +218,7 @@
 @pytest.mark.parametrize(
     ("framing", "piece", "error"),
     [
-        (b"transfer-encoding: chunked\r\n\r\n", b"10000\r\n%b\r\n" % (b" " * 0x10000), None),
+        (*ENDLESS_BODY, None),
         (b"x-a: ", b"a" * 0x10000, StoreUnavailableError),
     ],
     ids=["body", "head"],
@@ -221,6 +228,40 @@
 ) -> None:
     """A call ends at a bound; a watch whose changes are too many is followed by a listing."""
 
+    async def scenario() -> None:
+        async with answering(framing, piece) as store:
+            with pytest.raises(error or StoreVersionGoneError):
+                await collect(store, version=1)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (listed, StoreAnswerTooLargeError),
+        (get, StoreAnswerTooLargeError),
+        (create, StoreOutcomeUnknownError),
+    ],
+)
+def test_answer_without_end(
+    call: Callable[[HttpStore], Awaitable[object]], error: type[StoreError]
+) -> None:
+    """A read is paused like any that fails, and a write may have taken effect."""
+
+    async def scenario() -> None:
+        async with answering(*ENDLESS_BODY) as store:
+            with pytest.raises(error) as caught:
+                await call(store)
+            assert type(caught.value) is error
+
+    asyncio.run(scenario())
+
+
+@asynccontextmanager
+async def answering(framing: bytes, piece: bytes) -> AsyncIterator[HttpStore]:
+    """Yield a client of a store whose answers have no end."""
+
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\n" + framing)
@@ -231,12 +272,7 @@
         except ConnectionError:
             writer.close()
 
-    async def scenario() -> None:
-        server = await asyncio.start_server(answer, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        store = HttpStore(address=f"127.0.0.1:{port}", timeout=PATIENCE)
-        with pytest.raises(error or StoreVersionGoneError):
-            await collect(store, version=1)
-        server.close()
-
-    asyncio.run(scenario())
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    yield HttpStore(address=f"127.0.0.1:{port}", timeout=PATIENCE)
+    server.close()
