--- a/bench/soak/_floods.py
+++ b/bench/soak/_floods.py
@@ -6,8 +6,6 @@
 from random import Random
 from time import monotonic
 
-from msgspec import Struct
-
 from azureswitch.client import HttpClient
 from azureswitch.exceptions import HttpError
 from azureswitch.platform import TARGETS_KIND
@@ -37,18 +35,6 @@
     return piece * (65_536 // len(piece))
 
 
-class Sent(Struct, frozen=True, kw_only=True):
-    """A request of a caller.
-
-    Attributes:
-        begin: How it begins.
-        piece: What follows again and again.
-    """
-
-    begin: bytes
-    piece: bytes
-
-
 TARGET_FLOODS = (
     Flood(begin=b"HTTP/1.1 200 OK\r\n", piece=_repeated(b"x-a: aaaaaaaaaa\r\n")),
     Flood(begin=b"HTTP/1.1 200 OK\r\nx-a: ", piece=_repeated(b"a")),
@@ -62,11 +48,11 @@
 _CHUNKED = _HEAD + b"transfer-encoding: chunked\r\n\r\n"
 
 CALLER_FLOODS = (
-    Sent(begin=_HEAD, piece=_repeated(b"x-a: aaaaaaaaaa\r\n")),
-    Sent(begin=_HEAD + b"x-a: ", piece=_repeated(b"a")),
-    Sent(begin=_CHUNKED, piece=_repeated(b"1\r\na\r\n")),
-    Sent(begin=_CHUNKED + b"1;a=", piece=_repeated(b"a")),
-    Sent(begin=_CHUNKED + b"0\r\n", piece=_repeated(b"x-a: aaaaaaaaaa\r\n")),
+    Flood(begin=_HEAD, piece=_repeated(b"x-a: aaaaaaaaaa\r\n")),
+    Flood(begin=_HEAD + b"x-a: ", piece=_repeated(b"a")),
+    Flood(begin=_CHUNKED, piece=_repeated(b"1\r\na\r\n")),
+    Flood(begin=_CHUNKED + b"1;a=", piece=_repeated(b"a")),
+    Flood(begin=_CHUNKED + b"0\r\n", piece=_repeated(b"x-a: aaaaaaaaaa\r\n")),
 )
 """Requests without end."""
 
@@ -122,8 +108,8 @@
 
     async def _callers(self) -> None:
         host = self._random.choice(self._fleet.hosts)
-        sent = self._random.choice(CALLER_FLOODS)
-        await asyncio.gather(*(send_without_end(host.callers, sent) for _ in range(CALLERS)))
+        flood = self._random.choice(CALLER_FLOODS)
+        await asyncio.gather(*(send_without_end(host.callers, flood) for _ in range(CALLERS)))
 
     async def _entry(self) -> None:
         self._number += 1
@@ -144,15 +130,15 @@
         client.close()
 
 
-async def send_without_end(address: str, sent: Sent) -> None:
+async def send_without_end(address: str, flood: Flood) -> None:
     """Send a request until the host closes the connection, or the caller gives up."""
     host, _, port = address.rpartition(":")
     with suppress(OSError):
         _, writer = await asyncio.open_connection(host, int(port))
         try:
-            writer.write(sent.begin)
-            for _ in range(CALLER_BYTES // len(sent.piece)):
-                writer.write(sent.piece)
+            writer.write(flood.begin)
+            for _ in range(CALLER_BYTES // len(flood.piece)):
+                writer.write(flood.piece)
                 await writer.drain()
         finally:
             writer.transport.abort()
--- a/bench/soak/_proxy.py
+++ b/bench/soak/_proxy.py
@@ -27,7 +27,7 @@
 
 
 class Flood(Struct, frozen=True, kw_only=True):
-    """Bytes without end that stand for an answer.
+    """Bytes without end in place of an answer or a request.
 
     Attributes:
         begin: How they begin.
--- a/src/azureswitch/platform/_splitting.py
+++ b/src/azureswitch/platform/_splitting.py
@@ -1,7 +1,7 @@
 """Splits JSON that cannot be decoded as a whole at its commas and brackets.
 
-It runs in steps, since another program may have written a megabyte of brackets, which takes the
-decoder no time and this module a tenth of a second of a core.
+It runs in steps, since another program may have written a megabyte of brackets, which would hold
+the event loop for a second.
 """
 
 import re
@@ -11,7 +11,7 @@
 from azureswitch.slices import GO_ON, Steps
 
 STEP_MARKS = 256
-"""Commas and runs of brackets that are passed in one step, which takes a tenth of a millisecond."""
+"""Commas and runs of brackets that are passed in one step."""
 
 WINDOW_BYTES = 16_384
 """Bytes that one match of a pattern may pass."""
@@ -70,7 +70,7 @@
         ValueError: The bytes are neither.
     """
 
-    def __init__(self, container: bytes, *, opening: bytes) -> None:
+    def __init__(self, *, container: bytes, opening: bytes) -> None:
         self._container = container.strip()
         closing = _CLOSING[opening]
         if not (self._container.startswith(opening) and self._container.endswith(closing)):
@@ -148,7 +148,7 @@
         ValueError: The bytes are not an object.
     """
     found: dict[bytes, bytes] = {}
-    rest = Parts(container, opening=b"{")
+    rest = Parts(container=container, opening=b"{")
     while not until or until not in found:
         part = yield from rest.next()
         if part is None:
@@ -169,7 +169,7 @@
         ValueError: The bytes are not a list.
     """
     found: list[bytes] = []
-    rest = Parts(container, opening=b"[")
+    rest = Parts(container=container, opening=b"[")
     while (part := (yield from rest.next())) is not None:
         found.append(part)
         yield GO_ON
--- a/src/azureswitch/server/_reader.py
+++ b/src/azureswitch/server/_reader.py
@@ -27,7 +27,7 @@
 MAX_BODY_FRAMING_BYTES = 16_384
 """Bytes of chunk sizes, extensions and trailers, beside as many as the body has itself.
 
-Chunks of one byte take a hundred times as long to read as the same body in one piece.
+Each chunk costs as much to read, however short it is.
 """
 
 _CUT_SHORT = (BodyTooLargeError, HeadersTooLargeError, MemoryShortError)
--- a/src/azureswitch/serving/calls/_records.py
+++ b/src/azureswitch/serving/calls/_records.py
@@ -107,7 +107,7 @@
     failed: set[TargetName] = field(default_factory=set)
 
     def bind(self) -> None:
-        """Permit no further attempt: the caller has part of an answer that only one can end."""
+        """Permit no further attempt: none could go on with the part that the caller has."""
         self.call = replace(self.call, repeatable=False, cancellable=True)
 
     def may_run_beside(self, running: int) -> bool:
