Keep the head of a request packed and counted until it is whole

What callers saw: 300 connections with unfinished heads of 11.6 kB in headers of four bytes took a host of 100 MB to 118 MB, and with heads over MaxHeaderBytes to 230 MB, where the platform kills it (1,500 of them took one of 300 MB to 652 and 852 MB).

Cause: each header was kept as a pair of strings from the moment at which it was read, which takes some 140 bytes for one of four, and a head counted nothing until it was whole, and then 16 kB whatever it held.

Change: headers stay in one buffer until their request is whole (server._headers.PackedHeaders). A head counts toward the budget as its bytes arrive, and once it is unpacked by the number of its headers, so that whole requests with thousands of them are refused like other large ones.

--- a/src/azureswitch/server/_reader.py
+++ b/src/azureswitch/server/_reader.py
@@ -20,6 +20,7 @@
     MalformedRequestError,
     MemoryShortError,
 )
+from azureswitch.server._headers import PackedHeaders
 from azureswitch.server._model import CallerLimits, HttpRequest, ReadRequest
 
 LINE_BYTES = 4
@@ -64,11 +65,15 @@
         self._ended = False
         self._refusal: AzureswitchError | None = None
         self._cut_short = False
+        self._expects_continue = False
         self._awaits_continue = False
         self._whole: list[ReadRequest] = []
         self._url = b""
-        self._headers: list[tuple[str, str]] = []
+        self._headers = PackedHeaders()
         self._head_bytes = 0
+        self._head_received = 0
+        self._piece_bytes = 0
+        self._length = 0
         self._body = bytearray()
 
     @property
@@ -104,12 +109,16 @@
                 break
             self._parse(piece)
             self._check_body()
+            if self._stage is Stage.HEAD:
+                self._hold()
             if self._meter.exceeded:
                 self.refuse(HeadersTooLargeError(limit=self._limits().header_bytes))
         return self._whole
 
     def _parse(self, piece: bytes) -> None:
         self._meter.add(len(piece))
+        self._piece_bytes = len(piece)
+        self._head_received += len(piece)
         try:
             self._parser.feed_data(piece)
         except HttpParserUpgrade:
@@ -146,8 +155,11 @@
         self._stage = Stage.HEAD
         self._begun += 1
         self._url = b""
-        self._headers = []
+        self._headers = PackedHeaders()
         self._head_bytes = 0
+        self._head_received = self._piece_bytes
+        self._length = 0
+        self._expects_continue = False
         self._meter.reset(limit=MAX_FRAMING_BYTES + self._limits().header_bytes)
 
     def on_url(self, url: bytes) -> None:
@@ -157,9 +169,15 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header, but none that follows the body, which may not replace one before it."""
-        if self._stage is Stage.BODY:
+        if self._stage is Stage.BODY or self._ended:
             return
-        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+        name = name.lower()
+        self._headers.add(name, value)
+        if name == b"content-length":
+            # The parser has checked it.
+            self._length = int(value)
+        elif name == b"expect" and b"100" in value:
+            self._expects_continue = True
         self._count_head(len(name) + len(value) + LINE_BYTES)
 
     def on_headers_complete(self) -> None:
@@ -168,16 +186,12 @@
             return
         self._stage = Stage.BODY
         self._meter.reset(limit=MAX_BODY_FRAMING_BYTES)
-        length, limit = _content_length(self._headers), self._limits().body_bytes
-        if length > limit:
+        limit = self._limits().body_bytes
+        if self._length > limit:
             self.refuse(BodyTooLargeError(limit=limit))
             return
-        if not self._lease.try_grow(REQUEST_BYTES + length, share=share_for(length)):
-            self.refuse(MemoryShortError())
-            return
-        self._awaits_continue = any(
-            name == "expect" and "100" in value for name, value in self._headers
-        )
+        if self._hold():
+            self._awaits_continue = self._expects_continue
 
     def on_body(self, data: bytes) -> None:
         """Keep a part of the body."""
@@ -192,12 +206,15 @@
         if self._ended:
             self._cut_short = False
             return
+        if not self._hold(headers_unpacked=True):
+            return
         request = HttpRequest(
             method=self._parser.get_method().decode("latin-1"),
             target=self._url.decode("latin-1"),
-            headers=tuple(self._headers),
+            headers=self._headers.unpack(),
             body=bytes(self._body),
         )
+        self._headers = PackedHeaders()
         self._body = bytearray()
         self._stage = Stage.NONE
         self._awaits_continue = False
@@ -216,9 +233,25 @@
         if size > limit:
             self.refuse(BodyTooLargeError(limit=limit))
             return
-        more = REQUEST_BYTES + size - self._lease.size
-        if size and more > 0 and not self._lease.try_grow(more, share=share_for(size)):
-            self.refuse(MemoryShortError())
+        if size:
+            self._hold()
+
+    def _hold(self, *, headers_unpacked: bool = False) -> bool:
+        """Count what the request holds, and return True, or refuse it as there is no memory.
+
+        Args:
+            headers_unpacked: Whether its headers are about to be unpacked.
+        """
+        head = self._head_received if self._stage is Stage.HEAD else self._head_bytes
+        if headers_unpacked:
+            head += self._headers.unpacked_bytes
+        body = max(self._length, len(self._body))
+        size = max(REQUEST_BYTES, head) + body
+        more = size - self._lease.size
+        if more <= 0 or self._lease.try_grow(more, share=share_for(body)):
+            return True
+        self.refuse(MemoryShortError())
+        return False
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
@@ -230,10 +263,6 @@
         self._ended = True
         self._stage = Stage.NONE
         self._awaits_continue = False
+        self._headers = PackedHeaders()
         self._body = bytearray()
         self._lease.release()
-
-
-def _content_length(headers: list[tuple[str, str]]) -> int:
-    """Return the length that a head declares for its body, or zero; the parser has checked it."""
-    return next((int(value) for name, value in headers if name == "content-length"), 0)
--- a/tests/server/test_memory.py
+++ b/tests/server/test_memory.py
@@ -11,6 +11,7 @@
     budget_of,
 )
 from azureswitch.server import CallerLimits
+from azureswitch.server._headers import HEADER_BYTES, PackedHeaders
 from tests.server.fixtures import Script, answer_after, never, run, serve
 from tests.waiting import reach
 
@@ -47,6 +48,27 @@
         assert budget_of(0).has_room(10**12, share=SMALL_SHARE)
 
 
+class TestPackedHeaders:
+    """`PackedHeaders`."""
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            (),
+            ((b"a", b""),),
+            ((b"a", b"b"), (b"a", b"c d\t\xe9")),
+            ((b"a", b""), (b"b", b"")),
+        ],
+    )
+    def test_unpacked(self, headers: tuple[tuple[bytes, bytes], ...]) -> None:
+        """Headers come out as they were added, in their order."""
+        packed = PackedHeaders()
+        for name, value in headers:
+            packed.add(name, value)
+        expected = tuple((n.decode(), v.decode("latin-1")) for n, v in headers)
+        assert packed.unpack() == expected
+
+
 class TestRequests:
     """Requests are counted from their head to the end of their answer."""
 
@@ -70,6 +92,39 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(
+        ("sent", "held"),
+        [
+            (b"GET /1 HTTP/1.1\r\nhost: a\r\n", REQUEST_BYTES),
+            (b"GET /1 HTTP/1.1\r\nx: " + b"a" * 30_000, 30_020),
+            (b"GET /1 HTTP/1.1\r\n" + b"x: a\r\n" * 2_500, REQUEST_BYTES),
+        ],
+        ids=["short head", "long header", "small headers"],
+    )
+    def test_unfinished_head(self, sent: bytes, held: int) -> None:
+        """A head is counted as it arrives, by its bytes."""
+
+        async def scenario() -> None:
+            budget = BufferBudget(limit=LIMIT)
+            async with serve(Script(), budget=budget) as bed:
+                caller = await bed.connect()
+                caller.send(sent)
+                await reach(lambda: budget.used == max(held, REQUEST_BYTES))
+
+        run(scenario)
+
+    def test_small_headers(self) -> None:
+        """A whole head is counted by its headers, each of which takes more than its bytes."""
+
+        async def scenario() -> None:
+            budget = BufferBudget(limit=LIMIT)
+            async with serve(Script(acts={"/1": never}), budget=budget) as bed:
+                caller = await bed.connect()
+                caller.send(b"GET /1 HTTP/1.1\r\n" + b"x: a\r\n" * 1_000 + b"\r\n")
+                await reach(lambda: budget.used > 1_000 * HEADER_BYTES)
+
+        run(scenario)
+
     @pytest.mark.parametrize("length", [LARGE, None])
     def test_large_refused(self, length: int | None) -> None:
         """A body that there is no room for is refused as not run, and its caller can read that."""
