Shed unfinished requests that make no progress where others need their room

What callers saw: with 60 unfinished bodies of 4 MB, or 700 of 65 kB, at a host of 100 MB, an ordinary request got 503 memory_short at each of five tries, for as long as the crowd stayed: large ones beside any of these, small ones too beside bodies in chunks, which also took 104 MB.

Cause: a request held its room in the budget from its head on, and whoever stopped short held it until the idle limit, so that the budget itself was what a crowd took away.

Change: azureswitch.shedding. What is not whole holds at most half of the budget together (one alone may hold more). Where there is no room, for it or for a request that has just become whole, those that brought less than 16 KB within the last second end, slowest first, 128 at most for one other, with 503 request_shed (not run, Retry-After). Nothing ends while there is room, nothing ends in vain where accepted work alone leaves none, and accepted work never ends for new work. It is decided without a network or a clock of its own (tests/shedding).

--- a/src/azureswitch/exceptions/__init__.py
+++ b/src/azureswitch/exceptions/__init__.py
@@ -76,6 +76,7 @@
     NotConfiguredError,
     QuarantinedError,
     RefusedError,
+    RequestShedError,
     ServiceEvacuatedError,
     TargetsColdError,
 )
@@ -169,6 +170,7 @@
     "LimitExceededError",
     "LimitReachedError",
     "MemoryShortError",
+    "RequestShedError",
     "LongWorkLostError",
     "MalformedBodyError",
     "MalformedRequestError",
--- a/src/azureswitch/exceptions/_refusals.py
+++ b/src/azureswitch/exceptions/_refusals.py
@@ -124,6 +124,26 @@
         return f"This host has no memory for this request; try again in {self.seconds:.1f} s."
 
 
+class RequestShedError(RefusedError):
+    """The request had not arrived whole when others needed the memory that it held.
+
+    Attributes:
+        held: Bytes that it held.
+        stalled: Seconds for which little of it had arrived.
+    """
+
+    code: ClassVar[str] = "request_shed"
+    held: int
+    stalled: float
+
+    @property
+    def message(self) -> str:
+        return (
+            f"Little of this request arrived for {self.stalled:.1f} s, and others needed the "
+            f"{self.held} bytes that it held; try again in {self.seconds:.1f} s."
+        )
+
+
 class NotConfiguredError(RefusedError):
     """This host has no configuration that it may serve by yet."""
 
--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -6,7 +6,7 @@
 from typing import cast
 
 from azureswitch.buffers import BufferBudget
-from azureswitch.exceptions import CallerTooSlowError
+from azureswitch.exceptions import CallerTooSlowError, RequestShedError
 from azureswitch.server._exchange import Exchange, Handler
 from azureswitch.server._handover import Handover
 from azureswitch.server._idleness import Idleness
@@ -14,6 +14,7 @@
 from azureswitch.server._reader import RequestReader, Stage
 from azureswitch.server._timer import Timer
 from azureswitch.server._unread import is_readable
+from azureswitch.shedding import UnfinishedRequests
 
 LOOK_SECONDS = 0.01
 """Seconds until a connection with unread bytes is looked at again; the loop's next turn reads them.
@@ -37,6 +38,7 @@
         handler: Takes the requests.
         connections: The open connections, which this one adds itself to.
         budget: Counts the memory of requests, and of answers that the caller does not read.
+        unfinished: The unfinished requests of the process.
         closed: Is told once it has ended.
     """
 
@@ -46,6 +48,7 @@
         handler: Handler,
         connections: set["ServerConnection"],
         budget: BufferBudget,
+        unfinished: UnfinishedRequests,
         closed: Callable[[ConnectionClosed], None],
     ) -> None:
         self._handler = handler
@@ -54,7 +57,9 @@
         self._closed = closed
         self._reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
-        self._reader = RequestReader(limits=lambda: handler.limits, budget=budget)
+        self._reader = RequestReader(
+            limits=lambda: handler.limits, budget=budget, unfinished=unfinished, holder=self
+        )
         self._unread_answers = budget.lease()
         self._transport: asyncio.Transport | None = None
         self._timer = Timer(loop=self._loop)
@@ -130,6 +135,11 @@
         if self.idle and not fresh and not self._unread:
             self.close(CloseReason.STOP)
 
+    def shed(self, error: RequestShedError) -> None:
+        """Refuse the request that is not whole yet, after the answers to those before it."""
+        self._reader.refuse(error)
+        self._advance()
+
     def answered(self, *, keep_alive: bool) -> None:
         """Go on with the next request, or close."""
         self._current = None
--- a/src/azureswitch/server/_reader.py
+++ b/src/azureswitch/server/_reader.py
@@ -19,9 +19,11 @@
     HeadersTooLargeError,
     MalformedRequestError,
     MemoryShortError,
+    RequestShedError,
 )
 from azureswitch.server._headers import PackedHeaders
 from azureswitch.server._model import CallerLimits, HttpRequest, ReadRequest
+from azureswitch.shedding import Sheddable, UnfinishedRequests
 
 LINE_BYTES = 4
 """Bytes that a header takes beside its name and its value: a colon, a space and the line's end."""
@@ -31,7 +33,7 @@
 Each chunk costs as much to read, however short it is.
 """
 
-_CUT_SHORT = (BodyTooLargeError, HeadersTooLargeError, MemoryShortError)
+_CUT_SHORT = (BodyTooLargeError, HeadersTooLargeError, MemoryShortError, RequestShedError)
 """Refusals of a request before it was read whole."""
 
 
@@ -52,11 +54,22 @@
     Args:
         limits: Returns what a request may be now.
         budget: Counts the memory that requests take.
+        unfinished: The unfinished requests of the process.
+        holder: The connection, which is told if its request is shed.
     """
 
-    def __init__(self, *, limits: Callable[[], CallerLimits], budget: BufferBudget) -> None:
+    def __init__(
+        self,
+        *,
+        limits: Callable[[], CallerLimits],
+        budget: BufferBudget,
+        unfinished: UnfinishedRequests,
+        holder: Sheddable,
+    ) -> None:
         self._limits = limits
         self._budget = budget
+        self._unfinished = unfinished
+        self._holder = holder
         self._lease = budget.lease()
         self._meter = FramingMeter()
         self._parser = HttpRequestParser(self)
@@ -113,8 +126,16 @@
                 self._hold()
             if self._meter.exceeded:
                 self.refuse(HeadersTooLargeError(limit=self._limits().header_bytes))
+        self._note_unfinished(received=len(data))
         return self._whole
 
+    def _note_unfinished(self, *, received: int) -> None:
+        """Refuse what is not whole by now if unfinished requests have no room for it."""
+        if self._stage is Stage.NONE:
+            self._unfinished.discard(self._holder)
+        elif not self._unfinished.keep(self._holder, size=self._lease.size, received=received):
+            self.refuse(MemoryShortError())
+
     def _parse(self, piece: bytes) -> None:
         self._meter.add(len(piece))
         self._piece_bytes = len(piece)
@@ -248,7 +269,9 @@
         body = max(self._length, len(self._body))
         size = max(REQUEST_BYTES, head) + body
         more = size - self._lease.size
-        if more <= 0 or self._lease.try_grow(more, share=share_for(body)):
+        if more <= 0 or self._unfinished.try_grow(
+            self._lease, more, share=share_for(body), holder=self._holder
+        ):
             return True
         self.refuse(MemoryShortError())
         return False
@@ -266,3 +289,4 @@
         self._headers = PackedHeaders()
         self._body = bytearray()
         self._lease.release()
+        self._unfinished.discard(self._holder)
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -7,10 +7,12 @@
 from absl import logging
 
 from azureswitch.buffers import BufferBudget
+from azureswitch.clock import elapsed
 from azureswitch.server._connection import ServerConnection
 from azureswitch.server._exchange import Handler
 from azureswitch.server._model import CloseReason, ConnectionClosed
 from azureswitch.server._unread import is_readable
+from azureswitch.shedding import UnfinishedRequests
 
 BACKLOG = 512
 """Connections that may wait to be taken."""
@@ -29,6 +31,7 @@
         handler: Takes their requests.
         closed: Is told of each connection that has ended; what is lost is logged otherwise.
         budget: Counts the memory that requests and answers take, or None for no bound.
+        unfinished: The unfinished requests of the process, or None if the budget is not shared.
     """
 
     def __init__(
@@ -37,9 +40,11 @@
         handler: Handler,
         closed: Callable[[ConnectionClosed], None] | None = None,
         budget: BufferBudget | None = None,
+        unfinished: UnfinishedRequests | None = None,
     ) -> None:
         self._handler = handler
         self._budget = budget or BufferBudget()
+        self._unfinished = unfinished or UnfinishedRequests(budget=self._budget, clock=elapsed)
         self._closed = closed or _log_unserved
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -78,6 +83,7 @@
             handler=self._handler,
             connections=self._connections,
             budget=self._budget,
+            unfinished=self._unfinished,
             closed=self._closed,
         )
 
