Bound what an entry host holds for its callers, by a budget as on the platform

Cause: the product's own interface had no budget at all. Each connection was bounded by itself, and nothing bounded them together. Beside that a body was held twice while the rest of it was awaited, as the last message of the framework was kept, and a refused request held its headers and body for as long as its connection lingered.

Change: entry._protocol counts heads by their headers, bodies by their declared length or bytes, from their first byte to the end of the answer, in the budget and by the shedding that hosts of the platform have; half of `[limits] memory_bytes`, which is new and by default what the control group or the machine permits (azureswitch.machine), so that no client inside the limits meets it. Refusals (503 memory_short, request_shed) carry Retry-After, count in refusals_total{code}, and wait for the answers to requests before them.

Crowds and bounds are as they were; the tests' settings now name their 200 MB, which was no setting before. What was not looked at: a job that goes on after its caller left holds its body uncounted; a body of token ids takes several times its bytes while it is decoded.

--- a/src/azureswitch/entry/_http.py
+++ b/src/azureswitch/entry/_http.py
@@ -1,140 +1,25 @@
-"""The HTTP server: uvicorn with limits on the resources of a connection."""
+"""The HTTP server: uvicorn with limits on the resources of its connections."""
 
 import asyncio
 import logging as standard_logging
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
-from http import HTTPStatus
-from typing import Any
 
 from uvicorn import Config, Server
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from azureswitch.entry._errors import error_body
+from azureswitch.entry._protocol import Intake, LimitingProtocol
 from azureswitch.entry._settings import Limits
 from azureswitch.entry._writer import Asgi, ResponseWriterApp
-from azureswitch.exceptions import (
-    CallerTooSlowError,
-    HeadersTooLargeError,
-    MalformedRequestError,
-    RequestError,
-)
 from azureswitch.settings import Address
 
 KEEP_ALIVE_SECONDS = 75
 """Seconds for which an idle connection is kept, which exceeds the time of load balancers."""
 
-MAX_FRAMING_RATIO = 8
-"""Upper bound of framing bytes per byte of a body; chunks of one byte must pass."""
-
 START_POLL_SECONDS = 0.005
 """Seconds between two checks whether the server listens."""
 
 
-class _RefusedError(Exception):
-    """Ends the parsing of a refused request."""
-
-
-class LimitingProtocol(HttpToolsProtocol):
-    """Limits the size of headers and the time to receive them, and rejects with typed errors."""
-
-    limits = Limits()
-
-    _header_bytes = 0
-    _overhead_bytes = 0
-    _in_headers = True
-    _header_timer: asyncio.TimerHandle | None = None
-    _refusal: RequestError | None = None
-
-    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        """Start the timeout for the headers of the first request."""
-        super().connection_made(transport)
-        self._start_header_timer()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timeout."""
-        self._cancel_header_timer()
-        super().connection_lost(exc)
-
-    def data_received(self, data: bytes) -> None:
-        """Count the bytes of headers, or of framing around a body."""
-        if self._in_headers:
-            self._header_bytes += len(data)
-            if self._header_timer is None:
-                self._start_header_timer()
-        else:
-            self._overhead_bytes += len(data)
-        super().data_received(data)
-        size = self._header_bytes if self._in_headers else self._overhead_bytes
-        if size > self.limits.header_bytes:
-            self._refuse(HeadersTooLargeError(limit=self.limits.header_bytes))
-
-    def on_message_begin(self) -> None:
-        """Give the application a means to abort the connection."""
-        super().on_message_begin()
-        state: dict[str, Any] = self.scope["state"]
-        state["abort"] = self.transport.abort
-
-    def on_headers_complete(self) -> None:
-        """Start the request, unless its headers are too large."""
-        self._cancel_header_timer()
-        self._in_headers = False
-        size = len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
-        self._overhead_bytes = max(0, self._header_bytes - size)
-        if size > self.limits.header_bytes:
-            self._refusal = HeadersTooLargeError(limit=self.limits.header_bytes)
-            raise _RefusedError()
-        super().on_headers_complete()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; trailers after the body are ignored."""
-        if self._in_headers:
-            super().on_header(name, value)
-
-    def on_body(self, body: bytes) -> None:
-        """Add part of a body."""
-        self._overhead_bytes = max(0, self._overhead_bytes - MAX_FRAMING_RATIO * len(body))
-        super().on_body(body)
-
-    def on_message_complete(self) -> None:
-        """Prepare for the headers of the next request."""
-        self._in_headers = True
-        self._header_bytes = self._overhead_bytes = 0
-        super().on_message_complete()
-
-    def send_400_response(self, msg: str) -> None:
-        """Reject what is not HTTP, or what `on_headers_complete` has rejected."""
-        self._refuse(self._refusal or MalformedRequestError())
-
-    def _start_header_timer(self) -> None:
-        self._header_timer = self.loop.call_later(self.limits.read_timeout, self._header_timeout)
-
-    def _cancel_header_timer(self) -> None:
-        if self._header_timer is not None:
-            self._header_timer.cancel()
-            self._header_timer = None
-
-    def _header_timeout(self) -> None:
-        if self._header_bytes:
-            self._refuse(CallerTooSlowError(limit=self.limits.read_timeout))
-        else:
-            self.transport.close()
-
-    def _refuse(self, error: RequestError) -> None:
-        self._cancel_header_timer()
-        if self.transport.is_closing():
-            return
-        body = error_body(error)
-        status = HTTPStatus(error.status)
-        head = (
-            f"HTTP/1.1 {status.value} {status.phrase}\r\ncontent-type: application/json\r\n"
-            f"content-length: {len(body)}\r\nconnection: close\r\n\r\n"
-        )
-        self.transport.write(head.encode() + body)
-        self.transport.close()
-
-
 class _EmbeddedServer(Server):
     """A server that does not handle signals."""
 
@@ -151,10 +36,13 @@
         app: The ASGI application.
         address: Where it listens; port 0 selects a free one.
         limits: The limits for a connection.
+        intake: What its connections share with all others of the process.
     """
 
-    def __init__(self, *, app: Asgi, address: Address, limits: Limits) -> None:
-        protocol = type("LimitedProtocol", (LimitingProtocol,), {"limits": limits})
+    def __init__(self, *, app: Asgi, address: Address, limits: Limits, intake: Intake) -> None:
+        protocol = type(
+            "LimitedProtocol", (LimitingProtocol,), {"limits": limits, "intake": intake}
+        )
         grace = int(limits.read_timeout + limits.write_timeout) + 1
         config = Config(
             ResponseWriterApp(app=app),
--- a/src/azureswitch/entry/_requests.py
+++ b/src/azureswitch/entry/_requests.py
@@ -121,22 +121,26 @@
     body = bytearray()
     more = True
     while more:
-        message = await _receive(receive, timeout)
-        if message["type"] == "http.disconnect":
-            raise CallerLeftError()
-        body += message.get("body", b"")
-        more = message.get("more_body", False)
+        more = await _receive_part(receive, body, timeout=timeout)
         if len(body) > limit:
             raise BodyTooLargeError(limit=limit)
     return bytes(body)
 
 
-async def _receive(receive: Receive, timeout: float) -> dict[str, Any]:
+async def _receive_part(receive: Receive, body: bytearray, *, timeout: float) -> bool:
+    """Add the next part to a body, and return whether more follows.
+
+    No part is kept beside the body while the next one is awaited.
+    """
     try:
         async with asyncio.timeout(timeout):
-            return await receive()
+            message = await receive()
     except TimeoutError as error:
         raise CallerTooSlowError(limit=timeout) from error
+    if message["type"] == "http.disconnect":
+        raise CallerLeftError()
+    body += message.get("body", b"")
+    return bool(message.get("more_body", False))
 
 
 async def wait_disconnected(receive: Receive) -> None:
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -8,15 +8,22 @@
 from absl import logging
 from blacksheep import Application, Router
 
+from azureswitch.buffers import budget_of
+from azureswitch.clock import elapsed
 from azureswitch.entry._api import CallerApi
 from azureswitch.entry._http import HttpServer
 from azureswitch.entry._jobs import JobApi
 from azureswitch.entry._ops import OperatorApi
+from azureswitch.entry._protocol import Intake
 from azureswitch.entry._settings import EntrySettings
 from azureswitch.entry._shell import Shell
 from azureswitch.entry._wiring import EntryPorts, Parts, http_ports
+from azureswitch.exceptions import AzureswitchError
+from azureswitch.machine import machine_memory
+from azureswitch.metrics import REFUSALS_HELP, Metrics, watch_buffers
 from azureswitch.peers import PeerNetwork
 from azureswitch.settings import Address
+from azureswitch.shedding import UnfinishedRequests
 from azureswitch.tasks import Tasks, keep_running
 
 SETTLE_TIMEOUT_SECONDS = 30.0
@@ -104,9 +111,12 @@
             self._api.install, self._jobs.install, operators.install_health
         )
         operations = await _application(operators.install)
-        self._callers = HttpServer(app=callers, address=self._settings.callers, limits=limits)
+        intake = self._intake(self._parts.metrics)
+        self._callers = HttpServer(
+            app=callers, address=self._settings.callers, limits=limits, intake=intake
+        )
         self._operations = HttpServer(
-            app=operations, address=self._settings.operations, limits=limits
+            app=operations, address=self._settings.operations, limits=limits, intake=intake
         )
         await self._callers.start()
         await self._operations.start()
@@ -151,6 +161,16 @@
         if not await parts.claims.drain(timeout=SETTLE_TIMEOUT_SECONDS):
             logging.warning("entry: Outcomes of calls did not reach the store.")
 
+    def _intake(self, metrics: Metrics) -> Intake:
+        budget = budget_of(self._settings.limits.memory_bytes or machine_memory())
+        unfinished = UnfinishedRequests(budget=budget, clock=elapsed)
+        watch_buffers(metrics, unfinished=unfinished)
+
+        def count(error: AzureswitchError) -> None:
+            metrics.count(name="refusals", help=REFUSALS_HELP, code=error.code)
+
+        return Intake(unfinished=unfinished, refused=count)
+
     async def _real_ports(self) -> EntryPorts:
         self._network = PeerNetwork(address=str(self._settings.peers))
         await self._network.start()
--- a/src/azureswitch/entry/_settings.py
+++ b/src/azureswitch/entry/_settings.py
@@ -39,6 +39,7 @@
         read_timeout: Seconds that a caller may pause while it sends a request.
         write_timeout: Seconds that a caller may leave a streamed answer unread.
         job_retention: Seconds for which the answer of an ended job is kept on this host.
+        memory_bytes: Bytes of memory that the process may use; zero for what the machine permits.
     """
 
     header_bytes: int = 32_768
@@ -48,6 +49,7 @@
     read_timeout: float = 20.0
     write_timeout: float = 30.0
     job_retention: float = 600.0
+    memory_bytes: int = 0
 
 
 class EntrySettings(Struct, frozen=True, kw_only=True):
@@ -159,6 +161,14 @@
     default=_DEFAULTS.job_retention,
     help="How long the answer of an ended job is kept on the host that ran it.",
 )
+_MEMORY_BYTES = Setting(
+    section="limits",
+    key="memory_bytes",
+    kind=Integer(low=0, high=1_099_511_627_776),
+    default=_DEFAULTS.memory_bytes,
+    unit="bytes",
+    help="Memory that the process may use, half of it for requests; 0 for what the machine has.",
+)
 _DRAIN_NOTICE = Setting(
     section="shutdown",
     key="drain_notice",
@@ -192,6 +202,7 @@
         _READ_TIMEOUT,
         _WRITE_TIMEOUT,
         _JOB_RETENTION,
+        _MEMORY_BYTES,
         _DRAIN_NOTICE,
         _LOG_LEVEL,
     ),
@@ -229,6 +240,7 @@
             read_timeout=values.get(_READ_TIMEOUT),
             write_timeout=values.get(_WRITE_TIMEOUT),
             job_retention=values.get(_JOB_RETENTION),
+            memory_bytes=values.get(_MEMORY_BYTES),
         ),
         drain_notice=values.get(_DRAIN_NOTICE),
         log_level=values.get(_LOG_LEVEL),
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -156,7 +156,7 @@
             tickets=self._tickets,
             log=log,
             paths=self._paths,
-            budget=budget,
+            unfinished=self._callers.unfinished,
             targets=lambda: self._listed.by_name.values(),
             deployment=lambda: self._handler.deployment,
         )
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable, Iterable
 
-from azureswitch.buffers import BufferBudget
 from azureswitch.gateway._model import Deployment
 from azureswitch.gateway._process import peak_memory
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._tickets import Tickets
 from azureswitch.inventory import Target, TargetRole
 from azureswitch.logs import Log
-from azureswitch.metrics import Metrics, watch_evacuations
+from azureswitch.metrics import Metrics, watch_buffers, watch_evacuations
 from azureswitch.paths import Paths
+from azureswitch.shedding import UnfinishedRequests
 
 TUNNELS_HELP = "Open tunnels to targets, by which host uses them: this one, or another one."
 
@@ -22,7 +22,7 @@
     tickets: Tickets,
     log: Log,
     paths: Paths,
-    budget: BufferBudget,
+    unfinished: UnfinishedRequests,
     targets: Callable[[], Iterable[Target]],
     deployment: Callable[[], Deployment | None],
 ) -> None:
@@ -34,7 +34,7 @@
         tickets: Reserves memory on engines.
         log: Receives the log entries.
         paths: Connects to the targets.
-        budget: Counts the memory of requests and answers.
+        unfinished: The requests of callers of which a part has arrived.
         targets: Returns the listed targets.
         deployment: Returns the configuration in force, or None before the first.
     """
@@ -62,11 +62,6 @@
             "The most memory that this process has used.",
             peak_memory,
         ),
-        (
-            "buffered_bytes",
-            "Bytes held for requests, answers, and callers who do not read.",
-            lambda: budget.used,
-        ),
         ("open_requests", "Requests that have not been answered.", lambda: shell.open_calls),
         ("configuration_version", "The configuration in force; zero for none.", version),
         (
@@ -125,4 +120,5 @@
         metrics.watch(name=name, help=help, value=value)
     metrics.watch(name="tunnels_open", help=TUNNELS_HELP, value=lambda: paths.used, user="this")
     metrics.watch(name="tunnels_open", help=TUNNELS_HELP, value=lambda: paths.carried, user="other")
+    watch_buffers(metrics, unfinished=unfinished)
     watch_evacuations(metrics, evacuations=lambda: shell.evacuations)
--- a/src/azureswitch/gateway/_handler.py
+++ b/src/azureswitch/gateway/_handler.py
@@ -27,7 +27,7 @@
 from azureswitch.gateway._routes import Routes, pick_service
 from azureswitch.gateway._shell import Shell
 from azureswitch.logs import Log
-from azureswitch.metrics import Metrics
+from azureswitch.metrics import REFUSALS_HELP, Metrics
 from azureswitch.server import CallerLimits, CloseReason, ConnectionClosed, Exchange
 from azureswitch.serving import Call
 
@@ -112,7 +112,7 @@
         self._log.write(refused)
         self._metrics.count(
             name="refusals",
-            help="Requests refused before they were admitted, by failure.",
+            help=REFUSALS_HELP,
             code=error.code,
         )
 
--- a/src/azureswitch/metrics.py
+++ b/src/azureswitch/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from azureswitch.serving import EvacuatedPlace, Observation, Observe
+from azureswitch.shedding import UnfinishedRequests
 
 LENGTH_BUCKETS = ((4_000, "1k"), (32_000, "10k"), (320_000, "100k"))
 """Prompt tokens below which a request belongs to a bucket; the rest is ``1m``."""
@@ -15,6 +16,9 @@
 SLOWDOWN_BOUNDS = [1.0, 1.05, 1.1, 1.15, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0]
 """Upper bounds of the buckets for slowdown, as ratios."""
 
+REFUSALS_HELP = "Requests refused before they were admitted, by failure."
+"""What the counter of refusals counts, on all kinds of hosts."""
+
 _MEASURES = {
     Observation.FIRST_TOKEN: (FIRST_TOKEN_BOUNDS, "Seconds to the first token."),
     Observation.SLOWDOWN: (SLOWDOWN_BOUNDS, "Time to first token over that on an idle fleet."),
@@ -127,3 +131,36 @@
         help="Attempts of this host that still run in evacuated failure domains.",
         value=lambda: sum(place.running for place in evacuations()),
     )
+
+
+def watch_buffers(metrics: Metrics, *, unfinished: UnfinishedRequests) -> None:
+    """Register the gauges of the memory held for callers, the same on all kinds of hosts.
+
+    Args:
+        metrics: The metrics.
+        unfinished: The requests of callers of which a part has arrived.
+    """
+    gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
+        (
+            "buffered_bytes",
+            "Bytes held for requests, answers, and callers who do not read.",
+            lambda: unfinished.budget.used,
+        ),
+        (
+            "unfinished_requests",
+            "Requests of which a part has arrived.",
+            lambda: unfinished.count,
+        ),
+        (
+            "unfinished_bytes",
+            "Bytes held for requests of which a part has arrived.",
+            lambda: unfinished.held,
+        ),
+        (
+            "unfinished_slowest_seconds",
+            "Seconds since the last progress of the slowest unfinished request.",
+            lambda: unfinished.slowest_seconds,
+        ),
+    )
+    for name, help, value in gauges:
+        metrics.watch(name=name, help=help, value=value)
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -31,7 +31,6 @@
         handler: Takes their requests.
         closed: Is told of each connection that has ended; what is lost is logged otherwise.
         budget: Counts the memory that requests and answers take, or None for no bound.
-        unfinished: The unfinished requests of the process, or None if the budget is not shared.
     """
 
     def __init__(
@@ -40,11 +39,10 @@
         handler: Handler,
         closed: Callable[[ConnectionClosed], None] | None = None,
         budget: BufferBudget | None = None,
-        unfinished: UnfinishedRequests | None = None,
     ) -> None:
         self._handler = handler
         self._budget = budget or BufferBudget()
-        self._unfinished = unfinished or UnfinishedRequests(budget=self._budget, clock=elapsed)
+        self._unfinished = UnfinishedRequests(budget=self._budget, clock=elapsed)
         self._closed = closed or _log_unserved
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -54,6 +52,11 @@
         """Connections that are open."""
         return len(self._connections)
 
+    @property
+    def unfinished(self) -> UnfinishedRequests:
+        """The requests of which a part has arrived."""
+        return self._unfinished
+
     @property
     def address(self) -> str:
         """``IP:PORT`` that it listens on."""
--- a/src/azureswitch/shedding/_unfinished.py
+++ b/src/azureswitch/shedding/_unfinished.py
@@ -58,7 +58,11 @@
         self._clock = clock
         self._requests: dict[Sheddable, _Unfinished] = {}
         self._held = 0
-        self._shed = 0
+
+    @property
+    def budget(self) -> BufferBudget:
+        """Counts the memory of requests and answers."""
+        return self._budget
 
     @property
     def count(self) -> int:
@@ -70,11 +74,6 @@
         """Bytes that they hold together."""
         return self._held
 
-    @property
-    def shed(self) -> int:
-        """Number of requests that were shed so far."""
-        return self._shed
-
     @property
     def slowest_seconds(self) -> float:
         """Seconds since the last progress of the slowest request, or zero where there is none."""
@@ -165,6 +164,5 @@
         if seconds < SLOW_SECONDS:
             return False
         self.discard(slowest)
-        self._shed += 1
         slowest.shed(RequestShedError(held=request.size, stalled=seconds))
         return True
--- a/tests/crowds/test_entry_host.py
+++ b/tests/crowds/test_entry_host.py
@@ -12,7 +12,7 @@
     unfinished_head,
     whole_body,
 )
-from tests.crowds.hosts import entry_host, meet
+from tests.crowds.hosts import MEGABYTE, entry_host, meet
 from tests.entry.rig import KEY
 from tests.platform.processes import NETWORK, run
 
@@ -27,7 +27,7 @@
 
 IP = f"{NETWORK}.130"
 
-SETTINGS = "body_bytes = 4194304"
+SETTINGS = f"body_bytes = 4194304\nmemory_bytes = {MEMORY.memory_mb * MEGABYTE}"
 
 SMALL, LARGE = 200, 20_000
 """Characters of an ordinary prompt."""
