Bound the connections of each listener by the process's descriptors

What callers saw: 450 connections that send nothing took 466 descriptors of a host that has 200 for sockets, on its listeners for callers, readiness, metrics and peers alike; 350 took all 300 of an entry host, which then answered nobody for seconds, and never again where they were at its port for peers (4,300 took all 4,200 of a host of the platform, those for targets and the store too).

Cause: no listener bounded its connections; the kernel's limit was met first, by whoever opened the next descriptor.

Change: shedding.ConnectionLimit bounds each listener to a share of the descriptors for sockets: callers 0.7, peers 0.15, readiness and the pages for operators 0.05 each, so that targets, the store and tunnels keep the rest. MaxFds (200 of them for files) or the process's own limit says how many there are. A new connection takes the place of the one that has sent nothing for longest, over a second; where all have sent something, it is closed at once and the slowest unfinished request is shed for the next. A connection that was used is never dropped, as its caller was told how long it may be used; above three quarters of the limit answers close theirs. Closed connections count in connections_closed{reason="crowded"}; caller_connections is a gauge.

--- a/src/azureswitch/entry/_http.py
+++ b/src/azureswitch/entry/_http.py
@@ -8,10 +8,12 @@
 
 from uvicorn import Config, Server
 
+from azureswitch.clock import elapsed
 from azureswitch.entry._protocol import Intake, LimitingProtocol
 from azureswitch.entry._settings import Limits
 from azureswitch.entry._writer import Asgi, ResponseWriterApp
 from azureswitch.settings import Address
+from azureswitch.shedding import ConnectionLimit
 
 KEEP_ALIVE_SECONDS = 75
 """Seconds for which an idle connection is kept, which exceeds the time of load balancers."""
@@ -37,12 +39,17 @@
         address: Where it listens; port 0 selects a free one.
         limits: The limits for a connection.
         intake: What its connections share with all others of the process.
+        max_connections: Connections that may be open.
     """
 
-    def __init__(self, *, app: Asgi, address: Address, limits: Limits, intake: Intake) -> None:
-        protocol = type(
-            "LimitedProtocol", (LimitingProtocol,), {"limits": limits, "intake": intake}
+    def __init__(
+        self, *, app: Asgi, address: Address, limits: Limits, intake: Intake, max_connections: int
+    ) -> None:
+        admission = ConnectionLimit(
+            limit=max_connections, clock=elapsed, shed_slowest=intake.unfinished.shed_slowest
         )
+        shared = {"limits": limits, "intake": intake, "admission": admission}
+        protocol = type("LimitedProtocol", (LimitingProtocol,), shared)
         grace = int(limits.read_timeout + limits.write_timeout) + 1
         config = Config(
             ResponseWriterApp(app=app),
--- a/src/azureswitch/entry/_protocol.py
+++ b/src/azureswitch/entry/_protocol.py
@@ -22,7 +22,7 @@
     RequestError,
     RequestShedError,
 )
-from azureswitch.shedding import UnfinishedRequests
+from azureswitch.shedding import ConnectionLimit, UnfinishedRequests
 
 MAX_FRAMING_RATIO = 8
 """Upper bound of framing bytes per byte of a body; chunks of one byte must pass."""
@@ -55,6 +55,7 @@
 
     limits: Limits
     intake: Intake
+    admission: ConnectionLimit
 
     _lease: BufferLease
     _held_bytes = 0
@@ -70,20 +71,25 @@
     _refused = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        """Start the timeout for the headers of the first request."""
+        """Start the timeout for the headers of the first request, unless there are too many."""
         self._lease = self.intake.unfinished.budget.lease()
         super().connection_made(transport)
-        self._start_header_timer()
+        if self.admission.admit(self):
+            self._start_header_timer()
+        else:
+            self.drop()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timeout, and hold nothing any more."""
         self._cancel_header_timer()
+        self.admission.discard(self)
         self.intake.unfinished.discard(self)
         self._lease.release()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Read what arrived within the limits."""
+        self.admission.heard(self)
         for piece in pieces(data):
             if self._refused or self._deferred is not None or self.transport.is_closing():
                 return
@@ -132,6 +138,8 @@
             self._declared_left = self._body_bytes = declared
             self._held_bytes += declared
         super().on_headers_complete()
+        if self.admission.crowded:
+            self.cycle.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers after the body are ignored."""
@@ -173,6 +181,10 @@
             self._held_bytes = 0
             self._lease.release()
 
+    def drop(self) -> None:
+        """Close the connection at once, as others need its descriptor."""
+        self.transport.abort()
+
     def shed(self, error: RequestShedError) -> None:
         """Refuse the request that is not whole yet."""
         self._refuse(error)
--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -19,16 +19,19 @@
 from azureswitch.entry._shell import Shell
 from azureswitch.entry._wiring import EntryPorts, Parts, http_ports
 from azureswitch.exceptions import AzureswitchError
-from azureswitch.machine import machine_memory
+from azureswitch.machine import machine_descriptors, machine_memory
 from azureswitch.metrics import REFUSALS_HELP, Metrics, watch_buffers
 from azureswitch.peers import PeerNetwork
 from azureswitch.settings import Address
-from azureswitch.shedding import UnfinishedRequests
+from azureswitch.shedding import DescriptorShares, UnfinishedRequests
 from azureswitch.tasks import Tasks, keep_running
 
 SETTLE_TIMEOUT_SECONDS = 30.0
 """Seconds for which a leaving host waits until the store has its outputs and outcomes."""
 
+FILES = 64
+"""Descriptors that are left to files, the event loop and the standard streams."""
+
 
 class EntryServer:
     """One entry host.
@@ -56,6 +59,7 @@
         self._callers: HttpServer | None = None
         self._operations: HttpServer | None = None
         self._tasks = Tasks(prefix="entry")
+        self._shares = DescriptorShares(sockets=machine_descriptors() - FILES)
 
     @property
     def address(self) -> Address:
@@ -113,10 +117,18 @@
         operations = await _application(operators.install)
         intake = self._intake(self._parts.metrics)
         self._callers = HttpServer(
-            app=callers, address=self._settings.callers, limits=limits, intake=intake
+            app=callers,
+            address=self._settings.callers,
+            limits=limits,
+            intake=intake,
+            max_connections=self._shares.callers,
         )
         self._operations = HttpServer(
-            app=operations, address=self._settings.operations, limits=limits, intake=intake
+            app=operations,
+            address=self._settings.operations,
+            limits=limits,
+            intake=intake,
+            max_connections=self._shares.pages,
         )
         await self._callers.start()
         await self._operations.start()
@@ -172,7 +184,9 @@
         return Intake(unfinished=unfinished, refused=count)
 
     async def _real_ports(self) -> EntryPorts:
-        self._network = PeerNetwork(address=str(self._settings.peers))
+        self._network = PeerNetwork(
+            address=str(self._settings.peers), max_accepted=self._shares.peers
+        )
         await self._network.start()
         return http_ports(self._settings, self._network)
 
--- a/src/azureswitch/gateway/_gateway.py
+++ b/src/azureswitch/gateway/_gateway.py
@@ -27,11 +27,11 @@
 from azureswitch.gateway._listed import ListedTargets
 from azureswitch.gateway._log import ConfigurationAdopted
 from azureswitch.gateway._model import Deployment
-from azureswitch.gateway._page_servers import operator_server, readiness_server
 from azureswitch.gateway._peers import peer_hosts
 from azureswitch.gateway._ports import Dialect, Published, Reservations
 from azureswitch.gateway._prepared import Prepared, prepare
 from azureswitch.gateway._reports import host_status
+from azureswitch.gateway._servers import caller_server, operator_server, readiness_server
 from azureswitch.gateway._settings import GatewaySettings
 from azureswitch.gateway._shell import Shell
 from azureswitch.gateway._stopping import (
@@ -138,16 +138,16 @@
         self._handler = RequestHandler(
             shell=self._shell, dialect=dialect, log=log, metrics=metrics, random=Random(seed)
         )
-        self._callers = HttpServer(
-            handler=self._handler, closed=self._handler.closed, budget=budget
-        )
-        self._platform = readiness_server(ready=lambda: self.ready, dialect=dialect)
+        shares = settings.descriptors
+        self._callers = caller_server(handler=self._handler, budget=budget, shares=shares)
+        self._platform = readiness_server(ready=lambda: self.ready, dialect=dialect, shares=shares)
         self._pages = operator_server(
             metrics=metrics,
             status=lambda: self.status,
             release=self._shell.release,
             log=log,
             dialect=dialect,
+            shares=shares,
         )
         self._customers: tuple[Customer, ...] = ()
         register_gauges(
@@ -156,7 +156,7 @@
             tickets=self._tickets,
             log=log,
             paths=self._paths,
-            unfinished=self._callers.unfinished,
+            callers=self._callers,
             targets=lambda: self._listed.by_name.values(),
             deployment=lambda: self._handler.deployment,
         )
--- a/src/azureswitch/gateway/_gauges.py
+++ b/src/azureswitch/gateway/_gauges.py
@@ -10,7 +10,7 @@
 from azureswitch.logs import Log
 from azureswitch.metrics import Metrics, watch_buffers, watch_evacuations
 from azureswitch.paths import Paths
-from azureswitch.shedding import UnfinishedRequests
+from azureswitch.server import HttpServer
 
 TUNNELS_HELP = "Open tunnels to targets, by which host uses them: this one, or another one."
 
@@ -22,7 +22,7 @@
     tickets: Tickets,
     log: Log,
     paths: Paths,
-    unfinished: UnfinishedRequests,
+    callers: HttpServer,
     targets: Callable[[], Iterable[Target]],
     deployment: Callable[[], Deployment | None],
 ) -> None:
@@ -34,7 +34,7 @@
         tickets: Reserves memory on engines.
         log: Receives the log entries.
         paths: Connects to the targets.
-        unfinished: The requests of callers of which a part has arrived.
+        callers: Serves callers.
         targets: Returns the listed targets.
         deployment: Returns the configuration in force, or None before the first.
     """
@@ -62,6 +62,11 @@
             "The most memory that this process has used.",
             peak_memory,
         ),
+        (
+            "caller_connections",
+            "Connections of callers that are open.",
+            lambda: callers.connections,
+        ),
         ("open_requests", "Requests that have not been answered.", lambda: shell.open_calls),
         ("configuration_version", "The configuration in force; zero for none.", version),
         (
@@ -120,5 +125,5 @@
         metrics.watch(name=name, help=help, value=value)
     metrics.watch(name="tunnels_open", help=TUNNELS_HELP, value=lambda: paths.used, user="this")
     metrics.watch(name="tunnels_open", help=TUNNELS_HELP, value=lambda: paths.carried, user="other")
-    watch_buffers(metrics, unfinished=unfinished)
+    watch_buffers(metrics, unfinished=callers.unfinished)
     watch_evacuations(metrics, evacuations=lambda: shell.evacuations)
--- a/src/azureswitch/gateway/_settings.py
+++ b/src/azureswitch/gateway/_settings.py
@@ -1,11 +1,13 @@
 """The startup settings of a gateway process."""
 
 from math import inf
+from sys import maxsize
 
 from msgspec import Struct
 
 from azureswitch.core import HostName, PlaceName
 from azureswitch.inventory import Place
+from azureswitch.shedding import DescriptorShares
 
 
 class GatewaySettings(Struct, frozen=True, kw_only=True):
@@ -27,6 +29,7 @@
             same on all hosts; empty for none, and then this host opens none either.
         evacuations: Whether evacuations are read, so that a host waits for the first reading.
         memory: The memory limit of the process, in bytes; zero where there is none.
+        descriptors: The connections that each listener may have.
     """
 
     host: HostName
@@ -43,3 +46,4 @@
     tunnels: str = ""
     evacuations: bool = False
     memory: int = 0
+    descriptors: DescriptorShares = DescriptorShares(sockets=maxsize)
--- a/src/azureswitch/machine.py
+++ b/src/azureswitch/machine.py
@@ -2,6 +2,7 @@
 
 from os import sysconf
 from pathlib import Path
+from resource import RLIMIT_NOFILE, getrlimit
 
 CGROUP_MEMORY = Path("/sys/fs/cgroup/memory.max")
 """The memory limit of the process's control group in bytes, or ``max``; absent without one."""
@@ -15,3 +16,8 @@
     except OSError:
         return total
     return min(total, int(text)) if text.isdecimal() else total
+
+
+def machine_descriptors() -> int:
+    """Return how many file descriptors this process may have open."""
+    return getrlimit(RLIMIT_NOFILE)[0]
--- a/src/azureswitch/peers/_network.py
+++ b/src/azureswitch/peers/_network.py
@@ -13,13 +13,15 @@
     timeout as deadline,
 )
 from collections.abc import Callable, Coroutine, Iterable
+from sys import maxsize
 from typing import TypeVar
 
 from absl import logging
 from google.protobuf.message import DecodeError
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
+from azureswitch.clock import elapsed
 from azureswitch.exceptions import PeerError, PeerMessageTooLargeError, PeerRefusedError
 from azureswitch.peers._codec import decode, encode, kind_of
 from azureswitch.peers._handlers import Answer, Handlers
@@ -32,10 +34,12 @@
     PORT_TRIES,
 )
 from azureswitch.peers._pool import ChannelPool, split
+from azureswitch.peers._server import LimitedServer
 from azureswitch.peers._traffic import Traffic, TrafficCounter
 from azureswitch.peers.peers_grpc import PeersBase, PeersStub
 from azureswitch.peers.peers_pb2 import Envelope
 from azureswitch.ports import DATAGRAM_LIMIT, Handled
+from azureswitch.shedding import ConnectionLimit
 
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
@@ -58,17 +62,24 @@
         address: ``IP:PORT`` to listen on; port 0 lets the system choose one.
         connections: Connections that are kept to other hosts at most.
         idle: Seconds after which an unused connection is closed.
+        max_accepted: Connections of other hosts that may be open.
     """
 
     def __init__(
-        self, *, address: str, connections: int = CONNECTIONS, idle: float = IDLE_SECONDS
+        self,
+        *,
+        address: str,
+        connections: int = CONNECTIONS,
+        idle: float = IDLE_SECONDS,
+        max_accepted: int = maxsize,
     ) -> None:
         self._address = address
+        self._limit = ConnectionLimit(limit=max_accepted, clock=elapsed)
         self._idle = idle
         self._handlers = Handlers()
         self._counter = TrafficCounter()
         self._pool = ChannelPool(limit=connections, idle=idle)
-        self._server: Server | None = None
+        self._server: LimitedServer | None = None
         self._datagrams: DatagramTransport | None = None
         self._sweeper: Task[None] | None = None
         self._casts: set[Task[None]] = set()
@@ -227,7 +238,8 @@
         )
         chosen: int = datagrams.get_extra_info("sockname")[1]
         # The server belongs to the loop that runs when it is made.
-        server = Server([_Service(network=self)])
+        server = LimitedServer([_Service(network=self)])
+        server.limit = self._limit
         try:
             await server.start(host, chosen)
         except OSError:
--- a/src/azureswitch/platform/_edge.py
+++ b/src/azureswitch/platform/_edge.py
@@ -153,7 +153,7 @@
         )
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         myself = Incarnation(host=settings.host, started=int(time() * 1_000))
-        self._network = PeerNetwork(address=address)
+        self._network = PeerNetwork(address=address, max_accepted=settings.limits.descriptors.peers)
         self._membership = Membership(
             myself=myself,
             place=settings.place,
@@ -392,4 +392,5 @@
         tunnels=settings.tunnels,
         evacuations=settings.evacuations,
         memory=settings.limits.memory,
+        descriptors=settings.limits.descriptors,
     )
--- a/src/azureswitch/platform/_settings.py
+++ b/src/azureswitch/platform/_settings.py
@@ -3,6 +3,7 @@
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
+from sys import maxsize
 from typing import Any
 
 import msgspec
@@ -10,6 +11,8 @@
 from azureswitch.core import HostName, PlaceName
 from azureswitch.exceptions import PlatformSettingsError
 from azureswitch.inventory import Place
+from azureswitch.machine import machine_descriptors
+from azureswitch.shedding import DescriptorShares
 
 SETTINGS_VARIABLE = "AZURESWITCH_SETTINGS"
 """The environment variable that holds the path of the settings file."""
@@ -19,6 +22,13 @@
 """Bytes of the platform's megabyte."""
 
 
+FILES = 200
+"""Descriptors that the platform reserves for files."""
+
+MIN_SOCKETS = 64
+"""Descriptors that sockets are taken to have, however low the limit is."""
+
+
 class Addresses(msgspec.Struct, frozen=True, kw_only=True):
     """The addresses on which a process listens.
 
@@ -59,15 +69,24 @@
 
     Attributes:
         memory_megabytes: Memory beyond which the platform kills it; zero where there is no limit.
+        max_descriptors: Descriptors that it may have open, `FILES` of them for files; zero for as
+            many as the process has.
     """
 
     memory_megabytes: float = msgspec.field(name="MemoryMb", default=0.0)
+    max_descriptors: int = msgspec.field(name="MaxFds", default=0)
 
     @property
     def memory(self) -> int:
         """The same in bytes."""
         return int(self.memory_megabytes * MEGABYTE)
 
+    @property
+    def descriptors(self) -> DescriptorShares:
+        """The connections that each listener may have."""
+        limit = min(self.max_descriptors or maxsize, machine_descriptors())
+        return DescriptorShares(sockets=max(limit - FILES, MIN_SOCKETS))
+
 
 class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
     """The address of the platform's store."""
--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -14,7 +14,7 @@
 from azureswitch.server._reader import RequestReader, Stage
 from azureswitch.server._timer import Timer
 from azureswitch.server._unread import is_readable
-from azureswitch.shedding import UnfinishedRequests
+from azureswitch.shedding import ConnectionLimit, UnfinishedRequests
 
 LOOK_SECONDS = 0.01
 """Seconds until a connection with unread bytes is looked at again; the loop's next turn reads them.
@@ -39,6 +39,7 @@
         connections: The open connections, which this one adds itself to.
         budget: Counts the memory of requests, and of answers that the caller does not read.
         unfinished: The unfinished requests of the process.
+        limit: Bounds the open connections.
         closed: Is told once it has ended.
     """
 
@@ -49,11 +50,13 @@
         connections: set["ServerConnection"],
         budget: BufferBudget,
         unfinished: UnfinishedRequests,
+        limit: ConnectionLimit,
         closed: Callable[[ConnectionClosed], None],
     ) -> None:
         self._handler = handler
         self._handover = Handover(handler=handler)
         self._connections = connections
+        self._limit = limit
         self._closed = closed
         self._reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
@@ -79,7 +82,7 @@
         """Whether the answer under way is the last one; not before what was read is answered."""
         if self._waiting or self._reader.refusal is not None:
             return False
-        return self._handler.closing or self._reader.ended
+        return self._handler.closing or self._reader.ended or self._limit.crowded
 
     def promise(self) -> int:
         """Return the whole seconds that the connection stays once idle, or zero for untold."""
@@ -135,6 +138,10 @@
         if self.idle and not fresh and not self._unread:
             self.close(CloseReason.STOP)
 
+    def drop(self) -> None:
+        """Close the connection at once, as others need its descriptor."""
+        self.abort(CloseReason.CROWDED)
+
     def shed(self, error: RequestShedError) -> None:
         """Refuse the request that is not whole yet, after the answers to those before it."""
         self._reader.refuse(error)
@@ -156,13 +163,17 @@
     # asyncio calls these.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the transport."""
+        """Take the transport, or close it where there are too many."""
         self._transport = cast(asyncio.Transport, transport)
+        if not self._limit.admit(self):
+            self.drop()
+            return
         self._connections.add(self)
         self._wait_idle()
 
     def data_received(self, data: bytes) -> None:
         """Read what arrived, and begin with what is whole."""
+        self._limit.heard(self)
         if self._reason is not None:
             self._pass_over(len(data))
             return
@@ -187,6 +198,7 @@
         self._reason = self._reason or CloseReason.CALLER
         self._timer.stop()
         self._connections.discard(self)
+        self._limit.discard(self)
         self._reader.close()
         self.resume_writing()
         current, waiting = self._current, tuple(self._waiting)
--- a/src/azureswitch/server/_model.py
+++ b/src/azureswitch/server/_model.py
@@ -68,6 +68,7 @@
     UNREAD = "unread"
     BROKEN_OFF = "broken_off"
     REFUSED = "refused"
+    CROWDED = "crowded"
     FAULT = "fault"
 
 
--- a/src/azureswitch/server/_server.py
+++ b/src/azureswitch/server/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from socket import socket
+from sys import maxsize
 
 from absl import logging
 
@@ -12,7 +13,7 @@
 from azureswitch.server._exchange import Handler
 from azureswitch.server._model import CloseReason, ConnectionClosed
 from azureswitch.server._unread import is_readable
-from azureswitch.shedding import UnfinishedRequests
+from azureswitch.shedding import ConnectionLimit, UnfinishedRequests
 
 BACKLOG = 512
 """Connections that may wait to be taken."""
@@ -31,6 +32,7 @@
         handler: Takes their requests.
         closed: Is told of each connection that has ended; what is lost is logged otherwise.
         budget: Counts the memory that requests and answers take, or None for no bound.
+        max_connections: Connections that may be open.
     """
 
     def __init__(
@@ -39,10 +41,14 @@
         handler: Handler,
         closed: Callable[[ConnectionClosed], None] | None = None,
         budget: BufferBudget | None = None,
+        max_connections: int = maxsize,
     ) -> None:
         self._handler = handler
         self._budget = budget or BufferBudget()
         self._unfinished = UnfinishedRequests(budget=self._budget, clock=elapsed)
+        self._limit = ConnectionLimit(
+            limit=max_connections, clock=elapsed, shed_slowest=self._unfinished.shed_slowest
+        )
         self._closed = closed or _log_unserved
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -87,6 +93,7 @@
             connections=self._connections,
             budget=self._budget,
             unfinished=self._unfinished,
+            limit=self._limit,
             closed=self._closed,
         )
 
--- a/src/azureswitch/shedding/__init__.py
+++ b/src/azureswitch/shedding/__init__.py
@@ -5,6 +5,14 @@
 the least progress end first.  Accepted requests are never ended for new ones.
 """
 
+from azureswitch.shedding._connections import ConnectionLimit, Droppable
+from azureswitch.shedding._descriptors import DescriptorShares
 from azureswitch.shedding._unfinished import Sheddable, UnfinishedRequests
 
-__all__ = ["Sheddable", "UnfinishedRequests"]
+__all__ = [
+    "ConnectionLimit",
+    "DescriptorShares",
+    "Droppable",
+    "Sheddable",
+    "UnfinishedRequests",
+]
--- /dev/null
+++ b/src/azureswitch/shedding/_connections.py
@@ -0,0 +1,101 @@
+"""The connections of a listener, and which of them ends where there are too many."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+SILENT_SECONDS = 1.0
+"""Seconds after which a connection that has sent nothing may be dropped for a new one.
+
+A packet that is dropped is sent again after 0.2 s.
+"""
+
+CROWDED_SHARE = 0.75
+"""Share of the limit from which on callers are told to use another connection."""
+
+
+class Droppable(Protocol):
+    """A connection that can be closed for another one."""
+
+    def drop(self) -> None:
+        """Close the connection at once, as others need its descriptor."""
+
+
+class ConnectionLimit:
+    """Bounds the open connections of a listener.
+
+    A new connection takes the place of one that has sent nothing for a while, or else of one whose
+    request makes no progress.  A connection that was used is never dropped: its caller was told how
+    long it may be used.
+
+    Args:
+        limit: Connections that may be open.
+        clock: Returns seconds of the monotonic clock.
+        shed_slowest: Ends an unfinished request that makes no progress, and returns whether there
+            was one.
+    """
+
+    def __init__(
+        self,
+        *,
+        limit: int,
+        clock: Callable[[], float],
+        shed_slowest: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._limit = limit
+        self._clock = clock
+        self._shed_slowest = shed_slowest
+        self._silent: dict[Droppable, float] = {}
+        self._open: set[Droppable] = set()
+        self._dropped = 0
+
+    @property
+    def limit(self) -> int:
+        """Connections that may be open."""
+        return self._limit
+
+    @property
+    def open(self) -> int:
+        """Connections that are open."""
+        return len(self._open)
+
+    @property
+    def dropped(self) -> int:
+        """Connections that were closed so far for others, or because there was no room for them."""
+        return self._dropped
+
+    @property
+    def crowded(self) -> bool:
+        """Whether so many are open that callers should not keep theirs."""
+        return len(self._open) > CROWDED_SHARE * self._limit
+
+    def admit(self, connection: Droppable) -> bool:
+        """Count a new connection and return True, or False where it must be closed at once."""
+        if len(self._open) >= self._limit and not self._make_room():
+            self._dropped += 1
+            return False
+        self._open.add(connection)
+        self._silent[connection] = self._clock()
+        return True
+
+    def heard(self, connection: Droppable) -> None:
+        """Note that a connection has sent something."""
+        self._silent.pop(connection, None)
+
+    def discard(self, connection: Droppable) -> None:
+        """Note that a connection is closed."""
+        self._open.discard(connection)
+        self._silent.pop(connection, None)
+
+    def _make_room(self) -> bool:
+        """Drop the connection that has been silent for longest, or shed a request for the next one.
+
+        The connection of a shed request closes once its caller had time to read the refusal.
+        """
+        silent = next(iter(self._silent.items()), None)
+        if silent is None or self._clock() - silent[1] < SILENT_SECONDS:
+            self._shed_slowest()
+            return False
+        self.discard(silent[0])
+        self._dropped += 1
+        silent[0].drop()
+        return True
--- a/tests/entry/rig.py
+++ b/tests/entry/rig.py
@@ -126,7 +126,8 @@
 class Rig:
     """Two engines, one plain target and entry hosts."""
 
-    def __init__(self, *, cost: CostModel = FAST, hosts: int = 1) -> None:
+    def __init__(self, *, cost: CostModel = FAST, hosts: int = 1, limits: Limits = LIMITS) -> None:
+        self._limits = limits
         self.engines = [
             EngineStandin(settings=EngineSettings(name=f"engine-{index}", cost=cost))
             for index in range(2)
@@ -211,7 +212,7 @@
             address=address,
             plain=lambda target: self.plain,
         )
-        return EntryServer(settings=settings(name), ports=ports, seed=index)
+        return EntryServer(settings=settings(name, limits=self._limits), ports=ports, seed=index)
 
     @contextmanager
     def running(self) -> Iterator["Rig"]:
