Keep what waits to be read when a host that stood still makes room

What callers would see: after a host was frozen for over a second, every unfinished request and every new connection looks as if it had stalled, though its bytes wait in the kernel; where room is short, the host would have shed or dropped those whose callers had long sent all.

Cause: progress was judged by when the loop last read.

Change: a connection with bytes that the loop has not read yet is passed over, in both orders, and at most 128 are looked at for one that gives way.

Evidence: one case each in tests/shedding, which fail without the change by construction (the first connection is chosen).

--- a/src/azureswitch/entry/_protocol.py
+++ b/src/azureswitch/entry/_protocol.py
@@ -22,6 +22,7 @@
     RequestError,
     RequestShedError,
 )
+from azureswitch.server import is_readable
 from azureswitch.shedding import ConnectionLimit, UnfinishedRequests
 
 MAX_FRAMING_RATIO = 8
@@ -181,6 +182,11 @@
             self._held_bytes = 0
             self._lease.release()
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that the event loop has not read yet."""
+        return is_readable(self.transport.get_extra_info("socket"))
+
     def drop(self) -> None:
         """Close the connection at once, as others need its descriptor."""
         self.transport.abort()
--- a/src/azureswitch/peers/_server.py
+++ b/src/azureswitch/peers/_server.py
@@ -7,6 +7,7 @@
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
+from azureswitch.server import is_readable
 from azureswitch.shedding import ConnectionLimit
 
 
@@ -33,6 +34,11 @@
         self._transport: Transport | None = None
         self._protocol: H2Protocol | None = None
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that the event loop has not read yet."""
+        return self._transport is not None and is_readable(self._transport.get_extra_info("socket"))
+
     def drop(self) -> None:
         """Close the connection at once, as others need its descriptor."""
         if self._transport is not None:
--- a/src/azureswitch/server/_connection.py
+++ b/src/azureswitch/server/_connection.py
@@ -95,7 +95,7 @@
         return unread and self._current is None and not self._waiting
 
     @property
-    def _unread(self) -> bool:
+    def has_unread(self) -> bool:
         """Whether bytes have arrived, or the caller's end, that the loop has not read yet."""
         if self._transport is None or self._transport.is_closing():
             return False
@@ -135,7 +135,7 @@
     def close_idle(self) -> None:
         """Close the connection for a stop, unless a request is here or must be on its way."""
         fresh = self._reader.begun == 0 and self._idleness.fresh
-        if self.idle and not fresh and not self._unread:
+        if self.idle and not fresh and not self.has_unread:
             self.close(CloseReason.STOP)
 
     def drop(self) -> None:
@@ -303,7 +303,7 @@
 
     def _idled(self) -> None:
         left = self._idleness.left
-        if left > 0.0 or self._unread:
+        if left > 0.0 or self.has_unread:
             self._timer.set(max(left, LOOK_SECONDS), self._idled)
             return
         if not self._unsent_before:
--- a/src/azureswitch/shedding/_connections.py
+++ b/src/azureswitch/shedding/_connections.py
@@ -1,6 +1,7 @@
 """The connections of a listener, and which of them ends where there are too many."""
 
 from collections.abc import Callable
+from itertools import islice
 from typing import Protocol
 
 SILENT_SECONDS = 1.0
@@ -13,9 +14,17 @@
 """Share of the limit from which on callers are told to use another connection."""
 
 
+MAX_LOOKS = 128
+"""Connections that are looked at to find one to drop, each with a system call."""
+
+
 class Droppable(Protocol):
     """A connection that can be closed for another one."""
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that the event loop has not read yet."""
+
     def drop(self) -> None:
         """Close the connection at once, as others need its descriptor."""
 
@@ -91,11 +100,24 @@
 
         The connection of a shed request closes once its caller had time to read the refusal.
         """
-        silent = next(iter(self._silent.items()), None)
-        if silent is None or self._clock() - silent[1] < SILENT_SECONDS:
+        silent = self._longest_silent()
+        if silent is None:
             self._shed_slowest()
             return False
-        self.discard(silent[0])
+        self.discard(silent)
         self._dropped += 1
-        silent[0].drop()
+        silent.drop()
         return True
+
+    def _longest_silent(self) -> Droppable | None:
+        """Return the connection that has been silent for longest, or None where none was for long.
+
+        After the process stood still, connections look silent whose bytes wait to be read.
+        """
+        latest = self._clock() - SILENT_SECONDS
+        for connection, since in islice(self._silent.items(), MAX_LOOKS):
+            if since > latest:
+                return None
+            if not connection.has_unread:
+                return connection
+        return None
--- a/src/azureswitch/shedding/_unfinished.py
+++ b/src/azureswitch/shedding/_unfinished.py
@@ -1,6 +1,7 @@
 """The requests of which a part has arrived, and which of them ends where there is no room."""
 
 from collections.abc import Callable
+from itertools import islice
 from typing import Protocol
 
 from msgspec import Struct
@@ -24,9 +25,17 @@
 """Requests that are shed for one other, so that no turn of the event loop is long."""
 
 
+MAX_LOOKS = 128
+"""Requests that are looked at to find one to shed, each with a system call."""
+
+
 class Sheddable(Protocol):
     """The connection of an unfinished request."""
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that the event loop has not read yet."""
+
     def shed(self, error: RequestShedError) -> None:
         """Answer the unfinished request with an error and hold nothing for it any more."""
 
@@ -156,13 +165,24 @@
                 return
 
     def _shed_slowest(self, *, holder: Sheddable | None) -> bool:
-        slowest = next((other for other in self._requests if other is not holder), None)
+        slowest = self._slowest(holder=holder)
         if slowest is None:
             return False
         request = self._requests[slowest]
-        seconds = self._clock() - request.progressed_at
-        if seconds < SLOW_SECONDS:
-            return False
         self.discard(slowest)
-        slowest.shed(RequestShedError(held=request.size, stalled=seconds))
+        stalled = self._clock() - request.progressed_at
+        slowest.shed(RequestShedError(held=request.size, stalled=stalled))
         return True
+
+    def _slowest(self, *, holder: Sheddable | None) -> Sheddable | None:
+        """Return the connection of the slowest request, or None where none is slow.
+
+        After the process stood still, requests look slow whose bytes wait to be read.
+        """
+        latest = self._clock() - SLOW_SECONDS
+        for connection, request in islice(self._requests.items(), MAX_LOOKS):
+            if request.progressed_at > latest:
+                return None
+            if connection is not holder and not connection.has_unread:
+                return connection
+        return None
--- a/tests/shedding/test_connections.py
+++ b/tests/shedding/test_connections.py
@@ -15,6 +15,7 @@
     """A connection that notes whether it was dropped."""
 
     dropped: bool = False
+    has_unread: bool = False
 
     def drop(self) -> None:
         """Note it."""
@@ -82,6 +83,14 @@
         assert bed.dropped == dropped
         assert bed.limit.open == LIMIT
 
+    def test_unread(self) -> None:
+        """After a pause of the process, a connection stays whose first bytes wait to be read."""
+        bed = Bed()
+        bed.connections[0].has_unread = True
+        bed.now += SILENT_SECONDS
+        assert bed.limit.admit(Connection())
+        assert bed.dropped == [1]
+
     def test_slow_request_ends(self) -> None:
         """Where no connection is silent, a slow request ends for those that come next."""
         bed = Bed(slow=1)
--- a/tests/shedding/test_unfinished.py
+++ b/tests/shedding/test_unfinished.py
@@ -26,6 +26,7 @@
     """A connection that notes how its request was shed."""
 
     errors: list[RequestShedError] = field(default_factory=list)
+    has_unread: bool = False
 
     def shed(self, error: RequestShedError) -> None:
         """Note an error."""
@@ -89,6 +90,15 @@
         assert bed.requests.keep(Connection(), size=SIZE, received=1)
         assert (not first.errors) is stays
 
+    def test_unread(self) -> None:
+        """After a pause of the process, a request stays whose bytes wait to be read."""
+        bed = Bed()
+        first, second, *_ = bed.fill()
+        first.has_unread = True
+        bed.now += SLOW_SECONDS
+        assert bed.requests.keep(Connection(), size=SIZE, received=1)
+        assert (len(first.errors), len(second.errors)) == (0, 1)
+
     def test_whole_request_is_forgotten(self) -> None:
         """A request that is whole by now does not end for others."""
         bed = Bed()
