--- a/tests/server/test_memory.py
+++ b/tests/server/test_memory.py
@@ -12,7 +12,7 @@
 )
 from azureswitch.server import CallerLimits
 from azureswitch.server._headers import HEADER_BYTES, PackedHeaders
-from tests.server.fixtures import Script, answer_after, never, run, serve
+from tests.server.fixtures import Script, answer_after, never, request, run, serve
 from tests.waiting import reach
 
 LIMIT = 1_000_000
@@ -159,6 +159,19 @@
 
         run(scenario)
 
+    def test_one_connection(self) -> None:
+        """Requests that one caller sends ahead leave room for those of others."""
+
+        async def scenario() -> None:
+            budget = BufferBudget(limit=LIMIT)
+            async with serve(Script(acts={"/1": never}), budget=budget) as bed:
+                first, second = await bed.connect(), await bed.connect()
+                first.send(request("/1") + request("/2") * 200)
+                await reach(lambda: budget.used > LIMIT // 2)
+                assert (await second.ask("/3")).startswith(b"HTTP/1.1 200")
+
+        run(scenario)
+
     def test_half_read_is_released(self) -> None:
         """A caller that leaves in the midst of its body holds nothing any more."""
 
