Refuse a request of an entry host before it begins, and with one answer

Cause: room was looked for after a piece had been parsed, when the request was whole and its handler begun; and which request a refusal meant was taken from the newest one on the connection, which may be an earlier one.

Change: room is looked for once the headers are complete, before the handler begins; what is whole by the end of a piece is held all the same. The request that is being read is kept by itself (`_reading`).

--- a/src/azureswitch/entry/_protocol.py
+++ b/src/azureswitch/entry/_protocol.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from msgspec import Struct
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from azureswitch.buffers import REQUEST_BYTES, BufferLease, share_for
 from azureswitch.client import pieces
@@ -19,7 +19,6 @@
     HeadersTooLargeError,
     MalformedRequestError,
     MemoryShortError,
-    RequestError,
     RequestShedError,
 )
 from azureswitch.server import is_readable
@@ -66,8 +65,9 @@
     _overhead_bytes = 0
     _in_headers = True
     _unfinished = False
+    _reading: RequestResponseCycle | None = None
     _header_timer: asyncio.TimerHandle | None = None
-    _refusal: RequestError | None = None
+    _refusal: AzureswitchError | None = None
     _deferred: AzureswitchError | None = None
     _refused = False
 
@@ -120,6 +120,7 @@
         self._held_bytes += REQUEST_BYTES
         self._body_bytes = self._declared_left = 0
         self._unfinished = True
+        self._reading = None
         super().on_message_begin()
         state: dict[str, Any] = self.scope["state"]
         state["abort"] = self.transport.abort
@@ -138,7 +139,11 @@
             # A longer body is refused by its declared length, before any of it is read.
             self._declared_left = self._body_bytes = declared
             self._held_bytes += declared
+        if not self._has_room():
+            self._refusal = MemoryShortError()
+            raise _RefusedError()
         super().on_headers_complete()
+        self._reading = self.cycle
         if self.admission.crowded:
             self.cycle.keep_alive = False
 
@@ -161,6 +166,7 @@
         """Prepare for the headers of the next request."""
         self._in_headers = True
         self._unfinished = False
+        self._reading = None
         self._header_bytes = self._overhead_bytes = 0
         super().on_message_complete()
 
@@ -197,24 +203,32 @@
 
     @property
     def _is_answering(self) -> bool:
-        """Whether a request that came whole before this one has no whole answer yet."""
-        if self.pipeline:
-            return True
-        earlier = self.cycle if self._in_headers else None
-        return earlier is not None and not earlier.response_complete
+        """Whether a request before the one that is being read has no whole answer yet."""
+        if self._reading is not None:
+            return bool(self.pipeline)
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _has_room(self) -> bool:
+        """Count what the connection's requests hold, and return whether there was room for it."""
+        more = self._held_bytes - self._lease.size
+        return more <= 0 or self.intake.unfinished.try_grow(
+            self._lease, more, share=share_for(self._body_bytes), holder=self
+        )
 
     def _hold(self) -> None:
         """Count what the connection's requests hold, or refuse the one that is being read."""
-        more = self._held_bytes - self._lease.size
-        if more <= 0 or self._refused or self.transport.is_closing():
+        if self._refused or self._deferred is not None or self.transport.is_closing():
             return
-        share = share_for(self._body_bytes)
-        if not self.intake.unfinished.try_grow(self._lease, more, share=share, holder=self):
+        if not self._unfinished:
+            # It runs by now, and its last piece is held whether or not there is room.
+            self._lease.resize(max(self._held_bytes, self._lease.size))
+        elif not self._has_room():
             self._refuse(MemoryShortError())
 
     def _note_unfinished(self, *, received: int) -> None:
         """Refuse what is not whole by now if unfinished requests have no room for it."""
-        if not self._unfinished or self._refused or self._is_answering:
+        ended = self._refused or self._deferred is not None
+        if not self._unfinished or ended or self._is_answering:
             # What waits for the answer to another request is late by our own doing.
             self.intake.unfinished.discard(self)
         elif not self.intake.unfinished.keep(self, size=self._lease.size, received=received):
@@ -240,26 +254,32 @@
         self.intake.unfinished.discard(self)
         if self._refused or self._deferred is not None or self.transport.is_closing():
             return
-        if self._is_answering:
-            if self.pipeline and not self._in_headers:
-                self.pipeline.popleft()
-            self._deferred = error
+        if not self._is_answering:
+            self._send_refusal(error)
             return
-        self._send_refusal(error)
+        if self._reading is not None:
+            self.pipeline.popleft()
+        self._forget_unfinished()
+        self._deferred = error
+
+    def _forget_unfinished(self) -> None:
+        """Hold nothing of the request that is being read, and end its handler if one waits."""
+        if self._unfinished:
+            self.headers.clear()
+        if self._reading is not None:
+            self._reading.disconnected = True
+            self._reading.body = bytearray()
+            self._reading.message_event.set()
 
     def _send_refusal(self, error: AzureswitchError) -> None:
+        if self._refused or self.transport.is_closing():
+            return
         self._refused = True
         self.intake.refused(error)
-        reading = None if self._in_headers else self.cycle
-        if reading is not None and reading.response_started:
+        if self._reading is not None and self._reading.response_started:
             self.transport.abort()
             return
-        if reading is not None:
-            # Its handler waits for the rest of the body.
-            reading.disconnected = True
-            reading.body = bytearray()
-            reading.message_event.set()
-        self.headers.clear()
+        self._forget_unfinished()
         self._lease.release()
         self.transport.write(_refusal(error))
         if self.transport.can_write_eof():
--- a/tests/entry/test_memory.py
+++ b/tests/entry/test_memory.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Iterator
+from http.client import HTTPConnection
 
 import httpx
 import pytest
@@ -76,6 +77,35 @@
         assert first.startswith("200")
         assert second.startswith("503")
 
+    @pytest.mark.parametrize(
+        "sent",
+        [MODELS, f"{HEAD}transfer-encoding: chunked\r\n\r\n4\r\nnull\r\n0\r\n\r\n"],
+        ids=["without a body", "chunks"],
+    )
+    def test_whole_at_once(self, sent: str) -> None:
+        """A request that arrives whole is refused before it begins, with one answer."""
+        rig = Rig(limits=replace(LIMITS, memory_bytes=REQUEST_BYTES))
+        with rig.running():
+            (answer,) = exchange(rig, sent).split("HTTP/1.1 ")[1:]
+        assert answer.startswith("503")
+        assert '"ran":"not_run"' in answer
+
+    def test_on_a_kept_connection(self, rig: Rig) -> None:
+        """A request behind an answered one is refused with its own answer."""
+        address = rig.entry.address
+        caller = HTTPConnection(address.ip, address.port, timeout=PATIENCE)
+        headers = {"authorization": f"Bearer {KEY}"}
+        statuses = []
+        for method, path, length in (
+            ("GET", "/v1/models", 0),
+            ("POST", "/v1/completions", LARGE),
+        ):
+            caller.request(method, path, headers={**headers, "content-length": str(length)})
+            answer = caller.getresponse()
+            statuses.append(answer.status)
+            answer.read()
+        assert statuses == [200, 503]
+
     def test_released(self, rig: Rig) -> None:
         """What a request holds is let go of once it is answered, also on a kept connection."""
         requests = MODELS * 5 + MODELS.replace("host: a", "host: a\r\nconnection: close")
