Look further than the requests whose bytes wait to be read

What callers would see: 128 unfinished requests, or new connections, whose bytes stay in the kernel hide all others behind them, so that nothing is shed and ordinary callers get 503 memory_short or a closed connection. A client brings that about by sending on behind a request that is still being answered, as the host does not read it meanwhile.

Cause: what is passed over for its unread bytes stayed at the head of the order, and at most 128 are looked at.

Change: unread bytes count as progress, and their request or connection goes to the end of the order.

Evidence: one case each in tests/shedding fails without the change (nothing gives way at the second try) and passes with it; tests of server, peers and entry/test_memory pass.

--- a/src/azureswitch/shedding/_connections.py
+++ b/src/azureswitch/shedding/_connections.py
@@ -13,7 +13,6 @@
 CROWDED_SHARE = 0.75
 """Share of the limit from which on callers are told to use another connection."""
 
-
 MAX_LOOKS = 128
 """Connections that are looked at to find one to drop, each with a system call."""
 
@@ -110,14 +109,17 @@
         return True
 
     def _longest_silent(self) -> Droppable | None:
-        """Return the connection that has been silent for longest, or None where none was for long.
+        """Return the connection that has been silent for longest, or None where none is found.
 
-        After the process stood still, connections look silent whose bytes wait to be read.
+        After the process stood still, connections look silent whose bytes wait to be read.  These
+        go to the end of the order, so that they are not looked at again and again.
         """
-        latest = self._clock() - SILENT_SECONDS
-        for connection, since in islice(self._silent.items(), MAX_LOOKS):
-            if since > latest:
+        now = self._clock()
+        for connection, since in tuple(islice(self._silent.items(), MAX_LOOKS)):
+            if now - since < SILENT_SECONDS:
                 return None
             if not connection.has_unread:
                 return connection
+            del self._silent[connection]
+            self._silent[connection] = now
         return None
--- a/src/azureswitch/shedding/_unfinished.py
+++ b/src/azureswitch/shedding/_unfinished.py
@@ -24,7 +24,6 @@
 MAX_SHED = 128
 """Requests that are shed for one other, so that no turn of the event loop is long."""
 
-
 MAX_LOOKS = 128
 """Requests that are looked at to find one to shed, each with a system call."""
 
@@ -145,10 +144,13 @@
     def _note_progress(self, holder: Sheddable, request: _Unfinished, *, received: int) -> None:
         request.received += received
         if request.received >= PROGRESS_BYTES:
-            request.received = 0
-            request.progressed_at = self._clock()
-            # The last one in the order.
-            self._requests[holder] = self._requests.pop(holder)
+            self._mark_progress(holder, request)
+
+    def _mark_progress(self, holder: Sheddable, request: _Unfinished) -> None:
+        request.received = 0
+        request.progressed_at = self._clock()
+        # The last one in the order.
+        self._requests[holder] = self._requests.pop(holder)
 
     def _excess(self) -> int:
         """Return by how many bytes they exceed their share, which one alone never does."""
@@ -175,14 +177,18 @@
         return True
 
     def _slowest(self, *, holder: Sheddable | None) -> Sheddable | None:
-        """Return the connection of the slowest request, or None where none is slow.
+        """Return the connection of the slowest request, or None where none is found.
 
-        After the process stood still, requests look slow whose bytes wait to be read.
+        After the process stood still, requests look slow whose bytes wait to be read.  These count
+        as progress, so that such requests are not looked at again and again.
         """
         latest = self._clock() - SLOW_SECONDS
-        for connection, request in islice(self._requests.items(), MAX_LOOKS):
+        for connection, request in tuple(islice(self._requests.items(), MAX_LOOKS)):
             if request.progressed_at > latest:
                 return None
-            if connection is not holder and not connection.has_unread:
+            if connection is holder:
+                continue
+            if not connection.has_unread:
                 return connection
+            self._mark_progress(connection, request)
         return None
--- a/tests/shedding/test_connections.py
+++ b/tests/shedding/test_connections.py
@@ -5,7 +5,7 @@
 import pytest
 
 from azureswitch.shedding import ConnectionLimit, DescriptorShares
-from azureswitch.shedding._connections import CROWDED_SHARE, SILENT_SECONDS
+from azureswitch.shedding._connections import CROWDED_SHARE, MAX_LOOKS, SILENT_SECONDS
 
 LIMIT = 4
 
@@ -91,6 +91,16 @@
         assert bed.limit.admit(Connection())
         assert bed.dropped == [1]
 
+    def test_unread_ones_hide_no_other(self) -> None:
+        """However many connections have bytes to be read, the silent ones behind them give way."""
+        times = [0.0]
+        limit = ConnectionLimit(limit=MAX_LOOKS + 1, clock=lambda: times[-1])
+        connections = [Connection(has_unread=n < MAX_LOOKS) for n in range(MAX_LOOKS + 1)]
+        assert all(limit.admit(connection) for connection in connections)
+        times.append(SILENT_SECONDS)
+        assert [limit.admit(Connection()) for _ in range(2)] == [False, True]
+        assert connections[-1].dropped
+
     def test_slow_request_ends(self) -> None:
         """Where no connection is silent, a slow request ends for those that come next."""
         bed = Bed(slow=1)
--- a/tests/shedding/test_unfinished.py
+++ b/tests/shedding/test_unfinished.py
@@ -8,6 +8,7 @@
 from azureswitch.exceptions import RequestShedError
 from azureswitch.shedding import UnfinishedRequests
 from azureswitch.shedding._unfinished import (
+    MAX_LOOKS,
     MAX_SHED,
     PROGRESS_BYTES,
     SLOW_SECONDS,
@@ -99,6 +100,17 @@
         assert bed.requests.keep(Connection(), size=SIZE, received=1)
         assert (len(first.errors), len(second.errors)) == (0, 1)
 
+    def test_unread_ones_hide_no_other(self) -> None:
+        """However many requests have bytes to be read, the slow ones behind them give way."""
+        bed = Bed(budget=BufferBudget(limit=10 * LIMIT))
+        connections = bed.fill(10 * ROOM)
+        for connection in connections[:MAX_LOOKS]:
+            connection.has_unread = True
+        bed.now += SLOW_SECONDS
+        kept = [bed.requests.keep(Connection(), size=SIZE, received=1) for _ in range(2)]
+        assert kept == [False, True]
+        assert [n for n, one in enumerate(connections) if one.errors] == [MAX_LOOKS]
+
     def test_whole_request_is_forgotten(self) -> None:
         """A request that is whole by now does not end for others."""
         bed = Bed()
