Take a process without a limit of descriptors for what it is

What callers would see: a process whose limit of descriptors is unlimited, or an entry host with fewer than 64, closed every connection at once. Found by reading the diff; Linux caps the limit, so that the first is rare.

Cause: the kernel's value for no limit is -1, which was taken as a count, and only hosts of the platform had a least number of sockets.

Change: machine_descriptors returns the greatest number for no limit, and shedding.descriptor_shares has the least number for hosts of both kinds.

Evidence: tests/shedding has both as tables, which pass. They were not run on the code as it was, which has no such function.

--- a/src/azureswitch/entry/_server.py
+++ b/src/azureswitch/entry/_server.py
@@ -23,7 +23,7 @@
 from azureswitch.metrics import REFUSALS_HELP, Metrics, watch_buffers
 from azureswitch.peers import PeerNetwork
 from azureswitch.settings import Address
-from azureswitch.shedding import DescriptorShares, UnfinishedRequests
+from azureswitch.shedding import UnfinishedRequests, descriptor_shares
 from azureswitch.tasks import Tasks, keep_running
 
 SETTLE_TIMEOUT_SECONDS = 30.0
@@ -59,7 +59,7 @@
         self._callers: HttpServer | None = None
         self._operations: HttpServer | None = None
         self._tasks = Tasks(prefix="entry")
-        self._shares = DescriptorShares(sockets=machine_descriptors() - FILES)
+        self._shares = descriptor_shares(machine_descriptors(), files=FILES)
 
     @property
     def address(self) -> Address:
--- a/src/azureswitch/machine.py
+++ b/src/azureswitch/machine.py
@@ -2,7 +2,8 @@
 
 from os import sysconf
 from pathlib import Path
-from resource import RLIMIT_NOFILE, getrlimit
+from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
+from sys import maxsize
 
 CGROUP_MEMORY = Path("/sys/fs/cgroup/memory.max")
 """The memory limit of the process's control group in bytes, or ``max``; absent without one."""
@@ -20,4 +21,5 @@
 
 def machine_descriptors() -> int:
     """Return how many file descriptors this process may have open."""
-    return getrlimit(RLIMIT_NOFILE)[0]
+    limit, _ = getrlimit(RLIMIT_NOFILE)
+    return maxsize if limit == RLIM_INFINITY else limit
--- a/src/azureswitch/platform/_settings.py
+++ b/src/azureswitch/platform/_settings.py
@@ -12,7 +12,7 @@
 from azureswitch.exceptions import PlatformSettingsError
 from azureswitch.inventory import Place
 from azureswitch.machine import machine_descriptors
-from azureswitch.shedding import DescriptorShares
+from azureswitch.shedding import DescriptorShares, descriptor_shares
 
 SETTINGS_VARIABLE = "AZURESWITCH_SETTINGS"
 """The environment variable that holds the path of the settings file."""
@@ -25,9 +25,6 @@
 FILES = 200
 """Descriptors that the platform reserves for files."""
 
-MIN_SOCKETS = 64
-"""Descriptors that sockets are taken to have, however low the limit is."""
-
 
 class Addresses(msgspec.Struct, frozen=True, kw_only=True):
     """The addresses on which a process listens.
@@ -85,7 +82,7 @@
     def descriptors(self) -> DescriptorShares:
         """The connections that each listener may have."""
         limit = min(self.max_descriptors or maxsize, machine_descriptors())
-        return DescriptorShares(sockets=max(limit - FILES, MIN_SOCKETS))
+        return descriptor_shares(limit, files=FILES)
 
 
 class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/azureswitch/shedding/__init__.py
+++ b/src/azureswitch/shedding/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from azureswitch.shedding._connections import ConnectionLimit, Droppable
-from azureswitch.shedding._descriptors import DescriptorShares
+from azureswitch.shedding._descriptors import DescriptorShares, descriptor_shares
 from azureswitch.shedding._unfinished import Sheddable, UnfinishedRequests
 
 __all__ = [
@@ -15,4 +15,5 @@
     "Droppable",
     "Sheddable",
     "UnfinishedRequests",
+    "descriptor_shares",
 ]
--- a/src/azureswitch/shedding/_descriptors.py
+++ b/src/azureswitch/shedding/_descriptors.py
@@ -11,6 +11,9 @@
 PAGES_SHARE = 0.05
 """Share for each listener of pages: readiness, metrics and status."""
 
+MIN_SOCKETS = 64
+"""Descriptors that sockets are taken to have, however low the limit of the process is."""
+
 
 class DescriptorShares(Struct, frozen=True, kw_only=True):
     """How many connections each listener may have; the rest is for targets, store and tunnels.
@@ -35,3 +38,13 @@
     def pages(self) -> int:
         """Connections to one listener of pages."""
         return int(PAGES_SHARE * self.sockets)
+
+
+def descriptor_shares(limit: int, *, files: int) -> DescriptorShares:
+    """Return the shares of a process.
+
+    Args:
+        limit: Descriptors that the process may have open.
+        files: Those of them that sockets do not take.
+    """
+    return DescriptorShares(sockets=max(limit - files, MIN_SOCKETS))
--- a/tests/shedding/test_connections.py
+++ b/tests/shedding/test_connections.py
@@ -1,10 +1,13 @@
 """Which connections end where there are too many."""
 
 from dataclasses import dataclass, field
+from resource import RLIM_INFINITY
+from sys import maxsize
 
 import pytest
 
-from azureswitch.shedding import ConnectionLimit, DescriptorShares
+from azureswitch.machine import machine_descriptors
+from azureswitch.shedding import ConnectionLimit, DescriptorShares, descriptor_shares
 from azureswitch.shedding._connections import CROWDED_SHARE, MAX_LOOKS, SILENT_SECONDS
 
 LIMIT = 4
@@ -132,3 +135,16 @@
         shares = DescriptorShares(sockets=sockets)
         assert shares.callers + shares.peers + 2 * shares.pages < sockets
         assert min(shares.callers, shares.peers, shares.pages) > 0
+
+    @pytest.mark.parametrize(
+        ("limit", "files", "sockets"), [(4_200, 200, 4_000), (200, 200, 64), (32, 64, 64)]
+    )
+    def test_of_a_process(self, limit: int, files: int, sockets: int) -> None:
+        """What files need is left to them, and no listener is without a connection."""
+        assert descriptor_shares(limit, files=files) == DescriptorShares(sockets=sockets)
+
+    @pytest.mark.parametrize(("soft", "limit"), [(1_024, 1_024), (RLIM_INFINITY, maxsize)])
+    def test_no_limit(self, monkeypatch: pytest.MonkeyPatch, soft: int, limit: int) -> None:
+        """A process without a limit is not taken for one without descriptors."""
+        monkeypatch.setattr("azureswitch.machine.getrlimit", lambda _: (soft, soft))
+        assert machine_descriptors() == limit
