Read better: one constant for headers and lingering, and nothing unused

HEADER_BYTES and LINGER_SECONDS stood twice, in the server of the platform and in that of entry hosts; two properties and a count of ConnectionLimit were read by nobody, and its docstring said that a slow request's place is taken at once, where its connection first lets its caller read the refusal. The tests of crowds name their pause.

--- a/src/azureswitch/buffers.py
+++ b/src/azureswitch/buffers.py
@@ -24,6 +24,9 @@
 REQUEST_BYTES = 16_384
 """Bytes that a request counts for beside its body."""
 
+HEADER_BYTES = 256
+"""Bytes that a header takes beside its name and its value, once both are objects."""
+
 
 class BufferBudget:
     """The bytes that may be held.
--- a/src/azureswitch/entry/_protocol.py
+++ b/src/azureswitch/entry/_protocol.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
-from azureswitch.buffers import REQUEST_BYTES, BufferLease, share_for
+from azureswitch.buffers import HEADER_BYTES, REQUEST_BYTES, BufferLease, share_for
 from azureswitch.client import pieces
 from azureswitch.entry._errors import error_body
 from azureswitch.entry._settings import Limits
@@ -21,18 +21,12 @@
     MemoryShortError,
     RequestShedError,
 )
-from azureswitch.server import is_readable
+from azureswitch.server import LINGER_SECONDS, is_readable
 from azureswitch.shedding import ConnectionLimit, UnfinishedRequests
 
 MAX_FRAMING_RATIO = 8
 """Upper bound of framing bytes per byte of a body; chunks of one byte must pass."""
 
-HEADER_BYTES = 256
-"""Bytes that a header takes beside its name and its value."""
-
-LINGER_SECONDS = 2.0
-"""Seconds for which a refused caller may go on sending; it reads the refusal meanwhile."""
-
 
 class _RefusedError(Exception):
     """Ends the parsing of a refused request."""
--- a/src/azureswitch/server/__init__.py
+++ b/src/azureswitch/server/__init__.py
@@ -5,12 +5,14 @@
 of which a server library's application interface has no place.
 """
 
+from azureswitch.server._connection import LINGER_SECONDS
 from azureswitch.server._exchange import Exchange, Handler
 from azureswitch.server._model import CallerLimits, CloseReason, ConnectionClosed, HttpRequest
 from azureswitch.server._server import HttpServer
 from azureswitch.server._unread import is_readable
 
 __all__ = [
+    "LINGER_SECONDS",
     "CallerLimits",
     "CloseReason",
     "ConnectionClosed",
--- a/src/azureswitch/server/_headers.py
+++ b/src/azureswitch/server/_headers.py
@@ -1,10 +1,8 @@
 """Headers of a request that is not whole yet, in little more memory than they have bytes."""
 
+from azureswitch.buffers import HEADER_BYTES
 from azureswitch.client import Headers
 
-HEADER_BYTES = 256
-"""Bytes that a header takes beside its name and its value once it is unpacked."""
-
 _END = b"\n"
 """Ends each name and each value; the parser lets no such byte through in either."""
 
--- a/src/azureswitch/shedding/_connections.py
+++ b/src/azureswitch/shedding/_connections.py
@@ -31,9 +31,9 @@
 class ConnectionLimit:
     """Bounds the open connections of a listener.
 
-    A new connection takes the place of one that has sent nothing for a while, or else of one whose
-    request makes no progress.  A connection that was used is never dropped: its caller was told how
-    long it may be used.
+    A new connection takes the place of one that has sent nothing for a while.  Where there is none,
+    it must be closed, and the slowest unfinished request ends for those that come next.  A
+    connection that was used is never dropped: its caller was told how long it may be used.
 
     Args:
         limit: Connections that may be open.
@@ -54,23 +54,12 @@
         self._shed_slowest = shed_slowest
         self._silent: dict[Droppable, float] = {}
         self._open: set[Droppable] = set()
-        self._dropped = 0
-
-    @property
-    def limit(self) -> int:
-        """Connections that may be open."""
-        return self._limit
 
     @property
     def open(self) -> int:
         """Connections that are open."""
         return len(self._open)
 
-    @property
-    def dropped(self) -> int:
-        """Connections that were closed so far for others, or because there was no room for them."""
-        return self._dropped
-
     @property
     def crowded(self) -> bool:
         """Whether so many are open that callers should not keep theirs."""
@@ -79,7 +68,6 @@
     def admit(self, connection: Droppable) -> bool:
         """Count a new connection and return True, or False where it must be closed at once."""
         if len(self._open) >= self._limit and not self._make_room():
-            self._dropped += 1
             return False
         self._open.add(connection)
         self._silent[connection] = self._clock()
@@ -104,7 +92,6 @@
             self._shed_slowest()
             return False
         self.discard(silent)
-        self._dropped += 1
         silent.drop()
         return True
 
--- a/tests/crowds/hosts.py
+++ b/tests/crowds/hosts.py
@@ -45,6 +45,9 @@
 TRIES = 5
 """Tries of an ordinary caller, which comes again as it is told."""
 
+RETRY_SECONDS = 1.0
+"""Seconds after which it comes again, as refusals say."""
+
 TRY_SECONDS = 6.0
 """Seconds after which an ordinary caller gives a try up."""
 
@@ -129,8 +132,7 @@
         while host.running and len(statuses) < TRIES and 200 not in statuses:
             statuses.append(await host.ask(size))
             if statuses[-1] != 200:
-                await asyncio.sleep(1.0)
-        await asyncio.sleep(0)
+                await asyncio.sleep(RETRY_SECONDS)
         outcome = Outcome(
             running=host.running,
             memory=host.peak_memory if host.running else 0,
--- a/tests/server/test_memory.py
+++ b/tests/server/test_memory.py
@@ -3,6 +3,7 @@
 import pytest
 
 from azureswitch.buffers import (
+    HEADER_BYTES,
     LARGE_SHARE,
     REQUEST_BYTES,
     SMALL_BYTES,
@@ -11,7 +12,7 @@
     budget_of,
 )
 from azureswitch.server import CallerLimits
-from azureswitch.server._headers import HEADER_BYTES, PackedHeaders
+from azureswitch.server._headers import PackedHeaders
 from tests.server.fixtures import Script, answer_after, never, request, run, serve
 from tests.waiting import reach
 
